--- /dev/null
+++ b/libs/accession/src/accession/local.py
@@ -0,0 +1,300 @@
+"""One store's own copy of the log: queue files under the data folder, the records still in memory
+with the times they were received, the ledger folded as far as the log is settled, and snapshots of
+it. Opening reads it all back: a tail that never was flushed is cut off, a hole in what was flushed
+is damage and refused. Files of a later epoch stand above what earlier files say of the same places."""
+
+import secrets
+from collections.abc import Callable
+
+from accession.messages import TRUNCATE, LogMeta, Record, SnapshotHead, StoredEntry
+from ledger import Ledger
+from stacks import Damage, Disk, frame, scan
+from vellum import Message, decode, encode
+
+__all__ = ["LocalLog"]
+
+_META, _SNAP, _MARK, _QUEUE = "meta", "snapshot", "mark", "queue-"
+
+
+class LocalLog:
+    __slots__ = ("_dirty", "_flushWaiters", "_flushing", "_lastFlushMs", "_now", "_sinceSnapBytes",
+                 "_snapping", "_written", "disk", "flushedSeq", "ledger", "meta", "params", "receivedMs",
+                 "records", "settledSeq", "snapSeq", "snapStamp")
+
+    def __init__(self, disk: Disk, params, now: Callable[[], int]) -> None:
+        self.disk = disk
+        self.params = params
+        self._now = now
+        self.records: list[Record] = []
+        self.receivedMs: list[int] = []
+        self.ledger = Ledger()
+        self.snapSeq = 0
+        self.snapStamp = (0, 0)
+        self._dirty: set[str] = set()
+        self._flushing = False
+        self._flushWaiters: list[Callable[[bool], None]] = []
+        self._snapping = False
+        self._sinceSnapBytes = 0
+        self._lastFlushMs = now()
+        self._written = ("", 0)
+        self._open()
+        self.settledSeq = self.snapSeq
+        self.flushedSeq = self.lastSeq
+
+    # -- reading back ------------------------------------------------------------------------
+
+    def _open(self) -> None:
+        names = self.disk.names()
+        if _META in names:
+            frames, _, _ = scan(self.disk.read(_META))
+            if not frames:
+                raise Damage(_META, 0)
+            self.meta = decode(frames[0][1])
+        else:
+            self.meta = LogMeta(identity=f"store-{secrets.token_hex(6)}", fence=0, logEpoch=0)
+        if _SNAP in names:
+            self.load_snapshot(self.disk.read(_SNAP))
+        mark = self._read_mark(names)
+        for name in [name for name in names if name.startswith(_QUEUE)]:
+            self._open_queue(name)
+        if self.lastSeq < mark:
+            raise Damage(_QUEUE, self.lastSeq)
+        self.receivedMs = [self._now()] * len(self.records)
+
+    def _open_queue(self, name: str) -> None:
+        data = self.disk.read(name)
+        frames, end, _ = scan(data)
+        for offset, payload in frames:
+            entry = decode(payload)
+            if entry.seq <= self.snapSeq:
+                continue
+            if entry.seq > self.lastSeq + 1:
+                end = offset
+                break
+            del self.records[entry.seq - self.firstSeq:]
+            self.records.append(_record(entry, payload, name, offset))
+        if end < len(data):
+            self.disk.truncate(name, end)
+            self._dirty.add(name)
+        if end == 0:
+            self.disk.remove(name)
+            self._dirty.discard(name)
+
+    def _read_mark(self, names: list[str]) -> int:
+        if _MARK not in names:
+            return 0
+        frames, _, _ = scan(self.disk.read(_MARK))
+        return int(frames[0][1]) if frames else 0
+
+    # -- places ------------------------------------------------------------------------------
+
+    @property
+    def identity(self) -> str:
+        return self.meta.identity
+
+    @property
+    def firstSeq(self) -> int:
+        return self.records[0].seq if self.records else self.snapSeq + 1
+
+    @property
+    def lastSeq(self) -> int:
+        return self.records[-1].seq if self.records else self.snapSeq
+
+    @property
+    def lastStamp(self) -> tuple[int, int]:
+        return self.records[-1].stamp if self.records else self.snapStamp
+
+    def stamp_at(self, seq: int) -> tuple[int, int] | None:
+        if seq == self.snapSeq:
+            return self.snapStamp
+        index = seq - self.firstSeq
+        return self.records[index].stamp if 0 <= index < len(self.records) else None
+
+    def since(self, seq: int, limitBytes: int) -> list[Record]:
+        rows: list[Record] = []
+        sizeBytes = 0
+        for record in self.records[max(0, seq - self.firstSeq):]:
+            if rows and sizeBytes + record.nbytes > limitBytes:
+                break
+            rows.append(record)
+            sizeBytes += record.nbytes
+        return rows
+
+    # -- writing -----------------------------------------------------------------------------
+
+    def make(self, stamp: tuple[int, int], body: bytes) -> Record:
+        """The next record of the holder's queue file; the first of a file carries the truncate flag."""
+        seq = self.lastSeq + 1
+        payload = encode(StoredEntry(epoch=stamp[0], stampMs=stamp[1], seq=seq, body=body))
+        name, offset = self._written
+        flags = 0
+        if not name.startswith(f"{_QUEUE}{stamp[0]:08d}-") or offset >= self.params.segmentBytes:
+            name, offset, flags = f"{_QUEUE}{stamp[0]:08d}-{seq:012d}", 0, TRUNCATE
+        return _record(StoredEntry(epoch=stamp[0], stampMs=stamp[1], seq=seq, body=body), payload, name, offset,
+                       flags)
+
+    def write(self, record: Record, urgent: bool = False) -> None:
+        """Lazy, at the absolute offset, so writing the same record again changes nothing."""
+        if record.flags & TRUNCATE:
+            self.disk.truncate(record.file, 0)
+        self.disk.write(record.file, record.offset, record.bytes, urgent)
+        self._dirty.add(record.file)
+        self._written = (record.file, record.offset + record.nbytes)
+        self._sinceSnapBytes += record.nbytes
+        self.records.append(record)
+        self.receivedMs.append(self._now())
+
+    def cut_after(self, seq: int) -> None:
+        keep = max(0, seq - self.firstSeq + 1)
+        if len(self.records) > keep:
+            self._write_mark(min(self.flushedSeq, seq))
+        for record in reversed(self.records[keep:]):
+            self.disk.truncate(record.file, record.offset)
+            self._dirty.add(record.file)
+        if len(self.records) > keep:
+            self._written = ("", 0)
+        del self.records[keep:]
+        del self.receivedMs[keep:]
+        self.flushedSeq = min(self.flushedSeq, self.lastSeq)
+
+    def flush(self, done: Callable[[bool], None]) -> None:
+        """Flushes that are asked for while one runs share the next one."""
+        self._flushWaiters.append(done)
+        if not self._flushing:
+            self._start_flush()
+
+    def _start_flush(self) -> None:
+        self._flushing = True
+        self._lastFlushMs = self._now()
+        waiters, self._flushWaiters = self._flushWaiters, []
+        names, self._dirty = sorted(self._dirty), set()
+        upTo = self.lastStamp
+        upToSeq = self.lastSeq
+
+        def flushed(ok: bool) -> None:
+            self._flushing = False
+            if ok and self.stamp_at(upToSeq) == upTo and upToSeq > self.flushedSeq:
+                self.flushedSeq = upToSeq
+                self._write_mark(upToSeq)
+            if not ok:
+                self._dirty.update(names)
+            for waiter in waiters:
+                waiter(ok)
+            if self._flushWaiters and not self._flushing:
+                self._start_flush()
+
+        self.disk.flush(names, flushed)
+
+    def _write_mark(self, seq: int) -> None:
+        if self.disk.roomy(64, True):
+            self.disk.write(_MARK, 0, frame(f"{seq:020d}".encode()), True)
+
+    def flush_due(self) -> bool:
+        return (self.flushedSeq < self.lastSeq and not self._flushing
+                and self._now() - self._lastFlushMs >= self.params.flushMs)
+
+    def keep_meta(self, done: Callable[[bool], None], fence: int | None = None, logEpoch: int | None = None) -> None:
+        meta = LogMeta(identity=self.meta.identity, fence=max(self.meta.fence, fence or 0),
+                       logEpoch=max(self.meta.logEpoch, logEpoch or 0))
+
+        def kept(ok: bool) -> None:
+            if ok:
+                self.meta = LogMeta(identity=meta.identity, fence=max(self.meta.fence, meta.fence),
+                                    logEpoch=max(self.meta.logEpoch, meta.logEpoch))
+            done(ok)
+
+        self.disk.replace(_META, frame(encode(meta)), kept)
+
+    # -- settling, snapshots, trimming ---------------------------------------------------------
+
+    def settle(self, seq: int) -> list[Message]:
+        """Folds what has become settled and returns it."""
+        rows = []
+        while self.settledSeq < min(seq, self.lastSeq):
+            record = self.records[self.settledSeq + 1 - self.firstSeq]
+            entry = entry_of(record)
+            self.ledger.apply(entry)
+            rows.append(entry)
+            self.settledSeq += 1
+        return rows
+
+    def snapshot(self) -> bytes:
+        stamp = self.stamp_at(self.settledSeq) or (0, 0)
+        rows = self.ledger.dump()
+        head = SnapshotHead(seq=self.settledSeq, epoch=stamp[0], stampMs=stamp[1], count=len(rows))
+        return b"".join([frame(encode(head)), *[frame(encode(row)) for row in rows]])
+
+    def load_snapshot(self, data: bytes) -> None:
+        frames, end, _ = scan(data)
+        head = decode(frames[0][1]) if frames else None
+        if head is None or end != len(data) or head.count != len(frames) - 1:
+            raise Damage(_SNAP, end)
+        self.ledger = Ledger()
+        for _, payload in frames[1:]:
+            self.ledger.apply(decode(payload))
+        self.snapSeq = self.settledSeq = head.seq
+        self.snapStamp = (head.epoch, head.stampMs)
+
+    def install(self, data: bytes, done: Callable[[bool], None]) -> None:
+        """Takes over another's snapshot: only when this log can't be brought up record by record."""
+        self.cut_after(0)
+        self._write_mark(0)
+        for name in [name for name in self.disk.names() if name.startswith(_QUEUE)]:
+            self.disk.remove(name)
+        self._dirty.clear()
+        self.records, self.receivedMs = [], []
+        self.load_snapshot(data)
+        self._written = ("", 0)
+        self.flushedSeq = 0
+        seq = self.snapSeq
+
+        def kept(ok: bool) -> None:
+            if ok:
+                self.flushedSeq = max(self.flushedSeq, seq)
+            done(ok)
+
+        self.disk.replace(_SNAP, data, kept)
+
+    def tidy(self, force: bool = False) -> None:
+        """Snapshots when a segment's worth is settled, then trims what is both in one and old."""
+        if self._snapping or self.settledSeq <= self.snapSeq:
+            return
+        if not force and self._sinceSnapBytes < self.params.segmentBytes:
+            return
+        self._snapping = True
+        seq = self.settledSeq
+        stamp = self.stamp_at(seq) or (0, 0)
+        self._sinceSnapBytes = 0
+
+        def kept(ok: bool) -> None:
+            self._snapping = False
+            if ok and seq > self.snapSeq:
+                self.snapSeq, self.snapStamp = seq, stamp
+                self.trim()
+
+        self.disk.replace(_SNAP, self.snapshot(), kept)
+
+    def trim(self) -> None:
+        if self.receivedMs:
+            floorMs = self.receivedMs[-1] - self.params.keepFactor * self.params.flushMs
+            count = 0
+            while (count < len(self.records) - 1 and self.records[count].seq <= self.snapSeq
+                   and self.receivedMs[count] < floorMs):
+                count += 1
+            del self.records[:count]
+            del self.receivedMs[:count]
+        needed = {record.file for record in self.records if record.seq > self.snapSeq} | {self._written[0]}
+        for name in [name for name in self.disk.names() if name.startswith(_QUEUE)]:
+            if name not in needed:
+                self._dirty.discard(name)
+                self.disk.remove(name)
+
+
+def entry_of(record: Record) -> Message:
+    return decode(decode(record.bytes[8:]).body)
+
+
+def _record(entry: StoredEntry, payload: bytes, name: str, offset: int, flags: int = 0) -> Record:
+    data = frame(payload)
+    return Record(epoch=entry.epoch, stampMs=entry.stampMs, seq=entry.seq, file=name, flags=flags,
+                  nbytes=len(data), bytes=data, offset=offset)
--- /dev/null
+++ b/libs/accession/src/accession/peer.py
@@ -0,0 +1,130 @@
+"""What a store does as a peer. A lower epoch is refused; a higher one is first put on disk. Records
+are taken only in sequence, so holding one means holding all before it. A log that missed a recovery
+is adopted into the new epoch once it matches through the recovered end, on disk."""
+
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+from accession.local import LocalLog
+from accession.messages import Append, Appended, Fetch, Fetched, Install, Start
+from accession.recovery import started
+from stacks import Damage, DiskFull
+from vellum import Message, decode, encode
+
+__all__ = ["PeerSide"]
+
+_CHUNK_BYTES = 1 << 20
+Reply = Callable[[Message], None]
+
+
+class PeerSide:
+    __slots__ = ("_busy", "_log")
+
+    def __init__(self, log: LocalLog) -> None:
+        self._log = log
+        self._busy = False
+
+    def receive(self, message: Message, reply: Reply) -> None:
+        if message.epoch > self._log.meta.fence:
+            self._log.keep_meta(lambda ok: self._on(message, reply) if ok else None, fence=message.epoch)
+        else:
+            self._on(message, reply)
+
+    @singledispatchmethod
+    def _on(self, message: Message, reply: Reply) -> None:
+        raise TypeError(type(message).__name__)
+
+    @_on.register
+    def _(self, message: Start, reply: Reply) -> None:
+        reply(started(self._log, message.epoch == self._log.meta.fence))
+
+    @_on.register
+    def _(self, message: Fetch, reply: Reply) -> None:
+        log = self._log
+        ok = message.epoch == log.meta.fence
+        snapshot, records = b"", []
+        if ok and message.fromSeq < log.firstSeq and message.fromSeq <= log.snapSeq:
+            snapshot = log.snapshot()
+        elif ok:
+            records = [encode(record) for record in log.since(message.fromSeq, _CHUNK_BYTES)]
+        reply(Fetched(identity=log.identity, ok=ok, snapshot=snapshot, records=records, lastSeq=log.lastSeq))
+
+    @_on.register
+    def _(self, message: Append, reply: Reply) -> None:
+        log = self._log
+        if message.epoch < log.meta.fence:
+            reply(self._receipt(message.probe, False, "fenced"))
+        elif self._busy:
+            reply(self._receipt(message.probe, False, "busy"))
+        elif log.stamp_at(message.prevSeq) != (message.prevEpoch, message.prevMs):
+            reply(self._receipt(message.probe, False, "gap"))
+        else:
+            self._take(message, reply)
+
+    def _take(self, message: Append, reply: Reply) -> None:
+        log = self._log
+        records = [decode(data) for data in message.records]
+        same = message.prevSeq
+        for record in records:
+            if log.stamp_at(record.seq) != record.stamp:
+                break
+            same = record.seq
+        fresh = records[same - message.prevSeq:]
+        if fresh or log.meta.logEpoch < message.epoch:
+            log.cut_after(same)
+        try:
+            for record in fresh:
+                log.write(record)
+        except DiskFull:
+            reply(self._receipt(message.probe, False, "full"))
+            return
+        if log.meta.logEpoch < message.epoch and log.lastSeq >= message.baseSeq:
+            self._adopt(message, reply)
+            return
+        if log.meta.logEpoch == message.epoch:
+            log.settle(message.settledSeq)
+        if message.flush and log.flushedSeq < log.lastSeq:
+            log.flush(lambda ok: reply(self._receipt(message.probe, True, "")))
+        reply(self._receipt(message.probe, True, ""))
+
+    def _adopt(self, message: Append, reply: Reply) -> None:
+        """Flushed first, then the epoch of the log is raised: from then on its answers count."""
+        self._busy = True
+
+        def flushed(ok: bool) -> None:
+            if ok and message.epoch == self._log.meta.fence:
+                self._log.keep_meta(adopted, logEpoch=message.epoch)
+            else:
+                self._busy = False
+
+        def adopted(ok: bool) -> None:
+            self._busy = False
+            reply(self._receipt(message.probe, ok, ""))
+
+        self._log.flush(flushed)
+
+    @_on.register
+    def _(self, message: Install, reply: Reply) -> None:
+        log = self._log
+        if message.epoch < log.meta.fence or self._busy:
+            reply(self._receipt(message.probe, False, "fenced" if not self._busy else "busy"))
+            return
+        self._busy = True
+
+        def installed(ok: bool) -> None:
+            self._busy = False
+            reply(self._receipt(message.probe, False, "installed" if ok else "full"))
+
+        try:
+            log.install(message.snapshot, installed)
+        except (Damage, IndexError):
+            self._busy = False
+            reply(self._receipt(message.probe, False, "damaged"))
+
+    def _receipt(self, probe: int, ok: bool, reason: str) -> Appended:
+        log = self._log
+        epoch, stampMs = log.lastStamp
+        return Appended(identity=log.identity, ok=ok, reason=reason, fence=log.meta.fence,
+                        logEpoch=log.meta.logEpoch, lastSeq=log.lastSeq, flushedSeq=log.flushedSeq,
+                        stampEpoch=epoch, stampMs=stampMs,
+                        receptionMs=log.receivedMs[-1] if log.receivedMs else 0, probe=probe)
--- /dev/null
+++ b/libs/accession/src/accession/recovery.py
@@ -0,0 +1,177 @@
+"""Recovery of the log under a new epoch: fence, wait for n-f answers, fetch, drop duplicates by
+stamp, put in stamp order, write. Only answers of the highest log epoch count: a store that missed
+the last recovery would bring back records that one left out. Every step may be cut and run again."""
+
+from collections.abc import Callable
+from enum import StrEnum
+from typing import Any
+
+from accession.local import LocalLog
+from accession.messages import Fetch, Fetched, Record, Start, Started
+from vellum import Message, decode
+
+__all__ = ["Recovery", "union"]
+
+Ask = Callable[[str, Message, int, Callable[[Message | None], None]], None]
+
+
+class _State(StrEnum):
+    FENCING = "fencing"
+    FETCHING = "fetching"
+    WRITING = "writing"
+    DONE = "done"
+    FAILED = "failed"
+
+
+def union(copies: list[list[Record]]) -> list[Record]:
+    """All records of the copies, each stamp once, in stamp order."""
+    byStamp: dict[tuple[int, int], Record] = {}
+    for records in copies:
+        for record in records:
+            byStamp.setdefault(record.stamp, record)
+    return [byStamp[stamp] for stamp in sorted(byStamp)]
+
+
+class Recovery:
+    __slots__ = ("_answers", "_ask", "_done", "_log", "_now", "_records", "_sources", "_startedMs", "epoch",
+                 "members", "params", "state")
+
+    def __init__(self, log: LocalLog, epoch: int, members: list[tuple[str, str]], params: Any, ask: Ask,
+                 now: Callable[[], int], done: Callable[[bool], None]) -> None:
+        self._log = log
+        self.epoch = epoch
+        self.members = members
+        self.params = params
+        self._ask, self._done, self._now = ask, done, now
+        self._answers: dict[str, Started] = {}
+        self._records: list[list[Record]] = []
+        self._sources: list[tuple[str, str]] = []
+        self._startedMs = now()
+        self.state = _State.FENCING
+
+    def start(self) -> None:
+        def fenced(ok: bool) -> None:
+            if not ok or self._log.meta.fence > self.epoch:
+                self._finish(False)
+                return
+            if any(identity == self._log.identity for identity, _ in self.members):
+                self._answered(started(self._log, True))
+            for _, address in [member for member in self.members if member[0] != self._log.identity]:
+                self._ask_start(address)
+
+        self._log.keep_meta(fenced, fence=self.epoch)
+
+    def _ask_start(self, address: str) -> None:
+        def answered(message: Message | None) -> None:
+            if self.state is not _State.FENCING:
+                return
+            if isinstance(message, Started) and message.ok:
+                self._answered(message)
+            elif isinstance(message, Started) and message.fence > self.epoch:
+                self._finish(False)
+            elif self._now() - self._startedMs < self.params.forceMs:
+                self._ask_start(address)
+            else:
+                self._finish(False)
+
+        self._ask(address, Start(epoch=self.epoch), 4 * self.params.deltaMs, answered)
+
+    def _answered(self, message: Started) -> None:
+        names = [identity for identity, _ in self.members]
+        if message.identity in names:
+            self._answers[message.identity] = message
+        if len(self._answers) >= len(self.members) - self.params.storeFaults:
+            self._fetch()
+
+    def _fetch(self) -> None:
+        self.state = _State.FETCHING
+        top = max(answer.logEpoch for answer in self._answers.values())
+        self._sources = [(identity, address) for identity, address in self.members
+                         if identity in self._answers and self._answers[identity].logEpoch == top
+                         and identity != self._log.identity]
+        own = self._answers.get(self._log.identity)
+        if own is not None and own.logEpoch == top:
+            self._records.append(list(self._log.records))
+        self._next_source()
+
+    def _next_source(self) -> None:
+        if not self._sources:
+            self._write()
+            return
+        _, address = self._sources.pop(0)
+        self._records.append([])
+        self._fetch_from(address, self._log.snapSeq + 1)
+
+    def _fetch_from(self, address: str, fromSeq: int) -> None:
+        def fetched(message: Message | None) -> None:
+            if self.state is not _State.FETCHING:
+                return
+            if not isinstance(message, Fetched) or not message.ok:
+                if self._now() - self._startedMs > self.params.forceMs:
+                    self._finish(False)
+                else:
+                    self._fetch_from(address, fromSeq)
+                return
+            if message.snapshot:
+                self._install(address, message)
+                return
+            records = [decode(data) for data in message.records]
+            self._records[-1].extend(records)
+            if records and records[-1].seq < message.lastSeq:
+                self._fetch_from(address, records[-1].seq + 1)
+            else:
+                self._next_source()
+
+        self._ask(address, Fetch(epoch=self.epoch, fromSeq=fromSeq), 2 * self.params.askMs, fetched)
+
+    def _install(self, address: str, message: Fetched) -> None:
+        """The source has trimmed what we lack: its snapshot is settled, so it may stand for ours."""
+        def installed(ok: bool) -> None:
+            if not ok:
+                self._finish(False)
+                return
+            self._records = [[record for record in records if record.seq > self._log.snapSeq]
+                             for records in self._records]
+            self._fetch_from(address, self._log.snapSeq + 1)
+
+        self._log.install(message.snapshot, installed)
+
+    def _write(self) -> None:
+        self.state = _State.WRITING
+        records = [record for record in union(self._records) if record.seq > self._log.snapSeq]
+        expected = self._log.snapSeq
+        for record in records:
+            expected += 1
+            if record.seq != expected:
+                self._finish(False)
+                return
+        same = self._log.snapSeq
+        for record in records:
+            if self._log.stamp_at(record.seq) != record.stamp:
+                break
+            same = record.seq
+        self._log.cut_after(same)
+        for record in records[same - self._log.snapSeq:]:
+            self._log.write(record, True)
+        self._log.flush(self._written)
+
+    def _written(self, ok: bool) -> None:
+        if not ok:
+            self._finish(False)
+            return
+        self._log.keep_meta(self._finish, logEpoch=self.epoch)
+
+    def stop(self) -> None:
+        if self.state not in (_State.DONE, _State.FAILED):
+            self.state = _State.FAILED
+
+    def _finish(self, ok: bool) -> None:
+        if self.state in (_State.DONE, _State.FAILED):
+            return
+        self.state = _State.DONE if ok else _State.FAILED
+        self._done(ok)
+
+
+def started(log: LocalLog, ok: bool) -> Started:
+    return Started(identity=log.identity, ok=ok, fence=log.meta.fence, logEpoch=log.meta.logEpoch,
+                   snapSeq=log.snapSeq, lastSeq=log.lastSeq, count=len(log.records))
--- /dev/null
+++ b/libs/catalogue/src/catalogue/__init__.py
@@ -0,0 +1,12 @@
+"""Catalogue: the control state. Keys that are each decided by ballots over the voters' disks and
+owned by one node at a time; the profiles and the members that these keys hold."""
+
+from catalogue.client import ControlClient
+from catalogue.founding import Founding
+from catalogue.messages import Change, Changed, ReadKey
+from catalogue.owner import Owner
+from catalogue.profiles import Profile, Tree, check_tree, explain
+from catalogue.voter import Register, Voter
+
+__all__ = ["Change", "Changed", "ControlClient", "Founding", "Owner", "Profile", "ReadKey", "Register", "Tree",
+           "Voter", "check_tree", "explain"]
--- /dev/null
+++ b/libs/catalogue/src/catalogue/owner.py
@@ -0,0 +1,285 @@
+"""Owning keys. A key's owner is the first live voter in the key's own order; it takes the key over
+by preparing a higher epoch on a majority, finishes what it finds there, and from then on accepts
+changes under that epoch: each is on a majority of disks before it is answered. An owner that is
+refused falls back to preparing, which settles what became of its last change; only when time runs
+out before that is the answer doubt. States of a key: unowned, preparing, owned, changing."""
+
+import json
+import secrets
+from collections.abc import Callable
+from enum import StrEnum
+from typing import Any
+
+from catalogue.messages import Accept, Change, Changed, Confirm, Founded, Prepare, ReadKey, Value
+from catalogue.rounds import Round
+from catalogue.voter import CONTROL_KEY, Voter
+from commons import Neighbours, duty_order, first_live
+from gazette import Gazette
+from vellum import Message, Origin, Part, decode, encode
+
+__all__ = ["Owner"]
+
+_REMEMBERED_CHANGES = 64
+_CONFIRMED_KEYS = ("profiles",)
+_RELAY_HOPS = 2
+Done = Callable[[Changed], None]
+
+
+class State(StrEnum):
+    UNOWNED = "unowned"
+    PREPARING = "preparing"
+    OWNED = "owned"
+    CHANGING = "changing"
+
+
+class Renew:
+    """Asks that a key's value be accepted anew by a majority under the present list of voters."""
+
+    __slots__ = ("key",)
+
+    def __init__(self, key: str) -> None:
+        self.key = key
+
+
+class _Op:
+    __slots__ = ("done", "dueMs", "message")
+
+    def __init__(self, message: Change | ReadKey | Renew, dueMs: int, done: Done) -> None:
+        self.message = message
+        self.dueMs = dueMs
+        self.done = done
+
+
+class _Key:
+    __slots__ = ("epoch", "name", "ops", "seenEpoch", "state", "value")
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.state = State.UNOWNED
+        self.epoch = 0
+        self.seenEpoch = 0
+        self.value: Value | None = None
+        self.ops: list[_Op] = []
+
+
+def _blank() -> Value:
+    return Value(version=0, body="", changeIds=[], changeVersions=[])
+
+
+class Owner(Part):
+    __slots__ = ("_by", "_gazette", "_keys", "_neighbours", "_unconfirmed", "_voter")
+    HANDLES = (Change, ReadKey)
+
+    def __init__(self, voter: Voter, neighbours: Neighbours, gazette: Gazette) -> None:
+        self._voter = voter
+        self._neighbours = neighbours
+        self._gazette = gazette
+        self._by = f"{voter.identity}/{secrets.token_hex(4)}"
+        self._keys: dict[str, _Key] = {}
+        self._unconfirmed: list[tuple[str, int, int, Changed, Done]] = []
+
+    # -- asking --------------------------------------------------------------------------------
+
+    def receive(self, message: Message, origin: Origin) -> None:
+        self.submit(message, lambda receipt: self.node.reply(origin, receipt))
+
+    def submit(self, message: Any, done: Done) -> None:
+        """Here, or at the node whose duty the key is. A reply that never comes is doubt."""
+        voters = self._voter.voters
+        if not voters:
+            done(Changed(outcome="refused", version=0, body="", reason="not founded"))
+            return
+        duty = self.owner_of(message.key)
+        waitMs = self.node.params.confirmMs + 3 * self.node.params.askMs
+        if duty in (None, self._voter.identity) or message.hops >= _RELAY_HOPS:
+            self._enqueue(message, self.node.env.now() + self.node.params.askMs * 2, done)
+            return
+        message.hops += 1
+        self.node.ask(voters[duty], message, waitMs, lambda receipt: done(
+            receipt or Changed(outcome="doubt", version=0, body="", reason="the key's owner did not answer")))
+
+    def owner_of(self, key: str) -> str | None:
+        return first_live(duty_order(key, self._voter.voters), self._neighbours.live)
+
+    def renew(self, key: str, done: Callable[[bool], None]) -> None:
+        self._enqueue(Renew(key), self.node.env.now() + self.node.params.askMs * 2,
+                      lambda receipt: done(receipt.outcome == "ok"))
+
+    def epochs(self) -> dict[str, dict[str, Any]]:
+        return {key.name: {"state": str(key.state), "epoch": key.epoch, "owner": self.owner_of(key.name)}
+                for key in self._keys.values()}
+
+    def _enqueue(self, message: Any, dueMs: int, done: Done) -> None:
+        key = self._keys.setdefault(message.key, _Key(message.key))
+        key.ops.append(_Op(message, dueMs, done))
+        if len(key.ops) == 1:
+            self._next(key)
+
+    # -- working through a key's operations ----------------------------------------------------
+
+    def _next(self, key: _Key) -> None:
+        while key.ops and self.node.env.now() >= key.ops[0].dueMs:
+            self._answer(key, "doubt", "no majority of voters answered in time")
+        if not key.ops:
+            return
+        if key.state is State.UNOWNED:
+            self._prepare(key)
+        else:
+            self._round(key, Confirm(key=key.name, epoch=key.epoch, by=self._by,
+                                     listNumber=self._voter.listNumber), self._confirmed)
+
+    def _round(self, key: _Key, message: Message, done: Callable[[_Key, Round, bool], None]) -> None:
+        epoch = key.epoch
+        Round(self.node, self._voter.voters, message, self.node.params.askMs,
+              lambda round_, ok: done(key, round_, ok) if key.epoch == epoch else None)
+
+    def _prepare(self, key: _Key) -> None:
+        key.state = State.PREPARING
+        own = self._voter.registers.get(key.name)
+        key.epoch = max(key.epoch, key.seenEpoch, own.promised[0] if own else 0) + 1
+        self._round(key, Prepare(key=key.name, epoch=key.epoch, by=self._by, listNumber=self._voter.listNumber),
+                    self._prepared)
+
+    def _prepared(self, key: _Key, round_: Round, ok: bool) -> None:
+        self._note(key, round_)
+        if not ok:
+            self._lose(key)
+            return
+        best = max(round_.yes.values(), key=lambda vote: (vote.acceptedEpoch, vote.acceptedBy))
+        key.value = decode(best.value) if best.value else _blank()
+        if key.value.version == 0:
+            key.state = State.OWNED
+            self._apply(key)
+        else:
+            self._accept(key, key.value, self._refinished)
+
+    def _refinished(self, key: _Key, round_: Round, ok: bool) -> None:
+        self._note(key, round_)
+        if not ok:
+            self._lose(key)
+            return
+        key.state = State.OWNED
+        self.node.env.log("key-owned", key=key.name, epoch=key.epoch, version=key.value.version)
+        self._publish(key)
+        if key.name == CONTROL_KEY and json.loads(key.value.body)["number"] > self._voter.listNumber:
+            self._voter.take_list(key.value.body, lambda kept: self._lose(key))
+            return
+        self._apply(key)
+
+    def _confirmed(self, key: _Key, round_: Round, ok: bool) -> None:
+        self._note(key, round_)
+        if ok:
+            self._apply(key)
+        else:
+            self._lose(key)
+
+    def _apply(self, key: _Key) -> None:
+        """Owned, and confirmed to be so after the operation was asked."""
+        if not key.ops:
+            return
+        message = key.ops[0].message
+        value = key.value
+        if isinstance(message, ReadKey) or (isinstance(message, Renew) and value.version == 0):
+            self._finish(key, "ok", "")
+        elif isinstance(message, Renew):
+            self._accept(key, value, self._renewed)
+        elif message.changeId in value.changeIds:
+            at = value.changeVersions[value.changeIds.index(message.changeId)]
+            self._finish(key, "ok", "", at)
+        elif message.version != value.version:
+            self._finish(key, "lost", f"version {message.version} was replaced by {value.version}")
+        else:
+            fresh = Value(version=value.version + 1, body=message.body,
+                          changeIds=[*value.changeIds, message.changeId][-_REMEMBERED_CHANGES:],
+                          changeVersions=[*value.changeVersions, value.version + 1][-_REMEMBERED_CHANGES:])
+            key.state = State.CHANGING
+            self._accept(key, fresh, lambda k, round_, ok: self._changed(k, fresh, round_, ok))
+
+    def _accept(self, key: _Key, value: Value, done: Callable[[_Key, Round, bool], None]) -> None:
+        self._round(key, Accept(key=key.name, epoch=key.epoch, by=self._by, value=encode(value),
+                                listNumber=self._voter.listNumber), done)
+
+    def _changed(self, key: _Key, fresh: Value, round_: Round, ok: bool) -> None:
+        self._note(key, round_)
+        if not ok:
+            self._lose(key)
+            return
+        key.state = State.OWNED
+        key.value = fresh
+        self.node.env.log("key-changed", key=key.name, epoch=key.epoch, version=fresh.version,
+                          change=key.ops[0].message.changeId if key.ops else "")
+        self._publish(key)
+        self._finish(key, "ok", "", fresh.version)
+
+    def _renewed(self, key: _Key, round_: Round, ok: bool) -> None:
+        self._note(key, round_)
+        if ok:
+            self._finish(key, "ok", "")
+        else:
+            self._lose(key)
+
+    def _lose(self, key: _Key) -> None:
+        """Refused or unheard: what the last round did is found out by preparing again, shortly."""
+        if key.state is not State.UNOWNED:
+            self.node.env.log("key-lost", key=key.name, epoch=key.epoch, seen=key.seenEpoch)
+        key.state = State.UNOWNED
+
+    def _note(self, key: _Key, round_: Round) -> None:
+        for vote in round_.replies.values():
+            key.seenEpoch = max(key.seenEpoch, vote.promisedEpoch)
+            if vote.listBody and json.loads(vote.listBody)["number"] > self._voter.listNumber:
+                self._voter.take_list(vote.listBody, lambda ok: None)
+            elif vote.reason == "behind":
+                address = self._voter.voters.get(vote.identity)
+                if address:
+                    self.node.post(address, Founded(listBody=self._voter.meta.listBody))
+
+    def _publish(self, key: _Key) -> None:
+        self._gazette.publish(key.name, key.value.version, key.value.body)
+
+    def _finish(self, key: _Key, outcome: str, reason: str, version: int | None = None) -> None:
+        self._answer(key, outcome, reason, version)
+        if key.ops:
+            self._next(key)
+
+    def _answer(self, key: _Key, outcome: str, reason: str, version: int | None = None) -> None:
+        op = key.ops.pop(0)
+        value = key.value or _blank()
+        known = outcome in ("ok", "lost")
+        receipt = Changed(outcome=outcome, version=(version or value.version) if known else 0,
+                          body=value.body if known else "", reason=reason)
+        if outcome == "ok" and isinstance(op.message, Change) and key.name in _CONFIRMED_KEYS:
+            self._unconfirmed.append((key.name, receipt.version,
+                                      self.node.env.now() + self.node.params.confirmMs, receipt, op.done))
+            self._check_confirmed()
+        else:
+            op.done(receipt)
+
+    def _check_confirmed(self) -> None:
+        """A version is acknowledged once it is in force at the nodes that live, or once those that
+        are still without it have had to turn unready."""
+        nowMs = self.node.env.now()
+        waiting, self._unconfirmed = self._unconfirmed, []
+        for row in waiting:
+            name, version, dueMs, receipt, done = row
+            if nowMs >= dueMs or self._gazette.all_confirm(name, version, ("edge", "store"),
+                                                           self.node.params.confirmMs):
+                done(receipt)
+            else:
+                self._unconfirmed.append(row)
+
+    def tick(self) -> None:
+        self._check_confirmed()
+        for key in self._keys.values():
+            if key.ops and key.state is State.UNOWNED and self.node.env.rng.random() < 0.5:
+                self._next(key)
+
+    def woke(self, gapMs: int) -> None:
+        for key in self._keys.values():
+            key.epoch += 1
+            self._lose(key)
+            while key.ops:
+                self._answer(key, "doubt", "the owner was frozen")
+        waiting, self._unconfirmed = self._unconfirmed, []
+        for _, _, _, receipt, done in waiting:
+            done(receipt)
--- /dev/null
+++ b/libs/catalogue/src/catalogue/rounds.py
@@ -0,0 +1,40 @@
+"""One round of asking all voters and counting. It ends as soon as a majority has said yes, or as
+soon as that can no longer happen, or when its time is up."""
+
+from collections.abc import Callable
+from typing import Any
+
+from vellum import Message
+
+__all__ = ["Round"]
+
+
+class Round:
+    __slots__ = ("_done", "_left", "_need", "replies", "yes")
+
+    def __init__(self, node: Any, voters: dict[str, str], message: Message, waitMs: int,
+                 done: Callable[["Round", bool], None]) -> None:
+        self._done: Callable | None = done
+        self._need = len(voters) // 2 + 1
+        self._left = set(voters)
+        self.yes: dict[str, Message] = {}
+        self.replies: dict[str, Message] = {}
+        for identity, address in voters.items():
+            node.ask(address, message, waitMs, lambda receipt, name=identity: self._take(name, receipt))
+
+    def _take(self, name: str, receipt: Any) -> None:
+        if name not in self._left:
+            return
+        self._left.discard(name)
+        if receipt is not None and receipt.identity == name:
+            self.replies[name] = receipt
+            if receipt.ok:
+                self.yes[name] = receipt
+        if self._done is None:
+            return
+        if len(self.yes) >= self._need:
+            done, self._done = self._done, None
+            done(self, True)
+        elif len(self.yes) + len(self._left) < self._need:
+            done, self._done = self._done, None
+            done(self, False)
--- /dev/null
+++ b/libs/catalogue/src/catalogue/voter.py
@@ -0,0 +1,249 @@
+"""A voter: one register for each key, on disk before any vote is given. Prepare promises an epoch,
+accept takes a value under it, confirm only says whether the promise still stands. The rows are in a
+log of frames beside a snapshot; a disk that reads back damaged is refused and becomes a new, empty
+identity. The voters' list itself is kept with the identity, and an older list is refused."""
+
+import json
+import secrets
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Any
+
+from catalogue.messages import (Accept, Confirm, Founded, KeyList, KeyRow, ListKeys, Prepare, Voted,
+                                VoterMeta)
+from stacks import Damage, Disk, DiskFull, frame, scan
+from vellum import Message, Origin, Part, decode, encode
+
+__all__ = ["CONTROL_KEY", "Register", "Voter"]
+
+CONTROL_KEY = "control"
+_META, _SNAP, _LOG = "meta", "keys-snapshot", "keys-log"
+Done = Callable[[bool], None]
+
+
+def _flushed_to(data: bytes) -> int:
+    """The furthest byte that any whole row in a broken-off piece says had been flushed."""
+    marks = [0]
+    while data:
+        frames, _, behind = scan(data)
+        marks += [decode(payload).flushedBytes for _, payload in frames]
+        data = data[behind:] if behind is not None else b""
+    return max(marks)
+
+
+class Register:
+    __slots__ = ("accepted", "promised", "value")
+
+    def __init__(self) -> None:
+        self.promised: tuple[int, str] = (0, "")
+        self.accepted: tuple[int, str] = (0, "")
+        self.value = b""
+
+    def row(self, key: str, flushedBytes: int = 0) -> KeyRow:
+        return KeyRow(key=key, promisedEpoch=self.promised[0], promisedBy=self.promised[1],
+                      acceptedEpoch=self.accepted[0], acceptedBy=self.accepted[1], value=self.value,
+                      flushedBytes=flushedBytes)
+
+    @classmethod
+    def of(cls, row: KeyRow) -> "Register":
+        register = cls()
+        register.promised = (row.promisedEpoch, row.promisedBy)
+        register.accepted = (row.acceptedEpoch, row.acceptedBy)
+        register.value = row.value
+        return register
+
+
+class Voter(Part):
+    __slots__ = ("_disk", "_flushedBytes", "_flushing", "_logBytes", "_logName", "_newList", "_waiting", "meta", "registers")
+    HANDLES = (Prepare, Accept, Confirm, Founded, ListKeys)
+
+    def __init__(self, disk: Disk) -> None:
+        self._disk = disk
+        self._newList: list[Callable[[dict[str, Any]], None]] = []
+        self._waiting: list[Done] = []
+        self._flushing = False
+        self._logBytes = self._flushedBytes = 0
+        self._logName = f"{_LOG}-{0:012d}"
+        self.registers: dict[str, Register] = {}
+        self._open()
+
+    def _open(self) -> None:
+        names = self._disk.names()
+        self.meta = VoterMeta(identity=f"control-{secrets.token_hex(6)}", foundVote="", listBody="")
+        if _META in names:
+            frames, _, _ = scan(self._disk.read(_META))
+            if not frames:
+                raise Damage(_META, 0)
+            self.meta = decode(frames[0][1])
+        elif any(name.startswith(_LOG) for name in names):
+            raise Damage(_META, 0)
+        if _SNAP in names:
+            data = self._disk.read(_SNAP)
+            frames, end, _ = scan(data)
+            if end != len(data):
+                raise Damage(_SNAP, end)
+            self._take_rows(frames)
+        for name in [name for name in names if name.startswith(_LOG)]:
+            data = self._disk.read(name)
+            frames, end, behind = scan(data)
+            if behind is not None and _flushed_to(data[behind:]) > end:
+                raise Damage(name, end)
+            self._take_rows(frames)
+            self._disk.truncate(name, end)
+            self._logName, self._logBytes = name, end
+
+    def _take_rows(self, frames: list[tuple[int, bytes]]) -> None:
+        for _, payload in frames:
+            row = decode(payload)
+            self.registers[row.key] = Register.of(row)
+
+    # -- what is known of the voters -----------------------------------------------------------
+
+    @property
+    def identity(self) -> str:
+        return self.meta.identity
+
+    @property
+    def voters(self) -> dict[str, str]:
+        rows = json.loads(self.meta.listBody)["voters"] if self.meta.listBody else []
+        return {row["identity"]: row["address"] for row in rows}
+
+    @property
+    def listNumber(self) -> int:
+        return json.loads(self.meta.listBody)["number"] if self.meta.listBody else 0
+
+    def on_list(self, watcher: Callable[[dict[str, Any]], None]) -> None:
+        self._newList.append(watcher)
+
+    def take_list(self, body: str, done: Done) -> None:
+        """A newer list of voters; on disk before it counts."""
+        listed = json.loads(body)
+        if listed["number"] <= self.listNumber:
+            done(True)
+            return
+
+        def kept(ok: bool) -> None:
+            if ok:
+                for watcher in self._newList:
+                    watcher(listed)
+            done(ok)
+
+        self.keep_meta(VoterMeta(identity=self.identity, foundVote=self.meta.foundVote, listBody=body), kept)
+
+    def keep_meta(self, meta: VoterMeta, done: Done) -> None:
+        def kept(ok: bool) -> None:
+            if ok and (not self.meta.listBody or (meta.listBody and
+                       json.loads(meta.listBody)["number"] >= self.listNumber)):
+                self.meta = meta
+            done(ok)
+
+        self._disk.replace(_META, frame(encode(meta)), kept)
+
+    # -- votes ---------------------------------------------------------------------------------
+
+    def receive(self, message: Message, origin: Origin) -> None:
+        if isinstance(message, Founded):
+            self.take_list(message.listBody, lambda ok: None)
+            return
+        if isinstance(message, ListKeys):
+            ok = message.listNumber == self.listNumber
+            self.node.reply(origin, KeyList(identity=self.identity, ok=ok, keys=sorted(self.registers)))
+            return
+        if not self.meta.listBody or message.listNumber < self.listNumber or self.identity not in self.voters:
+            self.node.reply(origin, self._voted(message.key, False, "list"))
+        elif message.listNumber > self.listNumber:
+            self.node.reply(origin, self._voted(message.key, False, "behind"))
+        else:
+            self._on(message, origin)
+
+    @singledispatchmethod
+    def _on(self, message: Message, origin: Origin) -> None:
+        raise TypeError(type(message).__name__)
+
+    @_on.register
+    def _(self, message: Prepare, origin: Origin) -> None:
+        register = self.registers.setdefault(message.key, Register())
+        ballot = (message.epoch, message.by)
+        if ballot <= register.promised:
+            self.node.reply(origin, self._voted(message.key, ballot == register.promised, "epoch"))
+            return
+        self._put(message.key, promised=ballot, done=lambda ok: self.node.reply(
+            origin, self._voted(message.key, ok and self.registers[message.key].promised == ballot, "epoch")))
+
+    @_on.register
+    def _(self, message: Confirm, origin: Origin) -> None:
+        register = self.registers.get(message.key, Register())
+        ok = register.promised == (message.epoch, message.by)
+        self.node.reply(origin, self._voted(message.key, ok, "epoch"))
+
+    @_on.register
+    def _(self, message: Accept, origin: Origin) -> None:
+        register = self.registers.setdefault(message.key, Register())
+        ballot = (message.epoch, message.by)
+        if ballot < register.promised:
+            self.node.reply(origin, self._voted(message.key, False, "epoch"))
+            return
+        self._put(message.key, promised=ballot, accepted=ballot, value=message.value, done=lambda ok: self.node.reply(
+            origin, self._voted(message.key, ok, "disk")))
+
+    def _voted(self, key: str, ok: bool, reason: str) -> Voted:
+        register = self.registers.get(key, Register())
+        return Voted(identity=self.identity, ok=ok, reason="" if ok else reason,
+                     promisedEpoch=register.promised[0], promisedBy=register.promised[1],
+                     acceptedEpoch=register.accepted[0], acceptedBy=register.accepted[1], value=register.value,
+                     listBody=self.meta.listBody if reason == "list" else "")
+
+    # -- the disk ------------------------------------------------------------------------------
+
+    def _put(self, key: str, promised: tuple[int, str], done: Done, accepted: tuple[int, str] | None = None,
+             value: bytes | None = None) -> None:
+        register = self.registers[key]
+        fresh = Register()
+        fresh.promised = promised
+        fresh.accepted = register.accepted if accepted is None else accepted
+        fresh.value = register.value if value is None else value
+        data = frame(encode(fresh.row(key, self._flushedBytes)))
+        try:
+            self._disk.write(self._logName, self._logBytes, data, urgent=len(data) < 4096)
+        except DiskFull:
+            done(False)
+            return
+        self._logBytes += len(data)
+        self.registers[key] = fresh
+        self._waiting.append(done)
+        if not self._flushing:
+            self._flush()
+
+    def _flush(self) -> None:
+        self._flushing = True
+        waiting, self._waiting = self._waiting, []
+        name, upTo = self._logName, self._logBytes
+
+        def flushed(ok: bool) -> None:
+            self._flushing = False
+            if ok and name == self._logName:
+                self._flushedBytes = upTo
+            for done in waiting:
+                done(ok)
+            if self._waiting and not self._flushing:
+                self._flush()
+
+        self._disk.flush([self._logName], flushed)
+
+    def tick(self) -> None:
+        if self._logBytes > self.node.params.segmentBytes and not self._flushing:
+            self._snapshot()
+
+    def _snapshot(self) -> None:
+        """All rows in one file, atomically; then the log that led to it goes."""
+        old = self._logName
+        self._logName = f"{_LOG}-{int(old.rpartition('-')[2]) + 1:012d}"
+        self._logBytes = self._flushedBytes = 0
+        data = b"".join(frame(encode(register.row(key))) for key, register in self.registers.items())
+
+        def kept(ok: bool) -> None:
+            if ok:
+                for name in [name for name in self._disk.names() if name.startswith(_LOG) and name <= old]:
+                    self._disk.remove(name)
+
+        self._disk.replace(_SNAP, data, kept)
--- /dev/null
+++ b/libs/circulation/src/circulation/chart.py
@@ -0,0 +1,155 @@
+"""The state chart of one transaction: received, opening, placing, sending, streaming, closing, done,
+refused, cut. One function for every change of state; each gives the step that whoever drives it has
+to take next. It resends only what certainly has not run, or what is safe to repeat as long as
+nothing was delivered; doubt is said as doubt."""
+
+from enum import StrEnum
+from typing import Any
+
+from circulation.placement import Budget
+from colophon import Refusal, Verdict, doubtful, refused
+
+__all__ = ["State", "Step", "Transaction"]
+
+
+class State(StrEnum):
+    RECEIVED = "received"
+    OPENING = "opening"
+    PLACING = "placing"
+    SENDING = "sending"
+    STREAMING = "streaming"
+    CLOSING = "closing"
+    DONE = "done"
+    REFUSED = "refused"
+    CUT = "cut"
+
+
+class Step:
+    """What to do: open, place, send, stream, close, replay, finish, refuse, cut."""
+
+    __slots__ = ("closeAs", "name", "refusal", "value")
+
+    def __init__(self, name: str, refusal: Refusal | None = None, closeAs: str = "", value: Any = None) -> None:
+        self.name = name
+        self.refusal = refusal
+        self.closeAs = closeAs
+        self.value = value
+
+
+class Transaction:
+    __slots__ = ("_after", "_budget", "_runs", "avoid", "claimed", "delivered", "dueMs", "key", "opened", "profile", "safe",
+                 "sends", "startedMs", "state", "transactionId")
+
+    def __init__(self, transactionId: str, profile: Any, key: str, nowMs: int, budget: Budget,
+                 dueMs: int | None = None, claimed: bool = False) -> None:
+        self.transactionId = transactionId
+        self.profile = profile
+        self.key = key
+        self.safe = profile.repeatable
+        self.startedMs = nowMs
+        self.dueMs = dueMs if dueMs is not None else nowMs + profile.deadlineMs
+        self.claimed = claimed
+        self.state = State.RECEIVED
+        self.opened = False
+        self.delivered = False
+        self.sends: list[tuple[str, str]] = []
+        self.avoid: set[str] = set()
+        self._budget = budget
+        self._runs = False
+        self._after: Step | None = None
+
+    def _to(self, state: State, step: Step) -> Step:
+        self.state = state
+        return step
+
+    def begin(self) -> Step:
+        self._budget.earn(self.profile.retryBudget)
+        if self.safe or self.claimed:
+            return self._to(State.PLACING, Step("place"))
+        if not self.key:
+            return self._to(State.REFUSED, Step("refuse", refused(
+                "key-missing", "this path is not safe to repeat and needs an Idempotency-Key header",
+                field="Idempotency-Key")))
+        return self._to(State.OPENING, Step("open"))
+
+    def open_receipt(self, outcome: str, status: int = 0, body: str = "") -> Step:
+        if outcome == "opened":
+            self.opened = True
+            return self._to(State.PLACING, Step("place"))
+        if outcome == "recorded":
+            return self._to(State.DONE, Step("replay", value=(status, body)))
+        if outcome in ("open", "doubt"):
+            return self._to(State.REFUSED, Step("refuse", doubtful(
+                "key-open" if outcome == "open" else "key-doubt",
+                "an earlier request with this key may have run; nothing further was sent", 1000, 409)))
+        if outcome == "conflict":
+            return self._to(State.REFUSED, Step("refuse", refused(
+                "key-reused", "this key came before with another body; this body has not run", 422,
+                field="Idempotency-Key")))
+        if outcome == "full":
+            return self._to(State.REFUSED, Step("refuse", refused(
+                "stores-full", "there is no room to keep this transaction", 503, 5000)))
+        return self._to(State.REFUSED, Step("refuse", doubtful(
+            "stores-silent", "the stores did not answer; this request was not sent on, but whether one before it "
+            "with this key has run is not known", 1000)))
+
+    def placed(self, worker: Any, anyWorker: bool) -> Step:
+        if worker is not None:
+            return self._to(State.SENDING, Step("send", value=worker))
+        if anyWorker:
+            return self._give_up(refused("busy", "all workers of this path are busy", 429, 1000))
+        return self._give_up(refused("no-worker", "no worker of this path is live", 503, 1000))
+
+    def failed(self, worker: str, mayHaveRun: bool, reason: str, nowMs: int) -> Step:
+        """A send came to nothing. What to do depends on whether it may have run, and been seen."""
+        self.sends.append((worker, reason))
+        self.avoid.add(worker)
+        self._runs = self._runs or mayHaveRun
+        if self.delivered:
+            return self._cut(reason)
+        late = nowMs >= self.dueMs
+        again = (not mayHaveRun or self.safe) and not late and self._budget.spend()
+        if again:
+            return self._to(State.PLACING, Step("place"))
+        if late:
+            return self._give_up(refused("late", "the deadline passed", 504, 1000))
+        return self._give_up(refused("send-failed", f"could not be completed: {reason}", 502, 1000))
+
+    def begun(self) -> Step:
+        """The worker answered with a whole head, ids matched; from here pieces may be delivered."""
+        return self._to(State.STREAMING, Step("stream"))
+
+    def piece_delivered(self) -> None:
+        self.delivered = True
+        self._runs = True
+
+    def ended(self, status: int, body: str) -> Step:
+        self._runs = True
+        if not self.opened:
+            return self._to(State.DONE, Step("finish", value=(status, body)))
+        self._after = Step("finish", value=(status, body))
+        return self._to(State.CLOSING, Step("close", closeAs="done", value=(status, body)))
+
+    def rejected(self, status: int, body: str) -> Step:
+        """The worker itself says that this request is wrong; nobody else need be asked."""
+        return self.ended(status, body)
+
+    def closed(self) -> Step:
+        after = self._after or Step("finish")
+        states = {"finish": State.DONE, "refuse": State.REFUSED, "cut": State.CUT}
+        return self._to(states[after.name], after)
+
+    def _give_up(self, refusal: Refusal) -> Step:
+        if self._runs:
+            refusal.verdict = Verdict.MAY_HAVE_RUN
+        if not self.opened:
+            return self._to(State.REFUSED, Step("refuse", refusal))
+        self._after = Step("refuse", refusal)
+        return self._to(State.CLOSING, Step("close", closeAs="doubt" if self._runs else "void"))
+
+    def _cut(self, reason: str) -> Step:
+        refusal = doubtful("cut", f"the stream was cut: {reason}", status=502)
+        if not self.opened:
+            return self._to(State.CUT, Step("cut", refusal))
+        self._after = Step("cut", refusal)
+        return self._to(State.CLOSING, Step("close", closeAs="doubt"))
--- /dev/null
+++ b/libs/circulation/src/circulation/lots.py
@@ -0,0 +1,156 @@
+"""Running lots in the room that live traffic leaves. The edge tells the holder each beat how many
+items it could start and what it is running; what it is dealt it runs, reports until that is
+acknowledged, and places results while it has the baton. Word from the holder is a claim on all this:
+without it for too long, or after having been frozen, everything that runs is stopped."""
+
+from collections.abc import Callable
+from typing import Any
+
+from circulation.holding import HolderClient
+from ledger import messages as m
+from vellum import Message, Part, decode
+
+__all__ = ["LotRunner"]
+
+STOPPED_BODY = '{"error":{"verdict":"mayHaveRun","code":"stopped","message":"stopped while it ran"}}'
+Start = Callable[[m.Work, Callable[[str, str, str], None]], Callable[[], None]]
+
+
+class _Run:
+    __slots__ = ("cancel", "reported", "work")
+
+    def __init__(self, work: m.Work) -> None:
+        self.work = work
+        self.cancel: Callable[[], None] = lambda: None
+        self.reported = False
+
+
+class LotRunner(Part):
+    """`room` gives how many items may be started now, and on which paths; `start` runs one item and
+    calls back with outcome, body, worker, giving the function that stops it."""
+
+    __slots__ = ("_askedMs", "_asking", "_holder", "_placing", "_room", "_runs", "_start", "_wish", "edge", "finished",
+                 "paused")
+
+    def __init__(self, edge: str, holder: HolderClient, room: Callable[[], tuple[int, list[str]]], start: Start) -> None:
+        self.edge = edge
+        self._holder = holder
+        self._room = room
+        self._start = start
+        self._runs: dict[tuple[str, int], _Run] = {}
+        self._placing: set[str] = set()
+        self._asking = False
+        self._askedMs = -1 << 40
+        self._wish = False
+        self.paused = False
+        self.finished = 0
+
+    def running(self) -> int:
+        return sum(1 for run in self._runs.values() if not run.reported)
+
+    def tick(self) -> None:
+        nowMs = self.node.env.now()
+        params = self.node.params
+        if self.running() and nowMs - self._holder.heardMs > params.claimMs:
+            self.stop_all("holder silent")
+        dueMs = params.beatMs // 4 if self._wish else params.beatMs
+        if not self._asking and nowMs - self._askedMs >= dueMs:
+            self._beat(nowMs)
+
+    def _beat(self, nowMs: int) -> None:
+        address = self._holder.address()
+        if not address:
+            return
+        room, paths = (0, []) if self.paused else self._room()
+        self._asking = True
+        self._askedMs = nowMs
+        self._wish = False
+        running = [f"{lotId}#{index}" for lotId, index in self._runs]
+        self.node.ask(address, m.EdgeBeat(edge=self.edge, address=self.node.address, room=room, paths=paths,
+                                          running=running), self.node.params.askMs, self._answered)
+
+    def _answered(self, receipt: Message | None) -> None:
+        self._asking = False
+        if not isinstance(receipt, m.HolderBeat):
+            if isinstance(receipt, m.NotHolder):
+                self._holder.redirected(receipt)
+            return
+        if receipt.epoch < self._holder.epoch:
+            return
+        self._holder.heard(receipt)
+        for lotId in receipt.stops:
+            self.stop(lotId, "lot over")
+        for data in receipt.work:
+            self._take(decode(data))
+        for data in receipt.batons:
+            baton = decode(data)
+            self._place(baton.lotId, baton.epoch, baton.upTo)
+        self._wish = receipt.waiting > 0 or bool(self._runs)
+
+    # -- items ---------------------------------------------------------------------------------
+
+    def _take(self, work: m.Work) -> None:
+        key = (work.lotId, work.index)
+        if key in self._runs:
+            return
+        run = self._runs[key] = _Run(work)
+        run.cancel = self._start(work, lambda outcome, body, worker: self._ended(run, outcome, body, worker))
+
+    def _ended(self, run: _Run, outcome: str, body: str, worker: str) -> None:
+        key = (run.work.lotId, run.work.index)
+        if self._runs.get(key) is not run or run.reported:
+            return
+        run.reported = True
+        self.finished += outcome == "ran"
+        self._report(run, outcome, body, worker)
+
+    def _report(self, run: _Run, outcome: str, body: str, worker: str) -> None:
+        key = (run.work.lotId, run.work.index)
+
+        def told(receipt: Any) -> None:
+            if self._runs.get(key) is not run:
+                return
+            if receipt is None or not receipt.ok:
+                self._report(run, outcome, body, worker)
+                return
+            del self._runs[key]
+            self._wish = True
+            if receipt.batonEpoch:
+                self._place(run.work.lotId, receipt.batonEpoch, receipt.upTo)
+
+        self._holder.ask(m.Finish(lotId=run.work.lotId, index=run.work.index, number=run.work.number, outcome=outcome,
+                                  body=body, worker=worker, edge=self.edge), self.node.params.forceMs, told)
+
+    def _place(self, lotId: str, epoch: int, upTo: int) -> None:
+        if lotId in self._placing:
+            return
+        self._placing.add(lotId)
+        self._holder.ask(m.Place(lotId=lotId, edge=self.edge, epoch=epoch, upTo=upTo), self.node.params.askMs,
+                         lambda receipt: self._placing.discard(lotId))
+
+    # -- stopping ------------------------------------------------------------------------------
+
+    def stop(self, lotId: str, reason: str) -> None:
+        self._stop([key for key in self._runs if key[0] == lotId], reason)
+
+    def stop_all(self, reason: str) -> None:
+        """The lots may go on elsewhere: what each stopped item has come to is still reported."""
+        runs = [run for run in self._runs.values() if not run.reported]
+        for run in runs:
+            run.cancel()
+            self._ended(run, "again" if run.work.safe else "mayHaveRun", STOPPED_BODY, "")
+        self._note([(run.work.lotId, run.work.index) for run in runs], reason)
+
+    def _stop(self, keys: list[tuple[str, int]], reason: str) -> None:
+        for key in keys:
+            run = self._runs.pop(key)
+            run.cancel()
+        self._note(keys, reason)
+
+    def _note(self, keys: list[tuple[str, int]], reason: str) -> None:
+        if keys:
+            self.node.env.log("items-stopped", lots=sorted({lotId for lotId, _ in keys}), count=len(keys), reason=reason)
+
+    def woke(self, gapMs: int) -> None:
+        if gapMs > self.node.params.claimMs:
+            self.stop_all("frozen")
--- /dev/null
+++ b/libs/circulation/src/circulation/placement.py
@@ -0,0 +1,77 @@
+"""Where a transaction is sent. Workers are put in the order that rendezvous hashing gives for the
+prompt's prefix, so that equal prefixes meet a warm cache, and the first one is taken whose weight is
+within its bound. Live traffic may use all slots and a short queue; lots leave the live share free
+and take nothing from a worker where somebody waits."""
+
+import hashlib
+import math
+from collections.abc import Iterable
+from typing import Any
+
+from circulation.roster import Worker
+from commons.duties import score
+
+__all__ = ["Budget", "choose", "prefix_of"]
+
+_PREFIX_CHARS = 256
+_EVENNESS = 1.25
+
+
+def prefix_of(body: dict[str, Any]) -> str:
+    """A digest of what prompts with a common start share: the head of the prompt or of the messages."""
+    if isinstance(body.get("prompt"), str):
+        text = body["prompt"]
+    else:
+        text = "\n".join(str(row.get("content", "")) for row in body.get("messages", []) if isinstance(row, dict))
+    return hashlib.blake2b(text[:_PREFIX_CHARS].encode(), digest_size=8).hexdigest()
+
+
+def choose(workers: Iterable[Worker], prefix: str, lot: bool, zone: str, near: bool, liveShare: float,
+           lotShare: float = 1.0, avoid: frozenset[str] = frozenset(), byPrefix: bool = True) -> Worker | None:
+    candidates = [worker for worker in workers if worker.stamp not in avoid]
+    if not candidates:
+        return None
+    mean = sum(worker.weight for worker in candidates) / len(candidates)
+    even = math.ceil(_EVENNESS * mean) + 1
+
+    def bound(worker: Worker) -> int:
+        if lot:
+            return min(worker.slots - math.ceil(worker.slots * liveShare), math.floor(worker.slots * lotShare))
+        return worker.slots
+
+    def rank(worker: Worker) -> tuple:
+        far = near and worker.zone != zone
+        return (far, -score(worker.identity, prefix)) if byPrefix else (far, worker.weight, worker.identity)
+
+    ordered = sorted(candidates, key=rank)
+    if lot:
+        ordered = [worker for worker in ordered if worker.waiting == 0]
+    for worker in ordered:
+        if worker.weight < min(bound(worker), even):
+            return worker
+    for worker in ordered:
+        if worker.weight < bound(worker):
+            return worker
+    if lot:
+        return None
+    queued = [worker for worker in ordered if worker.weight < 2 * worker.slots]
+    return min(queued, key=lambda worker: worker.weight / worker.slots, default=None)
+
+
+class Budget:
+    """Resends as a share of first sends, so that a failing pool is not multiplied."""
+
+    __slots__ = ("_tokens", "_top")
+
+    def __init__(self, top: float = 10.0) -> None:
+        self._top = top
+        self._tokens = top
+
+    def earn(self, share: float) -> None:
+        self._tokens = min(self._top, self._tokens + share)
+
+    def spend(self) -> bool:
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
--- /dev/null
+++ b/libs/circulation/src/circulation/roster.py
@@ -0,0 +1,144 @@
+"""The workers that this edge knows. Beats and leaves arrive at any edge and are flooded to all; a
+worker is a pair of identity and incarnation, so one that replaces another, at the same address or
+under the same name, is a different one. A leave is final for its incarnation. Silence, a failed
+connection or a leave takes a worker out; only what the profiles in force allow is enrolled."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from vellum import Arr, Flag, Long, Message, Origin, Part, Real, Text
+
+__all__ = ["Roster", "Worker", "WorkerNews"]
+
+
+class WorkerNews(Message):
+    identity: Text
+    incarnation: Long
+    address: Text
+    zone: Text
+    labels: Arr(Text)
+    beat: Long
+    running: Long
+    waiting: Long
+    slots: Long
+    cacheUse: Real
+    leaving: Flag
+
+
+class Worker:
+    __slots__ = ("address", "beat", "cacheUse", "downBeat", "downMs", "heardMs", "identity", "incarnation", "labels",
+                 "leaving", "reported", "running", "sending", "sendingThen", "slots", "waiting", "zone")
+
+    def __init__(self, news: WorkerNews) -> None:
+        self.identity = news.identity
+        self.incarnation = news.incarnation
+        self.leaving = False
+        self.sending = 0
+        self.downBeat = -1
+        self.downMs = -1 << 40
+        self.beat = -1
+
+    def take(self, news: WorkerNews, nowMs: int) -> None:
+        self.address = news.address
+        self.zone = news.zone
+        self.labels = frozenset(news.labels)
+        self.beat = news.beat
+        self.running, self.waiting, self.slots = news.running, news.waiting, max(1, news.slots)
+        self.cacheUse = news.cacheUse
+        self.sendingThen = self.sending
+        self.heardMs = nowMs
+        self.leaving = self.leaving or news.leaving
+
+    @property
+    def weight(self) -> int:
+        """What it probably has to do: its own report, moved by what this edge began or ended since."""
+        return max(self.sending, self.running + self.waiting + self.sending - self.sendingThen)
+
+    @property
+    def stamp(self) -> str:
+        return f"{self.identity}/{self.incarnation}"
+
+
+class Roster(Part):
+    """`allowed` says whether any profile in force allows a worker."""
+
+    __slots__ = ("_allowed", "_fellows", "_gone", "_workers")
+    HANDLES = (WorkerNews,)
+
+    def __init__(self, fellows: Callable[[], Iterable[str]], allowed: Callable[[str, frozenset], bool]) -> None:
+        self._fellows = fellows
+        self._allowed = allowed
+        self._workers: dict[str, Worker] = {}
+        self._gone: dict[tuple[str, int], int] = {}
+
+    def receive(self, message: Any, origin: Origin) -> None:
+        self.hear(message, origin.sender)
+
+    def hear(self, news: WorkerNews, sender: str = "") -> bool:
+        """Takes in a beat or a leave, and passes it on if it was new. False: an outdated incarnation."""
+        held = self._workers.get(news.identity)
+        if (news.identity, news.incarnation) in self._gone and not news.leaving:
+            return False
+        if held is not None and held.incarnation > news.incarnation:
+            return False
+        if held is not None and held.incarnation == news.incarnation and held.beat >= news.beat \
+                and (held.leaving or not news.leaving):
+            return True
+        nowMs = self.node.env.now()
+        if news.leaving:
+            if (news.identity, news.incarnation) in self._gone:
+                return True
+            self._gone[(news.identity, news.incarnation)] = nowMs
+            self.node.env.log("worker-leaving", worker=news.identity, incarnation=news.incarnation)
+        if held is None or held.incarnation < news.incarnation:
+            held = Worker(news)
+            self.node.env.log("worker-enrolled", worker=news.identity, incarnation=news.incarnation,
+                              address=news.address)
+        for other in [other for other in self._workers.values()
+                      if other.address == news.address and other.identity != news.identity]:
+            if not news.leaving:
+                del self._workers[other.identity]
+                self.node.env.log("worker-replaced", worker=other.identity, by=news.identity)
+        self._workers[news.identity] = held
+        held.take(news, nowMs)
+        for address in self._fellows():
+            if address != sender:
+                self.node.post(address, news)
+        return True
+
+    def connection_failed(self, worker: Worker) -> None:
+        """Out until a beat that was sent after the failure shows it alive."""
+        worker.downBeat = worker.beat
+        worker.downMs = self.node.env.now()
+        self.node.env.log("worker-down", "WARNING", worker=worker.identity, incarnation=worker.incarnation)
+
+    def mismatched(self, worker: Worker) -> None:
+        """Another worker answers at its address."""
+        if self._workers.get(worker.identity) is worker:
+            del self._workers[worker.identity]
+            self._gone[(worker.identity, worker.incarnation)] = self.node.env.now()
+            self.node.env.log("worker-mismatch", "WARNING", worker=worker.identity, incarnation=worker.incarnation)
+
+    def usable(self, worker: Worker) -> bool:
+        nowMs = self.node.env.now()
+        params = self.node.params
+        if worker.leaving or nowMs - worker.heardMs > params.workerMs:
+            return False
+        if self._workers.get(worker.identity) is not worker:
+            return False
+        return worker.beat > worker.downBeat + 1 or nowMs - worker.downMs > 2 * params.forceMs
+
+    def workers(self) -> list[Worker]:
+        return [worker for worker in self._workers.values()
+                if self.usable(worker) and self._allowed(worker.identity, worker.labels)]
+
+    def all(self) -> list[Worker]:
+        return list(self._workers.values())
+
+    def tick(self) -> None:
+        nowMs = self.node.env.now()
+        keepMs = 10 * self.node.params.resumeMs
+        for identity in [worker.identity for worker in self._workers.values() if nowMs - worker.heardMs > keepMs]:
+            del self._workers[identity]
+        for stamp in [stamp for stamp, atMs in self._gone.items() if nowMs - atMs > 10 * keepMs]:
+            del self._gone[stamp]
--- /dev/null
+++ b/libs/circulation/src/circulation/streams.py
@@ -0,0 +1,82 @@
+"""Whether what a worker sent is whole, and all of one run. A body has to have the length announced
+and name its transaction; a stream's events are numbered from nought, all of one id, and end with the
+explicit end mark. Anything else is cut, and a cut stream never ends cleanly."""
+
+import json
+from typing import Any
+
+__all__ = ["StreamCheck", "check_whole"]
+
+END = "[DONE]"
+
+
+def check_whole(data: bytes, announcedBytes: int | None, transaction: str, echoed: str) -> str:
+    """Empty if the body is whole and the right one, else what is wrong."""
+    if announcedBytes is None or announcedBytes != len(data):
+        return "length"
+    if echoed != transaction:
+        return "transaction"
+    try:
+        json.loads(data)
+    except ValueError:
+        return "json"
+    return ""
+
+
+class StreamCheck:
+    """Fed with whole SSE events; says which may be delivered."""
+
+    __slots__ = ("_buffer", "_next", "_run", "ended", "fault")
+
+    def __init__(self) -> None:
+        self._buffer = b""
+        self._next = 0
+        self._run = ""
+        self.ended = False
+        self.fault = ""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """The events now complete and in order; after a fault, none."""
+        self._buffer += data
+        good: list[bytes] = []
+        while not self.fault and (at := self._buffer.find(b"\n\n")) >= 0:
+            event, self._buffer = self._buffer[:at + 2], self._buffer[at + 2:]
+            if self._check(event):
+                good.append(event)
+        return good
+
+    def _check(self, event: bytes) -> bool:
+        fields: dict[str, str] = {}
+        for line in event.decode(errors="replace").splitlines():
+            name, colon, value = line.partition(":")
+            if colon and name:
+                fields[name] = value.removeprefix(" ")
+        if not fields:
+            return False
+        if self.ended:
+            self.fault = "after the end"
+        elif fields.get("data") == END:
+            self.ended = True
+        elif fields.get("id") != str(self._next):
+            self.fault = f"event {fields.get('id')} where {self._next} was due"
+        else:
+            self._next += 1
+            self._same_run(fields.get("data", ""))
+        return not self.fault
+
+    def _same_run(self, data: str) -> None:
+        try:
+            value: Any = json.loads(data)
+            run = str(value["id"])
+        except (ValueError, KeyError, TypeError):
+            self.fault = "an event without an id"
+            return
+        if self._run and run != self._run:
+            self.fault = "another run"
+        self._run = run
+
+    def close(self) -> str:
+        """Called when the worker's side ended: empty if all of it came."""
+        if not self.fault and (not self.ended or self._buffer.strip()):
+            self.fault = "cut"
+        return self.fault
--- /dev/null
+++ b/libs/colophon/src/colophon/logs.py
@@ -0,0 +1,33 @@
+"""JSON lines by way of loguru: one object a line with the time, the level, the event's name and
+the ids by which a transaction, a lot or a change can be followed through a fleet's logs."""
+
+import json
+import sys
+from typing import Any
+
+from loguru import logger
+
+__all__ = ["log", "set_up_logs"]
+
+_NODE: dict[str, Any] = {}
+
+
+def _sink(message: Any) -> None:
+    record = message.record
+    row = {"at": record["time"].isoformat(), "level": record["level"].name, "event": record["message"]}
+    row.update(_NODE)
+    row.update(record["extra"])
+    if record["exception"] is not None:
+        row["exception"] = repr(record["exception"].value)
+    sys.stderr.write(json.dumps(row, default=str) + "\n")
+
+
+def set_up_logs(level: str = "INFO", **node: Any) -> None:
+    logger.remove()
+    _NODE.clear()
+    _NODE.update(node)
+    logger.add(_sink, level=level, format="{message}")
+
+
+def log(event: str, level: str = "INFO", **fields: Any) -> None:
+    logger.bind(**fields).log(level, event)
--- /dev/null
+++ b/libs/colophon/src/colophon/params.py
@@ -0,0 +1,149 @@
+"""Settings of one process, from a TOML file and from flags, flags winning. All problems are found
+before anything starts. The times that the code uses are ratios to the few bounds set here."""
+
+import ipaddress
+import tomllib
+from pathlib import Path
+from typing import Any, Literal
+
+from expression import Error, Ok, Result
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator, model_validator
+
+__all__ = ["Params", "load_params", "changed_params", "RELOADABLE"]
+
+RELOADABLE = frozenset({"logLevel", "seeds", "deltaMs", "diskBytes", "liveShare", "graceMs", "maxBodyBytes"})
+
+
+def _check_address(value: str) -> str:
+    host, colon, port = value.rpartition(":")
+    if not colon or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError("an address is IP:PORT")
+    ipaddress.ip_address(host.strip("[]"))
+    return value
+
+
+class Params(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    role: Literal["control", "edge", "store"] = "edge"
+    link: str = Field(description="address for the fleet's own messages, IP:PORT")
+    http: str = Field(description="address for visitors, workers and operators, IP:PORT")
+    zone: str = Field(min_length=1)
+    seeds: list[str] = Field(min_length=1, max_length=3)
+    dataFolder: str = ""
+    controlCount: int = Field(5, ge=1, le=15)
+    storeCount: int = Field(3, ge=2, le=9)
+    storeFaults: int = Field(1, ge=1, le=4)
+    deltaMs: int = Field(50, ge=1, le=5000)
+    flushMs: int = Field(30000, ge=50, description="tau: the longest a record waits for the background flush")
+    keepFactor: float = Field(2.0, ge=1.0, description="k: peers keep records for k times flushMs")
+    forceMs: int = Field(2000, ge=200, description="a version is in force, a drained worker left alone")
+    endMs: int = Field(3000, ge=300, description="an ended lot has stopped everywhere")
+    resumeMs: int = Field(12000, ge=1000, description="service is back after the machines")
+    graceMs: int = Field(5000, ge=100, description="between SIGTERM and the process's end")
+    viewSize: int = Field(12, ge=2, le=64)
+    diskBytes: int = Field(1 << 30, ge=1 << 16)
+    segmentBytes: int = Field(1 << 22, ge=1 << 12)
+    maxBodyBytes: int = Field(1 << 22, ge=1 << 10)
+    keepMs: int = Field(86_400_000, ge=1000, description="how long used keys are kept; lots seven times that")
+    liveShare: float = Field(0.25, ge=0.0, le=1.0, description="part of a worker's slots that lots leave free")
+    logLevel: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+
+    @field_validator("link", "http")
+    @classmethod
+    def _own_address(cls, value: str) -> str:
+        return _check_address(value)
+
+    @field_validator("seeds")
+    @classmethod
+    def _seed_addresses(cls, value: list[str]) -> list[str]:
+        return [_check_address(seed) for seed in value]
+
+    @model_validator(mode="after")
+    def _whole(self) -> "Params":
+        if self.role in ("store", "control") and not self.dataFolder:
+            raise ValueError(f"dataFolder: a {self.role} keeps its state on disk and needs a folder")
+        if self.storeFaults >= self.storeCount or self.storeCount < 2 * self.storeFaults + 1:
+            raise ValueError("storeFaults: storeCount has to be at least 2 * storeFaults + 1")
+        if self.link == self.http:
+            raise ValueError("http: has to differ from link")
+        return self
+
+    @property
+    def beatMs(self) -> int:
+        return max(10, int(self.forceMs * 0.1))
+
+    @property
+    def deadMs(self) -> int:
+        """Silence after which a node no longer counts as live for a duty."""
+        return int(self.forceMs * 0.5)
+
+    @property
+    def workerMs(self) -> int:
+        """Silence after which a worker gets nothing new."""
+        return int(self.forceMs * 0.6)
+
+    @property
+    def cutMs(self) -> int:
+        """Silence after which an edge takes itself to be cut off: well inside a second."""
+        return int(self.forceMs * 0.4)
+
+    @property
+    def confirmMs(self) -> int:
+        """How long an acknowledgement of a version waits for the live edges."""
+        return int(self.forceMs * 0.75)
+
+    @property
+    def goneMs(self) -> int:
+        """Silence after which a member with a disk is replaced by a spare."""
+        return int(self.resumeMs * 0.5)
+
+    @property
+    def claimMs(self) -> int:
+        """How long an edge goes on running lots after its last word from the holder."""
+        return int(self.endMs * 0.75)
+
+    @property
+    def reclaimMs(self) -> int:
+        """When the holder takes a silent edge's claims back: after the edge has let them go."""
+        return int(self.endMs * 1.1)
+
+    @property
+    def askMs(self) -> int:
+        return int(self.forceMs * 0.25)
+
+    @property
+    def freshMs(self) -> int:
+        """How old a stamp on a hand-in may be when it reaches the holder."""
+        return int(self.forceMs * 0.5)
+
+    @property
+    def frozenMs(self) -> int:
+        """A gap between two ticks that counts as having been frozen."""
+        return int(self.forceMs * 0.4)
+
+
+def _problems(error: ValidationError) -> list[str]:
+    return [f"{'.'.join(str(part) for part in row['loc']) or 'settings'}: {row['msg']}" for row in error.errors()]
+
+
+def load_params(path: str | None, flags: dict[str, Any]) -> Result[Params, list[str]]:
+    values: dict[str, Any] = {}
+    if path:
+        try:
+            values = tomllib.loads(Path(path).read_text())
+        except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+            return Error([f"{path}: {error}"])
+    values.update({key: value for key, value in flags.items() if value is not None})
+    try:
+        return Ok(Params(**values))
+    except ValidationError as error:
+        return Error(_problems(error))
+
+
+def changed_params(old: Params, new: Params) -> tuple[Params, list[str], list[str]]:
+    """What a reread file changes: the params to go on with, what was applied, what needs a restart."""
+    differing = [name for name in Params.model_fields if getattr(old, name) != getattr(new, name)]
+    applied = [name for name in differing if name in RELOADABLE]
+    held = [name for name in differing if name not in RELOADABLE]
+    return old.model_copy(update={name: getattr(new, name) for name in applied}), applied, held
--- /dev/null
+++ b/libs/commons/src/commons/cards.py
@@ -0,0 +1,30 @@
+"""A card says who a node is and where; its beat counter, raised by the node alone, shows how fresh
+what is passed on about it is. Cards travel in shuffles and in beats sent straight to kin."""
+
+from vellum import Arr, Blob, Flag, Long, Message, Text
+
+__all__ = ["Beat", "Card", "Shuffle", "Shuffled"]
+
+
+class Card(Message):
+    identity: Text
+    address: Text
+    http: Text
+    role: Text
+    zone: Text
+    beat: Long
+    ready: Flag
+
+
+class Shuffle(Message):
+    card: Blob
+    cards: Arr(Blob)
+
+
+class Shuffled(Message):
+    card: Blob
+    cards: Arr(Blob)
+
+
+class Beat(Message):
+    card: Blob
--- /dev/null
+++ b/libs/commons/src/commons/neighbours.py
@@ -0,0 +1,159 @@
+"""Partial views and standing. Every beat a node swaps part of its view with its oldest neighbour and
+tells its kin (the nodes of its own role, and those with disks) that it lives. A node's standing
+comes from what it was itself heard to say, or from its beat counter rising in what others pass on."""
+
+from collections.abc import Callable, Iterable
+from functools import singledispatchmethod
+
+from commons.cards import Beat, Card, Shuffle, Shuffled
+from vellum import Message, Origin, Part, decode, encode
+
+__all__ = ["Neighbours"]
+
+_SHARE = 6
+_REMEMBERED = 4096
+
+
+class Neighbours(Part):
+    """`wanted` says which further addresses are to be beaten to, such as members named by a key."""
+
+    __slots__ = ("_beatMs", "_beats", "_cards", "_freshMs", "_heardMs", "_sentMs", "_view", "identity", "ready", "wanted")
+    HANDLES = (Shuffle, Shuffled, Beat)
+
+    def __init__(self, identity: str) -> None:
+        self.identity = identity
+        self.ready: Callable[[], bool] = lambda: True
+        self.wanted: Callable[[], Iterable[str]] = lambda: ()
+        self._cards: dict[str, Card] = {}
+        self._beats: dict[str, int] = {}
+        self._freshMs: dict[str, int] = {}
+        self._heardMs: dict[str, int] = {}
+        self._view: list[str] = []
+        self._sentMs = -1 << 40
+        self._beatMs = 0
+
+    def card(self) -> Card:
+        node = self.node
+        return Card(identity=self.identity, address=node.address, http=node.params.http, role=node.params.role,
+                    zone=node.params.zone, beat=self._beatMs, ready=self.ready())
+
+    # -- what is known -------------------------------------------------------------------------
+
+    def view(self) -> list[Card]:
+        return [self._cards[identity] for identity in self._view if identity in self._cards]
+
+    def of_role(self, role: str, withinMs: int) -> list[Card]:
+        """Cards of a role that were fresh within the time, whoever told of them."""
+        floorMs = self.node.env.now() - withinMs
+        return [card for identity, card in self._cards.items()
+                if card.role == role and self._freshMs[identity] >= floorMs]
+
+    def known(self, identity: str) -> Card | None:
+        return self._cards.get(identity)
+
+    def live(self, identity: str, withinMs: int | None = None) -> bool:
+        if identity == self.identity:
+            return True
+        heardMs = max(self._freshMs.get(identity, -1 << 40), self._heardMs.get(identity, -1 << 40))
+        return self.node.env.now() - heardMs <= (withinMs or self.node.params.deadMs)
+
+    def heard_directly(self, withinMs: int) -> list[Card]:
+        floorMs = self.node.env.now() - withinMs
+        return [card for identity, card in self._cards.items() if self._heardMs.get(identity, -1 << 40) >= floorMs]
+
+    # -- beats and shuffles --------------------------------------------------------------------
+
+    def tick(self) -> None:
+        nowMs = self.node.env.now()
+        if nowMs - self._sentMs < self.node.params.beatMs:
+            return
+        self._sentMs = nowMs
+        self._beatMs = max(self._beatMs + 1, self.node.env.wall())
+        self._forget(nowMs)
+        mine = encode(self.card())
+        for address in self._kin():
+            self.node.post(address, Beat(card=mine))
+        for address in self._partners():
+            self.node.post(address, Shuffle(card=mine, cards=self._some()))
+
+    def _kin(self) -> list[str]:
+        role = self.node.params.role
+        kin = {card.address for card in self.of_role(role, self.node.params.goneMs)} if role != "edge" else set()
+        if role != "edge":
+            kin |= {card.address for card in self.of_role("control", self.node.params.goneMs)}
+        return sorted((kin | set(self.wanted())) - {self.node.address})
+
+    def _partners(self) -> list[str]:
+        rng = self.node.env.rng
+        partners = set()
+        if self._view:
+            partners.add(self._cards[self._view[0]].address)
+            self._view.append(self._view.pop(0))
+        if len(self._view) < 3 or rng.random() < 0.1:
+            partners.add(rng.choice(self.node.params.seeds))
+        return sorted(partners - {self.node.address})
+
+    def _some(self) -> list[bytes]:
+        names = [name for name in self._cards if name in self._view or self._cards[name].role != "edge"]
+        chosen = self.node.env.rng.sample(names, min(_SHARE, len(names)))
+        return [encode(self._cards[name]) for name in chosen]
+
+    @singledispatchmethod
+    def receive(self, message: Message, origin: Origin) -> None:
+        raise TypeError(type(message).__name__)
+
+    @receive.register
+    def _(self, message: Shuffle, origin: Origin) -> None:
+        self.node.post(origin.sender, Shuffled(card=encode(self.card()), cards=self._some()))
+        self._take(message.card, message.cards)
+
+    @receive.register
+    def _(self, message: Shuffled, origin: Origin) -> None:
+        self._take(message.card, message.cards)
+
+    @receive.register
+    def _(self, message: Beat, origin: Origin) -> None:
+        self._take(message.card, [])
+
+    def _take(self, card: bytes, cards: list[bytes]) -> None:
+        first = decode(card)
+        self._note(first)
+        if first.identity != self.identity:
+            self._heardMs[first.identity] = self.node.env.now()
+        for data in cards:
+            self._note(decode(data))
+
+    def _note(self, card: Card) -> None:
+        """A counter that rises is news; of two nodes at one address the one last heard of stays."""
+        if card.identity == self.identity:
+            return
+        if self._beats.get(card.identity, -1) >= card.beat:
+            return
+        nowMs = self.node.env.now()
+        for identity in [identity for identity, other in self._cards.items()
+                         if other.address == card.address and identity != card.identity]:
+            if self._cards[identity].beat > card.beat and self._freshMs[identity] > nowMs - self.node.params.deadMs:
+                return
+            self._drop(identity)
+        self._cards[card.identity] = card
+        self._beats[card.identity] = card.beat
+        self._freshMs[card.identity] = nowMs
+        if card.identity not in self._view:
+            self._view.append(card.identity)
+            if len(self._view) > self.node.params.viewSize:
+                self._view.pop(self.node.env.rng.randrange(len(self._view) - 1))
+
+    def _forget(self, nowMs: int) -> None:
+        for identity in [identity for identity in self._cards
+                         if nowMs - self._freshMs[identity] > self.node.params.goneMs]:
+            self._drop(identity)
+        for identity in list(self._beats)[:max(0, len(self._beats) - _REMEMBERED)]:
+            if identity not in self._cards:
+                del self._beats[identity]
+
+    def _drop(self, identity: str) -> None:
+        self._cards.pop(identity, None)
+        self._freshMs.pop(identity, None)
+        self._heardMs.pop(identity, None)
+        if identity in self._view:
+            self._view.remove(identity)
--- /dev/null
+++ b/libs/facsimile/src/facsimile/fleet.py
@@ -0,0 +1,188 @@
+"""A fleet of real processes on this machine, on loopback addresses, for trying out and for tests.
+Only this runner starts processes; it kills, stops and wakes what it started, by their ids."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+__all__ = ["Fleet", "Member", "SHAPES", "until"]
+
+SHAPES = {"jade": {"edges": 6, "stores": 3, "control": 5, "workers": 7},
+          "swan": {"edges": 8, "stores": 3, "control": 5, "workers": 6},
+          "thin": {"edges": 2, "stores": 3, "control": 5, "workers": 2}}
+ZONES = ("north", "south", "west")
+
+
+class Member:
+    __slots__ = ("command", "http", "link", "logFile", "name", "process", "role")
+
+    def __init__(self, name: str, role: str, link: str, http: str, command: list[str], logFile: Path) -> None:
+        self.name, self.role, self.link, self.http = name, role, link, http
+        self.command, self.logFile = command, logFile
+        self.process: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        with open(self.logFile, "ab") as page:
+            self.process = subprocess.Popen(self.command, stdout=page, stderr=page, stdin=subprocess.DEVNULL)
+
+    def signal(self, number: int) -> None:
+        if self.process is not None and self.process.poll() is None:
+            os.kill(self.process.pid, number)
+
+    def kill(self) -> None:
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+
+    @property
+    def runs(self) -> bool:
+        return self.process is not None and self.process.poll() is None
+
+
+async def until(check: Callable[[], Any], deadlineMs: int, what: str, everyMs: int = 50) -> Any:
+    """Polls a condition, a coroutine function, until it holds; what it last saw is told if it never does."""
+    loop = asyncio.get_running_loop()
+    endAt = loop.time() + deadlineMs / 1000
+    seen: Any = None
+    while True:
+        try:
+            seen = await check()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            seen = None
+            last = repr(error)
+        else:
+            last = repr(seen)
+        if seen:
+            return seen
+        if loop.time() >= endAt:
+            raise AssertionError(f"not within {deadlineMs} ms: {what} (last seen: {last[:500]})")
+        await asyncio.sleep(everyMs / 1000)
+
+
+class Fleet:
+    def __init__(self, folder: str, shape: dict[str, int], basePort: int = 21000, host: str = "127.0.0.1",
+                 settings: dict[str, Any] | None = None) -> None:
+        self.folder = Path(folder)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.shape, self.host = shape, host
+        self._port = basePort
+        self._settings = settings or {}
+        self.members: dict[str, Member] = {}
+        self.workers: dict[str, Member] = {}
+        self.session: aiohttp.ClientSession | None = None
+        self.seeds = [f"{host}:{basePort + 2 * index}" for index in range(3)]
+        for index in range(shape["control"]):
+            self.add("control", f"control{index + 1}")
+        for index in range(shape["stores"]):
+            self.add("store", f"store{index + 1}")
+        for index in range(shape["edges"]):
+            self.add("edge", f"edge{index + 1}")
+        for index in range(shape["workers"]):
+            self.add_worker(f"worker{index + 1}")
+
+    def _address(self) -> str:
+        self._port += 1
+        return f"{self.host}:{self._port - 1}"
+
+    def add(self, role: str, name: str) -> Member:
+        link, http = self._address(), self._address()
+        zone = ZONES[len(self.members) % len(ZONES)]
+        values = {"link": link, "http": http, "zone": zone, "seeds": self.seeds, "controlCount": self.shape["control"],
+                  "storeCount": 3, **self._settings}
+        if role != "edge":
+            values["dataFolder"] = str(self.folder / name)
+        path = self.folder / f"{name}.toml"
+        path.write_text("".join(f"{key} = {json.dumps(value)}\n" for key, value in values.items()))
+        program = "registrar" if role == "control" else "readingroom"
+        command = [sys.executable, "-m", f"{program}.cli", "serve", "--settings", str(path)]
+        if role != "control":
+            command += ["--role", role]
+        member = Member(name, role, link, http, command, self.folder / f"{name}.log")
+        self.members[name] = member
+        return member
+
+    def add_worker(self, name: str, *extra: str) -> Member:
+        http = self._address()
+        edges = [member.http for member in self.members.values() if member.role == "edge"]
+        command = [sys.executable, "-m", "facsimile.cli", "worker", "--identity", name, "--http", http, "--zone",
+                   ZONES[len(self.workers) % len(ZONES)], "--label", "gpu", *extra]
+        for edge in edges:
+            command += ["--edge", edge]
+        member = Member(name, "worker", "", http, command, self.folder / f"{name}.log")
+        self.workers[name] = member
+        return member
+
+    def of(self, role: str) -> list[Member]:
+        return [member for member in self.members.values() if member.role == role and member.runs]
+
+    def everyone(self) -> list[Member]:
+        return [*self.members.values(), *self.workers.values()]
+
+    # -- asking --------------------------------------------------------------------------------
+
+    async def get(self, member: Member, address: str) -> tuple[int, Any]:
+        return await self.ask("GET", member.http, address)
+
+    async def ask(self, method: str, http: str, address: str, body: Any = None,
+                  headers: dict[str, str] | None = None, waitMs: int = 15000) -> tuple[int, Any]:
+        async with self.session.request(method, f"http://{http}{address}", json=body, headers=headers,
+                                        timeout=aiohttp.ClientTimeout(total=waitMs / 1000)) as answer:
+            text = await answer.text()
+            try:
+                return answer.status, json.loads(text)
+            except ValueError:
+                return answer.status, text
+
+    async def all_ready(self, roles: tuple[str, ...] = ("control", "store", "edge")) -> bool:
+        for role in roles:
+            for member in self.of(role):
+                status, _ = await self.get(member, "/ready")
+                if status != 200:
+                    return False
+        return True
+
+    # -- life ----------------------------------------------------------------------------------
+
+    async def __aenter__(self) -> "Fleet":
+        self.session = aiohttp.ClientSession()
+        for member in self.everyone():
+            member.start()
+        return self
+
+    async def __aexit__(self, *failure: Any) -> None:
+        await self.session.close()
+        for member in self.everyone():
+            member.signal(signal.SIGCONT)
+            member.signal(signal.SIGKILL)
+        for member in self.everyone():
+            if member.process is not None:
+                member.process.wait()
+
+    async def found(self, tree: dict[str, Any], deadlineMs: int = 30000) -> int:
+        """Waits for control, sends the first tree, and waits until every edge and store is ready."""
+        await until(lambda: self.all_ready(("control",)), deadlineMs, "control is ready")
+        await until(lambda: self.all_ready(("store",)), deadlineMs, "stores are ready")
+        status, body = await self.ask("PUT", self.of("control")[0].http, "/profiles",
+                                      {"version": 0, "changeId": "first", "tree": tree})
+        if status != 200:
+            raise AssertionError(f"the first tree was answered {status}: {body}")
+        await until(self.all_ready, deadlineMs, "all are ready")
+        return body["version"]
+
+    async def workers_known(self, count: int, deadlineMs: int = 15000) -> None:
+        async def known() -> bool:
+            for member in self.of("edge"):
+                _, body = await self.get(member, "/status")
+                if sum(1 for row in body["workers"] if row["usable"] and row["allowed"]) < count:
+                    return False
+            return True
+
+        await until(known, deadlineMs, f"{count} workers known at every edge")
--- /dev/null
+++ b/libs/facsimile/src/facsimile/worker.py
@@ -0,0 +1,155 @@
+"""A stand-in model worker: OpenAI-shaped completions, plain or streamed, a bounded number of slots,
+a KV cache of prompt prefixes that makes a known start cheaper, beats and a leave. It echoes identity,
+incarnation and transaction, refuses what was meant for another worker, and keeps a list of its runs."""
+
+import asyncio
+import json
+import time
+from collections import OrderedDict
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+from mode import Service
+
+from circulation.placement import prefix_of
+
+__all__ = ["StandInWorker"]
+
+_WORDS = ("the", "table", "holds", "a", "quiet", "rule", "and", "turns", "it", "over")
+
+
+class StandInWorker(Service):
+    def __init__(self, identity: str, address: str, edges: list[str], zone: str = "a", labels: list[str] | None = None,
+                 slots: int = 8, tokenMs: float = 2.0, tokens: int = 12, prefillMs: float = 20.0,
+                 cachePrefixes: int = 32, beatMs: int = 300) -> None:
+        super().__init__()
+        self.identity, self.address, self.edges = identity, address, edges
+        self.zone, self.labels, self.slots = zone, labels or [], slots
+        self.incarnation = time.time_ns() // 1_000_000
+        self.runs: list[dict[str, Any]] = []
+        self.hits = self.misses = 0
+        self._tokenMs, self._tokens, self._prefillMs = tokenMs, tokens, prefillMs
+        self._cache: OrderedDict[str, None] = OrderedDict()
+        self._cacheLength = cachePrefixes
+        self._beatMs = beatMs
+        self._beat = 0
+        self._running = 0
+        self._gate = asyncio.Semaphore(slots)
+        self._waiting = 0
+        self._leaving = False
+
+    async def on_start(self) -> None:
+        app = web.Application()
+        app.router.add_post("/v1/completions", self._complete)
+        app.router.add_post("/v1/chat/completions", self._complete)
+        app.router.add_get("/runs", self._show_runs)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.5)
+        await self._runner.setup()
+        host, _, port = self.address.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port), reuse_address=True).start()
+        self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.0))
+        self.add_future(self._beats())
+
+    async def on_stop(self) -> None:
+        await self._session.close()
+        await self._runner.cleanup()
+
+    async def leave(self) -> None:
+        self._leaving = True
+        await self._tell("/workers/leave", {"identity": self.identity, "incarnation": self.incarnation})
+
+    # -- beats ---------------------------------------------------------------------------------
+
+    async def _beats(self) -> None:
+        while not self.should_stop and not self._leaving:
+            self._beat += 1
+            await self._tell("/workers/beat", {
+                "identity": self.identity, "incarnation": self.incarnation, "address": self.address,
+                "beat": self._beat, "zone": self.zone, "labels": self.labels, "running": self._running,
+                "waiting": self._waiting, "slots": self.slots,
+                "cacheUse": len(self._cache) / self._cacheLength})
+            await asyncio.sleep(self._beatMs / 1000)
+
+    async def _tell(self, address: str, body: dict[str, Any]) -> None:
+        for attempt in range(len(self.edges)):
+            edge = self.edges[(self._beat + attempt) % len(self.edges)]
+            try:
+                async with self._session.post(f"http://{edge}{address}", json=body) as answer:
+                    await answer.read()
+                    return
+            except (aiohttp.ClientError, OSError, TimeoutError):
+                continue
+
+    # -- completions ---------------------------------------------------------------------------
+
+    def _refuse(self, code: str, status: int, headers: dict[str, str]) -> web.Response:
+        return web.json_response({"error": {"verdict": "notRun", "code": code, "message": code}}, status=status,
+                                 headers=headers)
+
+    async def _complete(self, request: web.Request) -> web.StreamResponse:
+        stamp = f"{self.identity}/{self.incarnation}"
+        transaction = request.headers.get("X-Vaneledge-Transaction", "")
+        headers = {"X-Vaneledge-Worker": stamp, "X-Vaneledge-Transaction": transaction}
+        if request.headers.get("X-Vaneledge-Worker") != stamp:
+            return self._refuse("wrong-worker", 409, headers)
+        if self._waiting >= self.slots or self._leaving:
+            return self._refuse("busy", 429, headers)
+        body = await request.json()
+        self._waiting += 1
+        async with self._gate:
+            self._waiting -= 1
+            self._running += 1
+            run = {"transaction": transaction, "startedMs": time.time_ns() // 1_000_000, "ended": False,
+                   "path": body.get("model", ""), "prompt": str(body.get("prompt") or body.get("messages"))[-80:]}
+            self.runs.append(run)
+            try:
+                await self._prefill(prefix_of(body))
+                answer = await (self._stream if body.get("stream") else self._whole)(request, body, transaction, headers)
+                run["ended"] = True
+                return answer
+            finally:
+                self._running -= 1
+
+    async def _prefill(self, prefix: str) -> None:
+        known = prefix in self._cache
+        self._cache[prefix] = None
+        self._cache.move_to_end(prefix)
+        if len(self._cache) > self._cacheLength:
+            self._cache.popitem(last=False)
+        self.hits += known
+        self.misses += not known
+        if not known:
+            await asyncio.sleep(self._prefillMs / 1000)
+
+    def _words(self, body: dict[str, Any]) -> list[str]:
+        count = min(int(body.get("max_tokens") or self._tokens), 512)
+        seed = sum(map(ord, str(body.get("prompt") or body.get("messages"))))
+        return [_WORDS[(seed + place) % len(_WORDS)] + " " for place in range(count)]
+
+    async def _whole(self, request: web.Request, body: dict, transaction: str, headers: dict) -> web.Response:
+        words = self._words(body)
+        await asyncio.sleep(len(words) * self._tokenMs / 1000)
+        choice: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
+        if "messages" in body:
+            choice["message"] = {"role": "assistant", "content": "".join(words)}
+        else:
+            choice["text"] = "".join(words)
+        return web.json_response({"id": transaction, "object": "text_completion", "model": body.get("model", ""),
+                                  "choices": [choice], "usage": {"completion_tokens": len(words)}}, headers=headers)
+
+    async def _stream(self, request: web.Request, body: dict, transaction: str, headers: dict) -> web.StreamResponse:
+        answer = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
+        await answer.prepare(request)
+        for place, word in enumerate(self._words(body)):
+            await asyncio.sleep(self._tokenMs / 1000)
+            choice = {"index": 0, "delta": {"content": word}} if "messages" in body else {"index": 0, "text": word}
+            data = json.dumps({"id": transaction, "object": "text_completion", "choices": [choice]})
+            await answer.write(f"id: {place}\ndata: {data}\n\n".encode())
+        await answer.write(b"data: [DONE]\n\n")
+        await answer.write_eof()
+        return answer
+
+    async def _show_runs(self, request: web.Request) -> web.Response:
+        return web.json_response({"identity": self.identity, "incarnation": self.incarnation, "runs": self.runs,
+                                  "hits": self.hits, "misses": self.misses})
--- /dev/null
+++ b/libs/gazette/src/gazette/__init__.py
@@ -0,0 +1,6 @@
+"""Gazette: the numbered feed of changes that control publishes and neighbours relay."""
+
+from gazette.feed import Gazette
+from gazette.messages import Digest, News, NewsItem
+
+__all__ = ["Digest", "Gazette", "News", "NewsItem"]
--- /dev/null
+++ b/libs/gazette/src/gazette/feed.py
@@ -0,0 +1,166 @@
+"""The feed at one node: the newest body of each key with its number. News is passed on to all
+neighbours when first heard; digests, swapped every beat, find whatever was missed, and a node that
+starts follows from nothing, which is the snapshot. A change to a large body travels as a merge patch
+on the number before it. Numbers never go back."""
+
+import json
+from collections.abc import Callable, Iterable
+from functools import singledispatchmethod
+from typing import Any
+
+from gazette.messages import Digest, KeyNumber, News, NewsItem
+from gazette.patches import merge, merge_diff
+from vellum import Message, Origin, Part, decode, encode
+
+__all__ = ["Gazette"]
+
+
+class Gazette(Part):
+    """`neighbours` gives the addresses to relay to, `extra` further ones to swap digests with."""
+
+    __slots__ = ("_extra", "_items", "_neighbours", "_patches", "_sentMs", "_watchers", "confirmed", "contactsMs",
+                 "identity", "quorate", "quorateMs", "sentBytes")
+    HANDLES = (Digest, News)
+
+    def __init__(self, identity: str, neighbours: Callable[[], Iterable[str]],
+                 extra: Callable[[], Iterable[str]] = lambda: (), quorate: Callable[[], bool] = lambda: False) -> None:
+        self.identity = identity
+        self.quorate = quorate
+        self.quorateMs = -1 << 40
+        self.contactsMs: dict[str, int] = {}
+        self.confirmed: dict[str, tuple[str, int, dict[str, int]]] = {}
+        self.sentBytes = 0
+        self._neighbours = neighbours
+        self._extra = extra
+        self._items: dict[str, tuple[int, str]] = {}
+        self._patches: dict[str, NewsItem] = {}
+        self._watchers: list[Callable[[str, int, str], None]] = []
+        self._sentMs = -1 << 40
+
+    def watch(self, watcher: Callable[[str, int, str], None]) -> None:
+        self._watchers.append(watcher)
+
+    def number(self, key: str) -> int:
+        return self._items.get(key, (0, ""))[0]
+
+    def body(self, key: str) -> str:
+        return self._items.get(key, (0, ""))[1]
+
+    def value(self, key: str) -> Any:
+        body = self.body(key)
+        return json.loads(body) if body else None
+
+    def numbers(self) -> dict[str, int]:
+        return {key: number for key, (number, _) in self._items.items()}
+
+    @property
+    def place(self) -> int:
+        return sum(self.numbers().values())
+
+    # -- news ----------------------------------------------------------------------------------
+
+    def publish(self, key: str, number: int, body: str) -> None:
+        """Takes a version that control has decided and passes it on; older ones change nothing."""
+        heldNumber, heldBody = self._items.get(key, (0, ""))
+        if number <= heldNumber:
+            return
+        self._patches.pop(key, None)
+        if heldNumber and number == heldNumber + 1 and len(body) > 1024:
+            patch = merge_diff(heldBody, body)
+            if merge(heldBody, patch) == body:
+                self._patches[key] = NewsItem(key=key, number=number, baseNumber=heldNumber, body=patch)
+        self._take(key, number, body, "")
+
+    def _take(self, key: str, number: int, body: str, sender: str) -> None:
+        if number <= self.number(key):
+            return
+        self._items[key] = (number, body)
+        for watcher in self._watchers:
+            watcher(key, number, body)
+        patch = self._patches.get(key)
+        item = patch if patch is not None and patch.number == number else self._whole(key)
+        for address in set(self._neighbours()) | set(self._extra()):
+            if address != sender:
+                self._send(address, [item])
+                self._send_digest(address)
+
+    def _whole(self, key: str) -> NewsItem:
+        number, body = self._items[key]
+        return NewsItem(key=key, number=number, baseNumber=0, body=body)
+
+    def _send(self, address: str, items: list[NewsItem]) -> None:
+        if items:
+            rows = [encode(item) for item in items]
+            self.sentBytes += sum(len(row) for row in rows)
+            self.node.post(address, News(items=rows))
+
+    @singledispatchmethod
+    def receive(self, message: Message, origin: Origin) -> None:
+        raise TypeError(type(message).__name__)
+
+    @receive.register
+    def _(self, message: News, origin: Origin) -> None:
+        before = self.numbers()
+        for data in message.items:
+            item = decode(data)
+            if item.number <= self.number(item.key):
+                continue
+            if item.baseNumber == 0:
+                self._patches.pop(item.key, None)
+                self._take(item.key, item.number, item.body, origin.sender)
+            elif item.baseNumber == self.number(item.key):
+                self._patches[item.key] = item
+                self._take(item.key, item.number, merge(self.body(item.key), item.body), origin.sender)
+            else:
+                self._send_digest(origin.sender)
+        if self.numbers() != before:
+            self._send_digest(origin.sender)
+
+    # -- digests -------------------------------------------------------------------------------
+
+    def _digest(self) -> Digest:
+        return Digest(identity=self.identity, role=self.node.params.role, quorate=self.quorate(),
+                      numbers=[encode(KeyNumber(key=key, number=number)) for key, number in self.numbers().items()])
+
+    def _send_digest(self, address: str) -> None:
+        self.node.post(address, self._digest())
+
+    @receive.register
+    def _(self, message: Digest, origin: Origin) -> None:
+        nowMs = self.node.env.now()
+        theirs = {row.key: row.number for row in map(decode, message.numbers)}
+        self.contactsMs[message.identity] = nowMs
+        if message.quorate:
+            self.quorateMs = nowMs
+        self.confirmed[message.identity] = (message.role, nowMs, theirs)
+        self._send(origin.sender, [self._newer(key, theirs.get(key, 0)) for key, number in self.numbers().items()
+                                   if number > theirs.get(key, 0)])
+        if any(number > self.number(key) for key, number in theirs.items()):
+            self._send_digest(origin.sender)
+
+    def _newer(self, key: str, theirNumber: int) -> NewsItem:
+        patch = self._patches.get(key)
+        if patch is not None and patch.baseNumber == theirNumber and patch.number == self.number(key):
+            return patch
+        return self._whole(key)
+
+    def tick(self) -> None:
+        nowMs = self.node.env.now()
+        if nowMs - self._sentMs < self.node.params.beatMs:
+            return
+        self._sentMs = nowMs
+        for identity in [identity for identity, (_, atMs, _) in self.confirmed.items()
+                         if nowMs - atMs > self.node.params.goneMs]:
+            del self.confirmed[identity]
+            self.contactsMs.pop(identity, None)
+        digest = self._digest()
+        for address in set(self._neighbours()) | set(self._extra()):
+            self.node.post(address, digest)
+
+    # -- confirmation --------------------------------------------------------------------------
+
+    def all_confirm(self, key: str, number: int, roles: tuple[str, ...], withinMs: int) -> bool:
+        """Whether every node of these roles heard from lately has this number in force."""
+        floorMs = self.node.env.now() - withinMs
+        return all(numbers.get(key, 0) >= number for role, atMs, numbers in self.confirmed.values()
+                   if role in roles and atMs >= floorMs)
--- /dev/null
+++ b/libs/gazette/src/gazette/patches.py
@@ -0,0 +1,37 @@
+"""Merge patches after RFC 7396, made and applied. A value that really is null can't be said in a
+patch, so where one is newly set no patch is made and the whole body travels."""
+
+import json
+from typing import Any
+
+__all__ = ["apply_patch", "merge", "merge_diff"]
+
+
+def apply_patch(target: Any, patch: Any) -> Any:
+    if not isinstance(patch, dict):
+        return patch
+    result = dict(target) if isinstance(target, dict) else {}
+    for key, value in patch.items():
+        if value is None:
+            result.pop(key, None)
+        else:
+            result[key] = apply_patch(result.get(key), value)
+    return result
+
+
+def _diff(old: Any, new: Any) -> Any:
+    patch: dict[str, Any] = {key: None for key in old if key not in new}
+    for key, value in new.items():
+        before = old.get(key)
+        if key in old and before == value:
+            continue
+        patch[key] = _diff(before, value) if isinstance(before, dict) and isinstance(value, dict) else value
+    return patch
+
+
+def merge(oldBody: str, patchBody: str) -> str:
+    return json.dumps(apply_patch(json.loads(oldBody), json.loads(patchBody)), sort_keys=True)
+
+
+def merge_diff(oldBody: str, newBody: str) -> str:
+    return json.dumps(_diff(json.loads(oldBody), json.loads(newBody)), sort_keys=True)
--- /dev/null
+++ b/libs/ledger/src/ledger/fold.py
@@ -0,0 +1,196 @@
+"""The fold: single dispatch over the entries, one function for each change of state. It refuses
+nothing, since what is in the log has been decided; an entry that no longer applies changes nothing.
+An item goes waiting, claimed, finished; results are listed as far as `placed` says."""
+
+from functools import singledispatchmethod
+
+from ledger import entries as e
+from vellum import Message
+
+__all__ = ["Item", "Key", "Ledger", "Lot"]
+
+
+class Item:
+    __slots__ = ("body", "edge", "number", "outcome", "result", "state", "worker")
+
+    def __init__(self, body: str) -> None:
+        self.body = body
+        self.state = "waiting"
+        self.edge = ""
+        self.number = 0
+        self.outcome = ""
+        self.result = ""
+        self.worker = ""
+
+
+class Lot:
+    __slots__ = ("atMs", "batonEdge", "batonEpoch", "digest", "dueMs", "ended", "endedAtMs", "items", "left",
+                 "lotId", "path", "placed", "safe")
+
+    def __init__(self, entry: e.LotAdmitted) -> None:
+        self.lotId = entry.lotId
+        self.digest = entry.digest
+        self.path = entry.path
+        self.items = [Item(body) for body in entry.items]
+        self.safe = entry.safe
+        self.dueMs = entry.dueMs
+        self.atMs = entry.atMs
+        self.left = len(self.items)
+        self.placed = 0
+        self.batonEdge = ""
+        self.batonEpoch = 0
+        self.ended = False
+        self.endedAtMs = 0
+
+    @property
+    def open(self) -> bool:
+        return not self.ended and self.placed < len(self.items)
+
+    @property
+    def ready(self) -> int:
+        """How far results could be placed now."""
+        upTo = self.placed
+        while upTo < len(self.items) and self.items[upTo].state == "finished":
+            upTo += 1
+        return upTo
+
+
+class Key:
+    __slots__ = ("atMs", "body", "digest", "edge", "state", "status", "transaction")
+
+    def __init__(self, entry: e.KeyOpened) -> None:
+        self.digest = entry.digest
+        self.edge = entry.edge
+        self.transaction = entry.transaction
+        self.state = "open"
+        self.status = 0
+        self.body = ""
+        self.atMs = entry.atMs
+
+
+class Ledger:
+    __slots__ = ("keys", "lots", "opened")
+
+    def __init__(self) -> None:
+        self.lots: dict[str, Lot] = {}
+        self.keys: dict[str, Key] = {}
+        self.opened: dict[str, Lot] = {}
+
+    def room_used(self, path: str) -> int:
+        return sum(1 for lot in self.opened.values() if lot.path == path)
+
+    @singledispatchmethod
+    def apply(self, entry: Message) -> None:
+        raise TypeError(type(entry).__name__)
+
+    @apply.register
+    def _(self, entry: e.LotAdmitted) -> None:
+        if entry.lotId not in self.lots:
+            lot = self.lots[entry.lotId] = Lot(entry)
+            if lot.open:
+                self.opened[entry.lotId] = lot
+
+    @apply.register
+    def _(self, entry: e.ItemClaimed) -> None:
+        item = self._item(entry.lotId, entry.index)
+        if item is not None and item.state != "finished" and entry.number > item.number:
+            item.state = "claimed"
+            item.edge = entry.edge
+            item.number = entry.number
+
+    @apply.register
+    def _(self, entry: e.ItemFinished) -> None:
+        item = self._item(entry.lotId, entry.index)
+        if item is not None and item.state != "finished":
+            item.state = "finished"
+            item.outcome = entry.outcome
+            item.result = entry.body
+            item.worker = entry.worker
+            self.lots[entry.lotId].left -= 1
+
+    @apply.register
+    def _(self, entry: e.ItemReturned) -> None:
+        item = self._item(entry.lotId, entry.index)
+        if item is not None and item.state == "claimed" and item.number == entry.number:
+            item.state = "waiting"
+            item.edge = ""
+
+    @apply.register
+    def _(self, entry: e.BatonPassed) -> None:
+        lot = self.lots.get(entry.lotId)
+        if lot is not None and entry.epoch > lot.batonEpoch:
+            lot.batonEdge = entry.edge
+            lot.batonEpoch = entry.epoch
+
+    @apply.register
+    def _(self, entry: e.ResultsPlaced) -> None:
+        lot = self.lots.get(entry.lotId)
+        if lot is not None and entry.epoch == lot.batonEpoch and lot.placed < entry.upTo <= lot.ready:
+            lot.placed = entry.upTo
+            if not lot.open:
+                self.opened.pop(entry.lotId, None)
+
+    @apply.register
+    def _(self, entry: e.LotEnded) -> None:
+        lot = self.lots.get(entry.lotId)
+        if lot is not None and not lot.ended:
+            lot.ended = True
+            lot.endedAtMs = entry.atMs
+            self.opened.pop(entry.lotId, None)
+
+    @apply.register
+    def _(self, entry: e.LotForgotten) -> None:
+        self.lots.pop(entry.lotId, None)
+        self.opened.pop(entry.lotId, None)
+
+    @apply.register
+    def _(self, entry: e.KeyOpened) -> None:
+        key = self.keys.get(entry.key)
+        if key is None or key.state == "void":
+            self.keys[entry.key] = Key(entry)
+
+    @apply.register
+    def _(self, entry: e.KeyClosed) -> None:
+        key = self.keys.get(entry.key)
+        if key is not None and key.transaction == entry.transaction and key.state in ("open", "doubt"):
+            key.state = entry.state
+            key.status = entry.status
+            key.body = entry.body
+
+    @apply.register
+    def _(self, entry: e.KeyForgotten) -> None:
+        self.keys.pop(entry.key, None)
+
+    def _item(self, lotId: str, index: int) -> Item | None:
+        lot = self.lots.get(lotId)
+        if lot is None or not 0 <= index < len(lot.items):
+            return None
+        return lot.items[index]
+
+    def dump(self) -> list[Message]:
+        """Entries that fold to this very ledger."""
+        rows: list[Message] = []
+        for lot in self.lots.values():
+            rows.append(e.LotAdmitted(lotId=lot.lotId, digest=lot.digest, path=lot.path, safe=lot.safe,
+                                      items=[item.body for item in lot.items], dueMs=lot.dueMs, atMs=lot.atMs))
+            for index, item in enumerate(lot.items):
+                if item.number:
+                    rows.append(e.ItemClaimed(lotId=lot.lotId, index=index, edge=item.edge, number=item.number))
+                if item.number and item.state == "waiting":
+                    rows.append(e.ItemReturned(lotId=lot.lotId, index=index, number=item.number))
+                if item.state == "finished":
+                    rows.append(e.ItemFinished(lotId=lot.lotId, index=index, outcome=item.outcome,
+                                               body=item.result, worker=item.worker))
+            if lot.batonEpoch:
+                rows.append(e.BatonPassed(lotId=lot.lotId, edge=lot.batonEdge, epoch=lot.batonEpoch))
+            if lot.placed:
+                rows.append(e.ResultsPlaced(lotId=lot.lotId, upTo=lot.placed, epoch=lot.batonEpoch))
+            if lot.ended:
+                rows.append(e.LotEnded(lotId=lot.lotId, atMs=lot.endedAtMs))
+        for name, key in self.keys.items():
+            rows.append(e.KeyOpened(key=name, digest=key.digest, edge=key.edge, transaction=key.transaction,
+                                    atMs=key.atMs))
+            if key.state != "open":
+                rows.append(e.KeyClosed(key=name, transaction=key.transaction, state=key.state,
+                                        status=key.status, body=key.body, atMs=key.atMs))
+        return rows
--- /dev/null
+++ b/libs/readingroom/src/readingroom/calls.py
@@ -0,0 +1,95 @@
+"""The bodies that visitors and workers send, checked with pydantic. Every problem becomes a refusal
+that names the field; what is not known is refused, not ignored."""
+
+import json
+from typing import Annotated, Any, Literal, TypeVar
+
+from expression import Error, Ok, Result
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+
+from colophon import Refusal, refused
+
+__all__ = ["Beat", "CompletionCall", "HandInCall", "LOT_ID", "Leave", "parse"]
+
+LOT_ID = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$"
+Name = Annotated[str, Field(min_length=1, max_length=128)]
+Model = TypeVar("Model", bound=BaseModel)
+
+
+class _Strict(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True)
+
+
+class ChatMessage(_Strict):
+    role: Literal["system", "user", "assistant", "developer", "tool"]
+    content: str
+    name: str | None = None
+
+
+class Prompted(_Strict):
+    """The part of OpenAI's completion calls that workers are given."""
+
+    prompt: str | None = None
+    messages: list[ChatMessage] | None = Field(None, min_length=1)
+    max_tokens: int | None = Field(None, ge=1, le=1_000_000)
+    max_completion_tokens: int | None = Field(None, ge=1, le=1_000_000)
+    temperature: float | None = Field(None, ge=0, le=2)
+    top_p: float | None = Field(None, ge=0, le=1)
+    n: Literal[1] | None = None
+    stop: str | list[str] | None = None
+    seed: int | None = None
+    presence_penalty: float | None = Field(None, ge=-2, le=2)
+    frequency_penalty: float | None = Field(None, ge=-2, le=2)
+    user: str | None = Field(None, max_length=256)
+
+
+class CompletionCall(Prompted):
+    model: Name
+    stream: bool = False
+
+
+class LotItem(Prompted):
+    @model_validator(mode="after")
+    def _one_kind(self) -> "LotItem":
+        if (self.prompt is None) == (self.messages is None):
+            raise ValueError("an item has either a prompt or messages")
+        return self
+
+
+class HandInCall(_Strict):
+    path: Name
+    items: list[LotItem] = Field(min_length=1, max_length=10_000)
+    dueMs: int = Field(10_000, ge=100, le=7 * 86_400_000)
+
+
+class Beat(_Strict):
+    identity: Name
+    incarnation: int = Field(ge=0)
+    address: str = Field(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")
+    beat: int = Field(ge=0)
+    zone: str = Field("", max_length=64)
+    labels: list[Name] = Field(default_factory=list, max_length=64)
+    running: int = Field(0, ge=0)
+    waiting: int = Field(0, ge=0)
+    slots: int = Field(1, ge=1, le=100_000)
+    cacheUse: float = Field(0.0, ge=0.0, le=1.0)
+
+
+class Leave(_Strict):
+    identity: Name
+    incarnation: int = Field(ge=0)
+
+
+def parse(model: type[Model], data: bytes) -> Result[Model, Refusal]:
+    try:
+        value: Any = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        return Error(refused("malformed", f"the body is not JSON: {error}"))
+    try:
+        return Ok(model.model_validate(value))
+    except ValidationError as error:
+        problems = [{"field": ".".join(str(part) for part in row["loc"]) or "body", "message": row["msg"]}
+                    for row in error.errors()[:20]]
+        first = problems[0]
+        return Error(refused("bad-field", f"{first['field']}: {first['message']}", field=first["field"],
+                             problems=problems))
--- /dev/null
+++ b/libs/readingroom/src/readingroom/cli.py
@@ -0,0 +1,129 @@
+"""The data plane's command line: serve, and a visitor's commands. Answers go to standard output as
+JSON, refusals to standard error with exit code 1, wrong settings with exit code 2."""
+
+import asyncio
+import json
+import sys
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import aiohttp
+from cyclopts import App, Parameter
+
+from colophon import load_params
+from readingroom.process import run_process, settings_or_exit
+from readingroom.roles import EdgeProcess, StoreProcess
+
+__all__ = ["call", "main", "serve_flags"]
+
+app = App(name="readingroom", help="vaneledge's data plane: edges and stores, and a visitor's commands.")
+lot = App(name="lot", help="Hand in, follow, read and end lots.")
+app.command(lot)
+
+Server = Annotated[str, Parameter(name="--server", help="an edge's HTTP address, IP:PORT")]
+
+
+def serve_flags(link: str | None, http: str | None, zone: str | None, seeds: list[str] | None,
+                dataFolder: str | None, controlCount: int | None, logLevel: str | None) -> dict[str, Any]:
+    return {"link": link, "http": http, "zone": zone, "seeds": seeds, "dataFolder": dataFolder,
+            "controlCount": controlCount, "logLevel": logLevel}
+
+
+@app.command
+def serve(*, role: Literal["edge", "store"], settings: str | None = None, link: str | None = None,
+          http: str | None = None, zone: str | None = None,
+          seed: Annotated[list[str] | None, Parameter(negative=())] = None, dataFolder: str | None = None,
+          controlCount: int | None = None, logLevel: str | None = None) -> None:
+    """Run an edge or a store until SIGTERM.
+
+    Parameters
+    ----------
+    role: edge or store.
+    settings: a TOML file; flags win over it, and SIGHUP reads it again.
+    link: address for the fleet's own messages, IP:PORT.
+    http: address for visitors, workers and operators, IP:PORT.
+    zone: the zone this machine is in.
+    seed: link address of another process; up to three times.
+    dataFolder: where files live.
+    controlCount: how many control machines found the fleet.
+    logLevel: DEBUG, INFO, WARNING or ERROR.
+    """
+    flags = {**serve_flags(link, http, zone, seed, dataFolder, controlCount, logLevel), "role": role}
+    params = settings_or_exit(load_params(settings, flags))
+    run_process(EdgeProcess if role == "edge" else StoreProcess, params, settings, flags)
+
+
+async def _call(method: str, url: str, body: Any, headers: dict[str, str] | None) -> int:
+    async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=60)) as session:
+        async with session.request(method, url, json=body, headers=headers) as answer:
+            out = sys.stdout if answer.status < 400 else sys.stderr
+            async for line in answer.content:
+                out.write(line.decode(errors="replace"))
+                out.flush()
+            out.write("\n")
+            return 0 if answer.status < 400 else 1
+
+
+def call(method: str, server: str, address: str, body: Any = None, headers: dict[str, str] | None = None) -> None:
+    try:
+        code = asyncio.run(_call(method, f"http://{server}{address}", body, headers))
+    except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        sys.stderr.write(f"{server}: {type(error).__name__}: {error}\n")
+        code = 1
+    if code:
+        raise SystemExit(code)
+
+
+def read_json(path: str) -> Any:
+    try:
+        return json.loads(sys.stdin.read() if path == "-" else Path(path).read_text())
+    except (OSError, ValueError) as error:
+        sys.stderr.write(f"{path}: {error}\n")
+        raise SystemExit(2) from error
+
+
+@app.command
+def complete(prompt: str, *, server: Server, profile: str, stream: bool = False, key: str = "") -> None:
+    """Ask for one live completion.
+
+    Parameters
+    ----------
+    prompt: the prompt's text.
+    profile: the profile that names the path.
+    stream: show the answer's events as they come.
+    key: an Idempotency-Key, for paths that are not safe to repeat.
+    """
+    call("POST", server, "/v1/completions", {"model": profile, "prompt": prompt, "stream": stream},
+         {"Idempotency-Key": key} if key else None)
+
+
+@lot.command(name="hand-in")
+def hand_in(lotId: str, file: str, *, server: Server) -> None:
+    """Hand in a lot from a JSON file with path, items and dueMs; - reads standard input."""
+    call("PUT", server, f"/lots/{lotId}", read_json(file))
+
+
+@lot.command
+def show(lotId: str, *, server: Server) -> None:
+    """Show how far a lot is."""
+    call("GET", server, f"/lots/{lotId}")
+
+
+@lot.command
+def results(lotId: str, *, server: Server, start: int = 0) -> None:
+    """List a lot's results from a place on."""
+    call("GET", server, f"/lots/{lotId}/results?from={start}")
+
+
+@lot.command
+def end(lotId: str, *, server: Server) -> None:
+    """End a lot: nothing of it runs any more within about three seconds."""
+    call("DELETE", server, f"/lots/{lotId}")
+
+
+def main() -> None:
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/libs/readingroom/src/readingroom/desk_http.py
@@ -0,0 +1,92 @@
+"""What both programs' HTTP sides share: errors as bodies with verdicts, whatever happens; the four
+paths that the platform and operators poll; and the service that owns the listening socket."""
+
+import json
+import math
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+from mode import Service
+
+from colophon import Refusal, doubtful, log, refused
+
+__all__ = ["HttpDesk", "answer_refusal", "json_answer", "read_body"]
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def json_answer(value: Any, status: int = 200, headers: dict[str, str] | None = None) -> web.Response:
+    return web.Response(text=json.dumps(value), status=status, content_type="application/json", headers=headers)
+
+
+def answer_refusal(refusal: Refusal) -> web.Response:
+    headers = {}
+    if refusal.retryAfterMs:
+        headers["Retry-After"] = str(max(1, math.ceil(refusal.retryAfterMs / 1000)))
+    return json_answer(refusal.body(), refusal.status, headers)
+
+
+async def read_body(request: web.Request, limitBytes: int) -> bytes | Refusal:
+    if request.content_length is not None and request.content_length > limitBytes:
+        return refused("too-large", f"the body is larger than {limitBytes} bytes", 413, field="body")
+    try:
+        return await request.read()
+    except web.HTTPRequestEntityTooLarge:
+        return refused("too-large", f"the body is larger than {limitBytes} bytes", 413, field="body")
+
+
+@web.middleware
+async def _verdicts(request: web.Request, handler: Handler) -> web.StreamResponse:
+    try:
+        return await handler(request)
+    except web.HTTPRequestEntityTooLarge:
+        return answer_refusal(refused("too-large", "the body is too large", 413, field="body"))
+    except web.HTTPException as error:
+        code = {404: "unknown-address", 405: "unknown-method"}.get(error.status, "bad-request")
+        return answer_refusal(refused(code, f"{request.method} {request.path}: {error.reason}", error.status))
+    except (ConnectionError, TimeoutError):
+        raise
+    except Exception as error:
+        log("handler-failed", "ERROR", reason=repr(error), address=request.path)
+        return answer_refusal(doubtful("internal", "the request could not be completed", 1000))
+
+
+class HttpDesk(Service):
+    """`whyUnready`, `status` and `metrics` come from the process; `routes` are its own paths."""
+
+    def __init__(self, address: str, limitBytes: int, whyUnready: Callable[[], str],
+                 status: Callable[[], dict[str, Any]], metrics: Callable[[], dict[str, float]]) -> None:
+        super().__init__()
+        self._address = address
+        self._whyUnready, self._status, self._metrics = whyUnready, status, metrics
+        self.app = web.Application(middlewares=[_verdicts], client_max_size=limitBytes)
+        self.app.router.add_get("/ready", self._ready)
+        self.app.router.add_get("/live", self._live)
+        self.app.router.add_get("/status", self._show_status)
+        self.app.router.add_get("/metrics", self._show_metrics)
+        self._runner: web.AppRunner | None = None
+
+    async def on_start(self) -> None:
+        self._runner = web.AppRunner(self.app, access_log=None, shutdown_timeout=1.0)
+        await self._runner.setup()
+        host, _, port = self._address.rpartition(":")
+        await web.TCPSite(self._runner, host.strip("[]"), int(port), reuse_address=True).start()
+
+    async def on_stop(self) -> None:
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _ready(self, request: web.Request) -> web.Response:
+        reason = self._whyUnready()
+        return json_answer({"ready": not reason, "reason": reason}, 503 if reason else 200)
+
+    async def _live(self, request: web.Request) -> web.Response:
+        return json_answer({"live": True})
+
+    async def _show_status(self, request: web.Request) -> web.Response:
+        return json_answer(self._status())
+
+    async def _show_metrics(self, request: web.Request) -> web.Response:
+        lines = [f"vaneledge_{name} {value}" for name, value in sorted(self._metrics().items())]
+        return web.Response(text="\n".join(lines) + "\n", content_type="text/plain")
--- /dev/null
+++ b/libs/readingroom/src/readingroom/nodes.py
@@ -0,0 +1,152 @@
+"""The two kinds of data-plane node, put together from their parts. They run alike in a process and
+in the simulator; only the surroundings, the disk and what runs an item are handed in."""
+
+import json
+import secrets
+from typing import Any
+
+from accession import LocalLog, StoreLog
+from catalogue import ControlClient, Tree
+from circulation import HolderClient, LotRunner, Roster
+from commons import Neighbours
+from gazette import Gazette
+from ledger import Desk
+from stacks import Damage, Disk
+from vellum import Env, Node
+
+__all__ = ["EdgeNode", "StoreNode", "open_or_set_aside"]
+
+PROFILES_KEY = "profiles"
+RETIRED_KEY = "retired"
+CONTROL_KEY = "control"
+LOG_KEY = "log"
+
+
+def open_or_set_aside(env: Env, disk: Any, make: Any) -> Any:
+    """A folder that reads back damaged is put aside whole; the node goes on as a new, empty identity,
+    which the others bring up to date before it counts for anything."""
+    try:
+        return make()
+    except Damage as damage:
+        env.log("disk-damaged", "ERROR", file=damage.name, offset=damage.offset)
+        disk.set_aside()
+        return make()
+
+
+class _DataNode(Node):
+    """What stores and edges share: neighbours, the feed, the profiles in force."""
+
+    __slots__ = ("_tree", "_treeNumber", "gazette", "neighbours")
+
+    def _common(self, identity: str) -> None:
+        self.neighbours = Neighbours(identity)
+        self.gazette = Gazette(identity, lambda: [card.address for card in self.neighbours.view()],
+                               self._control_addresses)
+        self.neighbours.wanted = self._wanted
+        self._tree = Tree({})
+        self._treeNumber = 0
+
+    def _control_addresses(self) -> list[str]:
+        value = self.gazette.value(CONTROL_KEY)
+        if value:
+            return [row["address"] for row in value["voters"]]
+        return [card.address for card in self.neighbours.of_role("control", self.params.goneMs)]
+
+    def _wanted(self) -> list[str]:
+        return self._control_addresses()
+
+    def tree(self) -> Tree:
+        number = self.gazette.number(PROFILES_KEY)
+        if number != self._treeNumber:
+            self._tree = Tree.of_body(self.gazette.body(PROFILES_KEY))
+            self._treeNumber = number
+        return self._tree
+
+
+class StoreNode(_DataNode):
+    __slots__ = ("_startedMs", "control", "desk", "disk", "log")
+
+    def __init__(self, env: Env, params: Any, disk: Disk) -> None:
+        self.env, self.params, self.disk = env, params, disk
+        local = open_or_set_aside(env, disk, lambda: LocalLog(disk, params, env.now))
+        self._common(local.identity)
+        self._startedMs = env.now()
+        self.control = ControlClient(self._control_addresses)
+        self.desk = Desk(lambda path: self.tree().room(path), self._who_holds, lambda: self.log.log.ledger)
+        self.log = StoreLog(local, self.control, self, self.desk.take_holder)
+        super().__init__(env, params, [self.neighbours, self.gazette, self.control, self.log, self.desk])
+
+    # -- what the log asks about the fleet -----------------------------------------------------
+
+    def log_key(self) -> tuple[int, str]:
+        return self.gazette.number(LOG_KEY), self.gazette.body(LOG_KEY)
+
+    def live_stores(self) -> dict[str, str]:
+        return {card.identity: card.address for card in self.neighbours.of_role("store", self.params.deadMs)}
+
+    def live_store(self, identity: str) -> bool:
+        return self.neighbours.live(identity)
+
+    def retired_stores(self) -> list[str]:
+        return (self.gazette.value(RETIRED_KEY) or {}).get("identities", [])
+
+    def settled_in(self) -> bool:
+        """Long enough up to know who lives, and in touch with a control majority."""
+        nowMs = self.env.now()
+        return (nowMs - self._startedMs > self.params.deadMs
+                and nowMs - self.gazette.quorateMs < self.params.deadMs)
+
+    def _who_holds(self) -> tuple[int, str]:
+        value = self.gazette.value(LOG_KEY) or {}
+        address = next((row["address"] for row in value.get("members", [])
+                        if row["identity"] == value.get("holder")), "")
+        return value.get("epoch", 0), address
+
+    def why_unready(self) -> str:
+        if not self.gazette.number(LOG_KEY):
+            return "the log is not founded yet"
+        names = [row["identity"] for row in json.loads(self.gazette.body(LOG_KEY))["members"]]
+        if self.log.log.identity not in names:
+            return "spare: not a member of the log"
+        return ""
+
+
+class EdgeNode(_DataNode):
+    __slots__ = ("_caughtUp", "_startedMs", "holder", "lots", "roster", "stopping")
+
+    def __init__(self, env: Env, params: Any, room: Any, start: Any) -> None:
+        self.env, self.params = env, params
+        identity = f"edge-{env.rng.getrandbits(48):012x}" if hasattr(env, "seeded") else f"edge-{secrets.token_hex(6)}"
+        self._common(identity)
+        self._startedMs = env.now()
+        self._caughtUp = False
+        self.stopping = False
+        self.holder = HolderClient(lambda: self.gazette.body(LOG_KEY),
+                                   lambda: [card.address for card in self.neighbours.of_role("store", params.goneMs)])
+        self.roster = Roster(lambda: [card.address for card in self.neighbours.view() if card.role == "edge"],
+                             lambda identity, labels: self.tree().allows_worker(identity, labels))
+        self.lots = LotRunner(identity, self.holder, room, start)
+        self.neighbours.ready = lambda: not self.why_unready()
+        super().__init__(env, params, [self.neighbours, self.gazette, self.holder, self.roster, self.lots])
+
+    def why_unready(self) -> str:
+        """An edge serves while it hears a control majority, or, with control gone, most of the nodes
+        it knows; without either it can't know whether its profiles are still in force."""
+        if self.stopping:
+            return "stopping"
+        nowMs = self.env.now()
+        cutMs = self.params.cutMs
+        contacts = self.gazette.contactsMs
+        near = sum(1 for atMs in contacts.values() if nowMs - atMs <= cutMs)
+        inTouch = nowMs - self.gazette.quorateMs <= cutMs or (near >= 2 and 2 * near > len(contacts))
+        if not inTouch:
+            return "cut off from control and most neighbours"
+        if not self._caughtUp:
+            self._caughtUp = self.gazette.number(PROFILES_KEY) > 0 and self._level(nowMs - cutMs)
+            if not self._caughtUp:
+                return "has not caught up with the feed"
+        return ""
+
+    def _level(self, floorMs: int) -> bool:
+        return all(self.gazette.number(key) >= number for _, atMs, numbers in self.gazette.confirmed.values()
+                   if atMs >= floorMs for key, number in numbers.items())
--- /dev/null
+++ b/libs/readingroom/src/readingroom/process.py
@@ -0,0 +1,123 @@
+"""One process: settings, logs, signals, and a mode service that owns the node's shell and its HTTP
+desk. SIGTERM turns it unready at once and lets it finish or hand over within the grace; SIGHUP reads
+the settings again, applies what may change and says what may not."""
+
+import asyncio
+import signal
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from expression import Result
+from mode import Service
+
+from colophon import Params, load_params, log, set_up_logs
+from colophon.params import changed_params
+from stacks import FolderDisk
+from vellum.shell import ProcessEnv, Shell
+
+__all__ = ["NodeProcess", "run_process", "settings_or_exit"]
+
+_DRAIN_SHARE = 0.8
+_POLL_SHARE = 0.02
+
+
+class NodeProcess(Service):
+    """What the programs' processes have in common; a role overrides make, busy, wind_down, apply."""
+
+    def __init__(self, params: Params) -> None:
+        super().__init__()
+        self.params = params
+        self.env = ProcessEnv(params.link)
+        self.disk: FolderDisk | None = None
+        self.node: Any = None
+        self.shell: Shell | None = None
+
+    def open_disk(self) -> FolderDisk:
+        loop = asyncio.get_running_loop()
+        self.disk = FolderDisk(self.params.dataFolder, self.params.diskBytes, loop.call_soon_threadsafe)
+        return self.disk
+
+    async def make(self) -> None:
+        raise NotImplementedError
+
+    async def on_start(self) -> None:
+        await self.make()
+        self.shell = Shell(self.node, self.env)
+        await self.add_runtime_dependency(self.shell)
+
+    async def on_stop(self) -> None:
+        if self.disk is not None:
+            self.disk.close()
+
+    def busy(self) -> bool:
+        return False
+
+    def start_draining(self) -> None:
+        return None
+
+    def wind_down(self) -> None:
+        return None
+
+    def apply(self, params: Params) -> None:
+        self.params = self.node.params = params
+        if self.disk is not None:
+            self.disk.roomBytes = params.diskBytes
+
+    async def drain(self) -> None:
+        self.start_draining()
+        endAt = asyncio.get_running_loop().time() + self.params.graceMs * _DRAIN_SHARE / 1000
+        while self.busy() and asyncio.get_running_loop().time() < endAt:
+            await asyncio.sleep(self.params.graceMs * _POLL_SHARE / 1000)
+        self.wind_down()
+        await asyncio.sleep(self.params.graceMs * _POLL_SHARE / 1000)
+
+
+def settings_or_exit(loaded: Result[Params, list[str]]) -> Params:
+    if loaded.is_error():
+        for problem in loaded.error:
+            sys.stderr.write(f"settings: {problem}\n")
+        raise SystemExit(2)
+    return loaded.ok
+
+
+async def _run(make: Callable[[Params], NodeProcess], params: Params, path: str | None, flags: dict) -> None:
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    process = make(params)
+
+    def reread() -> None:
+        loaded = load_params(path, flags)
+        if loaded.is_error():
+            log("settings-refused", "ERROR", problems=loaded.error)
+            return
+        params, applied, held = changed_params(process.params, loaded.ok)
+        process.apply(params)
+        set_up_logs(params.logLevel, role=params.role, node=params.link)
+        log("settings-reread", applied=applied, needRestart=held)
+
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    loop.add_signal_handler(signal.SIGINT, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, reread)
+    await process.start()
+    log("started", zone=params.zone, http=params.http)
+    crashed = asyncio.ensure_future(process.wait_until_stopped())
+    stopped = asyncio.ensure_future(stopping.wait())
+    await asyncio.wait([crashed, stopped], return_when=asyncio.FIRST_COMPLETED)
+    if stopping.is_set():
+        log("draining")
+        await process.drain()
+    failure = process.crash_reason
+    await process.stop()
+    log("stopped")
+    if failure is not None:
+        raise SystemExit(1)
+
+
+def run_process(make: Callable[[Params], NodeProcess], params: Params, path: str | None, flags: dict) -> None:
+    set_up_logs(params.logLevel, role=params.role, node=params.link)
+    try:
+        asyncio.run(_run(make, params, path, flags))
+    except OSError as error:
+        log("cannot-start", "ERROR", reason=str(error))
+        raise SystemExit(1) from error
--- /dev/null
+++ b/libs/readingroom/src/readingroom/roles.py
@@ -0,0 +1,111 @@
+"""The data plane's two processes: an edge with its visitors, workers and items, and a store."""
+
+from typing import Any
+
+import aiohttp
+
+from colophon import Params
+from readingroom.carrier import Carrier
+from readingroom.desk_http import HttpDesk
+from readingroom.items import Items
+from readingroom.nodes import EdgeNode, StoreNode
+from readingroom.process import NodeProcess
+from readingroom.visitors import Visitors
+from readingroom.workers import WorkerCalls
+
+__all__ = ["EdgeProcess", "StoreProcess"]
+
+_HEAD_BYTES = 1 << 16
+
+
+class EdgeProcess(NodeProcess):
+    async def make(self) -> None:
+        self._items: Items | None = None
+        self.node = EdgeNode(self.env, self.params, lambda: self._items.room(),
+                             lambda work, done: self._items.start(work, done))
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        self._session = aiohttp.ClientSession(connector=connector, timeout=aiohttp.ClientTimeout(total=None),
+                                              max_line_size=_HEAD_BYTES)
+        self._carrier = Carrier(self.node, self._session)
+        desk = HttpDesk(self.params.http, self.params.maxBodyBytes, self.node.why_unready, self.status, self.metrics)
+        self._visitors = Visitors(self.node, self._carrier, desk)
+        self._items = Items(self.node, self._carrier, self._visitors.budget)
+        WorkerCalls(self.node, desk)
+        await self.add_runtime_dependency(desk)
+
+    def start_draining(self) -> None:
+        self.node.stopping = True
+        self.node.lots.paused = True
+
+    def busy(self) -> bool:
+        return self._visitors.liveNow > 0 or self.node.lots.running() > 0
+
+    def wind_down(self) -> None:
+        self.node.lots.stop_all("stopping")
+
+    async def on_stop(self) -> None:
+        await self._session.close()
+        await super().on_stop()
+
+    def status(self) -> dict[str, Any]:
+        node = self.node
+        return {
+            "role": "edge", "identity": node.lots.edge, "zone": self.params.zone, "ready": not node.why_unready(),
+            "reason": node.why_unready(), "feed": node.gazette.numbers(), "place": node.gazette.place,
+            "holderEpoch": node.holder.epoch, "live": self._visitors.liveNow, "items": node.lots.running(),
+            "neighbours": [card.address for card in node.neighbours.view()],
+            "workers": [{"identity": worker.identity, "incarnation": worker.incarnation, "address": worker.address,
+                         "usable": node.roster.usable(worker), "leaving": worker.leaving, "weight": worker.weight,
+                         "slots": worker.slots, "allowed": node.tree().allows_worker(worker.identity, worker.labels)}
+                        for worker in node.roster.all()]}
+
+    def metrics(self) -> dict[str, float]:
+        node = self.node
+        rows = {f"edge_{name}_total": count for name, count in self._carrier.counts.items()}
+        return {**rows, "edge_ready": int(not node.why_unready()), "edge_live_now": self._visitors.liveNow,
+                "edge_items_now": node.lots.running(), "edge_items_finished_total": node.lots.finished,
+                "edge_workers": len(node.roster.workers()), "feed_place": node.gazette.place,
+                "worst_tick_ms": self.shell.worstTickMs if self.shell else 0}
+
+
+class StoreProcess(NodeProcess):
+    async def make(self) -> None:
+        self.node = StoreNode(self.env, self.params, self.open_disk())
+        await self.add_runtime_dependency(HttpDesk(self.params.http, self.params.maxBodyBytes, self.why_unready,
+                                                   self.status, self.metrics))
+        self._stopping = False
+
+    def why_unready(self) -> str:
+        return "stopping" if self._stopping else self.node.why_unready()
+
+    def start_draining(self) -> None:
+        self._stopping = True
+        self.node.log.hand_over()
+
+    def busy(self) -> bool:
+        return self.node.log.handing_over()
+
+    def apply(self, params: Params) -> None:
+        super().apply(params)
+        self.node.log.log.params = params
+        if self.node.log.holder is not None:
+            self.node.log.holder.params = params
+
+    def status(self) -> dict[str, Any]:
+        log = self.node.log
+        local = log.log
+        return {
+            "role": "store", "identity": local.identity, "zone": self.params.zone, "ready": not self.why_unready(),
+            "reason": self.why_unready(), "logRole": str(log.role), "fence": local.meta.fence,
+            "logEpoch": local.meta.logEpoch, "lastSeq": local.lastSeq, "flushedSeq": local.flushedSeq,
+            "settledSeq": local.settledSeq, "snapSeq": local.snapSeq, "feed": self.node.gazette.numbers(),
+            "place": self.node.gazette.place, "lots": len(local.ledger.lots), "openLots": len(local.ledger.opened),
+            "keys": len(local.ledger.keys), "log": log.value}
+
+    def metrics(self) -> dict[str, float]:
+        local = self.node.log.log
+        rows = {f"store_asked_{name}_total": count for name, count in self.node.desk.counts.items()}
+        return {**rows, "store_last_seq": local.lastSeq, "store_settled_seq": local.settledSeq,
+                "store_flushed_seq": local.flushedSeq, "store_epoch": local.meta.fence,
+                "store_holds": int(self.node.log.holder is not None), "store_open_lots": len(local.ledger.opened),
+                "feed_place": self.node.gazette.place, "worst_tick_ms": self.shell.worstTickMs if self.shell else 0}
--- /dev/null
+++ b/libs/readingroom/src/readingroom/workers.py
@@ -0,0 +1,53 @@
+"""The workers' calls: a beat with what they carry, a leave. Any edge takes them for all."""
+
+from typing import Any
+
+from aiohttp import web
+
+from circulation import WorkerNews
+from colophon import Refusal, refused
+from readingroom.calls import Beat, Leave, parse
+from readingroom.desk_http import HttpDesk, answer_refusal, json_answer, read_body
+
+__all__ = ["WorkerCalls"]
+
+
+class WorkerCalls:
+    __slots__ = ("_node",)
+
+    def __init__(self, node: Any, desk: HttpDesk) -> None:
+        self._node = node
+        desk.app.router.add_post("/workers/beat", self._beat)
+        desk.app.router.add_post("/workers/leave", self._leave)
+
+    async def _beat(self, request: web.Request) -> web.Response:
+        data = await read_body(request, self._node.params.maxBodyBytes)
+        if isinstance(data, Refusal):
+            return answer_refusal(data)
+        parsed = parse(Beat, data)
+        if parsed.is_error():
+            return answer_refusal(parsed.error)
+        beat: Beat = parsed.ok
+        taken = self._node.roster.hear(WorkerNews(**beat.model_dump(), leaving=False))
+        if not taken:
+            return answer_refusal(refused("outdated", "this incarnation has left or was replaced", 409,
+                                          field="incarnation"))
+        labels = frozenset(beat.labels)
+        return json_answer({"enrolled": self._node.tree().allows_worker(beat.identity, labels),
+                            "beatMs": self._node.params.beatMs})
+
+    async def _leave(self, request: web.Request) -> web.Response:
+        data = await read_body(request, self._node.params.maxBodyBytes)
+        if isinstance(data, Refusal):
+            return answer_refusal(data)
+        parsed = parse(Leave, data)
+        if parsed.is_error():
+            return answer_refusal(parsed.error)
+        leave: Leave = parsed.ok
+        known = next((worker for worker in self._node.roster.all() if worker.identity == leave.identity
+                      and worker.incarnation == leave.incarnation), None)
+        self._node.roster.hear(WorkerNews(
+            identity=leave.identity, incarnation=leave.incarnation, address=known.address if known else "",
+            zone=known.zone if known else "", labels=sorted(known.labels) if known else [],
+            beat=known.beat if known else 0, running=0, waiting=0, slots=1, cacheUse=0.0, leaving=True))
+        return json_answer({"left": True})
--- /dev/null
+++ b/libs/registrar/src/registrar/__init__.py
@@ -0,0 +1,5 @@
+"""Registrar: the control plane, and the operators' command line."""
+
+from registrar.nodes import ControlNode
+
+__all__ = ["ControlNode"]
--- /dev/null
+++ b/libs/registrar/src/registrar/cli.py
@@ -0,0 +1,87 @@
+"""The control plane's command line: serve, and the operators' commands against any control node."""
+
+import secrets
+from typing import Annotated
+
+from cyclopts import App, Parameter
+
+from colophon import load_params
+from readingroom.cli import call, read_json, serve_flags
+from readingroom.process import run_process, settings_or_exit
+from registrar.process import ControlProcess
+
+__all__ = ["main"]
+
+app = App(name="registrar", help="vaneledge's control plane, and the operators' commands.")
+profiles = App(name="profiles", help="Show, send, patch and explain the tree of profiles.")
+app.command(profiles)
+
+Server = Annotated[str, Parameter(name="--server", help="a control node's HTTP address, IP:PORT")]
+
+
+@app.command
+def serve(*, settings: str | None = None, link: str | None = None, http: str | None = None, zone: str | None = None,
+          seed: Annotated[list[str] | None, Parameter(negative=())] = None, dataFolder: str | None = None,
+          controlCount: int | None = None, logLevel: str | None = None) -> None:
+    """Run a control node until SIGTERM.
+
+    Parameters
+    ----------
+    settings: a TOML file; flags win over it, and SIGHUP reads it again.
+    link: address for the fleet's own messages, IP:PORT.
+    http: address for operators, IP:PORT.
+    zone: the zone this machine is in.
+    seed: link address of another process; up to three times.
+    dataFolder: where files live.
+    controlCount: how many control machines found the fleet.
+    logLevel: DEBUG, INFO, WARNING or ERROR.
+    """
+    flags = {**serve_flags(link, http, zone, seed, dataFolder, controlCount, logLevel), "role": "control"}
+    params = settings_or_exit(load_params(settings, flags))
+    run_process(ControlProcess, params, settings, flags)
+
+
+@profiles.command(name="show")
+def show_profiles(*, server: Server) -> None:
+    """Show the tree and its version."""
+    call("GET", server, "/profiles")
+
+
+@profiles.command
+def send(file: str, *, server: Server, version: int, changeId: str | None = None) -> None:
+    """Send a whole tree from a JSON file, naming the version it replaces (0 for the first)."""
+    call("PUT", server, "/profiles", {"version": version, "changeId": changeId or secrets.token_hex(8),
+                                      "tree": read_json(file)})
+
+
+@profiles.command
+def patch(file: str, *, server: Server, version: int, changeId: str | None = None) -> None:
+    """Send a JSON merge patch on the tree, naming the version it replaces."""
+    call("PATCH", server, "/profiles", {"version": version, "changeId": changeId or secrets.token_hex(8),
+                                        "patch": read_json(file)})
+
+
+@profiles.command
+def explain(name: str, *, server: Server) -> None:
+    """Show where each value of a profile comes from."""
+    call("GET", server, f"/profiles/{name}/explained")
+
+
+@app.command
+def members(*, server: Server) -> None:
+    """Show members, their standing, duties and epochs, and their places in the feed."""
+    call("GET", server, "/members")
+
+
+@app.command
+def retire(identity: str, *, server: Server, undo: bool = False) -> None:
+    """Empty and retire a store or control machine: a spare takes its place, then it may be stopped."""
+    call("POST", server, "/retired", {"identity": identity, "undo": undo, "changeId": secrets.token_hex(8)})
+
+
+def main() -> None:
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/libs/registrar/src/registrar/nodes.py
@@ -0,0 +1,49 @@
+"""The control node, put together from its parts: a voter with its disk, the owner of keys, founding
+and the steward's duty, the feed, and its neighbours."""
+
+from typing import Any
+
+from catalogue import Founding, Owner, Tree, Voter
+from commons import Neighbours
+from gazette import Gazette
+from readingroom.nodes import CONTROL_KEY, PROFILES_KEY, open_or_set_aside
+from stacks import Disk
+from vellum import Env, Node
+
+__all__ = ["ControlNode"]
+
+
+class ControlNode(Node):
+    __slots__ = ("disk", "founding", "gazette", "neighbours", "owner", "voter")
+
+    def __init__(self, env: Env, params: Any, disk: Disk) -> None:
+        self.disk = disk
+        self.voter = open_or_set_aside(env, disk, lambda: Voter(disk))
+        identity = self.voter.identity
+        self.neighbours = Neighbours(identity)
+        self.gazette = Gazette(identity, lambda: [card.address for card in self.neighbours.view()],
+                               lambda: self.voter.voters.values(), self.quorate)
+        self.neighbours.wanted = lambda: self.voter.voters.values()
+        self.neighbours.ready = lambda: not self.why_unready()
+        self.owner = Owner(self.voter, self.neighbours, self.gazette)
+        self.founding = Founding(self.voter, self.owner, self.neighbours, self.gazette)
+        super().__init__(env, params, [self.neighbours, self.gazette, self.voter, self.owner, self.founding])
+
+    def quorate(self) -> bool:
+        """Whether this node is a voter that hears a majority of the voters."""
+        voters = self.voter.voters
+        if self.voter.identity not in voters:
+            return False
+        live = sum(1 for name in voters if self.neighbours.live(name, self.params.cutMs))
+        return 2 * live > len(voters) and self.gazette.number(CONTROL_KEY) > 0
+
+    def why_unready(self) -> str:
+        voters = self.voter.voters
+        if not voters:
+            return "not founded"
+        if self.voter.identity not in voters:
+            return "spare: not a voter"
+        return "" if self.quorate() else "hears no majority of the voters"
+
+    def tree(self) -> Tree:
+        return Tree.of_body(self.gazette.body(PROFILES_KEY))
--- /dev/null
+++ b/libs/registrar/src/registrar/operators.py
@@ -0,0 +1,180 @@
+"""The operators' side of a control node: the tree of profiles, whole or by a merge patch, always
+naming the version it replaces; members and what they do; machines to be emptied and retired."""
+
+import json
+import secrets
+from typing import Annotated, Any
+
+from aiohttp import web
+from pydantic import BaseModel, ConfigDict, Field
+
+from catalogue import Change, Changed, ReadKey, Tree, check_tree, explain
+from colophon import Refusal, doubtful, refused
+from gazette.patches import apply_patch
+from readingroom.calls import parse
+from readingroom.desk_http import HttpDesk, answer_refusal, json_answer, read_body
+from readingroom.nodes import PROFILES_KEY, RETIRED_KEY
+from vellum.shell import awaited
+
+__all__ = ["Operators"]
+
+ChangeId = Annotated[str, Field(min_length=1, max_length=128)]
+
+
+class _Sent(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True)
+    version: int = Field(ge=0)
+    changeId: ChangeId | None = None
+    tree: dict[str, Any]
+
+
+class _Patched(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True)
+    version: int = Field(ge=0)
+    changeId: ChangeId | None = None
+    patch: dict[str, Any]
+
+
+class _Retired(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True)
+    identity: str = Field(min_length=1, max_length=128)
+    changeId: ChangeId | None = None
+    undo: bool = False
+
+
+class Operators:
+    __slots__ = ("_node",)
+
+    def __init__(self, node: Any, desk: HttpDesk) -> None:
+        self._node = node
+        router = desk.app.router
+        router.add_get("/profiles", self._show)
+        router.add_put("/profiles", self._send)
+        router.add_patch("/profiles", self._patch)
+        router.add_get("/profiles/{name:.+}/explained", self._explain)
+        router.add_get("/members", self._members)
+        router.add_post("/retired", self._retire)
+
+    async def _ask(self, message: Any) -> Changed:
+        return await awaited(lambda done: self._node.owner.submit(message, done))
+
+    async def _parsed(self, request: web.Request, model: Any) -> Any:
+        data = await read_body(request, self._node.params.maxBodyBytes)
+        if isinstance(data, Refusal):
+            return data
+        parsed = parse(model, data)
+        return parsed.error if parsed.is_error() else parsed.ok
+
+    # -- profiles ------------------------------------------------------------------------------
+
+    async def _read(self, key: str) -> Changed | Refusal:
+        receipt = await self._ask(ReadKey(key=key, hops=0))
+        if receipt.outcome != "ok":
+            return refused("no-majority", receipt.reason or "no majority of the voters can be heard", 503, 1000)
+        return receipt
+
+    async def _show(self, request: web.Request) -> web.Response:
+        receipt = await self._read(PROFILES_KEY)
+        if isinstance(receipt, Refusal):
+            return answer_refusal(receipt)
+        return json_answer({"version": receipt.version, "tree": json.loads(receipt.body or '{"profiles": {}}')})
+
+    async def _send(self, request: web.Request) -> web.Response:
+        call = await self._parsed(request, _Sent)
+        if isinstance(call, Refusal):
+            return answer_refusal(call)
+        return await self._keep(call.tree, call.version, call.changeId)
+
+    async def _patch(self, request: web.Request) -> web.Response:
+        call = await self._parsed(request, _Patched)
+        if isinstance(call, Refusal):
+            return answer_refusal(call)
+        receipt = await self._read(PROFILES_KEY)
+        if isinstance(receipt, Refusal):
+            return answer_refusal(receipt)
+        tree = json.loads(receipt.body or '{"profiles": {}}')
+        if receipt.version == call.version:
+            tree = apply_patch(tree, call.patch)
+        return await self._keep(tree, call.version, call.changeId)
+
+    async def _keep(self, tree: Any, version: int, changeId: str | None) -> web.Response:
+        checked = check_tree(tree)
+        if checked.is_error():
+            return answer_refusal(refused("bad-tree", f"{len(checked.error)} problems; nothing was changed", 422,
+                                          field=checked.error[0]["at"], problems=checked.error))
+        changeId = changeId or secrets.token_hex(8)
+        receipt = await self._ask(Change(key=PROFILES_KEY, version=version, changeId=changeId, hops=0,
+                                         body=json.dumps(checked.ok, sort_keys=True)))
+        return self._answer(receipt, changeId)
+
+    def _answer(self, receipt: Changed, changeId: str) -> web.Response:
+        if receipt.outcome == "ok":
+            return json_answer({"version": receipt.version, "changeId": changeId})
+        if receipt.outcome == "lost":
+            return answer_refusal(refused("version-replaced", f"{receipt.reason}; this change will not take effect", 409,
+                                          field="version"))
+        if receipt.outcome == "refused":
+            return answer_refusal(refused("not-founded", receipt.reason, 503, 1000))
+        return answer_refusal(doubtful("change-in-doubt", f"{receipt.reason}; send the same with changeId {changeId} "
+                                       "to learn what became of it", 1000))
+
+    async def _explain(self, request: web.Request) -> web.Response:
+        receipt = await self._read(PROFILES_KEY)
+        if isinstance(receipt, Refusal):
+            return answer_refusal(receipt)
+        name = request.match_info["name"]
+        told = explain(Tree.of_body(receipt.body), name)
+        if not told:
+            return answer_refusal(refused("unknown-profile", f"no profile is called {name!r}", 404, field="name"))
+        return json_answer({"version": receipt.version, **told})
+
+    # -- members -------------------------------------------------------------------------------
+
+    async def _members(self, request: web.Request) -> web.Response:
+        node = self._node
+        nowMs = node.env.now()
+        params = node.params
+        voters = node.voter.voters
+        rows = []
+        for role in ("control", "store", "edge"):
+            for card in sorted(node.neighbours.of_role(role, params.goneMs), key=lambda row: row.address):
+                confirmed = node.gazette.confirmed.get(card.identity)
+                rows.append({"role": role, "identity": card.identity, "link": card.address, "http": card.http,
+                             "zone": card.zone, "standing": "live" if node.neighbours.live(card.identity) else "silent",
+                             "ready": card.ready, "feed": confirmed[2] if confirmed else None})
+        rows.append({"role": "control", "identity": node.voter.identity, "link": node.address, "http": params.http,
+                     "zone": params.zone, "standing": "live", "ready": not node.why_unready(),
+                     "feed": node.gazette.numbers()})
+        known = {row["identity"] for row in rows}
+        rows += [{"role": "control", "identity": name, "link": address, "http": "", "zone": "", "standing": "gone",
+                  "ready": False, "feed": None} for name, address in voters.items() if name not in known]
+        return json_answer({
+            "asked": node.voter.identity, "atMs": nowMs, "members": rows, "voters": sorted(voters),
+            "votersNumber": node.voter.listNumber, "steward": node.founding.steward(), "keys": node.owner.epochs(),
+            "log": node.gazette.value("log"), "retired": (node.gazette.value(RETIRED_KEY) or {}).get("identities", []),
+            "feed": node.gazette.numbers(), "place": node.gazette.place})
+
+    async def _retire(self, request: web.Request) -> web.Response:
+        call = await self._parsed(request, _Retired)
+        if isinstance(call, Refusal):
+            return answer_refusal(call)
+        receipt = await self._read(RETIRED_KEY)
+        if isinstance(receipt, Refusal):
+            return answer_refusal(receipt)
+        names = set(json.loads(receipt.body)["identities"] if receipt.body else [])
+        changeId = call.changeId or secrets.token_hex(8)
+        if not call.undo and call.identity not in names and not self._known(call.identity):
+            return answer_refusal(refused("unknown-machine", f"no control or store machine is called {call.identity!r}",
+                                          404, field="identity"))
+        names = names - {call.identity} if call.undo else names | {call.identity}
+        receipt = await self._ask(Change(key=RETIRED_KEY, version=receipt.version, changeId=changeId, hops=0,
+                                         body=json.dumps({"identities": sorted(names)}, sort_keys=True)))
+        return self._answer(receipt, changeId)
+
+    def _known(self, identity: str) -> bool:
+        node = self._node
+        log = node.gazette.value("log") or {"members": []}
+        card = node.neighbours.known(identity)
+        return (identity in node.voter.voters or identity == node.voter.identity
+                or any(row["identity"] == identity for row in log["members"])
+                or (card is not None and card.role != "edge"))
--- /dev/null
+++ b/libs/registrar/src/registrar/process.py
@@ -0,0 +1,39 @@
+"""The control process: a control node, its disk, and the operators' HTTP side."""
+
+from typing import Any
+
+from readingroom.desk_http import HttpDesk
+from readingroom.process import NodeProcess
+from registrar.nodes import ControlNode
+from registrar.operators import Operators
+
+__all__ = ["ControlProcess"]
+
+
+class ControlProcess(NodeProcess):
+    async def make(self) -> None:
+        self._stopping = False
+        self.node = ControlNode(self.env, self.params, self.open_disk())
+        desk = HttpDesk(self.params.http, self.params.maxBodyBytes, self.why_unready, self.status, self.metrics)
+        Operators(self.node, desk)
+        await self.add_runtime_dependency(desk)
+
+    def why_unready(self) -> str:
+        return "stopping" if self._stopping else self.node.why_unready()
+
+    def start_draining(self) -> None:
+        self._stopping = True
+
+    def status(self) -> dict[str, Any]:
+        node = self.node
+        return {"role": "control", "identity": node.voter.identity, "zone": self.params.zone,
+                "ready": not self.why_unready(), "reason": self.why_unready(), "voters": node.voter.voters,
+                "votersNumber": node.voter.listNumber, "steward": node.founding.steward() if node.voter.voters else None,
+                "keys": node.owner.epochs(), "feed": node.gazette.numbers(), "place": node.gazette.place}
+
+    def metrics(self) -> dict[str, float]:
+        node = self.node
+        rows = {f"control_epoch_{name}": row["epoch"] for name, row in node.owner.epochs().items()}
+        return {**rows, "control_quorate": int(node.quorate()), "control_voters_number": node.voter.listNumber,
+                "feed_place": node.gazette.place, "feed_sent_bytes_total": node.gazette.sentBytes,
+                "worst_tick_ms": self.shell.worstTickMs if self.shell else 0}
--- /dev/null
+++ b/libs/stacks/src/stacks/frames.py
@@ -0,0 +1,47 @@
+"""Frames: a length, a checksum, the bytes. A scan gives the good frames from the start, and for
+what follows them says whether it is a torn tail, which may be cut off, or damage: good frames that
+were already flushed lie behind it, and cutting would lose them."""
+
+import struct
+import zlib
+
+__all__ = ["Damage", "frame", "scan"]
+
+_HEAD = struct.Struct(">II")
+
+
+class Damage(Exception):
+    def __init__(self, name: str, offset: int) -> None:
+        super().__init__(f"{name}: damaged at byte {offset}")
+        self.name = name
+        self.offset = offset
+
+
+def frame(payload: bytes) -> bytes:
+    return _HEAD.pack(len(payload), zlib.crc32(payload)) + payload
+
+
+def _at(data: bytes, offset: int) -> bytes | None:
+    if offset + _HEAD.size > len(data):
+        return None
+    size, checksum = _HEAD.unpack_from(data, offset)
+    start = offset + _HEAD.size
+    if size == 0 or start + size > len(data):
+        return None
+    payload = data[start:start + size]
+    return payload if zlib.crc32(payload) == checksum else None
+
+
+def scan(data: bytes) -> tuple[list[tuple[int, bytes]], int, int | None]:
+    """The good frames as (offset, payload), where they end, and where a good frame lies behind the
+    end, if one does."""
+    frames = []
+    offset = 0
+    while (payload := _at(data, offset)) is not None:
+        frames.append((offset, payload))
+        offset += _HEAD.size + len(payload)
+    if offset < len(data):
+        for later in range(offset + 1, len(data) - _HEAD.size):
+            if data[later] < 4 and _at(data, later) is not None:
+                return frames, offset, later
+    return frames, offset, None
--- /dev/null
+++ b/libs/vellum/src/vellum/message.py
@@ -0,0 +1,77 @@
+"""Messages are slotted classes whose annotations are Avro schemas; the class statement alone
+registers a type and its schema. A message on the wire or on disk is its kind and then its record."""
+
+import io
+from typing import Any
+
+from fastavro import parse_schema, schemaless_reader, schemaless_writer
+
+__all__ = ["Arr", "Blob", "Flag", "Long", "Message", "Opt", "Real", "Text", "decode", "encode"]
+
+Text = "string"
+Long = "long"
+Real = "double"
+Flag = "boolean"
+Blob = "bytes"
+
+_KINDS: dict[str, type] = {}
+_KIND = parse_schema({"type": "string"})
+
+
+def Arr(items: Any) -> dict:
+    return {"type": "array", "items": items}
+
+
+def Opt(inner: Any) -> list:
+    return ["null", inner]
+
+
+class _Kind(type):
+    def __new__(mcs, name: str, bases: tuple, space: dict) -> type:
+        fields = dict(space.get("__annotations__", {}))
+        space["__slots__"] = tuple(fields)
+        space["FIELDS"] = tuple(fields)
+        cls = super().__new__(mcs, name, bases, space)
+        if bases:
+            if name in _KINDS:
+                raise TypeError(f"two messages are called {name}")
+            cls.SCHEMA = parse_schema({"type": "record", "name": name, "fields": [
+                {"name": field, "type": schema} for field, schema in fields.items()]})
+            _KINDS[name] = cls
+        return cls
+
+
+class Message(metaclass=_Kind):
+    def __init__(self, **values: Any) -> None:
+        for field in self.FIELDS:
+            setattr(self, field, values.pop(field))
+        if values:
+            raise TypeError(f"{type(self).__name__} has no field {', '.join(values)}")
+
+    def as_dict(self) -> dict[str, Any]:
+        return {field: getattr(self, field) for field in self.FIELDS}
+
+    def __eq__(self, other: object) -> bool:
+        return type(self) is type(other) and self.as_dict() == other.as_dict()
+
+    def __hash__(self) -> int:
+        return hash(encode(self))
+
+    def __repr__(self) -> str:
+        return f"{type(self).__name__}({', '.join(f'{k}={v!r}' for k, v in self.as_dict().items())})"
+
+
+def encode(message: Message) -> bytes:
+    page = io.BytesIO()
+    schemaless_writer(page, _KIND, type(message).__name__)
+    schemaless_writer(page, type(message).SCHEMA, message.as_dict())
+    return page.getvalue()
+
+
+def decode(data: bytes) -> Message:
+    page = io.BytesIO(data)
+    kind = schemaless_reader(page, _KIND, None)
+    cls = _KINDS.get(kind)
+    if cls is None:
+        raise ValueError(f"no message is called {kind!r}")
+    return cls(**schemaless_reader(page, cls.SCHEMA, None))
--- /dev/null
+++ b/libs/vellum/src/vellum/shell.py
@@ -0,0 +1,74 @@
+"""The shell of a process: a mode service that owns one node, its switchboard and its clock. Nothing
+in a node ever waits; whoever needs an answer hands in a callback, and awaited() makes that a future."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+from mode import Service
+
+from colophon import boot_ms, log, wall_ms
+from vellum.cores import Node
+from vellum.links import Switchboard
+from vellum.message import Message
+
+__all__ = ["ProcessEnv", "Shell", "awaited"]
+
+
+class ProcessEnv:
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.rng = random.Random()
+        self.switchboard: Switchboard | None = None
+
+    def now(self) -> int:
+        return boot_ms()
+
+    def wall(self) -> int:
+        return wall_ms()
+
+    def post(self, to: str, ref: int, re: int, message: Message) -> None:
+        if self.switchboard is not None:
+            self.switchboard.post(to, ref, re, message)
+
+    def log(self, event: str, level: str = "INFO", **fields: Any) -> None:
+        log(event, level, **fields)
+
+
+def awaited(start: Callable[[Callable[[Any], None]], Any]) -> asyncio.Future:
+    future = asyncio.get_running_loop().create_future()
+
+    def done(value: Any) -> None:
+        if not future.done():
+            future.set_result(value)
+
+    start(done)
+    return future
+
+
+class Shell(Service):
+    def __init__(self, node: Node, env: ProcessEnv) -> None:
+        super().__init__()
+        self.node = node
+        self.worstTickMs = 0
+        self._env = env
+        self._tickMs = max(5, min(node.params.deltaMs // 2, node.params.beatMs // 8))
+        self._switchboard = Switchboard(env.address, node.params.askMs, node.receive)
+        env.switchboard = self._switchboard
+
+    async def on_start(self) -> None:
+        await self.add_runtime_dependency(self._switchboard)
+        self.add_future(self._run())
+
+    async def _run(self) -> None:
+        while not self.should_stop:
+            startedMs = boot_ms()
+            try:
+                self.node.tick()
+            except Exception as error:
+                log("tick-failed", "ERROR", reason=repr(error))
+                raise
+            tookMs = boot_ms() - startedMs
+            self.worstTickMs = max(self.worstTickMs, tookMs)
+            await asyncio.sleep(max(1, self._tickMs - tookMs) / 1000)
--- /dev/null
+++ b/tests/test_smoke.py
@@ -0,0 +1,73 @@
+"""The whole path on real processes, waiting on conditions only."""
+
+import asyncio
+import signal
+import tempfile
+
+from testtools import TestCase
+from testtools.matchers import Equals
+from trees import TREE
+
+from facsimile.fleet import SHAPES, Fleet, until
+
+
+class SmokeTest(TestCase):
+    def run_fleet(self, body, basePort):
+        async def run():
+            with tempfile.TemporaryDirectory() as folder:
+                async with Fleet(folder, SHAPES["thin"], basePort) as fleet:
+                    await fleet.found(TREE)
+                    await fleet.workers_known(2)
+                    await body(fleet)
+
+        asyncio.run(run())
+
+    async def lot_done(self, fleet, edge, lotId):
+        async def done():
+            status, body = await fleet.ask("GET", edge, f"/lots/{lotId}")
+            return status == 200 and body["state"] == "done"
+
+        await until(done, 30000, f"{lotId} is done")
+        status, body = await fleet.ask("GET", edge, f"/lots/{lotId}/results?from=0")
+        self.assertThat([row["index"] for row in body["results"]], Equals(list(range(body["total"]))))
+        self.assertThat({row["verdict"] for row in body["results"]}, Equals({"ran"}))
+
+    def test_live_lots_and_killed_holder(self):
+        async def body(fleet):
+            first, second = [member.http for member in fleet.of("edge")]
+            status, text = await fleet.ask("POST", first, "/v1/completions",
+                                           {"model": "rulings", "prompt": "a", "stream": True})
+            self.assertThat((status, text.count("id: "), text.endswith("data: [DONE]\n\n")), Equals((200, 12, True)))
+            move = {"model": "moves", "prompt": "knight"}
+            answers = [await fleet.ask("POST", edge, "/v1/completions", move, {"Idempotency-Key": "k"})
+                       for edge in (first, second)]
+            self.assertThat(answers[0], Equals(answers[1]))
+            lot = {"path": "summaries", "items": [{"prompt": f"item {place}"} for place in range(80)]}
+            status, _ = await fleet.ask("PUT", first, "/lots/one", lot)
+            self.assertThat(status, Equals(201))
+            holder = None
+            for member in fleet.of("store"):
+                _, shown = await fleet.get(member, "/status")
+                if shown["logRole"] == "serving":
+                    holder = member
+            holder.kill()
+            await self.lot_done(fleet, second, "one")
+
+            async def accepted():
+                status, _ = await fleet.ask("PUT", second, "/lots/two", {**lot, "items": lot["items"][:5]})
+                return status in (200, 201)
+
+            await until(accepted, 12000, "lots are accepted again")
+            await self.lot_done(fleet, first, "two")
+            runs = []
+            for worker in fleet.workers.values():
+                _, shown = await fleet.get(worker, "/runs")
+                runs += [run for run in shown["runs"] if run["path"] == "moves"]
+            self.assertThat(len(runs), Equals(1))
+            for member in fleet.members.values():
+                member.signal(signal.SIGTERM)
+            for member in fleet.members.values():
+                if member is not holder:
+                    self.assertThat(member.process.wait(10), Equals(0))
+
+        self.run_fleet(body, 22000)
--- /dev/null
+++ b/tests/trees.py
@@ -0,0 +1,7 @@
+"""A small tree of profiles that the tests share."""
+
+TREE = {"profiles": {
+    "base": {"abstract": True, "workers": {"labels": ["gpu"]}},
+    "rulings": {"parent": "base", "deadlineMs": 2000},
+    "moves": {"parent": "base", "repeatable": False},
+    "summaries": {"parent": "base", "waitingRoom": 4}}}
