A simulator with faults, visitors and an oracle over recorded histories

Cause: the never rules could not be provoked. Cores now run under virtual time, with a splitting network, disks that lose unsynced bytes, freezes and stepped clocks. Identities come from the surroundings so that a seed repeats.

--- a/libs/accession/src/accession/local.py
+++ b/libs/accession/src/accession/local.py
@@ -3,8 +3,8 @@
 it. Opening reads it all back: a tail that never was flushed is cut off, a hole in what was flushed
 is damage and refused. Files of a later epoch stand above what earlier files say of the same places."""
 
-import secrets
 from collections.abc import Callable
+from typing import Any
 
 from accession.messages import TRUNCATE, LogMeta, Record, SnapshotHead, StoredEntry
 from ledger import Ledger
@@ -21,7 +21,7 @@
                  "_snapping", "_written", "disk", "flushedSeq", "ledger", "meta", "params", "receivedMs",
                  "records", "settledSeq", "snapSeq", "snapStamp")
 
-    def __init__(self, disk: Disk, params, now: Callable[[], int]) -> None:
+    def __init__(self, disk: Disk, params: Any, now: Callable[[], int], token: Callable[[], str]) -> None:
         self.disk = disk
         self.params = params
         self._now = now
@@ -37,13 +37,13 @@
         self._sinceSnapBytes = 0
         self._lastFlushMs = now()
         self._written = ("", 0)
-        self._open()
+        self._open(token)
         self.settledSeq = self.snapSeq
         self.flushedSeq = self.lastSeq
 
     # -- reading back ------------------------------------------------------------------------
 
-    def _open(self) -> None:
+    def _open(self, token: Callable[[], str]) -> None:
         names = self.disk.names()
         if _META in names:
             frames, _, _ = scan(self.disk.read(_META))
@@ -51,7 +51,7 @@
                 raise Damage(_META, 0)
             self.meta = decode(frames[0][1])
         else:
-            self.meta = LogMeta(identity=f"store-{secrets.token_hex(6)}", fence=0, logEpoch=0)
+            self.meta = LogMeta(identity=f"store-{token()}", fence=0, logEpoch=0)
         if _SNAP in names:
             self.load_snapshot(self.disk.read(_SNAP))
         mark = self._read_mark(names)
--- a/libs/catalogue/src/catalogue/client.py
+++ b/libs/catalogue/src/catalogue/client.py
@@ -1,7 +1,6 @@
 """How a node that doesn't vote changes and reads keys: it asks live control nodes in turn, naming a
 change id, so that asking again after silence learns what became of the first asking."""
 
-import secrets
 from collections.abc import Callable, Iterable
 
 from catalogue.messages import Change, Changed, ReadKey
@@ -19,7 +18,7 @@
         self._addresses = addresses
 
     def change(self, key: str, version: int, body: str, done: Done) -> None:
-        changeId = secrets.token_hex(8)
+        changeId = self.node.env.token()
         self._try(lambda: Change(key=key, version=version, changeId=changeId, body=body, hops=0), done)
 
     def read(self, key: str, done: Done) -> None:
--- a/libs/catalogue/src/catalogue/owner.py
+++ b/libs/catalogue/src/catalogue/owner.py
@@ -5,7 +5,6 @@
 out before that is the answer doubt. States of a key: unowned, preparing, owned, changing."""
 
 import json
-import secrets
 from collections.abc import Callable
 from enum import StrEnum
 from typing import Any
@@ -74,10 +73,14 @@
         self._voter = voter
         self._neighbours = neighbours
         self._gazette = gazette
-        self._by = f"{voter.identity}/{secrets.token_hex(4)}"
+        self._by = ""
         self._keys: dict[str, _Key] = {}
         self._unconfirmed: list[tuple[str, int, int, Changed, Done]] = []
 
+    def attach(self, node: Any) -> None:
+        super().attach(node)
+        self._by = f"{self._voter.identity}/{node.env.token()}"
+
     # -- asking --------------------------------------------------------------------------------
 
     def receive(self, message: Message, origin: Origin) -> None:
--- a/libs/catalogue/src/catalogue/voter.py
+++ b/libs/catalogue/src/catalogue/voter.py
@@ -4,7 +4,6 @@
 identity. The voters' list itself is kept with the identity, and an older list is refused."""
 
 import json
-import secrets
 from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any
@@ -57,7 +56,7 @@
     __slots__ = ("_disk", "_flushedBytes", "_flushing", "_logBytes", "_logName", "_newList", "_waiting", "meta", "registers")
     HANDLES = (Prepare, Accept, Confirm, Founded, ListKeys)
 
-    def __init__(self, disk: Disk) -> None:
+    def __init__(self, disk: Disk, token: Callable[[], str]) -> None:
         self._disk = disk
         self._newList: list[Callable[[dict[str, Any]], None]] = []
         self._waiting: list[Done] = []
@@ -65,11 +64,11 @@
         self._logBytes = self._flushedBytes = 0
         self._logName = f"{_LOG}-{0:012d}"
         self.registers: dict[str, Register] = {}
-        self._open()
+        self._open(token)
 
-    def _open(self) -> None:
+    def _open(self, token: Callable[[], str]) -> None:
         names = self._disk.names()
-        self.meta = VoterMeta(identity=f"control-{secrets.token_hex(6)}", foundVote="", listBody="")
+        self.meta = VoterMeta(identity=f"control-{token()}", foundVote="", listBody="")
         if _META in names:
             frames, _, _ = scan(self._disk.read(_META))
             if not frames:
@@ -95,7 +94,9 @@
     def _take_rows(self, frames: list[tuple[int, bytes]]) -> None:
         for _, payload in frames:
             row = decode(payload)
-            self.registers[row.key] = Register.of(row)
+            fresh, held = Register.of(row), self.registers.get(row.key, Register())
+            if (fresh.promised, fresh.accepted) >= (held.promised, held.accepted):
+                self.registers[row.key] = fresh
 
     # -- what is known of the voters -----------------------------------------------------------
 
--- a/libs/circulation/src/circulation/chart.py
+++ b/libs/circulation/src/circulation/chart.py
@@ -38,7 +38,7 @@
 
 class Transaction:
     __slots__ = ("_after", "_budget", "_runs", "avoid", "claimed", "delivered", "dueMs", "key", "opened", "profile", "safe",
-                 "sends", "startedMs", "state", "transactionId")
+                 "sending", "sends", "startedMs", "state", "transactionId")
 
     def __init__(self, transactionId: str, profile: Any, key: str, nowMs: int, budget: Budget,
                  dueMs: int | None = None, claimed: bool = False) -> None:
@@ -52,6 +52,7 @@
         self.state = State.RECEIVED
         self.opened = False
         self.delivered = False
+        self.sending = ""
         self.sends: list[tuple[str, str]] = []
         self.avoid: set[str] = set()
         self._budget = budget
@@ -95,6 +96,7 @@
 
     def placed(self, worker: Any, anyWorker: bool) -> Step:
         if worker is not None:
+            self.sending = worker.stamp
             return self._to(State.SENDING, Step("send", value=worker))
         if anyWorker:
             return self._give_up(refused("busy", "all workers of this path are busy", 429, 1000))
@@ -125,6 +127,8 @@
 
     def ended(self, status: int, body: str) -> Step:
         self._runs = True
+        if self.sending:
+            self.sends.append((self.sending, "done"))
         if not self.opened:
             return self._to(State.DONE, Step("finish", value=(status, body)))
         self._after = Step("finish", value=(status, body))
--- /dev/null
+++ b/libs/facsimile/src/facsimile/sim/disks.py
@@ -0,0 +1,151 @@
+"""A simulated disk. What a process wrote outlives the process; what was not flushed may be lost, in
+part and out of order, when the machine loses power. Flushes and replacements go one after another
+and take time. Room can be taken away and given back, and a whole disk can be exchanged for a blank."""
+
+from collections.abc import Callable
+from typing import Any
+
+from stacks.disk import KEPT_BACK, DiskFull
+
+__all__ = ["SimDisk"]
+
+
+class SimDisk:
+    __slots__ = ("_busyUntilMs", "_durable", "_files", "_host", "_pending", "_time", "asides", "flushMs", "flushes",
+                 "roomBytes")
+
+    def __init__(self, time: Any, roomBytes: int, flushMs: float = 3.0) -> None:
+        self._time = time
+        self._files: dict[str, bytearray] = {}
+        self._durable: dict[str, bytearray] = {}
+        self._pending: dict[str, list[tuple[str, int, bytes]]] = {}
+        self._busyUntilMs = 0.0
+        self._host: Any = None
+        self.roomBytes = roomBytes
+        self.flushMs = flushMs
+        self.flushes = 0
+        self.asides = 0
+
+    def bind(self, host: Any) -> None:
+        self._host = host
+        self._busyUntilMs = 0.0
+
+    # -- as the cores see it -------------------------------------------------------------------
+
+    def names(self) -> list[str]:
+        return sorted(self._files)
+
+    def read(self, name: str) -> bytes:
+        return bytes(self._files[name])
+
+    def roomy(self, size: int, urgent: bool = False) -> bool:
+        limit = self.roomBytes if urgent else self.roomBytes * (1 - KEPT_BACK)
+        return sum(len(data) for data in self._files.values()) + size <= limit
+
+    def write(self, name: str, offset: int, data: bytes, urgent: bool = False) -> None:
+        grows = max(0, offset + len(data) - len(self._files.get(name, b"")))
+        if not self.roomy(grows, urgent):
+            raise DiskFull(name)
+        _put(self._files.setdefault(name, bytearray()), offset, data)
+        self._pending.setdefault(name, []).append(("write", offset, data))
+
+    def truncate(self, name: str, size: int) -> None:
+        if name in self._files:
+            _cut(self._files[name], size)
+            self._pending.setdefault(name, []).append(("truncate", size, b""))
+
+    def remove(self, name: str) -> None:
+        if self._files.pop(name, None) is not None:
+            self._pending.setdefault(name, []).append(("remove", 0, b""))
+
+    def flush(self, names: list[str], done: Callable[[bool], None]) -> None:
+        counts = {name: len(self._pending.get(name, [])) for name in names}
+        counts.update({name: len(rows) for name, rows in self._pending.items()
+                       if name not in counts and any(kind == "remove" for kind, _, _ in rows)})
+
+        def flushed() -> None:
+            self.flushes += 1
+            for name, count in counts.items():
+                rows = self._pending.get(name, [])
+                for row in rows[:count]:
+                    self._settle(name, row)
+                del rows[:count]
+            done(True)
+
+        self._later(flushed)
+
+    def replace(self, name: str, data: bytes, done: Callable[[bool], None]) -> None:
+        if not self.roomy(len(data), True):
+            self._later(lambda: done(False))
+            return
+
+        def replaced() -> None:
+            self._files[name] = bytearray(data)
+            self._durable[name] = bytearray(data)
+            self._pending.pop(name, None)
+            done(True)
+
+        self._later(replaced)
+
+    def set_aside(self) -> None:
+        self.asides += 1
+        self._files.clear()
+        self._durable.clear()
+        self._pending.clear()
+
+    # -- what happens to it --------------------------------------------------------------------
+
+    def _later(self, what: Callable[[], None]) -> None:
+        host, life = self._host, self._host.life
+        startMs = max(self._time.nowMs, self._busyUntilMs)
+        self._busyUntilMs = startMs + self.flushMs * (0.5 + self._time.rng.random())
+
+        def due() -> None:
+            if host.life == life and host.up:
+                host.when_awake(what, life)
+
+        self._time.after(self._busyUntilMs - self._time.nowMs, due)
+
+    def _settle(self, name: str, row: tuple[str, int, bytes]) -> None:
+        kind, at, data = row
+        if kind == "remove":
+            self._durable.pop(name, None)
+        elif kind == "truncate":
+            if name in self._durable:
+                _cut(self._durable[name], at)
+        else:
+            _put(self._durable.setdefault(name, bytearray()), at, data)
+
+    def lose_power(self) -> None:
+        """Each write that was not flushed may or may not have reached the disk, or only a part of it."""
+        rng = self._time.rng
+        for name, rows in self._pending.items():
+            for kind, at, data in rows:
+                if rng.random() < 0.5:
+                    part = data if rng.random() < 0.8 else data[:rng.randrange(len(data) + 1)]
+                    self._settle(name, (kind, at, part))
+        self._pending.clear()
+        self._files = {name: bytearray(data) for name, data in self._durable.items()}
+
+    def wipe(self) -> None:
+        self._files.clear()
+        self._durable.clear()
+        self._pending.clear()
+
+    def damage(self, name: str, offset: int) -> None:
+        for copy in (self._files, self._durable):
+            if name in copy and offset < len(copy[name]):
+                copy[name][offset] ^= 0xFF
+
+
+def _put(page: bytearray, offset: int, data: bytes) -> None:
+    if len(page) < offset:
+        page.extend(b"\0" * (offset - len(page)))
+    page[offset:offset + len(data)] = data
+
+
+def _cut(page: bytearray, size: int) -> None:
+    if size < len(page):
+        del page[size:]
+    else:
+        page.extend(b"\0" * (size - len(page)))
--- /dev/null
+++ b/libs/facsimile/src/facsimile/sim/faults.py
@@ -0,0 +1,160 @@
+"""The faults of the brief, each a function that causes it and later undoes it. A schedule is a seeded
+list of them; its loss of a disk comes once, since one machine with a disk is what has to be borne."""
+
+from typing import Any
+
+__all__ = ["FAULTS", "schedule"]
+
+
+def _pick(fleet: Any, role: str) -> Any:
+    hosts = [host for host in fleet.of(role) if host.up]
+    return fleet.time.rng.choice(hosts) if hosts else None
+
+
+def crash(fleet: Any, role: str, downMs: float) -> None:
+    host = _pick(fleet, role)
+    if host is not None:
+        host.kill()
+        fleet.time.after(downMs, host.start)
+
+
+def crash_holder(fleet: Any, downMs: float) -> None:
+    host = fleet.holder()
+    if host is not None:
+        host.kill()
+        fleet.time.after(downMs, host.start)
+
+
+def crash_owner(fleet: Any, downMs: float) -> None:
+    for host in fleet.of("control"):
+        if host.up and host.node.owner.owner_of("profiles") == host.node.voter.identity:
+            host.kill()
+            fleet.time.after(downMs, host.start)
+            return
+
+
+def freeze(fleet: Any, role: str, forMs: float, stepMs: int) -> None:
+    host = fleet.holder() if role == "holder" else _pick(fleet, role)
+    if host is not None:
+        host.freeze()
+        host.wallStepMs += stepMs
+        fleet.time.after(forMs, host.wake)
+
+
+def step_clocks(fleet: Any, stepMs: int) -> None:
+    for host in fleet.hosts.values():
+        host.wallStepMs += int(stepMs * (fleet.time.rng.random() - 0.5) * 2)
+
+
+def loss(fleet: Any, rate: float, forMs: float) -> None:
+    fleet.network.lossRate = fleet.network.doubleRate = rate
+    fleet.time.after(forMs, fleet.network.heal)
+
+
+def split(fleet: Any, forMs: float) -> None:
+    hosts = [host.address for host in fleet.hosts.values()]
+    fleet.time.rng.shuffle(hosts)
+    at = fleet.time.rng.randrange(2, len(hosts) - 2)
+    fleet.network.split([hosts[:at], hosts[at:]])
+    fleet.time.after(forMs, fleet.network.heal)
+
+
+def control_split(fleet: Any, forMs: float, cutOff: bool) -> None:
+    control = [host.address for host in fleet.of("control")]
+    others = [host.address for host in fleet.hosts.values() if host.role != "control"]
+    groups = [control, others] if cutOff else [control[:2], control[2:]]
+    fleet.network.split(groups)
+    fleet.time.after(forMs, fleet.network.heal)
+
+
+def isolate(fleet: Any, role: str, forMs: float) -> None:
+    host = _pick(fleet, role)
+    if host is not None:
+        fleet.network.isolate(host.address)
+        fleet.time.after(forMs, fleet.network.heal)
+
+
+def slow(fleet: Any, role: str, byMs: float, forMs: float) -> None:
+    host = _pick(fleet, role)
+    if host is not None:
+        fleet.network.slowMs[host.address] = byMs
+        fleet.time.after(forMs, fleet.network.heal)
+
+
+def slow_disk(fleet: Any, forMs: float) -> None:
+    host = _pick(fleet, "store")
+    if host is not None:
+        host.disk.flushMs = 150.0
+
+        def mend() -> None:
+            host.disk.flushMs = 3.0
+
+        fleet.time.after(forMs, mend)
+
+
+def lose_disk(fleet: Any, role: str, downMs: float) -> None:
+    host = fleet.holder() if role == "holder" else _pick(fleet, role)
+    if host is not None:
+        host.lose_disk()
+        fleet.time.after(downMs, host.start)
+
+
+def power_cut(fleet: Any, roles: tuple[str, ...], downMs: float) -> None:
+    for host in fleet.hosts.values():
+        if host.role in roles:
+            host.lose_power()
+            fleet.time.after(downMs + fleet.time.rng.random() * 500, host.start)
+
+
+def worker_fault(fleet: Any, how: str) -> None:
+    workers = [worker for worker in fleet.workers.values() if not worker.gone and not worker.leaving]
+    if len(workers) < 2:
+        return
+    worker = fleet.time.rng.choice(workers)
+    name = f"worker{len(fleet.history.of('worker-left')) + 100}"
+    if how == "crash":
+        worker.crash()
+        fleet.time.after(2000, lambda: fleet.add_worker(name, ["gpu"]))
+    elif how == "leave":
+        worker.leave()
+        fleet.time.after(2000, lambda: fleet.add_worker(name, ["gpu"]))
+    elif how == "replace":
+        worker.crash()
+        fleet.time.after(100, lambda: fleet.add_worker(name, ["gpu"], worker.address))
+    else:
+        worker.dark = True
+
+        def light() -> None:
+            worker.dark = False
+
+        fleet.time.after(2500, light)
+
+
+FAULTS: dict[str, Any] = {
+    "crash-edge": lambda f: crash(f, "edge", 800), "crash-store": lambda f: crash(f, "store", 1500),
+    "crash-control": lambda f: crash(f, "control", 1500), "crash-holder": lambda f: crash_holder(f, 2500),
+    "crash-owner": lambda f: crash_owner(f, 2500), "freeze-holder": lambda f: freeze(f, "holder", 4000, 60_000),
+    "freeze-edge": lambda f: freeze(f, "edge", 3500, -60_000), "freeze-control": lambda f: freeze(f, "control", 3000, 5000),
+    "freeze-store": lambda f: freeze(f, "store", 2000, -5000), "step-clocks": lambda f: step_clocks(f, 3_600_000),
+    "loss": lambda f: loss(f, 0.1, 2500), "split": lambda f: split(f, 3000),
+    "control-split": lambda f: control_split(f, 3000, False), "control-cut-off": lambda f: control_split(f, 3000, True),
+    "isolate-edge": lambda f: isolate(f, "edge", 3000), "isolate-store": lambda f: isolate(f, "store", 3000),
+    "slow-store": lambda f: slow(f, "store", 120, 3000), "slow-disk": lambda f: slow_disk(f, 3000),
+    "lose-store-disk": lambda f: lose_disk(f, "store", 1500), "lose-holder-disk": lambda f: lose_disk(f, "holder", 1500),
+    "lose-control-disk": lambda f: lose_disk(f, "control", 1500),
+    "power-stores": lambda f: power_cut(f, ("store",), 1000),
+    "power-all": lambda f: power_cut(f, ("store", "control", "edge"), 1000),
+    "worker-crash": lambda f: worker_fault(f, "crash"), "worker-leave": lambda f: worker_fault(f, "leave"),
+    "worker-dark": lambda f: worker_fault(f, "dark"), "worker-replace": lambda f: worker_fault(f, "replace")}
+_ONCE = ("lose-store-disk", "lose-holder-disk", "lose-control-disk")
+
+
+def schedule(rng: Any, startMs: float, spanMs: float, count: int, only: list[str] | None = None) -> list[tuple[float, str]]:
+    names, rows, lost = list(only or FAULTS), [], False
+    while len(rows) < count:
+        name = rng.choice(names)
+        if name in _ONCE and lost:
+            continue
+        lost = lost or name in _ONCE
+        rows.append((startMs + rng.random() * spanMs, name))
+    return sorted(rows)
--- /dev/null
+++ b/libs/facsimile/src/facsimile/sim/fleet.py
@@ -0,0 +1,120 @@
+"""A simulated fleet: hosts in zones, workers, and the samples that a watcher of every edge would take."""
+
+from typing import Any
+
+from colophon import Params
+from facsimile.sim.carrying import SimItems
+from facsimile.sim.disks import SimDisk
+from facsimile.sim.history import History
+from facsimile.sim.hosts import SimEnv, SimHost
+from facsimile.sim.virtual import Network, VirtualTime
+from facsimile.sim.workers import SimWorker
+from readingroom import EdgeNode, StoreNode
+from registrar import ControlNode
+
+__all__ = ["SimFleet"]
+
+ZONES = ("north", "south", "west")
+_SAMPLE_MS = 100.0
+
+
+class SimFleet:
+    __slots__ = ("_count", "_settings", "events", "history", "hosts", "network", "time", "workers")
+
+    def __init__(self, seed: int, edges: int = 3, stores: int = 3, control: int = 5, workers: int = 3,
+                 settings: dict[str, Any] | None = None) -> None:
+        self.time = VirtualTime(seed)
+        self.network = Network(self.time)
+        self.history = History(seed=seed)
+        self.events: list[tuple[float, str, str, dict]] = []
+        self.hosts: dict[str, SimHost] = {}
+        self.workers: dict[str, SimWorker] = {}
+        self._count = 0
+        self._settings = {"flushMs": 1500, "segmentBytes": 1 << 15, "diskBytes": 1 << 23, "controlCount": control,
+                          "storeCount": stores, **(settings or {})}
+        for index in range(control):
+            self.add("control", f"control{index + 1}")
+        for index in range(stores):
+            self.add("store", f"store{index + 1}")
+        for index in range(edges):
+            self.add("edge", f"edge{index + 1}")
+        for index in range(workers):
+            self.add_worker(f"worker{index + 1}", ["gpu"])
+
+    def _address(self) -> str:
+        self._count += 1
+        return f"10.0.0.{self._count}:7000"
+
+    def add(self, role: str, name: str) -> SimHost:
+        address = self._address()
+        params = Params(role=role, link=address, http=address.replace(":7000", ":7001"),
+                        zone=ZONES[len(self.hosts) % 3], seeds=[f"10.0.0.{place}:7000" for place in (1, 2, 3)],
+                        dataFolder="disk", **self._settings)
+        disk = SimDisk(self.time, params.diskBytes) if role != "edge" else None
+        host = SimHost(name, role, address, self.time, self.network, params, disk, self._make, self._note)
+        self.hosts[name] = host
+        host.start()
+        return host
+
+    def add_worker(self, name: str, labels: list[str], address: str = "") -> SimWorker:
+        worker = SimWorker(self, name, address or self._address(), labels, 4, ZONES[len(self.workers) % 3])
+        self.workers[worker.address] = worker
+        return worker
+
+    def worker_at(self, address: str) -> SimWorker | None:
+        return self.workers.get(address)
+
+    def _make(self, host: SimHost, env: SimEnv) -> Any:
+        if host.role == "control":
+            return ControlNode(env, host.params, host.disk)
+        if host.role == "store":
+            return StoreNode(env, host.params, host.disk)
+        items = SimItems(self, host)
+        return EdgeNode(env, host.params, items.room, items.start)
+
+    def _note(self, name: str, event: str, fields: dict) -> None:
+        self.events.append((self.time.nowMs, name, event, fields))
+
+    def of(self, role: str) -> list[SimHost]:
+        return [host for host in self.hosts.values() if host.role == role]
+
+    def running(self, role: str) -> list[SimHost]:
+        return [host for host in self.of(role) if host.up and not host.frozen]
+
+    def holder(self) -> SimHost | None:
+        """The store that serves as holder under the highest epoch."""
+        serving = [host for host in self.of("store") if host.up and host.node.log.holder is not None
+                   and host.node.log.role == "serving"]
+        return max(serving, key=lambda host: host.node.log.holder.epoch, default=None)
+
+    def start_sampling(self) -> None:
+        for host in self.of("edge"):
+            if host.up and not host.frozen:
+                self.history.add("sample", self.time.nowMs, edge=host.name, life=host.life,
+                                 ready=not host.node.why_unready(), number=host.node.gazette.number("profiles"),
+                                 mark=_mark(host.node.tree()))
+        for host in self.of("store"):
+            holder = host.node.log.holder if host.up and not host.frozen else None
+            if holder is not None and not holder.deposed:
+                paths = {lot.path for lot in holder.ledger.opened.values()}
+                for path in sorted(paths):
+                    self.history.add("room", self.time.nowMs, store=host.name, path=path, epoch=holder.epoch,
+                                     used=holder.ledger.room_used(path))
+        self.time.after(_SAMPLE_MS, self.start_sampling)
+
+    def ready(self) -> bool:
+        return (all(not host.node.why_unready() for host in self.of("edge") + self.of("store"))
+                and all(host.node.quorate() for host in self.of("control")))
+
+    def run_until_true(self, check: Any, limitMs: float) -> bool:
+        endMs = self.time.nowMs + limitMs
+        while self.time.nowMs < endMs:
+            self.time.run_until(self.time.nowMs + 50)
+            if check():
+                return True
+        return False
+
+
+def _mark(tree: Any) -> str:
+    """Test trees carry the id of the change that made them as the name of a profile."""
+    return next((name[5:] for name in tree.rows if name.startswith("mark-")), "")
--- /dev/null
+++ b/libs/facsimile/src/facsimile/sim/hosts.py
@@ -0,0 +1,124 @@
+"""A simulated machine: an address, a disk if it has one, a wall clock that can be stepped, and a
+process that can be killed, frozen, cut from power, and started again."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from vellum import Message
+
+__all__ = ["SimEnv", "SimHost"]
+
+_TICK_MS = 25.0
+_WALL_MS = 1_700_000_000_000
+
+
+class SimEnv:
+    __slots__ = ("_host", "address", "rng")
+
+    def __init__(self, host: "SimHost", seed: int) -> None:
+        self._host = host
+        self.address = host.address
+        self.rng = random.Random(seed)
+
+    def now(self) -> int:
+        return int(self._host.time.nowMs) + self._host.bootMs
+
+    def wall(self) -> int:
+        return _WALL_MS + int(self._host.time.nowMs) + self._host.wallStepMs
+
+    def token(self) -> str:
+        return f"{self.rng.getrandbits(48):012x}"
+
+    def post(self, to: str, ref: int, re: int, message: Message) -> None:
+        self._host.network.send(self.address, to, ref, re, message)
+
+    def log(self, event: str, level: str = "INFO", **fields: Any) -> None:
+        self._host.trace(event, fields)
+
+
+class SimHost:
+    __slots__ = ("_make", "_sink", "address", "bootMs", "buffer", "deferred", "disk", "frozen", "life", "name", "network",
+                 "node", "params", "role", "time", "up", "wallStepMs")
+
+    def __init__(self, name: str, role: str, address: str, time: Any, network: Any, params: Any, disk: Any,
+                 make: Callable[["SimHost", SimEnv], Any], sink: Callable[[str, str, dict], None]) -> None:
+        self.name, self.role, self.address = name, role, address
+        self.time, self.network, self.params, self.disk = time, network, params, disk
+        self._make, self._sink = make, sink
+        self.node: Any = None
+        self.up = False
+        self.frozen = False
+        self.buffer: list[tuple] = []
+        self.deferred: list[tuple[Callable[[], None], int]] = []
+        self.life = 0
+        self.bootMs = time.rng.randrange(1, 10_000_000)
+        self.wallStepMs = 0
+        network.hosts[address] = self
+
+    def trace(self, event: str, fields: dict) -> None:
+        self._sink(self.name, event, fields)
+
+    def start(self) -> None:
+        if self.up:
+            return
+        self.life += 1
+        self.up, self.frozen = True, False
+        self.buffer.clear()
+        self.deferred.clear()
+        if self.disk is not None:
+            self.disk.bind(self)
+        self.node = self._make(self, SimEnv(self, self.time.rng.getrandbits(48)))
+        self.trace("started", {})
+        self._tick(self.life)
+
+    def _tick(self, life: int) -> None:
+        if life != self.life or not self.up:
+            return
+        if not self.frozen:
+            self.node.tick()
+        self.time.after(_TICK_MS * (0.9 + 0.2 * self.time.rng.random()), lambda: self._tick(life))
+
+    def kill(self) -> None:
+        if self.up:
+            self.up = False
+            self.life += 1
+            self.trace("killed", {})
+
+    def lose_power(self) -> None:
+        self.kill()
+        if self.disk is not None:
+            self.disk.lose_power()
+
+    def lose_disk(self) -> None:
+        self.kill()
+        if self.disk is not None:
+            self.disk.wipe()
+
+    def freeze(self) -> None:
+        if self.up:
+            self.frozen = True
+            self.trace("frozen-by-fault", {})
+
+    def wake(self) -> None:
+        """What waited in buffers and timers all comes at once, in no particular order with the ticks."""
+        if not self.up or not self.frozen:
+            return
+        self.frozen = False
+        self.trace("woken", {})
+        rows, self.buffer = self.buffer, []
+        deferred, self.deferred = self.deferred, []
+        if self.time.rng.random() < 0.5:
+            self.node.tick()
+        for sender, ref, re, message in rows:
+            if self.up:
+                self.node.receive(sender, ref, re, message)
+        for what, life in deferred:
+            if life == self.life:
+                what()
+
+    def when_awake(self, what: Callable[[], None], life: int) -> None:
+        if self.frozen:
+            self.deferred.append((what, life))
+        elif life == self.life:
+            what()
--- /dev/null
+++ b/libs/facsimile/src/facsimile/sim/runs.py
@@ -0,0 +1,125 @@
+"""One simulated run: found the fleet, bring traffic and faults, let the machines come back, probe
+that service is back in time, read everything again, and have the oracle judge."""
+
+from typing import Any
+
+from facsimile.sim.faults import FAULTS, schedule
+from facsimile.sim.fleet import SimFleet
+from facsimile.sim.oracle import judge
+from facsimile.sim.visitors import ROOM, Operators, Visitors
+
+__all__ = ["Run", "run_seed"]
+
+_FOUND_MS = 12_000
+
+
+class Run:
+    __slots__ = ("fleet", "operators", "stopped", "visitors")
+
+    def __init__(self, seed: int, settings: dict[str, Any] | None = None, **sizes: int) -> None:
+        self.fleet = SimFleet(seed, settings=settings, **sizes)
+        self.fleet.history.settings.update(room=ROOM, allowed=["gpu"])
+        self.visitors = Visitors(self.fleet)
+        self.operators = Operators(self.fleet)
+        self.stopped = False
+
+    def found(self) -> None:
+        fleet = self.fleet
+        if not fleet.run_until_true(lambda: all(host.node.quorate() for host in fleet.of("control")), _FOUND_MS):
+            raise AssertionError("control was not founded")
+        self.operators.change()
+        if not fleet.run_until_true(fleet.ready, _FOUND_MS):
+            raise AssertionError("the fleet did not get ready")
+        fleet.run_until_true(lambda: False, 600)
+        fleet.start_sampling()
+
+    def traffic(self, everyMs: float) -> None:
+        if self.stopped:
+            return
+        rng, visitors = self.fleet.time.rng, self.visitors
+        dice = rng.random()
+        if dice < 0.4:
+            visitors.live("rulings")
+        elif dice < 0.65:
+            visitors.live("moves", f"key{len(self.fleet.history.rows)}", 3)
+        elif dice < 0.75:
+            visitors.hand_in(rng.choice(("summaries", "claims")), rng.randrange(1, 12))
+        elif dice < 0.93 and visitors.lots:
+            visitors.read(rng.choice(list(visitors.lots)[-6:]))
+        elif dice < 0.95 and visitors.lots:
+            visitors.end(rng.choice(list(visitors.lots)[-3:]))
+        elif dice >= 0.95:
+            self.operators.change()
+            if rng.random() < 0.5:
+                self.operators.change()
+        self.fleet.time.after(everyMs * (0.5 + rng.random()), lambda: self.traffic(everyMs))
+
+    def cause(self, rows: list[tuple[float, str]]) -> None:
+        for atMs, name in rows:
+            self.fleet.time.after(atMs - self.fleet.time.nowMs, lambda name=name: self._fault(name))
+
+    def _fault(self, name: str) -> None:
+        self.fleet.events.append((self.fleet.time.nowMs, "fault", name, {}))
+        FAULTS[name](self.fleet)
+
+    def back(self) -> None:
+        fleet = self.fleet
+        fleet.network.heal()
+        for host in fleet.hosts.values():
+            host.wake()
+            host.start()
+        for worker in fleet.workers.values():
+            worker.dark = False
+
+    def probe(self, afterMs: float) -> None:
+        """By now everything works at the first try: live at each edge, a lot, a change."""
+        fleet = self.fleet
+        fleet.time.run_until(fleet.time.nowMs + afterMs)
+        seen: dict[str, str] = {}
+        for _ in fleet.of("edge"):
+            self.visitors.live("rulings", done=lambda row: seen.update(live=f"{row['outcome']} {row['code']}"))
+        self.visitors.live("moves", f"probe{fleet.time.nowMs}",
+                           done=lambda row: seen.update(move=f"{row['outcome']} {row['code']}"))
+        self.visitors.hand_in("summaries", 2, 1, done=lambda row: seen.update(lot=row["outcome"]))
+        self.operators.change(1, version=None, done=lambda row: seen.update(change=row["outcome"]))
+        fleet.run_until_true(lambda: len(seen) == 4, 8500)
+        good = {"live": ("finish ",), "move": ("finish ",), "lot": ("admitted", "noRoom"), "change": ("ok", "lost")}
+        for what, wanted in good.items():
+            fleet.history.add("probe", fleet.time.nowMs, what=what, worked=seen.get(what) in wanted, afterMs=afterMs,
+                              seen=seen.get(what, "nothing"))
+
+    def read_all(self) -> None:
+        fleet = self.fleet
+        left = {lotId for lotId, lot in self.visitors.lots.items() if lot["acked"]}
+
+        def read(lotId: str) -> None:
+            def done(message: Any) -> None:
+                if message.outcome in ("known", "missing", "beyond") and lotId in left:
+                    left.discard(lotId)
+                    fleet.history.add("final", fleet.time.nowMs, lot=lotId, outcome=message.outcome,
+                                      listed=message.placed)
+
+            self.visitors.read(lotId, done)
+
+        for _ in range(4):
+            for lotId in sorted(left):
+                read(lotId)
+            fleet.run_until_true(lambda: not left, 3000)
+
+
+def run_seed(seed: int, faults: int = 6, spanMs: float = 12_000, only: list[str] | None = None,
+             rows: list[tuple[float, str]] | None = None, settings: dict[str, Any] | None = None,
+             everyMs: float = 60.0) -> tuple[dict[str, list[str]], Run]:
+    run = Run(seed, settings)
+    run.found()
+    fleet = run.fleet
+    startMs = fleet.time.nowMs
+    planned = rows if rows is not None else schedule(fleet.time.rng, 500, spanMs - 1000, faults, only)
+    run.cause([(startMs + atMs, name) for atMs, name in planned])
+    run.traffic(everyMs)
+    fleet.time.run_until(startMs + spanMs)
+    run.stopped = True
+    run.back()
+    run.probe(fleet.hosts["edge1"].params.resumeMs)
+    run.read_all()
+    return judge(fleet.history), run
--- a/libs/gazette/src/gazette/feed.py
+++ b/libs/gazette/src/gazette/feed.py
@@ -79,11 +79,14 @@
             watcher(key, number, body)
         patch = self._patches.get(key)
         item = patch if patch is not None and patch.number == number else self._whole(key)
-        for address in set(self._neighbours()) | set(self._extra()):
+        for address in self._addresses():
             if address != sender:
                 self._send(address, [item])
                 self._send_digest(address)
 
+    def _addresses(self) -> list[str]:
+        return sorted((set(self._neighbours()) | set(self._extra())) - {self.node.address})
+
     def _whole(self, key: str) -> NewsItem:
         number, body = self._items[key]
         return NewsItem(key=key, number=number, baseNumber=0, body=body)
@@ -154,7 +157,7 @@
             del self.confirmed[identity]
             self.contactsMs.pop(identity, None)
         digest = self._digest()
-        for address in set(self._neighbours()) | set(self._extra()):
+        for address in self._addresses():
             self.node.post(address, digest)
 
     # -- confirmation --------------------------------------------------------------------------
--- a/libs/readingroom/src/readingroom/nodes.py
+++ b/libs/readingroom/src/readingroom/nodes.py
@@ -2,7 +2,6 @@
 in the simulator; only the surroundings, the disk and what runs an item are handed in."""
 
 import json
-import secrets
 from typing import Any
 
 from accession import LocalLog, StoreLog
@@ -68,7 +67,7 @@
 
     def __init__(self, env: Env, params: Any, disk: Disk) -> None:
         self.env, self.params, self.disk = env, params, disk
-        local = open_or_set_aside(env, disk, lambda: LocalLog(disk, params, env.now))
+        local = open_or_set_aside(env, disk, lambda: LocalLog(disk, params, env.now, env.token))
         self._common(local.identity)
         self._startedMs = env.now()
         self.control = ControlClient(self._control_addresses)
@@ -116,7 +115,7 @@
 
     def __init__(self, env: Env, params: Any, room: Any, start: Any) -> None:
         self.env, self.params = env, params
-        identity = f"edge-{env.rng.getrandbits(48):012x}" if hasattr(env, "seeded") else f"edge-{secrets.token_hex(6)}"
+        identity = f"edge-{env.token()}"
         self._common(identity)
         self._startedMs = env.now()
         self._caughtUp = False
--- a/libs/registrar/src/registrar/nodes.py
+++ b/libs/registrar/src/registrar/nodes.py
@@ -18,7 +18,7 @@
 
     def __init__(self, env: Env, params: Any, disk: Disk) -> None:
         self.disk = disk
-        self.voter = open_or_set_aside(env, disk, lambda: Voter(disk))
+        self.voter = open_or_set_aside(env, disk, lambda: Voter(disk, env.token))
         identity = self.voter.identity
         self.neighbours = Neighbours(identity)
         self.gazette = Gazette(identity, lambda: [card.address for card in self.neighbours.view()],
--- a/libs/vellum/src/vellum/shell.py
+++ b/libs/vellum/src/vellum/shell.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import random
+import secrets
 from collections.abc import Callable
 from typing import Any
 
@@ -28,6 +29,9 @@
     def wall(self) -> int:
         return wall_ms()
 
+    def token(self) -> str:
+        return secrets.token_hex(6)
+
     def post(self, to: str, ref: int, re: int, message: Message) -> None:
         if self.switchboard is not None:
             self.switchboard.post(to, ref, re, message)
