--- a/libs/catalogue/src/catalogue/owner.py
+++ b/libs/catalogue/src/catalogue/owner.py
@@ -16,7 +16,7 @@
 from gazette import Gazette
 from vellum import Message, Origin, Part, decode, encode
 
-__all__ = ["Owner"]
+__all__ = ["Owner", "newest"]
 
 _REMEMBERED_CHANGES = 64
 _CONFIRMED_KEYS = ("profiles",)
@@ -61,6 +61,13 @@
         self.ops: list[_Op] = []
 
 
+def newest(votes: list[Any]) -> Value:
+    """The value of the highest ballot; one epoch accepts one version after another, so within a
+    ballot the highest version."""
+    held = [(vote.acceptedEpoch, vote.acceptedBy, decode(vote.value)) for vote in votes if vote.value]
+    return max(held, key=lambda row: (row[0], row[1], row[2].version))[2] if held else _blank()
+
+
 def _blank() -> Value:
     return Value(version=0, body="", changeIds=[], changeVersions=[])
 
@@ -148,8 +155,7 @@
         if not ok:
             self._lose(key)
             return
-        best = max(round_.yes.values(), key=lambda vote: (vote.acceptedEpoch, vote.acceptedBy))
-        key.value = decode(best.value) if best.value else _blank()
+        key.value = newest(list(round_.yes.values()))
         if key.value.version == 0:
             key.state = State.OWNED
             self._apply(key)
--- a/libs/catalogue/src/catalogue/voter.py
+++ b/libs/catalogue/src/catalogue/voter.py
@@ -30,6 +30,11 @@
     return max(marks)
 
 
+def _older(value: bytes, than: bytes) -> bool:
+    """Accepts of one epoch may arrive late or twice: a version once accepted is not taken back."""
+    return decode(value).version < decode(than).version
+
+
 class Register:
     __slots__ = ("accepted", "promised", "value")
 
@@ -181,7 +186,7 @@
     def _(self, message: Accept, origin: Origin) -> None:
         register = self.registers.setdefault(message.key, Register())
         ballot = (message.epoch, message.by)
-        if ballot < register.promised:
+        if ballot < register.promised or (ballot == register.accepted and _older(message.value, register.value)):
             self.node.reply(origin, self._voted(message.key, False, "epoch"))
             return
         self._put(message.key, promised=ballot, accepted=ballot, value=message.value, done=lambda ok: self.node.reply(
--- a/libs/circulation/src/circulation/holding.py
+++ b/libs/circulation/src/circulation/holding.py
@@ -55,10 +55,11 @@
             return self.node.env.rng.choice(stores) if stores else ""
         return self._address
 
-    def heard(self, message: m.HolderBeat) -> None:
+    def heard(self, message: m.HolderBeat, askedMs: int) -> None:
+        """The claim runs from when it was asked for, not from when the word came."""
         if message.epoch >= self._epoch:
             self._epoch = message.epoch
-            self.heardMs = self.node.env.now()
+            self.heardMs = askedMs
             self.holderMs = message.holderMs
 
     def redirected(self, receipt: m.NotHolder) -> None:
--- a/libs/circulation/src/circulation/lots.py
+++ b/libs/circulation/src/circulation/lots.py
@@ -77,7 +77,7 @@
             return
         if receipt.epoch < self._holder.epoch:
             return
-        self._holder.heard(receipt)
+        self._holder.heard(receipt, self._askedMs)
         for lotId in receipt.stops:
             self.stop(lotId, "lot over")
         for data in receipt.work:
--- a/libs/circulation/src/circulation/roster.py
+++ b/libs/circulation/src/circulation/roster.py
@@ -62,7 +62,7 @@
 class Roster(Part):
     """`allowed` says whether any profile in force allows a worker."""
 
-    __slots__ = ("_allowed", "_fellows", "_gone", "_workers")
+    __slots__ = ("_allowed", "_fellows", "_gone", "_quietUntilMs", "_workers")
     HANDLES = (WorkerNews,)
 
     def __init__(self, fellows: Callable[[], Iterable[str]], allowed: Callable[[str, frozenset], bool]) -> None:
@@ -70,6 +70,7 @@
         self._allowed = allowed
         self._workers: dict[str, Worker] = {}
         self._gone: dict[tuple[str, int], int] = {}
+        self._quietUntilMs = -1 << 40
 
     def receive(self, message: Any, origin: Origin) -> None:
         self.hear(message, origin.sender)
@@ -100,7 +101,7 @@
                 del self._workers[other.identity]
                 self.node.env.log("worker-replaced", worker=other.identity, by=news.identity)
         self._workers[news.identity] = held
-        held.take(news, nowMs)
+        held.take(news, nowMs if nowMs >= self._quietUntilMs else -1 << 40)
         for address in self._fellows():
             if address != sender:
                 self.node.post(address, news)
@@ -135,10 +136,16 @@
     def all(self) -> list[Worker]:
         return list(self._workers.values())
 
+    def woke(self, gapMs: int) -> None:
+        """What was heard before is old, and so is what waited in buffers: it proves nobody alive."""
+        self._quietUntilMs = self.node.env.now() + self.node.params.beatMs
+        for worker in self._workers.values():
+            worker.heardMs = -1 << 40
+
     def tick(self) -> None:
         nowMs = self.node.env.now()
         keepMs = 10 * self.node.params.resumeMs
-        for identity in [worker.identity for worker in self._workers.values() if nowMs - worker.heardMs > keepMs]:
+        for identity in [worker.identity for worker in self._workers.values() if nowMs - worker.heardMs > keepMs and nowMs > self._quietUntilMs + keepMs]:
             del self._workers[identity]
         for stamp in [stamp for stamp, atMs in self._gone.items() if nowMs - atMs > 10 * keepMs]:
             del self._gone[stamp]
--- a/libs/facsimile/src/facsimile/sim/visitors.py
+++ b/libs/facsimile/src/facsimile/sim/visitors.py
@@ -10,6 +10,7 @@
 from circulation import Budget, Step, Transaction
 from facsimile.sim.carrying import SimCarrier
 from ledger import messages as m
+from readingroom.visitors import not_ready
 from vellum import decode
 
 __all__ = ["Operators", "Visitors", "tree_of"]
@@ -73,7 +74,7 @@
         def begin() -> None:
             node = host.node
             if node.why_unready():
-                answered("error", "notRun", "not-ready")
+                answered("error", str(not_ready("", bool(key)).verdict), "not-ready")
                 return
             profile = node.tree().usable(path)
             if profile is None:
@@ -129,7 +130,7 @@
             node = host.node
             profile = node.tree().usable(path)
             if node.why_unready() or profile is None:
-                answered("unready", "notRun")
+                answered("unready", str(not_ready("", True).verdict))
                 return
             life = host.life
             node.holder.ask(m.HandIn(lotId=lotId, digest=lotId, path=path, safe=profile.repeatable, epoch=0, holderMs=0,
--- a/libs/gazette/src/gazette/feed.py
+++ b/libs/gazette/src/gazette/feed.py
@@ -18,7 +18,7 @@
 class Gazette(Part):
     """`neighbours` gives the addresses to relay to, `extra` further ones to swap digests with."""
 
-    __slots__ = ("_extra", "_items", "_neighbours", "_patches", "_sentMs", "_watchers", "confirmed", "contactsMs",
+    __slots__ = ("_extra", "_items", "_neighbours", "_patches", "_quietUntilMs", "_sentMs", "_watchers", "confirmed", "contactsMs",
                  "identity", "quorate", "quorateMs", "sentBytes")
     HANDLES = (Digest, News)
 
@@ -36,6 +36,7 @@
         self._patches: dict[str, NewsItem] = {}
         self._watchers: list[Callable[[str, int, str], None]] = []
         self._sentMs = -1 << 40
+        self._quietUntilMs = -1 << 40
 
     def watch(self, watcher: Callable[[str, int, str], None]) -> None:
         self._watchers.append(watcher)
@@ -132,9 +133,10 @@
     def _(self, message: Digest, origin: Origin) -> None:
         nowMs = self.node.env.now()
         theirs = {row.key: row.number for row in map(decode, message.numbers)}
-        self.contactsMs[message.identity] = nowMs
-        if message.quorate:
-            self.quorateMs = nowMs
+        if nowMs >= self._quietUntilMs:
+            self.contactsMs[message.identity] = nowMs
+            if message.quorate:
+                self.quorateMs = nowMs
         self.confirmed[message.identity] = (message.role, nowMs, theirs)
         self._send(origin.sender, [self._newer(key, theirs.get(key, 0)) for key, number in self.numbers().items()
                                    if number > theirs.get(key, 0)])
@@ -160,6 +162,12 @@
         for address in self._addresses():
             self.node.post(address, digest)
 
+    def woke(self, gapMs: int) -> None:
+        """Digests that waited in buffers say nothing about now."""
+        self._quietUntilMs = self.node.env.now() + self.node.params.beatMs
+        self.quorateMs = -1 << 40
+        self.contactsMs = dict.fromkeys(self.contactsMs, -1 << 40)
+
     # -- confirmation --------------------------------------------------------------------------
 
     def all_confirm(self, key: str, number: int, roles: tuple[str, ...], withinMs: int) -> bool:
--- a/libs/readingroom/src/readingroom/visitors.py
+++ b/libs/readingroom/src/readingroom/visitors.py
@@ -17,12 +17,18 @@
 from vellum import decode
 from vellum.shell import awaited
 
-__all__ = ["Visitors"]
+__all__ = ["Visitors", "not_ready"]
 
 _KEY = re.compile(r"^[\x21-\x7e]{1,255}$")
 _PAGE = 1000
 
 
+def not_ready(reason: str, named: bool) -> Refusal:
+    """Nothing was sent on; but what has a key or an id may have come through another edge before."""
+    make = doubtful if named else refused
+    return make("not-ready", reason, retryAfterMs=1000, status=503)
+
+
 def _digest(value: Any) -> str:
     return hashlib.blake2b(json.dumps(value, sort_keys=True).encode(), digest_size=16).hexdigest()
 
@@ -69,7 +75,7 @@
 
     async def _live(self, request: web.Request) -> web.StreamResponse:
         if reason := self._node.why_unready():
-            return answer_refusal(refused("not-ready", reason, 503, 1000))
+            return answer_refusal(not_ready(reason, "Idempotency-Key" in request.headers))
         data = await read_body(request, self._node.params.maxBodyBytes)
         if isinstance(data, Refusal):
             return answer_refusal(data)
@@ -146,7 +152,7 @@
         if isinstance(lotId, Refusal):
             return answer_refusal(lotId)
         if reason := self._node.why_unready():
-            return answer_refusal(refused("not-ready", reason, 503, 1000))
+            return answer_refusal(not_ready(reason, True))
         data = await read_body(request, self._node.params.maxBodyBytes)
         if isinstance(data, Refusal):
             return answer_refusal(data)
--- a/libs/vellum/src/vellum/cores.py
+++ b/libs/vellum/src/vellum/cores.py
@@ -86,7 +86,7 @@
         if re:
             waiting = self._asks.pop(re, None)
             if waiting is not None:
-                waiting[0](message)
+                waiting[0](message if self.env.now() <= waiting[1] else None)
             return
         part = self._paths.get(type(message))
         if part is not None:
