--- /dev/null
+++ b/tests/test_circulation.py
@@ -0,0 +1,219 @@
+"""An edge's pure parts: the chart of a transaction, streams, placement, the roster."""
+
+import json
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from catalogue import Tree
+from circulation import Budget, Roster, StreamCheck, Transaction, Worker, WorkerNews, check_whole, choose, prefix_of
+from colophon import Params, Verdict
+from vellum import Node
+
+TREE = Tree({"safe": {}, "unsafe": {"repeatable": False}})
+PARAMS = Params(link="10.0.0.1:1", http="10.0.0.1:2", zone="z", seeds=["10.0.0.1:1"])
+
+
+class Stamped:
+    def __init__(self, stamp):
+        self.stamp = stamp
+
+
+def transaction(path, key="", budget=10.0):
+    return Transaction("t", TREE.get(path), key, 0, Budget(budget))
+
+
+class Chart(TestCase):
+    """Rows: path, what happens after begin, the last step, its verdict or None, how the key is closed."""
+
+    ROWS = [
+        ("safe", ["place", "begun", "end"], "finish", None, ""),
+        ("safe", ["place", ("fail", False), "place", "begun", "end"], "finish", None, ""),
+        ("safe", ["place", ("fail", True), "place", "begun", "end"], "finish", None, ""),
+        ("safe", ["none"], "refuse", "notRun", ""),
+        ("safe", ["place", ("late", True)], "refuse", "mayHaveRun", ""),
+        ("safe", ["place", ("late", False)], "refuse", "notRun", ""),
+        ("safe", ["place", "begun", "piece", ("fail", True)], "cut", "mayHaveRun", ""),
+        ("unsafe", ["opened", "place", "begun", "end", "closed"], "finish", None, "done"),
+        ("unsafe", ["opened", "none", "closed"], "refuse", "notRun", "void"),
+        ("unsafe", ["opened", "place", ("fail", False), "place", "begun", "end", "closed"], "finish", None, "done"),
+        ("unsafe", ["opened", "place", ("fail", True), "closed"], "refuse", "mayHaveRun", "doubt"),
+        ("unsafe", ["opened", "place", "begun", "piece", ("fail", True), "closed"], "cut", "mayHaveRun", "doubt"),
+        ("unsafe", ["recorded"], "replay", None, ""), ("unsafe", ["open"], "refuse", "mayHaveRun", ""),
+        ("unsafe", ["doubt"], "refuse", "mayHaveRun", ""), ("unsafe", ["conflict"], "refuse", "notRun", ""),
+        ("unsafe", ["full"], "refuse", "notRun", ""), ("unsafe", ["unknown"], "refuse", "mayHaveRun", "")]
+
+    def test_rows(self):
+        for path, events, last, verdict, closeAs in self.ROWS:
+            tx = transaction(path, "k")
+            step, closed = tx.begin(), ""
+            for event in events:
+                closed = step.closeAs or closed
+                if event == "place":
+                    step = tx.placed(Stamped(f"w{len(tx.sends)}"), True)
+                elif event == "none":
+                    step = tx.placed(None, True)
+                elif event == "begun":
+                    step = tx.begun()
+                elif event == "piece":
+                    tx.piece_delivered()
+                elif event == "end":
+                    step = tx.ended(200, "body")
+                elif event == "closed":
+                    closed = step.closeAs
+                    step = tx.closed()
+                elif isinstance(event, tuple):
+                    step = tx.failed(f"w{len(tx.sends)}", event[1], "x", 10 ** 6 if event[0] == "late" else 1)
+                else:
+                    step = tx.open_receipt(event, 200, "kept")
+            told = str(step.refusal.verdict) if step.refusal else None
+            self.assertThat((step.name, told, closed), Equals((last, verdict, closeAs)), f"{path} {events}")
+
+    def test_unsafe_without_a_key_is_refused(self):
+        step = transaction("unsafe").begin()
+        self.assertThat((step.name, step.refusal.verdict, step.refusal.field),
+                        Equals(("refuse", Verdict.NOT_RUN, "Idempotency-Key")))
+
+    def test_budget_ends_resends(self):
+        tx = transaction("safe", budget=2.0)
+        step = tx.begin()
+        sends = 0
+        while step.name == "place":
+            tx.placed(Stamped(f"w{sends}"), True)
+            sends += 1
+            step = tx.failed(f"w{sends}", False, "x", 1)
+        self.assertThat((sends, step.name), Equals((3, "refuse")))
+
+
+def event(place, run="r", data=None):
+    return f"id: {place}\ndata: {json.dumps({'id': run}) if data is None else data}\n\n".encode()
+
+
+END = b"data: [DONE]\n\n"
+
+
+class Streams(TestCase):
+    ROWS = [([event(0), event(1), END], 3, ""), ([event(0), END], 2, ""), ([event(0), event(1)], 2, "cut"),
+            ([event(0), event(2), END], 1, "event 2 where 1 was due"), ([event(0), event(0)], 1, "event 0 where 1 was due"),
+            ([event(0), event(1, "other")], 1, "another run"), ([event(0), END, event(1)], 2, "after the end"),
+            ([event(0), b"data: [DO"], 1, "cut"), ([event(0, data="{}")], 0, "an event without an id"), ([], 0, "cut"),
+            ([event(0)[:9], event(0)[9:], END], 2, "")]
+
+    def test_rows(self):
+        for chunks, delivered, fault in self.ROWS:
+            check = StreamCheck()
+            good = [found for chunk in chunks for found in check.feed(chunk)]
+            self.assertThat((len(good), check.close()), Equals((delivered, fault)), str(chunks))
+        whole = b"".join([event(0), event(1), END])
+        check = StreamCheck()
+        good = [found for place in range(len(whole)) for found in check.feed(whole[place:place + 1])]
+        self.assertThat((b"".join(good), check.close()), Equals((whole, "")))
+
+    def test_bodies(self):
+        rows = [(b"{}", 2, "t", ""), (b"{}", 3, "t", "length"), (b"{}", None, "t", "length"),
+                (b"{}", 2, "u", "transaction"), (b"{x", 2, "t", "json")]
+        for data, length, echoed, fault in rows:
+            self.assertThat(check_whole(data, length, "t", echoed), Equals(fault))
+
+
+def news(identity, beat=1, incarnation=1, leaving=False, address="", running=0, waiting=0, slots=8, zone="z"):
+    return WorkerNews(identity=identity, incarnation=incarnation, address=address or f"{identity}:1", zone=zone,
+                      labels=[], beat=beat, running=running, waiting=waiting, slots=slots, cacheUse=0.0, leaving=leaving)
+
+
+class Clocked:
+    address = "10.0.0.1:1"
+
+    def __init__(self):
+        import random
+        self.rng, self.nowMs, self.sent = random.Random(1), 10 ** 6, []
+
+    def now(self):
+        return self.nowMs
+
+    def post(self, to, ref, re, message):
+        self.sent.append((to, message))
+
+    def log(self, *args, **fields):
+        pass
+
+
+class Rosters(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.env = Clocked()
+        self.roster = Roster(lambda: ["e2", "e3"], lambda identity, labels: identity != "stranger")
+        Node(self.env, PARAMS, [self.roster])
+
+    def names(self):
+        return sorted(worker.stamp for worker in self.roster.workers())
+
+    def test_beats_are_flooded_once_and_strangers_get_nothing(self):
+        self.roster.hear(news("w"), "e2")
+        self.roster.hear(news("w"), "e3")
+        self.roster.hear(news("stranger"))
+        self.assertThat([to for to, message in self.env.sent if message.identity == "w"], Equals(["e3"]))
+        self.assertThat(self.names(), Equals(["w/1"]))
+
+    def test_leave_is_final_for_its_incarnation(self):
+        self.roster.hear(news("w"))
+        self.roster.hear(news("w", leaving=True))
+        self.assertThat((self.names(), self.roster.hear(news("w", beat=9))), Equals(([], False)))
+        self.roster.hear(news("w", incarnation=2))
+        self.assertThat(self.names(), Equals(["w/2"]))
+        self.assertThat(self.roster.hear(news("w", beat=99, incarnation=1)), Equals(False))
+
+    def test_silence_failed_connection_and_replacement_take_a_worker_out(self):
+        self.roster.hear(news("w"))
+        self.env.nowMs += PARAMS.workerMs + 1
+        self.assertThat(self.names(), Equals([]))
+        self.roster.hear(news("w", beat=2))
+        self.roster.connection_failed(self.roster.workers()[0])
+        self.assertThat(self.names(), Equals([]))
+        self.roster.hear(news("w", beat=3))
+        self.assertThat(self.names(), Equals([]))
+        self.roster.hear(news("w", beat=4))
+        self.assertThat(self.names(), Equals(["w/1"]))
+        self.roster.hear(news("v", address="w:1"))
+        self.assertThat(self.names(), Equals(["v/1"]))
+
+    def test_buffered_beats_prove_nothing_after_a_freeze(self):
+        self.roster.hear(news("w"))
+        self.roster.woke(5000)
+        self.roster.hear(news("w", beat=2))
+        self.assertThat(self.names(), Equals([]))
+        self.env.nowMs += PARAMS.beatMs + 1
+        self.roster.hear(news("w", beat=3))
+        self.assertThat(self.names(), Equals(["w/1"]))
+
+
+class Placement(TestCase):
+    def workers(self, **loads):
+        made = []
+        for name, (running, waiting, zone) in loads.items():
+            worker = Worker(news(name))
+            worker.take(news(name, running=running, waiting=waiting, zone=zone), 0)
+            made.append(worker)
+        return made
+
+    def test_same_prefix_same_worker_until_its_bound(self):
+        workers = self.workers(a=(0, 0, "z"), b=(0, 0, "z"), c=(0, 0, "z"))
+        first = choose(workers, "p", False, "z", True, 0.0)
+        self.assertThat({choose(workers, "p", False, "z", True, 0.0).identity for _ in range(5)}, Equals({first.identity}))
+        first.running = 8
+        self.assertThat(choose(workers, "p", False, "z", True, 0.0) is first, Equals(False))
+
+    def test_rows(self):
+        rows = [({"a": (8, 0, "z"), "b": (1, 0, "z")}, False, "b"), ({"a": (6, 0, "z")}, True, None),
+                ({"a": (5, 0, "z")}, True, "a"), ({"a": (0, 1, "z")}, True, None), ({"a": (0, 0, "y"), "b": (0, 0, "z")}, False, "b"),
+                ({"a": (0, 0, "y")}, False, "a"), ({"a": (8, 7, "z")}, False, "a"), ({"a": (8, 8, "z")}, False, None), ({}, False, None)]
+        for loads, lot, wanted in rows:
+            chosen = choose(self.workers(**loads), "p", lot, "z", True, 0.25 if lot else 0.0)
+            self.assertThat(chosen and chosen.identity, Equals(wanted), str(loads))
+
+    def test_prefix_is_the_common_start(self):
+        head = "x" * 300
+        self.assertThat(prefix_of({"prompt": head + "a"}), Equals(prefix_of({"prompt": head + "b"})))
+        self.assertThat(prefix_of({"messages": [{"content": "a"}]}) != prefix_of({"messages": [{"content": "b"}]}), Equals(True))
+
+
