--- a/libs/circulation/src/circulation/holding.py
+++ b/libs/circulation/src/circulation/holding.py
@@ -47,7 +47,7 @@
     def address(self) -> str:
         body = self._logKey()
         value = json.loads(body) if body else {}
-        if value.get("epoch", 0) > self._epoch:
+        if value and self._is_news(value["epoch"]):
             self._epoch = value["epoch"]
             self._address = next((row["address"] for row in value["members"] if row["identity"] == value["holder"]), "")
         if not self._address:
@@ -55,6 +55,9 @@
             return self.node.env.rng.choice(stores) if stores else ""
         return self._address
 
+    def _is_news(self, epoch: int) -> bool:
+        return epoch > self._epoch or (epoch == self._epoch and not self._address)
+
     def heard(self, message: m.HolderBeat, askedMs: int) -> None:
         """The claim runs from when it was asked for, not from when the word came."""
         if message.epoch >= self._epoch:
@@ -63,7 +66,7 @@
             self.holderMs = message.holderMs
 
     def redirected(self, receipt: m.NotHolder) -> None:
-        if receipt.epoch > self._epoch and receipt.address:
+        if receipt.address and self._is_news(receipt.epoch):
             self._epoch, self._address = receipt.epoch, receipt.address
 
     def ask(self, message: Message, waitMs: int, done: Callable[[Any], None]) -> None:
--- a/libs/circulation/src/circulation/roster.py
+++ b/libs/circulation/src/circulation/roster.py
@@ -86,6 +86,8 @@
                 and (held.leaving or not news.leaving):
             return True
         nowMs = self.node.env.now()
+        if not news.leaving and not self._displaces(news, nowMs):
+            return False
         if news.leaving:
             if (news.identity, news.incarnation) in self._gone:
                 return True
@@ -95,18 +97,26 @@
             held = Worker(news)
             self.node.env.log("worker-enrolled", worker=news.identity, incarnation=news.incarnation,
                               address=news.address)
-        for other in [other for other in self._workers.values()
-                      if other.address == news.address and other.identity != news.identity]:
-            if not news.leaving:
-                del self._workers[other.identity]
-                self.node.env.log("worker-replaced", worker=other.identity, by=news.identity)
         self._workers[news.identity] = held
         held.take(news, nowMs if nowMs >= self._quietUntilMs else -1 << 40)
-        for address in self._fellows():
+        for address in self._fellows() if nowMs >= self._quietUntilMs else ():
             if address != sender:
                 self.node.post(address, news)
         return True
 
+    def _displaces(self, news: WorkerNews, nowMs: int) -> bool:
+        """Of two workers at one address the one begun later is there, and the other never comes back;
+        old news of it may still be under way."""
+        for other in [other for other in self._workers.values()
+                      if other.address == news.address and other.identity != news.identity]:
+            if self.usable(other) and other.incarnation > news.incarnation:
+                self._gone[(news.identity, news.incarnation)] = nowMs
+                return False
+            del self._workers[other.identity]
+            self._gone[(other.identity, other.incarnation)] = nowMs
+            self.node.env.log("worker-replaced", worker=other.identity, by=news.identity)
+        return True
+
     def connection_failed(self, worker: Worker) -> None:
         """Out until a beat that was sent after the failure shows it alive."""
         worker.downBeat = worker.beat
--- a/libs/ledger/src/ledger/dealing.py
+++ b/libs/ledger/src/ledger/dealing.py
@@ -88,7 +88,8 @@
         return work, safeOnly
 
     def finish(self, message: m.Finish, reply: Callable[[Message], None]) -> None:
-        """An outcome of `again` hands a claim back: the item certainly has not run."""
+        """An outcome of `again` hands a claim back: the item certainly has not run. What is not safe to
+        repeat is acknowledged once settled: an edge that forgot it would make it look never begun."""
         ledger = self._holder.ledger
         lot = ledger.lots.get(message.lotId)
         self._edges[message.edge] = self._node.env.now()
@@ -113,7 +114,7 @@
             reply(m.FinishReceipt(ok=outcome == "kept", batonEpoch=lot.batonEpoch if mine else 0,
                                   upTo=lot.ready if mine else 0))
 
-        self._holder.append(rows, False, logged, True)
+        self._holder.append(rows, not lot.safe, logged, True)
 
     def _finished_next(self, lot: Lot, message: m.Finish) -> bool:
         return message.index == lot.placed
--- a/tests/test_circulation.py
+++ b/tests/test_circulation.py
@@ -174,8 +174,11 @@
         self.assertThat(self.names(), Equals([]))
         self.roster.hear(news("w", beat=4))
         self.assertThat(self.names(), Equals(["w/1"]))
-        self.roster.hear(news("v", address="w:1"))
-        self.assertThat(self.names(), Equals(["v/1"]))
+        self.roster.hear(news("v", address="w:1", incarnation=2))
+        self.assertThat(self.names(), Equals(["v/2"]))
+        for late in (news("w", beat=5), news("u", address="w:1")):
+            self.assertThat(self.roster.hear(late), Equals(False))
+        self.assertThat(self.names(), Equals(["v/2"]))
 
     def test_buffered_beats_prove_nothing_after_a_freeze(self):
         self.roster.hear(news("w"))
