--- a/libs/facsimile/src/facsimile/cli.py
+++ b/libs/facsimile/src/facsimile/cli.py
@@ -1,11 +1,17 @@
 """The test tools' command line: a stand-in worker, and a fleet on one machine."""
 
 import asyncio
+import json
 import signal
-from typing import Annotated
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from typing import Annotated, Literal
 
 from cyclopts import App, Parameter
 
+from facsimile.days import DAYS, run_day
+from facsimile.report import day_report
+from facsimile.sim import run_seed
 from facsimile.worker import StandInWorker
 
 __all__ = ["main"]
@@ -25,7 +31,7 @@
 @app.command
 def worker(*, identity: str, http: str, edge: Annotated[list[str], Parameter(negative=())], zone: str = "a",
            label: Annotated[list[str] | None, Parameter(negative=())] = None, slots: int = 8, tokenMs: float = 2.0,
-           tokens: int = 12, prefillMs: float = 20.0, cachePrefixes: int = 32) -> None:
+           tokens: int = 12, prefillMs: float = 20.0, cachePrefixes: int = 32, runsFile: str = "") -> None:
     """Run a stand-in model worker until SIGTERM, on which it leaves.
 
     Parameters
@@ -40,9 +46,65 @@
     tokens: how many tokens an answer has unless the call says otherwise.
     prefillMs: what a prompt whose prefix is not cached costs.
     cachePrefixes: how many prefixes the cache holds.
+    runsFile: where each run is noted as a JSON line, for the oracle.
     """
     asyncio.run(_work(StandInWorker(identity, http, edge, zone, label, slots, tokenMs, tokens, prefillMs,
-                                    cachePrefixes)))
+                                    cachePrefixes, runsFile=runsFile)))
+
+
+@app.command
+def fleet(*, shape: Literal["jade", "swan", "thin"] = "jade", day: str = "owner-and-holder", seed: int = 1,
+          folder: str = "fleet-data", rate: float = 6.0, seconds: float = 15.0, basePort: int = 24000) -> None:
+    """Bring up a whole fleet on this machine, cause a day's faults under traffic, and print a report.
+
+    Parameters
+    ----------
+    shape: jade (six edges, seven workers), swan (eight edges, six workers) or thin.
+    day: calm, owner-and-holder, weather, members or last-fault.
+    seed: for traffic and faults.
+    folder: where data and logs go; it is emptied first.
+    rate: rulings and flags a second, each; other live calls come at half of it.
+    seconds: how long traffic goes on at the least.
+    basePort: first loopback port to use.
+    """
+    if day not in DAYS:
+        sys.stderr.write(f"day: one of {', '.join(DAYS)}\n")
+        raise SystemExit(2)
+    try:
+        traffic, broken = asyncio.run(run_day(shape, day, seed, folder, rate, seconds, basePort))
+    except AssertionError as error:
+        sys.stderr.write(f"{error}\n")
+        raise SystemExit(1) from error
+    sys.stdout.write(day_report(traffic, broken) + "\n")
+    if broken:
+        raise SystemExit(1)
+
+
+def _one(job: tuple[int, int]) -> tuple[int, dict[str, list[str]], list[tuple[float, str]]]:
+    found, run = run_seed(job[0], job[1])
+    return job[0], found, [(round(atMs), event) for atMs, who, event, _ in run.fleet.events if who == "fault"]
+
+
+@app.command
+def sim(*, first: int = 0, count: int = 32, faults: int = 6, jobs: int = 8) -> None:
+    """Run simulated fleets with faults drawn from seeds; a broken rule is printed with its schedule.
+
+    Parameters
+    ----------
+    first: the first seed.
+    count: how many seeds.
+    faults: how many faults in each run.
+    jobs: how many runs at a time.
+    """
+    broken = 0
+    with ProcessPoolExecutor(jobs) as pool:
+        for seed, found, rows in pool.map(_one, [(seed, faults) for seed in range(first, first + count)]):
+            if found:
+                broken += 1
+                sys.stdout.write(json.dumps({"seed": seed, "faults": rows, "broken": found}) + "\n")
+    sys.stdout.write(f"{count} seeds, {broken} broke a rule\n")
+    if broken:
+        raise SystemExit(1)
 
 
 def main() -> None:
--- /dev/null
+++ b/libs/facsimile/src/facsimile/days.py
@@ -0,0 +1,185 @@
+"""A day in short: a fleet on this machine under traffic, a named schedule of real faults, the probes
+after the last of them, everything read again, and the oracle's word on the whole. Each fault causes
+one thing that the brief says fails, as far as processes on one machine can; cuts and lost power are
+the simulator's."""
+
+import asyncio
+import random
+import shutil
+import signal
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from facsimile.fleet import SHAPES, Fleet, Member, until
+from facsimile.sim.oracle import judge
+from facsimile.traffic import TREE, Traffic
+
+__all__ = ["DAYS", "run_day"]
+
+Fault = Callable[[Fleet, random.Random], Awaitable[None]]
+
+
+async def _back(member: Member, afterMs: int) -> None:
+    await asyncio.sleep(afterMs / 1000)
+    member.start()
+
+
+async def _holder(fleet: Fleet) -> Member | None:
+    for member in fleet.of("store"):
+        status, body = await fleet.get(member, "/status")
+        if status == 200 and body["logRole"] == "serving":
+            return member
+    return None
+
+
+async def _owner(fleet: Fleet) -> Member | None:
+    _, body = await fleet.get(fleet.of("control")[0], "/members")
+    owner = body["keys"].get("profiles", {}).get("owner")
+    link = next((row["link"] for row in body["members"] if row["identity"] == owner), "")
+    return next((member for member in fleet.of("control") if member.link == link), None)
+
+
+async def kill_holder(fleet: Fleet, rng: random.Random) -> None:
+    if (member := await _holder(fleet)) is not None:
+        member.kill()
+        await _back(member, 2500)
+
+
+async def kill_owner(fleet: Fleet, rng: random.Random) -> None:
+    if (member := await _owner(fleet)) is not None:
+        member.kill()
+        await _back(member, 2500)
+
+
+async def kill_edge(fleet: Fleet, rng: random.Random) -> None:
+    member = rng.choice(fleet.of("edge"))
+    member.kill()
+    await _back(member, 800)
+
+
+async def drain_edge(fleet: Fleet, rng: random.Random) -> None:
+    member = rng.choice(fleet.of("edge"))
+    member.signal(signal.SIGTERM)
+    while member.runs:
+        await asyncio.sleep(0.1)
+    member.start()
+
+
+async def _freeze(member: Member | None, forMs: int) -> None:
+    if member is not None:
+        member.signal(signal.SIGSTOP)
+        await asyncio.sleep(forMs / 1000)
+        member.signal(signal.SIGCONT)
+
+
+async def freeze_holder(fleet: Fleet, rng: random.Random) -> None:
+    await _freeze(await _holder(fleet), 4000)
+
+
+async def freeze_owner(fleet: Fleet, rng: random.Random) -> None:
+    await _freeze(await _owner(fleet), 3000)
+
+
+async def freeze_edge(fleet: Fleet, rng: random.Random) -> None:
+    await _freeze(rng.choice(fleet.of("edge")), 3500)
+
+
+async def swap_store(fleet: Fleet, rng: random.Random) -> None:
+    """A store machine goes with its disk; an empty one comes at a new address."""
+    rng.choice(fleet.of("store")).kill()
+    fleet.add("store", f"store{len(fleet.members) + 1}").start()
+
+
+async def swap_control(fleet: Fleet, rng: random.Random) -> None:
+    rng.choice(fleet.of("control")[3:]).kill()
+    fleet.add("control", f"control{len(fleet.members) + 1}").start()
+
+
+async def retire_store(fleet: Fleet, rng: random.Random) -> None:
+    """An empty store machine comes, then one that is in use is emptied and retired."""
+    fleet.add("store", f"store{len(fleet.members) + 1}").start()
+    _, body = await fleet.get(rng.choice(fleet.of("store")[:3]), "/status")
+    await fleet.ask("POST", fleet.of("control")[0].http, "/retired", {"identity": body["identity"]})
+
+
+async def stores_at_once(fleet: Fleet, rng: random.Random) -> None:
+    stores = fleet.of("store")
+    for member in stores:
+        member.kill()
+    await asyncio.gather(*[_back(member, 1000) for member in stores])
+
+
+async def all_at_once(fleet: Fleet, rng: random.Random) -> None:
+    members = [member for member in fleet.members.values() if member.runs]
+    for member in members:
+        member.kill()
+    rng.shuffle(members)
+    await asyncio.gather(*[_back(member, 800 + 50 * place) for place, member in enumerate(members)])
+
+
+async def kill_worker(fleet: Fleet, rng: random.Random) -> None:
+    rng.choice([member for member in fleet.workers.values() if member.runs]).kill()
+    fleet.add_worker(f"worker{len(fleet.workers) + 1}").start()
+
+
+async def roll_workers(fleet: Fleet, rng: random.Random) -> None:
+    """Every worker leaves, one after another, and another one comes for it."""
+    for member in [member for member in fleet.workers.values() if member.runs]:
+        member.signal(signal.SIGTERM)
+        fleet.add_worker(f"worker{len(fleet.workers) + 1}").start()
+        await asyncio.sleep(0.7)
+
+
+DAYS: dict[str, list[tuple[float, Fault]]] = {
+    "calm": [], "owner-and-holder": [(4, kill_holder), (9, kill_owner)],
+    "weather": [(3, kill_edge), (5, kill_worker), (7, freeze_edge), (12, freeze_holder), (18, freeze_owner),
+                (22, drain_edge), (26, kill_holder), (31, stores_at_once)],
+    "members": [(3, swap_store), (12, swap_control), (24, retire_store), (32, roll_workers)],
+    "last-fault": [(4, kill_holder), (9, all_at_once)]}
+
+
+async def _probe(traffic: Traffic, limitMs: float) -> None:
+    """Service is back once each of these works; each is tried until it does, or the time is up."""
+    beganMs = traffic.nowMs()
+    tries: dict[str, Callable[[], Awaitable[dict[str, Any]]]] = {
+        "live": lambda: traffic.live("rulings", True), "move": lambda: traffic.live("moves", False),
+        "lot": lambda: traffic.hand_in(1), "change": lambda: traffic.change(1)}
+    good = ("finish", "replay", "admitted", "known", "waiting-room-full", "ok", "lost")
+
+    async def one(what: str) -> None:
+        seen = "nothing"
+        while traffic.nowMs() - beganMs < limitMs:
+            row = await tries[what]()
+            seen = row["outcome"]
+            if seen in good:
+                break
+            await asyncio.sleep(0.2)
+        traffic.history.add("probe", traffic.nowMs(), what=what, worked=seen in good, seen=seen,
+                            afterMs=traffic.nowMs() - beganMs)
+
+    await asyncio.gather(*[one(what) for what in tries])
+
+
+async def run_day(shape: str, day: str, seed: int, folder: str, rate: float, lastS: float,
+                  basePort: int = 24000) -> tuple[Traffic, dict[str, list[str]]]:
+    shutil.rmtree(folder, ignore_errors=True)
+    rng = random.Random(seed)
+    async with Fleet(folder, SHAPES[shape], basePort) as fleet:
+        await fleet.found(TREE)
+        await fleet.workers_known(SHAPES[shape]["workers"])
+        traffic = Traffic(fleet, seed, rate)
+        traffic.start()
+        faults = []
+        for atS, fault in DAYS[day]:
+            await asyncio.sleep(max(0.0, atS - traffic.nowMs() / 1000))
+            traffic.history.add("fault", traffic.nowMs(), what=fault.__name__)
+            faults.append(asyncio.ensure_future(fault(fleet, rng)))
+        await asyncio.sleep(max(0.0, lastS - traffic.nowMs() / 1000))
+        await asyncio.gather(*faults)
+        await _probe(traffic, 12_000)
+        await traffic.stop()
+        for lotId, lot in traffic.lots.items():
+            if lot["acked"]:
+                await until(lambda lotId=lotId: traffic.read(lotId, 0, True), 20_000, f"{lotId} can be read")
+        traffic.take_worker_runs()
+    return traffic, judge(traffic.history)
--- a/libs/facsimile/src/facsimile/fleet.py
+++ b/libs/facsimile/src/facsimile/fleet.py
@@ -113,7 +113,8 @@
         http = self._address()
         edges = [member.http for member in self.members.values() if member.role == "edge"]
         command = [sys.executable, "-m", "facsimile.cli", "worker", "--identity", name, "--http", http, "--zone",
-                   ZONES[len(self.workers) % len(ZONES)], "--label", "gpu", *extra]
+                   ZONES[len(self.workers) % len(ZONES)], "--label", "gpu", "--runs-file",
+                   str(self.folder / f"{name}.runs"), *extra]
         for edge in edges:
             command += ["--edge", edge]
         member = Member(name, "worker", "", http, command, self.folder / f"{name}.log")
--- /dev/null
+++ b/libs/facsimile/src/facsimile/report.py
@@ -0,0 +1,51 @@
+"""The report of a day: what was answered, refused, doubtful and late, by path; how long it took; and
+what the oracle says."""
+
+from collections import Counter
+from typing import Any
+
+__all__ = ["day_report", "spread"]
+
+_LATE_MS = {"rulings": 2000, "flags": 2000, "narrations": 5000, "reasons": 5000, "moves": 5000, "lots of 80": 10_000}
+
+
+def spread(values: list[float]) -> str:
+    rows = sorted(values)
+    if not rows:
+        return "none"
+    places = [rows[min(len(rows) - 1, int(len(rows) * share))] for share in (0.5, 0.9, 0.99)]
+    return f"{len(rows)} answers, 50% {places[0]:.0f} ms, 90% {places[1]:.0f} ms, 99% {places[2]:.0f} ms, most {rows[-1]:.0f} ms"
+
+
+def day_report(traffic: Any, broken: dict[str, list[str]]) -> str:
+    lines = ["faults:"]
+    lines += [f"  {row['atMs'] / 1000:6.1f} s  {row['what']}" for row in traffic.history.of("fault")] or ["  none"]
+    table: dict[str, Counter] = {}
+    for (path, verdict, code), count in traffic.outcomes.items():
+        kind = {"ran": "answered", "notRun": "refused"}.get(verdict, "doubtful")
+        table.setdefault(path, Counter())[kind] += count
+        if kind != "answered":
+            table[path][f"{kind} {code}"] += count
+    lines.append("callers saw (answered / refused / doubtful / late):")
+    for path, counts in sorted(table.items()):
+        limitMs = _LATE_MS.get(path)
+        late = sum(1 for value in traffic.latencyMs.get(path, []) if limitMs and value > limitMs)
+        reasons = ", ".join(f"{name}: {count}" for name, count in sorted(counts.items()) if " " in name)
+        lines.append(f"  {path:16} {counts['answered']:6} /{counts['refused']:5} /{counts['doubtful']:5} /{late:5}"
+                     + (f"   ({reasons})" if reasons else ""))
+    lines.append("time to the last byte:")
+    for path, values in sorted(traffic.latencyMs.items()):
+        lines.append(f"  {path:16} {spread(values)}; {sum(1 for value in values if value > _LATE_MS.get(path, 1e9))} late")
+    back = [row for row in traffic.history.of("probe")]
+    lines.append("after the last fault: " + ", ".join(
+        f"{row['what']} {'back' if row['worked'] else 'NOT back'} within {row['afterMs'] / 1000:.1f} s" for row in back))
+    runs = traffic.history.of("run")
+    lines.append(f"workers ran {len(runs)} times; lots accepted {sum(1 for lot in traffic.lots.values() if lot['acked'])}, "
+                 f"done {sum(1 for lot in traffic.lots.values() if lot['doneMs'])}")
+    if broken:
+        for name, rows in broken.items():
+            lines.append(f"BROKEN {name}: {len(rows)}")
+            lines += [f"    {row}" for row in rows[:5]]
+    else:
+        lines.append("oracle: no rule of what must never happen was broken")
+    return "\n".join(lines)
--- /dev/null
+++ b/libs/facsimile/src/facsimile/traffic.py
@@ -0,0 +1,271 @@
+"""Traffic against a real fleet, as its callers bring it, and the history of what they saw, in the rows
+that the oracle judges. What a worker ran comes from the lines it wrote, so a killed one counts too."""
+
+import asyncio
+import json
+import random
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from facsimile.fleet import Fleet
+from facsimile.sim.history import History
+
+__all__ = ["TREE", "Traffic"]
+
+ROOM = 6
+TREE: dict[str, Any] = {"profiles": {
+    "base": {"abstract": True, "workers": {"labels": ["gpu"]}},
+    "rulings": {"parent": "base", "deadlineMs": 2000}, "flags": {"parent": "base", "deadlineMs": 2000},
+    "narrations": {"parent": "base", "deadlineMs": 5000}, "reasons": {"parent": "base", "deadlineMs": 5000},
+    "moves": {"parent": "base", "repeatable": False, "deadlineMs": 5000},
+    "summaries": {"parent": "base", "waitingRoom": ROOM},
+    "claims": {"parent": "base", "repeatable": False, "waitingRoom": ROOM}}}
+_LIVE = (("rulings", True, 1.0), ("flags", False, 1.0), ("narrations", True, 0.5), ("reasons", False, 0.5),
+         ("moves", False, 0.3))
+_PATIENCE_S = 12.0
+
+
+class Traffic:
+    def __init__(self, fleet: Fleet, seed: int, rate: float) -> None:
+        self.fleet, self.rng, self.rate = fleet, random.Random(seed), rate
+        self.history = History(seed=seed, room=ROOM, allowed=["gpu"])
+        self.latencyMs: dict[str, list[float]] = {}
+        self.outcomes: Counter = Counter()
+        self.lots: dict[str, dict[str, Any]] = {}
+        self.version = 1
+        self.stopping = False
+        self._startedAt = time.time()
+        self._count = 0
+        self._tasks: set[asyncio.Task] = set()
+
+    def nowMs(self) -> float:
+        return (time.time() - self._startedAt) * 1000
+
+    def _spawn(self, work: Any) -> asyncio.Task:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _edge(self, avoid: str = "") -> str:
+        edges = [member.http for member in self.fleet.of("edge") if member.http != avoid]
+        return self.rng.choice(edges) if edges else ""
+
+    def start(self) -> None:
+        for path, stream, share in _LIVE:
+            self._spawn(self._every(1.0 / (self.rate * share), lambda path=path, stream=stream: self.live(path, stream)))
+        self._spawn(self._every(1.2, lambda: self.hand_in()))
+        self._spawn(self._every(0.3, lambda: self.read()))
+        self._spawn(self._every(2.5, lambda: self.change()))
+        self._spawn(self._every(4.0, lambda: self.end()))
+        self._spawn(self._every(0.25, self.sample))
+
+    async def _every(self, seconds: float, work: Any) -> None:
+        while not self.stopping:
+            self._spawn(work())
+            await asyncio.sleep(seconds * (0.5 + self.rng.random()))
+
+    async def stop(self) -> None:
+        self.stopping = True
+        while self._tasks:
+            await asyncio.wait(set(self._tasks))
+
+    # -- live ----------------------------------------------------------------------------------
+
+    async def live(self, path: str, stream: bool, key: str = "", avoid: str = "", tries: int = 3) -> dict[str, Any]:
+        self._count += 1
+        number = self._count
+        if path == "moves" and not key:
+            key = f"key{number}"
+        row = self.history.add("call", self.nowMs(), call=f"call{number}", path=path, key=key, edge=self._edge(avoid),
+                               outcome="lost", verdict="mayHaveRun", pieces=[], transaction="", body="", code="",
+                               answeredMs=0.0)
+        call = {"model": path, "prompt": f"{path} table {number % 20}, " + (key or f"turn {number}"), "stream": stream}
+        beganMs = self.nowMs()
+        try:
+            async with self.fleet.session.post(f"http://{row['edge']}/v1/completions", json=call,
+                                               headers={"Idempotency-Key": key} if key else None,
+                                               timeout=aiohttp.ClientTimeout(total=_PATIENCE_S)) as answer:
+                await self._take(row, answer, stream)
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            row["outcome"] = "cut" if row["pieces"] else "lost"
+        row["answeredMs"] = self.nowMs()
+        if row["verdict"] == "ran":
+            self.latencyMs.setdefault(path, []).append(row["answeredMs"] - beganMs)
+        self.outcomes[(path, row["verdict"], row["code"] or row["outcome"])] += 1
+        if key and row["verdict"] == "mayHaveRun" and tries > 1:
+            await asyncio.sleep(0.2)
+            await self.live(path, stream, key, row["edge"], tries - 1)
+        return row
+
+    async def _take(self, row: dict[str, Any], answer: aiohttp.ClientResponse, stream: bool) -> None:
+        row["transaction"] = answer.headers.get("X-Vaneledge-Transaction", "")
+        if answer.status != 200:
+            error = json.loads(await answer.text())["error"]
+            row.update(outcome="error", verdict=error["verdict"], code=error["code"])
+        elif not stream:
+            body = await answer.json()
+            words = body["choices"][0]["text"].split()
+            row.update(outcome="replay" if answer.headers.get("X-Vaneledge-Replayed") == "true" else "finish",
+                       verdict="ran", body="|".join(f"{body['id']}:{place}" for place in range(len(words))))
+            row["pieces"] = row["body"].split("|") if row["outcome"] == "finish" else []
+        else:
+            async for line in answer.content:
+                text = line.decode().strip()
+                if text.startswith("id: "):
+                    place = text[4:]
+                elif text == "data: [DONE]":
+                    row.update(outcome="finish", verdict="ran", body="|".join(row["pieces"]))
+                elif text.startswith("data: ") and '"error"' not in text:
+                    row["pieces"].append(f"{json.loads(text[6:])['id']}:{place}")
+            if row["outcome"] != "finish":
+                row["outcome"] = "cut"
+
+    # -- lots ----------------------------------------------------------------------------------
+
+    async def hand_in(self, tries: int = 3, lotId: str = "", avoid: str = "") -> dict[str, Any]:
+        if not lotId:
+            lotId = f"lot{len(self.lots) + 1}"
+            path = self.rng.choice(("summaries", "summaries", "claims"))
+            self.lots[lotId] = {"path": path, "count": 80, "beganMs": self.nowMs(), "doneMs": 0.0, "seen": 0,
+                                "acked": False}
+        lot = self.lots[lotId]
+        row = self.history.add("hand-in", self.nowMs(), lot=lotId, path=lot["path"], outcome="none",
+                               verdict="mayHaveRun", count=80, answeredMs=0.0)
+        edge = self._edge(avoid)
+        try:
+            status, body = await self.fleet.ask("PUT", edge, f"/lots/{lotId}", {"path": lot["path"], "items": [
+                {"prompt": f"{lot['path']} {lotId} item {place}"} for place in range(80)]})
+            if status in (200, 201):
+                row.update(outcome="admitted" if status == 201 else "known", verdict="ran")
+                lot["acked"] = True
+            else:
+                row.update(outcome=body["error"]["code"], verdict=body["error"]["verdict"])
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            row["outcome"] = "lost"
+        row["answeredMs"] = self.nowMs()
+        self.outcomes[("lot " + lot["path"], row["verdict"], row["outcome"])] += 1
+        if row["verdict"] == "mayHaveRun" and tries > 1:
+            await asyncio.sleep(0.2)
+            await self.hand_in(tries - 1, lotId, edge)
+        return row
+
+    async def read(self, lotId: str = "", start: int | None = None, final: bool = False) -> bool:
+        live = [name for name, lot in self.lots.items() if lot["acked"] and not lot["doneMs"]]
+        if not lotId:
+            if not live:
+                return False
+            lotId = self.rng.choice(live)
+        lot = self.lots[lotId]
+        start = start if start is not None else self.rng.choice((0, lot["seen"]))
+        try:
+            status, body = await self.fleet.ask("GET", self._edge(), f"/lots/{lotId}/results?from={start}")
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+        if status not in (200, 404):
+            return False
+        rows = [(row["index"], row["verdict"], _flat(row)) for row in body.get("results", [])]
+        outcome = "known" if status == 200 else "missing"
+        self.history.add("read", self.nowMs(), lot=lotId, outcome=outcome, start=start, listed=body.get("listed", 0),
+                         total=body.get("total", 0), ended=body.get("ended", False), results=rows)
+        if final:
+            self.history.add("final", self.nowMs(), lot=lotId, outcome=outcome, listed=body.get("listed", 0))
+        if status == 200:
+            lot["seen"] = max(lot["seen"], body["listed"])
+            if (body["listed"] >= body["total"] or body["ended"]) and not lot["doneMs"]:
+                lot["doneMs"] = self.nowMs()
+                if not body["ended"]:
+                    self.latencyMs.setdefault("lots of 80", []).append(lot["doneMs"] - lot["beganMs"])
+        return True
+
+    async def end(self) -> None:
+        live = [name for name, lot in self.lots.items() if lot["acked"] and not lot["doneMs"]]
+        if live:
+            lotId = self.rng.choice(live)
+            try:
+                status, _ = await self.fleet.ask("DELETE", self._edge(), f"/lots/{lotId}")
+            except (aiohttp.ClientError, OSError, TimeoutError):
+                return
+            if status == 200:
+                self.history.add("end", self.nowMs(), lot=lotId)
+
+    # -- operators, samples ----------------------------------------------------------------------
+
+    async def change(self, tries: int = 3, mark: str = "", named: int = 0) -> dict[str, Any]:
+        self._count += 1
+        mark = mark or f"change{self._count}"
+        named = named or self.version
+        row = self.history.add("change", self.nowMs(), mark=mark, named=named, outcome="doubt", version=0, answeredMs=0.0)
+        control = self.rng.choice(self.fleet.of("control")).http
+        tree = {"profiles": {**TREE["profiles"], f"mark-{mark}": {"abstract": True}}}
+        try:
+            status, body = await self.fleet.ask("PUT", control, "/profiles",
+                                                {"version": named, "changeId": mark, "tree": tree})
+            outcome = {200: "ok", 409: "lost"}.get(status, "doubt")
+            row.update(outcome=outcome, version=body.get("version", 0))
+            if outcome == "lost":
+                _, shown = await self.fleet.ask("GET", control, "/profiles")
+                self.version = max(self.version, shown.get("version", 0))
+            self.version = max(self.version, row["version"])
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            pass
+        row["answeredMs"] = self.nowMs()
+        self.outcomes[("change", {"ok": "ran", "lost": "notRun"}.get(row["outcome"], "mayHaveRun"), row["outcome"])] += 1
+        if row["outcome"] == "doubt" and tries > 1:
+            await asyncio.sleep(0.2)
+            await self.change(tries - 1, mark, named)
+        return row
+
+    async def sample(self) -> None:
+        """`beganMs` of a sample is when it was asked for: what it shows may be as old as that."""
+        for member in self.fleet.of("edge"):
+            beganMs = self.nowMs()
+            try:
+                status, body = await self.fleet.ask("GET", member.http, "/status", waitMs=800)
+            except (aiohttp.ClientError, OSError, TimeoutError):
+                continue
+            self.history.add("sample", beganMs, edge=member.name, life=body["identity"], ready=body["ready"],
+                             number=body["feed"].get("profiles", 0), mark="")
+
+    def take_worker_runs(self) -> None:
+        """Adds what the workers wrote; a run's call is found by the transaction that each call was given."""
+        byTransaction = {row["transaction"]: row for row in self.history.of("call") if row["transaction"]}
+        for path in sorted(Path(self.fleet.folder).glob("*.runs")):
+            for line in path.read_text().splitlines():
+                try:
+                    row = json.loads(line)
+                except ValueError:
+                    continue
+                atMs = row["wallMs"] - self._startedAt * 1000
+                if row["kind"] == "run":
+                    self._add_run(row, atMs, byTransaction)
+                elif row["kind"] == "run-ended":
+                    self.history.add("run-ended", atMs, worker=row["worker"], transaction=row["transaction"],
+                                     pieces=row["pieces"])
+                else:
+                    self.history.add("worker-left", atMs, worker=row["worker"], how=row["kind"])
+        self.history.rows.sort(key=lambda row: row["atMs"])
+
+    def _add_run(self, row: dict[str, Any], atMs: float, byTransaction: dict[str, Any]) -> None:
+        words = row["prompt"].split()
+        call = byTransaction.get(row["transaction"])
+        isItem = "item" in words
+        safe = row["path"] not in ("moves", "claims")
+        key = next((word for word in words if word.startswith("key")), "")
+        self.history.add("run", atMs, worker=row["worker"], identity=row["identity"], labels=row["labels"],
+                         address=row["address"], transaction=row["transaction"], path=row["path"], safe=safe, body="",
+                         call=call["call"] if call else ("" if not isItem else f"item:{words[1]}:{words[3]}"),
+                         lot=words[1] if isItem else "", index=int(words[3]) if isItem else -1, key=key)
+        self.history.add("send", atMs, worker=row["worker"], transaction=row["transaction"])
+
+
+def _flat(row: dict[str, Any]) -> str:
+    body = row["body"]
+    if row["verdict"] != "ran":
+        return json.dumps(body, sort_keys=True)
+    words = body["choices"][0]["text"].split()
+    return "|".join(f"{body['id']}:{place}" for place in range(len(words)))
--- a/libs/facsimile/src/facsimile/worker.py
+++ b/libs/facsimile/src/facsimile/worker.py
@@ -22,7 +22,7 @@
 class StandInWorker(Service):
     def __init__(self, identity: str, address: str, edges: list[str], zone: str = "a", labels: list[str] | None = None,
                  slots: int = 8, tokenMs: float = 2.0, tokens: int = 12, prefillMs: float = 20.0,
-                 cachePrefixes: int = 32, beatMs: int = 300) -> None:
+                 cachePrefixes: int = 32, beatMs: int = 300, runsFile: str = "") -> None:
         super().__init__()
         self.identity, self.address, self.edges = identity, address, edges
         self.zone, self.labels, self.slots = zone, labels or [], slots
@@ -38,6 +38,12 @@
         self._gate = asyncio.Semaphore(slots)
         self._waiting = 0
         self._leaving = False
+        self._runsPage = open(runsFile, "a", buffering=1) if runsFile else None
+
+    def _note(self, kind: str, **fields: Any) -> None:
+        if self._runsPage is not None:
+            self._runsPage.write(json.dumps({"kind": kind, "wallMs": time.time_ns() // 1_000_000,
+                                             "worker": f"{self.identity}/{self.incarnation}", **fields}) + "\n")
 
     async def on_start(self) -> None:
         app = web.Application()
@@ -57,6 +63,7 @@
 
     async def leave(self) -> None:
         self._leaving = True
+        self._note("left")
         await self._tell("/workers/leave", {"identity": self.identity, "incarnation": self.incarnation})
 
     # -- beats ---------------------------------------------------------------------------------
@@ -103,10 +110,12 @@
             run = {"transaction": transaction, "startedMs": time.time_ns() // 1_000_000, "ended": False,
                    "path": body.get("model", ""), "prompt": str(body.get("prompt") or body.get("messages"))[-80:]}
             self.runs.append(run)
+            self._note("run", identity=self.identity, labels=self.labels, address=self.address, **run)
             try:
                 await self._prefill(prefix_of(body))
                 answer = await (self._stream if body.get("stream") else self._whole)(request, body, transaction, headers)
                 run["ended"] = True
+                self._note("run-ended", transaction=transaction, pieces=len(self._words(body)))
                 return answer
             finally:
                 self._running -= 1
