--- /dev/null
+++ b/tests/log_table.py
@@ -0,0 +1,103 @@
+"""Three stores at one table, without a fleet: messages are passed with a millisecond's delay, stores
+can be cut off, disks can lose power, and time is set by the test."""
+
+from accession import Holder, LocalLog, Recovery
+from accession.peer import PeerSide
+from colophon import Params
+from facsimile.sim.disks import SimDisk
+from facsimile.sim.virtual import VirtualTime
+from ledger import entries
+from vellum import decode
+
+PARAMS = Params(role="store", link="10.0.0.1:1", http="10.0.0.1:2", zone="z", seeds=["10.0.0.1:1"], dataFolder="d",
+                deltaMs=50, flushMs=1000, segmentBytes=4096)
+
+
+class _Machine:
+    """What a simulated disk wants to know of its host."""
+
+    def __init__(self):
+        self.up, self.frozen, self.life = True, False, 1
+
+    def when_awake(self, what, life):
+        if self.up:
+            what()
+
+
+class Table:
+    """Three stores at one table: messages are passed by hand or by deliver(), time is set."""
+
+    def __init__(self, seed=1):
+        self.time = VirtualTime(seed)
+        self.wallMs = 1_000_000
+        self.disks = {}
+        self.machines = {}
+        self.logs = {}
+        self.peers = {}
+        self.cut = set()
+        self.holder = None
+        self.deposedBy = []
+        for name in ("a", "b", "c"):
+            self.disks[name] = SimDisk(self.time, 1 << 20, 1.0)
+            self.open(name)
+
+    def open(self, name):
+        self.machines[name] = _Machine()
+        self.disks[name].bind(self.machines[name])
+        self.logs[name] = LocalLog(self.disks[name], PARAMS, self.now, lambda: name)
+        self.peers[name] = PeerSide(self.logs[name])
+
+    def now(self):
+        return int(self.time.nowMs)
+
+    def members(self):
+        return [(self.logs[name].identity, name) for name in ("a", "b", "c")]
+
+    def hold(self, name, epoch, members=None):
+        self.logs[name].keep_meta(lambda ok: None, fence=epoch, logEpoch=epoch)
+        self.run(10)
+        self.holder = Holder(self.logs[name], epoch, members or self.members(), PARAMS, self.now, lambda: self.wallMs,
+                             self.post, self.deposedBy.append)
+        self.holderName = name
+        return self.holder
+
+    def post(self, to, message):
+        if to not in self.cut:
+            self.time.after(1, lambda: self.peers[to].receive(message, lambda receipt: self.back(to, receipt)))
+
+    def back(self, sender, receipt):
+        if sender not in self.cut:
+            self.time.after(1, lambda: self.holder.answered(receipt, sender) if self.holder else None)
+
+    def ask(self, to, message, waitMs, done):
+        if to in self.cut:
+            self.time.after(waitMs, lambda: done(None))
+        else:
+            self.time.after(1, lambda: self.peers[to].receive(message, done))
+
+    def run(self, forMs):
+        endMs = self.time.nowMs + forMs
+        while self.time.nowMs < endMs:
+            self.time.run_until(min(endMs, self.time.nowMs + 10))
+            if self.holder is not None:
+                self.holder.tick()
+
+    def append(self, key, settled=False):
+        outcomes = []
+        self.holder.append([entry(key)], settled, outcomes.append)
+        return outcomes
+
+    def recover(self, name, epoch, members=None):
+        outcome = []
+        recovery = Recovery(self.logs[name], epoch, members or self.members(), PARAMS, self.ask, self.now, outcome.append)
+        self.holder = None
+        recovery.start()
+        self.run(3000)
+        return outcome
+
+    def keys(self, name):
+        return [decode(decode(record.bytes[8:]).body).key for record in self.logs[name].records]
+
+
+def entry(key):
+    return entries.KeyOpened(key=key, digest="d", edge="e", transaction="t", atMs=0)
