--- a/libs/accession/src/accession/store.py
+++ b/libs/accession/src/accession/store.py
@@ -242,7 +242,7 @@
 
     def _become(self, role: Role, epoch: int) -> None:
         if role is not self.role:
-            self.node.env.log("log-role", "INFO", role=str(role), was=str(self.role), epoch=epoch)
+            self.node.env.log("log-role", "INFO", became=str(role), was=str(self.role), epoch=epoch)
         self.role = role
         self._changedMs = self.node.env.now()
 
--- a/libs/facsimile/src/facsimile/cli.py
+++ b/libs/facsimile/src/facsimile/cli.py
@@ -5,13 +5,16 @@
 import signal
 import sys
 from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
 from typing import Annotated, Literal
 
 from cyclopts import App, Parameter
 
 from facsimile.days import DAYS, run_day
+from facsimile.measure import measure_fleet, measure_log
 from facsimile.report import day_report
 from facsimile.sim import run_seed
+from facsimile.trace import KINDS, trace
 from facsimile.worker import StandInWorker
 
 __all__ = ["main"]
@@ -107,6 +110,46 @@
         raise SystemExit(1)
 
 
+@app.command
+def measure(what: Literal["log", "fleet"], *, repeats: int = 3, count: int = 400, bodyBytes: int = 500,
+            seconds: float = 6.0, syncMs: float = 0.0) -> None:
+    """Measure the log's appends against a sync for each, or a small fleet: live calls with and without lots, recovery.
+
+    Parameters
+    ----------
+    what: log or fleet.
+    repeats: how many paired runs.
+    count: appends in a run.
+    bodyBytes: size of an entry.
+    seconds: length of a live run.
+    syncMs: time added to each sync, for disks slower than this machine's.
+    """
+    sys.stdout.write((measure_log(count, bodyBytes, repeats, syncMs) if what == "log" else measure_fleet(seconds, repeats)) + "\n")
+
+
+@app.command(name="trace")
+def show_trace(what: str, *files: Path) -> None:
+    """Follow one thing through JSON logs, as KIND:ID; kinds: transaction, key, lot, change, worker, epoch.
+
+    Parameters
+    ----------
+    what: such as lot:cafe-3-round-9.
+    files: the logs of any number of processes.
+    """
+    kind, colon, name = what.partition(":")
+    if not colon or not name or kind not in KINDS or not files:
+        sys.stderr.write(f"wanted KIND:ID and files; kinds: {', '.join(KINDS)}\n")
+        raise SystemExit(2)
+    rows, unread = trace(kind, name, files)
+    for row in rows:
+        fields = {key: value for key, value in row.items() if key not in ("at", "event", "level", "role", "node", "file")}
+        sys.stdout.write(f"{row['at'][11:23]} {row['file']:16} {row['event']:22} {json.dumps(fields)}\n")
+    if unread:
+        sys.stderr.write(f"{unread} lines could not be read\n")
+    if not rows:
+        raise SystemExit(1)
+
+
 def main() -> None:
     app()
 
--- a/libs/facsimile/src/facsimile/days.py
+++ b/libs/facsimile/src/facsimile/days.py
@@ -14,7 +14,7 @@
 from facsimile.sim.oracle import judge
 from facsimile.traffic import TREE, Traffic
 
-__all__ = ["DAYS", "run_day"]
+__all__ = ["DAYS", "find_holder", "run_day"]
 
 Fault = Callable[[Fleet, random.Random], Awaitable[None]]
 
@@ -24,7 +24,7 @@
     member.start()
 
 
-async def _holder(fleet: Fleet) -> Member | None:
+async def find_holder(fleet: Fleet) -> Member | None:
     for member in fleet.of("store"):
         status, body = await fleet.get(member, "/status")
         if status == 200 and body["logRole"] == "serving":
@@ -40,7 +40,7 @@
 
 
 async def kill_holder(fleet: Fleet, rng: random.Random) -> None:
-    if (member := await _holder(fleet)) is not None:
+    if (member := await find_holder(fleet)) is not None:
         member.kill()
         await _back(member, 2500)
 
@@ -73,7 +73,7 @@
 
 
 async def freeze_holder(fleet: Fleet, rng: random.Random) -> None:
-    await _freeze(await _holder(fleet), 4000)
+    await _freeze(await find_holder(fleet), 4000)
 
 
 async def freeze_owner(fleet: Fleet, rng: random.Random) -> None:
--- /dev/null
+++ b/libs/facsimile/src/facsimile/measure.py
@@ -0,0 +1,205 @@
+"""Measurements for the rounds. The log: the real holder, peers and disks with a message delay as
+between zones, appends acknowledged in memory, settled, and, to compare, each one synced by itself.
+The fleet: live calls with and without lots, a killed holder's successor, a version in force."""
+
+import asyncio
+import os
+import tempfile
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from accession import Holder, LocalLog
+from accession.peer import PeerSide
+from colophon import Params, boot_ms, wall_ms
+from facsimile.days import find_holder
+from facsimile.fleet import SHAPES, Fleet, until
+from facsimile.report import spread
+from facsimile.traffic import TREE, Traffic
+from ledger import entries
+from stacks import FolderDisk
+
+__all__ = ["measure_fleet", "measure_log"]
+
+_DELAY_S = 0.0015
+
+
+class _SlowDisk(FolderDisk):
+    """A disk whose syncs take as long as those of the machines that are meant."""
+
+    syncMs = 0.0
+
+    def _flush(self, handles: list[int], done: Callable[[bool], None]) -> None:
+        time.sleep(self.syncMs / 1000)
+        super()._flush(handles, done)
+
+
+class _Store:
+    def __init__(self, folder: str, name: str, syncMs: float) -> None:
+        loop = asyncio.get_running_loop()
+        self.params = Params(role="store", link="127.0.0.1:1", http="127.0.0.1:2", zone="a", seeds=["127.0.0.1:1"],
+                             dataFolder=folder)
+        self.disk = _SlowDisk(os.path.join(folder, name), 1 << 30, loop.call_soon_threadsafe)
+        self.disk.syncMs = syncMs
+        self.log = LocalLog(self.disk, self.params, boot_ms, lambda: name)
+        self.peer = PeerSide(self.log)
+
+
+async def _appends(append: Callable[[Callable[[], None]], None], count: int, atOnce: int) -> list[float]:
+    """`count` appends, `atOnce` of them under way at any time; how long each took, in ms."""
+    loop = asyncio.get_running_loop()
+    taken: list[float] = []
+
+    async def worker(share: int) -> None:
+        for _ in range(share):
+            future = loop.create_future()
+            began = time.perf_counter()
+            append(lambda: future.done() or future.set_result(None))
+            await future
+            taken.append((time.perf_counter() - began) * 1000)
+
+    await asyncio.gather(*[worker(count // atOnce) for _ in range(atOnce)])
+    return taken
+
+
+async def _measure_log(count: int, bodyBytes: int, syncMs: float) -> list[str]:
+    lines = []
+    with tempfile.TemporaryDirectory() as folder:
+        stores = {name: _Store(folder, name, syncMs) for name in ("a", "b", "c")}
+        loop = asyncio.get_running_loop()
+        holder: Holder | None = None
+
+        def post(to: str, message: Any) -> None:
+            loop.call_later(_DELAY_S, stores[to].peer.receive, message,
+                            lambda receipt: loop.call_later(_DELAY_S, holder.answered, receipt, to))
+
+        own = stores["a"].log
+        ready = loop.create_future()
+        own.keep_meta(lambda ok: ready.set_result(ok), fence=1, logEpoch=1)
+        await ready
+        holder = Holder(own, 1, [(store.log.identity, name) for name, store in stores.items()], stores["a"].params,
+                        boot_ms, wall_ms, post, lambda fence: None)
+        stopping = asyncio.Event()
+
+        async def tick() -> None:
+            while not stopping.is_set():
+                holder.tick()
+                await asyncio.sleep(0.02)
+
+        ticking = asyncio.ensure_future(tick())
+        while not holder.adopted():
+            await asyncio.sleep(0.01)
+        entry = entries.KeyClosed(key="k", transaction="t", state="done", status=200, body="x" * bodyBytes, atMs=0)
+        handle = os.open(os.path.join(folder, "plain"), os.O_RDWR | os.O_CREAT)
+
+        disk = ThreadPoolExecutor(1)
+
+        def sync() -> None:
+            time.sleep(syncMs / 1000)
+            os.fsync(handle)
+
+        def synced(done: Callable[[], None]) -> None:
+            os.write(handle, b"x" * bodyBytes)
+            loop.run_in_executor(disk, sync).add_done_callback(lambda _: done())
+
+        ways = {"held at f peers": lambda done: holder.append([entry], False, lambda outcome: done()),
+                "settled on f+1 disks": lambda done: holder.append([entry], True, lambda outcome: done()),
+                "one sync for each, one disk": synced}
+        for atOnce in (1, 16):
+            for name, append in ways.items():
+                began = time.perf_counter()
+                taken = await _appends(append, count, atOnce)
+                rate = len(taken) / (time.perf_counter() - began)
+                lines.append(f"  {atOnce:2} at once, {name:28} {spread_fine(taken)}; {rate:.0f} a second")
+        stopping.set()
+        await ticking
+        os.close(handle)
+        for store in stores.values():
+            store.disk.close()
+    return lines
+
+
+def spread_fine(values: list[float]) -> str:
+    rows = sorted(values)
+    return ", ".join(f"{name} {rows[min(len(rows) - 1, int(len(rows) * share))]:.1f} ms"
+                     for name, share in (("50%", 0.5), ("90%", 0.9), ("99%", 0.99)))
+
+
+def measure_log(count: int, bodyBytes: int, repeats: int, syncMs: float) -> str:
+    lines = [f"{count} appends of {bodyBytes} bytes, {_DELAY_S * 1000:.1f} ms each way, {syncMs:.1f} ms added to each sync"]
+    for repeat in range(repeats):
+        lines.append(f"run {repeat + 1}")
+        lines += asyncio.run(_measure_log(count, bodyBytes, syncMs))
+    return "\n".join(lines)
+
+
+async def _live(traffic: Traffic, seconds: float, lots: bool) -> list[str]:
+    traffic.latencyMs.clear()
+    endAt = time.time() + seconds
+    pending: set[asyncio.Task] = set()
+    nextLotAt = 0.0
+    while time.time() < endAt:
+        if lots and time.time() >= nextLotAt:
+            nextLotAt = time.time() + 1.0
+            pending.add(asyncio.ensure_future(traffic.hand_in()))
+        pending.add(asyncio.ensure_future(traffic.live("rulings", True)))
+        pending.add(asyncio.ensure_future(traffic.live("reasons", False)))
+        await asyncio.sleep(0.04)
+    await asyncio.gather(*pending)
+    return [f"  {path:10} {spread(values)}" for path, values in sorted(traffic.latencyMs.items())]
+
+
+async def _recovery(fleet: Fleet, traffic: Traffic) -> float:
+    holder = await find_holder(fleet)
+    holder.kill()
+    began = time.time()
+
+    async def accepted() -> bool:
+        row = await traffic.hand_in(1)
+        return row["outcome"] in ("admitted", "known", "waiting-room-full")
+
+    await until(accepted, 15_000, "lots are accepted again", 20)
+    took = (time.time() - began) * 1000
+    holder.start()
+    await until(lambda: fleet.all_ready(("store",)), 20_000, "the store is back")
+    return took
+
+
+async def _in_force(fleet: Fleet, traffic: Traffic) -> tuple[float, float]:
+    began = time.time()
+    row = await traffic.change(1)
+    acked = (time.time() - began) * 1000
+
+    async def everywhere() -> bool:
+        for member in fleet.of("edge"):
+            _, body = await fleet.get(member, "/status")
+            if body["feed"].get("profiles", 0) < row["version"]:
+                return False
+        return True
+
+    await until(everywhere, 5000, "the version is in force", 2)
+    return acked, (time.time() - began) * 1000
+
+
+async def _measure_fleet(seconds: float, repeats: int, folder: str) -> list[str]:
+    lines = []
+    async with Fleet(folder, SHAPES["thin"], 28000) as fleet:
+        await fleet.found(TREE)
+        await fleet.workers_known(2)
+        traffic = Traffic(fleet, 1, 1.0)
+        for repeat in range(repeats):
+            lines.append(f"run {repeat + 1}, live alone")
+            lines += await _live(traffic, seconds, False)
+            lines.append(f"run {repeat + 1}, live with a lot of 80 each second")
+            lines += await _live(traffic, seconds, True)
+        changes = [await _in_force(fleet, traffic) for _ in range(10)]
+        lines.append(f"a version acknowledged: {spread([acked for acked, _ in changes])}")
+        lines.append(f"a version seen in force at every edge: {spread([seen for _, seen in changes])}")
+        lines.append(f"lots accepted after the holder is killed: {spread([await _recovery(fleet, traffic) for _ in range(5)])}")
+    return lines
+
+
+def measure_fleet(seconds: float, repeats: int) -> str:
+    with tempfile.TemporaryDirectory() as folder:
+        return "\n".join(asyncio.run(_measure_fleet(seconds, repeats, folder)))
--- /dev/null
+++ b/libs/facsimile/src/facsimile/trace.py
@@ -0,0 +1,45 @@
+"""Follows one thing through the JSON logs of many processes: every line that has the id, in the order
+of time. Lines that can't be read are counted, not hidden."""
+
+import json
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+__all__ = ["KINDS", "trace"]
+
+KINDS = {"transaction": ("transaction",), "key": ("key",), "lot": ("lot", "lots", "transaction"), "change": ("change",),
+         "worker": ("worker", "by"), "epoch": ("epoch",)}
+
+
+def _has(row: dict[str, Any], kind: str, name: str) -> bool:
+    for field in KINDS[kind]:
+        value = row.get(field)
+        if value is None:
+            continue
+        if isinstance(value, list):
+            if name in value:
+                return True
+        elif str(value) == name:
+            return True
+        elif kind == "worker" and str(value).startswith(f"{name}/"):
+            return True
+        elif kind == "lot" and field == "transaction" and f"-{name}-" in str(value):
+            return True
+    return False
+
+
+def trace(kind: str, name: str, paths: Iterable[Path]) -> tuple[list[dict[str, Any]], int]:
+    found, unread = [], 0
+    for path in paths:
+        for line in path.read_text(errors="replace").splitlines():
+            if name not in line and not line.startswith("{"):
+                continue
+            try:
+                row = json.loads(line)
+            except ValueError:
+                unread += 1
+                continue
+            if isinstance(row, dict) and _has(row, kind, name):
+                found.append({**row, "file": path.name})
+    return sorted(found, key=lambda row: row.get("at", "")), unread
