Edges cut off with most other edges turn unready; a restarted edge trusts no minority

Cause: with control gone an edge counted the nodes it had heard lately; after six seconds it had forgotten the other side of a split, so most edges cut off from control with one store served an old version. Found by asking what the rule means when a cut lasts longer than anyone is remembered; provoked by two new faults first. Ruled out: remembering direct contacts alone, since views are partial.

--- a/libs/facsimile/src/facsimile/sim/faults.py
+++ b/libs/facsimile/src/facsimile/sim/faults.py
@@ -67,6 +67,17 @@
     fleet.time.after(forMs, fleet.network.heal)
 
 
+def minority_cut(fleet: Any, forMs: float, restart: bool) -> None:
+    """Most edges and a store on one side without control, for longer than anyone is remembered."""
+    side = [host for host in fleet.of("edge")[1:]] + fleet.of("store")[:1]
+    names = [host.address for host in side]
+    fleet.network.split([names, [host.address for host in fleet.hosts.values() if host.address not in names]])
+    if restart:
+        fleet.time.after(1500, side[0].kill)
+        fleet.time.after(2000, side[0].start)
+    fleet.time.after(forMs, fleet.network.heal)
+
+
 def isolate(fleet: Any, role: str, forMs: float) -> None:
     host = _pick(fleet, role)
     if host is not None:
@@ -155,6 +166,8 @@
     "freeze-store": lambda f: freeze(f, "store", 2000, -5000), "step-clocks": lambda f: step_clocks(f, 3_600_000),
     "loss": lambda f: loss(f, 0.1, 2500), "split": lambda f: split(f, 3000),
     "control-split": lambda f: control_split(f, 3000, False), "control-cut-off": lambda f: control_split(f, 3000, True),
+    "minority-cut": lambda f: minority_cut(f, 9500, False),
+    "minority-cut-restart": lambda f: minority_cut(f, 9500, True),
     "isolate-edge": lambda f: isolate(f, "edge", 3000), "isolate-store": lambda f: isolate(f, "store", 3000),
     "slow-store": lambda f: slow(f, "store", 120, 3000), "slow-disk": lambda f: slow_disk(f, 3000),
     "lose-store-disk": lambda f: lose_disk(f, "store", 1500), "lose-holder-disk": lambda f: lose_disk(f, "holder", 1500),
--- a/libs/gazette/src/gazette/feed.py
+++ b/libs/gazette/src/gazette/feed.py
@@ -16,17 +16,19 @@
 
 
 class Gazette(Part):
-    """`neighbours` gives the addresses to relay to, `extra` further ones to swap digests with."""
+    """`neighbours` gives the addresses to relay to, `extra` further ones to swap digests with; `sure`
+    says whether this node knows its feed to be the newest: a quorate control node, a ready edge."""
 
     __slots__ = ("_extra", "_items", "_neighbours", "_patches", "_quietUntilMs", "_sentMs", "_watchers", "confirmed", "contactsMs",
-                 "identity", "quorate", "quorateMs", "sentBytes")
+                 "identity", "quorateMs", "sentBytes", "sure", "sureEdgeMs")
     HANDLES = (Digest, News)
 
     def __init__(self, identity: str, neighbours: Callable[[], Iterable[str]],
-                 extra: Callable[[], Iterable[str]] = lambda: (), quorate: Callable[[], bool] = lambda: False) -> None:
+                 extra: Callable[[], Iterable[str]] = lambda: (), sure: Callable[[], bool] = lambda: False) -> None:
         self.identity = identity
-        self.quorate = quorate
+        self.sure = sure
         self.quorateMs = -1 << 40
+        self.sureEdgeMs = -1 << 40
         self.contactsMs: dict[str, int] = {}
         self.confirmed: dict[str, tuple[str, int, dict[str, int]]] = {}
         self.sentBytes = 0
@@ -123,7 +125,7 @@
     # -- digests -------------------------------------------------------------------------------
 
     def _digest(self) -> Digest:
-        return Digest(identity=self.identity, role=self.node.params.role, quorate=self.quorate(),
+        return Digest(identity=self.identity, role=self.node.params.role, sure=self.sure(),
                       numbers=[encode(KeyNumber(key=key, number=number)) for key, number in self.numbers().items()])
 
     def _send_digest(self, address: str) -> None:
@@ -135,8 +137,10 @@
         theirs = {row.key: row.number for row in map(decode, message.numbers)}
         if nowMs >= self._quietUntilMs:
             self.contactsMs[message.identity] = nowMs
-            if message.quorate:
+            if message.sure and message.role == "control":
                 self.quorateMs = nowMs
+            elif message.sure:
+                self.sureEdgeMs = nowMs
         self.confirmed[message.identity] = (message.role, nowMs, theirs)
         self._send(origin.sender, [self._newer(key, theirs.get(key, 0)) for key, number in self.numbers().items()
                                    if number > theirs.get(key, 0)])
@@ -165,7 +169,7 @@
     def woke(self, gapMs: int) -> None:
         """Digests that waited in buffers say nothing about now."""
         self._quietUntilMs = self.node.env.now() + self.node.params.beatMs
-        self.quorateMs = -1 << 40
+        self.quorateMs = self.sureEdgeMs = -1 << 40
         self.contactsMs = dict.fromkeys(self.contactsMs, -1 << 40)
 
     # -- confirmation --------------------------------------------------------------------------
--- a/libs/gazette/src/gazette/messages.py
+++ b/libs/gazette/src/gazette/messages.py
@@ -26,4 +26,4 @@
     identity: Text
     role: Text
     numbers: Arr(Blob)
-    quorate: Flag
+    sure: Flag
--- a/libs/readingroom/src/readingroom/nodes.py
+++ b/libs/readingroom/src/readingroom/nodes.py
@@ -111,7 +111,7 @@
 
 
 class EdgeNode(_DataNode):
-    __slots__ = ("_caughtUp", "_startedMs", "holder", "lots", "roster", "stopping")
+    __slots__ = ("_caughtUp", "_remembered", "_startedMs", "_wasQuorate", "holder", "lots", "roster", "stopping")
 
     def __init__(self, env: Env, params: Any, room: Any, start: Any) -> None:
         self.env, self.params = env, params
@@ -119,33 +119,52 @@
         self._common(identity)
         self._startedMs = env.now()
         self._caughtUp = False
+        self._wasQuorate = False
+        self._remembered: set[str] = set()
         self.stopping = False
         self.holder = HolderClient(lambda: self.gazette.body(LOG_KEY),
                                    lambda: [card.address for card in self.neighbours.of_role("store", params.goneMs)])
         self.roster = Roster(lambda: [card.address for card in self.neighbours.view() if card.role == "edge"],
                              lambda identity, labels: self.tree().allows_worker(identity, labels))
         self.lots = LotRunner(identity, self.holder, room, start)
-        self.neighbours.ready = lambda: not self.why_unready()
+        self.neighbours.ready = self.gazette.sure = lambda: not self.why_unready()
         super().__init__(env, params, [self.neighbours, self.gazette, self.holder, self.roster, self.lots])
 
     def why_unready(self) -> str:
-        """An edge serves while it hears a control majority, or, with control gone, most of the nodes
-        it knows; without either it can't know whether its profiles are still in force."""
+        """An edge serves while it hears of a control majority, or, with control gone, from most of the
+        nodes it knows; without either it can't know whether its profiles are still in force."""
         if self.stopping:
             return "stopping"
         nowMs = self.env.now()
-        cutMs = self.params.cutMs
-        contacts = self.gazette.contactsMs
-        near = sum(1 for atMs in contacts.values() if nowMs - atMs <= cutMs)
-        inTouch = nowMs - self.gazette.quorateMs <= cutMs or (near >= 2 and 2 * near > len(contacts))
-        if not inTouch:
+        if not (self._hears_control(nowMs) or self._hears_most(nowMs)):
             return "cut off from control and most neighbours"
         if not self._caughtUp:
-            self._caughtUp = self.gazette.number(PROFILES_KEY) > 0 and self._level(nowMs - cutMs)
+            self._caughtUp = self.gazette.number(PROFILES_KEY) > 0 and self._level(nowMs - self.params.cutMs)
             if not self._caughtUp:
                 return "has not caught up with the feed"
         return ""
 
+    def _hears_control(self, nowMs: int) -> bool:
+        """While it does, it remembers whom else it knows, to count by when control is gone."""
+        others = {card.identity for role in ("edge", "store")
+                  for card in self.neighbours.of_role(role, self.params.goneMs)}
+        if nowMs - self.gazette.quorateMs <= self.params.cutMs:
+            self._wasQuorate = True
+            self._remembered = others
+            return True
+        self._remembered |= others
+        return False
+
+    def _hears_most(self, nowMs: int) -> bool:
+        """Most of those that spoke to it lately still do, most of all it remembers are known to live,
+        and either it or an edge that is sure has once been told by control."""
+        params = self.params
+        direct = [atMs for identity, atMs in self.gazette.contactsMs.items() if identity in self._remembered]
+        near = sum(1 for atMs in direct if nowMs - atMs <= params.cutMs)
+        alive = sum(1 for identity in self._remembered if self.neighbours.live(identity, 2 * params.deadMs))
+        vouched = self._wasQuorate or nowMs - self.gazette.sureEdgeMs <= params.cutMs
+        return vouched and near > 0 and 2 * near > len(direct) and 2 * alive > len(self._remembered)
+
     def _level(self, floorMs: int) -> bool:
         return all(self.gazette.number(key) >= number for _, atMs, numbers in self.gazette.confirmed.values()
                    if atMs >= floorMs for key, number in numbers.items())
--- a/libs/registrar/src/registrar/nodes.py
+++ b/libs/registrar/src/registrar/nodes.py
@@ -22,7 +22,7 @@
         identity = self.voter.identity
         self.neighbours = Neighbours(identity)
         self.gazette = Gazette(identity, lambda: [card.address for card in self.neighbours.view()],
-                               lambda: self.voter.voters.values(), self.quorate)
+                               lambda: self.voter.voters.values(), sure=self.quorate)
         self.neighbours.wanted = lambda: self.voter.voters.values()
         self.neighbours.ready = lambda: not self.why_unready()
         self.owner = Owner(self.voter, self.neighbours, self.gazette)
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,70 @@
+"""The feed, and when an edge takes itself to be in touch: simulated fleets, without traffic."""
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from facsimile.sim.runs import Run
+
+
+class Feed(TestCase):
+    def founded(self, seed=3, **sizes):
+        run = Run(seed, **sizes)
+        run.found()
+        return run, run.fleet
+
+    def change(self, run):
+        seen = []
+        run.operators.change(1, done=seen.append)
+        run.fleet.run_until_true(lambda: seen, 6000)
+        return seen[0]
+
+    def edges_away(self, fleet, *names):
+        others = [host.address for host in fleet.hosts.values() if host.name not in names]
+        fleet.network.split([[fleet.hosts[name].address for name in names], others])
+
+    def test_acknowledged_once_live_edges_have_it(self):
+        run, fleet = self.founded()
+        row = self.change(run)
+        self.assertThat(row["outcome"], Equals("ok"))
+        self.assertThat({host.node.gazette.number("profiles") for host in fleet.of("edge")}, Equals({2}))
+        self.assertThat(row["answeredMs"] - row["atMs"] < 500, Equals(True))
+
+    def test_a_cut_off_edge_turns_unready_within_a_second_and_delays_no_longer_than_the_bound(self):
+        run, fleet = self.founded()
+        self.edges_away(fleet, "edge1")
+        beganMs = fleet.time.nowMs
+        self.assertThat(fleet.run_until_true(lambda: fleet.hosts["edge1"].node.why_unready(), 1000), Equals(True))
+        row = self.change(run)
+        self.assertThat((row["outcome"], fleet.time.nowMs - beganMs < 3500), Equals(("ok", True)))
+        fleet.network.heal()
+        self.assertThat(fleet.run_until_true(lambda: not fleet.hosts["edge1"].node.why_unready(), 3000), Equals(True))
+        self.assertThat(fleet.hosts["edge1"].node.gazette.number("profiles"), Equals(2))
+
+    def test_edges_serve_on_without_control_and_a_restarted_one_gets_the_newest(self):
+        run, fleet = self.founded()
+        self.change(run)
+        self.edges_away(fleet, *[host.name for host in fleet.of("control")])
+        for _ in range(12):
+            fleet.time.run_until(fleet.time.nowMs + 1000)
+            self.assertThat([host.node.why_unready() for host in fleet.of("edge")], Equals(["", "", ""]))
+        fleet.hosts["edge2"].kill()
+        fleet.hosts["edge2"].start()
+        self.assertThat(fleet.hosts["edge2"].node.why_unready() != "", Equals(True))
+        self.assertThat(fleet.run_until_true(lambda: not fleet.hosts["edge2"].node.why_unready(), 4000), Equals(True))
+        self.assertThat(fleet.hosts["edge2"].node.gazette.number("profiles"), Equals(2))
+
+    def test_with_control_gone_a_restarted_edge_trusts_no_minority(self):
+        run, fleet = self.founded()
+        control = [host.name for host in fleet.of("control")]
+        self.edges_away(fleet, *control)
+        fleet.time.run_until(fleet.time.nowMs + 2000)
+        fleet.network.heal()
+        self.edges_away(fleet, "edge1", "edge2")
+        fleet.time.run_until(fleet.time.nowMs + 500)
+        fleet.hosts["edge1"].kill()
+        fleet.hosts["edge1"].start()
+        fleet.time.run_until(fleet.time.nowMs + 2200)
+        for _ in range(32):
+            fleet.time.run_until(fleet.time.nowMs + 250)
+            unready = [bool(fleet.hosts[name].node.why_unready()) for name in ("edge1", "edge2")]
+            self.assertThat(unready, Equals([True, True]))
--- a/tests/test_sim.py
+++ b/tests/test_sim.py
@@ -28,6 +28,8 @@
     "losses, doubles and a split": [(1500, "loss"), (5000, "split"), (8500, "loss")],
     "workers go one after another": [(1000, "worker-crash"), (2500, "worker-leave"), (4000, "worker-dark"),
                                      (7000, "worker-replace"), (8500, "worker-crash")],
+    "most edges cut off for long": [(800, "minority-cut")],
+    "most edges cut off, one restarts": [(800, "minority-cut-restart")],
     "slow store, slow disk": [(1500, "slow-store"), (5000, "slow-disk")],
     "disks fill up": [(1500, "fill-stores"), (6000, "fill-control")],
     "disk damaged": [(1500, "damage-store"), (6000, "damage-control")]}
