A worker that goes dark is waited for no longer than its beats

Cause: a send to a worker that stopped without closing its connection waited for the whole deadline, so nothing was left for another try. Ruled out: half the deadline for each try, which would run long answers twice.

--- a/libs/catalogue/src/catalogue/profiles.py
+++ b/libs/catalogue/src/catalogue/profiles.py
@@ -68,11 +68,13 @@
 
 
 class Tree:
-    __slots__ = ("_resolved", "rows")
+    __slots__ = ("_allowed", "_resolved", "_served", "rows")
 
     def __init__(self, rows: dict[str, dict[str, Any]]) -> None:
         self.rows = rows
         self._resolved: dict[str, Profile] = {}
+        self._allowed: dict[tuple[str, frozenset[str]], bool] = {}
+        self._served: tuple[frozenset, frozenset[str]] | None = None
 
     @classmethod
     def of_body(cls, body: str) -> "Tree":
@@ -110,8 +112,19 @@
         return None if profile is None else profile.waitingRoom
 
     def allows_worker(self, identity: str, labels: frozenset[str]) -> bool:
-        return any(self.get(name).allows(identity, labels) for name in self.rows
-                   if not self.rows[name].get("abstract"))
+        key = (identity, labels)
+        if key not in self._allowed:
+            self._allowed[key] = any(self.get(name).allows(identity, labels) for name in self.rows
+                                     if not self.rows[name].get("abstract"))
+        return self._allowed[key]
+
+    def served_by(self, workers: frozenset[tuple[str, frozenset[str]]]) -> frozenset[str]:
+        """The names of the profiles that at least one of these workers may serve."""
+        if self._served is None or self._served[0] != workers:
+            names = frozenset(name for name in self.rows if (profile := self.usable(name)) is not None
+                              and any(profile.allows(identity, labels) for identity, labels in workers))
+            self._served = (workers, names)
+        return self._served[1]
 
 
 def explain(tree: Tree, name: str) -> dict[str, Any]:
--- a/libs/catalogue/src/catalogue/voter.py
+++ b/libs/catalogue/src/catalogue/voter.py
@@ -6,7 +6,6 @@
 import json
 from collections.abc import Callable
 from functools import singledispatchmethod
-from typing import Any
 
 from catalogue.messages import (Accept, Confirm, Founded, KeyList, KeyRow, ListKeys, Prepare, Voted,
                                 VoterMeta)
@@ -58,15 +57,15 @@
 
 
 class Voter(Part):
-    __slots__ = ("_disk", "_flushedBytes", "_flushing", "_logBytes", "_logName", "_newList", "_waiting", "meta", "registers")
+    __slots__ = ("_disk", "_flushedBytes", "_flushing", "_list", "_logBytes", "_logName", "_waiting", "meta", "registers")
     HANDLES = (Prepare, Accept, Confirm, Founded, ListKeys)
 
     def __init__(self, disk: Disk, token: Callable[[], str]) -> None:
         self._disk = disk
-        self._newList: list[Callable[[dict[str, Any]], None]] = []
         self._waiting: list[Done] = []
         self._flushing = False
         self._logBytes = self._flushedBytes = 0
+        self._list: tuple[str, int, dict[str, str]] = ("", 0, {})
         self._logName = f"{_LOG}-{0:012d}"
         self.registers: dict[str, Register] = {}
         self._open(token)
@@ -111,15 +110,18 @@
 
     @property
     def voters(self) -> dict[str, str]:
-        rows = json.loads(self.meta.listBody)["voters"] if self.meta.listBody else []
-        return {row["identity"]: row["address"] for row in rows}
+        return self._read_list()[1]
 
     @property
     def listNumber(self) -> int:
-        return json.loads(self.meta.listBody)["number"] if self.meta.listBody else 0
+        return self._read_list()[0]
 
-    def on_list(self, watcher: Callable[[dict[str, Any]], None]) -> None:
-        self._newList.append(watcher)
+    def _read_list(self) -> tuple[int, dict[str, str]]:
+        if self._list[0] != self.meta.listBody:
+            listed = json.loads(self.meta.listBody)
+            self._list = (self.meta.listBody, listed["number"],
+                          {row["identity"]: row["address"] for row in listed["voters"]})
+        return self._list[1:]
 
     def take_list(self, body: str, done: Done) -> None:
         """A newer list of voters; on disk before it counts."""
@@ -128,13 +130,7 @@
             done(True)
             return
 
-        def kept(ok: bool) -> None:
-            if ok:
-                for watcher in self._newList:
-                    watcher(listed)
-            done(ok)
-
-        self.keep_meta(VoterMeta(identity=self.identity, foundVote=self.meta.foundVote, listBody=body), kept)
+        self.keep_meta(VoterMeta(identity=self.identity, foundVote=self.meta.foundVote, listBody=body), done)
 
     def keep_meta(self, meta: VoterMeta, done: Done) -> None:
         def kept(ok: bool) -> None:
--- a/libs/circulation/src/circulation/lots.py
+++ b/libs/circulation/src/circulation/lots.py
@@ -29,10 +29,11 @@
     """`room` gives how many items may be started now, and on which paths; `start` runs one item and
     calls back with outcome, body, worker, giving the function that stops it."""
 
-    __slots__ = ("_askedMs", "_asking", "_holder", "_placing", "_room", "_runs", "_start", "_wish", "edge", "finished",
+    __slots__ = ("_askedMs", "_asking", "_holder", "_placing", "_room", "_runs", "_start", "_waitingPaths", "_wish", "edge", "finished",
                  "paused")
 
-    def __init__(self, edge: str, holder: HolderClient, room: Callable[[], tuple[int, list[str]]], start: Start) -> None:
+    def __init__(self, edge: str, holder: HolderClient, room: Callable[[], tuple[int, frozenset[str]]],
+                 start: Start) -> None:
         self.edge = edge
         self._holder = holder
         self._room = room
@@ -42,6 +43,7 @@
         self._asking = False
         self._askedMs = -1 << 40
         self._wish = False
+        self._waitingPaths: set[str] = set()
         self.paused = False
         self.finished = 0
 
@@ -61,7 +63,8 @@
         address = self._holder.address()
         if not address:
             return
-        room, paths = (0, []) if self.paused else self._room()
+        room, served = (0, frozenset()) if self.paused else self._room()
+        paths = sorted(served & self._waitingPaths)
         self._asking = True
         self._askedMs = nowMs
         self._wish = False
@@ -85,7 +88,11 @@
         for data in receipt.batons:
             baton = decode(data)
             self._place(baton.lotId, baton.epoch, baton.upTo)
+        fresh = set(receipt.paths) - self._waitingPaths
+        self._waitingPaths = set(receipt.paths)
         self._wish = receipt.waiting > 0 or bool(self._runs)
+        if fresh and not self.paused:
+            self._beat(self.node.env.now())
 
     # -- items ---------------------------------------------------------------------------------
 
--- a/libs/circulation/src/circulation/roster.py
+++ b/libs/circulation/src/circulation/roster.py
@@ -130,10 +130,13 @@
             self._gone[(worker.identity, worker.incarnation)] = self.node.env.now()
             self.node.env.log("worker-mismatch", "WARNING", worker=worker.identity, incarnation=worker.incarnation)
 
+    def silent(self, worker: Worker) -> bool:
+        return self.node.env.now() - worker.heardMs > self.node.params.workerMs
+
     def usable(self, worker: Worker) -> bool:
         nowMs = self.node.env.now()
         params = self.node.params
-        if worker.leaving or nowMs - worker.heardMs > params.workerMs:
+        if worker.leaving or self.silent(worker):
             return False
         if self._workers.get(worker.identity) is not worker:
             return False
--- a/libs/facsimile/src/facsimile/days.py
+++ b/libs/facsimile/src/facsimile/days.py
@@ -122,6 +122,11 @@
     fleet.add_worker(f"worker{len(fleet.workers) + 1}").start()
 
 
+async def dark_worker(fleet: Fleet, rng: random.Random) -> None:
+    """A worker goes dark without a word: its connections stand open and nothing comes."""
+    await _freeze(rng.choice([member for member in fleet.workers.values() if member.runs]), 5000)
+
+
 async def roll_workers(fleet: Fleet, rng: random.Random) -> None:
     """Every worker leaves, one after another, and another one comes for it."""
     for member in [member for member in fleet.workers.values() if member.runs]:
@@ -135,6 +140,7 @@
     "weather": [(3, kill_edge), (5, kill_worker), (7, freeze_edge), (12, freeze_holder), (18, freeze_owner),
                 (22, drain_edge), (26, kill_holder), (31, stores_at_once)],
     "members": [(3, swap_store), (12, swap_control), (24, retire_store), (32, roll_workers)],
+    "dark-worker": [(3, dark_worker), (10, dark_worker)],
     "last-fault": [(4, kill_holder), (9, all_at_once)]}
 
 
--- a/libs/facsimile/src/facsimile/sim/carrying.py
+++ b/libs/facsimile/src/facsimile/sim/carrying.py
@@ -132,6 +132,15 @@
         if target is None or not fleet.network.passes(self._host.address, worker.address):
             time.after(min(leftMs, 300), lambda: over(False, "no connection", True))
             return
+        def watch() -> None:
+            if state["over"] or number != self._send or not self._alive():
+                return
+            if self.tx.safe and not self.tx.delivered and self._node.roster.silent(worker):
+                over(True, "worker silent")
+            else:
+                time.after(100, lambda: self._host.when_awake(watch, self._life))
+
+        watch()
         stamp, call = worker.stamp, {**self._call, "transaction": self.tx.transactionId}
         self._fleet.history.add("send", time.nowMs, worker=stamp, transaction=self.tx.transactionId)
         time.after(fleet.network.delay(self._host.address, worker.address), lambda: target.call(stamp, call, reply))
@@ -154,16 +163,14 @@
         self._fleet, self._host = fleet, host
         self._budgets: dict[str, Budget] = {}
 
-    def room(self) -> tuple[int, list[str]]:
+    def room(self) -> tuple[int, frozenset[str]]:
         node = self._host.node
         if node.why_unready():
-            return 0, []
-        tree = node.tree()
+            return 0, frozenset()
         workers = node.roster.workers()
         free = sum(max(0, worker.slots - math.ceil(worker.slots * node.params.liveShare) - worker.weight)
                    for worker in workers)
-        paths = [name for name in tree.rows if (profile := tree.usable(name)) is not None
-                 and any(profile.allows(worker.identity, worker.labels) for worker in workers)]
+        paths = node.tree().served_by(frozenset((worker.identity, worker.labels) for worker in workers))
         return math.ceil(free / max(1, len(self._fleet.of("edge")))), paths
 
     def start(self, work: Any, done: Callable[[str, str, str], None]) -> Callable[[], None]:
--- a/libs/ledger/src/ledger/dealing.py
+++ b/libs/ledger/src/ledger/dealing.py
@@ -39,12 +39,13 @@
             if lot.ready > lot.placed and not self._live(lot.batonEdge):
                 self._pass_baton(lot, message.edge)
         work, safeOnly = self._pick(message)
-        waiting = sum(1 for lot in ledger.opened.values() for item in lot.items if item.state == "waiting")
+        waiting, paths = self._waiting()
 
         def logged(outcome: str) -> None:
             rows = work if outcome == "kept" else []
             reply(m.HolderBeat(epoch=self._holder.epoch, holderMs=self._node.env.now(),
-                               work=[encode(row) for row in rows], batons=batons, stops=stops, waiting=waiting))
+                               work=[encode(row) for row in rows], batons=batons, stops=stops, waiting=waiting,
+                               paths=paths))
 
         if not work:
             logged("kept")
@@ -54,6 +55,13 @@
         self._claimedMs.update({(row.lotId, row.index): nowMs for row in work})
         self._holder.append(claims, not safeOnly, logged)
 
+    def _waiting(self) -> tuple[int, list[str]]:
+        """How many items wait, and on which paths: an edge then offers its room for these."""
+        counts = {lot.lotId: sum(1 for item in lot.items if item.state == "waiting")
+                  for lot in self._holder.ledger.opened.values()}
+        paths = {lot.path for lot in self._holder.ledger.opened.values() if counts[lot.lotId]}
+        return sum(counts.values()), sorted(paths)
+
     def _return_unheard(self, message: m.EdgeBeat) -> None:
         """A claim whose notice was lost: the edge doesn't list it, and would no longer take the notice."""
         nowMs = self._node.env.now()
--- a/libs/ledger/src/ledger/messages.py
+++ b/libs/ledger/src/ledger/messages.py
@@ -40,6 +40,7 @@
     batons: Arr(Blob)
     stops: Arr(Text)
     waiting: Long
+    paths: Arr(Text)
 
 
 class NotHolder(Message):
--- a/libs/readingroom/src/readingroom/carrier.py
+++ b/libs/readingroom/src/readingroom/carrier.py
@@ -111,14 +111,18 @@
         leftMs = max(1, tx.dueMs - boot_ms())
         log("send", "DEBUG", transaction=tx.transactionId, worker=worker.stamp, path=tx.profile.name)
         try:
-            async with asyncio.timeout(leftMs / 1000):
-                return await self._exchange(tx, worker, body, sink)
+            async with asyncio.timeout(leftMs / 1000) as limit:
+                watch = asyncio.ensure_future(self._watch(tx, worker, limit))
+                try:
+                    return await self._exchange(tx, worker, body, sink)
+                finally:
+                    watch.cancel()
         except _Rejected as rejected:
             return tx.rejected(rejected.status, rejected.body)
         except _Failed as failed:
             mayHaveRun, reason = failed.mayHaveRun, failed.reason
         except TimeoutError:
-            mayHaveRun, reason = True, "deadline"
+            mayHaveRun, reason = True, "worker silent" if boot_ms() < tx.dueMs else "deadline"
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             self._node.roster.connection_failed(worker)
             mayHaveRun, reason = False, "no connection"
@@ -132,6 +136,14 @@
             mayHaveRun=mayHaveRun)
         return tx.failed(worker.stamp, mayHaveRun, reason, boot_ms())
 
+    async def _watch(self, tx: Transaction, worker: Worker, limit: asyncio.Timeout) -> None:
+        """A worker whose beats have stopped is waited for no longer, as long as all can be sent anew."""
+        while tx.safe and not tx.delivered:
+            if self._node.roster.silent(worker):
+                limit.reschedule(asyncio.get_running_loop().time())
+                return
+            await asyncio.sleep(self._node.params.beatMs / 2000)
+
     async def _exchange(self, tx: Transaction, worker: Worker, body: dict[str, Any], sink: Sink | None) -> Step:
         kind = "/v1/chat/completions" if body.get("messages") is not None else "/v1/completions"
         sent = {**body, "model": tx.profile.path, "stream": sink is not None}
--- a/libs/readingroom/src/readingroom/items.py
+++ b/libs/readingroom/src/readingroom/items.py
@@ -24,20 +24,18 @@
         self._budget = budget
         self._tasks: set[asyncio.Task] = set()
 
-    def room(self) -> tuple[int, list[str]]:
+    def room(self) -> tuple[int, frozenset[str]]:
         """What lots may take of the workers' free slots, shared evenly among the edges that are known."""
         if self._node.why_unready():
-            return 0, []
+            return 0, frozenset()
         workers = self._node.roster.workers()
-        tree = self._node.tree()
-        usable = [profile for name in tree.rows if (profile := tree.usable(name)) is not None
-                  and any(profile.allows(worker.identity, worker.labels) for worker in workers)]
+        paths = self._node.tree().served_by(frozenset((worker.identity, worker.labels) for worker in workers))
         free = sum(max(0, worker.slots - math.ceil(worker.slots * self._node.params.liveShare) - worker.weight)
                    for worker in workers if worker.waiting == 0)
         edges = 1 + len(self._node.neighbours.of_role("edge", self._node.params.deadMs))
         room = math.ceil(free / edges) if free else 0
         starting = sum(1 for task in self._tasks if not task.done()) - sum(worker.sending for worker in workers)
-        return max(0, room - max(0, starting)), [profile.name for profile in usable]
+        return max(0, room - max(0, starting)), paths
 
     def start(self, work: Any, done: Callable[[str, str, str], None]) -> Callable[[], None]:
         task = asyncio.get_running_loop().create_task(self._run(work, done))
--- a/libs/readingroom/src/readingroom/roles.py
+++ b/libs/readingroom/src/readingroom/roles.py
@@ -24,7 +24,8 @@
         self.node = EdgeNode(self.env, self.params, lambda: self._items.room(),
                              lambda work, done: self._items.start(work, done))
         connector = aiohttp.TCPConnector(limit=0, force_close=True)
-        self._session = aiohttp.ClientSession(connector=connector, timeout=aiohttp.ClientTimeout(total=None),
+        self._session = aiohttp.ClientSession(connector=connector, timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=self.params.askMs / 1000),
                                               max_line_size=_HEAD_BYTES)
         self._carrier = Carrier(self.node, self._session)
         desk = HttpDesk(self.params.http, self.params.maxBodyBytes, self.node.why_unready, self.status, self.metrics)
