--- a/libs/accession/src/accession/holder.py
+++ b/libs/accession/src/accession/holder.py
@@ -25,7 +25,7 @@
 
 
 class Peer:
-    __slots__ = ("address", "adopted", "flushedSeq", "full", "heardMs", "identity", "installing", "lastSeq",
+    __slots__ = ("address", "adopted", "askedSeq", "flushedSeq", "full", "heardMs", "identity", "installing", "lastSeq",
                  "nextSeq", "probe", "sentMs")
 
     def __init__(self, identity: str, address: str, nextSeq: int, nowMs: int) -> None:
@@ -35,6 +35,7 @@
         self.flushedSeq = 0
         self.nextSeq = nextSeq
         self.probe = 0
+        self.askedSeq = -1
         self.sentMs = 0
         self.heardMs = nowMs
         self.adopted = False
@@ -81,6 +82,11 @@
         for record in log.since(log.settledSeq + 1, 1 << 62):
             self.ledger.apply(entry_of(record))
 
+    @property
+    def settled(self) -> Ledger:
+        """The ledger folded as far as f+1 disks have the log."""
+        return self._log.ledger
+
     # -- appending -----------------------------------------------------------------------------
 
     def append(self, entries: list[Message], settled: bool, done: Callable[[Outcome], None],
@@ -132,11 +138,10 @@
             peer.nextSeq = log.lastSeq + 1
         previous = log.stamp_at(peer.nextSeq - 1)
         if previous is None or peer.nextSeq < log.firstSeq:
-            if not peer.installing:
-                peer.installing = True
-                self._post(peer.address, Install(epoch=self.epoch, snapshot=log.snapshot(), probe=self._probe))
+            self._install(peer)
             return
         records = log.since(peer.nextSeq, _CHUNK_BYTES)
+        peer.askedSeq = peer.nextSeq - 1
         wanted = flush or self._flushWantedSeq > peer.flushedSeq
         self._post(peer.address, Append(
             epoch=self.epoch, baseSeq=self.baseSeq, prevSeq=peer.nextSeq - 1, prevEpoch=previous[0],
@@ -155,23 +160,37 @@
         peer.heardMs = self._now()
         peer.installing = False
         peer.full = message.reason == "full"
+        peer.probe = max(peer.probe, message.probe)
         if message.ok:
             peer.lastSeq = message.lastSeq
             peer.flushedSeq = message.flushedSeq
             peer.adopted = message.logEpoch == self.epoch
             peer.nextSeq = max(peer.nextSeq, message.lastSeq + 1)
-            peer.probe = max(peer.probe, message.probe)
             if peer.nextSeq <= self._log.lastSeq:
                 self._send(peer)
         elif message.reason == "installed":
             peer.nextSeq = message.lastSeq + 1
             self._send(peer)
-        elif message.reason != "busy":
-            peer.nextSeq = max(1, min(message.lastSeq + 1, peer.nextSeq - 1 if peer.nextSeq > 1 else 1))
-            if message.reason != "full":
-                self._send(peer)
+        elif message.reason == "full":
+            peer.nextSeq = min(peer.nextSeq, message.lastSeq + 1)
+        elif message.reason == "gap" and message.askedSeq == peer.askedSeq:
+            self._step_back(peer, message)
         self.progress()
 
+    def _step_back(self, peer: Peer, message: Appended) -> None:
+        """One place back, but not behind the peer's snapshot, which holds only what is settled; receipts
+        of sends before the last one are not heeded, or each would cause a send of its own."""
+        if message.askedSeq <= message.snapSeq and message.askedSeq < self._log.snapSeq:
+            self._install(peer)
+            return
+        peer.nextSeq = max(1, message.snapSeq + 1, min(message.lastSeq + 1, message.askedSeq))
+        self._send(peer)
+
+    def _install(self, peer: Peer) -> None:
+        if not peer.installing:
+            peer.installing = True
+            self._post(peer.address, Install(epoch=self.epoch, snapshot=self._log.snapshot(), probe=self._probe))
+
     def learn(self, identity: str, address: str) -> None:
         """A spare store: it is sent the log but counts for nothing until it is made a member."""
         if identity not in self.peers and identity != self._log.identity:
--- a/libs/accession/src/accession/messages.py
+++ b/libs/accession/src/accession/messages.py
@@ -69,6 +69,8 @@
     stampMs: Long
     receptionMs: Long
     probe: Long
+    askedSeq: Long
+    snapSeq: Long
 
 
 class Install(Message):
--- a/libs/accession/src/accession/peer.py
+++ b/libs/accession/src/accession/peer.py
@@ -57,7 +57,7 @@
         elif self._busy:
             reply(self._receipt(message.probe, False, "busy"))
         elif log.stamp_at(message.prevSeq) != (message.prevEpoch, message.prevMs):
-            reply(self._receipt(message.probe, False, "gap"))
+            reply(self._receipt(message.probe, False, "gap", message.prevSeq))
         else:
             self._take(message, reply)
 
@@ -121,10 +121,11 @@
             self._busy = False
             reply(self._receipt(message.probe, False, "damaged"))
 
-    def _receipt(self, probe: int, ok: bool, reason: str) -> Appended:
+    def _receipt(self, probe: int, ok: bool, reason: str, askedSeq: int = -1) -> Appended:
         log = self._log
         epoch, stampMs = log.lastStamp
         return Appended(identity=log.identity, ok=ok, reason=reason, fence=log.meta.fence,
                         logEpoch=log.meta.logEpoch, lastSeq=log.lastSeq, flushedSeq=log.flushedSeq,
                         stampEpoch=epoch, stampMs=stampMs,
-                        receptionMs=log.receivedMs[-1] if log.receivedMs else 0, probe=probe)
+                        receptionMs=log.receivedMs[-1] if log.receivedMs else 0, probe=probe,
+                        askedSeq=askedSeq, snapSeq=log.snapSeq)
--- a/libs/accession/src/accession/recovery.py
+++ b/libs/accession/src/accession/recovery.py
@@ -8,6 +8,7 @@
 
 from accession.local import LocalLog
 from accession.messages import Fetch, Fetched, Record, Start, Started
+from stacks import DiskFull
 from vellum import Message, decode
 
 __all__ = ["Recovery", "union"]
@@ -151,8 +152,12 @@
                 break
             same = record.seq
         self._log.cut_after(same)
-        for record in records[same - self._log.snapSeq:]:
-            self._log.write(record, True)
+        try:
+            for record in records[same - self._log.snapSeq:]:
+                self._log.write(record, True)
+        except DiskFull:
+            self._finish(False)
+            return
         self._log.flush(self._written)
 
     def _written(self, ok: bool) -> None:
--- a/libs/circulation/src/circulation/holding.py
+++ b/libs/circulation/src/circulation/holding.py
@@ -14,10 +14,11 @@
 
 _STAMPED = (m.HandIn, m.OpenKey)
 _RETRIED = ("stale", "unknown")
+_REFUSED = ("full", "noPath", "noRoom")
 
 
 class _Ask:
-    __slots__ = ("done", "dueMs", "lastMs", "message", "nextMs", "outcome")
+    __slots__ = ("done", "dueMs", "lastMs", "message", "nextMs", "sends")
 
     def __init__(self, message: Message, nowMs: int, waitMs: int, holdMs: int, done: Callable) -> None:
         self.message = message
@@ -25,7 +26,7 @@
         self.lastMs = nowMs + waitMs - holdMs
         self.nextMs = nowMs
         self.done: Callable | None = done
-        self.outcome: Message | None = None
+        self.sends = 0
 
 
 class HolderClient(Part):
@@ -86,9 +87,13 @@
             return
         if isinstance(ask.message, _STAMPED):
             ask.message = type(ask.message)(**{**ask.message.as_dict(), "epoch": self._epoch, "holderMs": self.holderMs})
-        self.node.ask(address, ask.message, self.node.params.askMs * 2, lambda receipt: self._answered(ask, receipt))
+        ask.sends += 1
+        number = ask.sends
+        self.node.ask(address, ask.message, self.node.params.askMs * 2,
+                      lambda receipt: self._answered(ask, number, receipt))
 
-    def _answered(self, ask: _Ask, receipt: Message | None) -> None:
+    def _answered(self, ask: _Ask, number: int, receipt: Message | None) -> None:
+        """A refusal counts only of the last send: a later one may have been taken meanwhile."""
         if ask.done is None or receipt is None:
             return
         nowMs = self.node.env.now()
@@ -97,9 +102,10 @@
             ask.nextMs = min(ask.nextMs, nowMs + self.node.params.beatMs // 2)
             return
         if getattr(receipt, "outcome", "") in _RETRIED:
-            ask.outcome = receipt
             ask.nextMs = min(ask.nextMs, nowMs + self.node.params.beatMs // 2)
             return
+        if getattr(receipt, "outcome", "") in _REFUSED and number != ask.sends:
+            return
         self._finish(ask, receipt)
 
     def _finish(self, ask: _Ask, receipt: Message | None) -> None:
--- a/libs/ledger/src/ledger/dealing.py
+++ b/libs/ledger/src/ledger/dealing.py
@@ -31,7 +31,7 @@
         self._edges[message.edge] = nowMs
         ledger = self._holder.ledger
         self._return_unheard(message)
-        stops = sorted({row.rpartition("#")[0] for row in message.running} - set(ledger.opened))
+        stops = sorted(lotId for lotId in {row.rpartition("#")[0] for row in message.running} if self._over(lotId))
         batons = [encode(m.Baton(lotId=lot.lotId, epoch=lot.batonEpoch, upTo=lot.ready))
                   for lot in ledger.opened.values()
                   if lot.ready > lot.placed and lot.batonEdge == message.edge and lot.batonEpoch]
@@ -55,6 +55,11 @@
         self._claimedMs.update({(row.lotId, row.index): nowMs for row in work})
         self._holder.append(claims, not safeOnly, logged)
 
+    def _over(self, lotId: str) -> bool:
+        """Over for good: an edge forgets what it ran, so this has to be settled."""
+        lot = self._holder.settled.lots.get(lotId)
+        return not lot.open if lot is not None else lotId not in self._holder.ledger.lots
+
     def _waiting(self) -> tuple[int, list[str]]:
         """How many items wait, and on which paths: an edge then offers its room for these."""
         counts = {lot.lotId: sum(1 for item in lot.items if item.state == "waiting")
@@ -103,7 +108,8 @@
         self._edges[message.edge] = self._node.env.now()
         self._claimedMs.pop((message.lotId, message.index), None)
         if lot is None or lot.ended or not 0 <= message.index < len(lot.items):
-            reply(m.FinishReceipt(ok=True, batonEpoch=0, upTo=0))
+            self._holder.append([], True, lambda outcome: reply(
+                m.FinishReceipt(ok=outcome == "kept", batonEpoch=0, upTo=0)), True)
             return
         item = lot.items[message.index]
         rows: list[Message] = []
--- a/libs/ledger/src/ledger/desk.py
+++ b/libs/ledger/src/ledger/desk.py
@@ -93,8 +93,10 @@
         else:
             entry = e.LotAdmitted(lotId=message.lotId, digest=message.digest, path=message.path, items=message.items,
                                   safe=message.safe, dueMs=message.dueMs, atMs=self.node.env.wall())
-            self._log(origin, [entry], lambda outcome: _lot_receipt(
+            taken = self._log(origin, [entry], lambda outcome: _lot_receipt(
                 "admitted" if outcome == _KEPT else outcome, message.lotId, ledger.lots.get(message.lotId)))
+            if not taken:
+                self._refusedMs[message.lotId] = message.holderMs
 
     @_on.register
     def _(self, message: m.ReadLot, origin: Origin) -> None:
@@ -196,7 +198,7 @@
 
     # -- common --------------------------------------------------------------------------------
 
-    def _log(self, origin: Origin, rows: list[Message], make: Callable[[str], Message], urgent: bool = False) -> None:
+    def _log(self, origin: Origin, rows: list[Message], make: Callable[[str], Message], urgent: bool = False) -> bool:
         """A refusal for want of room counts only if this store still was the holder when it refused."""
         def logged(outcome: str) -> None:
             if outcome == "full":
@@ -204,7 +206,7 @@
             else:
                 self.node.reply(origin, make(str(outcome)))
 
-        self._holder.append(rows, True, logged, urgent)
+        return self._holder.append(rows, True, logged, urgent)
 
     def _when_settled(self, origin: Origin, make: Callable[[bool], Message]) -> None:
         self._holder.append([], True, lambda outcome: self.node.reply(origin, make(outcome == _KEPT)), True)
--- a/tests/test_log_conformance.py
+++ b/tests/test_log_conformance.py
@@ -159,6 +159,18 @@
             self.assertThat(table.recover("b", 4, members), Equals([True]))
             self.assertThat(table.keys("b"), Equals(["k1", "k2", "k3"]))
 
+    def test_no_room_to_recover_is_no_recovery(self):
+        table = self.grown()
+        table.disks["b"].wipe()
+        table.open("b")
+        disk = table.disks["b"]
+        room, disk.roomBytes = disk.roomBytes, 120
+        members = [("store-a", "a"), ("store-b", "b"), ("store-c", "c")]
+        self.assertThat(table.recover("b", 2, members), Equals([False]))
+        disk.roomBytes = room
+        self.assertThat(table.recover("b", 3, members), Equals([True]))
+        self.assertThat(table.keys("b"), Equals(["k1", "k2", "k3"]))
+
     def test_replay_of_a_record_changes_nothing(self):
         table = self.grown()
         log = table.logs["b"]
@@ -325,6 +337,20 @@
         table.run(50)
         self.assertThat(outcomes, Equals([Outcome.KEPT]))
 
+    def test_peer_with_a_snapshot_ahead_of_the_holders_is_met_at_it(self):
+        table, _ = self.one()
+        table.logs["b"].tidy(force=True)
+        table.run(50)
+        table.logs["b"].receivedMs = [-10 ** 6] * 3
+        table.open("b")
+        table.holder.peers["store-b"].nextSeq = 2
+        sent = []
+        plain = table.post
+        table.holder._post = lambda to, message: (sent.append(to), plain(to, message))
+        outcomes = table.append("k4", settled=True)
+        table.run(200)
+        self.assertThat((outcomes, table.logs["b"].lastSeq, sent.count("b") < 20), Equals(([Outcome.KEPT], 4, True)))
+
     def test_trimmed_log_is_mended_by_a_snapshot(self):
         table, _ = self.one()
         for name in ("a", "b"):
