--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,125 @@
+"""Members that change: simulated fleets in which stores are swapped, damaged, retired, frozen and lost
+two at a time, with lots handed in before and read after."""
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from catalogue import Change
+from facsimile.sim import judge
+from facsimile.sim.runs import Run
+
+
+class Members(TestCase):
+    def founded(self, seed=5):
+        run = Run(seed)
+        run.found()
+        fleet = run.fleet
+        fleet.run_until_true(lambda: False, 1000)
+        self.lots(run, 3)
+        return run, fleet
+
+    def lots(self, run, count):
+        seen = []
+        for _ in range(count):
+            run.visitors.hand_in("summaries", 4, done=seen.append)
+            run.fleet.run_until_true(lambda: seen and seen[-1]["outcome"] == "admitted", 5000)
+            run.fleet.run_until_true(lambda: False, 800)
+        self.assertThat([row["outcome"] for row in seen], Equals(["admitted"] * count))
+
+    def members(self, fleet):
+        value = fleet.of("edge")[0].node.gazette.value("log")
+        return {row["identity"] for row in value["members"]} if value["phase"] == "serving" else set()
+
+    def kept(self, run):
+        run.read_all()
+        self.assertThat(judge(run.fleet.history), Equals({}))
+        self.assertThat(len(run.fleet.history.of("final")), Equals(sum(lot["acked"] for lot in run.visitors.lots.values())))
+
+    def until_member(self, run, host, limitMs=15000):
+        fleet = run.fleet
+        joined = fleet.run_until_true(lambda: host.node.log.log.identity in self.members(fleet), limitMs)
+        self.assertThat(joined, Equals(True))
+
+    def test_every_store_is_swapped_for_an_empty_one_at_a_new_address(self):
+        run, fleet = self.founded()
+        first = self.members(fleet)
+        for number in range(3):
+            fleet.hosts.pop(f"store{number + 1}").lose_disk()
+            fresh = fleet.add("store", f"fresh{number + 1}")
+            self.until_member(run, fresh)
+            self.lots(run, 1)
+        self.assertThat(first & self.members(fleet), Equals(set()))
+        self.kept(run)
+
+    def test_a_frozen_member_that_was_replaced_is_refused(self):
+        run, fleet = self.founded()
+        host = fleet.holder()
+        old = host.node.log.log.identity
+        fresh = fleet.add("store", "fresh")
+        host.freeze()
+        self.until_member(run, fresh, 20000)
+        self.lots(run, 1)
+        seq = fleet.holder().node.log.log.lastSeq
+        host.wake()
+        fleet.run_until_true(lambda: False, 2000)
+        self.assertThat(old in self.members(fleet) or host.node.log.holder is not None, Equals(False))
+        self.assertThat(fleet.holder().node.log.log.lastSeq >= seq, Equals(True))
+        self.kept(run)
+
+    def test_a_damaged_store_is_mended_by_the_others(self):
+        run, fleet = self.founded()
+        host = next(host for host in fleet.of("store") if host is not fleet.holder())
+        old = host.node.log.log.identity
+        host.kill()
+        name = next(name for name in host.disk.names() if name.startswith(("queue-", "snapshot")))
+        host.disk.damage(name, 20)
+        host.start()
+        self.assertThat((host.disk.asides, host.node.log.log.identity != old), Equals((1, True)))
+        self.until_member(run, host)
+        wanted = fleet.holder().node.log.log.ledger.lots
+        fleet.run_until_true(lambda: host.node.log.log.ledger.lots.keys() == wanted.keys(), 4000)
+        self.assertThat(sorted(host.node.log.log.ledger.lots), Equals(sorted(wanted)))
+        self.kept(run)
+
+    def test_retired_holder_hands_over_to_a_spare(self):
+        run, fleet = self.founded()
+        old = fleet.holder().node.log.log.identity
+        fresh = fleet.add("store", "fresh")
+        control = fleet.of("control")[0].node
+        control.owner.submit(Change(key="retired", version=0, changeId="r", body=f'{{"identities": ["{old}"]}}', hops=0),
+                             lambda receipt: None)
+        self.until_member(run, fresh)
+        self.assertThat(fleet.run_until_true(lambda: fleet.holder() is not None, 5000), Equals(True))
+        self.assertThat(old in self.members(fleet), Equals(False))
+        self.lots(run, 1)
+        self.kept(run)
+
+    def test_two_stores_lost_at_once_nothing_is_promised_until_one_returns(self):
+        run, fleet = self.founded()
+        hosts = fleet.of("store")
+        for host in hosts[:2]:
+            host.kill()
+        fleet.add("store", "spare")
+        fleet.run_until_true(lambda: False, 9000)
+        seen = []
+        run.visitors.hand_in("summaries", 4, 1, done=seen.append)
+        fleet.run_until_true(lambda: seen, 9000)
+        self.assertThat(seen[0]["verdict"], Equals("mayHaveRun"))
+        hosts[0].start()
+        self.assertThat(fleet.run_until_true(lambda: fleet.holder() is not None, 12000), Equals(True))
+        fleet.run_until_true(lambda: False, 1500)
+        self.lots(run, 1)
+        self.kept(run)
+
+    def test_whole_fleet_cut_and_started_in_any_order(self):
+        run, fleet = self.founded()
+        for host in fleet.hosts.values():
+            host.lose_power()
+        order = list(fleet.hosts.values())
+        fleet.time.rng.shuffle(order)
+        for place, host in enumerate(order):
+            fleet.time.after(300 * place, host.start)
+        self.assertThat(fleet.run_until_true(lambda: fleet.holder() is not None and fleet.ready(), 300 * len(order) + 12000),
+                        Equals(True))
+        self.lots(run, 1)
+        self.kept(run)
