--- a/libs/circulation/src/circulation/chart.py
+++ b/libs/circulation/src/circulation/chart.py
@@ -37,7 +37,7 @@
 
 
 class Transaction:
-    __slots__ = ("_after", "_budget", "_runs", "avoid", "claimed", "delivered", "dueMs", "key", "opened", "profile", "safe",
+    __slots__ = ("_after", "_budget", "_runs", "avoid", "claimed", "delivered", "dueMs", "key", "lot", "opened", "profile", "safe",
                  "sending", "sends", "startedMs", "state", "transactionId")
 
     def __init__(self, transactionId: str, profile: Any, key: str, nowMs: int, budget: Budget,
@@ -49,6 +49,7 @@
         self.startedMs = nowMs
         self.dueMs = dueMs if dueMs is not None else nowMs + profile.deadlineMs
         self.claimed = claimed
+        self.lot: tuple[str, int] | None = None
         self.state = State.RECEIVED
         self.opened = False
         self.delivered = False
@@ -115,6 +116,8 @@
             return self._to(State.PLACING, Step("place"))
         if late:
             return self._give_up(refused("late", "the deadline passed", 504, 1000))
+        if not mayHaveRun and reason == "busy":
+            return self._give_up(refused("busy", "the workers of this path are busy", 429, 1000))
         return self._give_up(refused("send-failed", f"could not be completed: {reason}", 502, 1000))
 
     def begun(self) -> Step:
--- a/libs/colophon/src/colophon/params.py
+++ b/libs/colophon/src/colophon/params.py
@@ -47,6 +47,9 @@
     maxBodyBytes: int = Field(1 << 22, ge=1 << 10)
     keepMs: int = Field(86_400_000, ge=1000, description="how long used keys are kept; lots seven times that")
     liveShare: float = Field(0.25, ge=0.0, le=1.0, description="part of a worker's slots that lots leave free")
+    recordFolder: str = Field("", description="edges: where visitors' calls are recorded; empty for not at all")
+    recordBodies: bool = Field(False, description="record prompts whole rather than by size and digest")
+    recordRows: int = Field(10_000, ge=1, description="calls in one file of a recording")
     logLevel: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
     @field_validator("link", "http")
--- a/libs/facsimile/src/facsimile/cli.py
+++ b/libs/facsimile/src/facsimile/cli.py
@@ -12,6 +12,7 @@
 
 from facsimile.days import DAYS, run_day
 from facsimile.measure import measure_fleet, measure_log
+from facsimile.measure_more import measure_crowd, measure_prefix, measure_routes
 from facsimile.report import day_report
 from facsimile.sim import run_seed
 from facsimile.trace import KINDS, trace
@@ -111,20 +112,23 @@
 
 
 @app.command
-def measure(what: Literal["log", "fleet"], *, repeats: int = 3, count: int = 400, bodyBytes: int = 500,
+def measure(what: Literal["log", "fleet", "routes", "prefix", "crowd"], *, repeats: int = 3, count: int = 400, bodyBytes: int = 500,
             seconds: float = 6.0, syncMs: float = 0.0) -> None:
-    """Measure the log's appends against a sync for each, or a small fleet: live calls with and without lots, recovery.
+    """Measure the log against syncs, a small fleet, many routes, placement by prefix, or crowds.
 
     Parameters
     ----------
-    what: log or fleet.
+    what: log, fleet, routes, prefix or crowd.
     repeats: how many paired runs.
-    count: appends in a run.
+    count: appends in a run, or how many profiles there are.
     bodyBytes: size of an entry.
     seconds: length of a live run.
     syncMs: time added to each sync, for disks slower than this machine's.
     """
-    sys.stdout.write((measure_log(count, bodyBytes, repeats, syncMs) if what == "log" else measure_fleet(seconds, repeats)) + "\n")
+    ways = {"log": lambda: measure_log(count, bodyBytes, repeats, syncMs), "prefix": measure_prefix,
+            "fleet": lambda: measure_fleet(seconds, repeats), "routes": lambda: measure_routes(count),
+            "crowd": measure_crowd}
+    sys.stdout.write(ways[what]() + "\n")
 
 
 @app.command(name="trace")
--- /dev/null
+++ b/libs/facsimile/src/facsimile/measure_more.py
@@ -0,0 +1,169 @@
+"""Further measurements: many routes, placement by prefix against load alone, and crowds with lots."""
+
+import asyncio
+import random
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+from circulation import Worker, WorkerNews, choose
+from facsimile.fleet import SHAPES, Fleet, until
+from facsimile.report import spread
+from facsimile.traffic import TREE, Traffic
+
+__all__ = ["measure_crowd", "measure_prefix", "measure_routes", "wide_tree"]
+
+
+def wide_tree(count: int) -> dict[str, Any]:
+    """The test tree and a group of ten under each tenth of `count` further profiles."""
+    rows = {f"route-{place}": {"parent": "base" if place % 10 == 0 else f"route-{place - place % 10}",
+                               "deadlineMs": 1000 + place} for place in range(count)}
+    return {"profiles": {**TREE["profiles"], **rows}}
+
+
+def _memoryMb(pid: int) -> int:
+    line = next(line for line in Path(f"/proc/{pid}/status").read_text().splitlines() if line.startswith("VmRSS"))
+    return int(line.split()[1]) // 1024
+
+
+async def _poll_ready(fleet: Fleet, taken: list[float], stopping: asyncio.Event) -> None:
+    while not stopping.is_set():
+        began = time.perf_counter()
+        await fleet.get(fleet.of("edge")[0], "/ready")
+        taken.append((time.perf_counter() - began) * 1000)
+        await asyncio.sleep(0.01)
+
+
+async def _in_force_at(fleet: Fleet, version: int) -> None:
+    async def everywhere() -> bool:
+        shown = [(await fleet.get(member, "/status"))[1]["feed"]["profiles"] for member in fleet.of("edge")]
+        return min(shown) >= version
+
+    await until(everywhere, 10_000, f"version {version} is in force", 2)
+
+
+async def _metric(fleet: Fleet, role: str, name: str) -> int:
+    total = 0
+    for member in fleet.of(role):
+        _, text = await fleet.get(member, "/metrics")
+        total += sum(int(line.split()[1]) for line in text.splitlines() if line.startswith(f"vaneledge_{name} "))
+    return total
+
+
+async def _routes(count: int, folder: str) -> list[str]:
+    async with Fleet(folder, SHAPES["thin"], 28300) as fleet:
+        await fleet.found(TREE)
+        edge, control = fleet.of("edge")[0], fleet.of("control")[0].http
+        lines = [f"{count} profiles; an edge's memory before {_memoryMb(edge.process.pid)} MB"]
+        taken: list[float] = []
+        stopping = asyncio.Event()
+        polling = asyncio.ensure_future(_poll_ready(fleet, taken, stopping))
+        for what, method, body in [("whole tree", "PUT", {"tree": wide_tree(count)})] + [
+                ("small patch", "PATCH", {"patch": {"profiles": {f"route-{place}": {"deadlineMs": 77}}}})
+                for place in range(5)]:
+            _, shown = await fleet.ask("GET", control, "/profiles")
+            before = await _metric(fleet, "control", "feed_sent_bytes_total")
+            began = time.perf_counter()
+            status, answer = await fleet.ask(method, control, "/profiles", {"version": shown["version"], **body})
+            acked = (time.perf_counter() - began) * 1000
+            await _in_force_at(fleet, shown["version"] + 1)
+            seen = (time.perf_counter() - began) * 1000
+            sent = await _metric(fleet, "control", "feed_sent_bytes_total") - before
+            lines.append(f"  {what}: {status}, acknowledged {acked:.0f} ms, seen in force {seen:.0f} ms, "
+                         f"{sent} bytes of news sent by control")
+        stopping.set()
+        await polling
+        _, text = await fleet.get(edge, "/metrics")
+        worst = next(line for line in text.splitlines() if "worst_tick_ms" in line)
+        lines.append(f"  /ready meanwhile: {spread(taken)}")
+        lines.append(f"  an edge's memory after {_memoryMb(edge.process.pid)} MB; {worst}")
+    return lines
+
+
+def measure_routes(count: int) -> str:
+    with tempfile.TemporaryDirectory() as folder:
+        return "\n".join(asyncio.run(_routes(count, folder)))
+
+
+def measure_prefix(prefixes: int = 60, workers: int = 7, cached: int = 12, calls: int = 6000) -> str:
+    """Placement alone, with the stand-in's cache (a bounded set of prefixes, the oldest leaving): hits and
+    the spread of calls over workers, by prefix and by load alone. Calls end in the order they began."""
+    lines = [f"{calls} calls, {prefixes} prefixes, {workers} workers with room for {cached} each, 20 under way"]
+    for byPrefix in (True, False):
+        rng = random.Random(1)
+        pool = []
+        for place in range(workers):
+            news = WorkerNews(identity=f"w{place}", incarnation=1, address=f"w{place}:1", zone="a", labels=[], beat=1,
+                              running=0, waiting=0, slots=8, cacheUse=0.0, leaving=False)
+            worker = Worker(news)
+            worker.take(news, 0)
+            pool.append(worker)
+        caches: dict[str, list[str]] = {worker.identity: [] for worker in pool}
+        hits, placed, underWay = 0, Counter(), []
+        for _ in range(calls):
+            prefix = f"p{min(rng.randrange(prefixes), rng.randrange(prefixes))}"
+            if len(underWay) >= 20:
+                underWay.pop(0).sending -= 1
+            worker = choose(pool, prefix, False, "a", True, 0.0, byPrefix=byPrefix)
+            worker.sending += 1
+            underWay.append(worker)
+            placed[worker.identity] += 1
+            cache = caches[worker.identity]
+            hits += prefix in cache
+            if prefix in cache:
+                cache.remove(prefix)
+            cache.append(prefix)
+            del cache[:-cached]
+        mean = calls / workers
+        lines.append(f"  {'by prefix' if byPrefix else 'by load alone':14} {100 * hits / calls:5.1f}% hits; busiest worker "
+                     f"{max(placed.values()) / mean:.2f} of the mean, idlest {min(placed.values()) / mean:.2f}")
+    return "\n".join(lines)
+
+
+async def _crowd(folder: str, rates: tuple[int, ...], seconds: float) -> list[str]:
+    lines = []
+    async with Fleet(folder, SHAPES["thin"], 28600) as fleet:
+        await fleet.found(TREE)
+        await fleet.workers_known(2)
+        for rate in rates:
+            traffic = Traffic(fleet, 1, 1.0)
+            pending: set[asyncio.Task] = set()
+            began = time.time()
+            count = 0
+            for _ in range(4):
+                pending.add(asyncio.ensure_future(traffic.hand_in(1)))
+            nextReadS = 0.0
+            while time.time() - began < seconds:
+                if time.time() - began > nextReadS:
+                    nextReadS += 0.2
+                    pending.update(asyncio.ensure_future(traffic.read(name, 0)) for name, lot in traffic.lots.items()
+                                   if lot["acked"] and not lot["doneMs"])
+                while count < (time.time() - began) * rate:
+                    count += 1
+                    pending.add(asyncio.ensure_future(traffic.live("rulings", True)))
+                await asyncio.sleep(0.01)
+            await asyncio.gather(*pending)
+            outcomes = Counter()
+            refused = []
+            for row in traffic.history.of("call"):
+                outcomes[row["verdict"] if not row["code"] else f"{row['verdict']} {row['code']}"] += 1
+                if row["verdict"] == "notRun":
+                    refused.append(row["answeredMs"] - row["atMs"])
+            lines.append(f"{rate} rulings a second: {dict(outcomes)}")
+            lines.append(f"  answered: {spread(traffic.latencyMs.get('rulings', []))}; refused: {spread(refused)}")
+
+            async def lots_done(traffic: Traffic = traffic) -> bool:
+                await asyncio.gather(*[traffic.read(name, 0) for name, lot in traffic.lots.items()
+                                       if lot["acked"] and not lot["doneMs"]])
+                return all(lot["doneMs"] for lot in traffic.lots.values() if lot["acked"])
+
+            await until(lots_done, 30_000, "lots are done")
+            lines.append(f"  lots handed in at the start: {spread(traffic.latencyMs.get('lots of 80', []))}")
+    return lines
+
+
+def measure_crowd(rates: tuple[int, ...] = (50, 150, 300, 450), seconds: float = 4.0) -> str:
+    with tempfile.TemporaryDirectory() as folder:
+        return "\n".join(asyncio.run(_crowd(folder, rates, seconds)))
--- a/libs/readingroom/src/readingroom/carrier.py
+++ b/libs/readingroom/src/readingroom/carrier.py
@@ -71,7 +71,9 @@
                     transaction=tx.transactionId, path=tx.profile.name, key=tx.key, state=str(tx.state),
                     sends=tx.sends, tookMs=boot_ms() - tx.startedMs,
                     code=step.refusal.code if step.refusal else "", verdict=str(step.refusal.verdict)
-                    if step.refusal else "")
+                    if step.refusal else "", replayed=step.name == "replay",
+                    bytes=len(step.value[1]) if step.name == "finish" else 0,
+                    **({"lot": tx.lot[0], "index": tx.lot[1]} if tx.lot else {}))
                 return step
 
     async def _open(self, tx: Transaction, digest: str) -> Step:
--- a/libs/readingroom/src/readingroom/cli.py
+++ b/libs/readingroom/src/readingroom/cli.py
@@ -12,6 +12,7 @@
 
 from colophon import load_params
 from readingroom.process import run_process, settings_or_exit
+from readingroom.replay import compare, load_recording, play
 from readingroom.roles import EdgeProcess, StoreProcess
 
 __all__ = ["call", "main", "serve_flags"]
@@ -97,6 +98,37 @@
          {"Idempotency-Key": key} if key else None)
 
 
+@app.command
+def replay(*files: Path, server: Annotated[list[str], Parameter(negative=())], pace: float = 1.0, seed: int = 1,
+           check: bool = False) -> None:
+    """Play recorded days against a fleet and compare outcomes and times. Exit code 1: some differ; 2: a bad recording.
+
+    Parameters
+    ----------
+    files: recordings, as edges with the setting recordFolder write them.
+    server: an edge's HTTP address; may be given several times.
+    pace: 2 plays a day in half the time.
+    seed: names the run; keys and lot ids carry it, so each run needs its own.
+    check: only look whether the recordings are whole.
+    """
+    rows, problems = [], [] if files and pace > 0 else ["wanted: files, and a pace above nought"]
+    for path in files:
+        found, wrong = load_recording(path)
+        rows += found
+        problems += wrong
+    for problem in problems:
+        sys.stderr.write(problem + "\n")
+    if problems:
+        raise SystemExit(2)
+    if check or not rows:
+        sys.stdout.write(f"{len(rows)} calls, all whole\n")
+        return
+    report, differing = compare(asyncio.run(play(rows, server, pace, seed)))
+    sys.stdout.write(report + "\n")
+    if differing:
+        raise SystemExit(1)
+
+
 @lot.command(name="hand-in")
 def hand_in(lotId: str, file: str, *, server: Server) -> None:
     """Hand in a lot from a JSON file with path, items and dueMs; - reads standard input."""
--- a/libs/readingroom/src/readingroom/desk_http.py
+++ b/libs/readingroom/src/readingroom/desk_http.py
@@ -56,11 +56,12 @@
     """`whyUnready`, `status` and `metrics` come from the process; `routes` are its own paths."""
 
     def __init__(self, address: str, limitBytes: int, whyUnready: Callable[[], str],
-                 status: Callable[[], dict[str, Any]], metrics: Callable[[], dict[str, float]]) -> None:
+                 status: Callable[[], dict[str, Any]], metrics: Callable[[], dict[str, float]],
+                 middlewares: tuple[Any, ...] = ()) -> None:
         super().__init__()
         self._address = address
         self._whyUnready, self._status, self._metrics = whyUnready, status, metrics
-        self.app = web.Application(middlewares=[_verdicts], client_max_size=limitBytes)
+        self.app = web.Application(middlewares=[*middlewares, _verdicts], client_max_size=limitBytes)
         self.app.router.add_get("/ready", self._ready)
         self.app.router.add_get("/live", self._live)
         self.app.router.add_get("/status", self._show_status)
--- a/libs/readingroom/src/readingroom/items.py
+++ b/libs/readingroom/src/readingroom/items.py
@@ -53,6 +53,7 @@
         tx = Transaction(f"{secrets.token_hex(6)}-{work.lotId}-{work.index}", profile, "", boot_ms(),
                          self._budget("lots/" + work.path), dueMs, claimed=True)
         tx.safe = work.safe
+        tx.lot = (work.lotId, work.index)
         try:
             step = await self._carrier.carry(tx, body, "", prefix_of(body), True, None)
         except Exception as error:
--- a/libs/readingroom/src/readingroom/roles.py
+++ b/libs/readingroom/src/readingroom/roles.py
@@ -10,6 +10,7 @@
 from readingroom.items import Items
 from readingroom.nodes import EdgeNode, StoreNode
 from readingroom.process import NodeProcess
+from readingroom.recorder import Recorder
 from readingroom.visitors import Visitors
 from readingroom.workers import WorkerCalls
 
@@ -28,7 +29,11 @@
             total=None, sock_connect=self.params.askMs / 1000),
                                               max_line_size=_HEAD_BYTES)
         self._carrier = Carrier(self.node, self._session)
-        desk = HttpDesk(self.params.http, self.params.maxBodyBytes, self.node.why_unready, self.status, self.metrics)
+        params = self.params
+        self._recorder = Recorder(params.recordFolder, params.link.replace(":", "-"), params.recordRows,
+                                  params.recordBodies) if params.recordFolder else None
+        desk = HttpDesk(params.http, params.maxBodyBytes, self.node.why_unready, self.status, self.metrics,
+                        (self._recorder.middleware,) if self._recorder else ())
         self._visitors = Visitors(self.node, self._carrier, desk)
         self._items = Items(self.node, self._carrier, self._visitors.budget)
         WorkerCalls(self.node, desk)
@@ -46,6 +51,8 @@
 
     async def on_stop(self) -> None:
         await self._session.close()
+        if self._recorder is not None:
+            self._recorder.close()
         await super().on_stop()
 
     def status(self) -> dict[str, Any]:
--- a/libs/readingroom/src/readingroom/visitors.py
+++ b/libs/readingroom/src/readingroom/visitors.py
@@ -128,6 +128,7 @@
             return sink.response
         if sink is None or sink.response is None:
             return answer_refusal(step.refusal)
+        request["verdict"], request["code"] = str(step.refusal.verdict), step.refusal.code
         try:
             await sink.response.write(b"event: error\ndata: " + json.dumps(step.refusal.body()).encode() + b"\n\n")
         except ConnectionError:
--- a/libs/registrar/src/registrar/cli.py
+++ b/libs/registrar/src/registrar/cli.py
@@ -1,7 +1,9 @@
 """The control plane's command line: serve, and the operators' commands against any control node."""
 
 import secrets
-from typing import Annotated
+import sys
+from pathlib import Path
+from typing import Annotated, Literal
 
 from cyclopts import App, Parameter
 
@@ -9,12 +11,15 @@
 from readingroom.cli import call, read_json, serve_flags
 from readingroom.process import run_process, settings_or_exit
 from registrar.process import ControlProcess
+from registrar.usage import export_usage
 
 __all__ = ["main"]
 
 app = App(name="registrar", help="vaneledge's control plane, and the operators' commands.")
 profiles = App(name="profiles", help="Show, send, patch and explain the tree of profiles.")
+usage = App(name="usage", help="Export usage.")
 app.command(profiles)
+app.command(usage)
 
 Server = Annotated[str, Parameter(name="--server", help="a control node's HTTP address, IP:PORT")]
 
@@ -41,6 +46,27 @@
     run_process(ControlProcess, params, settings, flags)
 
 
+@usage.command
+def export(*logs: Path, out: Path, form: Annotated[Literal["parquet", "csv"], Parameter(name="--format")] = "parquet") -> None:
+    """Export what finished, once each, from edges' JSON logs.
+
+    Parameters
+    ----------
+    logs: the logs of all edges.
+    out: the file to write.
+    form: parquet or csv.
+    """
+    try:
+        written, unread = export_usage(logs, out, form)
+    except ModuleNotFoundError as error:
+        sys.stderr.write(f"{error}; install the extra: pip install 'registrar[usage]'\n")
+        raise SystemExit(2) from error
+    except OSError as error:
+        sys.stderr.write(f"{error}\n")
+        raise SystemExit(2) from error
+    sys.stdout.write(f"{written} rows in {out}; {unread} lines could not be read\n")
+
+
 @profiles.command(name="show")
 def show_profiles(*, server: Server) -> None:
     """Show the tree and its version."""
--- /dev/null
+++ b/libs/registrar/src/registrar/usage.py
@@ -0,0 +1,59 @@
+"""Exports usage from edges' JSON logs: each transaction and each lot's item that finished, once, to
+Parquet or CSV through pyarrow, which is an optional extra. An item that ran again after a fault is
+counted by its first end; lines that can't be read are counted and told."""
+
+import json
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+__all__ = ["FIELDS", "export_usage", "usage_rows"]
+
+FIELDS = (("endedAt", "string"), ("edge", "string"), ("kind", "string"), ("path", "string"), ("transaction", "string"),
+          ("key", "string"), ("lot", "string"), ("item", "int32"), ("worker", "string"), ("sends", "int32"),
+          ("tookMs", "int64"), ("bytes", "int64"))
+
+
+def _row(logged: dict[str, Any]) -> dict[str, Any]:
+    lot, item = logged.get("lot", ""), logged.get("index", -1)
+    sends = logged.get("sends", [])
+    return {"endedAt": logged["at"], "edge": logged["node"], "kind": "item" if lot else "live",
+            "path": logged["path"], "transaction": logged["transaction"], "key": logged["key"], "lot": lot,
+            "item": item, "worker": sends[-1][0] if sends else "", "sends": len(sends), "tookMs": logged["tookMs"],
+            "bytes": logged.get("bytes", 0)}
+
+
+def usage_rows(paths: Iterable[Path]) -> tuple[list[dict[str, Any]], int]:
+    found: dict[Any, dict[str, Any]] = {}
+    unread = 0
+    for path in paths:
+        for line in path.read_text(errors="replace").splitlines():
+            if not line.strip():
+                continue
+            try:
+                logged = json.loads(line)
+                if logged.get("event") != "transaction-ended" or logged["state"] != "done" or logged["replayed"]:
+                    continue
+                row = _row(logged)
+            except (ValueError, KeyError, TypeError, AttributeError):
+                unread += 1
+                continue
+            name = (row["lot"], row["item"]) if row["lot"] else row["transaction"]
+            if name not in found or row["endedAt"] < found[name]["endedAt"]:
+                found[name] = row
+    return sorted(found.values(), key=lambda row: (row["endedAt"], row["transaction"])), unread
+
+
+def export_usage(paths: Iterable[Path], out: Path, form: str) -> tuple[int, int]:
+    """How many rows were written, and how many lines could not be read."""
+    import pyarrow
+    from pyarrow import csv, parquet
+
+    rows, unread = usage_rows(paths)
+    schema = pyarrow.schema([(name, getattr(pyarrow, kind)()) for name, kind in FIELDS])
+    table = pyarrow.Table.from_pylist(rows, schema=schema)
+    if form == "parquet":
+        parquet.write_table(table, out)
+    else:
+        csv.write_csv(table, out)
+    return len(rows), unread
