--- a/libs/facsimile/src/facsimile/measure_more.py
+++ b/libs/facsimile/src/facsimile/measure_more.py
@@ -129,6 +129,7 @@
         await fleet.workers_known(2)
         for rate in rates:
             traffic = Traffic(fleet, 1, 1.0)
+            traffic.lotName = f"rate{rate}-lot"
             pending: set[asyncio.Task] = set()
             began = time.time()
             count = 0
@@ -144,6 +145,7 @@
                     count += 1
                     pending.add(asyncio.ensure_future(traffic.live("rulings", True)))
                 await asyncio.sleep(0.01)
+            listed = [lot["seen"] for lot in traffic.lots.values()]
             await asyncio.gather(*pending)
             outcomes = Counter()
             refused = []
@@ -160,7 +162,8 @@
                 return all(lot["doneMs"] for lot in traffic.lots.values() if lot["acked"])
 
             await until(lots_done, 30_000, "lots are done")
-            lines.append(f"  lots handed in at the start: {spread(traffic.latencyMs.get('lots of 80', []))}")
+            lines.append(f"  lots handed in at the start: {sum(listed)} of {80 * len(listed)} results listed by the crowd's "
+                         f"end; {spread(traffic.latencyMs.get('lots of 80', []))}")
     return lines
 
 
--- a/libs/facsimile/src/facsimile/traffic.py
+++ b/libs/facsimile/src/facsimile/traffic.py
@@ -37,6 +37,7 @@
         self.outcomes: Counter = Counter()
         self.lots: dict[str, dict[str, Any]] = {}
         self.version = 1
+        self.lotName = "lot"
         self.stopping = False
         self._startedAt = time.time()
         self._count = 0
@@ -129,7 +130,7 @@
 
     async def hand_in(self, tries: int = 3, lotId: str = "", avoid: str = "") -> dict[str, Any]:
         if not lotId:
-            lotId = f"lot{len(self.lots) + 1}"
+            lotId = f"{self.lotName}{len(self.lots) + 1}"
             path = self.rng.choice(("summaries", "summaries", "claims"))
             self.lots[lotId] = {"path": path, "count": 80, "beganMs": self.nowMs(), "doneMs": 0.0, "seen": 0,
                                 "acked": False}
--- a/libs/readingroom/src/readingroom/carrier.py
+++ b/libs/readingroom/src/readingroom/carrier.py
@@ -103,6 +103,8 @@
         if worker is None and tx.avoid:
             worker = choose(workers, prefix, lot, params.zone, False, share, tx.profile.lotShare, frozenset(),
                             self.byPrefix)
+        if worker is None and lot and self._node.lots.running() <= 1:
+            worker = choose(workers, prefix, False, params.zone, False, 0.0, avoid=frozenset(tx.avoid))
         return tx.placed(worker, bool(workers))
 
     # -- one send ------------------------------------------------------------------------------
--- a/libs/readingroom/src/readingroom/items.py
+++ b/libs/readingroom/src/readingroom/items.py
@@ -16,13 +16,14 @@
 
 
 class Items:
-    __slots__ = ("_budget", "_carrier", "_node", "_tasks")
+    __slots__ = ("_budget", "_carrier", "_node", "_tasks", "_trickledMs")
 
     def __init__(self, node: Any, carrier: Carrier, budget: Callable[[str], Any]) -> None:
         self._node = node
         self._carrier = carrier
         self._budget = budget
         self._tasks: set[asyncio.Task] = set()
+        self._trickledMs = 0
 
     def room(self) -> tuple[int, frozenset[str]]:
         """What lots may take of the workers' free slots, shared evenly among the edges that are known."""
@@ -35,7 +36,16 @@
         edges = 1 + len(self._node.neighbours.of_role("edge", self._node.params.deadMs))
         room = math.ceil(free / edges) if free else 0
         starting = sum(1 for task in self._tasks if not task.done()) - sum(worker.sending for worker in workers)
-        return max(0, room - max(0, starting)), paths
+        room = max(0, room - max(0, starting))
+        return room or self._trickle(workers), paths
+
+    def _trickle(self, workers: list[Any]) -> int:
+        """Where live traffic takes everything, an edge still has one item under way now and then."""
+        nowMs = boot_ms()
+        if not workers or self._tasks or nowMs - self._trickledMs < self._node.params.beatMs:
+            return 0
+        self._trickledMs = nowMs
+        return 1
 
     def start(self, work: Any, done: Callable[[str, str, str], None]) -> Callable[[], None]:
         task = asyncio.get_running_loop().create_task(self._run(work, done))
