--- a/libs/accession/src/accession/holder.py
+++ b/libs/accession/src/accession/holder.py
@@ -76,9 +76,7 @@
         self._flushAsked = False
         self._flushWantedSeq = 0
         self.deposed = False
-        self.ledger = Ledger()
-        for row in log.ledger.dump():
-            self.ledger.apply(row)
+        self.ledger = log.ledger.copy()
         for record in log.since(log.settledSeq + 1, 1 << 62):
             self.ledger.apply(entry_of(record))
 
@@ -189,7 +187,10 @@
     def _install(self, peer: Peer) -> None:
         if not peer.installing:
             peer.installing = True
-            self._post(peer.address, Install(epoch=self.epoch, snapshot=self._log.snapshot(), probe=self._probe))
+            data = self._log.snapshot()
+            for offset in range(0, len(data), _CHUNK_BYTES):
+                self._post(peer.address, Install(epoch=self.epoch, snapshot=data[offset:offset + _CHUNK_BYTES],
+                                                 offset=offset, total=len(data), probe=self._probe))
 
     def learn(self, identity: str, address: str) -> None:
         """A spare store: it is sent the log but counts for nothing until it is made a member."""
--- a/libs/accession/src/accession/local.py
+++ b/libs/accession/src/accession/local.py
@@ -217,9 +217,9 @@
 
     def snapshot(self) -> bytes:
         stamp = self.stamp_at(self.settledSeq) or (0, 0)
-        rows = self.ledger.dump()
+        rows = self.ledger.encoded()
         head = SnapshotHead(seq=self.settledSeq, epoch=stamp[0], stampMs=stamp[1], count=len(rows))
-        return b"".join([frame(encode(head)), *[frame(encode(row)) for row in rows]])
+        return b"".join([frame(encode(head)), *[frame(row) for row in rows]])
 
     def load_snapshot(self, data: bytes) -> None:
         frames, end, _ = scan(data)
--- a/libs/accession/src/accession/messages.py
+++ b/libs/accession/src/accession/messages.py
@@ -76,6 +76,8 @@
 class Install(Message):
     epoch: Long
     snapshot: Blob
+    offset: Long
+    total: Long
     probe: Long
 
 
@@ -96,11 +98,13 @@
 class Fetch(Message):
     epoch: Long
     fromSeq: Long
+    offset: Long
 
 
 class Fetched(Message):
     identity: Text
     ok: Flag
     snapshot: Blob
+    total: Long
     records: Arr(Blob)
     lastSeq: Long
--- a/libs/accession/src/accession/peer.py
+++ b/libs/accession/src/accession/peer.py
@@ -18,11 +18,13 @@
 
 
 class PeerSide:
-    __slots__ = ("_busy", "_log")
+    __slots__ = ("_busy", "_log", "_parts", "_snapshot")
 
     def __init__(self, log: LocalLog) -> None:
         self._log = log
         self._busy = False
+        self._parts = b""
+        self._snapshot: tuple[int, bytes] = (-1, b"")
 
     def receive(self, message: Message, reply: Reply) -> None:
         if message.epoch > self._log.meta.fence:
@@ -42,12 +44,15 @@
     def _(self, message: Fetch, reply: Reply) -> None:
         log = self._log
         ok = message.epoch == log.meta.fence
-        snapshot, records = b"", []
+        snapshot, total, records = b"", 0, []
         if ok and message.fromSeq < log.firstSeq and message.fromSeq <= log.snapSeq:
-            snapshot = log.snapshot()
+            if self._snapshot[0] != log.settledSeq:
+                self._snapshot = (log.settledSeq, log.snapshot())
+            total = len(self._snapshot[1])
+            snapshot = self._snapshot[1][message.offset:message.offset + _CHUNK_BYTES]
         elif ok:
             records = [encode(record) for record in log.since(message.fromSeq, _CHUNK_BYTES)]
-        reply(Fetched(identity=log.identity, ok=ok, snapshot=snapshot, records=records, lastSeq=log.lastSeq))
+        reply(Fetched(identity=log.identity, ok=ok, snapshot=snapshot, total=total, records=records, lastSeq=log.lastSeq))
 
     @_on.register
     def _(self, message: Append, reply: Reply) -> None:
@@ -109,6 +114,10 @@
         if message.epoch < log.meta.fence or self._busy:
             reply(self._receipt(message.probe, False, "fenced" if not self._busy else "busy"))
             return
+        self._parts = self._parts[:message.offset] + message.snapshot if message.offset <= len(self._parts) else b""
+        if len(self._parts) != message.total:
+            return
+        data, self._parts = self._parts, b""
         self._busy = True
 
         def installed(ok: bool) -> None:
@@ -116,7 +125,7 @@
             reply(self._receipt(message.probe, False, "installed" if ok else "full"))
 
         try:
-            log.install(message.snapshot, installed)
+            log.install(data, installed)
         except (Damage, IndexError):
             self._busy = False
             reply(self._receipt(message.probe, False, "damaged"))
--- a/libs/accession/src/accession/recovery.py
+++ b/libs/accession/src/accession/recovery.py
@@ -8,7 +8,7 @@
 
 from accession.local import LocalLog
 from accession.messages import Fetch, Fetched, Record, Start, Started
-from stacks import DiskFull
+from stacks import Damage, DiskFull
 from vellum import Message, decode
 
 __all__ = ["Recovery", "union"]
@@ -103,7 +103,7 @@
         self._records.append([])
         self._fetch_from(address, self._log.snapSeq + 1)
 
-    def _fetch_from(self, address: str, fromSeq: int) -> None:
+    def _fetch_from(self, address: str, fromSeq: int, got: bytes = b"") -> None:
         def fetched(message: Message | None) -> None:
             if self.state is not _State.FETCHING:
                 return
@@ -111,10 +111,14 @@
                 if self._now() - self._startedMs > self.params.forceMs:
                     self._finish(False)
                 else:
-                    self._fetch_from(address, fromSeq)
+                    self._fetch_from(address, fromSeq, got)
                 return
             if message.snapshot:
-                self._install(address, message)
+                data = got + message.snapshot
+                if len(data) < message.total:
+                    self._fetch_from(address, fromSeq, data)
+                else:
+                    self._install(address, data)
                 return
             records = [decode(data) for data in message.records]
             self._records[-1].extend(records)
@@ -123,9 +127,9 @@
             else:
                 self._next_source()
 
-        self._ask(address, Fetch(epoch=self.epoch, fromSeq=fromSeq), 2 * self.params.askMs, fetched)
+        self._ask(address, Fetch(epoch=self.epoch, fromSeq=fromSeq, offset=len(got)), 2 * self.params.askMs, fetched)
 
-    def _install(self, address: str, message: Fetched) -> None:
+    def _install(self, address: str, data: bytes) -> None:
         """The source has trimmed what we lack: its snapshot is settled, so it may stand for ours."""
         def installed(ok: bool) -> None:
             if not ok:
@@ -135,7 +139,10 @@
                              for records in self._records]
             self._fetch_from(address, self._log.snapSeq + 1)
 
-        self._log.install(message.snapshot, installed)
+        try:
+            self._log.install(data, installed)
+        except (Damage, IndexError):
+            self._finish(False)
 
     def _write(self) -> None:
         self.state = _State.WRITING
--- a/libs/ledger/src/ledger/fold.py
+++ b/libs/ledger/src/ledger/fold.py
@@ -5,7 +5,7 @@
 from functools import singledispatchmethod
 
 from ledger import entries as e
-from vellum import Message
+from vellum import Message, encode
 
 __all__ = ["Item", "Key", "Ledger", "Lot"]
 
@@ -25,7 +25,7 @@
 
 class Lot:
     __slots__ = ("atMs", "batonEdge", "batonEpoch", "digest", "dueMs", "ended", "endedAtMs", "items", "left",
-                 "lotId", "path", "placed", "safe")
+                 "lotId", "path", "placed", "rows", "safe")
 
     def __init__(self, entry: e.LotAdmitted) -> None:
         self.lotId = entry.lotId
@@ -41,6 +41,7 @@
         self.batonEpoch = 0
         self.ended = False
         self.endedAtMs = 0
+        self.rows: list[bytes] | None = None
 
     @property
     def open(self) -> bool:
@@ -117,14 +118,14 @@
 
     @apply.register
     def _(self, entry: e.BatonPassed) -> None:
-        lot = self.lots.get(entry.lotId)
+        lot = self._lot(entry.lotId)
         if lot is not None and entry.epoch > lot.batonEpoch:
             lot.batonEdge = entry.edge
             lot.batonEpoch = entry.epoch
 
     @apply.register
     def _(self, entry: e.ResultsPlaced) -> None:
-        lot = self.lots.get(entry.lotId)
+        lot = self._lot(entry.lotId)
         if lot is not None and entry.epoch == lot.batonEpoch and lot.placed < entry.upTo <= lot.ready:
             lot.placed = entry.upTo
             if not lot.open:
@@ -132,7 +133,7 @@
 
     @apply.register
     def _(self, entry: e.LotEnded) -> None:
-        lot = self.lots.get(entry.lotId)
+        lot = self._lot(entry.lotId)
         if lot is not None and not lot.ended:
             lot.ended = True
             lot.endedAtMs = entry.atMs
@@ -162,35 +163,79 @@
         self.keys.pop(entry.key, None)
 
     def _item(self, lotId: str, index: int) -> Item | None:
-        lot = self.lots.get(lotId)
+        lot = self._lot(lotId)
         if lot is None or not 0 <= index < len(lot.items):
             return None
         return lot.items[index]
 
+    def _lot(self, lotId: str) -> Lot | None:
+        """A lot that is about to change: what was kept of its rows no longer holds."""
+        lot = self.lots.get(lotId)
+        if lot is not None:
+            lot.rows = None
+        return lot
+
     def dump(self) -> list[Message]:
         """Entries that fold to this very ledger."""
         rows: list[Message] = []
         for lot in self.lots.values():
-            rows.append(e.LotAdmitted(lotId=lot.lotId, digest=lot.digest, path=lot.path, safe=lot.safe,
-                                      items=[item.body for item in lot.items], dueMs=lot.dueMs, atMs=lot.atMs))
-            for index, item in enumerate(lot.items):
-                if item.number:
-                    rows.append(e.ItemClaimed(lotId=lot.lotId, index=index, edge=item.edge, number=item.number))
-                if item.number and item.state == "waiting":
-                    rows.append(e.ItemReturned(lotId=lot.lotId, index=index, number=item.number))
-                if item.state == "finished":
-                    rows.append(e.ItemFinished(lotId=lot.lotId, index=index, outcome=item.outcome,
-                                               body=item.result, worker=item.worker))
-            if lot.batonEpoch:
-                rows.append(e.BatonPassed(lotId=lot.lotId, edge=lot.batonEdge, epoch=lot.batonEpoch))
-            if lot.placed:
-                rows.append(e.ResultsPlaced(lotId=lot.lotId, upTo=lot.placed, epoch=lot.batonEpoch))
-            if lot.ended:
-                rows.append(e.LotEnded(lotId=lot.lotId, atMs=lot.endedAtMs))
+            rows += self._dump_lot(lot)
+        for name, key in self.keys.items():
+            rows += self._dump_key(name, key)
+        return rows
+
+    def encoded(self) -> list[bytes]:
+        """The same as bytes. Those of a lot that is over are kept, so that a snapshot costs little
+        more than what is new in it."""
+        rows: list[bytes] = []
+        for lot in self.lots.values():
+            if lot.rows is None or lot.open:
+                lot.rows = [encode(row) for row in self._dump_lot(lot)]
+            rows += lot.rows
         for name, key in self.keys.items():
-            rows.append(e.KeyOpened(key=name, digest=key.digest, edge=key.edge, transaction=key.transaction,
-                                    atMs=key.atMs))
-            if key.state != "open":
-                rows.append(e.KeyClosed(key=name, transaction=key.transaction, state=key.state,
-                                        status=key.status, body=key.body, atMs=key.atMs))
+            rows += [encode(row) for row in self._dump_key(name, key)]
+        return rows
+
+    def copy(self) -> "Ledger":
+        """A ledger that may go its own way; it shares the lots and keys that can't change any more."""
+        twin = Ledger()
+        for lotId, lot in self.lots.items():
+            if lot.open:
+                for row in self._dump_lot(lot):
+                    twin.apply(row)
+            else:
+                twin.lots[lotId] = lot
+        for name, key in self.keys.items():
+            if key.state in ("open", "doubt"):
+                for row in self._dump_key(name, key):
+                    twin.apply(row)
+            else:
+                twin.keys[name] = key
+        return twin
+
+    def _dump_lot(self, lot: Lot) -> list[Message]:
+        rows: list[Message] = [e.LotAdmitted(lotId=lot.lotId, digest=lot.digest, path=lot.path, safe=lot.safe,
+                                             items=[item.body for item in lot.items], dueMs=lot.dueMs, atMs=lot.atMs)]
+        for index, item in enumerate(lot.items):
+            if item.number:
+                rows.append(e.ItemClaimed(lotId=lot.lotId, index=index, edge=item.edge, number=item.number))
+            if item.number and item.state == "waiting":
+                rows.append(e.ItemReturned(lotId=lot.lotId, index=index, number=item.number))
+            if item.state == "finished":
+                rows.append(e.ItemFinished(lotId=lot.lotId, index=index, outcome=item.outcome, body=item.result,
+                                           worker=item.worker))
+        if lot.batonEpoch:
+            rows.append(e.BatonPassed(lotId=lot.lotId, edge=lot.batonEdge, epoch=lot.batonEpoch))
+        if lot.placed:
+            rows.append(e.ResultsPlaced(lotId=lot.lotId, upTo=lot.placed, epoch=lot.batonEpoch))
+        if lot.ended:
+            rows.append(e.LotEnded(lotId=lot.lotId, atMs=lot.endedAtMs))
+        return rows
+
+    def _dump_key(self, name: str, key: Key) -> list[Message]:
+        rows: list[Message] = [e.KeyOpened(key=name, digest=key.digest, edge=key.edge, transaction=key.transaction,
+                                           atMs=key.atMs)]
+        if key.state != "open":
+            rows.append(e.KeyClosed(key=name, transaction=key.transaction, state=key.state, status=key.status,
+                                    body=key.body, atMs=key.atMs))
         return rows
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -42,7 +42,8 @@
         rows = [((1, "a", 3), (1, "a", 2), 3), ((2, "a", 2), (1, "b", 7), 2), ((1, "b", 1), (1, "a", 2), 1),
                 ((0, "", 0), (1, "a", 1), 1)]
         for first, second, wanted in rows:
-            self.assertThat(newest([vote(*first), vote(*second)]).version, Equals(wanted))
+            for pair in ((first, second), (second, first)):
+                self.assertThat(newest([vote(*row) for row in pair]).version, Equals(wanted))
         self.assertThat(newest([vote(0, "", 0)]).version, Equals(0))
 
     def test_late_accept_of_an_older_version_is_refused(self):
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,85 @@
+"""The fold: its states, and that a ledger, its dump, its encoded rows and its copy say the same."""
+
+import random
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from ledger import Ledger
+from ledger import entries as e
+from vellum import decode
+
+
+def drawn(seed):
+    """Entries in any order, some of which no longer apply."""
+    rng = random.Random(seed)
+    rows = []
+    for lot in range(4):
+        rows.append(e.LotAdmitted(lotId=f"l{lot}", digest="d", path="p", items=["a", "b", "c"], safe=True, dueMs=1, atMs=lot))
+    for _ in range(120):
+        lot, index, number = f"l{rng.randrange(5)}", rng.randrange(4), rng.randrange(1, 5)
+        key, tx = f"k{rng.randrange(4)}", f"t{rng.randrange(3)}"
+        rows.append(rng.choice([
+            e.ItemClaimed(lotId=lot, index=index, edge="e", number=number),
+            e.ItemReturned(lotId=lot, index=index, number=number),
+            e.ItemFinished(lotId=lot, index=index, outcome="ran", body=f"r{rng.random()}", worker="w"),
+            e.BatonPassed(lotId=lot, edge="e", epoch=number), e.ResultsPlaced(lotId=lot, upTo=index, epoch=number),
+            e.KeyOpened(key=key, digest="d", edge="e", transaction=tx, atMs=number),
+            e.KeyClosed(key=key, transaction=tx, state=rng.choice(("done", "void", "doubt")), status=200, body="b", atMs=1)]))
+    rows.insert(rng.randrange(60, 120), e.LotEnded(lotId="l1", atMs=9))
+    return rows
+
+
+def shown(ledger):
+    lots = {name: (lot.placed, lot.ended, lot.left, lot.batonEpoch, lot.batonEdge, lot.open, [
+        (item.state, item.edge, item.number, item.outcome, item.result) for item in lot.items])
+        for name, lot in ledger.lots.items()}
+    keys = {name: (key.state, key.transaction, key.body, key.status) for name, key in ledger.keys.items()}
+    return lots, keys, sorted(ledger.opened)
+
+
+class Fold(TestCase):
+    def test_dump_encoded_and_copy_say_the_same(self):
+        for seed in range(30):
+            rows = drawn(seed)
+            ledger, cached = Ledger(), Ledger()
+            for place, row in enumerate(rows):
+                ledger.apply(row)
+                cached.apply(row)
+                if place % 7 == 0:
+                    cached.encoded()
+            dumped, encoded = Ledger(), Ledger()
+            for row in ledger.dump():
+                dumped.apply(row)
+            for row in cached.encoded():
+                encoded.apply(decode(row))
+            twin = ledger.copy()
+            for other in (dumped, encoded, twin):
+                self.assertThat(shown(other), Equals(shown(ledger)), f"seed {seed}")
+
+    def test_a_copy_goes_its_own_way(self):
+        ledger = Ledger()
+        for row in drawn(1)[:4]:
+            ledger.apply(row)
+        ledger.apply(e.KeyOpened(key="k", digest="d", edge="e", transaction="t", atMs=1))
+        before = shown(ledger)
+        twin = ledger.copy()
+        for row in (e.ItemClaimed(lotId="l0", index=0, edge="e", number=1), e.LotEnded(lotId="l2", atMs=1),
+                    e.KeyClosed(key="k", transaction="t", state="void", status=0, body="", atMs=1)):
+            twin.apply(row)
+        self.assertThat(shown(ledger), Equals(before))
+        self.assertThat(shown(twin) == before, Equals(False))
+
+    def test_results_are_listed_in_order_under_the_present_baton(self):
+        ledger = Ledger()
+        ledger.apply(drawn(1)[0])
+        steps = [(e.ItemFinished(lotId="l0", index=1, outcome="ran", body="1", worker=""), 0),
+                 (e.BatonPassed(lotId="l0", edge="a", epoch=1), 0), (e.ResultsPlaced(lotId="l0", upTo=1, epoch=1), 0),
+                 (e.ItemFinished(lotId="l0", index=0, outcome="ran", body="0", worker=""), 0),
+                 (e.BatonPassed(lotId="l0", edge="b", epoch=2), 0), (e.ResultsPlaced(lotId="l0", upTo=2, epoch=1), 0),
+                 (e.ResultsPlaced(lotId="l0", upTo=3, epoch=2), 0), (e.ResultsPlaced(lotId="l0", upTo=2, epoch=2), 2),
+                 (e.ItemFinished(lotId="l0", index=0, outcome="ran", body="other", worker=""), 2)]
+        for entry, placed in steps:
+            ledger.apply(entry)
+            self.assertThat(ledger.lots["l0"].placed, Equals(placed))
+        self.assertThat(ledger.lots["l0"].items[0].result, Equals("0"))
--- a/tests/test_log_conformance.py
+++ b/tests/test_log_conformance.py
@@ -10,7 +10,7 @@
 from ledger import entries
 from stacks import Damage
 from stacks.disk import KEPT_BACK
-from vellum import decode
+from vellum import decode, encode
 
 class OrdinaryPath(TestCase):
     def setUp(self):
@@ -131,7 +131,7 @@
         table.peers["b"].receive(Start(epoch=2), answers.append)
         table.run(20)
         self.assertThat((answers[0].count, answers[0].lastSeq, answers[0].ok), Equals((3, 3, True)))
-        table.peers["b"].receive(Fetch(epoch=2, fromSeq=1), answers.append)
+        table.peers["b"].receive(Fetch(epoch=2, fromSeq=1, offset=0), answers.append)
         self.assertThat([decode(row).seq for row in answers[1].records], Equals([1, 2, 3]))
 
     def test_duplicates_dropped_by_stamp_and_replayed_in_stamp_order(self):
@@ -204,7 +204,11 @@
         outcomes = table.append("late")
         table.run(PARAMS.askMs + 100)
         self.assertThat((outcomes, table.deposedBy[:1]), Equals(([Outcome.UNKNOWN], [2])))
-        self.assertThat(table.keys("c"), Equals([]))
+        receipts = []
+        late = table.logs["a"].records[-1]
+        table.peers["c"].receive(Append(epoch=1, baseSeq=0, prevSeq=0, prevEpoch=0, prevMs=0, records=[encode(late)],
+                                        settledSeq=0, flush=False, probe=0), receipts.append)
+        self.assertThat((receipts[0].ok, receipts[0].fence, table.keys("c")), Equals((False, 2, [])))
 
     def test_peer_keeps_what_no_disk_has_yet(self):
         table = Table()
@@ -240,6 +244,8 @@
                 table = Table(seed)
                 table.hold("a", 1)
                 table.run(300)
+                for disk in table.disks.values():
+                    disk.flushMs = 40.0
                 outcomes = table.append("k1", settled)
                 while not outcomes:
                     table.run(1)
--- /dev/null
+++ b/tests/test_lots.py
@@ -0,0 +1,107 @@
+"""What the desk and the edges' runners promise about lots, each provoked by itself."""
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from facsimile.sim import judge
+from facsimile.sim.runs import Run
+from ledger import messages as m
+
+
+class Lots(TestCase):
+    def founded(self, seed=9):
+        run = Run(seed)
+        run.found()
+        run.fleet.run_until_true(lambda: False, 800)
+        return run, run.fleet
+
+    def wait(self, fleet, check, limitMs=8000):
+        self.assertThat(bool(fleet.run_until_true(check, limitMs)), Equals(True))
+
+    def ask(self, fleet, message):
+        seen = []
+        fleet.of("edge")[0].node.ask(fleet.holder().address, message, 400, seen.append)
+        self.wait(fleet, lambda: seen)
+        return seen[0]
+
+    def hand_in(self, fleet, lotId, ageMs=0, path="summaries", epoch=None):
+        node = fleet.holder().node
+        return self.ask(fleet, m.HandIn(
+            lotId=lotId, digest=lotId, path=path, items=["a"], safe=True, dueMs=0, holderMs=node.env.now() - ageMs,
+            epoch=epoch or node.log.holder.epoch)).outcome
+
+    def test_late_hand_ins_are_not_taken(self):
+        run, fleet = self.founded()
+        params = fleet.holder().params
+        for worker in fleet.workers.values():
+            worker.gone = True
+        rows = [("old", params.freshMs + 50, None, "stale"), ("other", 0, 99, "stale"), ("one", 0, None, "admitted"),
+                ("two", 0, None, "admitted"), ("three", 0, None, "admitted"), ("four", 100, None, "noRoom"),
+                ("four", 200, None, "stale"), ("three", 0, None, "known")]
+        for lotId, ageMs, epoch, wanted in rows:
+            self.assertThat(self.hand_in(fleet, lotId, ageMs, epoch=epoch), Equals(wanted), f"{lotId} {ageMs}")
+        self.ask(fleet, m.EndLot(lotId="one"))
+        self.assertThat(self.hand_in(fleet, "four", 400), Equals("stale"))
+        self.assertThat(self.hand_in(fleet, "four"), Equals("admitted"))
+
+    def test_an_unsafe_report_is_acknowledged_only_once_settled(self):
+        for seed in range(3):
+            run, fleet = self.founded(seed)
+            history = fleet.history
+            run.visitors.hand_in("claims", 6)
+            self.wait(fleet, lambda: history.of("run"))
+            for host in fleet.of("store"):
+                host.disk.flushMs = 400.0
+            self.wait(fleet, lambda: history.of("run-ended"))
+            fleet.time.run_until(fleet.time.nowMs + 30)
+            for host in fleet.of("store"):
+                host.lose_power()
+                host.disk.flushMs = 3.0
+            for host in fleet.of("store"):
+                fleet.time.after(800, host.start)
+            fleet.run_until_true(lambda: False, 9000)
+            run.read_all()
+            self.assertThat(judge(history), Equals({}))
+            self.assertThat(history.of("final")[0]["listed"], Equals(6))
+
+    def test_a_cut_off_edge_stops_an_ended_lot_in_time(self):
+        run, fleet = self.founded()
+        for worker in fleet.workers.values():
+            worker.pieceMs = 1500.0
+        run.visitors.hand_in("summaries", 12)
+        edges = fleet.of("edge")
+        self.wait(fleet, lambda: all(host.node.lots.running() for host in edges[:2]))
+        workers = [worker.address for worker in fleet.workers.values()]
+        others = [host.address for host in fleet.hosts.values() if host is not edges[0]]
+        fleet.network.split([[edges[0].address], others])
+        seen = []
+        edges[1].node.holder.ask(m.EndLot(lotId="lot1"), 2000, seen.append)
+        self.wait(fleet, lambda: seen)
+        self.assertThat(seen[0].outcome, Equals("known"))
+        self.assertThat(edges[0].node.lots.running() > 0 and len(workers) == 3, Equals(True))
+        self.wait(fleet, lambda: not any(host.node.lots.running() for host in edges), edges[0].params.endMs)
+
+    def test_the_waiting_room_is_exact_in_a_crowd_through_every_edge(self):
+        run, fleet = self.founded()
+        for worker in fleet.workers.values():
+            worker.gone = True
+        rows = []
+        for _ in range(20):
+            run.visitors.hand_in("summaries", 2, done=rows.append)
+        self.wait(fleet, lambda: len(rows) == 20)
+        outcomes = sorted(row["outcome"] for row in rows)
+        self.assertThat(outcomes, Equals(["admitted"] * 3 + ["noRoom"] * 17))
+
+    def test_the_baton_of_a_lost_edge_is_issued_again_higher(self):
+        run, fleet = self.founded()
+        run.visitors.hand_in("summaries", 9)
+        holder = fleet.holder().node
+        self.wait(fleet, lambda: holder.log.holder.ledger.lots and
+                  next(iter(holder.log.holder.ledger.lots.values())).batonEpoch)
+        lot = next(iter(holder.log.holder.ledger.lots.values()))
+        before = lot.batonEpoch
+        next(host for host in fleet.of("edge") if host.node.lots.edge == lot.batonEdge).kill()
+        self.wait(fleet, lambda: lot.placed == 9, 12000)
+        self.assertThat(lot.batonEpoch > before, Equals(True))
+        stale = self.ask(fleet, m.Place(lotId="lot1", edge="whoever", epoch=before, upTo=9))
+        self.assertThat(stale.ok, Equals(False))
