--- a/libs/readingroom/src/readingroom/desk_http.py
+++ b/libs/readingroom/src/readingroom/desk_http.py
@@ -10,8 +10,9 @@
 from mode import Service
 
 from colophon import Refusal, doubtful, log, refused
+from readingroom.calls import parse
 
-__all__ = ["HttpDesk", "answer_refusal", "json_answer", "read_body"]
+__all__ = ["HttpDesk", "answer_refusal", "json_answer", "read_call"]
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -27,7 +28,16 @@
     return json_answer(refusal.body(), refusal.status, headers)
 
 
-async def read_body(request: web.Request, limitBytes: int) -> bytes | Refusal:
+async def read_call(request: web.Request, limitBytes: int, model: Any) -> Any:
+    """The body as the model says, or a refusal that names what is wrong."""
+    data = await _read_body(request, limitBytes)
+    if isinstance(data, Refusal):
+        return data
+    parsed = parse(model, data)
+    return parsed.error if parsed.is_error() else parsed.ok
+
+
+async def _read_body(request: web.Request, limitBytes: int) -> bytes | Refusal:
     if request.content_length is not None and request.content_length > limitBytes:
         return refused("too-large", f"the body is larger than {limitBytes} bytes", 413, field="body")
     try:
--- a/libs/readingroom/src/readingroom/visitors.py
+++ b/libs/readingroom/src/readingroom/visitors.py
@@ -11,9 +11,9 @@
 from circulation import Budget, Step, Transaction, prefix_of
 from colophon import Refusal, boot_ms, doubtful, log, refused, wall_ms
 from ledger import messages as m
-from readingroom.calls import LOT_ID, CompletionCall, HandInCall, parse
+from readingroom.calls import LOT_ID, CompletionCall, HandInCall
 from readingroom.carrier import Carrier
-from readingroom.desk_http import HttpDesk, answer_refusal, json_answer, read_body
+from readingroom.desk_http import HttpDesk, answer_refusal, json_answer, read_call
 from vellum import decode
 from vellum.shell import awaited
 
@@ -76,13 +76,9 @@
     async def _live(self, request: web.Request) -> web.StreamResponse:
         if reason := self._node.why_unready():
             return answer_refusal(not_ready(reason, "Idempotency-Key" in request.headers))
-        data = await read_body(request, self._node.params.maxBodyBytes)
-        if isinstance(data, Refusal):
-            return answer_refusal(data)
-        parsed = parse(CompletionCall, data)
-        if parsed.is_error():
-            return answer_refusal(parsed.error)
-        call: CompletionCall = parsed.ok
+        call = await read_call(request, self._node.params.maxBodyBytes, CompletionCall)
+        if isinstance(call, Refusal):
+            return answer_refusal(call)
         if fault := self._live_fault(call, request):
             return answer_refusal(fault)
         body = call.model_dump(exclude_none=True, exclude={"model", "stream"})
@@ -154,13 +150,9 @@
             return answer_refusal(lotId)
         if reason := self._node.why_unready():
             return answer_refusal(not_ready(reason, True))
-        data = await read_body(request, self._node.params.maxBodyBytes)
-        if isinstance(data, Refusal):
-            return answer_refusal(data)
-        parsed = parse(HandInCall, data)
-        if parsed.is_error():
-            return answer_refusal(parsed.error)
-        call: HandInCall = parsed.ok
+        call = await read_call(request, self._node.params.maxBodyBytes, HandInCall)
+        if isinstance(call, Refusal):
+            return answer_refusal(call)
         profile = self._node.tree().usable(call.path)
         if profile is None:
             return answer_refusal(refused("unknown-path", f"path: no profile is called {call.path!r}", 404, field="path"))
--- a/libs/readingroom/src/readingroom/workers.py
+++ b/libs/readingroom/src/readingroom/workers.py
@@ -6,8 +6,8 @@
 
 from circulation import WorkerNews
 from colophon import Refusal, refused
-from readingroom.calls import Beat, Leave, parse
-from readingroom.desk_http import HttpDesk, answer_refusal, json_answer, read_body
+from readingroom.calls import Beat, Leave
+from readingroom.desk_http import HttpDesk, answer_refusal, json_answer, read_call
 
 __all__ = ["WorkerCalls"]
 
@@ -21,13 +21,9 @@
         desk.app.router.add_post("/workers/leave", self._leave)
 
     async def _beat(self, request: web.Request) -> web.Response:
-        data = await read_body(request, self._node.params.maxBodyBytes)
-        if isinstance(data, Refusal):
-            return answer_refusal(data)
-        parsed = parse(Beat, data)
-        if parsed.is_error():
-            return answer_refusal(parsed.error)
-        beat: Beat = parsed.ok
+        beat = await read_call(request, self._node.params.maxBodyBytes, Beat)
+        if isinstance(beat, Refusal):
+            return answer_refusal(beat)
         taken = self._node.roster.hear(WorkerNews(**beat.model_dump(), leaving=False))
         if not taken:
             return answer_refusal(refused("outdated", "this incarnation has left or was replaced", 409,
@@ -37,13 +33,9 @@
                             "beatMs": self._node.params.beatMs})
 
     async def _leave(self, request: web.Request) -> web.Response:
-        data = await read_body(request, self._node.params.maxBodyBytes)
-        if isinstance(data, Refusal):
-            return answer_refusal(data)
-        parsed = parse(Leave, data)
-        if parsed.is_error():
-            return answer_refusal(parsed.error)
-        leave: Leave = parsed.ok
+        leave = await read_call(request, self._node.params.maxBodyBytes, Leave)
+        if isinstance(leave, Refusal):
+            return answer_refusal(leave)
         known = next((worker for worker in self._node.roster.all() if worker.identity == leave.identity
                       and worker.incarnation == leave.incarnation), None)
         self._node.roster.hear(WorkerNews(
--- a/libs/registrar/src/registrar/operators.py
+++ b/libs/registrar/src/registrar/operators.py
@@ -11,8 +11,7 @@
 from catalogue import Change, Changed, ReadKey, Tree, check_tree, explain
 from colophon import Refusal, doubtful, refused
 from gazette.patches import apply_patch
-from readingroom.calls import parse
-from readingroom.desk_http import HttpDesk, answer_refusal, json_answer, read_body
+from readingroom.desk_http import HttpDesk, answer_refusal, json_answer, read_call
 from readingroom.nodes import PROFILES_KEY, RETIRED_KEY
 from vellum.shell import awaited
 
@@ -59,11 +58,7 @@
         return await awaited(lambda done: self._node.owner.submit(message, done))
 
     async def _parsed(self, request: web.Request, model: Any) -> Any:
-        data = await read_body(request, self._node.params.maxBodyBytes)
-        if isinstance(data, Refusal):
-            return data
-        parsed = parse(model, data)
-        return parsed.error if parsed.is_error() else parsed.ok
+        return await read_call(request, self._node.params.maxBodyBytes, model)
 
     # -- profiles ------------------------------------------------------------------------------
 
--- a/tests/test_lots.py
+++ b/tests/test_lots.py
@@ -46,23 +46,25 @@
 
     def test_an_unsafe_report_is_acknowledged_only_once_settled(self):
         for seed in range(3):
-            run, fleet = self.founded(seed)
-            history = fleet.history
-            run.visitors.hand_in("claims", 6)
-            self.wait(fleet, lambda: history.of("run"))
-            for host in fleet.of("store"):
-                host.disk.flushMs = 400.0
-            self.wait(fleet, lambda: history.of("run-ended"))
-            fleet.time.run_until(fleet.time.nowMs + 30)
-            for host in fleet.of("store"):
-                host.lose_power()
-                host.disk.flushMs = 3.0
-            for host in fleet.of("store"):
-                fleet.time.after(800, host.start)
-            fleet.run_until_true(lambda: False, 9000)
-            run.read_all()
-            self.assertThat(judge(history), Equals({}))
-            self.assertThat(history.of("final")[0]["listed"], Equals(6))
+            self.lose_power_after_a_report(seed)
+
+    def lose_power_after_a_report(self, seed):
+        run, fleet = self.founded(seed)
+        history = fleet.history
+        run.visitors.hand_in("claims", 6)
+        self.wait(fleet, lambda: history.of("run"))
+        for host in fleet.of("store"):
+            host.disk.flushMs = 400.0
+        self.wait(fleet, lambda: history.of("run-ended"))
+        fleet.time.run_until(fleet.time.nowMs + 30)
+        for host in fleet.of("store"):
+            host.lose_power()
+            host.disk.flushMs = 3.0
+            fleet.time.after(800, host.start)
+        fleet.run_until_true(lambda: False, 9000)
+        run.read_all()
+        self.assertThat(judge(history), Equals({}))
+        self.assertThat(history.of("final")[0]["listed"], Equals(6))
 
     def test_a_cut_off_edge_stops_an_ended_lot_in_time(self):
         run, fleet = self.founded()
