--- a/libs/commons/src/commons/neighbours.py
+++ b/libs/commons/src/commons/neighbours.py
@@ -116,7 +116,12 @@
         self._take(message.card, [])
 
     def _take(self, card: bytes, cards: list[bytes]) -> None:
+        """The first card is the sender's own: after a restart with its clock moved back, its counter may
+        be lower than what is remembered, and its own word stands."""
         first = decode(card)
+        fresh = self.node.env.now() - self._freshMs.get(first.identity, -1 << 40) <= self.node.params.deadMs
+        if self._beats.get(first.identity, -1) >= first.beat and not fresh:
+            self._beats[first.identity] = first.beat - 1
         self._note(first)
         if first.identity != self.identity:
             self._heardMs[first.identity] = self.node.env.now()
--- a/libs/ledger/src/ledger/desk.py
+++ b/libs/ledger/src/ledger/desk.py
@@ -33,7 +33,7 @@
     """`rooms` gives the waiting room of a path in the profiles in force here, or None if there is no
     such path; `whoHolds` gives the holder's epoch and address as far as this store knows."""
 
-    __slots__ = ("_dealer", "_holder", "_refusedMs", "_rooms", "_settled", "_sweptMs", "_whoHolds", "counts")
+    __slots__ = ("_baseMs", "_dealer", "_holder", "_officeMs", "_refusedMs", "_rooms", "_settled", "_sweptMs", "_whoHolds", "counts")
     HANDLES = (m.EdgeBeat, m.HandIn, m.ReadLot, m.ReadResults, m.EndLot, m.Finish, m.Place, m.OpenKey, m.CloseKey)
 
     def __init__(self, rooms: Callable[[str], int | None], whoHolds: Callable[[], tuple[int, str]],
@@ -44,12 +44,17 @@
         self._holder: Any = None
         self._dealer: Dealer | None = None
         self._sweptMs = 0
+        self._baseMs = self._officeMs = 0
         self._refusedMs: dict[str, int] = {}
         self.counts: dict[str, int] = {}
 
     def take_holder(self, holder: Any) -> None:
         self._holder = holder
         self._refusedMs.clear()
+        self._officeMs = self.node.env.now()
+        if holder is not None:
+            ages = [row.atMs for rows in (holder.ledger.lots, holder.ledger.keys) for row in rows.values()]
+            self._baseMs = max(ages, default=self.node.env.wall())
         self._dealer = Dealer(holder, self.node) if holder is not None else None
 
     def receive(self, message: Message, origin: Origin) -> None:
@@ -92,7 +97,7 @@
             self._when_confirmed(origin, lambda ok: _lot_receipt("noRoom" if ok else "unknown", message.lotId, None))
         else:
             entry = e.LotAdmitted(lotId=message.lotId, digest=message.digest, path=message.path, items=message.items,
-                                  safe=message.safe, dueMs=message.dueMs, atMs=self.node.env.wall())
+                                  safe=message.safe, dueMs=message.dueMs, atMs=self._log_ms())
             taken = self._log(origin, [entry], lambda outcome: _lot_receipt(
                 "admitted" if outcome == _KEPT else outcome, message.lotId, ledger.lots.get(message.lotId)))
             if not taken:
@@ -139,7 +144,7 @@
         elif not lot.open:
             self._when_settled(origin, lambda ok: _lot_receipt("known" if ok else "unknown", message.lotId, lot))
         else:
-            self._log(origin, [e.LotEnded(lotId=message.lotId, atMs=self.node.env.wall())],
+            self._log(origin, [e.LotEnded(lotId=message.lotId, atMs=self._log_ms())],
                       lambda outcome: _lot_receipt("known" if outcome == _KEPT else outcome, message.lotId, lot),
                       urgent=True)
 
@@ -181,7 +186,7 @@
             self.node.reply(origin, m.KeyReceipt(outcome="stale", status=0, body=""))
         else:
             entry = e.KeyOpened(key=message.key, digest=message.digest, edge=message.edge,
-                                transaction=message.transaction, atMs=self.node.env.wall())
+                                transaction=message.transaction, atMs=self._log_ms())
             self._log(origin, [entry], lambda outcome: m.KeyReceipt(
                 outcome="opened" if outcome == _KEPT else outcome, status=0, body=""))
 
@@ -192,7 +197,7 @@
             self._when_settled(origin, lambda ok: m.KeyReceipt(outcome="known" if ok else "unknown", status=0, body=""))
             return
         entry = e.KeyClosed(key=message.key, transaction=message.transaction, state=message.state,
-                            status=message.status, body=message.body, atMs=self.node.env.wall())
+                            status=message.status, body=message.body, atMs=self._log_ms())
         self._log(origin, [entry], lambda outcome: m.KeyReceipt(
             outcome="known" if outcome == _KEPT else outcome, status=0, body=""), urgent=True)
 
@@ -225,12 +230,17 @@
             self._refusedMs = {lotId: atMs for lotId, atMs in self._refusedMs.items() if atMs > floorMs}
             self._forget()
 
+    def _log_ms(self) -> int:
+        """The log's own time: it goes on from the newest entry and by boot time only, so that no step of
+        a clock makes anything look old. Time without a holder doesn't count."""
+        return self._baseMs + self.node.env.now() - self._officeMs
+
     def _forget(self) -> None:
         """What is over and older than the time it is kept leaves the ledger, by entries like any other."""
-        floorMs = self.node.env.wall() - self.node.params.keepMs
+        floorMs = self._log_ms() - self.node.params.keepMs
         ledger = self._holder.ledger
         rows: list[Message] = [e.KeyForgotten(key=name) for name, key in ledger.keys.items() if key.atMs < floorMs]
-        lotFloorMs = self.node.env.wall() - _LOT_KEEP_FACTOR * self.node.params.keepMs
+        lotFloorMs = self._log_ms() - _LOT_KEEP_FACTOR * self.node.params.keepMs
         rows += [e.LotForgotten(lotId=lot.lotId) for lot in ledger.lots.values()
                  if not lot.open and lot.atMs < lotFloorMs]
         if rows:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -123,3 +123,36 @@
                         Equals(True))
         self.lots(run, 1)
         self.kept(run)
+
+    def test_clocks_moved_over_a_restart_hide_nobody_and_forget_nothing(self):
+        run, fleet = self.founded()
+        seen = []
+        run.visitors.live("moves", "kept", done=seen.append)
+        fleet.run_until_true(lambda: seen, 5000)
+        day = 2 * fleet.holder().params.keepMs
+        for host in fleet.of("store"):
+            host.wallStepMs -= 3_600_000
+            host.kill()
+            host.start()
+        self.assertThat(fleet.run_until_true(lambda: fleet.holder() is not None, 12000), Equals(True))
+        holder = fleet.holder()
+        self.assertThat(fleet.run_until_true(lambda: len(holder.node.live_stores()) == 2, 3000), Equals(True))
+        for host in fleet.of("store"):
+            host.wallStepMs += 8 * day
+        fleet.run_until_true(lambda: False, 2 * holder.params.resumeMs)
+        run.visitors.live("moves", "kept", done=seen.append)
+        fleet.run_until_true(lambda: len(seen) == 2, 5000)
+        self.assertThat([row["outcome"] for row in seen], Equals(["finish", "replay"]))
+        self.kept(run)
+
+    def test_what_is_over_is_forgotten_after_the_time_it_is_kept(self):
+        run = Run(6, settings={"keepMs": 2000})
+        run.found()
+        fleet = run.fleet
+        seen = []
+        run.visitors.live("moves", "old", done=seen.append)
+        run.visitors.hand_in("summaries", 2)
+        ledger = lambda: fleet.holder().node.log.log.ledger
+        fleet.run_until_true(lambda: seen and ledger().lots and not ledger().opened, 8000)
+        self.assertThat((len(ledger().keys), len(ledger().lots)), Equals((1, 1)))
+        self.assertThat(fleet.run_until_true(lambda: not ledger().keys and not ledger().lots, 45000), Equals(True))
