A full holder makes way, a failed flush ends the process, bad messages are refused

Cause, by reading as a stranger: a holder whose own disk was full refused for all although others had room; a disk whose flush failed refused for ever without saying so; a message whose inner part was no message ended the process once faults in taking messages in did. Now the duty goes to a member with room, the process ends and a restart reads anew, and such a message closes its link only.

--- a/libs/accession/src/accession/holder.py
+++ b/libs/accession/src/accession/holder.py
@@ -157,7 +157,7 @@
         peer.address = address
         peer.heardMs = self._now()
         peer.installing = False
-        peer.full = message.reason == "full"
+        peer.full = message.reason == "full" or not message.roomy
         peer.probe = max(peer.probe, message.probe)
         if message.ok:
             peer.lastSeq = message.lastSeq
@@ -226,6 +226,14 @@
             return waiter.seq <= self._log.settledSeq
         return waiter.seq <= heldSeq
 
+    def roomier(self) -> str | None:
+        """A member in touch that has room, when this store has none."""
+        if self._log.disk.roomy(0):
+            return None
+        nowMs = self._now()
+        return next((peer.identity for peer in self._voting()
+                     if peer.adopted and not peer.full and nowMs - peer.heardMs <= self.params.deadMs), None)
+
     def adopted(self) -> bool:
         """Whether f peers besides this store hold the recovered log under this epoch on disk."""
         count = sum(1 for peer in self._voting() if peer.adopted and peer.flushedSeq >= self.baseSeq)
--- a/libs/accession/src/accession/messages.py
+++ b/libs/accession/src/accession/messages.py
@@ -71,6 +71,7 @@
     probe: Long
     askedSeq: Long
     snapSeq: Long
+    roomy: Flag
 
 
 class Install(Message):
--- a/libs/accession/src/accession/peer.py
+++ b/libs/accession/src/accession/peer.py
@@ -137,4 +137,4 @@
                         logEpoch=log.meta.logEpoch, lastSeq=log.lastSeq, flushedSeq=log.flushedSeq,
                         stampEpoch=epoch, stampMs=stampMs,
                         receptionMs=log.receivedMs[-1] if log.receivedMs else 0, probe=probe,
-                        askedSeq=askedSeq, snapSeq=log.snapSeq)
+                        askedSeq=askedSeq, snapSeq=log.snapSeq, roomy=log.disk.roomy(0))
--- a/libs/accession/src/accession/store.py
+++ b/libs/accession/src/accession/store.py
@@ -85,6 +85,7 @@
             self._announce()
         elif self.role is Role.SERVING and self.holder is not None:
             self._consider_replacement()
+            self._consider_room()
         if self.role in (Role.ADOPTING, Role.RECOVERING, Role.CLAIMING, Role.ANNOUNCING):
             if self.node.env.now() - self._changedMs > 2 * self.node.params.forceMs:
                 self._step_down("stuck", 0)
@@ -224,6 +225,14 @@
         self.node.env.log("store-replaced", "WARNING", old=old, new=new.identity, epoch=holder.epoch)
         self._claim(members, self.value["members"], following)
 
+    def _consider_room(self) -> None:
+        """A holder whose disk is full makes way for a member with room."""
+        following = None if self._succeeding or self.holder is None else self.holder.roomier()
+        if following is not None and self.node.env.now() - self._changedMs > self.node.params.deadMs:
+            self.node.env.log("holder-full", "WARNING", following=following)
+            self._changedMs = self.node.env.now()
+            self._claim(self.value["members"], self.value["members"], following)
+
     def hand_over(self) -> None:
         """Before leaving: the holder's duty goes to another live member at once."""
         self._leaving = True
--- a/libs/readingroom/src/readingroom/process.py
+++ b/libs/readingroom/src/readingroom/process.py
@@ -35,9 +35,15 @@
 
     def open_disk(self) -> FolderDisk:
         loop = asyncio.get_running_loop()
-        self.disk = FolderDisk(self.params.dataFolder, self.params.diskBytes, loop.call_soon_threadsafe)
+        self.disk = FolderDisk(self.params.dataFolder, self.params.diskBytes, loop.call_soon_threadsafe,
+                               self._disk_broken)
         return self.disk
 
+    def _disk_broken(self) -> None:
+        """What the kernel still holds can't be known any more: others take over, a restart reads anew."""
+        log("disk-broken", "ERROR", folder=self.params.dataFolder)
+        self.add_future(self.crash(OSError("a flush failed")))
+
     async def make(self) -> None:
         raise NotImplementedError
 
--- a/libs/stacks/src/stacks/disk.py
+++ b/libs/stacks/src/stacks/disk.py
@@ -32,12 +32,14 @@
 
 
 class FolderDisk:
-    def __init__(self, folder: str, roomBytes: int, call: Callable[[Callable[[], None]], None]) -> None:
+    def __init__(self, folder: str, roomBytes: int, call: Callable[[Callable[[], None]], None],
+                 onBroken: Callable[[], None] = lambda: None) -> None:
         self.roomBytes = roomBytes
         self._folder = Path(folder)
         self._folder.mkdir(parents=True, exist_ok=True)
         self._call = call
         self._broken = False
+        self._onBroken = onBroken
         self._handles: dict[str, int] = {}
         self._sizes = {path.name: path.stat().st_size for path in self._folder.iterdir() if path.is_file()}
         for name in [name for name in self._sizes if name.endswith(".tmp")]:
@@ -114,6 +116,7 @@
             self._flush_folder()
         except OSError:
             self._broken = True
+            self._call(self._onBroken)
         ok = not self._broken
         self._call(lambda: done(ok))
 
--- a/libs/vellum/src/vellum/links.py
+++ b/libs/vellum/src/vellum/links.py
@@ -6,12 +6,13 @@
 import io
 import struct
 from collections.abc import Callable
+from typing import Any
 
 from fastavro import parse_schema, schemaless_reader, schemaless_writer
 from mode import Service
 
 from colophon import log
-from vellum.message import Message, decode, encode
+from vellum.message import BadMessage, Message, decode, encode
 
 __all__ = ["Switchboard"]
 
@@ -82,6 +83,16 @@
                 while not queue.empty():
                     queue.get_nowait()
 
+    async def _hand_on(self, envelope: Any, message: Message) -> None:
+        """A fault while a message is taken in may leave the node's state in between: the process ends."""
+        try:
+            self._deliver(envelope["sender"], envelope["ref"], envelope["re"], message)
+        except BadMessage:
+            raise
+        except Exception as error:
+            log("receive-failed", "ERROR", message=type(message).__name__, reason=repr(error))
+            await self.crash(error)
+
     async def _read(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._readers.add(writer)
         try:
@@ -90,7 +101,7 @@
                 if size > _FRAME_BYTES:
                     raise ValueError(f"a frame of {size} bytes")
                 envelope = schemaless_reader(io.BytesIO(await reader.readexactly(size)), _ENVELOPE, None)
-                self._deliver(envelope["sender"], envelope["ref"], envelope["re"], decode(envelope["body"]))
+                await self._hand_on(envelope, decode(envelope["body"]))
         except (asyncio.IncompleteReadError, OSError):
             pass
         except (ValueError, EOFError, IndexError, KeyError, TypeError) as error:
--- a/libs/vellum/src/vellum/message.py
+++ b/libs/vellum/src/vellum/message.py
@@ -6,7 +6,7 @@
 
 from fastavro import parse_schema, schemaless_reader, schemaless_writer
 
-__all__ = ["Arr", "Blob", "Flag", "Long", "Message", "Opt", "Real", "Text", "decode", "encode"]
+__all__ = ["Arr", "BadMessage", "Blob", "Flag", "Long", "Message", "Opt", "Real", "Text", "decode", "encode"]
 
 Text = "string"
 Long = "long"
@@ -68,10 +68,15 @@
     return page.getvalue()
 
 
+class BadMessage(ValueError):
+    """Bytes that are no message of ours."""
+
+
 def decode(data: bytes) -> Message:
     page = io.BytesIO(data)
-    kind = schemaless_reader(page, _KIND, None)
-    cls = _KINDS.get(kind)
-    if cls is None:
-        raise ValueError(f"no message is called {kind!r}")
-    return cls(**schemaless_reader(page, cls.SCHEMA, None))
+    try:
+        kind = schemaless_reader(page, _KIND, None)
+        cls = _KINDS[kind]
+        return cls(**schemaless_reader(page, cls.SCHEMA, None))
+    except (ValueError, EOFError, IndexError, KeyError, TypeError, UnicodeError, OverflowError, MemoryError) as error:
+        raise BadMessage(repr(error)) from error
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -156,3 +156,13 @@
         fleet.run_until_true(lambda: seen and ledger().lots and not ledger().opened, 8000)
         self.assertThat((len(ledger().keys), len(ledger().lots)), Equals((1, 1)))
         self.assertThat(fleet.run_until_true(lambda: not ledger().keys and not ledger().lots, 45000), Equals(True))
+
+    def test_a_holder_with_a_full_disk_makes_way_for_one_with_room(self):
+        run, fleet = self.founded()
+        first = fleet.holder()
+        first.disk.fill()
+        first.disk.roomBytes = int(first.disk.roomBytes / 1.1)
+        self.assertThat(fleet.run_until_true(lambda: fleet.holder() not in (None, first), 5000), Equals(True))
+        self.lots(run, 2)
+        first.disk.empty()
+        self.kept(run)
