--- a/libs/facsimile/src/facsimile/days.py
+++ b/libs/facsimile/src/facsimile/days.py
@@ -95,6 +95,27 @@
     fleet.add("control", f"control{len(fleet.members) + 1}").start()
 
 
+async def exchange_control(fleet: Fleet, rng: random.Random) -> None:
+    """All machines that serve control, one after another: a new one comes, an old one goes, and the
+    next waits until the voters are the right number again and the old one is not among them."""
+    for old in fleet.of("control"):
+        fresh = fleet.add("control", f"control{len(fleet.members) + 1}")
+        fresh.start()
+        _, shown = await fleet.get(old, "/status")
+        old.kill()
+
+        async def settled(fresh: Member = fresh, gone: str = shown["identity"]) -> bool:
+            status, body = await fleet.get(fresh, "/status")
+            return status == 200 and body["ready"] and len(body["voters"]) == 5 and gone not in body["voters"]
+
+        await until(settled, 30_000, f"{fresh.name} votes in place of {old.name}")
+
+
+async def slow_worker(fleet: Fleet, rng: random.Random) -> None:
+    """A worker comes that is alive and well but takes fifty times as long for each token."""
+    fleet.add_worker(f"worker{len(fleet.workers) + 1}", "--token-ms", "100").start()
+
+
 async def retire_store(fleet: Fleet, rng: random.Random) -> None:
     """An empty store machine comes, then one that is in use is emptied and retired."""
     fleet.add("store", f"store{len(fleet.members) + 1}").start()
@@ -140,6 +161,7 @@
     "weather": [(3, kill_edge), (5, kill_worker), (7, freeze_edge), (12, freeze_holder), (18, freeze_owner),
                 (22, drain_edge), (26, kill_holder), (31, stores_at_once)],
     "members": [(3, swap_store), (12, swap_control), (24, retire_store), (32, roll_workers)],
+    "control-exchange": [(3, exchange_control)], "slow-worker": [(3, slow_worker)],
     "dark-worker": [(3, dark_worker), (10, dark_worker)],
     "last-fault": [(4, kill_holder), (9, all_at_once)]}
 
--- a/libs/facsimile/src/facsimile/fleet.py
+++ b/libs/facsimile/src/facsimile/fleet.py
@@ -92,10 +92,15 @@
         self._port += 1
         return f"{self.host}:{self._port - 1}"
 
+    def _live_seeds(self) -> list[str]:
+        """For a machine that comes later: three that run now, as an operator would give it."""
+        running = [member.link for member in self.members.values() if member.runs]
+        return running[:3] if len(running) >= 3 else self.seeds
+
     def add(self, role: str, name: str) -> Member:
         link, http = self._address(), self._address()
         zone = ZONES[len(self.members) % len(ZONES)]
-        values = {"link": link, "http": http, "zone": zone, "seeds": self.seeds, "controlCount": self.shape["control"],
+        values = {"link": link, "http": http, "zone": zone, "seeds": self._live_seeds(), "controlCount": self.shape["control"],
                   "storeCount": 3, **self._settings}
         if role != "edge":
             values["dataFolder"] = str(self.folder / name)
--- a/libs/facsimile/src/facsimile/traffic.py
+++ b/libs/facsimile/src/facsimile/traffic.py
@@ -85,7 +85,8 @@
         row = self.history.add("call", self.nowMs(), call=f"call{number}", path=path, key=key, edge=self._edge(avoid),
                                outcome="lost", verdict="mayHaveRun", pieces=[], transaction="", body="", code="",
                                answeredMs=0.0)
-        call = {"model": path, "prompt": f"{path} table {number % 20}, " + (key or f"turn {number}"), "stream": stream}
+        prompt = f"{path} of {key}" if key else f"{path} table {number % 20}, turn {number}"
+        call = {"model": path, "prompt": prompt, "stream": stream}
         beganMs = self.nowMs()
         try:
             async with self.fleet.session.post(f"http://{row['edge']}/v1/completions", json=call,
