--- a/libs/accession/src/accession/store.py
+++ b/libs/accession/src/accession/store.py
@@ -32,7 +32,7 @@
     """`control` changes and reads control keys: change(key, version, body, done(outcome, version, body)).
     `fleet` tells what the gazette and standing say: log key, live stores, retired identities."""
 
-    __slots__ = ("_changedMs", "_control", "_fleet", "_leaving", "_onRole", "_peer", "_recovery", "_succeeding", "_version", "holder", "log",
+    __slots__ = ("_changedMs", "_control", "_fleet", "_leaving", "_onRole", "_peer", "_recovery", "_roomyMs", "_succeeding", "_version", "holder", "log",
                  "role", "value")
     HANDLES = (Append, Appended, Install, Start, Fetch)
 
@@ -49,6 +49,7 @@
         self._changedMs = 0
         self._leaving = False
         self._succeeding = False
+        self._roomyMs = -1 << 40
         self._version = 0
         self.value: dict[str, Any] = {}
 
@@ -226,11 +227,14 @@
         self._claim(members, self.value["members"], following)
 
     def _consider_room(self) -> None:
-        """A holder whose disk is full makes way for a member with room."""
+        """A holder whose disk has been full for a while makes way for a member that still has room."""
+        nowMs = self.node.env.now()
+        if self.log.disk.roomy(0):
+            self._roomyMs = nowMs
         following = None if self._succeeding or self.holder is None else self.holder.roomier()
-        if following is not None and self.node.env.now() - self._changedMs > self.node.params.deadMs:
+        if following is not None and nowMs - max(self._roomyMs, self._changedMs) > self.node.params.deadMs:
             self.node.env.log("holder-full", "WARNING", following=following)
-            self._changedMs = self.node.env.now()
+            self._changedMs = nowMs
             self._claim(self.value["members"], self.value["members"], following)
 
     def hand_over(self) -> None:
--- a/libs/facsimile/src/facsimile/cli.py
+++ b/libs/facsimile/src/facsimile/cli.py
@@ -64,7 +64,7 @@
     Parameters
     ----------
     shape: jade (six edges, seven workers), swan (eight edges, six workers) or thin.
-    day: calm, owner-and-holder, weather, members, control-exchange, dark-worker, slow-worker or last-fault.
+    day: calm, owner-and-holder, weather, members, control-exchange, dark-worker, slow-worker, full-disks or last-fault.
     seed: for traffic and faults.
     folder: where data and logs go; it is emptied first.
     rate: rulings and flags a second, each; other live calls come at half of it.
--- a/libs/facsimile/src/facsimile/days.py
+++ b/libs/facsimile/src/facsimile/days.py
@@ -116,6 +116,18 @@
     fleet.add_worker(f"worker{len(fleet.workers) + 1}", "--token-ms", "100").start()
 
 
+async def fill_disks(fleet: Fleet, rng: random.Random) -> None:
+    """The room of all store disks shrinks below what is used, by settings and SIGHUP, and comes back."""
+    stores = fleet.of("store")
+    for room in ("diskBytes = 65536\n", ""):
+        for member in stores:
+            path = fleet.folder / f"{member.name}.toml"
+            rows = [row for row in path.read_text().splitlines(True) if not row.startswith("diskBytes")]
+            path.write_text("".join(rows) + room)
+            member.signal(signal.SIGHUP)
+        await asyncio.sleep(4 if room else 0)
+
+
 async def retire_store(fleet: Fleet, rng: random.Random) -> None:
     """An empty store machine comes, then one that is in use is emptied and retired."""
     fleet.add("store", f"store{len(fleet.members) + 1}").start()
@@ -161,6 +173,7 @@
     "weather": [(3, kill_edge), (5, kill_worker), (7, freeze_edge), (12, freeze_holder), (18, freeze_owner),
                 (22, drain_edge), (26, kill_holder), (31, stores_at_once)],
     "members": [(3, swap_store), (12, swap_control), (24, retire_store), (32, roll_workers)],
+    "full-disks": [(4, fill_disks)],
     "control-exchange": [(3, exchange_control)], "slow-worker": [(3, slow_worker)],
     "dark-worker": [(3, dark_worker), (10, dark_worker)],
     "last-fault": [(4, kill_holder), (9, all_at_once)]}
--- a/libs/facsimile/src/facsimile/sim/disks.py
+++ b/libs/facsimile/src/facsimile/sim/disks.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from stacks.disk import KEPT_BACK, DiskFull
+from stacks.disk import KEPT_BACK, SMALL_BYTES, DiskFull
 
 __all__ = ["SimDisk"]
 
@@ -75,7 +75,7 @@
         self._later(flushed)
 
     def replace(self, name: str, data: bytes, done: Callable[[bool], None]) -> None:
-        if not self.roomy(len(data), True):
+        if len(data) > SMALL_BYTES and not self.roomy(len(data), True):
             self._later(lambda: done(False))
             return
 
--- a/libs/stacks/src/stacks/disk.py
+++ b/libs/stacks/src/stacks/disk.py
@@ -1,7 +1,8 @@
 """The disk as cores see it, and the one under a data folder. A write is lazy: it lasts only once a
 flush that began after it is reported done. Part of the room is kept back for urgent writes, so that
 ending lots, trimming and snapshots still work on a disk that refuses everything else. A failed
-flush breaks the disk for good, since what the kernel then still holds cannot be known."""
+flush breaks the disk for good, since what the kernel then still holds cannot be known. Small files
+that are replaced whole (identities, fences) are tried whatever the room is said to be."""
 
 import errno
 import os
@@ -13,6 +14,7 @@
 __all__ = ["Disk", "DiskFull", "FolderDisk", "KEPT_BACK"]
 
 KEPT_BACK = 0.2
+SMALL_BYTES = 4096
 _FULL = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 
 
@@ -86,7 +88,7 @@
         self._worker.submit(self._flush, handles, done)
 
     def replace(self, name: str, data: bytes, done: Callable[[bool], None]) -> None:
-        if not self.roomy(len(data), True):
+        if len(data) > SMALL_BYTES and not self.roomy(len(data), True):
             self._call(lambda: done(False))
             return
         handle = self._handles.pop(name, None)
