--- /dev/null
+++ b/libs/facsimile/src/facsimile/breaks/table.py
@@ -0,0 +1,95 @@
+"""The breaks: a name, the file under libs, what stands there, what is put in its place, and the test
+that has to fail. docs/proof.md says which rule of the brief each belongs to."""
+
+__all__ = ["BREAKS"]
+
+_CONTROL = "tests/test_control.py -k "
+_LOTS = "tests/test_lots.py -k "
+_LOG = "tests/test_log_conformance.py -k "
+_FEED = "tests/test_feed.py -k "
+_MEMBERS = "tests/test_members.py -k "
+_CIRC = "tests/test_circulation.py -k "
+_SIM = "tests/test_sim.py -k rule"
+
+BREAKS: dict[str, tuple[str, str, str, str]] = {
+    "voters change without a sweep": (
+        "catalogue/src/catalogue/founding.py", "self._sweep(lambda ok: self._change_list(following) if ok else self._idle())",
+        "self._change_list(following)", _CONTROL + "swept"),
+    "a lost change is taken": (
+        "catalogue/src/catalogue/owner.py", "elif message.version != value.version:", "elif False:", _CONTROL + "two_changes"),
+    "a resent change is taken again": (
+        "catalogue/src/catalogue/owner.py", "elif message.changeId in value.changeIds:", "elif False:", _CONTROL + "resend"),
+    "one vote is a majority": (
+        "catalogue/src/catalogue/rounds.py", "len(voters) // 2 + 1", "1", _CONTROL + "minority"),
+    "an older version is accepted": (
+        "catalogue/src/catalogue/voter.py", "return decode(value).version < decode(than).version", "return False",
+        _CONTROL + "late_accept"),
+    "acknowledged before it is in force": (
+        "catalogue/src/catalogue/owner.py", "if nowMs >= dueMs or self._gazette.all_confirm(", "if True or self._gazette.all_confirm(",
+        _FEED + "not_acknowledged"),
+    "a cut-off edge stays ready": (
+        "readingroom/src/readingroom/nodes.py", "if not (self._hears_control(nowMs) or self._hears_most(nowMs)):", "if False:",
+        _FEED + "cut_off"),
+    "the feed goes back": (
+        "gazette/src/gazette/feed.py", "if item.number <= self.number(item.key):\n                continue", "if False:\n                continue",
+        _FEED + "old_news"),
+    "one lot too many": (
+        "ledger/src/ledger/desk.py", "ledger.room_used(message.path) >= room", "ledger.room_used(message.path) > room",
+        _LOTS + "exact"),
+    "late hand-ins are taken": (
+        "ledger/src/ledger/desk.py", "return message.epoch != self._holder.epoch or not 0 <= ageMs <= self.node.params.freshMs",
+        "return False", _LOTS + "late"),
+    "receipts before anything is settled": (
+        "accession/src/accession/holder.py", "if waiter.settled or self._now()", "if self._now()",
+        _LOG + "cut_from_power"),
+    "acknowledged with one copy": (
+        "accession/src/accession/holder.py", "return waiter.seq <= heldSeq", "return True", _LOG + "f_peers"),
+    "one disk is enough": (
+        "accession/src/accession/holder.py", "settledSeq = copies[f] if len(copies) > f else 0", "settledSeq = copies[0]",
+        _LOG + "one_disk"),
+    "a stale holder goes on": (
+        "accession/src/accession/peer.py", 'if message.epoch < log.meta.fence:\n            reply(self._receipt(message.probe, False, "fenced"))',
+        'if False:\n            reply(self._receipt(message.probe, False, "fenced"))', _LOG + "stale_holder"),
+    "answers of an old log count": (
+        "accession/src/accession/recovery.py", "top = max(answer.logEpoch for answer in self._answers.values())\n",
+        "top = 0\n        for answer in self._answers.values():\n            answer.logEpoch = 0\n", _LOG + "old_store"),
+    "an unsafe report is acknowledged unsettled": (
+        "ledger/src/ledger/dealing.py", "self._holder.append(rows, not lot.safe, logged, True)",
+        "self._holder.append(rows, False, logged, True)", _LOTS + "unsafe_report"),
+    "a cut-off edge keeps its claims": (
+        "circulation/src/circulation/lots.py", "if self.running() and nowMs - self._holder.heardMs > params.claimMs:", "if False:",
+        _LOTS + "cut_off"),
+    "a lost baton stays lost": (
+        "ledger/src/ledger/dealing.py", "if lot.ready > lot.placed and not self._live(lot.batonEdge):", "if False:",
+        _LOTS + "all_finished"),
+    "placed under an old baton": (
+        "ledger/src/ledger/fold.py", "lot is not None and entry.epoch == lot.batonEpoch and", "lot is not None and",
+        "tests/test_ledger.py -k baton"),
+    "a leaving worker is used": (
+        "circulation/src/circulation/roster.py", "if worker.leaving or self.silent(worker):", "if self.silent(worker):",
+        _CIRC + "leave"),
+    "a silent worker is used": (
+        "circulation/src/circulation/roster.py", "if worker.leaving or self.silent(worker):", "if worker.leaving:",
+        _CIRC + "silence"),
+    "a stranger is used": (
+        "circulation/src/circulation/roster.py", "if self.usable(worker) and self._allowed(worker.identity, worker.labels)]",
+        "if self.usable(worker)]", _CIRC + "strangers"),
+    "doubt resends an unsafe one": (
+        "circulation/src/circulation/chart.py", "again = (not mayHaveRun or self.safe)", "again = (True)",
+        _CIRC + "rows"),
+    "doubt is told as not run": (
+        "circulation/src/circulation/chart.py", "if self._runs:\n            refusal.verdict", "if False:\n            refusal.verdict",
+        _CIRC + "rows"),
+    "a cut stream looks whole": (
+        "circulation/src/circulation/streams.py", "if not self.fault and (not self.ended or self._buffer.strip()):", "if False:",
+        _CIRC + "rows"),
+    "two runs are spliced": (
+        "circulation/src/circulation/streams.py", 'self.fault = "another run"', "pass", _CIRC + "rows"),
+    "a short body passes": (
+        "circulation/src/circulation/streams.py", "if announcedBytes is None or announcedBytes != len(data):", "if False:",
+        _CIRC + "bodies"),
+    "another's body passes": (
+        "circulation/src/circulation/streams.py", "if echoed != transaction:", "if False:", _CIRC + "bodies"),
+    "only the first in order holds": (
+        "accession/src/accession/store.py", "and (name == self.log.identity or self._fleet.live_store(name))]", "]", _MEMBERS + "swapped"),
+}
--- a/libs/facsimile/src/facsimile/cli.py
+++ b/libs/facsimile/src/facsimile/cli.py
@@ -10,6 +10,7 @@
 
 from cyclopts import App, Parameter
 
+from facsimile.breaks import BREAKS, run_breaks
 from facsimile.days import DAYS, run_day
 from facsimile.measure import measure_fleet, measure_log
 from facsimile.measure_more import measure_crowd, measure_prefix, measure_routes
@@ -131,6 +132,29 @@
     sys.stdout.write(ways[what]() + "\n")
 
 
+@app.command(name="breaks")
+def try_breaks(*names: str, root: Path = Path("."), jobs: int = 8) -> None:
+    """Break the code on purpose, one place at a time, in a copy of the source tree; a test has to fail for each.
+
+    Parameters
+    ----------
+    names: which breaks, as docs/proof.md names them; all if none is named.
+    root: the source tree.
+    jobs: how many at a time.
+    """
+    unknown = [name for name in names if name not in BREAKS]
+    if unknown:
+        sys.stderr.write(f"no such break: {', '.join(unknown)}\n")
+        raise SystemExit(2)
+    rows = run_breaks(root, names or BREAKS, jobs)
+    for name, result in rows:
+        sys.stdout.write(f"{result:10} {name}\n")
+    bad = sum(result != "caught" for _, result in rows)
+    sys.stdout.write(f"{len(rows)} breaks, {bad} not caught\n")
+    if bad:
+        raise SystemExit(1)
+
+
 @app.command(name="trace")
 def show_trace(what: str, *files: Path) -> None:
     """Follow one thing through JSON logs, as KIND:ID; kinds: transaction, key, lot, change, worker, epoch.
--- a/libs/gazette/src/gazette/feed.py
+++ b/libs/gazette/src/gazette/feed.py
@@ -75,8 +75,6 @@
         self._take(key, number, body, "")
 
     def _take(self, key: str, number: int, body: str, sender: str) -> None:
-        if number <= self.number(key):
-            return
         self._items[key] = (number, body)
         for watcher in self._watchers:
             watcher(key, number, body)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -4,6 +4,8 @@
 from testtools.matchers import Equals
 
 from facsimile.sim.runs import Run
+from gazette import News, NewsItem
+from vellum import encode
 
 
 class Feed(TestCase):
@@ -29,6 +31,25 @@
         self.assertThat({host.node.gazette.number("profiles") for host in fleet.of("edge")}, Equals({2}))
         self.assertThat(row["answeredMs"] - row["atMs"] < 500, Equals(True))
 
+    def test_not_acknowledged_while_a_slow_edge_lacks_it(self):
+        run, fleet = self.founded()
+        slow = fleet.hosts["edge1"]
+        fleet.network.slowMs[slow.address] = 250.0
+        for _ in range(8):
+            row = self.change(run)
+            number = slow.node.gazette.number("profiles")
+            self.assertThat((row["outcome"], number >= row["version"] or slow.node.why_unready() != ""), Equals(("ok", True)))
+
+    def test_old_news_never_takes_a_node_back(self):
+        run, fleet = self.founded()
+        for _ in range(2):
+            self.change(run)
+        node = fleet.hosts["edge1"].node
+        old = NewsItem(key="profiles", number=1, baseNumber=0, body='{"profiles": {}}')
+        fleet.hosts["control1"].node.post(node.address, News(items=[encode(old)]))
+        fleet.time.run_until(fleet.time.nowMs + 50)
+        self.assertThat((node.gazette.number("profiles"), "rulings" in node.tree().rows), Equals((3, True)))
+
     def test_a_cut_off_edge_turns_unready_within_a_second_and_delays_no_longer_than_the_bound(self):
         run, fleet = self.founded()
         self.edges_away(fleet, "edge1")
--- a/tests/test_log_conformance.py
+++ b/tests/test_log_conformance.py
@@ -49,6 +49,10 @@
         self.table.run(10)
         self.assertThat(outcomes, Equals([Outcome.KEPT]))
         self.assertThat(self.table.logs["b"].flushedSeq, Equals(0))
+        self.table.cut.add("b")
+        alone = self.table.append("k2")
+        self.table.run(PARAMS.deltaMs)
+        self.assertThat(alone, Equals([]))
 
     def test_peer_answers_with_both_stamps(self):
         self.table.append("k1")
--- a/tests/test_lots.py
+++ b/tests/test_lots.py
@@ -94,6 +94,18 @@
         outcomes = sorted(row["outcome"] for row in rows)
         self.assertThat(outcomes, Equals(["admitted"] * 3 + ["noRoom"] * 17))
 
+    def test_all_finished_and_the_edge_with_the_baton_lost(self):
+        run, fleet = self.founded()
+        run.visitors.hand_in("summaries", 1)
+        ledger = fleet.holder().node.log.holder.ledger
+        self.wait(fleet, lambda: ledger.lots)
+        lot = next(iter(ledger.lots.values()))
+        while lot.left:
+            fleet.time.run_until(fleet.time.nowMs + 0.2)
+        self.assertThat(lot.placed, Equals(0))
+        next(host for host in fleet.of("edge") if host.node.lots.edge == lot.items[0].edge).kill()
+        self.wait(fleet, lambda: lot.placed == 1)
+
     def test_the_baton_of_a_lost_edge_is_issued_again_higher(self):
         run, fleet = self.founded()
         run.visitors.hand_in("summaries", 9)
