--- a/libs/facsimile/src/facsimile/cli.py
+++ b/libs/facsimile/src/facsimile/cli.py
@@ -11,6 +11,7 @@
 
 from cyclopts import App, Parameter
 
+from colophon import load_params
 from facsimile.breaks import BREAKS, run_breaks
 from facsimile.days import DAYS, run_day
 from facsimile.measure import measure_fleet, measure_log
@@ -18,8 +19,10 @@
 from facsimile.report import day_report
 from facsimile.sim import evidence, run_seed
 from facsimile.sim.oracle import RULES
+from facsimile.surroundings import Weather, run_node
 from facsimile.trace import KINDS, trace
 from facsimile.worker import StandInWorker
+from readingroom.process import settings_or_exit
 
 __all__ = ["main"]
 
@@ -38,7 +41,8 @@
 @app.command
 def worker(*, identity: str, http: str, edge: Annotated[list[str], Parameter(negative=())], zone: str = "a",
            label: Annotated[list[str] | None, Parameter(negative=())] = None, slots: int = 8, tokenMs: float = 2.0,
-           tokens: int = 12, prefillMs: float = 20.0, cachePrefixes: int = 32, runsFile: str = "") -> None:
+           tokens: int = 12, prefillMs: float = 20.0, cachePrefixes: int = 32, runsFile: str = "",
+           weather: str = "") -> None:
     """Run a stand-in model worker until SIGTERM, on which it leaves.
 
     Parameters
@@ -54,9 +58,27 @@
     prefillMs: what a prompt whose prefix is not cached costs.
     cachePrefixes: how many prefixes the cache holds.
     runsFile: where each run is noted as a JSON line, for the oracle.
+    weather: a weather file that says which edges its beats can't reach.
     """
     asyncio.run(_work(StandInWorker(identity, http, edge, zone, label, slots, tokenMs, tokens, prefillMs,
-                                    cachePrefixes, runsFile=runsFile)))
+                                    cachePrefixes, runsFile=runsFile,
+                                    weather=Weather(weather, identity) if weather else None)))
+
+
+@app.command
+def node(*, role: Literal["control", "edge", "store"], settings: str, name: str, weather: str, seed: int = 1) -> None:
+    """Run one of the programs' processes in surroundings that fail as a weather file says. SIGKILL is a power cut.
+
+    Parameters
+    ----------
+    role: control, edge or store.
+    settings: the process's TOML file.
+    name: the machine's name in the weather file.
+    weather: the weather file, read again whenever it changes.
+    seed: draws which unflushed writes reach the disk early.
+    """
+    flags = {"role": role}
+    run_node(settings_or_exit(load_params(settings, flags)), settings, flags, Weather(weather, name), seed)
 
 
 @app.command
@@ -67,7 +89,7 @@
     Parameters
     ----------
     shape: jade (six edges, seven workers), swan (eight edges, six workers) or thin.
-    day: calm, owner-and-holder, weather, members, control-exchange, dark-worker, slow-worker, full-disks or last-fault.
+    day: one of those that docs/proof.md names, such as calm, weather, members, power or isolated.
     seed: for traffic and faults.
     folder: where data and logs go; it is emptied first.
     rate: rulings and flags a second, each; other live calls come at half of it.
--- a/libs/facsimile/src/facsimile/days.py
+++ b/libs/facsimile/src/facsimile/days.py
@@ -1,7 +1,6 @@
 """A day in short: a fleet on this machine under traffic, a named schedule of real faults, the probes
 after the last of them, everything read again, and the oracle's word on the whole. Each fault causes
-one thing that the brief says fails, as far as processes on one machine can; cuts and lost power are
-the simulator's."""
+one thing that the brief says fails; those that need surroundings which fail are in days_weather."""
 
 import asyncio
 import random
@@ -10,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from facsimile.days_weather import WEATHER_DAYS
 from facsimile.fleet import SHAPES, Fleet, Member, until
 from facsimile.sim.oracle import judge
 from facsimile.traffic import TREE, Traffic
@@ -168,7 +168,7 @@
         await asyncio.sleep(0.7)
 
 
-DAYS: dict[str, list[tuple[float, Fault]]] = {
+_PLAIN_DAYS: dict[str, list[tuple[float, Fault]]] = {
     "calm": [], "owner-and-holder": [(4, kill_holder), (9, kill_owner)],
     "weather": [(3, kill_edge), (5, kill_worker), (7, freeze_edge), (12, freeze_holder), (18, freeze_owner),
                 (22, drain_edge), (26, kill_holder), (31, stores_at_once)],
@@ -177,6 +177,8 @@
     "control-exchange": [(3, exchange_control)], "slow-worker": [(3, slow_worker)],
     "dark-worker": [(3, dark_worker), (10, dark_worker)],
     "last-fault": [(4, kill_holder), (9, all_at_once)]}
+DAYS: dict[str, list[tuple[float, Any]]] = {
+    **{name: [(atS, fault) for atS, fault in rows] for name, rows in _PLAIN_DAYS.items()}, **WEATHER_DAYS}
 
 
 DUE = ("unsafe-runs-once", "streams-are-whole", "bodies-are-whole", "keys-one-body", "workers-are-allowed", "versions-in-force",
@@ -210,7 +212,8 @@
                   basePort: int = 24000) -> tuple[Traffic, dict[str, list[str]]]:
     shutil.rmtree(folder, ignore_errors=True)
     rng = random.Random(seed)
-    async with Fleet(folder, SHAPES[shape], basePort) as fleet:
+    faulty = day in WEATHER_DAYS
+    async with Fleet(folder, SHAPES[shape], basePort, faulty=faulty) as fleet:
         await fleet.found(TREE)
         await fleet.workers_known(SHAPES[shape]["workers"])
         traffic = Traffic(fleet, seed, rate)
@@ -219,7 +222,7 @@
         for atS, fault in DAYS[day]:
             await asyncio.sleep(max(0.0, atS - traffic.nowMs() / 1000))
             traffic.history.add("fault", traffic.nowMs(), what=fault.__name__)
-            faults.append(asyncio.ensure_future(fault(fleet, rng)))
+            faults.append(asyncio.ensure_future(fault(fleet, rng, traffic) if faulty else fault(fleet, rng)))
         await asyncio.sleep(max(0.0, lastS - traffic.nowMs() / 1000))
         await asyncio.gather(*faults)
         await _probe(traffic, 12_000)
--- /dev/null
+++ b/libs/facsimile/src/facsimile/days_weather.py
@@ -0,0 +1,153 @@
+"""Days in surroundings that fail: lost power, cuts, stepped clocks, full and lost disks, on the real
+programs' processes. Here killing a process is a power cut: what it had not flushed is gone."""
+
+import asyncio
+import random
+import shutil
+import signal
+from typing import Any
+
+from facsimile.fleet import Fleet, Member, until
+
+__all__ = ["WEATHER_DAYS"]
+
+
+async def _back(member: Member, afterMs: int) -> None:
+    await asyncio.sleep(afterMs / 1000)
+    member.start()
+
+
+async def _for(fleet: Fleet, seconds: float, **weather: Any) -> None:
+    fleet.weather(**weather)
+    await asyncio.sleep(seconds)
+    fleet.weather()
+
+
+async def power_after_receipt(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
+    """All stores lose power as soon as a lot is accepted and a move answered."""
+    await asyncio.gather(traffic.hand_in(), traffic.live("moves", False))
+    stores = fleet.of("store")
+    for member in stores:
+        member.kill()
+    await asyncio.gather(*[_back(member, 500 + rng.randrange(800)) for member in stores])
+
+
+async def power_everywhere(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
+    await asyncio.gather(traffic.hand_in(), traffic.change())
+    members = [member for member in fleet.members.values() if member.runs]
+    for member in members:
+        member.kill()
+    await asyncio.gather(*[_back(member, 500 + rng.randrange(1500)) for member in members])
+
+
+async def control_split(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
+    control = fleet.of("control")
+    rng.shuffle(control)
+    await _for(fleet, 4, cuts=fleet.apart(control[:2], control[2:]))
+
+
+async def control_cut_off(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
+    """Nobody else hears control; meanwhile edges are restarted."""
+    others = [member for member in fleet.members.values() if member.role != "control"]
+    cut = asyncio.ensure_future(_for(fleet, 5, cuts=fleet.apart(fleet.of("control"), others)))
+    for member in fleet.of("edge")[:2]:
+        await asyncio.sleep(1)
+        member.kill()
+        member.start()
+    await cut
+
+
+async def isolate_each(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
+    for role in ("edge", "store", "control"):
+        one = rng.choice(fleet.of(role))
+        await _for(fleet, 3, cuts=fleet.apart([one], [member for member in fleet.everyone() if member is not one]))
+        await asyncio.sleep(2)
+
+
+async def one_way(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
+    """A machine of each role is heard by nobody, then another hears nobody."""
+    for role in ("edge", "store", "control"):
+        one, other = rng.sample(fleet.of(role), 2)
+        await _for(fleet, 2.5, cuts=[(one.name, member.name) for member in fleet.members.values() if member is not one])
+        await asyncio.sleep(1)
+        await _for(fleet, 2.5, cuts=[(member.name, other.name) for member in fleet.members.values() if member is not other])
+        await asyncio.sleep(1.5)
+
+
+async def most_edges_cut(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
+    """Most edges and a store on one side, control on the other, for longer than silence is forgiven."""
+    side = fleet.of("edge")[1:] + fleet.of("store")[:1]
+    await _for(fleet, 8, cuts=fleet.apart(side, [member for member in fleet.members.values() if member not in side]))
+
+
+async def clocks(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
+    """Every wall clock is stepped, an hour at most either way, twice; then the stores are restarted so."""
+    for _ in range(2):
+        fleet.weather(steps={name: rng.randrange(-3_600_000, 3_600_000) for name in fleet.members})
+        await asyncio.sleep(2)
+    await power_after_receipt(fleet, rng, traffic)
+
+
+async def lossy(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
+    await _for(fleet, 5, loss=0.1, slow={rng.choice(fleet.of("store")).name: 80})
+
+
+async def full(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
+    """The room of stores and of control shrinks to next to nothing, by settings and SIGHUP, and comes back."""
+    members = fleet.of("store") + fleet.of("control")
+    for room in ("diskBytes = 65536\n", ""):
+        for member in members:
+            path = fleet.folder / f"{member.name}.toml"
+            rows = [row for row in path.read_text().splitlines(True) if not row.startswith("diskBytes")]
+            path.write_text("".join(rows) + room)
+            member.signal(signal.SIGHUP)
+        await asyncio.sleep(4 if room else 0)
+
+
+async def disk_lost(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
+    """A store loses power and disk just after a receipt, and comes back empty."""
+    await asyncio.gather(traffic.hand_in(), traffic.live("moves", False))
+    member = rng.choice(fleet.of("store"))
+    member.kill()
+    shutil.rmtree(fleet.folder / member.name)
+    await _back(member, 1000)
+
+
+async def two_operators(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
+    """Two send different trees that name the same version, again and again, while the key's owner goes."""
+    for turn in range(6):
+        version = traffic.version
+        await asyncio.gather(traffic.change(named=version), traffic.change(named=version))
+        if turn == 2:
+            member = rng.choice(fleet.of("control"))
+            member.kill()
+            await _back(member, 1500)
+
+
+async def retired(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
+    """The holder is told to go while lots run and no spare is there; the spare comes later."""
+    from facsimile.days import find_holder
+
+    member = await until(lambda: find_holder(fleet), 10_000, "there is a holder")
+    _, shown = await fleet.get(member, "/status")
+    await fleet.ask("POST", fleet.of("control")[0].http, "/retired", {"identity": shown["identity"]})
+    await asyncio.sleep(3)
+    fresh = fleet.add("store", f"store{len(fleet.members) + 1}")
+    fleet.weather()
+    fresh.start()
+
+    async def replaced() -> bool:
+        status, body = await fleet.get(fleet.of("control")[0], "/members")
+        return status == 200 and shown["identity"] not in {row["identity"] for row in (body["log"] or {"members": []})["members"]}
+
+    await until(replaced, 20_000, "the retired holder is out of the log")
+    member.kill()
+
+
+WEATHER_DAYS: dict[str, list[tuple[float, Any]]] = {
+    "power": [(3, power_after_receipt), (9, power_after_receipt), (16, power_everywhere)],
+    "control-split": [(3, control_split), (11, control_split)], "control-cut-off": [(3, control_cut_off)],
+    "isolated": [(3, isolate_each)], "one-way": [(3, one_way)], "most-edges-cut": [(3, most_edges_cut)],
+    "clocks": [(3, clocks)], "lossy": [(3, lossy)], "full-everywhere": [(4, full)],
+    "disk-lost": [(4, disk_lost), (16, power_after_receipt)], "two-operators": [(3, two_operators)], "retired": [(3, retired)],
+    "short-power": [(1, power_after_receipt), (5, isolate_each)]}
--- a/libs/facsimile/src/facsimile/fleet.py
+++ b/libs/facsimile/src/facsimile/fleet.py
@@ -13,6 +13,8 @@
 
 import aiohttp
 
+from facsimile.surroundings.weather import write_weather
+
 __all__ = ["Fleet", "Member", "SHAPES", "until"]
 
 SHAPES = {"jade": {"edges": 6, "stores": 3, "control": 5, "workers": 7},
@@ -69,7 +71,9 @@
 
 class Fleet:
     def __init__(self, folder: str, shape: dict[str, int], basePort: int = 21000, host: str = "127.0.0.1",
-                 settings: dict[str, Any] | None = None) -> None:
+                 settings: dict[str, Any] | None = None, faulty: bool = False) -> None:
+        self.faulty = faulty
+        self._steps: dict[str, int] = {}
         self.folder = Path(folder)
         self.folder.mkdir(parents=True, exist_ok=True)
         self.shape, self.host = shape, host
@@ -108,7 +112,10 @@
         path.write_text("".join(f"{key} = {json.dumps(value)}\n" for key, value in values.items()))
         program = "registrar" if role == "control" else "readingroom"
         command = [sys.executable, "-m", f"{program}.cli", "serve", "--settings", str(path)]
-        if role != "control":
+        if self.faulty:
+            command = [sys.executable, "-m", "facsimile.cli", "node", "--settings", str(path), "--name", name, "--weather",
+                       str(self.weatherFile), "--seed", str(len(self.members))]
+        if role != "control" or self.faulty:
             command += ["--role", role]
         member = Member(name, role, link, http, command, self.folder / f"{name}.log")
         self.members[name] = member
@@ -120,6 +127,8 @@
         command = [sys.executable, "-m", "facsimile.cli", "worker", "--identity", name, "--http", http, "--zone",
                    ZONES[len(self.workers) % len(ZONES)], "--label", "gpu", "--runs-file",
                    str(self.folder / f"{name}.runs"), *extra]
+        if self.faulty:
+            command += ["--weather", str(self.weatherFile)]
         for edge in edges:
             command += ["--edge", edge]
         member = Member(name, "worker", "", http, command, self.folder / f"{name}.log")
@@ -132,6 +141,22 @@
     def everyone(self) -> list[Member]:
         return [*self.members.values(), *self.workers.values()]
 
+    # -- weather -------------------------------------------------------------------------------
+
+    @property
+    def weatherFile(self) -> Path:
+        return self.folder / "weather.json"
+
+    def weather(self, cuts: list[tuple[str, str]] | None = None, steps: dict[str, int] | None = None, loss: float = 0.0,
+                slow: dict[str, int] | None = None) -> None:
+        """What is not named is fair again, but for the clocks, which stay where they were put."""
+        self._steps.update(steps or {})
+        machines = {address: member.name for member in self.everyone() for address in (member.link, member.http) if address}
+        write_weather(self.weatherFile, machines, cuts or [], slow or {}, loss, self._steps)
+
+    def apart(self, one: list[Member], other: list[Member]) -> list[tuple[str, str]]:
+        return [pair for a in one for b in other for pair in ((a.name, b.name), (b.name, a.name))]
+
     # -- asking --------------------------------------------------------------------------------
 
     async def get(self, member: Member, address: str) -> tuple[int, Any]:
@@ -159,6 +184,8 @@
 
     async def __aenter__(self) -> "Fleet":
         self.session = aiohttp.ClientSession()
+        if self.faulty:
+            self.weather()
         for member in self.everyone():
             member.start()
         return self
--- /dev/null
+++ b/libs/facsimile/src/facsimile/surroundings/disks.py
@@ -0,0 +1,94 @@
+"""A disk that keeps unflushed writes aside, as a kernel would, so that killing the process is a power
+cut: what was not flushed is gone, but for the part, drawn by a seed, that had reached the disk early."""
+
+import random
+from collections.abc import Callable
+
+from stacks import DiskFull, FolderDisk
+from stacks.disk import KEPT_BACK, SMALL_BYTES
+
+__all__ = ["PowerDisk"]
+
+_EARLY = 0.3
+
+
+class PowerDisk:
+    __slots__ = ("_inner", "_pending", "_rng", "_seen", "roomBytes")
+
+    def __init__(self, inner: FolderDisk, seed: int) -> None:
+        self._inner = inner
+        self._rng = random.Random(seed)
+        self._seen = {name: bytearray(inner.read(name)) for name in inner.names()}
+        self._pending: dict[str, list[tuple[str, int, bytes]]] = {}
+        self.roomBytes = inner.roomBytes
+        inner.roomBytes = 1 << 60
+
+    def names(self) -> list[str]:
+        return sorted(self._seen)
+
+    def read(self, name: str) -> bytes:
+        return bytes(self._seen[name])
+
+    def roomy(self, size: int, urgent: bool = False) -> bool:
+        limit = self.roomBytes if urgent else self.roomBytes * (1 - KEPT_BACK)
+        return self._inner.roomy(0, True) and sum(len(page) for page in self._seen.values()) + size <= limit
+
+    def write(self, name: str, offset: int, data: bytes, urgent: bool = False) -> None:
+        page = self._seen.get(name, bytearray())
+        if not self.roomy(max(0, offset + len(data) - len(page)), urgent):
+            raise DiskFull(name)
+        if len(page) < offset:
+            page.extend(b"\0" * (offset - len(page)))
+        page[offset:offset + len(data)] = data
+        self._seen[name] = page
+        if self._rng.random() < _EARLY:
+            self._apply(name, ("write", offset, data[:self._rng.randrange(len(data) + 1)]))
+        self._pending.setdefault(name, []).append(("write", offset, data))
+
+    def truncate(self, name: str, size: int) -> None:
+        if name in self._seen:
+            page = self._seen[name]
+            del page[size:]
+            page.extend(b"\0" * (size - len(page)))
+            self._pending.setdefault(name, []).append(("truncate", size, b""))
+
+    def remove(self, name: str) -> None:
+        if self._seen.pop(name, None) is not None:
+            self._pending.setdefault(name, []).append(("remove", 0, b""))
+
+    def _apply(self, name: str, row: tuple[str, int, bytes]) -> None:
+        kind, at, data = row
+        if kind == "write":
+            self._inner.write(name, at, data, True)
+        elif kind == "truncate":
+            self._inner.truncate(name, at)
+        else:
+            self._inner.remove(name)
+
+    def flush(self, names: list[str], done: Callable[[bool], None]) -> None:
+        removed = [name for name, rows in self._pending.items() if any(kind == "remove" for kind, _, _ in rows)]
+        for name in {*names, *removed}:
+            for row in self._pending.pop(name, []):
+                self._apply(name, row)
+        self._inner.flush(names, done)
+
+    def replace(self, name: str, data: bytes, done: Callable[[bool], None]) -> None:
+        if len(data) > SMALL_BYTES and not self.roomy(len(data), True):
+            self._inner.flush([], lambda ok: done(False))
+            return
+        self._pending.pop(name, None)
+        self._seen[name] = bytearray(data)
+        self._inner.replace(name, data, done)
+
+    def set_aside(self) -> None:
+        self._inner.set_aside()
+        self._seen.clear()
+        self._pending.clear()
+
+    def close(self) -> None:
+        """The process ends in order: what the kernel holds lives on."""
+        for name, rows in self._pending.items():
+            for row in rows:
+                self._apply(name, row)
+        self._pending.clear()
+        self._inner.close()
--- /dev/null
+++ b/libs/facsimile/src/facsimile/surroundings/nodes.py
@@ -0,0 +1,122 @@
+"""The programs' own processes in surroundings that can fail. Only what touches the outside is put in
+their place: the clock, the disk, the links, and the sender of an edge."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+from circulation import Send
+from colophon import Params
+from facsimile.surroundings.disks import PowerDisk
+from facsimile.surroundings.weather import Weather
+from readingroom.process import run_process
+from readingroom.roles import EdgeProcess, StoreProcess
+from readingroom.sender import HttpSender
+from registrar.process import ControlProcess
+from vellum import Message
+from vellum.links import Switchboard
+from vellum.shell import ProcessEnv
+
+__all__ = ["run_node"]
+
+_POLL_S = 0.02
+
+
+class _Env(ProcessEnv):
+    def __init__(self, address: str, weather: Weather) -> None:
+        super().__init__(address)
+        self._weather = weather
+
+    def wall(self) -> int:
+        return super().wall() + self._weather.stepMs
+
+
+class _Links(Switchboard):
+    """Drops what the weather doesn't let out or in, loses some, and holds back what is slow."""
+
+    def __init__(self, address: str, waitMs: int, deliver: Callable[[str, int, int, Message], None], weather: Weather) -> None:
+        super().__init__(address, waitMs, lambda sender, *rest: deliver(sender, *rest) if weather.lets_in(sender) else None)
+        self._weather = weather
+        self._rng = random.Random()
+
+    def post(self, to: str, ref: int, re: int, message: Message) -> None:
+        weather = self._weather
+        if not weather.lets_out(to) or (to != self._address and self._rng.random() < weather.loss):
+            return
+        if to == self._address or not weather.waitMs(to):
+            super().post(to, ref, re, message)
+        else:
+            asyncio.get_running_loop().call_later(weather.waitMs(to) / 1000, super().post, to, ref, re, message)
+
+
+class _Held:
+    """What a worker reports through a cut waits until the cut is over, as it does in sockets."""
+
+    def __init__(self, send: Send, address: str, weather: Weather) -> None:
+        self._send, self._address, self._weather = send, address, weather
+        self._rows: list[tuple[str, tuple[Any, ...]]] = []
+
+    def _tell(self, name: str, *values: Any) -> None:
+        self._rows.append((name, values))
+        if len(self._rows) == 1:
+            self._pass_on()
+
+    def _pass_on(self) -> None:
+        while self._rows and self._weather.lets_in(self._address) and self._weather.lets_out(self._address):
+            name, values = self._rows.pop(0)
+            getattr(self._send, name)(*values)
+        if self._rows:
+            asyncio.get_running_loop().call_later(_POLL_S, self._pass_on)
+
+    def head(self, *values: Any) -> None:
+        self._tell("head", *values)
+
+    def data(self, chunk: bytes) -> None:
+        self._tell("data", chunk)
+
+    def end(self) -> None:
+        self._tell("end")
+
+    def broke(self, *values: Any) -> None:
+        self._tell("broke", *values)
+
+
+class _Sender(HttpSender):
+    __slots__ = ("_connectMs", "_weather")
+
+    def __init__(self, connectMs: int, weather: Weather) -> None:
+        super().__init__(connectMs)
+        self._connectMs, self._weather = connectMs, weather
+
+    def __call__(self, send: Send, address: str, kind: str, headers: dict[str, str], body: dict[str, Any]) -> Callable[[], None]:
+        if not (self._weather.lets_out(address) and self._weather.lets_in(address)):
+            return asyncio.get_running_loop().call_later(self._connectMs / 1000, send.broke, "no connection", False).cancel
+        return super().__call__(_Held(send, address, self._weather), address, kind, headers, body)
+
+
+def _surrounded(base: type, weather: Weather, seed: int) -> type:
+    class Surrounded(base):
+        def make_env(self) -> _Env:
+            return _Env(self.params.link, weather)
+
+        def make_switchboard(self, deliver: Any) -> _Links:
+            return _Links(self.params.link, self.params.askMs, deliver, weather)
+
+        def make_sender(self) -> _Sender:
+            return _Sender(self.params.askMs, weather)
+
+        def open_disk(self) -> PowerDisk:
+            self.disk = PowerDisk(super().open_disk(), seed)
+            return self.disk
+
+        async def on_start(self) -> None:
+            await super().on_start()
+            self.add_future(weather.follow())
+
+    return Surrounded
+
+
+def run_node(params: Params, path: str, flags: dict[str, Any], weather: Weather, seed: int) -> None:
+    base = {"edge": EdgeProcess, "store": StoreProcess, "control": ControlProcess}[params.role]
+    run_process(_surrounded(base, weather, seed), params, path, flags)
--- a/libs/facsimile/src/facsimile/worker.py
+++ b/libs/facsimile/src/facsimile/worker.py
@@ -22,7 +22,8 @@
 class StandInWorker(Service):
     def __init__(self, identity: str, address: str, edges: list[str], zone: str = "a", labels: list[str] | None = None,
                  slots: int = 8, tokenMs: float = 2.0, tokens: int = 12, prefillMs: float = 20.0,
-                 cachePrefixes: int = 32, beatMs: int = 300, runsFile: str = "") -> None:
+                 cachePrefixes: int = 32, beatMs: int = 300, runsFile: str = "",
+                 weather: Any = None) -> None:
         super().__init__()
         self.identity, self.address, self.edges = identity, address, edges
         self.zone, self.labels, self.slots = zone, labels or [], slots
@@ -33,6 +34,7 @@
         self._cache: OrderedDict[str, None] = OrderedDict()
         self._cacheLength = cachePrefixes
         self._beatMs = beatMs
+        self._weather = weather
         self._beat = 0
         self._running = 0
         self._gate = asyncio.Semaphore(slots)
@@ -79,8 +81,12 @@
             await asyncio.sleep(self._beatMs / 1000)
 
     async def _tell(self, address: str, body: dict[str, Any]) -> None:
+        if self._weather is not None:
+            self._weather.read()
         for attempt in range(len(self.edges)):
             edge = self.edges[(self._beat + attempt) % len(self.edges)]
+            if self._weather is not None and not (self._weather.lets_out(edge) and self._weather.lets_in(edge)):
+                continue
             try:
                 async with self._session.post(f"http://{edge}{address}", json=body) as answer:
                     await answer.read()
--- a/libs/readingroom/src/readingroom/process.py
+++ b/libs/readingroom/src/readingroom/process.py
@@ -14,6 +14,7 @@
 from colophon import Params, load_params, log, set_up_logs
 from colophon.params import changed_params
 from stacks import FolderDisk
+from vellum.links import Switchboard
 from vellum.shell import ProcessEnv, Shell
 
 __all__ = ["NodeProcess", "run_process", "settings_or_exit"]
@@ -28,11 +29,17 @@
     def __init__(self, params: Params) -> None:
         super().__init__()
         self.params = params
-        self.env = ProcessEnv(params.link)
+        self.env = self.make_env()
         self.disk: FolderDisk | None = None
         self.node: Any = None
         self.shell: Shell | None = None
 
+    def make_env(self) -> ProcessEnv:
+        return ProcessEnv(self.params.link)
+
+    def make_switchboard(self, deliver: Any) -> Switchboard:
+        return Switchboard(self.params.link, self.params.askMs, deliver)
+
     def open_disk(self) -> FolderDisk:
         loop = asyncio.get_running_loop()
         self.disk = FolderDisk(self.params.dataFolder, self.params.diskBytes, loop.call_soon_threadsafe,
@@ -49,7 +56,7 @@
 
     async def on_start(self) -> None:
         await self.make()
-        self.shell = Shell(self.node, self.env)
+        self.shell = Shell(self.node, self.env, self.make_switchboard(self.node.receive))
         await self.add_runtime_dependency(self.shell)
 
     async def on_stop(self) -> None:
--- a/libs/vellum/src/vellum/shell.py
+++ b/libs/vellum/src/vellum/shell.py
@@ -52,13 +52,13 @@
 
 
 class Shell(Service):
-    def __init__(self, node: Node, env: ProcessEnv) -> None:
+    def __init__(self, node: Node, env: ProcessEnv, switchboard: Switchboard | None = None) -> None:
         super().__init__()
         self.node = node
         self.worstTickMs = 0
         self._env = env
         self._tickMs = max(5, min(node.params.deltaMs // 2, node.params.beatMs // 8))
-        self._switchboard = Switchboard(env.address, node.params.askMs, node.receive)
+        self._switchboard = switchboard or Switchboard(env.address, node.params.askMs, node.receive)
         env.switchboard = self._switchboard
 
     async def on_start(self) -> None:
