Live calls wait at the edge when they can make it, and are told at once when they can't

Cause: with every slot and queue taken a call was refused though its deadline was two seconds away; a moment without workers refused all; a resend of what certainly had not run drew on the retry budget, so one crash with forty calls in flight failed thirty; lots were dealt by the wall clocks of edges. Now a call waits, by deadline, while an estimate from slots and service times seen says that it will be done in half of the time it has left; else it is refused at once with when to come back. A refusal for want of room marks the worker as full until its next beat. Certain failures are free, once at each worker; the budget holds as many resends as one lost worker can have had under way. Due times are the holder's. Ruled out: waiting until the deadline, which holds back what is decided.

--- a/libs/circulation/src/circulation/carrier.py
+++ b/libs/circulation/src/circulation/carrier.py
@@ -9,6 +9,7 @@
 from circulation.exchange import Exchange, Fate
 from circulation.placement import choose
 from circulation.roster import Roster, Worker
+from circulation.waiting import WaitingLine
 from ledger import messages as m
 from vellum import Part
 
@@ -33,12 +34,13 @@
 class Send:
     """One send under way. What is reported after it is over changes nothing."""
 
-    __slots__ = ("_carrier", "abort", "carriage", "exchange", "over", "worker")
+    __slots__ = ("_carrier", "abort", "beganMs", "carriage", "exchange", "over", "worker")
 
     def __init__(self, carrier: "Carrier", carriage: "Carriage", worker: Worker, exchange: Exchange) -> None:
         self._carrier, self.carriage, self.worker, self.exchange = carrier, carriage, worker, exchange
         self.abort: Callable[[], None] = lambda: None
         self.over = False
+        self.beganMs = carrier.node.env.now()
 
     def head(self, status: int, headers: Iterable[tuple[str, str]], length: int | None) -> None:
         if not self.over:
@@ -92,10 +94,13 @@
 
 
 class Carrier(Part):
-    __slots__ = ("_holder", "_open", "_roster", "_sender", "_tree", "byPrefix", "counts", "edge")
+    __slots__ = ("_edges", "_holder", "_line", "_open", "_roster", "_sender", "_tree", "byPrefix", "counts", "edge")
 
-    def __init__(self, edge: str, holder: Any, roster: Roster, tree: Callable[[], Any], sender: Sender) -> None:
+    def __init__(self, edge: str, holder: Any, roster: Roster, tree: Callable[[], Any], sender: Sender,
+                 edges: Callable[[], int] = lambda: 1) -> None:
         self.edge = edge
+        self._edges = edges
+        self._line = WaitingLine()
         self._holder, self._roster, self._tree, self._sender = holder, roster, tree, sender
         self._open: dict[str, Carriage] = {}
         self.byPrefix = True
@@ -104,6 +109,9 @@
     def count(self, name: str) -> None:
         self.counts[name] = self.counts.get(name, 0) + 1
 
+    def waiting(self) -> int:
+        return len(self._line)
+
     def carrying(self, lot: bool) -> int:
         return sum(1 for carriage in self._open.values() if carriage.call.lot == lot)
 
@@ -120,6 +128,8 @@
             self._ask_open(carriage)
         elif step.name == "place":
             self._place(carriage)
+        elif step.name == "wait":
+            self._line.add(carriage)
         elif step.name == "send":
             self._begin(carriage, step.value)
         elif step.name == "close":
@@ -138,7 +148,7 @@
             else:
                 self._take(carriage, tx.open_receipt(receipt.outcome, receipt.status, receipt.body))
 
-        leftMs = max(node.params.askMs, tx.dueMs - node.env.now() - node.params.freshMs)
+        leftMs = max(node.params.askMs, (tx.dueMs - node.env.now()) // 2)
         self._holder.ask(m.OpenKey(key=tx.key, digest=carriage.call.digest, edge=self.edge, transaction=tx.transactionId,
                                    epoch=0, holderMs=0), leftMs, told)
 
@@ -156,9 +166,44 @@
                          self.node.params.askMs * 2, told)
 
     def _place(self, carriage: Carriage) -> None:
-        tx = carriage.tx
+        tx, nowMs = carriage.tx, self.node.env.now()
         workers = self._allowed(tx)
-        self._take(carriage, tx.placed(self._choose(carriage, workers), bool(workers)))
+        worker = self._choose(carriage, workers)
+        if worker is None and not carriage.call.lot:
+            waits, backMs = self._may_wait(carriage, workers, nowMs)
+            self._take(carriage, tx.placed(None, bool(workers), waits, backMs))
+        else:
+            self._take(carriage, tx.placed(worker, bool(workers)))
+
+    def _may_wait(self, carriage: Carriage, workers: list[Worker], nowMs: int) -> tuple[bool, int]:
+        line, tx, params = self._line, carriage.tx, self.node.params
+        if not workers:
+            held = line.missed_lately(tx.profile.name, nowMs, params.workerMs)
+            return held and line.makes_it(tx, params.workerMs / 2, nowMs), params.deadMs
+        line.seen_worker(tx.profile.name, nowMs)
+        waitMs = line.estimate_ms(tx, line.before(carriage), sum(worker.slots for worker in workers), self._edges())
+        return line.makes_it(tx, waitMs, nowMs), max(params.beatMs, int(waitMs))
+
+    def _serve_line(self) -> None:
+        """Who is due first goes first; who can no longer make it is told so now."""
+        full: set[str] = set()
+        nowMs = self.node.env.now()
+        for carriage in self._line.rows():
+            tx = carriage.tx
+            if tx.transactionId not in self._open:
+                self._line.drop(carriage)
+                continue
+            workers = self._allowed(tx)
+            worker = None if tx.profile.name in full else self._choose(carriage, workers)
+            if worker is not None:
+                self._line.drop(carriage)
+                self._take(carriage, tx.placed(worker, True))
+                continue
+            full.add(tx.profile.name)
+            waits, backMs = self._may_wait(carriage, workers, nowMs)
+            if not waits:
+                self._line.drop(carriage)
+                self._take(carriage, tx.placed(None, bool(workers), False, backMs))
 
     def _allowed(self, tx: Transaction) -> list[Worker]:
         return [worker for worker in self._roster.workers() if tx.profile.allows(worker.identity, worker.labels)]
@@ -178,6 +223,9 @@
 
     def _begin(self, carriage: Carriage, worker: Worker) -> None:
         tx, call = carriage.tx, carriage.call
+        tx.widen_budget(2.0 * worker.slots)
+        if not call.lot:
+            self._line.seen_worker(tx.profile.name, self.node.env.now())
         self.count("sends_lot" if call.lot else "sends_live")
         worker.sending += 1
         self.node.env.log("send", "DEBUG", transaction=tx.transactionId, worker=worker.stamp, path=tx.profile.name)
@@ -197,6 +245,8 @@
         tx, worker = send.carriage.tx, send.worker
         self._over(send)
         if fate.name == "whole":
+            if not send.carriage.call.lot:
+                self._line.served(tx.profile.name, self.node.env.now() - send.beganMs)
             tx.begun()
             self._take(send.carriage, tx.ended(fate.status, fate.body))
         elif fate.name == "rejected":
@@ -206,10 +256,14 @@
                 self._roster.connection_failed(worker)
             elif fate.mark == "mismatch":
                 self._roster.mismatched(worker)
+            elif fate.reason == "busy" and not fate.mayHaveRun:
+                self._roster.full(worker)
             self.count("sends_failed")
             self.node.env.log("send-failed", "WARNING", transaction=tx.transactionId, worker=worker.stamp, reason=fate.reason,
                               mayHaveRun=fate.mayHaveRun)
             self._take(send.carriage, tx.failed(worker.stamp, fate.mayHaveRun, fate.reason, self.node.env.now()))
+        if len(self._line):
+            self._serve_line()
 
     def tick(self) -> None:
         nowMs = self.node.env.now()
@@ -221,6 +275,8 @@
                 self.ended(send, Fate("failed", reason="deadline"))
             elif tx.safe and not tx.delivered and self._roster.silent(send.worker):
                 self.ended(send, Fate("failed", reason="worker silent"))
+        if len(self._line):
+            self._serve_line()
 
     # -- ends ----------------------------------------------------------------------------------
 
@@ -230,6 +286,7 @@
             return
         if carriage.send is not None:
             self._over(carriage.send)
+        self._line.drop(carriage)
         self._finish(carriage, tx.gone())
 
     def drop(self, carriage: Carriage) -> None:
--- a/libs/circulation/src/circulation/chart.py
+++ b/libs/circulation/src/circulation/chart.py
@@ -1,4 +1,4 @@
-"""The state chart of one transaction: received, opening, placing, sending, streaming, closing, done,
+"""The state chart of one transaction: received, opening, placing, waiting, sending, streaming, closing, done,
 refused, cut, gone. One function for every change of state; each gives the step that whoever drives it has
 to take next. It resends only what certainly has not run, or what is safe to repeat as long as
 nothing was delivered; doubt is said as doubt."""
@@ -16,6 +16,7 @@
     RECEIVED = "received"
     OPENING = "opening"
     PLACING = "placing"
+    WAITING = "waiting"
     SENDING = "sending"
     STREAMING = "streaming"
     CLOSING = "closing"
@@ -26,7 +27,7 @@
 
 
 class Step:
-    """What to do: open, place, send, stream, close, replay, finish, refuse, cut, gone."""
+    """What to do: open, place, wait, send, stream, close, replay, finish, refuse, cut, gone."""
 
     __slots__ = ("closeAs", "name", "refusal", "value")
 
@@ -65,6 +66,9 @@
         self.state = state
         return step
 
+    def widen_budget(self, top: float) -> None:
+        self._budget.widen(top)
+
     def begin(self) -> Step:
         self._budget.earn(self.profile.retryBudget)
         if self.safe or self.claimed:
@@ -96,23 +100,30 @@
             "stores-silent", "the stores did not answer; this request was not sent on, but whether one before it "
             "with this key has run is not known", 1000)))
 
-    def placed(self, worker: Any, anyWorker: bool) -> Step:
+    def placed(self, worker: Any, anyWorker: bool, waits: bool = False, backMs: int = 1000) -> Step:
+        """`waits`: an estimate says that a slot will be free soon enough. `backMs` is when to come back."""
         if worker is not None:
             self.sending = worker.stamp
             return self._to(State.SENDING, Step("send", value=worker))
+        if waits:
+            return self._to(State.WAITING, Step("wait"))
         if anyWorker:
-            return self._give_up(refused("busy", "all workers of this path are busy", 429, 1000))
-        return self._give_up(refused("no-worker", "no worker of this path is live", 503, 1000))
+            return self._give_up(refused("busy", "all workers of this path are busy", 429, backMs))
+        return self._give_up(refused("no-worker", "no worker of this path is live", 503, backMs))
 
     def failed(self, worker: str, mayHaveRun: bool, reason: str, nowMs: int) -> Step:
-        """A send came to nothing. What to do depends on whether it may have run, and been seen."""
+        """A send came to nothing. What to do depends on whether it may have run, and been seen. What
+        certainly has not run cost its worker nothing: trying another one is free, each one once, or
+        again when one that was full has room."""
+        known = worker in self.avoid
         self.sends.append((worker, reason))
         self.avoid.add(worker)
         self._runs = self._runs or mayHaveRun
         if self.delivered:
             return self._cut(reason)
         late = nowMs >= self.dueMs
-        again = (not mayHaveRun or self.safe) and not late and self._budget.spend()
+        free = not mayHaveRun and (not known or reason == "busy")
+        again = (not mayHaveRun or self.safe) and not late and (free or self._budget.spend())
         if again:
             return self._to(State.PLACING, Step("place"))
         if late:
--- a/libs/circulation/src/circulation/placement.py
+++ b/libs/circulation/src/circulation/placement.py
@@ -59,7 +59,8 @@
 
 
 class Budget:
-    """Resends as a share of first sends, so that a failing pool is not multiplied."""
+    """Resends as a share of first sends, so that a failing pool is not multiplied; at the most as many at
+    once as one lost worker can have had under way."""
 
     __slots__ = ("_tokens", "_top")
 
@@ -67,6 +68,11 @@
         self._top = top
         self._tokens = top
 
+    def widen(self, top: float) -> None:
+        if top > self._top:
+            self._tokens += top - self._top
+            self._top = top
+
     def earn(self, share: float) -> None:
         self._tokens = min(self._top, self._tokens + share)
 
--- a/libs/circulation/src/circulation/roster.py
+++ b/libs/circulation/src/circulation/roster.py
@@ -123,6 +123,11 @@
         worker.downMs = self.node.env.now()
         self.node.env.log("worker-down", "WARNING", worker=worker.identity, incarnation=worker.incarnation)
 
+    def full(self, worker: Worker) -> None:
+        """It refused for want of room, which its last beat did not show: until the next one it is full."""
+        worker.running = worker.waiting = worker.slots
+        worker.sendingThen = worker.sending
+
     def mismatched(self, worker: Worker) -> None:
         """Another worker answers at its address."""
         if self._workers.get(worker.identity) is worker:
--- a/libs/facsimile/src/facsimile/sim/visitors.py
+++ b/libs/facsimile/src/facsimile/sim/visitors.py
@@ -75,6 +75,7 @@
 
         def told(step: Step, answer: Answer) -> None:
             if answer.refusal is not None:
+                row["backMs"] = answer.refusal.retryAfterMs
                 answered("cut" if row["pieces"] else "error", answer.verdict, answer.code)
             elif answer.status != 200:
                 answered("error", "ran", str(answer.status))
--- a/libs/ledger/src/ledger/desk.py
+++ b/libs/ledger/src/ledger/desk.py
@@ -104,7 +104,7 @@
             self._when_confirmed(origin, lambda ok: _lot_receipt("noRoom" if ok else "unknown", message.lotId, None))
         else:
             entry = e.LotAdmitted(lotId=message.lotId, digest=message.digest, path=message.path, items=message.items,
-                                  safe=message.safe, dueMs=message.dueMs, atMs=self._log_ms())
+                                  safe=message.safe, dueMs=self._log_ms() + message.dueMs, atMs=self._log_ms())
             taken = self._log(origin, [entry], lambda outcome: _lot_receipt(
                 "admitted" if outcome == _KEPT else outcome, message.lotId, ledger.lots.get(message.lotId)))
             if not taken:
--- a/libs/readingroom/src/readingroom/counter.py
+++ b/libs/readingroom/src/readingroom/counter.py
@@ -70,8 +70,7 @@
             told(answer)
 
         self._holder.ask(m.HandIn(lotId=lotId, digest=_digest([path, dueMs, bodies]), path=path, items=bodies,
-                                  safe=self._tree().usable(path).repeatable, dueMs=self.node.env.wall() + dueMs, epoch=0,
-                                  holderMs=0), self.node.params.forceMs, done)
+                                  safe=self._tree().usable(path).repeatable, dueMs=dueMs, epoch=0, holderMs=0), self.node.params.forceMs, done)
 
     def lot(self, lotId: str, told: Told) -> None:
         self._holder.ask(m.ReadLot(lotId=lotId), self.node.params.forceMs, lambda receipt: told(lot_answer(lotId, receipt)))
--- a/libs/readingroom/src/readingroom/nodes.py
+++ b/libs/readingroom/src/readingroom/nodes.py
@@ -128,15 +128,17 @@
                                    lambda: [card.address for card in self.neighbours.of_role("store", params.goneMs)])
         self.roster = Roster(lambda: [card.address for card in self.neighbours.view() if card.role == "edge"],
                              lambda identity, labels: self.tree().allows_worker(identity, labels))
-        self.carrier = Carrier(identity, self.holder, self.roster, self.tree, sender)
-        self.items = Items(self.carrier, self.roster, self.tree, self.why_unready,
-                           lambda: 1 + len(self.neighbours.of_role("edge", params.deadMs)))
+        self.carrier = Carrier(identity, self.holder, self.roster, self.tree, sender, self._edges)
+        self.items = Items(self.carrier, self.roster, self.tree, self.why_unready, self._edges)
         self.lots = LotRunner(identity, self.holder, self.items.room, self.items.start)
         self.counter = Counter(self.carrier, self.holder, self.lots, self.tree, self.why_unready)
         self.neighbours.ready = self.gazette.sure = lambda: not self.why_unready()
         super().__init__(env, params, [self.neighbours, self.gazette, self.holder, self.roster, self.carrier, self.items,
                                        self.lots, self.counter])
 
+    def _edges(self) -> int:
+        return 1 + len(self.neighbours.of_role("edge", self.params.deadMs))
+
     def why_unready(self) -> str:
         """An edge serves while it hears of a control majority, or, with control gone, from most of the
         nodes it knows; without either it can't know whether its profiles are still in force."""
--- a/libs/readingroom/src/readingroom/roles.py
+++ b/libs/readingroom/src/readingroom/roles.py
@@ -62,7 +62,7 @@
     def metrics(self) -> dict[str, float]:
         node = self.node
         rows = {f"edge_{name}_total": count for name, count in node.carrier.counts.items()}
-        return {**rows, "edge_ready": int(not node.why_unready()), "edge_live_now": self._visitors.liveNow,
+        return {**rows, "edge_waiting_now": node.carrier.waiting(), "edge_ready": int(not node.why_unready()), "edge_live_now": self._visitors.liveNow,
                 "edge_items_now": node.lots.running(), "edge_items_finished_total": node.lots.finished,
                 "edge_workers": len(node.roster.workers()), "feed_place": node.gazette.place,
                 "worst_tick_ms": self.shell.worstTickMs if self.shell else 0}
