The waiting line is looked at by its heads, not whole at each free slot

Cause: each slot that came free went through every waiting call, for each of which those before it were counted anew. Measured at 450 rulings a second on 16 slots: 90% of answers within 2.8 s as seen by the load's process. Ruled out as the only cause: the load's own process, which stays the limit (edges' logs: 500 ms).

--- a/libs/circulation/src/circulation/carrier.py
+++ b/libs/circulation/src/circulation/carrier.py
@@ -175,35 +175,39 @@
         else:
             self._take(carriage, tx.placed(worker, bool(workers)))
 
-    def _may_wait(self, carriage: Carriage, workers: list[Worker], nowMs: int) -> tuple[bool, int]:
+    def _may_wait(self, carriage: Carriage, workers: list[Worker], nowMs: int, before: int | None = None) -> tuple[bool, int]:
         line, tx, params = self._line, carriage.tx, self.node.params
         if not workers:
             held = line.missed_lately(tx.profile.name, nowMs, params.workerMs)
             return held and line.makes_it(tx, params.workerMs / 2, nowMs), params.deadMs
         line.seen_worker(tx.profile.name, nowMs)
-        waitMs = line.estimate_ms(tx, line.before(carriage), sum(worker.slots for worker in workers), self._edges())
+        before = line.before(carriage) if before is None else before
+        waitMs = line.estimate_ms(tx, before, sum(worker.slots for worker in workers), self._edges())
         return line.makes_it(tx, waitMs, nowMs), max(params.beatMs, int(waitMs))
 
-    def _serve_line(self) -> None:
-        """Who is due first goes first; who can no longer make it is told so now."""
-        full: set[str] = set()
-        nowMs = self.node.env.now()
-        for carriage in self._line.rows():
-            tx = carriage.tx
-            if tx.transactionId not in self._open:
-                self._line.drop(carriage)
-                continue
-            workers = self._allowed(tx)
-            worker = None if tx.profile.name in full else self._choose(carriage, workers)
-            if worker is not None:
-                self._line.drop(carriage)
-                self._take(carriage, tx.placed(worker, True))
-                continue
-            full.add(tx.profile.name)
-            waits, backMs = self._may_wait(carriage, workers, nowMs)
+    def _serve_line(self, path: str) -> bool:
+        """Who is due first goes first, as long as there are slots. False once nobody more can go."""
+        carriage = self._line.first(path)
+        if carriage is None:
+            return False
+        worker = self._choose(carriage, self._allowed(carriage.tx))
+        if worker is None:
+            return False
+        self._line.drop(carriage)
+        self._take(carriage, carriage.tx.placed(worker, True))
+        return True
+
+    def _review_line(self, path: str, nowMs: int) -> None:
+        """Who can no longer make it is told so now."""
+        while self._serve_line(path):
+            pass
+        rows = self._line.rows(path)
+        workers = self._allowed(rows[0].tx) if rows else []
+        for before, carriage in enumerate(rows):
+            waits, backMs = self._may_wait(carriage, workers, nowMs, before)
             if not waits:
                 self._line.drop(carriage)
-                self._take(carriage, tx.placed(None, bool(workers), False, backMs))
+                self._take(carriage, carriage.tx.placed(None, bool(workers), False, backMs))
 
     def _allowed(self, tx: Transaction) -> list[Worker]:
         return [worker for worker in self._roster.workers() if tx.profile.allows(worker.identity, worker.labels)]
@@ -262,8 +266,8 @@
             self.node.env.log("send-failed", "WARNING", transaction=tx.transactionId, worker=worker.stamp, reason=fate.reason,
                               mayHaveRun=fate.mayHaveRun)
             self._take(send.carriage, tx.failed(worker.stamp, fate.mayHaveRun, fate.reason, self.node.env.now()))
-        if len(self._line):
-            self._serve_line()
+        for path in self._line.paths():
+            self._serve_line(path)
 
     def tick(self) -> None:
         nowMs = self.node.env.now()
@@ -275,8 +279,8 @@
                 self.ended(send, Fate("failed", reason="deadline"))
             elif tx.safe and not tx.delivered and self._roster.silent(send.worker):
                 self.ended(send, Fate("failed", reason="worker silent"))
-        if len(self._line):
-            self._serve_line()
+        for path in self._line.paths():
+            self._review_line(path, nowMs)
 
     # -- ends ----------------------------------------------------------------------------------
 
--- a/libs/circulation/src/circulation/waiting.py
+++ b/libs/circulation/src/circulation/waiting.py
@@ -3,6 +3,7 @@
 told so at once. The estimate errs on the long side where nothing was seen yet."""
 
 import math
+from bisect import bisect_right, insort_right
 from typing import Any
 
 __all__ = ["WaitingLine"]
@@ -16,12 +17,12 @@
     __slots__ = ("_lastMs", "_rows", "_serviceMs")
 
     def __init__(self) -> None:
-        self._rows: list[Any] = []
+        self._rows: dict[str, list[Any]] = {}
         self._serviceMs: dict[str, float] = {}
         self._lastMs: dict[str, int] = {}
 
     def __len__(self) -> int:
-        return len(self._rows)
+        return sum(map(len, self._rows.values()))
 
     def served(self, path: str, tookMs: int) -> None:
         self._serviceMs[path] = self._serviceMs.get(path, tookMs) * (1 - _KNOWN) + tookMs * _KNOWN
@@ -38,9 +39,7 @@
 
     def before(self, carriage: Any) -> int:
         """How many of its path are due earlier."""
-        tx = carriage.tx
-        return sum(1 for row in self._rows if row is not carriage and row.tx.profile.name == tx.profile.name
-                   and row.tx.dueMs <= tx.dueMs)
+        return bisect_right(self._rows.get(carriage.tx.profile.name, []), carriage.tx.dueMs, key=lambda row: row.tx.dueMs)
 
     def makes_it(self, tx: Any, waitMs: float, nowMs: int) -> bool:
         return waitMs + self.serviceMs(tx) <= _SHARE * (tx.dueMs - nowMs)
@@ -50,13 +49,20 @@
         return nowMs - self._lastMs.get(path, -1 << 40) <= withinMs
 
     def add(self, carriage: Any) -> None:
-        if carriage not in self._rows:
-            self._rows.append(carriage)
-            self._rows.sort(key=lambda row: row.tx.dueMs)
+        insort_right(self._rows.setdefault(carriage.tx.profile.name, []), carriage, key=lambda row: row.tx.dueMs)
 
     def drop(self, carriage: Any) -> None:
-        if carriage in self._rows:
-            self._rows.remove(carriage)
+        rows = self._rows.get(carriage.tx.profile.name, [])
+        if carriage in rows:
+            rows.remove(carriage)
+            if not rows:
+                del self._rows[carriage.tx.profile.name]
 
-    def rows(self) -> list[Any]:
+    def paths(self) -> list[str]:
         return list(self._rows)
+
+    def first(self, path: str) -> Any:
+        return self._rows.get(path, [None])[0]
+
+    def rows(self, path: str) -> list[Any]:
+        return list(self._rows.get(path, []))
