Members told in words; retired without a spare, undone, swapped midway: provoked

Cause: an operator who retired a machine saw nothing of what it waited for. `retire` and `registrar members` now say for each machine whether it counts, is a spare, or is to go, and what it waits for. Six schedules under traffic: a retired holder serves until the spare comes, retired and undone midway, a swap while the others lose power, a spare lost while it catches up, a retired machine back with its disk, all control machines exchanged while two operators send.

--- a/libs/registrar/src/registrar/operators.py
+++ b/libs/registrar/src/registrar/operators.py
@@ -13,6 +13,7 @@
 from gazette.patches import apply_patch
 from readingroom.desk_http import HttpDesk, answer_refusal, json_answer, read_call
 from readingroom.nodes import PROFILES_KEY, RETIRED_KEY
+from registrar.words import says, says_edge
 from vellum.shell import awaited
 
 __all__ = ["Operators"]
@@ -146,15 +147,31 @@
         rows.append({"role": "control", "identity": node.voter.identity, "link": node.address, "http": params.http,
                      "zone": params.zone, "standing": "live", "ready": not node.why_unready(),
                      "feed": node.gazette.numbers()})
+        for row in rows:
+            row["says"] = self._says(row["role"], row["identity"], row["link"])
         known = {row["identity"] for row in rows}
         rows += [{"role": "control", "identity": name, "link": address, "http": "", "zone": "", "standing": "gone",
-                  "ready": False, "feed": None} for name, address in voters.items() if name not in known]
+                  "ready": False, "feed": None, "says": self._says("control", name, address)} for name, address in voters.items() if name not in known]
         return json_answer({
             "asked": node.voter.identity, "atMs": nowMs, "members": rows, "voters": sorted(voters),
             "votersNumber": node.voter.listNumber, "steward": node.founding.steward(), "keys": node.owner.epochs(),
-            "roll": sorted(node.gazette.roll()), "log": node.gazette.value("log"), "retired": (node.gazette.value(RETIRED_KEY) or {}).get("identities", []),
+            "roll": sorted(node.gazette.roll()), "log": node.gazette.value("log"),
+            "retired": (node.gazette.value(RETIRED_KEY) or {}).get("identities", []),
             "feed": node.gazette.numbers(), "place": node.gazette.place})
 
+    def _says(self, role: str, identity: str, link: str) -> str:
+        node = self._node
+        if role == "edge":
+            return says_edge(link, node.gazette.roll())
+        log = node.gazette.value("log") or {"members": [], "holder": ""}
+        retired = (node.gazette.value(RETIRED_KEY) or {}).get("identities", [])
+        members = [row["identity"] for row in log["members"]] if role == "store" else list(node.voter.voters)
+        live = [card.identity for card in node.neighbours.of_role(role, node.params.deadMs)]
+        spares = [name for name in live if name not in members and name not in retired]
+        if role == "store":
+            return says(role, identity, members, log["holder"], retired, spares, node.params.storeCount)
+        return says(role, identity, members, node.founding.steward() or "", retired, spares, node.params.controlCount)
+
     async def _retire(self, request: web.Request) -> web.Response:
         call = await self._parsed(request, _Retired)
         if isinstance(call, Refusal):
@@ -170,7 +187,12 @@
         names = names - {call.identity} if call.undo else names | {call.identity}
         receipt = await self._ask(Change(key=RETIRED_KEY, version=receipt.version, changeId=changeId, hops=0,
                                          body=json.dumps({"identities": sorted(names)}, sort_keys=True)))
-        return self._answer(receipt, changeId)
+        if receipt.outcome != "ok":
+            return self._answer(receipt, changeId)
+        card = self._node.neighbours.known(call.identity)
+        role = card.role if card is not None else "store" if call.identity.startswith("store") else "control"
+        return json_answer({"version": receipt.version, "changeId": changeId, "identity": call.identity,
+                            "says": self._says(role, call.identity, "")})
 
     async def _forget(self, request: web.Request) -> web.Response:
         """The operator's word that edges or stores are down for good, so that they no longer count."""
--- /dev/null
+++ b/libs/registrar/src/registrar/words.py
@@ -0,0 +1,30 @@
+"""Each member in words, for operators: whether it counts, is a spare, is to go, and what it waits for."""
+
+from collections.abc import Iterable
+
+__all__ = ["says", "says_edge"]
+
+
+def says(role: str, identity: str, members: Iterable[str], duty: str, retired: Iterable[str], spares: Iterable[str],
+         fullCount: int) -> str:
+    """`members` are those that count of its role, `duty` the holder or steward among them, `spares` live ones
+    that are not retired."""
+    members, spares = list(members), sorted(set(spares) - {identity})
+    group = "the log" if role == "store" else "the voters"
+    counts = f"counts: a member of {group}" + (", and its holder" if role == "store" and identity == duty else
+                                               ", and the steward" if identity == duty else "")
+    if identity in retired:
+        if identity not in members:
+            return "retired and out: may be stopped"
+        if len(members) > fullCount:
+            return f"{counts}; retired, is being dropped now"
+        if not spares:
+            return f"{counts}; retired, waits for a spare: none is live, start one"
+        return f"{counts}; retired, waits until a spare has caught up: {', '.join(spares)}"
+    if identity in members:
+        return counts
+    return f"spare: catching up with {group}, counts for nothing until it takes a place"
+
+
+def says_edge(link: str, roll: Iterable[str]) -> str:
+    return "counts: on the roll" if link in set(roll) else "not on the roll yet: counts for nothing"
--- /dev/null
+++ b/tests/test_members_more.py
@@ -0,0 +1,133 @@
+"""Members that change, once more: retired with no spare, undone midway, swapped while others are down, spares
+that are lost, machines that come back with their old disks; and each member told in words."""
+
+import json
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from catalogue import Change
+from facsimile.sim import judge
+from facsimile.sim.runs import Run
+from registrar.words import says
+
+
+class Words(TestCase):
+    ROWS = [(("store", "a", "abc", "a", "", "", 3), "counts: a member of the log, and its holder"),
+            (("store", "b", "abc", "a", "", "d", 3), "counts: a member of the log"),
+            (("control", "a", "abc", "a", "", "", 3), "counts: a member of the voters, and the steward"),
+            (("store", "d", "abc", "a", "", "d", 3), "spare: catching up with the log, counts for nothing until it takes a place"),
+            (("store", "b", "abc", "a", "b", "", 3), "counts: a member of the log; retired, waits for a spare: none is live, start one"),
+            (("store", "b", "abc", "a", "b", "d", 3), "counts: a member of the log; retired, waits until a spare has caught up: d"),
+            (("control", "b", "abcd", "a", "b", "", 3), "counts: a member of the voters; retired, is being dropped now"),
+            (("store", "b", "acd", "a", "b", "", 3), "retired and out: may be stopped")]
+
+    def test_rows(self):
+        for asked, told in self.ROWS:
+            self.assertThat(says(*asked), Equals(told), str(asked))
+
+
+class Changing(TestCase):
+    def founded(self, seed=11):
+        run = Run(seed)
+        run.found()
+        run.fleet.run_until_true(lambda: False, 1000)
+        run.traffic(90.0)
+        run.fleet.run_until_true(lambda: False, 1500)
+        return run, run.fleet
+
+    def members(self, fleet):
+        value = fleet.of("edge")[0].node.gazette.value("log")
+        return [row["identity"] for row in value["members"]] if value["phase"] == "serving" else []
+
+    def until(self, fleet, check, limitMs=20_000):
+        self.assertThat(bool(fleet.run_until_true(check, limitMs)), Equals(True))
+
+    def retire(self, fleet, names):
+        owner = fleet.of("control")[0].node.owner
+        version = fleet.of("control")[0].node.gazette.number("retired")
+        seen = []
+        owner.submit(Change(key="retired", version=version, changeId=str(version), hops=0,
+                            body=json.dumps({"identities": sorted(names)})), seen.append)
+        self.until(fleet, lambda: seen)
+        self.assertThat(seen[0].outcome, Equals("ok"))
+
+    def kept(self, run):
+        """Traffic went on all the while; now it ends, everything is back, and the oracle judges."""
+        run.stopped = True
+        run.fleet.run_until_true(lambda: False, 1500)
+        run.probe(3000)
+        run.read_all()
+        self.assertThat(judge(run.fleet.history, ["kept-at-the-end", "service-resumes"]), Equals({}))
+
+    def test_a_retired_holder_serves_until_the_spare_comes(self):
+        run, fleet = self.founded()
+        old = fleet.holder().node.log.log.identity
+        self.retire(fleet, [old])
+        fleet.run_until_true(lambda: False, 5000)
+        self.assertThat((old in self.members(fleet), fleet.holder() is not None), Equals((True, True)))
+        fresh = fleet.add("store", "fresh")
+        self.until(fleet, lambda: fresh.node.log.log.identity in self.members(fleet) and old not in self.members(fleet))
+        self.kept(run)
+
+    def test_retired_and_undone_midway(self):
+        run, fleet = self.founded(12)
+        old = next(host.node.log.log.identity for host in fleet.of("store") if host is not fleet.holder())
+        self.retire(fleet, [old])
+        fleet.run_until_true(lambda: False, 800)
+        self.retire(fleet, [])
+        fresh = fleet.add("store", "fresh")
+        fleet.run_until_true(lambda: False, 4000)
+        self.assertThat((old in self.members(fleet), fresh.node.log.log.identity in self.members(fleet)), Equals((True, False)))
+        self.kept(run)
+
+    def test_a_swap_while_the_power_of_the_others_fails(self):
+        run, fleet = self.founded(13)
+        gone = next(host for host in fleet.of("store") if host is not fleet.holder())
+        fleet.hosts.pop(gone.name).lose_disk()
+        fresh = fleet.add("store", "fresh")
+        fleet.run_until_true(lambda: False, fleet.hosts["edge1"].params.goneMs - 500)
+        for host in fleet.of("store"):
+            host.lose_power()
+            fleet.time.after(900, host.start)
+        self.until(fleet, lambda: fresh.node.log.log.identity in self.members(fleet), 25_000)
+        self.kept(run)
+
+    def test_a_spare_lost_while_it_catches_up_and_another_comes(self):
+        run, fleet = self.founded(14)
+        gone = next(host for host in fleet.of("store") if host is not fleet.holder())
+        fleet.hosts.pop(gone.name).lose_disk()
+        first = fleet.add("store", "first")
+        fleet.run_until_true(lambda: False, 300)
+        fleet.hosts.pop("first").lose_disk()
+        second = fleet.add("store", "second")
+        self.until(fleet, lambda: second.node.log.log.identity in self.members(fleet))
+        self.assertThat(first.node.log.log.identity in self.members(fleet), Equals(False))
+        self.kept(run)
+
+    def test_a_retired_machine_that_comes_back_with_its_disk_counts_for_nothing(self):
+        run, fleet = self.founded(15)
+        host = next(host for host in fleet.of("store") if host is not fleet.holder())
+        old = host.node.log.log.identity
+        fresh = fleet.add("store", "fresh")
+        self.retire(fleet, [old])
+        self.until(fleet, lambda: fresh.node.log.log.identity in self.members(fleet))
+        host.kill()
+        fleet.run_until_true(lambda: False, 2000)
+        host.start()
+        fleet.run_until_true(lambda: False, 4000)
+        self.assertThat((old in self.members(fleet), host.node.why_unready()), Equals((False, "spare: not a member of the log")))
+        fleet.hosts.pop(host.name).kill()
+        self.kept(run)
+
+    def test_control_exchanged_while_two_operators_send(self):
+        run, fleet = self.founded(16)
+        for number in range(5):
+            fresh = fleet.add("control", f"fresh{number + 1}")
+            fleet.hosts.pop(f"control{number + 1}").kill()
+            for _ in range(2):
+                run.operators.change()
+            self.until(fleet, lambda fresh=fresh: fresh.node.quorate() and len(fresh.node.voter.voters) == 5, 25_000)
+        run.operators.ask_again(8)
+        self.assertThat(len(fleet.history.of("final-change")) > 3, Equals(True))
+        self.kept(run)
