--- a/libs/facsimile/src/facsimile/measure_more.py
+++ b/libs/facsimile/src/facsimile/measure_more.py
@@ -48,7 +48,7 @@
     total = 0
     for member in fleet.of(role):
         _, text = await fleet.get(member, "/metrics")
-        total += sum(int(line.split()[1]) for line in text.splitlines() if line.startswith(f"vaneledge_{name} "))
+        total += sum(int(float(line.split()[1])) for line in text.splitlines() if line.startswith(f"vaneledge_{name} "))
     return total
 
 
@@ -76,7 +76,7 @@
         stopping.set()
         await polling
         _, text = await fleet.get(edge, "/metrics")
-        worst = next(line for line in text.splitlines() if "worst_tick_ms" in line)
+        worst = next(line for line in text.splitlines() if line.startswith("vaneledge_worst_tick_ms"))
         lines.append(f"  /ready meanwhile: {spread(taken)}")
         lines.append(f"  an edge's memory after {_memoryMb(edge.process.pid)} MB; {worst}")
     return lines
--- a/libs/readingroom/src/readingroom/desk_http.py
+++ b/libs/readingroom/src/readingroom/desk_http.py
@@ -12,6 +12,7 @@
 from colophon import Refusal, doubtful, log, refused
 from readingroom.answers import Answer
 from readingroom.calls import parse
+from readingroom.metrics import CONTENT_TYPE, Metrics
 
 __all__ = ["HttpDesk", "answer_refusal", "json_answer", "read_call", "write_answer"]
 
@@ -79,7 +80,8 @@
                  middlewares: tuple[Any, ...] = ()) -> None:
         super().__init__()
         self._address = address
-        self._whyUnready, self._status, self._metrics = whyUnready, status, metrics
+        self._whyUnready, self._status = whyUnready, status
+        self.metrics = Metrics(metrics)
         self.app = web.Application(middlewares=[*middlewares, _verdicts], client_max_size=limitBytes)
         self.app.router.add_get("/ready", self._ready)
         self.app.router.add_get("/live", self._live)
@@ -108,5 +110,4 @@
         return json_answer(self._status())
 
     async def _show_metrics(self, request: web.Request) -> web.Response:
-        lines = [f"vaneledge_{name} {value}" for name, value in sorted(self._metrics().items())]
-        return web.Response(text="\n".join(lines) + "\n", content_type="text/plain")
+        return web.Response(body=self.metrics.text().encode(), headers={"Content-Type": CONTENT_TYPE})
--- a/libs/readingroom/src/readingroom/roles.py
+++ b/libs/readingroom/src/readingroom/roles.py
@@ -107,5 +107,5 @@
         rows = {f"store_asked_{name}_total": count for name, count in self.node.desk.counts.items()}
         return {**rows, "store_last_seq": local.lastSeq, "store_settled_seq": local.settledSeq,
                 "store_flushed_seq": local.flushedSeq, "store_epoch": local.meta.fence,
-                "store_holds": int(self.node.log.holder is not None), "store_open_lots": len(local.ledger.opened),
+                "store_holds": int(self.node.log.holder is not None), "store_open_lots": len(local.ledger.opened), "store_shelves": len(local.shelves.names()),
                 "feed_place": self.node.gazette.place, "worst_tick_ms": self.shell.worstTickMs if self.shell else 0}
--- a/libs/readingroom/src/readingroom/visitors.py
+++ b/libs/readingroom/src/readingroom/visitors.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from circulation import Step
-from colophon import Refusal, refused
+from colophon import Refusal, boot_ms, refused
 from readingroom.answers import Answer
 from readingroom.calls import LOT_ID, CompletionCall, HandInCall
 from readingroom.counter import Counter
@@ -24,10 +24,10 @@
 
 
 class Visitors:
-    __slots__ = ("_counter", "_node", "liveNow")
+    __slots__ = ("_counter", "_metrics", "_node", "liveNow")
 
     def __init__(self, node: Any, counter: Counter, desk: HttpDesk) -> None:
-        self._node, self._counter = node, counter
+        self._node, self._counter, self._metrics = node, counter, desk.metrics
         self.liveNow = 0
         router = desk.app.router
         router.add_post("/v1/completions", self._live)
@@ -50,8 +50,13 @@
             return answer_refusal(fault)
         body = call.model_dump(exclude_none=True, exclude={"model", "stream"})
         queue: asyncio.Queue = asyncio.Queue()
-        carriage = self._counter.live(call.model, key, body, call.stream, queue.put_nowait,
-                                      lambda step, answer: queue.put_nowait((step, answer)))
+        beganMs = boot_ms()
+
+        def told(step: Step, answer: Answer) -> None:
+            self._metrics.took(call.model, answer.verdict, (boot_ms() - beganMs) / 1000)
+            queue.put_nowait((step, answer))
+
+        carriage = self._counter.live(call.model, key, body, call.stream, queue.put_nowait, told)
         if isinstance(carriage, Answer):
             return write_answer(carriage)
         self.liveNow += 1
