--- a/libs/facsimile/src/facsimile/breaks/table.py
+++ b/libs/facsimile/src/facsimile/breaks/table.py
@@ -64,6 +64,22 @@
     "a cut-off edge keeps its claims": (
         "circulation/src/circulation/lots.py", "if self.running() and nowMs - self._holder.heardMs > params.claimMs:", "if False:",
         _LOTS + "cut_off"),
+    "a damaged leaf is listed": (
+        "stacks/src/stacks/frames.py", "return payload if zlib.crc32(payload) == checksum else None", "return payload",
+        "tests/test_shelves.py -k mends_it"),
+    "a snapshot before its files": (
+        "accession/src/accession/local.py", "        if not lacking:\n", "        if True:\n", "tests/test_shelves.py -k spare"),
+    "who cannot make it is held": (
+        "circulation/src/circulation/waiting.py", "return waitMs + self.serviceMs(tx) <= _SHARE * (tx.dueMs - nowMs)", "return True",
+        "tests/test_waiting.py -k at_once"),
+    "nobody waits": (
+        "circulation/src/circulation/waiting.py", "return waitMs + self.serviceMs(tx) <= _SHARE * (tx.dueMs - nowMs)", "return False",
+        "tests/test_waiting.py -k can_make_it"),
+    "certain failures cost the budget": (
+        "circulation/src/circulation/chart.py", "(free or self._budget.spend())", "self._budget.spend()", _CIRC + "free_once"),
+    "a visitor who hangs up is a failure": (
+        "circulation/src/circulation/carrier.py", "        self._finish(carriage, tx.gone())", "        self._finish(carriage, tx.placed(None, True))",
+        "tests/test_waiting.py -k hangs_up"),
     "a lost baton stays lost": (
         "ledger/src/ledger/dealing.py", "if lot.ready > lot.placed and not self._live(lot.batonEdge):", "if False:",
         _LOTS + "all_finished"),
--- a/libs/facsimile/src/facsimile/days_weather.py
+++ b/libs/facsimile/src/facsimile/days_weather.py
@@ -113,6 +113,21 @@
     await _back(member, 1000)
 
 
+async def crowd(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
+    """For four seconds calls come at all edges at a pace that takes all that the workers have; lots come at
+    once; a worker is lost in the middle and another comes for it two seconds later."""
+    calls = [asyncio.ensure_future(traffic.hand_in()) for _ in range(4)]
+    for turn in range(80):
+        calls += [asyncio.ensure_future(traffic.live(path, path == "rulings")) for path in ("rulings", "flags") for _ in range(4)]
+        if turn == 30:
+            rng.choice([member for member in fleet.workers.values() if member.runs]).kill()
+        if turn == 70:
+            fleet.add_worker(f"worker{len(fleet.workers) + 1}").start()
+            fleet.weather()
+        await asyncio.sleep(0.05)
+    await asyncio.gather(*calls)
+
+
 async def two_operators(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
     """Two send different trees that name the same version, again and again, while the key's owner goes."""
     for turn in range(6):
@@ -149,5 +164,5 @@
     "control-split": [(3, control_split), (11, control_split)], "control-cut-off": [(3, control_cut_off)],
     "isolated": [(3, isolate_each)], "one-way": [(3, one_way)], "most-edges-cut": [(3, most_edges_cut)],
     "clocks": [(3, clocks)], "lossy": [(3, lossy)], "full-everywhere": [(4, full)],
-    "disk-lost": [(4, disk_lost), (16, power_after_receipt)], "two-operators": [(3, two_operators)], "retired": [(3, retired)],
+    "disk-lost": [(4, disk_lost), (16, power_after_receipt)], "two-operators": [(3, two_operators)], "crowd": [(3, crowd)], "retired": [(3, retired)],
     "short-power": [(1, power_after_receipt), (5, isolate_each)]}
