Shelves have names never used before, and a leaf says whose it is

Cause: a file's number could come again after all files of that store were gone and it had restarted; a member that still had the older file of that name would not have fetched the new one, and a leaf at the same place and of the same size would have passed its checksum as another lot's. Found by reading. Names now end in a token, and a leaf names its lot or key. Before: a test that puts one lot's stub at another's leaf listed the other's results; after: it is not listed, and mended.

--- a/libs/accession/src/accession/local.py
+++ b/libs/accession/src/accession/local.py
@@ -38,7 +38,7 @@
         self._sinceSnapBytes = 0
         self._lastFlushMs = now()
         self._written = ("", 0)
-        self.shelves = Shelves(self)
+        self.shelves = Shelves(self, token)
         self.fetcher: Callable[[list[str], str, Callable[[bool], None]], None] | None = None
         self._open(token)
         self.shelves.collect()
--- a/libs/accession/src/accession/shelves.py
+++ b/libs/accession/src/accession/shelves.py
@@ -9,8 +9,8 @@
 from ledger import entries as e
 from ledger import messages as m
 from ledger.fold import Key, Lot
-from stacks import DiskFull, frame, scan
-from vellum import Arr, Blob, Message, decode, encode
+from stacks import DiskFull, frame, walk
+from vellum import Arr, Blob, Message, Text, decode, encode
 
 __all__ = ["Leaf", "SHELF", "Shelves", "files_of"]
 
@@ -20,6 +20,9 @@
 
 
 class Leaf(Message):
+    """`name` is the lot or key whose rows these are: a leaf found in another's place is not taken for it."""
+
+    name: Text
     rows: Arr(Blob)
 
 
@@ -30,12 +33,12 @@
 class Shelves:
     """`log` is the local log that these stand beside; `onShelved` is told what left memory."""
 
-    __slots__ = ("_busy", "_log", "_number", "_swept", "onShelved")
+    __slots__ = ("_busy", "_log", "_swept", "_token", "onShelved")
 
-    def __init__(self, log: Any) -> None:
+    def __init__(self, log: Any, token: Callable[[], str]) -> None:
         self._log = log
+        self._token = token
         self._busy = False
-        self._number = 0
         self._swept = ""
         self.onShelved: Callable[[list[Message]], None] = lambda entries: None
 
@@ -99,9 +102,8 @@
         log.disk.flush([name], flushed)
 
     def _new_name(self) -> str:
-        held = [int(name.rpartition("-")[2]) for name in self.names() if name.startswith(f"{SHELF}{self._log.identity}-")]
-        self._number = max([self._number, *held]) + 1
-        return f"{SHELF}{self._log.identity}-{self._number:08d}"
+        """Never used before, by whatever store: files travel between them under their names."""
+        return f"{SHELF}{self._log.identity}-{self._log.settledSeq:012d}-{self._token()}"
 
     def _put_lot(self, lot: Lot, name: str, page: bytearray) -> e.LotShelved:
         rows = [encode(m.ResultRow(index=index, outcome=item.outcome, body=item.result))
@@ -116,7 +118,7 @@
             while upTo < len(rows) and (upTo == first or sizeBytes + len(rows[upTo]) <= _LEAF_BYTES):
                 sizeBytes += len(rows[upTo])
                 upTo += 1
-            data = frame(encode(Leaf(rows=rows[first:upTo])))
+            data = frame(encode(Leaf(name=lot.lotId, rows=rows[first:upTo])))
             places.append(len(page))
             sizes.append(len(data))
             firsts.append(first)
@@ -127,16 +129,19 @@
                             endedAtMs=lot.endedAtMs, file=name, places=places, sizes=sizes, firsts=firsts)
 
     def _put_key(self, key: str, held: Key, name: str, page: bytearray) -> e.KeyShelved:
-        data = frame(encode(Leaf(rows=[held.body.encode()])))
+        data = frame(encode(Leaf(name=key, rows=[held.body.encode()])))
         page += data
         return e.KeyShelved(key=key, digest=held.digest, edge=held.edge, transaction=held.transaction, status=held.status,
                             atMs=held.atMs, file=name, place=len(page) - len(data), size=len(data))
 
     # -- reading -------------------------------------------------------------------------------
 
-    def _leaf(self, file: str, place: int, size: int) -> list[bytes] | None:
-        frames, end, _ = scan(self._log.disk.read_at(file, place, size))
-        return decode(frames[0][1]).rows if len(frames) == 1 and end == size else None
+    def _leaf(self, name: str, file: str, place: int, size: int) -> list[bytes] | None:
+        frames, end = walk(self._log.disk.read_at(file, place, size))
+        if len(frames) != 1 or end != size:
+            return None
+        leaf = decode(frames[0][1])
+        return leaf.rows if leaf.name == name else None
 
     def results(self, lot: Lot, fromIndex: int, limit: int) -> list[bytes] | None:
         """A leaf's results from a place on, or None if the leaf is damaged or not here."""
@@ -144,11 +149,11 @@
         at = max((number for number, first in enumerate(shelf.firsts) if first <= fromIndex), default=-1)
         if at < 0 or fromIndex >= lot.placed:
             return []
-        rows = self._leaf(shelf.file, shelf.places[at], shelf.sizes[at])
+        rows = self._leaf(lot.lotId, shelf.file, shelf.places[at], shelf.sizes[at])
         return None if rows is None else rows[fromIndex - shelf.firsts[at]:][:limit]
 
     def receipt(self, key: Key) -> str | None:
-        rows = self._leaf(key.shelf.file, key.shelf.place, key.shelf.size)
+        rows = self._leaf(key.shelf.key, key.shelf.file, key.shelf.place, key.shelf.size)
         return None if rows is None else rows[0].decode()
 
     def sweep(self) -> list[tuple[str, str]]:
@@ -158,12 +163,12 @@
             return []
         self._swept = next((name for name in names if name > self._swept), names[0])
         data = self._log.disk.read(self._swept)
-        return [] if scan(data)[1] == len(data) else self.damaged(self._swept)
+        return [] if walk(data)[1] == len(data) else self.damaged(self._swept)
 
     def damaged(self, file: str) -> list[tuple[str, str]]:
         ledger = self._log.ledger
         lots = [("lot", lot.lotId) for lot in ledger.lots.values() if lot.shelf is not None and lot.shelf.file == file and any(
-            self._leaf(file, place, size) is None for place, size in zip(lot.shelf.places, lot.shelf.sizes, strict=True))]
+            self._leaf(lot.lotId, file, place, size) is None for place, size in zip(lot.shelf.places, lot.shelf.sizes, strict=True))]
         return lots + [("key", name) for name, key in ledger.keys.items()
                        if key.shelf is not None and key.shelf.file == file and self.receipt(key) is None]
 
@@ -178,7 +183,7 @@
         if kind == "lot":
             entry: Any = self.put_rows(held, rows, file, page)
         else:
-            page += frame(encode(Leaf(rows=rows)))
+            page += frame(encode(Leaf(name=name, rows=rows)))
             entry = e.KeyShelved(**{**held.shelf.as_dict(), "file": file, "place": 0, "size": len(page)})
 
         def flushed(ok: bool) -> None:
--- a/libs/facsimile/src/facsimile/breaks/table.py
+++ b/libs/facsimile/src/facsimile/breaks/table.py
@@ -67,6 +67,9 @@
     "a damaged leaf is listed": (
         "stacks/src/stacks/frames.py", "return payload if zlib.crc32(payload) == checksum else None", "return payload",
         "tests/test_shelves.py -k mends_it"),
+    "a leaf in another's place": (
+        "accession/src/accession/shelves.py", "return leaf.rows if leaf.name == name else None", "return leaf.rows",
+        "tests/test_shelves.py -k anothers_place"),
     "a snapshot before its files": (
         "accession/src/accession/local.py", "        if not lacking:\n", "        if True:\n", "tests/test_shelves.py -k spare"),
     "who cannot make it is held": (
--- a/libs/stacks/src/stacks/frames.py
+++ b/libs/stacks/src/stacks/frames.py
@@ -5,7 +5,7 @@
 import struct
 import zlib
 
-__all__ = ["Damage", "frame", "scan"]
+__all__ = ["Damage", "frame", "scan", "walk"]
 
 _HEAD = struct.Struct(">II")
 
@@ -32,14 +32,19 @@
     return payload if zlib.crc32(payload) == checksum else None
 
 
-def scan(data: bytes) -> tuple[list[tuple[int, bytes]], int, int | None]:
-    """The good frames as (offset, payload), where they end, and where a good frame lies behind the
-    end, if one does."""
+def walk(data: bytes) -> tuple[list[tuple[int, bytes]], int]:
+    """The good frames from the start as (offset, payload), and where they end."""
     frames = []
     offset = 0
     while (payload := _at(data, offset)) is not None:
         frames.append((offset, payload))
         offset += _HEAD.size + len(payload)
+    return frames, offset
+
+
+def scan(data: bytes) -> tuple[list[tuple[int, bytes]], int, int | None]:
+    """What walk gives, and where a good frame lies behind the end, if one does: a search byte by byte."""
+    frames, offset = walk(data)
     if offset < len(data):
         for later in range(offset + 1, len(data) - _HEAD.size):
             if data[later] < 4 and _at(data, later) is not None:
--- a/tests/test_shelves.py
+++ b/tests/test_shelves.py
@@ -84,6 +84,15 @@
         self.assertThat(len(holder.node.log.log.shelves.results(lot, 0, 10)), Equals(10))
         self.kept(run)
 
+    def test_a_leaf_in_anothers_place_is_not_taken_for_it(self):
+        run, fleet = self.founded()
+        log = fleet.holder().node.log.log
+        one, other = log.ledger.lots["lot1"], log.ledger.lots["lot3"]
+        one.shelf.file, one.shelf.places, one.shelf.sizes = other.shelf.file, other.shelf.places, other.shelf.sizes
+        self.assertThat(log.shelves.results(one, 0, 10), Equals(None))
+        self.assertThat(self.results(run, "lot1"), Equals(30))
+        self.kept(run)
+
     def test_a_sweep_mends_what_nobody_reads(self):
         run, fleet = self.founded()
         host = next(host for host in fleet.of("store") if host is not fleet.holder())
