The oracle: refused at a try isn't refused for good; lost after doubt is

A try that was only sent away is no refusal of the change, as with lots. And doubt before `lost` no longer excuses: lost once is lost for good. After: both cases are rows of the oracle's own test.

--- a/libs/facsimile/src/facsimile/sim/rules_state.py
+++ b/libs/facsimile/src/facsimile/sim/rules_state.py
@@ -31,10 +31,11 @@
 
 
 def lost_changes(history: History) -> Found:
+    """Told lost once is lost for good; told to come again at every try is refused for good."""
     byMark: dict[str, set[str]] = defaultdict(set)
     for row in history.of("change"):
         byMark[row["mark"]].add(row["outcome"])
-    lost = {mark for mark, outcomes in byMark.items() if outcomes & {"lost", "refused"} and "doubt" not in outcomes}
+    lost = {mark for mark, outcomes in byMark.items() if "lost" in outcomes or outcomes == {"refused"}}
     both = [f"{mark} was told ok and lost" for mark in lost if "ok" in byMark[mark]]
     seen = {sample["mark"] for sample in history.of("sample")}
     return len(lost) if seen - {""} else 0, both + [f"{mark} lost and took effect" for mark in sorted(lost & seen)]
--- a/tests/test_oracle.py
+++ b/tests/test_oracle.py
@@ -43,7 +43,7 @@
 
 
 ITEM = [run("i0", lot="l", index=0, call="item:l:0"), ended("i0", 200.0, 1)]
-CLEAN = [run(), ended(), call(), hand_in(), *ITEM, read([(0, "ran", "i0:0")]), change("ok", 1), sample(3000.0, 1),
+CLEAN = [change("refused", 0, mark="z"), change("ok", 1, mark="z"), sample(3000.0, 1, mark="z"), run(), ended(), call(), hand_in(), *ITEM, read([(0, "ran", "i0:0")]), change("ok", 1), sample(3000.0, 1),
          ("end", 600.0, {"lot": "l"}), ("final", 9000.0, {"lot": "l", "outcome": "known", "listed": 1}),
          ("room", 200.0, {"store": "s", "path": "p", "epoch": 1, "used": 3}),
          ("probe", 9000.0, {"what": "live", "worked": True, "afterMs": 12000.0, "seen": "finish"}),
@@ -74,7 +74,8 @@
                                   ("send", 2400.0, {"worker": "w/1", "transaction": "t"})]],
     "versions-in-force": [[change("ok", 2), sample(2400.0, 1)], [sample(100.0, 2), sample(200.0, 1)]],
     "lost-changes-stay-lost": [[change("lost", 2, mark="x"), sample(100.0, 2, mark="x")],
-                               [change("lost", 2), change("ok", 2)]],
+                               [change("lost", 2), change("ok", 2)], [change("refused", 0, mark="x"), sample(100.0, 2, mark="x")],
+                               [change("doubt", 0, mark="x"), change("lost", 2, mark="x"), sample(100.0, 2, mark="x")]],
     "accepted-is-kept": [[hand_in(), read([], 118.0, "missing")], [read([(1, "ran", "a"), (0, "ran", "b")])],
                          [read([(0, "mayHaveRun", "a")]), read([(0, "mayHaveRun", "b")], 600.0)],
                          [read([(0, "mayHaveRun", "a")], start=1)]],
