Hanging up, on real processes: a safe run stops, an unsafe one ends and is recorded

Seen: after hanging up on the fourth of 512 events the safe run is stopped at its worker, no send counts as failed and no stream as cut; the unsafe one runs to its end, and a resend through another edge gets all 512 events.

--- a/tests/test_smoke.py
+++ b/tests/test_smoke.py
@@ -1,6 +1,7 @@
 """The whole path on real processes, waiting on conditions only."""
 
 import asyncio
+import json
 import signal
 import tempfile
 
@@ -32,6 +33,42 @@
         self.assertThat([row["index"] for row in body["results"]], Equals(list(range(body["total"]))))
         self.assertThat({row["verdict"] for row in body["results"]}, Equals({"ran"}))
 
+    async def begun_then_left(self, edge, call, key=""):
+        """A visitor on a socket of his own who hangs up after the fourth event."""
+        host, _, port = edge.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        data = json.dumps(call).encode()
+        head = f"POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: {len(data)}\r\n"
+        writer.write(head.encode() + (f"Idempotency-Key: {key}\r\n".encode() if key else b"") + b"\r\n" + data)
+        await reader.readuntil(b"id: 3")
+        writer.close()
+
+    def test_a_visitor_who_hangs_up(self):
+        """A safe run is stopped, and nobody takes it for the worker's failure; an unsafe one runs to its end."""
+        async def body(fleet):
+            edge = fleet.of("edge")[0].http
+            call = {"model": "rulings", "prompt": "long", "stream": True, "max_tokens": 512}
+            await self.begun_then_left(edge, call)
+            move = {**call, "model": "moves", "prompt": "long move"}
+            await self.begun_then_left(edge, move, "left")
+
+            async def gone():
+                _, text = await fleet.ask("GET", edge, "/metrics")
+                return "vaneledge_edge_steps_gone_total 1.0" in text and "vaneledge_edge_steps_finish_total 1.0" in text
+
+            await until(gone, 8000, "the safe run is stopped, the unsafe one ends")
+            _, text = await fleet.ask("GET", edge, "/metrics")
+            self.assertThat("sends_failed" in text or "steps_cut" in text, Equals(False))
+            status, again = await fleet.ask("POST", fleet.of("edge")[1].http, "/v1/completions", move, {"Idempotency-Key": "left"})
+            self.assertThat((status, again.count("id: ")), Equals((200, 512)))
+            runs = []
+            for worker in fleet.workers.values():
+                _, shown = await fleet.get(worker, "/runs")
+                runs += [(run["path"], run["ended"]) for run in shown["runs"]]
+            self.assertThat(sorted(runs), Equals([("moves", True), ("rulings", False)]))
+
+        self.run_fleet(body, 22600)
+
     def test_live_lots_and_killed_holder(self):
         async def body(fleet):
             first, second = [member.http for member in fleet.of("edge")]
