A fence is written once, however many messages of a new epoch wait for it

Cause: a store that woke took in 203 buffered messages of a higher epoch; each asked for its own write of the fence, before the first was done. Ruled out: shelves being fetched, which took 0.5 s of it; lost messages. Now what is asked for while one write runs shares it, or the next one.

--- a/libs/accession/src/accession/local.py
+++ b/libs/accession/src/accession/local.py
@@ -18,7 +18,7 @@
 
 
 class LocalLog:
-    __slots__ = ("_dirty", "_flushWaiters", "_flushing", "_lastFlushMs", "_now", "_sinceSnapBytes",
+    __slots__ = ("_dirty", "_flushWaiters", "_flushing", "_lastFlushMs", "_metaNext", "_metaWaiters", "_metaWriting", "_now", "_sinceSnapBytes",
                  "_snapping", "_written", "disk", "fetcher", "flushedSeq", "ledger", "meta", "params", "receivedMs",
                  "records", "settledSeq", "shelves", "snapSeq", "snapStamp")
 
@@ -37,6 +37,9 @@
         self._snapping = False
         self._sinceSnapBytes = 0
         self._lastFlushMs = now()
+        self._metaNext: list[tuple[LogMeta, Callable[[bool], None]]] = []
+        self._metaWaiters: list[Callable[[bool], None]] = []
+        self._metaWriting: LogMeta | None = None
         self._written = ("", 0)
         self.shelves = Shelves(self, token)
         self.fetcher: Callable[[list[str], str, Callable[[bool], None]], None] | None = None
@@ -199,14 +202,33 @@
                 and self._now() - self._lastFlushMs >= self.params.flushMs)
 
     def keep_meta(self, done: Callable[[bool], None], fence: int | None = None, logEpoch: int | None = None) -> None:
-        meta = LogMeta(identity=self.meta.identity, fence=max(self.meta.fence, fence or 0),
-                       logEpoch=max(self.meta.logEpoch, logEpoch or 0))
+        """On disk before it counts. What is asked for while one write runs shares the next one, and what
+        that write says already shares it."""
+        wanted = LogMeta(identity=self.meta.identity, fence=max(self.meta.fence, fence or 0),
+                         logEpoch=max(self.meta.logEpoch, logEpoch or 0))
+        if self._metaWriting is not None and _covers(self._metaWriting, wanted):
+            self._metaWaiters.append(done)
+            return
+        self._metaNext.append((wanted, done))
+        if self._metaWriting is None:
+            self._write_meta()
+
+    def _write_meta(self) -> None:
+        rows, self._metaNext = self._metaNext, []
+        metas = [self.meta, *[wanted for wanted, _ in rows]]
+        meta = self._metaWriting = LogMeta(identity=self.meta.identity, fence=max(row.fence for row in metas),
+                                           logEpoch=max(row.logEpoch for row in metas))
+        self._metaWaiters = [done for _, done in rows]
 
         def kept(ok: bool) -> None:
+            self._metaWriting = None
+            waiters, self._metaWaiters = self._metaWaiters, []
             if ok:
-                self.meta = LogMeta(identity=meta.identity, fence=max(self.meta.fence, meta.fence),
-                                    logEpoch=max(self.meta.logEpoch, meta.logEpoch))
-            done(ok)
+                self.meta = meta
+            for waiter in waiters:
+                waiter(ok)
+            if self._metaNext and self._metaWriting is None:
+                self._write_meta()
 
         self.disk.replace(_META, frame(encode(meta)), kept)
 
@@ -316,6 +338,10 @@
                 self.disk.remove(name)
 
 
+def _covers(meta: LogMeta, wanted: LogMeta) -> bool:
+    return meta.fence >= wanted.fence and meta.logEpoch >= wanted.logEpoch
+
+
 def entry_of(record: Record) -> Message:
     return decode(decode(record.bytes[8:]).body)
 
--- a/tests/test_log_conformance.py
+++ b/tests/test_log_conformance.py
@@ -214,6 +214,19 @@
                                         settledSeq=0, flush=False, probe=0), receipts.append)
         self.assertThat((receipts[0].ok, receipts[0].fence, table.keys("c")), Equals((False, 2, [])))
 
+    def test_many_messages_of_a_new_epoch_cost_one_fence(self):
+        """What waited in a frozen peer's buffers comes all at once, and the disk is slow."""
+        table = Table()
+        table.hold("a", 1)
+        table.run(300)
+        table.disks["b"].flushMs = 150.0
+        receipts = []
+        for probe in range(100):
+            table.peers["b"].receive(Append(epoch=2, baseSeq=0, prevSeq=0, prevEpoch=0, prevMs=0, records=[], settledSeq=0,
+                                            flush=False, probe=probe), receipts.append)
+        table.run(1200)
+        self.assertThat((table.logs["b"].meta.fence, len(receipts)), Equals((2, 100)))
+
     def test_peer_keeps_what_no_disk_has_yet(self):
         table = Table()
         table.hold("a", 1)
