--- a/libs/facsimile/src/facsimile/breaks/table.py
+++ b/libs/facsimile/src/facsimile/breaks/table.py
@@ -67,6 +67,13 @@
     "a damaged leaf is listed": (
         "stacks/src/stacks/frames.py", "return payload if zlib.crc32(payload) == checksum else None", "return payload",
         "tests/test_shelves.py -k mends_it"),
+    "a fence for each message": (
+        "accession/src/accession/local.py", """        if self._metaWriting is not None and _covers(self._metaWriting, wanted):
+            self._metaWaiters.append(done)
+            return
+        self._metaNext.append((wanted, done))
+        if self._metaWriting is None:
+""", "        self._metaNext.append((wanted, done))\n        if True:\n", _LOG + "many_messages"),
     "a leaf in another's place": (
         "accession/src/accession/shelves.py", "return leaf.rows if leaf.name == name else None", "return leaf.rows",
         "tests/test_shelves.py -k anothers_place"),
--- a/tests/test_sim.py
+++ b/tests/test_sim.py
@@ -35,6 +35,7 @@
     "disks fill up": [(1500, "fill-stores"), (6000, "fill-control")],
     "full stores, then the holder's disk lost": [(1700, "fill-stores"), (3300, "lose-holder-disk"), (3700, "crash-store")],
     "lots handed in while stores are full": [(1000, "fill-stores"), (3200, "loss"), (4500, "fill-stores"), (7500, "fill-stores")],
+    "woken store, slow disk, holder's disk lost": [(1000, "freeze-holder"), (5000, "slow-disk"), (7000, "lose-holder-disk")],
     "disk damaged": [(1500, "damage-store"), (6000, "damage-control")]}
 SEEDS = range(3)
 DRAWN = range(1000, 1012)
