Records behind a hole in a queue file are read back, not taken for damage

Ruled out: shelves (none was missing), lost flushes (a plain kill did it too). Now reading goes on where a good frame begins right behind the zeros; sequence numbers decide the rest.

--- a/libs/accession/src/accession/local.py
+++ b/libs/accession/src/accession/local.py
@@ -9,7 +9,7 @@
 from accession.messages import TRUNCATE, LogMeta, Record, SnapshotHead, StoredEntry
 from accession.shelves import Shelves, files_of
 from ledger import Ledger
-from stacks import Damage, Disk, frame, scan
+from stacks import Damage, Disk, frame, over_hole, scan, walk
 from vellum import Message, decode, encode
 
 __all__ = ["LocalLog", "entry_of"]
@@ -70,15 +70,21 @@
         self.receivedMs = [self._now()] * len(self.records)
 
     def _open_queue(self, name: str) -> None:
+        """A file may begin, or go on, behind a hole: what was there came by a snapshot and was never written
+        here, while records stay at their absolute offsets."""
         data = self.disk.read(name)
-        frames, end, _ = scan(data)
+        frames, stop = walk(data)
+        while (at := over_hole(data, stop)) is not None:
+            more, stop = walk(data, at)
+            frames += more
+        end = 0
         for offset, payload in frames:
             entry = decode(payload)
+            if entry.seq > max(self.snapSeq, self.lastSeq) + 1:
+                break
+            end = offset + len(frame(payload))
             if entry.seq <= self.snapSeq:
                 continue
-            if entry.seq > self.lastSeq + 1:
-                end = offset
-                break
             del self.records[entry.seq - self.firstSeq:]
             self.records.append(_record(entry, payload, name, offset))
         if end < len(data):
--- a/libs/facsimile/src/facsimile/breaks/table.py
+++ b/libs/facsimile/src/facsimile/breaks/table.py
@@ -67,6 +67,9 @@
     "a damaged leaf is listed": (
         "stacks/src/stacks/frames.py", "return payload if zlib.crc32(payload) == checksum else None", "return payload",
         "tests/test_shelves.py -k mends_it"),
+    "records behind a hole are lost": (
+        "accession/src/accession/local.py", "while (at := over_hole(data, stop)) is not None:", "while (at := None) is not None:",
+        _LOG + "trimmed"),
     "a fence for each message": (
         "accession/src/accession/local.py", """        if self._metaWriting is not None and _covers(self._metaWriting, wanted):
             self._metaWaiters.append(done)
--- a/libs/stacks/src/stacks/frames.py
+++ b/libs/stacks/src/stacks/frames.py
@@ -5,7 +5,7 @@
 import struct
 import zlib
 
-__all__ = ["Damage", "frame", "scan", "walk"]
+__all__ = ["Damage", "frame", "over_hole", "scan", "walk"]
 
 _HEAD = struct.Struct(">II")
 
@@ -32,10 +32,15 @@
     return payload if zlib.crc32(payload) == checksum else None
 
 
-def walk(data: bytes) -> tuple[list[tuple[int, bytes]], int]:
-    """The good frames from the start as (offset, payload), and where they end."""
+def over_hole(data: bytes, offset: int) -> int | None:
+    """Where a good frame begins right behind a run of zeros: bytes that were never written here."""
+    first = len(data) - len(data[offset:].lstrip(b"\0"))
+    return next((at for at in range(max(offset + 1, first - 3), min(first + 1, len(data))) if _at(data, at) is not None), None)
+
+
+def walk(data: bytes, offset: int = 0) -> tuple[list[tuple[int, bytes]], int]:
+    """The good frames from a place on as (offset, payload), and where they end."""
     frames = []
-    offset = 0
     while (payload := _at(data, offset)) is not None:
         frames.append((offset, payload))
         offset += _HEAD.size + len(payload)
--- a/tests/test_log_conformance.py
+++ b/tests/test_log_conformance.py
@@ -389,3 +389,8 @@
         table.run(1500)
         self.assertThat(sorted(table.logs["c"].ledger.keys), Equals(["k1", "k2", "k3", "k4"]))
         self.assertThat(table.logs["c"].meta.logEpoch, Equals(1))
+        table.append("k5", settled=True)
+        table.run(200)
+        before = (table.logs["c"].lastSeq, table.logs["c"].flushedSeq)
+        table.open("c")
+        self.assertThat((table.logs["c"].lastSeq, table.logs["c"].lastSeq), Equals(before))
