--- a/libs/facsimile/src/facsimile/days.py
+++ b/libs/facsimile/src/facsimile/days.py
@@ -6,6 +6,7 @@
 import random
 import shutil
 import signal
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -67,9 +68,11 @@
 
 async def _freeze(member: Member | None, forMs: int) -> None:
     if member is not None:
+        beganAt = time.time()
         member.signal(signal.SIGSTOP)
         await asyncio.sleep(forMs / 1000)
         member.signal(signal.SIGCONT)
+        member.away.append((beganAt, time.time()))
 
 
 async def freeze_holder(fleet: Fleet, rng: random.Random) -> None:
--- a/libs/facsimile/src/facsimile/fleet.py
+++ b/libs/facsimile/src/facsimile/fleet.py
@@ -24,12 +24,13 @@
 
 
 class Member:
-    __slots__ = ("command", "http", "link", "logFile", "name", "process", "role")
+    __slots__ = ("away", "command", "http", "link", "logFile", "name", "process", "role")
 
     def __init__(self, name: str, role: str, link: str, http: str, command: list[str], logFile: Path) -> None:
         self.name, self.role, self.link, self.http = name, role, link, http
         self.command, self.logFile = command, logFile
         self.process: subprocess.Popen | None = None
+        self.away: list[tuple[float, float]] = []
 
     def start(self) -> None:
         with open(self.logFile, "ab") as page:
--- a/libs/facsimile/src/facsimile/traffic.py
+++ b/libs/facsimile/src/facsimile/traffic.py
@@ -290,6 +290,9 @@
                                      pieces=row["pieces"])
                 else:
                     self.history.add("worker-left", atMs, worker=row["worker"], how=row["kind"])
+        for member in self.fleet.members.values():
+            for fromAt, toAt in member.away:
+                self.history.add("away", (fromAt - self._startedAt) * 1000, name=member.http, untilMs=(toAt - self._startedAt) * 1000)
         self.history.rows.sort(key=lambda row: row["atMs"])
 
     def _add_run(self, row: dict[str, Any], atMs: float, byTransaction: dict[str, Any]) -> None:
