--- a/libs/accession/src/accession/holder.py
+++ b/libs/accession/src/accession/holder.py
@@ -26,59 +26,59 @@
 
 
 class Peer:
-    __slots__ = ("address", "adopted", "askedSeq", "flushedSeq", "full", "heardMs", "identity", "installing", "lastSeq",
-                 "nextSeq", "probe", "sentMs")
+    __slots__ = ("address", "adopted", "asked_seq", "flushed_seq", "full", "heard_ms", "identity", "installing", "last_seq",
+                 "next_seq", "probe", "sent_ms")
 
-    def __init__(self, identity: str, address: str, nextSeq: int, nowMs: int) -> None:
+    def __init__(self, identity: str, address: str, next_seq: int, now_ms: int) -> None:
         self.identity = identity
         self.address = address
-        self.lastSeq = 0
-        self.flushedSeq = 0
-        self.nextSeq = nextSeq
+        self.last_seq = 0
+        self.flushed_seq = 0
+        self.next_seq = next_seq
         self.probe = 0
-        self.askedSeq = -1
-        self.sentMs = 0
-        self.heardMs = nowMs
+        self.asked_seq = -1
+        self.sent_ms = 0
+        self.heard_ms = now_ms
         self.adopted = False
         self.installing = False
         self.full = False
 
 
 class _Waiter:
-    __slots__ = ("atMs", "done", "seq", "settled")
+    __slots__ = ("at_ms", "done", "seq", "settled")
 
-    def __init__(self, seq: int, settled: bool, atMs: int, done: Callable[[Outcome], None]) -> None:
+    def __init__(self, seq: int, settled: bool, at_ms: int, done: Callable[[Outcome], None]) -> None:
         self.seq = seq
         self.settled = settled
-        self.atMs = atMs
+        self.at_ms = at_ms
         self.done = done
 
 
 class Holder:
-    __slots__ = ("_flushAsked", "_flushWantedSeq", "_log", "_onDeposed", "_post", "_probe", "_readers",
-                 "_wall", "_now", "baseSeq", "deposed", "epoch", "ledger", "members", "params", "peers",
+    __slots__ = ("_flush_asked", "_flush_wanted_seq", "_log", "_on_deposed", "_post", "_probe", "_readers",
+                 "_wall", "_now", "base_seq", "deposed", "epoch", "ledger", "members", "params", "peers",
                  "waiters")
 
     def __init__(self, log: LocalLog, epoch: int, members: list[tuple[str, str]], params: Any,
                  now: Callable[[], int], wall: Callable[[], int], post: Callable[[str, Message], None],
-                 onDeposed: Callable[[int], None]) -> None:
+                 on_deposed: Callable[[int], None]) -> None:
         self._log = log
         self.epoch = epoch
         self.params = params
         self._now, self._wall, self._post = now, wall, post
-        self._onDeposed = onDeposed
-        self.baseSeq = log.lastSeq
+        self._on_deposed = on_deposed
+        self.base_seq = log.last_seq
         self.members = [identity for identity, _ in members]
-        self.peers = {identity: Peer(identity, address, log.lastSeq + 1, now())
+        self.peers = {identity: Peer(identity, address, log.last_seq + 1, now())
                       for identity, address in members if identity != log.identity}
         self.waiters: list[_Waiter] = []
         self._readers: list[tuple[int, Callable[[bool], None], int]] = []
         self._probe = 0
-        self._flushAsked = False
-        self._flushWantedSeq = 0
+        self._flush_asked = False
+        self._flush_wanted_seq = 0
         self.deposed = False
         self.ledger = log.ledger.copy()
-        for record in log.since(log.settledSeq + 1, 1 << 62):
+        for record in log.since(log.settled_seq + 1, 1 << 62):
             self.ledger.apply(entry_of(record))
 
     @property
@@ -89,7 +89,7 @@
     def let_go(self, entry: Message) -> None:
         """What is on a shelf leaves the logged ledger too, where it is over there as well."""
         known = self.ledger.lots if isinstance(entry, LotShelved) else self.ledger.keys
-        if (entry.lotId if isinstance(entry, LotShelved) else entry.key) in known:
+        if (entry.lot_id if isinstance(entry, LotShelved) else entry.key) in known:
             self.ledger.apply(entry)
 
     # -- appending -----------------------------------------------------------------------------
@@ -98,11 +98,11 @@
                urgent: bool = False) -> bool:
         """All entries or none; done tells of the last one. False if there was no room."""
         bodies = [encode(entry) for entry in entries]
-        needBytes = sum(len(body) + 64 for body in bodies)
-        if self.deposed or not self._log.disk.roomy(needBytes, urgent) or (not urgent and self._peers_full()):
+        need_bytes = sum(len(body) + 64 for body in bodies)
+        if self.deposed or not self._log.disk.roomy(need_bytes, urgent) or (not urgent and self._peers_full()):
             done(Outcome.UNKNOWN if self.deposed else Outcome.FULL)
             return False
-        before = self._log.lastSeq
+        before = self._log.last_seq
         try:
             for body in bodies:
                 self._log.write(self._log.make(self._stamp(), body), urgent)
@@ -112,7 +112,7 @@
             return False
         for entry in entries:
             self.ledger.apply(entry)
-        self.waiters.append(_Waiter(self._log.lastSeq, settled, self._now(), done))
+        self.waiters.append(_Waiter(self._log.last_seq, settled, self._now(), done))
         if settled:
             self._bring_flush_forward()
         for peer in self.peers.values():
@@ -120,11 +120,11 @@
         return True
 
     def _stamp(self) -> tuple[int, int]:
-        return (self.epoch, max(self._wall(), self._log.lastStamp[1] + 1))
+        return (self.epoch, max(self._wall(), self._log.last_stamp[1] + 1))
 
     def _peers_full(self) -> bool:
         roomy = sum(1 for name in self.members if name in self.peers and not self.peers[name].full)
-        return roomy < self.params.storeFaults
+        return roomy < self.params.store_faults
 
     def read(self, done: Callable[[bool], None]) -> None:
         """Calls back once f peers have confirmed this epoch after now."""
@@ -137,22 +137,22 @@
 
     def _send(self, peer: Peer, flush: bool = False) -> None:
         log = self._log
-        peer.sentMs = self._now()
-        silent = self._now() - peer.heardMs > self.params.deadMs
+        peer.sent_ms = self._now()
+        silent = self._now() - peer.heard_ms > self.params.dead_ms
         if silent:
-            peer.nextSeq = log.lastSeq + 1
-        previous = log.stamp_at(peer.nextSeq - 1)
-        if previous is None or peer.nextSeq < log.firstSeq:
+            peer.next_seq = log.last_seq + 1
+        previous = log.stamp_at(peer.next_seq - 1)
+        if previous is None or peer.next_seq < log.first_seq:
             self._install(peer)
             return
-        records = log.since(peer.nextSeq, _CHUNK_BYTES)
-        peer.askedSeq = peer.nextSeq - 1
-        wanted = flush or self._flushWantedSeq > peer.flushedSeq
+        records = log.since(peer.next_seq, _CHUNK_BYTES)
+        peer.asked_seq = peer.next_seq - 1
+        wanted = flush or self._flush_wanted_seq > peer.flushed_seq
         self._post(peer.address, Append(
-            epoch=self.epoch, baseSeq=self.baseSeq, prevSeq=peer.nextSeq - 1, prevEpoch=previous[0],
-            prevMs=previous[1], records=[encode(record) for record in records], settledSeq=log.settledSeq,
+            epoch=self.epoch, base_seq=self.base_seq, prev_seq=peer.next_seq - 1, prev_epoch=previous[0],
+            prev_ms=previous[1], records=[encode(record) for record in records], settled_seq=log.settled_seq,
             flush=wanted, probe=self._probe))
-        peer.nextSeq += len(records)
+        peer.next_seq += len(records)
 
     def answered(self, message: Appended, address: str) -> None:
         if message.fence > self.epoch:
@@ -162,33 +162,33 @@
         if peer is None or self.deposed:
             return
         peer.address = address
-        peer.heardMs = self._now()
+        peer.heard_ms = self._now()
         peer.installing = False
         peer.full = message.reason == "full" or not message.roomy
         peer.probe = max(peer.probe, message.probe)
         if message.ok:
-            peer.lastSeq = message.lastSeq
-            peer.flushedSeq = message.flushedSeq
-            peer.adopted = message.logEpoch == self.epoch
-            peer.nextSeq = max(peer.nextSeq, message.lastSeq + 1)
-            if peer.nextSeq <= self._log.lastSeq:
+            peer.last_seq = message.last_seq
+            peer.flushed_seq = message.flushed_seq
+            peer.adopted = message.log_epoch == self.epoch
+            peer.next_seq = max(peer.next_seq, message.last_seq + 1)
+            if peer.next_seq <= self._log.last_seq:
                 self._send(peer)
         elif message.reason == "installed":
-            peer.nextSeq = message.lastSeq + 1
+            peer.next_seq = message.last_seq + 1
             self._send(peer)
         elif message.reason == "full":
-            peer.nextSeq = min(peer.nextSeq, message.lastSeq + 1)
-        elif message.reason == "gap" and message.askedSeq == peer.askedSeq:
+            peer.next_seq = min(peer.next_seq, message.last_seq + 1)
+        elif message.reason == "gap" and message.asked_seq == peer.asked_seq:
             self._step_back(peer, message)
         self.progress()
 
     def _step_back(self, peer: Peer, message: Appended) -> None:
         """One place back, but not behind the peer's snapshot, which holds only what is settled; receipts
         of sends before the last one are not heeded, or each would cause a send of its own."""
-        if message.askedSeq <= message.snapSeq and message.askedSeq < self._log.snapSeq:
+        if message.asked_seq <= message.snap_seq and message.asked_seq < self._log.snap_seq:
             self._install(peer)
             return
-        peer.nextSeq = max(1, message.snapSeq + 1, min(message.lastSeq + 1, message.askedSeq))
+        peer.next_seq = max(1, message.snap_seq + 1, min(message.last_seq + 1, message.asked_seq))
         self._send(peer)
 
     def _install(self, peer: Peer) -> None:
@@ -202,7 +202,7 @@
     def learn(self, identity: str, address: str) -> None:
         """A spare store: it is sent the log but counts for nothing until it is made a member."""
         if identity not in self.peers and identity != self._log.identity:
-            self.peers[identity] = Peer(identity, address, self._log.lastSeq + 1, self._now())
+            self.peers[identity] = Peer(identity, address, self._log.last_seq + 1, self._now())
 
     # -- acknowledging -------------------------------------------------------------------------
 
@@ -210,15 +210,15 @@
         return [self.peers[name] for name in self.members if name in self.peers]
 
     def progress(self) -> None:
-        f = self.params.storeFaults
-        flushed = sorted([peer.flushedSeq if peer.adopted else 0 for peer in self._voting()], reverse=True)
-        copies = sorted([self._log.flushedSeq, *flushed], reverse=True)
-        settledSeq = copies[f] if len(copies) > f else 0
-        if settledSeq > self._log.settledSeq and settledSeq >= self.baseSeq:
-            self._log.settle(settledSeq)
-        held = sorted([peer.lastSeq if peer.adopted else 0 for peer in self._voting()], reverse=True)
-        heldSeq = held[f - 1] if len(held) >= f else 0
-        ready = [waiter for waiter in self.waiters if self._is_ready(waiter, heldSeq)]
+        f = self.params.store_faults
+        flushed = sorted([peer.flushed_seq if peer.adopted else 0 for peer in self._voting()], reverse=True)
+        copies = sorted([self._log.flushed_seq, *flushed], reverse=True)
+        settled_seq = copies[f] if len(copies) > f else 0
+        if settled_seq > self._log.settled_seq and settled_seq >= self.base_seq:
+            self._log.settle(settled_seq)
+        held = sorted([peer.last_seq if peer.adopted else 0 for peer in self._voting()], reverse=True)
+        held_seq = held[f - 1] if len(held) >= f else 0
+        ready = [waiter for waiter in self.waiters if self._is_ready(waiter, held_seq)]
         if ready:
             self.waiters = [waiter for waiter in self.waiters if waiter not in ready]
             for waiter in ready:
@@ -228,61 +228,61 @@
         while self._readers and self._readers[0][0] <= probe:
             self._readers.pop(0)[1](True)
 
-    def _is_ready(self, waiter: _Waiter, heldSeq: int) -> bool:
-        if waiter.settled or self._now() - waiter.atMs >= 2 * self.params.deltaMs:
-            return waiter.seq <= self._log.settledSeq
-        return waiter.seq <= heldSeq
+    def _is_ready(self, waiter: _Waiter, held_seq: int) -> bool:
+        if waiter.settled or self._now() - waiter.at_ms >= 2 * self.params.delta_ms:
+            return waiter.seq <= self._log.settled_seq
+        return waiter.seq <= held_seq
 
     def roomier(self) -> str | None:
         """A member in touch that has room, when this store has none."""
         if self._log.disk.roomy(0):
             return None
-        nowMs = self._now()
+        now_ms = self._now()
         return next((peer.identity for peer in self._voting()
-                     if peer.adopted and not peer.full and nowMs - peer.heardMs <= self.params.deadMs), None)
+                     if peer.adopted and not peer.full and now_ms - peer.heard_ms <= self.params.dead_ms), None)
 
     def adopted(self) -> bool:
         """Whether f peers besides this store hold the recovered log under this epoch on disk."""
-        count = sum(1 for peer in self._voting() if peer.adopted and peer.flushedSeq >= self.baseSeq)
-        return count >= self.params.storeFaults and self._log.flushedSeq >= self.baseSeq
+        count = sum(1 for peer in self._voting() if peer.adopted and peer.flushed_seq >= self.base_seq)
+        return count >= self.params.store_faults and self._log.flushed_seq >= self.base_seq
 
     # -- flushing ------------------------------------------------------------------------------
 
     def _bring_flush_forward(self) -> None:
-        self._flushWantedSeq = self._log.lastSeq
-        if not self._flushAsked:
-            self._flushAsked = True
+        self._flush_wanted_seq = self._log.last_seq
+        if not self._flush_asked:
+            self._flush_asked = True
             self._log.flush(self._flushed)
 
     def _flushed(self, ok: bool) -> None:
-        self._flushAsked = False
+        self._flush_asked = False
         if self.deposed:
             return
         self.progress()
-        if ok and self._log.flushedSeq < self._flushWantedSeq:
-            self._flushAsked = True
+        if ok and self._log.flushed_seq < self._flush_wanted_seq:
+            self._flush_asked = True
             self._log.flush(self._flushed)
 
     def tick(self) -> None:
-        nowMs = self._now()
-        late = [waiter for waiter in self.waiters if nowMs - waiter.atMs >= 2 * self.params.deltaMs]
+        now_ms = self._now()
+        late = [waiter for waiter in self.waiters if now_ms - waiter.at_ms >= 2 * self.params.delta_ms]
         if late:
             self._bring_flush_forward()
-        given_up = [waiter for waiter in self.waiters if nowMs - waiter.atMs >= self.params.askMs]
+        given_up = [waiter for waiter in self.waiters if now_ms - waiter.at_ms >= self.params.ask_ms]
         self.waiters = [waiter for waiter in self.waiters if waiter not in given_up]
         for waiter in given_up:
             waiter.done(Outcome.UNKNOWN)
-        while self._readers and nowMs - self._readers[0][2] >= self.params.askMs:
+        while self._readers and now_ms - self._readers[0][2] >= self.params.ask_ms:
             self._readers.pop(0)[1](False)
         if self._log.flush_due():
             self._bring_flush_forward()
         for peer in self.peers.values():
-            behind = peer.lastSeq < self._log.lastSeq or peer.probe < self._probe or not peer.adopted
-            quietMs = nowMs - peer.sentMs
-            if (behind and quietMs >= 2 * self.params.deltaMs) or quietMs >= self.params.beatMs:
+            behind = peer.last_seq < self._log.last_seq or peer.probe < self._probe or not peer.adopted
+            quiet_ms = now_ms - peer.sent_ms
+            if (behind and quiet_ms >= 2 * self.params.delta_ms) or quiet_ms >= self.params.beat_ms:
                 if behind:
-                    peer.nextSeq = peer.lastSeq + 1 if peer.adopted else min(peer.nextSeq, self.baseSeq + 1)
-                    peer.installing = peer.installing and quietMs < self.params.forceMs
+                    peer.next_seq = peer.last_seq + 1 if peer.adopted else min(peer.next_seq, self.base_seq + 1)
+                    peer.installing = peer.installing and quiet_ms < self.params.force_ms
                 self._send(peer)
         self.progress()
         self._log.tidy()
@@ -290,7 +290,7 @@
     def _depose(self, fence: int) -> None:
         if not self.deposed:
             self.stop()
-            self._onDeposed(fence)
+            self._on_deposed(fence)
 
     def stop(self) -> None:
         """Steps down: what still waits gets doubt, nothing more is acknowledged."""
--- a/libs/accession/src/accession/local.py
+++ b/libs/accession/src/accession/local.py
@@ -18,35 +18,35 @@
 
 
 class LocalLog:
-    __slots__ = ("_dirty", "_flushWaiters", "_flushing", "_lastFlushMs", "_metaNext", "_metaWaiters", "_metaWriting", "_now", "_sinceSnapBytes",
-                 "_snapping", "_written", "disk", "fetcher", "flushedSeq", "ledger", "meta", "params", "receivedMs",
-                 "records", "settledSeq", "shelves", "snapSeq", "snapStamp")
+    __slots__ = ("_dirty", "_flush_waiters", "_flushing", "_last_flush_ms", "_meta_next", "_meta_waiters", "_meta_writing", "_now", "_since_snap_bytes",
+                 "_snapping", "_written", "disk", "fetcher", "flushed_seq", "ledger", "meta", "params", "received_ms",
+                 "records", "settled_seq", "shelves", "snap_seq", "snap_stamp")
 
     def __init__(self, disk: Disk, params: Any, now: Callable[[], int], token: Callable[[], str]) -> None:
         self.disk = disk
         self.params = params
         self._now = now
         self.records: list[Record] = []
-        self.receivedMs: list[int] = []
+        self.received_ms: list[int] = []
         self.ledger = Ledger()
-        self.snapSeq = 0
-        self.snapStamp = (0, 0)
+        self.snap_seq = 0
+        self.snap_stamp = (0, 0)
         self._dirty: set[str] = set()
         self._flushing = False
-        self._flushWaiters: list[Callable[[bool], None]] = []
+        self._flush_waiters: list[Callable[[bool], None]] = []
         self._snapping = False
-        self._sinceSnapBytes = 0
-        self._lastFlushMs = now()
-        self._metaNext: list[tuple[LogMeta, Callable[[bool], None]]] = []
-        self._metaWaiters: list[Callable[[bool], None]] = []
-        self._metaWriting: LogMeta | None = None
+        self._since_snap_bytes = 0
+        self._last_flush_ms = now()
+        self._meta_next: list[tuple[LogMeta, Callable[[bool], None]]] = []
+        self._meta_waiters: list[Callable[[bool], None]] = []
+        self._meta_writing: LogMeta | None = None
         self._written = ("", 0)
         self.shelves = Shelves(self, token)
         self.fetcher: Callable[[list[str], str, Callable[[bool], None]], None] | None = None
         self._open(token)
         self.shelves.collect()
-        self.settledSeq = self.snapSeq
-        self.flushedSeq = self.snapSeq
+        self.settled_seq = self.snap_seq
+        self.flushed_seq = self.snap_seq
         self._dirty.update(record.file for record in self.records)
 
     # -- reading back ------------------------------------------------------------------------
@@ -59,15 +59,15 @@
                 raise Damage(_META, 0)
             self.meta = decode(frames[0][1])
         else:
-            self.meta = LogMeta(identity=f"store-{token()}", fence=0, logEpoch=0)
+            self.meta = LogMeta(identity=f"store-{token()}", fence=0, log_epoch=0)
         if _SNAP in names:
             self.load_snapshot(self.disk.read(_SNAP))
         mark = self._read_mark(names)
         for name in [name for name in names if name.startswith(_QUEUE)]:
             self._open_queue(name)
-        if self.lastSeq < mark:
-            raise Damage(_QUEUE, self.lastSeq)
-        self.receivedMs = [self._now()] * len(self.records)
+        if self.last_seq < mark:
+            raise Damage(_QUEUE, self.last_seq)
+        self.received_ms = [self._now()] * len(self.records)
 
     def _open_queue(self, name: str) -> None:
         """A file may begin, or go on, behind a hole: what was there came by a snapshot and was never written
@@ -80,12 +80,12 @@
         end = 0
         for offset, payload in frames:
             entry = decode(payload)
-            if entry.seq > max(self.snapSeq, self.lastSeq) + 1:
+            if entry.seq > max(self.snap_seq, self.last_seq) + 1:
                 break
             end = offset + len(frame(payload))
-            if entry.seq <= self.snapSeq:
+            if entry.seq <= self.snap_seq:
                 continue
-            del self.records[entry.seq - self.firstSeq:]
+            del self.records[entry.seq - self.first_seq:]
             self.records.append(_record(entry, payload, name, offset))
         if end < len(data):
             self.disk.truncate(name, end)
@@ -107,44 +107,44 @@
         return self.meta.identity
 
     @property
-    def firstSeq(self) -> int:
-        return self.records[0].seq if self.records else self.snapSeq + 1
+    def first_seq(self) -> int:
+        return self.records[0].seq if self.records else self.snap_seq + 1
 
     @property
-    def lastSeq(self) -> int:
-        return self.records[-1].seq if self.records else self.snapSeq
+    def last_seq(self) -> int:
+        return self.records[-1].seq if self.records else self.snap_seq
 
     @property
-    def lastStamp(self) -> tuple[int, int]:
-        return self.records[-1].stamp if self.records else self.snapStamp
+    def last_stamp(self) -> tuple[int, int]:
+        return self.records[-1].stamp if self.records else self.snap_stamp
 
     def stamp_at(self, seq: int) -> tuple[int, int] | None:
-        if seq == self.snapSeq:
-            return self.snapStamp
-        index = seq - self.firstSeq
+        if seq == self.snap_seq:
+            return self.snap_stamp
+        index = seq - self.first_seq
         return self.records[index].stamp if 0 <= index < len(self.records) else None
 
-    def since(self, seq: int, limitBytes: int) -> list[Record]:
+    def since(self, seq: int, limit_bytes: int) -> list[Record]:
         rows: list[Record] = []
-        sizeBytes = 0
-        for record in self.records[max(0, seq - self.firstSeq):]:
-            if rows and sizeBytes + record.nbytes > limitBytes:
+        size_bytes = 0
+        for record in self.records[max(0, seq - self.first_seq):]:
+            if rows and size_bytes + record.nbytes > limit_bytes:
                 break
             rows.append(record)
-            sizeBytes += record.nbytes
+            size_bytes += record.nbytes
         return rows
 
     # -- writing -----------------------------------------------------------------------------
 
     def make(self, stamp: tuple[int, int], body: bytes) -> Record:
         """The next record of the holder's queue file; the first of a file carries the truncate flag."""
-        seq = self.lastSeq + 1
-        payload = encode(StoredEntry(epoch=stamp[0], stampMs=stamp[1], seq=seq, body=body))
+        seq = self.last_seq + 1
+        payload = encode(StoredEntry(epoch=stamp[0], stamp_ms=stamp[1], seq=seq, body=body))
         name, offset = self._written
         flags = 0
-        if not name.startswith(f"{_QUEUE}{stamp[0]:08d}-") or offset >= self.params.segmentBytes:
+        if not name.startswith(f"{_QUEUE}{stamp[0]:08d}-") or offset >= self.params.segment_bytes:
             name, offset, flags = f"{_QUEUE}{stamp[0]:08d}-{seq:012d}", 0, TRUNCATE
-        return _record(StoredEntry(epoch=stamp[0], stampMs=stamp[1], seq=seq, body=body), payload, name, offset,
+        return _record(StoredEntry(epoch=stamp[0], stamp_ms=stamp[1], seq=seq, body=body), payload, name, offset,
                        flags)
 
     def write(self, record: Record, urgent: bool = False) -> None:
@@ -154,47 +154,47 @@
         self.disk.write(record.file, record.offset, record.bytes, urgent)
         self._dirty.add(record.file)
         self._written = (record.file, record.offset + record.nbytes)
-        self._sinceSnapBytes += record.nbytes
+        self._since_snap_bytes += record.nbytes
         self.records.append(record)
-        self.receivedMs.append(self._now())
+        self.received_ms.append(self._now())
 
     def cut_after(self, seq: int) -> None:
-        keep = max(0, seq - self.firstSeq + 1)
+        keep = max(0, seq - self.first_seq + 1)
         if len(self.records) > keep:
-            self._write_mark(min(self.flushedSeq, seq))
+            self._write_mark(min(self.flushed_seq, seq))
         for record in reversed(self.records[keep:]):
             self.disk.truncate(record.file, record.offset)
             self._dirty.add(record.file)
         if len(self.records) > keep:
             self._written = ("", 0)
         del self.records[keep:]
-        del self.receivedMs[keep:]
-        self.flushedSeq = min(self.flushedSeq, self.lastSeq)
+        del self.received_ms[keep:]
+        self.flushed_seq = min(self.flushed_seq, self.last_seq)
 
     def flush(self, done: Callable[[bool], None]) -> None:
         """Flushes that are asked for while one runs share the next one."""
-        self._flushWaiters.append(done)
+        self._flush_waiters.append(done)
         if not self._flushing:
             self._start_flush()
 
     def _start_flush(self) -> None:
         self._flushing = True
-        self._lastFlushMs = self._now()
-        waiters, self._flushWaiters = self._flushWaiters, []
+        self._last_flush_ms = self._now()
+        waiters, self._flush_waiters = self._flush_waiters, []
         names, self._dirty = sorted(self._dirty), set()
-        upTo = self.lastStamp
-        upToSeq = self.lastSeq
+        up_to = self.last_stamp
+        up_to_seq = self.last_seq
 
         def flushed(ok: bool) -> None:
             self._flushing = False
-            if ok and self.stamp_at(upToSeq) == upTo and upToSeq > self.flushedSeq:
-                self.flushedSeq = upToSeq
-                self._write_mark(upToSeq)
+            if ok and self.stamp_at(up_to_seq) == up_to and up_to_seq > self.flushed_seq:
+                self.flushed_seq = up_to_seq
+                self._write_mark(up_to_seq)
             if not ok:
                 self._dirty.update(names)
             for waiter in waiters:
                 waiter(ok)
-            if self._flushWaiters and not self._flushing:
+            if self._flush_waiters and not self._flushing:
                 self._start_flush()
 
         self.disk.flush(names, flushed)
@@ -204,36 +204,36 @@
             self.disk.write(_MARK, 0, frame(f"{seq:020d}".encode()), True)
 
     def flush_due(self) -> bool:
-        return (self.flushedSeq < self.lastSeq and not self._flushing
-                and self._now() - self._lastFlushMs >= self.params.flushMs)
+        return (self.flushed_seq < self.last_seq and not self._flushing
+                and self._now() - self._last_flush_ms >= self.params.flush_ms)
 
-    def keep_meta(self, done: Callable[[bool], None], fence: int | None = None, logEpoch: int | None = None) -> None:
+    def keep_meta(self, done: Callable[[bool], None], fence: int | None = None, log_epoch: int | None = None) -> None:
         """On disk before it counts. What is asked for while one write runs shares the next one, and what
         that write says already shares it."""
         wanted = LogMeta(identity=self.meta.identity, fence=max(self.meta.fence, fence or 0),
-                         logEpoch=max(self.meta.logEpoch, logEpoch or 0))
-        if self._metaWriting is not None and _covers(self._metaWriting, wanted):
-            self._metaWaiters.append(done)
+                         log_epoch=max(self.meta.log_epoch, log_epoch or 0))
+        if self._meta_writing is not None and _covers(self._meta_writing, wanted):
+            self._meta_waiters.append(done)
             return
-        self._metaNext.append((wanted, done))
-        if self._metaWriting is None:
+        self._meta_next.append((wanted, done))
+        if self._meta_writing is None:
             self._write_meta()
 
     def _write_meta(self) -> None:
-        rows, self._metaNext = self._metaNext, []
+        rows, self._meta_next = self._meta_next, []
         metas = [self.meta, *[wanted for wanted, _ in rows]]
-        meta = self._metaWriting = LogMeta(identity=self.meta.identity, fence=max(row.fence for row in metas),
-                                           logEpoch=max(row.logEpoch for row in metas))
-        self._metaWaiters = [done for _, done in rows]
+        meta = self._meta_writing = LogMeta(identity=self.meta.identity, fence=max(row.fence for row in metas),
+                                           log_epoch=max(row.log_epoch for row in metas))
+        self._meta_waiters = [done for _, done in rows]
 
         def kept(ok: bool) -> None:
-            self._metaWriting = None
-            waiters, self._metaWaiters = self._metaWaiters, []
+            self._meta_writing = None
+            waiters, self._meta_waiters = self._meta_waiters, []
             if ok:
                 self.meta = meta
             for waiter in waiters:
                 waiter(ok)
-            if self._metaNext and self._metaWriting is None:
+            if self._meta_next and self._meta_writing is None:
                 self._write_meta()
 
         self.disk.replace(_META, frame(encode(meta)), kept)
@@ -242,19 +242,19 @@
 
     def settle(self, seq: int) -> None:
         """Folds what has become settled into the ledger."""
-        while self.settledSeq < min(seq, self.lastSeq):
-            record = self.records[self.settledSeq + 1 - self.firstSeq]
+        while self.settled_seq < min(seq, self.last_seq):
+            record = self.records[self.settled_seq + 1 - self.first_seq]
             self.ledger.apply(entry_of(record))
-            self.settledSeq += 1
+            self.settled_seq += 1
 
     def busy(self) -> bool:
         """A snapshot is being written."""
         return self._snapping
 
     def snapshot(self) -> bytes:
-        stamp = self.stamp_at(self.settledSeq) or (0, 0)
+        stamp = self.stamp_at(self.settled_seq) or (0, 0)
         rows = self.ledger.encoded(frame)
-        head = SnapshotHead(seq=self.settledSeq, epoch=stamp[0], stampMs=stamp[1], count=len(rows))
+        head = SnapshotHead(seq=self.settled_seq, epoch=stamp[0], stamp_ms=stamp[1], count=len(rows))
         return b"".join([frame(encode(head)), *rows])
 
     def load_snapshot(self, data: bytes) -> None:
@@ -265,8 +265,8 @@
         self.ledger = Ledger()
         for _, payload in frames[1:]:
             self.ledger.apply(decode(payload))
-        self.snapSeq = self.settledSeq = head.seq
-        self.snapStamp = (head.epoch, head.stampMs)
+        self.snap_seq = self.settled_seq = head.seq
+        self.snap_stamp = (head.epoch, head.stamp_ms)
 
     def missing(self, data: bytes) -> list[str]:
         """Files that a snapshot refers to and that are not here."""
@@ -292,52 +292,52 @@
         for name in [name for name in self.disk.names() if name.startswith(_QUEUE)]:
             self.disk.remove(name)
         self._dirty.clear()
-        self.records, self.receivedMs = [], []
+        self.records, self.received_ms = [], []
         self.load_snapshot(data)
         self._written = ("", 0)
-        self.flushedSeq = 0
-        seq = self.snapSeq
+        self.flushed_seq = 0
+        seq = self.snap_seq
 
         def kept(ok: bool) -> None:
             if ok:
-                self.flushedSeq = max(self.flushedSeq, seq)
+                self.flushed_seq = max(self.flushed_seq, seq)
             done(ok)
 
         self.disk.replace(_SNAP, data, kept)
 
     def tidy(self, force: bool = False) -> None:
         """Snapshots when a segment's worth is settled, then trims what is both in one and old."""
-        if self._snapping or self.settledSeq <= self.snapSeq:
+        if self._snapping or self.settled_seq <= self.snap_seq:
             return
-        if not force and self._sinceSnapBytes < self.params.segmentBytes:
+        if not force and self._since_snap_bytes < self.params.segment_bytes:
             return
         self._snapping = True
-        self._sinceSnapBytes = 0
+        self._since_snap_bytes = 0
         self.shelves.shelve(self._write_snapshot)
 
     def _write_snapshot(self) -> None:
-        seq = self.settledSeq
+        seq = self.settled_seq
         stamp = self.stamp_at(seq) or (0, 0)
 
         def kept(ok: bool) -> None:
             self._snapping = False
-            if ok and seq > self.snapSeq:
-                self.snapSeq, self.snapStamp = seq, stamp
+            if ok and seq > self.snap_seq:
+                self.snap_seq, self.snap_stamp = seq, stamp
                 self.trim()
                 self.shelves.collect()
 
         self.disk.replace(_SNAP, self.snapshot(), kept)
 
     def trim(self) -> None:
-        if self.receivedMs:
-            floorMs = self.receivedMs[-1] - self.params.keepFactor * self.params.flushMs
+        if self.received_ms:
+            floor_ms = self.received_ms[-1] - self.params.keep_factor * self.params.flush_ms
             count = 0
-            while (count < len(self.records) - 1 and self.records[count].seq <= self.snapSeq
-                   and self.receivedMs[count] < floorMs):
+            while (count < len(self.records) - 1 and self.records[count].seq <= self.snap_seq
+                   and self.received_ms[count] < floor_ms):
                 count += 1
             del self.records[:count]
-            del self.receivedMs[:count]
-        needed = {record.file for record in self.records if record.seq > self.snapSeq} | {self._written[0]}
+            del self.received_ms[:count]
+        needed = {record.file for record in self.records if record.seq > self.snap_seq} | {self._written[0]}
         for name in [name for name in self.disk.names() if name.startswith(_QUEUE)]:
             if name not in needed:
                 self._dirty.discard(name)
@@ -345,7 +345,7 @@
 
 
 def _covers(meta: LogMeta, wanted: LogMeta) -> bool:
-    return meta.fence >= wanted.fence and meta.logEpoch >= wanted.logEpoch
+    return meta.fence >= wanted.fence and meta.log_epoch >= wanted.log_epoch
 
 
 def entry_of(record: Record) -> Message:
@@ -354,5 +354,5 @@
 
 def _record(entry: StoredEntry, payload: bytes, name: str, offset: int, flags: int = 0) -> Record:
     data = frame(payload)
-    return Record(epoch=entry.epoch, stampMs=entry.stampMs, seq=entry.seq, file=name, flags=flags,
+    return Record(epoch=entry.epoch, stamp_ms=entry.stamp_ms, seq=entry.seq, file=name, flags=flags,
                   nbytes=len(data), bytes=data, offset=offset)
--- a/libs/accession/src/accession/mending.py
+++ b/libs/accession/src/accession/mending.py
@@ -31,7 +31,7 @@
 class GetKept(Message):
     kind: Text
     name: Text
-    fromIndex: Long
+    from_index: Long
 
 
 class Kept(Message):
@@ -43,14 +43,14 @@
 class Mending(Part):
     """`others` gives the addresses of the other members of the log."""
 
-    __slots__ = ("_log", "_mending", "_nextMs", "_others")
+    __slots__ = ("_log", "_mending", "_next_ms", "_others")
     HANDLES = (FetchShelf, GetKept)
 
     def __init__(self, log: LocalLog, others: Callable[[], list[str]]) -> None:
         self._log = log
         self._others = others
         self._mending: set[tuple[str, str]] = set()
-        self._nextMs = 0
+        self._next_ms = 0
         log.fetcher = self.fetch
 
     @singledispatchmethod
@@ -82,7 +82,7 @@
             else:
                 self._keep(files[0], got + part.data, lambda ok: self.fetch(files[1:], source, done) if ok else done(False))
 
-        self.node.ask(source, FetchShelf(file=files[0], offset=len(got)), 2 * self.node.params.askMs, told)
+        self.node.ask(source, FetchShelf(file=files[0], offset=len(got)), 2 * self.node.params.ask_ms, told)
 
     def _keep(self, file: str, data: bytes, done: Callable[[bool], None]) -> None:
         self._log.disk.replace(file, data, done)
@@ -104,9 +104,9 @@
             return Kept(ok=False, rows=[], placed=0)
         if lot.shelf is None:
             rows: list[bytes] | None = [encode(m.ResultRow(index=index, outcome=item.outcome, body=item.result)) for index, item in
-                                        list(enumerate(lot.items[:lot.placed]))[message.fromIndex:message.fromIndex + _PAGE]]
+                                        list(enumerate(lot.items[:lot.placed]))[message.from_index:message.from_index + _PAGE]]
         else:
-            rows = shelves.results(lot, message.fromIndex, _PAGE)
+            rows = shelves.results(lot, message.from_index, _PAGE)
         return Kept(ok=rows is not None, rows=rows or [], placed=lot.placed)
 
     def mend(self, kind: str, name: str) -> None:
@@ -130,7 +130,7 @@
             else:
                 self._log.shelves.rewrite(kind, name, rows, lambda ok: self._mended(kind, name, ok))
 
-        self.node.ask(others[0], GetKept(kind=kind, name=name, fromIndex=len(got)), self.node.params.askMs, told)
+        self.node.ask(others[0], GetKept(kind=kind, name=name, from_index=len(got)), self.node.params.ask_ms, told)
 
     def _mended(self, kind: str, name: str, ok: bool) -> None:
         self._mending.discard((kind, name))
@@ -138,8 +138,8 @@
             self.node.env.log("shelf-mended", kind=kind, what=name)
 
     def tick(self) -> None:
-        nowMs = self.node.env.now()
-        if nowMs >= self._nextMs:
-            self._nextMs = nowMs + self.node.params.goneMs
+        now_ms = self.node.env.now()
+        if now_ms >= self._next_ms:
+            self._next_ms = now_ms + self.node.params.gone_ms
             for kind, name in self._log.shelves.sweep():
                 self.mend(kind, name)
--- a/libs/accession/src/accession/messages.py
+++ b/libs/accession/src/accession/messages.py
@@ -12,14 +12,14 @@
 
 class StoredEntry(Message):
     epoch: Long
-    stampMs: Long
+    stamp_ms: Long
     seq: Long
     body: Blob
 
 
 class Record(Message):
     epoch: Long
-    stampMs: Long
+    stamp_ms: Long
     seq: Long
     file: Text
     flags: Long
@@ -29,30 +29,30 @@
 
     @property
     def stamp(self) -> tuple[int, int]:
-        return (self.epoch, self.stampMs)
+        return (self.epoch, self.stamp_ms)
 
 
 class SnapshotHead(Message):
     seq: Long
     epoch: Long
-    stampMs: Long
+    stamp_ms: Long
     count: Long
 
 
 class LogMeta(Message):
     identity: Text
     fence: Long
-    logEpoch: Long
+    log_epoch: Long
 
 
 class Append(Message):
     epoch: Long
-    baseSeq: Long
-    prevSeq: Long
-    prevEpoch: Long
-    prevMs: Long
+    base_seq: Long
+    prev_seq: Long
+    prev_epoch: Long
+    prev_ms: Long
     records: Arr(Blob)
-    settledSeq: Long
+    settled_seq: Long
     flush: Flag
     probe: Long
 
@@ -62,15 +62,15 @@
     ok: Flag
     reason: Text
     fence: Long
-    logEpoch: Long
-    lastSeq: Long
-    flushedSeq: Long
-    stampEpoch: Long
-    stampMs: Long
-    receptionMs: Long
+    log_epoch: Long
+    last_seq: Long
+    flushed_seq: Long
+    stamp_epoch: Long
+    stamp_ms: Long
+    reception_ms: Long
     probe: Long
-    askedSeq: Long
-    snapSeq: Long
+    asked_seq: Long
+    snap_seq: Long
     roomy: Flag
 
 
@@ -90,15 +90,15 @@
     identity: Text
     ok: Flag
     fence: Long
-    logEpoch: Long
-    snapSeq: Long
-    lastSeq: Long
+    log_epoch: Long
+    snap_seq: Long
+    last_seq: Long
     count: Long
 
 
 class Fetch(Message):
     epoch: Long
-    fromSeq: Long
+    from_seq: Long
     offset: Long
 
 
@@ -108,4 +108,4 @@
     snapshot: Blob
     total: Long
     records: Arr(Blob)
-    lastSeq: Long
+    last_seq: Long
--- a/libs/accession/src/accession/peer.py
+++ b/libs/accession/src/accession/peer.py
@@ -47,14 +47,14 @@
         log = self._log
         ok = message.epoch == log.meta.fence
         snapshot, total, records = b"", 0, []
-        if ok and message.fromSeq < log.firstSeq and message.fromSeq <= log.snapSeq:
-            if self._snapshot[0] != log.settledSeq:
-                self._snapshot = (log.settledSeq, log.snapshot())
+        if ok and message.from_seq < log.first_seq and message.from_seq <= log.snap_seq:
+            if self._snapshot[0] != log.settled_seq:
+                self._snapshot = (log.settled_seq, log.snapshot())
             total = len(self._snapshot[1])
             snapshot = self._snapshot[1][message.offset:message.offset + _CHUNK_BYTES]
         elif ok:
-            records = [encode(record) for record in log.since(message.fromSeq, _CHUNK_BYTES)]
-        reply(Fetched(identity=log.identity, ok=ok, snapshot=snapshot, total=total, records=records, lastSeq=log.lastSeq))
+            records = [encode(record) for record in log.since(message.from_seq, _CHUNK_BYTES)]
+        reply(Fetched(identity=log.identity, ok=ok, snapshot=snapshot, total=total, records=records, last_seq=log.last_seq))
 
     @_on.register
     def _(self, message: Append, reply: Reply) -> None:
@@ -63,21 +63,21 @@
             reply(self._receipt(message.probe, False, "fenced"))
         elif self._busy:
             reply(self._receipt(message.probe, False, "busy"))
-        elif log.stamp_at(message.prevSeq) != (message.prevEpoch, message.prevMs):
-            reply(self._receipt(message.probe, False, "gap", message.prevSeq))
+        elif log.stamp_at(message.prev_seq) != (message.prev_epoch, message.prev_ms):
+            reply(self._receipt(message.probe, False, "gap", message.prev_seq))
         else:
             self._take(message, reply)
 
     def _take(self, message: Append, reply: Reply) -> None:
         log = self._log
         records = [decode(data) for data in message.records]
-        same = message.prevSeq
+        same = message.prev_seq
         for record in records:
             if log.stamp_at(record.seq) != record.stamp:
                 break
             same = record.seq
-        fresh = records[same - message.prevSeq:]
-        if fresh or log.meta.logEpoch < message.epoch:
+        fresh = records[same - message.prev_seq:]
+        if fresh or log.meta.log_epoch < message.epoch:
             log.cut_after(same)
         try:
             for record in fresh:
@@ -85,12 +85,12 @@
         except DiskFull:
             reply(self._receipt(message.probe, False, "full"))
             return
-        if log.meta.logEpoch < message.epoch and log.lastSeq >= message.baseSeq:
+        if log.meta.log_epoch < message.epoch and log.last_seq >= message.base_seq:
             self._adopt(message, reply)
             return
-        if log.meta.logEpoch == message.epoch:
-            log.settle(message.settledSeq)
-        if message.flush and log.flushedSeq < log.lastSeq:
+        if log.meta.log_epoch == message.epoch:
+            log.settle(message.settled_seq)
+        if message.flush and log.flushed_seq < log.last_seq:
             log.flush(lambda ok: reply(self._receipt(message.probe, True, "")))
         reply(self._receipt(message.probe, True, ""))
 
@@ -100,7 +100,7 @@
 
         def flushed(ok: bool) -> None:
             if ok and message.epoch == self._log.meta.fence:
-                self._log.keep_meta(adopted, logEpoch=message.epoch)
+                self._log.keep_meta(adopted, log_epoch=message.epoch)
             else:
                 self._busy = False
 
@@ -132,11 +132,11 @@
             self._busy = False
             reply(self._receipt(message.probe, False, "damaged"))
 
-    def _receipt(self, probe: int, ok: bool, reason: str, askedSeq: int = -1) -> Appended:
+    def _receipt(self, probe: int, ok: bool, reason: str, asked_seq: int = -1) -> Appended:
         log = self._log
-        epoch, stampMs = log.lastStamp
+        epoch, stamp_ms = log.last_stamp
         return Appended(identity=log.identity, ok=ok, reason=reason, fence=log.meta.fence,
-                        logEpoch=log.meta.logEpoch, lastSeq=log.lastSeq, flushedSeq=log.flushedSeq,
-                        stampEpoch=epoch, stampMs=stampMs,
-                        receptionMs=log.receivedMs[-1] if log.receivedMs else 0, probe=probe,
-                        askedSeq=askedSeq, snapSeq=log.snapSeq, roomy=log.disk.roomy(0))
+                        log_epoch=log.meta.log_epoch, last_seq=log.last_seq, flushed_seq=log.flushed_seq,
+                        stamp_epoch=epoch, stamp_ms=stamp_ms,
+                        reception_ms=log.received_ms[-1] if log.received_ms else 0, probe=probe,
+                        asked_seq=asked_seq, snap_seq=log.snap_seq, roomy=log.disk.roomy(0))
--- a/libs/accession/src/accession/recovery.py
+++ b/libs/accession/src/accession/recovery.py
@@ -26,15 +26,15 @@
 
 def union(copies: list[list[Record]]) -> list[Record]:
     """All records of the copies, each stamp once, in stamp order."""
-    byStamp: dict[tuple[int, int], Record] = {}
+    by_stamp: dict[tuple[int, int], Record] = {}
     for records in copies:
         for record in records:
-            byStamp.setdefault(record.stamp, record)
-    return [byStamp[stamp] for stamp in sorted(byStamp)]
+            by_stamp.setdefault(record.stamp, record)
+    return [by_stamp[stamp] for stamp in sorted(by_stamp)]
 
 
 class Recovery:
-    __slots__ = ("_answers", "_ask", "_done", "_log", "_now", "_records", "_sources", "_startedMs", "epoch",
+    __slots__ = ("_answers", "_ask", "_done", "_log", "_now", "_records", "_sources", "_started_ms", "epoch",
                  "members", "params", "state")
 
     def __init__(self, log: LocalLog, epoch: int, members: list[tuple[str, str]], params: Any, ask: Ask,
@@ -47,7 +47,7 @@
         self._answers: dict[str, Started] = {}
         self._records: list[list[Record]] = []
         self._sources: list[tuple[str, str]] = []
-        self._startedMs = now()
+        self._started_ms = now()
         self.state = _State.FENCING
 
     def start(self) -> None:
@@ -70,28 +70,28 @@
                 self._answered(message)
             elif isinstance(message, Started) and message.fence > self.epoch:
                 self._finish(False)
-            elif self._now() - self._startedMs < self.params.forceMs:
+            elif self._now() - self._started_ms < self.params.force_ms:
                 self._ask_start(address)
             else:
                 self._finish(False)
 
-        self._ask(address, Start(epoch=self.epoch), 4 * self.params.deltaMs, answered)
+        self._ask(address, Start(epoch=self.epoch), 4 * self.params.delta_ms, answered)
 
     def _answered(self, message: Started) -> None:
         names = [identity for identity, _ in self.members]
         if message.identity in names:
             self._answers[message.identity] = message
-        if len(self._answers) >= len(self.members) - self.params.storeFaults:
+        if len(self._answers) >= len(self.members) - self.params.store_faults:
             self._fetch()
 
     def _fetch(self) -> None:
         self.state = _State.FETCHING
-        top = max(answer.logEpoch for answer in self._answers.values())
+        top = max(answer.log_epoch for answer in self._answers.values())
         self._sources = [(identity, address) for identity, address in self.members
-                         if identity in self._answers and self._answers[identity].logEpoch == top
+                         if identity in self._answers and self._answers[identity].log_epoch == top
                          and identity != self._log.identity]
         own = self._answers.get(self._log.identity)
-        if own is not None and own.logEpoch == top:
+        if own is not None and own.log_epoch == top:
             self._records.append(list(self._log.records))
         self._next_source()
 
@@ -101,33 +101,33 @@
             return
         _, address = self._sources.pop(0)
         self._records.append([])
-        self._fetch_from(address, self._log.snapSeq + 1)
+        self._fetch_from(address, self._log.snap_seq + 1)
 
-    def _fetch_from(self, address: str, fromSeq: int, got: bytes = b"") -> None:
+    def _fetch_from(self, address: str, from_seq: int, got: bytes = b"") -> None:
         def fetched(message: Message | None) -> None:
             if self.state is not _State.FETCHING:
                 return
             if not isinstance(message, Fetched) or not message.ok:
-                if self._now() - self._startedMs > self.params.forceMs:
+                if self._now() - self._started_ms > self.params.force_ms:
                     self._finish(False)
                 else:
-                    self._fetch_from(address, fromSeq, got)
+                    self._fetch_from(address, from_seq, got)
                 return
             if message.snapshot:
                 data = got + message.snapshot
                 if len(data) < message.total:
-                    self._fetch_from(address, fromSeq, data)
+                    self._fetch_from(address, from_seq, data)
                 else:
                     self._install(address, data)
                 return
             records = [decode(data) for data in message.records]
             self._records[-1].extend(records)
-            if records and records[-1].seq < message.lastSeq:
+            if records and records[-1].seq < message.last_seq:
                 self._fetch_from(address, records[-1].seq + 1)
             else:
                 self._next_source()
 
-        self._ask(address, Fetch(epoch=self.epoch, fromSeq=fromSeq, offset=len(got)), 2 * self.params.askMs, fetched)
+        self._ask(address, Fetch(epoch=self.epoch, from_seq=from_seq, offset=len(got)), 2 * self.params.ask_ms, fetched)
 
     def _install(self, address: str, data: bytes) -> None:
         """The source has trimmed what we lack: its snapshot is settled, so it may stand for ours."""
@@ -135,9 +135,9 @@
             if not ok:
                 self._finish(False)
                 return
-            self._records = [[record for record in records if record.seq > self._log.snapSeq]
+            self._records = [[record for record in records if record.seq > self._log.snap_seq]
                              for records in self._records]
-            self._fetch_from(address, self._log.snapSeq + 1)
+            self._fetch_from(address, self._log.snap_seq + 1)
 
         try:
             self._log.install(data, installed, address, lambda: self.state is _State.FETCHING)
@@ -146,21 +146,21 @@
 
     def _write(self) -> None:
         self.state = _State.WRITING
-        records = [record for record in union(self._records) if record.seq > self._log.snapSeq]
-        expected = self._log.snapSeq
+        records = [record for record in union(self._records) if record.seq > self._log.snap_seq]
+        expected = self._log.snap_seq
         for record in records:
             expected += 1
             if record.seq != expected:
                 self._finish(False)
                 return
-        same = self._log.snapSeq
+        same = self._log.snap_seq
         for record in records:
             if self._log.stamp_at(record.seq) != record.stamp:
                 break
             same = record.seq
         self._log.cut_after(same)
         try:
-            for record in records[same - self._log.snapSeq:]:
+            for record in records[same - self._log.snap_seq:]:
                 self._log.write(record, True)
         except DiskFull:
             self._finish(False)
@@ -171,7 +171,7 @@
         if not ok:
             self._finish(False)
             return
-        self._log.keep_meta(self._finish, logEpoch=self.epoch)
+        self._log.keep_meta(self._finish, log_epoch=self.epoch)
 
     def stop(self) -> None:
         if self.state not in (_State.DONE, _State.FAILED):
@@ -185,5 +185,5 @@
 
 
 def started(log: LocalLog, ok: bool) -> Started:
-    return Started(identity=log.identity, ok=ok, fence=log.meta.fence, logEpoch=log.meta.logEpoch,
-                   snapSeq=log.snapSeq, lastSeq=log.lastSeq, count=len(log.records))
+    return Started(identity=log.identity, ok=ok, fence=log.meta.fence, log_epoch=log.meta.log_epoch,
+                   snap_seq=log.snap_seq, last_seq=log.last_seq, count=len(log.records))
--- a/libs/accession/src/accession/shelves.py
+++ b/libs/accession/src/accession/shelves.py
@@ -31,16 +31,16 @@
 
 
 class Shelves:
-    """`log` is the local log that these stand beside; `onShelved` is told what left memory."""
+    """`log` is the local log that these stand beside; `on_shelved` is told what left memory."""
 
-    __slots__ = ("_busy", "_log", "_swept", "_token", "onShelved")
+    __slots__ = ("_busy", "_log", "_swept", "_token", "on_shelved")
 
     def __init__(self, log: Any, token: Callable[[], str]) -> None:
         self._log = log
         self._token = token
         self._busy = False
         self._swept = ""
-        self.onShelved: Callable[[list[Message]], None] = lambda entries: None
+        self.on_shelved: Callable[[list[Message]], None] = lambda entries: None
 
     def names(self) -> list[str]:
         return [name for name in self._log.disk.names() if name.startswith(SHELF)]
@@ -85,9 +85,9 @@
                 done()
                 return
             for entry in entries:
-                if (entry.lotId in ledger.lots) if isinstance(entry, e.LotShelved) else (entry.key in ledger.keys):
+                if (entry.lot_id in ledger.lots) if isinstance(entry, e.LotShelved) else (entry.key in ledger.keys):
                     ledger.apply(entry)
-            self.onShelved(entries)
+            self.on_shelved(entries)
             self.shelve(done)
 
         try:
@@ -96,14 +96,14 @@
             self._busy = False
             log.disk.remove(name)
             for entry in entries:
-                ledger.fresh[("lot", entry.lotId) if isinstance(entry, e.LotShelved) else ("key", entry.key)] = None
+                ledger.fresh[("lot", entry.lot_id) if isinstance(entry, e.LotShelved) else ("key", entry.key)] = None
             done()
             return
         log.disk.flush([name], flushed)
 
     def _new_name(self) -> str:
         """Never used before, by whatever store: files travel between them under their names."""
-        return f"{SHELF}{self._log.identity}-{self._log.settledSeq:012d}-{self._token()}"
+        return f"{SHELF}{self._log.identity}-{self._log.settled_seq:012d}-{self._token()}"
 
     def _put_lot(self, lot: Lot, name: str, page: bytearray) -> e.LotShelved:
         rows = [encode(m.ResultRow(index=index, outcome=item.outcome, body=item.result))
@@ -114,25 +114,25 @@
         places, sizes, firsts = [], [], []
         first = 0
         while first < len(rows):
-            upTo, sizeBytes = first, 0
-            while upTo < len(rows) and (upTo == first or sizeBytes + len(rows[upTo]) <= _LEAF_BYTES):
-                sizeBytes += len(rows[upTo])
-                upTo += 1
-            data = frame(encode(Leaf(name=lot.lotId, rows=rows[first:upTo])))
+            up_to, size_bytes = first, 0
+            while up_to < len(rows) and (up_to == first or size_bytes + len(rows[up_to]) <= _LEAF_BYTES):
+                size_bytes += len(rows[up_to])
+                up_to += 1
+            data = frame(encode(Leaf(name=lot.lot_id, rows=rows[first:up_to])))
             places.append(len(page))
             sizes.append(len(data))
             firsts.append(first)
             page += data
-            first = upTo
-        return e.LotShelved(lotId=lot.lotId, digest=lot.digest, path=lot.path, safe=lot.safe, dueMs=lot.dueMs, atMs=lot.atMs,
+            first = up_to
+        return e.LotShelved(lot_id=lot.lot_id, digest=lot.digest, path=lot.path, safe=lot.safe, due_ms=lot.due_ms, at_ms=lot.at_ms,
                             total=lot.total, finished=lot.total - lot.left, placed=lot.placed, ended=lot.ended,
-                            endedAtMs=lot.endedAtMs, file=name, places=places, sizes=sizes, firsts=firsts)
+                            ended_at_ms=lot.ended_at_ms, file=name, places=places, sizes=sizes, firsts=firsts)
 
     def _put_key(self, key: str, held: Key, name: str, page: bytearray) -> e.KeyShelved:
         data = frame(encode(Leaf(name=key, rows=[held.body.encode()])))
         page += data
         return e.KeyShelved(key=key, digest=held.digest, edge=held.edge, transaction=held.transaction, status=held.status,
-                            atMs=held.atMs, file=name, place=len(page) - len(data), size=len(data))
+                            at_ms=held.at_ms, file=name, place=len(page) - len(data), size=len(data))
 
     # -- reading -------------------------------------------------------------------------------
 
@@ -143,14 +143,14 @@
         leaf = decode(frames[0][1])
         return leaf.rows if leaf.name == name else None
 
-    def results(self, lot: Lot, fromIndex: int, limit: int) -> list[bytes] | None:
+    def results(self, lot: Lot, from_index: int, limit: int) -> list[bytes] | None:
         """A leaf's results from a place on, or None if the leaf is damaged or not here."""
         shelf = lot.shelf
-        at = max((number for number, first in enumerate(shelf.firsts) if first <= fromIndex), default=-1)
-        if at < 0 or fromIndex >= lot.placed:
+        at = max((number for number, first in enumerate(shelf.firsts) if first <= from_index), default=-1)
+        if at < 0 or from_index >= lot.placed:
             return []
-        rows = self._leaf(lot.lotId, shelf.file, shelf.places[at], shelf.sizes[at])
-        return None if rows is None else rows[fromIndex - shelf.firsts[at]:][:limit]
+        rows = self._leaf(lot.lot_id, shelf.file, shelf.places[at], shelf.sizes[at])
+        return None if rows is None else rows[from_index - shelf.firsts[at]:][:limit]
 
     def receipt(self, key: Key) -> str | None:
         rows = self._leaf(key.shelf.key, key.shelf.file, key.shelf.place, key.shelf.size)
@@ -167,8 +167,8 @@
 
     def damaged(self, file: str) -> list[tuple[str, str]]:
         ledger = self._log.ledger
-        lots = [("lot", lot.lotId) for lot in ledger.lots.values() if lot.shelf is not None and lot.shelf.file == file and any(
-            self._leaf(lot.lotId, file, place, size) is None for place, size in zip(lot.shelf.places, lot.shelf.sizes, strict=True))]
+        lots = [("lot", lot.lot_id) for lot in ledger.lots.values() if lot.shelf is not None and lot.shelf.file == file and any(
+            self._leaf(lot.lot_id, file, place, size) is None for place, size in zip(lot.shelf.places, lot.shelf.sizes, strict=True))]
         return lots + [("key", name) for name, key in ledger.keys.items()
                        if key.shelf is not None and key.shelf.file == file and self.receipt(key) is None]
 
@@ -189,7 +189,7 @@
         def flushed(ok: bool) -> None:
             if ok:
                 log.ledger.apply(entry)
-                self.onShelved([entry])
+                self.on_shelved([entry])
             done(ok)
 
         try:
--- a/libs/accession/src/accession/store.py
+++ b/libs/accession/src/accession/store.py
@@ -32,24 +32,24 @@
     """`control` changes and reads control keys: change(key, version, body, done(outcome, version, body)).
     `fleet` tells what the gazette and standing say: log key, live stores, retired identities."""
 
-    __slots__ = ("_changedMs", "_control", "_fleet", "_leaving", "_onRole", "_peer", "_recovery", "_roomyMs", "_succeeding", "_version", "holder", "log",
+    __slots__ = ("_changed_ms", "_control", "_fleet", "_leaving", "_on_role", "_peer", "_recovery", "_roomy_ms", "_succeeding", "_version", "holder", "log",
                  "role", "value")
     HANDLES = (Append, Appended, Install, Start, Fetch)
 
     def __init__(self, log: LocalLog, control: Any, fleet: Any,
-                 onRole: Callable[[Holder | None], None]) -> None:
+                 on_role: Callable[[Holder | None], None]) -> None:
         self.log = log
         self._control = control
         self._fleet = fleet
-        self._onRole = onRole
+        self._on_role = on_role
         self._peer = PeerSide(log)
         self._recovery: Recovery | None = None
         self.holder: Holder | None = None
         self.role = Role.PEER
-        self._changedMs = 0
+        self._changed_ms = 0
         self._leaving = False
         self._succeeding = False
-        self._roomyMs = -1 << 40
+        self._roomy_ms = -1 << 40
         self._version = 0
         self.value: dict[str, Any] = {}
 
@@ -88,7 +88,7 @@
             self._consider_replacement()
             self._consider_room()
         if self.role in (Role.ADOPTING, Role.RECOVERING, Role.CLAIMING, Role.ANNOUNCING):
-            if self.node.env.now() - self._changedMs > 2 * self.node.params.forceMs:
+            if self.node.env.now() - self._changed_ms > 2 * self.node.params.force_ms:
                 self._step_down("stuck", 0)
 
     def _read_key(self) -> None:
@@ -101,8 +101,8 @@
             self._step_down("superseded", held)
 
     def _consider_claim(self) -> None:
-        nowMs = self.node.env.now()
-        if self._leaving or not self._fleet.settled_in() or nowMs - self._changedMs < self.node.params.beatMs:
+        now_ms = self.node.env.now()
+        if self._leaving or not self._fleet.settled_in() or now_ms - self._changed_ms < self.node.params.beat_ms:
             return
         if not self.value:
             self._found()
@@ -122,8 +122,8 @@
     def _found(self) -> None:
         """The first members: blank stores, as many as the settings say, the lowest identity asking."""
         blank = sorted({**self._fleet.live_stores(), self.log.identity: self.node.address}.items())
-        count = self.node.params.storeCount
-        if len(blank) < count or self.log.identity != blank[0][0] or self.log.meta.logEpoch:
+        count = self.node.params.store_count
+        if len(blank) < count or self.log.identity != blank[0][0] or self.log.meta.log_epoch:
             return
         members = [{"identity": identity, "address": address} for identity, address in blank[:count]]
         self._claim(members, members, self.log.identity)
@@ -190,7 +190,7 @@
                 return
             if outcome == "ok" and self.value.get("epoch") == epoch:
                 self._become(Role.SERVING, epoch)
-                self._onRole(self.holder)
+                self._on_role(self.holder)
             else:
                 self._step_down("announcement-" + outcome, epoch)
 
@@ -210,13 +210,13 @@
         for identity, address in stores.items():
             if not self._retired(identity):
                 holder.learn(identity, address)
-        nowMs = self.node.env.now()
-        goneMs = self.node.params.goneMs
+        now_ms = self.node.env.now()
+        gone_ms = self.node.params.gone_ms
         lost = [name for name in names if self._retired(name) or
-                (name != self.log.identity and nowMs - holder.peers[name].heardMs > goneMs)]
+                (name != self.log.identity and now_ms - holder.peers[name].heard_ms > gone_ms)]
         spares = [peer for name, peer in holder.peers.items()
                   if name not in names and name in stores and not self._retired(name) and peer.adopted
-                  and peer.flushedSeq >= self.log.settledSeq and nowMs - peer.heardMs < self.node.params.deadMs]
+                  and peer.flushed_seq >= self.log.settled_seq and now_ms - peer.heard_ms < self.node.params.dead_ms]
         if not lost or not spares or holder.waiters:
             return
         old, new = lost[0], spares[0]
@@ -228,13 +228,13 @@
 
     def _consider_room(self) -> None:
         """A holder whose disk has been full for a while makes way for a member that still has room."""
-        nowMs = self.node.env.now()
+        now_ms = self.node.env.now()
         if self.log.disk.roomy(0):
-            self._roomyMs = nowMs
+            self._roomy_ms = now_ms
         following = None if self._succeeding or self.holder is None else self.holder.roomier()
-        if following is not None and nowMs - max(self._roomyMs, self._changedMs) > self.node.params.deadMs:
+        if following is not None and now_ms - max(self._roomy_ms, self._changed_ms) > self.node.params.dead_ms:
             self.node.env.log("holder-full", "WARNING", following=following)
-            self._changedMs = nowMs
+            self._changed_ms = now_ms
             self._claim(self.value["members"], self.value["members"], following)
 
     def hand_over(self) -> None:
@@ -257,7 +257,7 @@
         if role is not self.role:
             self.node.env.log("log-role", "INFO", became=str(role), was=str(self.role), epoch=epoch)
         self.role = role
-        self._changedMs = self.node.env.now()
+        self._changed_ms = self.node.env.now()
 
     def _step_down(self, reason: str, epoch: int) -> None:
         if self._recovery is not None:
@@ -266,10 +266,10 @@
         holder, self.holder = self.holder, None
         self.node.env.log("log-stepped-down", "INFO", reason=reason, epoch=epoch)
         self._become(Role.PEER, epoch)
-        self._onRole(None)
+        self._on_role(None)
         if holder is not None:
             holder.stop()
 
-    def woke(self, gapMs: int) -> None:
+    def woke(self, gap_ms: int) -> None:
         if self.role is not Role.PEER:
             self._step_down("frozen", 0)
--- a/libs/catalogue/src/catalogue/client.py
+++ b/libs/catalogue/src/catalogue/client.py
@@ -18,22 +18,22 @@
         self._addresses = addresses
 
     def change(self, key: str, version: int, body: str, done: Done) -> None:
-        changeId = self.node.env.token()
-        self._try(lambda: Change(key=key, version=version, changeId=changeId, body=body, hops=0), done)
+        change_id = self.node.env.token()
+        self._try(lambda: Change(key=key, version=version, change_id=change_id, body=body, hops=0), done)
 
     def read(self, key: str, done: Done) -> None:
         self._try(lambda: ReadKey(key=key, hops=0), done)
 
     def _try(self, make: Callable[[], Message], done: Done) -> None:
-        dueMs = self.node.env.now() + 2 * self.node.params.forceMs
+        due_ms = self.node.env.now() + 2 * self.node.params.force_ms
         order = list(self._addresses())
         self.node.env.rng.shuffle(order)
 
         def ask(index: int) -> None:
-            if self.node.env.now() >= dueMs or not order:
+            if self.node.env.now() >= due_ms or not order:
                 done("doubt", 0, "")
                 return
-            self.node.ask(order[index % len(order)], make(), self.node.params.askMs * 2,
+            self.node.ask(order[index % len(order)], make(), self.node.params.ask_ms * 2,
                           lambda receipt: answered(receipt, index))
 
         def answered(receipt: Changed | None, index: int) -> None:
--- a/libs/catalogue/src/catalogue/founding.py
+++ b/libs/catalogue/src/catalogue/founding.py
@@ -1,5 +1,5 @@
 """Founding, and who votes afterwards. The first list needs the vote, on disk, of every one of
-controlCount blank nodes for the same list. From then on the steward, a duty, keeps the number of
+control_count blank nodes for the same list. From then on the steward, a duty, keeps the number of
 voters: a spare is added for one that is gone or retired, every key is decided anew under the list so
 widened, and only then is the other one dropped; so any two lists that follow each other share every
 majority, and nothing is left on a disk that no longer votes."""
@@ -22,7 +22,7 @@
 
 
 class Founding(Part):
-    __slots__ = ("_asked", "_busy", "_gazette", "_neighbours", "_nextMs", "_owner", "_startedMs", "_sweptMs", "_voter",
+    __slots__ = ("_asked", "_busy", "_gazette", "_neighbours", "_next_ms", "_owner", "_started_ms", "_swept_ms", "_voter",
                  "_votes")
     HANDLES = (Found,)
 
@@ -34,9 +34,9 @@
         self._asked = ""
         self._votes: set[str] = set()
         self._busy = False
-        self._nextMs = 0
-        self._sweptMs = -1 << 40
-        self._startedMs = -1
+        self._next_ms = 0
+        self._swept_ms = -1 << 40
+        self._started_ms = -1
         gazette.watch(self._heard)
 
     def _heard(self, key: str, number: int, body: str) -> None:
@@ -47,35 +47,35 @@
 
     def receive(self, message: Message, origin: Origin) -> None:
         meta = self._voter.meta
-        if meta.listBody or meta.foundVote not in ("", message.members):
+        if meta.list_body or meta.found_vote not in ("", message.members):
             self._vote(origin, False)
-        elif meta.foundVote == message.members:
+        elif meta.found_vote == message.members:
             self._vote(origin, True)
         else:
-            self._voter.keep_meta(VoterMeta(identity=meta.identity, foundVote=message.members, listBody=""),
+            self._voter.keep_meta(VoterMeta(identity=meta.identity, found_vote=message.members, list_body=""),
                                   lambda ok: self._vote(origin, ok))
 
     def _vote(self, origin: Origin, ok: bool) -> None:
-        self.node.reply(origin, FoundVote(identity=self._voter.identity, ok=ok, listBody=self._voter.meta.listBody))
+        self.node.reply(origin, FoundVote(identity=self._voter.identity, ok=ok, list_body=self._voter.meta.list_body))
 
     def tick(self) -> None:
-        nowMs = self.node.env.now()
-        if self._startedMs < 0:
-            self._startedMs = nowMs
-        if nowMs < self._nextMs:
+        now_ms = self.node.env.now()
+        if self._started_ms < 0:
+            self._started_ms = now_ms
+        if now_ms < self._next_ms:
             return
-        self._nextMs = nowMs + self.node.params.beatMs * 2
-        if not self._voter.meta.listBody:
+        self._next_ms = now_ms + self.node.params.beat_ms * 2
+        if not self._voter.meta.list_body:
             self._found()
         elif not self._busy:
             self._keep_house()
 
     def _found(self) -> None:
-        cards = self._neighbours.of_role("control", self.node.params.deadMs)
+        cards = self._neighbours.of_role("control", self.node.params.dead_ms)
         known = {card.identity: card.address for card in cards}
         known[self._voter.identity] = self.node.address
-        count = self.node.params.controlCount
-        members = self._voter.meta.foundVote
+        count = self.node.params.control_count
+        members = self._voter.meta.found_vote
         if not members:
             if len(known) < count or self._voter.identity != min(known):
                 return
@@ -87,18 +87,18 @@
         def voted(vote: Any) -> None:
             if vote is None or members != self._asked:
                 return
-            if vote.listBody:
-                self._voter.take_list(vote.listBody, lambda ok: None)
+            if vote.list_body:
+                self._voter.take_list(vote.list_body, lambda ok: None)
             elif vote.ok:
                 self._votes.add(vote.identity)
                 if self._votes == set(listed):
                     body = json.dumps({"number": 1, "voters": json.loads(members)})
                     self.node.env.log("founded", voters=sorted(listed))
                     for address in listed.values():
-                        self.node.post(address, Founded(listBody=body))
+                        self.node.post(address, Founded(list_body=body))
 
         for address in listed.values():
-            self.node.ask(address, Found(members=members), self.node.params.askMs, voted)
+            self.node.ask(address, Found(members=members), self.node.params.ask_ms, voted)
 
     # -- the steward's duty and the sweep ------------------------------------------------------
 
@@ -113,8 +113,8 @@
             self._sweep_own()
             return
         if self._gazette.number(CONTROL_KEY) == 0:
-            self._owner.submit(Change(key=CONTROL_KEY, version=0, changeId="founding", hops=0,
-                                      body=_canonical(json.loads(self._voter.meta.listBody))), lambda receipt: None)
+            self._owner.submit(Change(key=CONTROL_KEY, version=0, change_id="founding", hops=0,
+                                      body=_canonical(json.loads(self._voter.meta.list_body))), lambda receipt: None)
             return
         following = self._following()
         if following is None:
@@ -129,26 +129,26 @@
     def _following(self) -> dict[str, Any] | None:
         """The next list of voters, one step from this one, if there is cause for it."""
         node = self.node
-        if node.env.now() - self._startedMs < node.params.goneMs:
+        if node.env.now() - self._started_ms < node.params.gone_ms:
             return None
         retired = set((self._gazette.value(RETIRED_KEY) or {}).get("identities", []))
         voters = self._voter.voters
-        leaving = [name for name in voters if name in retired or not self._neighbours.live(name, node.params.goneMs)]
-        spares = {card.identity: card.address for card in self._neighbours.of_role("control", node.params.deadMs)
+        leaving = [name for name in voters if name in retired or not self._neighbours.live(name, node.params.gone_ms)]
+        spares = {card.identity: card.address for card in self._neighbours.of_role("control", node.params.dead_ms)
                   if card.identity not in voters and card.identity not in retired}
         rows = [{"identity": name, "address": address} for name, address in voters.items()]
-        number = self._voter.listNumber + 1
-        if leaving and len(voters) > node.params.controlCount:
+        number = self._voter.list_number + 1
+        if leaving and len(voters) > node.params.control_count:
             gone = [name for name in leaving if name not in retired] or leaving
             return {"number": number, "voters": [row for row in rows if row["identity"] != gone[0]]}
-        if spares and (leaving or len(voters) < node.params.controlCount) \
-                and len(voters) <= node.params.controlCount:
+        if spares and (leaving or len(voters) < node.params.control_count) \
+                and len(voters) <= node.params.control_count:
             name = min(spares)
             return {"number": number, "voters": [*rows, {"identity": name, "address": spares[name]}]}
         return None
 
     def _change_list(self, following: dict[str, Any]) -> None:
-        if following["number"] != self._voter.listNumber + 1:
+        if following["number"] != self._voter.list_number + 1:
             self._idle()
             return
         node = self.node
@@ -159,13 +159,13 @@
             self._idle()
 
         self._owner.submit(Change(key=CONTROL_KEY, version=self._gazette.number(CONTROL_KEY),
-                                  changeId=f"voters-{following['number']}-{self._voter.identity}",
+                                  change_id=f"voters-{following['number']}-{self._voter.identity}",
                                   body=_canonical(following), hops=0), changed)
 
     def _sweep_own(self) -> None:
-        if self.node.env.now() - self._sweptMs < self.node.params.goneMs:
+        if self.node.env.now() - self._swept_ms < self.node.params.gone_ms:
             return
-        self._sweptMs = self.node.env.now()
+        self._swept_ms = self.node.env.now()
 
         def mine(key: str) -> bool:
             return self._owner.owner_of(key) == self._voter.identity
@@ -174,7 +174,7 @@
 
     def _sweep(self, done: Any, wanted: Any = lambda key: True) -> None:
         """Every key decided anew under the present list, which also mends copies that are old."""
-        number = self._voter.listNumber
+        number = self._voter.list_number
 
         def listed(round_: Round, ok: bool) -> None:
             if not ok:
@@ -184,11 +184,11 @@
                            if wanted(key)})
             self._sweep_next(keys, number, done)
 
-        Round(self.node, self._voter.voters, ListKeys(listNumber=number), self.node.params.askMs, listed)
+        Round(self.node, self._voter.voters, ListKeys(list_number=number), self.node.params.ask_ms, listed)
 
     def _sweep_next(self, keys: list[str], number: int, done: Any) -> None:
-        if not keys or number != self._voter.listNumber:
-            done(not keys and number == self._voter.listNumber)
+        if not keys or number != self._voter.list_number:
+            done(not keys and number == self._voter.list_number)
             return
         self._owner.renew(keys[0], lambda ok: self._sweep_next(keys[1:], number, done) if ok else done(False))
 
--- a/libs/catalogue/src/catalogue/messages.py
+++ b/libs/catalogue/src/catalogue/messages.py
@@ -11,22 +11,22 @@
 class Value(Message):
     version: Long
     body: Text
-    changeIds: Arr(Text)
-    changeVersions: Arr(Long)
+    change_ids: Arr(Text)
+    change_versions: Arr(Long)
 
 
 class Prepare(Message):
     key: Text
     epoch: Long
     by: Text
-    listNumber: Long
+    list_number: Long
 
 
 class Confirm(Message):
     key: Text
     epoch: Long
     by: Text
-    listNumber: Long
+    list_number: Long
 
 
 class Accept(Message):
@@ -34,33 +34,33 @@
     epoch: Long
     by: Text
     value: Blob
-    listNumber: Long
+    list_number: Long
 
 
 class Voted(Message):
     identity: Text
     ok: Flag
     reason: Text
-    promisedEpoch: Long
-    promisedBy: Text
-    acceptedEpoch: Long
-    acceptedBy: Text
+    promised_epoch: Long
+    promised_by: Text
+    accepted_epoch: Long
+    accepted_by: Text
     value: Blob
-    listBody: Text
+    list_body: Text
 
 
 class KeyRow(Message):
     key: Text
-    promisedEpoch: Long
-    promisedBy: Text
-    acceptedEpoch: Long
-    acceptedBy: Text
+    promised_epoch: Long
+    promised_by: Text
+    accepted_epoch: Long
+    accepted_by: Text
     value: Blob
-    flushedBytes: Long
+    flushed_bytes: Long
 
 
 class ListKeys(Message):
-    listNumber: Long
+    list_number: Long
 
 
 class KeyList(Message):
@@ -71,8 +71,8 @@
 
 class VoterMeta(Message):
     identity: Text
-    foundVote: Text
-    listBody: Text
+    found_vote: Text
+    list_body: Text
 
 
 class Found(Message):
@@ -82,17 +82,17 @@
 class FoundVote(Message):
     identity: Text
     ok: Flag
-    listBody: Text
+    list_body: Text
 
 
 class Founded(Message):
-    listBody: Text
+    list_body: Text
 
 
 class Change(Message):
     key: Text
     version: Long
-    changeId: Text
+    change_id: Text
     body: Text
     hops: Long
 
--- a/libs/catalogue/src/catalogue/owner.py
+++ b/libs/catalogue/src/catalogue/owner.py
@@ -41,22 +41,22 @@
 
 
 class _Op:
-    __slots__ = ("done", "dueMs", "message")
+    __slots__ = ("done", "due_ms", "message")
 
-    def __init__(self, message: Change | ReadKey | Renew, dueMs: int, done: Done) -> None:
+    def __init__(self, message: Change | ReadKey | Renew, due_ms: int, done: Done) -> None:
         self.message = message
-        self.dueMs = dueMs
+        self.due_ms = due_ms
         self.done = done
 
 
 class _Key:
-    __slots__ = ("epoch", "name", "ops", "seenEpoch", "state", "value")
+    __slots__ = ("epoch", "name", "ops", "seen_epoch", "state", "value")
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.state = State.UNOWNED
         self.epoch = 0
-        self.seenEpoch = 0
+        self.seen_epoch = 0
         self.value: Value | None = None
         self.ops: list[_Op] = []
 
@@ -64,7 +64,7 @@
 def newest(votes: list[Any]) -> Value:
     """The value of the highest ballot; one epoch accepts one version after another, so within a
     ballot the highest version."""
-    held = [(vote.acceptedEpoch, vote.acceptedBy, decode(vote.value)) for vote in votes if vote.value]
+    held = [(vote.accepted_epoch, vote.accepted_by, decode(vote.value)) for vote in votes if vote.value]
     return max(held, key=lambda row: (row[0], row[1], row[2].version))[2] if held else _blank()
 
 
@@ -74,7 +74,7 @@
 
 
 def _blank() -> Value:
-    return Value(version=0, body="", changeIds=[], changeVersions=[])
+    return Value(version=0, body="", change_ids=[], change_versions=[])
 
 
 class Owner(Part):
@@ -105,35 +105,35 @@
             done(Changed(outcome="refused", version=0, body="", reason="not founded"))
             return
         duty = self.owner_of(message.key)
-        waitMs = self.node.params.confirmMs + 3 * self.node.params.askMs
+        wait_ms = self.node.params.confirm_ms + 3 * self.node.params.ask_ms
         if duty in (None, self._voter.identity) or message.hops >= _RELAY_HOPS:
-            self._enqueue(message, self.node.env.now() + self.node.params.askMs * 2, done)
+            self._enqueue(message, self.node.env.now() + self.node.params.ask_ms * 2, done)
             return
         message.hops += 1
-        self.node.ask(voters[duty], message, waitMs, lambda receipt: done(
+        self.node.ask(voters[duty], message, wait_ms, lambda receipt: done(
             receipt or Changed(outcome="doubt", version=0, body="", reason="the key's owner did not answer")))
 
     def owner_of(self, key: str) -> str | None:
         return first_live(duty_order(key, self._voter.voters), self._neighbours.live)
 
     def renew(self, key: str, done: Callable[[bool], None]) -> None:
-        self._enqueue(Renew(key), self.node.env.now() + self.node.params.askMs * 2,
+        self._enqueue(Renew(key), self.node.env.now() + self.node.params.ask_ms * 2,
                       lambda receipt: done(receipt.outcome == "ok"))
 
     def epochs(self) -> dict[str, dict[str, Any]]:
         return {key.name: {"state": str(key.state), "epoch": key.epoch, "owner": self.owner_of(key.name)}
                 for key in self._keys.values()}
 
-    def _enqueue(self, message: Any, dueMs: int, done: Done) -> None:
+    def _enqueue(self, message: Any, due_ms: int, done: Done) -> None:
         key = self._keys.setdefault(message.key, _Key(message.key))
-        key.ops.append(_Op(message, dueMs, done))
+        key.ops.append(_Op(message, due_ms, done))
         if len(key.ops) == 1:
             self._next(key)
 
     # -- working through a key's operations ----------------------------------------------------
 
     def _next(self, key: _Key) -> None:
-        while key.ops and self.node.env.now() >= key.ops[0].dueMs:
+        while key.ops and self.node.env.now() >= key.ops[0].due_ms:
             self._answer(key, "doubt", "no majority of voters answered in time")
         if not key.ops:
             return
@@ -141,18 +141,18 @@
             self._prepare(key)
         else:
             self._round(key, Confirm(key=key.name, epoch=key.epoch, by=self._by,
-                                     listNumber=self._voter.listNumber), self._confirmed)
+                                     list_number=self._voter.list_number), self._confirmed)
 
     def _round(self, key: _Key, message: Message, done: Callable[[_Key, Round, bool], None]) -> None:
         epoch = key.epoch
-        Round(self.node, self._voter.voters, message, self.node.params.askMs,
+        Round(self.node, self._voter.voters, message, self.node.params.ask_ms,
               lambda round_, ok: done(key, round_, ok) if key.epoch == epoch else None)
 
     def _prepare(self, key: _Key) -> None:
         key.state = State.PREPARING
         own = self._voter.registers.get(key.name)
-        key.epoch = max(key.epoch, key.seenEpoch, own.promised[0] if own else 0) + 1
-        self._round(key, Prepare(key=key.name, epoch=key.epoch, by=self._by, listNumber=self._voter.listNumber),
+        key.epoch = max(key.epoch, key.seen_epoch, own.promised[0] if own else 0) + 1
+        self._round(key, Prepare(key=key.name, epoch=key.epoch, by=self._by, list_number=self._voter.list_number),
                     self._prepared)
 
     def _prepared(self, key: _Key, round_: Round, ok: bool) -> None:
@@ -175,7 +175,7 @@
         key.state = State.OWNED
         self.node.env.log("key-owned", key=key.name, epoch=key.epoch, version=key.value.version)
         self._publish(key)
-        if key.name == CONTROL_KEY and json.loads(key.value.body)["number"] > self._voter.listNumber:
+        if key.name == CONTROL_KEY and json.loads(key.value.body)["number"] > self._voter.list_number:
             self._voter.take_list(key.value.body, lambda kept: self._lose(key))
             return
         self._apply(key)
@@ -197,21 +197,21 @@
             self._finish(key, "ok", "")
         elif isinstance(message, Renew):
             self._accept(key, value, self._renewed)
-        elif message.changeId in value.changeIds:
-            at = value.changeVersions[value.changeIds.index(message.changeId)]
+        elif message.change_id in value.change_ids:
+            at = value.change_versions[value.change_ids.index(message.change_id)]
             self._finish(key, "ok", "", at)
         elif message.version != value.version:
             self._finish(key, "lost", f"version {message.version} was replaced by {value.version}")
         else:
             fresh = Value(version=value.version + 1, body=message.body,
-                          changeIds=[*value.changeIds, message.changeId][-_REMEMBERED_CHANGES:],
-                          changeVersions=[*value.changeVersions, value.version + 1][-_REMEMBERED_CHANGES:])
+                          change_ids=[*value.change_ids, message.change_id][-_REMEMBERED_CHANGES:],
+                          change_versions=[*value.change_versions, value.version + 1][-_REMEMBERED_CHANGES:])
             key.state = State.CHANGING
             self._accept(key, fresh, lambda k, round_, ok: self._changed(k, fresh, round_, ok))
 
     def _accept(self, key: _Key, value: Value, done: Callable[[_Key, Round, bool], None]) -> None:
         self._round(key, Accept(key=key.name, epoch=key.epoch, by=self._by, value=encode(value),
-                                listNumber=self._voter.listNumber), done)
+                                list_number=self._voter.list_number), done)
 
     def _changed(self, key: _Key, fresh: Value, round_: Round, ok: bool) -> None:
         self._note(key, round_)
@@ -221,7 +221,7 @@
         key.state = State.OWNED
         key.value = fresh
         self.node.env.log("key-changed", key=key.name, epoch=key.epoch, version=fresh.version,
-                          change=key.ops[0].message.changeId if key.ops else "")
+                          change=key.ops[0].message.change_id if key.ops else "")
         self._publish(key)
         self._finish(key, "ok", "", fresh.version)
 
@@ -235,18 +235,18 @@
     def _lose(self, key: _Key) -> None:
         """Refused or unheard: what the last round did is found out by preparing again, shortly."""
         if key.state is not State.UNOWNED:
-            self.node.env.log("key-lost", key=key.name, epoch=key.epoch, seen=key.seenEpoch)
+            self.node.env.log("key-lost", key=key.name, epoch=key.epoch, seen=key.seen_epoch)
         key.state = State.UNOWNED
 
     def _note(self, key: _Key, round_: Round) -> None:
         for vote in round_.replies.values():
-            key.seenEpoch = max(key.seenEpoch, vote.promisedEpoch)
-            if vote.listBody and json.loads(vote.listBody)["number"] > self._voter.listNumber:
-                self._voter.take_list(vote.listBody, lambda ok: None)
+            key.seen_epoch = max(key.seen_epoch, vote.promised_epoch)
+            if vote.list_body and json.loads(vote.list_body)["number"] > self._voter.list_number:
+                self._voter.take_list(vote.list_body, lambda ok: None)
             elif vote.reason == "behind":
                 address = self._voter.voters.get(vote.identity)
                 if address:
-                    self.node.post(address, Founded(listBody=self._voter.meta.listBody))
+                    self.node.post(address, Founded(list_body=self._voter.meta.list_body))
 
     def _publish(self, key: _Key) -> None:
         self._gazette.publish(key.name, key.value.version, key.value.body)
@@ -264,7 +264,7 @@
                           body=value.body if known else "", reason=reason)
         if outcome == "ok" and isinstance(op.message, Change) and key.name in _CONFIRMED_KEYS:
             self._unconfirmed.append((key.name, receipt.version,
-                                      self.node.env.now() + self.node.params.confirmMs, receipt, op.done))
+                                      self.node.env.now() + self.node.params.confirm_ms, receipt, op.done))
             self._check_confirmed()
         else:
             op.done(receipt)
@@ -273,15 +273,15 @@
         """A version is acknowledged once most of the roll have it, and so do all nodes that live, or
         those that are still without it have had to turn unready. Without most of the roll the other
         side of a cut may still be serving under an older one: then this is doubt."""
-        nowMs = self.node.env.now()
+        now_ms = self.node.env.now()
         waiting, self._unconfirmed = self._unconfirmed, []
         for row in waiting:
-            name, version, dueMs, receipt, done = row
+            name, version, due_ms, receipt, done = row
             params, gazette = self.node.params, self._gazette
-            most = gazette.most_confirm(name, version, params.confirmMs)
-            if most and (nowMs >= dueMs or gazette.all_confirm(name, version, ("edge", "store"), params.confirmMs)):
+            most = gazette.most_confirm(name, version, params.confirm_ms)
+            if most and (now_ms >= due_ms or gazette.all_confirm(name, version, ("edge", "store"), params.confirm_ms)):
                 done(receipt)
-            elif nowMs >= dueMs + 2 * params.askMs:
+            elif now_ms >= due_ms + 2 * params.ask_ms:
                 done(_in_doubt(version))
             else:
                 self._unconfirmed.append(row)
@@ -292,7 +292,7 @@
             if key.ops and key.state is State.UNOWNED and self.node.env.rng.random() < 0.5:
                 self._next(key)
 
-    def woke(self, gapMs: int) -> None:
+    def woke(self, gap_ms: int) -> None:
         for key in self._keys.values():
             key.epoch += 1
             self._lose(key)
--- a/libs/catalogue/src/catalogue/profiles.py
+++ b/libs/catalogue/src/catalogue/profiles.py
@@ -28,40 +28,40 @@
     parent: Name | None = None
     workers: Workers | None = None
     path: Name | None = None
-    deadlineMs: int | None = Field(None, ge=50, le=600_000)
+    deadline_ms: int | None = Field(None, ge=50, le=600_000)
     repeatable: bool | None = None
     zone: Literal["near", "any"] | None = None
-    liveShare: Share | None = None
-    lotShare: Share | None = None
-    waitingRoom: int | None = Field(None, ge=0, le=1_000_000)
-    retryBudget: Share | None = None
+    live_share: Share | None = None
+    lot_share: Share | None = None
+    waiting_room: int | None = Field(None, ge=0, le=1_000_000)
+    retry_budget: Share | None = None
     abstract: bool | None = None
 
 
 _DEFAULTS: dict[str, Any] = {
-    "workers": {"identities": [], "labels": []}, "path": "", "deadlineMs": 5000, "repeatable": True, "zone": "near",
-    "liveShare": 1.0, "lotShare": 1.0, "waitingRoom": 16, "retryBudget": 0.2, "abstract": False}
+    "workers": {"identities": [], "labels": []}, "path": "", "deadline_ms": 5000, "repeatable": True, "zone": "near",
+    "live_share": 1.0, "lot_share": 1.0, "waiting_room": 16, "retry_budget": 0.2, "abstract": False}
 _OWN_ONLY = ("abstract", "parent")
 
 
 class Profile:
     """A profile with everything it inherits."""
 
-    __slots__ = ("abstract", "deadlineMs", "identities", "labels", "liveShare", "lotShare", "name", "path",
-                 "repeatable", "retryBudget", "waitingRoom", "zone")
+    __slots__ = ("abstract", "deadline_ms", "identities", "labels", "live_share", "lot_share", "name", "path",
+                 "repeatable", "retry_budget", "waiting_room", "zone")
 
     def __init__(self, name: str, values: dict[str, Any]) -> None:
         self.name = name
         self.identities = frozenset(values["workers"].get("identities") or [])
         self.labels = frozenset(values["workers"].get("labels") or [])
         self.path = values["path"] or name
-        self.deadlineMs = values["deadlineMs"]
+        self.deadline_ms = values["deadline_ms"]
         self.repeatable = values["repeatable"]
         self.zone = values["zone"]
-        self.liveShare = values["liveShare"]
-        self.lotShare = values["lotShare"]
-        self.waitingRoom = values["waitingRoom"]
-        self.retryBudget = values["retryBudget"]
+        self.live_share = values["live_share"]
+        self.lot_share = values["lot_share"]
+        self.waiting_room = values["waiting_room"]
+        self.retry_budget = values["retry_budget"]
         self.abstract = values["abstract"]
 
     def allows(self, identity: str, labels: frozenset[str]) -> bool:
@@ -110,7 +110,7 @@
     def room(self, path: str) -> int | None:
         """The waiting room of a path: that of the profile of this name."""
         profile = self.usable(path)
-        return None if profile is None else profile.waitingRoom
+        return None if profile is None else profile.waiting_room
 
     def allows_worker(self, identity: str, labels: frozenset[str]) -> bool:
         key = (identity, labels)
--- a/libs/catalogue/src/catalogue/roll.py
+++ b/libs/catalogue/src/catalogue/roll.py
@@ -18,22 +18,22 @@
 class Roll(Part):
     """`steward` says whether this node has the duty."""
 
-    __slots__ = ("_busy", "_gazette", "_nextMs", "_owner", "_steward")
+    __slots__ = ("_busy", "_gazette", "_next_ms", "_owner", "_steward")
 
     def __init__(self, owner: Owner, gazette: Gazette, steward: Any) -> None:
         self._owner = owner
         self._gazette = gazette
         self._steward = steward
         self._busy = False
-        self._nextMs = -1
+        self._next_ms = -1
 
     def tick(self) -> None:
-        nowMs = self.node.env.now()
-        if self._nextMs < 0:
-            self._nextMs = nowMs + self.node.params.deadMs
-        if nowMs < self._nextMs or self._busy:
+        now_ms = self.node.env.now()
+        if self._next_ms < 0:
+            self._next_ms = now_ms + self.node.params.dead_ms
+        if now_ms < self._next_ms or self._busy:
             return
-        self._nextMs = nowMs + self.node.params.beatMs
+        self._next_ms = now_ms + self.node.params.beat_ms
         if not self._steward():
             return
         links = self._following()
@@ -43,14 +43,14 @@
     def _following(self) -> list[str] | None:
         params, gazette = self.node.params, self._gazette
         held = gazette.roll()
-        heard = gazette.heard_links(params.deadMs)
+        heard = gazette.heard_links(params.dead_ms)
         if not held:
             return sorted(heard) or None
         fresh = sorted(heard - held)[:1]
-        gone = sorted(held - gazette.heard_links(params.goneMs))[:1] if gazette.listened(params.goneMs) else []
+        gone = sorted(held - gazette.heard_links(params.gone_ms))[:1] if gazette.listened(params.gone_ms) else []
         if not gazette.binding:
             return self._begun(held, heard, fresh, gone)
-        if not gazette.most_confirm(ROLL_KEY, gazette.number(ROLL_KEY), params.confirmMs):
+        if not gazette.most_confirm(ROLL_KEY, gazette.number(ROLL_KEY), params.confirm_ms):
             return None
         if fresh:
             return sorted({*held, *fresh})
@@ -70,7 +70,7 @@
             if receipt.outcome != "ok" or not set(links) & set(held):
                 done(receipt)
                 return
-            self._owner.submit(Change(key=ROLL_KEY, version=receipt.version, changeId=self.node.env.token(), hops=0,
+            self._owner.submit(Change(key=ROLL_KEY, version=receipt.version, change_id=self.node.env.token(), hops=0,
                                       body=json.dumps({"links": sorted(set(held) - set(links))}, sort_keys=True)), done)
 
         self._owner.submit(ReadKey(key=ROLL_KEY, hops=0), told)
@@ -83,5 +83,5 @@
             self._busy = False
 
         env.log("roll-changing", links=links)
-        self._owner.submit(Change(key=ROLL_KEY, version=self._gazette.number(ROLL_KEY), changeId=env.token(), hops=0,
+        self._owner.submit(Change(key=ROLL_KEY, version=self._gazette.number(ROLL_KEY), change_id=env.token(), hops=0,
                                   body=json.dumps({"links": links}, sort_keys=True)), changed)
--- a/libs/catalogue/src/catalogue/rounds.py
+++ b/libs/catalogue/src/catalogue/rounds.py
@@ -12,7 +12,7 @@
 class Round:
     __slots__ = ("_done", "_left", "_need", "replies", "yes")
 
-    def __init__(self, node: Any, voters: dict[str, str], message: Message, waitMs: int,
+    def __init__(self, node: Any, voters: dict[str, str], message: Message, wait_ms: int,
                  done: Callable[["Round", bool], None]) -> None:
         self._done: Callable | None = done
         self._need = len(voters) // 2 + 1
@@ -20,7 +20,7 @@
         self.yes: dict[str, Message] = {}
         self.replies: dict[str, Message] = {}
         for identity, address in voters.items():
-            node.ask(address, message, waitMs, lambda receipt, name=identity: self._take(name, receipt))
+            node.ask(address, message, wait_ms, lambda receipt, name=identity: self._take(name, receipt))
 
     def _take(self, name: str, receipt: Any) -> None:
         if name not in self._left:
--- a/libs/catalogue/src/catalogue/voter.py
+++ b/libs/catalogue/src/catalogue/voter.py
@@ -24,7 +24,7 @@
     marks = [0]
     while data:
         frames, _, behind = scan(data)
-        marks += [decode(payload).flushedBytes for _, payload in frames]
+        marks += [decode(payload).flushed_bytes for _, payload in frames]
         data = data[behind:] if behind is not None else b""
     return max(marks)
 
@@ -42,37 +42,37 @@
         self.accepted: tuple[int, str] = (0, "")
         self.value = b""
 
-    def row(self, key: str, flushedBytes: int = 0) -> KeyRow:
-        return KeyRow(key=key, promisedEpoch=self.promised[0], promisedBy=self.promised[1],
-                      acceptedEpoch=self.accepted[0], acceptedBy=self.accepted[1], value=self.value,
-                      flushedBytes=flushedBytes)
+    def row(self, key: str, flushed_bytes: int = 0) -> KeyRow:
+        return KeyRow(key=key, promised_epoch=self.promised[0], promised_by=self.promised[1],
+                      accepted_epoch=self.accepted[0], accepted_by=self.accepted[1], value=self.value,
+                      flushed_bytes=flushed_bytes)
 
     @classmethod
     def of(cls, row: KeyRow) -> "Register":
         register = cls()
-        register.promised = (row.promisedEpoch, row.promisedBy)
-        register.accepted = (row.acceptedEpoch, row.acceptedBy)
+        register.promised = (row.promised_epoch, row.promised_by)
+        register.accepted = (row.accepted_epoch, row.accepted_by)
         register.value = row.value
         return register
 
 
 class Voter(Part):
-    __slots__ = ("_disk", "_flushedBytes", "_flushing", "_list", "_logBytes", "_logName", "_waiting", "meta", "registers")
+    __slots__ = ("_disk", "_flushed_bytes", "_flushing", "_list", "_log_bytes", "_log_name", "_waiting", "meta", "registers")
     HANDLES = (Prepare, Accept, Confirm, Founded, ListKeys)
 
     def __init__(self, disk: Disk, token: Callable[[], str]) -> None:
         self._disk = disk
         self._waiting: list[Done] = []
         self._flushing = False
-        self._logBytes = self._flushedBytes = 0
+        self._log_bytes = self._flushed_bytes = 0
         self._list: tuple[str, int, dict[str, str]] = ("", 0, {})
-        self._logName = f"{_LOG}-{0:012d}"
+        self._log_name = f"{_LOG}-{0:012d}"
         self.registers: dict[str, Register] = {}
         self._open(token)
 
     def _open(self, token: Callable[[], str]) -> None:
         names = self._disk.names()
-        self.meta = VoterMeta(identity=f"control-{token()}", foundVote="", listBody="")
+        self.meta = VoterMeta(identity=f"control-{token()}", found_vote="", list_body="")
         if _META in names:
             frames, _, _ = scan(self._disk.read(_META))
             if not frames:
@@ -93,7 +93,7 @@
                 raise Damage(name, end)
             self._take_rows(frames)
             self._disk.truncate(name, end)
-            self._logName, self._logBytes = name, end
+            self._log_name, self._log_bytes = name, end
 
     def _take_rows(self, frames: list[tuple[int, bytes]]) -> None:
         for _, payload in frames:
@@ -113,29 +113,29 @@
         return self._read_list()[1]
 
     @property
-    def listNumber(self) -> int:
+    def list_number(self) -> int:
         return self._read_list()[0]
 
     def _read_list(self) -> tuple[int, dict[str, str]]:
-        if self._list[0] != self.meta.listBody:
-            listed = json.loads(self.meta.listBody)
-            self._list = (self.meta.listBody, listed["number"],
+        if self._list[0] != self.meta.list_body:
+            listed = json.loads(self.meta.list_body)
+            self._list = (self.meta.list_body, listed["number"],
                           {row["identity"]: row["address"] for row in listed["voters"]})
         return self._list[1:]
 
     def take_list(self, body: str, done: Done) -> None:
         """A newer list of voters; on disk before it counts."""
         listed = json.loads(body)
-        if listed["number"] <= self.listNumber:
+        if listed["number"] <= self.list_number:
             done(True)
             return
 
-        self.keep_meta(VoterMeta(identity=self.identity, foundVote=self.meta.foundVote, listBody=body), done)
+        self.keep_meta(VoterMeta(identity=self.identity, found_vote=self.meta.found_vote, list_body=body), done)
 
     def keep_meta(self, meta: VoterMeta, done: Done) -> None:
         def kept(ok: bool) -> None:
-            if ok and (not self.meta.listBody or (meta.listBody and
-                       json.loads(meta.listBody)["number"] >= self.listNumber)):
+            if ok and (not self.meta.list_body or (meta.list_body and
+                       json.loads(meta.list_body)["number"] >= self.list_number)):
                 self.meta = meta
             done(ok)
 
@@ -145,15 +145,15 @@
 
     def receive(self, message: Message, origin: Origin) -> None:
         if isinstance(message, Founded):
-            self.take_list(message.listBody, lambda ok: None)
+            self.take_list(message.list_body, lambda ok: None)
             return
         if isinstance(message, ListKeys):
-            ok = message.listNumber == self.listNumber
+            ok = message.list_number == self.list_number
             self.node.reply(origin, KeyList(identity=self.identity, ok=ok, keys=sorted(self.registers)))
             return
-        if not self.meta.listBody or message.listNumber < self.listNumber or self.identity not in self.voters:
+        if not self.meta.list_body or message.list_number < self.list_number or self.identity not in self.voters:
             self.node.reply(origin, self._voted(message.key, False, "list"))
-        elif message.listNumber > self.listNumber:
+        elif message.list_number > self.list_number:
             self.node.reply(origin, self._voted(message.key, False, "behind"))
         else:
             self._on(message, origin)
@@ -191,9 +191,9 @@
     def _voted(self, key: str, ok: bool, reason: str) -> Voted:
         register = self.registers.get(key, Register())
         return Voted(identity=self.identity, ok=ok, reason="" if ok else reason,
-                     promisedEpoch=register.promised[0], promisedBy=register.promised[1],
-                     acceptedEpoch=register.accepted[0], acceptedBy=register.accepted[1], value=register.value,
-                     listBody=self.meta.listBody if reason == "list" else "")
+                     promised_epoch=register.promised[0], promised_by=register.promised[1],
+                     accepted_epoch=register.accepted[0], accepted_by=register.accepted[1], value=register.value,
+                     list_body=self.meta.list_body if reason == "list" else "")
 
     # -- the disk ------------------------------------------------------------------------------
 
@@ -204,13 +204,13 @@
         fresh.promised = promised
         fresh.accepted = register.accepted if accepted is None else accepted
         fresh.value = register.value if value is None else value
-        data = frame(encode(fresh.row(key, self._flushedBytes)))
+        data = frame(encode(fresh.row(key, self._flushed_bytes)))
         try:
-            self._disk.write(self._logName, self._logBytes, data, urgent=len(data) < 4096)
+            self._disk.write(self._log_name, self._log_bytes, data, urgent=len(data) < 4096)
         except DiskFull:
             done(False)
             return
-        self._logBytes += len(data)
+        self._log_bytes += len(data)
         self.registers[key] = fresh
         self._waiting.append(done)
         if not self._flushing:
@@ -219,28 +219,28 @@
     def _flush(self) -> None:
         self._flushing = True
         waiting, self._waiting = self._waiting, []
-        name, upTo = self._logName, self._logBytes
+        name, up_to = self._log_name, self._log_bytes
 
         def flushed(ok: bool) -> None:
             self._flushing = False
-            if ok and name == self._logName:
-                self._flushedBytes = upTo
+            if ok and name == self._log_name:
+                self._flushed_bytes = up_to
             for done in waiting:
                 done(ok)
             if self._waiting and not self._flushing:
                 self._flush()
 
-        self._disk.flush([self._logName], flushed)
+        self._disk.flush([self._log_name], flushed)
 
     def tick(self) -> None:
-        if self._logBytes > self.node.params.segmentBytes and not self._flushing:
+        if self._log_bytes > self.node.params.segment_bytes and not self._flushing:
             self._snapshot()
 
     def _snapshot(self) -> None:
         """All rows in one file, atomically; then the log that led to it goes."""
-        old = self._logName
-        self._logName = f"{_LOG}-{int(old.rpartition('-')[2]) + 1:012d}"
-        self._logBytes = self._flushedBytes = 0
+        old = self._log_name
+        self._log_name = f"{_LOG}-{int(old.rpartition('-')[2]) + 1:012d}"
+        self._log_bytes = self._flushed_bytes = 0
         data = b"".join(frame(encode(register.row(key))) for key, register in self.registers.items())
 
         def kept(ok: bool) -> None:
--- a/libs/circulation/src/circulation/carrier.py
+++ b/libs/circulation/src/circulation/carrier.py
@@ -34,13 +34,13 @@
 class Send:
     """One send under way. What is reported after it is over changes nothing."""
 
-    __slots__ = ("_carrier", "abort", "beganMs", "carriage", "exchange", "over", "worker")
+    __slots__ = ("_carrier", "abort", "began_ms", "carriage", "exchange", "over", "worker")
 
     def __init__(self, carrier: "Carrier", carriage: "Carriage", worker: Worker, exchange: Exchange) -> None:
         self._carrier, self.carriage, self.worker, self.exchange = carrier, carriage, worker, exchange
         self.abort: Callable[[], None] = lambda: None
         self.over = False
-        self.beganMs = carrier.node.env.now()
+        self.began_ms = carrier.node.env.now()
 
     def head(self, status: int, headers: Iterable[tuple[str, str]], length: int | None) -> None:
         if not self.over:
@@ -69,23 +69,23 @@
 class Carriage:
     """One transaction on its way. `sink` is given the events of a stream, `done` the last step."""
 
-    __slots__ = ("_carrier", "call", "done", "send", "sink", "tx", "visitorGone")
+    __slots__ = ("_carrier", "call", "done", "send", "sink", "tx", "visitor_gone")
 
     def __init__(self, carrier: "Carrier", tx: Transaction, call: Call, sink: Callable[[bytes], None] | None,
                  done: Callable[[Step], None]) -> None:
         self._carrier, self.tx, self.call, self.sink, self.done = carrier, tx, call, sink, done
         self.send: Send | None = None
-        self.visitorGone = False
+        self.visitor_gone = False
 
     def deliver(self, event: bytes) -> None:
         self.tx.piece_delivered()
-        if self.sink is not None and not self.visitorGone:
+        if self.sink is not None and not self.visitor_gone:
             self.sink(event)
 
     def gone(self) -> None:
         """The visitor hung up. What is safe to repeat is stopped; anything else runs to its end."""
-        if not self.visitorGone:
-            self.visitorGone = True
+        if not self.visitor_gone:
+            self.visitor_gone = True
             self._carrier.visitor_gone(self)
 
     def stop(self) -> None:
@@ -94,7 +94,7 @@
 
 
 class Carrier(Part):
-    __slots__ = ("_edges", "_holder", "_line", "_open", "_roster", "_sender", "_tree", "byPrefix", "counts", "edge")
+    __slots__ = ("_edges", "_holder", "_line", "_open", "_roster", "_sender", "_tree", "by_prefix", "counts", "edge")
 
     def __init__(self, edge: str, holder: Any, roster: Roster, tree: Callable[[], Any], sender: Sender,
                  edges: Callable[[], int] = lambda: 1) -> None:
@@ -103,7 +103,7 @@
         self._line = WaitingLine()
         self._holder, self._roster, self._tree, self._sender = holder, roster, tree, sender
         self._open: dict[str, Carriage] = {}
-        self.byPrefix = True
+        self.by_prefix = True
         self.counts: dict[str, int] = {}
 
     def count(self, name: str) -> None:
@@ -117,7 +117,7 @@
 
     def carry(self, tx: Transaction, call: Call, sink: Callable[[bytes], None] | None, done: Callable[[Step], None]) -> Carriage:
         carriage = Carriage(self, tx, call, sink, done)
-        self._open[tx.transactionId] = carriage
+        self._open[tx.transaction_id] = carriage
         self._take(carriage, tx.begin())
         return carriage
 
@@ -141,16 +141,16 @@
         tx, node = carriage.tx, self.node
 
         def told(receipt: Any) -> None:
-            if tx.transactionId not in self._open:
+            if tx.transaction_id not in self._open:
                 return
             if receipt is None:
                 self._take(carriage, tx.open_receipt("unknown"))
             else:
                 self._take(carriage, tx.open_receipt(receipt.outcome, receipt.status, receipt.body))
 
-        leftMs = max(node.params.askMs, (tx.dueMs - node.env.now()) // 2)
-        self._holder.ask(m.OpenKey(key=tx.key, digest=carriage.call.digest, edge=self.edge, transaction=tx.transactionId,
-                                   epoch=0, holderMs=0), leftMs, told)
+        left_ms = max(node.params.ask_ms, (tx.due_ms - node.env.now()) // 2)
+        self._holder.ask(m.OpenKey(key=tx.key, digest=carriage.call.digest, edge=self.edge, transaction=tx.transaction_id,
+                                   epoch=0, holder_ms=0), left_ms, told)
 
     def _ask_close(self, carriage: Carriage, step: Step) -> None:
         tx = carriage.tx
@@ -158,32 +158,32 @@
 
         def told(receipt: Any) -> None:
             if receipt is None:
-                self.node.env.log("key-left-open", "WARNING", transaction=tx.transactionId, key=tx.key, state=step.closeAs)
-            if tx.transactionId in self._open:
+                self.node.env.log("key-left-open", "WARNING", transaction=tx.transaction_id, key=tx.key, state=step.close_as)
+            if tx.transaction_id in self._open:
                 self._take(carriage, tx.closed())
 
-        self._holder.ask(m.CloseKey(key=tx.key, transaction=tx.transactionId, state=step.closeAs, status=status, body=body),
-                         self.node.params.askMs * 2, told)
+        self._holder.ask(m.CloseKey(key=tx.key, transaction=tx.transaction_id, state=step.close_as, status=status, body=body),
+                         self.node.params.ask_ms * 2, told)
 
     def _place(self, carriage: Carriage) -> None:
-        tx, nowMs = carriage.tx, self.node.env.now()
+        tx, now_ms = carriage.tx, self.node.env.now()
         workers = self._allowed(tx)
         worker = self._choose(carriage, workers)
         if worker is None and not carriage.call.lot:
-            waits, backMs = self._may_wait(carriage, workers, nowMs)
-            self._take(carriage, tx.placed(None, bool(workers), waits, backMs))
+            waits, back_ms = self._may_wait(carriage, workers, now_ms)
+            self._take(carriage, tx.placed(None, bool(workers), waits, back_ms))
         else:
             self._take(carriage, tx.placed(worker, bool(workers)))
 
-    def _may_wait(self, carriage: Carriage, workers: list[Worker], nowMs: int, before: int | None = None) -> tuple[bool, int]:
+    def _may_wait(self, carriage: Carriage, workers: list[Worker], now_ms: int, before: int | None = None) -> tuple[bool, int]:
         line, tx, params = self._line, carriage.tx, self.node.params
         if not workers:
-            held = line.missed_lately(tx.profile.name, nowMs, params.workerMs)
-            return held and line.makes_it(tx, params.workerMs / 2, nowMs), params.deadMs
-        line.seen_worker(tx.profile.name, nowMs)
+            held = line.missed_lately(tx.profile.name, now_ms, params.worker_ms)
+            return held and line.makes_it(tx, params.worker_ms / 2, now_ms), params.dead_ms
+        line.seen_worker(tx.profile.name, now_ms)
         before = line.before(carriage) if before is None else before
-        waitMs = line.estimate_ms(tx, before, sum(worker.slots for worker in workers), self._edges())
-        return line.makes_it(tx, waitMs, nowMs), max(params.beatMs, int(waitMs))
+        wait_ms = line.estimate_ms(tx, before, sum(worker.slots for worker in workers), self._edges())
+        return line.makes_it(tx, wait_ms, now_ms), max(params.beat_ms, int(wait_ms))
 
     def _serve_line(self, path: str) -> bool:
         """Who is due first goes first, as long as there are slots. False once nobody more can go."""
@@ -197,28 +197,28 @@
         self._take(carriage, carriage.tx.placed(worker, True))
         return True
 
-    def _review_line(self, path: str, nowMs: int) -> None:
+    def _review_line(self, path: str, now_ms: int) -> None:
         """Who can no longer make it is told so now."""
         while self._serve_line(path):
             pass
         rows = self._line.rows(path)
         workers = self._allowed(rows[0].tx) if rows else []
         for before, carriage in enumerate(rows):
-            waits, backMs = self._may_wait(carriage, workers, nowMs, before)
+            waits, back_ms = self._may_wait(carriage, workers, now_ms, before)
             if not waits:
                 self._line.drop(carriage)
-                self._take(carriage, carriage.tx.placed(None, bool(workers), False, backMs))
+                self._take(carriage, carriage.tx.placed(None, bool(workers), False, back_ms))
 
     def _allowed(self, tx: Transaction) -> list[Worker]:
         return [worker for worker in self._roster.workers() if tx.profile.allows(worker.identity, worker.labels)]
 
     def _choose(self, carriage: Carriage, workers: list[Worker]) -> Worker | None:
         tx, params, lot, prefix = carriage.tx, self.node.params, carriage.call.lot, carriage.call.prefix
-        share = params.liveShare if lot else 1 - tx.profile.liveShare
-        worker = choose(workers, prefix, lot, params.zone, tx.profile.zone == "near", share, tx.profile.lotShare,
-                        frozenset(tx.avoid), self.byPrefix)
+        share = params.live_share if lot else 1 - tx.profile.live_share
+        worker = choose(workers, prefix, lot, params.zone, tx.profile.zone == "near", share, tx.profile.lot_share,
+                        frozenset(tx.avoid), self.by_prefix)
         if worker is None and tx.avoid:
-            worker = choose(workers, prefix, lot, params.zone, False, share, tx.profile.lotShare, frozenset(), self.byPrefix)
+            worker = choose(workers, prefix, lot, params.zone, False, share, tx.profile.lot_share, frozenset(), self.by_prefix)
         if worker is None and lot and self.carrying(True) <= 1:
             worker = choose(workers, prefix, False, params.zone, False, 0.0, avoid=frozenset(tx.avoid))
         return worker
@@ -232,11 +232,11 @@
             self._line.seen_worker(tx.profile.name, self.node.env.now())
         self.count("sends_lot" if call.lot else "sends_live")
         worker.sending += 1
-        self.node.env.log("send", "DEBUG", transaction=tx.transactionId, worker=worker.stamp, path=tx.profile.name)
-        send = carriage.send = Send(self, carriage, worker, Exchange(worker.stamp, tx.transactionId, call.stream,
-                                                                     self.node.params.answerBytes))
+        self.node.env.log("send", "DEBUG", transaction=tx.transaction_id, worker=worker.stamp, path=tx.profile.name)
+        send = carriage.send = Send(self, carriage, worker, Exchange(worker.stamp, tx.transaction_id, call.stream,
+                                                                     self.node.params.answer_bytes))
         kind = "/v1/chat/completions" if call.body.get("messages") is not None else "/v1/completions"
-        headers = {"X-Vaneledge-Worker": worker.stamp, "X-Vaneledge-Transaction": tx.transactionId}
+        headers = {"X-Vaneledge-Worker": worker.stamp, "X-Vaneledge-Transaction": tx.transaction_id}
         send.abort = self._sender(send, worker.address, kind, headers, {**call.body, "model": tx.profile.path, "stream": call.stream})
 
     def _over(self, send: Send) -> None:
@@ -250,7 +250,7 @@
         self._over(send)
         if fate.name == "whole":
             if not send.carriage.call.lot:
-                self._line.served(tx.profile.name, self.node.env.now() - send.beganMs)
+                self._line.served(tx.profile.name, self.node.env.now() - send.began_ms)
             tx.begun()
             self._take(send.carriage, tx.ended(fate.status, fate.body))
         elif fate.name == "rejected":
@@ -260,33 +260,33 @@
                 self._roster.connection_failed(worker)
             elif fate.mark == "mismatch":
                 self._roster.mismatched(worker)
-            elif fate.reason == "busy" and not fate.mayHaveRun:
+            elif fate.reason == "busy" and not fate.may_have_run:
                 self._roster.full(worker)
             self.count("sends_failed")
-            self.node.env.log("send-failed", "WARNING", transaction=tx.transactionId, worker=worker.stamp, reason=fate.reason,
-                              mayHaveRun=fate.mayHaveRun)
-            self._take(send.carriage, tx.failed(worker.stamp, fate.mayHaveRun, fate.reason, self.node.env.now()))
+            self.node.env.log("send-failed", "WARNING", transaction=tx.transaction_id, worker=worker.stamp, reason=fate.reason,
+                              may_have_run=fate.may_have_run)
+            self._take(send.carriage, tx.failed(worker.stamp, fate.may_have_run, fate.reason, self.node.env.now()))
         for path in self._line.paths():
             self._serve_line(path)
 
     def tick(self) -> None:
-        nowMs = self.node.env.now()
+        now_ms = self.node.env.now()
         for carriage in list(self._open.values()):
             send, tx = carriage.send, carriage.tx
             if send is None:
                 continue
-            if nowMs >= tx.dueMs:
+            if now_ms >= tx.due_ms:
                 self.ended(send, Fate("failed", reason="deadline"))
             elif tx.safe and not tx.delivered and self._roster.silent(send.worker):
                 self.ended(send, Fate("failed", reason="worker silent"))
         for path in self._line.paths():
-            self._review_line(path, nowMs)
+            self._review_line(path, now_ms)
 
     # -- ends ----------------------------------------------------------------------------------
 
     def visitor_gone(self, carriage: Carriage) -> None:
         tx = carriage.tx
-        if not tx.safe or tx.transactionId not in self._open:
+        if not tx.safe or tx.transaction_id not in self._open:
             return
         if carriage.send is not None:
             self._over(carriage.send)
@@ -296,16 +296,16 @@
     def drop(self, carriage: Carriage) -> None:
         if carriage.send is not None:
             self._over(carriage.send)
-        self._open.pop(carriage.tx.transactionId, None)
+        self._open.pop(carriage.tx.transaction_id, None)
 
     def _finish(self, carriage: Carriage, step: Step) -> None:
         tx = carriage.tx
-        self._open.pop(tx.transactionId, None)
+        self._open.pop(tx.transaction_id, None)
         self.count(f"steps_{step.name}")
         self.node.env.log(
             "transaction-ended", "INFO" if step.name in ("finish", "replay", "gone") else "WARNING",
-            transaction=tx.transactionId, path=tx.profile.name, key=tx.key, state=str(tx.state), sends=tx.sends,
-            tookMs=self.node.env.now() - tx.startedMs, code=step.refusal.code if step.refusal else "",
+            transaction=tx.transaction_id, path=tx.profile.name, key=tx.key, state=str(tx.state), sends=tx.sends,
+            took_ms=self.node.env.now() - tx.started_ms, code=step.refusal.code if step.refusal else "",
             verdict=str(step.refusal.verdict) if step.refusal else "", replayed=step.name == "replay",
             bytes=len(step.value[1]) if step.name == "finish" else 0,
             **({"lot": tx.lot[0], "index": tx.lot[1]} if tx.lot else {}))
--- a/libs/circulation/src/circulation/chart.py
+++ b/libs/circulation/src/circulation/chart.py
@@ -29,27 +29,27 @@
 class Step:
     """What to do: open, place, wait, send, stream, close, replay, finish, refuse, cut, gone."""
 
-    __slots__ = ("closeAs", "name", "refusal", "value")
+    __slots__ = ("close_as", "name", "refusal", "value")
 
-    def __init__(self, name: str, refusal: Refusal | None = None, closeAs: str = "", value: Any = None) -> None:
+    def __init__(self, name: str, refusal: Refusal | None = None, close_as: str = "", value: Any = None) -> None:
         self.name = name
         self.refusal = refusal
-        self.closeAs = closeAs
+        self.close_as = close_as
         self.value = value
 
 
 class Transaction:
-    __slots__ = ("_after", "_budget", "_runs", "avoid", "claimed", "delivered", "dueMs", "key", "lot", "opened", "profile", "safe",
-                 "sending", "sends", "startedMs", "state", "transactionId")
+    __slots__ = ("_after", "_budget", "_runs", "avoid", "claimed", "delivered", "due_ms", "key", "lot", "opened", "profile", "safe",
+                 "sending", "sends", "started_ms", "state", "transaction_id")
 
-    def __init__(self, transactionId: str, profile: Any, key: str, nowMs: int, budget: Budget,
-                 dueMs: int | None = None, claimed: bool = False) -> None:
-        self.transactionId = transactionId
+    def __init__(self, transaction_id: str, profile: Any, key: str, now_ms: int, budget: Budget,
+                 due_ms: int | None = None, claimed: bool = False) -> None:
+        self.transaction_id = transaction_id
         self.profile = profile
         self.key = key
         self.safe = profile.repeatable
-        self.startedMs = nowMs
-        self.dueMs = dueMs if dueMs is not None else nowMs + profile.deadlineMs
+        self.started_ms = now_ms
+        self.due_ms = due_ms if due_ms is not None else now_ms + profile.deadline_ms
         self.claimed = claimed
         self.lot: tuple[str, int] | None = None
         self.state = State.RECEIVED
@@ -70,7 +70,7 @@
         self._budget.widen(top)
 
     def begin(self) -> Step:
-        self._budget.earn(self.profile.retryBudget)
+        self._budget.earn(self.profile.retry_budget)
         if self.safe or self.claimed:
             return self._to(State.PLACING, Step("place"))
         if not self.key:
@@ -100,35 +100,35 @@
             "stores-silent", "the stores did not answer; this request was not sent on, but whether one before it "
             "with this key has run is not known", 1000)))
 
-    def placed(self, worker: Any, anyWorker: bool, waits: bool = False, backMs: int = 1000) -> Step:
-        """`waits`: an estimate says that a slot will be free soon enough. `backMs` is when to come back."""
+    def placed(self, worker: Any, any_worker: bool, waits: bool = False, back_ms: int = 1000) -> Step:
+        """`waits`: an estimate says that a slot will be free soon enough. `back_ms` is when to come back."""
         if worker is not None:
             self.sending = worker.stamp
             return self._to(State.SENDING, Step("send", value=worker))
         if waits:
             return self._to(State.WAITING, Step("wait"))
-        if anyWorker:
-            return self._give_up(refused("busy", "all workers of this path are busy", 429, backMs))
-        return self._give_up(refused("no-worker", "no worker of this path is live", 503, backMs))
+        if any_worker:
+            return self._give_up(refused("busy", "all workers of this path are busy", 429, back_ms))
+        return self._give_up(refused("no-worker", "no worker of this path is live", 503, back_ms))
 
-    def failed(self, worker: str, mayHaveRun: bool, reason: str, nowMs: int) -> Step:
+    def failed(self, worker: str, may_have_run: bool, reason: str, now_ms: int) -> Step:
         """A send came to nothing. What to do depends on whether it may have run, and been seen. What
         certainly has not run cost its worker nothing: trying another one is free, each one once, or
         again when one that was full has room."""
         known = worker in self.avoid
         self.sends.append((worker, reason))
         self.avoid.add(worker)
-        self._runs = self._runs or mayHaveRun
+        self._runs = self._runs or may_have_run
         if self.delivered:
             return self._cut(reason)
-        late = nowMs >= self.dueMs
-        free = not mayHaveRun and (not known or reason == "busy")
-        again = (not mayHaveRun or self.safe) and not late and (free or self._budget.spend())
+        late = now_ms >= self.due_ms
+        free = not may_have_run and (not known or reason == "busy")
+        again = (not may_have_run or self.safe) and not late and (free or self._budget.spend())
         if again:
             return self._to(State.PLACING, Step("place"))
         if late:
             return self._give_up(refused("late", "the deadline passed", 504, 1000))
-        if not mayHaveRun and reason == "busy":
+        if not may_have_run and reason == "busy":
             return self._give_up(refused("busy", "the workers of this path are busy", 429, 1000))
         return self._give_up(refused("send-failed", f"could not be completed: {reason}", 502, 1000))
 
@@ -147,7 +147,7 @@
         if not self.opened:
             return self._to(State.DONE, Step("finish", value=(status, body)))
         self._after = Step("finish", value=(status, body))
-        return self._to(State.CLOSING, Step("close", closeAs="done", value=(status, body)))
+        return self._to(State.CLOSING, Step("close", close_as="done", value=(status, body)))
 
     def rejected(self, status: int, body: str) -> Step:
         """The worker itself says that this request is wrong; nobody else need be asked."""
@@ -168,11 +168,11 @@
         if not self.opened:
             return self._to(State.REFUSED, Step("refuse", refusal))
         self._after = Step("refuse", refusal)
-        return self._to(State.CLOSING, Step("close", closeAs="doubt" if self._runs else "void"))
+        return self._to(State.CLOSING, Step("close", close_as="doubt" if self._runs else "void"))
 
     def _cut(self, reason: str) -> Step:
         refusal = doubtful("cut", f"the stream was cut: {reason}", status=502)
         if not self.opened:
             return self._to(State.CUT, Step("cut", refusal))
         self._after = Step("cut", refusal)
-        return self._to(State.CLOSING, Step("close", closeAs="doubt"))
+        return self._to(State.CLOSING, Step("close", close_as="doubt"))
--- a/libs/circulation/src/circulation/exchange.py
+++ b/libs/circulation/src/circulation/exchange.py
@@ -20,32 +20,32 @@
     """How a send came out: whole, rejected by the worker for good, or failed; `mark` says what the
     failure tells about the worker: down, mismatch or nothing."""
 
-    __slots__ = ("body", "mark", "mayHaveRun", "name", "reason", "status")
+    __slots__ = ("body", "mark", "may_have_run", "name", "reason", "status")
 
-    def __init__(self, name: str, status: int = 0, body: str = "", mayHaveRun: bool = True, reason: str = "",
+    def __init__(self, name: str, status: int = 0, body: str = "", may_have_run: bool = True, reason: str = "",
                  mark: str = "") -> None:
         self.name, self.status, self.body = name, status, body
-        self.mayHaveRun, self.reason, self.mark = mayHaveRun, reason, mark
+        self.may_have_run, self.reason, self.mark = may_have_run, reason, mark
 
 
-def _failed(mayHaveRun: bool, reason: str, mark: str = "") -> Fate:
-    return Fate("failed", mayHaveRun=mayHaveRun, reason=reason, mark=mark)
+def _failed(may_have_run: bool, reason: str, mark: str = "") -> Fate:
+    return Fate("failed", may_have_run=may_have_run, reason=reason, mark=mark)
 
 
 class Exchange:
-    __slots__ = ("_check", "_data", "_kept", "_length", "_limitBytes", "_matches", "_sizeBytes", "_status", "_stream",
-                 "_transactionId", "_worker")
+    __slots__ = ("_check", "_data", "_kept", "_length", "_limit_bytes", "_matches", "_size_bytes", "_status", "_stream",
+                 "_transaction_id", "_worker")
 
-    def __init__(self, worker: str, transactionId: str, stream: bool, limitBytes: int) -> None:
-        self._worker, self._transactionId = worker, transactionId
-        self._stream, self._limitBytes = stream, limitBytes
+    def __init__(self, worker: str, transaction_id: str, stream: bool, limit_bytes: int) -> None:
+        self._worker, self._transaction_id = worker, transaction_id
+        self._stream, self._limit_bytes = stream, limit_bytes
         self._check = StreamCheck()
         self._kept: list[bytes] = []
         self._data = bytearray()
         self._length: int | None = None
         self._status = 0
         self._matches = False
-        self._sizeBytes = 0
+        self._size_bytes = 0
 
     @property
     def good(self) -> bool:
@@ -58,12 +58,12 @@
             if name.lower() in found:
                 found[name.lower()].append(value)
         self._status, self._length = status, length
-        self._matches = found[WORKER_HEADER] == [self._worker] and found[TRANSACTION_HEADER] == [self._transactionId]
+        self._matches = found[WORKER_HEADER] == [self._worker] and found[TRANSACTION_HEADER] == [self._transaction_id]
 
     def data(self, chunk: bytes) -> tuple[list[bytes], Fate | None]:
         """The events that may be delivered now, and the fate if it is sealed already."""
-        self._sizeBytes += len(chunk)
-        if self._sizeBytes > self._limitBytes:
+        self._size_bytes += len(chunk)
+        if self._size_bytes > self._limit_bytes:
             return [], _failed(True, "too large")
         if not (self.good and self._stream):
             self._data += chunk
@@ -91,11 +91,11 @@
     def _refused(self) -> Fate:
         text = self._data.decode(errors="replace")
         verdict, code = _verdict_of(text)
-        if self._status == 409 and code == "wrong-worker" and verdict == "notRun":
+        if self._status == 409 and code == "wrong-worker" and verdict == "not_run":
             return _failed(False, "another worker answered", "mismatch")
         if not self._matches:
             return _failed(True, "ids do not match")
-        if self._status in _NOT_RUN_STATUS and verdict == "notRun":
+        if self._status in _NOT_RUN_STATUS and verdict == "not_run":
             return _failed(False, code or str(self._status))
         if 400 <= self._status < 500 and self._length == len(self._data):
             return Fate("rejected", self._status, text)
--- a/libs/circulation/src/circulation/holding.py
+++ b/libs/circulation/src/circulation/holding.py
@@ -14,39 +14,39 @@
 
 _STAMPED = (m.HandIn, m.OpenKey)
 _RETRIED = ("stale", "unknown")
-_REFUSED = ("full", "noPath", "noRoom")
+_REFUSED = ("full", "no_path", "no_room")
 
 
 class _Ask:
-    __slots__ = ("done", "dueMs", "lastMs", "message", "nextMs", "sends")
+    __slots__ = ("done", "due_ms", "last_ms", "message", "next_ms", "sends")
 
-    def __init__(self, message: Message, nowMs: int, waitMs: int, holdMs: int, done: Callable) -> None:
+    def __init__(self, message: Message, now_ms: int, wait_ms: int, hold_ms: int, done: Callable) -> None:
         self.message = message
-        self.dueMs = nowMs + waitMs
-        self.lastMs = nowMs + waitMs - holdMs
-        self.nextMs = nowMs
+        self.due_ms = now_ms + wait_ms
+        self.last_ms = now_ms + wait_ms - hold_ms
+        self.next_ms = now_ms
         self.done: Callable | None = done
         self.sends = 0
 
 
 class HolderClient(Part):
-    __slots__ = ("_address", "_asks", "_epoch", "_logKey", "_stores", "heardMs", "holderMs")
+    __slots__ = ("_address", "_asks", "_epoch", "_log_key", "_stores", "heard_ms", "holder_ms")
 
-    def __init__(self, logKey: Callable[[], str], stores: Callable[[], list[str]]) -> None:
-        self._logKey = logKey
+    def __init__(self, log_key: Callable[[], str], stores: Callable[[], list[str]]) -> None:
+        self._log_key = log_key
         self._stores = stores
         self._address = ""
         self._epoch = 0
         self._asks: list[_Ask] = []
-        self.heardMs = -1 << 40
-        self.holderMs = 0
+        self.heard_ms = -1 << 40
+        self.holder_ms = 0
 
     @property
     def epoch(self) -> int:
         return self._epoch
 
     def address(self) -> str:
-        body = self._logKey()
+        body = self._log_key()
         value = json.loads(body) if body else {}
         if value and self._is_news(value["epoch"]):
             self._epoch = value["epoch"]
@@ -59,50 +59,50 @@
     def _is_news(self, epoch: int) -> bool:
         return epoch > self._epoch or (epoch == self._epoch and not self._address)
 
-    def heard(self, message: m.HolderBeat, askedMs: int) -> None:
+    def heard(self, message: m.HolderBeat, asked_ms: int) -> None:
         """The claim runs from when it was asked for, not from when the word came."""
         if message.epoch >= self._epoch:
             self._epoch = message.epoch
-            self.heardMs = askedMs
-            self.holderMs = message.holderMs
+            self.heard_ms = asked_ms
+            self.holder_ms = message.holder_ms
 
     def redirected(self, receipt: m.NotHolder) -> None:
         if receipt.address and self._is_news(receipt.epoch):
             self._epoch, self._address = receipt.epoch, receipt.address
 
-    def ask(self, message: Message, waitMs: int, done: Callable[[Any], None]) -> None:
+    def ask(self, message: Message, wait_ms: int, done: Callable[[Any], None]) -> None:
         """done gets the receipt, or None if there was none in time. What is stamped holds its tongue
         for as long as a stamp may live, beyond the time given."""
-        holdMs = self.node.params.freshMs if isinstance(message, _STAMPED) else 0
-        ask = _Ask(message, self.node.env.now(), waitMs + holdMs, holdMs, done)
+        hold_ms = self.node.params.fresh_ms if isinstance(message, _STAMPED) else 0
+        ask = _Ask(message, self.node.env.now(), wait_ms + hold_ms, hold_ms, done)
         self._asks.append(ask)
         self._send(ask)
 
     def _send(self, ask: _Ask) -> None:
-        nowMs = self.node.env.now()
-        ask.nextMs = nowMs + self.node.params.askMs
+        now_ms = self.node.env.now()
+        ask.next_ms = now_ms + self.node.params.ask_ms
         address = self.address()
         if not address:
-            ask.nextMs = nowMs + self.node.params.beatMs // 2
+            ask.next_ms = now_ms + self.node.params.beat_ms // 2
             return
         if isinstance(ask.message, _STAMPED):
-            ask.message = type(ask.message)(**{**ask.message.as_dict(), "epoch": self._epoch, "holderMs": self.holderMs})
+            ask.message = type(ask.message)(**{**ask.message.as_dict(), "epoch": self._epoch, "holder_ms": self.holder_ms})
         ask.sends += 1
         number = ask.sends
-        self.node.ask(address, ask.message, self.node.params.askMs * 2,
+        self.node.ask(address, ask.message, self.node.params.ask_ms * 2,
                       lambda receipt: self._answered(ask, number, receipt))
 
     def _answered(self, ask: _Ask, number: int, receipt: Message | None) -> None:
         """A refusal counts only of the last send: a later one may have been taken meanwhile."""
         if ask.done is None or receipt is None:
             return
-        nowMs = self.node.env.now()
+        now_ms = self.node.env.now()
         if isinstance(receipt, m.NotHolder):
             self.redirected(receipt)
-            ask.nextMs = min(ask.nextMs, nowMs + self.node.params.beatMs // 2)
+            ask.next_ms = min(ask.next_ms, now_ms + self.node.params.beat_ms // 2)
             return
         if getattr(receipt, "outcome", "") in _RETRIED:
-            ask.nextMs = min(ask.nextMs, nowMs + self.node.params.beatMs // 2)
+            ask.next_ms = min(ask.next_ms, now_ms + self.node.params.beat_ms // 2)
             return
         if getattr(receipt, "outcome", "") in _REFUSED and number != ask.sends:
             return
@@ -116,9 +116,9 @@
             done(receipt)
 
     def tick(self) -> None:
-        nowMs = self.node.env.now()
+        now_ms = self.node.env.now()
         for ask in list(self._asks):
-            if nowMs >= ask.dueMs:
+            if now_ms >= ask.due_ms:
                 self._finish(ask, None)
-            elif nowMs >= ask.nextMs and nowMs < ask.lastMs:
+            elif now_ms >= ask.next_ms and now_ms < ask.last_ms:
                 self._send(ask)
--- a/libs/circulation/src/circulation/items.py
+++ b/libs/circulation/src/circulation/items.py
@@ -19,38 +19,38 @@
 
 
 class Items(Part):
-    """`whyUnready` as the edge has it; `edges` gives how many edges share the workers, itself among them."""
+    """`why_unready` as the edge has it; `edges` gives how many edges share the workers, itself among them."""
 
-    __slots__ = ("_budgets", "_carrier", "_edges", "_later", "_roster", "_running", "_tree", "_trickledMs", "_whyUnready")
+    __slots__ = ("_budgets", "_carrier", "_edges", "_later", "_roster", "_running", "_tree", "_trickled_ms", "_why_unready")
 
-    def __init__(self, carrier: Carrier, roster: Roster, tree: Callable[[], Any], whyUnready: Callable[[], str],
+    def __init__(self, carrier: Carrier, roster: Roster, tree: Callable[[], Any], why_unready: Callable[[], str],
                  edges: Callable[[], int]) -> None:
         self._carrier, self._roster, self._tree = carrier, roster, tree
-        self._whyUnready, self._edges = whyUnready, edges
+        self._why_unready, self._edges = why_unready, edges
         self._budgets: dict[str, Budget] = {}
         self._later: list[tuple[int, Callable[[], None]]] = []
         self._running = 0
-        self._trickledMs = 0
+        self._trickled_ms = 0
 
     # -- room ----------------------------------------------------------------------------------
 
     def room(self) -> tuple[int, frozenset[str]]:
         """What lots may take of the workers' free slots, shared evenly among the edges that are known."""
-        if self._whyUnready():
+        if self._why_unready():
             return 0, frozenset()
         workers = self._roster.workers()
         paths = self._tree().served_by(frozenset((worker.identity, worker.labels) for worker in workers))
-        free = sum(max(0, worker.slots - math.ceil(worker.slots * self.node.params.liveShare) - worker.weight)
+        free = sum(max(0, worker.slots - math.ceil(worker.slots * self.node.params.live_share) - worker.weight)
                    for worker in workers if worker.waiting == 0)
         room = math.ceil(free / self._edges()) if free else 0
         return room or self._trickle(workers), paths
 
     def _trickle(self, workers: list[Any]) -> int:
         """Where live traffic takes everything, an edge still has one item under way now and then."""
-        nowMs = self.node.env.now()
-        if not workers or self._running or nowMs - self._trickledMs < self.node.params.beatMs:
+        now_ms = self.node.env.now()
+        if not workers or self._running or now_ms - self._trickled_ms < self.node.params.beat_ms:
             return 0
-        self._trickledMs = nowMs
+        self._trickled_ms = now_ms
         return 1
 
     # -- running -------------------------------------------------------------------------------
@@ -61,11 +61,11 @@
             done("again", "", "")
             return lambda: None
         env, body = self.node.env, json.loads(work.body)
-        dueMs = env.now() + max(profile.deadlineMs, 2 * self.node.params.forceMs)
-        tx = Transaction(f"{env.token()}-{work.lotId}-{work.index}", profile, "", env.now(),
-                         self._budgets.setdefault(work.path, Budget()), dueMs, claimed=True)
+        due_ms = env.now() + max(profile.deadline_ms, 2 * self.node.params.force_ms)
+        tx = Transaction(f"{env.token()}-{work.lot_id}-{work.index}", profile, "", env.now(),
+                         self._budgets.setdefault(work.path, Budget()), due_ms, claimed=True)
         tx.safe = work.safe
-        tx.lot = (work.lotId, work.index)
+        tx.lot = (work.lot_id, work.index)
         self._running += 1
         state = {"over": False}
 
@@ -94,13 +94,13 @@
             status, text = step.value
             done("ran" if status == 200 else "refused", text, worker)
         elif step.refusal.verdict is Verdict.NOT_RUN or work.safe:
-            self._later.append((self.node.env.now() + self.node.params.beatMs, lambda: done("again", "", worker)))
+            self._later.append((self.node.env.now() + self.node.params.beat_ms, lambda: done("again", "", worker)))
         else:
-            done("mayHaveRun", json.dumps(step.refusal.body()), worker)
+            done("may_have_run", json.dumps(step.refusal.body()), worker)
 
     def tick(self) -> None:
-        nowMs = self.node.env.now()
-        due = [what for atMs, what in self._later if atMs <= nowMs]
-        self._later = [row for row in self._later if row[0] > nowMs]
+        now_ms = self.node.env.now()
+        due = [what for at_ms, what in self._later if at_ms <= now_ms]
+        self._later = [row for row in self._later if row[0] > now_ms]
         for what in due:
             what()
--- a/libs/circulation/src/circulation/lots.py
+++ b/libs/circulation/src/circulation/lots.py
@@ -12,7 +12,7 @@
 
 __all__ = ["LotRunner"]
 
-STOPPED_BODY = '{"error":{"verdict":"mayHaveRun","code":"stopped","message":"stopped while it ran"}}'
+STOPPED_BODY = '{"error":{"verdict":"may_have_run","code":"stopped","message":"stopped while it ran"}}'
 Start = Callable[[m.Work, Callable[[str, str, str], None]], Callable[[], None]]
 
 
@@ -29,7 +29,7 @@
     """`room` gives how many items may be started now, and on which paths; `start` runs one item and
     calls back with outcome, body, worker, giving the function that stops it."""
 
-    __slots__ = ("_askedMs", "_asking", "_holder", "_placing", "_room", "_runs", "_start", "_waitingPaths", "_wish", "edge", "finished",
+    __slots__ = ("_asked_ms", "_asking", "_holder", "_placing", "_room", "_runs", "_start", "_waiting_paths", "_wish", "edge", "finished",
                  "paused")
 
     def __init__(self, edge: str, holder: HolderClient, room: Callable[[], tuple[int, frozenset[str]]],
@@ -41,9 +41,9 @@
         self._runs: dict[tuple[str, int], _Run] = {}
         self._placing: set[str] = set()
         self._asking = False
-        self._askedMs = -1 << 40
+        self._asked_ms = -1 << 40
         self._wish = False
-        self._waitingPaths: set[str] = set()
+        self._waiting_paths: set[str] = set()
         self.paused = False
         self.finished = 0
 
@@ -51,26 +51,26 @@
         return sum(1 for run in self._runs.values() if not run.reported)
 
     def tick(self) -> None:
-        nowMs = self.node.env.now()
+        now_ms = self.node.env.now()
         params = self.node.params
-        if self.running() and nowMs - self._holder.heardMs > params.claimMs:
+        if self.running() and now_ms - self._holder.heard_ms > params.claim_ms:
             self.stop_all("holder silent")
-        dueMs = params.beatMs // 4 if self._wish else params.beatMs
-        if not self._asking and nowMs - self._askedMs >= dueMs:
-            self._beat(nowMs)
+        due_ms = params.beat_ms // 4 if self._wish else params.beat_ms
+        if not self._asking and now_ms - self._asked_ms >= due_ms:
+            self._beat(now_ms)
 
-    def _beat(self, nowMs: int) -> None:
+    def _beat(self, now_ms: int) -> None:
         address = self._holder.address()
         if not address:
             return
         room, served = (0, frozenset()) if self.paused else self._room()
-        paths = sorted(served & self._waitingPaths)
+        paths = sorted(served & self._waiting_paths)
         self._asking = True
-        self._askedMs = nowMs
+        self._asked_ms = now_ms
         self._wish = False
-        running = [f"{lotId}#{index}" for lotId, index in self._runs]
+        running = [f"{lot_id}#{index}" for lot_id, index in self._runs]
         self.node.ask(address, m.EdgeBeat(edge=self.edge, address=self.node.address, room=room, paths=paths,
-                                          running=running), self.node.params.askMs, self._answered)
+                                          running=running), self.node.params.ask_ms, self._answered)
 
     def _answered(self, receipt: Message | None) -> None:
         self._asking = False
@@ -80,16 +80,16 @@
             return
         if receipt.epoch < self._holder.epoch:
             return
-        self._holder.heard(receipt, self._askedMs)
-        for lotId in receipt.stops:
-            self.stop(lotId, "lot over")
+        self._holder.heard(receipt, self._asked_ms)
+        for lot_id in receipt.stops:
+            self.stop(lot_id, "lot over")
         for data in receipt.work:
             self._take(decode(data))
         for data in receipt.batons:
             baton = decode(data)
-            self._place(baton.lotId, baton.epoch, baton.upTo)
-        fresh = set(receipt.paths) - self._waitingPaths
-        self._waitingPaths = set(receipt.paths)
+            self._place(baton.lot_id, baton.epoch, baton.up_to)
+        fresh = set(receipt.paths) - self._waiting_paths
+        self._waiting_paths = set(receipt.paths)
         self._wish = receipt.waiting > 0 or bool(self._runs)
         if fresh and not self.paused:
             self._beat(self.node.env.now())
@@ -97,14 +97,14 @@
     # -- items ---------------------------------------------------------------------------------
 
     def _take(self, work: m.Work) -> None:
-        key = (work.lotId, work.index)
+        key = (work.lot_id, work.index)
         if key in self._runs:
             return
         run = self._runs[key] = _Run(work)
         run.cancel = self._start(work, lambda outcome, body, worker: self._ended(run, outcome, body, worker))
 
     def _ended(self, run: _Run, outcome: str, body: str, worker: str) -> None:
-        key = (run.work.lotId, run.work.index)
+        key = (run.work.lot_id, run.work.index)
         if self._runs.get(key) is not run or run.reported:
             return
         run.reported = True
@@ -112,7 +112,7 @@
         self._report(run, outcome, body, worker)
 
     def _report(self, run: _Run, outcome: str, body: str, worker: str) -> None:
-        key = (run.work.lotId, run.work.index)
+        key = (run.work.lot_id, run.work.index)
 
         def told(receipt: Any) -> None:
             if self._runs.get(key) is not run:
@@ -122,31 +122,31 @@
                 return
             del self._runs[key]
             self._wish = True
-            if receipt.batonEpoch:
-                self._place(run.work.lotId, receipt.batonEpoch, receipt.upTo)
+            if receipt.baton_epoch:
+                self._place(run.work.lot_id, receipt.baton_epoch, receipt.up_to)
 
-        self._holder.ask(m.Finish(lotId=run.work.lotId, index=run.work.index, number=run.work.number, outcome=outcome,
-                                  body=body, worker=worker, edge=self.edge), self.node.params.forceMs, told)
+        self._holder.ask(m.Finish(lot_id=run.work.lot_id, index=run.work.index, number=run.work.number, outcome=outcome,
+                                  body=body, worker=worker, edge=self.edge), self.node.params.force_ms, told)
 
-    def _place(self, lotId: str, epoch: int, upTo: int) -> None:
-        if lotId in self._placing:
+    def _place(self, lot_id: str, epoch: int, up_to: int) -> None:
+        if lot_id in self._placing:
             return
-        self._placing.add(lotId)
-        self._holder.ask(m.Place(lotId=lotId, edge=self.edge, epoch=epoch, upTo=upTo), self.node.params.askMs,
-                         lambda receipt: self._placing.discard(lotId))
+        self._placing.add(lot_id)
+        self._holder.ask(m.Place(lot_id=lot_id, edge=self.edge, epoch=epoch, up_to=up_to), self.node.params.ask_ms,
+                         lambda receipt: self._placing.discard(lot_id))
 
     # -- stopping ------------------------------------------------------------------------------
 
-    def stop(self, lotId: str, reason: str) -> None:
-        self._stop([key for key in self._runs if key[0] == lotId], reason)
+    def stop(self, lot_id: str, reason: str) -> None:
+        self._stop([key for key in self._runs if key[0] == lot_id], reason)
 
     def stop_all(self, reason: str) -> None:
         """The lots may go on elsewhere: what each stopped item has come to is still reported."""
         runs = [run for run in self._runs.values() if not run.reported]
         for run in runs:
             run.cancel()
-            self._ended(run, "again" if run.work.safe else "mayHaveRun", STOPPED_BODY, "")
-        self._note([(run.work.lotId, run.work.index) for run in runs], reason)
+            self._ended(run, "again" if run.work.safe else "may_have_run", STOPPED_BODY, "")
+        self._note([(run.work.lot_id, run.work.index) for run in runs], reason)
 
     def _stop(self, keys: list[tuple[str, int]], reason: str) -> None:
         for key in keys:
@@ -156,8 +156,8 @@
 
     def _note(self, keys: list[tuple[str, int]], reason: str) -> None:
         if keys:
-            self.node.env.log("items-stopped", lots=sorted({lotId for lotId, _ in keys}), count=len(keys), reason=reason)
+            self.node.env.log("items-stopped", lots=sorted({lot_id for lot_id, _ in keys}), count=len(keys), reason=reason)
 
-    def woke(self, gapMs: int) -> None:
-        if gapMs > self.node.params.claimMs:
+    def woke(self, gap_ms: int) -> None:
+        if gap_ms > self.node.params.claim_ms:
             self.stop_all("frozen")
--- a/libs/circulation/src/circulation/placement.py
+++ b/libs/circulation/src/circulation/placement.py
@@ -26,8 +26,8 @@
     return hashlib.blake2b(text[:_PREFIX_CHARS].encode(), digest_size=8).hexdigest()
 
 
-def choose(workers: Iterable[Worker], prefix: str, lot: bool, zone: str, near: bool, liveShare: float,
-           lotShare: float = 1.0, avoid: frozenset[str] = frozenset(), byPrefix: bool = True) -> Worker | None:
+def choose(workers: Iterable[Worker], prefix: str, lot: bool, zone: str, near: bool, live_share: float,
+           lot_share: float = 1.0, avoid: frozenset[str] = frozenset(), by_prefix: bool = True) -> Worker | None:
     candidates = [worker for worker in workers if worker.stamp not in avoid]
     if not candidates:
         return None
@@ -36,12 +36,12 @@
 
     def bound(worker: Worker) -> int:
         if lot:
-            return min(worker.slots - math.ceil(worker.slots * liveShare), math.floor(worker.slots * lotShare))
+            return min(worker.slots - math.ceil(worker.slots * live_share), math.floor(worker.slots * lot_share))
         return worker.slots
 
     def rank(worker: Worker) -> tuple:
         far = near and worker.zone != zone
-        return (far, -score(worker.identity, prefix)) if byPrefix else (far, worker.weight, worker.identity)
+        return (far, -score(worker.identity, prefix)) if by_prefix else (far, worker.weight, worker.identity)
 
     ordered = sorted(candidates, key=rank)
     if lot:
--- a/libs/circulation/src/circulation/streams.py
+++ b/libs/circulation/src/circulation/streams.py
@@ -10,9 +10,9 @@
 END = "[DONE]"
 
 
-def check_whole(data: bytes, announcedBytes: int | None) -> str:
+def check_whole(data: bytes, announced_bytes: int | None) -> str:
     """Empty if the body is whole, else what is wrong. Whose it is, the head has told."""
-    if announcedBytes is None or announcedBytes != len(data):
+    if announced_bytes is None or announced_bytes != len(data):
         return "length"
     try:
         value = json.loads(data)
--- a/libs/colophon/src/colophon/params.py
+++ b/libs/colophon/src/colophon/params.py
@@ -11,7 +11,7 @@
 
 __all__ = ["Params", "load_params", "changed_params", "RELOADABLE"]
 
-RELOADABLE = frozenset({"logLevel", "seeds", "deltaMs", "diskBytes", "liveShare", "graceMs", "maxBodyBytes"})
+RELOADABLE = frozenset({"log_level", "seeds", "delta_ms", "disk_bytes", "live_share", "grace_ms", "max_body_bytes"})
 
 
 def _check_address(value: str) -> str:
@@ -30,27 +30,27 @@
     http: str = Field(description="address for visitors, workers and operators, IP:PORT")
     zone: str = Field(min_length=1)
     seeds: list[str] = Field(min_length=1, max_length=3)
-    dataFolder: str = ""
-    controlCount: int = Field(5, ge=1, le=15)
-    storeCount: int = Field(3, ge=2, le=9)
-    storeFaults: int = Field(1, ge=1, le=4)
-    deltaMs: int = Field(50, ge=1, le=5000)
-    flushMs: int = Field(30000, ge=50, description="tau: the longest a record waits for the background flush")
-    keepFactor: float = Field(2.0, ge=1.0, description="k: peers keep records for k times flushMs")
-    forceMs: int = Field(2000, ge=200, description="a version is in force, a drained worker left alone")
-    endMs: int = Field(3000, ge=300, description="an ended lot has stopped everywhere")
-    resumeMs: int = Field(12000, ge=1000, description="service is back after the machines")
-    graceMs: int = Field(5000, ge=100, description="between SIGTERM and the process's end")
-    viewSize: int = Field(12, ge=2, le=64)
-    diskBytes: int = Field(1 << 30, ge=1 << 16)
-    segmentBytes: int = Field(1 << 22, ge=1 << 12)
-    maxBodyBytes: int = Field(1 << 22, ge=1 << 10)
-    keepMs: int = Field(86_400_000, ge=1000, description="how long used keys are kept; lots seven times that")
-    liveShare: float = Field(0.25, ge=0.0, le=1.0, description="part of a worker's slots that lots leave free")
-    recordFolder: str = Field("", description="edges: where visitors' calls are recorded; empty for not at all")
-    recordBodies: bool = Field(False, description="record prompts whole rather than by size and digest")
-    recordRows: int = Field(10_000, ge=1, description="calls in one file of a recording")
-    logLevel: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+    data_folder: str = ""
+    control_count: int = Field(5, ge=1, le=15)
+    store_count: int = Field(3, ge=2, le=9)
+    store_faults: int = Field(1, ge=1, le=4)
+    delta_ms: int = Field(50, ge=1, le=5000)
+    flush_ms: int = Field(30000, ge=50, description="tau: the longest a record waits for the background flush")
+    keep_factor: float = Field(2.0, ge=1.0, description="k: peers keep records for k times flush_ms")
+    force_ms: int = Field(2000, ge=200, description="a version is in force, a drained worker left alone")
+    end_ms: int = Field(3000, ge=300, description="an ended lot has stopped everywhere")
+    resume_ms: int = Field(12000, ge=1000, description="service is back after the machines")
+    grace_ms: int = Field(5000, ge=100, description="between SIGTERM and the process's end")
+    view_size: int = Field(12, ge=2, le=64)
+    disk_bytes: int = Field(1 << 30, ge=1 << 16)
+    segment_bytes: int = Field(1 << 22, ge=1 << 12)
+    max_body_bytes: int = Field(1 << 22, ge=1 << 10)
+    keep_ms: int = Field(86_400_000, ge=1000, description="how long used keys are kept; lots seven times that")
+    live_share: float = Field(0.25, ge=0.0, le=1.0, description="part of a worker's slots that lots leave free")
+    record_folder: str = Field("", description="edges: where visitors' calls are recorded; empty for not at all")
+    record_bodies: bool = Field(False, description="record prompts whole rather than by size and digest")
+    record_rows: int = Field(10_000, ge=1, description="calls in one file of a recording")
+    log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
     @field_validator("link", "http")
     @classmethod
@@ -64,71 +64,71 @@
 
     @model_validator(mode="after")
     def _whole(self) -> "Params":
-        if self.role in ("store", "control") and not self.dataFolder:
-            raise ValueError(f"dataFolder: a {self.role} keeps its state on disk and needs a folder")
-        if self.storeFaults >= self.storeCount or self.storeCount < 2 * self.storeFaults + 1:
-            raise ValueError("storeFaults: storeCount has to be at least 2 * storeFaults + 1")
+        if self.role in ("store", "control") and not self.data_folder:
+            raise ValueError(f"data_folder: a {self.role} keeps its state on disk and needs a folder")
+        if self.store_faults >= self.store_count or self.store_count < 2 * self.store_faults + 1:
+            raise ValueError("store_faults: store_count has to be at least 2 * store_faults + 1")
         if self.link == self.http:
             raise ValueError("http: has to differ from link")
         return self
 
     @property
-    def beatMs(self) -> int:
-        return max(10, int(self.forceMs * 0.1))
+    def beat_ms(self) -> int:
+        return max(10, int(self.force_ms * 0.1))
 
     @property
-    def deadMs(self) -> int:
+    def dead_ms(self) -> int:
         """Silence after which a node no longer counts as live for a duty."""
-        return int(self.forceMs * 0.5)
+        return int(self.force_ms * 0.5)
 
     @property
-    def workerMs(self) -> int:
+    def worker_ms(self) -> int:
         """Silence after which a worker gets nothing new."""
-        return int(self.forceMs * 0.6)
+        return int(self.force_ms * 0.6)
 
     @property
-    def cutMs(self) -> int:
+    def cut_ms(self) -> int:
         """Silence after which an edge takes itself to be cut off: well inside a second."""
-        return int(self.forceMs * 0.4)
+        return int(self.force_ms * 0.4)
 
     @property
-    def confirmMs(self) -> int:
+    def confirm_ms(self) -> int:
         """How long an acknowledgement of a version waits for the live edges."""
-        return int(self.forceMs * 0.75)
+        return int(self.force_ms * 0.75)
 
     @property
-    def goneMs(self) -> int:
+    def gone_ms(self) -> int:
         """Silence after which a member with a disk is replaced by a spare."""
-        return int(self.resumeMs * 0.5)
+        return int(self.resume_ms * 0.5)
 
     @property
-    def claimMs(self) -> int:
+    def claim_ms(self) -> int:
         """How long an edge goes on running lots after its last word from the holder."""
-        return int(self.endMs * 0.75)
+        return int(self.end_ms * 0.75)
 
     @property
-    def reclaimMs(self) -> int:
+    def reclaim_ms(self) -> int:
         """When the holder takes a silent edge's claims back: after the edge has let them go."""
-        return int(self.endMs * 1.1)
+        return int(self.end_ms * 1.1)
 
     @property
-    def askMs(self) -> int:
-        return int(self.forceMs * 0.25)
+    def ask_ms(self) -> int:
+        return int(self.force_ms * 0.25)
 
     @property
-    def freshMs(self) -> int:
+    def fresh_ms(self) -> int:
         """How old a stamp on a hand-in may be when it reaches the holder."""
-        return int(self.forceMs * 0.5)
+        return int(self.force_ms * 0.5)
 
     @property
-    def answerBytes(self) -> int:
+    def answer_bytes(self) -> int:
         """The longest answer taken from a worker."""
-        return 4 * self.maxBodyBytes
+        return 4 * self.max_body_bytes
 
     @property
-    def frozenMs(self) -> int:
+    def frozen_ms(self) -> int:
         """A gap between two ticks that counts as having been frozen."""
-        return int(self.forceMs * 0.4)
+        return int(self.force_ms * 0.4)
 
 
 def _problems(error: ValidationError) -> list[str]:
--- a/libs/colophon/src/colophon/verdicts.py
+++ b/libs/colophon/src/colophon/verdicts.py
@@ -8,21 +8,21 @@
 
 
 class Verdict(StrEnum):
-    NOT_RUN = "notRun"
-    MAY_HAVE_RUN = "mayHaveRun"
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
     RAN = "ran"
 
 
 class Refusal:
-    __slots__ = ("code", "field", "message", "problems", "retryAfterMs", "status", "verdict")
+    __slots__ = ("code", "field", "message", "problems", "retry_after_ms", "status", "verdict")
 
     def __init__(self, verdict: Verdict, code: str, message: str, status: int,
-                 retryAfterMs: int = 0, field: str = "", problems: list | None = None) -> None:
+                 retry_after_ms: int = 0, field: str = "", problems: list | None = None) -> None:
         self.verdict = verdict
         self.code = code
         self.message = message
         self.status = status
-        self.retryAfterMs = retryAfterMs
+        self.retry_after_ms = retry_after_ms
         self.field = field
         self.problems = problems or []
 
@@ -32,18 +32,18 @@
             inner["field"] = self.field
         if self.problems:
             inner["problems"] = self.problems
-        if self.retryAfterMs:
-            inner["retryAfterMs"] = self.retryAfterMs
+        if self.retry_after_ms:
+            inner["retry_after_ms"] = self.retry_after_ms
         return {"error": inner}
 
     def __repr__(self) -> str:
         return f"Refusal({self.verdict}, {self.code}, {self.status}, {self.message!r})"
 
 
-def refused(code: str, message: str, status: int = 400, retryAfterMs: int = 0, field: str = "",
+def refused(code: str, message: str, status: int = 400, retry_after_ms: int = 0, field: str = "",
             problems: list | None = None) -> Refusal:
-    return Refusal(Verdict.NOT_RUN, code, message, status, retryAfterMs, field, problems)
+    return Refusal(Verdict.NOT_RUN, code, message, status, retry_after_ms, field, problems)
 
 
-def doubtful(code: str, message: str, retryAfterMs: int = 0, status: int = 503) -> Refusal:
-    return Refusal(Verdict.MAY_HAVE_RUN, code, message, status, retryAfterMs)
+def doubtful(code: str, message: str, retry_after_ms: int = 0, status: int = 503) -> Refusal:
+    return Refusal(Verdict.MAY_HAVE_RUN, code, message, status, retry_after_ms)
--- a/libs/commons/src/commons/neighbours.py
+++ b/libs/commons/src/commons/neighbours.py
@@ -17,7 +17,7 @@
 class Neighbours(Part):
     """`wanted` says which further addresses are to be beaten to, such as members named by a key."""
 
-    __slots__ = ("_beatMs", "_beats", "_cards", "_freshMs", "_heardMs", "_sentMs", "_view", "identity", "ready", "wanted")
+    __slots__ = ("_beat_ms", "_beats", "_cards", "_fresh_ms", "_heard_ms", "_sent_ms", "_view", "identity", "ready", "wanted")
     HANDLES = (Shuffle, Shuffled, Beat)
 
     def __init__(self, identity: str) -> None:
@@ -26,50 +26,50 @@
         self.wanted: Callable[[], Iterable[str]] = lambda: ()
         self._cards: dict[str, Card] = {}
         self._beats: dict[str, int] = {}
-        self._freshMs: dict[str, int] = {}
-        self._heardMs: dict[str, int] = {}
+        self._fresh_ms: dict[str, int] = {}
+        self._heard_ms: dict[str, int] = {}
         self._view: list[str] = []
-        self._sentMs = -1 << 40
-        self._beatMs = 0
+        self._sent_ms = -1 << 40
+        self._beat_ms = 0
 
     def card(self) -> Card:
         node = self.node
         return Card(identity=self.identity, address=node.address, http=node.params.http, role=node.params.role,
-                    zone=node.params.zone, beat=self._beatMs, ready=self.ready())
+                    zone=node.params.zone, beat=self._beat_ms, ready=self.ready())
 
     # -- what is known -------------------------------------------------------------------------
 
     def view(self) -> list[Card]:
         return [self._cards[identity] for identity in self._view if identity in self._cards]
 
-    def of_role(self, role: str, withinMs: int) -> list[Card]:
+    def of_role(self, role: str, within_ms: int) -> list[Card]:
         """Cards of a role that were fresh within the time, whoever told of them."""
-        floorMs = self.node.env.now() - withinMs
+        floor_ms = self.node.env.now() - within_ms
         return [card for identity, card in self._cards.items()
-                if card.role == role and self._freshMs[identity] >= floorMs]
+                if card.role == role and self._fresh_ms[identity] >= floor_ms]
 
     def known(self, identity: str) -> Card | None:
         return self._cards.get(identity)
 
-    def live(self, identity: str, withinMs: int | None = None) -> bool:
+    def live(self, identity: str, within_ms: int | None = None) -> bool:
         if identity == self.identity:
             return True
-        heardMs = max(self._freshMs.get(identity, -1 << 40), self._heardMs.get(identity, -1 << 40))
-        return self.node.env.now() - heardMs <= (withinMs or self.node.params.deadMs)
+        heard_ms = max(self._fresh_ms.get(identity, -1 << 40), self._heard_ms.get(identity, -1 << 40))
+        return self.node.env.now() - heard_ms <= (within_ms or self.node.params.dead_ms)
 
-    def heard_directly(self, withinMs: int) -> list[Card]:
-        floorMs = self.node.env.now() - withinMs
-        return [card for identity, card in self._cards.items() if self._heardMs.get(identity, -1 << 40) >= floorMs]
+    def heard_directly(self, within_ms: int) -> list[Card]:
+        floor_ms = self.node.env.now() - within_ms
+        return [card for identity, card in self._cards.items() if self._heard_ms.get(identity, -1 << 40) >= floor_ms]
 
     # -- beats and shuffles --------------------------------------------------------------------
 
     def tick(self) -> None:
-        nowMs = self.node.env.now()
-        if nowMs - self._sentMs < self.node.params.beatMs:
+        now_ms = self.node.env.now()
+        if now_ms - self._sent_ms < self.node.params.beat_ms:
             return
-        self._sentMs = nowMs
-        self._beatMs = max(self._beatMs + 1, self.node.env.wall())
-        self._forget(nowMs)
+        self._sent_ms = now_ms
+        self._beat_ms = max(self._beat_ms + 1, self.node.env.wall())
+        self._forget(now_ms)
         mine = encode(self.card())
         for address in self._kin():
             self.node.post(address, Beat(card=mine))
@@ -78,9 +78,9 @@
 
     def _kin(self) -> list[str]:
         role = self.node.params.role
-        kin = {card.address for card in self.of_role(role, self.node.params.goneMs)} if role != "edge" else set()
+        kin = {card.address for card in self.of_role(role, self.node.params.gone_ms)} if role != "edge" else set()
         if role != "edge":
-            kin |= {card.address for card in self.of_role("control", self.node.params.goneMs)}
+            kin |= {card.address for card in self.of_role("control", self.node.params.gone_ms)}
         return sorted((kin | set(self.wanted())) - {self.node.address})
 
     def _partners(self) -> list[str]:
@@ -119,12 +119,12 @@
         """The first card is the sender's own: after a restart with its clock moved back, its counter may
         be lower than what is remembered, and its own word stands."""
         first = decode(card)
-        fresh = self.node.env.now() - self._freshMs.get(first.identity, -1 << 40) <= self.node.params.deadMs
+        fresh = self.node.env.now() - self._fresh_ms.get(first.identity, -1 << 40) <= self.node.params.dead_ms
         if self._beats.get(first.identity, -1) >= first.beat and not fresh:
             self._beats[first.identity] = first.beat - 1
         self._note(first)
         if first.identity != self.identity:
-            self._heardMs[first.identity] = self.node.env.now()
+            self._heard_ms[first.identity] = self.node.env.now()
         for data in cards:
             self._note(decode(data))
 
@@ -134,23 +134,23 @@
             return
         if self._beats.get(card.identity, -1) >= card.beat:
             return
-        nowMs = self.node.env.now()
+        now_ms = self.node.env.now()
         for identity in [identity for identity, other in self._cards.items()
                          if other.address == card.address and identity != card.identity]:
-            if self._cards[identity].beat > card.beat and self._freshMs[identity] > nowMs - self.node.params.deadMs:
+            if self._cards[identity].beat > card.beat and self._fresh_ms[identity] > now_ms - self.node.params.dead_ms:
                 return
             self._drop(identity)
         self._cards[card.identity] = card
         self._beats[card.identity] = card.beat
-        self._freshMs[card.identity] = nowMs
+        self._fresh_ms[card.identity] = now_ms
         if card.identity not in self._view:
             self._view.append(card.identity)
-            if len(self._view) > self.node.params.viewSize:
+            if len(self._view) > self.node.params.view_size:
                 self._view.pop(self.node.env.rng.randrange(len(self._view) - 1))
 
-    def _forget(self, nowMs: int) -> None:
+    def _forget(self, now_ms: int) -> None:
         for identity in [identity for identity in self._cards
-                         if nowMs - self._freshMs[identity] > self.node.params.goneMs]:
+                         if now_ms - self._fresh_ms[identity] > self.node.params.gone_ms]:
             self._drop(identity)
         for identity in list(self._beats)[:max(0, len(self._beats) - _REMEMBERED)]:
             if identity not in self._cards:
@@ -158,7 +158,7 @@
 
     def _drop(self, identity: str) -> None:
         self._cards.pop(identity, None)
-        self._freshMs.pop(identity, None)
-        self._heardMs.pop(identity, None)
+        self._fresh_ms.pop(identity, None)
+        self._heard_ms.pop(identity, None)
         if identity in self._view:
             self._view.remove(identity)
--- a/libs/facsimile/src/facsimile/breaks/table.py
+++ b/libs/facsimile/src/facsimile/breaks/table.py
@@ -18,22 +18,22 @@
     "a lost change is taken": (
         "catalogue/src/catalogue/owner.py", "elif message.version != value.version:", "elif False:", _CONTROL + "two_changes"),
     "a resent change is taken again": (
-        "catalogue/src/catalogue/owner.py", "elif message.changeId in value.changeIds:", "elif False:", _CONTROL + "resend"),
+        "catalogue/src/catalogue/owner.py", "elif message.change_id in value.change_ids:", "elif False:", _CONTROL + "resend"),
     "one vote is a majority": (
         "catalogue/src/catalogue/rounds.py", "len(voters) // 2 + 1", "1", _CONTROL + "minority"),
     "an older version is accepted": (
         "catalogue/src/catalogue/voter.py", "return decode(value).version < decode(than).version", "return False",
         _CONTROL + "late_accept"),
     "acknowledged before it is in force": (
-        "catalogue/src/catalogue/owner.py", "if most and (nowMs >= dueMs or gazette.all_confirm(", "if most and (True or gazette.all_confirm(",
+        "catalogue/src/catalogue/owner.py", "if most and (now_ms >= due_ms or gazette.all_confirm(", "if most and (True or gazette.all_confirm(",
         _FEED + "not_acknowledged"),
     "a cut-off edge stays ready": (
-        "readingroom/src/readingroom/nodes.py", "if not (self._hears_control(nowMs) or self._hears_most(nowMs)):", "if False:",
+        "readingroom/src/readingroom/nodes.py", "if not (self._hears_control(now_ms) or self._hears_most(now_ms)):", "if False:",
         _FEED + "cut_off"),
     "acknowledged with most edges cut off": (
         "gazette/src/gazette/feed.py", "return not self.binding or 2 * len(roll & have) > len(roll)", "return True", _FEED + "doubt_until"),
     "the roll changes without its majority": (
-        "catalogue/src/catalogue/roll.py", "if not gazette.most_confirm(ROLL_KEY, gazette.number(ROLL_KEY), params.confirmMs):", "if False:",
+        "catalogue/src/catalogue/roll.py", "if not gazette.most_confirm(ROLL_KEY, gazette.number(ROLL_KEY), params.confirm_ms):", "if False:",
         _FEED + "doubt_until"),
     "the feed goes back": (
         "gazette/src/gazette/feed.py", "if item.number <= self.number(item.key):\n                continue", "if False:\n                continue",
@@ -42,27 +42,27 @@
         "ledger/src/ledger/desk.py", "ledger.room_used(message.path) >= room", "ledger.room_used(message.path) > room",
         _LOTS + "exact"),
     "late hand-ins are taken": (
-        "ledger/src/ledger/desk.py", "return message.epoch != self._holder.epoch or not 0 <= ageMs <= self.node.params.freshMs",
+        "ledger/src/ledger/desk.py", "return message.epoch != self._holder.epoch or not 0 <= age_ms <= self.node.params.fresh_ms",
         "return False", _LOTS + "late"),
     "receipts before anything is settled": (
         "accession/src/accession/holder.py", "if waiter.settled or self._now()", "if self._now()",
         _LOG + "cut_from_power"),
     "acknowledged with one copy": (
-        "accession/src/accession/holder.py", "return waiter.seq <= heldSeq", "return True", _LOG + "f_peers"),
+        "accession/src/accession/holder.py", "return waiter.seq <= held_seq", "return True", _LOG + "f_peers"),
     "one disk is enough": (
-        "accession/src/accession/holder.py", "settledSeq = copies[f] if len(copies) > f else 0", "settledSeq = copies[0]",
+        "accession/src/accession/holder.py", "settled_seq = copies[f] if len(copies) > f else 0", "settled_seq = copies[0]",
         _LOG + "one_disk"),
     "a stale holder goes on": (
         "accession/src/accession/peer.py", 'if message.epoch < log.meta.fence:\n            reply(self._receipt(message.probe, False, "fenced"))',
         'if False:\n            reply(self._receipt(message.probe, False, "fenced"))', _LOG + "stale_holder"),
     "answers of an old log count": (
-        "accession/src/accession/recovery.py", "top = max(answer.logEpoch for answer in self._answers.values())\n",
-        "top = 0\n        for answer in self._answers.values():\n            answer.logEpoch = 0\n", _LOG + "old_store"),
+        "accession/src/accession/recovery.py", "top = max(answer.log_epoch for answer in self._answers.values())\n",
+        "top = 0\n        for answer in self._answers.values():\n            answer.log_epoch = 0\n", _LOG + "old_store"),
     "an unsafe report is acknowledged unsettled": (
         "ledger/src/ledger/dealing.py", "self._holder.append(rows, not lot.safe, logged, True)",
         "self._holder.append(rows, False, logged, True)", _LOTS + "unsafe_report"),
     "a cut-off edge keeps its claims": (
-        "circulation/src/circulation/lots.py", "if self.running() and nowMs - self._holder.heardMs > params.claimMs:", "if False:",
+        "circulation/src/circulation/lots.py", "if self.running() and now_ms - self._holder.heard_ms > params.claim_ms:", "if False:",
         _LOTS + "cut_off"),
     "a damaged leaf is listed": (
         "stacks/src/stacks/frames.py", "return payload if zlib.crc32(payload) == checksum else None", "return payload",
@@ -71,22 +71,22 @@
         "accession/src/accession/local.py", "while (at := over_hole(data, stop)) is not None:", "while (at := None) is not None:",
         _LOG + "trimmed"),
     "a fence for each message": (
-        "accession/src/accession/local.py", """        if self._metaWriting is not None and _covers(self._metaWriting, wanted):
-            self._metaWaiters.append(done)
+        "accession/src/accession/local.py", """        if self._meta_writing is not None and _covers(self._meta_writing, wanted):
+            self._meta_waiters.append(done)
             return
-        self._metaNext.append((wanted, done))
-        if self._metaWriting is None:
-""", "        self._metaNext.append((wanted, done))\n        if True:\n", _LOG + "many_messages"),
+        self._meta_next.append((wanted, done))
+        if self._meta_writing is None:
+""", "        self._meta_next.append((wanted, done))\n        if True:\n", _LOG + "many_messages"),
     "a leaf in another's place": (
         "accession/src/accession/shelves.py", "return leaf.rows if leaf.name == name else None", "return leaf.rows",
         "tests/test_shelves.py -k anothers_place"),
     "a snapshot before its files": (
         "accession/src/accession/local.py", "        if not lacking:\n", "        if True:\n", "tests/test_shelves.py -k spare"),
     "who cannot make it is held": (
-        "circulation/src/circulation/waiting.py", "return waitMs + self.serviceMs(tx) <= _SHARE * (tx.dueMs - nowMs)", "return True",
+        "circulation/src/circulation/waiting.py", "return wait_ms + self.service_ms(tx) <= _SHARE * (tx.due_ms - now_ms)", "return True",
         "tests/test_waiting.py -k at_once"),
     "nobody waits": (
-        "circulation/src/circulation/waiting.py", "return waitMs + self.serviceMs(tx) <= _SHARE * (tx.dueMs - nowMs)", "return False",
+        "circulation/src/circulation/waiting.py", "return wait_ms + self.service_ms(tx) <= _SHARE * (tx.due_ms - now_ms)", "return False",
         "tests/test_waiting.py -k can_make_it"),
     "certain failures cost the budget": (
         "circulation/src/circulation/chart.py", "(free or self._budget.spend())", "self._budget.spend()", _CIRC + "free_once"),
@@ -94,10 +94,10 @@
         "circulation/src/circulation/carrier.py", "        self._finish(carriage, tx.gone())", "        self._finish(carriage, tx.placed(None, True))",
         "tests/test_waiting.py -k hangs_up"),
     "a lost baton stays lost": (
-        "ledger/src/ledger/dealing.py", "if lot.ready > lot.placed and not self._live(lot.batonEdge):", "if False:",
+        "ledger/src/ledger/dealing.py", "if lot.ready > lot.placed and not self._live(lot.baton_edge):", "if False:",
         _LOTS + "all_finished"),
     "placed under an old baton": (
-        "ledger/src/ledger/fold.py", "lot is not None and entry.epoch == lot.batonEpoch and", "lot is not None and",
+        "ledger/src/ledger/fold.py", "lot is not None and entry.epoch == lot.baton_epoch and", "lot is not None and",
         "tests/test_ledger.py -k baton"),
     "a leaving worker is used": (
         "circulation/src/circulation/roster.py", "if worker.leaving or self.silent(worker):", "if self.silent(worker):",
@@ -109,7 +109,7 @@
         "circulation/src/circulation/roster.py", "if self.usable(worker) and self._allowed(worker.identity, worker.labels)]",
         "if self.usable(worker)]", _CIRC + "strangers"),
     "doubt resends an unsafe one": (
-        "circulation/src/circulation/chart.py", "again = (not mayHaveRun or self.safe)", "again = (True)",
+        "circulation/src/circulation/chart.py", "again = (not may_have_run or self.safe)", "again = (True)",
         _CIRC + "rows"),
     "doubt is told as not run": (
         "circulation/src/circulation/chart.py", "if self._runs:\n            refusal.verdict", "if False:\n            refusal.verdict",
@@ -120,7 +120,7 @@
     "two runs are spliced": (
         "circulation/src/circulation/streams.py", 'self.fault = "another run"', "pass", _CIRC + "rows"),
     "a short body passes": (
-        "circulation/src/circulation/streams.py", "if announcedBytes is None or announcedBytes != len(data):", "if False:",
+        "circulation/src/circulation/streams.py", "if announced_bytes is None or announced_bytes != len(data):", "if False:",
         _CIRC + "bodies"),
     "another's body passes": (
         "circulation/src/circulation/exchange.py", "self._matches = found[WORKER_HEADER] == [self._worker] and found",
@@ -128,10 +128,10 @@
     "a lost connection is taken for not run": (
         "circulation/src/circulation/exchange.py", "return _failed(connected, reason", "return _failed(False, reason", _EXCHANGES),
     "any error is taken for not run": (
-        "circulation/src/circulation/exchange.py", 'if self._status in _NOT_RUN_STATUS and verdict == "notRun":', "if self._status >= 400:",
+        "circulation/src/circulation/exchange.py", 'if self._status in _NOT_RUN_STATUS and verdict == "not_run":', "if self._status >= 400:",
         _EXCHANGES),
     "an endless answer is read on": (
-        "circulation/src/circulation/exchange.py", "if self._sizeBytes > self._limitBytes:", "if False:", _EXCHANGES),
+        "circulation/src/circulation/exchange.py", "if self._size_bytes > self._limit_bytes:", "if False:", _EXCHANGES),
     "only the first in order holds": (
         "accession/src/accession/store.py", "and (name == self.log.identity or self._fleet.live_store(name))]", "]", _MEMBERS + "swapped"),
 }
--- a/libs/facsimile/src/facsimile/cli.py
+++ b/libs/facsimile/src/facsimile/cli.py
@@ -41,8 +41,8 @@
 
 @app.command
 def worker(*, identity: str, http: str, edge: Annotated[list[str], Parameter(negative=())], zone: str = "a",
-           label: Annotated[list[str] | None, Parameter(negative=())] = None, slots: int = 8, tokenMs: float = 2.0,
-           tokens: int = 12, prefillMs: float = 20.0, cachePrefixes: int = 32, runsFile: str = "",
+           label: Annotated[list[str] | None, Parameter(negative=())] = None, slots: int = 8, token_ms: float = 2.0,
+           tokens: int = 12, prefill_ms: float = 20.0, cache_prefixes: int = 32, runs_file: str = "",
            weather: str = "") -> None:
     """Run a stand-in model worker until SIGTERM, on which it leaves.
 
@@ -54,15 +54,15 @@
     zone: the zone it is in.
     label: a label that profiles may allow; may be given several times.
     slots: how many completions run at a time.
-    tokenMs: time for one token.
+    token_ms: time for one token.
     tokens: how many tokens an answer has unless the call says otherwise.
-    prefillMs: what a prompt whose prefix is not cached costs.
-    cachePrefixes: how many prefixes the cache holds.
-    runsFile: where each run is noted as a JSON line, for the oracle.
+    prefill_ms: what a prompt whose prefix is not cached costs.
+    cache_prefixes: how many prefixes the cache holds.
+    runs_file: where each run is noted as a JSON line, for the oracle.
     weather: a weather file that says which edges its beats can't reach.
     """
-    asyncio.run(_work(StandInWorker(identity, http, edge, zone, label, slots, tokenMs, tokens, prefillMs,
-                                    cachePrefixes, runsFile=runsFile,
+    asyncio.run(_work(StandInWorker(identity, http, edge, zone, label, slots, token_ms, tokens, prefill_ms,
+                                    cache_prefixes, runs_file=runs_file,
                                     weather=Weather(weather, identity) if weather else None)))
 
 
@@ -84,7 +84,7 @@
 
 @app.command
 def fleet(*, shape: Literal["jade", "swan", "thin"] = "jade", day: str = "owner-and-holder", seed: int = 1,
-          folder: str = "fleet-data", rate: float = 6.0, seconds: float = 15.0, basePort: int = 24000) -> None:
+          folder: str = "fleet-data", rate: float = 6.0, seconds: float = 15.0, base_port: int = 24000) -> None:
     """Bring up a whole fleet on this machine, cause a day's faults under traffic, and print a report.
 
     Parameters
@@ -95,13 +95,13 @@
     folder: where data and logs go; it is emptied first.
     rate: rulings and flags a second, each; other live calls come at half of it.
     seconds: how long traffic goes on at the least.
-    basePort: first loopback port to use.
+    base_port: first loopback port to use.
     """
     if day not in DAYS:
         sys.stderr.write(f"day: one of {', '.join(DAYS)}\n")
         raise SystemExit(2)
     try:
-        traffic, broken = asyncio.run(run_day(shape, day, seed, folder, rate, seconds, basePort))
+        traffic, broken = asyncio.run(run_day(shape, day, seed, folder, rate, seconds, base_port))
     except AssertionError as error:
         sys.stderr.write(f"{error}\n")
         raise SystemExit(1) from error
@@ -115,7 +115,7 @@
         found, run = run_seed(job[0], job[1], shape=job[2])
     except Exception as error:
         return job[0], {"raised": [repr(error)]}, [], {}
-    rows = [(round(atMs), event) for atMs, who, event, _ in run.fleet.events if who == "fault"]
+    rows = [(round(at_ms), event) for at_ms, who, event, _ in run.fleet.events if who == "fault"]
     return job[0], found, rows, evidence(run.fleet.history)
 
 
@@ -147,8 +147,8 @@
 
 
 @app.command
-def measure(what: Literal["log", "fleet", "routes", "prefix", "crowd", "ledger"], *, repeats: int = 3, count: int = 400, bodyBytes: int = 500,
-            seconds: float = 6.0, syncMs: float = 0.0) -> None:
+def measure(what: Literal["log", "fleet", "routes", "prefix", "crowd", "ledger"], *, repeats: int = 3, count: int = 400, body_bytes: int = 500,
+            seconds: float = 6.0, sync_ms: float = 0.0) -> None:
     """Measure the log against syncs, a small fleet, many routes, placement by prefix, or crowds.
 
     Parameters
@@ -156,13 +156,13 @@
     what: log, fleet, routes, prefix, crowd or ledger.
     repeats: how many paired runs.
     count: appends in a run, how many profiles there are, or how many lots.
-    bodyBytes: size of an entry.
+    body_bytes: size of an entry.
     seconds: length of a live run.
-    syncMs: time added to each sync, for disks slower than this machine's.
+    sync_ms: time added to each sync, for disks slower than this machine's.
     """
-    ways = {"log": lambda: measure_log(count, bodyBytes, repeats, syncMs), "prefix": measure_prefix,
+    ways = {"log": lambda: measure_log(count, body_bytes, repeats, sync_ms), "prefix": measure_prefix,
             "fleet": lambda: measure_fleet(seconds, repeats), "routes": lambda: measure_routes(count),
-            "crowd": measure_crowd, "ledger": lambda: measure_ledger(count, bodyBytes)}
+            "crowd": measure_crowd, "ledger": lambda: measure_ledger(count, body_bytes)}
     sys.stdout.write(ways[what]() + "\n")
 
 
--- a/libs/facsimile/src/facsimile/days.py
+++ b/libs/facsimile/src/facsimile/days.py
@@ -20,15 +20,15 @@
 Fault = Callable[[Fleet, random.Random], Awaitable[None]]
 
 
-async def _back(member: Member, afterMs: int) -> None:
-    await asyncio.sleep(afterMs / 1000)
+async def _back(member: Member, after_ms: int) -> None:
+    await asyncio.sleep(after_ms / 1000)
     member.start()
 
 
 async def find_holder(fleet: Fleet) -> Member | None:
     for member in fleet.of("store"):
         status, body = await fleet.get(member, "/status")
-        if status == 200 and body["logRole"] == "serving":
+        if status == 200 and body["log_role"] == "serving":
             return member
     return None
 
@@ -66,13 +66,13 @@
     member.start()
 
 
-async def _freeze(member: Member | None, forMs: int) -> None:
+async def _freeze(member: Member | None, for_ms: int) -> None:
     if member is not None:
-        beganAt = time.time()
+        began_at = time.time()
         member.signal(signal.SIGSTOP)
-        await asyncio.sleep(forMs / 1000)
+        await asyncio.sleep(for_ms / 1000)
         member.signal(signal.SIGCONT)
-        member.away.append((beganAt, time.time()))
+        member.away.append((began_at, time.time()))
 
 
 async def freeze_holder(fleet: Fleet, rng: random.Random) -> None:
@@ -122,10 +122,10 @@
 async def fill_disks(fleet: Fleet, rng: random.Random) -> None:
     """The room of all store disks shrinks below what is used, by settings and SIGHUP, and comes back."""
     stores = fleet.of("store")
-    for room in ("diskBytes = 65536\n", ""):
+    for room in ("disk_bytes = 65536\n", ""):
         for member in stores:
             path = fleet.folder / f"{member.name}.toml"
-            rows = [row for row in path.read_text().splitlines(True) if not row.startswith("diskBytes")]
+            rows = [row for row in path.read_text().splitlines(True) if not row.startswith("disk_bytes")]
             path.write_text("".join(rows) + room)
             member.signal(signal.SIGHUP)
         await asyncio.sleep(4 if room else 0)
@@ -181,7 +181,7 @@
     "dark-worker": [(3, dark_worker), (10, dark_worker)],
     "last-fault": [(4, kill_holder), (9, all_at_once)]}
 DAYS: dict[str, list[tuple[float, Any]]] = {
-    **{name: [(atS, fault) for atS, fault in rows] for name, rows in _PLAIN_DAYS.items()}, **WEATHER_DAYS}
+    **{name: [(at_s, fault) for at_s, fault in rows] for name, rows in _PLAIN_DAYS.items()}, **WEATHER_DAYS}
 
 
 DUE = ("unsafe-runs-once", "streams-are-whole", "bodies-are-whole", "keys-one-body", "workers-are-allowed", "versions-in-force",
@@ -189,9 +189,9 @@
 DUE_ON = {"calm": ("lots-in-time",), "members": ("gone-workers-get-nothing",)}
 
 
-async def _probe(traffic: Traffic, limitMs: float) -> None:
+async def _probe(traffic: Traffic, limit_ms: float) -> None:
     """Service is back once each of these works; each is tried until it does, or the time is up."""
-    beganMs = traffic.nowMs()
+    began_ms = traffic.now_ms()
     tries: dict[str, Callable[[], Awaitable[dict[str, Any]]]] = {
         "live": lambda: traffic.live("rulings", True), "move": lambda: traffic.live("moves", False),
         "lot": lambda: traffic.hand_in(1), "change": lambda: traffic.change(1)}
@@ -199,40 +199,40 @@
 
     async def one(what: str) -> None:
         seen = "nothing"
-        while traffic.nowMs() - beganMs < limitMs:
+        while traffic.now_ms() - began_ms < limit_ms:
             row = await tries[what]()
             seen = row["outcome"]
             if seen in good:
                 break
             await asyncio.sleep(0.2)
-        traffic.history.add("probe", traffic.nowMs(), what=what, worked=seen in good, seen=seen,
-                            afterMs=traffic.nowMs() - beganMs)
+        traffic.history.add("probe", traffic.now_ms(), what=what, worked=seen in good, seen=seen,
+                            after_ms=traffic.now_ms() - began_ms)
 
     await asyncio.gather(*[one(what) for what in tries])
 
 
-async def run_day(shape: str, day: str, seed: int, folder: str, rate: float, lastS: float,
-                  basePort: int = 24000) -> tuple[Traffic, dict[str, list[str]]]:
+async def run_day(shape: str, day: str, seed: int, folder: str, rate: float, last_s: float,
+                  base_port: int = 24000) -> tuple[Traffic, dict[str, list[str]]]:
     shutil.rmtree(folder, ignore_errors=True)
     rng = random.Random(seed)
     faulty = day in WEATHER_DAYS
-    async with Fleet(folder, SHAPES[shape], basePort, faulty=faulty) as fleet:
+    async with Fleet(folder, SHAPES[shape], base_port, faulty=faulty) as fleet:
         await fleet.found(TREE)
         await fleet.workers_known(SHAPES[shape]["workers"])
         traffic = Traffic(fleet, seed, rate)
         traffic.start()
         faults = []
-        for atS, fault in DAYS[day]:
-            await asyncio.sleep(max(0.0, atS - traffic.nowMs() / 1000))
-            traffic.history.add("fault", traffic.nowMs(), what=fault.__name__)
+        for at_s, fault in DAYS[day]:
+            await asyncio.sleep(max(0.0, at_s - traffic.now_ms() / 1000))
+            traffic.history.add("fault", traffic.now_ms(), what=fault.__name__)
             faults.append(asyncio.ensure_future(fault(fleet, rng, traffic) if faulty else fault(fleet, rng)))
-        await asyncio.sleep(max(0.0, lastS - traffic.nowMs() / 1000))
+        await asyncio.sleep(max(0.0, last_s - traffic.now_ms() / 1000))
         await asyncio.gather(*faults)
         await _probe(traffic, 12_000)
         await traffic.stop()
         await traffic.ask_again(8)
-        for lotId, lot in traffic.lots.items():
+        for lot_id, lot in traffic.lots.items():
             if lot["acked"]:
-                await until(lambda lotId=lotId: traffic.read(lotId, 0, True), 20_000, f"{lotId} can be read")
+                await until(lambda lot_id=lot_id: traffic.read(lot_id, 0, True), 20_000, f"{lot_id} can be read")
         traffic.take_worker_runs()
     return traffic, judge(traffic.history, DUE + DUE_ON.get(day, ()))
--- a/libs/facsimile/src/facsimile/days_weather.py
+++ b/libs/facsimile/src/facsimile/days_weather.py
@@ -12,8 +12,8 @@
 __all__ = ["WEATHER_DAYS"]
 
 
-async def _back(member: Member, afterMs: int) -> None:
-    await asyncio.sleep(afterMs / 1000)
+async def _back(member: Member, after_ms: int) -> None:
+    await asyncio.sleep(after_ms / 1000)
     member.start()
 
 
@@ -95,10 +95,10 @@
 async def full(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
     """The room of stores and of control shrinks to next to nothing, by settings and SIGHUP, and comes back."""
     members = fleet.of("store") + fleet.of("control")
-    for room in ("diskBytes = 65536\n", ""):
+    for room in ("disk_bytes = 65536\n", ""):
         for member in members:
             path = fleet.folder / f"{member.name}.toml"
-            rows = [row for row in path.read_text().splitlines(True) if not row.startswith("diskBytes")]
+            rows = [row for row in path.read_text().splitlines(True) if not row.startswith("disk_bytes")]
             path.write_text("".join(rows) + room)
             member.signal(signal.SIGHUP)
         await asyncio.sleep(4 if room else 0)
