--- a/libs/facsimile/src/facsimile/fleet.py
+++ b/libs/facsimile/src/facsimile/fleet.py
@@ -24,16 +24,16 @@
 
 
 class Member:
-    __slots__ = ("away", "command", "http", "link", "logFile", "name", "process", "role")
+    __slots__ = ("away", "command", "http", "link", "log_file", "name", "process", "role")
 
-    def __init__(self, name: str, role: str, link: str, http: str, command: list[str], logFile: Path) -> None:
+    def __init__(self, name: str, role: str, link: str, http: str, command: list[str], log_file: Path) -> None:
         self.name, self.role, self.link, self.http = name, role, link, http
-        self.command, self.logFile = command, logFile
+        self.command, self.log_file = command, log_file
         self.process: subprocess.Popen | None = None
         self.away: list[tuple[float, float]] = []
 
     def start(self) -> None:
-        with open(self.logFile, "ab") as page:
+        with open(self.log_file, "ab") as page:
             self.process = subprocess.Popen(self.command, stdout=page, stderr=page, stdin=subprocess.DEVNULL)
 
     def signal(self, number: int) -> None:
@@ -50,10 +50,10 @@
         return self.process is not None and self.process.poll() is None
 
 
-async def until(check: Callable[[], Any], deadlineMs: int, what: str, everyMs: int = 50) -> Any:
+async def until(check: Callable[[], Any], deadline_ms: int, what: str, every_ms: int = 50) -> Any:
     """Polls a condition, a coroutine function, until it holds; what it last saw is told if it never does."""
     loop = asyncio.get_running_loop()
-    endAt = loop.time() + deadlineMs / 1000
+    end_at = loop.time() + deadline_ms / 1000
     seen: Any = None
     while True:
         try:
@@ -65,25 +65,25 @@
             last = repr(seen)
         if seen:
             return seen
-        if loop.time() >= endAt:
-            raise AssertionError(f"not within {deadlineMs} ms: {what} (last seen: {last[:500]})")
-        await asyncio.sleep(everyMs / 1000)
+        if loop.time() >= end_at:
+            raise AssertionError(f"not within {deadline_ms} ms: {what} (last seen: {last[:500]})")
+        await asyncio.sleep(every_ms / 1000)
 
 
 class Fleet:
-    def __init__(self, folder: str, shape: dict[str, int], basePort: int = 21000, host: str = "127.0.0.1",
+    def __init__(self, folder: str, shape: dict[str, int], base_port: int = 21000, host: str = "127.0.0.1",
                  settings: dict[str, Any] | None = None, faulty: bool = False) -> None:
         self.faulty = faulty
         self._steps: dict[str, int] = {}
         self.folder = Path(folder)
         self.folder.mkdir(parents=True, exist_ok=True)
         self.shape, self.host = shape, host
-        self._port = basePort
+        self._port = base_port
         self._settings = settings or {}
         self.members: dict[str, Member] = {}
         self.workers: dict[str, Member] = {}
         self.session: aiohttp.ClientSession | None = None
-        self.seeds = [f"{host}:{basePort + 2 * index}" for index in range(3)]
+        self.seeds = [f"{host}:{base_port + 2 * index}" for index in range(3)]
         for index in range(shape["control"]):
             self.add("control", f"control{index + 1}")
         for index in range(shape["stores"]):
@@ -105,17 +105,17 @@
     def add(self, role: str, name: str) -> Member:
         link, http = self._address(), self._address()
         zone = ZONES[len(self.members) % len(ZONES)]
-        values = {"link": link, "http": http, "zone": zone, "seeds": self._live_seeds(), "controlCount": self.shape["control"],
-                  "storeCount": 3, **self._settings}
+        values = {"link": link, "http": http, "zone": zone, "seeds": self._live_seeds(), "control_count": self.shape["control"],
+                  "store_count": 3, **self._settings}
         if role != "edge":
-            values["dataFolder"] = str(self.folder / name)
+            values["data_folder"] = str(self.folder / name)
         path = self.folder / f"{name}.toml"
         path.write_text("".join(f"{key} = {json.dumps(value)}\n" for key, value in values.items()))
         program = "registrar" if role == "control" else "readingroom"
         command = [sys.executable, "-m", f"{program}.cli", "serve", "--settings", str(path)]
         if self.faulty:
             command = [sys.executable, "-m", "facsimile.cli", "node", "--settings", str(path), "--name", name, "--weather",
-                       str(self.weatherFile), "--seed", str(len(self.members))]
+                       str(self.weather_file), "--seed", str(len(self.members))]
         if role != "control" or self.faulty:
             command += ["--role", role]
         member = Member(name, role, link, http, command, self.folder / f"{name}.log")
@@ -129,7 +129,7 @@
                    ZONES[len(self.workers) % len(ZONES)], "--label", "gpu", "--runs-file",
                    str(self.folder / f"{name}.runs"), *extra]
         if self.faulty:
-            command += ["--weather", str(self.weatherFile)]
+            command += ["--weather", str(self.weather_file)]
         for edge in edges:
             command += ["--edge", edge]
         member = Member(name, "worker", "", http, command, self.folder / f"{name}.log")
@@ -145,7 +145,7 @@
     # -- weather -------------------------------------------------------------------------------
 
     @property
-    def weatherFile(self) -> Path:
+    def weather_file(self) -> Path:
         return self.folder / "weather.json"
 
     def weather(self, cuts: list[tuple[str, str]] | None = None, steps: dict[str, int] | None = None, loss: float = 0.0,
@@ -153,7 +153,7 @@
         """What is not named is fair again, but for the clocks, which stay where they were put."""
         self._steps.update(steps or {})
         machines = {address: member.name for member in self.everyone() for address in (member.link, member.http) if address}
-        write_weather(self.weatherFile, machines, cuts or [], slow or {}, loss, self._steps)
+        write_weather(self.weather_file, machines, cuts or [], slow or {}, loss, self._steps)
 
     def apart(self, one: list[Member], other: list[Member]) -> list[tuple[str, str]]:
         return [pair for a in one for b in other for pair in ((a.name, b.name), (b.name, a.name))]
@@ -164,9 +164,9 @@
         return await self.ask("GET", member.http, address)
 
     async def ask(self, method: str, http: str, address: str, body: Any = None,
-                  headers: dict[str, str] | None = None, waitMs: int = 15000) -> tuple[int, Any]:
+                  headers: dict[str, str] | None = None, wait_ms: int = 15000) -> tuple[int, Any]:
         async with self.session.request(method, f"http://{http}{address}", json=body, headers=headers,
-                                        timeout=aiohttp.ClientTimeout(total=waitMs / 1000)) as answer:
+                                        timeout=aiohttp.ClientTimeout(total=wait_ms / 1000)) as answer:
             text = await answer.text()
             try:
                 return answer.status, json.loads(text)
@@ -200,18 +200,18 @@
             if member.process is not None:
                 member.process.wait()
 
-    async def found(self, tree: dict[str, Any], deadlineMs: int = 30000) -> int:
+    async def found(self, tree: dict[str, Any], deadline_ms: int = 30000) -> int:
         """Waits for control, sends the first tree, and waits until every edge and store is ready."""
-        await until(lambda: self.all_ready(("control",)), deadlineMs, "control is ready")
-        await until(lambda: self.all_ready(("store",)), deadlineMs, "stores are ready")
+        await until(lambda: self.all_ready(("control",)), deadline_ms, "control is ready")
+        await until(lambda: self.all_ready(("store",)), deadline_ms, "stores are ready")
         status, body = await self.ask("PUT", self.of("control")[0].http, "/profiles",
-                                      {"version": 0, "changeId": "first", "tree": tree})
+                                      {"version": 0, "change_id": "first", "tree": tree})
         if status != 200:
             raise AssertionError(f"the first tree was answered {status}: {body}")
-        await until(self.all_ready, deadlineMs, "all are ready")
+        await until(self.all_ready, deadline_ms, "all are ready")
         return body["version"]
 
-    async def workers_known(self, count: int, deadlineMs: int = 15000) -> None:
+    async def workers_known(self, count: int, deadline_ms: int = 15000) -> None:
         async def known() -> bool:
             for member in self.of("edge"):
                 _, body = await self.get(member, "/status")
@@ -219,4 +219,4 @@
                     return False
             return True
 
-        await until(known, deadlineMs, f"{count} workers known at every edge")
+        await until(known, deadline_ms, f"{count} workers known at every edge")
--- a/libs/facsimile/src/facsimile/measure.py
+++ b/libs/facsimile/src/facsimile/measure.py
@@ -28,26 +28,26 @@
 class _SlowDisk(FolderDisk):
     """A disk whose syncs take as long as those of the machines that are meant."""
 
-    syncMs = 0.0
+    sync_ms = 0.0
 
     def _flush(self, handles: list[int], done: Callable[[bool], None]) -> None:
-        time.sleep(self.syncMs / 1000)
+        time.sleep(self.sync_ms / 1000)
         super()._flush(handles, done)
 
 
 class _Store:
-    def __init__(self, folder: str, name: str, syncMs: float) -> None:
+    def __init__(self, folder: str, name: str, sync_ms: float) -> None:
         loop = asyncio.get_running_loop()
         self.params = Params(role="store", link="127.0.0.1:1", http="127.0.0.1:2", zone="a", seeds=["127.0.0.1:1"],
-                             dataFolder=folder)
+                             data_folder=folder)
         self.disk = _SlowDisk(os.path.join(folder, name), 1 << 30, loop.call_soon_threadsafe)
-        self.disk.syncMs = syncMs
+        self.disk.sync_ms = sync_ms
         self.log = LocalLog(self.disk, self.params, boot_ms, lambda: name)
         self.peer = PeerSide(self.log)
 
 
-async def _appends(append: Callable[[Callable[[], None]], None], count: int, atOnce: int) -> list[float]:
-    """`count` appends, `atOnce` of them under way at any time; how long each took, in ms."""
+async def _appends(append: Callable[[Callable[[], None]], None], count: int, at_once: int) -> list[float]:
+    """`count` appends, `at_once` of them under way at any time; how long each took, in ms."""
     loop = asyncio.get_running_loop()
     taken: list[float] = []
 
@@ -59,14 +59,14 @@
             await future
             taken.append((time.perf_counter() - began) * 1000)
 
-    await asyncio.gather(*[worker(count // atOnce) for _ in range(atOnce)])
+    await asyncio.gather(*[worker(count // at_once) for _ in range(at_once)])
     return taken
 
 
-async def _measure_log(count: int, bodyBytes: int, syncMs: float) -> list[str]:
+async def _measure_log(count: int, body_bytes: int, sync_ms: float) -> list[str]:
     lines = []
     with tempfile.TemporaryDirectory() as folder:
-        stores = {name: _Store(folder, name, syncMs) for name in ("a", "b", "c")}
+        stores = {name: _Store(folder, name, sync_ms) for name in ("a", "b", "c")}
         loop = asyncio.get_running_loop()
         holder: Holder | None = None
 
@@ -76,7 +76,7 @@
 
         own = stores["a"].log
         ready = loop.create_future()
-        own.keep_meta(lambda ok: ready.set_result(ok), fence=1, logEpoch=1)
+        own.keep_meta(lambda ok: ready.set_result(ok), fence=1, log_epoch=1)
         await ready
         holder = Holder(own, 1, [(store.log.identity, name) for name, store in stores.items()], stores["a"].params,
                         boot_ms, wall_ms, post, lambda fence: None)
@@ -90,28 +90,28 @@
         ticking = asyncio.ensure_future(tick())
         while not holder.adopted():
             await asyncio.sleep(0.01)
-        entry = entries.KeyClosed(key="k", transaction="t", state="done", status=200, body="x" * bodyBytes, atMs=0)
+        entry = entries.KeyClosed(key="k", transaction="t", state="done", status=200, body="x" * body_bytes, at_ms=0)
         handle = os.open(os.path.join(folder, "plain"), os.O_RDWR | os.O_CREAT)
 
         disk = ThreadPoolExecutor(1)
 
         def sync() -> None:
-            time.sleep(syncMs / 1000)
+            time.sleep(sync_ms / 1000)
             os.fsync(handle)
 
         def synced(done: Callable[[], None]) -> None:
-            os.write(handle, b"x" * bodyBytes)
+            os.write(handle, b"x" * body_bytes)
             loop.run_in_executor(disk, sync).add_done_callback(lambda _: done())
 
         ways = {"held at f peers": lambda done: holder.append([entry], False, lambda outcome: done()),
                 "settled on f+1 disks": lambda done: holder.append([entry], True, lambda outcome: done()),
                 "one sync for each, one disk": synced}
-        for atOnce in (1, 16):
+        for at_once in (1, 16):
             for name, append in ways.items():
                 began = time.perf_counter()
-                taken = await _appends(append, count, atOnce)
+                taken = await _appends(append, count, at_once)
                 rate = len(taken) / (time.perf_counter() - began)
-                lines.append(f"  {atOnce:2} at once, {name:28} {spread_fine(taken)}; {rate:.0f} a second")
+                lines.append(f"  {at_once:2} at once, {name:28} {spread_fine(taken)}; {rate:.0f} a second")
         stopping.set()
         await ticking
         os.close(handle)
@@ -126,28 +126,28 @@
                      for name, share in (("50%", 0.5), ("90%", 0.9), ("99%", 0.99)))
 
 
-def measure_log(count: int, bodyBytes: int, repeats: int, syncMs: float) -> str:
-    lines = [f"{count} appends of {bodyBytes} bytes, {_DELAY_S * 1000:.1f} ms each way, {syncMs:.1f} ms added to each sync"]
+def measure_log(count: int, body_bytes: int, repeats: int, sync_ms: float) -> str:
+    lines = [f"{count} appends of {body_bytes} bytes, {_DELAY_S * 1000:.1f} ms each way, {sync_ms:.1f} ms added to each sync"]
     for repeat in range(repeats):
         lines.append(f"run {repeat + 1}")
-        lines += asyncio.run(_measure_log(count, bodyBytes, syncMs))
+        lines += asyncio.run(_measure_log(count, body_bytes, sync_ms))
     return "\n".join(lines)
 
 
 async def _live(traffic: Traffic, seconds: float, lots: bool) -> list[str]:
-    traffic.latencyMs.clear()
-    endAt = time.time() + seconds
+    traffic.latency_ms.clear()
+    end_at = time.time() + seconds
     pending: set[asyncio.Task] = set()
-    nextLotAt = 0.0
-    while time.time() < endAt:
-        if lots and time.time() >= nextLotAt:
-            nextLotAt = time.time() + 1.0
+    next_lot_at = 0.0
+    while time.time() < end_at:
+        if lots and time.time() >= next_lot_at:
+            next_lot_at = time.time() + 1.0
             pending.add(asyncio.ensure_future(traffic.hand_in()))
         pending.add(asyncio.ensure_future(traffic.live("rulings", True)))
         pending.add(asyncio.ensure_future(traffic.live("reasons", False)))
         await asyncio.sleep(0.04)
     await asyncio.gather(*pending)
-    return [f"  {path:10} {spread(values)}" for path, values in sorted(traffic.latencyMs.items())]
+    return [f"  {path:10} {spread(values)}" for path, values in sorted(traffic.latency_ms.items())]
 
 
 async def _recovery(fleet: Fleet, traffic: Traffic) -> float:
--- a/libs/facsimile/src/facsimile/measure_ledger.py
+++ b/libs/facsimile/src/facsimile/measure_ledger.py
@@ -54,81 +54,81 @@
         return int(page.read().split()[1]) * resource.getpagesize() / 1e6
 
 
-def _lot(rng: random.Random, number: int, bodyBytes: int, over: bool) -> list[Any]:
+def _lot(rng: random.Random, number: int, body_bytes: int, over: bool) -> list[Any]:
     name = f"lot{number}"
-    texts = [rng.randbytes(bodyBytes // 2).hex() for _ in range(2)]
-    rows: list[Any] = [e.LotAdmitted(lotId=name, digest="d" * 32, path="summaries", safe=True, dueMs=number, atMs=number, items=[
+    texts = [rng.randbytes(body_bytes // 2).hex() for _ in range(2)]
+    rows: list[Any] = [e.LotAdmitted(lot_id=name, digest="d" * 32, path="summaries", safe=True, due_ms=number, at_ms=number, items=[
         f'{{"prompt": "{place} {texts[0]}"}}' for place in range(_ITEMS)])]
     if over:
         for place in range(_ITEMS):
-            rows.append(e.ItemClaimed(lotId=name, index=place, edge="edge-1", number=1))
-            rows.append(e.ItemFinished(lotId=name, index=place, outcome="ran", worker="w/1",
+            rows.append(e.ItemClaimed(lot_id=name, index=place, edge="edge-1", number=1))
+            rows.append(e.ItemFinished(lot_id=name, index=place, outcome="ran", worker="w/1",
                                        body=f'{{"id": "{number}-{place}", "text": "{texts[1]}"}}'))
-        rows.append(e.BatonPassed(lotId=name, edge="edge-1", epoch=1))
-        rows.append(e.ResultsPlaced(lotId=name, upTo=_ITEMS, epoch=1))
+        rows.append(e.BatonPassed(lot_id=name, edge="edge-1", epoch=1))
+        rows.append(e.ResultsPlaced(lot_id=name, up_to=_ITEMS, epoch=1))
     return rows
 
 
 def _wait(disk: FolderDisk, check: Any) -> float:
-    beganAt = time.perf_counter()
+    began_at = time.perf_counter()
     while not check():
         disk._worker.submit(lambda: None).result()
-    return (time.perf_counter() - beganAt) * 1000
+    return (time.perf_counter() - began_at) * 1000
 
 
-def measure_ledger(lots: int, bodyBytes: int, keys: int = 0) -> str:
+def measure_ledger(lots: int, body_bytes: int, keys: int = 0) -> str:
     rng = random.Random(1)
     lines = []
     with tempfile.TemporaryDirectory() as folder:
-        params = Params(role="store", link="127.0.0.1:1", http="127.0.0.1:2", zone="z", seeds=["127.0.0.1:1"], dataFolder=folder,
-                        diskBytes=1 << 34)
-        disk = FolderDisk(folder, params.diskBytes, lambda call: call())
+        params = Params(role="store", link="127.0.0.1:1", http="127.0.0.1:2", zone="z", seeds=["127.0.0.1:1"], data_folder=folder,
+                        disk_bytes=1 << 34)
+        disk = FolderDisk(folder, params.disk_bytes, lambda call: call())
         log = LocalLog(disk, params, lambda: time.monotonic_ns() // 1_000_000, lambda: "a")
-        beforeMb = _mega()
-        worstMs = 0.0
+        before_mb = _mega()
+        worst_ms = 0.0
         for number in range(lots):
-            for row in _lot(rng, number, bodyBytes, True):
-                log.write(log.make((1, log.lastStamp[1] + 1), encode(row)))
-            log.flushedSeq = log.lastSeq
-            log.settle(log.lastSeq)
+            for row in _lot(rng, number, body_bytes, True):
+                log.write(log.make((1, log.last_stamp[1] + 1), encode(row)))
+            log.flushed_seq = log.last_seq
+            log.settle(log.last_seq)
             if number % 100 == 99:
-                beganAt = time.perf_counter()
+                began_at = time.perf_counter()
                 log.tidy()
-                worstMs = max(worstMs, (time.perf_counter() - beganAt) * 1000)
+                worst_ms = max(worst_ms, (time.perf_counter() - began_at) * 1000)
                 _wait(disk, lambda: not log.busy())
-                log.receivedMs = [-1 << 40] * (len(log.records) - 1) + log.receivedMs[-1:]
+                log.received_ms = [-1 << 40] * (len(log.records) - 1) + log.received_ms[-1:]
                 log.trim()
         log.tidy(True)
         _wait(disk, lambda: not log.busy())
-        del log.records[:-1], log.receivedMs[:-1]
+        del log.records[:-1], log.received_ms[:-1]
         gc.collect()
-        lines.append(f"{lots} lots of {_ITEMS} that are over, bodies and results of {bodyBytes} bytes: {_mega() - beforeMb:.0f} MB "
+        lines.append(f"{lots} lots of {_ITEMS} that are over, bodies and results of {body_bytes} bytes: {_mega() - before_mb:.0f} MB "
                      f"in memory, {sum(disk._sizes.values()) / 1e6:.0f} MB on disk")
-        beganAt = time.perf_counter()
-        sizeBytes = len(log.snapshot())
-        lines.append(f"  a snapshot: {(time.perf_counter() - beganAt) * 1000:.0f} ms in the loop, {sizeBytes / 1e6:.1f} MB; "
-                     f"longest step of tidying {worstMs:.0f} ms")
-        beganAt = time.perf_counter()
+        began_at = time.perf_counter()
+        size_bytes = len(log.snapshot())
+        lines.append(f"  a snapshot: {(time.perf_counter() - began_at) * 1000:.0f} ms in the loop, {size_bytes / 1e6:.1f} MB; "
+                     f"longest step of tidying {worst_ms:.0f} ms")
+        began_at = time.perf_counter()
         again = LocalLog(disk, params, lambda: 0, lambda: "a")
-        lines.append(f"  read back in {(time.perf_counter() - beganAt) * 1000:.0f} ms, {len(again.ledger.lots)} lots")
+        lines.append(f"  read back in {(time.perf_counter() - began_at) * 1000:.0f} ms, {len(again.ledger.lots)} lots")
         for count in (10, 100):
-            lines.append(f"  an edge's beat with {count} open lots of {_ITEMS}: {_beat_ms(log, rng, count, bodyBytes):.2f} ms")
+            lines.append(f"  an edge's beat with {count} open lots of {_ITEMS}: {_beat_ms(log, rng, count, body_bytes):.2f} ms")
         disk.close()
     return "\n".join(lines)
 
 
-def _beat_ms(log: LocalLog, rng: random.Random, count: int, bodyBytes: int) -> float:
+def _beat_ms(log: LocalLog, rng: random.Random, count: int, body_bytes: int) -> float:
     alone = _Alone(log)
     for number in range(count):
-        for row in _lot(rng, 10_000_000 + number, bodyBytes, False):
+        for row in _lot(rng, 10_000_000 + number, body_bytes, False):
             log.ledger.apply(row)
     dealer = Dealer(alone, alone)
     took = []
     for _ in range(20):
-        beganAt = time.perf_counter()
+        began_at = time.perf_counter()
         dealer.beat(m.EdgeBeat(edge="edge-1", address="x", room=0, paths=["summaries"], running=[]), lambda receipt: None)
         dealer.tick()
-        took.append((time.perf_counter() - beganAt) * 1000)
+        took.append((time.perf_counter() - began_at) * 1000)
     for number in range(count):
-        log.ledger.apply(e.LotForgotten(lotId=f"lot{10_000_000 + number}"))
+        log.ledger.apply(e.LotForgotten(lot_id=f"lot{10_000_000 + number}"))
     return sorted(took)[len(took) // 2]
--- a/libs/facsimile/src/facsimile/measure_more.py
+++ b/libs/facsimile/src/facsimile/measure_more.py
@@ -19,11 +19,11 @@
 def wide_tree(count: int) -> dict[str, Any]:
     """The test tree and a group of ten under each tenth of `count` further profiles."""
     rows = {f"route-{place}": {"parent": "base" if place % 10 == 0 else f"route-{place - place % 10}",
-                               "deadlineMs": 1000 + place} for place in range(count)}
+                               "deadline_ms": 1000 + place} for place in range(count)}
     return {"profiles": {**TREE["profiles"], **rows}}
 
 
-def _memoryMb(pid: int) -> int:
+def _memory_mb(pid: int) -> int:
     line = next(line for line in Path(f"/proc/{pid}/status").read_text().splitlines() if line.startswith("VmRSS"))
     return int(line.split()[1]) // 1024
 
@@ -56,12 +56,12 @@
     async with Fleet(folder, SHAPES["thin"], 28300) as fleet:
         await fleet.found(TREE)
         edge, control = fleet.of("edge")[0], fleet.of("control")[0].http
-        lines = [f"{count} profiles; an edge's memory before {_memoryMb(edge.process.pid)} MB"]
+        lines = [f"{count} profiles; an edge's memory before {_memory_mb(edge.process.pid)} MB"]
         taken: list[float] = []
         stopping = asyncio.Event()
         polling = asyncio.ensure_future(_poll_ready(fleet, taken, stopping))
         for what, method, body in [("whole tree", "PUT", {"tree": wide_tree(count)})] + [
-                ("small patch", "PATCH", {"patch": {"profiles": {f"route-{place}": {"deadlineMs": 77}}}})
+                ("small patch", "PATCH", {"patch": {"profiles": {f"route-{place}": {"deadline_ms": 77}}}})
                 for place in range(5)]:
             _, shown = await fleet.ask("GET", control, "/profiles")
             before = await _metric(fleet, "control", "feed_sent_bytes_total")
@@ -78,7 +78,7 @@
         _, text = await fleet.get(edge, "/metrics")
         worst = next(line for line in text.splitlines() if line.startswith("vaneledge_worst_tick_ms"))
         lines.append(f"  /ready meanwhile: {spread(taken)}")
-        lines.append(f"  an edge's memory after {_memoryMb(edge.process.pid)} MB; {worst}")
+        lines.append(f"  an edge's memory after {_memory_mb(edge.process.pid)} MB; {worst}")
     return lines
 
 
@@ -91,24 +91,24 @@
     """Placement alone, with the stand-in's cache (a bounded set of prefixes, the oldest leaving): hits and
     the spread of calls over workers, by prefix and by load alone. Calls end in the order they began."""
     lines = [f"{calls} calls, {prefixes} prefixes, {workers} workers with room for {cached} each, 20 under way"]
-    for byPrefix in (True, False):
+    for by_prefix in (True, False):
         rng = random.Random(1)
         pool = []
         for place in range(workers):
             news = WorkerNews(identity=f"w{place}", incarnation=1, address=f"w{place}:1", zone="a", labels=[], beat=1,
-                              running=0, waiting=0, slots=8, cacheUse=0.0, leaving=False)
+                              running=0, waiting=0, slots=8, cache_use=0.0, leaving=False)
             worker = Worker(news)
             worker.take(news, 0)
             pool.append(worker)
         caches: dict[str, list[str]] = {worker.identity: [] for worker in pool}
-        hits, placed, underWay = 0, Counter(), []
+        hits, placed, under_way = 0, Counter(), []
         for _ in range(calls):
             prefix = f"p{min(rng.randrange(prefixes), rng.randrange(prefixes))}"
-            if len(underWay) >= 20:
-                underWay.pop(0).sending -= 1
-            worker = choose(pool, prefix, False, "a", True, 0.0, byPrefix=byPrefix)
+            if len(under_way) >= 20:
+                under_way.pop(0).sending -= 1
+            worker = choose(pool, prefix, False, "a", True, 0.0, by_prefix=by_prefix)
             worker.sending += 1
-            underWay.append(worker)
+            under_way.append(worker)
             placed[worker.identity] += 1
             cache = caches[worker.identity]
             hits += prefix in cache
@@ -117,7 +117,7 @@
             cache.append(prefix)
             del cache[:-cached]
         mean = calls / workers
-        lines.append(f"  {'by prefix' if byPrefix else 'by load alone':14} {100 * hits / calls:5.1f}% hits; busiest worker "
+        lines.append(f"  {'by prefix' if by_prefix else 'by load alone':14} {100 * hits / calls:5.1f}% hits; busiest worker "
                      f"{max(placed.values()) / mean:.2f} of the mean, idlest {min(placed.values()) / mean:.2f}")
     return "\n".join(lines)
 
@@ -129,18 +129,18 @@
         await fleet.workers_known(2)
         for rate in rates:
             traffic = Traffic(fleet, 1, 1.0)
-            traffic.lotName = f"rate{rate}-lot"
+            traffic.lot_name = f"rate{rate}-lot"
             pending: set[asyncio.Task] = set()
             began = time.time()
             count = 0
             for _ in range(4):
                 pending.add(asyncio.ensure_future(traffic.hand_in(1)))
-            nextReadS = 0.0
+            next_read_s = 0.0
             while time.time() - began < seconds:
-                if time.time() - began > nextReadS:
-                    nextReadS += 0.2
+                if time.time() - began > next_read_s:
+                    next_read_s += 0.2
                     pending.update(asyncio.ensure_future(traffic.read(name, 0)) for name, lot in traffic.lots.items()
-                                   if lot["acked"] and not lot["doneMs"])
+                                   if lot["acked"] and not lot["done_ms"])
                 while count < (time.time() - began) * rate:
                     count += 1
                     pending.add(asyncio.ensure_future(traffic.live("rulings", True)))
@@ -151,19 +151,19 @@
             refused = []
             for row in traffic.history.of("call"):
                 outcomes[row["verdict"] if not row["code"] else f"{row['verdict']} {row['code']}"] += 1
-                if row["verdict"] == "notRun":
-                    refused.append(row["answeredMs"] - row["atMs"])
+                if row["verdict"] == "not_run":
+                    refused.append(row["answered_ms"] - row["at_ms"])
             lines.append(f"{rate} rulings a second: {dict(outcomes)}")
-            lines.append(f"  answered: {spread(traffic.latencyMs.get('rulings', []))}; refused: {spread(refused)}")
+            lines.append(f"  answered: {spread(traffic.latency_ms.get('rulings', []))}; refused: {spread(refused)}")
 
             async def lots_done(traffic: Traffic = traffic) -> bool:
                 await asyncio.gather(*[traffic.read(name, 0) for name, lot in traffic.lots.items()
-                                       if lot["acked"] and not lot["doneMs"]])
-                return all(lot["doneMs"] for lot in traffic.lots.values() if lot["acked"])
+                                       if lot["acked"] and not lot["done_ms"]])
+                return all(lot["done_ms"] for lot in traffic.lots.values() if lot["acked"])
 
             await until(lots_done, 30_000, "lots are done")
             lines.append(f"  lots handed in at the start: {sum(listed)} of {80 * len(listed)} results listed by the crowd's "
-                         f"end; {spread(traffic.latencyMs.get('lots of 80', []))}")
+                         f"end; {spread(traffic.latency_ms.get('lots of 80', []))}")
     return lines
 
 
--- a/libs/facsimile/src/facsimile/sim/carrying.py
+++ b/libs/facsimile/src/facsimile/sim/carrying.py
@@ -22,7 +22,7 @@
         fleet, host, life = self._fleet, self._host, self._host.life
         time, network = fleet.time, fleet.network
         target = fleet.worker_at(address)
-        state = {"lastMs": 0.0, "open": True}
+        state = {"last_ms": 0.0, "open": True}
 
         def here(what: Callable[[], None]) -> None:
             host.when_awake(lambda: what() if host.up and host.life == life else None, life)
@@ -31,8 +31,8 @@
             """In order, as on one connection; what is cut off on the way is never heard of."""
             if not network.passes(address, host.address):
                 return
-            state["lastMs"] = max(state["lastMs"], time.nowMs + network.delay(address, host.address))
-            time.after(state["lastMs"] - time.nowMs, lambda: here(lambda: arrived(what, *args)))
+            state["last_ms"] = max(state["last_ms"], time.now_ms + network.delay(address, host.address))
+            time.after(state["last_ms"] - time.now_ms, lambda: here(lambda: arrived(what, *args)))
 
         def arrived(what: str, *args: Any) -> None:
             if not state["open"]:
@@ -52,7 +52,7 @@
         def abort() -> None:
             state["open"] = False
 
-        fleet.history.add("send", time.nowMs, worker=headers["X-Vaneledge-Worker"],
+        fleet.history.add("send", time.now_ms, worker=headers["X-Vaneledge-Worker"],
                           transaction=headers["X-Vaneledge-Transaction"])
         if target is None or not network.passes(host.address, address):
             time.after(_CONNECT_MS, lambda: here(lambda: arrived("no connection")))
--- a/libs/facsimile/src/facsimile/sim/disks.py
+++ b/libs/facsimile/src/facsimile/sim/disks.py
@@ -11,24 +11,24 @@
 
 
 class SimDisk:
-    __slots__ = ("_busyUntilMs", "_durable", "_files", "_host", "_pending", "_time", "_wholeBytes", "asides", "flushMs", "flushes",
-                 "roomBytes")
+    __slots__ = ("_busy_until_ms", "_durable", "_files", "_host", "_pending", "_time", "_whole_bytes", "asides", "flush_ms", "flushes",
+                 "room_bytes")
 
-    def __init__(self, time: Any, roomBytes: int, flushMs: float = 3.0) -> None:
+    def __init__(self, time: Any, room_bytes: int, flush_ms: float = 3.0) -> None:
         self._time = time
         self._files: dict[str, bytearray] = {}
         self._durable: dict[str, bytearray] = {}
         self._pending: dict[str, list[tuple[str, int, bytes]]] = {}
-        self._busyUntilMs = 0.0
+        self._busy_until_ms = 0.0
         self._host: Any = None
-        self.roomBytes = self._wholeBytes = roomBytes
-        self.flushMs = flushMs
+        self.room_bytes = self._whole_bytes = room_bytes
+        self.flush_ms = flush_ms
         self.flushes = 0
         self.asides = 0
 
     def bind(self, host: Any) -> None:
         self._host = host
-        self._busyUntilMs = 0.0
+        self._busy_until_ms = 0.0
 
     # -- as the cores see it -------------------------------------------------------------------
 
@@ -42,7 +42,7 @@
         return bytes(self._files.get(name, b"")[offset:offset + size])
 
     def roomy(self, size: int, urgent: bool = False) -> bool:
-        limit = self.roomBytes if urgent else self.roomBytes * (1 - KEPT_BACK)
+        limit = self.room_bytes if urgent else self.room_bytes * (1 - KEPT_BACK)
         return sum(len(data) for data in self._files.values()) + size <= limit
 
     def write(self, name: str, offset: int, data: bytes, urgent: bool = False) -> None:
@@ -100,14 +100,14 @@
 
     def _later(self, what: Callable[[], None]) -> None:
         host, life = self._host, self._host.life
-        startMs = max(self._time.nowMs, self._busyUntilMs)
-        self._busyUntilMs = startMs + self.flushMs * (0.5 + self._time.rng.random())
+        start_ms = max(self._time.now_ms, self._busy_until_ms)
+        self._busy_until_ms = start_ms + self.flush_ms * (0.5 + self._time.rng.random())
 
         def due() -> None:
             if host.life == life and host.up:
                 host.when_awake(what, life)
 
-        self._time.after(self._busyUntilMs - self._time.nowMs, due)
+        self._time.after(self._busy_until_ms - self._time.now_ms, due)
 
     def _settle(self, name: str, row: tuple[str, int, bytes]) -> None:
         kind, at, data = row
@@ -131,10 +131,10 @@
         self._files = {name: bytearray(data) for name, data in self._durable.items()}
 
     def fill(self) -> None:
-        self.roomBytes = int(sum(len(data) for data in self._files.values()) * 1.1)
+        self.room_bytes = int(sum(len(data) for data in self._files.values()) * 1.1)
 
     def empty(self) -> None:
-        self.roomBytes = self._wholeBytes
+        self.room_bytes = self._whole_bytes
 
     def wipe(self) -> None:
         self._files.clear()
@@ -144,7 +144,7 @@
     def damage(self, name: str, offset: int) -> None:
         for copy in (self._files, self._durable):
             if name in copy and offset < len(copy[name]):
-                copy[name][offset] ^= 0xFF
+                copy[name][offset] ^= 0x_ff
 
 
 def _put(page: bytearray, offset: int, data: bytes) -> None:
--- a/libs/facsimile/src/facsimile/sim/faults.py
+++ b/libs/facsimile/src/facsimile/sim/faults.py
@@ -11,63 +11,63 @@
     return fleet.time.rng.choice(hosts) if hosts else None
 
 
-def crash(fleet: Any, role: str, downMs: float) -> None:
+def crash(fleet: Any, role: str, down_ms: float) -> None:
     host = _pick(fleet, role)
     if host is not None:
         host.kill()
-        fleet.time.after(downMs, host.start)
+        fleet.time.after(down_ms, host.start)
 
 
-def crash_holder(fleet: Any, downMs: float) -> None:
+def crash_holder(fleet: Any, down_ms: float) -> None:
     host = fleet.holder()
     if host is not None:
         host.kill()
-        fleet.time.after(downMs, host.start)
+        fleet.time.after(down_ms, host.start)
 
 
-def crash_owner(fleet: Any, downMs: float) -> None:
+def crash_owner(fleet: Any, down_ms: float) -> None:
     for host in fleet.of("control"):
         if host.up and host.node.owner.owner_of("profiles") == host.node.voter.identity:
             host.kill()
-            fleet.time.after(downMs, host.start)
+            fleet.time.after(down_ms, host.start)
             return
 
 
-def freeze(fleet: Any, role: str, forMs: float, stepMs: int) -> None:
+def freeze(fleet: Any, role: str, for_ms: float, step_ms: int) -> None:
     host = fleet.holder() if role == "holder" else _pick(fleet, role)
     if host is not None:
         host.freeze()
-        host.wallStepMs += stepMs
-        fleet.time.after(forMs, host.wake)
+        host.wall_step_ms += step_ms
+        fleet.time.after(for_ms, host.wake)
 
 
-def step_clocks(fleet: Any, stepMs: int) -> None:
+def step_clocks(fleet: Any, step_ms: int) -> None:
     for host in fleet.hosts.values():
-        host.wallStepMs += int(stepMs * (fleet.time.rng.random() - 0.5) * 2)
+        host.wall_step_ms += int(step_ms * (fleet.time.rng.random() - 0.5) * 2)
 
 
-def loss(fleet: Any, rate: float, forMs: float) -> None:
-    fleet.network.lossRate = fleet.network.doubleRate = rate
-    fleet.time.after(forMs, fleet.network.heal)
+def loss(fleet: Any, rate: float, for_ms: float) -> None:
+    fleet.network.loss_rate = fleet.network.double_rate = rate
+    fleet.time.after(for_ms, fleet.network.heal)
 
 
-def split(fleet: Any, forMs: float) -> None:
+def split(fleet: Any, for_ms: float) -> None:
     hosts = [host.address for host in fleet.hosts.values()]
     fleet.time.rng.shuffle(hosts)
     at = fleet.time.rng.randrange(2, len(hosts) - 2)
     fleet.network.split([hosts[:at], hosts[at:]])
-    fleet.time.after(forMs, fleet.network.heal)
+    fleet.time.after(for_ms, fleet.network.heal)
 
 
-def control_split(fleet: Any, forMs: float, cutOff: bool) -> None:
+def control_split(fleet: Any, for_ms: float, cut_off: bool) -> None:
     control = [host.address for host in fleet.of("control")]
     others = [host.address for host in fleet.hosts.values() if host.role != "control"]
-    groups = [control, others] if cutOff else [control[:2], control[2:]]
+    groups = [control, others] if cut_off else [control[:2], control[2:]]
     fleet.network.split(groups)
-    fleet.time.after(forMs, fleet.network.heal)
+    fleet.time.after(for_ms, fleet.network.heal)
 
 
-def minority_cut(fleet: Any, forMs: float, restart: bool) -> None:
+def minority_cut(fleet: Any, for_ms: float, restart: bool) -> None:
     """Most edges and a store on one side without control, for longer than anyone is remembered."""
     side = [host for host in fleet.of("edge")[1:]] + fleet.of("store")[:1]
     names = [host.address for host in side]
@@ -75,39 +75,39 @@
     if restart:
         fleet.time.after(1500, side[0].kill)
         fleet.time.after(2000, side[0].start)
-    fleet.time.after(forMs, fleet.network.heal)
+    fleet.time.after(for_ms, fleet.network.heal)
 
 
-def isolate(fleet: Any, role: str, forMs: float) -> None:
+def isolate(fleet: Any, role: str, for_ms: float) -> None:
     host = _pick(fleet, role)
     if host is not None:
         fleet.network.isolate(host.address)
-        fleet.time.after(forMs, fleet.network.heal)
+        fleet.time.after(for_ms, fleet.network.heal)
 
 
-def slow(fleet: Any, role: str, byMs: float, forMs: float) -> None:
+def slow(fleet: Any, role: str, by_ms: float, for_ms: float) -> None:
     host = _pick(fleet, role)
     if host is not None:
-        fleet.network.slowMs[host.address] = byMs
-        fleet.time.after(forMs, fleet.network.heal)
+        fleet.network.slow_ms[host.address] = by_ms
+        fleet.time.after(for_ms, fleet.network.heal)
 
 
-def slow_disk(fleet: Any, forMs: float) -> None:
+def slow_disk(fleet: Any, for_ms: float) -> None:
     host = _pick(fleet, "store")
     if host is not None:
-        host.disk.flushMs = 150.0
+        host.disk.flush_ms = 150.0
 
         def mend() -> None:
-            host.disk.flushMs = 3.0
+            host.disk.flush_ms = 3.0
 
-        fleet.time.after(forMs, mend)
+        fleet.time.after(for_ms, mend)
 
 
-def fill(fleet: Any, role: str, forMs: float) -> None:
+def fill(fleet: Any, role: str, for_ms: float) -> None:
     """Takes the room away from all disks of a role, down to what is in use, and gives it back."""
     for host in fleet.of(role):
         host.disk.fill()
-        fleet.time.after(forMs, host.disk.empty)
+        fleet.time.after(for_ms, host.disk.empty)
 
 
 def damage(fleet: Any, role: str) -> None:
@@ -120,18 +120,18 @@
         fleet.time.after(1000, host.start)
 
 
-def lose_disk(fleet: Any, role: str, downMs: float) -> None:
+def lose_disk(fleet: Any, role: str, down_ms: float) -> None:
     host = fleet.holder() if role == "holder" else _pick(fleet, role)
     if host is not None:
         host.lose_disk()
-        fleet.time.after(downMs, host.start)
+        fleet.time.after(down_ms, host.start)
 
 
-def power_cut(fleet: Any, roles: tuple[str, ...], downMs: float) -> None:
+def power_cut(fleet: Any, roles: tuple[str, ...], down_ms: float) -> None:
     for host in fleet.hosts.values():
         if host.role in roles:
             host.lose_power()
-            fleet.time.after(downMs + fleet.time.rng.random() * 500, host.start)
+            fleet.time.after(down_ms + fleet.time.rng.random() * 500, host.start)
 
 
 def worker_fault(fleet: Any, how: str) -> None:
@@ -151,11 +151,11 @@
         fleet.time.after(100, lambda: fleet.add_worker(name, ["gpu"], worker.address))
     else:
         worker.dark = True
-        row = fleet.history.add("worker-left", fleet.time.nowMs, worker=worker.stamp, how="dark", untilMs=1e12)
+        row = fleet.history.add("worker-left", fleet.time.now_ms, worker=worker.stamp, how="dark", until_ms=1e12)
 
         def light() -> None:
             worker.dark = False
-            row["untilMs"] = min(row["untilMs"], fleet.time.nowMs)
+            row["until_ms"] = min(row["until_ms"], fleet.time.now_ms)
 
         fleet.time.after(2500, light)
 
@@ -183,12 +183,12 @@
 _ONCE = ("lose-store-disk", "lose-holder-disk", "lose-control-disk", "damage-store", "damage-control")
 
 
-def schedule(rng: Any, startMs: float, spanMs: float, count: int, only: list[str] | None = None) -> list[tuple[float, str]]:
+def schedule(rng: Any, start_ms: float, span_ms: float, count: int, only: list[str] | None = None) -> list[tuple[float, str]]:
     names, rows, lost = list(only or FAULTS), [], False
     while len(rows) < count:
         name = rng.choice(names)
         if name in _ONCE and lost:
             continue
         lost = lost or name in _ONCE
-        rows.append((startMs + rng.random() * spanMs, name))
+        rows.append((start_ms + rng.random() * span_ms, name))
     return sorted(rows)
--- a/libs/facsimile/src/facsimile/sim/fleet.py
+++ b/libs/facsimile/src/facsimile/sim/fleet.py
@@ -31,8 +31,8 @@
         self.workers: dict[str, SimWorker] = {}
         self._count = 0
         self._away: dict[str, dict] = {}
-        self._settings = {"flushMs": 1500, "segmentBytes": 1 << 13, "diskBytes": 1 << 23, "controlCount": control,
-                          "storeCount": stores, **(settings or {})}
+        self._settings = {"flush_ms": 1500, "segment_bytes": 1 << 13, "disk_bytes": 1 << 23, "control_count": control,
+                          "store_count": stores, **(settings or {})}
         for index in range(control):
             self.add("control", f"control{index + 1}")
         for index in range(stores):
@@ -50,8 +50,8 @@
         address = self._address()
         known = [host.address for host in self.hosts.values() if host.up][:3] or ["10.0.0.1:7000"]
         params = Params(role=role, link=address, http=address.replace(":7000", ":7001"),
-                        zone=ZONES[len(self.hosts) % 3], seeds=known, dataFolder="disk", **self._settings)
-        disk = SimDisk(self.time, params.diskBytes) if role != "edge" else None
+                        zone=ZONES[len(self.hosts) % 3], seeds=known, data_folder="disk", **self._settings)
+        disk = SimDisk(self.time, params.disk_bytes) if role != "edge" else None
         self.network.zones[address] = params.zone
         host = SimHost(name, role, address, self.time, self.network, params, disk, self._make, self._note)
         self.hosts[name] = host
@@ -75,11 +75,11 @@
         return EdgeNode(env, host.params, SimSender(self, host))
 
     def _note(self, name: str, event: str, fields: dict) -> None:
-        self.events.append((self.time.nowMs, name, event, fields))
+        self.events.append((self.time.now_ms, name, event, fields))
         if event in ("killed", "frozen-by-fault") and name not in self._away:
-            self._away[name] = self.history.add("away", self.time.nowMs, name=name, untilMs=1e12)
+            self._away[name] = self.history.add("away", self.time.now_ms, name=name, until_ms=1e12)
         elif event in ("started", "woken") and name in self._away:
-            self._away.pop(name)["untilMs"] = self.time.nowMs
+            self._away.pop(name)["until_ms"] = self.time.now_ms
 
     def of(self, role: str) -> list[SimHost]:
         return [host for host in self.hosts.values() if host.role == role]
@@ -96,10 +96,10 @@
     def start_sampling(self) -> None:
         able = [worker for worker in self.workers.values() if not worker.gone and not worker.leaving]
         free = sum(max(0, worker.slots - worker.busy) for worker in able if not worker.dark)
-        self.history.add("capacity", self.time.nowMs, free=round(free / max(1, sum(worker.slots for worker in able)), 2))
+        self.history.add("capacity", self.time.now_ms, free=round(free / max(1, sum(worker.slots for worker in able)), 2))
         for host in self.of("edge"):
             if host.up and not host.frozen:
-                self.history.add("sample", self.time.nowMs, edge=host.name, life=host.life,
+                self.history.add("sample", self.time.now_ms, edge=host.name, life=host.life,
                                  ready=not host.node.why_unready(), number=host.node.gazette.number("profiles"),
                                  mark=_mark(host.node.tree()))
         for host in self.of("store"):
@@ -107,7 +107,7 @@
             if holder is not None and not holder.deposed:
                 paths = {lot.path for lot in holder.ledger.opened.values()}
                 for path in sorted(paths):
-                    self.history.add("room", self.time.nowMs, store=host.name, path=path, epoch=holder.epoch,
+                    self.history.add("room", self.time.now_ms, store=host.name, path=path, epoch=holder.epoch,
                                      used=holder.ledger.room_used(path))
         self.time.after(_SAMPLE_MS, self.start_sampling)
 
@@ -119,10 +119,10 @@
         links = {host.address for host in self.hosts.values() if host.up and host.role != "control"}
         return all(host.node.gazette.roll() == links for host in self.hosts.values() if host.up)
 
-    def run_until_true(self, check: Any, limitMs: float) -> bool:
-        endMs = self.time.nowMs + limitMs
-        while self.time.nowMs < endMs:
-            self.time.run_until(self.time.nowMs + 50)
+    def run_until_true(self, check: Any, limit_ms: float) -> bool:
+        end_ms = self.time.now_ms + limit_ms
+        while self.time.now_ms < end_ms:
+            self.time.run_until(self.time.now_ms + 50)
             if check():
                 return True
         return False
--- a/libs/facsimile/src/facsimile/sim/history.py
+++ b/libs/facsimile/src/facsimile/sim/history.py
@@ -13,8 +13,8 @@
         self.rows: list[dict[str, Any]] = []
         self.settings = settings
 
-    def add(self, kind: str, atMs: float, **fields: Any) -> dict[str, Any]:
-        row = {"kind": kind, "atMs": round(atMs, 2), **fields}
+    def add(self, kind: str, at_ms: float, **fields: Any) -> dict[str, Any]:
+        row = {"kind": kind, "at_ms": round(at_ms, 2), **fields}
         self.rows.append(row)
         return row
 
--- a/libs/facsimile/src/facsimile/sim/hosts.py
+++ b/libs/facsimile/src/facsimile/sim/hosts.py
@@ -22,10 +22,10 @@
         self.rng = random.Random(seed)
 
     def now(self) -> int:
-        return int(self._host.time.nowMs) + self._host.bootMs
+        return int(self._host.time.now_ms) + self._host.boot_ms
 
     def wall(self) -> int:
-        return _WALL_MS + int(self._host.time.nowMs) + self._host.wallStepMs
+        return _WALL_MS + int(self._host.time.now_ms) + self._host.wall_step_ms
 
     def token(self) -> str:
         return f"{self.rng.getrandbits(48):012x}"
@@ -38,8 +38,8 @@
 
 
 class SimHost:
-    __slots__ = ("_make", "_sink", "address", "bootMs", "buffer", "deferred", "disk", "frozen", "life", "name", "network",
-                 "node", "params", "role", "time", "up", "wallStepMs")
+    __slots__ = ("_make", "_sink", "address", "boot_ms", "buffer", "deferred", "disk", "frozen", "life", "name", "network",
+                 "node", "params", "role", "time", "up", "wall_step_ms")
 
     def __init__(self, name: str, role: str, address: str, time: Any, network: Any, params: Any, disk: Any,
                  make: Callable[["SimHost", SimEnv], Any], sink: Callable[[str, str, dict], None]) -> None:
@@ -52,8 +52,8 @@
         self.buffer: list[tuple] = []
         self.deferred: list[tuple[Callable[[], None], int]] = []
         self.life = 0
-        self.bootMs = time.rng.randrange(1, 10_000_000)
-        self.wallStepMs = 0
+        self.boot_ms = time.rng.randrange(1, 10_000_000)
+        self.wall_step_ms = 0
         network.hosts[address] = self
 
     def trace(self, event: str, fields: dict) -> None:
--- a/libs/facsimile/src/facsimile/sim/rules_calls.py
+++ b/libs/facsimile/src/facsimile/sim/rules_calls.py
@@ -23,15 +23,15 @@
 def not_run_but_ran(history: History) -> Found:
     """By the call's own name, which reaches the worker in the prompt; by its key; and by the lot's."""
     ran = {run["call"] for run in history.of("run")}
-    told = [call for call in history.of("call") if call["verdict"] == "notRun"]
-    found = [f"{call['call']} was told notRun and ran" for call in told if call["call"] in ran]
-    byKey = {run["key"]: run["atMs"] for run in history.of("run") if run["key"]}
-    found += [f"key {call['key']} was told notRun at {call['answeredMs']} after it had run" for call in told
-              if call["key"] in byKey and byKey[call["key"]] < call["answeredMs"] and call["code"] != "key-reused"]
+    told = [call for call in history.of("call") if call["verdict"] == "not_run"]
+    found = [f"{call['call']} was told not_run and ran" for call in told if call["call"] in ran]
+    by_key = {run["key"]: run["at_ms"] for run in history.of("run") if run["key"]}
+    found += [f"key {call['key']} was told not_run at {call['answered_ms']} after it had run" for call in told
+              if call["key"] in by_key and by_key[call["key"]] < call["answered_ms"] and call["code"] != "key-reused"]
     tries: dict[str, list[str]] = defaultdict(list)
     for row in history.of("hand-in"):
         tries[row["lot"]].append(row["verdict"])
-    refused = [lot for lot, verdicts in tries.items() if set(verdicts) == {"notRun"}]
+    refused = [lot for lot, verdicts in tries.items() if set(verdicts) == {"not_run"}]
     lots = {run["lot"] for run in history.of("run") if run["lot"]}
     found += [f"{lot} was refused at every try and ran" for lot in refused if lot in lots]
     return len(told) + len(refused), found
@@ -89,13 +89,13 @@
 def keys_one_body(history: History) -> Found:
     """What is answered for a key is one body for ever, and the answer to what was asked."""
     runs = {run["transaction"]: run for run in history.of("run")}
-    byKey: dict[str, str] = {}
+    by_key: dict[str, str] = {}
     found, judged = [], 0
     for call in history.of("call"):
         if not call["key"] or call["outcome"] not in ("finish", "replay"):
             continue
         judged += 1
-        if byKey.setdefault(call["key"], call["body"]) != call["body"]:
+        if by_key.setdefault(call["key"], call["body"]) != call["body"]:
             found.append(f"{call['call']}: key {call['key']} had another answer before")
         run = runs.get(call["body"].partition(":")[0])
         if run is not None and run["asked"] != call["asked"]:
@@ -113,22 +113,22 @@
 def gone_workers(history: History) -> Found:
     """From the first edge's knowing: a leave that it took, a crash, or silence, which a worker that is
     only dark ends by beating again."""
-    limitMs = history.settings.get("forceMs", 2000) + SLACK_MS
+    limit_ms = history.settings.get("force_ms", 2000) + SLACK_MS
     gone: dict[str, list[tuple[float, float]]] = defaultdict(list)
     for row in history.of("worker-left"):
-        gone[row["worker"]].append((row["atMs"] + limitMs, row.get("untilMs", 1e12)))
+        gone[row["worker"]].append((row["at_ms"] + limit_ms, row.get("until_ms", 1e12)))
     found = [f"{row['transaction']} was sent to {row['worker']} after it was gone"
-             for row in history.of("send") if any(fromMs < row["atMs"] < toMs for fromMs, toMs in gone[row["worker"]])]
+             for row in history.of("send") if any(from_ms < row["at_ms"] < to_ms for from_ms, to_ms in gone[row["worker"]])]
     return len(history.of("worker-left")), found
 
 
 def _away(history: History) -> Any:
     rows: dict[str, list[tuple[float, float]]] = defaultdict(list)
     for row in history.of("away"):
-        rows[row["name"]].append((row["atMs"], row["untilMs"]))
+        rows[row["name"]].append((row["at_ms"], row["until_ms"]))
 
-    def away(name: str, fromMs: float, toMs: float) -> bool:
-        return any(beganMs < toMs and endedMs > fromMs for beganMs, endedMs in rows[name])
+    def away(name: str, from_ms: float, to_ms: float) -> bool:
+        return any(began_ms < to_ms and ended_ms > from_ms for began_ms, ended_ms in rows[name])
 
     return away
 
@@ -136,21 +136,21 @@
 def live_in_time(history: History) -> Found:
     """An edge that stayed up answers within the path's limit, whatever it answers; and where no fault
     came before, nobody is told late, busy or without a worker while there was room all the time."""
-    limits = history.settings.get("limitsMs", {})
+    limits = history.settings.get("limits_ms", {})
     away, rooms = _away(history), history.of("capacity")
-    faults = [row["atMs"] for row in history.of("fault")]
+    faults = [row["at_ms"] for row in history.of("fault")]
     found, judged = [], 0
     for call in history.of("call"):
-        endMs = call["answeredMs"] or call["atMs"] + 8000
-        if call["path"] not in limits or away(call["edge"], call["atMs"], endMs):
+        end_ms = call["answered_ms"] or call["at_ms"] + 8000
+        if call["path"] not in limits or away(call["edge"], call["at_ms"], end_ms):
             continue
         judged += 1
-        tookMs = endMs - call["atMs"]
-        if tookMs > limits[call["path"]] + SLACK_MS:
-            found.append(f"{call['call']} on {call['path']}: {call['outcome']} {call['code']} after {tookMs:.0f} ms")
-        calm = not any(call["atMs"] - 10_000 < atMs < endMs for atMs in faults)
+        took_ms = end_ms - call["at_ms"]
+        if took_ms > limits[call["path"]] + SLACK_MS:
+            found.append(f"{call['call']} on {call['path']}: {call['outcome']} {call['code']} after {took_ms:.0f} ms")
+        calm = not any(call["at_ms"] - 10_000 < at_ms < end_ms for at_ms in faults)
         if calm and call["code"] in ("late", "busy", "no-worker"):
-            free = [row["free"] for row in rooms if call["atMs"] - 1500 <= row["atMs"] <= endMs]
+            free = [row["free"] for row in rooms if call["at_ms"] - 1500 <= row["at_ms"] <= end_ms]
             if free and min(free) > 0.5:
                 found.append(f"{call['call']} on {call['path']}: {call['code']} though half of all slots were free")
     return judged, found
--- a/libs/facsimile/src/facsimile/sim/rules_state.py
+++ b/libs/facsimile/src/facsimile/sim/rules_state.py
@@ -12,17 +12,17 @@
 
 
 def in_force(history: History) -> Found:
-    limitMs = history.settings.get("forceMs", 2000) + SLACK_MS
-    acked = sorted((row["answeredMs"], row["version"]) for row in history.of("change") if row["outcome"] == "ok")
+    limit_ms = history.settings.get("force_ms", 2000) + SLACK_MS
+    acked = sorted((row["answered_ms"], row["version"]) for row in history.of("change") if row["outcome"] == "ok")
     found, place, due, judged = [], 0, 0, 0
     highest: dict[tuple[str, int], int] = {}
     for sample in history.of("sample"):
-        while place < len(acked) and acked[place][0] + limitMs <= sample["atMs"]:
+        while place < len(acked) and acked[place][0] + limit_ms <= sample["at_ms"]:
             due = max(due, acked[place][1])
             place += 1
         judged += sample["ready"] and due > 0
         if sample["ready"] and sample["number"] < due:
-            found.append(f"{sample['edge']} at {sample['atMs']}: version {sample['number']}, {due} was acknowledged")
+            found.append(f"{sample['edge']} at {sample['at_ms']}: version {sample['number']}, {due} was acknowledged")
         life = (sample["edge"], sample["life"])
         if sample["number"] < highest.get(life, 0):
             found.append(f"{sample['edge']} fell back to {sample['number']}")
@@ -32,11 +32,11 @@
 
 def lost_changes(history: History) -> Found:
     """Told lost once is lost for good; told to come again at every try is refused for good."""
-    byMark: dict[str, set[str]] = defaultdict(set)
+    by_mark: dict[str, set[str]] = defaultdict(set)
     for row in history.of("change"):
-        byMark[row["mark"]].add(row["outcome"])
-    lost = {mark for mark, outcomes in byMark.items() if "lost" in outcomes or outcomes == {"refused"}}
-    both = [f"{mark} was told ok and lost" for mark in lost if "ok" in byMark[mark]]
+        by_mark[row["mark"]].add(row["outcome"])
+    lost = {mark for mark, outcomes in by_mark.items() if "lost" in outcomes or outcomes == {"refused"}}
+    both = [f"{mark} was told ok and lost" for mark in lost if "ok" in by_mark[mark]]
     seen = {sample["mark"] for sample in history.of("sample")}
     return len(lost) if seen - {""} else 0, both + [f"{mark} lost and took effect" for mark in sorted(lost & seen)]
 
@@ -55,14 +55,14 @@
     acked: dict[str, float] = {}
     for row in history.of("hand-in"):
         if row["outcome"] in _ACCEPTED:
-            acked[row["lot"]] = min(acked.get(row["lot"], 1e12), row["answeredMs"])
+            acked[row["lot"]] = min(acked.get(row["lot"], 1e12), row["answered_ms"])
     found, judged = [], 0
     results: dict[tuple[str, int], str] = {}
     for read in history.of("read"):
         lot = read["lot"]
-        judged += lot in acked and read["beganMs"] > acked[lot]
-        if read["outcome"] == "missing" and lot in acked and read["beganMs"] > acked[lot]:
-            found.append(f"{lot} was accepted at {acked[lot]} and missing for a read begun at {read['beganMs']}")
+        judged += lot in acked and read["began_ms"] > acked[lot]
+        if read["outcome"] == "missing" and lot in acked and read["began_ms"] > acked[lot]:
+            found.append(f"{lot} was accepted at {acked[lot]} and missing for a read begun at {read['began_ms']}")
         indexes = [index for index, _, _ in read["results"]]
         if indexes != list(range(read["start"], read["start"] + len(indexes))):
             found.append(f"{lot}: listed {indexes} from {read['start']}")
@@ -91,12 +91,12 @@
 
 
 def ended_lots(history: History) -> Found:
-    limitMs = history.settings.get("endMs", 3000) + SLACK_MS
+    limit_ms = history.settings.get("end_ms", 3000) + SLACK_MS
     ended: dict[str, float] = {}
     for row in history.of("end"):
-        ended.setdefault(row["lot"], row["atMs"])
-    return len(ended), [f"{run['lot']}#{run['index']} ran {run['atMs'] - ended[run['lot']]:.0f} ms after the end"
-                        for run in history.of("run") if run["lot"] in ended and run["atMs"] > ended[run["lot"]] + limitMs]
+        ended.setdefault(row["lot"], row["at_ms"])
+    return len(ended), [f"{run['lot']}#{run['index']} ran {run['at_ms'] - ended[run['lot']]:.0f} ms after the end"
+                        for run in history.of("run") if run["lot"] in ended and run["at_ms"] > ended[run["lot"]] + limit_ms]
 
 
 def waiting_room(history: History) -> Found:
@@ -104,44 +104,44 @@
     that still showed it open was begun; never are more open at once than the room allows."""
     room = history.settings.get("room", 3)
     rows = history.of("room")
-    found = [f"{row['store']} at {row['atMs']}: {row['used']} lots wait on {row['path']}" for row in rows if row["used"] > room]
+    found = [f"{row['store']} at {row['at_ms']}: {row['used']} lots wait on {row['path']}" for row in rows if row["used"] > room]
     spans: dict[str, tuple[str, float]] = {}
     for row in history.of("hand-in"):
         if row["outcome"] in _ACCEPTED and row["lot"] not in spans:
-            spans[row["lot"]] = (row["path"], row["answeredMs"])
-    openTo: dict[str, float] = {}
+            spans[row["lot"]] = (row["path"], row["answered_ms"])
+    open_to: dict[str, float] = {}
     for read in history.of("read"):
         if read["outcome"] == "known" and not read["ended"] and read["listed"] < read["total"]:
-            openTo[read["lot"]] = max(openTo.get(read["lot"], 0.0), read["beganMs"])
+            open_to[read["lot"]] = max(open_to.get(read["lot"], 0.0), read["began_ms"])
     edges: dict[str, list[tuple[float, int]]] = defaultdict(list)
-    for lot, (path, fromMs) in spans.items():
-        if openTo.get(lot, 0.0) > fromMs:
-            edges[path] += [(fromMs, 1), (openTo[lot], -1)]
+    for lot, (path, from_ms) in spans.items():
+        if open_to.get(lot, 0.0) > from_ms:
+            edges[path] += [(from_ms, 1), (open_to[lot], -1)]
     for path, moves in edges.items():
         waiting = 0
-        for atMs, step in sorted(moves):
+        for at_ms, step in sorted(moves):
             waiting += step
             if waiting > room:
-                found.append(f"{waiting} lots were open on {path} at {atMs:.0f}")
-    return len(rows) + len(openTo), found
+                found.append(f"{waiting} lots were open on {path} at {at_ms:.0f}")
+    return len(rows) + len(open_to), found
 
 
 def lots_in_time(history: History) -> Found:
     """Lots that were not ended are done by their due time, where no fault came from shortly before the
     receipt to that time."""
-    dueMs = history.settings.get("lotsDueMs", 10_000)
-    faults = [row["atMs"] for row in history.of("fault")]
+    due_ms = history.settings.get("lots_due_ms", 10_000)
+    faults = [row["at_ms"] for row in history.of("fault")]
     found, judged = [], 0
     for row in history.of("lot-done"):
-        if any(row["fromMs"] - dueMs < atMs < row["fromMs"] + dueMs for atMs in faults):
+        if any(row["from_ms"] - due_ms < at_ms < row["from_ms"] + due_ms for at_ms in faults):
             continue
         judged += 1
-        if row["atMs"] - row["fromMs"] > dueMs + SLACK_MS:
-            found.append(f"{row['lot']} was done {row['atMs'] - row['fromMs']:.0f} ms after its receipt")
+        if row["at_ms"] - row["from_ms"] > due_ms + SLACK_MS:
+            found.append(f"{row['lot']} was done {row['at_ms'] - row['from_ms']:.0f} ms after its receipt")
     return judged, found
 
 
 def resumed(history: History) -> Found:
     rows = history.of("probe")
-    return len(rows), [f"{row['what']} did not work {row['afterMs']:.0f} ms after the machines were back: {row['seen']}"
+    return len(rows), [f"{row['what']} did not work {row['after_ms']:.0f} ms after the machines were back: {row['seen']}"
                        for row in rows if not row["worked"]]
--- a/libs/facsimile/src/facsimile/sim/runs.py
+++ b/libs/facsimile/src/facsimile/sim/runs.py
@@ -11,9 +11,9 @@
 __all__ = ["SHAPES", "Run", "run_seed"]
 
 SHAPES: dict[str, dict[str, Any]] = {
-    "small": {"sizes": {}, "items": (1, 12), "everyMs": 60.0},
-    "jade": {"sizes": {"edges": 6, "stores": 3, "control": 5, "workers": 7}, "items": (70, 90), "everyMs": 40.0},
-    "swan": {"sizes": {"edges": 8, "stores": 3, "control": 5, "workers": 6}, "items": (70, 90), "everyMs": 40.0}}
+    "small": {"sizes": {}, "items": (1, 12), "every_ms": 60.0},
+    "jade": {"sizes": {"edges": 6, "stores": 3, "control": 5, "workers": 7}, "items": (70, 90), "every_ms": 40.0},
+    "swan": {"sizes": {"edges": 8, "stores": 3, "control": 5, "workers": 6}, "items": (70, 90), "every_ms": 40.0}}
 _CONSTANT = ("rulings", "rulings", "narrations")
 
 _FOUND_MS = 12_000
@@ -26,7 +26,7 @@
                  **sizes: int) -> None:
         self.items = items
         self.fleet = SimFleet(seed, settings=settings, **sizes)
-        self.fleet.history.settings.update(room=ROOM, allowed=["gpu"], limitsMs={
+        self.fleet.history.settings.update(room=ROOM, allowed=["gpu"], limits_ms={
             "rulings": 2000, "narrations": 5000, "moves": 5000})
         self.visitors = Visitors(self.fleet)
         self.operators = Operators(self.fleet)
@@ -44,13 +44,13 @@
         fleet.run_until_true(lambda: False, 600)
         fleet.start_sampling()
 
-    def traffic(self, everyMs: float) -> None:
+    def traffic(self, every_ms: float) -> None:
         if self.stopped:
             return
         rng, visitors = self.fleet.time.rng, self.visitors
         dice = rng.random()
         if dice < 0.42:
-            visitors.live(rng.choice(_CONSTANT), hangsUpMs=40.0 if rng.random() < 0.05 else 0.0)
+            visitors.live(rng.choice(_CONSTANT), hangs_up_ms=40.0 if rng.random() < 0.05 else 0.0)
         elif dice < 0.65:
             self._move()
         elif dice < 0.72:
@@ -63,7 +63,7 @@
             self.operators.change()
             if rng.random() < 0.5:
                 self.operators.change()
-        self.fleet.time.after(everyMs * (0.5 + rng.random()), lambda: self.traffic(everyMs))
+        self.fleet.time.after(every_ms * (0.5 + rng.random()), lambda: self.traffic(every_ms))
 
     def _move(self) -> None:
         """A move under a key of its own; now and then the key is used again for something else."""
@@ -73,12 +73,12 @@
             self.fleet.time.after(200 * self.fleet.time.rng.random(), lambda: visitors.live("moves", key, asked=f"{key}-other"))
 
     def cause(self, rows: list[tuple[float, str]]) -> None:
-        for atMs, name in rows:
-            self.fleet.time.after(atMs - self.fleet.time.nowMs, lambda name=name: self._fault(name))
+        for at_ms, name in rows:
+            self.fleet.time.after(at_ms - self.fleet.time.now_ms, lambda name=name: self._fault(name))
 
     def _fault(self, name: str) -> None:
-        self.fleet.events.append((self.fleet.time.nowMs, "fault", name, {}))
-        self.fleet.history.add("fault", self.fleet.time.nowMs, what=name)
+        self.fleet.events.append((self.fleet.time.now_ms, "fault", name, {}))
+        self.fleet.history.add("fault", self.fleet.time.now_ms, what=name)
         FAULTS[name](self.fleet)
 
     def back(self) -> None:
@@ -93,44 +93,44 @@
             worker.dark = False
         for row in fleet.history.of("worker-left"):
             if row["how"] == "dark":
-                row["untilMs"] = min(row["untilMs"], fleet.time.nowMs)
+                row["until_ms"] = min(row["until_ms"], fleet.time.now_ms)
 
-    def probe(self, afterMs: float) -> None:
+    def probe(self, after_ms: float) -> None:
         """By now everything works at the first try: live at each edge, a lot, a change."""
         fleet = self.fleet
-        fleet.time.run_until(fleet.time.nowMs + afterMs)
+        fleet.time.run_until(fleet.time.now_ms + after_ms)
         seen: dict[str, str] = {}
         for _ in fleet.of("edge"):
             self.visitors.live("rulings", done=lambda row: seen.update(live=f"{row['outcome']} {row['code']}"))
-        self.visitors.live("moves", f"probe{fleet.time.nowMs}",
+        self.visitors.live("moves", f"probe{fleet.time.now_ms}",
                            done=lambda row: seen.update(move=f"{row['outcome']} {row['code']}"))
         self.visitors.hand_in("summaries", 2, 1, done=lambda row: seen.update(lot=row["outcome"]))
         self.operators.change(1, version=None, done=lambda row: seen.update(change=row["outcome"]))
         fleet.run_until_true(lambda: len(seen) == 4, 8500)
         good = {"live": ("finish ",), "move": ("finish ",), "lot": ("admitted", "waiting-room-full"), "change": ("ok", "lost")}
         for what, wanted in good.items():
-            fleet.history.add("probe", fleet.time.nowMs, what=what, worked=seen.get(what) in wanted, afterMs=afterMs,
+            fleet.history.add("probe", fleet.time.now_ms, what=what, worked=seen.get(what) in wanted, after_ms=after_ms,
                               seen=seen.get(what, "nothing"))
 
     def read_all(self) -> None:
         fleet = self.fleet
-        left = {lotId for lotId, lot in self.visitors.lots.items() if lot["acked"]}
+        left = {lot_id for lot_id, lot in self.visitors.lots.items() if lot["acked"]}
 
-        def read(lotId: str) -> None:
+        def read(lot_id: str) -> None:
             def done(row: dict[str, Any]) -> None:
-                if lotId in left:
-                    left.discard(lotId)
-                    fleet.history.add("final", fleet.time.nowMs, lot=lotId, outcome=row["outcome"], listed=row["listed"])
+                if lot_id in left:
+                    left.discard(lot_id)
+                    fleet.history.add("final", fleet.time.now_ms, lot=lot_id, outcome=row["outcome"], listed=row["listed"])
 
-            self.visitors.read(lotId, done)
+            self.visitors.read(lot_id, done)
 
         for _ in range(4):
-            for lotId in sorted(left):
-                read(lotId)
+            for lot_id in sorted(left):
+                read(lot_id)
             fleet.run_until_true(lambda: not left, 3000)
 
 
-def run_seed(seed: int, faults: int = 6, spanMs: float = 12_000, only: list[str] | None = None,
+def run_seed(seed: int, faults: int = 6, span_ms: float = 12_000, only: list[str] | None = None,
              rows: list[tuple[float, str]] | None = None, settings: dict[str, Any] | None = None,
              shape: str = "small") -> tuple[dict[str, list[str]], Run]:
     """`rows` is a schedule; without one, faults are drawn."""
@@ -138,14 +138,14 @@
     run = Run(seed, settings, made["items"], **made["sizes"])
     run.found()
     fleet = run.fleet
-    startMs = fleet.time.nowMs
-    planned = rows if rows is not None else schedule(fleet.time.rng, 500, spanMs - 1000, faults, only)
-    run.cause([(startMs + atMs, name) for atMs, name in planned])
-    run.traffic(made["everyMs"])
-    fleet.time.run_until(startMs + spanMs)
+    start_ms = fleet.time.now_ms
+    planned = rows if rows is not None else schedule(fleet.time.rng, 500, span_ms - 1000, faults, only)
+    run.cause([(start_ms + at_ms, name) for at_ms, name in planned])
+    run.traffic(made["every_ms"])
+    fleet.time.run_until(start_ms + span_ms)
     run.stopped = True
     run.back()
-    run.probe(fleet.hosts["edge1"].params.resumeMs)
+    run.probe(fleet.hosts["edge1"].params.resume_ms)
     run.read_all()
     run.operators.ask_again(8)
     return judge(fleet.history), run
--- a/libs/facsimile/src/facsimile/sim/virtual.py
+++ b/libs/facsimile/src/facsimile/sim/virtual.py
@@ -15,42 +15,42 @@
 
 
 class VirtualTime:
-    __slots__ = ("_count", "_heap", "nowMs", "rng")
+    __slots__ = ("_count", "_heap", "now_ms", "rng")
 
     def __init__(self, seed: int) -> None:
-        self.nowMs = 0.0
+        self.now_ms = 0.0
         self.rng = random.Random(seed)
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._count = 0
 
-    def after(self, waitMs: float, what: Callable[[], None]) -> None:
+    def after(self, wait_ms: float, what: Callable[[], None]) -> None:
         self._count += 1
-        heapq.heappush(self._heap, (self.nowMs + max(0.0, waitMs), self._count, what))
+        heapq.heappush(self._heap, (self.now_ms + max(0.0, wait_ms), self._count, what))
 
-    def run_until(self, endMs: float) -> None:
-        while self._heap and self._heap[0][0] <= endMs:
-            self.nowMs, _, what = heapq.heappop(self._heap)
+    def run_until(self, end_ms: float) -> None:
+        while self._heap and self._heap[0][0] <= end_ms:
+            self.now_ms, _, what = heapq.heappop(self._heap)
             what()
-        self.nowMs = endMs
+        self.now_ms = end_ms
 
 
 class Network:
-    __slots__ = ("_lastMs", "_time", "cutPairs", "cutHosts", "doubleRate", "hosts", "lossRate", "slowMs", "sent", "zones")
+    __slots__ = ("_last_ms", "_time", "cut_pairs", "cut_hosts", "double_rate", "hosts", "loss_rate", "slow_ms", "sent", "zones")
 
     def __init__(self, time: VirtualTime) -> None:
         self._time = time
         self.hosts: dict[str, Any] = {}
-        self.cutPairs: set[tuple[str, str]] = set()
-        self.cutHosts: set[str] = set()
-        self.lossRate = 0.0
-        self.doubleRate = 0.0
-        self.slowMs: dict[str, float] = {}
+        self.cut_pairs: set[tuple[str, str]] = set()
+        self.cut_hosts: set[str] = set()
+        self.loss_rate = 0.0
+        self.double_rate = 0.0
+        self.slow_ms: dict[str, float] = {}
         self.zones: dict[str, str] = {}
-        self._lastMs: dict[tuple[str, str], float] = {}
+        self._last_ms: dict[tuple[str, str], float] = {}
         self.sent = 0
 
     def cut(self, one: str, other: str) -> None:
-        self.cutPairs.update(((one, other), (other, one)))
+        self.cut_pairs.update(((one, other), (other, one)))
 
     def split(self, groups: list[list[str]]) -> None:
         for place, group in enumerate(groups):
@@ -60,37 +60,37 @@
                         self.cut(a, b)
 
     def isolate(self, address: str) -> None:
-        self.cutHosts.add(address)
+        self.cut_hosts.add(address)
 
     def heal(self) -> None:
-        self.cutPairs.clear()
-        self.cutHosts.clear()
-        self.lossRate = self.doubleRate = 0.0
-        self.slowMs.clear()
+        self.cut_pairs.clear()
+        self.cut_hosts.clear()
+        self.loss_rate = self.double_rate = 0.0
+        self.slow_ms.clear()
 
     def passes(self, one: str, other: str) -> bool:
         if one == other:
             return True
-        return (one, other) not in self.cutPairs and not self.cutHosts & {one, other}
+        return (one, other) not in self.cut_pairs and not self.cut_hosts & {one, other}
 
     def delay(self, one: str, other: str) -> float:
-        slowMs = self.slowMs.get(one, 0.0) + self.slowMs.get(other, 0.0)
+        slow_ms = self.slow_ms.get(one, 0.0) + self.slow_ms.get(other, 0.0)
         near = self.zones.get(one) == self.zones.get(other)
-        return (0.2 if near else 1.0) + self._time.rng.random() * (0.5 if near else 1.0) + slowMs * self._time.rng.random()
+        return (0.2 if near else 1.0) + self._time.rng.random() * (0.5 if near else 1.0) + slow_ms * self._time.rng.random()
 
     def send(self, sender: str, to: str, ref: int, re: int, message: Message) -> None:
         self.sent += 1
         rng = self._time.rng
-        if not self.passes(sender, to) or (self.lossRate and sender != to and rng.random() < self.lossRate):
+        if not self.passes(sender, to) or (self.loss_rate and sender != to and rng.random() < self.loss_rate):
             return
-        copies = 2 if self.doubleRate and rng.random() < self.doubleRate else 1
+        copies = 2 if self.double_rate and rng.random() < self.double_rate else 1
         for _ in range(copies):
             copy = type(message)(**message.as_dict())
-            dueMs = self._time.nowMs + (self.delay(sender, to) if sender != to else 0.01)
-            if copies == 1 and not self.lossRate:
-                dueMs = max(dueMs, self._lastMs.get((sender, to), 0.0))
-                self._lastMs[(sender, to)] = dueMs
-            self._time.after(dueMs - self._time.nowMs,
+            due_ms = self._time.now_ms + (self.delay(sender, to) if sender != to else 0.01)
+            if copies == 1 and not self.loss_rate:
+                due_ms = max(due_ms, self._last_ms.get((sender, to), 0.0))
+                self._last_ms[(sender, to)] = due_ms
+            self._time.after(due_ms - self._time.now_ms,
                              lambda copy=copy: self._arrive(sender, to, ref, re, copy))
 
     def _arrive(self, sender: str, to: str, ref: int, re: int, message: Message) -> None:
--- a/libs/facsimile/src/facsimile/sim/visitors.py
+++ b/libs/facsimile/src/facsimile/sim/visitors.py
@@ -19,10 +19,10 @@
 
 def tree_of(mark: str, room: int = ROOM) -> dict[str, Any]:
     return {"profiles": {
-        "base": {"abstract": True, "workers": {"labels": ["gpu"]}, "deadlineMs": 3000},
-        "rulings": {"parent": "base", "deadlineMs": 2000}, "narrations": {"parent": "base"}, "moves": {"parent": "base", "repeatable": False},
-        "summaries": {"parent": "base", "waitingRoom": room},
-        "claims": {"parent": "base", "waitingRoom": room, "repeatable": False},
+        "base": {"abstract": True, "workers": {"labels": ["gpu"]}, "deadline_ms": 3000},
+        "rulings": {"parent": "base", "deadline_ms": 2000}, "narrations": {"parent": "base"}, "moves": {"parent": "base", "repeatable": False},
+        "summaries": {"parent": "base", "waiting_room": room},
+        "claims": {"parent": "base", "waiting_room": room, "repeatable": False},
         f"mark-{mark}": {"abstract": True}}}
 
 
@@ -51,21 +51,21 @@
     # -- live ----------------------------------------------------------------------------------
 
     def live(self, path: str, key: str = "", tries: int = 1, avoid: str = "", done: Callable | None = None,
-             asked: str = "", hangsUpMs: float = 0.0) -> None:
+             asked: str = "", hangs_up_ms: float = 0.0) -> None:
         host = self._edge(avoid)
         if host is None:
             return
         self._calls += 1
         call = f"call{self._calls}"
-        row = self._history.add("call", self._time.nowMs, call=call, path=path, key=key, edge=host.name,
+        row = self._history.add("call", self._time.now_ms, call=call, path=path, key=key, edge=host.name,
                                 asked=asked or key, outcome="none", verdict="", pieces=[], transaction="", body="",
-                                code="", answeredMs=0.0)
+                                code="", answered_ms=0.0)
 
         def answered(outcome: str, verdict: str, code: str = "", body: str = "") -> None:
             if row["outcome"] != "none":
                 return
-            row.update(outcome=outcome, verdict=verdict, code=code, body=body, answeredMs=self._time.nowMs)
-            if key and verdict == "mayHaveRun" and tries > 1:
+            row.update(outcome=outcome, verdict=verdict, code=code, body=body, answered_ms=self._time.now_ms)
+            if key and verdict == "may_have_run" and tries > 1:
                 self._time.after(200, lambda: self.live(path, key, tries - 1, host.name, asked=asked))
             if done is not None:
                 done(row)
@@ -75,7 +75,7 @@
 
         def told(step: Step, answer: Answer) -> None:
             if answer.refusal is not None:
-                row["backMs"] = answer.refusal.retryAfterMs
+                row["back_ms"] = answer.refusal.retry_after_ms
                 answered("cut" if row["pieces"] else "error", answer.verdict, answer.code)
             elif answer.status != 200:
                 answered("error", "ran", str(answer.status))
@@ -91,74 +91,74 @@
             if isinstance(carriage, Answer):
                 answered("error", carriage.verdict, carriage.code)
                 return
-            row["transaction"] = carriage.tx.transactionId
-            if not key and hangsUpMs:
-                self._time.after(hangsUpMs, lambda: hang_up(carriage, host.life))
+            row["transaction"] = carriage.tx.transaction_id
+            if not key and hangs_up_ms:
+                self._time.after(hangs_up_ms, lambda: hang_up(carriage, host.life))
 
         def hang_up(carriage: Any, life: int) -> None:
             if row["outcome"] == "none" and host.up and host.life == life:
-                answered("hung-up", "mayHaveRun")
+                answered("hung-up", "may_have_run")
                 host.when_awake(carriage.gone, life)
 
         self._at(host, begin)
-        self._time.after(_PATIENCE_MS, lambda: answered("lost", "mayHaveRun"))
+        self._time.after(_PATIENCE_MS, lambda: answered("lost", "may_have_run"))
 
     # -- lots ----------------------------------------------------------------------------------
 
-    def hand_in(self, path: str, count: int, tries: int = 3, lotId: str = "", avoid: str = "",
+    def hand_in(self, path: str, count: int, tries: int = 3, lot_id: str = "", avoid: str = "",
                 done: Callable | None = None) -> str:
-        if not lotId:
-            lotId = f"lot{len(self.lots) + 1}"
-            self.lots[lotId] = {"path": path, "count": count, "acked": False, "results": {}, "ended": False, "done": False}
+        if not lot_id:
+            lot_id = f"lot{len(self.lots) + 1}"
+            self.lots[lot_id] = {"path": path, "count": count, "acked": False, "results": {}, "ended": False, "done": False}
         host = self._edge(avoid)
         if host is None:
-            return lotId
-        row = self._history.add("hand-in", self._time.nowMs, lot=lotId, path=path, outcome="none", verdict="",
-                                count=count, answeredMs=0.0)
+            return lot_id
+        row = self._history.add("hand-in", self._time.now_ms, lot=lot_id, path=path, outcome="none", verdict="",
+                                count=count, answered_ms=0.0)
 
         def answered(outcome: str, verdict: str) -> None:
             if row["outcome"] != "none":
                 return
-            row.update(outcome=outcome, verdict=verdict, answeredMs=self._time.nowMs)
+            row.update(outcome=outcome, verdict=verdict, answered_ms=self._time.now_ms)
             if outcome in ("admitted", "known"):
-                if not self.lots[lotId]["acked"]:
-                    self._time.after(700, lambda: self.follow(lotId, self._time.nowMs - 700))
-                self.lots[lotId]["acked"] = True
-            elif verdict == "mayHaveRun" and tries > 1:
-                self._time.after(100, lambda: self.hand_in(path, count, tries - 1, lotId, host.name, done))
+                if not self.lots[lot_id]["acked"]:
+                    self._time.after(700, lambda: self.follow(lot_id, self._time.now_ms - 700))
+                self.lots[lot_id]["acked"] = True
+            elif verdict == "may_have_run" and tries > 1:
+                self._time.after(100, lambda: self.hand_in(path, count, tries - 1, lot_id, host.name, done))
             if done is not None:
                 done(row)
 
         def told(answer: Answer) -> None:
             answered({200: "known", 201: "admitted"}.get(answer.status, answer.code), answer.verdict)
 
-        items = [{"prompt": f"lot {lotId} item {place} call item:{lotId}:{place}"} for place in range(count)]
-        self._at(host, lambda: host.node.counter.hand_in(lotId, path, items, 10_000, told))
-        self._time.after(_PATIENCE_MS, lambda: answered("lost", "mayHaveRun"))
-        return lotId
+        items = [{"prompt": f"lot {lot_id} item {place} call item:{lot_id}:{place}"} for place in range(count)]
+        self._at(host, lambda: host.node.counter.hand_in(lot_id, path, items, 10_000, told))
+        self._time.after(_PATIENCE_MS, lambda: answered("lost", "may_have_run"))
+        return lot_id
 
-    def follow(self, lotId: str, fromMs: float) -> None:
+    def follow(self, lot_id: str, from_ms: float) -> None:
         """Comes back until all of the lot is listed, as a bureau would."""
-        lot = self.lots[lotId]
+        lot = self.lots[lot_id]
         if lot["ended"] or lot["done"]:
             return
 
         def seen(row: dict[str, Any]) -> None:
             if row["outcome"] == "known" and row["listed"] == row["total"] and not row["ended"] and not lot["done"]:
                 lot["done"] = True
-                self._history.add("lot-done", self._time.nowMs, lot=lotId, fromMs=fromMs)
+                self._history.add("lot-done", self._time.now_ms, lot=lot_id, from_ms=from_ms)
 
-        self.read(lotId, seen)
-        self._time.after(700, lambda: self.follow(lotId, fromMs))
+        self.read(lot_id, seen)
+        self._time.after(700, lambda: self.follow(lot_id, from_ms))
 
-    def read(self, lotId: str, done: Callable[[Any], None] | None = None) -> None:
+    def read(self, lot_id: str, done: Callable[[Any], None] | None = None) -> None:
         """Reads results from a random place on; each is remembered as it was first read."""
         host = self._edge()
         if host is None:
             return
-        lot = self.lots[lotId]
+        lot = self.lots[lot_id]
         start = self._rng.choice((0, len(lot["results"])))
-        life, beganMs = host.life, self._time.nowMs
+        life, began_ms = host.life, self._time.now_ms
 
         def told(answer: Answer) -> None:
             if host.life != life or not host.up or answer.status not in (200, 404):
@@ -169,14 +169,14 @@
                      else json.dumps(row["body"], sort_keys=True)) for row in shown["results"]] if known else []
             seen = {"outcome": "known" if known else "missing", "listed": shown["listed"] if known else 0,
                     "total": shown["total"] if known else 0, "ended": known and shown["ended"]}
-            self._history.add("read", self._time.nowMs, beganMs=beganMs, lot=lotId, start=start, results=rows, **seen)
+            self._history.add("read", self._time.now_ms, began_ms=began_ms, lot=lot_id, start=start, results=rows, **seen)
             lot["results"].update({index: text for index, _, text in rows})
             if done is not None:
                 done(seen)
 
-        self._at(host, lambda: host.node.counter.results(lotId, start, 1000, told))
+        self._at(host, lambda: host.node.counter.results(lot_id, start, 1000, told))
 
-    def end(self, lotId: str) -> None:
+    def end(self, lot_id: str) -> None:
         host = self._edge()
         if host is None:
             return
@@ -184,10 +184,10 @@
 
         def told(answer: Answer) -> None:
             if answer.status == 200 and host.life == life and host.up:
-                self.lots[lotId]["ended"] = True
-                self._history.add("end", self._time.nowMs, lot=lotId)
+                self.lots[lot_id]["ended"] = True
+                self._history.add("end", self._time.now_ms, lot=lot_id)
 
-        self._at(host, lambda: host.node.counter.end(lotId, told))
+        self._at(host, lambda: host.node.counter.end(lot_id, told))
 
 
 def flat_events(text: str) -> str:
@@ -224,11 +224,11 @@
             def told(receipt: Any) -> None:
                 if mark in left and receipt.outcome in ("ok", "lost"):
                     left.discard(mark)
-                    self._history.add("final-change", self._time.nowMs, mark=mark, outcome=receipt.outcome,
+                    self._history.add("final-change", self._time.now_ms, mark=mark, outcome=receipt.outcome,
                                       version=receipt.version)
 
             host = self._time.rng.choice(self._fleet.running("control"))
-            host.node.owner.submit(Change(key="profiles", version=named, changeId=mark, body=body, hops=0), told)
+            host.node.owner.submit(Change(key="profiles", version=named, change_id=mark, body=body, hops=0), told)
 
         for _ in range(4):
             for mark, (named, body) in rows:
@@ -245,15 +245,15 @@
             self.changes += 1
             mark = f"change{self.changes}"
         named = self.version if version is None else version
-        row = self._history.add("change", self._time.nowMs, mark=mark, named=named, outcome="none", version=0,
-                                answeredMs=0.0)
+        row = self._history.add("change", self._time.now_ms, mark=mark, named=named, outcome="none", version=0,
+                                answered_ms=0.0)
         body = json.dumps(tree_of(mark), sort_keys=True)
         life = host.life
 
         def answered(receipt: Any) -> None:
             if row["outcome"] != "none" or host.life != life or not host.up:
                 return
-            row.update(outcome=receipt.outcome, version=receipt.version, answeredMs=self._time.nowMs)
+            row.update(outcome=receipt.outcome, version=receipt.version, answered_ms=self._time.now_ms)
             if receipt.outcome in ("ok", "lost"):
                 self.version = max(self.version, receipt.version)
                 if receipt.outcome == "ok":
@@ -266,6 +266,6 @@
         def begin() -> None:
             if host.up and host.life == life:
                 host.when_awake(lambda: host.node.owner.submit(
-                    Change(key="profiles", version=named, changeId=mark, body=body, hops=0), answered), life)
+                    Change(key="profiles", version=named, change_id=mark, body=body, hops=0), answered), life)
 
         self._time.after(1.0, begin)
--- a/libs/facsimile/src/facsimile/sim/workers.py
+++ b/libs/facsimile/src/facsimile/sim/workers.py
@@ -16,14 +16,14 @@
 
 class SimWorker:
     __slots__ = ("_beat", "_edges", "_fleet", "address", "busy", "dark", "gone", "history", "identity", "incarnation",
-                 "labels", "leaving", "pieces", "pieceMs", "slots", "time", "zone")
+                 "labels", "leaving", "pieces", "piece_ms", "slots", "time", "zone")
 
     def __init__(self, fleet: Any, identity: str, address: str, labels: list[str], slots: int, zone: str) -> None:
         self._fleet = fleet
         self.time, self.history = fleet.time, fleet.history
         self.identity, self.address, self.labels, self.slots, self.zone = identity, address, labels, slots, zone
-        self.incarnation = int(self.time.nowMs) + 1
-        self.pieces, self.pieceMs = 6, 12.0
+        self.incarnation = int(self.time.now_ms) + 1
+        self.pieces, self.piece_ms = 6, 12.0
         self.busy = 0
         self.dark = self.gone = self.leaving = False
         self._beat = 0
@@ -50,18 +50,18 @@
         edge = self.time.rng.choice(edges)
         edge.node.roster.hear(WorkerNews(
             identity=self.identity, incarnation=self.incarnation, address=self.address, zone=self.zone,
-            labels=self.labels, beat=self._beat, running=self.busy, waiting=0, slots=self.slots, cacheUse=0.0,
+            labels=self.labels, beat=self._beat, running=self.busy, waiting=0, slots=self.slots, cache_use=0.0,
             leaving=leaving))
         return True
 
     def leave(self) -> None:
         self.leaving = True
         if self._tell(True):
-            self.history.add("worker-left", self.time.nowMs, worker=self.stamp, how="left")
+            self.history.add("worker-left", self.time.now_ms, worker=self.stamp, how="left")
 
     def crash(self) -> None:
         self.gone = True
-        self.history.add("worker-left", self.time.nowMs, worker=self.stamp, how="crashed")
+        self.history.add("worker-left", self.time.now_ms, worker=self.stamp, how="crashed")
 
     def call(self, headers: dict[str, str], body: dict[str, Any], reply: Callable[..., None], open_: Callable[[], bool]) -> None:
         """`reply(what, *args)`: head, data, end, or how the connection broke. Nothing at all while dark.
@@ -77,9 +77,9 @@
             run.refuse(429, "busy")
         else:
             self.busy += 1
-            self.history.add("run", self.time.nowMs, worker=self.stamp, identity=self.identity, labels=self.labels,
+            self.history.add("run", self.time.now_ms, worker=self.stamp, identity=self.identity, labels=self.labels,
                              address=self.address, transaction=run.transaction, path=body["model"], **_told(body))
-            self.time.after(self.pieceMs, lambda: run.piece(0))
+            self.time.after(self.piece_ms, lambda: run.piece(0))
 
 
 def _told(body: dict[str, Any]) -> dict[str, Any]:
@@ -102,7 +102,7 @@
                                      ("X-Vaneledge-Transaction", self.transaction)], length)
 
     def refuse(self, status: int, code: str) -> None:
-        data = json.dumps({"error": {"verdict": "notRun", "code": code}}).encode()
+        data = json.dumps({"error": {"verdict": "not_run", "code": code}}).encode()
         self._head(status, len(data))
         self._reply("data", data)
         self._reply("end")
@@ -122,10 +122,10 @@
             if stream:
                 data = json.dumps({"id": self.transaction, "choices": [{"index": 0, "text": "w "}]})
                 self._reply("data", f"id: {place}\ndata: {data}\n\n".encode())
-            worker.time.after(worker.pieceMs * (0.5 + worker.time.rng.random()), lambda: self.piece(place + 1))
+            worker.time.after(worker.piece_ms * (0.5 + worker.time.rng.random()), lambda: self.piece(place + 1))
             return
         worker.busy -= 1
-        worker.history.add("run-ended", worker.time.nowMs, worker=worker.stamp, transaction=self.transaction, pieces=worker.pieces)
+        worker.history.add("run-ended", worker.time.now_ms, worker=worker.stamp, transaction=self.transaction, pieces=worker.pieces)
         if stream:
             self._reply("data", b"data: [DONE]\n\n")
         else:
--- a/libs/facsimile/src/facsimile/surroundings/disks.py
+++ b/libs/facsimile/src/facsimile/surroundings/disks.py
@@ -13,15 +13,15 @@
 
 
 class PowerDisk:
-    __slots__ = ("_inner", "_pending", "_rng", "_seen", "roomBytes")
+    __slots__ = ("_inner", "_pending", "_rng", "_seen", "room_bytes")
 
     def __init__(self, inner: FolderDisk, seed: int) -> None:
         self._inner = inner
         self._rng = random.Random(seed)
         self._seen = {name: bytearray(inner.read(name)) for name in inner.names()}
         self._pending: dict[str, list[tuple[str, int, bytes]]] = {}
-        self.roomBytes = inner.roomBytes
-        inner.roomBytes = 1 << 60
+        self.room_bytes = inner.room_bytes
+        inner.room_bytes = 1 << 60
 
     def names(self) -> list[str]:
         return sorted(self._seen)
@@ -33,7 +33,7 @@
         return bytes(self._seen.get(name, b"")[offset:offset + size])
 
     def roomy(self, size: int, urgent: bool = False) -> bool:
-        limit = self.roomBytes if urgent else self.roomBytes * (1 - KEPT_BACK)
+        limit = self.room_bytes if urgent else self.room_bytes * (1 - KEPT_BACK)
         return self._inner.roomy(0, True) and sum(len(page) for page in self._seen.values()) + size <= limit
 
     def write(self, name: str, offset: int, data: bytes, urgent: bool = False) -> None:
--- a/libs/facsimile/src/facsimile/surroundings/nodes.py
+++ b/libs/facsimile/src/facsimile/surroundings/nodes.py
@@ -29,14 +29,14 @@
         self._weather = weather
 
     def wall(self) -> int:
-        return super().wall() + self._weather.stepMs
+        return super().wall() + self._weather.step_ms
 
 
 class _Links(Switchboard):
     """Drops what the weather doesn't let out or in, loses some, and holds back what is slow."""
 
-    def __init__(self, address: str, waitMs: int, deliver: Callable[[str, int, int, Message], None], weather: Weather) -> None:
-        super().__init__(address, waitMs, lambda sender, *rest: deliver(sender, *rest) if weather.lets_in(sender) else None)
+    def __init__(self, address: str, wait_ms: int, deliver: Callable[[str, int, int, Message], None], weather: Weather) -> None:
+        super().__init__(address, wait_ms, lambda sender, *rest: deliver(sender, *rest) if weather.lets_in(sender) else None)
         self._weather = weather
         self._rng = random.Random()
 
@@ -44,10 +44,10 @@
         weather = self._weather
         if not weather.lets_out(to) or (to != self._address and self._rng.random() < weather.loss):
             return
-        if to == self._address or not weather.waitMs(to):
+        if to == self._address or not weather.wait_ms(to):
             super().post(to, ref, re, message)
         else:
-            asyncio.get_running_loop().call_later(weather.waitMs(to) / 1000, super().post, to, ref, re, message)
+            asyncio.get_running_loop().call_later(weather.wait_ms(to) / 1000, super().post, to, ref, re, message)
 
 
 class _Held:
@@ -83,15 +83,15 @@
 
 
 class _Sender(HttpSender):
-    __slots__ = ("_connectMs", "_weather")
+    __slots__ = ("_connect_ms", "_weather")
 
-    def __init__(self, connectMs: int, weather: Weather) -> None:
-        super().__init__(connectMs)
-        self._connectMs, self._weather = connectMs, weather
+    def __init__(self, connect_ms: int, weather: Weather) -> None:
+        super().__init__(connect_ms)
+        self._connect_ms, self._weather = connect_ms, weather
 
     def __call__(self, send: Send, address: str, kind: str, headers: dict[str, str], body: dict[str, Any]) -> Callable[[], None]:
         if not (self._weather.lets_out(address) and self._weather.lets_in(address)):
-            return asyncio.get_running_loop().call_later(self._connectMs / 1000, send.broke, "no connection", False).cancel
+            return asyncio.get_running_loop().call_later(self._connect_ms / 1000, send.broke, "no connection", False).cancel
         return super().__call__(_Held(send, address, self._weather), address, kind, headers, body)
 
 
@@ -101,10 +101,10 @@
             return _Env(self.params.link, weather)
 
         def make_switchboard(self, deliver: Any) -> _Links:
-            return _Links(self.params.link, self.params.askMs, deliver, weather)
+            return _Links(self.params.link, self.params.ask_ms, deliver, weather)
 
         def make_sender(self) -> _Sender:
-            return _Sender(self.params.askMs, weather)
+            return _Sender(self.params.ask_ms, weather)
 
         def open_disk(self) -> PowerDisk:
             self.disk = PowerDisk(super().open_disk(), seed)
--- a/libs/facsimile/src/facsimile/surroundings/weather.py
+++ b/libs/facsimile/src/facsimile/surroundings/weather.py
@@ -23,7 +23,7 @@
 
 
 class Weather:
-    __slots__ = ("_cuts", "_machines", "_path", "_seen", "_slow", "loss", "name", "stepMs")
+    __slots__ = ("_cuts", "_machines", "_path", "_seen", "_slow", "loss", "name", "step_ms")
 
     def __init__(self, path: str, name: str) -> None:
         self._path, self.name = Path(path), name
@@ -32,23 +32,23 @@
         self._cuts: set[tuple[str, str]] = set()
         self._slow: dict[str, int] = {}
         self.loss = 0.0
-        self.stepMs = 0
+        self.step_ms = 0
         self.read()
 
     def read(self) -> None:
         try:
-            stampNs = self._path.stat().st_mtime_ns
-            if stampNs == self._seen:
+            stamp_ns = self._path.stat().st_mtime_ns
+            if stamp_ns == self._seen:
                 return
             told: dict[str, Any] = json.loads(self._path.read_text())
         except (OSError, ValueError):
             return
-        self._seen = stampNs
+        self._seen = stamp_ns
         self._machines = told["machines"]
         self._cuts = {(one, other) for one, other in told["cuts"]}
         self._slow = told["slow"]
         self.loss = told["loss"]
-        self.stepMs = told["steps"].get(self.name, 0)
+        self.step_ms = told["steps"].get(self.name, 0)
 
     async def follow(self) -> None:
         while True:
@@ -64,5 +64,5 @@
     def lets_in(self, address: str) -> bool:
         return (self._name(address), self.name) not in self._cuts
 
-    def waitMs(self, address: str) -> int:
+    def wait_ms(self, address: str) -> int:
         return self._slow.get(self.name, 0) + self._slow.get(self._name(address), 0)
--- a/libs/facsimile/src/facsimile/traffic.py
+++ b/libs/facsimile/src/facsimile/traffic.py
@@ -20,11 +20,11 @@
 ROOM = 6
 TREE: dict[str, Any] = {"profiles": {
     "base": {"abstract": True, "workers": {"labels": ["gpu"]}},
-    "rulings": {"parent": "base", "deadlineMs": 2000}, "flags": {"parent": "base", "deadlineMs": 2000},
-    "narrations": {"parent": "base", "deadlineMs": 5000}, "reasons": {"parent": "base", "deadlineMs": 5000},
-    "moves": {"parent": "base", "repeatable": False, "deadlineMs": 5000},
-    "summaries": {"parent": "base", "waitingRoom": ROOM},
-    "claims": {"parent": "base", "repeatable": False, "waitingRoom": ROOM}}}
+    "rulings": {"parent": "base", "deadline_ms": 2000}, "flags": {"parent": "base", "deadline_ms": 2000},
+    "narrations": {"parent": "base", "deadline_ms": 5000}, "reasons": {"parent": "base", "deadline_ms": 5000},
+    "moves": {"parent": "base", "repeatable": False, "deadline_ms": 5000},
+    "summaries": {"parent": "base", "waiting_room": ROOM},
+    "claims": {"parent": "base", "repeatable": False, "waiting_room": ROOM}}}
 _LIVE = (("rulings", True, 1.0), ("flags", False, 1.0), ("narrations", True, 0.5), ("reasons", False, 0.5),
          ("moves", False, 0.3))
 _PATIENCE_S = 12.0
@@ -33,22 +33,22 @@
 class Traffic:
     def __init__(self, fleet: Fleet, seed: int, rate: float) -> None:
         self.fleet, self.rng, self.rate = fleet, random.Random(seed), rate
-        self.history = History(seed=seed, room=ROOM, allowed=["gpu"], limitsMs={
+        self.history = History(seed=seed, room=ROOM, allowed=["gpu"], limits_ms={
             path: 2000 if path in ("rulings", "flags") else 5000 for path, _, _ in _LIVE})
         self._marks: dict[str, str] = {}
         self._sent: dict[str, tuple[int, dict[str, Any]]] = {}
-        self.latencyMs: dict[str, list[float]] = {}
+        self.latency_ms: dict[str, list[float]] = {}
         self.outcomes: Counter = Counter()
         self.lots: dict[str, dict[str, Any]] = {}
         self.version = 1
-        self.lotName = "lot"
+        self.lot_name = "lot"
         self.stopping = False
-        self._startedAt = time.time()
+        self._started_at = time.time()
         self._count = 0
         self._tasks: set[asyncio.Task] = set()
 
-    def nowMs(self) -> float:
-        return (time.time() - self._startedAt) * 1000
+    def now_ms(self) -> float:
+        return (time.time() - self._started_at) * 1000
 
     def _spawn(self, work: Any) -> asyncio.Task:
         task = asyncio.ensure_future(work)
@@ -90,12 +90,12 @@
             if self.rng.random() < 0.1:
                 self._spawn(self._reuse(key))
         asked = asked or key
-        row = self.history.add("call", self.nowMs(), call=f"call{number}", path=path, key=key, edge=self._edge(avoid),
-                               asked=asked, outcome="lost", verdict="mayHaveRun", pieces=[], transaction="", body="",
-                               code="", answeredMs=0.0)
+        row = self.history.add("call", self.now_ms(), call=f"call{number}", path=path, key=key, edge=self._edge(avoid),
+                               asked=asked, outcome="lost", verdict="may_have_run", pieces=[], transaction="", body="",
+                               code="", answered_ms=0.0)
         prompt = f"{path} of {key} {asked}" if key else f"{path} table {number % 20}, call{number}"
         call = {"model": path, "prompt": prompt, "stream": stream}
-        beganMs = self.nowMs()
+        began_ms = self.now_ms()
         try:
             async with self.fleet.session.post(f"http://{row['edge']}/v1/completions", json=call,
                                                headers={"Idempotency-Key": key} if key else None,
@@ -103,11 +103,11 @@
                 await self._take(row, answer, stream)
         except (aiohttp.ClientError, OSError, TimeoutError):
             row["outcome"] = "cut" if row["pieces"] else "lost"
-        row["answeredMs"] = self.nowMs()
+        row["answered_ms"] = self.now_ms()
         if row["verdict"] == "ran":
-            self.latencyMs.setdefault(path, []).append(row["answeredMs"] - beganMs)
+            self.latency_ms.setdefault(path, []).append(row["answered_ms"] - began_ms)
         self.outcomes[(path, row["verdict"], row["code"] or row["outcome"])] += 1
-        if key and row["verdict"] == "mayHaveRun" and tries > 1:
+        if key and row["verdict"] == "may_have_run" and tries > 1:
             await asyncio.sleep(0.2)
             await self.live(path, stream, key, row["edge"], tries - 1, asked)
         return row
@@ -142,19 +142,19 @@
 
     # -- lots ----------------------------------------------------------------------------------
 
-    async def hand_in(self, tries: int = 3, lotId: str = "", avoid: str = "") -> dict[str, Any]:
-        if not lotId:
-            lotId = f"{self.lotName}{len(self.lots) + 1}"
+    async def hand_in(self, tries: int = 3, lot_id: str = "", avoid: str = "") -> dict[str, Any]:
+        if not lot_id:
+            lot_id = f"{self.lot_name}{len(self.lots) + 1}"
             path = self.rng.choice(("summaries", "summaries", "claims"))
-            self.lots[lotId] = {"path": path, "count": 80, "beganMs": self.nowMs(), "doneMs": 0.0, "seen": 0,
+            self.lots[lot_id] = {"path": path, "count": 80, "began_ms": self.now_ms(), "done_ms": 0.0, "seen": 0,
                                 "acked": False}
-        lot = self.lots[lotId]
-        row = self.history.add("hand-in", self.nowMs(), lot=lotId, path=lot["path"], outcome="none",
-                               verdict="mayHaveRun", count=80, answeredMs=0.0)
+        lot = self.lots[lot_id]
+        row = self.history.add("hand-in", self.now_ms(), lot=lot_id, path=lot["path"], outcome="none",
+                               verdict="may_have_run", count=80, answered_ms=0.0)
         edge = self._edge(avoid)
         try:
-            status, body = await self.fleet.ask("PUT", edge, f"/lots/{lotId}", {"path": lot["path"], "items": [
-                {"prompt": f"{lot['path']} {lotId} item {place}"} for place in range(80)]})
+            status, body = await self.fleet.ask("PUT", edge, f"/lots/{lot_id}", {"path": lot["path"], "items": [
+                {"prompt": f"{lot['path']} {lot_id} item {place}"} for place in range(80)]})
             if status in (200, 201):
                 row.update(outcome="admitted" if status == 201 else "known", verdict="ran")
                 lot["acked"] = True
@@ -162,53 +162,53 @@
                 row.update(outcome=body["error"]["code"], verdict=body["error"]["verdict"])
         except (aiohttp.ClientError, OSError, TimeoutError):
             row["outcome"] = "lost"
-        row["answeredMs"] = self.nowMs()
+        row["answered_ms"] = self.now_ms()
         self.outcomes[("lot " + lot["path"], row["verdict"], row["outcome"])] += 1
-        if row["verdict"] == "mayHaveRun" and tries > 1:
+        if row["verdict"] == "may_have_run" and tries > 1:
             await asyncio.sleep(0.2)
-            await self.hand_in(tries - 1, lotId, edge)
+            await self.hand_in(tries - 1, lot_id, edge)
         return row
 
-    async def read(self, lotId: str = "", start: int | None = None, final: bool = False) -> bool:
-        live = [name for name, lot in self.lots.items() if lot["acked"] and not lot["doneMs"]]
-        if not lotId:
+    async def read(self, lot_id: str = "", start: int | None = None, final: bool = False) -> bool:
+        live = [name for name, lot in self.lots.items() if lot["acked"] and not lot["done_ms"]]
+        if not lot_id:
             if not live:
                 return False
-            lotId = self.rng.choice(live)
-        lot = self.lots[lotId]
+            lot_id = self.rng.choice(live)
+        lot = self.lots[lot_id]
         start = start if start is not None else self.rng.choice((0, lot["seen"]))
-        beganMs = self.nowMs()
+        began_ms = self.now_ms()
         try:
-            status, body = await self.fleet.ask("GET", self._edge(), f"/lots/{lotId}/results?from={start}")
+            status, body = await self.fleet.ask("GET", self._edge(), f"/lots/{lot_id}/results?from={start}")
         except (aiohttp.ClientError, OSError, TimeoutError):
             return False
         if status not in (200, 404):
             return False
         rows = [(row["index"], row["verdict"], _flat(row)) for row in body.get("results", [])]
         outcome = "known" if status == 200 else "missing"
-        self.history.add("read", self.nowMs(), beganMs=beganMs, lot=lotId, outcome=outcome, start=start, listed=body.get("listed", 0),
+        self.history.add("read", self.now_ms(), began_ms=began_ms, lot=lot_id, outcome=outcome, start=start, listed=body.get("listed", 0),
                          total=body.get("total", 0), ended=body.get("ended", False), results=rows)
         if final:
-            self.history.add("final", self.nowMs(), lot=lotId, outcome=outcome, listed=body.get("listed", 0))
+            self.history.add("final", self.now_ms(), lot=lot_id, outcome=outcome, listed=body.get("listed", 0))
         if status == 200:
             lot["seen"] = max(lot["seen"], body["listed"])
-            if (body["listed"] >= body["total"] or body["ended"]) and not lot["doneMs"]:
-                lot["doneMs"] = self.nowMs()
+            if (body["listed"] >= body["total"] or body["ended"]) and not lot["done_ms"]:
+                lot["done_ms"] = self.now_ms()
                 if not body["ended"]:
-                    self.history.add("lot-done", lot["doneMs"], lot=lotId, fromMs=lot["beganMs"])
-                    self.latencyMs.setdefault("lots of 80", []).append(lot["doneMs"] - lot["beganMs"])
+                    self.history.add("lot-done", lot["done_ms"], lot=lot_id, from_ms=lot["began_ms"])
+                    self.latency_ms.setdefault("lots of 80", []).append(lot["done_ms"] - lot["began_ms"])
         return True
 
     async def end(self) -> None:
-        live = [name for name, lot in self.lots.items() if lot["acked"] and not lot["doneMs"]]
+        live = [name for name, lot in self.lots.items() if lot["acked"] and not lot["done_ms"]]
         if live:
-            lotId = self.rng.choice(live)
+            lot_id = self.rng.choice(live)
             try:
-                status, _ = await self.fleet.ask("DELETE", self._edge(), f"/lots/{lotId}")
+                status, _ = await self.fleet.ask("DELETE", self._edge(), f"/lots/{lot_id}")
             except (aiohttp.ClientError, OSError, TimeoutError):
                 return
             if status == 200:
-                self.history.add("end", self.nowMs(), lot=lotId)
+                self.history.add("end", self.now_ms(), lot=lot_id)
 
     # -- operators, samples ----------------------------------------------------------------------
 
@@ -221,14 +221,14 @@
         self._count += 1
         mark = mark or f"change{self._count}"
         named = named or self.version
-        row = self.history.add("change", self.nowMs(), mark=mark, named=named, outcome="doubt", version=0, answeredMs=0.0)
+        row = self.history.add("change", self.now_ms(), mark=mark, named=named, outcome="doubt", version=0, answered_ms=0.0)
         control = self._control()
         tree = {"profiles": {**TREE["profiles"], f"mark-{mark}": {"abstract": True}}}
         self._marks[profiles_digest(json.dumps(check_tree(tree).ok, sort_keys=True))] = mark
         self._sent[mark] = (named, tree)
         try:
             status, body = await self.fleet.ask("PUT", control, "/profiles",
-                                                {"version": named, "changeId": mark, "tree": tree})
+                                                {"version": named, "change_id": mark, "tree": tree})
             outcome = {200: "ok", 409: "lost"}.get(status, "doubt")
             row.update(outcome=outcome, version=body.get("version", 0))
             if outcome == "lost":
@@ -237,30 +237,30 @@
             self.version = max(self.version, row["version"])
         except (aiohttp.ClientError, OSError, TimeoutError):
             pass
-        row["answeredMs"] = self.nowMs()
-        self.outcomes[("change", {"ok": "ran", "lost": "notRun"}.get(row["outcome"], "mayHaveRun"), row["outcome"])] += 1
+        row["answered_ms"] = self.now_ms()
+        self.outcomes[("change", {"ok": "ran", "lost": "not_run"}.get(row["outcome"], "may_have_run"), row["outcome"])] += 1
         if row["outcome"] == "doubt" and tries > 1:
             await asyncio.sleep(0.2)
             await self.change(tries - 1, mark, named)
         return row
 
     async def sample(self) -> None:
-        """`beganMs` of a sample is when it was asked for: what it shows may be as old as that."""
+        """`began_ms` of a sample is when it was asked for: what it shows may be as old as that."""
         for member in self.fleet.of("edge"):
-            beganMs = self.nowMs()
+            began_ms = self.now_ms()
             try:
-                status, body = await self.fleet.ask("GET", member.http, "/status", waitMs=800)
+                status, body = await self.fleet.ask("GET", member.http, "/status", wait_ms=800)
             except (aiohttp.ClientError, OSError, TimeoutError):
                 continue
-            self.history.add("sample", beganMs, edge=member.name, life=body["identity"], ready=body["ready"],
-                             number=body["feed"].get("profiles", 0), mark=self._marks.get(body["profilesDigest"], ""))
+            self.history.add("sample", began_ms, edge=member.name, life=body["identity"], ready=body["ready"],
+                             number=body["feed"].get("profiles", 0), mark=self._marks.get(body["profiles_digest"], ""))
         for member in self.fleet.of("store"):
             try:
-                status, body = await self.fleet.ask("GET", member.http, "/status", waitMs=800)
+                status, body = await self.fleet.ask("GET", member.http, "/status", wait_ms=800)
             except (aiohttp.ClientError, OSError, TimeoutError):
                 continue
-            for path, used in body.get("waitingRooms", {}).items():
-                self.history.add("room", self.nowMs(), store=member.name, path=path, epoch=body["fence"], used=used)
+            for path, used in body.get("waiting_rooms", {}).items():
+                self.history.add("room", self.now_ms(), store=member.name, path=path, epoch=body["fence"], used=used)
 
     async def ask_again(self, count: int) -> None:
         """The last acknowledged changes once more under their ids, as `changes-kept` wants it."""
@@ -268,46 +268,46 @@
         for mark in acked:
             named, tree = self._sent[mark]
             status, body = await self.fleet.ask("PUT", self._control(), "/profiles",
-                                                {"version": named, "changeId": mark, "tree": tree})
+                                                {"version": named, "change_id": mark, "tree": tree})
             if status in (200, 409):
-                self.history.add("final-change", self.nowMs(), mark=mark, version=body.get("version", 0),
+                self.history.add("final-change", self.now_ms(), mark=mark, version=body.get("version", 0),
                                  outcome="ok" if status == 200 else "lost")
 
     def take_worker_runs(self) -> None:
         """Adds what the workers wrote; a run's call is found by the transaction that each call was given."""
-        byTransaction = {row["transaction"]: row for row in self.history.of("call") if row["transaction"]}
+        by_transaction = {row["transaction"]: row for row in self.history.of("call") if row["transaction"]}
         for path in sorted(Path(self.fleet.folder).glob("*.runs")):
             for line in path.read_text().splitlines():
                 try:
                     row = json.loads(line)
                 except ValueError:
                     continue
-                atMs = row["wallMs"] - self._startedAt * 1000
+                at_ms = row["wall_ms"] - self._started_at * 1000
                 if row["kind"] == "run":
-                    self._add_run(row, atMs, byTransaction)
+                    self._add_run(row, at_ms, by_transaction)
                 elif row["kind"] == "run-ended":
-                    self.history.add("run-ended", atMs, worker=row["worker"], transaction=row["transaction"],
+                    self.history.add("run-ended", at_ms, worker=row["worker"], transaction=row["transaction"],
                                      pieces=row["pieces"])
                 else:
-                    self.history.add("worker-left", atMs, worker=row["worker"], how=row["kind"])
+                    self.history.add("worker-left", at_ms, worker=row["worker"], how=row["kind"])
         for member in self.fleet.members.values():
-            for fromAt, toAt in member.away:
-                self.history.add("away", (fromAt - self._startedAt) * 1000, name=member.http, untilMs=(toAt - self._startedAt) * 1000)
-        self.history.rows.sort(key=lambda row: row["atMs"])
+            for from_at, to_at in member.away:
+                self.history.add("away", (from_at - self._started_at) * 1000, name=member.http, until_ms=(to_at - self._started_at) * 1000)
+        self.history.rows.sort(key=lambda row: row["at_ms"])
 
-    def _add_run(self, row: dict[str, Any], atMs: float, byTransaction: dict[str, Any]) -> None:
+    def _add_run(self, row: dict[str, Any], at_ms: float, by_transaction: dict[str, Any]) -> None:
         words = row["prompt"].split()
         name = next((word for word in words if word.startswith("call")), "")
-        call = byTransaction.get(row["transaction"])
-        isItem = "item" in words
+        call = by_transaction.get(row["transaction"])
+        is_item = "item" in words
         safe = row["path"] not in ("moves", "claims")
         key = next((word for word in words if word.startswith("key")), "")
-        self.history.add("run", atMs, worker=row["worker"], identity=row["identity"], labels=row["labels"],
+        self.history.add("run", at_ms, worker=row["worker"], identity=row["identity"], labels=row["labels"],
                          address=row["address"], transaction=row["transaction"], path=row["path"], safe=safe, body="",
                          asked=words[3] if key and len(words) > 3 else "",
-                         call=name or (call["call"] if call else "" if not isItem else f"item:{words[1]}:{words[3]}"),
-                         lot=words[1] if isItem else "", index=int(words[3]) if isItem else -1, key=key)
-        self.history.add("send", atMs, worker=row["worker"], transaction=row["transaction"])
+                         call=name or (call["call"] if call else "" if not is_item else f"item:{words[1]}:{words[3]}"),
+                         lot=words[1] if is_item else "", index=int(words[3]) if is_item else -1, key=key)
+        self.history.add("send", at_ms, worker=row["worker"], transaction=row["transaction"])
 
 
 def _flat(row: dict[str, Any]) -> str:
--- a/libs/facsimile/src/facsimile/worker.py
+++ b/libs/facsimile/src/facsimile/worker.py
@@ -21,8 +21,8 @@
 
 class StandInWorker(Service):
     def __init__(self, identity: str, address: str, edges: list[str], zone: str = "a", labels: list[str] | None = None,
-                 slots: int = 8, tokenMs: float = 2.0, tokens: int = 12, prefillMs: float = 20.0,
-                 cachePrefixes: int = 32, beatMs: int = 300, runsFile: str = "",
+                 slots: int = 8, token_ms: float = 2.0, tokens: int = 12, prefill_ms: float = 20.0,
+                 cache_prefixes: int = 32, beat_ms: int = 300, runs_file: str = "",
                  weather: Any = None) -> None:
         super().__init__()
         self.identity, self.address, self.edges = identity, address, edges
@@ -30,21 +30,21 @@
         self.incarnation = time.time_ns() // 1_000_000
         self.runs: list[dict[str, Any]] = []
         self.hits = self.misses = 0
-        self._tokenMs, self._tokens, self._prefillMs = tokenMs, tokens, prefillMs
+        self._token_ms, self._tokens, self._prefill_ms = token_ms, tokens, prefill_ms
         self._cache: OrderedDict[str, None] = OrderedDict()
-        self._cacheLength = cachePrefixes
-        self._beatMs = beatMs
+        self._cache_length = cache_prefixes
+        self._beat_ms = beat_ms
         self._weather = weather
         self._beat = 0
         self._running = 0
         self._gate = asyncio.Semaphore(slots)
         self._waiting = 0
         self._leaving = False
-        self._runsPage = open(runsFile, "a", buffering=1) if runsFile else None
+        self._runs_page = open(runs_file, "a", buffering=1) if runs_file else None
 
     def _note(self, kind: str, **fields: Any) -> None:
-        if self._runsPage is not None:
-            self._runsPage.write(json.dumps({"kind": kind, "wallMs": time.time_ns() // 1_000_000,
+        if self._runs_page is not None:
+            self._runs_page.write(json.dumps({"kind": kind, "wall_ms": time.time_ns() // 1_000_000,
                                              "worker": f"{self.identity}/{self.incarnation}", **fields}) + "\n")
 
     async def on_start(self) -> None:
@@ -77,8 +77,8 @@
                 "identity": self.identity, "incarnation": self.incarnation, "address": self.address,
                 "beat": self._beat, "zone": self.zone, "labels": self.labels, "running": self._running,
                 "waiting": self._waiting, "slots": self.slots,
-                "cacheUse": len(self._cache) / self._cacheLength})
-            await asyncio.sleep(self._beatMs / 1000)
+                "cache_use": len(self._cache) / self._cache_length})
+            await asyncio.sleep(self._beat_ms / 1000)
 
     async def _tell(self, address: str, body: dict[str, Any]) -> None:
         if self._weather is not None:
@@ -97,7 +97,7 @@
     # -- completions ---------------------------------------------------------------------------
 
     def _refuse(self, code: str, status: int, headers: dict[str, str]) -> web.Response:
-        return web.json_response({"error": {"verdict": "notRun", "code": code, "message": code}}, status=status,
+        return web.json_response({"error": {"verdict": "not_run", "code": code, "message": code}}, status=status,
                                  headers=headers)
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
@@ -113,7 +113,7 @@
         async with self._gate:
             self._waiting -= 1
             self._running += 1
-            run = {"transaction": transaction, "startedMs": time.time_ns() // 1_000_000, "ended": False,
+            run = {"transaction": transaction, "started_ms": time.time_ns() // 1_000_000, "ended": False,
                    "path": body.get("model", ""), "prompt": str(body.get("prompt") or body.get("messages"))[-80:]}
             self.runs.append(run)
             self._note("run", identity=self.identity, labels=self.labels, address=self.address, **run)
@@ -130,12 +130,12 @@
         known = prefix in self._cache
         self._cache[prefix] = None
         self._cache.move_to_end(prefix)
-        if len(self._cache) > self._cacheLength:
+        if len(self._cache) > self._cache_length:
             self._cache.popitem(last=False)
         self.hits += known
         self.misses += not known
         if not known:
-            await asyncio.sleep(self._prefillMs / 1000)
+            await asyncio.sleep(self._prefill_ms / 1000)
 
     def _words(self, body: dict[str, Any]) -> list[str]:
         count = min(int(body.get("max_tokens") or self._tokens), 512)
@@ -144,7 +144,7 @@
 
     async def _whole(self, request: web.Request, body: dict, transaction: str, headers: dict) -> web.Response:
         words = self._words(body)
-        await asyncio.sleep(len(words) * self._tokenMs / 1000)
+        await asyncio.sleep(len(words) * self._token_ms / 1000)
         choice: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
         if "messages" in body:
             choice["message"] = {"role": "assistant", "content": "".join(words)}
@@ -157,7 +157,7 @@
         answer = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
         await answer.prepare(request)
         for place, word in enumerate(self._words(body)):
-            await asyncio.sleep(self._tokenMs / 1000)
+            await asyncio.sleep(self._token_ms / 1000)
             choice = {"index": 0, "delta": {"content": word}} if "messages" in body else {"index": 0, "text": word}
             data = json.dumps({"id": transaction, "object": "text_completion", "choices": [choice]})
             await answer.write(f"id: {place}\ndata: {data}\n\n".encode())
--- a/libs/gazette/src/gazette/messages.py
+++ b/libs/gazette/src/gazette/messages.py
@@ -14,7 +14,7 @@
 class NewsItem(Message):
     key: Text
     number: Long
-    baseNumber: Long
+    base_number: Long
     body: Text
 
 
--- a/libs/gazette/src/gazette/patches.py
+++ b/libs/gazette/src/gazette/patches.py
@@ -29,9 +29,9 @@
     return patch
 
 
-def merge(oldBody: str, patchBody: str) -> str:
-    return json.dumps(apply_patch(json.loads(oldBody), json.loads(patchBody)), sort_keys=True)
+def merge(old_body: str, patch_body: str) -> str:
+    return json.dumps(apply_patch(json.loads(old_body), json.loads(patch_body)), sort_keys=True)
 
 
-def merge_diff(oldBody: str, newBody: str) -> str:
-    return json.dumps(_diff(json.loads(oldBody), json.loads(newBody)), sort_keys=True)
+def merge_diff(old_body: str, new_body: str) -> str:
+    return json.dumps(_diff(json.loads(old_body), json.loads(new_body)), sort_keys=True)
--- a/libs/ledger/src/ledger/dealing.py
+++ b/libs/ledger/src/ledger/dealing.py
@@ -13,52 +13,52 @@
 
 __all__ = ["Dealer"]
 
-_UNKNOWN_BODY = '{"error":{"verdict":"mayHaveRun","code":"edge-lost","message":"the node running this item was lost"}}'
+_UNKNOWN_BODY = '{"error":{"verdict":"may_have_run","code":"edge-lost","message":"the node running this item was lost"}}'
 
 
 class Dealer:
-    __slots__ = ("_claimedMs", "_edges", "_holder", "_node", "_sinceMs")
+    __slots__ = ("_claimed_ms", "_edges", "_holder", "_node", "_since_ms")
 
     def __init__(self, holder: Any, node: Any) -> None:
         self._holder = holder
         self._node = node
-        self._sinceMs = node.env.now()
+        self._since_ms = node.env.now()
         self._edges: dict[str, int] = {}
-        self._claimedMs: dict[tuple[str, int], int] = {}
+        self._claimed_ms: dict[tuple[str, int], int] = {}
 
     def beat(self, message: m.EdgeBeat, reply: Callable[[Message], None]) -> None:
-        nowMs = self._node.env.now()
-        self._edges[message.edge] = nowMs
+        now_ms = self._node.env.now()
+        self._edges[message.edge] = now_ms
         ledger = self._holder.ledger
         self._return_unheard(message)
-        stops = sorted(lotId for lotId in {row.rpartition("#")[0] for row in message.running} if self._over(lotId))
-        batons = [encode(m.Baton(lotId=lot.lotId, epoch=lot.batonEpoch, upTo=lot.ready))
+        stops = sorted(lot_id for lot_id in {row.rpartition("#")[0] for row in message.running} if self._over(lot_id))
+        batons = [encode(m.Baton(lot_id=lot.lot_id, epoch=lot.baton_epoch, up_to=lot.ready))
                   for lot in ledger.opened.values()
-                  if lot.ready > lot.placed and lot.batonEdge == message.edge and lot.batonEpoch]
+                  if lot.ready > lot.placed and lot.baton_edge == message.edge and lot.baton_epoch]
         for lot in list(ledger.opened.values()):
-            if lot.ready > lot.placed and not self._live(lot.batonEdge):
+            if lot.ready > lot.placed and not self._live(lot.baton_edge):
                 self._pass_baton(lot, message.edge)
-        work, safeOnly = self._pick(message)
+        work, safe_only = self._pick(message)
         waiting, paths = self._waiting()
 
         def logged(outcome: str) -> None:
             rows = work if outcome == "kept" else []
-            reply(m.HolderBeat(epoch=self._holder.epoch, holderMs=self._node.env.now(),
+            reply(m.HolderBeat(epoch=self._holder.epoch, holder_ms=self._node.env.now(),
                                work=[encode(row) for row in rows], batons=batons, stops=stops, waiting=waiting,
                                paths=paths))
 
         if not work:
             logged("kept")
             return
-        claims = [e.ItemClaimed(lotId=row.lotId, index=row.index, edge=message.edge, number=row.number)
+        claims = [e.ItemClaimed(lot_id=row.lot_id, index=row.index, edge=message.edge, number=row.number)
                   for row in work]
-        self._claimedMs.update({(row.lotId, row.index): nowMs for row in work})
-        self._holder.append(claims, not safeOnly, logged)
+        self._claimed_ms.update({(row.lot_id, row.index): now_ms for row in work})
+        self._holder.append(claims, not safe_only, logged)
 
-    def _over(self, lotId: str) -> bool:
+    def _over(self, lot_id: str) -> bool:
         """Over for good: an edge forgets what it ran, so this has to be settled."""
-        lot = self._holder.settled.lots.get(lotId)
-        return not lot.open if lot is not None else lotId not in self._holder.ledger.lots
+        lot = self._holder.settled.lots.get(lot_id)
+        return not lot.open if lot is not None else lot_id not in self._holder.ledger.lots
 
     def _waiting(self) -> tuple[int, list[str]]:
         """How many items wait, and on which paths: an edge then offers its room for these."""
@@ -67,25 +67,25 @@
 
     def _return_unheard(self, message: m.EdgeBeat) -> None:
         """A claim whose notice was lost: the edge doesn't list it, and would no longer take the notice."""
-        nowMs = self._node.env.now()
+        now_ms = self._node.env.now()
         running = set(message.running)
         rows: list[Message] = []
         for lot in self._holder.ledger.opened.values():
             for index, item in lot.claims.items():
-                if item.edge != message.edge or f"{lot.lotId}#{index}" in running:
+                if item.edge != message.edge or f"{lot.lot_id}#{index}" in running:
                     continue
-                if nowMs - self._claimedMs.get((lot.lotId, index), self._sinceMs) > 2 * self._node.params.askMs:
-                    rows.append(e.ItemReturned(lotId=lot.lotId, index=index, number=item.number))
+                if now_ms - self._claimed_ms.get((lot.lot_id, index), self._since_ms) > 2 * self._node.params.ask_ms:
+                    rows.append(e.ItemReturned(lot_id=lot.lot_id, index=index, number=item.number))
         if rows:
             self._holder.append(rows, False, lambda outcome: None, True)
 
     def _pick(self, message: m.EdgeBeat) -> tuple[list[m.Work], bool]:
         """The lots due first, as many items as the edge has room for."""
         work: list[m.Work] = []
-        safeOnly = True
+        safe_only = True
         if not message.room:
-            return work, safeOnly
-        lots = sorted(self._holder.ledger.opened.values(), key=lambda lot: (lot.dueMs, lot.atMs, lot.lotId))
+            return work, safe_only
+        lots = sorted(self._holder.ledger.opened.values(), key=lambda lot: (lot.due_ms, lot.at_ms, lot.lot_id))
         for lot in lots:
             if len(work) >= message.room:
                 break
@@ -95,38 +95,38 @@
                 if len(work) >= message.room:
                     break
                 if item.state == "waiting":
-                    work.append(m.Work(lotId=lot.lotId, index=index, number=item.number + 1, path=lot.path,
-                                       safe=lot.safe, body=item.body, dueMs=lot.dueMs))
-                    safeOnly = safeOnly and lot.safe
-        return work, safeOnly
+                    work.append(m.Work(lot_id=lot.lot_id, index=index, number=item.number + 1, path=lot.path,
+                                       safe=lot.safe, body=item.body, due_ms=lot.due_ms))
+                    safe_only = safe_only and lot.safe
+        return work, safe_only
 
     def finish(self, message: m.Finish, reply: Callable[[Message], None]) -> None:
         """An outcome of `again` hands a claim back: the item certainly has not run. What is not safe to
         repeat is acknowledged once settled: an edge that forgot it would make it look never begun."""
         ledger = self._holder.ledger
-        lot = ledger.lots.get(message.lotId)
+        lot = ledger.lots.get(message.lot_id)
         self._edges[message.edge] = self._node.env.now()
-        self._claimedMs.pop((message.lotId, message.index), None)
+        self._claimed_ms.pop((message.lot_id, message.index), None)
         if lot is None or lot.ended or not 0 <= message.index < len(lot.items):
             self._holder.append([], True, lambda outcome: reply(
-                m.FinishReceipt(ok=outcome == "kept", batonEpoch=0, upTo=0)), True)
+                m.FinishReceipt(ok=outcome == "kept", baton_epoch=0, up_to=0)), True)
             return
         item = lot.items[message.index]
         rows: list[Message] = []
         if message.outcome == "again":
             if item.state == "claimed" and item.number == message.number:
-                rows.append(e.ItemReturned(lotId=message.lotId, index=message.index, number=message.number))
+                rows.append(e.ItemReturned(lot_id=message.lot_id, index=message.index, number=message.number))
         elif item.state != "finished":
-            rows.append(e.ItemFinished(lotId=message.lotId, index=message.index, outcome=message.outcome,
+            rows.append(e.ItemFinished(lot_id=message.lot_id, index=message.index, outcome=message.outcome,
                                        body=message.body, worker=message.worker))
 
         def logged(outcome: str) -> None:
             if outcome == "kept" and lot.open and lot.ready > lot.placed:
-                if lot.batonEdge == message.edge or not self._live(lot.batonEdge) or self._finished_next(lot, message):
+                if lot.baton_edge == message.edge or not self._live(lot.baton_edge) or self._finished_next(lot, message):
                     self._pass_baton(lot, message.edge)
-            mine = lot.batonEdge == message.edge and lot.ready > lot.placed
-            reply(m.FinishReceipt(ok=outcome == "kept", batonEpoch=lot.batonEpoch if mine else 0,
-                                  upTo=lot.ready if mine else 0))
+            mine = lot.baton_edge == message.edge and lot.ready > lot.placed
+            reply(m.FinishReceipt(ok=outcome == "kept", baton_epoch=lot.baton_epoch if mine else 0,
+                                  up_to=lot.ready if mine else 0))
 
         self._holder.append(rows, not lot.safe, logged, True)
 
@@ -134,18 +134,18 @@
         return message.index == lot.placed
 
     def _pass_baton(self, lot: Lot, edge: str) -> None:
-        if lot.batonEdge != edge:
-            self._holder.append([e.BatonPassed(lotId=lot.lotId, edge=edge, epoch=lot.batonEpoch + 1)], False,
+        if lot.baton_edge != edge:
+            self._holder.append([e.BatonPassed(lot_id=lot.lot_id, edge=edge, epoch=lot.baton_epoch + 1)], False,
                                 lambda outcome: None, True)
 
     def _live(self, edge: str) -> bool:
         if not edge:
             return False
-        return self._node.env.now() - self._edges.get(edge, self._sinceMs) <= self._node.params.deadMs
+        return self._node.env.now() - self._edges.get(edge, self._since_ms) <= self._node.params.dead_ms
 
     def _lost(self, edge: str) -> bool:
         """Silent for longer than any edge keeps its claims, or than this holder has been in office."""
-        return self._node.env.now() - self._edges.get(edge, self._sinceMs) > self._node.params.reclaimMs
+        return self._node.env.now() - self._edges.get(edge, self._since_ms) > self._node.params.reclaim_ms
 
     def tick(self) -> None:
         rows: list[Message] = []
@@ -154,9 +154,9 @@
                 if not self._lost(item.edge):
                     continue
                 if lot.safe:
-                    rows.append(e.ItemReturned(lotId=lot.lotId, index=index, number=item.number))
+                    rows.append(e.ItemReturned(lot_id=lot.lot_id, index=index, number=item.number))
                 else:
-                    rows.append(e.ItemFinished(lotId=lot.lotId, index=index, outcome="mayHaveRun",
+                    rows.append(e.ItemFinished(lot_id=lot.lot_id, index=index, outcome="may_have_run",
                                                body=_UNKNOWN_BODY, worker=""))
         if rows:
             self._node.env.log("claims-taken-back", "WARNING", count=len(rows))
--- a/libs/ledger/src/ledger/desk.py
+++ b/libs/ledger/src/ledger/desk.py
@@ -20,49 +20,49 @@
 _LOT_KEEP_FACTOR = 7
 
 
-def _lot_receipt(outcome: str, lotId: str, lot: Lot | None) -> m.LotReceipt:
+def _lot_receipt(outcome: str, lot_id: str, lot: Lot | None) -> m.LotReceipt:
     if lot is None:
-        return m.LotReceipt(outcome=outcome, lotId=lotId, digest="", path="", total=0, finished=0, placed=0,
-                            running=0, dueMs=0, ended=False)
+        return m.LotReceipt(outcome=outcome, lot_id=lot_id, digest="", path="", total=0, finished=0, placed=0,
+                            running=0, due_ms=0, ended=False)
     running = 0 if lot.ended else len(lot.claims)
-    return m.LotReceipt(outcome=outcome, lotId=lotId, digest=lot.digest, path=lot.path, total=lot.total,
-                        finished=lot.total - lot.left, placed=lot.placed, running=running, dueMs=lot.dueMs,
+    return m.LotReceipt(outcome=outcome, lot_id=lot_id, digest=lot.digest, path=lot.path, total=lot.total,
+                        finished=lot.total - lot.left, placed=lot.placed, running=running, due_ms=lot.due_ms,
                         ended=lot.ended)
 
 
 class Desk(Part):
     """`rooms` gives the waiting room of a path in the profiles in force here, or None if there is no
-    such path; `whoHolds` gives the holder's epoch and address as far as this store knows."""
+    such path; `who_holds` gives the holder's epoch and address as far as this store knows."""
 
-    __slots__ = ("_baseMs", "_dealer", "_holder", "_officeMs", "_refusedMs", "_rooms", "_settled", "_sweptMs", "_whoHolds", "counts", "mend", "shelves")
+    __slots__ = ("_base_ms", "_dealer", "_holder", "_office_ms", "_refused_ms", "_rooms", "_settled", "_swept_ms", "_who_holds", "counts", "mend", "shelves")
     HANDLES = (m.EdgeBeat, m.HandIn, m.ReadLot, m.ReadResults, m.EndLot, m.Finish, m.Place, m.OpenKey, m.CloseKey)
 
-    def __init__(self, rooms: Callable[[str], int | None], whoHolds: Callable[[], tuple[int, str]],
+    def __init__(self, rooms: Callable[[str], int | None], who_holds: Callable[[], tuple[int, str]],
                  settled: Callable[[], Ledger]) -> None:
         self._rooms = rooms
-        self._whoHolds = whoHolds
+        self._who_holds = who_holds
         self._settled = settled
         self._holder: Any = None
         self._dealer: Dealer | None = None
-        self._sweptMs = 0
-        self._baseMs = self._officeMs = 0
-        self._refusedMs: dict[str, int] = {}
+        self._swept_ms = 0
+        self._base_ms = self._office_ms = 0
+        self._refused_ms: dict[str, int] = {}
         self.counts: dict[str, int] = {}
         self.shelves: Any = None
         self.mend: Callable[[str, str], None] = lambda kind, name: None
 
     def take_holder(self, holder: Any) -> None:
         self._holder = holder
-        self._refusedMs.clear()
-        self._officeMs = self.node.env.now()
+        self._refused_ms.clear()
+        self._office_ms = self.node.env.now()
         if holder is not None:
-            ages = [row.atMs for rows in (holder.ledger.lots, holder.ledger.keys) for row in rows.values()]
-            self._baseMs = max(ages, default=self.node.env.wall())
+            ages = [row.at_ms for rows in (holder.ledger.lots, holder.ledger.keys) for row in rows.values()]
+            self._base_ms = max(ages, default=self.node.env.wall())
         self._dealer = Dealer(holder, self.node) if holder is not None else None
 
     def receive(self, message: Message, origin: Origin) -> None:
         if self._holder is None or self._holder.deposed:
-            epoch, address = self._whoHolds()
+            epoch, address = self._who_holds()
             self.node.reply(origin, m.NotHolder(epoch=epoch, address=address))
             return
         name = type(message).__name__
@@ -77,8 +77,8 @@
 
     def _stale(self, message: Any) -> bool:
         """A stamp of another holder or of long ago: the ask may be one that was given up."""
-        ageMs = self.node.env.now() - message.holderMs
-        return message.epoch != self._holder.epoch or not 0 <= ageMs <= self.node.params.freshMs
+        age_ms = self.node.env.now() - message.holder_ms
+        return message.epoch != self._holder.epoch or not 0 <= age_ms <= self.node.params.fresh_ms
 
     @singledispatchmethod
     def _on(self, message: Message, origin: Origin) -> None:
@@ -90,38 +90,38 @@
     def _(self, message: m.HandIn, origin: Origin) -> None:
         holder = self._holder
         ledger: Ledger = holder.ledger
-        known = ledger.lots.get(message.lotId)
+        known = ledger.lots.get(message.lot_id)
         if known is not None:
             same = known.digest == message.digest
             self._when_settled(origin, lambda ok: _lot_receipt(
-                "unknown" if not ok else "known" if same else "conflict", message.lotId, known))
+                "unknown" if not ok else "known" if same else "conflict", message.lot_id, known))
             return
         room = self._rooms(message.path)
-        if self._stale(message) or message.holderMs <= self._refusedMs.get(message.lotId, -1):
-            self.node.reply(origin, _lot_receipt("stale", message.lotId, None))
+        if self._stale(message) or message.holder_ms <= self._refused_ms.get(message.lot_id, -1):
+            self.node.reply(origin, _lot_receipt("stale", message.lot_id, None))
         elif room is None:
-            self._when_confirmed(origin, lambda ok: _lot_receipt("noPath" if ok else "unknown", message.lotId, None))
+            self._when_confirmed(origin, lambda ok: _lot_receipt("no_path" if ok else "unknown", message.lot_id, None))
         elif ledger.room_used(message.path) >= room:
-            self._refusedMs[message.lotId] = message.holderMs
-            self._when_confirmed(origin, lambda ok: _lot_receipt("noRoom" if ok else "unknown", message.lotId, None))
+            self._refused_ms[message.lot_id] = message.holder_ms
+            self._when_confirmed(origin, lambda ok: _lot_receipt("no_room" if ok else "unknown", message.lot_id, None))
         else:
-            entry = e.LotAdmitted(lotId=message.lotId, digest=message.digest, path=message.path, items=message.items,
-                                  safe=message.safe, dueMs=self._log_ms() + message.dueMs, atMs=self._log_ms())
+            entry = e.LotAdmitted(lot_id=message.lot_id, digest=message.digest, path=message.path, items=message.items,
+                                  safe=message.safe, due_ms=self._log_ms() + message.due_ms, at_ms=self._log_ms())
             taken = self._log(origin, [entry], lambda outcome: _lot_receipt(
-                "admitted" if outcome == _KEPT else outcome, message.lotId, ledger.lots.get(message.lotId)))
+                "admitted" if outcome == _KEPT else outcome, message.lot_id, ledger.lots.get(message.lot_id)))
             if not taken:
-                self._refusedMs[message.lotId] = message.holderMs
+                self._refused_ms[message.lot_id] = message.holder_ms
 
     @_on.register
     def _(self, message: m.ReadLot, origin: Origin) -> None:
-        self._when_confirmed(origin, lambda ok: self._lot_now(message.lotId) if ok else
-                             _lot_receipt("unknown", message.lotId, None))
+        self._when_confirmed(origin, lambda ok: self._lot_now(message.lot_id) if ok else
+                             _lot_receipt("unknown", message.lot_id, None))
 
-    def _lot_now(self, lotId: str) -> m.LotReceipt:
-        lot = self._settled().lots.get(lotId)
-        if lot is None and lotId in self._holder.ledger.lots:
-            return _lot_receipt("unknown", lotId, None)
-        return _lot_receipt("known" if lot else "missing", lotId, lot)
+    def _lot_now(self, lot_id: str) -> m.LotReceipt:
+        lot = self._settled().lots.get(lot_id)
+        if lot is None and lot_id in self._holder.ledger.lots:
+            return _lot_receipt("unknown", lot_id, None)
+        return _lot_receipt("known" if lot else "missing", lot_id, lot)
 
     @_on.register
     def _(self, message: m.ReadResults, origin: Origin) -> None:
@@ -129,22 +129,22 @@
             outcome="unknown", rows=[], placed=0, total=0, ended=False))
 
     def _page(self, message: m.ReadResults) -> m.ResultsReceipt:
-        lot = self._settled().lots.get(message.lotId)
+        lot = self._settled().lots.get(message.lot_id)
         if lot is None:
-            outcome = "unknown" if message.lotId in self._holder.ledger.lots else "missing"
+            outcome = "unknown" if message.lot_id in self._holder.ledger.lots else "missing"
             return m.ResultsReceipt(outcome=outcome, rows=[], placed=0, total=0, ended=False)
-        if message.fromIndex > lot.total:
+        if message.from_index > lot.total:
             return m.ResultsReceipt(outcome="beyond", rows=[], placed=lot.placed, total=lot.total, ended=lot.ended)
         rows = self._shelved(lot, message) if lot.shelf is not None else self._held(lot, message)
         if rows is None:
-            self.mend("lot", lot.lotId)
+            self.mend("lot", lot.lot_id)
             return m.ResultsReceipt(outcome="unknown", rows=[], placed=0, total=0, ended=False)
         return m.ResultsReceipt(outcome="known", rows=rows, placed=lot.placed, total=lot.total, ended=lot.ended)
 
     def _shelved(self, lot: Lot, message: m.ReadResults) -> list[bytes] | None:
         rows: list[bytes] = []
         while len(rows) < message.limit and sum(map(len, rows)) <= _PAGE_BYTES:
-            more = self.shelves.results(lot, message.fromIndex + len(rows), message.limit - len(rows))
+            more = self.shelves.results(lot, message.from_index + len(rows), message.limit - len(rows))
             if more is None:
                 return None
             if not more:
@@ -153,25 +153,25 @@
         return rows
 
     def _held(self, lot: Lot, message: m.ReadResults) -> list[bytes]:
-        rows, sizeBytes = [], 0
-        for index in range(message.fromIndex, min(lot.placed, message.fromIndex + message.limit)):
+        rows, size_bytes = [], 0
+        for index in range(message.from_index, min(lot.placed, message.from_index + message.limit)):
             item = lot.items[index]
             rows.append(encode(m.ResultRow(index=index, outcome=item.outcome, body=item.result)))
-            sizeBytes += len(item.result)
-            if sizeBytes > _PAGE_BYTES:
+            size_bytes += len(item.result)
+            if size_bytes > _PAGE_BYTES:
                 break
         return rows
 
     @_on.register
     def _(self, message: m.EndLot, origin: Origin) -> None:
-        lot = self._holder.ledger.lots.get(message.lotId)
+        lot = self._holder.ledger.lots.get(message.lot_id)
         if lot is None:
-            self._when_confirmed(origin, lambda ok: _lot_receipt("missing" if ok else "unknown", message.lotId, None))
+            self._when_confirmed(origin, lambda ok: _lot_receipt("missing" if ok else "unknown", message.lot_id, None))
         elif not lot.open:
-            self._when_settled(origin, lambda ok: _lot_receipt("known" if ok else "unknown", message.lotId, lot))
+            self._when_settled(origin, lambda ok: _lot_receipt("known" if ok else "unknown", message.lot_id, lot))
         else:
-            self._log(origin, [e.LotEnded(lotId=message.lotId, atMs=self._log_ms())],
-                      lambda outcome: _lot_receipt("known" if outcome == _KEPT else outcome, message.lotId, lot),
+            self._log(origin, [e.LotEnded(lot_id=message.lot_id, at_ms=self._log_ms())],
+                      lambda outcome: _lot_receipt("known" if outcome == _KEPT else outcome, message.lot_id, lot),
                       urgent=True)
 
     # -- items ---------------------------------------------------------------------------------
@@ -186,14 +186,14 @@
 
     @_on.register
     def _(self, message: m.Place, origin: Origin) -> None:
-        lot = self._holder.ledger.lots.get(message.lotId)
-        may = (lot is not None and lot.open and message.epoch == lot.batonEpoch and message.edge == lot.batonEdge
-               and lot.placed < message.upTo <= lot.ready)
+        lot = self._holder.ledger.lots.get(message.lot_id)
+        may = (lot is not None and lot.open and message.epoch == lot.baton_epoch and message.edge == lot.baton_edge
+               and lot.placed < message.up_to <= lot.ready)
         if not may:
-            self.node.reply(origin, m.FinishReceipt(ok=False, batonEpoch=0, upTo=0))
+            self.node.reply(origin, m.FinishReceipt(ok=False, baton_epoch=0, up_to=0))
             return
-        self._log(origin, [e.ResultsPlaced(lotId=message.lotId, upTo=message.upTo, epoch=message.epoch)],
-                  lambda outcome: m.FinishReceipt(ok=outcome == _KEPT, batonEpoch=0, upTo=0), urgent=True)
+        self._log(origin, [e.ResultsPlaced(lot_id=message.lot_id, up_to=message.up_to, epoch=message.epoch)],
+                  lambda outcome: m.FinishReceipt(ok=outcome == _KEPT, baton_epoch=0, up_to=0), urgent=True)
 
     # -- transactions that are not safe to repeat ------------------------------------------------
 
@@ -217,7 +217,7 @@
             self.node.reply(origin, m.KeyReceipt(outcome="stale", status=0, body=""))
         else:
             entry = e.KeyOpened(key=message.key, digest=message.digest, edge=message.edge,
-                                transaction=message.transaction, atMs=self._log_ms())
+                                transaction=message.transaction, at_ms=self._log_ms())
             self._log(origin, [entry], lambda outcome: m.KeyReceipt(
                 outcome="opened" if outcome == _KEPT else outcome, status=0, body=""))
 
@@ -228,7 +228,7 @@
             self._when_settled(origin, lambda ok: m.KeyReceipt(outcome="known" if ok else "unknown", status=0, body=""))
             return
         entry = e.KeyClosed(key=message.key, transaction=message.transaction, state=message.state,
-                            status=message.status, body=message.body, atMs=self._log_ms())
+                            status=message.status, body=message.body, at_ms=self._log_ms())
         self._log(origin, [entry], lambda outcome: m.KeyReceipt(
             outcome="known" if outcome == _KEPT else outcome, status=0, body=""), urgent=True)
 
@@ -254,25 +254,25 @@
         if self._dealer is None or self._holder.deposed:
             return
         self._dealer.tick()
-        nowMs = self.node.env.now()
-        if nowMs - self._sweptMs > self.node.params.resumeMs:
-            self._sweptMs = nowMs
-            floorMs = nowMs - 2 * self.node.params.freshMs
-            self._refusedMs = {lotId: atMs for lotId, atMs in self._refusedMs.items() if atMs > floorMs}
+        now_ms = self.node.env.now()
+        if now_ms - self._swept_ms > self.node.params.resume_ms:
+            self._swept_ms = now_ms
+            floor_ms = now_ms - 2 * self.node.params.fresh_ms
+            self._refused_ms = {lot_id: at_ms for lot_id, at_ms in self._refused_ms.items() if at_ms > floor_ms}
             self._forget()
 
     def _log_ms(self) -> int:
         """The log's own time: it goes on from the newest entry and by boot time only, so that no step of
         a clock makes anything look old. Time without a holder doesn't count."""
-        return self._baseMs + self.node.env.now() - self._officeMs
+        return self._base_ms + self.node.env.now() - self._office_ms
 
     def _forget(self) -> None:
         """What is over and older than the time it is kept leaves the ledger, by entries like any other."""
-        floorMs = self._log_ms() - self.node.params.keepMs
+        floor_ms = self._log_ms() - self.node.params.keep_ms
         ledger = self._holder.ledger
-        rows: list[Message] = [e.KeyForgotten(key=name) for name, key in ledger.keys.items() if key.atMs < floorMs]
-        lotFloorMs = self._log_ms() - _LOT_KEEP_FACTOR * self.node.params.keepMs
-        rows += [e.LotForgotten(lotId=lot.lotId) for lot in ledger.lots.values()
-                 if not lot.open and lot.atMs < lotFloorMs]
+        rows: list[Message] = [e.KeyForgotten(key=name) for name, key in ledger.keys.items() if key.at_ms < floor_ms]
+        lot_floor_ms = self._log_ms() - _LOT_KEEP_FACTOR * self.node.params.keep_ms
+        rows += [e.LotForgotten(lot_id=lot.lot_id) for lot in ledger.lots.values()
+                 if not lot.open and lot.at_ms < lot_floor_ms]
         if rows:
             self._holder.append(rows, False, lambda outcome: None, True)
--- a/libs/ledger/src/ledger/entries.py
+++ b/libs/ledger/src/ledger/entries.py
@@ -8,24 +8,24 @@
 
 
 class LotAdmitted(Message):
-    lotId: Text
+    lot_id: Text
     digest: Text
     path: Text
     items: Arr(Text)
     safe: Flag
-    dueMs: Long
-    atMs: Long
+    due_ms: Long
+    at_ms: Long
 
 
 class ItemClaimed(Message):
-    lotId: Text
+    lot_id: Text
     index: Long
     edge: Text
     number: Long
 
 
 class ItemFinished(Message):
-    lotId: Text
+    lot_id: Text
     index: Long
     outcome: Text
     body: Text
@@ -33,30 +33,30 @@
 
 
 class ItemReturned(Message):
-    lotId: Text
+    lot_id: Text
     index: Long
     number: Long
 
 
 class BatonPassed(Message):
-    lotId: Text
+    lot_id: Text
     edge: Text
     epoch: Long
 
 
 class ResultsPlaced(Message):
-    lotId: Text
-    upTo: Long
+    lot_id: Text
+    up_to: Long
     epoch: Long
 
 
 class LotEnded(Message):
-    lotId: Text
-    atMs: Long
+    lot_id: Text
+    at_ms: Long
 
 
 class LotForgotten(Message):
-    lotId: Text
+    lot_id: Text
 
 
 class KeyOpened(Message):
@@ -64,7 +64,7 @@
     digest: Text
     edge: Text
     transaction: Text
-    atMs: Long
+    at_ms: Long
 
 
 class KeyClosed(Message):
@@ -73,23 +73,23 @@
     state: Text
     status: Long
     body: Text
-    atMs: Long
+    at_ms: Long
 
 
 class LotShelved(Message):
     """Only in snapshots: a lot that is over, whose listed results are in leaves of a file."""
 
-    lotId: Text
+    lot_id: Text
     digest: Text
     path: Text
     safe: Flag
-    dueMs: Long
-    atMs: Long
+    due_ms: Long
+    at_ms: Long
     total: Long
     finished: Long
     placed: Long
     ended: Flag
-    endedAtMs: Long
+    ended_at_ms: Long
     file: Text
     places: Arr(Long)
     sizes: Arr(Long)
@@ -104,7 +104,7 @@
     edge: Text
     transaction: Text
     status: Long
-    atMs: Long
+    at_ms: Long
     file: Text
     place: Long
     size: Long
--- a/libs/ledger/src/ledger/fold.py
+++ b/libs/ledger/src/ledger/fold.py
@@ -27,25 +27,25 @@
 class Lot:
     """`waiting` counts the items nobody has claimed, `claims` has those that somebody has."""
 
-    __slots__ = ("atMs", "batonEdge", "batonEpoch", "claims", "digest", "dueMs", "ended", "endedAtMs", "items", "left",
-                 "lotId", "path", "placed", "rows", "safe", "shelf", "total", "waiting")
+    __slots__ = ("at_ms", "baton_edge", "baton_epoch", "claims", "digest", "due_ms", "ended", "ended_at_ms", "items", "left",
+                 "lot_id", "path", "placed", "rows", "safe", "shelf", "total", "waiting")
 
     def __init__(self, entry: e.LotAdmitted) -> None:
-        self.lotId = entry.lotId
+        self.lot_id = entry.lot_id
         self.digest = entry.digest
         self.path = entry.path
         self.items = [Item(body) for body in entry.items]
         self.safe = entry.safe
-        self.dueMs = entry.dueMs
-        self.atMs = entry.atMs
+        self.due_ms = entry.due_ms
+        self.at_ms = entry.at_ms
         self.left = self.total = self.waiting = len(self.items)
         self.claims: dict[int, Item] = {}
         self.shelf: e.LotShelved | None = None
         self.placed = 0
-        self.batonEdge = ""
-        self.batonEpoch = 0
+        self.baton_edge = ""
+        self.baton_epoch = 0
         self.ended = False
-        self.endedAtMs = 0
+        self.ended_at_ms = 0
         self.rows: list[bytes] | None = None
 
     @property
@@ -55,14 +55,14 @@
     @property
     def ready(self) -> int:
         """How far results could be placed now."""
-        upTo = self.placed
-        while upTo < len(self.items) and self.items[upTo].state == "finished":
-            upTo += 1
-        return upTo
+        up_to = self.placed
+        while up_to < len(self.items) and self.items[up_to].state == "finished":
+            up_to += 1
+        return up_to
 
 
 class Key:
-    __slots__ = ("atMs", "body", "digest", "edge", "rows", "shelf", "state", "status", "transaction")
+    __slots__ = ("at_ms", "body", "digest", "edge", "rows", "shelf", "state", "status", "transaction")
 
     def __init__(self, entry: e.KeyOpened) -> None:
         self.digest = entry.digest
@@ -71,7 +71,7 @@
         self.state = "open"
         self.status = 0
         self.body = ""
-        self.atMs = entry.atMs
+        self.at_ms = entry.at_ms
         self.shelf: e.KeyShelved | None = None
         self.rows: list[bytes] | None = None
 
@@ -96,16 +96,16 @@
 
     @apply.register
     def _(self, entry: e.LotAdmitted) -> None:
-        if entry.lotId not in self.lots:
-            lot = self.lots[entry.lotId] = Lot(entry)
+        if entry.lot_id not in self.lots:
+            lot = self.lots[entry.lot_id] = Lot(entry)
             if lot.open:
-                self.opened[entry.lotId] = lot
+                self.opened[entry.lot_id] = lot
 
     @apply.register
     def _(self, entry: e.ItemClaimed) -> None:
-        item = self._item(entry.lotId, entry.index)
+        item = self._item(entry.lot_id, entry.index)
         if item is not None and item.state != "finished" and entry.number > item.number:
-            lot = self.lots[entry.lotId]
+            lot = self.lots[entry.lot_id]
             lot.waiting -= item.state == "waiting"
             lot.claims[entry.index] = item
             item.state = "claimed"
@@ -114,9 +114,9 @@
 
     @apply.register
     def _(self, entry: e.ItemFinished) -> None:
-        item = self._item(entry.lotId, entry.index)
+        item = self._item(entry.lot_id, entry.index)
         if item is not None and item.state != "finished":
-            lot = self.lots[entry.lotId]
+            lot = self.lots[entry.lot_id]
             lot.waiting -= item.state == "waiting"
             lot.claims.pop(entry.index, None)
             item.state = "finished"
@@ -127,69 +127,69 @@
 
     @apply.register
     def _(self, entry: e.ItemReturned) -> None:
-        item = self._item(entry.lotId, entry.index)
+        item = self._item(entry.lot_id, entry.index)
         if item is not None and item.state == "claimed" and item.number == entry.number:
             item.state = "waiting"
             item.edge = ""
-            lot = self.lots[entry.lotId]
+            lot = self.lots[entry.lot_id]
             lot.waiting += 1
             del lot.claims[entry.index]
 
     @apply.register
     def _(self, entry: e.BatonPassed) -> None:
-        lot = self._lot(entry.lotId)
-        if lot is not None and entry.epoch > lot.batonEpoch:
-            lot.batonEdge = entry.edge
-            lot.batonEpoch = entry.epoch
+        lot = self._lot(entry.lot_id)
+        if lot is not None and entry.epoch > lot.baton_epoch:
+            lot.baton_edge = entry.edge
+            lot.baton_epoch = entry.epoch
 
     @apply.register
     def _(self, entry: e.ResultsPlaced) -> None:
-        lot = self._lot(entry.lotId)
-        if lot is not None and entry.epoch == lot.batonEpoch and lot.placed < entry.upTo <= lot.ready:
-            lot.placed = entry.upTo
+        lot = self._lot(entry.lot_id)
+        if lot is not None and entry.epoch == lot.baton_epoch and lot.placed < entry.up_to <= lot.ready:
+            lot.placed = entry.up_to
             if not lot.open:
                 self._over(lot)
 
     @apply.register
     def _(self, entry: e.LotEnded) -> None:
-        lot = self._lot(entry.lotId)
+        lot = self._lot(entry.lot_id)
         if lot is not None and not lot.ended:
             lot.ended = True
-            lot.endedAtMs = entry.atMs
+            lot.ended_at_ms = entry.at_ms
             self._over(lot)
 
     @apply.register
     def _(self, entry: e.LotForgotten) -> None:
-        self.lots.pop(entry.lotId, None)
-        self.opened.pop(entry.lotId, None)
-        self.fresh.pop(("lot", entry.lotId), None)
+        self.lots.pop(entry.lot_id, None)
+        self.opened.pop(entry.lot_id, None)
+        self.fresh.pop(("lot", entry.lot_id), None)
 
     def _over(self, lot: Lot) -> None:
-        self.opened.pop(lot.lotId, None)
+        self.opened.pop(lot.lot_id, None)
         if lot.shelf is None:
-            self.fresh[("lot", lot.lotId)] = None
+            self.fresh[("lot", lot.lot_id)] = None
 
     @apply.register
     def _(self, entry: e.LotShelved) -> None:
         """Of a lot that is here too, the results leave memory; all else stays as it is."""
-        lot = self.lots.get(entry.lotId)
+        lot = self.lots.get(entry.lot_id)
         if lot is None:
-            lot = self.lots[entry.lotId] = Lot(e.LotAdmitted(
-                lotId=entry.lotId, digest=entry.digest, path=entry.path, items=[], safe=entry.safe, dueMs=entry.dueMs, atMs=entry.atMs))
+            lot = self.lots[entry.lot_id] = Lot(e.LotAdmitted(
+                lot_id=entry.lot_id, digest=entry.digest, path=entry.path, items=[], safe=entry.safe, due_ms=entry.due_ms, at_ms=entry.at_ms))
             lot.total, lot.placed = entry.total, entry.placed
             lot.left = entry.total - entry.finished
-            lot.ended, lot.endedAtMs = entry.ended, entry.endedAtMs
+            lot.ended, lot.ended_at_ms = entry.ended, entry.ended_at_ms
         if not lot.open:
             lot.shelf, lot.items, lot.claims, lot.rows = entry, [], {}, None
-            self.opened.pop(entry.lotId, None)
-            self.fresh.pop(("lot", entry.lotId), None)
+            self.opened.pop(entry.lot_id, None)
+            self.fresh.pop(("lot", entry.lot_id), None)
 
     @apply.register
     def _(self, entry: e.KeyShelved) -> None:
         key = self.keys.get(entry.key)
         if key is None:
             key = self.keys[entry.key] = Key(e.KeyOpened(key=entry.key, digest=entry.digest, edge=entry.edge,
-                                                         transaction=entry.transaction, atMs=entry.atMs))
+                                                         transaction=entry.transaction, at_ms=entry.at_ms))
             key.state, key.status = "done", entry.status
         if key.state == "done" and key.transaction == entry.transaction:
             key.shelf, key.body, key.rows = entry, "", None
@@ -217,15 +217,15 @@
         self.keys.pop(entry.key, None)
         self.fresh.pop(("key", entry.key), None)
 
-    def _item(self, lotId: str, index: int) -> Item | None:
-        lot = self._lot(lotId)
+    def _item(self, lot_id: str, index: int) -> Item | None:
+        lot = self._lot(lot_id)
         if lot is None or not 0 <= index < len(lot.items):
             return None
         return lot.items[index]
 
-    def _lot(self, lotId: str) -> Lot | None:
+    def _lot(self, lot_id: str) -> Lot | None:
         """A lot that is about to change: what was kept of its rows no longer holds."""
-        lot = self.lots.get(lotId)
+        lot = self.lots.get(lot_id)
         if lot is not None:
             lot.rows = None
         return lot
@@ -256,12 +256,12 @@
     def copy(self) -> "Ledger":
         """A ledger that may go its own way; it shares the lots and keys that can't change any more."""
         twin = Ledger()
-        for lotId, lot in self.lots.items():
+        for lot_id, lot in self.lots.items():
             if lot.open:
                 for row in self._dump_lot(lot):
                     twin.apply(row)
             else:
-                twin.lots[lotId] = lot
+                twin.lots[lot_id] = lot
         for name, key in self.keys.items():
             if key.state in ("open", "doubt"):
                 for row in self._dump_key(name, key):
@@ -272,31 +272,31 @@
 
     def _dump_lot(self, lot: Lot) -> list[Message]:
         if lot.shelf is not None:
-            return [e.LotShelved(**{**lot.shelf.as_dict(), "ended": lot.ended, "endedAtMs": lot.endedAtMs})]
-        rows: list[Message] = [e.LotAdmitted(lotId=lot.lotId, digest=lot.digest, path=lot.path, safe=lot.safe,
-                                             items=[item.body for item in lot.items], dueMs=lot.dueMs, atMs=lot.atMs)]
+            return [e.LotShelved(**{**lot.shelf.as_dict(), "ended": lot.ended, "ended_at_ms": lot.ended_at_ms})]
+        rows: list[Message] = [e.LotAdmitted(lot_id=lot.lot_id, digest=lot.digest, path=lot.path, safe=lot.safe,
+                                             items=[item.body for item in lot.items], due_ms=lot.due_ms, at_ms=lot.at_ms)]
         for index, item in enumerate(lot.items):
             if item.number:
-                rows.append(e.ItemClaimed(lotId=lot.lotId, index=index, edge=item.edge, number=item.number))
+                rows.append(e.ItemClaimed(lot_id=lot.lot_id, index=index, edge=item.edge, number=item.number))
             if item.number and item.state == "waiting":
-                rows.append(e.ItemReturned(lotId=lot.lotId, index=index, number=item.number))
+                rows.append(e.ItemReturned(lot_id=lot.lot_id, index=index, number=item.number))
             if item.state == "finished":
-                rows.append(e.ItemFinished(lotId=lot.lotId, index=index, outcome=item.outcome, body=item.result,
+                rows.append(e.ItemFinished(lot_id=lot.lot_id, index=index, outcome=item.outcome, body=item.result,
                                            worker=item.worker))
-        if lot.batonEpoch:
-            rows.append(e.BatonPassed(lotId=lot.lotId, edge=lot.batonEdge, epoch=lot.batonEpoch))
+        if lot.baton_epoch:
+            rows.append(e.BatonPassed(lot_id=lot.lot_id, edge=lot.baton_edge, epoch=lot.baton_epoch))
         if lot.placed:
-            rows.append(e.ResultsPlaced(lotId=lot.lotId, upTo=lot.placed, epoch=lot.batonEpoch))
+            rows.append(e.ResultsPlaced(lot_id=lot.lot_id, up_to=lot.placed, epoch=lot.baton_epoch))
         if lot.ended:
-            rows.append(e.LotEnded(lotId=lot.lotId, atMs=lot.endedAtMs))
+            rows.append(e.LotEnded(lot_id=lot.lot_id, at_ms=lot.ended_at_ms))
         return rows
 
     def _dump_key(self, name: str, key: Key) -> list[Message]:
         if key.shelf is not None:
             return [key.shelf]
         rows: list[Message] = [e.KeyOpened(key=name, digest=key.digest, edge=key.edge, transaction=key.transaction,
-                                           atMs=key.atMs)]
+                                           at_ms=key.at_ms)]
         if key.state != "open":
             rows.append(e.KeyClosed(key=name, transaction=key.transaction, state=key.state, status=key.status,
-                                    body=key.body, atMs=key.atMs))
+                                    body=key.body, at_ms=key.at_ms))
         return rows
--- a/libs/ledger/src/ledger/messages.py
+++ b/libs/ledger/src/ledger/messages.py
@@ -18,24 +18,24 @@
 
 
 class Work(Message):
-    lotId: Text
+    lot_id: Text
     index: Long
     number: Long
     path: Text
     safe: Flag
     body: Text
-    dueMs: Long
+    due_ms: Long
 
 
 class Baton(Message):
-    lotId: Text
+    lot_id: Text
     epoch: Long
-    upTo: Long
+    up_to: Long
 
 
 class HolderBeat(Message):
     epoch: Long
-    holderMs: Long
+    holder_ms: Long
     work: Arr(Blob)
     batons: Arr(Blob)
     stops: Arr(Text)
@@ -49,40 +49,40 @@
 
 
 class HandIn(Message):
-    lotId: Text
+    lot_id: Text
     digest: Text
     path: Text
     items: Arr(Text)
     safe: Flag
-    dueMs: Long
+    due_ms: Long
     epoch: Long
-    holderMs: Long
+    holder_ms: Long
 
 
 class LotReceipt(Message):
     outcome: Text
-    lotId: Text
+    lot_id: Text
     digest: Text
     path: Text
     total: Long
     finished: Long
     placed: Long
     running: Long
-    dueMs: Long
+    due_ms: Long
     ended: Flag
 
 
 class ReadLot(Message):
-    lotId: Text
+    lot_id: Text
 
 
 class EndLot(Message):
-    lotId: Text
+    lot_id: Text
 
 
 class ReadResults(Message):
-    lotId: Text
-    fromIndex: Long
+    lot_id: Text
+    from_index: Long
     limit: Long
 
 
@@ -101,7 +101,7 @@
 
 
 class Finish(Message):
-    lotId: Text
+    lot_id: Text
     index: Long
     number: Long
     outcome: Text
@@ -112,15 +112,15 @@
 
 class FinishReceipt(Message):
     ok: Flag
-    batonEpoch: Long
-    upTo: Long
+    baton_epoch: Long
+    up_to: Long
 
 
 class Place(Message):
-    lotId: Text
+    lot_id: Text
     edge: Text
     epoch: Long
-    upTo: Long
+    up_to: Long
 
 
 class OpenKey(Message):
@@ -129,7 +129,7 @@
     edge: Text
     transaction: Text
     epoch: Long
-    holderMs: Long
+    holder_ms: Long
 
 
 class CloseKey(Message):
--- a/libs/readingroom/src/readingroom/answers.py
+++ b/libs/readingroom/src/readingroom/answers.py
@@ -37,7 +37,7 @@
 def not_ready(reason: str, named: bool) -> Refusal:
     """Nothing was sent on; but what has a key or an id may have come through another edge before."""
     make = doubtful if named else refused
-    return make("not-ready", reason, retryAfterMs=1000, status=503)
+    return make("not-ready", reason, retry_after_ms=1000, status=503)
 
 
 def live_answer(step: Step) -> Answer:
@@ -46,49 +46,49 @@
     return Answer.no(step.refusal)
 
 
-def hand_in_answer(lotId: str, receipt: Any) -> Answer:
+def hand_in_answer(lot_id: str, receipt: Any) -> Answer:
     outcome = receipt.outcome if receipt is not None else "unknown"
     if outcome in ("admitted", "known"):
         return Answer.ok(_shown(receipt), 201 if outcome == "admitted" else 200)
     refusals = {
-        "conflict": lambda: refused("lot-reused", "lotId: this id came before with other content; this content has not run", 409,
-                                    field="lotId"),
-        "noRoom": lambda: refused("waiting-room-full", "the waiting room of this path is full", 429, 2000),
-        "noPath": lambda: refused("unknown-path", "path: no such profile is in force at the stores", 404, field="path"),
+        "conflict": lambda: refused("lot-reused", "lot_id: this id came before with other content; this content has not run", 409,
+                                    field="lot_id"),
+        "no_room": lambda: refused("waiting-room-full", "the waiting room of this path is full", 429, 2000),
+        "no_path": lambda: refused("unknown-path", "path: no such profile is in force at the stores", 404, field="path"),
         "full": lambda: refused("stores-full", "the stores have no room", 503, 5000)}
     if outcome in refusals:
         return Answer.no(refusals[outcome]())
-    return Answer.no(doubtful("lot-in-doubt", f"lot {lotId} may have been accepted; hand the same in again to learn which", 1000))
+    return Answer.no(doubtful("lot-in-doubt", f"lot {lot_id} may have been accepted; hand the same in again to learn which", 1000))
 
 
-def lot_answer(lotId: str, receipt: Any) -> Answer:
+def lot_answer(lot_id: str, receipt: Any) -> Answer:
     if receipt is None or receipt.outcome == "unknown":
         return Answer.no(doubtful("stores-silent", "the stores did not answer", 1000))
     if receipt.outcome == "missing":
-        return Answer.no(refused("unknown-lot", f"lotId: no lot {lotId} was accepted", 404, field="lotId"))
+        return Answer.no(refused("unknown-lot", f"lot_id: no lot {lot_id} was accepted", 404, field="lot_id"))
     if receipt.outcome == "full":
         return Answer.no(refused("stores-full", "the stores have no room", 503, 5000))
     return Answer.ok(_shown(receipt))
 
 
-def results_answer(lotId: str, fromIndex: int, receipt: Any) -> Answer:
+def results_answer(lot_id: str, from_index: int, receipt: Any) -> Answer:
     if receipt is not None and receipt.outcome == "beyond":
         return Answer.no(refused("beyond", f"from: the lot has {receipt.total} items", 416, field="from"))
     if receipt is None or receipt.outcome != "known":
-        return lot_answer(lotId, receipt)
+        return lot_answer(lot_id, receipt)
     rows = [_result(decode(data)) for data in receipt.rows]
-    return Answer.ok({"lotId": lotId, "from": fromIndex, "results": rows, "listed": receipt.placed, "total": receipt.total,
-                      "ended": receipt.ended, "next": fromIndex + len(rows)})
+    return Answer.ok({"lot_id": lot_id, "from": from_index, "results": rows, "listed": receipt.placed, "total": receipt.total,
+                      "ended": receipt.ended, "next": from_index + len(rows)})
 
 
 def _shown(receipt: Any) -> dict[str, Any]:
     state = "ended" if receipt.ended else "done" if receipt.placed >= receipt.total else "open"
-    return {"lotId": receipt.lotId, "path": receipt.path, "state": state, "total": receipt.total,
-            "finished": receipt.finished, "listed": receipt.placed, "running": receipt.running, "dueMs": receipt.dueMs}
+    return {"lot_id": receipt.lot_id, "path": receipt.path, "state": state, "total": receipt.total,
+            "finished": receipt.finished, "listed": receipt.placed, "running": receipt.running, "due_ms": receipt.due_ms}
 
 
 def _result(row: Any) -> dict[str, Any]:
-    shown: dict[str, Any] = {"index": row.index, "verdict": row.outcome if row.outcome != "refused" else "notRun"}
+    shown: dict[str, Any] = {"index": row.index, "verdict": row.outcome if row.outcome != "refused" else "not_run"}
     try:
         shown["body"] = json.loads(row.body)
     except ValueError:
--- a/libs/readingroom/src/readingroom/calls.py
+++ b/libs/readingroom/src/readingroom/calls.py
@@ -59,7 +59,7 @@
 class HandInCall(_Strict):
     path: Name
     items: list[LotItem] = Field(min_length=1, max_length=10_000)
-    dueMs: int = Field(10_000, ge=100, le=7 * 86_400_000)
+    due_ms: int = Field(10_000, ge=100, le=7 * 86_400_000)
 
 
 class Beat(_Strict):
@@ -72,7 +72,7 @@
     running: int = Field(0, ge=0)
     waiting: int = Field(0, ge=0)
     slots: int = Field(1, ge=1, le=100_000)
-    cacheUse: float = Field(0.0, ge=0.0, le=1.0)
+    cache_use: float = Field(0.0, ge=0.0, le=1.0)
 
 
 class Leave(_Strict):
--- a/libs/readingroom/src/readingroom/cli.py
+++ b/libs/readingroom/src/readingroom/cli.py
@@ -25,16 +25,16 @@
 
 
 def serve_flags(link: str | None, http: str | None, zone: str | None, seeds: list[str] | None,
-                dataFolder: str | None, controlCount: int | None, logLevel: str | None) -> dict[str, Any]:
-    return {"link": link, "http": http, "zone": zone, "seeds": seeds, "dataFolder": dataFolder,
-            "controlCount": controlCount, "logLevel": logLevel}
+                data_folder: str | None, control_count: int | None, log_level: str | None) -> dict[str, Any]:
+    return {"link": link, "http": http, "zone": zone, "seeds": seeds, "data_folder": data_folder,
+            "control_count": control_count, "log_level": log_level}
 
 
 @app.command
 def serve(*, role: Literal["edge", "store"], settings: str | None = None, link: str | None = None,
           http: str | None = None, zone: str | None = None,
-          seed: Annotated[list[str] | None, Parameter(negative=())] = None, dataFolder: str | None = None,
-          controlCount: int | None = None, logLevel: str | None = None) -> None:
+          seed: Annotated[list[str] | None, Parameter(negative=())] = None, data_folder: str | None = None,
+          control_count: int | None = None, log_level: str | None = None) -> None:
     """Run an edge or a store until SIGTERM.
 
     Parameters
@@ -45,11 +45,11 @@
     http: address for visitors, workers and operators, IP:PORT.
     zone: the zone this machine is in.
     seed: link address of another process; up to three times.
-    dataFolder: where files live.
-    controlCount: how many control machines found the fleet.
-    logLevel: DEBUG, INFO, WARNING or ERROR.
+    data_folder: where files live.
+    control_count: how many control machines found the fleet.
+    log_level: DEBUG, INFO, WARNING or ERROR.
     """
-    flags = {**serve_flags(link, http, zone, seed, dataFolder, controlCount, logLevel), "role": role}
+    flags = {**serve_flags(link, http, zone, seed, data_folder, control_count, log_level), "role": role}
     params = settings_or_exit(load_params(settings, flags))
     run_process(EdgeProcess if role == "edge" else StoreProcess, params, settings, flags)
 
@@ -105,7 +105,7 @@
 
     Parameters
     ----------
-    files: recordings, as edges with the setting recordFolder write them.
+    files: recordings, as edges with the setting record_folder write them.
     server: an edge's HTTP address; may be given several times.
     pace: 2 plays a day in half the time.
     seed: names the run; keys and lot ids carry it, so each run needs its own.
@@ -130,27 +130,27 @@
 
 
 @lot.command(name="hand-in")
-def hand_in(lotId: str, file: str, *, server: Server) -> None:
-    """Hand in a lot from a JSON file with path, items and dueMs; - reads standard input."""
-    call("PUT", server, f"/lots/{lotId}", read_json(file))
+def hand_in(lot_id: str, file: str, *, server: Server) -> None:
+    """Hand in a lot from a JSON file with path, items and due_ms; - reads standard input."""
+    call("PUT", server, f"/lots/{lot_id}", read_json(file))
 
 
 @lot.command
-def show(lotId: str, *, server: Server) -> None:
+def show(lot_id: str, *, server: Server) -> None:
     """Show how far a lot is."""
-    call("GET", server, f"/lots/{lotId}")
+    call("GET", server, f"/lots/{lot_id}")
 
 
 @lot.command
-def results(lotId: str, *, server: Server, start: int = 0) -> None:
+def results(lot_id: str, *, server: Server, start: int = 0) -> None:
     """List a lot's results from a place on."""
-    call("GET", server, f"/lots/{lotId}/results?from={start}")
+    call("GET", server, f"/lots/{lot_id}/results?from={start}")
 
 
 @lot.command
-def end(lotId: str, *, server: Server) -> None:
+def end(lot_id: str, *, server: Server) -> None:
     """End a lot: nothing of it runs any more within about three seconds."""
-    call("DELETE", server, f"/lots/{lotId}")
+    call("DELETE", server, f"/lots/{lot_id}")
 
 
 def main() -> None:
--- a/libs/readingroom/src/readingroom/counter.py
+++ b/libs/readingroom/src/readingroom/counter.py
@@ -23,16 +23,16 @@
 
 
 class Counter(Part):
-    __slots__ = ("_budgets", "_carrier", "_holder", "_lots", "_tree", "_whyUnready")
+    __slots__ = ("_budgets", "_carrier", "_holder", "_lots", "_tree", "_why_unready")
 
     def __init__(self, carrier: Carrier, holder: HolderClient, lots: LotRunner, tree: Callable[[], Any],
-                 whyUnready: Callable[[], str]) -> None:
+                 why_unready: Callable[[], str]) -> None:
         self._carrier, self._holder, self._lots = carrier, holder, lots
-        self._tree, self._whyUnready = tree, whyUnready
+        self._tree, self._why_unready = tree, why_unready
         self._budgets: dict[str, Budget] = {}
 
     def unready(self, named: bool) -> Answer | None:
-        reason = self._whyUnready()
+        reason = self._why_unready()
         return Answer.no(not_ready(reason, named)) if reason else None
 
     def _unknown(self, path: str, field: str) -> Answer | None:
@@ -57,33 +57,33 @@
 
         return self._carrier.carry(tx, call, sink if stream else None, done)
 
-    def hand_in(self, lotId: str, path: str, items: list[dict[str, Any]], dueMs: int, told: Told) -> None:
+    def hand_in(self, lot_id: str, path: str, items: list[dict[str, Any]], due_ms: int, told: Told) -> None:
         if (answer := self.unready(True) or self._unknown(path, "path")) is not None:
             told(answer)
             return
         bodies = [json.dumps(item, sort_keys=True) for item in items]
 
         def done(receipt: Any) -> None:
-            answer = hand_in_answer(lotId, receipt)
-            self.node.env.log("lot-handed-in", lot=lotId, path=path, items=len(items),
+            answer = hand_in_answer(lot_id, receipt)
+            self.node.env.log("lot-handed-in", lot=lot_id, path=path, items=len(items),
                               outcome=receipt.outcome if receipt is not None else "unknown")
             told(answer)
 
-        self._holder.ask(m.HandIn(lotId=lotId, digest=_digest([path, dueMs, bodies]), path=path, items=bodies,
-                                  safe=self._tree().usable(path).repeatable, dueMs=dueMs, epoch=0, holderMs=0), self.node.params.forceMs, done)
+        self._holder.ask(m.HandIn(lot_id=lot_id, digest=_digest([path, due_ms, bodies]), path=path, items=bodies,
+                                  safe=self._tree().usable(path).repeatable, due_ms=due_ms, epoch=0, holder_ms=0), self.node.params.force_ms, done)
 
-    def lot(self, lotId: str, told: Told) -> None:
-        self._holder.ask(m.ReadLot(lotId=lotId), self.node.params.forceMs, lambda receipt: told(lot_answer(lotId, receipt)))
+    def lot(self, lot_id: str, told: Told) -> None:
+        self._holder.ask(m.ReadLot(lot_id=lot_id), self.node.params.force_ms, lambda receipt: told(lot_answer(lot_id, receipt)))
 
-    def results(self, lotId: str, fromIndex: int, limit: int, told: Told) -> None:
-        self._holder.ask(m.ReadResults(lotId=lotId, fromIndex=fromIndex, limit=max(1, min(_PAGE, limit))),
-                         self.node.params.forceMs, lambda receipt: told(results_answer(lotId, fromIndex, receipt)))
+    def results(self, lot_id: str, from_index: int, limit: int, told: Told) -> None:
+        self._holder.ask(m.ReadResults(lot_id=lot_id, from_index=from_index, limit=max(1, min(_PAGE, limit))),
+                         self.node.params.force_ms, lambda receipt: told(results_answer(lot_id, from_index, receipt)))
 
-    def end(self, lotId: str, told: Told) -> None:
+    def end(self, lot_id: str, told: Told) -> None:
         def done(receipt: Any) -> None:
             if receipt is not None and receipt.outcome == "known":
-                self._lots.stop(lotId, "ended here")
-            self.node.env.log("lot-ended", lot=lotId, outcome=receipt.outcome if receipt is not None else "unknown")
-            told(lot_answer(lotId, receipt))
+                self._lots.stop(lot_id, "ended here")
+            self.node.env.log("lot-ended", lot=lot_id, outcome=receipt.outcome if receipt is not None else "unknown")
+            told(lot_answer(lot_id, receipt))
 
-        self._holder.ask(m.EndLot(lotId=lotId), self.node.params.forceMs, done)
+        self._holder.ask(m.EndLot(lot_id=lot_id), self.node.params.force_ms, done)
--- a/libs/readingroom/src/readingroom/desk_http.py
+++ b/libs/readingroom/src/readingroom/desk_http.py
@@ -23,37 +23,37 @@
     return web.Response(text=json.dumps(value), status=status, content_type="application/json", headers=headers)
 
 
-def write_answer(answer: Answer, transactionId: str = "") -> web.Response:
+def write_answer(answer: Answer, transaction_id: str = "") -> web.Response:
     if answer.refusal is not None:
-        return answer_refusal(answer.refusal, transactionId)
-    headers = {"X-Vaneledge-Transaction": transactionId, "X-Vaneledge-Replayed": "true" if answer.replayed else "false"}
+        return answer_refusal(answer.refusal, transaction_id)
+    headers = {"X-Vaneledge-Transaction": transaction_id, "X-Vaneledge-Replayed": "true" if answer.replayed else "false"}
     return web.Response(text=answer.body, status=answer.status, content_type="application/json",
-                        headers=headers if transactionId else None)
+                        headers=headers if transaction_id else None)
 
 
-def answer_refusal(refusal: Refusal, transactionId: str = "") -> web.Response:
-    headers = {"X-Vaneledge-Transaction": transactionId} if transactionId else {}
-    if refusal.retryAfterMs:
-        headers["Retry-After"] = str(max(1, math.ceil(refusal.retryAfterMs / 1000)))
+def answer_refusal(refusal: Refusal, transaction_id: str = "") -> web.Response:
+    headers = {"X-Vaneledge-Transaction": transaction_id} if transaction_id else {}
+    if refusal.retry_after_ms:
+        headers["Retry-After"] = str(max(1, math.ceil(refusal.retry_after_ms / 1000)))
     return json_answer(refusal.body(), refusal.status, headers)
 
 
-async def read_call(request: web.Request, limitBytes: int, model: Any) -> Any:
+async def read_call(request: web.Request, limit_bytes: int, model: Any) -> Any:
     """The body as the model says, or a refusal that names what is wrong."""
-    data = await _read_body(request, limitBytes)
+    data = await _read_body(request, limit_bytes)
     if isinstance(data, Refusal):
         return data
     parsed = parse(model, data)
     return parsed.error if parsed.is_error() else parsed.ok
 
 
-async def _read_body(request: web.Request, limitBytes: int) -> bytes | Refusal:
-    if request.content_length is not None and request.content_length > limitBytes:
-        return refused("too-large", f"the body is larger than {limitBytes} bytes", 413, field="body")
+async def _read_body(request: web.Request, limit_bytes: int) -> bytes | Refusal:
+    if request.content_length is not None and request.content_length > limit_bytes:
+        return refused("too-large", f"the body is larger than {limit_bytes} bytes", 413, field="body")
     try:
         return await request.read()
     except web.HTTPRequestEntityTooLarge:
-        return refused("too-large", f"the body is larger than {limitBytes} bytes", 413, field="body")
+        return refused("too-large", f"the body is larger than {limit_bytes} bytes", 413, field="body")
 
 
 @web.middleware
@@ -73,16 +73,16 @@
 
 
 class HttpDesk(Service):
-    """`whyUnready`, `status` and `metrics` come from the process; `routes` are its own paths."""
+    """`why_unready`, `status` and `metrics` come from the process; `routes` are its own paths."""
 
-    def __init__(self, address: str, limitBytes: int, whyUnready: Callable[[], str],
+    def __init__(self, address: str, limit_bytes: int, why_unready: Callable[[], str],
                  status: Callable[[], dict[str, Any]], metrics: Callable[[], dict[str, float]],
                  middlewares: tuple[Any, ...] = ()) -> None:
         super().__init__()
         self._address = address
-        self._whyUnready, self._status = whyUnready, status
+        self._why_unready, self._status = why_unready, status
         self.metrics = Metrics(metrics)
-        self.app = web.Application(middlewares=[*middlewares, _verdicts], client_max_size=limitBytes)
+        self.app = web.Application(middlewares=[*middlewares, _verdicts], client_max_size=limit_bytes)
         self.app.router.add_get("/ready", self._ready)
         self.app.router.add_get("/live", self._live)
         self.app.router.add_get("/status", self._show_status)
@@ -100,7 +100,7 @@
             await self._runner.cleanup()
 
     async def _ready(self, request: web.Request) -> web.Response:
-        reason = self._whyUnready()
+        reason = self._why_unready()
         return json_answer({"ready": not reason, "reason": reason}, 503 if reason else 200)
 
     async def _live(self, request: web.Request) -> web.Response:
--- a/libs/readingroom/src/readingroom/nodes.py
+++ b/libs/readingroom/src/readingroom/nodes.py
@@ -36,7 +36,7 @@
 class _DataNode(Node):
     """What stores and edges share: neighbours, the feed, the profiles in force."""
 
-    __slots__ = ("_tree", "_treeNumber", "gazette", "neighbours", "treeDigest")
+    __slots__ = ("_tree", "_tree_number", "gazette", "neighbours", "tree_digest")
 
     def _common(self, identity: str) -> None:
         self.neighbours = Neighbours(identity)
@@ -44,41 +44,41 @@
                                self._control_addresses)
         self.neighbours.wanted = self._wanted
         self._tree = Tree({})
-        self._treeNumber = 0
-        self.treeDigest = ""
+        self._tree_number = 0
+        self.tree_digest = ""
 
     def _control_addresses(self) -> list[str]:
         value = self.gazette.value(CONTROL_KEY)
         if value:
             return [row["address"] for row in value["voters"]]
-        return [card.address for card in self.neighbours.of_role("control", self.params.goneMs)]
+        return [card.address for card in self.neighbours.of_role("control", self.params.gone_ms)]
 
     def _wanted(self) -> list[str]:
         return self._control_addresses()
 
     def tree(self) -> Tree:
         number = self.gazette.number(PROFILES_KEY)
-        if number != self._treeNumber:
+        if number != self._tree_number:
             self._tree = Tree.of_body(self.gazette.body(PROFILES_KEY))
-            self._treeNumber = number
-            self.treeDigest = profiles_digest(self.gazette.body(PROFILES_KEY))
+            self._tree_number = number
+            self.tree_digest = profiles_digest(self.gazette.body(PROFILES_KEY))
         return self._tree
 
 
 class StoreNode(_DataNode):
-    __slots__ = ("_startedMs", "control", "desk", "disk", "log", "mending")
+    __slots__ = ("_started_ms", "control", "desk", "disk", "log", "mending")
 
     def __init__(self, env: Env, params: Any, disk: Disk) -> None:
         self.env, self.params, self.disk = env, params, disk
         local = open_or_set_aside(env, disk, lambda: LocalLog(disk, params, env.now, env.token))
         self._common(local.identity)
-        self._startedMs = env.now()
+        self._started_ms = env.now()
         self.control = ControlClient(self._control_addresses)
         self.desk = Desk(lambda path: self.tree().room(path), self._who_holds, lambda: self.log.log.ledger)
         self.log = StoreLog(local, self.control, self, self.desk.take_holder)
         self.mending = Mending(local, self._other_members)
         self.desk.shelves, self.desk.mend = local.shelves, self.mending.mend
-        local.shelves.onShelved = self._shelved
+        local.shelves.on_shelved = self._shelved
         super().__init__(env, params, [self.neighbours, self.gazette, self.control, self.log, self.desk, self.mending])
 
     # -- what the log asks about the fleet -----------------------------------------------------
@@ -96,7 +96,7 @@
                 self.log.holder.let_go(entry)
 
     def live_stores(self) -> dict[str, str]:
-        return {card.identity: card.address for card in self.neighbours.of_role("store", self.params.deadMs)}
+        return {card.identity: card.address for card in self.neighbours.of_role("store", self.params.dead_ms)}
 
     def live_store(self, identity: str) -> bool:
         return self.neighbours.live(identity)
@@ -106,9 +106,9 @@
 
     def settled_in(self) -> bool:
         """Long enough up to know who lives, and in touch with a control majority."""
-        nowMs = self.env.now()
-        return (nowMs - self._startedMs > self.params.deadMs
-                and nowMs - self.gazette.quorateMs < self.params.deadMs)
+        now_ms = self.env.now()
+        return (now_ms - self._started_ms > self.params.dead_ms
+                and now_ms - self.gazette.quorate_ms < self.params.dead_ms)
 
     def _who_holds(self) -> tuple[int, str]:
         value = self.gazette.value(LOG_KEY) or {}
@@ -126,18 +126,18 @@
 
 
 class EdgeNode(_DataNode):
-    __slots__ = ("_caughtUp", "_startedMs", "_wasQuorate", "carrier", "counter", "holder", "items", "lots", "roster", "stopping")
+    __slots__ = ("_caught_up", "_started_ms", "_was_quorate", "carrier", "counter", "holder", "items", "lots", "roster", "stopping")
 
     def __init__(self, env: Env, params: Any, sender: Any) -> None:
         self.env, self.params = env, params
         identity = f"edge-{env.token()}"
         self._common(identity)
-        self._startedMs = env.now()
-        self._caughtUp = False
-        self._wasQuorate = False
+        self._started_ms = env.now()
+        self._caught_up = False
+        self._was_quorate = False
         self.stopping = False
         self.holder = HolderClient(lambda: self.gazette.body(LOG_KEY),
-                                   lambda: [card.address for card in self.neighbours.of_role("store", params.goneMs)])
+                                   lambda: [card.address for card in self.neighbours.of_role("store", params.gone_ms)])
         self.roster = Roster(lambda: [card.address for card in self.neighbours.view() if card.role == "edge"],
                              lambda identity, labels: self.tree().allows_worker(identity, labels))
         self.carrier = Carrier(identity, self.holder, self.roster, self.tree, sender, self._edges)
@@ -149,40 +149,40 @@
                                        self.lots, self.counter])
 
     def _edges(self) -> int:
-        return 1 + len(self.neighbours.of_role("edge", self.params.deadMs))
+        return 1 + len(self.neighbours.of_role("edge", self.params.dead_ms))
 
     def why_unready(self) -> str:
         """An edge serves while it hears of a control majority, or, with control gone, from most of the
         nodes it knows; without either it can't know whether its profiles are still in force."""
         if self.stopping:
             return "stopping"
-        nowMs = self.env.now()
-        if not (self._hears_control(nowMs) or self._hears_most(nowMs)):
+        now_ms = self.env.now()
+        if not (self._hears_control(now_ms) or self._hears_most(now_ms)):
             return "cut off from control and most neighbours"
-        if not self._caughtUp:
-            self._caughtUp = self.gazette.number(PROFILES_KEY) > 0 and self._level(nowMs - self.params.cutMs)
-            if not self._caughtUp:
+        if not self._caught_up:
+            self._caught_up = self.gazette.number(PROFILES_KEY) > 0 and self._level(now_ms - self.params.cut_ms)
+            if not self._caught_up:
                 return "has not caught up with the feed"
         return ""
 
-    def _hears_control(self, nowMs: int) -> bool:
-        if nowMs - self.gazette.quorateMs <= self.params.cutMs:
-            self._wasQuorate = True
+    def _hears_control(self, now_ms: int) -> bool:
+        if now_ms - self.gazette.quorate_ms <= self.params.cut_ms:
+            self._was_quorate = True
             return True
         return False
 
-    def _hears_most(self, nowMs: int) -> bool:
+    def _hears_most(self, now_ms: int) -> bool:
         """Most of those on the roll that spoke to it lately still do, most of the whole roll are known to
         live, and either it or an edge that is sure has once been told by control."""
         params, roll = self.params, self.gazette.roll()
-        contacts = self.gazette.contactsMs
+        contacts = self.gazette.contacts_ms
         direct = [contacts[identity] for identity, row in self.gazette.confirmed.items()
                   if identity in contacts and row[3] in roll]
-        near = sum(1 for atMs in direct if nowMs - atMs <= params.cutMs)
-        alive = {card.address for role in ("edge", "store") for card in self.neighbours.of_role(role, 2 * params.deadMs)}
-        vouched = self.gazette.binding and (self._wasQuorate or nowMs - self.gazette.sureEdgeMs <= params.cutMs)
+        near = sum(1 for at_ms in direct if now_ms - at_ms <= params.cut_ms)
+        alive = {card.address for role in ("edge", "store") for card in self.neighbours.of_role(role, 2 * params.dead_ms)}
+        vouched = self.gazette.binding and (self._was_quorate or now_ms - self.gazette.sure_edge_ms <= params.cut_ms)
         return vouched and near > 0 and 2 * near > len(direct) and 2 * len(roll & {*alive, self.address}) > len(roll)
 
-    def _level(self, floorMs: int) -> bool:
-        return all(self.gazette.number(key) >= number for _, atMs, numbers, _ in self.gazette.confirmed.values()
-                   if atMs >= floorMs for key, number in numbers.items())
+    def _level(self, floor_ms: int) -> bool:
+        return all(self.gazette.number(key) >= number for _, at_ms, numbers, _ in self.gazette.confirmed.values()
+                   if at_ms >= floor_ms for key, number in numbers.items())
