--- a/libs/readingroom/src/readingroom/process.py
+++ b/libs/readingroom/src/readingroom/process.py
@@ -38,17 +38,17 @@
         return ProcessEnv(self.params.link)
 
     def make_switchboard(self, deliver: Any) -> Switchboard:
-        return Switchboard(self.params.link, self.params.askMs, deliver)
+        return Switchboard(self.params.link, self.params.ask_ms, deliver)
 
     def open_disk(self) -> FolderDisk:
         loop = asyncio.get_running_loop()
-        self.disk = FolderDisk(self.params.dataFolder, self.params.diskBytes, loop.call_soon_threadsafe,
+        self.disk = FolderDisk(self.params.data_folder, self.params.disk_bytes, loop.call_soon_threadsafe,
                                self._disk_broken)
         return self.disk
 
     def _disk_broken(self) -> None:
         """What the kernel still holds can't be known any more: others take over, a restart reads anew."""
-        log("disk-broken", "ERROR", folder=self.params.dataFolder)
+        log("disk-broken", "ERROR", folder=self.params.data_folder)
         self.add_future(self.crash(OSError("a flush failed")))
 
     async def make(self) -> None:
@@ -75,15 +75,15 @@
     def apply(self, params: Params) -> None:
         self.params = self.node.params = params
         if self.disk is not None:
-            self.disk.roomBytes = params.diskBytes
+            self.disk.room_bytes = params.disk_bytes
 
     async def drain(self) -> None:
         self.start_draining()
-        endAt = asyncio.get_running_loop().time() + self.params.graceMs * _DRAIN_SHARE / 1000
-        while self.busy() and asyncio.get_running_loop().time() < endAt:
-            await asyncio.sleep(self.params.graceMs * _POLL_SHARE / 1000)
+        end_at = asyncio.get_running_loop().time() + self.params.grace_ms * _DRAIN_SHARE / 1000
+        while self.busy() and asyncio.get_running_loop().time() < end_at:
+            await asyncio.sleep(self.params.grace_ms * _POLL_SHARE / 1000)
         self.wind_down()
-        await asyncio.sleep(self.params.graceMs * _POLL_SHARE / 1000)
+        await asyncio.sleep(self.params.grace_ms * _POLL_SHARE / 1000)
 
 
 def settings_or_exit(loaded: Result[Params, list[str]]) -> Params:
@@ -106,8 +106,8 @@
             return
         params, applied, held = changed_params(process.params, loaded.ok)
         process.apply(params)
-        set_up_logs(params.logLevel, role=params.role, node=params.link)
-        log("settings-reread", applied=applied, needRestart=held)
+        set_up_logs(params.log_level, role=params.role, node=params.link)
+        log("settings-reread", applied=applied, need_restart=held)
 
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     loop.add_signal_handler(signal.SIGINT, stopping.set)
@@ -128,7 +128,7 @@
 
 
 def run_process(make: Callable[[Params], NodeProcess], params: Params, path: str | None, flags: dict) -> None:
-    set_up_logs(params.logLevel, role=params.role, node=params.link)
+    set_up_logs(params.log_level, role=params.role, node=params.link)
     try:
         asyncio.run(_run(make, params, path, flags))
     except OSError as error:
--- a/libs/readingroom/src/readingroom/recorder.py
+++ b/libs/readingroom/src/readingroom/recorder.py
@@ -50,18 +50,18 @@
         kind = _kind(request)
         if not kind:
             return await handler(request)
-        beganMs, atMs = boot_ms(), wall_ms()
+        began_ms, at_ms = boot_ms(), wall_ms()
         try:
             data = await request.read()
         except web.HTTPException:
             data = b""
         answer = await handler(request)
-        self._note({"kind": kind, "atMs": atMs, "tookMs": boot_ms() - beganMs, **self._asked(request, kind, data),
+        self._note({"kind": kind, "at_ms": at_ms, "took_ms": boot_ms() - began_ms, **self._asked(request, kind, data),
                     **self._came_of(request, answer)})
         return answer
 
     def _asked(self, request: web.Request, kind: str, data: bytes) -> dict[str, Any]:
-        row: dict[str, Any] = {"lot": request.match_info.get("lotId", ""), "address": request.path,
+        row: dict[str, Any] = {"lot": request.match_info.get("lot_id", ""), "address": request.path,
                                "key": request.headers.get("Idempotency-Key", ""), "from": request.query.get("from", "")}
         try:
             body = json.loads(data) if data else {}
@@ -81,7 +81,7 @@
         text = item["prompt"] if isinstance(item.get("prompt"), str) else json.dumps(item.get("messages", ""))
         shown: dict[str, Any] = {"text": text} if self._bodies else _redacted(text)
         if isinstance(item.get("max_tokens"), int):
-            shown["maxTokens"] = item["max_tokens"]
+            shown["max_tokens"] = item["max_tokens"]
         return shown
 
     def _came_of(self, request: web.Request, answer: web.StreamResponse) -> dict[str, Any]:
@@ -117,10 +117,10 @@
         path = self._folder / f"{self._edge}-{wall_ms()}-{self._number:04d}.jsonl"
         self._page = open(path, "w", buffering=1)
         self._count = 0
-        self._page.write(sealed({"kind": "begin", "format": FORMAT, "edge": self._edge, "atMs": wall_ms()}) + "\n")
+        self._page.write(sealed({"kind": "begin", "format": FORMAT, "edge": self._edge, "at_ms": wall_ms()}) + "\n")
 
     def close(self) -> None:
         if self._page is not None:
-            self._page.write(sealed({"kind": "finis", "rows": self._count, "atMs": wall_ms()}) + "\n")
+            self._page.write(sealed({"kind": "finis", "rows": self._count, "at_ms": wall_ms()}) + "\n")
             self._page.close()
             self._page = None
--- a/libs/readingroom/src/readingroom/replay.py
+++ b/libs/readingroom/src/readingroom/replay.py
@@ -98,21 +98,21 @@
                     error = json.loads(text)["error"]
                     seen.update(verdict=error["verdict"], code=error["code"])
         except (aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError):
-            seen = {"status": 200, "verdict": "mayHaveRun", "code": "cut"}
+            seen = {"status": 200, "verdict": "may_have_run", "code": "cut"}
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError):
             pass
-        return {**seen, "tookMs": round((loop.time() - began) * 1000)}
+        return {**seen, "took_ms": round((loop.time() - began) * 1000)}
 
     def _request(self, row: dict[str, Any]) -> tuple[str, str, Any, dict[str, str] | None]:
         if row["kind"] == "live":
             prompt = row["prompts"][0] if row["prompts"] else {"text": ""}
             body: dict[str, Any] = {"model": row["path"], "prompt": _text(prompt), "stream": row["stream"]}
-            if "maxTokens" in prompt:
-                body["max_tokens"] = prompt["maxTokens"]
+            if "max_tokens" in prompt:
+                body["max_tokens"] = prompt["max_tokens"]
             return "POST", "/v1/completions", body, {"Idempotency-Key": self._fresh(row["key"])} if row.get("key") else None
         lot = f"/lots/{self._fresh(row['lot'])}"
         if row["kind"] == "hand-in":
-            items = [{"prompt": _text(prompt), **({"max_tokens": prompt["maxTokens"]} if "maxTokens" in prompt else {})}
+            items = [{"prompt": _text(prompt), **({"max_tokens": prompt["max_tokens"]} if "max_tokens" in prompt else {})}
                      for prompt in row["prompts"]]
             return "PUT", lot, {"path": row["path"], "items": items}, None
         if row["kind"] == "end":
@@ -123,7 +123,7 @@
 
 async def play(rows: list[dict[str, Any]], servers: list[str], pace: float, seed: int) -> list[dict[str, Any]]:
     """Each row with what came of it now; calls begin as far apart as they did then, divided by the pace."""
-    rows = sorted(rows, key=lambda row: row["atMs"])
+    rows = sorted(rows, key=lambda row: row["at_ms"])
     loop = asyncio.get_running_loop()
     began = loop.time()
     timeout = aiohttp.ClientTimeout(total=60)
@@ -131,8 +131,8 @@
         player = _Player(servers, seed, session)
 
         async def one(row: dict[str, Any]) -> dict[str, Any]:
-            dueS = (row["atMs"] - rows[0]["atMs"]) / 1000 / pace
-            await asyncio.sleep(max(0.0, began + dueS - loop.time()))
+            due_s = (row["at_ms"] - rows[0]["at_ms"]) / 1000 / pace
+            await asyncio.sleep(max(0.0, began + due_s - loop.time()))
             return {"row": row, "now": await player.call(row)}
 
         return list(await asyncio.gather(*[one(row) for row in rows]))
@@ -150,8 +150,8 @@
         groups[(pair["row"]["kind"], pair["row"].get("path", ""))].append(pair)
     lines, differing = [], 0
     for (kind, path), pairs in sorted(groups.items()):
-        then = [pair["row"]["tookMs"] for pair in pairs]
-        now = [pair["now"]["tookMs"] for pair in pairs]
+        then = [pair["row"]["took_ms"] for pair in pairs]
+        now = [pair["now"]["took_ms"] for pair in pairs]
         changed = Counter((f"{pair['row']['status']} {pair['row']['code']}".strip(),
                            f"{pair['now']['status']} {pair['now']['code']}".strip()) for pair in pairs
                           if (pair["row"]["status"], pair["row"]["code"]) != (pair["now"]["status"], pair["now"]["code"]))
--- a/libs/readingroom/src/readingroom/roles.py
+++ b/libs/readingroom/src/readingroom/roles.py
@@ -19,23 +19,23 @@
         self._sender = self.make_sender()
         self.node = EdgeNode(self.env, self.params, self._sender)
         params = self.params
-        self._recorder = Recorder(params.recordFolder, params.link.replace(":", "-"), params.recordRows,
-                                  params.recordBodies) if params.recordFolder else None
-        desk = HttpDesk(params.http, params.maxBodyBytes, self.node.why_unready, self.status, self.metrics,
+        self._recorder = Recorder(params.record_folder, params.link.replace(":", "-"), params.record_rows,
+                                  params.record_bodies) if params.record_folder else None
+        desk = HttpDesk(params.http, params.max_body_bytes, self.node.why_unready, self.status, self.metrics,
                         (self._recorder.middleware,) if self._recorder else ())
         self._visitors = Visitors(self.node, self.node.counter, desk)
         WorkerCalls(self.node, desk)
         await self.add_runtime_dependency(desk)
 
     def make_sender(self) -> HttpSender:
-        return HttpSender(self.params.askMs)
+        return HttpSender(self.params.ask_ms)
 
     def start_draining(self) -> None:
         self.node.stopping = True
         self.node.lots.paused = True
 
     def busy(self) -> bool:
-        return self.node.carrier.carrying(False) > 0 or self._visitors.liveNow > 0 or self.node.lots.running() > 0
+        return self.node.carrier.carrying(False) > 0 or self._visitors.live_now > 0 or self.node.lots.running() > 0
 
     def wind_down(self) -> None:
         self.node.lots.stop_all("stopping")
@@ -51,8 +51,8 @@
         node.tree()
         return {
             "role": "edge", "identity": node.lots.edge, "zone": self.params.zone, "ready": not node.why_unready(),
-            "reason": node.why_unready(), "profilesDigest": node.treeDigest, "feed": node.gazette.numbers(), "place": node.gazette.place,
-            "holderEpoch": node.holder.epoch, "live": self._visitors.liveNow, "items": node.lots.running(),
+            "reason": node.why_unready(), "profiles_digest": node.tree_digest, "feed": node.gazette.numbers(), "place": node.gazette.place,
+            "holder_epoch": node.holder.epoch, "live": self._visitors.live_now, "items": node.lots.running(),
             "neighbours": [card.address for card in node.neighbours.view()],
             "workers": [{"identity": worker.identity, "incarnation": worker.incarnation, "address": worker.address,
                          "usable": node.roster.usable(worker), "leaving": worker.leaving, "weight": worker.weight,
@@ -62,16 +62,16 @@
     def metrics(self) -> dict[str, float]:
         node = self.node
         rows = {f"edge_{name}_total": count for name, count in node.carrier.counts.items()}
-        return {**rows, "edge_waiting_now": node.carrier.waiting(), "edge_ready": int(not node.why_unready()), "edge_live_now": self._visitors.liveNow,
+        return {**rows, "edge_waiting_now": node.carrier.waiting(), "edge_ready": int(not node.why_unready()), "edge_live_now": self._visitors.live_now,
                 "edge_items_now": node.lots.running(), "edge_items_finished_total": node.lots.finished,
                 "edge_workers": len(node.roster.workers()), "feed_place": node.gazette.place,
-                "worst_tick_ms": self.shell.worstTickMs if self.shell else 0}
+                "worst_tick_ms": self.shell.worst_tick_ms if self.shell else 0}
 
 
 class StoreProcess(NodeProcess):
     async def make(self) -> None:
         self.node = StoreNode(self.env, self.params, self.open_disk())
-        await self.add_runtime_dependency(HttpDesk(self.params.http, self.params.maxBodyBytes, self.why_unready,
+        await self.add_runtime_dependency(HttpDesk(self.params.http, self.params.max_body_bytes, self.why_unready,
                                                    self.status, self.metrics))
         self._stopping = False
 
@@ -96,16 +96,16 @@
         local = log.log
         return {
             "role": "store", "identity": local.identity, "zone": self.params.zone, "ready": not self.why_unready(),
-            "reason": self.why_unready(), "logRole": str(log.role), "fence": local.meta.fence,
-            "logEpoch": local.meta.logEpoch, "lastSeq": local.lastSeq, "flushedSeq": local.flushedSeq,
-            "settledSeq": local.settledSeq, "snapSeq": local.snapSeq, "feed": self.node.gazette.numbers(),
-            "place": self.node.gazette.place, "lots": len(local.ledger.lots), "openLots": len(local.ledger.opened),
-            "keys": len(local.ledger.keys), "log": log.value, "waitingRooms": self.node.desk.rooms_used()}
+            "reason": self.why_unready(), "log_role": str(log.role), "fence": local.meta.fence,
+            "log_epoch": local.meta.log_epoch, "last_seq": local.last_seq, "flushed_seq": local.flushed_seq,
+            "settled_seq": local.settled_seq, "snap_seq": local.snap_seq, "feed": self.node.gazette.numbers(),
+            "place": self.node.gazette.place, "lots": len(local.ledger.lots), "open_lots": len(local.ledger.opened),
+            "keys": len(local.ledger.keys), "log": log.value, "waiting_rooms": self.node.desk.rooms_used()}
 
     def metrics(self) -> dict[str, float]:
         local = self.node.log.log
         rows = {f"store_asked_{name}_total": count for name, count in self.node.desk.counts.items()}
-        return {**rows, "store_last_seq": local.lastSeq, "store_settled_seq": local.settledSeq,
-                "store_flushed_seq": local.flushedSeq, "store_epoch": local.meta.fence,
+        return {**rows, "store_last_seq": local.last_seq, "store_settled_seq": local.settled_seq,
+                "store_flushed_seq": local.flushed_seq, "store_epoch": local.meta.fence,
                 "store_holds": int(self.node.log.holder is not None), "store_open_lots": len(local.ledger.opened), "store_shelves": len(local.shelves.names()),
-                "feed_place": self.node.gazette.place, "worst_tick_ms": self.shell.worstTickMs if self.shell else 0}
+                "feed_place": self.node.gazette.place, "worst_tick_ms": self.shell.worst_tick_ms if self.shell else 0}
--- a/libs/readingroom/src/readingroom/sender.py
+++ b/libs/readingroom/src/readingroom/sender.py
@@ -18,10 +18,10 @@
 class HttpSender:
     __slots__ = ("_session",)
 
-    def __init__(self, connectMs: int) -> None:
+    def __init__(self, connect_ms: int) -> None:
         connector = aiohttp.TCPConnector(limit=0, force_close=True)
         self._session = aiohttp.ClientSession(
-            connector=connector, timeout=aiohttp.ClientTimeout(total=None, sock_connect=connectMs / 1000),
+            connector=connector, timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_ms / 1000),
             max_line_size=_HEAD_BYTES, auto_decompress=False)
 
     async def close(self) -> None:
--- a/libs/readingroom/src/readingroom/visitors.py
+++ b/libs/readingroom/src/readingroom/visitors.py
@@ -24,18 +24,18 @@
 
 
 class Visitors:
-    __slots__ = ("_counter", "_metrics", "_node", "liveNow")
+    __slots__ = ("_counter", "_metrics", "_node", "live_now")
 
     def __init__(self, node: Any, counter: Counter, desk: HttpDesk) -> None:
         self._node, self._counter, self._metrics = node, counter, desk.metrics
-        self.liveNow = 0
+        self.live_now = 0
         router = desk.app.router
         router.add_post("/v1/completions", self._live)
         router.add_post("/v1/chat/completions", self._live)
-        router.add_put("/lots/{lotId}", self._hand_in)
-        router.add_get("/lots/{lotId}", self._lot)
-        router.add_get("/lots/{lotId}/results", self._results)
-        router.add_delete("/lots/{lotId}", self._end)
+        router.add_put("/lots/{lot_id}", self._hand_in)
+        router.add_get("/lots/{lot_id}", self._lot)
+        router.add_get("/lots/{lot_id}/results", self._results)
+        router.add_delete("/lots/{lot_id}", self._end)
 
     # -- live ----------------------------------------------------------------------------------
 
@@ -43,54 +43,54 @@
         key = request.headers.get("Idempotency-Key", "")
         if (answer := self._counter.unready(bool(key))) is not None:
             return write_answer(answer)
-        call = await read_call(request, self._node.params.maxBodyBytes, CompletionCall)
+        call = await read_call(request, self._node.params.max_body_bytes, CompletionCall)
         if isinstance(call, Refusal):
             return answer_refusal(call)
         if fault := _live_fault(call, request):
             return answer_refusal(fault)
         body = call.model_dump(exclude_none=True, exclude={"model", "stream"})
         queue: asyncio.Queue = asyncio.Queue()
-        beganMs = boot_ms()
+        began_ms = boot_ms()
 
         def told(step: Step, answer: Answer) -> None:
-            self._metrics.took(call.model, answer.verdict, (boot_ms() - beganMs) / 1000)
+            self._metrics.took(call.model, answer.verdict, (boot_ms() - began_ms) / 1000)
             queue.put_nowait((step, answer))
 
         carriage = self._counter.live(call.model, key, body, call.stream, queue.put_nowait, told)
         if isinstance(carriage, Answer):
             return write_answer(carriage)
-        self.liveNow += 1
+        self.live_now += 1
         try:
-            return await self._write_live(request, queue, carriage.tx.transactionId, call.stream)
+            return await self._write_live(request, queue, carriage.tx.transaction_id, call.stream)
         except (ConnectionError, asyncio.CancelledError):
             carriage.gone()
             raise
         finally:
-            self.liveNow -= 1
+            self.live_now -= 1
 
-    async def _write_live(self, request: web.Request, queue: asyncio.Queue, transactionId: str, stream: bool) -> web.StreamResponse:
+    async def _write_live(self, request: web.Request, queue: asyncio.Queue, transaction_id: str, stream: bool) -> web.StreamResponse:
         response: web.StreamResponse | None = None
         while True:
             item = await queue.get()
             if isinstance(item, tuple):
-                return await self._write_last(request, response, *item, transactionId, stream)
+                return await self._write_last(request, response, *item, transaction_id, stream)
             if response is None:
-                response = await _begin_stream(request, transactionId)
+                response = await _begin_stream(request, transaction_id)
             await response.write(item)
 
     async def _write_last(self, request: web.Request, response: web.StreamResponse | None, step: Step, answer: Answer,
-                          transactionId: str, stream: bool) -> web.StreamResponse:
+                          transaction_id: str, stream: bool) -> web.StreamResponse:
         """A stream's end mark is written only now that the whole is known to be whole."""
         if answer.refusal is None and stream and answer.status == 200:
             if response is None:
-                response = await _begin_stream(request, transactionId)
+                response = await _begin_stream(request, transaction_id)
             if step.name == "replay":
                 await response.write(answer.body.encode())
             await response.write(_END)
             await response.write_eof()
             return response
         if response is None:
-            return write_answer(answer, transactionId)
+            return write_answer(answer, transaction_id)
         request["verdict"], request["code"] = answer.verdict, answer.code
         try:
             await response.write(b"event: error\ndata: " + answer.body.encode() + b"\n\n")
@@ -103,54 +103,54 @@
     # -- lots ----------------------------------------------------------------------------------
 
     async def _hand_in(self, request: web.Request) -> web.StreamResponse:
-        lotId = _lot_id(request)
-        if isinstance(lotId, Refusal):
-            return answer_refusal(lotId)
+        lot_id = _lot_id(request)
+        if isinstance(lot_id, Refusal):
+            return answer_refusal(lot_id)
         if (answer := self._counter.unready(True)) is not None:
             return write_answer(answer)
-        call = await read_call(request, self._node.params.maxBodyBytes, HandInCall)
+        call = await read_call(request, self._node.params.max_body_bytes, HandInCall)
         if isinstance(call, Refusal):
             return answer_refusal(call)
         items = [item.model_dump(exclude_none=True) for item in call.items]
-        return write_answer(await awaited(lambda told: self._counter.hand_in(lotId, call.path, items, call.dueMs, told)))
+        return write_answer(await awaited(lambda told: self._counter.hand_in(lot_id, call.path, items, call.due_ms, told)))
 
     async def _lot(self, request: web.Request) -> web.StreamResponse:
-        lotId = _lot_id(request)
-        if isinstance(lotId, Refusal):
-            return answer_refusal(lotId)
-        return write_answer(await awaited(lambda told: self._counter.lot(lotId, told)))
+        lot_id = _lot_id(request)
+        if isinstance(lot_id, Refusal):
+            return answer_refusal(lot_id)
+        return write_answer(await awaited(lambda told: self._counter.lot(lot_id, told)))
 
     async def _results(self, request: web.Request) -> web.StreamResponse:
-        lotId = _lot_id(request)
-        if isinstance(lotId, Refusal):
-            return answer_refusal(lotId)
+        lot_id = _lot_id(request)
+        if isinstance(lot_id, Refusal):
+            return answer_refusal(lot_id)
         numbers: dict[str, int] = {"from": 0, "limit": _PAGE}
         for name, value in request.query.items():
             if name not in numbers or not re.match(r"^\d{1,9}$", value):
                 return answer_refusal(refused("bad-field", f"{name}: a whole number from 0, or unknown", field=name))
             numbers[name] = int(value)
-        return write_answer(await awaited(lambda told: self._counter.results(lotId, numbers["from"], numbers["limit"], told)))
+        return write_answer(await awaited(lambda told: self._counter.results(lot_id, numbers["from"], numbers["limit"], told)))
 
     async def _end(self, request: web.Request) -> web.StreamResponse:
-        lotId = _lot_id(request)
-        if isinstance(lotId, Refusal):
-            return answer_refusal(lotId)
-        return write_answer(await awaited(lambda told: self._counter.end(lotId, told)))
+        lot_id = _lot_id(request)
+        if isinstance(lot_id, Refusal):
+            return answer_refusal(lot_id)
+        return write_answer(await awaited(lambda told: self._counter.end(lot_id, told)))
 
 
-async def _begin_stream(request: web.Request, transactionId: str) -> web.StreamResponse:
+async def _begin_stream(request: web.Request, transaction_id: str) -> web.StreamResponse:
     """Begun with the first piece, so that a refusal before it can still be an error."""
     response = web.StreamResponse(headers={"Content-Type": "text/event-stream", "Cache-Control": "no-store",
-                                           "X-Vaneledge-Transaction": transactionId})
+                                           "X-Vaneledge-Transaction": transaction_id})
     await response.prepare(request)
     return response
 
 
 def _lot_id(request: web.Request) -> str | Refusal:
-    lotId = request.match_info["lotId"]
-    if not re.match(LOT_ID, lotId):
-        return refused("bad-field", "lotId: letters, digits, dot, dash, underscore; at most 128", field="lotId")
-    return lotId
+    lot_id = request.match_info["lot_id"]
+    if not re.match(LOT_ID, lot_id):
+        return refused("bad-field", "lot_id: letters, digits, dot, dash, underscore; at most 128", field="lot_id")
+    return lot_id
 
 
 def _live_fault(call: CompletionCall, request: web.Request) -> Refusal | None:
--- a/libs/readingroom/src/readingroom/workers.py
+++ b/libs/readingroom/src/readingroom/workers.py
@@ -21,7 +21,7 @@
         desk.app.router.add_post("/workers/leave", self._leave)
 
     async def _beat(self, request: web.Request) -> web.Response:
-        beat = await read_call(request, self._node.params.maxBodyBytes, Beat)
+        beat = await read_call(request, self._node.params.max_body_bytes, Beat)
         if isinstance(beat, Refusal):
             return answer_refusal(beat)
         taken = self._node.roster.hear(WorkerNews(**beat.model_dump(), leaving=False))
@@ -30,10 +30,10 @@
                                           field="incarnation"))
         labels = frozenset(beat.labels)
         return json_answer({"enrolled": self._node.tree().allows_worker(beat.identity, labels),
-                            "beatMs": self._node.params.beatMs})
+                            "beat_ms": self._node.params.beat_ms})
 
     async def _leave(self, request: web.Request) -> web.Response:
-        leave = await read_call(request, self._node.params.maxBodyBytes, Leave)
+        leave = await read_call(request, self._node.params.max_body_bytes, Leave)
         if isinstance(leave, Refusal):
             return answer_refusal(leave)
         known = next((worker for worker in self._node.roster.all() if worker.identity == leave.identity
@@ -41,5 +41,5 @@
         self._node.roster.hear(WorkerNews(
             identity=leave.identity, incarnation=leave.incarnation, address=known.address if known else "",
             zone=known.zone if known else "", labels=sorted(known.labels) if known else [],
-            beat=known.beat if known else 0, running=0, waiting=0, slots=1, cacheUse=0.0, leaving=True))
+            beat=known.beat if known else 0, running=0, waiting=0, slots=1, cache_use=0.0, leaving=True))
         return json_answer({"left": True})
--- a/libs/registrar/src/registrar/cli.py
+++ b/libs/registrar/src/registrar/cli.py
@@ -26,8 +26,8 @@
 
 @app.command
 def serve(*, settings: str | None = None, link: str | None = None, http: str | None = None, zone: str | None = None,
-          seed: Annotated[list[str] | None, Parameter(negative=())] = None, dataFolder: str | None = None,
-          controlCount: int | None = None, logLevel: str | None = None) -> None:
+          seed: Annotated[list[str] | None, Parameter(negative=())] = None, data_folder: str | None = None,
+          control_count: int | None = None, log_level: str | None = None) -> None:
     """Run a control node until SIGTERM.
 
     Parameters
@@ -37,11 +37,11 @@
     http: address for operators, IP:PORT.
     zone: the zone this machine is in.
     seed: link address of another process; up to three times.
-    dataFolder: where files live.
-    controlCount: how many control machines found the fleet.
-    logLevel: DEBUG, INFO, WARNING or ERROR.
+    data_folder: where files live.
+    control_count: how many control machines found the fleet.
+    log_level: DEBUG, INFO, WARNING or ERROR.
     """
-    flags = {**serve_flags(link, http, zone, seed, dataFolder, controlCount, logLevel), "role": "control"}
+    flags = {**serve_flags(link, http, zone, seed, data_folder, control_count, log_level), "role": "control"}
     params = settings_or_exit(load_params(settings, flags))
     run_process(ControlProcess, params, settings, flags)
 
@@ -74,16 +74,16 @@
 
 
 @profiles.command
-def send(file: str, *, server: Server, version: int, changeId: str | None = None) -> None:
+def send(file: str, *, server: Server, version: int, change_id: str | None = None) -> None:
     """Send a whole tree from a JSON file, naming the version it replaces (0 for the first)."""
-    call("PUT", server, "/profiles", {"version": version, "changeId": changeId or secrets.token_hex(8),
+    call("PUT", server, "/profiles", {"version": version, "change_id": change_id or secrets.token_hex(8),
                                       "tree": read_json(file)})
 
 
 @profiles.command
-def patch(file: str, *, server: Server, version: int, changeId: str | None = None) -> None:
+def patch(file: str, *, server: Server, version: int, change_id: str | None = None) -> None:
     """Send a JSON merge patch on the tree, naming the version it replaces."""
-    call("PATCH", server, "/profiles", {"version": version, "changeId": changeId or secrets.token_hex(8),
+    call("PATCH", server, "/profiles", {"version": version, "change_id": change_id or secrets.token_hex(8),
                                         "patch": read_json(file)})
 
 
@@ -102,7 +102,7 @@
 @app.command
 def retire(identity: str, *, server: Server, undo: bool = False) -> None:
     """Empty and retire a store or control machine: a spare takes its place, then it may be stopped."""
-    call("POST", server, "/retired", {"identity": identity, "undo": undo, "changeId": secrets.token_hex(8)})
+    call("POST", server, "/retired", {"identity": identity, "undo": undo, "change_id": secrets.token_hex(8)})
 
 
 @app.command
--- a/libs/registrar/src/registrar/nodes.py
+++ b/libs/registrar/src/registrar/nodes.py
@@ -35,7 +35,7 @@
         voters = self.voter.voters
         if self.voter.identity not in voters:
             return False
-        live = sum(1 for name in voters if self.neighbours.live(name, self.params.cutMs))
+        live = sum(1 for name in voters if self.neighbours.live(name, self.params.cut_ms))
         return 2 * live > len(voters) and self.gazette.number(CONTROL_KEY) > 0
 
     def why_unready(self) -> str:
--- a/libs/registrar/src/registrar/operators.py
+++ b/libs/registrar/src/registrar/operators.py
@@ -24,21 +24,21 @@
 class _Sent(BaseModel):
     model_config = ConfigDict(extra="forbid", strict=True)
     version: int = Field(ge=0)
-    changeId: ChangeId | None = None
+    change_id: ChangeId | None = None
     tree: dict[str, Any]
 
 
 class _Patched(BaseModel):
     model_config = ConfigDict(extra="forbid", strict=True)
     version: int = Field(ge=0)
-    changeId: ChangeId | None = None
+    change_id: ChangeId | None = None
     patch: dict[str, Any]
 
 
 class _Retired(BaseModel):
     model_config = ConfigDict(extra="forbid", strict=True)
     identity: str = Field(min_length=1, max_length=128)
-    changeId: ChangeId | None = None
+    change_id: ChangeId | None = None
     undo: bool = False
 
 
@@ -65,7 +65,7 @@
         return await awaited(lambda done: self._node.owner.submit(message, done))
 
     async def _parsed(self, request: web.Request, model: Any) -> Any:
-        return await read_call(request, self._node.params.maxBodyBytes, model)
+        return await read_call(request, self._node.params.max_body_bytes, model)
 
     # -- profiles ------------------------------------------------------------------------------
 
@@ -85,7 +85,7 @@
         call = await self._parsed(request, _Sent)
         if isinstance(call, Refusal):
             return answer_refusal(call)
-        return await self._keep(call.tree, call.version, call.changeId)
+        return await self._keep(call.tree, call.version, call.change_id)
 
     async def _patch(self, request: web.Request) -> web.Response:
         call = await self._parsed(request, _Patched)
@@ -97,27 +97,27 @@
         tree = json.loads(receipt.body or '{"profiles": {}}')
         if receipt.version == call.version:
             tree = apply_patch(tree, call.patch)
-        return await self._keep(tree, call.version, call.changeId)
+        return await self._keep(tree, call.version, call.change_id)
 
-    async def _keep(self, tree: Any, version: int, changeId: str | None) -> web.Response:
+    async def _keep(self, tree: Any, version: int, change_id: str | None) -> web.Response:
         checked = check_tree(tree)
         if checked.is_error():
             return answer_refusal(refused("bad-tree", f"{len(checked.error)} problems; nothing was changed", 422,
                                           field=checked.error[0]["at"], problems=checked.error))
-        changeId = changeId or secrets.token_hex(8)
-        receipt = await self._ask(Change(key=PROFILES_KEY, version=version, changeId=changeId, hops=0,
+        change_id = change_id or secrets.token_hex(8)
+        receipt = await self._ask(Change(key=PROFILES_KEY, version=version, change_id=change_id, hops=0,
                                          body=json.dumps(checked.ok, sort_keys=True)))
-        return self._answer(receipt, changeId)
+        return self._answer(receipt, change_id)
 
-    def _answer(self, receipt: Changed, changeId: str) -> web.Response:
+    def _answer(self, receipt: Changed, change_id: str) -> web.Response:
         if receipt.outcome == "ok":
-            return json_answer({"version": receipt.version, "changeId": changeId})
+            return json_answer({"version": receipt.version, "change_id": change_id})
         if receipt.outcome == "lost":
             return answer_refusal(refused("version-replaced", f"{receipt.reason}; this change will not take effect", 409,
                                           field="version"))
         if receipt.outcome == "refused":
             return answer_refusal(refused("not-founded", receipt.reason, 503, 1000))
-        return answer_refusal(doubtful("change-in-doubt", f"{receipt.reason}; send the same with changeId {changeId} "
+        return answer_refusal(doubtful("change-in-doubt", f"{receipt.reason}; send the same with change_id {change_id} "
                                        "to learn what became of it", 1000))
 
     async def _explain(self, request: web.Request) -> web.Response:
@@ -134,12 +134,12 @@
 
     async def _members(self, request: web.Request) -> web.Response:
         node = self._node
-        nowMs = node.env.now()
+        now_ms = node.env.now()
         params = node.params
         voters = node.voter.voters
         rows = []
         for role in ("control", "store", "edge"):
-            for card in sorted(node.neighbours.of_role(role, params.goneMs), key=lambda row: row.address):
+            for card in sorted(node.neighbours.of_role(role, params.gone_ms), key=lambda row: row.address):
                 confirmed = node.gazette.confirmed.get(card.identity)
                 rows.append({"role": role, "identity": card.identity, "link": card.address, "http": card.http,
                              "zone": card.zone, "standing": "live" if node.neighbours.live(card.identity) else "silent",
@@ -153,8 +153,8 @@
         rows += [{"role": "control", "identity": name, "link": address, "http": "", "zone": "", "standing": "gone",
                   "ready": False, "feed": None, "says": self._says("control", name, address)} for name, address in voters.items() if name not in known]
         return json_answer({
-            "asked": node.voter.identity, "atMs": nowMs, "members": rows, "voters": sorted(voters),
-            "votersNumber": node.voter.listNumber, "steward": node.founding.steward(), "keys": node.owner.epochs(),
+            "asked": node.voter.identity, "at_ms": now_ms, "members": rows, "voters": sorted(voters),
+            "voters_number": node.voter.list_number, "steward": node.founding.steward(), "keys": node.owner.epochs(),
             "roll": sorted(node.gazette.roll()), "log": node.gazette.value("log"),
             "retired": (node.gazette.value(RETIRED_KEY) or {}).get("identities", []),
             "feed": node.gazette.numbers(), "place": node.gazette.place})
@@ -166,11 +166,11 @@
         log = node.gazette.value("log") or {"members": [], "holder": ""}
         retired = (node.gazette.value(RETIRED_KEY) or {}).get("identities", [])
         members = [row["identity"] for row in log["members"]] if role == "store" else list(node.voter.voters)
-        live = [card.identity for card in node.neighbours.of_role(role, node.params.deadMs)]
+        live = [card.identity for card in node.neighbours.of_role(role, node.params.dead_ms)]
         spares = [name for name in live if name not in members and name not in retired]
         if role == "store":
-            return says(role, identity, members, log["holder"], retired, spares, node.params.storeCount)
-        return says(role, identity, members, node.founding.steward() or "", retired, spares, node.params.controlCount)
+            return says(role, identity, members, log["holder"], retired, spares, node.params.store_count)
+        return says(role, identity, members, node.founding.steward() or "", retired, spares, node.params.control_count)
 
     async def _retire(self, request: web.Request) -> web.Response:
         call = await self._parsed(request, _Retired)
@@ -180,18 +180,18 @@
         if isinstance(receipt, Refusal):
             return answer_refusal(receipt)
         names = set(json.loads(receipt.body)["identities"] if receipt.body else [])
-        changeId = call.changeId or secrets.token_hex(8)
+        change_id = call.change_id or secrets.token_hex(8)
         if not call.undo and call.identity not in names and not self._known(call.identity):
             return answer_refusal(refused("unknown-machine", f"no control or store machine is called {call.identity!r}",
                                           404, field="identity"))
         names = names - {call.identity} if call.undo else names | {call.identity}
-        receipt = await self._ask(Change(key=RETIRED_KEY, version=receipt.version, changeId=changeId, hops=0,
+        receipt = await self._ask(Change(key=RETIRED_KEY, version=receipt.version, change_id=change_id, hops=0,
                                          body=json.dumps({"identities": sorted(names)}, sort_keys=True)))
         if receipt.outcome != "ok":
-            return self._answer(receipt, changeId)
+            return self._answer(receipt, change_id)
         card = self._node.neighbours.known(call.identity)
         role = card.role if card is not None else "store" if call.identity.startswith("store") else "control"
-        return json_answer({"version": receipt.version, "changeId": changeId, "identity": call.identity,
+        return json_answer({"version": receipt.version, "change_id": change_id, "identity": call.identity,
                             "says": self._says(role, call.identity, "")})
 
     async def _forget(self, request: web.Request) -> web.Response:
@@ -202,7 +202,7 @@
         unknown = sorted(set(call.links) - self._node.gazette.roll())
         if unknown:
             return answer_refusal(refused("unknown-machine", f"not on the roll: {', '.join(unknown)}", 404, field="links"))
-        live = sorted(set(call.links) & self._node.gazette.heard_links(self._node.params.goneMs))
+        live = sorted(set(call.links) & self._node.gazette.heard_links(self._node.params.gone_ms))
         if live:
             return answer_refusal(refused("still-live", f"heard lately: {', '.join(live)}", 409, field="links"))
         receipt = await awaited(lambda done: self._node.roll.forget(call.links, done))
--- a/libs/registrar/src/registrar/process.py
+++ b/libs/registrar/src/registrar/process.py
@@ -14,7 +14,7 @@
     async def make(self) -> None:
         self._stopping = False
         self.node = ControlNode(self.env, self.params, self.open_disk())
-        desk = HttpDesk(self.params.http, self.params.maxBodyBytes, self.why_unready, self.status, self.metrics)
+        desk = HttpDesk(self.params.http, self.params.max_body_bytes, self.why_unready, self.status, self.metrics)
         Operators(self.node, desk)
         await self.add_runtime_dependency(desk)
 
@@ -28,12 +28,12 @@
         node = self.node
         return {"role": "control", "identity": node.voter.identity, "zone": self.params.zone,
                 "ready": not self.why_unready(), "reason": self.why_unready(), "voters": node.voter.voters,
-                "votersNumber": node.voter.listNumber, "steward": node.founding.steward() if node.voter.voters else None,
+                "voters_number": node.voter.list_number, "steward": node.founding.steward() if node.voter.voters else None,
                 "keys": node.owner.epochs(), "feed": node.gazette.numbers(), "place": node.gazette.place}
 
     def metrics(self) -> dict[str, float]:
         node = self.node
         rows = {f"control_epoch_{name}": row["epoch"] for name, row in node.owner.epochs().items()}
-        return {**rows, "control_quorate": int(node.quorate()), "control_voters_number": node.voter.listNumber,
-                "feed_place": node.gazette.place, "feed_sent_bytes_total": node.gazette.sentBytes,
-                "worst_tick_ms": self.shell.worstTickMs if self.shell else 0}
+        return {**rows, "control_quorate": int(node.quorate()), "control_voters_number": node.voter.list_number,
+                "feed_place": node.gazette.place, "feed_sent_bytes_total": node.gazette.sent_bytes,
+                "worst_tick_ms": self.shell.worst_tick_ms if self.shell else 0}
--- a/libs/registrar/src/registrar/usage.py
+++ b/libs/registrar/src/registrar/usage.py
@@ -9,17 +9,17 @@
 
 __all__ = ["FIELDS", "export_usage", "usage_rows"]
 
-FIELDS = (("endedAt", "string"), ("edge", "string"), ("kind", "string"), ("path", "string"), ("transaction", "string"),
+FIELDS = (("ended_at", "string"), ("edge", "string"), ("kind", "string"), ("path", "string"), ("transaction", "string"),
           ("key", "string"), ("lot", "string"), ("item", "int32"), ("worker", "string"), ("sends", "int32"),
-          ("tookMs", "int64"), ("bytes", "int64"))
+          ("took_ms", "int64"), ("bytes", "int64"))
 
 
 def _row(logged: dict[str, Any]) -> dict[str, Any]:
     lot, item = logged.get("lot", ""), logged.get("index", -1)
     sends = logged.get("sends", [])
-    return {"endedAt": logged["at"], "edge": logged["node"], "kind": "item" if lot else "live",
+    return {"ended_at": logged["at"], "edge": logged["node"], "kind": "item" if lot else "live",
             "path": logged["path"], "transaction": logged["transaction"], "key": logged["key"], "lot": lot,
-            "item": item, "worker": sends[-1][0] if sends else "", "sends": len(sends), "tookMs": logged["tookMs"],
+            "item": item, "worker": sends[-1][0] if sends else "", "sends": len(sends), "took_ms": logged["took_ms"],
             "bytes": logged.get("bytes", 0)}
 
 
@@ -39,9 +39,9 @@
                 unread += 1
                 continue
             name = (row["lot"], row["item"]) if row["lot"] else row["transaction"]
-            if name not in found or row["endedAt"] < found[name]["endedAt"]:
+            if name not in found or row["ended_at"] < found[name]["ended_at"]:
                 found[name] = row
-    return sorted(found.values(), key=lambda row: (row["endedAt"], row["transaction"])), unread
+    return sorted(found.values(), key=lambda row: (row["ended_at"], row["transaction"])), unread
 
 
 def export_usage(paths: Iterable[Path], out: Path, form: str) -> tuple[int, int]:
--- a/libs/registrar/src/registrar/words.py
+++ b/libs/registrar/src/registrar/words.py
@@ -6,7 +6,7 @@
 
 
 def says(role: str, identity: str, members: Iterable[str], duty: str, retired: Iterable[str], spares: Iterable[str],
-         fullCount: int) -> str:
+         full_count: int) -> str:
     """`members` are those that count of its role, `duty` the holder or steward among them, `spares` live ones
     that are not retired."""
     members, spares = list(members), sorted(set(spares) - {identity})
@@ -16,7 +16,7 @@
     if identity in retired:
         if identity not in members:
             return "retired and out: may be stopped"
-        if len(members) > fullCount:
+        if len(members) > full_count:
             return f"{counts}; retired, is being dropped now"
         if not spares:
             return f"{counts}; retired, waits for a spare: none is live, start one"
--- a/libs/stacks/src/stacks/disk.py
+++ b/libs/stacks/src/stacks/disk.py
@@ -35,14 +35,14 @@
 
 
 class FolderDisk:
-    def __init__(self, folder: str, roomBytes: int, call: Callable[[Callable[[], None]], None],
-                 onBroken: Callable[[], None] = lambda: None) -> None:
-        self.roomBytes = roomBytes
+    def __init__(self, folder: str, room_bytes: int, call: Callable[[Callable[[], None]], None],
+                 on_broken: Callable[[], None] = lambda: None) -> None:
+        self.room_bytes = room_bytes
         self._folder = Path(folder)
         self._folder.mkdir(parents=True, exist_ok=True)
         self._call = call
         self._broken = False
-        self._onBroken = onBroken
+        self._on_broken = on_broken
         self._handles: dict[str, int] = {}
         self._sizes = {path.name: path.stat().st_size for path in self._folder.iterdir() if path.is_file()}
         for name in [name for name in self._sizes if name.endswith(".tmp")]:
@@ -59,7 +59,7 @@
         return os.pread(self._handle(name), size, offset) if name in self._sizes else b""
 
     def roomy(self, size: int, urgent: bool = False) -> bool:
-        limit = self.roomBytes if urgent else self.roomBytes * (1 - KEPT_BACK)
+        limit = self.room_bytes if urgent else self.room_bytes * (1 - KEPT_BACK)
         return not self._broken and sum(self._sizes.values()) + size <= limit
 
     def write(self, name: str, offset: int, data: bytes, urgent: bool = False) -> None:
@@ -122,7 +122,7 @@
             self._flush_folder()
         except OSError:
             self._broken = True
-            self._call(self._onBroken)
+            self._call(self._on_broken)
         ok = not self._broken
         self._call(lambda: done(ok))
 
--- a/libs/vellum/src/vellum/cores.py
+++ b/libs/vellum/src/vellum/cores.py
@@ -45,20 +45,20 @@
     def tick(self) -> None:
         return None
 
-    def woke(self, gapMs: int) -> None:
+    def woke(self, gap_ms: int) -> None:
         """The node was frozen: claims held in memory are to be dropped before anything else."""
 
 
 class Node:
-    __slots__ = ("_asks", "_lastTickMs", "_nextRef", "_paths", "env", "params", "parts")
+    __slots__ = ("_asks", "_last_tick_ms", "_next_ref", "_paths", "env", "params", "parts")
 
     def __init__(self, env: Env, params: Any, parts: list[Part]) -> None:
         self.env = env
         self.params = params
         self.parts = parts
         self._asks: dict[int, tuple[Callable, int]] = {}
-        self._nextRef = env.rng.getrandbits(40) + 1
-        self._lastTickMs = env.now()
+        self._next_ref = env.rng.getrandbits(40) + 1
+        self._last_tick_ms = env.now()
         self._paths: dict[type, Part] = {}
         for part in parts:
             part.attach(self)
@@ -72,10 +72,10 @@
     def post(self, to: str, message: Message) -> None:
         self.env.post(to, 0, 0, message)
 
-    def ask(self, to: str, message: Message, waitMs: int, done: Callable[[Message | None], None]) -> None:
-        self._nextRef += 1
-        self._asks[self._nextRef] = (done, self.env.now() + waitMs)
-        self.env.post(to, self._nextRef, 0, message)
+    def ask(self, to: str, message: Message, wait_ms: int, done: Callable[[Message | None], None]) -> None:
+        self._next_ref += 1
+        self._asks[self._next_ref] = (done, self.env.now() + wait_ms)
+        self.env.post(to, self._next_ref, 0, message)
 
     def reply(self, origin: Origin, message: Message) -> None:
         if origin.ref:
@@ -94,18 +94,18 @@
 
     def tick(self) -> None:
         self._check_frozen()
-        nowMs = self.env.now()
-        for ref in [ref for ref, (_, dueMs) in self._asks.items() if dueMs <= nowMs]:
+        now_ms = self.env.now()
+        for ref in [ref for ref, (_, due_ms) in self._asks.items() if due_ms <= now_ms]:
             done, _ = self._asks.pop(ref)
             done(None)
         for part in self.parts:
             part.tick()
 
     def _check_frozen(self) -> None:
-        nowMs = self.env.now()
-        gapMs = nowMs - self._lastTickMs
-        self._lastTickMs = nowMs
-        if gapMs > self.params.frozenMs:
-            self.env.log("frozen", "WARNING", gapMs=gapMs)
+        now_ms = self.env.now()
+        gap_ms = now_ms - self._last_tick_ms
+        self._last_tick_ms = now_ms
+        if gap_ms > self.params.frozen_ms:
+            self.env.log("frozen", "WARNING", gap_ms=gap_ms)
             for part in self.parts:
-                part.woke(gapMs)
+                part.woke(gap_ms)
--- a/libs/vellum/src/vellum/links.py
+++ b/libs/vellum/src/vellum/links.py
@@ -32,10 +32,10 @@
 
 
 class Switchboard(Service):
-    def __init__(self, address: str, waitMs: int, deliver: Callable[[str, int, int, Message], None]) -> None:
+    def __init__(self, address: str, wait_ms: int, deliver: Callable[[str, int, int, Message], None]) -> None:
         super().__init__()
         self._address = address
-        self._waitMs = waitMs
+        self._wait_ms = wait_ms
         self._deliver = deliver
         self._queues: dict[str, asyncio.Queue] = {}
         self._server: asyncio.Server | None = None
@@ -67,15 +67,15 @@
         reader: asyncio.StreamReader | None = None
         writer: asyncio.StreamWriter | None = None
         while not self.should_stop:
-            putAt, frame = await queue.get()
-            if asyncio.get_running_loop().time() - putAt > self._waitMs / 1000:
+            put_at, frame = await queue.get()
+            if asyncio.get_running_loop().time() - put_at > self._wait_ms / 1000:
                 continue
             try:
                 if reader is None or writer is None or writer.is_closing() or reader.at_eof():
                     reader, writer = await asyncio.wait_for(
-                        asyncio.open_connection(host.strip("[]"), int(port)), self._waitMs / 1000)
+                        asyncio.open_connection(host.strip("[]"), int(port)), self._wait_ms / 1000)
                 writer.write(frame)
-                await asyncio.wait_for(writer.drain(), self._waitMs / 1000)
+                await asyncio.wait_for(writer.drain(), self._wait_ms / 1000)
             except (OSError, asyncio.TimeoutError):
                 if writer is not None:
                     writer.transport.abort()
--- a/libs/vellum/src/vellum/shell.py
+++ b/libs/vellum/src/vellum/shell.py
@@ -55,10 +55,10 @@
     def __init__(self, node: Node, env: ProcessEnv, switchboard: Switchboard | None = None) -> None:
         super().__init__()
         self.node = node
-        self.worstTickMs = 0
+        self.worst_tick_ms = 0
         self._env = env
-        self._tickMs = max(5, min(node.params.deltaMs // 2, node.params.beatMs // 8))
-        self._switchboard = switchboard or Switchboard(env.address, node.params.askMs, node.receive)
+        self._tick_ms = max(5, min(node.params.delta_ms // 2, node.params.beat_ms // 8))
+        self._switchboard = switchboard or Switchboard(env.address, node.params.ask_ms, node.receive)
         env.switchboard = self._switchboard
 
     async def on_start(self) -> None:
@@ -67,12 +67,12 @@
 
     async def _run(self) -> None:
         while not self.should_stop:
-            startedMs = boot_ms()
+            started_ms = boot_ms()
             try:
                 self.node.tick()
             except Exception as error:
                 log("tick-failed", "ERROR", reason=repr(error))
                 raise
-            tookMs = boot_ms() - startedMs
-            self.worstTickMs = max(self.worstTickMs, tookMs)
-            await asyncio.sleep(max(1, self._tickMs - tookMs) / 1000)
+            took_ms = boot_ms() - started_ms
+            self.worst_tick_ms = max(self.worst_tick_ms, took_ms)
+            await asyncio.sleep(max(1, self._tick_ms - took_ms) / 1000)
--- a/tests/log_table.py
+++ b/tests/log_table.py
@@ -9,8 +9,8 @@
 from ledger import entries
 from vellum import decode
 
-PARAMS = Params(role="store", link="10.0.0.1:1", http="10.0.0.1:2", zone="z", seeds=["10.0.0.1:1"], dataFolder="d",
-                deltaMs=50, flushMs=1000, segmentBytes=4096)
+PARAMS = Params(role="store", link="10.0.0.1:1", http="10.0.0.1:2", zone="z", seeds=["10.0.0.1:1"], data_folder="d",
+                delta_ms=50, flush_ms=1000, segment_bytes=4096)
 
 
 class _Machine:
@@ -29,14 +29,14 @@
 
     def __init__(self, seed=1):
         self.time = VirtualTime(seed)
-        self.wallMs = 1_000_000
+        self.wall_ms = 1_000_000
         self.disks = {}
         self.machines = {}
         self.logs = {}
         self.peers = {}
         self.cut = set()
         self.holder = None
-        self.deposedBy = []
+        self.deposed_by = []
         for name in ("a", "b", "c"):
             self.disks[name] = SimDisk(self.time, 1 << 20, 1.0)
             self.open(name)
@@ -48,17 +48,17 @@
         self.peers[name] = PeerSide(self.logs[name])
 
     def now(self):
-        return int(self.time.nowMs)
+        return int(self.time.now_ms)
 
     def members(self):
         return [(self.logs[name].identity, name) for name in ("a", "b", "c")]
 
     def hold(self, name, epoch, members=None):
-        self.logs[name].keep_meta(lambda ok: None, fence=epoch, logEpoch=epoch)
+        self.logs[name].keep_meta(lambda ok: None, fence=epoch, log_epoch=epoch)
         self.run(10)
-        self.holder = Holder(self.logs[name], epoch, members or self.members(), PARAMS, self.now, lambda: self.wallMs,
-                             self.post, self.deposedBy.append)
-        self.holderName = name
+        self.holder = Holder(self.logs[name], epoch, members or self.members(), PARAMS, self.now, lambda: self.wall_ms,
+                             self.post, self.deposed_by.append)
+        self.holder_name = name
         return self.holder
 
     def post(self, to, message):
@@ -69,16 +69,16 @@
         if sender not in self.cut:
             self.time.after(1, lambda: self.holder.answered(receipt, sender) if self.holder else None)
 
-    def ask(self, to, message, waitMs, done):
+    def ask(self, to, message, wait_ms, done):
         if to in self.cut:
-            self.time.after(waitMs, lambda: done(None))
+            self.time.after(wait_ms, lambda: done(None))
         else:
             self.time.after(1, lambda: self.peers[to].receive(message, done))
 
-    def run(self, forMs):
-        endMs = self.time.nowMs + forMs
-        while self.time.nowMs < endMs:
-            self.time.run_until(min(endMs, self.time.nowMs + 10))
+    def run(self, for_ms):
+        end_ms = self.time.now_ms + for_ms
+        while self.time.now_ms < end_ms:
+            self.time.run_until(min(end_ms, self.time.now_ms + 10))
             if self.holder is not None:
                 self.holder.tick()
 
@@ -100,4 +100,4 @@
 
 
 def entry(key):
-    return entries.KeyOpened(key=key, digest="d", edge="e", transaction="t", atMs=0)
+    return entries.KeyOpened(key=key, digest="d", edge="e", transaction="t", at_ms=0)
--- a/tests/test_circulation.py
+++ b/tests/test_circulation.py
@@ -30,28 +30,28 @@
         ("safe", ["place", "begun", "end"], "finish", None, ""),
         ("safe", ["place", ("fail", False), "place", "begun", "end"], "finish", None, ""),
         ("safe", ["place", ("fail", True), "place", "begun", "end"], "finish", None, ""),
-        ("safe", ["none"], "refuse", "notRun", ""), ("safe", ["wait", "place", "begun", "end"], "finish", None, ""),
-        ("safe", ["wait", "none"], "refuse", "notRun", ""), ("unsafe", ["opened", "wait", "none", "closed"], "refuse", "notRun", "void"),
-        ("safe", ["place", ("fail", True), "wait", "none"], "refuse", "mayHaveRun", ""),
+        ("safe", ["none"], "refuse", "not_run", ""), ("safe", ["wait", "place", "begun", "end"], "finish", None, ""),
+        ("safe", ["wait", "none"], "refuse", "not_run", ""), ("unsafe", ["opened", "wait", "none", "closed"], "refuse", "not_run", "void"),
+        ("safe", ["place", ("fail", True), "wait", "none"], "refuse", "may_have_run", ""),
         ("safe", ["wait", "gone"], "gone", None, ""), ("safe", ["place", "begun", "piece", "gone"], "gone", None, ""),
-        ("safe", ["place", ("late", True)], "refuse", "mayHaveRun", ""),
-        ("safe", ["place", ("late", False)], "refuse", "notRun", ""),
-        ("safe", ["place", "begun", "piece", ("fail", True)], "cut", "mayHaveRun", ""),
+        ("safe", ["place", ("late", True)], "refuse", "may_have_run", ""),
+        ("safe", ["place", ("late", False)], "refuse", "not_run", ""),
+        ("safe", ["place", "begun", "piece", ("fail", True)], "cut", "may_have_run", ""),
         ("unsafe", ["opened", "place", "begun", "end", "closed"], "finish", None, "done"),
-        ("unsafe", ["opened", "none", "closed"], "refuse", "notRun", "void"),
+        ("unsafe", ["opened", "none", "closed"], "refuse", "not_run", "void"),
         ("unsafe", ["opened", "place", ("fail", False), "place", "begun", "end", "closed"], "finish", None, "done"),
-        ("unsafe", ["opened", "place", ("fail", True), "closed"], "refuse", "mayHaveRun", "doubt"),
-        ("unsafe", ["opened", "place", "begun", "piece", ("fail", True), "closed"], "cut", "mayHaveRun", "doubt"),
-        ("unsafe", ["recorded"], "replay", None, ""), ("unsafe", ["open"], "refuse", "mayHaveRun", ""),
-        ("unsafe", ["doubt"], "refuse", "mayHaveRun", ""), ("unsafe", ["conflict"], "refuse", "notRun", ""),
-        ("unsafe", ["full"], "refuse", "notRun", ""), ("unsafe", ["unknown"], "refuse", "mayHaveRun", "")]
+        ("unsafe", ["opened", "place", ("fail", True), "closed"], "refuse", "may_have_run", "doubt"),
+        ("unsafe", ["opened", "place", "begun", "piece", ("fail", True), "closed"], "cut", "may_have_run", "doubt"),
+        ("unsafe", ["recorded"], "replay", None, ""), ("unsafe", ["open"], "refuse", "may_have_run", ""),
+        ("unsafe", ["doubt"], "refuse", "may_have_run", ""), ("unsafe", ["conflict"], "refuse", "not_run", ""),
+        ("unsafe", ["full"], "refuse", "not_run", ""), ("unsafe", ["unknown"], "refuse", "may_have_run", "")]
 
     def test_rows(self):
-        for path, events, last, verdict, closeAs in self.ROWS:
+        for path, events, last, verdict, close_as in self.ROWS:
             tx = transaction(path, "k")
             step, closed = tx.begin(), ""
             for event in events:
-                closed = step.closeAs or closed
+                closed = step.close_as or closed
                 if event == "place":
                     step = tx.placed(Stamped(f"w{len(tx.sends)}"), True)
                 elif event == "wait":
@@ -67,14 +67,14 @@
                 elif event == "end":
                     step = tx.ended(200, "body")
                 elif event == "closed":
-                    closed = step.closeAs
+                    closed = step.close_as
                     step = tx.closed()
                 elif isinstance(event, tuple):
                     step = tx.failed(f"w{len(tx.sends)}", event[1], "x", 10 ** 6 if event[0] == "late" else 1)
                 else:
                     step = tx.open_receipt(event, 200, "kept")
             told = str(step.refusal.verdict) if step.refusal else None
-            self.assertThat((step.name, told, closed), Equals((last, verdict, closeAs)), f"{path} {events}")
+            self.assertThat((step.name, told, closed), Equals((last, verdict, close_as)), f"{path} {events}")
 
     def test_unsafe_without_a_key_is_refused(self):
         step = transaction("unsafe").begin()
@@ -100,7 +100,7 @@
             tx.placed(Stamped(worker), True)
             sends += 1
             step = tx.failed(worker, False, "x", 1)
-        self.assertThat((sends, step.closeAs), Equals((5 + 2 + 1, "void")))
+        self.assertThat((sends, step.close_as), Equals((5 + 2 + 1, "void")))
 
 
 def event(place, run="r", data=None):
@@ -135,7 +135,7 @@
 
 def news(identity, beat=1, incarnation=1, leaving=False, address="", running=0, waiting=0, slots=8, zone="z"):
     return WorkerNews(identity=identity, incarnation=incarnation, address=address or f"{identity}:1", zone=zone,
-                      labels=[], beat=beat, running=running, waiting=waiting, slots=slots, cacheUse=0.0, leaving=leaving)
+                      labels=[], beat=beat, running=running, waiting=waiting, slots=slots, cache_use=0.0, leaving=leaving)
 
 
 class Clocked:
@@ -143,10 +143,10 @@
 
     def __init__(self):
         import random
-        self.rng, self.nowMs, self.sent = random.Random(1), 10 ** 6, []
+        self.rng, self.now_ms, self.sent = random.Random(1), 10 ** 6, []
 
     def now(self):
-        return self.nowMs
+        return self.now_ms
 
     def post(self, to, ref, re, message):
         self.sent.append((to, message))
@@ -182,7 +182,7 @@
 
     def test_silence_failed_connection_and_replacement_take_a_worker_out(self):
         self.roster.hear(news("w"))
-        self.env.nowMs += PARAMS.workerMs + 1
+        self.env.now_ms += PARAMS.worker_ms + 1
         self.assertThat(self.names(), Equals([]))
         self.roster.hear(news("w", beat=2))
         self.roster.connection_failed(self.roster.workers()[0])
@@ -202,7 +202,7 @@
         self.roster.woke(5000)
         self.roster.hear(news("w", beat=2))
         self.assertThat(self.names(), Equals([]))
-        self.env.nowMs += PARAMS.beatMs + 1
+        self.env.now_ms += PARAMS.beat_ms + 1
         self.roster.hear(news("w", beat=3))
         self.assertThat(self.names(), Equals(["w/1"]))
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -14,12 +14,12 @@
 
 
 def value(version, body="x"):
-    return Value(version=version, body=body, changeIds=[], changeVersions=[])
+    return Value(version=version, body=body, change_ids=[], change_versions=[])
 
 
 def vote(epoch, by, version):
-    return Voted(identity="v", ok=True, reason="", promisedEpoch=9, promisedBy="z", acceptedEpoch=epoch, acceptedBy=by,
-                 value=encode(value(version)) if version else b"", listBody="")
+    return Voted(identity="v", ok=True, reason="", promised_epoch=9, promised_by="z", accepted_epoch=epoch, accepted_by=by,
+                 value=encode(value(version)) if version else b"", list_body="")
 
 
 class Keys(TestCase):
@@ -29,14 +29,14 @@
                         Equals(True))
         return fleet
 
-    def ask(self, fleet, host, message, waitMs=4000):
+    def ask(self, fleet, host, message, wait_ms=4000):
         seen = []
         fleet.hosts[host].node.owner.submit(message, seen.append)
-        fleet.run_until_true(lambda: seen, waitMs)
+        fleet.run_until_true(lambda: seen, wait_ms)
         return seen[0] if seen else None
 
-    def change(self, version, changeId, body="{}"):
-        return Change(key="profiles", version=version, changeId=changeId, body=body, hops=0)
+    def change(self, version, change_id, body="{}"):
+        return Change(key="profiles", version=version, change_id=change_id, body=body, hops=0)
 
     def test_newest_takes_the_highest_version_of_the_highest_epoch(self):
         rows = [((1, "a", 3), (1, "a", 2), 3), ((2, "a", 2), (1, "b", 7), 2), ((1, "b", 1), (1, "a", 2), 1),
@@ -51,8 +51,8 @@
         voter = fleet.hosts["control1"].node.voter
         asker = fleet.hosts["store1"]
         sent = []
-        for message in (Prepare(key="k", epoch=5, by="me", listNumber=1), *[
-                Accept(key="k", epoch=5, by="me", value=encode(value(version)), listNumber=1) for version in (1, 2, 1)]):
+        for message in (Prepare(key="k", epoch=5, by="me", list_number=1), *[
+                Accept(key="k", epoch=5, by="me", value=encode(value(version)), list_number=1) for version in (1, 2, 1)]):
             asker.node.ask(fleet.hosts["control1"].address, message, 400, sent.append)
         fleet.run_until_true(lambda: len(sent) == 4, 500)
         self.assertThat(sorted(receipt.ok for receipt in sent), Equals([False, True, True, True]))
@@ -123,7 +123,7 @@
         names = {host.node.voter.identity: host for host in fleet.of("control")}
         fresh = fleet.add("control", "fresh")
         self.assertThat(self.ask(fleet, "control1", self.change(0, "a")).outcome, Equals("ok"))
-        fleet.run_until_true(lambda: False, fresh.params.goneMs + 1500)
+        fleet.run_until_true(lambda: False, fresh.params.gone_ms + 1500)
         owner = names[fleet.hosts["control1"].node.owner.owner_of("profiles")]
         others = [host for host in fleet.of("control") if host is not owner and host is not fresh]
         leaves, stays, missing = others[0], others[1], others[2:]
@@ -135,7 +135,7 @@
         self.assertThat([receipt.outcome for receipt in seen], Equals(["ok"]))
         fleet.network.heal()
         body = json.dumps({"identities": [leaves.node.voter.identity]})
-        owner.node.owner.submit(Change(key="retired", version=0, changeId="r", body=body, hops=0), lambda receipt: None)
+        owner.node.owner.submit(Change(key="retired", version=0, change_id="r", body=body, hops=0), lambda receipt: None)
         changed = fleet.run_until_true(lambda: leaves.node.voter.identity not in fresh.node.voter.voters
                                        and len(fresh.node.voter.voters) == 5, 5000)
         self.assertThat(changed, Equals(True))
@@ -158,26 +158,26 @@
 
 class Profiles(TestCase):
     def test_inheritance(self):
-        tree = Tree({"a": {"workers": {"labels": ["x"], "identities": ["w1"]}, "deadlineMs": 900, "abstract": True},
-                     "b": {"parent": "a", "workers": {"identities": ["w2"]}}, "c": {"parent": "b", "deadlineMs": 70}})
+        tree = Tree({"a": {"workers": {"labels": ["x"], "identities": ["w1"]}, "deadline_ms": 900, "abstract": True},
+                     "b": {"parent": "a", "workers": {"identities": ["w2"]}}, "c": {"parent": "b", "deadline_ms": 70}})
         c = tree.get("c")
-        self.assertThat((c.deadlineMs, c.labels, c.identities, c.abstract), Equals((70, {"x"}, {"w2"}, False)))
+        self.assertThat((c.deadline_ms, c.labels, c.identities, c.abstract), Equals((70, {"x"}, {"w2"}, False)))
         told = explain(tree, "c")["values"]
-        self.assertThat([told[name]["from"] for name in ("workers.labels", "workers.identities", "deadlineMs", "zone")],
+        self.assertThat([told[name]["from"] for name in ("workers.labels", "workers.identities", "deadline_ms", "zone")],
                         Equals(["a", "b", "c", "default"]))
 
     def test_every_problem_is_listed_with_its_place(self):
         rows = [([], "profiles"), ({"profiles": {}, "x": 1}, "x"), ({"profiles": {"a": {"parent": "b"}}}, "profiles.a.parent"),
                 ({"profiles": {"a": {"colour": 1}}}, "profiles.a.colour"),
-                ({"profiles": {"a": {"deadlineMs": 1}}}, "profiles.a.deadlineMs"),
-                ({"profiles": {"a": {"deadlineMs": "9"}}}, "profiles.a.deadlineMs"),
+                ({"profiles": {"a": {"deadline_ms": 1}}}, "profiles.a.deadline_ms"),
+                ({"profiles": {"a": {"deadline_ms": "9"}}}, "profiles.a.deadline_ms"),
                 ({"profiles": {"a": {"workers": {"identities": [3]}}}}, "profiles.a.workers.identities.0"),
                 ({"profiles": {"a b": {}}}, "profiles.a b"), ({"profiles": {"a": 3}}, "profiles.a"),
                 ({"profiles": {"a": {"parent": "b"}, "b": {"parent": "a"}}}, "profiles.b.parent"),
                 ({"profiles": {"a": {"parent": "a"}}}, "profiles.a.parent")]
         for tree, place in rows:
             self.assertThat([row["at"] for row in check_tree(tree).error], Contains(place))
-        many = check_tree({"profiles": {"a": {"x": 1, "deadlineMs": 0}, "b": {"parent": "z"}}}).error
+        many = check_tree({"profiles": {"a": {"x": 1, "deadline_ms": 0}, "b": {"parent": "z"}}}).error
         self.assertThat(many, HasLength(3))
 
     def test_patches(self):
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -10,11 +10,11 @@
 
 
 class Folder(TestCase):
-    def disk(self, roomBytes=1000):
+    def disk(self, room_bytes=1000):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.done, self.broken = [], []
-        disk = FolderDisk(folder.name, roomBytes, lambda call: call(), lambda: self.broken.append(True))
+        disk = FolderDisk(folder.name, room_bytes, lambda call: call(), lambda: self.broken.append(True))
         self.addCleanup(disk.close)
         return disk
 
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -36,13 +36,13 @@
 
 END = "data: [DONE]\n\n"
 GOOD = '{{"id": "{tx}"}}'
-NOT_RUN = '{{"error": {{"verdict": "notRun", "code": "busy"}}}}'
-WRONG = '{{"error": {{"verdict": "notRun", "code": "wrong-worker"}}}}'
+NOT_RUN = '{{"error": {{"verdict": "not_run", "code": "busy"}}}}'
+WRONG = '{{"error": {{"verdict": "not_run", "code": "wrong-worker"}}}}'
 GOOD_STREAM = SSE + event(0) + event(1) + END
 
 # name, streamed, what the first worker writes, then for safe and unsafe: last step, verdict, sends, pieces
-DOUBT = "refuse mayHaveRun 1 0"
-AGAIN, AGAIN_STREAM, CUT = "finish ran 2 0", "finish ran 2 2", "cut mayHaveRun 1 {}"
+DOUBT = "refuse may_have_run 1 0"
+AGAIN, AGAIN_STREAM, CUT = "finish ran 2 0", "finish ran 2 2", "cut may_have_run 1 {}"
 ROWS = [
     ("good", False, plain(GOOD), "finish ran 1 0", "finish ran 1 0"),
     ("good stream", True, GOOD_STREAM, "finish ran 1 2", "finish ran 1 2"),
@@ -90,7 +90,7 @@
     ("a head too long", False, "HTTP/1.1 200 OK\r\nA: " + "a" * 200_000, AGAIN, DOUBT),
     ("an endless stream", True, SSE + event(0) + "id: 1\ndata: " + "x" * 6_000_000, CUT.format(1), CUT.format(1)),
     ("a body beyond all bounds", False, plain('{{"id": "{tx}", "pad": "' + "x" * 6_000_000 + '"}}'), AGAIN, DOUBT),
-    ("silence", False, None, "refuse mayHaveRun 1 0", DOUBT),
+    ("silence", False, None, "refuse may_have_run 1 0", DOUBT),
     ("silence after the head", True, (SSE + event(0), None), CUT.format(1), CUT.format(1)),
 ]
 
@@ -131,8 +131,8 @@
         rogue = Rogue()
         servers = [await asyncio.start_server(rogue.serve, "127.0.0.1", PORT + place) for place in (2, 3)]
         params = Params(role="edge", link=f"127.0.0.1:{PORT}", http=f"127.0.0.1:{PORT + 1}", zone="z",
-                        seeds=[f"127.0.0.1:{PORT}"], maxBodyBytes=1 << 20)
-        sender = HttpSender(params.askMs)
+                        seeds=[f"127.0.0.1:{PORT}"], max_body_bytes=1 << 20)
+        sender = HttpSender(params.ask_ms)
         wrong = []
         for place, (name, streamed, script, *wanted) in enumerate(ROWS):
             for safe, expected in zip((True, False), wanted, strict=True):
@@ -155,7 +155,7 @@
         node.gazette.publish("profiles", 1, TREE)
         for place in (2, 3):
             node.roster.hear(WorkerNews(identity=f"w{place}", incarnation=1, address=f"127.0.0.1:{PORT + place}", zone="z",
-                                        labels=["gpu"], beat=1, running=0, waiting=0, slots=4, cacheUse=0.0, leaving=False))
+                                        labels=["gpu"], beat=1, running=0, waiting=0, slots=4, cache_use=0.0, leaving=False))
         tx = Transaction(f"tx{safe:d}{'s' if streamed else 'p'}00{name}", node.tree().usable("p"), "", boot_ms(), Budget(),
                          boot_ms() + (250 if short else 4000), claimed=True)
         tx.safe = safe
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -30,12 +30,12 @@
         row = self.change(run)
         self.assertThat(row["outcome"], Equals("ok"))
         self.assertThat({host.node.gazette.number("profiles") for host in fleet.of("edge")}, Equals({2}))
-        self.assertThat(row["answeredMs"] - row["atMs"] < 500, Equals(True))
+        self.assertThat(row["answered_ms"] - row["at_ms"] < 500, Equals(True))
 
     def test_not_acknowledged_while_a_slow_edge_lacks_it(self):
         run, fleet = self.founded()
         slow = fleet.hosts["edge1"]
-        fleet.network.slowMs[slow.address] = 250.0
+        fleet.network.slow_ms[slow.address] = 250.0
         for _ in range(8):
             row = self.change(run)
             number = slow.node.gazette.number("profiles")
@@ -46,18 +46,18 @@
         for _ in range(2):
             self.change(run)
         node = fleet.hosts["edge1"].node
-        old = NewsItem(key="profiles", number=1, baseNumber=0, body='{"profiles": {}}')
+        old = NewsItem(key="profiles", number=1, base_number=0, body='{"profiles": {}}')
         fleet.hosts["control1"].node.post(node.address, News(items=[encode(old)]))
-        fleet.time.run_until(fleet.time.nowMs + 50)
+        fleet.time.run_until(fleet.time.now_ms + 50)
         self.assertThat((node.gazette.number("profiles"), "rulings" in node.tree().rows), Equals((3, True)))
 
     def test_a_cut_off_edge_turns_unready_within_a_second_and_delays_no_longer_than_the_bound(self):
         run, fleet = self.founded()
         self.edges_away(fleet, "edge1")
-        beganMs = fleet.time.nowMs
+        began_ms = fleet.time.now_ms
         self.assertThat(fleet.run_until_true(lambda: fleet.hosts["edge1"].node.why_unready(), 1000), Equals(True))
         row = self.change(run)
-        self.assertThat((row["outcome"], fleet.time.nowMs - beganMs < 3500), Equals(("ok", True)))
+        self.assertThat((row["outcome"], fleet.time.now_ms - began_ms < 3500), Equals(("ok", True)))
         fleet.network.heal()
         self.assertThat(fleet.run_until_true(lambda: not fleet.hosts["edge1"].node.why_unready(), 3000), Equals(True))
         self.assertThat(fleet.hosts["edge1"].node.gazette.number("profiles"), Equals(2))
@@ -67,12 +67,12 @@
         side decides is not acknowledged; sent again after the cut, it is known."""
         run, fleet = self.founded()
         self.edges_away(fleet, "edge1", "edge2", "edge3", "store1")
-        fleet.time.run_until(fleet.time.nowMs + 4000)
+        fleet.time.run_until(fleet.time.now_ms + 4000)
         self.assertThat([host.node.why_unready() for host in fleet.of("edge")], Equals(["", "", ""]))
         row = self.change(run)
         self.assertThat((row["outcome"], {host.node.gazette.number("profiles") for host in fleet.of("edge")}),
                         Equals(("doubt", {1})))
-        fleet.time.run_until(fleet.time.nowMs + 8000)
+        fleet.time.run_until(fleet.time.now_ms + 8000)
         fleet.network.heal()
         seen = []
         run.operators.change(1, mark=row["mark"], version=1, done=seen.append)
@@ -83,7 +83,7 @@
         run, fleet = self.founded()
         fleet.add("edge", "edge4")
         fleet.hosts.pop("edge1").kill()
-        self.assertThat(fleet.run_until_true(fleet.on_the_roll, 3 * fleet.hosts["edge2"].params.goneMs), Equals(True))
+        self.assertThat(fleet.run_until_true(fleet.on_the_roll, 3 * fleet.hosts["edge2"].params.gone_ms), Equals(True))
 
     def test_a_roll_just_begun_is_not_held_up_by_machines_that_went(self):
         """The first one or two that control ever heard are taken back before any other comes."""
@@ -97,7 +97,7 @@
             self.assertThat(fleet.run_until_true(lambda: control.gazette.roll() == links, 6000), Equals(True))
             for host in firsts:
                 fleet.hosts.pop(host.name).kill()
-            fleet.time.run_until(fleet.time.nowMs + (0 if count == 1 else 1500))
+            fleet.time.run_until(fleet.time.now_ms + (0 if count == 1 else 1500))
             for host in others:
                 host.start()
             self.assertThat(fleet.run_until_true(fleet.on_the_roll, 25_000), Equals(True))
@@ -107,7 +107,7 @@
         lost = [fleet.hosts.pop(name) for name in ("edge1", "edge2", "store1", "store2")]
         for host in lost:
             host.kill()
-        fleet.time.run_until(fleet.time.nowMs + 8000)
+        fleet.time.run_until(fleet.time.now_ms + 8000)
         self.assertThat(self.change(run)["outcome"], Equals("doubt"))
         node = fleet.of("control")[0].node
         seen = []
@@ -120,7 +120,7 @@
         self.change(run)
         self.edges_away(fleet, *[host.name for host in fleet.of("control")])
         for _ in range(12):
-            fleet.time.run_until(fleet.time.nowMs + 1000)
+            fleet.time.run_until(fleet.time.now_ms + 1000)
             self.assertThat([host.node.why_unready() for host in fleet.of("edge")], Equals(["", "", ""]))
         fleet.hosts["edge2"].kill()
         fleet.hosts["edge2"].start()
@@ -132,14 +132,14 @@
         run, fleet = self.founded()
         control = [host.name for host in fleet.of("control")]
         self.edges_away(fleet, *control)
-        fleet.time.run_until(fleet.time.nowMs + 2000)
+        fleet.time.run_until(fleet.time.now_ms + 2000)
         fleet.network.heal()
         self.edges_away(fleet, "edge1", "edge2")
-        fleet.time.run_until(fleet.time.nowMs + 500)
+        fleet.time.run_until(fleet.time.now_ms + 500)
         fleet.hosts["edge1"].kill()
         fleet.hosts["edge1"].start()
-        fleet.time.run_until(fleet.time.nowMs + 2200)
+        fleet.time.run_until(fleet.time.now_ms + 2200)
         for _ in range(32):
-            fleet.time.run_until(fleet.time.nowMs + 250)
+            fleet.time.run_until(fleet.time.now_ms + 250)
             unready = [bool(fleet.hosts[name].node.why_unready()) for name in ("edge1", "edge2")]
             self.assertThat(unready, Equals([True, True]))
--- a/tests/test_log_conformance.py
+++ b/tests/test_log_conformance.py
@@ -25,7 +25,7 @@
         self.table.run(20)
         self.assertThat(outcomes, Equals([Outcome.KEPT]))
         self.assertThat(self.table.disks["a"].flushes, Equals(before))
-        self.assertThat(self.table.logs["a"].flushedSeq, Equals(0))
+        self.assertThat(self.table.logs["a"].flushed_seq, Equals(0))
 
     def test_record_fields(self):
         for key in ("k1", "k2"):
@@ -48,10 +48,10 @@
         self.assertThat(outcomes, Equals([]))
         self.table.run(10)
         self.assertThat(outcomes, Equals([Outcome.KEPT]))
-        self.assertThat(self.table.logs["b"].flushedSeq, Equals(0))
+        self.assertThat(self.table.logs["b"].flushed_seq, Equals(0))
         self.table.cut.add("b")
         alone = self.table.append("k2")
-        self.table.run(PARAMS.deltaMs)
+        self.table.run(PARAMS.delta_ms)
         self.assertThat(alone, Equals([]))
 
     def test_peer_answers_with_both_stamps(self):
@@ -59,32 +59,32 @@
         self.table.run(10)
         receipts = []
         log = self.table.logs["a"]
-        self.table.peers["b"].receive(Append(epoch=1, baseSeq=0, prevSeq=1, prevEpoch=1, prevMs=log.records[0].stampMs,
-                                             records=[], settledSeq=0, flush=False, probe=9), receipts.append)
+        self.table.peers["b"].receive(Append(epoch=1, base_seq=0, prev_seq=1, prev_epoch=1, prev_ms=log.records[0].stamp_ms,
+                                             records=[], settled_seq=0, flush=False, probe=9), receipts.append)
         receipt = receipts[0]
-        self.assertThat((receipt.stampEpoch, receipt.stampMs, receipt.probe, receipt.ok),
-                        Equals((1, log.records[0].stampMs, 9, True)))
-        self.assertThat(receipt.receptionMs, Equals(self.table.logs["b"].receivedMs[0]))
+        self.assertThat((receipt.stamp_epoch, receipt.stamp_ms, receipt.probe, receipt.ok),
+                        Equals((1, log.records[0].stamp_ms, 9, True)))
+        self.assertThat(receipt.reception_ms, Equals(self.table.logs["b"].received_ms[0]))
 
     def test_after_two_delta_flush_here_and_at_a_peer(self):
         self.table.cut.update(("b", "c"))
         outcomes = self.table.append("k1")
-        self.table.run(2 * PARAMS.deltaMs + 40)
-        self.assertThat((self.table.logs["a"].flushedSeq, outcomes), Equals((1, [])))
+        self.table.run(2 * PARAMS.delta_ms + 40)
+        self.assertThat((self.table.logs["a"].flushed_seq, outcomes), Equals((1, [])))
         self.table.cut.discard("b")
         self.table.run(250)
-        self.assertThat((outcomes, self.table.logs["b"].flushedSeq), Equals(([Outcome.KEPT], 1)))
+        self.assertThat((outcomes, self.table.logs["b"].flushed_seq), Equals(([Outcome.KEPT], 1)))
 
     def test_one_disk_is_never_enough(self):
         self.table.cut.update(("b", "c"))
         outcomes = self.table.append("k1")
-        self.table.run(PARAMS.askMs + 100)
+        self.table.run(PARAMS.ask_ms + 100)
         self.assertThat(outcomes, Equals([Outcome.UNKNOWN]))
 
     def test_fast_path_resumes(self):
         self.table.cut.update(("b", "c"))
         self.table.append("k1")
-        self.table.run(PARAMS.askMs + 100)
+        self.table.run(PARAMS.ask_ms + 100)
         self.table.cut.clear()
         self.table.run(500)
         flushes = self.table.disks["b"].flushes
@@ -94,14 +94,14 @@
 
     def test_background_flush_within_tau(self):
         self.table.append("k1")
-        self.table.run(PARAMS.flushMs + 200)
-        self.assertThat((self.table.logs["a"].settledSeq, self.table.logs["b"].flushedSeq), Equals((1, 1)))
+        self.table.run(PARAMS.flush_ms + 200)
+        self.assertThat((self.table.logs["a"].settled_seq, self.table.logs["b"].flushed_seq), Equals((1, 1)))
 
     def test_peer_discards_below_k_tau_only_what_a_snapshot_has(self):
         log = self.table.logs["b"]
         self.table.append("k1", settled=True)
         self.table.run(50)
-        self.table.run(int(PARAMS.keepFactor * PARAMS.flushMs) + 500)
+        self.table.run(int(PARAMS.keep_factor * PARAMS.flush_ms) + 500)
         self.table.append("k2", settled=True)
         self.table.run(300)
         log.trim()
@@ -134,8 +134,8 @@
         answers = []
         table.peers["b"].receive(Start(epoch=2), answers.append)
         table.run(20)
-        self.assertThat((answers[0].count, answers[0].lastSeq, answers[0].ok), Equals((3, 3, True)))
-        table.peers["b"].receive(Fetch(epoch=2, fromSeq=1, offset=0), answers.append)
+        self.assertThat((answers[0].count, answers[0].last_seq, answers[0].ok), Equals((3, 3, True)))
+        table.peers["b"].receive(Fetch(epoch=2, from_seq=1, offset=0), answers.append)
         self.assertThat([decode(row).seq for row in answers[1].records], Equals([1, 2, 3]))
 
     def test_duplicates_dropped_by_stamp_and_replayed_in_stamp_order(self):
@@ -144,22 +144,22 @@
         self.assertThat([record.seq for record in union(shuffled)], Equals([1, 2, 3]))
 
     def test_recovery_cut_at_every_step_and_run_again(self):
-        for stepMs in range(1, 30):
+        for step_ms in range(1, 30):
             table = self.grown()
             table.machines["a"].up = False
             table.cut.add("a")
-            table.disks["b"].lose_power() if stepMs % 2 else None
+            table.disks["b"].lose_power() if step_ms % 2 else None
             table.open("b")
             recovery = Recovery(table.logs["b"], 2, table.members(), PARAMS, table.ask, table.now, lambda ok: None)
             table.holder = None
             recovery.start()
-            table.run(stepMs)
+            table.run(step_ms)
             table.machines["b"].up = False
             table.disks["b"].lose_power()
             table.open("b")
             members = [("store-a", "a"), ("store-b", "b"), ("store-c", "c")]
-            self.assertThat(table.recover("b", 3, members), Equals([True]), f"cut after {stepMs} ms")
-            self.assertThat(table.keys("b"), Equals(["k1", "k2", "k3"]), f"cut after {stepMs} ms")
+            self.assertThat(table.recover("b", 3, members), Equals([True]), f"cut after {step_ms} ms")
+            self.assertThat(table.keys("b"), Equals(["k1", "k2", "k3"]), f"cut after {step_ms} ms")
             self.assertThat(table.recover("b", 4, members), Equals([True]))
             self.assertThat(table.keys("b"), Equals(["k1", "k2", "k3"]))
 
@@ -168,10 +168,10 @@
         table.disks["b"].wipe()
         table.open("b")
         disk = table.disks["b"]
-        room, disk.roomBytes = disk.roomBytes, 120
+        room, disk.room_bytes = disk.room_bytes, 120
         members = [("store-a", "a"), ("store-b", "b"), ("store-c", "c")]
         self.assertThat(table.recover("b", 2, members), Equals([False]))
-        disk.roomBytes = room
+        disk.room_bytes = room
         self.assertThat(table.recover("b", 3, members), Equals([True]))
         self.assertThat(table.keys("b"), Equals(["k1", "k2", "k3"]))
 
@@ -191,8 +191,8 @@
         table = Table()
         table.hold("a", 1)
         stamps = []
-        for wallMs in (500, 500, 400, 100, 600):
-            table.wallMs = wallMs
+        for wall_ms in (500, 500, 400, 100, 600):
+            table.wall_ms = wall_ms
             table.append(f"k{len(stamps)}")
             stamps.append(table.logs["a"].records[-1].stamp)
         plain = [500, 500, 400, 100, 600]
@@ -206,12 +206,12 @@
         self.assertThat(table.recover("b", 2), Equals([True]))
         table.holder = old
         outcomes = table.append("late")
-        table.run(PARAMS.askMs + 100)
-        self.assertThat((outcomes, table.deposedBy[:1]), Equals(([Outcome.UNKNOWN], [2])))
+        table.run(PARAMS.ask_ms + 100)
+        self.assertThat((outcomes, table.deposed_by[:1]), Equals(([Outcome.UNKNOWN], [2])))
         receipts = []
         late = table.logs["a"].records[-1]
-        table.peers["c"].receive(Append(epoch=1, baseSeq=0, prevSeq=0, prevEpoch=0, prevMs=0, records=[encode(late)],
-                                        settledSeq=0, flush=False, probe=0), receipts.append)
+        table.peers["c"].receive(Append(epoch=1, base_seq=0, prev_seq=0, prev_epoch=0, prev_ms=0, records=[encode(late)],
+                                        settled_seq=0, flush=False, probe=0), receipts.append)
         self.assertThat((receipts[0].ok, receipts[0].fence, table.keys("c")), Equals((False, 2, [])))
 
     def test_many_messages_of_a_new_epoch_cost_one_fence(self):
@@ -219,10 +219,10 @@
         table = Table()
         table.hold("a", 1)
         table.run(300)
-        table.disks["b"].flushMs = 150.0
+        table.disks["b"].flush_ms = 150.0
         receipts = []
         for probe in range(100):
-            table.peers["b"].receive(Append(epoch=2, baseSeq=0, prevSeq=0, prevEpoch=0, prevMs=0, records=[], settledSeq=0,
+            table.peers["b"].receive(Append(epoch=2, base_seq=0, prev_seq=0, prev_epoch=0, prev_ms=0, records=[], settled_seq=0,
                                             flush=False, probe=probe), receipts.append)
         table.run(1200)
         self.assertThat((table.logs["b"].meta.fence, len(receipts)), Equals((2, 100)))
@@ -234,11 +234,11 @@
         table.append("k1")
         table.run(10)
         log = table.logs["b"]
-        log.receivedMs = [-10 * PARAMS.flushMs]
-        byTheSource = [seq for seq, atMs in enumerate(log.receivedMs)
-                       if atMs >= table.now() - PARAMS.keepFactor * PARAMS.flushMs]
+        log.received_ms = [-10 * PARAMS.flush_ms]
+        by_the_source = [seq for seq, at_ms in enumerate(log.received_ms)
+                       if at_ms >= table.now() - PARAMS.keep_factor * PARAMS.flush_ms]
         log.trim()
-        self.assertThat((byTheSource, table.keys("b")), Equals(([], ["k1"])))
+        self.assertThat((by_the_source, table.keys("b")), Equals(([], ["k1"])))
 
     def test_disk_gone_with_its_machine(self):
         table = Table()
@@ -262,7 +262,7 @@
                 table.hold("a", 1)
                 table.run(300)
                 for disk in table.disks.values():
-                    disk.flushMs = 40.0
+                    disk.flush_ms = 40.0
                 outcomes = table.append("k1", settled)
                 while not outcomes:
                     table.run(1)
@@ -307,7 +307,7 @@
         table.peers["x"] = table.peers["b"]
         table.logs["b"].meta.identity = "store-x"
         outcomes = table.append("k1", settled=True)
-        table.run(PARAMS.askMs + 100)
+        table.run(PARAMS.ask_ms + 100)
         self.assertThat(outcomes, Equals([Outcome.UNKNOWN]))
 
 
@@ -349,13 +349,13 @@
         table.run(100)
         disk = table.disks["a"]
         used = sum(len(disk.read(name)) for name in disk.names())
-        room, disk.roomBytes = disk.roomBytes, int(used / (1 - KEPT_BACK)) - 1
+        room, disk.room_bytes = disk.room_bytes, int(used / (1 - KEPT_BACK)) - 1
         self.assertThat(table.append("full", settled=True), Equals([Outcome.FULL]))
         ended = []
-        table.holder.append([entries.LotEnded(lotId="x", atMs=0)], True, ended.append, urgent=True)
+        table.holder.append([entries.LotEnded(lot_id="x", at_ms=0)], True, ended.append, urgent=True)
         table.run(50)
         self.assertThat(ended, Equals([Outcome.KEPT]))
-        disk.roomBytes = room
+        disk.room_bytes = room
         outcomes = table.append("again", settled=True)
         table.run(50)
         self.assertThat(outcomes, Equals([Outcome.KEPT]))
@@ -364,33 +364,33 @@
         table, _ = self.one()
         table.logs["b"].tidy(force=True)
         table.run(50)
-        table.logs["b"].receivedMs = [-10 ** 6] * 3
+        table.logs["b"].received_ms = [-10 ** 6] * 3
         table.open("b")
-        table.holder.peers["store-b"].nextSeq = 2
+        table.holder.peers["store-b"].next_seq = 2
         sent = []
         plain = table.post
         table.holder._post = lambda to, message: (sent.append(to), plain(to, message))
         outcomes = table.append("k4", settled=True)
         table.run(200)
-        self.assertThat((outcomes, table.logs["b"].lastSeq, sent.count("b") < 20), Equals(([Outcome.KEPT], 4, True)))
+        self.assertThat((outcomes, table.logs["b"].last_seq, sent.count("b") < 20), Equals(([Outcome.KEPT], 4, True)))
 
     def test_trimmed_log_is_mended_by_a_snapshot(self):
         table, _ = self.one()
         for name in ("a", "b"):
-            table.logs[name].receivedMs = [-10 ** 6] * 3
+            table.logs[name].received_ms = [-10 ** 6] * 3
             table.logs[name].tidy(force=True)
         table.run(50)
         table.append("k4", settled=True)
         table.run(50)
-        table.logs["a"].receivedMs = [-10 ** 6] * 3 + [table.now()]
+        table.logs["a"].received_ms = [-10 ** 6] * 3 + [table.now()]
         table.logs["a"].trim()
         table.disks["c"].wipe()
         table.open("c")
         table.run(1500)
         self.assertThat(sorted(table.logs["c"].ledger.keys), Equals(["k1", "k2", "k3", "k4"]))
-        self.assertThat(table.logs["c"].meta.logEpoch, Equals(1))
+        self.assertThat(table.logs["c"].meta.log_epoch, Equals(1))
         table.append("k5", settled=True)
         table.run(200)
-        before = (table.logs["c"].lastSeq, table.logs["c"].flushedSeq)
+        before = (table.logs["c"].last_seq, table.logs["c"].flushed_seq)
         table.open("c")
-        self.assertThat((table.logs["c"].lastSeq, table.logs["c"].lastSeq), Equals(before))
+        self.assertThat((table.logs["c"].last_seq, table.logs["c"].last_seq), Equals(before))
--- a/tests/test_lots.py
+++ b/tests/test_lots.py
@@ -15,8 +15,8 @@
         run.fleet.run_until_true(lambda: False, 800)
         return run, run.fleet
 
-    def wait(self, fleet, check, limitMs=8000):
-        self.assertThat(bool(fleet.run_until_true(check, limitMs)), Equals(True))
+    def wait(self, fleet, check, limit_ms=8000):
+        self.assertThat(bool(fleet.run_until_true(check, limit_ms)), Equals(True))
 
     def ask(self, fleet, message):
         seen = []
@@ -24,10 +24,10 @@
         self.wait(fleet, lambda: seen)
         return seen[0]
 
-    def hand_in(self, fleet, lotId, ageMs=0, path="summaries", epoch=None):
+    def hand_in(self, fleet, lot_id, age_ms=0, path="summaries", epoch=None):
         node = fleet.holder().node
         return self.ask(fleet, m.HandIn(
-            lotId=lotId, digest=lotId, path=path, items=['{"prompt": "lot a"}'], safe=True, dueMs=0, holderMs=node.env.now() - ageMs,
+            lot_id=lot_id, digest=lot_id, path=path, items=['{"prompt": "lot a"}'], safe=True, due_ms=0, holder_ms=node.env.now() - age_ms,
             epoch=epoch or node.log.holder.epoch)).outcome
 
     def test_late_hand_ins_are_not_taken(self):
@@ -35,12 +35,12 @@
         params = fleet.holder().params
         for worker in fleet.workers.values():
             worker.gone = True
-        rows = [("old", params.freshMs + 50, None, "stale"), ("other", 0, 99, "stale"), ("one", 0, None, "admitted"),
-                ("two", 0, None, "admitted"), ("three", 0, None, "admitted"), ("four", 100, None, "noRoom"),
+        rows = [("old", params.fresh_ms + 50, None, "stale"), ("other", 0, 99, "stale"), ("one", 0, None, "admitted"),
+                ("two", 0, None, "admitted"), ("three", 0, None, "admitted"), ("four", 100, None, "no_room"),
                 ("four", 200, None, "stale"), ("three", 0, None, "known")]
-        for lotId, ageMs, epoch, wanted in rows:
-            self.assertThat(self.hand_in(fleet, lotId, ageMs, epoch=epoch), Equals(wanted), f"{lotId} {ageMs}")
-        self.ask(fleet, m.EndLot(lotId="one"))
+        for lot_id, age_ms, epoch, wanted in rows:
+            self.assertThat(self.hand_in(fleet, lot_id, age_ms, epoch=epoch), Equals(wanted), f"{lot_id} {age_ms}")
+        self.ask(fleet, m.EndLot(lot_id="one"))
         self.assertThat(self.hand_in(fleet, "four", 400), Equals("stale"))
         self.assertThat(self.hand_in(fleet, "four"), Equals("admitted"))
 
@@ -54,12 +54,12 @@
         run.visitors.hand_in("claims", 6)
         self.wait(fleet, lambda: history.of("run"))
         for host in fleet.of("store"):
-            host.disk.flushMs = 400.0
+            host.disk.flush_ms = 400.0
         self.wait(fleet, lambda: history.of("run-ended"))
-        fleet.time.run_until(fleet.time.nowMs + 30)
+        fleet.time.run_until(fleet.time.now_ms + 30)
         for host in fleet.of("store"):
             host.lose_power()
-            host.disk.flushMs = 3.0
+            host.disk.flush_ms = 3.0
             fleet.time.after(800, host.start)
         fleet.run_until_true(lambda: False, 9000)
         run.read_all()
@@ -69,7 +69,7 @@
     def test_a_cut_off_edge_stops_an_ended_lot_in_time(self):
         run, fleet = self.founded()
         for worker in fleet.workers.values():
-            worker.pieceMs = 1500.0
+            worker.piece_ms = 1500.0
         run.visitors.hand_in("summaries", 12)
         self.wait(fleet, lambda: any(host.node.lots.running() for host in fleet.of("edge")))
         edges = sorted(fleet.of("edge"), key=lambda host: -host.node.lots.running())
@@ -77,11 +77,11 @@
         others = [host.address for host in fleet.hosts.values() if host is not edges[0]]
         fleet.network.split([[edges[0].address], others])
         seen = []
-        edges[1].node.holder.ask(m.EndLot(lotId="lot1"), 2000, seen.append)
+        edges[1].node.holder.ask(m.EndLot(lot_id="lot1"), 2000, seen.append)
         self.wait(fleet, lambda: seen)
         self.assertThat(seen[0].outcome, Equals("known"))
         self.assertThat(edges[0].node.lots.running() > 0 and len(workers) == 3, Equals(True))
-        self.wait(fleet, lambda: not any(host.node.lots.running() for host in edges), edges[0].params.endMs)
+        self.wait(fleet, lambda: not any(host.node.lots.running() for host in edges), edges[0].params.end_ms)
 
     def test_the_waiting_room_is_exact_in_a_crowd_through_every_edge(self):
         run, fleet = self.founded()
@@ -101,7 +101,7 @@
         self.wait(fleet, lambda: ledger.lots)
         lot = next(iter(ledger.lots.values()))
         while lot.left:
-            fleet.time.run_until(fleet.time.nowMs + 0.2)
+            fleet.time.run_until(fleet.time.now_ms + 0.2)
         self.assertThat(lot.placed, Equals(0))
         next(host for host in fleet.of("edge") if host.node.lots.edge == lot.items[0].edge).kill()
         self.wait(fleet, lambda: lot.placed == 1)
@@ -111,11 +111,11 @@
         run.visitors.hand_in("summaries", 9)
         holder = fleet.holder().node
         self.wait(fleet, lambda: holder.log.holder.ledger.lots and
-                  next(iter(holder.log.holder.ledger.lots.values())).batonEpoch)
+                  next(iter(holder.log.holder.ledger.lots.values())).baton_epoch)
         lot = next(iter(holder.log.holder.ledger.lots.values()))
-        before = lot.batonEpoch
-        next(host for host in fleet.of("edge") if host.node.lots.edge == lot.batonEdge).kill()
+        before = lot.baton_epoch
+        next(host for host in fleet.of("edge") if host.node.lots.edge == lot.baton_edge).kill()
         self.wait(fleet, lambda: lot.placed == 9, 12000)
-        self.assertThat(lot.batonEpoch > before, Equals(True))
-        stale = self.ask(fleet, m.Place(lotId="lot1", edge="whoever", epoch=before, upTo=9))
+        self.assertThat(lot.baton_epoch > before, Equals(True))
+        stale = self.ask(fleet, m.Place(lot_id="lot1", edge="whoever", epoch=before, up_to=9))
         self.assertThat(stale.ok, Equals(False))
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -35,9 +35,9 @@
         self.assertThat(judge(run.fleet.history), Equals({}))
         self.assertThat(len(run.fleet.history.of("final")), Equals(sum(lot["acked"] for lot in run.visitors.lots.values())))
 
-    def until_member(self, run, host, limitMs=15000):
+    def until_member(self, run, host, limit_ms=15000):
         fleet = run.fleet
-        joined = fleet.run_until_true(lambda: host.node.log.log.identity in self.members(fleet), limitMs)
+        joined = fleet.run_until_true(lambda: host.node.log.log.identity in self.members(fleet), limit_ms)
         self.assertThat(joined, Equals(True))
 
     def test_every_store_is_swapped_for_an_empty_one_at_a_new_address(self):
@@ -59,11 +59,11 @@
         host.freeze()
         self.until_member(run, fresh, 20000)
         self.lots(run, 1)
-        seq = fleet.holder().node.log.log.lastSeq
+        seq = fleet.holder().node.log.log.last_seq
         host.wake()
         fleet.run_until_true(lambda: False, 2000)
         self.assertThat(old in self.members(fleet) or host.node.log.holder is not None, Equals(False))
-        self.assertThat(fleet.holder().node.log.log.lastSeq >= seq, Equals(True))
+        self.assertThat(fleet.holder().node.log.log.last_seq >= seq, Equals(True))
         self.kept(run)
 
     def test_a_damaged_store_is_mended_by_the_others(self):
@@ -86,7 +86,7 @@
         old = fleet.holder().node.log.log.identity
         fresh = fleet.add("store", "fresh")
         control = fleet.of("control")[0].node
-        control.owner.submit(Change(key="retired", version=0, changeId="r", body=f'{{"identities": ["{old}"]}}', hops=0),
+        control.owner.submit(Change(key="retired", version=0, change_id="r", body=f'{{"identities": ["{old}"]}}', hops=0),
                              lambda receipt: None)
         self.until_member(run, fresh)
         self.assertThat(fleet.run_until_true(lambda: fleet.holder() is not None, 5000), Equals(True))
@@ -104,7 +104,7 @@
         seen = []
         run.visitors.hand_in("summaries", 4, 1, done=seen.append)
         fleet.run_until_true(lambda: seen, 9000)
-        self.assertThat(seen[0]["verdict"], Equals("mayHaveRun"))
+        self.assertThat(seen[0]["verdict"], Equals("may_have_run"))
         hosts[0].start()
         self.assertThat(fleet.run_until_true(lambda: fleet.holder() is not None, 12000), Equals(True))
         fleet.run_until_true(lambda: False, 1500)
@@ -129,24 +129,24 @@
         seen = []
         run.visitors.live("moves", "kept", done=seen.append)
         fleet.run_until_true(lambda: seen, 5000)
-        day = 2 * fleet.holder().params.keepMs
+        day = 2 * fleet.holder().params.keep_ms
         for host in fleet.of("store"):
-            host.wallStepMs -= 3_600_000
+            host.wall_step_ms -= 3_600_000
             host.kill()
             host.start()
         self.assertThat(fleet.run_until_true(lambda: fleet.holder() is not None, 12000), Equals(True))
         holder = fleet.holder()
         self.assertThat(fleet.run_until_true(lambda: len(holder.node.live_stores()) == 2, 3000), Equals(True))
         for host in fleet.of("store"):
-            host.wallStepMs += 8 * day
-        fleet.run_until_true(lambda: False, 2 * holder.params.resumeMs)
+            host.wall_step_ms += 8 * day
+        fleet.run_until_true(lambda: False, 2 * holder.params.resume_ms)
         run.visitors.live("moves", "kept", done=seen.append)
         fleet.run_until_true(lambda: len(seen) == 2, 5000)
         self.assertThat([row["outcome"] for row in seen], Equals(["finish", "replay"]))
         self.kept(run)
 
     def test_what_is_over_is_forgotten_after_the_time_it_is_kept(self):
-        run = Run(6, settings={"keepMs": 2000})
+        run = Run(6, settings={"keep_ms": 2000})
         run.found()
         fleet = run.fleet
         seen = []
@@ -161,7 +161,7 @@
         run, fleet = self.founded()
         first = fleet.holder()
         first.disk.fill()
-        first.disk.roomBytes = int(first.disk.roomBytes / 1.1)
+        first.disk.room_bytes = int(first.disk.room_bytes / 1.1)
         self.assertThat(fleet.run_until_true(lambda: fleet.holder() not in (None, first), 5000), Equals(True))
         self.lots(run, 2)
         first.disk.empty()
--- a/tests/test_members_more.py
+++ b/tests/test_members_more.py
@@ -40,14 +40,14 @@
         value = fleet.of("edge")[0].node.gazette.value("log")
         return [row["identity"] for row in value["members"]] if value["phase"] == "serving" else []
 
-    def until(self, fleet, check, limitMs=20_000):
-        self.assertThat(bool(fleet.run_until_true(check, limitMs)), Equals(True))
+    def until(self, fleet, check, limit_ms=20_000):
+        self.assertThat(bool(fleet.run_until_true(check, limit_ms)), Equals(True))
 
     def retire(self, fleet, names):
         owner = fleet.of("control")[0].node.owner
         version = fleet.of("control")[0].node.gazette.number("retired")
         seen = []
-        owner.submit(Change(key="retired", version=version, changeId=str(version), hops=0,
+        owner.submit(Change(key="retired", version=version, change_id=str(version), hops=0,
                             body=json.dumps({"identities": sorted(names)})), seen.append)
         self.until(fleet, lambda: seen)
         self.assertThat(seen[0].outcome, Equals("ok"))
@@ -86,7 +86,7 @@
         gone = next(host for host in fleet.of("store") if host is not fleet.holder())
         fleet.hosts.pop(gone.name).lose_disk()
         fresh = fleet.add("store", "fresh")
-        fleet.run_until_true(lambda: False, fleet.hosts["edge1"].params.goneMs - 500)
+        fleet.run_until_true(lambda: False, fleet.hosts["edge1"].params.gone_ms - 500)
         for host in fleet.of("store"):
             host.lose_power()
             fleet.time.after(900, host.start)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -24,12 +24,12 @@
     def test_every_error_is_named(self):
         rows = [({"link": "localhost:1"}, "link"), ({"http": "127.0.0.1"}, "http"), ({"seeds": []}, "seeds"),
                 ({"seeds": ["1.2.3.4:1"] * 4}, "seeds"), ({"seeds": ["x:1"]}, "seeds"), ({"zone": ""}, "zone"),
-                ({"deltaMs": 0}, "deltaMs"), ({"colour": 1}, "colour"), ({"role": "store"}, "dataFolder"),
-                ({"storeCount": 2}, "storeFaults"), ({"http": GOOD["link"]}, "http")]
+                ({"delta_ms": 0}, "delta_ms"), ({"colour": 1}, "colour"), ({"role": "store"}, "data_folder"),
+                ({"store_count": 2}, "store_faults"), ({"http": GOOD["link"]}, "http")]
         for change, field in rows:
             problems = load_params(None, {**GOOD, **change}).error
             self.assertThat("\n".join(problems), Contains(field), str(change))
-        both = load_params(None, {**GOOD, "zone": "", "deltaMs": -1}).error
+        both = load_params(None, {**GOOD, "zone": "", "delta_ms": -1}).error
         self.assertThat(len(both), Equals(2))
 
     def test_flags_win_and_bad_settings_end_with_code_2(self):
@@ -37,17 +37,17 @@
             path = Path(folder) / "s.toml"
             path.write_text("".join(f"{key} = {json.dumps(value)}\n" for key, value in GOOD.items()))
             self.assertThat(load_params(str(path), {"zone": "other"}).ok.zone, Equals("other"))
-            path.write_text(path.read_text() + "viewSize = 0\nflushMs = 1\n")
+            path.write_text(path.read_text() + "view_size = 0\nflush_ms = 1\n")
             ended = subprocess.run([sys.executable, "-m", "readingroom.cli", "serve", "--role", "edge", "--settings",
                                     str(path)], capture_output=True, text=True, timeout=30)
-            self.assertThat((ended.returncode, "viewSize" in ended.stderr, "flushMs" in ended.stderr),
+            self.assertThat((ended.returncode, "view_size" in ended.stderr, "flush_ms" in ended.stderr),
                             Equals((2, True, True)))
 
     def test_what_a_reread_file_may_change(self):
         old = load_params(None, GOOD).ok
-        new = load_params(None, {**GOOD, "deltaMs": 70, "zone": "other"}).ok
+        new = load_params(None, {**GOOD, "delta_ms": 70, "zone": "other"}).ok
         params, applied, held = changed_params(old, new)
-        self.assertThat((params.deltaMs, params.zone, applied, held), Equals((70, "z", ["deltaMs"], ["zone"])))
+        self.assertThat((params.delta_ms, params.zone, applied, held), Equals((70, "z", ["delta_ms"], ["zone"])))
 
 
 class Outside(TestCase):
@@ -65,11 +65,11 @@
         ("PUT", "/lots/a", {"path": "summaries", "items": [{"prompt": "x", "messages": []}]}, 400, "bad-field",
          "items.0.messages"),
         ("PUT", "/lots/a", {"path": "nowhere", "items": [{"prompt": "x"}]}, 404, "unknown-path", "path"),
-        ("PUT", "/lots/a%20b", {"path": "summaries", "items": [{"prompt": "x"}]}, 400, "bad-field", "lotId"),
-        ("GET", "/lots/none", None, 404, "unknown-lot", "lotId"),
+        ("PUT", "/lots/a%20b", {"path": "summaries", "items": [{"prompt": "x"}]}, 400, "bad-field", "lot_id"),
+        ("GET", "/lots/none", None, 404, "unknown-lot", "lot_id"),
         ("GET", "/lots/none/results?from=-1", None, 400, "bad-field", "from"),
         ("GET", "/lots/none/results?colour=1", None, 400, "bad-field", "colour"),
-        ("DELETE", "/lots/none", None, 404, "unknown-lot", "lotId"),
+        ("DELETE", "/lots/none", None, 404, "unknown-lot", "lot_id"),
         ("GET", "/nothing", None, 404, "unknown-address", None), ("PUT", "/ready", {}, 405, "unknown-method", None),
         ("POST", "/workers/beat", {"identity": "w"}, 400, "bad-field", "incarnation"),
         ("POST", "/workers/leave", {"identity": "w", "incarnation": "1"}, 400, "bad-field", "incarnation"),
@@ -95,12 +95,12 @@
             async with fleet.session.request(method, f"http://{edge}{address}", data=data) as answer:
                 error = (await answer.json())["error"]
                 self.assertThat((answer.status, error["code"], error["verdict"], error.get("field")),
-                                Equals((status, code, "notRun", field)), f"{method} {address}")
+                                Equals((status, code, "not_run", field)), f"{method} {address}")
 
     async def lots(self, fleet):
         edge = fleet.of("edge")[0].http
         lot = {"path": "summaries", "items": [{"prompt": f"p{place}"} for place in range(3)]}
-        answers = [await fleet.ask("PUT", edge, "/lots/one", body) for body in (lot, lot, {**lot, "dueMs": 500})]
+        answers = [await fleet.ask("PUT", edge, "/lots/one", body) for body in (lot, lot, {**lot, "due_ms": 500})]
         self.assertThat([status for status, _ in answers], Equals([201, 200, 409]))
 
         async def done():
@@ -114,7 +114,7 @@
             "path": "summaries", "items": [{"prompt": "x", "max_tokens": 500}] * 40}) for place in range(12)])
         self.assertThat(sorted(status for status, _ in crowd), Equals([201] * 4 + [429] * 8))
         full = next(body["error"] for status, body in crowd if status == 429)
-        self.assertThat((full["verdict"], full["retryAfterMs"] > 0), Equals(("notRun", True)))
+        self.assertThat((full["verdict"], full["retry_after_ms"] > 0), Equals(("not_run", True)))
         for place in range(12):
             await fleet.ask("DELETE", edge, f"/lots/crowd{place}")
 
@@ -127,17 +127,17 @@
     async def operators(self, fleet):
         control = [member.http for member in fleet.of("control")]
         status, body = await fleet.ask("PUT", control[0], "/profiles", {"version": 1, "tree": {"profiles": {
-            "a": {"parent": "b", "x": 1}, "c": {"deadlineMs": 0}}}})
+            "a": {"parent": "b", "x": 1}, "c": {"deadline_ms": 0}}}})
         self.assertThat((status, body["error"]["code"], len(body["error"]["problems"])), Equals((422, "bad-tree", 3)))
-        patch = {"profiles": {"rulings": {"deadlineMs": 1500}}}
+        patch = {"profiles": {"rulings": {"deadline_ms": 1500}}}
         both = await asyncio.gather(*[fleet.ask("PATCH", control[place], "/profiles", {
-            "version": 1, "changeId": f"c{place}", "patch": patch}) for place in range(2)])
+            "version": 1, "change_id": f"c{place}", "patch": patch}) for place in range(2)])
         self.assertThat(sorted(status for status, _ in both), Equals([200, 409]))
         winner = next(place for place in range(2) if both[place][0] == 200)
-        again = await fleet.ask("PATCH", control[2], "/profiles", {"version": 1, "changeId": f"c{winner}", "patch": patch})
+        again = await fleet.ask("PATCH", control[2], "/profiles", {"version": 1, "change_id": f"c{winner}", "patch": patch})
         self.assertThat(again, Equals(both[winner]))
         _, told = await fleet.ask("GET", control[0], "/profiles/rulings/explained")
-        self.assertThat((told["values"]["deadlineMs"], told["values"]["workers.labels"]["from"]),
+        self.assertThat((told["values"]["deadline_ms"], told["values"]["workers.labels"]["from"]),
                         Equals(({"value": 1500, "from": "rulings"}, "base")))
         _, edge = await fleet.get(fleet.of("edge")[0], "/status")
         self.assertThat(edge["feed"]["profiles"], Equals(2))
@@ -148,19 +148,19 @@
         edge = fleet.of("edge")[0]
         path = fleet.folder / f"{edge.name}.toml"
         good = path.read_text()
-        path.write_text(good + "deltaMs = 0\n")
+        path.write_text(good + "delta_ms = 0\n")
         edge.signal(signal.SIGHUP)
 
         async def logged(event):
-            return any(json.loads(line)["event"] == event for line in edge.logFile.read_text().splitlines()
+            return any(json.loads(line)["event"] == event for line in edge.log_file.read_text().splitlines()
                        if line.startswith("{"))
 
         await until(lambda: logged("settings-refused"), 5000, "a bad file is refused")
-        path.write_text(good + "deltaMs = 60\n" + "viewSize = 9\n")
+        path.write_text(good + "delta_ms = 60\n" + "view_size = 9\n")
         edge.signal(signal.SIGHUP)
         await until(lambda: logged("settings-reread"), 5000, "a good file is applied")
-        row = next(json.loads(line) for line in edge.logFile.read_text().splitlines() if "settings-reread" in line)
-        self.assertThat((row["applied"], row["needRestart"]), Equals((["deltaMs"], ["viewSize"])))
+        row = next(json.loads(line) for line in edge.log_file.read_text().splitlines() if "settings-reread" in line)
+        self.assertThat((row["applied"], row["need_restart"]), Equals((["delta_ms"], ["view_size"])))
         streaming = asyncio.ensure_future(fleet.ask("POST", edge.http, "/v1/completions", {
             "model": "rulings", "prompt": "long", "stream": True, "max_tokens": 300}))
 
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -12,10 +12,10 @@
 from readingroom.recorder import FORMAT, sealed
 from readingroom.replay import compare, load_recording, play
 
-LIVE = {"kind": "live", "atMs": 1, "tookMs": 5, "path": "rulings", "stream": False, "key": "", "lot": "",
+LIVE = {"kind": "live", "at_ms": 1, "took_ms": 5, "path": "rulings", "stream": False, "key": "", "lot": "",
         "address": "/v1/completions", "from": "", "prompts": [{"chars": 20, "start": "ab"}], "status": 200,
         "verdict": "ran", "code": "", "bytes": 9}
-BEGIN = {"kind": "begin", "format": FORMAT, "edge": "e", "atMs": 0}
+BEGIN = {"kind": "begin", "format": FORMAT, "edge": "e", "at_ms": 0}
 
 
 class Recordings(TestCase):
@@ -27,11 +27,11 @@
             return rows, [problem.replace(folder, "") for problem in problems]
 
     def test_whole(self):
-        rows, problems = self.load(sealed(BEGIN), sealed(LIVE), sealed({"kind": "finis", "rows": 1, "atMs": 2}))
+        rows, problems = self.load(sealed(BEGIN), sealed(LIVE), sealed({"kind": "finis", "rows": 1, "at_ms": 2}))
         self.assertThat((len(rows), problems), Equals((1, [])))
 
     def test_bad_ones_are_named_by_line(self):
-        finis = sealed({"kind": "finis", "rows": 1, "atMs": 2})
+        finis = sealed({"kind": "finis", "rows": 1, "at_ms": 2})
         rows = [((sealed(BEGIN), sealed(LIVE)), ":3: cut off"), ((sealed(BEGIN), sealed(LIVE)[:-9], finis), ":2: not JSON"),
                 ((sealed(BEGIN), sealed(LIVE).replace("rulings", "rulingz"), finis), ":2: the checksum is wrong"),
                 ((sealed(BEGIN), finis), ":2: counts 1 calls, 0 are there"), ((sealed(LIVE), finis), ":1: a recording begins"),
@@ -47,7 +47,7 @@
             with tempfile.TemporaryDirectory() as folder:
                 shape = {"control": 1, "stores": 3, "edges": 1, "workers": 1}
                 recordings = Path(folder) / "recordings"
-                async with Fleet(folder, shape, 23800, settings={"recordFolder": str(recordings)}) as fleet:
+                async with Fleet(folder, shape, 23800, settings={"record_folder": str(recordings)}) as fleet:
                     await fleet.found(TREE)
                     await fleet.workers_known(1)
                     edge = fleet.of("edge")[0]
--- a/tests/test_shelves.py
+++ b/tests/test_shelves.py
@@ -10,7 +10,7 @@
 
 class Shelved(TestCase):
     def founded(self, seed=8):
-        run = Run(seed, settings={"segmentBytes": 4096})
+        run = Run(seed, settings={"segment_bytes": 4096})
         run.found()
         fleet = run.fleet
         fleet.run_until_true(lambda: False, 800)
@@ -34,9 +34,9 @@
     def leaves(self, host):
         return [name for name in host.disk.names() if name.startswith(SHELF)]
 
-    def results(self, run, lotId):
+    def results(self, run, lot_id):
         seen = []
-        run.visitors.read(lotId, seen.append)
+        run.visitors.read(lot_id, seen.append)
         run.fleet.run_until_true(lambda: seen, 4000)
         return seen[0]["listed"] if seen else None
 
@@ -102,10 +102,10 @@
         whole = lambda: len(log.shelves.results(lot, 0, 9) or []) == 9 and (key.shelf is None or log.shelves.receipt(key))
         self.assertThat(bool(whole()), Equals(False))
         files = len(self.leaves(host))
-        self.assertThat(bool(fleet.run_until_true(whole, (files + 1) * host.params.goneMs)), Equals(True))
+        self.assertThat(bool(fleet.run_until_true(whole, (files + 1) * host.params.gone_ms)), Equals(True))
 
     def test_files_of_forgotten_lots_are_removed(self):
-        run = Run(6, settings={"keepMs": 2000, "segmentBytes": 4096})
+        run = Run(6, settings={"keep_ms": 2000, "segment_bytes": 4096})
         run.found()
         fleet = run.fleet
         for _ in range(3):
--- a/tests/test_smoke.py
+++ b/tests/test_smoke.py
@@ -13,23 +13,23 @@
 
 
 class SmokeTest(TestCase):
-    def run_fleet(self, body, basePort):
+    def run_fleet(self, body, base_port):
         async def run():
             with tempfile.TemporaryDirectory() as folder:
-                async with Fleet(folder, SHAPES["thin"], basePort) as fleet:
+                async with Fleet(folder, SHAPES["thin"], base_port) as fleet:
                     await fleet.found(TREE)
                     await fleet.workers_known(2)
                     await body(fleet)
 
         asyncio.run(run())
 
-    async def lot_done(self, fleet, edge, lotId):
+    async def lot_done(self, fleet, edge, lot_id):
         async def done():
-            status, body = await fleet.ask("GET", edge, f"/lots/{lotId}")
+            status, body = await fleet.ask("GET", edge, f"/lots/{lot_id}")
             return status == 200 and body["state"] == "done"
 
-        await until(done, 30000, f"{lotId} is done")
-        status, body = await fleet.ask("GET", edge, f"/lots/{lotId}/results?from=0")
+        await until(done, 30000, f"{lot_id} is done")
+        status, body = await fleet.ask("GET", edge, f"/lots/{lot_id}/results?from=0")
         self.assertThat([row["index"] for row in body["results"]], Equals(list(range(body["total"]))))
         self.assertThat({row["verdict"] for row in body["results"]}, Equals({"ran"}))
 
@@ -85,7 +85,7 @@
             holder = None
             for member in fleet.of("store"):
                 _, shown = await fleet.get(member, "/status")
-                if shown["logRole"] == "serving":
+                if shown["log_role"] == "serving":
                     holder = member
             holder.kill()
             await self.lot_done(fleet, second, "one")
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -13,7 +13,7 @@
 
 def line(transaction, at="2026-01-01T00:00:00", **fields):
     return json.dumps({"at": at, "event": "transaction-ended", "node": "e1", "path": "p", "transaction": transaction,
-                       "key": "", "state": "done", "sends": [["w/1", "lost"], ["v/1", "done"]], "tookMs": 9, "bytes": 3,
+                       "key": "", "state": "done", "sends": [["w/1", "lost"], ["v/1", "done"]], "took_ms": 9, "bytes": 3,
                        "replayed": False, **fields})
 
 
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -14,10 +14,10 @@
         run.fleet.run_until_true(lambda: False, 900)
         return run, run.fleet
 
-    def crowd(self, run, count, spanMs=20.0, path="rulings"):
+    def crowd(self, run, count, span_ms=20.0, path="rulings"):
         rows = []
         for place in range(count):
-            run.fleet.time.after(spanMs * place / count, lambda: run.visitors.live(path, done=rows.append))
+            run.fleet.time.after(span_ms * place / count, lambda: run.visitors.live(path, done=rows.append))
         run.fleet.run_until_true(lambda: len(rows) == count, 7000)
         self.assertThat(len(rows), Equals(count))
         return rows
@@ -27,7 +27,7 @@
         self.crowd(run, 12, 600.0)
         rows = self.crowd(run, 60)
         self.assertThat([row["code"] for row in rows if row["outcome"] != "finish"], Equals([]))
-        self.assertThat(max(row["answeredMs"] - row["atMs"] for row in rows) < 2000, Equals(True))
+        self.assertThat(max(row["answered_ms"] - row["at_ms"] for row in rows) < 2000, Equals(True))
 
     def test_who_cannot_make_it_is_told_at_once_with_a_time_to_come_back(self):
         run, _ = self.founded()
@@ -35,10 +35,10 @@
         rows = self.crowd(run, 900)
         refused = [row for row in rows if row["outcome"] != "finish"]
         self.assertThat(len(refused) > 100 and len(rows) - len(refused) > 100, Equals(True))
-        self.assertThat({(row["verdict"], row["code"], row["backMs"] > 0) for row in refused}, Equals({("notRun", "busy", True)}))
-        waited = sorted(row["answeredMs"] - row["atMs"] for row in refused)
+        self.assertThat({(row["verdict"], row["code"], row["back_ms"] > 0) for row in refused}, Equals({("not_run", "busy", True)}))
+        waited = sorted(row["answered_ms"] - row["at_ms"] for row in refused)
         self.assertThat((waited[len(waited) // 2] < 10, waited[-1] <= 1000), Equals((True, True)))
-        self.assertThat(max(row["answeredMs"] - row["atMs"] for row in rows) < 2000, Equals(True))
+        self.assertThat(max(row["answered_ms"] - row["at_ms"] for row in rows) < 2000, Equals(True))
 
     def test_a_moment_without_any_worker_is_waited_out(self):
         run, fleet = self.founded()
@@ -47,7 +47,7 @@
             worker.leave()
         for name in ("late1", "late2"):
             fleet.time.after(350, lambda name=name: fleet.add_worker(name, ["gpu"]))
-        fleet.time.run_until(fleet.time.nowMs + 10)
+        fleet.time.run_until(fleet.time.now_ms + 10)
         rows = self.crowd(run, 6)
         self.assertThat([row["outcome"] for row in rows], Equals(["finish"] * 6))
 
@@ -55,14 +55,14 @@
         run, fleet = self.founded()
         for worker in list(fleet.workers.values()):
             worker.leave()
-        fleet.time.run_until(fleet.time.nowMs + 3000)
+        fleet.time.run_until(fleet.time.now_ms + 3000)
         row = self.crowd(run, 1)[0]
-        self.assertThat((row["code"], row["answeredMs"] - row["atMs"] < 20), Equals(("no-worker", True)))
+        self.assertThat((row["code"], row["answered_ms"] - row["at_ms"] < 20), Equals(("no-worker", True)))
 
     def test_a_worker_lost_with_many_in_flight_fails_none_of_them(self):
         run, fleet = self.founded()
         for worker in fleet.workers.values():
-            worker.slots, worker.pieceMs = 20, 60.0
+            worker.slots, worker.piece_ms = 20, 60.0
         fleet.run_until_true(lambda: False, 900)
         worker = next(iter(fleet.workers.values()))
         fleet.time.after(40, worker.crash)
@@ -74,8 +74,8 @@
     def test_a_visitor_who_hangs_up_frees_the_slot_and_harms_nobody(self):
         run, fleet = self.founded()
         for _ in range(12):
-            run.visitors.live("rulings", hangsUpMs=30.0)
-        fleet.time.run_until(fleet.time.nowMs + 120)
+            run.visitors.live("rulings", hangs_up_ms=30.0)
+        fleet.time.run_until(fleet.time.now_ms + 120)
         nodes = [host.node for host in fleet.of("edge")]
         self.assertThat(sum(node.carrier.counts.get("steps_gone", 0) for node in nodes), Equals(12))
         self.assertThat(sum(node.carrier.counts.get("sends_failed", 0) for node in nodes), Equals(0))
--- a/tests/trees.py
+++ b/tests/trees.py
@@ -2,6 +2,6 @@
 
 TREE = {"profiles": {
     "base": {"abstract": True, "workers": {"labels": ["gpu"]}},
-    "rulings": {"parent": "base", "deadlineMs": 2000},
+    "rulings": {"parent": "base", "deadline_ms": 2000},
     "moves": {"parent": "base", "repeatable": False},
-    "summaries": {"parent": "base", "waitingRoom": 4}}}
+    "summaries": {"parent": "base", "waiting_room": 4}}}
