--- a/libs/readingroom/src/readingroom/process.py
+++ b/libs/readingroom/src/readingroom/process.py
@@ -3,6 +3,7 @@
 the settings again, applies what may change and says what may not."""
 
 import asyncio
+import os
 import signal
 import sys
 from collections.abc import Callable
@@ -17,10 +18,13 @@
 from vellum.links import Switchboard
 from vellum.shell import ProcessEnv, Shell
 
-__all__ = ["NodeProcess", "run_process", "settings_or_exit"]
+__all__ = ["NodeProcess", "run_loaded", "run_process", "settings_or_exit"]
+
+Load = Callable[[], Result[Params, list[str]]]
 
 _DRAIN_SHARE = 0.8
 _POLL_SHARE = 0.02
+_WATCH_SHARE = 0.1
 
 
 class NodeProcess(Service):
@@ -86,7 +90,7 @@
         await asyncio.sleep(self.params.grace_ms * _POLL_SHARE / 1000)
 
 
-def settings_or_exit(loaded: Result[Params, list[str]]) -> Params:
+def settings_or_exit(loaded: Result[Any, list[str]]) -> Any:
     if loaded.is_error():
         for problem in loaded.error:
             sys.stderr.write(f"settings: {problem}\n")
@@ -94,13 +98,13 @@
     return loaded.ok
 
 
-async def _run(make: Callable[[Params], NodeProcess], params: Params, path: str | None, flags: dict) -> None:
+async def _run(make: Callable[[Params], NodeProcess], params: Params, load: Load, watched: str) -> None:
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     process = make(params)
 
     def reread() -> None:
-        loaded = load_params(path, flags)
+        loaded = load()
         if loaded.is_error():
             log("settings-refused", "ERROR", problems=loaded.error)
             return
@@ -109,6 +113,16 @@
         set_up_logs(params.log_level, role=params.role, node=params.link)
         log("settings-reread", applied=applied, need_restart=held)
 
+    async def watch() -> None:
+        """The file may change without a signal; it is read again when its time or size has."""
+        seen = _stamp(watched)
+        while True:
+            await asyncio.sleep(_WATCH_SHARE * params.resume_ms / 1000)
+            stamp = _stamp(watched)
+            if stamp not in (seen, None):
+                seen = stamp
+                reread()
+
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     loop.add_signal_handler(signal.SIGINT, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, reread)
@@ -116,7 +130,10 @@
     log("started", zone=params.zone, http=params.http)
     crashed = asyncio.ensure_future(process.wait_until_stopped())
     stopped = asyncio.ensure_future(stopping.wait())
+    watching = asyncio.ensure_future(watch()) if watched else None
     await asyncio.wait([crashed, stopped], return_when=asyncio.FIRST_COMPLETED)
+    if watching is not None:
+        watching.cancel()
     if stopping.is_set():
         log("draining")
         await process.drain()
@@ -127,10 +144,23 @@
         raise SystemExit(1)
 
 
+def _stamp(path: str) -> tuple[int, int] | None:
+    try:
+        found = os.stat(path)
+    except OSError:
+        return None
+    return found.st_mtime_ns, found.st_size
+
+
 def run_process(make: Callable[[Params], NodeProcess], params: Params, path: str | None, flags: dict) -> None:
+    run_loaded(make, params, lambda: load_params(path, flags))
+
+
+def run_loaded(make: Callable[[Params], NodeProcess], params: Params, load: Load, watched: str = "") -> None:
+    """`load` reads the settings again; `watched` is a file that may change without a signal."""
     set_up_logs(params.log_level, role=params.role, node=params.link)
     try:
-        asyncio.run(_run(make, params, path, flags))
+        asyncio.run(_run(make, params, load, watched))
     except OSError as error:
         log("cannot-start", "ERROR", reason=str(error))
         raise SystemExit(1) from error
