Profiles say places, shares and bounds; a tree finds the route of a host and path

The users' platform sends thousands of routes by host and path prefix, split over services by weight. Rows may now say so in the product's own words; Tree.route walks the path's slashes from the longest prefix that the host has, Profile.pick tells the labels of a share. Cards carry the node's name.

--- a/libs/catalogue/src/catalogue/__init__.py
+++ b/libs/catalogue/src/catalogue/__init__.py
@@ -5,8 +5,9 @@
 from catalogue.founding import Founding
 from catalogue.messages import Change, Changed, ReadKey
 from catalogue.owner import Owner
-from catalogue.profiles import Profile, Tree, check_tree, explain, profiles_digest
+from catalogue.profiles import Profile, Tree, explain, profiles_digest
 from catalogue.roll import Roll
+from catalogue.rows import check_tree
 from catalogue.voter import Register, Voter
 
 __all__ = ["Change", "Changed", "ControlClient", "Founding", "Owner", "Profile", "ReadKey", "Register", "Roll", "Tree",
--- a/libs/catalogue/src/catalogue/profiles.py
+++ b/libs/catalogue/src/catalogue/profiles.py
@@ -1,85 +1,66 @@
-"""Profiles: the operators' tree, checked whole with pydantic before anything is kept. A child has
-everything of its parent unless it says otherwise; maps merge, lists and plain values replace."""
+"""The tree of profiles. A child has everything of its parent unless it says otherwise; maps merge,
+lists and plain values replace. A profile with a place (`match`) is a route: a request's host and the
+longest prefix of its path name it. Shares split a route over several services."""
 
 import hashlib
 import json
-from typing import Annotated, Any, Literal
+from typing import Any
 
-from expression import Error, Ok, Result
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from toolz import merge
 
-__all__ = ["Profile", "Tree", "check_tree", "explain", "profiles_digest"]
+from catalogue.routes import RouteIndex, Split
+from catalogue.rows import DEFAULTS, OWN_ONLY
 
-Name = Annotated[str, Field(min_length=1, max_length=128, pattern=r"^[A-Za-z0-9][A-Za-z0-9._/-]*$")]
-Share = Annotated[float, Field(ge=0.0, le=1.0)]
+__all__ = ["Profile", "Tree", "explain", "profiles_digest"]
 
 
-class Workers(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True)
-    identities: list[Name] | None = Field(None, max_length=4096)
-    labels: list[Name] | None = Field(None, max_length=256)
-
-
-class ProfileRow(BaseModel):
-    """One profile as the operator wrote it; what is left out is inherited."""
-
-    model_config = ConfigDict(extra="forbid", strict=True)
-    parent: Name | None = None
-    workers: Workers | None = None
-    path: Name | None = None
-    deadline_ms: int | None = Field(None, ge=50, le=600_000)
-    repeatable: bool | None = None
-    zone: Literal["near", "any"] | None = None
-    live_share: Share | None = None
-    lot_share: Share | None = None
-    waiting_room: int | None = Field(None, ge=0, le=1_000_000)
-    retry_budget: Share | None = None
-    abstract: bool | None = None
-
-
-_DEFAULTS: dict[str, Any] = {
-    "workers": {"identities": [], "labels": []}, "path": "", "deadline_ms": 5000, "repeatable": True, "zone": "near",
-    "live_share": 1.0, "lot_share": 1.0, "waiting_room": 16, "retry_budget": 0.2, "abstract": False}
-_OWN_ONLY = ("abstract", "parent")
+_PLAIN = tuple(key for key in DEFAULTS if key not in ("workers", "path", "match", "shares", "give_up_ms", "source"))
 
 
 class Profile:
     """A profile with everything it inherits."""
 
-    __slots__ = ("abstract", "deadline_ms", "identities", "labels", "live_share", "lot_share", "name", "path",
-                 "repeatable", "retry_budget", "waiting_room", "zone")
+    __slots__ = ("_split", "abstract", "attempts", "cache_tokens", "connections", "deadline_ms", "due_ms", "give_up_ms",
+                 "health_path", "host", "identities", "keep_ms", "kind", "labels", "live_share", "lot_share", "models",
+                 "name", "path", "prefix", "repeatable", "resumable", "retry_budget", "slots", "sticky", "stride_tokens",
+                 "target_ms", "token_gap_ms", "urgency", "waiting_room", "waiting_tokens", "zone")
 
-    def __init__(self, name: str, values: dict[str, Any]) -> None:
+    def __init__(self, name: str, values: dict[str, Any], split: Split | None = None) -> None:
+        """`split`, if it has shares, is over the labels of the services they name."""
+        for key in _PLAIN:
+            setattr(self, key, values[key])
         self.name = name
         self.identities = frozenset(values["workers"].get("identities") or [])
-        self.labels = frozenset(values["workers"].get("labels") or [])
+        self._split = split
+        self.labels = frozenset(values["workers"].get("labels") or []) if split is None else split.union
         self.path = values["path"] or name
-        self.deadline_ms = values["deadline_ms"]
-        self.repeatable = values["repeatable"]
-        self.zone = values["zone"]
-        self.live_share = values["live_share"]
-        self.lot_share = values["lot_share"]
-        self.waiting_room = values["waiting_room"]
-        self.retry_budget = values["retry_budget"]
-        self.abstract = values["abstract"]
+        self.give_up_ms = values["give_up_ms"] or values["deadline_ms"]
+        self.host = values["match"].get("host", "")
+        self.prefix = values["match"].get("prefix", "")
+
+    def pick(self, number: float) -> frozenset[str]:
+        """The labels of the service that this number, from 0 to 1, falls to by the shares."""
+        return self.labels if self._split is None else self._split.pick(number)
 
     def allows(self, identity: str, labels: frozenset[str]) -> bool:
         return identity in self.identities or bool(self.labels & labels)
 
 
 class Tree:
-    __slots__ = ("_allowed", "_resolved", "_served", "rows")
+    __slots__ = ("_allowed", "_resolved", "_routes", "_served", "about", "rows")
 
-    def __init__(self, rows: dict[str, dict[str, Any]]) -> None:
+    def __init__(self, rows: dict[str, dict[str, Any]], about: dict[str, Any] | None = None) -> None:
         self.rows = rows
+        self.about = about or {}
+        self._routes: RouteIndex | None = None
         self._resolved: dict[str, Profile] = {}
         self._allowed: dict[tuple[str, frozenset[str]], bool] = {}
         self._served: tuple[frozenset, frozenset[str]] | None = None
 
     @classmethod
     def of_body(cls, body: str) -> "Tree":
-        return cls(json.loads(body).get("profiles", {}) if body else {})
+        value = json.loads(body) if body else {}
+        return cls(value.get("profiles", {}), value.get("about"))
 
     def line(self, name: str) -> list[str]:
         """The profile and its parents, nearest first."""
@@ -92,17 +73,33 @@
         if name not in self.rows:
             return None
         if name not in self._resolved:
-            values = dict(_DEFAULTS)
-            for ancestor in reversed(self.line(name)):
-                own = {key: value for key, value in self.rows[ancestor].items() if value is not None and (
-                    key not in _OWN_ONLY or ancestor == name)}
-                if "workers" in own:
-                    own["workers"] = merge(values["workers"], {
-                        key: value for key, value in own["workers"].items() if value is not None})
-                values = merge(values, own)
-            self._resolved[name] = Profile(name, values)
+            values = self._values(name)
+            split = Split((row["share"], self._labels(row["service"])) for row in values["shares"]) if values["shares"] else None
+            self._resolved[name] = Profile(name, values, split)
         return self._resolved[name]
 
+    def _values(self, name: str) -> dict[str, Any]:
+        values = dict(DEFAULTS)
+        for ancestor in reversed(self.line(name)):
+            own = {key: value for key, value in self.rows[ancestor].items() if value is not None and (
+                key not in OWN_ONLY or ancestor == name)}
+            if "workers" in own:
+                own["workers"] = merge(values["workers"], {
+                    key: value for key, value in own["workers"].items() if value is not None})
+            values = merge(values, own)
+        return values
+
+    def _labels(self, name: str) -> frozenset[str]:
+        return frozenset(self._values(name)["workers"].get("labels") or ())
+
+    def route(self, host: str, path: str) -> Profile | None:
+        """The profile whose place has this host and the longest prefix of the path."""
+        if self._routes is None:
+            self._routes = RouteIndex((row["match"]["host"], row["match"]["prefix"], name) for name, row in self.rows.items()
+                                      if row.get("match") and not row.get("abstract"))
+        name = self._routes.name(host, path)
+        return None if name is None else self.get(name)
+
     def usable(self, name: str) -> Profile | None:
         profile = self.get(name)
         return None if profile is None or profile.abstract else profile
@@ -142,61 +139,18 @@
     told: dict[str, Any] = {}
 
     def source(*keys: str) -> tuple[str, Any]:
-        for ancestor in line if keys[0] not in _OWN_ONLY else line[:1]:
+        for ancestor in line if keys[0] not in OWN_ONLY else line[:1]:
             value: Any = tree.rows[ancestor]
             for key in keys:
                 value = value.get(key) if isinstance(value, dict) else None
             if value is not None:
                 return ancestor, value
-        value = _DEFAULTS
+        value = DEFAULTS
         for key in keys:
             value = value[key]
         return "default", value
 
-    for keys in (("workers", "identities"), ("workers", "labels"), *[(key,) for key in _DEFAULTS if key != "workers"]):
+    for keys in (("workers", "identities"), ("workers", "labels"), *[(key,) for key in DEFAULTS if key != "workers"]):
         origin, value = source(*keys)
         told[".".join(keys)] = {"value": name if keys == ("path",) and not value else value, "from": origin}
     return {"name": name, "parents": line[1:], "values": told}
-
-
-def check_tree(value: Any) -> Result[dict[str, Any], list[dict[str, str]]]:
-    """The whole tree as it will be kept, or every problem with its place."""
-    problems: list[dict[str, str]] = []
-    if not isinstance(value, dict) or not isinstance(value.get("profiles"), dict):
-        return Error([{"at": "profiles", "message": "a tree is an object with a map 'profiles'"}])
-    problems += [{"at": key, "message": "unknown field"} for key in value if key != "profiles"]
-    rows: dict[str, dict[str, Any]] = {}
-    for name, row in value["profiles"].items():
-        try:
-            Workers(identities=[name])
-            rows[name] = ProfileRow.model_validate(row).model_dump(exclude_none=True)
-        except ValidationError as error:
-            for found in error.errors():
-                place = [str(part) for part in found["loc"]]
-                if place[:1] == ["identities"]:
-                    place = []
-                problems.append({"at": ".".join(["profiles", name, *place]), "message": found["msg"]})
-    names = set(value["profiles"])
-    parents = {name: row.get("parent") for name, row in value["profiles"].items() if isinstance(row, dict)}
-    for name, parent in parents.items():
-        if isinstance(parent, str) and parent not in names:
-            problems.append({"at": f"profiles.{name}.parent", "message": f"no profile is called {parent!r}"})
-    problems += _cycles(parents)
-    return Error(problems) if problems else Ok({"profiles": rows})
-
-
-def _cycles(parents: dict[str, Any]) -> list[dict[str, str]]:
-    problems, sound = [], set()
-    for name in parents:
-        seen: list[str] = []
-        at = name
-        while isinstance(at, str) and at in parents and at not in sound and at not in seen:
-            seen.append(at)
-            at = parents[at]
-        if at in seen:
-            if name == at:
-                problems.append({"at": f"profiles.{name}.parent",
-                                 "message": "inherits from itself: " + " -> ".join([*seen, at])})
-        else:
-            sound.update(seen)
-    return problems
--- a/libs/colophon/src/colophon/params.py
+++ b/libs/colophon/src/colophon/params.py
@@ -29,6 +29,7 @@
     link: str = Field(description="address for the fleet's own messages, IP:PORT")
     http: str = Field(description="address for visitors, workers and operators, IP:PORT")
     zone: str = Field(min_length=1)
+    node_name: str = Field("", description="what operators call this node; its link address if empty")
     seeds: list[str] = Field(min_length=1, max_length=3)
     data_folder: str = ""
     control_count: int = Field(5, ge=1, le=15)
--- a/libs/commons/src/commons/cards.py
+++ b/libs/commons/src/commons/cards.py
@@ -14,6 +14,7 @@
     zone: Text
     beat: Long
     ready: Flag
+    name: Text
 
 
 class Shuffle(Message):
--- a/libs/commons/src/commons/neighbours.py
+++ b/libs/commons/src/commons/neighbours.py
@@ -35,7 +35,8 @@
     def card(self) -> Card:
         node = self.node
         return Card(identity=self.identity, address=node.address, http=node.params.http, role=node.params.role,
-                    zone=node.params.zone, beat=self._beat_ms, ready=self.ready())
+                    zone=node.params.zone, beat=self._beat_ms, ready=self.ready(),
+                    name=node.params.node_name or node.address)
 
     # -- what is known -------------------------------------------------------------------------
 
