Settings for fleets that aren't told their size: first start, cut off, catch-up, fan-out

Cause: a fleet may start without being told how many control nodes there are, and may have to replace a lost disk in less than half of resume_ms. Change: control_count may be 0; first_start, counted, region, cut_off, catch_up_ms and fan_out are new, with defaults that leave everything as it was. gone_ms follows from catch_up_ms where that is set.

--- a/libs/colophon/src/colophon/params.py
+++ b/libs/colophon/src/colophon/params.py
@@ -31,7 +31,10 @@
     zone: str = Field(min_length=1)
     seeds: list[str] = Field(min_length=1, max_length=3)
     data_folder: str = ""
-    control_count: int = Field(5, ge=1, le=15)
+    region: str = Field("", description="the region that the zone lies in; empty where there is only one")
+    first_start: bool = Field(False, description="the fleet starts for the first time, with empty disks")
+    counted: bool = Field(True, description="this machine is among those whose loss is to be borne")
+    control_count: int = Field(5, ge=0, le=15, description="how many control nodes found the fleet; 0 where that isn't told")
     store_count: int = Field(3, ge=2, le=9)
     store_faults: int = Field(1, ge=1, le=4)
     delta_ms: int = Field(50, ge=1, le=5000)
@@ -40,6 +43,11 @@
     force_ms: int = Field(2000, ge=200, description="a version is in force, a drained worker left alone")
     end_ms: int = Field(3000, ge=300, description="an ended lot has stopped everywhere")
     resume_ms: int = Field(12000, ge=1000, description="service is back after the machines")
+    catch_up_ms: int = Field(0, ge=0, description="within this time of an empty machine's arrival it stands in for the "
+                                                  "one that it replaces; 0 where there is no such bound")
+    cut_off: Literal["refuse", "serve"] = Field("refuse", description="what a node does that is cut off from control")
+    fan_out: int = Field(0, ge=0, le=16, description="to how many control nodes a node that doesn't vote sends its "
+                                                     "digests; 0 for all of them, and for its whole view")
     grace_ms: int = Field(5000, ge=100, description="between SIGTERM and the process's end")
     view_size: int = Field(12, ge=2, le=64)
     disk_bytes: int = Field(1 << 30, ge=1 << 16)
@@ -99,7 +107,7 @@
     @property
     def gone_ms(self) -> int:
         """Silence after which a member with a disk is replaced by a spare."""
-        return int(self.resume_ms * 0.5)
+        return int(min(self.resume_ms, self.catch_up_ms or self.resume_ms) * 0.5)
 
     @property
     def claim_ms(self) -> int:
