The platform's control calls: configurations, workers' beats, retirement

The product gets three parts on every control node. TreeChanges takes changes by callers who number their trees themselves: read by a majority, checked, changed under the key's own number; a change that names another base is asked for by its id alone, so one taken before is told again and a loser never takes effect. WorkerList keeps the control key 'workers': beats that change nothing are noted, joins are gathered into one change, drains are acknowledged once the list is decided and edges have it, silence is found by the key's owner.

--- a/libs/catalogue/src/catalogue/__init__.py
+++ b/libs/catalogue/src/catalogue/__init__.py
@@ -9,7 +9,9 @@
 from catalogue.roll import Roll
 from catalogue.rows import check_tree
 from catalogue.voter import Register, Voter
+from catalogue.worker_list import WorkerList
+from catalogue.worker_rows import WorkerReport, apply_reports, empty_list
 
 __all__ = ["Change", "Changed", "ControlClient", "Founding", "Owner", "Profile", "ReadKey", "Register", "Roll", "Tree",
-           "Voter", "check_tree", "explain",
+           "Voter", "WorkerList", "WorkerReport", "apply_reports", "check_tree", "empty_list", "explain",
            "profiles_digest"]
--- a/libs/catalogue/src/catalogue/founding.py
+++ b/libs/catalogue/src/catalogue/founding.py
@@ -11,6 +11,7 @@
 from catalogue.owner import Owner
 from catalogue.rounds import Round
 from catalogue.voter import CONTROL_KEY, Voter
+from catalogue.worker_rows import WORKERS_KEY
 from commons import Neighbours, duty_order, first_live
 from gazette import Gazette
 from gazette.feed import ROLL_KEY
@@ -106,7 +107,7 @@
         return first_live(duty_order("steward", self._voter.voters), self._neighbours.live)
 
     def _keep_house(self) -> None:
-        for key in (CONTROL_KEY, "profiles", RETIRED_KEY, "log", ROLL_KEY):
+        for key in (CONTROL_KEY, "profiles", RETIRED_KEY, "log", ROLL_KEY, WORKERS_KEY):
             if self._gazette.number(key) == 0 and self._owner.owner_of(key) == self._voter.identity:
                 self._owner.submit(ReadKey(key=key, hops=9), lambda receipt: None)
         if self.steward() != self._voter.identity:
--- a/libs/catalogue/src/catalogue/owner.py
+++ b/libs/catalogue/src/catalogue/owner.py
@@ -50,13 +50,14 @@
 
 
 class _Key:
-    __slots__ = ("epoch", "name", "ops", "seen_epoch", "state", "value")
+    __slots__ = ("changed_ms", "epoch", "name", "ops", "seen_epoch", "state", "value")
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.state = State.UNOWNED
         self.epoch = 0
         self.seen_epoch = 0
+        self.changed_ms = 0
         self.value: Value | None = None
         self.ops: list[_Op] = []
 
@@ -249,6 +250,7 @@
                     self.node.post(address, Founded(list_body=self._voter.meta.list_body))
 
     def _publish(self, key: _Key) -> None:
+        key.changed_ms = self.node.env.now()
         self._gazette.publish(key.name, key.value.version, key.value.body)
 
     def _finish(self, key: _Key, outcome: str, reason: str, version: int | None = None) -> None:
@@ -263,8 +265,10 @@
         receipt = Changed(outcome=outcome, version=(version or value.version) if known else 0,
                           body=value.body if known else "", reason=reason)
         if outcome == "ok" and isinstance(op.message, Change) and key.name in _CONFIRMED_KEYS:
-            self._unconfirmed.append((key.name, receipt.version,
-                                      self.node.env.now() + self.node.params.confirm_ms, receipt, op.done))
+            params = self.node.params
+            due_ms = (key.changed_ms + params.edges_ms if params.cut_off == "serve"
+                      else self.node.env.now() + params.confirm_ms)
+            self._unconfirmed.append((key.name, receipt.version, due_ms, receipt, op.done))
             self._check_confirmed()
         else:
             op.done(receipt)
@@ -272,13 +276,14 @@
     def _check_confirmed(self) -> None:
         """A version is acknowledged once most of the roll have it, and so do all nodes that live, or
         those that are still without it have had to turn unready. Without most of the roll the other
-        side of a cut may still be serving under an older one: then this is doubt."""
+        side of a cut may still be serving under an older one: then this is doubt. Where edges go on serving
+        without control, nothing of that can be waited for: they have had their time to take it."""
         now_ms = self.node.env.now()
         waiting, self._unconfirmed = self._unconfirmed, []
         for row in waiting:
             name, version, due_ms, receipt, done = row
             params, gazette = self.node.params, self._gazette
-            most = gazette.most_confirm(name, version, params.confirm_ms)
+            most = params.cut_off == "serve" or gazette.most_confirm(name, version, params.confirm_ms)
             if most and (now_ms >= due_ms or gazette.all_confirm(name, version, ("edge", "store"), params.confirm_ms)):
                 done(receipt)
             elif now_ms >= due_ms + 2 * params.ask_ms:
--- a/libs/catalogue/src/catalogue/profiles.py
+++ b/libs/catalogue/src/catalogue/profiles.py
@@ -14,7 +14,8 @@
 __all__ = ["Profile", "Tree", "explain", "profiles_digest"]
 
 
-_PLAIN = tuple(key for key in DEFAULTS if key not in ("workers", "path", "match", "shares", "give_up_ms", "source"))
+_PLAIN = tuple(key for key in DEFAULTS if key not in ("workers", "path", "match", "shares", "give_up_ms", "rank", "source"))
+_UNTOLD = ("workers", "rank", "source")
 
 
 class Profile:
@@ -150,7 +151,7 @@
             value = value[key]
         return "default", value
 
-    for keys in (("workers", "identities"), ("workers", "labels"), *[(key,) for key in DEFAULTS if key != "workers"]):
+    for keys in (("workers", "identities"), ("workers", "labels"), *[(key,) for key in DEFAULTS if key not in _UNTOLD]):
         origin, value = source(*keys)
         told[".".join(keys)] = {"value": name if keys == ("path",) and not value else value, "from": origin}
     return {"name": name, "parents": line[1:], "values": told}
--- a/libs/catalogue/src/catalogue/rows.py
+++ b/libs/catalogue/src/catalogue/rows.py
@@ -75,6 +75,7 @@
     cache_tokens: int | None = Field(None, ge=0)
     stride_tokens: int | None = Field(None, ge=0)
     models: list[ModelRow] | None = Field(None, max_length=1024)
+    rank: int | None = Field(None, ge=0)
     source: str | None = None
 
     @field_validator("shares")
@@ -90,8 +91,8 @@
     "live_share": 1.0, "lot_share": 1.0, "waiting_room": 16, "retry_budget": 0.2, "abstract": False,
     "match": {}, "kind": "plain", "shares": [], "give_up_ms": 0, "target_ms": 0, "token_gap_ms": 0, "due_ms": 0,
     "keep_ms": 0, "urgency": 5, "attempts": 2, "sticky": False, "resumable": False, "waiting_tokens": 0,
-    "health_path": "", "connections": 0, "slots": 0, "cache_tokens": 0, "stride_tokens": 0, "models": [], "source": ""}
-OWN_ONLY = ("abstract", "parent", "match", "source")
+    "health_path": "", "connections": 0, "slots": 0, "cache_tokens": 0, "stride_tokens": 0, "models": [], "rank": 0, "source": ""}
+OWN_ONLY = ("abstract", "parent", "match", "rank", "source")
 
 
 def check_tree(value: Any) -> Result[dict[str, Any], list[dict[str, str]]]:
--- a/libs/colophon/src/colophon/params.py
+++ b/libs/colophon/src/colophon/params.py
@@ -46,6 +46,7 @@
     resume_ms: int = Field(12000, ge=1000, description="service is back after the machines")
     catch_up_ms: int = Field(0, ge=0, description="within this time of an empty machine's arrival it stands in for the "
                                                   "one that it replaces; 0 where there is no such bound")
+    worker_beat_ms: int = Field(1000, ge=50, description="about how often a worker tells control that it is there")
     cut_off: Literal["refuse", "serve"] = Field("refuse", description="what a node does that is cut off from control")
     fan_out: int = Field(0, ge=0, le=16, description="to how many control nodes a node that doesn't vote sends its "
                                                      "digests; 0 for all of them, and for its whole view")
@@ -105,6 +106,26 @@
         """How long an acknowledgement of a version waits for the live edges."""
         return int(self.force_ms * 0.75)
 
+    @property
+    def answer_ms(self) -> int:
+        """The longest that a call at control is held before it is told that its outcome isn't known."""
+        return int(self.force_ms * 0.35)
+
+    @property
+    def edges_ms(self) -> int:
+        """How long an acknowledgement waits for the edges, where they go on serving without control."""
+        return int(self.force_ms * 0.3)
+
+    @property
+    def silent_ms(self) -> int:
+        """Silence at every control node after which a worker is off the list."""
+        return int(self.worker_beat_ms * 3.5)
+
+    @property
+    def batch_ms(self) -> int:
+        """How long changes of the list of workers are gathered into one."""
+        return max(1, int(self.beat_ms * 0.25))
+
     @property
     def gone_ms(self) -> int:
         """Silence after which a member with a disk is replaced by a spare."""
--- a/libs/registrar/src/registrar/nodes.py
+++ b/libs/registrar/src/registrar/nodes.py
@@ -3,10 +3,12 @@
 
 from typing import Any
 
-from catalogue import Founding, Owner, Roll, Tree, Voter
+from catalogue import Founding, Owner, Roll, Tree, Voter, WorkerList
 from commons import Neighbours
 from gazette import Gazette
 from readingroom.nodes import CONTROL_KEY, PROFILES_KEY, open_or_set_aside
+from registrar.retirement import Retirement
+from registrar.tree_changes import TreeChanges
 from stacks import Disk
 from vellum import Env, Node
 
@@ -14,7 +16,8 @@
 
 
 class ControlNode(Node):
-    __slots__ = ("disk", "founding", "gazette", "neighbours", "owner", "roll", "voter")
+    __slots__ = ("disk", "founding", "gazette", "neighbours", "owner", "retirement", "roll",
+                 "tree_changes", "voter", "worker_list")
 
     def __init__(self, env: Env, params: Any, disk: Disk) -> None:
         self.disk = disk
@@ -28,7 +31,16 @@
         self.owner = Owner(self.voter, self.neighbours, self.gazette)
         self.founding = Founding(self.voter, self.owner, self.neighbours, self.gazette)
         self.roll = Roll(self.owner, self.gazette, lambda: self.quorate() and self.founding.steward() == identity)
-        super().__init__(env, params, [self.neighbours, self.gazette, self.voter, self.owner, self.founding, self.roll])
+        self.worker_list = WorkerList(self.voter, self.owner, self.gazette, sure=self.hears_majority)
+        self.tree_changes = TreeChanges(self.owner, sure=self.hears_majority)
+        self.retirement = Retirement(self.owner, self.neighbours, sure=self.hears_majority)
+        super().__init__(env, params, [self.neighbours, self.gazette, self.voter, self.owner, self.founding, self.roll,
+                                       self.worker_list, self.tree_changes, self.retirement])
+
+    def hears_majority(self) -> bool:
+        """Whether a majority of the voters are live to this node, which need not be one itself."""
+        voters = self.voter.voters
+        return bool(voters) and 2 * sum(1 for name in voters if self.neighbours.live(name)) > len(voters)
 
     def quorate(self) -> bool:
         """Whether this node is a voter that hears a majority of the voters."""
--- a/libs/registrar/src/registrar/operators.py
+++ b/libs/registrar/src/registrar/operators.py
@@ -13,6 +13,7 @@
 from gazette.patches import apply_patch
 from readingroom.desk_http import HttpDesk, answer_refusal, json_answer, read_call
 from readingroom.nodes import PROFILES_KEY, RETIRED_KEY
+from registrar.retirement import retired_body
 from registrar.words import says, says_edge
 from vellum.shell import awaited
 
@@ -179,14 +180,16 @@
         receipt = await self._read(RETIRED_KEY)
         if isinstance(receipt, Refusal):
             return answer_refusal(receipt)
-        names = set(json.loads(receipt.body)["identities"] if receipt.body else [])
+        kept = json.loads(receipt.body) if receipt.body else {}
+        names = set(kept.get("identities", ()))
         change_id = call.change_id or secrets.token_hex(8)
         if not call.undo and call.identity not in names and not self._known(call.identity):
             return answer_refusal(refused("unknown-machine", f"no control or store machine is called {call.identity!r}",
                                           404, field="identity"))
         names = names - {call.identity} if call.undo else names | {call.identity}
         receipt = await self._ask(Change(key=RETIRED_KEY, version=receipt.version, change_id=change_id, hops=0,
-                                         body=json.dumps({"identities": sorted(names)}, sort_keys=True)))
+                                         body=retired_body(names, {name: identity for name, identity in kept.get(
+                                             "names", {}).items() if identity in names})))
         if receipt.outcome != "ok":
             return self._answer(receipt, change_id)
         card = self._node.neighbours.known(call.identity)
--- /dev/null
+++ b/libs/registrar/src/registrar/retirement.py
@@ -0,0 +1,131 @@
+"""Emptying a store that an operator names. The order is kept in the control key `retired`, by identity and
+by name, so that an empty disk under the same name doesn't come back as a spare; the log replaces it by a
+spare, and it is done once the decided list of the log's members is without it and the log has a live holder."""
+
+import json
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from catalogue import Change, Changed, Owner, ReadKey
+from commons import Neighbours
+from vellum import Part
+
+__all__ = ["RETIRED_KEY", "Retirement", "retired_body"]
+
+RETIRED_KEY = "retired"
+_LOG_KEY = "log"
+Done = Callable[[str], None]
+
+
+def retired_body(identities: Iterable[str], names: dict[str, str]) -> str:
+    return json.dumps({"identities": sorted(identities), "names": names}, sort_keys=True)
+
+
+class _Call:
+    __slots__ = ("done", "due_ms")
+
+    def __init__(self, due_ms: int, done: Done) -> None:
+        self.due_ms = due_ms
+        self.done: Done | None = done
+
+    def finish(self, outcome: str) -> None:
+        done, self.done = self.done, None
+        if done is not None:
+            done(outcome)
+
+
+class Retirement(Part):
+    __slots__ = ("_calls", "_names", "_neighbours", "_owner", "_since_ms", "_sure")
+
+    def __init__(self, owner: Owner, neighbours: Neighbours, sure: Callable[[], bool]) -> None:
+        self._owner = owner
+        self._neighbours = neighbours
+        self._sure = sure
+        self._names: dict[str, str] = {}
+        self._calls: list[_Call] = []
+        self._since_ms = -1
+
+    # -- what operators ask --------------------------------------------------------------------
+
+    def order(self, name: str, done: Done) -> None:
+        """ok, unknown, too_few, or doubt; repeating it does no harm."""
+        self._with_key(RETIRED_KEY, done, lambda call, version, value: self._order(call, name, version, value))
+
+    def state(self, name: str, done: Done) -> None:
+        """rolling_out, finished, unknown, or doubt."""
+        def have_order(call: _Call, version: int, value: dict[str, Any]) -> None:
+            identity = value.get("names", {}).get(name)
+            if identity is None:
+                call.finish("unknown")
+            else:
+                self._read(_LOG_KEY, call, lambda c, _, log: c.finish(self._progress(value["identities"], name, identity, log)))
+
+        self._with_key(RETIRED_KEY, done, have_order)
+
+    def _progress(self, retired: list[str], name: str, identity: str, log: dict[str, Any]) -> str:
+        members = {row["identity"] for row in log.get("members", ())}
+        gone = identity not in members and self._names.get(name, identity) not in members
+        return "finished" if gone and log.get("holder") in members and self._neighbours.live(log["holder"]) else "rolling_out"
+
+    # -- the order -----------------------------------------------------------------------------
+
+    def _order(self, call: _Call, name: str, version: int, value: dict[str, Any]) -> None:
+        names, retired = dict(value.get("names", {})), set(value.get("identities", ()))
+        identity = self._names.get(name)
+        if identity is None:
+            fresh = self.node.env.now() - self._since_ms < self.node.params.gone_ms
+            call.finish("ok" if name in names else "doubt" if fresh else "unknown")
+            return
+        if identity in retired and names.get(name) == identity:
+            call.finish("ok")
+            return
+        stays = [card for card in self._neighbours.of_role("store", self.node.params.dead_ms)
+                 if card.identity != identity and card.identity not in retired]
+        if name not in names and len(stays) < self.node.params.store_count:
+            call.finish("too_few")
+            return
+        names[name] = identity
+        self.node.env.log("store-retires", "WARNING", name=name, identity=identity)
+        self._owner.submit(Change(key=RETIRED_KEY, version=version, change_id=self.node.env.token(), hops=0,
+                                  body=retired_body(retired | {identity}, names)),
+                           lambda receipt: self._ordered(call, name, receipt))
+
+    def _ordered(self, call: _Call, name: str, receipt: Changed) -> None:
+        if receipt.outcome == "ok":
+            call.finish("ok")
+        elif receipt.outcome == "lost" and call.done is not None:
+            self._read(RETIRED_KEY, call, lambda c, version, value: self._order(c, name, version, value))
+        else:
+            call.finish("doubt")
+
+    # -- reading -------------------------------------------------------------------------------
+
+    def _with_key(self, key: str, done: Done, told: Callable[[_Call, int, dict], None]) -> None:
+        call = _Call(self.node.env.now() + self.node.params.answer_ms, done)
+        if not self._sure():
+            call.finish("doubt")
+            return
+        self._calls.append(call)
+        self._read(key, call, told)
+
+    def _read(self, key: str, call: _Call, told: Callable[[_Call, int, dict], None]) -> None:
+        def have_read(receipt: Changed) -> None:
+            if call.done is None:
+                return
+            if receipt.outcome != "ok":
+                call.finish("doubt")
+            else:
+                told(call, receipt.version, json.loads(receipt.body) if receipt.body else {})
+
+        self._owner.submit(ReadKey(key=key, hops=0), have_read)
+
+    def tick(self) -> None:
+        now_ms = self.node.env.now()
+        if self._since_ms < 0:
+            self._since_ms = now_ms
+        for card in self._neighbours.of_role("store", self.node.params.dead_ms):
+            self._names[card.name] = card.identity
+        for call in self._calls:
+            if now_ms >= call.due_ms:
+                call.finish("doubt")
+        self._calls = [call for call in self._calls if call.done is not None]
