--- a/libs/accession/src/accession/local.py
+++ b/libs/accession/src/accession/local.py
@@ -45,7 +45,7 @@
         self.fetcher: Callable[[list[str], str, Callable[[bool], None]], None] | None = None
         self._open(token)
         self.shelves.collect()
-        if self._fresh and getattr(params, "first_start", False):
+        if self._fresh and params.first_start:
             self.keep_meta(lambda ok: None)
         self.settled_seq = self.snap_seq
         self.flushed_seq = self.snap_seq
@@ -105,7 +105,7 @@
 
     def may_found(self) -> bool:
         """Blank from the start of the fleet on: a disk that is blank later may have been exchanged."""
-        told = self.params.control_count > 0 or getattr(self.params, "first_start", False) or not self._fresh
+        told = self.params.control_count > 0 or self.params.first_start or not self._fresh
         return told and self.meta.log_epoch == 0 and (self.params.control_count > 0 or self.meta.fence == 0)
 
     # -- places ------------------------------------------------------------------------------
