--- a/libs/accession/src/accession/__init__.py
+++ b/libs/accession/src/accession/__init__.py
@@ -7,8 +7,9 @@
 from accession.mending import Mending
 from accession.messages import (Append, Appended, Fetch, Fetched, Install, LogMeta, Record, Start, Started,
                                 StoredEntry)
+from accession.places import spread
 from accession.recovery import Recovery, union
 from accession.store import StoreLog
 
 __all__ = ["Append", "Appended", "Fetch", "Fetched", "Holder", "Install", "LocalLog", "LogMeta", "Mending", "Outcome",
-           "Record", "Recovery", "Start", "Started", "StoreLog", "StoredEntry", "union"]
+           "Record", "Recovery", "Start", "Started", "StoreLog", "StoredEntry", "spread", "union"]
--- a/libs/accession/src/accession/local.py
+++ b/libs/accession/src/accession/local.py
@@ -18,7 +18,7 @@
 
 
 class LocalLog:
-    __slots__ = ("_dirty", "_flush_waiters", "_flushing", "_last_flush_ms", "_meta_next", "_meta_waiters", "_meta_writing", "_now", "_since_snap_bytes",
+    __slots__ = ("_dirty", "_flush_waiters", "_flushing", "_fresh", "_last_flush_ms", "_meta_next", "_meta_waiters", "_meta_writing", "_now", "_since_snap_bytes",
                  "_snapping", "_written", "disk", "fetcher", "flushed_seq", "ledger", "meta", "params", "received_ms",
                  "records", "settled_seq", "shelves", "snap_seq", "snap_stamp")
 
@@ -45,6 +45,8 @@
         self.fetcher: Callable[[list[str], str, Callable[[bool], None]], None] | None = None
         self._open(token)
         self.shelves.collect()
+        if self._fresh and params.first_start:
+            self.keep_meta(lambda ok: None)
         self.settled_seq = self.snap_seq
         self.flushed_seq = self.snap_seq
         self._dirty.update(record.file for record in self.records)
@@ -53,7 +55,8 @@
 
     def _open(self, token: Callable[[], str]) -> None:
         names = self.disk.names()
-        if _META in names:
+        self._fresh = _META not in names
+        if not self._fresh:
             frames, _, _ = scan(self.disk.read(_META))
             if not frames:
                 raise Damage(_META, 0)
@@ -100,6 +103,11 @@
         frames, _, _ = scan(self.disk.read(_MARK))
         return int(frames[0][1]) if frames else 0
 
+    def may_found(self) -> bool:
+        """Blank from the start of the fleet on: a disk that is blank later may have been exchanged."""
+        told = self.params.control_count > 0 or self.params.first_start or not self._fresh
+        return told and self.meta.log_epoch == 0 and (self.params.control_count > 0 or self.meta.fence == 0)
+
     # -- places ------------------------------------------------------------------------------
 
     @property
--- a/libs/accession/src/accession/store.py
+++ b/libs/accession/src/accession/store.py
@@ -11,6 +11,7 @@
 from accession.local import LocalLog
 from accession.messages import Append, Appended, Fetch, Install, Start
 from accession.peer import PeerSide
+from accession.places import spread
 from accession.recovery import Recovery
 from vellum import Message, Origin, Part
 
@@ -32,8 +33,8 @@
     """`control` changes and reads control keys: change(key, version, body, done(outcome, version, body)).
     `fleet` tells what the gazette and standing say: log key, live stores, retired identities."""
 
-    __slots__ = ("_changed_ms", "_control", "_fleet", "_leaving", "_on_role", "_peer", "_recovery", "_roomy_ms", "_succeeding", "_version", "holder", "log",
-                 "role", "value")
+    __slots__ = ("_candidates", "_candidates_ms", "_changed_ms", "_control", "_fleet", "_leaving", "_on_role", "_peer", "_recovery", "_roomy_ms",
+                 "_succeeding", "_version", "holder", "log", "role", "value")
     HANDLES = (Append, Appended, Install, Start, Fetch)
 
     def __init__(self, log: LocalLog, control: Any, fleet: Any,
@@ -46,6 +47,8 @@
         self._recovery: Recovery | None = None
         self.holder: Holder | None = None
         self.role = Role.PEER
+        self._candidates: list[dict[str, str]] = []
+        self._candidates_ms = 0
         self._changed_ms = 0
         self._leaving = False
         self._succeeding = False
@@ -120,13 +123,19 @@
         self._claim(self.value["members"], self._old_members(), self.log.identity)
 
     def _found(self) -> None:
-        """The first members: blank stores, as many as the settings say, the lowest identity asking."""
-        blank = sorted({**self._fleet.live_stores(), self.log.identity: self.node.address}.items())
-        count = self.node.params.store_count
-        if len(blank) < count or self.log.identity != blank[0][0] or self.log.meta.log_epoch:
+        """The first members, once as many blank stores as the log needs are heard and no more appear: the first
+        of them in order asks, then the next. A store that starts blank later than the fleet never founds."""
+        params, now_ms = self.node.params, self.node.env.now()
+        blank = self._fleet.store_rows()
+        if blank != self._candidates:
+            self._candidates, self._candidates_ms = blank, now_ms
+        members = spread(blank, params.store_count)
+        names = [row["identity"] for row in members]
+        if len(members) < params.store_count or self.log.identity not in names or not self.log.may_found():
             return
-        members = [{"identity": identity, "address": address} for identity, address in blank[:count]]
-        self._claim(members, members, self.log.identity)
+        rank = names.index(self.log.identity)
+        if now_ms - self._candidates_ms >= 2 * params.beat_ms + rank * params.ask_ms:
+            self._claim(members, members, self.log.identity)
 
     def _old_members(self) -> list[dict[str, str]]:
         return self.value["prev"] if self.value["phase"] == "recovering" else self.value["members"]
--- a/libs/facsimile/src/facsimile/sim/visitors.py
+++ b/libs/facsimile/src/facsimile/sim/visitors.py
@@ -151,13 +151,14 @@
         self.read(lot_id, seen)
         self._time.after(700, lambda: self.follow(lot_id, from_ms))
 
-    def read(self, lot_id: str, done: Callable[[Any], None] | None = None) -> None:
-        """Reads results from a random place on; each is remembered as it was first read."""
+    def read(self, lot_id: str, done: Callable[[Any], None] | None = None, start: int | None = None) -> None:
+        """Reads results from a place on, by default one drawn; each is remembered as it was first read."""
         host = self._edge()
         if host is None:
             return
         lot = self.lots[lot_id]
-        start = self._rng.choice((0, len(lot["results"])))
+        drawn = self._rng.choice((0, len(lot["results"])))
+        start = drawn if start is None else start
         life, began_ms = host.life, self._time.now_ms
 
         def told(answer: Answer) -> None:
--- a/libs/readingroom/src/readingroom/nodes.py
+++ b/libs/readingroom/src/readingroom/nodes.py
@@ -100,6 +100,12 @@
     def live_stores(self) -> dict[str, str]:
         return {card.identity: card.address for card in self.neighbours.of_role("store", self.params.dead_ms)}
 
+    def store_rows(self) -> list[dict[str, str]]:
+        """The live stores, this one among them."""
+        cards = [self.neighbours.card(), *self.neighbours.of_role("store", self.params.dead_ms)]
+        return sorted(({"identity": card.identity, "address": card.address, "zone": card.zone} for card in cards),
+                      key=lambda row: row["identity"])
+
     def live_store(self, identity: str) -> bool:
         return self.neighbours.live(identity)
 
--- /dev/null
+++ b/tests/test_stores.py
@@ -0,0 +1,134 @@
+"""Which stores make up the log: founding by stores that aren't told how many there are, and the spread over zones."""
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from accession import LocalLog, StoreLog, spread
+from colophon import Params
+from facsimile.sim.disks import SimDisk
+from facsimile.sim.virtual import VirtualTime
+from log_table import Machine
+
+BASE = {"role": "store", "link": "10.0.0.1:1", "http": "10.0.0.1:2", "zone": "x", "seeds": ["10.0.0.9:1"], "data_folder": "d"}
+
+
+def rows(zones):
+    return [{"identity": name, "address": f"10.0.0.{number}:1", "zone": zone}
+            for number, (name, zone) in enumerate(zones.items(), 1)]
+
+
+class Surroundings:
+    """What a store asks of the fleet, of control and of its node, set by the test."""
+
+    def __init__(self, zones, **settings):
+        self.time = VirtualTime(1)
+        self.params = Params(**{**BASE, "control_count": 0, **settings})
+        self.rows, self.asked, self.env = rows(zones), [], self
+        self.address = "10.0.0.1:1"
+
+    def now(self):
+        return int(self.time.now_ms)
+
+    def log(self, event, level="INFO", **fields):
+        return None
+
+    def log_key(self):
+        return 0, ""
+
+    def settled_in(self):
+        return True
+
+    def store_rows(self):
+        return list(self.rows)
+
+    def change(self, key, version, body, done):
+        self.asked.append(body)
+
+    def store(self, name, disk=None):
+        disk = disk or SimDisk(self.time, 1 << 20)
+        disk.bind(Machine())
+        store = StoreLog(LocalLog(disk, self.params, self.now, lambda: name), self, self, lambda holder: None)
+        store.attach(self)
+        return store
+
+    def run(self, store, for_ms):
+        end_ms = self.time.now_ms + for_ms
+        while self.time.now_ms < end_ms:
+            self.time.run_until(self.time.now_ms + 25)
+            store.tick()
+
+
+class Spread(TestCase):
+    def test_one_of_each_zone_in_turn(self):
+        for zones, count, wanted in (
+                ({"a": "x", "b": "x", "c": "y", "d": "z"}, 3, ["a", "c", "d"]),
+                ({"a": "x", "b": "x", "c": "x"}, 3, ["a", "b", "c"]),
+                ({"a": "z", "b": "y", "c": "y", "d": "x"}, 5, ["d", "b", "a", "c"]),
+                ({"a": "x", "b": "y", "c": "x", "d": "y", "e": "x"}, 5, ["a", "b", "c", "d", "e"])):
+            self.assertThat([row["identity"] for row in spread(rows(zones), count)], Equals(wanted))
+
+
+class FoundingTheLog(TestCase):
+    THREE = {"store-a": "x", "store-b": "y", "store-c": "z"}
+
+    def test_waits_for_enough_stores(self):
+        here = Surroundings({"store-a": "x", "store-b": "y"}, first_start=True)
+        store = here.store("a")
+        here.run(store, 5000)
+        self.assertThat(here.asked, Equals([]))
+        here.rows = rows(self.THREE)
+        here.run(store, 1000)
+        self.assertThat(len(here.asked), Equals(1))
+
+    def test_waits_until_no_more_appear(self):
+        here = Surroundings(self.THREE, first_start=True)
+        store = here.store("a")
+        here.run(store, 300)
+        here.rows = rows({**self.THREE, "store-d": "zz"})
+        here.run(store, 300)
+        self.assertThat(here.asked, Equals([]))
+        here.run(store, 200)
+        self.assertThat(len(here.asked), Equals(1))
+
+    def test_the_first_asks_and_then_the_next(self):
+        for name, waits_ms in (("a", 600), ("b", 1100), ("c", 1600)):
+            here = Surroundings(self.THREE, first_start=True)
+            store = here.store(name)
+            here.run(store, waits_ms - 50)
+            self.assertThat(here.asked, Equals([]))
+            here.run(store, 150)
+            self.assertThat(len(here.asked), Equals(1))
+
+    def test_who_is_left_out_does_not_ask(self):
+        here = Surroundings({"store-a": "x", "store-b": "x", "store-c": "y", "store-d": "z"}, first_start=True)
+        store = here.store("b")
+        here.run(store, 5000)
+        self.assertThat(here.asked, Equals([]))
+
+    def test_blank_after_the_first_start_never_founds(self):
+        here = Surroundings(self.THREE)
+        store = here.store("a")
+        here.run(store, 5000)
+        self.assertThat(here.asked, Equals([]))
+
+    def test_there_at_the_first_start_and_restarted_founds(self):
+        here = Surroundings(self.THREE, first_start=True)
+        disk = SimDisk(here.time, 1 << 20)
+        store = here.store("a", disk)
+        here.run(store, 200)
+        identity = store.log.identity
+        here.params = Params(**{**BASE, "control_count": 0})
+        store = here.store("another", disk)
+        self.assertThat(store.log.identity, Equals(identity))
+        here.run(store, 1000)
+        self.assertThat(len(here.asked), Equals(1))
+
+    def test_fenced_under_a_log_never_founds(self):
+        here = Surroundings(self.THREE)
+        disk = SimDisk(here.time, 1 << 20)
+        store = here.store("a", disk)
+        store.log.keep_meta(lambda ok: None, fence=4)
+        here.run(store, 200)
+        store = here.store("a", disk)
+        here.run(store, 5000)
+        self.assertThat(here.asked, Equals([]))
