The holder of the log is watched directly by its members, and recovery fetches only what differs

Cause: a lost holder was noticed by the standing of nodes (half of force_ms), the claim waited for ticks, a member cut off from the others could depose a holder that still had its majority, and a one-way cut went unseen. Recovery fetched all records of every store. Spares were all sent the whole log.

Change: pulses of the holder every 0.05 of force_ms, a poll of the members after 0.15, a claim after 0.2 if n-f answer and fewer than f still hear it. Fences are written at once everywhere, the tail is fetched from the last place that is shared, what is flushed already isn't flushed again, the fence file takes one sync, adoption is noticed by its receipt, and with unchanged members the word to control follows the service. A handover names its follower, which recovers under that very epoch.

--- a/libs/accession/src/accession/holder.py
+++ b/libs/accession/src/accession/holder.py
@@ -26,7 +26,7 @@
 
 
 class Peer:
-    __slots__ = ("address", "adopted", "asked_seq", "flushed_seq", "full", "heard_ms", "identity", "installing", "last_seq",
+    __slots__ = ("address", "adopted", "asked_seq", "flushed_seq", "full", "heard_ms", "identity", "install_ms", "last_seq",
                  "next_seq", "probe", "sent_ms")
 
     def __init__(self, identity: str, address: str, next_seq: int, now_ms: int) -> None:
@@ -40,7 +40,7 @@
         self.sent_ms = 0
         self.heard_ms = now_ms
         self.adopted = False
-        self.installing = False
+        self.install_ms = -1 << 40
         self.full = False
 
 
@@ -55,18 +55,19 @@
 
 
 class Holder:
-    __slots__ = ("_flush_asked", "_flush_wanted_seq", "_log", "_on_deposed", "_post", "_probe", "_readers",
+    __slots__ = ("_flush_asked", "_flush_wanted_seq", "_log", "_on_adopted", "_on_deposed", "_post", "_probe", "_readers",
                  "_wall", "_now", "base_seq", "deposed", "epoch", "ledger", "members", "params", "peers",
                  "waiters")
 
     def __init__(self, log: LocalLog, epoch: int, members: list[tuple[str, str]], params: Any,
                  now: Callable[[], int], wall: Callable[[], int], post: Callable[[str, Message], None],
-                 on_deposed: Callable[[int], None]) -> None:
+                 on_deposed: Callable[[int], None], on_adopted: Callable[[], None] = lambda: None) -> None:
         self._log = log
         self.epoch = epoch
         self.params = params
         self._now, self._wall, self._post = now, wall, post
         self._on_deposed = on_deposed
+        self._on_adopted: Callable[[], None] | None = on_adopted
         self.base_seq = log.last_seq
         self.members = [identity for identity, _ in members]
         self.peers = {identity: Peer(identity, address, log.last_seq + 1, now())
@@ -163,7 +164,10 @@
             return
         peer.address = address
         peer.heard_ms = self._now()
-        peer.installing = False
+        if message.reason == "busy":
+            peer.install_ms = max(peer.install_ms, peer.heard_ms - self.params.force_ms + self.params.dead_ms)
+        else:
+            peer.install_ms = -1 << 40
         peer.full = message.reason == "full" or not message.roomy
         peer.probe = max(peer.probe, message.probe)
         if message.ok:
@@ -192,8 +196,9 @@
         self._send(peer)
 
     def _install(self, peer: Peer) -> None:
-        if not peer.installing:
-            peer.installing = True
+        """Sent again only if the peer hasn't said for a while that it is busy with it."""
+        if self._now() - peer.install_ms >= self.params.force_ms:
+            peer.install_ms = self._now()
             data = self._log.snapshot()
             for offset in range(0, len(data), _CHUNK_BYTES):
                 self._post(peer.address, Install(epoch=self.epoch, snapshot=data[offset:offset + _CHUNK_BYTES],
@@ -204,6 +209,31 @@
         if identity not in self.peers and identity != self._log.identity:
             self.peers[identity] = Peer(identity, address, self._log.last_seq + 1, self._now())
 
+    def keep_spares(self, spares: list[tuple[str, str]]) -> None:
+        """These and no other spares are sent the log."""
+        names = [identity for identity, _ in spares]
+        for identity in [identity for identity in self.peers if identity not in self.members and identity not in names]:
+            del self.peers[identity]
+        for identity, address in spares:
+            self.learn(identity, address)
+
+    # -- who is in touch -----------------------------------------------------------------------
+
+    def in_touch(self, identity: str) -> bool:
+        peer = self.peers.get(identity)
+        return peer is not None and peer.adopted and self._now() - peer.heard_ms < self.params.doubt_ms
+
+    def is_level(self, identity: str) -> bool:
+        """Whether this spare has on disk all that is settled."""
+        peer = self.peers.get(identity)
+        return (peer is not None and peer.adopted and peer.flushed_seq >= self._log.settled_seq
+                and self._now() - peer.heard_ms < self.params.dead_ms)
+
+    def sure(self) -> bool:
+        """Whether f members have answered lately, so that this store can do its duty."""
+        floor_ms = self._now() - self.params.doubt_ms
+        return sum(peer.heard_ms >= floor_ms for peer in self._voting()) >= self.params.store_faults
+
     # -- acknowledging -------------------------------------------------------------------------
 
     def _voting(self) -> list[Peer]:
@@ -223,6 +253,9 @@
             self.waiters = [waiter for waiter in self.waiters if waiter not in ready]
             for waiter in ready:
                 waiter.done(Outcome.KEPT)
+        if self._on_adopted is not None and self.adopted():
+            on_adopted, self._on_adopted = self._on_adopted, None
+            on_adopted()
         probes = sorted([peer.probe for peer in self._voting()], reverse=True)
         probe = probes[f - 1] if len(probes) >= f else 0
         while self._readers and self._readers[0][0] <= probe:
@@ -279,10 +312,9 @@
         for peer in self.peers.values():
             behind = peer.last_seq < self._log.last_seq or peer.probe < self._probe or not peer.adopted
             quiet_ms = now_ms - peer.sent_ms
-            if (behind and quiet_ms >= 2 * self.params.delta_ms) or quiet_ms >= self.params.beat_ms:
+            if (behind and quiet_ms >= 2 * self.params.delta_ms) or quiet_ms >= self.params.pulse_ms:
                 if behind:
                     peer.next_seq = peer.last_seq + 1 if peer.adopted else min(peer.next_seq, self.base_seq + 1)
-                    peer.installing = peer.installing and quiet_ms < self.params.force_ms
                 self._send(peer)
         self.progress()
         self._log.tidy()
--- a/libs/accession/src/accession/local.py
+++ b/libs/accession/src/accession/local.py
@@ -9,16 +9,17 @@
 from accession.messages import TRUNCATE, LogMeta, Record, SnapshotHead, StoredEntry
 from accession.shelves import Shelves, files_of
 from ledger import Ledger
-from stacks import Damage, Disk, frame, over_hole, scan, walk
+from stacks import Damage, Disk, DiskFull, frame, over_hole, scan, walk
 from vellum import Message, decode, encode
 
 __all__ = ["LocalLog", "entry_of"]
 
 _META, _SNAP, _MARK, _QUEUE = "meta", "snapshot", "mark", "queue-"
+_META_BYTES = 4096
 
 
 class LocalLog:
-    __slots__ = ("_dirty", "_flush_waiters", "_flushing", "_fresh", "_last_flush_ms", "_meta_next", "_meta_waiters", "_meta_writing", "_now", "_since_snap_bytes",
+    __slots__ = ("_dirty", "_flush_waiters", "_flushing", "_fresh", "_last_flush_ms", "_meta_bytes", "_meta_next", "_meta_waiters", "_meta_writing", "_now", "_since_snap_bytes",
                  "_snapping", "_written", "disk", "fetcher", "flushed_seq", "ledger", "meta", "params", "received_ms",
                  "records", "settled_seq", "shelves", "snap_seq", "snap_stamp")
 
@@ -37,6 +38,7 @@
         self._snapping = False
         self._since_snap_bytes = 0
         self._last_flush_ms = now()
+        self._meta_bytes = 0
         self._meta_next: list[tuple[LogMeta, Callable[[bool], None]]] = []
         self._meta_waiters: list[Callable[[bool], None]] = []
         self._meta_writing: LogMeta | None = None
@@ -57,10 +59,7 @@
         names = self.disk.names()
         self._fresh = _META not in names
         if not self._fresh:
-            frames, _, _ = scan(self.disk.read(_META))
-            if not frames:
-                raise Damage(_META, 0)
-            self.meta = decode(frames[0][1])
+            self._open_meta(self.disk.read(_META))
         else:
             self.meta = LogMeta(identity=f"store-{token()}", fence=0, log_epoch=0)
         if _SNAP in names:
@@ -72,6 +71,20 @@
             raise Damage(_QUEUE, self.last_seq)
         self.received_ms = [self._now()] * len(self.records)
 
+    def _open_meta(self, data: bytes) -> None:
+        """Each state is written twice behind the ones before, so a torn write leaves the last one that was reported
+        kept, and one damaged frame hides nothing. The highest of each number stands."""
+        rows, offset = [], 0
+        while offset is not None:
+            frames, end, later = scan(data[offset:])
+            rows += [decode(payload) for _, payload in frames]
+            self._meta_bytes = offset + end if later is None and offset + end == len(data) else 0
+            offset = None if later is None else offset + later
+        if not rows:
+            raise Damage(_META, 0)
+        self.meta = LogMeta(identity=rows[-1].identity, fence=max(row.fence for row in rows),
+                            log_epoch=max(row.log_epoch for row in rows))
+
     def _open_queue(self, name: str) -> None:
         """A file may begin, or go on, behind a hole: what was there came by a snapshot and was never written
         here, while records stay at their absolute offsets."""
@@ -185,6 +198,13 @@
         if not self._flushing:
             self._start_flush()
 
+    def secure(self, done: Callable[[bool], None]) -> None:
+        """A flush, unless all that is here has been flushed already."""
+        if self._dirty or self._flushing or self.flushed_seq < self.last_seq:
+            self.flush(done)
+        else:
+            done(True)
+
     def _start_flush(self) -> None:
         self._flushing = True
         self._last_flush_ms = self._now()
@@ -244,7 +264,16 @@
             if self._meta_next and self._meta_writing is None:
                 self._write_meta()
 
-        self.disk.replace(_META, frame(encode(meta)), kept)
+        data = 2 * frame(encode(meta))
+        try:
+            if not 0 < self._meta_bytes <= _META_BYTES:
+                raise DiskFull(_META)
+            self.disk.write(_META, self._meta_bytes, data, True)
+            self._meta_bytes += len(data)
+            self.disk.flush([_META], kept)
+        except DiskFull:
+            self._meta_bytes = len(data)
+            self.disk.replace(_META, data, kept)
 
     # -- settling, snapshots, trimming ---------------------------------------------------------
 
--- a/libs/accession/src/accession/messages.py
+++ b/libs/accession/src/accession/messages.py
@@ -4,8 +4,8 @@
 
 from vellum import Arr, Blob, Flag, Long, Message, Text
 
-__all__ = ["Append", "Appended", "Fetch", "Fetched", "Install", "LogMeta", "Record", "SnapshotHead", "Start",
-           "Started", "StoredEntry", "TRUNCATE"]
+__all__ = ["Append", "Appended", "Fetch", "FetchTail", "Fetched", "Install", "LogMeta", "Poll", "Polled", "Pulse", "Record",
+           "SnapshotHead", "Start", "Started", "StoredEntry", "Succeed", "TRUNCATE"]
 
 TRUNCATE = 1
 
@@ -96,6 +96,45 @@
     count: Long
 
 
+class FetchTail(Message):
+    """What follows the highest of these places that the asked one holds too, each a number and its stamp."""
+
+    epoch: Long
+    seqs: Arr(Long)
+    stamp_epochs: Arr(Long)
+    stamps_ms: Arr(Long)
+
+
+class Pulse(Message):
+    """The holder is at work; `sure` if f members have answered it lately."""
+
+    epoch: Long
+    sure: Flag
+
+
+class Poll(Message):
+    identity: Text
+    epoch: Long
+
+
+class Polled(Message):
+    """`epoch` is the highest known here; `holds` says that this store is at work as its holder, `hears` that it
+    hears from the one who is, `leaving` that it will not take the duty."""
+
+    identity: Text
+    epoch: Long
+    holds: Flag
+    hears: Flag
+    leaving: Flag
+
+
+class Succeed(Message):
+    """Who hands the duty over says so to whom it goes: the number and body of the key as control has them."""
+
+    number: Long
+    body: Text
+
+
 class Fetch(Message):
     epoch: Long
     from_seq: Long
--- a/libs/accession/src/accession/peer.py
+++ b/libs/accession/src/accession/peer.py
@@ -6,7 +6,7 @@
 from functools import singledispatchmethod
 
 from accession.local import LocalLog
-from accession.messages import Append, Appended, Fetch, Fetched, Install, Start
+from accession.messages import Append, Appended, Fetch, Fetched, FetchTail, Install, Start
 from accession.recovery import started
 from stacks import Damage, DiskFull
 from vellum import Message, decode, encode
@@ -56,6 +56,12 @@
             records = [encode(record) for record in log.since(message.from_seq, _CHUNK_BYTES)]
         reply(Fetched(identity=log.identity, ok=ok, snapshot=snapshot, total=total, records=records, last_seq=log.last_seq))
 
+    @_on.register
+    def _(self, message: FetchTail, reply: Reply) -> None:
+        rows = zip(message.seqs, message.stamp_epochs, message.stamps_ms, strict=True)
+        shared = max((seq for seq, epoch, stamp_ms in rows if self._log.stamp_at(seq) == (epoch, stamp_ms)), default=0)
+        self._on(Fetch(epoch=message.epoch, from_seq=shared + 1, offset=0), reply)
+
     @_on.register
     def _(self, message: Append, reply: Reply) -> None:
         log = self._log
@@ -108,7 +114,7 @@
             self._busy = False
             reply(self._receipt(message.probe, ok, ""))
 
-        self._log.flush(flushed)
+        self._log.secure(flushed)
 
     @_on.register
     def _(self, message: Install, reply: Reply) -> None:
--- a/libs/accession/src/accession/recovery.py
+++ b/libs/accession/src/accession/recovery.py
@@ -1,13 +1,15 @@
 """Recovery of the log under a new epoch: fence, wait for n-f answers, fetch, drop duplicates by
 stamp, put in stamp order, write. Only answers of the highest log epoch count: a store that missed
-the last recovery would bring back records that one left out. Every step may be cut and run again."""
+the last recovery would bring back records that one left out. Stores of one log epoch hold the same log, some
+less far than others, so what one of them lacks follows the last place they share; whoever goes no further than what
+is here already has nothing to add. Every step may be cut and run again."""
 
 from collections.abc import Callable
 from enum import StrEnum
 from typing import Any
 
 from accession.local import LocalLog
-from accession.messages import Fetch, Fetched, Record, Start, Started
+from accession.messages import Fetch, Fetched, FetchTail, Record, Start, Started
 from stacks import Damage, DiskFull
 from vellum import Message, decode
 
@@ -34,7 +36,7 @@
 
 
 class Recovery:
-    __slots__ = ("_answers", "_ask", "_done", "_log", "_now", "_records", "_sources", "_started_ms", "epoch",
+    __slots__ = ("_answers", "_ask", "_done", "_fenced", "_log", "_now", "_records", "_sources", "_started_ms", "epoch",
                  "members", "params", "state")
 
     def __init__(self, log: LocalLog, epoch: int, members: list[tuple[str, str]], params: Any, ask: Ask,
@@ -45,22 +47,27 @@
         self.params = params
         self._ask, self._done, self._now = ask, done, now
         self._answers: dict[str, Started] = {}
+        self._fenced = False
         self._records: list[list[Record]] = []
         self._sources: list[tuple[str, str]] = []
         self._started_ms = now()
         self.state = _State.FENCING
 
     def start(self) -> None:
+        """The others write their fences while this store writes its own; nothing is sent on under the new
+        epoch before that."""
         def fenced(ok: bool) -> None:
             if not ok or self._log.meta.fence > self.epoch:
                 self._finish(False)
                 return
+            self._fenced = True
             if any(identity == self._log.identity for identity, _ in self.members):
-                self._answered(started(self._log, True))
-            for _, address in [member for member in self.members if member[0] != self._log.identity]:
-                self._ask_start(address)
+                self._answers[self._log.identity] = started(self._log, True)
+            self._consider_answers()
 
         self._log.keep_meta(fenced, fence=self.epoch)
+        for _, address in [member for member in self.members if member[0] != self._log.identity]:
+            self._ask_start(address)
 
     def _ask_start(self, address: str) -> None:
         def answered(message: Message | None) -> None:
@@ -81,7 +88,10 @@
         names = [identity for identity, _ in self.members]
         if message.identity in names:
             self._answers[message.identity] = message
-        if len(self._answers) >= len(self.members) - self.params.store_faults:
+        self._consider_answers()
+
+    def _consider_answers(self) -> None:
+        if self._fenced and self.state is _State.FENCING and len(self._answers) >= len(self.members) - self.params.store_faults:
             self._fetch()
 
     def _fetch(self) -> None:
@@ -90,45 +100,82 @@
         self._sources = [(identity, address) for identity, address in self.members
                          if identity in self._answers and self._answers[identity].log_epoch == top
                          and identity != self._log.identity]
+        self._sources.sort(key=lambda source: -self._answers[source[0]].last_seq)
         own = self._answers.get(self._log.identity)
         if own is not None and own.log_epoch == top:
             self._records.append(list(self._log.records))
         self._next_source()
 
+    def _reach(self) -> int:
+        """How far the log goes that has been gathered."""
+        return max([self._log.settled_seq, *(records[-1].seq for records in self._records if records)])
+
     def _next_source(self) -> None:
-        if not self._sources:
-            self._write()
-            return
-        _, address = self._sources.pop(0)
-        self._records.append([])
-        self._fetch_from(address, self._log.snap_seq + 1)
+        while self._sources:
+            identity, address = self._sources.pop(0)
+            if self._answers[identity].last_seq > self._reach():
+                self._fetch_tail(address)
+                return
+        self._write()
+
+    def _fetch_tail(self, address: str) -> None:
+        """From the last place that both hold: looked for near the end first, then ever further back."""
+        log, seqs = self._log, []
+        step = 0
+        while log.last_seq - step > log.settled_seq:
+            seqs.append(log.last_seq - step)
+            step = max(1, 2 * step)
+        seqs.append(log.settled_seq)
+        stamps = [log.stamp_at(seq) or (0, 0) for seq in seqs]
 
-    def _fetch_from(self, address: str, from_seq: int, got: bytes = b"") -> None:
         def fetched(message: Message | None) -> None:
             if self.state is not _State.FETCHING:
                 return
             if not isinstance(message, Fetched) or not message.ok:
-                if self._now() - self._started_ms > self.params.force_ms:
-                    self._finish(False)
-                else:
-                    self._fetch_from(address, from_seq, got)
-                return
-            if message.snapshot:
-                data = got + message.snapshot
-                if len(data) < message.total:
-                    self._fetch_from(address, from_seq, data)
-                else:
-                    self._install(address, data)
+                self._again(lambda: self._fetch_tail(address))
                 return
-            records = [decode(data) for data in message.records]
-            self._records[-1].extend(records)
-            if records and records[-1].seq < message.last_seq:
-                self._fetch_from(address, records[-1].seq + 1)
+            if not message.snapshot:
+                shared = decode(message.records[0]).seq - 1 if message.records else message.last_seq
+                self._records.append([record for record in log.records if record.seq <= shared])
             else:
-                self._next_source()
+                self._records.append([])
+            self._take(address, message, b"")
+
+        self._ask(address, FetchTail(epoch=self.epoch, seqs=seqs, stamp_epochs=[stamp[0] for stamp in stamps],
+                                     stamps_ms=[stamp[1] for stamp in stamps]), 2 * self.params.ask_ms, fetched)
+
+    def _again(self, what: Callable[[], None]) -> None:
+        if self._now() - self._started_ms > self.params.force_ms:
+            self._finish(False)
+        else:
+            what()
+
+    def _fetch_from(self, address: str, from_seq: int, got: bytes = b"") -> None:
+        def fetched(message: Message | None) -> None:
+            if self.state is not _State.FETCHING:
+                return
+            if not isinstance(message, Fetched) or not message.ok:
+                self._again(lambda: self._fetch_from(address, from_seq, got))
+                return
+            self._take(address, message, got, from_seq)
 
         self._ask(address, Fetch(epoch=self.epoch, from_seq=from_seq, offset=len(got)), 2 * self.params.ask_ms, fetched)
 
+    def _take(self, address: str, message: Fetched, got: bytes, from_seq: int = 1) -> None:
+        if message.snapshot:
+            data = got + message.snapshot
+            if len(data) < message.total:
+                self._fetch_from(address, from_seq, data)
+            else:
+                self._install(address, data)
+            return
+        records = [decode(data) for data in message.records]
+        self._records[-1].extend(records)
+        if records and records[-1].seq < message.last_seq:
+            self._fetch_from(address, records[-1].seq + 1)
+        else:
+            self._next_source()
+
     def _install(self, address: str, data: bytes) -> None:
         """The source has trimmed what we lack: its snapshot is settled, so it may stand for ours."""
         def installed(ok: bool) -> None:
@@ -165,7 +212,7 @@
         except DiskFull:
             self._finish(False)
             return
-        self._log.flush(self._written)
+        self._log.secure(self._written)
 
     def _written(self, ok: bool) -> None:
         if not ok:
--- a/libs/accession/src/accession/store.py
+++ b/libs/accession/src/accession/store.py
@@ -1,6 +1,8 @@
-"""The store's part in the log: it answers a holder as a peer, becomes holder when the duty falls to
-it, and replaces a lost member by a spare that has caught up. Roles: spare, peer, claiming,
-recovering, adopting, announcing, serving. One function makes every change of role."""
+"""The store's part in the log: it answers a holder as a peer, watches it, becomes holder when the duty falls to
+it, and as holder keeps the list of members whole. Roles: peer, claiming, recovering, adopting, announcing,
+serving. One function makes every change of role. With the members unchanged the holder serves as soon as f others
+have adopted the recovered log, since whoever recovers next asks the same members; the word to control
+follows. With changed members control's word comes first."""
 
 import json
 from collections.abc import Callable
@@ -9,10 +11,12 @@
 
 from accession.holder import Holder
 from accession.local import LocalLog
-from accession.messages import Append, Appended, Fetch, Install, Start
+from accession.membership import crowded, lost_members, pick_spare, warm_spares
+from accession.messages import Append, Appended, Fetch, FetchTail, Install, Poll, Polled, Pulse, Start, Succeed
 from accession.peer import PeerSide
 from accession.places import spread
 from accession.recovery import Recovery
+from accession.watch import Watch
 from vellum import Message, Origin, Part
 
 __all__ = ["LOG_KEY", "StoreLog"]
@@ -29,13 +33,16 @@
     SERVING = "serving"
 
 
+_AT_WORK = (Role.RECOVERING, Role.ADOPTING, Role.ANNOUNCING, Role.SERVING)
+
+
 class StoreLog(Part):
     """`control` changes and reads control keys: change(key, version, body, done(outcome, version, body)).
     `fleet` tells what the gazette and standing say: log key, live stores, retired identities."""
 
-    __slots__ = ("_candidates", "_candidates_ms", "_changed_ms", "_control", "_fleet", "_leaving", "_on_role", "_peer", "_recovery", "_roomy_ms",
-                 "_succeeding", "_version", "holder", "log", "role", "value")
-    HANDLES = (Append, Appended, Install, Start, Fetch)
+    __slots__ = ("_candidates", "_candidates_ms", "_changed_ms", "_changing", "_control", "_fleet", "_housed_ms", "_leaving", "_on_role", "_peer",
+                 "_pulsed_ms", "_recovery", "_roomy_ms", "_version", "_wanted_ms", "_watch", "holder", "log", "role", "value")
+    HANDLES = (Append, Appended, Install, Start, Fetch, FetchTail, Pulse, Poll, Succeed)
 
     def __init__(self, log: LocalLog, control: Any, fleet: Any,
                  on_role: Callable[[Holder | None], None]) -> None:
@@ -50,22 +57,37 @@
         self._candidates: list[dict[str, str]] = []
         self._candidates_ms = 0
         self._changed_ms = 0
+        self._changing = False
+        self._housed_ms = -1 << 40
         self._leaving = False
-        self._succeeding = False
+        self._pulsed_ms = -1 << 40
         self._roomy_ms = -1 << 40
+        self._wanted_ms = -1
         self._version = 0
         self.value: dict[str, Any] = {}
 
+    def attach(self, node: Any) -> None:
+        super().attach(node)
+        self._watch = Watch(self.log.identity, node.params, node.env.now)
+
     # -- as a peer -----------------------------------------------------------------------------
 
     def receive(self, message: Message, origin: Origin) -> None:
         if isinstance(message, Appended):
             if self.holder is not None and not self.holder.deposed:
                 self.holder.answered(message, origin.sender)
-            return
-        if message.epoch > self.log.meta.fence and self.role is not Role.PEER:
-            self._step_down("fenced", message.epoch)
-        self._peer.receive(message, lambda receipt: self._receipt(origin, message, receipt), origin.sender)
+        elif isinstance(message, Pulse):
+            if message.sure and message.epoch >= self.value.get("epoch", 0):
+                self._watch.heard()
+        elif isinstance(message, Poll):
+            self._polled(message, origin)
+        elif isinstance(message, Succeed):
+            self._learn(message.number, message.body)
+            self._consider_claim()
+        else:
+            if message.epoch > self.log.meta.fence and self.role is not Role.PEER:
+                self._step_down("fenced", message.epoch)
+            self._peer.receive(message, lambda receipt: self._receipt(origin, message, receipt), origin.sender)
 
     def _receipt(self, origin: Origin, message: Message, receipt: Message) -> None:
         if isinstance(message, (Append, Install)):
@@ -73,10 +95,28 @@
         else:
             self.node.reply(origin, receipt)
 
+    def _polled(self, message: Poll, origin: Origin) -> None:
+        epoch = self.value.get("epoch", 0)
+        if message.identity == self.value.get("holder") and message.epoch >= epoch and self.role is Role.PEER:
+            self._watch.gone()
+        self.node.reply(origin, Polled(
+            identity=self.log.identity, epoch=max(epoch, self.log.meta.fence), holds=self._at_work(),
+            hears=self.role is Role.PEER and self._watch.hears, leaving=self._leaving))
+
+    def _at_work(self) -> bool:
+        return self.role in _AT_WORK and (self.role is not Role.SERVING or self.holder.sure())
+
+    def unreachable(self, address: str) -> None:
+        """A machine answers that nothing listens there: its process has ended."""
+        row = next((row for row in self.value.get("members", []) if row["address"] == address), None)
+        if row is not None and row["identity"] == self.value["holder"]:
+            self._watch.gone()
+
     # -- the duty ------------------------------------------------------------------------------
 
     def tick(self) -> None:
         self._read_key()
+        self._watch.tick()
         if self.holder is not None:
             self.holder.tick()
         elif self.log.flush_due():
@@ -85,47 +125,72 @@
             self.log.tidy()
         if self.role is Role.PEER:
             self._consider_claim()
-        elif self.role is Role.ADOPTING and self.holder is not None and self.holder.adopted():
-            self._announce()
-        elif self.role is Role.SERVING and self.holder is not None:
-            self._consider_replacement()
-            self._consider_room()
-        if self.role in (Role.ADOPTING, Role.RECOVERING, Role.CLAIMING, Role.ANNOUNCING):
-            if self.node.env.now() - self._changed_ms > 2 * self.node.params.force_ms:
-                self._step_down("stuck", 0)
+            return
+        self._pulse()
+        if self.role is Role.SERVING:
+            self._keep_house()
+        elif self.node.env.now() - self._changed_ms > 2 * self.node.params.force_ms:
+            self._step_down("stuck", 0)
+
+    def _pulse(self) -> None:
+        """To the other members, that this store is at work as the holder."""
+        now_ms = self.node.env.now()
+        if self.role is Role.CLAIMING or now_ms - self._pulsed_ms < self.node.params.pulse_ms:
+            return
+        self._pulsed_ms = now_ms
+        for row in self.value["members"]:
+            if row["identity"] != self.log.identity:
+                self.node.post(row["address"], Pulse(epoch=self.value["epoch"], sure=self._at_work()))
 
     def _read_key(self) -> None:
-        version, body = self._fleet.log_key()
-        if version > self._version:
-            self._version = version
-            self.value = json.loads(body)
+        self._learn(*self._fleet.log_key())
         held = self.value.get("epoch", 0)
         if self.role is not Role.PEER and self.holder is not None and held > self.holder.epoch:
             self._step_down("superseded", held)
 
+    def _learn(self, version: int, body: str) -> None:
+        if version > self._version:
+            before = self.value.get("epoch", 0)
+            self._version = version
+            self.value = json.loads(body)
+            if self.value["epoch"] != before:
+                self._watch.reset()
+
     def _consider_claim(self) -> None:
-        now_ms = self.node.env.now()
-        if self._leaving or not self._fleet.settled_in() or now_ms - self._changed_ms < self.node.params.beat_ms:
+        if self._leaving or self.role is not Role.PEER:
             return
         if not self.value:
             self._found()
             return
         names = [row["identity"] for row in self.value["members"]]
-        able = [name for name in names if not self._retired(name)
-                and (name == self.log.identity or self._fleet.live_store(name))]
-        if self.log.identity not in names or (self._retired(self.log.identity) and able):
-            return
-        current = self.value["holder"]
-        if current != self.log.identity and current in able:
+        if self.log.identity not in names:
             return
-        if able and able[0] != self.log.identity and current != self.log.identity:
+        holder, epoch = self.value["holder"], self.value["epoch"]
+        orphaned = holder == self.log.identity
+        if orphaned and self.value["phase"] == "recovering" and self.log.meta.fence < epoch:
+            self._recover(epoch)
             return
-        self._claim(self.value["members"], self._old_members(), self.log.identity)
+        if self._watch.should_poll(orphaned):
+            self._poll(epoch)
+        if self._watch.should_claim(names, holder, epoch, self._fleet.retired_stores()):
+            self._claim(self.value["members"], self._old_members(), self.log.identity)
+
+    def _poll(self, epoch: int) -> None:
+        def polled(answer: Any) -> None:
+            if answer is not None and self.role is Role.PEER and epoch == self.value.get("epoch"):
+                self._watch.polled(answer, self.value["holder"])
+                self._consider_claim()
+
+        for row in self.value["members"]:
+            if row["identity"] != self.log.identity:
+                self.node.ask(row["address"], Poll(identity=self.log.identity, epoch=epoch), self.node.params.suspect_ms, polled)
 
     def _found(self) -> None:
         """The first members, once as many blank stores as the log needs are heard and no more appear: the first
         of them in order asks, then the next. A store that starts blank later than the fleet never founds."""
         params, now_ms = self.node.params, self.node.env.now()
+        if not self._fleet.settled_in() or now_ms - self._changed_ms < params.beat_ms:
+            return
         blank = self._fleet.store_rows()
         if blank != self._candidates:
             self._candidates, self._candidates_ms = blank, now_ms
@@ -144,29 +209,40 @@
         epoch = max(self.value.get("epoch", 0), self.log.meta.fence) + 1
         body = {"epoch": epoch, "holder": holder, "phase": "recovering", "members": members, "prev": prev}
         serving = self.role is Role.SERVING
-        if serving:
-            self._succeeding = True
-        else:
+        if not serving:
             self._become(Role.CLAIMING, epoch)
 
-        def claimed(outcome: str, version: int, value: str) -> None:
-            if version > self._version:
-                self._version = version
-                self.value = json.loads(value)
-            self._succeeding = False
+        def claimed(outcome: str) -> None:
             if serving and self.role is Role.SERVING and self.value.get("epoch", 0) > self.holder.epoch:
                 self._step_down("succeeded", epoch)
             if self.role is not (Role.PEER if serving else Role.CLAIMING):
                 return
-            if outcome == "ok" and self.value.get("epoch") == epoch and holder == self.log.identity:
+            mine = outcome == "ok" and self.value.get("epoch") == epoch
+            if mine and holder == self.log.identity:
                 self._recover(epoch)
             elif not serving:
                 self._become(Role.PEER, epoch)
+            if mine and holder != self.log.identity:
+                address = next(row["address"] for row in members if row["identity"] == holder)
+                self.node.post(address, Succeed(number=self._version, body=json.dumps(self.value)))
+
+        self._change(body, claimed)
+
+    def _change(self, body: dict[str, Any], done: Callable[[str], None]) -> None:
+        """One change of the key at a time."""
+        self._changing = True
 
-        self._control.change(LOG_KEY, self._version, json.dumps(body), claimed)
+        def changed(outcome: str, version: int, value: str) -> None:
+            self._changing = False
+            if version:
+                self._learn(version, value)
+            done(outcome)
+
+        self._control.change(LOG_KEY, self._version, json.dumps(body), changed)
 
     def _recover(self, epoch: int) -> None:
         self._become(Role.RECOVERING, epoch)
+        self._pulse()
         prev = [(row["identity"], row["address"]) for row in self.value["prev"]]
 
         def recovered(ok: bool) -> None:
@@ -179,68 +255,96 @@
             members = [(row["identity"], row["address"]) for row in self.value["members"]]
             self.holder = Holder(self.log, epoch, members, self.node.params, self.node.env.now,
                                  self.node.env.wall, self.node.post,
-                                 lambda fence: self._step_down("deposed", fence))
+                                 lambda fence: self._step_down("deposed", fence), self._adopted)
             self._become(Role.ADOPTING, epoch)
             self.holder.tick()
 
         self._recovery = Recovery(self.log, epoch, prev, self.node.params, self.node.ask, self.node.env.now, recovered)
         self._recovery.start()
 
-    def _announce(self) -> None:
+    def _adopted(self) -> None:
+        if self.role is not Role.ADOPTING:
+            return
         epoch = self.holder.epoch
+        if self.value["members"] == self.value["prev"]:
+            self._serve(epoch)
+            return
         self._become(Role.ANNOUNCING, epoch)
-        body = {**self.value, "phase": "serving", "prev": self.value["members"]}
 
-        def announced(outcome: str, version: int, value: str) -> None:
-            if version > self._version:
-                self._version = version
-                self.value = json.loads(value)
+        def announced(outcome: str) -> None:
             if self.role is not Role.ANNOUNCING:
                 return
             if outcome == "ok" and self.value.get("epoch") == epoch:
-                self._become(Role.SERVING, epoch)
-                self._on_role(self.holder)
+                self._serve(epoch)
             else:
                 self._step_down("announcement-" + outcome, epoch)
 
-        self._control.change(LOG_KEY, self._version, json.dumps(body), announced)
+        self._change({**self.value, "phase": "serving", "prev": self.value["members"]}, announced)
+
+    def _serve(self, epoch: int) -> None:
+        self._become(Role.SERVING, epoch)
+        self._wanted_ms = -1
+        self._on_role(self.holder)
+
+    # -- keeping house -------------------------------------------------------------------------
 
-    # -- replacing members ---------------------------------------------------------------------
+    def _keep_house(self) -> None:
+        now_ms = self.node.env.now()
+        if self._changing or self.holder.epoch != self.value["epoch"]:
+            return
+        if self._leaving:
+            self._hand_to_another()
+        elif now_ms - self._housed_ms < self.node.params.pulse_ms:
+            return
+        self._housed_ms = now_ms
+        if self._leaving:
+            return
+        if self.value["phase"] == "recovering":
+            self._change({**self.value, "phase": "serving", "prev": self.value["members"]}, lambda outcome: None)
+        else:
+            self._consider_replacement()
+            self._consider_room()
 
     def _retired(self, identity: str) -> bool:
         return identity in self._fleet.retired_stores()
 
     def _consider_replacement(self) -> None:
-        holder = self.holder
-        if self._succeeding:
+        holder, members, now_ms = self.holder, self.value["members"], self.node.env.now()
+        params, retired, names = self.node.params, self._fleet.retired_stores(), holder.members
+        live = self._fleet.store_rows()
+        spares = [row for row in live if row["identity"] not in names and row["identity"] not in retired]
+        silent_ms = {name: now_ms - holder.peers[name].heard_ms for name in names if name in holder.peers}
+        lost = lost_members(members, live, silent_ms, retired, params.gone_ms)
+        warm = {name for name in holder.peers if name not in names}
+        wanted = warm_spares(members, spares, lost, warm, params.store_faults)
+        holder.keep_spares([(row["identity"], row["address"]) for row in wanted])
+        ready = [row for row in wanted if holder.is_level(row["identity"])]
+        new = pick_spare(members, ready, lost)
+        calm = now_ms - self._changed_ms > params.resume_ms
+        old = lost[0] if lost else crowded(members, new) if new is not None and calm else None
+        if new is None or old is None:
+            self._wanted_ms = -1
             return
-        names = holder.members
-        stores = self._fleet.live_stores()
-        for identity, address in stores.items():
-            if not self._retired(identity):
-                holder.learn(identity, address)
-        now_ms = self.node.env.now()
-        gone_ms = self.node.params.gone_ms
-        lost = [name for name in names if self._retired(name) or
-                (name != self.log.identity and now_ms - holder.peers[name].heard_ms > gone_ms)]
-        spares = [peer for name, peer in holder.peers.items()
-                  if name not in names and name in stores and not self._retired(name) and peer.adopted
-                  and peer.flushed_seq >= self.log.settled_seq and now_ms - peer.heard_ms < self.node.params.dead_ms]
-        if not lost or not spares or holder.waiters:
+        self._wanted_ms = now_ms if self._wanted_ms < 0 else self._wanted_ms
+        if holder.waiters and now_ms - self._wanted_ms < params.ask_ms:
             return
-        old, new = lost[0], spares[0]
-        members = [row for row in self.value["members"] if row["identity"] != old]
-        members.append({"identity": new.identity, "address": new.address})
-        following = self.log.identity if old != self.log.identity else members[0]["identity"]
-        self.node.env.log("store-replaced", "WARNING", old=old, new=new.identity, epoch=holder.epoch)
-        self._claim(members, self.value["members"], following)
+        following = [row for row in members if row["identity"] != old] + [new]
+        first = self.log.identity if old != self.log.identity else self._follower(following)
+        self.node.env.log("store-replaced", "WARNING", old=old, new=new["identity"], epoch=holder.epoch)
+        self._claim(following, members, first)
+
+    def _follower(self, members: list[dict[str, str]]) -> str:
+        """Who takes the duty over: of those in touch and not on their way out, the one with most of the log."""
+        others = [row["identity"] for row in members if row["identity"] != self.log.identity]
+        able = [name for name in others if self.holder.in_touch(name) and not self._retired(name)]
+        return max(able or others, key=lambda name: (self.holder.peers[name].last_seq, -others.index(name)))
 
     def _consider_room(self) -> None:
         """A holder whose disk has been full for a while makes way for a member that still has room."""
         now_ms = self.node.env.now()
         if self.log.disk.roomy(0):
             self._roomy_ms = now_ms
-        following = None if self._succeeding or self.holder is None else self.holder.roomier()
+        following = None if self._changing or self.holder is None else self.holder.roomier()
         if following is not None and now_ms - max(self._roomy_ms, self._changed_ms) > self.node.params.dead_ms:
             self.node.env.log("holder-full", "WARNING", following=following)
             self._changed_ms = now_ms
@@ -249,13 +353,14 @@
     def hand_over(self) -> None:
         """Before leaving: the holder's duty goes to another live member at once."""
         self._leaving = True
-        if self.role is not Role.SERVING:
-            return
-        others = [row for row in self.value["members"] if row["identity"] != self.log.identity
-                  and self._fleet.live_store(row["identity"]) and not self._retired(row["identity"])]
-        if others:
-            members = self.value["members"]
-            self._claim(members, members, others[0]["identity"])
+        if self.role is Role.SERVING:
+            self._keep_house()
+
+    def _hand_to_another(self) -> None:
+        members = self.value["members"]
+        following = self._follower(members)
+        if self.holder.in_touch(following):
+            self._claim(members, self._old_members(), following)
 
     def handing_over(self) -> bool:
         return self._leaving and self.role is not Role.PEER
@@ -275,10 +380,12 @@
         holder, self.holder = self.holder, None
         self.node.env.log("log-stepped-down", "INFO", reason=reason, epoch=epoch)
         self._become(Role.PEER, epoch)
+        self._watch.reset()
         self._on_role(None)
         if holder is not None:
             holder.stop()
 
     def woke(self, gap_ms: int) -> None:
+        self._watch.reset()
         if self.role is not Role.PEER:
             self._step_down("frozen", 0)
--- /dev/null
+++ b/libs/accession/src/accession/watch.py
@@ -0,0 +1,86 @@
+"""Whether the log's holder is still at work, as one member judges it. The holder's pulses are counted
+against this store's own ticks, so a store that stood still itself suspects nobody. After some silence the other members
+are asked; the duty is taken only if n-f of them answer and fewer than f still hear the holder, so a member that
+is merely cut off from it leaves it alone. Who answered before in the members' order goes first."""
+
+from typing import Any
+
+from accession.messages import Polled
+
+__all__ = ["Watch"]
+
+
+class Watch:
+    __slots__ = ("_answers", "_last_ms", "_now", "_own", "_params", "_polled_ms", "_ripe_ms", "quiet_ms")
+
+    def __init__(self, own: str, params: Any, now: Any) -> None:
+        self._own, self._params, self._now = own, params, now
+        self._answers: dict[str, tuple[int, Polled]] = {}
+        self._polled_ms = -1 << 40
+        self._ripe_ms = -1
+        self._last_ms = now()
+        self.quiet_ms = 0
+
+    def reset(self) -> None:
+        """Another holder, another epoch, or this store has just woken."""
+        self._answers.clear()
+        self._ripe_ms = -1
+        self._last_ms = self._now()
+        self.quiet_ms = 0
+
+    def heard(self) -> None:
+        self.quiet_ms = 0
+        self._ripe_ms = -1
+
+    def gone(self) -> None:
+        """The holder's machine says that its process is not there."""
+        self.quiet_ms = max(self.quiet_ms, self._params.suspect_ms)
+
+    @property
+    def hears(self) -> bool:
+        return self.quiet_ms < self._params.doubt_ms
+
+    def tick(self) -> None:
+        now_ms = self._now()
+        self.quiet_ms += min(now_ms - self._last_ms, self._params.pulse_ms // 2)
+        self._last_ms = now_ms
+
+    def should_poll(self, orphaned: bool) -> bool:
+        """`orphaned`: this very store is named as the holder, and isn't at work."""
+        due = orphaned or self.quiet_ms >= self._params.doubt_ms
+        if not due or self._now() - self._polled_ms < self._params.pulse_ms:
+            return False
+        self._polled_ms = self._now()
+        return True
+
+    def polled(self, answer: Polled, holder: str) -> None:
+        self._answers[answer.identity] = (self._now(), answer)
+        if answer.identity == holder and answer.holds:
+            self.heard()
+
+    def should_claim(self, names: list[str], holder: str, epoch: int, retired: list[str]) -> bool:
+        params, now_ms = self._params, self._now()
+        floor_ms = now_ms - 2 * params.pulse_ms
+        answers = {name: answer for name, (at_ms, answer) in self._answers.items() if at_ms >= floor_ms and name in names}
+        if not self._is_free(answers, names, holder, epoch):
+            self._ripe_ms = -1
+            return False
+        if self._ripe_ms < 0:
+            self._ripe_ms = now_ms
+        able = [name for name in names if name == self._own or (name in answers and not answers[name].leaving)]
+        willing = [name for name in able if name not in retired] or able
+        if self._own not in willing:
+            return False
+        return now_ms - self._ripe_ms >= willing.index(self._own) * params.pulse_ms
+
+    def _is_free(self, answers: dict[str, Polled], names: list[str], holder: str, epoch: int) -> bool:
+        f = self._params.store_faults
+        if 1 + len(answers) < len(names) - f or any(answer.epoch > epoch for answer in answers.values()):
+            return False
+        held = answers.get(holder)
+        if held is not None and held.holds:
+            return False
+        if sum(answer.hears for name, answer in answers.items() if name != holder) >= f:
+            return False
+        disowned = holder == self._own or (held is not None and held.epoch >= epoch)
+        return disowned or self.quiet_ms >= self._params.suspect_ms
--- a/libs/colophon/src/colophon/params.py
+++ b/libs/colophon/src/colophon/params.py
@@ -91,6 +91,21 @@
         """Silence after which a node no longer counts as live for a duty."""
         return int(self.force_ms * 0.5)
 
+    @property
+    def pulse_ms(self) -> int:
+        """How often the log's holder says that it is at work."""
+        return max(10, int(self.force_ms * 0.05))
+
+    @property
+    def doubt_ms(self) -> int:
+        """Silence of the holder after which a member asks the others about it."""
+        return int(self.force_ms * 0.15)
+
+    @property
+    def suspect_ms(self) -> int:
+        """Silence of the holder after which another member takes its place, if enough of them agree."""
+        return int(self.force_ms * 0.2)
+
     @property
     def worker_ms(self) -> int:
         """Silence after which a worker gets nothing new."""
