One thread does all work on a store's disk, and a mark speaks only for its own fence

Cause: the loop wrote to the device itself and so waited for whatever flush was under way; each flush also flushed the folder and summed up all sizes. A mark from before a cut could outlive it and be taken for damage.

Change: writes, truncations and removals are steps that one thread makes in order, pushed at each tick or with a flush; the folder is flushed only when names have changed; what a full device doesn't take is tried again. A mark says under which fence it was written.

--- a/libs/accession/src/accession/holder.py
+++ b/libs/accession/src/accession/holder.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from accession.local import LocalLog, entry_of
-from accession.messages import Append, Appended, Install
+from accession.messages import Append, Appended, Install, Record
 from ledger import Ledger
 from ledger.entries import LotShelved
 from stacks import DiskFull
@@ -16,7 +16,9 @@
 
 __all__ = ["Holder", "Outcome", "Peer"]
 
-_CHUNK_BYTES = 1 << 20
+_CHUNK_BYTES = 1 << 18
+_PART_BYTES = 1 << 18
+_WIRES = 64
 
 
 class Outcome(StrEnum):
@@ -27,7 +29,7 @@
 
 class Peer:
     __slots__ = ("address", "adopted", "asked_seq", "flushed_seq", "full", "heard_ms", "identity", "install_ms", "last_seq",
-                 "next_seq", "probe", "sent_ms")
+                 "next_seq", "probe", "sent_ms", "snapshot", "taken_bytes")
 
     def __init__(self, identity: str, address: str, next_seq: int, now_ms: int) -> None:
         self.identity = identity
@@ -41,6 +43,8 @@
         self.heard_ms = now_ms
         self.adopted = False
         self.install_ms = -1 << 40
+        self.snapshot = b""
+        self.taken_bytes = 0
         self.full = False
 
 
@@ -56,7 +60,7 @@
 
 class Holder:
     __slots__ = ("_flush_asked", "_flush_wanted_seq", "_log", "_on_adopted", "_on_deposed", "_post", "_probe", "_readers",
-                 "_wall", "_now", "base_seq", "deposed", "epoch", "ledger", "members", "params", "peers",
+                 "_wall", "_wires", "_now", "base_seq", "deposed", "epoch", "ledger", "members", "params", "peers",
                  "waiters")
 
     def __init__(self, log: LocalLog, epoch: int, members: list[tuple[str, str]], params: Any,
@@ -75,6 +79,7 @@
         self.waiters: list[_Waiter] = []
         self._readers: list[tuple[int, Callable[[bool], None], int]] = []
         self._probe = 0
+        self._wires: dict[int, bytes] = {}
         self._flush_asked = False
         self._flush_wanted_seq = 0
         self.deposed = False
@@ -105,10 +110,11 @@
             return False
         before = self._log.last_seq
         try:
-            for body in bodies:
-                self._log.write(self._log.make(self._stamp(), body), urgent)
+            for body, entry in zip(bodies, entries, strict=True):
+                self._log.write(self._log.make(self._stamp(), body), urgent, entry)
         except DiskFull:
             self._log.cut_after(before)
+            self._wires.clear()
             done(Outcome.FULL)
             return False
         for entry in entries:
@@ -151,10 +157,19 @@
         wanted = flush or self._flush_wanted_seq > peer.flushed_seq
         self._post(peer.address, Append(
             epoch=self.epoch, base_seq=self.base_seq, prev_seq=peer.next_seq - 1, prev_epoch=previous[0],
-            prev_ms=previous[1], records=[encode(record) for record in records], settled_seq=log.settled_seq,
+            prev_ms=previous[1], records=[self._wired(record) for record in records], settled_seq=log.settled_seq,
             flush=wanted, probe=self._probe))
         peer.next_seq += len(records)
 
+    def _wired(self, record: Record) -> bytes:
+        """A record's bytes for the wire, made once for all peers."""
+        data = self._wires.get(record.seq)
+        if data is None:
+            data = self._wires[record.seq] = encode(record)
+            if len(self._wires) > _WIRES:
+                del self._wires[next(iter(self._wires))]
+        return data
+
     def answered(self, message: Appended, address: str) -> None:
         if message.fence > self.epoch:
             self._depose(message.fence)
@@ -164,10 +179,10 @@
             return
         peer.address = address
         peer.heard_ms = self._now()
-        if message.reason == "busy":
-            peer.install_ms = max(peer.install_ms, peer.heard_ms - self.params.force_ms + self.params.dead_ms)
+        if peer.snapshot and message.reason in ("busy", "part"):
+            self._go_on_installing(peer, message)
         else:
-            peer.install_ms = -1 << 40
+            peer.snapshot = b""
         peer.full = message.reason == "full" or not message.roomy
         peer.probe = max(peer.probe, message.probe)
         if message.ok:
@@ -196,13 +211,27 @@
         self._send(peer)
 
     def _install(self, peer: Peer) -> None:
-        """Sent again only if the peer hasn't said for a while that it is busy with it."""
-        if self._now() - peer.install_ms >= self.params.force_ms:
-            peer.install_ms = self._now()
-            data = self._log.snapshot()
-            for offset in range(0, len(data), _CHUNK_BYTES):
-                self._post(peer.address, Install(epoch=self.epoch, snapshot=data[offset:offset + _CHUNK_BYTES],
-                                                 offset=offset, total=len(data), probe=self._probe))
+        """A snapshot goes part by part, each after the one before has been taken, so that a thin link isn't
+        swamped; one that gets nowhere is begun again."""
+        now_ms = self._now()
+        if not peer.snapshot or now_ms - peer.install_ms >= self.params.force_ms:
+            peer.snapshot, peer.taken_bytes = self._log.snapshot(), 0
+            self._send_part(peer)
+        elif now_ms - peer.install_ms >= self.params.ask_ms and peer.taken_bytes < len(peer.snapshot):
+            self._send_part(peer)
+
+    def _send_part(self, peer: Peer) -> None:
+        peer.install_ms = self._now()
+        offset = peer.taken_bytes
+        self._post(peer.address, Install(epoch=self.epoch, snapshot=peer.snapshot[offset:offset + _PART_BYTES],
+                                         offset=offset, total=len(peer.snapshot), probe=self._probe))
+
+    def _go_on_installing(self, peer: Peer, message: Appended) -> None:
+        if message.reason == "busy":
+            peer.install_ms, peer.taken_bytes = self._now(), len(peer.snapshot)
+        elif message.asked_seq > peer.taken_bytes:
+            peer.taken_bytes = message.asked_seq
+            self._send_part(peer)
 
     def learn(self, identity: str, address: str) -> None:
         """A spare store: it is sent the log but counts for nothing until it is made a member."""
--- a/libs/accession/src/accession/local.py
+++ b/libs/accession/src/accession/local.py
@@ -19,7 +19,7 @@
 
 
 class LocalLog:
-    __slots__ = ("_dirty", "_flush_waiters", "_flushing", "_fresh", "_last_flush_ms", "_meta_bytes", "_meta_next", "_meta_waiters", "_meta_writing", "_now", "_since_snap_bytes",
+    __slots__ = ("_dirty", "_entries", "_flush_waiters", "_flushing", "_fresh", "_last_flush_ms", "_meta_bytes", "_meta_next", "_meta_waiters", "_meta_writing", "_now", "_since_snap_bytes",
                  "_snapping", "_written", "disk", "fetcher", "flushed_seq", "ledger", "meta", "params", "received_ms",
                  "records", "settled_seq", "shelves", "snap_seq", "snap_stamp")
 
@@ -28,6 +28,7 @@
         self.params = params
         self._now = now
         self.records: list[Record] = []
+        self._entries: dict[int, Message] = {}
         self.received_ms: list[int] = []
         self.ledger = Ledger()
         self.snap_seq = 0
@@ -111,10 +112,10 @@
             self._dirty.discard(name)
 
     def _read_mark(self, names: list[str]) -> int:
-        if _MARK not in names:
-            return 0
-        frames, _, _ = scan(self.disk.read(_MARK))
-        return int(frames[0][1]) if frames else 0
+        """A mark from before the present fence says nothing: what it speaks of may have been cut off since."""
+        frames = scan(self.disk.read(_MARK))[0] if _MARK in names else []
+        fence, seq = (int(part) for part in frames[0][1].split()) if frames else (-1, 0)
+        return seq if fence == self.meta.fence == self.meta.log_epoch else 0
 
     def may_found(self) -> bool:
         """Blank from the start of the fleet on: a disk that is blank later may have been exchanged."""
@@ -168,8 +169,9 @@
         return _record(StoredEntry(epoch=stamp[0], stamp_ms=stamp[1], seq=seq, body=body), payload, name, offset,
                        flags)
 
-    def write(self, record: Record, urgent: bool = False) -> None:
-        """Lazy, at the absolute offset, so writing the same record again changes nothing."""
+    def write(self, record: Record, urgent: bool = False, entry: Message | None = None) -> None:
+        """Lazy, at the absolute offset, so writing the same record again changes nothing. Who has the entry at
+        hand spares its being read from the record when it settles."""
         if record.flags & TRUNCATE:
             self.disk.truncate(record.file, 0)
         self.disk.write(record.file, record.offset, record.bytes, urgent)
@@ -178,6 +180,8 @@
         self._since_snap_bytes += record.nbytes
         self.records.append(record)
         self.received_ms.append(self._now())
+        if entry is not None:
+            self._entries[record.seq] = entry
 
     def cut_after(self, seq: int) -> None:
         keep = max(0, seq - self.first_seq + 1)
@@ -190,6 +194,7 @@
             self._written = ("", 0)
         del self.records[keep:]
         del self.received_ms[keep:]
+        self._entries.clear()
         self.flushed_seq = min(self.flushed_seq, self.last_seq)
 
     def flush(self, done: Callable[[bool], None]) -> None:
@@ -228,8 +233,8 @@
         self.disk.flush(names, flushed)
 
     def _write_mark(self, seq: int) -> None:
-        if self.disk.roomy(64, True):
-            self.disk.write(_MARK, 0, frame(f"{seq:020d}".encode()), True)
+        if self.meta.fence == self.meta.log_epoch and self.disk.roomy(64, True):
+            self.disk.write(_MARK, 0, frame(f"{self.meta.fence:020d} {seq:020d}".encode()), True)
 
     def flush_due(self) -> bool:
         return (self.flushed_seq < self.last_seq and not self._flushing
@@ -280,9 +285,9 @@
     def settle(self, seq: int) -> None:
         """Folds what has become settled into the ledger."""
         while self.settled_seq < min(seq, self.last_seq):
-            record = self.records[self.settled_seq + 1 - self.first_seq]
-            self.ledger.apply(entry_of(record))
             self.settled_seq += 1
+            entry = self._entries.pop(self.settled_seq, None)
+            self.ledger.apply(entry or entry_of(self.records[self.settled_seq - self.first_seq]))
 
     def busy(self) -> bool:
         """A snapshot is being written."""
--- a/libs/accession/src/accession/mending.py
+++ b/libs/accession/src/accession/mending.py
@@ -13,7 +13,7 @@
 
 __all__ = ["FetchShelf", "GetKept", "Kept", "Mending", "ShelfPart"]
 
-_CHUNK_BYTES = 1 << 20
+_CHUNK_BYTES = 1 << 18
 _PAGE = 200
 
 
--- a/libs/accession/src/accession/peer.py
+++ b/libs/accession/src/accession/peer.py
@@ -13,7 +13,7 @@
 
 __all__ = ["PeerSide"]
 
-_CHUNK_BYTES = 1 << 20
+_CHUNK_BYTES = 1 << 18
 Reply = Callable[[Message], None]
 
 
@@ -124,6 +124,7 @@
             return
         self._parts = self._parts[:message.offset] + message.snapshot if message.offset <= len(self._parts) else b""
         if len(self._parts) != message.total:
+            reply(self._receipt(message.probe, False, "part", len(self._parts)))
             return
         data, self._parts = self._parts, b""
         self._busy = True
--- a/libs/accession/src/accession/store.py
+++ b/libs/accession/src/accession/store.py
@@ -117,6 +117,7 @@
     def tick(self) -> None:
         self._read_key()
         self._watch.tick()
+        self.log.disk.push()
         if self.holder is not None:
             self.holder.tick()
         elif self.log.flush_due():
--- a/libs/facsimile/src/facsimile/breaks/table.py
+++ b/libs/facsimile/src/facsimile/breaks/table.py
@@ -133,5 +133,6 @@
     "an endless answer is read on": (
         "circulation/src/circulation/exchange.py", "if self._size_bytes > self._limit_bytes:", "if False:", _EXCHANGES),
     "only the first in order holds": (
-        "accession/src/accession/store.py", "and (name == self.log.identity or self._fleet.live_store(name))]", "]", _MEMBERS + "swapped"),
+        "accession/src/accession/watch.py", "return now_ms - self._ripe_ms >= willing.index(self._own) * params.pulse_ms",
+        "return self._own == names[0]", _MEMBERS + "swapped"),
 }
--- a/libs/facsimile/src/facsimile/sim/disks.py
+++ b/libs/facsimile/src/facsimile/sim/disks.py
@@ -52,6 +52,9 @@
         _put(self._files.setdefault(name, bytearray()), offset, data)
         self._pending.setdefault(name, []).append(("write", offset, data))
 
+    def push(self) -> None:
+        return None
+
     def truncate(self, name: str, size: int) -> None:
         if name in self._files:
             _cut(self._files[name], size)
--- a/libs/facsimile/src/facsimile/surroundings/disks.py
+++ b/libs/facsimile/src/facsimile/surroundings/disks.py
@@ -48,6 +48,9 @@
             self._apply(name, ("write", offset, data[:self._rng.randrange(len(data) + 1)]))
         self._pending.setdefault(name, []).append(("write", offset, data))
 
+    def push(self) -> None:
+        self._inner.push()
+
     def truncate(self, name: str, size: int) -> None:
         if name in self._seen:
             page = self._seen[name]
--- a/libs/stacks/src/stacks/disk.py
+++ b/libs/stacks/src/stacks/disk.py
@@ -1,8 +1,9 @@
 """The disk as cores see it, and the one under a data folder. A write is lazy: it lasts only once a
-flush that began after it is reported done. Part of the room is kept back for urgent writes, so that
+flush that began after it is reported done. All work on the device is done in order by one thread, so a slow device
+holds up nobody who doesn't wait for a flush. Part of the room is kept back for urgent writes, so that
 ending lots, trimming and snapshots still work on a disk that refuses everything else. A failed
-flush breaks the disk for good, since what the kernel then still holds cannot be known. Small files
-that are replaced whole (identities, fences) are tried whatever the room is said to be."""
+flush breaks the disk for good, since what the kernel then still holds cannot be known; a device that is full
+is tried again. Small files that are replaced whole (identities, fences) are tried whatever the room is said to be."""
 
 import errno
 import os
@@ -15,9 +16,13 @@
 
 KEPT_BACK = 0.2
 SMALL_BYTES = 4096
+_PUSH_BYTES = 1 << 18
 _FULL = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 
 
+_Step = tuple[int, str, str, int, bytes]
+
+
 class DiskFull(Exception):
     pass
 
@@ -32,6 +37,7 @@
     def flush(self, names: list[str], done: Callable[[bool], None]) -> None: ...
     def replace(self, name: str, data: bytes, done: Callable[[bool], None]) -> None: ...
     def roomy(self, size: int, urgent: bool = False) -> bool: ...
+    def push(self) -> None: ...
 
 
 class FolderDisk:
@@ -41,120 +47,216 @@
         self._folder = Path(folder)
         self._folder.mkdir(parents=True, exist_ok=True)
         self._call = call
-        self._broken = False
+        self._broken = self._full = False
         self._on_broken = on_broken
         self._handles: dict[str, int] = {}
+        self._readers: dict[str, int] = {}
         self._sizes = {path.name: path.stat().st_size for path in self._folder.iterdir() if path.is_file()}
+        self._used_bytes = sum(self._sizes.values())
+        self._steps: list[_Step] = []
+        self._steps_bytes = 0
+        self._stuck: list[_Step] = []
+        self._asked, self._made = 0, 0
+        self._last_step: dict[str, int] = {}
+        self._folder_changed = False
+        self._worker = ThreadPoolExecutor(1, thread_name_prefix="stacks")
         for name in [name for name in self._sizes if name.endswith(".tmp")]:
             self.remove(name)
-        self._worker = ThreadPoolExecutor(1, thread_name_prefix="stacks")
+
+    # -- what is asked -------------------------------------------------------------------------
 
     def names(self) -> list[str]:
         return sorted(self._sizes)
 
     def read(self, name: str) -> bytes:
+        self._catch_up(name)
         return (self._folder / name).read_bytes()
 
     def read_at(self, name: str, offset: int, size: int) -> bytes:
-        return os.pread(self._handle(name), size, offset) if name in self._sizes else b""
+        if name not in self._sizes:
+            return b""
+        self._catch_up(name)
+        handle = self._readers.get(name)
+        if handle is None:
+            handle = self._readers[name] = os.open(self._folder / name, os.O_RDONLY)
+        return os.pread(handle, size, offset)
 
     def roomy(self, size: int, urgent: bool = False) -> bool:
         limit = self.room_bytes if urgent else self.room_bytes * (1 - KEPT_BACK)
-        return not self._broken and sum(self._sizes.values()) + size <= limit
+        return not self._broken and not self._full and self._used_bytes + size <= limit
 
     def write(self, name: str, offset: int, data: bytes, urgent: bool = False) -> None:
         if not self.roomy(max(0, offset + len(data) - self._sizes.get(name, 0)), urgent):
             raise DiskFull(name)
-        try:
-            written = os.pwrite(self._handle(name), data, offset)
-        except OSError as error:
-            if error.errno in _FULL:
-                raise DiskFull(name) from error
-            raise
-        self._sizes[name] = max(self._sizes.get(name, 0), offset + written)
-        if written < len(data):
-            raise DiskFull(name)
+        self._resize(name, max(self._sizes.get(name, 0), offset + len(data)))
+        self._step("write", name, offset, data)
+        if self._steps_bytes > _PUSH_BYTES:
+            self.push()
 
     def truncate(self, name: str, size: int) -> None:
         if name in self._sizes:
-            os.ftruncate(self._handle(name), size)
-            self._sizes[name] = size
+            self._resize(name, size)
+            self._step("truncate", name, size, b"")
 
     def remove(self, name: str) -> None:
-        handle = self._handles.pop(name, None)
-        if handle is not None:
-            self._worker.submit(os.close, handle)
-        self._sizes.pop(name, None)
-        (self._folder / name).unlink(missing_ok=True)
+        self._forget(name)
+        self._step("remove", name, 0, b"")
+
+    def push(self) -> None:
+        """What was written goes on its way to the device, without a flush."""
+        if self._steps:
+            self._worker.submit(self._make, self._taken())
 
     def flush(self, names: list[str], done: Callable[[bool], None]) -> None:
-        handles = [self._handle(name) for name in names if name in self._sizes]
-        self._worker.submit(self._flush, handles, done)
+        self._worker.submit(self._flush, self._taken(), [name for name in names if name in self._sizes], done)
 
     def replace(self, name: str, data: bytes, done: Callable[[bool], None]) -> None:
         if len(data) > SMALL_BYTES and not self.roomy(len(data), True):
             self._call(lambda: done(False))
             return
-        handle = self._handles.pop(name, None)
-        if handle is not None:
-            self._worker.submit(os.close, handle)
-        self._sizes[name] = len(data)
-        self._worker.submit(self._replace, name, data, done)
+        self._forget(name)
+        self._resize(name, len(data))
+        self._asked += 1
+        self._last_step[name] = self._asked
+        self._worker.submit(self._replace, self._taken(), self._asked, name, data, done)
 
     def close(self) -> None:
+        self.push()
         self._worker.shutdown(wait=True)
-        for handle in self._handles.values():
+        for handle in [*self._handles.values(), *self._readers.values()]:
             os.close(handle)
         self._handles.clear()
+        self._readers.clear()
+
+    def set_aside(self) -> None:
+        """Moves all files out of sight into a folder beside them, for whoever wants to look."""
+        self._wait()
+        count = sum(1 for path in self._folder.iterdir() if path.is_dir())
+        aside = self._folder / f"set-aside-{count + 1}"
+        aside.mkdir()
+        for name in list(self._sizes):
+            for handles in (self._handles, self._readers):
+                if name in handles:
+                    os.close(handles.pop(name))
+            os.replace(self._folder / name, aside / name)
+        self._sizes.clear()
+        self._used_bytes = 0
+        self._folder_changed = True
+
+    def _resize(self, name: str, size: int) -> None:
+        self._used_bytes += size - self._sizes.get(name, 0)
+        self._sizes[name] = size
+
+    def _forget(self, name: str) -> None:
+        self._used_bytes -= self._sizes.pop(name, 0)
+        reader = self._readers.pop(name, None)
+        if reader is not None:
+            os.close(reader)
+
+    def _step(self, kind: str, name: str, at: int, data: bytes) -> None:
+        self._asked += 1
+        self._last_step[name] = self._asked
+        self._steps.append((self._asked, kind, name, at, data))
+        self._steps_bytes += len(data)
+
+    def _taken(self) -> list[_Step]:
+        steps, self._steps, self._steps_bytes = self._steps, [], 0
+        return steps
+
+    def _catch_up(self, name: str) -> None:
+        """Who reads what was written only just now waits for it."""
+        if self._last_step.get(name, 0) > self._made:
+            self._wait()
+
+    def _wait(self) -> None:
+        self.push()
+        self._worker.submit(lambda: None).result()
+
+    # -- in the thread ---------------------------------------------------------------------------
+
+    def _make(self, steps: list[_Step]) -> bool:
+        """In order; what a full device doesn't take is kept for the next time. False if something is left."""
+        steps = self._stuck = self._stuck + steps
+        while steps:
+            number, kind, name, at, data = steps[0]
+            try:
+                self._make_one(kind, name, at, data)
+            except OSError as error:
+                self._full = error.errno in _FULL
+                if not self._full:
+                    self._break()
+                return False
+            steps.pop(0)
+            self._made = max(self._made, number)
+        self._full = False
+        return True
+
+    def _make_one(self, kind: str, name: str, at: int, data: bytes) -> None:
+        if kind == "remove":
+            self._drop_handle(name)
+            (self._folder / name).unlink(missing_ok=True)
+            self._folder_changed = True
+        elif kind == "truncate":
+            os.ftruncate(self._handle(name), at)
+        else:
+            handle, view = self._handle(name), memoryview(data)
+            while view:
+                written = os.pwrite(handle, view, at)
+                at, view = at + written, view[written:]
 
     def _handle(self, name: str) -> int:
         handle = self._handles.get(name)
         if handle is None:
-            handle = os.open(self._folder / name, os.O_RDWR | os.O_CREAT, 0o644)
-            self._handles[name] = handle
-            self._sizes.setdefault(name, 0)
+            self._folder_changed = self._folder_changed or not (self._folder / name).exists()
+            handle = self._handles[name] = os.open(self._folder / name, os.O_RDWR | os.O_CREAT, 0o644)
         return handle
 
-    def _flush(self, handles: list[int], done: Callable[[bool], None]) -> None:
+    def _drop_handle(self, name: str) -> None:
+        handle = self._handles.pop(name, None)
+        if handle is not None:
+            os.close(handle)
+
+    def _break(self) -> None:
+        if not self._broken:
+            self._broken = True
+            self._call(self._on_broken)
+
+    def _flush(self, steps: list[_Step], names: list[str], done: Callable[[bool], None]) -> None:
+        made = self._make(steps)
         try:
-            for handle in handles:
-                os.fsync(handle)
+            for name in names if made else []:
+                if name in self._handles or (self._folder / name).exists():
+                    os.fsync(self._handle(name))
             self._flush_folder()
         except OSError:
-            self._broken = True
-            self._call(self._on_broken)
-        ok = not self._broken
+            self._break()
+        ok = made and not self._broken
         self._call(lambda: done(ok))
 
-    def _replace(self, name: str, data: bytes, done: Callable[[bool], None]) -> None:
+    def _replace(self, steps: list[_Step], number: int, name: str, data: bytes, done: Callable[[bool], None]) -> None:
+        self._make(steps)
         ok = not self._broken
         try:
+            self._drop_handle(name)
             path = self._folder / f"{name}.tmp"
             with open(path, "wb") as page:
                 page.write(data)
                 page.flush()
                 os.fsync(page.fileno())
             os.replace(path, self._folder / name)
+            self._folder_changed = True
             self._flush_folder()
         except OSError:
             ok = False
+        self._made = max(self._made, number)
         self._call(lambda: done(ok))
 
     def _flush_folder(self) -> None:
-        handle = os.open(self._folder, os.O_RDONLY)
-        try:
-            os.fsync(handle)
-        finally:
-            os.close(handle)
-
-    def set_aside(self) -> None:
-        """Moves all files out of sight into a folder beside them, for whoever wants to look."""
-        count = sum(1 for path in self._folder.iterdir() if path.is_dir())
-        aside = self._folder / f"set-aside-{count + 1}"
-        aside.mkdir()
-        for name in list(self._sizes):
-            handle = self._handles.pop(name, None)
-            if handle is not None:
+        """Names that are new, gone or changed last once their folder has been flushed."""
+        if self._folder_changed:
+            self._folder_changed = False
+            handle = os.open(self._folder, os.O_RDONLY)
+            try:
+                os.fsync(handle)
+            finally:
                 os.close(handle)
-            os.replace(self._folder / name, aside / name)
-        self._sizes.clear()
--- a/libs/vellum/src/vellum/message.py
+++ b/libs/vellum/src/vellum/message.py
@@ -37,6 +37,9 @@
                 raise TypeError(f"two messages are called {name}")
             cls.SCHEMA = parse_schema({"type": "record", "name": name, "fields": [
                 {"name": field, "type": schema} for field, schema in fields.items()]})
+            page = io.BytesIO()
+            schemaless_writer(page, _KIND, name)
+            cls.HEAD = page.getvalue()
             _KINDS[name] = cls
         return cls
 
@@ -63,8 +66,9 @@
 
 def encode(message: Message) -> bytes:
     page = io.BytesIO()
-    schemaless_writer(page, _KIND, type(message).__name__)
-    schemaless_writer(page, type(message).SCHEMA, message.as_dict())
+    kind = type(message)
+    page.write(kind.HEAD)
+    schemaless_writer(page, kind.SCHEMA, {field: getattr(message, field) for field in kind.FIELDS})
     return page.getvalue()
 
 
@@ -73,10 +77,13 @@
 
 
 def decode(data: bytes) -> Message:
-    page = io.BytesIO(data)
     try:
-        kind = schemaless_reader(page, _KIND, None)
-        cls = _KINDS[kind]
-        return cls(**schemaless_reader(page, cls.SCHEMA, None))
+        page = io.BytesIO(data)
+        cls = _KINDS[schemaless_reader(page, _KIND, None)]
+        values = schemaless_reader(page, cls.SCHEMA, None)
+        message = cls.__new__(cls)
+        for field in cls.FIELDS:
+            setattr(message, field, values[field])
+        return message
     except (ValueError, EOFError, IndexError, KeyError, TypeError, UnicodeError, OverflowError, MemoryError) as error:
         raise BadMessage(repr(error)) from error
