A key's owner asks one round at a time, also when it is asked from within an answer

Cause: an answered caller that asks again at once found the queue empty, so its operation was begun; then the answer's own tail began it a second time. The second accept popped another operation, or none (IndexError in a simulated fleet that was sent configurations). Change: a key notes that a round is under way.

--- a/libs/catalogue/src/catalogue/owner.py
+++ b/libs/catalogue/src/catalogue/owner.py
@@ -50,7 +50,7 @@
 
 
 class _Key:
-    __slots__ = ("changed_ms", "epoch", "name", "ops", "seen_epoch", "state", "value")
+    __slots__ = ("asking", "changed_ms", "epoch", "name", "ops", "seen_epoch", "state", "value")
 
     def __init__(self, name: str) -> None:
         self.name = name
@@ -58,6 +58,7 @@
         self.epoch = 0
         self.seen_epoch = 0
         self.changed_ms = 0
+        self.asking = False
         self.value: Value | None = None
         self.ops: list[_Op] = []
 
@@ -136,7 +137,7 @@
     def _next(self, key: _Key) -> None:
         while key.ops and self.node.env.now() >= key.ops[0].due_ms:
             self._answer(key, "doubt", "no majority of voters answered in time")
-        if not key.ops:
+        if not key.ops or key.asking:
             return
         if key.state is State.UNOWNED:
             self._prepare(key)
@@ -145,9 +146,15 @@
                                      list_number=self._voter.list_number), self._confirmed)
 
     def _round(self, key: _Key, message: Message, done: Callable[[_Key, Round, bool], None]) -> None:
-        epoch = key.epoch
-        Round(self.node, self._voter.voters, message, self.node.params.ask_ms,
-              lambda round_, ok: done(key, round_, ok) if key.epoch == epoch else None)
+        """One at a time for a key: whoever is answered may ask again before the answer is done with."""
+        epoch, key.asking = key.epoch, True
+
+        def ended(round_: Round, ok: bool) -> None:
+            if key.epoch == epoch:
+                key.asking = False
+                done(key, round_, ok)
+
+        Round(self.node, self._voter.voters, message, self.node.params.ask_ms, ended)
 
     def _prepare(self, key: _Key) -> None:
         key.state = State.PREPARING
@@ -300,6 +307,7 @@
     def woke(self, gap_ms: int) -> None:
         for key in self._keys.values():
             key.epoch += 1
+            key.asking = False
             self._lose(key)
             while key.ops:
                 self._answer(key, "doubt", "the owner was frozen")
--- a/tests/platform_calls.py
+++ b/tests/platform_calls.py
@@ -45,6 +45,7 @@
     def start(self, name, method, path, body=None, headers=None):
         """The call's task; it goes on as the fleet's time does."""
         side = ControlSide(self.fleet.hosts[name].node, "127.0.0.1:1", 1 << 20)
+        side._app.freeze()
         data = body if isinstance(body, bytes) else b"" if body is None else json.dumps(body).encode()
         payload = streams.StreamReader(Mock(_reading_paused=False), 1 << 16, loop=self.loop)
         payload.feed_data(data)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -76,6 +76,18 @@
         again = self.ask(fleet, "control3", self.change(0, "a"))
         self.assertThat((again.outcome, again.version), Equals(("ok", 1)))
 
+    def test_who_is_answered_may_ask_again_at_once(self):
+        """Asking from within an answer once began two rounds for one operation, whose second end answered another."""
+        fleet = self.founded()
+        names = {host.node.voter.identity: host for host in fleet.of("control")}
+        owner = names[fleet.hosts["control1"].node.owner.owner_of("profiles")].node.owner
+        seen = []
+        owner.submit(ReadKey(key="profiles", hops=0), lambda read: owner.submit(
+            self.change(read.version, "a"), lambda receipt: (seen.append(receipt), owner.submit(
+                self.change(receipt.version, "b"), seen.append))))
+        fleet.run_until_true(lambda: len(seen) == 2, 4000)
+        self.assertThat([(receipt.outcome, receipt.version) for receipt in seen], Equals([("ok", 1), ("ok", 2)]))
+
     def test_a_minority_answers_neither_old_nor_new(self):
         fleet = self.founded()
         self.ask(fleet, "control1", self.change(0, "a"))
