--- a/libs/catalogue/src/catalogue/rows.py
+++ b/libs/catalogue/src/catalogue/rows.py
@@ -95,8 +95,10 @@
 OWN_ONLY = ("abstract", "parent", "match", "rank", "source")
 
 
-def check_tree(value: Any) -> Result[dict[str, Any], list[dict[str, str]]]:
-    """The whole tree as it will be kept, or every problem with its place."""
+def check_tree(value: Any, known: dict[str, dict[str, Any]] | None = None) -> Result[dict[str, Any], list[dict[str, str]]]:
+    """The whole tree as it will be kept, or every problem with its place. `known` are rows that were checked
+    before; a row that is the same as one of them isn't looked into again."""
+    known = known or {}
     problems: list[dict[str, str]] = []
     if not isinstance(value, dict) or not isinstance(value.get("profiles"), dict):
         return Error([{"at": "profiles", "message": "a tree is an object with a map 'profiles'"}])
@@ -105,6 +107,9 @@
         problems.append({"at": "about", "message": "has to be a map"})
     rows: dict[str, dict[str, Any]] = {}
     for name, row in value["profiles"].items():
+        if name in known and known[name] == row:
+            rows[name] = known[name]
+            continue
         try:
             Workers(identities=[name])
             rows[name] = ProfileRow.model_validate(row).model_dump(exclude_none=True)
--- a/libs/catalogue/src/catalogue/worker_list.py
+++ b/libs/catalogue/src/catalogue/worker_list.py
@@ -83,6 +83,10 @@
         if key == WORKERS_KEY and body:
             self._list, self._list_number = json.loads(body), number
 
+    @property
+    def number(self) -> int:
+        return self._list_number
+
     def rows(self) -> dict[str, dict[str, Any]]:
         """The list as this node has it, with how long ago each was heard here."""
         now_ms = self.node.env.now()
--- a/libs/registrar/src/registrar/cli.py
+++ b/libs/registrar/src/registrar/cli.py
@@ -99,9 +99,16 @@
     call("GET", server, "/members")
 
 
+@app.command
+def workers(*, server: Server) -> None:
+    """Show the list of workers that control keeps, and how long ago each was heard at this node."""
+    call("GET", server, "/workers")
+
+
 @app.command
 def retire(identity: str, *, server: Server, undo: bool = False) -> None:
-    """Empty and retire a store or control machine: a spare takes its place, then it may be stopped."""
+    """Empty and retire a store or control machine, by identity or node name: a spare takes its place, then it may be
+    stopped."""
     call("POST", server, "/retired", {"identity": identity, "undo": undo, "change_id": secrets.token_hex(8)})
 
 
--- a/libs/registrar/src/registrar/nodes.py
+++ b/libs/registrar/src/registrar/nodes.py
@@ -33,7 +33,7 @@
         self.roll = Roll(self.owner, self.gazette, lambda: self.quorate() and self.founding.steward() == identity)
         self.worker_list = WorkerList(self.voter, self.owner, self.gazette, sure=self.hears_majority)
         self.tree_changes = TreeChanges(self.owner, sure=self.hears_majority)
-        self.retirement = Retirement(self.owner, self.neighbours, sure=self.hears_majority)
+        self.retirement = Retirement(self.owner, self.neighbours, self.gazette, sure=self.hears_majority)
         super().__init__(env, params, [self.neighbours, self.gazette, self.voter, self.owner, self.founding, self.roll,
                                        self.worker_list, self.tree_changes, self.retirement])
 
--- a/libs/registrar/src/registrar/operators.py
+++ b/libs/registrar/src/registrar/operators.py
@@ -142,16 +142,16 @@
         for role in ("control", "store", "edge"):
             for card in sorted(node.neighbours.of_role(role, params.gone_ms), key=lambda row: row.address):
                 confirmed = node.gazette.confirmed.get(card.identity)
-                rows.append({"role": role, "identity": card.identity, "link": card.address, "http": card.http,
+                rows.append({"role": role, "name": card.name, "identity": card.identity, "link": card.address, "http": card.http,
                              "zone": card.zone, "standing": "live" if node.neighbours.live(card.identity) else "silent",
                              "ready": card.ready, "feed": confirmed[2] if confirmed else None})
-        rows.append({"role": "control", "identity": node.voter.identity, "link": node.address, "http": params.http,
+        rows.append({"role": "control", "name": params.node_name or node.address, "identity": node.voter.identity, "link": node.address, "http": params.http,
                      "zone": params.zone, "standing": "live", "ready": not node.why_unready(),
                      "feed": node.gazette.numbers()})
         for row in rows:
             row["says"] = self._says(row["role"], row["identity"], row["link"])
         known = {row["identity"] for row in rows}
-        rows += [{"role": "control", "identity": name, "link": address, "http": "", "zone": "", "standing": "gone",
+        rows += [{"role": "control", "name": address, "identity": name, "link": address, "http": "", "zone": "", "standing": "gone",
                   "ready": False, "feed": None, "says": self._says("control", name, address)} for name, address in voters.items() if name not in known]
         return json_answer({
             "asked": node.voter.identity, "at_ms": now_ms, "members": rows, "voters": sorted(voters),
@@ -182,6 +182,7 @@
             return answer_refusal(receipt)
         kept = json.loads(receipt.body) if receipt.body else {}
         names = set(kept.get("identities", ()))
+        call.identity = self._identity(call.identity)
         change_id = call.change_id or secrets.token_hex(8)
         if not call.undo and call.identity not in names and not self._known(call.identity):
             return answer_refusal(refused("unknown-machine", f"no control or store machine is called {call.identity!r}",
@@ -211,6 +212,11 @@
         receipt = await awaited(lambda done: self._node.roll.forget(call.links, done))
         return self._answer(receipt, "")
 
+    def _identity(self, name: str) -> str:
+        """That of the machine whose node is called so, else what was given."""
+        cards = [card for role in ("control", "store") for card in self._node.neighbours.of_role(role, self._node.params.gone_ms)]
+        return next((card.identity for card in cards if card.name == name), name)
+
     def _known(self, identity: str) -> bool:
         node = self._node
         log = node.gazette.value("log") or {"members": []}
--- a/libs/registrar/src/registrar/process.py
+++ b/libs/registrar/src/registrar/process.py
@@ -6,6 +6,7 @@
 from readingroom.process import NodeProcess
 from registrar.nodes import ControlNode
 from registrar.operators import Operators
+from registrar.worker_desk import WorkerDesk
 
 __all__ = ["ControlProcess"]
 
@@ -16,6 +17,7 @@
         self.node = ControlNode(self.env, self.params, self.open_disk())
         desk = HttpDesk(self.params.http, self.params.max_body_bytes, self.why_unready, self.status, self.metrics)
         Operators(self.node, desk)
+        WorkerDesk(self.node, desk)
         await self.add_runtime_dependency(desk)
 
     def why_unready(self) -> str:
--- a/libs/registrar/src/registrar/retirement.py
+++ b/libs/registrar/src/registrar/retirement.py
@@ -8,6 +8,7 @@
 
 from catalogue import Change, Changed, Owner, ReadKey
 from commons import Neighbours
+from gazette import Gazette
 from vellum import Part
 
 __all__ = ["RETIRED_KEY", "Retirement", "retired_body"]
@@ -35,15 +36,17 @@
 
 
 class Retirement(Part):
-    __slots__ = ("_calls", "_names", "_neighbours", "_owner", "_since_ms", "_sure")
+    __slots__ = ("_busy", "_calls", "_gazette", "_names", "_neighbours", "_next_ms", "_owner", "_since_ms", "_sure")
 
-    def __init__(self, owner: Owner, neighbours: Neighbours, sure: Callable[[], bool]) -> None:
+    def __init__(self, owner: Owner, neighbours: Neighbours, gazette: Gazette, sure: Callable[[], bool]) -> None:
         self._owner = owner
         self._neighbours = neighbours
+        self._gazette = gazette
+        self._busy = False
         self._sure = sure
         self._names: dict[str, str] = {}
         self._calls: list[_Call] = []
-        self._since_ms = -1
+        self._since_ms = self._next_ms = -1
 
     # -- what operators ask --------------------------------------------------------------------
 
@@ -98,6 +101,23 @@
         else:
             call.finish("doubt")
 
+    def _follow(self) -> None:
+        """A store that comes back under a retired name with another identity is retired too."""
+        if self._busy or not self._sure() or self._owner.owner_of(RETIRED_KEY) != self._neighbours.identity:
+            return
+        value = self._gazette.value(RETIRED_KEY) or {}
+        names = value.get("names", {})
+        fresh = {name: self._names[name] for name, identity in names.items() if self._names.get(name, identity) != identity}
+        if not fresh:
+            return
+        self._busy = True
+
+        def changed(receipt: Changed) -> None:
+            self._busy = False
+
+        self._owner.submit(Change(key=RETIRED_KEY, version=self._gazette.number(RETIRED_KEY), change_id=self.node.env.token(),
+                                  hops=0, body=retired_body({*value["identities"], *fresh.values()}, {**names, **fresh})), changed)
+
     # -- reading -------------------------------------------------------------------------------
 
     def _with_key(self, key: str, done: Done, told: Callable[[_Call, int, dict], None]) -> None:
@@ -123,8 +143,11 @@
         now_ms = self.node.env.now()
         if self._since_ms < 0:
             self._since_ms = now_ms
-        for card in self._neighbours.of_role("store", self.node.params.dead_ms):
-            self._names[card.name] = card.identity
+        if now_ms >= self._next_ms:
+            self._next_ms = now_ms + self.node.params.beat_ms
+            for card in self._neighbours.of_role("store", self.node.params.dead_ms):
+                self._names[card.name] = card.identity
+            self._follow()
         for call in self._calls:
             if now_ms >= call.due_ms:
                 call.finish("doubt")
--- a/libs/registrar/src/registrar/tree_changes.py
+++ b/libs/registrar/src/registrar/tree_changes.py
@@ -109,7 +109,7 @@
     def _propose(self, call: _Call, version: int, tree: dict[str, Any]) -> None:
         made = call.make(tree)
         if made.is_ok():
-            made = check_tree(made.ok)
+            made = check_tree(made.ok, tree.get("profiles"))
         if made.is_error():
             call.finish(TreeOutcome(Taken.INVALID, f"{len(made.error)} problems; nothing was changed", made.error))
         elif revision_of(made.ok) <= call.base:
--- a/tests/test_control_side.py
+++ b/tests/test_control_side.py
@@ -209,3 +209,21 @@
             self.assertThat((await self.call(platform, "POST", "control1", name))[0], Equals(200))
 
         asyncio.run(run())
+
+    def test_a_retired_store_that_comes_back_with_an_empty_disk_stays_retired(self):
+        async def run():
+            platform = Platform(edges=0)
+            self.assertThat(platform.fleet.run_until_true(lambda: self.settled(platform), 20000), Equals(True))
+            platform.fleet.add("store", "fresh")
+            platform.run(1000)
+            host = platform.fleet.hosts["store1"]
+            self.assertThat((await self.call(platform, "POST", "control1", host.address))[0], Equals(200))
+            platform.run(3000)
+            host.lose_disk()
+            host.start()
+            platform.run(3000)
+            retired = platform.fleet.hosts["control2"].node.gazette.value("retired")
+            identity = host.node.neighbours.identity
+            self.assertThat((identity in retired["identities"], retired["names"]), Equals((True, {host.address: identity})))
+
+        asyncio.run(run())
