--- a/libs/accession/src/accession/shelves.py
+++ b/libs/accession/src/accession/shelves.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 from ledger import entries as e
-from ledger import messages as m
 from ledger.fold import Key, Lot
 from stacks import DiskFull, frame, walk
 from vellum import Arr, Blob, Message, Text, decode, encode
@@ -106,9 +105,7 @@
         return f"{SHELF}{self._log.identity}-{self._log.settled_seq:012d}-{self._token()}"
 
     def _put_lot(self, lot: Lot, name: str, page: bytearray) -> e.LotShelved:
-        rows = [encode(m.ResultRow(index=index, outcome=item.outcome, body=item.result))
-                for index, item in enumerate(lot.items[:lot.placed])]
-        return self.put_rows(lot, rows, name, page)
+        return self.put_rows(lot, [lot.row(position) for position in range(lot.placed)], name, page)
 
     def put_rows(self, lot: Lot, rows: list[bytes], name: str, page: bytearray) -> e.LotShelved:
         places, sizes, firsts = [], [], []
--- a/libs/ledger/src/ledger/dealing.py
+++ b/libs/ledger/src/ledger/dealing.py
@@ -1,14 +1,17 @@
 """Dealing items out to edges. A claim is in the log before the edge hears of it, settled first when
 the item is not safe to repeat. An edge that falls silent loses its claims: safe items are dealt
 again under a higher number, the fate of the others is unknown and is listed as that. The baton of a
-lot goes to the edge that finished the next result; a lost one is issued again, higher."""
+lot goes to the edge that finished the next result; a lost one is issued again, higher. A beat with room
+that finds nothing to do is held for a beat's time, so that forwarded items are dealt as they come."""
 
+import math
 from collections.abc import Callable
 from typing import Any
 
 from ledger import entries as e
 from ledger import messages as m
-from ledger.fold import Lot
+from ledger.endings import Endings
+from ledger.lots import Lot
 from vellum import Message, encode
 
 __all__ = ["Dealer"]
@@ -16,21 +19,69 @@
 _UNKNOWN_BODY = '{"error":{"verdict":"may_have_run","code":"edge-lost","message":"the node running this item was lost"}}'
 
 
+Reply = Callable[[Message], None]
+
+
+class _Held:
+    """An edge's beat that waits for work."""
+
+    __slots__ = ("due_ms", "message", "reply")
+
+    def __init__(self, message: m.EdgeBeat, reply: Reply, due_ms: int) -> None:
+        self.message, self.reply, self.due_ms = message, reply, due_ms
+
+
 class Dealer:
-    __slots__ = ("_claimed_ms", "_edges", "_holder", "_node", "_since_ms")
+    """`log_ms` is the log's own time, `profiles` gives number and tree of the profiles known here, `woke` is
+    told of lots in which something was settled."""
 
-    def __init__(self, holder: Any, node: Any) -> None:
+    __slots__ = ("_addresses", "_claimed_ms", "_edges", "_endings", "_gone", "_held", "_holder", "_log_ms", "_node", "_since_ms")
+
+    def __init__(self, holder: Any, node: Any, log_ms: Callable[[], int] = lambda: 0,
+                 profiles: Callable[[], tuple[int, Any]] = lambda: (0, None),
+                 woke: Callable[[set[str]], None] = lambda lot_ids: None) -> None:
         self._holder = holder
         self._node = node
+        self._log_ms = log_ms
         self._since_ms = node.env.now()
         self._edges: dict[str, int] = {}
+        self._addresses: dict[str, str] = {}
+        self._gone: set[str] = set()
+        self._held: dict[str, _Held] = {}
         self._claimed_ms: dict[tuple[str, int], int] = {}
+        self._endings = Endings(holder, node, log_ms, profiles, woke, self._live)
 
-    def beat(self, message: m.EdgeBeat, reply: Callable[[Message], None]) -> None:
+    def beat(self, message: m.EdgeBeat, reply: Reply) -> None:
         now_ms = self._node.env.now()
+        self._hear(message, now_ms)
+        self._return_unheard(message)
+        self._held.pop(message.edge, None)
+        if not self._answer(message, reply, False):
+            self._held[message.edge] = _Held(message, reply, now_ms + self._node.params.beat_ms)
+
+    def _hear(self, message: m.EdgeBeat, now_ms: int) -> None:
+        """Of two edges at one address the earlier one has ended."""
         self._edges[message.edge] = now_ms
+        before = self._addresses.get(message.address, message.edge)
+        self._addresses[message.address] = message.edge
+        if before != message.edge:
+            self._gone.add(before)
+            self._held.pop(before, None)
+
+    def wake(self) -> None:
+        """Something is to be dealt or to be stopped: whoever has room gets a share of it now."""
+        for edge, held in list(self._held.items()):
+            if self._answer(held.message, held.reply, False):
+                self._held.pop(edge, None)
+
+    def stop(self, reply: Message) -> None:
+        held, self._held = self._held, {}
+        for row in held.values():
+            row.reply(reply)
+
+    def _answer(self, message: m.EdgeBeat, reply: Reply, now: bool) -> bool:
+        """False if the beat may wait for something to be said."""
         ledger = self._holder.ledger
-        self._return_unheard(message)
         stops = sorted(lot_id for lot_id in {row.rpartition("#")[0] for row in message.running} if self._over(lot_id))
         batons = [encode(m.Baton(lot_id=lot.lot_id, epoch=lot.baton_epoch, up_to=lot.ready))
                   for lot in ledger.opened.values()
@@ -40,6 +91,8 @@
                 self._pass_baton(lot, message.edge)
         work, safe_only = self._pick(message)
         waiting, paths = self._waiting()
+        if not (now or not message.room or work or batons or stops or set(paths) - set(message.paths)):
+            return False
 
         def logged(outcome: str) -> None:
             rows = work if outcome == "kept" else []
@@ -49,11 +102,24 @@
 
         if not work:
             logged("kept")
-            return
-        claims = [e.ItemClaimed(lot_id=row.lot_id, index=row.index, edge=message.edge, number=row.number)
-                  for row in work]
-        self._claimed_ms.update({(row.lot_id, row.index): now_ms for row in work})
-        self._holder.append(claims, not safe_only, logged)
+            return True
+        self._claimed_ms.update({(row.lot_id, row.index): self._node.env.now() for row in work})
+        self._holder.append(self._claims(work, message.edge), not safe_only, logged)
+        return True
+
+    def _claims(self, work: list[Any], edge: str) -> list[Message]:
+        rows: list[Message] = []
+        forward: dict[str, e.ItemsClaimed] = {}
+        for row in work:
+            if isinstance(row, m.ForwardWork):
+                if row.lot_id not in forward:
+                    forward[row.lot_id] = e.ItemsClaimed(lot_id=row.lot_id, edge=edge, indexes=[], numbers=[])
+                    rows.append(forward[row.lot_id])
+                forward[row.lot_id].indexes.append(row.index)
+                forward[row.lot_id].numbers.append(row.number)
+            else:
+                rows.append(e.ItemClaimed(lot_id=row.lot_id, index=row.index, edge=edge, number=row.number))
+        return rows
 
     def _over(self, lot_id: str) -> bool:
         """Over for good: an edge forgets what it ran, so this has to be settled."""
@@ -79,27 +145,43 @@
         if rows:
             self._holder.append(rows, False, lambda outcome: None, True)
 
-    def _pick(self, message: m.EdgeBeat) -> tuple[list[m.Work], bool]:
-        """The lots due first, as many items as the edge has room for."""
-        work: list[m.Work] = []
+    def _pick(self, message: m.EdgeBeat) -> tuple[list[Any], bool]:
+        """The lots due first, as many items as the edge has room for; of forwarded ones no more than its share
+        of what waits, as others have room too."""
+        work: list[Any] = []
         safe_only = True
         if not message.room:
             return work, safe_only
-        lots = sorted(self._holder.ledger.opened.values(), key=lambda lot: (lot.due_ms, lot.at_ms, lot.lot_id))
+        lots = sorted((lot for lot in self._holder.ledger.opened.values() if lot.pending and lot.path in message.paths),
+                      key=lambda lot: (lot.due_ms, lot.at_ms, lot.lot_id))
+        waiting = sum(len(lot.pending) for lot in lots if lot.forward)
+        share = math.ceil(waiting / max(1, sum(1 for edge in self._edges if self._live(edge))))
         for lot in lots:
-            if len(work) >= message.room:
-                break
-            if not lot.waiting or lot.path not in message.paths:
-                continue
-            for index, item in enumerate(lot.items):
+            for index in lot.pending:
                 if len(work) >= message.room:
-                    break
-                if item.state == "waiting":
+                    return work, safe_only
+                if lot.forward:
+                    if share <= 0:
+                        break
+                    share -= 1
+                    work.append(self._forward_work(lot, index))
+                else:
+                    item = lot.items[index]
                     work.append(m.Work(lot_id=lot.lot_id, index=index, number=item.number + 1, path=lot.path,
                                        safe=lot.safe, body=item.body, due_ms=lot.due_ms))
                     safe_only = safe_only and lot.safe
         return work, safe_only
 
+    def _forward_work(self, lot: Lot, index: int) -> m.ForwardWork:
+        item = lot.items[index]
+        return m.ForwardWork(lot_id=lot.lot_id, index=index, number=item.number + 1, path=lot.path, call=item.body,
+                             avoid=list(item.failed_at), left_ms=max(0, lot.expires_ms - self._log_ms()))
+
+    def end_items(self, message: m.EndItems, reply: Reply) -> None:
+        """What an edge's forwarded items came to; all of it in one append."""
+        self._edges[message.edge] = self._node.env.now()
+        self._endings.take(message, reply, self.wake)
+
     def finish(self, message: m.Finish, reply: Callable[[Message], None]) -> None:
         """An outcome of `again` hands a claim back: the item certainly has not run. What is not safe to
         repeat is acknowledged once settled: an edge that forgot it would make it look never begun."""
@@ -143,15 +225,25 @@
             return False
         return self._node.env.now() - self._edges.get(edge, self._since_ms) <= self._node.params.dead_ms
 
-    def _lost(self, edge: str) -> bool:
-        """Silent for longer than any edge keeps its claims, or than this holder has been in office."""
+    def _lost(self, lot: Lot, edge: str) -> bool:
+        """Silent for longer than any edge keeps its claims, or than this holder has been in office. Forwarded
+        items are safe and due soon: they are dealt again once their edge doesn't count as live."""
+        if edge in self._gone:
+            return True
+        if lot.forward:
+            return not self._live(edge)
         return self._node.env.now() - self._edges.get(edge, self._since_ms) > self._node.params.reclaim_ms
 
     def tick(self) -> None:
+        now_ms = self._node.env.now()
+        for edge in [edge for edge, held in self._held.items() if now_ms >= held.due_ms]:
+            held = self._held.pop(edge)
+            self._answer(held.message, held.reply, True)
+        self._endings.give_up()
         rows: list[Message] = []
         for lot in self._holder.ledger.opened.values():
             for index, item in lot.claims.items():
-                if not self._lost(item.edge):
+                if not self._lost(lot, item.edge):
                     continue
                 if lot.safe:
                     rows.append(e.ItemReturned(lot_id=lot.lot_id, index=index, number=item.number))
@@ -161,3 +253,4 @@
         if rows:
             self._node.env.log("claims-taken-back", "WARNING", count=len(rows))
             self._holder.append(rows, False, lambda outcome: None, True)
+            self.wake()
--- a/libs/ledger/src/ledger/desk.py
+++ b/libs/ledger/src/ledger/desk.py
@@ -10,8 +10,10 @@
 from ledger import entries as e
 from ledger import messages as m
 from ledger.dealing import Dealer
-from ledger.fold import Ledger, Lot
-from vellum import Message, Origin, Part, encode
+from ledger.fold import Ledger
+from ledger.lots import Lot
+from ledger.reading import Reading
+from vellum import Message, Origin, Part
 
 __all__ = ["Desk"]
 
@@ -31,19 +33,22 @@
 
 
 class Desk(Part):
-    """`rooms` gives the waiting room of a path in the profiles in force here, or None if there is no
-    such path; `who_holds` gives the holder's epoch and address as far as this store knows."""
+    """`profiles` gives number and tree of the profiles in force here; `who_holds` gives the holder's epoch
+    and address as far as this store knows."""
 
-    __slots__ = ("_base_ms", "_dealer", "_holder", "_office_ms", "_refused_ms", "_rooms", "_settled", "_swept_ms", "_who_holds", "counts", "mend", "shelves")
-    HANDLES = (m.EdgeBeat, m.HandIn, m.ReadLot, m.ReadResults, m.EndLot, m.Finish, m.Place, m.OpenKey, m.CloseKey)
+    __slots__ = ("_base_ms", "_dealer", "_holder", "_office_ms", "_profiles", "_reading", "_refused_ms", "_settled", "_swept_ms",
+                 "_who_holds", "counts", "mend", "shelves")
+    HANDLES = (m.EdgeBeat, m.HandIn, m.ReadLot, m.ReadResults, m.EndLot, m.Finish, m.Place, m.OpenKey, m.CloseKey,
+               m.ForwardHandIn, m.EndItems, m.ReadPage, m.ReadItem)
 
-    def __init__(self, rooms: Callable[[str], int | None], who_holds: Callable[[], tuple[int, str]],
+    def __init__(self, profiles: Callable[[], tuple[int, Any]], who_holds: Callable[[], tuple[int, str]],
                  settled: Callable[[], Ledger]) -> None:
-        self._rooms = rooms
+        self._profiles = profiles
         self._who_holds = who_holds
         self._settled = settled
         self._holder: Any = None
         self._dealer: Dealer | None = None
+        self._reading: Reading | None = None
         self._swept_ms = 0
         self._base_ms = self._office_ms = 0
         self._refused_ms: dict[str, int] = {}
@@ -52,18 +57,27 @@
         self.mend: Callable[[str, str], None] = lambda kind, name: None
 
     def take_holder(self, holder: Any) -> None:
+        """Who waits at a desk that is closed is told to go on to the next holder."""
+        for part in (self._dealer, self._reading):
+            if part is not None:
+                part.stop(self._not_holder())
         self._holder = holder
         self._refused_ms.clear()
         self._office_ms = self.node.env.now()
+        self._dealer = self._reading = None
         if holder is not None:
             ages = [row.at_ms for rows in (holder.ledger.lots, holder.ledger.keys) for row in rows.values()]
             self._base_ms = max(ages, default=self.node.env.wall())
-        self._dealer = Dealer(holder, self.node) if holder is not None else None
+            self._reading = Reading(holder, self.node, self._settled, self.shelves, self.mend)
+            self._dealer = Dealer(holder, self.node, self._log_ms, self._profiles, self._reading.wake)
+
+    def _not_holder(self) -> m.NotHolder:
+        epoch, address = self._who_holds()
+        return m.NotHolder(epoch=epoch, address=address)
 
     def receive(self, message: Message, origin: Origin) -> None:
         if self._holder is None or self._holder.deposed:
-            epoch, address = self._who_holds()
-            self.node.reply(origin, m.NotHolder(epoch=epoch, address=address))
+            self.node.reply(origin, self._not_holder())
             return
         name = type(message).__name__
         self.counts[name] = self.counts.get(name, 0) + 1
@@ -88,29 +102,66 @@
 
     @_on.register
     def _(self, message: m.HandIn, origin: Origin) -> None:
-        holder = self._holder
-        ledger: Ledger = holder.ledger
-        known = ledger.lots.get(message.lot_id)
-        if known is not None:
-            same = known.digest == message.digest
-            self._when_settled(origin, lambda ok: _lot_receipt(
-                "unknown" if not ok else "known" if same else "conflict", message.lot_id, known))
+        holder, ledger = self._holder, self._holder.ledger
+        room = self._profiles()[1].room(message.path)
+        if self._known(message, origin):
             return
-        room = self._rooms(message.path)
         if self._stale(message) or message.holder_ms <= self._refused_ms.get(message.lot_id, -1):
             self.node.reply(origin, _lot_receipt("stale", message.lot_id, None))
         elif room is None:
             self._when_confirmed(origin, lambda ok: _lot_receipt("no_path" if ok else "unknown", message.lot_id, None))
         elif ledger.room_used(message.path) >= room:
-            self._refused_ms[message.lot_id] = message.holder_ms
-            self._when_confirmed(origin, lambda ok: _lot_receipt("no_room" if ok else "unknown", message.lot_id, None))
+            self._refuse(message, origin)
         else:
-            entry = e.LotAdmitted(lot_id=message.lot_id, digest=message.digest, path=message.path, items=message.items,
-                                  safe=message.safe, due_ms=self._log_ms() + message.due_ms, at_ms=self._log_ms())
-            taken = self._log(origin, [entry], lambda outcome: _lot_receipt(
-                "admitted" if outcome == _KEPT else outcome, message.lot_id, ledger.lots.get(message.lot_id)))
-            if not taken:
-                self._refused_ms[message.lot_id] = message.holder_ms
+            self._admit(message, origin, e.LotAdmitted(
+                lot_id=message.lot_id, digest=message.digest, path=message.path, items=message.items,
+                safe=message.safe, due_ms=self._log_ms() + message.due_ms, at_ms=self._log_ms()))
+
+    @_on.register
+    def _(self, message: m.ForwardHandIn, origin: Origin) -> None:
+        """The waiting room of a forwarded lot is counted in tokens; profiles that are older here than at the
+        edge refuse nothing."""
+        if self._known(message, origin):
+            return
+        number, tree = self._profiles()
+        profile = tree.usable(message.path)
+        if self._stale(message) or message.holder_ms <= self._refused_ms.get(message.lot_id, -1):
+            self.node.reply(origin, m.Stale(epoch=self._holder.epoch, holder_ms=self.node.env.now()))
+        elif number < message.version:
+            self.node.reply(origin, _lot_receipt("unknown", message.lot_id, None))
+        elif profile is None:
+            self._when_confirmed(origin, lambda ok: _lot_receipt("no_path" if ok else "unknown", message.lot_id, None))
+        elif not self._fits(message, profile.waiting_tokens or 0):
+            self._refuse(message, origin)
+        else:
+            self._admit(message, origin, e.ForwardLotAdmitted(
+                lot_id=message.lot_id, digest=message.digest, path=message.path, item_ids=message.item_ids, tokens=message.tokens,
+                calls=message.calls, attempts=message.attempts, due_ms=self._log_ms() + message.due_ms,
+                expires_ms=self._log_ms() + message.keep_ms, version=number, at_ms=self._log_ms()))
+
+    def _fits(self, message: m.ForwardHandIn, most: int) -> bool:
+        return not most or self._holder.ledger.waiting_tokens.get(message.path, 0) + sum(message.tokens) <= most
+
+    def _known(self, message: Any, origin: Origin) -> bool:
+        known = self._holder.ledger.lots.get(message.lot_id)
+        if known is not None:
+            same = known.digest == message.digest
+            self._when_settled(origin, lambda ok: _lot_receipt(
+                "unknown" if not ok else "known" if same else "conflict", message.lot_id, known))
+        return known is not None
+
+    def _refuse(self, message: Any, origin: Origin) -> None:
+        self._refused_ms[message.lot_id] = message.holder_ms
+        self._when_confirmed(origin, lambda ok: _lot_receipt("no_room" if ok else "unknown", message.lot_id, None))
+
+    def _admit(self, message: Any, origin: Origin, entry: Message) -> None:
+        ledger = self._holder.ledger
+        taken = self._log(origin, [entry], lambda outcome: _lot_receipt(
+            "admitted" if outcome == _KEPT else outcome, message.lot_id, ledger.lots.get(message.lot_id)))
+        if taken and isinstance(entry, e.ForwardLotAdmitted):
+            self._dealer.wake()
+        elif not taken:
+            self._refused_ms[message.lot_id] = message.holder_ms
 
     @_on.register
     def _(self, message: m.ReadLot, origin: Origin) -> None:
@@ -155,9 +206,8 @@
     def _held(self, lot: Lot, message: m.ReadResults) -> list[bytes]:
         rows, size_bytes = [], 0
         for index in range(message.from_index, min(lot.placed, message.from_index + message.limit)):
-            item = lot.items[index]
-            rows.append(encode(m.ResultRow(index=index, outcome=item.outcome, body=item.result)))
-            size_bytes += len(item.result)
+            rows.append(lot.row(index))
+            size_bytes += len(rows[-1])
             if size_bytes > _PAGE_BYTES:
                 break
         return rows
@@ -171,8 +221,21 @@
             self._when_settled(origin, lambda ok: _lot_receipt("known" if ok else "unknown", message.lot_id, lot))
         else:
             self._log(origin, [e.LotEnded(lot_id=message.lot_id, at_ms=self._log_ms())],
-                      lambda outcome: _lot_receipt("known" if outcome == _KEPT else outcome, message.lot_id, lot),
-                      urgent=True)
+                      lambda outcome: self._ended(lot, outcome), urgent=True)
+
+    def _ended(self, lot: Lot, outcome: str) -> m.LotReceipt:
+        if self._dealer is not None and outcome == _KEPT:
+            self._dealer.wake()
+            self._reading.wake({lot.lot_id})
+        return _lot_receipt("known" if outcome == _KEPT else outcome, lot.lot_id, lot)
+
+    @_on.register
+    def _(self, message: m.ReadPage, origin: Origin) -> None:
+        self._reading.read(message, lambda receipt: self.node.reply(origin, receipt))
+
+    @_on.register
+    def _(self, message: m.ReadItem, origin: Origin) -> None:
+        self._reading.item(message, lambda receipt: self.node.reply(origin, receipt))
 
     # -- items ---------------------------------------------------------------------------------
 
@@ -184,6 +247,10 @@
     def _(self, message: m.Finish, origin: Origin) -> None:
         self._dealer.finish(message, lambda receipt: self.node.reply(origin, receipt))
 
+    @_on.register
+    def _(self, message: m.EndItems, origin: Origin) -> None:
+        self._dealer.end_items(message, lambda receipt: self.node.reply(origin, receipt))
+
     @_on.register
     def _(self, message: m.Place, origin: Origin) -> None:
         lot = self._holder.ledger.lots.get(message.lot_id)
@@ -254,6 +321,7 @@
         if self._dealer is None or self._holder.deposed:
             return
         self._dealer.tick()
+        self._reading.tick()
         now_ms = self.node.env.now()
         if now_ms - self._swept_ms > self.node.params.resume_ms:
             self._swept_ms = now_ms
--- /dev/null
+++ b/libs/ledger/src/ledger/endings.py
@@ -0,0 +1,92 @@
+"""How items of forwarded lots end. A result is finished and placed in one entry: the baton passes to the edge
+that brings it, under a higher epoch, and places it next, so the log's order is the order of the results. An
+item is dead once a worker said that it can't be done, after as many failed attempts as its route has, when
+its time is up, or when its route is gone."""
+
+from collections.abc import Callable
+from typing import Any
+
+from ledger import entries as e
+from ledger import messages as m
+from ledger.lots import Lot
+from vellum import Message, decode
+
+__all__ = ["Endings"]
+
+
+class Endings:
+    __slots__ = ("_holder", "_live", "_log_ms", "_node", "_profiles", "_woke")
+
+    def __init__(self, holder: Any, node: Any, log_ms: Callable[[], int], profiles: Callable[[], tuple[int, Any]],
+                 woke: Callable[[set[str]], None], live: Callable[[str], bool]) -> None:
+        self._holder, self._node, self._log_ms = holder, node, log_ms
+        self._profiles, self._woke, self._live = profiles, woke, live
+
+    def take(self, message: m.EndItems, reply: Callable[[Message], None], wake: Callable[[], None]) -> None:
+        rows: list[Message] = []
+        for data in message.rows:
+            row = decode(data)
+            lot = self._holder.ledger.opened.get(row.lot_id)
+            if lot is not None and lot.forward and 0 <= row.index < len(lot.items):
+                rows += self._entries(lot, row, message.edge)
+        lot_ids = {row.lot_id for row in rows if isinstance(row, e.ResultListed)}
+        freed = any(isinstance(row, (e.AttemptFailed, e.ItemReturned)) for row in rows)
+
+        def logged(outcome: str) -> None:
+            reply(m.FinishReceipt(ok=outcome == "kept", baton_epoch=0, up_to=0))
+            if lot_ids and outcome == "kept":
+                self._woke(lot_ids)
+
+        self._holder.append(rows, True, logged, True)
+        if freed:
+            wake()
+
+    def _entries(self, lot: Lot, row: m.ItemEnd, edge: str) -> list[Message]:
+        """Whoever ends an item first ends it; a failure or a claim handed back counts only of the present claim."""
+        item = lot.items[row.index]
+        present = item.state == "claimed" and item.number == row.number
+        if item.state == "finished":
+            return []
+        if row.outcome in ("finished", "dead"):
+            return [self._listed(lot, row.index, row.outcome, row.text, row.worker, edge)]
+        if not present:
+            return []
+        if row.outcome == "failed" and item.failures + 1 >= self._attempts(lot):
+            return [self._listed(lot, row.index, "dead", row.text, row.worker, edge)]
+        if row.outcome == "failed":
+            return [e.AttemptFailed(lot_id=lot.lot_id, index=row.index, number=row.number, failures=item.failures + 1,
+                                    worker=row.worker)]
+        return [e.ItemReturned(lot_id=lot.lot_id, index=row.index, number=row.number)]
+
+    def _listed(self, lot: Lot, index: int, outcome: str, text: bytes, worker: str, edge: str) -> e.ResultListed:
+        epoch = max(1, lot.baton_epoch + (edge != lot.baton_edge))
+        return e.ResultListed(lot_id=lot.lot_id, index=index, outcome=outcome, text=text, worker=worker, edge=edge, epoch=epoch)
+
+    def _attempts(self, lot: Lot) -> int:
+        """As many as any profile said that may be in force: the one it was admitted under or the present one."""
+        profile = self._profile(lot)
+        return max(lot.attempts, profile.attempts or 0 if profile is not None else 0, 1)
+
+    def _profile(self, lot: Lot) -> Any:
+        _, tree = self._profiles()
+        return tree.usable(lot.path) if tree is not None else None
+
+    def give_up(self) -> None:
+        """Items whose time is up, or whose route is gone from profiles no older than those they came under."""
+        now_ms = self._log_ms()
+        number, tree = self._profiles()
+        rows: list[Message] = []
+        lot_ids: set[str] = set()
+        for lot in self._holder.ledger.opened.values():
+            if not lot.forward:
+                continue
+            late = now_ms >= lot.expires_ms
+            gone = tree is not None and number >= max(1, lot.version) and tree.usable(lot.path) is None
+            if late or gone:
+                text = b"not finished in time" if late else b"its route is gone"
+                edge = lot.baton_edge
+                rows += [self._listed(lot, index, "dead", text, "", edge) for index in [*lot.claims, *lot.pending]]
+                lot_ids.add(lot.lot_id)
+        if rows:
+            self._node.env.log("items-given-up", "WARNING", count=len(rows), lots=sorted(lot_ids))
+            self._holder.append(rows, True, lambda outcome: self._woke(lot_ids), True)
--- a/libs/ledger/src/ledger/entries.py
+++ b/libs/ledger/src/ledger/entries.py
@@ -1,10 +1,11 @@
 """The entries of the log. Each is a fact that was decided by the holder; folding the same entries
 in the same order gives the same ledger everywhere. A snapshot is a short run of the same entries."""
 
-from vellum import Arr, Flag, Long, Message, Text
+from vellum import Arr, Blob, Flag, Long, Message, Text
 
-__all__ = ["BatonPassed", "ItemClaimed", "ItemFinished", "ItemReturned", "KeyClosed", "KeyForgotten", "KeyOpened", "KeyShelved",
-           "LotAdmitted", "LotEnded", "LotForgotten", "LotShelved", "ResultsPlaced"]
+__all__ = ["AttemptFailed", "BatonPassed", "ForwardLotAdmitted", "ItemClaimed", "ItemFinished", "ItemReturned", "ItemsClaimed", "KeyClosed",
+           "KeyForgotten", "KeyOpened", "KeyShelved", "LotAdmitted", "LotEnded", "LotForgotten", "LotShelved", "ResultListed",
+           "ResultsPlaced"]
 
 
 class LotAdmitted(Message):
@@ -17,6 +18,55 @@
     at_ms: Long
 
 
+class ForwardLotAdmitted(Message):
+    """A lot of forwarded calls. What an item asks is kept as the bytes it came in; `expires_ms` is the log's
+    time from which an item may be given up, `version` the profiles' number at the holder that admitted it."""
+
+    lot_id: Text
+    digest: Text
+    path: Text
+    item_ids: Arr(Text)
+    tokens: Arr(Long)
+    calls: Arr(Blob)
+    attempts: Long
+    due_ms: Long
+    expires_ms: Long
+    version: Long
+    at_ms: Long
+
+
+class ItemsClaimed(Message):
+    """Items of one forwarded lot, for one edge."""
+
+    lot_id: Text
+    edge: Text
+    indexes: Arr(Long)
+    numbers: Arr(Long)
+
+
+class AttemptFailed(Message):
+    """`failures` counts this one; `worker` is left out when the item is dealt again."""
+
+    lot_id: Text
+    index: Long
+    number: Long
+    failures: Long
+    worker: Text
+
+
+class ResultListed(Message):
+    """A forwarded item is over, and in the same moment the baton, which is then with `edge` under `epoch`,
+    places it next: the order of these entries is the order of the results."""
+
+    lot_id: Text
+    index: Long
+    outcome: Text
+    text: Blob
+    worker: Text
+    edge: Text
+    epoch: Long
+
+
 class ItemClaimed(Message):
     lot_id: Text
     index: Long
--- a/libs/ledger/src/ledger/fold.py
+++ b/libs/ledger/src/ledger/fold.py
@@ -1,66 +1,17 @@
 """The fold: single dispatch over the entries, one function for each change of state. It refuses
 nothing, since what is in the log has been decided; an entry that no longer applies changes nothing.
-An item goes waiting, claimed, finished; results are listed as far as `placed` says."""
+An item goes waiting, claimed, finished; `waiting_tokens` counts, for each path, what forwarded lots have waiting."""
 
 from collections.abc import Callable
 from functools import singledispatchmethod
 
 from ledger import entries as e
+from ledger.lots import Item, Lot
 from vellum import Message, encode
 
 __all__ = ["Item", "Key", "Ledger", "Lot"]
 
 
-class Item:
-    __slots__ = ("body", "edge", "number", "outcome", "result", "state", "worker")
-
-    def __init__(self, body: str) -> None:
-        self.body = body
-        self.state = "waiting"
-        self.edge = ""
-        self.number = 0
-        self.outcome = ""
-        self.result = ""
-        self.worker = ""
-
-
-class Lot:
-    """`waiting` counts the items nobody has claimed, `claims` has those that somebody has."""
-
-    __slots__ = ("at_ms", "baton_edge", "baton_epoch", "claims", "digest", "due_ms", "ended", "ended_at_ms", "items", "left",
-                 "lot_id", "path", "placed", "rows", "safe", "shelf", "total", "waiting")
-
-    def __init__(self, entry: e.LotAdmitted) -> None:
-        self.lot_id = entry.lot_id
-        self.digest = entry.digest
-        self.path = entry.path
-        self.items = [Item(body) for body in entry.items]
-        self.safe = entry.safe
-        self.due_ms = entry.due_ms
-        self.at_ms = entry.at_ms
-        self.left = self.total = self.waiting = len(self.items)
-        self.claims: dict[int, Item] = {}
-        self.shelf: e.LotShelved | None = None
-        self.placed = 0
-        self.baton_edge = ""
-        self.baton_epoch = 0
-        self.ended = False
-        self.ended_at_ms = 0
-        self.rows: list[bytes] | None = None
-
-    @property
-    def open(self) -> bool:
-        return not self.ended and self.placed < self.total
-
-    @property
-    def ready(self) -> int:
-        """How far results could be placed now."""
-        up_to = self.placed
-        while up_to < len(self.items) and self.items[up_to].state == "finished":
-            up_to += 1
-        return up_to
-
-
 class Key:
     __slots__ = ("at_ms", "body", "digest", "edge", "rows", "shelf", "state", "status", "transaction")
 
@@ -79,9 +30,10 @@
 class Ledger:
     """`fresh` names what is over since somebody last asked: lots and keys that may be put on shelves."""
 
-    __slots__ = ("fresh", "keys", "lots", "opened")
+    __slots__ = ("fresh", "keys", "lots", "opened", "waiting_tokens")
 
     def __init__(self) -> None:
+        self.waiting_tokens: dict[str, int] = {}
         self.lots: dict[str, Lot] = {}
         self.keys: dict[str, Key] = {}
         self.opened: dict[str, Lot] = {}
@@ -90,50 +42,82 @@
     def room_used(self, path: str) -> int:
         return sum(1 for lot in self.opened.values() if lot.path == path)
 
+    def _count_tokens(self, path: str, tokens: int) -> None:
+        count = self.waiting_tokens.get(path, 0) + tokens
+        if count:
+            self.waiting_tokens[path] = count
+        else:
+            self.waiting_tokens.pop(path, None)
+
     @singledispatchmethod
     def apply(self, entry: Message) -> None:
         raise TypeError(type(entry).__name__)
 
     @apply.register
     def _(self, entry: e.LotAdmitted) -> None:
+        self._admit(entry)
+
+    @apply.register
+    def _(self, entry: e.ForwardLotAdmitted) -> None:
+        self._admit(entry)
+
+    def _admit(self, entry: e.LotAdmitted | e.ForwardLotAdmitted) -> None:
         if entry.lot_id not in self.lots:
             lot = self.lots[entry.lot_id] = Lot(entry)
             if lot.open:
                 self.opened[entry.lot_id] = lot
+                self._count_tokens(lot.path, lot.tokens)
 
     @apply.register
     def _(self, entry: e.ItemClaimed) -> None:
-        item = self._item(entry.lot_id, entry.index)
-        if item is not None and item.state != "finished" and entry.number > item.number:
-            lot = self.lots[entry.lot_id]
-            lot.waiting -= item.state == "waiting"
-            lot.claims[entry.index] = item
-            item.state = "claimed"
-            item.edge = entry.edge
-            item.number = entry.number
+        self._claim(entry.lot_id, entry.index, entry.edge, entry.number)
+
+    @apply.register
+    def _(self, entry: e.ItemsClaimed) -> None:
+        for index, number in zip(entry.indexes, entry.numbers, strict=True):
+            self._claim(entry.lot_id, index, entry.edge, number)
+
+    def _claim(self, lot_id: str, index: int, edge: str, number: int) -> None:
+        item = self._item(lot_id, index)
+        if item is not None and item.state != "finished" and number > item.number:
+            self.lots[lot_id].claim(index, edge, number)
 
     @apply.register
     def _(self, entry: e.ItemFinished) -> None:
         item = self._item(entry.lot_id, entry.index)
         if item is not None and item.state != "finished":
-            lot = self.lots[entry.lot_id]
-            lot.waiting -= item.state == "waiting"
-            lot.claims.pop(entry.index, None)
-            item.state = "finished"
-            item.outcome = entry.outcome
-            item.result = entry.body
-            item.worker = entry.worker
-            lot.left -= 1
+            self.lots[entry.lot_id].finish(entry.index, entry.outcome, entry.body, entry.worker)
+
+    @apply.register
+    def _(self, entry: e.ResultListed) -> None:
+        lot = self._lot(entry.lot_id)
+        if lot is None or not lot.open or not 0 <= entry.index < len(lot.items):
+            return
+        item = lot.items[entry.index]
+        higher = entry.epoch > lot.baton_epoch or (entry.epoch == lot.baton_epoch and entry.edge == lot.baton_edge)
+        if item.state == "finished" or not higher:
+            return
+        lot.baton_edge, lot.baton_epoch = entry.edge, entry.epoch
+        self._count_tokens(lot.path, -lot.finish(entry.index, entry.outcome, entry.text, entry.worker))
+        item.body = b""
+        lot.order.append(entry.index)
+        lot.placed = len(lot.order)
+        if not lot.open:
+            self._over(lot)
 
     @apply.register
     def _(self, entry: e.ItemReturned) -> None:
         item = self._item(entry.lot_id, entry.index)
         if item is not None and item.state == "claimed" and item.number == entry.number:
-            item.state = "waiting"
-            item.edge = ""
-            lot = self.lots[entry.lot_id]
-            lot.waiting += 1
-            del lot.claims[entry.index]
+            self.lots[entry.lot_id].give_back(entry.index)
+
+    @apply.register
+    def _(self, entry: e.AttemptFailed) -> None:
+        item = self._item(entry.lot_id, entry.index)
+        if item is not None and item.state == "claimed" and item.number == entry.number:
+            item.failures = entry.failures
+            item.failed_at = (*item.failed_at, entry.worker)
+            self.lots[entry.lot_id].give_back(entry.index)
 
     @apply.register
     def _(self, entry: e.BatonPassed) -> None:
@@ -156,6 +140,8 @@
         if lot is not None and not lot.ended:
             lot.ended = True
             lot.ended_at_ms = entry.at_ms
+            self._count_tokens(lot.path, -lot.tokens)
+            lot.tokens = 0
             self._over(lot)
 
     @apply.register
@@ -181,6 +167,7 @@
             lot.ended, lot.ended_at_ms = entry.ended, entry.ended_at_ms
         if not lot.open:
             lot.shelf, lot.items, lot.claims, lot.rows = entry, [], {}, None
+            lot.pending, lot.order = {}, []
             self.opened.pop(entry.lot_id, None)
             self.fresh.pop(("lot", entry.lot_id), None)
 
@@ -234,7 +221,7 @@
         """Entries that fold to this very ledger."""
         rows: list[Message] = []
         for lot in self.lots.values():
-            rows += self._dump_lot(lot)
+            rows += lot.dump()
         for name, key in self.keys.items():
             rows += self._dump_key(name, key)
         return rows
@@ -245,7 +232,7 @@
         rows: list[bytes] = []
         for lot in self.lots.values():
             if lot.rows is None or lot.open:
-                lot.rows = [wrap(encode(row)) for row in self._dump_lot(lot)]
+                lot.rows = [wrap(encode(row)) for row in lot.dump()]
             rows += lot.rows
         for name, key in self.keys.items():
             if key.rows is None:
@@ -258,7 +245,7 @@
         twin = Ledger()
         for lot_id, lot in self.lots.items():
             if lot.open:
-                for row in self._dump_lot(lot):
+                for row in lot.dump():
                     twin.apply(row)
             else:
                 twin.lots[lot_id] = lot
@@ -270,27 +257,6 @@
                 twin.keys[name] = key
         return twin
 
-    def _dump_lot(self, lot: Lot) -> list[Message]:
-        if lot.shelf is not None:
-            return [e.LotShelved(**{**lot.shelf.as_dict(), "ended": lot.ended, "ended_at_ms": lot.ended_at_ms})]
-        rows: list[Message] = [e.LotAdmitted(lot_id=lot.lot_id, digest=lot.digest, path=lot.path, safe=lot.safe,
-                                             items=[item.body for item in lot.items], due_ms=lot.due_ms, at_ms=lot.at_ms)]
-        for index, item in enumerate(lot.items):
-            if item.number:
-                rows.append(e.ItemClaimed(lot_id=lot.lot_id, index=index, edge=item.edge, number=item.number))
-            if item.number and item.state == "waiting":
-                rows.append(e.ItemReturned(lot_id=lot.lot_id, index=index, number=item.number))
-            if item.state == "finished":
-                rows.append(e.ItemFinished(lot_id=lot.lot_id, index=index, outcome=item.outcome, body=item.result,
-                                           worker=item.worker))
-        if lot.baton_epoch:
-            rows.append(e.BatonPassed(lot_id=lot.lot_id, edge=lot.baton_edge, epoch=lot.baton_epoch))
-        if lot.placed:
-            rows.append(e.ResultsPlaced(lot_id=lot.lot_id, up_to=lot.placed, epoch=lot.baton_epoch))
-        if lot.ended:
-            rows.append(e.LotEnded(lot_id=lot.lot_id, at_ms=lot.ended_at_ms))
-        return rows
-
     def _dump_key(self, name: str, key: Key) -> list[Message]:
         if key.shelf is not None:
             return [key.shelf]
--- /dev/null
+++ b/libs/ledger/src/ledger/lots.py
@@ -0,0 +1,161 @@
+"""A lot and its items as the fold has them. Of a lot of our own kind results are listed in the order of its
+items, as far as `placed` says; of a forwarded one in the order in which they came to be settled, `order`."""
+
+from ledger import entries as e
+from ledger import messages as m
+from vellum import Message, encode
+
+__all__ = ["Item", "Lot"]
+
+
+class Item:
+    """`body` is what is asked: text, or the bytes of a forwarded call; `failed_at` the workers that failed on it."""
+
+    __slots__ = ("body", "edge", "failed_at", "failures", "item_id", "number", "outcome", "result", "state", "tokens", "worker")
+
+    def __init__(self, body: str | bytes, item_id: str = "", tokens: int = 0) -> None:
+        self.body = body
+        self.item_id = item_id
+        self.tokens = tokens
+        self.state = "waiting"
+        self.edge = ""
+        self.number = 0
+        self.failures = 0
+        self.failed_at: tuple[str, ...] = ()
+        self.outcome = ""
+        self.result: str | bytes = ""
+        self.worker = ""
+
+
+class Lot:
+    """`pending` has the items nobody has claimed, in the order in which they are dealt, `claims` those that
+    somebody has; `tokens` counts what is neither finished nor dead."""
+
+    __slots__ = ("at_ms", "attempts", "baton_edge", "baton_epoch", "claims", "digest", "due_ms", "ended", "ended_at_ms", "expires_ms",
+                 "forward", "items", "left", "lot_id", "order", "path", "pending", "placed", "rows", "safe", "shelf", "tokens", "total",
+                 "version")
+
+    def __init__(self, entry: e.LotAdmitted | e.ForwardLotAdmitted) -> None:
+        self.lot_id = entry.lot_id
+        self.digest = entry.digest
+        self.path = entry.path
+        self.due_ms = entry.due_ms
+        self.at_ms = entry.at_ms
+        self.forward = isinstance(entry, e.ForwardLotAdmitted)
+        if self.forward:
+            self.items = [Item(call, item_id, tokens) for item_id, tokens, call
+                          in zip(entry.item_ids, entry.tokens, entry.calls, strict=True)]
+            self.safe, self.attempts = True, entry.attempts
+            self.expires_ms, self.version = entry.expires_ms, entry.version
+        else:
+            self.items = [Item(body) for body in entry.items]
+            self.safe, self.attempts, self.expires_ms, self.version = entry.safe, 0, 0, 0
+        self.left = self.total = len(self.items)
+        self.tokens = sum(item.tokens for item in self.items)
+        self.pending: dict[int, None] = dict.fromkeys(range(self.total))
+        self.claims: dict[int, Item] = {}
+        self.order: list[int] = []
+        self.shelf: e.LotShelved | None = None
+        self.placed = 0
+        self.baton_edge = ""
+        self.baton_epoch = 0
+        self.ended = False
+        self.ended_at_ms = 0
+        self.rows: list[bytes] | None = None
+
+    @property
+    def open(self) -> bool:
+        return not self.ended and self.placed < self.total
+
+    @property
+    def waiting(self) -> int:
+        return len(self.pending)
+
+    @property
+    def ready(self) -> int:
+        """How far results could be placed now. Of a forwarded lot each is placed as it is settled."""
+        if self.forward:
+            return self.placed
+        up_to = self.placed
+        while up_to < len(self.items) and self.items[up_to].state == "finished":
+            up_to += 1
+        return up_to
+
+    def row(self, position: int) -> bytes:
+        """The result listed at a position, as it is read and as it is put on a shelf."""
+        if self.forward:
+            item = self.items[self.order[position]]
+            return encode(m.ForwardRow(item_id=item.item_id, outcome=item.outcome, text=item.result))
+        item = self.items[position]
+        return encode(m.ResultRow(index=position, outcome=item.outcome, body=item.result))
+
+    # -- changes of an item's state --------------------------------------------------------------
+
+    def claim(self, index: int, edge: str, number: int) -> None:
+        item = self.items[index]
+        self.pending.pop(index, None)
+        self.claims[index] = item
+        item.state, item.edge, item.number = "claimed", edge, number
+
+    def give_back(self, index: int) -> None:
+        """It is dealt again, after those that wait already."""
+        item = self.claims.pop(index)
+        self.pending[index] = None
+        item.state, item.edge = "waiting", ""
+
+    def finish(self, index: int, outcome: str, result: str | bytes, worker: str) -> int:
+        """Gives the tokens that no longer wait."""
+        item = self.items[index]
+        self.pending.pop(index, None)
+        self.claims.pop(index, None)
+        item.state, item.outcome, item.result, item.worker = "finished", outcome, result, worker
+        self.left -= 1
+        self.tokens -= item.tokens
+        return item.tokens
+
+    # -- entries that fold to this very lot ------------------------------------------------------
+
+    def dump(self) -> list[Message]:
+        if self.shelf is not None:
+            return [e.LotShelved(**{**self.shelf.as_dict(), "ended": self.ended, "ended_at_ms": self.ended_at_ms})]
+        rows = self._dump_forward() if self.forward else self._dump_own()
+        if self.ended:
+            rows.append(e.LotEnded(lot_id=self.lot_id, at_ms=self.ended_at_ms))
+        return rows
+
+    def _dump_own(self) -> list[Message]:
+        rows: list[Message] = [e.LotAdmitted(lot_id=self.lot_id, digest=self.digest, path=self.path, safe=self.safe,
+                                             items=[item.body for item in self.items], due_ms=self.due_ms, at_ms=self.at_ms)]
+        for index, item in enumerate(self.items):
+            if item.number:
+                rows.append(e.ItemClaimed(lot_id=self.lot_id, index=index, edge=item.edge, number=item.number))
+            if item.number and item.state == "waiting":
+                rows.append(e.ItemReturned(lot_id=self.lot_id, index=index, number=item.number))
+            if item.state == "finished":
+                rows.append(e.ItemFinished(lot_id=self.lot_id, index=index, outcome=item.outcome, body=item.result,
+                                           worker=item.worker))
+        if self.baton_epoch:
+            rows.append(e.BatonPassed(lot_id=self.lot_id, edge=self.baton_edge, epoch=self.baton_epoch))
+        if self.placed:
+            rows.append(e.ResultsPlaced(lot_id=self.lot_id, up_to=self.placed, epoch=self.baton_epoch))
+        return rows
+
+    def _dump_forward(self) -> list[Message]:
+        rows: list[Message] = [e.ForwardLotAdmitted(
+            lot_id=self.lot_id, digest=self.digest, path=self.path, item_ids=[item.item_id for item in self.items],
+            tokens=[item.tokens for item in self.items], calls=[item.body for item in self.items], attempts=self.attempts,
+            due_ms=self.due_ms, expires_ms=self.expires_ms, version=self.version, at_ms=self.at_ms)]
+        for index in [*self.pending, *self.claims]:
+            item = self.items[index]
+            for place, worker in enumerate(item.failed_at, 1):
+                rows.append(e.ItemsClaimed(lot_id=self.lot_id, edge="", indexes=[index], numbers=[place]))
+                rows.append(e.AttemptFailed(lot_id=self.lot_id, index=index, number=place, failures=place, worker=worker))
+            if item.number > item.failures or item.state == "claimed":
+                rows.append(e.ItemsClaimed(lot_id=self.lot_id, edge=item.edge, indexes=[index], numbers=[item.number]))
+                if item.state == "waiting":
+                    rows.append(e.ItemReturned(lot_id=self.lot_id, index=index, number=item.number))
+        for index in self.order:
+            item = self.items[index]
+            rows.append(e.ResultListed(lot_id=self.lot_id, index=index, outcome=item.outcome, text=item.result, worker=item.worker,
+                                       edge=self.baton_edge, epoch=self.baton_epoch))
+        return rows
--- a/libs/ledger/src/ledger/messages.py
+++ b/libs/ledger/src/ledger/messages.py
@@ -4,9 +4,10 @@
 
 from vellum import Arr, Blob, Flag, Long, Message, Text
 
-__all__ = ["Baton", "CloseKey", "EdgeBeat", "EndLot", "Finish", "FinishReceipt", "HandIn", "HolderBeat", "KeyReceipt",
-           "LotReceipt", "NotHolder", "OpenKey", "Place", "ReadLot", "ReadResults", "ResultRow", "ResultsReceipt",
-           "Work"]
+__all__ = ["Baton", "CloseKey", "EdgeBeat", "EndItems", "EndLot", "Finish", "FinishReceipt", "ForwardHandIn", "ForwardItem",
+           "ForwardRow", "ForwardWork", "HandIn", "HolderBeat", "ItemEnd", "ItemReceipt", "KeyReceipt", "LotReceipt", "NotHolder",
+           "OpenKey", "PageReceipt", "Place", "ReadItem", "ReadLot", "ReadPage", "ReadResults", "ResultRow", "ResultsReceipt",
+           "Stale", "Work"]
 
 
 class EdgeBeat(Message):
@@ -144,3 +145,103 @@
     outcome: Text
     status: Long
     body: Text
+
+
+class ForwardItem(Message):
+    """What an item of a forwarded lot asks of a worker; `headers` are names and values in turn, `part_ids` and
+    `part_tokens` the parts of its prompt in order."""
+
+    item_id: Text
+    target: Text
+    host: Text
+    headers: Arr(Text)
+    body: Blob
+    part_ids: Arr(Text)
+    part_tokens: Arr(Long)
+    tokens_in: Long
+    tokens_out: Long
+
+
+class ForwardHandIn(Message):
+    """`calls` are encoded ForwardItems, `tokens` what each counts for in the waiting room; `due_ms` and `keep_ms`
+    are from now, `version` is the profiles' number at the edge."""
+
+    lot_id: Text
+    digest: Text
+    path: Text
+    item_ids: Arr(Text)
+    tokens: Arr(Long)
+    calls: Arr(Blob)
+    attempts: Long
+    due_ms: Long
+    keep_ms: Long
+    version: Long
+    epoch: Long
+    holder_ms: Long
+
+
+class Stale(Message):
+    """The stamp of an ask doesn't hold; this one would."""
+
+    epoch: Long
+    holder_ms: Long
+
+
+class ForwardWork(Message):
+    """`left_ms` is how long the item may still be worked on, `avoid` the workers that failed on it."""
+
+    lot_id: Text
+    index: Long
+    number: Long
+    path: Text
+    call: Blob
+    avoid: Arr(Text)
+    left_ms: Long
+
+
+class ItemEnd(Message):
+    """`finished`, `dead` (no worker can do it), `failed` (an attempt) or `again` (no attempt was made)."""
+
+    lot_id: Text
+    index: Long
+    number: Long
+    outcome: Text
+    text: Blob
+    worker: Text
+
+
+class EndItems(Message):
+    edge: Text
+    rows: Arr(Blob)
+
+
+class ReadPage(Message):
+    """Asks to be answered once a result from this position on exists, or after `wait_ms`."""
+
+    lot_id: Text
+    from_position: Long
+    limit_bytes: Long
+    wait_ms: Long
+
+
+class ForwardRow(Message):
+    item_id: Text
+    outcome: Text
+    text: Blob
+
+
+class PageReceipt(Message):
+    outcome: Text
+    rows: Arr(Blob)
+    total: Long
+    over: Flag
+
+
+class ReadItem(Message):
+    lot_id: Text
+    item_id: Text
+
+
+class ItemReceipt(Message):
+    outcome: Text
+    call: Blob
--- /dev/null
+++ b/libs/ledger/src/ledger/reading.py
@@ -0,0 +1,115 @@
+"""Reads of forwarded lots at the holder. Only what is settled is shown, and what is shown was confirmed after
+the read came: by peers, or by the very append that settled the result. A read of a place where nothing is
+yet is held until something is, or its time is up."""
+
+from collections.abc import Callable
+from typing import Any
+
+from ledger import messages as m
+from ledger.fold import Ledger
+from ledger.lots import Lot
+from vellum import Message
+
+__all__ = ["Reading"]
+
+Reply = Callable[[Message], None]
+
+
+def _nothing(outcome: str) -> m.PageReceipt:
+    return m.PageReceipt(outcome=outcome, rows=[], total=0, over=False)
+
+
+class _Held:
+    __slots__ = ("due_ms", "message", "reply")
+
+    def __init__(self, message: m.ReadPage, reply: Reply, due_ms: int) -> None:
+        self.message, self.reply, self.due_ms = message, reply, due_ms
+
+
+class Reading:
+    __slots__ = ("_held", "_holder", "_mend", "_node", "_settled", "_shelves")
+
+    def __init__(self, holder: Any, node: Any, settled: Callable[[], Ledger], shelves: Any, mend: Callable[[str, str], None]) -> None:
+        self._holder, self._node, self._settled = holder, node, settled
+        self._shelves, self._mend = shelves, mend
+        self._held: dict[str, list[_Held]] = {}
+
+    def read(self, message: m.ReadPage, reply: Reply) -> None:
+        due_ms = self._node.env.now() + message.wait_ms
+        self._holder.read(lambda ok: self._confirmed(message, reply, due_ms) if ok else reply(_nothing("unknown")))
+
+    def _confirmed(self, message: m.ReadPage, reply: Reply, due_ms: int) -> None:
+        page = self._page(message)
+        if page.outcome != "known" or page.rows or page.over or self._node.env.now() >= due_ms:
+            reply(page)
+        else:
+            self._held.setdefault(message.lot_id, []).append(_Held(message, reply, due_ms))
+
+    def wake(self, lot_ids: set[str]) -> None:
+        """Something of these lots has just been settled under this epoch."""
+        for lot_id in lot_ids & set(self._held):
+            for held in self._held.pop(lot_id):
+                self._confirmed(held.message, held.reply, held.due_ms)
+
+    def tick(self) -> None:
+        now_ms = self._node.env.now()
+        for lot_id in list(self._held):
+            late = [held for held in self._held[lot_id] if now_ms >= held.due_ms]
+            left = [held for held in self._held[lot_id] if now_ms < held.due_ms]
+            if left:
+                self._held[lot_id] = left
+            else:
+                del self._held[lot_id]
+            for held in late:
+                self._last(held)
+
+    def _last(self, held: _Held) -> None:
+        """Its time is up: confirmed once more, as another may hold the log by now."""
+        self.read(m.ReadPage(**{**held.message.as_dict(), "wait_ms": 0}), held.reply)
+
+    def stop(self, reply: Message) -> None:
+        rows, self._held = self._held, {}
+        for held in rows.values():
+            for row in held:
+                row.reply(reply)
+
+    # -- what is shown -------------------------------------------------------------------------
+
+    def _page(self, message: m.ReadPage) -> m.PageReceipt:
+        lot = self._settled().lots.get(message.lot_id)
+        if lot is None:
+            return _nothing("unknown" if message.lot_id in self._holder.ledger.lots else "missing")
+        rows = self._rows(lot, message)
+        if rows is None:
+            self._mend("lot", lot.lot_id)
+            return _nothing("unknown")
+        return m.PageReceipt(outcome="known", rows=rows, total=lot.total, over=not lot.open)
+
+    def _rows(self, lot: Lot, message: m.ReadPage) -> list[bytes] | None:
+        rows: list[bytes] = []
+        size_bytes = 0
+        position = message.from_position
+        while position < lot.placed and size_bytes < message.limit_bytes:
+            more = [lot.row(position)] if lot.shelf is None else self._shelves.results(lot, position, lot.placed)
+            if not more:
+                return None
+            for row in more:
+                size_bytes += len(row)
+                if rows and size_bytes > message.limit_bytes:
+                    break
+                rows.append(row)
+            position = message.from_position + len(rows)
+        return rows
+
+    def item(self, message: m.ReadItem, reply: Reply) -> None:
+        """What an item that isn't listed yet asks of a worker."""
+        def confirmed(ok: bool) -> None:
+            lot = self._settled().lots.get(message.lot_id)
+            if not ok or (lot is None and message.lot_id in self._holder.ledger.lots):
+                reply(m.ItemReceipt(outcome="unknown", call=b""))
+                return
+            found = None if lot is None or not lot.open else next((item for item in lot.items if item.item_id == message.item_id), None)
+            listed = found is None or found.state == "finished"
+            reply(m.ItemReceipt(outcome="missing" if listed else "known", call=b"" if listed else found.body))
+
+        self._holder.read(confirmed)
--- a/libs/readingroom/src/readingroom/nodes.py
+++ b/libs/readingroom/src/readingroom/nodes.py
@@ -74,7 +74,7 @@
         self._common(local.identity)
         self._started_ms = env.now()
         self.control = ControlClient(self._control_addresses)
-        self.desk = Desk(lambda path: self.tree().room(path), self._who_holds, lambda: self.log.log.ledger)
+        self.desk = Desk(lambda: (self.gazette.number(PROFILES_KEY), self.tree()), self._who_holds, lambda: self.log.log.ledger)
         self.log = StoreLog(local, self.control, self, self.desk.take_holder)
         self.mending = Mending(local, self._other_members)
         self.desk.shelves, self.desk.mend = local.shelves, self.mending.mend
