--- a/libs/circulation/src/circulation/holding.py
+++ b/libs/circulation/src/circulation/holding.py
@@ -1,7 +1,8 @@
 """Asking the holder. The feed tells where it is, a store that is not the holder tells better; what
 gets no answer is asked again until its time is up. An ask that may run something later is stamped
-with the holder's own time as last heard, and in its last stretch is only waited for, so that doubt
-is told when nothing of it can be under way any more."""
+with the holder's own time as last heard; for our own interface its last stretch is only waited for, so
+that doubt is told when nothing of it can be under way any more. News of another holder has what is
+under way asked again at once."""
 
 import json
 from collections.abc import Callable
@@ -12,13 +13,14 @@
 
 __all__ = ["HolderClient"]
 
-_STAMPED = (m.HandIn, m.OpenKey)
+_STAMPED = (m.HandIn, m.OpenKey, m.ForwardHandIn)
+_WAITED_FOR = (m.HandIn, m.OpenKey)
 _RETRIED = ("stale", "unknown")
 _REFUSED = ("full", "no_path", "no_room")
 
 
 class _Ask:
-    __slots__ = ("done", "due_ms", "last_ms", "message", "next_ms", "sends")
+    __slots__ = ("done", "due_ms", "epoch", "last_ms", "message", "next_ms", "sends")
 
     def __init__(self, message: Message, now_ms: int, wait_ms: int, hold_ms: int, done: Callable) -> None:
         self.message = message
@@ -27,16 +29,18 @@
         self.next_ms = now_ms
         self.done: Callable | None = done
         self.sends = 0
+        self.epoch = 0
 
 
 class HolderClient(Part):
-    __slots__ = ("_address", "_asks", "_epoch", "_log_key", "_stores", "heard_ms", "holder_ms")
+    __slots__ = ("_address", "_asks", "_epoch", "_log_key", "_read", "_stores", "heard_ms", "holder_ms")
 
     def __init__(self, log_key: Callable[[], str], stores: Callable[[], list[str]]) -> None:
         self._log_key = log_key
         self._stores = stores
         self._address = ""
         self._epoch = 0
+        self._read = ""
         self._asks: list[_Ask] = []
         self.heard_ms = -1 << 40
         self.holder_ms = 0
@@ -46,15 +50,21 @@
         return self._epoch
 
     def address(self) -> str:
+        self._read_key()
+        if not self._address:
+            stores = self._stores()
+            return self.node.env.rng.choice(stores) if stores else ""
+        return self._address
+
+    def _read_key(self) -> None:
         body = self._log_key()
+        if body == self._read:
+            return
+        self._read = body
         value = json.loads(body) if body else {}
         if value and self._is_news(value["epoch"]):
             self._epoch = value["epoch"]
             self._address = next((row["address"] for row in value["members"] if row["identity"] == value["holder"]), "")
-        if not self._address:
-            stores = self._stores()
-            return self.node.env.rng.choice(stores) if stores else ""
-        return self._address
 
     def _is_news(self, epoch: int) -> bool:
         return epoch > self._epoch or (epoch == self._epoch and not self._address)
@@ -66,21 +76,25 @@
             self.heard_ms = asked_ms
             self.holder_ms = message.holder_ms
 
-    def redirected(self, receipt: m.NotHolder) -> None:
-        if receipt.address and self._is_news(receipt.epoch):
+    def redirected(self, receipt: m.NotHolder) -> bool:
+        news = bool(receipt.address) and self._is_news(receipt.epoch)
+        if news:
             self._epoch, self._address = receipt.epoch, receipt.address
+        return news
 
-    def ask(self, message: Message, wait_ms: int, done: Callable[[Any], None]) -> None:
-        """done gets the receipt, or None if there was none in time. What is stamped holds its tongue
-        for as long as a stamp may live, beyond the time given."""
-        hold_ms = self.node.params.fresh_ms if isinstance(message, _STAMPED) else 0
+    def ask(self, message: Message, wait_ms: int, done: Callable[[Any], None]) -> _Ask:
+        """done gets the receipt, or None if there was none in time; without a `sends` of the ask nothing of it
+        was sent. What is stamped and waited for holds its tongue for as long as a stamp may live, beyond the time given."""
+        hold_ms = self.node.params.fresh_ms if isinstance(message, _WAITED_FOR) else 0
         ask = _Ask(message, self.node.env.now(), wait_ms + hold_ms, hold_ms, done)
         self._asks.append(ask)
         self._send(ask)
+        return ask
 
     def _send(self, ask: _Ask) -> None:
         now_ms = self.node.env.now()
-        ask.next_ms = now_ms + self.node.params.ask_ms
+        held_ms = getattr(ask.message, "wait_ms", 0)
+        ask.next_ms = now_ms + held_ms + self.node.params.ask_ms
         address = self.address()
         if not address:
             ask.next_ms = now_ms + self.node.params.beat_ms // 2
@@ -88,8 +102,9 @@
         if isinstance(ask.message, _STAMPED):
             ask.message = type(ask.message)(**{**ask.message.as_dict(), "epoch": self._epoch, "holder_ms": self.holder_ms})
         ask.sends += 1
+        ask.epoch = self._epoch
         number = ask.sends
-        self.node.ask(address, ask.message, self.node.params.ask_ms * 2,
+        self.node.ask(address, ask.message, held_ms + self.node.params.ask_ms * 2,
                       lambda receipt: self._answered(ask, number, receipt))
 
     def _answered(self, ask: _Ask, number: int, receipt: Message | None) -> None:
@@ -98,15 +113,22 @@
             return
         now_ms = self.node.env.now()
         if isinstance(receipt, m.NotHolder):
-            self.redirected(receipt)
-            ask.next_ms = min(ask.next_ms, now_ms + self.node.params.beat_ms // 2)
-            return
-        if getattr(receipt, "outcome", "") in _RETRIED:
-            ask.next_ms = min(ask.next_ms, now_ms + self.node.params.beat_ms // 2)
-            return
-        if getattr(receipt, "outcome", "") in _REFUSED and number != ask.sends:
-            return
-        self._finish(ask, receipt)
+            wait_ms = 0 if self.redirected(receipt) else self.node.params.beat_ms // 2
+            self._again(ask, now_ms + wait_ms)
+        elif isinstance(receipt, m.Stale):
+            if receipt.epoch >= self._epoch:
+                self._epoch, self.holder_ms = receipt.epoch, receipt.holder_ms
+                self._again(ask, now_ms)
+        elif getattr(receipt, "outcome", "") in _RETRIED:
+            self._again(ask, now_ms + self.node.params.beat_ms // 2)
+        elif getattr(receipt, "outcome", "") not in _REFUSED or number == ask.sends:
+            self._finish(ask, receipt)
+
+    def _again(self, ask: _Ask, at_ms: int) -> None:
+        ask.next_ms = min(ask.next_ms, at_ms)
+        now_ms = self.node.env.now()
+        if ask.next_ms <= now_ms < ask.last_ms:
+            self._send(ask)
 
     def _finish(self, ask: _Ask, receipt: Message | None) -> None:
         done, ask.done = ask.done, None
@@ -117,7 +139,11 @@
 
     def tick(self) -> None:
         now_ms = self.node.env.now()
+        if self._asks:
+            self._read_key()
         for ask in list(self._asks):
+            if 0 < ask.sends and ask.epoch < self._epoch:
+                ask.next_ms = now_ms
             if now_ms >= ask.due_ms:
                 self._finish(ask, None)
             elif now_ms >= ask.next_ms and now_ms < ask.last_ms:
--- a/libs/circulation/src/circulation/lots.py
+++ b/libs/circulation/src/circulation/lots.py
@@ -1,6 +1,7 @@
 """Running lots in the room that live traffic leaves. The edge tells the holder each beat how many
 items it could start and what it is running; what it is dealt it runs, reports until that is
-acknowledged, and places results while it has the baton. Word from the holder is a claim on all this:
+acknowledged, and places results while it has the baton. What forwarded items come to is reported together, as
+much as there is while the report before is under way. Word from the holder is a claim on all this:
 without it for too long, or after having been frozen, everything that runs is stopped."""
 
 from collections.abc import Callable
@@ -8,18 +9,19 @@
 
 from circulation.holding import HolderClient
 from ledger import messages as m
-from vellum import Message, Part, decode
+from vellum import Message, Part, decode, encode
 
 __all__ = ["LotRunner"]
 
 STOPPED_BODY = '{"error":{"verdict":"may_have_run","code":"stopped","message":"stopped while it ran"}}'
-Start = Callable[[m.Work, Callable[[str, str, str], None]], Callable[[], None]]
+Start = Callable[[m.Work | m.ForwardWork, Callable[[str, Any, str], None]], Callable[[], None]]
+_REPORT_BYTES = 1 << 20
 
 
 class _Run:
     __slots__ = ("cancel", "reported", "work")
 
-    def __init__(self, work: m.Work) -> None:
+    def __init__(self, work: m.Work | m.ForwardWork) -> None:
         self.work = work
         self.cancel: Callable[[], None] = lambda: None
         self.reported = False
@@ -29,8 +31,8 @@
     """`room` gives how many items may be started now, and on which paths; `start` runs one item and
     calls back with outcome, body, worker, giving the function that stops it."""
 
-    __slots__ = ("_asked_ms", "_asking", "_holder", "_placing", "_room", "_runs", "_start", "_waiting_paths", "_wish", "edge", "finished",
-                 "paused")
+    __slots__ = ("_asked_epoch", "_asked_ms", "_asking", "_beats", "_ends", "_holder", "_lot_paths", "_placing", "_reporting", "_room", "_runs",
+                 "_start", "_wish", "edge", "finished", "paused")
 
     def __init__(self, edge: str, holder: HolderClient, room: Callable[[], tuple[int, frozenset[str]]],
                  start: Start) -> None:
@@ -40,10 +42,13 @@
         self._start = start
         self._runs: dict[tuple[str, int], _Run] = {}
         self._placing: set[str] = set()
-        self._asking = False
+        self._asking = self._beats = 0
+        self._asked_epoch = 0
         self._asked_ms = -1 << 40
         self._wish = False
-        self._waiting_paths: set[str] = set()
+        self._lot_paths: set[str] = set()
+        self._ends: list[tuple[_Run, bytes]] = []
+        self._reporting = False
         self.paused = False
         self.finished = 0
 
@@ -56,31 +61,37 @@
         if self.running() and now_ms - self._holder.heard_ms > params.claim_ms:
             self.stop_all("holder silent")
         due_ms = params.beat_ms // 4 if self._wish else params.beat_ms
-        if not self._asking and now_ms - self._asked_ms >= due_ms:
-            self._beat(now_ms)
+        moved = self._asking and self._holder.epoch > self._asked_epoch
+        if moved or (not self._asking and now_ms - self._asked_ms >= due_ms):
+            self._beat()
+        self._report_ends()
 
-    def _beat(self, now_ms: int) -> None:
+    def _beat(self) -> None:
         address = self._holder.address()
         if not address:
             return
         room, served = (0, frozenset()) if self.paused else self._room()
-        paths = sorted(served & self._waiting_paths)
-        self._asking = True
-        self._asked_ms = now_ms
+        asked_ms = self._asked_ms = self.node.env.now()
+        self._asked_epoch = self._holder.epoch
+        self._beats += 1
+        self._asking = number = self._beats
         self._wish = False
         running = [f"{lot_id}#{index}" for lot_id, index in self._runs]
-        self.node.ask(address, m.EdgeBeat(edge=self.edge, address=self.node.address, room=room, paths=paths,
-                                          running=running), self.node.params.ask_ms, self._answered)
-
-    def _answered(self, receipt: Message | None) -> None:
-        self._asking = False
+        self.node.ask(address, m.EdgeBeat(edge=self.edge, address=self.node.address, room=room, paths=sorted(served & self._lot_paths),
+                                          running=running), self.node.params.ask_ms,
+                      lambda receipt: self._answered(receipt, number, asked_ms))
+
+    def _answered(self, receipt: Message | None, number: int, asked_ms: int) -> None:
+        last = number == self._asking
+        if last:
+            self._asking = 0
         if not isinstance(receipt, m.HolderBeat):
-            if isinstance(receipt, m.NotHolder):
-                self._holder.redirected(receipt)
+            if isinstance(receipt, m.NotHolder) and self._holder.redirected(receipt) and last:
+                self._beat()
             return
         if receipt.epoch < self._holder.epoch:
             return
-        self._holder.heard(receipt, self._asked_ms)
+        self._holder.heard(receipt, asked_ms)
         for lot_id in receipt.stops:
             self.stop(lot_id, "lot over")
         for data in receipt.work:
@@ -88,11 +99,16 @@
         for data in receipt.batons:
             baton = decode(data)
             self._place(baton.lot_id, baton.epoch, baton.up_to)
-        fresh = set(receipt.paths) - self._waiting_paths
-        self._waiting_paths = set(receipt.paths)
+        fresh = set(receipt.paths) - self._lot_paths
+        self._lot_paths |= fresh
         self._wish = receipt.waiting > 0 or bool(self._runs)
-        if fresh and not self.paused:
-            self._beat(self.node.env.now())
+        if (fresh or receipt.work) and not self.paused:
+            self._beat_now()
+
+    def _beat_now(self) -> None:
+        """There is room again, or may be: asked at once rather than with the next beat."""
+        if not self._asking:
+            self._beat()
 
     # -- items ---------------------------------------------------------------------------------
 
@@ -108,8 +124,45 @@
         if self._runs.get(key) is not run or run.reported:
             return
         run.reported = True
-        self.finished += outcome == "ran"
-        self._report(run, outcome, body, worker)
+        self.finished += outcome in ("ran", "finished")
+        if isinstance(run.work, m.ForwardWork):
+            self._report_end(run, outcome, body, worker)
+        else:
+            self._report(run, outcome, body, worker)
+
+    def _report_end(self, run: _Run, outcome: str, text: bytes, worker: str) -> None:
+        work = run.work
+        self._ends.append((run, encode(m.ItemEnd(lot_id=work.lot_id, index=work.index, number=work.number, outcome=outcome,
+                                                 text=text, worker=worker))))
+        self._report_ends()
+
+    def _report_ends(self) -> None:
+        if self._reporting:
+            return
+        rows: list[tuple[_Run, bytes]] = []
+        size_bytes = 0
+        while self._ends and size_bytes < _REPORT_BYTES:
+            run, data = self._ends.pop(0)
+            if self._runs.get((run.work.lot_id, run.work.index)) is run:
+                rows.append((run, data))
+                size_bytes += len(data)
+        if not rows:
+            return
+        self._reporting = True
+
+        def told(receipt: Any) -> None:
+            self._reporting = False
+            if receipt is None or not receipt.ok:
+                self._ends[:0] = rows
+                return
+            for run, _ in rows:
+                if self._runs.get((run.work.lot_id, run.work.index)) is run:
+                    del self._runs[(run.work.lot_id, run.work.index)]
+            self._wish = True
+            self._report_ends()
+
+        self._holder.ask(m.EndItems(edge=self.edge, rows=[data for _, data in rows]), self.node.params.force_ms, told)
+        self._beat_now()
 
     def _report(self, run: _Run, outcome: str, body: str, worker: str) -> None:
         key = (run.work.lot_id, run.work.index)
@@ -145,7 +198,10 @@
         runs = [run for run in self._runs.values() if not run.reported]
         for run in runs:
             run.cancel()
-            self._ended(run, "again" if run.work.safe else "may_have_run", STOPPED_BODY, "")
+            if isinstance(run.work, m.ForwardWork):
+                self._ended(run, "again", b"", "")
+            else:
+                self._ended(run, "again" if run.work.safe else "may_have_run", STOPPED_BODY, "")
         self._note([(run.work.lot_id, run.work.index) for run in runs], reason)
 
     def _stop(self, keys: list[tuple[str, int]], reason: str) -> None:
--- a/libs/readingroom/src/readingroom/answers.py
+++ b/libs/readingroom/src/readingroom/answers.py
@@ -8,14 +8,18 @@
 from colophon import Refusal, doubtful, refused
 from vellum import decode
 
-__all__ = ["Answer", "hand_in_answer", "live_answer", "lot_answer", "not_ready", "results_answer"]
+__all__ = ["Answer", "ended_answer", "hand_in_answer", "item_answer", "live_answer", "lot_answer", "not_ready", "page_answer",
+           "results_answer", "taken_answer"]
 
 
 class Answer:
-    __slots__ = ("body", "refusal", "replayed", "status")
+    """`value` is what a positive answer says before anybody has written it out."""
 
-    def __init__(self, status: int, body: str, refusal: Refusal | None = None, replayed: bool = False) -> None:
+    __slots__ = ("body", "refusal", "replayed", "status", "value")
+
+    def __init__(self, status: int, body: str, refusal: Refusal | None = None, replayed: bool = False, value: Any = None) -> None:
         self.status, self.body, self.refusal, self.replayed = status, body, refusal, replayed
+        self.value = value
 
     @classmethod
     def no(cls, refusal: Refusal) -> "Answer":
@@ -81,6 +85,53 @@
                       "ended": receipt.ended, "next": from_index + len(rows)})
 
 
+# -- lots of forwarded calls -----------------------------------------------------------------------
+
+
+def taken_answer(lot_id: str, receipt: Any, sent: bool) -> Answer:
+    """A refusal that promises is the holder's own word, or there was nobody to ask."""
+    outcome = receipt.outcome if receipt is not None else "unknown"
+    if outcome in ("admitted", "known"):
+        return Answer(202, "", value=receipt)
+    if receipt is None and not sent:
+        return Answer.no(refused("holder-unknown", "nobody holds the log at this moment; nothing was taken", 503, 500))
+    refusals = {
+        "conflict": lambda: refused("lot-reused", "this id came before with other content; this content has not run", 409),
+        "no_room": lambda: refused("waiting-room-full", "the waiting room of this route is full", 429, 1000),
+        "no_path": lambda: refused("unknown-route", "no such route is in force", 404),
+        "full": lambda: refused("stores-full", "the stores have no room", 503, 2000)}
+    if outcome in refusals:
+        return Answer.no(refusals[outcome]())
+    return Answer.no(doubtful("lot-in-doubt", f"lot {lot_id} may have been accepted; hand the same in again", 200, 504))
+
+
+def _no_word(lot_id: str, receipt: Any) -> Answer | None:
+    if receipt is None or receipt.outcome in ("unknown", "full"):
+        return Answer.no(doubtful("stores-silent", "the stores did not answer", 200, 503))
+    if receipt.outcome == "missing":
+        return Answer.no(refused("unknown-lot", f"no lot {lot_id}, or nothing more of it is kept", 404))
+    return None
+
+
+def page_answer(lot_id: str, from_position: int, receipt: Any) -> Answer:
+    """The value is the results, each with its item's id, outcome and text; the next position; and the lot's size."""
+    if (answer := _no_word(lot_id, receipt)) is not None:
+        return answer
+    rows = [decode(data) for data in receipt.rows]
+    return Answer(200, "", value=(rows, from_position + len(rows), receipt.total))
+
+
+def item_answer(lot_id: str, receipt: Any) -> Answer:
+    """The value is what the item asks of a worker."""
+    if (answer := _no_word(lot_id, receipt)) is not None:
+        return answer
+    return Answer(200, "", value=decode(receipt.call))
+
+
+def ended_answer(lot_id: str, receipt: Any) -> Answer:
+    return _no_word(lot_id, receipt) or Answer(200, "", value=receipt)
+
+
 def _shown(receipt: Any) -> dict[str, Any]:
     state = "ended" if receipt.ended else "done" if receipt.placed >= receipt.total else "open"
     return {"lot_id": receipt.lot_id, "path": receipt.path, "state": state, "total": receipt.total,
--- a/libs/readingroom/src/readingroom/nodes.py
+++ b/libs/readingroom/src/readingroom/nodes.py
@@ -11,6 +11,7 @@
 from gazette import Gazette
 from ledger import Desk
 from readingroom.counter import Counter
+from readingroom.lot_counter import LotCounter
 from stacks import Damage, Disk
 from vellum import Env, Node
 
@@ -126,7 +127,7 @@
 
 
 class EdgeNode(_DataNode):
-    __slots__ = ("_caught_up", "_started_ms", "_was_quorate", "carrier", "counter", "holder", "items", "lots", "roster", "stopping")
+    __slots__ = ("_caught_up", "_started_ms", "_was_quorate", "carrier", "counter", "holder", "items", "lot_counter", "lots", "roster", "stopping")
 
     def __init__(self, env: Env, params: Any, sender: Any) -> None:
         self.env, self.params = env, params
@@ -144,9 +145,10 @@
         self.items = Items(self.carrier, self.roster, self.tree, self.why_unready, self._edges)
         self.lots = LotRunner(identity, self.holder, self.items.room, self.items.start)
         self.counter = Counter(self.carrier, self.holder, self.lots, self.tree, self.why_unready)
+        self.lot_counter = LotCounter(self.holder, self.lots, lambda: (self.gazette.number(PROFILES_KEY), self.tree()))
         self.neighbours.ready = self.gazette.sure = lambda: not self.why_unready()
         super().__init__(env, params, [self.neighbours, self.gazette, self.holder, self.roster, self.carrier, self.items,
-                                       self.lots, self.counter])
+                                       self.lots, self.counter, self.lot_counter])
 
     def _edges(self) -> int:
         return 1 + len(self.neighbours.of_role("edge", self.params.dead_ms))
