--- /dev/null
+++ b/libs/circulation/src/circulation/item_run.py
@@ -0,0 +1,125 @@
+"""One item of a forwarded lot at an edge: a stream taken to its end for nobody but the log. A worker that fails
+to bring it to its end is no failed attempt, only its own word is: another one goes on after the last
+event, and where none can, the item is taken up here a little later, or given back if nothing of it came."""
+
+from collections.abc import Callable
+from typing import Any
+
+from circulation.calls import ForwardCall
+from circulation.carrier import Carriage, Carrier
+from circulation.chart import State, Step
+from circulation.forward_chart import ForwardTransaction
+from ledger import messages as m
+from vellum import decode
+
+__all__ = ["ItemRun", "data_of"]
+
+_URGENCY = 9
+_WORKERS = 8
+_FAILED, _IMPOSSIBLE = 500, 422
+_TAKEN_UP = 5
+
+
+def data_of(event: bytes) -> bytes | None:
+    """The data of one event, its lines joined; None for one that has none."""
+    lines = [line.partition(b":")[2].removeprefix(b" ") for line in event.replace(b"\r\n", b"\n").replace(b"\r", b"\n").split(b"\n")
+             if line.startswith(b"data:") or line == b"data"]
+    return b"\n".join(lines) if lines else None
+
+
+class _ItemTransaction(ForwardTransaction):
+    """A worker's word that it failed is kept for the log to count."""
+
+    __slots__ = ()
+
+    def answered(self, worker: str, status: int, body: bytes, now_ms: int) -> Step:
+        self.sends.append((worker, f"status {status}"))
+        self._runs = True
+        return self._to(State.DONE, Step("finish", value=(status, body)))
+
+
+class ItemRun:
+    """`after` calls something back after a time; `done` gets outcome, text and worker, once."""
+
+    __slots__ = ("_after", "_carriage", "_carrier", "_data", "_done", "_due_ms", "_item", "_last_event_id", "_over", "_taken_up", "_tree",
+                 "_work")
+
+    def __init__(self, work: m.ForwardWork, carrier: Carrier, tree: Callable[[], Any], after: Callable[[int, Callable[[], None]], None],
+                 done: Callable[[str, bytes, str], None]) -> None:
+        self._work, self._carrier, self._tree, self._after, self._done = work, carrier, tree, after, done
+        self._item: m.ForwardItem = decode(work.call)
+        self._due_ms = carrier.node.env.now() + work.left_ms
+        self._data: list[bytes] = []
+        self._last_event_id: int | None = None
+        self._carriage: Carriage | None = None
+        self._taken_up = 0
+        self._over = False
+
+    def begin(self) -> None:
+        """Under the profiles that are in force at this moment."""
+        if self._over:
+            return
+        profile = self._tree().usable(self._work.path)
+        now_ms = self._carrier.node.env.now()
+        if profile is None or now_ms >= self._due_ms:
+            self._later(lambda: self._end("again", b"", ""))
+            return
+        item = self._item
+        tx = _ItemTransaction(f"{self._carrier.node.env.token()}-{item.item_id}", profile, now_ms, self._due_ms, _WORKERS, True)
+        tx.lot = (self._work.lot_id, self._work.index)
+        tx.avoid.update(self._work.avoid)
+        call = ForwardCall("POST", item.target, item.host, list(zip(item.headers[::2], item.headers[1::2], strict=True)), item.body,
+                           item.item_id, list(zip(item.part_ids, item.part_tokens, strict=True)), item.tokens_in, item.tokens_out,
+                           True, True, True, self._last_event_id, _URGENCY)
+        self._carriage = None
+        carriage = self._carrier.carry(tx, call, self._take, lambda step: self._stepped(tx, step))
+        if not self._over:
+            self._carriage = carriage
+
+    def stop(self) -> bool:
+        """False if it was over before."""
+        was, self._over = self._over, True
+        if not was and self._carriage is not None:
+            self._carriage.stop()
+        return not was
+
+    def _later(self, what: Callable[[], None]) -> None:
+        self._after(self._carrier.node.params.beat_ms, what)
+
+    def _take(self, event: bytes) -> None:
+        data = data_of(event)
+        if data is not None:
+            self._data.append(data)
+
+    def _stepped(self, tx: _ItemTransaction, step: Step) -> None:
+        if self._over:
+            return
+        worker = tx.sends[-1][0] if tx.sends else ""
+        status, body = step.value if step.name == "finish" else (0, b"")
+        if 200 <= status < 300:
+            self._whole(body, worker)
+        elif status == _IMPOSSIBLE:
+            self._end("dead", body, worker)
+        elif status == _FAILED:
+            self._end("failed", body, worker)
+        else:
+            self._broken(tx, worker)
+
+    def _whole(self, body: bytes, worker: str) -> None:
+        for event in body.replace(b"\r\n", b"\n").split(b"\n\n") if body and not self._data else ():
+            self._take(event)
+        self._end("finished", b"\n".join(self._data), worker)
+
+    def _broken(self, tx: _ItemTransaction, worker: str) -> None:
+        """What came stays, if it can be gone on with: it is taken up here, a bounded number of times."""
+        self._last_event_id = tx.last_event_id if tx.delivered else self._last_event_id
+        self._taken_up += 1
+        if not self._data or self._last_event_id is None or self._taken_up > _TAKEN_UP:
+            self._later(lambda: self._end("again", b"", worker))
+        else:
+            self._later(self.begin)
+
+    def _end(self, outcome: str, text: bytes, worker: str) -> None:
+        if not self._over:
+            self._over = True
+            self._done(outcome, text, worker)
--- a/libs/circulation/src/circulation/items.py
+++ b/libs/circulation/src/circulation/items.py
@@ -1,5 +1,6 @@
 """Runs the items of lots that this edge was dealt, each as a transaction of its own: the claim in the
-log stands for its opening, so nothing more is asked of the stores. Also says how much room there is."""
+log stands for its opening, so nothing more is asked of the stores. Also says how much room there is.
+How a forwarded item is run stands in item_run."""
 
 import json
 import math
@@ -9,14 +10,16 @@
 from circulation.calls import Call
 from circulation.carrier import Carriage, Carrier
 from circulation.chart import Step, Transaction
+from circulation.item_run import ItemRun
 from circulation.placement import Budget, prefix_of
-from circulation.roster import Roster
+from circulation.roster import Roster, Worker
 from colophon import Verdict
+from ledger import messages as m
 from vellum import Part
 
 __all__ = ["Items"]
 
-Done = Callable[[str, str, str], None]
+Done = Callable[[str, Any, str], None]
 
 
 class Items(Part):
@@ -41,11 +44,18 @@
             return 0, frozenset()
         workers = self._roster.workers()
         paths = self._tree().served_by(frozenset((worker.identity, worker.labels) for worker in workers))
-        free = sum(max(0, worker.slots - math.ceil(worker.slots * self.node.params.live_share) - worker.weight)
-                   for worker in workers if worker.waiting == 0)
-        room = math.ceil(free / self._edges()) if free else 0
+        free = sum(self._free(worker) for worker in workers)
+        room = math.ceil(free / self._edges()) if free >= 1 else 0
         return room or self._trickle(workers), paths
 
+    def _free(self, worker: Worker) -> float:
+        """The slots that lots may take of one: none where somebody waits."""
+        share = self.node.params.live_share
+        if worker.listed:
+            load = worker.load(self.node.env.now())
+            return 0.0 if worker.waiting and 2 * load >= worker.slots else max(0.0, math.floor(worker.slots * (1 - share)) - load)
+        return 0.0 if worker.waiting else max(0, worker.slots - math.ceil(worker.slots * share) - worker.weight)
+
     def _trickle(self, workers: list[Any]) -> int:
         """Where live traffic takes everything, an edge still has one item under way now and then."""
         now_ms = self.node.env.now()
@@ -56,7 +66,27 @@
 
     # -- running -------------------------------------------------------------------------------
 
-    def start(self, work: Any, done: Done) -> Callable[[], None]:
+    def start(self, work: m.Work | m.ForwardWork, done: Done) -> Callable[[], None]:
+        return self._start_forward(work, done) if isinstance(work, m.ForwardWork) else self._start_own(work, done)
+
+    def _start_forward(self, work: m.ForwardWork, done: Done) -> Callable[[], None]:
+        def ended(outcome: str, text: bytes, worker: str) -> None:
+            self._running -= 1
+            done(outcome, text, worker)
+
+        def cancel() -> None:
+            if run.stop():
+                self._running -= 1
+
+        self._running += 1
+        run = ItemRun(work, self._carrier, self._tree, self._after, ended)
+        run.begin()
+        return cancel
+
+    def _after(self, wait_ms: int, what: Callable[[], None]) -> None:
+        self._later.append((self.node.env.now() + wait_ms, what))
+
+    def _start_own(self, work: m.Work, done: Done) -> Callable[[], None]:
         profile = self._tree().usable(work.path)
         if profile is None:
             done("again", "", "")
@@ -95,7 +125,7 @@
             status, text = step.value
             done("ran" if status == 200 else "refused", text, worker)
         elif step.refusal.verdict is Verdict.NOT_RUN or work.safe:
-            self._later.append((self.node.env.now() + self.node.params.beat_ms, lambda: done("again", "", worker)))
+            self._after(self.node.params.beat_ms, lambda: done("again", "", worker))
         else:
             done("may_have_run", json.dumps(step.refusal.body()), worker)
 
--- a/libs/circulation/src/circulation/lots.py
+++ b/libs/circulation/src/circulation/lots.py
@@ -94,15 +94,16 @@
         self._holder.heard(receipt, asked_ms)
         for lot_id in receipt.stops:
             self.stop(lot_id, "lot over")
-        for data in receipt.work:
-            self._take(decode(data))
+        work = [decode(data) for data in receipt.work]
+        for row in work:
+            self._take(row)
         for data in receipt.batons:
             baton = decode(data)
             self._place(baton.lot_id, baton.epoch, baton.up_to)
         fresh = set(receipt.paths) - self._lot_paths
         self._lot_paths |= fresh
         self._wish = receipt.waiting > 0 or bool(self._runs)
-        if (fresh or receipt.work) and not self.paused:
+        if (fresh or any(isinstance(row, m.ForwardWork) for row in work)) and not self.paused:
             self._beat_now()
 
     def _beat_now(self) -> None:
