--- a/libs/circulation/src/circulation/carrier.py
+++ b/libs/circulation/src/circulation/carrier.py
@@ -213,7 +213,7 @@
     def _may_wait(self, carriage: Carriage, workers: list[Worker], now_ms: int, before: int | None = None) -> tuple[bool, int]:
         line, tx, params = self._line, carriage.tx, self.node.params
         if not workers:
-            held = line.missed_lately(tx.profile.name, now_ms, params.worker_ms)
+            held = line.missed_lately(tx.profile.name, now_ms, params.worker_ms) or self._roster.heard_lately(tx.profile)
             return held and line.makes_it(tx, params.worker_ms / 2, now_ms), params.dead_ms
         line.seen_worker(tx.profile.name, now_ms)
         before = line.before(carriage) if before is None else before
--- a/libs/circulation/src/circulation/roster.py
+++ b/libs/circulation/src/circulation/roster.py
@@ -202,6 +202,10 @@
     def silent(self, worker: Worker) -> bool:
         return not worker.listed and self.node.env.now() - worker.heard_ms > self.node.params.worker_ms
 
+    def heard_lately(self, profile: Any) -> bool:
+        """Whether one that this profile allows was there a moment ago, also where nothing was sent to it."""
+        return any(profile.allows(worker.identity, worker.labels) and not self.silent(worker) for worker in self._workers.values())
+
     def usable(self, worker: Worker) -> bool:
         now_ms = self.node.env.now()
         params = self.node.params
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -51,6 +51,16 @@
         rows = self.crowd(run, 6)
         self.assertThat([row["outcome"] for row in rows], Equals(["finish"] * 6))
 
+    def test_an_edge_through_which_nothing_went_yet_waits_as_well(self):
+        for seed in (6, 11, 15):
+            run, fleet = self.founded(seed)
+            for worker in list(fleet.workers.values()):
+                worker.leave()
+            fleet.time.after(350, lambda fleet=fleet: fleet.add_worker("late", ["gpu"]))
+            fleet.time.run_until(fleet.time.now_ms + 10)
+            rows = self.crowd(run, 6)
+            self.assertThat([row["outcome"] for row in rows], Equals(["finish"] * 6), seed)
+
     def test_no_worker_for_long_is_told_at_once(self):
         run, fleet = self.founded()
         for worker in list(fleet.workers.values()):
