--- a/libs/circulation/src/circulation/__init__.py
+++ b/libs/circulation/src/circulation/__init__.py
@@ -2,7 +2,8 @@
 roster, the stream's checks, lots, and how the holder is asked."""
 
 from circulation.calls import Call, Dialect, ForwardCall, end_to_end
-from circulation.carrier import Carriage, Carrier, Send
+from circulation.carriage import Carriage, Send
+from circulation.carrier import Carrier
 from circulation.chart import State, Step, Transaction
 from circulation.exchange import Exchange, Fate
 from circulation.forward import EventCheck, ForwardExchange
--- a/libs/circulation/src/circulation/affinity.py
+++ b/libs/circulation/src/circulation/affinity.py
@@ -11,20 +11,30 @@
 
 
 class PartMap:
-    __slots__ = ("_held", "_tokens")
+    __slots__ = ("_held", "_holders", "_tokens")
 
     def __init__(self) -> None:
         self._held: dict[str, OrderedDict[str, int]] = {}
+        self._holders: dict[str, set[str]] = {}
         self._tokens: dict[str, int] = {}
 
     def sent(self, worker: str, parts: Iterable[tuple[str, int]], cache_tokens: int) -> None:
+        """The first parts count as used last: they are what others share."""
         held = self._held.setdefault(worker, OrderedDict())
         for part, tokens in reversed(list(parts)):
             self._tokens[worker] = self._tokens.get(worker, 0) + tokens - held.pop(part, 0)
             held[part] = tokens
+            self._holders.setdefault(part, set()).add(worker)
         while held and self._tokens[worker] > (cache_tokens or _GUESS_TOKENS):
-            _, tokens = held.popitem(last=False)
+            part, tokens = held.popitem(last=False)
             self._tokens[worker] -= tokens
+            self._let_go(worker, part)
+
+    def _let_go(self, worker: str, part: str) -> None:
+        holders = self._holders[part]
+        holders.discard(worker)
+        if not holders:
+            del self._holders[part]
 
     def share(self, worker: str, parts: list[tuple[str, int]]) -> float:
         """The share of the prompt's tokens that this worker need not read again."""
@@ -38,6 +48,16 @@
             kept += tokens
         return kept / max(1, sum(tokens for _, tokens in parts))
 
-    def forget(self, worker: str) -> None:
-        self._held.pop(worker, None)
-        self._tokens.pop(worker, None)
+    def holders(self, parts: list[tuple[str, int]]) -> set[str]:
+        """Who was sent the part that fewest have, the last one that anybody has."""
+        return next((self._holders[part] for part, _ in reversed(parts) if part in self._holders), set())
+
+    def keep_only(self, workers: Iterable[str]) -> None:
+        """Those that are gone have nothing any more."""
+        for worker in self._held.keys() - set(workers):
+            for part in self._held.pop(worker):
+                self._let_go(worker, part)
+            del self._tokens[worker]
+
+    def __len__(self) -> int:
+        return sum(map(len, self._held.values()))
--- a/libs/circulation/src/circulation/carrier.py
+++ b/libs/circulation/src/circulation/carrier.py
@@ -2,14 +2,14 @@
 are opened and closed at the holder, workers are chosen, and a send is handed to whoever has sockets,
 who reports to it what comes back. Deadlines and silent workers are found on each tick."""
 
-from collections.abc import Callable, Iterable
-from typing import Any, Protocol
+from collections.abc import Callable
+from typing import Any
 
 from circulation.affinity import PartMap
 from circulation.calls import Call, Dialect, ForwardCall
+from circulation.carriage import Carriage, Send, Sender
 from circulation.chart import Step, Transaction
-from circulation.exchange import Exchange, Fate
-from circulation.forward import ForwardExchange
+from circulation.exchange import Fate
 from circulation.pace import Pace
 from circulation.roster import Roster, Worker
 from circulation.sending import allowed_workers, choose_worker, new_exchange, worker_request
@@ -17,115 +17,13 @@
 from ledger import messages as m
 from vellum import Part
 
-__all__ = ["Carriage", "Carrier", "Send", "Sender"]
-
-
-class Sender(Protocol):
-    """Has the sockets: begins a send, reports to it, and gives what breaks it off."""
-
-    def __call__(self, send: "Send", address: str, target: str, headers: Any, body: Any, method: str = "POST") -> Callable[[], None]: ...
-
-
-class Send:
-    """One send under way. What is reported after it is over changes nothing."""
-
-    __slots__ = ("_carrier", "abort", "began_ms", "carriage", "exchange", "heard_ms", "over", "worker")
-
-    def __init__(self, carrier: "Carrier", carriage: "Carriage", worker: Worker, exchange: Exchange | ForwardExchange) -> None:
-        self._carrier, self.carriage, self.worker, self.exchange = carrier, carriage, worker, exchange
-        self.abort: Callable[[], None] = lambda: None
-        self.over = False
-        self.began_ms = self.heard_ms = carrier.node.env.now()
-
-    @property
-    def repeatable(self) -> bool:
-        return self.carriage.tx.safe
-
-    def head(self, status: int, headers: Iterable[tuple[str, str]], length: int | None) -> None:
-        if self.over:
-            return
-        self._carrier.heard(self)
-        self.exchange.head(status, headers, length)
-        if self.exchange.load is not None:
-            self.worker.told_load(*self.exchange.load, self._carrier.node.env.now())
-        if self.exchange.good and self.carriage.call.stream:
-            self.carriage.tx.begun()
-
-    def data(self, chunk: bytes) -> None:
-        if self.over:
-            return
-        self._carrier.heard(self)
-        events, fate = self.exchange.data(chunk)
-        if events:
-            self._carrier.eventful(self)
-            if self.carriage.head is None:
-                self.carriage.head = self.exchange.told_head()
-            for event in events:
-                self.carriage.deliver(event)
-            self.carriage.tx.last_event_id = self.exchange.last_event_id
-        if fate is not None:
-            self._carrier.ended(self, fate)
-
-    def end(self) -> None:
-        if not self.over:
-            self._carrier.ended(self, self.exchange.end())
-
-    def broke(self, reason: str, connected: bool) -> None:
-        if not self.over:
-            self._carrier.ended(self, self.exchange.broke(reason, connected))
-
-    @property
-    def full(self) -> bool:
-        """The client reads more slowly than the worker writes: whoever has the socket stops reading."""
-        return not self.over and self.carriage.untaken_bytes > self._carrier.node.params.untaken_bytes
-
-    def when_room(self, go_on: Callable[[], None]) -> None:
-        self.carriage.when_room = go_on
-
-
-class Carriage:
-    """One transaction on its way. `sink` is given the events of a stream, `done` the last step; `head` is
-    that of a forwarded answer, of its first worker. Who says what was taken holds back what comes too fast."""
-
-    __slots__ = ("_carrier", "call", "done", "head", "send", "sink", "tx", "untaken_bytes", "visitor_gone", "when_room")
-
-    def __init__(self, carrier: "Carrier", tx: Transaction, call: Call | ForwardCall, sink: Callable[[bytes], None] | None,
-                 done: Callable[[Step], None]) -> None:
-        self._carrier, self.tx, self.call, self.sink, self.done = carrier, tx, call, sink, done
-        self.send: Send | None = None
-        self.head: tuple[int, list[tuple[str, str]], int | None] | None = None
-        self.visitor_gone = False
-        self.untaken_bytes = 0
-        self.when_room: Callable[[], None] | None = None
-
-    def deliver(self, event: bytes) -> None:
-        self.tx.piece_delivered()
-        if self.sink is not None and not self.visitor_gone:
-            if not self.call.kept_when_gone and not self.call.lot:
-                self.untaken_bytes += len(event)
-            self.sink(event)
-
-    def taken(self, size_bytes: int) -> None:
-        self.untaken_bytes -= size_bytes
-        if self.when_room is not None and self.untaken_bytes <= self._carrier.node.params.untaken_bytes // 2:
-            go_on, self.when_room = self.when_room, None
-            go_on()
-
-    def gone(self) -> None:
-        """The visitor hung up. What is safe to repeat is stopped; anything else runs to its end."""
-        if not self.visitor_gone:
-            self.visitor_gone = True
-            self._carrier.visitor_gone(self)
-
-    def stop(self) -> None:
-        """Dropped by the edge itself: nothing more is told of it."""
-        self._carrier.drop(self)
+__all__ = ["Carrier"]
 
 
 class Carrier(Part):
     """`dialect` is what forwarded calls need: how their workers name their headers."""
 
-    __slots__ = ("_holder", "_line", "_open", "_pace", "_roster", "_sender", "_tree", "by_prefix", "counts", "dialect", "edge",
+    __slots__ = ("_holder", "_line", "_list_number", "_open", "_pace", "_roster", "_sender", "_tree", "by_prefix", "counts", "dialect", "edge",
                  "edges", "parts")
 
     def __init__(self, edge: str, holder: Any, roster: Roster, tree: Callable[[], Any], sender: Sender,
@@ -135,6 +33,7 @@
         self.dialect: Dialect | None = None
         self.parts = PartMap()
         self._pace = Pace()
+        self._list_number = 0
         self._line = WaitingLine()
         self._holder, self._roster, self._tree, self._sender = holder, roster, tree, sender
         self._open: dict[str, Carriage] = {}
@@ -222,15 +121,15 @@
 
     def _serve_line(self, path: str) -> bool:
         """Who is due first goes first, as long as there are slots. False once nobody more can go."""
-        carriage = self._line.first(path)
-        if carriage is None:
-            return False
-        worker = self._choose(carriage, self._allowed(carriage))
-        if worker is None:
-            return False
-        self._line.drop(carriage)
-        self._take(carriage, carriage.tx.placed(worker, True))
-        return True
+        for carriage in self._line.rows(path):
+            worker = self._choose(carriage, self._allowed(carriage))
+            if worker is not None:
+                self._line.drop(carriage)
+                self._take(carriage, carriage.tx.placed(worker, True))
+                return True
+            if not carriage.tx.sends:
+                return False
+        return False
 
     def _review_line(self, path: str, now_ms: int) -> None:
         """Who can no longer make it is told so now."""
@@ -245,7 +144,7 @@
                 self._take(carriage, carriage.tx.placed(None, bool(workers), False, back_ms))
 
     def _allowed(self, carriage: Carriage) -> list[Worker]:
-        return allowed_workers(carriage.call, self, carriage.tx, self._roster.workers())
+        return allowed_workers(carriage.call, self, carriage.tx, self._roster)
 
     def _choose(self, carriage: Carriage, workers: list[Worker]) -> Worker | None:
         return choose_worker(carriage.call, self, carriage.tx, workers, self._roster)
@@ -309,7 +208,7 @@
             elif fate.reason == "busy" and not fate.may_have_run:
                 self._roster.full(worker)
             self.count("sends_failed")
-            self.node.env.log("send-failed", "WARNING", transaction=tx.transaction_id, worker=worker.stamp, reason=fate.reason,
+            self.node.env.log("send-failed", "DEBUG" if fate.mark == "full" else "WARNING", transaction=tx.transaction_id, worker=worker.stamp, reason=fate.reason,
                               may_have_run=fate.may_have_run)
             self._take(send.carriage, tx.failed(worker.stamp, fate.may_have_run, fate.reason, self.node.env.now()))
         for path in self._line.paths():
@@ -322,20 +221,23 @@
             if send is None:
                 continue
             if now_ms >= tx.due_ms:
-                self.ended(send, Fate("failed", reason="deadline"))
+                self.ended(send, Fate("failed", may_have_run=not send.connecting, reason="deadline"))
             elif not carriage.call.kept_when_gone:
                 self._review_send(send, now_ms)
             elif tx.safe and not tx.delivered and self._roster.silent(send.worker):
                 self.ended(send, Fate("failed", reason="worker silent"))
         for path in self._line.paths():
             self._review_line(path, now_ms)
+        if self._list_number != self._roster.list_number:
+            self._list_number = self._roster.list_number
+            self.parts.keep_only(worker.identity for worker in self._roster.all())
 
     def _review_send(self, send: Send, now_ms: int) -> None:
         """What may go on elsewhere is taken from a worker that says nothing any more; anything else is left
         there, since silence does not tell that it has not run."""
         carriage, params = send.carriage, self.node.params
         tx, profile, worker = carriage.tx, carriage.tx.profile, send.worker
-        if not tx.can_move or carriage.untaken_bytes > 0:
+        if not tx.can_move or send.connecting or carriage.untaken_bytes > 0:
             return
         began = send.heard_ms > send.began_ms
         silent_ms = now_ms - max(send.heard_ms, worker.answered_ms)
--- a/libs/circulation/src/circulation/forward_chart.py
+++ b/libs/circulation/src/circulation/forward_chart.py
@@ -69,6 +69,8 @@
         return self.safe or not may_have_run and not self._runs
 
     def placed(self, worker: Any, any_worker: bool, waits: bool = False, back_ms: int = 1000) -> Step:
+        if waits:
+            self.unreached.clear()
         if worker is not None or waits:
             return super().placed(worker, any_worker, waits, back_ms)
         if any_worker:
--- a/libs/circulation/src/circulation/items.py
+++ b/libs/circulation/src/circulation/items.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from circulation.calls import Call
-from circulation.carrier import Carriage, Carrier
+from circulation.carriage import Carriage
+from circulation.carrier import Carrier
 from circulation.chart import Step, Transaction
 from circulation.placement import Budget, prefix_of
 from circulation.roster import Roster
--- a/libs/circulation/src/circulation/placement.py
+++ b/libs/circulation/src/circulation/placement.py
@@ -19,7 +19,7 @@
 _NEAR = 0.25
 _NOISE = 0.1
 _QUEUE = 0.25
-_HALF = 0.5
+_SAMPLE = 16
 
 
 def prefix_of(body: dict[str, Any]) -> str:
@@ -94,20 +94,25 @@
     return (worker.load(now_ms) - _KEPT * kept_share - (_NEAR if near else 0.0)) / worker.slots
 
 
-def choose_forward(workers: Iterable[Worker], call: Any, parts: Any, now_ms: int, zone: str, rng: Any, lot_free: float = 0.0,
+def _room(worker: Worker, lot: bool, lot_free: float, now_ms: int) -> bool:
+    """Lots leave slots free and take nothing where somebody waits; live calls also take the short queue."""
+    load = worker.load(now_ms)
+    if lot:
+        return load < math.floor(worker.slots * (1 - lot_free)) and worker.full_until_ms <= now_ms
+    return load < worker.slots or (load < worker.slots * (1 + _QUEUE) and worker.full_until_ms <= now_ms)
+
+
+def choose_forward(workers: list[Worker], call: Any, parts: Any, now_ms: int, zone: str, rng: Any, lot_free: float = 0.0,
                    avoid: frozenset[str] = frozenset(), connections: int = 0) -> Worker | None:
     """The cheapest worker with a place; `lot_free` is the share of the slots that lots leave free. Ties are
-    broken at random, so that edges which know the same do not all choose the same."""
+    broken at random, so that edges which know the same do not all choose the same. Of very many workers
+    some are looked at, and those that hold what this prompt shares with fewest."""
+    if len(workers) > 2 * _SAMPLE:
+        holders = parts.holders(call.parts)
+        workers = rng.sample(workers, _SAMPLE) + [worker for worker in workers if worker.identity in holders][:_SAMPLE]
     best, best_cost = None, 0.0
     for worker in workers:
-        if worker.stamp in avoid or (connections and worker.sending >= connections):
-            continue
-        load = worker.load(now_ms)
-        if worker.full_until_ms > now_ms and load >= worker.slots:
-            continue
-        if load >= (math.floor(worker.slots * (1 - lot_free)) if call.lot else worker.slots * (1 + _QUEUE)):
-            continue
-        if call.lot and worker.waiting > 0 and worker.load(now_ms) >= worker.slots * _HALF:
+        if worker.stamp in avoid or (connections and worker.sending >= connections) or not _room(worker, call.lot, lot_free, now_ms):
             continue
         this = cost(worker, now_ms, parts.share(worker.identity, call.parts), worker.zone == zone) + _NOISE * rng.random() / worker.slots
         if best is None or this < best_cost:
--- a/libs/circulation/src/circulation/roster.py
+++ b/libs/circulation/src/circulation/roster.py
@@ -88,14 +88,15 @@
     """`allowed` says whether any profile in force allows a worker; `listed` gives the number and the body of
     the list that control keeps, if it keeps one."""
 
-    __slots__ = ("_allowed", "_fellows", "_gone", "_listed", "_listed_number", "_quiet_until_ms", "_workers")
+    __slots__ = ("_allowed", "_fellows", "_by_label", "_gone", "_listed", "_quiet_until_ms", "_workers", "list_number")
     HANDLES = (WorkerNews,)
 
     def __init__(self, fellows: Callable[[], Iterable[str]], allowed: Callable[[str, frozenset], bool],
                  listed: Callable[[], tuple[int, str]] = lambda: (0, "")) -> None:
         self._fellows = fellows
         self._allowed = allowed
-        self._listed, self._listed_number = listed, 0
+        self._listed, self.list_number = listed, 0
+        self._by_label: dict[str, list[Worker]] = {}
         self._workers: dict[str, Worker] = {}
         self._gone: dict[tuple[str, int], int] = {}
         self._quiet_until_ms = -1 << 40
@@ -168,6 +169,7 @@
                 held.take(news, now_ms)
             held.zone, held.labels, held.heard_ms = news.zone, frozenset(news.labels), now_ms
             held.leaving = row.get("state", "serving") != "serving"
+        self._index()
 
     def answered(self, worker: Worker) -> None:
         worker.failures = 0
@@ -197,6 +199,7 @@
         if self._workers.get(worker.identity) is worker:
             del self._workers[worker.identity]
             self._gone[(worker.identity, worker.incarnation)] = self.node.env.now()
+            self._index()
             self.node.env.log("worker-mismatch", "WARNING", worker=worker.identity, incarnation=worker.incarnation)
 
     def silent(self, worker: Worker) -> bool:
@@ -214,13 +217,30 @@
         return worker.beat > worker.down_beat + 1 or now_ms - worker.down_ms > 2 * params.force_ms
 
     def workers(self) -> list[Worker]:
-        number, body = self._listed()
-        if number != self._listed_number:
-            self._listed_number = number
-            self.take_list(json.loads(body)["workers"])
+        self._read_list()
         return [worker for worker in self._workers.values()
                 if self.usable(worker) and self._allowed(worker.identity, worker.labels)]
 
+    def listed(self, labels: frozenset[str]) -> list[Worker]:
+        """The listed ones with any of these labels, whether or not the tree still has a use for them."""
+        self._read_list()
+        if len(labels) == 1:
+            return self._by_label.get(next(iter(labels)), [])
+        return [worker for label in sorted(labels) for worker in self._by_label.get(label, [])]
+
+    def _read_list(self) -> None:
+        number, body = self._listed()
+        if number != self.list_number:
+            self.list_number = number
+            self.take_list(json.loads(body)["workers"])
+
+    def _index(self) -> None:
+        self._by_label = {}
+        for worker in self._workers.values():
+            if worker.listed and not worker.leaving:
+                for label in worker.labels:
+                    self._by_label.setdefault(label, []).append(worker)
+
     def all(self) -> list[Worker]:
         return list(self._workers.values())
 
--- a/libs/circulation/src/circulation/sending.py
+++ b/libs/circulation/src/circulation/sending.py
@@ -8,7 +8,7 @@
 from circulation.exchange import Exchange
 from circulation.forward import ForwardExchange
 from circulation.placement import choose, choose_forward
-from circulation.roster import Worker
+from circulation.roster import Roster, Worker
 
 __all__ = ["allowed_workers", "choose_worker", "new_exchange", "worker_request"]
 
@@ -62,30 +62,28 @@
 
 
 @singledispatch
-def allowed_workers(call: Any, carrier: Any, tx: Any, workers: list[Worker]) -> list[Worker]:
+def allowed_workers(call: Any, carrier: Any, tx: Any, roster: Roster) -> list[Worker]:
     raise NotImplementedError(type(call).__name__)
 
 
 @allowed_workers.register
-def _(call: Call, carrier: Any, tx: Any, workers: list[Worker]) -> list[Worker]:
-    return [worker for worker in workers if tx.profile.allows(worker.identity, worker.labels)]
+def _(call: Call, carrier: Any, tx: Any, roster: Roster) -> list[Worker]:
+    return [worker for worker in roster.workers() if tx.profile.allows(worker.identity, worker.labels)]
 
 
 @allowed_workers.register
-def _(call: ForwardCall, carrier: Any, tx: Any, workers: list[Worker]) -> list[Worker]:
+def _(call: ForwardCall, carrier: Any, tx: Any, roster: Roster) -> list[Worker]:
     """Those of the service that this request falls to by the shares, or of any other that may serve it."""
-    labels = frozenset(tx.profile.pick(carrier.node.env.rng.random()))
-    allowed = [worker for worker in workers if tx.profile.allows(worker.identity, worker.labels)]
-    return [worker for worker in allowed if worker.labels & labels] or allowed
+    return roster.listed(tx.profile.pick(carrier.node.env.rng.random())) or roster.listed(tx.profile.labels)
 
 
 @singledispatch
-def choose_worker(call: Any, carrier: Any, tx: Any, workers: list[Worker], roster: Any) -> Worker | None:
+def choose_worker(call: Any, carrier: Any, tx: Any, workers: list[Worker], roster: Roster) -> Worker | None:
     raise NotImplementedError(type(call).__name__)
 
 
 @choose_worker.register
-def _(call: Call, carrier: Any, tx: Any, workers: list[Worker], roster: Any) -> Worker | None:
+def _(call: Call, carrier: Any, tx: Any, workers: list[Worker], roster: Roster) -> Worker | None:
     params, lot, prefix = carrier.node.params, call.lot, call.prefix
     share = params.live_share if lot else 1 - tx.profile.live_share
     worker = choose(workers, prefix, lot, params.zone, tx.profile.zone == "near", share, tx.profile.lot_share,
@@ -98,7 +96,7 @@
 
 
 @choose_worker.register
-def _(call: ForwardCall, carrier: Any, tx: Any, workers: list[Worker], roster: Any) -> Worker | None:
+def _(call: ForwardCall, carrier: Any, tx: Any, workers: list[Worker], roster: Roster) -> Worker | None:
     """Workers that failed lately rest; what may be repeated tries them again first. If all rest, the one
     that failed longest ago is tried. None is tried again that could not be reached for this very request."""
     params, now_ms = carrier.node.params, carrier.node.env.now()
@@ -114,5 +112,6 @@
     if worker is None and tx.avoid:
         worker = choose_of([one for one in fit if one.stamp in tx.avoid], frozenset())
     if worker is None and not fit:
-        worker = min(workers, key=lambda one: one.down_ms, default=None)
+        rested = [one for one in workers if now_ms - one.down_ms >= params.delta_ms or one.stamp not in tx.avoid]
+        worker = min(rested, key=lambda one: one.down_ms, default=None)
     return worker
--- a/libs/readingroom/src/readingroom/pool.py
+++ b/libs/readingroom/src/readingroom/pool.py
@@ -3,6 +3,7 @@
 was used a moment ago. One that saw anything odd, or has bytes nobody asked for, is never used again."""
 
 import socket
+from collections.abc import Callable
 from contextvars import ContextVar
 from time import monotonic
 from typing import Any
@@ -10,16 +11,27 @@
 import aiohttp
 from yarl import URL
 
-__all__ = ["MOMENT_ONLY", "TARGET", "WorkerPool", "pooled_session"]
+__all__ = ["CURRENT", "Outgoing", "WorkerPool", "pooled_session"]
 
-MOMENT_ONLY: ContextVar[bool] = ContextVar("moment_only", default=False)
-TARGET: ContextVar[str] = ContextVar("target")
 _SURE_SHARE = 0.5
 _MARGIN_SHARE = 0.8
 _GUESS_S = 1.0
 _MOST_S = 30.0
 
 
+class Outgoing:
+    """What the task of a request knows and its library does not pass on: the target as it came, whether it
+    may be repeated, and whom to tell that there is a connection."""
+
+    __slots__ = ("connected", "repeatable", "target")
+
+    def __init__(self, target: str, repeatable: bool, connected: Callable[[], None]) -> None:
+        self.target, self.repeatable, self.connected = target, repeatable, connected
+
+
+CURRENT: ContextVar[Outgoing] = ContextVar("current")
+
+
 def _idle_s(headers: Any) -> float:
     for part in headers.get("Keep-Alive", "").split(","):
         name, _, value = part.strip().partition("=")
@@ -64,7 +76,7 @@
     """The request line has the target as it came: a URL alone would lose a question mark at its end."""
 
     async def send(self, conn: Any) -> Any:
-        target = TARGET.get()
+        target = CURRENT.get().target
         if target != self.url.raw_path_qs:
             self.url = _Verbatim(self.url, target)
         return await super().send(conn)
@@ -79,6 +91,11 @@
         self._user_timeout_ms = user_timeout_ms
         self.opened = 0
 
+    async def connect(self, req: Any, traces: Any, timeout: Any) -> Any:
+        connection = await super().connect(req, traces, timeout)
+        CURRENT.get().connected()
+        return connection
+
     def _socket(self, info: tuple) -> socket.socket:
         made = socket.socket(info[0], info[1], info[2])
         made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self._user_timeout_ms)
@@ -87,7 +104,7 @@
 
     async def _get(self, key: Any, traces: Any) -> Any:
         """The one used last, if it is good for this request; those that are good for nothing are closed."""
-        rows, share = self._conns.get(key), _SURE_SHARE if MOMENT_ONLY.get() else _MARGIN_SHARE
+        rows, share = self._conns.get(key), _MARGIN_SHARE if CURRENT.get().repeatable else _SURE_SHARE
         now, found = monotonic(), None
         while rows and found is None:
             protocol, since = rows.pop()
--- a/libs/readingroom/src/readingroom/sender.py
+++ b/libs/readingroom/src/readingroom/sender.py
@@ -11,7 +11,7 @@
 
 from circulation import Send
 from colophon import log
-from readingroom.pool import MOMENT_ONLY, TARGET, WorkerPool, pooled_session
+from readingroom.pool import CURRENT, Outgoing, WorkerPool, pooled_session
 from vellum.shell import awaited
 
 __all__ = ["HttpSender"]
@@ -63,8 +63,8 @@
         return self._kept
 
     async def _forward(self, send: Send, address: str, target: str, headers: list[tuple[str, str]], body: bytes, method: str) -> None:
-        MOMENT_ONLY.set(not send.repeatable)
-        TARGET.set(target)
+        send.connecting = True
+        CURRENT.set(Outgoing(target, send.repeatable, send.connected))
         try:
             async with self._pooled().request(method, URL(f"http://{address}{target}", encoded=True), data=body or None,
                                               headers=headers, allow_redirects=False,
