An edge's desk for forwarded requests: hang-ups, slow readers, reuse of connections, stopping

Cause: idle clients weren't let go when the door closed (the library's pre-shutdown ends their task but leaves the socket open), back pressure was never lifted, and with every worker unreachable a request was held for half its time before it was refused. Change: connections without a request are closed, others end with their answer; room is told with a value; an outage of all workers is waited out for a quarter of the aim only. Seen: tests/test_forward_desk.py (16) and tests/test_forwards.py pass.

--- a/libs/circulation/src/circulation/carriage.py
+++ b/libs/circulation/src/circulation/carriage.py
@@ -83,7 +83,7 @@
         """The client reads more slowly than the worker writes: whoever has the socket stops reading."""
         return not self.over and self.carriage.untaken_bytes > self._carrier.node.params.untaken_bytes
 
-    def when_room(self, go_on: Callable[[], None]) -> None:
+    def when_room(self, go_on: Callable[[Any], None]) -> None:
         self.carriage.when_room = go_on
 
 
@@ -100,7 +100,7 @@
         self.head: tuple[int, list[tuple[str, str]], int | None] | None = None
         self.visitor_gone = False
         self.untaken_bytes = 0
-        self.when_room: Callable[[], None] | None = None
+        self.when_room: Callable[[Any], None] | None = None
 
     def deliver(self, event: bytes) -> None:
         self.tx.piece_delivered()
@@ -113,7 +113,7 @@
         self.untaken_bytes -= size_bytes
         if self.when_room is not None and self.untaken_bytes <= self._carrier.node.params.untaken_bytes // 2:
             go_on, self.when_room = self.when_room, None
-            go_on()
+            go_on(None)
 
     def gone(self) -> None:
         """The visitor hung up. What is safe to repeat is stopped; anything else runs to its end."""
--- a/libs/circulation/src/circulation/carrier.py
+++ b/libs/circulation/src/circulation/carrier.py
@@ -19,6 +19,8 @@
 
 __all__ = ["Carrier"]
 
+_OUTAGE_SHARE = 0.25
+
 
 class Carrier(Part):
     """`dialect` is what forwarded calls need: how their workers name their headers."""
@@ -111,6 +113,8 @@
 
     def _may_wait(self, carriage: Carriage, workers: list[Worker], now_ms: int, before: int | None = None) -> tuple[bool, int]:
         line, tx, params = self._line, carriage.tx, self.node.params
+        if workers and not carriage.call.kept_when_gone and all(map(self._roster.resting, workers)):
+            return now_ms - tx.started_ms < tx.profile.target_ms * _OUTAGE_SHARE, params.ask_ms
         if not workers:
             held = line.missed_lately(tx.profile.name, now_ms, params.worker_ms)
             return held and line.makes_it(tx, params.worker_ms / 2, now_ms), params.dead_ms
--- a/libs/readingroom/src/readingroom/forward_http.py
+++ b/libs/readingroom/src/readingroom/forward_http.py
@@ -18,6 +18,7 @@
 
 _LINGER_SHARE = 0.45
 _ANNOUNCED_SHARE = 0.8
+_LAST_S = 0.05
 _LIMITS = {"header_bytes": 1 << 14, "body_bytes": 1 << 22, "header_wait_ms": 5000, "idle_ms": 30_000}
 LotRoutes = Callable[[web.BaseRequest, Any], Awaitable[web.StreamResponse]]
 
@@ -36,6 +37,17 @@
     return web.Response(text=json.dumps(refusal.body()), status=refusal.status, content_type="application/json", headers=headers)
 
 
+class _Protocol(RequestHandler):
+    __slots__ = ()
+
+    def leave(self) -> None:
+        """Ends now if no request has been read, else with the answer."""
+        if self._request_in_progress or self._messages:
+            self.close()
+        elif self.transport is not None:
+            self.transport.close()
+
+
 class _Server(web.Server):
     """New connections get the limits that are in force when they come."""
 
@@ -43,8 +55,8 @@
 
     def __call__(self) -> RequestHandler:
         limits = self.limits
-        return RequestHandler(self, loop=self._loop, access_log=None, auto_decompress=False, keepalive_timeout=limits["idle_ms"] / 1000,
-                              max_line_size=limits["header_bytes"], max_field_size=limits["header_bytes"], lingering_time=0.0)
+        return _Protocol(self, loop=self._loop, access_log=None, auto_decompress=False, keepalive_timeout=limits["idle_ms"] / 1000,
+                         max_line_size=limits["header_bytes"], max_field_size=limits["header_bytes"], lingering_time=0.0)
 
     def _make_request(self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any) -> web.BaseRequest:
         return web.BaseRequest(message, payload, protocol, writer, task, self._loop, client_max_size=self.limits["body_bytes"])
@@ -72,7 +84,7 @@
     async def on_stop(self) -> None:
         for listener in self._listeners:
             listener.close()
-        await self._server.shutdown(0)
+        await self._server.shutdown(_LAST_S)
 
     # -- the end -------------------------------------------------------------------------------
 
@@ -84,7 +96,8 @@
 
     def _close_door(self) -> None:
         self._listeners[0].close()
-        self._server.pre_shutdown()
+        for protocol in self._server.connections:
+            protocol.leave()
 
     def busy(self) -> bool:
         """Somebody is being served, or may still come."""
--- /dev/null
+++ b/tests/test_forward_desk.py
@@ -0,0 +1,420 @@
+"""Forwarded requests through an edge's own desk, on real sockets: what reaches the worker and what comes back,
+connections used again or not, clients that hang up, read slowly or come while the edge stops."""
+
+import asyncio
+import json
+
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, LessThan, NotEquals
+
+import edge_side
+from ports import free_ports
+from colophon import Params, set_up_logs
+from readingroom import EdgeNode, pool
+from readingroom.forward_http import ForwardDesk
+from readingroom.sender import HttpSender
+from vellum.shell import ProcessEnv, Shell
+
+ROUTE = {"parent": "service", "attempts": 2, "give_up_ms": 15_000, "target_ms": 400}
+TREE = {"profiles": {
+    "service": {"abstract": True, "workers": {"labels": ["s"]}, "connections": 100},
+    "plain": {**ROUTE, "match": {"host": "h", "prefix": "/p/"}, "kind": "plain", "repeatable": False},
+    "safe": {**ROUTE, "match": {"host": "h", "prefix": "/i/"}, "kind": "plain", "repeatable": True},
+    "stream": {**ROUTE, "match": {"host": "h", "prefix": "/s/"}, "kind": "stream", "repeatable": False},
+    "resumable": {**ROUTE, "match": {"host": "h", "prefix": "/r/"}, "kind": "stream", "repeatable": False, "resumable": True}},
+    "about": {"limits": {"bodyBytes": 100_000, "idleMs": 15_000}}}
+
+
+def event(number, text="x"):
+    return f"id: {number}\ndata: {text}\n\n"
+
+
+def chunk(text):
+    return f"{len(text):x}\r\n{text}\r\n"
+
+
+def head(fields, extra="", body=None, status="200 OK"):
+    framing = "Transfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n" if body is None else f"Content-Length: {len(body)}\r\n"
+    return f"HTTP/1.1 {status}\r\nRequest-Id: {fields['Request-Id']}\r\nServer-Seal: {{seal}}\r\n{extra}{framing}\r\n{body or ''}"
+
+
+class Worker:
+    """Answers by a function of its own; keeps what came and on which connection."""
+
+    def __init__(self, identity, answer):
+        self.identity, self.answer = identity, answer
+        self.requests, self.connections, self.lost = [], 0, asyncio.Event()
+
+    async def start(self, port):
+        self.port = port
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        mine = self.connections
+        try:
+            while True:
+                text = (await reader.readuntil(b"\r\n\r\n")).decode()
+                fields = dict(line.split(": ", 1) for line in text.split("\r\n")[1:] if ": " in line)
+                body = await reader.readexactly(int(fields.get("Content-Length", 0)))
+                self.requests.append((text.split("\r\n")[0], fields, body, mine))
+                if await self.answer(self, fields, writer) is False:
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.lost.set()
+        writer.close()
+
+    def say(self, writer, text):
+        writer.write(text.replace("{seal}", f"seal-{self.identity}").encode())
+
+
+async def good(worker, fields, writer):
+    worker.say(writer, head(fields, "Keep-Alive: timeout=5\r\n", "yes"))
+
+
+def made(answer, extra="", after=""):
+    async def answers(worker, fields, writer):
+        worker.say(writer, head(fields, extra, answer) + after)
+    return answers
+
+
+async def three_events(worker, fields, writer):
+    worker.say(writer, head(fields))
+    for number in range(1 + int(fields.get("Last-Event-Id", 0)), 4):
+        worker.say(writer, chunk(event(number)))
+    worker.say(writer, "0\r\n\r\n")
+
+
+class Client:
+    """One connection, without a library, so that every byte is seen."""
+
+    def __init__(self, port):
+        self.port = port
+
+    async def open(self):
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port, limit=1 << 22)
+        return self
+
+    def ask(self, target, method="POST", body=b"body", request_id="r-1", extra="", host="h", framing=None):
+        framing = f"Content-Length: {len(body)}\r\n" if framing is None else framing
+        ident = f"Request-Id: {request_id}\r\n" if request_id else ""
+        self.writer.write(f"{method} {target} HTTP/1.1\r\nHost: {host}\r\n{ident}{extra}{framing}\r\n".encode() + body)
+
+    async def answer(self):
+        text = (await self.reader.readuntil(b"\r\n\r\n")).decode()
+        lines = text.split("\r\n")
+        fields = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines[1:] if ": " in line)}
+        if "content-length" in fields:
+            return int(lines[0].split()[1]), fields, await self.reader.readexactly(int(fields["content-length"]))
+        body = b""
+        while size := int(await self.reader.readline(), 16):
+            body += (await self.reader.readexactly(size + 2))[:-2]
+        await self.reader.readline()
+        return int(lines[0].split()[1]), fields, body
+
+    async def ended(self):
+        """What still came until the connection ended."""
+        try:
+            return await self.reader.read()
+        except ConnectionError:
+            return b""
+
+
+class Edge:
+    def __init__(self, workers, ready=True, **settings):
+        self.workers, self.ready, self.settings = workers, ready, settings
+
+    async def __aenter__(self):
+        set_up_logs("CRITICAL")
+        link, http, self.port, readiness, *ports = free_ports(4 + len(self.workers))
+        for worker, port in zip(self.workers, ports, strict=True):
+            if isinstance(worker, Worker):
+                await worker.start(port)
+        params = Params(role="edge", link=f"127.0.0.1:{link}", http=f"127.0.0.1:{http}", zone="z", max_body_bytes=1 << 20,
+                        seeds=[f"127.0.0.1:{link}"], **self.settings)
+        env = ProcessEnv(params.link)
+        self.sender = HttpSender(params.ask_ms)
+        self.node = EdgeNode(env, params, self.sender)
+        self.node.carrier.dialect = edge_side.DIALECT
+        self.node.forwards._why_unready = lambda: "" if self.ready else "unsure"
+        self.shell = Shell(self.node, env)
+        await self.shell.start()
+        self.node.gazette.publish("profiles", 1, json.dumps(TREE))
+        self.node.gazette.publish("workers", 1, json.dumps({"workers": {
+            f"w{place}": {"address": f"127.0.0.1:{ports[place]}", "zone": "z" if place == 0 else "y", "label": "s", "slots": 4,
+                          "state": "serving", "seq": 1, "models": []} for place in range(len(self.workers))}}))
+        self.desk = ForwardDesk(self.node, f"127.0.0.1:{self.port}", (f"127.0.0.1:{readiness}", "/vaneledge/ready"), edge_side.Reader())
+        await self.desk.start()
+        return self
+
+    async def __aexit__(self, *_):
+        await self.desk.stop()
+        await self.shell.stop()
+        await self.sender.close()
+        for worker in self.workers:
+            if isinstance(worker, Worker):
+                worker.server.close()
+
+    async def one(self, target, **how):
+        client = await Client(self.port).open()
+        client.ask(target, **how)
+        answer = await asyncio.wait_for(client.answer(), 5)
+        client.writer.close()
+        return answer
+
+
+def run(case):
+    """A test case of coroutines."""
+    return lambda self: asyncio.run(asyncio.wait_for(case(self), 20))
+
+
+class Forwarding(TestCase):
+    @run
+    async def test_a_request_reaches_the_worker_unchanged(self):
+        worker = Worker("w0", good)
+        async with Edge([worker]) as edge:
+            rows = [("GET", "/p/a%20b//../c?x=%2F&y", b"", "", None), ("POST", "/p/?", b"\x00\xff" * 9, "", None), ("PUT", "/p/x?", b"abc", "", None),
+                    ("DELETE", "/p/x;a=b,c", b"", "", ""), ("POST", "/p/c", b"3\r\nabc\r\n0\r\n\r\n", "", "Transfer-Encoding: chunked\r\n")]
+            for method, target, body, extra, framing in rows:
+                status, fields, answer = await edge.one(target, method=method, body=body, extra=extra, framing=framing)
+                line, seen, came, _ = worker.requests[-1]
+                wanted = b"abc" if framing and "chunked" in framing else body
+                self.assertThat((status, answer, line, came, seen["Request-Id"], seen["Host"], fields["server-seal"], fields["request-id"]), Equals(
+                    (200, b"yes", f"{method} {target} HTTP/1.1", wanted, "r-1", "h", "seal-w0", "r-1")))
+
+    @run
+    async def test_which_headers_are_passed_on(self):
+        worker = Worker("w0", good)
+        async with Edge([worker]) as edge:
+            extra = ("Model: m\r\nX-Own: a\r\nConnection: keep-alive, X-Hop\r\nX-Hop: b\r\nKeep-Alive: timeout=9\r\nTE: trailers\r\nTrailer: x\r\n"
+                     "Upgrade: y\r\nProxy-Authorization: z\r\nWork-Urgency: 9\r\nTarget-Server: w7\r\nDeadline-Ms: 900\r\nCookie: a=b\r\n")
+            await edge.one("/p/1", extra=extra)
+            _, seen, _, _ = worker.requests[-1]
+            left_ms = int(seen.pop("Deadline-Ms"))
+            self.assertThat(seen, Equals({"Host": "h", "Request-Id": "r-1", "Model": "m", "X-Own": "a", "Cookie": "a=b", "Target-Server": "w0",
+                                          "Work-Urgency": "5", "Content-Length": "4"}))
+            self.assertThat(800 < left_ms <= 900, Equals(True))
+
+    @run
+    async def test_what_an_edge_says_itself(self):
+        async with Edge([Worker("w0", good)]) as edge:
+            rows = [("/x/1", {}, 404), ("/p/1", {"host": "other"}, 404), ("/p/1", {"request_id": ""}, 400), ("/p/1", {"body": b"x" * 200_000}, 413)]
+            for target, how, wanted in rows:
+                self.assertThat((await edge.one(target, **how))[0], Equals(wanted), f"{target} {how}")
+            edge.ready = False
+            status, fields, _ = await edge.one("/x/1")
+            self.assertThat((status, float(fields["retry-after"]) < 1), Equals((503, True)))
+
+    @run
+    async def test_a_worker_that_cannot_be_reached_is_passed_over_and_rests(self):
+        worker = Worker("w1", good)
+        async with Edge([None, worker]) as edge:
+            told = [(await edge.one("/p/1"))[0] for _ in range(4)]
+            self.assertThat(told, Equals([200] * 4))
+            self.assertThat(edge.node.carrier.counts.get("sends_failed", 0), LessThan(3))
+
+    @run
+    async def test_no_worker_at_all_is_told_at_once(self):
+        async with Edge([None, None]) as edge:
+            began = asyncio.get_running_loop().time()
+            status, fields, _ = await edge.one("/p/1")
+            self.assertThat((status, 0 < float(fields["retry-after"]) <= 2), Equals((503, True)))
+            self.assertThat(asyncio.get_running_loop().time() - began, LessThan(2.0))
+
+
+class Streams(TestCase):
+    @run
+    async def test_a_stream_taken_up_elsewhere_keeps_its_first_head(self):
+        async def breaks(worker, fields, writer):
+            if "Last-Event-Id" in fields:
+                return await three_events(worker, fields, writer)
+            worker.say(writer, head(fields) + chunk(event(1)) + chunk(event(2)[:5]))
+            return False
+
+        workers = [Worker("w0", breaks), Worker("w1", breaks)]
+        async with Edge(workers) as edge:
+            status, fields, body = await edge.one("/r/1")
+            first, second = sorted(workers, key=lambda worker: "Last-Event-Id" in worker.requests[0][1])
+            self.assertThat((status, body.decode(), fields["server-seal"]),
+                            Equals((200, event(1) + event(2) + event(3), f"seal-{first.identity}")))
+            self.assertThat(second.requests[0][1]["Last-Event-Id"], Equals("1"))
+
+    @run
+    async def test_a_stream_that_breaks_never_looks_whole(self):
+        async def breaks(worker, fields, writer):
+            worker.say(writer, head(fields) + chunk(event(1)) + chunk(event(2)[:5]))
+            return False
+
+        async with Edge([Worker("w0", breaks)]) as edge:
+            client = await Client(edge.port).open()
+            client.ask("/s/1")
+            rest = await asyncio.wait_for(client.ended(), 5)
+            self.assertThat((rest.endswith(b"0\r\n\r\n"), b"id: 2" in rest), Equals((False, False)))
+
+    @run
+    async def test_events_go_on_as_they_come(self):
+        gate = asyncio.Event()
+
+        async def slow(worker, fields, writer):
+            worker.say(writer, head(fields) + chunk(event(1)))
+            await gate.wait()
+            worker.say(writer, chunk(event(2)) + "0\r\n\r\n")
+
+        async with Edge([Worker("w0", slow)]) as edge:
+            client = await Client(edge.port).open()
+            client.ask("/s/1")
+            await asyncio.wait_for(client.reader.readuntil(b"data: x\n\n"), 2)
+            gate.set()
+            self.assertThat(await asyncio.wait_for(client.reader.readuntil(b"0\r\n\r\n"), 2), Equals(b"\r\n" + chunk(event(2)).encode() + b"0\r\n\r\n"))
+
+    @run
+    async def test_who_hangs_up_frees_the_worker(self):
+        async def slow(worker, fields, writer):
+            worker.say(writer, head(fields) + chunk(event(1)))
+
+        for target in ("/s/1", "/r/1"):
+            worker = Worker("w0", slow)
+            async with Edge([worker]) as edge:
+                client = await Client(edge.port).open()
+                client.ask(target)
+                await asyncio.wait_for(client.reader.readuntil(b"data: x\n\n"), 2)
+                client.writer.close()
+                await asyncio.wait_for(worker.lost.wait(), 2)
+                self.assertThat(sum(one.sending for one in edge.node.roster.all()), Equals(0))
+
+    @run
+    async def test_who_reads_slowly_holds_the_worker_back(self):
+        written = []
+
+        async def endless(worker, fields, writer):
+            worker.say(writer, head(fields))
+            for number in range(1, 3000):
+                worker.say(writer, chunk(event(number, "x" * 10_000)))
+                written.append(number)
+                await writer.drain()
+            worker.say(writer, "0\r\n\r\n")
+
+        async with Edge([Worker("w0", endless)]) as edge:
+            client = await Client(edge.port).open()
+            client.ask("/s/1")
+            await asyncio.wait_for(client.reader.readuntil(b"id: 1\n"), 2)
+            client.writer.transport.pause_reading()
+            seen = -1
+            while len(written) != seen:
+                seen = len(written)
+                await asyncio.sleep(0.2)
+            self.assertThat(seen, LessThan(2500))
+            self.assertThat(max(one.untaken_bytes for one in edge.node.carrier._open.values()), LessThan(1 << 18))
+            client.writer.transport.resume_reading()
+            rest = b""
+            while not rest.endswith(b"\r\n0\r\n\r\n"):
+                came = await asyncio.wait_for(client.reader.read(1 << 20), 5)
+                self.assertThat(came, NotEquals(b""))
+                rest = (rest + came)[-100_000:]
+            self.assertThat(len(written), Equals(2999))
+
+    @run
+    async def test_a_worker_gone_dark_is_left_for_another_if_that_is_safe(self):
+        async def dark(worker, fields, writer):
+            await asyncio.sleep(3600)
+
+        async def stalls(worker, fields, writer):
+            worker.say(writer, head(fields) + chunk(event(1)))
+            await asyncio.sleep(3600)
+
+        for answer, target in ((dark, "/r/1"), (stalls, "/r/1")):
+            async with Edge([Worker("w0", answer), Worker("w1", three_events)], force_ms=400) as edge:
+                status, _, body = await edge.one(target)
+                self.assertThat((status, body.decode()), Equals((200, event(1) + event(2) + event(3))))
+        async with Edge([Worker("w0", dark), Worker("w1", dark)], force_ms=400) as edge:
+            self.assertThat((await edge.one("/s/1", extra="Deadline-Ms: 700\r\n"))[0], Equals(504))
+            self.assertThat(edge.node.carrier.counts["sends_live"], Equals(1))
+
+
+class Connections(TestCase):
+    """Rows: what the worker answers, its headers, what it writes after, and how many connections three requests take."""
+
+    ROWS = [("kept", "Keep-Alive: timeout=5\r\n", "", 1), ("no word of how long", "", "", 1), ("closed", "Connection: close\r\n", "", 3),
+            ("a surplus answer", "Keep-Alive: timeout=5\r\n", "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nServer-Seal: x\r\nContent-Length: 3\r\n\r\nbad", 3)]
+
+    @run
+    async def test_which_are_used_again(self):
+        for name, extra, after, wanted in self.ROWS:
+            worker = Worker("w0", made("yes", extra, after))
+            async with Edge([worker]) as edge:
+                told = [(await edge.one("/p/1", request_id=f"r-{place}"))[::2] for place in range(3)]
+                self.assertThat((told, worker.connections, edge.sender.pool.opened), Equals(([(200, b"yes")] * 3, wanted, wanted)), name)
+
+    @run
+    async def test_how_long_they_are_good_for_what(self):
+        """Rows: seconds idle of the five that the worker keeps them, and whether used again: unsafe, safe."""
+        clock = {"now": 1000.0}
+        real, pool.monotonic = pool.monotonic, lambda: clock["now"]
+        try:
+            for idle_s, unsafe, safe in ((0.5, True, True), (2.0, True, True), (3.0, False, True), (4.5, False, False)):
+                for target, again in (("/p/1", unsafe), ("/i/1", safe)):
+                    worker = Worker("w0", good)
+                    async with Edge([worker]) as edge:
+                        await edge.one(target)
+                        for rows in edge.sender.pool._conns.values():
+                            for place, (protocol, _) in enumerate(list(rows)):
+                                rows[place] = (protocol, clock["now"] - idle_s)
+                        await edge.one(target)
+                        self.assertThat(worker.connections, Equals(1 if again else 2), f"{target} {idle_s}")
+        finally:
+            pool.monotonic = real
+
+    @run
+    async def test_a_late_answer_is_never_taken_for_another_request(self):
+        async def late(worker, fields, writer):
+            if len(worker.requests) == 1:
+                worker.say(writer, head(fields, "Keep-Alive: timeout=5\r\n", "one"))
+                await asyncio.sleep(0.05)
+                worker.say(writer, head(fields, "", "old"))
+            else:
+                worker.say(writer, head(fields, "", "two"))
+
+        worker = Worker("w0", late)
+        async with Edge([worker]) as edge:
+            first = await edge.one("/p/1", request_id="r-1")
+            await asyncio.sleep(0.1)
+            second = await edge.one("/p/1", request_id="r-2")
+            self.assertThat((first[2], second[2], second[1]["request-id"], worker.connections), Equals((b"one", b"two", "r-2", 2)))
+
+
+class Stopping(TestCase):
+    @run
+    async def test_what_was_read_is_answered_and_clients_are_sent_elsewhere(self):
+        gate = asyncio.Event()
+
+        async def slow(worker, fields, writer):
+            worker.say(writer, head(fields) + chunk(event(1)))
+            await gate.wait()
+            worker.say(writer, chunk(event(2)) + "0\r\n\r\n")
+
+        async with Edge([Worker("w0", slow)], grace_ms=400) as edge:
+            early, idle = await Client(edge.port).open(), await Client(edge.port).open()
+            early.ask("/s/1")
+            await asyncio.wait_for(early.reader.readuntil(b"data: x\n\n"), 2)
+            edge.node.stopping = True
+            edge.desk.start_draining()
+            late = await Client(edge.port).open()
+            late.ask("/s/2")
+            text = await asyncio.wait_for(late.reader.readuntil(b"data: x\n\n"), 2)
+            self.assertThat((b"Connection: close" in text, edge.node.why_unready(), edge.desk.busy()), Equals((True, "stopping", True)))
+            self.assertThat(await asyncio.wait_for(idle.ended(), 2), Equals(b""))
+            try:
+                await Client(edge.port).open()
+                refused = False
+            except ConnectionError:
+                refused = True
+            gate.set()
+            ends = [await asyncio.wait_for(client.ended(), 2) for client in (early, late)]
+            self.assertThat((refused, [end.endswith(b"0\r\n\r\n") for end in ends]), Equals((True, [True, True])))
+            await asyncio.sleep(0)
+            self.assertThat(edge.desk.busy(), Equals(False))
+            self.assertThat(edge.desk.live_now, Equals(0))
+
+    def test_the_linger_outlasts_two_missed_seconds_of_eight(self):
+        from readingroom import forward_http
+        self.assertThat(forward_http._LINGER_SHARE * 8, GreaterThan(3.0))
--- a/tests/test_forwards.py
+++ b/tests/test_forwards.py
@@ -9,17 +9,18 @@
 from testtools.matchers import Equals
 
 from circulation import Dialect, ForwardCall, ForwardTransaction
+from ports import free_ports
 from colophon import Params, boot_ms, set_up_logs
 from readingroom import EdgeNode
 from readingroom.sender import HttpSender
 from vellum.shell import ProcessEnv, Shell
 
-PORT = 25160
+LINK, HTTP, *PORTS = free_ports(4)
 DIALECT = Dialect("Request-Id", "Worker-Id", "Stamp", "Not-Run", "Load", "Left-Ms", "Urgency", "Served-By")
 TREE = json.dumps({"profiles": {
     "service": {"abstract": True, "workers": {"labels": ["s"]}, "connections": 100, "slots": 4},
     "p": {"parent": "service", "match": {"host": "h", "prefix": "/p/"}, "attempts": 2, "give_up_ms": 4000}}})
-LIST = json.dumps({"workers": {f"w{place}": {"address": f"127.0.0.1:{PORT + place}", "zone": "z", "label": "s", "slots": 4,
+LIST = json.dumps({"workers": {f"w{place}": {"address": f"127.0.0.1:{PORTS[place - 2]}", "zone": "z", "label": "s", "slots": 4,
                                              "state": "serving", "seq": 1, "models": []} for place in (2, 3)}})
 IDS = "Request-Id: {id}\r\nStamp: s.1\r\n"
 SSE = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + IDS + "Transfer-Encoding: chunked\r\n\r\n"
@@ -150,9 +151,9 @@
 
     async def rows(self):
         rogue = Rogue()
-        servers = [await asyncio.start_server(rogue.serve, "127.0.0.1", PORT + place) for place in (2, 3)]
-        params = Params(role="edge", link=f"127.0.0.1:{PORT}", http=f"127.0.0.1:{PORT + 1}", zone="z",
-                        seeds=[f"127.0.0.1:{PORT}"], max_body_bytes=1 << 20)
+        servers = [await asyncio.start_server(rogue.serve, "127.0.0.1", port) for port in PORTS]
+        params = Params(role="edge", link=f"127.0.0.1:{LINK}", http=f"127.0.0.1:{HTTP}", zone="z",
+                        seeds=[f"127.0.0.1:{LINK}"], max_body_bytes=1 << 20)
         wrong = []
         for place, (name, streamed, script, *wanted) in enumerate(ROWS):
             for safe, expected in zip((True, False), wanted, strict=True):
