--- a/libs/readingroom/src/readingroom/nodes.py
+++ b/libs/readingroom/src/readingroom/nodes.py
@@ -12,6 +12,7 @@
 from ledger import Desk
 from readingroom.counter import Counter
 from readingroom.forwards import ForwardCounter
+from readingroom.lot_counter import LotCounter
 from stacks import Damage, Disk
 from vellum import Env, Node
 
@@ -76,7 +77,7 @@
         self._common(local.identity)
         self._started_ms = env.now()
         self.control = ControlClient(self._control_addresses)
-        self.desk = Desk(lambda path: self.tree().room(path), self._who_holds, lambda: self.log.log.ledger)
+        self.desk = Desk(lambda: (self.gazette.number(PROFILES_KEY), self.tree()), self._who_holds, lambda: self.log.log.ledger)
         self.log = StoreLog(local, self.control, self, self.desk.take_holder)
         self.mending = Mending(local, self._other_members)
         self.desk.shelves, self.desk.mend = local.shelves, self.mending.mend
@@ -134,7 +135,8 @@
 
 
 class EdgeNode(_DataNode):
-    __slots__ = ("_caught_up", "_started_ms", "_was_quorate", "carrier", "counter", "forwards", "holder", "items", "lots", "roster", "stopping")
+    __slots__ = ("_caught_up", "_started_ms", "_was_quorate", "carrier", "counter", "forwards", "holder", "items", "lot_counter", "lots", "roster",
+                 "stopping")
 
     def __init__(self, env: Env, params: Any, sender: Any) -> None:
         self.env, self.params = env, params
@@ -153,9 +155,10 @@
         self.lots = LotRunner(identity, self.holder, self.items.room, self.items.start)
         self.counter = Counter(self.carrier, self.holder, self.lots, self.tree, self.why_unready)
         self.forwards = ForwardCounter(self.carrier, self.tree, self._why_unsure)
+        self.lot_counter = LotCounter(self.holder, self.lots, lambda: (self.gazette.number(PROFILES_KEY), self.tree()))
         self.neighbours.ready = self.gazette.sure = lambda: not self.why_unready()
         super().__init__(env, params, [self.neighbours, self.gazette, self.holder, self.roster, self.carrier, self.items,
-                                       self.lots, self.counter, self.forwards])
+                                       self.lots, self.counter, self.forwards, self.lot_counter])
 
     def _listed(self) -> tuple[int, str]:
         return self.gazette.number(WORKERS_KEY), self.gazette.body(WORKERS_KEY)
