--- /dev/null
+++ b/tests/test_holders.py
@@ -0,0 +1,153 @@
+"""The log's holder lost, cut off, slow or leaving, on simulated fleets: how long no append is settled, and who holds."""
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from facsimile.sim.runs import Run
+from ledger import entries
+
+LIMIT_MS = 600
+
+
+class Holders(TestCase):
+    def founded(self, seed=1, **sizes):
+        run = Run(seed, **sizes)
+        run.found()
+        run.fleet.run_until_true(lambda: False, 1000)
+        return run, run.fleet
+
+    def until(self, fleet, check, limit_ms):
+        end_ms = fleet.time.now_ms + limit_ms
+        while not check() and fleet.time.now_ms < end_ms:
+            fleet.time.run_until(fleet.time.now_ms + 2)
+        return bool(check())
+
+    def serving(self, fleet, but=None):
+        return next((host for host in fleet.running("store") if host is not but and host.node.log.role == "serving"), None)
+
+    def settle(self, fleet, host, key):
+        outcomes = []
+        host.node.log.holder.append([entries.KeyOpened(key=key, digest="d", edge="e", transaction="t", at_ms=0)], True, outcomes.append)
+        self.assertThat(self.until(fleet, lambda: outcomes, 500), Equals(True))
+        return str(outcomes[0])
+
+    def interruption(self, fault, seed, **sizes):
+        """From the fault until another store has settled an append."""
+        run, fleet = self.founded(seed, **sizes)
+        old, began_ms = fleet.holder(), fleet.time.now_ms
+        fault(fleet, old)
+        self.assertThat(self.until(fleet, lambda: self.serving(fleet, old), 5000), Equals(True))
+        self.assertThat(self.settle(fleet, self.serving(fleet, old), "after"), Equals("kept"))
+        return fleet.time.now_ms - began_ms
+
+    def cut_from(self, fleet, host, role, both=True, outward=True):
+        for other in fleet.hosts.values():
+            if other is not host and (role == "disks" and other.role != "edge" or other.role == role):
+                if both or outward:
+                    fleet.network.cut_pairs.add((host.address, other.address))
+                if both or not outward:
+                    fleet.network.cut_pairs.add((other.address, host.address))
+
+    def test_another_serves_soon(self):
+        faults = {
+            "killed": lambda fleet, host: host.kill(), "cut from power": lambda fleet, host: host.lose_power(),
+            "its disk lost": lambda fleet, host: host.lose_disk(), "frozen": lambda fleet, host: host.freeze(),
+            "cut off": lambda fleet, host: fleet.network.isolate(host.address),
+            "cut off from all with disks": lambda fleet, host: self.cut_from(fleet, host, "disks"),
+            "heard by none": lambda fleet, host: self.cut_from(fleet, host, "disks", both=False, outward=True)}
+        slow = [(name, seed, took_ms) for name, fault in faults.items() for seed in range(3)
+                if (took_ms := self.interruption(fault, seed)) > LIMIT_MS]
+        self.assertThat(slow, Equals([]))
+
+    def test_a_holder_that_hears_nobody_is_replaced(self):
+        took_ms = self.interruption(lambda fleet, host: self.cut_from(fleet, host, "disks", both=False, outward=False), 1)
+        self.assertThat(took_ms < 2 * LIMIT_MS, Equals(True))
+
+    def test_five_stores_two_lost_at_once(self):
+        def fault(fleet, host):
+            host.lose_power()
+            next(other for other in fleet.of("store") if other is not host).lose_power()
+
+        self.assertThat(self.interruption(fault, 2, stores=5, settings={"store_faults": 2}) < LIMIT_MS, Equals(True))
+
+    def test_a_leaving_holder_hands_over(self):
+        took_ms = self.interruption(lambda fleet, host: host.node.log.hand_over(), 1)
+        self.assertThat(took_ms < 100, Equals(True))
+
+    def test_all_stores_leave_one_after_another(self):
+        run, fleet = self.founded(3)
+        for host in fleet.of("store"):
+            host.node.log.hand_over()
+            self.until(fleet, lambda host=host: not host.node.log.handing_over(), 3000)
+            host.kill()
+            fleet.time.after(800, host.start)
+            self.assertThat(self.until(fleet, lambda host=host: host.up and self.serving(fleet), 3000), Equals(True))
+            fleet.run_until_true(lambda: False, 700)
+        self.assertThat(self.settle(fleet, self.serving(fleet), "after"), Equals("kept"))
+
+    def test_who_is_cut_off_from_the_holder_alone_leaves_it_alone(self):
+        run, fleet = self.founded()
+        holder = fleet.holder()
+        epoch = holder.node.log.holder.epoch
+        other = next(host for host in fleet.of("store") if host is not holder)
+        fleet.network.cut(holder.address, other.address)
+        fleet.run_until_true(lambda: False, 4000)
+        self.assertThat((fleet.holder() is holder, holder.node.log.holder.epoch), Equals((True, epoch)))
+        self.assertThat(self.settle(fleet, holder, "meanwhile"), Equals("kept"))
+
+    def test_a_member_cut_off_from_the_other_stores_claims_nothing(self):
+        run, fleet = self.founded()
+        holder = fleet.holder()
+        epoch = holder.node.log.holder.epoch
+        other = next(host for host in fleet.of("store") if host is not holder)
+        self.cut_from(fleet, other, "store")
+        fleet.run_until_true(lambda: False, 4000)
+        self.assertThat((fleet.holder() is holder, holder.node.log.holder.epoch), Equals((True, epoch)))
+
+    def test_the_log_goes_on_without_control(self):
+        run, fleet = self.founded()
+        holder = fleet.holder()
+        epoch = holder.node.log.holder.epoch
+        for host in fleet.of("control"):
+            host.kill()
+        for number in range(6):
+            fleet.run_until_true(lambda: False, 1000)
+            self.assertThat(self.settle(fleet, holder, f"k{number}"), Equals("kept"))
+        for host in fleet.of("control"):
+            host.start()
+        fleet.run_until_true(lambda: False, 4000)
+        self.assertThat((fleet.holder() is holder, holder.node.log.holder.epoch), Equals((True, epoch)))
+
+    def test_a_holder_cut_off_from_control_alone_goes_on(self):
+        run, fleet = self.founded()
+        holder = fleet.holder()
+        epoch = holder.node.log.holder.epoch
+        self.cut_from(fleet, holder, "control")
+        fleet.run_until_true(lambda: False, 4000)
+        self.assertThat(self.settle(fleet, holder, "meanwhile"), Equals("kept"))
+        self.assertThat((fleet.holder() is holder, holder.node.log.holder.epoch), Equals((True, epoch)))
+
+    def test_short_stops_and_slow_links_change_no_holder(self):
+        run, fleet = self.founded()
+        holder = fleet.holder()
+        epoch = holder.node.log.holder.epoch
+        for host in fleet.of("store"):
+            fleet.network.slow_ms[host.address] = 60.0
+        for number in range(30):
+            host = fleet.of("store")[number % 3]
+            host.freeze()
+            fleet.time.after(220, host.wake)
+            fleet.run_until_true(lambda: False, 400)
+        self.assertThat((fleet.holder() is holder, holder.node.log.holder.epoch), Equals((True, epoch)))
+
+    def test_a_whole_restart_serves_in_time(self):
+        run, fleet = self.founded()
+        self.assertThat(self.settle(fleet, fleet.holder(), "before"), Equals("kept"))
+        for host in fleet.hosts.values():
+            host.lose_power()
+        began_ms = fleet.time.now_ms
+        for host in fleet.hosts.values():
+            host.start()
+        self.assertThat(self.until(fleet, lambda: self.serving(fleet), 6000), Equals(True))
+        self.assertThat(fleet.time.now_ms - began_ms < 3000, Equals(True))
+        self.assertThat("before" in self.serving(fleet).node.log.log.ledger.keys, Equals(True))
--- /dev/null
+++ b/tests/test_losses.py
@@ -0,0 +1,174 @@
+"""Power and disks lost right after an acknowledgement, one after another, and around a retirement: simulated fleets
+with no more lost at once than store_faults, after which everything acknowledged is read back."""
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from catalogue import Change
+from facsimile.sim import judge
+from facsimile.sim.runs import Run
+
+SETTINGS = {"catch_up_ms": 4900, "segment_bytes": 1 << 14}
+CATCH_UP_MS = 4900
+
+
+class Losses(TestCase):
+    def founded(self, seed, **sizes):
+        settings = {**SETTINGS, **sizes.pop("settings", {})}
+        run = Run(seed, settings=settings, **sizes)
+        run.found()
+        run.fleet.run_until_true(lambda: False, 800)
+        self.lots(run, 2)
+        return run, run.fleet
+
+    def lots(self, run, count, then=None):
+        """Handed in one by one; `then` strikes in the very moment in which the last one is acknowledged."""
+        for number in range(count):
+            seen = []
+
+            def told(row, last=number == count - 1, seen=seen):
+                seen.append(row)
+                if last and then is not None:
+                    then()
+
+            run.visitors.hand_in("summaries", 5, 6, done=told)
+            run.fleet.run_until_true(lambda seen=seen: seen, 12_000)
+            self.assertThat([row["outcome"] for row in seen], Equals(["admitted"]))
+
+    def after(self, fleet, wait_ms):
+        fleet.run_until_true(lambda: False, wait_ms)
+
+    def kept(self, run):
+        fleet = run.fleet
+        self.assertThat(fleet.run_until_true(lambda: fleet.holder() is not None, 12_000), Equals(True))
+        self.after(fleet, 3000)
+        run.read_all()
+        self.assertThat(judge(fleet.history), Equals({}))
+        self.assertThat(len(fleet.history.of("final")), Equals(sum(lot["acked"] for lot in run.visitors.lots.values())))
+
+    def peers(self, fleet):
+        return [host for host in fleet.of("store") if host is not fleet.holder()]
+
+    def strike(self, fleet, wiped, dark, down_ms=1200):
+        for host in dark:
+            host.lose_power()
+        for host in wiped:
+            host.lose_disk()
+        for place, host in enumerate(wiped + dark):
+            fleet.time.after(down_ms + 150 * place, host.start)
+
+    def members(self, fleet):
+        value = fleet.of("control")[0].node.gazette.value("log")
+        return {row["identity"] for row in value["members"]} if value["phase"] == "serving" else set()
+
+    def is_member(self, fleet, host):
+        return host.up and host.node.log.log.identity in self.members(fleet)
+
+    def test_power_or_disks_lost_right_after_an_acknowledgement(self):
+        rows = {"the holder's power": lambda holder, peers: ([], [holder]),
+                "a peer's power": lambda holder, peers: ([], peers[:1]),
+                "everybody's power": lambda holder, peers: ([], [holder, *peers]),
+                "the holder's disk": lambda holder, peers: ([holder], []),
+                "a peer's disk": lambda holder, peers: (peers[1:], []),
+                "the holder's disk, the others' power": lambda holder, peers: ([holder], peers),
+                "a peer's disk, the others' power": lambda holder, peers: (peers[:1], [holder, *peers[1:]])}
+        for seed, (name, choose) in enumerate(rows.items()):
+            run, fleet = self.founded(seed)
+            for host in fleet.of("store"):
+                host.disk.flush_ms = 20.0
+            wiped, dark = choose(fleet.holder(), self.peers(fleet))
+            self.after(fleet, 1500)
+            self.lots(run, 1, lambda fleet=fleet, wiped=wiped, dark=dark: self.strike(fleet, wiped, dark))
+            self.after(fleet, 3000)
+            self.kept(run)
+
+    def test_two_of_five_disks_lost_and_the_others_cut_from_power(self):
+        run, fleet = self.founded(4, stores=5, settings={"store_faults": 2})
+        for seed in range(2):
+            stores = fleet.of("store")
+            fleet.time.rng.shuffle(stores)
+            self.lots(run, 1, lambda stores=stores: self.strike(fleet, stores[:2], stores[2:]))
+            self.after(fleet, 1500 + CATCH_UP_MS)
+            self.assertThat([self.is_member(fleet, host) for host in fleet.of("store")], Equals([True] * 5))
+        self.kept(run)
+
+    def test_disks_lost_one_after_another_each_caught_up(self):
+        run, fleet = self.founded(5)
+        for number in range(3):
+            for host in fleet.of("store"):
+                self.lots(run, 1, lambda host=host: self.strike(fleet, [host], [], 600))
+                self.after(fleet, 600 + CATCH_UP_MS)
+                self.assertThat(self.is_member(fleet, host), Equals(True))
+        self.kept(run)
+
+    def test_a_machine_replaced_at_another_address_and_then_another_disk_lost(self):
+        run, fleet = self.founded(6)
+        for number in range(2):
+            gone = fleet.holder() if number else self.peers(fleet)[0]
+            gone.lose_disk()
+            fleet.hosts.pop(gone.name)
+            self.after(fleet, 2000)
+            fresh = fleet.add("store", f"fresh{number}")
+            self.lots(run, 1)
+            self.after(fleet, CATCH_UP_MS - 1000)
+            self.assertThat(self.is_member(fleet, fresh), Equals(True))
+            self.lots(run, 1, lambda: self.strike(fleet, [fleet.holder()], []))
+            self.after(fleet, 1200 + CATCH_UP_MS)
+        self.kept(run)
+
+    def retire(self, fleet, host):
+        node = fleet.of("control")[0].node
+        version = node.gazette.number("retired")
+        names = (node.gazette.value("retired") or {"identities": []})["identities"] + [host.node.log.log.identity]
+        body = '{"identities": [' + ", ".join(f'"{name}"' for name in names) + "]}"
+        node.owner.submit(Change(key="retired", version=version, change_id=f"r{version}", body=body, hops=0), lambda receipt: None)
+
+    def test_a_retired_machine_gone_at_the_end_and_another_disk_lost_at_once(self):
+        for seed, of_holder in enumerate((True, False, True, False)):
+            run, fleet = self.founded(20 + seed)
+            fresh = fleet.add("store", "fresh")
+            self.after(fleet, 1000)
+            self.lots(run, 1)
+            host = fleet.holder() if of_holder else self.peers(fleet)[0]
+            old, began_ms = host.node.log.log.identity, fleet.time.now_ms
+            self.retire(fleet, host)
+            finished = fleet.run_until_true(lambda: self.members(fleet) and old not in self.members(fleet), 4000)
+            self.assertThat((finished, fleet.time.now_ms - began_ms < 2000), Equals((True, True)))
+            host.lose_disk()
+            fleet.hosts.pop(host.name)
+            rest = fleet.of("store")
+            self.strike(fleet, [rest.pop(seed % len(rest))], rest if seed > 1 else [])
+            self.after(fleet, 1500 + CATCH_UP_MS)
+            self.lots(run, 1)
+            self.kept(run)
+
+    def test_a_wiped_machine_comes_back_while_another_is_frozen(self):
+        run, fleet = self.founded(8)
+        holder, (one, other) = fleet.holder(), self.peers(fleet)
+        self.lots(run, 1, lambda: self.strike(fleet, [holder], [], 400))
+        one.freeze()
+        self.after(fleet, 4000)
+        self.assertThat(fleet.holder(), Equals(None))
+        one.wake()
+        self.after(fleet, CATCH_UP_MS)
+        self.lots(run, 1)
+        self.kept(run)
+
+    def test_the_first_one_back_neither_recovers_alone_nor_founds(self):
+        run, fleet = self.founded(9)
+        holder, peers = fleet.holder(), self.peers(fleet)
+        number = fleet.of("control")[0].node.gazette.value("log")["epoch"]
+        for host in fleet.hosts.values():
+            host.lose_power()
+        holder.lose_disk()
+        for host in [*fleet.of("control"), *fleet.of("edge"), holder, peers[0]]:
+            host.start()
+        fleet.add("store", "fresh")
+        fleet.add("store", "another")
+        self.after(fleet, 7000)
+        self.assertThat(fleet.holder(), Equals(None))
+        self.assertThat(fleet.of("control")[0].node.gazette.value("log")["epoch"] >= number, Equals(True))
+        peers[1].start()
+        self.after(fleet, CATCH_UP_MS)
+        self.lots(run, 1)
+        self.kept(run)
