--- a/libs/accession/src/accession/shelves.py
+++ b/libs/accession/src/accession/shelves.py
@@ -1,8 +1,9 @@
 """Shelves: files with the results of lots that are over and the receipts of keys that are done, so that
 memory holds only an index of them. A file is written once, flushed, and only then do its leaves
-take the place of what is in memory; a snapshot that refers to it can only come later. Each leaf is a
+take the place of what is in memory; a snapshot that refers to it can only come later. Each leaf is packed and a
 frame with a checksum. A file that no lot or key refers to any more is removed after the next snapshot."""
 
+import zlib
 from collections.abc import Callable
 from typing import Any
 
@@ -25,6 +26,10 @@
     rows: Arr(Blob)
 
 
+def _packed(leaf: Leaf) -> bytes:
+    return frame(zlib.compress(encode(leaf), 1))
+
+
 def files_of(rows: Any) -> set[str]:
     return {row.file for row in rows if isinstance(row, (e.LotShelved, e.KeyShelved))}
 
@@ -115,7 +120,7 @@
             while up_to < len(rows) and (up_to == first or size_bytes + len(rows[up_to]) <= _LEAF_BYTES):
                 size_bytes += len(rows[up_to])
                 up_to += 1
-            data = frame(encode(Leaf(name=lot.lot_id, rows=rows[first:up_to])))
+            data = _packed(Leaf(name=lot.lot_id, rows=rows[first:up_to]))
             places.append(len(page))
             sizes.append(len(data))
             firsts.append(first)
@@ -126,7 +131,7 @@
                             ended_at_ms=lot.ended_at_ms, file=name, places=places, sizes=sizes, firsts=firsts)
 
     def _put_key(self, key: str, held: Key, name: str, page: bytearray) -> e.KeyShelved:
-        data = frame(encode(Leaf(name=key, rows=[held.body.encode()])))
+        data = _packed(Leaf(name=key, rows=[held.body.encode()]))
         page += data
         return e.KeyShelved(key=key, digest=held.digest, edge=held.edge, transaction=held.transaction, status=held.status,
                             at_ms=held.at_ms, file=name, place=len(page) - len(data), size=len(data))
@@ -137,7 +142,7 @@
         frames, end = walk(self._log.disk.read_at(file, place, size))
         if len(frames) != 1 or end != size:
             return None
-        leaf = decode(frames[0][1])
+        leaf = decode(zlib.decompress(frames[0][1]))
         return leaf.rows if leaf.name == name else None
 
     def results(self, lot: Lot, from_index: int, limit: int) -> list[bytes] | None:
@@ -180,7 +185,7 @@
         if kind == "lot":
             entry: Any = self.put_rows(held, rows, file, page)
         else:
-            page += frame(encode(Leaf(name=name, rows=rows)))
+            page += _packed(Leaf(name=name, rows=rows))
             entry = e.KeyShelved(**{**held.shelf.as_dict(), "file": file, "place": 0, "size": len(page)})
 
         def flushed(ok: bool) -> None:
