--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -149,14 +149,14 @@
     def test_fences_stand_behind_each_other_and_the_highest_counts(self):
         table = self.one()
         disk, log, sizes = table.disks["a"], table.logs["a"], []
-        for fence in range(2, 62):
+        for fence in range(2, 122):
             log.keep_meta(lambda ok: None, fence=fence)
             table.run(10)
             sizes.append(len(disk.read("meta")))
         begun_anew = sum(size < before for before, size in zip(sizes, sizes[1:], strict=False))
         self.assertThat((max(sizes) <= 4300, 0 < begun_anew < 3), Equals((True, True)))
         table.open("a")
-        self.assertThat((table.logs["a"].meta.fence, table.logs["a"].meta.log_epoch), Equals((61, 1)))
+        self.assertThat((table.logs["a"].meta.fence, table.logs["a"].meta.log_epoch), Equals((121, 1)))
 
     def test_a_torn_or_damaged_fence_takes_none_with_it(self):
         table = self.one()
