Founding by the seeds, all control nodes vote, serving when cut off, digests by way of the voters

Cause: a fleet may not be told how many control nodes it has; 340 edges swapping digests with their whole view and all voters every beat cost too much; an edge that is cut off may serve by what it knows. Ruled out: replacing a silent voter in one step, since a vote of its may still count; that is done only where another identity at its address shows that its disk is gone. Change: control_count 0 founds by the seeds on a first start and widens to all; cut_off "serve" needs no roll; fan_out sends digests to a few voters, which tell each other the lowest numbers they were told. Who asks a key's owner asks again after silence; a duty falls to a voter that itself hears a majority.

--- a/libs/catalogue/src/catalogue/founding.py
+++ b/libs/catalogue/src/catalogue/founding.py
@@ -1,8 +1,8 @@
 """Founding, and who votes afterwards. The first list needs the vote, on disk, of every one of
-control_count blank nodes for the same list. From then on the steward, a duty, keeps the number of
-voters: a spare is added for one that is gone or retired, every key is decided anew under the list so
-widened, and only then is the other one dropped; so any two lists that follow each other share every
-majority, and nothing is left on a disk that no longer votes."""
+control_count blank nodes for the same list or, where no count is told, of every node at a seed's
+address on a first start. From then on the steward, a duty, brings about the lists that follow
+(succession.py): before each step every key is decided anew under the present list; so any two lists
+that follow each other share every majority, and nothing is left on a disk that no longer votes."""
 
 import json
 from typing import Any
@@ -10,10 +10,11 @@
 from catalogue.messages import Change, Found, Founded, FoundVote, ListKeys, ReadKey, VoterMeta
 from catalogue.owner import Owner
 from catalogue.rounds import Round
+from catalogue.succession import founding_rows, next_of_all, next_of_count
 from catalogue.voter import CONTROL_KEY, Voter
-from commons import Neighbours, duty_order, first_live
+from commons import Neighbours
 from gazette import Gazette
-from gazette.feed import ROLL_KEY
+from gazette.feed import CONFIRMERS, ROLL_KEY
 from vellum import Message, Origin, Part
 
 __all__ = ["Founding"]
@@ -22,7 +23,7 @@
 
 
 class Founding(Part):
-    __slots__ = ("_asked", "_busy", "_gazette", "_neighbours", "_next_ms", "_owner", "_started_ms", "_swept_ms", "_voter",
+    __slots__ = ("_asked", "_awake_ms", "_busy", "_gazette", "_neighbours", "_next_ms", "_owner", "_read_ms", "_swept_ms", "_voter",
                  "_votes")
     HANDLES = (Found,)
 
@@ -36,7 +37,8 @@
         self._busy = False
         self._next_ms = 0
         self._swept_ms = -1 << 40
-        self._started_ms = -1
+        self._awake_ms = -1
+        self._read_ms: dict[str, int] = {}
         gazette.watch(self._heard)
 
     def _heard(self, key: str, number: int, body: str) -> None:
@@ -51,17 +53,23 @@
             self._vote(origin, False)
         elif meta.found_vote == message.members:
             self._vote(origin, True)
+        elif not self._may_found():
+            self._vote(origin, False)
         else:
             self._voter.keep_meta(VoterMeta(identity=meta.identity, found_vote=message.members, list_body=""),
                                   lambda ok: self._vote(origin, ok))
 
+    def _may_found(self) -> bool:
+        """Where no count is told, a blank disk may also be one that was lost after the founding."""
+        return self.node.params.control_count > 0 or self.node.params.first_start
+
     def _vote(self, origin: Origin, ok: bool) -> None:
         self.node.reply(origin, FoundVote(identity=self._voter.identity, ok=ok, list_body=self._voter.meta.list_body))
 
     def tick(self) -> None:
         now_ms = self.node.env.now()
-        if self._started_ms < 0:
-            self._started_ms = now_ms
+        if self._awake_ms < 0:
+            self._awake_ms = now_ms
         if now_ms < self._next_ms:
             return
         self._next_ms = now_ms + self.node.params.beat_ms * 2
@@ -70,16 +78,23 @@
         elif not self._busy:
             self._keep_house()
 
+    def woke(self, gap_ms: int) -> None:
+        """Who seems silent may have been heard by everyone but this node."""
+        self._awake_ms = self.node.env.now()
+
     def _found(self) -> None:
-        cards = self._neighbours.of_role("control", self.node.params.dead_ms)
-        known = {card.identity: card.address for card in cards}
-        known[self._voter.identity] = self.node.address
-        count = self.node.params.control_count
+        params = self.node.params
         members = self._voter.meta.found_vote
         if not members:
-            if len(known) < count or self._voter.identity != min(known):
+            if not self._may_found():
                 return
-            members = json.dumps([{"identity": name, "address": known[name]} for name in sorted(known)[:count]])
+            cards = [*self._neighbours.of_role("control", params.dead_ms), self._neighbours.card()]
+            if not params.control_count:
+                self._next_ms = self.node.env.now() + params.beat_ms
+            rows = founding_rows(cards, params.control_count, set(params.seeds))
+            if not rows or rows[0]["identity"] != self._voter.identity:
+                return
+            members = json.dumps(rows)
         listed = {row["identity"]: row["address"] for row in json.loads(members)}
         if members != self._asked:
             self._asked, self._votes = members, set()
@@ -103,12 +118,10 @@
     # -- the steward's duty and the sweep ------------------------------------------------------
 
     def steward(self) -> str | None:
-        return first_live(duty_order("steward", self._voter.voters), self._neighbours.live)
+        return self._owner.owner_of("steward")
 
     def _keep_house(self) -> None:
-        for key in (CONTROL_KEY, "profiles", RETIRED_KEY, "log", ROLL_KEY):
-            if self._gazette.number(key) == 0 and self._owner.owner_of(key) == self._voter.identity:
-                self._owner.submit(ReadKey(key=key, hops=9), lambda receipt: None)
+        self._read_unknown()
         if self.steward() != self._voter.identity:
             self._sweep_own()
             return
@@ -126,26 +139,44 @@
     def _idle(self) -> None:
         self._busy = False
 
+    def _read_unknown(self) -> None:
+        """A key that nothing is known of is read by its owner when it becomes that, and then now and then."""
+        now_ms = self.node.env.now()
+        keys = (CONTROL_KEY, *CONFIRMERS, RETIRED_KEY, "log", *(() if self.node.params.cut_off == "serve" else (ROLL_KEY,)))
+        for key in keys:
+            if self._owner.owner_of(key) != self._voter.identity:
+                self._read_ms.pop(key, None)
+            elif self._gazette.number(key) == 0 and now_ms - self._read_ms.get(key, -1 << 40) > self.node.params.gone_ms:
+                self._read_ms[key] = now_ms
+                self._owner.submit(ReadKey(key=key, hops=9), lambda receipt, key=key: self._was_read(key, receipt))
+
+    def _was_read(self, key: str, receipt: Any) -> None:
+        if receipt.outcome != "ok":
+            self._read_ms.pop(key, None)
+
     def _following(self) -> dict[str, Any] | None:
         """The next list of voters, one step from this one, if there is cause for it."""
-        node = self.node
-        if node.env.now() - self._started_ms < node.params.gone_ms:
-            return None
+        node, neighbours = self.node, self._neighbours
+        params, now_ms = node.params, node.env.now()
         retired = set((self._gazette.value(RETIRED_KEY) or {}).get("identities", []))
+        listed = json.loads(self._voter.meta.list_body)
         voters = self._voter.voters
-        leaving = [name for name in voters if name in retired or not self._neighbours.live(name, node.params.gone_ms)]
-        spares = {card.identity: card.address for card in self._neighbours.of_role("control", node.params.dead_ms)
-                  if card.identity not in voters and card.identity not in retired}
-        rows = [{"identity": name, "address": address} for name, address in voters.items()]
-        number = self._voter.list_number + 1
-        if leaving and len(voters) > node.params.control_count:
-            gone = [name for name in leaving if name not in retired] or leaving
-            return {"number": number, "voters": [row for row in rows if row["identity"] != gone[0]]}
-        if spares and (leaving or len(voters) < node.params.control_count) \
-                and len(voters) <= node.params.control_count:
-            name = min(spares)
-            return {"number": number, "voters": [*rows, {"identity": name, "address": spares[name]}]}
-        return None
+        spares = [card for card in neighbours.of_role("control", params.dead_ms)
+                  if card.identity not in voters and card.identity not in retired]
+        long_awake = now_ms - self._awake_ms >= params.gone_ms
+
+        def silent(name: str) -> bool:
+            return long_awake and not neighbours.live(name, params.gone_ms)
+
+        if params.control_count:
+            return next_of_count(listed, spares, retired, silent, params.control_count) if long_awake else None
+
+        def all_heard(card: Any) -> bool:
+            since_ms = max(neighbours.first_ms(card.identity), self._awake_ms) + params.beat_ms
+            return all(name == self._voter.identity or neighbours.heard_ms(name) >= since_ms for name in voters)
+
+        return next_of_all(listed, spares, retired, silent,
+                           lambda card: now_ms - neighbours.first_ms(card.identity) > params.ask_ms, all_heard)
 
     def _change_list(self, following: dict[str, Any]) -> None:
         if following["number"] != self._voter.list_number + 1:
@@ -154,13 +185,18 @@
         node = self.node
         node.env.log("voters-changing", "WARNING", number=following["number"],
                      voters=[row["identity"] for row in following["voters"]])
+        body = _canonical(following)
 
         def changed(receipt: Any) -> None:
             self._idle()
+            if receipt.outcome == "ok" and json.loads(receipt.body)["number"] == following["number"]:
+                self._next_ms = node.env.now() + node.params.beat_ms // 4
+                for row in following["voters"]:
+                    node.post(row["address"], Founded(list_body=receipt.body))
 
         self._owner.submit(Change(key=CONTROL_KEY, version=self._gazette.number(CONTROL_KEY),
                                   change_id=f"voters-{following['number']}-{self._voter.identity}",
-                                  body=_canonical(following), hops=0), changed)
+                                  body=body, hops=0), changed)
 
     def _sweep_own(self) -> None:
         if self.node.env.now() - self._swept_ms < self.node.params.gone_ms:
--- a/libs/catalogue/src/catalogue/owner.py
+++ b/libs/catalogue/src/catalogue/owner.py
@@ -14,12 +14,12 @@
 from catalogue.voter import CONTROL_KEY, Voter
 from commons import Neighbours, duty_order, first_live
 from gazette import Gazette
+from gazette.feed import CONFIRMERS
 from vellum import Message, Origin, Part, decode, encode
 
 __all__ = ["Owner", "newest"]
 
 _REMEMBERED_CHANGES = 64
-_CONFIRMED_KEYS = ("profiles",)
 _RELAY_HOPS = 2
 Done = Callable[[Changed], None]
 
@@ -78,7 +78,7 @@
 
 
 class Owner(Part):
-    __slots__ = ("_by", "_gazette", "_keys", "_neighbours", "_unconfirmed", "_voter")
+    __slots__ = ("_again", "_by", "_gazette", "_keys", "_neighbours", "_unconfirmed", "_voter")
     HANDLES = (Change, ReadKey)
 
     def __init__(self, voter: Voter, neighbours: Neighbours, gazette: Gazette) -> None:
@@ -86,6 +86,7 @@
         self._neighbours = neighbours
         self._gazette = gazette
         self._by = ""
+        self._again: list[tuple[Change | ReadKey, int, Done]] = []
         self._keys: dict[str, _Key] = {}
         self._unconfirmed: list[tuple[str, int, int, Changed, Done]] = []
 
@@ -99,22 +100,37 @@
         self.submit(message, lambda receipt: self.node.reply(origin, receipt))
 
     def submit(self, message: Any, done: Done) -> None:
-        """Here, or at the node whose duty the key is. A reply that never comes is doubt."""
-        voters = self._voter.voters
-        if not voters:
+        """Here, or at the node whose duty the key is. Who asks first asks again after silence, since the
+        duty may have moved; a change is known by its id. A reply that never comes is doubt."""
+        if not self._voter.voters:
             done(Changed(outcome="refused", version=0, body="", reason="not founded"))
             return
+        params = self.node.params
+        self._try(message, message.hops, self.node.env.now() + params.confirm_ms + 3 * params.ask_ms, done)
+
+    def _try(self, message: Any, hops: int, due_ms: int, done: Done) -> None:
+        params, now_ms = self.node.params, self.node.env.now()
+
+        def answered(receipt: Changed | None) -> None:
+            unheard = receipt is None or (receipt.outcome == "doubt" and params.cut_off == "serve")
+            if unheard and hops == 0 and self.node.env.now() < due_ms:
+                self._again.append((message, due_ms, done))
+            else:
+                done(receipt or Changed(outcome="doubt", version=0, body="", reason="the key's owner did not answer"))
+
+        message.hops = hops
         duty = self.owner_of(message.key)
-        wait_ms = self.node.params.confirm_ms + 3 * self.node.params.ask_ms
-        if duty in (None, self._voter.identity) or message.hops >= _RELAY_HOPS:
-            self._enqueue(message, self.node.env.now() + self.node.params.ask_ms * 2, done)
+        if duty in (None, self._voter.identity) or hops >= _RELAY_HOPS:
+            self._enqueue(message, min(now_ms + params.ask_ms * 2, due_ms) if hops == 0 else now_ms + params.ask_ms * 2, answered)
             return
         message.hops += 1
-        self.node.ask(voters[duty], message, wait_ms, lambda receipt: done(
-            receipt or Changed(outcome="doubt", version=0, body="", reason="the key's owner did not answer")))
+        wait_ms = due_ms - now_ms
+        self.node.ask(self._voter.voters[duty], message, min(wait_ms, params.dead_ms) if hops == 0 else wait_ms, answered)
 
-    def owner_of(self, key: str) -> str | None:
-        return first_live(duty_order(key, self._voter.voters), self._neighbours.live)
+    def owner_of(self, concern: str) -> str | None:
+        """Who has a duty: the first live voter that itself hears a majority, or the first live one."""
+        order = [name for name in duty_order(concern, self._voter.voters) if self._neighbours.live(name)]
+        return first_live(order, self._neighbours.ready_by_word) or next(iter(order), None)
 
     def renew(self, key: str, done: Callable[[bool], None]) -> None:
         self._enqueue(Renew(key), self.node.env.now() + self.node.params.ask_ms * 2,
@@ -262,7 +278,7 @@
         known = outcome in ("ok", "lost")
         receipt = Changed(outcome=outcome, version=(version or value.version) if known else 0,
                           body=value.body if known else "", reason=reason)
-        if outcome == "ok" and isinstance(op.message, Change) and key.name in _CONFIRMED_KEYS:
+        if outcome == "ok" and isinstance(op.message, Change) and key.name in CONFIRMERS:
             self._unconfirmed.append((key.name, receipt.version,
                                       self.node.env.now() + self.node.params.confirm_ms, receipt, op.done))
             self._check_confirmed()
@@ -272,14 +288,16 @@
     def _check_confirmed(self) -> None:
         """A version is acknowledged once most of the roll have it, and so do all nodes that live, or
         those that are still without it have had to turn unready. Without most of the roll the other
-        side of a cut may still be serving under an older one: then this is doubt."""
+        side of a cut may still be serving under an older one: then this is doubt. Where the cut-off serve
+        there is no roll: who hasn't heard of it in time isn't in touch."""
         now_ms = self.node.env.now()
         waiting, self._unconfirmed = self._unconfirmed, []
         for row in waiting:
             name, version, due_ms, receipt, done = row
             params, gazette = self.node.params, self._gazette
+            within_ms = params.dead_ms if params.cut_off == "serve" else params.confirm_ms
             most = gazette.most_confirm(name, version, params.confirm_ms)
-            if most and (now_ms >= due_ms or gazette.all_confirm(name, version, ("edge", "store"), params.confirm_ms)):
+            if most and (now_ms >= due_ms or gazette.all_confirm(name, version, CONFIRMERS[name], within_ms)):
                 done(receipt)
             elif now_ms >= due_ms + 2 * params.ask_ms:
                 done(_in_doubt(version))
@@ -288,6 +306,9 @@
 
     def tick(self) -> None:
         self._check_confirmed()
+        again, self._again = self._again, []
+        for message, due_ms, done in again:
+            self._try(message, 0, due_ms, done)
         for key in self._keys.values():
             if key.ops and key.state is State.UNOWNED and self.node.env.rng.random() < 0.5:
                 self._next(key)
--- a/libs/colophon/src/colophon/params.py
+++ b/libs/colophon/src/colophon/params.py
@@ -76,6 +76,8 @@
             raise ValueError(f"data_folder: a {self.role} keeps its state on disk and needs a folder")
         if self.store_faults >= self.store_count or self.store_count < 2 * self.store_faults + 1:
             raise ValueError("store_faults: store_count has to be at least 2 * store_faults + 1")
+        if self.fan_out and self.cut_off != "serve":
+            raise ValueError("fan_out: needs cut_off = \"serve\", since the roll is counted by digests that all control nodes hear")
         if self.link == self.http:
             raise ValueError("http: has to differ from link")
         return self
@@ -102,7 +104,7 @@
     @property
     def confirm_ms(self) -> int:
         """How long an acknowledgement of a version waits for the live edges."""
-        return int(self.force_ms * 0.75)
+        return int(self.force_ms * (0.3 if self.cut_off == "serve" else 0.75))
 
     @property
     def gone_ms(self) -> int:
--- a/libs/commons/src/commons/cards.py
+++ b/libs/commons/src/commons/cards.py
@@ -12,6 +12,7 @@
     http: Text
     role: Text
     zone: Text
+    region: Text
     beat: Long
     ready: Flag
 
--- a/libs/commons/src/commons/neighbours.py
+++ b/libs/commons/src/commons/neighbours.py
@@ -1,6 +1,7 @@
 """Partial views and standing. Every beat a node swaps part of its view with its oldest neighbour and
 tells its kin (the nodes of its own role, and those with disks) that it lives. A node's standing
-comes from what it was itself heard to say, or from its beat counter rising in what others pass on."""
+comes from what it was itself heard to say, or from its beat counter rising in what others pass on.
+Where fan_out is set, swaps come at a slower beat and kin is the node's own role, so many at a time."""
 
 from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
@@ -12,12 +13,16 @@
 
 _SHARE = 6
 _REMEMBERED = 4096
+_SHUFFLE_BEATS = 5
+_KIN_AT_ONCE = 16
+_FEW = 3
 
 
 class Neighbours(Part):
     """`wanted` says which further addresses are to be beaten to, such as members named by a key."""
 
-    __slots__ = ("_beat_ms", "_beats", "_cards", "_fresh_ms", "_heard_ms", "_sent_ms", "_view", "identity", "ready", "wanted")
+    __slots__ = ("_beat_count", "_beat_ms", "_beats", "_cards", "_first_ms", "_fresh_ms", "_heard_ms", "_sent_ms", "_view",
+                 "identity", "ready", "wanted")
     HANDLES = (Shuffle, Shuffled, Beat)
 
     def __init__(self, identity: str) -> None:
@@ -27,15 +32,17 @@
         self._cards: dict[str, Card] = {}
         self._beats: dict[str, int] = {}
         self._fresh_ms: dict[str, int] = {}
+        self._first_ms: dict[str, int] = {}
         self._heard_ms: dict[str, int] = {}
         self._view: list[str] = []
         self._sent_ms = -1 << 40
         self._beat_ms = 0
+        self._beat_count = 0
 
     def card(self) -> Card:
         node = self.node
         return Card(identity=self.identity, address=node.address, http=node.params.http, role=node.params.role,
-                    zone=node.params.zone, beat=self._beat_ms, ready=self.ready())
+                    zone=node.params.zone, region=node.params.region, beat=self._beat_ms, ready=self.ready())
 
     # -- what is known -------------------------------------------------------------------------
 
@@ -54,8 +61,20 @@
     def live(self, identity: str, within_ms: int | None = None) -> bool:
         if identity == self.identity:
             return True
-        heard_ms = max(self._fresh_ms.get(identity, -1 << 40), self._heard_ms.get(identity, -1 << 40))
-        return self.node.env.now() - heard_ms <= (within_ms or self.node.params.dead_ms)
+        return self.node.env.now() - self.heard_ms(identity) <= (within_ms or self.node.params.dead_ms)
+
+    def ready_by_word(self, identity: str) -> bool:
+        """Whether its newest card says that it is ready."""
+        card = self._cards.get(identity)
+        return self.ready() if identity == self.identity else card is not None and card.ready
+
+    def heard_ms(self, identity: str) -> int:
+        """When there was last a sign of life, by itself or through others."""
+        return max(self._fresh_ms.get(identity, -1 << 40), self._heard_ms.get(identity, -1 << 40))
+
+    def first_ms(self, identity: str) -> int:
+        """Since when it has been known without a break."""
+        return self._first_ms.get(identity, self.node.env.now())
 
     def heard_directly(self, within_ms: int) -> list[Card]:
         floor_ms = self.node.env.now() - within_ms
@@ -73,23 +92,39 @@
         mine = encode(self.card())
         for address in self._kin():
             self.node.post(address, Beat(card=mine))
+        self._beat_count += 1
+        if self.node.params.fan_out and self._beat_count % _SHUFFLE_BEATS and len(self._view) >= _FEW:
+            return
         for address in self._partners():
             self.node.post(address, Shuffle(card=mine, cards=self._some()))
 
     def _kin(self) -> list[str]:
         role = self.node.params.role
+        if self.node.params.fan_out:
+            return self._own_kin(role)
         kin = {card.address for card in self.of_role(role, self.node.params.gone_ms)} if role != "edge" else set()
         if role != "edge":
             kin |= {card.address for card in self.of_role("control", self.node.params.gone_ms)}
         return sorted((kin | set(self.wanted())) - {self.node.address})
 
+    def _own_kin(self, role: str) -> list[str]:
+        if role == "edge":
+            return []
+        kin = {card.address for card in self.of_role(role, self.node.params.gone_ms)}
+        kin |= set(self.wanted()) if role == "control" else set()
+        kin = sorted(kin - {self.node.address})
+        if len(kin) <= _KIN_AT_ONCE:
+            return kin
+        start = self._beat_count * _KIN_AT_ONCE % len(kin)
+        return [*kin[start:], *kin[:start]][:_KIN_AT_ONCE]
+
     def _partners(self) -> list[str]:
         rng = self.node.env.rng
         partners = set()
         if self._view:
             partners.add(self._cards[self._view[0]].address)
             self._view.append(self._view.pop(0))
-        if len(self._view) < 3 or rng.random() < 0.1:
+        if len(self._view) < _FEW or rng.random() < 0.1:
             partners.add(rng.choice(self.node.params.seeds))
         return sorted(partners - {self.node.address})
 
@@ -143,6 +178,7 @@
         self._cards[card.identity] = card
         self._beats[card.identity] = card.beat
         self._fresh_ms[card.identity] = now_ms
+        self._first_ms.setdefault(card.identity, now_ms)
         if card.identity not in self._view:
             self._view.append(card.identity)
             if len(self._view) > self.node.params.view_size:
@@ -159,6 +195,7 @@
     def _drop(self, identity: str) -> None:
         self._cards.pop(identity, None)
         self._fresh_ms.pop(identity, None)
+        self._first_ms.pop(identity, None)
         self._heard_ms.pop(identity, None)
         if identity in self._view:
             self._view.remove(identity)
--- a/libs/facsimile/src/facsimile/sim/fleet.py
+++ b/libs/facsimile/src/facsimile/sim/fleet.py
@@ -50,7 +50,8 @@
         address = self._address()
         known = [host.address for host in self.hosts.values() if host.up][:3] or ["10.0.0.1:7000"]
         params = Params(role=role, link=address, http=address.replace(":7000", ":7001"),
-                        zone=ZONES[len(self.hosts) % 3], seeds=known, data_folder="disk", **self._settings)
+                        zone=ZONES[len(self.hosts) % 3], data_folder="disk",
+                        **{"seeds": known, **self._settings})
         disk = SimDisk(self.time, params.disk_bytes) if role != "edge" else None
         self.network.zones[address] = params.zone
         host = SimHost(name, role, address, self.time, self.network, params, disk, self._make, self._note)
--- a/libs/facsimile/src/facsimile/sim/hosts.py
+++ b/libs/facsimile/src/facsimile/sim/hosts.py
@@ -63,6 +63,8 @@
         if self.up:
             return
         self.life += 1
+        if self.life > 1 and self.params.first_start:
+            self.params = self.params.model_copy(update={"first_start": False})
         self.up, self.frozen = True, False
         self.buffer.clear()
         self.deferred.clear()
--- /dev/null
+++ b/libs/gazette/src/gazette/contacts.py
@@ -0,0 +1,99 @@
+"""To which control nodes a node that doesn't vote sends its digests: a few, of its own zone first and
+spread by rendezvous, kept as long as they answer as nodes that hear a majority. One that falls silent
+or is cut off from the others is left for a while; a nearer one is tried again now and then."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from commons import Neighbours, score
+
+__all__ = ["Contacts", "candidates", "nearness"]
+
+Candidate = tuple[str, str, str]
+
+
+def nearness(zone: str, region: str, own_zone: str, own_region: str) -> int:
+    """0 in the same zone, 1 in the same region, 2 elsewhere."""
+    return 0 if zone == own_zone else 1 if region == own_region else 2
+
+
+def candidates(listed: dict[str, Any] | None, neighbours: Neighbours, within_ms: int) -> list[Candidate]:
+    """The voters as listed, or, before there is a list, the control nodes known by their cards."""
+    if listed:
+        return [(row["address"], row.get("zone", ""), row.get("region", "")) for row in listed["voters"]]
+    return [(card.address, card.zone, card.region) for card in neighbours.of_role("control", within_ms)]
+
+
+class Contacts:
+    """`node` gives the clock, the settings and the own address; the feed says whom it asked and heard."""
+
+    __slots__ = ("_asked_ms", "_chosen", "_left_until_ms", "_node", "_probe", "_probed_ms", "_rank")
+
+    def __init__(self, node: Any) -> None:
+        self._node = node
+        self._chosen: list[str] = []
+        self._asked_ms: dict[str, int] = {}
+        self._left_until_ms: dict[str, int] = {}
+        self._probe = ""
+        self._probed_ms = -1 << 40
+        self._rank: dict[str, tuple] = {}
+
+    @property
+    def first(self) -> str:
+        return self._chosen[0] if self._chosen else ""
+
+    def choose(self, among: Iterable[Candidate]) -> list[str]:
+        """The contacts as of now, the first one first, and sometimes a nearer one that is tried."""
+        node = self._node
+        now_ms = node.env.now()
+        params = node.params
+        self._rank = {address: (nearness(zone, region, params.zone, params.region), -score(address, node.address))
+                      for address, zone, region in among if address != node.address}
+        for address in [address for address, at_ms in self._asked_ms.items() if now_ms - at_ms > params.dead_ms]:
+            self._leave(address)
+        self._chosen = [address for address in self._chosen if address in self._rank][:params.fan_out]
+        while len(self._chosen) < min(params.fan_out, len(self._rank)):
+            self._chosen.append(min(set(self._rank) - set(self._chosen), key=lambda row: (self._left(row), self._rank[row])))
+        self._chosen.sort(key=self._rank.__getitem__)
+        return [*self._chosen, *self._nearer(now_ms)]
+
+    def _left(self, address: str) -> int:
+        until_ms = self._left_until_ms.get(address, 0)
+        return until_ms if until_ms > self._node.env.now() else 0
+
+    def _nearer(self, now_ms: int) -> list[str]:
+        if now_ms - self._probed_ms >= self._node.params.gone_ms:
+            self._probed_ms = now_ms
+            best = min(self._rank, key=self._rank.__getitem__, default="")
+            self._probe = best if best and best not in self._chosen else ""
+            return [self._probe] if self._probe else []
+        return []
+
+    def asked(self, address: str) -> None:
+        if address in self._chosen:
+            self._asked_ms.setdefault(address, self._node.env.now())
+
+    def heard(self, address: str, sure: bool) -> None:
+        """A contact that is unsure is left at once, if there is one to go to."""
+        if not sure:
+            if address in self._chosen and len(self._rank) > len(self._chosen):
+                self._leave(address)
+            self._asked_ms.pop(address, None)
+            return
+        self._asked_ms.pop(address, None)
+        self._left_until_ms.pop(address, None)
+        if address == self._probe and self._chosen and address not in self._chosen:
+            worst = max(self._chosen, key=lambda row: self._rank.get(row, (9,)))
+            if self._rank[address] < self._rank.get(worst, (9,)):
+                self._chosen[self._chosen.index(worst)] = address
+        self._probe = "" if address == self._probe else self._probe
+
+    def _leave(self, address: str) -> None:
+        self._asked_ms.pop(address, None)
+        self._left_until_ms[address] = self._node.env.now() + self._node.params.gone_ms
+        if address in self._chosen:
+            self._chosen.remove(address)
+
+    def woke(self) -> None:
+        """Who didn't answer while this node was frozen isn't to blame."""
+        self._asked_ms.clear()
--- a/libs/gazette/src/gazette/feed.py
+++ b/libs/gazette/src/gazette/feed.py
@@ -1,35 +1,46 @@
 """The feed at one node: the newest body of each key with its number. News is passed on to all
 neighbours when first heard; digests, swapped every beat, find whatever was missed, and a node that
 starts follows from nothing, which is the snapshot. A change to a large body travels as a merge patch
-on the number before it. Numbers never go back."""
+on the number before it. Numbers never go back.
+
+With fan_out, digests and news go by way of the voters: a node that doesn't vote reports to a few of
+them, at a slower beat, and each voter passes on news to those who report to it first and tells the
+other voters the lowest numbers that it was told."""
 
 import json
 from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
 from typing import Any
 
-from gazette.messages import Digest, KeyNumber, News, NewsItem
+from gazette.contacts import Candidate, Contacts
+from gazette.messages import Digest, News, NewsItem
 from gazette.patches import merge, merge_diff
 from vellum import Message, Origin, Part, decode, encode
 
-__all__ = ["Gazette", "LEAST", "ROLL_KEY"]
+__all__ = ["CONFIRMERS", "Gazette", "LEAST", "ROLL_KEY"]
 
 ROLL_KEY = "fleet"
 LEAST = 3
+CONFIRMERS = {"profiles": ("edge", "store"), "workers": ("edge",)}
+_REPORT_BEATS = 2
+_PEER_BEATS = 5
 
 
 class Gazette(Part):
     """`neighbours` gives the addresses to relay to, `extra` further ones to swap digests with; `sure`
     says whether this node knows its feed to be the newest: a quorate control node, a ready edge."""
 
-    __slots__ = ("_extra", "_items", "_neighbours", "_patches", "_quiet_until_ms", "_roll", "_sent_ms", "_since_ms", "_watchers", "confirmed", "contacts_ms",
-                 "identity", "quorate_ms", "sent_bytes", "sure", "sure_edge_ms")
+    __slots__ = ("_beat_count", "_contacts", "_edges_told", "_extra", "_firsts", "_items", "_lows", "_lows_told", "_neighbours", "_patches",
+                 "_quiet_until_ms", "_roll", "_sent_ms", "_since_ms", "_watchers", "candidates", "confirmed", "contacts_ms",
+                 "identity", "quorate_ms", "sent_bytes", "sure", "sure_edge_ms", "votes")
     HANDLES = (Digest, News)
 
     def __init__(self, identity: str, neighbours: Callable[[], Iterable[str]],
                  extra: Callable[[], Iterable[str]] = lambda: (), sure: Callable[[], bool] = lambda: False) -> None:
         self.identity = identity
         self.sure = sure
+        self.votes: Callable[[], bool] = lambda: False
+        self.candidates: Callable[[], Iterable[Candidate]] = lambda: ()
         self.quorate_ms = -1 << 40
         self.sure_edge_ms = -1 << 40
         self.contacts_ms: dict[str, int] = {}
@@ -44,6 +55,16 @@
         self._since_ms = 1 << 60
         self._roll: tuple[int, frozenset[str]] = (0, frozenset())
         self._quiet_until_ms = -1 << 40
+        self._beat_count = 0
+        self._contacts: Contacts | None = None
+        self._firsts: set[str] = set()
+        self._lows: dict[str, dict[str, int]] = {}
+        self._lows_told: dict[str, int] = {}
+        self._edges_told: dict[str, int] = {}
+
+    def attach(self, node: Any) -> None:
+        super().attach(node)
+        self._contacts = Contacts(node)
 
     def watch(self, watcher: Callable[[str, int, str], None]) -> None:
         self._watchers.append(watcher)
@@ -84,12 +105,28 @@
         for watcher in self._watchers:
             watcher(key, number, body)
         patch = self._patches.get(key)
-        item = patch if patch is not None and patch.number == number else self._whole(key)
+        rows = [encode(patch if patch is not None and patch.number == number else self._whole(key))]
+        if self.node.params.fan_out:
+            for address in self._onward(sender):
+                self._send(address, rows)
+            return
         for address in self._addresses():
             if address != sender:
-                self._send(address, [item])
+                self._send(address, rows)
                 self._send_digest(address)
 
+    def _onward(self, sender: str) -> list[str]:
+        """Who is passed news at once: by a voter the others, unless one of them sent it, and its first reporters."""
+        if not self.votes():
+            return []
+        voters = self._voters()
+        floor_ms = self.node.env.now() - self.node.params.dead_ms
+        reporters = {row[3] for identity, row in self.confirmed.items() if identity in self._firsts and row[1] >= floor_ms}
+        return sorted((reporters | (set() if sender in voters else voters)) - {self.node.address, sender})
+
+    def _voters(self) -> set[str]:
+        return set(self._extra())
+
     def _addresses(self) -> list[str]:
         return sorted((set(self._neighbours()) | set(self._extra())) - {self.node.address})
 
@@ -97,9 +134,8 @@
         number, body = self._items[key]
         return NewsItem(key=key, number=number, base_number=0, body=body)
 
-    def _send(self, address: str, items: list[NewsItem]) -> None:
-        if items:
-            rows = [encode(item) for item in items]
+    def _send(self, address: str, rows: list[bytes]) -> None:
+        if rows:
             self.sent_bytes += sum(len(row) for row in rows)
             self.node.post(address, News(items=rows))
 
@@ -123,33 +159,105 @@
             else:
                 self._send_digest(origin.sender)
         if self.numbers() != before:
-            self._send_digest(origin.sender)
+            if self.node.params.fan_out and not self.votes():
+                self._report()
+            else:
+                self._send_digest(origin.sender)
 
     # -- digests -------------------------------------------------------------------------------
 
-    def _digest(self) -> Digest:
-        return Digest(identity=self.identity, role=self.node.params.role, sure=self.sure(),
-                      numbers=[encode(KeyNumber(key=key, number=number)) for key, number in self.numbers().items()])
+    def _digest(self, first: bool = False, edges: int = 0) -> Digest:
+        numbers = self.numbers()
+        lows = self.lows() if self.node.params.fan_out and self.votes() else {}
+        return Digest(identity=self.identity, role=self.node.params.role, sure=self.sure(), keys=list(numbers),
+                      numbers=list(numbers.values()), low_keys=list(lows), lows=list(lows.values()), first=first, edges=edges)
 
     def _send_digest(self, address: str) -> None:
-        self.node.post(address, self._digest())
+        self.node.post(address, self._digest(first=address == self._contacts.first, edges=self._edges_for(address)))
 
     @receive.register
     def _(self, message: Digest, origin: Origin) -> None:
         now_ms = self.node.env.now()
-        theirs = {row.key: row.number for row in map(decode, message.numbers)}
+        theirs = dict(zip(message.keys, message.numbers, strict=True))
         if now_ms >= self._quiet_until_ms:
             self.contacts_ms[message.identity] = now_ms
             if message.sure and message.role == "control":
                 self.quorate_ms = now_ms
             elif message.sure:
                 self.sure_edge_ms = now_ms
+        before = self.confirmed.get(message.identity)
         self.confirmed[message.identity] = (message.role, now_ms, theirs, origin.sender)
-        self._send(origin.sender, [self._newer(key, theirs.get(key, 0)) for key, number in self.numbers().items()
+        if self.node.params.fan_out:
+            self._note_report(message, origin, before is None or before[2] != theirs)
+        self._send(origin.sender, [encode(self._newer(key, theirs.get(key, 0))) for key, number in self.numbers().items()
                                    if number > theirs.get(key, 0)])
-        if any(number > self.number(key) for key, number in theirs.items()):
+        if self._wants_digest(message, origin) or any(number > self.number(key) for key, number in theirs.items()):
             self._send_digest(origin.sender)
 
+    def _wants_digest(self, message: Digest, origin: Origin) -> bool:
+        """Who reports to a voter is answered, so that it knows the voter to live and to hear a majority."""
+        return bool(self.node.params.fan_out) and self.votes() and (message.role != "control" or origin.sender not in self._voters())
+
+    # -- reports -------------------------------------------------------------------------------
+
+    def _note_report(self, message: Digest, origin: Origin, changed: bool) -> None:
+        (self._firsts.add if message.first else self._firsts.discard)(message.identity)
+        if message.role == "control":
+            self._lows[message.identity] = dict(zip(message.low_keys, message.lows, strict=True))
+            self._edges_told[message.identity] = message.edges
+            self._contacts.heard(origin.sender, message.sure)
+        elif changed and self.votes() and self.lows() != self._lows_told:
+            self._tell_voters()
+
+    def lows(self) -> dict[str, int]:
+        """Of each key that is to be confirmed, the lowest number among those who report here."""
+        floor_ms = self.node.env.now() - self.node.params.dead_ms
+        lows: dict[str, int] = {}
+        for role, at_ms, numbers, _ in self.confirmed.values():
+            if at_ms >= floor_ms:
+                for key, roles in CONFIRMERS.items():
+                    if role in roles:
+                        lows[key] = min(lows.get(key, 1 << 60), numbers.get(key, 0))
+        return lows
+
+    def _own_edges(self) -> int:
+        floor_ms = self.node.env.now() - self.node.params.dead_ms
+        return sum(1 for identity, (role, at_ms, _, _) in self.confirmed.items()
+                   if role == "edge" and at_ms >= floor_ms and identity in self._firsts)
+
+    def _edges_for(self, address: str) -> int:
+        if not (self.node.params.fan_out and self.votes()):
+            return 0
+        return self._own_edges() if address in self._voters() else self.edge_count()
+
+    def edge_count(self) -> int:
+        """How many edges live: a voter adds up what the voters say, others take the most they were told."""
+        floor_ms = self.node.env.now() - self.node.params.dead_ms
+        told = [count for identity, count in self._edges_told.items()
+                if identity in self.confirmed and self.confirmed[identity][1] >= floor_ms]
+        return self._own_edges() + sum(told) if self.votes() else max(told, default=0)
+
+    def _tell_voters(self) -> None:
+        self._lows_told = self.lows()
+        digest = self._digest(edges=self._own_edges())
+        for address in self._voters() - {self.node.address}:
+            self.node.post(address, digest)
+
+    def _report(self) -> None:
+        for address in self._contacts.choose(self.candidates()):
+            self._contacts.asked(address)
+            self._send_digest(address)
+
+    def _tick_by_way_of_voters(self) -> None:
+        self._beat_count += 1
+        if self.votes():
+            self._tell_voters()
+        elif self._beat_count % _REPORT_BEATS == 0 or not self._items:
+            self._report()
+        peers = sorted(set(self._neighbours()) - {self.node.address})
+        if peers and not self.votes() and self._beat_count % _PEER_BEATS == 0:
+            self._send_digest(peers[self._beat_count // _PEER_BEATS % len(peers)])
+
     def _newer(self, key: str, their_number: int) -> NewsItem:
         patch = self._patches.get(key)
         if patch is not None and patch.base_number == their_number and patch.number == self.number(key):
@@ -166,6 +274,12 @@
                          if now_ms - row[1] > self.node.params.gone_ms]:
             del self.confirmed[identity]
             self.contacts_ms.pop(identity, None)
+            self._firsts.discard(identity)
+            self._lows.pop(identity, None)
+            self._edges_told.pop(identity, None)
+        if self.node.params.fan_out:
+            self._tick_by_way_of_voters()
+            return
         digest = self._digest()
         for address in self._addresses():
             self.node.post(address, digest)
@@ -176,12 +290,17 @@
         self._since_ms = self.node.env.now()
         self.quorate_ms = self.sure_edge_ms = -1 << 40
         self.contacts_ms = dict.fromkeys(self.contacts_ms, -1 << 40)
+        self._contacts.woke()
 
     # -- confirmation --------------------------------------------------------------------------
 
     def all_confirm(self, key: str, number: int, roles: tuple[str, ...], within_ms: int) -> bool:
-        """Whether every node of these roles heard from lately has this number in force."""
+        """Whether every node of these roles heard from lately has this number in force, by its own word or,
+        with fan_out, by that of a voter to whom it reports."""
         floor_ms = self.node.env.now() - within_ms
+        if any(lows.get(key, number) < number for identity, lows in self._lows.items()
+               if identity in self.confirmed and self.confirmed[identity][1] >= floor_ms):
+            return False
         return all(numbers.get(key, 0) >= number for role, at_ms, numbers, _ in self.confirmed.values()
                    if role in roles and at_ms >= floor_ms)
 
--- a/libs/gazette/src/gazette/messages.py
+++ b/libs/gazette/src/gazette/messages.py
@@ -3,12 +3,7 @@
 
 from vellum import Arr, Blob, Flag, Long, Message, Text
 
-__all__ = ["Digest", "KeyNumber", "News", "NewsItem"]
-
-
-class KeyNumber(Message):
-    key: Text
-    number: Long
+__all__ = ["Digest", "News", "NewsItem"]
 
 
 class NewsItem(Message):
@@ -23,7 +18,16 @@
 
 
 class Digest(Message):
+    """`low_keys` and `lows`: of each confirmed key the lowest number among the nodes that report to the
+    sender. `first` is said to the control node that is to pass on news at once. `edges` is how many
+    edges report to the sender first; said to one who reports, how many there are in all."""
+
     identity: Text
     role: Text
-    numbers: Arr(Blob)
     sure: Flag
+    keys: Arr(Text)
+    numbers: Arr(Long)
+    low_keys: Arr(Text)
+    lows: Arr(Long)
+    first: Flag
+    edges: Long
--- a/libs/readingroom/src/readingroom/nodes.py
+++ b/libs/readingroom/src/readingroom/nodes.py
@@ -8,7 +8,7 @@
 from catalogue import ControlClient, Tree, profiles_digest
 from circulation import Carrier, HolderClient, Items, LotRunner, Roster
 from commons import Neighbours
-from gazette import Gazette
+from gazette import Gazette, candidates
 from ledger import Desk
 from readingroom.counter import Counter
 from stacks import Damage, Disk
@@ -43,6 +43,7 @@
         self.gazette = Gazette(identity, lambda: [card.address for card in self.neighbours.view()],
                                self._control_addresses)
         self.neighbours.wanted = self._wanted
+        self.gazette.candidates = lambda: candidates(self.gazette.value(CONTROL_KEY), self.neighbours, self.params.gone_ms)
         self._tree = Tree({})
         self._tree_number = 0
         self.tree_digest = ""
@@ -149,7 +150,7 @@
                                        self.lots, self.counter])
 
     def _edges(self) -> int:
-        return 1 + len(self.neighbours.of_role("edge", self.params.dead_ms))
+        return self.gazette.edge_count() or 1 + len(self.neighbours.of_role("edge", self.params.dead_ms))
 
     def why_unready(self) -> str:
         """An edge serves while it hears of a control majority, or, with control gone, from most of the
@@ -157,6 +158,8 @@
         if self.stopping:
             return "stopping"
         now_ms = self.env.now()
+        if self.params.cut_off == "serve":
+            return self._why_not_begun(now_ms)
         if not (self._hears_control(now_ms) or self._hears_most(now_ms)):
             return "cut off from control and most neighbours"
         if not self._caught_up:
@@ -165,6 +168,15 @@
                 return "has not caught up with the feed"
         return ""
 
+    def _why_not_begun(self, now_ms: int) -> str:
+        """Where the cut-off serve: an edge begins when it has profiles and knows no newer ones, by control's
+        word or, if control can't be heard, by that of its neighbours; from then on it serves by what it knows."""
+        if not self._caught_up:
+            params = self.params
+            heard = now_ms - self.gazette.quorate_ms <= params.dead_ms or now_ms - self._started_ms > params.dead_ms
+            self._caught_up = heard and self.gazette.number(PROFILES_KEY) > 0 and self._level(now_ms - params.dead_ms)
+        return "" if self._caught_up else "has not caught up with the feed"
+
     def _hears_control(self, now_ms: int) -> bool:
         if now_ms - self.gazette.quorate_ms <= self.params.cut_ms:
             self._was_quorate = True
--- a/libs/registrar/src/registrar/nodes.py
+++ b/libs/registrar/src/registrar/nodes.py
@@ -1,11 +1,12 @@
 """The control node, put together from its parts: a voter with its disk, the owner of keys, founding
 and the steward's duty, the feed, and its neighbours."""
 
+import json
 from typing import Any
 
 from catalogue import Founding, Owner, Roll, Tree, Voter
 from commons import Neighbours
-from gazette import Gazette
+from gazette import Gazette, candidates
 from readingroom.nodes import CONTROL_KEY, PROFILES_KEY, open_or_set_aside
 from stacks import Disk
 from vellum import Env, Node
@@ -23,12 +24,19 @@
         self.neighbours = Neighbours(identity)
         self.gazette = Gazette(identity, lambda: [card.address for card in self.neighbours.view()],
                                lambda: self.voter.voters.values(), sure=self.quorate)
-        self.neighbours.wanted = lambda: self.voter.voters.values()
+        self.neighbours.wanted = lambda: self.voter.voters.values() or (() if params.control_count else params.seeds)
+        self.gazette.votes = lambda: self.voter.identity in self.voter.voters
+        self.gazette.candidates = lambda: candidates(self._list(), self.neighbours, params.gone_ms)
         self.neighbours.ready = lambda: not self.why_unready()
         self.owner = Owner(self.voter, self.neighbours, self.gazette)
         self.founding = Founding(self.voter, self.owner, self.neighbours, self.gazette)
         self.roll = Roll(self.owner, self.gazette, lambda: self.quorate() and self.founding.steward() == identity)
-        super().__init__(env, params, [self.neighbours, self.gazette, self.voter, self.owner, self.founding, self.roll])
+        parts = [self.neighbours, self.gazette, self.voter, self.owner, self.founding]
+        super().__init__(env, params, parts if params.cut_off == "serve" else [*parts, self.roll])
+
+    def _list(self) -> dict[str, Any] | None:
+        """The voters as this node's disk has them."""
+        return json.loads(self.voter.meta.list_body) if self.voter.meta.list_body else None
 
     def quorate(self) -> bool:
         """Whether this node is a voter that hears a majority of the voters."""
