--- a/libs/catalogue/src/catalogue/owner.py
+++ b/libs/catalogue/src/catalogue/owner.py
@@ -20,6 +20,7 @@
 __all__ = ["Owner", "newest"]
 
 _REMEMBERED_CHANGES = 64
+_CONFIRMED_KEYS = ("profiles",)
 _RELAY_HOPS = 2
 Done = Callable[[Changed], None]
 
@@ -50,13 +51,15 @@
 
 
 class _Key:
-    __slots__ = ("epoch", "name", "ops", "seen_epoch", "state", "value")
+    __slots__ = ("asking", "changed_ms", "epoch", "name", "ops", "seen_epoch", "state", "value")
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.state = State.UNOWNED
         self.epoch = 0
         self.seen_epoch = 0
+        self.changed_ms = 0
+        self.asking = False
         self.value: Value | None = None
         self.ops: list[_Op] = []
 
@@ -130,7 +133,7 @@
     def owner_of(self, concern: str) -> str | None:
         """Who has a duty: the first live voter that itself hears a majority, or the first live one."""
         order = [name for name in duty_order(concern, self._voter.voters) if self._neighbours.live(name)]
-        return first_live(order, self._neighbours.ready_by_word) or next(iter(order), None)
+        return first_live(order, self._neighbours.hears) or next(iter(order), None)
 
     def renew(self, key: str, done: Callable[[bool], None]) -> None:
         self._enqueue(Renew(key), self.node.env.now() + self.node.params.ask_ms * 2,
@@ -151,7 +154,7 @@
     def _next(self, key: _Key) -> None:
         while key.ops and self.node.env.now() >= key.ops[0].due_ms:
             self._answer(key, "doubt", "no majority of voters answered in time")
-        if not key.ops:
+        if not key.ops or key.asking:
             return
         if key.state is State.UNOWNED:
             self._prepare(key)
@@ -160,9 +163,15 @@
                                      list_number=self._voter.list_number), self._confirmed)
 
     def _round(self, key: _Key, message: Message, done: Callable[[_Key, Round, bool], None]) -> None:
-        epoch = key.epoch
-        Round(self.node, self._voter.voters, message, self.node.params.ask_ms,
-              lambda round_, ok: done(key, round_, ok) if key.epoch == epoch else None)
+        """One at a time for a key: whoever is answered may ask again before the answer is done with."""
+        epoch, key.asking = key.epoch, True
+
+        def ended(round_: Round, ok: bool) -> None:
+            if key.epoch == epoch:
+                key.asking = False
+                done(key, round_, ok)
+
+        Round(self.node, self._voter.voters, message, self.node.params.ask_ms, ended)
 
     def _prepare(self, key: _Key) -> None:
         key.state = State.PREPARING
@@ -265,6 +274,7 @@
                     self.node.post(address, Founded(list_body=self._voter.meta.list_body))
 
     def _publish(self, key: _Key) -> None:
+        key.changed_ms = self.node.env.now()
         self._gazette.publish(key.name, key.value.version, key.value.body)
 
     def _finish(self, key: _Key, outcome: str, reason: str, version: int | None = None) -> None:
@@ -278,9 +288,11 @@
         known = outcome in ("ok", "lost")
         receipt = Changed(outcome=outcome, version=(version or value.version) if known else 0,
                           body=value.body if known else "", reason=reason)
-        if outcome == "ok" and isinstance(op.message, Change) and key.name in CONFIRMERS:
-            self._unconfirmed.append((key.name, receipt.version,
-                                      self.node.env.now() + self.node.params.confirm_ms, receipt, op.done))
+        if outcome == "ok" and isinstance(op.message, Change) and key.name in _CONFIRMED_KEYS:
+            params = self.node.params
+            due_ms = (key.changed_ms + params.edges_ms if params.cut_off == "serve"
+                      else self.node.env.now() + params.confirm_ms)
+            self._unconfirmed.append((key.name, receipt.version, due_ms, receipt, op.done))
             self._check_confirmed()
         else:
             op.done(receipt)
@@ -295,8 +307,9 @@
         for row in waiting:
             name, version, due_ms, receipt, done = row
             params, gazette = self.node.params, self._gazette
-            within_ms = params.dead_ms if params.cut_off == "serve" else params.confirm_ms
-            most = gazette.most_confirm(name, version, params.confirm_ms)
+            serves = params.cut_off == "serve"
+            most = serves or gazette.most_confirm(name, version, params.confirm_ms)
+            within_ms = params.dead_ms if serves else params.confirm_ms
             if most and (now_ms >= due_ms or gazette.all_confirm(name, version, CONFIRMERS[name], within_ms)):
                 done(receipt)
             elif now_ms >= due_ms + 2 * params.ask_ms:
@@ -316,6 +329,7 @@
     def woke(self, gap_ms: int) -> None:
         for key in self._keys.values():
             key.epoch += 1
+            key.asking = False
             self._lose(key)
             while key.ops:
                 self._answer(key, "doubt", "the owner was frozen")
--- a/libs/commons/src/commons/cards.py
+++ b/libs/commons/src/commons/cards.py
@@ -1,5 +1,5 @@
 """A card says who a node is and where; its beat counter, raised by the node alone, shows how fresh
-what is passed on about it is. Cards travel in shuffles and in beats sent straight to kin."""
+what is passed on about it is. `deaf` is the own word of a voter that hears no majority of the voters. Cards travel in shuffles and in beats sent straight to kin."""
 
 from vellum import Arr, Blob, Flag, Long, Message, Text
 
@@ -15,6 +15,8 @@
     region: Text
     beat: Long
     ready: Flag
+    deaf: Flag
+    name: Text
 
 
 class Shuffle(Message):
--- a/libs/commons/src/commons/neighbours.py
+++ b/libs/commons/src/commons/neighbours.py
@@ -22,12 +22,13 @@
     """`wanted` says which further addresses are to be beaten to, such as members named by a key."""
 
     __slots__ = ("_beat_count", "_beat_ms", "_beats", "_cards", "_first_ms", "_fresh_ms", "_heard_ms", "_sent_ms", "_view",
-                 "identity", "ready", "wanted")
+                 "deaf", "identity", "ready", "wanted")
     HANDLES = (Shuffle, Shuffled, Beat)
 
     def __init__(self, identity: str) -> None:
         self.identity = identity
         self.ready: Callable[[], bool] = lambda: True
+        self.deaf: Callable[[], bool] = lambda: False
         self.wanted: Callable[[], Iterable[str]] = lambda: ()
         self._cards: dict[str, Card] = {}
         self._beats: dict[str, int] = {}
@@ -42,7 +43,8 @@
     def card(self) -> Card:
         node = self.node
         return Card(identity=self.identity, address=node.address, http=node.params.http, role=node.params.role,
-                    zone=node.params.zone, region=node.params.region, beat=self._beat_ms, ready=self.ready())
+                    zone=node.params.zone, region=node.params.region, beat=self._beat_ms, ready=self.ready(), deaf=self.deaf(),
+                    name=node.params.node_name or node.address)
 
     # -- what is known -------------------------------------------------------------------------
 
@@ -63,10 +65,10 @@
             return True
         return self.node.env.now() - self.heard_ms(identity) <= (within_ms or self.node.params.dead_ms)
 
-    def ready_by_word(self, identity: str) -> bool:
-        """Whether its newest card says that it is ready."""
+    def hears(self, identity: str) -> bool:
+        """Whether it takes itself to hear a majority of the voters, as its newest card says."""
         card = self._cards.get(identity)
-        return self.ready() if identity == self.identity else card is not None and card.ready
+        return not self.deaf() if identity == self.identity else card is None or not card.deaf
 
     def heard_ms(self, identity: str) -> int:
         """When there was last a sign of life, by itself or through others."""
@@ -111,7 +113,8 @@
         if role == "edge":
             return []
         kin = {card.address for card in self.of_role(role, self.node.params.gone_ms)}
-        kin |= set(self.wanted()) if role == "control" else set()
+        if role == "control" or self._beat_count % _SHUFFLE_BEATS == 0:
+            kin |= set(self.wanted())
         kin = sorted(kin - {self.node.address})
         if len(kin) <= _KIN_AT_ONCE:
             return kin
--- a/libs/registrar/src/registrar/nodes.py
+++ b/libs/registrar/src/registrar/nodes.py
@@ -4,10 +4,12 @@
 import json
 from typing import Any
 
-from catalogue import Founding, Owner, Roll, Tree, Voter
+from catalogue import Founding, Owner, Roll, Tree, Voter, WorkerList
 from commons import Neighbours
 from gazette import Gazette, candidates
 from readingroom.nodes import CONTROL_KEY, PROFILES_KEY, open_or_set_aside
+from registrar.retirement import Retirement
+from registrar.tree_changes import TreeChanges
 from stacks import Disk
 from vellum import Env, Node
 
@@ -15,7 +17,8 @@
 
 
 class ControlNode(Node):
-    __slots__ = ("disk", "founding", "gazette", "neighbours", "owner", "roll", "voter")
+    __slots__ = ("disk", "founding", "gazette", "neighbours", "owner", "retirement", "roll",
+                 "tree_changes", "voter", "worker_list")
 
     def __init__(self, env: Env, params: Any, disk: Disk) -> None:
         self.disk = disk
@@ -28,23 +31,36 @@
         self.gazette.votes = lambda: self.voter.identity in self.voter.voters
         self.gazette.candidates = lambda: candidates(self._list(), self.neighbours, params.gone_ms)
         self.neighbours.ready = lambda: not self.why_unready()
+        self.neighbours.deaf = lambda: identity in self.voter.voters and not self._hears(params.cut_ms)
         self.owner = Owner(self.voter, self.neighbours, self.gazette)
         self.founding = Founding(self.voter, self.owner, self.neighbours, self.gazette)
         self.roll = Roll(self.owner, self.gazette, lambda: self.quorate() and self.founding.steward() == identity)
-        parts = [self.neighbours, self.gazette, self.voter, self.owner, self.founding]
+        self.worker_list = WorkerList(self.voter, self.owner, self.gazette, sure=self.hears_majority)
+        self.tree_changes = TreeChanges(self.owner, sure=self.hears_majority)
+        self.retirement = Retirement(self.owner, self.neighbours, sure=self.hears_majority)
+        parts = [self.neighbours, self.gazette, self.voter, self.owner, self.founding, self.worker_list, self.tree_changes,
+                 self.retirement]
         super().__init__(env, params, parts if params.cut_off == "serve" else [*parts, self.roll])
 
     def _list(self) -> dict[str, Any] | None:
         """The voters as this node's disk has them."""
         return json.loads(self.voter.meta.list_body) if self.voter.meta.list_body else None
 
+    def hears_majority(self) -> bool:
+        """Whether a majority of the voters are live to this node, which need not be one itself."""
+        voters = self.voter.voters
+        return bool(voters) and self._hears(self.params.dead_ms)
+
     def quorate(self) -> bool:
         """Whether this node is a voter that hears a majority of the voters."""
         voters = self.voter.voters
         if self.voter.identity not in voters:
             return False
-        live = sum(1 for name in voters if self.neighbours.live(name, self.params.cut_ms))
-        return 2 * live > len(voters) and self.gazette.number(CONTROL_KEY) > 0
+        return self._hears(self.params.cut_ms) and self.gazette.number(CONTROL_KEY) > 0
+
+    def _hears(self, within_ms: int) -> bool:
+        voters = self.voter.voters
+        return 2 * sum(1 for name in voters if self.neighbours.live(name, within_ms)) > len(voters)
 
     def why_unready(self) -> str:
         voters = self.voter.voters
