--- a/libs/registrar/src/registrar/nodes.py
+++ b/libs/registrar/src/registrar/nodes.py
@@ -37,10 +37,9 @@
         self.roll = Roll(self.owner, self.gazette, lambda: self.quorate() and self.founding.steward() == identity)
         self.worker_list = WorkerList(self.voter, self.owner, self.gazette, sure=self.hears_majority)
         self.tree_changes = TreeChanges(self.owner, sure=self.hears_majority)
-        self.retirement = Retirement(self.owner, self.neighbours, sure=self.hears_majority)
-        parts = [self.neighbours, self.gazette, self.voter, self.owner, self.founding, self.worker_list, self.tree_changes,
-                 self.retirement]
-        super().__init__(env, params, parts if params.cut_off == "serve" else [*parts, self.roll])
+        self.retirement = Retirement(self.owner, self.neighbours, self.gazette, sure=self.hears_majority)
+        super().__init__(env, params, [self.neighbours, self.gazette, self.voter, self.owner, self.founding, self.roll,
+                                       self.worker_list, self.tree_changes, self.retirement])
 
     def _list(self) -> dict[str, Any] | None:
         """The voters as this node's disk has them."""
