--- a/libs/catalogue/src/catalogue/roll.py
+++ b/libs/catalogue/src/catalogue/roll.py
@@ -1,7 +1,8 @@
 """The roll of edges and stores, a control key: who counts when it is asked whether most of them have a
 version in force, and whether an edge without control still hears most of them. The steward changes
 it by one address at a time, and only once most of the present roll have the present roll; so of two
-sides of a cut never both have a majority, however many machines come and go meanwhile."""
+sides of a cut never both have a majority, however many machines come and go meanwhile. Where the
+cut-off serve, nobody is counted and there is no roll."""
 
 import json
 from typing import Any
@@ -28,6 +29,8 @@
         self._next_ms = -1
 
     def tick(self) -> None:
+        if self.node.params.cut_off == "serve":
+            return
         now_ms = self.node.env.now()
         if self._next_ms < 0:
             self._next_ms = now_ms + self.node.params.dead_ms
--- a/libs/registrar/src/registrar/nodes.py
+++ b/libs/registrar/src/registrar/nodes.py
@@ -1,11 +1,12 @@
 """The control node, put together from its parts: a voter with its disk, the owner of keys, founding
 and the steward's duty, the feed, and its neighbours."""
 
+import json
 from typing import Any
 
 from catalogue import Founding, Owner, Roll, Tree, Voter, WorkerList
 from commons import Neighbours
-from gazette import Gazette
+from gazette import Gazette, candidates
 from readingroom.nodes import CONTROL_KEY, PROFILES_KEY, open_or_set_aside
 from registrar.retirement import Retirement
 from registrar.tree_changes import TreeChanges
@@ -26,8 +27,11 @@
         self.neighbours = Neighbours(identity)
         self.gazette = Gazette(identity, lambda: [card.address for card in self.neighbours.view()],
                                lambda: self.voter.voters.values(), sure=self.quorate)
-        self.neighbours.wanted = lambda: self.voter.voters.values()
+        self.neighbours.wanted = lambda: self.voter.voters.values() or (() if params.control_count else params.seeds)
+        self.gazette.votes = lambda: self.voter.identity in self.voter.voters
+        self.gazette.candidates = lambda: candidates(self._list(), self.neighbours, params.gone_ms)
         self.neighbours.ready = lambda: not self.why_unready()
+        self.neighbours.deaf = lambda: identity in self.voter.voters and not self._hears(params.cut_ms)
         self.owner = Owner(self.voter, self.neighbours, self.gazette)
         self.founding = Founding(self.voter, self.owner, self.neighbours, self.gazette)
         self.roll = Roll(self.owner, self.gazette, lambda: self.quorate() and self.founding.steward() == identity)
@@ -37,18 +41,25 @@
         super().__init__(env, params, [self.neighbours, self.gazette, self.voter, self.owner, self.founding, self.roll,
                                        self.worker_list, self.tree_changes, self.retirement])
 
+    def _list(self) -> dict[str, Any] | None:
+        """The voters as this node's disk has them."""
+        return json.loads(self.voter.meta.list_body) if self.voter.meta.list_body else None
+
     def hears_majority(self) -> bool:
         """Whether a majority of the voters are live to this node, which need not be one itself."""
         voters = self.voter.voters
-        return bool(voters) and 2 * sum(1 for name in voters if self.neighbours.live(name)) > len(voters)
+        return bool(voters) and self._hears(self.params.dead_ms)
 
     def quorate(self) -> bool:
         """Whether this node is a voter that hears a majority of the voters."""
         voters = self.voter.voters
         if self.voter.identity not in voters:
             return False
-        live = sum(1 for name in voters if self.neighbours.live(name, self.params.cut_ms))
-        return 2 * live > len(voters) and self.gazette.number(CONTROL_KEY) > 0
+        return self._hears(self.params.cut_ms) and self.gazette.number(CONTROL_KEY) > 0
+
+    def _hears(self, within_ms: int) -> bool:
+        voters = self.voter.voters
+        return 2 * sum(1 for name in voters if self.neighbours.live(name, within_ms)) > len(voters)
 
     def why_unready(self) -> str:
         voters = self.voter.voters
