--- a/libs/commons/src/commons/neighbours.py
+++ b/libs/commons/src/commons/neighbours.py
@@ -14,6 +14,7 @@
 _SHARE = 6
 _REMEMBERED = 4096
 _SHUFFLE_BEATS = 5
+_CONTROL_BEATS = 2
 _KIN_AT_ONCE = 16
 _FEW = 3
 
@@ -113,7 +114,7 @@
         if role == "edge":
             return []
         kin = {card.address for card in self.of_role(role, self.node.params.gone_ms)}
-        if role == "control" or self._beat_count % _SHUFFLE_BEATS == 0:
+        if role == "control" or self._beat_count % _CONTROL_BEATS == 0:
             kin |= set(self.wanted())
         kin = sorted(kin - {self.node.address})
         if len(kin) <= _KIN_AT_ONCE:
