Links: what waits goes out in one piece, a dark peer is found, a refusing one is live for no duty

Cause: a connection to a machine that went dark was kept for minutes by the kernel; each message cost a task switch, a timer and a system call on either side. Change: TCP_USER_TIMEOUT of twice the wait, connecting given half of it; frames are joined and read in chunks; what is told to many is written once; a slow link is left alone while something moves. Where nothing listens, a voter's duties pass on at once.

--- a/libs/commons/src/commons/neighbours.py
+++ b/libs/commons/src/commons/neighbours.py
@@ -22,7 +22,7 @@
 class Neighbours(Part):
     """`wanted` says which further addresses are to be beaten to, such as members named by a key."""
 
-    __slots__ = ("_beat_count", "_beat_ms", "_beats", "_cards", "_first_ms", "_fresh_ms", "_heard_ms", "_sent_ms", "_view",
+    __slots__ = ("_beat_count", "_beat_ms", "_beats", "_cards", "_first_ms", "_fresh_ms", "_heard_ms", "_refused", "_sent_ms", "_view",
                  "deaf", "identity", "ready", "wanted")
     HANDLES = (Shuffle, Shuffled, Beat)
 
@@ -35,6 +35,7 @@
         self._beats: dict[str, int] = {}
         self._fresh_ms: dict[str, int] = {}
         self._first_ms: dict[str, int] = {}
+        self._refused: set[str] = set()
         self._heard_ms: dict[str, int] = {}
         self._view: list[str] = []
         self._sent_ms = -1 << 40
@@ -64,6 +65,8 @@
     def live(self, identity: str, within_ms: int | None = None) -> bool:
         if identity == self.identity:
             return True
+        if within_ms is None and identity in self._refused:
+            return False
         return self.node.env.now() - self.heard_ms(identity) <= (within_ms or self.node.params.dead_ms)
 
     def hears(self, identity: str) -> bool:
@@ -71,6 +74,10 @@
         card = self._cards.get(identity)
         return not self.deaf() if identity == self.identity else card is None or not card.deaf
 
+    def refused(self, address: str) -> None:
+        """Nothing listens there: it is live for no duty until it is heard again."""
+        self._refused.update(identity for identity, card in self._cards.items() if card.address == address)
+
     def heard_ms(self, identity: str) -> int:
         """When there was last a sign of life, by itself or through others."""
         return max(self._fresh_ms.get(identity, -1 << 40), self._heard_ms.get(identity, -1 << 40))
@@ -162,6 +169,7 @@
         if self._beats.get(first.identity, -1) >= first.beat and not fresh:
             self._beats[first.identity] = first.beat - 1
         self._note(first)
+        self._refused.discard(first.identity)
         if first.identity != self.identity:
             self._heard_ms[first.identity] = self.node.env.now()
         for data in cards:
@@ -200,6 +208,7 @@
         self._cards.pop(identity, None)
         self._fresh_ms.pop(identity, None)
         self._first_ms.pop(identity, None)
+        self._refused.discard(identity)
         self._heard_ms.pop(identity, None)
         if identity in self._view:
             self._view.remove(identity)
--- a/libs/vellum/src/vellum/links.py
+++ b/libs/vellum/src/vellum/links.py
@@ -5,7 +5,9 @@
 
 import asyncio
 import io
+import socket
 import struct
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -23,6 +25,12 @@
 _LENGTH = struct.Struct(">I")
 _FRAME_BYTES = 1 << 26
 _QUEUE_LENGTH = 4096
+_QUEUE_BYTES = 1 << 25
+_CHUNK_BYTES = 1 << 18
+_BACKLOG = 512
+_DARK_FACTOR = 2
+_CONNECT_SHARE = 0.5
+_PAUSE_SHARE = 0.1
 
 
 def _pack(sender: str, ref: int, re: int, message: Message) -> bytes:
@@ -32,21 +40,57 @@
     return _LENGTH.pack(len(data)) + data
 
 
+def _tuned(sock: socket.socket, dark_ms: int) -> None:
+    """A peer that went dark is found by what it leaves unacknowledged, not by the kernel's patience of minutes."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    if hasattr(socket, "TCP_USER_TIMEOUT"):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, dark_ms)
+
+
+class _Queue:
+    """What waits for one address, by count, by size and, when it is taken, by age."""
+
+    __slots__ = ("_bytes", "_filled", "_rows")
+
+    def __init__(self) -> None:
+        self._rows: deque[tuple[float, bytes]] = deque()
+        self._bytes = 0
+        self._filled = asyncio.Event()
+
+    def put(self, at: float, frame: bytes) -> None:
+        if len(self._rows) < _QUEUE_LENGTH and (self._bytes + len(frame) <= _QUEUE_BYTES or not self._rows):
+            self._rows.append((at, frame))
+            self._bytes += len(frame)
+            self._filled.set()
+
+    async def filled(self) -> None:
+        await self._filled.wait()
+
+    def take(self, since: float) -> bytes:
+        """All frames put since then as one piece; older ones are let go."""
+        data = b"".join(frame for at, frame in self._rows if at >= since)
+        self._rows.clear()
+        self._bytes = 0
+        self._filled.clear()
+        return data
+
+
 class Switchboard(Service):
     def __init__(self, address: str, wait_ms: int, deliver: Callable[[str, int, int, Message], None]) -> None:
         super().__init__()
         self._address = address
         self._wait_ms = wait_ms
         self._deliver = deliver
-        self._queues: dict[str, asyncio.Queue] = {}
+        self._queues: dict[str, _Queue] = {}
         self._server: asyncio.Server | None = None
         self._readers: set[asyncio.StreamWriter] = set()
+        self._packed: tuple[Message | None, bytes] = (None, b"")
         self.on_refused: Callable[[str], None] = lambda address: None
         self.on_closed: Callable[[str], None] = lambda address: None
 
     async def on_start(self) -> None:
         host, _, port = self._address.rpartition(":")
-        self._server = await asyncio.start_server(self._read, host.strip("[]"), int(port))
+        self._server = await asyncio.start_server(self._read, host.strip("[]"), int(port), backlog=_BACKLOG)
 
     async def on_stop(self) -> None:
         if self._server is not None:
@@ -55,38 +99,65 @@
             writer.close()
 
     def post(self, to: str, ref: int, re: int, message: Message) -> None:
+        loop = asyncio.get_running_loop()
         if to == self._address:
-            asyncio.get_running_loop().call_soon(self._deliver, to, ref, re, message)
+            loop.call_soon(self._deliver, to, ref, re, message)
             return
         queue = self._queues.get(to)
         if queue is None:
-            queue = self._queues[to] = asyncio.Queue(_QUEUE_LENGTH)
+            queue = self._queues[to] = _Queue()
             self.add_future(self._write(to, queue))
-        if not queue.full():
-            queue.put_nowait((asyncio.get_running_loop().time(), _pack(self._address, ref, re, message)))
+        queue.put(loop.time(), self._pack(ref, re, message))
 
-    async def _write(self, to: str, queue: asyncio.Queue) -> None:
-        host, _, port = to.rpartition(":")
+    def _pack(self, ref: int, re: int, message: Message) -> bytes:
+        """What is told to many at once is written once."""
+        if ref or re:
+            return _pack(self._address, ref, re, message)
+        if self._packed[0] is not message:
+            self._packed = (message, _pack(self._address, 0, 0, message))
+        return self._packed[1]
+
+    async def _write(self, to: str, queue: _Queue) -> None:
+        """All that waits goes out in one piece. A connection that fails takes with it what waited meanwhile."""
         reader: asyncio.StreamReader | None = None
         writer: asyncio.StreamWriter | None = None
+        loop, wait = asyncio.get_running_loop(), self._wait_ms / 1000
         while not self.should_stop:
-            put_at, frame = await queue.get()
-            if asyncio.get_running_loop().time() - put_at > self._wait_ms / 1000:
-                continue
+            await queue.filled()
             try:
                 if reader is None or writer is None or writer.is_closing() or reader.at_eof():
-                    reader, writer = await asyncio.wait_for(
-                        asyncio.open_connection(host.strip("[]"), int(port)), self._wait_ms / 1000)
-                writer.write(frame)
-                await asyncio.wait_for(writer.drain(), self._wait_ms / 1000)
+                    if writer is not None:
+                        writer.close()
+                    reader, writer = await self._connect(to)
+                writer.write(queue.take(loop.time() - wait))
+                await self._drained(writer)
             except (OSError, asyncio.TimeoutError) as error:
                 if isinstance(error, ConnectionRefusedError):
                     self.on_refused(to)
                 if writer is not None:
                     writer.transport.abort()
-                writer = None
-                while not queue.empty():
-                    queue.get_nowait()
+                reader = writer = None
+                queue.take(loop.time())
+                await asyncio.sleep(wait * _PAUSE_SHARE)
+
+    async def _drained(self, writer: asyncio.StreamWriter) -> None:
+        """A slow link may take its time, as long as something moves."""
+        left = writer.transport.get_write_buffer_size()
+        while left:
+            try:
+                await asyncio.wait_for(writer.drain(), self._wait_ms / 1000)
+                return
+            except asyncio.TimeoutError:
+                before, left = left, writer.transport.get_write_buffer_size()
+                if left >= before:
+                    raise
+
+    async def _connect(self, to: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, _, port = to.rpartition(":")
+        reader, writer = await asyncio.wait_for(asyncio.open_connection(host.strip("[]"), int(port)),
+                                                self._wait_ms * _CONNECT_SHARE / 1000)
+        _tuned(writer.get_extra_info("socket"), self._wait_ms * _DARK_FACTOR)
+        return reader, writer
 
     async def _hand_on(self, envelope: Any, message: Message) -> None:
         """A fault while a message is taken in may leave the node's state in between: the process ends."""
@@ -100,16 +171,15 @@
 
     async def _read(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._readers.add(writer)
-        sender = ""
+        sender, held = "", bytearray()
         try:
-            while True:
-                (size,) = _LENGTH.unpack(await reader.readexactly(4))
-                if size > _FRAME_BYTES:
-                    raise ValueError(f"a frame of {size} bytes")
-                envelope = schemaless_reader(io.BytesIO(await reader.readexactly(size)), _ENVELOPE, None)
-                sender = envelope["sender"]
-                await self._hand_on(envelope, decode(envelope["body"]))
-        except (asyncio.IncompleteReadError, OSError):
+            while chunk := await reader.read(_CHUNK_BYTES):
+                held += chunk
+                for frame in _frames(held):
+                    envelope = schemaless_reader(io.BytesIO(frame), _ENVELOPE, None)
+                    sender = envelope["sender"]
+                    await self._hand_on(envelope, decode(envelope["body"]))
+        except OSError:
             pass
         except (ValueError, EOFError, IndexError, KeyError, TypeError) as error:
             log("link-refused", "WARNING", reason=repr(error))
@@ -118,3 +188,19 @@
             writer.close()
             if sender and not self.should_stop:
                 self.on_closed(sender)
+
+
+def _frames(held: bytearray) -> list[bytes]:
+    """Takes the whole frames off the front."""
+    frames, start = [], 0
+    while len(held) - start >= _LENGTH.size:
+        (size,) = _LENGTH.unpack_from(held, start)
+        if size > _FRAME_BYTES:
+            raise ValueError(f"a frame of {size} bytes")
+        end = start + _LENGTH.size + size
+        if end > len(held):
+            break
+        frames.append(bytes(held[start + _LENGTH.size:end]))
+        start = end
+    del held[:start]
+    return frames
--- a/tests/test_vellum.py
+++ b/tests/test_vellum.py
@@ -8,7 +8,7 @@
 
 from commons.cards import Beat, Shuffle
 from vellum import Arr, Blob, Flag, Long, Message, Opt, Real, Text, decode, encode
-from vellum.links import Switchboard, _pack
+from vellum.links import Switchboard, _frames, _pack, _Queue
 from vellum.message import BadMessage
 
 
@@ -65,3 +65,58 @@
         taken, crashed = asyncio.run(run())
         self.assertThat(taken, HasLength(1))
         self.assertThat(crashed, Equals(None))
+
+
+class Links(TestCase):
+    def test_frames_are_taken_off_whole_however_they_arrive(self):
+        frames = [_pack("x:1", ref, 0, Beat(card=b"c" * size)) for ref, size in enumerate((0, 5, 3000, 1))]
+        data = b"".join(frames)
+        for step in (1, 2, 7, 1000, len(data)):
+            held, got = bytearray(), []
+            for start in range(0, len(data), step):
+                held += data[start:start + step]
+                got += _frames(held)
+            self.assertThat((got, held), Equals(([frame[4:] for frame in frames], bytearray())), step)
+
+    def test_a_queue_to_a_dark_peer_is_bounded_and_lets_old_frames_go(self):
+        async def run():
+            queue = _Queue()
+            for at in range(6000):
+                queue.put(float(at), b"x" * 10)
+            taken = queue.take(4000.0)
+            big = [queue.put(9.0, b"y" * (20 << 20)) for _ in range(3)]
+            return len(taken), len(queue.take(0.0)), len(big), queue.take(0.0)
+
+        self.assertThat(asyncio.run(run()), Equals((96 * 10, 20 << 20, 3, b"")))
+
+    def test_a_peer_that_comes_back_is_reached_and_one_that_does_not_listen_is_told(self):
+        async def run():
+            taken, refused = [], []
+            arrived = asyncio.Event()
+
+            def deliver(*row):
+                taken.append(row)
+                arrived.set()
+
+            here = Switchboard("127.0.0.1:23991", 500, deliver)
+            here.on_refused = refused.append
+            await here.start()
+            there = None
+            for _ in range(2):
+                refused.clear()
+                while not refused:
+                    here.post("127.0.0.1:23992", 0, 0, Beat(card=b"lost"))
+                    await asyncio.sleep(0)
+                there = Switchboard("127.0.0.1:23992", 500, deliver)
+                await there.start()
+                arrived.clear()
+                while not arrived.is_set():
+                    here.post("127.0.0.1:23992", 0, 0, Beat(card=b"there"))
+                    await asyncio.sleep(0)
+                await there.stop()
+            await here.stop()
+            return refused, {row[3].card for row in taken}
+
+        refused, cards = asyncio.run(asyncio.wait_for(run(), 10))
+        self.assertThat(set(refused), Equals({"127.0.0.1:23992"}))
+        self.assertThat(b"there" in cards, Equals(True))
