--- a/libs/circulation/src/circulation/carriage.py
+++ b/libs/circulation/src/circulation/carriage.py
@@ -26,12 +26,12 @@
 class Send:
     """One send under way. What is reported after it is over changes nothing."""
 
-    __slots__ = ("_carrier", "abort", "began_ms", "carriage", "connecting", "exchange", "heard_ms", "over", "worker")
+    __slots__ = ("_carrier", "abort", "began_ms", "carriage", "connecting", "exchange", "heard_ms", "over", "reads", "worker")
 
     def __init__(self, carrier: Any, carriage: "Carriage", worker: Worker, exchange: Exchange | ForwardExchange) -> None:
         self._carrier, self.carriage, self.worker, self.exchange = carrier, carriage, worker, exchange
         self.abort: Callable[[], None] = _nothing
-        self.over = self.connecting = False
+        self.over = self.connecting = self.reads = False
         self.began_ms = self.heard_ms = carrier.node.env.now()
 
     @property
--- a/libs/circulation/src/circulation/carrier.py
+++ b/libs/circulation/src/circulation/carrier.py
@@ -2,6 +2,7 @@
 are opened and closed at the holder, workers are chosen, and a send is handed to whoever has sockets,
 who reports to it what comes back. Deadlines and silent workers are found on each tick."""
 
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -25,8 +26,8 @@
 class Carrier(Part):
     """`dialect` is what forwarded calls need: how their workers name their headers."""
 
-    __slots__ = ("_holder", "_line", "_list_number", "_open", "_pace", "_roster", "_sender", "_tree", "by_prefix", "counts", "dialect", "edge",
-                 "edges", "parts")
+    __slots__ = ("_holder", "_items", "_items_tree", "_line", "_list_number", "_open", "_pace", "_roster", "_sender", "_tree",
+                 "by_prefix", "counts", "dialect", "edge", "edges", "parts", "reading_items")
 
     def __init__(self, edge: str, holder: Any, roster: Roster, tree: Callable[[], Any], sender: Sender,
                  edges: Callable[[], int] = lambda: 1) -> None:
@@ -35,6 +36,9 @@
         self.dialect: Dialect | None = None
         self.parts = PartMap()
         self._pace = Pace()
+        self._items: deque[Carriage] = deque()
+        self._items_tree: Any = None
+        self.reading_items = 0
         self._list_number = 0
         self._line = WaitingLine()
         self._holder, self._roster, self._tree, self._sender = holder, roster, tree, sender
@@ -48,6 +52,10 @@
     def waiting(self) -> int:
         return len(self._line)
 
+    def items_waiting(self) -> int:
+        """Dealt to this edge, and not yet with a worker."""
+        return len(self._items)
+
     def carrying(self, lot: bool) -> int:
         return sum(1 for carriage in self._open.values() if carriage.call.lot == lot)
 
@@ -105,7 +113,10 @@
         tx, now_ms = carriage.tx, self.node.env.now()
         workers = self._allowed(carriage)
         worker = self._choose(carriage, workers)
-        if worker is None and not carriage.call.lot:
+        if worker is None and carriage.call.lot and not carriage.call.kept_when_gone and workers and not self._all_rest(workers):
+            self._items_tree = self._items_tree if self._items else self._tree()
+            self._items.append(carriage)
+        elif worker is None and not carriage.call.lot:
             waits, back_ms = self._may_wait(carriage, workers, now_ms)
             self._take(carriage, tx.placed(None, bool(workers), waits, back_ms))
         else:
@@ -113,7 +124,7 @@
 
     def _may_wait(self, carriage: Carriage, workers: list[Worker], now_ms: int, before: int | None = None) -> tuple[bool, int]:
         line, tx, params = self._line, carriage.tx, self.node.params
-        if workers and not carriage.call.kept_when_gone and all(map(self._roster.resting, workers)):
+        if workers and not carriage.call.kept_when_gone and self._all_rest(workers):
             return now_ms - tx.started_ms < tx.profile.target_ms * _OUTAGE_SHARE, params.ask_ms
         if not workers:
             held = line.missed_lately(tx.profile.name, now_ms, params.worker_ms) or self._roster.heard_lately(tx.profile)
@@ -123,6 +134,26 @@
         wait_ms = line.estimate_ms(tx, before, sum(worker.slots for worker in workers), self.edges())
         return line.makes_it(tx, wait_ms, now_ms), max(params.beat_ms, int(wait_ms))
 
+    def _all_rest(self, workers: list[Worker]) -> bool:
+        return all(map(self._roster.resting, workers))
+
+    def _serve_items(self) -> None:
+        """Items that were dealt here wait until a worker can read one without holding up what it has begun. Those
+        whose time is up, or whose profiles are no longer in force, are given back."""
+        now_ms, tree = self.node.env.now(), self._tree()
+        old = [carriage for carriage in self._items if tree is not self._items_tree or carriage.tx.due_ms <= now_ms]
+        self._items_tree = tree
+        for carriage in old:
+            self._items.remove(carriage)
+            self._take(carriage, carriage.tx.placed(None, False))
+        while self._items:
+            carriage = self._items[0]
+            worker = self._choose(carriage, self._allowed(carriage))
+            if worker is None:
+                return
+            self._items.popleft()
+            self._take(carriage, carriage.tx.placed(worker, True))
+
     def _serve_line(self, path: str) -> bool:
         """Who is due first goes first, as long as there are slots. False once nobody more can go."""
         for carriage in self._line.rows(path):
@@ -162,14 +193,32 @@
             self._line.seen_worker(tx.profile.name, self.node.env.now())
         self.count("sends_lot" if call.lot else "sends_live")
         worker.sending += 1
+        if not call.kept_when_gone:
+            self._reading(worker, call, 1)
         if call.parts:
             self.parts.sent(worker.identity, call.parts, tx.profile.cache_tokens)
         self.node.env.log("send", "DEBUG", transaction=tx.transaction_id, worker=worker.stamp, path=tx.profile.name)
         send = carriage.send = Send(self, carriage, worker, new_exchange(call, self, tx, worker))
+        send.reads = not call.kept_when_gone
         send.abort = self._sender(send, worker.address, *worker_request(call, self, tx, worker))
 
+    def _reading(self, worker: Worker, call: Any, change: int) -> None:
+        """How many prompts are being read there, of ours, and how many of them are items'."""
+        worker.reading += change
+        if call.lot:
+            worker.reading_items += change
+            self.reading_items += change
+
+    def _has_read(self, send: Send) -> None:
+        if send.reads:
+            send.reads = False
+            self._reading(send.worker, send.carriage.call, -1)
+            if self._items:
+                self._serve_items()
+
     def _over(self, send: Send) -> None:
         send.over = True
+        self._has_read(send)
         send.worker.sending -= 1
         send.carriage.send = None
         send.abort()
@@ -183,6 +232,7 @@
         if send.carriage.call.stream:
             (self._pace.gap if send.heard_ms > send.began_ms else self._pace.first)(path, now_ms - send.heard_ms)
         send.heard_ms = now_ms
+        self._has_read(send)
 
     def ended(self, send: Send, fate: Fate) -> None:
         tx, worker = send.carriage.tx, send.worker
@@ -212,11 +262,13 @@
             elif fate.reason == "busy" and not fate.may_have_run:
                 self._roster.full(worker)
             self.count("sends_failed")
-            self.node.env.log("send-failed", "DEBUG" if fate.mark == "full" else "WARNING", transaction=tx.transaction_id, worker=worker.stamp, reason=fate.reason,
-                              may_have_run=fate.may_have_run)
+            self.node.env.log("send-failed", "DEBUG" if fate.mark == "full" else "WARNING", transaction=tx.transaction_id,
+                              worker=worker.stamp, reason=fate.reason, may_have_run=fate.may_have_run)
             self._take(send.carriage, tx.failed(worker.stamp, fate.may_have_run, fate.reason, self.node.env.now()))
         for path in self._line.paths():
             self._serve_line(path)
+        if self._items:
+            self._serve_items()
 
     def tick(self) -> None:
         now_ms = self.node.env.now()
@@ -232,6 +284,8 @@
                 self.ended(send, Fate("failed", reason="worker silent"))
         for path in self._line.paths():
             self._review_line(path, now_ms)
+        if self._items:
+            self._serve_items()
         if self._list_number != self._roster.list_number:
             self._list_number = self._roster.list_number
             self.parts.keep_only(worker.identity for worker in self._roster.all())
@@ -247,7 +301,7 @@
         silent_ms = now_ms - max(send.heard_ms, worker.answered_ms)
         if silent_ms > self._pace.dark_ms(profile.name, began, params.ask_ms / 2):
             self.ended(send, Fate("failed", reason="worker dark", mark="down"))
-        elif now_ms - send.heard_ms > self._pace.patience_ms(params.force_ms, profile.target_ms, profile.token_gap_ms):
+        elif not carriage.call.lot and now_ms - send.heard_ms > self._pace.patience_ms(params.force_ms, profile.target_ms, profile.token_gap_ms):
             self.ended(send, Fate("failed", reason="worker silent"))
 
     # -- ends ----------------------------------------------------------------------------------
@@ -264,6 +318,8 @@
     def drop(self, carriage: Carriage) -> None:
         if carriage.send is not None:
             self._over(carriage.send)
+        elif carriage in self._items:
+            self._items.remove(carriage)
         self._open.pop(carriage.tx.transaction_id, None)
 
     def _finish(self, carriage: Carriage, step: Step) -> None:
--- a/libs/circulation/src/circulation/forward.py
+++ b/libs/circulation/src/circulation/forward.py
@@ -60,10 +60,11 @@
 
 
 class ForwardExchange:
-    """`fresh`: nothing came before on this connection, so an answer without any id can only be to this."""
+    """`fresh`: nothing came before on this connection, so an answer without any id can only be to this. `good`:
+    the head is that of a success for this very request; `streams`: and its events are delivered as they come."""
 
     __slots__ = ("_check", "_data", "_dialect", "_headers", "_limit_bytes", "_method", "_request_id", "_seen", "_size_bytes",
-                 "_status", "_stream", "_whole_bytes", "_worker", "fresh")
+                 "_status", "_stream", "_whole_bytes", "_worker", "fresh", "good", "streams")
 
     def __init__(self, dialect: Dialect, worker: str, request_id: str, method: str, stream: bool, limit_bytes: int,
                  last_event_id: int | None = None) -> None:
@@ -76,7 +77,7 @@
         self._status = 0
         self._size_bytes = 0
         self._whole_bytes: int | None = -1
-        self.fresh = False
+        self.fresh = self.good = self.streams = False
 
     # -- the head ------------------------------------------------------------------------------
 
@@ -93,7 +94,8 @@
             self._whole_bytes = None
         else:
             self._whole_bytes = -1 if length is None else length
-        self._stream = self._stream and self._one("content-type").lower().startswith("text/event-stream")
+        self.good = 200 <= status < 300 and self._matches and bool(self._one(self._dialect.stamp)) and self._unencoded
+        self.streams = self._stream and self.good and self._one("content-type").lower().startswith("text/event-stream")
 
     def _one(self, name: str) -> str:
         values = self._seen.get(name.lower(), [])
@@ -111,20 +113,11 @@
     def _unencoded(self) -> bool:
         return all(value.lower() in ("", "identity") for value in self._seen.get("content-encoding", []))
 
-    @property
-    def good(self) -> bool:
-        """The head is that of a success for this very request."""
-        return 200 <= self._status < 300 and self._matches and bool(self._one(self._dialect.stamp)) and self._unencoded
-
     @property
     def trusted(self) -> bool:
         """Nothing odd so far: the connection may be used again once the answer is whole."""
         return self._matches
 
-    @property
-    def streams(self) -> bool:
-        return self._stream and self.good
-
     @property
     def load(self) -> tuple[int, int, int] | None:
         """What the worker says that it has: running, waiting, slots."""
--- a/libs/circulation/src/circulation/items.py
+++ b/libs/circulation/src/circulation/items.py
@@ -46,7 +46,7 @@
         workers = self._roster.workers()
         paths = self._tree().served_by(frozenset((worker.identity, worker.labels) for worker in workers))
         free = sum(self._free(worker) for worker in workers)
-        room = math.ceil(free / self._edges()) if free >= 1 else 0
+        room = max(0, math.ceil(free / self._edges()) - self._carrier.items_waiting()) if free >= 1 else 0
         return room or self._trickle(workers), paths
 
     def _free(self, worker: Worker) -> float:
--- a/libs/circulation/src/circulation/roster.py
+++ b/libs/circulation/src/circulation/roster.py
@@ -36,7 +36,7 @@
     """`others` is what callers elsewhere had at it when it last told its load."""
 
     __slots__ = ("address", "answered_ms", "beat", "cache_use", "down_beat", "down_ms", "failures", "full_until_ms", "heard_ms",
-                 "identity", "incarnation", "labels", "leaving", "listed", "others", "running", "sending", "sending_then",
+                 "identity", "incarnation", "labels", "leaving", "listed", "others", "reading", "reading_items", "running", "sending", "sending_then",
                  "slots", "told_ms", "waiting", "zone")
 
     def __init__(self, news: WorkerNews) -> None:
@@ -48,7 +48,7 @@
         self.down_ms = -1 << 40
         self.beat = -1
         self.listed = False
-        self.failures = 0
+        self.failures = self.reading = self.reading_items = 0
         self.others = 0.0
         self.told_ms = self.answered_ms = self.full_until_ms = -1 << 40
 
@@ -74,14 +74,14 @@
 
     def told_load(self, running: int, waiting: int, slots: int, now_ms: int) -> None:
         """Its own word of its load, as it stood when it answered one of ours."""
-        self.running, self.waiting, self.slots = running, waiting, max(1, slots)
+        self.running, self.waiting, self.slots, self.sending_then = running, waiting, max(1, slots), self.sending
         self.others = float(max(0, running + waiting - self.sending))
         self.told_ms = now_ms
 
     def load(self, now_ms: int) -> float:
         """What it probably has now: what is under way from here, and what others had there, which is the less
-        sure the older it is. One that was never heard of counts by its own sends alone."""
-        return self.sending + self.others * math.exp(-max(0, now_ms - self.told_ms) / _LOAD_MS)
+        sure the older it is. Prompts that are still read count twice, since all else waits for them."""
+        return self.sending + self.reading + self.others * math.exp(-max(0, now_ms - self.told_ms) / _LOAD_MS)
 
 
 class Roster(Part):
--- a/libs/circulation/src/circulation/sending.py
+++ b/libs/circulation/src/circulation/sending.py
@@ -1,6 +1,7 @@
 """What differs by the kind of call when it is sent to a worker: how the answer is judged, what is written,
 which worker is chosen, and which ones are allowed. One function for each, dispatched by the call's type."""
 
+import math
 from functools import singledispatch
 from typing import Any
 
@@ -102,6 +103,10 @@
     params, now_ms = carrier.node.params, carrier.node.env.now()
     workers = [worker for worker in workers if tx.may_try(worker.identity) and worker.stamp not in tx.unreached]
     fit = [worker for worker in workers if not roster.resting(worker) and (tx.safe or not worker.failures)]
+    if call.lot:
+        if carrier.reading_items >= math.ceil(len(workers) / carrier.edges()):
+            return None
+        fit = [worker for worker in fit if not worker.reading_items]
     bound = max(1, tx.profile.connections // carrier.edges()) if tx.profile.connections else 0
 
     def choose_of(among: list[Worker], avoid: frozenset[str]) -> Worker | None:
@@ -111,7 +116,7 @@
     worker = choose_of(fit, frozenset(tx.avoid))
     if worker is None and tx.avoid:
         worker = choose_of([one for one in fit if one.stamp in tx.avoid], frozenset())
-    if worker is None and not fit:
+    if worker is None and not fit and not call.lot:
         rested = [one for one in workers if now_ms - one.down_ms >= params.delta_ms or one.stamp not in tx.avoid]
         worker = min(rested, key=lambda one: one.down_ms, default=None)
     return worker
