--- a/libs/catalogue/src/catalogue/founding.py
+++ b/libs/catalogue/src/catalogue/founding.py
@@ -199,28 +199,26 @@
                                   body=body, hops=0), changed)
 
     def _sweep_own(self) -> None:
-        if self.node.env.now() - self._swept_ms < self.node.params.gone_ms:
+        """Finds copies that are old, of the keys that are this node's duty."""
+        if self.node.env.now() - self._swept_ms < self.node.params.resume_ms // 2:
             return
         self._swept_ms = self.node.env.now()
+        self._listed_keys(lambda keys: [self._owner.mend(key) for key in keys if self._owner.owner_of(key) == self._voter.identity],
+                          lambda: None)
 
-        def mine(key: str) -> bool:
-            return self._owner.owner_of(key) == self._voter.identity
-
-        self._sweep(lambda ok: None, mine)
-
-    def _sweep(self, done: Any, wanted: Any = lambda key: True) -> None:
-        """Every key decided anew under the present list, which also mends copies that are old."""
+    def _sweep(self, done: Any) -> None:
+        """Every key is seen to be on a majority of the present list, or decided anew under it."""
         number = self._voter.list_number
+        self._listed_keys(lambda keys: self._sweep_next(keys, number, done), lambda: done(False))
 
+    def _listed_keys(self, told: Any, failed: Any) -> None:
         def listed(round_: Round, ok: bool) -> None:
-            if not ok:
-                done(False)
-                return
-            keys = sorted({key for receipt in round_.yes.values() for key in receipt.keys
-                           if wanted(key)})
-            self._sweep_next(keys, number, done)
+            if ok:
+                told(sorted({key for receipt in round_.yes.values() for key in receipt.keys}))
+            else:
+                failed()
 
-        Round(self.node, self._voter.voters, ListKeys(list_number=number), self.node.params.ask_ms, listed)
+        Round(self.node, self._voter.voters, ListKeys(list_number=self._voter.list_number), self.node.params.ask_ms, listed)
 
     def _sweep_next(self, keys: list[str], number: int, done: Any) -> None:
         if not keys or number != self._voter.list_number:
--- a/libs/catalogue/src/catalogue/owner.py
+++ b/libs/catalogue/src/catalogue/owner.py
@@ -33,12 +33,14 @@
 
 
 class Renew:
-    """Asks that a key's value be accepted anew by a majority under the present list of voters."""
+    """Asks that a majority of the present list of voters have a key's newest value under the owner's epoch;
+    with `always`, that all be sent it again."""
 
-    __slots__ = ("key",)
+    __slots__ = ("always", "key")
 
-    def __init__(self, key: str) -> None:
+    def __init__(self, key: str, always: bool = False) -> None:
         self.key = key
+        self.always = always
 
 
 class _Op:
@@ -139,6 +141,30 @@
         self._enqueue(Renew(key), self.node.env.now() + self.node.params.ask_ms * 2,
                       lambda receipt: done(receipt.outcome == "ok"))
 
+    def mend(self, name: str) -> None:
+        """Every voter is asked what it has of a key; only if one that answers lacks the newest value is it sent
+        to all again. Nobody waits for this."""
+        key = self._keys.get(name)
+        if key is None or key.state is not State.OWNED:
+            self.renew(name, lambda ok: None)
+            return
+        epoch, version = key.epoch, key.value.version
+
+        def heard(round_: Round, ok: bool) -> None:
+            if (key.epoch, key.value.version) != (epoch, version) or key.state is not State.OWNED:
+                return
+            self._note(key, round_)
+            if self._holders(key, round_) < len(round_.replies):
+                self._enqueue(Renew(name, True), self.node.env.now() + self.node.params.ask_ms * 2, lambda receipt: None)
+
+        Round(self.node, self._voter.voters, Confirm(key=name, epoch=epoch, by=self._by, list_number=self._voter.list_number),
+              self.node.params.ask_ms, heard, True)
+
+    def _holders(self, key: _Key, round_: Round) -> int:
+        """How many said in this round that they have the newest value under this owner's epoch."""
+        return sum(1 for vote in round_.yes.values() if (vote.accepted_epoch, vote.accepted_by) == (key.epoch, self._by)
+                   and (decode(vote.value).version if vote.value else 0) == key.value.version)
+
     def epochs(self) -> dict[str, dict[str, Any]]:
         return {key.name: {"state": str(key.state), "epoch": key.epoch, "owner": self.owner_of(key.name)}
                 for key in self._keys.values()}
@@ -188,7 +214,7 @@
         key.value = newest(list(round_.yes.values()))
         if key.value.version == 0:
             key.state = State.OWNED
-            self._apply(key)
+            self._apply(key, round_)
         else:
             self._accept(key, key.value, self._refinished)
 
@@ -203,24 +229,27 @@
         if key.name == CONTROL_KEY and json.loads(key.value.body)["number"] > self._voter.list_number:
             self._voter.take_list(key.value.body, lambda kept: self._lose(key))
             return
-        self._apply(key)
+        self._apply(key, round_)
 
     def _confirmed(self, key: _Key, round_: Round, ok: bool) -> None:
         self._note(key, round_)
         if ok:
-            self._apply(key)
+            self._apply(key, round_)
         else:
             self._lose(key)
 
-    def _apply(self, key: _Key) -> None:
+    def _apply(self, key: _Key, round_: Round) -> None:
         """Owned, and confirmed to be so after the operation was asked."""
         if not key.ops:
             return
         message = key.ops[0].message
         value = key.value
-        if isinstance(message, ReadKey) or (isinstance(message, Renew) and value.version == 0):
+        if isinstance(message, ReadKey):
             self._finish(key, "ok", "")
         elif isinstance(message, Renew):
+            if value.version == 0 or (not message.always and 2 * self._holders(key, round_) > len(self._voter.voters)):
+                self._finish(key, "ok", "")
+                return
             self._accept(key, value, self._renewed)
         elif message.change_id in value.change_ids:
             at = value.change_versions[value.change_ids.index(message.change_id)]
--- a/libs/catalogue/src/catalogue/rounds.py
+++ b/libs/catalogue/src/catalogue/rounds.py
@@ -1,5 +1,6 @@
 """One round of asking all voters and counting. It ends as soon as a majority has said yes, or as
-soon as that can no longer happen, or when its time is up."""
+soon as that can no longer happen, or when its time is up; a patient one once all have answered or
+their time is up."""
 
 from collections.abc import Callable
 from typing import Any
@@ -10,10 +11,11 @@
 
 
 class Round:
-    __slots__ = ("_done", "_left", "_need", "replies", "yes")
+    __slots__ = ("_done", "_left", "_need", "_patient", "replies", "yes")
 
     def __init__(self, node: Any, voters: dict[str, str], message: Message, wait_ms: int,
-                 done: Callable[["Round", bool], None]) -> None:
+                 done: Callable[["Round", bool], None], patient: bool = False) -> None:
+        self._patient = patient
         self._done: Callable | None = done
         self._need = len(voters) // 2 + 1
         self._left = set(voters)
@@ -30,7 +32,7 @@
             self.replies[name] = receipt
             if receipt.ok:
                 self.yes[name] = receipt
-        if self._done is None:
+        if self._done is None or (self._patient and self._left):
             return
         if len(self.yes) >= self._need:
             done, self._done = self._done, None
--- a/libs/catalogue/src/catalogue/voter.py
+++ b/libs/catalogue/src/catalogue/voter.py
@@ -8,7 +8,7 @@
 from functools import singledispatchmethod
 
 from catalogue.messages import (Accept, Confirm, Founded, KeyList, KeyRow, ListKeys, Prepare, Voted,
-                                VoterMeta)
+                                Value, VoterMeta)
 from stacks import Damage, Disk, DiskFull, frame, scan
 from vellum import Message, Origin, Part, decode, encode
 
@@ -29,18 +29,19 @@
     return max(marks)
 
 
-def _older(value: bytes, than: bytes) -> bool:
-    """Accepts of one epoch may arrive late or twice: a version once accepted is not taken back."""
-    return decode(value).version < decode(than).version
+def _stub(version: int) -> bytes:
+    """Says which version is held without its body, which may be long."""
+    return encode(Value(version=version, body="", change_ids=[], change_versions=[])) if version else b""
 
 
 class Register:
-    __slots__ = ("accepted", "promised", "value")
+    __slots__ = ("accepted", "promised", "value", "version")
 
     def __init__(self) -> None:
         self.promised: tuple[int, str] = (0, "")
         self.accepted: tuple[int, str] = (0, "")
         self.value = b""
+        self.version = 0
 
     def row(self, key: str, flushed_bytes: int = 0) -> KeyRow:
         return KeyRow(key=key, promised_epoch=self.promised[0], promised_by=self.promised[1],
@@ -53,6 +54,7 @@
         register.promised = (row.promised_epoch, row.promised_by)
         register.accepted = (row.accepted_epoch, row.accepted_by)
         register.value = row.value
+        register.version = decode(row.value).version if row.value else 0
         return register
 
 
@@ -170,7 +172,7 @@
             self.node.reply(origin, self._voted(message.key, False, "epoch"))
             return
         self._put(message.key, promised=ballot, done=lambda ok: self.node.reply(
-            origin, self._voted(message.key, ok and self.registers[message.key].promised == ballot, "epoch")))
+            origin, self._voted(message.key, ok and self.registers[message.key].promised == ballot, "epoch", True)))
 
     @_on.register
     def _(self, message: Confirm, origin: Origin) -> None:
@@ -182,17 +184,20 @@
     def _(self, message: Accept, origin: Origin) -> None:
         register = self.registers.setdefault(message.key, Register())
         ballot = (message.epoch, message.by)
-        if ballot < register.promised or (ballot == register.accepted and _older(message.value, register.value)):
+        # Accepts of one epoch may arrive late or twice: a version once accepted is not taken back.
+        version = decode(message.value).version
+        if ballot < register.promised or (ballot == register.accepted and version < register.version):
             self.node.reply(origin, self._voted(message.key, False, "epoch"))
             return
         self._put(message.key, promised=ballot, accepted=ballot, value=message.value, done=lambda ok: self.node.reply(
             origin, self._voted(message.key, ok, "disk")))
 
-    def _voted(self, key: str, ok: bool, reason: str) -> Voted:
+    def _voted(self, key: str, ok: bool, reason: str, whole: bool = False) -> Voted:
         register = self.registers.get(key, Register())
         return Voted(identity=self.identity, ok=ok, reason="" if ok else reason,
                      promised_epoch=register.promised[0], promised_by=register.promised[1],
-                     accepted_epoch=register.accepted[0], accepted_by=register.accepted[1], value=register.value,
+                     accepted_epoch=register.accepted[0], accepted_by=register.accepted[1],
+                     value=register.value if whole else _stub(register.version),
                      list_body=self.meta.list_body if reason == "list" else "")
 
     # -- the disk ------------------------------------------------------------------------------
@@ -204,6 +209,7 @@
         fresh.promised = promised
         fresh.accepted = register.accepted if accepted is None else accepted
         fresh.value = register.value if value is None else value
+        fresh.version = register.version if value is None else decode(value).version
         data = frame(encode(fresh.row(key, self._flushed_bytes)))
         try:
             self._disk.write(self._log_name, self._log_bytes, data, urgent=len(data) < 4096)
--- a/libs/facsimile/src/facsimile/breaks/table.py
+++ b/libs/facsimile/src/facsimile/breaks/table.py
@@ -23,7 +23,7 @@
     "one vote is a majority": (
         "catalogue/src/catalogue/rounds.py", "len(voters) // 2 + 1", "1", _CONTROL + "minority"),
     "an older version is accepted": (
-        "catalogue/src/catalogue/voter.py", "return decode(value).version < decode(than).version", "return False",
+        "catalogue/src/catalogue/voter.py", " or (ballot == register.accepted and version < register.version)", "",
         _CONTROL + "late_accept"),
     "acknowledged before it is in force": (
         "catalogue/src/catalogue/owner.py", "if most and (now_ms >= due_ms or gazette.all_confirm(", "if most and (True or gazette.all_confirm(",
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -156,6 +156,29 @@
         read = self.ask(fleet, missing[0].name, ReadKey(key="profiles", hops=9), 8000)
         self.assertThat((read.outcome, read.version, read.body), Equals(("ok", 2, '{"b": 1}')))
 
+    def test_a_sweep_sends_a_value_only_where_a_copy_is_old(self):
+        fleet = self.founded()
+        self.assertThat(self.ask(fleet, "control1", self.change(0, "a", '{"kept": 1}')).outcome, Equals("ok"))
+        fleet.run_until_true(lambda: False, 500)
+        names = {host.node.voter.identity: host for host in fleet.of("control")}
+        owner = names[fleet.hosts["control1"].node.owner.owner_of("profiles")]
+        old = next(host for host in fleet.of("control") if host is not owner)
+        versions = lambda: {host.node.voter.registers["profiles"].version for host in fleet.of("control")}
+        rows = lambda: [host.node.voter.registers["profiles"] for host in fleet.of("control")]
+        before = rows()
+        owner.node.owner.mend("profiles")
+        fleet.run_until_true(lambda: False, 200)
+        self.assertThat(all(row is was for row, was in zip(rows(), before, strict=True)), Equals(True))
+        fleet.network.isolate(old.address)
+        seen = []
+        owner.node.owner.submit(self.change(1, "b"), seen.append)
+        fleet.run_until_true(lambda: owner.node.gazette.number("profiles") == 2, 2000)
+        fleet.network.heal()
+        self.assertThat(versions(), Equals({1, 2}))
+        owner.node.owner.mend("profiles")
+        fleet.run_until_true(lambda: False, 200)
+        self.assertThat(versions(), Equals({2}))
+
     def test_a_wiped_voter_is_a_spare_and_takes_no_part(self):
         fleet = self.founded()
         host = fleet.hosts["control1"]
