--- a/libs/gazette/src/gazette/contacts.py
+++ b/libs/gazette/src/gazette/contacts.py
@@ -27,35 +27,38 @@
 class Contacts:
     """`node` gives the clock, the settings and the own address; the feed says whom it asked and heard."""
 
-    __slots__ = ("_asked_ms", "_chosen", "_left_until_ms", "_node", "_probe", "_probed_ms", "_rank")
+    __slots__ = ("_asked_ms", "_chosen", "_left_until_ms", "_node", "_probe", "_probed_ms", "_rank", "_told")
 
     def __init__(self, node: Any) -> None:
         self._node = node
         self._chosen: list[str] = []
+        self._told: list[str] = []
         self._asked_ms: dict[str, int] = {}
         self._left_until_ms: dict[str, int] = {}
         self._probe = ""
         self._probed_ms = -1 << 40
         self._rank: dict[str, tuple] = {}
 
-    @property
-    def first(self) -> str:
-        return self._chosen[0] if self._chosen else ""
+    def rank(self, address: str) -> int:
+        """1 for the first contact, 2 for a further one, 0 for anybody else."""
+        return 0 if address not in self._chosen else 1 if address == self._chosen[0] else 2
 
     def choose(self, among: Iterable[Candidate]) -> list[str]:
-        """The contacts as of now, the first one first, and sometimes a nearer one that is tried."""
+        """The contacts as of now, the first one first; sometimes a nearer one that is tried; and those left since."""
         node = self._node
         now_ms = node.env.now()
         params = node.params
         self._rank = {address: (nearness(zone, region, params.zone, params.region), -score(address, node.address))
                       for address, zone, region in among if address != node.address}
+        before = set(self._told)
         for address in [address for address, at_ms in self._asked_ms.items() if now_ms - at_ms > params.dead_ms]:
             self._leave(address)
         self._chosen = [address for address in self._chosen if address in self._rank][:params.fan_out]
         while len(self._chosen) < min(params.fan_out, len(self._rank)):
             self._chosen.append(min(set(self._rank) - set(self._chosen), key=lambda row: (self._left(row), self._rank[row])))
         self._chosen.sort(key=self._rank.__getitem__)
-        return [*self._chosen, *self._nearer(now_ms)]
+        self._told = list(self._chosen)
+        return [*self._chosen, *self._nearer(now_ms), *sorted(before - set(self._chosen))]
 
     def _left(self, address: str) -> int:
         until_ms = self._left_until_ms.get(address, 0)
--- a/libs/gazette/src/gazette/feed.py
+++ b/libs/gazette/src/gazette/feed.py
@@ -30,8 +30,8 @@
     """`neighbours` gives the addresses to relay to, `extra` further ones to swap digests with; `sure`
     says whether this node knows its feed to be the newest: a quorate control node, a ready edge."""
 
-    __slots__ = ("_beat_count", "_contacts", "_edges_told", "_extra", "_firsts", "_items", "_lows", "_lows_told", "_neighbours", "_patches",
-                 "_quiet_until_ms", "_roll", "_sent_ms", "_since_ms", "_watchers", "candidates", "confirmed", "contacts_ms",
+    __slots__ = ("_beat_count", "_contacts", "_edges_told", "_extra", "_items", "_lows", "_lows_told", "_neighbours", "_patches",
+                 "_quiet_until_ms", "_ranks", "_roll", "_sent_ms", "_since_ms", "_watchers", "candidates", "confirmed", "contacts_ms",
                  "identity", "quorate_ms", "sent_bytes", "sure", "sure_edge_ms", "votes")
     HANDLES = (Digest, News)
 
@@ -57,7 +57,7 @@
         self._quiet_until_ms = -1 << 40
         self._beat_count = 0
         self._contacts: Contacts | None = None
-        self._firsts: set[str] = set()
+        self._ranks: dict[str, int] = {}
         self._lows: dict[str, dict[str, int]] = {}
         self._lows_told: dict[str, int] = {}
         self._edges_told: dict[str, int] = {}
@@ -121,7 +121,7 @@
             return []
         voters = self._voters()
         floor_ms = self.node.env.now() - self.node.params.dead_ms
-        reporters = {row[3] for identity, row in self.confirmed.items() if identity in self._firsts and row[1] >= floor_ms}
+        reporters = {row[3] for identity, row in self.confirmed.items() if self._ranks.get(identity) == 1 and row[1] >= floor_ms}
         return sorted((reporters | (set() if sender in voters else voters)) - {self.node.address, sender})
 
     def _voters(self) -> set[str]:
@@ -166,14 +166,14 @@
 
     # -- digests -------------------------------------------------------------------------------
 
-    def _digest(self, first: bool = False, edges: int = 0) -> Digest:
+    def _digest(self, rank: int = 0, edges: int = 0) -> Digest:
         numbers = self.numbers()
         lows = self.lows() if self.node.params.fan_out and self.votes() else {}
         return Digest(identity=self.identity, role=self.node.params.role, sure=self.sure(), keys=list(numbers),
-                      numbers=list(numbers.values()), low_keys=list(lows), lows=list(lows.values()), first=first, edges=edges)
+                      numbers=list(numbers.values()), low_keys=list(lows), lows=list(lows.values()), rank=rank, edges=edges)
 
     def _send_digest(self, address: str) -> None:
-        self.node.post(address, self._digest(first=address == self._contacts.first, edges=self._edges_for(address)))
+        self.node.post(address, self._digest(rank=self._contacts.rank(address), edges=self._edges_for(address)))
 
     @receive.register
     def _(self, message: Digest, origin: Origin) -> None:
@@ -201,20 +201,20 @@
     # -- reports -------------------------------------------------------------------------------
 
     def _note_report(self, message: Digest, origin: Origin, changed: bool) -> None:
-        (self._firsts.add if message.first else self._firsts.discard)(message.identity)
+        self._ranks[message.identity] = message.rank
         if message.role == "control":
             self._lows[message.identity] = dict(zip(message.low_keys, message.lows, strict=True))
             self._edges_told[message.identity] = message.edges
             self._contacts.heard(origin.sender, message.sure)
-        elif changed and self.votes() and self.lows() != self._lows_told:
+        elif (changed or message.rank == 0) and self.votes() and self.lows() != self._lows_told:
             self._tell_voters()
 
     def lows(self) -> dict[str, int]:
         """Of each key that is to be confirmed, the lowest number among those who report here."""
         floor_ms = self.node.env.now() - self.node.params.dead_ms
         lows: dict[str, int] = {}
-        for role, at_ms, numbers, _ in self.confirmed.values():
-            if at_ms >= floor_ms:
+        for identity, (role, at_ms, numbers, _) in self.confirmed.items():
+            if at_ms >= floor_ms and self._ranks.get(identity):
                 for key, roles in CONFIRMERS.items():
                     if role in roles:
                         lows[key] = min(lows.get(key, 1 << 60), numbers.get(key, 0))
@@ -223,7 +223,7 @@
     def _own_edges(self) -> int:
         floor_ms = self.node.env.now() - self.node.params.dead_ms
         return sum(1 for identity, (role, at_ms, _, _) in self.confirmed.items()
-                   if role == "edge" and at_ms >= floor_ms and identity in self._firsts)
+                   if role == "edge" and at_ms >= floor_ms and self._ranks.get(identity) == 1)
 
     def _edges_for(self, address: str) -> int:
         if not (self.node.params.fan_out and self.votes()):
@@ -254,7 +254,7 @@
             self._tell_voters()
         elif self._beat_count % _REPORT_BEATS == 0 or not self._items:
             self._report()
-        peers = sorted(set(self._neighbours()) - {self.node.address})
+        peers = sorted(set(self._neighbours()) - {self.node.address, *(row[0] for row in self.candidates())})
         if peers and not self.votes() and self._beat_count % _PEER_BEATS == 0:
             self._send_digest(peers[self._beat_count // _PEER_BEATS % len(peers)])
 
@@ -274,7 +274,7 @@
                          if now_ms - row[1] > self.node.params.gone_ms]:
             del self.confirmed[identity]
             self.contacts_ms.pop(identity, None)
-            self._firsts.discard(identity)
+            self._ranks.pop(identity, None)
             self._lows.pop(identity, None)
             self._edges_told.pop(identity, None)
         if self.node.params.fan_out:
@@ -301,8 +301,8 @@
         if any(lows.get(key, number) < number for identity, lows in self._lows.items()
                if identity in self.confirmed and self.confirmed[identity][1] >= floor_ms):
             return False
-        return all(numbers.get(key, 0) >= number for role, at_ms, numbers, _ in self.confirmed.values()
-                   if role in roles and at_ms >= floor_ms)
+        return all(numbers.get(key, 0) >= number for identity, (role, at_ms, numbers, _) in self.confirmed.items()
+                   if role in roles and at_ms >= floor_ms and (self._ranks.get(identity) or not self.node.params.fan_out))
 
     def roll(self) -> frozenset[str]:
         """The link addresses of the edges and stores that count."""
--- a/libs/gazette/src/gazette/messages.py
+++ b/libs/gazette/src/gazette/messages.py
@@ -19,7 +19,8 @@
 
 class Digest(Message):
     """`low_keys` and `lows`: of each confirmed key the lowest number among the nodes that report to the
-    sender. `first` is said to the control node that is to pass on news at once. `edges` is how many
+    sender. `rank` is 1 to the voter that is to pass on news at once, 2 to a further one that the sender
+    reports to, 0 to all others. `edges` is how many
     edges report to the sender first; said to one who reports, how many there are in all."""
 
     identity: Text
@@ -29,5 +30,5 @@
     numbers: Arr(Long)
     low_keys: Arr(Text)
     lows: Arr(Long)
-    first: Flag
+    rank: Long
     edges: Long
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -185,3 +185,32 @@
         outcome, took_ms = self.change(fleet, other.name, 1)
         self.assertThat((outcome, took_ms), Equals(("ok", took_ms)))
         self.assertThat(took_ms, LessThan(3000))
+
+    def test_a_voter_that_hears_nobody_has_no_duty_though_all_hear_it(self):
+        fleet = self.voted(self.fleet(), 5)
+        self.assertThat(self.change(fleet, "control1", 0)[0], Equals("ok"))
+        names = {host.node.voter.identity: host for host in fleet.of("control")}
+        owner = names[fleet.hosts["control1"].node.owner.owner_of("profiles")]
+        others = [host for host in fleet.hosts.values() if host is not owner]
+        fleet.network.cut_pairs.update((host.address, owner.address) for host in others)
+        fleet.time.run_until(fleet.time.now_ms + 1.5 * owner.params.force_ms)
+        at = next(host.name for host in fleet.of("control") if host is not owner)
+        outcome, took_ms = self.change(fleet, at, 1)
+        self.assertThat((outcome, took_ms < 1000), Equals(("ok", True)), took_ms)
+
+    def test_a_killed_owners_keys_pass_on_once_nothing_listens_there(self):
+        fleet = self.voted(self.fleet(), 5)
+        self.assertThat(self.change(fleet, "control1", 0)[0], Equals("ok"))
+        names = {host.node.voter.identity: host for host in fleet.of("control")}
+        owner = names[fleet.hosts["control1"].node.owner.owner_of("profiles")]
+        owner.kill()
+        others = fleet.running("control")
+        for host in others:
+            host.node.neighbours.refused(owner.address)
+        outcome, took_ms = self.change(fleet, others[0].name, 1)
+        self.assertThat((outcome, took_ms <= 200), Equals(("ok", True)), took_ms)
+        self.assertThat(others[0].node.owner.owner_of("profiles") != owner.node.voter.identity, Equals(True))
+        owner.start()
+        fleet.time.run_until(fleet.time.now_ms + 1000)
+        self.assertThat(others[0].node.owner.owner_of("profiles"), Equals(owner.node.voter.identity))
+        self.assertThat(fleet.hosts["control1"].node.voter.voters, HasLength(5))
