--- a/libs/accession/src/accession/holder.py
+++ b/libs/accession/src/accession/holder.py
@@ -215,7 +215,7 @@
         swamped; one that gets nowhere is begun again."""
         now_ms = self._now()
         if not peer.snapshot or now_ms - peer.install_ms >= self.params.force_ms:
-            peer.snapshot, peer.taken_bytes = self._log.snapshot(), 0
+            peer.snapshot, peer.taken_bytes = self._log.kept_snapshot(), 0
             self._send_part(peer)
         elif now_ms - peer.install_ms >= self.params.ask_ms and peer.taken_bytes < len(peer.snapshot):
             self._send_part(peer)
--- a/libs/accession/src/accession/local.py
+++ b/libs/accession/src/accession/local.py
@@ -6,21 +6,22 @@
 from collections.abc import Callable
 from typing import Any
 
-from accession.messages import TRUNCATE, LogMeta, Record, SnapshotHead, StoredEntry
+from accession.messages import TRUNCATE, LogMeta, Record, StoredEntry
+from accession.meta import MetaFile
 from accession.shelves import Shelves, files_of
+from accession.snapshots import SnapshotMaker, read_snapshot
 from ledger import Ledger
-from stacks import Damage, Disk, DiskFull, frame, over_hole, scan, walk
+from stacks import Damage, Disk, frame, over_hole, scan, walk
 from vellum import Message, decode, encode
 
 __all__ = ["LocalLog", "entry_of"]
 
-_META, _SNAP, _MARK, _QUEUE = "meta", "snapshot", "mark", "queue-"
-_META_BYTES = 4096
+_SNAP, _MARK, _QUEUE = "snapshot", "mark", "queue-"
 
 
 class LocalLog:
-    __slots__ = ("_dirty", "_entries", "_flush_waiters", "_flushing", "_fresh", "_last_flush_ms", "_meta_bytes", "_meta_next", "_meta_waiters", "_meta_writing", "_now", "_since_snap_bytes",
-                 "_snapping", "_written", "disk", "fetcher", "flushed_seq", "ledger", "meta", "params", "received_ms",
+    __slots__ = ("_dirty", "_entries", "_flush_waiters", "_flushing", "_last_flush_ms", "_maker", "_metas", "_now", "_since_snap_bytes",
+                 "_snap_after_ms", "_snapping", "_written", "disk", "fetcher", "flushed_seq", "ledger", "params", "received_ms",
                  "records", "settled_seq", "shelves", "snap_seq", "snap_stamp")
 
     def __init__(self, disk: Disk, params: Any, now: Callable[[], int], token: Callable[[], str]) -> None:
@@ -37,18 +38,16 @@
         self._flushing = False
         self._flush_waiters: list[Callable[[bool], None]] = []
         self._snapping = False
+        self._maker: SnapshotMaker | None = None
+        self._snap_after_ms = -1 << 40
         self._since_snap_bytes = 0
         self._last_flush_ms = now()
-        self._meta_bytes = 0
-        self._meta_next: list[tuple[LogMeta, Callable[[bool], None]]] = []
-        self._meta_waiters: list[Callable[[bool], None]] = []
-        self._meta_writing: LogMeta | None = None
         self._written = ("", 0)
         self.shelves = Shelves(self, token)
         self.fetcher: Callable[[list[str], str, Callable[[bool], None]], None] | None = None
         self._open(token)
         self.shelves.collect()
-        if self._fresh and params.first_start:
+        if self._metas.fresh and params.first_start:
             self.keep_meta(lambda ok: None)
         self.settled_seq = self.snap_seq
         self.flushed_seq = self.snap_seq
@@ -58,11 +57,7 @@
 
     def _open(self, token: Callable[[], str]) -> None:
         names = self.disk.names()
-        self._fresh = _META not in names
-        if not self._fresh:
-            self._open_meta(self.disk.read(_META))
-        else:
-            self.meta = LogMeta(identity=f"store-{token()}", fence=0, log_epoch=0)
+        self._metas = MetaFile(self.disk, token)
         if _SNAP in names:
             self.load_snapshot(self.disk.read(_SNAP))
         mark = self._read_mark(names)
@@ -72,20 +67,6 @@
             raise Damage(_QUEUE, self.last_seq)
         self.received_ms = [self._now()] * len(self.records)
 
-    def _open_meta(self, data: bytes) -> None:
-        """Each state is written twice behind the ones before, so a torn write leaves the last one that was reported
-        kept, and one damaged frame hides nothing. The highest of each number stands."""
-        rows, offset = [], 0
-        while offset is not None:
-            frames, end, later = scan(data[offset:])
-            rows += [decode(payload) for _, payload in frames]
-            self._meta_bytes = offset + end if later is None and offset + end == len(data) else 0
-            offset = None if later is None else offset + later
-        if not rows:
-            raise Damage(_META, 0)
-        self.meta = LogMeta(identity=rows[-1].identity, fence=max(row.fence for row in rows),
-                            log_epoch=max(row.log_epoch for row in rows))
-
     def _open_queue(self, name: str) -> None:
         """A file may begin, or go on, behind a hole: what was there came by a snapshot and was never written
         here, while records stay at their absolute offsets."""
@@ -119,11 +100,15 @@
 
     def may_found(self) -> bool:
         """Blank from the start of the fleet on: a disk that is blank later may have been exchanged."""
-        told = self.params.control_count > 0 or self.params.first_start or not self._fresh
+        told = self.params.control_count > 0 or self.params.first_start or not self._metas.fresh
         return told and self.meta.log_epoch == 0 and (self.params.control_count > 0 or self.meta.fence == 0)
 
     # -- places ------------------------------------------------------------------------------
 
+    @property
+    def meta(self) -> LogMeta:
+        return self._metas.meta
+
     @property
     def identity(self) -> str:
         return self.meta.identity
@@ -241,44 +226,7 @@
                 and self._now() - self._last_flush_ms >= self.params.flush_ms)
 
     def keep_meta(self, done: Callable[[bool], None], fence: int | None = None, log_epoch: int | None = None) -> None:
-        """On disk before it counts. What is asked for while one write runs shares the next one, and what
-        that write says already shares it."""
-        wanted = LogMeta(identity=self.meta.identity, fence=max(self.meta.fence, fence or 0),
-                         log_epoch=max(self.meta.log_epoch, log_epoch or 0))
-        if self._meta_writing is not None and _covers(self._meta_writing, wanted):
-            self._meta_waiters.append(done)
-            return
-        self._meta_next.append((wanted, done))
-        if self._meta_writing is None:
-            self._write_meta()
-
-    def _write_meta(self) -> None:
-        rows, self._meta_next = self._meta_next, []
-        metas = [self.meta, *[wanted for wanted, _ in rows]]
-        meta = self._meta_writing = LogMeta(identity=self.meta.identity, fence=max(row.fence for row in metas),
-                                           log_epoch=max(row.log_epoch for row in metas))
-        self._meta_waiters = [done for _, done in rows]
-
-        def kept(ok: bool) -> None:
-            self._meta_writing = None
-            waiters, self._meta_waiters = self._meta_waiters, []
-            if ok:
-                self.meta = meta
-            for waiter in waiters:
-                waiter(ok)
-            if self._meta_next and self._meta_writing is None:
-                self._write_meta()
-
-        data = 2 * frame(encode(meta))
-        try:
-            if not 0 < self._meta_bytes <= _META_BYTES:
-                raise DiskFull(_META)
-            self.disk.write(_META, self._meta_bytes, data, True)
-            self._meta_bytes += len(data)
-            self.disk.flush([_META], kept)
-        except DiskFull:
-            self._meta_bytes = len(data)
-            self.disk.replace(_META, data, kept)
+        self._metas.keep(done, fence or 0, log_epoch or 0)
 
     # -- settling, snapshots, trimming ---------------------------------------------------------
 
@@ -286,36 +234,43 @@
         """Folds what has become settled into the ledger."""
         while self.settled_seq < min(seq, self.last_seq):
             self.settled_seq += 1
-            entry = self._entries.pop(self.settled_seq, None)
-            self.ledger.apply(entry or entry_of(self.records[self.settled_seq - self.first_seq]))
+            known = self._entries.pop(self.settled_seq, None)
+            entry = known or entry_of(self.records[self.settled_seq - self.first_seq])
+            if self._maker is not None:
+                self._maker.before(entry)
+            self.ledger.apply(entry)
 
     def busy(self) -> bool:
         """A snapshot is being written."""
         return self._snapping
 
     def snapshot(self) -> bytes:
-        stamp = self.stamp_at(self.settled_seq) or (0, 0)
-        rows = self.ledger.encoded(frame)
-        head = SnapshotHead(seq=self.settled_seq, epoch=stamp[0], stamp_ms=stamp[1], count=len(rows))
-        return b"".join([frame(encode(head)), *rows])
+        """Made on the spot from all that is settled."""
+        maker = SnapshotMaker(self.ledger, self.settled_seq, self.stamp_at(self.settled_seq) or (0, 0))
+        while not maker.step():
+            pass
+        return maker.whole()
+
+    def kept_snapshot(self) -> bytes:
+        """The one on disk, which with the records in memory says as much, unless the next one is being written."""
+        return self.snapshot() if self._snapping or _SNAP not in self.disk.names() else self.disk.read(_SNAP)
 
     def load_snapshot(self, data: bytes) -> None:
-        frames, end, _ = scan(data)
-        head = decode(frames[0][1]) if frames else None
-        if head is None or end != len(data) or head.count != len(frames) - 1:
-            raise Damage(_SNAP, end)
+        head, entries = read_snapshot(data)
+        if head is None:
+            raise Damage(_SNAP, 0)
         self.ledger = Ledger()
-        for _, payload in frames[1:]:
-            self.ledger.apply(decode(payload))
+        for entry in entries:
+            self.ledger.apply(entry)
         self.snap_seq = self.settled_seq = head.seq
         self.snap_stamp = (head.epoch, head.stamp_ms)
 
     def missing(self, data: bytes) -> list[str]:
         """Files that a snapshot refers to and that are not here."""
-        frames, end, _ = scan(data)
-        if end != len(data):
-            raise Damage(_SNAP, end)
-        return sorted(files_of(decode(payload) for _, payload in frames[1:]) - set(self.disk.names()))
+        head, entries = read_snapshot(data)
+        if head is None:
+            raise Damage(_SNAP, 0)
+        return sorted(files_of(entries) - set(self.disk.names()))
 
     def install(self, data: bytes, done: Callable[[bool], None], source: str = "", still: Callable[[], bool] = lambda: True) -> None:
         """Takes over another's snapshot: only when this log can't be brought up record by record. The
@@ -335,6 +290,8 @@
             self.disk.remove(name)
         self._dirty.clear()
         self.records, self.received_ms = [], []
+        if self._maker is not None:
+            self._maker, self._snapping = None, False
         self.load_snapshot(data)
         self._written = ("", 0)
         self.flushed_seq = 0
@@ -349,26 +306,37 @@
 
     def tidy(self, force: bool = False) -> None:
         """Snapshots when a segment's worth is settled, then trims what is both in one and old."""
+        if self._maker is not None:
+            self._go_on_with_snapshot()
         if self._snapping or self.settled_seq <= self.snap_seq:
             return
-        if not force and self._since_snap_bytes < self.params.segment_bytes:
+        if not force and (self._since_snap_bytes < self.params.segment_bytes or self._now() < self._snap_after_ms):
             return
         self._snapping = True
         self._since_snap_bytes = 0
-        self.shelves.shelve(self._write_snapshot)
+        self.shelves.shelve(self._begin_snapshot)
+
+    def _begin_snapshot(self) -> None:
+        self._maker = SnapshotMaker(self.ledger, self.settled_seq, self.stamp_at(self.settled_seq) or (0, 0))
+        self._go_on_with_snapshot()
 
-    def _write_snapshot(self) -> None:
-        seq = self.settled_seq
-        stamp = self.stamp_at(seq) or (0, 0)
+    def _go_on_with_snapshot(self) -> None:
+        if not self._maker.step():
+            return
+        maker, self._maker = self._maker, None
+        seq, stamp = maker.seq, maker.stamp
 
         def kept(ok: bool) -> None:
             self._snapping = False
-            if ok and seq > self.snap_seq:
+            if not ok:
+                self._since_snap_bytes = self.params.segment_bytes
+                self._snap_after_ms = self._now() + self.params.ask_ms
+            elif seq > self.snap_seq:
                 self.snap_seq, self.snap_stamp = seq, stamp
                 self.trim()
                 self.shelves.collect()
 
-        self.disk.replace(_SNAP, self.snapshot(), kept)
+        self.disk.replace(_SNAP, maker.whole(), kept)
 
     def trim(self) -> None:
         if self.received_ms:
@@ -386,10 +354,6 @@
                 self.disk.remove(name)
 
 
-def _covers(meta: LogMeta, wanted: LogMeta) -> bool:
-    return meta.fence >= wanted.fence and meta.log_epoch >= wanted.log_epoch
-
-
 def entry_of(record: Record) -> Message:
     return decode(decode(record.bytes[8:]).body)
 
--- a/libs/accession/src/accession/mending.py
+++ b/libs/accession/src/accession/mending.py
@@ -43,7 +43,7 @@
 class Mending(Part):
     """`others` gives the addresses of the other members of the log."""
 
-    __slots__ = ("_log", "_mending", "_next_ms", "_others")
+    __slots__ = ("_log", "_mending", "_next_ms", "_others", "_page")
     HANDLES = (FetchShelf, GetKept)
 
     def __init__(self, log: LocalLog, others: Callable[[], list[str]]) -> None:
@@ -51,6 +51,7 @@
         self._others = others
         self._mending: set[tuple[str, str]] = set()
         self._next_ms = 0
+        self._page = ("", b"")
         log.fetcher = self.fetch
 
     @singledispatchmethod
@@ -63,7 +64,9 @@
     def _(self, message: FetchShelf, origin: Origin) -> None:
         disk = self._log.disk
         ok = message.file.startswith(SHELF) and message.file in disk.names()
-        data = disk.read(message.file) if ok else b""
+        if ok and self._page[0] != message.file:
+            self._page = (message.file, disk.read(message.file))
+        data = self._page[1] if ok else b""
         self.node.reply(origin, ShelfPart(ok=ok, data=data[message.offset:message.offset + _CHUNK_BYTES], total=len(data)))
 
     def fetch(self, files: list[str], source: str, done: Callable[[bool], None]) -> None:
@@ -141,5 +144,6 @@
         now_ms = self.node.env.now()
         if now_ms >= self._next_ms:
             self._next_ms = now_ms + self.node.params.gone_ms
+            self._page = ("", b"")
             for kind, name in self._log.shelves.sweep():
                 self.mend(kind, name)
--- /dev/null
+++ b/libs/accession/src/accession/meta.py
@@ -0,0 +1,89 @@
+"""A store's identity, fence and log epoch on its disk. Each state is written twice behind the ones before, which costs
+one flush; a torn write leaves the last state that was reported kept, and one damaged frame hides nothing. What is asked
+for while one write runs shares the next one, and what that write says already shares it."""
+
+from collections.abc import Callable
+
+from accession.messages import LogMeta
+from stacks import Damage, Disk, DiskFull, frame, scan
+from vellum import decode, encode
+
+__all__ = ["MetaFile"]
+
+_NAME = "meta"
+_FILE_BYTES = 4096
+Done = Callable[[bool], None]
+
+
+def _covers(meta: LogMeta, wanted: LogMeta) -> bool:
+    return meta.fence >= wanted.fence and meta.log_epoch >= wanted.log_epoch
+
+
+class MetaFile:
+    """`fresh`: there was none on the disk."""
+
+    __slots__ = ("_disk", "_end_bytes", "_next", "_waiters", "_writing", "fresh", "meta")
+
+    def __init__(self, disk: Disk, token: Callable[[], str]) -> None:
+        self._disk = disk
+        self._end_bytes = 0
+        self._next: list[tuple[LogMeta, Done]] = []
+        self._waiters: list[Done] = []
+        self._writing: LogMeta | None = None
+        self.fresh = _NAME not in disk.names()
+        if self.fresh:
+            self.meta = LogMeta(identity=f"store-{token()}", fence=0, log_epoch=0)
+        else:
+            self._open(disk.read(_NAME))
+
+    def _open(self, data: bytes) -> None:
+        """The highest of each number stands. A file that isn't whole to its end is written anew next time."""
+        rows, offset = [], 0
+        while offset is not None:
+            frames, end, later = scan(data[offset:])
+            rows += [decode(payload) for _, payload in frames]
+            self._end_bytes = offset + end if later is None and offset + end == len(data) else 0
+            offset = None if later is None else offset + later
+        if not rows:
+            raise Damage(_NAME, 0)
+        self.meta = LogMeta(identity=rows[-1].identity, fence=max(row.fence for row in rows),
+                            log_epoch=max(row.log_epoch for row in rows))
+
+    def keep(self, done: Done, fence: int, log_epoch: int) -> None:
+        """On disk before it counts."""
+        wanted = LogMeta(identity=self.meta.identity, fence=max(self.meta.fence, fence),
+                         log_epoch=max(self.meta.log_epoch, log_epoch))
+        if self._writing is not None and _covers(self._writing, wanted):
+            self._waiters.append(done)
+            return
+        self._next.append((wanted, done))
+        if self._writing is None:
+            self._write()
+
+    def _write(self) -> None:
+        rows, self._next = self._next, []
+        metas = [self.meta, *[wanted for wanted, _ in rows]]
+        meta = self._writing = LogMeta(identity=self.meta.identity, fence=max(row.fence for row in metas),
+                                       log_epoch=max(row.log_epoch for row in metas))
+        self._waiters = [done for _, done in rows]
+
+        def kept(ok: bool) -> None:
+            self._writing = None
+            waiters, self._waiters = self._waiters, []
+            if ok:
+                self.meta = meta
+            for waiter in waiters:
+                waiter(ok)
+            if self._next and self._writing is None:
+                self._write()
+
+        data = 2 * frame(encode(meta))
+        try:
+            if not 0 < self._end_bytes <= _FILE_BYTES:
+                raise DiskFull(_NAME)
+            self._disk.write(_NAME, self._end_bytes, data, True)
+            self._end_bytes += len(data)
+            self._disk.flush([_NAME], kept)
+        except DiskFull:
+            self._end_bytes = len(data)
+            self._disk.replace(_NAME, data, kept)
--- a/libs/accession/src/accession/peer.py
+++ b/libs/accession/src/accession/peer.py
@@ -49,7 +49,7 @@
         snapshot, total, records = b"", 0, []
         if ok and message.from_seq < log.first_seq and message.from_seq <= log.snap_seq:
             if self._snapshot[0] != log.settled_seq:
-                self._snapshot = (log.settled_seq, log.snapshot())
+                self._snapshot = (log.settled_seq, log.kept_snapshot())
             total = len(self._snapshot[1])
             snapshot = self._snapshot[1][message.offset:message.offset + _CHUNK_BYTES]
         elif ok:
--- a/libs/accession/src/accession/shelves.py
+++ b/libs/accession/src/accession/shelves.py
@@ -178,7 +178,7 @@
         """What another store had whole is put into a file of its own here."""
         log = self._log
         held = log.ledger.lots.get(name) if kind == "lot" else log.ledger.keys.get(name)
-        if held is None or held.shelf is None:
+        if held is None or held.shelf is None or log.busy():
             done(False)
             return
         file, page = self._new_name(), bytearray()
--- /dev/null
+++ b/libs/accession/src/accession/snapshots.py
@@ -0,0 +1,55 @@
+"""Snapshots of the settled ledger: a head that says up to where, then entries that fold to it. One is made in steps, so
+that the loop is never held up for long: what an entry is about to change is encoded before, whatever
+has been settled meanwhile."""
+
+from typing import Any
+
+from accession.messages import SnapshotHead
+from stacks import frame, scan
+from vellum import Message, decode, encode
+
+__all__ = ["SnapshotMaker", "read_snapshot"]
+
+_STEP_BYTES = 1 << 18
+
+
+class SnapshotMaker:
+    __slots__ = ("_ledger", "_rows", "_todo", "seq", "stamp")
+
+    def __init__(self, ledger: Any, seq: int, stamp: tuple[int, int]) -> None:
+        self._ledger = ledger
+        self.seq, self.stamp = seq, stamp
+        names = [("lot", name) for name in ledger.lots] + [("key", name) for name in ledger.keys]
+        self._todo: dict[tuple[str, str], None] = dict.fromkeys(names)
+        self._rows: dict[tuple[str, str], list[bytes]] = {name: [] for name in names}
+
+    def step(self) -> bool:
+        """Some more; whether that was all."""
+        size_bytes = 0
+        while self._todo and size_bytes < _STEP_BYTES:
+            size_bytes += self._encode(next(iter(self._todo)))
+        return not self._todo
+
+    def before(self, entry: Message) -> None:
+        name = ("lot", entry.lot_id) if hasattr(entry, "lot_id") else ("key", entry.key)
+        if name in self._todo:
+            self._encode(name)
+
+    def _encode(self, name: tuple[str, str]) -> int:
+        del self._todo[name]
+        rows = self._rows[name] = self._ledger.rows_of(*name, frame)
+        return sum(map(len, rows))
+
+    def whole(self) -> bytes:
+        rows = [row for rows in self._rows.values() for row in rows]
+        head = SnapshotHead(seq=self.seq, epoch=self.stamp[0], stamp_ms=self.stamp[1], count=len(rows))
+        return b"".join([frame(encode(head)), *rows])
+
+
+def read_snapshot(data: bytes) -> tuple[SnapshotHead | None, list[Message]]:
+    """The head is None if the bytes are no whole snapshot."""
+    frames, end, _ = scan(data)
+    head = decode(frames[0][1]) if frames else None
+    if head is None or end != len(data) or head.count != len(frames) - 1:
+        return None, []
+    return head, [decode(payload) for _, payload in frames[1:]]
--- a/libs/facsimile/src/facsimile/breaks/table.py
+++ b/libs/facsimile/src/facsimile/breaks/table.py
@@ -71,12 +71,12 @@
         "accession/src/accession/local.py", "while (at := over_hole(data, stop)) is not None:", "while (at := None) is not None:",
         _LOG + "trimmed"),
     "a fence for each message": (
-        "accession/src/accession/local.py", """        if self._meta_writing is not None and _covers(self._meta_writing, wanted):
-            self._meta_waiters.append(done)
+        "accession/src/accession/meta.py", """        if self._writing is not None and _covers(self._writing, wanted):
+            self._waiters.append(done)
             return
-        self._meta_next.append((wanted, done))
-        if self._meta_writing is None:
-""", "        self._meta_next.append((wanted, done))\n        if True:\n", _LOG + "many_messages"),
+        self._next.append((wanted, done))
+        if self._writing is None:
+""", "        self._next.append((wanted, done))\n        if True:\n", _LOG + "many_messages"),
     "a leaf in another's place": (
         "accession/src/accession/shelves.py", "return leaf.rows if leaf.name == name else None", "return leaf.rows",
         "tests/test_shelves.py -k anothers_place"),
@@ -141,6 +141,8 @@
     "an old mark counts after a cut": (
         "accession/src/accession/local.py", "return seq if fence == self.meta.fence == self.meta.log_epoch else 0", "return seq",
         "tests/test_recovery.py -k mark"),
+    "a snapshot takes in what came after it": (
+        "accession/src/accession/local.py", "                self._maker.before(entry)\n", "                pass\n", "tests/test_recovery.py -k steps"),
     "only the first in order holds": (
         "accession/src/accession/watch.py", "return now_ms - self._ripe_ms >= willing.index(self._own) * params.pulse_ms",
         "return self._own == names[0]", _MEMBERS + "swapped"),
--- a/libs/ledger/src/ledger/fold.py
+++ b/libs/ledger/src/ledger/fold.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from functools import singledispatchmethod
+from typing import Any
 
 from ledger import entries as e
 from ledger.lots import Item, Lot
@@ -229,16 +230,15 @@
     def encoded(self, wrap: Callable[[bytes], bytes] = lambda row: row) -> list[bytes]:
         """The same as bytes. Those of what is over are kept, so that a snapshot costs little more than
         what is new in it."""
-        rows: list[bytes] = []
-        for lot in self.lots.values():
-            if lot.rows is None or lot.open:
-                lot.rows = [wrap(encode(row)) for row in lot.dump()]
-            rows += lot.rows
-        for name, key in self.keys.items():
-            if key.rows is None:
-                key.rows = [wrap(encode(row)) for row in self._dump_key(name, key)]
-            rows += key.rows
-        return rows
+        return [row for kind, held in (("lot", self.lots), ("key", self.keys)) for name in held
+                for row in self.rows_of(kind, name, wrap)]
+
+    def rows_of(self, kind: str, name: str, wrap: Callable[[bytes], bytes]) -> list[bytes]:
+        """Those of one lot or key."""
+        held: Any = self.lots[name] if kind == "lot" else self.keys[name]
+        if held.rows is None or (kind == "lot" and held.open):
+            held.rows = [wrap(encode(row)) for row in (held.dump() if kind == "lot" else self._dump_key(name, held))]
+        return held.rows
 
     def copy(self) -> "Ledger":
         """A ledger that may go its own way; it shares the lots and keys that can't change any more."""
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -6,6 +6,8 @@
 
 from accession import Append, Install, Outcome
 from accession.messages import Fetched, LogMeta, Started
+from accession.snapshots import read_snapshot
+from ledger import Ledger, entries
 from stacks import Damage, frame
 from vellum import encode
 
@@ -195,6 +197,55 @@
         self.assertThat(table.append("next", settled=True) is not None, Equals(True))
 
 
+class Snapshots(TestCase):
+    def test_made_in_steps_it_holds_what_was_settled_when_it_was_begun(self):
+        import accession.snapshots as module
+        whole, module._STEP_BYTES = module._STEP_BYTES, 60
+        self.addCleanup(setattr, module, "_STEP_BYTES", whole)
+        table = Table()
+        table.hold("a", 1)
+        table.run(300)
+        for number in range(30):
+            table.append(f"k{number}", settled=True)
+            table.run(10)
+        table.run(50)
+        log = table.logs["a"]
+        kept = log.settled_seq
+        log.tidy(force=True)
+        close = entries.KeyClosed(key="k25", transaction="t", state="done", status=200, body="late", at_ms=0)
+        for entry in (close, entries.KeyForgotten(key="k28"), entries.KeyOpened(key="new", digest="d", edge="e", transaction="t", at_ms=0)):
+            table.holder.append([entry], True, lambda outcome: None)
+        table.run(8)
+        self.assertThat((log.settled_seq, log.busy(), log.snap_seq), Equals((kept + 3, True, 0)))
+        table.run(1500)
+        head, rows = read_snapshot(table.disks["a"].read("snapshot"))
+        ledger = Ledger()
+        for row in rows:
+            ledger.apply(row)
+        self.assertThat((head.seq, list(ledger.keys)), Equals((kept, [f"k{number}" for number in range(30)])))
+        self.assertThat((ledger.keys["k25"].state, log.ledger.keys["k25"].state), Equals(("open", "done")))
+        table.open("a")
+        self.assertThat((table.logs["a"].snap_seq, table.logs["a"].last_seq), Equals((kept, kept + 3)))
+
+    def test_one_that_finds_no_room_is_tried_again(self):
+        table = Table()
+        table.hold("a", 1)
+        table.run(300)
+        disk, log = table.disks["a"], table.logs["a"]
+        log.params = PARAMS.model_copy(update={"segment_bytes": 1 << 20})
+        for number in range(90):
+            table.append(f"k{number}", settled=True)
+            table.run(10)
+        self.assertThat(log.snap_seq, Equals(0))
+        room, disk.room_bytes = disk.room_bytes, sum(len(disk.read(name)) for name in disk.names()) + 200
+        log.tidy(force=True)
+        table.run(600)
+        self.assertThat(log.snap_seq, Equals(0))
+        disk.room_bytes = room
+        table.run(1000)
+        self.assertThat(log.snap_seq, Equals(90))
+
+
 class Waking(TestCase):
     def test_an_append_under_an_old_epoch_is_refused_after_the_fence_alone(self):
         table = Table()
