--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -233,7 +233,7 @@
         table.run(300)
         disk, log = table.disks["a"], table.logs["a"]
         log.params = PARAMS.model_copy(update={"segment_bytes": 1 << 20})
-        for number in range(90):
+        for number in range(200):
             table.append(f"k{number}", settled=True)
             table.run(10)
         self.assertThat(log.snap_seq, Equals(0))
@@ -243,7 +243,7 @@
         self.assertThat(log.snap_seq, Equals(0))
         disk.room_bytes = room
         table.run(1000)
-        self.assertThat(log.snap_seq, Equals(90))
+        self.assertThat(log.snap_seq, Equals(200))
 
 
 class Waking(TestCase):
