--- a/libs/circulation/src/circulation/item_run.py
+++ b/libs/circulation/src/circulation/item_run.py
@@ -15,7 +15,7 @@
 __all__ = ["ItemRun", "data_of"]
 
 _URGENCY = 9
-_WORKERS = 8
+_SENDS = 8
 _FAILED, _IMPOSSIBLE = 500, 422
 _TAKEN_UP = 5
 
@@ -28,10 +28,18 @@
 
 
 class _ItemTransaction(ForwardTransaction):
-    """A worker's word that it failed is kept for the log to count."""
+    """Bounded by its sends, whatever came of them. A worker's word that it failed is for the log to count."""
 
     __slots__ = ()
 
+    @property
+    def attempts_left(self) -> int:
+        return self._attempts - len(self.sends)
+
+    def failed(self, worker: str, may_have_run: bool, reason: str, now_ms: int) -> Step:
+        step = super().failed(worker, may_have_run, reason, now_ms)
+        return step if self.attempts_left > 0 or step.name != "place" else self._no_more("send-failed", reason, 502)
+
     def answered(self, worker: str, status: int, body: bytes, now_ms: int) -> Step:
         self.sends.append((worker, f"status {status}"))
         self._runs = True
@@ -65,7 +73,7 @@
             self._later(lambda: self._end("again", b"", ""))
             return
         item = self._item
-        tx = _ItemTransaction(f"{self._carrier.node.env.token()}-{item.item_id}", profile, now_ms, self._due_ms, _WORKERS, True)
+        tx = _ItemTransaction(f"{self._carrier.node.env.token()}-{item.item_id}", profile, now_ms, self._due_ms, _SENDS, True)
         tx.lot = (self._work.lot_id, self._work.index)
         tx.avoid.update(self._work.avoid)
         call = ForwardCall("POST", item.target, item.host, list(zip(item.headers[::2], item.headers[1::2], strict=True)), item.body,
