--- a/libs/readingroom/src/readingroom/lot_counter.py
+++ b/libs/readingroom/src/readingroom/lot_counter.py
@@ -44,7 +44,7 @@
         calls = [encode(item) for item in items]
         message = m.ForwardHandIn(
             lot_id=lot_id, digest=_digest(path, calls, tokens), path=path, item_ids=[item.item_id for item in items], tokens=tokens,
-            calls=calls, attempts=profile.attempts or 1, due_ms=profile.due_ms or 0, keep_ms=profile.keep_ms or 0,
+            calls=calls, attempts=profile.attempts or 1, due_ms=profile.due_ms or 0, keep_ms=profile.keep_ms or self.node.params.keep_ms,
             version=number, epoch=0, holder_ms=0)
 
         def done(receipt: Any) -> None:
--- /dev/null
+++ b/tests/test_forward_lots_sim.py
@@ -0,0 +1,151 @@
+"""Lots of forwarded calls on a simulated fleet, with workers played here: what is taken is listed once, in one
+order at every edge, while the holder of the log, an edge or a store is lost in the middle."""
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from circulation import Dialect
+from facsimile.sim.runs import Run
+from ledger import messages as m
+
+DIALECT = Dialect(request_id="Id", worker="Worker", stamp="Stamp", not_run="Refused", load="Load", deadline_ms="Left", urgency="Rank")
+EVENTS, GAP_MS = 5, 20.0
+
+
+class Theatre:
+    """Edges whose sends of forwarded calls are answered here, event by event; a lot's client at any edge."""
+
+    def __init__(self, seed):
+        self.run = Run(seed)
+        self.run.found()
+        self.fleet = self.run.fleet
+        self.time = self.fleet.time
+        self.runs = []
+        self.read = {}
+        self.total = {}
+        for host in self.fleet.of("edge"):
+            host.node.carrier.dialect = DIALECT
+            host.node.carrier._sender = self._sender_of(host)
+        self.fleet.run_until_true(lambda: False, 800)
+
+    def _sender_of(self, host):
+        life = host.life
+
+        def send(send, address, target, headers, body, method="POST"):
+            state = {"open": True}
+            pairs = dict(headers)
+            self.runs.append((self.time.now_ms, pairs["Id"]))
+            first = int(pairs["Last-Event-Id"]) + 1 if "Last-Event-Id" in pairs else 0
+
+            def play(number):
+                if not (state["open"] and host.up and host.life == life):
+                    return
+                if host.frozen:
+                    self.time.after(50, lambda: play(number))
+                elif number == first - 1:
+                    send.head(200, [("Id", pairs["Id"]), ("Stamp", "s"), ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")], None)
+                    self.time.after(GAP_MS, lambda: play(first))
+                elif number < EVENTS:
+                    send.data(b"id: %d\ndata: %s-%d\n\n" % (number, pairs["Id"].encode(), number))
+                    self.time.after(GAP_MS * (0.5 + self.time.rng.random()), lambda: play(number + 1))
+                else:
+                    send.end()
+
+            self.time.after(2.0, lambda: play(first - 1))
+            return lambda: state.update(open=False)
+
+        return send
+
+    def edges(self):
+        return self.fleet.running("edge")
+
+    def hand_in(self, lot_id, count, done=None, tries=6):
+        items = [m.ForwardItem(item_id=f"{lot_id}.{place}", target="/x", host="h", headers=[], body=b"b", part_ids=[], part_tokens=[],
+                               tokens_in=1, tokens_out=1) for place in range(count)]
+        began_ms = self.time.now_ms
+
+        def told(answer):
+            if answer.status == 202:
+                self.total[lot_id] = count
+                if done is not None:
+                    done(self.time.now_ms - began_ms)
+            elif tries:
+                self.time.after(50, lambda: self.hand_in(lot_id, count, done, tries - 1))
+
+        self.time.rng.choice(self.edges()).node.lot_counter.hand_in(lot_id, "summaries", items, [5] * count, 2000, told)
+
+    def follow(self, lot_id):
+        """Reads on from what it has until all is there; what was read before has to come again as it was."""
+        rows = self.read.setdefault(lot_id, [])
+        position = 0 if self.time.rng.random() < 0.2 else len(rows)
+
+        def told(answer):
+            if answer.status == 200:
+                got = [(row.item_id, row.outcome, row.text) for row in answer.value[0]]
+                for place, row in enumerate(got, position):
+                    if place < len(rows) and rows[place] != row:
+                        raise AssertionError(f"{lot_id} {place}: {rows[place]} and then {row}")
+                rows[position:position + len(got)] = got
+            if len(rows) < self.total[lot_id]:
+                self.time.after(100 if answer.status == 200 else 300, lambda: self.follow(lot_id))
+
+        self.time.rng.choice(self.edges()).node.lot_counter.page(lot_id, position, 1000, told)
+
+
+class Lots(TestCase):
+    def all_read(self, stage, lots, limit_ms=15_000):
+        def done():
+            return len(stage.total) == lots and all(len(stage.read.get(lot_id, [])) == count for lot_id, count in stage.total.items())
+
+        self.assertThat(bool(stage.fleet.run_until_true(done, limit_ms)), Equals(True))
+        for lot_id, rows in stage.read.items():
+            texts = {f"{lot_id}.{place}": b"\n".join(b"%s.%d-%d" % (lot_id.encode(), place, event) for event in range(EVENTS))
+                     for place in range(stage.total[lot_id])}
+            self.assertThat({item: text for item, _, text in rows}, Equals(texts))
+            self.assertThat({outcome for _, outcome, _ in rows}, Equals({"finished"}))
+
+    def begin(self, seed, lots=3, items=20):
+        stage = Theatre(seed)
+        took = []
+        for number in range(lots):
+            lot_id = f"lot{number}"
+            stage.hand_in(lot_id, items, lambda ms, lot_id=lot_id: (took.append(ms), stage.follow(lot_id)))
+        return stage, took
+
+    def test_a_calm_lot_is_taken_dealt_and_listed_at_once(self):
+        stage, took = self.begin(3, 2, 9)
+        began_ms = stage.time.now_ms
+        self.all_read(stage, 2)
+        self.assertThat((max(took) < 60, max(at_ms for at_ms, _ in stage.runs) - began_ms < 500, len(stage.runs)), Equals((True, True, 18)))
+
+    def test_the_holder_lost_in_the_middle(self):
+        for seed, how in ((1, "kill"), (2, "freeze"), (3, "lose_power"), (4, "lose_disk")):
+            stage, _ = self.begin(seed)
+            stage.time.run_until(stage.time.now_ms + 80 + 40 * seed)
+            holder = stage.fleet.holder()
+            getattr(holder, how)()
+            stage.hand_in("late", 5, lambda ms, stage=stage: stage.follow("late"))
+            if how == "freeze":
+                stage.time.after(4000, holder.wake)
+            self.all_read(stage, 4)
+
+    def test_an_edge_lost_in_the_middle(self):
+        stage, _ = self.begin(5, 3, 30)
+        stage.time.run_until(stage.time.now_ms + 120)
+        lost = max(stage.fleet.of("edge"), key=lambda host: host.node.lots.running())
+        lost.kill()
+        began_ms = stage.time.now_ms
+        self.all_read(stage, 3)
+        self.assertThat(stage.time.now_ms - began_ms < 4000, Equals(True))
+
+    def test_ended_everywhere_in_time(self):
+        stage, _ = self.begin(6, 1, 60)
+        stage.time.run_until(stage.time.now_ms + 60)
+        ended = []
+        stage.edges()[0].node.lot_counter.end("lot0", ended.append)
+        stage.fleet.run_until_true(lambda: ended, 2000)
+        self.assertThat(ended[0].status, Equals(200))
+        stage.time.run_until(stage.time.now_ms + 100)
+        count = len(stage.runs)
+        stage.time.run_until(stage.time.now_ms + 3000)
+        self.assertThat((len(stage.runs), sum(host.node.lots.running() for host in stage.edges())), Equals((count, 0)))
