--- a/tests/test_forward_lots_sim.py
+++ b/tests/test_forward_lots_sim.py
@@ -1,6 +1,8 @@
 """Lots of forwarded calls on a simulated fleet, with workers played here: what is taken is listed once, in one
 order at every edge, while the holder of the log, an edge or a store is lost in the middle."""
 
+import json
+
 from testtools import TestCase
 from testtools.matchers import Equals
 
@@ -23,7 +25,10 @@
         self.runs = []
         self.read = {}
         self.total = {}
+        listed = json.dumps({"workers": {f"v{number}": {"address": f"10.9.0.{number}:1", "zone": "north", "label": "gpu", "slots": 8,
+                                                        "state": "serving", "seq": 1, "models": []} for number in range(4)}})
         for host in self.fleet.of("edge"):
+            host.node.roster._listed = lambda: (1, listed)
             host.node.carrier.dialect = DIALECT
             host.node.carrier._sender = self._sender_of(host)
         self.fleet.run_until_true(lambda: False, 800)
