A claim asks the key's likely owner first and the next voter soon after, and who held says at once who does now

Cause: a store asked a random voter and waited half of force_ms for one that was down; after a handover the old holder pointed to itself until the feed came round.

--- a/libs/accession/src/accession/store.py
+++ b/libs/accession/src/accession/store.py
@@ -244,6 +244,7 @@
             self._changing = False
             if version:
                 self._learn(version, value)
+                self._fleet.learned(version, value)
             done(outcome)
 
         self._control.change(LOG_KEY, self._version, json.dumps(body), changed)
--- a/libs/readingroom/src/readingroom/nodes.py
+++ b/libs/readingroom/src/readingroom/nodes.py
@@ -7,7 +7,7 @@
 from accession import LocalLog, Mending, StoreLog
 from catalogue import ControlClient, Tree, profiles_digest
 from circulation import Carrier, HolderClient, Items, LotRunner, Roster
-from commons import Neighbours
+from commons import Neighbours, duty_order
 from gazette import Gazette, candidates
 from ledger import Desk
 from readingroom.counter import Counter
@@ -77,7 +77,7 @@
         local = open_or_set_aside(env, disk, lambda: LocalLog(disk, params, env.now, env.token))
         self._common(local.identity)
         self._started_ms = env.now()
-        self.control = ControlClient(self._control_addresses)
+        self.control = ControlClient(self._control_addresses, self._key_owners)
         self.desk = Desk(lambda: (self.gazette.number(PROFILES_KEY), self.tree()), self._who_holds, lambda: self.log.log.ledger)
         self.log = StoreLog(local, self.control, self, self.desk.take_holder)
         self.mending = Mending(local, self._other_members)
@@ -85,6 +85,11 @@
         local.shelves.on_shelved = self._shelved
         super().__init__(env, params, [self.neighbours, self.gazette, self.control, self.log, self.desk, self.mending])
 
+    def _key_owners(self, key: str) -> list[str]:
+        """The voters that live, as far as this store hears, in the order in which the key's duty falls to them."""
+        voters = {row["identity"]: row["address"] for row in (self.gazette.value(CONTROL_KEY) or {"voters": []})["voters"]}
+        return [voters[name] for name in duty_order(key, voters) if self.neighbours.live(name)]
+
     # -- what the log asks about the fleet -----------------------------------------------------
 
     def log_key(self) -> tuple[int, str]:
@@ -120,8 +125,12 @@
         return (now_ms - self._started_ms > self.params.dead_ms
                 and now_ms - self.gazette.quorate_ms < self.params.dead_ms)
 
+    def learned(self, number: int, body: str) -> None:
+        """What control has told this store itself, ahead of the feed."""
+        self.gazette.publish(LOG_KEY, number, body)
+
     def _who_holds(self) -> tuple[int, str]:
-        value = self.gazette.value(LOG_KEY) or {}
+        value = self.log.value
         address = next((row["address"] for row in value.get("members", [])
                         if row["identity"] == value.get("holder")), "")
         return value.get("epoch", 0), address
