--- a/libs/facsimile/src/facsimile/breaks/table.py
+++ b/libs/facsimile/src/facsimile/breaks/table.py
@@ -7,6 +7,8 @@
 _LOTS = "tests/test_lots.py -k "
 _LOG = "tests/test_log_conformance.py -k "
 _FEED = "tests/test_feed.py -k "
+_FAN = "tests/test_fan_out.py -k "
+_FOUNDING = "tests/test_founding.py -k "
 _MEMBERS = "tests/test_members.py -k "
 _CIRC = "tests/test_circulation.py -k "
 _EXCHANGES = "tests/test_exchanges.py"
@@ -39,6 +41,17 @@
     "the feed goes back": (
         "gazette/src/gazette/feed.py", "if item.number <= self.number(item.key):\n                continue", "if False:\n                continue",
         _FEED + "old_news"),
+    "acknowledged while a voter's edges lack it": (
+        "gazette/src/gazette/feed.py", "if any(lows.get(key, number) < number for", "if any(False for", _FAN + "not_waited_for"),
+    "reports go to a voter that is cut off": (
+        "gazette/src/gazette/contacts.py", "if address in self._chosen and len(self._rank) > len(self._chosen):", "if False:",
+        _FAN + "leaves_voters"),
+    "a voter that hears nobody keeps its duties": (
+        "catalogue/src/catalogue/owner.py", "first_live(order, self._neighbours.hears) or ", "", _FOUNDING + "hears_nobody"),
+    "a disk that lost its vote votes again": (
+        "catalogue/src/catalogue/founding.py", "elif not self._may_found():", "elif False:", _FOUNDING + "wiped_before"),
+    "a lost disk's vote under way is not waited for": (
+        "catalogue/src/catalogue/succession.py", "if settled(card):", "if True:", _FOUNDING + "another_identity"),
     "one lot too many": (
         "ledger/src/ledger/desk.py", "ledger.room_used(message.path) >= room", "ledger.room_used(message.path) > room",
         _LOTS + "exact"),
