A voter counts as heard by its own word only: cards passed on may come round a cut

Cause: a voter cut off from the majority heard their cards in shuffles with edges, took itself for quorate now and then, and kept its reports.

--- a/libs/commons/src/commons/neighbours.py
+++ b/libs/commons/src/commons/neighbours.py
@@ -69,6 +69,10 @@
             return False
         return self.node.env.now() - self.heard_ms(identity) <= (within_ms or self.node.params.dead_ms)
 
+    def heard_itself(self, identity: str, within_ms: int) -> bool:
+        """Whether it was lately heard by its own word; what others pass on of it may have come round a cut."""
+        return identity == self.identity or self.node.env.now() - self._heard_ms.get(identity, -1 << 40) <= within_ms
+
     def hears(self, identity: str) -> bool:
         """Whether it takes itself to hear a majority of the voters, as its newest card says."""
         card = self._cards.get(identity)
--- a/libs/gazette/src/gazette/feed.py
+++ b/libs/gazette/src/gazette/feed.py
@@ -240,7 +240,7 @@
     def _tell_voters(self) -> None:
         self._lows_told = self.lows()
         digest = self._digest(edges=self._own_edges())
-        for address in self._voters() - {self.node.address}:
+        for address in sorted(self._voters() - {self.node.address}):
             self.node.post(address, digest)
 
     def _report(self) -> None:
--- a/libs/registrar/src/registrar/nodes.py
+++ b/libs/registrar/src/registrar/nodes.py
@@ -59,7 +59,7 @@
 
     def _hears(self, within_ms: int) -> bool:
         voters = self.voter.voters
-        return 2 * sum(1 for name in voters if self.neighbours.live(name, within_ms)) > len(voters)
+        return 2 * sum(1 for name in voters if self.neighbours.heard_itself(name, within_ms)) > len(voters)
 
     def why_unready(self) -> str:
         voters = self.voter.voters
