--- a/libs/readingroom/src/readingroom/lot_counter.py
+++ b/libs/readingroom/src/readingroom/lot_counter.py
@@ -16,6 +16,7 @@
 Told = Callable[[Answer], None]
 _PAGE_BYTES = 1 << 19
 _ANSWER_SHARE = 0.55
+_TRY_SHARE = 0.6
 
 
 def _digest(path: str, calls: Iterable[bytes], tokens: Iterable[int]) -> str:
@@ -38,7 +39,8 @@
         """How long a client may be kept waiting for a word of the holder's, beyond what it asked for itself."""
         return int(self.node.params.force_ms * _ANSWER_SHARE)
 
-    def hand_in(self, lot_id: str, path: str, items: list[m.ForwardItem], tokens: list[int], wait_ms: int, told: Told) -> None:
+    def hand_in(self, lot_id: str, path: str, items: list[m.ForwardItem], tokens: list[int], client_ms: int, told: Told) -> None:
+        """`client_ms` is how long the client waits; it is left enough of that to try at another edge."""
         number, tree = self._profiles()
         profile = tree.usable(path)
         calls = [encode(item) for item in items]
@@ -53,7 +55,7 @@
                               items=len(items), code=answer.code)
             told(answer)
 
-        ask = self._holder.ask(message, wait_ms, done)
+        ask = self._holder.ask(message, int(client_ms * _TRY_SHARE), done)
 
     def page(self, lot_id: str, from_position: int, wait_ms: int, told: Told) -> None:
         """The holder holds each ask for a part of the time, so that another holder is found soon."""
