--- a/libs/circulation/src/circulation/carrier.py
+++ b/libs/circulation/src/circulation/carrier.py
@@ -137,6 +137,11 @@
     def _all_rest(self, workers: list[Worker]) -> bool:
         return all(map(self._roster.resting, workers))
 
+    def seems_dark(self, worker: Worker, path: str) -> bool:
+        """Silent for longer than is usual: nothing new goes there while there are others."""
+        now_ms = self.node.env.now()
+        return worker.silent_ms(now_ms) > self._pace.dark_ms(path, False, self.node.params.ask_ms / 2) / 2
+
     def _serve_items(self) -> None:
         """Items that were dealt here wait until a worker can read one without holding up what it has begun. Those
         whose time is up, or whose profiles are no longer in force, are given back."""
@@ -193,6 +198,7 @@
             self._line.seen_worker(tx.profile.name, self.node.env.now())
         self.count("sends_lot" if call.lot else "sends_live")
         worker.sending += 1
+        worker.asked(self.node.env.now())
         if not call.kept_when_gone:
             self._reading(worker, call, 1)
         if call.parts:
@@ -277,7 +283,8 @@
             if send is None:
                 continue
             if now_ms >= tx.due_ms:
-                self.ended(send, Fate("failed", may_have_run=not send.connecting, reason="deadline"))
+                dark = not carriage.call.kept_when_gone and send.worker.silent_ms(now_ms) > self.node.params.ask_ms
+                self.ended(send, Fate("failed", may_have_run=not send.connecting, reason="deadline", mark="down" if dark else ""))
             elif not carriage.call.kept_when_gone:
                 self._review_send(send, now_ms)
             elif tx.safe and not tx.delivered and self._roster.silent(send.worker):
@@ -298,7 +305,7 @@
         if not tx.can_move or send.connecting or carriage.untaken_bytes > 0:
             return
         began = send.heard_ms > send.began_ms
-        silent_ms = now_ms - max(send.heard_ms, worker.answered_ms)
+        silent_ms = min(now_ms - send.heard_ms, worker.silent_ms(now_ms))
         if silent_ms > self._pace.dark_ms(profile.name, began, params.ask_ms / 2):
             self.ended(send, Fate("failed", reason="worker dark", mark="down"))
         elif not carriage.call.lot and now_ms - send.heard_ms > self._pace.patience_ms(params.force_ms, profile.target_ms, profile.token_gap_ms):
--- a/libs/circulation/src/circulation/pace.py
+++ b/libs/circulation/src/circulation/pace.py
@@ -5,7 +5,8 @@
 __all__ = ["Pace"]
 
 _KEEP = 0.9
-_TIMES = 4.0
+_TIMES = 2.0
+_SPREADS = 4.0
 _PATIENCE = 0.45
 
 
@@ -24,7 +25,7 @@
 
     def long_ms(self, floor_ms: float) -> float:
         """Longer than nearly all: silent ones do not count themselves in."""
-        return max(floor_ms, _TIMES * (self.mean_ms + _TIMES * self.spread_ms) if self.mean_ms >= 0 else 0.0)
+        return max(floor_ms, _TIMES * (self.mean_ms + _SPREADS * self.spread_ms) if self.mean_ms >= 0 else 0.0)
 
 
 class Pace:
--- a/libs/circulation/src/circulation/roster.py
+++ b/libs/circulation/src/circulation/roster.py
@@ -35,9 +35,9 @@
 class Worker:
     """`others` is what callers elsewhere had at it when it last told its load."""
 
-    __slots__ = ("address", "answered_ms", "beat", "cache_use", "down_beat", "down_ms", "failures", "full_until_ms", "heard_ms",
+    __slots__ = ("address", "answered_ms", "asked_ms", "beat", "cache_use", "down_beat", "down_ms", "failures", "full_until_ms", "heard_ms",
                  "identity", "incarnation", "labels", "leaving", "listed", "others", "reading", "reading_items", "running", "sending", "sending_then",
-                 "slots", "told_ms", "waiting", "zone")
+                 "sent_ms", "slots", "told_ms", "waiting", "zone")
 
     def __init__(self, news: WorkerNews) -> None:
         self.identity = news.identity
@@ -50,7 +50,7 @@
         self.listed = False
         self.failures = self.reading = self.reading_items = 0
         self.others = 0.0
-        self.told_ms = self.answered_ms = self.full_until_ms = -1 << 40
+        self.told_ms = self.answered_ms = self.asked_ms = self.sent_ms = self.full_until_ms = -1 << 40
 
     def take(self, news: WorkerNews, now_ms: int) -> None:
         self.address = news.address
@@ -81,7 +81,19 @@
     def load(self, now_ms: int) -> float:
         """What it probably has now: what is under way from here, and what others had there, which is the less
         sure the older it is. Prompts that are still read count twice, since all else waits for them."""
-        return self.sending + self.reading + self.others * math.exp(-max(0, now_ms - self.told_ms) / _LOAD_MS)
+        return self.sending + self.reading + self.others_now(now_ms)
+
+    def others_now(self, now_ms: int) -> float:
+        return self.others * math.exp(-max(0, now_ms - self.told_ms) / _LOAD_MS)
+
+    def asked(self, now_ms: int) -> None:
+        self.sent_ms = now_ms
+        if self.asked_ms <= self.answered_ms or self.sending == 1:
+            self.asked_ms = now_ms
+
+    def silent_ms(self, now_ms: int) -> int:
+        """For how long it has said nothing to anybody here, though something is under way."""
+        return now_ms - max(self.asked_ms, self.answered_ms) if self.sending else 0
 
 
 class Roster(Part):
--- a/libs/circulation/src/circulation/sending.py
+++ b/libs/circulation/src/circulation/sending.py
@@ -102,7 +102,9 @@
     that failed longest ago is tried. None is tried again that could not be reached for this very request."""
     params, now_ms = carrier.node.params, carrier.node.env.now()
     workers = [worker for worker in workers if tx.may_try(worker.identity) and worker.stamp not in tx.unreached]
+    path = tx.profile.name
     fit = [worker for worker in workers if not roster.resting(worker) and (tx.safe or not worker.failures)]
+    fit = [worker for worker in fit if not carrier.seems_dark(worker, path)] or fit
     if call.lot:
         if carrier.reading_items >= math.ceil(len(workers) / carrier.edges()):
             return None
@@ -110,7 +112,7 @@
     bound = max(1, tx.profile.connections // carrier.edges()) if tx.profile.connections else 0
 
     def choose_of(among: list[Worker], avoid: frozenset[str]) -> Worker | None:
-        return choose_forward(among, call, carrier.parts, now_ms, params.zone, carrier.node.env.rng,
+        return choose_forward(among, call, carrier.parts, now_ms, params.zone, carrier.node.env.rng, params.beat_ms,
                               params.live_share, avoid, bound)
 
     worker = choose_of(fit, frozenset(tx.avoid))
