--- a/libs/catalogue/src/catalogue/profiles.py
+++ b/libs/catalogue/src/catalogue/profiles.py
@@ -22,8 +22,8 @@
     """A profile with everything it inherits."""
 
     __slots__ = ("_split", "abstract", "attempts", "cache_tokens", "connections", "deadline_ms", "due_ms", "give_up_ms",
-                 "health_path", "host", "identities", "keep_ms", "kind", "labels", "live_share", "lot_share", "models",
-                 "name", "path", "prefix", "repeatable", "resumable", "retry_budget", "slots", "sticky", "stride_tokens",
+                 "health_path", "host", "identities", "keep_ms", "kind", "labels", "live_share", "loan_share", "lot_share", "models",
+                 "name", "path", "prefix", "repeatable", "resumable", "retry_budget", "rollout_room", "slots", "sticky", "stride_tokens",
                  "target_ms", "token_gap_ms", "urgency", "waiting_room", "waiting_tokens", "zone")
 
     def __init__(self, name: str, values: dict[str, Any], split: Split | None = None) -> None:
--- a/libs/catalogue/src/catalogue/rows.py
+++ b/libs/catalogue/src/catalogue/rows.py
@@ -69,6 +69,8 @@
     sticky: bool | None = None
     resumable: bool | None = None
     waiting_tokens: int | None = Field(None, ge=0)
+    loan_share: Share | None = None
+    rollout_room: int | None = Field(None, ge=0, le=1_000_000)
     health_path: str | None = Field(None, max_length=4096, pattern=r"^(/\S*)?$")
     connections: int | None = Field(None, ge=0)
     slots: int | None = Field(None, ge=0)
@@ -90,7 +92,7 @@
     "workers": {"identities": [], "labels": []}, "path": "", "deadline_ms": 5000, "repeatable": True, "zone": "near",
     "live_share": 1.0, "lot_share": 1.0, "waiting_room": 16, "retry_budget": 0.2, "abstract": False,
     "match": {}, "kind": "plain", "shares": [], "give_up_ms": 0, "target_ms": 0, "token_gap_ms": 0, "due_ms": 0,
-    "keep_ms": 0, "urgency": 5, "attempts": 2, "sticky": False, "resumable": False, "waiting_tokens": 0,
+    "keep_ms": 0, "urgency": 5, "attempts": 2, "sticky": False, "resumable": False, "waiting_tokens": 0, "loan_share": 0.0, "rollout_room": 4,
     "health_path": "", "connections": 0, "slots": 0, "cache_tokens": 0, "stride_tokens": 0, "models": [], "rank": 0, "source": ""}
 OWN_ONLY = ("abstract", "parent", "match", "rank", "source")
 
--- a/libs/circulation/src/circulation/calls.py
+++ b/libs/circulation/src/circulation/calls.py
@@ -15,6 +15,7 @@
 
     __slots__ = ("body", "digest", "lot", "prefix", "stream")
     kept_when_gone = True
+    rollout = False
     parts = ()
 
     def __init__(self, body: dict[str, Any], digest: str, prefix: str, lot: bool, stream: bool) -> None:
@@ -40,6 +41,7 @@
     __slots__ = ("body", "headers", "host", "last_event_id", "lot", "method", "parts", "request_id", "resumable", "stream",
                  "target", "tokens_in", "tokens_out", "urgency")
     kept_when_gone = False
+    rollout = False
 
     def __init__(self, method: str, target: str, host: str, headers: Iterable[tuple[str, str]], body: bytes, request_id: str,
                  parts: Iterable[tuple[str, int]] = (), tokens_in: int = 0, tokens_out: int = 0, stream: bool = False,
--- a/libs/circulation/src/circulation/carrier.py
+++ b/libs/circulation/src/circulation/carrier.py
@@ -23,16 +23,18 @@
 
 
 class Carrier(Part):
-    """`dialect` is what forwarded calls need: how their workers name their headers."""
+    """`dialect` is what forwarded calls need: how their workers name their headers. `loans`, where slots are lent to
+    rollouts, takes them back for whatever else needs one."""
 
     __slots__ = ("_holder", "_line", "_list_number", "_open", "_pace", "_roster", "_sender", "_tree", "by_prefix", "counts", "dialect", "edge",
-                 "edges", "parts")
+                 "edges", "loans", "parts")
 
     def __init__(self, edge: str, holder: Any, roster: Roster, tree: Callable[[], Any], sender: Sender,
                  edges: Callable[[], int] = lambda: 1) -> None:
         self.edge = edge
         self.edges = edges
         self.dialect: Dialect | None = None
+        self.loans: Any = None
         self.parts = PartMap()
         self._pace = Pace()
         self._list_number = 0
@@ -49,7 +51,10 @@
         return len(self._line)
 
     def carrying(self, lot: bool) -> int:
-        return sum(1 for carriage in self._open.values() if carriage.call.lot == lot)
+        return sum(1 for carriage in self._open.values() if carriage.call.lot == lot and not carriage.call.rollout)
+
+    def sends(self) -> list[Send]:
+        return [carriage.send for carriage in self._open.values() if carriage.send is not None]
 
     def carry(self, tx: Transaction, call: Call | ForwardCall, sink: Callable[[bytes], None] | None, done: Callable[[Step], None]) -> Carriage:
         carriage = Carriage(self, tx, call, sink, done)
@@ -106,6 +111,8 @@
         workers = self._allowed(carriage)
         worker = self._choose(carriage, workers)
         if worker is None and not carriage.call.lot:
+            if self.loans is not None:
+                self.loans.starved(workers)
             waits, back_ms = self._may_wait(carriage, workers, now_ms)
             self._take(carriage, tx.placed(None, bool(workers), waits, back_ms))
         else:
@@ -160,7 +167,11 @@
         tx.widen_budget(2.0 * worker.slots)
         if not call.lot:
             self._line.seen_worker(tx.profile.name, self.node.env.now())
-        self.count("sends_lot" if call.lot else "sends_live")
+        self.count("sends_rollout" if call.rollout else "sends_lot" if call.lot else "sends_live")
+        if call.rollout:
+            worker.borrowed += 1
+        elif self.loans is not None:
+            self.loans.first_claim(worker, call)
         worker.sending += 1
         if call.parts:
             self.parts.sent(worker.identity, call.parts, tx.profile.cache_tokens)
@@ -171,6 +182,7 @@
     def _over(self, send: Send) -> None:
         send.over = True
         send.worker.sending -= 1
+        send.worker.borrowed -= send.carriage.call.rollout
         send.carriage.send = None
         send.abort()
 
--- a/libs/circulation/src/circulation/holding.py
+++ b/libs/circulation/src/circulation/holding.py
@@ -13,8 +13,8 @@
 
 __all__ = ["HolderClient"]
 
-_STAMPED = (m.HandIn, m.OpenKey, m.ForwardHandIn)
-_WAITED_FOR = (m.HandIn, m.OpenKey)
+_STAMPED = (m.HandIn, m.OpenKey, m.ForwardHandIn, m.RolloutHandIn)
+_WAITED_FOR = (m.HandIn, m.OpenKey, m.RolloutHandIn)
 _RETRIED = ("stale", "unknown")
 _REFUSED = ("full", "no_path", "no_room")
 
--- a/libs/circulation/src/circulation/lots.py
+++ b/libs/circulation/src/circulation/lots.py
@@ -32,7 +32,7 @@
     calls back with outcome, body, worker, giving the function that stops it."""
 
     __slots__ = ("_asked_epoch", "_asked_ms", "_asking", "_beats", "_ends", "_holder", "_lot_paths", "_placing", "_reporting", "_room", "_runs",
-                 "_start", "_wish", "edge", "finished", "paused")
+                 "_start", "_wish", "edge", "finished", "paused", "samples")
 
     def __init__(self, edge: str, holder: HolderClient, room: Callable[[], tuple[int, frozenset[str]]],
                  start: Start) -> None:
@@ -50,6 +50,7 @@
         self._ends: list[tuple[_Run, bytes]] = []
         self._reporting = False
         self.paused = False
+        self.samples: Any = None
         self.finished = 0
 
     def running(self) -> int:
@@ -77,9 +78,12 @@
         self._asking = number = self._beats
         self._wish = False
         running = [f"{lot_id}#{index}" for lot_id, index in self._runs]
-        self.node.ask(address, m.EdgeBeat(edge=self.edge, address=self.node.address, room=room, paths=sorted(served & self._lot_paths),
-                                          running=running), self.node.params.ask_ms,
-                      lambda receipt: self._answered(receipt, number, asked_ms))
+        told = {"edge": self.edge, "address": self.node.address, "room": room, "paths": sorted(served & self._lot_paths), "running": running}
+        beat: Message = m.EdgeBeat(**told)
+        if self.samples is not None and self.samples.lends():
+            sample_room, sample_paths = (0, ()) if self.paused else self.samples.room()
+            beat = m.RolloutBeat(**told, sample_room=sample_room, sample_paths=sorted(sample_paths))
+        self.node.ask(address, beat, self.node.params.ask_ms, lambda receipt: self._answered(receipt, number, asked_ms))
 
     def _answered(self, receipt: Message | None, number: int, asked_ms: int) -> None:
         last = number == self._asking
@@ -94,6 +98,8 @@
         self._holder.heard(receipt, asked_ms)
         for lot_id in receipt.stops:
             self.stop(lot_id, "lot over")
+        if self.samples is not None:
+            self.samples.told(receipt)
         work = [decode(data) for data in receipt.work]
         for row in work:
             self._take(row)
--- a/libs/circulation/src/circulation/roster.py
+++ b/libs/circulation/src/circulation/roster.py
@@ -33,9 +33,10 @@
 
 
 class Worker:
-    """`others` is what callers elsewhere had at it when it last told its load."""
+    """`others` is what callers elsewhere had at it when it last told its load; `borrowed` are its slots in which this
+    edge runs samples of rollouts, which give way to anything else and so count for nothing in what it has to do."""
 
-    __slots__ = ("address", "answered_ms", "beat", "cache_use", "down_beat", "down_ms", "failures", "full_until_ms", "heard_ms",
+    __slots__ = ("address", "answered_ms", "beat", "borrowed", "cache_use", "down_beat", "down_ms", "failures", "full_until_ms", "heard_ms",
                  "identity", "incarnation", "labels", "leaving", "listed", "others", "running", "sending", "sending_then",
                  "slots", "told_ms", "waiting", "zone")
 
@@ -43,7 +44,7 @@
         self.identity = news.identity
         self.incarnation = news.incarnation
         self.leaving = False
-        self.sending = 0
+        self.sending = self.borrowed = 0
         self.down_beat = -1
         self.down_ms = -1 << 40
         self.beat = -1
@@ -66,7 +67,7 @@
     @property
     def weight(self) -> int:
         """What it probably has to do: its own report, moved by what this edge began or ended since."""
-        return max(self.sending, self.running + self.waiting + self.sending - self.sending_then)
+        return max(self.sending, self.running + self.waiting + self.sending - self.sending_then) - self.borrowed
 
     @property
     def stamp(self) -> str:
@@ -81,14 +82,14 @@
     def load(self, now_ms: int) -> float:
         """What it probably has now: what is under way from here, and what others had there, which is the less
         sure the older it is. One that was never heard of counts by its own sends alone."""
-        return self.sending + self.others * math.exp(-max(0, now_ms - self.told_ms) / _LOAD_MS)
+        return self.sending - self.borrowed + self.others * math.exp(-max(0, now_ms - self.told_ms) / _LOAD_MS)
 
 
 class Roster(Part):
     """`allowed` says whether any profile in force allows a worker; `listed` gives the number and the body of
     the list that control keeps, if it keeps one."""
 
-    __slots__ = ("_allowed", "_fellows", "_by_label", "_gone", "_listed", "_quiet_until_ms", "_workers", "list_number")
+    __slots__ = ("_allowed", "_fellows", "_by_label", "_gone", "_listed", "_quiet_until_ms", "_workers", "lent", "list_number")
     HANDLES = (WorkerNews,)
 
     def __init__(self, fellows: Callable[[], Iterable[str]], allowed: Callable[[str, frozenset], bool],
@@ -96,6 +97,7 @@
         self._fellows = fellows
         self._allowed = allowed
         self._listed, self.list_number = listed, 0
+        self.lent: frozenset[str] = frozenset()
         self._by_label: dict[str, list[Worker]] = {}
         self._workers: dict[str, Worker] = {}
         self._gone: dict[tuple[str, int], int] = {}
@@ -214,6 +216,8 @@
         params = self.node.params
         if worker.leaving or self.silent(worker):
             return False
+        if worker.identity in self.lent:
+            return False
         if self._workers.get(worker.identity) is not worker:
             return False
         if worker.listed:
@@ -228,9 +232,9 @@
     def listed(self, labels: frozenset[str]) -> list[Worker]:
         """The listed ones with any of these labels, whether or not the tree still has a use for them."""
         self._read_list()
-        if len(labels) == 1:
+        if len(labels) == 1 and not self.lent:
             return self._by_label.get(next(iter(labels)), [])
-        return [worker for label in sorted(labels) for worker in self._by_label.get(label, [])]
+        return [worker for label in sorted(labels) for worker in self._by_label.get(label, []) if worker.identity not in self.lent]
 
     def _read_list(self) -> None:
         number, body = self._listed()
--- a/libs/colophon/src/colophon/params.py
+++ b/libs/colophon/src/colophon/params.py
@@ -146,6 +146,11 @@
         """Silence after which a member with a disk is replaced by a spare."""
         return int(min(self.resume_ms, self.catch_up_ms or self.resume_ms) * 0.5)
 
+    @property
+    def load_window_ms(self) -> int:
+        """For how long the live load is watched before a worker is lent whole; its peak in that time counts."""
+        return self.resume_ms
+
     @property
     def claim_ms(self) -> int:
         """How long an edge goes on running lots after its last word from the holder."""
--- a/libs/facsimile/src/facsimile/sim/carrying.py
+++ b/libs/facsimile/src/facsimile/sim/carrying.py
@@ -50,7 +50,10 @@
                 send.broke(what, what != "no connection")
 
         def abort() -> None:
-            state["open"] = False
+            """A worker that looks at its connections finds this one closed a moment later."""
+            was, state["open"] = state["open"], False
+            if was and target is not None and target.watches:
+                time.after(network.delay(host.address, address), target.look)
 
         fleet.history.add("send", time.now_ms, worker=headers["X-Vaneledge-Worker"],
                           transaction=headers["X-Vaneledge-Transaction"])
--- /dev/null
+++ b/libs/facsimile/src/facsimile/sim/evening.py
@@ -0,0 +1,116 @@
+"""A busy evening and the night after it: live calls near their peak with bursts, a café's lots, then fewer calls and an
+overnight lot; beside them, if wanted, rollouts and loans of whole workers. The same seed gives the same calls, lots and
+faults with and without rollouts, so that two runs can be compared."""
+
+import random
+from typing import Any
+
+from facsimile.sim.reading_workers import ReadingWorker
+from facsimile.sim.runs import Run
+from facsimile.sim.trainers import Trainers
+
+__all__ = ["FAULTS_OF_AN_EVENING", "Evening", "play_evening"]
+
+_SLOTS = 6
+_WORKERS = 4
+_PEAK_A_S = 60.0
+_EVENING_MS = 7000.0
+_SPAN_MS = 15_000.0
+_SETTINGS = {"resume_ms": 3000}
+FAULTS_OF_AN_EVENING = ((2500, "worker"), (4200, "edge"), (6000, "holder"), (9500, "edge"), (11_500, "owner"))
+
+
+class Evening:
+    __slots__ = ("_rng", "faulty", "fleet", "run", "share", "start_ms", "stopped", "trainers")
+
+    def __init__(self, seed: int, rollouts: bool, faulty: bool = False, share: float = 0.5) -> None:
+        self.run = Run(seed, settings=_SETTINGS, workers=0, control=3)
+        self.fleet, self.faulty, self.share = self.run.fleet, faulty, share if rollouts else 0.0
+        self.run.operators.more = {"rollouts": {"parent": "base", "loan_share": self.share, "deadline_ms": 5000}}
+        self._rng = random.Random(f"evening {seed}")
+        self.trainers = Trainers(self.fleet, random.Random(f"trainers {seed}"))
+        self.stopped = False
+        for place in range(_WORKERS):
+            self._add_worker(f"worker{place + 1}")
+
+    def _add_worker(self, name: str) -> None:
+        fleet = self.fleet
+        worker = ReadingWorker(fleet, name, fleet._address(), _SLOTS, ("north", "south")[len(fleet.workers) % 2])
+        fleet.network.zones[worker.address] = worker.zone
+        fleet.workers[worker.address] = worker
+
+    def found(self) -> None:
+        self.run.found()
+        self.start_ms = self.fleet.time.now_ms
+
+    # -- what happens --------------------------------------------------------------------------
+
+    def rate(self, at_ms: float) -> float:
+        """Calls a second: 80% of the peak with bursts to all of it in the evening, a fifth at night with one late burst."""
+        if at_ms < _EVENING_MS:
+            return _PEAK_A_S * (1.0 if at_ms % 2000 < 600 else 0.8)
+        return _PEAK_A_S * (0.9 if 12_500 < at_ms < 13_500 else 0.2)
+
+    def plan(self) -> None:
+        """All drawn beforehand, from a generator of its own."""
+        rng, after, visitors = self._rng, self.fleet.time.after, self.run.visitors
+        at_ms = 0.0
+        while (at_ms := at_ms + rng.expovariate(self.rate(at_ms) / 1000)) < _SPAN_MS:
+            dice = rng.random()
+            if dice < 0.8:
+                after(at_ms, lambda path=rng.choice(("rulings", "rulings", "narrations")): visitors.live(path))
+            else:
+                self._plan_move(at_ms, f"move{int(at_ms * 10)}", dice < 0.85)
+        for lot_ms in (1000.0, 3500.0):
+            after(lot_ms, lambda: visitors.hand_in("summaries", 12))
+        after(_EVENING_MS + 300, lambda: visitors.hand_in("summaries", 90))
+        for fault_ms, what in FAULTS_OF_AN_EVENING if self.faulty else ():
+            after(fault_ms, lambda what=what, place=rng.randrange(3): self._fault(what, place))
+
+    def _plan_move(self, at_ms: float, key: str, resent: bool) -> None:
+        """Not safe to repeat; some clients send theirs twice."""
+        for wait_ms in (0.0, 150.0) if resent else (0.0,):
+            self.fleet.time.after(at_ms + wait_ms, lambda: self.run.visitors.live("moves", key, 3))
+
+    def plan_rollouts(self) -> None:
+        trainers, after = self.trainers, self.fleet.time.after
+        for at_ms, prompts, samples in ((200.0, 20, 4), (2500.0, 20, 4), (_EVENING_MS, 25, 4)):
+            after(at_ms, lambda prompts=prompts, samples=samples: trainers.hand_in(prompts, samples))
+        after(500.0, lambda: trainers.borrow(700.0, "w1", self.start_ms + _SPAN_MS))
+        trainers.watch()
+
+    def _fault(self, what: str, place: int) -> None:
+        """The machine comes back a second and a half later; a worker's place is taken by another one."""
+        fleet = self.fleet
+        fleet.history.add("fault", fleet.time.now_ms, what=what)
+        if what == "worker":
+            list(fleet.workers.values())[place].crash()
+            fleet.time.after(600, lambda: self._add_worker(f"worker{len(fleet.workers) + 1}"))
+            return
+        control = {host.node.voter.identity: host for host in fleet.running("control")}
+        host = {"edge": lambda: fleet.of("edge")[place], "holder": fleet.holder,
+                "owner": lambda: control.get(next(iter(control.values())).node.owner.owner_of("loans"))}[what]()
+        if host is not None:
+            host.kill()
+            fleet.time.after(1500, host.start)
+
+    def play(self, rest_ms: float = 25_000) -> None:
+        self.plan()
+        if self.share:
+            self.plan_rollouts()
+        fleet = self.fleet
+        fleet.time.run_until(self.start_ms + _SPAN_MS)
+        self.trainers.stopped = False
+        fleet.run_until_true(lambda: all(row["done_ms"] for row in self.trainers.rollouts.values())
+                             and all(lot["done"] for lot in self.run.visitors.lots.values() if lot["acked"]), rest_ms)
+        self.trainers.stopped = True
+        for rollout_id in self.trainers.rollouts:
+            self.trainers.read(rollout_id, 0)
+        fleet.run_until_true(lambda: False, 9000)
+
+
+def play_evening(seed: int, rollouts: bool, faulty: bool = False, share: float = 0.5) -> Evening:
+    evening = Evening(seed, rollouts, faulty, share)
+    evening.found()
+    evening.play()
+    return evening
--- /dev/null
+++ b/libs/facsimile/src/facsimile/sim/rules_loans.py
@@ -0,0 +1,122 @@
+"""Rules about rollouts, each from the history of an evening with them and of the same evening without: how many rows
+it judged, and the breaches that it found. Differences that chance alone makes between two such runs are let pass."""
+
+import json
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import Any
+
+from facsimile.sim.history import History
+
+__all__ = ["LOAN_RULES", "first_events_ms", "judge_loans"]
+
+_LATE_MS = 300.0
+_NOISE_MS = 15.0
+_NOISE_SHARE = 0.015
+_DUE_MS = 10_000.0
+_EDGE_AWAY_MS = 3000.0
+Found = tuple[int, list[str]]
+
+
+def _live(history: History) -> list[dict[str, Any]]:
+    """Calls through edges that stayed up meanwhile."""
+    away: dict[str, list[tuple[float, float]]] = defaultdict(list)
+    for row in history.of("away"):
+        away[row["name"]].append((row["at_ms"], row["until_ms"]))
+    return [call for call in history.of("call") if not any(
+        from_ms < call["at_ms"] + _EDGE_AWAY_MS and to_ms > call["at_ms"] for from_ms, to_ms in away[call["edge"]])]
+
+
+def first_events_ms(history: History, path: str) -> list[float]:
+    return sorted(call["first_ms"] - call["at_ms"] for call in _live(history) if call["path"] == path and "first_ms" in call)
+
+
+def _part(values: list[float], share: float) -> float:
+    return values[min(len(values) - 1, int(share * len(values)))] if values else 0.0
+
+
+def live_not_late(having: History, without: History) -> Found:
+    found, judged = [], 0
+    for path in ("rulings", "narrations"):
+        mine, others = first_events_ms(having, path), first_events_ms(without, path)
+        judged += len(mine)
+        for share in (0.5, 0.9, 0.95):
+            if _part(mine, share) > 1.15 * _part(others, share) + _NOISE_MS:
+                found.append(f"{path}: {share:.0%} of first events within {_part(mine, share):.0f} ms, {_part(others, share):.0f} without rollouts")
+        late, late_before = (sum(1 for took_ms in rows if took_ms > _LATE_MS) for rows in (mine, others))
+        if late > late_before + _NOISE_SHARE * len(mine) + 2:
+            found.append(f"{path}: {late} first events late, {late_before} without rollouts")
+    return judged, found
+
+
+def live_not_lost(having: History, without: History) -> Found:
+    """None is refused, cut or lost because of rollouts or as a node changes hands."""
+    rows, others = _live(having), _live(without)
+    bad, bad_before = ([call for call in calls if call["outcome"] in ("error", "cut", "lost", "none") and call["code"] != "key-open"]
+                       for calls in (rows, others))
+    more = len(bad) > len(bad_before) + _NOISE_SHARE * len(rows)
+    return len(rows), [f"{len(bad)} calls came to nothing, {len(bad_before)} without rollouts: "
+                       f"{sorted({call['code'] or call['outcome'] for call in bad})}"] if more else []
+
+
+def samples_once(having: History, without: History) -> Found:
+    """What was accepted is listed whole, each sample at its place for ever, of its own prompt, and of a whole run."""
+    runs = {run["transaction"]: run for run in having.of("run")}
+    found, judged = [], 0
+    seen: dict[tuple[str, int], str] = {}
+    for read in having.of("rollout-read"):
+        places = [index for index, _, _ in read["results"]]
+        if places != list(range(read["start"], read["start"] + len(places))):
+            found.append(f"{read['rollout']}: listed {places} from {read['start']}")
+        for index, verdict, text in read["results"]:
+            judged += 1
+            body = json.loads(text)
+            if seen.setdefault((read["rollout"], index), text) != text:
+                found.append(f"{read['rollout']}#{index} changed")
+            if verdict != "ran" or (body["prompt"], body["sample"]) != divmod(index, read["samples"]) or body["weights"] != "w1" or not body["text"]:
+                found.append(f"{read['rollout']}#{index}: {verdict} {text}")
+    for row in having.of("rollout-accepted"):
+        listed = sum(1 for rollout, _ in seen if rollout == row["rollout"])
+        if listed != row["total"]:
+            found.append(f"{row['rollout']}: {listed} of {row['total']} samples are listed at the end")
+    return judged if runs else 0, found
+
+
+def unsafe_once(having: History, without: History) -> Found:
+    keys: dict[str, int] = defaultdict(int)
+    for run in having.of("run"):
+        if run["key"]:
+            keys[run["key"]] += 1
+    return len(keys), [f"{key} ran {count} times" for key, count in keys.items() if count > 1]
+
+
+def lots_on_time(having: History, without: History) -> Found:
+    def took(history: History) -> dict[str, float]:
+        return {row["lot"]: row["at_ms"] - row["from_ms"] for row in history.of("lot-done")}
+
+    mine, others = took(having), took(without)
+    found = [f"{lot}: done after {mine.get(lot, 1e9):.0f} ms, {took_ms:.0f} without rollouts" for lot, took_ms in others.items()
+             if took_ms <= _DUE_MS and mine.get(lot, 1e9) > _DUE_MS]
+    return len(others), found
+
+
+def lent_alone(having: History, without: History) -> Found:
+    """A borrower has its worker to itself: nothing runs there when it takes it, and nothing begins before it gives it back."""
+    back = {row["loan"]: row["at_ms"] for row in having.of("handed-back")}
+    found = []
+    for row in having.of("borrowed"):
+        if row["running"]:
+            found.append(f"{row['worker']} had {row['running']} calls under way when {row['loan']} began")
+        found += [f"{run['transaction']} ran at {row['worker']} during {row['loan']}" for run in having.of("run")
+                  if run["identity"] == row["worker"] and row["at_ms"] < run["at_ms"] < back.get(row["loan"], 1e12)]
+    return len(having.of("borrowed")), found
+
+
+LOAN_RULES: dict[str, Any] = {
+    "live-is-not-late": live_not_late, "live-is-not-lost": live_not_lost, "samples-listed-once": samples_once, "unsafe-runs-once": unsafe_once,
+    "lots-stay-on-time": lots_on_time, "lent-workers-are-alone": lent_alone}
+
+
+def judge_loans(having: History, without: History, due: Iterable[str] = LOAN_RULES) -> dict[str, list[str]]:
+    found = {name: rule(having, without) for name, rule in LOAN_RULES.items()}
+    return {name: rows if rows else ["nothing to judge"] for name, (judged, rows) in found.items() if rows or (name in due and not judged)}
--- a/libs/facsimile/src/facsimile/sim/visitors.py
+++ b/libs/facsimile/src/facsimile/sim/visitors.py
@@ -85,9 +85,13 @@
                     row["pieces"] = body.split("|")
                 answered(step.name, "ran", "", body)
 
+        def delivered(event: bytes) -> None:
+            row.setdefault("first_ms", self._time.now_ms)
+            row["pieces"].append(flat_events(event.decode()))
+
         def begin() -> None:
             carriage = host.node.counter.live(path, key, {"prompt": prompt}, stream,
-                                              lambda event: row["pieces"].append(flat_events(event.decode())), told)
+                                              delivered, told)
             if isinstance(carriage, Answer):
                 answered("error", carriage.verdict, carriage.code)
                 return
@@ -208,12 +212,15 @@
 
 
 class Operators:
-    __slots__ = ("_fleet", "_history", "_time", "acked", "changes", "version")
+    """`more` are profiles that are in every tree besides."""
+
+    __slots__ = ("_fleet", "_history", "_time", "acked", "changes", "more", "version")
 
     def __init__(self, fleet: Any) -> None:
         self._fleet, self._time, self._history = fleet, fleet.time, fleet.history
         self.changes = 0
         self.version = 0
+        self.more: dict[str, Any] = {}
         self.acked: dict[str, tuple[int, str]] = {}
 
     def ask_again(self, count: int) -> None:
@@ -248,7 +255,9 @@
         named = self.version if version is None else version
         row = self._history.add("change", self._time.now_ms, mark=mark, named=named, outcome="none", version=0,
                                 answered_ms=0.0)
-        body = json.dumps(tree_of(mark), sort_keys=True)
+        tree = tree_of(mark)
+        tree["profiles"].update(self.more)
+        body = json.dumps(tree, sort_keys=True)
         life = host.life
 
         def answered(receipt: Any) -> None:
--- a/libs/facsimile/src/facsimile/sim/workers.py
+++ b/libs/facsimile/src/facsimile/sim/workers.py
@@ -7,7 +7,7 @@
 
 from circulation import WorkerNews
 
-__all__ = ["SimWorker", "UNSAFE"]
+__all__ = ["SimWorker", "UNSAFE", "told_in_prompt"]
 
 UNSAFE = ("moves", "claims")
 
@@ -15,6 +15,7 @@
 
 
 class SimWorker:
+    watches = False
     __slots__ = ("_beat", "_edges", "_fleet", "address", "busy", "dark", "gone", "history", "identity", "incarnation",
                  "labels", "leaving", "pieces", "piece_ms", "slots", "time", "zone")
 
@@ -78,11 +79,11 @@
         else:
             self.busy += 1
             self.history.add("run", self.time.now_ms, worker=self.stamp, identity=self.identity, labels=self.labels,
-                             address=self.address, transaction=run.transaction, path=body["model"], **_told(body))
+                             address=self.address, transaction=run.transaction, path=body["model"], **told_in_prompt(body))
             self.time.after(self.piece_ms, lambda: run.piece(0))
 
 
-def _told(body: dict[str, Any]) -> dict[str, Any]:
+def told_in_prompt(body: dict[str, Any]) -> dict[str, Any]:
     """Callers put into the prompt what the oracle wants to know of a run: `name value` pairs."""
     words = body["prompt"].split()
     told = dict(zip(words[::2], words[1::2], strict=True))
--- a/libs/ledger/src/ledger/dealing.py
+++ b/libs/ledger/src/ledger/dealing.py
@@ -33,13 +33,15 @@
 
 class Dealer:
     """`log_ms` is the log's own time, `profiles` gives number and tree of the profiles known here, `woke` is
-    told of lots in which something was settled."""
+    told of lots in which something was settled, and `outlook` says whether the lots will be done in time beside
+    rollouts; without one no rollout is dealt."""
 
-    __slots__ = ("_addresses", "_claimed_ms", "_edges", "_endings", "_gone", "_held", "_holder", "_log_ms", "_node", "_since_ms")
+    __slots__ = ("_addresses", "_claimed_ms", "_edges", "_endings", "_gone", "_held", "_holder", "_log_ms", "_node", "_outlook", "_since_ms")
 
     def __init__(self, holder: Any, node: Any, log_ms: Callable[[], int] = lambda: 0,
                  profiles: Callable[[], tuple[int, Any]] = lambda: (0, None),
-                 woke: Callable[[set[str]], None] = lambda lot_ids: None) -> None:
+                 woke: Callable[[set[str]], None] = lambda lot_ids: None, outlook: Any = None) -> None:
+        self._outlook = outlook
         self._holder = holder
         self._node = node
         self._log_ms = log_ms
@@ -91,14 +93,16 @@
                 self._pass_baton(lot, message.edge)
         work, safe_only = self._pick(message)
         waiting, paths = self._waiting()
-        if not (now or not message.room or work or batons or stops or set(paths) - set(message.paths)):
+        samples_out, recalled = self._rollouts()
+        lends = isinstance(message, m.RolloutBeat)
+        if not (now or not message.room or work or batons or stops or set(paths) - set(message.paths) or lends and samples_out):
             return False
 
         def logged(outcome: str) -> None:
             rows = work if outcome == "kept" else []
             reply(m.HolderBeat(epoch=self._holder.epoch, holder_ms=self._node.env.now(),
                                work=[encode(row) for row in rows], batons=batons, stops=stops, waiting=waiting,
-                               paths=paths))
+                               paths=paths, samples_out=samples_out, recalled=recalled))
 
         if not work:
             logged("kept")
@@ -128,9 +132,16 @@
 
     def _waiting(self) -> tuple[int, list[str]]:
         """How many items wait, and on which paths: an edge then offers its room for these."""
-        lots = self._holder.ledger.opened.values()
+        lots = [lot for lot in self._holder.ledger.opened.values() if not lot.rollout or self._outlook is not None]
         return sum(lot.waiting for lot in lots), sorted({lot.path for lot in lots if lot.waiting})
 
+    def _rollouts(self) -> tuple[int, bool]:
+        """How many samples are out, and whether a lot needs their slots."""
+        if self._outlook is None:
+            return 0, False
+        out = sum(len(lot.claims) for lot in self._holder.ledger.opened.values() if lot.rollout)
+        return out, self._outlook.at_risk(self._holder.ledger, self._log_ms(), self._node.env.log)
+
     def _return_unheard(self, message: m.EdgeBeat) -> None:
         """A claim whose notice was lost: the edge doesn't list it, and would no longer take the notice."""
         now_ms = self._node.env.now()
@@ -150,9 +161,12 @@
         of what waits, as others have room too."""
         work: list[Any] = []
         safe_only = True
+        if isinstance(message, m.RolloutBeat) and self._outlook is not None:
+            self._outlook.heard(message, self._node.env.now())
         if not message.room:
-            return work, safe_only
-        lots = sorted((lot for lot in self._holder.ledger.opened.values() if lot.pending and lot.path in message.paths),
+            return self._pick_samples(message, work), safe_only
+        lots = sorted((lot for lot in self._holder.ledger.opened.values()
+                       if lot.pending and lot.path in message.paths and not lot.rollout),
                       key=lambda lot: (lot.due_ms, lot.at_ms, lot.lot_id))
         waiting = sum(len(lot.pending) for lot in lots if lot.forward)
         share = math.ceil(waiting / max(1, sum(1 for edge in self._edges if self._live(edge))))
@@ -170,7 +184,31 @@
                     work.append(m.Work(lot_id=lot.lot_id, index=index, number=item.number + 1, path=lot.path,
                                        safe=lot.safe, body=item.body, due_ms=lot.due_ms))
                     safe_only = safe_only and lot.safe
-        return work, safe_only
+        return self._pick_samples(message, work), safe_only
+
+    def _pick_samples(self, message: m.EdgeBeat | m.RolloutBeat, work: list[Any]) -> list[Any]:
+        """Samples take what is left: none beside items that go to this edge, nor while a lot may come late."""
+        if work or not isinstance(message, m.RolloutBeat) or not message.sample_room or self._rollouts()[1]:
+            return work
+        rollouts = [lot for lot in self._holder.ledger.opened.values() if lot.rollout and lot.pending and lot.path in message.sample_paths]
+        samples: list[Any] = []
+        for lot in sorted(rollouts, key=lambda lot: (lot.expires_ms or math.inf, lot.at_ms, lot.lot_id)):
+            for index in lot.pending:
+                if len(samples) >= message.sample_room:
+                    return samples
+                prompt, sample = divmod(index, lot.samples)
+                samples.append(m.RolloutWork(lot_id=lot.lot_id, index=index, number=lot.items[index].number + 1, path=lot.path,
+                                             body=lot.items[index].body, prompt=prompt, sample=sample, weights=lot.weights))
+        return samples
+
+    def _end_rollouts(self) -> None:
+        """Those whose deadline has passed; what is listed stays."""
+        log_ms = self._log_ms()
+        rows = [e.LotEnded(lot_id=lot.lot_id, at_ms=log_ms) for lot in self._holder.ledger.opened.values()
+                if lot.rollout and 0 < lot.expires_ms <= log_ms]
+        if rows:
+            self._node.env.log("rollouts-out-of-time", lots=[row.lot_id for row in rows])
+            self._holder.append(rows, True, lambda outcome: self.wake(), True)
 
     def _forward_work(self, lot: Lot, index: int) -> m.ForwardWork:
         item = lot.items[index]
@@ -188,12 +226,14 @@
         ledger = self._holder.ledger
         lot = ledger.lots.get(message.lot_id)
         self._edges[message.edge] = self._node.env.now()
-        self._claimed_ms.pop((message.lot_id, message.index), None)
+        claimed_ms = self._claimed_ms.pop((message.lot_id, message.index), None)
         if lot is None or lot.ended or not 0 <= message.index < len(lot.items):
             self._holder.append([], True, lambda outcome: reply(
                 m.FinishReceipt(ok=outcome == "kept", baton_epoch=0, up_to=0)), True)
             return
         item = lot.items[message.index]
+        if self._outlook is not None and not lot.rollout and message.outcome != "again" and claimed_ms is not None:
+            self._outlook.took(lot.path, self._node.env.now() - claimed_ms)
         rows: list[Message] = []
         if message.outcome == "again":
             if item.state == "claimed" and item.number == message.number:
@@ -240,6 +280,7 @@
             held = self._held.pop(edge)
             self._answer(held.message, held.reply, True)
         self._endings.give_up()
+        self._end_rollouts()
         rows: list[Message] = []
         for lot in self._holder.ledger.opened.values():
             for index, item in lot.claims.items():
--- a/libs/ledger/src/ledger/desk.py
+++ b/libs/ledger/src/ledger/desk.py
@@ -37,8 +37,8 @@
     and address as far as this store knows."""
 
     __slots__ = ("_base_ms", "_dealer", "_holder", "_office_ms", "_profiles", "_reading", "_refused_ms", "_settled", "_swept_ms",
-                 "_who_holds", "counts", "mend", "shelves")
-    HANDLES = (m.EdgeBeat, m.HandIn, m.ReadLot, m.ReadResults, m.EndLot, m.Finish, m.Place, m.OpenKey, m.CloseKey,
+                 "_who_holds", "counts", "make_outlook", "mend", "shelves")
+    HANDLES = (m.EdgeBeat, m.RolloutBeat, m.RolloutHandIn, m.HandIn, m.ReadLot, m.ReadResults, m.EndLot, m.Finish, m.Place, m.OpenKey, m.CloseKey,
                m.ForwardHandIn, m.EndItems, m.ReadPage, m.ReadItem)
 
     def __init__(self, profiles: Callable[[], tuple[int, Any]], who_holds: Callable[[], tuple[int, str]],
@@ -54,6 +54,7 @@
         self._refused_ms: dict[str, int] = {}
         self.counts: dict[str, int] = {}
         self.shelves: Any = None
+        self.make_outlook: Callable[[], Any] | None = None
         self.mend: Callable[[str, str], None] = lambda kind, name: None
 
     def take_holder(self, holder: Any) -> None:
@@ -69,7 +70,8 @@
             ages = [row.at_ms for rows in (holder.ledger.lots, holder.ledger.keys) for row in rows.values()]
             self._base_ms = max(ages, default=self.node.env.wall())
             self._reading = Reading(holder, self.node, self._settled, self.shelves, self.mend)
-            self._dealer = Dealer(holder, self.node, self._log_ms, self._profiles, self._reading.wake)
+            self._dealer = Dealer(holder, self.node, self._log_ms, self._profiles, self._reading.wake,
+                                  self.make_outlook() if self.make_outlook is not None else None)
 
     def _not_holder(self) -> m.NotHolder:
         epoch, address = self._who_holds()
@@ -87,7 +89,7 @@
         """Open lots by path, as the holder counts them; nothing elsewhere."""
         if self._holder is None or self._holder.deposed:
             return {}
-        return dict(Counter(lot.path for lot in self._holder.ledger.opened.values()))
+        return dict(Counter(lot.path for lot in self._holder.ledger.opened.values() if not lot.rollout))
 
     def _stale(self, message: Any) -> bool:
         """A stamp of another holder or of long ago: the ask may be one that was given up."""
@@ -117,6 +119,23 @@
                 lot_id=message.lot_id, digest=message.digest, path=message.path, items=message.items,
                 safe=message.safe, due_ms=self._log_ms() + message.due_ms, at_ms=self._log_ms()))
 
+    @_on.register
+    def _(self, message: m.RolloutHandIn, origin: Origin) -> None:
+        """Rollouts have a waiting room of their own, so that they take none of the lots'."""
+        if self._known(message, origin):
+            return
+        profile = self._profiles()[1].usable(message.path)
+        if self._stale(message) or message.holder_ms <= self._refused_ms.get(message.lot_id, -1):
+            self.node.reply(origin, _lot_receipt("stale", message.lot_id, None))
+        elif profile is None or not profile.loan_share:
+            self._when_confirmed(origin, lambda ok: _lot_receipt("no_path" if ok else "unknown", message.lot_id, None))
+        elif self._holder.ledger.rollouts_open(message.path) >= profile.rollout_room:
+            self._refuse(message, origin)
+        else:
+            self._admit(message, origin, e.RolloutAdmitted(
+                lot_id=message.lot_id, digest=message.digest, path=message.path, items=message.items, samples=message.samples,
+                weights=message.weights, expires_ms=self._log_ms() + message.due_ms if message.due_ms else 0, at_ms=self._log_ms()))
+
     @_on.register
     def _(self, message: m.ForwardHandIn, origin: Origin) -> None:
         """The waiting room of a forwarded lot is counted in tokens; profiles that are older here than at the
@@ -239,8 +258,9 @@
 
     # -- items ---------------------------------------------------------------------------------
 
-    @_on.register
-    def _(self, message: m.EdgeBeat, origin: Origin) -> None:
+    @_on.register(m.EdgeBeat)
+    @_on.register(m.RolloutBeat)
+    def _(self, message: m.EdgeBeat | m.RolloutBeat, origin: Origin) -> None:
         self._dealer.beat(message, lambda receipt: self.node.reply(origin, receipt))
 
     @_on.register
--- a/libs/ledger/src/ledger/entries.py
+++ b/libs/ledger/src/ledger/entries.py
@@ -5,7 +5,7 @@
 
 __all__ = ["AttemptFailed", "BatonPassed", "ForwardLotAdmitted", "ItemClaimed", "ItemFinished", "ItemReturned", "ItemsClaimed", "KeyClosed",
            "KeyForgotten", "KeyOpened", "KeyShelved", "LotAdmitted", "LotEnded", "LotForgotten", "LotShelved", "ResultListed",
-           "ResultsPlaced"]
+           "ResultsPlaced", "RolloutAdmitted"]
 
 
 class LotAdmitted(Message):
@@ -35,6 +35,20 @@
     at_ms: Long
 
 
+class RolloutAdmitted(Message):
+    """A lot of the lowest class: each of its prompts is sampled `samples` times by the policy of these weights, and
+    `expires_ms`, if not 0, is the log's time at which it ends."""
+
+    lot_id: Text
+    digest: Text
+    path: Text
+    items: Arr(Text)
+    samples: Long
+    weights: Text
+    expires_ms: Long
+    at_ms: Long
+
+
 class ItemsClaimed(Message):
     """Items of one forwarded lot, for one edge."""
 
--- a/libs/ledger/src/ledger/fold.py
+++ b/libs/ledger/src/ledger/fold.py
@@ -40,7 +40,10 @@
         self.fresh: dict[tuple[str, str], None] = {}
 
     def room_used(self, path: str) -> int:
-        return sum(1 for lot in self.opened.values() if lot.path == path)
+        return sum(1 for lot in self.opened.values() if lot.path == path and not lot.rollout)
+
+    def rollouts_open(self, path: str) -> int:
+        return sum(1 for lot in self.opened.values() if lot.path == path and lot.rollout)
 
     def _count_tokens(self, path: str, tokens: int) -> None:
         count = self.waiting_tokens.get(path, 0) + tokens
@@ -61,7 +64,11 @@
     def _(self, entry: e.ForwardLotAdmitted) -> None:
         self._admit(entry)
 
-    def _admit(self, entry: e.LotAdmitted | e.ForwardLotAdmitted) -> None:
+    @apply.register
+    def _(self, entry: e.RolloutAdmitted) -> None:
+        self._admit(entry)
+
+    def _admit(self, entry: e.LotAdmitted | e.ForwardLotAdmitted | e.RolloutAdmitted) -> None:
         if entry.lot_id not in self.lots:
             lot = self.lots[entry.lot_id] = Lot(entry)
             if lot.open:
--- a/libs/ledger/src/ledger/lots.py
+++ b/libs/ledger/src/ledger/lots.py
@@ -32,14 +32,16 @@
     somebody has; `tokens` counts what is neither finished nor dead."""
 
     __slots__ = ("at_ms", "attempts", "baton_edge", "baton_epoch", "claims", "digest", "due_ms", "ended", "ended_at_ms", "expires_ms",
-                 "forward", "items", "left", "lot_id", "order", "path", "pending", "placed", "rows", "safe", "shelf", "tokens", "total",
-                 "version")
+                 "forward", "items", "left", "lot_id", "order", "path", "pending", "placed", "rollout", "rows", "safe", "samples", "shelf", "tokens", "total",
+                 "version", "weights")
 
-    def __init__(self, entry: e.LotAdmitted | e.ForwardLotAdmitted) -> None:
+    def __init__(self, entry: e.LotAdmitted | e.ForwardLotAdmitted | e.RolloutAdmitted) -> None:
         self.lot_id = entry.lot_id
         self.digest = entry.digest
         self.path = entry.path
-        self.due_ms = entry.due_ms
+        self.rollout = isinstance(entry, e.RolloutAdmitted)
+        self.samples, self.weights = (entry.samples, entry.weights) if self.rollout else (1, "")
+        self.due_ms = entry.expires_ms if self.rollout else entry.due_ms
         self.at_ms = entry.at_ms
         self.forward = isinstance(entry, e.ForwardLotAdmitted)
         if self.forward:
@@ -47,6 +49,9 @@
                           in zip(entry.item_ids, entry.tokens, entry.calls, strict=True)]
             self.safe, self.attempts = True, entry.attempts
             self.expires_ms, self.version = entry.expires_ms, entry.version
+        elif self.rollout:
+            self.items = [Item(body) for body in entry.items for _ in range(entry.samples)]
+            self.safe, self.attempts, self.expires_ms, self.version = True, 0, entry.expires_ms, 0
         else:
             self.items = [Item(body) for body in entry.items]
             self.safe, self.attempts, self.expires_ms, self.version = entry.safe, 0, 0, 0
@@ -124,8 +129,7 @@
         return rows
 
     def _dump_own(self) -> list[Message]:
-        rows: list[Message] = [e.LotAdmitted(lot_id=self.lot_id, digest=self.digest, path=self.path, safe=self.safe,
-                                             items=[item.body for item in self.items], due_ms=self.due_ms, at_ms=self.at_ms)]
+        rows: list[Message] = [self._admitted()]
         for index, item in enumerate(self.items):
             if item.number:
                 rows.append(e.ItemClaimed(lot_id=self.lot_id, index=index, edge=item.edge, number=item.number))
@@ -140,6 +144,13 @@
             rows.append(e.ResultsPlaced(lot_id=self.lot_id, up_to=self.placed, epoch=self.baton_epoch))
         return rows
 
+    def _admitted(self) -> Message:
+        if self.rollout:
+            return e.RolloutAdmitted(lot_id=self.lot_id, digest=self.digest, path=self.path, samples=self.samples, weights=self.weights,
+                                     items=[item.body for item in self.items[::self.samples]], expires_ms=self.expires_ms, at_ms=self.at_ms)
+        return e.LotAdmitted(lot_id=self.lot_id, digest=self.digest, path=self.path, safe=self.safe,
+                             items=[item.body for item in self.items], due_ms=self.due_ms, at_ms=self.at_ms)
+
     def _dump_forward(self) -> list[Message]:
         rows: list[Message] = [e.ForwardLotAdmitted(
             lot_id=self.lot_id, digest=self.digest, path=self.path, item_ids=[item.item_id for item in self.items],
--- a/libs/ledger/src/ledger/messages.py
+++ b/libs/ledger/src/ledger/messages.py
@@ -7,7 +7,7 @@
 __all__ = ["Baton", "CloseKey", "EdgeBeat", "EndItems", "EndLot", "Finish", "FinishReceipt", "ForwardHandIn", "ForwardItem",
            "ForwardRow", "ForwardWork", "HandIn", "HolderBeat", "ItemEnd", "ItemReceipt", "KeyReceipt", "LotReceipt", "NotHolder",
            "OpenKey", "PageReceipt", "Place", "ReadItem", "ReadLot", "ReadPage", "ReadResults", "ResultRow", "ResultsReceipt",
-           "Stale", "Work"]
+           "RolloutBeat", "RolloutHandIn", "RolloutWork", "Stale", "Work"]
 
 
 class EdgeBeat(Message):
@@ -18,6 +18,18 @@
     running: Arr(Text)
 
 
+class RolloutBeat(Message):
+    """The beat of an edge whose profiles lend: also how many samples of rollouts it could start, and on which paths."""
+
+    edge: Text
+    address: Text
+    room: Long
+    paths: Arr(Text)
+    running: Arr(Text)
+    sample_room: Long
+    sample_paths: Arr(Text)
+
+
 class Work(Message):
     lot_id: Text
     index: Long
@@ -28,6 +40,20 @@
     due_ms: Long
 
 
+class RolloutWork(Message):
+    """One sample of a rollout; the item's index is that of its prompt times the samples of each, plus the sample's."""
+
+    safe = True
+    lot_id: Text
+    index: Long
+    number: Long
+    path: Text
+    body: Text
+    prompt: Long
+    sample: Long
+    weights: Text
+
+
 class Baton(Message):
     lot_id: Text
     epoch: Long
@@ -42,6 +68,8 @@
     stops: Arr(Text)
     waiting: Long
     paths: Arr(Text)
+    samples_out: Long
+    recalled: Flag
 
 
 class NotHolder(Message):
@@ -60,6 +88,20 @@
     holder_ms: Long
 
 
+class RolloutHandIn(Message):
+    """`due_ms` is from now, 0 for no deadline."""
+
+    lot_id: Text
+    digest: Text
+    path: Text
+    items: Arr(Text)
+    samples: Long
+    weights: Text
+    due_ms: Long
+    epoch: Long
+    holder_ms: Long
+
+
 class LotReceipt(Message):
     outcome: Text
     lot_id: Text
--- /dev/null
+++ b/libs/loans/src/loans/load.py
@@ -0,0 +1,138 @@
+"""What live calls need of the workers, as control sees it: edges report what they have under way at each, and the
+peak over a window, with a margin, is what no loan may go below. Without a whole window seen, nothing is known."""
+
+import json
+from typing import Any
+
+from vellum import Flag, Long, Message, Text
+
+__all__ = ["EdgeLoad", "LiveLoad", "load_report"]
+
+_MARGIN = 1.25
+_RECALL_ABOVE = 0.8
+
+
+class EdgeLoad(Message):
+    """`number` is that of the loans in force at the edge; `workers` has, by identity: zone, labels, slots, live calls
+    under way, everything under way, and whether it may be used; `waiting` are live calls that wait at the edge."""
+
+    edge: Text
+    number: Long
+    workers: Text
+    waiting: Long
+    lots_at_risk: Flag
+
+
+def load_report(edge: str, number: int, roster: Any, carrier: Any, lots_at_risk: bool) -> EdgeLoad:
+    live: dict[int, int] = {}
+    for send in carrier.sends():
+        if not send.carriage.call.lot:
+            live[id(send.worker)] = live.get(id(send.worker), 0) + 1
+    rows = {worker.identity: [worker.zone, sorted(worker.labels), worker.slots, live.get(id(worker), 0), worker.sending,
+                              roster.usable(worker) or worker.identity in roster.lent and not worker.leaving]
+            for worker in roster.all() if not roster.silent(worker)}
+    return EdgeLoad(edge=edge, number=number, workers=json.dumps(rows), waiting=carrier.waiting(), lots_at_risk=lots_at_risk)
+
+
+class LiveLoad:
+    """`take` gathers reports by edge link, `note` is called each beat."""
+
+    __slots__ = ("_dead_ms", "_reports", "_rows", "_seen", "_since_ms", "_window_ms")
+
+    def __init__(self, dead_ms: int, window_ms: int) -> None:
+        self._dead_ms, self._window_ms = dead_ms, window_ms
+        self._reports: dict[str, tuple[int, EdgeLoad, dict[str, list]]] = {}
+        self._rows: list[tuple[int, dict[str, int], int]] = []
+        self._since_ms = -1
+        self._seen: dict[str, list] = {}
+
+    def take(self, link: str, message: EdgeLoad, now_ms: int) -> None:
+        workers = json.loads(message.workers)
+        self._reports[link] = (now_ms, message, workers)
+        self._seen.update(workers)
+
+    def forget(self) -> None:
+        self._reports.clear()
+        self._rows.clear()
+        self._since_ms = -1
+
+    def note(self, now_ms: int) -> None:
+        self._reports = {link: row for link, row in self._reports.items() if now_ms - row[0] <= self._dead_ms}
+        if not self._reports:
+            self._since_ms, self._rows = -1, []
+            return
+        self._since_ms = now_ms if self._since_ms < 0 else self._since_ms
+        live: dict[str, int] = {}
+        for _, _, workers in self._reports.values():
+            for name, row in workers.items():
+                live[name] = live.get(name, 0) + row[3]
+        self._rows.append((now_ms, live, sum(message.waiting for _, message, _ in self._reports.values())))
+        while self._rows[0][0] < now_ms - self._window_ms:
+            self._rows.pop(0)
+
+    # -- what it says --------------------------------------------------------------------------
+
+    def reported(self) -> dict[str, tuple[int, dict[str, list]]]:
+        """By edge link: the number of the loans it has, and its workers."""
+        return {link: (message.number, workers) for link, (_, message, workers) in self._reports.items()}
+
+    def workers(self) -> dict[str, list]:
+        """Those that at least one edge may use, and none says that it must not."""
+        found: dict[str, list] = {}
+        for _, _, workers in self._reports.values():
+            for name, row in workers.items():
+                found[name] = row if name not in found else [*row[:5], row[5] and found[name][5]]
+        return {name: row for name, row in found.items() if row[5]}
+
+    def peak(self, worker: str) -> int | None:
+        """The most live calls that were under way there at once; None while nothing is known."""
+        return max((live.get(worker, 0) for _, live, _ in self._rows), default=None)
+
+    def lots_at_risk(self) -> bool:
+        return any(message.lots_at_risk for _, message, _ in self._reports.values())
+
+    def _peers(self, worker: str, tree: Any, out: frozenset[str]) -> list[tuple[str, list[str], list[str]]]:
+        """For each profile that the worker serves: its name, all its workers, and those that stay."""
+        known, seen = self.workers(), self._seen.get(worker)
+        if seen is None:
+            return []
+        rows = []
+        for name in tree.rows:
+            profile = tree.usable(name)
+            if profile is not None and profile.allows(worker, frozenset(seen[1])):
+                allowed = [other for other, row in known.items() if profile.allows(other, frozenset(row[1]))]
+                rows.append((name, allowed, [other for other in allowed if other not in out and other != worker]))
+        return rows
+
+    def why_not(self, worker: str, tree: Any, out: frozenset[str], now_ms: int) -> str:
+        """Empty if it may be lent beside those that are out already."""
+        known = self.workers()
+        if worker not in known:
+            return "no edge knows it, or one may not use it"
+        if self._since_ms < 0 or now_ms - self._since_ms < self._window_ms:
+            return "the live load has not been watched for long enough"
+        if self.lots_at_risk():
+            return "a lot may come late"
+        for name, allowed, stay in self._peers(worker, tree, out):
+            if not any(known[other][0] == known[worker][0] for other in stay):
+                return f"it is the last of {name} in its zone"
+            peak = max(sum(live.get(other, 0) for other in allowed) + waiting for _, live, waiting in self._rows)
+            slots = sum(known[other][2] for other in stay)
+            if peak * _MARGIN > slots:
+                return f"live calls of {name} needed {peak} places lately, and {slots} would stay"
+        return ""
+
+    def why_recall(self, worker: str, tree: Any, out: frozenset[str]) -> str:
+        """Why it is needed back now; empty if it isn't."""
+        if self.lots_at_risk():
+            return "a lot may come late"
+        known = self.workers()
+        if not self._rows:
+            return ""
+        _, live, waiting = self._rows[-1]
+        for name, allowed, stay in self._peers(worker, tree, out):
+            slots = sum(known[other][2] for other in stay)
+            now = sum(live.get(other, 0) for other in allowed) + waiting
+            if now > _RECALL_ABOVE * slots:
+                return f"live calls of {name} need {now} of the {slots} places that stay"
+        return ""
--- a/libs/readingroom/src/readingroom/cli.py
+++ b/libs/readingroom/src/readingroom/cli.py
@@ -19,7 +19,9 @@
 
 app = App(name="readingroom", help="vaneledge's data plane: edges and stores, and a visitor's commands.")
 lot = App(name="lot", help="Hand in, follow, read and end lots.")
+rollout = App(name="rollout", help="Hand in, follow, read and end training rollouts.")
 app.command(lot)
+app.command(rollout)
 
 Server = Annotated[str, Parameter(name="--server", help="an edge's HTTP address, IP:PORT")]
 
@@ -153,6 +155,30 @@
     call("DELETE", server, f"/lots/{lot_id}")
 
 
+@rollout.command(name="hand-in")
+def hand_in_rollout(rollout_id: str, file: str, *, server: Server) -> None:
+    """Hand in a rollout from a JSON file with path, weights, samples, prompts and perhaps due_ms; - reads standard input."""
+    call("PUT", server, f"/rollouts/{rollout_id}", read_json(file))
+
+
+@rollout.command(name="show")
+def show_rollout(rollout_id: str, *, server: Server) -> None:
+    """Show how far a rollout is."""
+    call("GET", server, f"/rollouts/{rollout_id}")
+
+
+@rollout.command(name="results")
+def rollout_results(rollout_id: str, *, server: Server, start: int = 0) -> None:
+    """List a rollout's samples from a place on."""
+    call("GET", server, f"/rollouts/{rollout_id}/results?from={start}")
+
+
+@rollout.command(name="end")
+def end_rollout(rollout_id: str, *, server: Server) -> None:
+    """End a rollout: what is listed stays, nothing more of it runs."""
+    call("DELETE", server, f"/rollouts/{rollout_id}")
+
+
 def main() -> None:
     app()
 
--- a/libs/readingroom/src/readingroom/nodes.py
+++ b/libs/readingroom/src/readingroom/nodes.py
@@ -10,9 +10,12 @@
 from commons import Neighbours
 from gazette import Gazette
 from ledger import Desk
+from ledger import messages as m
+from loans import Borrowing, LentWorkers, LotOutlook
 from readingroom.counter import Counter
 from readingroom.forwards import ForwardCounter
 from readingroom.lot_counter import LotCounter
+from readingroom.rollouts import RolloutCounter
 from stacks import Damage, Disk
 from vellum import Env, Node
 
@@ -80,6 +83,7 @@
         self.desk = Desk(lambda: (self.gazette.number(PROFILES_KEY), self.tree()), self._who_holds, lambda: self.log.log.ledger)
         self.log = StoreLog(local, self.control, self, self.desk.take_holder)
         self.mending = Mending(local, self._other_members)
+        self.desk.make_outlook = lambda: LotOutlook(params.dead_ms)
         self.desk.shelves, self.desk.mend = local.shelves, self.mending.mend
         local.shelves.on_shelved = self._shelved
         super().__init__(env, params, [self.neighbours, self.gazette, self.control, self.log, self.desk, self.mending])
@@ -135,7 +139,7 @@
 
 
 class EdgeNode(_DataNode):
-    __slots__ = ("_caught_up", "_started_ms", "_was_quorate", "carrier", "counter", "forwards", "holder", "items", "lot_counter", "lots", "roster",
+    __slots__ = ("_caught_up", "_started_ms", "_was_quorate", "borrowing", "carrier", "counter", "forwards", "holder", "items", "lent", "lot_counter", "lots", "rollouts", "roster",
                  "stopping")
 
     def __init__(self, env: Env, params: Any, sender: Any) -> None:
@@ -152,17 +156,28 @@
                              lambda identity, labels: self.tree().allows_worker(identity, labels), self._listed)
         self.carrier = Carrier(identity, self.holder, self.roster, self.tree, sender, self._edges)
         self.items = Items(self.carrier, self.roster, self.tree, self.why_unready, self._edges)
-        self.lots = LotRunner(identity, self.holder, self.items.room, self.items.start)
+        self.borrowing = Borrowing(identity, self.carrier, self.roster, self.tree, self.why_unready, self._fellow_edges)
+        self.lots = LotRunner(identity, self.holder, self.items.room, lambda work, done: (
+            self.borrowing if isinstance(work, m.RolloutWork) else self.items).start(work, done))
+        self.lots.samples = self.borrowing
+        self.lent = LentWorkers(identity, self.gazette, self.roster, self.carrier, self.borrowing.lends,
+                                lambda: self.borrowing.recalled, lambda: [
+                                    *self._control_addresses(), *(address for _, address in self._fellow_edges())])
+        self.borrowing.live_peak = self.lent.live_peak
         self.counter = Counter(self.carrier, self.holder, self.lots, self.tree, self.why_unready)
+        self.rollouts = RolloutCounter(self.counter, self.holder, self.lots, self.tree)
         self.forwards = ForwardCounter(self.carrier, self.tree, self._why_unsure)
         self.lot_counter = LotCounter(self.holder, self.lots, lambda: (self.gazette.number(PROFILES_KEY), self.tree()))
         self.neighbours.ready = self.gazette.sure = lambda: not self.why_unready()
         super().__init__(env, params, [self.neighbours, self.gazette, self.holder, self.roster, self.carrier, self.items,
-                                       self.lots, self.counter, self.forwards, self.lot_counter])
+                                       self.lots, self.counter, self.forwards, self.lot_counter, self.rollouts, self.borrowing, self.lent])
 
     def _listed(self) -> tuple[int, str]:
         return self.gazette.number(WORKERS_KEY), self.gazette.body(WORKERS_KEY)
 
+    def _fellow_edges(self) -> list[tuple[str, str]]:
+        return [(card.identity, card.address) for card in self.neighbours.of_role("edge", self.params.dead_ms)]
+
     def _edges(self) -> int:
         return 1 + len(self.neighbours.of_role("edge", self.params.dead_ms))
 
--- a/libs/readingroom/src/readingroom/roles.py
+++ b/libs/readingroom/src/readingroom/roles.py
@@ -7,6 +7,7 @@
 from readingroom.nodes import EdgeNode, StoreNode
 from readingroom.process import NodeProcess
 from readingroom.recorder import Recorder
+from readingroom.rollouts import Rollouts
 from readingroom.sender import HttpSender
 from readingroom.visitors import Visitors
 from readingroom.workers import WorkerCalls
@@ -25,6 +26,7 @@
                         (self._recorder.middleware,) if self._recorder else ())
         self._visitors = Visitors(self.node, self.node.counter, desk)
         WorkerCalls(self.node, desk)
+        Rollouts(self.node, self.node.rollouts, desk)
         self.desks: list[Any] = []
         await self.add_runtime_dependency(desk)
 
@@ -71,7 +73,9 @@
         rows["edge_connections_opened_total"] = pool.opened if pool is not None else 0
         return {**rows, "edge_waiting_now": node.carrier.waiting(), "edge_ready": int(not node.why_unready()), "edge_live_now": self._visitors.live_now,
                 "edge_items_now": node.lots.running(), "edge_items_finished_total": node.lots.finished,
-                "edge_workers": len(node.roster.workers()), "feed_place": node.gazette.place,
+                "edge_workers": len(node.roster.workers()), "edge_samples_now": node.borrowing.running(),
+                "edge_samples_finished_total": node.borrowing.finished, "edge_samples_given_up_total": node.borrowing.given_up,
+                "edge_loans_recalled_total": node.borrowing.recalls, "edge_workers_lent": len(node.roster.lent), "feed_place": node.gazette.place,
                 "worst_tick_ms": self.shell.worst_tick_ms if self.shell else 0}
 
 
--- /dev/null
+++ b/libs/readingroom/src/readingroom/rollouts.py
@@ -0,0 +1,147 @@
+"""Training rollouts at an edge: what a trainer hands in, follows, reads and ends. To the log a rollout is a lot of the
+lowest class under a name that no lot can have; its results are its samples, in the order of prompts and samples."""
+
+import hashlib
+import json
+import re
+from typing import Annotated, Any
+
+from aiohttp import web
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+from circulation import HolderClient, LotRunner
+from colophon import Refusal, refused
+from ledger import messages as m
+from readingroom.answers import Answer, hand_in_answer, lot_answer, results_answer
+from readingroom.calls import LOT_ID, LotItem, Name
+from readingroom.counter import Counter, Told
+from readingroom.desk_http import HttpDesk, answer_refusal, read_call, write_answer
+from vellum import Part
+from vellum.shell import awaited
+
+__all__ = ["RolloutCall", "RolloutCounter", "Rollouts", "log_name"]
+
+_PAGE = 1000
+_MOST_SAMPLES = 100_000
+
+
+class RolloutCall(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True)
+    path: Name
+    weights: Annotated[str, Field(max_length=128, pattern=r"^[\x21-\x7e]*$")] = ""
+    samples: int = Field(1, ge=1, le=1024)
+    prompts: list[LotItem] = Field(min_length=1, max_length=10_000)
+    due_ms: int = Field(0, ge=0, le=7 * 86_400_000)
+
+    @model_validator(mode="after")
+    def _not_too_many(self) -> "RolloutCall":
+        if len(self.prompts) * self.samples > _MOST_SAMPLES:
+            raise ValueError(f"prompts times samples are more than {_MOST_SAMPLES}")
+        return self
+
+
+def log_name(rollout_id: str) -> str:
+    return f"rollout:{rollout_id}"
+
+
+def _of_rollout(answer: Answer) -> Answer:
+    """The same in the words of rollouts."""
+    if answer.refusal is not None:
+        if answer.refusal.field == "lot_id":
+            answer.refusal.field = "rollout_id"
+        return Answer.no(answer.refusal)
+    value = json.loads(answer.body)
+    return Answer.ok({"rollout_id": value.pop("lot_id").removeprefix("rollout:"), **value}, answer.status)
+
+
+class RolloutCounter(Part):
+    """Has no socket; the HTTP side and the simulator's trainers come to the same counter."""
+
+    __slots__ = ("_counter", "_holder", "_lots", "_tree")
+
+    def __init__(self, counter: Counter, holder: HolderClient, lots: LotRunner, tree: Any) -> None:
+        self._counter, self._holder, self._lots, self._tree = counter, holder, lots, tree
+
+    def hand_in(self, rollout_id: str, call: RolloutCall, told: Told) -> None:
+        profile = self._tree().usable(call.path)
+        answer = self._counter.unready(True)
+        if answer is None and profile is None:
+            answer = Answer.no(refused("unknown-path", f"path: no profile is called {call.path!r}", 404, field="path"))
+        if answer is None and not profile.loan_share:
+            answer = Answer.no(refused("lends-nothing", f"path: profile {call.path!r} lends no slots (loan_share)", 409, field="path"))
+        if answer is not None:
+            told(answer)
+            return
+        items = [json.dumps(item.model_dump(exclude_none=True), sort_keys=True) for item in call.prompts]
+        digest = hashlib.blake2b(json.dumps([call.path, call.weights, call.samples, call.due_ms, items]).encode(), digest_size=16).hexdigest()
+
+        def done(receipt: Any) -> None:
+            self.node.env.log("rollout-handed-in", lot=log_name(rollout_id), path=call.path, prompts=len(items), samples=call.samples,
+                              outcome=receipt.outcome if receipt is not None else "unknown")
+            told(_of_rollout(hand_in_answer(log_name(rollout_id), receipt)))
+
+        self._holder.ask(m.RolloutHandIn(lot_id=log_name(rollout_id), digest=digest, path=call.path, items=items, samples=call.samples,
+                                         weights=call.weights, due_ms=call.due_ms, epoch=0, holder_ms=0), self.node.params.force_ms, done)
+
+    def show(self, rollout_id: str, told: Told) -> None:
+        name = log_name(rollout_id)
+        self._holder.ask(m.ReadLot(lot_id=name), self.node.params.force_ms, lambda receipt: told(_of_rollout(lot_answer(name, receipt))))
+
+    def results(self, rollout_id: str, from_index: int, limit: int, told: Told) -> None:
+        name = log_name(rollout_id)
+        self._holder.ask(m.ReadResults(lot_id=name, from_index=from_index, limit=max(1, min(_PAGE, limit))), self.node.params.force_ms,
+                         lambda receipt: told(_of_rollout(results_answer(name, from_index, receipt))))
+
+    def end(self, rollout_id: str, told: Told) -> None:
+        self._counter.end(log_name(rollout_id), lambda answer: told(_of_rollout(answer)))
+
+
+class Rollouts:
+    __slots__ = ("_counter", "_node")
+
+    def __init__(self, node: Any, counter: RolloutCounter, desk: HttpDesk) -> None:
+        self._node, self._counter = node, counter
+        router = desk.app.router
+        router.add_put("/rollouts/{rollout_id}", self._hand_in)
+        router.add_get("/rollouts/{rollout_id}", self._show)
+        router.add_get("/rollouts/{rollout_id}/results", self._results)
+        router.add_delete("/rollouts/{rollout_id}", self._end)
+
+    async def _hand_in(self, request: web.Request) -> web.StreamResponse:
+        rollout_id = _rollout_id(request)
+        if isinstance(rollout_id, Refusal):
+            return answer_refusal(rollout_id)
+        call = await read_call(request, self._node.params.max_body_bytes, RolloutCall)
+        if isinstance(call, Refusal):
+            return answer_refusal(call)
+        return write_answer(await awaited(lambda told: self._counter.hand_in(rollout_id, call, told)))
+
+    async def _show(self, request: web.Request) -> web.StreamResponse:
+        rollout_id = _rollout_id(request)
+        if isinstance(rollout_id, Refusal):
+            return answer_refusal(rollout_id)
+        return write_answer(await awaited(lambda told: self._counter.show(rollout_id, told)))
+
+    async def _results(self, request: web.Request) -> web.StreamResponse:
+        rollout_id = _rollout_id(request)
+        if isinstance(rollout_id, Refusal):
+            return answer_refusal(rollout_id)
+        numbers: dict[str, int] = {"from": 0, "limit": _PAGE}
+        for name, value in request.query.items():
+            if name not in numbers or not re.match(r"^\d{1,9}$", value):
+                return answer_refusal(refused("bad-field", f"{name}: a whole number from 0, or unknown", field=name))
+            numbers[name] = int(value)
+        return write_answer(await awaited(lambda told: self._counter.results(rollout_id, numbers["from"], numbers["limit"], told)))
+
+    async def _end(self, request: web.Request) -> web.StreamResponse:
+        rollout_id = _rollout_id(request)
+        if isinstance(rollout_id, Refusal):
+            return answer_refusal(rollout_id)
+        return write_answer(await awaited(lambda told: self._counter.end(rollout_id, told)))
+
+
+def _rollout_id(request: web.Request) -> str | Refusal:
+    rollout_id = request.match_info["rollout_id"]
+    if not re.match(LOT_ID, rollout_id):
+        return refused("bad-field", "rollout_id: letters, digits, dot, dash, underscore; at most 128", field="rollout_id")
+    return rollout_id
--- a/libs/registrar/src/registrar/cli.py
+++ b/libs/registrar/src/registrar/cli.py
@@ -18,7 +18,9 @@
 app = App(name="registrar", help="vaneledge's control plane, and the operators' commands.")
 profiles = App(name="profiles", help="Show, send, patch and explain the tree of profiles.")
 usage = App(name="usage", help="Export usage.")
+loans = App(name="loans", help="Show, grant and recall loans of whole workers.")
 app.command(profiles)
+app.command(loans)
 app.command(usage)
 
 Server = Annotated[str, Parameter(name="--server", help="a control node's HTTP address, IP:PORT")]
@@ -105,6 +107,34 @@
     call("GET", server, "/workers")
 
 
+@loans.command(name="show")
+def show_loans(*, server: Server) -> None:
+    """Show who is lent to whom, in which state, and under which epoch."""
+    call("GET", server, "/loans")
+
+
+@loans.command
+def grant(worker: str, *, server: Server, borrower: str, weights: str = "", lease_ms: int = 60_000, recall_ms: int = 5000) -> None:
+    """Lend a whole worker, once every edge has let go of it; refused where live calls need it.
+
+    Parameters
+    ----------
+    worker: its identity.
+    server: a control node's HTTP address, IP:PORT.
+    borrower: who gets it.
+    weights: what it has to have when it comes back; anything if empty.
+    lease_ms: for how long; then it is recalled.
+    recall_ms: how long the borrower has to hand it back.
+    """
+    call("PUT", server, f"/loans/{worker}", {"borrower": borrower, "weights": weights, "lease_ms": lease_ms, "recall_ms": recall_ms})
+
+
+@loans.command
+def recall(worker: str, *, server: Server, reason: str = "an operator wants it back") -> None:
+    """Want a worker back; one that is only about to be lent serves again at once."""
+    call("POST", server, f"/loans/{worker}/recalled", {"reason": reason})
+
+
 @app.command
 def retire(identity: str, *, server: Server, undo: bool = False) -> None:
     """Empty and retire a store or control machine, by identity or node name: a spare takes its place, then it may be
--- /dev/null
+++ b/libs/registrar/src/registrar/loan_desk.py
@@ -0,0 +1,82 @@
+"""Loans of whole workers over HTTP at a control node: operators and trainers see, grant and recall them, and a lent
+worker says itself that it is free again, naming the loan it was lent under and the weights that it has."""
+
+from typing import Annotated, Any
+
+from aiohttp import web
+from pydantic import BaseModel, ConfigDict, Field
+
+from colophon import Refusal, doubtful, refused
+from loans import LoanOutcome
+from readingroom.desk_http import HttpDesk, answer_refusal, json_answer, read_call
+from vellum.shell import awaited
+
+__all__ = ["LoanDesk"]
+
+Text = Annotated[str, Field(min_length=1, max_length=128)]
+Weights = Annotated[str, Field(max_length=128, pattern=r"^[\x21-\x7e]*$")]
+_LONGEST_MS = 86_400_000
+
+
+class _Granted(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True)
+    borrower: Text
+    weights: Weights = ""
+    lease_ms: int = Field(60_000, ge=1000, le=_LONGEST_MS)
+    recall_ms: int = Field(5000, ge=100, le=_LONGEST_MS)
+
+
+class _Recalled(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True)
+    reason: str = Field("an operator wants it back", min_length=1, max_length=256)
+
+
+class _Returned(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True)
+    loan: int = Field(ge=1)
+    weights: Weights = ""
+
+
+class LoanDesk:
+    __slots__ = ("_node",)
+
+    def __init__(self, node: Any, desk: HttpDesk) -> None:
+        self._node = node
+        router = desk.app.router
+        router.add_get("/loans", self._show)
+        router.add_put("/loans/{worker}", self._grant)
+        router.add_post("/loans/{worker}/recalled", self._recall)
+        router.add_post("/loans/{worker}/returned", self._return)
+
+    async def _show(self, request: web.Request) -> web.Response:
+        return json_answer({"version": self._node.loans.number, "loans": self._node.loans.rows()})
+
+    async def _grant(self, request: web.Request) -> web.Response:
+        call = await read_call(request, self._node.params.max_body_bytes, _Granted)
+        if isinstance(call, Refusal):
+            return answer_refusal(call)
+        worker = request.match_info["worker"]
+        return _told(worker, await awaited(lambda done: self._node.loans.grant(
+            worker, call.borrower, call.weights, call.lease_ms, call.recall_ms, done)))
+
+    async def _recall(self, request: web.Request) -> web.Response:
+        call = await read_call(request, self._node.params.max_body_bytes, _Recalled)
+        if isinstance(call, Refusal):
+            return answer_refusal(call)
+        worker = request.match_info["worker"]
+        return _told(worker, await awaited(lambda done: self._node.loans.recall(worker, call.reason, done)))
+
+    async def _return(self, request: web.Request) -> web.Response:
+        call = await read_call(request, self._node.params.max_body_bytes, _Returned)
+        if isinstance(call, Refusal):
+            return answer_refusal(call)
+        worker = request.match_info["worker"]
+        return _told(worker, await awaited(lambda done: self._node.loans.hand_back(worker, call.loan, call.weights, done)))
+
+
+def _told(worker: str, outcome: LoanOutcome) -> web.Response:
+    if outcome.name == "refused":
+        return answer_refusal(refused("loan-refused", f"{worker}: {outcome.reason}; nothing was changed", 409, field="worker"))
+    if outcome.name != "ok":
+        return answer_refusal(doubtful("loan-in-doubt", f"{outcome.reason}; look at the loans, and say it again", 1000))
+    return json_answer({"worker": worker, **outcome.row})
--- a/libs/registrar/src/registrar/nodes.py
+++ b/libs/registrar/src/registrar/nodes.py
@@ -6,6 +6,7 @@
 from catalogue import Founding, Owner, Roll, Tree, Voter, WorkerList
 from commons import Neighbours
 from gazette import Gazette
+from loans import LOANS_KEY, NodeLoans
 from readingroom.nodes import CONTROL_KEY, PROFILES_KEY, open_or_set_aside
 from registrar.retirement import Retirement
 from registrar.tree_changes import TreeChanges
@@ -16,7 +17,7 @@
 
 
 class ControlNode(Node):
-    __slots__ = ("disk", "founding", "gazette", "neighbours", "owner", "retirement", "roll",
+    __slots__ = ("_tree", "disk", "founding", "gazette", "loans", "neighbours", "owner", "retirement", "roll",
                  "tree_changes", "voter", "worker_list")
 
     def __init__(self, env: Env, params: Any, disk: Disk) -> None:
@@ -34,8 +35,11 @@
         self.worker_list = WorkerList(self.voter, self.owner, self.gazette, sure=self.hears_majority)
         self.tree_changes = TreeChanges(self.owner, sure=self.hears_majority)
         self.retirement = Retirement(self.owner, self.neighbours, self.gazette, sure=self.hears_majority)
+        self._tree = (0, Tree({}))
+        self.loans = NodeLoans(self.owner, self.neighbours, self.gazette, self.tree, sure=self.hears_majority,
+                               mine=lambda: bool(self.voter.voters) and self.owner.owner_of(LOANS_KEY) == identity)
         super().__init__(env, params, [self.neighbours, self.gazette, self.voter, self.owner, self.founding, self.roll,
-                                       self.worker_list, self.tree_changes, self.retirement])
+                                       self.worker_list, self.tree_changes, self.retirement, self.loans])
 
     def hears_majority(self) -> bool:
         """Whether a majority of the voters are live to this node, which need not be one itself."""
@@ -59,4 +63,7 @@
         return "" if self.quorate() else "hears no majority of the voters"
 
     def tree(self) -> Tree:
-        return Tree.of_body(self.gazette.body(PROFILES_KEY))
+        number = self.gazette.number(PROFILES_KEY)
+        if number != self._tree[0]:
+            self._tree = (number, Tree.of_body(self.gazette.body(PROFILES_KEY)))
+        return self._tree[1]
--- a/libs/registrar/src/registrar/process.py
+++ b/libs/registrar/src/registrar/process.py
@@ -4,6 +4,7 @@
 
 from readingroom.desk_http import HttpDesk
 from readingroom.process import NodeProcess
+from registrar.loan_desk import LoanDesk
 from registrar.nodes import ControlNode
 from registrar.operators import Operators
 from registrar.worker_desk import WorkerDesk
@@ -18,6 +19,7 @@
         desk = HttpDesk(self.params.http, self.params.max_body_bytes, self.why_unready, self.status, self.metrics)
         Operators(self.node, desk)
         WorkerDesk(self.node, desk)
+        LoanDesk(self.node, desk)
         await self.add_runtime_dependency(desk)
 
     def why_unready(self) -> str:
@@ -36,6 +38,7 @@
     def metrics(self) -> dict[str, float]:
         node = self.node
         rows = {f"control_epoch_{name}": row["epoch"] for name, row in node.owner.epochs().items()}
+        rows.update({f"control_loans_{state}_total": count for state, count in node.loans.counts.items()})
         return {**rows, "control_quorate": int(node.quorate()), "control_voters_number": node.voter.list_number,
                 "feed_place": node.gazette.place, "feed_sent_bytes_total": node.gazette.sent_bytes,
                 "worst_tick_ms": self.shell.worst_tick_ms if self.shell else 0}
