--- a/libs/circulation/src/circulation/roster.py
+++ b/libs/circulation/src/circulation/roster.py
@@ -37,7 +37,7 @@
     edge runs samples of rollouts, which give way to anything else and so count for nothing in what it has to do."""
 
     __slots__ = ("address", "answered_ms", "beat", "borrowed", "cache_use", "down_beat", "down_ms", "failures", "full_until_ms", "heard_ms",
-                 "identity", "incarnation", "labels", "leaving", "listed", "others", "running", "sending", "sending_then",
+                 "identity", "incarnation", "labels", "leaving", "listed", "others", "reading", "reading_items", "running", "sending", "sending_then",
                  "slots", "told_ms", "waiting", "zone")
 
     def __init__(self, news: WorkerNews) -> None:
@@ -49,7 +49,7 @@
         self.down_ms = -1 << 40
         self.beat = -1
         self.listed = False
-        self.failures = 0
+        self.failures = self.reading = self.reading_items = 0
         self.others = 0.0
         self.told_ms = self.answered_ms = self.full_until_ms = -1 << 40
 
@@ -75,14 +75,14 @@
 
     def told_load(self, running: int, waiting: int, slots: int, now_ms: int) -> None:
         """Its own word of its load, as it stood when it answered one of ours."""
-        self.running, self.waiting, self.slots = running, waiting, max(1, slots)
+        self.running, self.waiting, self.slots, self.sending_then = running, waiting, max(1, slots), self.sending
         self.others = float(max(0, running + waiting - self.sending))
         self.told_ms = now_ms
 
     def load(self, now_ms: int) -> float:
         """What it probably has now: what is under way from here, and what others had there, which is the less
-        sure the older it is. One that was never heard of counts by its own sends alone."""
-        return self.sending - self.borrowed + self.others * math.exp(-max(0, now_ms - self.told_ms) / _LOAD_MS)
+        sure the older it is. Prompts that are still read count twice, since all else waits for them."""
+        return self.sending + self.reading - self.borrowed + self.others * math.exp(-max(0, now_ms - self.told_ms) / _LOAD_MS)
 
 
 class Roster(Part):
--- a/libs/readingroom/src/readingroom/nodes.py
+++ b/libs/readingroom/src/readingroom/nodes.py
@@ -7,8 +7,8 @@
 from accession import LocalLog, Mending, StoreLog
 from catalogue import ControlClient, Tree, profiles_digest
 from circulation import Carrier, HolderClient, Items, LotRunner, Roster
-from commons import Neighbours
-from gazette import Gazette
+from commons import Neighbours, duty_order
+from gazette import Gazette, candidates
 from ledger import Desk
 from ledger import messages as m
 from loans import Borrowing, LentWorkers, LotOutlook
@@ -49,6 +49,7 @@
         self.gazette = Gazette(identity, lambda: [card.address for card in self.neighbours.view()],
                                self._control_addresses)
         self.neighbours.wanted = self._wanted
+        self.gazette.candidates = lambda: candidates(self.gazette.value(CONTROL_KEY), self.neighbours, self.params.gone_ms)
         self._tree = Tree({})
         self._tree_number = 0
         self.tree_digest = ""
@@ -79,7 +80,7 @@
         local = open_or_set_aside(env, disk, lambda: LocalLog(disk, params, env.now, env.token))
         self._common(local.identity)
         self._started_ms = env.now()
-        self.control = ControlClient(self._control_addresses)
+        self.control = ControlClient(self._control_addresses, self._key_owners)
         self.desk = Desk(lambda: (self.gazette.number(PROFILES_KEY), self.tree()), self._who_holds, lambda: self.log.log.ledger)
         self.log = StoreLog(local, self.control, self, self.desk.take_holder)
         self.mending = Mending(local, self._other_members)
@@ -88,6 +89,11 @@
         local.shelves.on_shelved = self._shelved
         super().__init__(env, params, [self.neighbours, self.gazette, self.control, self.log, self.desk, self.mending])
 
+    def _key_owners(self, key: str) -> list[str]:
+        """The voters that live, as far as this store hears, in the order in which the key's duty falls to them."""
+        voters = {row["identity"]: row["address"] for row in (self.gazette.value(CONTROL_KEY) or {"voters": []})["voters"]}
+        return [voters[name] for name in duty_order(key, voters) if self.neighbours.live(name)]
+
     # -- what the log asks about the fleet -----------------------------------------------------
 
     def log_key(self) -> tuple[int, str]:
@@ -123,8 +129,12 @@
         return (now_ms - self._started_ms > self.params.dead_ms
                 and now_ms - self.gazette.quorate_ms < self.params.dead_ms)
 
+    def learned(self, number: int, body: str) -> None:
+        """What control has told this store itself, ahead of the feed."""
+        self.gazette.publish(LOG_KEY, number, body)
+
     def _who_holds(self) -> tuple[int, str]:
-        value = self.gazette.value(LOG_KEY) or {}
+        value = self.log.value
         address = next((row["address"] for row in value.get("members", [])
                         if row["identity"] == value.get("holder")), "")
         return value.get("epoch", 0), address
@@ -179,7 +189,7 @@
         return [(card.identity, card.address) for card in self.neighbours.of_role("edge", self.params.dead_ms)]
 
     def _edges(self) -> int:
-        return 1 + len(self.neighbours.of_role("edge", self.params.dead_ms))
+        return self.gazette.edge_count() or 1 + len(self.neighbours.of_role("edge", self.params.dead_ms))
 
     def why_unready(self) -> str:
         """An edge serves while it hears of a control majority, or, with control gone, from most of the
@@ -189,6 +199,8 @@
     def _why_unsure(self) -> str:
         """Why it can't know that its profiles are in force."""
         now_ms = self.env.now()
+        if self.params.cut_off == "serve":
+            return self._why_not_begun(now_ms)
         if not (self._hears_control(now_ms) or self._hears_most(now_ms)):
             return "cut off from control and most neighbours"
         if not self._caught_up:
@@ -197,6 +209,15 @@
                 return "has not caught up with the feed"
         return ""
 
+    def _why_not_begun(self, now_ms: int) -> str:
+        """Where the cut-off serve: an edge begins when it has profiles and knows no newer ones, by control's
+        word or, if control can't be heard, by that of its neighbours; from then on it serves by what it knows."""
+        if not self._caught_up:
+            params = self.params
+            heard = now_ms - self.gazette.quorate_ms <= params.dead_ms or now_ms - self._started_ms > params.dead_ms
+            self._caught_up = heard and self.gazette.number(PROFILES_KEY) > 0 and self._level(now_ms - params.dead_ms)
+        return "" if self._caught_up else "has not caught up with the feed"
+
     def _hears_control(self, now_ms: int) -> bool:
         if now_ms - self.gazette.quorate_ms <= self.params.cut_ms:
             self._was_quorate = True
