--- a/libs/accession/src/accession/__init__.py
+++ b/libs/accession/src/accession/__init__.py
@@ -2,14 +2,17 @@
 lets peers hold each record in memory; recovery gathers what they hold. docs/design.md tells what
 was kept of the source and what was changed."""
 
-from accession.holder import Holder, Outcome
-from accession.local import LocalLog
-from accession.mending import Mending
-from accession.messages import (Append, Appended, Fetch, Fetched, Install, LogMeta, Record, Start, Started,
-                                StoredEntry)
-from accession.places import spread
-from accession.recovery import Recovery, union
-from accession.store import StoreLog
+from colophon.lazy import lazy
 
-__all__ = ["Append", "Appended", "Fetch", "Fetched", "Holder", "Install", "LocalLog", "LogMeta", "Mending", "Outcome",
-           "Record", "Recovery", "Start", "Started", "StoreLog", "StoredEntry", "spread", "union"]
+__all__ = ["Append", "Appended", "Fetch", "Fetched", "Holder", "Install", "LocalLog", "LogMeta", "Mending",
+           "Outcome", "Record", "Recovery", "Start", "Started", "StoreLog", "StoredEntry", "spread", "union"]
+
+__getattr__ = lazy(__name__, {
+    "holder": ("Holder", "Outcome"),
+    "local": ("LocalLog",),
+    "mending": ("Mending",),
+    "messages": ("Append", "Appended", "Fetch", "Fetched", "Install", "LogMeta", "Record", "Start", "Started", "StoredEntry"),
+    "places": ("spread",),
+    "recovery": ("Recovery", "union"),
+    "store": ("StoreLog",),
+})
--- a/libs/catalogue/src/catalogue/profiles.py
+++ b/libs/catalogue/src/catalogue/profiles.py
@@ -8,8 +8,8 @@
 
 from toolz import merge
 
+from catalogue.defaults import DEFAULTS, OWN_ONLY
 from catalogue.routes import RouteIndex, Split
-from catalogue.rows import DEFAULTS, OWN_ONLY
 
 __all__ = ["Profile", "Tree", "explain", "profiles_digest"]
 
--- a/libs/catalogue/src/catalogue/rows.py
+++ b/libs/catalogue/src/catalogue/rows.py
@@ -7,7 +7,7 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 
-__all__ = ["DEFAULTS", "OWN_ONLY", "check_tree"]
+__all__ = ["check_tree"]
 
 Name = Annotated[str, Field(min_length=1, max_length=128, pattern=r"^[A-Za-z0-9][A-Za-z0-9._/-]*$")]
 _LONGEST_MS = 1_000_000_000
@@ -15,7 +15,7 @@
 
 
 class Workers(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True)
+    model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     identities: list[Name] | None = Field(None, max_length=4096)
     labels: list[Name] | None = Field(None, max_length=256)
 
@@ -23,19 +23,19 @@
 class Match(BaseModel):
     """Where a route is: the host, and how its paths begin."""
 
-    model_config = ConfigDict(extra="forbid", strict=True)
+    model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     host: str = Field(min_length=1, max_length=255, pattern=r"^[^\s/]+$")
     prefix: str = Field(max_length=4096, pattern=r"^/(\S*/)?$")
 
 
 class ShareRow(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True)
+    model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     service: Name
     share: float = Field(ge=0.0, allow_inf_nan=False)
 
 
 class ModelRow(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True)
+    model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     name: str = Field(min_length=1, max_length=256)
     revision: int | None = None
     adapters: list[str] | None = None
@@ -44,7 +44,7 @@
 class ProfileRow(BaseModel):
     """One profile as the operator wrote it; what is left out is inherited."""
 
-    model_config = ConfigDict(extra="forbid", strict=True)
+    model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     parent: Name | None = None
     workers: Workers | None = None
     path: Name | None = None
@@ -86,15 +86,6 @@
         return value
 
 
-DEFAULTS: dict[str, Any] = {
-    "workers": {"identities": [], "labels": []}, "path": "", "deadline_ms": 5000, "repeatable": True, "zone": "near",
-    "live_share": 1.0, "lot_share": 1.0, "waiting_room": 16, "retry_budget": 0.2, "abstract": False,
-    "match": {}, "kind": "plain", "shares": [], "give_up_ms": 0, "target_ms": 0, "token_gap_ms": 0, "due_ms": 0,
-    "keep_ms": 0, "urgency": 5, "attempts": 2, "sticky": False, "resumable": False, "waiting_tokens": 0,
-    "health_path": "", "connections": 0, "slots": 0, "cache_tokens": 0, "stride_tokens": 0, "models": [], "rank": 0, "source": ""}
-OWN_ONLY = ("abstract", "parent", "match", "rank", "source")
-
-
 def check_tree(value: Any, known: dict[str, dict[str, Any]] | None = None) -> Result[dict[str, Any], list[dict[str, str]]]:
     """The whole tree as it will be kept, or every problem with its place. `known` are rows that were checked
     before; a row that is the same as one of them isn't looked into again."""
--- a/libs/circulation/src/circulation/__init__.py
+++ b/libs/circulation/src/circulation/__init__.py
@@ -1,20 +1,25 @@
 """Circulation: the way of a transaction through an edge. Its chart, where it is placed, the workers'
 roster, the stream's checks, lots, and how the holder is asked."""
 
-from circulation.calls import Call, Dialect, ForwardCall, end_to_end
-from circulation.carriage import Carriage, Send
-from circulation.carrier import Carrier
-from circulation.chart import State, Step, Transaction
-from circulation.exchange import Exchange, Fate
-from circulation.forward import EventCheck, ForwardExchange
-from circulation.forward_chart import ForwardTransaction
-from circulation.holding import HolderClient
-from circulation.items import Items
-from circulation.lots import LotRunner
-from circulation.placement import Budget, choose, prefix_of
-from circulation.roster import Roster, Worker, WorkerNews
-from circulation.streams import StreamCheck, check_whole
+from colophon.lazy import lazy
 
-__all__ = ["Budget", "Call", "Carriage", "Carrier", "Dialect", "EventCheck", "Exchange", "Fate", "ForwardCall", "ForwardExchange",
-           "ForwardTransaction", "HolderClient", "Items", "LotRunner", "Roster", "Send", "State", "Step", "StreamCheck", "Transaction",
-           "Worker", "WorkerNews", "check_whole", "choose", "end_to_end", "prefix_of"]
+__all__ = ["Budget", "Call", "Carriage", "Carrier", "Dialect", "EventCheck", "Exchange", "Fate", "ForwardCall",
+           "ForwardExchange", "ForwardTransaction", "HolderClient", "Items", "LotRunner", "Roster", "Send", "State",
+           "Step", "StreamCheck", "Transaction", "Worker", "WorkerNews", "check_whole", "choose", "end_to_end",
+           "prefix_of"]
+
+__getattr__ = lazy(__name__, {
+    "calls": ("Call", "Dialect", "ForwardCall", "end_to_end"),
+    "carriage": ("Carriage", "Send"),
+    "carrier": ("Carrier",),
+    "chart": ("State", "Step", "Transaction"),
+    "exchange": ("Exchange", "Fate"),
+    "forward": ("EventCheck", "ForwardExchange"),
+    "forward_chart": ("ForwardTransaction",),
+    "holding": ("HolderClient",),
+    "items": ("Items",),
+    "lots": ("LotRunner",),
+    "placement": ("Budget", "choose", "prefix_of"),
+    "roster": ("Roster", "Worker", "WorkerNews"),
+    "streams": ("StreamCheck", "check_whole"),
+})
--- a/libs/readingroom/src/readingroom/__init__.py
+++ b/libs/readingroom/src/readingroom/__init__.py
@@ -1,5 +1,9 @@
 """Readingroom: the data plane. Edges serve visitors and workers; stores keep the log."""
 
-from readingroom.nodes import EdgeNode, StoreNode
+from colophon.lazy import lazy
 
 __all__ = ["EdgeNode", "StoreNode"]
+
+__getattr__ = lazy(__name__, {
+    "nodes": ("EdgeNode", "StoreNode"),
+})
--- a/libs/readingroom/src/readingroom/calls.py
+++ b/libs/readingroom/src/readingroom/calls.py
@@ -17,7 +17,7 @@
 
 
 class _Strict(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True)
+    model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
 
 
 class ChatMessage(_Strict):
--- /dev/null
+++ b/libs/readingroom/src/readingroom/keys.py
@@ -0,0 +1,25 @@
+"""What the nodes of both planes share: the names of the control keys, and how a folder is opened."""
+
+from typing import Any
+
+from stacks import Damage
+from vellum import Env
+
+__all__ = ["CONTROL_KEY", "LOG_KEY", "PROFILES_KEY", "RETIRED_KEY", "WORKERS_KEY", "open_or_set_aside"]
+
+PROFILES_KEY = "profiles"
+RETIRED_KEY = "retired"
+CONTROL_KEY = "control"
+LOG_KEY = "log"
+WORKERS_KEY = "workers"
+
+
+def open_or_set_aside(env: Env, disk: Any, make: Any) -> Any:
+    """A folder that reads back damaged is put aside whole; the node goes on as a new, empty identity,
+    which the others bring up to date before it counts for anything."""
+    try:
+        return make()
+    except Damage as damage:
+        env.log("disk-damaged", "ERROR", file=damage.name, offset=damage.offset)
+        disk.set_aside()
+        return make()
--- a/libs/readingroom/src/readingroom/nodes.py
+++ b/libs/readingroom/src/readingroom/nodes.py
@@ -12,28 +12,12 @@
 from ledger import Desk
 from readingroom.counter import Counter
 from readingroom.forwards import ForwardCounter
+from readingroom.keys import CONTROL_KEY, LOG_KEY, PROFILES_KEY, RETIRED_KEY, WORKERS_KEY, open_or_set_aside
 from readingroom.lot_counter import LotCounter
-from stacks import Damage, Disk
+from stacks import Disk
 from vellum import Env, Node
 
-__all__ = ["EdgeNode", "StoreNode", "open_or_set_aside"]
-
-PROFILES_KEY = "profiles"
-RETIRED_KEY = "retired"
-CONTROL_KEY = "control"
-LOG_KEY = "log"
-WORKERS_KEY = "workers"
-
-
-def open_or_set_aside(env: Env, disk: Any, make: Any) -> Any:
-    """A folder that reads back damaged is put aside whole; the node goes on as a new, empty identity,
-    which the others bring up to date before it counts for anything."""
-    try:
-        return make()
-    except Damage as damage:
-        env.log("disk-damaged", "ERROR", file=damage.name, offset=damage.offset)
-        disk.set_aside()
-        return make()
+__all__ = ["EdgeNode", "StoreNode"]
 
 
 class _DataNode(Node):
--- a/libs/registrar/src/registrar/__init__.py
+++ b/libs/registrar/src/registrar/__init__.py
@@ -1,5 +1,9 @@
 """Registrar: the control plane, and the operators' command line."""
 
-from registrar.nodes import ControlNode
+from colophon.lazy import lazy
 
 __all__ = ["ControlNode"]
+
+__getattr__ = lazy(__name__, {
+    "nodes": ("ControlNode",),
+})
--- a/libs/registrar/src/registrar/nodes.py
+++ b/libs/registrar/src/registrar/nodes.py
@@ -7,7 +7,7 @@
 from catalogue import Founding, Owner, Roll, Tree, Voter, WorkerList
 from commons import Neighbours
 from gazette import Gazette, candidates
-from readingroom.nodes import CONTROL_KEY, PROFILES_KEY, open_or_set_aside
+from readingroom.keys import CONTROL_KEY, PROFILES_KEY, open_or_set_aside
 from registrar.retirement import Retirement
 from registrar.tree_changes import TreeChanges
 from stacks import Disk
--- a/libs/registrar/src/registrar/operators.py
+++ b/libs/registrar/src/registrar/operators.py
@@ -12,7 +12,7 @@
 from colophon import Refusal, doubtful, refused
 from gazette.patches import apply_patch
 from readingroom.desk_http import HttpDesk, answer_refusal, json_answer, read_call
-from readingroom.nodes import PROFILES_KEY, RETIRED_KEY
+from readingroom.keys import PROFILES_KEY, RETIRED_KEY
 from registrar.retirement import retired_body
 from registrar.words import says, says_edge
 from vellum.shell import awaited
@@ -23,28 +23,28 @@
 
 
 class _Sent(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True)
+    model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     version: int = Field(ge=0)
     change_id: ChangeId | None = None
     tree: dict[str, Any]
 
 
 class _Patched(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True)
+    model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     version: int = Field(ge=0)
     change_id: ChangeId | None = None
     patch: dict[str, Any]
 
 
 class _Retired(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True)
+    model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     identity: str = Field(min_length=1, max_length=128)
     change_id: ChangeId | None = None
     undo: bool = False
 
 
 class _Forgotten(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True)
+    model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     links: list[str] = Field(min_length=1, max_length=256)
 
 
--- a/libs/registrar/src/registrar/worker_desk.py
+++ b/libs/registrar/src/registrar/worker_desk.py
@@ -18,14 +18,14 @@
 
 
 class _Model(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True)
+    model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     name: Text
     revision: int | None = None
     adapters: list[Text] | None = None
 
 
 class _Beat(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True)
+    model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     address: Text
     zone: Text
     label: Text
