--- a/libs/readingroom/src/readingroom/metrics.py
+++ b/libs/readingroom/src/readingroom/metrics.py
@@ -2,9 +2,7 @@
 gives, with their type and a word of help, and histograms of how long visitors' calls took by path."""
 
 from collections.abc import Callable, Iterator
-
-from prometheus_client import CollectorRegistry, Histogram, generate_latest
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from typing import Any
 
 __all__ = ["CONTENT_TYPE", "HELP", "Metrics"]
 
@@ -30,22 +28,37 @@
 
 
 class Metrics:
+    """The collecting library is imported when it is first needed, not at a process's start."""
+
     __slots__ = ("_read", "_registry", "_took")
 
     def __init__(self, read: Callable[[], dict[str, float]]) -> None:
         self._read = read
-        self._registry = CollectorRegistry()
-        self._registry.register(self)
-        self._took = Histogram("vaneledge_live_seconds", "how long visitors' live calls took, by path and verdict",
-                               ["path", "verdict"], registry=self._registry, buckets=_BUCKETS_S)
+        self._registry: Any = None
+        self._took: Any = None
+
+    def _begin(self) -> None:
+        if self._registry is None:
+            from prometheus_client import CollectorRegistry, Histogram
+
+            self._registry = CollectorRegistry()
+            self._registry.register(self)
+            self._took = Histogram("vaneledge_live_seconds", "how long visitors' live calls took, by path and verdict",
+                                   ["path", "verdict"], registry=self._registry, buckets=_BUCKETS_S)
+
+    def collect(self) -> Iterator[Any]:
+        from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
-    def collect(self) -> Iterator[Metric]:
         for name, value in sorted(self._read().items()):
             family = CounterMetricFamily if name.endswith("_total") else GaugeMetricFamily
             yield family(f"vaneledge_{name.removesuffix('_total')}", _help(name.removesuffix("_total")), value=value)
 
     def took(self, path: str, verdict: str, seconds: float) -> None:
+        self._begin()
         self._took.labels(path, verdict).observe(seconds)
 
     def text(self) -> str:
+        from prometheus_client import generate_latest
+
+        self._begin()
         return generate_latest(self._registry).decode()
