--- a/libs/facsimile/src/facsimile/platform_days/command.py
+++ b/libs/facsimile/src/facsimile/platform_days/command.py
@@ -14,7 +14,7 @@
 
 
 async def play_day(shape: str, name: str, seed: int, folder: str, history_file: str = "") -> tuple[str, dict[str, list[str]]]:
-    day, counts, broken = await run_platform_day(shape, seed=seed, folder=folder, **day_of(name))
+    day, counts, broken = await run_platform_day(shape, seed=seed, folder=folder, **day_of(name, seed))
     if history_file:
         Path(history_file).write_text("".join(json.dumps(row, default=str) + "\n" for row in day.history.rows))
     rows = [f"{what}: {json.dumps(told)}" for what, told in day_worth(day.history, day.sheet.kinds).items()]
--- a/libs/facsimile/src/facsimile/platform_days/days.py
+++ b/libs/facsimile/src/facsimile/platform_days/days.py
@@ -2,6 +2,7 @@
 clocks that are stepped belong to the simulator."""
 
 import asyncio
+import random
 from typing import Any
 
 from facsimile.platform_days.day import Day, Step
@@ -156,12 +157,15 @@
         raise AssertionError(f"{machine.name} was not emptied: {row}")
 
 
-async def power_off(day: Day) -> None:
-    """Every process is killed at once, and all start again from their disks."""
+async def power_off(day: Day, wiped: int = 0) -> None:
+    """Right after an acknowledgement every process is killed at once, and all start again, some from empty disks."""
     await day.operator.change("timeout")
     machines = list(day.fleet.everyone())
     for machine in machines:
         day.fleet.kill(machine, "power")
+    for machine in day.rng.sample([machine for machine in machines if machine.data_dir], wiped):
+        day.fault("wipe", node=machine.name)
+        day.fleet.wipe(machine)
     await asyncio.sleep(1.0)
     day.rng.shuffle(machines)
     for machine in machines:
@@ -170,6 +174,10 @@
     await asyncio.sleep(day.sheet.timing["recoveryS"] + 3)
 
 
+async def power_off_and_wipe(day: Day) -> None:
+    await power_off(day, day.sheet.shape.get("machines", 1))
+
+
 async def wipe_after_ack(day: Day) -> None:
     """Right after a configuration was acknowledged, one machine of the core and one store lose their disks in turn."""
     await day.operator.change("add")
@@ -192,6 +200,7 @@
     "owner-frozen": {"seconds": 11.0, "steps": [(1.5, freeze_owner), (2.0, add_route)]},
     "edge-killed": {"seconds": 8.0, "steps": [(1.0, kill_edge), (4.0, freeze_edge)]},
     "power-off": {"seconds": 20.0, "due": ("RECOVER",), "steps": [(2.0, power_off)]},
+    "power-off-and-wipe": {"seconds": 20.0, "due": ("RECOVER",), "steps": [(2.0, power_off_and_wipe)]},
     "wiped-store": {"seconds": 11.0, "steps": [(1.5, wipe_store)]},
     "wiped-control": {"seconds": 11.0, "steps": [(1.5, wipe_control), (6.0, add_route)]},
     "replaced-control": {"seconds": 12.0, "steps": [(1.5, replace_control), (8.0, add_route)]},
@@ -202,11 +211,27 @@
     "edges-rolled": {"seconds": 10.0, "due": ("LOST",), "steps": [(1.0, roll_edges)]},
     "core-rolled": {"seconds": 20.0, "steps": [(1.0, roll_core)]},
     "wiped-after-ack": {"seconds": 14.0, "steps": [(1.5, wipe_after_ack)]},
+    "drawn": {},
     "faults": {"seconds": 11.0, "due": ("DRAIN",), "ills": _ILLS,
                "steps": [(0.2, release_one), (3.4, kill_holder), (3.8, crash_worker), (7.0, kill_edge), (8.5, add_route)]}}
 
 
-def day_of(name: str) -> dict[str, Any]:
-    day = PLATFORM_DAYS[name]
-    steps: list[Step] = day["steps"]
-    return {"steps": steps, "seconds": day["seconds"], "due": DUE + tuple(day.get("due", ())), "ills": day.get("ills", ())}
+_LOSSES = (kill_owner, kill_holder, freeze_owner, freeze_holder, wipe_store, wipe_control, replace_control, replace_store)
+_ELSE = (crash_worker, dark_worker, release_one, burst, kill_edge, freeze_edge, term_edge, add_edge, hang_up_edges, change_timeout, move_route,
+         split_route, add_route, race, bad_settings)
+
+
+def _drawn(seed: int) -> dict[str, Any]:
+    """Troubles drawn from a seed; machines with a disk are lost one after another, each caught up before the next."""
+    rng = random.Random(f"drawn/{seed}")
+    steps: list[Step] = [(1.0 + 0.5 * rng.random() + 9.5 * place, rng.choice(_LOSSES)) for place in range(2)]
+    steps += [(0.5 + 17.0 * rng.random(), rng.choice(_ELSE)) for _ in range(4)]
+    closing = rng.random() < 0.4
+    if closing:
+        steps.append((20.0, rng.choice((power_off, power_off_and_wipe))))
+    return {"seconds": 38.0 if closing else 20.0, "steps": sorted(steps, key=lambda step: step[0]), "ills": _ILLS if rng.random() < 0.5 else ()}
+
+
+def day_of(name: str, seed: int = 1) -> dict[str, Any]:
+    day = _drawn(seed) if name == "drawn" else PLATFORM_DAYS[name]
+    return {"steps": day["steps"], "seconds": day["seconds"], "due": DUE + tuple(day.get("due", ())), "ills": day.get("ills", ())}
