--- a/libs/circulation/src/circulation/carrier.py
+++ b/libs/circulation/src/circulation/carrier.py
@@ -24,16 +24,18 @@
 
 
 class Carrier(Part):
-    """`dialect` is what forwarded calls need: how their workers name their headers."""
+    """`dialect` is what forwarded calls need: how their workers name their headers. `loans`, where slots are lent to
+    rollouts, takes them back for whatever else needs one."""
 
     __slots__ = ("_holder", "_items", "_items_tree", "_line", "_list_number", "_open", "_pace", "_roster", "_sender", "_tree",
-                 "by_prefix", "counts", "dialect", "edge", "edges", "parts", "reading_items")
+                 "by_prefix", "counts", "dialect", "edge", "edges", "loans", "parts", "reading_items")
 
     def __init__(self, edge: str, holder: Any, roster: Roster, tree: Callable[[], Any], sender: Sender,
                  edges: Callable[[], int] = lambda: 1) -> None:
         self.edge = edge
         self.edges = edges
         self.dialect: Dialect | None = None
+        self.loans: Any = None
         self.parts = PartMap()
         self._pace = Pace()
         self._items: deque[Carriage] = deque()
@@ -57,7 +59,10 @@
         return len(self._items)
 
     def carrying(self, lot: bool) -> int:
-        return sum(1 for carriage in self._open.values() if carriage.call.lot == lot)
+        return sum(1 for carriage in self._open.values() if carriage.call.lot == lot and not carriage.call.rollout)
+
+    def sends(self) -> list[Send]:
+        return [carriage.send for carriage in self._open.values() if carriage.send is not None]
 
     def carry(self, tx: Transaction, call: Call | ForwardCall, sink: Callable[[bytes], None] | None, done: Callable[[Step], None]) -> Carriage:
         carriage = Carriage(self, tx, call, sink, done)
@@ -117,6 +122,8 @@
             self._items_tree = self._items_tree if self._items else self._tree()
             self._items.append(carriage)
         elif worker is None and not carriage.call.lot:
+            if self.loans is not None:
+                self.loans.starved(workers)
             waits, back_ms = self._may_wait(carriage, workers, now_ms)
             self._take(carriage, tx.placed(None, bool(workers), waits, back_ms))
         else:
@@ -196,7 +203,11 @@
         tx.widen_budget(2.0 * worker.slots)
         if not call.lot:
             self._line.seen_worker(tx.profile.name, self.node.env.now())
-        self.count("sends_lot" if call.lot else "sends_live")
+        self.count("sends_rollout" if call.rollout else "sends_lot" if call.lot else "sends_live")
+        if call.rollout:
+            worker.borrowed += 1
+        elif self.loans is not None:
+            self.loans.first_claim(worker, call)
         worker.sending += 1
         worker.asked(self.node.env.now())
         if not call.kept_when_gone:
@@ -226,6 +237,7 @@
         send.over = True
         self._has_read(send)
         send.worker.sending -= 1
+        send.worker.borrowed -= send.carriage.call.rollout
         send.carriage.send = None
         send.abort()
 
--- a/libs/circulation/src/circulation/placement.py
+++ b/libs/circulation/src/circulation/placement.py
@@ -95,7 +95,7 @@
     the time it is used, and edges that all believe it fall upon the same worker at once. Of equals the one
     sent to longest ago is taken, less what it need not read again and what is saved by staying in the zone."""
     recent = max(0.0, 1.0 - (now_ms - worker.sent_ms) / recent_ms)
-    own = worker.sending + worker.reading + recent - _KEPT * kept_share - (_NEAR if near else 0.0)
+    own = worker.sending - worker.borrowed + worker.reading + recent - _KEPT * kept_share - (_NEAR if near else 0.0)
     return (own + _OTHERS * worker.others_now(now_ms)) / worker.slots
 
 
