--- a/libs/readingroom/src/readingroom/metrics.py
+++ b/libs/readingroom/src/readingroom/metrics.py
@@ -2,9 +2,7 @@
 gives, with their type and a word of help, and histograms of how long visitors' calls took by path."""
 
 from collections.abc import Callable, Iterator
-
-from prometheus_client import CollectorRegistry, Histogram, generate_latest
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from typing import Any
 
 __all__ = ["CONTENT_TYPE", "HELP", "Metrics"]
 
@@ -14,7 +12,10 @@
     "edge_sends": "sends to workers by kind, and those that failed", "edge_steps": "last steps of transactions by name",
     "edge_ready": "1 while this edge takes visitors", "edge_live_now": "live calls under way",
     "edge_waiting_now": "live calls that wait for a slot", "edge_items_now": "items of lots under way",
-    "edge_items_finished": "items of lots that ran here", "edge_workers": "workers that may be used now",
+    "edge_items_finished": "items of lots that ran here", "edge_samples_now": "slots in which samples of rollouts run",
+    "edge_samples_finished": "samples that ran here to their end", "edge_samples_given_up": "samples given up for something else",
+    "edge_loans_recalled": "times that all samples were given up since a lot might have come late",
+    "edge_workers_lent": "workers that get nothing since they are lent whole", "control_loans": "loans of whole workers by what became of them", "edge_workers": "workers that may be used now",
     "store_asked": "what edges asked of the holder, by kind", "store_last_seq": "the log's last record here",
     "store_settled_seq": "up to where the log is on enough disks", "store_flushed_seq": "up to where this disk has the log",
     "store_epoch": "the highest epoch that this store has fenced", "store_holds": "1 while this store holds the log",
@@ -30,22 +31,37 @@
 
 
 class Metrics:
+    """The collecting library is imported when it is first needed, not at a process's start."""
+
     __slots__ = ("_read", "_registry", "_took")
 
     def __init__(self, read: Callable[[], dict[str, float]]) -> None:
         self._read = read
-        self._registry = CollectorRegistry()
-        self._registry.register(self)
-        self._took = Histogram("vaneledge_live_seconds", "how long visitors' live calls took, by path and verdict",
-                               ["path", "verdict"], registry=self._registry, buckets=_BUCKETS_S)
+        self._registry: Any = None
+        self._took: Any = None
+
+    def _begin(self) -> None:
+        if self._registry is None:
+            from prometheus_client import CollectorRegistry, Histogram
+
+            self._registry = CollectorRegistry()
+            self._registry.register(self)
+            self._took = Histogram("vaneledge_live_seconds", "how long visitors' live calls took, by path and verdict",
+                                   ["path", "verdict"], registry=self._registry, buckets=_BUCKETS_S)
+
+    def collect(self) -> Iterator[Any]:
+        from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
-    def collect(self) -> Iterator[Metric]:
         for name, value in sorted(self._read().items()):
             family = CounterMetricFamily if name.endswith("_total") else GaugeMetricFamily
             yield family(f"vaneledge_{name.removesuffix('_total')}", _help(name.removesuffix("_total")), value=value)
 
     def took(self, path: str, verdict: str, seconds: float) -> None:
+        self._begin()
         self._took.labels(path, verdict).observe(seconds)
 
     def text(self) -> str:
+        from prometheus_client import generate_latest
+
+        self._begin()
         return generate_latest(self._registry).decode()
