--- a/libs/circulation/src/circulation/lots.py
+++ b/libs/circulation/src/circulation/lots.py
@@ -32,7 +32,7 @@
     calls back with outcome, body, worker, giving the function that stops it."""
 
     __slots__ = ("_asked_epoch", "_asked_ms", "_asking", "_beats", "_ends", "_holder", "_lot_paths", "_placing", "_reporting", "_room", "_runs",
-                 "_start", "_wish", "edge", "finished", "paused")
+                 "_start", "_wish", "edge", "finished", "paused", "samples")
 
     def __init__(self, edge: str, holder: HolderClient, room: Callable[[], tuple[int, frozenset[str]]],
                  start: Start) -> None:
@@ -50,6 +50,7 @@
         self._ends: list[tuple[_Run, bytes]] = []
         self._reporting = False
         self.paused = False
+        self.samples: Any = None
         self.finished = 0
 
     def running(self) -> int:
@@ -77,9 +78,12 @@
         self._asking = number = self._beats
         self._wish = False
         running = [f"{lot_id}#{index}" for lot_id, index in self._runs]
-        self.node.ask(address, m.EdgeBeat(edge=self.edge, address=self.node.address, room=room, paths=sorted(served & self._lot_paths),
-                                          running=running), self.node.params.ask_ms,
-                      lambda receipt: self._answered(receipt, number, asked_ms))
+        told = {"edge": self.edge, "address": self.node.address, "room": room, "paths": sorted(served & self._lot_paths), "running": running}
+        beat: Message = m.EdgeBeat(**told)
+        if self.samples is not None and self.samples.lends():
+            sample_room, sample_paths = (0, ()) if self.paused else self.samples.room()
+            beat = m.RolloutBeat(**told, sample_room=sample_room, sample_paths=sorted(sample_paths))
+        self.node.ask(address, beat, self.node.params.ask_ms, lambda receipt: self._answered(receipt, number, asked_ms))
 
     def _answered(self, receipt: Message | None, number: int, asked_ms: int) -> None:
         last = number == self._asking
@@ -94,6 +98,8 @@
         self._holder.heard(receipt, asked_ms)
         for lot_id in receipt.stops:
             self.stop(lot_id, "lot over")
+        if self.samples is not None:
+            self.samples.told(receipt)
         work = [decode(data) for data in receipt.work]
         for row in work:
             self._take(row)
@@ -102,7 +108,7 @@
             self._place(baton.lot_id, baton.epoch, baton.up_to)
         fresh = set(receipt.paths) - self._lot_paths
         self._lot_paths |= fresh
-        self._wish = receipt.waiting > 0 or bool(self._runs)
+        self._wish = receipt.waiting > 0 or any(not isinstance(run.work, m.RolloutWork) for run in self._runs.values())
         if (fresh or any(isinstance(row, m.ForwardWork) for row in work)) and not self.paused:
             self._beat_now()
 
@@ -175,7 +181,7 @@
                 self._report(run, outcome, body, worker)
                 return
             del self._runs[key]
-            self._wish = True
+            self._wish = self._wish or not isinstance(run.work, m.RolloutWork)
             if receipt.baton_epoch:
                 self._place(run.work.lot_id, receipt.baton_epoch, receipt.up_to)
 
