Edges tell each other of the prompts they send, and keep away from workers that read

Change: each edge tells those it shares workers with of every prompt (worker, unread tokens); what is known wears off at the pace seen; placement counts it, and items wait while it is above a share of delta.

--- a/libs/circulation/src/circulation/__init__.py
+++ b/libs/circulation/src/circulation/__init__.py
@@ -4,7 +4,7 @@
 from colophon.lazy import lazy
 
 __all__ = ["Budget", "Call", "Carriage", "Carrier", "Dialect", "EventCheck", "Exchange", "Fate", "ForwardCall",
-           "ForwardExchange", "ForwardTransaction", "HolderClient", "Items", "LotRunner", "Roster", "Send", "State",
+           "ForwardExchange", "ForwardTransaction", "HolderClient", "Items", "LotRunner", "Readings", "Roster", "Send", "State",
            "Step", "StreamCheck", "Transaction", "Worker", "WorkerNews", "check_whole", "choose", "end_to_end",
            "prefix_of"]
 
@@ -20,6 +20,7 @@
     "items": ("Items",),
     "lots": ("LotRunner",),
     "placement": ("Budget", "choose", "prefix_of"),
+    "readings": ("Readings",),
     "roster": ("Roster", "Worker", "WorkerNews"),
     "streams": ("StreamCheck", "check_whole"),
 })
--- a/libs/circulation/src/circulation/carriage.py
+++ b/libs/circulation/src/circulation/carriage.py
@@ -26,12 +26,13 @@
 class Send:
     """One send under way. What is reported after it is over changes nothing."""
 
-    __slots__ = ("_carrier", "abort", "began_ms", "carriage", "connecting", "exchange", "heard_ms", "over", "reads", "worker")
+    __slots__ = ("_carrier", "abort", "began_ms", "carriage", "connecting", "exchange", "heard_ms", "over", "reads", "unread_tokens", "worker")
 
     def __init__(self, carrier: Any, carriage: "Carriage", worker: Worker, exchange: Exchange | ForwardExchange) -> None:
         self._carrier, self.carriage, self.worker, self.exchange = carrier, carriage, worker, exchange
         self.abort: Callable[[], None] = _nothing
         self.over = self.connecting = self.reads = False
+        self.unread_tokens = 0
         self.began_ms = self.heard_ms = carrier.node.env.now()
 
     @property
--- a/libs/circulation/src/circulation/carrier.py
+++ b/libs/circulation/src/circulation/carrier.py
@@ -28,7 +28,8 @@
     rollouts, takes them back for whatever else needs one."""
 
     __slots__ = ("_holder", "_items", "_items_tree", "_line", "_list_number", "_open", "_pace", "_roster", "_sender", "_tree",
-                 "by_prefix", "counts", "dialect", "edge", "edges", "loans", "parts", "reading_items")
+                 "by_prefix", "counts", "dialect", "edge", "edges", "loans", "parts", "reading_items",
+                 "readings")
 
     def __init__(self, edge: str, holder: Any, roster: Roster, tree: Callable[[], Any], sender: Sender,
                  edges: Callable[[], int] = lambda: 1) -> None:
@@ -36,6 +37,7 @@
         self.edges = edges
         self.dialect: Dialect | None = None
         self.loans: Any = None
+        self.readings: Any = None
         self.parts = PartMap()
         self._pace = Pace()
         self._items: deque[Carriage] = deque()
@@ -212,11 +214,16 @@
         worker.asked(self.node.env.now())
         if not call.kept_when_gone:
             self._reading(worker, call, 1)
+        unread_tokens = 0
+        if self.readings is not None and not call.kept_when_gone:
+            unread_tokens = int(call.tokens_in * (1 - self.parts.share(worker.identity, call.parts)))
+            self.readings.sent(worker.identity, unread_tokens)
         if call.parts:
             self.parts.sent(worker.identity, call.parts, tx.profile.cache_tokens)
         self.node.env.log("send", "DEBUG", transaction=tx.transaction_id, worker=worker.stamp, path=tx.profile.name)
         send = carriage.send = Send(self, carriage, worker, new_exchange(call, self, tx, worker))
         send.reads = not call.kept_when_gone
+        send.unread_tokens = unread_tokens
         send.abort = self._sender(send, worker.address, *worker_request(call, self, tx, worker))
 
     def _reading(self, worker: Worker, call: Any, change: int) -> None:
@@ -247,6 +254,8 @@
     def eventful(self, send: Send) -> None:
         """What the usual pace of a path is learnt from."""
         now_ms, path = self.node.env.now(), send.carriage.tx.profile.name
+        if send.reads and self.readings is not None:
+            self.readings.has_read(send.unread_tokens, now_ms - send.began_ms)
         if send.carriage.call.stream:
             (self._pace.gap if send.heard_ms > send.began_ms else self._pace.first)(path, now_ms - send.heard_ms)
         send.heard_ms = now_ms
--- a/libs/circulation/src/circulation/placement.py
+++ b/libs/circulation/src/circulation/placement.py
@@ -20,6 +20,7 @@
 _NOISE = 0.01
 _OTHERS = 0.1
 _QUEUE = 0.25
+_READ_PER_MS = 0.2
 _SAMPLE = 16
 
 
@@ -89,14 +90,15 @@
         return True
 
 
-def cost(worker: Worker, now_ms: int, kept_share: float, near: bool, recent_ms: int) -> float:
+def cost(worker: Worker, now_ms: int, kept_share: float, near: bool, recent_ms: int, left_ms: float = 0.0) -> float:
     """What a further request at this worker is thought to cost, as a share of its slots. Counted is above all what
     this edge itself has there, prompts that are still read twice: what a worker told of others is old by
     the time it is used, and edges that all believe it fall upon the same worker at once. Of equals the one
-    sent to longest ago is taken, less what it need not read again and what is saved by staying in the zone."""
+    sent to longest ago is taken, less what it need not read again and what is saved by staying in the zone.
+    `left_ms` is how long it is thought to go on reading prompts, of whatever edge."""
     recent = max(0.0, 1.0 - (now_ms - worker.sent_ms) / recent_ms)
     own = worker.sending - worker.borrowed + worker.reading + recent - _KEPT * kept_share - (_NEAR if near else 0.0)
-    return (own + _OTHERS * worker.others_now(now_ms)) / worker.slots
+    return (own + _OTHERS * worker.others_now(now_ms) + _READ_PER_MS * left_ms) / worker.slots
 
 
 def _room(worker: Worker, lot: bool, lot_free: float, now_ms: int) -> bool:
@@ -108,7 +110,7 @@
 
 
 def choose_forward(workers: list[Worker], call: Any, parts: Any, now_ms: int, zone: str, rng: Any, recent_ms: int, lot_free: float = 0.0,
-                   avoid: frozenset[str] = frozenset(), connections: int = 0) -> Worker | None:
+                   avoid: frozenset[str] = frozenset(), connections: int = 0, readings: Any = None) -> Worker | None:
     """The cheapest worker with a place; `lot_free` is the share of the slots that lots leave free. Ties are
     broken at random, so that edges which know the same do not all choose the same. Of very many workers
     some are looked at, and those that hold what this prompt shares with fewest."""
@@ -119,7 +121,8 @@
     for worker in workers:
         if worker.stamp in avoid or (connections and worker.sending >= connections) or not _room(worker, call.lot, lot_free, now_ms):
             continue
-        this = cost(worker, now_ms, parts.share(worker.identity, call.parts), worker.zone == zone, recent_ms) + _NOISE * rng.random() / worker.slots
+        this = cost(worker, now_ms, parts.share(worker.identity, call.parts), worker.zone == zone, recent_ms,
+                    readings.left_ms(worker.identity) if readings is not None else 0.0) + _NOISE * rng.random() / worker.slots
         if best is None or this < best_cost:
             best, best_cost = worker, this
     return best
--- a/libs/circulation/src/circulation/sending.py
+++ b/libs/circulation/src/circulation/sending.py
@@ -11,6 +11,8 @@
 from circulation.placement import choose, choose_forward
 from circulation.roster import Roster, Worker
 
+_READING_SHARE = 0.3
+
 __all__ = ["allowed_workers", "choose_worker", "new_exchange", "worker_request"]
 
 
@@ -108,12 +110,13 @@
     if call.lot:
         if carrier.reading_items >= math.ceil(len(workers) / carrier.edges()):
             return None
-        fit = [worker for worker in fit if not worker.reading_items]
+        fit = [worker for worker in fit if not worker.reading_items and
+               (carrier.readings is None or carrier.readings.left_ms(worker.identity) <= params.delta_ms * _READING_SHARE)]
     bound = max(1, tx.profile.connections // carrier.edges()) if tx.profile.connections else 0
 
     def choose_of(among: list[Worker], avoid: frozenset[str]) -> Worker | None:
         return choose_forward(among, call, carrier.parts, now_ms, params.zone, carrier.node.env.rng, params.beat_ms,
-                              params.live_share, avoid, bound)
+                              params.live_share, avoid, bound, carrier.readings)
 
     worker = choose_of(fit, frozenset(tx.avoid))
     if worker is None and tx.avoid:
--- a/libs/readingroom/src/readingroom/nodes.py
+++ b/libs/readingroom/src/readingroom/nodes.py
@@ -6,7 +6,7 @@
 
 from accession import LocalLog, Mending, StoreLog
 from catalogue import ControlClient, Tree, profiles_digest
-from circulation import Carrier, HolderClient, Items, LotRunner, Roster
+from circulation import Carrier, HolderClient, Items, LotRunner, Readings, Roster
 from commons import Neighbours, duty_order
 from gazette import Gazette, candidates
 from ledger import Desk
@@ -20,6 +20,8 @@
 from stacks import Disk
 from vellum import Env, Node
 
+_FEW_EDGES = 12
+
 __all__ = ["EdgeNode", "StoreNode"]
 
 
@@ -133,7 +135,7 @@
 
 
 class EdgeNode(_DataNode):
-    __slots__ = ("_caught_up", "_started_ms", "_was_quorate", "borrowing", "carrier", "counter", "forwards", "holder", "items", "lent", "lot_counter", "lots", "rollouts", "roster",
+    __slots__ = ("_caught_up", "_started_ms", "_was_quorate", "borrowing", "carrier", "counter", "forwards", "holder", "items", "lent", "lot_counter", "lots", "readings", "rollouts", "roster",
                  "stopping")
 
     def __init__(self, env: Env, params: Any, sender: Any) -> None:
@@ -149,6 +151,7 @@
         self.roster = Roster(lambda: [card.address for card in self.neighbours.view() if card.role == "edge"],
                              lambda identity, labels: self.tree().allows_worker(identity, labels), self._listed)
         self.carrier = Carrier(identity, self.holder, self.roster, self.tree, sender, self._edges)
+        self.readings = self.carrier.readings = Readings(self._sharing)
         self.items = Items(self.carrier, self.roster, self.tree, self.why_unready, self._edges)
         self.borrowing = Borrowing(identity, self.carrier, self.roster, self.tree, self.why_unready, self._fellow_edges)
         self.lots = LotRunner(identity, self.holder, self.items.room, lambda work, done: (
@@ -163,7 +166,7 @@
         self.forwards = ForwardCounter(self.carrier, self.tree, self._why_unsure)
         self.lot_counter = LotCounter(self.holder, self.lots, lambda: (self.gazette.number(PROFILES_KEY), self.tree()))
         self.neighbours.ready = self.gazette.sure = lambda: not self.why_unready()
-        super().__init__(env, params, [self.neighbours, self.gazette, self.holder, self.roster, self.carrier, self.items,
+        super().__init__(env, params, [self.neighbours, self.gazette, self.holder, self.roster, self.carrier, self.readings, self.items,
                                        self.lots, self.counter, self.forwards, self.lot_counter, self.rollouts, self.borrowing, self.lent])
 
     def _listed(self) -> tuple[int, str]:
@@ -172,6 +175,13 @@
     def _fellow_edges(self) -> list[tuple[str, str]]:
         return [(card.identity, card.address) for card in self.neighbours.of_role("edge", self.params.dead_ms)]
 
+    def _sharing(self) -> list[str]:
+        """The edges that are told of each prompt: all of a small fleet, else those of this zone, which chooses
+        workers near it first."""
+        cards = self.neighbours.of_role("edge", self.params.gone_ms)
+        near = [card.address for card in cards if card.zone == self.params.zone]
+        return near if len(cards) > _FEW_EDGES else [card.address for card in cards]
+
     def _edges(self) -> int:
         return self.gazette.edge_count() or 1 + len(self.neighbours.of_role("edge", self.params.dead_ms))
 
