--- a/libs/readingroom/src/readingroom/forwards.py
+++ b/libs/readingroom/src/readingroom/forwards.py
@@ -28,7 +28,7 @@
         """The profile, or the refusal. Without any profiles nobody can know that there is no route."""
         tree = self._tree()
         if reason := self._why_unready():
-            return refused("not-ready", reason, 503, self.node.params.beat_ms)
+            return refused("not-ready", reason, 503, self.node.params.dead_ms)
         profile = tree.route(host, target.partition("?")[0])
         return refused("no-route", "no route has this host and path", 404) if profile is None else profile
 
--- a/libs/readingroom/src/readingroom/metrics.py
+++ b/libs/readingroom/src/readingroom/metrics.py
@@ -11,6 +11,7 @@
 HELP = {
     "edge_sends": "sends to workers by kind, and those that failed", "edge_steps": "last steps of transactions by name",
     "edge_ready": "1 while this edge takes visitors", "edge_live_now": "live calls under way",
+    "edge_told": "what an edge itself told the clients of forwarded requests, by code", "edge_connections_opened": "connections made to workers",
     "edge_waiting_now": "live calls that wait for a slot", "edge_items_now": "items of lots under way",
     "edge_items_finished": "items of lots that ran here", "edge_samples_now": "slots in which samples of rollouts run",
     "edge_samples_finished": "samples that ran here to their end", "edge_samples_given_up": "samples given up for something else",
