--- a/libs/circulation/src/circulation/carrier.py
+++ b/libs/circulation/src/circulation/carrier.py
@@ -28,7 +28,8 @@
     rollouts, takes them back for whatever else needs one."""
 
     __slots__ = ("_holder", "_items", "_items_tree", "_line", "_list_number", "_open", "_pace", "_roster", "_sender", "_tree",
-                 "by_prefix", "counts", "dialect", "edge", "edges", "loans", "parts", "reading_items")
+                 "by_prefix", "counts", "dialect", "edge", "edges", "loans", "parts", "reading_items",
+                 "readings")
 
     def __init__(self, edge: str, holder: Any, roster: Roster, tree: Callable[[], Any], sender: Sender,
                  edges: Callable[[], int] = lambda: 1) -> None:
@@ -36,6 +37,7 @@
         self.edges = edges
         self.dialect: Dialect | None = None
         self.loans: Any = None
+        self.readings: Any = None
         self.parts = PartMap()
         self._pace = Pace()
         self._items: deque[Carriage] = deque()
@@ -144,6 +146,11 @@
     def _all_rest(self, workers: list[Worker]) -> bool:
         return all(map(self._roster.resting, workers))
 
+    def seems_dark(self, worker: Worker, path: str) -> bool:
+        """Silent for longer than is usual: nothing new goes there while there are others."""
+        now_ms = self.node.env.now()
+        return worker.silent_ms(now_ms) > self._pace.dark_ms(path, False, self.node.params.ask_ms / 2) / 2
+
     def _serve_items(self) -> None:
         """Items that were dealt here wait until a worker can read one without holding up what it has begun. Those
         whose time is up, or whose profiles are no longer in force, are given back."""
@@ -204,13 +211,19 @@
         elif self.loans is not None:
             self.loans.first_claim(worker, call)
         worker.sending += 1
+        worker.asked(self.node.env.now())
         if not call.kept_when_gone:
             self._reading(worker, call, 1)
+        unread_tokens = 0
+        if self.readings is not None and not call.kept_when_gone:
+            unread_tokens = int(call.tokens_in * (1 - self.parts.share(worker.identity, call.parts)))
+            self.readings.sent(worker.identity, unread_tokens)
         if call.parts:
             self.parts.sent(worker.identity, call.parts, tx.profile.cache_tokens)
         self.node.env.log("send", "DEBUG", transaction=tx.transaction_id, worker=worker.stamp, path=tx.profile.name)
         send = carriage.send = Send(self, carriage, worker, new_exchange(call, self, tx, worker))
         send.reads = not call.kept_when_gone
+        send.unread_tokens = unread_tokens
         send.abort = self._sender(send, worker.address, *worker_request(call, self, tx, worker))
 
     def _reading(self, worker: Worker, call: Any, change: int) -> None:
@@ -241,6 +254,8 @@
     def eventful(self, send: Send) -> None:
         """What the usual pace of a path is learnt from."""
         now_ms, path = self.node.env.now(), send.carriage.tx.profile.name
+        if send.reads and self.readings is not None:
+            self.readings.has_read(send.unread_tokens, now_ms - send.began_ms)
         if send.carriage.call.stream:
             (self._pace.gap if send.heard_ms > send.began_ms else self._pace.first)(path, now_ms - send.heard_ms)
         send.heard_ms = now_ms
@@ -289,7 +304,8 @@
             if send is None:
                 continue
             if now_ms >= tx.due_ms:
-                self.ended(send, Fate("failed", may_have_run=not send.connecting, reason="deadline"))
+                dark = not carriage.call.kept_when_gone and send.worker.silent_ms(now_ms) > self.node.params.ask_ms
+                self.ended(send, Fate("failed", may_have_run=not send.connecting, reason="deadline", mark="down" if dark else ""))
             elif not carriage.call.kept_when_gone:
                 self._review_send(send, now_ms)
             elif tx.safe and not tx.delivered and self._roster.silent(send.worker):
@@ -310,7 +326,7 @@
         if not tx.can_move or send.connecting or carriage.untaken_bytes > 0:
             return
         began = send.heard_ms > send.began_ms
-        silent_ms = now_ms - max(send.heard_ms, worker.answered_ms)
+        silent_ms = min(now_ms - send.heard_ms, worker.silent_ms(now_ms))
         if silent_ms > self._pace.dark_ms(profile.name, began, params.ask_ms / 2):
             self.ended(send, Fate("failed", reason="worker dark", mark="down"))
         elif not carriage.call.lot and now_ms - send.heard_ms > self._pace.patience_ms(params.force_ms, profile.target_ms, profile.token_gap_ms):
--- a/libs/circulation/src/circulation/sending.py
+++ b/libs/circulation/src/circulation/sending.py
@@ -11,6 +11,8 @@
 from circulation.placement import choose, choose_forward
 from circulation.roster import Roster, Worker
 
+_READING_SHARE = 0.3
+
 __all__ = ["allowed_workers", "choose_worker", "new_exchange", "worker_request"]
 
 
@@ -102,16 +104,19 @@
     that failed longest ago is tried. None is tried again that could not be reached for this very request."""
     params, now_ms = carrier.node.params, carrier.node.env.now()
     workers = [worker for worker in workers if tx.may_try(worker.identity) and worker.stamp not in tx.unreached]
+    path = tx.profile.name
     fit = [worker for worker in workers if not roster.resting(worker) and (tx.safe or not worker.failures)]
+    fit = [worker for worker in fit if not carrier.seems_dark(worker, path)] or fit
     if call.lot:
         if carrier.reading_items >= math.ceil(len(workers) / carrier.edges()):
             return None
-        fit = [worker for worker in fit if not worker.reading_items]
+        fit = [worker for worker in fit if not worker.reading_items and
+               (carrier.readings is None or carrier.readings.left_ms(worker.identity) <= params.delta_ms * _READING_SHARE)]
     bound = max(1, tx.profile.connections // carrier.edges()) if tx.profile.connections else 0
 
     def choose_of(among: list[Worker], avoid: frozenset[str]) -> Worker | None:
-        return choose_forward(among, call, carrier.parts, now_ms, params.zone, carrier.node.env.rng,
-                              params.live_share, avoid, bound)
+        return choose_forward(among, call, carrier.parts, now_ms, params.zone, carrier.node.env.rng, params.beat_ms,
+                              params.live_share, avoid, bound, carrier.readings)
 
     worker = choose_of(fit, frozenset(tx.avoid))
     if worker is None and tx.avoid:
