--- a/tests/test_item_runs.py
+++ b/tests/test_item_runs.py
@@ -65,7 +65,7 @@
                                     part_ids=["p"], part_tokens=[100], tokens_in=100, tokens_out=50))
         work = [encode(m.ForwardWork(lot_id="lot", index=index, number=1, path="route", call=call, avoid=list(avoid), left_ms=left_ms))
                 for index in range(count)]
-        self.answer(m.EdgeBeat, m.HolderBeat(epoch=4, holder_ms=1, work=work, batons=[], stops=[], waiting=0, paths=["route"], samples_out=0, recalled=False))
+        self.answer(m.EdgeBeat, m.HolderBeat(epoch=4, holder_ms=1, work=work, batons=[], stops=[], waiting=0, paths=["route"]))
 
     def answer(self, kind, receipt):
         self.node.receive("store:1", 0, self.asked(kind)[-1][0], receipt)
@@ -160,7 +160,7 @@
     def test_stopped_when_the_lot_is_over_and_when_the_holder_is_silent(self):
         stage = Stage()
         stage.deal(2)
-        stage.answer(m.EdgeBeat, m.HolderBeat(epoch=4, holder_ms=1, work=[], batons=[], stops=["lot"], waiting=0, paths=[], samples_out=0, recalled=False))
+        stage.answer(m.EdgeBeat, m.HolderBeat(epoch=4, holder_ms=1, work=[], batons=[], stops=["lot"], waiting=0, paths=[]))
         self.assertThat(([row.open for row in stage.sends], stage.told()), Equals(([False, False], [])))
         stage = Stage()
         stage.deal()
