--- a/libs/facsimile/src/facsimile/breaks/table.py
+++ b/libs/facsimile/src/facsimile/breaks/table.py
@@ -7,6 +7,8 @@
 _LOTS = "tests/test_lots.py -k "
 _LOG = "tests/test_log_conformance.py -k "
 _FEED = "tests/test_feed.py -k "
+_FAN = "tests/test_fan_out.py -k "
+_FOUNDING = "tests/test_founding.py -k "
 _MEMBERS = "tests/test_members.py -k "
 _CIRC = "tests/test_circulation.py -k "
 _EXCHANGES = "tests/test_exchanges.py"
@@ -23,7 +25,7 @@
     "one vote is a majority": (
         "catalogue/src/catalogue/rounds.py", "len(voters) // 2 + 1", "1", _CONTROL + "minority"),
     "an older version is accepted": (
-        "catalogue/src/catalogue/voter.py", "return decode(value).version < decode(than).version", "return False",
+        "catalogue/src/catalogue/voter.py", " or (ballot == register.accepted and version < register.version)", "",
         _CONTROL + "late_accept"),
     "acknowledged before it is in force": (
         "catalogue/src/catalogue/owner.py", "if most and (now_ms >= due_ms or gazette.all_confirm(", "if most and (True or gazette.all_confirm(",
@@ -39,6 +41,17 @@
     "the feed goes back": (
         "gazette/src/gazette/feed.py", "if item.number <= self.number(item.key):\n                continue", "if False:\n                continue",
         _FEED + "old_news"),
+    "acknowledged while a voter's edges lack it": (
+        "gazette/src/gazette/feed.py", "if any(lows.get(key, number) < number for", "if any(False for", _FAN + "not_waited_for"),
+    "reports go to a voter that is cut off": (
+        "gazette/src/gazette/contacts.py", "if address in self._chosen and len(self._rank) > len(self._chosen):", "if False:",
+        _FAN + "leaves_voters"),
+    "a voter that hears nobody keeps its duties": (
+        "catalogue/src/catalogue/owner.py", "first_live(order, self._neighbours.hears) or ", "", _FOUNDING + "hears_nobody"),
+    "a disk that lost its vote votes again": (
+        "catalogue/src/catalogue/founding.py", "elif not self._may_found():", "elif False:", _FOUNDING + "wiped_before"),
+    "a lost disk's vote under way is not waited for": (
+        "catalogue/src/catalogue/succession.py", "if settled(card):", "if True:", _FOUNDING + "another_identity"),
     "one lot too many": (
         "ledger/src/ledger/desk.py", "ledger.room_used(message.path) >= room", "ledger.room_used(message.path) > room",
         _LOTS + "exact"),
@@ -163,4 +176,23 @@
     "anybody's answer passes": (
         "circulation/src/circulation/forward.py", "return self._seen.get(self._dialect.request_id.lower()) == [self._request_id]", "return True",
         _DAYS + "faults"),
+    "a change of a loan under an old epoch": (
+        "loans/src/loans/rows.py", 'if epoch is not None and row["epoch"] != epoch:', "if False:", "tests/test_loans.py -k States"),
+    "an old word frees a lent worker": (
+        "loans/src/loans/rows.py", 'if row["loan"] != loan:', "if False:", "tests/test_loans.py -k States"),
+    "a worker is lent with calls under way": (
+        "loans/src/loans/lending.py", "if self._is_drained(worker):", "if True:", "tests/test_loans_evening.py -k calls_are_done"),
+    "lent below what live calls need": (
+        "loans/src/loans/load.py", "if peak * _MARGIN > slots:", "if False:", "tests/test_loans.py -k why_not"),
+    "lots are not put first": (
+        "loans/src/loans/outlook.py", "if lot.waiting and log_ms + need_ms > lot.due_ms:", "if False:", "tests/test_loans.py -k Outlook"),
+    "a call finds its slot borrowed": (
+        "loans/src/loans/borrowing.py", "        if worker.borrowed:\n            now_ms", "        if False:\n            now_ms",
+        "tests/test_loans_evening.py -k takes_its_slot"),
+    "a sample of other weights counts": (
+        "loans/src/loans/sampling.py", 'return self.good and self._call.weights not in ("", self._call.told)', "return False",
+        "tests/test_loans.py -k weights"),
+    "a sample given up is forgotten": (
+        "loans/src/loans/borrowing.py", '        self._drop(sample)\n        sample.done("again", "", "")', "        self._drop(sample)",
+        "tests/test_loans_evening.py -k nothing_is_late"),
 }
