--- /dev/null
+++ b/tests/forward_stage.py
@@ -0,0 +1,165 @@
+"""What the tests of the edge's forwarding over real sockets share: a worker that answers as it is told, a client
+that writes and reads bytes, and an edge with its desk on free ports."""
+
+import asyncio
+import json
+
+import edge_side
+from ports import free_ports
+from colophon import Params, set_up_logs
+from readingroom import EdgeNode
+from readingroom.forward_http import ForwardDesk
+from readingroom.sender import HttpSender
+from vellum.shell import ProcessEnv, Shell
+
+ROUTE = {"parent": "service", "attempts": 2, "give_up_ms": 15_000, "target_ms": 400}
+TREE = {"profiles": {
+    "service": {"abstract": True, "workers": {"labels": ["s"]}, "connections": 100},
+    "plain": {**ROUTE, "match": {"host": "h", "prefix": "/p/"}, "kind": "plain", "repeatable": False},
+    "safe": {**ROUTE, "match": {"host": "h", "prefix": "/i/"}, "kind": "plain", "repeatable": True},
+    "stream": {**ROUTE, "match": {"host": "h", "prefix": "/s/"}, "kind": "stream", "repeatable": False},
+    "resumable": {**ROUTE, "match": {"host": "h", "prefix": "/r/"}, "kind": "stream", "repeatable": False, "resumable": True}},
+    "about": {"limits": {"bodyBytes": 100_000, "idleMs": 15_000}}}
+
+
+def event(number, text="x"):
+    return f"id: {number}\ndata: {text}\n\n"
+
+
+def chunk(text):
+    return f"{len(text):x}\r\n{text}\r\n"
+
+
+def head(fields, extra="", body=None, status="200 OK"):
+    framing = "Transfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n" if body is None else f"Content-Length: {len(body)}\r\n"
+    return f"HTTP/1.1 {status}\r\nRequest-Id: {fields['Request-Id']}\r\nServer-Seal: {{seal}}\r\n{extra}{framing}\r\n{body or ''}"
+
+
+class Worker:
+    """Answers by a function of its own; keeps what came and on which connection."""
+
+    def __init__(self, identity, answer):
+        self.identity, self.answer = identity, answer
+        self.requests, self.connections, self.lost = [], 0, asyncio.Event()
+
+    async def start(self, port):
+        self.port = port
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        mine = self.connections
+        try:
+            while True:
+                text = (await reader.readuntil(b"\r\n\r\n")).decode()
+                fields = dict(line.split(": ", 1) for line in text.split("\r\n")[1:] if ": " in line)
+                body = await reader.readexactly(int(fields.get("Content-Length", 0)))
+                self.requests.append((text.split("\r\n")[0], fields, body, mine))
+                if await self.answer(self, fields, writer) is False:
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.lost.set()
+        writer.close()
+
+    def say(self, writer, text):
+        writer.write(text.replace("{seal}", f"seal-{self.identity}").encode())
+
+
+async def good(worker, fields, writer):
+    worker.say(writer, head(fields, "Keep-Alive: timeout=5\r\n", "yes"))
+
+
+def made(answer, extra="", after=""):
+    async def answers(worker, fields, writer):
+        worker.say(writer, head(fields, extra, answer) + after)
+    return answers
+
+
+async def three_events(worker, fields, writer):
+    worker.say(writer, head(fields))
+    for number in range(1 + int(fields.get("Last-Event-Id", 0)), 4):
+        worker.say(writer, chunk(event(number)))
+    worker.say(writer, "0\r\n\r\n")
+
+
+class Client:
+    """One connection, without a library, so that every byte is seen."""
+
+    def __init__(self, port):
+        self.port = port
+
+    async def open(self):
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port, limit=1 << 22)
+        return self
+
+    def ask(self, target, method="POST", body=b"body", request_id="r-1", extra="", host="h", framing=None):
+        framing = f"Content-Length: {len(body)}\r\n" if framing is None else framing
+        ident = f"Request-Id: {request_id}\r\n" if request_id else ""
+        self.writer.write(f"{method} {target} HTTP/1.1\r\nHost: {host}\r\n{ident}{extra}{framing}\r\n".encode() + body)
+
+    async def answer(self):
+        text = (await self.reader.readuntil(b"\r\n\r\n")).decode()
+        lines = text.split("\r\n")
+        fields = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines[1:] if ": " in line)}
+        if "content-length" in fields:
+            return int(lines[0].split()[1]), fields, await self.reader.readexactly(int(fields["content-length"]))
+        body = b""
+        while size := int(await self.reader.readline(), 16):
+            body += (await self.reader.readexactly(size + 2))[:-2]
+        await self.reader.readline()
+        return int(lines[0].split()[1]), fields, body
+
+    async def ended(self):
+        """What still came until the connection ended."""
+        try:
+            return await self.reader.read()
+        except ConnectionError:
+            return b""
+
+
+class Edge:
+    def __init__(self, workers, ready=True, **settings):
+        self.workers, self.ready, self.settings = workers, ready, settings
+
+    async def __aenter__(self):
+        set_up_logs("CRITICAL")
+        link, http, self.port, readiness, *ports = free_ports(4 + len(self.workers))
+        for worker, port in zip(self.workers, ports, strict=True):
+            if isinstance(worker, Worker):
+                await worker.start(port)
+        params = Params(role="edge", link=f"127.0.0.1:{link}", http=f"127.0.0.1:{http}", zone="z", max_body_bytes=1 << 20,
+                        seeds=[f"127.0.0.1:{link}"], **self.settings)
+        env = ProcessEnv(params.link)
+        self.sender = HttpSender(params.ask_ms)
+        self.node = EdgeNode(env, params, self.sender)
+        self.node.carrier.dialect = edge_side.DIALECT
+        self.node.forwards._why_unready = lambda: "" if self.ready else "unsure"
+        self.shell = Shell(self.node, env)
+        await self.shell.start()
+        self.node.gazette.publish("profiles", 1, json.dumps(TREE))
+        self.node.gazette.publish("workers", 1, json.dumps({"workers": {
+            f"w{place}": {"address": f"127.0.0.1:{ports[place]}", "zone": "z" if place == 0 else "y", "label": "s", "slots": 4,
+                          "state": "serving", "seq": 1, "models": []} for place in range(len(self.workers))}}))
+        self.desk = ForwardDesk(self.node, f"127.0.0.1:{self.port}", (f"127.0.0.1:{readiness}", "/vaneledge/ready"), edge_side.Reader())
+        await self.desk.start()
+        return self
+
+    async def __aexit__(self, *_):
+        await self.desk.stop()
+        await self.shell.stop()
+        await self.sender.close()
+        for worker in self.workers:
+            if isinstance(worker, Worker):
+                worker.server.close()
+
+    async def one(self, target, **how):
+        client = await Client(self.port).open()
+        client.ask(target, **how)
+        answer = await asyncio.wait_for(client.answer(), 5)
+        client.writer.close()
+        return answer
+
+
+def run(case):
+    """A test case of coroutines."""
+    return lambda self: asyncio.run(asyncio.wait_for(case(self), 20))
