--- a/libs/circulation/src/circulation/roster.py
+++ b/libs/circulation/src/circulation/roster.py
@@ -34,9 +34,10 @@
 
 class Worker:
     """`others` is what callers elsewhere had at it when it last told its load; `borrowed` are its slots in which this
-    edge runs samples of rollouts, which give way to anything else and so count for nothing in what it has to do."""
+    edge runs samples of rollouts, `borrowed_elsewhere` those of other edges as they last told: they give way to anything
+    else, and so count for nothing in what it has to do."""
 
-    __slots__ = ("address", "answered_ms", "asked_ms", "beat", "borrowed", "cache_use", "down_beat", "down_ms", "failures", "full_until_ms", "heard_ms",
+    __slots__ = ("address", "answered_ms", "asked_ms", "beat", "borrowed", "borrowed_elsewhere", "cache_use", "down_beat", "down_ms", "failures", "full_until_ms", "heard_ms",
                  "identity", "incarnation", "labels", "leaving", "listed", "others", "reading", "reading_items", "running", "sending", "sending_then",
                  "sent_ms", "slots", "told_ms", "waiting", "zone")
 
@@ -44,7 +45,7 @@
         self.identity = news.identity
         self.incarnation = news.incarnation
         self.leaving = False
-        self.sending = self.borrowed = 0
+        self.sending = self.borrowed = self.borrowed_elsewhere = 0
         self.down_beat = -1
         self.down_ms = -1 << 40
         self.beat = -1
@@ -67,7 +68,7 @@
     @property
     def weight(self) -> int:
         """What it probably has to do: its own report, moved by what this edge began or ended since."""
-        return max(self.sending, self.running + self.waiting + self.sending - self.sending_then) - self.borrowed
+        return max(self.sending, self.running + self.waiting + self.sending - self.sending_then - self.borrowed_elsewhere) - self.borrowed
 
     @property
     def stamp(self) -> str:
@@ -82,7 +83,7 @@
     def load(self, now_ms: int) -> float:
         """What it probably has now: what is under way from here, and what others had there, which is the less
         sure the older it is. Prompts that are still read count twice, since all else waits for them."""
-        return self.sending + self.reading - self.borrowed + self.others_now(now_ms)
+        return self.sending + self.reading - self.borrowed + max(0.0, self.others_now(now_ms) - self.borrowed_elsewhere)
 
     def others_now(self, now_ms: int) -> float:
         return self.others * math.exp(-max(0, now_ms - self.told_ms) / _LOAD_MS)
--- a/libs/facsimile/src/facsimile/breaks/table.py
+++ b/libs/facsimile/src/facsimile/breaks/table.py
@@ -176,6 +176,9 @@
     "a call finds its slot borrowed": (
         "loans/src/loans/borrowing.py", "        if worker.borrowed:\n            now_ms", "        if False:\n            now_ms",
         "tests/test_loans_evening.py -k takes_its_slot"),
+    "samples of other edges count as load": (
+        "circulation/src/circulation/roster.py", "self.sending - self.sending_then - self.borrowed_elsewhere)", "self.sending - self.sending_then)",
+        "tests/test_loans_evening.py -k takes_its_slot"),
     "a sample of other weights counts": (
         "loans/src/loans/sampling.py", 'return self.good and self._call.weights not in ("", self._call.told)', "return False",
         "tests/test_loans.py -k weights"),
--- a/libs/loans/src/loans/borrowing.py
+++ b/libs/loans/src/loans/borrowing.py
@@ -100,8 +100,8 @@
         return {send.worker.stamp for send in self._carrier.sends() if unstarted(send, now_ms, reading_ms)}
 
     def _total(self, worker: Worker) -> float:
-        """With the samples that run there from here."""
-        return worker.borrowed + (worker.load(self.node.env.now()) if worker.listed else worker.weight)
+        """With the samples that run there."""
+        return worker.borrowed + worker.borrowed_elsewhere + (worker.load(self.node.env.now()) if worker.listed else worker.weight)
 
     def _free(self, worker: Worker) -> int:
         """How many of its slots may be taken before the share kept for live calls."""
@@ -209,7 +209,7 @@
             for sample in self._at(worker):
                 if not call.lot and unstarted(sample.carriage.send, now_ms, self.node.params.beat_ms):
                     self._give_up(sample, "a live call comes first")
-            over = math.ceil(self._total(worker) + 1 - self._free(worker))
+            over = math.ceil(self._total(worker) - worker.borrowed_elsewhere + 1 - self._free(worker))
             if over > 0:
                 self._give_back(worker, over, "an item needs the slot" if call.lot else "a live call needs the slot")
         if not call.lot and self._total(worker) + 1 > self._free(worker):
--- a/libs/loans/src/loans/lent.py
+++ b/libs/loans/src/loans/lent.py
@@ -36,12 +36,19 @@
 
     def receive(self, message: EdgeLoad, origin: Origin) -> None:
         self._load.take(origin.sender, message, self.node.env.now())
+        self._note_samples()
+
+    def _note_samples(self) -> None:
+        samples = self._load.samples(self.node.address)
+        for worker in self._roster.all():
+            worker.borrowed_elsewhere = samples.get(worker.identity, 0)
 
     def live_peak(self, worker: str) -> int | None:
         return self._load.peak(worker)
 
     def woke(self, gap_ms: int) -> None:
         self._load.forget()
+        self._note_samples()
 
     def _published(self, key: str, number: int, body: str) -> None:
         if key == LOANS_KEY and body:
@@ -58,5 +65,6 @@
         report = load_report(self._edge, self._gazette.number(LOANS_KEY), self._roster, self._carrier, self._at_risk())
         self._load.take(self.node.address, report, now_ms)
         self._load.note(now_ms)
+        self._note_samples()
         for address in self._told():
             self.node.post(address, report)
--- a/libs/loans/src/loans/load.py
+++ b/libs/loans/src/loans/load.py
@@ -15,7 +15,7 @@
 
 class EdgeLoad(Message):
     """`number` is that of the loans in force at the edge; `workers` has, by identity: zone, labels, slots, live calls
-    under way, everything under way, and whether it may be used; `waiting` are live calls that wait at the edge."""
+    under way, everything under way, whether it may be used, and samples under way; `waiting` are live calls that wait at the edge."""
 
     edge: Text
     number: Long
@@ -30,7 +30,7 @@
         if not send.carriage.call.lot:
             live[id(send.worker)] = live.get(id(send.worker), 0) + 1
     rows = {worker.identity: [worker.zone, sorted(worker.labels), worker.slots, live.get(id(worker), 0), worker.sending,
-                              roster.usable(worker) or worker.identity in roster.lent and not worker.leaving]
+                              roster.usable(worker) or worker.identity in roster.lent and not worker.leaving, worker.borrowed]
             for worker in roster.all() if not roster.silent(worker)}
     return EdgeLoad(edge=edge, number=number, workers=json.dumps(rows), waiting=carrier.waiting(), lots_at_risk=lots_at_risk)
 
@@ -82,9 +82,17 @@
         found: dict[str, list] = {}
         for _, _, workers in self._reports.values():
             for name, row in workers.items():
-                found[name] = row if name not in found else [*row[:5], row[5] and found[name][5]]
+                found[name] = row if name not in found else [*row[:5], row[5] and found[name][5], *row[6:]]
         return {name: row for name, row in found.items() if row[5]}
 
+    def samples(self, besides: str) -> dict[str, int]:
+        """By worker, how many samples edges have there, but for one of them."""
+        found: dict[str, int] = {}
+        for link, (_, _, workers) in self._reports.items():
+            for name, row in workers.items() if link != besides else ():
+                found[name] = found.get(name, 0) + row[6]
+        return found
+
     def peak(self, worker: str) -> int | None:
         """The most live calls that were under way there at once; None while nothing is known."""
         return max((live.get(worker, 0) for _, live, _ in self._rows), default=None)
