--- a/libs/loans/src/loans/borrowing.py
+++ b/libs/loans/src/loans/borrowing.py
@@ -70,7 +70,8 @@
     def _profiles(self) -> list[Any]:
         tree = self._tree()
         if self._lending[0] is not tree:
-            found = [tree.usable(name) for name in tree.rows]
+            lends = any(row.get("loan_share") for row in tree.rows.values())
+            found = [tree.usable(name) for name in tree.rows] if lends else []
             self._lending = (tree, [profile for profile in found if profile is not None and profile.loan_share > 0])
         return self._lending[1]
 
