--- a/libs/facsimile/src/facsimile/cli.py
+++ b/libs/facsimile/src/facsimile/cli.py
@@ -17,6 +17,8 @@
 from facsimile.measure import measure_fleet, measure_log
 from facsimile.measure_ledger import measure_ledger
 from facsimile.measure_more import measure_crowd, measure_prefix, measure_routes
+from facsimile.measure_scale import measure_scale
+from facsimile.measure_units import measure_units
 from facsimile.platform_days.command import ALL_SHAPES, PLATFORM_DAYS, play_day
 from facsimile.report import day_report
 from facsimile.sim import evidence, run_seed
@@ -174,22 +176,26 @@
 
 
 @app.command
-def measure(what: Literal["log", "fleet", "routes", "prefix", "crowd", "ledger"], *, repeats: int = 3, count: int = 400, body_bytes: int = 500,
-            seconds: float = 6.0, sync_ms: float = 0.0) -> None:
-    """Measure the log against syncs, a small fleet, many routes, placement by prefix, or crowds.
+def measure(what: Literal["log", "fleet", "routes", "prefix", "crowd", "ledger", "scale", "units"], *, repeats: int = 3, count: int = 400, body_bytes: int = 500,
+            seconds: float = 6.0, sync_ms: float = 0.0,
+            nodes: Annotated[list[int] | None, Parameter(consume_multiple=True, negative=())] = None) -> None:
+    """Measure the log against syncs, a small fleet, many routes, placement by prefix, crowds, or what carries on to more.
 
     Parameters
     ----------
-    what: log, fleet, routes, prefix, crowd or ledger.
-    repeats: how many paired runs.
+    what: log, fleet, routes, prefix, crowd, ledger, scale (simulated fleets of several sizes) or units (costs of one).
+    repeats: how many paired runs, or seeds.
     count: appends in a run, how many profiles there are, or how many lots.
     body_bytes: size of an entry.
     seconds: length of a live run.
     sync_ms: time added to each sync, for disks slower than this machine's.
+    nodes: sizes of simulated fleets.
     """
+    sizes = nodes or [20, 60, 120]
     ways = {"log": lambda: measure_log(count, body_bytes, repeats, sync_ms), "prefix": measure_prefix,
             "fleet": lambda: measure_fleet(seconds, repeats), "routes": lambda: measure_routes(count),
-            "crowd": measure_crowd, "ledger": lambda: measure_ledger(count, body_bytes)}
+            "crowd": measure_crowd, "ledger": lambda: measure_ledger(count, body_bytes),
+            "scale": lambda: measure_scale(sizes, repeats, seconds), "units": lambda: measure_units(count, body_bytes, repeats)}
     sys.stdout.write(ways[what]() + "\n")
 
 
--- /dev/null
+++ b/libs/facsimile/src/facsimile/measure_scale.py
@@ -0,0 +1,206 @@
+"""How the cost of a node grows with the fleet: simulated fleets of several sizes whose nodes do nothing but
+keep in touch, with their workers' beats, and meters in the network and the hosts. A node's processor time is
+what its own ticks, receipts and reports took, and the packing of its messages as for a link; sockets are not
+in it. Slopes are least squares over the sizes, one for each seed."""
+
+import gc
+import sys
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from statistics import fmean
+from time import process_time
+from types import BuiltinFunctionType, FunctionType, ModuleType
+from typing import Any
+
+from catalogue import WorkerReport
+from colophon import Params
+from facsimile.sim.carrying import SimSender
+from facsimile.sim.disks import SimDisk
+from facsimile.sim.fleet import SimFleet
+from facsimile.sim.hosts import SimEnv, SimHost
+from facsimile.sim.virtual import Network, VirtualTime
+from facsimile.sim.visitors import Operators
+from vellum import decode, encode
+
+__all__ = ["SETTINGS", "MeteredFleet", "founded", "held_bytes", "line_through", "measure_scale", "sample"]
+
+SETTINGS: dict[str, Any] = {"control_count": 0, "first_start": True, "cut_off": "serve", "catch_up_ms": 4900, "fan_out": 2,
+                            "worker_beat_ms": 1200, "seeds": ["10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"]}
+_CONTROL, _STORES = 3, 3
+_FOUND_MS, _SETTLE_MS = 30_000, 5000
+_ENVELOPE_BYTES = 32
+_WORKERS_PER_NODE = 690 / 340
+_ROLES = ("control", "store", "edge")
+_SHARED = (type, ModuleType, BuiltinFunctionType, SimFleet, Network, VirtualTime, SimHost, SimEnv, SimSender, SimDisk, Params)
+
+
+class Meter:
+    """Processor time by address and kind of work, and messages and bytes by address. `beside_s` is the meter's and the
+    network's own time, which counts for nobody."""
+
+    __slots__ = ("beside_s", "counts", "work_s")
+
+    def __init__(self) -> None:
+        self.work_s: dict[tuple[str, str], float] = defaultdict(float)
+        self.counts: dict[tuple[str, str], int] = defaultdict(int)
+        self.beside_s = 0.0
+
+    def clear(self) -> None:
+        self.work_s.clear()
+        self.counts.clear()
+
+    def run(self, address: str, kind: str, work: Callable[..., Any], *given: Any) -> None:
+        beside_s, began_s = self.beside_s, process_time()
+        work(*given)
+        self.work_s[address, kind] += process_time() - began_s - (self.beside_s - beside_s)
+
+
+class MeteredNetwork(Network):
+    __slots__ = ("meter",)
+
+    def __init__(self, time: VirtualTime) -> None:
+        super().__init__(time)
+        self.meter = Meter()
+
+    def send(self, sender: str, to: str, ref: int, re: int, message: Any) -> None:
+        meter, began_s = self.meter, process_time()
+        if sender != to:
+            data = encode(message)
+            packed_s = process_time()
+            decode(data)
+            meter.work_s[sender, "packing"] += packed_s - began_s
+            meter.work_s[to, "packing"] += process_time() - packed_s
+            meter.counts[sender, "sent"] += 1
+            meter.counts[to, "received"] += 1
+            meter.counts[sender, "bytes"] += len(data) + _ENVELOPE_BYTES
+            if self.zones.get(sender) != self.zones.get(to):
+                meter.counts["", "zone_bytes"] += len(data) + _ENVELOPE_BYTES
+        super().send(sender, to, ref, re, message)
+        meter.beside_s += process_time() - began_s
+
+    def _arrive(self, sender: str, to: str, ref: int, re: int, message: Any) -> None:
+        self.meter.run(to, "receive", super()._arrive, sender, to, ref, re, message)
+
+
+class MeteredHost(SimHost):
+    __slots__ = ()
+
+    def _tick(self, life: int) -> None:
+        self.network.meter.run(self.address, "tick", super()._tick, life)
+
+    def when_awake(self, what: Callable[[], None], life: int) -> None:
+        self.network.meter.run(self.address, "disk", super().when_awake, what, life)
+
+
+class MeteredFleet(SimFleet):
+    __slots__ = ()
+    NETWORK, HOST = MeteredNetwork, MeteredHost
+
+    @property
+    def meter(self) -> Meter:
+        return self.network.meter
+
+    def start_beats(self, count: int) -> None:
+        """Workers that beat to one control node after another, and change nothing."""
+        beat_ms = SETTINGS["worker_beat_ms"]
+        for place in range(count):
+            self.time.after(beat_ms * self.time.rng.random(), lambda place=place: self._beat(place, 1, beat_ms))
+
+    def _beat(self, place: int, seq: int, beat_ms: int) -> None:
+        host = self.time.rng.choice(self.running("control"))
+        report = WorkerReport(identity=f"worker-{place}", address=f"10.9.{place >> 8}.{place & 255}:8080", zone="north", label="gpu",
+                              slots=8, state="serving", seq=seq, models='[{"name": "m", "revision": 1}]')
+        self.meter.run(host.address, "report", host.node.worker_list.report, report, lambda outcome: None)
+        self.meter.counts[host.address, "reports"] += 1
+        self.time.after(beat_ms, lambda: self._beat(place, seq + 1, beat_ms))
+
+
+def founded(seed: int, nodes: int, settings: dict[str, Any] | None = None) -> MeteredFleet:
+    """A fleet in touch, with profiles in force at every edge."""
+    fleet = MeteredFleet(seed, edges=nodes - _CONTROL - _STORES, stores=_STORES, control=_CONTROL, workers=0,
+                         settings={**SETTINGS, **(settings or {})})
+    if not fleet.run_until_true(lambda: all(host.node.quorate() for host in fleet.of("control")), _FOUND_MS):
+        raise AssertionError("control was not founded")
+    Operators(fleet).change()
+    if not fleet.run_until_true(lambda: fleet.ready() and fleet.holder() is not None, _FOUND_MS):
+        raise AssertionError("the fleet did not get ready")
+    return fleet
+
+
+def sample(fleet: MeteredFleet, span_ms: float) -> None:
+    """Meters this span alone, without the collector, whose time would be that of the whole simulator."""
+    gc.collect()
+    gc.disable()
+    fleet.meter.clear()
+    fleet.time.run_until(fleet.time.now_ms + span_ms)
+    gc.enable()
+
+
+def held_bytes(node: Any) -> int:
+    """What a node keeps alive, without what it shares with others in this process."""
+    seen: set[int] = set()
+    rows, size = [node], 0
+    while rows:
+        row = rows.pop()
+        if id(row) in seen or isinstance(row, _SHARED):
+            continue
+        seen.add(id(row))
+        size += sys.getsizeof(row)
+        if isinstance(row, FunctionType):
+            rows += [*(row.__closure__ or ()), *(row.__defaults__ or ())]
+        else:
+            rows += gc.get_referents(row)
+    return size
+
+
+def line_through(points: Iterable[tuple[float, float]]) -> tuple[float, float]:
+    """Slope and intercept by least squares."""
+    points = list(points)
+    mid_x, mid_y = fmean(x for x, _ in points), fmean(y for _, y in points)
+    across = sum((x - mid_x) ** 2 for x, _ in points)
+    slope = sum((x - mid_x) * (y - mid_y) for x, y in points) / across if across else 0.0
+    return slope, mid_y - slope * mid_x
+
+
+def _row(fleet: MeteredFleet, role: str, span_s: float) -> dict[str, float]:
+    """Of a node of this role, in a second; `cpu_ms_most` is that of the busiest."""
+    meter, hosts = fleet.meter, fleet.of(role)
+    kinds = ("tick", "receive", "packing", "report", "disk")
+    spent = {host.address: sum(meter.work_s[host.address, kind] for kind in kinds) * 1000 / span_s for host in hosts}
+    row = {"cpu_ms": fmean(spent.values()), "cpu_ms_most": max(spent.values())}
+    for kind in kinds:
+        row[f"cpu_ms_{kind}"] = sum(meter.work_s[host.address, kind] for host in hosts) * 1000 / span_s / len(hosts)
+    for name, count, unit in (("sent", "sent", 1), ("received", "received", 1), ("kb_sent", "bytes", 1000), ("reports", "reports", 1)):
+        row[name] = sum(meter.counts[host.address, count] for host in hosts) / unit / span_s / len(hosts)
+    row["held_kb"] = fmean(held_bytes(host.node) for host in hosts[:3]) / 1000
+    return row
+
+
+def measure_one(seed: int, nodes: int, span_s: float) -> dict[str, dict[str, float]]:
+    fleet = founded(seed, nodes)
+    fleet.start_beats(round(nodes * _WORKERS_PER_NODE))
+    fleet.time.run_until(fleet.time.now_ms + _SETTLE_MS)
+    sample(fleet, span_s * 1000)
+    rows = {role: _row(fleet, role, span_s) for role in _ROLES}
+    rows["control"]["zone_kb"] = fleet.meter.counts["", "zone_bytes"] / 1000 / span_s
+    return rows
+
+
+def measure_scale(sizes: Iterable[int], seeds: int, span_s: float) -> str:
+    sizes = list(sizes)
+    found = {(nodes, seed): measure_one(seed, nodes, span_s) for nodes in sizes for seed in range(1, seeds + 1)}
+    lines = [f"nodes {sizes}: {_CONTROL} control, {_STORES} stores, the rest edges; {_WORKERS_PER_NODE:.2f} workers to a node; "
+             f"{span_s:g} s measured, {seeds} seeds; of one node in a second (zone_kb: of the fleet), least to most over seeds"]
+    for role in _ROLES:
+        lines.append(role)
+        for name in next(iter(found.values()))[role]:
+            cells = []
+            for nodes in sizes:
+                values = [found[nodes, seed][role][name] for seed in range(1, seeds + 1)]
+                cells.append(f"{nodes}: {min(values):.4g} to {max(values):.4g}")
+            if any(row[role][name] for row in found.values()):
+                fits = [line_through((nodes, found[nodes, seed][role][name]) for nodes in sizes) for seed in range(1, seeds + 1)]
+                slopes, starts = [fit[0] for fit in fits], [fit[1] for fit in fits]
+                lines.append(f"  {name:16} {'; '.join(cells)}; slope {min(slopes):.4g} to {max(slopes):.4g}, "
+                             f"intercept {min(starts):.4g} to {max(starts):.4g}")
+    return "\n".join(lines)
--- a/libs/facsimile/src/facsimile/sim/fleet.py
+++ b/libs/facsimile/src/facsimile/sim/fleet.py
@@ -19,12 +19,15 @@
 
 
 class SimFleet:
+    """NETWORK and HOST are what a measurement puts meters into."""
+
     __slots__ = ("_count", "_settings", "events", "_away", "history", "hosts", "network", "time", "workers")
+    NETWORK, HOST = Network, SimHost
 
     def __init__(self, seed: int, edges: int = 3, stores: int = 3, control: int = 5, workers: int = 3,
                  settings: dict[str, Any] | None = None) -> None:
         self.time = VirtualTime(seed)
-        self.network = Network(self.time)
+        self.network = self.NETWORK(self.time)
         self.history = History(seed=seed)
         self.events: list[tuple[float, str, str, dict]] = []
         self.hosts: dict[str, SimHost] = {}
@@ -54,7 +57,7 @@
                         **{"seeds": known, **self._settings})
         disk = SimDisk(self.time, params.disk_bytes) if role != "edge" else None
         self.network.zones[address] = params.zone
-        host = SimHost(name, role, address, self.time, self.network, params, disk, self._make, self._note)
+        host = self.HOST(name, role, address, self.time, self.network, params, disk, self._make, self._note)
         self.hosts[name] = host
         host.start()
         return host
