--- a/libs/facsimile/src/facsimile/measure_units.py
+++ b/libs/facsimile/src/facsimile/measure_units.py
@@ -24,6 +24,7 @@
 
 _NODES = 12
 _LOT_ITEMS = 80
+_APART_MS = 3000
 _KINDS = ("tick", "receive", "packing", "report", "disk", "append")
 _DIALECT = Dialect(request_id="Id", worker="Worker", stamp="Stamp", not_run="Refused", load="Load", deadline_ms="Left", urgency="Rank")
 
@@ -220,9 +221,9 @@
             raise AssertionError(f"a change was not acknowledged: {told[-1:]}")
         for host in fleet.of("edge"):
             fleet.meter.run(host.address, "tick", lambda host=host: host.node.tree().route("h1.example", "/p1/x"))
+        fleet.time.run_until(fleet.time.now_ms + _APART_MS)
 
     change()
-    fleet.time.run_until(fleet.time.now_ms + 3000)
     costs = _Costs(fleet, groups)
     rows = costs.of(lambda: [change() for _ in range(changes)], changes)
     rows = {name: value / len(groups[name.split()[0]]) for name, value in rows.items()}
