--- a/libs/catalogue/src/catalogue/rows.py
+++ b/libs/catalogue/src/catalogue/rows.py
@@ -69,6 +69,8 @@
     sticky: bool | None = None
     resumable: bool | None = None
     waiting_tokens: int | None = Field(None, ge=0)
+    loan_share: Share | None = None
+    rollout_room: int | None = Field(None, ge=0, le=1_000_000)
     health_path: str | None = Field(None, max_length=4096, pattern=r"^(/\S*)?$")
     connections: int | None = Field(None, ge=0)
     slots: int | None = Field(None, ge=0)
--- a/libs/readingroom/src/readingroom/metrics.py
+++ b/libs/readingroom/src/readingroom/metrics.py
@@ -11,8 +11,12 @@
 HELP = {
     "edge_sends": "sends to workers by kind, and those that failed", "edge_steps": "last steps of transactions by name",
     "edge_ready": "1 while this edge takes visitors", "edge_live_now": "live calls under way",
+    "edge_told": "what an edge itself told the clients of forwarded requests, by code", "edge_connections_opened": "connections made to workers",
     "edge_waiting_now": "live calls that wait for a slot", "edge_items_now": "items of lots under way",
-    "edge_items_finished": "items of lots that ran here", "edge_workers": "workers that may be used now",
+    "edge_items_finished": "items of lots that ran here", "edge_samples_now": "slots in which samples of rollouts run",
+    "edge_samples_finished": "samples that ran here to their end", "edge_samples_given_up": "samples given up for something else",
+    "edge_loans_recalled": "times that all samples were given up since a lot might have come late",
+    "edge_workers_lent": "workers that get nothing since they are lent whole", "control_loans": "loans of whole workers by what became of them", "edge_workers": "workers that may be used now",
     "store_asked": "what edges asked of the holder, by kind", "store_last_seq": "the log's last record here",
     "store_settled_seq": "up to where the log is on enough disks", "store_flushed_seq": "up to where this disk has the log",
     "store_epoch": "the highest epoch that this store has fenced", "store_holds": "1 while this store holds the log",
