--- a/libs/accession/src/accession/holder.py
+++ b/libs/accession/src/accession/holder.py
@@ -1,19 +1,21 @@
 """The holder of the log for one epoch. An append is written lazily, sent to the peers and
 acknowledged once f of them hold it in memory; if 2 delta pass first, once it is flushed here and at
 a peer; else its fate is unknown. Whoever needs it settled also waits until f+1 disks have it, and
-brings the flush forward. Reads wait for f peers to confirm that nothing has fenced this epoch."""
+brings the flush forward. Reads wait for f peers to confirm that nothing has fenced this epoch.
+"""
 
 from collections.abc import Callable
 from enum import StrEnum
 from typing import Any
 
-from accession.local import LocalLog, entry_of
-from accession.messages import Append, Appended, Install, Record
 from ledger import Ledger
 from ledger.entries import LotShelved
 from stacks import DiskFull
 from vellum import Message, encode
 
+from accession.local import LocalLog, entry_of
+from accession.messages import Append, Appended, Install, Record
+
 __all__ = ["Holder", "Outcome", "Peer"]
 
 _CHUNK_BYTES = 1 << 18
@@ -28,8 +30,22 @@
 
 
 class Peer:
-    __slots__ = ("address", "adopted", "asked_seq", "flushed_seq", "full", "heard_ms", "identity", "install_ms", "last_seq",
-                 "next_seq", "probe", "sent_ms", "snapshot", "taken_bytes")
+    __slots__ = (
+        "address",
+        "adopted",
+        "asked_seq",
+        "flushed_seq",
+        "full",
+        "heard_ms",
+        "identity",
+        "install_ms",
+        "last_seq",
+        "next_seq",
+        "probe",
+        "sent_ms",
+        "snapshot",
+        "taken_bytes",
+    )
 
     def __init__(self, identity: str, address: str, next_seq: int, now_ms: int) -> None:
         self.identity = identity
@@ -51,7 +67,9 @@
 class _Waiter:
     __slots__ = ("at_ms", "done", "seq", "settled")
 
-    def __init__(self, seq: int, settled: bool, at_ms: int, done: Callable[[Outcome], None]) -> None:
+    def __init__(
+        self, seq: int, settled: bool, at_ms: int, done: Callable[[Outcome], None]
+    ) -> None:
         self.seq = seq
         self.settled = settled
         self.at_ms = at_ms
@@ -59,13 +77,40 @@
 
 
 class Holder:
-    __slots__ = ("_flush_asked", "_flush_wanted_seq", "_log", "_on_adopted", "_on_deposed", "_post", "_probe", "_readers",
-                 "_wall", "_wires", "_now", "base_seq", "deposed", "epoch", "ledger", "members", "params", "peers",
-                 "waiters")
-
-    def __init__(self, log: LocalLog, epoch: int, members: list[tuple[str, str]], params: Any,
-                 now: Callable[[], int], wall: Callable[[], int], post: Callable[[str, Message], None],
-                 on_deposed: Callable[[int], None], on_adopted: Callable[[], None] = lambda: None) -> None:
+    __slots__ = (
+        "_flush_asked",
+        "_flush_wanted_seq",
+        "_log",
+        "_on_adopted",
+        "_on_deposed",
+        "_post",
+        "_probe",
+        "_readers",
+        "_wall",
+        "_wires",
+        "_now",
+        "base_seq",
+        "deposed",
+        "epoch",
+        "ledger",
+        "members",
+        "params",
+        "peers",
+        "waiters",
+    )
+
+    def __init__(
+        self,
+        log: LocalLog,
+        epoch: int,
+        members: list[tuple[str, str]],
+        params: Any,
+        now: Callable[[], int],
+        wall: Callable[[], int],
+        post: Callable[[str, Message], None],
+        on_deposed: Callable[[int], None],
+        on_adopted: Callable[[], None] = lambda: None,
+    ) -> None:
         self._log = log
         self.epoch = epoch
         self.params = params
@@ -74,8 +119,11 @@
         self._on_adopted: Callable[[], None] | None = on_adopted
         self.base_seq = log.last_seq
         self.members = [identity for identity, _ in members]
-        self.peers = {identity: Peer(identity, address, log.last_seq + 1, now())
-                      for identity, address in members if identity != log.identity}
+        self.peers = {
+            identity: Peer(identity, address, log.last_seq + 1, now())
+            for identity, address in members
+            if identity != log.identity
+        }
         self.waiters: list[_Waiter] = []
         self._readers: list[tuple[int, Callable[[bool], None], int]] = []
         self._probe = 0
@@ -100,12 +148,21 @@
 
     # -- appending -----------------------------------------------------------------------------
 
-    def append(self, entries: list[Message], settled: bool, done: Callable[[Outcome], None],
-               urgent: bool = False) -> bool:
+    def append(
+        self,
+        entries: list[Message],
+        settled: bool,
+        done: Callable[[Outcome], None],
+        urgent: bool = False,
+    ) -> bool:
         """All entries or none; done tells of the last one. False if there was no room."""
         bodies = [encode(entry) for entry in entries]
         need_bytes = sum(len(body) + 64 for body in bodies)
-        if self.deposed or not self._log.disk.roomy(need_bytes, urgent) or (not urgent and self._peers_full()):
+        if (
+            self.deposed
+            or not self._log.disk.roomy(need_bytes, urgent)
+            or (not urgent and self._peers_full())
+        ):
             done(Outcome.UNKNOWN if self.deposed else Outcome.FULL)
             return False
         before = self._log.last_seq
@@ -155,10 +212,20 @@
         records = log.since(peer.next_seq, _CHUNK_BYTES)
         peer.asked_seq = peer.next_seq - 1
         wanted = flush or self._flush_wanted_seq > peer.flushed_seq
-        self._post(peer.address, Append(
-            epoch=self.epoch, base_seq=self.base_seq, prev_seq=peer.next_seq - 1, prev_epoch=previous[0],
-            prev_ms=previous[1], records=[self._wired(record) for record in records], settled_seq=log.settled_seq,
-            flush=wanted, probe=self._probe))
+        self._post(
+            peer.address,
+            Append(
+                epoch=self.epoch,
+                base_seq=self.base_seq,
+                prev_seq=peer.next_seq - 1,
+                prev_epoch=previous[0],
+                prev_ms=previous[1],
+                records=[self._wired(record) for record in records],
+                settled_seq=log.settled_seq,
+                flush=wanted,
+                probe=self._probe,
+            ),
+        )
         peer.next_seq += len(records)
 
     def _wired(self, record: Record) -> bytes:
@@ -203,7 +270,8 @@
 
     def _step_back(self, peer: Peer, message: Appended) -> None:
         """One place back, but not behind the peer's snapshot, which holds only what is settled; receipts
-        of sends before the last one are not heeded, or each would cause a send of its own."""
+        of sends before the last one are not heeded, or each would cause a send of its own.
+        """
         if message.asked_seq <= message.snap_seq and message.asked_seq < self._log.snap_seq:
             self._install(peer)
             return
@@ -212,19 +280,30 @@
 
     def _install(self, peer: Peer) -> None:
         """A snapshot goes part by part, each after the one before has been taken, so that a thin link isn't
-        swamped; one that gets nowhere is begun again."""
+        swamped; one that gets nowhere is begun again.
+        """
         now_ms = self._now()
         if not peer.snapshot or now_ms - peer.install_ms >= self.params.force_ms:
             peer.snapshot, peer.taken_bytes = self._log.kept_snapshot(), 0
             self._send_part(peer)
-        elif now_ms - peer.install_ms >= self.params.ask_ms and peer.taken_bytes < len(peer.snapshot):
+        elif now_ms - peer.install_ms >= self.params.ask_ms and peer.taken_bytes < len(
+            peer.snapshot
+        ):
             self._send_part(peer)
 
     def _send_part(self, peer: Peer) -> None:
         peer.install_ms = self._now()
         offset = peer.taken_bytes
-        self._post(peer.address, Install(epoch=self.epoch, snapshot=peer.snapshot[offset:offset + _PART_BYTES],
-                                         offset=offset, total=len(peer.snapshot), probe=self._probe))
+        self._post(
+            peer.address,
+            Install(
+                epoch=self.epoch,
+                snapshot=peer.snapshot[offset : offset + _PART_BYTES],
+                offset=offset,
+                total=len(peer.snapshot),
+                probe=self._probe,
+            ),
+        )
 
     def _go_on_installing(self, peer: Peer, message: Appended) -> None:
         if message.reason == "busy":
@@ -241,7 +320,11 @@
     def keep_spares(self, spares: list[tuple[str, str]]) -> None:
         """These and no other spares are sent the log."""
         names = [identity for identity, _ in spares]
-        for identity in [identity for identity in self.peers if identity not in self.members and identity not in names]:
+        for identity in [
+            identity
+            for identity in self.peers
+            if identity not in self.members and identity not in names
+        ]:
             del self.peers[identity]
         for identity, address in spares:
             self.learn(identity, address)
@@ -250,13 +333,19 @@
 
     def in_touch(self, identity: str) -> bool:
         peer = self.peers.get(identity)
-        return peer is not None and peer.adopted and self._now() - peer.heard_ms < self.params.doubt_ms
+        return (
+            peer is not None and peer.adopted and self._now() - peer.heard_ms < self.params.doubt_ms
+        )
 
     def is_level(self, identity: str) -> bool:
         """Whether this spare has on disk all that is settled."""
         peer = self.peers.get(identity)
-        return (peer is not None and peer.adopted and peer.flushed_seq >= self._log.settled_seq
-                and self._now() - peer.heard_ms < self.params.dead_ms)
+        return (
+            peer is not None
+            and peer.adopted
+            and peer.flushed_seq >= self._log.settled_seq
+            and self._now() - peer.heard_ms < self.params.dead_ms
+        )
 
     def sure(self) -> bool:
         """Whether f members have answered lately, so that this store can do its duty."""
@@ -270,12 +359,16 @@
 
     def progress(self) -> None:
         f = self.params.store_faults
-        flushed = sorted([peer.flushed_seq if peer.adopted else 0 for peer in self._voting()], reverse=True)
+        flushed = sorted(
+            [peer.flushed_seq if peer.adopted else 0 for peer in self._voting()], reverse=True
+        )
         copies = sorted([self._log.flushed_seq, *flushed], reverse=True)
         settled_seq = copies[f] if len(copies) > f else 0
         if settled_seq > self._log.settled_seq and settled_seq >= self.base_seq:
             self._log.settle(settled_seq)
-        held = sorted([peer.last_seq if peer.adopted else 0 for peer in self._voting()], reverse=True)
+        held = sorted(
+            [peer.last_seq if peer.adopted else 0 for peer in self._voting()], reverse=True
+        )
         held_seq = held[f - 1] if len(held) >= f else 0
         ready = [waiter for waiter in self.waiters if self._is_ready(waiter, held_seq)]
         if ready:
@@ -300,12 +393,20 @@
         if self._log.disk.roomy(0):
             return None
         now_ms = self._now()
-        return next((peer.identity for peer in self._voting()
-                     if peer.adopted and not peer.full and now_ms - peer.heard_ms <= self.params.dead_ms), None)
+        return next(
+            (
+                peer.identity
+                for peer in self._voting()
+                if peer.adopted and not peer.full and now_ms - peer.heard_ms <= self.params.dead_ms
+            ),
+            None,
+        )
 
     def adopted(self) -> bool:
         """Whether f peers besides this store hold the recovered log under this epoch on disk."""
-        count = sum(1 for peer in self._voting() if peer.adopted and peer.flushed_seq >= self.base_seq)
+        count = sum(
+            1 for peer in self._voting() if peer.adopted and peer.flushed_seq >= self.base_seq
+        )
         return count >= self.params.store_faults and self._log.flushed_seq >= self.base_seq
 
     # -- flushing ------------------------------------------------------------------------------
@@ -327,10 +428,14 @@
 
     def tick(self) -> None:
         now_ms = self._now()
-        late = [waiter for waiter in self.waiters if now_ms - waiter.at_ms >= 2 * self.params.delta_ms]
+        late = [
+            waiter for waiter in self.waiters if now_ms - waiter.at_ms >= 2 * self.params.delta_ms
+        ]
         if late:
             self._bring_flush_forward()
-        given_up = [waiter for waiter in self.waiters if now_ms - waiter.at_ms >= self.params.ask_ms]
+        given_up = [
+            waiter for waiter in self.waiters if now_ms - waiter.at_ms >= self.params.ask_ms
+        ]
         self.waiters = [waiter for waiter in self.waiters if waiter not in given_up]
         for waiter in given_up:
             waiter.done(Outcome.UNKNOWN)
@@ -339,11 +444,17 @@
         if self._log.flush_due():
             self._bring_flush_forward()
         for peer in self.peers.values():
-            behind = peer.last_seq < self._log.last_seq or peer.probe < self._probe or not peer.adopted
+            behind = (
+                peer.last_seq < self._log.last_seq or peer.probe < self._probe or not peer.adopted
+            )
             quiet_ms = now_ms - peer.sent_ms
-            if (behind and quiet_ms >= 2 * self.params.delta_ms) or quiet_ms >= self.params.pulse_ms:
+            if (
+                behind and quiet_ms >= 2 * self.params.delta_ms
+            ) or quiet_ms >= self.params.pulse_ms:
                 if behind:
-                    peer.next_seq = peer.last_seq + 1 if peer.adopted else min(peer.next_seq, self.base_seq + 1)
+                    peer.next_seq = (
+                        peer.last_seq + 1 if peer.adopted else min(peer.next_seq, self.base_seq + 1)
+                    )
                 self._send(peer)
         self.progress()
         self._log.tidy()
--- a/libs/accession/src/accession/local.py
+++ b/libs/accession/src/accession/local.py
@@ -1,18 +1,20 @@
 """One store's own copy of the log: queue files under the data folder, the records still in memory
 with the times they were received, the ledger folded as far as the log is settled, and snapshots of
 it. Opening reads it all back: a tail that never was flushed is cut off, a hole in what was flushed
-is damage and refused. Files of a later epoch stand above what earlier files say of the same places."""
+is damage and refused. Files of a later epoch stand above what earlier files say of the same places.
+"""
 
 from collections.abc import Callable
 from typing import Any
 
+from ledger import Ledger
+from stacks import Damage, Disk, frame, over_hole, scan, walk
+from vellum import Message, decode, encode
+
 from accession.messages import TRUNCATE, LogMeta, Record, StoredEntry
 from accession.meta import MetaFile
 from accession.shelves import Shelves, files_of
 from accession.snapshots import SnapshotMaker, read_snapshot
-from ledger import Ledger
-from stacks import Damage, Disk, frame, over_hole, scan, walk
-from vellum import Message, decode, encode
 
 __all__ = ["LocalLog", "entry_of"]
 
@@ -20,11 +22,35 @@
 
 
 class LocalLog:
-    __slots__ = ("_dirty", "_entries", "_flush_waiters", "_flushing", "_last_flush_ms", "_maker", "_metas", "_now", "_since_snap_bytes",
-                 "_snap_after_ms", "_snapping", "_written", "disk", "fetcher", "flushed_seq", "ledger", "params", "received_ms",
-                 "records", "settled_seq", "shelves", "snap_seq", "snap_stamp")
-
-    def __init__(self, disk: Disk, params: Any, now: Callable[[], int], token: Callable[[], str]) -> None:
+    __slots__ = (
+        "_dirty",
+        "_entries",
+        "_flush_waiters",
+        "_flushing",
+        "_last_flush_ms",
+        "_maker",
+        "_metas",
+        "_now",
+        "_since_snap_bytes",
+        "_snap_after_ms",
+        "_snapping",
+        "_written",
+        "disk",
+        "fetcher",
+        "flushed_seq",
+        "ledger",
+        "params",
+        "received_ms",
+        "records",
+        "settled_seq",
+        "shelves",
+        "snap_seq",
+        "snap_stamp",
+    )
+
+    def __init__(
+        self, disk: Disk, params: Any, now: Callable[[], int], token: Callable[[], str]
+    ) -> None:
         self.disk = disk
         self.params = params
         self._now = now
@@ -69,7 +95,8 @@
 
     def _open_queue(self, name: str) -> None:
         """A file may begin, or go on, behind a hole: what was there came by a snapshot and was never written
-        here, while records stay at their absolute offsets."""
+        here, while records stay at their absolute offsets.
+        """
         data = self.disk.read(name)
         frames, stop = walk(data)
         while (at := over_hole(data, stop)) is not None:
@@ -83,7 +110,7 @@
             end = offset + len(frame(payload))
             if entry.seq <= self.snap_seq:
                 continue
-            del self.records[entry.seq - self.first_seq:]
+            del self.records[entry.seq - self.first_seq :]
             self.records.append(_record(entry, payload, name, offset))
         if end < len(data):
             self.disk.truncate(name, end)
@@ -101,7 +128,11 @@
     def may_found(self) -> bool:
         """Blank from the start of the fleet on: a disk that is blank later may have been exchanged."""
         told = self.params.control_count > 0 or self.params.first_start or not self._metas.fresh
-        return told and self.meta.log_epoch == 0 and (self.params.control_count > 0 or self.meta.fence == 0)
+        return (
+            told
+            and self.meta.log_epoch == 0
+            and (self.params.control_count > 0 or self.meta.fence == 0)
+        )
 
     # -- places ------------------------------------------------------------------------------
 
@@ -134,7 +165,7 @@
     def since(self, seq: int, limit_bytes: int) -> list[Record]:
         rows: list[Record] = []
         size_bytes = 0
-        for record in self.records[max(0, seq - self.first_seq):]:
+        for record in self.records[max(0, seq - self.first_seq) :]:
             if rows and size_bytes + record.nbytes > limit_bytes:
                 break
             rows.append(record)
@@ -151,12 +182,18 @@
         flags = 0
         if not name.startswith(f"{_QUEUE}{stamp[0]:08d}-") or offset >= self.params.segment_bytes:
             name, offset, flags = f"{_QUEUE}{stamp[0]:08d}-{seq:012d}", 0, TRUNCATE
-        return _record(StoredEntry(epoch=stamp[0], stamp_ms=stamp[1], seq=seq, body=body), payload, name, offset,
-                       flags)
+        return _record(
+            StoredEntry(epoch=stamp[0], stamp_ms=stamp[1], seq=seq, body=body),
+            payload,
+            name,
+            offset,
+            flags,
+        )
 
     def write(self, record: Record, urgent: bool = False, entry: Message | None = None) -> None:
         """Lazy, at the absolute offset, so writing the same record again changes nothing. Who has the entry at
-        hand spares its being read from the record when it settles."""
+        hand spares its being read from the record when it settles.
+        """
         if record.flags & TRUNCATE:
             self.disk.truncate(record.file, 0)
         self.disk.write(record.file, record.offset, record.bytes, urgent)
@@ -222,10 +259,15 @@
             self.disk.write(_MARK, 0, frame(f"{self.meta.fence:020d} {seq:020d}".encode()), True)
 
     def flush_due(self) -> bool:
-        return (self.flushed_seq < self.last_seq and not self._flushing
-                and self._now() - self._last_flush_ms >= self.params.flush_ms)
-
-    def keep_meta(self, done: Callable[[bool], None], fence: int | None = None, log_epoch: int | None = None) -> None:
+        return (
+            self.flushed_seq < self.last_seq
+            and not self._flushing
+            and self._now() - self._last_flush_ms >= self.params.flush_ms
+        )
+
+    def keep_meta(
+        self, done: Callable[[bool], None], fence: int | None = None, log_epoch: int | None = None
+    ) -> None:
         self._metas.keep(done, fence or 0, log_epoch or 0)
 
     # -- settling, snapshots, trimming ---------------------------------------------------------
@@ -246,14 +288,20 @@
 
     def snapshot(self) -> bytes:
         """Made on the spot from all that is settled."""
-        maker = SnapshotMaker(self.ledger, self.settled_seq, self.stamp_at(self.settled_seq) or (0, 0))
+        maker = SnapshotMaker(
+            self.ledger, self.settled_seq, self.stamp_at(self.settled_seq) or (0, 0)
+        )
         while not maker.step():
             pass
         return maker.whole()
 
     def kept_snapshot(self) -> bytes:
         """The one on disk, which with the records in memory says as much, unless the next one is being written."""
-        return self.snapshot() if self._snapping or _SNAP not in self.disk.names() else self.disk.read(_SNAP)
+        return (
+            self.snapshot()
+            if self._snapping or _SNAP not in self.disk.names()
+            else self.disk.read(_SNAP)
+        )
 
     def load_snapshot(self, data: bytes) -> None:
         head, entries = read_snapshot(data)
@@ -272,16 +320,27 @@
             raise Damage(_SNAP, 0)
         return sorted(files_of(entries) - set(self.disk.names()))
 
-    def install(self, data: bytes, done: Callable[[bool], None], source: str = "", still: Callable[[], bool] = lambda: True) -> None:
+    def install(
+        self,
+        data: bytes,
+        done: Callable[[bool], None],
+        source: str = "",
+        still: Callable[[], bool] = lambda: True,
+    ) -> None:
         """Takes over another's snapshot: only when this log can't be brought up record by record. The
-        shelves it refers to come first; `still` says whether it is still wanted by then."""
+        shelves it refers to come first; `still` says whether it is still wanted by then.
+        """
         lacking = self.missing(data)
         if not lacking:
             self._install(data, done)
         elif self.fetcher is None:
             done(False)
         else:
-            self.fetcher(lacking, source, lambda ok: self._install(data, done) if ok and still() else done(False))
+            self.fetcher(
+                lacking,
+                source,
+                lambda ok: self._install(data, done) if ok and still() else done(False),
+            )
 
     def _install(self, data: bytes, done: Callable[[bool], None]) -> None:
         self.cut_after(0)
@@ -310,14 +369,18 @@
             self._go_on_with_snapshot()
         if self._snapping or self.settled_seq <= self.snap_seq:
             return
-        if not force and (self._since_snap_bytes < self.params.segment_bytes or self._now() < self._snap_after_ms):
+        if not force and (
+            self._since_snap_bytes < self.params.segment_bytes or self._now() < self._snap_after_ms
+        ):
             return
         self._snapping = True
         self._since_snap_bytes = 0
         self.shelves.shelve(self._begin_snapshot)
 
     def _begin_snapshot(self) -> None:
-        self._maker = SnapshotMaker(self.ledger, self.settled_seq, self.stamp_at(self.settled_seq) or (0, 0))
+        self._maker = SnapshotMaker(
+            self.ledger, self.settled_seq, self.stamp_at(self.settled_seq) or (0, 0)
+        )
         self._go_on_with_snapshot()
 
     def _go_on_with_snapshot(self) -> None:
@@ -342,12 +405,17 @@
         if self.received_ms:
             floor_ms = self.received_ms[-1] - self.params.keep_factor * self.params.flush_ms
             count = 0
-            while (count < len(self.records) - 1 and self.records[count].seq <= self.snap_seq
-                   and self.received_ms[count] < floor_ms):
+            while (
+                count < len(self.records) - 1
+                and self.records[count].seq <= self.snap_seq
+                and self.received_ms[count] < floor_ms
+            ):
                 count += 1
             del self.records[:count]
             del self.received_ms[:count]
-        needed = {record.file for record in self.records if record.seq > self.snap_seq} | {self._written[0]}
+        needed = {record.file for record in self.records if record.seq > self.snap_seq} | {
+            self._written[0]
+        }
         for name in [name for name in self.disk.names() if name.startswith(_QUEUE)]:
             if name not in needed:
                 self._dirty.discard(name)
@@ -360,5 +428,13 @@
 
 def _record(entry: StoredEntry, payload: bytes, name: str, offset: int, flags: int = 0) -> Record:
     data = frame(payload)
-    return Record(epoch=entry.epoch, stamp_ms=entry.stamp_ms, seq=entry.seq, file=name, flags=flags,
-                  nbytes=len(data), bytes=data, offset=offset)
+    return Record(
+        epoch=entry.epoch,
+        stamp_ms=entry.stamp_ms,
+        seq=entry.seq,
+        file=name,
+        flags=flags,
+        nbytes=len(data),
+        bytes=data,
+        offset=offset,
+    )
--- a/libs/accession/src/accession/mending.py
+++ b/libs/accession/src/accession/mending.py
@@ -1,16 +1,18 @@
 """What a store does about shelves that it lacks or that are damaged: the files that a snapshot refers to
 are fetched from where it came from before it is taken over; a damaged leaf that a read meets or the
-sweep finds is asked for at the other members and written anew."""
+sweep finds is asked for at the other members and written anew.
+"""
 
 from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any
 
-from accession.local import LocalLog
-from accession.shelves import SHELF
 from ledger import messages as m
 from vellum import Arr, Blob, Flag, Long, Message, Origin, Part, Text, encode
 
+from accession.local import LocalLog
+from accession.shelves import SHELF
+
 __all__ = ["FetchShelf", "GetKept", "Kept", "Mending", "ShelfPart"]
 
 _CHUNK_BYTES = 1 << 18
@@ -67,7 +69,12 @@
         if ok and self._page[0] != message.file:
             self._page = (message.file, disk.read(message.file))
         data = self._page[1] if ok else b""
-        self.node.reply(origin, ShelfPart(ok=ok, data=data[message.offset:message.offset + _CHUNK_BYTES], total=len(data)))
+        self.node.reply(
+            origin,
+            ShelfPart(
+                ok=ok, data=data[message.offset : message.offset + _CHUNK_BYTES], total=len(data)
+            ),
+        )
 
     def fetch(self, files: list[str], source: str, done: Callable[[bool], None]) -> None:
         """One after another, each flushed; what is broken off is begun again by whoever asked."""
@@ -76,16 +83,24 @@
             return
         self._fetch_part(files, source, b"", done)
 
-    def _fetch_part(self, files: list[str], source: str, got: bytes, done: Callable[[bool], None]) -> None:
+    def _fetch_part(
+        self, files: list[str], source: str, got: bytes, done: Callable[[bool], None]
+    ) -> None:
         def told(part: Any) -> None:
             if part is None or not part.ok:
                 done(False)
             elif len(got) + len(part.data) < part.total:
                 self._fetch_part(files, source, got + part.data, done)
             else:
-                self._keep(files[0], got + part.data, lambda ok: self.fetch(files[1:], source, done) if ok else done(False))
+                self._keep(
+                    files[0],
+                    got + part.data,
+                    lambda ok: self.fetch(files[1:], source, done) if ok else done(False),
+                )
 
-        self.node.ask(source, FetchShelf(file=files[0], offset=len(got)), 2 * self.node.params.ask_ms, told)
+        self.node.ask(
+            source, FetchShelf(file=files[0], offset=len(got)), 2 * self.node.params.ask_ms, told
+        )
 
     def _keep(self, file: str, data: bytes, done: Callable[[bool], None]) -> None:
         self._log.disk.replace(file, data, done)
@@ -100,14 +115,24 @@
         ledger, shelves = self._log.ledger, self._log.shelves
         if message.kind == "key":
             key = ledger.keys.get(message.name)
-            body = None if key is None or key.state != "done" else key.body if key.shelf is None else shelves.receipt(key)
+            body = (
+                None
+                if key is None or key.state != "done"
+                else key.body
+                if key.shelf is None
+                else shelves.receipt(key)
+            )
             return Kept(ok=body is not None, rows=[(body or "").encode()], placed=1)
         lot = ledger.lots.get(message.name)
         if lot is None:
             return Kept(ok=False, rows=[], placed=0)
         if lot.shelf is None:
-            rows: list[bytes] | None = [encode(m.ResultRow(index=index, outcome=item.outcome, body=item.result)) for index, item in
-                                        list(enumerate(lot.items[:lot.placed]))[message.from_index:message.from_index + _PAGE]]
+            rows: list[bytes] | None = [
+                encode(m.ResultRow(index=index, outcome=item.outcome, body=item.result))
+                for index, item in list(enumerate(lot.items[: lot.placed]))[
+                    message.from_index : message.from_index + _PAGE
+                ]
+            ]
         else:
             rows = shelves.results(lot, message.from_index, _PAGE)
         return Kept(ok=rows is not None, rows=rows or [], placed=lot.placed)
@@ -133,7 +158,12 @@
             else:
                 self._log.shelves.rewrite(kind, name, rows, lambda ok: self._mended(kind, name, ok))
 
-        self.node.ask(others[0], GetKept(kind=kind, name=name, from_index=len(got)), self.node.params.ask_ms, told)
+        self.node.ask(
+            others[0],
+            GetKept(kind=kind, name=name, from_index=len(got)),
+            self.node.params.ask_ms,
+            told,
+        )
 
     def _mended(self, kind: str, name: str, ok: bool) -> None:
         self._mending.discard((kind, name))
--- a/libs/accession/src/accession/messages.py
+++ b/libs/accession/src/accession/messages.py
@@ -1,11 +1,29 @@
 """What stores say to each other, and what they keep. A record has the fields of the source: stamp,
 file identity and flags, nbytes, bytes, absolute offset. Ours are the epoch within the stamp and the
-sequence number, by which a peer sees that nothing is missing before it."""
+sequence number, by which a peer sees that nothing is missing before it.
+"""
 
 from vellum import Arr, Blob, Flag, Long, Message, Text
 
-__all__ = ["Append", "Appended", "Fetch", "FetchTail", "Fetched", "Install", "LogMeta", "Poll", "Polled", "Pulse", "Record",
-           "SnapshotHead", "Start", "Started", "StoredEntry", "Succeed", "TRUNCATE"]
+__all__ = [
+    "Append",
+    "Appended",
+    "Fetch",
+    "FetchTail",
+    "Fetched",
+    "Install",
+    "LogMeta",
+    "Poll",
+    "Polled",
+    "Pulse",
+    "Record",
+    "SnapshotHead",
+    "Start",
+    "Started",
+    "StoredEntry",
+    "Succeed",
+    "TRUNCATE",
+]
 
 TRUNCATE = 1
 
@@ -119,7 +137,8 @@
 
 class Polled(Message):
     """`epoch` is the highest known here; `holds` says that this store is at work as its holder, `hears` that it
-    hears from the one who is, `leaving` that it will not take the duty."""
+    hears from the one who is, `leaving` that it will not take the duty.
+    """
 
     identity: Text
     epoch: Long
--- a/libs/accession/src/accession/meta.py
+++ b/libs/accession/src/accession/meta.py
@@ -1,13 +1,15 @@
 """A store's identity, fence and log epoch on its disk. Each state is written twice behind the ones before, which costs
 one flush; a torn write leaves the last state that was reported kept, and one damaged frame hides nothing. What is asked
-for while one write runs shares the next one, and what that write says already shares it."""
+for while one write runs shares the next one, and what that write says already shares it.
+"""
 
 from collections.abc import Callable
 
-from accession.messages import LogMeta
 from stacks import Damage, Disk, DiskFull, frame, scan
 from vellum import decode, encode
 
+from accession.messages import LogMeta
+
 __all__ = ["MetaFile"]
 
 _NAME = "meta"
@@ -46,13 +48,19 @@
             offset = None if later is None else offset + later
         if not rows:
             raise Damage(_NAME, 0)
-        self.meta = LogMeta(identity=rows[-1].identity, fence=max(row.fence for row in rows),
-                            log_epoch=max(row.log_epoch for row in rows))
+        self.meta = LogMeta(
+            identity=rows[-1].identity,
+            fence=max(row.fence for row in rows),
+            log_epoch=max(row.log_epoch for row in rows),
+        )
 
     def keep(self, done: Done, fence: int, log_epoch: int) -> None:
         """On disk before it counts."""
-        wanted = LogMeta(identity=self.meta.identity, fence=max(self.meta.fence, fence),
-                         log_epoch=max(self.meta.log_epoch, log_epoch))
+        wanted = LogMeta(
+            identity=self.meta.identity,
+            fence=max(self.meta.fence, fence),
+            log_epoch=max(self.meta.log_epoch, log_epoch),
+        )
         if self._writing is not None and _covers(self._writing, wanted):
             self._waiters.append(done)
             return
@@ -63,8 +71,11 @@
     def _write(self) -> None:
         rows, self._next = self._next, []
         metas = [self.meta, *[wanted for wanted, _ in rows]]
-        meta = self._writing = LogMeta(identity=self.meta.identity, fence=max(row.fence for row in metas),
-                                       log_epoch=max(row.log_epoch for row in metas))
+        meta = self._writing = LogMeta(
+            identity=self.meta.identity,
+            fence=max(row.fence for row in metas),
+            log_epoch=max(row.log_epoch for row in metas),
+        )
         self._waiters = [done for _, done in rows]
 
         def kept(ok: bool) -> None:
--- a/libs/accession/src/accession/peer.py
+++ b/libs/accession/src/accession/peer.py
@@ -1,15 +1,17 @@
 """What a store does as a peer. A lower epoch is refused; a higher one is first put on disk. Records
 are taken only in sequence, so holding one means holding all before it. A log that missed a recovery
-is adopted into the new epoch once it matches through the recovered end, on disk."""
+is adopted into the new epoch once it matches through the recovered end, on disk.
+"""
 
 from collections.abc import Callable
 from functools import singledispatchmethod
 
+from stacks import Damage, DiskFull
+from vellum import Message, decode, encode
+
 from accession.local import LocalLog
 from accession.messages import Append, Appended, Fetch, Fetched, FetchTail, Install, Start
 from accession.recovery import started
-from stacks import Damage, DiskFull
-from vellum import Message, decode, encode
 
 __all__ = ["PeerSide"]
 
@@ -30,7 +32,9 @@
     def receive(self, message: Message, reply: Reply, source: str = "") -> None:
         self._source = source
         if message.epoch > self._log.meta.fence:
-            self._log.keep_meta(lambda ok: self._on(message, reply) if ok else None, fence=message.epoch)
+            self._log.keep_meta(
+                lambda ok: self._on(message, reply) if ok else None, fence=message.epoch
+            )
         else:
             self._on(message, reply)
 
@@ -51,15 +55,27 @@
             if self._snapshot[0] != log.settled_seq:
                 self._snapshot = (log.settled_seq, log.kept_snapshot())
             total = len(self._snapshot[1])
-            snapshot = self._snapshot[1][message.offset:message.offset + _CHUNK_BYTES]
+            snapshot = self._snapshot[1][message.offset : message.offset + _CHUNK_BYTES]
         elif ok:
             records = [encode(record) for record in log.since(message.from_seq, _CHUNK_BYTES)]
-        reply(Fetched(identity=log.identity, ok=ok, snapshot=snapshot, total=total, records=records, last_seq=log.last_seq))
+        reply(
+            Fetched(
+                identity=log.identity,
+                ok=ok,
+                snapshot=snapshot,
+                total=total,
+                records=records,
+                last_seq=log.last_seq,
+            )
+        )
 
     @_on.register
     def _(self, message: FetchTail, reply: Reply) -> None:
         rows = zip(message.seqs, message.stamp_epochs, message.stamps_ms, strict=True)
-        shared = max((seq for seq, epoch, stamp_ms in rows if self._log.stamp_at(seq) == (epoch, stamp_ms)), default=0)
+        shared = max(
+            (seq for seq, epoch, stamp_ms in rows if self._log.stamp_at(seq) == (epoch, stamp_ms)),
+            default=0,
+        )
         self._on(Fetch(epoch=message.epoch, from_seq=shared + 1, offset=0), reply)
 
     @_on.register
@@ -82,7 +98,7 @@
             if log.stamp_at(record.seq) != record.stamp:
                 break
             same = record.seq
-        fresh = records[same - message.prev_seq:]
+        fresh = records[same - message.prev_seq :]
         if fresh or log.meta.log_epoch < message.epoch:
             log.cut_after(same)
         try:
@@ -122,7 +138,11 @@
         if message.epoch < log.meta.fence or self._busy:
             reply(self._receipt(message.probe, False, "fenced" if not self._busy else "busy"))
             return
-        self._parts = self._parts[:message.offset] + message.snapshot if message.offset <= len(self._parts) else b""
+        self._parts = (
+            self._parts[: message.offset] + message.snapshot
+            if message.offset <= len(self._parts)
+            else b""
+        )
         if len(self._parts) != message.total:
             reply(self._receipt(message.probe, False, "part", len(self._parts)))
             return
@@ -142,8 +162,19 @@
     def _receipt(self, probe: int, ok: bool, reason: str, asked_seq: int = -1) -> Appended:
         log = self._log
         epoch, stamp_ms = log.last_stamp
-        return Appended(identity=log.identity, ok=ok, reason=reason, fence=log.meta.fence,
-                        log_epoch=log.meta.log_epoch, last_seq=log.last_seq, flushed_seq=log.flushed_seq,
-                        stamp_epoch=epoch, stamp_ms=stamp_ms,
-                        reception_ms=log.received_ms[-1] if log.received_ms else 0, probe=probe,
-                        asked_seq=asked_seq, snap_seq=log.snap_seq, roomy=log.disk.roomy(0))
+        return Appended(
+            identity=log.identity,
+            ok=ok,
+            reason=reason,
+            fence=log.meta.fence,
+            log_epoch=log.meta.log_epoch,
+            last_seq=log.last_seq,
+            flushed_seq=log.flushed_seq,
+            stamp_epoch=epoch,
+            stamp_ms=stamp_ms,
+            reception_ms=log.received_ms[-1] if log.received_ms else 0,
+            probe=probe,
+            asked_seq=asked_seq,
+            snap_seq=log.snap_seq,
+            roomy=log.disk.roomy(0),
+        )
--- a/libs/accession/src/accession/places.py
+++ b/libs/accession/src/accession/places.py
@@ -1,5 +1,6 @@
 """Which stores are to be members of the log: one of each zone in turn, so that the loss of a zone takes as
-few of them as can be. Stores are rows with identity, address and zone."""
+few of them as can be. Stores are rows with identity, address and zone.
+"""
 
 from collections.abc import Iterable
 
--- a/libs/accession/src/accession/recovery.py
+++ b/libs/accession/src/accession/recovery.py
@@ -2,17 +2,19 @@
 stamp, put in stamp order, write. Only answers of the highest log epoch count: a store that missed
 the last recovery would bring back records that one left out. Stores of one log epoch hold the same log, some
 less far than others, so what one of them lacks follows the last place they share; whoever goes no further than what
-is here already has nothing to add. Every step may be cut and run again."""
+is here already has nothing to add. Every step may be cut and run again.
+"""
 
 from collections.abc import Callable
 from enum import StrEnum
 from typing import Any
 
-from accession.local import LocalLog
-from accession.messages import Fetch, Fetched, FetchTail, Record, Start, Started
 from stacks import Damage, DiskFull
 from vellum import Message, decode
 
+from accession.local import LocalLog
+from accession.messages import Fetch, Fetched, FetchTail, Record, Start, Started
+
 __all__ = ["Recovery", "union"]
 
 Ask = Callable[[str, Message, int, Callable[[Message | None], None]], None]
@@ -36,11 +38,32 @@
 
 
 class Recovery:
-    __slots__ = ("_answers", "_ask", "_done", "_fenced", "_log", "_now", "_records", "_sources", "_started_ms", "epoch",
-                 "members", "params", "state")
-
-    def __init__(self, log: LocalLog, epoch: int, members: list[tuple[str, str]], params: Any, ask: Ask,
-                 now: Callable[[], int], done: Callable[[bool], None]) -> None:
+    __slots__ = (
+        "_answers",
+        "_ask",
+        "_done",
+        "_fenced",
+        "_log",
+        "_now",
+        "_records",
+        "_sources",
+        "_started_ms",
+        "epoch",
+        "members",
+        "params",
+        "state",
+    )
+
+    def __init__(
+        self,
+        log: LocalLog,
+        epoch: int,
+        members: list[tuple[str, str]],
+        params: Any,
+        ask: Ask,
+        now: Callable[[], int],
+        done: Callable[[bool], None],
+    ) -> None:
         self._log = log
         self.epoch = epoch
         self.members = members
@@ -55,7 +78,9 @@
 
     def start(self) -> None:
         """The others write their fences while this store writes its own; nothing is sent on under the new
-        epoch before that."""
+        epoch before that.
+        """
+
         def fenced(ok: bool) -> None:
             if not ok or self._log.meta.fence > self.epoch:
                 self._finish(False)
@@ -91,15 +116,23 @@
         self._consider_answers()
 
     def _consider_answers(self) -> None:
-        if self._fenced and self.state is _State.FENCING and len(self._answers) >= len(self.members) - self.params.store_faults:
+        if (
+            self._fenced
+            and self.state is _State.FENCING
+            and len(self._answers) >= len(self.members) - self.params.store_faults
+        ):
             self._fetch()
 
     def _fetch(self) -> None:
         self.state = _State.FETCHING
         top = max(answer.log_epoch for answer in self._answers.values())
-        self._sources = [(identity, address) for identity, address in self.members
-                         if identity in self._answers and self._answers[identity].log_epoch == top
-                         and identity != self._log.identity]
+        self._sources = [
+            (identity, address)
+            for identity, address in self.members
+            if identity in self._answers
+            and self._answers[identity].log_epoch == top
+            and identity != self._log.identity
+        ]
         self._sources.sort(key=lambda source: -self._answers[source[0]].last_seq)
         own = self._answers.get(self._log.identity)
         if own is not None and own.log_epoch == top:
@@ -108,7 +141,9 @@
 
     def _reach(self) -> int:
         """How far the log goes that has been gathered."""
-        return max([self._log.settled_seq, *(records[-1].seq for records in self._records if records)])
+        return max(
+            [self._log.settled_seq, *(records[-1].seq for records in self._records if records)]
+        )
 
     def _next_source(self) -> None:
         while self._sources:
@@ -141,8 +176,17 @@
                 self._records.append([])
             self._take(address, message, b"")
 
-        self._ask(address, FetchTail(epoch=self.epoch, seqs=seqs, stamp_epochs=[stamp[0] for stamp in stamps],
-                                     stamps_ms=[stamp[1] for stamp in stamps]), 2 * self.params.ask_ms, fetched)
+        self._ask(
+            address,
+            FetchTail(
+                epoch=self.epoch,
+                seqs=seqs,
+                stamp_epochs=[stamp[0] for stamp in stamps],
+                stamps_ms=[stamp[1] for stamp in stamps],
+            ),
+            2 * self.params.ask_ms,
+            fetched,
+        )
 
     def _again(self, what: Callable[[], None]) -> None:
         if self._now() - self._started_ms > self.params.force_ms:
@@ -159,7 +203,12 @@
                 return
             self._take(address, message, got, from_seq)
 
-        self._ask(address, Fetch(epoch=self.epoch, from_seq=from_seq, offset=len(got)), 2 * self.params.ask_ms, fetched)
+        self._ask(
+            address,
+            Fetch(epoch=self.epoch, from_seq=from_seq, offset=len(got)),
+            2 * self.params.ask_ms,
+            fetched,
+        )
 
     def _take(self, address: str, message: Fetched, got: bytes, from_seq: int = 1) -> None:
         if message.snapshot:
@@ -178,12 +227,15 @@
 
     def _install(self, address: str, data: bytes) -> None:
         """The source has trimmed what we lack: its snapshot is settled, so it may stand for ours."""
+
         def installed(ok: bool) -> None:
             if not ok:
                 self._finish(False)
                 return
-            self._records = [[record for record in records if record.seq > self._log.snap_seq]
-                             for records in self._records]
+            self._records = [
+                [record for record in records if record.seq > self._log.snap_seq]
+                for records in self._records
+            ]
             self._fetch_from(address, self._log.snap_seq + 1)
 
         try:
@@ -207,7 +259,7 @@
             same = record.seq
         self._log.cut_after(same)
         try:
-            for record in records[same - self._log.snap_seq:]:
+            for record in records[same - self._log.snap_seq :]:
                 self._log.write(record, True)
         except DiskFull:
             self._finish(False)
@@ -232,5 +284,12 @@
 
 
 def started(log: LocalLog, ok: bool) -> Started:
-    return Started(identity=log.identity, ok=ok, fence=log.meta.fence, log_epoch=log.meta.log_epoch,
-                   snap_seq=log.snap_seq, last_seq=log.last_seq, count=len(log.records))
+    return Started(
+        identity=log.identity,
+        ok=ok,
+        fence=log.meta.fence,
+        log_epoch=log.meta.log_epoch,
+        snap_seq=log.snap_seq,
+        last_seq=log.last_seq,
+        count=len(log.records),
+    )
--- a/libs/accession/src/accession/shelves.py
+++ b/libs/accession/src/accession/shelves.py
@@ -1,7 +1,8 @@
 """Shelves: files with the results of lots that are over and the receipts of keys that are done, so that
 memory holds only an index of them. A file is written once, flushed, and only then do its leaves
 take the place of what is in memory; a snapshot that refers to it can only come later. Each leaf is packed and a
-frame with a checksum. A file that no lot or key refers to any more is removed after the next snapshot."""
+frame with a checksum. A file that no lot or key refers to any more is removed after the next snapshot.
+"""
 
 import zlib
 from collections.abc import Callable
@@ -51,8 +52,9 @@
 
     def used(self) -> set[str]:
         ledger = self._log.ledger
-        return ({lot.shelf.file for lot in ledger.lots.values() if lot.shelf is not None}
-                | {key.shelf.file for key in ledger.keys.values() if key.shelf is not None})
+        return {lot.shelf.file for lot in ledger.lots.values() if lot.shelf is not None} | {
+            key.shelf.file for key in ledger.keys.values() if key.shelf is not None
+        }
 
     def collect(self) -> None:
         """Removes files that neither memory nor, by now, the snapshot refers to."""
@@ -75,7 +77,11 @@
             del ledger.fresh[(kind, key)]
             held = ledger.lots.get(key) if kind == "lot" else ledger.keys.get(key)
             if held is not None and held.shelf is None:
-                entries.append(self._put_lot(held, name, page) if kind == "lot" else self._put_key(key, held, name, page))
+                entries.append(
+                    self._put_lot(held, name, page)
+                    if kind == "lot"
+                    else self._put_key(key, held, name, page)
+                )
             if len(page) >= _FILE_BYTES:
                 break
         if not entries:
@@ -89,7 +95,11 @@
                 done()
                 return
             for entry in entries:
-                if (entry.lot_id in ledger.lots) if isinstance(entry, e.LotShelved) else (entry.key in ledger.keys):
+                if (
+                    (entry.lot_id in ledger.lots)
+                    if isinstance(entry, e.LotShelved)
+                    else (entry.key in ledger.keys)
+                ):
                     ledger.apply(entry)
             self.on_shelved(entries)
             self.shelve(done)
@@ -100,7 +110,9 @@
             self._busy = False
             log.disk.remove(name)
             for entry in entries:
-                ledger.fresh[("lot", entry.lot_id) if isinstance(entry, e.LotShelved) else ("key", entry.key)] = None
+                ledger.fresh[
+                    ("lot", entry.lot_id) if isinstance(entry, e.LotShelved) else ("key", entry.key)
+                ] = None
             done()
             return
         log.disk.flush([name], flushed)
@@ -117,7 +129,9 @@
         first = 0
         while first < len(rows):
             up_to, size_bytes = first, 0
-            while up_to < len(rows) and (up_to == first or size_bytes + len(rows[up_to]) <= _LEAF_BYTES):
+            while up_to < len(rows) and (
+                up_to == first or size_bytes + len(rows[up_to]) <= _LEAF_BYTES
+            ):
                 size_bytes += len(rows[up_to])
                 up_to += 1
             data = _packed(Leaf(name=lot.lot_id, rows=rows[first:up_to]))
@@ -126,15 +140,38 @@
             firsts.append(first)
             page += data
             first = up_to
-        return e.LotShelved(lot_id=lot.lot_id, digest=lot.digest, path=lot.path, safe=lot.safe, due_ms=lot.due_ms, at_ms=lot.at_ms,
-                            total=lot.total, finished=lot.total - lot.left, placed=lot.placed, ended=lot.ended,
-                            ended_at_ms=lot.ended_at_ms, file=name, places=places, sizes=sizes, firsts=firsts)
+        return e.LotShelved(
+            lot_id=lot.lot_id,
+            digest=lot.digest,
+            path=lot.path,
+            safe=lot.safe,
+            due_ms=lot.due_ms,
+            at_ms=lot.at_ms,
+            total=lot.total,
+            finished=lot.total - lot.left,
+            placed=lot.placed,
+            ended=lot.ended,
+            ended_at_ms=lot.ended_at_ms,
+            file=name,
+            places=places,
+            sizes=sizes,
+            firsts=firsts,
+        )
 
     def _put_key(self, key: str, held: Key, name: str, page: bytearray) -> e.KeyShelved:
         data = _packed(Leaf(name=key, rows=[held.body.encode()]))
         page += data
-        return e.KeyShelved(key=key, digest=held.digest, edge=held.edge, transaction=held.transaction, status=held.status,
-                            at_ms=held.at_ms, file=name, place=len(page) - len(data), size=len(data))
+        return e.KeyShelved(
+            key=key,
+            digest=held.digest,
+            edge=held.edge,
+            transaction=held.transaction,
+            status=held.status,
+            at_ms=held.at_ms,
+            file=name,
+            place=len(page) - len(data),
+            size=len(data),
+        )
 
     # -- reading -------------------------------------------------------------------------------
 
@@ -148,11 +185,13 @@
     def results(self, lot: Lot, from_index: int, limit: int) -> list[bytes] | None:
         """A leaf's results from a place on, or None if the leaf is damaged or not here."""
         shelf = lot.shelf
-        at = max((number for number, first in enumerate(shelf.firsts) if first <= from_index), default=-1)
+        at = max(
+            (number for number, first in enumerate(shelf.firsts) if first <= from_index), default=-1
+        )
         if at < 0 or from_index >= lot.placed:
             return []
         rows = self._leaf(lot.lot_id, shelf.file, shelf.places[at], shelf.sizes[at])
-        return None if rows is None else rows[from_index - shelf.firsts[at]:][:limit]
+        return None if rows is None else rows[from_index - shelf.firsts[at] :][:limit]
 
     def receipt(self, key: Key) -> str | None:
         rows = self._leaf(key.shelf.key, key.shelf.file, key.shelf.place, key.shelf.size)
@@ -169,12 +208,25 @@
 
     def damaged(self, file: str) -> list[tuple[str, str]]:
         ledger = self._log.ledger
-        lots = [("lot", lot.lot_id) for lot in ledger.lots.values() if lot.shelf is not None and lot.shelf.file == file and any(
-            self._leaf(lot.lot_id, file, place, size) is None for place, size in zip(lot.shelf.places, lot.shelf.sizes, strict=True))]
-        return lots + [("key", name) for name, key in ledger.keys.items()
-                       if key.shelf is not None and key.shelf.file == file and self.receipt(key) is None]
-
-    def rewrite(self, kind: str, name: str, rows: list[bytes], done: Callable[[bool], None]) -> None:
+        lots = [
+            ("lot", lot.lot_id)
+            for lot in ledger.lots.values()
+            if lot.shelf is not None
+            and lot.shelf.file == file
+            and any(
+                self._leaf(lot.lot_id, file, place, size) is None
+                for place, size in zip(lot.shelf.places, lot.shelf.sizes, strict=True)
+            )
+        ]
+        return lots + [
+            ("key", name)
+            for name, key in ledger.keys.items()
+            if key.shelf is not None and key.shelf.file == file and self.receipt(key) is None
+        ]
+
+    def rewrite(
+        self, kind: str, name: str, rows: list[bytes], done: Callable[[bool], None]
+    ) -> None:
         """What another store had whole is put into a file of its own here."""
         log = self._log
         held = log.ledger.lots.get(name) if kind == "lot" else log.ledger.keys.get(name)
@@ -186,7 +238,9 @@
             entry: Any = self.put_rows(held, rows, file, page)
         else:
             page += _packed(Leaf(name=name, rows=rows))
-            entry = e.KeyShelved(**{**held.shelf.as_dict(), "file": file, "place": 0, "size": len(page)})
+            entry = e.KeyShelved(
+                **{**held.shelf.as_dict(), "file": file, "place": 0, "size": len(page)}
+            )
 
         def flushed(ok: bool) -> None:
             if ok:
--- a/libs/accession/src/accession/snapshots.py
+++ b/libs/accession/src/accession/snapshots.py
@@ -1,13 +1,15 @@
 """Snapshots of the settled ledger: a head that says up to where, then entries that fold to it. One is made in steps, so
 that the loop is never held up for long: what an entry is about to change is encoded before, whatever
-has been settled meanwhile."""
+has been settled meanwhile.
+"""
 
 from typing import Any
 
-from accession.messages import SnapshotHead
 from stacks import frame, scan
 from vellum import Message, decode, encode
 
+from accession.messages import SnapshotHead
+
 __all__ = ["SnapshotMaker", "read_snapshot"]
 
 _STEP_BYTES = 1 << 18
@@ -42,7 +44,9 @@
 
     def whole(self) -> bytes:
         rows = [row for rows in self._rows.values() for row in rows]
-        head = SnapshotHead(seq=self.seq, epoch=self.stamp[0], stamp_ms=self.stamp[1], count=len(rows))
+        head = SnapshotHead(
+            seq=self.seq, epoch=self.stamp[0], stamp_ms=self.stamp[1], count=len(rows)
+        )
         return b"".join([frame(encode(head)), *rows])
 
 
--- a/libs/accession/src/accession/store.py
+++ b/libs/accession/src/accession/store.py
@@ -2,22 +2,35 @@
 it, and as holder keeps the list of members whole. Roles: peer, claiming, recovering, adopting, announcing,
 serving. One function makes every change of role. With the members unchanged the holder serves as soon as f others
 have adopted the recovered log, since whoever recovers next asks the same members; the word to control
-follows. With changed members control's word comes first."""
+follows. With changed members control's word comes first.
+"""
 
 import json
 from collections.abc import Callable
 from enum import StrEnum
 from typing import Any
 
+from vellum import Message, Origin, Part
+
 from accession.holder import Holder
 from accession.local import LocalLog
 from accession.membership import crowded, lost_members, pick_spare, warm_spares
-from accession.messages import Append, Appended, Fetch, FetchTail, Install, Poll, Polled, Pulse, Start, Succeed
+from accession.messages import (
+    Append,
+    Appended,
+    Fetch,
+    FetchTail,
+    Install,
+    Poll,
+    Polled,
+    Pulse,
+    Start,
+    Succeed,
+)
 from accession.peer import PeerSide
 from accession.places import spread
 from accession.recovery import Recovery
 from accession.watch import Watch
-from vellum import Message, Origin, Part
 
 __all__ = ["LOG_KEY", "StoreLog"]
 
@@ -38,14 +51,36 @@
 
 class StoreLog(Part):
     """`control` changes and reads control keys: change(key, version, body, done(outcome, version, body)).
-    `fleet` tells what the gazette and standing say: log key, live stores, retired identities."""
-
-    __slots__ = ("_candidates", "_candidates_ms", "_changed_ms", "_changing", "_control", "_fleet", "_housed_ms", "_leaving", "_on_role", "_peer",
-                 "_pulsed_ms", "_recovery", "_roomy_ms", "_version", "_wanted_ms", "_watch", "holder", "log", "role", "value")
+    `fleet` tells what the gazette and standing say: log key, live stores, retired identities.
+    """
+
+    __slots__ = (
+        "_candidates",
+        "_candidates_ms",
+        "_changed_ms",
+        "_changing",
+        "_control",
+        "_fleet",
+        "_housed_ms",
+        "_leaving",
+        "_on_role",
+        "_peer",
+        "_pulsed_ms",
+        "_recovery",
+        "_roomy_ms",
+        "_version",
+        "_wanted_ms",
+        "_watch",
+        "holder",
+        "log",
+        "role",
+        "value",
+    )
     HANDLES = (Append, Appended, Install, Start, Fetch, FetchTail, Pulse, Poll, Succeed)
 
-    def __init__(self, log: LocalLog, control: Any, fleet: Any,
-                 on_role: Callable[[Holder | None], None]) -> None:
+    def __init__(
+        self, log: LocalLog, control: Any, fleet: Any, on_role: Callable[[Holder | None], None]
+    ) -> None:
         self.log = log
         self._control = control
         self._fleet = fleet
@@ -87,7 +122,9 @@
         else:
             if message.epoch > self.log.meta.fence and self.role is not Role.PEER:
                 self._step_down("fenced", message.epoch)
-            self._peer.receive(message, lambda receipt: self._receipt(origin, message, receipt), origin.sender)
+            self._peer.receive(
+                message, lambda receipt: self._receipt(origin, message, receipt), origin.sender
+            )
 
     def _receipt(self, origin: Origin, message: Message, receipt: Message) -> None:
         if isinstance(message, (Append, Install)):
@@ -97,18 +134,33 @@
 
     def _polled(self, message: Poll, origin: Origin) -> None:
         epoch = self.value.get("epoch", 0)
-        if message.identity == self.value.get("holder") and message.epoch >= epoch and self.role is Role.PEER:
+        if (
+            message.identity == self.value.get("holder")
+            and message.epoch >= epoch
+            and self.role is Role.PEER
+        ):
             self._watch.gone()
-        self.node.reply(origin, Polled(
-            identity=self.log.identity, epoch=max(epoch, self.log.meta.fence), holds=self._at_work(),
-            hears=self.role is Role.PEER and self._watch.hears, leaving=self._leaving))
+        self.node.reply(
+            origin,
+            Polled(
+                identity=self.log.identity,
+                epoch=max(epoch, self.log.meta.fence),
+                holds=self._at_work(),
+                hears=self.role is Role.PEER and self._watch.hears,
+                leaving=self._leaving,
+            ),
+        )
 
     def _at_work(self) -> bool:
         return self.role in _AT_WORK and (self.role is not Role.SERVING or self.holder.sure())
 
     def closed(self, address: str) -> None:
         """The holder's connection has ended: the members are asked at once."""
-        if self.role is Role.PEER and address == self._holder_address() and self.value["holder"] != self.log.identity:
+        if (
+            self.role is Role.PEER
+            and address == self._holder_address()
+            and self.value["holder"] != self.log.identity
+        ):
             self._poll(self.value["epoch"])
 
     def refused(self, address: str) -> None:
@@ -117,7 +169,14 @@
             self._watch.gone()
 
     def _holder_address(self) -> str:
-        return next((row["address"] for row in self.value.get("members", []) if row["identity"] == self.value["holder"]), "")
+        return next(
+            (
+                row["address"]
+                for row in self.value.get("members", [])
+                if row["identity"] == self.value["holder"]
+            ),
+            "",
+        )
 
     # -- the duty ------------------------------------------------------------------------------
 
@@ -148,7 +207,9 @@
         self._pulsed_ms = now_ms
         for row in self.value["members"]:
             if row["identity"] != self.log.identity:
-                self.node.post(row["address"], Pulse(epoch=self.value["epoch"], sure=self._at_work()))
+                self.node.post(
+                    row["address"], Pulse(epoch=self.value["epoch"], sure=self._at_work())
+                )
 
     def _read_key(self) -> None:
         self._learn(*self._fleet.log_key())
@@ -191,11 +252,17 @@
 
         for row in self.value["members"]:
             if row["identity"] != self.log.identity:
-                self.node.ask(row["address"], Poll(identity=self.log.identity, epoch=epoch), self.node.params.suspect_ms, polled)
+                self.node.ask(
+                    row["address"],
+                    Poll(identity=self.log.identity, epoch=epoch),
+                    self.node.params.suspect_ms,
+                    polled,
+                )
 
     def _found(self) -> None:
         """The first members, once as many blank stores as the log needs are heard and no more appear: the first
-        of them in order asks, then the next. A store that starts blank later than the fleet never founds."""
+        of them in order asks, then the next. A store that starts blank later than the fleet never founds.
+        """
         params, now_ms = self.node.params, self.node.env.now()
         if not self._fleet.settled_in() or now_ms - self._changed_ms < params.beat_ms:
             return
@@ -204,7 +271,11 @@
             self._candidates, self._candidates_ms = blank, now_ms
         members = spread(blank, params.store_count)
         names = [row["identity"] for row in members]
-        if len(members) < params.store_count or self.log.identity not in names or not self.log.may_found():
+        if (
+            len(members) < params.store_count
+            or self.log.identity not in names
+            or not self.log.may_found()
+        ):
             return
         rank = names.index(self.log.identity)
         if now_ms - self._candidates_ms >= 2 * params.beat_ms + rank * params.ask_ms:
@@ -215,13 +286,23 @@
 
     def _claim(self, members: list, prev: list, holder: str) -> None:
         epoch = max(self.value.get("epoch", 0), self.log.meta.fence) + 1
-        body = {"epoch": epoch, "holder": holder, "phase": "recovering", "members": members, "prev": prev}
+        body = {
+            "epoch": epoch,
+            "holder": holder,
+            "phase": "recovering",
+            "members": members,
+            "prev": prev,
+        }
         serving = self.role is Role.SERVING
         if not serving:
             self._become(Role.CLAIMING, epoch)
 
         def claimed(outcome: str) -> None:
-            if serving and self.role is Role.SERVING and self.value.get("epoch", 0) > self.holder.epoch:
+            if (
+                serving
+                and self.role is Role.SERVING
+                and self.value.get("epoch", 0) > self.holder.epoch
+            ):
                 self._step_down("succeeded", epoch)
             if self.role is not (Role.PEER if serving else Role.CLAIMING):
                 return
@@ -262,13 +343,23 @@
                 self._become(Role.PEER, epoch)
                 return
             members = [(row["identity"], row["address"]) for row in self.value["members"]]
-            self.holder = Holder(self.log, epoch, members, self.node.params, self.node.env.now,
-                                 self.node.env.wall, self.node.post,
-                                 lambda fence: self._step_down("deposed", fence), self._adopted)
+            self.holder = Holder(
+                self.log,
+                epoch,
+                members,
+                self.node.params,
+                self.node.env.now,
+                self.node.env.wall,
+                self.node.post,
+                lambda fence: self._step_down("deposed", fence),
+                self._adopted,
+            )
             self._become(Role.ADOPTING, epoch)
             self.holder.tick()
 
-        self._recovery = Recovery(self.log, epoch, prev, self.node.params, self.node.ask, self.node.env.now, recovered)
+        self._recovery = Recovery(
+            self.log, epoch, prev, self.node.params, self.node.ask, self.node.env.now, recovered
+        )
         self._recovery.start()
 
     def _adopted(self) -> None:
@@ -309,7 +400,10 @@
         if self._leaving:
             return
         if self.value["phase"] == "recovering":
-            self._change({**self.value, "phase": "serving", "prev": self.value["members"]}, lambda outcome: None)
+            self._change(
+                {**self.value, "phase": "serving", "prev": self.value["members"]},
+                lambda outcome: None,
+            )
         else:
             self._consider_replacement()
             self._consider_room()
@@ -321,8 +415,12 @@
         holder, members, now_ms = self.holder, self.value["members"], self.node.env.now()
         params, retired, names = self.node.params, self._fleet.retired_stores(), holder.members
         live = self._fleet.store_rows()
-        spares = [row for row in live if row["identity"] not in names and row["identity"] not in retired]
-        silent_ms = {name: now_ms - holder.peers[name].heard_ms for name in names if name in holder.peers}
+        spares = [
+            row for row in live if row["identity"] not in names and row["identity"] not in retired
+        ]
+        silent_ms = {
+            name: now_ms - holder.peers[name].heard_ms for name in names if name in holder.peers
+        }
         lost = lost_members(members, live, silent_ms, retired, params.gone_ms)
         warm = {name for name in holder.peers if name not in names}
         wanted = warm_spares(members, spares, lost, warm, params.store_faults)
@@ -339,14 +437,18 @@
             return
         following = [row for row in members if row["identity"] != old] + [new]
         first = self.log.identity if old != self.log.identity else self._follower(following)
-        self.node.env.log("store-replaced", "WARNING", old=old, new=new["identity"], epoch=holder.epoch)
+        self.node.env.log(
+            "store-replaced", "WARNING", old=old, new=new["identity"], epoch=holder.epoch
+        )
         self._claim(following, members, first)
 
     def _follower(self, members: list[dict[str, str]]) -> str:
         """Who takes the duty over: of those in touch and not on their way out, the one with most of the log."""
         others = [row["identity"] for row in members if row["identity"] != self.log.identity]
         able = [name for name in others if self.holder.in_touch(name) and not self._retired(name)]
-        return max(able or others, key=lambda name: (self.holder.peers[name].last_seq, -others.index(name)))
+        return max(
+            able or others, key=lambda name: (self.holder.peers[name].last_seq, -others.index(name))
+        )
 
     def _consider_room(self) -> None:
         """A holder whose disk has been full for a while makes way for a member that still has room."""
@@ -354,7 +456,10 @@
         if self.log.disk.roomy(0):
             self._roomy_ms = now_ms
         following = None if self._changing or self.holder is None else self.holder.roomier()
-        if following is not None and now_ms - max(self._roomy_ms, self._changed_ms) > self.node.params.dead_ms:
+        if (
+            following is not None
+            and now_ms - max(self._roomy_ms, self._changed_ms) > self.node.params.dead_ms
+        ):
             self.node.env.log("holder-full", "WARNING", following=following)
             self._changed_ms = now_ms
             self._claim(self.value["members"], self.value["members"], following)
--- a/libs/accession/src/accession/watch.py
+++ b/libs/accession/src/accession/watch.py
@@ -1,7 +1,8 @@
 """Whether the log's holder is still at work, as one member judges it. The holder's pulses are counted
 against this store's own ticks, so a store that stood still itself suspects nobody. After some silence the other members
 are asked; the duty is taken only if n-f of them answer and fewer than f still hear the holder, so a member that
-is merely cut off from it leaves it alone. Who answered before in the members' order goes first."""
+is merely cut off from it leaves it alone. Who answered before in the members' order goes first.
+"""
 
 from typing import Any
 
@@ -11,7 +12,16 @@
 
 
 class Watch:
-    __slots__ = ("_answers", "_last_ms", "_now", "_own", "_params", "_polled_ms", "_ripe_ms", "quiet_ms")
+    __slots__ = (
+        "_answers",
+        "_last_ms",
+        "_now",
+        "_own",
+        "_params",
+        "_polled_ms",
+        "_ripe_ms",
+        "quiet_ms",
+    )
 
     def __init__(self, own: str, params: Any, now: Any) -> None:
         self._own, self._params, self._now = own, params, now
@@ -61,21 +71,33 @@
     def should_claim(self, names: list[str], holder: str, epoch: int, retired: list[str]) -> bool:
         params, now_ms = self._params, self._now()
         floor_ms = now_ms - 2 * params.pulse_ms
-        answers = {name: answer for name, (at_ms, answer) in self._answers.items() if at_ms >= floor_ms and name in names}
+        answers = {
+            name: answer
+            for name, (at_ms, answer) in self._answers.items()
+            if at_ms >= floor_ms and name in names
+        }
         if not self._is_free(answers, names, holder, epoch):
             self._ripe_ms = -1
             return False
         if self._ripe_ms < 0:
             self._ripe_ms = now_ms
-        able = [name for name in names if name == self._own or (name in answers and not answers[name].leaving)]
+        able = [
+            name
+            for name in names
+            if name == self._own or (name in answers and not answers[name].leaving)
+        ]
         willing = [name for name in able if name not in retired] or able
         if self._own not in willing:
             return False
         return now_ms - self._ripe_ms >= willing.index(self._own) * params.pulse_ms
 
-    def _is_free(self, answers: dict[str, Polled], names: list[str], holder: str, epoch: int) -> bool:
+    def _is_free(
+        self, answers: dict[str, Polled], names: list[str], holder: str, epoch: int
+    ) -> bool:
         f = self._params.store_faults
-        if 1 + len(answers) < len(names) - f or any(answer.epoch > epoch for answer in answers.values()):
+        if 1 + len(answers) < len(names) - f or any(
+            answer.epoch > epoch for answer in answers.values()
+        ):
             return False
         held = answers.get(holder)
         if held is not None and held.holds:
--- a/libs/catalogue/src/catalogue/client.py
+++ b/libs/catalogue/src/catalogue/client.py
@@ -1,12 +1,14 @@
 """How a node that doesn't vote changes and reads keys: it asks the control node whose duty the key should be, as far as
 it knows, then the others in turn, naming a change id, so that asking again after silence learns what became of
-the first asking. The next one is asked while the one before may still answer; the first word that is sure counts."""
+the first asking. The next one is asked while the one before may still answer; the first word that is sure counts.
+"""
 
 from collections.abc import Callable, Iterable
 
-from catalogue.messages import Change, Changed, ReadKey
 from vellum import Message, Part
 
+from catalogue.messages import Change, Changed, ReadKey
+
 __all__ = ["ControlClient"]
 
 Done = Callable[[str, int, str], None]
@@ -15,7 +17,9 @@
 class _Asking:
     __slots__ = ("done", "due_ms", "make", "next_ms", "order", "sends")
 
-    def __init__(self, make: Callable[[], Message], order: list[str], due_ms: int, done: Done) -> None:
+    def __init__(
+        self, make: Callable[[], Message], order: list[str], due_ms: int, done: Done
+    ) -> None:
         self.make = make
         self.order = order
         self.due_ms = due_ms
@@ -29,14 +33,22 @@
 
     __slots__ = ("_addresses", "_askings", "_likely")
 
-    def __init__(self, addresses: Callable[[], Iterable[str]], likely: Callable[[str], list[str]] = lambda key: []) -> None:
+    def __init__(
+        self,
+        addresses: Callable[[], Iterable[str]],
+        likely: Callable[[str], list[str]] = lambda key: [],
+    ) -> None:
         self._addresses = addresses
         self._likely = likely
         self._askings: list[_Asking] = []
 
     def change(self, key: str, version: int, body: str, done: Done) -> None:
         change_id = self.node.env.token()
-        self._begin(key, lambda: Change(key=key, version=version, change_id=change_id, body=body, hops=0), done)
+        self._begin(
+            key,
+            lambda: Change(key=key, version=version, change_id=change_id, body=body, hops=0),
+            done,
+        )
 
     def read(self, key: str, done: Done) -> None:
         self._begin(key, lambda: ReadKey(key=key, hops=0), done)
@@ -45,7 +57,9 @@
         likely = self._likely(key)
         others = [address for address in self._addresses() if address not in likely]
         self.node.env.rng.shuffle(others)
-        asking = _Asking(make, likely + others, self.node.env.now() + 2 * self.node.params.force_ms, done)
+        asking = _Asking(
+            make, likely + others, self.node.env.now() + 2 * self.node.params.force_ms, done
+        )
         if not asking.order:
             done("doubt", 0, "")
             return
--- a/libs/catalogue/src/catalogue/founding.py
+++ b/libs/catalogue/src/catalogue/founding.py
@@ -2,20 +2,22 @@
 control_count blank nodes for the same list or, where no count is told, of every node at a seed's
 address on a first start. From then on the steward, a duty, brings about the lists that follow
 (succession.py): before each step every key is decided anew under the present list; so any two lists
-that follow each other share every majority, and nothing is left on a disk that no longer votes."""
+that follow each other share every majority, and nothing is left on a disk that no longer votes.
+"""
 
 import json
 from typing import Any
 
+from commons import Neighbours
+from gazette import Gazette
+from gazette.feed import CONFIRMERS, ROLL_KEY
+from vellum import Message, Origin, Part
+
 from catalogue.messages import Change, Found, Founded, FoundVote, ListKeys, ReadKey, VoterMeta
 from catalogue.owner import Owner
 from catalogue.rounds import Round
 from catalogue.succession import founding_rows, next_of_all, next_of_count
 from catalogue.voter import CONTROL_KEY, Voter
-from commons import Neighbours
-from gazette import Gazette
-from gazette.feed import CONFIRMERS, ROLL_KEY
-from vellum import Message, Origin, Part
 
 __all__ = ["Founding"]
 
@@ -23,11 +25,24 @@
 
 
 class Founding(Part):
-    __slots__ = ("_asked", "_awake_ms", "_busy", "_gazette", "_neighbours", "_next_ms", "_owner", "_read_ms", "_swept_ms", "_voter",
-                 "_votes")
+    __slots__ = (
+        "_asked",
+        "_awake_ms",
+        "_busy",
+        "_gazette",
+        "_neighbours",
+        "_next_ms",
+        "_owner",
+        "_read_ms",
+        "_swept_ms",
+        "_voter",
+        "_votes",
+    )
     HANDLES = (Found,)
 
-    def __init__(self, voter: Voter, owner: Owner, neighbours: Neighbours, gazette: Gazette) -> None:
+    def __init__(
+        self, voter: Voter, owner: Owner, neighbours: Neighbours, gazette: Gazette
+    ) -> None:
         self._voter = voter
         self._owner = owner
         self._neighbours = neighbours
@@ -56,15 +71,20 @@
         elif not self._may_found():
             self._vote(origin, False)
         else:
-            self._voter.keep_meta(VoterMeta(identity=meta.identity, found_vote=message.members, list_body=""),
-                                  lambda ok: self._vote(origin, ok))
+            self._voter.keep_meta(
+                VoterMeta(identity=meta.identity, found_vote=message.members, list_body=""),
+                lambda ok: self._vote(origin, ok),
+            )
 
     def _may_found(self) -> bool:
         """Where no count is told, a blank disk may also be one that was lost after the founding."""
         return self.node.params.control_count > 0 or self.node.params.first_start
 
     def _vote(self, origin: Origin, ok: bool) -> None:
-        self.node.reply(origin, FoundVote(identity=self._voter.identity, ok=ok, list_body=self._voter.meta.list_body))
+        self.node.reply(
+            origin,
+            FoundVote(identity=self._voter.identity, ok=ok, list_body=self._voter.meta.list_body),
+        )
 
     def tick(self) -> None:
         now_ms = self.node.env.now()
@@ -126,8 +146,16 @@
             self._sweep_own()
             return
         if self._gazette.number(CONTROL_KEY) == 0:
-            self._owner.submit(Change(key=CONTROL_KEY, version=0, change_id="founding", hops=0,
-                                      body=_canonical(json.loads(self._voter.meta.list_body))), lambda receipt: None)
+            self._owner.submit(
+                Change(
+                    key=CONTROL_KEY,
+                    version=0,
+                    change_id="founding",
+                    hops=0,
+                    body=_canonical(json.loads(self._voter.meta.list_body)),
+                ),
+                lambda receipt: None,
+            )
             return
         following = self._following()
         if following is None:
@@ -142,13 +170,24 @@
     def _read_unknown(self) -> None:
         """A key that nothing is known of is read by its owner when it becomes that, and then now and then."""
         now_ms = self.node.env.now()
-        keys = (CONTROL_KEY, *CONFIRMERS, RETIRED_KEY, "log", *(() if self.node.params.cut_off == "serve" else (ROLL_KEY,)))
+        keys = (
+            CONTROL_KEY,
+            *CONFIRMERS,
+            RETIRED_KEY,
+            "log",
+            *(() if self.node.params.cut_off == "serve" else (ROLL_KEY,)),
+        )
         for key in keys:
             if self._owner.owner_of(key) != self._voter.identity:
                 self._read_ms.pop(key, None)
-            elif self._gazette.number(key) == 0 and now_ms - self._read_ms.get(key, -1 << 40) > self.node.params.gone_ms:
+            elif (
+                self._gazette.number(key) == 0
+                and now_ms - self._read_ms.get(key, -1 << 40) > self.node.params.gone_ms
+            ):
                 self._read_ms[key] = now_ms
-                self._owner.submit(ReadKey(key=key, hops=9), lambda receipt, key=key: self._was_read(key, receipt))
+                self._owner.submit(
+                    ReadKey(key=key, hops=9), lambda receipt, key=key: self._was_read(key, receipt)
+                )
 
     def _was_read(self, key: str, receipt: Any) -> None:
         if receipt.outcome != "ok":
@@ -161,50 +200,86 @@
         retired = set((self._gazette.value(RETIRED_KEY) or {}).get("identities", []))
         listed = json.loads(self._voter.meta.list_body)
         voters = self._voter.voters
-        spares = [card for card in neighbours.of_role("control", params.dead_ms)
-                  if card.identity not in voters and card.identity not in retired]
+        spares = [
+            card
+            for card in neighbours.of_role("control", params.dead_ms)
+            if card.identity not in voters and card.identity not in retired
+        ]
         long_awake = now_ms - self._awake_ms >= params.gone_ms
 
         def silent(name: str) -> bool:
             return long_awake and not neighbours.live(name, params.gone_ms)
 
         if params.control_count:
-            return next_of_count(listed, spares, retired, silent, params.control_count) if long_awake else None
+            return (
+                next_of_count(listed, spares, retired, silent, params.control_count)
+                if long_awake
+                else None
+            )
 
         def all_heard(card: Any) -> bool:
             since_ms = max(neighbours.first_ms(card.identity), self._awake_ms) + params.beat_ms
-            return all(name == self._voter.identity or neighbours.heard_ms(name) >= since_ms for name in voters)
-
-        return next_of_all(listed, spares, retired, silent,
-                           lambda card: now_ms - neighbours.first_ms(card.identity) > params.ask_ms, all_heard)
+            return all(
+                name == self._voter.identity or neighbours.heard_ms(name) >= since_ms
+                for name in voters
+            )
+
+        return next_of_all(
+            listed,
+            spares,
+            retired,
+            silent,
+            lambda card: now_ms - neighbours.first_ms(card.identity) > params.ask_ms,
+            all_heard,
+        )
 
     def _change_list(self, following: dict[str, Any]) -> None:
         if following["number"] != self._voter.list_number + 1:
             self._idle()
             return
         node = self.node
-        node.env.log("voters-changing", "WARNING", number=following["number"],
-                     voters=[row["identity"] for row in following["voters"]])
+        node.env.log(
+            "voters-changing",
+            "WARNING",
+            number=following["number"],
+            voters=[row["identity"] for row in following["voters"]],
+        )
         body = _canonical(following)
 
         def changed(receipt: Any) -> None:
             self._idle()
-            if receipt.outcome == "ok" and json.loads(receipt.body)["number"] == following["number"]:
+            if (
+                receipt.outcome == "ok"
+                and json.loads(receipt.body)["number"] == following["number"]
+            ):
                 self._next_ms = node.env.now() + node.params.beat_ms // 4
                 for row in following["voters"]:
                     node.post(row["address"], Founded(list_body=receipt.body))
 
-        self._owner.submit(Change(key=CONTROL_KEY, version=self._gazette.number(CONTROL_KEY),
-                                  change_id=f"voters-{following['number']}-{self._voter.identity}",
-                                  body=body, hops=0), changed)
+        self._owner.submit(
+            Change(
+                key=CONTROL_KEY,
+                version=self._gazette.number(CONTROL_KEY),
+                change_id=f"voters-{following['number']}-{self._voter.identity}",
+                body=body,
+                hops=0,
+            ),
+            changed,
+        )
 
     def _sweep_own(self) -> None:
         """Finds copies that are old, of the keys that are this node's duty."""
         if self.node.env.now() - self._swept_ms < self.node.params.resume_ms // 2:
             return
         self._swept_ms = self.node.env.now()
-        self._listed_keys(lambda keys: [self._owner.mend(key) for key in keys if self._owner.owner_of(key) == self._voter.identity],
-                          lambda: None)
+        self._listed_keys(
+            lambda keys: [
+                self._owner.mend(key)
+                for key in keys
+                if self._owner.owner_of(key) == self._voter.identity
+            ],
+            lambda: None,
+        )
 
     def _sweep(self, done: Any) -> None:
         """Every key is seen to be on a majority of the present list, or decided anew under it."""
@@ -218,13 +293,21 @@
             else:
                 failed()
 
-        Round(self.node, self._voter.voters, ListKeys(list_number=self._voter.list_number), self.node.params.ask_ms, listed)
+        Round(
+            self.node,
+            self._voter.voters,
+            ListKeys(list_number=self._voter.list_number),
+            self.node.params.ask_ms,
+            listed,
+        )
 
     def _sweep_next(self, keys: list[str], number: int, done: Any) -> None:
         if not keys or number != self._voter.list_number:
             done(not keys and number == self._voter.list_number)
             return
-        self._owner.renew(keys[0], lambda ok: self._sweep_next(keys[1:], number, done) if ok else done(False))
+        self._owner.renew(
+            keys[0], lambda ok: self._sweep_next(keys[1:], number, done) if ok else done(False)
+        )
 
 
 def _canonical(value: Any) -> str:
--- a/libs/catalogue/src/catalogue/messages.py
+++ b/libs/catalogue/src/catalogue/messages.py
@@ -1,11 +1,26 @@
 """Ballots and changes. A ballot is an epoch and the identity of who asks; every ballot names the
-number of the voters' list it counts under, and voters refuse lists older than their own."""
+number of the voters' list it counts under, and voters refuse lists older than their own.
+"""
 
 from vellum import Arr, Blob, Flag, Long, Message, Text
 
-__all__ = ["Accept", "Change", "Changed", "Confirm", "Found", "FoundVote", "Founded", "KeyList",
-           "KeyRow", "ListKeys", "Prepare", "ReadKey",
-           "Value", "Voted", "VoterMeta"]
+__all__ = [
+    "Accept",
+    "Change",
+    "Changed",
+    "Confirm",
+    "Found",
+    "FoundVote",
+    "Founded",
+    "KeyList",
+    "KeyRow",
+    "ListKeys",
+    "Prepare",
+    "ReadKey",
+    "Value",
+    "Voted",
+    "VoterMeta",
+]
 
 
 class Value(Message):
--- a/libs/catalogue/src/catalogue/owner.py
+++ b/libs/catalogue/src/catalogue/owner.py
@@ -2,21 +2,23 @@
 by preparing a higher epoch on a majority, finishes what it finds there, and from then on accepts
 changes under that epoch: each is on a majority of disks before it is answered. An owner that is
 refused falls back to preparing, which settles what became of its last change; only when time runs
-out before that is the answer doubt. States of a key: unowned, preparing, owned, changing."""
+out before that is the answer doubt. States of a key: unowned, preparing, owned, changing.
+"""
 
 import json
 from collections.abc import Callable
 from enum import StrEnum
 from typing import Any
 
-from catalogue.messages import Accept, Change, Changed, Confirm, Founded, Prepare, ReadKey, Value
-from catalogue.rounds import Round
-from catalogue.voter import CONTROL_KEY, Voter
 from commons import Neighbours, duty_order, first_live
 from gazette import Gazette
 from gazette.feed import CONFIRMERS
 from vellum import Message, Origin, Part, decode, encode
 
+from catalogue.messages import Accept, Change, Changed, Confirm, Founded, Prepare, ReadKey, Value
+from catalogue.rounds import Round
+from catalogue.voter import CONTROL_KEY, Voter
+
 __all__ = ["Owner", "newest"]
 
 _REMEMBERED_CHANGES = 64
@@ -34,7 +36,8 @@
 
 class Renew:
     """Asks that a majority of the present list of voters have a key's newest value under the owner's epoch;
-    with `always`, that all be sent it again."""
+    with `always`, that all be sent it again.
+    """
 
     __slots__ = ("always", "key")
 
@@ -68,14 +71,21 @@
 
 def newest(votes: list[Any]) -> Value:
     """The value of the highest ballot; one epoch accepts one version after another, so within a
-    ballot the highest version."""
-    held = [(vote.accepted_epoch, vote.accepted_by, decode(vote.value)) for vote in votes if vote.value]
+    ballot the highest version.
+    """
+    held = [
+        (vote.accepted_epoch, vote.accepted_by, decode(vote.value)) for vote in votes if vote.value
+    ]
     return max(held, key=lambda row: (row[0], row[1], row[2].version))[2] if held else _blank()
 
 
 def _in_doubt(version: int) -> Changed:
-    return Changed(outcome="doubt", version=0, body="",
-                   reason=f"kept as version {version}, but not known to be in force at most edges and stores")
+    return Changed(
+        outcome="doubt",
+        version=0,
+        body="",
+        reason=f"kept as version {version}, but not known to be in force at most edges and stores",
+    )
 
 
 def _blank() -> Value:
@@ -106,12 +116,15 @@
 
     def submit(self, message: Any, done: Done) -> None:
         """Here, or at the node whose duty the key is. Who asks first asks again after silence, since the
-        duty may have moved; a change is known by its id. A reply that never comes is doubt."""
+        duty may have moved; a change is known by its id. A reply that never comes is doubt.
+        """
         if not self._voter.voters:
             done(Changed(outcome="refused", version=0, body="", reason="not founded"))
             return
         params = self.node.params
-        self._try(message, message.hops, self.node.env.now() + params.confirm_ms + 3 * params.ask_ms, done)
+        self._try(
+            message, message.hops, self.node.env.now() + params.confirm_ms + 3 * params.ask_ms, done
+        )
 
     def _try(self, message: Any, hops: int, due_ms: int, done: Done) -> None:
         params, now_ms = self.node.params, self.node.env.now()
@@ -121,29 +134,51 @@
             if unheard and hops == 0 and self.node.env.now() < due_ms:
                 self._again.append((message, due_ms, done))
             else:
-                done(receipt or Changed(outcome="doubt", version=0, body="", reason="the key's owner did not answer"))
+                done(
+                    receipt
+                    or Changed(
+                        outcome="doubt", version=0, body="", reason="the key's owner did not answer"
+                    )
+                )
 
         message.hops = hops
         duty = self.owner_of(message.key)
         if duty in (None, self._voter.identity) or hops >= _RELAY_HOPS:
-            self._enqueue(message, min(now_ms + params.ask_ms * 2, due_ms) if hops == 0 else now_ms + params.ask_ms * 2, answered)
+            self._enqueue(
+                message,
+                min(now_ms + params.ask_ms * 2, due_ms)
+                if hops == 0
+                else now_ms + params.ask_ms * 2,
+                answered,
+            )
             return
         message.hops += 1
         wait_ms = due_ms - now_ms
-        self.node.ask(self._voter.voters[duty], message, min(wait_ms, params.dead_ms) if hops == 0 else wait_ms, answered)
+        self.node.ask(
+            self._voter.voters[duty],
+            message,
+            min(wait_ms, params.dead_ms) if hops == 0 else wait_ms,
+            answered,
+        )
 
     def owner_of(self, concern: str) -> str | None:
         """Who has a duty: the first live voter that itself hears a majority, or the first live one."""
-        order = [name for name in duty_order(concern, self._voter.voters) if self._neighbours.live(name)]
+        order = [
+            name for name in duty_order(concern, self._voter.voters) if self._neighbours.live(name)
+        ]
         return first_live(order, self._neighbours.hears) or next(iter(order), None)
 
     def renew(self, key: str, done: Callable[[bool], None]) -> None:
-        self._enqueue(Renew(key), self.node.env.now() + self.node.params.ask_ms * 2,
-                      lambda receipt: done(receipt.outcome == "ok"))
+        self._enqueue(
+            Renew(key),
+            self.node.env.now() + self.node.params.ask_ms * 2,
+            lambda receipt: done(receipt.outcome == "ok"),
+        )
 
     def mend(self, name: str) -> None:
         """Every voter is asked what it has of a key; only if one that answers lacks the newest value is it sent
-        to all again. Nobody waits for this."""
+        to all again. Nobody waits for this.
+        """
         key = self._keys.get(name)
         if key is None or key.state is not State.OWNED:
             self.renew(name, lambda ok: None)
@@ -155,19 +190,39 @@
                 return
             self._note(key, round_)
             if self._holders(key, round_) < len(round_.replies):
-                self._enqueue(Renew(name, True), self.node.env.now() + self.node.params.ask_ms * 2, lambda receipt: None)
-
-        Round(self.node, self._voter.voters, Confirm(key=name, epoch=epoch, by=self._by, list_number=self._voter.list_number),
-              self.node.params.ask_ms, heard, True)
+                self._enqueue(
+                    Renew(name, True),
+                    self.node.env.now() + self.node.params.ask_ms * 2,
+                    lambda receipt: None,
+                )
+
+        Round(
+            self.node,
+            self._voter.voters,
+            Confirm(key=name, epoch=epoch, by=self._by, list_number=self._voter.list_number),
+            self.node.params.ask_ms,
+            heard,
+            True,
+        )
 
     def _holders(self, key: _Key, round_: Round) -> int:
         """How many said in this round that they have the newest value under this owner's epoch."""
-        return sum(1 for vote in round_.yes.values() if (vote.accepted_epoch, vote.accepted_by) == (key.epoch, self._by)
-                   and (decode(vote.value).version if vote.value else 0) == key.value.version)
+        return sum(
+            1
+            for vote in round_.yes.values()
+            if (vote.accepted_epoch, vote.accepted_by) == (key.epoch, self._by)
+            and (decode(vote.value).version if vote.value else 0) == key.value.version
+        )
 
     def epochs(self) -> dict[str, dict[str, Any]]:
-        return {key.name: {"state": str(key.state), "epoch": key.epoch, "owner": self.owner_of(key.name)}
-                for key in self._keys.values()}
+        return {
+            key.name: {
+                "state": str(key.state),
+                "epoch": key.epoch,
+                "owner": self.owner_of(key.name),
+            }
+            for key in self._keys.values()
+        }
 
     def _enqueue(self, message: Any, due_ms: int, done: Done) -> None:
         key = self._keys.setdefault(message.key, _Key(message.key))
@@ -185,10 +240,17 @@
         if key.state is State.UNOWNED:
             self._prepare(key)
         else:
-            self._round(key, Confirm(key=key.name, epoch=key.epoch, by=self._by,
-                                     list_number=self._voter.list_number), self._confirmed)
-
-    def _round(self, key: _Key, message: Message, done: Callable[[_Key, Round, bool], None]) -> None:
+            self._round(
+                key,
+                Confirm(
+                    key=key.name, epoch=key.epoch, by=self._by, list_number=self._voter.list_number
+                ),
+                self._confirmed,
+            )
+
+    def _round(
+        self, key: _Key, message: Message, done: Callable[[_Key, Round, bool], None]
+    ) -> None:
         """One at a time for a key: whoever is answered may ask again before the answer is done with."""
         epoch, key.asking = key.epoch, True
 
@@ -203,8 +265,13 @@
         key.state = State.PREPARING
         own = self._voter.registers.get(key.name)
         key.epoch = max(key.epoch, key.seen_epoch, own.promised[0] if own else 0) + 1
-        self._round(key, Prepare(key=key.name, epoch=key.epoch, by=self._by, list_number=self._voter.list_number),
-                    self._prepared)
+        self._round(
+            key,
+            Prepare(
+                key=key.name, epoch=key.epoch, by=self._by, list_number=self._voter.list_number
+            ),
+            self._prepared,
+        )
 
     def _prepared(self, key: _Key, round_: Round, ok: bool) -> None:
         self._note(key, round_)
@@ -226,7 +293,10 @@
         key.state = State.OWNED
         self.node.env.log("key-owned", key=key.name, epoch=key.epoch, version=key.value.version)
         self._publish(key)
-        if key.name == CONTROL_KEY and json.loads(key.value.body)["number"] > self._voter.list_number:
+        if (
+            key.name == CONTROL_KEY
+            and json.loads(key.value.body)["number"] > self._voter.list_number
+        ):
             self._voter.take_list(key.value.body, lambda kept: self._lose(key))
             return
         self._apply(key, round_)
@@ -247,7 +317,9 @@
         if isinstance(message, ReadKey):
             self._finish(key, "ok", "")
         elif isinstance(message, Renew):
-            if value.version == 0 or (not message.always and 2 * self._holders(key, round_) > len(self._voter.voters)):
+            if value.version == 0 or (
+                not message.always and 2 * self._holders(key, round_) > len(self._voter.voters)
+            ):
                 self._finish(key, "ok", "")
                 return
             self._accept(key, value, self._renewed)
@@ -257,15 +329,27 @@
         elif message.version != value.version:
             self._finish(key, "lost", f"version {message.version} was replaced by {value.version}")
         else:
-            fresh = Value(version=value.version + 1, body=message.body,
-                          change_ids=[*value.change_ids, message.change_id][-_REMEMBERED_CHANGES:],
-                          change_versions=[*value.change_versions, value.version + 1][-_REMEMBERED_CHANGES:])
+            fresh = Value(
+                version=value.version + 1,
+                body=message.body,
+                change_ids=[*value.change_ids, message.change_id][-_REMEMBERED_CHANGES:],
+                change_versions=[*value.change_versions, value.version + 1][-_REMEMBERED_CHANGES:],
+            )
             key.state = State.CHANGING
             self._accept(key, fresh, lambda k, round_, ok: self._changed(k, fresh, round_, ok))
 
     def _accept(self, key: _Key, value: Value, done: Callable[[_Key, Round, bool], None]) -> None:
-        self._round(key, Accept(key=key.name, epoch=key.epoch, by=self._by, value=encode(value),
-                                list_number=self._voter.list_number), done)
+        self._round(
+            key,
+            Accept(
+                key=key.name,
+                epoch=key.epoch,
+                by=self._by,
+                value=encode(value),
+                list_number=self._voter.list_number,
+            ),
+            done,
+        )
 
     def _changed(self, key: _Key, fresh: Value, round_: Round, ok: bool) -> None:
         self._note(key, round_)
@@ -274,8 +358,13 @@
             return
         key.state = State.OWNED
         key.value = fresh
-        self.node.env.log("key-changed", key=key.name, epoch=key.epoch, version=fresh.version,
-                          change=key.ops[0].message.change_id if key.ops else "")
+        self.node.env.log(
+            "key-changed",
+            key=key.name,
+            epoch=key.epoch,
+            version=fresh.version,
+            change=key.ops[0].message.change_id if key.ops else "",
+        )
         self._publish(key)
         self._finish(key, "ok", "", fresh.version)
 
@@ -315,12 +404,19 @@
         op = key.ops.pop(0)
         value = key.value or _blank()
         known = outcome in ("ok", "lost")
-        receipt = Changed(outcome=outcome, version=(version or value.version) if known else 0,
-                          body=value.body if known else "", reason=reason)
+        receipt = Changed(
+            outcome=outcome,
+            version=(version or value.version) if known else 0,
+            body=value.body if known else "",
+            reason=reason,
+        )
         if outcome == "ok" and isinstance(op.message, Change) and key.name in _CONFIRMED_KEYS:
             params = self.node.params
-            due_ms = (key.changed_ms + params.edges_ms if params.cut_off == "serve"
-                      else self.node.env.now() + params.confirm_ms)
+            due_ms = (
+                key.changed_ms + params.edges_ms
+                if params.cut_off == "serve"
+                else self.node.env.now() + params.confirm_ms
+            )
             self._unconfirmed.append((key.name, receipt.version, due_ms, receipt, op.done))
             self._check_confirmed()
         else:
@@ -330,7 +426,8 @@
         """A version is acknowledged once most of the roll have it, and so do all nodes that live, or
         those that are still without it have had to turn unready. Without most of the roll the other
         side of a cut may still be serving under an older one: then this is doubt. Where the cut-off serve
-        there is no roll: who hasn't heard of it in time isn't in touch."""
+        there is no roll: who hasn't heard of it in time isn't in touch.
+        """
         now_ms = self.node.env.now()
         waiting, self._unconfirmed = self._unconfirmed, []
         for row in waiting:
@@ -339,7 +436,9 @@
             serves = params.cut_off == "serve"
             most = serves or gazette.most_confirm(name, version, params.confirm_ms)
             within_ms = params.dead_ms if serves else params.confirm_ms
-            if most and (now_ms >= due_ms or gazette.all_confirm(name, version, CONFIRMERS[name], within_ms)):
+            if most and (
+                now_ms >= due_ms or gazette.all_confirm(name, version, CONFIRMERS[name], within_ms)
+            ):
                 done(receipt)
             elif now_ms >= due_ms + 2 * params.ask_ms:
                 done(_in_doubt(version))
--- a/libs/catalogue/src/catalogue/profiles.py
+++ b/libs/catalogue/src/catalogue/profiles.py
@@ -1,6 +1,7 @@
 """The tree of profiles. A child has everything of its parent unless it says otherwise; maps merge,
 lists and plain values replace. A profile with a place (`match`) is a route: a request's host and the
-longest prefix of its path name it. Shares split a route over several services."""
+longest prefix of its path name it. Shares split a route over several services.
+"""
 
 import hashlib
 import json
@@ -14,17 +15,53 @@
 __all__ = ["Profile", "Tree", "explain", "profiles_digest"]
 
 
-_PLAIN = tuple(key for key in DEFAULTS if key not in ("workers", "path", "match", "shares", "give_up_ms", "rank", "source"))
+_PLAIN = tuple(
+    key
+    for key in DEFAULTS
+    if key not in ("workers", "path", "match", "shares", "give_up_ms", "rank", "source")
+)
 _UNTOLD = ("workers", "rank", "source")
 
 
 class Profile:
     """A profile with everything it inherits."""
 
-    __slots__ = ("_split", "abstract", "attempts", "cache_tokens", "connections", "deadline_ms", "due_ms", "give_up_ms",
-                 "health_path", "host", "identities", "keep_ms", "kind", "labels", "live_share", "loan_share", "lot_share", "models",
-                 "name", "path", "prefix", "repeatable", "resumable", "retry_budget", "rollout_room", "slots", "sticky", "stride_tokens",
-                 "target_ms", "token_gap_ms", "urgency", "waiting_room", "waiting_tokens", "zone")
+    __slots__ = (
+        "_split",
+        "abstract",
+        "attempts",
+        "cache_tokens",
+        "connections",
+        "deadline_ms",
+        "due_ms",
+        "give_up_ms",
+        "health_path",
+        "host",
+        "identities",
+        "keep_ms",
+        "kind",
+        "labels",
+        "live_share",
+        "loan_share",
+        "lot_share",
+        "models",
+        "name",
+        "path",
+        "prefix",
+        "repeatable",
+        "resumable",
+        "retry_budget",
+        "rollout_room",
+        "slots",
+        "sticky",
+        "stride_tokens",
+        "target_ms",
+        "token_gap_ms",
+        "urgency",
+        "waiting_room",
+        "waiting_tokens",
+        "zone",
+    )
 
     def __init__(self, name: str, values: dict[str, Any], split: Split | None = None) -> None:
         """`split`, if it has shares, is over the labels of the services they name."""
@@ -33,7 +70,9 @@
         self.name = name
         self.identities = frozenset(values["workers"].get("identities") or [])
         self._split = split
-        self.labels = frozenset(values["workers"].get("labels") or []) if split is None else split.union
+        self.labels = (
+            frozenset(values["workers"].get("labels") or []) if split is None else split.union
+        )
         self.path = values["path"] or name
         self.give_up_ms = values["give_up_ms"] or values["deadline_ms"]
         self.host = values["match"].get("host", "")
@@ -50,7 +89,9 @@
 class Tree:
     __slots__ = ("_allowed", "_resolved", "_routes", "_served", "about", "rows")
 
-    def __init__(self, rows: dict[str, dict[str, Any]], about: dict[str, Any] | None = None) -> None:
+    def __init__(
+        self, rows: dict[str, dict[str, Any]], about: dict[str, Any] | None = None
+    ) -> None:
         self.rows = rows
         self.about = about or {}
         self._routes: RouteIndex | None = None
@@ -75,18 +116,27 @@
             return None
         if name not in self._resolved:
             values = self._values(name)
-            split = Split((row["share"], self._labels(row["service"])) for row in values["shares"]) if values["shares"] else None
+            split = (
+                Split((row["share"], self._labels(row["service"])) for row in values["shares"])
+                if values["shares"]
+                else None
+            )
             self._resolved[name] = Profile(name, values, split)
         return self._resolved[name]
 
     def _values(self, name: str) -> dict[str, Any]:
         values = dict(DEFAULTS)
         for ancestor in reversed(self.line(name)):
-            own = {key: value for key, value in self.rows[ancestor].items() if value is not None and (
-                key not in OWN_ONLY or ancestor == name)}
+            own = {
+                key: value
+                for key, value in self.rows[ancestor].items()
+                if value is not None and (key not in OWN_ONLY or ancestor == name)
+            }
             if "workers" in own:
-                own["workers"] = merge(values["workers"], {
-                    key: value for key, value in own["workers"].items() if value is not None})
+                own["workers"] = merge(
+                    values["workers"],
+                    {key: value for key, value in own["workers"].items() if value is not None},
+                )
             values = merge(values, own)
         return values
 
@@ -96,8 +146,11 @@
     def route(self, host: str, path: str) -> Profile | None:
         """The profile whose place has this host and the longest prefix of the path."""
         if self._routes is None:
-            self._routes = RouteIndex((row["match"]["host"], row["match"]["prefix"], name) for name, row in self.rows.items()
-                                      if row.get("match") and not row.get("abstract"))
+            self._routes = RouteIndex(
+                (row["match"]["host"], row["match"]["prefix"], name)
+                for name, row in self.rows.items()
+                if row.get("match") and not row.get("abstract")
+            )
         name = self._routes.name(host, path)
         return None if name is None else self.get(name)
 
@@ -113,15 +166,22 @@
     def allows_worker(self, identity: str, labels: frozenset[str]) -> bool:
         key = (identity, labels)
         if key not in self._allowed:
-            self._allowed[key] = any(self.get(name).allows(identity, labels) for name in self.rows
-                                     if not self.rows[name].get("abstract"))
+            self._allowed[key] = any(
+                self.get(name).allows(identity, labels)
+                for name in self.rows
+                if not self.rows[name].get("abstract")
+            )
         return self._allowed[key]
 
     def served_by(self, workers: frozenset[tuple[str, frozenset[str]]]) -> frozenset[str]:
         """The names of the profiles that at least one of these workers may serve."""
         if self._served is None or self._served[0] != workers:
-            names = frozenset(name for name in self.rows if (profile := self.usable(name)) is not None
-                              and any(profile.allows(identity, labels) for identity, labels in workers))
+            names = frozenset(
+                name
+                for name in self.rows
+                if (profile := self.usable(name)) is not None
+                and any(profile.allows(identity, labels) for identity, labels in workers)
+            )
             self._served = (workers, names)
         return self._served[1]
 
@@ -151,7 +211,14 @@
             value = value[key]
         return "default", value
 
-    for keys in (("workers", "identities"), ("workers", "labels"), *[(key,) for key in DEFAULTS if key not in _UNTOLD]):
+    for keys in (
+        ("workers", "identities"),
+        ("workers", "labels"),
+        *[(key,) for key in DEFAULTS if key not in _UNTOLD],
+    ):
         origin, value = source(*keys)
-        told[".".join(keys)] = {"value": name if keys == ("path",) and not value else value, "from": origin}
+        told[".".join(keys)] = {
+            "value": name if keys == ("path",) and not value else value,
+            "from": origin,
+        }
     return {"name": name, "parents": line[1:], "values": told}
--- a/libs/catalogue/src/catalogue/roll.py
+++ b/libs/catalogue/src/catalogue/roll.py
@@ -2,17 +2,19 @@
 version in force, and whether an edge without control still hears most of them. The steward changes
 it by one address at a time, and only once most of the present roll have the present roll; so of two
 sides of a cut never both have a majority, however many machines come and go meanwhile. Where the
-cut-off serve, nobody is counted and there is no roll."""
+cut-off serve, nobody is counted and there is no roll.
+"""
 
 import json
 from typing import Any
 
-from catalogue.messages import Change, ReadKey
-from catalogue.owner import Owner
 from gazette import Gazette
 from gazette.feed import LEAST, ROLL_KEY
 from vellum import Part
 
+from catalogue.messages import Change, ReadKey
+from catalogue.owner import Owner
+
 __all__ = ["Roll"]
 
 
@@ -50,7 +52,11 @@
         if not held:
             return sorted(heard) or None
         fresh = sorted(heard - held)[:1]
-        gone = sorted(held - gazette.heard_links(params.gone_ms))[:1] if gazette.listened(params.gone_ms) else []
+        gone = (
+            sorted(held - gazette.heard_links(params.gone_ms))[:1]
+            if gazette.listened(params.gone_ms)
+            else []
+        )
         if not gazette.binding:
             return self._begun(held, heard, fresh, gone)
         if not gazette.most_confirm(ROLL_KEY, gazette.number(ROLL_KEY), params.confirm_ms):
@@ -59,7 +65,9 @@
             return sorted({*held, *fresh})
         return sorted(held - set(gone)) if gone and len(held) > LEAST else None
 
-    def _begun(self, held: frozenset[str], heard: set[str], fresh: list[str], gone: list[str]) -> list[str] | None:
+    def _begun(
+        self, held: frozenset[str], heard: set[str], fresh: list[str], gone: list[str]
+    ) -> list[str] | None:
         """Binding nobody yet: who went is dropped freely, and it grows where most of it will be live."""
         if gone:
             return sorted(held - set(gone))
@@ -68,13 +76,22 @@
 
     def forget(self, links: list[str], done: Any) -> None:
         """At an operator's word that these machines are down for good, whatever the roll's majority says."""
+
         def told(receipt: Any) -> None:
             held = json.loads(receipt.body)["links"] if receipt.body else []
             if receipt.outcome != "ok" or not set(links) & set(held):
                 done(receipt)
                 return
-            self._owner.submit(Change(key=ROLL_KEY, version=receipt.version, change_id=self.node.env.token(), hops=0,
-                                      body=json.dumps({"links": sorted(set(held) - set(links))}, sort_keys=True)), done)
+            self._owner.submit(
+                Change(
+                    key=ROLL_KEY,
+                    version=receipt.version,
+                    change_id=self.node.env.token(),
+                    hops=0,
+                    body=json.dumps({"links": sorted(set(held) - set(links))}, sort_keys=True),
+                ),
+                done,
+            )
 
         self._owner.submit(ReadKey(key=ROLL_KEY, hops=0), told)
 
@@ -86,5 +103,13 @@
             self._busy = False
 
         env.log("roll-changing", links=links)
-        self._owner.submit(Change(key=ROLL_KEY, version=self._gazette.number(ROLL_KEY), change_id=env.token(), hops=0,
-                                  body=json.dumps({"links": links}, sort_keys=True)), changed)
+        self._owner.submit(
+            Change(
+                key=ROLL_KEY,
+                version=self._gazette.number(ROLL_KEY),
+                change_id=env.token(),
+                hops=0,
+                body=json.dumps({"links": links}, sort_keys=True),
+            ),
+            changed,
+        )
--- a/libs/catalogue/src/catalogue/rounds.py
+++ b/libs/catalogue/src/catalogue/rounds.py
@@ -1,6 +1,7 @@
 """One round of asking all voters and counting. It ends as soon as a majority has said yes, or as
 soon as that can no longer happen, or when its time is up; a patient one once all have answered or
-their time is up."""
+their time is up.
+"""
 
 from collections.abc import Callable
 from typing import Any
@@ -13,8 +14,15 @@
 class Round:
     __slots__ = ("_done", "_left", "_need", "_patient", "replies", "yes")
 
-    def __init__(self, node: Any, voters: dict[str, str], message: Message, wait_ms: int,
-                 done: Callable[["Round", bool], None], patient: bool = False) -> None:
+    def __init__(
+        self,
+        node: Any,
+        voters: dict[str, str],
+        message: Message,
+        wait_ms: int,
+        done: Callable[["Round", bool], None],
+        patient: bool = False,
+    ) -> None:
         self._patient = patient
         self._done: Callable | None = done
         self._need = len(voters) // 2 + 1
@@ -22,7 +30,9 @@
         self.yes: dict[str, Message] = {}
         self.replies: dict[str, Message] = {}
         for identity, address in voters.items():
-            node.ask(address, message, wait_ms, lambda receipt, name=identity: self._take(name, receipt))
+            node.ask(
+                address, message, wait_ms, lambda receipt, name=identity: self._take(name, receipt)
+            )
 
     def _take(self, name: str, receipt: Any) -> None:
         if name not in self._left:
--- a/libs/catalogue/src/catalogue/routes.py
+++ b/libs/catalogue/src/catalogue/routes.py
@@ -1,5 +1,6 @@
 """Which profile a request's host and path name, among thousands: by host, then by the path's slash
-positions from the longest prefix that the host has. And how a route's shares split its requests."""
+positions from the longest prefix that the host has. And how a route's shares split its requests.
+"""
 
 from bisect import bisect_right
 from collections.abc import Iterable
@@ -20,15 +21,18 @@
             self._hosts[host.lower()] = (max(longest, len(prefix)), prefixes)
 
     def name(self, host: str, path: str) -> str | None:
-        found = self._hosts.get(host) or self._hosts.get(host.lower()) or self._hosts.get(
-            host.lower().partition(":")[0])
+        found = (
+            self._hosts.get(host)
+            or self._hosts.get(host.lower())
+            or self._hosts.get(host.lower().partition(":")[0])
+        )
         if found is None:
             return None
         longest, prefixes = found
         path = path.partition("?")[0]
         end = path.rfind("/", 0, longest)
         while end >= 0:
-            name = prefixes.get(path[:end + 1])
+            name = prefixes.get(path[: end + 1])
             if name is not None:
                 return name
             end = path.rfind("/", 0, end)
--- a/libs/catalogue/src/catalogue/rows.py
+++ b/libs/catalogue/src/catalogue/rows.py
@@ -1,5 +1,6 @@
 """One profile as an operator wrote it, and the checks of a whole tree with pydantic before anything
-of it is kept: every problem is told with its place."""
+of it is kept: every problem is told with its place.
+"""
 
 from collections.abc import Iterator
 from typing import Annotated, Any, Literal
@@ -88,14 +89,19 @@
         return value
 
 
-def check_tree(value: Any, known: dict[str, dict[str, Any]] | None = None) -> Result[dict[str, Any], list[dict[str, str]]]:
+def check_tree(
+    value: Any, known: dict[str, dict[str, Any]] | None = None
+) -> Result[dict[str, Any], list[dict[str, str]]]:
     """The whole tree as it will be kept, or every problem with its place. `known` are rows that were checked
-    before; a row that is the same as one of them isn't looked into again."""
+    before; a row that is the same as one of them isn't looked into again.
+    """
     known = known or {}
     problems: list[dict[str, str]] = []
     if not isinstance(value, dict) or not isinstance(value.get("profiles"), dict):
         return Error([{"at": "profiles", "message": "a tree is an object with a map 'profiles'"}])
-    problems += [{"at": key, "message": "unknown field"} for key in value if key not in ("profiles", "about")]
+    problems += [
+        {"at": key, "message": "unknown field"} for key in value if key not in ("profiles", "about")
+    ]
     if not isinstance(value.get("about", {}), dict):
         problems.append({"at": "about", "message": "has to be a map"})
     rows: dict[str, dict[str, Any]] = {}
@@ -111,25 +117,36 @@
                 place = [str(part) for part in found["loc"]]
                 if place[:1] == ["identities"]:
                     place = []
-                problems.append({"at": ".".join(["profiles", name, *place]), "message": found["msg"]})
+                problems.append(
+                    {"at": ".".join(["profiles", name, *place]), "message": found["msg"]}
+                )
     names = set(value["profiles"])
-    parents = {name: row.get("parent") for name, row in value["profiles"].items() if isinstance(row, dict)}
+    parents = {
+        name: row.get("parent") for name, row in value["profiles"].items() if isinstance(row, dict)
+    }
     for name, parent in parents.items():
         if isinstance(parent, str) and parent not in names:
-            problems.append({"at": f"profiles.{name}.parent", "message": f"no profile is called {parent!r}"})
+            problems.append(
+                {"at": f"profiles.{name}.parent", "message": f"no profile is called {parent!r}"}
+            )
     problems += _cycles(parents)
     problems += _unknown_services(rows, names)
     problems += _same_place(rows)
     if problems:
         return Error(problems)
-    return Ok({"profiles": rows, "about": value["about"]} if "about" in value else {"profiles": rows})
+    return Ok(
+        {"profiles": rows, "about": value["about"]} if "about" in value else {"profiles": rows}
+    )
 
 
 def _unknown_services(rows: dict[str, dict[str, Any]], names: set[str]) -> Iterator[dict[str, str]]:
     for name, row in rows.items():
         for index, share in enumerate(row.get("shares", ())):
             if share["service"] not in names:
-                yield {"at": f"profiles.{name}.shares.{index}.service", "message": f"no profile is called {share['service']!r}"}
+                yield {
+                    "at": f"profiles.{name}.shares.{index}.service",
+                    "message": f"no profile is called {share['service']!r}",
+                }
 
 
 def _same_place(rows: dict[str, dict[str, Any]]) -> Iterator[dict[str, str]]:
@@ -138,7 +155,10 @@
         if "match" in row:
             place = (row["match"]["host"].lower(), row["match"]["prefix"])
             if taken.setdefault(place, name) != name:
-                yield {"at": f"profiles.{name}.match", "message": f"profile {taken[place]!r} has the same host and prefix"}
+                yield {
+                    "at": f"profiles.{name}.match",
+                    "message": f"profile {taken[place]!r} has the same host and prefix",
+                }
 
 
 def _cycles(parents: dict[str, Any]) -> list[dict[str, str]]:
@@ -151,8 +171,12 @@
             at = parents[at]
         if at in seen:
             if name == at:
-                problems.append({"at": f"profiles.{name}.parent",
-                                 "message": "inherits from itself: " + " -> ".join([*seen, at])})
+                problems.append(
+                    {
+                        "at": f"profiles.{name}.parent",
+                        "message": "inherits from itself: " + " -> ".join([*seen, at]),
+                    }
+                )
         else:
             sound.update(seen)
     return problems
--- a/libs/catalogue/src/catalogue/succession.py
+++ b/libs/catalogue/src/catalogue/succession.py
@@ -2,7 +2,8 @@
 number of voters was told, a spare takes the place of one that is gone or retired. Where it wasn't, all
 control nodes are to vote, so that any majority of them serves: who comes is added, and a voter is
 dropped only if another takes its place. Another identity at a voter's address shows that its disk is
-gone for good: nobody will ever vote by that name again, so the one replaces the other in one step."""
+gone for good: nobody will ever vote by that name again, so the one replaces the other in one step.
+"""
 
 from collections.abc import Callable
 from typing import Any
@@ -13,23 +14,40 @@
 
 
 def _row(card: Any) -> dict[str, Any]:
-    return {"identity": card.identity, "address": card.address, "zone": card.zone, "region": card.region}
+    return {
+        "identity": card.identity,
+        "address": card.address,
+        "zone": card.zone,
+        "region": card.region,
+    }
 
 
 def founding_rows(cards: list[Any], count: int, seeds: set[str]) -> Rows:
     """The first list, or nothing as long as too few are known: the lowest identities where the count was
-    told, else those at the seeds' addresses."""
+    told, else those at the seeds' addresses.
+    """
     if count:
         rows = [_row(card) for card in sorted(cards, key=lambda card: card.identity)]
         return rows[:count] if len(rows) >= count else []
-    rows = [_row(card) for card in sorted(cards, key=lambda card: card.identity) if card.address in seeds]
+    rows = [
+        _row(card)
+        for card in sorted(cards, key=lambda card: card.identity)
+        if card.address in seeds
+    ]
     return rows if {row["address"] for row in rows} == seeds and len(rows) == len(seeds) else []
 
 
-def next_of_count(listed: dict[str, Any], spares: list[Any], retired: set[str], silent: Callable[[str], bool],
-                  count: int) -> dict[str, Any] | None:
+def next_of_count(
+    listed: dict[str, Any],
+    spares: list[Any],
+    retired: set[str],
+    silent: Callable[[str], bool],
+    count: int,
+) -> dict[str, Any] | None:
     rows = listed["voters"]
-    leaving = [row["identity"] for row in rows if row["identity"] in retired or silent(row["identity"])]
+    leaving = [
+        row["identity"] for row in rows if row["identity"] in retired or silent(row["identity"])
+    ]
     if leaving and len(rows) > count:
         gone = [name for name in leaving if name not in retired] or leaving
         return _list(listed, [row for row in rows if row["identity"] != gone[0]])
@@ -38,10 +56,17 @@
     return None
 
 
-def next_of_all(listed: dict[str, Any], spares: list[Any], retired: set[str], silent: Callable[[str], bool],
-                settled: Callable[[Any], bool], all_heard: Callable[[Any], bool]) -> dict[str, Any] | None:
+def next_of_all(
+    listed: dict[str, Any],
+    spares: list[Any],
+    retired: set[str],
+    silent: Callable[[str], bool],
+    settled: Callable[[Any], bool],
+    all_heard: Callable[[Any], bool],
+) -> dict[str, Any] | None:
     """`settled` says of a spare that it has been known for as long as any vote may be under way;
-    `all_heard`, that every voter has been heard since it was first known."""
+    `all_heard`, that every voter has been heard since it was first known.
+    """
     rows = listed["voters"]
     names = [row["identity"] for row in rows]
     leaving = listed.get("leaving", "")
@@ -54,7 +79,9 @@
     for card in spares:
         if card.address in at:
             if settled(card):
-                return _list(listed, [row for row in rows if row["address"] != card.address] + [_row(card)])
+                return _list(
+                    listed, [row for row in rows if row["address"] != card.address] + [_row(card)]
+                )
             continue
         gone = [name for name in names if name in retired or silent(name)]
         if gone:
--- a/libs/catalogue/src/catalogue/voter.py
+++ b/libs/catalogue/src/catalogue/voter.py
@@ -1,17 +1,29 @@
 """A voter: one register for each key, on disk before any vote is given. Prepare promises an epoch,
 accept takes a value under it, confirm only says whether the promise still stands. The rows are in a
 log of frames beside a snapshot; a disk that reads back damaged is refused and becomes a new, empty
-identity. The voters' list itself is kept with the identity, and an older list is refused."""
+identity. The voters' list itself is kept with the identity, and an older list is refused.
+"""
 
 import json
 from collections.abc import Callable
 from functools import singledispatchmethod
 
-from catalogue.messages import (Accept, Confirm, Founded, KeyList, KeyRow, ListKeys, Prepare, Voted,
-                                Value, VoterMeta)
 from stacks import Damage, Disk, DiskFull, frame, scan
 from vellum import Message, Origin, Part, decode, encode
 
+from catalogue.messages import (
+    Accept,
+    Confirm,
+    Founded,
+    KeyList,
+    KeyRow,
+    ListKeys,
+    Prepare,
+    Value,
+    Voted,
+    VoterMeta,
+)
+
 __all__ = ["CONTROL_KEY", "Register", "Voter"]
 
 CONTROL_KEY = "control"
@@ -31,7 +43,11 @@
 
 def _stub(version: int) -> bytes:
     """Says which version is held without its body, which may be long."""
-    return encode(Value(version=version, body="", change_ids=[], change_versions=[])) if version else b""
+    return (
+        encode(Value(version=version, body="", change_ids=[], change_versions=[]))
+        if version
+        else b""
+    )
 
 
 class Register:
@@ -44,9 +60,15 @@
         self.version = 0
 
     def row(self, key: str, flushed_bytes: int = 0) -> KeyRow:
-        return KeyRow(key=key, promised_epoch=self.promised[0], promised_by=self.promised[1],
-                      accepted_epoch=self.accepted[0], accepted_by=self.accepted[1], value=self.value,
-                      flushed_bytes=flushed_bytes)
+        return KeyRow(
+            key=key,
+            promised_epoch=self.promised[0],
+            promised_by=self.promised[1],
+            accepted_epoch=self.accepted[0],
+            accepted_by=self.accepted[1],
+            value=self.value,
+            flushed_bytes=flushed_bytes,
+        )
 
     @classmethod
     def of(cls, row: KeyRow) -> "Register":
@@ -59,7 +81,17 @@
 
 
 class Voter(Part):
-    __slots__ = ("_disk", "_flushed_bytes", "_flushing", "_list", "_log_bytes", "_log_name", "_waiting", "meta", "registers")
+    __slots__ = (
+        "_disk",
+        "_flushed_bytes",
+        "_flushing",
+        "_list",
+        "_log_bytes",
+        "_log_name",
+        "_waiting",
+        "meta",
+        "registers",
+    )
     HANDLES = (Prepare, Accept, Confirm, Founded, ListKeys)
 
     def __init__(self, disk: Disk, token: Callable[[], str]) -> None:
@@ -121,8 +153,11 @@
     def _read_list(self) -> tuple[int, dict[str, str]]:
         if self._list[0] != self.meta.list_body:
             listed = json.loads(self.meta.list_body)
-            self._list = (self.meta.list_body, listed["number"],
-                          {row["identity"]: row["address"] for row in listed["voters"]})
+            self._list = (
+                self.meta.list_body,
+                listed["number"],
+                {row["identity"]: row["address"] for row in listed["voters"]},
+            )
         return self._list[1:]
 
     def take_list(self, body: str, done: Done) -> None:
@@ -132,12 +167,16 @@
             done(True)
             return
 
-        self.keep_meta(VoterMeta(identity=self.identity, found_vote=self.meta.found_vote, list_body=body), done)
+        self.keep_meta(
+            VoterMeta(identity=self.identity, found_vote=self.meta.found_vote, list_body=body), done
+        )
 
     def keep_meta(self, meta: VoterMeta, done: Done) -> None:
         def kept(ok: bool) -> None:
-            if ok and (not self.meta.list_body or (meta.list_body and
-                       json.loads(meta.list_body)["number"] >= self.list_number)):
+            if ok and (
+                not self.meta.list_body
+                or (meta.list_body and json.loads(meta.list_body)["number"] >= self.list_number)
+            ):
                 self.meta = meta
             done(ok)
 
@@ -151,9 +190,15 @@
             return
         if isinstance(message, ListKeys):
             ok = message.list_number == self.list_number
-            self.node.reply(origin, KeyList(identity=self.identity, ok=ok, keys=sorted(self.registers)))
+            self.node.reply(
+                origin, KeyList(identity=self.identity, ok=ok, keys=sorted(self.registers))
+            )
             return
-        if not self.meta.list_body or message.list_number < self.list_number or self.identity not in self.voters:
+        if (
+            not self.meta.list_body
+            or message.list_number < self.list_number
+            or self.identity not in self.voters
+        ):
             self.node.reply(origin, self._voted(message.key, False, "list"))
         elif message.list_number > self.list_number:
             self.node.reply(origin, self._voted(message.key, False, "behind"))
@@ -171,8 +216,19 @@
         if ballot < register.promised:
             self.node.reply(origin, self._voted(message.key, False, "epoch"))
             return
-        self._put(message.key, promised=ballot, done=lambda ok: self.node.reply(
-            origin, self._voted(message.key, ok and self.registers[message.key].promised == ballot, "epoch", True)))
+        self._put(
+            message.key,
+            promised=ballot,
+            done=lambda ok: self.node.reply(
+                origin,
+                self._voted(
+                    message.key,
+                    ok and self.registers[message.key].promised == ballot,
+                    "epoch",
+                    True,
+                ),
+            ),
+        )
 
     @_on.register
     def _(self, message: Confirm, origin: Origin) -> None:
@@ -186,24 +242,43 @@
         ballot = (message.epoch, message.by)
         # Accepts of one epoch may arrive late or twice: a version once accepted is not taken back.
         version = decode(message.value).version
-        if ballot < register.promised or (ballot == register.accepted and version < register.version):
+        if ballot < register.promised or (
+            ballot == register.accepted and version < register.version
+        ):
             self.node.reply(origin, self._voted(message.key, False, "epoch"))
             return
-        self._put(message.key, promised=ballot, accepted=ballot, value=message.value, done=lambda ok: self.node.reply(
-            origin, self._voted(message.key, ok, "disk")))
+        self._put(
+            message.key,
+            promised=ballot,
+            accepted=ballot,
+            value=message.value,
+            done=lambda ok: self.node.reply(origin, self._voted(message.key, ok, "disk")),
+        )
 
     def _voted(self, key: str, ok: bool, reason: str, whole: bool = False) -> Voted:
         register = self.registers.get(key, Register())
-        return Voted(identity=self.identity, ok=ok, reason="" if ok else reason,
-                     promised_epoch=register.promised[0], promised_by=register.promised[1],
-                     accepted_epoch=register.accepted[0], accepted_by=register.accepted[1],
-                     value=register.value if whole else _stub(register.version),
-                     list_body=self.meta.list_body if reason == "list" else "")
+        return Voted(
+            identity=self.identity,
+            ok=ok,
+            reason="" if ok else reason,
+            promised_epoch=register.promised[0],
+            promised_by=register.promised[1],
+            accepted_epoch=register.accepted[0],
+            accepted_by=register.accepted[1],
+            value=register.value if whole else _stub(register.version),
+            list_body=self.meta.list_body if reason == "list" else "",
+        )
 
     # -- the disk ------------------------------------------------------------------------------
 
-    def _put(self, key: str, promised: tuple[int, str], done: Done, accepted: tuple[int, str] | None = None,
-             value: bytes | None = None) -> None:
+    def _put(
+        self,
+        key: str,
+        promised: tuple[int, str],
+        done: Done,
+        accepted: tuple[int, str] | None = None,
+        value: bytes | None = None,
+    ) -> None:
         register = self.registers[key]
         fresh = Register()
         fresh.promised = promised
@@ -247,11 +322,15 @@
         old = self._log_name
         self._log_name = f"{_LOG}-{int(old.rpartition('-')[2]) + 1:012d}"
         self._log_bytes = self._flushed_bytes = 0
-        data = b"".join(frame(encode(register.row(key))) for key, register in self.registers.items())
+        data = b"".join(
+            frame(encode(register.row(key))) for key, register in self.registers.items()
+        )
 
         def kept(ok: bool) -> None:
             if ok:
-                for name in [name for name in self._disk.names() if name.startswith(_LOG) and name <= old]:
+                for name in [
+                    name for name in self._disk.names() if name.startswith(_LOG) and name <= old
+                ]:
                     self._disk.remove(name)
 
         self._disk.replace(_SNAP, data, kept)
--- a/libs/catalogue/src/catalogue/worker_list.py
+++ b/libs/catalogue/src/catalogue/worker_list.py
@@ -1,19 +1,21 @@
 """The list of workers, kept as the control key `workers`. Reports reach any control node; what changes
 nothing is only noted, and told to the key's owner with the others each period. The owner makes one change
 of all that came in a short while, takes off who is silent everywhere, and answers a drain once the list is
-on a majority of disks and the edges heard lately have it, or had their time to take it."""
+on a majority of disks and the edges heard lately have it, or had their time to take it.
+"""
 
 import json
 from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any
 
+from gazette import Gazette
+from vellum import Arr, Blob, Flag, Message, Origin, Part, Text, decode, encode
+
 from catalogue.messages import Change, Changed, ReadKey
 from catalogue.owner import Owner
 from catalogue.voter import Voter
 from catalogue.worker_rows import WORKERS_KEY, WorkerReport, apply_reports, empty_list, same_row
-from gazette import Gazette
-from vellum import Arr, Blob, Flag, Message, Origin, Part, Text, decode, encode
 
 __all__ = ["WorkerList"]
 
@@ -50,12 +52,32 @@
 
 
 class WorkerList(Part):
-    __slots__ = ("_busy", "_calls", "_changed_at", "_first_ms", "_gazette", "_heard_ms", "_list", "_list_number", "_noted_ms",
-                 "_owned_ms", "_owner", "_pending", "_reports", "_seen_ms", "_sent_ms", "_seqs", "_sure",
-                 "_voter", "_waits")
+    __slots__ = (
+        "_busy",
+        "_calls",
+        "_changed_at",
+        "_first_ms",
+        "_gazette",
+        "_heard_ms",
+        "_list",
+        "_list_number",
+        "_noted_ms",
+        "_owned_ms",
+        "_owner",
+        "_pending",
+        "_reports",
+        "_seen_ms",
+        "_sent_ms",
+        "_seqs",
+        "_sure",
+        "_voter",
+        "_waits",
+    )
     HANDLES = (WorkersHeard, WorkerLeaves)
 
-    def __init__(self, voter: Voter, owner: Owner, gazette: Gazette, sure: Callable[[], bool]) -> None:
+    def __init__(
+        self, voter: Voter, owner: Owner, gazette: Gazette, sure: Callable[[], bool]
+    ) -> None:
         """`sure` says whether this node hears a majority of the voters."""
         self._voter = voter
         self._owner = owner
@@ -90,8 +112,13 @@
     def rows(self) -> dict[str, dict[str, Any]]:
         """The list as this node has it, with how long ago each was heard here."""
         now_ms = self.node.env.now()
-        return {name: {**row, "heard_ms": now_ms - self._heard_ms[name] if name in self._heard_ms else None}
-                for name, row in sorted(self._list["workers"].items())}
+        return {
+            name: {
+                **row,
+                "heard_ms": now_ms - self._heard_ms[name] if name in self._heard_ms else None,
+            }
+            for name, row in sorted(self._list["workers"].items())
+        }
 
     # -- any control node ----------------------------------------------------------------------
 
@@ -109,14 +136,20 @@
         row = self._list["workers"].get(name)
         if name not in self._list["ended"] and (row is None or not same_row(row, report)):
             self._pending[name] = report
-            self._sent_ms = min(self._sent_ms, now_ms - self._period_ms() + self.node.params.batch_ms)
+            self._sent_ms = min(
+                self._sent_ms, now_ms - self._period_ms() + self.node.params.batch_ms
+            )
         done("ok" if self._in_touch() else "refused")
 
     def _in_touch(self) -> bool:
-        return self._sure() and (self._mine() or self.node.env.now() - self._noted_ms <= 3 * self._period_ms())
+        return self._sure() and (
+            self._mine() or self.node.env.now() - self._noted_ms <= 3 * self._period_ms()
+        )
 
     def _mine(self) -> bool:
-        return bool(self._voter.voters) and self._owner.owner_of(WORKERS_KEY) == self._voter.identity
+        return (
+            bool(self._voter.voters) and self._owner.owner_of(WORKERS_KEY) == self._voter.identity
+        )
 
     def _owner_address(self) -> str | None:
         return self._voter.voters.get(self._owner.owner_of(WORKERS_KEY) or "")
@@ -135,23 +168,35 @@
         if self._mine():
             self._take_leave(report, wait.finish)
         else:
-            self.node.ask(address, WorkerLeaves(report=encode(report)), self.node.params.answer_ms, lambda receipt:
-                          wait.finish("ok" if receipt is not None and receipt.ok else "doubt"))
+            self.node.ask(
+                address,
+                WorkerLeaves(report=encode(report)),
+                self.node.params.answer_ms,
+                lambda receipt: wait.finish(
+                    "ok" if receipt is not None and receipt.ok else "doubt"
+                ),
+            )
 
     def _tell(self, now_ms: int) -> None:
         since_ms, self._sent_ms = self._sent_ms, now_ms
         floor_ms = min(since_ms, now_ms - self._period_ms()) - self._period_ms()
         self._forget(now_ms)
         heard = [name for name, at_ms in self._heard_ms.items() if at_ms >= floor_ms]
-        for name in [name for name, report in self._pending.items() if self._settled(report, now_ms)]:
+        for name in [
+            name for name, report in self._pending.items() if self._settled(report, now_ms)
+        ]:
             del self._pending[name]
-        message = WorkersHeard(identities=heard, reports=[encode(report) for report in self._pending.values()])
+        message = WorkersHeard(
+            identities=heard, reports=[encode(report) for report in self._pending.values()]
+        )
         address = self._owner_address()
         if self._mine():
             self._take_heard(message)
             self._judge_silent(now_ms)
         elif address is not None:
-            self.node.ask(address, message, self._period_ms(), lambda receipt: self._told(receipt, now_ms))
+            self.node.ask(
+                address, message, self._period_ms(), lambda receipt: self._told(receipt, now_ms)
+            )
 
     def _forget(self, now_ms: int) -> None:
         floor_ms = now_ms - 2 * self.node.params.resume_ms - self.node.params.silent_ms
@@ -171,8 +216,11 @@
     def _settled(self, report: WorkerReport, now_ms: int) -> bool:
         name = report.identity
         row = self._list["workers"].get(name)
-        return (name in self._list["ended"] or (row is not None and (row["seq"] >= report.seq or same_row(row, report)))
-                or now_ms - self._heard_ms.get(name, now_ms) > self.node.params.silent_ms)
+        return (
+            name in self._list["ended"]
+            or (row is not None and (row["seq"] >= report.seq or same_row(row, report)))
+            or now_ms - self._heard_ms.get(name, now_ms) > self.node.params.silent_ms
+        )
 
     # -- the key's owner -----------------------------------------------------------------------
 
@@ -191,7 +239,10 @@
         if not self._mine():
             self.node.reply(origin, WorkerNoted(ok=False))
             return
-        self._take_leave(decode(message.report), lambda outcome: self.node.reply(origin, WorkerNoted(ok=outcome == "ok")))
+        self._take_leave(
+            decode(message.report),
+            lambda outcome: self.node.reply(origin, WorkerNoted(ok=outcome == "ok")),
+        )
 
     def _take_heard(self, message: WorkersHeard) -> None:
         now_ms = self.node.env.now()
@@ -202,7 +253,9 @@
 
     def _take_leave(self, report: WorkerReport, done: Done) -> None:
         self._gather(report)
-        self._waits.append(_Wait(report.identity, self.node.env.now() + self.node.params.answer_ms, done))
+        self._waits.append(
+            _Wait(report.identity, self.node.env.now() + self.node.params.answer_ms, done)
+        )
 
     def _gather(self, report: WorkerReport) -> None:
         now_ms = self.node.env.now()
@@ -211,7 +264,11 @@
         held = self._reports.get(report.identity)
         if not self._reports:
             self._first_ms = now_ms
-        if held is None or report.state == "gone" or (held.state != "gone" and report.seq >= held.seq):
+        if (
+            held is None
+            or report.state == "gone"
+            or (held.state != "gone" and report.seq >= held.seq)
+        ):
             self._reports[report.identity] = report
 
     def _change(self) -> None:
@@ -221,19 +278,35 @@
         self._busy = True
         self._attempt(reports, waits, 0)
 
-    def _attempt(self, reports: dict[str, WorkerReport], waits: list[_Wait], confirmed_number: int) -> None:
+    def _attempt(
+        self, reports: dict[str, WorkerReport], waits: list[_Wait], confirmed_number: int
+    ) -> None:
         number = self._list_number
         value, changed = apply_reports(self._list, reports.values())
         if changed:
             body = json.dumps(value, sort_keys=True)
-            self._owner.submit(Change(key=WORKERS_KEY, version=number, change_id=self.node.env.token(), body=body, hops=0),
-                               lambda receipt: self._changed(reports, waits, changed, receipt))
+            self._owner.submit(
+                Change(
+                    key=WORKERS_KEY,
+                    version=number,
+                    change_id=self.node.env.token(),
+                    body=body,
+                    hops=0,
+                ),
+                lambda receipt: self._changed(reports, waits, changed, receipt),
+            )
         elif waits and confirmed_number != number:
             self._reread(reports, waits)
         else:
             self._finish_change(waits)
 
-    def _changed(self, reports: dict[str, WorkerReport], waits: list[_Wait], changed: list[str], receipt: Changed) -> None:
+    def _changed(
+        self,
+        reports: dict[str, WorkerReport],
+        waits: list[_Wait],
+        changed: list[str],
+        receipt: Changed,
+    ) -> None:
         if receipt.outcome != "ok":
             self._reread(reports, waits)
             return
@@ -270,9 +343,14 @@
         now_ms, params = self.node.env.now(), self.node.params
         for wait in self._waits:
             version, at_ms = self._changed_at.get(wait.identity, (0, 0))
-            if version and wait.identity not in self._reports and (
+            if (
+                version
+                and wait.identity not in self._reports
+                and (
                     now_ms - at_ms >= params.edges_ms
-                    or self._gazette.all_confirm(WORKERS_KEY, version, ("edge",), params.confirm_ms)):
+                    or self._gazette.all_confirm(WORKERS_KEY, version, ("edge",), params.confirm_ms)
+                )
+            ):
                 wait.finish("ok")
             elif now_ms >= wait.due_ms:
                 wait.finish("doubt")
@@ -284,9 +362,22 @@
         if self._owned_ms < 0 or now_ms - self._owned_ms <= silent_ms:
             return
         for name, row in self._list["workers"].items():
-            if now_ms - self._seen_ms.get(name, self._owned_ms) > silent_ms and name not in self._reports:
-                self._gather(WorkerReport(identity=name, address=row["address"], zone=row["zone"], label=row["label"],
-                                          slots=row["slots"], state="silent", seq=row["seq"], models="[]"))
+            if (
+                now_ms - self._seen_ms.get(name, self._owned_ms) > silent_ms
+                and name not in self._reports
+            ):
+                self._gather(
+                    WorkerReport(
+                        identity=name,
+                        address=row["address"],
+                        zone=row["zone"],
+                        label=row["label"],
+                        slots=row["slots"],
+                        state="silent",
+                        seq=row["seq"],
+                        models="[]",
+                    )
+                )
 
     # -- the clock -----------------------------------------------------------------------------
 
@@ -303,7 +394,11 @@
             return
         if self._owned_ms < 0:
             self._owned_ms = now_ms
-        if self._reports and not self._busy and now_ms - self._first_ms >= self.node.params.batch_ms:
+        if (
+            self._reports
+            and not self._busy
+            and now_ms - self._first_ms >= self.node.params.batch_ms
+        ):
             self._change()
         self._check_waits()
 
--- a/libs/catalogue/src/catalogue/worker_rows.py
+++ b/libs/catalogue/src/catalogue/worker_rows.py
@@ -1,6 +1,7 @@
 """The list of workers as a value, and what one report of a worker makes of it. Reports carry a count that
 rises with each: an older one changes nothing. An identity is never used again, so one that has ended stays
-out, however late its other reports come."""
+out, however late its other reports come.
+"""
 
 import json
 from collections.abc import Iterable
@@ -33,8 +34,15 @@
 
 
 def _row(report: WorkerReport) -> dict[str, Any]:
-    return {"address": report.address, "zone": report.zone, "label": report.label, "slots": report.slots,
-            "state": report.state, "seq": report.seq, "models": json.loads(report.models)}
+    return {
+        "address": report.address,
+        "zone": report.zone,
+        "label": report.label,
+        "slots": report.slots,
+        "state": report.state,
+        "seq": report.seq,
+        "models": json.loads(report.models),
+    }
 
 
 def same_row(row: dict[str, Any], report: WorkerReport) -> bool:
@@ -42,7 +50,9 @@
     return all(row.get(key) == fresh[key] for key in _COMPARED)
 
 
-def apply_reports(value: dict[str, Any], reports: Iterable[WorkerReport]) -> tuple[dict[str, Any], list[str]]:
+def apply_reports(
+    value: dict[str, Any], reports: Iterable[WorkerReport]
+) -> tuple[dict[str, Any], list[str]]:
     """The list with these reports taken in, and the identities for which it differs from before."""
     workers, ended = dict(value["workers"]), list(value["ended"])
     changed: list[str] = []
@@ -63,7 +73,11 @@
                 _take_off(workers, ended, name)
                 changed.append(name)
         elif row is None or (report.seq > row["seq"] and not same_row(row, report)):
-            for other in [other for other, held in workers.items() if held["address"] == report.address and other != name]:
+            for other in [
+                other
+                for other, held in workers.items()
+                if held["address"] == report.address and other != name
+            ]:
                 end(other)
             workers[name] = _row(report)
             changed.append(name)
--- a/libs/circulation/src/circulation/affinity.py
+++ b/libs/circulation/src/circulation/affinity.py
@@ -1,6 +1,7 @@
 """Which worker was lately sent which part of a prompt, and so probably keeps it. A worker keeps a part only
 together with all before it, and lets go of what was unused longest once its memory is full; this map
-does the same by the tokens sent, so it is bounded as the workers' memories are."""
+does the same by the tokens sent, so it is bounded as the workers' memories are.
+"""
 
 from collections import OrderedDict
 from collections.abc import Iterable
@@ -50,7 +51,9 @@
 
     def holders(self, parts: list[tuple[str, int]]) -> set[str]:
         """Who was sent the part that fewest have, the last one that anybody has."""
-        return next((self._holders[part] for part, _ in reversed(parts) if part in self._holders), set())
+        return next(
+            (self._holders[part] for part, _ in reversed(parts) if part in self._holders), set()
+        )
 
     def keep_only(self, workers: Iterable[str]) -> None:
         """Those that are gone have nothing any more."""
--- a/libs/circulation/src/circulation/calls.py
+++ b/libs/circulation/src/circulation/calls.py
@@ -1,12 +1,24 @@
 """What is asked of an edge, in its two kinds: a completion of our own interface, and a request that is
-forwarded whole and unchanged to a worker whose headers have names of their own, told by a Dialect."""
+forwarded whole and unchanged to a worker whose headers have names of their own, told by a Dialect.
+"""
 
 from collections.abc import Iterable
 from typing import Any
 
 __all__ = ["Call", "Dialect", "ForwardCall", "end_to_end"]
 
-_HOP_BY_HOP = frozenset({"connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "expect", "proxy-connection"})
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+        "proxy-connection",
+    }
+)
 _OWN_FRAMING = frozenset({"host", "content-length"})
 
 
@@ -18,35 +30,103 @@
     rollout = False
     parts = ()
 
-    def __init__(self, body: dict[str, Any], digest: str, prefix: str, lot: bool, stream: bool) -> None:
-        self.body, self.digest, self.prefix, self.lot, self.stream = body, digest, prefix, lot, stream
+    def __init__(
+        self, body: dict[str, Any], digest: str, prefix: str, lot: bool, stream: bool
+    ) -> None:
+        self.body, self.digest, self.prefix, self.lot, self.stream = (
+            body,
+            digest,
+            prefix,
+            lot,
+            stream,
+        )
 
 
 class Dialect:
     """How a kind of worker names its headers; an empty name stands for one that it does not have."""
 
-    __slots__ = ("answered_by", "deadline_ms", "last_event_id", "load", "not_run", "request_id", "stamp", "urgency", "worker")
-
-    def __init__(self, request_id: str, worker: str, stamp: str, not_run: str, load: str, deadline_ms: str, urgency: str,
-                 answered_by: str = "", last_event_id: str = "Last-Event-Id") -> None:
+    __slots__ = (
+        "answered_by",
+        "deadline_ms",
+        "last_event_id",
+        "load",
+        "not_run",
+        "request_id",
+        "stamp",
+        "urgency",
+        "worker",
+    )
+
+    def __init__(
+        self,
+        request_id: str,
+        worker: str,
+        stamp: str,
+        not_run: str,
+        load: str,
+        deadline_ms: str,
+        urgency: str,
+        answered_by: str = "",
+        last_event_id: str = "Last-Event-Id",
+    ) -> None:
         self.request_id, self.worker, self.stamp, self.not_run = request_id, worker, stamp, not_run
         self.answered_by = answered_by
-        self.load, self.deadline_ms, self.urgency, self.last_event_id = load, deadline_ms, urgency, last_event_id
+        self.load, self.deadline_ms, self.urgency, self.last_event_id = (
+            load,
+            deadline_ms,
+            urgency,
+            last_event_id,
+        )
 
 
 class ForwardCall:
     """A request for a worker as it came. `parts` are the prompt's parts in order, each its id and its tokens;
-    `headers` are the end-to-end ones. A lot's item is one too, less urgent than what somebody waits for."""
-
-    __slots__ = ("body", "headers", "host", "last_event_id", "lot", "method", "parts", "request_id", "resumable", "stream",
-                 "target", "tokens_in", "tokens_out", "urgency")
+    `headers` are the end-to-end ones. A lot's item is one too, less urgent than what somebody waits for.
+    """
+
+    __slots__ = (
+        "body",
+        "headers",
+        "host",
+        "last_event_id",
+        "lot",
+        "method",
+        "parts",
+        "request_id",
+        "resumable",
+        "stream",
+        "target",
+        "tokens_in",
+        "tokens_out",
+        "urgency",
+    )
     kept_when_gone = False
     rollout = False
 
-    def __init__(self, method: str, target: str, host: str, headers: Iterable[tuple[str, str]], body: bytes, request_id: str,
-                 parts: Iterable[tuple[str, int]] = (), tokens_in: int = 0, tokens_out: int = 0, stream: bool = False,
-                 resumable: bool = False, lot: bool = False, last_event_id: int | None = None, urgency: int = 0) -> None:
-        self.method, self.target, self.host, self.body, self.request_id = method, target, host, body, request_id
+    def __init__(
+        self,
+        method: str,
+        target: str,
+        host: str,
+        headers: Iterable[tuple[str, str]],
+        body: bytes,
+        request_id: str,
+        parts: Iterable[tuple[str, int]] = (),
+        tokens_in: int = 0,
+        tokens_out: int = 0,
+        stream: bool = False,
+        resumable: bool = False,
+        lot: bool = False,
+        last_event_id: int | None = None,
+        urgency: int = 0,
+    ) -> None:
+        self.method, self.target, self.host, self.body, self.request_id = (
+            method,
+            target,
+            host,
+            body,
+            request_id,
+        )
         self.headers, self.parts = list(headers), list(parts)
         self.tokens_in, self.tokens_out = tokens_in, tokens_out
         self.stream, self.resumable, self.lot = stream, resumable, lot
@@ -60,7 +140,15 @@
 def end_to_end(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
     """Without what concerns one connection, and without the framing, which each connection makes anew."""
     rows = list(headers)
-    named = {token.strip().lower() for name, value in rows if name.lower() == "connection" for token in value.split(",")}
+    named = {
+        token.strip().lower()
+        for name, value in rows
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
     out = _HOP_BY_HOP | _OWN_FRAMING | named
-    return [(name, value) for name, value in rows
-            if (low := name.lower()) not in out and not low.startswith("proxy-")]
+    return [
+        (name, value)
+        for name, value in rows
+        if (low := name.lower()) not in out and not low.startswith("proxy-")
+    ]
--- a/libs/circulation/src/circulation/carriage.py
+++ b/libs/circulation/src/circulation/carriage.py
@@ -1,5 +1,6 @@
 """What is under way at an edge: a transaction with whom it is told to, and one send of it to a worker. Neither
-has a socket; whoever has one reports to the send, and is held back when the client does not keep up."""
+has a socket; whoever has one reports to the send, and is held back when the client does not keep up.
+"""
 
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
@@ -16,7 +17,9 @@
 class Sender(Protocol):
     """Has the sockets: begins a send, reports to it, and gives what breaks it off."""
 
-    def __call__(self, send: "Send", address: str, target: str, headers: Any, body: Any, method: str = "POST") -> Callable[[], None]: ...
+    def __call__(
+        self, send: "Send", address: str, target: str, headers: Any, body: Any, method: str = "POST"
+    ) -> Callable[[], None]: ...
 
 
 def _nothing() -> None:
@@ -26,10 +29,33 @@
 class Send:
     """One send under way. What is reported after it is over changes nothing."""
 
-    __slots__ = ("_carrier", "abort", "began_ms", "carriage", "connecting", "exchange", "heard_ms", "over", "reads", "unread_tokens", "worker")
-
-    def __init__(self, carrier: Any, carriage: "Carriage", worker: Worker, exchange: Exchange | ForwardExchange) -> None:
-        self._carrier, self.carriage, self.worker, self.exchange = carrier, carriage, worker, exchange
+    __slots__ = (
+        "_carrier",
+        "abort",
+        "began_ms",
+        "carriage",
+        "connecting",
+        "exchange",
+        "heard_ms",
+        "over",
+        "reads",
+        "unread_tokens",
+        "worker",
+    )
+
+    def __init__(
+        self,
+        carrier: Any,
+        carriage: "Carriage",
+        worker: Worker,
+        exchange: Exchange | ForwardExchange,
+    ) -> None:
+        self._carrier, self.carriage, self.worker, self.exchange = (
+            carrier,
+            carriage,
+            worker,
+            exchange,
+        )
         self.abort: Callable[[], None] = _nothing
         self.over = self.connecting = self.reads = False
         self.unread_tokens = 0
@@ -82,7 +108,9 @@
     @property
     def full(self) -> bool:
         """The client reads more slowly than the worker writes: whoever has the socket stops reading."""
-        return not self.over and self.carriage.untaken_bytes > self._carrier.node.params.untaken_bytes
+        return (
+            not self.over and self.carriage.untaken_bytes > self._carrier.node.params.untaken_bytes
+        )
 
     def when_room(self, go_on: Callable[[Any], None]) -> None:
         self.carriage.when_room = go_on
@@ -90,12 +118,30 @@
 
 class Carriage:
     """One transaction on its way. `sink` is given the events of a stream, `done` the last step; `head` is
-    that of a forwarded answer, of its first worker. Who says what was taken holds back what comes too fast."""
-
-    __slots__ = ("_carrier", "call", "done", "head", "send", "sink", "tx", "untaken_bytes", "visitor_gone", "when_room")
-
-    def __init__(self, carrier: Any, tx: Transaction, call: Call | ForwardCall, sink: Callable[[bytes], None] | None,
-                 done: Callable[[Step], None]) -> None:
+    that of a forwarded answer, of its first worker. Who says what was taken holds back what comes too fast.
+    """
+
+    __slots__ = (
+        "_carrier",
+        "call",
+        "done",
+        "head",
+        "send",
+        "sink",
+        "tx",
+        "untaken_bytes",
+        "visitor_gone",
+        "when_room",
+    )
+
+    def __init__(
+        self,
+        carrier: Any,
+        tx: Transaction,
+        call: Call | ForwardCall,
+        sink: Callable[[bytes], None] | None,
+        done: Callable[[Step], None],
+    ) -> None:
         self._carrier, self.tx, self.call, self.sink, self.done = carrier, tx, call, sink, done
         self.send: Send | None = None
         self.head: tuple[int, list[tuple[str, str]], int | None] | None = None
@@ -112,7 +158,10 @@
 
     def taken(self, size_bytes: int) -> None:
         self.untaken_bytes -= size_bytes
-        if self.when_room is not None and self.untaken_bytes <= self._carrier.node.params.untaken_bytes // 2:
+        if (
+            self.when_room is not None
+            and self.untaken_bytes <= self._carrier.node.params.untaken_bytes // 2
+        ):
             go_on, self.when_room = self.when_room, None
             go_on(None)
 
--- a/libs/circulation/src/circulation/carrier.py
+++ b/libs/circulation/src/circulation/carrier.py
@@ -1,11 +1,15 @@
 """Carries transactions: asks what their charts want next and does it, without a socket of its own. Keys
 are opened and closed at the holder, workers are chosen, and a send is handed to whoever has sockets,
-who reports to it what comes back. Deadlines and silent workers are found on each tick."""
+who reports to it what comes back. Deadlines and silent workers are found on each tick.
+"""
 
 from collections import deque
 from collections.abc import Callable
 from typing import Any
 
+from ledger import messages as m
+from vellum import Part
+
 from circulation.affinity import PartMap
 from circulation.calls import Call, Dialect, ForwardCall
 from circulation.carriage import Carriage, Send, Sender
@@ -15,8 +19,6 @@
 from circulation.roster import Roster, Worker
 from circulation.sending import allowed_workers, choose_worker, new_exchange, worker_request
 from circulation.waiting import WaitingLine
-from ledger import messages as m
-from vellum import Part
 
 __all__ = ["Carrier"]
 
@@ -25,14 +27,40 @@
 
 class Carrier(Part):
     """`dialect` is what forwarded calls need: how their workers name their headers. `loans`, where slots are lent to
-    rollouts, takes them back for whatever else needs one."""
-
-    __slots__ = ("_holder", "_items", "_items_tree", "_line", "_list_number", "_open", "_pace", "_roster", "_sender", "_tree",
-                 "by_prefix", "counts", "dialect", "edge", "edges", "loans", "parts", "reading_items",
-                 "readings")
-
-    def __init__(self, edge: str, holder: Any, roster: Roster, tree: Callable[[], Any], sender: Sender,
-                 edges: Callable[[], int] = lambda: 1) -> None:
+    rollouts, takes them back for whatever else needs one.
+    """
+
+    __slots__ = (
+        "_holder",
+        "_items",
+        "_items_tree",
+        "_line",
+        "_list_number",
+        "_open",
+        "_pace",
+        "_roster",
+        "_sender",
+        "_tree",
+        "by_prefix",
+        "counts",
+        "dialect",
+        "edge",
+        "edges",
+        "loans",
+        "parts",
+        "reading_items",
+        "readings",
+    )
+
+    def __init__(
+        self,
+        edge: str,
+        holder: Any,
+        roster: Roster,
+        tree: Callable[[], Any],
+        sender: Sender,
+        edges: Callable[[], int] = lambda: 1,
+    ) -> None:
         self.edge = edge
         self.edges = edges
         self.dialect: Dialect | None = None
@@ -61,12 +89,22 @@
         return len(self._items)
 
     def carrying(self, lot: bool) -> int:
-        return sum(1 for carriage in self._open.values() if carriage.call.lot == lot and not carriage.call.rollout)
+        return sum(
+            1
+            for carriage in self._open.values()
+            if carriage.call.lot == lot and not carriage.call.rollout
+        )
 
     def sends(self) -> list[Send]:
         return [carriage.send for carriage in self._open.values() if carriage.send is not None]
 
-    def carry(self, tx: Transaction, call: Call | ForwardCall, sink: Callable[[bytes], None] | None, done: Callable[[Step], None]) -> Carriage:
+    def carry(
+        self,
+        tx: Transaction,
+        call: Call | ForwardCall,
+        sink: Callable[[bytes], None] | None,
+        done: Callable[[Step], None],
+    ) -> Carriage:
         carriage = Carriage(self, tx, call, sink, done)
         self._open[tx.transaction_id] = carriage
         self._take(carriage, tx.begin())
@@ -100,8 +138,18 @@
                 self._take(carriage, tx.open_receipt(receipt.outcome, receipt.status, receipt.body))
 
         left_ms = max(node.params.ask_ms, (tx.due_ms - node.env.now()) // 2)
-        self._holder.ask(m.OpenKey(key=tx.key, digest=carriage.call.digest, edge=self.edge, transaction=tx.transaction_id,
-                                   epoch=0, holder_ms=0), left_ms, told)
+        self._holder.ask(
+            m.OpenKey(
+                key=tx.key,
+                digest=carriage.call.digest,
+                edge=self.edge,
+                transaction=tx.transaction_id,
+                epoch=0,
+                holder_ms=0,
+            ),
+            left_ms,
+            told,
+        )
 
     def _ask_close(self, carriage: Carriage, step: Step) -> None:
         tx = carriage.tx
@@ -109,18 +157,39 @@
 
         def told(receipt: Any) -> None:
             if receipt is None:
-                self.node.env.log("key-left-open", "WARNING", transaction=tx.transaction_id, key=tx.key, state=step.close_as)
+                self.node.env.log(
+                    "key-left-open",
+                    "WARNING",
+                    transaction=tx.transaction_id,
+                    key=tx.key,
+                    state=step.close_as,
+                )
             if tx.transaction_id in self._open:
                 self._take(carriage, tx.closed())
 
-        self._holder.ask(m.CloseKey(key=tx.key, transaction=tx.transaction_id, state=step.close_as, status=status, body=body),
-                         self.node.params.ask_ms * 2, told)
+        self._holder.ask(
+            m.CloseKey(
+                key=tx.key,
+                transaction=tx.transaction_id,
+                state=step.close_as,
+                status=status,
+                body=body,
+            ),
+            self.node.params.ask_ms * 2,
+            told,
+        )
 
     def _place(self, carriage: Carriage) -> None:
         tx, now_ms = carriage.tx, self.node.env.now()
         workers = self._allowed(carriage)
         worker = self._choose(carriage, workers)
-        if worker is None and carriage.call.lot and not carriage.call.kept_when_gone and workers and not self._all_rest(workers):
+        if (
+            worker is None
+            and carriage.call.lot
+            and not carriage.call.kept_when_gone
+            and workers
+            and not self._all_rest(workers)
+        ):
             self._items_tree = self._items_tree if self._items else self._tree()
             self._items.append(carriage)
         elif worker is None and not carriage.call.lot:
@@ -131,16 +200,22 @@
         else:
             self._take(carriage, tx.placed(worker, bool(workers)))
 
-    def _may_wait(self, carriage: Carriage, workers: list[Worker], now_ms: int, before: int | None = None) -> tuple[bool, int]:
+    def _may_wait(
+        self, carriage: Carriage, workers: list[Worker], now_ms: int, before: int | None = None
+    ) -> tuple[bool, int]:
         line, tx, params = self._line, carriage.tx, self.node.params
         if workers and not carriage.call.kept_when_gone and self._all_rest(workers):
             return now_ms - tx.started_ms < tx.profile.target_ms * _OUTAGE_SHARE, params.ask_ms
         if not workers:
-            held = line.missed_lately(tx.profile.name, now_ms, params.worker_ms) or self._roster.heard_lately(tx.profile)
+            held = line.missed_lately(
+                tx.profile.name, now_ms, params.worker_ms
+            ) or self._roster.heard_lately(tx.profile)
             return held and line.makes_it(tx, params.worker_ms / 2, now_ms), params.dead_ms
         line.seen_worker(tx.profile.name, now_ms)
         before = line.before(carriage) if before is None else before
-        wait_ms = line.estimate_ms(tx, before, sum(worker.slots for worker in workers), self.edges())
+        wait_ms = line.estimate_ms(
+            tx, before, sum(worker.slots for worker in workers), self.edges()
+        )
         return line.makes_it(tx, wait_ms, now_ms), max(params.beat_ms, int(wait_ms))
 
     def _all_rest(self, workers: list[Worker]) -> bool:
@@ -149,13 +224,21 @@
     def seems_dark(self, worker: Worker, path: str) -> bool:
         """Silent for longer than is usual: nothing new goes there while there are others."""
         now_ms = self.node.env.now()
-        return worker.silent_ms(now_ms) > self._pace.dark_ms(path, False, self.node.params.ask_ms / 2) / 2
+        return (
+            worker.silent_ms(now_ms)
+            > self._pace.dark_ms(path, False, self.node.params.ask_ms / 2) / 2
+        )
 
     def _serve_items(self) -> None:
         """Items that were dealt here wait until a worker can read one without holding up what it has begun. Those
-        whose time is up, or whose profiles are no longer in force, are given back."""
+        whose time is up, or whose profiles are no longer in force, are given back.
+        """
         now_ms, tree = self.node.env.now(), self._tree()
-        old = [carriage for carriage in self._items if tree is not self._items_tree or carriage.tx.due_ms <= now_ms]
+        old = [
+            carriage
+            for carriage in self._items
+            if tree is not self._items_tree or carriage.tx.due_ms <= now_ms
+        ]
         self._items_tree = tree
         for carriage in old:
             self._items.remove(carriage)
@@ -216,11 +299,19 @@
             self._reading(worker, call, 1)
         unread_tokens = 0
         if self.readings is not None and not call.kept_when_gone:
-            unread_tokens = int(call.tokens_in * (1 - self.parts.share(worker.identity, call.parts)))
+            unread_tokens = int(
+                call.tokens_in * (1 - self.parts.share(worker.identity, call.parts))
+            )
             self.readings.sent(worker.identity, unread_tokens)
         if call.parts:
             self.parts.sent(worker.identity, call.parts, tx.profile.cache_tokens)
-        self.node.env.log("send", "DEBUG", transaction=tx.transaction_id, worker=worker.stamp, path=tx.profile.name)
+        self.node.env.log(
+            "send",
+            "DEBUG",
+            transaction=tx.transaction_id,
+            worker=worker.stamp,
+            path=tx.profile.name,
+        )
         send = carriage.send = Send(self, carriage, worker, new_exchange(call, self, tx, worker))
         send.reads = not call.kept_when_gone
         send.unread_tokens = unread_tokens
@@ -257,7 +348,9 @@
         if send.reads and self.readings is not None:
             self.readings.has_read(send.unread_tokens, now_ms - send.began_ms)
         if send.carriage.call.stream:
-            (self._pace.gap if send.heard_ms > send.began_ms else self._pace.first)(path, now_ms - send.heard_ms)
+            (self._pace.gap if send.heard_ms > send.began_ms else self._pace.first)(
+                path, now_ms - send.heard_ms
+            )
         send.heard_ms = now_ms
         self._has_read(send)
 
@@ -289,9 +382,18 @@
             elif fate.reason == "busy" and not fate.may_have_run:
                 self._roster.full(worker)
             self.count("sends_failed")
-            self.node.env.log("send-failed", "DEBUG" if fate.mark == "full" else "WARNING", transaction=tx.transaction_id,
-                              worker=worker.stamp, reason=fate.reason, may_have_run=fate.may_have_run)
-            self._take(send.carriage, tx.failed(worker.stamp, fate.may_have_run, fate.reason, self.node.env.now()))
+            self.node.env.log(
+                "send-failed",
+                "DEBUG" if fate.mark == "full" else "WARNING",
+                transaction=tx.transaction_id,
+                worker=worker.stamp,
+                reason=fate.reason,
+                may_have_run=fate.may_have_run,
+            )
+            self._take(
+                send.carriage,
+                tx.failed(worker.stamp, fate.may_have_run, fate.reason, self.node.env.now()),
+            )
         for path in self._line.paths():
             self._serve_line(path)
         if self._items:
@@ -304,8 +406,19 @@
             if send is None:
                 continue
             if now_ms >= tx.due_ms:
-                dark = not carriage.call.kept_when_gone and send.worker.silent_ms(now_ms) > self.node.params.ask_ms
-                self.ended(send, Fate("failed", may_have_run=not send.connecting, reason="deadline", mark="down" if dark else ""))
+                dark = (
+                    not carriage.call.kept_when_gone
+                    and send.worker.silent_ms(now_ms) > self.node.params.ask_ms
+                )
+                self.ended(
+                    send,
+                    Fate(
+                        "failed",
+                        may_have_run=not send.connecting,
+                        reason="deadline",
+                        mark="down" if dark else "",
+                    ),
+                )
             elif not carriage.call.kept_when_gone:
                 self._review_send(send, now_ms)
             elif tx.safe and not tx.delivered and self._roster.silent(send.worker):
@@ -320,7 +433,8 @@
 
     def _review_send(self, send: Send, now_ms: int) -> None:
         """What may go on elsewhere is taken from a worker that says nothing any more; anything else is left
-        there, since silence does not tell that it has not run."""
+        there, since silence does not tell that it has not run.
+        """
         carriage, params = send.carriage, self.node.params
         tx, profile, worker = carriage.tx, carriage.tx.profile, send.worker
         if not tx.can_move or send.connecting or carriage.untaken_bytes > 0:
@@ -329,7 +443,9 @@
         silent_ms = min(now_ms - send.heard_ms, worker.silent_ms(now_ms))
         if silent_ms > self._pace.dark_ms(profile.name, began, params.ask_ms / 2):
             self.ended(send, Fate("failed", reason="worker dark", mark="down"))
-        elif not carriage.call.lot and now_ms - send.heard_ms > self._pace.patience_ms(params.force_ms, profile.target_ms, profile.token_gap_ms):
+        elif not carriage.call.lot and now_ms - send.heard_ms > self._pace.patience_ms(
+            params.force_ms, profile.target_ms, profile.token_gap_ms
+        ):
             self.ended(send, Fate("failed", reason="worker silent"))
 
     # -- ends ----------------------------------------------------------------------------------
@@ -355,10 +471,22 @@
         self._open.pop(tx.transaction_id, None)
         self.count(f"steps_{step.name}")
         self.node.env.log(
-            "transaction-ended", "WARNING" if step.name not in ("finish", "replay", "gone") else "INFO" if carriage.call.kept_when_gone else "DEBUG",
-            transaction=tx.transaction_id, path=tx.profile.name, key=tx.key, state=str(tx.state), sends=tx.sends,
-            took_ms=self.node.env.now() - tx.started_ms, code=step.refusal.code if step.refusal else "",
-            verdict=str(step.refusal.verdict) if step.refusal else "", replayed=step.name == "replay",
+            "transaction-ended",
+            "WARNING"
+            if step.name not in ("finish", "replay", "gone")
+            else "INFO"
+            if carriage.call.kept_when_gone
+            else "DEBUG",
+            transaction=tx.transaction_id,
+            path=tx.profile.name,
+            key=tx.key,
+            state=str(tx.state),
+            sends=tx.sends,
+            took_ms=self.node.env.now() - tx.started_ms,
+            code=step.refusal.code if step.refusal else "",
+            verdict=str(step.refusal.verdict) if step.refusal else "",
+            replayed=step.name == "replay",
             bytes=len(step.value[1]) if step.name == "finish" else 0,
-            **({"lot": tx.lot[0], "index": tx.lot[1]} if tx.lot else {}))
+            **({"lot": tx.lot[0], "index": tx.lot[1]} if tx.lot else {}),
+        )
         carriage.done(step)
--- a/libs/circulation/src/circulation/chart.py
+++ b/libs/circulation/src/circulation/chart.py
@@ -1,14 +1,16 @@
 """The state chart of one transaction: received, opening, placing, waiting, sending, streaming, closing, done,
 refused, cut, gone. One function for every change of state; each gives the step that whoever drives it has
 to take next. It resends only what certainly has not run, or what is safe to repeat as long as
-nothing was delivered; doubt is said as doubt."""
+nothing was delivered; doubt is said as doubt.
+"""
 
 from enum import StrEnum
 from typing import Any
 
-from circulation.placement import Budget
 from colophon import Refusal, Verdict, doubtful, refused
 
+from circulation.placement import Budget
+
 __all__ = ["State", "Step", "Transaction"]
 
 
@@ -31,7 +33,9 @@
 
     __slots__ = ("close_as", "name", "refusal", "value")
 
-    def __init__(self, name: str, refusal: Refusal | None = None, close_as: str = "", value: Any = None) -> None:
+    def __init__(
+        self, name: str, refusal: Refusal | None = None, close_as: str = "", value: Any = None
+    ) -> None:
         self.name = name
         self.refusal = refusal
         self.close_as = close_as
@@ -39,11 +43,37 @@
 
 
 class Transaction:
-    __slots__ = ("_after", "_budget", "_runs", "avoid", "claimed", "delivered", "due_ms", "key", "last_event_id", "lot", "opened", "profile", "safe",
-                 "sending", "sends", "started_ms", "state", "transaction_id")
-
-    def __init__(self, transaction_id: str, profile: Any, key: str, now_ms: int, budget: Budget,
-                 due_ms: int | None = None, claimed: bool = False) -> None:
+    __slots__ = (
+        "_after",
+        "_budget",
+        "_runs",
+        "avoid",
+        "claimed",
+        "delivered",
+        "due_ms",
+        "key",
+        "last_event_id",
+        "lot",
+        "opened",
+        "profile",
+        "safe",
+        "sending",
+        "sends",
+        "started_ms",
+        "state",
+        "transaction_id",
+    )
+
+    def __init__(
+        self,
+        transaction_id: str,
+        profile: Any,
+        key: str,
+        now_ms: int,
+        budget: Budget,
+        due_ms: int | None = None,
+        claimed: bool = False,
+    ) -> None:
         self.transaction_id = transaction_id
         self.profile = profile
         self.key = key
@@ -75,9 +105,17 @@
         if self.safe or self.claimed:
             return self._to(State.PLACING, Step("place"))
         if not self.key:
-            return self._to(State.REFUSED, Step("refuse", refused(
-                "key-missing", "this path is not safe to repeat and needs an Idempotency-Key header",
-                field="Idempotency-Key")))
+            return self._to(
+                State.REFUSED,
+                Step(
+                    "refuse",
+                    refused(
+                        "key-missing",
+                        "this path is not safe to repeat and needs an Idempotency-Key header",
+                        field="Idempotency-Key",
+                    ),
+                ),
+            )
         return self._to(State.OPENING, Step("open"))
 
     def open_receipt(self, outcome: str, status: int = 0, body: str = "") -> Step:
@@ -87,21 +125,55 @@
         if outcome == "recorded":
             return self._to(State.DONE, Step("replay", value=(status, body)))
         if outcome in ("open", "doubt"):
-            return self._to(State.REFUSED, Step("refuse", doubtful(
-                "key-open" if outcome == "open" else "key-doubt",
-                "an earlier request with this key may have run; nothing further was sent", 1000, 409)))
+            return self._to(
+                State.REFUSED,
+                Step(
+                    "refuse",
+                    doubtful(
+                        "key-open" if outcome == "open" else "key-doubt",
+                        "an earlier request with this key may have run; nothing further was sent",
+                        1000,
+                        409,
+                    ),
+                ),
+            )
         if outcome == "conflict":
-            return self._to(State.REFUSED, Step("refuse", refused(
-                "key-reused", "this key came before with another body; this body has not run", 422,
-                field="Idempotency-Key")))
+            return self._to(
+                State.REFUSED,
+                Step(
+                    "refuse",
+                    refused(
+                        "key-reused",
+                        "this key came before with another body; this body has not run",
+                        422,
+                        field="Idempotency-Key",
+                    ),
+                ),
+            )
         if outcome == "full":
-            return self._to(State.REFUSED, Step("refuse", refused(
-                "stores-full", "there is no room to keep this transaction", 503, 5000)))
-        return self._to(State.REFUSED, Step("refuse", doubtful(
-            "stores-silent", "the stores did not answer; this request was not sent on, but whether one before it "
-            "with this key has run is not known", 1000)))
-
-    def placed(self, worker: Any, any_worker: bool, waits: bool = False, back_ms: int = 1000) -> Step:
+            return self._to(
+                State.REFUSED,
+                Step(
+                    "refuse",
+                    refused("stores-full", "there is no room to keep this transaction", 503, 5000),
+                ),
+            )
+        return self._to(
+            State.REFUSED,
+            Step(
+                "refuse",
+                doubtful(
+                    "stores-silent",
+                    "the stores did not answer; this request was not sent on, but whether one before it "
+                    "with this key has run is not known",
+                    1000,
+                ),
+            ),
+        )
+
+    def placed(
+        self, worker: Any, any_worker: bool, waits: bool = False, back_ms: int = 1000
+    ) -> Step:
         """`waits`: an estimate says that a slot will be free soon enough. `back_ms` is when to come back."""
         if worker is not None:
             self.sending = worker.stamp
@@ -115,7 +187,8 @@
     def failed(self, worker: str, may_have_run: bool, reason: str, now_ms: int) -> Step:
         """A send came to nothing. What to do depends on whether it may have run, and been seen. What
         certainly has not run cost its worker nothing: trying another one is free, each one once, or
-        again when one that was full has room."""
+        again when one that was full has room.
+        """
         known = worker in self.avoid
         self.sends.append((worker, reason))
         self.avoid.add(worker)
--- a/libs/circulation/src/circulation/exchange.py
+++ b/libs/circulation/src/circulation/exchange.py
@@ -1,6 +1,7 @@
 """One send to a worker, judged as its answer comes back: the head with the ids that have to match, the
 body or the events, the end or the break. It has no socket; whoever has one reports what came. A send
-is `not run` only by a refused connection or by the worker's own word under the right ids."""
+is `not run` only by a refused connection or by the worker's own word under the right ids.
+"""
 
 import json
 from collections.abc import Iterable
@@ -18,12 +19,20 @@
 
 class Fate:
     """How a send came out: whole, rejected by the worker for good, or failed; `mark` says what the
-    failure tells about the worker: down, mismatch or nothing."""
+    failure tells about the worker: down, mismatch or nothing.
+    """
 
     __slots__ = ("body", "mark", "may_have_run", "name", "reason", "status")
 
-    def __init__(self, name: str, status: int = 0, body: str | bytes = "", may_have_run: bool = True, reason: str = "",
-                 mark: str = "") -> None:
+    def __init__(
+        self,
+        name: str,
+        status: int = 0,
+        body: str | bytes = "",
+        may_have_run: bool = True,
+        reason: str = "",
+        mark: str = "",
+    ) -> None:
         self.name, self.status, self.body = name, status, body
         self.may_have_run, self.reason, self.mark = may_have_run, reason, mark
 
@@ -35,8 +44,19 @@
 class Exchange:
     last_event_id = None
     fresh = True
-    __slots__ = ("_check", "_data", "_kept", "_length", "_limit_bytes", "_matches", "_size_bytes", "_status", "_stream",
-                 "_transaction_id", "_worker")
+    __slots__ = (
+        "_check",
+        "_data",
+        "_kept",
+        "_length",
+        "_limit_bytes",
+        "_matches",
+        "_size_bytes",
+        "_status",
+        "_stream",
+        "_transaction_id",
+        "_worker",
+    )
 
     def __init__(self, worker: str, transaction_id: str, stream: bool, limit_bytes: int) -> None:
         self._worker, self._transaction_id = worker, transaction_id
@@ -72,7 +92,9 @@
             if name.lower() in found:
                 found[name.lower()].append(value)
         self._status, self._length = status, length
-        self._matches = found[WORKER_HEADER] == [self._worker] and found[TRANSACTION_HEADER] == [self._transaction_id]
+        self._matches = found[WORKER_HEADER] == [self._worker] and found[TRANSACTION_HEADER] == [
+            self._transaction_id
+        ]
 
     def data(self, chunk: bytes) -> tuple[list[bytes], Fate | None]:
         """The events that may be delivered now, and the fate if it is sealed already."""
@@ -93,10 +115,18 @@
             return self._refused()
         if self._stream:
             fault = self._check.close()
-            return _failed(True, f"stream not whole: {fault}") if fault else Fate("whole", 200, b"".join(self._kept).decode())
+            return (
+                _failed(True, f"stream not whole: {fault}")
+                if fault
+                else Fate("whole", 200, b"".join(self._kept).decode())
+            )
         data = bytes(self._data)
         fault = check_whole(data, self._length)
-        return _failed(True, f"body not whole: {fault}") if fault else Fate("whole", 200, data.decode())
+        return (
+            _failed(True, f"body not whole: {fault}")
+            if fault
+            else Fate("whole", 200, data.decode())
+        )
 
     def broke(self, reason: str, connected: bool) -> Fate:
         """The connection failed: never made, or lost at any later point."""
--- a/libs/circulation/src/circulation/forward.py
+++ b/libs/circulation/src/circulation/forward.py
@@ -1,6 +1,7 @@
 """One forwarded request at one worker, judged as its answer comes back. An answer counts only with the
 request's id; a success only with the worker's stamp, unencoded and whole to the end that its framing
-announced. Only the worker's own word, or a connection never made, says that a request has not run."""
+announced. Only the worker's own word, or a connection never made, says that a request has not run.
+"""
 
 import re
 from collections.abc import Iterable
@@ -20,7 +21,8 @@
 
 class EventCheck:
     """Cuts a stream into whole events, and sees to it that their ids go up by one, from where the one
-    before stopped. Events without an id are let through, but then nothing can be taken up elsewhere."""
+    before stopped. Events without an id are let through, but then nothing can be taken up elsewhere.
+    """
 
     __slots__ = ("_buffer", "_limit_bytes", "fault", "last_event_id", "unnumbered")
 
@@ -35,7 +37,7 @@
         buffer = self._buffer + data if self._buffer else data
         events, start = [], 0
         while not self.fault and (blank := _BLANK.search(buffer, start)) is not None:
-            event, start = buffer[start:blank.end()], blank.end()
+            event, start = buffer[start : blank.end()], blank.end()
             if self._check(event):
                 events.append(event)
         self._buffer = buffer[start:] if start else buffer
@@ -61,14 +63,44 @@
 
 class ForwardExchange:
     """`fresh`: nothing came before on this connection, so an answer without any id can only be to this. `good`:
-    the head is that of a success for this very request; `streams`: and its events are delivered as they come."""
-
-    __slots__ = ("_check", "_data", "_dialect", "_headers", "_limit_bytes", "_method", "_request_id", "_seen", "_size_bytes",
-                 "_status", "_stream", "_whole_bytes", "_worker", "fresh", "good", "streams")
-
-    def __init__(self, dialect: Dialect, worker: str, request_id: str, method: str, stream: bool, limit_bytes: int,
-                 last_event_id: int | None = None) -> None:
-        self._dialect, self._worker, self._request_id, self._method = dialect, worker, request_id, method
+    the head is that of a success for this very request; `streams`: and its events are delivered as they come.
+    """
+
+    __slots__ = (
+        "_check",
+        "_data",
+        "_dialect",
+        "_headers",
+        "_limit_bytes",
+        "_method",
+        "_request_id",
+        "_seen",
+        "_size_bytes",
+        "_status",
+        "_stream",
+        "_whole_bytes",
+        "_worker",
+        "fresh",
+        "good",
+        "streams",
+    )
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        worker: str,
+        request_id: str,
+        method: str,
+        stream: bool,
+        limit_bytes: int,
+        last_event_id: int | None = None,
+    ) -> None:
+        self._dialect, self._worker, self._request_id, self._method = (
+            dialect,
+            worker,
+            request_id,
+            method,
+        )
         self._stream, self._limit_bytes = stream, limit_bytes
         self._check = EventCheck(last_event_id, limit_bytes)
         self._data = bytearray()
@@ -94,8 +126,17 @@
             self._whole_bytes = None
         else:
             self._whole_bytes = -1 if length is None else length
-        self.good = 200 <= status < 300 and self._matches and bool(self._one(self._dialect.stamp)) and self._unencoded
-        self.streams = self._stream and self.good and self._one("content-type").lower().startswith("text/event-stream")
+        self.good = (
+            200 <= status < 300
+            and self._matches
+            and bool(self._one(self._dialect.stamp))
+            and self._unencoded
+        )
+        self.streams = (
+            self._stream
+            and self.good
+            and self._one("content-type").lower().startswith("text/event-stream")
+        )
 
     def _one(self, name: str) -> str:
         values = self._seen.get(name.lower(), [])
@@ -111,7 +152,9 @@
 
     @property
     def _unencoded(self) -> bool:
-        return all(value.lower() in ("", "identity") for value in self._seen.get("content-encoding", []))
+        return all(
+            value.lower() in ("", "identity") for value in self._seen.get("content-encoding", [])
+        )
 
     @property
     def trusted(self) -> bool:
@@ -122,7 +165,9 @@
     def load(self) -> tuple[int, int, int] | None:
         """What the worker says that it has: running, waiting, slots."""
         try:
-            running, waiting, slots = (int(part) for part in self._one(self._dialect.load).split(","))
+            running, waiting, slots = (
+                int(part) for part in self._one(self._dialect.load).split(",")
+            )
         except ValueError:
             return None
         return (running, waiting, slots) if min(running, waiting) >= 0 < slots else None
@@ -130,7 +175,11 @@
     def told_head(self) -> tuple[int, list[tuple[str, str]], int | None]:
         """Status, end-to-end headers and the length, None for one not known, as the client is given them."""
         size = self._whole_bytes
-        return self._status, end_to_end(self._headers), size if size is not None and size >= 0 else None
+        return (
+            self._status,
+            end_to_end(self._headers),
+            size if size is not None and size >= 0 else None,
+        )
 
     @property
     def last_event_id(self) -> int | None:
@@ -156,7 +205,9 @@
             return self._refused(_failed("an end that nothing announced"))
         if self.streams:
             fault = self._check.close()
-            return _failed(f"stream not whole: {fault}") if fault else Fate("whole", self._status, b"")
+            return (
+                _failed(f"stream not whole: {fault}") if fault else Fate("whole", self._status, b"")
+            )
         if self._whole_bytes is not None and self._whole_bytes != len(self._data):
             return self._refused(_failed("body not whole"))
         if self.good:
@@ -172,9 +223,15 @@
     def _refused(self, otherwise: Fate) -> Fate:
         """The head alone says that it has not run, whatever becomes of the text after it."""
         if not (self._matches or self._anonymous):
-            return otherwise if otherwise.mark else _failed("ids do not match" if self._seen else otherwise.reason, "odd")
+            return (
+                otherwise
+                if otherwise.mark
+                else _failed("ids do not match" if self._seen else otherwise.reason, "odd")
+            )
         if self._status == _MISDIRECTED:
-            return Fate("failed", may_have_run=False, reason="misdirected", mark=self._misdirected_by())
+            return Fate(
+                "failed", may_have_run=False, reason="misdirected", mark=self._misdirected_by()
+            )
         if self._status >= 400 and self._dialect.not_run.lower() in self._seen:
             return Fate("failed", may_have_run=False, reason="busy", mark="full")
         return otherwise
@@ -193,7 +250,12 @@
             return _failed("no id", "odd")
         if status in _PROMISES or status < 200:
             return _failed(f"status {status}")
-        return Fate("ran" if status >= 500 else "rejected", status, bytes(self._data), reason=f"status {status}")
+        return Fate(
+            "ran" if status >= 500 else "rejected",
+            status,
+            bytes(self._data),
+            reason=f"status {status}",
+        )
 
 
 def _failed(reason: str, mark: str = "") -> Fate:
--- a/libs/circulation/src/circulation/forward_chart.py
+++ b/libs/circulation/src/circulation/forward_chart.py
@@ -1,13 +1,15 @@
 """The chart of a forwarded request: the same states, with a bound on how many workers one request is sent
 to. What may be repeated, and a stream that can be taken up after its last event, goes elsewhere within
-that bound and its time; anything else only after word that it has not run."""
+that bound and its time; anything else only after word that it has not run.
+"""
 
 from typing import Any
 
+from colophon import Refusal, doubtful, refused
+
 from circulation.chart import State, Step, Transaction
 from circulation.forward import NO_CONNECTION
 from circulation.placement import Budget
-from colophon import Refusal, doubtful, refused
 
 __all__ = ["ForwardTransaction"]
 
@@ -17,8 +19,15 @@
 
     __slots__ = ("_attempts", "_resumable", "_tried", "unreached")
 
-    def __init__(self, transaction_id: str, profile: Any, now_ms: int, due_ms: int, attempts: int | None = None,
-                 resumable: bool | None = None) -> None:
+    def __init__(
+        self,
+        transaction_id: str,
+        profile: Any,
+        now_ms: int,
+        due_ms: int,
+        attempts: int | None = None,
+        resumable: bool | None = None,
+    ) -> None:
         super().__init__(transaction_id, profile, "", now_ms, Budget(), due_ms, claimed=True)
         self._attempts = max(1, profile.attempts if attempts is None else attempts)
         self._resumable = profile.resumable if resumable is None else resumable
@@ -49,7 +58,9 @@
         self._runs = self._runs or may_have_run
         if now_ms >= self.due_ms:
             return self._no_more("late", reason, 504)
-        if self._again(may_have_run) and (self.attempts_left > 0 or reason in ("busy", NO_CONNECTION)):
+        if self._again(may_have_run) and (
+            self.attempts_left > 0 or reason in ("busy", NO_CONNECTION)
+        ):
             return self._to(State.PLACING, Step("place"))
         return self._no_more("send-failed", reason, 502)
 
@@ -61,14 +72,20 @@
         self._runs = True
         if self._again(True) and self.attempts_left > 0 and now_ms < self.due_ms:
             return self._to(State.PLACING, Step("place"))
-        return self._cut(f"status {status}") if self.delivered else self._to(State.DONE, Step("finish", value=(status, body)))
+        return (
+            self._cut(f"status {status}")
+            if self.delivered
+            else self._to(State.DONE, Step("finish", value=(status, body)))
+        )
 
     def _again(self, may_have_run: bool) -> bool:
         if self.delivered:
             return self._resumable and self.last_event_id is not None
         return self.safe or not may_have_run and not self._runs
 
-    def placed(self, worker: Any, any_worker: bool, waits: bool = False, back_ms: int = 1000) -> Step:
+    def placed(
+        self, worker: Any, any_worker: bool, waits: bool = False, back_ms: int = 1000
+    ) -> Step:
         if waits:
             self.unreached.clear()
         if worker is not None or waits:
@@ -84,5 +101,7 @@
         if not self._runs:
             refusal: Refusal = refused(code, f"not run: {reason}", 503, back_ms or 100)
         else:
-            refusal = doubtful(code, f"may have run: {reason}", status=504 if status == 504 else 502)
+            refusal = doubtful(
+                code, f"may have run: {reason}", status=504 if status == 504 else 502
+            )
         return self._to(State.REFUSED, Step("refuse", refusal))
