--- a/libs/circulation/src/circulation/holding.py
+++ b/libs/circulation/src/circulation/holding.py
@@ -2,7 +2,8 @@
 gets no answer is asked again until its time is up. An ask that may run something later is stamped
 with the holder's own time as last heard; for our own interface its last stretch is only waited for, so
 that doubt is told when nothing of it can be under way any more. News of another holder has what is
-under way asked again at once."""
+under way asked again at once.
+"""
 
 import json
 from collections.abc import Callable
@@ -22,7 +23,9 @@
 class _Ask:
     __slots__ = ("done", "due_ms", "epoch", "last_ms", "message", "next_ms", "sends")
 
-    def __init__(self, message: Message, now_ms: int, wait_ms: int, hold_ms: int, done: Callable) -> None:
+    def __init__(
+        self, message: Message, now_ms: int, wait_ms: int, hold_ms: int, done: Callable
+    ) -> None:
         self.message = message
         self.due_ms = now_ms + wait_ms
         self.last_ms = now_ms + wait_ms - hold_ms
@@ -33,7 +36,16 @@
 
 
 class HolderClient(Part):
-    __slots__ = ("_address", "_asks", "_epoch", "_log_key", "_read", "_stores", "heard_ms", "holder_ms")
+    __slots__ = (
+        "_address",
+        "_asks",
+        "_epoch",
+        "_log_key",
+        "_read",
+        "_stores",
+        "heard_ms",
+        "holder_ms",
+    )
 
     def __init__(self, log_key: Callable[[], str], stores: Callable[[], list[str]]) -> None:
         self._log_key = log_key
@@ -64,7 +76,10 @@
         value = json.loads(body) if body else {}
         if value and self._is_news(value["epoch"]):
             self._epoch = value["epoch"]
-            self._address = next((row["address"] for row in value["members"] if row["identity"] == value["holder"]), "")
+            self._address = next(
+                (row["address"] for row in value["members"] if row["identity"] == value["holder"]),
+                "",
+            )
 
     def _is_news(self, epoch: int) -> bool:
         return epoch > self._epoch or (epoch == self._epoch and not self._address)
@@ -83,8 +98,9 @@
         return news
 
     def ask(self, message: Message, wait_ms: int, done: Callable[[Any], None]) -> _Ask:
-        """done gets the receipt, or None if there was none in time; without a `sends` of the ask nothing of it
-        was sent. What is stamped and waited for holds its tongue for as long as a stamp may live, beyond the time given."""
+        """Done gets the receipt, or None if there was none in time; without a `sends` of the ask nothing of it
+        was sent. What is stamped and waited for holds its tongue for as long as a stamp may live, beyond the time given.
+        """
         hold_ms = self.node.params.fresh_ms if isinstance(message, _WAITED_FOR) else 0
         ask = _Ask(message, self.node.env.now(), wait_ms + hold_ms, hold_ms, done)
         self._asks.append(ask)
@@ -100,12 +116,18 @@
             ask.next_ms = now_ms + self.node.params.beat_ms // 2
             return
         if isinstance(ask.message, _STAMPED):
-            ask.message = type(ask.message)(**{**ask.message.as_dict(), "epoch": self._epoch, "holder_ms": self.holder_ms})
+            ask.message = type(ask.message)(
+                **{**ask.message.as_dict(), "epoch": self._epoch, "holder_ms": self.holder_ms}
+            )
         ask.sends += 1
         ask.epoch = self._epoch
         number = ask.sends
-        self.node.ask(address, ask.message, held_ms + self.node.params.ask_ms * 2,
-                      lambda receipt: self._answered(ask, number, receipt))
+        self.node.ask(
+            address,
+            ask.message,
+            held_ms + self.node.params.ask_ms * 2,
+            lambda receipt: self._answered(ask, number, receipt),
+        )
 
     def _answered(self, ask: _Ask, number: int, receipt: Message | None) -> None:
         """A refusal counts only of the last send: a later one may have been taken meanwhile."""
--- a/libs/circulation/src/circulation/item_run.py
+++ b/libs/circulation/src/circulation/item_run.py
@@ -1,16 +1,18 @@
 """One item of a forwarded lot at an edge: a stream taken to its end for nobody but the log. A worker that fails
 to bring it to its end is no failed attempt, only its own word is: another one goes on after the last
-event, and where none can, the item is taken up here a little later, or given back if nothing of it came."""
+event, and where none can, the item is taken up here a little later, or given back if nothing of it came.
+"""
 
 from collections.abc import Callable
 from typing import Any
 
+from ledger import messages as m
+from vellum import decode
+
 from circulation.calls import ForwardCall
 from circulation.carrier import Carriage, Carrier
 from circulation.chart import State, Step
 from circulation.forward_chart import ForwardTransaction
-from ledger import messages as m
-from vellum import decode
 
 __all__ = ["ItemRun", "data_of"]
 
@@ -22,8 +24,11 @@
 
 def data_of(event: bytes) -> bytes | None:
     """The data of one event, its lines joined; None for one that has none."""
-    lines = [line.partition(b":")[2].removeprefix(b" ") for line in event.replace(b"\r\n", b"\n").replace(b"\r", b"\n").split(b"\n")
-             if line.startswith(b"data:") or line == b"data"]
+    lines = [
+        line.partition(b":")[2].removeprefix(b" ")
+        for line in event.replace(b"\r\n", b"\n").replace(b"\r", b"\n").split(b"\n")
+        if line.startswith(b"data:") or line == b"data"
+    ]
     return b"\n".join(lines) if lines else None
 
 
@@ -38,7 +43,11 @@
 
     def failed(self, worker: str, may_have_run: bool, reason: str, now_ms: int) -> Step:
         step = super().failed(worker, may_have_run, reason, now_ms)
-        return step if self.attempts_left > 0 or step.name != "place" else self._no_more("send-failed", reason, 502)
+        return (
+            step
+            if self.attempts_left > 0 or step.name != "place"
+            else self._no_more("send-failed", reason, 502)
+        )
 
     def answered(self, worker: str, status: int, body: bytes, now_ms: int) -> Step:
         self.sends.append((worker, f"status {status}"))
@@ -49,12 +58,36 @@
 class ItemRun:
     """`after` calls something back after a time; `done` gets outcome, text and worker, once."""
 
-    __slots__ = ("_after", "_carriage", "_carrier", "_data", "_done", "_due_ms", "_item", "_last_event_id", "_over", "_taken_up", "_tree",
-                 "_work")
-
-    def __init__(self, work: m.ForwardWork, carrier: Carrier, tree: Callable[[], Any], after: Callable[[int, Callable[[], None]], None],
-                 done: Callable[[str, bytes, str], None]) -> None:
-        self._work, self._carrier, self._tree, self._after, self._done = work, carrier, tree, after, done
+    __slots__ = (
+        "_after",
+        "_carriage",
+        "_carrier",
+        "_data",
+        "_done",
+        "_due_ms",
+        "_item",
+        "_last_event_id",
+        "_over",
+        "_taken_up",
+        "_tree",
+        "_work",
+    )
+
+    def __init__(
+        self,
+        work: m.ForwardWork,
+        carrier: Carrier,
+        tree: Callable[[], Any],
+        after: Callable[[int, Callable[[], None]], None],
+        done: Callable[[str, bytes, str], None],
+    ) -> None:
+        self._work, self._carrier, self._tree, self._after, self._done = (
+            work,
+            carrier,
+            tree,
+            after,
+            done,
+        )
         self._item: m.ForwardItem = decode(work.call)
         self._due_ms = carrier.node.env.now() + work.left_ms
         self._data: list[bytes] = []
@@ -73,12 +106,32 @@
             self._later(lambda: self._end("again", b"", ""))
             return
         item = self._item
-        tx = _ItemTransaction(f"{self._carrier.node.env.token()}-{item.item_id}", profile, now_ms, self._due_ms, _SENDS, True)
+        tx = _ItemTransaction(
+            f"{self._carrier.node.env.token()}-{item.item_id}",
+            profile,
+            now_ms,
+            self._due_ms,
+            _SENDS,
+            True,
+        )
         tx.lot = (self._work.lot_id, self._work.index)
         tx.avoid.update(self._work.avoid)
-        call = ForwardCall("POST", item.target, item.host, list(zip(item.headers[::2], item.headers[1::2], strict=True)), item.body,
-                           item.item_id, list(zip(item.part_ids, item.part_tokens, strict=True)), item.tokens_in, item.tokens_out,
-                           True, True, True, self._last_event_id, _URGENCY)
+        call = ForwardCall(
+            "POST",
+            item.target,
+            item.host,
+            list(zip(item.headers[::2], item.headers[1::2], strict=True)),
+            item.body,
+            item.item_id,
+            list(zip(item.part_ids, item.part_tokens, strict=True)),
+            item.tokens_in,
+            item.tokens_out,
+            True,
+            True,
+            True,
+            self._last_event_id,
+            _URGENCY,
+        )
         self._carriage = None
         carriage = self._carrier.carry(tx, call, self._take, lambda step: self._stepped(tx, step))
         if not self._over:
--- a/libs/circulation/src/circulation/items.py
+++ b/libs/circulation/src/circulation/items.py
@@ -1,12 +1,17 @@
 """Runs the items of lots that this edge was dealt, each as a transaction of its own: the claim in the
 log stands for its opening, so nothing more is asked of the stores. Also says how much room there is.
-How a forwarded item is run stands in item_run."""
+How a forwarded item is run stands in item_run.
+"""
 
 import json
 import math
 from collections.abc import Callable
 from typing import Any
 
+from colophon import Verdict
+from ledger import messages as m
+from vellum import Part
+
 from circulation.calls import Call
 from circulation.carriage import Carriage
 from circulation.carrier import Carrier
@@ -14,9 +19,6 @@
 from circulation.item_run import ItemRun
 from circulation.placement import Budget, prefix_of
 from circulation.roster import Roster, Worker
-from colophon import Verdict
-from ledger import messages as m
-from vellum import Part
 
 __all__ = ["Items"]
 
@@ -26,10 +28,26 @@
 class Items(Part):
     """`why_unready` as the edge has it; `edges` gives how many edges share the workers, itself among them."""
 
-    __slots__ = ("_budgets", "_carrier", "_edges", "_later", "_roster", "_running", "_tree", "_trickled_ms", "_why_unready")
-
-    def __init__(self, carrier: Carrier, roster: Roster, tree: Callable[[], Any], why_unready: Callable[[], str],
-                 edges: Callable[[], int]) -> None:
+    __slots__ = (
+        "_budgets",
+        "_carrier",
+        "_edges",
+        "_later",
+        "_roster",
+        "_running",
+        "_tree",
+        "_trickled_ms",
+        "_why_unready",
+    )
+
+    def __init__(
+        self,
+        carrier: Carrier,
+        roster: Roster,
+        tree: Callable[[], Any],
+        why_unready: Callable[[], str],
+        edges: Callable[[], int],
+    ) -> None:
         self._carrier, self._roster, self._tree = carrier, roster, tree
         self._why_unready, self._edges = why_unready, edges
         self._budgets: dict[str, Budget] = {}
@@ -44,9 +62,15 @@
         if self._why_unready():
             return 0, frozenset()
         workers = self._roster.workers()
-        paths = self._tree().served_by(frozenset((worker.identity, worker.labels) for worker in workers))
+        paths = self._tree().served_by(
+            frozenset((worker.identity, worker.labels) for worker in workers)
+        )
         free = sum(self._free(worker) for worker in workers)
-        room = max(0, math.ceil(free / self._edges()) - self._carrier.items_waiting()) if free >= 1 else 0
+        room = (
+            max(0, math.ceil(free / self._edges()) - self._carrier.items_waiting())
+            if free >= 1
+            else 0
+        )
         return room or self._trickle(workers), paths
 
     def _free(self, worker: Worker) -> float:
@@ -54,8 +78,16 @@
         share = self.node.params.live_share
         if worker.listed:
             load = worker.load(self.node.env.now())
-            return 0.0 if worker.waiting and 2 * load >= worker.slots else max(0.0, math.floor(worker.slots * (1 - share)) - load)
-        return 0.0 if worker.waiting else max(0, worker.slots - math.ceil(worker.slots * share) - worker.weight)
+            return (
+                0.0
+                if worker.waiting and 2 * load >= worker.slots
+                else max(0.0, math.floor(worker.slots * (1 - share)) - load)
+            )
+        return (
+            0.0
+            if worker.waiting
+            else max(0, worker.slots - math.ceil(worker.slots * share) - worker.weight)
+        )
 
     def _trickle(self, workers: list[Any]) -> int:
         """Where live traffic takes everything, an edge still has one item under way now and then."""
@@ -68,7 +100,11 @@
     # -- running -------------------------------------------------------------------------------
 
     def start(self, work: m.Work | m.ForwardWork, done: Done) -> Callable[[], None]:
-        return self._start_forward(work, done) if isinstance(work, m.ForwardWork) else self._start_own(work, done)
+        return (
+            self._start_forward(work, done)
+            if isinstance(work, m.ForwardWork)
+            else self._start_own(work, done)
+        )
 
     def _start_forward(self, work: m.ForwardWork, done: Done) -> Callable[[], None]:
         def ended(outcome: str, text: bytes, worker: str) -> None:
@@ -94,8 +130,15 @@
             return lambda: None
         env, body = self.node.env, json.loads(work.body)
         due_ms = env.now() + max(profile.deadline_ms, 2 * self.node.params.force_ms)
-        tx = Transaction(f"{env.token()}-{work.lot_id}-{work.index}", profile, "", env.now(),
-                         self._budgets.setdefault(work.path, Budget()), due_ms, claimed=True)
+        tx = Transaction(
+            f"{env.token()}-{work.lot_id}-{work.index}",
+            profile,
+            "",
+            env.now(),
+            self._budgets.setdefault(work.path, Budget()),
+            due_ms,
+            claimed=True,
+        )
         tx.safe = work.safe
         tx.lot = (work.lot_id, work.index)
         self._running += 1
@@ -112,7 +155,9 @@
             if over():
                 self._tell(work, tx, step, done)
 
-        carriage: Carriage = self._carrier.carry(tx, Call(body, "", prefix_of(body), True, False), None, ended)
+        carriage: Carriage = self._carrier.carry(
+            tx, Call(body, "", prefix_of(body), True, False), None, ended
+        )
 
         def cancel() -> None:
             if over():
--- a/libs/circulation/src/circulation/lots.py
+++ b/libs/circulation/src/circulation/lots.py
@@ -2,18 +2,22 @@
 items it could start and what it is running; what it is dealt it runs, reports until that is
 acknowledged, and places results while it has the baton. What forwarded items come to is reported together, as
 much as there is while the report before is under way. Word from the holder is a claim on all this:
-without it for too long, or after having been frozen, everything that runs is stopped."""
+without it for too long, or after having been frozen, everything that runs is stopped.
+"""
 
 from collections.abc import Callable
 from typing import Any
 
-from circulation.holding import HolderClient
 from ledger import messages as m
 from vellum import Message, Part, decode, encode
 
+from circulation.holding import HolderClient
+
 __all__ = ["LotRunner"]
 
-STOPPED_BODY = '{"error":{"verdict":"may_have_run","code":"stopped","message":"stopped while it ran"}}'
+STOPPED_BODY = (
+    '{"error":{"verdict":"may_have_run","code":"stopped","message":"stopped while it ran"}}'
+)
 Start = Callable[[m.Work | m.ForwardWork, Callable[[str, Any, str], None]], Callable[[], None]]
 _REPORT_BYTES = 1 << 20
 
@@ -29,13 +33,36 @@
 
 class LotRunner(Part):
     """`room` gives how many items may be started now, and on which paths; `start` runs one item and
-    calls back with outcome, body, worker, giving the function that stops it."""
-
-    __slots__ = ("_asked_epoch", "_asked_ms", "_asking", "_beats", "_ends", "_holder", "_lot_paths", "_placing", "_reporting", "_room", "_runs",
-                 "_start", "_wish", "edge", "finished", "paused", "samples")
-
-    def __init__(self, edge: str, holder: HolderClient, room: Callable[[], tuple[int, frozenset[str]]],
-                 start: Start) -> None:
+    calls back with outcome, body, worker, giving the function that stops it.
+    """
+
+    __slots__ = (
+        "_asked_epoch",
+        "_asked_ms",
+        "_asking",
+        "_beats",
+        "_ends",
+        "_holder",
+        "_lot_paths",
+        "_placing",
+        "_reporting",
+        "_room",
+        "_runs",
+        "_start",
+        "_wish",
+        "edge",
+        "finished",
+        "paused",
+        "samples",
+    )
+
+    def __init__(
+        self,
+        edge: str,
+        holder: HolderClient,
+        room: Callable[[], tuple[int, frozenset[str]]],
+        start: Start,
+    ) -> None:
         self.edge = edge
         self._holder = holder
         self._room = room
@@ -78,12 +105,23 @@
         self._asking = number = self._beats
         self._wish = False
         running = [f"{lot_id}#{index}" for lot_id, index in self._runs]
-        told = {"edge": self.edge, "address": self.node.address, "room": room, "paths": sorted(served & self._lot_paths), "running": running}
+        told = {
+            "edge": self.edge,
+            "address": self.node.address,
+            "room": room,
+            "paths": sorted(served & self._lot_paths),
+            "running": running,
+        }
         beat: Message = m.EdgeBeat(**told)
         if self.samples is not None and self.samples.lends():
             sample_room, sample_paths = (0, ()) if self.paused else self.samples.room()
             beat = m.RolloutBeat(**told, sample_room=sample_room, sample_paths=sorted(sample_paths))
-        self.node.ask(address, beat, self.node.params.ask_ms, lambda receipt: self._answered(receipt, number, asked_ms))
+        self.node.ask(
+            address,
+            beat,
+            self.node.params.ask_ms,
+            lambda receipt: self._answered(receipt, number, asked_ms),
+        )
 
     def _answered(self, receipt: Message | None, number: int, asked_ms: int) -> None:
         last = number == self._asking
@@ -108,7 +146,9 @@
             self._place(baton.lot_id, baton.epoch, baton.up_to)
         fresh = set(receipt.paths) - self._lot_paths
         self._lot_paths |= fresh
-        self._wish = receipt.waiting > 0 or any(not isinstance(run.work, m.RolloutWork) for run in self._runs.values())
+        self._wish = receipt.waiting > 0 or any(
+            not isinstance(run.work, m.RolloutWork) for run in self._runs.values()
+        )
         if (fresh or any(isinstance(row, m.ForwardWork) for row in work)) and not self.paused:
             self._beat_now()
 
@@ -124,7 +164,9 @@
         if key in self._runs:
             return
         run = self._runs[key] = _Run(work)
-        run.cancel = self._start(work, lambda outcome, body, worker: self._ended(run, outcome, body, worker))
+        run.cancel = self._start(
+            work, lambda outcome, body, worker: self._ended(run, outcome, body, worker)
+        )
 
     def _ended(self, run: _Run, outcome: str, body: str, worker: str) -> None:
         key = (run.work.lot_id, run.work.index)
@@ -139,8 +181,21 @@
 
     def _report_end(self, run: _Run, outcome: str, text: bytes, worker: str) -> None:
         work = run.work
-        self._ends.append((run, encode(m.ItemEnd(lot_id=work.lot_id, index=work.index, number=work.number, outcome=outcome,
-                                                 text=text, worker=worker))))
+        self._ends.append(
+            (
+                run,
+                encode(
+                    m.ItemEnd(
+                        lot_id=work.lot_id,
+                        index=work.index,
+                        number=work.number,
+                        outcome=outcome,
+                        text=text,
+                        worker=worker,
+                    )
+                ),
+            )
+        )
         self._report_ends()
 
     def _report_ends(self) -> None:
@@ -168,7 +223,11 @@
             self._wish = True
             self._report_ends()
 
-        self._holder.ask(m.EndItems(edge=self.edge, rows=[data for _, data in rows]), self.node.params.force_ms, told)
+        self._holder.ask(
+            m.EndItems(edge=self.edge, rows=[data for _, data in rows]),
+            self.node.params.force_ms,
+            told,
+        )
         self._beat_now()
 
     def _report(self, run: _Run, outcome: str, body: str, worker: str) -> None:
@@ -185,15 +244,29 @@
             if receipt.baton_epoch:
                 self._place(run.work.lot_id, receipt.baton_epoch, receipt.up_to)
 
-        self._holder.ask(m.Finish(lot_id=run.work.lot_id, index=run.work.index, number=run.work.number, outcome=outcome,
-                                  body=body, worker=worker, edge=self.edge), self.node.params.force_ms, told)
+        self._holder.ask(
+            m.Finish(
+                lot_id=run.work.lot_id,
+                index=run.work.index,
+                number=run.work.number,
+                outcome=outcome,
+                body=body,
+                worker=worker,
+                edge=self.edge,
+            ),
+            self.node.params.force_ms,
+            told,
+        )
 
     def _place(self, lot_id: str, epoch: int, up_to: int) -> None:
         if lot_id in self._placing:
             return
         self._placing.add(lot_id)
-        self._holder.ask(m.Place(lot_id=lot_id, edge=self.edge, epoch=epoch, up_to=up_to), self.node.params.ask_ms,
-                         lambda receipt: self._placing.discard(lot_id))
+        self._holder.ask(
+            m.Place(lot_id=lot_id, edge=self.edge, epoch=epoch, up_to=up_to),
+            self.node.params.ask_ms,
+            lambda receipt: self._placing.discard(lot_id),
+        )
 
     # -- stopping ------------------------------------------------------------------------------
 
@@ -219,7 +292,12 @@
 
     def _note(self, keys: list[tuple[str, int]], reason: str) -> None:
         if keys:
-            self.node.env.log("items-stopped", lots=sorted({lot_id for lot_id, _ in keys}), count=len(keys), reason=reason)
+            self.node.env.log(
+                "items-stopped",
+                lots=sorted({lot_id for lot_id, _ in keys}),
+                count=len(keys),
+                reason=reason,
+            )
 
     def woke(self, gap_ms: int) -> None:
         if gap_ms > self.node.params.claim_ms:
--- a/libs/circulation/src/circulation/pace.py
+++ b/libs/circulation/src/circulation/pace.py
@@ -1,6 +1,7 @@
 """How long a path's requests usually take until their first event and between events, as seen lately; and
 from it, when a worker has been silent for so long that somebody else is asked. Silence is measured
-at the worker: one that sends anything to anybody here is not dark, only slow."""
+at the worker: one that sends anything to anybody here is not dark, only slow.
+"""
 
 __all__ = ["Pace"]
 
@@ -25,7 +26,10 @@
 
     def long_ms(self, floor_ms: float) -> float:
         """Longer than nearly all: silent ones do not count themselves in."""
-        return max(floor_ms, _TIMES * (self.mean_ms + _SPREADS * self.spread_ms) if self.mean_ms >= 0 else 0.0)
+        return max(
+            floor_ms,
+            _TIMES * (self.mean_ms + _SPREADS * self.spread_ms) if self.mean_ms >= 0 else 0.0,
+        )
 
 
 class Pace:
@@ -49,5 +53,6 @@
     @staticmethod
     def patience_ms(force_ms: int, target_ms: int, gap_ms: int) -> float:
         """How long one request is left with a worker that answers others: well before the client, who waits
-        for the longest of these, gives it up."""
+        for the longest of these, gives it up.
+        """
         return _PATIENCE * max(force_ms, 4 * target_ms, 8 * gap_ms)
--- a/libs/circulation/src/circulation/readings.py
+++ b/libs/circulation/src/circulation/readings.py
@@ -1,6 +1,7 @@
 """Prompts that workers have still to read, as all edges near here know it. Each edge tells its fellows of every
 prompt that it sends, so that none of them falls upon a worker that is busy reading: streams there would
-pause meanwhile. What was told wears off at the pace at which workers were seen to read."""
+pause meanwhile. What was told wears off at the pace at which workers were seen to read.
+"""
 
 from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
--- a/libs/circulation/src/circulation/roster.py
+++ b/libs/circulation/src/circulation/roster.py
@@ -1,7 +1,8 @@
 """The workers that this edge knows. Beats and leaves arrive at any edge and are flooded to all; a
 worker is a pair of identity and incarnation, so one that replaces another, at the same address or
 under the same name, is a different one. A leave is final for its incarnation. Silence, a failed
-connection or a leave takes a worker out; only what the profiles in force allow is enrolled."""
+connection or a leave takes a worker out; only what the profiles in force allow is enrolled.
+"""
 
 import json
 import math
@@ -35,11 +36,39 @@
 class Worker:
     """`others` is what callers elsewhere had at it when it last told its load; `borrowed` are its slots in which this
     edge runs samples of rollouts, `borrowed_elsewhere` those of other edges as they last told: they give way to anything
-    else, and so count for nothing in what it has to do."""
-
-    __slots__ = ("address", "answered_ms", "asked_ms", "beat", "borrowed", "borrowed_elsewhere", "cache_use", "down_beat", "down_ms", "failures", "full_until_ms", "heard_ms",
-                 "identity", "incarnation", "labels", "leaving", "listed", "others", "reading", "reading_items", "running", "sending", "sending_then",
-                 "sent_ms", "slots", "told_ms", "waiting", "zone")
+    else, and so count for nothing in what it has to do.
+    """
+
+    __slots__ = (
+        "address",
+        "answered_ms",
+        "asked_ms",
+        "beat",
+        "borrowed",
+        "borrowed_elsewhere",
+        "cache_use",
+        "down_beat",
+        "down_ms",
+        "failures",
+        "full_until_ms",
+        "heard_ms",
+        "identity",
+        "incarnation",
+        "labels",
+        "leaving",
+        "listed",
+        "others",
+        "reading",
+        "reading_items",
+        "running",
+        "sending",
+        "sending_then",
+        "sent_ms",
+        "slots",
+        "told_ms",
+        "waiting",
+        "zone",
+    )
 
     def __init__(self, news: WorkerNews) -> None:
         self.identity = news.identity
@@ -52,7 +81,9 @@
         self.listed = False
         self.failures = self.reading = self.reading_items = 0
         self.others = 0.0
-        self.told_ms = self.answered_ms = self.asked_ms = self.sent_ms = self.full_until_ms = -1 << 40
+        self.told_ms = self.answered_ms = self.asked_ms = self.sent_ms = self.full_until_ms = (
+            -1 << 40
+        )
 
     def take(self, news: WorkerNews, now_ms: int) -> None:
         self.address = news.address
@@ -68,7 +99,17 @@
     @property
     def weight(self) -> int:
         """What it probably has to do: its own report, moved by what this edge began or ended since."""
-        return max(self.sending, self.running + self.waiting + self.sending - self.sending_then - self.borrowed_elsewhere) - self.borrowed
+        return (
+            max(
+                self.sending,
+                self.running
+                + self.waiting
+                + self.sending
+                - self.sending_then
+                - self.borrowed_elsewhere,
+            )
+            - self.borrowed
+        )
 
     @property
     def stamp(self) -> str:
@@ -76,14 +117,25 @@
 
     def told_load(self, running: int, waiting: int, slots: int, now_ms: int) -> None:
         """Its own word of its load, as it stood when it answered one of ours."""
-        self.running, self.waiting, self.slots, self.sending_then = running, waiting, max(1, slots), self.sending
+        self.running, self.waiting, self.slots, self.sending_then = (
+            running,
+            waiting,
+            max(1, slots),
+            self.sending,
+        )
         self.others = float(max(0, running + waiting - self.sending))
         self.told_ms = now_ms
 
     def load(self, now_ms: int) -> float:
         """What it probably has now: what is under way from here, and what others had there, which is the less
-        sure the older it is. Prompts that are still read count twice, since all else waits for them."""
-        return self.sending + self.reading - self.borrowed + max(0.0, self.others_now(now_ms) - self.borrowed_elsewhere)
+        sure the older it is. Prompts that are still read count twice, since all else waits for them.
+        """
+        return (
+            self.sending
+            + self.reading
+            - self.borrowed
+            + max(0.0, self.others_now(now_ms) - self.borrowed_elsewhere)
+        )
 
     def others_now(self, now_ms: int) -> float:
         return self.others * math.exp(-max(0, now_ms - self.told_ms) / _LOAD_MS)
@@ -100,13 +152,28 @@
 
 class Roster(Part):
     """`allowed` says whether any profile in force allows a worker; `listed` gives the number and the body of
-    the list that control keeps, if it keeps one."""
-
-    __slots__ = ("_allowed", "_fellows", "_by_label", "_gone", "_listed", "_quiet_until_ms", "_workers", "lent", "list_number")
+    the list that control keeps, if it keeps one.
+    """
+
+    __slots__ = (
+        "_allowed",
+        "_fellows",
+        "_by_label",
+        "_gone",
+        "_listed",
+        "_quiet_until_ms",
+        "_workers",
+        "lent",
+        "list_number",
+    )
     HANDLES = (WorkerNews,)
 
-    def __init__(self, fellows: Callable[[], Iterable[str]], allowed: Callable[[str, frozenset], bool],
-                 listed: Callable[[], tuple[int, str]] = lambda: (0, "")) -> None:
+    def __init__(
+        self,
+        fellows: Callable[[], Iterable[str]],
+        allowed: Callable[[str, frozenset], bool],
+        listed: Callable[[], tuple[int, str]] = lambda: (0, ""),
+    ) -> None:
         self._fellows = fellows
         self._allowed = allowed
         self._listed, self.list_number = listed, 0
@@ -126,8 +193,12 @@
             return False
         if held is not None and held.incarnation > news.incarnation:
             return False
-        if held is not None and held.incarnation == news.incarnation and held.beat >= news.beat \
-                and (held.leaving or not news.leaving):
+        if (
+            held is not None
+            and held.incarnation == news.incarnation
+            and held.beat >= news.beat
+            and (held.leaving or not news.leaving)
+        ):
             return True
         now_ms = self.node.env.now()
         if not news.leaving and not self._displaces(news, now_ms):
@@ -139,8 +210,12 @@
             self.node.env.log("worker-leaving", worker=news.identity, incarnation=news.incarnation)
         if held is None or held.incarnation < news.incarnation:
             held = Worker(news)
-            self.node.env.log("worker-enrolled", worker=news.identity, incarnation=news.incarnation,
-                              address=news.address)
+            self.node.env.log(
+                "worker-enrolled",
+                worker=news.identity,
+                incarnation=news.incarnation,
+                address=news.address,
+            )
         self._workers[news.identity] = held
         held.take(news, now_ms if now_ms >= self._quiet_until_ms else -1 << 40)
         for address in self._fellows() if now_ms >= self._quiet_until_ms else ():
@@ -150,9 +225,13 @@
 
     def _displaces(self, news: WorkerNews, now_ms: int) -> bool:
         """Of two workers at one address the one begun later is there, and the other never comes back;
-        old news of it may still be under way."""
-        for other in [other for other in self._workers.values()
-                      if other.address == news.address and other.identity != news.identity]:
+        old news of it may still be under way.
+        """
+        for other in [
+            other
+            for other in self._workers.values()
+            if other.address == news.address and other.identity != news.identity
+        ]:
             if self.usable(other) and other.incarnation > news.incarnation:
                 self._gone[(news.identity, news.incarnation)] = now_ms
                 return False
@@ -165,14 +244,29 @@
 
     def take_list(self, rows: dict[str, dict[str, Any]]) -> None:
         """The workers as control lists them: whoever is not on it, or is draining, gets nothing new. Beats
-        and silence count for nothing here; who lists them has judged that."""
+        and silence count for nothing here; who lists them has judged that.
+        """
         now_ms = self.node.env.now()
-        for identity in [worker.identity for worker in self._workers.values() if worker.listed and worker.identity not in rows]:
+        for identity in [
+            worker.identity
+            for worker in self._workers.values()
+            if worker.listed and worker.identity not in rows
+        ]:
             self._workers.pop(identity).leaving = True
         for identity, row in rows.items():
-            news = WorkerNews(identity=identity, incarnation=0, address=row["address"], zone=row.get("zone", ""),
-                              labels=[row["label"]], beat=row.get("seq", 0), running=0, waiting=0, slots=max(1, row.get("slots", 1)),
-                              cache_use=0.0, leaving=False)
+            news = WorkerNews(
+                identity=identity,
+                incarnation=0,
+                address=row["address"],
+                zone=row.get("zone", ""),
+                labels=[row["label"]],
+                beat=row.get("seq", 0),
+                running=0,
+                waiting=0,
+                slots=max(1, row.get("slots", 1)),
+                cache_use=0.0,
+                leaving=False,
+            )
             held = self._workers.get(identity)
             if (identity, 0) in self._gone:
                 continue
@@ -193,20 +287,29 @@
     def resting(self, worker: Worker) -> bool:
         """Left out for a while that grows with each failure in a row."""
         pauses = min(worker.failures, _MOST_PAUSES)
-        return pauses > 0 and self.node.env.now() - worker.down_ms < self.node.params.ask_ms * _PAUSE_SHARE * 2 ** (pauses - 1)
+        return (
+            pauses > 0
+            and self.node.env.now() - worker.down_ms
+            < self.node.params.ask_ms * _PAUSE_SHARE * 2 ** (pauses - 1)
+        )
 
     def connection_failed(self, worker: Worker) -> None:
         """Out until a beat that was sent after the failure shows it alive, or a listed one's pause is over."""
         worker.down_beat = worker.beat
         worker.down_ms = self.node.env.now()
         worker.failures += 1
-        self.node.env.log("worker-down", "WARNING", worker=worker.identity, incarnation=worker.incarnation)
+        self.node.env.log(
+            "worker-down", "WARNING", worker=worker.identity, incarnation=worker.incarnation
+        )
 
     def full(self, worker: Worker) -> None:
         """It refused for want of room, which its last beat did not show: until the next one it is full."""
         worker.running = worker.waiting = worker.slots
         worker.sending_then = worker.sending
-        worker.others, worker.told_ms = float(max(0, 2 * worker.slots - worker.sending)), self.node.env.now()
+        worker.others, worker.told_ms = (
+            float(max(0, 2 * worker.slots - worker.sending)),
+            self.node.env.now(),
+        )
         worker.full_until_ms = self.node.env.now() + self.node.params.delta_ms
 
     def mismatched(self, worker: Worker) -> None:
@@ -215,14 +318,21 @@
             del self._workers[worker.identity]
             self._gone[(worker.identity, worker.incarnation)] = self.node.env.now()
             self._index()
-            self.node.env.log("worker-mismatch", "WARNING", worker=worker.identity, incarnation=worker.incarnation)
+            self.node.env.log(
+                "worker-mismatch", "WARNING", worker=worker.identity, incarnation=worker.incarnation
+            )
 
     def silent(self, worker: Worker) -> bool:
-        return not worker.listed and self.node.env.now() - worker.heard_ms > self.node.params.worker_ms
+        return (
+            not worker.listed and self.node.env.now() - worker.heard_ms > self.node.params.worker_ms
+        )
 
     def heard_lately(self, profile: Any) -> bool:
         """Whether one that this profile allows was there a moment ago, also where nothing was sent to it."""
-        return any(profile.allows(worker.identity, worker.labels) and not self.silent(worker) for worker in self._workers.values())
+        return any(
+            profile.allows(worker.identity, worker.labels) and not self.silent(worker)
+            for worker in self._workers.values()
+        )
 
     def usable(self, worker: Worker) -> bool:
         now_ms = self.node.env.now()
@@ -239,15 +349,23 @@
 
     def workers(self) -> list[Worker]:
         self._read_list()
-        return [worker for worker in self._workers.values()
-                if self.usable(worker) and self._allowed(worker.identity, worker.labels)]
+        return [
+            worker
+            for worker in self._workers.values()
+            if self.usable(worker) and self._allowed(worker.identity, worker.labels)
+        ]
 
     def listed(self, labels: frozenset[str]) -> list[Worker]:
         """The listed ones with any of these labels, whether or not the tree still has a use for them."""
         self._read_list()
         if len(labels) == 1 and not self.lent:
             return self._by_label.get(next(iter(labels)), [])
-        return [worker for label in sorted(labels) for worker in self._by_label.get(label, []) if worker.identity not in self.lent]
+        return [
+            worker
+            for label in sorted(labels)
+            for worker in self._by_label.get(label, [])
+            if worker.identity not in self.lent
+        ]
 
     def _read_list(self) -> None:
         number, body = self._listed()
@@ -275,7 +393,15 @@
     def tick(self) -> None:
         now_ms = self.node.env.now()
         keep_ms = 10 * self.node.params.resume_ms
-        for identity in [worker.identity for worker in self._workers.values() if not worker.listed and now_ms - worker.heard_ms > keep_ms and now_ms > self._quiet_until_ms + keep_ms]:
+        for identity in [
+            worker.identity
+            for worker in self._workers.values()
+            if not worker.listed
+            and now_ms - worker.heard_ms > keep_ms
+            and now_ms > self._quiet_until_ms + keep_ms
+        ]:
             del self._workers[identity]
-        for stamp in [stamp for stamp, at_ms in self._gone.items() if now_ms - at_ms > 10 * keep_ms]:
+        for stamp in [
+            stamp for stamp, at_ms in self._gone.items() if now_ms - at_ms > 10 * keep_ms
+        ]:
             del self._gone[stamp]
--- a/libs/circulation/src/circulation/sending.py
+++ b/libs/circulation/src/circulation/sending.py
@@ -1,5 +1,6 @@
 """What differs by the kind of call when it is sent to a worker: how the answer is judged, what is written,
-which worker is chosen, and which ones are allowed. One function for each, dispatched by the call's type."""
+which worker is chosen, and which ones are allowed. One function for each, dispatched by the call's type.
+"""
 
 import math
 from functools import singledispatch
@@ -28,8 +29,15 @@
 
 @new_exchange.register
 def _(call: ForwardCall, carrier: Any, tx: Any, worker: Worker) -> ForwardExchange:
-    return ForwardExchange(carrier.dialect, worker.identity, call.request_id, call.method, call.stream,
-                           carrier.node.params.answer_bytes, _resume_after(call, tx))
+    return ForwardExchange(
+        carrier.dialect,
+        worker.identity,
+        call.request_id,
+        call.method,
+        call.stream,
+        carrier.node.params.answer_bytes,
+        _resume_after(call, tx),
+    )
 
 
 def _resume_after(call: ForwardCall, tx: Any) -> int | None:
@@ -54,7 +62,11 @@
     """Its own headers as they came, with ours in the place of any of the same name."""
     dialect, after = carrier.dialect, _resume_after(call, tx)
     left_ms = max(1, tx.due_ms - carrier.node.env.now())
-    ours = [(dialect.worker, worker.identity), (dialect.urgency, str(call.urgency)), (dialect.deadline_ms, str(left_ms))]
+    ours = [
+        (dialect.worker, worker.identity),
+        (dialect.urgency, str(call.urgency)),
+        (dialect.deadline_ms, str(left_ms)),
+    ]
     if after is not None:
         ours.append((dialect.last_event_id, str(after)))
     ours = [(name, value) for name, value in ours if name]
@@ -71,17 +83,23 @@
 
 @allowed_workers.register
 def _(call: Call, carrier: Any, tx: Any, roster: Roster) -> list[Worker]:
-    return [worker for worker in roster.workers() if tx.profile.allows(worker.identity, worker.labels)]
+    return [
+        worker for worker in roster.workers() if tx.profile.allows(worker.identity, worker.labels)
+    ]
 
 
 @allowed_workers.register
 def _(call: ForwardCall, carrier: Any, tx: Any, roster: Roster) -> list[Worker]:
     """Those of the service that this request falls to by the shares, or of any other that may serve it."""
-    return roster.listed(tx.profile.pick(carrier.node.env.rng.random())) or roster.listed(tx.profile.labels)
+    return roster.listed(tx.profile.pick(carrier.node.env.rng.random())) or roster.listed(
+        tx.profile.labels
+    )
 
 
 @singledispatch
-def choose_worker(call: Any, carrier: Any, tx: Any, workers: list[Worker], roster: Roster) -> Worker | None:
+def choose_worker(
+    call: Any, carrier: Any, tx: Any, workers: list[Worker], roster: Roster
+) -> Worker | None:
     raise NotImplementedError(type(call).__name__)
 
 
@@ -89,39 +107,91 @@
 def _(call: Call, carrier: Any, tx: Any, workers: list[Worker], roster: Roster) -> Worker | None:
     params, lot, prefix = carrier.node.params, call.lot, call.prefix
     share = params.live_share if lot else 1 - tx.profile.live_share
-    worker = choose(workers, prefix, lot, params.zone, tx.profile.zone == "near", share, tx.profile.lot_share,
-                    frozenset(tx.avoid), carrier.by_prefix)
+    worker = choose(
+        workers,
+        prefix,
+        lot,
+        params.zone,
+        tx.profile.zone == "near",
+        share,
+        tx.profile.lot_share,
+        frozenset(tx.avoid),
+        carrier.by_prefix,
+    )
     if worker is None and tx.avoid:
-        worker = choose(workers, prefix, lot, params.zone, False, share, tx.profile.lot_share, frozenset(), carrier.by_prefix)
+        worker = choose(
+            workers,
+            prefix,
+            lot,
+            params.zone,
+            False,
+            share,
+            tx.profile.lot_share,
+            frozenset(),
+            carrier.by_prefix,
+        )
     if worker is None and lot and carrier.carrying(True) <= 1:
         worker = choose(workers, prefix, False, params.zone, False, 0.0, avoid=frozenset(tx.avoid))
     return worker
 
 
 @choose_worker.register
-def _(call: ForwardCall, carrier: Any, tx: Any, workers: list[Worker], roster: Roster) -> Worker | None:
+def _(
+    call: ForwardCall, carrier: Any, tx: Any, workers: list[Worker], roster: Roster
+) -> Worker | None:
     """Workers that failed lately rest; what may be repeated tries them again first. If all rest, the one
-    that failed longest ago is tried. None is tried again that could not be reached for this very request."""
+    that failed longest ago is tried. None is tried again that could not be reached for this very request.
+    """
     params, now_ms = carrier.node.params, carrier.node.env.now()
-    workers = [worker for worker in workers if tx.may_try(worker.identity) and worker.stamp not in tx.unreached]
+    workers = [
+        worker
+        for worker in workers
+        if tx.may_try(worker.identity) and worker.stamp not in tx.unreached
+    ]
     path = tx.profile.name
-    fit = [worker for worker in workers if not roster.resting(worker) and (tx.safe or not worker.failures)]
+    fit = [
+        worker
+        for worker in workers
+        if not roster.resting(worker) and (tx.safe or not worker.failures)
+    ]
     fit = [worker for worker in fit if not carrier.seems_dark(worker, path)] or fit
     if call.lot:
         if carrier.reading_items >= math.ceil(len(workers) / carrier.edges()):
             return None
-        fit = [worker for worker in fit if not worker.reading_items and
-               (carrier.readings is None or carrier.readings.left_ms(worker.identity) <= params.delta_ms * _READING_SHARE)]
+        fit = [
+            worker
+            for worker in fit
+            if not worker.reading_items
+            and (
+                carrier.readings is None
+                or carrier.readings.left_ms(worker.identity) <= params.delta_ms * _READING_SHARE
+            )
+        ]
     bound = max(1, tx.profile.connections // carrier.edges()) if tx.profile.connections else 0
 
     def choose_of(among: list[Worker], avoid: frozenset[str]) -> Worker | None:
-        return choose_forward(among, call, carrier.parts, now_ms, params.zone, carrier.node.env.rng, params.beat_ms,
-                              params.live_share, avoid, bound, carrier.readings)
+        return choose_forward(
+            among,
+            call,
+            carrier.parts,
+            now_ms,
+            params.zone,
+            carrier.node.env.rng,
+            params.beat_ms,
+            params.live_share,
+            avoid,
+            bound,
+            carrier.readings,
+        )
 
     worker = choose_of(fit, frozenset(tx.avoid))
     if worker is None and tx.avoid:
         worker = choose_of([one for one in fit if one.stamp in tx.avoid], frozenset())
     if worker is None and not fit and not call.lot:
-        rested = [one for one in workers if now_ms - one.down_ms >= params.delta_ms or one.stamp not in tx.avoid]
+        rested = [
+            one
+            for one in workers
+            if now_ms - one.down_ms >= params.delta_ms or one.stamp not in tx.avoid
+        ]
         worker = min(rested, key=lambda one: one.down_ms, default=None)
     return worker
--- a/libs/circulation/src/circulation/streams.py
+++ b/libs/circulation/src/circulation/streams.py
@@ -1,6 +1,7 @@
 """Whether what a worker sent is whole, and all of one run. A body has to have the length announced
 and be a JSON object; a stream's events are numbered from nought, all of one id, and end with the
-explicit end mark. Anything else is cut, and a cut stream never ends cleanly."""
+explicit end mark. Anything else is cut, and a cut stream never ends cleanly.
+"""
 
 import json
 from typing import Any
@@ -38,7 +39,7 @@
         self._buffer += data
         good: list[bytes] = []
         while not self.fault and (at := self._buffer.find(b"\n\n")) >= 0:
-            event, self._buffer = self._buffer[:at + 2], self._buffer[at + 2:]
+            event, self._buffer = self._buffer[: at + 2], self._buffer[at + 2 :]
             if self._check(event):
                 good.append(event)
         return good
--- a/libs/circulation/src/circulation/waiting.py
+++ b/libs/circulation/src/circulation/waiting.py
@@ -1,6 +1,7 @@
 """Live calls that wait at the edge for a slot: by deadline, and only while an estimate from what was seen
 of slots and service times says that they will make it, in half of the time they have left. Who can't is
-told so at once. The estimate errs on the long side where nothing was seen yet."""
+told so at once. The estimate errs on the long side where nothing was seen yet.
+"""
 
 import math
 from bisect import bisect_right, insort_right
@@ -25,7 +26,9 @@
         return sum(map(len, self._rows.values()))
 
     def served(self, path: str, took_ms: int) -> None:
-        self._service_ms[path] = self._service_ms.get(path, took_ms) * (1 - _KNOWN) + took_ms * _KNOWN
+        self._service_ms[path] = (
+            self._service_ms.get(path, took_ms) * (1 - _KNOWN) + took_ms * _KNOWN
+        )
 
     def seen_worker(self, path: str, now_ms: int) -> None:
         self._last_ms[path] = now_ms
@@ -39,7 +42,11 @@
 
     def before(self, carriage: Any) -> int:
         """How many of its path are due earlier."""
-        return bisect_right(self._rows.get(carriage.tx.profile.name, []), carriage.tx.due_ms, key=lambda row: row.tx.due_ms)
+        return bisect_right(
+            self._rows.get(carriage.tx.profile.name, []),
+            carriage.tx.due_ms,
+            key=lambda row: row.tx.due_ms,
+        )
 
     def makes_it(self, tx: Any, wait_ms: float, now_ms: int) -> bool:
         return wait_ms + self.service_ms(tx) <= _SHARE * (tx.due_ms - now_ms)
@@ -49,7 +56,11 @@
         return now_ms - self._last_ms.get(path, -1 << 40) <= within_ms
 
     def add(self, carriage: Any) -> None:
-        insort_right(self._rows.setdefault(carriage.tx.profile.name, []), carriage, key=lambda row: row.tx.due_ms)
+        insort_right(
+            self._rows.setdefault(carriage.tx.profile.name, []),
+            carriage,
+            key=lambda row: row.tx.due_ms,
+        )
 
     def drop(self, carriage: Any) -> None:
         rows = self._rows.get(carriage.tx.profile.name, [])
--- a/libs/colophon/src/colophon/clock.py
+++ b/libs/colophon/src/colophon/clock.py
@@ -1,5 +1,6 @@
 """The two clocks. Claims, waits and standing run on boot time, which no operator or time daemon
-can step; only the stamps of the log start from the wall clock, and those are forced upwards."""
+can step; only the stamps of the log start from the wall clock, and those are forced upwards.
+"""
 
 import time
 
--- a/libs/colophon/src/colophon/lazy.py
+++ b/libs/colophon/src/colophon/lazy.py
@@ -1,5 +1,6 @@
 """Names of a package that are imported when first asked for: a process pays at its start, which is part of
-every recovery, only for what its role needs."""
+every recovery, only for what its role needs.
+"""
 
 from collections.abc import Callable
 from importlib import import_module
--- a/libs/colophon/src/colophon/logs.py
+++ b/libs/colophon/src/colophon/logs.py
@@ -1,5 +1,6 @@
 """JSON lines by way of loguru: one object a line with the time, the level, the event's name and
-the ids by which a transaction, a lot or a change can be followed through a fleet's logs."""
+the ids by which a transaction, a lot or a change can be followed through a fleet's logs.
+"""
 
 import json
 import sys
@@ -14,7 +15,11 @@
 
 def _sink(message: Any) -> None:
     record = message.record
-    row = {"at": record["time"].isoformat(), "level": record["level"].name, "event": record["message"]}
+    row = {
+        "at": record["time"].isoformat(),
+        "level": record["level"].name,
+        "event": record["message"],
+    }
     row.update(_NODE)
     row.update(record["extra"])
     if record["exception"] is not None:
--- a/libs/colophon/src/colophon/params.py
+++ b/libs/colophon/src/colophon/params.py
@@ -1,5 +1,6 @@
 """Settings of one process, from a TOML file and from flags, flags winning. All problems are found
-before anything starts. The times that the code uses are ratios to the few bounds set here."""
+before anything starts. The times that the code uses are ratios to the few bounds set here.
+"""
 
 import ipaddress
 import tomllib
@@ -11,7 +12,18 @@
 
 __all__ = ["Params", "load_params", "changed_params", "RELOADABLE"]
 
-RELOADABLE = frozenset({"log_level", "seeds", "delta_ms", "disk_bytes", "live_share", "load_window_ms", "grace_ms", "max_body_bytes"})
+RELOADABLE = frozenset(
+    {
+        "log_level",
+        "seeds",
+        "delta_ms",
+        "disk_bytes",
+        "live_share",
+        "load_window_ms",
+        "grace_ms",
+        "max_body_bytes",
+    }
+)
 
 
 def _check_address(value: str) -> str:
@@ -29,38 +41,80 @@
     link: str = Field(description="address for the fleet's own messages, IP:PORT")
     http: str = Field(description="address for visitors, workers and operators, IP:PORT")
     zone: str = Field(min_length=1)
-    node_name: str = Field("", description="what operators call this node; its link address if empty")
+    node_name: str = Field(
+        "", description="what operators call this node; its link address if empty"
+    )
     seeds: list[str] = Field(min_length=1, max_length=3)
     data_folder: str = ""
-    region: str = Field("", description="the region that the zone lies in; empty where there is only one")
-    first_start: bool = Field(False, description="the fleet starts for the first time, with empty disks")
+    region: str = Field(
+        "", description="the region that the zone lies in; empty where there is only one"
+    )
+    first_start: bool = Field(
+        False, description="the fleet starts for the first time, with empty disks"
+    )
     counted: bool = Field(True, description="this machine is among those whose loss is to be borne")
-    control_count: int = Field(5, ge=0, le=15, description="how many control nodes found the fleet; 0 where that isn't told")
+    control_count: int = Field(
+        5,
+        ge=0,
+        le=15,
+        description="how many control nodes found the fleet; 0 where that isn't told",
+    )
     store_count: int = Field(3, ge=2, le=9)
     store_faults: int = Field(1, ge=1, le=4)
     delta_ms: int = Field(50, ge=1, le=5000)
-    flush_ms: int = Field(30000, ge=50, description="tau: the longest a record waits for the background flush")
-    keep_factor: float = Field(2.0, ge=1.0, description="k: peers keep records for k times flush_ms")
-    force_ms: int = Field(2000, ge=200, description="a version is in force, a drained worker left alone")
+    flush_ms: int = Field(
+        30000, ge=50, description="tau: the longest a record waits for the background flush"
+    )
+    keep_factor: float = Field(
+        2.0, ge=1.0, description="k: peers keep records for k times flush_ms"
+    )
+    force_ms: int = Field(
+        2000, ge=200, description="a version is in force, a drained worker left alone"
+    )
     end_ms: int = Field(3000, ge=300, description="an ended lot has stopped everywhere")
     resume_ms: int = Field(12000, ge=1000, description="service is back after the machines")
-    catch_up_ms: int = Field(0, ge=0, description="within this time of an empty machine's arrival it stands in for the "
-                                                  "one that it replaces; 0 where there is no such bound")
-    worker_beat_ms: int = Field(1000, ge=50, description="about how often a worker tells control that it is there")
-    cut_off: Literal["refuse", "serve"] = Field("refuse", description="what a node does that is cut off from control")
-    fan_out: int = Field(0, ge=0, le=16, description="to how many control nodes a node that doesn't vote sends its "
-                                                     "digests; 0 for all of them, and for its whole view")
+    catch_up_ms: int = Field(
+        0,
+        ge=0,
+        description="within this time of an empty machine's arrival it stands in for the "
+        "one that it replaces; 0 where there is no such bound",
+    )
+    worker_beat_ms: int = Field(
+        1000, ge=50, description="about how often a worker tells control that it is there"
+    )
+    cut_off: Literal["refuse", "serve"] = Field(
+        "refuse", description="what a node does that is cut off from control"
+    )
+    fan_out: int = Field(
+        0,
+        ge=0,
+        le=16,
+        description="to how many control nodes a node that doesn't vote sends its "
+        "digests; 0 for all of them, and for its whole view",
+    )
     grace_ms: int = Field(5000, ge=100, description="between SIGTERM and the process's end")
     view_size: int = Field(12, ge=2, le=64)
     disk_bytes: int = Field(1 << 30, ge=1 << 16)
     segment_bytes: int = Field(1 << 22, ge=1 << 12)
     max_body_bytes: int = Field(1 << 22, ge=1 << 10)
-    keep_ms: int = Field(86_400_000, ge=1000, description="how long used keys are kept; lots seven times that")
-    live_share: float = Field(0.25, ge=0.0, le=1.0, description="part of a worker's slots that lots leave free")
-    load_window_ms: int = Field(60_000, ge=1000, description="for how long the live load is watched before a worker is "
-                                                              "lent whole; its peak in that time, with a margin, is kept")
-    record_folder: str = Field("", description="edges: where visitors' calls are recorded; empty for not at all")
-    record_bodies: bool = Field(False, description="record prompts whole rather than by size and digest")
+    keep_ms: int = Field(
+        86_400_000, ge=1000, description="how long used keys are kept; lots seven times that"
+    )
+    live_share: float = Field(
+        0.25, ge=0.0, le=1.0, description="part of a worker's slots that lots leave free"
+    )
+    load_window_ms: int = Field(
+        60_000,
+        ge=1000,
+        description="for how long the live load is watched before a worker is "
+        "lent whole; its peak in that time, with a margin, is kept",
+    )
+    record_folder: str = Field(
+        "", description="edges: where visitors' calls are recorded; empty for not at all"
+    )
+    record_bodies: bool = Field(
+        False, description="record prompts whole rather than by size and digest"
+    )
     record_rows: int = Field(10_000, ge=1, description="calls in one file of a recording")
     log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
@@ -77,11 +131,15 @@
     @model_validator(mode="after")
     def _whole(self) -> "Params":
         if self.role in ("store", "control") and not self.data_folder:
-            raise ValueError(f"data_folder: a {self.role} keeps its state on disk and needs a folder")
+            raise ValueError(
+                f"data_folder: a {self.role} keeps its state on disk and needs a folder"
+            )
         if self.store_faults >= self.store_count or self.store_count < 2 * self.store_faults + 1:
             raise ValueError("store_faults: store_count has to be at least 2 * store_faults + 1")
         if self.fan_out and self.cut_off != "serve":
-            raise ValueError("fan_out: needs cut_off = \"serve\", since the roll is counted by digests that all control nodes hear")
+            raise ValueError(
+                'fan_out: needs cut_off = "serve", since the roll is counted by digests that all control nodes hear'
+            )
         if self.link == self.http:
             raise ValueError("http: has to differ from link")
         return self
@@ -186,7 +244,10 @@
 
 
 def _problems(error: ValidationError) -> list[str]:
-    return [f"{'.'.join(str(part) for part in row['loc']) or 'settings'}: {row['msg']}" for row in error.errors()]
+    return [
+        f"{'.'.join(str(part) for part in row['loc']) or 'settings'}: {row['msg']}"
+        for row in error.errors()
+    ]
 
 
 def load_params(path: str | None, flags: dict[str, Any]) -> Result[Params, list[str]]:
--- a/libs/colophon/src/colophon/verdicts.py
+++ b/libs/colophon/src/colophon/verdicts.py
@@ -1,5 +1,6 @@
 """A verdict says whether a request may have run. A refusal is an error value that always carries
-one; it travels in expression's Result and becomes the body of every error that a caller sees."""
+one; it travels in expression's Result and becomes the body of every error that a caller sees.
+"""
 
 from enum import StrEnum
 from typing import Any
@@ -16,8 +17,16 @@
 class Refusal:
     __slots__ = ("code", "field", "message", "problems", "retry_after_ms", "status", "verdict")
 
-    def __init__(self, verdict: Verdict, code: str, message: str, status: int,
-                 retry_after_ms: int = 0, field: str = "", problems: list | None = None) -> None:
+    def __init__(
+        self,
+        verdict: Verdict,
+        code: str,
+        message: str,
+        status: int,
+        retry_after_ms: int = 0,
+        field: str = "",
+        problems: list | None = None,
+    ) -> None:
         self.verdict = verdict
         self.code = code
         self.message = message
@@ -27,7 +36,11 @@
         self.problems = problems or []
 
     def body(self) -> dict[str, Any]:
-        inner: dict[str, Any] = {"verdict": str(self.verdict), "code": self.code, "message": self.message}
+        inner: dict[str, Any] = {
+            "verdict": str(self.verdict),
+            "code": self.code,
+            "message": self.message,
+        }
         if self.field:
             inner["field"] = self.field
         if self.problems:
@@ -40,8 +53,14 @@
         return f"Refusal({self.verdict}, {self.code}, {self.status}, {self.message!r})"
 
 
-def refused(code: str, message: str, status: int = 400, retry_after_ms: int = 0, field: str = "",
-            problems: list | None = None) -> Refusal:
+def refused(
+    code: str,
+    message: str,
+    status: int = 400,
+    retry_after_ms: int = 0,
+    field: str = "",
+    problems: list | None = None,
+) -> Refusal:
     return Refusal(Verdict.NOT_RUN, code, message, status, retry_after_ms, field, problems)
 
 
--- a/libs/commons/src/commons/cards.py
+++ b/libs/commons/src/commons/cards.py
@@ -1,5 +1,6 @@
 """A card says who a node is and where; its beat counter, raised by the node alone, shows how fresh
-what is passed on about it is. `deaf` is the own word of a voter that hears no majority of the voters. Cards travel in shuffles and in beats sent straight to kin."""
+what is passed on about it is. `deaf` is the own word of a voter that hears no majority of the voters. Cards travel in shuffles and in beats sent straight to kin.
+"""
 
 from vellum import Arr, Blob, Flag, Long, Message, Text
 
--- a/libs/commons/src/commons/neighbours.py
+++ b/libs/commons/src/commons/neighbours.py
@@ -1,14 +1,16 @@
 """Partial views and standing. Every beat a node swaps part of its view with its oldest neighbour and
 tells its kin (the nodes of its own role, and those with disks) that it lives. A node's standing
 comes from what it was itself heard to say, or from its beat counter rising in what others pass on.
-Where fan_out is set, swaps come at a slower beat and kin is the node's own role, so many at a time."""
+Where fan_out is set, swaps come at a slower beat and kin is the node's own role, so many at a time.
+"""
 
 from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
 
-from commons.cards import Beat, Card, Shuffle, Shuffled
 from vellum import Message, Origin, Part, decode, encode
 
+from commons.cards import Beat, Card, Shuffle, Shuffled
+
 __all__ = ["Neighbours"]
 
 _SHARE = 6
@@ -22,8 +24,22 @@
 class Neighbours(Part):
     """`wanted` says which further addresses are to be beaten to, such as members named by a key."""
 
-    __slots__ = ("_beat_count", "_beat_ms", "_beats", "_cards", "_first_ms", "_fresh_ms", "_heard_ms", "_refused", "_sent_ms", "_view",
-                 "deaf", "identity", "ready", "wanted")
+    __slots__ = (
+        "_beat_count",
+        "_beat_ms",
+        "_beats",
+        "_cards",
+        "_first_ms",
+        "_fresh_ms",
+        "_heard_ms",
+        "_refused",
+        "_sent_ms",
+        "_view",
+        "deaf",
+        "identity",
+        "ready",
+        "wanted",
+    )
     HANDLES = (Shuffle, Shuffled, Beat)
 
     def __init__(self, identity: str) -> None:
@@ -44,9 +60,18 @@
 
     def card(self) -> Card:
         node = self.node
-        return Card(identity=self.identity, address=node.address, http=node.params.http, role=node.params.role,
-                    zone=node.params.zone, region=node.params.region, beat=self._beat_ms, ready=self.ready(), deaf=self.deaf(),
-                    name=node.params.node_name or node.address)
+        return Card(
+            identity=self.identity,
+            address=node.address,
+            http=node.params.http,
+            role=node.params.role,
+            zone=node.params.zone,
+            region=node.params.region,
+            beat=self._beat_ms,
+            ready=self.ready(),
+            deaf=self.deaf(),
+            name=node.params.node_name or node.address,
+        )
 
     # -- what is known -------------------------------------------------------------------------
 
@@ -56,8 +81,11 @@
     def of_role(self, role: str, within_ms: int) -> list[Card]:
         """Cards of a role that were fresh within the time, whoever told of them."""
         floor_ms = self.node.env.now() - within_ms
-        return [card for identity, card in self._cards.items()
-                if card.role == role and self._fresh_ms[identity] >= floor_ms]
+        return [
+            card
+            for identity, card in self._cards.items()
+            if card.role == role and self._fresh_ms[identity] >= floor_ms
+        ]
 
     def known(self, identity: str) -> Card | None:
         return self._cards.get(identity)
@@ -67,11 +95,16 @@
             return True
         if within_ms is None and identity in self._refused:
             return False
-        return self.node.env.now() - self.heard_ms(identity) <= (within_ms or self.node.params.dead_ms)
+        return self.node.env.now() - self.heard_ms(identity) <= (
+            within_ms or self.node.params.dead_ms
+        )
 
     def heard_itself(self, identity: str, within_ms: int) -> bool:
         """Whether it was lately heard by its own word; what others pass on of it may have come round a cut."""
-        return identity == self.identity or self.node.env.now() - self._heard_ms.get(identity, -1 << 40) <= within_ms
+        return (
+            identity == self.identity
+            or self.node.env.now() - self._heard_ms.get(identity, -1 << 40) <= within_ms
+        )
 
     def hears(self, identity: str) -> bool:
         """Whether it takes itself to hear a majority of the voters, as its newest card says."""
@@ -80,7 +113,9 @@
 
     def refused(self, address: str) -> None:
         """Nothing listens there: it is live for no duty until it is heard again."""
-        self._refused.update(identity for identity, card in self._cards.items() if card.address == address)
+        self._refused.update(
+            identity for identity, card in self._cards.items() if card.address == address
+        )
 
     def heard_ms(self, identity: str) -> int:
         """When there was last a sign of life, by itself or through others."""
@@ -92,7 +127,11 @@
 
     def heard_directly(self, within_ms: int) -> list[Card]:
         floor_ms = self.node.env.now() - within_ms
-        return [card for identity, card in self._cards.items() if self._heard_ms.get(identity, -1 << 40) >= floor_ms]
+        return [
+            card
+            for identity, card in self._cards.items()
+            if self._heard_ms.get(identity, -1 << 40) >= floor_ms
+        ]
 
     # -- beats and shuffles --------------------------------------------------------------------
 
@@ -107,7 +146,11 @@
         for address in self._kin():
             self.node.post(address, Beat(card=mine))
         self._beat_count += 1
-        if self.node.params.fan_out and self._beat_count % _SHUFFLE_BEATS and len(self._view) >= _FEW:
+        if (
+            self.node.params.fan_out
+            and self._beat_count % _SHUFFLE_BEATS
+            and len(self._view) >= _FEW
+        ):
             return
         for address in self._partners():
             self.node.post(address, Shuffle(card=mine, cards=self._some()))
@@ -116,7 +159,11 @@
         role = self.node.params.role
         if self.node.params.fan_out:
             return self._own_kin(role)
-        kin = {card.address for card in self.of_role(role, self.node.params.gone_ms)} if role != "edge" else set()
+        kin = (
+            {card.address for card in self.of_role(role, self.node.params.gone_ms)}
+            if role != "edge"
+            else set()
+        )
         if role != "edge":
             kin |= {card.address for card in self.of_role("control", self.node.params.gone_ms)}
         return sorted((kin | set(self.wanted())) - {self.node.address})
@@ -144,7 +191,9 @@
         return sorted(partners - {self.node.address})
 
     def _some(self) -> list[bytes]:
-        names = [name for name in self._cards if name in self._view or self._cards[name].role != "edge"]
+        names = [
+            name for name in self._cards if name in self._view or self._cards[name].role != "edge"
+        ]
         chosen = self.node.env.rng.sample(names, min(_SHARE, len(names)))
         return [encode(self._cards[name]) for name in chosen]
 
@@ -167,9 +216,13 @@
 
     def _take(self, card: bytes, cards: list[bytes]) -> None:
         """The first card is the sender's own: after a restart with its clock moved back, its counter may
-        be lower than what is remembered, and its own word stands."""
+        be lower than what is remembered, and its own word stands.
+        """
         first = decode(card)
-        fresh = self.node.env.now() - self._fresh_ms.get(first.identity, -1 << 40) <= self.node.params.dead_ms
+        fresh = (
+            self.node.env.now() - self._fresh_ms.get(first.identity, -1 << 40)
+            <= self.node.params.dead_ms
+        )
         if self._beats.get(first.identity, -1) >= first.beat and not fresh:
             self._beats[first.identity] = first.beat - 1
         self._note(first)
@@ -186,9 +239,15 @@
         if self._beats.get(card.identity, -1) >= card.beat:
             return
         now_ms = self.node.env.now()
-        for identity in [identity for identity, other in self._cards.items()
-                         if other.address == card.address and identity != card.identity]:
-            if self._cards[identity].beat > card.beat and self._fresh_ms[identity] > now_ms - self.node.params.dead_ms:
+        for identity in [
+            identity
+            for identity, other in self._cards.items()
+            if other.address == card.address and identity != card.identity
+        ]:
+            if (
+                self._cards[identity].beat > card.beat
+                and self._fresh_ms[identity] > now_ms - self.node.params.dead_ms
+            ):
                 return
             self._drop(identity)
         self._cards[card.identity] = card
@@ -201,10 +260,13 @@
                 self._view.pop(self.node.env.rng.randrange(len(self._view) - 1))
 
     def _forget(self, now_ms: int) -> None:
-        for identity in [identity for identity in self._cards
-                         if now_ms - self._fresh_ms[identity] > self.node.params.gone_ms]:
+        for identity in [
+            identity
+            for identity in self._cards
+            if now_ms - self._fresh_ms[identity] > self.node.params.gone_ms
+        ]:
             self._drop(identity)
-        for identity in list(self._beats)[:max(0, len(self._beats) - _REMEMBERED)]:
+        for identity in list(self._beats)[: max(0, len(self._beats) - _REMEMBERED)]:
             if identity not in self._cards:
                 del self._beats[identity]
 
--- /dev/null
+++ b/libs/facsimile/src/facsimile/breaks/serving.py
@@ -0,0 +1,204 @@
+"""Breaks of the data plane: routing of calls, streams, and what a process tells its callers."""
+
+__all__ = ["BREAKS"]
+
+_LOTS = "tests/test_lots.py -k "
+_FEED = "tests/test_feed.py -k "
+_CIRC = "tests/test_circulation.py -k "
+_EXCHANGES = "tests/test_exchanges.py"
+_DAYS = "tests/test_platform_days.py -k "
+
+BREAKS: dict[str, tuple[str, str, str, str]] = {
+    "a cut-off edge stays ready": (
+        "readingroom/src/readingroom/nodes.py",
+        "if not (self._hears_control(now_ms) or self._hears_most(now_ms)):",
+        "if False:",
+        _FEED + "cut_off",
+    ),
+    "a cut-off edge keeps its claims": (
+        "circulation/src/circulation/lots.py",
+        "if self.running() and now_ms - self._holder.heard_ms > params.claim_ms:",
+        "if False:",
+        _LOTS + "cut_off",
+    ),
+    "who cannot make it is held": (
+        "circulation/src/circulation/waiting.py",
+        "return wait_ms + self.service_ms(tx) <= _SHARE * (tx.due_ms - now_ms)",
+        "return True",
+        "tests/test_waiting.py -k at_once",
+    ),
+    "nobody waits": (
+        "circulation/src/circulation/waiting.py",
+        "return wait_ms + self.service_ms(tx) <= _SHARE * (tx.due_ms - now_ms)",
+        "return False",
+        "tests/test_waiting.py -k can_make_it",
+    ),
+    "certain failures cost the budget": (
+        "circulation/src/circulation/chart.py",
+        "(free or self._budget.spend())",
+        "self._budget.spend()",
+        _CIRC + "free_once",
+    ),
+    "a visitor who hangs up is a failure": (
+        "circulation/src/circulation/carrier.py",
+        "        self._finish(carriage, tx.gone())",
+        "        self._finish(carriage, tx.placed(None, True))",
+        "tests/test_waiting.py -k hangs_up",
+    ),
+    "a leaving worker is used": (
+        "circulation/src/circulation/roster.py",
+        "if worker.leaving or self.silent(worker):",
+        "if self.silent(worker):",
+        _CIRC + "leave",
+    ),
+    "a silent worker is used": (
+        "circulation/src/circulation/roster.py",
+        "if worker.leaving or self.silent(worker):",
+        "if worker.leaving:",
+        _CIRC + "silence",
+    ),
+    "a stranger is used": (
+        "circulation/src/circulation/roster.py",
+        "if self.usable(worker) and self._allowed(worker.identity, worker.labels)]",
+        "if self.usable(worker)]",
+        _CIRC + "strangers",
+    ),
+    "doubt resends an unsafe one": (
+        "circulation/src/circulation/chart.py",
+        "again = (not may_have_run or self.safe)",
+        "again = (True)",
+        _CIRC + "rows",
+    ),
+    "doubt is told as not run": (
+        "circulation/src/circulation/chart.py",
+        "if self._runs:\n            refusal.verdict",
+        "if False:\n            refusal.verdict",
+        _CIRC + "rows",
+    ),
+    "a cut stream looks whole": (
+        "circulation/src/circulation/streams.py",
+        "if not self.fault and (not self.ended or self._buffer.strip()):",
+        "if False:",
+        _CIRC + "rows",
+    ),
+    "two runs are spliced": (
+        "circulation/src/circulation/streams.py",
+        'self.fault = "another run"',
+        "pass",
+        _CIRC + "rows",
+    ),
+    "a short body passes": (
+        "circulation/src/circulation/streams.py",
+        "if announced_bytes is None or announced_bytes != len(data):",
+        "if False:",
+        _CIRC + "bodies",
+    ),
+    "another's body passes": (
+        "circulation/src/circulation/exchange.py",
+        "self._matches = found[WORKER_HEADER] == [self._worker] and found",
+        "self._matches = not found or True or found",
+        _EXCHANGES,
+    ),
+    "a lost connection is taken for not run": (
+        "circulation/src/circulation/exchange.py",
+        "return _failed(connected, reason",
+        "return _failed(False, reason",
+        _EXCHANGES,
+    ),
+    "any error is taken for not run": (
+        "circulation/src/circulation/exchange.py",
+        'if self._status in _NOT_RUN_STATUS and verdict == "not_run":',
+        "if self._status >= 400:",
+        _EXCHANGES,
+    ),
+    "an endless answer is read on": (
+        "circulation/src/circulation/exchange.py",
+        "if self._size_bytes > self._limit_bytes:",
+        "if False:",
+        _EXCHANGES,
+    ),
+    "an edge stays with its first tree": (
+        "readingroom/src/readingroom/nodes.py",
+        "        if number != self._tree_number:\n",
+        "        if not self._tree_number:\n",
+        _DAYS + "calm",
+    ),
+    "pieces of a result run together": (
+        "circulation/src/circulation/item_run.py",
+        'self._end("finished", b"\\n".join(self._data), worker)',
+        'self._end("finished", b"".join(self._data), worker)',
+        _DAYS + "calm",
+    ),
+    "an unsafe forwarded request is sent again": (
+        "circulation/src/circulation/forward_chart.py",
+        "return self.safe or not may_have_run and not self._runs",
+        "return True",
+        _DAYS + "faults",
+    ),
+    "a draining worker on the list is used": (
+        "circulation/src/circulation/roster.py",
+        'held.leaving = row.get("state", "serving") != "serving"',
+        "held.leaving = False",
+        _DAYS + "faults",
+    ),
+    "anybody's answer passes": (
+        "circulation/src/circulation/forward.py",
+        "return self._seen.get(self._dialect.request_id.lower()) == [self._request_id]",
+        "return True",
+        _DAYS + "faults",
+    ),
+    "a change of a loan under an old epoch": (
+        "loans/src/loans/rows.py",
+        'if epoch is not None and row["epoch"] != epoch:',
+        "if False:",
+        "tests/test_loans.py -k States",
+    ),
+    "an old word frees a lent worker": (
+        "loans/src/loans/rows.py",
+        'if row["loan"] != loan:',
+        "if False:",
+        "tests/test_loans.py -k States",
+    ),
+    "a worker is lent with calls under way": (
+        "loans/src/loans/lending.py",
+        "if self._is_drained(worker):",
+        "if True:",
+        "tests/test_loans_evening.py -k calls_are_done",
+    ),
+    "lent below what live calls need": (
+        "loans/src/loans/load.py",
+        "if peak * _MARGIN > slots:",
+        "if False:",
+        "tests/test_loans.py -k why_not",
+    ),
+    "lots are not put first": (
+        "loans/src/loans/outlook.py",
+        "if lot.waiting and log_ms + need_ms > lot.due_ms:",
+        "if False:",
+        "tests/test_loans.py -k Outlook",
+    ),
+    "a call finds its slot borrowed": (
+        "loans/src/loans/borrowing.py",
+        "        if worker.borrowed:\n            now_ms",
+        "        if False:\n            now_ms",
+        "tests/test_loans_evening.py -k takes_its_slot",
+    ),
+    "samples of other edges count as load": (
+        "circulation/src/circulation/roster.py",
+        "self.sending - self.sending_then - self.borrowed_elsewhere)",
+        "self.sending - self.sending_then)",
+        "tests/test_loans_evening.py -k takes_its_slot",
+    ),
+    "a sample of other weights counts": (
+        "loans/src/loans/sampling.py",
+        'return self.good and self._call.weights not in ("", self._call.told)',
+        "return False",
+        "tests/test_loans.py -k weights",
+    ),
+    "a sample given up is forgotten": (
+        "loans/src/loans/borrowing.py",
+        '        self._drop(sample)\n        sample.done("again", "", "")',
+        "        self._drop(sample)",
+        "tests/test_loans_evening.py -k nothing_is_late",
+    ),
+}
--- a/libs/facsimile/src/facsimile/cli.py
+++ b/libs/facsimile/src/facsimile/cli.py
@@ -9,9 +9,10 @@
 from pathlib import Path
 from typing import Annotated, Literal
 
+from colophon import load_params
 from cyclopts import App, Parameter
+from readingroom.process import settings_or_exit
 
-from colophon import load_params
 from facsimile.breaks import BREAKS, run_breaks
 from facsimile.days import DAYS, run_day
 from facsimile.measure import measure_fleet, measure_log
@@ -27,7 +28,6 @@
 from facsimile.surroundings import Weather, run_node
 from facsimile.trace import KINDS, trace
 from facsimile.worker import StandInWorker
-from readingroom.process import settings_or_exit
 
 __all__ = ["main"]
 
@@ -44,10 +44,21 @@
 
 
 @app.command
-def worker(*, identity: str, http: str, edge: Annotated[list[str], Parameter(negative=())], zone: str = "a",
-           label: Annotated[list[str] | None, Parameter(negative=())] = None, slots: int = 8, token_ms: float = 2.0,
-           tokens: int = 12, prefill_ms: float = 20.0, cache_prefixes: int = 32, runs_file: str = "",
-           weather: str = "") -> None:
+def worker(
+    *,
+    identity: str,
+    http: str,
+    edge: Annotated[list[str], Parameter(negative=())],
+    zone: str = "a",
+    label: Annotated[list[str] | None, Parameter(negative=())] = None,
+    slots: int = 8,
+    token_ms: float = 2.0,
+    tokens: int = 12,
+    prefill_ms: float = 20.0,
+    cache_prefixes: int = 32,
+    runs_file: str = "",
+    weather: str = "",
+) -> None:
     """Run a stand-in model worker until SIGTERM, on which it leaves.
 
     Parameters
@@ -65,13 +76,35 @@
     runs_file: where each run is noted as a JSON line, for the oracle.
     weather: a weather file that says which edges its beats can't reach.
     """
-    asyncio.run(_work(StandInWorker(identity, http, edge, zone, label, slots, token_ms, tokens, prefill_ms,
-                                    cache_prefixes, runs_file=runs_file,
-                                    weather=Weather(weather, identity) if weather else None)))
+    asyncio.run(
+        _work(
+            StandInWorker(
+                identity,
+                http,
+                edge,
+                zone,
+                label,
+                slots,
+                token_ms,
+                tokens,
+                prefill_ms,
+                cache_prefixes,
+                runs_file=runs_file,
+                weather=Weather(weather, identity) if weather else None,
+            )
+        )
+    )
 
 
 @app.command
-def node(*, role: Literal["control", "edge", "store"], settings: str, name: str, weather: str, seed: int = 1) -> None:
+def node(
+    *,
+    role: Literal["control", "edge", "store"],
+    settings: str,
+    name: str,
+    weather: str,
+    seed: int = 1,
+) -> None:
     """Run one of the programs' processes in surroundings that fail as a weather file says. SIGKILL is a power cut.
 
     Parameters
@@ -83,12 +116,26 @@
     seed: draws which unflushed writes reach the disk early.
     """
     flags = {"role": role}
-    run_node(settings_or_exit(load_params(settings, flags)), settings, flags, Weather(weather, name), seed)
+    run_node(
+        settings_or_exit(load_params(settings, flags)),
+        settings,
+        flags,
+        Weather(weather, name),
+        seed,
+    )
 
 
 @app.command
-def fleet(*, shape: Literal["jade", "swan", "thin"] = "jade", day: str = "owner-and-holder", seed: int = 1,
-          folder: str = "fleet-data", rate: float = 6.0, seconds: float = 15.0, base_port: int = 24000) -> None:
+def fleet(
+    *,
+    shape: Literal["jade", "swan", "thin"] = "jade",
+    day: str = "owner-and-holder",
+    seed: int = 1,
+    folder: str = "fleet-data",
+    rate: float = 6.0,
+    seconds: float = 15.0,
+    base_port: int = 24000,
+) -> None:
     """Bring up a whole fleet on this machine, cause a day's faults under traffic, and print a report.
 
     Parameters
@@ -114,7 +161,9 @@
         raise SystemExit(1)
 
 
-def _one(job: tuple[int, int, str]) -> tuple[int, dict[str, list[str]], list[tuple[float, str]], dict[str, int]]:
+def _one(
+    job: tuple[int, int, str],
+) -> tuple[int, dict[str, list[str]], list[tuple[float, str]], dict[str, int]]:
     try:
         found, run = run_seed(job[0], job[1], shape=job[2])
     except Exception as error:
@@ -124,8 +173,14 @@
 
 
 @app.command
-def sim(*, first: int = 0, count: int = 32, faults: int = 6, shape: Literal["small", "jade", "swan"] = "small",
-        jobs: int = 8) -> None:
+def sim(
+    *,
+    first: int = 0,
+    count: int = 32,
+    faults: int = 6,
+    shape: Literal["small", "jade", "swan"] = "small",
+    jobs: int = 8,
+) -> None:
     """Run simulated fleets with faults drawn from seeds; a broken rule is printed with its schedule.
 
     Parameters
@@ -139,7 +194,9 @@
     broken = 0
     seen: Counter = Counter()
     with ProcessPoolExecutor(jobs) as pool:
-        for seed, found, rows, judged in pool.map(_one, [(seed, faults, shape) for seed in range(first, first + count)]):
+        for seed, found, rows, judged in pool.map(
+            _one, [(seed, faults, shape) for seed in range(first, first + count)]
+        ):
             seen.update(judged)
             if found:
                 broken += 1
@@ -151,7 +208,14 @@
 
 
 @app.command
-def platform(*, shape: str = "small", day: str = "calm", seed: int = 1, folder: str = "platform-data", history: str = "") -> None:
+def platform(
+    *,
+    shape: str = "small",
+    day: str = "calm",
+    seed: int = 1,
+    folder: str = "platform-data",
+    history: str = "",
+) -> None:
     """Play a day of the users' platform with real processes on loopback addresses, judge it, and print a report.
 
     Parameters
@@ -177,9 +241,18 @@
 
 
 @app.command
-def measure(what: Literal["log", "fleet", "routes", "prefix", "crowd", "ledger", "rollouts", "scale", "units"], *, repeats: int = 3, count: int = 400, body_bytes: int = 500,
-            seconds: float = 6.0, sync_ms: float = 0.0,
-            nodes: Annotated[list[int] | None, Parameter(consume_multiple=True, negative=())] = None) -> None:
+def measure(
+    what: Literal[
+        "log", "fleet", "routes", "prefix", "crowd", "ledger", "rollouts", "scale", "units"
+    ],
+    *,
+    repeats: int = 3,
+    count: int = 400,
+    body_bytes: int = 500,
+    seconds: float = 6.0,
+    sync_ms: float = 0.0,
+    nodes: Annotated[list[int] | None, Parameter(consume_multiple=True, negative=())] = None,
+) -> None:
     """Measure the log against syncs, a small fleet, many routes, placement by prefix, crowds, or what carries on to more.
 
     Parameters
@@ -193,11 +266,17 @@
     nodes: sizes of simulated fleets.
     """
     sizes = nodes or [20, 60, 120]
-    ways = {"log": lambda: measure_log(count, body_bytes, repeats, sync_ms), "prefix": measure_prefix,
-            "fleet": lambda: measure_fleet(seconds, repeats), "routes": lambda: measure_routes(count),
-            "crowd": measure_crowd, "ledger": lambda: measure_ledger(count, body_bytes),
-            "rollouts": lambda: measure_rollouts(seconds, repeats),
-            "scale": lambda: measure_scale(sizes, repeats, seconds), "units": lambda: measure_units(count, body_bytes, repeats)}
+    ways = {
+        "log": lambda: measure_log(count, body_bytes, repeats, sync_ms),
+        "prefix": measure_prefix,
+        "fleet": lambda: measure_fleet(seconds, repeats),
+        "routes": lambda: measure_routes(count),
+        "crowd": measure_crowd,
+        "ledger": lambda: measure_ledger(count, body_bytes),
+        "rollouts": lambda: measure_rollouts(seconds, repeats),
+        "scale": lambda: measure_scale(sizes, repeats, seconds),
+        "units": lambda: measure_units(count, body_bytes, repeats),
+    }
     sys.stdout.write(ways[what]() + "\n")
 
 
@@ -239,8 +318,14 @@
         raise SystemExit(2)
     rows, unread = trace(kind, name, files)
     for row in rows:
-        fields = {key: value for key, value in row.items() if key not in ("at", "event", "level", "role", "node", "file")}
-        sys.stdout.write(f"{row['at'][11:23]} {row['file']:16} {row['event']:22} {json.dumps(fields)}\n")
+        fields = {
+            key: value
+            for key, value in row.items()
+            if key not in ("at", "event", "level", "role", "node", "file")
+        }
+        sys.stdout.write(
+            f"{row['at'][11:23]} {row['file']:16} {row['event']:22} {json.dumps(fields)}\n"
+        )
     if unread:
         sys.stderr.write(f"{unread} lines could not be read\n")
     if not rows:
--- a/libs/facsimile/src/facsimile/days.py
+++ b/libs/facsimile/src/facsimile/days.py
@@ -1,6 +1,7 @@
 """A day in short: a fleet on this machine under traffic, a named schedule of real faults, the probes
 after the last of them, everything read again, and the oracle's word on the whole. Each fault causes
-one thing that the brief says fails; those that need surroundings which fail are in days_weather."""
+one thing that the brief says fails; those that need surroundings which fail are in days_weather.
+"""
 
 import asyncio
 import random
@@ -100,7 +101,8 @@
 
 async def exchange_control(fleet: Fleet, rng: random.Random) -> None:
     """All machines that serve control, one after another: a new one comes, an old one goes, and the
-    next waits until the voters are the right number again and the old one is not among them."""
+    next waits until the voters are the right number again and the old one is not among them.
+    """
     for old in fleet.of("control"):
         fresh = fleet.add("control", f"control{len(fleet.members) + 1}")
         fresh.start()
@@ -109,7 +111,12 @@
 
         async def settled(fresh: Member = fresh, gone: str = shown["identity"]) -> bool:
             status, body = await fleet.get(fresh, "/status")
-            return status == 200 and body["ready"] and len(body["voters"]) == 5 and gone not in body["voters"]
+            return (
+                status == 200
+                and body["ready"]
+                and len(body["voters"]) == 5
+                and gone not in body["voters"]
+            )
 
         await until(settled, 30_000, f"{fresh.name} votes in place of {old.name}")
 
@@ -125,7 +132,9 @@
     for room in ("disk_bytes = 65536\n", ""):
         for member in stores:
             path = fleet.folder / f"{member.name}.toml"
-            rows = [row for row in path.read_text().splitlines(True) if not row.startswith("disk_bytes")]
+            rows = [
+                row for row in path.read_text().splitlines(True) if not row.startswith("disk_bytes")
+            ]
             path.write_text("".join(rows) + room)
             member.signal(signal.SIGHUP)
         await asyncio.sleep(4 if room else 0)
@@ -172,20 +181,45 @@
 
 
 _PLAIN_DAYS: dict[str, list[tuple[float, Fault]]] = {
-    "calm": [], "owner-and-holder": [(4, kill_holder), (9, kill_owner)],
-    "weather": [(3, kill_edge), (5, kill_worker), (7, freeze_edge), (12, freeze_holder), (18, freeze_owner),
-                (22, drain_edge), (26, kill_holder), (31, stores_at_once)],
+    "calm": [],
+    "owner-and-holder": [(4, kill_holder), (9, kill_owner)],
+    "weather": [
+        (3, kill_edge),
+        (5, kill_worker),
+        (7, freeze_edge),
+        (12, freeze_holder),
+        (18, freeze_owner),
+        (22, drain_edge),
+        (26, kill_holder),
+        (31, stores_at_once),
+    ],
     "members": [(3, swap_store), (12, swap_control), (24, retire_store), (32, roll_workers)],
     "full-disks": [(4, fill_disks)],
-    "control-exchange": [(3, exchange_control)], "slow-worker": [(3, slow_worker)],
+    "control-exchange": [(3, exchange_control)],
+    "slow-worker": [(3, slow_worker)],
     "dark-worker": [(3, dark_worker), (10, dark_worker)],
-    "last-fault": [(4, kill_holder), (9, all_at_once)]}
+    "last-fault": [(4, kill_holder), (9, all_at_once)],
+}
 DAYS: dict[str, list[tuple[float, Any]]] = {
-    **{name: [(at_s, fault) for at_s, fault in rows] for name, rows in _PLAIN_DAYS.items()}, **WEATHER_DAYS}
-
-
-DUE = ("unsafe-runs-once", "streams-are-whole", "bodies-are-whole", "keys-one-body", "workers-are-allowed", "versions-in-force",
-       "changes-kept", "accepted-is-kept", "kept-at-the-end", "waiting-room-is-exact", "service-resumes", "live-in-time")
+    **{name: [(at_s, fault) for at_s, fault in rows] for name, rows in _PLAIN_DAYS.items()},
+    **WEATHER_DAYS,
+}
+
+
+DUE = (
+    "unsafe-runs-once",
+    "streams-are-whole",
+    "bodies-are-whole",
+    "keys-one-body",
+    "workers-are-allowed",
+    "versions-in-force",
+    "changes-kept",
+    "accepted-is-kept",
+    "kept-at-the-end",
+    "waiting-room-is-exact",
+    "service-resumes",
+    "live-in-time",
+)
 DUE_ON = {"calm": ("lots-in-time",), "members": ("gone-workers-get-nothing",)}
 
 
@@ -193,8 +227,11 @@
     """Service is back once each of these works; each is tried until it does, or the time is up."""
     began_ms = traffic.now_ms()
     tries: dict[str, Callable[[], Awaitable[dict[str, Any]]]] = {
-        "live": lambda: traffic.live("rulings", True), "move": lambda: traffic.live("moves", False),
-        "lot": lambda: traffic.hand_in(1), "change": lambda: traffic.change(1)}
+        "live": lambda: traffic.live("rulings", True),
+        "move": lambda: traffic.live("moves", False),
+        "lot": lambda: traffic.hand_in(1),
+        "change": lambda: traffic.change(1),
+    }
     good = ("finish", "replay", "admitted", "known", "waiting-room-full", "ok", "lost")
 
     async def one(what: str) -> None:
@@ -205,14 +242,21 @@
             if seen in good:
                 break
             await asyncio.sleep(0.2)
-        traffic.history.add("probe", traffic.now_ms(), what=what, worked=seen in good, seen=seen,
-                            after_ms=traffic.now_ms() - began_ms)
+        traffic.history.add(
+            "probe",
+            traffic.now_ms(),
+            what=what,
+            worked=seen in good,
+            seen=seen,
+            after_ms=traffic.now_ms() - began_ms,
+        )
 
     await asyncio.gather(*[one(what) for what in tries])
 
 
-async def run_day(shape: str, day: str, seed: int, folder: str, rate: float, last_s: float,
-                  base_port: int = 24000) -> tuple[Traffic, dict[str, list[str]]]:
+async def run_day(
+    shape: str, day: str, seed: int, folder: str, rate: float, last_s: float, base_port: int = 24000
+) -> tuple[Traffic, dict[str, list[str]]]:
     shutil.rmtree(folder, ignore_errors=True)
     rng = random.Random(seed)
     faulty = day in WEATHER_DAYS
@@ -225,7 +269,9 @@
         for at_s, fault in DAYS[day]:
             await asyncio.sleep(max(0.0, at_s - traffic.now_ms() / 1000))
             traffic.history.add("fault", traffic.now_ms(), what=fault.__name__)
-            faults.append(asyncio.ensure_future(fault(fleet, rng, traffic) if faulty else fault(fleet, rng)))
+            faults.append(
+                asyncio.ensure_future(fault(fleet, rng, traffic) if faulty else fault(fleet, rng))
+            )
         await asyncio.sleep(max(0.0, last_s - traffic.now_ms() / 1000))
         await asyncio.gather(*faults)
         await _probe(traffic, 12_000)
@@ -233,6 +279,10 @@
         await traffic.ask_again(8)
         for lot_id, lot in traffic.lots.items():
             if lot["acked"]:
-                await until(lambda lot_id=lot_id: traffic.read(lot_id, 0, True), 20_000, f"{lot_id} can be read")
+                await until(
+                    lambda lot_id=lot_id: traffic.read(lot_id, 0, True),
+                    20_000,
+                    f"{lot_id} can be read",
+                )
         traffic.take_worker_runs()
     return traffic, judge(traffic.history, DUE + DUE_ON.get(day, ()))
--- a/libs/facsimile/src/facsimile/days_weather.py
+++ b/libs/facsimile/src/facsimile/days_weather.py
@@ -1,5 +1,6 @@
 """Days in surroundings that fail: lost power, cuts, stepped clocks, full and lost disks, on the real
-programs' processes. Here killing a process is a power cut: what it had not flushed is gone."""
+programs' processes. Here killing a process is a power cut: what it had not flushed is gone.
+"""
 
 import asyncio
 import random
@@ -60,7 +61,11 @@
 async def isolate_each(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
     for role in ("edge", "store", "control"):
         one = rng.choice(fleet.of(role))
-        await _for(fleet, 3, cuts=fleet.apart([one], [member for member in fleet.everyone() if member is not one]))
+        await _for(
+            fleet,
+            3,
+            cuts=fleet.apart([one], [member for member in fleet.everyone() if member is not one]),
+        )
         await asyncio.sleep(2)
 
 
@@ -68,16 +73,34 @@
     """A machine of each role is heard by nobody, then another hears nobody."""
     for role in ("edge", "store", "control"):
         one, other = rng.sample(fleet.of(role), 2)
-        await _for(fleet, 2.5, cuts=[(one.name, member.name) for member in fleet.members.values() if member is not one])
+        await _for(
+            fleet,
+            2.5,
+            cuts=[
+                (one.name, member.name) for member in fleet.members.values() if member is not one
+            ],
+        )
         await asyncio.sleep(1)
-        await _for(fleet, 2.5, cuts=[(member.name, other.name) for member in fleet.members.values() if member is not other])
+        await _for(
+            fleet,
+            2.5,
+            cuts=[
+                (member.name, other.name)
+                for member in fleet.members.values()
+                if member is not other
+            ],
+        )
         await asyncio.sleep(1.5)
 
 
 async def most_edges_cut(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
     """Most edges and a store on one side, control on the other, for longer than silence is forgiven."""
     side = fleet.of("edge")[1:] + fleet.of("store")[:1]
-    await _for(fleet, 8, cuts=fleet.apart(side, [member for member in fleet.members.values() if member not in side]))
+    await _for(
+        fleet,
+        8,
+        cuts=fleet.apart(side, [member for member in fleet.members.values() if member not in side]),
+    )
 
 
 async def clocks(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
@@ -98,7 +121,9 @@
     for room in ("disk_bytes = 65536\n", ""):
         for member in members:
             path = fleet.folder / f"{member.name}.toml"
-            rows = [row for row in path.read_text().splitlines(True) if not row.startswith("disk_bytes")]
+            rows = [
+                row for row in path.read_text().splitlines(True) if not row.startswith("disk_bytes")
+            ]
             path.write_text("".join(rows) + room)
             member.signal(signal.SIGHUP)
         await asyncio.sleep(4 if room else 0)
@@ -115,10 +140,15 @@
 
 async def crowd(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
     """For four seconds calls come at all edges at a pace that takes all that the workers have; lots come at
-    once; a worker is lost in the middle and another comes for it two seconds later."""
+    once; a worker is lost in the middle and another comes for it two seconds later.
+    """
     calls = [asyncio.ensure_future(traffic.hand_in()) for _ in range(4)]
     for turn in range(80):
-        calls += [asyncio.ensure_future(traffic.live(path, path == "rulings")) for path in ("rulings", "flags") for _ in range(4)]
+        calls += [
+            asyncio.ensure_future(traffic.live(path, path == "rulings"))
+            for path in ("rulings", "flags")
+            for _ in range(4)
+        ]
         if turn == 30:
             rng.choice([member for member in fleet.workers.values() if member.runs]).kill()
         if turn == 70:
@@ -145,7 +175,9 @@
 
     member = await until(lambda: find_holder(fleet), 10_000, "there is a holder")
     _, shown = await fleet.get(member, "/status")
-    await fleet.ask("POST", fleet.of("control")[0].http, "/retired", {"identity": shown["identity"]})
+    await fleet.ask(
+        "POST", fleet.of("control")[0].http, "/retired", {"identity": shown["identity"]}
+    )
     await asyncio.sleep(3)
     fresh = fleet.add("store", f"store{len(fleet.members) + 1}")
     fleet.weather()
@@ -153,7 +185,9 @@
 
     async def replaced() -> bool:
         status, body = await fleet.get(fleet.of("control")[0], "/members")
-        return status == 200 and shown["identity"] not in {row["identity"] for row in (body["log"] or {"members": []})["members"]}
+        return status == 200 and shown["identity"] not in {
+            row["identity"] for row in (body["log"] or {"members": []})["members"]
+        }
 
     await until(replaced, 20_000, "the retired holder is out of the log")
     member.kill()
@@ -161,8 +195,17 @@
 
 WEATHER_DAYS: dict[str, list[tuple[float, Any]]] = {
     "power": [(3, power_after_receipt), (9, power_after_receipt), (16, power_everywhere)],
-    "control-split": [(3, control_split), (11, control_split)], "control-cut-off": [(3, control_cut_off)],
-    "isolated": [(3, isolate_each)], "one-way": [(3, one_way)], "most-edges-cut": [(3, most_edges_cut)],
-    "clocks": [(3, clocks)], "lossy": [(3, lossy)], "full-everywhere": [(4, full)],
-    "disk-lost": [(4, disk_lost), (16, power_after_receipt)], "two-operators": [(3, two_operators)], "crowd": [(3, crowd)], "retired": [(3, retired)],
-    "short-power": [(1, power_after_receipt), (5, isolate_each)]}
+    "control-split": [(3, control_split), (11, control_split)],
+    "control-cut-off": [(3, control_cut_off)],
+    "isolated": [(3, isolate_each)],
+    "one-way": [(3, one_way)],
+    "most-edges-cut": [(3, most_edges_cut)],
+    "clocks": [(3, clocks)],
+    "lossy": [(3, lossy)],
+    "full-everywhere": [(4, full)],
+    "disk-lost": [(4, disk_lost), (16, power_after_receipt)],
+    "two-operators": [(3, two_operators)],
+    "crowd": [(3, crowd)],
+    "retired": [(3, retired)],
+    "short-power": [(1, power_after_receipt), (5, isolate_each)],
+}
--- a/libs/facsimile/src/facsimile/fleet.py
+++ b/libs/facsimile/src/facsimile/fleet.py
@@ -1,5 +1,6 @@
 """A fleet of real processes on this machine, on loopback addresses, for trying out and for tests.
-Only this runner starts processes; it kills, stops and wakes what it started, by their ids."""
+Only this runner starts processes; it kills, stops and wakes what it started, by their ids.
+"""
 
 import asyncio
 import json
@@ -17,16 +18,20 @@
 
 __all__ = ["Fleet", "Member", "SHAPES", "until"]
 
-SHAPES = {"jade": {"edges": 6, "stores": 3, "control": 5, "workers": 7},
-          "swan": {"edges": 8, "stores": 3, "control": 5, "workers": 6},
-          "thin": {"edges": 2, "stores": 3, "control": 5, "workers": 2}}
+SHAPES = {
+    "jade": {"edges": 6, "stores": 3, "control": 5, "workers": 7},
+    "swan": {"edges": 8, "stores": 3, "control": 5, "workers": 6},
+    "thin": {"edges": 2, "stores": 3, "control": 5, "workers": 2},
+}
 ZONES = ("north", "south", "west")
 
 
 class Member:
     __slots__ = ("away", "command", "http", "link", "log_file", "name", "process", "role")
 
-    def __init__(self, name: str, role: str, link: str, http: str, command: list[str], log_file: Path) -> None:
+    def __init__(
+        self, name: str, role: str, link: str, http: str, command: list[str], log_file: Path
+    ) -> None:
         self.name, self.role, self.link, self.http = name, role, link, http
         self.command, self.log_file = command, log_file
         self.process: subprocess.Popen | None = None
@@ -34,7 +39,9 @@
 
     def start(self) -> None:
         with open(self.log_file, "ab") as page:
-            self.process = subprocess.Popen(self.command, stdout=page, stderr=page, stdin=subprocess.DEVNULL)
+            self.process = subprocess.Popen(
+                self.command, stdout=page, stderr=page, stdin=subprocess.DEVNULL
+            )
 
     def signal(self, number: int) -> None:
         if self.process is not None and self.process.poll() is None:
@@ -71,8 +78,15 @@
 
 
 class Fleet:
-    def __init__(self, folder: str, shape: dict[str, int], base_port: int = 21000, host: str = "127.0.0.1",
-                 settings: dict[str, Any] | None = None, faulty: bool = False) -> None:
+    def __init__(
+        self,
+        folder: str,
+        shape: dict[str, int],
+        base_port: int = 21000,
+        host: str = "127.0.0.1",
+        settings: dict[str, Any] | None = None,
+        faulty: bool = False,
+    ) -> None:
         self.faulty = faulty
         self._steps: dict[str, int] = {}
         self.folder = Path(folder)
@@ -105,8 +119,15 @@
     def add(self, role: str, name: str) -> Member:
         link, http = self._address(), self._address()
         zone = ZONES[len(self.members) % len(ZONES)]
-        values = {"link": link, "http": http, "zone": zone, "seeds": self._live_seeds(), "control_count": self.shape["control"],
-                  "store_count": 3, **self._settings}
+        values = {
+            "link": link,
+            "http": http,
+            "zone": zone,
+            "seeds": self._live_seeds(),
+            "control_count": self.shape["control"],
+            "store_count": 3,
+            **self._settings,
+        }
         if role != "edge":
             values["data_folder"] = str(self.folder / name)
         path = self.folder / f"{name}.toml"
@@ -114,8 +135,20 @@
         program = "registrar" if role == "control" else "readingroom"
         command = [sys.executable, "-m", f"{program}.cli", "serve", "--settings", str(path)]
         if self.faulty:
-            command = [sys.executable, "-m", "facsimile.cli", "node", "--settings", str(path), "--name", name, "--weather",
-                       str(self.weather_file), "--seed", str(len(self.members))]
+            command = [
+                sys.executable,
+                "-m",
+                "facsimile.cli",
+                "node",
+                "--settings",
+                str(path),
+                "--name",
+                name,
+                "--weather",
+                str(self.weather_file),
+                "--seed",
+                str(len(self.members)),
+            ]
         if role != "control" or self.faulty:
             command += ["--role", role]
         member = Member(name, role, link, http, command, self.folder / f"{name}.log")
@@ -125,9 +158,23 @@
     def add_worker(self, name: str, *extra: str) -> Member:
         http = self._address()
         edges = [member.http for member in self.members.values() if member.role == "edge"]
-        command = [sys.executable, "-m", "facsimile.cli", "worker", "--identity", name, "--http", http, "--zone",
-                   ZONES[len(self.workers) % len(ZONES)], "--label", "gpu", "--runs-file",
-                   str(self.folder / f"{name}.runs"), *extra]
+        command = [
+            sys.executable,
+            "-m",
+            "facsimile.cli",
+            "worker",
+            "--identity",
+            name,
+            "--http",
+            http,
+            "--zone",
+            ZONES[len(self.workers) % len(ZONES)],
+            "--label",
+            "gpu",
+            "--runs-file",
+            str(self.folder / f"{name}.runs"),
+            *extra,
+        ]
         if self.faulty:
             command += ["--weather", str(self.weather_file)]
         for edge in edges:
@@ -148,11 +195,21 @@
     def weather_file(self) -> Path:
         return self.folder / "weather.json"
 
-    def weather(self, cuts: list[tuple[str, str]] | None = None, steps: dict[str, int] | None = None, loss: float = 0.0,
-                slow: dict[str, int] | None = None) -> None:
+    def weather(
+        self,
+        cuts: list[tuple[str, str]] | None = None,
+        steps: dict[str, int] | None = None,
+        loss: float = 0.0,
+        slow: dict[str, int] | None = None,
+    ) -> None:
         """What is not named is fair again, but for the clocks, which stay where they were put."""
         self._steps.update(steps or {})
-        machines = {address: member.name for member in self.everyone() for address in (member.link, member.http) if address}
+        machines = {
+            address: member.name
+            for member in self.everyone()
+            for address in (member.link, member.http)
+            if address
+        }
         write_weather(self.weather_file, machines, cuts or [], slow or {}, loss, self._steps)
 
     def apart(self, one: list[Member], other: list[Member]) -> list[tuple[str, str]]:
@@ -163,10 +220,22 @@
     async def get(self, member: Member, address: str) -> tuple[int, Any]:
         return await self.ask("GET", member.http, address)
 
-    async def ask(self, method: str, http: str, address: str, body: Any = None,
-                  headers: dict[str, str] | None = None, wait_ms: int = 15000) -> tuple[int, Any]:
-        async with self.session.request(method, f"http://{http}{address}", json=body, headers=headers,
-                                        timeout=aiohttp.ClientTimeout(total=wait_ms / 1000)) as answer:
+    async def ask(
+        self,
+        method: str,
+        http: str,
+        address: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+        wait_ms: int = 15000,
+    ) -> tuple[int, Any]:
+        async with self.session.request(
+            method,
+            f"http://{http}{address}",
+            json=body,
+            headers=headers,
+            timeout=aiohttp.ClientTimeout(total=wait_ms / 1000),
+        ) as answer:
             text = await answer.text()
             try:
                 return answer.status, json.loads(text)
@@ -204,8 +273,12 @@
         """Waits for control, sends the first tree, and waits until every edge and store is ready."""
         await until(lambda: self.all_ready(("control",)), deadline_ms, "control is ready")
         await until(lambda: self.all_ready(("store",)), deadline_ms, "stores are ready")
-        status, body = await self.ask("PUT", self.of("control")[0].http, "/profiles",
-                                      {"version": 0, "change_id": "first", "tree": tree})
+        status, body = await self.ask(
+            "PUT",
+            self.of("control")[0].http,
+            "/profiles",
+            {"version": 0, "change_id": "first", "tree": tree},
+        )
         if status != 200:
             raise AssertionError(f"the first tree was answered {status}: {body}")
         await until(self.all_ready, deadline_ms, "all are ready")
--- a/libs/facsimile/src/facsimile/measure.py
+++ b/libs/facsimile/src/facsimile/measure.py
@@ -1,6 +1,7 @@
 """Measurements for the rounds. The log: the real holder, peers and disks with a message delay as
 between zones, appends acknowledged in memory, settled, and, to compare, each one synced by itself.
-The fleet: live calls with and without lots, a killed holder's successor, a version in force."""
+The fleet: live calls with and without lots, a killed holder's successor, a version in force.
+"""
 
 import asyncio
 import os
@@ -13,12 +14,13 @@
 from accession import Holder, LocalLog
 from accession.peer import PeerSide
 from colophon import Params, boot_ms, wall_ms
+from ledger import entries
+from stacks import FolderDisk
+
 from facsimile.days import find_holder
 from facsimile.fleet import SHAPES, Fleet, until
 from facsimile.report import spread
 from facsimile.traffic import TREE, Traffic
-from ledger import entries
-from stacks import FolderDisk
 
 __all__ = ["measure_fleet", "measure_log"]
 
@@ -38,15 +40,23 @@
 class _Store:
     def __init__(self, folder: str, name: str, sync_ms: float) -> None:
         loop = asyncio.get_running_loop()
-        self.params = Params(role="store", link="127.0.0.1:1", http="127.0.0.1:2", zone="a", seeds=["127.0.0.1:1"],
-                             data_folder=folder)
+        self.params = Params(
+            role="store",
+            link="127.0.0.1:1",
+            http="127.0.0.1:2",
+            zone="a",
+            seeds=["127.0.0.1:1"],
+            data_folder=folder,
+        )
         self.disk = _SlowDisk(os.path.join(folder, name), 1 << 30, loop.call_soon_threadsafe)
         self.disk.sync_ms = sync_ms
         self.log = LocalLog(self.disk, self.params, boot_ms, lambda: name)
         self.peer = PeerSide(self.log)
 
 
-async def _appends(append: Callable[[Callable[[], None]], None], count: int, at_once: int) -> list[float]:
+async def _appends(
+    append: Callable[[Callable[[], None]], None], count: int, at_once: int
+) -> list[float]:
     """`count` appends, `at_once` of them under way at any time; how long each took, in ms."""
     loop = asyncio.get_running_loop()
     taken: list[float] = []
@@ -71,15 +81,27 @@
         holder: Holder | None = None
 
         def post(to: str, message: Any) -> None:
-            loop.call_later(_DELAY_S, stores[to].peer.receive, message,
-                            lambda receipt: loop.call_later(_DELAY_S, holder.answered, receipt, to))
+            loop.call_later(
+                _DELAY_S,
+                stores[to].peer.receive,
+                message,
+                lambda receipt: loop.call_later(_DELAY_S, holder.answered, receipt, to),
+            )
 
         own = stores["a"].log
         ready = loop.create_future()
         own.keep_meta(lambda ok: ready.set_result(ok), fence=1, log_epoch=1)
         await ready
-        holder = Holder(own, 1, [(store.log.identity, name) for name, store in stores.items()], stores["a"].params,
-                        boot_ms, wall_ms, post, lambda fence: None)
+        holder = Holder(
+            own,
+            1,
+            [(store.log.identity, name) for name, store in stores.items()],
+            stores["a"].params,
+            boot_ms,
+            wall_ms,
+            post,
+            lambda fence: None,
+        )
         stopping = asyncio.Event()
 
         async def tick() -> None:
@@ -90,7 +112,9 @@
         ticking = asyncio.ensure_future(tick())
         while not holder.adopted():
             await asyncio.sleep(0.01)
-        entry = entries.KeyClosed(key="k", transaction="t", state="done", status=200, body="x" * body_bytes, at_ms=0)
+        entry = entries.KeyClosed(
+            key="k", transaction="t", state="done", status=200, body="x" * body_bytes, at_ms=0
+        )
         handle = os.open(os.path.join(folder, "plain"), os.O_RDWR | os.O_CREAT)
 
         disk = ThreadPoolExecutor(1)
@@ -103,15 +127,21 @@
             os.write(handle, b"x" * body_bytes)
             loop.run_in_executor(disk, sync).add_done_callback(lambda _: done())
 
-        ways = {"held at f peers": lambda done: holder.append([entry], False, lambda outcome: done()),
-                "settled on f+1 disks": lambda done: holder.append([entry], True, lambda outcome: done()),
-                "one sync for each, one disk": synced}
+        ways = {
+            "held at f peers": lambda done: holder.append([entry], False, lambda outcome: done()),
+            "settled on f+1 disks": lambda done: holder.append(
+                [entry], True, lambda outcome: done()
+            ),
+            "one sync for each, one disk": synced,
+        }
         for at_once in (1, 16):
             for name, append in ways.items():
                 began = time.perf_counter()
                 taken = await _appends(append, count, at_once)
                 rate = len(taken) / (time.perf_counter() - began)
-                lines.append(f"  {at_once:2} at once, {name:28} {spread_fine(taken)}; {rate:.0f} a second")
+                lines.append(
+                    f"  {at_once:2} at once, {name:28} {spread_fine(taken)}; {rate:.0f} a second"
+                )
         stopping.set()
         await ticking
         os.close(handle)
@@ -122,12 +152,16 @@
 
 def spread_fine(values: list[float]) -> str:
     rows = sorted(values)
-    return ", ".join(f"{name} {rows[min(len(rows) - 1, int(len(rows) * share))]:.1f} ms"
-                     for name, share in (("50%", 0.5), ("90%", 0.9), ("99%", 0.99)))
+    return ", ".join(
+        f"{name} {rows[min(len(rows) - 1, int(len(rows) * share))]:.1f} ms"
+        for name, share in (("50%", 0.5), ("90%", 0.9), ("99%", 0.99))
+    )
 
 
 def measure_log(count: int, body_bytes: int, repeats: int, sync_ms: float) -> str:
-    lines = [f"{count} appends of {body_bytes} bytes, {_DELAY_S * 1000:.1f} ms each way, {sync_ms:.1f} ms added to each sync"]
+    lines = [
+        f"{count} appends of {body_bytes} bytes, {_DELAY_S * 1000:.1f} ms each way, {sync_ms:.1f} ms added to each sync"
+    ]
     for repeat in range(repeats):
         lines.append(f"run {repeat + 1}")
         lines += asyncio.run(_measure_log(count, body_bytes, sync_ms))
@@ -195,8 +229,12 @@
             lines += await _live(traffic, seconds, True)
         changes = [await _in_force(fleet, traffic) for _ in range(10)]
         lines.append(f"a version acknowledged: {spread([acked for acked, _ in changes])}")
-        lines.append(f"a version seen in force at every edge: {spread([seen for _, seen in changes])}")
-        lines.append(f"lots accepted after the holder is killed: {spread([await _recovery(fleet, traffic) for _ in range(5)])}")
+        lines.append(
+            f"a version seen in force at every edge: {spread([seen for _, seen in changes])}"
+        )
+        lines.append(
+            f"lots accepted after the holder is killed: {spread([await _recovery(fleet, traffic) for _ in range(5)])}"
+        )
     return lines
 
 
--- a/libs/facsimile/src/facsimile/measure_ledger.py
+++ b/libs/facsimile/src/facsimile/measure_ledger.py
@@ -1,5 +1,6 @@
 """How the ledger bears what is kept: lots that are over against memory, the time of a snapshot, of reading
-everything back, and of an edge's beat against open lots. One store's own copy, on this machine's disk."""
+everything back, and of an edge's beat against open lots. One store's own copy, on this machine's disk.
+"""
 
 import gc
 import random
@@ -57,13 +58,29 @@
 def _lot(rng: random.Random, number: int, body_bytes: int, over: bool) -> list[Any]:
     name = f"lot{number}"
     texts = [rng.randbytes(body_bytes // 2).hex() for _ in range(2)]
-    rows: list[Any] = [e.LotAdmitted(lot_id=name, digest="d" * 32, path="summaries", safe=True, due_ms=number, at_ms=number, items=[
-        f'{{"prompt": "{place} {texts[0]}"}}' for place in range(_ITEMS)])]
+    rows: list[Any] = [
+        e.LotAdmitted(
+            lot_id=name,
+            digest="d" * 32,
+            path="summaries",
+            safe=True,
+            due_ms=number,
+            at_ms=number,
+            items=[f'{{"prompt": "{place} {texts[0]}"}}' for place in range(_ITEMS)],
+        )
+    ]
     if over:
         for place in range(_ITEMS):
             rows.append(e.ItemClaimed(lot_id=name, index=place, edge="edge-1", number=1))
-            rows.append(e.ItemFinished(lot_id=name, index=place, outcome="ran", worker="w/1",
-                                       body=f'{{"id": "{number}-{place}", "text": "{texts[1]}"}}'))
+            rows.append(
+                e.ItemFinished(
+                    lot_id=name,
+                    index=place,
+                    outcome="ran",
+                    worker="w/1",
+                    body=f'{{"id": "{number}-{place}", "text": "{texts[1]}"}}',
+                )
+            )
         rows.append(e.BatonPassed(lot_id=name, edge="edge-1", epoch=1))
         rows.append(e.ResultsPlaced(lot_id=name, up_to=_ITEMS, epoch=1))
     return rows
@@ -80,8 +97,15 @@
     rng = random.Random(1)
     lines = []
     with tempfile.TemporaryDirectory() as folder:
-        params = Params(role="store", link="127.0.0.1:1", http="127.0.0.1:2", zone="z", seeds=["127.0.0.1:1"], data_folder=folder,
-                        disk_bytes=1 << 34)
+        params = Params(
+            role="store",
+            link="127.0.0.1:1",
+            http="127.0.0.1:2",
+            zone="z",
+            seeds=["127.0.0.1:1"],
+            data_folder=folder,
+            disk_bytes=1 << 34,
+        )
         disk = FolderDisk(folder, params.disk_bytes, lambda call: call())
         log = LocalLog(disk, params, lambda: time.monotonic_ns() // 1_000_000, lambda: "a")
         before_mb = _mega()
@@ -102,17 +126,25 @@
         _wait(disk, lambda: not log.busy())
         del log.records[:-1], log.received_ms[:-1]
         gc.collect()
-        lines.append(f"{lots} lots of {_ITEMS} that are over, bodies and results of {body_bytes} bytes: {_mega() - before_mb:.0f} MB "
-                     f"in memory, {sum(disk._sizes.values()) / 1e6:.0f} MB on disk")
+        lines.append(
+            f"{lots} lots of {_ITEMS} that are over, bodies and results of {body_bytes} bytes: {_mega() - before_mb:.0f} MB "
+            f"in memory, {sum(disk._sizes.values()) / 1e6:.0f} MB on disk"
+        )
         began_at = time.perf_counter()
         size_bytes = len(log.snapshot())
-        lines.append(f"  a snapshot: {(time.perf_counter() - began_at) * 1000:.0f} ms in the loop, {size_bytes / 1e6:.1f} MB; "
-                     f"longest step of tidying {worst_ms:.0f} ms")
+        lines.append(
+            f"  a snapshot: {(time.perf_counter() - began_at) * 1000:.0f} ms in the loop, {size_bytes / 1e6:.1f} MB; "
+            f"longest step of tidying {worst_ms:.0f} ms"
+        )
         began_at = time.perf_counter()
         again = LocalLog(disk, params, lambda: 0, lambda: "a")
-        lines.append(f"  read back in {(time.perf_counter() - began_at) * 1000:.0f} ms, {len(again.ledger.lots)} lots")
+        lines.append(
+            f"  read back in {(time.perf_counter() - began_at) * 1000:.0f} ms, {len(again.ledger.lots)} lots"
+        )
         for count in (10, 100):
-            lines.append(f"  an edge's beat with {count} open lots of {_ITEMS}: {_beat_ms(log, rng, count, body_bytes):.2f} ms")
+            lines.append(
+                f"  an edge's beat with {count} open lots of {_ITEMS}: {_beat_ms(log, rng, count, body_bytes):.2f} ms"
+            )
         disk.close()
     return "\n".join(lines)
 
@@ -126,7 +158,10 @@
     took = []
     for _ in range(20):
         began_at = time.perf_counter()
-        dealer.beat(m.EdgeBeat(edge="edge-1", address="x", room=0, paths=["summaries"], running=[]), lambda receipt: None)
+        dealer.beat(
+            m.EdgeBeat(edge="edge-1", address="x", room=0, paths=["summaries"], running=[]),
+            lambda receipt: None,
+        )
         dealer.tick()
         took.append((time.perf_counter() - began_at) * 1000)
     for number in range(count):
--- a/libs/facsimile/src/facsimile/measure_more.py
+++ b/libs/facsimile/src/facsimile/measure_more.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from circulation import Worker, WorkerNews, choose
+
 from facsimile.fleet import SHAPES, Fleet, until
 from facsimile.report import spread
 from facsimile.traffic import TREE, Traffic
@@ -18,13 +19,22 @@
 
 def wide_tree(count: int) -> dict[str, Any]:
     """The test tree and a group of ten under each tenth of `count` further profiles."""
-    rows = {f"route-{place}": {"parent": "base" if place % 10 == 0 else f"route-{place - place % 10}",
-                               "deadline_ms": 1000 + place} for place in range(count)}
+    rows = {
+        f"route-{place}": {
+            "parent": "base" if place % 10 == 0 else f"route-{place - place % 10}",
+            "deadline_ms": 1000 + place,
+        }
+        for place in range(count)
+    }
     return {"profiles": {**TREE["profiles"], **rows}}
 
 
 def _memory_mb(pid: int) -> int:
-    line = next(line for line in Path(f"/proc/{pid}/status").read_text().splitlines() if line.startswith("VmRSS"))
+    line = next(
+        line
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines()
+        if line.startswith("VmRSS")
+    )
     return int(line.split()[1]) // 1024
 
 
@@ -38,7 +48,10 @@
 
 async def _in_force_at(fleet: Fleet, version: int) -> None:
     async def everywhere() -> bool:
-        shown = [(await fleet.get(member, "/status"))[1]["feed"]["profiles"] for member in fleet.of("edge")]
+        shown = [
+            (await fleet.get(member, "/status"))[1]["feed"]["profiles"]
+            for member in fleet.of("edge")
+        ]
         return min(shown) >= version
 
     await until(everywhere, 10_000, f"version {version} is in force", 2)
@@ -48,7 +61,11 @@
     total = 0
     for member in fleet.of(role):
         _, text = await fleet.get(member, "/metrics")
-        total += sum(int(float(line.split()[1])) for line in text.splitlines() if line.startswith(f"vaneledge_{name} "))
+        total += sum(
+            int(float(line.split()[1]))
+            for line in text.splitlines()
+            if line.startswith(f"vaneledge_{name} ")
+        )
     return total
 
 
@@ -61,22 +78,33 @@
         stopping = asyncio.Event()
         polling = asyncio.ensure_future(_poll_ready(fleet, taken, stopping))
         for what, method, body in [("whole tree", "PUT", {"tree": wide_tree(count)})] + [
-                ("small patch", "PATCH", {"patch": {"profiles": {f"route-{place}": {"deadline_ms": 77}}}})
-                for place in range(5)]:
+            (
+                "small patch",
+                "PATCH",
+                {"patch": {"profiles": {f"route-{place}": {"deadline_ms": 77}}}},
+            )
+            for place in range(5)
+        ]:
             _, shown = await fleet.ask("GET", control, "/profiles")
             before = await _metric(fleet, "control", "feed_sent_bytes_total")
             began = time.perf_counter()
-            status, answer = await fleet.ask(method, control, "/profiles", {"version": shown["version"], **body})
+            status, answer = await fleet.ask(
+                method, control, "/profiles", {"version": shown["version"], **body}
+            )
             acked = (time.perf_counter() - began) * 1000
             await _in_force_at(fleet, shown["version"] + 1)
             seen = (time.perf_counter() - began) * 1000
             sent = await _metric(fleet, "control", "feed_sent_bytes_total") - before
-            lines.append(f"  {what}: {status}, acknowledged {acked:.0f} ms, seen in force {seen:.0f} ms, "
-                         f"{sent} bytes of news sent by control")
+            lines.append(
+                f"  {what}: {status}, acknowledged {acked:.0f} ms, seen in force {seen:.0f} ms, "
+                f"{sent} bytes of news sent by control"
+            )
         stopping.set()
         await polling
         _, text = await fleet.get(edge, "/metrics")
-        worst = next(line for line in text.splitlines() if line.startswith("vaneledge_worst_tick_ms"))
+        worst = next(
+            line for line in text.splitlines() if line.startswith("vaneledge_worst_tick_ms")
+        )
         lines.append(f"  /ready meanwhile: {spread(taken)}")
         lines.append(f"  an edge's memory after {_memory_mb(edge.process.pid)} MB; {worst}")
     return lines
@@ -87,16 +115,32 @@
         return "\n".join(asyncio.run(_routes(count, folder)))
 
 
-def measure_prefix(prefixes: int = 60, workers: int = 7, cached: int = 12, calls: int = 6000) -> str:
+def measure_prefix(
+    prefixes: int = 60, workers: int = 7, cached: int = 12, calls: int = 6000
+) -> str:
     """Placement alone, with the stand-in's cache (a bounded set of prefixes, the oldest leaving): hits and
-    the spread of calls over workers, by prefix and by load alone. Calls end in the order they began."""
-    lines = [f"{calls} calls, {prefixes} prefixes, {workers} workers with room for {cached} each, 20 under way"]
+    the spread of calls over workers, by prefix and by load alone. Calls end in the order they began.
+    """
+    lines = [
+        f"{calls} calls, {prefixes} prefixes, {workers} workers with room for {cached} each, 20 under way"
+    ]
     for by_prefix in (True, False):
         rng = random.Random(1)
         pool = []
         for place in range(workers):
-            news = WorkerNews(identity=f"w{place}", incarnation=1, address=f"w{place}:1", zone="a", labels=[], beat=1,
-                              running=0, waiting=0, slots=8, cache_use=0.0, leaving=False)
+            news = WorkerNews(
+                identity=f"w{place}",
+                incarnation=1,
+                address=f"w{place}:1",
+                zone="a",
+                labels=[],
+                beat=1,
+                running=0,
+                waiting=0,
+                slots=8,
+                cache_use=0.0,
+                leaving=False,
+            )
             worker = Worker(news)
             worker.take(news, 0)
             pool.append(worker)
@@ -117,8 +161,10 @@
             cache.append(prefix)
             del cache[:-cached]
         mean = calls / workers
-        lines.append(f"  {'by prefix' if by_prefix else 'by load alone':14} {100 * hits / calls:5.1f}% hits; busiest worker "
-                     f"{max(placed.values()) / mean:.2f} of the mean, idlest {min(placed.values()) / mean:.2f}")
+        lines.append(
+            f"  {'by prefix' if by_prefix else 'by load alone':14} {100 * hits / calls:5.1f}% hits; busiest worker "
+            f"{max(placed.values()) / mean:.2f} of the mean, idlest {min(placed.values()) / mean:.2f}"
+        )
     return "\n".join(lines)
 
 
@@ -139,8 +185,11 @@
             while time.time() - began < seconds:
                 if time.time() - began > next_read_s:
                     next_read_s += 0.2
-                    pending.update(asyncio.ensure_future(traffic.read(name, 0)) for name, lot in traffic.lots.items()
-                                   if lot["acked"] and not lot["done_ms"])
+                    pending.update(
+                        asyncio.ensure_future(traffic.read(name, 0))
+                        for name, lot in traffic.lots.items()
+                        if lot["acked"] and not lot["done_ms"]
+                    )
                 while count < (time.time() - began) * rate:
                     count += 1
                     pending.add(asyncio.ensure_future(traffic.live("rulings", True)))
@@ -150,20 +199,31 @@
             outcomes = Counter()
             refused = []
             for row in traffic.history.of("call"):
-                outcomes[row["verdict"] if not row["code"] else f"{row['verdict']} {row['code']}"] += 1
+                outcomes[
+                    row["verdict"] if not row["code"] else f"{row['verdict']} {row['code']}"
+                ] += 1
                 if row["verdict"] == "not_run":
                     refused.append(row["answered_ms"] - row["at_ms"])
             lines.append(f"{rate} rulings a second: {dict(outcomes)}")
-            lines.append(f"  answered: {spread(traffic.latency_ms.get('rulings', []))}; refused: {spread(refused)}")
+            lines.append(
+                f"  answered: {spread(traffic.latency_ms.get('rulings', []))}; refused: {spread(refused)}"
+            )
 
             async def lots_done(traffic: Traffic = traffic) -> bool:
-                await asyncio.gather(*[traffic.read(name, 0) for name, lot in traffic.lots.items()
-                                       if lot["acked"] and not lot["done_ms"]])
+                await asyncio.gather(
+                    *[
+                        traffic.read(name, 0)
+                        for name, lot in traffic.lots.items()
+                        if lot["acked"] and not lot["done_ms"]
+                    ]
+                )
                 return all(lot["done_ms"] for lot in traffic.lots.values() if lot["acked"])
 
             await until(lots_done, 30_000, "lots are done")
-            lines.append(f"  lots handed in at the start: {sum(listed)} of {80 * len(listed)} results listed by the crowd's "
-                         f"end; {spread(traffic.latency_ms.get('lots of 80', []))}")
+            lines.append(
+                f"  lots handed in at the start: {sum(listed)} of {80 * len(listed)} results listed by the crowd's "
+                f"end; {spread(traffic.latency_ms.get('lots of 80', []))}"
+            )
     return lines
 
 
--- a/libs/facsimile/src/facsimile/measure_rollouts.py
+++ b/libs/facsimile/src/facsimile/measure_rollouts.py
@@ -1,5 +1,6 @@
 """Real processes: live calls with bursts and an overnight lot, by themselves and beside rollouts and the loan of a whole
-worker. What counts is what clients saw, and what the workers noted that they ran."""
+worker. What counts is what clients saw, and what the workers noted that they ran.
+"""
 
 import asyncio
 import json
@@ -28,24 +29,34 @@
     return {"profiles": {**TREE["profiles"], **rows}}
 
 
-async def _first_event(fleet: Fleet, rng: random.Random, number: int, seen: list[tuple[float, str]]) -> None:
+async def _first_event(
+    fleet: Fleet, rng: random.Random, number: int, seen: list[tuple[float, str]]
+) -> None:
     edge, began = rng.choice(fleet.of("edge")).http, time.perf_counter()
     first_ms, end = 0.0, ""
     try:
-        async with fleet.session.post(f"http://{edge}/v1/completions", json={"model": "rulings", "prompt": f"call {number}", "stream": True}) as answer:
+        async with fleet.session.post(
+            f"http://{edge}/v1/completions",
+            json={"model": "rulings", "prompt": f"call {number}", "stream": True},
+        ) as answer:
             async for line in answer.content:
                 first_ms = first_ms or (time.perf_counter() - began) * 1000
                 end = line.decode().strip() or end
         seen.append((first_ms, "whole" if end == "data: [DONE]" else f"{answer.status}"))
-    except (OSError, asyncio.TimeoutError) as error:
+    except (TimeoutError, OSError) as error:
         seen.append((first_ms, type(error).__name__))
 
 
 async def _move(fleet: Fleet, rng: random.Random, key: str, told: Counter) -> None:
     """Sent twice, as a client does who got no answer in time."""
     for _ in range(2):
-        status, _ = await fleet.ask("POST", rng.choice(fleet.of("edge")).http, "/v1/completions", {"model": "moves", "prompt": f"key {key}"},
-                                    {"Idempotency-Key": key})
+        status, _ = await fleet.ask(
+            "POST",
+            rng.choice(fleet.of("edge")).http,
+            "/v1/completions",
+            {"model": "moves", "prompt": f"key {key}"},
+            {"Idempotency-Key": key},
+        )
         told[status] += 1
 
 
@@ -53,7 +64,9 @@
     """Asks for a worker until it gets one, holds it for a second, and has the worker hand it back."""
     control, steps = fleet.of("control")[0].http, []
     while time.perf_counter() < until_s:
-        status, body = await fleet.ask("PUT", control, "/loans/worker1", {"borrower": "trainer", "weights": "w1"})
+        status, body = await fleet.ask(
+            "PUT", control, "/loans/worker1", {"borrower": "trainer", "weights": "w1"}
+        )
         if status == 200:
             break
         await asyncio.sleep(0.5)
@@ -66,7 +79,9 @@
         if row["state"] in ("lent", "recalled"):
             took_ms = (time.perf_counter() - began) * 1000
             await asyncio.sleep(1.0)
-            status, _ = await fleet.ask("POST", control, "/loans/worker1/returned", {"loan": row["loan"], "weights": "w1"})
+            status, _ = await fleet.ask(
+                "POST", control, "/loans/worker1/returned", {"loan": row["loan"], "weights": "w1"}
+            )
             return [*steps, f"lent after {took_ms:.0f} ms, handed back: {status}"]
         if row["state"] == "serving":
             return [*steps, "withdrawn"]
@@ -83,40 +98,74 @@
         await fleet.workers_known(_SHAPE["workers"])
         edge = fleet.of("edge")[0].http
         if lends:
-            call = {"path": "rollouts", "weights": "w1", "samples": 4, "prompts": [{"prompt": f"sample {place}", "max_tokens": 60} for place in range(int(6 * seconds))]}
+            call = {
+                "path": "rollouts",
+                "weights": "w1",
+                "samples": 4,
+                "prompts": [
+                    {"prompt": f"sample {place}", "max_tokens": 60}
+                    for place in range(int(6 * seconds))
+                ],
+            }
             for _ in range(2):
                 assert (await fleet.ask("PUT", edge, "/rollouts/r1", call))[0] in (200, 201)
         began = time.perf_counter()
         loan = asyncio.ensure_future(_loan(fleet, began + seconds + _NIGHT_S)) if lends else None
         items = [{"prompt": f"item {place}"} for place in range(60)]
-        assert (await fleet.ask("PUT", edge, "/lots/overnight", {"path": "summaries", "items": items, "due_ms": 10_000}))[0] == 201
+        assert (
+            await fleet.ask(
+                "PUT",
+                edge,
+                "/lots/overnight",
+                {"path": "summaries", "items": items, "due_ms": 10_000},
+            )
+        )[0] == 201
         lot_began, number = time.perf_counter(), 0
         while (now := time.perf_counter() - began) < seconds:
             number += 1
-            work = _move(fleet, rng, f"m{seed}-{number}", moves) if number % 6 == 0 else _first_event(fleet, rng, number, seen)
+            work = (
+                _move(fleet, rng, f"m{seed}-{number}", moves)
+                if number % 6 == 0
+                else _first_event(fleet, rng, number, seen)
+            )
             tasks.append(asyncio.ensure_future(work))
             await asyncio.sleep(rng.expovariate(_RATE_S * (1.3 if now % 2 < 0.6 else 0.9)))
         lot_ms = 0.0
         while not lot_ms:
             _, shown = await fleet.ask("GET", edge, "/lots/overnight")
-            lot_ms = (time.perf_counter() - lot_began) * 1000 if shown.get("state") == "done" else 0.0
+            lot_ms = (
+                (time.perf_counter() - lot_began) * 1000 if shown.get("state") == "done" else 0.0
+            )
             await asyncio.sleep(0.1)
         await asyncio.gather(*tasks)
         lines = await _judged(fleet, lends, Path(folder))
         told = "; ".join(await loan) if loan is not None else ""
     good = sorted(first_ms for first_ms, outcome in seen if outcome == "whole")
-    return "\n".join([f"{'with' if lends else 'without'} rollouts: {len(seen)} streams, {Counter(outcome for _, outcome in seen)}; "
-                      f"moves {dict(moves)}; lot done by {lot_ms:.0f} ms",
-                      f"  first events ms: {spread(good)}; over 300 ms: {sum(one > 300 for one in good)}", *lines, *([f"  loan: {told}"] if told else [])])
+    return "\n".join(
+        [
+            f"{'with' if lends else 'without'} rollouts: {len(seen)} streams, {Counter(outcome for _, outcome in seen)}; "
+            f"moves {dict(moves)}; lot done by {lot_ms:.0f} ms",
+            f"  first events ms: {spread(good)}; over 300 ms: {sum(one > 300 for one in good)}",
+            *lines,
+            *([f"  loan: {told}"] if told else []),
+        ]
+    )
 
 
 def _runs(folder: Path) -> list[dict[str, Any]]:
-    return [row for path in folder.glob("*.runs") for row in map(json.loads, path.read_text().splitlines()) if row["kind"] == "run"]
+    return [
+        row
+        for path in folder.glob("*.runs")
+        for row in map(json.loads, path.read_text().splitlines())
+        if row["kind"] == "run"
+    ]
 
 
 async def _judged(fleet: Fleet, lends: bool, folder: Path) -> list[str]:
     keys = Counter(row["prompt"] for row in _runs(folder) if row["prompt"].startswith("key "))
-    lines = [f"  moves that ran: {len(keys)}, more than once: {sum(count > 1 for count in keys.values())}"]
+    lines = [
+        f"  moves that ran: {len(keys)}, more than once: {sum(count > 1 for count in keys.values())}"
+    ]
     if not lends:
         return lines
     edge = fleet.of("edge")[-1].http
@@ -128,12 +177,26 @@
     shown = await until(whole, 90_000, "the rollout is done", 200)
     rows: list[dict[str, Any]] = []
     while len(rows) < shown["total"]:
-        rows += (await fleet.ask("GET", edge, f"/rollouts/r1/results?from={len(rows)}"))[1]["results"]
-    right = sum(row["index"] == place and (row["body"]["prompt"], row["body"]["sample"]) == divmod(place, 4) and row["body"]["weights"] == "w1"
-                and len(row["body"]["text"].split()) == 60 for place, row in enumerate(rows))
-    given_up = sum(line.count('"sample-given-up"') for path in folder.glob("edge*.log") for line in path.read_text().splitlines())
-    return [*lines, f"  samples: {shown['total']} handed in, {len(rows)} listed, {right} whole and at their place; runs begun: "
-                    f"{sum(row['path'] == 'rollouts' for row in _runs(folder))}, given up: {given_up}"]
+        rows += (await fleet.ask("GET", edge, f"/rollouts/r1/results?from={len(rows)}"))[1][
+            "results"
+        ]
+    right = sum(
+        row["index"] == place
+        and (row["body"]["prompt"], row["body"]["sample"]) == divmod(place, 4)
+        and row["body"]["weights"] == "w1"
+        and len(row["body"]["text"].split()) == 60
+        for place, row in enumerate(rows)
+    )
+    given_up = sum(
+        line.count('"sample-given-up"')
+        for path in folder.glob("edge*.log")
+        for line in path.read_text().splitlines()
+    )
+    return [
+        *lines,
+        f"  samples: {shown['total']} handed in, {len(rows)} listed, {right} whole and at their place; runs begun: "
+        f"{sum(row['path'] == 'rollouts' for row in _runs(folder))}, given up: {given_up}",
+    ]
 
 
 def measure_rollouts(seconds: float, repeats: int) -> str:
--- a/libs/facsimile/src/facsimile/measure_scale.py
+++ b/libs/facsimile/src/facsimile/measure_scale.py
@@ -1,7 +1,8 @@
 """How the cost of a node grows with the fleet: simulated fleets of several sizes whose nodes do nothing but
 keep in touch, with their workers' beats, and meters in the network and the hosts. A node's processor time is
 what its own ticks, receipts and reports took, and the packing of its messages as for a link; sockets are not
-in it. Slopes are least squares over the sizes, one for each seed."""
+in it. Slopes are least squares over the sizes, one for each seed.
+"""
 
 import gc
 import sys
@@ -14,29 +15,58 @@
 
 from catalogue import WorkerReport
 from colophon import Params
+from vellum import decode, encode
+
 from facsimile.sim.carrying import SimSender
 from facsimile.sim.disks import SimDisk
 from facsimile.sim.fleet import SimFleet
 from facsimile.sim.hosts import SimEnv, SimHost
 from facsimile.sim.virtual import Network, VirtualTime
 from facsimile.sim.visitors import Operators
-from vellum import decode, encode
-
-__all__ = ["SETTINGS", "MeteredFleet", "founded", "held_bytes", "line_through", "measure_scale", "sample"]
 
-SETTINGS: dict[str, Any] = {"control_count": 0, "first_start": True, "cut_off": "serve", "catch_up_ms": 4900, "fan_out": 2,
-                            "worker_beat_ms": 1200, "seeds": ["10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"]}
+__all__ = [
+    "SETTINGS",
+    "MeteredFleet",
+    "founded",
+    "held_bytes",
+    "line_through",
+    "measure_scale",
+    "sample",
+]
+
+SETTINGS: dict[str, Any] = {
+    "control_count": 0,
+    "first_start": True,
+    "cut_off": "serve",
+    "catch_up_ms": 4900,
+    "fan_out": 2,
+    "worker_beat_ms": 1200,
+    "seeds": ["10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"],
+}
 _CONTROL, _STORES = 3, 3
 _FOUND_MS, _SETTLE_MS = 30_000, 5000
 _ENVELOPE_BYTES = 32
 _WORKERS_PER_NODE = 690 / 340
 _ROLES = ("control", "store", "edge")
-_SHARED = (type, ModuleType, BuiltinFunctionType, SimFleet, Network, VirtualTime, SimHost, SimEnv, SimSender, SimDisk, Params)
+_SHARED = (
+    type,
+    ModuleType,
+    BuiltinFunctionType,
+    SimFleet,
+    Network,
+    VirtualTime,
+    SimHost,
+    SimEnv,
+    SimSender,
+    SimDisk,
+    Params,
+)
 
 
 class Meter:
     """Processor time by address and kind of work, and messages and bytes by address. `beside_s` is the meter's and the
-    network's own time, which counts for nobody."""
+    network's own time, which counts for nobody.
+    """
 
     __slots__ = ("beside_s", "counts", "work_s")
 
@@ -104,22 +134,42 @@
         """Workers that beat to one control node after another, and change nothing."""
         beat_ms = SETTINGS["worker_beat_ms"]
         for place in range(count):
-            self.time.after(beat_ms * self.time.rng.random(), lambda place=place: self._beat(place, 1, beat_ms))
+            self.time.after(
+                beat_ms * self.time.rng.random(), lambda place=place: self._beat(place, 1, beat_ms)
+            )
 
     def _beat(self, place: int, seq: int, beat_ms: int) -> None:
         host = self.time.rng.choice(self.running("control"))
-        report = WorkerReport(identity=f"worker-{place}", address=f"10.9.{place >> 8}.{place & 255}:8080", zone="north", label="gpu",
-                              slots=8, state="serving", seq=seq, models='[{"name": "m", "revision": 1}]')
-        self.meter.run(host.address, "report", host.node.worker_list.report, report, lambda outcome: None)
+        report = WorkerReport(
+            identity=f"worker-{place}",
+            address=f"10.9.{place >> 8}.{place & 255}:8080",
+            zone="north",
+            label="gpu",
+            slots=8,
+            state="serving",
+            seq=seq,
+            models='[{"name": "m", "revision": 1}]',
+        )
+        self.meter.run(
+            host.address, "report", host.node.worker_list.report, report, lambda outcome: None
+        )
         self.meter.counts[host.address, "reports"] += 1
         self.time.after(beat_ms, lambda: self._beat(place, seq + 1, beat_ms))
 
 
 def founded(seed: int, nodes: int, settings: dict[str, Any] | None = None) -> MeteredFleet:
     """A fleet in touch, with profiles in force at every edge."""
-    fleet = MeteredFleet(seed, edges=nodes - _CONTROL - _STORES, stores=_STORES, control=_CONTROL, workers=0,
-                         settings={**SETTINGS, **(settings or {})})
-    if not fleet.run_until_true(lambda: all(host.node.quorate() for host in fleet.of("control")), _FOUND_MS):
+    fleet = MeteredFleet(
+        seed,
+        edges=nodes - _CONTROL - _STORES,
+        stores=_STORES,
+        control=_CONTROL,
+        workers=0,
+        settings={**SETTINGS, **(settings or {})},
+    )
+    if not fleet.run_until_true(
+        lambda: all(host.node.quorate() for host in fleet.of("control")), _FOUND_MS
+    ):
         raise AssertionError("control was not founded")
     Operators(fleet).change()
     if not fleet.run_until_true(lambda: fleet.ready() and fleet.holder() is not None, _FOUND_MS):
@@ -166,12 +216,24 @@
     """Of a node of this role, in a second; `cpu_ms_most` is that of the busiest."""
     meter, hosts = fleet.meter, fleet.of(role)
     kinds = ("tick", "receive", "packing", "report", "disk")
-    spent = {host.address: sum(meter.work_s[host.address, kind] for kind in kinds) * 1000 / span_s for host in hosts}
+    spent = {
+        host.address: sum(meter.work_s[host.address, kind] for kind in kinds) * 1000 / span_s
+        for host in hosts
+    }
     row = {"cpu_ms": fmean(spent.values()), "cpu_ms_most": max(spent.values())}
     for kind in kinds:
-        row[f"cpu_ms_{kind}"] = sum(meter.work_s[host.address, kind] for host in hosts) * 1000 / span_s / len(hosts)
-    for name, count, unit in (("sent", "sent", 1), ("received", "received", 1), ("kb_sent", "bytes", 1000), ("reports", "reports", 1)):
-        row[name] = sum(meter.counts[host.address, count] for host in hosts) / unit / span_s / len(hosts)
+        row[f"cpu_ms_{kind}"] = (
+            sum(meter.work_s[host.address, kind] for host in hosts) * 1000 / span_s / len(hosts)
+        )
+    for name, count, unit in (
+        ("sent", "sent", 1),
+        ("received", "received", 1),
+        ("kb_sent", "bytes", 1000),
+        ("reports", "reports", 1),
+    ):
+        row[name] = (
+            sum(meter.counts[host.address, count] for host in hosts) / unit / span_s / len(hosts)
+        )
     row["held_kb"] = fmean(held_bytes(host.node) for host in hosts[:3]) / 1000
     return row
 
@@ -188,9 +250,15 @@
 
 def measure_scale(sizes: Iterable[int], seeds: int, span_s: float) -> str:
     sizes = list(sizes)
-    found = {(nodes, seed): measure_one(seed, nodes, span_s) for nodes in sizes for seed in range(1, seeds + 1)}
-    lines = [f"nodes {sizes}: {_CONTROL} control, {_STORES} stores, the rest edges; {_WORKERS_PER_NODE:.2f} workers to a node; "
-             f"{span_s:g} s measured, {seeds} seeds; of one node in a second (zone_kb: of the fleet), least to most over seeds"]
+    found = {
+        (nodes, seed): measure_one(seed, nodes, span_s)
+        for nodes in sizes
+        for seed in range(1, seeds + 1)
+    }
+    lines = [
+        f"nodes {sizes}: {_CONTROL} control, {_STORES} stores, the rest edges; {_WORKERS_PER_NODE:.2f} workers to a node; "
+        f"{span_s:g} s measured, {seeds} seeds; of one node in a second (zone_kb: of the fleet), least to most over seeds"
+    ]
     for role in _ROLES:
         lines.append(role)
         for name in next(iter(found.values()))[role]:
@@ -199,8 +267,13 @@
                 values = [found[nodes, seed][role][name] for seed in range(1, seeds + 1)]
                 cells.append(f"{nodes}: {min(values):.4g} to {max(values):.4g}")
             if any(row[role][name] for row in found.values()):
-                fits = [line_through((nodes, found[nodes, seed][role][name]) for nodes in sizes) for seed in range(1, seeds + 1)]
+                fits = [
+                    line_through((nodes, found[nodes, seed][role][name]) for nodes in sizes)
+                    for seed in range(1, seeds + 1)
+                ]
                 slopes, starts = [fit[0] for fit in fits], [fit[1] for fit in fits]
-                lines.append(f"  {name:16} {'; '.join(cells)}; slope {min(slopes):.4g} to {max(slopes):.4g}, "
-                             f"intercept {min(starts):.4g} to {max(starts):.4g}")
+                lines.append(
+                    f"  {name:16} {'; '.join(cells)}; slope {min(slopes):.4g} to {max(slopes):.4g}, "
+                    f"intercept {min(starts):.4g} to {max(starts):.4g}"
+                )
     return "\n".join(lines)
--- a/libs/facsimile/src/facsimile/measure_units.py
+++ b/libs/facsimile/src/facsimile/measure_units.py
@@ -1,6 +1,7 @@
 """What one thing costs, in processor time alone: an append at the holder and at a peer, an item's way through the
 ledger, an event of a stream at an edge, a version of a wide configuration. Fleets are simulated and metered, and
-what they spend when idle is taken off; sockets and real disks are not in it, but for messages over a real link."""
+what they spend when idle is taken off; sockets and real disks are not in it, but for messages over a real link.
+"""
 
 import asyncio
 import json
@@ -13,20 +14,29 @@
 from catalogue import Tree, WorkerReport
 from circulation import Dialect
 from circulation.forward import ForwardExchange
-from facsimile.measure_scale import MeteredFleet, founded, held_bytes, sample
-from facsimile.sim.visitors import Operators, tree_of
 from ledger import entries as e
 from ledger import messages as m
 from vellum import decode, encode
 from vellum.links import Switchboard
 
+from facsimile.measure_scale import MeteredFleet, founded, held_bytes, sample
+from facsimile.sim.visitors import Operators, tree_of
+
 __all__ = ["item_costs", "measure_units", "wide_rows"]
 
 _NODES = 12
 _LOT_ITEMS = 80
 _APART_MS = 3000
 _KINDS = ("tick", "receive", "packing", "report", "disk", "append")
-_DIALECT = Dialect(request_id="Id", worker="Worker", stamp="Stamp", not_run="Refused", load="Load", deadline_ms="Left", urgency="Rank")
+_DIALECT = Dialect(
+    request_id="Id",
+    worker="Worker",
+    stamp="Stamp",
+    not_run="Refused",
+    load="Load",
+    deadline_ms="Left",
+    urgency="Rank",
+)
 
 
 class _Client:
@@ -63,10 +73,17 @@
 
     def _now(self, since_ms: float) -> dict[str, float]:
         meter = self._fleet.meter
-        rows = {f"{name} ms": sum(meter.work_s[address, kind] for address in group for kind in _KINDS) * 1000
-                for name, group in self._groups.items()}
-        rows.update({f"{name} kB sent": sum(meter.counts[address, "bytes"] for address in group) / 1000
-                     for name, group in self._groups.items()})
+        rows = {
+            f"{name} ms": sum(meter.work_s[address, kind] for address in group for kind in _KINDS)
+            * 1000
+            for name, group in self._groups.items()
+        }
+        rows.update(
+            {
+                f"{name} kB sent": sum(meter.counts[address, "bytes"] for address in group) / 1000
+                for name, group in self._groups.items()
+            }
+        )
         return rows
 
     def of(self, work: Callable[[], None], count: int) -> dict[str, float]:
@@ -75,7 +92,10 @@
         began_ms = self._fleet.time.now_ms
         work()
         span_ms = self._fleet.time.now_ms - began_ms
-        return {name: (value - self._idle[name] * span_ms) / count for name, value in self._now(0).items()}
+        return {
+            name: (value - self._idle[name] * span_ms) / count
+            for name, value in self._now(0).items()
+        }
 
 
 def _told(rows: dict[str, float]) -> str:
@@ -84,7 +104,10 @@
 
 def _stores(fleet: MeteredFleet) -> dict[str, list[str]]:
     holder = fleet.holder().address
-    return {"holder": [holder], "peers": [host.address for host in fleet.of("store") if host.address != holder]}
+    return {
+        "holder": [holder],
+        "peers": [host.address for host in fleet.of("store") if host.address != holder],
+    }
 
 
 def _big_disks() -> dict[str, Any]:
@@ -95,11 +118,15 @@
     fleet = founded(seed, _NODES, _big_disks())
     costs = _Costs(fleet, _stores(fleet))
     host, done = fleet.holder(), []
-    entry = e.KeyClosed(key="k", transaction="t", state="done", status=200, body="x" * body_bytes, at_ms=0)
+    entry = e.KeyClosed(
+        key="k", transaction="t", state="done", status=200, body="x" * body_bytes, at_ms=0
+    )
 
     def work() -> None:
         for _ in range(count):
-            fleet.meter.run(host.address, "append", host.node.log.holder.append, [entry], True, done.append)
+            fleet.meter.run(
+                host.address, "append", host.node.log.holder.append, [entry], True, done.append
+            )
             fleet.time.run_until(fleet.time.now_ms + 2)
         fleet.run_until_true(lambda: len(done) == count, 8000)
 
@@ -107,13 +134,39 @@
 
 
 def _hand_in(client: _Client, lot_id: str, items: int, body_bytes: int) -> None:
-    calls = [encode(m.ForwardItem(item_id=f"{lot_id}-{place}", target="/x", host="h", headers=["Model", "m"], body=b"x" * body_bytes,
-                                  part_ids=["a"], part_tokens=[300], tokens_in=500, tokens_out=400)) for place in range(items)]
-    values = {"lot_id": lot_id, "digest": "d" * 32, "path": "summaries", "item_ids": [f"{lot_id}-{place}" for place in range(items)],
-              "tokens": [900] * items, "calls": calls, "attempts": 3, "due_ms": 600_000, "keep_ms": 900_000, "version": 1}
+    calls = [
+        encode(
+            m.ForwardItem(
+                item_id=f"{lot_id}-{place}",
+                target="/x",
+                host="h",
+                headers=["Model", "m"],
+                body=b"x" * body_bytes,
+                part_ids=["a"],
+                part_tokens=[300],
+                tokens_in=500,
+                tokens_out=400,
+            )
+        )
+        for place in range(items)
+    ]
+    values = {
+        "lot_id": lot_id,
+        "digest": "d" * 32,
+        "path": "summaries",
+        "item_ids": [f"{lot_id}-{place}" for place in range(items)],
+        "tokens": [900] * items,
+        "calls": calls,
+        "attempts": 3,
+        "due_ms": 600_000,
+        "keep_ms": 900_000,
+        "version": 1,
+    }
     answer = client.ask(m.ForwardHandIn(epoch=0, holder_ms=0, **values))
     if isinstance(answer, m.Stale):
-        answer = client.ask(m.ForwardHandIn(epoch=answer.epoch, holder_ms=answer.holder_ms, **values))
+        answer = client.ask(
+            m.ForwardHandIn(epoch=answer.epoch, holder_ms=answer.holder_ms, **values)
+        )
     if answer.outcome != "admitted":
         raise AssertionError(f"a lot was not admitted: {answer.outcome}")
 
@@ -121,15 +174,37 @@
 def _run_all(client: _Client, items: int, at_once: int, text: bytes) -> None:
     ended = 0
     while ended < items:
-        beat = client.ask(m.EdgeBeat(edge="hollow", address=client.address, room=at_once, paths=["summaries"], running=[]))
+        beat = client.ask(
+            m.EdgeBeat(
+                edge="hollow", address=client.address, room=at_once, paths=["summaries"], running=[]
+            )
+        )
         work = [decode(row) for row in beat.work]
         if work:
-            client.ask(m.EndItems(edge="hollow", rows=[encode(m.ItemEnd(
-                lot_id=row.lot_id, index=row.index, number=row.number, outcome="finished", text=text, worker="w")) for row in work]))
+            client.ask(
+                m.EndItems(
+                    edge="hollow",
+                    rows=[
+                        encode(
+                            m.ItemEnd(
+                                lot_id=row.lot_id,
+                                index=row.index,
+                                number=row.number,
+                                outcome="finished",
+                                text=text,
+                                worker="w",
+                            )
+                        )
+                        for row in work
+                    ],
+                )
+            )
         ended += len(work)
 
 
-def item_costs(seed: int, lots: int, items: int, body_bytes: int, at_once: int) -> list[tuple[str, dict[str, float]]]:
+def item_costs(
+    seed: int, lots: int, items: int, body_bytes: int, at_once: int
+) -> list[tuple[str, dict[str, float]]]:
     """Handed in, dealt `at_once` at the most and ended together, and read once in pages; for one item."""
     fleet = founded(seed, _NODES, _big_disks())
     client = _Client(fleet)
@@ -139,16 +214,32 @@
     def read(name: str) -> None:
         position, over = 0, False
         while not over:
-            page = client.ask(m.ReadPage(lot_id=name, from_position=position, limit_bytes=1 << 18, wait_ms=0))
+            page = client.ask(
+                m.ReadPage(lot_id=name, from_position=position, limit_bytes=1 << 18, wait_ms=0)
+            )
             position += len(page.rows)
             over = position >= items
 
     before = held_bytes(fleet.holder().node)
-    rows = [("admitted", costs.of(lambda: [_hand_in(client, name, items, body_bytes) for name in names], lots * items))]
+    rows = [
+        (
+            "admitted",
+            costs.of(
+                lambda: [_hand_in(client, name, items, body_bytes) for name in names], lots * items
+            ),
+        )
+    ]
     held = (held_bytes(fleet.holder().node) - before) / (lots * items) / 1000
     rows[0][1]["held at the holder kB"] = held
-    rows.append((f"dealt and ended, {at_once} at once", costs.of(
-        lambda: [_run_all(client, items, at_once, b"y" * body_bytes) for _ in names], lots * items)))
+    rows.append(
+        (
+            f"dealt and ended, {at_once} at once",
+            costs.of(
+                lambda: [_run_all(client, items, at_once, b"y" * body_bytes) for _ in names],
+                lots * items,
+            ),
+        )
+    )
     rows.append(("listed", costs.of(lambda: [read(name) for name in names], lots * items)))
     return rows
 
@@ -156,7 +247,16 @@
 def event_cost_us(count: int) -> float:
     """One event of a stream through an edge's exchange: cut out, checked, handed on."""
     exchange = ForwardExchange(_DIALECT, "w", "r", "POST", True, 1 << 20)
-    exchange.head(200, [("Id", "r"), ("Stamp", "s"), ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")], None)
+    exchange.head(
+        200,
+        [
+            ("Id", "r"),
+            ("Stamp", "s"),
+            ("Content-Type", "text/event-stream"),
+            ("Transfer-Encoding", "chunked"),
+        ],
+        None,
+    )
     events = [b"id: %d\ndata: %s\n\n" % (number, b"x" * 24) for number in range(count)]
     began_s = process_time()
     for event in events:
@@ -199,28 +299,50 @@
 
 def wide_rows(routes: int, tenants: int) -> dict[str, Any]:
     """Routes that each have a place of their own, and tenants as further profiles."""
-    rows: dict[str, Any] = {f"route-{place}": {"parent": "base", "deadline_ms": 1000 + place, "match": {
-        "host": f"h{place % 40}.example", "prefix": f"/p{place}/"}} for place in range(routes)}
-    rows.update({f"tenant-{place}": {"parent": "base", "waiting_room": 4, "urgency": place % 10} for place in range(tenants)})
+    rows: dict[str, Any] = {
+        f"route-{place}": {
+            "parent": "base",
+            "deadline_ms": 1000 + place,
+            "match": {"host": f"h{place % 40}.example", "prefix": f"/p{place}/"},
+        }
+        for place in range(routes)
+    }
+    rows.update(
+        {
+            f"tenant-{place}": {"parent": "base", "waiting_room": 4, "urgency": place % 10}
+            for place in range(tenants)
+        }
+    )
     return rows
 
 
-def version_costs(seed: int, routes: int, tenants: int, changes: int, nodes: int = _NODES) -> dict[str, float]:
+def version_costs(
+    seed: int, routes: int, tenants: int, changes: int, nodes: int = _NODES
+) -> dict[str, float]:
     """A version in which one profile has changed, acknowledged, and used at every edge."""
     fleet = founded(seed, nodes)
     operators = Operators(fleet)
     operators.version = 1
     operators.more = wide_rows(routes, tenants)
     told: list[Any] = []
-    groups = {role: [host.address for host in fleet.of(role)] for role in ("control", "store", "edge")}
+    groups = {
+        role: [host.address for host in fleet.of(role)] for role in ("control", "store", "edge")
+    }
 
     def change() -> None:
         count = len(told)
         operators.change(1, done=told.append)
-        if not fleet.run_until_true(lambda: len(told) > count, 20_000) or told[-1]["outcome"] != "ok":
+        if (
+            not fleet.run_until_true(lambda: len(told) > count, 20_000)
+            or told[-1]["outcome"] != "ok"
+        ):
             raise AssertionError(f"a change was not acknowledged: {told[-1:]}")
         for host in fleet.of("edge"):
-            fleet.meter.run(host.address, "tick", lambda host=host: host.node.tree().route("h1.example", "/p1/x"))
+            fleet.meter.run(
+                host.address,
+                "tick",
+                lambda host=host: host.node.tree().route("h1.example", "/p1/x"),
+            )
         fleet.time.run_until(fleet.time.now_ms + _APART_MS)
 
     change()
@@ -243,24 +365,43 @@
     host = fleet.of("control")[0]
     began_s = process_time()
     for place in range(workers):
-        host.node.worker_list.report(WorkerReport(identity=f"w{place}", address="10.9.0.1:1", zone="z", label="gpu", slots=8, state="serving",
-                                                  seq=1, models="[]"), lambda outcome: None)
+        host.node.worker_list.report(
+            WorkerReport(
+                identity=f"w{place}",
+                address="10.9.0.1:1",
+                zone="z",
+                label="gpu",
+                slots=8,
+                state="serving",
+                seq=1,
+                models="[]",
+            ),
+            lambda outcome: None,
+        )
     return (process_time() - began_s) * 1e6 / workers
 
 
 def measure_units(count: int, body_bytes: int, repeats: int) -> str:
-    lines = [f"processor time alone; {repeats} runs each; a fleet of {_NODES}; bodies and results of {body_bytes} bytes"]
+    lines = [
+        f"processor time alone; {repeats} runs each; a fleet of {_NODES}; bodies and results of {body_bytes} bytes"
+    ]
     for seed in range(1, repeats + 1):
         lines.append(f"run {seed}")
         lines.append(f"  an append: {_told(append_costs(seed, count, body_bytes))}")
         for at_once in (1, 8, 32):
-            for name, rows in item_costs(seed, max(1, count // _LOT_ITEMS), _LOT_ITEMS, body_bytes, at_once):
+            for name, rows in item_costs(
+                seed, max(1, count // _LOT_ITEMS), _LOT_ITEMS, body_bytes, at_once
+            ):
                 if at_once == 8 or name.startswith("dealt"):
                     lines.append(f"  an item {name}: {_told(rows)}")
         lines.append(f"  an event of a stream in the core: {event_cost_us(20_000):.1f} us")
-        lines.append(f"  a message over a link, both ends: {asyncio.run(_link_us(2000, 100)):.0f} us of 100 bytes, "
-                     f"{asyncio.run(_link_us(2000, body_bytes)):.0f} us of {body_bytes} bytes")
+        lines.append(
+            f"  a message over a link, both ends: {asyncio.run(_link_us(2000, 100)):.0f} us of 100 bytes, "
+            f"{asyncio.run(_link_us(2000, body_bytes)):.0f} us of {body_bytes} bytes"
+        )
         lines.append(f"  a worker's report taken in: {report_cost_us(seed, 690):.1f} us")
         for routes, tenants in ((100, 820), (1000, 8200)):
-            lines.append(f"  a version, {routes} routes, {tenants} tenants, one node: {_told(version_costs(seed, routes, tenants, 3))}")
+            lines.append(
+                f"  a version, {routes} routes, {tenants} tenants, one node: {_told(version_costs(seed, routes, tenants, 3))}"
+            )
     return "\n".join(lines)
--- a/libs/facsimile/src/facsimile/platform_days/__init__.py
+++ b/libs/facsimile/src/facsimile/platform_days/__init__.py
@@ -1,5 +1,6 @@
 """The project's own bench of the users' platform: an engine model of the workers, clients, an operator, the platform's
-polls, a runner of the real programs on loopback addresses, and an oracle with the rules of the platform's pages."""
+polls, a runner of the real programs on loopback addresses, and an oracle with the rules of the platform's pages.
+"""
 
 from facsimile.platform_days.engine import Engine
 from facsimile.platform_days.engine_messages import EngineSheet
--- a/libs/facsimile/src/facsimile/platform_days/command.py
+++ b/libs/facsimile/src/facsimile/platform_days/command.py
@@ -14,19 +14,35 @@
 _SHOWN = 8
 
 
-async def play_day(shape: str, name: str, seed: int, folder: str, history_file: str = "") -> tuple[str, dict[str, list[str]]]:
-    day, counts, broken = await run_platform_day(shape, seed=seed, folder=folder, **day_of(name, seed))
+async def play_day(
+    shape: str, name: str, seed: int, folder: str, history_file: str = ""
+) -> tuple[str, dict[str, list[str]]]:
+    day, counts, broken = await run_platform_day(
+        shape, seed=seed, folder=folder, **day_of(name, seed)
+    )
     if history_file:
-        Path(history_file).write_text("".join(json.dumps(row, default=str) + "\n" for row in day.history.rows))
-    rows = [f"{what}: {json.dumps(told)}" for what, told in day_worth(day.history, day.sheet.kinds).items()]
-    rows += [f"{row['what']} of version {row['revision']}: {row['outcome']} {row['status']} after {row['answered_ms'] - row['at_ms']:.0f} ms"
-             for row in day.history.of("order")]
-    rows += [f"fault at {row['at_ms']:.0f} ms: {row['what']} {row.get('node', '')}{'' if row.get('sure', True) else ' (a guess)'}"
-             for row in day.history.of("fault")]
+        Path(history_file).write_text(
+            "".join(json.dumps(row, default=str) + "\n" for row in day.history.rows)
+        )
+    rows = [
+        f"{what}: {json.dumps(told)}"
+        for what, told in day_worth(day.history, day.sheet.kinds).items()
+    ]
+    rows += [
+        f"{row['what']} of version {row['revision']}: {row['outcome']} {row['status']} after {row['answered_ms'] - row['at_ms']:.0f} ms"
+        for row in day.history.of("order")
+    ]
+    rows += [
+        f"fault at {row['at_ms']:.0f} ms: {row['what']} {row.get('node', '')}{'' if row.get('sure', True) else ' (a guess)'}"
+        for row in day.history.of("fault")
+    ]
     rows.append(f"kept from running at the most: {starved_ms(day.history):.0f} ms")
     rows.append("rows judged: " + ", ".join(f"{rule} {count}" for rule, count in counts.items()))
     for rule, found in broken.items():
         rows += [f"BROKEN {rule}: {line}" for line in found[:_SHOWN]]
         rows += [f"BROKEN {rule}: and {len(found) - _SHOWN} more"] * (len(found) > _SHOWN)
-    rows.append(f"{name} on {shape}, seed {seed}: " + (f"{len(broken)} rules broken" if broken else "no rule broken"))
+    rows.append(
+        f"{name} on {shape}, seed {seed}: "
+        + (f"{len(broken)} rules broken" if broken else "no rule broken")
+    )
     return "\n".join(rows), broken
--- a/libs/facsimile/src/facsimile/platform_days/crew.py
+++ b/libs/facsimile/src/facsimile/platform_days/crew.py
@@ -15,11 +15,21 @@
 
 
 class Crew:
-    def __init__(self, sheet: Sheet, fleet: Any, history: History, clock: Any, seed: int, ills: tuple[tuple[str, float], ...] = ()) -> None:
+    def __init__(
+        self,
+        sheet: Sheet,
+        fleet: Any,
+        history: History,
+        clock: Any,
+        seed: int,
+        ills: tuple[tuple[str, float], ...] = (),
+    ) -> None:
         self.sheet, self.fleet, self.history, self.clock = sheet, fleet, history, clock
         self.rng = random.Random(f"crew/{seed}")
         self.workers: list[StandInEngine] = []
-        self._engine = EngineSheet(**{name: getattr(sheet.engine, name) for name in EngineSheet.__slots__} | {"ills": ills})
+        self._engine = EngineSheet(
+            **{name: getattr(sheet.engine, name) for name in EngineSheet.__slots__} | {"ills": ills}
+        )
         self._places = 0
 
     async def start(self) -> None:
@@ -32,15 +42,31 @@
             self._places += 1
             address = f"{self.fleet.net}.{150 + self._places % 100}:{_PORT}"
         server_id = f"i-{self.rng.getrandbits(32):08x}"
-        worker = StandInEngine(server_id, service, address, zone, self._engine, self.history, self.clock, self.fleet.control_list,
-                               self.rng.getrandbits(30), self.fleet.name_of)
+        worker = StandInEngine(
+            server_id,
+            service,
+            address,
+            zone,
+            self._engine,
+            self.history,
+            self.clock,
+            self.fleet.control_list,
+            self.rng.getrandbits(30),
+            self.fleet.name_of,
+        )
         await worker.start()
         self.workers.append(worker)
-        self.history.add("worker", self.clock(), server=server_id, service=service, address=address, zone=zone)
+        self.history.add(
+            "worker", self.clock(), server=server_id, service=service, address=address, zone=zone
+        )
         return worker
 
     def serving(self, service: str = "") -> list[StandInEngine]:
-        return [worker for worker in self.workers if worker.announced == "serving" and not worker.dark and service in ("", worker.service)]
+        return [
+            worker
+            for worker in self.workers
+            if worker.announced == "serving" and not worker.dark and service in ("", worker.service)
+        ]
 
     def _one(self) -> StandInEngine:
         return self.rng.choice(self.serving(self.sheet.services[0]))
--- a/libs/facsimile/src/facsimile/platform_days/day.py
+++ b/libs/facsimile/src/facsimile/platform_days/day.py
@@ -1,5 +1,6 @@
 """One day of the platform in short: machines started, the first configuration taken, traffic with planned work and faults,
-lots finished and read again, the configuration read back, and the oracle's word on the whole."""
+lots finished and read again, the configuration read back, and the oracle's word on the whole.
+"""
 
 import asyncio
 import random
@@ -30,10 +31,19 @@
 
 
 class Day:
-    def __init__(self, shape: str, seed: int, folder: str, root: Path, ills: tuple[tuple[str, float], ...] = ()) -> None:
+    def __init__(
+        self,
+        shape: str,
+        seed: int,
+        folder: str,
+        root: Path,
+        ills: tuple[tuple[str, float], ...] = (),
+    ) -> None:
         self.sheet = Sheet(shape, seed)
         self.rng = random.Random(f"day/{seed}")
-        self.history = History(seed=seed, timing=self.sheet.timing, first_event=self.sheet.first_event)
+        self.history = History(
+            seed=seed, timing=self.sheet.timing, first_event=self.sheet.first_event
+        )
         self._began_at = asyncio.get_running_loop().time()
         self.fleet = Machines(self.sheet, folder, root, self.history, self.clock)
         self.crew = Crew(self.sheet, self.fleet, self.history, self.clock, seed, ills)
@@ -53,8 +63,10 @@
 
     async def _own(self, machine: Machine, path: str) -> Any:
         try:
-            async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.0)) as session, session.get(
-                    f"http://{machine.ip}:{_OWN_PORT}{path}") as answer:
+            async with (
+                aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.0)) as session,
+                session.get(f"http://{machine.ip}:{_OWN_PORT}{path}") as answer,
+            ):
                 return await answer.json()
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
             return {}
@@ -77,7 +89,9 @@
         for machine in core:
             shown = await self._own(machine, "/members")
             owner = shown.get("keys", {}).get("profiles", {}).get("owner")
-            link = next((row["link"] for row in shown.get("members", ()) if row["identity"] == owner), "")
+            link = next(
+                (row["link"] for row in shown.get("members", ()) if row["identity"] == owner), ""
+            )
             for other in core:
                 if link and link.rpartition(":")[0] == other.ip:
                     return self._hit("owner", other, True)
@@ -94,13 +108,18 @@
             ends = [row["node"] for row in self.history.of("own-end")]
             if any(ends.count(node) >= _ENDS for node in ends):
                 founding.cancel()
-                raise AssertionError(f"processes end as soon as they start: {self.fleet.last_words(ends[-1])}")
+                raise AssertionError(
+                    f"processes end as soon as they start: {self.fleet.last_words(ends[-1])}"
+                )
         if not founding.result():
             raise AssertionError(f"the first configuration was not taken within {_FOUND_S} s")
         taken_ms = self.clock()
         while self.clock() < taken_ms + 10_000:
             newest = {row["node"]: row["ready"] for row in self.history.of("ready")}
-            if all(newest.get(machine.name) for machine in self.fleet.of("edge")) and self.clock() > taken_ms + 1800:
+            if (
+                all(newest.get(machine.name) for machine in self.fleet.of("edge"))
+                and self.clock() > taken_ms + 1800
+            ):
                 break
             await asyncio.sleep(0.05)
         self.history.add("traffic", self.clock())
@@ -110,13 +129,19 @@
         turn = 0
         while not self.live.stopping:
             await asyncio.sleep(0.7)
-            added = [row["pathStart"] for row in self.operator.settings.get("routes", ()) if row["name"].startswith("x-")]
+            added = [
+                row["pathStart"]
+                for row in self.operator.settings.get("routes", ())
+                if row["name"].startswith("x-")
+            ]
             self._extra += [path for path in added if path not in self._extra]
             host = self.sheet.routes["lookup"]["hostname"]
             for machine in self.fleet.of("edge"):
                 newest = [*self._extra[-1:], f"/never{self.rng.getrandbits(16):x}/"]
                 for path in {newest[turn % len(newest)], self.rng.choice(self._extra or newest)}:
-                    self.live.spawn(self.live.probe(machine, host, f"{path}{self.rng.getrandbits(16):x}"))
+                    self.live.spawn(
+                        self.live.probe(machine, host, f"{path}{self.rng.getrandbits(16):x}")
+                    )
             turn += 1
 
     async def _steps(self, steps: list[Step]) -> None:
@@ -128,10 +153,16 @@
         await asyncio.gather(*running)
 
     async def play(self, steps: list[Step], seconds: float) -> None:
-        background = [asyncio.ensure_future(work) for work in (self.fleet.watch(), self.fleet.keep_list(), self.entry.poll())]
+        background = [
+            asyncio.ensure_future(work)
+            for work in (self.fleet.watch(), self.fleet.keep_list(), self.entry.poll())
+        ]
         try:
             await self.found()
-            traffic = [asyncio.ensure_future(work) for work in (self.live.run(), self.lots.run(), self._probe())]
+            traffic = [
+                asyncio.ensure_future(work)
+                for work in (self.live.run(), self.lots.run(), self._probe())
+            ]
             await asyncio.gather(self._steps(steps), asyncio.sleep(seconds))
             self.live.stopping = True
             await self.lots.finish(self.sheet.timing["finishS"])
@@ -147,9 +178,16 @@
             await self.operator.close()
 
 
-async def run_platform_day(shape: str, steps: list[Step], seed: int, folder: str, seconds: float, due: tuple[str, ...] = (),
-                           ills: tuple[tuple[str, float], ...] = (), root: Path | None = None
-                           ) -> tuple[Day, dict[str, int], dict[str, list[str]]]:
+async def run_platform_day(
+    shape: str,
+    steps: list[Step],
+    seed: int,
+    folder: str,
+    seconds: float,
+    due: tuple[str, ...] = (),
+    ills: tuple[tuple[str, float], ...] = (),
+    root: Path | None = None,
+) -> tuple[Day, dict[str, int], dict[str, list[str]]]:
     """What is due is asked for only where no machine was kept from running for long by this machine's other work."""
     day = Day(shape, seed, folder, root or Path(__file__).resolve().parents[5], ills)
     await day.play(steps, seconds)
--- a/libs/facsimile/src/facsimile/platform_days/days.py
+++ b/libs/facsimile/src/facsimile/platform_days/days.py
@@ -1,5 +1,6 @@
 """The days that are played: planned work, and faults of every kind that loopback can bring about. Cuts between machines and
-clocks that are stepped belong to the simulator."""
+clocks that are stepped belong to the simulator.
+"""
 
 import asyncio
 import random
@@ -9,9 +10,30 @@
 
 __all__ = ["DUE", "PLATFORM_DAYS", "day_of"]
 
-DUE = ("MIXED", "UNASKED", "TWICE", "ORDER", "ROUTE", "CONFIG in force", "CONFIG never back", "CONFIG read back", "lots LOST",
-       "lots TWICE", "lots MIXED", "lots ORDER", "lots QUOTA", "FAULT")
-_ILLS = (("error", 0.03), ("short", 0.05), ("garbled", 0.02), ("surplus", 0.04), ("late", 0.03), ("cut", 0.03))
+DUE = (
+    "MIXED",
+    "UNASKED",
+    "TWICE",
+    "ORDER",
+    "ROUTE",
+    "CONFIG in force",
+    "CONFIG never back",
+    "CONFIG read back",
+    "lots LOST",
+    "lots TWICE",
+    "lots MIXED",
+    "lots ORDER",
+    "lots QUOTA",
+    "FAULT",
+)
+_ILLS = (
+    ("error", 0.03),
+    ("short", 0.05),
+    ("garbled", 0.02),
+    ("surplus", 0.04),
+    ("late", 0.03),
+    ("cut", 0.03),
+)
 
 
 async def change_timeout(day: Day) -> None:
@@ -187,51 +209,126 @@
 
 
 PLATFORM_DAYS: dict[str, dict[str, Any]] = {
-    "calm": {"seconds": 7.5, "due": ("ACKS", "CONFIG losers"), "steps": [
-        (0.5, change_timeout), (1.0, add_route), (1.5, move_route), (4.5, race), (5.5, bad_settings), (6.5, remove_route)]},
+    "calm": {
+        "seconds": 7.5,
+        "due": ("ACKS", "CONFIG losers"),
+        "steps": [
+            (0.5, change_timeout),
+            (1.0, add_route),
+            (1.5, move_route),
+            (4.5, race),
+            (5.5, bad_settings),
+            (6.5, remove_route),
+        ],
+    },
     "ills": {"seconds": 8.0, "ills": _ILLS, "steps": [(1.0, split_route)]},
-    "workers": {"seconds": 9.0, "due": ("DRAIN",), "steps": [(1.0, crash_worker), (3.0, release_one)]},
+    "workers": {
+        "seconds": 9.0,
+        "due": ("DRAIN",),
+        "steps": [(1.0, crash_worker), (3.0, release_one)],
+    },
     "dark-worker": {"seconds": 9.0, "steps": [(1.0, dark_worker)]},
     "release": {"seconds": 12.0, "due": ("DRAIN",), "steps": [(1.0, release_all)]},
     "burst": {"seconds": 8.0, "steps": [(1.0, burst)]},
-    "control-killed": {"seconds": 10.0, "steps": [(1.5, kill_owner), (2.5, add_route), (7.0, add_route)]},
+    "control-killed": {
+        "seconds": 10.0,
+        "steps": [(1.5, kill_owner), (2.5, add_route), (7.0, add_route)],
+    },
     "holder-killed": {"seconds": 10.0, "steps": [(1.5, kill_holder)]},
     "holder-frozen": {"seconds": 11.0, "steps": [(1.5, freeze_holder)]},
     "owner-frozen": {"seconds": 11.0, "steps": [(1.5, freeze_owner), (2.0, add_route)]},
     "edge-killed": {"seconds": 8.0, "steps": [(1.0, kill_edge), (4.0, freeze_edge)]},
     "power-off": {"seconds": 20.0, "due": ("RECOVER",), "steps": [(2.0, power_off)]},
-    "power-off-and-wipe": {"seconds": 20.0, "due": ("RECOVER",), "steps": [(2.0, power_off_and_wipe)]},
+    "power-off-and-wipe": {
+        "seconds": 20.0,
+        "due": ("RECOVER",),
+        "steps": [(2.0, power_off_and_wipe)],
+    },
     "wiped-store": {"seconds": 11.0, "steps": [(1.5, wipe_store)]},
     "wiped-control": {"seconds": 11.0, "steps": [(1.5, wipe_control), (6.0, add_route)]},
     "replaced-control": {"seconds": 12.0, "steps": [(1.5, replace_control), (8.0, add_route)]},
     "replaced-store": {"seconds": 12.0, "steps": [(1.5, replace_store)]},
     "retire": {"seconds": 14.0, "steps": [(0.5, add_store), (2.0, retire_holder)]},
-    "races": {"seconds": 9.0, "due": ("CONFIG losers",), "steps": [(1.0, races), (4.5, bad_settings)]},
-    "many-routes": {"seconds": 10.0, "due": ("CONFIG later routes",), "steps": [(0.5, many_routes), (3.0, hang_up_edges)]},
+    "races": {
+        "seconds": 9.0,
+        "due": ("CONFIG losers",),
+        "steps": [(1.0, races), (4.5, bad_settings)],
+    },
+    "many-routes": {
+        "seconds": 10.0,
+        "due": ("CONFIG later routes",),
+        "steps": [(0.5, many_routes), (3.0, hang_up_edges)],
+    },
     "edges-rolled": {"seconds": 10.0, "due": ("LOST",), "steps": [(1.0, roll_edges)]},
     "core-rolled": {"seconds": 20.0, "steps": [(1.0, roll_core)]},
     "wiped-after-ack": {"seconds": 14.0, "steps": [(1.5, wipe_after_ack)]},
     "drawn": {},
-    "faults": {"seconds": 11.0, "due": ("DRAIN",), "ills": _ILLS,
-               "steps": [(0.2, release_one), (3.4, kill_holder), (3.8, crash_worker), (7.0, kill_edge), (8.5, add_route)]}}
-
-
-_LOSSES = (kill_owner, kill_holder, freeze_owner, freeze_holder, wipe_store, wipe_control, replace_control, replace_store)
-_ELSE = (crash_worker, dark_worker, release_one, burst, kill_edge, freeze_edge, term_edge, add_edge, hang_up_edges, change_timeout, move_route,
-         split_route, add_route, race, bad_settings)
+    "faults": {
+        "seconds": 11.0,
+        "due": ("DRAIN",),
+        "ills": _ILLS,
+        "steps": [
+            (0.2, release_one),
+            (3.4, kill_holder),
+            (3.8, crash_worker),
+            (7.0, kill_edge),
+            (8.5, add_route),
+        ],
+    },
+}
+
+
+_LOSSES = (
+    kill_owner,
+    kill_holder,
+    freeze_owner,
+    freeze_holder,
+    wipe_store,
+    wipe_control,
+    replace_control,
+    replace_store,
+)
+_ELSE = (
+    crash_worker,
+    dark_worker,
+    release_one,
+    burst,
+    kill_edge,
+    freeze_edge,
+    term_edge,
+    add_edge,
+    hang_up_edges,
+    change_timeout,
+    move_route,
+    split_route,
+    add_route,
+    race,
+    bad_settings,
+)
 
 
 def _drawn(seed: int) -> dict[str, Any]:
     """Troubles drawn from a seed; machines with a disk are lost one after another, each caught up before the next."""
     rng = random.Random(f"drawn/{seed}")
-    steps: list[Step] = [(1.0 + 0.5 * rng.random() + 9.5 * place, rng.choice(_LOSSES)) for place in range(2)]
+    steps: list[Step] = [
+        (1.0 + 0.5 * rng.random() + 9.5 * place, rng.choice(_LOSSES)) for place in range(2)
+    ]
     steps += [(0.5 + 17.0 * rng.random(), rng.choice(_ELSE)) for _ in range(4)]
     closing = rng.random() < 0.4
     if closing:
         steps.append((20.0, rng.choice((power_off, power_off_and_wipe))))
-    return {"seconds": 38.0 if closing else 20.0, "steps": sorted(steps, key=lambda step: step[0]), "ills": _ILLS if rng.random() < 0.5 else ()}
+    return {
+        "seconds": 38.0 if closing else 20.0,
+        "steps": sorted(steps, key=lambda step: step[0]),
+        "ills": _ILLS if rng.random() < 0.5 else (),
+    }
 
 
 def day_of(name: str, seed: int = 1) -> dict[str, Any]:
     day = _drawn(seed) if name == "drawn" else PLATFORM_DAYS[name]
-    return {"steps": day["steps"], "seconds": day["seconds"], "due": DUE + tuple(day.get("due", ())), "ills": day.get("ills", ())}
+    return {
+        "steps": day["steps"],
+        "seconds": day["seconds"],
+        "due": DUE + tuple(day.get("due", ())),
+        "ills": day.get("ills", ()),
+    }
--- a/libs/facsimile/src/facsimile/platform_days/engine.py
+++ b/libs/facsimile/src/facsimile/platform_days/engine.py
@@ -1,13 +1,23 @@
 """The engine of a stand-in model worker, without sockets: it takes messages and a clock and gives messages. It works in
 batches; a batch's step takes longer the more run in it; prompts are read in pieces between the tokens of others; what
-was read of a prompt is kept while memory lasts. One step here makes one event, that is `stride` tokens."""
+was read of a prompt is kept while memory lasts. One step here makes one event, that is `stride` tokens.
+"""
 
 import random
 from collections import OrderedDict, deque
 from functools import singledispatchmethod
 from typing import Any
 
-from facsimile.platform_days.engine_messages import Asked, Begun, Drained, Dropped, EngineSheet, Made, Over, TurnedAway
+from facsimile.platform_days.engine_messages import (
+    Asked,
+    Begun,
+    Drained,
+    Dropped,
+    EngineSheet,
+    Made,
+    Over,
+    TurnedAway,
+)
 
 __all__ = ["Engine"]
 
@@ -22,7 +32,20 @@
 
 
 class _Call:
-    __slots__ = ("asked", "begun", "break_after", "due_ms", "held", "ill", "made", "number", "own_tokens", "piece", "run", "unread")
+    __slots__ = (
+        "asked",
+        "begun",
+        "break_after",
+        "due_ms",
+        "held",
+        "ill",
+        "made",
+        "number",
+        "own_tokens",
+        "piece",
+        "run",
+        "unread",
+    )
 
     def __init__(self, asked: Asked, number: int, due_ms: float | None) -> None:
         self.asked, self.number, self.due_ms = asked, number, due_ms
@@ -46,8 +69,23 @@
 
 
 class Engine:
-    __slots__ = ("_at_ms", "_calls", "_count", "_out", "_parts", "_queue", "_reports", "_rng", "_runs", "_running", "_step_end_ms",
-                 "draining", "read_tokens", "server_id", "sheet")
+    __slots__ = (
+        "_at_ms",
+        "_calls",
+        "_count",
+        "_out",
+        "_parts",
+        "_queue",
+        "_reports",
+        "_rng",
+        "_runs",
+        "_running",
+        "_step_end_ms",
+        "draining",
+        "read_tokens",
+        "server_id",
+        "sheet",
+    )
 
     def __init__(self, sheet: EngineSheet, server_id: str, seed: int = 0) -> None:
         self.sheet, self.server_id = sheet, server_id
@@ -81,7 +119,9 @@
             self._out.append(TurnedAway(key=message.key, status=400))
         elif message.target_id and message.target_id != self.server_id:
             self._out.append(TurnedAway(key=message.key, status=421))
-        elif message.tokens_in + message.tokens_out > self.sheet.cache_tokens or not self._room_for(message):
+        elif message.tokens_in + message.tokens_out > self.sheet.cache_tokens or not self._room_for(
+            message
+        ):
             self._out.append(TurnedAway(key=message.key, status=503))
         else:
             self._count += 1
@@ -100,7 +140,9 @@
         self.draining = True
 
     def _room_for(self, asked: Asked) -> bool:
-        return len(self._queue) < self.sheet.queue_limit or any(call.asked.urgency > asked.urgency for call in self._running)
+        return len(self._queue) < self.sheet.queue_limit or any(
+            call.asked.urgency > asked.urgency for call in self._running
+        )
 
     # -- time ----------------------------------------------------------------------------------
 
@@ -129,13 +171,19 @@
         if self._step_end_ms is None:
             self._begin_step()
         self._reports.append((self._at_ms, self._state()))
-        while len(self._reports) > 1 and self._reports[1][0] <= self._at_ms - self.sheet.report_lag_ms:
+        while (
+            len(self._reports) > 1 and self._reports[1][0] <= self._at_ms - self.sheet.report_lag_ms
+        ):
             self._reports.popleft()
         out, self._out = self._out, []
         return out
 
     def _expire(self) -> None:
-        for call in [call for call in self._calls.values() if call.due_ms is not None and call.due_ms <= self._at_ms]:
+        for call in [
+            call
+            for call in self._calls.values()
+            if call.due_ms is not None and call.due_ms <= self._at_ms
+        ]:
             if call.begun:
                 self._end(call, "late")
             else:
@@ -156,7 +204,11 @@
             left -= call.piece
         read_ms = (sheet.chunk_tokens - left) / sheet.read_tokens_per_ms
         making = [call for call in self._running if not call.unread]
-        token_ms = sheet.step_ms + sheet.slot_ms * len(making) + sheet.context_ms_per_k * sum(call.context for call in making) / 1000
+        token_ms = (
+            sheet.step_ms
+            + sheet.slot_ms * len(making)
+            + sheet.context_ms_per_k * sum(call.context for call in making) / 1000
+        )
         self._step_end_ms = self._at_ms + read_ms + token_ms * (sheet.stride if making else 1)
 
     def _finish_step(self) -> None:
@@ -182,14 +234,20 @@
         self._runs += 1
         call.begun, call.run = True, self._runs
         call.ill = self._draw_ill(call)
-        self._out.append(Begun(key=call.asked.key, request_id=call.asked.request_id, run=call.run, ill=call.ill))
+        self._out.append(
+            Begun(key=call.asked.key, request_id=call.asked.request_id, run=call.run, ill=call.ill)
+        )
         at_once = {"error": "error", "garbled": "garbled", "unable": "unable"}.get(call.ill)
         if at_once:
             self._end(call, at_once)
         elif not self._left(call):
             self._end(call, "finished")
         elif call.ill in ("short", "cut"):
-            call.break_after = 0 if call.ill == "cut" and self._rng.random() < 0.3 else max(1, self._left(call) // 2)
+            call.break_after = (
+                0
+                if call.ill == "cut" and self._rng.random() < 0.3
+                else max(1, self._left(call) // 2)
+            )
 
     def _draw_ill(self, call: _Call) -> str:
         if call.asked.poisoned:
@@ -203,7 +261,9 @@
 
     def _left(self, call: _Call) -> int:
         asked = call.asked
-        done = 0 if asked.last_event_id is None else asked.last_event_id - self.sheet.first_event + 1
+        done = (
+            0 if asked.last_event_id is None else asked.last_event_id - self.sheet.first_event + 1
+        )
         return asked.events - done - call.made
 
     def _make(self, call: _Call) -> None:
@@ -268,7 +328,11 @@
 
     def _used(self) -> int:
         """What can't give way."""
-        own = sum(max(0, call.asked.tokens_in - sum(tokens for _, tokens in call.asked.parts)) + call.own_tokens for call in self._running)
+        own = sum(
+            max(0, call.asked.tokens_in - sum(tokens for _, tokens in call.asked.parts))
+            + call.own_tokens
+            for call in self._running
+        )
         return own + sum(part.tokens for part in self._parts.values() if part.users)
 
     def _give_way(self, wanted: int) -> bool:
@@ -329,9 +393,15 @@
         return len(self._running), len(self._queue), self.sheet.capacity
 
     def _state(self) -> dict[str, int]:
-        return {"queued": len(self._queue), "active": len(self._running), "cache_used": self._used()}
+        return {
+            "queued": len(self._queue),
+            "active": len(self._running),
+            "cache_used": self._used(),
+        }
 
     def report(self, now_ms: float) -> dict[str, int]:
         """The same as it stood some time ago."""
-        late = [state for at_ms, state in self._reports if at_ms <= now_ms - self.sheet.report_lag_ms]
+        late = [
+            state for at_ms, state in self._reports if at_ms <= now_ms - self.sheet.report_lag_ms
+        ]
         return late[-1] if late else {"queued": 0, "active": 0, "cache_used": 0}
--- a/libs/facsimile/src/facsimile/platform_days/engine_messages.py
+++ b/libs/facsimile/src/facsimile/platform_days/engine_messages.py
@@ -23,20 +23,67 @@
 class EngineSheet(_Record):
     """Times for one token of one request alone, more for each that runs beside it, and for its context."""
 
-    __slots__ = ("cache_tokens", "capacity", "chunk_tokens", "context_ms_per_k", "first_event", "ills", "queue_limit",
-                 "read_tokens_per_ms", "report_lag_ms", "slot_ms", "step_ms", "stride", "tells_load")
-    DEFAULTS = {"cache_tokens": 40_000, "capacity": 8, "chunk_tokens": 4096, "context_ms_per_k": 0.005, "first_event": 1,
-                "ills": (), "queue_limit": 24, "read_tokens_per_ms": 100.0, "report_lag_ms": 200, "slot_ms": 0.02,
-                "step_ms": 1.0, "stride": 14, "tells_load": True}
+    __slots__ = (
+        "cache_tokens",
+        "capacity",
+        "chunk_tokens",
+        "context_ms_per_k",
+        "first_event",
+        "ills",
+        "queue_limit",
+        "read_tokens_per_ms",
+        "report_lag_ms",
+        "slot_ms",
+        "step_ms",
+        "stride",
+        "tells_load",
+    )
+    DEFAULTS = {
+        "cache_tokens": 40_000,
+        "capacity": 8,
+        "chunk_tokens": 4096,
+        "context_ms_per_k": 0.005,
+        "first_event": 1,
+        "ills": (),
+        "queue_limit": 24,
+        "read_tokens_per_ms": 100.0,
+        "report_lag_ms": 200,
+        "slot_ms": 0.02,
+        "step_ms": 1.0,
+        "stride": 14,
+        "tells_load": True,
+    }
 
 
 class Asked(_Record):
     """A request at the worker's door. `key` names its connection's turn, not the request."""
 
-    __slots__ = ("deadline_ms", "events", "key", "last_event_id", "parts", "poisoned", "request_id", "target_id", "tokens_in",
-                 "tokens_out", "urgency")
-    DEFAULTS = {"deadline_ms": None, "events": 1, "key": 0, "last_event_id": None, "parts": (), "poisoned": False,
-                "request_id": "", "target_id": "", "tokens_in": 0, "tokens_out": 14, "urgency": 5}
+    __slots__ = (
+        "deadline_ms",
+        "events",
+        "key",
+        "last_event_id",
+        "parts",
+        "poisoned",
+        "request_id",
+        "target_id",
+        "tokens_in",
+        "tokens_out",
+        "urgency",
+    )
+    DEFAULTS = {
+        "deadline_ms": None,
+        "events": 1,
+        "key": 0,
+        "last_event_id": None,
+        "parts": (),
+        "poisoned": False,
+        "request_id": "",
+        "target_id": "",
+        "tokens_in": 0,
+        "tokens_out": 14,
+        "urgency": 5,
+    }
 
 
 class Dropped(_Record):
--- a/libs/facsimile/src/facsimile/platform_days/entry.py
+++ b/libs/facsimile/src/facsimile/platform_days/entry.py
@@ -1,5 +1,6 @@
 """How clients arrive: the platform asks every edge each second whether it is ready, and passes a client's connection to an
-edge of its zone by a hash of the client. Nobody else decides where a client goes."""
+edge of its zone by a hash of the client. Nobody else decides where a client goes.
+"""
 
 import asyncio
 import zlib
@@ -24,15 +25,21 @@
         self.stopping = False
 
     async def poll(self) -> None:
-        async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.0),
-                                         connector=aiohttp.TCPConnector(force_close=True, limit=0)) as self._session:
+        async with aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=1.0),
+            connector=aiohttp.TCPConnector(force_close=True, limit=0),
+        ) as self._session:
             while not self.stopping:
-                await asyncio.gather(asyncio.sleep(1.0), *[self._ask(machine) for machine in self._fleet.of("edge")])
+                await asyncio.gather(
+                    asyncio.sleep(1.0), *[self._ask(machine) for machine in self._fleet.of("edge")]
+                )
 
     async def _ask(self, machine: Any) -> None:
         began_ms = self._clock()
         try:
-            async with self._session.get(f"http://{machine.addresses['readiness']}/vaneledge/ready") as answer:
+            async with self._session.get(
+                f"http://{machine.addresses['readiness']}/vaneledge/ready"
+            ) as answer:
                 ready = answer.status == 200
         except (aiohttp.ClientError, OSError, TimeoutError):
             ready = False
