--- a/libs/facsimile/src/facsimile/sim/trainers.py
+++ b/libs/facsimile/src/facsimile/sim/trainers.py
@@ -1,5 +1,6 @@
 """Simulated trainers: they hand in rollouts, now and then twice, come back for the samples, and borrow whole workers,
-which they hand back a while after, or when they are recalled. All they see goes into the history."""
+which they hand back a while after, or when they are recalled. All they see goes into the history.
+"""
 
 import json
 from typing import Any
@@ -29,22 +30,44 @@
         """Until it is accepted for certain; the last try is sent once more through another edge."""
         if not rollout_id:
             rollout_id = f"r{len(self.rollouts) + 1}"
-            self.rollouts[rollout_id] = {"total": prompts * samples, "samples": samples, "acked": False, "results": {}, "done_ms": 0.0}
+            self.rollouts[rollout_id] = {
+                "total": prompts * samples,
+                "samples": samples,
+                "acked": False,
+                "results": {},
+                "done_ms": 0.0,
+            }
         state, host = self.rollouts[rollout_id], self._edge()
-        call = RolloutCall(path="rollouts", weights=weights, samples=samples, prompts=[
-            {"prompt": f"lot {rollout_id} item {place} call sample:{rollout_id}:{place}"} for place in range(prompts)])
+        call = RolloutCall(
+            path="rollouts",
+            weights=weights,
+            samples=samples,
+            prompts=[
+                {"prompt": f"lot {rollout_id} item {place} call sample:{rollout_id}:{place}"}
+                for place in range(prompts)
+            ],
+        )
 
         def told(answer: Answer) -> None:
             if answer.status in (200, 201) and not state["acked"]:
                 state["acked"] = True
-                self._history.add("rollout-accepted", self._time.now_ms, rollout=rollout_id, total=state["total"])
+                self._history.add(
+                    "rollout-accepted", self._time.now_ms, rollout=rollout_id, total=state["total"]
+                )
                 self.hand_in(prompts, samples, weights, rollout_id)
                 self.follow(rollout_id)
 
         if host is not None:
             host.node.rollouts.hand_in(rollout_id, call, told)
         if not state["acked"]:
-            self._time.after(2500, lambda: None if state["acked"] or self.stopped else self.hand_in(prompts, samples, weights, rollout_id))
+            self._time.after(
+                2500,
+                lambda: (
+                    None
+                    if state["acked"] or self.stopped
+                    else self.hand_in(prompts, samples, weights, rollout_id)
+                ),
+            )
         return rollout_id
 
     def follow(self, rollout_id: str) -> None:
@@ -61,9 +84,23 @@
             if answer.status not in (200, 404):
                 return
             shown = json.loads(answer.body)
-            rows = [(row["index"], row["verdict"], json.dumps(row["body"], sort_keys=True)) for row in shown["results"]] if answer.status == 200 else []
-            self._history.add("rollout-read", self._time.now_ms, rollout=rollout_id, start=start, results=rows, samples=state["samples"],
-                              outcome="known" if answer.status == 200 else "missing")
+            rows = (
+                [
+                    (row["index"], row["verdict"], json.dumps(row["body"], sort_keys=True))
+                    for row in shown["results"]
+                ]
+                if answer.status == 200
+                else []
+            )
+            self._history.add(
+                "rollout-read",
+                self._time.now_ms,
+                rollout=rollout_id,
+                start=start,
+                results=rows,
+                samples=state["samples"],
+                outcome="known" if answer.status == 200 else "missing",
+            )
             state["results"].update({index: text for index, _, text in rows})
             if len(state["results"]) == state["total"] and not state["done_ms"]:
                 state["done_ms"] = self._time.now_ms
@@ -77,18 +114,44 @@
         """Asks for a worker again and again; what it gets it loads new weights into, and hands back."""
         if self.stopped or self._time.now_ms > until_ms:
             return
-        hosts, workers = self._fleet.running("control"), [worker for worker in self._fleet.workers.values() if not worker.gone and not worker.borrower]
+        hosts, workers = (
+            self._fleet.running("control"),
+            [
+                worker
+                for worker in self._fleet.workers.values()
+                if not worker.gone and not worker.borrower
+            ],
+        )
         if hosts and workers:
             worker = self._rng.choice(workers)
-            self._rng.choice(hosts).node.loans.grant(worker.identity, "trainer", weights, 6000, 1500, lambda outcome: self._history.add(
-                "loan-asked", self._time.now_ms, worker=worker.identity, outcome=outcome.name, reason=outcome.reason))
+            self._rng.choice(hosts).node.loans.grant(
+                worker.identity,
+                "trainer",
+                weights,
+                6000,
+                1500,
+                lambda outcome: self._history.add(
+                    "loan-asked",
+                    self._time.now_ms,
+                    worker=worker.identity,
+                    outcome=outcome.name,
+                    reason=outcome.reason,
+                ),
+            )
         self._time.after(every_ms, lambda: self.borrow(every_ms, weights, until_ms))
 
     def watch(self) -> None:
         """What control shows of the loans: a lent worker is taken, a recalled one is handed back soon."""
         for host in self._fleet.running("control"):
             for name, row in host.node.loans.rows().items():
-                worker = next((one for one in self._fleet.workers.values() if one.identity == name and not one.gone), None)
+                worker = next(
+                    (
+                        one
+                        for one in self._fleet.workers.values()
+                        if one.identity == name and not one.gone
+                    ),
+                    None,
+                )
                 if worker is not None and row["state"] in ("lent", "recalled"):
                     self._take(worker, row)
         self._time.after(50, self.watch)
@@ -99,7 +162,13 @@
             if any(seen["loan"] == loan for seen in self._history.of("borrowed")):
                 return
             worker.borrower = loan
-            self._history.add("borrowed", self._time.now_ms, worker=worker.identity, loan=loan, running=worker.busy)
+            self._history.add(
+                "borrowed",
+                self._time.now_ms,
+                worker=worker.identity,
+                loan=loan,
+                running=worker.busy,
+            )
             self._time.after(self.hold_ms, lambda: self._back(worker, row, "done"))
         elif row["state"] == "recalled":
             self._back(worker, row, "recalled")
@@ -110,11 +179,18 @@
         if worker.borrower != loan:
             return
         worker.borrower, worker.weights = "", row["weights"] or worker.weights
-        self._history.add("handed-back", self._time.now_ms, worker=worker.identity, loan=loan, why=why)
+        self._history.add(
+            "handed-back", self._time.now_ms, worker=worker.identity, loan=loan, why=why
+        )
         self._say_back(worker, row["loan"])
 
     def _say_back(self, worker: Any, loan: int) -> None:
         hosts, heard = self._fleet.running("control"), []
         if hosts:
-            self._rng.choice(hosts).node.loans.hand_back(worker.identity, loan, worker.weights, heard.append)
-        self._time.after(400, lambda: None if heard and heard[0].name != "doubt" else self._say_back(worker, loan))
+            self._rng.choice(hosts).node.loans.hand_back(
+                worker.identity, loan, worker.weights, heard.append
+            )
+        self._time.after(
+            400,
+            lambda: None if heard and heard[0].name != "doubt" else self._say_back(worker, loan),
+        )
--- a/libs/facsimile/src/facsimile/sim/virtual.py
+++ b/libs/facsimile/src/facsimile/sim/virtual.py
@@ -1,6 +1,7 @@
 """Virtual time and the network. Events happen in the order of their times and of their making, so a
 seed gives the same run every time. The network delays, loses and doubles messages, and cuts pairs of
-hosts; a frozen host's messages wait in its buffers until it wakes, as they would on a real link."""
+hosts; a frozen host's messages wait in its buffers until it wakes, as they would on a real link.
+"""
 
 import heapq
 import random
@@ -35,7 +36,18 @@
 
 
 class Network:
-    __slots__ = ("_last_ms", "_time", "cut_pairs", "cut_hosts", "double_rate", "hosts", "loss_rate", "slow_ms", "sent", "zones")
+    __slots__ = (
+        "_last_ms",
+        "_time",
+        "cut_pairs",
+        "cut_hosts",
+        "double_rate",
+        "hosts",
+        "loss_rate",
+        "slow_ms",
+        "sent",
+        "zones",
+    )
 
     def __init__(self, time: VirtualTime) -> None:
         self._time = time
@@ -54,7 +66,7 @@
 
     def split(self, groups: list[list[str]]) -> None:
         for place, group in enumerate(groups):
-            for other in groups[place + 1:]:
+            for other in groups[place + 1 :]:
                 for a in group:
                     for b in other:
                         self.cut(a, b)
@@ -76,12 +88,18 @@
     def delay(self, one: str, other: str) -> float:
         slow_ms = self.slow_ms.get(one, 0.0) + self.slow_ms.get(other, 0.0)
         near = self.zones.get(one) == self.zones.get(other)
-        return (0.2 if near else 1.0) + self._time.rng.random() * (0.5 if near else 1.0) + slow_ms * self._time.rng.random()
+        return (
+            (0.2 if near else 1.0)
+            + self._time.rng.random() * (0.5 if near else 1.0)
+            + slow_ms * self._time.rng.random()
+        )
 
     def send(self, sender: str, to: str, ref: int, re: int, message: Message) -> None:
         self.sent += 1
         rng = self._time.rng
-        if not self.passes(sender, to) or (self.loss_rate and sender != to and rng.random() < self.loss_rate):
+        if not self.passes(sender, to) or (
+            self.loss_rate and sender != to and rng.random() < self.loss_rate
+        ):
             return
         copies = 2 if self.double_rate and rng.random() < self.double_rate else 1
         for _ in range(copies):
@@ -90,8 +108,10 @@
             if copies == 1 and not self.loss_rate:
                 due_ms = max(due_ms, self._last_ms.get((sender, to), 0.0))
                 self._last_ms[(sender, to)] = due_ms
-            self._time.after(due_ms - self._time.now_ms,
-                             lambda copy=copy: self._arrive(sender, to, ref, re, copy))
+            self._time.after(
+                due_ms - self._time.now_ms,
+                lambda copy=copy: self._arrive(sender, to, ref, re, copy),
+            )
 
     def _arrive(self, sender: str, to: str, ref: int, re: int, message: Message) -> None:
         host = self.hosts.get(to)
--- a/libs/facsimile/src/facsimile/sim/visitors.py
+++ b/libs/facsimile/src/facsimile/sim/visitors.py
@@ -1,6 +1,7 @@
 """Simulated visitors and operators. Each does what its kind does: asks live, resends what is not safe
 to repeat through other edges when in doubt, hands in lots and comes back for results, ends some; and
-operators send changes, sometimes two at once. All they see goes into the history."""
+operators send changes, sometimes two at once. All they see goes into the history.
+"""
 
 import json
 from collections.abc import Callable
@@ -18,12 +19,17 @@
 
 
 def tree_of(mark: str, room: int = ROOM) -> dict[str, Any]:
-    return {"profiles": {
-        "base": {"abstract": True, "workers": {"labels": ["gpu"]}, "deadline_ms": 3000},
-        "rulings": {"parent": "base", "deadline_ms": 2000}, "narrations": {"parent": "base"}, "moves": {"parent": "base", "repeatable": False},
-        "summaries": {"parent": "base", "waiting_room": room},
-        "claims": {"parent": "base", "waiting_room": room, "repeatable": False},
-        f"mark-{mark}": {"abstract": True}}}
+    return {
+        "profiles": {
+            "base": {"abstract": True, "workers": {"labels": ["gpu"]}, "deadline_ms": 3000},
+            "rulings": {"parent": "base", "deadline_ms": 2000},
+            "narrations": {"parent": "base"},
+            "moves": {"parent": "base", "repeatable": False},
+            "summaries": {"parent": "base", "waiting_room": room},
+            "claims": {"parent": "base", "waiting_room": room, "repeatable": False},
+            f"mark-{mark}": {"abstract": True},
+        }
+    }
 
 
 class Visitors:
@@ -50,23 +56,52 @@
 
     # -- live ----------------------------------------------------------------------------------
 
-    def live(self, path: str, key: str = "", tries: int = 1, avoid: str = "", done: Callable | None = None,
-             asked: str = "", hangs_up_ms: float = 0.0) -> None:
+    def live(
+        self,
+        path: str,
+        key: str = "",
+        tries: int = 1,
+        avoid: str = "",
+        done: Callable | None = None,
+        asked: str = "",
+        hangs_up_ms: float = 0.0,
+    ) -> None:
         host = self._edge(avoid)
         if host is None:
             return
         self._calls += 1
         call = f"call{self._calls}"
-        row = self._history.add("call", self._time.now_ms, call=call, path=path, key=key, edge=host.name,
-                                asked=asked or key, outcome="none", verdict="", pieces=[], transaction="", body="",
-                                code="", answered_ms=0.0)
+        row = self._history.add(
+            "call",
+            self._time.now_ms,
+            call=call,
+            path=path,
+            key=key,
+            edge=host.name,
+            asked=asked or key,
+            outcome="none",
+            verdict="",
+            pieces=[],
+            transaction="",
+            body="",
+            code="",
+            answered_ms=0.0,
+        )
 
         def answered(outcome: str, verdict: str, code: str = "", body: str = "") -> None:
             if row["outcome"] != "none":
                 return
-            row.update(outcome=outcome, verdict=verdict, code=code, body=body, answered_ms=self._time.now_ms)
+            row.update(
+                outcome=outcome,
+                verdict=verdict,
+                code=code,
+                body=body,
+                answered_ms=self._time.now_ms,
+            )
             if key and verdict == "may_have_run" and tries > 1:
-                self._time.after(200, lambda: self.live(path, key, tries - 1, host.name, asked=asked))
+                self._time.after(
+                    200, lambda: self.live(path, key, tries - 1, host.name, asked=asked)
+                )
             if done is not None:
                 done(row)
 
@@ -90,8 +125,9 @@
             row["pieces"].append(flat_events(event.decode()))
 
         def begin() -> None:
-            carriage = host.node.counter.live(path, key, {"prompt": prompt}, stream,
-                                              delivered, told)
+            carriage = host.node.counter.live(
+                path, key, {"prompt": prompt}, stream, delivered, told
+            )
             if isinstance(carriage, Answer):
                 answered("error", carriage.verdict, carriage.code)
                 return
@@ -109,16 +145,38 @@
 
     # -- lots ----------------------------------------------------------------------------------
 
-    def hand_in(self, path: str, count: int, tries: int = 3, lot_id: str = "", avoid: str = "",
-                done: Callable | None = None) -> str:
+    def hand_in(
+        self,
+        path: str,
+        count: int,
+        tries: int = 3,
+        lot_id: str = "",
+        avoid: str = "",
+        done: Callable | None = None,
+    ) -> str:
         if not lot_id:
             lot_id = f"lot{len(self.lots) + 1}"
-            self.lots[lot_id] = {"path": path, "count": count, "acked": False, "results": {}, "ended": False, "done": False}
+            self.lots[lot_id] = {
+                "path": path,
+                "count": count,
+                "acked": False,
+                "results": {},
+                "ended": False,
+                "done": False,
+            }
         host = self._edge(avoid)
         if host is None:
             return lot_id
-        row = self._history.add("hand-in", self._time.now_ms, lot=lot_id, path=path, outcome="none", verdict="",
-                                count=count, answered_ms=0.0)
+        row = self._history.add(
+            "hand-in",
+            self._time.now_ms,
+            lot=lot_id,
+            path=path,
+            outcome="none",
+            verdict="",
+            count=count,
+            answered_ms=0.0,
+        )
 
         def answered(outcome: str, verdict: str) -> None:
             if row["outcome"] != "none":
@@ -129,14 +187,21 @@
                     self._time.after(700, lambda: self.follow(lot_id, self._time.now_ms - 700))
                 self.lots[lot_id]["acked"] = True
             elif verdict == "may_have_run" and tries > 1:
-                self._time.after(100, lambda: self.hand_in(path, count, tries - 1, lot_id, host.name, done))
+                self._time.after(
+                    100, lambda: self.hand_in(path, count, tries - 1, lot_id, host.name, done)
+                )
             if done is not None:
                 done(row)
 
         def told(answer: Answer) -> None:
-            answered({200: "known", 201: "admitted"}.get(answer.status, answer.code), answer.verdict)
-
-        items = [{"prompt": f"lot {lot_id} item {place} call item:{lot_id}:{place}"} for place in range(count)]
+            answered(
+                {200: "known", 201: "admitted"}.get(answer.status, answer.code), answer.verdict
+            )
+
+        items = [
+            {"prompt": f"lot {lot_id} item {place} call item:{lot_id}:{place}"}
+            for place in range(count)
+        ]
         self._at(host, lambda: host.node.counter.hand_in(lot_id, path, items, 10_000, told))
         self._time.after(_PATIENCE_MS, lambda: answered("lost", "may_have_run"))
         return lot_id
@@ -148,14 +213,21 @@
             return
 
         def seen(row: dict[str, Any]) -> None:
-            if row["outcome"] == "known" and row["listed"] == row["total"] and not row["ended"] and not lot["done"]:
+            if (
+                row["outcome"] == "known"
+                and row["listed"] == row["total"]
+                and not row["ended"]
+                and not lot["done"]
+            ):
                 lot["done"] = True
                 self._history.add("lot-done", self._time.now_ms, lot=lot_id, from_ms=from_ms)
 
         self.read(lot_id, seen)
         self._time.after(700, lambda: self.follow(lot_id, from_ms))
 
-    def read(self, lot_id: str, done: Callable[[Any], None] | None = None, start: int | None = None) -> None:
+    def read(
+        self, lot_id: str, done: Callable[[Any], None] | None = None, start: int | None = None
+    ) -> None:
         """Reads results from a place on, by default one drawn; each is remembered as it was first read."""
         host = self._edge()
         if host is None:
@@ -170,11 +242,35 @@
                 return
             shown = json.loads(answer.body)
             known = answer.status == 200
-            rows = [(row["index"], row["verdict"], flat_body(json.dumps(row["body"])) if row["verdict"] == "ran"
-                     else json.dumps(row["body"], sort_keys=True)) for row in shown["results"]] if known else []
-            seen = {"outcome": "known" if known else "missing", "listed": shown["listed"] if known else 0,
-                    "total": shown["total"] if known else 0, "ended": known and shown["ended"]}
-            self._history.add("read", self._time.now_ms, began_ms=began_ms, lot=lot_id, start=start, results=rows, **seen)
+            rows = (
+                [
+                    (
+                        row["index"],
+                        row["verdict"],
+                        flat_body(json.dumps(row["body"]))
+                        if row["verdict"] == "ran"
+                        else json.dumps(row["body"], sort_keys=True),
+                    )
+                    for row in shown["results"]
+                ]
+                if known
+                else []
+            )
+            seen = {
+                "outcome": "known" if known else "missing",
+                "listed": shown["listed"] if known else 0,
+                "total": shown["total"] if known else 0,
+                "ended": known and shown["ended"],
+            }
+            self._history.add(
+                "read",
+                self._time.now_ms,
+                began_ms=began_ms,
+                lot=lot_id,
+                start=start,
+                results=rows,
+                **seen,
+            )
             lot["results"].update({index: text for index, _, text in rows})
             if done is not None:
                 done(seen)
@@ -208,7 +304,9 @@
 def flat_body(text: str) -> str:
     """A plain answer in the same form, a place for each word."""
     body = json.loads(text)
-    return "|".join(f"{body['id']}:{place}" for place in range(len(body["choices"][0]["text"].split())))
+    return "|".join(
+        f"{body['id']}:{place}" for place in range(len(body["choices"][0]["text"].split()))
+    )
 
 
 class Operators:
@@ -232,11 +330,18 @@
             def told(receipt: Any) -> None:
                 if mark in left and receipt.outcome in ("ok", "lost"):
                     left.discard(mark)
-                    self._history.add("final-change", self._time.now_ms, mark=mark, outcome=receipt.outcome,
-                                      version=receipt.version)
+                    self._history.add(
+                        "final-change",
+                        self._time.now_ms,
+                        mark=mark,
+                        outcome=receipt.outcome,
+                        version=receipt.version,
+                    )
 
             host = self._time.rng.choice(self._fleet.running("control"))
-            host.node.owner.submit(Change(key="profiles", version=named, change_id=mark, body=body, hops=0), told)
+            host.node.owner.submit(
+                Change(key="profiles", version=named, change_id=mark, body=body, hops=0), told
+            )
 
         for _ in range(4):
             for mark, (named, body) in rows:
@@ -244,7 +349,13 @@
                     send(mark, named, body)
             self._fleet.run_until_true(lambda: not left, 3000)
 
-    def change(self, tries: int = 3, mark: str = "", version: int | None = None, done: Callable | None = None) -> None:
+    def change(
+        self,
+        tries: int = 3,
+        mark: str = "",
+        version: int | None = None,
+        done: Callable | None = None,
+    ) -> None:
         hosts = self._fleet.running("control")
         if not hosts:
             return
@@ -253,8 +364,15 @@
             self.changes += 1
             mark = f"change{self.changes}"
         named = self.version if version is None else version
-        row = self._history.add("change", self._time.now_ms, mark=mark, named=named, outcome="none", version=0,
-                                answered_ms=0.0)
+        row = self._history.add(
+            "change",
+            self._time.now_ms,
+            mark=mark,
+            named=named,
+            outcome="none",
+            version=0,
+            answered_ms=0.0,
+        )
         tree = tree_of(mark)
         tree["profiles"].update(self.more)
         body = json.dumps(tree, sort_keys=True)
@@ -263,7 +381,9 @@
         def answered(receipt: Any) -> None:
             if row["outcome"] != "none" or host.life != life or not host.up:
                 return
-            row.update(outcome=receipt.outcome, version=receipt.version, answered_ms=self._time.now_ms)
+            row.update(
+                outcome=receipt.outcome, version=receipt.version, answered_ms=self._time.now_ms
+            )
             if receipt.outcome in ("ok", "lost"):
                 self.version = max(self.version, receipt.version)
                 if receipt.outcome == "ok":
@@ -275,7 +395,12 @@
 
         def begin() -> None:
             if host.up and host.life == life:
-                host.when_awake(lambda: host.node.owner.submit(
-                    Change(key="profiles", version=named, change_id=mark, body=body, hops=0), answered), life)
+                host.when_awake(
+                    lambda: host.node.owner.submit(
+                        Change(key="profiles", version=named, change_id=mark, body=body, hops=0),
+                        answered,
+                    ),
+                    life,
+                )
 
         self._time.after(1.0, begin)
--- a/libs/facsimile/src/facsimile/sim/workers.py
+++ b/libs/facsimile/src/facsimile/sim/workers.py
@@ -1,5 +1,6 @@
 """A simulated model worker: slots, beats to any edge, a leave, and runs that send their pieces one by
-one. It can crash in the middle, go dark, leave, or be replaced by another at the same address."""
+one. It can crash in the middle, go dark, leave, or be replaced by another at the same address.
+"""
 
 import json
 from collections.abc import Callable
@@ -16,13 +17,38 @@
 
 class SimWorker:
     watches = False
-    __slots__ = ("_beat", "_edges", "_fleet", "address", "busy", "dark", "gone", "history", "identity", "incarnation",
-                 "labels", "leaving", "pieces", "piece_ms", "slots", "time", "zone")
-
-    def __init__(self, fleet: Any, identity: str, address: str, labels: list[str], slots: int, zone: str) -> None:
+    __slots__ = (
+        "_beat",
+        "_edges",
+        "_fleet",
+        "address",
+        "busy",
+        "dark",
+        "gone",
+        "history",
+        "identity",
+        "incarnation",
+        "labels",
+        "leaving",
+        "pieces",
+        "piece_ms",
+        "slots",
+        "time",
+        "zone",
+    )
+
+    def __init__(
+        self, fleet: Any, identity: str, address: str, labels: list[str], slots: int, zone: str
+    ) -> None:
         self._fleet = fleet
         self.time, self.history = fleet.time, fleet.history
-        self.identity, self.address, self.labels, self.slots, self.zone = identity, address, labels, slots, zone
+        self.identity, self.address, self.labels, self.slots, self.zone = (
+            identity,
+            address,
+            labels,
+            slots,
+            zone,
+        )
         self.incarnation = int(self.time.now_ms) + 1
         self.pieces, self.piece_ms = 6, 12.0
         self.busy = 0
@@ -44,15 +70,31 @@
 
     def _tell(self, leaving: bool) -> bool:
         """To one edge after another until one takes it, as the HTTP call would."""
-        edges = [host for host in self._fleet.of("edge") if host.up and not host.frozen
-                 and self._fleet.network.passes(self.address, host.address)]
+        edges = [
+            host
+            for host in self._fleet.of("edge")
+            if host.up
+            and not host.frozen
+            and self._fleet.network.passes(self.address, host.address)
+        ]
         if not edges:
             return False
         edge = self.time.rng.choice(edges)
-        edge.node.roster.hear(WorkerNews(
-            identity=self.identity, incarnation=self.incarnation, address=self.address, zone=self.zone,
-            labels=self.labels, beat=self._beat, running=self.busy, waiting=0, slots=self.slots, cache_use=0.0,
-            leaving=leaving))
+        edge.node.roster.hear(
+            WorkerNews(
+                identity=self.identity,
+                incarnation=self.incarnation,
+                address=self.address,
+                zone=self.zone,
+                labels=self.labels,
+                beat=self._beat,
+                running=self.busy,
+                waiting=0,
+                slots=self.slots,
+                cache_use=0.0,
+                leaving=leaving,
+            )
+        )
         return True
 
     def leave(self) -> None:
@@ -64,9 +106,16 @@
         self.gone = True
         self.history.add("worker-left", self.time.now_ms, worker=self.stamp, how="crashed")
 
-    def call(self, headers: dict[str, str], body: dict[str, Any], reply: Callable[..., None], open_: Callable[[], bool]) -> None:
+    def call(
+        self,
+        headers: dict[str, str],
+        body: dict[str, Any],
+        reply: Callable[..., None],
+        open_: Callable[[], bool],
+    ) -> None:
         """`reply(what, *args)`: head, data, end, or how the connection broke. Nothing at all while dark.
-        `open_` says whether the edge still holds its end; a run whose caller is gone is broken off."""
+        `open_` says whether the edge still holds its end; a run whose caller is gone is broken off.
+        """
         run = _Run(self, headers["X-Vaneledge-Transaction"], body, reply, open_)
         if self.gone:
             reply("no connection")
@@ -78,8 +127,17 @@
             run.refuse(429, "busy")
         else:
             self.busy += 1
-            self.history.add("run", self.time.now_ms, worker=self.stamp, identity=self.identity, labels=self.labels,
-                             address=self.address, transaction=run.transaction, path=body["model"], **told_in_prompt(body))
+            self.history.add(
+                "run",
+                self.time.now_ms,
+                worker=self.stamp,
+                identity=self.identity,
+                labels=self.labels,
+                address=self.address,
+                transaction=run.transaction,
+                path=body["model"],
+                **told_in_prompt(body),
+            )
             self.time.after(self.piece_ms, lambda: run.piece(0))
 
 
@@ -87,20 +145,45 @@
     """Callers put into the prompt what the oracle wants to know of a run: `name value` pairs."""
     words = body["prompt"].split()
     told = dict(zip(words[::2], words[1::2], strict=True))
-    return {"call": told.get("call", ""), "key": told.get("key", ""), "asked": told.get("asked", ""), "lot": told.get("lot", ""),
-            "index": int(told.get("item", -1)), "safe": body["model"] not in UNSAFE}
+    return {
+        "call": told.get("call", ""),
+        "key": told.get("key", ""),
+        "asked": told.get("asked", ""),
+        "lot": told.get("lot", ""),
+        "index": int(told.get("item", -1)),
+        "safe": body["model"] not in UNSAFE,
+    }
 
 
 class _Run:
     __slots__ = ("_body", "_open", "_reply", "_worker", "transaction")
 
-    def __init__(self, worker: SimWorker, transaction: str, body: dict[str, Any], reply: Callable[..., None],
-                 open_: Callable[[], bool]) -> None:
-        self._worker, self.transaction, self._body, self._reply, self._open = worker, transaction, body, reply, open_
+    def __init__(
+        self,
+        worker: SimWorker,
+        transaction: str,
+        body: dict[str, Any],
+        reply: Callable[..., None],
+        open_: Callable[[], bool],
+    ) -> None:
+        self._worker, self.transaction, self._body, self._reply, self._open = (
+            worker,
+            transaction,
+            body,
+            reply,
+            open_,
+        )
 
     def _head(self, status: int, length: int | None) -> None:
-        self._reply("head", status, [("X-Vaneledge-Worker", self._worker.stamp),
-                                     ("X-Vaneledge-Transaction", self.transaction)], length)
+        self._reply(
+            "head",
+            status,
+            [
+                ("X-Vaneledge-Worker", self._worker.stamp),
+                ("X-Vaneledge-Transaction", self.transaction),
+            ],
+            length,
+        )
 
     def refuse(self, status: int, code: str) -> None:
         data = json.dumps({"error": {"verdict": "not_run", "code": code}}).encode()
@@ -123,14 +206,24 @@
             if stream:
                 data = json.dumps({"id": self.transaction, "choices": [{"index": 0, "text": "w "}]})
                 self._reply("data", f"id: {place}\ndata: {data}\n\n".encode())
-            worker.time.after(worker.piece_ms * (0.5 + worker.time.rng.random()), lambda: self.piece(place + 1))
+            worker.time.after(
+                worker.piece_ms * (0.5 + worker.time.rng.random()), lambda: self.piece(place + 1)
+            )
             return
         worker.busy -= 1
-        worker.history.add("run-ended", worker.time.now_ms, worker=worker.stamp, transaction=self.transaction, pieces=worker.pieces)
+        worker.history.add(
+            "run-ended",
+            worker.time.now_ms,
+            worker=worker.stamp,
+            transaction=self.transaction,
+            pieces=worker.pieces,
+        )
         if stream:
             self._reply("data", b"data: [DONE]\n\n")
         else:
-            whole = json.dumps({"id": self.transaction, "choices": [{"index": 0, "text": "w " * worker.pieces}]}).encode()
+            whole = json.dumps(
+                {"id": self.transaction, "choices": [{"index": 0, "text": "w " * worker.pieces}]}
+            ).encode()
             self._head(200, len(whole))
             self._reply("data", whole)
         self._reply("end")
--- a/libs/facsimile/src/facsimile/surroundings/__init__.py
+++ b/libs/facsimile/src/facsimile/surroundings/__init__.py
@@ -1,5 +1,6 @@
 """Surroundings that fail, for the real programs' processes: links and HTTP that are cut, slow or lossy, a
-disk that forgets what was not flushed, a wall clock that is stepped. The programs know nothing of it."""
+disk that forgets what was not flushed, a wall clock that is stepped. The programs know nothing of it.
+"""
 
 from facsimile.surroundings.disks import PowerDisk
 from facsimile.surroundings.nodes import run_node
--- a/libs/facsimile/src/facsimile/surroundings/disks.py
+++ b/libs/facsimile/src/facsimile/surroundings/disks.py
@@ -1,5 +1,6 @@
 """A disk that keeps unflushed writes aside, as a kernel would, so that killing the process is a power
-cut: what was not flushed is gone, but for the part, drawn by a seed, that had reached the disk early."""
+cut: what was not flushed is gone, but for the part, drawn by a seed, that had reached the disk early.
+"""
 
 import random
 from collections.abc import Callable
@@ -30,11 +31,14 @@
         return bytes(self._seen[name])
 
     def read_at(self, name: str, offset: int, size: int) -> bytes:
-        return bytes(self._seen.get(name, b"")[offset:offset + size])
+        return bytes(self._seen.get(name, b"")[offset : offset + size])
 
     def roomy(self, size: int, urgent: bool = False) -> bool:
         limit = self.room_bytes if urgent else self.room_bytes * (1 - KEPT_BACK)
-        return self._inner.roomy(0, True) and sum(len(page) for page in self._seen.values()) + size <= limit
+        return (
+            self._inner.roomy(0, True)
+            and sum(len(page) for page in self._seen.values()) + size <= limit
+        )
 
     def write(self, name: str, offset: int, data: bytes, urgent: bool = False) -> None:
         page = self._seen.get(name, bytearray())
@@ -42,10 +46,10 @@
             raise DiskFull(name)
         if len(page) < offset:
             page.extend(b"\0" * (offset - len(page)))
-        page[offset:offset + len(data)] = data
+        page[offset : offset + len(data)] = data
         self._seen[name] = page
         if self._rng.random() < _EARLY:
-            self._apply(name, ("write", offset, data[:self._rng.randrange(len(data) + 1)]))
+            self._apply(name, ("write", offset, data[: self._rng.randrange(len(data) + 1)]))
         self._pending.setdefault(name, []).append(("write", offset, data))
 
     def push(self) -> None:
@@ -72,7 +76,11 @@
             self._inner.remove(name)
 
     def flush(self, names: list[str], done: Callable[[bool], None]) -> None:
-        removed = [name for name, rows in self._pending.items() if any(kind == "remove" for kind, _, _ in rows)]
+        removed = [
+            name
+            for name, rows in self._pending.items()
+            if any(kind == "remove" for kind, _, _ in rows)
+        ]
         for name in {*names, *removed}:
             for row in self._pending.pop(name, []):
                 self._apply(name, row)
--- a/libs/facsimile/src/facsimile/surroundings/nodes.py
+++ b/libs/facsimile/src/facsimile/surroundings/nodes.py
@@ -1,5 +1,6 @@
 """The programs' own processes in surroundings that can fail. Only what touches the outside is put in
-their place: the clock, the disk, the links, and the sender of an edge."""
+their place: the clock, the disk, the links, and the sender of an edge.
+"""
 
 import asyncio
 import random
@@ -8,8 +9,6 @@
 
 from circulation import Send
 from colophon import Params
-from facsimile.surroundings.disks import PowerDisk
-from facsimile.surroundings.weather import Weather
 from readingroom.process import run_process
 from readingroom.roles import EdgeProcess, StoreProcess
 from readingroom.sender import HttpSender
@@ -18,6 +17,9 @@
 from vellum.links import Switchboard
 from vellum.shell import ProcessEnv
 
+from facsimile.surroundings.disks import PowerDisk
+from facsimile.surroundings.weather import Weather
+
 __all__ = ["run_node"]
 
 _POLL_S = 0.02
@@ -35,8 +37,18 @@
 class _Links(Switchboard):
     """Drops what the weather doesn't let out or in, loses some, and holds back what is slow."""
 
-    def __init__(self, address: str, wait_ms: int, deliver: Callable[[str, int, int, Message], None], weather: Weather) -> None:
-        super().__init__(address, wait_ms, lambda sender, *rest: deliver(sender, *rest) if weather.lets_in(sender) else None)
+    def __init__(
+        self,
+        address: str,
+        wait_ms: int,
+        deliver: Callable[[str, int, int, Message], None],
+        weather: Weather,
+    ) -> None:
+        super().__init__(
+            address,
+            wait_ms,
+            lambda sender, *rest: deliver(sender, *rest) if weather.lets_in(sender) else None,
+        )
         self._weather = weather
         self._rng = random.Random()
 
@@ -47,7 +59,9 @@
         if to == self._address or not weather.wait_ms(to):
             super().post(to, ref, re, message)
         else:
-            asyncio.get_running_loop().call_later(weather.wait_ms(to) / 1000, super().post, to, ref, re, message)
+            asyncio.get_running_loop().call_later(
+                weather.wait_ms(to) / 1000, super().post, to, ref, re, message
+            )
 
 
 class _Held:
@@ -63,7 +77,11 @@
             self._pass_on()
 
     def _pass_on(self) -> None:
-        while self._rows and self._weather.lets_in(self._address) and self._weather.lets_out(self._address):
+        while (
+            self._rows
+            and self._weather.lets_in(self._address)
+            and self._weather.lets_out(self._address)
+        ):
             name, values = self._rows.pop(0)
             getattr(self._send, name)(*values)
         if self._rows:
@@ -89,9 +107,15 @@
         super().__init__(connect_ms)
         self._connect_ms, self._weather = connect_ms, weather
 
-    def __call__(self, send: Send, address: str, kind: str, headers: dict[str, str], body: dict[str, Any]) -> Callable[[], None]:
+    def __call__(
+        self, send: Send, address: str, kind: str, headers: dict[str, str], body: dict[str, Any]
+    ) -> Callable[[], None]:
         if not (self._weather.lets_out(address) and self._weather.lets_in(address)):
-            return asyncio.get_running_loop().call_later(self._connect_ms / 1000, send.broke, "no connection", False).cancel
+            return (
+                asyncio.get_running_loop()
+                .call_later(self._connect_ms / 1000, send.broke, "no connection", False)
+                .cancel
+            )
         return super().__call__(_Held(send, address, self._weather), address, kind, headers, body)
 
 
--- a/libs/facsimile/src/facsimile/surroundings/weather.py
+++ b/libs/facsimile/src/facsimile/surroundings/weather.py
@@ -1,6 +1,7 @@
 """The weather: one file that the fleet's runner rewrites and every machine reads again as it changes. It
 says which machine can't speak to which, one way; how slow and how lossy pairs are; and how far each
-machine's wall clock is off. Machines are known by name, whichever of their addresses is meant."""
+machine's wall clock is off. Machines are known by name, whichever of their addresses is meant.
+"""
 
 import asyncio
 import json
@@ -13,12 +14,27 @@
 _POLL_S = 0.02
 
 
-def write_weather(path: Path, machines: dict[str, str], cuts: list[tuple[str, str]], slow: dict[str, int],
-                  loss: float, steps: dict[str, int]) -> None:
+def write_weather(
+    path: Path,
+    machines: dict[str, str],
+    cuts: list[tuple[str, str]],
+    slow: dict[str, int],
+    loss: float,
+    steps: dict[str, int],
+) -> None:
     """`machines` gives the name at an address; `cuts` are pairs of names, from and to."""
     fresh = path.with_suffix(".tmp")
-    fresh.write_text(json.dumps({"machines": machines, "cuts": [list(pair) for pair in cuts], "slow": slow, "loss": loss,
-                                 "steps": steps}))
+    fresh.write_text(
+        json.dumps(
+            {
+                "machines": machines,
+                "cuts": [list(pair) for pair in cuts],
+                "slow": slow,
+                "loss": loss,
+                "steps": steps,
+            }
+        )
+    )
     os.replace(fresh, path)
 
 
--- a/libs/facsimile/src/facsimile/trace.py
+++ b/libs/facsimile/src/facsimile/trace.py
@@ -1,5 +1,6 @@
 """Follows one thing through the JSON logs of many processes: every line that has the id, in the order
-of time. Lines that can't be read are counted, not hidden."""
+of time. Lines that can't be read are counted, not hidden.
+"""
 
 import json
 from collections.abc import Iterable
@@ -8,8 +9,15 @@
 
 __all__ = ["KINDS", "trace"]
 
-KINDS = {"transaction": ("transaction",), "key": ("key",), "lot": ("lot", "lots", "transaction"), "change": ("change",),
-         "worker": ("worker", "by"), "loan": ("worker",), "epoch": ("epoch",)}
+KINDS = {
+    "transaction": ("transaction",),
+    "key": ("key",),
+    "lot": ("lot", "lots", "transaction"),
+    "change": ("change",),
+    "worker": ("worker", "by"),
+    "loan": ("worker",),
+    "epoch": ("epoch",),
+}
 
 
 _OF_LOANS = ("loan-changed", "loan-overdue", "worker-withheld", "worker-serves-again")
--- a/libs/facsimile/src/facsimile/traffic.py
+++ b/libs/facsimile/src/facsimile/traffic.py
@@ -1,5 +1,6 @@
 """Traffic against a real fleet, as its callers bring it, and the history of what they saw, in the rows
-that the oracle judges. What a worker ran comes from the lines it wrote, so a killed one counts too."""
+that the oracle judges. What a worker ran comes from the lines it wrote, so a killed one counts too.
+"""
 
 import asyncio
 import json
@@ -10,31 +11,47 @@
 from typing import Any
 
 import aiohttp
-
 from catalogue import check_tree, profiles_digest
+
 from facsimile.fleet import Fleet
 from facsimile.sim.history import History
 
 __all__ = ["TREE", "Traffic"]
 
 ROOM = 6
-TREE: dict[str, Any] = {"profiles": {
-    "base": {"abstract": True, "workers": {"labels": ["gpu"]}},
-    "rulings": {"parent": "base", "deadline_ms": 2000}, "flags": {"parent": "base", "deadline_ms": 2000},
-    "narrations": {"parent": "base", "deadline_ms": 5000}, "reasons": {"parent": "base", "deadline_ms": 5000},
-    "moves": {"parent": "base", "repeatable": False, "deadline_ms": 5000},
-    "summaries": {"parent": "base", "waiting_room": ROOM},
-    "claims": {"parent": "base", "repeatable": False, "waiting_room": ROOM}}}
-_LIVE = (("rulings", True, 1.0), ("flags", False, 1.0), ("narrations", True, 0.5), ("reasons", False, 0.5),
-         ("moves", False, 0.3))
+TREE: dict[str, Any] = {
+    "profiles": {
+        "base": {"abstract": True, "workers": {"labels": ["gpu"]}},
+        "rulings": {"parent": "base", "deadline_ms": 2000},
+        "flags": {"parent": "base", "deadline_ms": 2000},
+        "narrations": {"parent": "base", "deadline_ms": 5000},
+        "reasons": {"parent": "base", "deadline_ms": 5000},
+        "moves": {"parent": "base", "repeatable": False, "deadline_ms": 5000},
+        "summaries": {"parent": "base", "waiting_room": ROOM},
+        "claims": {"parent": "base", "repeatable": False, "waiting_room": ROOM},
+    }
+}
+_LIVE = (
+    ("rulings", True, 1.0),
+    ("flags", False, 1.0),
+    ("narrations", True, 0.5),
+    ("reasons", False, 0.5),
+    ("moves", False, 0.3),
+)
 _PATIENCE_S = 12.0
 
 
 class Traffic:
     def __init__(self, fleet: Fleet, seed: int, rate: float) -> None:
         self.fleet, self.rng, self.rate = fleet, random.Random(seed), rate
-        self.history = History(seed=seed, room=ROOM, allowed=["gpu"], limits_ms={
-            path: 2000 if path in ("rulings", "flags") else 5000 for path, _, _ in _LIVE})
+        self.history = History(
+            seed=seed,
+            room=ROOM,
+            allowed=["gpu"],
+            limits_ms={
+                path: 2000 if path in ("rulings", "flags") else 5000 for path, _, _ in _LIVE
+            },
+        )
         self._marks: dict[str, str] = {}
         self._sent: dict[str, tuple[int, dict[str, Any]]] = {}
         self.latency_ms: dict[str, list[float]] = {}
@@ -62,7 +79,12 @@
 
     def start(self) -> None:
         for path, stream, share in _LIVE:
-            self._spawn(self._every(1.0 / (self.rate * share), lambda path=path, stream=stream: self.live(path, stream)))
+            self._spawn(
+                self._every(
+                    1.0 / (self.rate * share),
+                    lambda path=path, stream=stream: self.live(path, stream),
+                )
+            )
         self._spawn(self._every(1.2, lambda: self.hand_in()))
         self._spawn(self._every(0.3, lambda: self.read()))
         self._spawn(self._every(2.5, lambda: self.change()))
@@ -81,8 +103,15 @@
 
     # -- live ----------------------------------------------------------------------------------
 
-    async def live(self, path: str, stream: bool, key: str = "", avoid: str = "", tries: int = 3,
-                   asked: str = "") -> dict[str, Any]:
+    async def live(
+        self,
+        path: str,
+        stream: bool,
+        key: str = "",
+        avoid: str = "",
+        tries: int = 3,
+        asked: str = "",
+    ) -> dict[str, Any]:
         self._count += 1
         number = self._count
         if path == "moves" and not key:
@@ -90,16 +119,32 @@
             if self.rng.random() < 0.1:
                 self._spawn(self._reuse(key))
         asked = asked or key
-        row = self.history.add("call", self.now_ms(), call=f"call{number}", path=path, key=key, edge=self._edge(avoid),
-                               asked=asked, outcome="lost", verdict="may_have_run", pieces=[], transaction="", body="",
-                               code="", answered_ms=0.0)
+        row = self.history.add(
+            "call",
+            self.now_ms(),
+            call=f"call{number}",
+            path=path,
+            key=key,
+            edge=self._edge(avoid),
+            asked=asked,
+            outcome="lost",
+            verdict="may_have_run",
+            pieces=[],
+            transaction="",
+            body="",
+            code="",
+            answered_ms=0.0,
+        )
         prompt = f"{path} of {key} {asked}" if key else f"{path} table {number % 20}, call{number}"
         call = {"model": path, "prompt": prompt, "stream": stream}
         began_ms = self.now_ms()
         try:
-            async with self.fleet.session.post(f"http://{row['edge']}/v1/completions", json=call,
-                                               headers={"Idempotency-Key": key} if key else None,
-                                               timeout=aiohttp.ClientTimeout(total=_PATIENCE_S)) as answer:
+            async with self.fleet.session.post(
+                f"http://{row['edge']}/v1/completions",
+                json=call,
+                headers={"Idempotency-Key": key} if key else None,
+                timeout=aiohttp.ClientTimeout(total=_PATIENCE_S),
+            ) as answer:
                 await self._take(row, answer, stream)
         except (aiohttp.ClientError, OSError, TimeoutError):
             row["outcome"] = "cut" if row["pieces"] else "lost"
@@ -117,7 +162,9 @@
         await asyncio.sleep(0.3 * self.rng.random())
         await self.live("moves", False, key, tries=1, asked="another")
 
-    async def _take(self, row: dict[str, Any], answer: aiohttp.ClientResponse, stream: bool) -> None:
+    async def _take(
+        self, row: dict[str, Any], answer: aiohttp.ClientResponse, stream: bool
+    ) -> None:
         row["transaction"] = answer.headers.get("X-Vaneledge-Transaction", "")
         if answer.status != 200:
             error = json.loads(await answer.text())["error"]
@@ -125,8 +172,13 @@
         elif not stream:
             body = await answer.json()
             words = body["choices"][0]["text"].split()
-            row.update(outcome="replay" if answer.headers.get("X-Vaneledge-Replayed") == "true" else "finish",
-                       verdict="ran", body="|".join(f"{body['id']}:{place}" for place in range(len(words))))
+            row.update(
+                outcome="replay"
+                if answer.headers.get("X-Vaneledge-Replayed") == "true"
+                else "finish",
+                verdict="ran",
+                body="|".join(f"{body['id']}:{place}" for place in range(len(words))),
+            )
             row["pieces"] = row["body"].split("|") if row["outcome"] == "finish" else []
         else:
             async for line in answer.content:
@@ -146,15 +198,38 @@
         if not lot_id:
             lot_id = f"{self.lot_name}{len(self.lots) + 1}"
             path = self.rng.choice(("summaries", "summaries", "claims"))
-            self.lots[lot_id] = {"path": path, "count": 80, "began_ms": self.now_ms(), "done_ms": 0.0, "seen": 0,
-                                "acked": False}
+            self.lots[lot_id] = {
+                "path": path,
+                "count": 80,
+                "began_ms": self.now_ms(),
+                "done_ms": 0.0,
+                "seen": 0,
+                "acked": False,
+            }
         lot = self.lots[lot_id]
-        row = self.history.add("hand-in", self.now_ms(), lot=lot_id, path=lot["path"], outcome="none",
-                               verdict="may_have_run", count=80, answered_ms=0.0)
+        row = self.history.add(
+            "hand-in",
+            self.now_ms(),
+            lot=lot_id,
+            path=lot["path"],
+            outcome="none",
+            verdict="may_have_run",
+            count=80,
+            answered_ms=0.0,
+        )
         edge = self._edge(avoid)
         try:
-            status, body = await self.fleet.ask("PUT", edge, f"/lots/{lot_id}", {"path": lot["path"], "items": [
-                {"prompt": f"{lot['path']} {lot_id} item {place}"} for place in range(80)]})
+            status, body = await self.fleet.ask(
+                "PUT",
+                edge,
+                f"/lots/{lot_id}",
+                {
+                    "path": lot["path"],
+                    "items": [
+                        {"prompt": f"{lot['path']} {lot_id} item {place}"} for place in range(80)
+                    ],
+                },
+            )
             if status in (200, 201):
                 row.update(outcome="admitted" if status == 201 else "known", verdict="ran")
                 lot["acked"] = True
@@ -179,24 +254,42 @@
         start = start if start is not None else self.rng.choice((0, lot["seen"]))
         began_ms = self.now_ms()
         try:
-            status, body = await self.fleet.ask("GET", self._edge(), f"/lots/{lot_id}/results?from={start}")
+            status, body = await self.fleet.ask(
+                "GET", self._edge(), f"/lots/{lot_id}/results?from={start}"
+            )
         except (aiohttp.ClientError, OSError, TimeoutError):
             return False
         if status not in (200, 404):
             return False
         rows = [(row["index"], row["verdict"], _flat(row)) for row in body.get("results", [])]
         outcome = "known" if status == 200 else "missing"
-        self.history.add("read", self.now_ms(), began_ms=began_ms, lot=lot_id, outcome=outcome, start=start, listed=body.get("listed", 0),
-                         total=body.get("total", 0), ended=body.get("ended", False), results=rows)
+        self.history.add(
+            "read",
+            self.now_ms(),
+            began_ms=began_ms,
+            lot=lot_id,
+            outcome=outcome,
+            start=start,
+            listed=body.get("listed", 0),
+            total=body.get("total", 0),
+            ended=body.get("ended", False),
+            results=rows,
+        )
         if final:
-            self.history.add("final", self.now_ms(), lot=lot_id, outcome=outcome, listed=body.get("listed", 0))
+            self.history.add(
+                "final", self.now_ms(), lot=lot_id, outcome=outcome, listed=body.get("listed", 0)
+            )
         if status == 200:
             lot["seen"] = max(lot["seen"], body["listed"])
             if (body["listed"] >= body["total"] or body["ended"]) and not lot["done_ms"]:
                 lot["done_ms"] = self.now_ms()
                 if not body["ended"]:
-                    self.history.add("lot-done", lot["done_ms"], lot=lot_id, from_ms=lot["began_ms"])
-                    self.latency_ms.setdefault("lots of 80", []).append(lot["done_ms"] - lot["began_ms"])
+                    self.history.add(
+                        "lot-done", lot["done_ms"], lot=lot_id, from_ms=lot["began_ms"]
+                    )
+                    self.latency_ms.setdefault("lots of 80", []).append(
+                        lot["done_ms"] - lot["began_ms"]
+                    )
         return True
 
     async def end(self) -> None:
@@ -214,21 +307,32 @@
 
     def _control(self) -> str:
         """Any control machine that runs; where none does, one that can't be reached."""
-        running = self.fleet.of("control") or [member for member in self.fleet.members.values() if member.role == "control"]
+        running = self.fleet.of("control") or [
+            member for member in self.fleet.members.values() if member.role == "control"
+        ]
         return self.rng.choice(running).http
 
     async def change(self, tries: int = 3, mark: str = "", named: int = 0) -> dict[str, Any]:
         self._count += 1
         mark = mark or f"change{self._count}"
         named = named or self.version
-        row = self.history.add("change", self.now_ms(), mark=mark, named=named, outcome="doubt", version=0, answered_ms=0.0)
+        row = self.history.add(
+            "change",
+            self.now_ms(),
+            mark=mark,
+            named=named,
+            outcome="doubt",
+            version=0,
+            answered_ms=0.0,
+        )
         control = self._control()
         tree = {"profiles": {**TREE["profiles"], f"mark-{mark}": {"abstract": True}}}
         self._marks[profiles_digest(json.dumps(check_tree(tree).ok, sort_keys=True))] = mark
         self._sent[mark] = (named, tree)
         try:
-            status, body = await self.fleet.ask("PUT", control, "/profiles",
-                                                {"version": named, "change_id": mark, "tree": tree})
+            status, body = await self.fleet.ask(
+                "PUT", control, "/profiles", {"version": named, "change_id": mark, "tree": tree}
+            )
             outcome = {200: "ok", 409: "lost"}.get(status, "doubt")
             row.update(outcome=outcome, version=body.get("version", 0))
             if outcome == "lost":
@@ -238,7 +342,13 @@
         except (aiohttp.ClientError, OSError, TimeoutError):
             pass
         row["answered_ms"] = self.now_ms()
-        self.outcomes[("change", {"ok": "ran", "lost": "not_run"}.get(row["outcome"], "may_have_run"), row["outcome"])] += 1
+        self.outcomes[
+            (
+                "change",
+                {"ok": "ran", "lost": "not_run"}.get(row["outcome"], "may_have_run"),
+                row["outcome"],
+            )
+        ] += 1
         if row["outcome"] == "doubt" and tries > 1:
             await asyncio.sleep(0.2)
             await self.change(tries - 1, mark, named)
@@ -252,30 +362,57 @@
                 status, body = await self.fleet.ask("GET", member.http, "/status", wait_ms=800)
             except (aiohttp.ClientError, OSError, TimeoutError):
                 continue
-            self.history.add("sample", began_ms, edge=member.name, life=body["identity"], ready=body["ready"],
-                             number=body["feed"].get("profiles", 0), mark=self._marks.get(body["profiles_digest"], ""))
+            self.history.add(
+                "sample",
+                began_ms,
+                edge=member.name,
+                life=body["identity"],
+                ready=body["ready"],
+                number=body["feed"].get("profiles", 0),
+                mark=self._marks.get(body["profiles_digest"], ""),
+            )
         for member in self.fleet.of("store"):
             try:
                 status, body = await self.fleet.ask("GET", member.http, "/status", wait_ms=800)
             except (aiohttp.ClientError, OSError, TimeoutError):
                 continue
             for path, used in body.get("waiting_rooms", {}).items():
-                self.history.add("room", self.now_ms(), store=member.name, path=path, epoch=body["fence"], used=used)
+                self.history.add(
+                    "room",
+                    self.now_ms(),
+                    store=member.name,
+                    path=path,
+                    epoch=body["fence"],
+                    used=used,
+                )
 
     async def ask_again(self, count: int) -> None:
         """The last acknowledged changes once more under their ids, as `changes-kept` wants it."""
-        acked = [row["mark"] for row in self.history.of("change") if row["outcome"] == "ok"][-count:]
+        acked = [row["mark"] for row in self.history.of("change") if row["outcome"] == "ok"][
+            -count:
+        ]
         for mark in acked:
             named, tree = self._sent[mark]
-            status, body = await self.fleet.ask("PUT", self._control(), "/profiles",
-                                                {"version": named, "change_id": mark, "tree": tree})
+            status, body = await self.fleet.ask(
+                "PUT",
+                self._control(),
+                "/profiles",
+                {"version": named, "change_id": mark, "tree": tree},
+            )
             if status in (200, 409):
-                self.history.add("final-change", self.now_ms(), mark=mark, version=body.get("version", 0),
-                                 outcome="ok" if status == 200 else "lost")
+                self.history.add(
+                    "final-change",
+                    self.now_ms(),
+                    mark=mark,
+                    version=body.get("version", 0),
+                    outcome="ok" if status == 200 else "lost",
+                )
 
     def take_worker_runs(self) -> None:
         """Adds what the workers wrote; a run's call is found by the transaction that each call was given."""
-        by_transaction = {row["transaction"]: row for row in self.history.of("call") if row["transaction"]}
+        by_transaction = {
+            row["transaction"]: row for row in self.history.of("call") if row["transaction"]
+        }
         for path in sorted(Path(self.fleet.folder).glob("*.runs")):
             for line in path.read_text().splitlines():
                 try:
@@ -286,13 +423,23 @@
                 if row["kind"] == "run":
                     self._add_run(row, at_ms, by_transaction)
                 elif row["kind"] == "run-ended":
-                    self.history.add("run-ended", at_ms, worker=row["worker"], transaction=row["transaction"],
-                                     pieces=row["pieces"])
+                    self.history.add(
+                        "run-ended",
+                        at_ms,
+                        worker=row["worker"],
+                        transaction=row["transaction"],
+                        pieces=row["pieces"],
+                    )
                 else:
                     self.history.add("worker-left", at_ms, worker=row["worker"], how=row["kind"])
         for member in self.fleet.members.values():
             for from_at, to_at in member.away:
-                self.history.add("away", (from_at - self._started_at) * 1000, name=member.http, until_ms=(to_at - self._started_at) * 1000)
+                self.history.add(
+                    "away",
+                    (from_at - self._started_at) * 1000,
+                    name=member.http,
+                    until_ms=(to_at - self._started_at) * 1000,
+                )
         self.history.rows.sort(key=lambda row: row["at_ms"])
 
     def _add_run(self, row: dict[str, Any], at_ms: float, by_transaction: dict[str, Any]) -> None:
@@ -302,11 +449,24 @@
         is_item = "item" in words
         safe = row["path"] not in ("moves", "claims")
         key = next((word for word in words if word.startswith("key")), "")
-        self.history.add("run", at_ms, worker=row["worker"], identity=row["identity"], labels=row["labels"],
-                         address=row["address"], transaction=row["transaction"], path=row["path"], safe=safe, body="",
-                         asked=words[3] if key and len(words) > 3 else "",
-                         call=name or (call["call"] if call else "" if not is_item else f"item:{words[1]}:{words[3]}"),
-                         lot=words[1] if is_item else "", index=int(words[3]) if is_item else -1, key=key)
+        self.history.add(
+            "run",
+            at_ms,
+            worker=row["worker"],
+            identity=row["identity"],
+            labels=row["labels"],
+            address=row["address"],
+            transaction=row["transaction"],
+            path=row["path"],
+            safe=safe,
+            body="",
+            asked=words[3] if key and len(words) > 3 else "",
+            call=name
+            or (call["call"] if call else "" if not is_item else f"item:{words[1]}:{words[3]}"),
+            lot=words[1] if is_item else "",
+            index=int(words[3]) if is_item else -1,
+            key=key,
+        )
         self.history.add("send", at_ms, worker=row["worker"], transaction=row["transaction"])
 
 
--- a/libs/facsimile/src/facsimile/worker.py
+++ b/libs/facsimile/src/facsimile/worker.py
@@ -1,6 +1,7 @@
 """A stand-in model worker: OpenAI-shaped completions, plain or streamed, a bounded number of slots,
 a KV cache of prompt prefixes that makes a known start cheaper, beats and a leave. It echoes identity,
-incarnation and transaction, refuses what was meant for another worker, and keeps a list of its runs."""
+incarnation and transaction, refuses what was meant for another worker, and keeps a list of its runs.
+"""
 
 import asyncio
 import json
@@ -10,9 +11,8 @@
 
 import aiohttp
 from aiohttp import web
-from mode import Service
-
 from circulation.placement import prefix_of
+from mode import Service
 
 __all__ = ["StandInWorker"]
 
@@ -20,10 +20,22 @@
 
 
 class StandInWorker(Service):
-    def __init__(self, identity: str, address: str, edges: list[str], zone: str = "a", labels: list[str] | None = None,
-                 slots: int = 8, token_ms: float = 2.0, tokens: int = 12, prefill_ms: float = 20.0,
-                 cache_prefixes: int = 32, beat_ms: int = 300, runs_file: str = "",
-                 weather: Any = None) -> None:
+    def __init__(
+        self,
+        identity: str,
+        address: str,
+        edges: list[str],
+        zone: str = "a",
+        labels: list[str] | None = None,
+        slots: int = 8,
+        token_ms: float = 2.0,
+        tokens: int = 12,
+        prefill_ms: float = 20.0,
+        cache_prefixes: int = 32,
+        beat_ms: int = 300,
+        runs_file: str = "",
+        weather: Any = None,
+    ) -> None:
         super().__init__()
         self.identity, self.address, self.edges = identity, address, edges
         self.zone, self.labels, self.slots = zone, labels or [], slots
@@ -45,8 +57,17 @@
 
     def _note(self, kind: str, **fields: Any) -> None:
         if self._runs_page is not None:
-            self._runs_page.write(json.dumps({"kind": kind, "wall_ms": time.time_ns() // 1_000_000,
-                                             "worker": f"{self.identity}/{self.incarnation}", **fields}) + "\n")
+            self._runs_page.write(
+                json.dumps(
+                    {
+                        "kind": kind,
+                        "wall_ms": time.time_ns() // 1_000_000,
+                        "worker": f"{self.identity}/{self.incarnation}",
+                        **fields,
+                    }
+                )
+                + "\n"
+            )
 
     async def on_start(self) -> None:
         app = web.Application()
@@ -67,18 +88,30 @@
     async def leave(self) -> None:
         self._leaving = True
         self._note("left")
-        await self._tell("/workers/leave", {"identity": self.identity, "incarnation": self.incarnation})
+        await self._tell(
+            "/workers/leave", {"identity": self.identity, "incarnation": self.incarnation}
+        )
 
     # -- beats ---------------------------------------------------------------------------------
 
     async def _beats(self) -> None:
         while not self.should_stop and not self._leaving:
             self._beat += 1
-            await self._tell("/workers/beat", {
-                "identity": self.identity, "incarnation": self.incarnation, "address": self.address,
-                "beat": self._beat, "zone": self.zone, "labels": self.labels, "running": self._running,
-                "waiting": self._waiting, "slots": self.slots,
-                "cache_use": len(self._cache) / self._cache_length})
+            await self._tell(
+                "/workers/beat",
+                {
+                    "identity": self.identity,
+                    "incarnation": self.incarnation,
+                    "address": self.address,
+                    "beat": self._beat,
+                    "zone": self.zone,
+                    "labels": self.labels,
+                    "running": self._running,
+                    "waiting": self._waiting,
+                    "slots": self.slots,
+                    "cache_use": len(self._cache) / self._cache_length,
+                },
+            )
             await asyncio.sleep(self._beat_ms / 1000)
 
     async def _tell(self, address: str, body: dict[str, Any]) -> None:
@@ -86,7 +119,9 @@
             self._weather.read()
         for attempt in range(len(self.edges)):
             edge = self.edges[(self._beat + attempt) % len(self.edges)]
-            if self._weather is not None and not (self._weather.lets_out(edge) and self._weather.lets_in(edge)):
+            if self._weather is not None and not (
+                self._weather.lets_out(edge) and self._weather.lets_in(edge)
+            ):
                 continue
             try:
                 async with self._session.post(f"http://{edge}{address}", json=body) as answer:
@@ -98,13 +133,20 @@
     # -- completions ---------------------------------------------------------------------------
 
     def _refuse(self, code: str, status: int, headers: dict[str, str]) -> web.Response:
-        return web.json_response({"error": {"verdict": "not_run", "code": code, "message": code}}, status=status,
-                                 headers=headers)
+        return web.json_response(
+            {"error": {"verdict": "not_run", "code": code, "message": code}},
+            status=status,
+            headers=headers,
+        )
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         stamp = f"{self.identity}/{self.incarnation}"
         transaction = request.headers.get("X-Vaneledge-Transaction", "")
-        headers = {"X-Vaneledge-Worker": stamp, "X-Vaneledge-Transaction": transaction, "X-Vaneledge-Weights": self.weights}
+        headers = {
+            "X-Vaneledge-Worker": stamp,
+            "X-Vaneledge-Transaction": transaction,
+            "X-Vaneledge-Weights": self.weights,
+        }
         if request.headers.get("X-Vaneledge-Worker") != stamp:
             return self._refuse("wrong-worker", 409, headers)
         if request.headers.get("X-Vaneledge-Weights", "") not in ("", self.weights):
@@ -116,13 +158,22 @@
         async with self._gate:
             self._waiting -= 1
             self._running += 1
-            run = {"transaction": transaction, "started_ms": time.time_ns() // 1_000_000, "ended": False,
-                   "path": body.get("model", ""), "prompt": str(body.get("prompt") or body.get("messages"))[-80:]}
+            run = {
+                "transaction": transaction,
+                "started_ms": time.time_ns() // 1_000_000,
+                "ended": False,
+                "path": body.get("model", ""),
+                "prompt": str(body.get("prompt") or body.get("messages"))[-80:],
+            }
             self.runs.append(run)
-            self._note("run", identity=self.identity, labels=self.labels, address=self.address, **run)
+            self._note(
+                "run", identity=self.identity, labels=self.labels, address=self.address, **run
+            )
             try:
                 await self._prefill(prefix_of(body))
-                answer = await (self._stream if body.get("stream") else self._whole)(request, body, transaction, headers)
+                answer = await (self._stream if body.get("stream") else self._whole)(
+                    request, body, transaction, headers
+                )
                 run["ended"] = True
                 self._note("run-ended", transaction=transaction, pieces=len(self._words(body)))
                 return answer
@@ -145,7 +196,9 @@
         seed = sum(map(ord, str(body.get("prompt") or body.get("messages"))))
         return [_WORDS[(seed + place) % len(_WORDS)] + " " for place in range(count)]
 
-    async def _whole(self, request: web.Request, body: dict, transaction: str, headers: dict) -> web.Response:
+    async def _whole(
+        self, request: web.Request, body: dict, transaction: str, headers: dict
+    ) -> web.Response:
         words = self._words(body)
         await asyncio.sleep(len(words) * self._token_ms / 1000)
         choice: dict[str, Any] = {"index": 0, "finish_reason": "stop"}
@@ -153,15 +206,29 @@
             choice["message"] = {"role": "assistant", "content": "".join(words)}
         else:
             choice["text"] = "".join(words)
-        return web.json_response({"id": transaction, "object": "text_completion", "model": body.get("model", ""),
-                                  "choices": [choice], "usage": {"completion_tokens": len(words)}}, headers=headers)
-
-    async def _stream(self, request: web.Request, body: dict, transaction: str, headers: dict) -> web.StreamResponse:
+        return web.json_response(
+            {
+                "id": transaction,
+                "object": "text_completion",
+                "model": body.get("model", ""),
+                "choices": [choice],
+                "usage": {"completion_tokens": len(words)},
+            },
+            headers=headers,
+        )
+
+    async def _stream(
+        self, request: web.Request, body: dict, transaction: str, headers: dict
+    ) -> web.StreamResponse:
         answer = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
         await answer.prepare(request)
         for place, word in enumerate(self._words(body)):
             await asyncio.sleep(self._token_ms / 1000)
-            choice = {"index": 0, "delta": {"content": word}} if "messages" in body else {"index": 0, "text": word}
+            choice = (
+                {"index": 0, "delta": {"content": word}}
+                if "messages" in body
+                else {"index": 0, "text": word}
+            )
             data = json.dumps({"id": transaction, "object": "text_completion", "choices": [choice]})
             await answer.write(f"id: {place}\ndata: {data}\n\n".encode())
         await answer.write(b"data: [DONE]\n\n")
@@ -169,5 +236,12 @@
         return answer
 
     async def _show_runs(self, request: web.Request) -> web.Response:
-        return web.json_response({"identity": self.identity, "incarnation": self.incarnation, "runs": self.runs,
-                                  "hits": self.hits, "misses": self.misses})
+        return web.json_response(
+            {
+                "identity": self.identity,
+                "incarnation": self.incarnation,
+                "runs": self.runs,
+                "hits": self.hits,
+                "misses": self.misses,
+            }
+        )
--- a/libs/gazette/src/gazette/contacts.py
+++ b/libs/gazette/src/gazette/contacts.py
@@ -1,6 +1,7 @@
 """To which control nodes a node that doesn't vote sends its digests: a few, of its own zone first and
 spread by rendezvous, kept as long as they answer as nodes that hear a majority. One that falls silent
-or is cut off from the others is left for a while; a nearer one is tried again now and then."""
+or is cut off from the others is left for a while; a nearer one is tried again now and then.
+"""
 
 from collections.abc import Iterable
 from typing import Any
@@ -17,17 +18,32 @@
     return 0 if zone == own_zone else 1 if region == own_region else 2
 
 
-def candidates(listed: dict[str, Any] | None, neighbours: Neighbours, within_ms: int) -> list[Candidate]:
+def candidates(
+    listed: dict[str, Any] | None, neighbours: Neighbours, within_ms: int
+) -> list[Candidate]:
     """The voters as listed, or, before there is a list, the control nodes known by their cards."""
     if listed:
-        return [(row["address"], row.get("zone", ""), row.get("region", "")) for row in listed["voters"]]
-    return [(card.address, card.zone, card.region) for card in neighbours.of_role("control", within_ms)]
+        return [
+            (row["address"], row.get("zone", ""), row.get("region", "")) for row in listed["voters"]
+        ]
+    return [
+        (card.address, card.zone, card.region) for card in neighbours.of_role("control", within_ms)
+    ]
 
 
 class Contacts:
     """`node` gives the clock, the settings and the own address; the feed says whom it asked and heard."""
 
-    __slots__ = ("_asked_ms", "_chosen", "_left_until_ms", "_node", "_probe", "_probed_ms", "_rank", "_told")
+    __slots__ = (
+        "_asked_ms",
+        "_chosen",
+        "_left_until_ms",
+        "_node",
+        "_probe",
+        "_probed_ms",
+        "_rank",
+        "_told",
+    )
 
     def __init__(self, node: Any) -> None:
         self._node = node
@@ -48,14 +64,29 @@
         node = self._node
         now_ms = node.env.now()
         params = node.params
-        self._rank = {address: (nearness(zone, region, params.zone, params.region), -score(address, node.address))
-                      for address, zone, region in among if address != node.address}
+        self._rank = {
+            address: (
+                nearness(zone, region, params.zone, params.region),
+                -score(address, node.address),
+            )
+            for address, zone, region in among
+            if address != node.address
+        }
         before = set(self._told)
-        for address in [address for address, at_ms in self._asked_ms.items() if now_ms - at_ms > params.dead_ms]:
+        for address in [
+            address for address, at_ms in self._asked_ms.items() if now_ms - at_ms > params.dead_ms
+        ]:
             self._leave(address)
-        self._chosen = [address for address in self._chosen if address in self._rank][:params.fan_out]
+        self._chosen = [address for address in self._chosen if address in self._rank][
+            : params.fan_out
+        ]
         while len(self._chosen) < min(params.fan_out, len(self._rank)):
-            self._chosen.append(min(set(self._rank) - set(self._chosen), key=lambda row: (self._left(row), self._rank[row])))
+            self._chosen.append(
+                min(
+                    set(self._rank) - set(self._chosen),
+                    key=lambda row: (self._left(row), self._rank[row]),
+                )
+            )
         self._chosen.sort(key=self._rank.__getitem__)
         self._told = list(self._chosen)
         return [*self._chosen, *self._nearer(now_ms), *sorted(before - set(self._chosen))]
--- a/libs/gazette/src/gazette/feed.py
+++ b/libs/gazette/src/gazette/feed.py
@@ -5,17 +5,19 @@
 
 With fan_out, digests and news go by way of the voters: a node that doesn't vote reports to a few of
 them, at a slower beat, and each voter passes on news to those who report to it first and tells the
-other voters the lowest numbers that it was told."""
+other voters the lowest numbers that it was told.
+"""
 
 import json
 from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
 from typing import Any
 
+from vellum import Message, Origin, Part, decode, encode
+
 from gazette.contacts import Candidate, Contacts
 from gazette.messages import Digest, News, NewsItem
 from gazette.patches import merge, merge_diff
-from vellum import Message, Origin, Part, decode, encode
 
 __all__ = ["CONFIRMERS", "Gazette", "LEAST", "ROLL_KEY"]
 
@@ -28,15 +30,44 @@
 
 class Gazette(Part):
     """`neighbours` gives the addresses to relay to, `extra` further ones to swap digests with; `sure`
-    says whether this node knows its feed to be the newest: a quorate control node, a ready edge."""
-
-    __slots__ = ("_beat_count", "_contacts", "_edges_told", "_extra", "_items", "_lows", "_lows_told", "_neighbours", "_patches",
-                 "_quiet_until_ms", "_ranks", "_roll", "_sent_ms", "_since_ms", "_watchers", "candidates", "confirmed", "contacts_ms",
-                 "identity", "quorate_ms", "sent_bytes", "sure", "sure_edge_ms", "votes")
+    says whether this node knows its feed to be the newest: a quorate control node, a ready edge.
+    """
+
+    __slots__ = (
+        "_beat_count",
+        "_contacts",
+        "_edges_told",
+        "_extra",
+        "_items",
+        "_lows",
+        "_lows_told",
+        "_neighbours",
+        "_patches",
+        "_quiet_until_ms",
+        "_ranks",
+        "_roll",
+        "_sent_ms",
+        "_since_ms",
+        "_watchers",
+        "candidates",
+        "confirmed",
+        "contacts_ms",
+        "identity",
+        "quorate_ms",
+        "sent_bytes",
+        "sure",
+        "sure_edge_ms",
+        "votes",
+    )
     HANDLES = (Digest, News)
 
-    def __init__(self, identity: str, neighbours: Callable[[], Iterable[str]],
-                 extra: Callable[[], Iterable[str]] = lambda: (), sure: Callable[[], bool] = lambda: False) -> None:
+    def __init__(
+        self,
+        identity: str,
+        neighbours: Callable[[], Iterable[str]],
+        extra: Callable[[], Iterable[str]] = lambda: (),
+        sure: Callable[[], bool] = lambda: False,
+    ) -> None:
         self.identity = identity
         self.sure = sure
         self.votes: Callable[[], bool] = lambda: False
@@ -97,7 +128,9 @@
         if held_number and number == held_number + 1 and len(body) > 1024:
             patch = merge_diff(held_body, body)
             if merge(held_body, patch) == body:
-                self._patches[key] = NewsItem(key=key, number=number, base_number=held_number, body=patch)
+                self._patches[key] = NewsItem(
+                    key=key, number=number, base_number=held_number, body=patch
+                )
         self._take(key, number, body, "")
 
     def _take(self, key: str, number: int, body: str, sender: str) -> None:
@@ -121,8 +154,14 @@
             return []
         voters = self._voters()
         floor_ms = self.node.env.now() - self.node.params.dead_ms
-        reporters = {row[3] for identity, row in self.confirmed.items() if self._ranks.get(identity) == 1 and row[1] >= floor_ms}
-        return sorted((reporters | (set() if sender in voters else voters)) - {self.node.address, sender})
+        reporters = {
+            row[3]
+            for identity, row in self.confirmed.items()
+            if self._ranks.get(identity) == 1 and row[1] >= floor_ms
+        }
+        return sorted(
+            (reporters | (set() if sender in voters else voters)) - {self.node.address, sender}
+        )
 
     def _voters(self) -> set[str]:
         return set(self._extra())
@@ -155,7 +194,9 @@
                 self._take(item.key, item.number, item.body, origin.sender)
             elif item.base_number == self.number(item.key):
                 self._patches[item.key] = item
-                self._take(item.key, item.number, merge(self.body(item.key), item.body), origin.sender)
+                self._take(
+                    item.key, item.number, merge(self.body(item.key), item.body), origin.sender
+                )
             else:
                 self._send_digest(origin.sender)
         if self.numbers() != before:
@@ -169,11 +210,22 @@
     def _digest(self, rank: int = 0, edges: int = 0) -> Digest:
         numbers = self.numbers()
         lows = self.lows() if self.node.params.fan_out and self.votes() else {}
-        return Digest(identity=self.identity, role=self.node.params.role, sure=self.sure(), keys=list(numbers),
-                      numbers=list(numbers.values()), low_keys=list(lows), lows=list(lows.values()), rank=rank, edges=edges)
+        return Digest(
+            identity=self.identity,
+            role=self.node.params.role,
+            sure=self.sure(),
+            keys=list(numbers),
+            numbers=list(numbers.values()),
+            low_keys=list(lows),
+            lows=list(lows.values()),
+            rank=rank,
+            edges=edges,
+        )
 
     def _send_digest(self, address: str) -> None:
-        self.node.post(address, self._digest(rank=self._contacts.rank(address), edges=self._edges_for(address)))
+        self.node.post(
+            address, self._digest(rank=self._contacts.rank(address), edges=self._edges_for(address))
+        )
 
     @receive.register
     def _(self, message: Digest, origin: Origin) -> None:
@@ -189,14 +241,26 @@
         self.confirmed[message.identity] = (message.role, now_ms, theirs, origin.sender)
         if self.node.params.fan_out:
             self._note_report(message, origin, before is None or before[2] != theirs)
-        self._send(origin.sender, [encode(self._newer(key, theirs.get(key, 0))) for key, number in self.numbers().items()
-                                   if number > theirs.get(key, 0)])
-        if self._wants_digest(message, origin) or any(number > self.number(key) for key, number in theirs.items()):
+        self._send(
+            origin.sender,
+            [
+                encode(self._newer(key, theirs.get(key, 0)))
+                for key, number in self.numbers().items()
+                if number > theirs.get(key, 0)
+            ],
+        )
+        if self._wants_digest(message, origin) or any(
+            number > self.number(key) for key, number in theirs.items()
+        ):
             self._send_digest(origin.sender)
 
     def _wants_digest(self, message: Digest, origin: Origin) -> bool:
         """Who reports to a voter is answered, so that it knows the voter to live and to hear a majority."""
-        return bool(self.node.params.fan_out) and self.votes() and (message.role != "control" or origin.sender not in self._voters())
+        return (
+            bool(self.node.params.fan_out)
+            and self.votes()
+            and (message.role != "control" or origin.sender not in self._voters())
+        )
 
     # -- reports -------------------------------------------------------------------------------
 
@@ -222,8 +286,11 @@
 
     def _own_edges(self) -> int:
         floor_ms = self.node.env.now() - self.node.params.dead_ms
-        return sum(1 for identity, (role, at_ms, _, _) in self.confirmed.items()
-                   if role == "edge" and at_ms >= floor_ms and self._ranks.get(identity) == 1)
+        return sum(
+            1
+            for identity, (role, at_ms, _, _) in self.confirmed.items()
+            if role == "edge" and at_ms >= floor_ms and self._ranks.get(identity) == 1
+        )
 
     def _edges_for(self, address: str) -> int:
         if not (self.node.params.fan_out and self.votes()):
@@ -233,8 +300,11 @@
     def edge_count(self) -> int:
         """How many edges live: a voter adds up what the voters say, others take the most they were told."""
         floor_ms = self.node.env.now() - self.node.params.dead_ms
-        told = [count for identity, count in self._edges_told.items()
-                if identity in self.confirmed and self.confirmed[identity][1] >= floor_ms]
+        told = [
+            count
+            for identity, count in self._edges_told.items()
+            if identity in self.confirmed and self.confirmed[identity][1] >= floor_ms
+        ]
         return self._own_edges() + sum(told) if self.votes() else max(told, default=0)
 
     def _tell_voters(self) -> None:
@@ -254,13 +324,19 @@
             self._tell_voters()
         elif self._beat_count % _REPORT_BEATS == 0 or not self._items:
             self._report()
-        peers = sorted(set(self._neighbours()) - {self.node.address, *(row[0] for row in self.candidates())})
+        peers = sorted(
+            set(self._neighbours()) - {self.node.address, *(row[0] for row in self.candidates())}
+        )
         if peers and not self.votes() and self._beat_count % _PEER_BEATS == 0:
             self._send_digest(peers[self._beat_count // _PEER_BEATS % len(peers)])
 
     def _newer(self, key: str, their_number: int) -> NewsItem:
         patch = self._patches.get(key)
-        if patch is not None and patch.base_number == their_number and patch.number == self.number(key):
+        if (
+            patch is not None
+            and patch.base_number == their_number
+            and patch.number == self.number(key)
+        ):
             return patch
         return self._whole(key)
 
@@ -270,8 +346,11 @@
             return
         self._sent_ms = now_ms
         self._since_ms = min(self._since_ms, now_ms)
-        for identity in [identity for identity, row in self.confirmed.items()
-                         if now_ms - row[1] > self.node.params.gone_ms]:
+        for identity in [
+            identity
+            for identity, row in self.confirmed.items()
+            if now_ms - row[1] > self.node.params.gone_ms
+        ]:
             del self.confirmed[identity]
             self.contacts_ms.pop(identity, None)
             self._ranks.pop(identity, None)
@@ -296,13 +375,22 @@
 
     def all_confirm(self, key: str, number: int, roles: tuple[str, ...], within_ms: int) -> bool:
         """Whether every node of these roles heard from lately has this number in force, by its own word or,
-        with fan_out, by that of a voter to whom it reports."""
+        with fan_out, by that of a voter to whom it reports.
+        """
         floor_ms = self.node.env.now() - within_ms
-        if any(lows.get(key, number) < number for identity, lows in self._lows.items()
-               if identity in self.confirmed and self.confirmed[identity][1] >= floor_ms):
+        if any(
+            lows.get(key, number) < number
+            for identity, lows in self._lows.items()
+            if identity in self.confirmed and self.confirmed[identity][1] >= floor_ms
+        ):
             return False
-        return all(numbers.get(key, 0) >= number for identity, (role, at_ms, numbers, _) in self.confirmed.items()
-                   if role in roles and at_ms >= floor_ms and (self._ranks.get(identity) or not self.node.params.fan_out))
+        return all(
+            numbers.get(key, 0) >= number
+            for identity, (role, at_ms, numbers, _) in self.confirmed.items()
+            if role in roles
+            and at_ms >= floor_ms
+            and (self._ranks.get(identity) or not self.node.params.fan_out)
+        )
 
     def roll(self) -> frozenset[str]:
         """The link addresses of the edges and stores that count."""
@@ -318,14 +406,22 @@
     def heard_links(self, within_ms: int) -> set[str]:
         """Edges and stores whose own digests came here lately."""
         floor_ms = self.node.env.now() - within_ms
-        return {link for role, at_ms, _, link in self.confirmed.values() if role != "control" and at_ms >= floor_ms}
+        return {
+            link
+            for role, at_ms, _, link in self.confirmed.values()
+            if role != "control" and at_ms >= floor_ms
+        }
 
     def most_confirm(self, key: str, number: int, within_ms: int) -> bool:
         """Whether most of the roll have said lately that they have this number. A roll of fewer than three
-        binds nobody: no edge serves without control by it."""
+        binds nobody: no edge serves without control by it.
+        """
         floor_ms = self.node.env.now() - within_ms
-        have = {link for _, at_ms, numbers, link in self.confirmed.values()
-                if at_ms >= floor_ms and numbers.get(key, 0) >= number}
+        have = {
+            link
+            for _, at_ms, numbers, link in self.confirmed.values()
+            if at_ms >= floor_ms and numbers.get(key, 0) >= number
+        }
         roll = self.roll()
         return not self.binding or 2 * len(roll & have) > len(roll)
 
--- a/libs/gazette/src/gazette/messages.py
+++ b/libs/gazette/src/gazette/messages.py
@@ -1,5 +1,6 @@
 """News of control keys, each under its own rising number, and digests that say from which numbers a
-node wants to follow. The place of a node in the feed is the sum of its numbers."""
+node wants to follow. The place of a node in the feed is the sum of its numbers.
+"""
 
 from vellum import Arr, Blob, Flag, Long, Message, Text
 
@@ -21,7 +22,8 @@
     """`low_keys` and `lows`: of each confirmed key the lowest number among the nodes that report to the
     sender. `rank` is 1 to the voter that is to pass on news at once, 2 to a further one that the sender
     reports to, 0 to all others. `edges` is how many
-    edges report to the sender first; said to one who reports, how many there are in all."""
+    edges report to the sender first; said to one who reports, how many there are in all.
+    """
 
     identity: Text
     role: Text
--- a/libs/gazette/src/gazette/patches.py
+++ b/libs/gazette/src/gazette/patches.py
@@ -1,5 +1,6 @@
 """Merge patches after RFC 7396, made and applied. A value that really is null can't be said in a
-patch, so where one is newly set no patch is made and the whole body travels."""
+patch, so where one is newly set no patch is made and the whole body travels.
+"""
 
 import json
 from typing import Any
@@ -25,7 +26,9 @@
         before = old.get(key)
         if key in old and before == value:
             continue
-        patch[key] = _diff(before, value) if isinstance(before, dict) and isinstance(value, dict) else value
+        patch[key] = (
+            _diff(before, value) if isinstance(before, dict) and isinstance(value, dict) else value
+        )
     return patch
 
 
--- a/libs/ledger/src/ledger/dealing.py
+++ b/libs/ledger/src/ledger/dealing.py
@@ -2,17 +2,19 @@
 the item is not safe to repeat. An edge that falls silent loses its claims: safe items are dealt
 again under a higher number, the fate of the others is unknown and is listed as that. The baton of a
 lot goes to the edge that finished the next result; a lost one is issued again, higher. A beat with room
-that finds nothing to do is held for a beat's time, so that forwarded items are dealt as they come."""
+that finds nothing to do is held for a beat's time, so that forwarded items are dealt as they come.
+"""
 
 import math
 from collections.abc import Callable
 from typing import Any
 
+from vellum import Message, encode
+
 from ledger import entries as e
 from ledger import messages as m
 from ledger.endings import Endings
 from ledger.lots import Lot
-from vellum import Message, encode
 
 __all__ = ["Dealer"]
 
@@ -34,13 +36,32 @@
 class Dealer:
     """`log_ms` is the log's own time, `profiles` gives number and tree of the profiles known here, `woke` is
     told of lots in which something was settled, and `outlook` says whether the lots will be done in time beside
-    rollouts; without one no rollout is dealt."""
-
-    __slots__ = ("_addresses", "_claimed_ms", "_edges", "_endings", "_gone", "_held", "_holder", "_log_ms", "_node", "_outlook", "_since_ms")
-
-    def __init__(self, holder: Any, node: Any, log_ms: Callable[[], int] = lambda: 0,
-                 profiles: Callable[[], tuple[int, Any]] = lambda: (0, None),
-                 woke: Callable[[set[str]], None] = lambda lot_ids: None, outlook: Any = None) -> None:
+    rollouts; without one no rollout is dealt.
+    """
+
+    __slots__ = (
+        "_addresses",
+        "_claimed_ms",
+        "_edges",
+        "_endings",
+        "_gone",
+        "_held",
+        "_holder",
+        "_log_ms",
+        "_node",
+        "_outlook",
+        "_since_ms",
+    )
+
+    def __init__(
+        self,
+        holder: Any,
+        node: Any,
+        log_ms: Callable[[], int] = lambda: 0,
+        profiles: Callable[[], tuple[int, Any]] = lambda: (0, None),
+        woke: Callable[[set[str]], None] = lambda lot_ids: None,
+        outlook: Any = None,
+    ) -> None:
         self._outlook = outlook
         self._holder = holder
         self._node = node
@@ -84,10 +105,16 @@
     def _answer(self, message: m.EdgeBeat, reply: Reply, now: bool) -> bool:
         """False if the beat may wait for something to be said."""
         ledger = self._holder.ledger
-        stops = sorted(lot_id for lot_id in {row.rpartition("#")[0] for row in message.running} if self._over(lot_id))
-        batons = [encode(m.Baton(lot_id=lot.lot_id, epoch=lot.baton_epoch, up_to=lot.ready))
-                  for lot in ledger.opened.values()
-                  if lot.ready > lot.placed and lot.baton_edge == message.edge and lot.baton_epoch]
+        stops = sorted(
+            lot_id
+            for lot_id in {row.rpartition("#")[0] for row in message.running}
+            if self._over(lot_id)
+        )
+        batons = [
+            encode(m.Baton(lot_id=lot.lot_id, epoch=lot.baton_epoch, up_to=lot.ready))
+            for lot in ledger.opened.values()
+            if lot.ready > lot.placed and lot.baton_edge == message.edge and lot.baton_epoch
+        ]
         for lot in list(ledger.opened.values()):
             if lot.ready > lot.placed and not self._live(lot.baton_edge):
                 self._pass_baton(lot, message.edge)
@@ -95,14 +122,34 @@
         waiting, paths = self._waiting()
         samples_out, recalled = self._rollouts()
         lends = isinstance(message, m.RolloutBeat)
-        if not (now or not message.room or work or batons or stops or set(paths) - set(message.paths) or lends and samples_out):
+        if not (
+            now
+            or not message.room
+            or work
+            or batons
+            or stops
+            or set(paths) - set(message.paths)
+            or lends
+            and samples_out
+        ):
             return False
 
         def logged(outcome: str) -> None:
             rows = work if outcome == "kept" else []
-            told = {"epoch": self._holder.epoch, "holder_ms": self._node.env.now(), "work": [encode(row) for row in rows],
-                    "batons": batons, "stops": stops, "waiting": waiting, "paths": paths}
-            reply(m.RolloutAnswer(**told, samples_out=samples_out, recalled=recalled) if lends else m.HolderBeat(**told))
+            told = {
+                "epoch": self._holder.epoch,
+                "holder_ms": self._node.env.now(),
+                "work": [encode(row) for row in rows],
+                "batons": batons,
+                "stops": stops,
+                "waiting": waiting,
+                "paths": paths,
+            }
+            reply(
+                m.RolloutAnswer(**told, samples_out=samples_out, recalled=recalled)
+                if lends
+                else m.HolderBeat(**told)
+            )
 
         if not work:
             logged("kept")
@@ -117,12 +164,16 @@
         for row in work:
             if isinstance(row, m.ForwardWork):
                 if row.lot_id not in forward:
-                    forward[row.lot_id] = e.ItemsClaimed(lot_id=row.lot_id, edge=edge, indexes=[], numbers=[])
+                    forward[row.lot_id] = e.ItemsClaimed(
+                        lot_id=row.lot_id, edge=edge, indexes=[], numbers=[]
+                    )
                     rows.append(forward[row.lot_id])
                 forward[row.lot_id].indexes.append(row.index)
                 forward[row.lot_id].numbers.append(row.number)
             else:
-                rows.append(e.ItemClaimed(lot_id=row.lot_id, index=row.index, edge=edge, number=row.number))
+                rows.append(
+                    e.ItemClaimed(lot_id=row.lot_id, index=row.index, edge=edge, number=row.number)
+                )
         return rows
 
     def _over(self, lot_id: str) -> bool:
@@ -132,8 +183,14 @@
 
     def _waiting(self) -> tuple[int, list[str]]:
         """How many items wait, and on which paths: an edge then offers its room for these."""
-        lots = [lot for lot in self._holder.ledger.opened.values() if not lot.rollout or self._outlook is not None]
-        return sum(lot.waiting for lot in lots if not lot.rollout), sorted({lot.path for lot in lots if lot.waiting})
+        lots = [
+            lot
+            for lot in self._holder.ledger.opened.values()
+            if not lot.rollout or self._outlook is not None
+        ]
+        return sum(lot.waiting for lot in lots if not lot.rollout), sorted(
+            {lot.path for lot in lots if lot.waiting}
+        )
 
     def _rollouts(self) -> tuple[int, bool]:
         """How many samples are out or may be any moment, and whether a lot needs their slots."""
@@ -151,23 +208,32 @@
             for index, item in lot.claims.items():
                 if item.edge != message.edge or f"{lot.lot_id}#{index}" in running:
                     continue
-                if now_ms - self._claimed_ms.get((lot.lot_id, index), self._since_ms) > 2 * self._node.params.ask_ms:
+                if (
+                    now_ms - self._claimed_ms.get((lot.lot_id, index), self._since_ms)
+                    > 2 * self._node.params.ask_ms
+                ):
                     rows.append(e.ItemReturned(lot_id=lot.lot_id, index=index, number=item.number))
         if rows:
             self._holder.append(rows, False, lambda outcome: None, True)
 
     def _pick(self, message: m.EdgeBeat) -> tuple[list[Any], bool]:
         """The lots due first, as many items as the edge has room for; of forwarded ones no more than its share
-        of what waits, as others have room too."""
+        of what waits, as others have room too.
+        """
         work: list[Any] = []
         safe_only = True
         if isinstance(message, m.RolloutBeat) and self._outlook is not None:
             self._outlook.heard(message, self._node.env.now())
         if not message.room:
             return self._pick_samples(message, work), safe_only
-        lots = sorted((lot for lot in self._holder.ledger.opened.values()
-                       if lot.pending and lot.path in message.paths and not lot.rollout),
-                      key=lambda lot: (lot.due_ms, lot.at_ms, lot.lot_id))
+        lots = sorted(
+            (
+                lot
+                for lot in self._holder.ledger.opened.values()
+                if lot.pending and lot.path in message.paths and not lot.rollout
+            ),
+            key=lambda lot: (lot.due_ms, lot.at_ms, lot.lot_id),
+        )
         waiting = sum(len(lot.pending) for lot in lots if lot.forward)
         share = math.ceil(waiting / max(1, sum(1 for edge in self._edges if self._live(edge))))
         for lot in lots:
@@ -181,39 +247,79 @@
                     work.append(self._forward_work(lot, index))
                 else:
                     item = lot.items[index]
-                    work.append(m.Work(lot_id=lot.lot_id, index=index, number=item.number + 1, path=lot.path,
-                                       safe=lot.safe, body=item.body, due_ms=lot.due_ms))
+                    work.append(
+                        m.Work(
+                            lot_id=lot.lot_id,
+                            index=index,
+                            number=item.number + 1,
+                            path=lot.path,
+                            safe=lot.safe,
+                            body=item.body,
+                            due_ms=lot.due_ms,
+                        )
+                    )
                     safe_only = safe_only and lot.safe
         return self._pick_samples(message, work), safe_only
 
     def _pick_samples(self, message: m.EdgeBeat | m.RolloutBeat, work: list[Any]) -> list[Any]:
         """Samples take what is left: none beside items that go to this edge, nor while a lot may come late."""
-        if work or not isinstance(message, m.RolloutBeat) or not message.sample_room or self._rollouts()[1]:
+        if (
+            work
+            or not isinstance(message, m.RolloutBeat)
+            or not message.sample_room
+            or self._rollouts()[1]
+        ):
             return work
-        rollouts = [lot for lot in self._holder.ledger.opened.values() if lot.rollout and lot.pending and lot.path in message.sample_paths]
+        rollouts = [
+            lot
+            for lot in self._holder.ledger.opened.values()
+            if lot.rollout and lot.pending and lot.path in message.sample_paths
+        ]
         samples: list[Any] = []
-        for lot in sorted(rollouts, key=lambda lot: (lot.expires_ms or math.inf, lot.at_ms, lot.lot_id)):
+        for lot in sorted(
+            rollouts, key=lambda lot: (lot.expires_ms or math.inf, lot.at_ms, lot.lot_id)
+        ):
             for index in lot.pending:
                 if len(samples) >= message.sample_room:
                     return samples
                 prompt, sample = divmod(index, lot.samples)
-                samples.append(m.RolloutWork(lot_id=lot.lot_id, index=index, number=lot.items[index].number + 1, path=lot.path,
-                                             body=lot.items[index].body, prompt=prompt, sample=sample, weights=lot.weights))
+                samples.append(
+                    m.RolloutWork(
+                        lot_id=lot.lot_id,
+                        index=index,
+                        number=lot.items[index].number + 1,
+                        path=lot.path,
+                        body=lot.items[index].body,
+                        prompt=prompt,
+                        sample=sample,
+                        weights=lot.weights,
+                    )
+                )
         return samples
 
     def _end_rollouts(self) -> None:
         """Those whose deadline has passed; what is listed stays."""
         log_ms = self._log_ms()
-        rows = [e.LotEnded(lot_id=lot.lot_id, at_ms=log_ms) for lot in self._holder.ledger.opened.values()
-                if lot.rollout and 0 < lot.expires_ms <= log_ms]
+        rows = [
+            e.LotEnded(lot_id=lot.lot_id, at_ms=log_ms)
+            for lot in self._holder.ledger.opened.values()
+            if lot.rollout and 0 < lot.expires_ms <= log_ms
+        ]
         if rows:
             self._node.env.log("rollouts-out-of-time", lots=[row.lot_id for row in rows])
             self._holder.append(rows, True, lambda outcome: self.wake(), True)
 
     def _forward_work(self, lot: Lot, index: int) -> m.ForwardWork:
         item = lot.items[index]
-        return m.ForwardWork(lot_id=lot.lot_id, index=index, number=item.number + 1, path=lot.path, call=item.body,
-                             avoid=list(item.failed_at), left_ms=max(0, lot.expires_ms - self._log_ms()))
+        return m.ForwardWork(
+            lot_id=lot.lot_id,
+            index=index,
+            number=item.number + 1,
+            path=lot.path,
+            call=item.body,
+            avoid=list(item.failed_at),
+            left_ms=max(0, lot.expires_ms - self._log_ms()),
+        )
 
     def end_items(self, message: m.EndItems, reply: Reply) -> None:
         """What an edge's forwarded items came to; all of it in one append."""
@@ -222,33 +328,65 @@
 
     def finish(self, message: m.Finish, reply: Callable[[Message], None]) -> None:
         """An outcome of `again` hands a claim back: the item certainly has not run. What is not safe to
-        repeat is acknowledged once settled: an edge that forgot it would make it look never begun."""
+        repeat is acknowledged once settled: an edge that forgot it would make it look never begun.
+        """
         ledger = self._holder.ledger
         lot = ledger.lots.get(message.lot_id)
         self._edges[message.edge] = self._node.env.now()
         claimed_ms = self._claimed_ms.pop((message.lot_id, message.index), None)
         if lot is None or lot.ended or not 0 <= message.index < len(lot.items):
-            self._holder.append([], True, lambda outcome: reply(
-                m.FinishReceipt(ok=outcome == "kept", baton_epoch=0, up_to=0)), True)
+            self._holder.append(
+                [],
+                True,
+                lambda outcome: reply(
+                    m.FinishReceipt(ok=outcome == "kept", baton_epoch=0, up_to=0)
+                ),
+                True,
+            )
             return
         item = lot.items[message.index]
-        if self._outlook is not None and not lot.rollout and message.outcome != "again" and claimed_ms is not None:
+        if (
+            self._outlook is not None
+            and not lot.rollout
+            and message.outcome != "again"
+            and claimed_ms is not None
+        ):
             self._outlook.took(lot.path, self._node.env.now() - claimed_ms)
         rows: list[Message] = []
         if message.outcome == "again":
             if item.state == "claimed" and item.number == message.number:
-                rows.append(e.ItemReturned(lot_id=message.lot_id, index=message.index, number=message.number))
+                rows.append(
+                    e.ItemReturned(
+                        lot_id=message.lot_id, index=message.index, number=message.number
+                    )
+                )
         elif item.state != "finished":
-            rows.append(e.ItemFinished(lot_id=message.lot_id, index=message.index, outcome=message.outcome,
-                                       body=message.body, worker=message.worker))
+            rows.append(
+                e.ItemFinished(
+                    lot_id=message.lot_id,
+                    index=message.index,
+                    outcome=message.outcome,
+                    body=message.body,
+                    worker=message.worker,
+                )
+            )
 
         def logged(outcome: str) -> None:
             if outcome == "kept" and lot.open and lot.ready > lot.placed:
-                if lot.baton_edge == message.edge or not self._live(lot.baton_edge) or self._finished_next(lot, message):
+                if (
+                    lot.baton_edge == message.edge
+                    or not self._live(lot.baton_edge)
+                    or self._finished_next(lot, message)
+                ):
                     self._pass_baton(lot, message.edge)
             mine = lot.baton_edge == message.edge and lot.ready > lot.placed
-            reply(m.FinishReceipt(ok=outcome == "kept", baton_epoch=lot.baton_epoch if mine else 0,
-                                  up_to=lot.ready if mine else 0))
+            reply(
+                m.FinishReceipt(
+                    ok=outcome == "kept",
+                    baton_epoch=lot.baton_epoch if mine else 0,
+                    up_to=lot.ready if mine else 0,
+                )
+            )
 
         self._holder.append(rows, not lot.safe, logged, True)
 
@@ -257,22 +395,33 @@
 
     def _pass_baton(self, lot: Lot, edge: str) -> None:
         if lot.baton_edge != edge:
-            self._holder.append([e.BatonPassed(lot_id=lot.lot_id, edge=edge, epoch=lot.baton_epoch + 1)], False,
-                                lambda outcome: None, True)
+            self._holder.append(
+                [e.BatonPassed(lot_id=lot.lot_id, edge=edge, epoch=lot.baton_epoch + 1)],
+                False,
+                lambda outcome: None,
+                True,
+            )
 
     def _live(self, edge: str) -> bool:
         if not edge:
             return False
-        return self._node.env.now() - self._edges.get(edge, self._since_ms) <= self._node.params.dead_ms
+        return (
+            self._node.env.now() - self._edges.get(edge, self._since_ms)
+            <= self._node.params.dead_ms
+        )
 
     def _lost(self, lot: Lot, edge: str) -> bool:
         """Silent for longer than any edge keeps its claims, or than this holder has been in office. Forwarded
-        items are safe and due soon: they are dealt again once their edge doesn't count as live."""
+        items are safe and due soon: they are dealt again once their edge doesn't count as live.
+        """
         if edge in self._gone:
             return True
         if lot.forward:
             return not self._live(edge)
-        return self._node.env.now() - self._edges.get(edge, self._since_ms) > self._node.params.reclaim_ms
+        return (
+            self._node.env.now() - self._edges.get(edge, self._since_ms)
+            > self._node.params.reclaim_ms
+        )
 
     def tick(self) -> None:
         now_ms = self._node.env.now()
@@ -289,8 +438,15 @@
                 if lot.safe:
                     rows.append(e.ItemReturned(lot_id=lot.lot_id, index=index, number=item.number))
                 else:
-                    rows.append(e.ItemFinished(lot_id=lot.lot_id, index=index, outcome="may_have_run",
-                                               body=_UNKNOWN_BODY, worker=""))
+                    rows.append(
+                        e.ItemFinished(
+                            lot_id=lot.lot_id,
+                            index=index,
+                            outcome="may_have_run",
+                            body=_UNKNOWN_BODY,
+                            worker="",
+                        )
+                    )
         if rows:
             self._node.env.log("claims-taken-back", "WARNING", count=len(rows))
             self._holder.append(rows, False, lambda outcome: None, True)
--- a/libs/ledger/src/ledger/endings.py
+++ b/libs/ledger/src/ledger/endings.py
@@ -1,15 +1,17 @@
 """How items of forwarded lots end. A result is finished and placed in one entry: the baton passes to the edge
 that brings it, under a higher epoch, and places it next, so the log's order is the order of the results. An
 item is dead once a worker said that it can't be done, after as many failed attempts as its route has, when
-its time is up, or when its route is gone."""
+its time is up, or when its route is gone.
+"""
 
 from collections.abc import Callable
 from typing import Any
 
+from vellum import Message, decode
+
 from ledger import entries as e
 from ledger import messages as m
 from ledger.lots import Lot
-from vellum import Message, decode
 
 __all__ = ["Endings"]
 
@@ -17,12 +19,21 @@
 class Endings:
     __slots__ = ("_holder", "_live", "_log_ms", "_node", "_profiles", "_woke")
 
-    def __init__(self, holder: Any, node: Any, log_ms: Callable[[], int], profiles: Callable[[], tuple[int, Any]],
-                 woke: Callable[[set[str]], None], live: Callable[[str], bool]) -> None:
+    def __init__(
+        self,
+        holder: Any,
+        node: Any,
+        log_ms: Callable[[], int],
+        profiles: Callable[[], tuple[int, Any]],
+        woke: Callable[[set[str]], None],
+        live: Callable[[str], bool],
+    ) -> None:
         self._holder, self._node, self._log_ms = holder, node, log_ms
         self._profiles, self._woke, self._live = profiles, woke, live
 
-    def take(self, message: m.EndItems, reply: Callable[[Message], None], wake: Callable[[], None]) -> None:
+    def take(
+        self, message: m.EndItems, reply: Callable[[Message], None], wake: Callable[[], None]
+    ) -> None:
         rows: list[Message] = []
         for data in message.rows:
             row = decode(data)
@@ -54,13 +65,30 @@
         if row.outcome == "failed" and item.failures + 1 >= self._attempts(lot):
             return [self._listed(lot, row.index, "dead", row.text, row.worker, edge)]
         if row.outcome == "failed":
-            return [e.AttemptFailed(lot_id=lot.lot_id, index=row.index, number=row.number, failures=item.failures + 1,
-                                    worker=row.worker)]
+            return [
+                e.AttemptFailed(
+                    lot_id=lot.lot_id,
+                    index=row.index,
+                    number=row.number,
+                    failures=item.failures + 1,
+                    worker=row.worker,
+                )
+            ]
         return [e.ItemReturned(lot_id=lot.lot_id, index=row.index, number=row.number)]
 
-    def _listed(self, lot: Lot, index: int, outcome: str, text: bytes, worker: str, edge: str) -> e.ResultListed:
+    def _listed(
+        self, lot: Lot, index: int, outcome: str, text: bytes, worker: str, edge: str
+    ) -> e.ResultListed:
         epoch = max(1, lot.baton_epoch + (edge != lot.baton_edge))
-        return e.ResultListed(lot_id=lot.lot_id, index=index, outcome=outcome, text=text, worker=worker, edge=edge, epoch=epoch)
+        return e.ResultListed(
+            lot_id=lot.lot_id,
+            index=index,
+            outcome=outcome,
+            text=text,
+            worker=worker,
+            edge=edge,
+            epoch=epoch,
+        )
 
     def _attempts(self, lot: Lot) -> int:
         """As many as any profile said that may be in force: the one it was admitted under or the present one."""
@@ -81,11 +109,16 @@
             if not lot.forward:
                 continue
             late = now_ms >= lot.expires_ms
-            gone = tree is not None and number >= max(1, lot.version) and tree.usable(lot.path) is None
+            gone = (
+                tree is not None and number >= max(1, lot.version) and tree.usable(lot.path) is None
+            )
             if late or gone:
                 text = b"not finished in time" if late else b"its route is gone"
                 edge = lot.baton_edge
-                rows += [self._listed(lot, index, "dead", text, "", edge) for index in [*lot.claims, *lot.pending]]
+                rows += [
+                    self._listed(lot, index, "dead", text, "", edge)
+                    for index in [*lot.claims, *lot.pending]
+                ]
                 lot_ids.add(lot.lot_id)
         if rows:
             self._node.env.log("items-given-up", "WARNING", count=len(rows), lots=sorted(lot_ids))
--- a/libs/ledger/src/ledger/entries.py
+++ b/libs/ledger/src/ledger/entries.py
@@ -1,11 +1,29 @@
 """The entries of the log. Each is a fact that was decided by the holder; folding the same entries
-in the same order gives the same ledger everywhere. A snapshot is a short run of the same entries."""
+in the same order gives the same ledger everywhere. A snapshot is a short run of the same entries.
+"""
 
 from vellum import Arr, Blob, Flag, Long, Message, Text
 
-__all__ = ["AttemptFailed", "BatonPassed", "ForwardLotAdmitted", "ItemClaimed", "ItemFinished", "ItemReturned", "ItemsClaimed", "KeyClosed",
-           "KeyForgotten", "KeyOpened", "KeyShelved", "LotAdmitted", "LotEnded", "LotForgotten", "LotShelved", "ResultListed",
-           "ResultsPlaced", "RolloutAdmitted"]
+__all__ = [
+    "AttemptFailed",
+    "BatonPassed",
+    "ForwardLotAdmitted",
+    "ItemClaimed",
+    "ItemFinished",
+    "ItemReturned",
+    "ItemsClaimed",
+    "KeyClosed",
+    "KeyForgotten",
+    "KeyOpened",
+    "KeyShelved",
+    "LotAdmitted",
+    "LotEnded",
+    "LotForgotten",
+    "LotShelved",
+    "ResultListed",
+    "ResultsPlaced",
+    "RolloutAdmitted",
+]
 
 
 class LotAdmitted(Message):
@@ -20,7 +38,8 @@
 
 class ForwardLotAdmitted(Message):
     """A lot of forwarded calls. What an item asks is kept as the bytes it came in; `expires_ms` is the log's
-    time from which an item may be given up, `version` the profiles' number at the holder that admitted it."""
+    time from which an item may be given up, `version` the profiles' number at the holder that admitted it.
+    """
 
     lot_id: Text
     digest: Text
@@ -37,7 +56,8 @@
 
 class RolloutAdmitted(Message):
     """A lot of the lowest class: each of its prompts is sampled `samples` times by the policy of these weights, and
-    `expires_ms`, if not 0, is the log's time at which it ends."""
+    `expires_ms`, if not 0, is the log's time at which it ends.
+    """
 
     lot_id: Text
     digest: Text
@@ -70,7 +90,8 @@
 
 class ResultListed(Message):
     """A forwarded item is over, and in the same moment the baton, which is then with `edge` under `epoch`,
-    places it next: the order of these entries is the order of the results."""
+    places it next: the order of these entries is the order of the results.
+    """
 
     lot_id: Text
     index: Long
--- a/libs/ledger/src/ledger/fold.py
+++ b/libs/ledger/src/ledger/fold.py
@@ -1,20 +1,32 @@
 """The fold: single dispatch over the entries, one function for each change of state. It refuses
 nothing, since what is in the log has been decided; an entry that no longer applies changes nothing.
-An item goes waiting, claimed, finished; `waiting_tokens` counts, for each path, what forwarded lots have waiting."""
+An item goes waiting, claimed, finished; `waiting_tokens` counts, for each path, what forwarded lots have waiting.
+"""
 
 from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any
 
+from vellum import Message, encode
+
 from ledger import entries as e
 from ledger.lots import Item, Lot
-from vellum import Message, encode
 
 __all__ = ["Item", "Key", "Ledger", "Lot"]
 
 
 class Key:
-    __slots__ = ("at_ms", "body", "digest", "edge", "rows", "shelf", "state", "status", "transaction")
+    __slots__ = (
+        "at_ms",
+        "body",
+        "digest",
+        "edge",
+        "rows",
+        "shelf",
+        "state",
+        "status",
+        "transaction",
+    )
 
     def __init__(self, entry: e.KeyOpened) -> None:
         self.digest = entry.digest
@@ -102,11 +114,15 @@
         if lot is None or not lot.open or not 0 <= entry.index < len(lot.items):
             return
         item = lot.items[entry.index]
-        higher = entry.epoch > lot.baton_epoch or (entry.epoch == lot.baton_epoch and entry.edge == lot.baton_edge)
+        higher = entry.epoch > lot.baton_epoch or (
+            entry.epoch == lot.baton_epoch and entry.edge == lot.baton_edge
+        )
         if item.state == "finished" or not higher:
             return
         lot.baton_edge, lot.baton_epoch = entry.edge, entry.epoch
-        self._count_tokens(lot.path, -lot.finish(entry.index, entry.outcome, entry.text, entry.worker))
+        self._count_tokens(
+            lot.path, -lot.finish(entry.index, entry.outcome, entry.text, entry.worker)
+        )
         item.body = b""
         lot.order.append(entry.index)
         lot.placed = len(lot.order)
@@ -137,7 +153,11 @@
     @apply.register
     def _(self, entry: e.ResultsPlaced) -> None:
         lot = self._lot(entry.lot_id)
-        if lot is not None and entry.epoch == lot.baton_epoch and lot.placed < entry.up_to <= lot.ready:
+        if (
+            lot is not None
+            and entry.epoch == lot.baton_epoch
+            and lot.placed < entry.up_to <= lot.ready
+        ):
             lot.placed = entry.up_to
             if not lot.open:
                 self._over(lot)
@@ -168,8 +188,17 @@
         """Of a lot that is here too, the results leave memory; all else stays as it is."""
         lot = self.lots.get(entry.lot_id)
         if lot is None:
-            lot = self.lots[entry.lot_id] = Lot(e.LotAdmitted(
-                lot_id=entry.lot_id, digest=entry.digest, path=entry.path, items=[], safe=entry.safe, due_ms=entry.due_ms, at_ms=entry.at_ms))
+            lot = self.lots[entry.lot_id] = Lot(
+                e.LotAdmitted(
+                    lot_id=entry.lot_id,
+                    digest=entry.digest,
+                    path=entry.path,
+                    items=[],
+                    safe=entry.safe,
+                    due_ms=entry.due_ms,
+                    at_ms=entry.at_ms,
+                )
+            )
             lot.total, lot.placed = entry.total, entry.placed
             lot.left = entry.total - entry.finished
             lot.ended, lot.ended_at_ms = entry.ended, entry.ended_at_ms
@@ -183,8 +212,15 @@
     def _(self, entry: e.KeyShelved) -> None:
         key = self.keys.get(entry.key)
         if key is None:
-            key = self.keys[entry.key] = Key(e.KeyOpened(key=entry.key, digest=entry.digest, edge=entry.edge,
-                                                         transaction=entry.transaction, at_ms=entry.at_ms))
+            key = self.keys[entry.key] = Key(
+                e.KeyOpened(
+                    key=entry.key,
+                    digest=entry.digest,
+                    edge=entry.edge,
+                    transaction=entry.transaction,
+                    at_ms=entry.at_ms,
+                )
+            )
             key.state, key.status = "done", entry.status
         if key.state == "done" and key.transaction == entry.transaction:
             key.shelf, key.body, key.rows = entry, "", None
@@ -199,7 +235,11 @@
     @apply.register
     def _(self, entry: e.KeyClosed) -> None:
         key = self.keys.get(entry.key)
-        if key is not None and key.transaction == entry.transaction and key.state in ("open", "doubt"):
+        if (
+            key is not None
+            and key.transaction == entry.transaction
+            and key.state in ("open", "doubt")
+        ):
             key.state = entry.state
             key.status = entry.status
             key.body = entry.body
@@ -236,15 +276,23 @@
 
     def encoded(self, wrap: Callable[[bytes], bytes] = lambda row: row) -> list[bytes]:
         """The same as bytes. Those of what is over are kept, so that a snapshot costs little more than
-        what is new in it."""
-        return [row for kind, held in (("lot", self.lots), ("key", self.keys)) for name in held
-                for row in self.rows_of(kind, name, wrap)]
+        what is new in it.
+        """
+        return [
+            row
+            for kind, held in (("lot", self.lots), ("key", self.keys))
+            for name in held
+            for row in self.rows_of(kind, name, wrap)
+        ]
 
     def rows_of(self, kind: str, name: str, wrap: Callable[[bytes], bytes]) -> list[bytes]:
         """Those of one lot or key."""
         held: Any = self.lots[name] if kind == "lot" else self.keys[name]
         if held.rows is None or (kind == "lot" and held.open):
-            held.rows = [wrap(encode(row)) for row in (held.dump() if kind == "lot" else self._dump_key(name, held))]
+            held.rows = [
+                wrap(encode(row))
+                for row in (held.dump() if kind == "lot" else self._dump_key(name, held))
+            ]
         return held.rows
 
     def copy(self) -> "Ledger":
@@ -267,9 +315,24 @@
     def _dump_key(self, name: str, key: Key) -> list[Message]:
         if key.shelf is not None:
             return [key.shelf]
-        rows: list[Message] = [e.KeyOpened(key=name, digest=key.digest, edge=key.edge, transaction=key.transaction,
-                                           at_ms=key.at_ms)]
+        rows: list[Message] = [
+            e.KeyOpened(
+                key=name,
+                digest=key.digest,
+                edge=key.edge,
+                transaction=key.transaction,
+                at_ms=key.at_ms,
+            )
+        ]
         if key.state != "open":
-            rows.append(e.KeyClosed(key=name, transaction=key.transaction, state=key.state, status=key.status,
-                                    body=key.body, at_ms=key.at_ms))
+            rows.append(
+                e.KeyClosed(
+                    key=name,
+                    transaction=key.transaction,
+                    state=key.state,
+                    status=key.status,
+                    body=key.body,
+                    at_ms=key.at_ms,
+                )
+            )
         return rows
--- a/libs/ledger/src/ledger/lots.py
+++ b/libs/ledger/src/ledger/lots.py
@@ -1,9 +1,11 @@
 """A lot and its items as the fold has them. Of a lot of our own kind results are listed in the order of its
-items, as far as `placed` says; of a forwarded one in the order in which they came to be settled, `order`."""
+items, as far as `placed` says; of a forwarded one in the order in which they came to be settled, `order`.
+"""
+
+from vellum import Message, encode
 
 from ledger import entries as e
 from ledger import messages as m
-from vellum import Message, encode
 
 __all__ = ["Item", "Lot"]
 
@@ -11,7 +13,19 @@
 class Item:
     """`body` is what is asked: text, or the bytes of a forwarded call; `failed_at` the workers that failed on it."""
 
-    __slots__ = ("body", "edge", "failed_at", "failures", "item_id", "number", "outcome", "result", "state", "tokens", "worker")
+    __slots__ = (
+        "body",
+        "edge",
+        "failed_at",
+        "failures",
+        "item_id",
+        "number",
+        "outcome",
+        "result",
+        "state",
+        "tokens",
+        "worker",
+    )
 
     def __init__(self, body: str | bytes, item_id: str = "", tokens: int = 0) -> None:
         self.body = body
@@ -29,11 +43,38 @@
 
 class Lot:
     """`pending` has the items nobody has claimed, in the order in which they are dealt, `claims` those that
-    somebody has; `tokens` counts what is neither finished nor dead."""
+    somebody has; `tokens` counts what is neither finished nor dead.
+    """
 
-    __slots__ = ("at_ms", "attempts", "baton_edge", "baton_epoch", "claims", "digest", "due_ms", "ended", "ended_at_ms", "expires_ms",
-                 "forward", "items", "left", "lot_id", "order", "path", "pending", "placed", "rollout", "rows", "safe", "samples", "shelf", "tokens", "total",
-                 "version", "weights")
+    __slots__ = (
+        "at_ms",
+        "attempts",
+        "baton_edge",
+        "baton_epoch",
+        "claims",
+        "digest",
+        "due_ms",
+        "ended",
+        "ended_at_ms",
+        "expires_ms",
+        "forward",
+        "items",
+        "left",
+        "lot_id",
+        "order",
+        "path",
+        "pending",
+        "placed",
+        "rollout",
+        "rows",
+        "safe",
+        "samples",
+        "shelf",
+        "tokens",
+        "total",
+        "version",
+        "weights",
+    )
 
     def __init__(self, entry: e.LotAdmitted | e.ForwardLotAdmitted | e.RolloutAdmitted) -> None:
         self.lot_id = entry.lot_id
@@ -45,8 +86,12 @@
         self.at_ms = entry.at_ms
         self.forward = isinstance(entry, e.ForwardLotAdmitted)
         if self.forward:
-            self.items = [Item(call, item_id, tokens) for item_id, tokens, call
-                          in zip(entry.item_ids, entry.tokens, entry.calls, strict=True)]
+            self.items = [
+                Item(call, item_id, tokens)
+                for item_id, tokens, call in zip(
+                    entry.item_ids, entry.tokens, entry.calls, strict=True
+                )
+            ]
             self.safe, self.attempts = True, entry.attempts
             self.expires_ms, self.version = entry.expires_ms, entry.version
         elif self.rollout:
@@ -90,7 +135,9 @@
         """The result listed at a position, as it is read and as it is put on a shelf."""
         if self.forward:
             item = self.items[self.order[position]]
-            return encode(m.ForwardRow(item_id=item.item_id, outcome=item.outcome, text=item.result))
+            return encode(
+                m.ForwardRow(item_id=item.item_id, outcome=item.outcome, text=item.result)
+            )
         item = self.items[position]
         return encode(m.ResultRow(index=position, outcome=item.outcome, body=item.result))
 
@@ -122,7 +169,11 @@
 
     def dump(self) -> list[Message]:
         if self.shelf is not None:
-            return [e.LotShelved(**{**self.shelf.as_dict(), "ended": self.ended, "ended_at_ms": self.ended_at_ms})]
+            return [
+                e.LotShelved(
+                    **{**self.shelf.as_dict(), "ended": self.ended, "ended_at_ms": self.ended_at_ms}
+                )
+            ]
         rows = self._dump_forward() if self.forward else self._dump_own()
         if self.ended:
             rows.append(e.LotEnded(lot_id=self.lot_id, at_ms=self.ended_at_ms))
@@ -132,41 +183,101 @@
         rows: list[Message] = [self._admitted()]
         for index, item in enumerate(self.items):
             if item.number:
-                rows.append(e.ItemClaimed(lot_id=self.lot_id, index=index, edge=item.edge, number=item.number))
+                rows.append(
+                    e.ItemClaimed(
+                        lot_id=self.lot_id, index=index, edge=item.edge, number=item.number
+                    )
+                )
             if item.number and item.state == "waiting":
                 rows.append(e.ItemReturned(lot_id=self.lot_id, index=index, number=item.number))
             if item.state == "finished":
-                rows.append(e.ItemFinished(lot_id=self.lot_id, index=index, outcome=item.outcome, body=item.result,
-                                           worker=item.worker))
+                rows.append(
+                    e.ItemFinished(
+                        lot_id=self.lot_id,
+                        index=index,
+                        outcome=item.outcome,
+                        body=item.result,
+                        worker=item.worker,
+                    )
+                )
         if self.baton_epoch:
-            rows.append(e.BatonPassed(lot_id=self.lot_id, edge=self.baton_edge, epoch=self.baton_epoch))
+            rows.append(
+                e.BatonPassed(lot_id=self.lot_id, edge=self.baton_edge, epoch=self.baton_epoch)
+            )
         if self.placed:
-            rows.append(e.ResultsPlaced(lot_id=self.lot_id, up_to=self.placed, epoch=self.baton_epoch))
+            rows.append(
+                e.ResultsPlaced(lot_id=self.lot_id, up_to=self.placed, epoch=self.baton_epoch)
+            )
         return rows
 
     def _admitted(self) -> Message:
         if self.rollout:
-            return e.RolloutAdmitted(lot_id=self.lot_id, digest=self.digest, path=self.path, samples=self.samples, weights=self.weights,
-                                     items=[item.body for item in self.items[::self.samples]], expires_ms=self.expires_ms, at_ms=self.at_ms)
-        return e.LotAdmitted(lot_id=self.lot_id, digest=self.digest, path=self.path, safe=self.safe,
-                             items=[item.body for item in self.items], due_ms=self.due_ms, at_ms=self.at_ms)
+            return e.RolloutAdmitted(
+                lot_id=self.lot_id,
+                digest=self.digest,
+                path=self.path,
+                samples=self.samples,
+                weights=self.weights,
+                items=[item.body for item in self.items[:: self.samples]],
+                expires_ms=self.expires_ms,
+                at_ms=self.at_ms,
+            )
+        return e.LotAdmitted(
+            lot_id=self.lot_id,
+            digest=self.digest,
+            path=self.path,
+            safe=self.safe,
+            items=[item.body for item in self.items],
+            due_ms=self.due_ms,
+            at_ms=self.at_ms,
+        )
 
     def _dump_forward(self) -> list[Message]:
-        rows: list[Message] = [e.ForwardLotAdmitted(
-            lot_id=self.lot_id, digest=self.digest, path=self.path, item_ids=[item.item_id for item in self.items],
-            tokens=[item.tokens for item in self.items], calls=[item.body for item in self.items], attempts=self.attempts,
-            due_ms=self.due_ms, expires_ms=self.expires_ms, version=self.version, at_ms=self.at_ms)]
+        rows: list[Message] = [
+            e.ForwardLotAdmitted(
+                lot_id=self.lot_id,
+                digest=self.digest,
+                path=self.path,
+                item_ids=[item.item_id for item in self.items],
+                tokens=[item.tokens for item in self.items],
+                calls=[item.body for item in self.items],
+                attempts=self.attempts,
+                due_ms=self.due_ms,
+                expires_ms=self.expires_ms,
+                version=self.version,
+                at_ms=self.at_ms,
+            )
+        ]
         for index in [*self.pending, *self.claims]:
             item = self.items[index]
             for place, worker in enumerate(item.failed_at, 1):
-                rows.append(e.ItemsClaimed(lot_id=self.lot_id, edge="", indexes=[index], numbers=[place]))
-                rows.append(e.AttemptFailed(lot_id=self.lot_id, index=index, number=place, failures=place, worker=worker))
+                rows.append(
+                    e.ItemsClaimed(lot_id=self.lot_id, edge="", indexes=[index], numbers=[place])
+                )
+                rows.append(
+                    e.AttemptFailed(
+                        lot_id=self.lot_id, index=index, number=place, failures=place, worker=worker
+                    )
+                )
             if item.number > item.failures or item.state == "claimed":
-                rows.append(e.ItemsClaimed(lot_id=self.lot_id, edge=item.edge, indexes=[index], numbers=[item.number]))
+                rows.append(
+                    e.ItemsClaimed(
+                        lot_id=self.lot_id, edge=item.edge, indexes=[index], numbers=[item.number]
+                    )
+                )
                 if item.state == "waiting":
                     rows.append(e.ItemReturned(lot_id=self.lot_id, index=index, number=item.number))
         for index in self.order:
             item = self.items[index]
-            rows.append(e.ResultListed(lot_id=self.lot_id, index=index, outcome=item.outcome, text=item.result, worker=item.worker,
-                                       edge=self.baton_edge, epoch=self.baton_epoch))
+            rows.append(
+                e.ResultListed(
+                    lot_id=self.lot_id,
+                    index=index,
+                    outcome=item.outcome,
+                    text=item.result,
+                    worker=item.worker,
+                    edge=self.baton_edge,
+                    epoch=self.baton_epoch,
+                )
+            )
         return rows
--- a/libs/ledger/src/ledger/messages.py
+++ b/libs/ledger/src/ledger/messages.py
@@ -1,13 +1,45 @@
 """What edges ask of the holder, and its receipts. Each ask that could run something late carries the
 holder's own time as the edge last heard it; one that has been under way for too long is refused, so
-that a doubt told to a visitor can't turn into a run long after."""
+that a doubt told to a visitor can't turn into a run long after.
+"""
 
 from vellum import Arr, Blob, Flag, Long, Message, Text
 
-__all__ = ["Baton", "CloseKey", "EdgeBeat", "EndItems", "EndLot", "Finish", "FinishReceipt", "ForwardHandIn", "ForwardItem",
-           "ForwardRow", "ForwardWork", "HandIn", "HolderBeat", "ItemEnd", "ItemReceipt", "KeyReceipt", "LotReceipt", "NotHolder",
-           "OpenKey", "PageReceipt", "Place", "ReadItem", "ReadLot", "ReadPage", "ReadResults", "ResultRow", "ResultsReceipt",
-           "RolloutAnswer", "RolloutBeat", "RolloutHandIn", "RolloutWork", "Stale", "Work"]
+__all__ = [
+    "Baton",
+    "CloseKey",
+    "EdgeBeat",
+    "EndItems",
+    "EndLot",
+    "Finish",
+    "FinishReceipt",
+    "ForwardHandIn",
+    "ForwardItem",
+    "ForwardRow",
+    "ForwardWork",
+    "HandIn",
+    "HolderBeat",
+    "ItemEnd",
+    "ItemReceipt",
+    "KeyReceipt",
+    "LotReceipt",
+    "NotHolder",
+    "OpenKey",
+    "PageReceipt",
+    "Place",
+    "ReadItem",
+    "ReadLot",
+    "ReadPage",
+    "ReadResults",
+    "ResultRow",
+    "ResultsReceipt",
+    "RolloutAnswer",
+    "RolloutBeat",
+    "RolloutHandIn",
+    "RolloutWork",
+    "Stale",
+    "Work",
+]
 
 
 class EdgeBeat(Message):
@@ -203,7 +235,8 @@
 
 class ForwardItem(Message):
     """What an item of a forwarded lot asks of a worker; `headers` are names and values in turn, `part_ids` and
-    `part_tokens` the parts of its prompt in order."""
+    `part_tokens` the parts of its prompt in order.
+    """
 
     item_id: Text
     target: Text
@@ -218,7 +251,8 @@
 
 class ForwardHandIn(Message):
     """`calls` are encoded ForwardItems, `tokens` what each counts for in the waiting room; `due_ms` and `keep_ms`
-    are from now, `version` is the profiles' number at the edge."""
+    are from now, `version` is the profiles' number at the edge.
+    """
 
     lot_id: Text
     digest: Text
--- a/libs/ledger/src/ledger/reading.py
+++ b/libs/ledger/src/ledger/reading.py
@@ -1,14 +1,16 @@
 """Reads of forwarded lots at the holder. Only what is settled is shown, and what is shown was confirmed after
 the read came: by peers, or by the very append that settled the result. A read of a place where nothing is
-yet is held until something is, or its time is up."""
+yet is held until something is, or its time is up.
+"""
 
 from collections.abc import Callable
 from typing import Any
 
+from vellum import Message
+
 from ledger import messages as m
 from ledger.fold import Ledger
 from ledger.lots import Lot
-from vellum import Message
 
 __all__ = ["Reading"]
 
@@ -29,14 +31,23 @@
 class Reading:
     __slots__ = ("_held", "_holder", "_mend", "_node", "_settled", "_shelves")
 
-    def __init__(self, holder: Any, node: Any, settled: Callable[[], Ledger], shelves: Any, mend: Callable[[str, str], None]) -> None:
+    def __init__(
+        self,
+        holder: Any,
+        node: Any,
+        settled: Callable[[], Ledger],
+        shelves: Any,
+        mend: Callable[[str, str], None],
+    ) -> None:
         self._holder, self._node, self._settled = holder, node, settled
         self._shelves, self._mend = shelves, mend
         self._held: dict[str, list[_Held]] = {}
 
     def read(self, message: m.ReadPage, reply: Reply) -> None:
         due_ms = self._node.env.now() + message.wait_ms
-        self._holder.read(lambda ok: self._confirmed(message, reply, due_ms) if ok else reply(_nothing("unknown")))
+        self._holder.read(
+            lambda ok: self._confirmed(message, reply, due_ms) if ok else reply(_nothing("unknown"))
+        )
 
     def _confirmed(self, message: m.ReadPage, reply: Reply, due_ms: int) -> None:
         page = self._page(message)
@@ -90,7 +101,11 @@
         size_bytes = 0
         position = message.from_position
         while position < lot.placed and size_bytes < message.limit_bytes:
-            more = [lot.row(position)] if lot.shelf is None else self._shelves.results(lot, position, lot.placed)
+            more = (
+                [lot.row(position)]
+                if lot.shelf is None
+                else self._shelves.results(lot, position, lot.placed)
+            )
             if not more:
                 return None
             for row in more:
@@ -103,13 +118,22 @@
 
     def item(self, message: m.ReadItem, reply: Reply) -> None:
         """What an item that isn't listed yet asks of a worker."""
+
         def confirmed(ok: bool) -> None:
             lot = self._settled().lots.get(message.lot_id)
             if not ok or (lot is None and message.lot_id in self._holder.ledger.lots):
                 reply(m.ItemReceipt(outcome="unknown", call=b""))
                 return
-            found = None if lot is None or not lot.open else next((item for item in lot.items if item.item_id == message.item_id), None)
+            found = (
+                None
+                if lot is None or not lot.open
+                else next((item for item in lot.items if item.item_id == message.item_id), None)
+            )
             listed = found is None or found.state == "finished"
-            reply(m.ItemReceipt(outcome="missing" if listed else "known", call=b"" if listed else found.body))
+            reply(
+                m.ItemReceipt(
+                    outcome="missing" if listed else "known", call=b"" if listed else found.body
+                )
+            )
 
         self._holder.read(confirmed)
--- a/libs/loans/src/loans/borrowing.py
+++ b/libs/loans/src/loans/borrowing.py
@@ -1,7 +1,8 @@
 """The samples of rollouts that run at an edge, in slots that nothing else needs. A slot is lent only where nobody
 waits, the live share stays free, and no prompt is being read; it is taken back at once, newest sample first, for a
 call or an item that finds no free place, and where another edge says that one of its calls does. A sample that is
-given up counts for nothing: it waits at the log again, and comes back under a higher number."""
+given up counts for nothing: it waits at the log again, and comes back under a higher number.
+"""
 
 import json
 import math
@@ -10,9 +11,10 @@
 
 from circulation import Budget, Carriage, Carrier, Roster, Step, Transaction, Worker
 from ledger import messages as m
+from vellum import Long, Message, Origin, Part, Text
+
 from loans.entitlement import Entitlements
 from loans.sampling import OTHER_WEIGHTS, SampleCall, sample_result, unstarted
-from vellum import Long, Message, Origin, Part, Text
 
 __all__ = ["Borrowing", "PlaceWanted"]
 
@@ -38,14 +40,42 @@
 
 class Borrowing(Part):
     """`edges` gives identity and address of the other live edges; `why_unready` as the edge has it; `live_peak` says how
-    many live calls a worker lately had at once, None while that isn't known."""
-
-    __slots__ = ("_acted", "_asked_ms", "_carrier", "_edge", "_edges", "_entitled", "_later", "_lending", "_other_weights", "_recalled", "_roster",
-                 "_samples", "_samples_out", "_tree", "_wanted", "_why_unready", "given_up", "finished", "live_peak", "recalls")
+    many live calls a worker lately had at once, None while that isn't known.
+    """
+
+    __slots__ = (
+        "_acted",
+        "_asked_ms",
+        "_carrier",
+        "_edge",
+        "_edges",
+        "_entitled",
+        "_later",
+        "_lending",
+        "_other_weights",
+        "_recalled",
+        "_roster",
+        "_samples",
+        "_samples_out",
+        "_tree",
+        "_wanted",
+        "_why_unready",
+        "given_up",
+        "finished",
+        "live_peak",
+        "recalls",
+    )
     HANDLES = (PlaceWanted,)
 
-    def __init__(self, edge: str, carrier: Carrier, roster: Roster, tree: Callable[[], Any], why_unready: Callable[[], str],
-                 edges: Callable[[], list[tuple[str, str]]]) -> None:
+    def __init__(
+        self,
+        edge: str,
+        carrier: Carrier,
+        roster: Roster,
+        tree: Callable[[], Any],
+        why_unready: Callable[[], str],
+        edges: Callable[[], list[tuple[str, str]]],
+    ) -> None:
         self._edge, self._carrier, self._roster, self._tree = edge, carrier, roster, tree
         self._why_unready, self._edges = why_unready, edges
         self._entitled = Entitlements()
@@ -72,7 +102,10 @@
         if self._lending[0] is not tree:
             lends = any(row.get("loan_share") for row in tree.rows.values())
             found = [tree.usable(name) for name in tree.rows] if lends else []
-            self._lending = (tree, [profile for profile in found if profile is not None and profile.loan_share > 0])
+            self._lending = (
+                tree,
+                [profile for profile in found if profile is not None and profile.loan_share > 0],
+            )
         return self._lending[1]
 
     @property
@@ -89,8 +122,12 @@
         reading = self._reading()
         room, paths = 0, set()
         for worker in self._roster.workers():
-            open_paths = [profile.name for profile in self._profiles()
-                          if profile.allows(worker.identity, worker.labels) and self._takes(worker, profile, reading)]
+            open_paths = [
+                profile.name
+                for profile in self._profiles()
+                if profile.allows(worker.identity, worker.labels)
+                and self._takes(worker, profile, reading)
+            ]
             room += bool(open_paths)
             paths.update(open_paths)
         return room, frozenset(paths)
@@ -98,20 +135,32 @@
     def _reading(self) -> set[str]:
         """The workers at which a prompt of ours may still be being read."""
         now_ms, reading_ms = self.node.env.now(), self.node.params.beat_ms
-        return {send.worker.stamp for send in self._carrier.sends() if unstarted(send, now_ms, reading_ms)}
+        return {
+            send.worker.stamp
+            for send in self._carrier.sends()
+            if unstarted(send, now_ms, reading_ms)
+        }
 
     def _total(self, worker: Worker) -> float:
         """With the samples that run there."""
-        return worker.borrowed + worker.borrowed_elsewhere + (worker.load(self.node.env.now()) if worker.listed else worker.weight)
+        return (
+            worker.borrowed
+            + worker.borrowed_elsewhere
+            + (worker.load(self.node.env.now()) if worker.listed else worker.weight)
+        )
 
     def _free(self, worker: Worker) -> int:
         """How many of its slots may be taken before the share kept for live calls."""
         return worker.slots - math.ceil(worker.slots * self.node.params.live_share)
 
     def _takes(self, worker: Worker, profile: Any, reading: set[str]) -> bool:
-        return (not worker.waiting and worker.full_until_ms <= self.node.env.now() and worker.stamp not in reading
-                and self._total(worker) < self._free(worker)
-                and worker.borrowed < self._entitlement(worker, profile.loan_share))
+        return (
+            not worker.waiting
+            and worker.full_until_ms <= self.node.env.now()
+            and worker.stamp not in reading
+            and self._total(worker) < self._free(worker)
+            and worker.borrowed < self._entitlement(worker, profile.loan_share)
+        )
 
     def _entitlement(self, worker: Worker, share: float) -> int:
         """What this edge may fill there: its part of the share lent, less what live calls lately needed."""
@@ -125,9 +174,18 @@
     def choose(self, tx: Transaction, weights: str, workers: list[Worker]) -> Worker | None:
         """Asked by the carrier for a sample: the emptiest worker that may take it and isn't known to have other weights."""
         now_ms, reading = self.node.env.now(), self._reading()
-        fit = [worker for worker in workers if worker.stamp not in tx.avoid and self._takes(worker, tx.profile, reading)
-               and self._other_weights.get((worker.stamp, weights), -1) < now_ms]
-        return min(fit, key=lambda worker: (self._total(worker) / worker.slots, worker.identity), default=None)
+        fit = [
+            worker
+            for worker in workers
+            if worker.stamp not in tx.avoid
+            and self._takes(worker, tx.profile, reading)
+            and self._other_weights.get((worker.stamp, weights), -1) < now_ms
+        ]
+        return min(
+            fit,
+            key=lambda worker: (self._total(worker) / worker.slots, worker.identity),
+            default=None,
+        )
 
     # -- running -------------------------------------------------------------------------------
 
@@ -138,12 +196,22 @@
             self._after_a_beat(sample)
             return lambda: self._drop(sample)
         due_ms = env.now() + max(profile.deadline_ms, 2 * self.node.params.force_ms)
-        tx = Transaction(f"{env.token()}-{work.lot_id}-{work.index}", profile, "", env.now(), Budget(), due_ms, claimed=True)
+        tx = Transaction(
+            f"{env.token()}-{work.lot_id}-{work.index}",
+            profile,
+            "",
+            env.now(),
+            Budget(),
+            due_ms,
+            claimed=True,
+        )
         tx.safe = True
         tx.lot = (work.lot_id, work.index)
         self._samples.append(sample)
         call = SampleCall(json.loads(work.body), work.weights)
-        carriage = self._carrier.carry(tx, call, None, lambda step: self._ended(sample, tx, call, step))
+        carriage = self._carrier.carry(
+            tx, call, None, lambda step: self._ended(sample, tx, call, step)
+        )
         if not sample.over:
             sample.carriage = carriage
         return lambda: self._drop(sample)
@@ -155,12 +223,18 @@
         worker = tx.sends[-1][0] if tx.sends else ""
         for stamp, reason in tx.sends:
             if reason == OTHER_WEIGHTS:
-                self._other_weights[stamp, sample.work.weights] = self.node.env.now() + self.node.params.force_ms
+                self._other_weights[stamp, sample.work.weights] = (
+                    self.node.env.now() + self.node.params.force_ms
+                )
         if step.name != "finish":
             self._after_a_beat(sample)
         elif step.value[0] == 200:
             self.finished += 1
-            sample.done("ran", sample_result(sample.work, worker, call.told or call.weights, step.value[1]), worker)
+            sample.done(
+                "ran",
+                sample_result(sample.work, worker, call.told or call.weights, step.value[1]),
+                worker,
+            )
         else:
             sample.done("refused", step.value[1], worker)
 
@@ -183,9 +257,19 @@
                 sample.carriage.stop()
 
     def _give_up(self, sample: _Sample, reason: str) -> None:
-        worker = sample.carriage.send.worker.identity if sample.carriage is not None and sample.carriage.send is not None else ""
-        self.node.env.log("sample-given-up", lot=sample.work.lot_id, index=sample.work.index, number=sample.work.number,
-                          worker=worker, reason=reason)
+        worker = (
+            sample.carriage.send.worker.identity
+            if sample.carriage is not None and sample.carriage.send is not None
+            else ""
+        )
+        self.node.env.log(
+            "sample-given-up",
+            lot=sample.work.lot_id,
+            index=sample.work.index,
+            number=sample.work.number,
+            worker=worker,
+            reason=reason,
+        )
         self.given_up += 1
         self._drop(sample)
         sample.done("again", "", "")
@@ -194,11 +278,16 @@
 
     def _at(self, worker: Worker) -> list[_Sample]:
         """Newest first."""
-        return [sample for sample in reversed(self._samples)
-                if sample.carriage is not None and sample.carriage.send is not None and sample.carriage.send.worker is worker]
+        return [
+            sample
+            for sample in reversed(self._samples)
+            if sample.carriage is not None
+            and sample.carriage.send is not None
+            and sample.carriage.send.worker is worker
+        ]
 
     def _give_back(self, worker: Worker, places: int, reason: str) -> int:
-        samples = self._at(worker)[:max(0, places)]
+        samples = self._at(worker)[: max(0, places)]
         for sample in samples:
             self._give_up(sample, reason)
         return len(samples)
@@ -208,11 +297,19 @@
         if worker.borrowed:
             now_ms = self.node.env.now()
             for sample in self._at(worker):
-                if not call.lot and unstarted(sample.carriage.send, now_ms, self.node.params.beat_ms):
+                if not call.lot and unstarted(
+                    sample.carriage.send, now_ms, self.node.params.beat_ms
+                ):
                     self._give_up(sample, "a live call comes first")
-            over = math.ceil(self._total(worker) - worker.borrowed_elsewhere + 1 - self._free(worker))
+            over = math.ceil(
+                self._total(worker) - worker.borrowed_elsewhere + 1 - self._free(worker)
+            )
             if over > 0:
-                self._give_back(worker, over, "an item needs the slot" if call.lot else "a live call needs the slot")
+                self._give_back(
+                    worker,
+                    over,
+                    "an item needs the slot" if call.lot else "a live call needs the slot",
+                )
         if not call.lot and self._total(worker) + 1 > self._free(worker):
             self._want(worker)
 
@@ -269,8 +366,11 @@
         if reason := self._why_unready() or ("" if self.lends() else "nothing is lent any more"):
             self._give_all_up(reason)
             return
-        for worker in {id(sample.carriage.send.worker): sample.carriage.send.worker for sample in self._samples
-                       if sample.carriage is not None and sample.carriage.send is not None}.values():
+        for worker in {
+            id(sample.carriage.send.worker): sample.carriage.send.worker
+            for sample in self._samples
+            if sample.carriage is not None and sample.carriage.send is not None
+        }.values():
             self._review(worker)
 
     def _review(self, worker: Worker) -> None:
@@ -282,7 +382,11 @@
             self._give_back(worker, worker.waiting, "somebody waits at the worker")
         else:
             share = max((profile.loan_share for profile in self._profiles()), default=0.0)
-            self._give_back(worker, worker.borrowed - self._entitlement(worker, share), "live calls need more of the worker")
+            self._give_back(
+                worker,
+                worker.borrowed - self._entitlement(worker, share),
+                "live calls need more of the worker",
+            )
 
     def woke(self, gap_ms: int) -> None:
         self._acted.clear()
--- a/libs/loans/src/loans/entitlement.py
+++ b/libs/loans/src/loans/entitlement.py
@@ -1,5 +1,6 @@
 """Which of a worker's lendable slots an edge may fill. Each slot belongs to one of the live edges by rendezvous, so
-edges that know of each other never fill more than the share together, and need no word from anyone."""
+edges that know of each other never fill more than the share together, and need no word from anyone.
+"""
 
 from collections.abc import Iterable
 
@@ -24,5 +25,7 @@
             self._edges, self._known = edges, {}
         key = (worker, lendable)
         if key not in self._known:
-            self._known[key] = sum(1 for slot in range(lendable) if duty_order(f"{worker}#{slot}", edges)[0] == edge)
+            self._known[key] = sum(
+                1 for slot in range(lendable) if duty_order(f"{worker}#{slot}", edges)[0] == edge
+            )
         return self._known[key]
--- a/libs/loans/src/loans/lending.py
+++ b/libs/loans/src/loans/lending.py
@@ -1,7 +1,8 @@
 """Lending whole workers, at a control node. A loan is decided by a change of the control key `loans`, so on a
 majority of the voters' disks, under a rising epoch. The key's owner takes it on: it is lent once every edge that
 counts has said, under the number in force, that nothing of its own is there; it is recalled when its lease is over,
-when live calls need it, or when a lot may come late. Times run on the owner's boot clock, anew at a new owner."""
+when live calls need it, or when a lot may come late. Times run on the owner's boot clock, anew at a new owner.
+"""
 
 import json
 from collections.abc import Callable
@@ -11,10 +12,21 @@
 from commons import Neighbours
 from expression import Error, Result
 from gazette import Gazette
-from loans.load import EdgeLoad, LiveLoad
-from loans.rows import LOANS_KEY, LoanState, drained, empty_loans, granted, recalled, returned, withdrawn, withheld
 from vellum import Origin, Part
 
+from loans.load import EdgeLoad, LiveLoad
+from loans.rows import (
+    LOANS_KEY,
+    LoanState,
+    drained,
+    empty_loans,
+    granted,
+    recalled,
+    returned,
+    withdrawn,
+    withheld,
+)
+
 __all__ = ["LoanOutcome", "NodeLoans"]
 
 _LEND_TIMES = 2.5
@@ -49,14 +61,36 @@
 
 class NodeLoans(Part):
     """`tree` are the profiles in force; `sure` says whether this node hears a majority of the voters, `mine` whether the
-    key is its duty."""
-
-    __slots__ = ("_busy", "_calls", "_gazette", "_load", "_neighbours", "_noted_ms", "_owner", "_since", "_sure", "_tree", "_value",
-                 "counts", "mine", "number")
+    key is its duty.
+    """
+
+    __slots__ = (
+        "_busy",
+        "_calls",
+        "_gazette",
+        "_load",
+        "_neighbours",
+        "_noted_ms",
+        "_owner",
+        "_since",
+        "_sure",
+        "_tree",
+        "_value",
+        "counts",
+        "mine",
+        "number",
+    )
     HANDLES = (EdgeLoad,)
 
-    def __init__(self, owner: Owner, neighbours: Neighbours, gazette: Gazette, tree: Callable[[], Any], sure: Callable[[], bool],
-                 mine: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        owner: Owner,
+        neighbours: Neighbours,
+        gazette: Gazette,
+        tree: Callable[[], Any],
+        sure: Callable[[], bool],
+        mine: Callable[[], bool],
+    ) -> None:
         self._owner, self._neighbours, self._gazette, self._tree = owner, neighbours, gazette, tree
         self._sure, self.mine = sure, mine
         self._value, self.number = empty_loans(), 0
@@ -84,9 +118,13 @@
 
     # -- orders --------------------------------------------------------------------------------
 
-    def grant(self, worker: str, borrower: str, weights: str, lease_ms: int, recall_ms: int, done: Done) -> None:
+    def grant(
+        self, worker: str, borrower: str, weights: str, lease_ms: int, recall_ms: int, done: Done
+    ) -> None:
         def make(value: dict[str, Any]) -> Result[dict[str, Any], str]:
-            if why := self._load.why_not(worker, self._tree(), withheld(value), self.node.env.now()):
+            if why := self._load.why_not(
+                worker, self._tree(), withheld(value), self.node.env.now()
+            ):
                 return Error(why)
             return granted(value, worker, borrower, weights, lease_ms, recall_ms)
 
@@ -108,7 +146,9 @@
         self._read(call)
 
     def _read(self, call: _Call) -> None:
-        self._owner.submit(ReadKey(key=LOANS_KEY, hops=0), lambda receipt: self._have_read(call, receipt))
+        self._owner.submit(
+            ReadKey(key=LOANS_KEY, hops=0), lambda receipt: self._have_read(call, receipt)
+        )
 
     def _have_read(self, call: _Call, receipt: Changed) -> None:
         if call.done is None:
@@ -120,15 +160,29 @@
         if made.is_error():
             call.finish(LoanOutcome("refused", made.error))
             return
-        self._owner.submit(Change(key=LOANS_KEY, version=receipt.version, change_id=self.node.env.token(), hops=0,
-                                  body=json.dumps(made.ok, sort_keys=True)), lambda found: self._changed(call, made.ok, found))
+        self._owner.submit(
+            Change(
+                key=LOANS_KEY,
+                version=receipt.version,
+                change_id=self.node.env.token(),
+                hops=0,
+                body=json.dumps(made.ok, sort_keys=True),
+            ),
+            lambda found: self._changed(call, made.ok, found),
+        )
 
     def _changed(self, call: _Call, value: dict[str, Any], receipt: Changed) -> None:
         if receipt.outcome == "ok":
             row = value["loans"][call.worker]
             self.counts[row["state"]] = self.counts.get(row["state"], 0) + 1
-            self.node.env.log("loan-changed", worker=call.worker, state=row["state"], epoch=row["epoch"], borrower=row["borrower"],
-                              reason=row["reason"])
+            self.node.env.log(
+                "loan-changed",
+                worker=call.worker,
+                state=row["state"],
+                epoch=row["epoch"],
+                borrower=row["borrower"],
+                reason=row["reason"],
+            )
             call.finish(LoanOutcome("ok", row=row))
         elif receipt.outcome == "lost" and call.done is not None and call.tries > 0:
             call.tries -= 1
@@ -162,7 +216,9 @@
             if self._is_drained(worker):
                 return lambda value: drained(value, worker, epoch)
             if held_ms > _LEND_TIMES * self.node.params.force_ms:
-                return lambda value: withdrawn(value, worker, epoch, "edges had calls under way there, or did not answer")
+                return lambda value: withdrawn(
+                    value, worker, epoch, "edges had calls under way there, or did not answer"
+                )
         if row["state"] not in (LoanState.LENDING, LoanState.LENT):
             return None
         if row["state"] == LoanState.LENT and held_ms > row["lease_ms"]:
@@ -192,14 +248,25 @@
                 self._since[worker] = (row["epoch"], now_ms)
                 continue
             self._warn(worker, row, now_ms - since_ms)
-            make = self._next(worker, row, now_ms - since_ms) if self._busy.get(worker) != row["epoch"] else None
+            make = (
+                self._next(worker, row, now_ms - since_ms)
+                if self._busy.get(worker) != row["epoch"]
+                else None
+            )
             if make is not None:
                 self._busy[worker] = row["epoch"]
-                self._decide(worker, make, lambda outcome, worker=worker: self._busy.pop(worker, None))
+                self._decide(
+                    worker, make, lambda outcome, worker=worker: self._busy.pop(worker, None)
+                )
 
     def _warn(self, worker: str, row: dict[str, Any], held_ms: int) -> None:
-        if row["state"] == LoanState.RECALLED and 0 <= held_ms - row["recall_ms"] < self.node.params.beat_ms:
-            self.node.env.log("loan-overdue", "ERROR", worker=worker, borrower=row["borrower"], loan=row["loan"])
+        if (
+            row["state"] == LoanState.RECALLED
+            and 0 <= held_ms - row["recall_ms"] < self.node.params.beat_ms
+        ):
+            self.node.env.log(
+                "loan-overdue", "ERROR", worker=worker, borrower=row["borrower"], loan=row["loan"]
+            )
 
     def woke(self, gap_ms: int) -> None:
         self._since.clear()
--- a/libs/loans/src/loans/lent.py
+++ b/libs/loans/src/loans/lent.py
@@ -1,7 +1,8 @@
 """Loans of whole workers as an edge follows them: who is lent, or about to be, gets nothing new here from the moment
 the edge has it from the feed, and for as long as it hears nothing newer. Where slots may be lent, the edge tells
 control and the other edges each beat what it has under way at each worker, and which number of the loans it has; what
-live calls lately needed at a worker at once is lent to no sample."""
+live calls lately needed at a worker at once is lent to no sample.
+"""
 
 import json
 from collections.abc import Callable, Iterable
@@ -9,9 +10,10 @@
 
 from circulation import Carrier, Roster
 from gazette import Gazette
+from vellum import Origin, Part
+
 from loans.load import EdgeLoad, LiveLoad, load_report
 from loans.rows import LOANS_KEY, withheld
-from vellum import Origin, Part
 
 __all__ = ["LentWorkers"]
 
@@ -19,11 +21,29 @@
 class LentWorkers(Part):
     """`lends` says whether any profile lends, `at_risk` whether a lot may come late, `told` gives the addresses told."""
 
-    __slots__ = ("_at_risk", "_carrier", "_edge", "_gazette", "_lends", "_load", "_roster", "_sent_ms", "_told")
+    __slots__ = (
+        "_at_risk",
+        "_carrier",
+        "_edge",
+        "_gazette",
+        "_lends",
+        "_load",
+        "_roster",
+        "_sent_ms",
+        "_told",
+    )
     HANDLES = (EdgeLoad,)
 
-    def __init__(self, edge: str, gazette: Gazette, roster: Roster, carrier: Carrier, lends: Callable[[], bool],
-                 at_risk: Callable[[], bool], told: Callable[[], Iterable[str]]) -> None:
+    def __init__(
+        self,
+        edge: str,
+        gazette: Gazette,
+        roster: Roster,
+        carrier: Carrier,
+        lends: Callable[[], bool],
+        at_risk: Callable[[], bool],
+        told: Callable[[], Iterable[str]],
+    ) -> None:
         self._edge, self._gazette, self._roster, self._carrier = edge, gazette, roster, carrier
         self._lends, self._at_risk, self._told = lends, at_risk, told
         self._sent_ms = -1 << 40
@@ -54,15 +74,27 @@
         if key == LOANS_KEY and body:
             lent = withheld(json.loads(body))
             for identity in sorted(lent ^ self._roster.lent):
-                self.node.env.log("worker-withheld" if identity in lent else "worker-serves-again", worker=identity, number=number)
+                self.node.env.log(
+                    "worker-withheld" if identity in lent else "worker-serves-again",
+                    worker=identity,
+                    number=number,
+                )
             self._roster.lent = lent
 
     def tick(self) -> None:
         now_ms = self.node.env.now()
-        if now_ms - self._sent_ms < self.node.params.beat_ms or not (self._lends() or self._roster.lent):
+        if now_ms - self._sent_ms < self.node.params.beat_ms or not (
+            self._lends() or self._roster.lent
+        ):
             return
         self._sent_ms = now_ms
-        report = load_report(self._edge, self._gazette.number(LOANS_KEY), self._roster, self._carrier, self._at_risk())
+        report = load_report(
+            self._edge,
+            self._gazette.number(LOANS_KEY),
+            self._roster,
+            self._carrier,
+            self._at_risk(),
+        )
         self._load.take(self.node.address, report, now_ms)
         self._load.note(now_ms)
         self._note_samples()
--- a/libs/loans/src/loans/load.py
+++ b/libs/loans/src/loans/load.py
@@ -1,5 +1,6 @@
 """What live calls need of the workers, as control sees it: edges report what they have under way at each, and the
-peak over a window, with a margin, is what no loan may go below. Without a whole window seen, nothing is known."""
+peak over a window, with a margin, is what no loan may go below. Without a whole window seen, nothing is known.
+"""
 
 import json
 from collections.abc import Callable
@@ -15,7 +16,8 @@
 
 class EdgeLoad(Message):
     """`number` is that of the loans in force at the edge; `workers` has, by identity: zone, labels, slots, live calls
-    under way, everything under way, whether it may be used, and samples under way; `waiting` are live calls that wait at the edge."""
+    under way, everything under way, whether it may be used, and samples under way; `waiting` are live calls that wait at the edge.
+    """
 
     edge: Text
     number: Long
@@ -29,10 +31,26 @@
     for send in carrier.sends():
         if not send.carriage.call.lot:
             live[id(send.worker)] = live.get(id(send.worker), 0) + 1
-    rows = {worker.identity: [worker.zone, sorted(worker.labels), worker.slots, live.get(id(worker), 0), worker.sending,
-                              roster.usable(worker) or worker.identity in roster.lent and not worker.leaving, worker.borrowed]
-            for worker in roster.all() if not roster.silent(worker)}
-    return EdgeLoad(edge=edge, number=number, workers=json.dumps(rows), waiting=carrier.waiting(), lots_at_risk=lots_at_risk)
+    rows = {
+        worker.identity: [
+            worker.zone,
+            sorted(worker.labels),
+            worker.slots,
+            live.get(id(worker), 0),
+            worker.sending,
+            roster.usable(worker) or worker.identity in roster.lent and not worker.leaving,
+            worker.borrowed,
+        ]
+        for worker in roster.all()
+        if not roster.silent(worker)
+    }
+    return EdgeLoad(
+        edge=edge,
+        number=number,
+        workers=json.dumps(rows),
+        waiting=carrier.waiting(),
+        lots_at_risk=lots_at_risk,
+    )
 
 
 class LiveLoad:
@@ -58,7 +76,9 @@
         self._since_ms = -1
 
     def note(self, now_ms: int) -> None:
-        self._reports = {link: row for link, row in self._reports.items() if now_ms - row[0] <= self._dead_ms}
+        self._reports = {
+            link: row for link, row in self._reports.items() if now_ms - row[0] <= self._dead_ms
+        }
         if not self._reports:
             self._since_ms, self._rows = -1, []
             return
@@ -67,7 +87,9 @@
         for _, _, workers in self._reports.values():
             for name, row in workers.items():
                 live[name] = live.get(name, 0) + row[3]
-        self._rows.append((now_ms, live, sum(message.waiting for _, message, _ in self._reports.values())))
+        self._rows.append(
+            (now_ms, live, sum(message.waiting for _, message, _ in self._reports.values()))
+        )
         while self._rows[0][0] < now_ms - self._window_ms():
             self._rows.pop(0)
 
@@ -75,14 +97,18 @@
 
     def reported(self) -> dict[str, tuple[int, dict[str, list]]]:
         """By edge link: the number of the loans it has, and its workers."""
-        return {link: (message.number, workers) for link, (_, message, workers) in self._reports.items()}
+        return {
+            link: (message.number, workers) for link, (_, message, workers) in self._reports.items()
+        }
 
     def workers(self) -> dict[str, list]:
         """Those that at least one edge may use, and none says that it must not."""
         found: dict[str, list] = {}
         for _, _, workers in self._reports.values():
             for name, row in workers.items():
-                found[name] = row if name not in found else [*row[:5], row[5] and found[name][5], *row[6:]]
+                found[name] = (
+                    row if name not in found else [*row[:5], row[5] and found[name][5], *row[6:]]
+                )
         return {name: row for name, row in found.items() if row[5]}
 
     def samples(self, besides: str) -> dict[str, int]:
@@ -100,7 +126,9 @@
     def lots_at_risk(self) -> bool:
         return any(message.lots_at_risk for _, message, _ in self._reports.values())
 
-    def _peers(self, worker: str, tree: Any, out: frozenset[str]) -> list[tuple[str, list[str], list[str]]]:
+    def _peers(
+        self, worker: str, tree: Any, out: frozenset[str]
+    ) -> list[tuple[str, list[str], list[str]]]:
         """For each profile that the worker serves: its name, all its workers, and those that stay."""
         known, seen = self.workers(), self._seen.get(worker)
         if seen is None:
@@ -109,8 +137,18 @@
         for name in tree.rows:
             profile = tree.usable(name)
             if profile is not None and profile.allows(worker, frozenset(seen[1])):
-                allowed = [other for other, row in known.items() if profile.allows(other, frozenset(row[1]))]
-                rows.append((name, allowed, [other for other in allowed if other not in out and other != worker]))
+                allowed = [
+                    other
+                    for other, row in known.items()
+                    if profile.allows(other, frozenset(row[1]))
+                ]
+                rows.append(
+                    (
+                        name,
+                        allowed,
+                        [other for other in allowed if other not in out and other != worker],
+                    )
+                )
         return rows
 
     def why_not(self, worker: str, tree: Any, out: frozenset[str], now_ms: int) -> str:
@@ -125,7 +163,10 @@
         for name, allowed, stay in self._peers(worker, tree, out):
             if not any(known[other][0] == known[worker][0] for other in stay):
                 return f"it is the last of {name} in its zone"
-            peak = max(sum(live.get(other, 0) for other in allowed) + waiting for _, live, waiting in self._rows)
+            peak = max(
+                sum(live.get(other, 0) for other in allowed) + waiting
+                for _, live, waiting in self._rows
+            )
             slots = sum(known[other][2] for other in stay)
             if peak * _MARGIN > slots:
                 return f"live calls of {name} needed {peak} places lately, and {slots} would stay"
--- a/libs/loans/src/loans/outlook.py
+++ b/libs/loans/src/loans/outlook.py
@@ -1,6 +1,7 @@
 """Whether the lots will be done in time beside rollouts: for each waiting lot, what is due before it and itself, over
 what edges can run at once, times how long an item was seen to take, with a margin. Once one may come late every
-sample is given up, until none may."""
+sample is given up, until none may.
+"""
 
 import math
 from collections.abc import Callable
@@ -24,14 +25,21 @@
 
     def heard(self, beat: Any, now_ms: int) -> None:
         self._rooms[beat.edge] = (now_ms, beat.room)
-        self._rooms = {edge: row for edge, row in self._rooms.items() if now_ms - row[0] <= self._dead_ms}
+        self._rooms = {
+            edge: row for edge, row in self._rooms.items() if now_ms - row[0] <= self._dead_ms
+        }
 
     def took(self, path: str, took_ms: int) -> None:
         self._item_ms[path] = self._item_ms.get(path, took_ms) * (1 - _KNOWN) + took_ms * _KNOWN
 
     def at_risk(self, ledger: Any, log_ms: int, log: Callable[..., None]) -> bool:
-        lots = sorted((lot for lot in ledger.opened.values() if not lot.rollout and lot.left), key=lambda lot: lot.due_ms)
-        at_once = max(1, sum(room for _, room in self._rooms.values()) + sum(len(lot.claims) for lot in lots))
+        lots = sorted(
+            (lot for lot in ledger.opened.values() if not lot.rollout and lot.left),
+            key=lambda lot: lot.due_ms,
+        )
+        at_once = max(
+            1, sum(room for _, room in self._rooms.values()) + sum(len(lot.claims) for lot in lots)
+        )
         ahead, risk = 0, ""
         for lot in lots:
             ahead += lot.left
@@ -41,8 +49,16 @@
                 risk = lot.lot_id
                 break
         if risk and not self._risk:
-            log("loans-recalled", "WARNING", lot=risk, reason="a lot may come late", left_ms=lot.due_ms - log_ms,
-                need_ms=int(need_ms), items=ahead, at_once=at_once)
+            log(
+                "loans-recalled",
+                "WARNING",
+                lot=risk,
+                reason="a lot may come late",
+                left_ms=lot.due_ms - log_ms,
+                need_ms=int(need_ms),
+                items=ahead,
+                at_once=at_once,
+            )
         elif self._risk and not risk:
             log("loans-open", lot=self._risk, reason="no lot may come late any more")
         self._risk = risk
--- a/libs/loans/src/loans/sampling.py
+++ b/libs/loans/src/loans/sampling.py
@@ -1,6 +1,7 @@
 """One sample of a rollout as a call to a worker: streamed, so that it shows when its prompt has been read, of the
 lowest urgency, and with the weights that the trainer wants. An answer counts only if the worker names these
-weights itself; what came of it says which prompt and sample it is, and of which weights."""
+weights itself; what came of it says which prompt and sample it is, and of which weights.
+"""
 
 import json
 from collections.abc import Iterable
@@ -13,7 +14,15 @@
 from circulation.roster import Roster, Worker
 from circulation.sending import choose_worker, new_exchange, worker_request
 
-__all__ = ["OTHER_WEIGHTS", "URGENCY_HEADER", "WEIGHTS_HEADER", "SampleCall", "SampleExchange", "sample_result", "unstarted"]
+__all__ = [
+    "OTHER_WEIGHTS",
+    "URGENCY_HEADER",
+    "WEIGHTS_HEADER",
+    "SampleCall",
+    "SampleExchange",
+    "sample_result",
+    "unstarted",
+]
 
 WEIGHTS_HEADER = "X-Vaneledge-Weights"
 URGENCY_HEADER = "X-Vaneledge-Urgency"
@@ -35,7 +44,9 @@
 class SampleExchange(Exchange):
     __slots__ = ("_call",)
 
-    def __init__(self, worker: str, transaction_id: str, limit_bytes: int, call: SampleCall) -> None:
+    def __init__(
+        self, worker: str, transaction_id: str, limit_bytes: int, call: SampleCall
+    ) -> None:
         super().__init__(worker, transaction_id, True, limit_bytes)
         self._call = call
 
@@ -55,7 +66,11 @@
         return super().data(chunk)
 
     def end(self) -> Fate:
-        return Fate("failed", may_have_run=True, reason=OTHER_WEIGHTS) if self.other_weights else super().end()
+        return (
+            Fate("failed", may_have_run=True, reason=OTHER_WEIGHTS)
+            if self.other_weights
+            else super().end()
+        )
 
 
 @new_exchange.register
@@ -70,13 +85,16 @@
 
 
 @choose_worker.register
-def _(call: SampleCall, carrier: Any, tx: Any, workers: list[Worker], roster: Roster) -> Worker | None:
+def _(
+    call: SampleCall, carrier: Any, tx: Any, workers: list[Worker], roster: Roster
+) -> Worker | None:
     return carrier.loans.choose(tx, call.weights, workers)
 
 
 def unstarted(send: Send, now_ms: int, reading_ms: int) -> bool:
     """Whether a worker may still be reading its prompt: a stream that brought nothing yet; a plain call says nothing
-    before its end, and counts for as long as reading may take."""
+    before its end, and counts for as long as reading may take.
+    """
     if send.carriage.call.stream:
         return send.heard_ms <= send.began_ms and not send.carriage.tx.delivered
     return now_ms - send.began_ms < reading_ms
@@ -84,8 +102,20 @@
 
 def sample_result(work: Any, worker: str, weights: str, events: str) -> str:
     """What is listed of a sample; the text is that of its events."""
-    text = "".join(_text(json.loads(line.removeprefix("data:"))) for line in events.splitlines() if line.startswith("data:"))
-    return json.dumps({"prompt": work.prompt, "sample": work.sample, "weights": weights, "worker": worker, "text": text})
+    text = "".join(
+        _text(json.loads(line.removeprefix("data:")))
+        for line in events.splitlines()
+        if line.startswith("data:")
+    )
+    return json.dumps(
+        {
+            "prompt": work.prompt,
+            "sample": work.sample,
+            "weights": weights,
+            "worker": worker,
+            "text": text,
+        }
+    )
 
 
 def _text(value: dict[str, Any]) -> str:
--- a/libs/readingroom/src/readingroom/__init__.py
+++ b/libs/readingroom/src/readingroom/__init__.py
@@ -4,6 +4,9 @@
 
 __all__ = ["EdgeNode", "StoreNode"]
 
-__getattr__ = lazy(__name__, {
-    "nodes": ("EdgeNode", "StoreNode"),
-})
+__getattr__ = lazy(
+    __name__,
+    {
+        "nodes": ("EdgeNode", "StoreNode"),
+    },
+)
--- a/libs/readingroom/src/readingroom/answers.py
+++ b/libs/readingroom/src/readingroom/answers.py
@@ -1,5 +1,6 @@
 """What a visitor is told: the one place where receipts and last steps become a status, a body, a
-verdict and a time to come back. HTTP writes it out; the simulator's visitors read it as it is."""
+verdict and a time to come back. HTTP writes it out; the simulator's visitors read it as it is.
+"""
 
 import json
 from typing import Any
@@ -8,8 +9,18 @@
 from colophon import Refusal, doubtful, refused
 from vellum import decode
 
-__all__ = ["Answer", "ended_answer", "hand_in_answer", "item_answer", "live_answer", "lot_answer", "not_ready", "page_answer",
-           "results_answer", "taken_answer"]
+__all__ = [
+    "Answer",
+    "ended_answer",
+    "hand_in_answer",
+    "item_answer",
+    "live_answer",
+    "lot_answer",
+    "not_ready",
+    "page_answer",
+    "results_answer",
+    "taken_answer",
+]
 
 
 class Answer:
@@ -17,7 +28,14 @@
 
     __slots__ = ("body", "refusal", "replayed", "status", "value")
 
-    def __init__(self, status: int, body: str, refusal: Refusal | None = None, replayed: bool = False, value: Any = None) -> None:
+    def __init__(
+        self,
+        status: int,
+        body: str,
+        refusal: Refusal | None = None,
+        replayed: bool = False,
+        value: Any = None,
+    ) -> None:
         self.status, self.body, self.refusal, self.replayed = status, body, refusal, replayed
         self.value = value
 
@@ -55,21 +73,38 @@
     if outcome in ("admitted", "known"):
         return Answer.ok(_shown(receipt), 201 if outcome == "admitted" else 200)
     refusals = {
-        "conflict": lambda: refused("lot-reused", "lot_id: this id came before with other content; this content has not run", 409,
-                                    field="lot_id"),
-        "no_room": lambda: refused("waiting-room-full", "the waiting room of this path is full", 429, 2000),
-        "no_path": lambda: refused("unknown-path", "path: no such profile is in force at the stores", 404, field="path"),
-        "full": lambda: refused("stores-full", "the stores have no room", 503, 5000)}
+        "conflict": lambda: refused(
+            "lot-reused",
+            "lot_id: this id came before with other content; this content has not run",
+            409,
+            field="lot_id",
+        ),
+        "no_room": lambda: refused(
+            "waiting-room-full", "the waiting room of this path is full", 429, 2000
+        ),
+        "no_path": lambda: refused(
+            "unknown-path", "path: no such profile is in force at the stores", 404, field="path"
+        ),
+        "full": lambda: refused("stores-full", "the stores have no room", 503, 5000),
+    }
     if outcome in refusals:
         return Answer.no(refusals[outcome]())
-    return Answer.no(doubtful("lot-in-doubt", f"lot {lot_id} may have been accepted; hand the same in again to learn which", 1000))
+    return Answer.no(
+        doubtful(
+            "lot-in-doubt",
+            f"lot {lot_id} may have been accepted; hand the same in again to learn which",
+            1000,
+        )
+    )
 
 
 def lot_answer(lot_id: str, receipt: Any) -> Answer:
     if receipt is None or receipt.outcome == "unknown":
         return Answer.no(doubtful("stores-silent", "the stores did not answer", 1000))
     if receipt.outcome == "missing":
-        return Answer.no(refused("unknown-lot", f"lot_id: no lot {lot_id} was accepted", 404, field="lot_id"))
+        return Answer.no(
+            refused("unknown-lot", f"lot_id: no lot {lot_id} was accepted", 404, field="lot_id")
+        )
     if receipt.outcome == "full":
         return Answer.no(refused("stores-full", "the stores have no room", 503, 5000))
     return Answer.ok(_shown(receipt))
@@ -77,12 +112,23 @@
 
 def results_answer(lot_id: str, from_index: int, receipt: Any) -> Answer:
     if receipt is not None and receipt.outcome == "beyond":
-        return Answer.no(refused("beyond", f"from: the lot has {receipt.total} items", 416, field="from"))
+        return Answer.no(
+            refused("beyond", f"from: the lot has {receipt.total} items", 416, field="from")
+        )
     if receipt is None or receipt.outcome != "known":
         return lot_answer(lot_id, receipt)
     rows = [_result(decode(data)) for data in receipt.rows]
-    return Answer.ok({"lot_id": lot_id, "from": from_index, "results": rows, "listed": receipt.placed, "total": receipt.total,
-                      "ended": receipt.ended, "next": from_index + len(rows)})
+    return Answer.ok(
+        {
+            "lot_id": lot_id,
+            "from": from_index,
+            "results": rows,
+            "listed": receipt.placed,
+            "total": receipt.total,
+            "ended": receipt.ended,
+            "next": from_index + len(rows),
+        }
+    )
 
 
 # -- lots of forwarded calls -----------------------------------------------------------------------
@@ -94,22 +140,37 @@
     if outcome in ("admitted", "known"):
         return Answer(202, "", value=receipt)
     if receipt is None and not sent:
-        return Answer.no(refused("holder-unknown", "nobody holds the log at this moment; nothing was taken", 503, 500))
+        return Answer.no(
+            refused(
+                "holder-unknown", "nobody holds the log at this moment; nothing was taken", 503, 500
+            )
+        )
     refusals = {
-        "conflict": lambda: refused("lot-reused", "this id came before with other content; this content has not run", 409),
-        "no_room": lambda: refused("waiting-room-full", "the waiting room of this route is full", 429, 1000),
+        "conflict": lambda: refused(
+            "lot-reused", "this id came before with other content; this content has not run", 409
+        ),
+        "no_room": lambda: refused(
+            "waiting-room-full", "the waiting room of this route is full", 429, 1000
+        ),
         "no_path": lambda: refused("unknown-route", "no such route is in force", 404),
-        "full": lambda: refused("stores-full", "the stores have no room", 503, 2000)}
+        "full": lambda: refused("stores-full", "the stores have no room", 503, 2000),
+    }
     if outcome in refusals:
         return Answer.no(refusals[outcome]())
-    return Answer.no(doubtful("lot-in-doubt", f"lot {lot_id} may have been accepted; hand the same in again", 200, 504))
+    return Answer.no(
+        doubtful(
+            "lot-in-doubt", f"lot {lot_id} may have been accepted; hand the same in again", 200, 504
+        )
+    )
 
 
 def _no_word(lot_id: str, receipt: Any) -> Answer | None:
     if receipt is None or receipt.outcome in ("unknown", "full"):
         return Answer.no(doubtful("stores-silent", "the stores did not answer", 200, 503))
     if receipt.outcome == "missing":
-        return Answer.no(refused("unknown-lot", f"no lot {lot_id}, or nothing more of it is kept", 404))
+        return Answer.no(
+            refused("unknown-lot", f"no lot {lot_id}, or nothing more of it is kept", 404)
+        )
     return None
 
 
@@ -134,12 +195,23 @@
 
 def _shown(receipt: Any) -> dict[str, Any]:
     state = "ended" if receipt.ended else "done" if receipt.placed >= receipt.total else "open"
-    return {"lot_id": receipt.lot_id, "path": receipt.path, "state": state, "total": receipt.total,
-            "finished": receipt.finished, "listed": receipt.placed, "running": receipt.running, "due_ms": receipt.due_ms}
+    return {
+        "lot_id": receipt.lot_id,
+        "path": receipt.path,
+        "state": state,
+        "total": receipt.total,
+        "finished": receipt.finished,
+        "listed": receipt.placed,
+        "running": receipt.running,
+        "due_ms": receipt.due_ms,
+    }
 
 
 def _result(row: Any) -> dict[str, Any]:
-    shown: dict[str, Any] = {"index": row.index, "verdict": row.outcome if row.outcome != "refused" else "not_run"}
+    shown: dict[str, Any] = {
+        "index": row.index,
+        "verdict": row.outcome if row.outcome != "refused" else "not_run",
+    }
     try:
         shown["body"] = json.loads(row.body)
     except ValueError:
--- a/libs/readingroom/src/readingroom/calls.py
+++ b/libs/readingroom/src/readingroom/calls.py
@@ -1,14 +1,14 @@
 """The bodies that visitors and workers send, checked with pydantic. Every problem becomes a refusal
-that names the field; what is not known is refused, not ignored."""
+that names the field; what is not known is refused, not ignored.
+"""
 
 import json
 from typing import Annotated, Any, Literal, TypeVar
 
+from colophon import Refusal, refused
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
-from colophon import Refusal, refused
-
 __all__ = ["Beat", "CompletionCall", "HandInCall", "LOT_ID", "Leave", "parse"]
 
 LOT_ID = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$"
@@ -88,8 +88,16 @@
     try:
         return Ok(model.model_validate(value))
     except ValidationError as error:
-        problems = [{"field": ".".join(str(part) for part in row["loc"]) or "body", "message": row["msg"]}
-                    for row in error.errors()[:20]]
+        problems = [
+            {"field": ".".join(str(part) for part in row["loc"]) or "body", "message": row["msg"]}
+            for row in error.errors()[:20]
+        ]
         first = problems[0]
-        return Error(refused("bad-field", f"{first['field']}: {first['message']}", field=first["field"],
-                             problems=problems))
+        return Error(
+            refused(
+                "bad-field",
+                f"{first['field']}: {first['message']}",
+                field=first["field"],
+                problems=problems,
+            )
+        )
--- a/libs/readingroom/src/readingroom/cli.py
+++ b/libs/readingroom/src/readingroom/cli.py
@@ -1,5 +1,6 @@
 """The data plane's command line: serve, and a visitor's commands. Answers go to standard output as
-JSON, refusals to standard error with exit code 1, wrong settings with exit code 2."""
+JSON, refusals to standard error with exit code 1, wrong settings with exit code 2.
+"""
 
 import asyncio
 import json
@@ -8,16 +9,18 @@
 from typing import Annotated, Any, Literal
 
 import aiohttp
+from colophon import load_params
 from cyclopts import App, Parameter
 
-from colophon import load_params
 from readingroom.process import run_process, settings_or_exit
 from readingroom.replay import compare, load_recording, play
 from readingroom.roles import EdgeProcess, StoreProcess
 
 __all__ = ["call", "main", "serve_flags"]
 
-app = App(name="readingroom", help="vaneledge's data plane: edges and stores, and a visitor's commands.")
+app = App(
+    name="readingroom", help="vaneledge's data plane: edges and stores, and a visitor's commands."
+)
 lot = App(name="lot", help="Hand in, follow, read and end lots.")
 rollout = App(name="rollout", help="Hand in, follow, read and end training rollouts.")
 app.command(lot)
@@ -26,17 +29,39 @@
 Server = Annotated[str, Parameter(name="--server", help="an edge's HTTP address, IP:PORT")]
 
 
-def serve_flags(link: str | None, http: str | None, zone: str | None, seeds: list[str] | None,
-                data_folder: str | None, control_count: int | None, log_level: str | None) -> dict[str, Any]:
-    return {"link": link, "http": http, "zone": zone, "seeds": seeds, "data_folder": data_folder,
-            "control_count": control_count, "log_level": log_level}
+def serve_flags(
+    link: str | None,
+    http: str | None,
+    zone: str | None,
+    seeds: list[str] | None,
+    data_folder: str | None,
+    control_count: int | None,
+    log_level: str | None,
+) -> dict[str, Any]:
+    return {
+        "link": link,
+        "http": http,
+        "zone": zone,
+        "seeds": seeds,
+        "data_folder": data_folder,
+        "control_count": control_count,
+        "log_level": log_level,
+    }
 
 
 @app.command
-def serve(*, role: Literal["edge", "store"], settings: str | None = None, link: str | None = None,
-          http: str | None = None, zone: str | None = None,
-          seed: Annotated[list[str] | None, Parameter(negative=())] = None, data_folder: str | None = None,
-          control_count: int | None = None, log_level: str | None = None) -> None:
+def serve(
+    *,
+    role: Literal["edge", "store"],
+    settings: str | None = None,
+    link: str | None = None,
+    http: str | None = None,
+    zone: str | None = None,
+    seed: Annotated[list[str] | None, Parameter(negative=())] = None,
+    data_folder: str | None = None,
+    control_count: int | None = None,
+    log_level: str | None = None,
+) -> None:
     """Run an edge or a store until SIGTERM.
 
     Parameters
@@ -51,7 +76,10 @@
     control_count: how many control machines found the fleet.
     log_level: DEBUG, INFO, WARNING or ERROR.
     """
-    flags = {**serve_flags(link, http, zone, seed, data_folder, control_count, log_level), "role": role}
+    flags = {
+        **serve_flags(link, http, zone, seed, data_folder, control_count, log_level),
+        "role": role,
+    }
     params = settings_or_exit(load_params(settings, flags))
     run_process(EdgeProcess if role == "edge" else StoreProcess, params, settings, flags)
 
@@ -67,7 +95,9 @@
             return 0 if answer.status < 400 else 1
 
 
-def call(method: str, server: str, address: str, body: Any = None, headers: dict[str, str] | None = None) -> None:
+def call(
+    method: str, server: str, address: str, body: Any = None, headers: dict[str, str] | None = None
+) -> None:
     try:
         code = asyncio.run(_call(method, f"http://{server}{address}", body, headers))
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
@@ -86,7 +116,9 @@
 
 
 @app.command
-def complete(prompt: str, *, server: Server, profile: str, stream: bool = False, key: str = "") -> None:
+def complete(
+    prompt: str, *, server: Server, profile: str, stream: bool = False, key: str = ""
+) -> None:
     """Ask for one live completion.
 
     Parameters
@@ -96,13 +128,23 @@
     stream: show the answer's events as they come.
     key: an Idempotency-Key, for paths that are not safe to repeat.
     """
-    call("POST", server, "/v1/completions", {"model": profile, "prompt": prompt, "stream": stream},
-         {"Idempotency-Key": key} if key else None)
+    call(
+        "POST",
+        server,
+        "/v1/completions",
+        {"model": profile, "prompt": prompt, "stream": stream},
+        {"Idempotency-Key": key} if key else None,
+    )
 
 
 @app.command
-def replay(*files: Path, server: Annotated[list[str], Parameter(negative=())], pace: float = 1.0, seed: int = 1,
-           check: bool = False) -> None:
+def replay(
+    *files: Path,
+    server: Annotated[list[str], Parameter(negative=())],
+    pace: float = 1.0,
+    seed: int = 1,
+    check: bool = False,
+) -> None:
     """Play recorded days against a fleet and compare outcomes and times. Exit code 1: some differ; 2: a bad recording.
 
     Parameters
