--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -1,12 +1,12 @@
 """Members that change: simulated fleets in which stores are swapped, damaged, retired, frozen and lost
-two at a time, with lots handed in before and read after."""
-
-from testtools import TestCase
-from testtools.matchers import Equals
+two at a time, with lots handed in before and read after.
+"""
 
 from catalogue import Change
 from facsimile.sim import judge
 from facsimile.sim.runs import Run
+from testtools import TestCase
+from testtools.matchers import Equals
 
 
 class Members(TestCase):
@@ -28,16 +28,23 @@
 
     def members(self, fleet):
         value = fleet.of("edge")[0].node.gazette.value("log")
-        return {row["identity"] for row in value["members"]} if value["phase"] == "serving" else set()
+        return (
+            {row["identity"] for row in value["members"]} if value["phase"] == "serving" else set()
+        )
 
     def kept(self, run):
         run.read_all()
         self.assertThat(judge(run.fleet.history), Equals({}))
-        self.assertThat(len(run.fleet.history.of("final")), Equals(sum(lot["acked"] for lot in run.visitors.lots.values())))
+        self.assertThat(
+            len(run.fleet.history.of("final")),
+            Equals(sum(lot["acked"] for lot in run.visitors.lots.values())),
+        )
 
     def until_member(self, run, host, limit_ms=15000):
         fleet = run.fleet
-        joined = fleet.run_until_true(lambda: host.node.log.log.identity in self.members(fleet), limit_ms)
+        joined = fleet.run_until_true(
+            lambda: host.node.log.log.identity in self.members(fleet), limit_ms
+        )
         self.assertThat(joined, Equals(True))
 
     def test_every_store_is_swapped_for_an_empty_one_at_a_new_address(self):
@@ -62,7 +69,9 @@
         seq = fleet.holder().node.log.log.last_seq
         host.wake()
         fleet.run_until_true(lambda: False, 2000)
-        self.assertThat(old in self.members(fleet) or host.node.log.holder is not None, Equals(False))
+        self.assertThat(
+            old in self.members(fleet) or host.node.log.holder is not None, Equals(False)
+        )
         self.assertThat(fleet.holder().node.log.log.last_seq >= seq, Equals(True))
         self.kept(run)
 
@@ -86,10 +95,16 @@
         old = fleet.holder().node.log.log.identity
         fresh = fleet.add("store", "fresh")
         control = fleet.of("control")[0].node
-        control.owner.submit(Change(key="retired", version=0, change_id="r", body=f'{{"identities": ["{old}"]}}', hops=0),
-                             lambda receipt: None)
+        control.owner.submit(
+            Change(
+                key="retired", version=0, change_id="r", body=f'{{"identities": ["{old}"]}}', hops=0
+            ),
+            lambda receipt: None,
+        )
         self.until_member(run, fresh)
-        self.assertThat(fleet.run_until_true(lambda: fleet.holder() is not None, 5000), Equals(True))
+        self.assertThat(
+            fleet.run_until_true(lambda: fleet.holder() is not None, 5000), Equals(True)
+        )
         self.assertThat(old in self.members(fleet), Equals(False))
         self.lots(run, 1)
         self.kept(run)
@@ -106,7 +121,9 @@
         fleet.run_until_true(lambda: seen, 9000)
         self.assertThat(seen[0]["verdict"], Equals("may_have_run"))
         hosts[0].start()
-        self.assertThat(fleet.run_until_true(lambda: fleet.holder() is not None, 12000), Equals(True))
+        self.assertThat(
+            fleet.run_until_true(lambda: fleet.holder() is not None, 12000), Equals(True)
+        )
         fleet.run_until_true(lambda: False, 1500)
         self.lots(run, 1)
         self.kept(run)
@@ -119,8 +136,12 @@
         fleet.time.rng.shuffle(order)
         for place, host in enumerate(order):
             fleet.time.after(300 * place, host.start)
-        self.assertThat(fleet.run_until_true(lambda: fleet.holder() is not None and fleet.ready(), 300 * len(order) + 12000),
-                        Equals(True))
+        self.assertThat(
+            fleet.run_until_true(
+                lambda: fleet.holder() is not None and fleet.ready(), 300 * len(order) + 12000
+            ),
+            Equals(True),
+        )
         self.lots(run, 1)
         self.kept(run)
 
@@ -134,9 +155,13 @@
             host.wall_step_ms -= 3_600_000
             host.kill()
             host.start()
-        self.assertThat(fleet.run_until_true(lambda: fleet.holder() is not None, 12000), Equals(True))
+        self.assertThat(
+            fleet.run_until_true(lambda: fleet.holder() is not None, 12000), Equals(True)
+        )
         holder = fleet.holder()
-        self.assertThat(fleet.run_until_true(lambda: len(holder.node.live_stores()) == 2, 3000), Equals(True))
+        self.assertThat(
+            fleet.run_until_true(lambda: len(holder.node.live_stores()) == 2, 3000), Equals(True)
+        )
         for host in fleet.of("store"):
             host.wall_step_ms += 8 * day
         fleet.run_until_true(lambda: False, 2 * holder.params.resume_ms)
@@ -155,14 +180,19 @@
         ledger = lambda: fleet.holder().node.log.log.ledger
         fleet.run_until_true(lambda: seen and ledger().lots and not ledger().opened, 8000)
         self.assertThat((len(ledger().keys), len(ledger().lots)), Equals((1, 1)))
-        self.assertThat(fleet.run_until_true(lambda: not ledger().keys and not ledger().lots, 45000), Equals(True))
+        self.assertThat(
+            fleet.run_until_true(lambda: not ledger().keys and not ledger().lots, 45000),
+            Equals(True),
+        )
 
     def test_a_holder_with_a_full_disk_makes_way_for_one_with_room(self):
         run, fleet = self.founded()
         first = fleet.holder()
         first.disk.fill()
         first.disk.room_bytes = int(first.disk.room_bytes / 1.1)
-        self.assertThat(fleet.run_until_true(lambda: fleet.holder() not in (None, first), 5000), Equals(True))
+        self.assertThat(
+            fleet.run_until_true(lambda: fleet.holder() not in (None, first), 5000), Equals(True)
+        )
         self.lots(run, 2)
         first.disk.empty()
         self.kept(run)
--- a/tests/test_members_more.py
+++ b/tests/test_members_more.py
@@ -1,26 +1,43 @@
 """Members that change, once more: retired with no spare, undone midway, swapped while others are down, spares
-that are lost, machines that come back with their old disks; and each member told in words."""
+that are lost, machines that come back with their old disks; and each member told in words.
+"""
 
 import json
 
-from testtools import TestCase
-from testtools.matchers import Equals
-
 from catalogue import Change
 from facsimile.sim import judge
 from facsimile.sim.runs import Run
 from registrar.words import says
+from testtools import TestCase
+from testtools.matchers import Equals
 
 
 class Words(TestCase):
-    ROWS = [(("store", "a", "abc", "a", "", "", 3), "counts: a member of the log, and its holder"),
-            (("store", "b", "abc", "a", "", "d", 3), "counts: a member of the log"),
-            (("control", "a", "abc", "a", "", "", 3), "counts: a member of the voters, and the steward"),
-            (("store", "d", "abc", "a", "", "d", 3), "spare: catching up with the log, counts for nothing until it takes a place"),
-            (("store", "b", "abc", "a", "b", "", 3), "counts: a member of the log; retired, waits for a spare: none is live, start one"),
-            (("store", "b", "abc", "a", "b", "d", 3), "counts: a member of the log; retired, waits until a spare has caught up: d"),
-            (("control", "b", "abcd", "a", "b", "", 3), "counts: a member of the voters; retired, is being dropped now"),
-            (("store", "b", "acd", "a", "b", "", 3), "retired and out: may be stopped")]
+    ROWS = [
+        (("store", "a", "abc", "a", "", "", 3), "counts: a member of the log, and its holder"),
+        (("store", "b", "abc", "a", "", "d", 3), "counts: a member of the log"),
+        (
+            ("control", "a", "abc", "a", "", "", 3),
+            "counts: a member of the voters, and the steward",
+        ),
+        (
+            ("store", "d", "abc", "a", "", "d", 3),
+            "spare: catching up with the log, counts for nothing until it takes a place",
+        ),
+        (
+            ("store", "b", "abc", "a", "b", "", 3),
+            "counts: a member of the log; retired, waits for a spare: none is live, start one",
+        ),
+        (
+            ("store", "b", "abc", "a", "b", "d", 3),
+            "counts: a member of the log; retired, waits until a spare has caught up: d",
+        ),
+        (
+            ("control", "b", "abcd", "a", "b", "", 3),
+            "counts: a member of the voters; retired, is being dropped now",
+        ),
+        (("store", "b", "acd", "a", "b", "", 3), "retired and out: may be stopped"),
+    ]
 
     def test_rows(self):
         for asked, told in self.ROWS:
@@ -47,8 +64,16 @@
         owner = fleet.of("control")[0].node.owner
         version = fleet.of("control")[0].node.gazette.number("retired")
         seen = []
-        owner.submit(Change(key="retired", version=version, change_id=str(version), hops=0,
-                            body=json.dumps({"identities": sorted(names)})), seen.append)
+        owner.submit(
+            Change(
+                key="retired",
+                version=version,
+                change_id=str(version),
+                hops=0,
+                body=json.dumps({"identities": sorted(names)}),
+            ),
+            seen.append,
+        )
         self.until(fleet, lambda: seen)
         self.assertThat(seen[0].outcome, Equals("ok"))
 
@@ -58,27 +83,42 @@
         run.fleet.run_until_true(lambda: False, 1500)
         run.probe(3000)
         run.read_all()
-        self.assertThat(judge(run.fleet.history, ["kept-at-the-end", "service-resumes"]), Equals({}))
+        self.assertThat(
+            judge(run.fleet.history, ["kept-at-the-end", "service-resumes"]), Equals({})
+        )
 
     def test_a_retired_holder_serves_until_the_spare_comes(self):
         run, fleet = self.founded()
         old = fleet.holder().node.log.log.identity
         self.retire(fleet, [old])
         fleet.run_until_true(lambda: False, 5000)
-        self.assertThat((old in self.members(fleet), fleet.holder() is not None), Equals((True, True)))
+        self.assertThat(
+            (old in self.members(fleet), fleet.holder() is not None), Equals((True, True))
+        )
         fresh = fleet.add("store", "fresh")
-        self.until(fleet, lambda: fresh.node.log.log.identity in self.members(fleet) and old not in self.members(fleet))
+        self.until(
+            fleet,
+            lambda: (
+                fresh.node.log.log.identity in self.members(fleet)
+                and old not in self.members(fleet)
+            ),
+        )
         self.kept(run)
 
     def test_retired_and_undone_midway(self):
         run, fleet = self.founded(12)
-        old = next(host.node.log.log.identity for host in fleet.of("store") if host is not fleet.holder())
+        old = next(
+            host.node.log.log.identity for host in fleet.of("store") if host is not fleet.holder()
+        )
         self.retire(fleet, [old])
         fleet.run_until_true(lambda: False, 800)
         self.retire(fleet, [])
         fresh = fleet.add("store", "fresh")
         fleet.run_until_true(lambda: False, 4000)
-        self.assertThat((old in self.members(fleet), fresh.node.log.log.identity in self.members(fleet)), Equals((True, False)))
+        self.assertThat(
+            (old in self.members(fleet), fresh.node.log.log.identity in self.members(fleet)),
+            Equals((True, False)),
+        )
         self.kept(run)
 
     def test_a_swap_while_the_power_of_the_others_fails(self):
@@ -116,7 +156,10 @@
         fleet.run_until_true(lambda: False, 2000)
         host.start()
         fleet.run_until_true(lambda: False, 4000)
-        self.assertThat((old in self.members(fleet), host.node.why_unready()), Equals((False, "spare: not a member of the log")))
+        self.assertThat(
+            (old in self.members(fleet), host.node.why_unready()),
+            Equals((False, "spare: not a member of the log")),
+        )
         fleet.hosts.pop(host.name).kill()
         self.kept(run)
 
@@ -127,7 +170,11 @@
             fleet.hosts.pop(f"control{number + 1}").kill()
             for _ in range(2):
                 run.operators.change()
-            self.until(fleet, lambda fresh=fresh: fresh.node.quorate() and len(fresh.node.voter.voters) == 5, 25_000)
+            self.until(
+                fleet,
+                lambda fresh=fresh: fresh.node.quorate() and len(fresh.node.voter.voters) == 5,
+                25_000,
+            )
         run.operators.ask_again(8)
         self.assertThat(len(fleet.history.of("final-change")) > 3, Equals(True))
         self.kept(run)
--- a/tests/test_oracle.py
+++ b/tests/test_oracle.py
@@ -1,16 +1,32 @@
 """The oracle itself: a clean history passes, and for each rule a history that breaks it is caught."""
 
-from testtools import TestCase
-from testtools.matchers import Equals
-
 from facsimile.sim import History, judge
 from facsimile.sim.oracle import RULES
+from testtools import TestCase
+from testtools.matchers import Equals
 
 
 def run(transaction="t1", at_ms=100.0, **fields):
-    return ("run", at_ms, {"worker": "w/1", "identity": "w", "labels": ["gpu"], "address": "x", "call": "call1",
-                          "path": "p", "safe": True, "lot": "", "index": -1, "key": "", "body": "",
-                          "transaction": transaction, "asked": "", **fields})
+    return (
+        "run",
+        at_ms,
+        {
+            "worker": "w/1",
+            "identity": "w",
+            "labels": ["gpu"],
+            "address": "x",
+            "call": "call1",
+            "path": "p",
+            "safe": True,
+            "lot": "",
+            "index": -1,
+            "key": "",
+            "body": "",
+            "transaction": transaction,
+            "asked": "",
+            **fields,
+        },
+    )
 
 
 def ended(transaction="t1", at_ms=150.0, pieces=2):
@@ -18,81 +34,194 @@
 
 
 def call(at_ms=90.0, **fields):
-    return ("call", at_ms, {"call": "call1", "path": "p", "key": "", "edge": "e", "outcome": "finish", "verdict": "ran",
-                           "pieces": ["t1:0", "t1:1"], "transaction": "t1", "body": "t1:0|t1:1", "code": "",
-                           "answered_ms": 160.0, "asked": "", **fields})
+    return (
+        "call",
+        at_ms,
+        {
+            "call": "call1",
+            "path": "p",
+            "key": "",
+            "edge": "e",
+            "outcome": "finish",
+            "verdict": "ran",
+            "pieces": ["t1:0", "t1:1"],
+            "transaction": "t1",
+            "body": "t1:0|t1:1",
+            "code": "",
+            "answered_ms": 160.0,
+            "asked": "",
+            **fields,
+        },
+    )
 
 
 def hand_in(outcome="admitted", verdict="ran", at_ms=100.0, answered_ms=110.0, lot="l"):
-    return ("hand-in", at_ms, {"lot": lot, "path": "p", "outcome": outcome, "verdict": verdict, "count": 2,
-                              "answered_ms": answered_ms})
+    return (
+        "hand-in",
+        at_ms,
+        {
+            "lot": lot,
+            "path": "p",
+            "outcome": outcome,
+            "verdict": verdict,
+            "count": 2,
+            "answered_ms": answered_ms,
+        },
+    )
 
 
 def read(results, at_ms=500.0, outcome="known", start=0, lot="l"):
-    return ("read", at_ms, {"began_ms": at_ms - 5, "lot": lot, "outcome": outcome, "start": start, "listed": len(results), "total": 2,
-                           "ended": False, "results": results})
+    return (
+        "read",
+        at_ms,
+        {
+            "began_ms": at_ms - 5,
+            "lot": lot,
+            "outcome": outcome,
+            "start": start,
+            "listed": len(results),
+            "total": 2,
+            "ended": False,
+            "results": results,
+        },
+    )
 
 
 def sample(at_ms, number, ready=True, mark="", life=1):
-    return ("sample", at_ms, {"edge": "e", "life": life, "ready": ready, "number": number, "mark": mark})
+    return (
+        "sample",
+        at_ms,
+        {"edge": "e", "life": life, "ready": ready, "number": number, "mark": mark},
+    )
 
 
 def change(outcome, version, at_ms=100.0, mark="m"):
-    return ("change", at_ms - 10, {"mark": mark, "named": version - 1, "outcome": outcome, "version": version,
-                                  "answered_ms": at_ms})
+    return (
+        "change",
+        at_ms - 10,
+        {
+            "mark": mark,
+            "named": version - 1,
+            "outcome": outcome,
+            "version": version,
+            "answered_ms": at_ms,
+        },
+    )
 
 
 ITEM = [run("i0", lot="l", index=0, call="item:l:0"), ended("i0", 200.0, 1)]
-CLEAN = [change("refused", 0, mark="z"), change("ok", 1, mark="z"), sample(3000.0, 1, mark="z"), run(), ended(), call(), hand_in(), *ITEM, read([(0, "ran", "i0:0")]), change("ok", 1), sample(3000.0, 1),
-         ("end", 600.0, {"lot": "l"}), ("final", 9000.0, {"lot": "l", "outcome": "known", "listed": 1}),
-         ("room", 200.0, {"store": "s", "path": "p", "epoch": 1, "used": 3}),
-         ("probe", 9000.0, {"what": "live", "worked": True, "after_ms": 12000.0, "seen": "finish"}),
-         ("worker-left", 900.0, {"worker": "v/1", "how": "left"}), ("fault", 1.0, {"what": "f"}),
-         ("final-change", 9000.0, {"mark": "m", "outcome": "ok", "version": 1}), change("lost", 1, mark="x"),
-         sample(3000.0, 1, mark="m"), call(call="call2", transaction="t2", path="p", key="k", body="t2:0", pieces=["t2:0"]),
-         run("t2", call="call2", key="k", safe=False), ended("t2", pieces=1), ("lot-done", 15000.0, {"lot": "l", "from_ms": 11000.0}),
-         call(call="call3", verdict="not_run", outcome="error", pieces=[], code="busy", at_ms=1.0)]
+CLEAN = [
+    change("refused", 0, mark="z"),
+    change("ok", 1, mark="z"),
+    sample(3000.0, 1, mark="z"),
+    run(),
+    ended(),
+    call(),
+    hand_in(),
+    *ITEM,
+    read([(0, "ran", "i0:0")]),
+    change("ok", 1),
+    sample(3000.0, 1),
+    ("end", 600.0, {"lot": "l"}),
+    ("final", 9000.0, {"lot": "l", "outcome": "known", "listed": 1}),
+    ("room", 200.0, {"store": "s", "path": "p", "epoch": 1, "used": 3}),
+    ("probe", 9000.0, {"what": "live", "worked": True, "after_ms": 12000.0, "seen": "finish"}),
+    ("worker-left", 900.0, {"worker": "v/1", "how": "left"}),
+    ("fault", 1.0, {"what": "f"}),
+    ("final-change", 9000.0, {"mark": "m", "outcome": "ok", "version": 1}),
+    change("lost", 1, mark="x"),
+    sample(3000.0, 1, mark="m"),
+    call(call="call2", transaction="t2", path="p", key="k", body="t2:0", pieces=["t2:0"]),
+    run("t2", call="call2", key="k", safe=False),
+    ended("t2", pieces=1),
+    ("lot-done", 15000.0, {"lot": "l", "from_ms": 11000.0}),
+    call(call="call3", verdict="not_run", outcome="error", pieces=[], code="busy", at_ms=1.0),
+]
 
 BROKEN = {
     "unsafe-runs-once": [
         [run(safe=False, key="k"), run("t2", 120.0, safe=False, key="k", call="call2")],
-        [run("i0", safe=False, lot="l", index=0), run("i1", 130.0, safe=False, lot="l", index=0)]],
+        [run("i0", safe=False, lot="l", index=0), run("i1", 130.0, safe=False, lot="l", index=0)],
+    ],
     "not-run-is-true": [
         [run(at_ms=500.0), call(verdict="not_run", outcome="error", pieces=[])],
         [run(key="k", call="call0"), call(verdict="not_run", outcome="error", pieces=[], key="k")],
-        [hand_in("no_room", "not_run"), *ITEM]],
+        [hand_in("no_room", "not_run"), *ITEM],
+    ],
     "streams-are-whole": [
-        [run(), ended(), call(pieces=["t1:0", "t2:1"])], [run(), ended(), call(pieces=["t1:0", "t1:0"])],
-        [run(), ended(), call(pieces=["t1:1"])], [run(), call()]],
+        [run(), ended(), call(pieces=["t1:0", "t2:1"])],
+        [run(), ended(), call(pieces=["t1:0", "t1:0"])],
+        [run(), ended(), call(pieces=["t1:1"])],
+        [run(), call()],
+    ],
     "bodies-are-whole": [
-        [run(), ended(), call(body="t1:0")], [run(), ended(), call(body="t2:0|t2:1")],
-        [run(call="other"), ended(), call()], [*ITEM, read([(1, "ran", "i0:0")])]],
+        [run(), ended(), call(body="t1:0")],
+        [run(), ended(), call(body="t2:0|t2:1")],
+        [run(call="other"), ended(), call()],
+        [*ITEM, read([(1, "ran", "i0:0")])],
+    ],
     "workers-are-allowed": [[run(labels=["cpu"])]],
-    "gone-workers-get-nothing": [[("worker-left", 100.0, {"worker": "w/1", "how": "left"}),
-                                  ("send", 2400.0, {"worker": "w/1", "transaction": "t"})],
-                                 [("worker-left", 100.0, {"worker": "w/1", "how": "dark", "until_ms": 5000.0}),
-                                  ("send", 2400.0, {"worker": "w/1", "transaction": "t"})]],
-    "versions-in-force": [[change("ok", 2), sample(2400.0, 1)], [sample(100.0, 2), sample(200.0, 1)]],
-    "lost-changes-stay-lost": [[change("lost", 2, mark="x"), sample(100.0, 2, mark="x")],
-                               [change("lost", 2), change("ok", 2)], [change("refused", 0, mark="x"), sample(100.0, 2, mark="x")],
-                               [change("doubt", 0, mark="x"), change("lost", 2, mark="x"), sample(100.0, 2, mark="x")]],
-    "accepted-is-kept": [[hand_in(), read([], 118.0, "missing")], [read([(1, "ran", "a"), (0, "ran", "b")])],
-                         [read([(0, "may_have_run", "a")]), read([(0, "may_have_run", "b")], 600.0)],
-                         [read([(0, "may_have_run", "a")], start=1)]],
-    "kept-at-the-end": [[hand_in(), ("final", 9000.0, {"lot": "l", "outcome": "missing", "listed": 0})],
-                        [hand_in(), hand_in(lot="m"), ("final", 9000.0, {"lot": "l", "outcome": "known", "listed": 1})],
-                        [hand_in(), read([(0, "may_have_run", "a")]),
-                         ("final", 9000.0, {"lot": "l", "outcome": "known", "listed": 0})]],
+    "gone-workers-get-nothing": [
+        [
+            ("worker-left", 100.0, {"worker": "w/1", "how": "left"}),
+            ("send", 2400.0, {"worker": "w/1", "transaction": "t"}),
+        ],
+        [
+            ("worker-left", 100.0, {"worker": "w/1", "how": "dark", "until_ms": 5000.0}),
+            ("send", 2400.0, {"worker": "w/1", "transaction": "t"}),
+        ],
+    ],
+    "versions-in-force": [
+        [change("ok", 2), sample(2400.0, 1)],
+        [sample(100.0, 2), sample(200.0, 1)],
+    ],
+    "lost-changes-stay-lost": [
+        [change("lost", 2, mark="x"), sample(100.0, 2, mark="x")],
+        [change("lost", 2), change("ok", 2)],
+        [change("refused", 0, mark="x"), sample(100.0, 2, mark="x")],
+        [change("doubt", 0, mark="x"), change("lost", 2, mark="x"), sample(100.0, 2, mark="x")],
+    ],
+    "accepted-is-kept": [
+        [hand_in(), read([], 118.0, "missing")],
+        [read([(1, "ran", "a"), (0, "ran", "b")])],
+        [read([(0, "may_have_run", "a")]), read([(0, "may_have_run", "b")], 600.0)],
+        [read([(0, "may_have_run", "a")], start=1)],
+    ],
+    "kept-at-the-end": [
+        [hand_in(), ("final", 9000.0, {"lot": "l", "outcome": "missing", "listed": 0})],
+        [
+            hand_in(),
+            hand_in(lot="m"),
+            ("final", 9000.0, {"lot": "l", "outcome": "known", "listed": 1}),
+        ],
+        [
+            hand_in(),
+            read([(0, "may_have_run", "a")]),
+            ("final", 9000.0, {"lot": "l", "outcome": "known", "listed": 0}),
+        ],
+    ],
     "ended-lots-stop": [[("end", 100.0, {"lot": "l"}), run("i", 3400.0, lot="l", index=1)]],
-    "waiting-room-is-exact": [[("room", 200.0, {"store": "s", "path": "p", "epoch": 1, "used": 4})],
-                              [hand_in(lot=name) for name in "abcd"] + [read([], 300.0, lot=name) for name in "abcd"]],
-    "keys-one-body": [[run(key="k"), ended(), call(key="k"), call(key="k", call="call2", body="t9:0")],
-                      [run(key="k", asked="a"), ended(), call(key="k", asked="b")]],
-    "changes-kept": [[change("ok", 2), ("final-change", 900.0, {"mark": "m", "outcome": "lost", "version": 3})]],
-    "live-in-time": [[call(answered_ms=2500.0)], [call(answered_ms=0.0, outcome="none")],
-                     [call(verdict="not_run", code="late"), ("capacity", 100.0, {"free": 0.9})]],
+    "waiting-room-is-exact": [
+        [("room", 200.0, {"store": "s", "path": "p", "epoch": 1, "used": 4})],
+        [hand_in(lot=name) for name in "abcd"] + [read([], 300.0, lot=name) for name in "abcd"],
+    ],
+    "keys-one-body": [
+        [run(key="k"), ended(), call(key="k"), call(key="k", call="call2", body="t9:0")],
+        [run(key="k", asked="a"), ended(), call(key="k", asked="b")],
+    ],
+    "changes-kept": [
+        [change("ok", 2), ("final-change", 900.0, {"mark": "m", "outcome": "lost", "version": 3})]
+    ],
+    "live-in-time": [
+        [call(answered_ms=2500.0)],
+        [call(answered_ms=0.0, outcome="none")],
+        [call(verdict="not_run", code="late"), ("capacity", 100.0, {"free": 0.9})],
+    ],
     "lots-in-time": [[("lot-done", 10_400.0, {"lot": "l", "from_ms": 100.0})]],
-    "service-resumes": [[("probe", 1.0, {"what": "live", "worked": False, "after_ms": 12000.0, "seen": "lost"})]]}
+    "service-resumes": [
+        [("probe", 1.0, {"what": "live", "worked": False, "after_ms": 12000.0, "seen": "lost"})]
+    ],
+}
 
 
 def history(rows):
@@ -114,4 +243,6 @@
         self.assertThat(sorted(BROKEN), Equals(sorted(RULES)))
         for name, histories in BROKEN.items():
             for place, rows in enumerate(histories):
-                self.assertThat(name in judge(history(rows)), Equals(True), f"{name}, history {place}")
+                self.assertThat(
+                    name in judge(history(rows)), Equals(True), f"{name}, history {place}"
+                )
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,12 +1,10 @@
 """Where forwarded requests go: the list of workers, their load, what they keep, who is left out, and the chart
-of a request that is bound to a number of workers."""
+of a request that is bound to a number of workers.
+"""
 
 import json
 import random
 
-from testtools import TestCase
-from testtools.matchers import Equals, GreaterThan, LessThan
-
 from catalogue import Tree
 from circulation import ForwardCall, ForwardTransaction, Roster, WorkerNews, end_to_end
 from circulation.affinity import PartMap
@@ -14,11 +12,18 @@
 from circulation.pace import Pace
 from circulation.placement import choose_forward
 from colophon import Params
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, LessThan
 from vellum import Node
 
 PARAMS = Params(link="10.0.0.1:1", http="10.0.0.1:2", zone="z", seeds=["10.0.0.1:1"])
-TREE = Tree({"service": {"abstract": True, "workers": {"labels": ["s"]}},
-             "safe": {"parent": "service", "attempts": 3}, "unsafe": {"parent": "service", "attempts": 3, "repeatable": False}})
+TREE = Tree(
+    {
+        "service": {"abstract": True, "workers": {"labels": ["s"]}},
+        "safe": {"parent": "service", "attempts": 3},
+        "unsafe": {"parent": "service", "attempts": 3, "repeatable": False},
+    }
+)
 CALL = ForwardCall("POST", "/", "h", [], b"", "r", parts=[("a", 100), ("b", 300)])
 
 
@@ -36,14 +41,26 @@
 
 
 def row(place, state="serving", address=None, **more):
-    return {"address": address or f"10.0.1.{place}:80", "zone": "z", "label": "s", "slots": 8, "state": state, "seq": 1, **more}
+    return {
+        "address": address or f"10.0.1.{place}:80",
+        "zone": "z",
+        "label": "s",
+        "slots": 8,
+        "state": state,
+        "seq": 1,
+        **more,
+    }
 
 
 class Fixture(TestCase):
     def setUp(self):
         super().setUp()
         self.env, self.number, self.rows = Env(), 0, {}
-        self.roster = Roster(lambda: [], TREE.allows_worker, lambda: (self.number, json.dumps({"workers": self.rows})))
+        self.roster = Roster(
+            lambda: [],
+            TREE.allows_worker,
+            lambda: (self.number, json.dumps({"workers": self.rows})),
+        )
         Node(self.env, PARAMS, [self.roster])
 
     def publish(self, **rows):
@@ -51,22 +68,35 @@
         return {worker.identity: worker for worker in self.roster.listed(frozenset(["s"]))}
 
     def choose(self, workers, call=CALL, parts=None, **how):
-        return choose_forward(list(workers), call, parts or PartMap(), self.env.ms, "z", self.env.rng, 200, **how)
+        return choose_forward(
+            list(workers), call, parts or PartMap(), self.env.ms, "z", self.env.rng, 200, **how
+        )
 
 
 class Listed(Fixture):
     def test_who_is_listed(self):
         """Rows: the list, and who may get something new."""
-        for rows, wanted in [({"a": row(1), "b": row(2)}, "ab"), ({"a": row(1, "draining"), "b": row(2)}, "b"), ({"b": row(2)}, "b"),
-                             ({"b": row(2), "c": row(1)}, "bc"), ({}, "")]:
+        for rows, wanted in [
+            ({"a": row(1), "b": row(2)}, "ab"),
+            ({"a": row(1, "draining"), "b": row(2)}, "b"),
+            ({"b": row(2)}, "b"),
+            ({"b": row(2), "c": row(1)}, "bc"),
+            ({}, ""),
+        ]:
             self.assertThat("".join(sorted(self.publish(**rows))), Equals(wanted))
             self.env.ms += 3_600_000
-            self.assertThat("".join(sorted(worker.identity for worker in self.roster.workers())), Equals(wanted), "silence counts for nothing")
+            self.assertThat(
+                "".join(sorted(worker.identity for worker in self.roster.workers())),
+                Equals(wanted),
+                "silence counts for nothing",
+            )
 
     def test_what_is_under_way_is_kept_over_a_new_list(self):
         first = self.publish(a=row(1))["a"]
         first.sending = 3
-        self.assertThat(self.publish(a=row(1, "draining"), b=row(2)), Equals({"b": self.roster._workers["b"]}))
+        self.assertThat(
+            self.publish(a=row(1, "draining"), b=row(2)), Equals({"b": self.roster._workers["b"]})
+        )
         self.assertThat((self.publish(a=row(1))["a"] is first, first.sending), Equals((True, 3)))
         self.assertThat(self.publish(a=row(1, address="10.0.1.9:80"))["a"] is first, Equals(False))
 
@@ -96,7 +126,9 @@
         self.assertThat(worker.silent_ms(self.env.ms), Equals(300))
         worker.sending = 2
         worker.asked(self.env.ms)
-        self.assertThat(worker.silent_ms(self.env.ms), Equals(300), "a second question makes it no less silent")
+        self.assertThat(
+            worker.silent_ms(self.env.ms), Equals(300), "a second question makes it no less silent"
+        )
         worker.answered_ms = self.env.ms
         self.env.ms += 50
         self.assertThat(worker.silent_ms(self.env.ms), Equals(50))
@@ -112,7 +144,9 @@
             worker.asked(self.env.ms)
             self.env.ms += 20
             order.append(worker.identity)
-        self.assertThat([sorted(order[at:at + 3]) for at in (0, 3, 6)], Equals([["a", "b", "c"]] * 3))
+        self.assertThat(
+            [sorted(order[at : at + 3]) for at in (0, 3, 6)], Equals([["a", "b", "c"]] * 3)
+        )
 
     def test_what_others_have_there_counts_little_but_fills_places(self):
         workers = self.publish(a=row(1), b=row(2))
@@ -122,7 +156,9 @@
         workers["a"].told_load(8, 2, 8, self.env.ms)
         self.assertThat(self.choose(workers.values()).identity, Equals("b"))
         self.env.ms += 10_000
-        self.assertThat(self.choose(workers.values()).identity, Equals("a"), "old news count for less")
+        self.assertThat(
+            self.choose(workers.values()).identity, Equals("a"), "old news count for less"
+        )
 
     def test_who_keeps_the_prompt_is_preferred_among_equals_only(self):
         workers, parts = self.publish(a=row(1), b=row(2)), PartMap()
@@ -135,9 +171,19 @@
         """Rows: under way at the only worker of eight slots, a lot's item or not, and whether there is a place."""
         worker = self.publish(a=row(1))["a"]
         item = ForwardCall("POST", "/", "h", [], b"", "r", lot=True)
-        for sending, live, lot in [(0, True, True), (5, True, True), (6, True, False), (8, True, False), (9, True, False), (10, False, False)]:
+        for sending, live, lot in [
+            (0, True, True),
+            (5, True, True),
+            (6, True, False),
+            (8, True, False),
+            (9, True, False),
+            (10, False, False),
+        ]:
             worker.sending = sending
-            seen = self.choose([worker]) is not None, self.choose([worker], item, lot_free=0.25) is not None
+            seen = (
+                self.choose([worker]) is not None,
+                self.choose([worker], item, lot_free=0.25) is not None,
+            )
             self.assertThat(seen, Equals((live, lot)), f"{sending}")
         worker.sending = 3
         self.assertThat(self.choose([worker], connections=3), Equals(None))
@@ -150,21 +196,36 @@
         self.assertThat(self.choose([worker]), Equals(worker))
 
     def test_of_very_many_some_are_looked_at_and_those_that_keep_it(self):
-        workers, parts = self.publish(**{f"w{place}": row(place) for place in range(200)}), PartMap()
+        workers, parts = (
+            self.publish(**{f"w{place}": row(place) for place in range(200)}),
+            PartMap(),
+        )
         parts.sent("w150", CALL.parts, 10_000)
-        self.assertThat({self.choose(workers.values(), parts=parts).identity for _ in range(20)}, Equals({"w150"}))
+        self.assertThat(
+            {self.choose(workers.values(), parts=parts).identity for _ in range(20)},
+            Equals({"w150"}),
+        )
 
 
 class Parts(TestCase):
     def test_shares_and_what_gives_way(self):
         parts = PartMap()
         parts.sent("w", [("a", 100), ("b", 300)], 500)
-        rows = [([("a", 100), ("b", 300)], 1.0), ([("a", 100), ("c", 300)], 0.25), ([("c", 9), ("b", 300)], 0.0), ([], 0.0)]
+        rows = [
+            ([("a", 100), ("b", 300)], 1.0),
+            ([("a", 100), ("c", 300)], 0.25),
+            ([("c", 9), ("b", 300)], 0.0),
+            ([], 0.0),
+        ]
         for asked, share in rows:
             self.assertThat(parts.share("w", asked), Equals(share), f"{asked}")
         parts.sent("w", [("a", 100), ("c", 300)], 500)
-        self.assertThat([parts.share("w", [("a", 100), (part, 300)]) for part in "bc"], Equals([0.25, 1.0]))
-        self.assertThat((parts.holders([("a", 1), ("z", 1)]), parts.holders([("b", 1)])), Equals(({"w"}, set())))
+        self.assertThat(
+            [parts.share("w", [("a", 100), (part, 300)]) for part in "bc"], Equals([0.25, 1.0])
+        )
+        self.assertThat(
+            (parts.holders([("a", 1), ("z", 1)]), parts.holders([("b", 1)])), Equals(({"w"}, set()))
+        )
         parts.keep_only(["v"])
         self.assertThat((len(parts), parts.holders([("a", 1)])), Equals((0, set())))
 
@@ -197,14 +258,29 @@
     """Rows: route, taken up again or not, what happens, the last step and its status, and how many workers."""
 
     ROWS = [
-        ("safe", False, ["run"] * 2, "place", 0), ("safe", False, ["run"] * 3, "refuse", 502), ("safe", False, ["run", "late"], "refuse", 504),
-        ("unsafe", False, ["run"], "refuse", 502), ("unsafe", False, ["not run"] * 2, "place", 0), ("unsafe", False, ["not run"] * 3, "refuse", 503),
-        ("unsafe", False, ["busy"] * 5, "place", 0), ("unsafe", False, ["unmade"] * 9, "place", 0), ("unsafe", False, ["unmade", "run"], "refuse", 502),
-        ("unsafe", False, ["not run", "none"], "refuse", 503), ("safe", False, ["run", "none"], "refuse", 502), ("safe", False, ["late, not run"], "refuse", 503),
-        ("unsafe", False, ["piece", "run"], "cut", 502), ("unsafe", True, ["piece", "run"], "place", 0), ("unsafe", True, ["piece", "run", "none"], "cut", 502),
-        ("unsafe", True, ["unnumbered", "run"], "cut", 502), ("unsafe", True, ["run", "run"], "place", 0), ("safe", False, ["piece", "run"], "cut", 502),
-        ("safe", False, ["500"], "place", 0), ("safe", False, ["500"] * 3, "finish", 500), ("unsafe", False, ["500"], "finish", 500),
-        ("unsafe", True, ["piece", "500"], "place", 0)]
+        ("safe", False, ["run"] * 2, "place", 0),
+        ("safe", False, ["run"] * 3, "refuse", 502),
+        ("safe", False, ["run", "late"], "refuse", 504),
+        ("unsafe", False, ["run"], "refuse", 502),
+        ("unsafe", False, ["not run"] * 2, "place", 0),
+        ("unsafe", False, ["not run"] * 3, "refuse", 503),
+        ("unsafe", False, ["busy"] * 5, "place", 0),
+        ("unsafe", False, ["unmade"] * 9, "place", 0),
+        ("unsafe", False, ["unmade", "run"], "refuse", 502),
+        ("unsafe", False, ["not run", "none"], "refuse", 503),
+        ("safe", False, ["run", "none"], "refuse", 502),
+        ("safe", False, ["late, not run"], "refuse", 503),
+        ("unsafe", False, ["piece", "run"], "cut", 502),
+        ("unsafe", True, ["piece", "run"], "place", 0),
+        ("unsafe", True, ["piece", "run", "none"], "cut", 502),
+        ("unsafe", True, ["unnumbered", "run"], "cut", 502),
+        ("unsafe", True, ["run", "run"], "place", 0),
+        ("safe", False, ["piece", "run"], "cut", 502),
+        ("safe", False, ["500"], "place", 0),
+        ("safe", False, ["500"] * 3, "finish", 500),
+        ("unsafe", False, ["500"], "finish", 500),
+        ("unsafe", True, ["piece", "500"], "place", 0),
+    ]
 
     def test_rows(self):
         for route, resumable, events, last, status in self.ROWS:
@@ -223,19 +299,55 @@
                     ran = event in ("run", "late")
                     reason = {"busy": "busy", "unmade": NO_CONNECTION}.get(event, "broke")
                     step = tx.failed(worker, ran, reason, 2000 if event.startswith("late") else 10)
-            told = step.refusal.status if step.refusal else step.value[0] if step.name == "finish" else 0
-            self.assertThat((step.name, told), Equals((last, status)), f"{route} {resumable} {events}")
+            told = (
+                step.refusal.status
+                if step.refusal
+                else step.value[0]
+                if step.name == "finish"
+                else 0
+            )
+            self.assertThat(
+                (step.name, told), Equals((last, status)), f"{route} {resumable} {events}"
+            )
 
 
 class Headers(TestCase):
     def test_what_concerns_one_connection_stays_on_it(self):
-        rows = [("Host", "h"), ("A", "1"), ("connection", "X-Hop , close"), ("x-hop", "2"), ("Keep-Alive", "3"), ("TE", "4"), ("Trailer", "5"),
-                ("Transfer-Encoding", "6"), ("Upgrade", "7"), ("Proxy-Foo", "8"), ("Content-Length", "9"), ("A", "10"), ("Expect", "100-continue")]
+        rows = [
+            ("Host", "h"),
+            ("A", "1"),
+            ("connection", "X-Hop , close"),
+            ("x-hop", "2"),
+            ("Keep-Alive", "3"),
+            ("TE", "4"),
+            ("Trailer", "5"),
+            ("Transfer-Encoding", "6"),
+            ("Upgrade", "7"),
+            ("Proxy-Foo", "8"),
+            ("Content-Length", "9"),
+            ("A", "10"),
+            ("Expect", "100-continue"),
+        ]
         self.assertThat(end_to_end(rows), Equals([("A", "1"), ("A", "10")]))
 
 
 class Beats(Fixture):
     def test_a_beat_known_worker_is_not_a_listed_one(self):
-        self.roster.hear(WorkerNews(identity="own", incarnation=1, address="10.0.2.1:80", zone="z", labels=["s"], beat=1, running=0, waiting=0,
-                                    slots=4, cache_use=0.0, leaving=False))
-        self.assertThat((sorted(self.publish(a=row(1))), len(self.roster.workers())), Equals((["a"], 2)))
+        self.roster.hear(
+            WorkerNews(
+                identity="own",
+                incarnation=1,
+                address="10.0.2.1:80",
+                zone="z",
+                labels=["s"],
+                beat=1,
+                running=0,
+                waiting=0,
+                slots=4,
+                cache_use=0.0,
+                leaving=False,
+            )
+        )
+        self.assertThat(
+            (sorted(self.publish(a=row(1))), len(self.roster.workers())), Equals((["a"], 2))
+        )
--- a/tests/test_platform_bench.py
+++ b/tests/test_platform_bench.py
@@ -1,13 +1,10 @@
 """The bench's own clients, workers, operator and rules, tried on the hollow platform: whole, no rule is broken; with each
-of its breaks, the rule that it belongs to catches it."""
+of its breaks, the rule that it belongs to catches it.
+"""
 
 import asyncio
 from concurrent.futures import ProcessPoolExecutor
 
-from hollow import HollowFleet
-from testtools import TestCase
-from testtools.matchers import Equals
-
 from facsimile.platform_days.crew import Crew
 from facsimile.platform_days.day import STARVED_MS
 from facsimile.platform_days.days import DUE
@@ -19,18 +16,52 @@
 from facsimile.platform_days.sheet import Sheet
 from facsimile.platform_days.starved import Starved, starved_ms
 from facsimile.sim.history import History
+from hollow import HollowFleet
+from testtools import TestCase
+from testtools.matchers import Equals
 
 BREAKS = {
-    "strips-seal": "MIXED", "short-body": "MIXED", "wrong-id": "MIXED", "changes-path": "UNASKED", "runs-twice": "TWICE",
-    "refuses-what-ran": "REFUSED", "denies": "DENIED", "any-service": "ROUTE", "uses-draining": "DRAIN", "drops-event": "ORDER",
-    "looks-complete": "ORDER", "splices": "ORDER", "holds-refusals": "HELD", "old-version": "CONFIG in force",
-    "falls-back": "CONFIG never back", "acks-both": "CONFIG losers", "takes-invalid": "CONFIG losers", "reads-old": "CONFIG read back",
-    "forgets-lots": "lots LOST", "hides-results": "lots LOST", "lists-twice": "lots TWICE", "moves-results": "lots TWICE",
-    "kills-items": "lots MIXED", "loses-piece": "lots MIXED", "changes-bodies": "lots MIXED", "wrong-total": "lots MIXED",
-    "twists-pieces": "lots ORDER", "refuses-lots": "lots REFUSED", "goes-on": "lots UNASKED", "no-quota": "lots QUOTA"}
+    "strips-seal": "MIXED",
+    "short-body": "MIXED",
+    "wrong-id": "MIXED",
+    "changes-path": "UNASKED",
+    "runs-twice": "TWICE",
+    "refuses-what-ran": "REFUSED",
+    "denies": "DENIED",
+    "any-service": "ROUTE",
+    "uses-draining": "DRAIN",
+    "drops-event": "ORDER",
+    "looks-complete": "ORDER",
+    "splices": "ORDER",
+    "holds-refusals": "HELD",
+    "old-version": "CONFIG in force",
+    "falls-back": "CONFIG never back",
+    "acks-both": "CONFIG losers",
+    "takes-invalid": "CONFIG losers",
+    "reads-old": "CONFIG read back",
+    "forgets-lots": "lots LOST",
+    "hides-results": "lots LOST",
+    "lists-twice": "lots TWICE",
+    "moves-results": "lots TWICE",
+    "kills-items": "lots MIXED",
+    "loses-piece": "lots MIXED",
+    "changes-bodies": "lots MIXED",
+    "wrong-total": "lots MIXED",
+    "twists-pieces": "lots ORDER",
+    "refuses-lots": "lots REFUSED",
+    "goes-on": "lots UNASKED",
+    "no-quota": "lots QUOTA",
+}
 SECONDS = {"old-version": 5.0, "uses-draining": 5.5, "goes-on": 7.5, "": 6.0}
-STEPS = {"old-version": ("move",), "falls-back": ("move", "move"), "uses-draining": ("release",), "": ("add", "move", "race", "bad", "release"),
-         "acks-both": ("race",) * 4, "takes-invalid": ("bad",), "reads-old": ("add",)}
+STEPS = {
+    "old-version": ("move",),
+    "falls-back": ("move", "move"),
+    "uses-draining": ("release",),
+    "": ("add", "move", "race", "bad", "release"),
+    "acks-both": ("race",) * 4,
+    "takes-invalid": ("bad",),
+    "reads-old": ("add",),
+}
 
 
 class HollowDay:
@@ -39,14 +70,27 @@
         self.sheet = Sheet("small", seed)
         if broken == "no-quota":
             self.sheet.kinds["recap"].queue_cap = 4_000
-        self.history = History(seed=seed, timing=self.sheet.timing, first_event=self.sheet.first_event)
+        self.history = History(
+            seed=seed, timing=self.sheet.timing, first_event=self.sheet.first_event
+        )
         self.began_at = asyncio.get_running_loop().time()
         self.fleet = HollowFleet(self.sheet, self.history, self.clock, broken)
-        ills = (("short", 0.3), ("error", 0.05)) if broken in ("looks-complete", "splices") else (("short", 0.03), ("error", 0.03))
+        ills = (
+            (("short", 0.3), ("error", 0.05))
+            if broken in ("looks-complete", "splices")
+            else (("short", 0.03), ("error", 0.03))
+        )
         self.crew = Crew(self.sheet, self.fleet, self.history, self.clock, seed, ills)
         self.entry = Entry(self.fleet, self.history, self.clock)
         self.live = LiveClients(self.sheet, self.entry, self.history, self.clock, seed)
-        self.lots = LotClients(self.sheet, self.entry, self.history, self.clock, seed, ended=0.9 if broken == "goes-on" else 0.1)
+        self.lots = LotClients(
+            self.sheet,
+            self.entry,
+            self.history,
+            self.clock,
+            seed,
+            ended=0.9 if broken == "goes-on" else 0.1,
+        )
         self.operator = Operator(self.sheet, self.fleet, self.history, self.clock, seed)
 
     def clock(self):
@@ -98,6 +142,7 @@
 
 def played(names):
     """Several days at a time in one process."""
+
     async def run():
         return await asyncio.gather(*[HollowDay(name).play() for name in names])
 
@@ -109,7 +154,11 @@
         for _ in range(3):
             [(_, (counts, broken, waited_ms))] = played([""])
             self.assertThat(broken, Equals({}))
-            lacking = [name for name in (*DUE, "DRAIN", "CONFIG losers", "ACKS", "lots UNASKED") if not counts[name]]
+            lacking = [
+                name
+                for name in (*DUE, "DRAIN", "CONFIG losers", "ACKS", "lots UNASKED")
+                if not counts[name]
+            ]
             if not lacking:
                 return
         self.skipTest(f"kept from running for {waited_ms:.0f} ms; nothing to judge for {lacking}")
@@ -118,10 +167,18 @@
         """What is not caught, because this machine had other work, is played once more, one at a time."""
         names = list(BREAKS)
         with ProcessPoolExecutor(3) as pool:
-            rows = [row for part in pool.map(played, [names[place::8] for place in range(8)]) for row in part]
+            rows = [
+                row
+                for part in pool.map(played, [names[place::8] for place in range(8)])
+                for row in part
+            ]
         again = [name for name, (_, broken, _) in rows if BREAKS[name] not in broken]
-        missed = [(name, sorted(broken), round(waited_ms)) for name in again
-                  for _, (_, broken, waited_ms) in played([name]) if BREAKS[name] not in broken]
+        missed = [
+            (name, sorted(broken), round(waited_ms))
+            for name in again
+            for _, (_, broken, waited_ms) in played([name])
+            if BREAKS[name] not in broken
+        ]
         if any(waited_ms > STARVED_MS for _, _, waited_ms in missed):
             self.skipTest(f"kept from running; not caught: {missed}")
         self.assertThat(missed, Equals([]))
--- a/tests/test_platform_oracle.py
+++ b/tests/test_platform_oracle.py
@@ -1,24 +1,34 @@
 """The oracle of the platform's days, fed by hand: who is in touch when, and the rules that need stops, losses and ends of
-processes; and how clients arrive. What breaks on sockets is in test_platform_bench."""
+processes; and how clients arrive. What breaks on sockets is in test_platform_bench.
+"""
 
 import os
 
-from testtools import TestCase
-from testtools.matchers import Equals
-
+from facsimile.platform_days import starved as starved_module
 from facsimile.platform_days.entry import Entry
 from facsimile.platform_days.operators import patched
 from facsimile.platform_days.oracle import PLATFORM_RULES, judge_day
 from facsimile.platform_days.sheet import TIMING, Sheet, allowed_services
-from facsimile.platform_days import starved as starved_module
 from facsimile.platform_days.starved import Starved, starved_ms
 from facsimile.platform_days.touch import Touch
 from facsimile.sim.history import History
+from testtools import TestCase
+from testtools.matchers import Equals
 
 ORIGINAL = starved_module._waited_ms
-SETTINGS = {"revision": 3, "routes": [{"name": "a", "hostname": "h", "pathStart": "/a/", "backend": "s"},
-                                      {"name": "b", "hostname": "h", "pathStart": "/a/b/", "shares": [
-                                          {"backend": "s", "share": 0}, {"backend": "t", "share": 2}]}], "backends": [{"name": "s"}, {"name": "t"}]}
+SETTINGS = {
+    "revision": 3,
+    "routes": [
+        {"name": "a", "hostname": "h", "pathStart": "/a/", "backend": "s"},
+        {
+            "name": "b",
+            "hostname": "h",
+            "pathStart": "/a/b/",
+            "shares": [{"backend": "s", "share": 0}, {"backend": "t", "share": 2}],
+        },
+    ],
+    "backends": [{"name": "s"}, {"name": "t"}],
+}
 
 
 def history(rows):
@@ -33,14 +43,46 @@
 
 
 def trouble(at_ms, till_ms, node="e", of="edge", planned=False):
-    return ("trouble", at_ms, {"node": node, "of": of, "what": "x", "planned": planned, "till_ms": till_ms})
+    return (
+        "trouble",
+        at_ms,
+        {"node": node, "of": of, "what": "x", "planned": planned, "till_ms": till_ms},
+    )
 
 
 def made_try(at_ms=1000.0, ended_ms=1100.0, **fields):
-    return ("try", at_ms, {"id": "t1", "request": "q1", "of": "k", "route_type": "non_idempotent", "repeatable": False, "host": "h",
-                          "method": "POST", "target": "/a/1", "digest": "d", "node": "e", "life": 1, "deadline_ms": 2000.0, "sent_ms": at_ms,
-                          "ended_ms": ended_ms, "how": "answered", "status": 200, "seal": "s", "id_back": "t1", "probe": False, "left": False,
-                          "encoded": False, "complete": True, "body": "", "events": [], "after": None, **fields})
+    return (
+        "try",
+        at_ms,
+        {
+            "id": "t1",
+            "request": "q1",
+            "of": "k",
+            "route_type": "non_idempotent",
+            "repeatable": False,
+            "host": "h",
+            "method": "POST",
+            "target": "/a/1",
+            "digest": "d",
+            "node": "e",
+            "life": 1,
+            "deadline_ms": 2000.0,
+            "sent_ms": at_ms,
+            "ended_ms": ended_ms,
+            "how": "answered",
+            "status": 200,
+            "seal": "s",
+            "id_back": "t1",
+            "probe": False,
+            "left": False,
+            "encoded": False,
+            "complete": True,
+            "body": "",
+            "events": [],
+            "after": None,
+            **fields,
+        },
+    )
 
 
 def arrival(at_ms=1010.0, server="i", name="t1"):
@@ -48,15 +90,49 @@
 
 
 def run(at_ms=1020.0, **fields):
-    return ("run", at_ms, {"id": "t1", "server": "i", "service": "s", "host": "h", "method": "POST", "target": "/a/1", "digest": "d",
-                          "after": None, "came_ms": 1010.0, "events": [], "made_ms": [], "over_ms": 1050.0, "run": "i.1", "seal": "s", "body": "",
-                          "state": "finished", **fields})
+    return (
+        "run",
+        at_ms,
+        {
+            "id": "t1",
+            "server": "i",
+            "service": "s",
+            "host": "h",
+            "method": "POST",
+            "target": "/a/1",
+            "digest": "d",
+            "after": None,
+            "came_ms": 1010.0,
+            "events": [],
+            "made_ms": [],
+            "over_ms": 1050.0,
+            "run": "i.1",
+            "seal": "s",
+            "body": "",
+            "state": "finished",
+            **fields,
+        },
+    )
 
 
 def order(revision=3, at_ms=0.0, answered_ms=50.0, **fields):
-    return ("order", at_ms, {"name": f"o{revision}", "revision": revision, "base": revision - 1, "settings": {**SETTINGS, "revision": revision},
-                            "valid": True, "what": "add", "status": 200, "outcome": "acked", "acked_ms": answered_ms,
-                            "answered_ms": answered_ms, **fields})
+    return (
+        "order",
+        at_ms,
+        {
+            "name": f"o{revision}",
+            "revision": revision,
+            "base": revision - 1,
+            "settings": {**SETTINGS, "revision": revision},
+            "valid": True,
+            "what": "add",
+            "status": 200,
+            "outcome": "acked",
+            "acked_ms": answered_ms,
+            "answered_ms": answered_ms,
+            **fields,
+        },
+    )
 
 
 def request(at_ms, *tries):
@@ -67,8 +143,18 @@
 STOP = [start(), trouble(950.0, 2000.0, planned=True)]
 CUT = {"how": "cut", "status": 0, "seal": ""}
 FIRST = order(settings={**SETTINGS, "routes": SETTINGS["routes"][:1]})
-MANY = order(4, settings={**SETTINGS, "revision": 4, "routes": SETTINGS["routes"][:1] + [
-    {"name": f"x{place}", "hostname": "h", "pathStart": f"/x{place}/", "backend": "s"} for place in range(24)]})
+MANY = order(
+    4,
+    settings={
+        **SETTINGS,
+        "revision": 4,
+        "routes": SETTINGS["routes"][:1]
+        + [
+            {"name": f"x{place}", "hostname": "h", "pathStart": f"/x{place}/", "backend": "s"}
+            for place in range(24)
+        ],
+    },
+)
 ON_MANY = [made_try(at_ms=3000.0, ended_ms=3010.0, target=f"/x{place}/1") for place in range(24)]
 CASES = [  # rule, rows, judged, breaches
     ("LOST", [*STOP, made_try(**CUT), arrival()], 1, 1),
@@ -79,8 +165,25 @@
     ("LOST", [*STOP, made_try(ended_ms=2990.0, **CUT), arrival()], 1, 0),
     ("LOST", [*STOP, trouble(500.0, 600.0, "f"), made_try(**CUT), arrival()], 0, 0),
     ("LOST", [start(), made_try(**CUT), arrival()], 0, 0),
-    ("RECOVER", [("back", 0.0, {}), *[request(13_000.0 + place, {"how": "cut", "status": 0}) for place in range(4)]], 4, 1),
-    ("RECOVER", [("back", 0.0, {}), request(13_000.0, GOOD), *[request(13_000.0 + place) for place in range(3)]], 4, 0),
+    (
+        "RECOVER",
+        [
+            ("back", 0.0, {}),
+            *[request(13_000.0 + place, {"how": "cut", "status": 0}) for place in range(4)],
+        ],
+        4,
+        1,
+    ),
+    (
+        "RECOVER",
+        [
+            ("back", 0.0, {}),
+            request(13_000.0, GOOD),
+            *[request(13_000.0 + place) for place in range(3)],
+        ],
+        4,
+        0,
+    ),
     ("RECOVER", [("back", 0.0, {}), *[request(11_000.0 + place) for place in range(4)]], 0, 0),
     ("ACKS", [order(answered_ms=4500.0)], 1, 1),
     ("ACKS", [order(answered_ms=400.0)], 1, 0),
@@ -91,11 +194,41 @@
     ("FAULT", [start(), ("grace-over", 10.0, {"node": "e"})], 1, 1),
     ("HELD", [start(), made_try(ended_ms=2500.0, status=503, seal="")], 1, 1),
     ("HELD", [start(), made_try(ended_ms=1300.0, status=503, seal="")], 1, 0),
-    ("HELD", [start(), made_try(ended_ms=1800.0, status=502, seal=""), arrival(), run(state="broken")], 1, 1),
-    ("HELD", [start(), made_try(ended_ms=1100.0, status=502, seal=""), arrival(), run(state="broken")], 1, 0),
-    ("HELD", [start(), made_try(ended_ms=2900.0, status=504, seal=""), arrival(), run(state="running", over_ms=0.0)], 1, 0),
-    ("HELD", [start(), made_try(ended_ms=2900.0, status=504, seal=""), arrival(),
-              ("worker-gone", 1100.0, {"server": "i", "how": "dark"}), run(state="dropped")], 1, 0),
+    (
+        "HELD",
+        [start(), made_try(ended_ms=1800.0, status=502, seal=""), arrival(), run(state="broken")],
+        1,
+        1,
+    ),
+    (
+        "HELD",
+        [start(), made_try(ended_ms=1100.0, status=502, seal=""), arrival(), run(state="broken")],
+        1,
+        0,
+    ),
+    (
+        "HELD",
+        [
+            start(),
+            made_try(ended_ms=2900.0, status=504, seal=""),
+            arrival(),
+            run(state="running", over_ms=0.0),
+        ],
+        1,
+        0,
+    ),
+    (
+        "HELD",
+        [
+            start(),
+            made_try(ended_ms=2900.0, status=504, seal=""),
+            arrival(),
+            ("worker-gone", 1100.0, {"server": "i", "how": "dark"}),
+            run(state="dropped"),
+        ],
+        1,
+        0,
+    ),
     ("REFUSED", [made_try(status=503, seal=""), run()], 1, 1),
     ("REFUSED", [made_try(status=503, seal="", repeatable=True), run()], 0, 0),
     ("TWICE", [made_try(), run(), run(run="i.2")], 1, 1),
@@ -106,44 +239,161 @@
     ("MIXED", [made_try(), run(seal="z")], 1, 1),
     ("MIXED", [made_try(how="garbled", status=0)], 0, 1),
     ("MIXED", [made_try(how="garbled", status=0), run(state="garbled")], 0, 0),
-    ("DRAIN", [start(), ("drain-ack", 500.0, {"server": "i", "node": "c"}), made_try(at_ms=2600.0, ended_ms=2700.0), arrival(2610.0)], 1, 1),
-    ("DRAIN", [start(), ("drain-ack", 500.0, {"server": "i", "node": "c"}), made_try(at_ms=2300.0, ended_ms=2400.0), arrival(2310.0)], 1, 0),
-    ("DRAIN", [start(), trouble(2000.0, 2100.0), ("drain-ack", 500.0, {"server": "i", "node": "c"}), made_try(at_ms=2600.0, ended_ms=2700.0),
-               arrival(2610.0)], 1, 0),
-    ("CONFIG in force", [start(), order(), made_try(status=404, seal="", at_ms=3000.0, ended_ms=3010.0)], 1, 1),
-    ("CONFIG in force", [start(), order(), made_try(status=404, seal="", target="/c/", at_ms=3000.0, ended_ms=3010.0)], 1, 0),
-    ("CONFIG in force", [start(), order(), made_try(at_ms=3000.0, ended_ms=3010.0, target="/a/b/1"), run(service="s")], 1, 1),
-    ("CONFIG in force", [start(), order(), made_try(at_ms=3000.0, ended_ms=3010.0, target="/a/b/1"), run(service="t")], 1, 0),
-    ("CONFIG later routes", [start(), FIRST, MANY, made_try(at_ms=3000.0, ended_ms=3010.0), *ON_MANY], 24, 0),
-    ("CONFIG later routes", [start(), FIRST, MANY, made_try(at_ms=3000.0, ended_ms=3010.0), *[
-        (kind, at_ms, {**row, "status": 503}) for kind, at_ms, row in ON_MANY]], 24, 1),
+    (
+        "DRAIN",
+        [
+            start(),
+            ("drain-ack", 500.0, {"server": "i", "node": "c"}),
+            made_try(at_ms=2600.0, ended_ms=2700.0),
+            arrival(2610.0),
+        ],
+        1,
+        1,
+    ),
+    (
+        "DRAIN",
+        [
+            start(),
+            ("drain-ack", 500.0, {"server": "i", "node": "c"}),
+            made_try(at_ms=2300.0, ended_ms=2400.0),
+            arrival(2310.0),
+        ],
+        1,
+        0,
+    ),
+    (
+        "DRAIN",
+        [
+            start(),
+            trouble(2000.0, 2100.0),
+            ("drain-ack", 500.0, {"server": "i", "node": "c"}),
+            made_try(at_ms=2600.0, ended_ms=2700.0),
+            arrival(2610.0),
+        ],
+        1,
+        0,
+    ),
+    (
+        "CONFIG in force",
+        [start(), order(), made_try(status=404, seal="", at_ms=3000.0, ended_ms=3010.0)],
+        1,
+        1,
+    ),
+    (
+        "CONFIG in force",
+        [
+            start(),
+            order(),
+            made_try(status=404, seal="", target="/c/", at_ms=3000.0, ended_ms=3010.0),
+        ],
+        1,
+        0,
+    ),
+    (
+        "CONFIG in force",
+        [
+            start(),
+            order(),
+            made_try(at_ms=3000.0, ended_ms=3010.0, target="/a/b/1"),
+            run(service="s"),
+        ],
+        1,
+        1,
+    ),
+    (
+        "CONFIG in force",
+        [
+            start(),
+            order(),
+            made_try(at_ms=3000.0, ended_ms=3010.0, target="/a/b/1"),
+            run(service="t"),
+        ],
+        1,
+        0,
+    ),
+    (
+        "CONFIG later routes",
+        [start(), FIRST, MANY, made_try(at_ms=3000.0, ended_ms=3010.0), *ON_MANY],
+        24,
+        0,
+    ),
+    (
+        "CONFIG later routes",
+        [
+            start(),
+            FIRST,
+            MANY,
+            made_try(at_ms=3000.0, ended_ms=3010.0),
+            *[(kind, at_ms, {**row, "status": 503}) for kind, at_ms, row in ON_MANY],
+        ],
+        24,
+        1,
+    ),
     ("LOST", [start(), ("hang-up", 1050.0, {"node": "e"}), made_try(**CUT), arrival()], 1, 1),
     ("CONFIG losers", [order(), order(4, base=2)], 0, 1),
     ("CONFIG losers", [order(), order(9, valid=False)], 1, 1),
-    ("CONFIG losers", [order(), order(9, outcome="refused"), ("read-back", 9.0, {"settings": {"revision": 9}})], 1, 1),
+    (
+        "CONFIG losers",
+        [order(), order(9, outcome="refused"), ("read-back", 9.0, {"settings": {"revision": 9}})],
+        1,
+        1,
+    ),
     ("CONFIG read back", [order(), ("read-back", 9.0, {"settings": {**SETTINGS}})], 1, 0),
     ("CONFIG read back", [order(), ("read-back", 9.0, {"settings": None})], 1, 1),
     ("CONFIG read back", [order(), order(5), ("read-back", 9.0, {"settings": {**SETTINGS}})], 1, 1),
-    ("CONFIG read back", [order(), ("read-back", 9.0, {"settings": {**SETTINGS, "routes": []}})], 1, 1)]
+    (
+        "CONFIG read back",
+        [order(), ("read-back", 9.0, {"settings": {**SETTINGS, "routes": []}})],
+        1,
+        1,
+    ),
+]
 
 
 class PlatformOracle(TestCase):
     def test_rows(self):
         for place, (rule, rows, judged, breaches) in enumerate(CASES):
             count, found = PLATFORM_RULES[rule](history(rows))
-            self.assertThat((place, rule, count, len(found)), Equals((place, rule, judged, breaches)), str(found))
+            self.assertThat(
+                (place, rule, count, len(found)),
+                Equals((place, rule, judged, breaches)),
+                str(found),
+            )
 
     def test_nothing_to_judge_is_a_failure_where_some_is_due(self):
         for name in PLATFORM_RULES:
             self.assertThat(sorted(judge_day(history([]), [name])[1]), Equals([name]))
 
     def test_in_touch(self):
-        touch = Touch(history([start(at_ms=0.0), start("c", "core", 0.0), trouble(10_000.0, 11_000.0), trouble(30_000.0, 31_000.0, "c", "core"),
-                               trouble(50_000.0, 51_000.0, planned=True)]))
-        for at_ms, mine, other in ((2000, False, False), (4000, True, True), (10_500, False, True), (13_500, False, True), (14_500, True, True),
-                                   (30_500, False, False), (33_500, False, False), (34_500, True, True), (50_500, False, True)):
-            self.assertThat((at_ms, touch.machine("e", at_ms), touch.machine("f", at_ms)), Equals((at_ms, mine, other)))
-        self.assertThat((touch.unplanned(49_000, 52_000), touch.unplanned(9000, 10_500)), Equals((False, True)))
+        touch = Touch(
+            history(
+                [
+                    start(at_ms=0.0),
+                    start("c", "core", 0.0),
+                    trouble(10_000.0, 11_000.0),
+                    trouble(30_000.0, 31_000.0, "c", "core"),
+                    trouble(50_000.0, 51_000.0, planned=True),
+                ]
+            )
+        )
+        for at_ms, mine, other in (
+            (2000, False, False),
+            (4000, True, True),
+            (10_500, False, True),
+            (13_500, False, True),
+            (14_500, True, True),
+            (30_500, False, False),
+            (33_500, False, False),
+            (34_500, True, True),
+            (50_500, False, True),
+        ):
+            self.assertThat(
+                (at_ms, touch.machine("e", at_ms), touch.machine("f", at_ms)),
+                Equals((at_ms, mine, other)),
+            )
+        self.assertThat(
+            (touch.unplanned(49_000, 52_000), touch.unplanned(9000, 10_500)), Equals((False, True))
+        )
 
 
 class Starving(TestCase):
@@ -153,20 +403,45 @@
         waited = {}
         starved_module._waited_ms = lambda pid: waited.get(pid, 0.0)
         self.addCleanup(setattr, starved_module, "_waited_ms", ORIGINAL)
-        machines = [type("M", (), {"name": name, "machine_class": "edge", "runs": True, "process": type("P", (), {"pid": pid})()})()
-                    for name, pid in (("e", -1), ("f", -2))]
-        for now_ms, more in ((1000, {}), (1500, {-1: 90}), (2000, {-1: 290}), (2500, {-1: 300}), (3000, {os.getpid(): 150}), (3100, {}), (3600, {})):
+        machines = [
+            type(
+                "M",
+                (),
+                {
+                    "name": name,
+                    "machine_class": "edge",
+                    "runs": True,
+                    "process": type("P", (), {"pid": pid})(),
+                },
+            )()
+            for name, pid in (("e", -1), ("f", -2))
+        ]
+        for now_ms, more in (
+            (1000, {}),
+            (1500, {-1: 90}),
+            (2000, {-1: 290}),
+            (2500, {-1: 300}),
+            (3000, {os.getpid(): 150}),
+            (3100, {}),
+            (3600, {}),
+        ):
             waited.update(more)
             starved.look(machines, now_ms)
-        self.assertThat([(row["node"], row["at_ms"], row["till_ms"]) for row in made.of("trouble")],
-                        Equals([("e", 1500, 2500), ("e", 2500, 3600), ("f", 2500, 3600)]))
+        self.assertThat(
+            [(row["node"], row["at_ms"], row["till_ms"]) for row in made.of("trouble")],
+            Equals([("e", 1500, 2500), ("e", 2500, 3600), ("f", 2500, 3600)]),
+        )
         self.assertThat(starved_ms(made), Equals(2100))
 
 
 class Arrivals(TestCase):
     def entry(self, zones):
         class Fleet:
-            machines = [type("M", (), {"name": f"{zone}{place}", "zone": zone, "removed": False})() for zone in zones for place in range(zones[zone])]
+            machines = [
+                type("M", (), {"name": f"{zone}{place}", "zone": zone, "removed": False})()
+                for zone in zones
+                for place in range(zones[zone])
+            ]
 
             def everyone(self, machine_class):
                 return self.machines
@@ -204,13 +479,34 @@
 
 class Words(TestCase):
     def test_changes_by_name(self):
-        made = patched(SETTINGS, {"revision": 7, "upsert": {"routes": [{"name": "b", "hostname": "h", "pathStart": "/n/", "backend": "t"},
-                                                                      {"name": "c", "hostname": "h", "pathStart": "/c/", "backend": "s"}]},
-                                  "remove": {"routes": ["a"]}})
-        self.assertThat((made["revision"], [row["name"] for row in made["routes"]]), Equals((7, ["b", "c"])))
-        self.assertThat([allowed_services(made, "h", path) for path in ("/a/b/", "/n/1", "/c/", "/")], Equals([None, {"t"}, {"s"}, None]))
-        self.assertThat([allowed_services(SETTINGS, "h", path) for path in ("/a/x", "/a/b/x")], Equals([{"s"}, {"t"}]))
+        made = patched(
+            SETTINGS,
+            {
+                "revision": 7,
+                "upsert": {
+                    "routes": [
+                        {"name": "b", "hostname": "h", "pathStart": "/n/", "backend": "t"},
+                        {"name": "c", "hostname": "h", "pathStart": "/c/", "backend": "s"},
+                    ]
+                },
+                "remove": {"routes": ["a"]},
+            },
+        )
+        self.assertThat(
+            (made["revision"], [row["name"] for row in made["routes"]]), Equals((7, ["b", "c"]))
+        )
+        self.assertThat(
+            [allowed_services(made, "h", path) for path in ("/a/b/", "/n/1", "/c/", "/")],
+            Equals([None, {"t"}, {"s"}, None]),
+        )
+        self.assertThat(
+            [allowed_services(SETTINGS, "h", path) for path in ("/a/x", "/a/b/x")],
+            Equals([{"s"}, {"t"}]),
+        )
 
     def test_a_seed_draws_the_same_names_and_another_other_ones(self):
-        rows = [(sheet.zones, sheet.services, sheet.routes, sheet.first_event) for sheet in (Sheet("small", 1), Sheet("small", 1), Sheet("small", 2))]
+        rows = [
+            (sheet.zones, sheet.services, sheet.routes, sheet.first_event)
+            for sheet in (Sheet("small", 1), Sheet("small", 1), Sheet("small", 2))
+        ]
         self.assertThat((rows[0] == rows[1], rows[0] == rows[2]), Equals((True, False)))
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -1,5 +1,6 @@
 """What a process shows the outside: settings and their errors, signals, and every kind of bad input
-answered with a verdict and the field's name. Real processes on loopback addresses."""
+answered with a verdict and the field's name. Real processes on loopback addresses.
+"""
 
 import asyncio
 import json
@@ -9,23 +10,31 @@
 import tempfile
 from pathlib import Path
 
-from testtools import TestCase
-from testtools.matchers import Contains, Equals
-from trees import TREE
-
 from colophon import load_params
 from colophon.params import changed_params
 from facsimile.fleet import Fleet, until
+from testtools import TestCase
+from testtools.matchers import Contains, Equals
+from trees import TREE
 
 GOOD = {"link": "127.0.0.1:9", "http": "127.0.0.1:8", "zone": "z", "seeds": ["127.0.0.1:9"]}
 
 
 class Settings(TestCase):
     def test_every_error_is_named(self):
-        rows = [({"link": "localhost:1"}, "link"), ({"http": "127.0.0.1"}, "http"), ({"seeds": []}, "seeds"),
-                ({"seeds": ["1.2.3.4:1"] * 4}, "seeds"), ({"seeds": ["x:1"]}, "seeds"), ({"zone": ""}, "zone"),
-                ({"delta_ms": 0}, "delta_ms"), ({"colour": 1}, "colour"), ({"role": "store"}, "data_folder"),
-                ({"store_count": 2}, "store_faults"), ({"http": GOOD["link"]}, "http")]
+        rows = [
+            ({"link": "localhost:1"}, "link"),
+            ({"http": "127.0.0.1"}, "http"),
+            ({"seeds": []}, "seeds"),
+            ({"seeds": ["1.2.3.4:1"] * 4}, "seeds"),
+            ({"seeds": ["x:1"]}, "seeds"),
+            ({"zone": ""}, "zone"),
+            ({"delta_ms": 0}, "delta_ms"),
+            ({"colour": 1}, "colour"),
+            ({"role": "store"}, "data_folder"),
+            ({"store_count": 2}, "store_faults"),
+            ({"http": GOOD["link"]}, "http"),
+        ]
         for change, field in rows:
             problems = load_params(None, {**GOOD, **change}).error
             self.assertThat("\n".join(problems), Contains(field), str(change))
@@ -35,19 +44,38 @@
     def test_flags_win_and_bad_settings_end_with_code_2(self):
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "s.toml"
-            path.write_text("".join(f"{key} = {json.dumps(value)}\n" for key, value in GOOD.items()))
+            path.write_text(
+                "".join(f"{key} = {json.dumps(value)}\n" for key, value in GOOD.items())
+            )
             self.assertThat(load_params(str(path), {"zone": "other"}).ok.zone, Equals("other"))
             path.write_text(path.read_text() + "view_size = 0\nflush_ms = 1\n")
-            ended = subprocess.run([sys.executable, "-m", "readingroom.cli", "serve", "--role", "edge", "--settings",
-                                    str(path)], capture_output=True, text=True, timeout=30)
-            self.assertThat((ended.returncode, "view_size" in ended.stderr, "flush_ms" in ended.stderr),
-                            Equals((2, True, True)))
+            ended = subprocess.run(
+                [
+                    sys.executable,
+                    "-m",
+                    "readingroom.cli",
+                    "serve",
+                    "--role",
+                    "edge",
+                    "--settings",
+                    str(path),
+                ],
+                capture_output=True,
+                text=True,
+                timeout=30,
+            )
+            self.assertThat(
+                (ended.returncode, "view_size" in ended.stderr, "flush_ms" in ended.stderr),
+                Equals((2, True, True)),
+            )
 
     def test_what_a_reread_file_may_change(self):
         old = load_params(None, GOOD).ok
         new = load_params(None, {**GOOD, "delta_ms": 70, "zone": "other"}).ok
         params, applied, held = changed_params(old, new)
-        self.assertThat((params.delta_ms, params.zone, applied, held), Equals((70, "z", ["delta_ms"], ["zone"])))
+        self.assertThat(
+            (params.delta_ms, params.zone, applied, held), Equals((70, "z", ["delta_ms"], ["zone"]))
+        )
 
 
 class Outside(TestCase):
@@ -56,29 +84,88 @@
         ("POST", "/v1/completions", b"[]", 400, "bad-field", "body"),
         ("POST", "/v1/completions", {"model": "rulings"}, 400, "bad-field", "prompt"),
         ("POST", "/v1/completions", {"model": "rulings", "prompt": 3}, 400, "bad-field", "prompt"),
-        ("POST", "/v1/completions", {"model": "rulings", "prompt": "a", "colour": 1}, 400, "bad-field", "colour"),
-        ("POST", "/v1/completions", {"model": "nowhere", "prompt": "a"}, 404, "unknown-path", "model"),
+        (
+            "POST",
+            "/v1/completions",
+            {"model": "rulings", "prompt": "a", "colour": 1},
+            400,
+            "bad-field",
+            "colour",
+        ),
+        (
+            "POST",
+            "/v1/completions",
+            {"model": "nowhere", "prompt": "a"},
+            404,
+            "unknown-path",
+            "model",
+        ),
         ("POST", "/v1/completions", {"model": "base", "prompt": "a"}, 404, "unknown-path", "model"),
-        ("POST", "/v1/chat/completions", {"model": "rulings", "prompt": "a"}, 400, "bad-field", "messages"),
-        ("POST", "/v1/completions", {"model": "moves", "prompt": "a"}, 400, "key-missing", "Idempotency-Key"),
+        (
+            "POST",
+            "/v1/chat/completions",
+            {"model": "rulings", "prompt": "a"},
+            400,
+            "bad-field",
+            "messages",
+        ),
+        (
+            "POST",
+            "/v1/completions",
+            {"model": "moves", "prompt": "a"},
+            400,
+            "key-missing",
+            "Idempotency-Key",
+        ),
         ("PUT", "/lots/a", {"path": "summaries"}, 400, "bad-field", "items"),
-        ("PUT", "/lots/a", {"path": "summaries", "items": [{"prompt": "x", "messages": []}]}, 400, "bad-field",
-         "items.0.messages"),
-        ("PUT", "/lots/a", {"path": "nowhere", "items": [{"prompt": "x"}]}, 404, "unknown-path", "path"),
-        ("PUT", "/lots/a%20b", {"path": "summaries", "items": [{"prompt": "x"}]}, 400, "bad-field", "lot_id"),
+        (
+            "PUT",
+            "/lots/a",
+            {"path": "summaries", "items": [{"prompt": "x", "messages": []}]},
+            400,
+            "bad-field",
+            "items.0.messages",
+        ),
+        (
+            "PUT",
+            "/lots/a",
+            {"path": "nowhere", "items": [{"prompt": "x"}]},
+            404,
+            "unknown-path",
+            "path",
+        ),
+        (
+            "PUT",
+            "/lots/a%20b",
+            {"path": "summaries", "items": [{"prompt": "x"}]},
+            400,
+            "bad-field",
+            "lot_id",
+        ),
         ("GET", "/lots/none", None, 404, "unknown-lot", "lot_id"),
         ("GET", "/lots/none/results?from=-1", None, 400, "bad-field", "from"),
         ("GET", "/lots/none/results?colour=1", None, 400, "bad-field", "colour"),
         ("DELETE", "/lots/none", None, 404, "unknown-lot", "lot_id"),
-        ("GET", "/nothing", None, 404, "unknown-address", None), ("PUT", "/ready", {}, 405, "unknown-method", None),
+        ("GET", "/nothing", None, 404, "unknown-address", None),
+        ("PUT", "/ready", {}, 405, "unknown-method", None),
         ("POST", "/workers/beat", {"identity": "w"}, 400, "bad-field", "incarnation"),
-        ("POST", "/workers/leave", {"identity": "w", "incarnation": "1"}, 400, "bad-field", "incarnation"),
-        ("POST", "/v1/completions", b"x" * (1 << 23), 413, "too-large", "body")]
+        (
+            "POST",
+            "/workers/leave",
+            {"identity": "w", "incarnation": "1"},
+            400,
+            "bad-field",
+            "incarnation",
+        ),
+        ("POST", "/v1/completions", b"x" * (1 << 23), 413, "too-large", "body"),
+    ]
 
     def test_outside(self):
         async def run():
             with tempfile.TemporaryDirectory() as folder:
-                async with Fleet(folder, {"control": 3, "stores": 3, "edges": 1, "workers": 1}, 23000) as fleet:
+                async with Fleet(
+                    folder, {"control": 3, "stores": 3, "edges": 1, "workers": 1}, 23000
+                ) as fleet:
                     await fleet.found(TREE)
                     await fleet.workers_known(1)
                     await self.bad_input(fleet)
@@ -92,15 +179,23 @@
         edge = fleet.of("edge")[0].http
         for method, address, body, status, code, field in self.BAD:
             data = body if isinstance(body, (bytes, type(None))) else json.dumps(body).encode()
-            async with fleet.session.request(method, f"http://{edge}{address}", data=data) as answer:
+            async with fleet.session.request(
+                method, f"http://{edge}{address}", data=data
+            ) as answer:
                 error = (await answer.json())["error"]
-                self.assertThat((answer.status, error["code"], error["verdict"], error.get("field")),
-                                Equals((status, code, "not_run", field)), f"{method} {address}")
+                self.assertThat(
+                    (answer.status, error["code"], error["verdict"], error.get("field")),
+                    Equals((status, code, "not_run", field)),
+                    f"{method} {address}",
+                )
 
     async def lots(self, fleet):
         edge = fleet.of("edge")[0].http
         lot = {"path": "summaries", "items": [{"prompt": f"p{place}"} for place in range(3)]}
-        answers = [await fleet.ask("PUT", edge, "/lots/one", body) for body in (lot, lot, {**lot, "due_ms": 500})]
+        answers = [
+            await fleet.ask("PUT", edge, "/lots/one", body)
+            for body in (lot, lot, {**lot, "due_ms": 500})
+        ]
         self.assertThat([status for status, _ in answers], Equals([201, 200, 409]))
 
         async def done():
@@ -110,8 +205,17 @@
         await until(done, 15000, "lot done")
         status, body = await fleet.ask("GET", edge, "/lots/one/results?from=4")
         self.assertThat((status, body["error"]["field"]), Equals((416, "from")))
-        crowd = await asyncio.gather(*[fleet.ask("PUT", edge, f"/lots/crowd{place}", {
-            "path": "summaries", "items": [{"prompt": "x", "max_tokens": 500}] * 40}) for place in range(12)])
+        crowd = await asyncio.gather(
+            *[
+                fleet.ask(
+                    "PUT",
+                    edge,
+                    f"/lots/crowd{place}",
+                    {"path": "summaries", "items": [{"prompt": "x", "max_tokens": 500}] * 40},
+                )
+                for place in range(12)
+            ]
+        )
         self.assertThat(sorted(status for status, _ in crowd), Equals([201] * 4 + [429] * 8))
         full = next(body["error"] for status, body in crowd if status == 429)
         self.assertThat((full["verdict"], full["retry_after_ms"] > 0), Equals(("not_run", True)))
@@ -126,23 +230,52 @@
 
     async def operators(self, fleet):
         control = [member.http for member in fleet.of("control")]
-        status, body = await fleet.ask("PUT", control[0], "/profiles", {"version": 1, "tree": {"profiles": {
-            "a": {"parent": "b", "x": 1}, "c": {"deadline_ms": 0}}}})
-        self.assertThat((status, body["error"]["code"], len(body["error"]["problems"])), Equals((422, "bad-tree", 3)))
+        status, body = await fleet.ask(
+            "PUT",
+            control[0],
+            "/profiles",
+            {
+                "version": 1,
+                "tree": {"profiles": {"a": {"parent": "b", "x": 1}, "c": {"deadline_ms": 0}}},
+            },
+        )
+        self.assertThat(
+            (status, body["error"]["code"], len(body["error"]["problems"])),
+            Equals((422, "bad-tree", 3)),
+        )
         patch = {"profiles": {"rulings": {"deadline_ms": 1500}}}
-        both = await asyncio.gather(*[fleet.ask("PATCH", control[place], "/profiles", {
-            "version": 1, "change_id": f"c{place}", "patch": patch}) for place in range(2)])
+        both = await asyncio.gather(
+            *[
+                fleet.ask(
+                    "PATCH",
+                    control[place],
+                    "/profiles",
+                    {"version": 1, "change_id": f"c{place}", "patch": patch},
+                )
+                for place in range(2)
+            ]
+        )
         self.assertThat(sorted(status for status, _ in both), Equals([200, 409]))
         winner = next(place for place in range(2) if both[place][0] == 200)
-        again = await fleet.ask("PATCH", control[2], "/profiles", {"version": 1, "change_id": f"c{winner}", "patch": patch})
+        again = await fleet.ask(
+            "PATCH",
+            control[2],
+            "/profiles",
+            {"version": 1, "change_id": f"c{winner}", "patch": patch},
+        )
         self.assertThat(again, Equals(both[winner]))
         _, told = await fleet.ask("GET", control[0], "/profiles/rulings/explained")
-        self.assertThat((told["values"]["deadline_ms"], told["values"]["workers.labels"]["from"]),
-                        Equals(({"value": 1500, "from": "rulings"}, "base")))
+        self.assertThat(
+            (told["values"]["deadline_ms"], told["values"]["workers.labels"]["from"]),
+            Equals(({"value": 1500, "from": "rulings"}, "base")),
+        )
         _, edge = await fleet.get(fleet.of("edge")[0], "/status")
         self.assertThat(edge["feed"]["profiles"], Equals(2))
         _, members = await fleet.ask("GET", control[0], "/members")
-        self.assertThat(sorted(row["role"] for row in members["members"]), Equals(["control"] * 3 + ["edge"] + ["store"] * 3))
+        self.assertThat(
+            sorted(row["role"] for row in members["members"]),
+            Equals(["control"] * 3 + ["edge"] + ["store"] * 3),
+        )
 
     async def signals(self, fleet):
         edge = fleet.of("edge")[0]
@@ -152,17 +285,32 @@
         edge.signal(signal.SIGHUP)
 
         async def logged(event):
-            return any(json.loads(line)["event"] == event for line in edge.log_file.read_text().splitlines()
-                       if line.startswith("{"))
+            return any(
+                json.loads(line)["event"] == event
+                for line in edge.log_file.read_text().splitlines()
+                if line.startswith("{")
+            )
 
         await until(lambda: logged("settings-refused"), 5000, "a bad file is refused")
         path.write_text(good + "delta_ms = 60\n" + "view_size = 9\n")
         edge.signal(signal.SIGHUP)
         await until(lambda: logged("settings-reread"), 5000, "a good file is applied")
-        row = next(json.loads(line) for line in edge.log_file.read_text().splitlines() if "settings-reread" in line)
-        self.assertThat((row["applied"], row["need_restart"]), Equals((["delta_ms"], ["view_size"])))
-        streaming = asyncio.ensure_future(fleet.ask("POST", edge.http, "/v1/completions", {
-            "model": "rulings", "prompt": "long", "stream": True, "max_tokens": 300}))
+        row = next(
+            json.loads(line)
+            for line in edge.log_file.read_text().splitlines()
+            if "settings-reread" in line
+        )
+        self.assertThat(
+            (row["applied"], row["need_restart"]), Equals((["delta_ms"], ["view_size"]))
+        )
+        streaming = asyncio.ensure_future(
+            fleet.ask(
+                "POST",
+                edge.http,
+                "/v1/completions",
+                {"model": "rulings", "prompt": "long", "stream": True, "max_tokens": 300},
+            )
+        )
 
         async def begun():
             _, body = await fleet.get(edge, "/status")
@@ -179,5 +327,3 @@
         status, text = await streaming
         self.assertThat((status, text.endswith("data: [DONE]\n\n")), Equals((200, True)))
         self.assertThat(edge.process.wait(8), Equals(0))
-
-
--- a/tests/test_proof.py
+++ b/tests/test_proof.py
@@ -4,17 +4,16 @@
 import re
 from pathlib import Path
 
-from test_platform_bench import BREAKS as HOLLOW_BREAKS
-from test_sim import SCHEDULES
-from testtools import TestCase
-from testtools.matchers import Equals
-
 from facsimile.breaks import BREAKS
 from facsimile.breaks.runner import applied
 from facsimile.days import DAYS
 from facsimile.platform_days.days import PLATFORM_DAYS
 from facsimile.platform_days.oracle import PLATFORM_RULES
 from facsimile.sim.oracle import RULES
+from test_platform_bench import BREAKS as HOLLOW_BREAKS
+from test_sim import SCHEDULES
+from testtools import TestCase
+from testtools.matchers import Equals
 
 ROOT = Path(__file__).parent.parent
 PROOF = (ROOT / "docs" / "proof.md").read_text()
@@ -34,10 +33,19 @@
         return set(re.findall(rf"`{kind}:([^`]+)`", PROOF))
 
     def test_everything_named_exists(self):
-        for kind, held in (("schedule", SCHEDULES), ("day", DAYS), ("rule", RULES), ("break", BREAKS), ("platform-day", PLATFORM_DAYS),
-                           ("platform-rule", PLATFORM_RULES), ("hollow", HOLLOW_BREAKS)):
+        for kind, held in (
+            ("schedule", SCHEDULES),
+            ("day", DAYS),
+            ("rule", RULES),
+            ("break", BREAKS),
+            ("platform-day", PLATFORM_DAYS),
+            ("platform-rule", PLATFORM_RULES),
+            ("hollow", HOLLOW_BREAKS),
+        ):
             self.assertThat((kind, self.named(kind) - set(held)), Equals((kind, set())))
-        self.assertThat(set(re.findall(r"`(test_\w+\.\w+\.\w+)`", PROOF)) - set(every_test()), Equals(set()))
+        self.assertThat(
+            set(re.findall(r"`(test_\w+\.\w+\.\w+)`", PROOF)) - set(every_test()), Equals(set())
+        )
 
     def test_every_rule_is_claimed_and_every_break_applies(self):
         self.assertThat(set(RULES) - self.named("rule"), Equals(set()))
@@ -50,26 +58,59 @@
         self.assertThat(self.named("platform-rule"), Equals(set(PLATFORM_RULES)))
         self.assertThat(set(PLATFORM_DAYS) - self.named("platform-day"), Equals(set()))
         part = PROOF.split("## The platform's rules")[1].split("## ")[0]
-        for _, day, broken in [line.split("|")[1:-1] for line in part.splitlines() if line.startswith("| `")]:
-            self.assertThat(("`platform-day:" in day or "every day" in day, "`hollow:" in broken or "by hand" in broken), Equals((True, True)), day)
+        for _, day, broken in [
+            line.split("|")[1:-1] for line in part.splitlines() if line.startswith("| `")
+        ]:
+            self.assertThat(
+                (
+                    "`platform-day:" in day or "every day" in day,
+                    "`hollow:" in broken or "by hand" in broken,
+                ),
+                Equals((True, True)),
+                day,
+            )
 
     def test_every_row_of_what_must_never_happen_has_a_failure_and_a_break(self):
         part = PROOF.split("## What must never happen")[1].split("## ")[0]
         rows = [line.split("|")[1:-1] for line in part.splitlines() if line.startswith("|")][2:]
         self.assertThat(len(rows), Equals(12))
         for point, _, failure, broken, state in rows:
-            self.assertThat(("`rule:" in failure, "`break:" in broken, state.strip()), Equals((True, True, "met")), point)
+            self.assertThat(
+                ("`rule:" in failure, "`break:" in broken, state.strip()),
+                Equals((True, True, "met")),
+                point,
+            )
 
 
 class HouseStyle(TestCase):
     def test_files(self):
-        for path in [*sorted((ROOT / "libs").glob("*/src/**/*.py")), *sorted((ROOT / "tests").glob("*.py"))]:
+        for path in [
+            *sorted((ROOT / "libs").glob("*/src/**/*.py")),
+            *sorted((ROOT / "tests").glob("*.py")),
+        ]:
             text = path.read_text()
             tree = ast.parse(text)
             self.assertThat(len(text.splitlines()) <= 400, Equals(True), str(path))
-            self.assertThat(ast.get_docstring(tree) is not None, Equals(True), f"{path}: no paragraph at its head")
-            self.assertThat(any(isinstance(node, (ast.Import, ast.ImportFrom)) and "dataclasses" in ast.dump(node) for node in ast.walk(tree)), Equals(False), str(path))
+            self.assertThat(
+                ast.get_docstring(tree) is not None,
+                Equals(True),
+                f"{path}: no paragraph at its head",
+            )
+            self.assertThat(
+                any(
+                    isinstance(node, (ast.Import, ast.ImportFrom))
+                    and "dataclasses" in ast.dump(node)
+                    for node in ast.walk(tree)
+                ),
+                Equals(False),
+                str(path),
+            )
             if path.parts[-2] != "tests":
-                names = [target.id for node in tree.body if isinstance(node, (ast.Assign, ast.AnnAssign)) for target in getattr(node, "targets", None) or [node.target]
-                         if isinstance(target, ast.Name)]
+                names = [
+                    target.id
+                    for node in tree.body
+                    if isinstance(node, (ast.Assign, ast.AnnAssign))
+                    for target in getattr(node, "targets", None) or [node.target]
+                    if isinstance(target, ast.Name)
+                ]
                 self.assertThat("__all__" in names, Equals(True), f"{path}: no public list")
--- a/tests/test_readings.py
+++ b/tests/test_readings.py
@@ -1,14 +1,14 @@
 """Prompts still to be read at workers, as edges tell each other of them: what is counted, how it wears off,
-and that the placement keeps away from a worker that is busy reading, whoever sent it there."""
+and that the placement keeps away from a worker that is busy reading, whoever sent it there.
+"""
 
 from types import SimpleNamespace
 
-from testtools import TestCase
-from testtools.matchers import Equals, GreaterThan, LessThan
-
 from circulation import Readings
 from circulation.placement import cost
 from circulation.readings import Sent
+from testtools import TestCase
+from testtools.matchers import Equals, GreaterThan, LessThan
 from vellum import Origin
 
 
@@ -31,7 +31,10 @@
     def test_told_to_fellows_and_worn_off(self):
         made, posted = part(["e1", "e2"])
         made.sent("w", 3000)
-        self.assertThat([(to, message.worker, message.tokens) for to, message in posted], Equals([("e1", "w", 3000), ("e2", "w", 3000)]))
+        self.assertThat(
+            [(to, message.worker, message.tokens) for to, message in posted],
+            Equals([("e1", "w", 3000), ("e2", "w", 3000)]),
+        )
         for later_ms, left_ms in ((0, 30.0), (10, 20.0), (20, 0.0), (500, 0.0)):
             made.node.env.ms += later_ms
             self.assertThat(made.left_ms("w"), Equals(left_ms), later_ms)
@@ -64,7 +67,17 @@
 class Placed(TestCase):
     def test_a_busy_reader_costs_more_than_one_more_under_way(self):
         def worker(sending):
-            return SimpleNamespace(sending=sending, borrowed=0, reading=0, sent_ms=-1000, slots=8, others_now=lambda now_ms: 0.0)
-
-        idle, busy = cost(worker(1), 1000, 0.0, False, 200), cost(worker(0), 1000, 0.0, False, 200, left_ms=40.0)
+            return SimpleNamespace(
+                sending=sending,
+                borrowed=0,
+                reading=0,
+                sent_ms=-1000,
+                slots=8,
+                others_now=lambda now_ms: 0.0,
+            )
+
+        idle, busy = (
+            cost(worker(1), 1000, 0.0, False, 200),
+            cost(worker(0), 1000, 0.0, False, 200, left_ms=40.0),
+        )
         self.assertThat(busy, GreaterThan(idle))
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -1,14 +1,13 @@
 """Rows about recovery beyond the design page's: what is fetched, what is cut, and the small files beside the log."""
 
-from log_table import PARAMS, Table
-from testtools import TestCase
-from testtools.matchers import Equals
-
 from accession import Append, Install, Outcome
 from accession.messages import Fetched, LogMeta, Started
 from accession.snapshots import read_snapshot
 from ledger import Ledger, entries
+from log_table import PARAMS, Table
 from stacks import Damage, frame
+from testtools import TestCase
+from testtools.matchers import Equals
 from vellum import encode
 
 
@@ -91,13 +90,16 @@
         table.cut.add("a")
         self.assertThat(table.recover("b", 2), Equals([True]))
         self.assertThat(sent[0], Equals(("Start", 1)))
-        self.assertThat([fence for name, fence in sent if name != "Start" and fence < 2], Equals([]))
+        self.assertThat(
+            [fence for name, fence in sent if name != "Start" and fence < 2], Equals([])
+        )
 
     def test_a_snapshot_comes_in_parts_each_asked_for_by_the_one_before(self):
         import accession.holder as module
+
         table = self.grown(40)
         for name in ("a", "b"):
-            table.logs[name].received_ms = [-10 ** 6] * len(table.logs[name].records)
+            table.logs[name].received_ms = [-(10**6)] * len(table.logs[name].records)
             table.logs[name].tidy(force=True)
         table.run(50)
         table.logs["a"].trim()
@@ -158,7 +160,9 @@
         begun_anew = sum(size < before for before, size in zip(sizes, sizes[1:], strict=False))
         self.assertThat((max(sizes) <= 4300, 0 < begun_anew < 3), Equals((True, True)))
         table.open("a")
-        self.assertThat((table.logs["a"].meta.fence, table.logs["a"].meta.log_epoch), Equals((121, 1)))
+        self.assertThat(
+            (table.logs["a"].meta.fence, table.logs["a"].meta.log_epoch), Equals((121, 1))
+        )
 
     def test_a_torn_or_damaged_fence_takes_none_with_it(self):
         table = self.one()
@@ -167,7 +171,11 @@
         table.run(50)
         whole = disk.read("meta")
         one = len(frame(encode(LogMeta(identity="store-a", fence=7, log_epoch=1))))
-        for keep, wanted in ((len(whole) - 1, 7), (len(whole) - one - 1, 1), (len(whole) - 2 * one, 1)):
+        for keep, wanted in (
+            (len(whole) - 1, 7),
+            (len(whole) - one - 1, 1),
+            (len(whole) - 2 * one, 1),
+        ):
             disk.replace("meta", whole[:keep], lambda ok: None)
             table.run(50)
             table.open("a")
@@ -200,6 +208,7 @@
 class Snapshots(TestCase):
     def test_made_in_steps_it_holds_what_was_settled_when_it_was_begun(self):
         import accession.snapshots as module
+
         whole, module._STEP_BYTES = module._STEP_BYTES, 60
         self.addCleanup(setattr, module, "_STEP_BYTES", whole)
         table = Table()
@@ -212,8 +221,14 @@
         log = table.logs["a"]
         kept = log.settled_seq
         log.tidy(force=True)
-        close = entries.KeyClosed(key="k25", transaction="t", state="done", status=200, body="late", at_ms=0)
-        for entry in (close, entries.KeyForgotten(key="k28"), entries.KeyOpened(key="new", digest="d", edge="e", transaction="t", at_ms=0)):
+        close = entries.KeyClosed(
+            key="k25", transaction="t", state="done", status=200, body="late", at_ms=0
+        )
+        for entry in (
+            close,
+            entries.KeyForgotten(key="k28"),
+            entries.KeyOpened(key="new", digest="d", edge="e", transaction="t", at_ms=0),
+        ):
             table.holder.append([entry], True, lambda outcome: None)
         table.run(8)
         self.assertThat((log.settled_seq, log.busy(), log.snap_seq), Equals((kept + 3, True, 0)))
@@ -222,10 +237,16 @@
         ledger = Ledger()
         for row in rows:
             ledger.apply(row)
-        self.assertThat((head.seq, list(ledger.keys)), Equals((kept, [f"k{number}" for number in range(30)])))
-        self.assertThat((ledger.keys["k25"].state, log.ledger.keys["k25"].state), Equals(("open", "done")))
+        self.assertThat(
+            (head.seq, list(ledger.keys)), Equals((kept, [f"k{number}" for number in range(30)]))
+        )
+        self.assertThat(
+            (ledger.keys["k25"].state, log.ledger.keys["k25"].state), Equals(("open", "done"))
+        )
         table.open("a")
-        self.assertThat((table.logs["a"].snap_seq, table.logs["a"].last_seq), Equals((kept, kept + 3)))
+        self.assertThat(
+            (table.logs["a"].snap_seq, table.logs["a"].last_seq), Equals((kept, kept + 3))
+        )
 
     def test_one_that_finds_no_room_is_tried_again(self):
         table = Table()
@@ -237,7 +258,10 @@
             table.append(f"k{number}", settled=True)
             table.run(10)
         self.assertThat(log.snap_seq, Equals(0))
-        room, disk.room_bytes = disk.room_bytes, sum(len(disk.read(name)) for name in disk.names()) + 200
+        room, disk.room_bytes = (
+            disk.room_bytes,
+            sum(len(disk.read(name)) for name in disk.names()) + 200,
+        )
         log.tidy(force=True)
         table.run(600)
         self.assertThat(log.snap_seq, Equals(0))
@@ -254,8 +278,23 @@
         answers = []
         table.logs["b"].keep_meta(lambda ok: None, fence=4)
         table.run(10)
-        table.peers["b"].receive(Append(epoch=1, base_seq=0, prev_seq=0, prev_epoch=0, prev_ms=0, records=[], settled_seq=0,
-                                        flush=False, probe=1), answers.append)
+        table.peers["b"].receive(
+            Append(
+                epoch=1,
+                base_seq=0,
+                prev_seq=0,
+                prev_epoch=0,
+                prev_ms=0,
+                records=[],
+                settled_seq=0,
+                flush=False,
+                probe=1,
+            ),
+            answers.append,
+        )
         outcomes = table.append("late")
         table.run(PARAMS.ask_ms + 100)
-        self.assertThat((answers[0].ok, isinstance(answers[0], Started), outcomes), Equals((False, False, [Outcome.UNKNOWN])))
+        self.assertThat(
+            (answers[0].ok, isinstance(answers[0], Started), outcomes),
+            Equals((False, False, [Outcome.UNKNOWN])),
+        )
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -4,17 +4,29 @@
 import tempfile
 from pathlib import Path
 
-from testtools import TestCase
-from testtools.matchers import Contains, Equals
-from trees import TREE
-
 from facsimile.fleet import Fleet, until
 from readingroom.recorder import FORMAT, sealed
 from readingroom.replay import compare, load_recording, play
+from testtools import TestCase
+from testtools.matchers import Contains, Equals
+from trees import TREE
 
-LIVE = {"kind": "live", "at_ms": 1, "took_ms": 5, "path": "rulings", "stream": False, "key": "", "lot": "",
-        "address": "/v1/completions", "from": "", "prompts": [{"chars": 20, "start": "ab"}], "status": 200,
-        "verdict": "ran", "code": "", "bytes": 9}
+LIVE = {
+    "kind": "live",
+    "at_ms": 1,
+    "took_ms": 5,
+    "path": "rulings",
+    "stream": False,
+    "key": "",
+    "lot": "",
+    "address": "/v1/completions",
+    "from": "",
+    "prompts": [{"chars": 20, "start": "ab"}],
+    "status": 200,
+    "verdict": "ran",
+    "code": "",
+    "bytes": 9,
+}
 BEGIN = {"kind": "begin", "format": FORMAT, "edge": "e", "at_ms": 0}
 
 
@@ -27,18 +39,28 @@
             return rows, [problem.replace(folder, "") for problem in problems]
 
     def test_whole(self):
-        rows, problems = self.load(sealed(BEGIN), sealed(LIVE), sealed({"kind": "finis", "rows": 1, "at_ms": 2}))
+        rows, problems = self.load(
+            sealed(BEGIN), sealed(LIVE), sealed({"kind": "finis", "rows": 1, "at_ms": 2})
+        )
         self.assertThat((len(rows), problems), Equals((1, [])))
 
     def test_bad_ones_are_named_by_line(self):
         finis = sealed({"kind": "finis", "rows": 1, "at_ms": 2})
-        rows = [((sealed(BEGIN), sealed(LIVE)), ":3: cut off"), ((sealed(BEGIN), sealed(LIVE)[:-9], finis), ":2: not JSON"),
-                ((sealed(BEGIN), sealed(LIVE).replace("rulings", "rulingz"), finis), ":2: the checksum is wrong"),
-                ((sealed(BEGIN), finis), ":2: counts 1 calls, 0 are there"), ((sealed(LIVE), finis), ":1: a recording begins"),
-                ((sealed({**BEGIN, "format": "x"}), sealed(LIVE), finis), ":1: not of format"),
-                ((sealed(BEGIN), sealed({"kind": "live"}), finis), ":2: lacks path"),
-                ((sealed(BEGIN), sealed({"kind": "dance"}), finis), ":2: unknown kind"),
-                ((sealed(BEGIN), sealed(LIVE), finis, sealed(LIVE)), ":4: after the end"), ((), ":1: cut off")]
+        rows = [
+            ((sealed(BEGIN), sealed(LIVE)), ":3: cut off"),
+            ((sealed(BEGIN), sealed(LIVE)[:-9], finis), ":2: not JSON"),
+            (
+                (sealed(BEGIN), sealed(LIVE).replace("rulings", "rulingz"), finis),
+                ":2: the checksum is wrong",
+            ),
+            ((sealed(BEGIN), finis), ":2: counts 1 calls, 0 are there"),
+            ((sealed(LIVE), finis), ":1: a recording begins"),
+            ((sealed({**BEGIN, "format": "x"}), sealed(LIVE), finis), ":1: not of format"),
+            ((sealed(BEGIN), sealed({"kind": "live"}), finis), ":2: lacks path"),
+            ((sealed(BEGIN), sealed({"kind": "dance"}), finis), ":2: unknown kind"),
+            ((sealed(BEGIN), sealed(LIVE), finis, sealed(LIVE)), ":4: after the end"),
+            ((), ":1: cut off"),
+        ]
         for lines, wanted in rows:
             self.assertThat("\n".join(self.load(*lines)[1]), Contains(wanted))
 
@@ -47,20 +69,26 @@
             with tempfile.TemporaryDirectory() as folder:
                 shape = {"control": 1, "stores": 3, "edges": 1, "workers": 1}
                 recordings = Path(folder) / "recordings"
-                async with Fleet(folder, shape, 23800, settings={"record_folder": str(recordings)}) as fleet:
+                async with Fleet(
+                    folder, shape, 23800, settings={"record_folder": str(recordings)}
+                ) as fleet:
                     await fleet.found(TREE)
                     await fleet.workers_known(1)
                     edge = fleet.of("edge")[0]
                     await self.day(fleet, edge.http)
                     edge.signal(15)
-                    await until(lambda: asyncio.sleep(0, not edge.runs), 8000, "the edge has stopped")
+                    await until(
+                        lambda: asyncio.sleep(0, not edge.runs), 8000, "the edge has stopped"
+                    )
                     edge.start()
                     await until(lambda: fleet.all_ready(("edge",)), 10000, "the edge is ready")
                     await fleet.workers_known(1)
                     (path,) = recordings.glob("*.jsonl")
                     rows, problems = load_recording(path)
-                    self.assertThat(([row["kind"] for row in rows], problems),
-                                    Equals((["live", "live", "live", "live", "hand-in", "read", "end"], [])))
+                    self.assertThat(
+                        ([row["kind"] for row in rows], problems),
+                        Equals((["live", "live", "live", "live", "hand-in", "read", "end"], [])),
+                    )
                     self.assertThat("secret" in path.read_text(), Equals(False))
                     played = await play(rows, [edge.http], 1.0, 7)
                     report, differing = compare(played)
@@ -74,12 +102,17 @@
         asyncio.run(run())
 
     async def day(self, fleet, edge):
-        for body, key in (({"model": "rulings", "prompt": "secret one", "stream": True}, None),
-                          ({"model": "rulings", "prompt": "secret two"}, None), ({"model": "moves", "prompt": "m"}, "k"),
-                          ({"model": "nowhere", "prompt": "x"}, None)):
-            await fleet.ask("POST", edge, "/v1/completions", body, {"Idempotency-Key": key} if key else None)
-        await fleet.ask("PUT", edge, "/lots/day", {"path": "summaries", "items": [{"prompt": "secret"}] * 3})
+        for body, key in (
+            ({"model": "rulings", "prompt": "secret one", "stream": True}, None),
+            ({"model": "rulings", "prompt": "secret two"}, None),
+            ({"model": "moves", "prompt": "m"}, "k"),
+            ({"model": "nowhere", "prompt": "x"}, None),
+        ):
+            await fleet.ask(
+                "POST", edge, "/v1/completions", body, {"Idempotency-Key": key} if key else None
+            )
+        await fleet.ask(
+            "PUT", edge, "/lots/day", {"path": "summaries", "items": [{"prompt": "secret"}] * 3}
+        )
         await fleet.ask("GET", edge, "/lots/day/results?from=0")
         await fleet.ask("DELETE", edge, "/lots/day")
-
-
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -5,9 +5,8 @@
 from pathlib import Path
 
 import testtools
-from testtools.matchers import Contains, Equals
-
 from settings_file import load_place
+from testtools.matchers import Contains, Equals
 
 _FILE = textwrap.dedent("""
     nodeName = "storage-a-1"
@@ -50,20 +49,37 @@
     def test_what_is_said_in_our_words(self) -> None:
         place = self._load(_FILE).ok
         for name, value in {
-                "link": "10.1.0.12:7720", "http": "10.1.0.12:7721", "zone": "a", "seeds": [
-                    "10.1.0.13:7720", "10.2.0.44:7720", "10.3.0.9:7720"],
-                "data_folder": "/data/x", "store_faults": 2, "store_count": 5, "force_ms": 2000, "end_ms": 3000,
-                "resume_ms": 15000, "grace_ms": 8000, "control_count": 0}.items():
+            "link": "10.1.0.12:7720",
+            "http": "10.1.0.12:7721",
+            "zone": "a",
+            "seeds": ["10.1.0.13:7720", "10.2.0.44:7720", "10.3.0.9:7720"],
+            "data_folder": "/data/x",
+            "store_faults": 2,
+            "store_count": 5,
+            "force_ms": 2000,
+            "end_ms": 3000,
+            "resume_ms": 15000,
+            "grace_ms": 8000,
+            "control_count": 0,
+        }.items():
             self.assertThat(getattr(place.params, name), Equals(value), name)
-        self.assertThat(place.addresses, Equals({"clients": "10.1.0.12:8161", "readiness": "10.1.0.12:8167", "control": ""}))
+        self.assertThat(
+            place.addresses,
+            Equals({"clients": "10.1.0.12:8161", "readiness": "10.1.0.12:8167", "control": ""}),
+        )
         self.assertThat(place.node_name, Equals("storage-a-1"))
 
     def test_every_problem_is_told(self) -> None:
-        for text, told in (("nodeName = 3 [", "line"), (_FILE.replace("seedNodes", "other"), "seedNodes is missing"),
-                           (_FILE.replace('ip = "10.1.0.12"', 'ip = "here"'), "link")):
+        for text, told in (
+            ("nodeName = 3 [", "line"),
+            (_FILE.replace("seedNodes", "other"), "seedNodes is missing"),
+            (_FILE.replace('ip = "10.1.0.12"', 'ip = "here"'), "link"),
+        ):
             loaded = self._load(text)
             self.assertThat(loaded.is_error(), Equals(True), told)
             self.assertThat(" ".join(loaded.error), Contains(told))
 
     def test_no_file(self) -> None:
-        self.assertThat(load_place("edge", str(Path("/nowhere/at/all.toml"))).is_error(), Equals(True))
+        self.assertThat(
+            load_place("edge", str(Path("/nowhere/at/all.toml"))).is_error(), Equals(True)
+        )
--- a/tests/test_shelves.py
+++ b/tests/test_shelves.py
@@ -1,11 +1,10 @@
 """Lots that are over leave memory for files with checksums: read back, moved to a spare, damaged and mended."""
 
-from testtools import TestCase
-from testtools.matchers import Equals
-
 from accession.shelves import SHELF
 from facsimile.sim import judge
 from facsimile.sim.runs import Run
+from testtools import TestCase
+from testtools.matchers import Equals
 
 
 class Shelved(TestCase):
@@ -16,20 +15,29 @@
         fleet.run_until_true(lambda: False, 800)
         for path in ("summaries", "claims", "summaries"):
             name = run.visitors.hand_in(path, 30)
-            self.assertThat(fleet.run_until_true(lambda name=name: run.visitors.lots[name]["done"], 12_000), Equals(True))
+            self.assertThat(
+                fleet.run_until_true(lambda name=name: run.visitors.lots[name]["done"], 12_000),
+                Equals(True),
+            )
         moves = []
         run.visitors.live("moves", "kept", done=moves.append)
         fleet.run_until_true(lambda: moves, 4000)
         fleet.run_until_true(lambda: False, 600)
         for host in fleet.of("store"):
             host.node.log.log.tidy(True)
-        self.assertThat(fleet.run_until_true(lambda: all(self.on_shelves(host) for host in fleet.of("store")), 9000),
-                        Equals(True))
+        self.assertThat(
+            fleet.run_until_true(
+                lambda: all(self.on_shelves(host) for host in fleet.of("store")), 9000
+            ),
+            Equals(True),
+        )
         return run, fleet
 
     def on_shelves(self, host):
         lots = host.node.log.log.ledger.lots
-        return len(lots) == 3 and all(lot.shelf is not None and not lot.items for lot in lots.values())
+        return len(lots) == 3 and all(
+            lot.shelf is not None and not lot.items for lot in lots.values()
+        )
 
     def leaves(self, host):
         return [name for name in host.disk.names() if name.startswith(SHELF)]
@@ -42,7 +50,9 @@
 
     def kept(self, run):
         run.read_all()
-        self.assertThat(judge(run.fleet.history, ["kept-at-the-end", "bodies-are-whole"]), Equals({}))
+        self.assertThat(
+            judge(run.fleet.history, ["kept-at-the-end", "bodies-are-whole"]), Equals({})
+        )
         self.assertThat(len(run.fleet.history.of("final")), Equals(len(run.visitors.lots)))
 
     def test_read_back_after_power_and_by_a_new_holder(self):
@@ -50,7 +60,9 @@
         for host in fleet.of("store"):
             host.lose_power()
             host.start()
-        self.assertThat(fleet.run_until_true(lambda: fleet.holder() is not None, 8000), Equals(True))
+        self.assertThat(
+            fleet.run_until_true(lambda: fleet.holder() is not None, 8000), Equals(True)
+        )
         self.assertThat(self.results(run, "lot1"), Equals(30))
         fleet.holder().kill()
         fleet.run_until_true(lambda: False, 3000)
@@ -68,10 +80,14 @@
 
             def joined(fresh=fresh):
                 value = fleet.of("edge")[0].node.gazette.value("log")
-                return value["phase"] == "serving" and fresh.node.log.log.identity in {row["identity"] for row in value["members"]}
+                return value["phase"] == "serving" and fresh.node.log.log.identity in {
+                    row["identity"] for row in value["members"]
+                }
 
             self.assertThat(fleet.run_until_true(joined, 15_000), Equals(True))
-            self.assertThat(fresh.node.log.log.shelves.used() <= set(self.leaves(fresh)), Equals(True))
+            self.assertThat(
+                fresh.node.log.log.shelves.used() <= set(self.leaves(fresh)), Equals(True)
+            )
         self.kept(run)
 
     def test_a_damaged_leaf_is_never_listed_and_a_read_mends_it(self):
@@ -88,7 +104,11 @@
         run, fleet = self.founded()
         log = fleet.holder().node.log.log
         one, other = log.ledger.lots["lot1"], log.ledger.lots["lot3"]
-        one.shelf.file, one.shelf.places, one.shelf.sizes = other.shelf.file, other.shelf.places, other.shelf.sizes
+        one.shelf.file, one.shelf.places, one.shelf.sizes = (
+            other.shelf.file,
+            other.shelf.places,
+            other.shelf.sizes,
+        )
         self.assertThat(log.shelves.results(one, 0, 10), Equals(None))
         self.assertThat(self.results(run, "lot1"), Equals(30))
         self.kept(run)
@@ -99,10 +119,15 @@
         log = host.node.log.log
         lot, key = log.ledger.lots["lot1"], log.ledger.keys["kept"]
         host.disk.damage(lot.shelf.file, lot.shelf.places[0] + 40)
-        whole = lambda: len(log.shelves.results(lot, 0, 9) or []) == 9 and (key.shelf is None or log.shelves.receipt(key))
+        whole = lambda: (
+            len(log.shelves.results(lot, 0, 9) or []) == 9
+            and (key.shelf is None or log.shelves.receipt(key))
+        )
         self.assertThat(bool(whole()), Equals(False))
         files = len(self.leaves(host))
-        self.assertThat(bool(fleet.run_until_true(whole, (files + 1) * host.params.gone_ms)), Equals(True))
+        self.assertThat(
+            bool(fleet.run_until_true(whole, (files + 1) * host.params.gone_ms)), Equals(True)
+        )
 
     def test_files_of_forgotten_lots_are_removed(self):
         run = Run(6, settings={"keep_ms": 2000, "segment_bytes": 4096})
@@ -114,6 +139,11 @@
         store = fleet.of("store")[0]
         self.assertThat(len(self.leaves(store)) > 0, Equals(True))
         old = set(self.leaves(store))
-        self.assertThat(fleet.run_until_true(lambda: not store.node.log.log.ledger.lots, 60_000), Equals(True))
+        self.assertThat(
+            fleet.run_until_true(lambda: not store.node.log.log.ledger.lots, 60_000), Equals(True)
+        )
         store.node.log.log.tidy(True)
-        self.assertThat(bool(fleet.run_until_true(lambda: not old & set(self.leaves(store)), 20_000)), Equals(True))
+        self.assertThat(
+            bool(fleet.run_until_true(lambda: not old & set(self.leaves(store)), 20_000)),
+            Equals(True),
+        )
--- a/tests/test_sim.py
+++ b/tests/test_sim.py
@@ -1,21 +1,33 @@
 """Simulated fleets under faults, judged by the oracle: a schedule for each failure that was found or
-that the brief names, over several seeds, and seeds with faults drawn at random."""
+that the brief names, over several seeds, and seeds with faults drawn at random.
+"""
 
 from concurrent.futures import ProcessPoolExecutor
 
-from testtools import TestCase
-from testtools.matchers import Equals
-
 from facsimile.sim import evidence, run_seed
 from facsimile.sim.oracle import RULES
+from testtools import TestCase
+from testtools.matchers import Equals
 
 SCHEDULES = {
     "quiet": [],
-    "older version of an epoch put back": [(1500, "crash-owner"), (3600, "control-split"), (4300, "power-all")],
+    "older version of an epoch put back": [
+        (1500, "crash-owner"),
+        (3600, "control-split"),
+        (4300, "power-all"),
+    ],
     "woken edge and a dead worker": [(1500, "freeze-edge"), (2500, "worker-crash")],
-    "woken edge and a replaced worker": [(1500, "freeze-edge"), (2400, "worker-replace"), (2500, "worker-replace")],
+    "woken edge and a replaced worker": [
+        (1500, "freeze-edge"),
+        (2400, "worker-replace"),
+        (2500, "worker-replace"),
+    ],
     "unready edge and a used key": [(1500, "isolate-edge"), (2500, "power-stores")],
-    "unsafe report lost with the power": [(1500, "slow-disk"), (2000, "power-stores"), (4500, "power-stores")],
+    "unsafe report lost with the power": [
+        (1500, "slow-disk"),
+        (2000, "power-stores"),
+        (4500, "power-stores"),
+    ],
     "edge restarted while the holder changes": [(1500, "freeze-holder"), (2200, "crash-edge")],
     "holder killed, then its successor": [(1500, "crash-holder"), (4000, "crash-holder")],
     "holder's disk lost": [(1500, "lose-holder-disk"), (2500, "crash-control")],
@@ -23,20 +35,43 @@
     "everything cut from power": [(1500, "power-all"), (6000, "power-all")],
     "last fault of the day": [(10900, "power-all")],
     "control split and its owner killed": [(1500, "control-split"), (2500, "crash-owner")],
-    "control cut off while edges restart": [(1500, "control-cut-off"), (2000, "crash-edge"), (3000, "crash-edge")],
+    "control cut off while edges restart": [
+        (1500, "control-cut-off"),
+        (2000, "crash-edge"),
+        (3000, "crash-edge"),
+    ],
     "control disk lost": [(1500, "lose-control-disk"), (3000, "freeze-control")],
     "holder frozen with its clock moved": [(1500, "freeze-holder"), (1600, "step-clocks")],
     "losses, doubles and a split": [(1500, "loss"), (5000, "split"), (8500, "loss")],
-    "workers go one after another": [(1000, "worker-crash"), (2500, "worker-leave"), (4000, "worker-dark"),
-                                     (7000, "worker-replace"), (8500, "worker-crash")],
+    "workers go one after another": [
+        (1000, "worker-crash"),
+        (2500, "worker-leave"),
+        (4000, "worker-dark"),
+        (7000, "worker-replace"),
+        (8500, "worker-crash"),
+    ],
     "most edges cut off for long": [(800, "minority-cut")],
     "most edges cut off, one restarts": [(800, "minority-cut-restart")],
     "slow store, slow disk": [(1500, "slow-store"), (5000, "slow-disk")],
     "disks fill up": [(1500, "fill-stores"), (6000, "fill-control")],
-    "full stores, then the holder's disk lost": [(1700, "fill-stores"), (3300, "lose-holder-disk"), (3700, "crash-store")],
-    "lots handed in while stores are full": [(1000, "fill-stores"), (3200, "loss"), (4500, "fill-stores"), (7500, "fill-stores")],
-    "woken store, slow disk, holder's disk lost": [(1000, "freeze-holder"), (5000, "slow-disk"), (7000, "lose-holder-disk")],
-    "disk damaged": [(1500, "damage-store"), (6000, "damage-control")]}
+    "full stores, then the holder's disk lost": [
+        (1700, "fill-stores"),
+        (3300, "lose-holder-disk"),
+        (3700, "crash-store"),
+    ],
+    "lots handed in while stores are full": [
+        (1000, "fill-stores"),
+        (3200, "loss"),
+        (4500, "fill-stores"),
+        (7500, "fill-stores"),
+    ],
+    "woken store, slow disk, holder's disk lost": [
+        (1000, "freeze-holder"),
+        (5000, "slow-disk"),
+        (7000, "lose-holder-disk"),
+    ],
+    "disk damaged": [(1500, "damage-store"), (6000, "damage-control")],
+}
 SEEDS = range(3)
 DRAWN = range(1000, 1012)
 
@@ -49,12 +84,20 @@
 
 class Simulated(TestCase):
     def test_no_rule_is_broken(self):
-        jobs = [(name, 1, shape) for name in ("quiet", "drawn", "most edges cut off for long") for shape in ("jade", "swan")]
-        jobs += [(name, seed, "small") for name in SCHEDULES for seed in SEEDS] + [("drawn", seed, "small") for seed in DRAWN]
+        jobs = [
+            (name, 1, shape)
+            for name in ("quiet", "drawn", "most edges cut off for long")
+            for shape in ("jade", "swan")
+        ]
+        jobs += [(name, seed, "small") for name in SCHEDULES for seed in SEEDS] + [
+            ("drawn", seed, "small") for seed in DRAWN
+        ]
         with ProcessPoolExecutor() as pool:
             rows = list(pool.map(judged, jobs))
         self.assertThat([row for row, _ in rows if row[3]], Equals([]))
-        self.assertThat([name for name in RULES if not sum(seen[name] for _, seen in rows)], Equals([]))
+        self.assertThat(
+            [name for name in RULES if not sum(seen[name] for _, seen in rows)], Equals([])
+        )
 
     def test_a_seed_gives_the_same_history(self):
         first, second = (run_seed(7, 5)[1].fleet.history.rows for _ in range(2))
--- a/tests/test_smoke.py
+++ b/tests/test_smoke.py
@@ -5,12 +5,11 @@
 import signal
 import tempfile
 
+from facsimile.fleet import SHAPES, Fleet, until
 from testtools import TestCase
 from testtools.matchers import Equals
 from trees import TREE
 
-from facsimile.fleet import SHAPES, Fleet, until
-
 
 class SmokeTest(TestCase):
     def run_fleet(self, body, base_port):
@@ -30,7 +29,9 @@
 
         await until(done, 30000, f"{lot_id} is done")
         status, body = await fleet.ask("GET", edge, f"/lots/{lot_id}/results?from=0")
-        self.assertThat([row["index"] for row in body["results"]], Equals(list(range(body["total"]))))
+        self.assertThat(
+            [row["index"] for row in body["results"]], Equals(list(range(body["total"])))
+        )
         self.assertThat({row["verdict"] for row in body["results"]}, Equals({"ran"}))
 
     async def begun_then_left(self, edge, call, key=""):
@@ -39,12 +40,18 @@
         reader, writer = await asyncio.open_connection(host, int(port))
         data = json.dumps(call).encode()
         head = f"POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: {len(data)}\r\n"
-        writer.write(head.encode() + (f"Idempotency-Key: {key}\r\n".encode() if key else b"") + b"\r\n" + data)
+        writer.write(
+            head.encode()
+            + (f"Idempotency-Key: {key}\r\n".encode() if key else b"")
+            + b"\r\n"
+            + data
+        )
         await reader.readuntil(b"id: 3")
         writer.close()
 
     def test_a_visitor_who_hangs_up(self):
         """A safe run is stopped, and nobody takes it for the worker's failure; an unsafe one runs to its end."""
+
         async def body(fleet):
             edge = fleet.of("edge")[0].http
             call = {"model": "rulings", "prompt": "long", "stream": True, "max_tokens": 512}
@@ -54,12 +61,21 @@
 
             async def gone():
                 _, text = await fleet.ask("GET", edge, "/metrics")
-                return "vaneledge_edge_steps_gone_total 1.0" in text and "vaneledge_edge_steps_finish_total 1.0" in text
+                return (
+                    "vaneledge_edge_steps_gone_total 1.0" in text
+                    and "vaneledge_edge_steps_finish_total 1.0" in text
+                )
 
             await until(gone, 8000, "the safe run is stopped, the unsafe one ends")
             _, text = await fleet.ask("GET", edge, "/metrics")
             self.assertThat("sends_failed" in text or "steps_cut" in text, Equals(False))
-            status, again = await fleet.ask("POST", fleet.of("edge")[1].http, "/v1/completions", move, {"Idempotency-Key": "left"})
+            status, again = await fleet.ask(
+                "POST",
+                fleet.of("edge")[1].http,
+                "/v1/completions",
+                move,
+                {"Idempotency-Key": "left"},
+            )
             self.assertThat((status, again.count("id: ")), Equals((200, 512)))
             runs = []
             for worker in fleet.workers.values():
@@ -72,14 +88,26 @@
     def test_live_lots_and_killed_holder(self):
         async def body(fleet):
             first, second = [member.http for member in fleet.of("edge")]
-            status, text = await fleet.ask("POST", first, "/v1/completions",
-                                           {"model": "rulings", "prompt": "a", "stream": True})
-            self.assertThat((status, text.count("id: "), text.endswith("data: [DONE]\n\n")), Equals((200, 12, True)))
+            status, text = await fleet.ask(
+                "POST",
+                first,
+                "/v1/completions",
+                {"model": "rulings", "prompt": "a", "stream": True},
+            )
+            self.assertThat(
+                (status, text.count("id: "), text.endswith("data: [DONE]\n\n")),
+                Equals((200, 12, True)),
+            )
             move = {"model": "moves", "prompt": "knight"}
-            answers = [await fleet.ask("POST", edge, "/v1/completions", move, {"Idempotency-Key": "k"})
-                       for edge in (first, second)]
+            answers = [
+                await fleet.ask("POST", edge, "/v1/completions", move, {"Idempotency-Key": "k"})
+                for edge in (first, second)
+            ]
             self.assertThat(answers[0], Equals(answers[1]))
-            lot = {"path": "summaries", "items": [{"prompt": f"item {place}"} for place in range(80)]}
+            lot = {
+                "path": "summaries",
+                "items": [{"prompt": f"item {place}"} for place in range(80)],
+            }
             status, _ = await fleet.ask("PUT", first, "/lots/one", lot)
             self.assertThat(status, Equals(201))
             holder = None
@@ -91,7 +119,9 @@
             await self.lot_done(fleet, second, "one")
 
             async def accepted():
-                status, _ = await fleet.ask("PUT", second, "/lots/two", {**lot, "items": lot["items"][:5]})
+                status, _ = await fleet.ask(
+                    "PUT", second, "/lots/two", {**lot, "items": lot["items"][:5]}
+                )
                 return status in (200, 201)
 
             await until(accepted, 12000, "lots are accepted again")
--- a/tests/test_stores.py
+++ b/tests/test_stores.py
@@ -1,20 +1,28 @@
 """Which stores make up the log: founding by stores that aren't told how many there are, and the spread over zones."""
 
-from testtools import TestCase
-from testtools.matchers import Equals
-
 from accession import LocalLog, StoreLog, spread
 from colophon import Params
 from facsimile.sim.disks import SimDisk
 from facsimile.sim.virtual import VirtualTime
 from log_table import Machine
+from testtools import TestCase
+from testtools.matchers import Equals
 
-BASE = {"role": "store", "link": "10.0.0.1:1", "http": "10.0.0.1:2", "zone": "x", "seeds": ["10.0.0.9:1"], "data_folder": "d"}
+BASE = {
+    "role": "store",
+    "link": "10.0.0.1:1",
+    "http": "10.0.0.1:2",
+    "zone": "x",
+    "seeds": ["10.0.0.9:1"],
+    "data_folder": "d",
+}
 
 
 def rows(zones):
-    return [{"identity": name, "address": f"10.0.0.{number}:1", "zone": zone}
-            for number, (name, zone) in enumerate(zones.items(), 1)]
+    return [
+        {"identity": name, "address": f"10.0.0.{number}:1", "zone": zone}
+        for number, (name, zone) in enumerate(zones.items(), 1)
+    ]
 
 
 class Surroundings:
@@ -47,7 +55,9 @@
     def store(self, name, disk=None):
         disk = disk or SimDisk(self.time, 1 << 20)
         disk.bind(Machine())
-        store = StoreLog(LocalLog(disk, self.params, self.now, lambda: name), self, self, lambda holder: None)
+        store = StoreLog(
+            LocalLog(disk, self.params, self.now, lambda: name), self, self, lambda holder: None
+        )
         store.attach(self)
         return store
 
@@ -61,10 +71,11 @@
 class Spread(TestCase):
     def test_one_of_each_zone_in_turn(self):
         for zones, count, wanted in (
-                ({"a": "x", "b": "x", "c": "y", "d": "z"}, 3, ["a", "c", "d"]),
-                ({"a": "x", "b": "x", "c": "x"}, 3, ["a", "b", "c"]),
-                ({"a": "z", "b": "y", "c": "y", "d": "x"}, 5, ["d", "b", "a", "c"]),
-                ({"a": "x", "b": "y", "c": "x", "d": "y", "e": "x"}, 5, ["a", "b", "c", "d", "e"])):
+            ({"a": "x", "b": "x", "c": "y", "d": "z"}, 3, ["a", "c", "d"]),
+            ({"a": "x", "b": "x", "c": "x"}, 3, ["a", "b", "c"]),
+            ({"a": "z", "b": "y", "c": "y", "d": "x"}, 5, ["d", "b", "a", "c"]),
+            ({"a": "x", "b": "y", "c": "x", "d": "y", "e": "x"}, 5, ["a", "b", "c", "d", "e"]),
+        ):
             self.assertThat([row["identity"] for row in spread(rows(zones), count)], Equals(wanted))
 
 
@@ -100,7 +111,9 @@
             self.assertThat(len(here.asked), Equals(1))
 
     def test_who_is_left_out_does_not_ask(self):
-        here = Surroundings({"store-a": "x", "store-b": "x", "store-c": "y", "store-d": "z"}, first_start=True)
+        here = Surroundings(
+            {"store-a": "x", "store-b": "x", "store-c": "y", "store-d": "z"}, first_start=True
+        )
         store = here.store("b")
         here.run(store, 5000)
         self.assertThat(here.asked, Equals([]))
--- a/tests/test_vellum.py
+++ b/tests/test_vellum.py
@@ -3,10 +3,9 @@
 import asyncio
 import random
 
+from commons.cards import Beat, Shuffle
 from testtools import TestCase
 from testtools.matchers import Equals, HasLength
-
-from commons.cards import Beat, Shuffle
 from vellum import Arr, Blob, Flag, Long, Message, Opt, Real, Text, decode, encode
 from vellum.links import Switchboard, _frames, _pack, _Queue
 from vellum.message import BadMessage
@@ -24,19 +23,29 @@
 
 class Messages(TestCase):
     def test_there_and_back(self):
-        message = Everything(text="ä", number=-1 << 60, share=0.5, yes=True, blob=b"\0\xff", rows=["a", ""], perhaps=None)
+        message = Everything(
+            text="ä",
+            number=-1 << 60,
+            share=0.5,
+            yes=True,
+            blob=b"\0\xff",
+            rows=["a", ""],
+            perhaps=None,
+        )
         self.assertThat(decode(encode(message)), Equals(message))
         self.assertRaises(TypeError, Everything, **message.as_dict(), colour=1)
 
     def test_bytes_that_are_no_message(self):
         rng = random.Random(1)
-        good = encode(Everything(text="a", number=1, share=0.5, yes=True, blob=b"x", rows=["a"], perhaps=1))
+        good = encode(
+            Everything(text="a", number=1, share=0.5, yes=True, blob=b"x", rows=["a"], perhaps=1)
+        )
         for _ in range(500):
             data = bytearray(good)
             for _ in range(rng.randrange(1, 4)):
                 data[rng.randrange(len(data))] = rng.randrange(256)
             try:
-                decode(bytes(data[:rng.randrange(len(data) + 1)]))
+                decode(bytes(data[: rng.randrange(len(data) + 1)]))
             except BadMessage:
                 pass
 
@@ -50,7 +59,12 @@
             board = Switchboard("127.0.0.1:23990", 500, deliver)
             await board.start()
             good = _pack("127.0.0.1:1", 0, 0, Beat(card=encode(Beat(card=b""))))
-            for data in (b"\0\0\0\x05xxxxx", b"\xff\xff\xff\xff", _pack("x:1", 0, 0, Shuffle(card=b"\x02a", cards=[])), good):
+            for data in (
+                b"\0\0\0\x05xxxxx",
+                b"\xff\xff\xff\xff",
+                _pack("x:1", 0, 0, Shuffle(card=b"\x02a", cards=[])),
+                good,
+            ):
                 reader, writer = await asyncio.open_connection("127.0.0.1", 23990)
                 writer.write(data)
                 await writer.drain()
@@ -69,14 +83,18 @@
 
 class Links(TestCase):
     def test_frames_are_taken_off_whole_however_they_arrive(self):
-        frames = [_pack("x:1", ref, 0, Beat(card=b"c" * size)) for ref, size in enumerate((0, 5, 3000, 1))]
+        frames = [
+            _pack("x:1", ref, 0, Beat(card=b"c" * size)) for ref, size in enumerate((0, 5, 3000, 1))
+        ]
         data = b"".join(frames)
         for step in (1, 2, 7, 1000, len(data)):
             held, got = bytearray(), []
             for start in range(0, len(data), step):
-                held += data[start:start + step]
+                held += data[start : start + step]
                 got += _frames(held)
-            self.assertThat((got, held), Equals(([frame[4:] for frame in frames], bytearray())), step)
+            self.assertThat(
+                (got, held), Equals(([frame[4:] for frame in frames], bytearray())), step
+            )
 
     def test_a_queue_to_a_dark_peer_is_bounded_and_lets_old_frames_go(self):
         async def run():
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -1,10 +1,9 @@
 """Live calls at an edge that has no slot for them: who can make it waits, who can't is told so at once."""
 
-from testtools import TestCase
-from testtools.matchers import Equals
-
 from facsimile.sim import judge
 from facsimile.sim.runs import Run
+from testtools import TestCase
+from testtools.matchers import Equals
 
 
 class Waiting(TestCase):
@@ -17,7 +16,9 @@
     def crowd(self, run, count, span_ms=20.0, path="rulings"):
         rows = []
         for place in range(count):
-            run.fleet.time.after(span_ms * place / count, lambda: run.visitors.live(path, done=rows.append))
+            run.fleet.time.after(
+                span_ms * place / count, lambda: run.visitors.live(path, done=rows.append)
+            )
         run.fleet.run_until_true(lambda: len(rows) == count, 7000)
         self.assertThat(len(rows), Equals(count))
         return rows
@@ -35,7 +36,10 @@
         rows = self.crowd(run, 900)
         refused = [row for row in rows if row["outcome"] != "finish"]
         self.assertThat(len(refused) > 100 and len(rows) - len(refused) > 100, Equals(True))
-        self.assertThat({(row["verdict"], row["code"], row["back_ms"] > 0) for row in refused}, Equals({("not_run", "busy", True)}))
+        self.assertThat(
+            {(row["verdict"], row["code"], row["back_ms"] > 0) for row in refused},
+            Equals({("not_run", "busy", True)}),
+        )
         waited = sorted(row["answered_ms"] - row["at_ms"] for row in refused)
         self.assertThat((waited[len(waited) // 2] < 10, waited[-1] <= 1000), Equals((True, True)))
         self.assertThat(max(row["answered_ms"] - row["at_ms"] for row in rows) < 2000, Equals(True))
@@ -67,7 +71,9 @@
             worker.leave()
         fleet.time.run_until(fleet.time.now_ms + 3000)
         row = self.crowd(run, 1)[0]
-        self.assertThat((row["code"], row["answered_ms"] - row["at_ms"] < 20), Equals(("no-worker", True)))
+        self.assertThat(
+            (row["code"], row["answered_ms"] - row["at_ms"] < 20), Equals(("no-worker", True))
+        )
 
     def test_a_worker_lost_with_many_in_flight_fails_none_of_them(self):
         run, fleet = self.founded()
@@ -88,6 +94,14 @@
         fleet.time.run_until(fleet.time.now_ms + 120)
         nodes = [host.node for host in fleet.of("edge")]
         self.assertThat(sum(node.carrier.counts.get("steps_gone", 0) for node in nodes), Equals(12))
-        self.assertThat(sum(node.carrier.counts.get("sends_failed", 0) for node in nodes), Equals(0))
-        self.assertThat({(worker.sending, node.roster.usable(worker)) for node in nodes for worker in node.roster.all()},
-                        Equals({(0, True)}))
+        self.assertThat(
+            sum(node.carrier.counts.get("sends_failed", 0) for node in nodes), Equals(0)
+        )
+        self.assertThat(
+            {
+                (worker.sending, node.roster.usable(worker))
+                for node in nodes
+                for worker in node.roster.all()
+            },
+            Equals({(0, True)}),
+        )
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -1,13 +1,19 @@
 """When a member of the log takes the holder's duty: by its own silence, the others' answers and their order."""
 
-from testtools import TestCase
-from testtools.matchers import Equals
-
 from accession.messages import Polled
 from accession.watch import Watch
 from colophon import Params
+from testtools import TestCase
+from testtools.matchers import Equals
 
-PARAMS = Params(role="store", link="10.0.0.1:1", http="10.0.0.1:2", zone="z", seeds=["10.0.0.1:1"], data_folder="d")
+PARAMS = Params(
+    role="store",
+    link="10.0.0.1:1",
+    http="10.0.0.1:2",
+    zone="z",
+    seeds=["10.0.0.1:1"],
+    data_folder="d",
+)
 NAMES = ["a", "b", "c", "d", "e"]
 
 
@@ -33,7 +39,17 @@
             self.now.now_ms += step_ms
             watch.tick()
 
-    def takes(self, answers, quiet_ms=500, own="b", names=("a", "b", "c"), holder="a", retired=(), faults=1, after_ms=0):
+    def takes(
+        self,
+        answers,
+        quiet_ms=500,
+        own="b",
+        names=("a", "b", "c"),
+        holder="a",
+        retired=(),
+        faults=1,
+        after_ms=0,
+    ):
         watch = self.watch(own, faults)
         self.quiet(watch, quiet_ms)
         for answer in answers:
@@ -48,30 +64,63 @@
 
     def test_rows(self):
         for wanted, why, answers, more in (
-                (True, "silence, and another agrees", [says("c")], {}),
-                (False, "nobody answers", [], {}),
-                (False, "not silent for long enough", [says("c")], {"quiet_ms": 350}),
-                (False, "another hears the holder", [says("c", hears=True)], {}),
-                (False, "the holder answers that it is at work", [says("a", holds=True), says("c")], {}),
-                (True, "the holder answers that it isn't, though just heard", [says("a"), says("c")],
-                 {"quiet_ms": 50, "after_ms": 100}),
-                (False, "a holder that hasn't heard of its duty is waited for", [says("a", epoch=6), says("c")], {"quiet_ms": 50}),
-                (False, "somebody knows of a later epoch", [says("c", epoch=8)], {}),
-                (False, "the other one goes first", [says("b")], {"own": "c"}),
-                (True, "the other one went first, in vain", [says("b")], {"own": "c", "after_ms": 100}),
-                (True, "the other one is on its way out", [says("b", leaving=True)], {"own": "c"}),
-                (True, "the other one is retired", [says("b")], {"own": "c", "retired": ["b"]}),
-                (False, "a retired one stands back", [says("c")], {"retired": ["b"], "after_ms": 500}),
-                (True, "a retired one serves if there is no other", [says("c", leaving=True)], {"retired": ["b"]}),
-                (True, "named the holder and not at work", [says("b")], {"own": "a", "quiet_ms": 25}),
-                (False, "named the holder, with nobody in touch", [], {"own": "a"}),
-                (False, "two of five are too few", [says("c")], {"names": NAMES, "faults": 2}),
-                (True, "three of five are enough", [says("c"), says("d")], {"names": NAMES, "faults": 2}),
-                (True, "one that hears the holder isn't enough for it", [says("c"), says("d"), says("e", hears=True)],
-                 {"names": NAMES, "faults": 2}),
-                (False, "two that hear the holder are", [says("c"), says("d", hears=True), says("e", hears=True)],
-                 {"names": NAMES, "faults": 2}),
-                (False, "answers of strangers", [says("x"), says("y")], {})):
+            (True, "silence, and another agrees", [says("c")], {}),
+            (False, "nobody answers", [], {}),
+            (False, "not silent for long enough", [says("c")], {"quiet_ms": 350}),
+            (False, "another hears the holder", [says("c", hears=True)], {}),
+            (
+                False,
+                "the holder answers that it is at work",
+                [says("a", holds=True), says("c")],
+                {},
+            ),
+            (
+                True,
+                "the holder answers that it isn't, though just heard",
+                [says("a"), says("c")],
+                {"quiet_ms": 50, "after_ms": 100},
+            ),
+            (
+                False,
+                "a holder that hasn't heard of its duty is waited for",
+                [says("a", epoch=6), says("c")],
+                {"quiet_ms": 50},
+            ),
+            (False, "somebody knows of a later epoch", [says("c", epoch=8)], {}),
+            (False, "the other one goes first", [says("b")], {"own": "c"}),
+            (True, "the other one went first, in vain", [says("b")], {"own": "c", "after_ms": 100}),
+            (True, "the other one is on its way out", [says("b", leaving=True)], {"own": "c"}),
+            (True, "the other one is retired", [says("b")], {"own": "c", "retired": ["b"]}),
+            (False, "a retired one stands back", [says("c")], {"retired": ["b"], "after_ms": 500}),
+            (
+                True,
+                "a retired one serves if there is no other",
+                [says("c", leaving=True)],
+                {"retired": ["b"]},
+            ),
+            (True, "named the holder and not at work", [says("b")], {"own": "a", "quiet_ms": 25}),
+            (False, "named the holder, with nobody in touch", [], {"own": "a"}),
+            (False, "two of five are too few", [says("c")], {"names": NAMES, "faults": 2}),
+            (
+                True,
+                "three of five are enough",
+                [says("c"), says("d")],
+                {"names": NAMES, "faults": 2},
+            ),
+            (
+                True,
+                "one that hears the holder isn't enough for it",
+                [says("c"), says("d"), says("e", hears=True)],
+                {"names": NAMES, "faults": 2},
+            ),
+            (
+                False,
+                "two that hear the holder are",
+                [says("c"), says("d", hears=True), says("e", hears=True)],
+                {"names": NAMES, "faults": 2},
+            ),
+            (False, "answers of strangers", [says("x"), says("y")], {}),
+        ):
             self.assertThat((why, self.takes(answers, **more)), Equals((why, wanted)))
 
     def test_a_store_that_stood_still_itself_suspects_nobody(self):
--- a/tests/test_worker_list.py
+++ b/tests/test_worker_list.py
@@ -2,16 +2,26 @@
 
 import asyncio
 
-from testtools import TestCase
-from testtools.matchers import Equals, HasLength
-
 from catalogue import WorkerReport, apply_reports, empty_list
 from platform_calls import Platform, beat
+from testtools import TestCase
+from testtools.matchers import Equals, HasLength
 
 
 def report(identity="a", state="serving", seq=1, **values):
-    return WorkerReport(**{"identity": identity, "address": f"10.1.0.{ord(identity[0])}:80", "zone": "north", "label": "service/s",
-                           "slots": 4, "state": state, "seq": seq, "models": "[]", **values})
+    return WorkerReport(
+        **{
+            "identity": identity,
+            "address": f"10.1.0.{ord(identity[0])}:80",
+            "zone": "north",
+            "label": "service/s",
+            "slots": 4,
+            "state": state,
+            "seq": seq,
+            "models": "[]",
+            **values,
+        }
+    )
 
 
 def after(*reports):
@@ -23,36 +33,76 @@
 
 class Reports(TestCase):
     def test_what_reports_make_of_the_list(self):
-        drains, gone, silent = report(state="draining", seq=5), report(state="gone", seq=0), report(state="silent", seq=1)
+        drains, gone, silent = (
+            report(state="draining", seq=5),
+            report(state="gone", seq=0),
+            report(state="silent", seq=1),
+        )
         rows = [
             ("join", [report()], {"a": "serving"}, []),
             ("drain", [report(), drains], {"a": "draining"}, []),
             ("leave", [report(), gone], {}, ["a"]),
             ("leave after drain", [report(), drains, gone], {}, ["a"]),
-            ("a late beat after the drain", [report(), drains, report(seq=4)], {"a": "draining"}, []),
+            (
+                "a late beat after the drain",
+                [report(), drains, report(seq=4)],
+                {"a": "draining"},
+                [],
+            ),
             ("a late beat after the leave", [report(), gone, report(seq=9)], {}, ["a"]),
             ("a late drain after the leave", [report(), gone, drains], {}, ["a"]),
             ("a leave that comes first", [gone, report()], {}, ["a"]),
             ("a drain that comes first", [drains, report()], {}, ["a"]),
-            ("serving again by a newer beat", [report(), drains, report(seq=6)], {"a": "serving"}, []),
+            (
+                "serving again by a newer beat",
+                [report(), drains, report(seq=6)],
+                {"a": "serving"},
+                [],
+            ),
             ("silence", [report(), silent], {}, []),
             ("silence, then a beat", [report(), silent, report(seq=7)], {"a": "serving"}, []),
             ("silence judged on an older beat", [report(seq=3), silent], {"a": "serving"}, []),
-            ("silence of a draining one, then a late beat", [report(), drains, report(state="silent", seq=5), report(seq=4)],
-             {}, ["a"]),
-            ("another life at its address", [report(), report("b", address=report().address)], {"b": "serving"}, ["a"]),
-            ("a late beat of the life before", [report(), report("b", address=report().address), report(seq=9)],
-             {"b": "serving"}, ["a"]),
-            ("two at their own addresses", [report(), report("b")], {"a": "serving", "b": "serving"}, [])]
+            (
+                "silence of a draining one, then a late beat",
+                [report(), drains, report(state="silent", seq=5), report(seq=4)],
+                {},
+                ["a"],
+            ),
+            (
+                "another life at its address",
+                [report(), report("b", address=report().address)],
+                {"b": "serving"},
+                ["a"],
+            ),
+            (
+                "a late beat of the life before",
+                [report(), report("b", address=report().address), report(seq=9)],
+                {"b": "serving"},
+                ["a"],
+            ),
+            (
+                "two at their own addresses",
+                [report(), report("b")],
+                {"a": "serving", "b": "serving"},
+                [],
+            ),
+        ]
         for name, reports, listed, ended in rows:
             self.assertThat(after(*reports), Equals((listed, ended)), name)
 
     def test_what_changes_nothing_is_no_change(self):
         held, _ = apply_reports(empty_list(), [report()])
-        rows = [([report()], []), ([report(seq=2)], []), ([report(state="silent", seq=0)], []),
-                ([report(seq=2, slots=5)], ["a"]), ([report(seq=2, models='[{"name": "m"}]')], ["a"]),
-                ([report(seq=2, zone="south")], ["a"]), ([report(seq=2, label="service/t")], ["a"]),
-                ([report(seq=1, slots=5)], []), ([report("b"), report("c"), report("d")], ["b", "c", "d"])]
+        rows = [
+            ([report()], []),
+            ([report(seq=2)], []),
+            ([report(state="silent", seq=0)], []),
+            ([report(seq=2, slots=5)], ["a"]),
+            ([report(seq=2, models='[{"name": "m"}]')], ["a"]),
+            ([report(seq=2, zone="south")], ["a"]),
+            ([report(seq=2, label="service/t")], ["a"]),
+            ([report(seq=1, slots=5)], []),
+            ([report("b"), report("c"), report("d")], ["b", "c", "d"]),
+        ]
         for reports, wanted in rows:
             _, changed = apply_reports(held, reports)
             self.assertThat(changed, Equals(wanted))
@@ -74,34 +124,53 @@
         asyncio.run(run())
 
     async def beat(self, platform, host, name, wait_ms=2000, **values):
-        return await platform.ask(host, "PUT", f"/vaneledge/servers/{name}", beat(**values), wait_ms=wait_ms)
+        return await platform.ask(
+            host, "PUT", f"/vaneledge/servers/{name}", beat(**values), wait_ms=wait_ms
+        )
 
     def listed(self, platform, host="edge1"):
         value = platform.fleet.hosts[host].node.gazette.value("workers") or {"workers": {}}
         return {name: row["state"] for name, row in value["workers"].items()}
 
     def owner(self, platform):
-        return next(host for host in platform.fleet.of("control") if host.up and host.node.worker_list._mine())
+        return next(
+            host
+            for host in platform.fleet.of("control")
+            if host.up and host.node.worker_list._mine()
+        )
 
     async def keep_beating(self, platform, names, for_ms, first_count):
         """All at the same node, the first that is up."""
         for index in range(for_ms // 400):
             host = next(host.name for host in platform.fleet.of("control") if host.up)
             for name in names:
-                await self.beat(platform, host, name, address=f"10.9.9.{name}:80", callCount=first_count + index)
+                await self.beat(
+                    platform, host, name, address=f"10.9.9.{name}:80", callCount=first_count + index
+                )
             platform.run(400)
 
     def test_many_join_at_once_in_one_change(self):
         async def body(platform):
             for index in range(40):
-                told = await self.beat(platform, f"control{index % 5 + 1}", f"w{index}", address=f"10.9.9.{index}:80")
+                told = await self.beat(
+                    platform, f"control{index % 5 + 1}", f"w{index}", address=f"10.9.9.{index}:80"
+                )
                 self.assertThat(told, Equals((200, {}, 0.0)))
             platform.run(400)
             node = platform.fleet.hosts["edge1"].node
-            self.assertThat((len(self.listed(platform)), node.gazette.number("workers") <= 2), Equals((40, True)))
+            self.assertThat(
+                (len(self.listed(platform)), node.gazette.number("workers") <= 2),
+                Equals((40, True)),
+            )
             before = node.gazette.number("workers")
             for index in range(40):
-                await self.beat(platform, f"control{(index + 1) % 5 + 1}", f"w{index}", address=f"10.9.9.{index}:80", callCount=2)
+                await self.beat(
+                    platform,
+                    f"control{(index + 1) % 5 + 1}",
+                    f"w{index}",
+                    address=f"10.9.9.{index}:80",
+                    callCount=2,
+                )
             platform.run(1500)
             self.assertThat(node.gazette.number("workers"), Equals(before))
 
@@ -112,16 +181,25 @@
             await self.beat(platform, "control1", "w")
             platform.run(500)
             for count, host in ((5, "control2"), (6, "control3")):
-                status, _, took_ms = await self.beat(platform, host, "w", state="draining", callCount=count)
+                status, _, took_ms = await self.beat(
+                    platform, host, "w", state="draining", callCount=count
+                )
                 self.assertThat((status, took_ms < 300), Equals((200, True)), str(took_ms))
                 for edge in ("edge1", "edge2"):
                     self.assertThat(self.listed(platform, edge), Equals({"w": "draining"}))
-            self.assertThat((await self.beat(platform, "control4", "w", callCount=4))[0], Equals(200))
+            self.assertThat(
+                (await self.beat(platform, "control4", "w", callCount=4))[0], Equals(200)
+            )
             platform.run(1500)
             self.assertThat(self.listed(platform), Equals({"w": "draining"}))
             status, _, _ = await platform.ask("control5", "DELETE", "/vaneledge/servers/w")
-            self.assertThat((status, self.listed(platform), self.listed(platform, "edge2")), Equals((200, {}, {})))
-            self.assertThat((await self.beat(platform, "control4", "w", callCount=9))[0], Equals(200))
+            self.assertThat(
+                (status, self.listed(platform), self.listed(platform, "edge2")),
+                Equals((200, {}, {})),
+            )
+            self.assertThat(
+                (await self.beat(platform, "control4", "w", callCount=9))[0], Equals(200)
+            )
             platform.run(1500)
             self.assertThat(self.listed(platform), Equals({}))
 
@@ -132,11 +210,16 @@
             await self.beat(platform, "control1", "w")
             platform.run(500)
             platform.fleet.hosts["edge1"].freeze()
-            told = [await self.beat(platform, "control2", "w", state="draining", callCount=count) for count in (5, 6)]
+            told = [
+                await self.beat(platform, "control2", "w", state="draining", callCount=count)
+                for count in (5, 6)
+            ]
             params = platform.fleet.hosts["control1"].params
             self.assertThat([row[0] for row in told][-1], Equals(200))
             self.assertThat(sum(row[2] for row in told) >= params.edges_ms, Equals(True), str(told))
-            self.assertThat(all(row[2] <= params.answer_ms + 50 for row in told), Equals(True), str(told))
+            self.assertThat(
+                all(row[2] <= params.answer_ms + 50 for row in told), Equals(True), str(told)
+            )
 
         self.run_test(body)
 
@@ -146,8 +229,16 @@
             platform.run(500)
             names = ("control1", "control2")
             cut = [platform.fleet.hosts[name].address for name in names]
-            platform.fleet.network.split([cut, [host.address for host in platform.fleet.hosts.values()
-                                                if host.address not in cut]])
+            platform.fleet.network.split(
+                [
+                    cut,
+                    [
+                        host.address
+                        for host in platform.fleet.hosts.values()
+                        if host.address not in cut
+                    ],
+                ]
+            )
             told = await self.beat(platform, "control1", "w", state="draining", callCount=5)
             self.assertThat((told[0], told[2] <= 750), Equals((503, True)), str(told))
             platform.run(1500)
@@ -197,7 +288,9 @@
             self.assertThat((await self.beat(platform, other.name, "w"))[0], Equals(503))
             platform.fleet.network.heal()
             platform.run(2500)
-            self.assertThat((await self.beat(platform, other.name, "w", callCount=2))[0], Equals(200))
+            self.assertThat(
+                (await self.beat(platform, other.name, "w", callCount=2))[0], Equals(200)
+            )
 
         self.run_test(body)
 
@@ -212,15 +305,33 @@
             platform.run(500)
             for host in hosts:
                 host.start()
-            self.assertThat(platform.fleet.run_until_true(
-                lambda: self.listed(platform) == {"1": "serving", "2": "serving"}, 3000), Equals(True))
+            self.assertThat(
+                platform.fleet.run_until_true(
+                    lambda: self.listed(platform) == {"1": "serving", "2": "serving"}, 3000
+                ),
+                Equals(True),
+            )
 
         self.run_test(body)
 
     def test_beats_that_are_not_as_they_have_to_be(self):
         async def body(platform):
-            rows = [b"", b"{", b"[]", {}, beat(backend=3), beat(backend=""), beat(address=None), beat(zone=3), beat(state="odd"),
-                    beat(capacity="x"), beat(callCount=-1), beat(callCount=None), beat(models={}), beat(address="x" * 300)]
+            rows = [
+                b"",
+                b"{",
+                b"[]",
+                {},
+                beat(backend=3),
+                beat(backend=""),
+                beat(address=None),
+                beat(zone=3),
+                beat(state="odd"),
+                beat(capacity="x"),
+                beat(callCount=-1),
+                beat(callCount=None),
+                beat(models={}),
+                beat(address="x" * 300),
+            ]
             for sent in rows:
                 told = await platform.ask("control1", "PUT", "/vaneledge/servers/w", sent)
                 self.assertThat(told[0], Equals(400), str(sent)[:100])
--- a/tests/test_worker_list_troubles.py
+++ b/tests/test_worker_list_troubles.py
@@ -1,15 +1,15 @@
 """Seeded runs of the list of workers: they join, drain, end and crash while control nodes are killed, frozen,
 cut off and emptied. A drain once acknowledged stays in force at every edge that is in touch, an identity that
-ended never comes back, and once it is calm the list is what lives."""
+ended never comes back, and once it is calm the list is what lives.
+"""
 
 import asyncio
 import random
 
+from platform_calls import Platform, beat
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from platform_calls import Platform, beat
-
 _BEAT_MS, _STEP_MS = 1200, 100
 
 
@@ -39,8 +39,12 @@
         if worker.state == "gone":
             task = self.platform.start(host.name, "DELETE", f"/vaneledge/servers/{worker.name}")
         else:
-            task = self.platform.start(host.name, "PUT", f"/vaneledge/servers/{worker.name}", beat(
-                address=worker.address, state=worker.state, callCount=worker.count))
+            task = self.platform.start(
+                host.name,
+                "PUT",
+                f"/vaneledge/servers/{worker.name}",
+                beat(address=worker.address, state=worker.state, callCount=worker.count),
+            )
         self.calls.append((worker, worker.state, task, now_ms))
 
     def take_answers(self, now_ms):
@@ -56,7 +60,11 @@
                     worker.next_ms = now_ms + _STEP_MS
 
     def live_on(self, worker, now_ms):
-        if worker.state != "crashed" and now_ms >= worker.next_ms and not any(row[0] is worker for row in self.calls):
+        if (
+            worker.state != "crashed"
+            and now_ms >= worker.next_ms
+            and not any(row[0] is worker for row in self.calls)
+        ):
             worker.next_ms = now_ms + _BEAT_MS
             if not (worker.state == "gone" and worker.acked_ms is not None):
                 self.call(worker, now_ms)
@@ -69,8 +77,12 @@
             if blow == "cut":
                 self.fleet.network.isolate(self.struck.address)
             else:
-                {"kill": self.struck.kill, "freeze": self.struck.freeze, "power": self.struck.lose_power,
-                 "empty": self.struck.lose_disk}[blow]()
+                {
+                    "kill": self.struck.kill,
+                    "freeze": self.struck.freeze,
+                    "power": self.struck.lose_power,
+                    "empty": self.struck.lose_disk,
+                }[blow]()
         else:
             host, self.struck = self.struck, None
             self.fleet.network.heal()
@@ -83,9 +95,14 @@
         for host in self.fleet.of("edge"):
             rows = (host.node.gazette.value("workers") or {"workers": {}})["workers"]
             for worker in self.workers:
-                if worker.acked_ms is not None and now_ms - worker.acked_ms > 700 and (
-                        rows.get(worker.name, {}).get("state") == "serving"):
-                    self.broken.append(f"{worker.name} serving at {host.name} {now_ms - worker.acked_ms} ms after its drain")
+                if (
+                    worker.acked_ms is not None
+                    and now_ms - worker.acked_ms > 700
+                    and (rows.get(worker.name, {}).get("state") == "serving")
+                ):
+                    self.broken.append(
+                        f"{worker.name} serving at {host.name} {now_ms - worker.acked_ms} ms after its drain"
+                    )
 
     async def play(self):
         start_ms = self.fleet.time.now_ms
@@ -94,11 +111,17 @@
             if step % 25 == 10 and step < 150:
                 self.strike()
             if step % 20 == 15 and step < 160:
-                worker = self.rng.choice([worker for worker in self.workers if worker.state == "serving"] or self.workers)
+                worker = self.rng.choice(
+                    [worker for worker in self.workers if worker.state == "serving"] or self.workers
+                )
                 worker.state = self.rng.choice(("draining", "draining", "gone", "crashed"))
                 worker.next_ms = 0
             for worker in self.workers:
-                if worker.state == "draining" and worker.acked_ms is not None and now_ms - worker.acked_ms > 2000:
+                if (
+                    worker.state == "draining"
+                    and worker.acked_ms is not None
+                    and now_ms - worker.acked_ms > 2000
+                ):
                     worker.state, worker.next_ms = "gone", 0
                 self.live_on(worker, now_ms)
             self.platform.run(_STEP_MS)
@@ -109,7 +132,11 @@
         return start_ms
 
     def listed(self, host):
-        return sorted(name for name, row in host.node.gazette.value("workers")["workers"].items() if row["state"] == "serving")
+        return sorted(
+            name
+            for name, row in host.node.gazette.value("workers")["workers"].items()
+            if row["state"] == "serving"
+        )
 
 
 class Troubles(TestCase):
@@ -121,7 +148,11 @@
             wanted = sorted(worker.name for worker in run.workers if worker.state == "serving")
             for host in run.fleet.of("edge"):
                 self.assertThat(run.listed(host), Equals(wanted), f"seed {seed}")
-            unanswered = [worker.name for worker in run.workers if worker.state in ("draining", "gone") and worker.acked_ms is None]
+            unanswered = [
+                worker.name
+                for worker in run.workers
+                if worker.state in ("draining", "gone") and worker.acked_ms is None
+            ]
             self.assertThat(unanswered, Equals([]), f"seed {seed}")
 
         for seed in range(1, 4):
