Long files of the stand-ins and tests split along their jobs (plain moves)

Operators, a client's HTTP try, calls and requests of the stand-in worker, answers and worker runs of the test traffic, metered costs, the hollow platform's lots, the oracle's table of cases and the log's disk tests have modules of their own now. Test names are kept; test_log_conformance.Disks is test_log_disks.Disks now, in docs/proof.md and in the break that names it too.

--- a/libs/facsimile/src/facsimile/breaks/log.py
+++ b/libs/facsimile/src/facsimile/breaks/log.py
@@ -65,7 +65,7 @@
         "accession/src/accession/local.py",
         "while (at := over_hole(data, stop)) is not None:",
         "while (at := None) is not None:",
-        _LOG + "trimmed",
+        "tests/test_log_disks.py -k trimmed",
     ),
     "a fence for each message": (
         "accession/src/accession/meta.py",
--- a/libs/facsimile/src/facsimile/measure_scale.py
+++ b/libs/facsimile/src/facsimile/measure_scale.py
@@ -21,8 +21,8 @@
 from facsimile.sim.disks import SimDisk
 from facsimile.sim.fleet import SimFleet
 from facsimile.sim.hosts import SimEnv, SimHost
+from facsimile.sim.operators import Operators
 from facsimile.sim.virtual import Network, VirtualTime
-from facsimile.sim.visitors import Operators
 
 __all__ = [
     "SETTINGS",
--- a/libs/facsimile/src/facsimile/measure_units.py
+++ b/libs/facsimile/src/facsimile/measure_units.py
@@ -7,7 +7,6 @@
 import json
 import socket
 import tracemalloc
-from collections.abc import Callable
 from time import process_time
 from typing import Any
 
@@ -19,15 +18,14 @@
 from vellum import decode, encode
 from vellum.links import Switchboard
 
-from facsimile.measure_scale import MeteredFleet, founded, held_bytes, sample
-from facsimile.sim.visitors import Operators, tree_of
+from facsimile.measure_scale import founded, held_bytes
+from facsimile.metered_costs import NODES, EdgeClient, MeteredCosts, big_disks, store_groups
+from facsimile.sim.operators import Operators, tree_of
 
 __all__ = ["item_costs", "measure_units", "wide_rows"]
 
-_NODES = 12
 _LOT_ITEMS = 80
 _APART_MS = 3000
-_KINDS = ("tick", "receive", "packing", "report", "disk", "append")
 _DIALECT = Dialect(
     request_id="Id",
     worker="Worker",
@@ -39,84 +37,13 @@
 )
 
 
-class _Client:
-    """An edge as the holder sees it, that answers nothing and keeps what it is told."""
-
-    up, frozen = True, False
-
-    def __init__(self, fleet: MeteredFleet) -> None:
-        self.node = self
-        self.address = "10.8.0.1:7000"
-        self.answers: dict[int, Any] = {}
-        self._fleet, self._ref = fleet, 0
-        fleet.network.hosts[self.address] = self
-
-    def receive(self, sender: str, ref: int, re: int, message: Any) -> None:
-        self.answers[re] = message
-
-    def ask(self, message: Any, limit_ms: float = 4000) -> Any:
-        self._ref += 1
-        ref = self._ref
-        self._fleet.network.send(self.address, self._fleet.holder().address, ref, 0, message)
-        if not self._fleet.run_until_true(lambda: ref in self.answers, limit_ms):
-            raise AssertionError(f"no answer to {type(message).__name__}")
-        return self.answers.pop(ref)
-
-
-class _Costs:
-    """Processor time of groups of nodes over a span, less what as long a span costs them when idle."""
-
-    def __init__(self, fleet: MeteredFleet, groups: dict[str, list[str]]) -> None:
-        self._fleet, self._groups = fleet, groups
-        sample(fleet, 4000)
-        self._idle = {name: value / 4000 for name, value in self._now(0).items()}
-
-    def _now(self, since_ms: float) -> dict[str, float]:
-        meter = self._fleet.meter
-        rows = {
-            f"{name} ms": sum(meter.work_s[address, kind] for address in group for kind in _KINDS)
-            * 1000
-            for name, group in self._groups.items()
-        }
-        rows.update(
-            {
-                f"{name} kB sent": sum(meter.counts[address, "bytes"] for address in group) / 1000
-                for name, group in self._groups.items()
-            }
-        )
-        return rows
-
-    def of(self, work: Callable[[], None], count: int) -> dict[str, float]:
-        """Of one of `count`, all nodes of a group together."""
-        self._fleet.meter.clear()
-        began_ms = self._fleet.time.now_ms
-        work()
-        span_ms = self._fleet.time.now_ms - began_ms
-        return {
-            name: (value - self._idle[name] * span_ms) / count
-            for name, value in self._now(0).items()
-        }
-
-
 def _told(rows: dict[str, float]) -> str:
     return ", ".join(f"{name} {value:.3f}" for name, value in rows.items())
 
 
-def _stores(fleet: MeteredFleet) -> dict[str, list[str]]:
-    holder = fleet.holder().address
-    return {
-        "holder": [holder],
-        "peers": [host.address for host in fleet.of("store") if host.address != holder],
-    }
-
-
-def _big_disks() -> dict[str, Any]:
-    return {"disk_bytes": 1 << 30, "segment_bytes": 1 << 22}
-
-
 def append_costs(seed: int, count: int, body_bytes: int) -> dict[str, float]:
-    fleet = founded(seed, _NODES, _big_disks())
-    costs = _Costs(fleet, _stores(fleet))
+    fleet = founded(seed, NODES, big_disks())
+    costs = MeteredCosts(fleet, store_groups(fleet))
     host, done = fleet.holder(), []
     entry = e.KeyClosed(
         key="k", transaction="t", state="done", status=200, body="x" * body_bytes, at_ms=0
@@ -133,7 +60,7 @@
     return costs.of(work, count)
 
 
-def _hand_in(client: _Client, lot_id: str, items: int, body_bytes: int) -> None:
+def _hand_in(client: EdgeClient, lot_id: str, items: int, body_bytes: int) -> None:
     calls = [
         encode(
             m.ForwardItem(
@@ -171,7 +98,7 @@
         raise AssertionError(f"a lot was not admitted: {answer.outcome}")
 
 
-def _run_all(client: _Client, items: int, at_once: int, text: bytes) -> None:
+def _run_all(client: EdgeClient, items: int, at_once: int, text: bytes) -> None:
     ended = 0
     while ended < items:
         beat = client.ask(
@@ -206,9 +133,9 @@
     seed: int, lots: int, items: int, body_bytes: int, at_once: int
 ) -> list[tuple[str, dict[str, float]]]:
     """Handed in, dealt `at_once` at the most and ended together, and read once in pages; for one item."""
-    fleet = founded(seed, _NODES, _big_disks())
-    client = _Client(fleet)
-    costs = _Costs(fleet, _stores(fleet))
+    fleet = founded(seed, NODES, big_disks())
+    client = EdgeClient(fleet)
+    costs = MeteredCosts(fleet, store_groups(fleet))
     names = [f"lot{number}" for number in range(lots)]
 
     def read(name: str) -> None:
@@ -317,7 +244,7 @@
 
 
 def version_costs(
-    seed: int, routes: int, tenants: int, changes: int, nodes: int = _NODES
+    seed: int, routes: int, tenants: int, changes: int, nodes: int = NODES
 ) -> dict[str, float]:
     """A version in which one profile has changed, acknowledged, and used at every edge."""
     fleet = founded(seed, nodes)
@@ -346,7 +273,7 @@
         fleet.time.run_until(fleet.time.now_ms + _APART_MS)
 
     change()
-    costs = _Costs(fleet, groups)
+    costs = MeteredCosts(fleet, groups)
     rows = costs.of(lambda: [change() for _ in range(changes)], changes)
     rows = {name: value / len(groups[name.split()[0]]) for name, value in rows.items()}
     body = json.dumps({"profiles": {**tree_of("x")["profiles"], **operators.more}}, sort_keys=True)
@@ -361,7 +288,7 @@
 
 
 def report_cost_us(seed: int, workers: int) -> float:
-    fleet = founded(seed, _NODES)
+    fleet = founded(seed, NODES)
     host = fleet.of("control")[0]
     began_s = process_time()
     for place in range(workers):
@@ -383,7 +310,7 @@
 
 def measure_units(count: int, body_bytes: int, repeats: int) -> str:
     lines = [
-        f"processor time alone; {repeats} runs each; a fleet of {_NODES}; bodies and results of {body_bytes} bytes"
+        f"processor time alone; {repeats} runs each; a fleet of {NODES}; bodies and results of {body_bytes} bytes"
     ]
     for seed in range(1, repeats + 1):
         lines.append(f"run {seed}")
--- /dev/null
+++ b/libs/facsimile/src/facsimile/metered_costs.py
@@ -0,0 +1,84 @@
+"""Processor time and bytes that a span of work costs groups of nodes of a metered fleet, less what as long a span
+costs them when idle.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from facsimile.measure_scale import MeteredFleet, sample
+
+__all__ = ["NODES", "EdgeClient", "MeteredCosts", "big_disks", "store_groups"]
+
+NODES = 12
+_KINDS = ("tick", "receive", "packing", "report", "disk", "append")
+
+
+class EdgeClient:
+    """An edge as the holder sees it, that answers nothing and keeps what it is told."""
+
+    up, frozen = True, False
+
+    def __init__(self, fleet: MeteredFleet) -> None:
+        self.node = self
+        self.address = "10.8.0.1:7000"
+        self.answers: dict[int, Any] = {}
+        self._fleet, self._ref = fleet, 0
+        fleet.network.hosts[self.address] = self
+
+    def receive(self, sender: str, ref: int, re: int, message: Any) -> None:
+        self.answers[re] = message
+
+    def ask(self, message: Any, limit_ms: float = 4000) -> Any:
+        self._ref += 1
+        ref = self._ref
+        self._fleet.network.send(self.address, self._fleet.holder().address, ref, 0, message)
+        if not self._fleet.run_until_true(lambda: ref in self.answers, limit_ms):
+            raise AssertionError(f"no answer to {type(message).__name__}")
+        return self.answers.pop(ref)
+
+
+class MeteredCosts:
+    """Processor time of groups of nodes over a span, less what as long a span costs them when idle."""
+
+    def __init__(self, fleet: MeteredFleet, groups: dict[str, list[str]]) -> None:
+        self._fleet, self._groups = fleet, groups
+        sample(fleet, 4000)
+        self._idle = {name: value / 4000 for name, value in self._now(0).items()}
+
+    def _now(self, since_ms: float) -> dict[str, float]:
+        meter = self._fleet.meter
+        rows = {
+            f"{name} ms": sum(meter.work_s[address, kind] for address in group for kind in _KINDS)
+            * 1000
+            for name, group in self._groups.items()
+        }
+        rows.update(
+            {
+                f"{name} kB sent": sum(meter.counts[address, "bytes"] for address in group) / 1000
+                for name, group in self._groups.items()
+            }
+        )
+        return rows
+
+    def of(self, work: Callable[[], None], count: int) -> dict[str, float]:
+        """Of one of `count`, all nodes of a group together."""
+        self._fleet.meter.clear()
+        began_ms = self._fleet.time.now_ms
+        work()
+        span_ms = self._fleet.time.now_ms - began_ms
+        return {
+            name: (value - self._idle[name] * span_ms) / count
+            for name, value in self._now(0).items()
+        }
+
+
+def store_groups(fleet: MeteredFleet) -> dict[str, list[str]]:
+    holder = fleet.holder().address
+    return {
+        "holder": [holder],
+        "peers": [host.address for host in fleet.of("store") if host.address != holder],
+    }
+
+
+def big_disks() -> dict[str, Any]:
+    return {"disk_bytes": 1 << 30, "segment_bytes": 1 << 22}
--- /dev/null
+++ b/libs/facsimile/src/facsimile/platform_days/asker.py
@@ -0,0 +1,134 @@
+"""One try of a client over HTTP, written into its row of the history as it goes."""
+
+from typing import Any
+
+import aiohttp
+
+from facsimile.platform_days.worker_calls import digest
+from facsimile.sim.history import History
+
+__all__ = ["Asker"]
+
+_SKIPPED = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
+
+
+async def _chunks(body: bytes) -> Any:
+    for at in range(0, len(body), 64):
+        yield body[at : at + 64]
+
+
+class Asker:
+    """One try over HTTP, written into its row as it goes."""
+
+    __slots__ = ("clock", "history")
+
+    def __init__(self, history: History, clock: Any) -> None:
+        self.history, self.clock = history, clock
+
+    async def ask(
+        self,
+        row: dict[str, Any],
+        session: aiohttp.ClientSession,
+        method: str,
+        address: str,
+        headers: dict[str, str],
+        body: bytes,
+        total_s: float,
+        silence_s: float | None = None,
+        chunked: bool = False,
+    ) -> None:
+        timeout = aiohttp.ClientTimeout(
+            total=max(0.05, total_s), sock_connect=1.0, sock_read=silence_s
+        )
+        row.update(
+            sent_ms=round(self.clock(), 2),
+            how="silent",
+            status=0,
+            complete=False,
+            seal="",
+            id_back="",
+            encoded=False,
+            events=[],
+            body="",
+            head_ms=0.0,
+            first_ms=0.0,
+            gap_ms=0.0,
+            retry_after=None,
+            closes=False,
+        )
+        try:
+            async with session.request(
+                method,
+                f"http://{address}{row['target']}",
+                headers=headers,
+                data=_chunks(body) if chunked else body,
+                timeout=timeout,
+                skip_auto_headers=_SKIPPED,
+                allow_redirects=False,
+            ) as answer:
+                row.update(
+                    status=answer.status,
+                    seal=answer.headers.get("Server-Seal", ""),
+                    id_back=answer.headers.get("Request-Id", ""),
+                    encoded="Content-Encoding" in answer.headers,
+                    head_ms=round(self.clock(), 2),
+                    how="cut",
+                    retry_after=answer.headers.get("Retry-After"),
+                    closes=answer.headers.get("Connection", "").lower() == "close",
+                    framed="Content-Length" in answer.headers
+                    or "chunked" in answer.headers.get("Transfer-Encoding", ""),
+                )
+                await self._read(row, answer)
+                row.update(how="answered", complete=row["framed"])
+        except aiohttp.ClientConnectorError:
+            row["how"] = "unreached"
+        except aiohttp.ServerTimeoutError as error:
+            row["how"] = (
+                "unreached" if isinstance(error, aiohttp.ConnectionTimeoutError) else "silent"
+            )
+        except TimeoutError:
+            row["how"] = "silent"
+        except (aiohttp.ClientResponseError, aiohttp.http.HttpProcessingError):
+            row["how"] = "garbled"
+        except (aiohttp.ClientError, OSError):
+            row["how"] = "cut"
+        row["ended_ms"] = round(self.clock(), 2)
+
+    async def _read(self, row: dict[str, Any], answer: aiohttp.ClientResponse) -> None:
+        if not answer.headers.get("Content-Type", "").startswith("text/event-stream"):
+            data = await answer.read()
+            row.update(
+                body=digest(data),
+                text=data.decode(errors="replace")[:200],
+                first_ms=round(self.clock(), 2),
+            )
+            return
+        buffered, last_ms = b"", 0.0
+        async for data in answer.content.iter_any():
+            buffered += data
+            *whole, buffered = buffered.split(b"\n\n")
+            now_ms = self.clock()
+            for block in whole:
+                row["events"].append([_number(block), _data(block), round(now_ms, 2)])
+                row["first_ms"] = row["first_ms"] or round(now_ms, 2)
+                row["gap_ms"] = max(row["gap_ms"], round(now_ms - last_ms, 2) if last_ms else 0.0)
+                last_ms = now_ms
+        if buffered.strip():
+            row["events"].append(
+                [-1, buffered.decode(errors="replace")[:80], round(self.clock(), 2)]
+            )
+
+
+def _number(block: bytes) -> int:
+    for line in block.split(b"\n"):
+        if line.startswith(b"id:"):
+            return int(line[3:].strip() or b"-1")
+    return -1
+
+
+def _data(block: bytes) -> str:
+    return "\n".join(
+        line[5:].removeprefix(b" ").decode(errors="replace")
+        for line in block.split(b"\n")
+        if line.startswith(b"data:")
+    )
--- a/libs/facsimile/src/facsimile/platform_days/engine.py
+++ b/libs/facsimile/src/facsimile/platform_days/engine.py
@@ -8,6 +8,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
+from facsimile.platform_days.engine_calls import Call, PromptPart
 from facsimile.platform_days.engine_messages import (
     Asked,
     Begun,
@@ -22,52 +23,6 @@
 __all__ = ["Engine"]
 
 
-class _Part:
-    """A part of a prompt in memory: whole once somebody has read it to its end, kept while nobody uses it."""
-
-    __slots__ = ("tokens", "users", "whole")
-
-    def __init__(self, tokens: int) -> None:
-        self.tokens, self.users, self.whole = tokens, 0, False
-
-
-class _Call:
-    __slots__ = (
-        "asked",
-        "begun",
-        "break_after",
-        "due_ms",
-        "held",
-        "ill",
-        "made",
-        "number",
-        "own_tokens",
-        "piece",
-        "run",
-        "unread",
-    )
-
-    def __init__(self, asked: Asked, number: int, due_ms: float | None) -> None:
-        self.asked, self.number, self.due_ms = asked, number, due_ms
-        self.begun = False
-        self.run = 0
-        self.ill = ""
-        self.break_after = 0
-        self.made = 0
-        self.own_tokens = 0
-        self.held: list[str] = []
-        self.unread = 0
-        self.piece = 0
-
-    @property
-    def rank(self) -> tuple[int, int]:
-        return self.asked.urgency, self.number
-
-    @property
-    def context(self) -> int:
-        return self.asked.tokens_in + self.own_tokens
-
-
 class Engine:
     __slots__ = (
         "_at_ms",
@@ -92,10 +47,10 @@
         self.draining = False
         self.read_tokens = 0
         self._rng = random.Random(seed)
-        self._calls: dict[int, _Call] = {}
-        self._queue: list[_Call] = []
-        self._running: list[_Call] = []
-        self._parts: OrderedDict[str, _Part] = OrderedDict()
+        self._calls: dict[int, Call] = {}
+        self._queue: list[Call] = []
+        self._running: list[Call] = []
+        self._parts: OrderedDict[str, PromptPart] = OrderedDict()
         self._reports: deque[tuple[float, dict[str, int]]] = deque()
         self._count = self._runs = 0
         self._at_ms = 0.0
@@ -126,7 +81,7 @@
         else:
             self._count += 1
             due_ms = None if message.deadline_ms is None else self._at_ms + message.deadline_ms
-            call = self._calls[message.key] = _Call(message, self._count, due_ms)
+            call = self._calls[message.key] = Call(message, self._count, due_ms)
             self._queue.append(call)
 
     @_take.register
@@ -223,14 +178,14 @@
             if not call.begun and not call.unread and call in self._running:
                 self._begin(call)
 
-    def _read(self, call: _Call) -> None:
+    def _read(self, call: Call) -> None:
         call.unread -= call.piece
         self.read_tokens += call.piece
         if not call.unread:
             for name in call.held:
                 self._parts[name].whole = True
 
-    def _begin(self, call: _Call) -> None:
+    def _begin(self, call: Call) -> None:
         self._runs += 1
         call.begun, call.run = True, self._runs
         call.ill = self._draw_ill(call)
@@ -249,7 +204,7 @@
                 else max(1, self._left(call) // 2)
             )
 
-    def _draw_ill(self, call: _Call) -> str:
+    def _draw_ill(self, call: Call) -> str:
         if call.asked.poisoned:
             return "unable"
         drawn = self._rng.random()
@@ -259,14 +214,14 @@
             drawn -= share
         return ""
 
-    def _left(self, call: _Call) -> int:
+    def _left(self, call: Call) -> int:
         asked = call.asked
         done = (
             0 if asked.last_event_id is None else asked.last_event_id - self.sheet.first_event + 1
         )
         return asked.events - done - call.made
 
-    def _make(self, call: _Call) -> None:
+    def _make(self, call: Call) -> None:
         if not self._grow(call):
             return
         if call.ill in ("short", "cut") and call.made >= call.break_after:
@@ -296,7 +251,7 @@
             self._queue.remove(call)
             self._running.append(call)
 
-    def _hold(self, call: _Call) -> bool:
+    def _hold(self, call: Call) -> bool:
         """Takes memory for a call's prompt and what it has made so far; what is kept from the start on isn't read again."""
         known = 0
         kept = True
@@ -318,7 +273,7 @@
                     self._parts[name].users -= 1
             return False
         for name, tokens in fresh:
-            self._parts[name] = _Part(tokens)
+            self._parts[name] = PromptPart(tokens)
             self._parts[name].users = 1
         for name in held:
             self._parts.move_to_end(name)
@@ -347,7 +302,7 @@
             kept -= self._parts.pop(name).tokens
         return True
 
-    def _grow(self, call: _Call) -> bool:
+    def _grow(self, call: Call) -> bool:
         """Room for the tokens of one more event; where there is none, the newest of the least urgent is put back."""
         while not self._give_way(self.sheet.stride):
             last = max(self._running, key=lambda other: other.rank)
@@ -359,13 +314,13 @@
         call.own_tokens += self.sheet.stride
         return True
 
-    def _put_back(self, call: _Call) -> None:
+    def _put_back(self, call: Call) -> None:
         self._running.remove(call)
         self._release(call)
         self._queue.append(call)
         self._queue.sort(key=lambda other: other.rank)
 
-    def _release(self, call: _Call) -> None:
+    def _release(self, call: Call) -> None:
         for name in call.held:
             part = self._parts[name]
             part.users -= 1
@@ -373,7 +328,7 @@
                 del self._parts[name]
         call.held = []
 
-    def _forget(self, call: _Call) -> None:
+    def _forget(self, call: Call) -> None:
         self._calls.pop(call.asked.key, None)
         if call in self._running:
             self._running.remove(call)
@@ -381,7 +336,7 @@
         elif call in self._queue:
             self._queue.remove(call)
 
-    def _end(self, call: _Call, state: str) -> None:
+    def _end(self, call: Call, state: str) -> None:
         self._forget(call)
         if call.begun:
             self._out.append(Over(key=call.asked.key, run=call.run, state=state, ill=call.ill))
--- a/libs/facsimile/src/facsimile/platform_days/lots.py
+++ b/libs/facsimile/src/facsimile/platform_days/lots.py
@@ -12,7 +12,7 @@
 
 from facsimile.platform_days.entry import Entry
 from facsimile.platform_days.sheet import Kind, Sheet
-from facsimile.platform_days.workers import digest
+from facsimile.platform_days.worker_calls import digest
 from facsimile.sim.history import History
 
 __all__ = ["LotClients"]
--- a/libs/facsimile/src/facsimile/platform_days/workers.py
+++ b/libs/facsimile/src/facsimile/platform_days/workers.py
@@ -3,7 +3,6 @@
 """
 
 import asyncio
-import hashlib
 import json
 import random
 from contextlib import suppress
@@ -15,7 +14,6 @@
 
 from facsimile.platform_days.engine import Engine
 from facsimile.platform_days.engine_messages import (
-    Asked,
     Begun,
     Drained,
     Dropped,
@@ -24,29 +22,15 @@
     Over,
     TurnedAway,
 )
+from facsimile.platform_days.worker_calls import Turn, digest, parse_request
 from facsimile.sim.history import History
 
-__all__ = ["StandInEngine", "digest"]
+__all__ = ["StandInEngine"]
 
 _KEEP_S = 5
 _LATE_S = 0.03
 
 
-def digest(data: bytes) -> str:
-    return hashlib.blake2b(data, digest_size=8).hexdigest()
-
-
-class _Turn:
-    """One request on one connection: what the engine says about it, in order."""
-
-    __slots__ = ("news", "row", "tag")
-
-    def __init__(self) -> None:
-        self.news: asyncio.Queue = asyncio.Queue()
-        self.row: dict[str, Any] = {}
-        self.tag = ""
-
-
 class StandInEngine(Service):
     """One life of one worker. `control` gives the addresses that may be beaten to, as they are known now."""
 
@@ -75,7 +59,7 @@
         self._control, self._name_of = control, name_of
         self._rng = random.Random(f"{seed}/{server_id}")
         self._beat_ms, self._model, self._max_connections = beat_ms, model, max_connections
-        self._turns: dict[int, _Turn] = {}
+        self._turns: dict[int, Turn] = {}
         self._keys = self._calls = 0
         self._beat_address = ""
         self._alarm: asyncio.TimerHandle | None = None
@@ -218,7 +202,7 @@
                 max(0.0, due_ms - self.now_ms()) / 1000, self._wake
             )
 
-    def _note(self, turn: _Turn, message: Any) -> None:
+    def _note(self, turn: Turn, message: Any) -> None:
         row, now_ms = turn.row, self.now_ms()
         if isinstance(message, Begun):
             turn.tag = f"{self.server_id}.{message.run}"
@@ -253,9 +237,9 @@
             return self._health()
         body = await request.read()
         self._keys += 1
-        key, turn = self._keys, _Turn()
+        key, turn = self._keys, Turn()
         self._turns[key] = turn
-        asked, plan = _asked(key, request, body, self.engine.sheet.first_event)
+        asked, plan = parse_request(key, request, body, self.engine.sheet.first_event)
         turn.row = {
             "id": asked.request_id,
             "server": self.server_id,
@@ -292,7 +276,7 @@
             del self._turns[key]
 
     async def _answer(
-        self, request: web.BaseRequest, turn: _Turn, plan: dict[str, Any]
+        self, request: web.BaseRequest, turn: Turn, plan: dict[str, Any]
     ) -> web.StreamResponse:
         first = await turn.news.get()
         if isinstance(first, TurnedAway):
@@ -305,7 +289,7 @@
         return await self._whole(request, turn, plan, headers, message)
 
     async def _stream(
-        self, request: web.BaseRequest, turn: _Turn, plan: dict[str, Any], headers: dict[str, str]
+        self, request: web.BaseRequest, turn: Turn, plan: dict[str, Any], headers: dict[str, str]
     ) -> web.StreamResponse:
         answer = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
         self._maybe_close(answer, headers)
@@ -324,7 +308,7 @@
     async def _whole(
         self,
         request: web.BaseRequest,
-        turn: _Turn,
+        turn: Turn,
         plan: dict[str, Any],
         headers: dict[str, str],
         over: Over,
@@ -367,7 +351,7 @@
                 b"HTTP/1.1 200 OK\r\nRequest-Id: nobody\r\nServer-Seal: 0.0\r\nContent-Length: 3\r\n\r\nxyz"
             )
 
-    def _headers(self, request: web.BaseRequest, turn: _Turn) -> dict[str, str]:
+    def _headers(self, request: web.BaseRequest, turn: Turn) -> dict[str, str]:
         headers = {"Request-Id": turn.row["id"], "Server-Seal": f"{turn.tag}.{turn.row['digest']}"}
         turn.row["seal"] = headers["Server-Seal"]
         if self.engine.sheet.tells_load:
@@ -380,7 +364,7 @@
         else:
             answer.headers["Keep-Alive"] = f"timeout={_KEEP_S}"
 
-    def _turned_away(self, request: web.BaseRequest, turn: _Turn, status: int) -> web.Response:
+    def _turned_away(self, request: web.BaseRequest, turn: Turn, status: int) -> web.Response:
         named = {"Served-By": self.server_id} if status == 421 else {"Not-Run": "1"}
         headers = {"Request-Id": turn.row["id"], **named}
         if self.engine.sheet.tells_load:
@@ -408,35 +392,3 @@
             "cacheSize": self.engine.sheet.cache_tokens,
             "handles": 0,
         }
-
-
-def _asked(
-    key: int, request: web.BaseRequest, body: bytes, first_event: int
-) -> tuple[Asked, dict[str, Any]]:
-    headers = request.headers
-    plan: dict[str, Any] = {"stream": False, "events": 1, "pad": 20, "poisoned": False}
-    with suppress(ValueError):
-        plan |= json.loads(body)
-    tokens_in, _, tokens_out = headers.get("Token-Counts", "0,14").partition(",")
-    parts = tuple(
-        (name, int(tokens))
-        for name, _, tokens in (
-            part.partition(":") for part in headers.get("Prompt-Prefix", "").split(",") if part
-        )
-    )
-    last = headers.get("Last-Event-Id")
-    deadline = headers.get("Deadline-Ms")
-    asked = Asked(
-        key=key,
-        request_id=headers.get("Request-Id", ""),
-        target_id=headers.get("Target-Server", ""),
-        urgency=int(headers.get("Work-Urgency", 5)),
-        tokens_in=int(tokens_in),
-        tokens_out=int(tokens_out),
-        parts=parts,
-        events=plan["events"],
-        last_event_id=None if last is None else int(last),
-        deadline_ms=None if deadline is None else float(deadline),
-        poisoned=plan["poisoned"],
-    )
-    return asked, plan
--- /dev/null
+++ b/libs/facsimile/src/facsimile/sim/operators.py
@@ -0,0 +1,124 @@
+"""Simulated operators: they send changes of the profiles, sometimes two at once, and what they see of them goes
+into the history.
+"""
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+from catalogue import Change
+
+__all__ = ["ROOM", "Operators", "tree_of"]
+
+ROOM = 3
+
+
+def tree_of(mark: str, room: int = ROOM) -> dict[str, Any]:
+    return {
+        "profiles": {
+            "base": {"abstract": True, "workers": {"labels": ["gpu"]}, "deadline_ms": 3000},
+            "rulings": {"parent": "base", "deadline_ms": 2000},
+            "narrations": {"parent": "base"},
+            "moves": {"parent": "base", "repeatable": False},
+            "summaries": {"parent": "base", "waiting_room": room},
+            "claims": {"parent": "base", "waiting_room": room, "repeatable": False},
+            f"mark-{mark}": {"abstract": True},
+        }
+    }
+
+
+class Operators:
+    """`more` are profiles that are in every tree besides."""
+
+    __slots__ = ("_fleet", "_history", "_time", "acked", "changes", "more", "version")
+
+    def __init__(self, fleet: Any) -> None:
+        self._fleet, self._time, self._history = fleet, fleet.time, fleet.history
+        self.changes = 0
+        self.version = 0
+        self.more: dict[str, Any] = {}
+        self.acked: dict[str, tuple[int, str]] = {}
+
+    def ask_again(self, count: int) -> None:
+        """The last acknowledged changes, sent once more under their ids."""
+        rows = list(self.acked.items())[-count:]
+        left = {mark for mark, _ in rows}
+
+        def send(mark: str, named: int, body: str) -> None:
+            def told(receipt: Any) -> None:
+                if mark in left and receipt.outcome in ("ok", "lost"):
+                    left.discard(mark)
+                    self._history.add(
+                        "final-change",
+                        self._time.now_ms,
+                        mark=mark,
+                        outcome=receipt.outcome,
+                        version=receipt.version,
+                    )
+
+            host = self._time.rng.choice(self._fleet.running("control"))
+            host.node.owner.submit(
+                Change(key="profiles", version=named, change_id=mark, body=body, hops=0), told
+            )
+
+        for _ in range(4):
+            for mark, (named, body) in rows:
+                if mark in left:
+                    send(mark, named, body)
+            self._fleet.run_until_true(lambda: not left, 3000)
+
+    def change(
+        self,
+        tries: int = 3,
+        mark: str = "",
+        version: int | None = None,
+        done: Callable | None = None,
+    ) -> None:
+        hosts = self._fleet.running("control")
+        if not hosts:
+            return
+        host = self._time.rng.choice(hosts)
+        if not mark:
+            self.changes += 1
+            mark = f"change{self.changes}"
+        named = self.version if version is None else version
+        row = self._history.add(
+            "change",
+            self._time.now_ms,
+            mark=mark,
+            named=named,
+            outcome="none",
+            version=0,
+            answered_ms=0.0,
+        )
+        tree = tree_of(mark)
+        tree["profiles"].update(self.more)
+        body = json.dumps(tree, sort_keys=True)
+        life = host.life
+
+        def answered(receipt: Any) -> None:
+            if row["outcome"] != "none" or host.life != life or not host.up:
+                return
+            row.update(
+                outcome=receipt.outcome, version=receipt.version, answered_ms=self._time.now_ms
+            )
+            if receipt.outcome in ("ok", "lost"):
+                self.version = max(self.version, receipt.version)
+                if receipt.outcome == "ok":
+                    self.acked[mark] = (named, body)
+            elif tries > 1:
+                self._time.after(100, lambda: self.change(tries - 1, mark, named, done))
+            if done is not None:
+                done(row)
+
+        def begin() -> None:
+            if host.up and host.life == life:
+                host.when_awake(
+                    lambda: host.node.owner.submit(
+                        Change(key="profiles", version=named, change_id=mark, body=body, hops=0),
+                        answered,
+                    ),
+                    life,
+                )
+
+        self._time.after(1.0, begin)
--- a/libs/facsimile/src/facsimile/sim/runs.py
+++ b/libs/facsimile/src/facsimile/sim/runs.py
@@ -6,8 +6,9 @@
 
 from facsimile.sim.faults import FAULTS, schedule
 from facsimile.sim.fleet import SimFleet
+from facsimile.sim.operators import ROOM, Operators
 from facsimile.sim.oracle import judge
-from facsimile.sim.visitors import ROOM, Operators, Visitors
+from facsimile.sim.visitors import Visitors
 
 __all__ = ["SHAPES", "Run", "run_seed"]
 
--- a/libs/facsimile/src/facsimile/traffic.py
+++ b/libs/facsimile/src/facsimile/traffic.py
@@ -7,7 +7,6 @@
 import random
 import time
 from collections import Counter
-from pathlib import Path
 from typing import Any
 
 import aiohttp
@@ -15,6 +14,8 @@
 
 from facsimile.fleet import Fleet
 from facsimile.sim.history import History
+from facsimile.traffic_answers import flat_result, take_answer
+from facsimile.traffic_runs import add_worker_runs
 
 __all__ = ["TREE", "Traffic"]
 
@@ -145,7 +146,7 @@
                 headers={"Idempotency-Key": key} if key else None,
                 timeout=aiohttp.ClientTimeout(total=_PATIENCE_S),
             ) as answer:
-                await self._take(row, answer, stream)
+                await take_answer(row, answer, stream)
         except (aiohttp.ClientError, OSError, TimeoutError):
             row["outcome"] = "cut" if row["pieces"] else "lost"
         row["answered_ms"] = self.now_ms()
@@ -162,36 +163,6 @@
         await asyncio.sleep(0.3 * self.rng.random())
         await self.live("moves", False, key, tries=1, asked="another")
 
-    async def _take(
-        self, row: dict[str, Any], answer: aiohttp.ClientResponse, stream: bool
-    ) -> None:
-        row["transaction"] = answer.headers.get("X-Vaneledge-Transaction", "")
-        if answer.status != 200:
-            error = json.loads(await answer.text())["error"]
-            row.update(outcome="error", verdict=error["verdict"], code=error["code"])
-        elif not stream:
-            body = await answer.json()
-            words = body["choices"][0]["text"].split()
-            row.update(
-                outcome="replay"
-                if answer.headers.get("X-Vaneledge-Replayed") == "true"
-                else "finish",
-                verdict="ran",
-                body="|".join(f"{body['id']}:{place}" for place in range(len(words))),
-            )
-            row["pieces"] = row["body"].split("|") if row["outcome"] == "finish" else []
-        else:
-            async for line in answer.content:
-                text = line.decode().strip()
-                if text.startswith("id: "):
-                    place = text[4:]
-                elif text == "data: [DONE]":
-                    row.update(outcome="finish", verdict="ran", body="|".join(row["pieces"]))
-                elif text.startswith("data: ") and '"error"' not in text:
-                    row["pieces"].append(f"{json.loads(text[6:])['id']}:{place}")
-            if row["outcome"] != "finish":
-                row["outcome"] = "cut"
-
     # -- lots ----------------------------------------------------------------------------------
 
     async def hand_in(self, tries: int = 3, lot_id: str = "", avoid: str = "") -> dict[str, Any]:
@@ -261,7 +232,7 @@
             return False
         if status not in (200, 404):
             return False
-        rows = [(row["index"], row["verdict"], _flat(row)) for row in body.get("results", [])]
+        rows = [(row["index"], row["verdict"], flat_result(row)) for row in body.get("results", [])]
         outcome = "known" if status == 200 else "missing"
         self.history.add(
             "read",
@@ -409,70 +380,5 @@
                 )
 
     def take_worker_runs(self) -> None:
-        """Adds what the workers wrote; a run's call is found by the transaction that each call was given."""
-        by_transaction = {
-            row["transaction"]: row for row in self.history.of("call") if row["transaction"]
-        }
-        for path in sorted(Path(self.fleet.folder).glob("*.runs")):
-            for line in path.read_text().splitlines():
-                try:
-                    row = json.loads(line)
-                except ValueError:
-                    continue
-                at_ms = row["wall_ms"] - self._started_at * 1000
-                if row["kind"] == "run":
-                    self._add_run(row, at_ms, by_transaction)
-                elif row["kind"] == "run-ended":
-                    self.history.add(
-                        "run-ended",
-                        at_ms,
-                        worker=row["worker"],
-                        transaction=row["transaction"],
-                        pieces=row["pieces"],
-                    )
-                else:
-                    self.history.add("worker-left", at_ms, worker=row["worker"], how=row["kind"])
-        for member in self.fleet.members.values():
-            for from_at, to_at in member.away:
-                self.history.add(
-                    "away",
-                    (from_at - self._started_at) * 1000,
-                    name=member.http,
-                    until_ms=(to_at - self._started_at) * 1000,
-                )
-        self.history.rows.sort(key=lambda row: row["at_ms"])
-
-    def _add_run(self, row: dict[str, Any], at_ms: float, by_transaction: dict[str, Any]) -> None:
-        words = row["prompt"].split()
-        name = next((word for word in words if word.startswith("call")), "")
-        call = by_transaction.get(row["transaction"])
-        is_item = "item" in words
-        safe = row["path"] not in ("moves", "claims")
-        key = next((word for word in words if word.startswith("key")), "")
-        self.history.add(
-            "run",
-            at_ms,
-            worker=row["worker"],
-            identity=row["identity"],
-            labels=row["labels"],
-            address=row["address"],
-            transaction=row["transaction"],
-            path=row["path"],
-            safe=safe,
-            body="",
-            asked=words[3] if key and len(words) > 3 else "",
-            call=name
-            or (call["call"] if call else "" if not is_item else f"item:{words[1]}:{words[3]}"),
-            lot=words[1] if is_item else "",
-            index=int(words[3]) if is_item else -1,
-            key=key,
-        )
-        self.history.add("send", at_ms, worker=row["worker"], transaction=row["transaction"])
-
-
-def _flat(row: dict[str, Any]) -> str:
-    body = row["body"]
-    if row["verdict"] != "ran":
-        return json.dumps(body, sort_keys=True)
-    words = body["choices"][0]["text"].split()
-    return "|".join(f"{body['id']}:{place}" for place in range(len(words)))
+        """Adds what the workers wrote, see `add_worker_runs`."""
+        add_worker_runs(self.history, self.fleet, self._started_at)
--- /dev/null
+++ b/libs/facsimile/src/facsimile/traffic_answers.py
@@ -0,0 +1,43 @@
+"""Answers of a real fleet as rows of the history have them."""
+
+import json
+from typing import Any
+
+import aiohttp
+
+__all__ = ["flat_result", "take_answer"]
+
+
+async def take_answer(row: dict[str, Any], answer: aiohttp.ClientResponse, stream: bool) -> None:
+    row["transaction"] = answer.headers.get("X-Vaneledge-Transaction", "")
+    if answer.status != 200:
+        error = json.loads(await answer.text())["error"]
+        row.update(outcome="error", verdict=error["verdict"], code=error["code"])
+    elif not stream:
+        body = await answer.json()
+        words = body["choices"][0]["text"].split()
+        row.update(
+            outcome="replay" if answer.headers.get("X-Vaneledge-Replayed") == "true" else "finish",
+            verdict="ran",
+            body="|".join(f"{body['id']}:{place}" for place in range(len(words))),
+        )
+        row["pieces"] = row["body"].split("|") if row["outcome"] == "finish" else []
+    else:
+        async for line in answer.content:
+            text = line.decode().strip()
+            if text.startswith("id: "):
+                place = text[4:]
+            elif text == "data: [DONE]":
+                row.update(outcome="finish", verdict="ran", body="|".join(row["pieces"]))
+            elif text.startswith("data: ") and '"error"' not in text:
+                row["pieces"].append(f"{json.loads(text[6:])['id']}:{place}")
+        if row["outcome"] != "finish":
+            row["outcome"] = "cut"
+
+
+def flat_result(row: dict[str, Any]) -> str:
+    body = row["body"]
+    if row["verdict"] != "ran":
+        return json.dumps(body, sort_keys=True)
+    words = body["choices"][0]["text"].split()
+    return "|".join(f"{body['id']}:{place}" for place in range(len(words)))
--- /dev/null
+++ b/libs/facsimile/src/facsimile/traffic_runs.py
@@ -0,0 +1,73 @@
+"""What the workers of a real fleet ran, from the lines that they wrote, so that a killed one counts too."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+from facsimile.fleet import Fleet
+from facsimile.sim.history import History
+
+__all__ = ["add_worker_runs"]
+
+
+def add_worker_runs(history: History, fleet: Fleet, started_at: float) -> None:
+    """Adds what the workers wrote; a run's call is found by the transaction that each call was given."""
+    by_transaction = {row["transaction"]: row for row in history.of("call") if row["transaction"]}
+    for path in sorted(Path(fleet.folder).glob("*.runs")):
+        for line in path.read_text().splitlines():
+            try:
+                row = json.loads(line)
+            except ValueError:
+                continue
+            at_ms = row["wall_ms"] - started_at * 1000
+            if row["kind"] == "run":
+                _add_run(history, row, at_ms, by_transaction)
+            elif row["kind"] == "run-ended":
+                history.add(
+                    "run-ended",
+                    at_ms,
+                    worker=row["worker"],
+                    transaction=row["transaction"],
+                    pieces=row["pieces"],
+                )
+            else:
+                history.add("worker-left", at_ms, worker=row["worker"], how=row["kind"])
+    for member in fleet.members.values():
+        for from_at, to_at in member.away:
+            history.add(
+                "away",
+                (from_at - started_at) * 1000,
+                name=member.http,
+                until_ms=(to_at - started_at) * 1000,
+            )
+    history.rows.sort(key=lambda row: row["at_ms"])
+
+
+def _add_run(
+    history: History, row: dict[str, Any], at_ms: float, by_transaction: dict[str, Any]
+) -> None:
+    words = row["prompt"].split()
+    name = next((word for word in words if word.startswith("call")), "")
+    call = by_transaction.get(row["transaction"])
+    is_item = "item" in words
+    safe = row["path"] not in ("moves", "claims")
+    key = next((word for word in words if word.startswith("key")), "")
+    history.add(
+        "run",
+        at_ms,
+        worker=row["worker"],
+        identity=row["identity"],
+        labels=row["labels"],
+        address=row["address"],
+        transaction=row["transaction"],
+        path=row["path"],
+        safe=safe,
+        body="",
+        asked=words[3] if key and len(words) > 3 else "",
+        call=name
+        or (call["call"] if call else "" if not is_item else f"item:{words[1]}:{words[3]}"),
+        lot=words[1] if is_item else "",
+        index=int(words[3]) if is_item else -1,
+        key=key,
+    )
+    history.add("send", at_ms, worker=row["worker"], transaction=row["transaction"])
--- a/tests/hollow.py
+++ b/tests/hollow.py
@@ -3,7 +3,6 @@
 """
 
 import asyncio
-import base64
 import json
 import os
 import random
@@ -16,6 +15,7 @@
 from facsimile.platform_days.machines import loopback_net
 from facsimile.platform_days.operators import patched
 from facsimile.platform_days.sheet import allowed_services, route_of
+from hollow_lots import HollowLots
 
 HOP = {"connection", "keep-alive", "transfer-encoding", "te", "upgrade", "host", "content-length"}
 NETS = count()
@@ -33,7 +33,7 @@
         }
 
 
-class HollowFleet:
+class HollowFleet(HollowLots):
     """Stands where the runner's machines stand."""
 
     def __init__(self, sheet, history, clock, broken=""):
@@ -280,122 +280,3 @@
             *whole, held = held.split(b"\n\n")
             for block in whole:
                 yield block
-
-    # -- lots ----------------------------------------------------------------------------------
-
-    async def _hand_in(self, route, request, body):
-        name = request.headers["Request-Id"]
-        if name in self.lots:
-            return web.Response(status=202)
-        items = {row["serverId"]: row for row in json.loads(body)["requests"]}
-        waiting = sum(
-            item["tokens"]
-            for lot in self.lots.values()
-            if not lot["ended"]
-            for key, item in lot["items"].items()
-            if key not in lot["done"]
-        )
-        tokens = sum(item["tokens"] for item in items.values())
-        refused = self.broken == "refuses-lots" or (
-            waiting + tokens > route["queueCap"] and self.broken != "no-quota"
-        )
-        if refused and self.broken != "refuses-lots":
-            return web.Response(status=429)
-        lot = {
-            "items": items,
-            "results": [],
-            "done": set(),
-            "ended": False,
-            "at_ms": self.clock(),
-            "host": request.headers["Host"],
-        }
-        if not refused:
-            self.lots[name] = lot
-        for key in items:
-            asyncio.ensure_future(self._item(lot, key))
-        return web.Response(status=429 if refused else 202)
-
-    async def _item(self, lot, key):
-        item, pieces, last, errors = lot["items"][key], [], None, 0
-        if self.broken == "kills-items":
-            lot["results"].append({"serverId": key, "state": "dead_letter", "message": ""})
-            return
-        while not lot["ended"] or self.broken == "goes-on":
-            if (
-                self.broken == "goes-on"
-                and len(pieces) == 0
-                and not lot["ended"]
-                and self.clock() < lot["at_ms"] + 2500
-            ):
-                await asyncio.sleep(0.05)
-                continue
-            if self.broken == "goes-on" and lot["ended"]:
-                await asyncio.sleep(3.3)
-            worker = self._worker(self.settings, lot["host"], item["path"])
-            if worker is None:
-                await asyncio.sleep(0.05)
-                continue
-            more = {"Host": lot["host"], "Work-Urgency": "9"} | (
-                {"Last-Event-Id": str(last)} if last is not None else {}
-            )
-            try:
-                async with self.session.post(
-                    f"http://{self.workers[worker]['address']}{item['path']}",
-                    data=base64.b64decode(item["body"]),
-                    headers={**self._sent(item["headers"], key, worker), **more},
-                ) as answer:
-                    if answer.status == 200:
-                        async for block in self._blocks(answer):
-                            last = int(block.split(b"\n")[0][3:])
-                            pieces.append(block.split(b"data: ")[1].decode())
-                        break
-                    errors += answer.status == 500
-                    if answer.status == 422 or errors >= 3:
-                        lot["done"].add(key)
-                        lot["results"].append(
-                            {"serverId": key, "state": "dead_letter", "message": ""}
-                        )
-                        return
-            except (aiohttp.ClientError, OSError):
-                pass
-            await asyncio.sleep(0.03)
-        if self.broken == "loses-piece" and len(pieces) > 2:
-            del pieces[1]
-        if self.broken == "twists-pieces":
-            pieces[1:3] = reversed(pieces[1:3])
-        if len(pieces):
-            lot["done"].add(key)
-            lot["results"].append(
-                {"serverId": key, "state": "finished", "message": "\n".join(pieces)}
-            )
-            if self.broken == "lists-twice":
-                lot["results"].append(lot["results"][-1])
-            if self.broken == "moves-results":
-                self.rng.shuffle(lot["results"])
-
-    async def _lot_call(self, request):
-        lot = self.lots.get(request.path.rpartition("/")[2])
-        if lot is None or (self.broken == "forgets-lots" and self.rng.random() < 0.3):
-            return web.Response(status=404)
-        if request.path.startswith("/vaneledge/items/"):
-            body = base64.b64decode(lot["items"][request.query["serverId"]]["body"])
-            return web.Response(body=body + (b"!" if self.broken == "changes-bodies" else b""))
-        if request.method == "DELETE":
-            lot["ended"] = True
-            return web.Response(status=200)
-        start = int(request.query["pageAfter"])
-        until_at = asyncio.get_running_loop().time() + int(request.headers.get("Wait-Ms", 0)) / 1000
-        while len(lot["results"]) <= start and asyncio.get_running_loop().time() < until_at:
-            await asyncio.sleep(0.02)
-        shown = (
-            lot["results"][start:]
-            if not (self.broken == "hides-results" and self.rng.random() < 0.4)
-            else []
-        )
-        return web.json_response(
-            {
-                "total": len(lot["items"]) + (self.broken == "wrong-total"),
-                "nextToken": start + len(shown),
-                "results": shown,
-            }
-        )
