Linter: closures over loop variables, lambdas with names, unused names, long functions

The simulated client's live call, the simulated connection to a worker, the proposal of the first voters and the hollow platform's items are taken apart into short functions. Nothing is drawn from the generators in another order.

--- a/libs/catalogue/src/catalogue/founding.py
+++ b/libs/catalogue/src/catalogue/founding.py
@@ -103,18 +103,9 @@
         self._awake_ms = self.node.env.now()
 
     def _found(self) -> None:
-        params = self.node.params
-        members = self._voter.meta.found_vote
+        members = self._voter.meta.found_vote or self._proposed_members()
         if not members:
-            if not self._may_found():
-                return
-            cards = [*self._neighbours.of_role("control", params.dead_ms), self._neighbours.card()]
-            if not params.control_count:
-                self._next_ms = self.node.env.now() + params.beat_ms
-            rows = founding_rows(cards, params.control_count, set(params.seeds))
-            if not rows or rows[0]["identity"] != self._voter.identity:
-                return
-            members = json.dumps(rows)
+            return
         listed = {row["identity"]: row["address"] for row in json.loads(members)}
         if members != self._asked:
             self._asked, self._votes = members, set()
@@ -135,6 +126,19 @@
         for address in listed.values():
             self.node.ask(address, Found(members=members), self.node.params.ask_ms, voted)
 
+    def _proposed_members(self) -> str:
+        """The first voters as JSON, if this node is the one to propose them; empty otherwise."""
+        if not self._may_found():
+            return ""
+        params = self.node.params
+        cards = [*self._neighbours.of_role("control", params.dead_ms), self._neighbours.card()]
+        if not params.control_count:
+            self._next_ms = self.node.env.now() + params.beat_ms
+        rows = founding_rows(cards, params.control_count, set(params.seeds))
+        if not rows or rows[0]["identity"] != self._voter.identity:
+            return ""
+        return json.dumps(rows)
+
     # -- the steward's duty and the sweep ------------------------------------------------------
 
     def steward(self) -> str | None:
--- a/libs/circulation/src/circulation/carrier.py
+++ b/libs/circulation/src/circulation/carrier.py
@@ -363,8 +363,7 @@
             if not send.carriage.call.lot:
                 self._line.served(tx.profile.name, self.node.env.now() - send.began_ms)
             tx.begun()
-            if send.carriage.head is None:
-                send.carriage.head = send.exchange.told_head()
+            send.carriage.head = send.carriage.head or send.exchange.told_head()
             self._take(send.carriage, tx.ended(fate.status, fate.body))
         elif fate.name == "ran":
             step = tx.answered(worker.stamp, fate.status, fate.body, self.node.env.now())
--- a/libs/facsimile/src/facsimile/measure.py
+++ b/libs/facsimile/src/facsimile/measure.py
@@ -65,7 +65,7 @@
         for _ in range(share):
             future = loop.create_future()
             began = time.perf_counter()
-            append(lambda: future.done() or future.set_result(None))
+            append(lambda future=future: future.done() or future.set_result(None))
             await future
             taken.append((time.perf_counter() - began) * 1000)
 
--- a/libs/facsimile/src/facsimile/sim/carrying.py
+++ b/libs/facsimile/src/facsimile/sim/carrying.py
@@ -14,6 +14,8 @@
 
 
 class SimSender:
+    """Stands where an edge's sender stands: each call of it sends to one worker and gives back how to abort that."""
+
     __slots__ = ("_fleet", "_host")
 
     def __init__(self, fleet: Any, host: Any) -> None:
@@ -22,55 +24,81 @@
     def __call__(
         self, send: Send, address: str, kind: str, headers: dict[str, str], body: dict[str, Any]
     ) -> Callable[[], None]:
-        fleet, host, life = self._fleet, self._host, self._host.life
-        time, network = fleet.time, fleet.network
-        target = fleet.worker_at(address)
-        state = {"last_ms": 0.0, "open": True}
-
-        def here(what: Callable[[], None]) -> None:
-            host.when_awake(lambda: what() if host.up and host.life == life else None, life)
-
-        def reply(what: str, *args: Any) -> None:
-            """In order, as on one connection; what is cut off on the way is never heard of."""
-            if not network.passes(address, host.address):
-                return
-            state["last_ms"] = max(
-                state["last_ms"], time.now_ms + network.delay(address, host.address)
-            )
-            time.after(state["last_ms"] - time.now_ms, lambda: here(lambda: arrived(what, *args)))
-
-        def arrived(what: str, *args: Any) -> None:
-            if not state["open"]:
-                return
-            if what == "head":
-                send.head(*args)
-            elif what == "data":
-                at = time.rng.randrange(len(args[0]) + 1)
-                for part in (args[0][:at], args[0][at:]):
-                    if part:
-                        send.data(part)
-            elif what == "end":
-                send.end()
-            else:
-                send.broke(what, what != "no connection")
-
-        def abort() -> None:
-            """A worker that looks at its connections finds this one closed a moment later."""
-            was, state["open"] = state["open"], False
-            if was and target is not None and target.watches:
-                time.after(network.delay(host.address, address), target.look)
-
-        fleet.history.add(
+        connection = _Connection(self._fleet, self._host, send, address)
+        self._fleet.history.add(
             "send",
-            time.now_ms,
+            self._fleet.time.now_ms,
             worker=headers["X-Vaneledge-Worker"],
             transaction=headers["X-Vaneledge-Transaction"],
         )
-        if target is None or not network.passes(host.address, address):
-            time.after(_CONNECT_MS, lambda: here(lambda: arrived("no connection")))
+        connection.open(headers, body)
+        return connection.abort
+
+
+class _Connection:
+    """One send on its way to a worker, and what comes back."""
+
+    __slots__ = ("_address", "_fleet", "_host", "_last_ms", "_life", "_open", "_send", "_target")
+
+    def __init__(self, fleet: Any, host: Any, send: Send, address: str) -> None:
+        self._fleet, self._host, self._life = fleet, host, host.life
+        self._send, self._address = send, address
+        self._target = fleet.worker_at(address)
+        self._last_ms = 0.0
+        self._open = True
+
+    def open(self, headers: dict[str, str], body: dict[str, Any]) -> None:
+        """Delivers the request, or finds nobody at the address."""
+        time, network = self._fleet.time, self._fleet.network
+        if self._target is None or not network.passes(self._host.address, self._address):
+            time.after(_CONNECT_MS, lambda: self._here("no connection"))
+            return
+        time.after(
+            network.delay(self._host.address, self._address),
+            lambda: self._target.call(headers, body, self._reply, lambda: self._open),
+        )
+
+    def abort(self) -> None:
+        """A worker that looks at its connections finds this one closed a moment later."""
+        was_open, self._open = self._open, False
+        target, network = self._target, self._fleet.network
+        if was_open and target is not None and target.watches:
+            self._fleet.time.after(network.delay(self._host.address, self._address), target.look)
+
+    def _reply(self, what: str, *args: Any) -> None:
+        """In order, as on one connection; what is cut off on the way is never heard of."""
+        time, network = self._fleet.time, self._fleet.network
+        if not network.passes(self._address, self._host.address):
+            return
+        due_ms = time.now_ms + network.delay(self._address, self._host.address)
+        self._last_ms = max(self._last_ms, due_ms)
+        time.after(self._last_ms - time.now_ms, lambda: self._here(what, *args))
+
+    def _here(self, what: str, *args: Any) -> None:
+        """What arrives at the edge's machine is taken once it is awake, if it is still the same process."""
+        host, life = self._host, self._life
+
+        def take() -> None:
+            if host.up and host.life == life:
+                self._arrived(what, *args)
+
+        host.when_awake(take, life)
+
+    def _arrived(self, what: str, *args: Any) -> None:
+        if not self._open:
+            return
+        if what == "head":
+            self._send.head(*args)
+        elif what == "data":
+            self._deliver(args[0])
+        elif what == "end":
+            self._send.end()
         else:
-            time.after(
-                network.delay(host.address, address),
-                lambda: target.call(headers, body, reply, lambda: state["open"]),
-            )
-        return abort
+            self._send.broke(what, what != "no connection")
+
+    def _deliver(self, data: bytes) -> None:
+        """In two pieces, cut anywhere."""
+        at = self._fleet.time.rng.randrange(len(data) + 1)
+        for part in (data[:at], data[at:]):
+            if part:
+                self._send.data(part)
--- a/libs/facsimile/src/facsimile/sim/evening.py
+++ b/libs/facsimile/src/facsimile/sim/evening.py
@@ -86,19 +86,16 @@
         while (at_ms := at_ms + rng.expovariate(self.rate(at_ms) / 1000)) < _SPAN_MS:
             dice = rng.random()
             if dice < 0.8:
-                after(
-                    at_ms,
-                    lambda path=rng.choice(("rulings", "rulings", "narrations")): self._live.live(
-                        path
-                    ),
-                )
+                path = rng.choice(("rulings", "rulings", "narrations"))
+                after(at_ms, lambda path=path: self._live.live(path))
             else:
                 self._plan_move(at_ms, f"move{int(at_ms * 10)}", dice < 0.85)
         for lot_ms in (1000.0, 3500.0):
             after(lot_ms, lambda: visitors.hand_in("summaries", 12))
         after(_EVENING_MS + 300, lambda: visitors.hand_in("summaries", 90))
         for fault_ms, what in FAULTS_OF_AN_EVENING if self.faulty else ():
-            after(fault_ms, lambda what=what, place=rng.randrange(3): self._fault(what, place))
+            place = rng.randrange(3)
+            after(fault_ms, lambda what=what, place=place: self._fault(what, place))
 
     def _plan_move(self, at_ms: float, key: str, resent: bool) -> None:
         """Not safe to repeat; some clients send theirs twice."""
--- a/libs/facsimile/src/facsimile/sim/visitors.py
+++ b/libs/facsimile/src/facsimile/sim/visitors.py
@@ -7,13 +7,13 @@
 from collections.abc import Callable
 from typing import Any
 
-from circulation import Step
 from readingroom.answers import Answer
 
-__all__ = ["Visitors", "flat_body", "flat_events"]
+from facsimile.sim.live_calls import LiveCall, flat_body
+
+__all__ = ["Visitors"]
 
 _PATIENCE_MS = 8000.0
-STREAMED = ("rulings", "narrations")
 
 
 class Visitors:
@@ -72,60 +72,14 @@
             answered_ms=0.0,
         )
 
-        def answered(outcome: str, verdict: str, code: str = "", body: str = "") -> None:
-            if row["outcome"] != "none":
-                return
-            row.update(
-                outcome=outcome,
-                verdict=verdict,
-                code=code,
-                body=body,
-                answered_ms=self._time.now_ms,
-            )
-            if key and verdict == "may_have_run" and tries > 1:
-                self._time.after(
-                    200, lambda: self.live(path, key, tries - 1, host.name, asked=asked)
-                )
-            if done is not None:
-                done(row)
-
-        stream = path in STREAMED
-        prompt = f"key {key} asked {asked or key}" if key else f"call {call}"
-
-        def told(step: Step, answer: Answer) -> None:
-            if answer.refusal is not None:
-                row["back_ms"] = answer.refusal.retry_after_ms
-                answered("cut" if row["pieces"] else "error", answer.verdict, answer.code)
-            elif answer.status != 200:
-                answered("error", "ran", str(answer.status))
-            else:
-                body = flat_events(answer.body) if stream else flat_body(answer.body)
-                if not stream and step.name == "finish":
-                    row["pieces"] = body.split("|")
-                answered(step.name, "ran", "", body)
+        def resend() -> None:
+            self.live(path, key, tries - 1, host.name, asked=asked)
 
-        def delivered(event: bytes) -> None:
-            row.setdefault("first_ms", self._time.now_ms)
-            row["pieces"].append(flat_events(event.decode()))
-
-        def begin() -> None:
-            carriage = host.node.counter.live(
-                path, key, {"prompt": prompt}, stream, delivered, told
-            )
-            if isinstance(carriage, Answer):
-                answered("error", carriage.verdict, carriage.code)
-                return
-            row["transaction"] = carriage.tx.transaction_id
-            if not key and hangs_up_ms:
-                self._time.after(hangs_up_ms, lambda: hang_up(carriage, host.life))
-
-        def hang_up(carriage: Any, life: int) -> None:
-            if row["outcome"] == "none" and host.up and host.life == life:
-                answered("hung-up", "may_have_run")
-                host.when_awake(carriage.gone, life)
-
-        self._at(host, begin)
-        self._time.after(_PATIENCE_MS, lambda: answered("lost", "may_have_run"))
+        resends = bool(key) and tries > 1
+        leaves_ms = 0.0 if key else hangs_up_ms
+        visit = LiveCall(self._time, host, row, resend if resends else None, done, leaves_ms)
+        self._at(host, visit.begin)
+        self._time.after(_PATIENCE_MS, visit.give_up)
 
     # -- lots ----------------------------------------------------------------------------------
 
@@ -273,21 +227,3 @@
                 self._history.add("end", self._time.now_ms, lot=lot_id)
 
         self._at(host, lambda: host.node.counter.end(lot_id, told))
-
-
-def flat_events(text: str) -> str:
-    """A stream's events as TRANSACTION:PLACE, joined by bars."""
-    found = []
-    for event in text.split("\n\n"):
-        fields = dict(line.split(": ", 1) for line in event.splitlines())
-        if "id" in fields:
-            found.append(f"{json.loads(fields['data'])['id']}:{fields['id']}")
-    return "|".join(found)
-
-
-def flat_body(text: str) -> str:
-    """A plain answer in the same form, a place for each word."""
-    body = json.loads(text)
-    return "|".join(
-        f"{body['id']}:{place}" for place in range(len(body["choices"][0]["text"].split()))
-    )
--- a/tests/hollow_lots.py
+++ b/tests/hollow_lots.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+from types import SimpleNamespace
 
 import aiohttp
 from aiohttp import web
@@ -44,49 +45,60 @@
         return web.Response(status=429 if refused else 202)
 
     async def _item(self, lot, key):
-        item, pieces, last, errors = lot["items"][key], [], None, 0
         if self.broken == "kills-items":
             lot["results"].append({"serverId": key, "state": "dead_letter", "message": ""})
             return
+        progress = SimpleNamespace(pieces=[], last=None, errors=0)
         while not lot["ended"] or self.broken == "goes-on":
-            if (
-                self.broken == "goes-on"
-                and len(pieces) == 0
-                and not lot["ended"]
-                and self.clock() < lot["at_ms"] + 2500
-            ):
+            if self._waits_for_the_end(lot, progress.pieces):
                 await asyncio.sleep(0.05)
                 continue
             if self.broken == "goes-on" and lot["ended"]:
                 await asyncio.sleep(3.3)
-            worker = self._worker(self.settings, lot["host"], item["path"])
+            worker = self._worker(self.settings, lot["host"], lot["items"][key]["path"])
             if worker is None:
                 await asyncio.sleep(0.05)
                 continue
-            more = {"Host": lot["host"], "Work-Urgency": "9"} | (
-                {"Last-Event-Id": str(last)} if last is not None else {}
-            )
-            try:
-                async with self.session.post(
-                    f"http://{self.workers[worker]['address']}{item['path']}",
-                    data=base64.b64decode(item["body"]),
-                    headers={**self._sent(item["headers"], key, worker), **more},
-                ) as answer:
-                    if answer.status == 200:
-                        async for block in self._blocks(answer):
-                            last = int(block.split(b"\n")[0][3:])
-                            pieces.append(block.split(b"data: ")[1].decode())
-                        break
-                    errors += answer.status == 500
-                    if answer.status == 422 or errors >= 3:
-                        lot["done"].add(key)
-                        lot["results"].append(
-                            {"serverId": key, "state": "dead_letter", "message": ""}
-                        )
-                        return
-            except (aiohttp.ClientError, OSError):
-                pass
+            status = await self._attempt(lot, key, worker, progress)
+            if status == 200:
+                break
+            progress.errors += status == 500
+            if status is not None and (status == 422 or progress.errors >= 3):
+                lot["done"].add(key)
+                lot["results"].append({"serverId": key, "state": "dead_letter", "message": ""})
+                return
             await asyncio.sleep(0.03)
+        self._list_result(lot, key, progress.pieces)
+
+    def _waits_for_the_end(self, lot, pieces):
+        return (
+            self.broken == "goes-on"
+            and len(pieces) == 0
+            and not lot["ended"]
+            and self.clock() < lot["at_ms"] + 2500
+        )
+
+    async def _attempt(self, lot, key, worker, progress):
+        """The status, or None for a connection that failed; pieces and the last event's number go into `progress`."""
+        item, last = lot["items"][key], progress.last
+        more = {"Host": lot["host"], "Work-Urgency": "9"} | (
+            {"Last-Event-Id": str(last)} if last is not None else {}
+        )
+        try:
+            async with self.session.post(
+                f"http://{self.workers[worker]['address']}{item['path']}",
+                data=base64.b64decode(item["body"]),
+                headers={**self._sent(item["headers"], key, worker), **more},
+            ) as answer:
+                if answer.status == 200:
+                    async for block in self._blocks(answer):
+                        progress.last = int(block.split(b"\n")[0][3:])
+                        progress.pieces.append(block.split(b"data: ")[1].decode())
+                return answer.status
+        except (aiohttp.ClientError, OSError):
+            return None
+
+    def _list_result(self, lot, key, pieces):
         if self.broken == "loses-piece" and len(pieces) > 2:
             del pieces[1]
         if self.broken == "twists-pieces":
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -212,10 +212,13 @@
         names = {host.node.voter.identity: host for host in fleet.of("control")}
         owner = names[fleet.hosts["control1"].node.owner.owner_of("profiles")]
         old = next(host for host in fleet.of("control") if host is not owner)
-        versions = lambda: {
-            host.node.voter.registers["profiles"].version for host in fleet.of("control")
-        }
-        rows = lambda: [host.node.voter.registers["profiles"] for host in fleet.of("control")]
+
+        def rows():
+            return [host.node.voter.registers["profiles"] for host in fleet.of("control")]
+
+        def versions():
+            return {row.version for row in rows()}
+
         before = rows()
         owner.node.owner.mend("profiles")
         fleet.run_until_true(lambda: False, 200)
--- a/tests/test_control_side.py
+++ b/tests/test_control_side.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from functools import partial
 
 from platform_calls import ROUTE, SETTINGS, Platform
 from testtools import TestCase
@@ -140,7 +141,7 @@
                         {
                             "kill": struck.kill,
                             "freeze": struck.freeze,
-                            "cut": lambda: platform.fleet.network.isolate(struck.address),
+                            "cut": partial(platform.fleet.network.isolate, struck.address),
                         }[blow]()
                     for index, told in zip(
                         open_calls, await platform.finish(*tasks, wait_ms=1000), strict=True
--- a/tests/test_fan_out.py
+++ b/tests/test_fan_out.py
@@ -205,11 +205,14 @@
 
     def test_everyone_knows_how_many_edges_live(self):
         fleet = self.founded(edges=9)
-        counts = lambda: {
-            host.node.gazette.edge_count()
-            for role in ("edge", "store", "control")
-            for host in fleet.running(role)
-        }
+
+        def counts():
+            return {
+                host.node.gazette.edge_count()
+                for role in ("edge", "store", "control")
+                for host in fleet.running(role)
+            }
+
         self.assertThat(fleet.run_until_true(lambda: counts() == {9}, 2000), Equals(True), counts())
         fleet.hosts["edge3"].kill()
         self.assertThat(fleet.run_until_true(lambda: counts() == {8}, 4000), Equals(True), counts())
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -115,7 +115,10 @@
             control = fleet.of("control")[0].node
             links = {host.address for host in firsts}
             self.assertThat(
-                fleet.run_until_true(lambda: control.gazette.roll() == links, 6000), Equals(True)
+                fleet.run_until_true(
+                    lambda control=control, links=links: control.gazette.roll() == links, 6000
+                ),
+                Equals(True),
             )
             for host in firsts:
                 fleet.hosts.pop(host.name).kill()
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -76,9 +76,9 @@
                 listed,
                 [card(*spare) for spare in spares],
                 set(retired),
-                lambda name: name in quiet,
+                lambda name, quiet=quiet: name in quiet,
                 lambda spare: True,
-                lambda spare: heard,
+                lambda spare, heard=heard: heard,
             )
             got = following and ("".join(named(following["voters"])), following.get("leaving", ""))
             self.assertThat(got, Equals(wanted), (names, leaving, spares, quiet, retired))
--- a/tests/test_loans.py
+++ b/tests/test_loans.py
@@ -207,7 +207,9 @@
             ledger = SimpleNamespace(opened={place: lot for place, lot in enumerate(lots)})
             logged = []
             self.assertThat(
-                outlook.at_risk(ledger, log_ms, lambda *told, **fields: logged.append(told[0])),
+                outlook.at_risk(
+                    ledger, log_ms, lambda *told, logged=logged, **fields: logged.append(told[0])
+                ),
                 Equals(wanted),
                 name,
             )
--- a/tests/test_loans_evening.py
+++ b/tests/test_loans_evening.py
@@ -100,13 +100,14 @@
             for worker in fleet.workers.values():
                 worker.piece_ms = 300.0
             evening.trainers.hand_in(30, 2)
-            self.wait(fleet, lambda: self.samples(fleet) >= 12)
+            self.wait(fleet, lambda fleet=fleet: self.samples(fleet) >= 12)
             edge = max(fleet.of("edge"), key=lambda host: host.node.borrowing.running())
-            with mock.patch.object(Visitors, "_edge", lambda self, avoid="": edge):
+            with mock.patch.object(Visitors, "_edge", lambda self, avoid="", edge=edge: edge):
                 for _ in range(23):
                     evening._live.live("rulings")
             fleet.run_until_true(
-                lambda: all("first_ms" in call for call in fleet.history.of("call")), 3000
+                lambda fleet=fleet: all("first_ms" in call for call in fleet.history.of("call")),
+                3000,
             )
             took = sorted(
                 call.get("first_ms", 1e9) - call["at_ms"] for call in fleet.history.of("call")
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -88,7 +88,7 @@
                 [holder, *peers[1:]],
             ),
         }
-        for seed, (name, choose) in enumerate(rows.items()):
+        for seed, choose in enumerate(rows.values()):
             run, fleet = self.founded(seed)
             for host in fleet.of("store"):
                 host.disk.flush_ms = 20.0
@@ -102,7 +102,7 @@
 
     def test_two_of_five_disks_lost_and_the_others_cut_from_power(self):
         run, fleet = self.founded(4, stores=5, settings={"store_faults": 2})
-        for seed in range(2):
+        for _ in range(2):
             stores = fleet.of("store")
             fleet.time.rng.shuffle(stores)
             self.lots(run, 1, lambda stores=stores: self.strike(fleet, stores[:2], stores[2:]))
@@ -114,7 +114,7 @@
 
     def test_disks_lost_one_after_another_each_caught_up(self):
         run, fleet = self.founded(5)
-        for number in range(3):
+        for _ in range(3):
             for host in fleet.of("store"):
                 self.lots(run, 1, lambda host=host: self.strike(fleet, [host], [], 600))
                 self.after(fleet, 600 + CATCH_UP_MS)
@@ -151,14 +151,15 @@
     def test_a_retired_machine_gone_at_the_end_and_another_disk_lost_at_once(self):
         for seed, of_holder in enumerate((True, False, True, False)):
             run, fleet = self.founded(20 + seed)
-            fresh = fleet.add("store", "fresh")
+            fleet.add("store", "fresh")
             self.after(fleet, 1000)
             self.lots(run, 1)
             host = fleet.holder() if of_holder else self.peers(fleet)[0]
             old, began_ms = host.node.log.log.identity, fleet.time.now_ms
             self.retire(fleet, host)
             finished = fleet.run_until_true(
-                lambda: self.members(fleet) and old not in self.members(fleet), 4000
+                lambda fleet=fleet, old=old: self.members(fleet) and old not in self.members(fleet),
+                4000,
             )
             self.assertThat((finished, fleet.time.now_ms - began_ms < 2000), Equals((True, True)))
             host.lose_disk()
@@ -171,7 +172,7 @@
 
     def test_a_wiped_machine_comes_back_while_another_is_frozen(self):
         run, fleet = self.founded(8)
-        holder, (one, other) = fleet.holder(), self.peers(fleet)
+        holder, (one, _) = fleet.holder(), self.peers(fleet)
         self.lots(run, 1, lambda: self.strike(fleet, [holder], [], 400))
         one.freeze()
         self.after(fleet, 4000)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -177,7 +177,10 @@
         seen = []
         run.visitors.live("moves", "old", done=seen.append)
         run.visitors.hand_in("summaries", 2)
-        ledger = lambda: fleet.holder().node.log.log.ledger
+
+        def ledger():
+            return fleet.holder().node.log.log.ledger
+
         fleet.run_until_true(lambda: seen and ledger().lots and not ledger().opened, 8000)
         self.assertThat((len(ledger().keys), len(ledger().lots)), Equals((1, 1)))
         self.assertThat(
--- a/tests/test_shelves.py
+++ b/tests/test_shelves.py
@@ -119,10 +119,11 @@
         log = host.node.log.log
         lot, key = log.ledger.lots["lot1"], log.ledger.keys["kept"]
         host.disk.damage(lot.shelf.file, lot.shelf.places[0] + 40)
-        whole = lambda: (
-            len(log.shelves.results(lot, 0, 9) or []) == 9
-            and (key.shelf is None or log.shelves.receipt(key))
-        )
+
+        def whole():
+            results = log.shelves.results(lot, 0, 9) or []
+            return len(results) == 9 and (key.shelf is None or log.shelves.receipt(key))
+
         self.assertThat(bool(whole()), Equals(False))
         files = len(self.leaves(host))
         self.assertThat(
