--- a/libs/accession/src/accession/local.py
+++ b/libs/accession/src/accession/local.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from ledger import Ledger
-from stacks import Damage, Disk, frame, over_hole, scan, walk
+from stacks import DamageError, Disk, frame, over_hole, scan, walk
 from vellum import Message, decode, encode
 
 from accession.messages import TRUNCATE, LogMeta, Record, StoredEntry
@@ -90,7 +90,7 @@
         for name in [name for name in names if name.startswith(_QUEUE)]:
             self._open_queue(name)
         if self.last_seq < mark:
-            raise Damage(_QUEUE, self.last_seq)
+            raise DamageError(_QUEUE, self.last_seq)
         self.received_ms = [self._now()] * len(self.records)
 
     def _open_queue(self, name: str) -> None:
@@ -306,7 +306,7 @@
     def load_snapshot(self, data: bytes) -> None:
         head, entries = read_snapshot(data)
         if head is None:
-            raise Damage(_SNAP, 0)
+            raise DamageError(_SNAP, 0)
         self.ledger = Ledger()
         for entry in entries:
             self.ledger.apply(entry)
@@ -317,7 +317,7 @@
         """Files that a snapshot refers to and that are not here."""
         head, entries = read_snapshot(data)
         if head is None:
-            raise Damage(_SNAP, 0)
+            raise DamageError(_SNAP, 0)
         return sorted(files_of(entries) - set(self.disk.names()))
 
     def install(
--- a/libs/accession/src/accession/mending.py
+++ b/libs/accession/src/accession/mending.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from ledger import messages as m
-from vellum import Arr, Blob, Flag, Long, Message, Origin, Part, Text, encode
+from vellum import Blob, Flag, Long, Message, Origin, Part, Text, array_of, encode
 
 from accession.local import LocalLog
 from accession.shelves import SHELF
@@ -38,7 +38,7 @@
 
 class Kept(Message):
     ok: Flag
-    rows: Arr(Blob)
+    rows: array_of(Blob)
     placed: Long
 
 
--- a/libs/accession/src/accession/meta.py
+++ b/libs/accession/src/accession/meta.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Callable
 
-from stacks import Damage, Disk, DiskFull, frame, scan
+from stacks import DamageError, Disk, DiskFullError, frame, scan
 from vellum import decode, encode
 
 from accession.messages import LogMeta
@@ -47,7 +47,7 @@
             self._end_bytes = offset + end if later is None and offset + end == len(data) else 0
             offset = None if later is None else offset + later
         if not rows:
-            raise Damage(_NAME, 0)
+            raise DamageError(_NAME, 0)
         self.meta = LogMeta(
             identity=rows[-1].identity,
             fence=max(row.fence for row in rows),
@@ -91,10 +91,10 @@
         data = 2 * frame(encode(meta))
         try:
             if not 0 < self._end_bytes <= _FILE_BYTES:
-                raise DiskFull(_NAME)
+                raise DiskFullError(_NAME)
             self._disk.write(_NAME, self._end_bytes, data, True)
             self._end_bytes += len(data)
             self._disk.flush([_NAME], kept)
-        except DiskFull:
+        except DiskFullError:
             self._end_bytes = len(data)
             self._disk.replace(_NAME, data, kept)
--- a/libs/accession/src/accession/shelves.py
+++ b/libs/accession/src/accession/shelves.py
@@ -10,8 +10,8 @@
 
 from ledger import entries as e
 from ledger.fold import Key, Lot
-from stacks import DiskFull, frame, walk
-from vellum import Arr, Blob, Message, Text, decode, encode
+from stacks import DiskFullError, frame, walk
+from vellum import Blob, Message, Text, array_of, decode, encode
 
 __all__ = ["Leaf", "SHELF", "Shelves", "files_of"]
 
@@ -24,7 +24,7 @@
     """`name` is the lot or key whose rows these are: a leaf found in another's place is not taken for it."""
 
     name: Text
-    rows: Arr(Blob)
+    rows: array_of(Blob)
 
 
 def _packed(leaf: Leaf) -> bytes:
@@ -106,7 +106,7 @@
 
         try:
             log.disk.write(name, 0, bytes(page), True)
-        except DiskFull:
+        except DiskFullError:
             self._busy = False
             log.disk.remove(name)
             for entry in entries:
@@ -250,7 +250,7 @@
 
         try:
             log.disk.write(file, 0, bytes(page), True)
-        except DiskFull:
+        except DiskFullError:
             done(False)
             return
         log.disk.flush([file], flushed)
--- a/libs/catalogue/src/catalogue/messages.py
+++ b/libs/catalogue/src/catalogue/messages.py
@@ -2,7 +2,7 @@
 number of the voters' list it counts under, and voters refuse lists older than their own.
 """
 
-from vellum import Arr, Blob, Flag, Long, Message, Text
+from vellum import Blob, Flag, Long, Message, Text, array_of
 
 __all__ = [
     "Accept",
@@ -26,8 +26,8 @@
 class Value(Message):
     version: Long
     body: Text
-    change_ids: Arr(Text)
-    change_versions: Arr(Long)
+    change_ids: array_of(Text)
+    change_versions: array_of(Long)
 
 
 class Prepare(Message):
@@ -81,7 +81,7 @@
 class KeyList(Message):
     identity: Text
     ok: Flag
-    keys: Arr(Text)
+    keys: array_of(Text)
 
 
 class VoterMeta(Message):
--- a/libs/catalogue/src/catalogue/worker_list.py
+++ b/libs/catalogue/src/catalogue/worker_list.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from gazette import Gazette
-from vellum import Arr, Blob, Flag, Message, Origin, Part, Text, decode, encode
+from vellum import Blob, Flag, Message, Origin, Part, Text, array_of, decode, encode
 
 from catalogue.messages import Change, Changed, ReadKey
 from catalogue.owner import Owner
@@ -26,8 +26,8 @@
 class WorkersHeard(Message):
     """What a control node tells the key's owner: who was heard since it last did, and what may be new."""
 
-    identities: Arr(Text)
-    reports: Arr(Blob)
+    identities: array_of(Text)
+    reports: array_of(Blob)
 
 
 class WorkerLeaves(Message):
--- a/libs/circulation/src/circulation/roster.py
+++ b/libs/circulation/src/circulation/roster.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from vellum import Arr, Flag, Long, Message, Origin, Part, Real, Text
+from vellum import Flag, Long, Message, Origin, Part, Real, Text, array_of
 
 __all__ = ["Roster", "Worker", "WorkerNews"]
 
@@ -24,7 +24,7 @@
     incarnation: Long
     address: Text
     zone: Text
-    labels: Arr(Text)
+    labels: array_of(Text)
     beat: Long
     running: Long
     waiting: Long
--- a/libs/commons/src/commons/cards.py
+++ b/libs/commons/src/commons/cards.py
@@ -2,7 +2,7 @@
 what is passed on about it is. `deaf` is the own word of a voter that hears no majority of the voters. Cards travel in shuffles and in beats sent straight to kin.
 """
 
-from vellum import Arr, Blob, Flag, Long, Message, Text
+from vellum import Blob, Flag, Long, Message, Text, array_of
 
 __all__ = ["Beat", "Card", "Shuffle", "Shuffled"]
 
@@ -22,12 +22,12 @@
 
 class Shuffle(Message):
     card: Blob
-    cards: Arr(Blob)
+    cards: array_of(Blob)
 
 
 class Shuffled(Message):
     card: Blob
-    cards: Arr(Blob)
+    cards: array_of(Blob)
 
 
 class Beat(Message):
--- a/libs/facsimile/src/facsimile/sim/disks.py
+++ b/libs/facsimile/src/facsimile/sim/disks.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from stacks.disk import KEPT_BACK, SMALL_BYTES, DiskFull
+from stacks.disk import KEPT_BACK, SMALL_BYTES, DiskFullError
 
 __all__ = ["SimDisk"]
 
@@ -60,7 +60,7 @@
     def write(self, name: str, offset: int, data: bytes, urgent: bool = False) -> None:
         grows = max(0, offset + len(data) - len(self._files.get(name, b"")))
         if not self.roomy(grows, urgent):
-            raise DiskFull(name)
+            raise DiskFullError(name)
         _put(self._files.setdefault(name, bytearray()), offset, data)
         self._pending.setdefault(name, []).append(("write", offset, data))
 
--- a/libs/facsimile/src/facsimile/surroundings/disks.py
+++ b/libs/facsimile/src/facsimile/surroundings/disks.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable
 
-from stacks import DiskFull, FolderDisk
+from stacks import DiskFullError, FolderDisk
 from stacks.disk import KEPT_BACK, SMALL_BYTES
 
 __all__ = ["PowerDisk"]
@@ -43,7 +43,7 @@
     def write(self, name: str, offset: int, data: bytes, urgent: bool = False) -> None:
         page = self._seen.get(name, bytearray())
         if not self.roomy(max(0, offset + len(data) - len(page)), urgent):
-            raise DiskFull(name)
+            raise DiskFullError(name)
         if len(page) < offset:
             page.extend(b"\0" * (offset - len(page)))
         page[offset : offset + len(data)] = data
--- a/libs/gazette/src/gazette/messages.py
+++ b/libs/gazette/src/gazette/messages.py
@@ -2,7 +2,7 @@
 node wants to follow. The place of a node in the feed is the sum of its numbers.
 """
 
-from vellum import Arr, Blob, Flag, Long, Message, Text
+from vellum import Blob, Flag, Long, Message, Text, array_of
 
 __all__ = ["Digest", "News", "NewsItem"]
 
@@ -15,7 +15,7 @@
 
 
 class News(Message):
-    items: Arr(Blob)
+    items: array_of(Blob)
 
 
 class Digest(Message):
@@ -28,9 +28,9 @@
     identity: Text
     role: Text
     sure: Flag
-    keys: Arr(Text)
-    numbers: Arr(Long)
-    low_keys: Arr(Text)
-    lows: Arr(Long)
+    keys: array_of(Text)
+    numbers: array_of(Long)
+    low_keys: array_of(Text)
+    lows: array_of(Long)
     rank: Long
     edges: Long
--- a/libs/ledger/src/ledger/entries.py
+++ b/libs/ledger/src/ledger/entries.py
@@ -2,7 +2,7 @@
 in the same order gives the same ledger everywhere. A snapshot is a short run of the same entries.
 """
 
-from vellum import Arr, Blob, Flag, Long, Message, Text
+from vellum import Blob, Flag, Long, Message, Text, array_of
 
 __all__ = [
     "AttemptFailed",
@@ -30,7 +30,7 @@
     lot_id: Text
     digest: Text
     path: Text
-    items: Arr(Text)
+    items: array_of(Text)
     safe: Flag
     due_ms: Long
     at_ms: Long
@@ -44,9 +44,9 @@
     lot_id: Text
     digest: Text
     path: Text
-    item_ids: Arr(Text)
-    tokens: Arr(Long)
-    calls: Arr(Blob)
+    item_ids: array_of(Text)
+    tokens: array_of(Long)
+    calls: array_of(Blob)
     attempts: Long
     due_ms: Long
     expires_ms: Long
@@ -62,7 +62,7 @@
     lot_id: Text
     digest: Text
     path: Text
-    items: Arr(Text)
+    items: array_of(Text)
     samples: Long
     weights: Text
     expires_ms: Long
@@ -74,8 +74,8 @@
 
     lot_id: Text
     edge: Text
-    indexes: Arr(Long)
-    numbers: Arr(Long)
+    indexes: array_of(Long)
+    numbers: array_of(Long)
 
 
 class AttemptFailed(Message):
@@ -176,9 +176,9 @@
     ended: Flag
     ended_at_ms: Long
     file: Text
-    places: Arr(Long)
-    sizes: Arr(Long)
-    firsts: Arr(Long)
+    places: array_of(Long)
+    sizes: array_of(Long)
+    firsts: array_of(Long)
 
 
 class KeyShelved(Message):
--- a/libs/ledger/src/ledger/messages.py
+++ b/libs/ledger/src/ledger/messages.py
@@ -3,7 +3,7 @@
 that a doubt told to a visitor can't turn into a run long after.
 """
 
-from vellum import Arr, Blob, Flag, Long, Message, Text
+from vellum import Blob, Flag, Long, Message, Text, array_of
 
 __all__ = [
     "Baton",
@@ -46,8 +46,8 @@
     edge: Text
     address: Text
     room: Long
-    paths: Arr(Text)
-    running: Arr(Text)
+    paths: array_of(Text)
+    running: array_of(Text)
 
 
 class RolloutBeat(Message):
@@ -56,10 +56,10 @@
     edge: Text
     address: Text
     room: Long
-    paths: Arr(Text)
-    running: Arr(Text)
+    paths: array_of(Text)
+    running: array_of(Text)
     sample_room: Long
-    sample_paths: Arr(Text)
+    sample_paths: array_of(Text)
 
 
 class Work(Message):
@@ -95,11 +95,11 @@
 class HolderBeat(Message):
     epoch: Long
     holder_ms: Long
-    work: Arr(Blob)
-    batons: Arr(Blob)
-    stops: Arr(Text)
+    work: array_of(Blob)
+    batons: array_of(Blob)
+    stops: array_of(Text)
     waiting: Long
-    paths: Arr(Text)
+    paths: array_of(Text)
 
 
 class RolloutAnswer(Message):
@@ -107,11 +107,11 @@
 
     epoch: Long
     holder_ms: Long
-    work: Arr(Blob)
-    batons: Arr(Blob)
-    stops: Arr(Text)
+    work: array_of(Blob)
+    batons: array_of(Blob)
+    stops: array_of(Text)
     waiting: Long
-    paths: Arr(Text)
+    paths: array_of(Text)
     samples_out: Long
     recalled: Flag
 
@@ -125,7 +125,7 @@
     lot_id: Text
     digest: Text
     path: Text
-    items: Arr(Text)
+    items: array_of(Text)
     safe: Flag
     due_ms: Long
     epoch: Long
@@ -138,7 +138,7 @@
     lot_id: Text
     digest: Text
     path: Text
-    items: Arr(Text)
+    items: array_of(Text)
     samples: Long
     weights: Text
     due_ms: Long
@@ -181,7 +181,7 @@
 
 class ResultsReceipt(Message):
     outcome: Text
-    rows: Arr(Blob)
+    rows: array_of(Blob)
     placed: Long
     total: Long
     ended: Flag
@@ -241,10 +241,10 @@
     item_id: Text
     target: Text
     host: Text
-    headers: Arr(Text)
+    headers: array_of(Text)
     body: Blob
-    part_ids: Arr(Text)
-    part_tokens: Arr(Long)
+    part_ids: array_of(Text)
+    part_tokens: array_of(Long)
     tokens_in: Long
     tokens_out: Long
 
@@ -257,9 +257,9 @@
     lot_id: Text
     digest: Text
     path: Text
-    item_ids: Arr(Text)
-    tokens: Arr(Long)
-    calls: Arr(Blob)
+    item_ids: array_of(Text)
+    tokens: array_of(Long)
+    calls: array_of(Blob)
     attempts: Long
     due_ms: Long
     keep_ms: Long
@@ -283,7 +283,7 @@
     number: Long
     path: Text
     call: Blob
-    avoid: Arr(Text)
+    avoid: array_of(Text)
     left_ms: Long
 
 
@@ -300,7 +300,7 @@
 
 class EndItems(Message):
     edge: Text
-    rows: Arr(Blob)
+    rows: array_of(Blob)
 
 
 class ReadPage(Message):
@@ -320,7 +320,7 @@
 
 class PageReceipt(Message):
     outcome: Text
-    rows: Arr(Blob)
+    rows: array_of(Blob)
     total: Long
     over: Flag
 
--- a/libs/readingroom/src/readingroom/keys.py
+++ b/libs/readingroom/src/readingroom/keys.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from stacks import Damage
+from stacks import DamageError
 from vellum import Env
 
 __all__ = [
@@ -27,7 +27,7 @@
     """
     try:
         return make()
-    except Damage as damage:
+    except DamageError as damage:
         env.log("disk-damaged", "ERROR", file=damage.name, offset=damage.offset)
         disk.set_aside()
         return make()
--- a/libs/stacks/src/stacks/__init__.py
+++ b/libs/stacks/src/stacks/__init__.py
@@ -2,7 +2,16 @@
 are reported back, a bound on the room used, and what to do with a log that is torn or damaged.
 """
 
-from stacks.disk import Disk, DiskFull, FolderDisk
-from stacks.frames import Damage, frame, over_hole, scan, walk
+from stacks.disk import Disk, DiskFullError, FolderDisk
+from stacks.frames import DamageError, frame, over_hole, scan, walk
 
-__all__ = ["Damage", "Disk", "DiskFull", "FolderDisk", "frame", "over_hole", "scan", "walk"]
+__all__ = [
+    "DamageError",
+    "Disk",
+    "DiskFullError",
+    "FolderDisk",
+    "frame",
+    "over_hole",
+    "scan",
+    "walk",
+]
--- a/libs/stacks/src/stacks/frames.py
+++ b/libs/stacks/src/stacks/frames.py
@@ -6,12 +6,12 @@
 import struct
 import zlib
 
-__all__ = ["Damage", "frame", "over_hole", "scan", "walk"]
+__all__ = ["DamageError", "frame", "over_hole", "scan", "walk"]
 
 _HEAD = struct.Struct(">II")
 
 
-class Damage(Exception):
+class DamageError(Exception):
     def __init__(self, name: str, offset: int) -> None:
         super().__init__(f"{name}: damaged at byte {offset}")
         self.name = name
--- a/libs/vellum/src/vellum/__init__.py
+++ b/libs/vellum/src/vellum/__init__.py
@@ -3,17 +3,17 @@
 """
 
 from vellum.cores import Env, Node, Origin, Part
-from vellum.message import Arr, Blob, Flag, Long, Message, Opt, Real, Text, decode, encode
+from vellum.message import Blob, Flag, Long, Message, Real, Text, array_of, decode, encode, optional
 
 __all__ = [
-    "Arr",
+    "array_of",
     "Blob",
     "Env",
     "Flag",
     "Long",
     "Message",
     "Node",
-    "Opt",
+    "optional",
     "Origin",
     "Part",
     "Real",
--- a/libs/vellum/src/vellum/links.py
+++ b/libs/vellum/src/vellum/links.py
@@ -16,7 +16,7 @@
 from fastavro import parse_schema, schemaless_reader, schemaless_writer
 from mode import Service
 
-from vellum.message import BadMessage, Message, decode, encode
+from vellum.message import BadMessageError, Message, decode, encode
 
 __all__ = ["Switchboard"]
 
@@ -183,7 +183,7 @@
         """A fault while a message is taken in may leave the node's state in between: the process ends."""
         try:
             self._deliver(envelope["sender"], envelope["ref"], envelope["re"], message)
-        except BadMessage:
+        except BadMessageError:
             raise
         except Exception as error:
             log("receive-failed", "ERROR", message=type(message).__name__, reason=repr(error))
--- a/libs/vellum/src/vellum/message.py
+++ b/libs/vellum/src/vellum/message.py
@@ -8,13 +8,13 @@
 from fastavro import parse_schema, schemaless_reader, schemaless_writer
 
 __all__ = [
-    "Arr",
-    "BadMessage",
+    "array_of",
+    "BadMessageError",
     "Blob",
     "Flag",
     "Long",
     "Message",
-    "Opt",
+    "optional",
     "Real",
     "Text",
     "decode",
@@ -31,11 +31,11 @@
 _KIND = parse_schema({"type": "string"})
 
 
-def Arr(items: Any) -> dict:
+def array_of(items: Any) -> dict:
     return {"type": "array", "items": items}
 
 
-def Opt(inner: Any) -> list:
+def optional(inner: Any) -> list:
     return ["null", inner]
 
 
@@ -92,7 +92,7 @@
     return page.getvalue()
 
 
-class BadMessage(ValueError):
+class BadMessageError(ValueError):
     """Bytes that are no message of ours."""
 
 
@@ -115,4 +115,4 @@
         OverflowError,
         MemoryError,
     ) as error:
-        raise BadMessage(repr(error)) from error
+        raise BadMessageError(repr(error)) from error
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -5,7 +5,7 @@
 import tempfile
 import threading
 
-from stacks import DiskFull, FolderDisk
+from stacks import DiskFullError, FolderDisk
 from testtools import TestCase
 from testtools.matchers import Equals
 
@@ -27,10 +27,10 @@
     def test_room_is_kept_back_for_what_is_urgent(self):
         disk = self.disk()
         disk.write("a", 0, b"x" * 800)
-        self.assertRaises(DiskFull, disk.write, "a", 800, b"x")
+        self.assertRaises(DiskFullError, disk.write, "a", 800, b"x")
         disk.write("a", 0, b"y" * 800)
         disk.write("a", 800, b"x" * 200, urgent=True)
-        self.assertRaises(DiskFull, disk.write, "b", 0, b"x", True)
+        self.assertRaises(DiskFullError, disk.write, "b", 0, b"x", True)
         disk.remove("a")
         disk.write("b", 0, b"x")
         disk.replace("c", b"z" * 5000, self.done.append)
@@ -53,7 +53,7 @@
         disk.flush([], self.done.append)
         self.drained(disk)
         self.assertThat((self.done, self.broken), Equals(([True, False, False], [True])))
-        self.assertRaises(DiskFull, disk.write, "a", 0, b"x")
+        self.assertRaises(DiskFullError, disk.write, "a", 0, b"x")
 
     def test_work_is_done_in_the_order_in_which_it_was_asked(self):
         disk = self.disk(100_000)
@@ -98,7 +98,7 @@
         disk.flush(["a"], self.done.append)
         self.drained(disk)
         self.assertThat((self.done, self.broken), Equals(([False], [])))
-        self.assertRaises(DiskFull, disk.write, "a", 4, b"x", True)
+        self.assertRaises(DiskFullError, disk.write, "a", 4, b"x", True)
         full[0] = False
         disk.flush(["a"], self.done.append)
         self.drained(disk)
--- a/tests/test_log_disks.py
+++ b/tests/test_log_disks.py
@@ -3,7 +3,7 @@
 from accession import Outcome
 from ledger import entries
 from log_table import Table
-from stacks import Damage
+from stacks import DamageError
 from stacks.disk import KEPT_BACK
 from testtools import TestCase
 from testtools.matchers import Equals
@@ -31,14 +31,14 @@
     def test_damage_in_what_was_flushed_is_refused(self):
         table, name = self.one()
         table.disks["a"].damage(name, 12)
-        self.assertRaises(Damage, table.open, "a")
+        self.assertRaises(DamageError, table.open, "a")
 
     def test_damaged_snapshot_is_refused(self):
         table, _ = self.one()
         table.logs["a"].tidy(force=True)
         table.run(50)
         table.disks["a"].damage("snapshot", 20)
-        self.assertRaises(Damage, table.open, "a")
+        self.assertRaises(DamageError, table.open, "a")
 
     def test_full_disk_refuses_and_recovers_with_room_kept_back(self):
         table, _ = self.one()
--- a/tests/test_vellum.py
+++ b/tests/test_vellum.py
@@ -6,9 +6,9 @@
 from commons.cards import Beat, Shuffle
 from testtools import TestCase
 from testtools.matchers import Equals, HasLength
-from vellum import Arr, Blob, Flag, Long, Message, Opt, Real, Text, decode, encode
+from vellum import Blob, Flag, Long, Message, Real, Text, array_of, decode, encode, optional
 from vellum.links import Switchboard, _frames, _pack, _Queue
-from vellum.message import BadMessage
+from vellum.message import BadMessageError
 
 
 class Everything(Message):
@@ -17,8 +17,8 @@
     share: Real
     yes: Flag
     blob: Blob
-    rows: Arr(Text)
-    perhaps: Opt(Long)
+    rows: array_of(Text)
+    perhaps: optional(Long)
 
 
 class Messages(TestCase):
@@ -46,7 +46,7 @@
                 data[rng.randrange(len(data))] = rng.randrange(256)
             try:
                 decode(bytes(data[: rng.randrange(len(data) + 1)]))
-            except BadMessage:
+            except BadMessageError:
                 pass
 
     def test_a_link_refuses_them_and_goes_on(self):
