--- a/libs/accession/src/accession/__init__.py
+++ b/libs/accession/src/accession/__init__.py
@@ -29,7 +29,7 @@
 __getattr__ = lazy(
     __name__,
     {
-        "holder": ("Holder", "Outcome"),
+        "holder": ("Holder",),
         "local": ("LocalLog",),
         "mending": ("Mending",),
         "messages": (
@@ -47,5 +47,6 @@
         "places": ("spread",),
         "recovery": ("Recovery", "union"),
         "store": ("StoreLog",),
+        "waiters": ("Outcome",),
     },
 )
--- /dev/null
+++ b/libs/accession/src/accession/founding.py
@@ -0,0 +1,43 @@
+"""Which stores found the log."""
+
+from typing import Any
+
+from accession.local import LocalLog
+from accession.places import spread
+
+__all__ = ["Founding"]
+
+
+class Founding:
+    """The blank stores that this one has heard of, and since when they have been the same."""
+
+    __slots__ = ("_candidates", "_candidates_ms", "_fleet", "_log")
+
+    def __init__(self, log: LocalLog, fleet: Any) -> None:
+        self._log = log
+        self._fleet = fleet
+        self._candidates: list[dict[str, str]] = []
+        self._candidates_ms = 0
+
+    def members(self, node: Any, changed_ms: int) -> list[dict[str, str]]:
+        """The first members, once as many blank stores as the log needs are heard and no more appear: the first
+        of them in order asks, then the next. A store that starts blank later than the fleet never founds.
+        """
+        params, now_ms = node.params, node.env.now()
+        if not self._fleet.settled_in() or now_ms - changed_ms < params.beat_ms:
+            return []
+        blank = self._fleet.store_rows()
+        if blank != self._candidates:
+            self._candidates, self._candidates_ms = blank, now_ms
+        members = spread(blank, params.store_count)
+        names = [row["identity"] for row in members]
+        if (
+            len(members) < params.store_count
+            or self._log.identity not in names
+            or not self._log.may_found()
+        ):
+            return []
+        rank = names.index(self._log.identity)
+        if now_ms - self._candidates_ms >= 2 * params.beat_ms + rank * params.ask_ms:
+            return members
+        return []
--- a/libs/accession/src/accession/holder.py
+++ b/libs/accession/src/accession/holder.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable
-from enum import StrEnum
 from typing import Any
 
 from ledger import Ledger
@@ -13,69 +12,18 @@
 from stacks import DiskFull
 from vellum import Message, encode
 
-from accession.local import LocalLog, entry_of
-from accession.messages import Append, Appended, Install, Record
+from accession.local import LocalLog
+from accession.messages import Append, Appended, Record
+from accession.records import entry_of
+from accession.replica import Peer, SnapshotSender
+from accession.waiters import Outcome, Waiter
 
-__all__ = ["Holder", "Outcome", "Peer"]
+__all__ = ["Holder", "Outcome"]
 
 _CHUNK_BYTES = 1 << 18
-_PART_BYTES = 1 << 18
 _WIRES = 64
 
 
-class Outcome(StrEnum):
-    KEPT = "kept"
-    FULL = "full"
-    UNKNOWN = "unknown"
-
-
-class Peer:
-    __slots__ = (
-        "address",
-        "adopted",
-        "asked_seq",
-        "flushed_seq",
-        "full",
-        "heard_ms",
-        "identity",
-        "install_ms",
-        "last_seq",
-        "next_seq",
-        "probe",
-        "sent_ms",
-        "snapshot",
-        "taken_bytes",
-    )
-
-    def __init__(self, identity: str, address: str, next_seq: int, now_ms: int) -> None:
-        self.identity = identity
-        self.address = address
-        self.last_seq = 0
-        self.flushed_seq = 0
-        self.next_seq = next_seq
-        self.probe = 0
-        self.asked_seq = -1
-        self.sent_ms = 0
-        self.heard_ms = now_ms
-        self.adopted = False
-        self.install_ms = -1 << 40
-        self.snapshot = b""
-        self.taken_bytes = 0
-        self.full = False
-
-
-class _Waiter:
-    __slots__ = ("at_ms", "done", "seq", "settled")
-
-    def __init__(
-        self, seq: int, settled: bool, at_ms: int, done: Callable[[Outcome], None]
-    ) -> None:
-        self.seq = seq
-        self.settled = settled
-        self.at_ms = at_ms
-        self.done = done
-
-
 class Holder:
     __slots__ = (
         "_flush_asked",
@@ -86,6 +34,7 @@
         "_post",
         "_probe",
         "_readers",
+        "_snapshots",
         "_wall",
         "_wires",
         "_now",
@@ -115,6 +64,9 @@
         self.epoch = epoch
         self.params = params
         self._now, self._wall, self._post = now, wall, post
+        self._snapshots = SnapshotSender(
+            log, epoch, params, now, lambda to, message: self._post(to, message)
+        )
         self._on_deposed = on_deposed
         self._on_adopted: Callable[[], None] | None = on_adopted
         self.base_seq = log.last_seq
@@ -124,7 +76,7 @@
             for identity, address in members
             if identity != log.identity
         }
-        self.waiters: list[_Waiter] = []
+        self.waiters: list[Waiter] = []
         self._readers: list[tuple[int, Callable[[bool], None], int]] = []
         self._probe = 0
         self._wires: dict[int, bytes] = {}
@@ -176,7 +128,7 @@
             return False
         for entry in entries:
             self.ledger.apply(entry)
-        self.waiters.append(_Waiter(self._log.last_seq, settled, self._now(), done))
+        self.waiters.append(Waiter(self._log.last_seq, settled, self._now(), done))
         if settled:
             self._bring_flush_forward()
         for peer in self.peers.values():
@@ -207,7 +159,7 @@
             peer.next_seq = log.last_seq + 1
         previous = log.stamp_at(peer.next_seq - 1)
         if previous is None or peer.next_seq < log.first_seq:
-            self._install(peer)
+            self._snapshots.send(peer, self._probe)
             return
         records = log.since(peer.next_seq, _CHUNK_BYTES)
         peer.asked_seq = peer.next_seq - 1
@@ -247,7 +199,7 @@
         peer.address = address
         peer.heard_ms = self._now()
         if peer.snapshot and message.reason in ("busy", "part"):
-            self._go_on_installing(peer, message)
+            self._snapshots.answered(peer, message, self._probe)
         else:
             peer.snapshot = b""
         peer.full = message.reason == "full" or not message.roomy
@@ -273,45 +225,11 @@
         of sends before the last one are not heeded, or each would cause a send of its own.
         """
         if message.asked_seq <= message.snap_seq and message.asked_seq < self._log.snap_seq:
-            self._install(peer)
+            self._snapshots.send(peer, self._probe)
             return
         peer.next_seq = max(1, message.snap_seq + 1, min(message.last_seq + 1, message.asked_seq))
         self._send(peer)
 
-    def _install(self, peer: Peer) -> None:
-        """A snapshot goes part by part, each after the one before has been taken, so that a thin link isn't
-        swamped; one that gets nowhere is begun again.
-        """
-        now_ms = self._now()
-        if not peer.snapshot or now_ms - peer.install_ms >= self.params.force_ms:
-            peer.snapshot, peer.taken_bytes = self._log.kept_snapshot(), 0
-            self._send_part(peer)
-        elif now_ms - peer.install_ms >= self.params.ask_ms and peer.taken_bytes < len(
-            peer.snapshot
-        ):
-            self._send_part(peer)
-
-    def _send_part(self, peer: Peer) -> None:
-        peer.install_ms = self._now()
-        offset = peer.taken_bytes
-        self._post(
-            peer.address,
-            Install(
-                epoch=self.epoch,
-                snapshot=peer.snapshot[offset : offset + _PART_BYTES],
-                offset=offset,
-                total=len(peer.snapshot),
-                probe=self._probe,
-            ),
-        )
-
-    def _go_on_installing(self, peer: Peer, message: Appended) -> None:
-        if message.reason == "busy":
-            peer.install_ms, peer.taken_bytes = self._now(), len(peer.snapshot)
-        elif message.asked_seq > peer.taken_bytes:
-            peer.taken_bytes = message.asked_seq
-            self._send_part(peer)
-
     def learn(self, identity: str, address: str) -> None:
         """A spare store: it is sent the log but counts for nothing until it is made a member."""
         if identity not in self.peers and identity != self._log.identity:
@@ -383,7 +301,7 @@
         while self._readers and self._readers[0][0] <= probe:
             self._readers.pop(0)[1](True)
 
-    def _is_ready(self, waiter: _Waiter, held_seq: int) -> bool:
+    def _is_ready(self, waiter: Waiter, held_seq: int) -> bool:
         if waiter.settled or self._now() - waiter.at_ms >= 2 * self.params.delta_ms:
             return waiter.seq <= self._log.settled_seq
         return waiter.seq <= held_seq
--- a/libs/accession/src/accession/local.py
+++ b/libs/accession/src/accession/local.py
@@ -8,17 +8,19 @@
 from typing import Any
 
 from ledger import Ledger
-from stacks import Damage, Disk, frame, over_hole, scan, walk
+from stacks import Damage, Disk, frame, over_hole, walk
 from vellum import Message, decode, encode
 
+from accession.flush_mark import FlushMark
 from accession.messages import TRUNCATE, LogMeta, Record, StoredEntry
 from accession.meta import MetaFile
+from accession.records import entry_of, first_bytes, record_of
 from accession.shelves import Shelves, files_of
-from accession.snapshots import SnapshotMaker, read_snapshot
+from accession.snapshots import SnapshotMaker, make_snapshot, read_whole_snapshot
 
-__all__ = ["LocalLog", "entry_of"]
+__all__ = ["LocalLog"]
 
-_SNAP, _MARK, _QUEUE = "snapshot", "mark", "queue-"
+_SNAP, _QUEUE = "snapshot", "queue-"
 
 
 class LocalLog:
@@ -29,6 +31,7 @@
         "_flushing",
         "_last_flush_ms",
         "_maker",
+        "_mark",
         "_metas",
         "_now",
         "_since_snap_bytes",
@@ -86,7 +89,8 @@
         self._metas = MetaFile(self.disk, token)
         if _SNAP in names:
             self.load_snapshot(self.disk.read(_SNAP))
-        mark = self._read_mark(names)
+        self._mark = FlushMark(self.disk, self._metas)
+        mark = self._mark.read()
         for name in [name for name in names if name.startswith(_QUEUE)]:
             self._open_queue(name)
         if self.last_seq < mark:
@@ -111,7 +115,7 @@
             if entry.seq <= self.snap_seq:
                 continue
             del self.records[entry.seq - self.first_seq :]
-            self.records.append(_record(entry, payload, name, offset))
+            self.records.append(record_of(entry, payload, name, offset))
         if end < len(data):
             self.disk.truncate(name, end)
             self._dirty.add(name)
@@ -119,12 +123,6 @@
             self.disk.remove(name)
             self._dirty.discard(name)
 
-    def _read_mark(self, names: list[str]) -> int:
-        """A mark from before the present fence says nothing: what it speaks of may have been cut off since."""
-        frames = scan(self.disk.read(_MARK))[0] if _MARK in names else []
-        fence, seq = (int(part) for part in frames[0][1].split()) if frames else (-1, 0)
-        return seq if fence == self.meta.fence == self.meta.log_epoch else 0
-
     def may_found(self) -> bool:
         """Blank from the start of the fleet on: a disk that is blank later may have been exchanged."""
         told = self.params.control_count > 0 or self.params.first_start or not self._metas.fresh
@@ -163,14 +161,7 @@
         return self.records[index].stamp if 0 <= index < len(self.records) else None
 
     def since(self, seq: int, limit_bytes: int) -> list[Record]:
-        rows: list[Record] = []
-        size_bytes = 0
-        for record in self.records[max(0, seq - self.first_seq) :]:
-            if rows and size_bytes + record.nbytes > limit_bytes:
-                break
-            rows.append(record)
-            size_bytes += record.nbytes
-        return rows
+        return first_bytes(self.records[max(0, seq - self.first_seq) :], limit_bytes)
 
     # -- writing -----------------------------------------------------------------------------
 
@@ -182,7 +173,7 @@
         flags = 0
         if not name.startswith(f"{_QUEUE}{stamp[0]:08d}-") or offset >= self.params.segment_bytes:
             name, offset, flags = f"{_QUEUE}{stamp[0]:08d}-{seq:012d}", 0, TRUNCATE
-        return _record(
+        return record_of(
             StoredEntry(epoch=stamp[0], stamp_ms=stamp[1], seq=seq, body=body),
             payload,
             name,
@@ -208,7 +199,7 @@
     def cut_after(self, seq: int) -> None:
         keep = max(0, seq - self.first_seq + 1)
         if len(self.records) > keep:
-            self._write_mark(min(self.flushed_seq, seq))
+            self._mark.write(min(self.flushed_seq, seq))
         for record in reversed(self.records[keep:]):
             self.disk.truncate(record.file, record.offset)
             self._dirty.add(record.file)
@@ -244,7 +235,7 @@
             self._flushing = False
             if ok and self.stamp_at(up_to_seq) == up_to and up_to_seq > self.flushed_seq:
                 self.flushed_seq = up_to_seq
-                self._write_mark(up_to_seq)
+                self._mark.write(up_to_seq)
             if not ok:
                 self._dirty.update(names)
             for waiter in waiters:
@@ -254,10 +245,6 @@
 
         self.disk.flush(names, flushed)
 
-    def _write_mark(self, seq: int) -> None:
-        if self.meta.fence == self.meta.log_epoch and self.disk.roomy(64, True):
-            self.disk.write(_MARK, 0, frame(f"{self.meta.fence:020d} {seq:020d}".encode()), True)
-
     def flush_due(self) -> bool:
         return (
             self.flushed_seq < self.last_seq
@@ -288,12 +275,9 @@
 
     def snapshot(self) -> bytes:
         """Made on the spot from all that is settled."""
-        maker = SnapshotMaker(
+        return make_snapshot(
             self.ledger, self.settled_seq, self.stamp_at(self.settled_seq) or (0, 0)
         )
-        while not maker.step():
-            pass
-        return maker.whole()
 
     def kept_snapshot(self) -> bytes:
         """The one on disk, which with the records in memory says as much, unless the next one is being written."""
@@ -304,9 +288,7 @@
         )
 
     def load_snapshot(self, data: bytes) -> None:
-        head, entries = read_snapshot(data)
-        if head is None:
-            raise Damage(_SNAP, 0)
+        head, entries = read_whole_snapshot(data)
         self.ledger = Ledger()
         for entry in entries:
             self.ledger.apply(entry)
@@ -315,10 +297,7 @@
 
     def missing(self, data: bytes) -> list[str]:
         """Files that a snapshot refers to and that are not here."""
-        head, entries = read_snapshot(data)
-        if head is None:
-            raise Damage(_SNAP, 0)
-        return sorted(files_of(entries) - set(self.disk.names()))
+        return sorted(files_of(read_whole_snapshot(data)[1]) - set(self.disk.names()))
 
     def install(
         self,
@@ -344,7 +323,7 @@
 
     def _install(self, data: bytes, done: Callable[[bool], None]) -> None:
         self.cut_after(0)
-        self._write_mark(0)
+        self._mark.write(0)
         for name in [name for name in self.disk.names() if name.startswith(_QUEUE)]:
             self.disk.remove(name)
         self._dirty.clear()
@@ -401,16 +380,14 @@
 
         self.disk.replace(_SNAP, maker.whole(), kept)
 
+    def _count_trimmable(self, floor_ms: float) -> int:
+        limit = min(len(self.records) - 1, self.snap_seq + 1 - self.first_seq)
+        return next((n for n in range(limit) if self.received_ms[n] >= floor_ms), max(0, limit))
+
     def trim(self) -> None:
         if self.received_ms:
             floor_ms = self.received_ms[-1] - self.params.keep_factor * self.params.flush_ms
-            count = 0
-            while (
-                count < len(self.records) - 1
-                and self.records[count].seq <= self.snap_seq
-                and self.received_ms[count] < floor_ms
-            ):
-                count += 1
+            count = self._count_trimmable(floor_ms)
             del self.records[:count]
             del self.received_ms[:count]
         needed = {record.file for record in self.records if record.seq > self.snap_seq} | {
@@ -420,21 +397,3 @@
             if name not in needed:
                 self._dirty.discard(name)
                 self.disk.remove(name)
-
-
-def entry_of(record: Record) -> Message:
-    return decode(decode(record.bytes[8:]).body)
-
-
-def _record(entry: StoredEntry, payload: bytes, name: str, offset: int, flags: int = 0) -> Record:
-    data = frame(payload)
-    return Record(
-        epoch=entry.epoch,
-        stamp_ms=entry.stamp_ms,
-        seq=entry.seq,
-        file=name,
-        flags=flags,
-        nbytes=len(data),
-        bytes=data,
-        offset=offset,
-    )
--- /dev/null
+++ b/libs/accession/src/accession/member_keeper.py
@@ -0,0 +1,115 @@
+"""The serving holder's care for the list of members: it replaces members that are lost or retired by spares that
+have the log, spreads the members over the zones, and hands its duty over when it leaves or its disk is full.
+"""
+
+from typing import Any
+
+from accession.membership import crowded, lost_members, pick_spare, warm_spares
+
+__all__ = ["MemberKeeper"]
+
+
+class MemberKeeper:
+    """`store` is the StoreLog that serves; `fleet` tells what the feed and standing say."""
+
+    __slots__ = ("_fleet", "_housed_ms", "_roomy_ms", "_store", "_wanted_ms")
+
+    def __init__(self, store: Any, fleet: Any) -> None:
+        self._store = store
+        self._fleet = fleet
+        self._housed_ms = -1 << 40
+        self._roomy_ms = -1 << 40
+        self._wanted_ms = -1
+
+    def serves(self) -> None:
+        """The store has begun to serve."""
+        self._wanted_ms = -1
+
+    def tick(self) -> None:
+        """One look at the members, at most once a pulse."""
+        store = self._store
+        now_ms = store.node.env.now()
+        if store.changing or store.holder.epoch != store.value["epoch"]:
+            return
+        if store.leaving:
+            self._hand_to_another()
+        elif now_ms - self._housed_ms < store.node.params.pulse_ms:
+            return
+        self._housed_ms = now_ms
+        if store.leaving:
+            return
+        if store.value["phase"] == "recovering":
+            store.change(
+                {**store.value, "phase": "serving", "prev": store.value["members"]},
+                lambda outcome: None,
+            )
+        else:
+            self._consider_replacement()
+            self._consider_room()
+
+    def _retired(self, identity: str) -> bool:
+        return identity in self._fleet.retired_stores()
+
+    def _consider_replacement(self) -> None:
+        store = self._store
+        holder, members, now_ms = store.holder, store.value["members"], store.node.env.now()
+        params, retired, names = store.node.params, self._fleet.retired_stores(), holder.members
+        live = self._fleet.store_rows()
+        spares = [
+            row for row in live if row["identity"] not in names and row["identity"] not in retired
+        ]
+        silent_ms = {
+            name: now_ms - holder.peers[name].heard_ms for name in names if name in holder.peers
+        }
+        lost = lost_members(members, live, silent_ms, retired, params.gone_ms)
+        warm = {name for name in holder.peers if name not in names}
+        wanted = warm_spares(members, spares, lost, warm, params.store_faults)
+        holder.keep_spares([(row["identity"], row["address"]) for row in wanted])
+        ready = [row for row in wanted if holder.is_level(row["identity"])]
+        new = pick_spare(members, ready, lost)
+        calm = now_ms - store.changed_ms > params.resume_ms
+        old = lost[0] if lost else crowded(members, new) if new is not None and calm else None
+        if new is None or old is None:
+            self._wanted_ms = -1
+            return
+        self._wanted_ms = now_ms if self._wanted_ms < 0 else self._wanted_ms
+        if holder.waiters and now_ms - self._wanted_ms < params.ask_ms:
+            return
+        following = [row for row in members if row["identity"] != old] + [new]
+        first = store.log.identity if old != store.log.identity else self._follower(following)
+        store.node.env.log(
+            "store-replaced", "WARNING", old=old, new=new["identity"], epoch=holder.epoch
+        )
+        store.claim(following, members, first)
+
+    def _follower(self, members: list[dict[str, str]]) -> str:
+        """Who takes the duty over: of those in touch and not on their way out, the one with most of the log."""
+        store = self._store
+        others = [row["identity"] for row in members if row["identity"] != store.log.identity]
+        able = [name for name in others if store.holder.in_touch(name) and not self._retired(name)]
+        return max(
+            able or others,
+            key=lambda name: (store.holder.peers[name].last_seq, -others.index(name)),
+        )
+
+    def _consider_room(self) -> None:
+        """A holder whose disk has been full for a while makes way for a member that still has room."""
+        store = self._store
+        now_ms = store.node.env.now()
+        if store.log.disk.roomy(0):
+            self._roomy_ms = now_ms
+        following = None if store.changing or store.holder is None else store.holder.roomier()
+        if (
+            following is not None
+            and now_ms - max(self._roomy_ms, store.changed_ms) > store.node.params.dead_ms
+        ):
+            store.node.env.log("holder-full", "WARNING", following=following)
+            store.changed_ms = now_ms
+            store.claim(store.value["members"], store.value["members"], following)
+
+    def _hand_to_another(self) -> None:
+        store = self._store
+        members = store.value["members"]
+        following = self._follower(members)
+        if store.holder.in_touch(following):
+            store.claim(members, store.old_members(), following)
--- /dev/null
+++ b/libs/accession/src/accession/replica.py
@@ -0,0 +1,102 @@
+"""The holder's view of a store that it sends the log, and the sending of snapshots to it."""
+
+from collections.abc import Callable
+from typing import Any
+
+from vellum import Message
+
+from accession.local import LocalLog
+from accession.messages import Appended, Install
+
+__all__ = ["Peer", "SnapshotSender"]
+
+_PART_BYTES = 1 << 18
+
+
+class Peer:
+    """What the holder knows of one store that it sends the log."""
+
+    __slots__ = (
+        "address",
+        "adopted",
+        "asked_seq",
+        "flushed_seq",
+        "full",
+        "heard_ms",
+        "identity",
+        "install_ms",
+        "last_seq",
+        "next_seq",
+        "probe",
+        "sent_ms",
+        "snapshot",
+        "taken_bytes",
+    )
+
+    def __init__(self, identity: str, address: str, next_seq: int, now_ms: int) -> None:
+        self.identity = identity
+        self.address = address
+        self.last_seq = 0
+        self.flushed_seq = 0
+        self.next_seq = next_seq
+        self.probe = 0
+        self.asked_seq = -1
+        self.sent_ms = 0
+        self.heard_ms = now_ms
+        self.adopted = False
+        self.install_ms = -1 << 40
+        self.snapshot = b""
+        self.taken_bytes = 0
+        self.full = False
+
+
+class SnapshotSender:
+    """A snapshot goes part by part, each after the one before has been taken, so that a thin link isn't
+    swamped; one that gets nowhere is begun again.
+    """
+
+    __slots__ = ("_epoch", "_log", "_now", "_params", "_post")
+
+    def __init__(
+        self,
+        log: LocalLog,
+        epoch: int,
+        params: Any,
+        now: Callable[[], int],
+        post: Callable[[str, Message], None],
+    ) -> None:
+        self._log, self._epoch, self._params = log, epoch, params
+        self._now, self._post = now, post
+
+    def send(self, peer: Peer, probe: int) -> None:
+        """Begins a snapshot, begins it again, or sends its last part again when it is due."""
+        now_ms = self._now()
+        if not peer.snapshot or now_ms - peer.install_ms >= self._params.force_ms:
+            peer.snapshot, peer.taken_bytes = self._log.kept_snapshot(), 0
+            self._send_part(peer, probe)
+        elif now_ms - peer.install_ms >= self._params.ask_ms and peer.taken_bytes < len(
+            peer.snapshot
+        ):
+            self._send_part(peer, probe)
+
+    def _send_part(self, peer: Peer, probe: int) -> None:
+        peer.install_ms = self._now()
+        offset = peer.taken_bytes
+        self._post(
+            peer.address,
+            Install(
+                epoch=self._epoch,
+                snapshot=peer.snapshot[offset : offset + _PART_BYTES],
+                offset=offset,
+                total=len(peer.snapshot),
+                probe=probe,
+            ),
+        )
+
+    def answered(self, peer: Peer, message: Appended, probe: int) -> None:
+        """The store is busy with the whole of it, or says how much it has."""
+        if message.reason == "busy":
+            peer.install_ms, peer.taken_bytes = self._now(), len(peer.snapshot)
+        elif message.asked_seq > peer.taken_bytes:
+            peer.taken_bytes = message.asked_seq
+            self._send_part(peer, probe)
--- a/libs/accession/src/accession/snapshots.py
+++ b/libs/accession/src/accession/snapshots.py
@@ -5,12 +5,12 @@
 
 from typing import Any
 
-from stacks import frame, scan
+from stacks import Damage, frame, scan
 from vellum import Message, decode, encode
 
 from accession.messages import SnapshotHead
 
-__all__ = ["SnapshotMaker", "read_snapshot"]
+__all__ = ["SnapshotMaker", "make_snapshot", "read_snapshot", "read_whole_snapshot"]
 
 _STEP_BYTES = 1 << 18
 
@@ -57,3 +57,19 @@
     if head is None or end != len(data) or head.count != len(frames) - 1:
         return None, []
     return head, [decode(payload) for _, payload in frames[1:]]
+
+
+def make_snapshot(ledger: Any, seq: int, stamp: tuple[int, int]) -> bytes:
+    """A snapshot made at one go."""
+    maker = SnapshotMaker(ledger, seq, stamp)
+    while not maker.step():
+        pass
+    return maker.whole()
+
+
+def read_whole_snapshot(data: bytes) -> tuple[SnapshotHead, list[Message]]:
+    """The head and the entries. Raises Damage if the bytes are no whole snapshot."""
+    head, entries = read_snapshot(data)
+    if head is None:
+        raise Damage("snapshot", 0)
+    return head, entries
--- a/libs/accession/src/accession/store.py
+++ b/libs/accession/src/accession/store.py
@@ -7,14 +7,14 @@
 
 import json
 from collections.abc import Callable
-from enum import StrEnum
 from typing import Any
 
 from vellum import Message, Origin, Part
 
+from accession.founding import Founding
 from accession.holder import Holder
 from accession.local import LocalLog
-from accession.membership import crowded, lost_members, pick_spare, warm_spares
+from accession.member_keeper import MemberKeeper
 from accession.messages import (
     Append,
     Appended,
@@ -28,8 +28,8 @@
     Succeed,
 )
 from accession.peer import PeerSide
-from accession.places import spread
 from accession.recovery import Recovery
+from accession.role import Role
 from accession.watch import Watch
 
 __all__ = ["LOG_KEY", "StoreLog"]
@@ -37,15 +37,6 @@
 LOG_KEY = "log"
 
 
-class Role(StrEnum):
-    PEER = "peer"
-    CLAIMING = "claiming"
-    RECOVERING = "recovering"
-    ADOPTING = "adopting"
-    ANNOUNCING = "announcing"
-    SERVING = "serving"
-
-
 _AT_WORK = (Role.RECOVERING, Role.ADOPTING, Role.ANNOUNCING, Role.SERVING)
 
 
@@ -55,21 +46,18 @@
     """
 
     __slots__ = (
-        "_candidates",
-        "_candidates_ms",
-        "_changed_ms",
-        "_changing",
+        "changed_ms",
+        "changing",
         "_control",
         "_fleet",
-        "_housed_ms",
-        "_leaving",
+        "_founding",
+        "_keeper",
+        "leaving",
         "_on_role",
         "_peer",
         "_pulsed_ms",
         "_recovery",
-        "_roomy_ms",
         "_version",
-        "_wanted_ms",
         "_watch",
         "holder",
         "log",
@@ -89,16 +77,13 @@
         self._recovery: Recovery | None = None
         self.holder: Holder | None = None
         self.role = Role.PEER
-        self._candidates: list[dict[str, str]] = []
-        self._candidates_ms = 0
-        self._changed_ms = 0
-        self._changing = False
-        self._housed_ms = -1 << 40
-        self._leaving = False
+        self.changed_ms = 0
+        self.changing = False
+        self.leaving = False
         self._pulsed_ms = -1 << 40
-        self._roomy_ms = -1 << 40
-        self._wanted_ms = -1
         self._version = 0
+        self._founding = Founding(log, fleet)
+        self._keeper = MemberKeeper(self, fleet)
         self.value: dict[str, Any] = {}
 
     def attach(self, node: Any) -> None:
@@ -147,7 +132,7 @@
                 epoch=max(epoch, self.log.meta.fence),
                 holds=self._at_work(),
                 hears=self.role is Role.PEER and self._watch.hears,
-                leaving=self._leaving,
+                leaving=self.leaving,
             ),
         )
 
@@ -195,8 +180,8 @@
             return
         self._pulse()
         if self.role is Role.SERVING:
-            self._keep_house()
-        elif self.node.env.now() - self._changed_ms > 2 * self.node.params.force_ms:
+            self._keeper.tick()
+        elif self.node.env.now() - self.changed_ms > 2 * self.node.params.force_ms:
             self._step_down("stuck", 0)
 
     def _pulse(self) -> None:
@@ -226,7 +211,7 @@
                 self._watch.reset()
 
     def _consider_claim(self) -> None:
-        if self._leaving or self.role is not Role.PEER:
+        if self.leaving or self.role is not Role.PEER:
             return
         if not self.value:
             self._found()
@@ -242,7 +227,7 @@
         if self._watch.should_poll(orphaned):
             self._poll(epoch)
         if self._watch.should_claim(names, holder, epoch, self._fleet.retired_stores()):
-            self._claim(self.value["members"], self._old_members(), self.log.identity)
+            self.claim(self.value["members"], self.old_members(), self.log.identity)
 
     def _poll(self, epoch: int) -> None:
         def polled(answer: Any) -> None:
@@ -260,31 +245,14 @@
                 )
 
     def _found(self) -> None:
-        """The first members, once as many blank stores as the log needs are heard and no more appear: the first
-        of them in order asks, then the next. A store that starts blank later than the fleet never founds.
-        """
-        params, now_ms = self.node.params, self.node.env.now()
-        if not self._fleet.settled_in() or now_ms - self._changed_ms < params.beat_ms:
-            return
-        blank = self._fleet.store_rows()
-        if blank != self._candidates:
-            self._candidates, self._candidates_ms = blank, now_ms
-        members = spread(blank, params.store_count)
-        names = [row["identity"] for row in members]
-        if (
-            len(members) < params.store_count
-            or self.log.identity not in names
-            or not self.log.may_found()
-        ):
-            return
-        rank = names.index(self.log.identity)
-        if now_ms - self._candidates_ms >= 2 * params.beat_ms + rank * params.ask_ms:
-            self._claim(members, members, self.log.identity)
+        members = self._founding.members(self.node, self.changed_ms)
+        if members:
+            self.claim(members, members, self.log.identity)
 
-    def _old_members(self) -> list[dict[str, str]]:
+    def old_members(self) -> list[dict[str, str]]:
         return self.value["prev"] if self.value["phase"] == "recovering" else self.value["members"]
 
-    def _claim(self, members: list, prev: list, holder: str) -> None:
+    def claim(self, members: list, prev: list, holder: str) -> None:
         epoch = max(self.value.get("epoch", 0), self.log.meta.fence) + 1
         body = {
             "epoch": epoch,
@@ -315,14 +283,14 @@
                 address = next(row["address"] for row in members if row["identity"] == holder)
                 self.node.post(address, Succeed(number=self._version, body=json.dumps(self.value)))
 
-        self._change(body, claimed)
+        self.change(body, claimed)
 
-    def _change(self, body: dict[str, Any], done: Callable[[str], None]) -> None:
+    def change(self, body: dict[str, Any], done: Callable[[str], None]) -> None:
         """One change of the key at a time."""
-        self._changing = True
+        self.changing = True
 
         def changed(outcome: str, version: int, value: str) -> None:
-            self._changing = False
+            self.changing = False
             if version:
                 self._learn(version, value)
                 self._fleet.learned(version, value)
@@ -379,105 +347,23 @@
             else:
                 self._step_down("announcement-" + outcome, epoch)
 
-        self._change({**self.value, "phase": "serving", "prev": self.value["members"]}, announced)
+        self.change({**self.value, "phase": "serving", "prev": self.value["members"]}, announced)
 
     def _serve(self, epoch: int) -> None:
         self._become(Role.SERVING, epoch)
-        self._wanted_ms = -1
+        self._keeper.serves()
         self._on_role(self.holder)
 
-    # -- keeping house -------------------------------------------------------------------------
-
-    def _keep_house(self) -> None:
-        now_ms = self.node.env.now()
-        if self._changing or self.holder.epoch != self.value["epoch"]:
-            return
-        if self._leaving:
-            self._hand_to_another()
-        elif now_ms - self._housed_ms < self.node.params.pulse_ms:
-            return
-        self._housed_ms = now_ms
-        if self._leaving:
-            return
-        if self.value["phase"] == "recovering":
-            self._change(
-                {**self.value, "phase": "serving", "prev": self.value["members"]},
-                lambda outcome: None,
-            )
-        else:
-            self._consider_replacement()
-            self._consider_room()
-
-    def _retired(self, identity: str) -> bool:
-        return identity in self._fleet.retired_stores()
-
-    def _consider_replacement(self) -> None:
-        holder, members, now_ms = self.holder, self.value["members"], self.node.env.now()
-        params, retired, names = self.node.params, self._fleet.retired_stores(), holder.members
-        live = self._fleet.store_rows()
-        spares = [
-            row for row in live if row["identity"] not in names and row["identity"] not in retired
-        ]
-        silent_ms = {
-            name: now_ms - holder.peers[name].heard_ms for name in names if name in holder.peers
-        }
-        lost = lost_members(members, live, silent_ms, retired, params.gone_ms)
-        warm = {name for name in holder.peers if name not in names}
-        wanted = warm_spares(members, spares, lost, warm, params.store_faults)
-        holder.keep_spares([(row["identity"], row["address"]) for row in wanted])
-        ready = [row for row in wanted if holder.is_level(row["identity"])]
-        new = pick_spare(members, ready, lost)
-        calm = now_ms - self._changed_ms > params.resume_ms
-        old = lost[0] if lost else crowded(members, new) if new is not None and calm else None
-        if new is None or old is None:
-            self._wanted_ms = -1
-            return
-        self._wanted_ms = now_ms if self._wanted_ms < 0 else self._wanted_ms
-        if holder.waiters and now_ms - self._wanted_ms < params.ask_ms:
-            return
-        following = [row for row in members if row["identity"] != old] + [new]
-        first = self.log.identity if old != self.log.identity else self._follower(following)
-        self.node.env.log(
-            "store-replaced", "WARNING", old=old, new=new["identity"], epoch=holder.epoch
-        )
-        self._claim(following, members, first)
-
-    def _follower(self, members: list[dict[str, str]]) -> str:
-        """Who takes the duty over: of those in touch and not on their way out, the one with most of the log."""
-        others = [row["identity"] for row in members if row["identity"] != self.log.identity]
-        able = [name for name in others if self.holder.in_touch(name) and not self._retired(name)]
-        return max(
-            able or others, key=lambda name: (self.holder.peers[name].last_seq, -others.index(name))
-        )
-
-    def _consider_room(self) -> None:
-        """A holder whose disk has been full for a while makes way for a member that still has room."""
-        now_ms = self.node.env.now()
-        if self.log.disk.roomy(0):
-            self._roomy_ms = now_ms
-        following = None if self._changing or self.holder is None else self.holder.roomier()
-        if (
-            following is not None
-            and now_ms - max(self._roomy_ms, self._changed_ms) > self.node.params.dead_ms
-        ):
-            self.node.env.log("holder-full", "WARNING", following=following)
-            self._changed_ms = now_ms
-            self._claim(self.value["members"], self.value["members"], following)
+    # -- leaving ---------------------------------------------------------------------------
 
     def hand_over(self) -> None:
         """Before leaving: the holder's duty goes to another live member at once."""
-        self._leaving = True
+        self.leaving = True
         if self.role is Role.SERVING:
-            self._keep_house()
-
-    def _hand_to_another(self) -> None:
-        members = self.value["members"]
-        following = self._follower(members)
-        if self.holder.in_touch(following):
-            self._claim(members, self._old_members(), following)
+            self._keeper.tick()
 
     def handing_over(self) -> bool:
-        return self._leaving and self.role is not Role.PEER
+        return self.leaving and self.role is not Role.PEER
 
     # -- changes of role -----------------------------------------------------------------------
 
@@ -485,7 +371,7 @@
         if role is not self.role:
             self.node.env.log("log-role", "INFO", became=str(role), was=str(self.role), epoch=epoch)
         self.role = role
-        self._changed_ms = self.node.env.now()
+        self.changed_ms = self.node.env.now()
 
     def _step_down(self, reason: str, epoch: int) -> None:
         if self._recovery is not None:
--- a/libs/facsimile/src/facsimile/breaks/log.py
+++ b/libs/facsimile/src/facsimile/breaks/log.py
@@ -121,8 +121,8 @@
         "tests/test_recovery.py -k old_tail",
     ),
     "an old mark counts after a cut": (
-        "accession/src/accession/local.py",
-        "return seq if fence == self.meta.fence == self.meta.log_epoch else 0",
+        "accession/src/accession/flush_mark.py",
+        "return seq if fence == meta.fence == meta.log_epoch else 0",
         "return seq",
         "tests/test_recovery.py -k mark",
     ),
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -95,7 +95,7 @@
         )
 
     def test_a_snapshot_comes_in_parts_each_asked_for_by_the_one_before(self):
-        import accession.holder as module
+        import accession.replica as module
 
         table = self.grown(40)
         for name in ("a", "b"):
