Owner split along its jobs: key states, relays, confirmations

Plain moves, no change of behaviour: catalogue.key_states has a key's state and its waiting operations, catalogue.relays finds a key's owner and asks again, and catalogue.confirmations holds back answers until a version is in force.

--- /dev/null
+++ b/libs/catalogue/src/catalogue/confirmations.py
@@ -0,0 +1,91 @@
+"""Changes that are on a majority of disks and wait until the nodes that serve have them, so that none
+serves under an older version after the acknowledgement.
+"""
+
+from typing import Any
+
+from gazette import Gazette
+from gazette.feed import CONFIRMERS
+
+from catalogue.key_states import Done
+from catalogue.messages import Changed
+
+__all__ = ["CONFIRMED_KEYS", "Confirmations"]
+
+CONFIRMED_KEYS = ("profiles",)
+
+
+def _in_doubt(version: int) -> Changed:
+    return Changed(
+        outcome="doubt",
+        version=0,
+        body="",
+        reason=f"kept as version {version}, but not known to be in force at most edges and stores",
+    )
+
+
+class _Waiting:
+    """A change that was taken and is not yet acknowledged."""
+
+    __slots__ = ("done", "due_ms", "key", "receipt")
+
+    def __init__(self, key: str, receipt: Changed, due_ms: int, done: Done) -> None:
+        self.key = key
+        self.receipt = receipt
+        self.due_ms = due_ms
+        self.done = done
+
+
+class Confirmations:
+    """Holds back the answers to changes until their versions are in force."""
+
+    __slots__ = ("_gazette", "_node", "_waiting")
+
+    def __init__(self, gazette: Gazette) -> None:
+        self._gazette = gazette
+        self._node: Any = None
+        self._waiting: list[_Waiting] = []
+
+    def attach(self, node: Any) -> None:
+        self._node = node
+
+    def wait(self, key: str, receipt: Changed, changed_ms: int, done: Done) -> None:
+        """Calls `done` with the receipt once its version is in force, or with doubt if that takes too long.
+        `changed_ms` is when the owner published the key's newest value.
+        """
+        params = self._node.params
+        due_ms = (
+            changed_ms + params.edges_ms
+            if params.cut_off == "serve"
+            else self._node.env.now() + params.confirm_ms
+        )
+        self._waiting.append(_Waiting(key, receipt, due_ms, done))
+        self.check()
+
+    def check(self) -> None:
+        """A version is acknowledged once most of the roll have it, and so do all nodes that live, or
+        those that are still without it have had to turn unready. Without most of the roll the other
+        side of a cut may still be serving under an older one: then this is doubt. Where the cut-off serve
+        there is no roll: who hasn't heard of it in time isn't in touch.
+        """
+        now_ms, params, gazette = self._node.env.now(), self._node.params, self._gazette
+        waiting, self._waiting = self._waiting, []
+        for change in waiting:
+            name, version, due_ms = change.key, change.receipt.version, change.due_ms
+            serves = params.cut_off == "serve"
+            most = serves or gazette.most_confirm(name, version, params.confirm_ms)
+            within_ms = params.dead_ms if serves else params.confirm_ms
+            if most and (
+                now_ms >= due_ms or gazette.all_confirm(name, version, CONFIRMERS[name], within_ms)
+            ):
+                change.done(change.receipt)
+            elif now_ms >= due_ms + 2 * params.ask_ms:
+                change.done(_in_doubt(version))
+            else:
+                self._waiting.append(change)
+
+    def give_up(self) -> None:
+        """All that wait are answered with doubt."""
+        waiting, self._waiting = self._waiting, []
+        for change in waiting:
+            change.done(_in_doubt(change.receipt.version))
--- /dev/null
+++ b/libs/catalogue/src/catalogue/relays.py
@@ -0,0 +1,99 @@
+"""Finding a key's owner: an operation is worked on here or sent on to the node whose duty the key is, and
+sent again after silence.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from commons import Neighbours, duty_order, first_live
+
+from catalogue.key_states import Done
+from catalogue.messages import Change, Changed, ReadKey
+from catalogue.voter import Voter
+
+__all__ = ["Relay"]
+
+_RELAY_HOPS = 2
+
+
+class Relay:
+    """Takes operations to the owners of their keys; `enqueue` works on one here, until a time."""
+
+    __slots__ = ("_again", "_enqueue", "_neighbours", "_node", "_voter")
+
+    def __init__(
+        self,
+        voter: Voter,
+        neighbours: Neighbours,
+        enqueue: Callable[[Any, int, Done], None],
+    ) -> None:
+        self._voter = voter
+        self._neighbours = neighbours
+        self._enqueue = enqueue
+        self._node: Any = None
+        self._again: list[tuple[Change | ReadKey, int, Done]] = []
+
+    def attach(self, node: Any) -> None:
+        self._node = node
+
+    def submit(self, message: Any, done: Done) -> None:
+        """Here, or at the node whose duty the key is. Who asks first asks again after silence, since the
+        duty may have moved; a change is known by its id. A reply that never comes is doubt.
+        """
+        if not self._voter.voters:
+            done(Changed(outcome="refused", version=0, body="", reason="not founded"))
+            return
+        params = self._node.params
+        self._try(
+            message,
+            message.hops,
+            self._node.env.now() + params.confirm_ms + 3 * params.ask_ms,
+            done,
+        )
+
+    def _try(self, message: Any, hops: int, due_ms: int, done: Done) -> None:
+        params, now_ms = self._node.params, self._node.env.now()
+
+        def answered(receipt: Changed | None) -> None:
+            unheard = receipt is None or (receipt.outcome == "doubt" and params.cut_off == "serve")
+            if unheard and hops == 0 and self._node.env.now() < due_ms:
+                self._again.append((message, due_ms, done))
+            else:
+                done(
+                    receipt
+                    or Changed(
+                        outcome="doubt", version=0, body="", reason="the key's owner did not answer"
+                    )
+                )
+
+        message.hops = hops
+        duty = self.owner_of(message.key)
+        if duty in (None, self._voter.identity) or hops >= _RELAY_HOPS:
+            self._enqueue(
+                message,
+                min(now_ms + params.ask_ms * 2, due_ms)
+                if hops == 0
+                else now_ms + params.ask_ms * 2,
+                answered,
+            )
+            return
+        message.hops += 1
+        wait_ms = due_ms - now_ms
+        self._node.ask(
+            self._voter.voters[duty],
+            message,
+            min(wait_ms, params.dead_ms) if hops == 0 else wait_ms,
+            answered,
+        )
+
+    def owner_of(self, concern: str) -> str | None:
+        """Who has a duty: the first live voter that itself hears a majority, or the first live one."""
+        order = [
+            name for name in duty_order(concern, self._voter.voters) if self._neighbours.live(name)
+        ]
+        return first_live(order, self._neighbours.hears) or next(iter(order), None)
+
+    def tick(self) -> None:
+        again, self._again = self._again, []
+        for message, due_ms, done in again:
+            self._try(message, 0, due_ms, done)
--- a/libs/facsimile/src/facsimile/breaks/control.py
+++ b/libs/facsimile/src/facsimile/breaks/control.py
@@ -40,7 +40,7 @@
         _CONTROL + "late_accept",
     ),
     "acknowledged before it is in force": (
-        "catalogue/src/catalogue/owner.py",
+        "catalogue/src/catalogue/confirmations.py",
         "if most and (now_ms >= due_ms or gazette.all_confirm(",
         "if most and (True or gazette.all_confirm(",
         _FEED + "not_acknowledged",
@@ -76,7 +76,7 @@
         _FAN + "leaves_voters",
     ),
     "a voter that hears nobody keeps its duties": (
-        "catalogue/src/catalogue/owner.py",
+        "catalogue/src/catalogue/relays.py",
         "first_live(order, self._neighbours.hears) or ",
         "",
         _FOUNDING + "hears_nobody",
