Feed: who confirmed which number moves to confirmations.py

Two deliberate breaks and three imports name the new file. test_feed, test_fan_out, test_control, test_founding: 48 passed.

--- a/libs/catalogue/src/catalogue/founding.py
+++ b/libs/catalogue/src/catalogue/founding.py
@@ -10,7 +10,7 @@
 
 from commons import Neighbours
 from gazette import Gazette
-from gazette.feed import CONFIRMERS, ROLL_KEY
+from gazette.confirmations import CONFIRMERS, ROLL_KEY
 from vellum import Message, Origin, Part
 
 from catalogue.messages import Change, Found, Founded, FoundVote, ListKeys, ReadKey, VoterMeta
--- a/libs/catalogue/src/catalogue/owner.py
+++ b/libs/catalogue/src/catalogue/owner.py
@@ -12,7 +12,7 @@
 
 from commons import Neighbours, duty_order, first_live
 from gazette import Gazette
-from gazette.feed import CONFIRMERS
+from gazette.confirmations import CONFIRMERS
 from vellum import Message, Origin, Part, decode, encode
 
 from catalogue.messages import Accept, Change, Changed, Confirm, Founded, Prepare, ReadKey, Value
--- a/libs/catalogue/src/catalogue/roll.py
+++ b/libs/catalogue/src/catalogue/roll.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from gazette import Gazette
-from gazette.feed import LEAST, ROLL_KEY
+from gazette.confirmations import LEAST, ROLL_KEY
 from vellum import Part
 
 from catalogue.messages import Change, ReadKey
--- a/libs/facsimile/src/facsimile/breaks/control.py
+++ b/libs/facsimile/src/facsimile/breaks/control.py
@@ -46,7 +46,7 @@
         _FEED + "not_acknowledged",
     ),
     "acknowledged with most edges cut off": (
-        "gazette/src/gazette/feed.py",
+        "gazette/src/gazette/confirmations.py",
         "return not self.binding or 2 * len(roll & have) > len(roll)",
         "return True",
         _FEED + "doubt_until",
@@ -64,7 +64,7 @@
         _FEED + "old_news",
     ),
     "acknowledged while a voter's edges lack it": (
-        "gazette/src/gazette/feed.py",
+        "gazette/src/gazette/confirmations.py",
         "if any(lows.get(key, number) < number for",
         "if any(False for",
         _FAN + "not_waited_for",
--- /dev/null
+++ b/libs/gazette/src/gazette/confirmations.py
@@ -0,0 +1,149 @@
+"""Which numbers of each key the nodes have in force, as the voters learn it from digests: a control
+key's owner acknowledges a version by this. With fan_out a voter also counts what other voters tell it
+of the nodes that report to them.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from vellum import Part
+
+__all__ = ["CONFIRMERS", "LEAST", "ROLL_KEY", "Confirmations"]
+
+ROLL_KEY = "fleet"
+LEAST = 3
+CONFIRMERS = {"profiles": ("edge", "store"), "workers": ("edge",)}
+
+
+class Confirmations(Part):
+    """The part of the feed that notes and counts. Its subclass holds the items of the feed.
+
+    `votes` says whether this node is a voter. `confirmed` has, for each identity heard from, its role,
+    when it was heard (ms of this node's clock), the number that it has of each key, and its link address.
+    """
+
+    __slots__ = (
+        "_edges_told",
+        "_lows",
+        "_ranks",
+        "_roll",
+        "_since_ms",
+        "confirmed",
+        "votes",
+    )
+
+    def __init__(self) -> None:
+        self.votes: Callable[[], bool] = lambda: False
+        self.confirmed: dict[str, tuple[str, int, dict[str, int], str]] = {}
+        self._since_ms = 1 << 60
+        self._roll: tuple[int, frozenset[str]] = (0, frozenset())
+        self._ranks: dict[str, int] = {}
+        self._lows: dict[str, dict[str, int]] = {}
+        self._edges_told: dict[str, int] = {}
+
+    def number(self, key: str) -> int:
+        """The number held of a key, 0 for none."""
+        raise NotImplementedError
+
+    def value(self, key: str) -> Any:
+        """The decoded body held of a key, None for none."""
+        raise NotImplementedError
+
+    def _forget_silent(self, now_ms: int) -> list[str]:
+        """Drops who wasn't heard from for gone_ms, and says who that was."""
+        silent = [
+            identity
+            for identity, row in self.confirmed.items()
+            if now_ms - row[1] > self.node.params.gone_ms
+        ]
+        for identity in silent:
+            del self.confirmed[identity]
+            self._ranks.pop(identity, None)
+            self._lows.pop(identity, None)
+            self._edges_told.pop(identity, None)
+        return silent
+
+    def lows(self) -> dict[str, int]:
+        """Of each key that is to be confirmed, the lowest number among those who report here."""
+        floor_ms = self.node.env.now() - self.node.params.dead_ms
+        lows: dict[str, int] = {}
+        for identity, (role, at_ms, numbers, _) in self.confirmed.items():
+            if at_ms >= floor_ms and self._ranks.get(identity):
+                for key, roles in CONFIRMERS.items():
+                    if role in roles:
+                        lows[key] = min(lows.get(key, 1 << 60), numbers.get(key, 0))
+        return lows
+
+    def _own_edges(self) -> int:
+        floor_ms = self.node.env.now() - self.node.params.dead_ms
+        return sum(
+            1
+            for identity, (role, at_ms, _, _) in self.confirmed.items()
+            if role == "edge" and at_ms >= floor_ms and self._ranks.get(identity) == 1
+        )
+
+    def edge_count(self) -> int:
+        """How many edges live: a voter adds up what the voters say, others take the most they were told."""
+        floor_ms = self.node.env.now() - self.node.params.dead_ms
+        told = [
+            count
+            for identity, count in self._edges_told.items()
+            if identity in self.confirmed and self.confirmed[identity][1] >= floor_ms
+        ]
+        return self._own_edges() + sum(told) if self.votes() else max(told, default=0)
+
+    def all_confirm(self, key: str, number: int, roles: tuple[str, ...], within_ms: int) -> bool:
+        """Whether every node of these roles heard from lately has this number in force, by its own word or,
+        with fan_out, by that of a voter to whom it reports.
+        """
+        floor_ms = self.node.env.now() - within_ms
+        if any(
+            lows.get(key, number) < number
+            for identity, lows in self._lows.items()
+            if identity in self.confirmed and self.confirmed[identity][1] >= floor_ms
+        ):
+            return False
+        return all(
+            numbers.get(key, 0) >= number
+            for identity, (role, at_ms, numbers, _) in self.confirmed.items()
+            if role in roles
+            and at_ms >= floor_ms
+            and (self._ranks.get(identity) or not self.node.params.fan_out)
+        )
+
+    def roll(self) -> frozenset[str]:
+        """The link addresses of the edges and stores that count."""
+        number = self.number(ROLL_KEY)
+        if number != self._roll[0]:
+            self._roll = (number, frozenset(self.value(ROLL_KEY)["links"]))
+        return self._roll[1]
+
+    @property
+    def binding(self) -> bool:
+        return len(self.roll()) >= LEAST
+
+    def heard_links(self, within_ms: int) -> set[str]:
+        """Edges and stores whose own digests came here lately."""
+        floor_ms = self.node.env.now() - within_ms
+        return {
+            link
+            for role, at_ms, _, link in self.confirmed.values()
+            if role != "control" and at_ms >= floor_ms
+        }
+
+    def most_confirm(self, key: str, number: int, within_ms: int) -> bool:
+        """Whether most of the roll have said lately that they have this number. A roll of fewer than three
+        binds nobody: no edge serves without control by it.
+        """
+        floor_ms = self.node.env.now() - within_ms
+        have = {
+            link
+            for _, at_ms, numbers, link in self.confirmed.values()
+            if at_ms >= floor_ms and numbers.get(key, 0) >= number
+        }
+        roll = self.roll()
+        return not self.binding or 2 * len(roll & have) > len(roll)
+
+    def listened(self, for_ms: int) -> bool:
+        """Whether this node has been awake for so long."""
+        return self.node.env.now() - self._since_ms > for_ms
--- a/libs/gazette/src/gazette/feed.py
+++ b/libs/gazette/src/gazette/feed.py
@@ -13,22 +13,20 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from vellum import Message, Origin, Part, decode, encode
+from vellum import Message, Origin, decode, encode
 
+from gazette.confirmations import Confirmations
 from gazette.contacts import Candidate, Contacts
 from gazette.messages import Digest, News, NewsItem
 from gazette.patches import merge, merge_diff
 
-__all__ = ["CONFIRMERS", "Gazette", "LEAST", "ROLL_KEY"]
+__all__ = ["Gazette"]
 
-ROLL_KEY = "fleet"
-LEAST = 3
-CONFIRMERS = {"profiles": ("edge", "store"), "workers": ("edge",)}
 _REPORT_BEATS = 2
 _PEER_BEATS = 5
 
 
-class Gazette(Part):
+class Gazette(Confirmations):
     """`neighbours` gives the addresses to relay to, `extra` further ones to swap digests with; `sure`
     says whether this node knows its feed to be the newest: a quorate control node, a ready edge.
     """
@@ -36,28 +34,21 @@
     __slots__ = (
         "_beat_count",
         "_contacts",
-        "_edges_told",
         "_extra",
         "_items",
-        "_lows",
         "_lows_told",
         "_neighbours",
         "_patches",
         "_quiet_until_ms",
-        "_ranks",
-        "_roll",
         "_sent_ms",
-        "_since_ms",
         "_watchers",
         "candidates",
-        "confirmed",
         "contacts_ms",
         "identity",
         "quorate_ms",
         "sent_bytes",
         "sure",
         "sure_edge_ms",
-        "votes",
     )
     HANDLES = (Digest, News)
 
@@ -68,14 +59,13 @@
         extra: Callable[[], Iterable[str]] = lambda: (),
         sure: Callable[[], bool] = lambda: False,
     ) -> None:
+        super().__init__()
         self.identity = identity
         self.sure = sure
-        self.votes: Callable[[], bool] = lambda: False
         self.candidates: Callable[[], Iterable[Candidate]] = lambda: ()
         self.quorate_ms = -1 << 40
         self.sure_edge_ms = -1 << 40
         self.contacts_ms: dict[str, int] = {}
-        self.confirmed: dict[str, tuple[str, int, dict[str, int], str]] = {}
         self.sent_bytes = 0
         self._neighbours = neighbours
         self._extra = extra
@@ -83,15 +73,10 @@
         self._patches: dict[str, NewsItem] = {}
         self._watchers: list[Callable[[str, int, str], None]] = []
         self._sent_ms = -1 << 40
-        self._since_ms = 1 << 60
-        self._roll: tuple[int, frozenset[str]] = (0, frozenset())
         self._quiet_until_ms = -1 << 40
         self._beat_count = 0
         self._contacts: Contacts | None = None
-        self._ranks: dict[str, int] = {}
-        self._lows: dict[str, dict[str, int]] = {}
         self._lows_told: dict[str, int] = {}
-        self._edges_told: dict[str, int] = {}
 
     def attach(self, node: Any) -> None:
         super().attach(node)
@@ -273,40 +258,11 @@
         elif (changed or message.rank == 0) and self.votes() and self.lows() != self._lows_told:
             self._tell_voters()
 
-    def lows(self) -> dict[str, int]:
-        """Of each key that is to be confirmed, the lowest number among those who report here."""
-        floor_ms = self.node.env.now() - self.node.params.dead_ms
-        lows: dict[str, int] = {}
-        for identity, (role, at_ms, numbers, _) in self.confirmed.items():
-            if at_ms >= floor_ms and self._ranks.get(identity):
-                for key, roles in CONFIRMERS.items():
-                    if role in roles:
-                        lows[key] = min(lows.get(key, 1 << 60), numbers.get(key, 0))
-        return lows
-
-    def _own_edges(self) -> int:
-        floor_ms = self.node.env.now() - self.node.params.dead_ms
-        return sum(
-            1
-            for identity, (role, at_ms, _, _) in self.confirmed.items()
-            if role == "edge" and at_ms >= floor_ms and self._ranks.get(identity) == 1
-        )
-
     def _edges_for(self, address: str) -> int:
         if not (self.node.params.fan_out and self.votes()):
             return 0
         return self._own_edges() if address in self._voters() else self.edge_count()
 
-    def edge_count(self) -> int:
-        """How many edges live: a voter adds up what the voters say, others take the most they were told."""
-        floor_ms = self.node.env.now() - self.node.params.dead_ms
-        told = [
-            count
-            for identity, count in self._edges_told.items()
-            if identity in self.confirmed and self.confirmed[identity][1] >= floor_ms
-        ]
-        return self._own_edges() + sum(told) if self.votes() else max(told, default=0)
-
     def _tell_voters(self) -> None:
         self._lows_told = self.lows()
         digest = self._digest(edges=self._own_edges())
@@ -346,16 +302,8 @@
             return
         self._sent_ms = now_ms
         self._since_ms = min(self._since_ms, now_ms)
-        for identity in [
-            identity
-            for identity, row in self.confirmed.items()
-            if now_ms - row[1] > self.node.params.gone_ms
-        ]:
-            del self.confirmed[identity]
+        for identity in self._forget_silent(now_ms):
             self.contacts_ms.pop(identity, None)
-            self._ranks.pop(identity, None)
-            self._lows.pop(identity, None)
-            self._edges_told.pop(identity, None)
         if self.node.params.fan_out:
             self._tick_by_way_of_voters()
             return
@@ -370,61 +318,3 @@
         self.quorate_ms = self.sure_edge_ms = -1 << 40
         self.contacts_ms = dict.fromkeys(self.contacts_ms, -1 << 40)
         self._contacts.woke()
-
-    # -- confirmation --------------------------------------------------------------------------
-
-    def all_confirm(self, key: str, number: int, roles: tuple[str, ...], within_ms: int) -> bool:
-        """Whether every node of these roles heard from lately has this number in force, by its own word or,
-        with fan_out, by that of a voter to whom it reports.
-        """
-        floor_ms = self.node.env.now() - within_ms
-        if any(
-            lows.get(key, number) < number
-            for identity, lows in self._lows.items()
-            if identity in self.confirmed and self.confirmed[identity][1] >= floor_ms
-        ):
-            return False
-        return all(
-            numbers.get(key, 0) >= number
-            for identity, (role, at_ms, numbers, _) in self.confirmed.items()
-            if role in roles
-            and at_ms >= floor_ms
-            and (self._ranks.get(identity) or not self.node.params.fan_out)
-        )
-
-    def roll(self) -> frozenset[str]:
-        """The link addresses of the edges and stores that count."""
-        number = self.number(ROLL_KEY)
-        if number != self._roll[0]:
-            self._roll = (number, frozenset(self.value(ROLL_KEY)["links"]))
-        return self._roll[1]
-
-    @property
-    def binding(self) -> bool:
-        return len(self.roll()) >= LEAST
-
-    def heard_links(self, within_ms: int) -> set[str]:
-        """Edges and stores whose own digests came here lately."""
-        floor_ms = self.node.env.now() - within_ms
-        return {
-            link
-            for role, at_ms, _, link in self.confirmed.values()
-            if role != "control" and at_ms >= floor_ms
-        }
-
-    def most_confirm(self, key: str, number: int, within_ms: int) -> bool:
-        """Whether most of the roll have said lately that they have this number. A roll of fewer than three
-        binds nobody: no edge serves without control by it.
-        """
-        floor_ms = self.node.env.now() - within_ms
-        have = {
-            link
-            for _, at_ms, numbers, link in self.confirmed.values()
-            if at_ms >= floor_ms and numbers.get(key, 0) >= number
-        }
-        roll = self.roll()
-        return not self.binding or 2 * len(roll & have) > len(roll)
-
-    def listened(self, for_ms: int) -> bool:
-        """Whether this node has been awake for so long."""
-        return self.node.env.now() - self._since_ms > for_ms
