--- a/libs/catalogue/src/catalogue/confirmations.py
+++ b/libs/catalogue/src/catalogue/confirmations.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from gazette import Gazette
-from gazette.feed import CONFIRMERS
+from gazette.confirmations import CONFIRMERS
 
 from catalogue.key_states import Done
 from catalogue.messages import Changed
