--- a/libs/catalogue/src/catalogue/worker_list.py
+++ b/libs/catalogue/src/catalogue/worker_list.py
@@ -1,10 +1,8 @@
 """The list of workers, kept as the control key `workers`. Reports reach any control node; what changes
-nothing is only noted, and told to the key's owner with the others each period. The owner makes one change
-of all that came in a short while, takes off who is silent everywhere, and answers a drain once the list is
-on a majority of disks and the edges heard lately have it, or had their time to take it.
+nothing is only noted, and told to the key's owner with the others each period; catalogue.worker_changes is
+what the owner does with them.
 """
 
-import json
 from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any
@@ -12,15 +10,14 @@
 from gazette import Gazette
 from vellum import Arr, Blob, Flag, Message, Origin, Part, Text, decode, encode
 
-from catalogue.messages import Change, Changed, ReadKey
 from catalogue.owner import Owner
 from catalogue.voter import Voter
-from catalogue.worker_rows import WORKERS_KEY, WorkerReport, apply_reports, empty_list, same_row
+from catalogue.worker_changes import Done, Wait, WorkerChanges
+from catalogue.worker_rows import WORKERS_KEY, WorkerReport, same_row
 
 __all__ = ["WorkerList"]
 
 _FINAL = 1 << 62
-Done = Callable[[str], None]
 
 
 class WorkersHeard(Message):
@@ -38,40 +35,18 @@
     ok: Flag
 
 
-class _Wait:
-    __slots__ = ("done", "due_ms", "identity")
-
-    def __init__(self, identity: str, due_ms: int, done: Done) -> None:
-        self.identity, self.due_ms = identity, due_ms
-        self.done: Done | None = done
-
-    def finish(self, outcome: str) -> None:
-        done, self.done = self.done, None
-        if done is not None:
-            done(outcome)
-
-
 class WorkerList(Part):
     __slots__ = (
-        "_busy",
         "_calls",
-        "_changed_at",
-        "_first_ms",
-        "_gazette",
+        "_changes",
         "_heard_ms",
-        "_list",
-        "_list_number",
         "_noted_ms",
-        "_owned_ms",
         "_owner",
         "_pending",
-        "_reports",
-        "_seen_ms",
         "_sent_ms",
         "_seqs",
         "_sure",
         "_voter",
-        "_waits",
     )
     HANDLES = (WorkersHeard, WorkerLeaves)
 
@@ -81,33 +56,23 @@
         """`sure` says whether this node hears a majority of the voters."""
         self._voter = voter
         self._owner = owner
-        self._gazette = gazette
         self._sure = sure
-        self._list: dict[str, Any] = empty_list()
-        self._list_number = 0
+        self._changes = WorkerChanges(owner, gazette)
         # what any node keeps
         self._heard_ms: dict[str, int] = {}
         self._seqs: dict[str, int] = {}
         self._pending: dict[str, WorkerReport] = {}
-        self._calls: list[_Wait] = []
+        self._calls: list[Wait] = []
         self._sent_ms = self._noted_ms = -1 << 40
-        # what the key's owner keeps
-        self._owned_ms = -1
-        self._seen_ms: dict[str, int] = {}
-        self._reports: dict[str, WorkerReport] = {}
-        self._first_ms = 0
-        self._busy = False
-        self._waits: list[_Wait] = []
-        self._changed_at: dict[str, tuple[int, int]] = {}
-        gazette.watch(self._published)
-
-    def _published(self, key: str, number: int, body: str) -> None:
-        if key == WORKERS_KEY and body:
-            self._list, self._list_number = json.loads(body), number
+        gazette.watch(self._changes.published)
+
+    def attach(self, node: Any) -> None:
+        super().attach(node)
+        self._changes.node = node
 
     @property
     def number(self) -> int:
-        return self._list_number
+        return self._changes.number
 
     def rows(self) -> dict[str, dict[str, Any]]:
         """The list as this node has it, with how long ago each was heard here."""
@@ -117,7 +82,7 @@
                 **row,
                 "heard_ms": now_ms - self._heard_ms[name] if name in self._heard_ms else None,
             }
-            for name, row in sorted(self._list["workers"].items())
+            for name, row in sorted(self._changes.value["workers"].items())
         }
 
     # -- any control node ----------------------------------------------------------------------
@@ -133,8 +98,8 @@
         if report.state != "serving":
             self._leave(report, done)
             return
-        row = self._list["workers"].get(name)
-        if name not in self._list["ended"] and (row is None or not same_row(row, report)):
+        row = self._changes.value["workers"].get(name)
+        if name not in self._changes.value["ended"] and (row is None or not same_row(row, report)):
             self._pending[name] = report
             self._sent_ms = min(
                 self._sent_ms, now_ms - self._period_ms() + self.node.params.batch_ms
@@ -163,10 +128,10 @@
         if not self._sure() or address is None:
             done("refused")
             return
-        wait = _Wait(report.identity, self.node.env.now() + self.node.params.answer_ms, done)
+        wait = Wait(report.identity, self.node.env.now() + self.node.params.answer_ms, done)
         self._calls.append(wait)
         if self._mine():
-            self._take_leave(report, wait.finish)
+            self._changes.leave(report, wait.finish)
         else:
             self.node.ask(
                 address,
@@ -192,7 +157,7 @@
         address = self._owner_address()
         if self._mine():
             self._take_heard(message)
-            self._judge_silent(now_ms)
+            self._changes.judge_silent(now_ms)
         elif address is not None:
             self.node.ask(
                 address, message, self._period_ms(), lambda receipt: self._told(receipt, now_ms)
@@ -204,10 +169,7 @@
             del self._heard_ms[name]
             self._seqs.pop(name, None)
             self._pending.pop(name, None)
-        for name in [name for name, at_ms in self._seen_ms.items() if at_ms < floor_ms]:
-            del self._seen_ms[name]
-        for name in [name for name, (_, at_ms) in self._changed_at.items() if at_ms < floor_ms]:
-            del self._changed_at[name]
+        self._changes.forget(floor_ms)
 
     def _told(self, receipt: Any, now_ms: int) -> None:
         if receipt is not None and receipt.ok:
@@ -215,9 +177,9 @@
 
     def _settled(self, report: WorkerReport, now_ms: int) -> bool:
         name = report.identity
-        row = self._list["workers"].get(name)
+        row = self._changes.value["workers"].get(name)
         return (
-            name in self._list["ended"]
+            name in self._changes.value["ended"]
             or (row is not None and (row["seq"] >= report.seq or same_row(row, report)))
             or now_ms - self._heard_ms.get(name, now_ms) > self.node.params.silent_ms
         )
@@ -239,145 +201,13 @@
         if not self._mine():
             self.node.reply(origin, WorkerNoted(ok=False))
             return
-        self._take_leave(
+        self._changes.leave(
             decode(message.report),
             lambda outcome: self.node.reply(origin, WorkerNoted(ok=outcome == "ok")),
         )
 
     def _take_heard(self, message: WorkersHeard) -> None:
-        now_ms = self.node.env.now()
-        for name in message.identities:
-            self._seen_ms[name] = now_ms
-        for data in message.reports:
-            self._gather(decode(data))
-
-    def _take_leave(self, report: WorkerReport, done: Done) -> None:
-        self._gather(report)
-        self._waits.append(
-            _Wait(report.identity, self.node.env.now() + self.node.params.answer_ms, done)
-        )
-
-    def _gather(self, report: WorkerReport) -> None:
-        now_ms = self.node.env.now()
-        if report.state in ("serving", "draining"):
-            self._seen_ms[report.identity] = now_ms
-        held = self._reports.get(report.identity)
-        if not self._reports:
-            self._first_ms = now_ms
-        if (
-            held is None
-            or report.state == "gone"
-            or (held.state != "gone" and report.seq >= held.seq)
-        ):
-            self._reports[report.identity] = report
-
-    def _change(self) -> None:
-        """All that came in a short while as one change; whoever waits is answered when edges have it."""
-        reports, self._reports = self._reports, {}
-        waits, self._waits = self._waits, []
-        self._busy = True
-        self._attempt(reports, waits, 0)
-
-    def _attempt(
-        self, reports: dict[str, WorkerReport], waits: list[_Wait], confirmed_number: int
-    ) -> None:
-        number = self._list_number
-        value, changed = apply_reports(self._list, reports.values())
-        if changed:
-            body = json.dumps(value, sort_keys=True)
-            self._owner.submit(
-                Change(
-                    key=WORKERS_KEY,
-                    version=number,
-                    change_id=self.node.env.token(),
-                    body=body,
-                    hops=0,
-                ),
-                lambda receipt: self._changed(reports, waits, changed, receipt),
-            )
-        elif waits and confirmed_number != number:
-            self._reread(reports, waits)
-        else:
-            self._finish_change(waits)
-
-    def _changed(
-        self,
-        reports: dict[str, WorkerReport],
-        waits: list[_Wait],
-        changed: list[str],
-        receipt: Changed,
-    ) -> None:
-        if receipt.outcome != "ok":
-            self._reread(reports, waits)
-            return
-        self._gazette.publish(WORKERS_KEY, receipt.version, receipt.body)
-        now_ms = self.node.env.now()
-        for name in changed:
-            self._changed_at[name] = (receipt.version, now_ms)
-        self.node.env.log("workers-changed", version=receipt.version, workers=changed)
-        self._finish_change(waits)
-
-    def _reread(self, reports: dict[str, WorkerReport], waits: list[_Wait]) -> None:
-        def told(receipt: Changed) -> None:
-            if receipt.outcome == "ok":
-                self._gazette.publish(WORKERS_KEY, receipt.version, receipt.body)
-                self._attempt(reports, waits, receipt.version)
-                return
-            self._busy = False
-            for wait in waits:
-                wait.finish("doubt")
-            for report in reports.values():
-                if report.identity not in self._reports:
-                    self._gather(report)
-
-        self._owner.submit(ReadKey(key=WORKERS_KEY, hops=0), told)
-
-    def _finish_change(self, waits: list[_Wait]) -> None:
-        self._busy = False
-        self._waits += waits
-        for wait in waits:
-            self._changed_at.setdefault(wait.identity, (self._list_number, self.node.env.now()))
-        self._check_waits()
-
-    def _check_waits(self) -> None:
-        now_ms, params = self.node.env.now(), self.node.params
-        for wait in self._waits:
-            version, at_ms = self._changed_at.get(wait.identity, (0, 0))
-            if (
-                version
-                and wait.identity not in self._reports
-                and (
-                    now_ms - at_ms >= params.edges_ms
-                    or self._gazette.all_confirm(WORKERS_KEY, version, ("edge",), params.confirm_ms)
-                )
-            ):
-                wait.finish("ok")
-            elif now_ms >= wait.due_ms:
-                wait.finish("doubt")
-        self._waits = [wait for wait in self._waits if wait.done is not None]
-
-    def _judge_silent(self, now_ms: int) -> None:
-        """Only by who has owned the key, awake and in touch, for as long as the silence that counts."""
-        silent_ms = self.node.params.silent_ms
-        if self._owned_ms < 0 or now_ms - self._owned_ms <= silent_ms:
-            return
-        for name, row in self._list["workers"].items():
-            if (
-                now_ms - self._seen_ms.get(name, self._owned_ms) > silent_ms
-                and name not in self._reports
-            ):
-                self._gather(
-                    WorkerReport(
-                        identity=name,
-                        address=row["address"],
-                        zone=row["zone"],
-                        label=row["label"],
-                        slots=row["slots"],
-                        state="silent",
-                        seq=row["seq"],
-                        models="[]",
-                    )
-                )
+        self._changes.heard(message.identities, map(decode, message.reports))
 
     # -- the clock -----------------------------------------------------------------------------
 
@@ -389,22 +219,11 @@
         self._calls = [wait for wait in self._calls if wait.done is not None]
         if now_ms - self._sent_ms >= self._period_ms() and self._voter.voters:
             self._tell(now_ms)
-        if not (self._mine() and self._sure()):
-            self._owned_ms = -1
-            return
-        if self._owned_ms < 0:
-            self._owned_ms = now_ms
-        if (
-            self._reports
-            and not self._busy
-            and now_ms - self._first_ms >= self.node.params.batch_ms
-        ):
-            self._change()
-        self._check_waits()
+        self._changes.tick(self._mine() and self._sure())
 
     def woke(self, gap_ms: int) -> None:
-        self._owned_ms = -1
         self._noted_ms = -1 << 40
-        for wait in [*self._calls, *self._waits]:
+        for wait in self._calls:
             wait.finish("doubt")
-        self._calls, self._waits = [], []
+        self._calls = []
+        self._changes.woke()
