--- a/libs/circulation/src/circulation/carrier.py
+++ b/libs/circulation/src/circulation/carrier.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from ledger import messages as m
 from vellum import Part
 
 from circulation.affinity import PartMap
@@ -15,9 +14,12 @@
 from circulation.carriage import Carriage, Send, Sender
 from circulation.chart import Step, Transaction
 from circulation.exchange import Fate
+from circulation.key_asks import ask_close, ask_open
+from circulation.outcomes import log_end, note_failure
 from circulation.pace import Pace
 from circulation.roster import Roster, Worker
 from circulation.sending import allowed_workers, choose_worker, new_exchange, worker_request
+from circulation.silence import silence_fate
 from circulation.waiting import WaitingLine
 
 __all__ = ["Carrier"]
@@ -36,7 +38,7 @@
         "_items_tree",
         "_line",
         "_list_number",
-        "_open",
+        "open",
         "_pace",
         "_roster",
         "_sender",
@@ -74,7 +76,7 @@
         self._list_number = 0
         self._line = WaitingLine()
         self._holder, self._roster, self._tree, self._sender = holder, roster, tree, sender
-        self._open: dict[str, Carriage] = {}
+        self.open: dict[str, Carriage] = {}
         self.by_prefix = True
         self.counts: dict[str, int] = {}
 
@@ -91,12 +93,12 @@
     def carrying(self, lot: bool) -> int:
         return sum(
             1
-            for carriage in self._open.values()
+            for carriage in self.open.values()
             if carriage.call.lot == lot and not carriage.call.rollout
         )
 
     def sends(self) -> list[Send]:
-        return [carriage.send for carriage in self._open.values() if carriage.send is not None]
+        return [carriage.send for carriage in self.open.values() if carriage.send is not None]
 
     def carry(
         self,
@@ -106,15 +108,15 @@
         done: Callable[[Step], None],
     ) -> Carriage:
         carriage = Carriage(self, tx, call, sink, done)
-        self._open[tx.transaction_id] = carriage
-        self._take(carriage, tx.begin())
+        self.open[tx.transaction_id] = carriage
+        self.take(carriage, tx.begin())
         return carriage
 
     # -- steps ---------------------------------------------------------------------------------
 
-    def _take(self, carriage: Carriage, step: Step) -> None:
+    def take(self, carriage: Carriage, step: Step) -> None:
         if step.name == "open":
-            self._ask_open(carriage)
+            ask_open(self, self._holder, carriage)
         elif step.name == "place":
             self._place(carriage)
         elif step.name == "wait":
@@ -122,63 +124,10 @@
         elif step.name == "send":
             self._begin(carriage, step.value)
         elif step.name == "close":
-            self._ask_close(carriage, step)
+            ask_close(self, self._holder, carriage, step)
         else:
             self._finish(carriage, step)
 
-    def _ask_open(self, carriage: Carriage) -> None:
-        tx, node = carriage.tx, self.node
-
-        def told(receipt: Any) -> None:
-            if tx.transaction_id not in self._open:
-                return
-            if receipt is None:
-                self._take(carriage, tx.open_receipt("unknown"))
-            else:
-                self._take(carriage, tx.open_receipt(receipt.outcome, receipt.status, receipt.body))
-
-        left_ms = max(node.params.ask_ms, (tx.due_ms - node.env.now()) // 2)
-        self._holder.ask(
-            m.OpenKey(
-                key=tx.key,
-                digest=carriage.call.digest,
-                edge=self.edge,
-                transaction=tx.transaction_id,
-                epoch=0,
-                holder_ms=0,
-            ),
-            left_ms,
-            told,
-        )
-
-    def _ask_close(self, carriage: Carriage, step: Step) -> None:
-        tx = carriage.tx
-        status, body = step.value if step.value is not None else (0, "")
-
-        def told(receipt: Any) -> None:
-            if receipt is None:
-                self.node.env.log(
-                    "key-left-open",
-                    "WARNING",
-                    transaction=tx.transaction_id,
-                    key=tx.key,
-                    state=step.close_as,
-                )
-            if tx.transaction_id in self._open:
-                self._take(carriage, tx.closed())
-
-        self._holder.ask(
-            m.CloseKey(
-                key=tx.key,
-                transaction=tx.transaction_id,
-                state=step.close_as,
-                status=status,
-                body=body,
-            ),
-            self.node.params.ask_ms * 2,
-            told,
-        )
-
     def _place(self, carriage: Carriage) -> None:
         tx, now_ms = carriage.tx, self.node.env.now()
         workers = self._allowed(carriage)
@@ -196,9 +145,9 @@
             if self.loans is not None:
                 self.loans.starved(workers)
             waits, back_ms = self._may_wait(carriage, workers, now_ms)
-            self._take(carriage, tx.placed(None, bool(workers), waits, back_ms))
+            self.take(carriage, tx.placed(None, bool(workers), waits, back_ms))
         else:
-            self._take(carriage, tx.placed(worker, bool(workers)))
+            self.take(carriage, tx.placed(worker, bool(workers)))
 
     def _may_wait(
         self, carriage: Carriage, workers: list[Worker], now_ms: int, before: int | None = None
@@ -242,14 +191,14 @@
         self._items_tree = tree
         for carriage in old:
             self._items.remove(carriage)
-            self._take(carriage, carriage.tx.placed(None, False))
+            self.take(carriage, carriage.tx.placed(None, False))
         while self._items:
             carriage = self._items[0]
             worker = self._choose(carriage, self._allowed(carriage))
             if worker is None:
                 return
             self._items.popleft()
-            self._take(carriage, carriage.tx.placed(worker, True))
+            self.take(carriage, carriage.tx.placed(worker, True))
 
     def _serve_line(self, path: str) -> bool:
         """Who is due first goes first, as long as there are slots. False once nobody more can go."""
@@ -257,7 +206,7 @@
             worker = self._choose(carriage, self._allowed(carriage))
             if worker is not None:
                 self._line.drop(carriage)
-                self._take(carriage, carriage.tx.placed(worker, True))
+                self.take(carriage, carriage.tx.placed(worker, True))
                 return True
             if not carriage.tx.sends:
                 return False
@@ -273,7 +222,7 @@
             waits, back_ms = self._may_wait(carriage, workers, now_ms, before)
             if not waits:
                 self._line.drop(carriage)
-                self._take(carriage, carriage.tx.placed(None, bool(workers), False, back_ms))
+                self.take(carriage, carriage.tx.placed(None, bool(workers), False, back_ms))
 
     def _allowed(self, carriage: Carriage) -> list[Worker]:
         return allowed_workers(carriage.call, self, carriage.tx, self._roster)
@@ -365,32 +314,19 @@
             tx.begun()
             if send.carriage.head is None:
                 send.carriage.head = send.exchange.told_head()
-            self._take(send.carriage, tx.ended(fate.status, fate.body))
+            self.take(send.carriage, tx.ended(fate.status, fate.body))
         elif fate.name == "ran":
             step = tx.answered(worker.stamp, fate.status, fate.body, self.node.env.now())
             if step.name == "finish":
                 send.carriage.head = send.exchange.told_head()
-            self._take(send.carriage, step)
+            self.take(send.carriage, step)
         elif fate.name == "rejected":
             send.carriage.head = send.carriage.head or send.exchange.told_head()
-            self._take(send.carriage, tx.rejected(fate.status, fate.body))
+            self.take(send.carriage, tx.rejected(fate.status, fate.body))
         else:
-            if fate.mark == "down":
-                self._roster.connection_failed(worker)
-            elif fate.mark == "mismatch":
-                self._roster.mismatched(worker)
-            elif fate.reason == "busy" and not fate.may_have_run:
-                self._roster.full(worker)
             self.count("sends_failed")
-            self.node.env.log(
-                "send-failed",
-                "DEBUG" if fate.mark == "full" else "WARNING",
-                transaction=tx.transaction_id,
-                worker=worker.stamp,
-                reason=fate.reason,
-                may_have_run=fate.may_have_run,
-            )
-            self._take(
+            note_failure(self.node.env, self._roster, send, fate)
+            self.take(
                 send.carriage,
                 tx.failed(worker.stamp, fate.may_have_run, fate.reason, self.node.env.now()),
             )
@@ -401,7 +337,7 @@
 
     def tick(self) -> None:
         now_ms = self.node.env.now()
-        for carriage in list(self._open.values()):
+        for carriage in list(self.open.values()):
             send, tx = carriage.send, carriage.tx
             if send is None:
                 continue
@@ -420,7 +356,7 @@
                     ),
                 )
             elif not carriage.call.kept_when_gone:
-                self._review_send(send, now_ms)
+                self._review_silence(send, now_ms)
             elif tx.safe and not tx.delivered and self._roster.silent(send.worker):
                 self.ended(send, Fate("failed", reason="worker silent"))
         for path in self._line.paths():
@@ -431,28 +367,16 @@
             self._list_number = self._roster.list_number
             self.parts.keep_only(worker.identity for worker in self._roster.all())
 
-    def _review_send(self, send: Send, now_ms: int) -> None:
-        """What may go on elsewhere is taken from a worker that says nothing any more; anything else is left
-        there, since silence does not tell that it has not run.
-        """
-        carriage, params = send.carriage, self.node.params
-        tx, profile, worker = carriage.tx, carriage.tx.profile, send.worker
-        if not tx.can_move or send.connecting or carriage.untaken_bytes > 0:
-            return
-        began = send.heard_ms > send.began_ms
-        silent_ms = min(now_ms - send.heard_ms, worker.silent_ms(now_ms))
-        if silent_ms > self._pace.dark_ms(profile.name, began, params.ask_ms / 2):
-            self.ended(send, Fate("failed", reason="worker dark", mark="down"))
-        elif not carriage.call.lot and now_ms - send.heard_ms > self._pace.patience_ms(
-            params.force_ms, profile.target_ms, profile.token_gap_ms
-        ):
-            self.ended(send, Fate("failed", reason="worker silent"))
+    def _review_silence(self, send: Send, now_ms: int) -> None:
+        fate = silence_fate(self._pace, self.node.params, send, now_ms)
+        if fate is not None:
+            self.ended(send, fate)
 
     # -- ends ----------------------------------------------------------------------------------
 
     def visitor_gone(self, carriage: Carriage) -> None:
         tx = carriage.tx
-        if (not tx.safe and carriage.call.kept_when_gone) or tx.transaction_id not in self._open:
+        if (not tx.safe and carriage.call.kept_when_gone) or tx.transaction_id not in self.open:
             return
         if carriage.send is not None:
             self._over(carriage.send)
@@ -464,29 +388,11 @@
             self._over(carriage.send)
         elif carriage in self._items:
             self._items.remove(carriage)
-        self._open.pop(carriage.tx.transaction_id, None)
+        self.open.pop(carriage.tx.transaction_id, None)
 
     def _finish(self, carriage: Carriage, step: Step) -> None:
         tx = carriage.tx
-        self._open.pop(tx.transaction_id, None)
+        self.open.pop(tx.transaction_id, None)
         self.count(f"steps_{step.name}")
-        self.node.env.log(
-            "transaction-ended",
-            "WARNING"
-            if step.name not in ("finish", "replay", "gone")
-            else "INFO"
-            if carriage.call.kept_when_gone
-            else "DEBUG",
-            transaction=tx.transaction_id,
-            path=tx.profile.name,
-            key=tx.key,
-            state=str(tx.state),
-            sends=tx.sends,
-            took_ms=self.node.env.now() - tx.started_ms,
-            code=step.refusal.code if step.refusal else "",
-            verdict=str(step.refusal.verdict) if step.refusal else "",
-            replayed=step.name == "replay",
-            bytes=len(step.value[1]) if step.name == "finish" else 0,
-            **({"lot": tx.lot[0], "index": tx.lot[1]} if tx.lot else {}),
-        )
+        log_end(self.node.env, carriage, step)
         carriage.done(step)
--- /dev/null
+++ b/libs/circulation/src/circulation/outcomes.py
@@ -0,0 +1,54 @@
+"""What is noted when a send fails and when a transaction ends: the roster's view of the worker, and one log
+line for each.
+"""
+
+from typing import Any
+
+from circulation.carriage import Carriage, Send
+from circulation.chart import Step
+from circulation.exchange import Fate
+from circulation.roster import Roster
+
+__all__ = ["log_end", "note_failure"]
+
+
+def note_failure(env: Any, roster: Roster, send: Send, fate: Fate) -> None:
+    """Tell the roster what the failure says of the worker, and log it."""
+    if fate.mark == "down":
+        roster.connection_failed(send.worker)
+    elif fate.mark == "mismatch":
+        roster.mismatched(send.worker)
+    elif fate.reason == "busy" and not fate.may_have_run:
+        roster.full(send.worker)
+    env.log(
+        "send-failed",
+        "DEBUG" if fate.mark == "full" else "WARNING",
+        transaction=send.carriage.tx.transaction_id,
+        worker=send.worker.stamp,
+        reason=fate.reason,
+        may_have_run=fate.may_have_run,
+    )
+
+
+def log_end(env: Any, carriage: Carriage, step: Step) -> None:
+    """Log how a transaction ended: its state, its sends and the verdict of a refusal."""
+    tx = carriage.tx
+    env.log(
+        "transaction-ended",
+        "WARNING"
+        if step.name not in ("finish", "replay", "gone")
+        else "INFO"
+        if carriage.call.kept_when_gone
+        else "DEBUG",
+        transaction=tx.transaction_id,
+        path=tx.profile.name,
+        key=tx.key,
+        state=str(tx.state),
+        sends=tx.sends,
+        took_ms=env.now() - tx.started_ms,
+        code=step.refusal.code if step.refusal else "",
+        verdict=str(step.refusal.verdict) if step.refusal else "",
+        replayed=step.name == "replay",
+        bytes=len(step.value[1]) if step.name == "finish" else 0,
+        **({"lot": tx.lot[0], "index": tx.lot[1]} if tx.lot else {}),
+    )
--- a/libs/facsimile/src/facsimile/breaks/log.py
+++ b/libs/facsimile/src/facsimile/breaks/log.py
@@ -8,13 +8,13 @@
 
 BREAKS: dict[str, tuple[str, str, str, str]] = {
     "one lot too many": (
-        "ledger/src/ledger/desk.py",
+        "ledger/src/ledger/admission.py",
         "ledger.room_used(message.path) >= room",
         "ledger.room_used(message.path) > room",
         _LOTS + "exact",
     ),
     "late hand-ins are taken": (
-        "ledger/src/ledger/desk.py",
+        "ledger/src/ledger/answers.py",
         "return message.epoch != self._holder.epoch or not 0 <= age_ms <= self.node.params.fresh_ms",
         "return False",
         _LOTS + "late",
--- a/libs/facsimile/src/facsimile/breaks/serving.py
+++ b/libs/facsimile/src/facsimile/breaks/serving.py
@@ -184,7 +184,7 @@
         "tests/test_loans_evening.py -k takes_its_slot",
     ),
     "samples of other edges count as load": (
-        "circulation/src/circulation/roster.py",
+        "circulation/src/circulation/worker.py",
         "self.sending - self.sending_then - self.borrowed_elsewhere)",
         "self.sending - self.sending_then)",
         "tests/test_loans_evening.py -k takes_its_slot",
--- /dev/null
+++ b/libs/ledger/src/ledger/admission.py
@@ -0,0 +1,200 @@
+"""Admission of lots at the holder of the log. It is exact because only the holder admits and it counts what it
+has logged, settled or not. What was refused runs only under a later stamp, so that no late copy of a refused ask
+is taken.
+"""
+
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Any
+
+from vellum import Message, Origin
+
+from ledger import entries as e
+from ledger import messages as m
+from ledger.answers import KEPT, Answers
+from ledger.lot_receipts import lot_receipt
+
+__all__ = ["Admission"]
+
+
+class Admission:
+    """`profiles` gives number and tree of the profiles in force here, `log_ms` the log's own time; `wake` is
+    called when there is something new to deal.
+    """
+
+    __slots__ = ("_answers", "_holder", "_log_ms", "_node", "_profiles", "_refused_ms", "_wake")
+
+    def __init__(
+        self,
+        holder: Any,
+        node: Any,
+        answers: Answers,
+        profiles: Callable[[], tuple[int, Any]],
+        log_ms: Callable[[], int],
+        wake: Callable[[], None],
+    ) -> None:
+        self._holder, self._node, self._answers = holder, node, answers
+        self._profiles, self._log_ms, self._wake = profiles, log_ms, wake
+        self._refused_ms: dict[str, int] = {}
+
+    def receive(self, message: Message, origin: Origin) -> None:
+        self._on(message, origin)
+
+    def sweep(self) -> None:
+        """Refusals are remembered for as long as a stamp from before them may still come."""
+        floor_ms = self._node.env.now() - 2 * self._node.params.fresh_ms
+        self._refused_ms = {
+            lot_id: at_ms for lot_id, at_ms in self._refused_ms.items() if at_ms > floor_ms
+        }
+
+    @singledispatchmethod
+    def _on(self, message: Message, origin: Origin) -> None:
+        raise TypeError(type(message).__name__)
+
+    @_on.register
+    def _(self, message: m.HandIn, origin: Origin) -> None:
+        ledger = self._holder.ledger
+        room = self._profiles()[1].room(message.path)
+        if self._known(message, origin):
+            return
+        if self._answers.stale(message) or message.holder_ms <= self._refused_ms.get(
+            message.lot_id, -1
+        ):
+            self._node.reply(origin, lot_receipt("stale", message.lot_id, None))
+        elif room is None:
+            self._answers.when_confirmed(
+                origin,
+                lambda ok: lot_receipt("no_path" if ok else "unknown", message.lot_id, None),
+            )
+        elif ledger.room_used(message.path) >= room:
+            self._refuse(message, origin)
+        else:
+            self._admit(
+                message,
+                origin,
+                e.LotAdmitted(
+                    lot_id=message.lot_id,
+                    digest=message.digest,
+                    path=message.path,
+                    items=message.items,
+                    safe=message.safe,
+                    due_ms=self._log_ms() + message.due_ms,
+                    at_ms=self._log_ms(),
+                ),
+            )
+
+    @_on.register
+    def _(self, message: m.RolloutHandIn, origin: Origin) -> None:
+        """Rollouts have a waiting room of their own, so that they take none of the lots'."""
+        if self._known(message, origin):
+            return
+        profile = self._profiles()[1].usable(message.path)
+        if self._answers.stale(message) or message.holder_ms <= self._refused_ms.get(
+            message.lot_id, -1
+        ):
+            self._node.reply(origin, lot_receipt("stale", message.lot_id, None))
+        elif profile is None or not profile.loan_share:
+            self._answers.when_confirmed(
+                origin,
+                lambda ok: lot_receipt("no_path" if ok else "unknown", message.lot_id, None),
+            )
+        elif self._holder.ledger.rollouts_open(message.path) >= profile.rollout_room:
+            self._refuse(message, origin)
+        else:
+            self._admit(
+                message,
+                origin,
+                e.RolloutAdmitted(
+                    lot_id=message.lot_id,
+                    digest=message.digest,
+                    path=message.path,
+                    items=message.items,
+                    samples=message.samples,
+                    weights=message.weights,
+                    expires_ms=self._log_ms() + message.due_ms if message.due_ms else 0,
+                    at_ms=self._log_ms(),
+                ),
+            )
+
+    @_on.register
+    def _(self, message: m.ForwardHandIn, origin: Origin) -> None:
+        """The waiting room of a forwarded lot is counted in tokens; profiles that are older here than at the
+        edge refuse nothing.
+        """
+        if self._known(message, origin):
+            return
+        number, tree = self._profiles()
+        profile = tree.usable(message.path)
+        if self._answers.stale(message) or message.holder_ms <= self._refused_ms.get(
+            message.lot_id, -1
+        ):
+            self._node.reply(
+                origin, m.Stale(epoch=self._holder.epoch, holder_ms=self._node.env.now())
+            )
+        elif number < message.version:
+            self._node.reply(origin, lot_receipt("unknown", message.lot_id, None))
+        elif profile is None:
+            self._answers.when_confirmed(
+                origin,
+                lambda ok: lot_receipt("no_path" if ok else "unknown", message.lot_id, None),
+            )
+        elif not self._fits(message, profile.waiting_tokens or 0):
+            self._refuse(message, origin)
+        else:
+            self._admit(
+                message,
+                origin,
+                e.ForwardLotAdmitted(
+                    lot_id=message.lot_id,
+                    digest=message.digest,
+                    path=message.path,
+                    item_ids=message.item_ids,
+                    tokens=message.tokens,
+                    calls=message.calls,
+                    attempts=message.attempts,
+                    due_ms=self._log_ms() + message.due_ms,
+                    expires_ms=self._log_ms() + message.keep_ms,
+                    version=number,
+                    at_ms=self._log_ms(),
+                ),
+            )
+
+    def _fits(self, message: m.ForwardHandIn, most: int) -> bool:
+        return (
+            not most
+            or self._holder.ledger.waiting_tokens.get(message.path, 0) + sum(message.tokens) <= most
+        )
+
+    def _known(self, message: Any, origin: Origin) -> bool:
+        known = self._holder.ledger.lots.get(message.lot_id)
+        if known is not None:
+            same = known.digest == message.digest
+            self._answers.when_settled(
+                origin,
+                lambda ok: lot_receipt(
+                    "unknown" if not ok else "known" if same else "conflict", message.lot_id, known
+                ),
+            )
+        return known is not None
+
+    def _refuse(self, message: Any, origin: Origin) -> None:
+        self._refused_ms[message.lot_id] = message.holder_ms
+        self._answers.when_confirmed(
+            origin, lambda ok: lot_receipt("no_room" if ok else "unknown", message.lot_id, None)
+        )
+
+    def _admit(self, message: Any, origin: Origin, entry: Message) -> None:
+        ledger = self._holder.ledger
+        taken = self._answers.log(
+            origin,
+            [entry],
+            lambda outcome: lot_receipt(
+                "admitted" if outcome == KEPT else outcome,
+                message.lot_id,
+                ledger.lots.get(message.lot_id),
+            ),
+        )
+        if taken and isinstance(entry, e.ForwardLotAdmitted):
+            self._wake()
+        elif not taken:
+            self._refused_ms[message.lot_id] = message.holder_ms
--- a/libs/ledger/src/ledger/dealing.py
+++ b/libs/ledger/src/ledger/dealing.py
@@ -5,7 +5,6 @@
 that finds nothing to do is held for a beat's time, so that forwarded items are dealt as they come.
 """
 
-import math
 from collections.abc import Callable
 from typing import Any
 
@@ -15,6 +14,7 @@
 from ledger import messages as m
 from ledger.endings import Endings
 from ledger.lots import Lot
+from ledger.picking import Picker
 
 __all__ = ["Dealer"]
 
@@ -50,6 +50,7 @@
         "_log_ms",
         "_node",
         "_outlook",
+        "_picker",
         "_since_ms",
     )
 
@@ -72,6 +73,7 @@
         self._gone: set[str] = set()
         self._held: dict[str, _Held] = {}
         self._claimed_ms: dict[tuple[str, int], int] = {}
+        self._picker = Picker(holder, node, log_ms, outlook, lambda: self._rollouts()[1])
         self._endings = Endings(holder, node, log_ms, profiles, woke, self._live)
 
     def beat(self, message: m.EdgeBeat, reply: Reply) -> None:
@@ -118,7 +120,7 @@
         for lot in list(ledger.opened.values()):
             if lot.ready > lot.placed and not self._live(lot.baton_edge):
                 self._pass_baton(lot, message.edge)
-        work, safe_only = self._pick(message)
+        work, safe_only = self._picker.pick(message, self._live_edges)
         waiting, paths = self._waiting()
         samples_out, recalled = self._rollouts()
         lends = isinstance(message, m.RolloutBeat)
@@ -216,86 +218,8 @@
         if rows:
             self._holder.append(rows, False, lambda outcome: None, True)
 
-    def _pick(self, message: m.EdgeBeat) -> tuple[list[Any], bool]:
-        """The lots due first, as many items as the edge has room for; of forwarded ones no more than its share
-        of what waits, as others have room too.
-        """
-        work: list[Any] = []
-        safe_only = True
-        if isinstance(message, m.RolloutBeat) and self._outlook is not None:
-            self._outlook.heard(message, self._node.env.now())
-        if not message.room:
-            return self._pick_samples(message, work), safe_only
-        lots = sorted(
-            (
-                lot
-                for lot in self._holder.ledger.opened.values()
-                if lot.pending and lot.path in message.paths and not lot.rollout
-            ),
-            key=lambda lot: (lot.due_ms, lot.at_ms, lot.lot_id),
-        )
-        waiting = sum(len(lot.pending) for lot in lots if lot.forward)
-        share = math.ceil(waiting / max(1, sum(1 for edge in self._edges if self._live(edge))))
-        for lot in lots:
-            for index in lot.pending:
-                if len(work) >= message.room:
-                    return work, safe_only
-                if lot.forward:
-                    if share <= 0:
-                        break
-                    share -= 1
-                    work.append(self._forward_work(lot, index))
-                else:
-                    item = lot.items[index]
-                    work.append(
-                        m.Work(
-                            lot_id=lot.lot_id,
-                            index=index,
-                            number=item.number + 1,
-                            path=lot.path,
-                            safe=lot.safe,
-                            body=item.body,
-                            due_ms=lot.due_ms,
-                        )
-                    )
-                    safe_only = safe_only and lot.safe
-        return self._pick_samples(message, work), safe_only
-
-    def _pick_samples(self, message: m.EdgeBeat | m.RolloutBeat, work: list[Any]) -> list[Any]:
-        """Samples take what is left: none beside items that go to this edge, nor while a lot may come late."""
-        if (
-            work
-            or not isinstance(message, m.RolloutBeat)
-            or not message.sample_room
-            or self._rollouts()[1]
-        ):
-            return work
-        rollouts = [
-            lot
-            for lot in self._holder.ledger.opened.values()
-            if lot.rollout and lot.pending and lot.path in message.sample_paths
-        ]
-        samples: list[Any] = []
-        for lot in sorted(
-            rollouts, key=lambda lot: (lot.expires_ms or math.inf, lot.at_ms, lot.lot_id)
-        ):
-            for index in lot.pending:
-                if len(samples) >= message.sample_room:
-                    return samples
-                prompt, sample = divmod(index, lot.samples)
-                samples.append(
-                    m.RolloutWork(
-                        lot_id=lot.lot_id,
-                        index=index,
-                        number=lot.items[index].number + 1,
-                        path=lot.path,
-                        body=lot.items[index].body,
-                        prompt=prompt,
-                        sample=sample,
-                        weights=lot.weights,
-                    )
-                )
-        return samples
+    def _live_edges(self) -> int:
+        return sum(1 for edge in self._edges if self._live(edge))
 
     def _end_rollouts(self) -> None:
         """Those whose deadline has passed; what is listed stays."""
@@ -309,18 +233,6 @@
             self._node.env.log("rollouts-out-of-time", lots=[row.lot_id for row in rows])
             self._holder.append(rows, True, lambda outcome: self.wake(), True)
 
-    def _forward_work(self, lot: Lot, index: int) -> m.ForwardWork:
-        item = lot.items[index]
-        return m.ForwardWork(
-            lot_id=lot.lot_id,
-            index=index,
-            number=item.number + 1,
-            path=lot.path,
-            call=item.body,
-            avoid=list(item.failed_at),
-            left_ms=max(0, lot.expires_ms - self._log_ms()),
-        )
-
     def end_items(self, message: m.EndItems, reply: Reply) -> None:
         """What an edge's forwarded items came to; all of it in one append."""
         self._edges[message.edge] = self._node.env.now()
--- a/libs/ledger/src/ledger/desk.py
+++ b/libs/ledger/src/ledger/desk.py
@@ -12,60 +12,34 @@
 
 from ledger import entries as e
 from ledger import messages as m
+from ledger.admission import Admission
+from ledger.answers import KEPT, Answers
 from ledger.dealing import Dealer
 from ledger.fold import Ledger
+from ledger.lot_receipts import LotReader, lot_receipt
 from ledger.lots import Lot
 from ledger.reading import Reading
 
 __all__ = ["Desk"]
 
-_KEPT = "kept"
-_PAGE_BYTES = 1 << 20
 _LOT_KEEP_FACTOR = 7
 
 
-def _lot_receipt(outcome: str, lot_id: str, lot: Lot | None) -> m.LotReceipt:
-    if lot is None:
-        return m.LotReceipt(
-            outcome=outcome,
-            lot_id=lot_id,
-            digest="",
-            path="",
-            total=0,
-            finished=0,
-            placed=0,
-            running=0,
-            due_ms=0,
-            ended=False,
-        )
-    running = 0 if lot.ended else len(lot.claims)
-    return m.LotReceipt(
-        outcome=outcome,
-        lot_id=lot_id,
-        digest=lot.digest,
-        path=lot.path,
-        total=lot.total,
-        finished=lot.total - lot.left,
-        placed=lot.placed,
-        running=running,
-        due_ms=lot.due_ms,
-        ended=lot.ended,
-    )
-
-
 class Desk(Part):
     """`profiles` gives number and tree of the profiles in force here; `who_holds` gives the holder's epoch
     and address as far as this store knows.
     """
 
     __slots__ = (
+        "_admission",
+        "_answers",
         "_base_ms",
         "_dealer",
         "_holder",
+        "_lots",
         "_office_ms",
         "_profiles",
         "_reading",
-        "_refused_ms",
         "_settled",
         "_swept_ms",
         "_who_holds",
@@ -104,9 +78,11 @@
         self._holder: Any = None
         self._dealer: Dealer | None = None
         self._reading: Reading | None = None
+        self._answers: Answers | None = None
+        self._admission: Admission | None = None
+        self._lots: LotReader | None = None
         self._swept_ms = 0
         self._base_ms = self._office_ms = 0
-        self._refused_ms: dict[str, int] = {}
         self.counts: dict[str, int] = {}
         self.shelves: Any = None
         self.make_outlook: Callable[[], Any] | None = None
@@ -118,7 +94,6 @@
             if part is not None:
                 part.stop(self._not_holder())
         self._holder = holder
-        self._refused_ms.clear()
         self._office_ms = self.node.env.now()
         self._dealer = self._reading = None
         if holder is not None:
@@ -137,6 +112,16 @@
                 self._reading.wake,
                 self.make_outlook() if self.make_outlook is not None else None,
             )
+            self._answers = Answers(holder, self.node)
+            self._admission = Admission(
+                holder, self.node, self._answers, self._profiles, self._log_ms, self._dealer.wake
+            )
+            self._lots = LotReader(
+                holder,
+                self._settled,
+                lambda: self.shelves,
+                lambda kind, name: self.mend(kind, name),
+            )
 
     def _not_holder(self) -> m.NotHolder:
         epoch, address = self._who_holds()
@@ -158,240 +143,54 @@
             Counter(lot.path for lot in self._holder.ledger.opened.values() if not lot.rollout)
         )
 
-    def _stale(self, message: Any) -> bool:
-        """A stamp of another holder or of long ago: the ask may be one that was given up."""
-        age_ms = self.node.env.now() - message.holder_ms
-        return message.epoch != self._holder.epoch or not 0 <= age_ms <= self.node.params.fresh_ms
-
     @singledispatchmethod
     def _on(self, message: Message, origin: Origin) -> None:
         raise TypeError(type(message).__name__)
 
     # -- lots ----------------------------------------------------------------------------------
 
-    @_on.register
-    def _(self, message: m.HandIn, origin: Origin) -> None:
-        ledger = self._holder.ledger
-        room = self._profiles()[1].room(message.path)
-        if self._known(message, origin):
-            return
-        if self._stale(message) or message.holder_ms <= self._refused_ms.get(message.lot_id, -1):
-            self.node.reply(origin, _lot_receipt("stale", message.lot_id, None))
-        elif room is None:
-            self._when_confirmed(
-                origin,
-                lambda ok: _lot_receipt("no_path" if ok else "unknown", message.lot_id, None),
-            )
-        elif ledger.room_used(message.path) >= room:
-            self._refuse(message, origin)
-        else:
-            self._admit(
-                message,
-                origin,
-                e.LotAdmitted(
-                    lot_id=message.lot_id,
-                    digest=message.digest,
-                    path=message.path,
-                    items=message.items,
-                    safe=message.safe,
-                    due_ms=self._log_ms() + message.due_ms,
-                    at_ms=self._log_ms(),
-                ),
-            )
-
-    @_on.register
-    def _(self, message: m.RolloutHandIn, origin: Origin) -> None:
-        """Rollouts have a waiting room of their own, so that they take none of the lots'."""
-        if self._known(message, origin):
-            return
-        profile = self._profiles()[1].usable(message.path)
-        if self._stale(message) or message.holder_ms <= self._refused_ms.get(message.lot_id, -1):
-            self.node.reply(origin, _lot_receipt("stale", message.lot_id, None))
-        elif profile is None or not profile.loan_share:
-            self._when_confirmed(
-                origin,
-                lambda ok: _lot_receipt("no_path" if ok else "unknown", message.lot_id, None),
-            )
-        elif self._holder.ledger.rollouts_open(message.path) >= profile.rollout_room:
-            self._refuse(message, origin)
-        else:
-            self._admit(
-                message,
-                origin,
-                e.RolloutAdmitted(
-                    lot_id=message.lot_id,
-                    digest=message.digest,
-                    path=message.path,
-                    items=message.items,
-                    samples=message.samples,
-                    weights=message.weights,
-                    expires_ms=self._log_ms() + message.due_ms if message.due_ms else 0,
-                    at_ms=self._log_ms(),
-                ),
-            )
-
-    @_on.register
-    def _(self, message: m.ForwardHandIn, origin: Origin) -> None:
-        """The waiting room of a forwarded lot is counted in tokens; profiles that are older here than at the
-        edge refuse nothing.
-        """
-        if self._known(message, origin):
-            return
-        number, tree = self._profiles()
-        profile = tree.usable(message.path)
-        if self._stale(message) or message.holder_ms <= self._refused_ms.get(message.lot_id, -1):
-            self.node.reply(
-                origin, m.Stale(epoch=self._holder.epoch, holder_ms=self.node.env.now())
-            )
-        elif number < message.version:
-            self.node.reply(origin, _lot_receipt("unknown", message.lot_id, None))
-        elif profile is None:
-            self._when_confirmed(
-                origin,
-                lambda ok: _lot_receipt("no_path" if ok else "unknown", message.lot_id, None),
-            )
-        elif not self._fits(message, profile.waiting_tokens or 0):
-            self._refuse(message, origin)
-        else:
-            self._admit(
-                message,
-                origin,
-                e.ForwardLotAdmitted(
-                    lot_id=message.lot_id,
-                    digest=message.digest,
-                    path=message.path,
-                    item_ids=message.item_ids,
-                    tokens=message.tokens,
-                    calls=message.calls,
-                    attempts=message.attempts,
-                    due_ms=self._log_ms() + message.due_ms,
-                    expires_ms=self._log_ms() + message.keep_ms,
-                    version=number,
-                    at_ms=self._log_ms(),
-                ),
-            )
-
-    def _fits(self, message: m.ForwardHandIn, most: int) -> bool:
-        return (
-            not most
-            or self._holder.ledger.waiting_tokens.get(message.path, 0) + sum(message.tokens) <= most
-        )
-
-    def _known(self, message: Any, origin: Origin) -> bool:
-        known = self._holder.ledger.lots.get(message.lot_id)
-        if known is not None:
-            same = known.digest == message.digest
-            self._when_settled(
-                origin,
-                lambda ok: _lot_receipt(
-                    "unknown" if not ok else "known" if same else "conflict", message.lot_id, known
-                ),
-            )
-        return known is not None
-
-    def _refuse(self, message: Any, origin: Origin) -> None:
-        self._refused_ms[message.lot_id] = message.holder_ms
-        self._when_confirmed(
-            origin, lambda ok: _lot_receipt("no_room" if ok else "unknown", message.lot_id, None)
-        )
-
-    def _admit(self, message: Any, origin: Origin, entry: Message) -> None:
-        ledger = self._holder.ledger
-        taken = self._log(
-            origin,
-            [entry],
-            lambda outcome: _lot_receipt(
-                "admitted" if outcome == _KEPT else outcome,
-                message.lot_id,
-                ledger.lots.get(message.lot_id),
-            ),
-        )
-        if taken and isinstance(entry, e.ForwardLotAdmitted):
-            self._dealer.wake()
-        elif not taken:
-            self._refused_ms[message.lot_id] = message.holder_ms
+    @_on.register(m.HandIn)
+    @_on.register(m.RolloutHandIn)
+    @_on.register(m.ForwardHandIn)
+    def _(self, message: Message, origin: Origin) -> None:
+        self._admission.receive(message, origin)
 
     @_on.register
     def _(self, message: m.ReadLot, origin: Origin) -> None:
-        self._when_confirmed(
+        self._answers.when_confirmed(
             origin,
             lambda ok: (
-                self._lot_now(message.lot_id)
+                self._lots.lot(message.lot_id)
                 if ok
-                else _lot_receipt("unknown", message.lot_id, None)
+                else lot_receipt("unknown", message.lot_id, None)
             ),
         )
 
-    def _lot_now(self, lot_id: str) -> m.LotReceipt:
-        lot = self._settled().lots.get(lot_id)
-        if lot is None and lot_id in self._holder.ledger.lots:
-            return _lot_receipt("unknown", lot_id, None)
-        return _lot_receipt("known" if lot else "missing", lot_id, lot)
-
     @_on.register
     def _(self, message: m.ReadResults, origin: Origin) -> None:
-        self._when_confirmed(
+        self._answers.when_confirmed(
             origin,
             lambda ok: (
-                self._page(message)
+                self._lots.results(message)
                 if ok
                 else m.ResultsReceipt(outcome="unknown", rows=[], placed=0, total=0, ended=False)
             ),
         )
 
-    def _page(self, message: m.ReadResults) -> m.ResultsReceipt:
-        lot = self._settled().lots.get(message.lot_id)
-        if lot is None:
-            outcome = "unknown" if message.lot_id in self._holder.ledger.lots else "missing"
-            return m.ResultsReceipt(outcome=outcome, rows=[], placed=0, total=0, ended=False)
-        if message.from_index > lot.total:
-            return m.ResultsReceipt(
-                outcome="beyond", rows=[], placed=lot.placed, total=lot.total, ended=lot.ended
-            )
-        rows = self._shelved(lot, message) if lot.shelf is not None else self._held(lot, message)
-        if rows is None:
-            self.mend("lot", lot.lot_id)
-            return m.ResultsReceipt(outcome="unknown", rows=[], placed=0, total=0, ended=False)
-        return m.ResultsReceipt(
-            outcome="known", rows=rows, placed=lot.placed, total=lot.total, ended=lot.ended
-        )
-
-    def _shelved(self, lot: Lot, message: m.ReadResults) -> list[bytes] | None:
-        rows: list[bytes] = []
-        while len(rows) < message.limit and sum(map(len, rows)) <= _PAGE_BYTES:
-            more = self.shelves.results(
-                lot, message.from_index + len(rows), message.limit - len(rows)
-            )
-            if more is None:
-                return None
-            if not more:
-                break
-            rows += more
-        return rows
-
-    def _held(self, lot: Lot, message: m.ReadResults) -> list[bytes]:
-        rows, size_bytes = [], 0
-        for index in range(message.from_index, min(lot.placed, message.from_index + message.limit)):
-            rows.append(lot.row(index))
-            size_bytes += len(rows[-1])
-            if size_bytes > _PAGE_BYTES:
-                break
-        return rows
-
     @_on.register
     def _(self, message: m.EndLot, origin: Origin) -> None:
         lot = self._holder.ledger.lots.get(message.lot_id)
         if lot is None:
-            self._when_confirmed(
+            self._answers.when_confirmed(
                 origin,
-                lambda ok: _lot_receipt("missing" if ok else "unknown", message.lot_id, None),
+                lambda ok: lot_receipt("missing" if ok else "unknown", message.lot_id, None),
             )
         elif not lot.open:
-            self._when_settled(
-                origin, lambda ok: _lot_receipt("known" if ok else "unknown", message.lot_id, lot)
+            self._answers.when_settled(
+                origin, lambda ok: lot_receipt("known" if ok else "unknown", message.lot_id, lot)
             )
         else:
-            self._log(
+            self._answers.log(
                 origin,
                 [e.LotEnded(lot_id=message.lot_id, at_ms=self._log_ms())],
                 lambda outcome: self._ended(lot, outcome),
@@ -399,10 +198,10 @@
             )
 
     def _ended(self, lot: Lot, outcome: str) -> m.LotReceipt:
-        if self._dealer is not None and outcome == _KEPT:
+        if self._dealer is not None and outcome == KEPT:
             self._dealer.wake()
             self._reading.wake({lot.lot_id})
-        return _lot_receipt("known" if outcome == _KEPT else outcome, lot.lot_id, lot)
+        return lot_receipt("known" if outcome == KEPT else outcome, lot.lot_id, lot)
 
     @_on.register
     def _(self, message: m.ReadPage, origin: Origin) -> None:
@@ -440,10 +239,10 @@
         if not may:
             self.node.reply(origin, m.FinishReceipt(ok=False, baton_epoch=0, up_to=0))
             return
-        self._log(
+        self._answers.log(
             origin,
             [e.ResultsPlaced(lot_id=message.lot_id, up_to=message.up_to, epoch=message.epoch)],
-            lambda outcome: m.FinishReceipt(ok=outcome == _KEPT, baton_epoch=0, up_to=0),
+            lambda outcome: m.FinishReceipt(ok=outcome == KEPT, baton_epoch=0, up_to=0),
             urgent=True,
         )
 
@@ -467,13 +266,13 @@
                 self.mend("key", message.key)
                 self.node.reply(origin, m.KeyReceipt(outcome="unknown", status=0, body=""))
                 return
-            self._when_settled(
+            self._answers.when_settled(
                 origin,
                 lambda ok: m.KeyReceipt(
                     outcome=outcome if ok else "unknown", status=key.status, body=body
                 ),
             )
-        elif self._stale(message):
+        elif self._answers.stale(message):
             self.node.reply(origin, m.KeyReceipt(outcome="stale", status=0, body=""))
         else:
             entry = e.KeyOpened(
@@ -483,11 +282,11 @@
                 transaction=message.transaction,
                 at_ms=self._log_ms(),
             )
-            self._log(
+            self._answers.log(
                 origin,
                 [entry],
                 lambda outcome: m.KeyReceipt(
-                    outcome="opened" if outcome == _KEPT else outcome, status=0, body=""
+                    outcome="opened" if outcome == KEPT else outcome, status=0, body=""
                 ),
             )
 
@@ -495,7 +294,7 @@
     def _(self, message: m.CloseKey, origin: Origin) -> None:
         key = self._holder.ledger.keys.get(message.key)
         if key is None or key.transaction != message.transaction or key.state == message.state:
-            self._when_settled(
+            self._answers.when_settled(
                 origin,
                 lambda ok: m.KeyReceipt(outcome="known" if ok else "unknown", status=0, body=""),
             )
@@ -508,44 +307,17 @@
             body=message.body,
             at_ms=self._log_ms(),
         )
-        self._log(
+        self._answers.log(
             origin,
             [entry],
             lambda outcome: m.KeyReceipt(
-                outcome="known" if outcome == _KEPT else outcome, status=0, body=""
+                outcome="known" if outcome == KEPT else outcome, status=0, body=""
             ),
             urgent=True,
         )
 
     # -- common --------------------------------------------------------------------------------
 
-    def _log(
-        self,
-        origin: Origin,
-        rows: list[Message],
-        make: Callable[[str], Message],
-        urgent: bool = False,
-    ) -> bool:
-        """A refusal for want of room counts only if this store still was the holder when it refused."""
-
-        def logged(outcome: str) -> None:
-            if outcome == "full":
-                self._holder.read(
-                    lambda ok: self.node.reply(origin, make("full" if ok else "unknown"))
-                )
-            else:
-                self.node.reply(origin, make(str(outcome)))
-
-        return self._holder.append(rows, True, logged, urgent)
-
-    def _when_settled(self, origin: Origin, make: Callable[[bool], Message]) -> None:
-        self._holder.append(
-            [], True, lambda outcome: self.node.reply(origin, make(outcome == _KEPT)), True
-        )
-
-    def _when_confirmed(self, origin: Origin, make: Callable[[bool], Message]) -> None:
-        self._holder.read(lambda ok: self.node.reply(origin, make(ok)))
-
     def tick(self) -> None:
         if self._dealer is None or self._holder.deposed:
             return
@@ -554,10 +326,7 @@
         now_ms = self.node.env.now()
         if now_ms - self._swept_ms > self.node.params.resume_ms:
             self._swept_ms = now_ms
-            floor_ms = now_ms - 2 * self.node.params.fresh_ms
-            self._refused_ms = {
-                lot_id: at_ms for lot_id, at_ms in self._refused_ms.items() if at_ms > floor_ms
-            }
+            self._admission.sweep()
             self._forget()
 
     def _log_ms(self) -> int:
--- /dev/null
+++ b/libs/ledger/src/ledger/lot_receipts.py
@@ -0,0 +1,104 @@
+"""What callers are told of a lot: its receipt, and pages of its results, from memory or from the shelves."""
+
+from collections.abc import Callable
+from typing import Any
+
+from ledger import messages as m
+from ledger.fold import Ledger
+from ledger.lots import Lot
+
+__all__ = ["LotReader", "lot_receipt"]
+
+_PAGE_BYTES = 1 << 20
+
+
+def lot_receipt(outcome: str, lot_id: str, lot: Lot | None) -> m.LotReceipt:
+    if lot is None:
+        return m.LotReceipt(
+            outcome=outcome,
+            lot_id=lot_id,
+            digest="",
+            path="",
+            total=0,
+            finished=0,
+            placed=0,
+            running=0,
+            due_ms=0,
+            ended=False,
+        )
+    running = 0 if lot.ended else len(lot.claims)
+    return m.LotReceipt(
+        outcome=outcome,
+        lot_id=lot_id,
+        digest=lot.digest,
+        path=lot.path,
+        total=lot.total,
+        finished=lot.total - lot.left,
+        placed=lot.placed,
+        running=running,
+        due_ms=lot.due_ms,
+        ended=lot.ended,
+    )
+
+
+class LotReader:
+    """Answers from what is settled; what only the holder's log has is not known yet. `mend` is told of a lot whose
+    shelf can't be read.
+    """
+
+    __slots__ = ("_holder", "_mend", "_settled", "_shelves")
+
+    def __init__(
+        self,
+        holder: Any,
+        settled: Callable[[], Ledger],
+        shelves: Callable[[], Any],
+        mend: Callable[[str, str], None],
+    ) -> None:
+        self._holder, self._settled = holder, settled
+        self._shelves, self._mend = shelves, mend
+
+    def lot(self, lot_id: str) -> m.LotReceipt:
+        lot = self._settled().lots.get(lot_id)
+        if lot is None and lot_id in self._holder.ledger.lots:
+            return lot_receipt("unknown", lot_id, None)
+        return lot_receipt("known" if lot else "missing", lot_id, lot)
+
+    def results(self, message: m.ReadResults) -> m.ResultsReceipt:
+        lot = self._settled().lots.get(message.lot_id)
+        if lot is None:
+            outcome = "unknown" if message.lot_id in self._holder.ledger.lots else "missing"
+            return m.ResultsReceipt(outcome=outcome, rows=[], placed=0, total=0, ended=False)
+        if message.from_index > lot.total:
+            return m.ResultsReceipt(
+                outcome="beyond", rows=[], placed=lot.placed, total=lot.total, ended=lot.ended
+            )
+        rows = self._shelved(lot, message) if lot.shelf is not None else self._held(lot, message)
+        if rows is None:
+            self._mend("lot", lot.lot_id)
+            return m.ResultsReceipt(outcome="unknown", rows=[], placed=0, total=0, ended=False)
+        return m.ResultsReceipt(
+            outcome="known", rows=rows, placed=lot.placed, total=lot.total, ended=lot.ended
+        )
+
+    def _shelved(self, lot: Lot, message: m.ReadResults) -> list[bytes] | None:
+        rows: list[bytes] = []
+        while len(rows) < message.limit and sum(map(len, rows)) <= _PAGE_BYTES:
+            more = self._shelves().results(
+                lot, message.from_index + len(rows), message.limit - len(rows)
+            )
+            if more is None:
+                return None
+            if not more:
+                break
+            rows += more
+        return rows
+
+    def _held(self, lot: Lot, message: m.ReadResults) -> list[bytes]:
+        rows, size_bytes = [], 0
+        for index in range(message.from_index, min(lot.placed, message.from_index + message.limit)):
+            rows.append(lot.row(index))
+            size_bytes += len(rows[-1])
+            if size_bytes > _PAGE_BYTES:
+                break
+        return rows
--- /dev/null
+++ b/libs/ledger/src/ledger/picking.py
@@ -0,0 +1,122 @@
+"""Which items an edge is dealt: of the lots due first, forwarded ones up to its share of what waits, and samples
+of rollouts only with what is left.
+"""
+
+import math
+from collections.abc import Callable
+from typing import Any
+
+from ledger import messages as m
+from ledger.lots import Lot
+
+__all__ = ["Picker"]
+
+
+class Picker:
+    """`outlook` hears of each edge's slots; `recalled` says whether a lot may come late beside rollouts."""
+
+    __slots__ = ("_holder", "_log_ms", "_node", "_outlook", "_recalled")
+
+    def __init__(
+        self,
+        holder: Any,
+        node: Any,
+        log_ms: Callable[[], int],
+        outlook: Any,
+        recalled: Callable[[], bool],
+    ) -> None:
+        self._holder, self._node, self._log_ms = holder, node, log_ms
+        self._outlook, self._recalled = outlook, recalled
+
+    def pick(self, message: m.EdgeBeat, live_edges: Callable[[], int]) -> tuple[list[Any], bool]:
+        """The lots due first, as many items as the edge has room for; of forwarded ones no more than its share
+        of what waits, as others have room too.
+        """
+        work: list[Any] = []
+        safe_only = True
+        if isinstance(message, m.RolloutBeat) and self._outlook is not None:
+            self._outlook.heard(message, self._node.env.now())
+        if not message.room:
+            return self._pick_samples(message, work), safe_only
+        lots = sorted(
+            (
+                lot
+                for lot in self._holder.ledger.opened.values()
+                if lot.pending and lot.path in message.paths and not lot.rollout
+            ),
+            key=lambda lot: (lot.due_ms, lot.at_ms, lot.lot_id),
+        )
+        waiting = sum(len(lot.pending) for lot in lots if lot.forward)
+        share = math.ceil(waiting / max(1, live_edges()))
+        for lot in lots:
+            for index in lot.pending:
+                if len(work) >= message.room:
+                    return work, safe_only
+                if lot.forward:
+                    if share <= 0:
+                        break
+                    share -= 1
+                    work.append(self._forward_work(lot, index))
+                else:
+                    item = lot.items[index]
+                    work.append(
+                        m.Work(
+                            lot_id=lot.lot_id,
+                            index=index,
+                            number=item.number + 1,
+                            path=lot.path,
+                            safe=lot.safe,
+                            body=item.body,
+                            due_ms=lot.due_ms,
+                        )
+                    )
+                    safe_only = safe_only and lot.safe
+        return self._pick_samples(message, work), safe_only
+
+    def _pick_samples(self, message: m.EdgeBeat | m.RolloutBeat, work: list[Any]) -> list[Any]:
+        """Samples take what is left: none beside items that go to this edge, nor while a lot may come late."""
+        if (
+            work
+            or not isinstance(message, m.RolloutBeat)
+            or not message.sample_room
+            or self._recalled()
+        ):
+            return work
+        rollouts = [
+            lot
+            for lot in self._holder.ledger.opened.values()
+            if lot.rollout and lot.pending and lot.path in message.sample_paths
+        ]
+        samples: list[Any] = []
+        for lot in sorted(
+            rollouts, key=lambda lot: (lot.expires_ms or math.inf, lot.at_ms, lot.lot_id)
+        ):
+            for index in lot.pending:
+                if len(samples) >= message.sample_room:
+                    return samples
+                prompt, sample = divmod(index, lot.samples)
+                samples.append(
+                    m.RolloutWork(
+                        lot_id=lot.lot_id,
+                        index=index,
+                        number=lot.items[index].number + 1,
+                        path=lot.path,
+                        body=lot.items[index].body,
+                        prompt=prompt,
+                        sample=sample,
+                        weights=lot.weights,
+                    )
+                )
+        return samples
+
+    def _forward_work(self, lot: Lot, index: int) -> m.ForwardWork:
+        item = lot.items[index]
+        return m.ForwardWork(
+            lot_id=lot.lot_id,
+            index=index,
+            number=item.number + 1,
+            path=lot.path,
+            call=item.body,
+            avoid=list(item.failed_at),
+            left_ms=max(0, lot.expires_ms - self._log_ms()),
+        )
--- /dev/null
+++ b/tests/forward_ledger_stage.py
@@ -0,0 +1,183 @@
+"""What the tests of forwarded lots at the holder share: a desk with a clock, on a holder of the log whose
+appends settle when the test says so.
+"""
+
+from types import SimpleNamespace
+
+from ledger import Ledger
+from ledger import messages as m
+from ledger.desk import Desk
+from vellum import Origin, decode, encode
+
+PARAMS = SimpleNamespace(
+    beat_ms=200,
+    dead_ms=1000,
+    reclaim_ms=3300,
+    ask_ms=500,
+    fresh_ms=1000,
+    resume_ms=12000,
+    keep_ms=60_000,
+)
+
+
+class AloneHolder:
+    """A holder of the log whose appends settle when the test says so."""
+
+    def __init__(self):
+        self.epoch, self.deposed = 1, False
+        self.ledger, self.settled = Ledger(), Ledger()
+        self.full = self.by_hand = False
+        self.unsettled = []
+
+    def append(self, rows, settled, done, urgent=False):
+        if self.full and not urgent:
+            done("full")
+            return False
+        for row in rows:
+            self.ledger.apply(decode(encode(row)))
+        self.unsettled.append((rows, done))
+        if not self.by_hand:
+            self.settle()
+        return True
+
+    def settle(self):
+        rows, self.unsettled = self.unsettled, []
+        for entries, done in rows:
+            for row in entries:
+                self.settled.apply(decode(encode(row)))
+            done("kept")
+
+    def read(self, done):
+        done(True)
+
+
+class Tree:
+    """Two routes; one of them has room for a hundred tokens."""
+
+    def __init__(self, *names):
+        self.names = names or ("route/a", "route/b")
+
+    def usable(self, name):
+        return (
+            SimpleNamespace(attempts=3, waiting_tokens=100 if name == "route/a" else 0)
+            if name in self.names
+            else None
+        )
+
+    def room(self, name):
+        return None
+
+
+class Bench:
+    """A desk with a clock, asked directly."""
+
+    def __init__(self):
+        self.now_ms = 50_000
+        self.profiles = (7, Tree())
+        self.replies, self.logged = {}, []
+        env = SimpleNamespace(
+            now=lambda: self.now_ms,
+            wall=lambda: 1_000_000,
+            log=lambda event, level="INFO", **fields: self.logged.append(event),
+        )
+        node = SimpleNamespace(
+            env=env,
+            params=PARAMS,
+            reply=lambda origin, message: self.replies.setdefault(origin.ref, []).append(message),
+        )
+        self.holder = AloneHolder()
+        self.desk = Desk(
+            lambda: self.profiles, lambda: (9, "10.0.0.9:1"), lambda: self.holder.settled
+        )
+        self.desk.attach(node)
+        self.desk.take_holder(self.holder)
+        self._ref = 0
+
+    def ask(self, message):
+        self._ref += 1
+        self.desk.receive(message, Origin("edge", self._ref))
+        return self._ref
+
+    def told(self, ref):
+        return self.replies.get(ref, [None])[-1]
+
+    def after(self, wait_ms):
+        self.now_ms += wait_ms
+        self.desk.tick()
+
+    def hand_in(
+        self,
+        lot_id,
+        tokens=(10,),
+        path="route/a",
+        digest="d",
+        age_ms=0,
+        epoch=1,
+        keep_ms=30_000,
+        version=7,
+        attempts=3,
+    ):
+        ids = [f"{lot_id}-{place}" for place in range(len(tokens))]
+        return self.told(
+            self.ask(
+                m.ForwardHandIn(
+                    lot_id=lot_id,
+                    digest=digest,
+                    path=path,
+                    item_ids=ids,
+                    tokens=list(tokens),
+                    calls=[b"call" + name.encode() for name in ids],
+                    attempts=attempts,
+                    due_ms=10_000,
+                    keep_ms=keep_ms,
+                    version=version,
+                    epoch=epoch,
+                    holder_ms=self.now_ms - age_ms,
+                )
+            )
+        )
+
+    def beat(self, edge="e1", room=9, running=(), paths=("route/a", "route/b"), address=""):
+        return self.ask(
+            m.EdgeBeat(
+                edge=edge,
+                address=address or edge,
+                room=room,
+                paths=list(paths),
+                running=list(running),
+            )
+        )
+
+    def work(self, ref):
+        return [decode(row) for row in self.told(ref).work]
+
+    def end(self, work, outcome="finished", text=b"t", worker="w1", edge="e1"):
+        rows = work if isinstance(work, list) else [work]
+        return self.ask(
+            m.EndItems(
+                edge=edge,
+                rows=[
+                    encode(
+                        m.ItemEnd(
+                            lot_id=row.lot_id,
+                            index=row.index,
+                            number=row.number,
+                            outcome=outcome,
+                            text=text,
+                            worker=worker,
+                        )
+                    )
+                    for row in rows
+                ],
+            )
+        )
+
+    def page(self, lot_id, position=0, wait_ms=0):
+        return self.ask(
+            m.ReadPage(lot_id=lot_id, from_position=position, limit_bytes=1000, wait_ms=wait_ms)
+        )
+
+    def listed(self, lot_id):
+        return [
+            (row.item_id, row.outcome) for row in map(decode, self.told(self.page(lot_id)).rows)
+        ]
--- a/tests/test_forward_desk.py
+++ b/tests/test_forward_desk.py
@@ -205,7 +205,7 @@
                 await asyncio.sleep(0.2)
             self.assertThat(seen, LessThan(2500))
             self.assertThat(
-                max(one.untaken_bytes for one in edge.node.carrier._open.values()),
+                max(one.untaken_bytes for one in edge.node.carrier.open.values()),
                 LessThan(1 << 18),
             )
             client.writer.transport.resume_reading()
