What falls out of a key's memory is forgotten, not lost; orders are known by all they say

Cause: a key remembers the ids of its last 64 changes. A change that had been taken and was sent again after 64 others was answered 'lost', 412 to the operator. A patch of the product's own interface on a version not in place went to the owner as a change with the tree unpatched, to be taken like that if the version came. One change id with two contents was acknowledged for both. Ruled out: refusing by a local copy: reads and refusals are confirmed by a majority. Change: catalogue.change_memory keeps with each id the version it made and the caller's number it was built on; Outcome is typed and has FORGOTTEN, only where base and revision both lie before what is remembered; FindChange asks without asking for the change; profiles remember 256. The own interface knows a change by id and contents.

--- /dev/null
+++ b/libs/catalogue/src/catalogue/change_memory.py
@@ -0,0 +1,48 @@
+"""What a key remembers of the changes that led to its value. The last changes stand in the value itself, so
+they are as durable as it is and move with it from owner to owner; how many is bounded. A change that is
+not among them was certainly not taken only if it would have to be among them: if the version that it
+was built on, or the number that it would have made, is not older than what is remembered.
+"""
+
+from catalogue.messages import NO_BASE, Change, FindChange, Value
+
+__all__ = ["REMEMBERED_CHANGES", "REMEMBERED_ORDERS", "add_change", "surely_untaken", "taken_as"]
+
+REMEMBERED_CHANGES = 64
+REMEMBERED_ORDERS = 256
+_ORDER_KEYS = ("profiles",)
+
+
+def taken_as(value: Value, change_id: str) -> int | None:
+    """The version that the change made, or None if it isn't remembered."""
+    if change_id not in value.change_ids:
+        return None
+    return value.change_versions[value.change_ids.index(change_id)]
+
+
+def add_change(value: Value, change: Change) -> Value:
+    """The value that the change makes of this one."""
+    most = REMEMBERED_ORDERS if change.key in _ORDER_KEYS else REMEMBERED_CHANGES
+    version = value.version + 1
+    return Value(
+        version=version,
+        body=change.body,
+        change_ids=[*value.change_ids, change.change_id][-most:],
+        change_versions=[*value.change_versions, version][-most:],
+        change_bases=[*value.change_bases, change.base][-most:],
+    )
+
+
+def surely_untaken(value: Value, change: Change | FindChange) -> bool:
+    """Whether a change that isn't remembered was certainly never taken. `version` and `base` of those that
+    were taken rise from one to the next, and the next one's base is the number that the one before made.
+    """
+    first_version = value.change_versions[0] if value.change_versions else value.version + 1
+    if first_version == 1 or change.version >= first_version - 1:
+        return True
+    if not isinstance(change, FindChange) or change.base == NO_BASE:
+        return False
+    first_base = value.change_bases[0] if value.change_bases else NO_BASE
+    if change.number <= change.base:
+        return True
+    return first_base != NO_BASE and (change.base >= first_base or change.number > first_base)
--- a/libs/catalogue/src/catalogue/confirmations.py
+++ b/libs/catalogue/src/catalogue/confirmations.py
@@ -8,7 +8,7 @@
 from gazette.feed import CONFIRMERS
 
 from catalogue.key_states import Done
-from catalogue.messages import Changed
+from catalogue.messages import Changed, Outcome
 
 __all__ = ["CONFIRMED_KEYS", "Confirmations"]
 
@@ -17,7 +17,7 @@
 
 def _in_doubt(version: int) -> Changed:
     return Changed(
-        outcome="doubt",
+        outcome=Outcome.DOUBT,
         version=0,
         body="",
         reason=f"kept as version {version}, but not known to be in force at most edges and stores",
--- a/libs/catalogue/src/catalogue/key_states.py
+++ b/libs/catalogue/src/catalogue/key_states.py
@@ -8,7 +8,7 @@
 
 from vellum import decode
 
-from catalogue.messages import Change, Changed, ReadKey, Value
+from catalogue.messages import Change, Changed, FindChange, ReadKey, Value
 
 __all__ = ["Done", "KeyState", "Operation", "Renew", "State", "blank_value", "newest"]
 
@@ -41,7 +41,9 @@
 
     __slots__ = ("done", "due_ms", "message")
 
-    def __init__(self, message: Change | ReadKey | Renew, due_ms: int, done: Done) -> None:
+    def __init__(
+        self, message: Change | FindChange | ReadKey | Renew, due_ms: int, done: Done
+    ) -> None:
         self.message = message
         self.due_ms = due_ms
         self.done = done
--- a/libs/catalogue/src/catalogue/owner.py
+++ b/libs/catalogue/src/catalogue/owner.py
@@ -13,21 +13,38 @@
 from gazette import Gazette
 from vellum import Message, Origin, Part, decode, encode
 
+from catalogue.change_memory import add_change, surely_untaken, taken_as
 from catalogue.confirmations import CONFIRMED_KEYS, Confirmations
 from catalogue.key_states import Done, KeyState, Operation, Renew, State, blank_value, newest
-from catalogue.messages import Accept, Change, Changed, Confirm, Founded, Prepare, ReadKey, Value
+from catalogue.messages import (
+    Accept,
+    Change,
+    Changed,
+    Confirm,
+    FindChange,
+    Founded,
+    Outcome,
+    Prepare,
+    ReadKey,
+    Value,
+)
 from catalogue.relays import Relay
 from catalogue.rounds import Round
 from catalogue.voter import CONTROL_KEY, Voter
 
 __all__ = ["Owner", "newest"]
 
-_REMEMBERED_CHANGES = 64
+
+def _not_taken(value: Value, message: Change | FindChange) -> tuple[Outcome, str]:
+    """The answer to a change that isn't remembered and doesn't fit the newest version."""
+    if surely_untaken(value, message):
+        return Outcome.LOST, f"version {value.version} is in place; this change is not"
+    return Outcome.FORGOTTEN, "older than the changes that are remembered"
 
 
 class Owner(Part):
     __slots__ = ("_by", "_confirmations", "_gazette", "_keys", "_relay", "_voter")
-    HANDLES = (Change, ReadKey)
+    HANDLES = (Change, FindChange, ReadKey)
 
     def __init__(self, voter: Voter, neighbours: Neighbours, gazette: Gazette) -> None:
         self._voter = voter
@@ -48,7 +65,7 @@
     def receive(self, message: Message, origin: Origin) -> None:
         self.submit(message, lambda receipt: self.node.reply(origin, receipt))
 
-    def submit(self, message: Change | ReadKey, done: Done) -> None:
+    def submit(self, message: Change | FindChange | ReadKey, done: Done) -> None:
         """Here, or at the node whose duty the key is."""
         self._relay.submit(message, done)
 
@@ -60,7 +77,7 @@
         self._enqueue(
             Renew(key),
             self.node.env.now() + self.node.params.ask_ms * 2,
-            lambda receipt: done(receipt.outcome == "ok"),
+            lambda receipt: done(receipt.outcome == Outcome.OK),
         )
 
     def mend(self, name: str) -> None:
@@ -122,7 +139,7 @@
 
     def _next(self, key: KeyState) -> None:
         while key.ops and self.node.env.now() >= key.ops[0].due_ms:
-            self._answer(key, "doubt", "no majority of voters answered in time")
+            self._answer(key, Outcome.DOUBT, "no majority of voters answered in time")
         if not key.ops or key.asking:
             return
         if key.state is State.UNOWNED:
@@ -203,26 +220,26 @@
         message = key.ops[0].message
         value = key.value
         if isinstance(message, ReadKey):
-            self._finish(key, "ok", "")
+            self._finish(key, Outcome.OK, "")
         elif isinstance(message, Renew):
             if value.version == 0 or (
                 not message.always and 2 * self._holders(key, round_) > len(self._voter.voters)
             ):
-                self._finish(key, "ok", "")
+                self._finish(key, Outcome.OK, "")
                 return
             self._accept(key, value, self._renewed)
-        elif message.change_id in value.change_ids:
-            at = value.change_versions[value.change_ids.index(message.change_id)]
-            self._finish(key, "ok", "", at)
-        elif message.version != value.version:
-            self._finish(key, "lost", f"version {message.version} was replaced by {value.version}")
         else:
-            fresh = Value(
-                version=value.version + 1,
-                body=message.body,
-                change_ids=[*value.change_ids, message.change_id][-_REMEMBERED_CHANGES:],
-                change_versions=[*value.change_versions, value.version + 1][-_REMEMBERED_CHANGES:],
-            )
+            self._apply_change(key, message)
+
+    def _apply_change(self, key: KeyState, message: Change | FindChange) -> None:
+        value = key.value
+        taken = taken_as(value, message.change_id)
+        if taken is not None:
+            self._finish(key, Outcome.OK, "", taken)
+        elif isinstance(message, FindChange) or message.version != value.version:
+            self._finish(key, *_not_taken(value, message))
+        else:
+            fresh = add_change(value, message)
             key.state = State.CHANGING
             self._accept(key, fresh, lambda k, round_, ok: self._changed(k, fresh, round_, ok))
 
@@ -256,12 +273,12 @@
             change=key.ops[0].message.change_id if key.ops else "",
         )
         self._publish(key)
-        self._finish(key, "ok", "", fresh.version)
+        self._finish(key, Outcome.OK, "", fresh.version)
 
     def _renewed(self, key: KeyState, round_: Round, ok: bool) -> None:
         self._note(key, round_)
         if ok:
-            self._finish(key, "ok", "")
+            self._finish(key, Outcome.OK, "")
         else:
             self._lose(key)
 
@@ -285,22 +302,30 @@
         key.changed_ms = self.node.env.now()
         self._gazette.publish(key.name, key.value.version, key.value.body)
 
-    def _finish(self, key: KeyState, outcome: str, reason: str, version: int | None = None) -> None:
+    def _finish(
+        self, key: KeyState, outcome: Outcome, reason: str, version: int | None = None
+    ) -> None:
         self._answer(key, outcome, reason, version)
         if key.ops:
             self._next(key)
 
-    def _answer(self, key: KeyState, outcome: str, reason: str, version: int | None = None) -> None:
+    def _answer(
+        self, key: KeyState, outcome: Outcome, reason: str, version: int | None = None
+    ) -> None:
         op = key.ops.pop(0)
         value = key.value or blank_value()
-        known = outcome in ("ok", "lost")
+        known = outcome in (Outcome.OK, Outcome.LOST)
         receipt = Changed(
             outcome=outcome,
             version=(version or value.version) if known else 0,
             body=value.body if known else "",
             reason=reason,
         )
-        if outcome == "ok" and isinstance(op.message, Change) and key.name in CONFIRMED_KEYS:
+        if (
+            outcome == Outcome.OK
+            and isinstance(op.message, (Change, FindChange))
+            and key.name in CONFIRMED_KEYS
+        ):
             self._confirmations.wait(key.name, receipt, key.changed_ms, op.done)
         else:
             op.done(receipt)
@@ -318,5 +343,5 @@
             key.asking = False
             self._lose(key)
             while key.ops:
-                self._answer(key, "doubt", "the owner was frozen")
+                self._answer(key, Outcome.DOUBT, "the owner was frozen")
         self._confirmations.give_up()
--- a/libs/catalogue/src/catalogue/relays.py
+++ b/libs/catalogue/src/catalogue/relays.py
@@ -8,7 +8,7 @@
 from commons import Neighbours, duty_order, first_live
 
 from catalogue.key_states import Done
-from catalogue.messages import Change, Changed, ReadKey
+from catalogue.messages import Change, Changed, FindChange, Outcome, ReadKey
 from catalogue.voter import Voter
 
 __all__ = ["Relay"]
@@ -31,7 +31,7 @@
         self._neighbours = neighbours
         self._enqueue = enqueue
         self._node: Any = None
-        self._again: list[tuple[Change | ReadKey, int, Done]] = []
+        self._again: list[tuple[Change | FindChange | ReadKey, int, Done]] = []
 
     def attach(self, node: Any) -> None:
         self._node = node
@@ -41,7 +41,7 @@
         duty may have moved; a change is known by its id. A reply that never comes is doubt.
         """
         if not self._voter.voters:
-            done(Changed(outcome="refused", version=0, body="", reason="not founded"))
+            done(Changed(outcome=Outcome.REFUSED, version=0, body="", reason="not founded"))
             return
         params = self._node.params
         self._try(
@@ -55,14 +55,19 @@
         params, now_ms = self._node.params, self._node.env.now()
 
         def answered(receipt: Changed | None) -> None:
-            unheard = receipt is None or (receipt.outcome == "doubt" and params.cut_off == "serve")
+            unheard = receipt is None or (
+                receipt.outcome == Outcome.DOUBT and params.cut_off == "serve"
+            )
             if unheard and hops == 0 and self._node.env.now() < due_ms:
                 self._again.append((message, due_ms, done))
             else:
                 done(
                     receipt
                     or Changed(
-                        outcome="doubt", version=0, body="", reason="the key's owner did not answer"
+                        outcome=Outcome.DOUBT,
+                        version=0,
+                        body="",
+                        reason="the key's owner did not answer",
                     )
                 )
 
--- a/libs/registrar/src/registrar/operators.py
+++ b/libs/registrar/src/registrar/operators.py
@@ -2,12 +2,23 @@
 naming the version it replaces; members and what they do; machines to be emptied and retired.
 """
 
+import hashlib
 import json
 import secrets
 from typing import Annotated, Any
 
 from aiohttp import web
-from catalogue import Change, Changed, ReadKey, Tree, check_tree, explain
+from catalogue import (
+    NO_BASE,
+    Change,
+    Changed,
+    FindChange,
+    Outcome,
+    ReadKey,
+    Tree,
+    check_tree,
+    explain,
+)
 from colophon import Refusal, doubtful, refused
 from gazette.patches import apply_patch
 from pydantic import BaseModel, ConfigDict, Field
@@ -49,7 +60,18 @@
     links: list[str] = Field(min_length=1, max_length=256)
 
 
+def _identity_of(change_id: str, contents: BaseModel) -> str:
+    """By what a change is known again: its id together with all that was sent under it, since an id that is
+    used for two contents names two changes.
+    """
+    sent = contents.model_dump(exclude={"change_id"})
+    text = json.dumps([change_id, type(contents).__name__, sent], sort_keys=True)
+    return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
+
+
 class Operators:
+    """The operators' calls of a control node's own interface."""
+
     __slots__ = ("_node",)
 
     def __init__(self, node: Any, desk: HttpDesk) -> None:
@@ -73,7 +95,7 @@
 
     async def _read(self, key: str) -> Changed | Refusal:
         receipt = await self._ask(ReadKey(key=key, hops=0))
-        if receipt.outcome != "ok":
+        if receipt.outcome != Outcome.OK:
             return refused(
                 "no-majority", receipt.reason or "no majority of the voters can be heard", 503, 1000
             )
@@ -91,7 +113,7 @@
         call = await self._parsed(request, _Sent)
         if isinstance(call, Refusal):
             return answer_refusal(call)
-        return await self._keep(call.tree, call.version, call.change_id)
+        return await self._keep(call, call.tree)
 
     async def _patch(self, request: web.Request) -> web.Response:
         call = await self._parsed(request, _Patched)
@@ -100,12 +122,27 @@
         receipt = await self._read(PROFILES_KEY)
         if isinstance(receipt, Refusal):
             return answer_refusal(receipt)
+        if receipt.version != call.version:
+            return await self._find(call)
         tree = json.loads(receipt.body or '{"profiles": {}}')
-        if receipt.version == call.version:
-            tree = apply_patch(tree, call.patch)
-        return await self._keep(tree, call.version, call.change_id)
+        return await self._keep(call, apply_patch(tree, call.patch))
 
-    async def _keep(self, tree: Any, version: int, change_id: str | None) -> web.Response:
+    async def _find(self, call: _Patched) -> web.Response:
+        """A patch of another version than the one in place can only have been taken before."""
+        change_id = call.change_id or secrets.token_hex(8)
+        receipt = await self._ask(
+            FindChange(
+                key=PROFILES_KEY,
+                change_id=_identity_of(change_id, call),
+                version=call.version,
+                base=NO_BASE,
+                number=NO_BASE,
+                hops=0,
+            )
+        )
+        return self._answer(receipt, change_id)
+
+    async def _keep(self, call: _Sent | _Patched, tree: Any) -> web.Response:
         checked = check_tree(tree)
         if checked.is_error():
             return answer_refusal(
@@ -117,12 +154,12 @@
                     problems=checked.error,
                 )
             )
-        change_id = change_id or secrets.token_hex(8)
+        change_id = call.change_id or secrets.token_hex(8)
         receipt = await self._ask(
             Change(
                 key=PROFILES_KEY,
-                version=version,
-                change_id=change_id,
+                version=call.version,
+                change_id=_identity_of(change_id, call),
                 hops=0,
                 body=json.dumps(checked.ok, sort_keys=True),
             )
@@ -130,9 +167,9 @@
         return self._answer(receipt, change_id)
 
     def _answer(self, receipt: Changed, change_id: str) -> web.Response:
-        if receipt.outcome == "ok":
+        if receipt.outcome == Outcome.OK:
             return json_answer({"version": receipt.version, "change_id": change_id})
-        if receipt.outcome == "lost":
+        if receipt.outcome == Outcome.LOST:
             return answer_refusal(
                 refused(
                     "version-replaced",
@@ -141,8 +178,16 @@
                     field="version",
                 )
             )
-        if receipt.outcome == "refused":
+        if receipt.outcome == Outcome.REFUSED:
             return answer_refusal(refused("not-founded", receipt.reason, 503, 1000))
+        if receipt.outcome == Outcome.FORGOTTEN:
+            return answer_refusal(
+                doubtful(
+                    "change-forgotten",
+                    f"{receipt.reason}; read the profiles to see what is in place",
+                    1000,
+                )
+            )
         return answer_refusal(
             doubtful(
                 "change-in-doubt",
@@ -291,7 +336,7 @@
             Change(
                 key=RETIRED_KEY,
                 version=receipt.version,
-                change_id=change_id,
+                change_id=_identity_of(change_id, call),
                 hops=0,
                 body=retired_body(
                     names,
@@ -303,7 +348,7 @@
                 ),
             )
         )
-        if receipt.outcome != "ok":
+        if receipt.outcome != Outcome.OK:
             return self._answer(receipt, change_id)
         card = self._node.neighbours.known(call.identity)
         role = (
--- a/libs/registrar/src/registrar/tree_changes.py
+++ b/libs/registrar/src/registrar/tree_changes.py
@@ -1,8 +1,8 @@
 """Changes of the tree by callers who number their trees themselves (`about.revision`) and name the revision
 that a change builds on. The key is read by a majority; a change on the revision in force goes to the key's
-owner under the key's own number, so of two on one base one wins; a change that names another base is asked
-for by its id alone, since it may be one taken before. Whoever waits hears in time, if need be that it is
-not known what becomes of it.
+owner under the key's own number, so of two on one base one wins; a change that names another base is only
+looked for, since it may be one taken before. Whoever waits hears in time, if need be that it is not known
+what becomes of it, or that it is too old for what is remembered to tell.
 """
 
 import json
@@ -10,26 +10,47 @@
 from enum import StrEnum
 from typing import Any
 
-from catalogue import Change, Changed, Owner, ReadKey, check_tree
+from catalogue import NO_BASE, Change, Changed, FindChange, Outcome, Owner, ReadKey, check_tree
 from expression import Result
 from vellum import Part
 
-__all__ = ["PROFILES_KEY", "Taken", "TreeChanges", "TreeOutcome"]
+__all__ = ["PROFILES_KEY", "Order", "Taken", "TreeChanges", "TreeOutcome"]
 
 PROFILES_KEY = "profiles"
-_NO_VERSION = -1
 Make = Callable[[dict[str, Any]], Result[dict[str, Any], list[dict[str, str]]]]
 
 
 class Taken(StrEnum):
+    """What became of an order: in force, certainly not taken (REPLACED, INVALID), or not known to the caller
+    (REFUSED: nothing was done here; DOUBT: it may be taken yet; FORGOTTEN: it may have been taken long ago).
+    """
+
     TAKEN = "taken"
     REPLACED = "replaced"
     INVALID = "invalid"
     REFUSED = "refused"
     DOUBT = "doubt"
+    FORGOTTEN = "forgotten"
+
+
+class Order:
+    """A change of the tree as its caller asks for it: the revision that it builds on, the revision that it makes
+    (NO_BASE if that can't be read), the id by which the same order is known again, and `make`, which gives the
+    tree wanted from the tree in force, or the problems with what was sent.
+    """
+
+    __slots__ = ("base", "change_id", "make", "revision")
+
+    def __init__(self, base: int, revision: int, change_id: str, make: Make) -> None:
+        self.base = base
+        self.revision = revision
+        self.change_id = change_id
+        self.make = make
 
 
 class TreeOutcome:
+    """The answer to an order or a read; `tree` is given for a read that was answered."""
+
     __slots__ = ("kind", "problems", "reason", "tree")
 
     def __init__(
@@ -49,12 +70,13 @@
 
 
 class _Call:
-    __slots__ = ("base", "change_id", "done", "due_ms", "make", "sent")
+    """An order, or a read if there is none, that waits for its answer until `due_ms`."""
 
-    def __init__(
-        self, base: int, change_id: str, make: Make | None, due_ms: int, done: Done
-    ) -> None:
-        self.base, self.change_id, self.make, self.due_ms = base, change_id, make, due_ms
+    __slots__ = ("done", "due_ms", "order", "sent")
+
+    def __init__(self, order: Order | None, due_ms: int, done: Done) -> None:
+        self.order = order
+        self.due_ms = due_ms
         self.done: Done | None = done
         self.sent = False
 
@@ -64,7 +86,7 @@
             done(outcome)
 
 
-def revision_of(tree: dict[str, Any]) -> int:
+def _revision_of(tree: dict[str, Any]) -> int:
     return tree.get("about", {}).get("revision", 0)
 
 
@@ -79,12 +101,11 @@
 
     # -- asking --------------------------------------------------------------------------------
 
-    def change(self, base: int, change_id: str, make: Make, done: Done) -> None:
-        """`make` gives the tree wanted from the tree in force, or the problems with what was sent."""
-        self._begin(_Call(base, change_id, make, 0, done))
+    def change(self, order: Order, done: Done) -> None:
+        self._begin(_Call(order, 0, done))
 
     def read(self, done: Done) -> None:
-        self._begin(_Call(0, "", None, 0, done))
+        self._begin(_Call(None, 0, done))
 
     def _begin(self, call: _Call) -> None:
         if not self._sure():
@@ -102,21 +123,21 @@
     def _have_read(self, call: _Call, receipt: Changed) -> None:
         if call.done is None:
             return
-        if receipt.outcome != "ok":
+        if receipt.outcome != Outcome.OK:
             self._unknown(call, receipt.reason)
             return
         tree = json.loads(receipt.body) if receipt.body else {}
-        if call.make is None:
+        if call.order is None:
             call.finish(TreeOutcome(Taken.TAKEN, tree=tree))
-        elif revision_of(tree) != call.base:
-            self._submit(call, _NO_VERSION, "", lambda found: self._probed(call, tree, found))
+        elif _revision_of(tree) != call.order.base:
+            self._find(call, tree)
         else:
             self._propose(call, receipt.version, tree)
 
     # -- deciding ------------------------------------------------------------------------------
 
     def _propose(self, call: _Call, version: int, tree: dict[str, Any]) -> None:
-        made = call.make(tree)
+        made = call.order.make(tree)
         if made.is_ok():
             made = check_tree(made.ok, tree.get("profiles"))
         if made.is_error():
@@ -125,7 +146,7 @@
                     Taken.INVALID, f"{len(made.error)} problems; nothing was changed", made.error
                 )
             )
-        elif revision_of(made.ok) <= call.base:
+        elif _revision_of(made.ok) <= call.order.base:
             call.finish(
                 TreeOutcome(
                     Taken.INVALID,
@@ -133,46 +154,55 @@
                     [
                         {
                             "at": "about.revision",
-                            "message": f"has to be above {call.base}, the one in force",
+                            "message": f"has to be above {call.order.base}, the one in force",
                         }
                     ],
                 )
             )
         else:
             call.sent = True
-            self._submit(
-                call,
-                version,
-                json.dumps(made.ok, sort_keys=True),
-                lambda found: self._changed(call, found),
+            change = Change(
+                key=PROFILES_KEY,
+                version=version,
+                change_id=call.order.change_id,
+                body=json.dumps(made.ok, sort_keys=True),
+                hops=0,
+                base=call.order.base,
             )
-
-    def _submit(
-        self, call: _Call, version: int, body: str, done: Callable[[Changed], None]
-    ) -> None:
-        self._owner.submit(
-            Change(key=PROFILES_KEY, version=version, change_id=call.change_id, body=body, hops=0),
-            done,
+            self._owner.submit(change, lambda found: self._changed(call, found))
+
+    def _find(self, call: _Call, tree: dict[str, Any]) -> None:
+        order = call.order
+        question = FindChange(
+            key=PROFILES_KEY,
+            change_id=order.change_id,
+            version=NO_BASE,
+            base=order.base,
+            number=order.revision,
+            hops=0,
         )
+        self._owner.submit(question, lambda found: self._found(call, tree, found))
 
     def _changed(self, call: _Call, receipt: Changed) -> None:
-        if receipt.outcome == "ok":
+        if receipt.outcome == Outcome.OK:
             call.finish(TreeOutcome(Taken.TAKEN))
-        elif receipt.outcome == "lost" and call.done is not None:
+        elif receipt.outcome == Outcome.LOST and call.done is not None:
             self._read(call)
         else:
             self._unknown(call, receipt.reason)
 
-    def _probed(self, call: _Call, tree: dict[str, Any], receipt: Changed) -> None:
-        if receipt.outcome == "ok":
+    def _found(self, call: _Call, tree: dict[str, Any], receipt: Changed) -> None:
+        if receipt.outcome == Outcome.OK:
             call.finish(TreeOutcome(Taken.TAKEN))
-        elif receipt.outcome == "lost":
+        elif receipt.outcome == Outcome.LOST:
             call.finish(
                 TreeOutcome(
                     Taken.REPLACED,
-                    f"revision {revision_of(tree)} is in force; this change is not and will not be",
+                    f"revision {_revision_of(tree)} is in force; this change is not and will not be",
                 )
             )
+        elif receipt.outcome == Outcome.FORGOTTEN:
+            call.finish(TreeOutcome(Taken.FORGOTTEN, receipt.reason))
         else:
             self._unknown(call, receipt.reason)
 
