A version is acknowledged once a majority of the voters hands it out

An owner cut off right after its change was on a majority of disks heard nobody and acknowledged what only it published; the others publish it after the next ballot, a second or more later. Change: catalogue.confirmations counts the voters that say they publish the version; without a majority of them there is no acknowledgement. Test: test_orders ...whose_change_nobody_hands_out, failed before; test_feed, test_fan_out, test_control_side pass.

--- a/libs/catalogue/src/catalogue/confirmations.py
+++ b/libs/catalogue/src/catalogue/confirmations.py
@@ -9,6 +9,7 @@
 
 from catalogue.key_states import Done
 from catalogue.messages import Changed, Outcome
+from catalogue.voter import Voter
 
 __all__ = ["CONFIRMED_KEYS", "Confirmations"]
 
@@ -39,9 +40,10 @@
 class Confirmations:
     """Holds back the answers to changes until their versions are in force."""
 
-    __slots__ = ("_gazette", "_node", "_waiting")
+    __slots__ = ("_gazette", "_node", "_voter", "_waiting")
 
-    def __init__(self, gazette: Gazette) -> None:
+    def __init__(self, voter: Voter, gazette: Gazette) -> None:
+        self._voter = voter
         self._gazette = gazette
         self._node: Any = None
         self._waiting: list[_Waiting] = []
@@ -66,14 +68,19 @@
         """A version is acknowledged once most of the roll have it, and so do all nodes that live, or
         those that are still without it have had to turn unready. Without most of the roll the other
         side of a cut may still be serving under an older one: then this is doubt. Where the cut-off serve
-        there is no roll: who hasn't heard of it in time isn't in touch.
+        there is no roll: a majority of the voters have to hand the version out, and who hasn't heard of it
+        from them in time isn't in touch. What is only on their disks they hand out after the next ballot.
         """
         now_ms, params, gazette = self._node.env.now(), self._node.params, self._gazette
         waiting, self._waiting = self._waiting, []
         for change in waiting:
             name, version, due_ms = change.key, change.receipt.version, change.due_ms
             serves = params.cut_off == "serve"
-            most = serves or gazette.most_confirm(name, version, params.confirm_ms)
+            most = (
+                self._handed_out(name, version)
+                if serves
+                else gazette.most_confirm(name, version, params.confirm_ms)
+            )
             within_ms = params.dead_ms if serves else params.confirm_ms
             if most and (
                 now_ms >= due_ms or gazette.all_confirm(name, version, CONFIRMERS[name], within_ms)
@@ -84,6 +91,19 @@
             else:
                 self._waiting.append(change)
 
+    def _handed_out(self, key: str, version: int) -> bool:
+        """Whether a majority of the voters, this node among them if it is one, publish the version."""
+        gazette, voters = self._gazette, self._voter.voters
+        floor_ms = self._node.env.now() - self._node.params.confirm_ms
+        have = {
+            identity
+            for identity, (_, at_ms, numbers, _) in gazette.confirmed.items()
+            if at_ms >= floor_ms and numbers.get(key, 0) >= version
+        }
+        if gazette.number(key) >= version:
+            have.add(self._voter.identity)
+        return 2 * len(have & set(voters)) > len(voters)
+
     def give_up(self) -> None:
         """All that wait are answered with doubt."""
         waiting, self._waiting = self._waiting, []
--- a/libs/catalogue/src/catalogue/owner.py
+++ b/libs/catalogue/src/catalogue/owner.py
@@ -52,7 +52,7 @@
         self._by = ""
         self._keys: dict[str, KeyState] = {}
         self._relay = Relay(voter, neighbours, self._enqueue)
-        self._confirmations = Confirmations(gazette)
+        self._confirmations = Confirmations(voter, gazette)
 
     def attach(self, node: Any) -> None:
         super().attach(node)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -248,6 +248,40 @@
         for seed in range(1, 5):
             self.play(body, seed=seed, edges=1)
 
+    def test_no_acknowledgement_from_an_owner_whose_change_nobody_hands_out(self):
+        """The owner is cut off once a majority of disks has the change and before the news of it is out: only
+        nodes that it cannot reach have the change, and none of them hands it out.
+        """
+
+        async def body(platform):
+            fleet = platform.fleet
+            self.assertThat((await platform.put("control1", 0, revised(3)))[0], Equals(200))
+            owner = self.key_owner(platform)
+            others = [host for host in fleet.of("control") if host is not owner]
+            edges = fleet.of("edge")
+            task = platform.start(owner.name, "PUT", SETTINGS_PATH, revised(5), {"If-Match": "3"})
+
+            def published():
+                return owner.node.gazette.number("profiles") == 2
+
+            for _ in range(6):
+                await asyncio.sleep(0)
+            while not published():
+                fleet.time.run_until(fleet.time.now_ms + 0.05)
+            fleet.network.isolate(owner.address)
+            told = (await platform.finish(task, wait_ms=1000))[0]
+            in_force = [host.node.gazette.number("profiles") for host in (*others, *edges)]
+            if told is not None and told[0] == 200:
+                self.assertThat(sum(1 for number in in_force[:4] if number == 2) >= 2, Equals(True))
+            else:
+                self.assertThat(told is None or told[0] == 503, Equals(True), str(told))
+            fleet.network.heal()
+            platform.run(3000)
+            self.assertThat((await platform.put(others[0].name, 3, revised(5)))[0], Equals(200))
+
+        for seed in range(1, 6):
+            self.play(body, seed=seed, edges=2)
+
 
 class Identity(OrdersCase):
     def test_the_whole_order_is_what_is_known(self):
