A node just started or just awake refuses no emptying of a store

Cause: whether too few stores would be left was judged by the cards heard so far, also by a node that had been up, or awake again, for less than the silence that a live store may keep: 409, which ends the order for its caller. Change: before dead_ms of listening that is no clear answer; waking starts the count anew, also for a machine that isn't known. Answers are typed (RetirementAnswer). Test: test_orders.Stores.test_too_few_only_once_all_stores_can_have_been_heard, failed before (409 instead of 503).

--- a/libs/registrar/src/registrar/retirement.py
+++ b/libs/registrar/src/registrar/retirement.py
@@ -5,18 +5,35 @@
 
 import json
 from collections.abc import Callable, Iterable
+from enum import StrEnum
 from typing import Any
 
-from catalogue import Change, Changed, Owner, ReadKey
+from catalogue import Change, Changed, Outcome, Owner, ReadKey
 from commons import Neighbours
 from gazette import Gazette
 from vellum import Part
 
-__all__ = ["RETIRED_KEY", "Retirement", "retired_body"]
+__all__ = ["RETIRED_KEY", "Retirement", "RetirementAnswer", "retired_body"]
 
 RETIRED_KEY = "retired"
 _LOG_KEY = "log"
-Done = Callable[[str], None]
+
+
+class RetirementAnswer(StrEnum):
+    """What is told about the emptying of a store: to an order, whether it was taken (OK), is for no machine
+    that is known (UNKNOWN) or would leave too few (TOO_FEW); to a question, how far it is. DOUBT is no clear
+    answer to either.
+    """
+
+    OK = "ok"
+    UNKNOWN = "unknown"
+    TOO_FEW = "too_few"
+    DOUBT = "doubt"
+    ROLLING_OUT = "rolling_out"
+    FINISHED = "finished"
+
+
+Done = Callable[[RetirementAnswer], None]
 
 
 def retired_body(identities: Iterable[str], names: dict[str, str]) -> str:
@@ -30,7 +47,7 @@
         self.due_ms = due_ms
         self.done: Done | None = done
 
-    def finish(self, outcome: str) -> None:
+    def finish(self, outcome: RetirementAnswer) -> None:
         done, self.done = self.done, None
         if done is not None:
             done(outcome)
@@ -75,7 +92,7 @@
         def have_order(call: _Call, version: int, value: dict[str, Any]) -> None:
             identity = value.get("names", {}).get(name)
             if identity is None:
-                call.finish("unknown")
+                call.finish(RetirementAnswer.UNKNOWN)
             else:
                 self._read(
                     _LOG_KEY,
@@ -87,12 +104,14 @@
 
         self._with_key(RETIRED_KEY, done, have_order)
 
-    def _progress(self, retired: list[str], name: str, identity: str, log: dict[str, Any]) -> str:
+    def _progress(
+        self, retired: list[str], name: str, identity: str, log: dict[str, Any]
+    ) -> RetirementAnswer:
         """While the log recovers, its new members may yet need what the ones before them have."""
         members = {row["identity"] for row in (*log.get("members", ()), *log.get("prev", ()))}
         gone = identity not in members and self._names.get(name, identity) not in members
         serves = log.get("phase") == "serving" and self._neighbours.live(log["holder"])
-        return "finished" if gone and serves else "rolling_out"
+        return RetirementAnswer.FINISHED if gone and serves else RetirementAnswer.ROLLING_OUT
 
     # -- the order -----------------------------------------------------------------------------
 
@@ -100,11 +119,10 @@
         names, retired = dict(value.get("names", {})), set(value.get("identities", ()))
         identity = self._names.get(name)
         if identity is None:
-            fresh = self.node.env.now() - self._since_ms < self.node.params.gone_ms
-            call.finish("ok" if name in names else "doubt" if fresh else "unknown")
+            call.finish(RetirementAnswer.OK if name in names else self._unheard())
             return
         if identity in retired and names.get(name) == identity:
-            call.finish("ok")
+            call.finish(RetirementAnswer.OK)
             return
         stays = [
             card
@@ -112,7 +130,8 @@
             if card.identity != identity and card.identity not in retired
         ]
         if name not in names and len(stays) < self.node.params.store_count:
-            call.finish("too_few")
+            heard = self._listened_for(self.node.params.dead_ms)
+            call.finish(RetirementAnswer.TOO_FEW if heard else RetirementAnswer.DOUBT)
             return
         names[name] = identity
         self.node.env.log("store-retires", "WARNING", name=name, identity=identity)
@@ -127,15 +146,23 @@
             lambda receipt: self._ordered(call, name, receipt),
         )
 
+    def _listened_for(self, for_ms: int) -> bool:
+        """Whether this node has been up and awake for so long: before, it can't have heard of all stores."""
+        return self.node.env.now() - self._since_ms >= for_ms
+
+    def _unheard(self) -> RetirementAnswer:
+        heard = self._listened_for(self.node.params.gone_ms)
+        return RetirementAnswer.UNKNOWN if heard else RetirementAnswer.DOUBT
+
     def _ordered(self, call: _Call, name: str, receipt: Changed) -> None:
-        if receipt.outcome == "ok":
-            call.finish("ok")
-        elif receipt.outcome == "lost" and call.done is not None:
+        if receipt.outcome == Outcome.OK:
+            call.finish(RetirementAnswer.OK)
+        elif receipt.outcome == Outcome.LOST and call.done is not None:
             self._read(
                 RETIRED_KEY, call, lambda c, version, value: self._order(c, name, version, value)
             )
         else:
-            call.finish("doubt")
+            call.finish(RetirementAnswer.DOUBT)
 
     def _follow(self) -> None:
         """A store that comes back under a retired name with another identity is retired too."""
@@ -175,7 +202,7 @@
     def _with_key(self, key: str, done: Done, told: Callable[[_Call, int, dict], None]) -> None:
         call = _Call(self.node.env.now() + self.node.params.answer_ms, done)
         if not self._sure():
-            call.finish("doubt")
+            call.finish(RetirementAnswer.DOUBT)
             return
         self._calls.append(call)
         self._read(key, call, told)
@@ -184,13 +211,16 @@
         def have_read(receipt: Changed) -> None:
             if call.done is None:
                 return
-            if receipt.outcome != "ok":
-                call.finish("doubt")
+            if receipt.outcome != Outcome.OK:
+                call.finish(RetirementAnswer.DOUBT)
             else:
                 told(call, receipt.version, json.loads(receipt.body) if receipt.body else {})
 
         self._owner.submit(ReadKey(key=key, hops=0), have_read)
 
+    def woke(self, gap_ms: int) -> None:
+        self._since_ms = self.node.env.now()
+
     def tick(self) -> None:
         now_ms = self.node.env.now()
         if self._since_ms < 0:
@@ -202,5 +232,5 @@
             self._follow()
         for call in self._calls:
             if now_ms >= call.due_ms:
-                call.finish("doubt")
+                call.finish(RetirementAnswer.DOUBT)
         self._calls = [call for call in self._calls if call.done is not None]
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -6,9 +6,11 @@
 import json
 import random
 from types import SimpleNamespace
+from unittest import mock
 
 from aiohttp import web
 from catalogue import Change, Changed, ReadKey
+from commons import Neighbours
 from platform_calls import ROUTE, SETTINGS, Platform
 from registrar.operators import Operators
 from testtools import TestCase
@@ -383,6 +385,66 @@
         self.assertThat((first == again, len({first, second, older})), Equals((True, 3)))
 
 
+class Stores(TestCase):
+    def test_a_node_that_has_just_started_refuses_no_emptying(self):
+        """It has not heard of all stores yet: that too few would be left it cannot know."""
+
+        async def run(seed):
+            platform = Platform(seed=seed, edges=0)
+            fleet = platform.fleet
+            fleet.add("store", "fresh")
+            platform.run(7000)
+            name = fleet.hosts["store1"].address
+            host = fleet.hosts["control3"]
+            host.kill()
+            platform.run(200)
+            host.start()
+            found = []
+            while not found or found[-1] == 503:
+                told = await platform.ask(
+                    host.name, "POST", f"/vaneledge/retire/{name}", {"overS": 10}
+                )
+                found.append(told[0])
+                platform.run(10)
+            self.assertThat(set(found), Equals({200, 503}), f"seed {seed}: {found}")
+
+        for seed in range(1, 9):
+            asyncio.run(run(seed))
+
+    def test_too_few_only_once_all_stores_can_have_been_heard(self):
+        """Just started or just awake, a node that has heard of one store only gives no clear answer."""
+
+        async def run():
+            platform = Platform(edges=0)
+            fleet = platform.fleet
+            fleet.add("store", "fresh")
+            platform.run(7000)
+            name = fleet.hosts["store1"].address
+            host = fleet.hosts["control3"]
+
+            async def asked():
+                neighbours = host.node.neighbours
+                heard = [row for row in neighbours.of_role("store", 9000) if row.name == name]
+                with mock.patch.object(Neighbours, "of_role", lambda *args: heard):
+                    platform.run(250)
+                    return (
+                        await platform.ask(
+                            host.name, "POST", f"/vaneledge/retire/{name}", {"overS": 10}
+                        )
+                    )[0]
+
+            self.assertThat(await asked(), Equals(409))
+            host.freeze()
+            platform.run(4000)
+            host.wake()
+            platform.run(400)
+            self.assertThat(await asked(), Equals(503))
+            platform.run(1500)
+            self.assertThat(await asked(), Equals(409))
+
+        asyncio.run(run())
+
+
 class Register:
     """Whether what operators saw of the configuration is linearizable: a search over the orders that may have
     been taken next, in Wing and Gong's way, with the states that were tried left out.
