--- a/libs/catalogue/src/catalogue/messages.py
+++ b/libs/catalogue/src/catalogue/messages.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 from typing import Any
 
-from vellum import Arr, Blob, Flag, Long, Message, Text
+from vellum import Blob, Flag, Long, Message, Text, array_of
 
 __all__ = [
     "Accept",
@@ -54,9 +54,9 @@
 
     version: Long
     body: Text
-    change_ids: Arr(Text)
-    change_versions: Arr(Long)
-    change_bases: Arr(Long)
+    change_ids: array_of(Text)
+    change_versions: array_of(Long)
+    change_bases: array_of(Long)
 
     def __init__(self, **values: Any) -> None:
         values.setdefault("change_bases", [NO_BASE] * len(values["change_ids"]))
@@ -114,7 +114,7 @@
 class KeyList(Message):
     identity: Text
     ok: Flag
-    keys: Arr(Text)
+    keys: array_of(Text)
 
 
 class VoterMeta(Message):
