--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,299 @@
+"""Operators' orders at a simulated fleet: sent again after lost answers, many changes later, to other nodes,
+delayed on their way, eight at once, and hundreds in a row.
+"""
+
+import asyncio
+import random
+
+from catalogue import Change
+from orders_case import SETTINGS_PATH, OrdersCase, revised
+from platform_calls import ROUTE
+from testtools.matchers import Equals
+
+
+class SentAgain(OrdersCase):
+    def test_a_taken_order_is_never_refused_however_many_came_after(self):
+        """The oldest of 300 orders are forgotten: sent again they get no clear answer. What is remembered is
+        acknowledged, and what cannot have been taken is refused at once.
+        """
+
+        async def body(platform):
+            for number in range(300):
+                told = await platform.put("control1", 2 * number, revised(2 * number + 2))
+                self.assertThat(told[0], Equals(200), str((number, told)))
+            rows = [
+                # base, revision, note, its status
+                (0, 2, None, 503),
+                (20, 22, None, 503),
+                (20, 22, "never sent", 503),
+                (20, 700, "a stale base", 412),
+                (560, 562, None, 200),
+                (560, 562, "never sent", 412),
+                (560, 700, None, 412),
+                (598, 600, None, 200),
+                (600, 600, None, 400),
+                (600, 20, None, 400),
+                (700, 701, None, 412),
+            ]
+            for base, revision, note, status in rows:
+                sent = revised(revision, **({"note": note} if note else {}))
+                for host in ("control2", "control5"):
+                    told = await platform.put(host, base, sent)
+                    self.assertThat(
+                        (told[0], told[2] <= 700), Equals((status, True)), str((base, sent, told))
+                    )
+            self.assertThat(self.version(platform), Equals(300))
+
+        self.play(body, edges=1)
+
+    def test_a_forgotten_patch_gets_no_clear_answer(self):
+        async def body(platform):
+            first = {"revision": 2, "upsert": {"routes": [{**ROUTE, "tries": 3}]}}
+            self.assertThat((await platform.put("control1", 0, revised(1)))[0], Equals(200))
+            self.assertThat((await platform.patch("control1", 1, first))[0], Equals(200))
+            for number in range(2, 290):
+                patch = {"revision": number + 1, "upsert": {"routes": [{**ROUTE, "tries": number}]}}
+                self.assertThat((await platform.patch("control1", number, patch))[0], Equals(200))
+            for host in ("control1", "control3"):
+                self.assertThat((await platform.patch(host, 1, first))[0], Equals(503))
+                self.assertThat(
+                    (await platform.patch(host, 1, {**first, "revision": 900}))[0], Equals(412)
+                )
+
+        self.play(body, edges=0)
+
+    def test_a_key_of_the_control_state_tells_forgotten_from_lost(self):
+        async def body(platform):
+            seen = []
+            owner = platform.fleet.hosts["control1"].node.owner
+
+            def change(version, change_id):
+                seen.clear()
+                owner.submit(
+                    Change(key="loose", version=version, change_id=change_id, body="{}", hops=0),
+                    seen.append,
+                )
+                platform.fleet.run_until_true(lambda: seen, 4000)
+                return str(seen[0].outcome)
+
+            for version in range(70):
+                self.assertThat(change(version, f"c{version}"), Equals("ok"))
+            rows = [(0, "c0", "forgotten"), (5, "c5", "forgotten"), (6, "c6", "ok")]
+            rows += [(69, "c69", "ok"), (6, "other", "lost"), (5, "other", "forgotten")]
+            for version, change_id, outcome in rows:
+                self.assertThat(change(version, change_id), Equals(outcome), change_id)
+
+        self.play(body, edges=0)
+
+    def test_known_after_an_owner_is_lost_a_power_loss_and_a_wiped_voter(self):
+        async def body(platform):
+            fleet = platform.fleet
+            hosts = [f"control{number + 1}" for number in range(5)]
+            patch = {"revision": 9, "upsert": {"routes": [{**ROUTE, "tries": 7}]}}
+
+            async def known(names):
+                platform.run(1500)
+                self.assertThat(
+                    fleet.run_until_true(
+                        lambda: all(fleet.hosts[name].node.quorate() for name in names), 25000
+                    ),
+                    Equals(True),
+                )
+                for name in names:
+                    self.assertThat((await platform.put(name, 0, revised(3)))[0], Equals(200))
+                    self.assertThat((await platform.patch(name, 3, patch))[0], Equals(200))
+                    self.assertThat((await platform.put(name, 0, revised(4)))[0], Equals(412))
+
+            self.assertThat((await platform.put("control1", 0, revised(3)))[0], Equals(200))
+            self.assertThat((await platform.patch("control1", 3, patch))[0], Equals(200))
+            owner = self.key_owner(platform)
+            owner.kill()
+            await known([name for name in hosts if name != owner.name])
+            owner.start()
+            await known(hosts)
+            for host in list(fleet.hosts.values()):
+                host.lose_power()
+            platform.run(400)
+            for host in list(fleet.hosts.values()):
+                host.start()
+            await known(hosts)
+            wiped = fleet.hosts["control2"]
+            wiped.lose_disk()
+            wiped.start()
+            await known(hosts)
+            self.assertThat(self.version(platform), Equals(2))
+
+        self.play(body, edges=1)
+
+    def test_sent_again_while_the_first_is_under_way(self):
+        """Every 3 ms to another node: all copies end as one change, acknowledged by every node."""
+
+        async def body(platform):
+            base = 0
+            for turn in range(10):
+                sent = revised(base + 2)
+                tasks = []
+                for number in range(8):
+                    tasks.append(
+                        platform.start(
+                            f"control{(turn + number) % 5 + 1}",
+                            "PUT",
+                            SETTINGS_PATH,
+                            sent,
+                            {"If-Match": str(base)},
+                        )
+                    )
+                    for _ in range(3):
+                        await asyncio.sleep(0)
+                    platform.run(3)
+                told = await platform.finish(*tasks)
+                self.assertThat([row[0] for row in told], Equals([200] * 8), str(told))
+                self.assertThat(self.version(platform), Equals(turn + 1))
+                base += 2
+
+        self.play(body, edges=1)
+
+
+class OnTheWay(OrdersCase):
+    """Copies that are held up and arrive once the operator has been answered elsewhere."""
+
+    async def held_up(self, platform, sent, base, after):
+        """A copy of the order on its way from a node to the owner, which is frozen for a while; returns the
+        late answer. `after` is what happens meanwhile.
+        """
+        owner = self.key_owner(platform)
+        relay = next(host for host in platform.fleet.of("control") if host is not owner)
+        task = platform.start(relay.name, "PUT", SETTINGS_PATH, sent, {"If-Match": str(base)})
+        for _ in range(6):
+            await asyncio.sleep(0)
+        platform.run(4)
+        owner.freeze()
+        relay.freeze()
+        platform.run(1800)
+        await after([host.name for host in platform.fleet.of("control") if not host.frozen])
+        owner.wake()
+        relay.wake()
+        platform.run(4000)
+        return (await platform.finish(task))[0]
+
+    def test_not_applied_twice(self):
+        async def body(platform):
+            self.assertThat((await platform.put("control1", 0, revised(3)))[0], Equals(200))
+
+            async def after(names):
+                self.assertThat((await platform.put(names[0], 3, revised(5)))[0], Equals(200))
+                self.assertThat((await platform.put(names[1], 5, revised(6)))[0], Equals(200))
+
+            late = await self.held_up(platform, revised(5), 3, after)
+            self.assertThat(late is None or late[0] in (200, 503), Equals(True), str(late))
+            self.assertThat((self.version(platform)), Equals(3))
+            self.assertThat((await platform.shown("control1"))[1], Equals(revised(6)))
+            self.assertThat((await platform.put("control1", 3, revised(5)))[0], Equals(200))
+
+        for seed in range(1, 5):
+            self.play(body, seed=seed, edges=1)
+
+    def test_refused_is_never_in_force_later(self):
+        async def body(platform):
+            self.assertThat((await platform.put("control1", 0, revised(3)))[0], Equals(200))
+            refused = []
+
+            async def after(names):
+                one, other = revised(5, note="one"), revised(5, note="other")
+                told = [
+                    await platform.put(names[0], 3, one),
+                    await platform.put(names[1], 3, other),
+                ]
+                self.assertThat(sorted(row[0] for row in told), Equals([200, 412]), str(told))
+                refused.append(other if told[0][0] == 200 else one)
+
+            late = await self.held_up(platform, revised(5, note="other"), 3, after)
+            self.assertThat(late is None or late[0] in (200, 412, 503), Equals(True), str(late))
+            for host in platform.fleet.of("control"):
+                shown = (await platform.shown(host.name))[1]
+                self.assertThat(shown["note"] != refused[0]["note"], Equals(True))
+                self.assertThat((await platform.put(host.name, 3, refused[0]))[0], Equals(412))
+
+        for seed in range(1, 5):
+            self.play(body, seed=seed, edges=1)
+
+    def test_no_acknowledgement_from_an_owner_whose_change_nobody_hands_out(self):
+        """The owner is cut off once a majority of disks has the change and before the news of it is out: only
+        nodes that it cannot reach have the change, and none of them hands it out.
+        """
+
+        async def body(platform):
+            fleet = platform.fleet
+            self.assertThat((await platform.put("control1", 0, revised(3)))[0], Equals(200))
+            owner = self.key_owner(platform)
+            others = [host for host in fleet.of("control") if host is not owner]
+            edges = fleet.of("edge")
+            task = platform.start(owner.name, "PUT", SETTINGS_PATH, revised(5), {"If-Match": "3"})
+
+            def published():
+                return owner.node.gazette.number("profiles") == 2
+
+            for _ in range(6):
+                await asyncio.sleep(0)
+            while not published():
+                fleet.time.run_until(fleet.time.now_ms + 0.05)
+            fleet.network.isolate(owner.address)
+            told = (await platform.finish(task, wait_ms=1000))[0]
+            in_force = [host.node.gazette.number("profiles") for host in (*others, *edges)]
+            if told is not None and told[0] == 200:
+                self.assertThat(sum(1 for number in in_force[:4] if number == 2) >= 2, Equals(True))
+            else:
+                self.assertThat(told is None or told[0] == 503, Equals(True), str(told))
+            fleet.network.heal()
+            platform.run(3000)
+            self.assertThat((await platform.put(others[0].name, 3, revised(5)))[0], Equals(200))
+
+        for seed in range(1, 6):
+            self.play(body, seed=seed, edges=2)
+
+
+class Identity(OrdersCase):
+    def test_the_whole_order_is_what_is_known(self):
+        async def body(platform):
+            one, other = revised(5, note="one"), revised(5, note="other")
+            for host in ("control1", "control2"):
+                rows = [(0, one, 200), (0, other, 412), (0, one, 200), (3, one, 412), (5, one, 400)]
+                for base, sent, status in rows:
+                    self.assertThat((await platform.put(host, base, sent))[0], Equals(status))
+            self.assertThat((await platform.shown("control3"))[1], Equals(one))
+
+        self.play(body, edges=1)
+
+    def test_same_number_while_the_first_is_in_doubt(self):
+        """The owner loses its majority in the midst of a change; whichever of two with one number comes out, the
+        other is refused by every node, also once the first is known to be in force.
+        """
+
+        async def body(platform):
+            rng = random.Random(platform.fleet.time.rng.random())
+            one, other = revised(5, note="one"), revised(5, note="other")
+            owner = self.key_owner(platform)
+            hosts = platform.fleet.of("control")
+            task = platform.start(owner.name, "PUT", SETTINGS_PATH, one, {"If-Match": "0"})
+            for _ in range(6):
+                await asyncio.sleep(0)
+            platform.run(rng.random() * 12)
+            platform.fleet.network.isolate(owner.address)
+            told = (await platform.finish(task, wait_ms=900))[0]
+            platform.run(1500)
+            names = [host.name for host in hosts if host is not owner]
+            second = (await platform.put(names[0], 0, other))[0]
+            self.assertThat(second in (200, 412, 503), Equals(True))
+            platform.fleet.network.heal()
+            platform.run(2500)
+            final = {}
+            for label, sent in (("one", one), ("other", other)):
+                found = {(await platform.put(host.name, 0, sent))[0] for host in hosts}
+                self.assertThat(len(found), Equals(1))
+                final[label] = found.pop()
+            self.assertThat(sorted(final.values()), Equals([200, 412]), str(final))
+            self.assertThat(final["one"] == 200 or told is None or told[0] != 200, Equals(True))
+            self.assertThat(final["other"] == second or second == 503, Equals(True))
+
+        for seed in range(1, 9):
+            self.play(body, seed=seed, edges=1)
