--- a/libs/catalogue/src/catalogue/founding.py
+++ b/libs/catalogue/src/catalogue/founding.py
@@ -224,6 +224,11 @@
                 for name in voters
             )
 
+        def returned(name: str) -> bool | None:
+            if neighbours.heard_itself(name, params.dead_ms):
+                return True
+            return False if now_ms - self._awake_ms > params.dead_ms else None
+
         return next_of_all(
             listed,
             spares,
@@ -231,6 +236,7 @@
             silent,
             lambda card: now_ms - neighbours.first_ms(card.identity) > params.ask_ms,
             all_heard,
+            returned,
         )
 
     def _change_list(self, following: dict[str, Any]) -> None:
--- /dev/null
+++ b/libs/catalogue/src/catalogue/read_barrier.py
@@ -0,0 +1,79 @@
+"""The read barrier of a control node. After a start, a freeze, or a time without contact with a majority
+of the voters, the node's copy of the configuration may be old. Before the node vouches for its copy it
+reads each key anew through the key's owner, whose answer a majority of the voters has confirmed.
+"""
+
+from collections.abc import Callable
+
+from gazette import Gazette
+from gazette.confirmations import CONFIRMERS
+from vellum import Part
+
+from catalogue.messages import Changed, ReadKey
+from catalogue.owner import Owner
+
+__all__ = ["ReadBarrier"]
+
+
+class ReadBarrier(Part):
+    """`hears_majority` says whether the node is in contact with a majority of the voters."""
+
+    __slots__ = (
+        "_attempt",
+        "_gazette",
+        "_hears_majority",
+        "_missing",
+        "_owner",
+        "_passed",
+        "_retry_at_ms",
+    )
+
+    def __init__(self, owner: Owner, gazette: Gazette, hears_majority: Callable[[], bool]) -> None:
+        self._owner = owner
+        self._gazette = gazette
+        self._hears_majority = hears_majority
+        self._passed = False
+        self._attempt = 0
+        self._missing: set[str] = set()
+        self._retry_at_ms = -1 << 40
+
+    def passed(self) -> bool:
+        """Whether every key has been read since contact with a majority was last regained."""
+        return self._passed
+
+    def tick(self) -> None:
+        if not self._hears_majority():
+            self._reset()
+            return
+        if not self._passed and self.node.env.now() >= self._retry_at_ms:
+            self._read_all()
+
+    def woke(self, gap_ms: int) -> None:
+        self._reset()
+
+    def _reset(self) -> None:
+        """Answers to reads that are under way belong to an older attempt and no longer count."""
+        self._passed = False
+        self._attempt += 1
+        self._retry_at_ms = -1 << 40
+
+    def _read_all(self) -> None:
+        params = self.node.params
+        self._attempt += 1
+        self._missing = set(CONFIRMERS)
+        self._retry_at_ms = self.node.env.now() + params.ask_ms
+        for key in CONFIRMERS:
+            self._read(key, self._attempt)
+
+    def _read(self, key: str, attempt: int) -> None:
+        def answered(receipt: Changed) -> None:
+            if attempt == self._attempt and receipt.outcome == "ok":
+                self._take(key, receipt)
+
+        self._owner.submit(ReadKey(key=key, hops=0), answered)
+
+    def _take(self, key: str, receipt: Changed) -> None:
+        if receipt.version:
+            self._gazette.publish(key, receipt.version, receipt.body)
+        self._missing.discard(key)
+        self._passed = not self._missing
--- a/libs/catalogue/src/catalogue/succession.py
+++ b/libs/catalogue/src/catalogue/succession.py
@@ -63,17 +63,24 @@
     silent: Callable[[str], bool],
     settled: Callable[[Any], bool],
     all_heard: Callable[[Any], bool],
+    returned: Callable[[str], bool | None],
 ) -> dict[str, Any] | None:
     """`settled` says of a spare that it has been known for as long as any vote may be under way;
-    `all_heard`, that every voter has been heard since it was first known.
+    `all_heard`, that every voter has been heard since it was first known; `returned`, whether a voter that
+    was to leave speaks again, None if the steward is too new to know. It changes nothing then: a
+    replacement that is given up too early leaves the lost voter on the list, where it counts against
+    the majority. For the same reason a silent voter is dropped from a list of even size without a
+    replacement: the majority that is needed gets smaller by one and no fewer losses are borne.
     """
     rows = listed["voters"]
     names = [row["identity"] for row in rows]
     leaving = listed.get("leaving", "")
     if leaving in names:
-        if silent(leaving) or leaving in retired:
+        back = returned(leaving)
+        if leaving in retired or back is False:
             return _list(listed, [row for row in rows if row["identity"] != leaving])
-        return _list(listed, rows)
+        return _list(listed, rows) if back else None
+    gone = [name for name in names if name in retired or silent(name)]
     at = {row["address"]: row["identity"] for row in rows}
     spares = sorted(spares, key=lambda card: (card.address not in at, card.identity))
     for card in spares:
@@ -83,11 +90,12 @@
                     listed, [row for row in rows if row["address"] != card.address] + [_row(card)]
                 )
             continue
-        gone = [name for name in names if name in retired or silent(name)]
         if gone:
             return _list(listed, [*rows, _row(card)], gone[0])
         if all_heard(card):
             return _list(listed, [*rows, _row(card)])
+    if gone and len(rows) % 2 == 0:
+        return _list(listed, [row for row in rows if row["identity"] != gone[0]])
     return None
 
 
--- a/libs/gazette/src/gazette/feed.py
+++ b/libs/gazette/src/gazette/feed.py
@@ -15,7 +15,7 @@
 
 from vellum import Message, Origin, decode, encode
 
-from gazette.confirmations import Confirmations
+from gazette.confirmations import CONFIRMERS, Confirmations
 from gazette.contacts import Candidate, Contacts
 from gazette.messages import Digest, News, NewsItem
 from gazette.patches import merge, merge_diff
@@ -28,11 +28,14 @@
 
 class Gazette(Confirmations):
     """`neighbours` gives the addresses to relay to, `extra` further ones to swap digests with; `sure`
-    says whether this node knows its feed to be the newest: a quorate control node, a ready edge.
+    says whether this node knows its feed to be the newest: a quorate control node, a ready edge;
+    `hands_out`, whether it answers the digests of edges and stores with items: a control node without a
+    majority doesn't, since its items may be old.
     """
 
     __slots__ = (
         "_beat_count",
+        "_behind_since_ms",
         "_contacts",
         "_extra",
         "_items",
@@ -44,11 +47,13 @@
         "_watchers",
         "candidates",
         "contacts_ms",
+        "hands_out",
         "identity",
         "quorate_ms",
         "sent_bytes",
         "sure",
         "sure_edge_ms",
+        "unsure_control_ms",
     )
     HANDLES = (Digest, News)
 
@@ -62,6 +67,9 @@
         super().__init__()
         self.identity = identity
         self.sure = sure
+        self.hands_out: Callable[[], bool] = lambda: True
+        self.unsure_control_ms = -1 << 40
+        self._behind_since_ms: dict[str, int] = {}
         self.candidates: Callable[[], Iterable[Candidate]] = lambda: ()
         self.quorate_ms = -1 << 40
         self.sure_edge_ms = -1 << 40
@@ -120,6 +128,7 @@
 
     def _take(self, key: str, number: int, body: str, sender: str) -> None:
         self._items[key] = (number, body)
+        self._behind_since_ms.pop(key, None)
         for watcher in self._watchers:
             watcher(key, number, body)
         patch = self._patches.get(key)
@@ -218,27 +227,45 @@
         theirs = dict(zip(message.keys, message.numbers, strict=True))
         if now_ms >= self._quiet_until_ms:
             self.contacts_ms[message.identity] = now_ms
-            if message.sure and message.role == "control":
-                self.quorate_ms = now_ms
+            if message.role == "control":
+                self._note_control(message.sure, theirs, now_ms)
             elif message.sure:
                 self.sure_edge_ms = now_ms
         before = self.confirmed.get(message.identity)
         self.confirmed[message.identity] = (message.role, now_ms, theirs, origin.sender)
         if self.node.params.fan_out:
             self._note_report(message, origin, before is None or before[2] != theirs)
-        self._send(
-            origin.sender,
-            [
-                encode(self._newer(key, theirs.get(key, 0)))
-                for key, number in self.numbers().items()
-                if number > theirs.get(key, 0)
-            ],
-        )
+        if message.role == "control" or self.hands_out():
+            self._send(
+                origin.sender,
+                [
+                    encode(self._newer(key, theirs.get(key, 0)))
+                    for key, number in self.numbers().items()
+                    if number > theirs.get(key, 0)
+                ],
+            )
         if self._wants_digest(message, origin) or any(
             number > self.number(key) for key, number in theirs.items()
         ):
             self._send_digest(origin.sender)
 
+    def _note_control(self, sure: bool, theirs: dict[str, int], now_ms: int) -> None:
+        if sure:
+            self.quorate_ms = now_ms
+        else:
+            self.unsure_control_ms = now_ms
+        for key in CONFIRMERS:
+            if theirs.get(key, 0) > self.number(key):
+                self._behind_since_ms.setdefault(key, now_ms)
+
+    def behind_ms(self) -> int:
+        """For how long a control node has been known to have a newer configuration or list of workers
+        that hasn't come here, in ms; 0 if none is known.
+        """
+        return self.node.env.now() - min(
+            self._behind_since_ms.values(), default=self.node.env.now()
+        )
+
     def _wants_digest(self, message: Digest, origin: Origin) -> bool:
         """Who reports to a voter is answered, so that it knows the voter to live and to hear a majority."""
         return (
--- a/libs/readingroom/src/readingroom/nodes.py
+++ b/libs/readingroom/src/readingroom/nodes.py
@@ -314,13 +314,15 @@
 
     def _why_not_begun(self, now_ms: int) -> str:
         """Where the cut-off serve: an edge begins when it has profiles and knows no newer ones, by control's
-        word or, if control can't be heard, by that of its neighbours; from then on it serves by what it knows.
+        word or, if no control node can be heard, by that of its neighbours; from then on it serves by what
+        it knows. A control node that is heard but has no majority is cut off, and so may the neighbours be.
         """
         if not self._caught_up:
             params = self.params
             heard = (
                 now_ms - self.gazette.quorate_ms <= params.dead_ms
-                or now_ms - self._started_ms > params.dead_ms
+                or min(now_ms - self._started_ms, now_ms - self.gazette.unsure_control_ms)
+                > params.dead_ms
             )
             self._caught_up = (
                 heard
--- a/libs/registrar/src/registrar/nodes.py
+++ b/libs/registrar/src/registrar/nodes.py
@@ -5,7 +5,7 @@
 import json
 from typing import Any
 
-from catalogue import Founding, Owner, Roll, Tree, Voter, WorkerList
+from catalogue import Founding, Owner, ReadBarrier, Roll, Tree, Voter, WorkerList
 from commons import Neighbours
 from gazette import Gazette, candidates
 from loans import LOANS_KEY, NodeLoans
@@ -28,6 +28,7 @@
         "loans",
         "neighbours",
         "owner",
+        "read_barrier",
         "retirement",
         "roll",
         "tree_changes",
@@ -49,13 +50,19 @@
         self.neighbours.wanted = lambda: (
             self.voter.voters.values() or (() if params.control_count else params.seeds)
         )
-        self.gazette.votes = lambda: self.voter.identity in self.voter.voters
+        self.gazette.votes = self._is_voter
         self.gazette.candidates = lambda: candidates(self._list(), self.neighbours, params.gone_ms)
         self.neighbours.ready = lambda: not self.why_unready()
         self.neighbours.deaf = lambda: (
             identity in self.voter.voters and not self._hears(params.cut_ms)
         )
         self.owner = Owner(self.voter, self.neighbours, self.gazette)
+        self.read_barrier = ReadBarrier(
+            self.owner, self.gazette, lambda: self._is_voter() and self._hears(params.cut_ms)
+        )
+        self.gazette.hands_out = lambda: (
+            self.quorate() if self._is_voter() else self.hears_majority()
+        )
         self.founding = Founding(self.voter, self.owner, self.neighbours, self.gazette)
         self.roll = Roll(
             self.owner, self.gazette, lambda: self.quorate() and self.founding.steward() == identity
@@ -84,6 +91,7 @@
                 self.gazette,
                 self.voter,
                 self.owner,
+                self.read_barrier,
                 self.founding,
                 self.roll,
                 self.worker_list,
@@ -103,11 +111,19 @@
         return bool(voters) and self._hears(self.params.dead_ms)
 
     def quorate(self) -> bool:
-        """Whether this node is a voter that hears a majority of the voters."""
-        voters = self.voter.voters
-        if self.voter.identity not in voters:
-            return False
-        return self._hears(self.params.cut_ms) and self.gazette.number(CONTROL_KEY) > 0
+        """Whether this node is a voter that hears a majority of the voters and whose copy of the
+        configuration has been read anew from a majority since it last heard none.
+        """
+        return (
+            self._is_voter()
+            and self._hears(self.params.cut_ms)
+            and self.gazette.number(CONTROL_KEY) > 0
+            and self.read_barrier.passed()
+            and self.gazette.behind_ms() <= self.params.dead_ms
+        )
+
+    def _is_voter(self) -> bool:
+        return self.voter.identity in self.voter.voters
 
     def _hears(self, within_ms: int) -> bool:
         voters = self.voter.voters
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -79,6 +79,7 @@
                 lambda name: name in quiet,
                 lambda spare: True,
                 lambda spare: heard,
+                lambda name: name not in quiet,
             )
             got = following and ("".join(named(following["voters"])), following.get("leaving", ""))
             self.assertThat(got, Equals(wanted), (names, leaving, spares, quiet, retired))
@@ -95,6 +96,7 @@
                 lambda name: False,
                 lambda spare: False,
                 lambda spare: True,
+                lambda name: True,
             ),
             Equals(None),
         )
--- /dev/null
+++ b/tests/test_voter_losses.py
@@ -0,0 +1,171 @@
+"""Voters lost one after another: simulated fleets, in which every replacement ends with no lost voter on
+the list, and a further loss at any step leaves a majority.
+"""
+
+import json
+
+from catalogue import Change
+from catalogue.succession import next_of_all
+from facsimile.sim.fleet import SimFleet
+from testtools import TestCase
+from testtools.matchers import Equals
+
+SEEDS = ["10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"]
+SETTINGS = {
+    "control_count": 0,
+    "first_start": True,
+    "cut_off": "serve",
+    "catch_up_ms": 4900,
+    "fan_out": 2,
+    "seeds": SEEDS,
+}
+CATCH_UP_MS = 4900
+
+
+class VoterLosses(TestCase):
+    def founded(self, control, seed=5):
+        fleet = SimFleet(seed, edges=2, stores=3, control=control, workers=0, settings=SETTINGS)
+
+        def all_vote():
+            return all(
+                host.node.quorate() and len(host.node.voter.voters) == control
+                for host in fleet.of("control")
+            )
+
+        self.assertThat(fleet.run_until_true(all_vote, 8000), Equals(True))
+        fleet._settings["first_start"] = False
+        self.changed(fleet, 0)
+        return fleet
+
+    def wait(self, fleet, wait_ms):
+        fleet.time.run_until(fleet.time.now_ms + wait_ms)
+
+    def changed(self, fleet, version):
+        """A change asked of any running control node is acknowledged."""
+        seen = []
+        fleet.running("control")[0].node.owner.submit(
+            Change(
+                key="profiles",
+                version=version,
+                change_id=f"c{version}",
+                hops=0,
+                body=json.dumps({"profiles": {}, "v": version}),
+            ),
+            seen.append,
+        )
+        fleet.run_until_true(lambda: seen, 6000)
+        self.assertThat([receipt.outcome for receipt in seen], Equals(["ok"]))
+        self.assertThat(seen[0].version, Equals(version + 1))
+
+    def replace(self, fleet, name, gap_ms, fresh_name):
+        fleet.hosts.pop(name).kill()
+        self.wait(fleet, gap_ms)
+        return fleet.add("control", fresh_name)
+
+    def settled(self, fleet):
+        """All running control nodes, and no others, vote, by the lists on all of their disks."""
+        running = fleet.running("control")
+        names = {host.node.voter.identity for host in running}
+        return all(set(host.node.voter.voters) == names and host.node.quorate() for host in running)
+
+    def test_a_replacement_leaves_no_lost_voter_on_the_list(self):
+        """Whoever is the steward meanwhile, also the replacement itself, which has heard little yet."""
+        for control in (3, 5):
+            for seed in range(6):
+                for gap_ms in (0, 1000, 3000):
+                    fleet = self.founded(control, seed)
+                    self.replace(fleet, "control3", gap_ms, "fresh")
+                    began_ms = fleet.time.now_ms
+                    self.assertThat(
+                        fleet.run_until_true(lambda fleet=fleet: self.settled(fleet), CATCH_UP_MS),
+                        Equals(True),
+                        (control, seed, gap_ms),
+                    )
+                    self.assertThat(
+                        fleet.time.now_ms - began_ms <= 0.95 * CATCH_UP_MS,
+                        Equals(True),
+                        (control, seed, gap_ms, fleet.time.now_ms - began_ms),
+                    )
+
+    def test_a_new_steward_gives_up_no_replacement_before_it_knows_more(self):
+        listed = {
+            "number": 4,
+            "leaving": "b",
+            "voters": [{"identity": name, "address": name} for name in "abcd"],
+        }
+        rows = [
+            # speaks again, the list that follows
+            (None, None),
+            (False, ["a", "c", "d"]),
+            (True, ["a", "b", "c", "d"]),
+        ]
+        for returned, wanted in rows:
+            following = next_of_all(
+                listed,
+                [],
+                set(),
+                lambda name: False,
+                lambda card: True,
+                lambda card: True,
+                lambda name, returned=returned: returned,
+            )
+            got = following and [row["identity"] for row in following["voters"]]
+            self.assertThat(got, Equals(wanted), returned)
+
+    def test_a_replacement_that_comes_before_the_loss_leaves_no_lost_voter(self):
+        """Planned: the new machine is a voter first, then the old one goes for good."""
+        for control in (3, 5):
+            for seed in range(4):
+                fleet = self.founded(control, seed)
+                fleet.add("control", "fresh")
+                self.assertThat(
+                    fleet.run_until_true(lambda fleet=fleet: self.settled(fleet), CATCH_UP_MS),
+                    Equals(True),
+                )
+                fleet.hosts.pop("control3").kill()
+                self.assertThat(
+                    fleet.run_until_true(
+                        lambda fleet=fleet: self.settled(fleet), 0.95 * CATCH_UP_MS
+                    ),
+                    Equals(True),
+                    (control, seed),
+                )
+                fleet.hosts["control2"].kill()
+                self.wait(fleet, 1500)
+                self.changed(fleet, 1)
+
+    def test_a_second_loss_after_a_replacement_leaves_a_majority(self):
+        """Of three voters one is replaced; once that has had its time, another loses its disk."""
+        for seed in range(4):
+            fleet = self.founded(3, seed)
+            self.replace(fleet, "control2", 1000, "fresh")
+            self.wait(fleet, CATCH_UP_MS)
+            for version, name in enumerate(("control1", "fresh", "control3"), 1):
+                fleet.hosts[name].lose_disk()
+                self.changed(fleet, version)
+                fleet.hosts[name].start()
+                self.wait(fleet, CATCH_UP_MS)
+                self.assertThat(self.settled(fleet), Equals(True), (seed, name))
+
+    def test_a_second_loss_at_any_step_of_a_replacement_loses_nothing(self):
+        """Five voters bear two losses: the second comes at each of these times after the first."""
+        for after_ms in range(0, 4000, 400):
+            for strike in ("kill", "lose_power", "lose_disk"):
+                fleet = self.founded(5, 1 + after_ms // 400)
+                lost = fleet.hosts["control2"]
+                lost.lose_disk()
+                fleet.time.after(600, lost.start)
+                self.wait(fleet, after_ms)
+                other = fleet.hosts["control4"]
+                getattr(other, strike)()
+                fleet.time.after(900, other.start)
+                self.wait(fleet, 300)
+                self.changed(fleet, 1)
+                self.assertThat(
+                    fleet.run_until_true(lambda fleet=fleet: self.settled(fleet), 2 * CATCH_UP_MS),
+                    Equals(True),
+                    (after_ms, strike),
+                )
+                self.changed(fleet, 2)
+                numbers = {host.node.gazette.number("profiles") for host in fleet.of("control")}
+                self.assertThat(numbers, Equals({3}), (after_ms, strike))
