Control nodes without a majority hand out and vouch for no configuration

Cause: a cut-off control node answered the digests of edges and stores with its items, an edge with only this seed began with them after dead_ms, and a node that was back vouched for its copy at the first beat.

--- a/libs/catalogue/src/catalogue/owner.py
+++ b/libs/catalogue/src/catalogue/owner.py
@@ -162,11 +162,18 @@
         )
 
     def owner_of(self, concern: str) -> str | None:
-        """Who has a duty: the first live voter that itself hears a majority, or the first live one."""
-        order = [
-            name for name in duty_order(concern, self._voter.voters) if self._neighbours.live(name)
-        ]
-        return first_live(order, self._neighbours.hears) or next(iter(order), None)
+        """Who has a duty: the first live voter that itself hears a majority, or the first live one.
+        Those heard directly come first: one that others still tell of may not be able to answer here.
+        """
+        neighbours = self._neighbours
+        order = [name for name in duty_order(concern, self._voter.voters) if neighbours.live(name)]
+        dead_ms = self.node.params.dead_ms
+        direct = [name for name in order if neighbours.heard_itself(name, dead_ms)]
+        return (
+            first_live(direct, neighbours.hears)
+            or first_live(order, neighbours.hears)
+            or next(iter(order), None)
+        )
 
     def renew(self, key: str, done: Callable[[bool], None]) -> None:
         self._enqueue(
--- a/libs/facsimile/src/facsimile/breaks/control.py
+++ b/libs/facsimile/src/facsimile/breaks/control.py
@@ -7,8 +7,52 @@
 _FAN = "tests/test_fan_out.py -k "
 _FOUNDING = "tests/test_founding.py -k "
 _DAYS = "tests/test_platform_days.py -k "
+_CUT_OFF = "tests/test_cut_off.py -k "
+_VOTER_LOSSES = "tests/test_voter_losses.py -k "
 
 BREAKS: dict[str, tuple[str, str, str, str]] = {
+    "a cut-off control node hands out settings": (
+        "gazette/src/gazette/feed.py",
+        'if message.role == "control" or self.hands_out():',
+        "if True:",
+        _CUT_OFF + "no_item",
+    ),
+    "a control node that is back vouches before it has read": (
+        "registrar/src/registrar/nodes.py",
+        "and self.read_barrier.passed()",
+        "",
+        _CUT_OFF + "vouches",
+    ),
+    "an edge begins by the word of a cut-off neighbour": (
+        "readingroom/src/readingroom/nodes.py",
+        "min(now_ms - self._started_ms, now_ms - self.gazette.unsure_control_ms)",
+        "now_ms - self._started_ms",
+        _CUT_OFF + "neighbour",
+    ),
+    "a duty is left with a voter that is only heard of": (
+        "catalogue/src/catalogue/owner.py",
+        "first_live(direct, neighbours.hears) or",
+        "",
+        _CUT_OFF + "vouches",
+    ),
+    "a retirement is refused by a node that knows too little": (
+        "registrar/src/registrar/retirement.py",
+        '"doubt" if fresh else refusal',
+        "refusal",
+        _CUT_OFF + "retirement",
+    ),
+    "a new steward gives up a replacement": (
+        "catalogue/src/catalogue/succession.py",
+        "return _list(listed, rows) if back else None",
+        "return _list(listed, rows)",
+        _VOTER_LOSSES + "gives_up",
+    ),
+    "a lost voter stays on an even list": (
+        "catalogue/src/catalogue/succession.py",
+        "if gone and len(rows) % 2 == 0:",
+        "if False:",
+        _VOTER_LOSSES + "before_the_loss",
+    ),
     "voters change without a sweep": (
         "catalogue/src/catalogue/founding.py",
         "self._sweep(lambda ok: self._change_list(following) if ok else self._idle())",
@@ -77,7 +121,7 @@
     ),
     "a voter that hears nobody keeps its duties": (
         "catalogue/src/catalogue/owner.py",
-        "first_live(order, self._neighbours.hears) or ",
+        "first_live(direct, neighbours.hears) or first_live(order, neighbours.hears) or",
         "",
         _FOUNDING + "hears_nobody",
     ),
--- a/libs/gazette/src/gazette/feed.py
+++ b/libs/gazette/src/gazette/feed.py
@@ -244,11 +244,16 @@
                     if number > theirs.get(key, 0)
                 ],
             )
-        if self._wants_digest(message, origin) or any(
-            number > self.number(key) for key, number in theirs.items()
+        if self._wants_digest(message, origin) or (
+            self._may_give(message)
+            and any(number > self.number(key) for key, number in theirs.items())
         ):
             self._send_digest(origin.sender)
 
+    def _may_give(self, message: Digest) -> bool:
+        """Whether the sender answers a digest from here with the items that this node lacks."""
+        return self.node.params.role == "control" or message.role != "control" or message.sure
+
     def _note_control(self, sure: bool, theirs: dict[str, int], now_ms: int) -> None:
         if sure:
             self.quorate_ms = now_ms
--- a/libs/registrar/src/registrar/retirement.py
+++ b/libs/registrar/src/registrar/retirement.py
@@ -100,8 +100,7 @@
         names, retired = dict(value.get("names", {})), set(value.get("identities", ()))
         identity = self._names.get(name)
         if identity is None:
-            fresh = self.node.env.now() - self._since_ms < self.node.params.gone_ms
-            call.finish("ok" if name in names else "doubt" if fresh else "unknown")
+            call.finish("ok" if name in names else self._certain("unknown"))
             return
         if identity in retired and names.get(name) == identity:
             call.finish("ok")
@@ -112,7 +111,7 @@
             if card.identity != identity and card.identity not in retired
         ]
         if name not in names and len(stays) < self.node.params.store_count:
-            call.finish("too_few")
+            call.finish(self._certain("too_few"))
             return
         names[name] = identity
         self.node.env.log("store-retires", "WARNING", name=name, identity=identity)
@@ -127,6 +126,11 @@
             lambda receipt: self._ordered(call, name, receipt),
         )
 
+    def _certain(self, refusal: str) -> str:
+        """A refusal, or doubt from a node that hasn't heard the stores for long enough to be certain."""
+        fresh = self.node.env.now() - self._since_ms < self.node.params.gone_ms
+        return "doubt" if fresh else refusal
+
     def _ordered(self, call: _Call, name: str, receipt: Changed) -> None:
         if receipt.outcome == "ok":
             call.finish("ok")
@@ -191,9 +195,12 @@
 
         self._owner.submit(ReadKey(key=key, hops=0), have_read)
 
+    def woke(self, gap_ms: int) -> None:
+        self._since_ms = self.node.env.now()
+
     def tick(self) -> None:
         now_ms = self.node.env.now()
-        if self._since_ms < 0:
+        if self._since_ms < 0 or not self._sure():
             self._since_ms = now_ms
         if now_ms >= self._next_ms:
             self._next_ms = now_ms + self.node.params.beat_ms
--- /dev/null
+++ b/tests/test_cut_off.py
@@ -0,0 +1,283 @@
+"""A control machine cut off from the others: simulated fleets whose edges serve on when they are cut off.
+Without a majority it hands out no configuration, vouches for none and confirms nothing; once it is back it
+reads the newest from a majority before it vouches again.
+"""
+
+import json
+
+from catalogue import Change, ReadKey
+from facsimile.sim.fleet import SimFleet
+from gazette import Digest, News
+from registrar.tree_changes import Taken
+from testtools import TestCase
+from testtools.matchers import Equals
+
+SETTINGS = {
+    "control_count": 0,
+    "first_start": True,
+    "cut_off": "serve",
+    "catch_up_ms": 4900,
+    "fan_out": 2,
+    "seeds": ["10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"],
+}
+CUT_MS = 20_000
+
+
+class CutOff(TestCase):
+    def founded(self, control=5, seed=4):
+        fleet = SimFleet(seed, edges=3, stores=3, control=control, workers=0, settings=SETTINGS)
+
+        def ready():
+            return all(
+                host.node.quorate() and len(host.node.voter.voters) == control
+                for host in fleet.of("control")
+            )
+
+        self.assertThat(fleet.run_until_true(ready, 8000), Equals(True))
+        fleet._settings["first_start"] = False
+        self.change(fleet, "control2", 0)
+        self.assertThat(
+            fleet.run_until_true(
+                lambda: not any(host.node.why_unready() for host in fleet.of("edge")), 3000
+            ),
+            Equals(True),
+        )
+        return fleet
+
+    def wait(self, fleet, wait_ms):
+        fleet.time.run_until(fleet.time.now_ms + wait_ms)
+
+    def ask(self, fleet, host, message):
+        seen = []
+        fleet.hosts[host].node.owner.submit(message, seen.append)
+        fleet.run_until_true(lambda: seen, 6000)
+        return seen[0].outcome if seen else "none"
+
+    def change(self, fleet, host, version, wanted="ok"):
+        outcome = self.ask(
+            fleet,
+            host,
+            Change(
+                key="profiles",
+                version=version,
+                change_id=f"c{version}-{host}",
+                hops=0,
+                body=json.dumps({"profiles": {}, "v": version}),
+            ),
+        )
+        self.assertThat(outcome, Equals(wanted))
+
+    def owner(self, fleet, key):
+        names = {host.node.voter.identity: host for host in fleet.of("control")}
+        return names[fleet.hosts["control1"].node.owner.owner_of(key)].name
+
+    def other(self, fleet, *names):
+        return next(host.name for host in fleet.of("control") if host.name not in names)
+
+    def cut(self, fleet, name, way="both"):
+        """`way` is seen from the machine: out, in, or both; edges and stores still reach it."""
+        one = fleet.hosts[name].address
+        for host in fleet.of("control"):
+            if host.name != name and way in ("both", "out"):
+                fleet.network.cut_pairs.add((one, host.address))
+            if host.name != name and way in ("both", "in"):
+                fleet.network.cut_pairs.add((host.address, one))
+
+    def start_at(self, fleet, role, name, seed):
+        """A machine that starts with this one as its only seed, and reaches no other machine."""
+        fleet._settings["seeds"] = [fleet.hosts[seed].address]
+        host = fleet.add(role, name)
+        for other in fleet.hosts.values():
+            if other.name not in (name, seed):
+                fleet.network.cut(host.address, other.address)
+        return host
+
+    def test_who_starts_at_a_cut_off_control_node_gets_no_settings(self):
+        """Whichever duty it had, and for as long as the cut lasts; afterwards it gets the newest."""
+        for duty in ("profiles", "steward", "none"):
+            fleet = self.founded()
+            away = (
+                self.owner(fleet, duty)
+                if duty != "none"
+                else self.other(fleet, *(self.owner(fleet, key) for key in ("profiles", "steward")))
+            )
+            self.cut(fleet, away)
+            self.wait(fleet, 2 * fleet.hosts[away].params.dead_ms)
+            self.change(fleet, self.other(fleet, away), 1)
+            fresh = [
+                self.start_at(fleet, role, f"fresh-{role}", away) for role in ("edge", "store")
+            ]
+            for _ in range(CUT_MS // 500):
+                self.wait(fleet, 500)
+                for host in fresh:
+                    self.assertThat(
+                        (host.node.why_unready() != "", host.node.gazette.number("profiles")),
+                        Equals((True, 0)),
+                        (duty, host.name),
+                    )
+            fleet.network.heal()
+
+            def have_the_newest(fresh=fresh):
+                numbers = {host.node.gazette.number("profiles") for host in fresh}
+                return numbers == {2} and not fresh[0].node.why_unready()
+
+            self.assertThat(fleet.run_until_true(have_the_newest, 2000), Equals(True), duty)
+
+    def test_an_edge_begins_by_no_neighbour_that_is_cut_off_with_a_control_node(self):
+        fleet = self.founded()
+        away = self.owner(fleet, "profiles")
+        self.cut(fleet, away)
+        together = {fleet.hosts[name].address for name in (away, "edge1")}
+        rest = [host.address for host in fleet.hosts.values() if host.address not in together]
+        fleet.network.split([sorted(together), rest])
+        self.wait(fleet, 2000)
+        self.change(fleet, self.other(fleet, away), 1)
+        fleet._settings["seeds"] = [fleet.hosts[away].address]
+        fresh = fleet.add("edge", "fresh")
+        fleet.network.split([[fresh.address], rest])
+        for _ in range(16):
+            self.wait(fleet, 500)
+            self.assertThat(fresh.node.why_unready() != "", Equals(True))
+        fleet.network.heal()
+        self.assertThat(
+            fleet.run_until_true(lambda: not fresh.node.why_unready(), 4000), Equals(True)
+        )
+        self.assertThat(fresh.node.gazette.number("profiles"), Equals(2))
+
+    def test_digests_of_who_gets_nothing_go_at_the_beat(self):
+        """A cut-off node that tells of more than it hands out once was asked again at once, without end."""
+        fleet = self.founded()
+        away = self.owner(fleet, "profiles")
+        self.cut(fleet, away)
+        self.wait(fleet, 2 * fleet.hosts[away].params.dead_ms)
+        self.start_at(fleet, "edge", "fresh", away)
+        before = fleet.network.sent
+        self.wait(fleet, 1000)
+        self.assertThat(fleet.network.sent - before < 10_000, Equals(True))
+
+    def test_a_control_node_that_is_back_vouches_for_nothing_old(self):
+        """Each way of the cut; an edge that hears only this node begins with the newest or not at all."""
+        for way in ("both", "in", "out"):
+            for seed in range(2):
+                fleet = self.founded(seed=seed)
+                away = self.owner(fleet, "profiles")
+                self.cut(fleet, away, way)
+                self.wait(fleet, 3000)
+                other = self.other(fleet, away)
+                for version in (1, 2, 3):
+                    self.change(fleet, other, version)
+                self.wait(fleet, 2000)
+                fresh = self.start_at(fleet, "edge", "fresh", away)
+                node = fleet.hosts[away].node
+                keep = fresh.address
+                fleet.network.cut_pairs = {pair for pair in fleet.network.cut_pairs if keep in pair}
+
+                def in_order(fresh=fresh, node=node, way=way):
+                    for number, vouches in (
+                        (node.gazette.number("profiles"), node.quorate()),
+                        (fresh.node.gazette.number("profiles"), not fresh.node.why_unready()),
+                    ):
+                        self.assertThat(not vouches or number == 4, Equals(True), (way, number))
+                    return not fresh.node.why_unready()
+
+                end_ms = fleet.time.now_ms + 4000
+                while fleet.time.now_ms < end_ms and not in_order():
+                    self.wait(fleet, 2)
+                self.assertThat(in_order(), Equals(True), (way, seed))
+
+    def test_a_cut_off_node_confirms_nothing_and_refuses_nothing_for_certain(self):
+        """Orders and reads of settings, at once or within the time that a caller waits."""
+        for way in ("both", "in"):
+            for duty in ("profiles",):
+                fleet = self.founded()
+                away = self.owner(fleet, duty)
+                self.cut(fleet, away, way)
+                node = fleet.hosts[away].node
+                for _ in range(4):
+                    seen = []
+                    asked_ms = fleet.time.now_ms
+                    node.tree_changes.read(seen.append)
+                    node.tree_changes.change(0, "mine", lambda tree: 1 / 0, seen.append)
+                    node.retirement.order("store1", seen.append)
+                    node.retirement.state("store1", seen.append)
+                    self.assertThat(
+                        fleet.run_until_true(lambda seen=seen: len(seen) == 4, 1000), Equals(True)
+                    )
+                    self.assertThat(fleet.time.now_ms - asked_ms <= 1000, Equals(True))
+                    kinds = {getattr(row, "kind", row) for row in seen}
+                    self.assertThat(
+                        kinds <= {Taken.REFUSED, Taken.DOUBT, "doubt"}, Equals(True), kinds
+                    )
+                    self.wait(fleet, CUT_MS // 10)
+                self.assertThat(
+                    self.ask(fleet, away, ReadKey(key="profiles", hops=0)), Equals("doubt")
+                )
+
+    def test_a_retirement_is_not_refused_by_a_node_that_was_just_cut_off(self):
+        """It hears too few stores yet, and may not know the newest of them: that's no certain answer."""
+        fleet = self.founded()
+        fleet.add("store", "store4")
+        self.wait(fleet, 4000)
+        node = fleet.hosts["control3"].node
+        fleet.network.isolate(fleet.hosts["control3"].address)
+        self.wait(fleet, 5000)
+        fleet.add("store", "store5")
+        self.wait(fleet, CUT_MS - 5000)
+        fleet.network.cut_hosts.clear()
+        named = {host.name: host.params.node_name or host.address for host in fleet.of("store")}
+        answers = []
+        end_ms = fleet.time.now_ms + 1000
+        while fleet.time.now_ms < end_ms:
+            for name in ("store1", "store5"):
+                node.retirement.order(named[name], answers.append)
+            self.wait(fleet, 10)
+        self.wait(fleet, 1000)
+        self.assertThat(set(answers) <= {"ok", "doubt"}, Equals(True), set(answers))
+
+    def test_a_woken_node_neither_reads_nor_confirms_by_votes_from_before(self):
+        for freeze_ms in (500, 3000, 6000):
+            fleet = self.founded()
+            away = self.owner(fleet, "profiles")
+            host = fleet.hosts[away]
+            seen = []
+            host.node.owner.submit(ReadKey(key="profiles", hops=0), seen.append)
+            self.wait(fleet, 0.5)
+            host.freeze()
+            self.wait(fleet, freeze_ms)
+            if freeze_ms > 2000:
+                self.change(fleet, self.other(fleet, away), 1)
+            host.wake()
+            self.wait(fleet, 4000)
+            newest = 2 if freeze_ms > 2000 else 1
+            for receipt in seen:
+                self.assertThat(
+                    (receipt.outcome, receipt.version) in (("doubt", 0), ("ok", newest)),
+                    Equals(True),
+                    (freeze_ms, receipt.outcome, receipt.version),
+                )
+            self.assertThat(host.node.gazette.number("profiles"), Equals(newest))
+
+    def test_no_item_reaches_an_edge_or_store_while_there_is_no_majority(self):
+        fleet = self.founded(control=3)
+        away = self.owner(fleet, "workers")
+        self.cut(fleet, away)
+        self.wait(fleet, fleet.hosts[away].params.dead_ms)
+        host, sent = fleet.hosts[away], []
+        network = host.network
+
+        class Watching:
+            def send(self, sender, to, ref, re, message):
+                if isinstance(message, News) or (isinstance(message, Digest) and message.sure):
+                    sent.append(to)
+                network.send(sender, to, ref, re, message)
+
+        host.network = Watching()
+        self.change(fleet, self.other(fleet, away), 1)
+        edge = fleet.hosts["edge1"]
+        edge.kill()
+        edge.start()
+        self.wait(fleet, CUT_MS)
+        control = {other.address for other in fleet.of("control")}
+        self.assertThat(set(sent) - control, Equals(set()))
+        self.assertThat(edge.node.why_unready(), Equals(""))
+        self.assertThat(edge.node.gazette.number("profiles"), Equals(2))
