--- a/libs/registrar/src/registrar/retirement.py
+++ b/libs/registrar/src/registrar/retirement.py
@@ -119,7 +119,9 @@
         names, retired = dict(value.get("names", {})), set(value.get("identities", ()))
         identity = self._names.get(name)
         if identity is None:
-            call.finish(RetirementAnswer.OK if name in names else self._unheard())
+            call.finish(
+                RetirementAnswer.OK if name in names else self._certain(RetirementAnswer.UNKNOWN)
+            )
             return
         if identity in retired and names.get(name) == identity:
             call.finish(RetirementAnswer.OK)
@@ -130,8 +132,7 @@
             if card.identity != identity and card.identity not in retired
         ]
         if name not in names and len(stays) < self.node.params.store_count:
-            heard = self._listened_for(self.node.params.dead_ms)
-            call.finish(RetirementAnswer.TOO_FEW if heard else RetirementAnswer.DOUBT)
+            call.finish(self._certain(RetirementAnswer.TOO_FEW))
             return
         names[name] = identity
         self.node.env.log("store-retires", "WARNING", name=name, identity=identity)
@@ -146,13 +147,12 @@
             lambda receipt: self._ordered(call, name, receipt),
         )
 
-    def _listened_for(self, for_ms: int) -> bool:
-        """Whether this node has been up and awake for so long: before, it can't have heard of all stores."""
-        return self.node.env.now() - self._since_ms >= for_ms
-
-    def _unheard(self) -> RetirementAnswer:
-        heard = self._listened_for(self.node.params.gone_ms)
-        return RetirementAnswer.UNKNOWN if heard else RetirementAnswer.DOUBT
+    def _certain(self, refusal: RetirementAnswer) -> RetirementAnswer:
+        """The refusal, or doubt from a node that hasn't been up and awake for long enough to have heard
+        of every store.
+        """
+        fresh = self.node.env.now() - self._since_ms < self.node.params.gone_ms
+        return RetirementAnswer.DOUBT if fresh else refusal
 
     def _ordered(self, call: _Call, name: str, receipt: Changed) -> None:
         if receipt.outcome == Outcome.OK:
@@ -223,7 +223,7 @@
 
     def tick(self) -> None:
         now_ms = self.node.env.now()
-        if self._since_ms < 0:
+        if self._since_ms < 0 or not self._sure():
             self._since_ms = now_ms
         if now_ms >= self._next_ms:
             self._next_ms = now_ms + self.node.params.beat_ms
