Worker list: a late beat can't end its successor; what ended is remembered by turnover

Cause: (1) a worker that crashed was taken off after its silence and nothing more was known of it. If another identity then joined at its address, a beat of the first that was still on its way counted as a new life there, ended the live one, and the live one's beats were refused for good. (2) The last 256 ended identities were remembered, however large the list: of 700 workers exchanged in a row the first to end was taken back by a late beat. (3) `ended` was a JSON list, which a merge patch carries whole, so each end of a worker sent up to 256 identities to every node. Ruled out: refusing beats after a wake-up of the node (a beat also waits in a cut connection). Change: `silent` keeps who fell silent with its address, and a join at that address ends it; both maps remember max(256, twice the list), so a late beat is taken only after the list has turned over twice; both map identities to rising numbers, so that a change is a patch of a few hundred bytes. Lists kept by an earlier version are read. In test_worker_list.py the two assertions on `ended` read the map in its order; the bounded one now compares all 256 identities where it compared the count and the last.

--- a/libs/catalogue/src/catalogue/worker_rows.py
+++ b/libs/catalogue/src/catalogue/worker_rows.py
@@ -1,10 +1,14 @@
 """The list of workers as a value, and what one report of a worker makes of it. Reports carry a count that
 rises with each: an older one changes nothing. An identity is never used again, so one that has ended stays
-out, however late its other reports come.
+out, however late its other reports come. One that fell silent may come back, unless another identity has
+joined at its address since.
+
+`ended` and `silent` map identities to a number that rises with each (`silent` to an address as well), so that
+a change of the list travels as a small merge patch, whatever is remembered.
 """
 
 import json
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from vellum import Long, Message, Text
@@ -30,7 +34,7 @@
 
 
 def empty_list() -> dict[str, Any]:
-    return {"workers": {}, "ended": []}
+    return {"workers": {}, "ended": {}, "silent": {}}
 
 
 def _row(report: WorkerReport) -> dict[str, Any]:
@@ -54,37 +58,82 @@
     value: dict[str, Any], reports: Iterable[WorkerReport]
 ) -> tuple[dict[str, Any], list[str]]:
     """The list with these reports taken in, and the identities for which it differs from before."""
-    workers, ended = dict(value["workers"]), list(value["ended"])
-    changed: list[str] = []
-
-    def end(identity: str) -> None:
-        workers.pop(identity, None)
-        ended.append(identity)
-        changed.append(identity)
-
+    draft = _Draft(value)
     for report in reports:
-        name, row = report.identity, workers.get(report.identity)
-        if name in ended:
-            continue
+        draft.take(report)
+    return draft.value(), draft.changed
+
+
+class _Draft:
+    """A list of workers while reports are taken in."""
+
+    __slots__ = ("_ended", "_silent", "_workers", "changed")
+
+    def __init__(self, value: dict[str, Any]) -> None:
+        self._workers: dict[str, dict[str, Any]] = dict(value["workers"])
+        self._ended: dict[str, int] = _numbered(value["ended"])
+        self._silent: dict[str, list[Any]] = dict(value.get("silent", {}))
+        self.changed: list[str] = []
+
+    def value(self) -> dict[str, Any]:
+        """Remembered are the last that ended or fell silent: enough for the list to turn over twice."""
+        most = max(_REMEMBERED, 2 * len(self._workers))
+        return {
+            "workers": self._workers,
+            "ended": _latest(self._ended, most, lambda number: number),
+            "silent": _latest(self._silent, most, lambda row: row[0]),
+        }
+
+    def take(self, report: WorkerReport) -> None:
+        name, row = report.identity, self._workers.get(report.identity)
+        if name in self._ended:
+            return
         if report.state == "gone" or (row is None and report.state == "draining"):
-            end(name)
+            self._end(name)
         elif report.state == "silent":
             if row is not None and row["seq"] <= report.seq:
-                _take_off(workers, ended, name)
-                changed.append(name)
+                self._take_off(name, row)
         elif row is None or (report.seq > row["seq"] and not same_row(row, report)):
-            for other in [
-                other
-                for other, held in workers.items()
-                if held["address"] == report.address and other != name
-            ]:
-                end(other)
-            workers[name] = _row(report)
-            changed.append(name)
-    return {"workers": workers, "ended": ended[-_REMEMBERED:]}, changed
-
-
-def _take_off(workers: dict[str, Any], ended: list[str], name: str) -> None:
-    """Silent ones may come back, unless they had said that they leave."""
-    if workers.pop(name)["state"] == "draining":
-        ended.append(name)
+            self._join(report)
+
+    def _join(self, report: WorkerReport) -> None:
+        name = report.identity
+        addresses = {
+            **{other: at for other, (_, at) in self._silent.items()},
+            **{other: row["address"] for other, row in self._workers.items()},
+        }
+        for other, address in addresses.items():
+            if address == report.address and other != name:
+                self._end(other)
+        self._silent.pop(name, None)
+        self._workers[name] = _row(report)
+        self.changed.append(name)
+
+    def _end(self, name: str) -> None:
+        self._workers.pop(name, None)
+        self._silent.pop(name, None)
+        self._ended[name] = max(self._ended.values(), default=0) + 1
+        self.changed.append(name)
+
+    def _take_off(self, name: str, row: dict[str, Any]) -> None:
+        """Silent ones may come back, unless they had said that they leave."""
+        if row["state"] == "draining":
+            self._end(name)
+            return
+        del self._workers[name]
+        number = max((held for held, _ in self._silent.values()), default=0) + 1
+        self._silent[name] = [number, row["address"]]
+        self.changed.append(name)
+
+
+def _numbered(ended: dict[str, int] | list[str]) -> dict[str, int]:
+    """Lists that were kept by an earlier version name the ended ones in their order."""
+    if isinstance(ended, dict):
+        return dict(ended)
+    return {name: number for number, name in enumerate(ended, 1)}
+
+
+def _latest(rows: dict[str, Any], most: int, number: Callable[[Any], int]) -> dict[str, Any]:
+    if len(rows) <= most:
+        return rows
+    return dict(sorted(rows.items(), key=lambda item: number(item[1]))[-most:])
--- a/tests/test_worker_list.py
+++ b/tests/test_worker_list.py
@@ -28,7 +28,12 @@
     value = empty_list()
     for one in reports:
         value, _ = apply_reports(value, [one])
-    return {name: row["state"] for name, row in value["workers"].items()}, value["ended"]
+    return {name: row["state"] for name, row in value["workers"].items()}, in_order(value)
+
+
+def in_order(value):
+    """The ended ones, the first to end first."""
+    return sorted(value["ended"], key=value["ended"].__getitem__)
 
 
 class Reports(TestCase):
@@ -111,7 +116,7 @@
         value = empty_list()
         for index in range(600):
             value, _ = apply_reports(value, [report(f"w{index}", state="gone")])
-        self.assertThat((len(value["ended"]), value["ended"][-1]), Equals((256, "w599")))
+        self.assertThat(in_order(value), Equals([f"w{index}" for index in range(344, 600)]))
 
 
 class Calls(TestCase):
