Disk and voter: a device that was full once is tried again by the voter's ticks

Cause: a refused write marked the device full, and every later vote was refused before anything asked the device again: a voter that had met ENOSPC once never voted again until it started anew or its list of voters changed. The log's stores were spared only where something else flushed. Change: push(), which runs each tick at stores and now at voters, also retries what a full device refused. Test: VoterOnFullDevice.test_it_votes_again_once_there_is_room, failed before; one deliberate break, caught.

--- a/libs/catalogue/src/catalogue/voter.py
+++ b/libs/catalogue/src/catalogue/voter.py
@@ -355,6 +355,7 @@
             self.registers[key].kept = max(self.registers[key].kept, kept)
 
     def tick(self) -> None:
+        self._disk.push()
         if self._log_bytes > self.node.params.segment_bytes and not self._flushing:
             self._snapshot()
 
--- a/libs/facsimile/src/facsimile/breaks/control.py
+++ b/libs/facsimile/src/facsimile/breaks/control.py
@@ -118,6 +118,12 @@
         "if False:",
         _MANY + "never_idle",
     ),
+    "a voter whose device was full never votes again": (
+        "stacks/src/stacks/disk.py",
+        "if self._steps or self._full:",
+        "if self._steps:",
+        _MANY + "votes_again",
+    ),
     "a late beat ends its successor": (
         "catalogue/src/catalogue/worker_rows.py",
         "**{other: at for other, (_, at) in self._silent.items()},",
--- a/libs/stacks/src/stacks/disk.py
+++ b/libs/stacks/src/stacks/disk.py
@@ -111,8 +111,8 @@
         self._step("remove", name, 0, b"")
 
     def push(self) -> None:
-        """What was written goes on its way to the device, without a flush."""
-        if self._steps:
+        """What was written goes on its way to the device, without a flush; what a full one refused as well."""
+        if self._steps or self._full:
             self._worker.submit(self._make, self._taken())
 
     def flush(self, names: list[str], done: Callable[[bool], None]) -> None:
--- a/tests/test_many_changes.py
+++ b/tests/test_many_changes.py
@@ -2,8 +2,11 @@
 a node that was away for any number of them comes level without ever going back.
 """
 
+import errno
 import json
+import os
 import random
+import tempfile
 from collections import Counter
 from types import SimpleNamespace
 
@@ -13,6 +16,7 @@
 from facsimile.sim.fleet import SimFleet
 from facsimile.sim.virtual import Network, VirtualTime
 from gazette.patches import merge, merge_diff
+from stacks import FolderDisk
 from testtools import TestCase
 from testtools.matchers import Equals, LessThan
 from vellum import Origin, decode, encode
@@ -215,6 +219,63 @@
         self.assertThat(machine.version(), Equals(80))
 
 
+class VoterOnFullDevice(TestCase):
+    """A voter on a real folder whose device takes no more bytes for a while."""
+
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.calls, self.replies, self.full = [], [], False
+        self.params = SimpleNamespace(segment_bytes=_SEGMENT_BYTES)
+        self.disk = FolderDisk(folder.name, 1 << 20, self.calls.append)
+        self.addCleanup(self.disk.close)
+        plain = os.pwrite
+        self.addCleanup(setattr, os, "pwrite", plain)
+
+        def pwrite(handle, data, at):
+            if self.full:
+                raise OSError(errno.ENOSPC, "full")
+            return plain(handle, data, at)
+
+        os.pwrite = pwrite
+        self.voter = Voter(self.disk, lambda: "1")
+        self.voter.attach(self)
+        listed = {"number": 1, "voters": [{"identity": self.voter.identity, "address": "a"}]}
+        self.voter.receive(Founded(list_body=json.dumps(listed)), Origin("a", 1))
+        self.settle()
+
+    def reply(self, origin, message):
+        self.replies.append(message.ok)
+
+    def settle(self):
+        """Lets the disk's thread finish, and takes what it says."""
+        self.voter.tick()
+        for _ in range(3):
+            self.disk._worker.submit(lambda: None).result()
+            calls, self.calls[:] = list(self.calls), []
+            for call in calls:
+                call()
+
+    def vote(self, version):
+        value = Value(version=version, body="x" * 700, change_ids=[], change_versions=[])
+        accept = Accept(key="profiles", epoch=1, by="o", value=encode(value), list_number=1)
+        self.voter.receive(accept, Origin("a", 1))
+        self.settle()
+        return self.replies[-1]
+
+    def test_it_votes_again_once_there_is_room(self):
+        self.assertThat([self.vote(version) for version in (1, 2)], Equals([True, True]))
+        self.full = True
+        self.assertThat([self.vote(version) for version in (3, 4, 5)], Equals([False] * 3))
+        self.full = False
+        self.settle()
+        told = [self.vote(version) for version in range(6, 40)]
+        self.assertThat(told, Equals([True] * len(told)))
+        names = self.disk.names()
+        self.assertThat(len(names) <= 4, Equals(True), str(names))
+
+
 def _report(name, state="serving", seq=1, address="10.1.0.1:80"):
     return WorkerReport(
         identity=name,
