--- a/libs/catalogue/src/catalogue/voter.py
+++ b/libs/catalogue/src/catalogue/voter.py
@@ -9,7 +9,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from stacks import Damage, Disk, DiskFull, frame, scan
+from stacks import DamageError, Disk, DiskFullError, frame, scan
 from vellum import Message, Origin, Part, decode, encode
 
 from catalogue.messages import (
@@ -124,21 +124,21 @@
         if _META in names:
             frames, _, _ = scan(self._disk.read(_META))
             if not frames:
-                raise Damage(_META, 0)
+                raise DamageError(_META, 0)
             self.meta = decode(frames[0][1])
         elif any(name.startswith(_LOG) for name in names):
-            raise Damage(_META, 0)
+            raise DamageError(_META, 0)
         if _SNAP in names:
             data = self._disk.read(_SNAP)
             frames, end, _ = scan(data)
             if end != len(data):
-                raise Damage(_SNAP, end)
+                raise DamageError(_SNAP, end)
             self._take_rows(frames)
         for name in [name for name in names if name.startswith(_LOG)]:
             data = self._disk.read(name)
             frames, end, behind = scan(data)
             if behind is not None and _flushed_to(data[behind:]) > end:
-                raise Damage(name, end)
+                raise DamageError(name, end)
             self._take_rows(frames)
             self._disk.truncate(name, end)
             self._left_logs.append(name)
@@ -313,7 +313,7 @@
         data = frame(encode(fresh.row(key, self._flushed_bytes)))
         try:
             self._disk.write(self._log_name, self._log_bytes, data, urgent=len(data) < 4096)
-        except DiskFull:
+        except DiskFullError:
             done(False)
             return
         self._log_bytes += len(data)
--- a/libs/stacks/src/stacks/disk.py
+++ b/libs/stacks/src/stacks/disk.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Protocol
 
-__all__ = ["Disk", "DiskFull", "FolderDisk", "KEPT_BACK"]
+__all__ = ["Disk", "DiskFullError", "FolderDisk", "KEPT_BACK"]
 
 KEPT_BACK = 0.2
 SMALL_BYTES = 4096
@@ -24,7 +24,7 @@
 _Step = tuple[int, str, str, int, bytes]
 
 
-class DiskFull(Exception):
+class DiskFullError(Exception):
     pass
 
 
@@ -95,7 +95,7 @@
 
     def write(self, name: str, offset: int, data: bytes, urgent: bool = False) -> None:
         if not self.roomy(max(0, offset + len(data) - self._sizes.get(name, 0)), urgent):
-            raise DiskFull(name)
+            raise DiskFullError(name)
         self._resize(name, max(self._sizes.get(name, 0), offset + len(data)))
         self._step("write", name, offset, data)
         if self._steps_bytes > _PUSH_BYTES:
