A recovery keeps what is settled here though its own copy doesn't count

Cause: a store that missed the last recovery (its log epoch is older) recovers. The ledgers, folded up to the old place, then passed over the next 12 records, lot4 among them. Change: what is settled here always takes part, as every later log has it; a recovery that would cut below it fails. At peers, an append of a new epoch that is short, or late, cuts off nothing before the log matches through the recovered end; one that contradicts what is settled is refused.

--- a/libs/accession/src/accession/peer.py
+++ b/libs/accession/src/accession/peer.py
@@ -91,6 +91,9 @@
             self._take(message, reply)
 
     def _take(self, message: Append, reply: Reply) -> None:
+        """What is here and not in the message is cut off only once something else takes its place, or once this
+        log matches through the recovered end: a short or late message takes away no copy of what follows it.
+        """
         log = self._log
         records = [decode(data) for data in message.records]
         same = message.prev_seq
@@ -99,7 +102,14 @@
                 break
             same = record.seq
         fresh = records[same - message.prev_seq :]
-        if fresh or log.meta.log_epoch < message.epoch:
+        behind = log.meta.log_epoch < message.epoch
+        if fresh and same < log.settled_seq:
+            reply(self._receipt(message.probe, False, "settled", same))
+            return
+        if behind and not fresh and same < message.base_seq:
+            reply(self._receipt(message.probe, True, "", last_seq=same))
+            return
+        if fresh or behind:
             log.cut_after(same)
         try:
             for record in fresh:
@@ -159,7 +169,10 @@
             self._busy = False
             reply(self._receipt(message.probe, False, "damaged"))
 
-    def _receipt(self, probe: int, ok: bool, reason: str, asked_seq: int = -1) -> Appended:
+    def _receipt(
+        self, probe: int, ok: bool, reason: str, asked_seq: int = -1, last_seq: int | None = None
+    ) -> Appended:
+        """`last_seq`: how far this log is known to match the holder's, where that isn't its end."""
         log = self._log
         epoch, stamp_ms = log.last_stamp
         return Appended(
@@ -168,7 +181,7 @@
             reason=reason,
             fence=log.meta.fence,
             log_epoch=log.meta.log_epoch,
-            last_seq=log.last_seq,
+            last_seq=log.last_seq if last_seq is None else last_seq,
             flushed_seq=log.flushed_seq,
             stamp_epoch=epoch,
             stamp_ms=stamp_ms,
--- a/libs/accession/src/accession/recovery.py
+++ b/libs/accession/src/accession/recovery.py
@@ -135,10 +135,14 @@
         ]
         self._sources.sort(key=lambda source: -self._answers[source[0]].last_seq)
         own = self._answers.get(self._log.identity)
-        if own is not None and own.log_epoch == top:
-            self._records.append(list(self._log.records))
+        counts = own is not None and own.log_epoch == top
+        self._records.append(list(self._log.records) if counts else self._settled_here())
         self._next_source()
 
+    def _settled_here(self) -> list[Record]:
+        """What every later log has too, so that it stands though this copy doesn't count as an answer."""
+        return [record for record in self._log.records if record.seq <= self._log.settled_seq]
+
     def _reach(self) -> int:
         """How far the log goes that has been gathered."""
         return max(
@@ -257,6 +261,9 @@
             if self._log.stamp_at(record.seq) != record.stamp:
                 break
             same = record.seq
+        if same < self._log.settled_seq:
+            self._finish(False)
+            return
         self._log.cut_after(same)
         try:
             for record in records[same - self._log.snap_seq :]:
--- a/libs/facsimile/src/facsimile/breaks/log.py
+++ b/libs/facsimile/src/facsimile/breaks/log.py
@@ -138,4 +138,22 @@
         "return self._own == names[0]",
         _MEMBERS + "swapped",
     ),
+    "a recovery drops what is settled here": (
+        "accession/src/accession/recovery.py",
+        "if counts else self._settled_here())",
+        "if counts else [])",
+        "tests/test_recovery.py -k missed_a_recovery",
+    ),
+    "a short append cuts the log": (
+        "accession/src/accession/peer.py",
+        "if behind and not fresh and same < message.base_seq:",
+        "if False:",
+        "tests/test_recovery.py -k short_append",
+    ),
+    "an append overwrites what is settled": (
+        "accession/src/accession/peer.py",
+        "if fresh and same < log.settled_seq:",
+        "if False:",
+        "tests/test_recovery.py -k contradicts",
+    ),
 }
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -4,7 +4,7 @@
 from accession.messages import Fetched, LogMeta, Started
 from accession.snapshots import read_snapshot
 from ledger import Ledger, entries
-from log_table import PARAMS, Table
+from log_table import PARAMS, Table, entry
 from stacks import Damage, frame
 from testtools import TestCase
 from testtools.matchers import Equals
@@ -77,6 +77,19 @@
         self.assertThat(table.recover("a", 3), Equals([True]))
         self.assertThat(table.keys("a"), Equals([f"k{number}" for number in range(5)] + ["real"]))
 
+    def test_a_store_that_missed_a_recovery_keeps_what_is_settled_though_nothing_is_fetched(self):
+        """Its own copy doesn't count as an answer, and whoever does count has no more than is settled here."""
+        table = self.grown(5)
+        table.run(1000)
+        table.cut.add("b")
+        self.assertThat(table.recover("c", 2), Equals([True]))
+        table.cut = {"a"}
+        self.assertThat(table.recover("b", 3), Equals([True]))
+        wanted = [f"k{number}" for number in range(5)]
+        self.assertThat((table.keys("b"), table.keys("c")), Equals((wanted, wanted)))
+        log = table.logs["b"]
+        self.assertThat((log.last_seq, log.settled_seq), Equals((5, 5)))
+
     def test_nothing_goes_out_under_an_epoch_before_its_own_fence(self):
         table = self.grown(2)
         table.disks["b"].flush_ms = 100.0
@@ -270,6 +283,57 @@
         self.assertThat(log.snap_seq, Equals(200))
 
 
+class TakingRecords(TestCase):
+    """What a peer that has not adopted the epoch does with an append."""
+
+    def appended(self, table, epoch, base_seq, prev_seq, records):
+        log, answers = table.logs["b"], []
+        prev_epoch, prev_ms = log.stamp_at(prev_seq)
+        message = Append(
+            epoch=epoch,
+            base_seq=base_seq,
+            prev_seq=prev_seq,
+            prev_epoch=prev_epoch,
+            prev_ms=prev_ms,
+            records=[encode(record) for record in records],
+            settled_seq=base_seq,
+            flush=False,
+            probe=1,
+        )
+        table.peers["b"].receive(message, answers.append)
+        table.run(20)
+        return answers[0]
+
+    def filled(self, count=8):
+        table = Table()
+        table.hold("a", 1)
+        table.run(300)
+        for number in range(count):
+            table.append(f"k{number}", settled=True)
+            table.run(10)
+        table.run(1000)
+        table.holder = None
+        return table
+
+    def test_a_short_append_of_a_new_epoch_takes_away_no_copy_of_what_follows(self):
+        table = self.filled()
+        log = table.logs["b"]
+        answer = self.appended(table, 2, 8, 0, log.records[:3])
+        self.assertThat((answer.ok, answer.last_seq, answer.log_epoch), Equals((True, 3, 1)))
+        table.open("b")
+        self.assertThat(table.logs["b"].last_seq, Equals(8))
+        answer = self.appended(table, 2, 8, 3, table.logs["b"].records[3:])
+        self.assertThat((answer.ok, answer.last_seq, answer.log_epoch), Equals((True, 8, 2)))
+
+    def test_an_append_that_contradicts_what_is_settled_is_refused(self):
+        table = self.filled()
+        log = table.logs["b"]
+        other = log.make((2, 5), encode(entry("other")))
+        other.seq = 4
+        answer = self.appended(table, 2, 8, 3, [other])
+        self.assertThat((answer.ok, answer.reason, log.last_seq), Equals((False, "settled", 8)))
+
+
 class Waking(TestCase):
     def test_an_append_under_an_old_epoch_is_refused_after_the_fence_alone(self):
         table = Table()
