A serving holder changes the members from its own log, without stepping down

Change: the serving holder keeps its epoch and its duty. It first lets appends count only if both lists have them, waits until f+1 of the new members have on disk all that was acknowledged before, changes the key, and drops the old list once the key says so; a change whose outcome isn't known is asked for again, one that doesn't come level is given back. A retired holder first hands its duty to a member in touch, which then replaces it.

--- a/libs/accession/src/accession/holder.py
+++ b/libs/accession/src/accession/holder.py
@@ -14,6 +14,7 @@
 
 from accession.local import LocalLog
 from accession.messages import Append, Appended, Record
+from accession.quorums import Quorums, confirmed_probe, flushed_seq, held
 from accession.records import entry_of
 from accession.replica import Peer, SnapshotSender
 from accession.waiters import Outcome, Waiter
@@ -26,6 +27,7 @@
 
 class Holder:
     __slots__ = (
+        "_change_seq",
         "_flush_asked",
         "_flush_wanted_seq",
         "_log",
@@ -33,6 +35,7 @@
         "_on_deposed",
         "_post",
         "_probe",
+        "_quorums",
         "_readers",
         "_snapshots",
         "_wall",
@@ -42,7 +45,6 @@
         "deposed",
         "epoch",
         "ledger",
-        "members",
         "params",
         "peers",
         "waiters",
@@ -70,12 +72,13 @@
         self._on_deposed = on_deposed
         self._on_adopted: Callable[[], None] | None = on_adopted
         self.base_seq = log.last_seq
-        self.members = [identity for identity, _ in members]
         self.peers = {
             identity: Peer(identity, address, log.last_seq + 1, now())
             for identity, address in members
             if identity != log.identity
         }
+        self._quorums = Quorums([identity for identity, _ in members], self.peers)
+        self._change_seq = 0
         self.waiters: list[Waiter] = []
         self._readers: list[tuple[int, Callable[[bool], None], int]] = []
         self._probe = 0
@@ -272,22 +275,32 @@
 
     # -- acknowledging -------------------------------------------------------------------------
 
+    @property
+    def members(self) -> list[str]:
+        """The identities of the members in force."""
+        return self._quorums.members
+
     def _voting(self) -> list[Peer]:
-        return [self.peers[name] for name in self.members if name in self.peers]
+        return self._quorums.peers_of(self.members)
+
+    def _settled_seq(self) -> int:
+        """How far f+1 disks have the log, in every list of members that counts."""
+        lists = [names for names in (self.members, self._quorums.following) if names]
+        return min(self._flushed_by(names) for names in lists)
+
+    def _flushed_by(self, names: list[str]) -> int:
+        copies = sorted(
+            [self._log.flushed_seq, *map(flushed_seq, self._quorums.peers_of(names))], reverse=True
+        )
+        f = self.params.store_faults
+        return copies[f] if len(copies) > f else 0
 
     def progress(self) -> None:
         f = self.params.store_faults
-        flushed = sorted(
-            [peer.flushed_seq if peer.adopted else 0 for peer in self._voting()], reverse=True
-        )
-        copies = sorted([self._log.flushed_seq, *flushed], reverse=True)
-        settled_seq = copies[f] if len(copies) > f else 0
+        settled_seq = self._settled_seq()
         if settled_seq > self._log.settled_seq and settled_seq >= self.base_seq:
             self._log.settle(settled_seq)
-        held = sorted(
-            [peer.last_seq if peer.adopted else 0 for peer in self._voting()], reverse=True
-        )
-        held_seq = held[f - 1] if len(held) >= f else 0
+        held_seq = self._quorums.reached(f, held)
         ready = [waiter for waiter in self.waiters if self._is_ready(waiter, held_seq)]
         if ready:
             self.waiters = [waiter for waiter in self.waiters if waiter not in ready]
@@ -296,8 +309,7 @@
         if self._on_adopted is not None and self.adopted():
             on_adopted, self._on_adopted = self._on_adopted, None
             on_adopted()
-        probes = sorted([peer.probe for peer in self._voting()], reverse=True)
-        probe = probes[f - 1] if len(probes) >= f else 0
+        probe = self._quorums.reached(f, confirmed_probe)
         while self._readers and self._readers[0][0] <= probe:
             self._readers.pop(0)[1](True)
 
@@ -327,6 +339,34 @@
         )
         return count >= self.params.store_faults and self._log.flushed_seq >= self.base_seq
 
+    # -- changing the members ------------------------------------------------------------------
+
+    def begin_change(self, following: list[str]) -> None:
+        """From now on what is acknowledged is on enough stores of both lists. All that was acknowledged before is
+        to be on the disks of the following ones too before the change is asked for.
+        """
+        self._quorums.following = following
+        self._change_seq = self._log.last_seq
+        self._bring_flush_forward()
+
+    def may_change(self) -> bool:
+        """Whether f+1 of the following members, this store among them, have on disk all that the members before
+        them may have acknowledged alone.
+        """
+        f = self.params.store_faults
+        return (
+            self._quorums.following is not None
+            and self._log.flushed_seq >= self._change_seq
+            and self._quorums.following_reached(f, flushed_seq) >= self._change_seq
+        )
+
+    def end_change(self, made: bool) -> None:
+        """The following members are in force, or the ones before them go on."""
+        following, self._quorums.following = self._quorums.following, None
+        if made and following is not None:
+            self._quorums.members = following
+        self.progress()
+
     # -- flushing ------------------------------------------------------------------------------
 
     def _bring_flush_forward(self) -> None:
--- /dev/null
+++ b/libs/accession/src/accession/member_change.py
@@ -0,0 +1,69 @@
+"""One change of the list of members by a holder that goes on serving under its epoch. Nothing has to be recovered from
+the members before: the holder has the whole log, and the control key is changed only once f+1 of the
+following members have on disk all that was acknowledged without them. Until its outcome is known, whatever is
+acknowledged is on enough stores of both lists.
+"""
+
+from typing import Any
+
+__all__ = ["MemberChange"]
+
+
+class MemberChange:
+    """`store` is the StoreLog that serves; `following` are the rows of the list that is to be in force."""
+
+    __slots__ = ("_began_ms", "_following", "_store", "_version")
+
+    def __init__(self, store: Any, following: list[dict[str, str]]) -> None:
+        self._store = store
+        self._following = following
+        self._version = -1
+        self._began_ms = store.node.env.now()
+        store.holder.begin_change([row["identity"] for row in following])
+
+    def tick(self) -> bool:
+        """Takes the next step. True once the change is made or given back; a change whose outcome isn't known is
+        asked for again until it is, as it may yet be decided.
+        """
+        store = self._store
+        if store.value["members"] == self._following and store.value["epoch"] == store.holder.epoch:
+            self._end(True)
+            return True
+        if self._version >= 0:
+            if store.version != self._version:
+                self._end(False)
+                return True
+            self._ask()
+            return False
+        if store.holder.may_change():
+            self._version = store.version
+            self._ask()
+            return False
+        if store.node.env.now() - self._began_ms > store.node.params.force_ms:
+            self._end(False)
+            return True
+        return False
+
+    def _ask(self) -> None:
+        if not self._store.changing:
+            body = {**self._store.value, "members": self._following, "prev": self._following}
+            self._store.change(body, self._asked)
+
+    def _asked(self, outcome: str) -> None:
+        if (
+            self._store.holder is not None
+            and self._store.holder.epoch == self._store.value["epoch"]
+        ):
+            self._store.member_change_answered()
+
+    def _end(self, made: bool) -> None:
+        store = self._store
+        store.holder.end_change(made)
+        names = sorted(row["identity"] for row in store.value["members"])
+        store.node.env.log(
+            "members-changed" if made else "members-change-given-back",
+            "WARNING",
+            members=names,
+            epoch=store.holder.epoch,
+            took_ms=store.node.env.now() - self._began_ms,
+        )
--- a/libs/accession/src/accession/member_keeper.py
+++ b/libs/accession/src/accession/member_keeper.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from accession.member_change import MemberChange
 from accession.membership import crowded, lost_members, pick_spare, warm_spares
 
 __all__ = ["MemberKeeper"]
@@ -12,7 +13,7 @@
 class MemberKeeper:
     """`store` is the StoreLog that serves; `fleet` tells what the feed and standing say."""
 
-    __slots__ = ("_fleet", "_housed_ms", "_roomy_ms", "_store", "_wanted_ms")
+    __slots__ = ("_change", "_fleet", "_housed_ms", "_roomy_ms", "_store", "_wanted_ms")
 
     def __init__(self, store: Any, fleet: Any) -> None:
         self._store = store
@@ -20,16 +21,23 @@
         self._housed_ms = -1 << 40
         self._roomy_ms = -1 << 40
         self._wanted_ms = -1
+        self._change: MemberChange | None = None
 
     def serves(self) -> None:
         """The store has begun to serve."""
+        self._change = None
         self._wanted_ms = -1
 
     def tick(self) -> None:
         """One look at the members, at most once a pulse."""
         store = self._store
         now_ms = store.node.env.now()
-        if store.changing or store.holder.epoch != store.value["epoch"]:
+        if store.holder.epoch != store.value["epoch"]:
+            return
+        if self._change is not None:
+            self.follow_change()
+            return
+        if store.changing:
             return
         if store.leaving:
             self._hand_to_another()
@@ -75,21 +83,30 @@
         self._wanted_ms = now_ms if self._wanted_ms < 0 else self._wanted_ms
         if holder.waiters and now_ms - self._wanted_ms < params.ask_ms:
             return
+        if old == store.log.identity:
+            self._hand_to_another()
+            return
         following = [row for row in members if row["identity"] != old] + [new]
-        first = store.log.identity if old != store.log.identity else self._follower(following)
         store.node.env.log(
             "store-replaced", "WARNING", old=old, new=new["identity"], epoch=holder.epoch
         )
-        store.claim(following, members, first)
+        self._change = MemberChange(store, following)
+        self.follow_change()
+
+    def follow_change(self) -> None:
+        """Takes the next step of the change of members that is under way."""
+        if self._change is not None and self._change.tick():
+            self._change = None
 
-    def _follower(self, members: list[dict[str, str]]) -> str:
-        """Who takes the duty over: of those in touch and not on their way out, the one with most of the log."""
+    def _follower(self) -> str | None:
+        """Who takes the duty over: of the members in touch and not on their way out, the one with most of the log."""
         store = self._store
-        others = [row["identity"] for row in members if row["identity"] != store.log.identity]
-        able = [name for name in others if store.holder.in_touch(name) and not self._retired(name)]
+        names = [name for name in store.holder.members if name != store.log.identity]
+        able = [name for name in names if store.holder.in_touch(name) and not self._retired(name)]
         return max(
-            able or others,
-            key=lambda name: (store.holder.peers[name].last_seq, -others.index(name)),
+            able,
+            key=lambda name: (store.holder.peers[name].last_seq, -names.index(name)),
+            default=None,
         )
 
     def _consider_room(self) -> None:
@@ -109,7 +126,6 @@
 
     def _hand_to_another(self) -> None:
         store = self._store
-        members = store.value["members"]
-        following = self._follower(members)
-        if store.holder.in_touch(following):
-            store.claim(members, store.old_members(), following)
+        following = self._follower()
+        if following is not None:
+            store.claim(store.value["members"], store.old_members(), following)
--- /dev/null
+++ b/libs/accession/src/accession/quorums.py
@@ -0,0 +1,56 @@
+"""How far enough stores have come: what the members, and while the list of members changes also the following ones,
+agree on. `faults` members of a list besides the holder make a majority with it.
+"""
+
+from collections.abc import Callable
+
+from accession.replica import Peer
+
+__all__ = ["Quorums", "confirmed_probe", "flushed_seq", "held"]
+
+
+class Quorums:
+    """The list of members and, while it is being changed, the one that follows it. An append counts only if it is on
+    enough stores of both, since either may be in force: the change of the control key may have been decided
+    without its answer having come.
+    """
+
+    __slots__ = ("_peers", "following", "members")
+
+    def __init__(self, members: list[str], peers: dict[str, Peer]) -> None:
+        self.members = members
+        self.following: list[str] | None = None
+        self._peers = peers
+
+    def peers_of(self, names: list[str]) -> list[Peer]:
+        """The stores of a list that the holder sends the log, itself left out."""
+        return [self._peers[name] for name in names if name in self._peers]
+
+    def reached(self, faults: int, measure: Callable[[Peer], int]) -> int:
+        """The highest value that `faults` stores besides the holder have reached, in every list that counts."""
+        lists = [self.members] if self.following is None else [self.members, self.following]
+        return min(_reached(self.peers_of(names), faults, measure) for names in lists)
+
+    def following_reached(self, faults: int, measure: Callable[[Peer], int]) -> int:
+        """The same in the list that is to follow."""
+        return _reached(self.peers_of(self.following or []), faults, measure)
+
+
+def _reached(peers: list[Peer], faults: int, measure: Callable[[Peer], int]) -> int:
+    values = sorted((measure(peer) for peer in peers), reverse=True)
+    return values[faults - 1] if len(values) >= faults else 0
+
+
+def flushed_seq(peer: Peer) -> int:
+    """How far a store has the log of this epoch on disk."""
+    return peer.flushed_seq if peer.adopted else 0
+
+
+def held(peer: Peer) -> int:
+    """How far a store has the log of this epoch in memory."""
+    return peer.last_seq if peer.adopted else 0
+
+
+def confirmed_probe(peer: Peer) -> int:
+    """The last question whether this epoch still stands that a store has answered."""
+    return peer.probe
--- a/libs/accession/src/accession/store.py
+++ b/libs/accession/src/accession/store.py
@@ -249,6 +249,16 @@
         if members:
             self.claim(members, members, self.log.identity)
 
+    @property
+    def version(self) -> int:
+        """The version of the control key that this store knows."""
+        return self._version
+
+    def member_change_answered(self) -> None:
+        """The control key's answer to a change of members has come."""
+        if self.role is Role.SERVING:
+            self._keeper.follow_change()
+
     def old_members(self) -> list[dict[str, str]]:
         return self.value["prev"] if self.value["phase"] == "recovering" else self.value["members"]
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -4,7 +4,8 @@
 from accession.messages import Fetched, LogMeta, Started
 from accession.snapshots import read_snapshot
 from ledger import Ledger, entries
-from log_table import PARAMS, Table, entry
+from log_table import PARAMS, Table
+from log_table import entry as key_opened
 from stacks import Damage, frame
 from testtools import TestCase
 from testtools.matchers import Equals
@@ -328,7 +329,7 @@
     def test_an_append_that_contradicts_what_is_settled_is_refused(self):
         table = self.filled()
         log = table.logs["b"]
-        other = log.make((2, 5), encode(entry("other")))
+        other = log.make((2, 5), encode(key_opened("other")))
         other.seq = 4
         answer = self.appended(table, 2, 8, 3, [other])
         self.assertThat((answer.ok, answer.reason, log.last_seq), Equals((False, "settled", 8)))
