--- a/libs/accession/src/accession/holder.py
+++ b/libs/accession/src/accession/holder.py
@@ -23,6 +23,7 @@
 
 _CHUNK_BYTES = 1 << 18
 _WIRES = 64
+_SNAPSHOT_ENDS = ("installed", "full", "damaged")
 
 
 class Holder:
@@ -201,10 +202,10 @@
             return
         peer.address = address
         peer.heard_ms = self._now()
-        if peer.snapshot and message.reason in ("busy", "part"):
-            self._snapshots.answered(peer, message, self._probe)
-        else:
+        if message.ok or message.reason in _SNAPSHOT_ENDS:
             peer.snapshot = b""
+        elif peer.snapshot and message.reason in ("busy", "part"):
+            self._snapshots.answered(peer, message, self._probe)
         peer.full = message.reason == "full" or not message.roomy
         peer.probe = max(peer.probe, message.probe)
         if message.ok:
@@ -219,7 +220,7 @@
             self._send(peer)
         elif message.reason == "full":
             peer.next_seq = min(peer.next_seq, message.last_seq + 1)
-        elif message.reason == "gap" and message.asked_seq == peer.asked_seq:
+        elif message.reason == "gap" and message.asked_seq == peer.asked_seq and not peer.snapshot:
             self._step_back(peer, message)
         self.progress()
 
--- /dev/null
+++ b/tests/test_second_losses.py
@@ -0,0 +1,184 @@
+"""A second loss at every step of a change of members: a store's disk is gone for good, an empty store takes its place,
+and before, while and after the new list is agreed another store is killed, cut from power or loses its disk.
+"""
+
+import json
+
+from accession import replica
+from facsimile.sim import judge
+from facsimile.sim.runs import Run
+from testtools import TestCase
+from testtools.matchers import Equals, LessThan
+
+CATCH_UP_MS = 4900
+SETTINGS = {"catch_up_ms": CATCH_UP_MS, "segment_bytes": 1 << 14}
+DOWN_MS = 600
+
+
+def change_of(fleet):
+    holder = fleet.holder()
+    return None if holder is None else holder.node.log._keeper._change
+
+
+def listed(fleet, host):
+    value = fleet.of("control")[0].node.gazette.value("log")
+    return host.node.log.log.identity in {row["identity"] for row in value["members"]}
+
+
+def decided(fleet, host):
+    """A majority of the voters has the key's new value on disk, whether or not anybody was told."""
+    holds = [
+        host.node.log.log.identity in json.dumps(control.node.gazette.value("log"))
+        for control in fleet.of("control")
+    ]
+    return any(holds)
+
+
+STEPS = {
+    "the spare has just come": lambda fleet, spare: True,
+    "the spare is sent the log": lambda fleet, spare: (
+        spare.node.log.log.identity in fleet.holder().node.log.holder.peers
+    ),
+    "the change has begun": lambda fleet, spare: change_of(fleet) is not None,
+    "the change is asked for": lambda fleet, spare: (
+        change_of(fleet) is not None and change_of(fleet)._version >= 0
+    ),
+    "the change is decided": decided,
+    "the holder knows": lambda fleet, spare: (
+        fleet.holder() is not None
+        and spare.node.log.log.identity in fleet.holder().node.log.holder.members
+    ),
+}
+AGREED = ("the change is decided", "the holder knows")
+
+
+def kill(host):
+    host.kill()
+
+
+def lose_power(host):
+    host.lose_power()
+
+
+def lose_disk(host):
+    host.lose_disk()
+
+
+class SecondLosses(TestCase):
+    def founded(self, seed):
+        run = Run(seed, settings=SETTINGS)
+        run.found()
+        run.fleet.run_until_true(lambda: False, 800)
+        self.lots(run, 2)
+        return run, run.fleet
+
+    def lots(self, run, count):
+        seen = []
+        for _ in range(count):
+            run.visitors.hand_in("summaries", 5, 6, done=seen.append)
+        run.fleet.run_until_true(lambda: len(seen) == count, 12_000)
+        self.assertThat([row["outcome"] for row in seen], Equals(["admitted"] * count))
+
+    def peers(self, fleet):
+        return [host for host in fleet.of("store") if host is not fleet.holder()]
+
+    def until(self, fleet, check, limit_ms=CATCH_UP_MS):
+        """To the millisecond, so that each step of a change is met."""
+        end_ms = fleet.time.now_ms + limit_ms
+        while fleet.time.now_ms < end_ms:
+            if check():
+                return True
+            fleet.time.run_until(fleet.time.now_ms + 1)
+        return False
+
+    def all_members(self, fleet):
+        return fleet.holder() is not None and all(
+            host.up and listed(fleet, host) for host in fleet.of("store")
+        )
+
+    def kept(self, run):
+        run.read_all()
+        found = judge(run.fleet.history)
+        found.pop("lots-in-time", None)
+        self.assertThat(found, Equals({}))
+        self.assertThat(
+            len(run.fleet.history.of("final")),
+            Equals(sum(lot["acked"] for lot in run.visitors.lots.values())),
+        )
+
+    def lose_one_for_good(self, fleet):
+        gone = self.peers(fleet)[0]
+        gone.lose_disk()
+        fleet.hosts.pop(gone.name)
+
+    def replaced_with(self, seed, step, how, of):
+        run, fleet = self.founded(seed)
+        self.lose_one_for_good(fleet)
+        fleet.run_until_true(lambda: False, 200)
+        other, holder = self.peers(fleet)[0], fleet.holder()
+        spare = fleet.add("store", "spare")
+        self.assertThat(self.until(fleet, lambda: STEPS[step](fleet, spare)), Equals(True))
+        struck = {"holder": holder, "other": other, "spare": spare}[of]
+        how(struck)
+        fleet.time.after(DOWN_MS, struck.start)
+        whole = fleet.run_until_true(lambda: self.all_members(fleet), DOWN_MS + 2 * CATCH_UP_MS)
+        self.assertThat(whole, Equals(True))
+        self.lots(run, 1)
+        self.kept(run)
+
+    def test_while_a_member_is_replaced(self):
+        seed = 40
+        for step in STEPS:
+            rows = [(kill, "holder"), (lose_power, "other"), (lose_disk, "other")]
+            rows += [(lose_disk, "holder")] if step in AGREED else [(lose_disk, "spare")]
+            for how, of in rows:
+                seed += 1
+                self.replaced_with(seed, step, how, of)
+
+    def test_a_holder_left_alone_with_the_log_takes_in_whoever_comes(self):
+        """Of the old members only the holder is left, so nothing can be recovered from a majority of them."""
+        run, fleet = self.founded(7)
+        holder = fleet.holder()
+        epoch = holder.node.log.holder.epoch
+        for _ in range(2):
+            self.lose_one_for_good(fleet)
+        fleet.run_until_true(lambda: False, 1000)
+        for number in range(2):
+            fleet.add("store", f"fresh{number}")
+        self.assertThat(
+            fleet.run_until_true(lambda: self.all_members(fleet), 2 * CATCH_UP_MS), Equals(True)
+        )
+        self.assertThat(
+            (fleet.holder() is holder, holder.node.log.holder.epoch), Equals((True, epoch))
+        )
+        self.lots(run, 1)
+        self.kept(run)
+
+    def test_time_to_full_tolerance_idle_and_under_a_burst(self):
+        """The snapshot that the empty machine is sent has several parts, and calls go on; it answers the appends that
+        are still sent to the identity that lived at its address before.
+        """
+        whole, replica._PART_BYTES = replica._PART_BYTES, 4096
+        self.addCleanup(setattr, replica, "_PART_BYTES", whole)
+        for seed, burst in ((60, 0), (61, 30)):
+            run, fleet = self.founded(seed)
+            self.burst(run, burst)
+            fleet.run_until_true(lambda: False, 1500)
+            fleet.holder().node.log.log.tidy(force=True)
+            host = self.peers(fleet)[0]
+            host.lose_disk()
+            fleet.run_until_true(lambda: False, DOWN_MS)
+            host.start()
+            began_ms = fleet.time.now_ms
+            self.assertThat(
+                self.until(fleet, lambda fleet=fleet: self.all_members(fleet)), Equals(True)
+            )
+            self.assertThat(fleet.time.now_ms - began_ms, LessThan(CATCH_UP_MS // 2))
+
+    def burst(self, run, lots):
+        """Lots, and calls that aren't safe to repeat, each of which takes records of the log."""
+        after, visitors = run.fleet.time.after, run.visitors
+        for number in range(lots):
+            after(50 * number, lambda: visitors.hand_in("summaries", 50, 20))
+        for number in range(10 * lots):
+            after(1500 + 10 * number, lambda number=number: visitors.live("moves", f"m{number}"))
