Takeovers that lack answers say so and wait; a leaving member stays while its copy is needed

Cause: a takeover that couldn't get its answers claimed again at once, under ever higher epochs, and said nothing at the platform's level of logging; a member told to stop left whether or not its copy of the log was needed. Change: recovery-failed, takeover-stuck and log-unserved name at WARNING whom they lack; the next claim waits the longer, up to four times force_ms. The holder's pulse tells how many members are level; a member told to stop stays, within its grace, while a holder is at work and fewer than f+1 others are level. Metrics store_members_level and store_copies_at_risk.

--- a/libs/accession/src/accession/holder.py
+++ b/libs/accession/src/accession/holder.py
@@ -13,22 +13,20 @@
 from vellum import Message, encode
 
 from accession.local import LocalLog
-from accession.messages import Append, Appended, Record
-from accession.quorums import Quorums, confirmed_probe, flushed_seq, held
+from accession.messages import Append, Appended
+from accession.quorums import Quorums, confirmed_probe, held
 from accession.records import entry_of
-from accession.replica import Peer, SnapshotSender
+from accession.replica import Peer, SnapshotSender, WireCache
 from accession.waiters import Outcome, Waiter
 
 __all__ = ["Holder", "Outcome"]
 
 _CHUNK_BYTES = 1 << 18
-_WIRES = 64
 _SNAPSHOT_ENDS = ("installed", "full", "damaged")
 
 
 class Holder:
     __slots__ = (
-        "_change_seq",
         "_flush_asked",
         "_flush_wanted_seq",
         "_log",
@@ -79,11 +77,10 @@
             if identity != log.identity
         }
         self._quorums = Quorums([identity for identity, _ in members], self.peers)
-        self._change_seq = 0
         self.waiters: list[Waiter] = []
         self._readers: list[tuple[int, Callable[[bool], None], int]] = []
         self._probe = 0
-        self._wires: dict[int, bytes] = {}
+        self._wires = WireCache()
         self._flush_asked = False
         self._flush_wanted_seq = 0
         self.deposed = False
@@ -158,8 +155,7 @@
     def _send(self, peer: Peer, flush: bool = False) -> None:
         log = self._log
         peer.sent_ms = self._now()
-        silent = self._now() - peer.heard_ms > self.params.dead_ms
-        if silent:
+        if self._now() - peer.heard_ms > self.params.dead_ms:
             peer.next_seq = log.last_seq + 1
         previous = log.stamp_at(peer.next_seq - 1)
         if previous is None or peer.next_seq < log.first_seq:
@@ -176,7 +172,7 @@
                 prev_seq=peer.next_seq - 1,
                 prev_epoch=previous[0],
                 prev_ms=previous[1],
-                records=[self._wired(record) for record in records],
+                records=[self._wires.bytes_of(record) for record in records],
                 settled_seq=log.settled_seq,
                 flush=wanted,
                 probe=self._probe,
@@ -184,15 +180,6 @@
         )
         peer.next_seq += len(records)
 
-    def _wired(self, record: Record) -> bytes:
-        """A record's bytes for the wire, made once for all peers."""
-        data = self._wires.get(record.seq)
-        if data is None:
-            data = self._wires[record.seq] = encode(record)
-            if len(self._wires) > _WIRES:
-                del self._wires[next(iter(self._wires))]
-        return data
-
     def answered(self, message: Appended, address: str) -> None:
         if message.fence > self.epoch:
             self._depose(message.fence)
@@ -269,6 +256,11 @@
             and self._now() - peer.heard_ms < self.params.dead_ms
         )
 
+    def level_members(self) -> int:
+        """How many members have on disk all that is settled, this store among them, and are in touch."""
+        own = self._log.flushed_seq >= self._log.settled_seq
+        return own + sum(self.is_level(name) for name in self.members)
+
     def sure(self) -> bool:
         """Whether f members have answered lately, so that this store can do its duty."""
         floor_ms = self._now() - self.params.doubt_ms
@@ -284,21 +276,9 @@
     def _voting(self) -> list[Peer]:
         return self._quorums.peers_of(self.members)
 
-    def _settled_seq(self) -> int:
-        """How far f+1 disks have the log, in every list of members that counts."""
-        lists = [names for names in (self.members, self._quorums.following) if names]
-        return min(self._flushed_by(names) for names in lists)
-
-    def _flushed_by(self, names: list[str]) -> int:
-        copies = sorted(
-            [self._log.flushed_seq, *map(flushed_seq, self._quorums.peers_of(names))], reverse=True
-        )
-        f = self.params.store_faults
-        return copies[f] if len(copies) > f else 0
-
     def progress(self) -> None:
         f = self.params.store_faults
-        settled_seq = self._settled_seq()
+        settled_seq = self._quorums.settled_seq(f, self._log.flushed_seq)
         if settled_seq > self._log.settled_seq and settled_seq >= self.base_seq:
             self._log.settle(settled_seq)
         held_seq = self._quorums.reached(f, held)
@@ -343,29 +323,17 @@
     # -- changing the members ------------------------------------------------------------------
 
     def begin_change(self, following: list[str]) -> None:
-        """From now on what is acknowledged is on enough stores of both lists. All that was acknowledged before is
-        to be on the disks of the following ones too before the change is asked for.
-        """
-        self._quorums.following = following
-        self._change_seq = self._log.last_seq
+        """From now on what is acknowledged is on enough stores of both lists."""
+        self._quorums.begin_change(following, self._log.last_seq)
         self._bring_flush_forward()
 
     def may_change(self) -> bool:
-        """Whether f+1 of the following members, this store among them, have on disk all that the members before
-        them may have acknowledged alone.
-        """
-        f = self.params.store_faults
-        return (
-            self._quorums.following is not None
-            and self._log.flushed_seq >= self._change_seq
-            and self._quorums.following_reached(f, flushed_seq) >= self._change_seq
-        )
+        """Whether the following members have on disk all that was acknowledged without them."""
+        return self._quorums.may_change(self.params.store_faults, self._log.flushed_seq)
 
     def end_change(self, made: bool) -> None:
         """The following members are in force, or the ones before them go on."""
-        following, self._quorums.following = self._quorums.following, None
-        if made and following is not None:
-            self._quorums.members = following
+        self._quorums.end_change(made)
         self.progress()
 
     # -- flushing ------------------------------------------------------------------------------
@@ -387,10 +355,7 @@
 
     def tick(self) -> None:
         now_ms = self._now()
-        late = [
-            waiter for waiter in self.waiters if now_ms - waiter.at_ms >= 2 * self.params.delta_ms
-        ]
-        if late:
+        if any(now_ms - waiter.at_ms >= 2 * self.params.delta_ms for waiter in self.waiters):
             self._bring_flush_forward()
         given_up = [
             waiter for waiter in self.waiters if now_ms - waiter.at_ms >= self.params.ask_ms
--- a/libs/accession/src/accession/messages.py
+++ b/libs/accession/src/accession/messages.py
@@ -124,10 +124,13 @@
 
 
 class Pulse(Message):
-    """The holder is at work; `sure` if f members have answered it lately."""
+    """The holder is at work; `sure` if f members have answered it lately; `level` is how many members, itself among
+    them, have on disk all that is settled.
+    """
 
     epoch: Long
     sure: Flag
+    level: Long
 
 
 class Poll(Message):
--- a/libs/accession/src/accession/quorums.py
+++ b/libs/accession/src/accession/quorums.py
@@ -15,12 +15,13 @@
     without its answer having come.
     """
 
-    __slots__ = ("_peers", "following", "members")
+    __slots__ = ("_change_seq", "_peers", "following", "members")
 
     def __init__(self, members: list[str], peers: dict[str, Peer]) -> None:
         self.members = members
         self.following: list[str] | None = None
         self._peers = peers
+        self._change_seq = 0
 
     def peers_of(self, names: list[str]) -> list[Peer]:
         """The stores of a list that the holder sends the log, itself left out."""
@@ -28,12 +29,40 @@
 
     def reached(self, faults: int, measure: Callable[[Peer], int]) -> int:
         """The highest value that `faults` stores besides the holder have reached, in every list that counts."""
-        lists = [self.members] if self.following is None else [self.members, self.following]
-        return min(_reached(self.peers_of(names), faults, measure) for names in lists)
+        return min(_reached(self.peers_of(names), faults, measure) for names in self._lists())
 
-    def following_reached(self, faults: int, measure: Callable[[Peer], int]) -> int:
-        """The same in the list that is to follow."""
-        return _reached(self.peers_of(self.following or []), faults, measure)
+    def settled_seq(self, faults: int, own_flushed_seq: int) -> int:
+        """How far f+1 disks have the log, in every list that counts."""
+        return min(
+            _settled([own_flushed_seq, *map(flushed_seq, self.peers_of(names))], faults)
+            for names in self._lists()
+        )
+
+    def _lists(self) -> list[list[str]]:
+        return [self.members] if self.following is None else [self.members, self.following]
+
+    # -- changing the members ------------------------------------------------------------------
+
+    def begin_change(self, following: list[str], last_seq: int) -> None:
+        """What was acknowledged up to `last_seq` may be on stores of the present list alone."""
+        self.following = following
+        self._change_seq = last_seq
+
+    def may_change(self, faults: int, own_flushed_seq: int) -> bool:
+        """Whether f+1 of the following members, the holder among them, have that on disk too."""
+        peers = self.peers_of(self.following or [])
+        return min(own_flushed_seq, _reached(peers, faults, flushed_seq)) >= self._change_seq
+
+    def end_change(self, made: bool) -> None:
+        """The following members are in force, or the ones before them go on."""
+        if made and self.following is not None:
+            self.members = self.following
+        self.following = None
+
+
+def _settled(copies: list[int], f: int) -> int:
+    copies.sort(reverse=True)
+    return copies[f] if len(copies) > f else 0
 
 
 def _reached(peers: list[Peer], faults: int, measure: Callable[[Peer], int]) -> int:
--- a/libs/accession/src/accession/recovery.py
+++ b/libs/accession/src/accession/recovery.py
@@ -279,6 +279,12 @@
             return
         self._log.keep_meta(self._finish, log_epoch=self.epoch)
 
+    def lacking(self) -> list[str]:
+        """The members that haven't answered; none once enough have."""
+        if self._sources or len(self._answers) >= len(self.members) - self.params.store_faults:
+            return []
+        return [identity for identity, _ in self.members if identity not in self._answers]
+
     def stop(self) -> None:
         if self.state not in (_State.DONE, _State.FAILED):
             self.state = _State.FAILED
--- a/libs/accession/src/accession/replica.py
+++ b/libs/accession/src/accession/replica.py
@@ -3,14 +3,15 @@
 from collections.abc import Callable
 from typing import Any
 
-from vellum import Message
+from vellum import Message, encode
 
 from accession.local import LocalLog
-from accession.messages import Appended, Install
+from accession.messages import Appended, Install, Record
 
-__all__ = ["Peer", "SnapshotSender"]
+__all__ = ["Peer", "SnapshotSender", "WireCache"]
 
 _PART_BYTES = 1 << 18
+_WIRES = 64
 
 
 class Peer:
@@ -100,3 +101,25 @@
         elif message.asked_seq > peer.taken_bytes:
             peer.taken_bytes = message.asked_seq
             self._send_part(peer, probe)
+
+
+class WireCache:
+    """The last records' bytes for the wire, made once for all stores."""
+
+    __slots__ = ("_wires",)
+
+    def __init__(self) -> None:
+        self._wires: dict[int, bytes] = {}
+
+    def bytes_of(self, record: Record) -> bytes:
+        """The record as it is sent."""
+        data = self._wires.get(record.seq)
+        if data is None:
+            data = self._wires[record.seq] = encode(record)
+            if len(self._wires) > _WIRES:
+                del self._wires[next(iter(self._wires))]
+        return data
+
+    def clear(self) -> None:
+        """The records have been cut off again."""
+        self._wires.clear()
--- a/libs/accession/src/accession/store.py
+++ b/libs/accession/src/accession/store.py
@@ -28,8 +28,8 @@
     Succeed,
 )
 from accession.peer import PeerSide
-from accession.recovery import Recovery
 from accession.role import Role
+from accession.takeover import Takeover
 from accession.watch import Watch
 
 __all__ = ["LOG_KEY", "StoreLog"]
@@ -52,11 +52,12 @@
         "_fleet",
         "_founding",
         "_keeper",
+        "_level_told",
         "leaving",
         "_on_role",
         "_peer",
         "_pulsed_ms",
-        "_recovery",
+        "_takeover",
         "_version",
         "_watch",
         "holder",
@@ -74,7 +75,7 @@
         self._fleet = fleet
         self._on_role = on_role
         self._peer = PeerSide(log)
-        self._recovery: Recovery | None = None
+        self._takeover = Takeover(self)
         self.holder: Holder | None = None
         self.role = Role.PEER
         self.changed_ms = 0
@@ -82,6 +83,7 @@
         self.leaving = False
         self._pulsed_ms = -1 << 40
         self._version = 0
+        self._level_told = 0
         self._founding = Founding(log, fleet)
         self._keeper = MemberKeeper(self, fleet)
         self.value: dict[str, Any] = {}
@@ -99,6 +101,7 @@
         elif isinstance(message, Pulse):
             if message.sure and message.epoch >= self.value.get("epoch", 0):
                 self._watch.heard()
+                self._level_told = message.level
         elif isinstance(message, Poll):
             self._polled(message, origin)
         elif isinstance(message, Succeed):
@@ -106,7 +109,7 @@
             self._consider_claim()
         else:
             if message.epoch > self.log.meta.fence and self.role is not Role.PEER:
-                self._step_down("fenced", message.epoch)
+                self.step_down("fenced", message.epoch)
             self._peer.receive(
                 message, lambda receipt: self._receipt(origin, message, receipt), origin.sender
             )
@@ -178,13 +181,13 @@
         if self.role is Role.PEER:
             self._consider_claim()
             return
-        self._pulse()
+        self.pulse()
         if self.role is Role.SERVING:
             self._keeper.tick()
         elif self.node.env.now() - self.changed_ms > 2 * self.node.params.force_ms:
-            self._step_down("stuck", 0)
+            self._takeover.stuck()
 
-    def _pulse(self) -> None:
+    def pulse(self) -> None:
         """To the other members, that this store is at work as the holder."""
         now_ms = self.node.env.now()
         if self.role is Role.CLAIMING or now_ms - self._pulsed_ms < self.node.params.pulse_ms:
@@ -193,14 +196,18 @@
         for row in self.value["members"]:
             if row["identity"] != self.log.identity:
                 self.node.post(
-                    row["address"], Pulse(epoch=self.value["epoch"], sure=self._at_work())
+                    row["address"],
+                    Pulse(epoch=self.value["epoch"], sure=self._at_work(), level=self._level()),
                 )
 
+    def _level(self) -> int:
+        return self.holder.level_members() if self.holder is not None else 0
+
     def _read_key(self) -> None:
         self._learn(*self._fleet.log_key())
         held = self.value.get("epoch", 0)
         if self.role is not Role.PEER and self.holder is not None and held > self.holder.epoch:
-            self._step_down("superseded", held)
+            self.step_down("superseded", held)
 
     def _learn(self, version: int, body: str) -> None:
         if version > self._version:
@@ -222,11 +229,14 @@
         holder, epoch = self.value["holder"], self.value["epoch"]
         orphaned = holder == self.log.identity
         if orphaned and self.value["phase"] == "recovering" and self.log.meta.fence < epoch:
-            self._recover(epoch)
+            self._takeover.start(epoch)
             return
         if self._watch.should_poll(orphaned):
             self._poll(epoch)
-        if self._watch.should_claim(names, holder, epoch, self._fleet.retired_stores()):
+        self._takeover.warn_if_unserved(names, self._watch)
+        if self._takeover.may_claim() and self._watch.should_claim(
+            names, holder, epoch, self._fleet.retired_stores()
+        ):
             self.claim(self.value["members"], self.old_members(), self.log.identity)
 
     def _poll(self, epoch: int) -> None:
@@ -273,7 +283,7 @@
         }
         serving = self.role is Role.SERVING
         if not serving:
-            self._become(Role.CLAIMING, epoch)
+            self.become(Role.CLAIMING, epoch)
 
         def claimed(outcome: str) -> None:
             if (
@@ -281,14 +291,14 @@
                 and self.role is Role.SERVING
                 and self.value.get("epoch", 0) > self.holder.epoch
             ):
-                self._step_down("succeeded", epoch)
+                self.step_down("succeeded", epoch)
             if self.role is not (Role.PEER if serving else Role.CLAIMING):
                 return
             mine = outcome == "ok" and self.value.get("epoch") == epoch
             if mine and holder == self.log.identity:
-                self._recover(epoch)
+                self._takeover.start(epoch)
             elif not serving:
-                self._become(Role.PEER, epoch)
+                self.become(Role.PEER, epoch)
             if mine and holder != self.log.identity:
                 address = next(row["address"] for row in members if row["identity"] == holder)
                 self.node.post(address, Succeed(number=self._version, body=json.dumps(self.value)))
@@ -308,59 +318,8 @@
 
         self._control.change(LOG_KEY, self._version, json.dumps(body), changed)
 
-    def _recover(self, epoch: int) -> None:
-        self._become(Role.RECOVERING, epoch)
-        self._pulse()
-        prev = [(row["identity"], row["address"]) for row in self.value["prev"]]
-
-        def recovered(ok: bool) -> None:
-            if self.role is not Role.RECOVERING:
-                return
-            self._recovery = None
-            if not ok:
-                self._become(Role.PEER, epoch)
-                return
-            members = [(row["identity"], row["address"]) for row in self.value["members"]]
-            self.holder = Holder(
-                self.log,
-                epoch,
-                members,
-                self.node.params,
-                self.node.env.now,
-                self.node.env.wall,
-                self.node.post,
-                lambda fence: self._step_down("deposed", fence),
-                self._adopted,
-            )
-            self._become(Role.ADOPTING, epoch)
-            self.holder.tick()
-
-        self._recovery = Recovery(
-            self.log, epoch, prev, self.node.params, self.node.ask, self.node.env.now, recovered
-        )
-        self._recovery.start()
-
-    def _adopted(self) -> None:
-        if self.role is not Role.ADOPTING:
-            return
-        epoch = self.holder.epoch
-        if self.value["members"] == self.value["prev"]:
-            self._serve(epoch)
-            return
-        self._become(Role.ANNOUNCING, epoch)
-
-        def announced(outcome: str) -> None:
-            if self.role is not Role.ANNOUNCING:
-                return
-            if outcome == "ok" and self.value.get("epoch") == epoch:
-                self._serve(epoch)
-            else:
-                self._step_down("announcement-" + outcome, epoch)
-
-        self.change({**self.value, "phase": "serving", "prev": self.value["members"]}, announced)
-
-    def _serve(self, epoch: int) -> None:
-        self._become(Role.SERVING, epoch)
+    def serve(self, epoch: int) -> None:
+        self.become(Role.SERVING, epoch)
         self._keeper.serves()
         self._on_role(self.holder)
 
@@ -373,23 +332,28 @@
             self._keeper.tick()
 
     def handing_over(self) -> bool:
-        return self.leaving and self.role is not Role.PEER
+        """Whether this store, told to stop, still has the duty, or has a copy of the log that is needed: a holder is at
+        work, and without this store fewer than f+1 members have all that is settled.
+        """
+        if not self.leaving or self.role is not Role.PEER:
+            return self.leaving
+        names = [row["identity"] for row in self.value.get("members", [])]
+        needed = self._level_told - 1 < self.node.params.store_faults + 1
+        return self.log.identity in names and needed and self._watch.hears
 
     # -- changes of role -----------------------------------------------------------------------
 
-    def _become(self, role: Role, epoch: int) -> None:
+    def become(self, role: Role, epoch: int) -> None:
         if role is not self.role:
             self.node.env.log("log-role", "INFO", became=str(role), was=str(self.role), epoch=epoch)
         self.role = role
         self.changed_ms = self.node.env.now()
 
-    def _step_down(self, reason: str, epoch: int) -> None:
-        if self._recovery is not None:
-            self._recovery.stop()
-            self._recovery = None
+    def step_down(self, reason: str, epoch: int) -> None:
+        self._takeover.stop()
         holder, self.holder = self.holder, None
         self.node.env.log("log-stepped-down", "INFO", reason=reason, epoch=epoch)
-        self._become(Role.PEER, epoch)
+        self.become(Role.PEER, epoch)
         self._watch.reset()
         self._on_role(None)
         if holder is not None:
@@ -398,4 +362,4 @@
     def woke(self, gap_ms: int) -> None:
         self._watch.reset()
         if self.role is not Role.PEER:
-            self._step_down("frozen", 0)
+            self.step_down("frozen", 0)
--- /dev/null
+++ b/libs/accession/src/accession/takeover.py
@@ -0,0 +1,128 @@
+"""From a claim to the duty: the log is recovered from the old members, adopted by the new ones, announced if the members
+have changed, and served. A takeover that fails says whom it lacks, and the next one waits the longer, so that a
+store whose fellows are gone doesn't raise the epoch for ever.
+"""
+
+from typing import Any
+
+from accession.holder import Holder
+from accession.recovery import Recovery
+from accession.role import Role
+from accession.watch import Watch
+
+__all__ = ["Takeover"]
+
+_LONGEST_WAIT = 4
+
+
+class Takeover:
+    """`store` is the StoreLog that takes the duty over."""
+
+    __slots__ = ("_failures", "_not_before_ms", "_recovery", "_store", "_warned_ms")
+
+    def __init__(self, store: Any) -> None:
+        self._store = store
+        self._recovery: Recovery | None = None
+        self._failures = 0
+        self._not_before_ms = -1 << 40
+        self._warned_ms = -1 << 40
+
+    def may_claim(self) -> bool:
+        """Whether enough time has passed since the last takeover failed for want of answers."""
+        return self._store.node.env.now() >= self._not_before_ms
+
+    def stop(self) -> None:
+        """The store steps down."""
+        if self._recovery is not None:
+            self._recovery.stop()
+            self._recovery = None
+
+    def stuck(self) -> None:
+        """The takeover has got no further for too long."""
+        store, lacks = self._store, []
+        if self._recovery is not None:
+            lacks = self._recovery.lacking()
+        elif store.holder is not None:
+            lacks = [name for name in store.holder.members if not store.holder.in_touch(name)]
+        self._failed("takeover-stuck", lacks, store.value["epoch"])
+        store.step_down("stuck", 0)
+
+    def _failed(self, event: str, lacks: list[str], epoch: int) -> None:
+        store = self._store
+        store.node.env.log(event, "WARNING", lacks=lacks, epoch=epoch)
+        if lacks:
+            params = store.node.params
+            wait_ms = min(params.ask_ms << self._failures, _LONGEST_WAIT * params.force_ms)
+            self._not_before_ms = store.node.env.now() + wait_ms
+            self._failures = min(self._failures + 1, 10)
+
+    def warn_if_unserved(self, names: list[str], watch: Watch) -> None:
+        """No holder is heard, and too few members answer for another to be made."""
+        store, params, now_ms = self._store, self._store.node.params, self._store.node.env.now()
+        lacks = watch.lacking(names)
+        if (
+            watch.quiet_ms >= params.force_ms
+            and len(lacks) > params.store_faults
+            and now_ms - self._warned_ms >= params.resume_ms
+        ):
+            self._warned_ms = now_ms
+            store.node.env.log("log-unserved", "WARNING", lacks=lacks, epoch=store.value["epoch"])
+
+    def start(self, epoch: int) -> None:
+        """Recovers the log under an epoch that the control key gives to this store."""
+        store = self._store
+        store.become(Role.RECOVERING, epoch)
+        store.pulse()
+        prev = [(row["identity"], row["address"]) for row in store.value["prev"]]
+
+        def recovered(ok: bool) -> None:
+            if store.role is not Role.RECOVERING:
+                return
+            recovery, self._recovery = self._recovery, None
+            if not ok:
+                self._failed("recovery-failed", recovery.lacking(), epoch)
+                store.become(Role.PEER, epoch)
+                return
+            members = [(row["identity"], row["address"]) for row in store.value["members"]]
+            store.holder = Holder(
+                store.log,
+                epoch,
+                members,
+                store.node.params,
+                store.node.env.now,
+                store.node.env.wall,
+                store.node.post,
+                lambda fence: store.step_down("deposed", fence),
+                self._adopted,
+            )
+            store.become(Role.ADOPTING, epoch)
+            store.holder.tick()
+
+        self._recovery = Recovery(
+            store.log, epoch, prev, store.node.params, store.node.ask, store.node.env.now, recovered
+        )
+        self._recovery.start()
+
+    def _adopted(self) -> None:
+        store = self._store
+        if store.role is not Role.ADOPTING:
+            return
+        epoch = store.holder.epoch
+        if store.value["members"] == store.value["prev"]:
+            self._serve(epoch)
+            return
+        store.become(Role.ANNOUNCING, epoch)
+
+        def announced(outcome: str) -> None:
+            if store.role is not Role.ANNOUNCING:
+                return
+            if outcome == "ok" and store.value.get("epoch") == epoch:
+                self._serve(epoch)
+            else:
+                store.step_down("announcement-" + outcome, epoch)
+
+        store.change({**store.value, "phase": "serving", "prev": store.value["members"]}, announced)
+
+    def _serve(self, epoch: int) -> None:
+        self._failures = 0
+        self._store.serve(epoch)
--- a/libs/accession/src/accession/watch.py
+++ b/libs/accession/src/accession/watch.py
@@ -68,6 +68,15 @@
         if answer.identity == holder and answer.holds:
             self.heard()
 
+    def lacking(self, names: list[str]) -> list[str]:
+        """The members that haven't answered lately."""
+        floor_ms = self._now() - 2 * self._params.dead_ms
+        return [
+            name
+            for name in names
+            if name != self._own and self._answers.get(name, (floor_ms - 1,))[0] < floor_ms
+        ]
+
     def should_claim(self, names: list[str], holder: str, epoch: int, retired: list[str]) -> bool:
         params, now_ms = self._params, self._now()
         floor_ms = now_ms - 2 * params.pulse_ms
--- a/libs/facsimile/src/facsimile/breaks/log.py
+++ b/libs/facsimile/src/facsimile/breaks/log.py
@@ -32,9 +32,9 @@
         _LOG + "f_peers",
     ),
     "one disk is enough": (
-        "accession/src/accession/holder.py",
-        "settled_seq = copies[f] if len(copies) > f else 0",
-        "settled_seq = copies[0]",
+        "accession/src/accession/quorums.py",
+        "return copies[f] if len(copies) > f else 0",
+        "return copies[0]",
         _LOG + "one_disk",
     ),
     "a stale holder goes on": (
@@ -110,8 +110,8 @@
     ),
     "a holder that hears nobody is believed": (
         "accession/src/accession/store.py",
-        "sure=self._at_work()))",
-        "sure=True))",
+        "sure=self._at_work(), level",
+        "sure=True, level",
         "tests/test_holders.py -k hears_nobody",
     ),
     "a tail that is no longer shared is kept": (
@@ -150,6 +150,36 @@
         "if False:",
         "tests/test_recovery.py -k short_append",
     ),
+    "a change asked for before the new members are level": (
+        "accession/src/accession/member_change.py",
+        "if store.holder.may_change():",
+        "if True:",
+        "tests/test_member_change.py -k level_before",
+    ),
+    "what one list alone has is acknowledged during a change": (
+        "accession/src/accession/quorums.py",
+        "return [self.members] if self.following is None else [self.members, self.following]",
+        "return [self.members]",
+        "tests/test_member_change.py -k both_lists",
+    ),
+    "an answer to another message ends a snapshot on its way": (
+        "accession/src/accession/holder.py",
+        "if message.ok or message.reason in _SNAPSHOT_ENDS:",
+        'if message.reason not in ("busy", "part"):',
+        "tests/test_second_losses.py -k burst",
+    ),
+    "a leaving member gives up a copy that is needed": (
+        "accession/src/accession/store.py",
+        "needed = self._level_told - 1 < self.node.params.store_faults + 1",
+        "needed = False",
+        "tests/test_second_losses.py -k leaving",
+    ),
+    "a takeover without answers is tried again at once": (
+        "accession/src/accession/takeover.py",
+        "return self._store.node.env.now() >= self._not_before_ms",
+        "return True",
+        "tests/test_member_change.py -k spin",
+    ),
     "an append overwrites what is settled": (
         "accession/src/accession/peer.py",
         "if fresh and same < log.settled_seq:",
--- a/libs/readingroom/src/readingroom/metrics.py
+++ b/libs/readingroom/src/readingroom/metrics.py
@@ -32,6 +32,8 @@
     "store_flushed_seq": "up to where this disk has the log",
     "store_epoch": "the highest epoch that this store has fenced",
     "store_holds": "1 while this store holds the log",
+    "store_members_level": "members that have all that is settled on disk, as the holder knows",
+    "store_copies_at_risk": "copies of the log that are lacking until every member is level",
     "store_open_lots": "lots that are open",
     "store_shelves": "files with the results of lots that are over",
     "control_epoch": "the epoch under which a control key was last owned here",
--- a/libs/readingroom/src/readingroom/roles.py
+++ b/libs/readingroom/src/readingroom/roles.py
@@ -190,6 +190,11 @@
     def metrics(self) -> dict[str, float]:
         local = self.node.log.log
         rows = {f"store_asked_{name}_total": count for name, count in self.node.desk.counts.items()}
+        holder = self.node.log.holder
+        if holder is not None:
+            level = holder.level_members()
+            rows["store_members_level"] = level
+            rows["store_copies_at_risk"] = len(holder.members) - level
         return {
             **rows,
             "store_last_seq": local.last_seq,
--- a/tests/test_second_losses.py
+++ b/tests/test_second_losses.py
@@ -154,6 +154,30 @@
         self.lots(run, 1)
         self.kept(run)
 
+    def test_a_leaving_member_stays_until_the_others_have_all_it_has(self):
+        """One member's disk is lost and not replaced yet: the leaving one's copy is needed until a spare is level."""
+        for seed, of_holder in ((70, False), (71, True)):
+            run, fleet = self.founded(seed)
+            self.lose_one_for_good(fleet)
+            fleet.run_until_true(lambda: False, 300)
+            leaving = fleet.holder() if of_holder else self.peers(fleet)[0]
+            log = leaving.node.log
+            log.hand_over()
+            fleet.run_until_true(lambda: False, 500)
+            self.assertThat(log.handing_over(), Equals(True))
+            fleet.add("store", "spare1")
+            fleet.add("store", "spare2")
+            gone = fleet.run_until_true(lambda log=log: not log.handing_over(), 2 * CATCH_UP_MS)
+            self.assertThat(gone, Equals(True))
+            leaving.lose_disk()
+            fleet.hosts.pop(leaving.name)
+            whole = fleet.run_until_true(
+                lambda fleet=fleet: self.all_members(fleet), 2 * CATCH_UP_MS
+            )
+            self.assertThat(whole, Equals(True))
+            self.lots(run, 1)
+            self.kept(run)
+
     def test_time_to_full_tolerance_idle_and_under_a_burst(self):
         """The snapshot that the empty machine is sent has several parts, and calls go on; it answers the appends that
         are still sent to the identity that lived at its address before.
