A store is level by what was settled a pulse ago

Cause: under a steady load with disks that take 40 ms, what is settled is always ahead of the spare's last report, so the spare was never level at the moment of looking and the lost member stayed lost (4.9 s and more). Change: level means all that was settled a pulse ago is on its disk; a change of members still waits for all that was acknowledged before it.

--- a/libs/accession/src/accession/holder.py
+++ b/libs/accession/src/accession/holder.py
@@ -29,6 +29,7 @@
     __slots__ = (
         "_flush_asked",
         "_flush_wanted_seq",
+        "_level_seq",
         "_log",
         "_on_adopted",
         "_on_deposed",
@@ -83,6 +84,7 @@
         self._wires = WireCache()
         self._flush_asked = False
         self._flush_wanted_seq = 0
+        self._level_seq = (log.settled_seq, log.settled_seq, now())
         self.deposed = False
         self.ledger = log.ledger.copy()
         for record in log.since(log.settled_seq + 1, 1 << 62):
@@ -247,18 +249,20 @@
         )
 
     def is_level(self, identity: str) -> bool:
-        """Whether this spare has on disk all that is settled."""
+        """Whether this store has on disk all that was settled a pulse ago: under load what is settled is always a little
+        ahead of the reports of the slower disks.
+        """
         peer = self.peers.get(identity)
         return (
             peer is not None
             and peer.adopted
-            and peer.flushed_seq >= self._log.settled_seq
+            and peer.flushed_seq >= self._level_seq[0]
             and self._now() - peer.heard_ms < self.params.dead_ms
         )
 
     def level_members(self) -> int:
-        """How many members have on disk all that is settled, this store among them, and are in touch."""
-        own = self._log.flushed_seq >= self._log.settled_seq
+        """How many members are level, this store among them, and in touch."""
+        own = self._log.flushed_seq >= self._level_seq[0]
         return own + sum(self.is_level(name) for name in self.members)
 
     def sure(self) -> bool:
@@ -303,15 +307,7 @@
         """A member in touch that has room, when this store has none."""
         if self._log.disk.roomy(0):
             return None
-        now_ms = self._now()
-        return next(
-            (
-                peer.identity
-                for peer in self._voting()
-                if peer.adopted and not peer.full and now_ms - peer.heard_ms <= self.params.dead_ms
-            ),
-            None,
-        )
+        return self._quorums.roomy_member(self._now() - self.params.dead_ms)
 
     def adopted(self) -> bool:
         """Whether f peers besides this store hold the recovered log under this epoch on disk."""
@@ -355,6 +351,8 @@
 
     def tick(self) -> None:
         now_ms = self._now()
+        if now_ms - self._level_seq[2] >= self.params.pulse_ms:
+            self._level_seq = (self._level_seq[1], self._log.settled_seq, now_ms)
         if any(now_ms - waiter.at_ms >= 2 * self.params.delta_ms for waiter in self.waiters):
             self._bring_flush_forward()
         given_up = [
--- a/libs/accession/src/accession/quorums.py
+++ b/libs/accession/src/accession/quorums.py
@@ -41,6 +41,17 @@
     def _lists(self) -> list[list[str]]:
         return [self.members] if self.following is None else [self.members, self.following]
 
+    def roomy_member(self, heard_since_ms: int) -> str | None:
+        """A member that has adopted the epoch, has room on its disk and was heard lately."""
+        return next(
+            (
+                peer.identity
+                for peer in self.peers_of(self.members)
+                if peer.adopted and not peer.full and peer.heard_ms >= heard_since_ms
+            ),
+            None,
+        )
+
     # -- changing the members ------------------------------------------------------------------
 
     def begin_change(self, following: list[str], last_seq: int) -> None:
