--- a/libs/accession/src/accession/holder.py
+++ b/libs/accession/src/accession/holder.py
@@ -9,7 +9,7 @@
 
 from ledger import Ledger
 from ledger.entries import LotShelved
-from stacks import DiskFull
+from stacks import DiskFullError
 from vellum import Message, encode
 
 from accession.local import LocalLog
@@ -124,7 +124,7 @@
         try:
             for body, entry in zip(bodies, entries, strict=True):
                 self._log.write(self._log.make(self._stamp(), body), urgent, entry)
-        except DiskFull:
+        except DiskFullError:
             self._log.cut_after(before)
             self._wires.clear()
             done(Outcome.FULL)
--- a/libs/accession/src/accession/messages.py
+++ b/libs/accession/src/accession/messages.py
@@ -3,7 +3,7 @@
 sequence number, by which a peer sees that nothing is missing before it.
 """
 
-from vellum import Arr, Blob, Flag, Long, Message, Text
+from vellum import Blob, Flag, Long, Message, Text, array_of
 
 __all__ = [
     "Append",
@@ -69,7 +69,7 @@
     prev_seq: Long
     prev_epoch: Long
     prev_ms: Long
-    records: Arr(Blob)
+    records: array_of(Blob)
     settled_seq: Long
     flush: Flag
     probe: Long
@@ -118,9 +118,9 @@
     """What follows the highest of these places that the asked one holds too, each a number and its stamp."""
 
     epoch: Long
-    seqs: Arr(Long)
-    stamp_epochs: Arr(Long)
-    stamps_ms: Arr(Long)
+    seqs: array_of(Long)
+    stamp_epochs: array_of(Long)
+    stamps_ms: array_of(Long)
 
 
 class Pulse(Message):
@@ -168,5 +168,5 @@
     ok: Flag
     snapshot: Blob
     total: Long
-    records: Arr(Blob)
+    records: array_of(Blob)
     last_seq: Long
--- a/libs/accession/src/accession/peer.py
+++ b/libs/accession/src/accession/peer.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from functools import singledispatchmethod
 
-from stacks import Damage, DiskFull
+from stacks import DamageError, DiskFullError
 from vellum import Message, decode, encode
 
 from accession.local import LocalLog
@@ -114,7 +114,7 @@
         try:
             for record in fresh:
                 log.write(record)
-        except DiskFull:
+        except DiskFullError:
             reply(self._receipt(message.probe, False, "full"))
             return
         if log.meta.log_epoch < message.epoch and log.last_seq >= message.base_seq:
@@ -165,7 +165,7 @@
 
         try:
             log.install(data, installed, self._source, lambda: message.epoch >= log.meta.fence)
-        except (Damage, IndexError):
+        except (DamageError, IndexError):
             self._busy = False
             reply(self._receipt(message.probe, False, "damaged"))
 
--- a/libs/accession/src/accession/recovery.py
+++ b/libs/accession/src/accession/recovery.py
@@ -9,7 +9,7 @@
 from enum import StrEnum
 from typing import Any
 
-from stacks import Damage, DiskFull
+from stacks import DamageError, DiskFullError
 from vellum import Message, decode
 
 from accession.local import LocalLog
@@ -244,7 +244,7 @@
 
         try:
             self._log.install(data, installed, address, lambda: self.state is _State.FETCHING)
-        except (Damage, IndexError):
+        except (DamageError, IndexError):
             self._finish(False)
 
     def _write(self) -> None:
@@ -268,7 +268,7 @@
         try:
             for record in records[same - self._log.snap_seq :]:
                 self._log.write(record, True)
-        except DiskFull:
+        except DiskFullError:
             self._finish(False)
             return
         self._log.secure(self._written)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -6,7 +6,7 @@
 from ledger import Ledger, entries
 from log_table import PARAMS, Table
 from log_table import entry as key_opened
-from stacks import Damage, frame
+from stacks import DamageError, frame
 from testtools import TestCase
 from testtools.matchers import Equals
 from vellum import encode
@@ -162,7 +162,7 @@
         table = self.one()
         name = table.logs["a"].records[0].file
         table.disks["a"].truncate(name, table.logs["a"].records[2].offset)
-        self.assertRaises(Damage, table.open, "a")
+        self.assertRaises(DamageError, table.open, "a")
 
     def test_fences_stand_behind_each_other_and_the_highest_counts(self):
         table = self.one()
