--- a/libs/accession/src/accession/holder.py
+++ b/libs/accession/src/accession/holder.py
@@ -13,26 +13,29 @@
 from vellum import Message, encode
 
 from accession.local import LocalLog
-from accession.messages import Append, Appended, Record
+from accession.messages import Append, Appended
+from accession.quorums import Quorums, confirmed_probe, held
 from accession.records import entry_of
-from accession.replica import Peer, SnapshotSender
+from accession.replica import Peer, SnapshotSender, WireCache
 from accession.waiters import Outcome, Waiter
 
 __all__ = ["Holder", "Outcome"]
 
 _CHUNK_BYTES = 1 << 18
-_WIRES = 64
+_SNAPSHOT_ENDS = ("installed", "full", "damaged")
 
 
 class Holder:
     __slots__ = (
         "_flush_asked",
         "_flush_wanted_seq",
+        "_level_seq",
         "_log",
         "_on_adopted",
         "_on_deposed",
         "_post",
         "_probe",
+        "_quorums",
         "_readers",
         "_snapshots",
         "_wall",
@@ -42,7 +45,6 @@
         "deposed",
         "epoch",
         "ledger",
-        "members",
         "params",
         "peers",
         "waiters",
@@ -70,18 +72,19 @@
         self._on_deposed = on_deposed
         self._on_adopted: Callable[[], None] | None = on_adopted
         self.base_seq = log.last_seq
-        self.members = [identity for identity, _ in members]
         self.peers = {
             identity: Peer(identity, address, log.last_seq + 1, now())
             for identity, address in members
             if identity != log.identity
         }
+        self._quorums = Quorums([identity for identity, _ in members], self.peers)
         self.waiters: list[Waiter] = []
         self._readers: list[tuple[int, Callable[[bool], None], int]] = []
         self._probe = 0
-        self._wires: dict[int, bytes] = {}
+        self._wires = WireCache()
         self._flush_asked = False
         self._flush_wanted_seq = 0
+        self._level_seq = (log.settled_seq, log.settled_seq, now())
         self.deposed = False
         self.ledger = log.ledger.copy()
         for record in log.since(log.settled_seq + 1, 1 << 62):
@@ -154,8 +157,7 @@
     def _send(self, peer: Peer, flush: bool = False) -> None:
         log = self._log
         peer.sent_ms = self._now()
-        silent = self._now() - peer.heard_ms > self.params.dead_ms
-        if silent:
+        if self._now() - peer.heard_ms > self.params.dead_ms:
             peer.next_seq = log.last_seq + 1
         previous = log.stamp_at(peer.next_seq - 1)
         if previous is None or peer.next_seq < log.first_seq:
@@ -172,7 +174,7 @@
                 prev_seq=peer.next_seq - 1,
                 prev_epoch=previous[0],
                 prev_ms=previous[1],
-                records=[self._wired(record) for record in records],
+                records=[self._wires.bytes_of(record) for record in records],
                 settled_seq=log.settled_seq,
                 flush=wanted,
                 probe=self._probe,
@@ -180,15 +182,6 @@
         )
         peer.next_seq += len(records)
 
-    def _wired(self, record: Record) -> bytes:
-        """A record's bytes for the wire, made once for all peers."""
-        data = self._wires.get(record.seq)
-        if data is None:
-            data = self._wires[record.seq] = encode(record)
-            if len(self._wires) > _WIRES:
-                del self._wires[next(iter(self._wires))]
-        return data
-
     def answered(self, message: Appended, address: str) -> None:
         if message.fence > self.epoch:
             self._depose(message.fence)
@@ -198,10 +191,10 @@
             return
         peer.address = address
         peer.heard_ms = self._now()
-        if peer.snapshot and message.reason in ("busy", "part"):
-            self._snapshots.answered(peer, message, self._probe)
-        else:
+        if message.ok or message.reason in _SNAPSHOT_ENDS:
             peer.snapshot = b""
+        elif peer.snapshot and message.reason in ("busy", "part"):
+            self._snapshots.answered(peer, message, self._probe)
         peer.full = message.reason == "full" or not message.roomy
         peer.probe = max(peer.probe, message.probe)
         if message.ok:
@@ -216,7 +209,7 @@
             self._send(peer)
         elif message.reason == "full":
             peer.next_seq = min(peer.next_seq, message.last_seq + 1)
-        elif message.reason == "gap" and message.asked_seq == peer.asked_seq:
+        elif message.reason == "gap" and message.asked_seq == peer.asked_seq and not peer.snapshot:
             self._step_back(peer, message)
         self.progress()
 
@@ -256,15 +249,22 @@
         )
 
     def is_level(self, identity: str) -> bool:
-        """Whether this spare has on disk all that is settled."""
+        """Whether this store has on disk all that was settled a pulse ago: under load what is settled is always a little
+        ahead of the reports of the slower disks.
+        """
         peer = self.peers.get(identity)
         return (
             peer is not None
             and peer.adopted
-            and peer.flushed_seq >= self._log.settled_seq
+            and peer.flushed_seq >= self._level_seq[0]
             and self._now() - peer.heard_ms < self.params.dead_ms
         )
 
+    def level_members(self) -> int:
+        """How many members are level, this store among them, and in touch."""
+        own = self._log.flushed_seq >= self._level_seq[0]
+        return own + sum(self.is_level(name) for name in self.members)
+
     def sure(self) -> bool:
         """Whether f members have answered lately, so that this store can do its duty."""
         floor_ms = self._now() - self.params.doubt_ms
@@ -272,22 +272,20 @@
 
     # -- acknowledging -------------------------------------------------------------------------
 
+    @property
+    def members(self) -> list[str]:
+        """The identities of the members in force."""
+        return self._quorums.members
+
     def _voting(self) -> list[Peer]:
-        return [self.peers[name] for name in self.members if name in self.peers]
+        return self._quorums.peers_of(self.members)
 
     def progress(self) -> None:
         f = self.params.store_faults
-        flushed = sorted(
-            [peer.flushed_seq if peer.adopted else 0 for peer in self._voting()], reverse=True
-        )
-        copies = sorted([self._log.flushed_seq, *flushed], reverse=True)
-        settled_seq = copies[f] if len(copies) > f else 0
+        settled_seq = self._quorums.settled_seq(f, self._log.flushed_seq)
         if settled_seq > self._log.settled_seq and settled_seq >= self.base_seq:
             self._log.settle(settled_seq)
-        held = sorted(
-            [peer.last_seq if peer.adopted else 0 for peer in self._voting()], reverse=True
-        )
-        held_seq = held[f - 1] if len(held) >= f else 0
+        held_seq = self._quorums.reached(f, held)
         ready = [waiter for waiter in self.waiters if self._is_ready(waiter, held_seq)]
         if ready:
             self.waiters = [waiter for waiter in self.waiters if waiter not in ready]
@@ -296,8 +294,7 @@
         if self._on_adopted is not None and self.adopted():
             on_adopted, self._on_adopted = self._on_adopted, None
             on_adopted()
-        probes = sorted([peer.probe for peer in self._voting()], reverse=True)
-        probe = probes[f - 1] if len(probes) >= f else 0
+        probe = self._quorums.reached(f, confirmed_probe)
         while self._readers and self._readers[0][0] <= probe:
             self._readers.pop(0)[1](True)
 
@@ -310,15 +307,7 @@
         """A member in touch that has room, when this store has none."""
         if self._log.disk.roomy(0):
             return None
-        now_ms = self._now()
-        return next(
-            (
-                peer.identity
-                for peer in self._voting()
-                if peer.adopted and not peer.full and now_ms - peer.heard_ms <= self.params.dead_ms
-            ),
-            None,
-        )
+        return self._quorums.roomy_member(self._now() - self.params.dead_ms)
 
     def adopted(self) -> bool:
         """Whether f peers besides this store hold the recovered log under this epoch on disk."""
@@ -327,6 +316,22 @@
         )
         return count >= self.params.store_faults and self._log.flushed_seq >= self.base_seq
 
+    # -- changing the members ------------------------------------------------------------------
+
+    def begin_change(self, following: list[str]) -> None:
+        """From now on what is acknowledged is on enough stores of both lists."""
+        self._quorums.begin_change(following, self._log.last_seq)
+        self._bring_flush_forward()
+
+    def may_change(self) -> bool:
+        """Whether the following members have on disk all that was acknowledged without them."""
+        return self._quorums.may_change(self.params.store_faults, self._log.flushed_seq)
+
+    def end_change(self, made: bool) -> None:
+        """The following members are in force, or the ones before them go on."""
+        self._quorums.end_change(made)
+        self.progress()
+
     # -- flushing ------------------------------------------------------------------------------
 
     def _bring_flush_forward(self) -> None:
@@ -346,10 +351,9 @@
 
     def tick(self) -> None:
         now_ms = self._now()
-        late = [
-            waiter for waiter in self.waiters if now_ms - waiter.at_ms >= 2 * self.params.delta_ms
-        ]
-        if late:
+        if now_ms - self._level_seq[2] >= self.params.pulse_ms:
+            self._level_seq = (self._level_seq[1], self._log.settled_seq, now_ms)
+        if any(now_ms - waiter.at_ms >= 2 * self.params.delta_ms for waiter in self.waiters):
             self._bring_flush_forward()
         given_up = [
             waiter for waiter in self.waiters if now_ms - waiter.at_ms >= self.params.ask_ms
--- a/libs/accession/src/accession/recovery.py
+++ b/libs/accession/src/accession/recovery.py
@@ -135,10 +135,14 @@
         ]
         self._sources.sort(key=lambda source: -self._answers[source[0]].last_seq)
         own = self._answers.get(self._log.identity)
-        if own is not None and own.log_epoch == top:
-            self._records.append(list(self._log.records))
+        counts = own is not None and own.log_epoch == top
+        self._records.append(list(self._log.records) if counts else self._settled_here())
         self._next_source()
 
+    def _settled_here(self) -> list[Record]:
+        """What every later log has too, so that it stands though this copy doesn't count as an answer."""
+        return [record for record in self._log.records if record.seq <= self._log.settled_seq]
+
     def _reach(self) -> int:
         """How far the log goes that has been gathered."""
         return max(
@@ -257,6 +261,9 @@
             if self._log.stamp_at(record.seq) != record.stamp:
                 break
             same = record.seq
+        if same < self._log.settled_seq:
+            self._finish(False)
+            return
         self._log.cut_after(same)
         try:
             for record in records[same - self._log.snap_seq :]:
@@ -272,6 +279,12 @@
             return
         self._log.keep_meta(self._finish, log_epoch=self.epoch)
 
+    def lacking(self) -> list[str]:
+        """The members that haven't answered; none once enough have."""
+        if self._sources or len(self._answers) >= len(self.members) - self.params.store_faults:
+            return []
+        return [identity for identity, _ in self.members if identity not in self._answers]
+
     def stop(self) -> None:
         if self.state not in (_State.DONE, _State.FAILED):
             self.state = _State.FAILED
--- a/libs/facsimile/src/facsimile/breaks/control.py
+++ b/libs/facsimile/src/facsimile/breaks/control.py
@@ -181,6 +181,7 @@
         "fresh = self.node.env.now() - self._since_ms < self.node.params.gone_ms",
         "fresh = False",
         _OWN_ORDERS + "too_few",
+    ),
     "an old log takes a key back": (
         "catalogue/src/catalogue/voter.py",
         "return self.promised, self.accepted, self.version",
