--- a/libs/readingroom/src/readingroom/forward_http.py
+++ b/libs/readingroom/src/readingroom/forward_http.py
@@ -55,8 +55,11 @@
     __slots__ = ()
 
     def leave(self) -> None:
-        """Ends now if no request has been read, else with the answer."""
-        if self._request_in_progress or self._messages:
+        """Ends now if no request has been read, else with the answer. A request that has been taken off the
+        queue and isn't handled yet shows only in that nothing waits for the next one.
+        """
+        waiting = self._waiter is not None and not self._waiter.done()
+        if self._request_in_progress or self._messages or (self._request_count and not waiting):
             self.close()
         elif self.transport is not None:
             self.transport.close()
--- a/libs/readingroom/src/readingroom/pool.py
+++ b/libs/readingroom/src/readingroom/pool.py
@@ -1,15 +1,19 @@
 """Connections to workers, kept and used again. A worker says how long it keeps an idle one; nobody knows
 whether one that has been idle is about to be closed, so what is not safe to repeat takes only one that
-was used a moment ago. One that saw anything odd, or has bytes nobody asked for, is never used again.
+was used a moment ago. One that saw anything odd, or has bytes nobody asked for, is never used again, nor is one
+used for two sends of the same id in a row: a late copy of the first answer would pass for the second.
 """
 
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from contextvars import ContextVar
+from functools import partial
 from time import monotonic
 from typing import Any
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
 __all__ = ["CURRENT", "Outgoing", "WorkerPool", "pooled_session"]
@@ -21,14 +25,17 @@
 
 
 class Outgoing:
-    """What the task of a request knows and its library does not pass on: the target as it came, whether it
-    may be repeated, and whom to tell that there is a connection.
+    """What the task of a request knows and its library does not pass on: the target as it came, its id, whether
+    it may be repeated, and whom to tell that there is a connection.
     """
 
-    __slots__ = ("connected", "repeatable", "target")
+    __slots__ = ("connected", "repeatable", "request_id", "target")
 
-    def __init__(self, target: str, repeatable: bool, connected: Callable[[], None]) -> None:
-        self.target, self.repeatable, self.connected = target, repeatable, connected
+    def __init__(
+        self, target: str, request_id: str, repeatable: bool, connected: Callable[[], None]
+    ) -> None:
+        self.target, self.request_id = target, request_id
+        self.repeatable, self.connected = repeatable, connected
 
 
 CURRENT: ContextVar[Outgoing] = ContextVar("current")
@@ -42,20 +49,59 @@
     return _GUESS_S
 
 
+class WorkerProtocol(ResponseHandler):
+    """One connection to a worker. Bytes count as an answer only between a request and the end of its answer;
+    any others mark the connection, which is then never used again.
+    """
+
+    def __init__(self, loop: Any) -> None:
+        super().__init__(loop=loop)
+        self.answers = 0
+        self.idle_s = _GUESS_S
+        self.request_id = ""
+        self.unsolicited = False
+        self._asked = False
+
+    def ask(self, request_id: str) -> None:
+        """A request is about to be written."""
+        self._asked, self.request_id = True, request_id
+
+    def rest(self) -> None:
+        """The answer is whole."""
+        self._asked = False
+
+    def data_received(self, data: bytes) -> None:
+        if data and not self._asked:
+            self.unsolicited = True
+            self.force_close()
+        super().data_received(data)
+
+    def holds_surplus(self) -> bool:
+        """Whether the parser has begun on something after the last answer. Ends the parser, as a new one is made
+        for each request.
+        """
+        parser, self._parser = self._parser, None
+        if parser is None:
+            return False
+        with suppress(Exception):
+            return parser.feed_eof() is not None
+        return True
+
+
 class WorkerAnswer(aiohttp.ClientResponse):
     """Keeps hold of its connection's protocol, which is let go of as soon as the answer is whole."""
 
     async def start(self, connection: Any) -> "WorkerAnswer":
         self.protocol = connection.protocol
-        self.protocol.answers = getattr(self.protocol, "answers", 0) + 1
+        self.protocol.answers += 1
         await super().start(connection)
         self.protocol.idle_s = _idle_s(self.headers)
         return self
 
     @property
     def fresh(self) -> bool:
-        """The first answer on its connection."""
-        return self.protocol.answers == 1
+        """The first answer on its connection, which said nothing before it was asked."""
+        return self.protocol.answers == 1 and not self.protocol.unsolicited
 
     def distrust(self) -> None:
         """Whatever else comes on this connection, it is for nobody."""
@@ -81,6 +127,7 @@
         target = CURRENT.get().target
         if target != self.url.raw_path_qs:
             self.url = _Verbatim(self.url, target)
+        conn.protocol.ask(CURRENT.get().request_id)
         return await super().send(conn)
 
 
@@ -97,6 +144,7 @@
             socket_factory=self._socket,
         )
         self._user_timeout_ms = user_timeout_ms
+        self._factory = partial(WorkerProtocol, self._loop)
         self.opened = 0
 
     async def connect(self, req: Any, traces: Any, timeout: Any) -> Any:
@@ -110,33 +158,49 @@
         self.opened += 1
         return made
 
+    def _release(self, key: Any, protocol: Any, *, should_close: bool = False) -> None:
+        protocol.rest()
+        super()._release(key, protocol, should_close=should_close)
+
     async def _get(self, key: Any, traces: Any) -> Any:
         """The one used last, if it is good for this request; those that are good for nothing are closed."""
-        rows, share = (
-            self._conns.get(key),
-            _MARGIN_SHARE if CURRENT.get().repeatable else _SURE_SHARE,
-        )
-        now, found = monotonic(), None
+        found = self._take(self._conns.get(key, []))
+        if not self._conns.get(key):
+            self._conns.pop(key, None)
+        if found is None:
+            return None
+        self._acquired.add(found)
+        return aiohttp.connector.Connection(self, key, found, self._loop)
+
+    def _take(self, rows: Any) -> WorkerProtocol | None:
+        outgoing, now = CURRENT.get(), monotonic()
+        share = _MARGIN_SHARE if outgoing.repeatable else _SURE_SHARE
+        kept: list[tuple[WorkerProtocol, float]] = []
+        found = None
         while rows and found is None:
             protocol, since = rows.pop()
-            limit_s = getattr(protocol, "idle_s", _GUESS_S)
-            if (
-                not protocol.is_connected()
-                or protocol.should_close
-                or now - since > limit_s * _MARGIN_SHARE
-            ):
+            if _spent(protocol, now - since):
                 protocol.close()
-            elif now - since > limit_s * share:
+            elif now - since > protocol.idle_s * share:
                 rows.append((protocol, since))
                 break
+            elif protocol.request_id == outgoing.request_id:
+                kept.append((protocol, since))
+            elif protocol.holds_surplus():
+                protocol.close()
             else:
                 found = protocol
-        if rows is not None and not rows:
-            self._conns.pop(key, None)
-        if found is None:
-            return None
-        self._acquired.add(found)
-        return aiohttp.connector.Connection(self, key, found, self._loop)
+        rows.extend(reversed(kept))
+        return found
+
+
+def _spent(protocol: WorkerProtocol, idle_s: float) -> bool:
+    """Good for no request any more."""
+    return (
+        not protocol.is_connected()
+        or protocol.should_close
+        or idle_s > protocol.idle_s * _MARGIN_SHARE
+    )
 
 
 def pooled_session(pool: WorkerPool, connect_ms: int, head_bytes: int) -> aiohttp.ClientSession:
--- a/libs/readingroom/src/readingroom/sender.py
+++ b/libs/readingroom/src/readingroom/sender.py
@@ -84,7 +84,8 @@
         method: str,
     ) -> None:
         send.connecting = True
-        CURRENT.set(Outgoing(target, send.repeatable, send.connected))
+        request_id = send.carriage.call.request_id
+        CURRENT.set(Outgoing(target, request_id, send.repeatable, send.connected))
         try:
             async with self._pooled().request(
                 method,
