Lots: a hand-in with two Request-Ids is refused

Cause: the lot's id was the first of several Request-Id headers, so a second one was silently dropped and the answer was about a lot that the other id's sender doesn't know. A forwarded request with two was refused already. Change: one id or 400, nothing asked of the log. test_lot_side test_a_lot_has_one_id (fails before: 202). tests/test_forward_desk.py: two requests on one connection now have an id each, as every try of a client does; a connection is no longer used for the same id twice in a row.

--- a/tests/test_forward_desk.py
+++ b/tests/test_forward_desk.py
@@ -286,7 +286,7 @@
                         for rows in edge.sender.pool._conns.values():
                             for place, (protocol, _) in enumerate(list(rows)):
                                 rows[place] = (protocol, clock["now"] - idle_s)
-                        await edge.one(target)
+                        await edge.one(target, request_id="r-2")
                         self.assertThat(
                             worker.connections, Equals(1 if again else 2), f"{target} {idle_s}"
                         )
--- a/tests/test_lot_side.py
+++ b/tests/test_lot_side.py
@@ -77,7 +77,7 @@
             method=method,
             path=target,
             query=pairs,
-            headers=CIMultiDict({"Host": "h", **(headers or {})}),
+            headers=CIMultiDict([("Host", "h"), *(headers or {}).items()]),
             read=read,
         )
         response = asyncio.run(LotSide(counter)(request, profile))
@@ -93,6 +93,16 @@
             profile,
         )
 
+    def test_a_lot_has_one_id(self):
+        """With two ids nobody could say which lot was taken."""
+        ok = taken_answer("7c", receipt("admitted"), True)
+        for ids in ([], ["7c", "7d"], ["7c", "7c"]):
+            headers = CIMultiDict([("Request-Id", name) for name in ids])
+            response, asked = self.call(
+                ok, "POST", "/p/7c", headers, json.dumps({"requests": [ITEM]}).encode()
+            )
+            self.assertThat((response.status, asked), Equals((400, [])), ids)
+
     def test_hand_in_is_answered_as_the_holder_has_it(self):
         rows = [
             (receipt("admitted"), True, 202, False),
