--- a/libs/facsimile/src/facsimile/breaks/serving.py
+++ b/libs/facsimile/src/facsimile/breaks/serving.py
@@ -229,9 +229,8 @@
     ),
     "a refusal without an id promises": (
         "circulation/src/circulation/forward.py",
-        "if not self._matches:\n    return (\n        otherwise\n        if otherwise.mark",
-        "if not self._matches and self._dialect.request_id.lower() in self._seen:\n"
-        "    return (\n        otherwise\n        if otherwise.mark",
+        "if not self._matches:\n    return (\n        otherwise\n",
+        "if not self._matches and self._dialect.request_id.lower() in self._seen: return (otherwise",
         _KEPT + "before_anything",
     ),
     "the door closes on a request just read": (
