--- a/libs/facsimile/src/facsimile/breaks/serving.py
+++ b/libs/facsimile/src/facsimile/breaks/serving.py
@@ -7,6 +7,7 @@
 _CIRC = "tests/test_circulation.py -k "
 _EXCHANGES = "tests/test_exchanges.py"
 _DAYS = "tests/test_platform_days.py -k "
+_CLAIMS = "tests/test_late_claims.py -k "
 _KEPT = "tests/test_kept_connections.py -k "
 _WIRE = "tests/test_wire_troubles.py -k "
 
@@ -245,4 +246,40 @@
         "return expects",
         _WIRE + "interim",
     ),
+    "a reply after its time is told": (
+        "vellum/src/vellum/cores.py",
+        "waiting[0](message if self.env.now() <= waiting[1] else None)",
+        "waiting[0](message)",
+        "tests/test_asks.py -k stood_still",
+    ),
+    "lives of a node number their asks alike": (
+        "vellum/src/vellum/cores.py",
+        "env.rng.getrandbits(40) + 1",
+        "1",
+        "tests/test_asks.py -k life",
+    ),
+    "a claim is handed back under an old number": (
+        "ledger/src/ledger/dealing.py",
+        'if item.state == "claimed" and item.number == message.number:',
+        'if item.state == "claimed":',
+        _CLAIMS + "handed_back_late",
+    ),
+    "an item's failure counts under an old number": (
+        "ledger/src/ledger/endings.py",
+        'present = item.state == "claimed" and item.number == row.number',
+        'present = item.state == "claimed"',
+        _CLAIMS + "former_claim",
+    ),
+    "an edge that stood still runs on": (
+        "circulation/src/circulation/lots.py",
+        "if gap_ms > self.node.params.claim_ms:",
+        "if False:",
+        _CLAIMS + "stood_still",
+    ),
+    "work of a succeeded holder is begun": (
+        "circulation/src/circulation/lots.py",
+        "if receipt.epoch < self._holder.epoch:",
+        "if False:",
+        _CLAIMS + "succeeded",
+    ),
 }
