A stream that has begun is ended only by a stream

Symptom: on a resumable route whose worker breaks off after an event, the client is given a whole answer (end chunk and all) that lacks the rest, when the next worker answers the resumption with 4xx, 3xx, 204 or a plain 200. Cause: a whole or rejected outcome finished the transaction whatever had gone out before; only 5xx was cut. Ruled out: the event ids, which are checked only within streams; the desk, which ends what it is told is whole. Change: outcome_after() takes such an answer for a failure: another worker goes on, or the answer is cut. Items likewise for plain answers; a worker's word that an item can't be done stays. Test: test_wire_troubles test_what_continues_no_stream_never_ends_one (fails before: ends with 0 CRLF CRLF), with a break.

--- a/libs/circulation/src/circulation/carrier.py
+++ b/libs/circulation/src/circulation/carrier.py
@@ -15,7 +15,7 @@
 from circulation.chart import Step, Transaction
 from circulation.exchange import Fate
 from circulation.key_asks import ask_close, ask_open
-from circulation.outcomes import log_end, note_failure
+from circulation.outcomes import log_end, note_failure, outcome_after
 from circulation.pace import Pace
 from circulation.roster import Roster, Worker
 from circulation.sending import allowed_workers, choose_worker, new_exchange, worker_request
@@ -305,6 +305,7 @@
 
     def ended(self, send: Send, fate: Fate) -> None:
         tx, worker = send.carriage.tx, send.worker
+        fate = outcome_after(send, fate)
         self._over(send)
         if fate.name != "failed":
             self._roster.answered(worker)
--- a/libs/circulation/src/circulation/outcomes.py
+++ b/libs/circulation/src/circulation/outcomes.py
@@ -1,15 +1,31 @@
-"""What is noted when a send fails and when a transaction ends: the roster's view of the worker, and one log
-line for each.
+"""What a send's outcome means for what has gone out before it, and what is noted when a send fails and when a
+transaction ends: the roster's view of the worker, and one log line for each.
 """
 
 from typing import Any
 
+from circulation.calls import ForwardCall
 from circulation.carriage import Carriage, Send
 from circulation.chart import Step
 from circulation.exchange import Fate
 from circulation.roster import Roster
 
-__all__ = ["log_end", "note_failure"]
+__all__ = ["log_end", "note_failure", "outcome_after"]
+
+
+def outcome_after(send: Send, fate: Fate) -> Fate:
+    """The outcome of a send whose stream may have begun at another worker: only a stream goes on with it, so that
+    any other whole answer is a failure and never passes for the stream's end. A worker's word that an item can't
+    be done stays.
+    """
+    call = send.carriage.call
+    begun = send.carriage.tx.delivered
+    if call.lot and isinstance(call, ForwardCall):
+        begun = begun or call.last_event_id is not None
+    ends = fate.name == "whole" or (fate.name == "rejected" and not call.lot)
+    if begun and ends and not send.exchange.streams:
+        return Fate("failed", reason="no continuation of the stream")
+    return fate
 
 
 def note_failure(env: Any, roster: Roster, send: Send, fate: Fate) -> None:
--- a/libs/facsimile/src/facsimile/breaks/serving.py
+++ b/libs/facsimile/src/facsimile/breaks/serving.py
@@ -260,15 +260,18 @@
     ),
     "a claim is handed back under an old number": (
         "ledger/src/ledger/dealing.py",
-        'if item.state == "claimed" and item.number == message.number:',
-        'if item.state == "claimed":',
+        'if item.state == "claimed" and item.number == message.number:\n'
+        "rows.append(e.ItemReturned(\n"
+        "lot_id=message.lot_id, index=message.index, number=message.number",
+        'if item.state == "claimed": rows.append(e.ItemReturned('
+        "lot_id=message.lot_id, index=message.index, number=item.number",
         _CLAIMS + "handed_back_late",
     ),
     "an item's failure counts under an old number": (
         "ledger/src/ledger/endings.py",
         'present = item.state == "claimed" and item.number == row.number',
         'present = item.state == "claimed"',
-        _CLAIMS + "former_claim",
+        _CLAIMS + "uses_up",
     ),
     "an edge that stood still runs on": (
         "circulation/src/circulation/lots.py",
@@ -282,4 +285,10 @@
         "if False:",
         _CLAIMS + "succeeded",
     ),
+    "any answer ends a begun stream": (
+        "circulation/src/circulation/outcomes.py",
+        "if begun and ends and not send.exchange.streams:",
+        "if False:",
+        _WIRE + "continues_no_stream",
+    ),
 }
--- a/tests/test_late_claims.py
+++ b/tests/test_late_claims.py
@@ -150,6 +150,20 @@
                 [row[1] for row in bench.listed("one")], Equals(listed or ["finished"]), outcome
             )
 
+    def test_a_failure_of_a_former_claim_uses_up_no_attempt(self):
+        bench = Bench()
+        bench.hand_in("one", attempts=3)
+        claims = []
+        for _ in range(2):
+            claims.append(bench.work(bench.beat("e1"))[0])
+            bench.end(claims[-1], "failed", edge="e1")
+        present = bench.work(bench.beat("e2"))[0]
+        for former in claims:
+            bench.end(former, "failed", edge="e1")
+        self.assertThat(bench.listed("one"), Equals([]))
+        bench.end(present, "failed", edge="e2")
+        self.assertThat([row[1] for row in bench.listed("one")], Equals(["dead"]))
+
     def test_a_claim_handed_back_late_leaves_the_present_one(self):
         """An item of our own interface: only under the number of the present claim is it dealt again."""
         bench = Bench()
--- a/tests/test_wire_troubles.py
+++ b/tests/test_wire_troubles.py
@@ -201,6 +201,41 @@
                 Equals(([(200, "r-1")], False, ["r-1"])),
             )
 
+    @run
+    async def test_what_continues_no_stream_never_ends_one(self):
+        """Rows: what the second worker says of a stream whose first events have gone out. The client sees it cut."""
+        for name, status, extra in (
+            ("400", "400 No", ""),
+            ("404", "404 No", ""),
+            ("302", "302 Found", "Location: /x\r\n"),
+            ("a plain answer", "200 OK", "Content-Type: application/json\r\n"),
+            ("an empty answer", "204 No", ""),
+        ):
+
+            async def first(worker, fields, writer):
+                worker.say(writer, head(fields) + chunk(event(1)))
+                await writer.drain()
+                await asyncio.sleep(0.02)
+                return False
+
+            async def second(worker, fields, writer, status=status, extra=extra):
+                body = "" if status.startswith("204") else "{}"
+                worker.say(writer, head(fields, extra, body, status))
+
+            async def either(worker, fields, writer, first=first, second=second):
+                answer = second if "Last-Event-Id" in fields else first
+                return await answer(worker, fields, writer)
+
+            async with Edge([Worker("w0", either), Worker("w1", either)]) as edge:
+                client = await Client(edge.port).open()
+                client.ask("/r/1", request_id="r-1")
+                data = await heard(client)
+                self.assertThat(
+                    (statuses(data), data.endswith(b"0\r\n\r\n")),
+                    Equals(([(200, "r-1")], False)),
+                    name,
+                )
+
     @run
     async def test_a_request_that_was_just_read_outlives_the_closing_of_the_door(self):
         """The door is closed in each turn of the loop between the last byte read and the first of its handling."""
