--- a/tests/test_item_runs.py
+++ b/tests/test_item_runs.py
@@ -224,6 +224,23 @@
             stage.sends[2].send.end()
             self.assertThat(stage.told(), Equals([("finished", b"word0\nword1\nword2")]), first)
 
+    def test_a_plain_answer_is_no_end_of_a_run_that_has_begun(self):
+        plain = [
+            pair for pair in HEAD if pair[0].lower() not in ("content-type", "transfer-encoding")
+        ]
+        for body in (b"{}", b""):
+            stage = Stage()
+            stage.deal()
+            stage.events(stage.sends[0], 0, 1)
+            stage.sends[0].send.broke("connection lost", True)
+            stage.sends[1].send.head(200, plain, len(body))
+            stage.sends[1].send.data(body)
+            stage.sends[1].send.end()
+            self.assertThat(stage.told(), Equals([]), body)
+            stage.events(stage.sends[2], 2)
+            stage.sends[2].send.end()
+            self.assertThat(stage.told(), Equals([("finished", b"word0\nword1\nword2")]), body)
+
     def test_what_came_is_gone_on_with_here_when_no_worker_is_left(self):
         stage = Stage(workers=1)
         stage.deal()
