--- a/libs/facsimile/src/facsimile/breaks/serving.py
+++ b/libs/facsimile/src/facsimile/breaks/serving.py
@@ -7,6 +7,9 @@
 _CIRC = "tests/test_circulation.py -k "
 _EXCHANGES = "tests/test_exchanges.py"
 _DAYS = "tests/test_platform_days.py -k "
+_CLAIMS = "tests/test_late_claims.py -k "
+_KEPT = "tests/test_kept_connections.py -k "
+_WIRE = "tests/test_wire_troubles.py -k "
 
 BREAKS: dict[str, tuple[str, str, str, str]] = {
     "a cut-off edge stays ready": (
@@ -201,4 +204,91 @@
         "        self._drop(sample)",
         "tests/test_loans_evening.py -k nothing_is_late",
     ),
+    "a repeated id meets its own earlier answer": (
+        "readingroom/src/readingroom/pool.py",
+        "elif protocol.request_id == outgoing.request_id:",
+        "elif False:",
+        _KEPT + "late_answer",
+    ),
+    "unasked bytes are overlooked": (
+        "readingroom/src/readingroom/pool.py",
+        "if data and not self._asked:",
+        "if False:",
+        _KEPT + "nobody_asked",
+    ),
+    "a begun surplus answer is overlooked": (
+        "readingroom/src/readingroom/pool.py",
+        "elif protocol.holds_surplus():",
+        "elif False:",
+        _KEPT + "nobody_asked",
+    ),
+    "the library sends again on its own": (
+        "readingroom/src/readingroom/pool.py",
+        "session._retry_connection = False",
+        "session._retry_connection = True",
+        _KEPT + "a_reset",
+    ),
+    "a refusal without an id promises": (
+        "circulation/src/circulation/forward.py",
+        "if not self._matches:\n    return (\n        otherwise\n",
+        "if not self._matches and self._dialect.request_id.lower() in self._seen: return (otherwise",
+        _KEPT + "before_anything",
+    ),
+    "the door closes on a request just read": (
+        "readingroom/src/readingroom/forward_http.py",
+        "or (self._request_count and not waiting)",
+        "",
+        _WIRE + "closing_of_the_door",
+    ),
+    "an older client gets an interim answer": (
+        "readingroom/src/readingroom/forward_http.py",
+        "return expects and request.version >= HttpVersion11",
+        "return expects",
+        _WIRE + "interim",
+    ),
+    "a reply after its time is told": (
+        "vellum/src/vellum/cores.py",
+        "waiting[0](message if self.env.now() <= waiting[1] else None)",
+        "waiting[0](message)",
+        "tests/test_asks.py -k stood_still",
+    ),
+    "lives of a node number their asks alike": (
+        "vellum/src/vellum/cores.py",
+        "env.rng.getrandbits(40) + 1",
+        "1",
+        "tests/test_asks.py -k life",
+    ),
+    "a claim is handed back under an old number": (
+        "ledger/src/ledger/dealing.py",
+        'if item.state == "claimed" and item.number == message.number:\n'
+        "rows.append(e.ItemReturned(\n"
+        "lot_id=message.lot_id, index=message.index, number=message.number",
+        'if item.state == "claimed": rows.append(e.ItemReturned('
+        "lot_id=message.lot_id, index=message.index, number=item.number",
+        _CLAIMS + "handed_back_late",
+    ),
+    "an item's failure counts under an old number": (
+        "ledger/src/ledger/endings.py",
+        'present = item.state == "claimed" and item.number == row.number',
+        'present = item.state == "claimed"',
+        _CLAIMS + "uses_up",
+    ),
+    "an edge that stood still runs on": (
+        "circulation/src/circulation/lots.py",
+        "if gap_ms > self.node.params.claim_ms:",
+        "if False:",
+        _CLAIMS + "stood_still",
+    ),
+    "work of a succeeded holder is begun": (
+        "circulation/src/circulation/lots.py",
+        "if receipt.epoch < self._holder.epoch:",
+        "if False:",
+        _CLAIMS + "succeeded",
+    ),
+    "any answer ends a begun stream": (
+        "circulation/src/circulation/outcomes.py",
+        "if begun and ends and not send.exchange.streams:",
+        "if False:",
+        _WIRE + "continues_no_stream",
+    ),
 }
--- a/libs/readingroom/src/readingroom/sender.py
+++ b/libs/readingroom/src/readingroom/sender.py
@@ -84,7 +84,8 @@
         method: str,
     ) -> None:
         send.connecting = True
-        CURRENT.set(Outgoing(target, send.repeatable, send.connected))
+        request_id = send.carriage.call.request_id
+        CURRENT.set(Outgoing(target, request_id, send.repeatable, send.connected))
         try:
             async with self._pooled().request(
                 method,
@@ -94,7 +95,6 @@
                 allow_redirects=False,
                 read_bufsize=_READ_BYTES,
             ) as answer:
-                send.exchange.fresh = answer.fresh
                 send.head(answer.status, answer.headers.items(), answer.content_length)
                 if not send.exchange.trusted:
                     answer.distrust()
--- /dev/null
+++ b/tests/test_wire_troubles.py
@@ -0,0 +1,263 @@
+"""The right answer to the right client, on raw sockets: what a client may write to an edge, clients that leave, and
+answers that break off. Each row says what is told, in order, and which requests the worker ran.
+"""
+
+import asyncio
+from unittest import mock
+
+from forward_stage import Client, Edge, Worker, chunk, event, good, head, run
+from readingroom.forward_http import _Protocol
+from testtools import TestCase
+from testtools.matchers import Equals
+from wire_stage import heard, ids, reset, statuses, until
+
+HEAD = "POST /p/1 HTTP/1.1\r\nHost: h\r\n"
+ID = "Request-Id: r-1\r\n"
+NEXT = "POST /p/2 HTTP/1.1\r\nHost: h\r\nRequest-Id: r-2\r\nContent-Length: 1\r\n\r\nb"
+
+
+class FromClients(TestCase):
+    """Rows: what is written at once, what is told in order, and the ids that the worker ran."""
+
+    ROWS = [
+        ("one", HEAD + ID + "Content-Length: 4\r\n\r\nbody", [(200, "r-1")], ["r-1"]),
+        (
+            "two in a row",
+            HEAD + ID + "Content-Length: 4\r\n\r\nbody" + NEXT,
+            [(200, "r-1"), (200, "r-2")],
+            ["r-1", "r-2"],
+        ),
+        (
+            "two in a row, the first expects a word before its body",
+            HEAD + ID + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\nbody" + NEXT,
+            [(200, "r-1"), (200, "r-2")],
+            ["r-1", "r-2"],
+        ),
+        (
+            "length and chunks",
+            HEAD + ID + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + NEXT,
+            [(400, "")],
+            [],
+        ),
+        (
+            "chunks and length",
+            HEAD + ID + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n" + NEXT,
+            [(400, "")],
+            [],
+        ),
+        (
+            "two lengths",
+            HEAD + ID + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody" + NEXT,
+            [(400, "")],
+            [],
+        ),
+        (
+            "the same length twice",
+            HEAD + ID + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody" + NEXT,
+            [(400, "")],
+            [],
+        ),
+        ("a length in words", HEAD + ID + "Content-Length: four\r\n\r\nbody", [(400, "")], []),
+        ("a signed length", HEAD + ID + "Content-Length: +4\r\n\r\nbody", [(400, "")], []),
+        (
+            "an encoding that only ends like chunks",
+            HEAD + ID + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" + NEXT,
+            [(400, "")],
+            [],
+        ),
+        (
+            "chunks twice",
+            HEAD + ID + "Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n" + NEXT,
+            [(400, "")],
+            [],
+        ),
+        (
+            "a chunk's size with a sign",
+            HEAD + ID + "Transfer-Encoding: chunked\r\n\r\n-1\r\nx\r\n0\r\n\r\n" + NEXT,
+            [(400, "")],
+            [],
+        ),
+        (
+            "a folded line",
+            HEAD + ID + "X: a\r\n b\r\nContent-Length: 4\r\n\r\nbody" + NEXT,
+            [(400, "")],
+            [],
+        ),
+        (
+            "a folded id",
+            HEAD + "Request-Id: r-1\r\n r-9\r\nContent-Length: 4\r\n\r\nbody" + NEXT,
+            [(400, "")],
+            [],
+        ),
+        (
+            "a space before the colon",
+            HEAD + "Request-Id : r-1\r\nContent-Length: 4\r\n\r\nbody" + NEXT,
+            [(400, "")],
+            [],
+        ),
+        (
+            "more than its length",
+            HEAD + ID + "Content-Length: 4\r\n\r\nbody and more\r\n\r\n" + NEXT,
+            [(400, "")],
+            [],
+        ),
+        (
+            "two ids",
+            HEAD + ID + "Request-Id: r-9\r\nContent-Length: 4\r\n\r\nbody" + NEXT,
+            [(400, ""), (200, "r-2")],
+            ["r-2"],
+        ),
+        (
+            "the same id twice",
+            HEAD + ID + ID + "Content-Length: 4\r\n\r\nbody" + NEXT,
+            [(400, ""), (200, "r-2")],
+            ["r-2"],
+        ),
+        (
+            "no id",
+            HEAD + "Content-Length: 4\r\n\r\nbody" + NEXT,
+            [(400, ""), (200, "r-2")],
+            ["r-2"],
+        ),
+        (
+            "two hosts",
+            HEAD + "Host: other\r\n" + ID + "Content-Length: 4\r\n\r\nbody" + NEXT,
+            [(400, "")],
+            [],
+        ),
+        ("no length and a body", HEAD + ID + "\r\nbody" + NEXT, [(400, "")], []),
+        ("a head of garbage", "\x01\x02\x03 / HTTP/9\r\n\r\n" + NEXT, [(400, "")], []),
+    ]
+
+    @run
+    async def test_what_a_client_writes_is_answered_in_order_or_not_at_all(self):
+        for name, written, told, ran in self.ROWS:
+            worker = Worker("w0", good)
+            async with Edge([worker]) as edge:
+                client = await Client(edge.port).open()
+                client.writer.write(written.encode("latin-1"))
+                data = await heard(client)
+                self.assertThat((statuses(data), ids(worker)), Equals((told, ran)), name)
+
+
+class Expecting(TestCase):
+    @run
+    async def test_only_who_knows_interim_answers_gets_one(self):
+        """An older client would take the word to go on for its answer."""
+        for version, first in (("1.1", b"HTTP/1.1 100 "), ("1.0", b"HTTP/1.0 200 ")):
+            async with Edge([Worker("w0", good)]) as edge:
+                client = await Client(edge.port).open()
+                text = HEAD.replace("1.1", version) + ID
+                text += "Expect: 100-continue\r\nContent-Length: 4\r\n\r\nbody"
+                client.writer.write(text.encode())
+                data = await heard(client)
+                self.assertThat(
+                    (data[: len(first)], [status for status, _ in statuses(data)]),
+                    Equals((first, [200])),
+                )
+
+
+class Clients(TestCase):
+    """Clients that leave, and what the next one on the same port or connection is told."""
+
+    @run
+    async def test_one_that_leaves_takes_its_pipelined_requests_with_it(self):
+        gate = asyncio.Event()
+
+        async def slow(worker, fields, writer):
+            await gate.wait()
+            return await good(worker, fields, writer)
+
+        worker = Worker("w0", slow)
+        async with Edge([worker]) as edge:
+            client = await Client(edge.port).open()
+            client.ask("/p/1", request_id="r-1")
+            client.ask("/p/2", request_id="r-2")
+            await until(lambda: worker.requests)
+            reset(client.writer)
+            gate.set()
+            told = await edge.one("/p/3", request_id="r-3")
+            self.assertThat(
+                (told[0], told[1]["request-id"], ids(worker), edge.desk.live_now),
+                Equals((200, "r-3", ["r-1", "r-3"], 0)),
+            )
+
+    @run
+    async def test_after_half_an_answer_there_is_no_second_status(self):
+        async def cut(worker, fields, writer):
+            worker.say(writer, head(fields) + chunk(event(1)))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            return False
+
+        worker = Worker("w0", cut)
+        async with Edge([worker]) as edge:
+            client = await Client(edge.port).open()
+            client.ask("/s/1", request_id="r-1")
+            client.ask("/p/2", request_id="r-2")
+            data = await heard(client)
+            self.assertThat(
+                (statuses(data), data.endswith(b"0\r\n\r\n"), ids(worker)),
+                Equals(([(200, "r-1")], False, ["r-1"])),
+            )
+
+    @run
+    async def test_what_continues_no_stream_never_ends_one(self):
+        """Rows: what the second worker says of a stream whose first events have gone out. The client sees it cut."""
+        for name, status, extra in (
+            ("400", "400 No", ""),
+            ("404", "404 No", ""),
+            ("302", "302 Found", "Location: /x\r\n"),
+            ("a plain answer", "200 OK", "Content-Type: application/json\r\n"),
+            ("an empty answer", "204 No", ""),
+        ):
+
+            async def first(worker, fields, writer):
+                worker.say(writer, head(fields) + chunk(event(1)))
+                await writer.drain()
+                await asyncio.sleep(0.02)
+                return False
+
+            async def second(worker, fields, writer, status=status, extra=extra):
+                body = "" if status.startswith("204") else "{}"
+                worker.say(writer, head(fields, extra, body, status))
+
+            async def either(worker, fields, writer, first=first, second=second):
+                answer = second if "Last-Event-Id" in fields else first
+                return await answer(worker, fields, writer)
+
+            async with Edge([Worker("w0", either), Worker("w1", either)]) as edge:
+                client = await Client(edge.port).open()
+                client.ask("/r/1", request_id="r-1")
+                data = await heard(client)
+                self.assertThat(
+                    (statuses(data), data.endswith(b"0\r\n\r\n")),
+                    Equals(([(200, "r-1")], False)),
+                    name,
+                )
+
+    @run
+    async def test_a_request_that_was_just_read_outlives_the_closing_of_the_door(self):
+        """The door is closed in each turn of the loop between the last byte read and the first of its handling."""
+        loop = asyncio.get_running_loop()
+        real = _Protocol.data_received
+        for turns in range(6):
+
+            def leave(protocol, left):
+                if left:
+                    loop.call_soon(leave, protocol, left - 1)
+                else:
+                    protocol.leave()
+
+            def received(protocol, data, leave=leave, turns=turns):
+                real(protocol, data)
+                loop.call_soon(leave, protocol, turns)
+
+            worker = Worker("w0", good)
+            with mock.patch.object(_Protocol, "data_received", received):
+                async with Edge([worker]) as edge:
+                    client = await Client(edge.port).open()
+                    await asyncio.sleep(0.02)
+                    client.ask("/p/1", request_id="r-1")
+                    data = await heard(client)
+            self.assertThat((statuses(data), ids(worker)), Equals(([(200, "r-1")], ["r-1"])), turns)
