--- a/libs/facsimile/src/facsimile/breaks/control.py
+++ b/libs/facsimile/src/facsimile/breaks/control.py
@@ -28,8 +28,8 @@
     ),
     "an edge begins by the word of a cut-off neighbour": (
         "readingroom/src/readingroom/nodes.py",
-        "min(now_ms - self._started_ms, now_ms - self.gazette.unsure_control_ms)",
-        "now_ms - self._started_ms",
+        "and not self._hears_some_control()",
+        "",
         _CUT_OFF + "neighbour",
     ),
     "a duty is left with a voter that is only heard of": (
@@ -178,7 +178,7 @@
     ),
     "too few is told before all can be heard": (
         "registrar/src/registrar/retirement.py",
-        "fresh = self.node.env.now() - self._since_ms < self.node.params.gone_ms",
+        "fresh = self.node.env.now() - self._since_ms < after_ms",
         "fresh = False",
         _OWN_ORDERS + "too_few",
     ),
--- a/libs/registrar/src/registrar/retirement.py
+++ b/libs/registrar/src/registrar/retirement.py
@@ -120,7 +120,9 @@
         identity = self._names.get(name)
         if identity is None:
             call.finish(
-                RetirementAnswer.OK if name in names else self._certain(RetirementAnswer.UNKNOWN)
+                RetirementAnswer.OK
+                if name in names
+                else self._certain(RetirementAnswer.UNKNOWN, self.node.params.gone_ms)
             )
             return
         if identity in retired and names.get(name) == identity:
@@ -132,7 +134,7 @@
             if card.identity != identity and card.identity not in retired
         ]
         if name not in names and len(stays) < self.node.params.store_count:
-            call.finish(self._certain(RetirementAnswer.TOO_FEW))
+            call.finish(self._certain(RetirementAnswer.TOO_FEW, self.node.params.dead_ms))
             return
         names[name] = identity
         self.node.env.log("store-retires", "WARNING", name=name, identity=identity)
@@ -147,11 +149,9 @@
             lambda receipt: self._ordered(call, name, receipt),
         )
 
-    def _certain(self, refusal: RetirementAnswer) -> RetirementAnswer:
-        """The refusal, or doubt from a node that hasn't been up and awake for long enough to have heard
-        of every store.
-        """
-        fresh = self.node.env.now() - self._since_ms < self.node.params.gone_ms
+    def _certain(self, refusal: RetirementAnswer, after_ms: int) -> RetirementAnswer:
+        """The refusal, or doubt from a node that hasn't been up and awake for so long without a break."""
+        fresh = self.node.env.now() - self._since_ms < after_ms
         return RetirementAnswer.DOUBT if fresh else refusal
 
     def _ordered(self, call: _Call, name: str, receipt: Changed) -> None:
