--- a/libs/facsimile/src/facsimile/breaks/control.py
+++ b/libs/facsimile/src/facsimile/breaks/control.py
@@ -6,6 +6,7 @@
 _FEED = "tests/test_feed.py -k "
 _FAN = "tests/test_fan_out.py -k "
 _FOUNDING = "tests/test_founding.py -k "
+_VOTER_FILES = "tests/test_voter_files.py -k "
 _MANY = "tests/test_many_changes.py -k "
 _DAYS = "tests/test_platform_days.py -k "
 
@@ -104,25 +105,25 @@
         "catalogue/src/catalogue/voter.py",
         "return self.promised, self.accepted, self.version",
         "return self.promised, self.accepted, 0",
-        _MANY + "old_log",
+        _VOTER_FILES + "old_log",
     ),
     "a vote is told as held before its flush": (
         "catalogue/src/catalogue/voter.py",
         "if whole else register.kept",
         "if True else register.kept",
-        _MANY + "told_as_held",
+        _VOTER_FILES + "told_as_held",
     ),
     "a voter's log grows while its disk is busy": (
         "catalogue/src/catalogue/voter.py",
         "if self._log_bytes > self.node.params.segment_bytes:",
         "if False:",
-        _MANY + "never_idle",
+        _VOTER_FILES + "never_idle",
     ),
     "a voter whose device was full never votes again": (
         "stacks/src/stacks/disk.py",
         "if self._steps or self._full:",
         "if self._steps:",
-        _MANY + "votes_again",
+        _VOTER_FILES + "votes_again",
     ),
     "a late beat ends its successor": (
         "catalogue/src/catalogue/worker_rows.py",
