HEAD requests get the worker's status and length in the place of a 500

Cause: aiohttp raises on a length set by hand on a whole response, so the handler failed for every HEAD; the length kept for it was that of the empty body. Change: a head alone is a StreamResponse with the announced length. Test: test_wire_troubles HeadsAlone (fails before).

--- a/libs/circulation/src/circulation/forward.py
+++ b/libs/circulation/src/circulation/forward.py
@@ -68,6 +68,7 @@
     """
 
     __slots__ = (
+        "_announced_bytes",
         "_check",
         "_data",
         "_dialect",
@@ -108,6 +109,7 @@
         self._seen: dict[str, list[str]] = {}
         self._status = 0
         self._size_bytes = 0
+        self._announced_bytes: int | None = None
         self._whole_bytes: int | None = -1
         self.good = self.streams = False
 
@@ -119,7 +121,7 @@
         self._seen = {}
         for name, value in self._headers:
             self._seen.setdefault(name.lower(), []).append(value.strip())
-        self._status = status
+        self._status, self._announced_bytes = status, length
         if self._method == "HEAD" or status in _BODILESS:
             self._whole_bytes = 0
         elif self._one("transfer-encoding").lower() == "chunked":
@@ -170,7 +172,7 @@
 
     def told_head(self) -> tuple[int, list[tuple[str, str]], int | None]:
         """Status, end-to-end headers and the length, None for one not known, as the client is given them."""
-        size = self._whole_bytes
+        size = self._announced_bytes if self._method == "HEAD" else self._whole_bytes
         return (
             self._status,
             end_to_end(self._headers),
--- a/libs/readingroom/src/readingroom/forward_http.py
+++ b/libs/readingroom/src/readingroom/forward_http.py
@@ -250,14 +250,22 @@
         status, body = last.value
         if response is None:
             _, headers, length = carriage.head
-            response = web.Response(status=status, headers=headers, body=body)
-            if request.method == "HEAD" and length is not None:
-                response.content_length = length
-            return response
+            if request.method == "HEAD":
+                return _head_alone(status, headers, length)
+            return web.Response(status=status, headers=headers, body=body)
         await response.write_eof()
         return response
 
 
+def _head_alone(
+    status: int, headers: list[tuple[str, str]], length: int | None
+) -> web.StreamResponse:
+    """The answer to HEAD: the length, in bytes, is that of a body which isn't sent."""
+    response = web.StreamResponse(status=status, headers=headers)
+    response.content_length = length
+    return response
+
+
 def _expects_word(request: web.BaseRequest) -> bool:
     """Whether the client waits before its body; one of HTTP/1.0 knows no interim answers."""
     expects = request.headers.get("Expect", "").lower() == "100-continue"
--- a/tests/test_wire_troubles.py
+++ b/tests/test_wire_troubles.py
@@ -157,6 +157,29 @@
                 )
 
 
+class HeadsAlone(TestCase):
+    @run
+    async def test_a_head_has_the_length_of_what_was_not_sent(self):
+        """The next answer on the connection begins right after it."""
+
+        async def answer(worker, fields, writer):
+            if worker.requests[-1][0].startswith("HEAD"):
+                worker.say(writer, head(fields, "", "12345").removesuffix("12345"))
+            else:
+                await good(worker, fields, writer)
+
+        worker = Worker("w0", answer)
+        async with Edge([worker]) as edge:
+            client = await Client(edge.port).open()
+            client.writer.write(f"HEAD /p/1 HTTP/1.1\r\nHost: h\r\n{ID}\r\n{NEXT}".encode())
+            data = await heard(client)
+            self.assertThat(
+                (statuses(data), data.lower().count(b"content-length: 5\r\n"), ids(worker)),
+                Equals(([(200, "r-1"), (200, "r-2")], 1, ["r-1", "r-2"])),
+            )
+            self.assertThat(data.endswith(b"\r\n\r\nyes"), Equals(True))
+
+
 class Clients(TestCase):
     """Clients that leave, and what the next one on the same port or connection is told."""
 
