--- a/tests/site_variants.py
+++ b/tests/site_variants.py
@@ -11,10 +11,52 @@
 from pathlib import Path
 from typing import Any
 
-__all__ = ["VARIANTS", "emit", "main"]
+__all__ = ["VARIANTS", "Site", "emit", "main", "write_site"]
 
 Site = dict[str, Any]
 
+MORE_TROUBLES: list[dict[str, Any]] = [
+    {"kind": "core_cut", "count": 1, "for_s": 20.0, "how": "seeds"},
+    {"kind": "core_cut", "count": 1, "for_s": 12.0, "how": "both"},
+    {"kind": "core_cut", "count": 1, "for_s": 20.0, "how": "leader one_way"},
+    {"kind": "core_cut", "count": 1, "for_s": 9.0, "how": "leader refuse meet"},
+    {"kind": "ack_lost", "share": 1.0, "x": 0.7, "for_s": 15.0},
+    {"kind": "config_race", "count": 12, "gap_s": 0.6},
+    {"kind": "replace_core", "x": 1.5, "how": "leader"},
+    {"kind": "replace_core", "on": "store", "x": 2.0, "how": "planned"},
+    {"kind": "after_ack_wipe", "count": 1, "for_s": 2.0, "how": "timed"},
+    {"kind": "after_ack_wipe", "on": "store", "count": 1, "for_s": 2.0, "how": "taken"},
+    {"kind": "after_ack_kill", "on": "store", "count": 1, "for_s": 2.0, "how": "taken"},
+    {"kind": "retire", "for_s": 9.0, "how": "wipe"},
+    {"kind": "roll_term", "on": "store", "count": 1, "how": "remove"},
+    {"kind": "roll_term", "on": "core", "count": 1, "how": "remove"},
+    {"kind": "herd_kill", "on": "core", "how": "taken"},
+    {"kind": "herd_kill", "share": 0.6, "how": "power"},
+    {"kind": "clock_step", "x": 5000.0, "for_s": 6.0, "how": "back"},
+    {"kind": "clock_step", "x": 9000.0, "for_s": 6.0, "how": "ahead"},
+    {"kind": "hup", "share": 0.6, "gap_s": 1.0},
+    {"kind": "seed_turnover"},
+    {"kind": "reset_conns", "share": 0.6, "x": 0.6},
+    {"kind": "garble", "how": "extra", "share": 0.7, "x": 0.05, "for_s": 6.0},
+    {"kind": "answer_lost", "share": 0.7, "x": 0.08, "for_s": 6.0},
+    {"kind": "disk_slow", "on": "store", "count": 1, "for_s": 5.0},
+    {"kind": "disk_slow", "on": "core", "count": 1, "for_s": 5.0},
+    {"kind": "disk_full", "on": "store", "count": 1, "for_s": 6.0},
+    {"kind": "disk_full", "on": "core", "count": 1, "for_s": 6.0},
+    {"kind": "disk_stall", "on": "store", "count": 1, "for_s": 5.0},
+    {"kind": "disk_stall", "on": "core", "count": 1, "for_s": 5.0},
+    {"kind": "node_slow", "share": 0.2, "x": 5.0, "for_s": 5.0},
+    {"kind": "node_slow", "on": "core", "count": 1, "x": 5.0, "for_s": 5.0},
+    {"kind": "node_cut", "share": 0.3, "for_s": 6.0, "how": "servers"},
+    {"kind": "srv_grey", "share": 0.2, "x": 0.4, "for_s": 5.0, "how": "reset"},
+    {"kind": "srv_grey", "share": 0.2, "x": 0.4, "for_s": 5.0, "how": "hang"},
+    {"kind": "replace_with_reuse", "share": 0.2, "how": "dark"},
+    {"kind": "scale_in", "share": 0.2, "how": "spot", "x": 2.0},
+    {"kind": "scale_out", "share": 0.3, "gap_s": 3.0},
+    {"kind": "bad_config", "count": 4, "gap_s": 0.5, "how": "stale_match"},
+    {"kind": "bad_config", "count": 4, "gap_s": 0.5, "how": "same_version"},
+]
+
 
 def emit(value: Any) -> str:
     """A value as TOML on one line."""
@@ -31,7 +73,8 @@
     return json.dumps(value) if isinstance(value, str) else repr(value)
 
 
-def _write(site: Site) -> str:
+def write_site(site: Site) -> str:
+    """A site, or some days alone, as the text of a TOML file."""
     plain = [
         f"{key} = {emit(value)}"
         for key, value in site.items()
@@ -113,6 +156,29 @@
     site["timing"]["catch_up_s"] = 6.0
 
 
+def short_timings(site: Site) -> None:
+    site["discovery"].update(beat_ms=900, lag_ms=500)
+    site["bounds"].update(drain_ms=1500, config_ms=1600, touch_ms=2500, ack_ms=3200, grace_s=6.0)
+    site["timing"]["catch_up_s"] = 4.5
+
+
+def light_traffic(site: Site) -> None:
+    """A third of the traffic: days that are about control play in a third of the time."""
+    for rows in _each_traffic(site):
+        for row in rows:
+            row["per_s"] = row["per_s"] / 3
+
+
+def all_troubles(site: Site) -> None:
+    """The list of troubles from which hunts mix holds every kind of MORE_TROUBLES too."""
+    site["troubles"] += copy.deepcopy(MORE_TROUBLES)
+
+
+def all_troubles_two_lost(site: Site) -> None:
+    four_zones_two_lost(site)
+    all_troubles(site)
+
+
 VARIANTS: dict[str, Callable[[Site], None]] = {
     function.__name__: function
     for function in (
@@ -122,6 +188,10 @@
         many_routes,
         few_workers,
         odd_timings,
+        short_timings,
+        light_traffic,
+        all_troubles,
+        all_troubles_two_lost,
     )
 }
 
@@ -136,7 +206,7 @@
         site = tomllib.loads(source.read_text())
         VARIANTS[name](site)
         site["name"] = f"{name.replace('_', '-')}"
-        (target / f"{source.stem}-{name}.toml").write_text(_write(site))
+        (target / f"{source.stem}-{name}.toml").write_text(write_site(site))
         sys.stdout.write(f"{target / source.stem}-{name}.toml\n")
 
 
