--- a/tests/site_variants.py
+++ b/tests/site_variants.py
@@ -1,6 +1,6 @@
 """Deployments that nobody has seen: a site file of the users is read, changed by a description of our own
 and written elsewhere for their bench to play. `python tests/site_variants.py SITE FOLDER [NAME...]` writes
-one file for each description; nothing of the users' files is kept here.
+one file for each description; nothing of the users' files is kept here. A NAME may join several: `one_of_each+light_traffic`.
 """
 
 import copy
@@ -204,8 +204,9 @@
         (target / beside).write_text((source.parent / beside).read_text())
     for name in names or list(VARIANTS):
         site = tomllib.loads(source.read_text())
-        VARIANTS[name](site)
-        site["name"] = f"{name.replace('_', '-')}"
+        for part in name.split("+"):
+            VARIANTS[part](site)
+        site["name"] = name.replace("_", "-").replace("+", "-")
         (target / f"{source.stem}-{name}.toml").write_text(write_site(site))
         sys.stdout.write(f"{target / source.stem}-{name}.toml\n")
 
--- a/tests/worst_days.py
+++ b/tests/worst_days.py
@@ -132,6 +132,42 @@
     _changes(random, plan, 3.0, 60.0, 1.7)
 
 
+def _chain(
+    random: Random, plan: Entries, faults: Entries, on: tuple[str, ...], kinds: tuple[Entry, ...]
+) -> None:
+    """More losses than may be borne at once: each waits until the one before is made good."""
+    for at in _moments(random, 6.0, 30.0, 1.5):
+        loss = {**random.choice(kinds), "at": at, "on": random.choice(on)}
+        faults.append(_entry(**{"for_s": random.uniform(0.8, 2.5), **loss}))
+    for at in (7.0, 19.0, 31.0, 43.0):
+        faults.append(_entry("burst", at, x=random.uniform(2.0, 4.0), for_s=3.0))
+    plan.append(_entry("config_race", 8.0, count=20, gap_s=2.0))
+    _changes(random, plan, 3.0, 60.0, 1.3)
+
+
+def _chain_days() -> dict[str, Recipe]:
+    wipe: Entry = {"kind": "after_ack_wipe", "count": 1}
+    timed: Entry = {**wipe, "how": "timed"}
+    taken: Entry = {**wipe, "how": "taken"}
+    kill: Entry = {"kind": "after_ack_kill", "count": 1, "how": "taken"}
+    power: Entry = {"kind": "node_kill", "count": 1, "how": "power leader race hard"}
+    replace: Entry = {"kind": "replace_core", "x": 1.2, "how": ""}
+    frozen: Entry = {"kind": "node_freeze", "count": 1, "how": "leader"}
+    cut: Entry = {"kind": "core_cut", "count": 1, "how": "leader reset"}
+    chains = {
+        "chain-store-wipe": (("store",), (wipe, taken)),
+        "chain-core-wipe": (("core",), (wipe, timed)),
+        "chain-wipe": (("store", "core"), (wipe, timed, taken)),
+        "chain-replace": (("store", "core"), (wipe, replace)),
+        "chain-kill": (("store", "core"), (kill, power, frozen, cut)),
+        "chain-all": (("store", "core"), (wipe, timed, taken, kill, power, replace, frozen, cut)),
+    }
+    return {
+        name: (lambda r, p, f, on=on, kinds=kinds: _chain(r, p, f, on, kinds))
+        for name, (on, kinds) in chains.items()
+    }
+
+
 def leaving_stores(random: Random, plan: Entries, faults: Entries) -> None:
     plan.append(_entry("add_nodes", 2.0, on="store", count=1))
     plan.append(_entry("retire", 7.0, for_s=9.0, how="wipe"))
@@ -252,6 +288,7 @@
 DAYS: dict[str, Recipe] = {
     **_cut_days(),
     **_second_loss_days(),
+    **_chain_days(),
     **{
         recipe.__name__.replace("_", "-"): recipe
         for recipe in (
@@ -293,7 +330,7 @@
     parser.add_argument("folder", type=Path)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("names", nargs="*", metavar="NAME")
-    options = parser.parse_args(arguments)
+    options = parser.parse_intermixed_args(arguments)
     options.folder.mkdir(parents=True, exist_ok=True)
     for name in options.names or list(DAYS):
         target = options.folder / f"{name}-{options.seed}.toml"
