--- a/libs/colophon/src/colophon/__init__.py
+++ b/libs/colophon/src/colophon/__init__.py
@@ -1,5 +1,7 @@
-"""Colophon: what every process prints about itself. Settings that are checked before anything
-starts, JSON-line logs, the verdicts that say whether a request may have run, and the clocks.
+"""Settings, logs, request verdicts and clocks shared by every process of the fleet.
+
+Settings are checked before anything starts, log lines are JSON objects, and a verdict says whether
+a request may have run.
 """
 
 from colophon.clock import boot_ms, wall_ms
--- a/libs/colophon/src/colophon/clock.py
+++ b/libs/colophon/src/colophon/clock.py
@@ -1,5 +1,8 @@
-"""The two clocks. Claims, waits and standing run on boot time, which no operator or time daemon
-can step; only the stamps of the log start from the wall clock, and those are forced upwards.
+"""The two clocks of a process.
+
+Leases, timeouts and failure detection run on the boot clock, which neither an operator nor a time
+daemon can step. Only the stamps of the log start from the wall clock, and the log makes them
+strictly increasing.
 """
 
 import time
@@ -8,8 +11,10 @@
 
 
 def boot_ms() -> int:
+    """Milliseconds since the machine booted, time in suspend included; never steps back."""
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
 
 def wall_ms() -> int:
+    """Milliseconds since the Unix epoch by the machine's wall clock, which may be stepped."""
     return time.time_ns() // 1_000_000
--- a/libs/colophon/src/colophon/lazy.py
+++ b/libs/colophon/src/colophon/lazy.py
@@ -1,5 +1,6 @@
-"""Names of a package that are imported when first asked for: a process pays at its start, which is part of
-every recovery, only for what its role needs.
+"""Names of a package that are imported on first access.
+
+Start-up time is part of every recovery, so a process imports only what its role needs.
 """
 
 from collections.abc import Callable
@@ -10,7 +11,11 @@
 
 
 def lazy(package: str, modules: dict[str, tuple[str, ...]]) -> Callable[[str], Any]:
-    """A module's `__getattr__`: `modules` has the names that each module of the package gives."""
+    """Return a module-level `__getattr__` for a package.
+
+    `modules` maps each submodule's name to the names that it exports. The returned function raises
+    AttributeError for any other name.
+    """
     places = {name: module for module, names in modules.items() for name in names}
 
     def find(name: str) -> Any:
--- a/libs/colophon/src/colophon/logs.py
+++ b/libs/colophon/src/colophon/logs.py
@@ -1,5 +1,7 @@
-"""JSON lines by way of loguru: one object a line with the time, the level, the event's name and
-the ids by which a transaction, a lot or a change can be followed through a fleet's logs.
+"""Log lines in JSON, written with loguru to standard error.
+
+Each line is one object with the time, the level, the event's name and the identifiers by which a
+transaction, a batch or a change can be followed through the logs of a fleet.
 """
 
 import json
@@ -28,6 +30,10 @@
 
 
 def set_up_logs(level: str = "INFO", **node: Any) -> None:
+    """Replace all log sinks by one on standard error.
+
+    `level` is the lowest level that is written; the fields of `node` go into every line.
+    """
     logger.remove()
     _NODE.clear()
     _NODE.update(node)
@@ -35,4 +41,5 @@
 
 
 def log(event: str, level: str = "INFO", **fields: Any) -> None:
+    """Write one line for `event` at `level`, with `fields` as further members of the object."""
     logger.bind(**fields).log(level, event)
--- a/libs/colophon/src/colophon/params.py
+++ b/libs/colophon/src/colophon/params.py
@@ -1,5 +1,7 @@
-"""Settings of one process, from a TOML file and from flags, flags winning. All problems are found
-before anything starts. The times that the code uses are ratios to the few bounds set here.
+"""Settings of one process, read from a TOML file and from flags, where flags win.
+
+All problems are found before anything starts. The timeouts that the code uses are properties here:
+fixed ratios to the few bounds that are set.
 """
 
 import ipaddress
@@ -35,11 +37,17 @@
 
 
 class Params(BaseModel):
+    """The checked, immutable settings of one process.
+
+    Names that end in `_ms` are milliseconds, those in `_bytes` bytes. Construction raises
+    pydantic's ValidationError, which lists every problem at once.
+    """
+
     model_config = ConfigDict(extra="forbid", frozen=True)
 
     role: Literal["control", "edge", "store"] = "edge"
     link: str = Field(description="address for the fleet's own messages, IP:PORT")
-    http: str = Field(description="address for visitors, workers and operators, IP:PORT")
+    http: str = Field(description="address for clients, workers and operators, IP:PORT")
     zone: str = Field(min_length=1)
     node_name: str = Field(
         "", description="what operators call this node; its link address if empty"
@@ -110,7 +118,7 @@
         "lent whole; its peak in that time, with a margin, is kept",
     )
     record_folder: str = Field(
-        "", description="edges: where visitors' calls are recorded; empty for not at all"
+        "", description="edges: where clients' calls are recorded; empty for not at all"
     )
     record_bodies: bool = Field(
         False, description="record prompts whole rather than by size and digest"
@@ -138,7 +146,8 @@
             raise ValueError("store_faults: store_count has to be at least 2 * store_faults + 1")
         if self.fan_out and self.cut_off != "serve":
             raise ValueError(
-                'fan_out: needs cut_off = "serve", since the roll is counted by digests that all control nodes hear'
+                'fan_out: needs cut_off = "serve", since the roll is counted by digests '
+                "that all control nodes hear"
             )
         if self.link == self.http:
             raise ValueError("http: has to differ from link")
@@ -146,61 +155,62 @@
 
     @property
     def beat_ms(self) -> int:
+        """How often a node sends heartbeats and does its periodic work."""
         return max(10, int(self.force_ms * 0.1))
 
     @property
     def dead_ms(self) -> int:
-        """Silence after which a node no longer counts as live for a duty."""
+        """Silence after which a node no longer counts as live when duties are assigned."""
         return int(self.force_ms * 0.5)
 
     @property
     def pulse_ms(self) -> int:
-        """How often the log's holder says that it is at work."""
+        """How often the holder of the log sends its heartbeat to the other members."""
         return max(10, int(self.force_ms * 0.05))
 
     @property
     def doubt_ms(self) -> int:
-        """Silence of the holder after which a member asks the others about it."""
+        """Silence of the log's holder after which a member asks the other members about it."""
         return int(self.force_ms * 0.15)
 
     @property
     def suspect_ms(self) -> int:
-        """Silence of the holder after which another member takes its place, if enough of them agree."""
+        """Silence of the log's holder after which a member may replace it if enough agree."""
         return int(self.force_ms * 0.2)
 
     @property
     def worker_ms(self) -> int:
-        """Silence after which a worker gets nothing new."""
+        """Silence after which a worker is sent no new requests."""
         return int(self.force_ms * 0.6)
 
     @property
     def cut_ms(self) -> int:
-        """Silence after which an edge takes itself to be cut off: well inside a second."""
+        """Silence of control after which an edge considers itself cut off."""
         return int(self.force_ms * 0.4)
 
     @property
     def confirm_ms(self) -> int:
-        """How long an acknowledgement of a version waits for the live edges."""
+        """How long the acknowledgement of a version waits for the live edges to confirm it."""
         return int(self.force_ms * 0.75)
 
     @property
     def answer_ms(self) -> int:
-        """The longest that a call at control is held before it is told that its outcome isn't known."""
+        """The longest that a call at control is held before its outcome is reported as unknown."""
         return int(self.force_ms * 0.35)
 
     @property
     def edges_ms(self) -> int:
-        """How long an acknowledgement waits for the edges, where they go on serving without control."""
+        """How long an acknowledgement waits for edges that go on serving without control."""
         return int(self.force_ms * 0.3)
 
     @property
     def silent_ms(self) -> int:
-        """Silence at every control node after which a worker is off the list."""
+        """Silence at every control node after which a worker is removed from the list."""
         return int(self.worker_beat_ms * 3.5)
 
     @property
     def batch_ms(self) -> int:
-        """How long changes of the list of workers are gathered into one."""
+        """How long changes of the list of workers are gathered into one change."""
         return max(1, int(self.beat_ms * 0.25))
 
     @property
@@ -210,36 +220,37 @@
 
     @property
     def claim_ms(self) -> int:
-        """How long an edge goes on running lots after its last word from the holder."""
+        """How long an edge goes on running batch items after it last heard from the holder."""
         return int(self.end_ms * 0.75)
 
     @property
     def reclaim_ms(self) -> int:
-        """When the holder takes a silent edge's claims back: after the edge has let them go."""
+        """When the holder takes back a silent edge's claims: after the edge has let go of them."""
         return int(self.end_ms * 1.1)
 
     @property
     def ask_ms(self) -> int:
+        """How long a connection attempt, a held poll or an unanswered question may last."""
         return int(self.force_ms * 0.25)
 
     @property
     def fresh_ms(self) -> int:
-        """How old a stamp on a hand-in may be when it reaches the holder."""
+        """How old the stamp on a submission may be when it reaches the log's holder."""
         return int(self.force_ms * 0.5)
 
     @property
     def answer_bytes(self) -> int:
-        """The longest answer taken from a worker."""
+        """The longest answer accepted from a worker."""
         return 4 * self.max_body_bytes
 
     @property
     def untaken_bytes(self) -> int:
-        """How much of an answer waits for a slow client before no more is read from the worker."""
+        """How much of an answer waits for a slow client before reading from the worker pauses."""
         return max(1 << 14, self.max_body_bytes // 64)
 
     @property
     def frozen_ms(self) -> int:
-        """A gap between two ticks that counts as having been frozen."""
+        """The gap between two ticks from which a process counts as having been frozen."""
         return int(self.force_ms * 0.4)
 
 
@@ -251,6 +262,10 @@
 
 
 def load_params(path: str | None, flags: dict[str, Any]) -> Result[Params, list[str]]:
+    """Read settings from the TOML file `path`, if given, and from `flags`; None leaves a flag out.
+
+    Return the settings, or a list with one line for each problem. Nothing is raised.
+    """
     values: dict[str, Any] = {}
     if path:
         try:
@@ -265,7 +280,11 @@
 
 
 def changed_params(old: Params, new: Params) -> tuple[Params, list[str], list[str]]:
-    """What a reread file changes: the params to go on with, what was applied, what needs a restart."""
+    """Compare the settings in force with those of a file that was read again.
+
+    Return the settings to go on with, the names that were applied, and the names that differ but
+    need a restart (those outside RELOADABLE).
+    """
     differing = [name for name in Params.model_fields if getattr(old, name) != getattr(new, name)]
     applied = [name for name in differing if name in RELOADABLE]
     held = [name for name in differing if name not in RELOADABLE]
--- a/libs/colophon/src/colophon/verdicts.py
+++ b/libs/colophon/src/colophon/verdicts.py
@@ -1,5 +1,6 @@
-"""A verdict says whether a request may have run. A refusal is an error value that always carries
-one; it travels in expression's Result and becomes the body of every error that a caller sees.
+"""Verdicts, which say whether a request may have run, and the refusals that carry them.
+
+A refusal is an error value in expression's Result; it becomes the body of every error response.
 """
 
 from enum import StrEnum
@@ -9,12 +10,21 @@
 
 
 class Verdict(StrEnum):
+    """Whether a request had an effect: it did not run, it may have run, or it ran."""
+
     NOT_RUN = "not_run"
     MAY_HAVE_RUN = "may_have_run"
     RAN = "ran"
 
 
 class Refusal:
+    """An error value with its verdict and what the client's response needs.
+
+    `status` is the HTTP status, `code` a stable name for programs, `message` text for people,
+    `field` the offending member of the request, `problems` a list where there are several.
+    `retry_after_ms` is 0 where no time for a retry is suggested.
+    """
+
     __slots__ = ("code", "field", "message", "problems", "retry_after_ms", "status", "verdict")
 
     def __init__(
@@ -36,6 +46,7 @@
         self.problems = problems or []
 
     def body(self) -> dict[str, Any]:
+        """Return the JSON object of the error response; empty optional members are left out."""
         inner: dict[str, Any] = {
             "verdict": str(self.verdict),
             "code": self.code,
@@ -61,8 +72,10 @@
     field: str = "",
     problems: list | None = None,
 ) -> Refusal:
+    """Return a refusal of a request that did not run."""
     return Refusal(Verdict.NOT_RUN, code, message, status, retry_after_ms, field, problems)
 
 
 def doubtful(code: str, message: str, retry_after_ms: int = 0, status: int = 503) -> Refusal:
+    """Return a refusal of a request that may have run, so that a retry may run it twice."""
     return Refusal(Verdict.MAY_HAVE_RUN, code, message, status, retry_after_ms)
