--- a/libs/commons/src/commons/__init__.py
+++ b/libs/commons/src/commons/__init__.py
@@ -1,6 +1,4 @@
-"""Commons: how nodes know each other. Partial views shuffled between neighbours, the standing of
-those a node hears from, and who has a duty.
-"""
+"""Membership: partial views of the fleet, failure detection, and assignment of duties."""
 
 from commons.cards import Card
 from commons.duties import duty_order, first_live, score
--- a/libs/commons/src/commons/neighbours.py
+++ b/libs/commons/src/commons/neighbours.py
@@ -1,7 +1,9 @@
-"""Partial views and standing. Every beat a node swaps part of its view with its oldest neighbour and
-tells its kin (the nodes of its own role, and those with disks) that it lives. A node's standing
-comes from what it was itself heard to say, or from its beat counter rising in what others pass on.
-Where fan_out is set, swaps come at a slower beat and kin is the node's own role, so many at a time.
+"""Partial views of the fleet and failure detection.
+
+Each heartbeat a node exchanges part of its view with its oldest neighbour and sends heartbeats to
+its kin: the nodes of its own role and those with disks. A node counts as live if it was itself
+heard lately, or if its heartbeat counter rose in a forwarded card. Where `fan_out` is set, views
+are exchanged less often, and kin is the node's own role, a limited number at a time.
 """
 
 from collections.abc import Callable, Iterable
@@ -22,7 +24,12 @@
 
 
 class Neighbours(Part):
-    """`wanted` says which further addresses are to be beaten to, such as members named by a key."""
+    """The part of a node that knows other nodes and judges whether they are live.
+
+    `identity` is this node's own. `ready` and `deaf` give what its card says of it; `wanted` gives
+    further addresses to send heartbeats to, such as members that a control key names. Times are
+    milliseconds of the node's boot clock.
+    """
 
     __slots__ = (
         "_beat_count",
@@ -59,6 +66,7 @@
         self._beat_count = 0
 
     def card(self) -> Card:
+        """Return this node's own card, with the current heartbeat counter."""
         node = self.node
         return Card(
             identity=self.identity,
@@ -76,10 +84,11 @@
     # -- what is known -------------------------------------------------------------------------
 
     def view(self) -> list[Card]:
+        """Return the cards in the partial view, oldest neighbour first."""
         return [self._cards[identity] for identity in self._view if identity in self._cards]
 
     def of_role(self, role: str, within_ms: int) -> list[Card]:
-        """Cards of a role that were fresh within the time, whoever told of them."""
+        """Return the cards of a role that were fresh within the time, direct or forwarded."""
         floor_ms = self.node.env.now() - within_ms
         return [
             card
@@ -88,9 +97,15 @@
         ]
 
     def known(self, identity: str) -> Card | None:
+        """Return the newest card of a node, or None."""
         return self._cards.get(identity)
 
     def live(self, identity: str, within_ms: int | None = None) -> bool:
+        """Return whether a node was heard of within the time; `dead_ms` if none is given.
+
+        Without a given time, a node whose address refused a connection is not live until it is
+        heard again. The node itself always is.
+        """
         if identity == self.identity:
             return True
         if within_ms is None and identity in self._refused:
@@ -100,32 +115,39 @@
         )
 
     def heard_itself(self, identity: str, within_ms: int) -> bool:
-        """Whether it was lately heard by its own word; what others pass on of it may have come round a cut."""
+        """Return whether a node was heard directly within the time.
+
+        Forwarded cards don't count, since they may have come around a network partition.
+        """
         return (
             identity == self.identity
             or self.node.env.now() - self._heard_ms.get(identity, -1 << 40) <= within_ms
         )
 
     def hears(self, identity: str) -> bool:
-        """Whether it takes itself to hear a majority of the voters, as its newest card says."""
+        """Return whether a node hears a majority of voters, by its newest card; True if unknown."""
         card = self._cards.get(identity)
         return not self.deaf() if identity == self.identity else card is None or not card.deaf
 
     def refused(self, address: str) -> None:
-        """Nothing listens there: it is live for no duty until it is heard again."""
+        """Note that nothing listens at an address.
+
+        Its nodes are not live until they are heard again.
+        """
         self._refused.update(
             identity for identity, card in self._cards.items() if card.address == address
         )
 
     def heard_ms(self, identity: str) -> int:
-        """When there was last a sign of life, by itself or through others."""
+        """When the last sign of life came, direct or forwarded."""
         return max(self._fresh_ms.get(identity, -1 << 40), self._heard_ms.get(identity, -1 << 40))
 
     def first_ms(self, identity: str) -> int:
-        """Since when it has been known without a break."""
+        """Since when a node has been known without interruption; now if it isn't known."""
         return self._first_ms.get(identity, self.node.env.now())
 
     def heard_directly(self, within_ms: int) -> list[Card]:
+        """Return the cards of the nodes that were themselves heard within the time."""
         floor_ms = self.node.env.now() - within_ms
         return [
             card
@@ -136,6 +158,7 @@
     # -- beats and shuffles --------------------------------------------------------------------
 
     def tick(self) -> None:
+        """Send heartbeats and exchange views, once each `beat_ms`."""
         now_ms = self.node.env.now()
         if now_ms - self._sent_ms < self.node.params.beat_ms:
             return
@@ -199,6 +222,7 @@
 
     @singledispatchmethod
     def receive(self, message: Message, origin: Origin) -> None:
+        """Take a heartbeat or one side of a view exchange; TypeError for any other message."""
         raise TypeError(type(message).__name__)
 
     @receive.register
@@ -215,8 +239,10 @@
         self._take(message.card, [])
 
     def _take(self, card: bytes, cards: list[bytes]) -> None:
-        """The first card is the sender's own: after a restart with its clock moved back, its counter may
-        be lower than what is remembered, and its own word stands.
+        """Take the sender's own card, then the cards that it forwards.
+
+        After a restart with its clock moved back, a sender's counter may be lower than the one
+        remembered; its own card is accepted all the same once the node had fallen silent.
         """
         first = decode(card)
         fresh = (
@@ -233,7 +259,7 @@
             self._note(decode(data))
 
     def _note(self, card: Card) -> None:
-        """A counter that rises is news; of two nodes at one address the one last heard of stays."""
+        """Accept a card if its counter rose; of two nodes at an address keep the latest heard."""
         if card.identity == self.identity:
             return
         if self._beats.get(card.identity, -1) >= card.beat:
