loans: which slots may be lent is a module of its own (slots.py)

The deliberate breaks of tests/test_loans_evening.py that replaced _entitlement, _free and _reading of Borrowing replace the same functions where they stand now; each is still caught by its rule.

--- a/libs/loans/src/loans/borrowing.py
+++ b/libs/loans/src/loans/borrowing.py
@@ -1,7 +1,9 @@
-"""The samples of rollouts that run at an edge, in slots that nothing else needs. A slot is lent only where nobody
-waits, the live share stays free, and no prompt is being read; it is taken back at once, newest sample first, for a
-call or an item that finds no free place, and where another edge says that one of its calls does. A sample that is
-given up counts for nothing: it waits at the log again, and comes back under a higher number.
+"""The samples of rollouts that run at an edge, in slots that nothing else needs.
+
+A slot is lent only where nobody waits, the live share stays free and no prompt is being read. It is
+taken back at once, newest sample first, for a call or an item that finds no free place, and where
+another edge reports that one of its calls does. A sample that is given up counts for nothing: it
+waits at the log again and returns under a higher number.
 """
 
 import json
@@ -13,8 +15,8 @@
 from ledger import messages as m
 from vellum import Long, Message, Origin, Part, Text
 
-from loans.entitlement import Entitlements
 from loans.sampling import OTHER_WEIGHTS, SampleCall, sample_result, unstarted
+from loans.slots import LendableSlots
 
 __all__ = ["Borrowing", "PlaceWanted"]
 
@@ -23,7 +25,7 @@
 
 
 class PlaceWanted(Message):
-    """A call found no free place at this worker: whoever runs samples there gives some up."""
+    """Asks other edges for slots at a worker, where calls found no free place."""
 
     worker: Text
     places: Long
@@ -39,24 +41,24 @@
 
 
 class Borrowing(Part):
-    """`edges` gives identity and address of the other live edges; `why_unready` as the edge has it; `live_peak` says how
-    many live calls a worker lately had at once, None while that isn't known.
+    """The part of an edge that runs samples and gives slots back.
+
+    `edges` gives identity and address of the other live edges; `why_unready` gives why this edge
+    takes no requests, empty if it does; `live_peak` gives how many live calls a worker lately had
+    at once, None while that isn't known.
     """
 
     __slots__ = (
         "_acted",
         "_asked_ms",
         "_carrier",
-        "_edge",
         "_edges",
-        "_entitled",
         "_later",
-        "_lending",
-        "_other_weights",
         "_recalled",
         "_roster",
         "_samples",
         "_samples_out",
+        "_slots",
         "_tree",
         "_wanted",
         "_why_unready",
@@ -76,13 +78,13 @@
         why_unready: Callable[[], str],
         edges: Callable[[], list[tuple[str, str]]],
     ) -> None:
-        self._edge, self._carrier, self._roster, self._tree = edge, carrier, roster, tree
+        self._carrier, self._roster, self._tree = carrier, roster, tree
         self._why_unready, self._edges = why_unready, edges
-        self._entitled = Entitlements()
+        self._slots = LendableSlots(
+            edge, carrier, roster, tree, edges, lambda worker: self.live_peak(worker)
+        )
         self._samples: list[_Sample] = []
         self._later: list[tuple[int, Callable[[], None]]] = []
-        self._lending: tuple[Any, list[Any]] = (None, [])
-        self._other_weights: dict[tuple[str, str], int] = {}
         self._acted: dict[str, tuple[int, int]] = {}
         self._wanted: dict[str, int] = {}
         self._asked_ms = -1 << 40
@@ -95,101 +97,39 @@
     # -- what may be lent ----------------------------------------------------------------------
 
     def lends(self) -> bool:
-        return bool(self._profiles())
-
-    def _profiles(self) -> list[Any]:
-        tree = self._tree()
-        if self._lending[0] is not tree:
-            lends = any(row.get("loan_share") for row in tree.rows.values())
-            found = [tree.usable(name) for name in tree.rows] if lends else []
-            self._lending = (
-                tree,
-                [profile for profile in found if profile is not None and profile.loan_share > 0],
-            )
-        return self._lending[1]
+        """Return whether any usable profile lends slots."""
+        return bool(self._slots.profiles())
 
     @property
     def recalled(self) -> bool:
+        """Whether the log's holder has recalled all samples, since a lot may miss its deadline."""
         return self._recalled
 
     def running(self) -> int:
+        """Return how many samples run at this edge."""
         return len(self._samples)
 
     def room(self) -> tuple[int, frozenset[str]]:
-        """How many samples could be started now, one at a worker, and on which paths."""
+        """Return how many samples could start now, one for each worker, and on which paths."""
         if self._recalled or self._why_unready():
             return 0, frozenset()
-        reading = self._reading()
-        room, paths = 0, set()
-        for worker in self._roster.workers():
-            open_paths = [
-                profile.name
-                for profile in self._profiles()
-                if profile.allows(worker.identity, worker.labels)
-                and self._takes(worker, profile, reading)
-            ]
-            room += bool(open_paths)
-            paths.update(open_paths)
-        return room, frozenset(paths)
-
-    def _reading(self) -> set[str]:
-        """The workers at which a prompt of ours may still be being read."""
-        now_ms, reading_ms = self.node.env.now(), self.node.params.beat_ms
-        return {
-            send.worker.stamp
-            for send in self._carrier.sends()
-            if unstarted(send, now_ms, reading_ms)
-        }
-
-    def _total(self, worker: Worker) -> float:
-        """With the samples that run there."""
-        return (
-            worker.borrowed
-            + worker.borrowed_elsewhere
-            + (worker.load(self.node.env.now()) if worker.listed else worker.weight)
-        )
-
-    def _free(self, worker: Worker) -> int:
-        """How many of its slots may be taken before the share kept for live calls."""
-        return worker.slots - math.ceil(worker.slots * self.node.params.live_share)
-
-    def _takes(self, worker: Worker, profile: Any, reading: set[str]) -> bool:
-        return (
-            not worker.waiting
-            and worker.full_until_ms <= self.node.env.now()
-            and worker.stamp not in reading
-            and self._total(worker) < self._free(worker)
-            and worker.borrowed < self._entitlement(worker, profile.loan_share)
-        )
-
-    def _entitlement(self, worker: Worker, share: float) -> int:
-        """What this edge may fill there: its part of the share lent, less what live calls lately needed."""
-        peak = self.live_peak(worker.identity)
-        if peak is None:
-            return 0
-        edges = [self._edge, *(identity for identity, _ in self._edges())]
-        lendable = min(math.floor(worker.slots * share), self._free(worker) - peak)
-        return self._entitled.slots(self._edge, edges, worker.identity, max(0, lendable))
+        return self._slots.room()
 
     def choose(self, tx: Transaction, weights: str, workers: list[Worker]) -> Worker | None:
-        """Asked by the carrier for a sample: the emptiest worker that may take it and isn't known to have other weights."""
-        now_ms, reading = self.node.env.now(), self._reading()
-        fit = [
-            worker
-            for worker in workers
-            if worker.stamp not in tx.avoid
-            and self._takes(worker, tx.profile, reading)
-            and self._other_weights.get((worker.stamp, weights), -1) < now_ms
-        ]
-        return min(
-            fit,
-            key=lambda worker: (self._total(worker) / worker.slots, worker.identity),
-            default=None,
-        )
+        """Choose a worker for a sample, on the carrier's behalf; None if no worker may take it.
+
+        The least loaded one is taken of those that aren't known to have other weights.
+        """
+        return self._slots.choose(tx, weights, workers)
 
     # -- running -------------------------------------------------------------------------------
 
     def start(self, work: m.RolloutWork, done: Done) -> Callable[[], None]:
+        """Run a sample and return a function that stops it.
+
+        `done` gets the outcome (`ran`, `refused` or `again`), the result or the reason, and the
+        worker.
+        """
         sample = _Sample(work, done)
         profile, env = self._tree().usable(work.path), self.node.env
         if profile is None or self._recalled or self._why_unready():
@@ -223,9 +163,7 @@
         worker = tx.sends[-1][0] if tx.sends else ""
         for stamp, reason in tx.sends:
             if reason == OTHER_WEIGHTS:
-                self._other_weights[stamp, sample.work.weights] = (
-                    self.node.env.now() + self.node.params.force_ms
-                )
+                self._slots.has_other_weights(stamp, sample.work.weights)
         if step.name != "finish":
             self._after_a_beat(sample)
         elif step.value[0] == 200:
@@ -250,7 +188,10 @@
             self._samples.remove(sample)
 
     def _drop(self, sample: _Sample) -> None:
-        """The rollout is over, or the edge may no longer run it: whoever stops it tells the log."""
+        """Stop a sample because its rollout is over or this edge may no longer run it.
+
+        Whoever stops it reports that to the log.
+        """
         if not sample.over:
             self._close(sample)
             if sample.carriage is not None:
@@ -277,7 +218,7 @@
     # -- giving back ---------------------------------------------------------------------------
 
     def _at(self, worker: Worker) -> list[_Sample]:
-        """Newest first."""
+        """Return the samples that run at a worker, newest first."""
         return [
             sample
             for sample in reversed(self._samples)
@@ -293,7 +234,11 @@
         return len(samples)
 
     def first_claim(self, worker: Worker, call: Any) -> None:
-        """Something else than a sample is about to be sent there: it finds a place, and no sample's prompt before it."""
+        """Make room at a worker before something other than a sample is sent there.
+
+        Called by the carrier; a live call also takes precedence over samples whose prompt may still
+        be unread.
+        """
         if worker.borrowed:
             now_ms = self.node.env.now()
             for sample in self._at(worker):
@@ -302,7 +247,10 @@
                 ):
                     self._give_up(sample, "a live call comes first")
             over = math.ceil(
-                self._total(worker) - worker.borrowed_elsewhere + 1 - self._free(worker)
+                self._slots.used(worker)
+                - worker.borrowed_elsewhere
+                + 1
+                - self._slots.usable(worker)
             )
             if over > 0:
                 self._give_back(
@@ -310,11 +258,11 @@
                     over,
                     "an item needs the slot" if call.lot else "a live call needs the slot",
                 )
-        if not call.lot and self._total(worker) + 1 > self._free(worker):
+        if not call.lot and self._slots.used(worker) + 1 > self._slots.usable(worker):
             self._want(worker)
 
     def starved(self, workers: Iterable[Worker]) -> None:
-        """A live call found no place at any of these."""
+        """Give back all slots at these workers, since a live call found no place at any of them."""
         workers = list(workers)
         for worker in workers:
             self._give_back(worker, worker.borrowed, "a live call waits")
@@ -322,7 +270,7 @@
             self._want(worker)
 
     def _want(self, worker: Worker) -> None:
-        """Other edges are asked to keep the live share of it free, if the holder says that they have samples out."""
+        """Ask other edges to keep the worker's live share free, if they have samples running."""
         if self._samples_out > len(self._samples):
             self._wanted[worker.identity] = self._wanted.get(worker.identity, 0) + 1
             if self.node.env.now() - self._asked_ms >= self.node.params.delta_ms:
@@ -336,12 +284,13 @@
                 self.node.post(address, PlaceWanted(worker=identity, places=places))
 
     def receive(self, message: PlaceWanted, origin: Origin) -> None:
+        """Give slots back because a live call at another edge needs them."""
         for worker in self._roster.all():
             if worker.identity == message.worker:
                 self._give_back(worker, message.places, "a live call elsewhere needs the slot")
 
     def told(self, receipt: Any) -> None:
-        """The holder's word: how many samples are out in the fleet, and whether lots need their slots."""
+        """Take from the holder's answer how many samples the fleet runs, and whether to stop."""
         self._samples_out = receipt.samples_out
         if receipt.recalled and not self._recalled:
             self.recalls += 1
@@ -354,6 +303,7 @@
             self._give_up(sample, reason)
 
     def tick(self) -> None:
+        """Report what is due to the log, ask other edges for places and review workers in use."""
         now_ms = self.node.env.now()
         due = [what for at_ms, what in self._later if at_ms <= now_ms]
         self._later = [row for row in self._later if row[0] > now_ms]
@@ -374,19 +324,20 @@
             self._review(worker)
 
     def _review(self, worker: Worker) -> None:
-        """Its own word that somebody waits there is acted on once."""
+        """Give back what a worker needs; each report that somebody waits is acted on once."""
         if not self._roster.usable(worker):
             self._give_back(worker, worker.borrowed, "the worker is not to be used")
         elif worker.waiting and self._acted.get(worker.stamp) != (worker.beat, worker.told_ms):
             self._acted[worker.stamp] = (worker.beat, worker.told_ms)
             self._give_back(worker, worker.waiting, "somebody waits at the worker")
         else:
-            share = max((profile.loan_share for profile in self._profiles()), default=0.0)
+            share = max((profile.loan_share for profile in self._slots.profiles()), default=0.0)
             self._give_back(
                 worker,
-                worker.borrowed - self._entitlement(worker, share),
+                worker.borrowed - self._slots.entitlement(worker, share),
                 "live calls need more of the worker",
             )
 
     def woke(self, gap_ms: int) -> None:
+        """Forget which workers' reports were acted on; called after the process was frozen."""
         self._acted.clear()
--- a/tests/test_loans_evening.py
+++ b/tests/test_loans_evening.py
@@ -12,15 +12,16 @@
 from facsimile.sim.rules_loans import LOAN_RULES, judge_loans
 from facsimile.sim.visitors import Visitors
 from loans import Borrowing, LentWorkers, NodeLoans
+from loans.slots import LendableSlots
 from readingroom.rollouts import RolloutCall
 from testtools import TestCase
 from testtools.matchers import Equals
 
 BREAKS = {
     "nothing is kept back or taken back": [
-        (Borrowing, "_entitlement", lambda self, worker, share: 99),
-        (Borrowing, "_free", lambda self, worker: worker.slots),
-        (Borrowing, "_reading", lambda self: set()),
+        (LendableSlots, "entitlement", lambda self, worker, share: 99),
+        (LendableSlots, "usable", lambda self, worker: worker.slots),
+        (LendableSlots, "_reading", lambda self: set()),
         (Borrowing, "first_claim", lambda self, worker, call: None),
         (Borrowing, "_review", lambda self, worker: None),
     ],
