--- a/libs/loans/src/loans/__init__.py
+++ b/libs/loans/src/loans/__init__.py
@@ -1,5 +1,8 @@
-"""Loans: training rollouts in the capacity that live calls and lots leave. Samples borrow single slots and give way to
-anything else; whole workers are lent under epochs, after every edge has let go of them, and come back by their own word.
+"""Training rollouts in the capacity that live calls and batches of items (lots) leave over.
+
+Samples of a rollout run in single slots and give way to anything else. Whole workers are lent under
+epochs, once every edge has nothing left there, and return when the worker itself reports that it is
+free.
 """
 
 from loans.borrowing import Borrowing
--- a/libs/loans/src/loans/entitlement.py
+++ b/libs/loans/src/loans/entitlement.py
@@ -1,5 +1,7 @@
-"""Which of a worker's lendable slots an edge may fill. Each slot belongs to one of the live edges by rendezvous, so
-edges that know of each other never fill more than the share together, and need no word from anyone.
+"""Which of a worker's lendable slots an edge may fill.
+
+Each slot belongs to one of the live edges by rendezvous hashing, so edges that know of each other
+never fill more than the share together and need no coordination.
 """
 
 from collections.abc import Iterable
@@ -12,6 +14,8 @@
 
 
 class Entitlements:
+    """The slots that each edge may fill, cached until the set of live edges changes."""
+
     __slots__ = ("_edges", "_known")
 
     def __init__(self) -> None:
@@ -19,7 +23,10 @@
         self._known: dict[tuple[str, int], int] = {}
 
     def slots(self, edge: str, edges: Iterable[str], worker: str, lendable: int) -> int:
-        """How many of a worker's lendable slots are this edge's to fill; `edges` are all live ones, itself among them."""
+        """Return how many of a worker's lendable slots `edge` may fill.
+
+        `edges` are the identities of all live edges, `edge` among them.
+        """
         edges = frozenset(edges)
         if edges != self._edges or len(self._known) > _KEPT:
             self._edges, self._known = edges, {}
--- a/libs/loans/src/loans/lending.py
+++ b/libs/loans/src/loans/lending.py
@@ -1,7 +1,10 @@
-"""Lending whole workers, at a control node. A loan is decided by a change of the control key `loans`, so on a
-majority of the voters' disks, under a rising epoch. The key's owner takes it on: it is lent once every edge that
-counts has said, under the number in force, that nothing of its own is there; it is recalled when its lease is over,
-when live calls need it, or when a lot may come late. Times run on the owner's boot clock, anew at a new owner.
+"""Lending of whole workers, at a control node.
+
+A loan is decided by a change of the control key `loans`, hence on a majority of the voters' disks,
+under a rising epoch. The key's owner carries it through: a worker is lent once every edge that
+counts has reported, under the version in force, that nothing of its own runs there; it is recalled
+when its lease is over, when live calls need it, or when a lot may miss its deadline. Times run on
+the owner's boot clock and start anew at a new owner.
 """
 
 import json
@@ -34,7 +37,10 @@
 
 
 class LoanOutcome:
-    """ok, refused (with the reason) or doubt; `row` is the loan as it then is."""
+    """The outcome of a request about a loan: `ok`, `refused` with the reason, or `doubt`.
+
+    `row` is the loan as it then stands; None unless the outcome is `ok`.
+    """
 
     __slots__ = ("name", "reason", "row")
 
@@ -60,8 +66,10 @@
 
 
 class NodeLoans(Part):
-    """`tree` are the profiles in force; `sure` says whether this node hears a majority of the voters, `mine` whether the
-    key is its duty.
+    """The part of a control node that decides loans and carries them through.
+
+    `tree` gives the profiles in force; `sure` says whether this node hears a majority of the
+    voters, `mine` whether the key is this node's duty.
     """
 
     __slots__ = (
@@ -103,6 +111,7 @@
         gazette.watch(self._published)
 
     def attach(self, node: Any) -> None:
+        """Join the node and start to watch the live load over its `load_window_ms`."""
         super().attach(node)
         self._load = LiveLoad(node.params.dead_ms, lambda: self.node.params.load_window_ms)
 
@@ -111,9 +120,11 @@
             self._value, self.number = json.loads(body), number
 
     def rows(self) -> dict[str, dict[str, Any]]:
+        """Return all loans by worker, as of the last published version of the key."""
         return dict(sorted(self._value["loans"].items()))
 
     def receive(self, message: EdgeLoad, origin: Origin) -> None:
+        """Take an edge's report of its load."""
         self._load.take(origin.sender, message, self.node.env.now())
 
     # -- orders --------------------------------------------------------------------------------
@@ -121,6 +132,12 @@
     def grant(
         self, worker: str, borrower: str, weights: str, lease_ms: int, recall_ms: int, done: Done
     ) -> None:
+        """Lend a worker to `borrower` for `lease_ms`, unless the live load needs it.
+
+        `recall_ms` is how long the borrower may take to return it after a recall; `weights`, if not
+        empty, are those that it must return with. `done` gets a LoanOutcome.
+        """
+
         def make(value: dict[str, Any]) -> Result[dict[str, Any], str]:
             if why := self._load.why_not(
                 worker, self._tree(), withheld(value), self.node.env.now()
@@ -131,10 +148,11 @@
         self._decide(worker, make, done)
 
     def recall(self, worker: str, reason: str, done: Done) -> None:
+        """Recall a worker from its borrower; `done` gets a LoanOutcome."""
         self._decide(worker, lambda value: recalled(value, worker, reason), done)
 
     def hand_back(self, worker: str, loan: int, weights: str, done: Done) -> None:
-        """The worker's own word."""
+        """Take a worker back that reports that it is free; `done` gets a LoanOutcome."""
         self._decide(worker, lambda value: returned(value, worker, loan, weights), done)
 
     def _decide(self, worker: str, make: Make, done: Done) -> None:
@@ -193,7 +211,10 @@
     # -- the key's owner -----------------------------------------------------------------------
 
     def _must_report(self) -> set[str]:
-        """The links of all edges that may be serving: those heard of, and whoever is on the roll and no store."""
+        """Return the link addresses of all edges that may be serving.
+
+        Those are the edges heard of, and whoever is on the roll and isn't a store.
+        """
         params = self.node.params
         stores = {card.address for card in self._neighbours.of_role("store", params.gone_ms)}
         log = self._gazette.value("log") or {}
@@ -210,7 +231,7 @@
         return True
 
     def _next(self, worker: str, row: dict[str, Any], held_ms: int) -> Make | None:
-        """What the key's owner finds to be due for a loan."""
+        """Return the change that is due for a loan, to be made by the key's owner; or None."""
         epoch = row["epoch"]
         if row["state"] == LoanState.LENDING:
             if self._is_drained(worker):
@@ -228,6 +249,7 @@
         return None
 
     def tick(self) -> None:
+        """End calls whose time is up; once each `beat_ms` record the load and act on due loans."""
         now_ms = self.node.env.now()
         for call in self._calls:
             if now_ms >= call.due_ms:
@@ -269,6 +291,7 @@
             )
 
     def woke(self, gap_ms: int) -> None:
+        """Forget all times and reports and end open calls in doubt; called after a freeze."""
         self._since.clear()
         self._busy.clear()
         self._load.forget()
--- a/libs/loans/src/loans/lent.py
+++ b/libs/loans/src/loans/lent.py
@@ -1,7 +1,10 @@
-"""Loans of whole workers as an edge follows them: who is lent, or about to be, gets nothing new here from the moment
-the edge has it from the feed, and for as long as it hears nothing newer. Where slots may be lent, the edge tells
-control and the other edges each beat what it has under way at each worker, and which number of the loans it has; what
-live calls lately needed at a worker at once is lent to no sample.
+"""Loans of whole workers as an edge follows them.
+
+A worker that is lent, or about to be, is sent nothing new from the moment that the edge has the
+loan from the feed, and for as long as it hears nothing newer. Where slots may be lent, the edge
+reports each heartbeat to control and the other edges what it has running at each worker, and which
+version of the loans it has. Slots that live calls lately needed at once at a worker are lent to no
+sample.
 """
 
 import json
@@ -19,7 +22,11 @@
 
 
 class LentWorkers(Part):
-    """`lends` says whether any profile lends, `at_risk` whether a lot may come late, `told` gives the addresses told."""
+    """The part of an edge that withholds lent workers and reports its load.
+
+    `lends` says whether any profile lends, `at_risk` whether a lot may miss its deadline; `told`
+    gives the addresses that are sent the reports.
+    """
 
     __slots__ = (
         "_at_risk",
@@ -51,10 +58,12 @@
         gazette.watch(self._published)
 
     def attach(self, node: Any) -> None:
+        """Join the node and start to watch the live load over its `force_ms`."""
         super().attach(node)
         self._load = LiveLoad(node.params.dead_ms, lambda: self.node.params.force_ms)
 
     def receive(self, message: EdgeLoad, origin: Origin) -> None:
+        """Take another edge's report of its load."""
         self._load.take(origin.sender, message, self.node.env.now())
         self._note_samples()
 
@@ -64,9 +73,11 @@
             worker.borrowed_elsewhere = samples.get(worker.identity, 0)
 
     def live_peak(self, worker: str) -> int | None:
+        """Return the most live calls lately running at once at a worker; None while unknown."""
         return self._load.peak(worker)
 
     def woke(self, gap_ms: int) -> None:
+        """Forget all reports; called after the process was frozen."""
         self._load.forget()
         self._note_samples()
 
@@ -82,6 +93,7 @@
             self._roster.lent = lent
 
     def tick(self) -> None:
+        """Report this edge's load once each `beat_ms`, where slots or workers may be lent."""
         now_ms = self.node.env.now()
         if now_ms - self._sent_ms < self.node.params.beat_ms or not (
             self._lends() or self._roster.lent
--- a/libs/loans/src/loans/load.py
+++ b/libs/loans/src/loans/load.py
@@ -1,5 +1,7 @@
-"""What live calls need of the workers, as control sees it: edges report what they have under way at each, and the
-peak over a window, with a margin, is what no loan may go below. Without a whole window seen, nothing is known.
+"""What live calls need of the workers, from the reports of all edges.
+
+Edges report what they have running at each worker. No loan may go below the peak over a window,
+with a margin. Until a whole window has been seen, the need counts as unknown.
 """
 
 import json
@@ -15,8 +17,11 @@
 
 
 class EdgeLoad(Message):
-    """`number` is that of the loans in force at the edge; `workers` has, by identity: zone, labels, slots, live calls
-    under way, everything under way, whether it may be used, and samples under way; `waiting` are live calls that wait at the edge.
+    """An edge's report of what it has running.
+
+    `number` is the version of the loans in force at the edge. `workers` is a JSON object with, for
+    each worker's identity: zone, labels, slots, live calls running, everything running, whether it
+    may be used, and samples running. `waiting` is the number of live calls that wait at the edge.
     """
 
     edge: Text
@@ -27,6 +32,7 @@
 
 
 def load_report(edge: str, number: int, roster: Any, carrier: Any, lots_at_risk: bool) -> EdgeLoad:
+    """Return an edge's report, from its roster and from what its carrier is sending."""
     live: dict[int, int] = {}
     for send in carrier.sends():
         if not send.carriage.call.lot:
@@ -54,7 +60,10 @@
 
 
 class LiveLoad:
-    """`take` gathers reports by edge link, `note` is called each beat."""
+    """The latest reports of all edges and the live calls over a window.
+
+    Reports older than `dead_ms` are dropped; `window_ms` gives the window's length.
+    """
 
     __slots__ = ("_dead_ms", "_reports", "_rows", "_seen", "_since_ms", "_window_ms")
 
@@ -66,16 +75,19 @@
         self._seen: dict[str, list] = {}
 
     def take(self, link: str, message: EdgeLoad, now_ms: int) -> None:
+        """Take the report of the edge with this link address."""
         workers = json.loads(message.workers)
         self._reports[link] = (now_ms, message, workers)
         self._seen.update(workers)
 
     def forget(self) -> None:
+        """Drop all reports and the window seen so far."""
         self._reports.clear()
         self._rows.clear()
         self._since_ms = -1
 
     def note(self, now_ms: int) -> None:
+        """Add the present load to the window; called each heartbeat."""
         self._reports = {
             link: row for link, row in self._reports.items() if now_ms - row[0] <= self._dead_ms
         }
@@ -96,13 +108,13 @@
     # -- what it says --------------------------------------------------------------------------
 
     def reported(self) -> dict[str, tuple[int, dict[str, list]]]:
-        """By edge link: the number of the loans it has, and its workers."""
+        """Return by edge link address the version of the loans that it has, and its workers."""
         return {
             link: (message.number, workers) for link, (_, message, workers) in self._reports.items()
         }
 
     def workers(self) -> dict[str, list]:
-        """Those that at least one edge may use, and none says that it must not."""
+        """Return the workers that an edge may use and of which no edge says that it must not."""
         found: dict[str, list] = {}
         for _, _, workers in self._reports.values():
             for name, row in workers.items():
@@ -112,7 +124,7 @@
         return {name: row for name, row in found.items() if row[5]}
 
     def samples(self, besides: str) -> dict[str, int]:
-        """By worker, how many samples edges have there, but for one of them."""
+        """Return by worker how many samples all edges run there, except the edge `besides`."""
         found: dict[str, int] = {}
         for link, (_, _, workers) in self._reports.items():
             for name, row in workers.items() if link != besides else ():
@@ -120,16 +132,17 @@
         return found
 
     def peak(self, worker: str) -> int | None:
-        """The most live calls that were under way there at once; None while nothing is known."""
+        """Return the most live calls running at once at a worker; None while unknown."""
         return max((live.get(worker, 0) for _, live, _ in self._rows), default=None)
 
     def lots_at_risk(self) -> bool:
+        """Return whether an edge reports that a lot may miss its deadline."""
         return any(message.lots_at_risk for _, message, _ in self._reports.values())
 
     def _peers(
         self, worker: str, tree: Any, out: frozenset[str]
     ) -> list[tuple[str, list[str], list[str]]]:
-        """For each profile that the worker serves: its name, all its workers, and those that stay."""
+        """List the profiles that a worker serves: name, all workers, and those that stay."""
         known, seen = self.workers(), self._seen.get(worker)
         if seen is None:
             return []
@@ -152,7 +165,7 @@
         return rows
 
     def why_not(self, worker: str, tree: Any, out: frozenset[str], now_ms: int) -> str:
-        """Empty if it may be lent beside those that are out already."""
+        """Return why a worker may not be lent beside those that are `out`; empty if it may."""
         known = self.workers()
         if worker not in known:
             return "no edge knows it, or one may not use it"
@@ -173,7 +186,7 @@
         return ""
 
     def why_recall(self, worker: str, tree: Any, out: frozenset[str]) -> str:
-        """Why it is needed back now; empty if it isn't."""
+        """Return why a worker is needed back now; empty if it isn't."""
         if self.lots_at_risk():
             return "a lot may come late"
         known = self.workers()
--- a/libs/loans/src/loans/outlook.py
+++ b/libs/loans/src/loans/outlook.py
@@ -1,6 +1,8 @@
-"""Whether the lots will be done in time beside rollouts: for each waiting lot, what is due before it and itself, over
-what edges can run at once, times how long an item was seen to take, with a margin. Once one may come late every
-sample is given up, until none may.
+"""Whether lots (batches of items) will meet their deadlines beside rollouts.
+
+For each waiting lot: the items due up to and including its own, divided by what edges can run at
+once, times how long an item has been seen to take, with a margin. Once a lot may be late, every
+sample is given up until none may be.
 """
 
 import math
@@ -15,6 +17,8 @@
 
 
 class LotOutlook:
+    """The forecast of lots' deadlines, from the room and the durations that edges report."""
+
     __slots__ = ("_dead_ms", "_item_ms", "_risk", "_rooms")
 
     def __init__(self, dead_ms: int) -> None:
@@ -24,15 +28,21 @@
         self._risk = ""
 
     def heard(self, beat: Any, now_ms: int) -> None:
+        """Take from an edge's heartbeat how many items it could start."""
         self._rooms[beat.edge] = (now_ms, beat.room)
         self._rooms = {
             edge: row for edge, row in self._rooms.items() if now_ms - row[0] <= self._dead_ms
         }
 
     def took(self, path: str, took_ms: int) -> None:
+        """Record how long an item of a path took, in a moving average."""
         self._item_ms[path] = self._item_ms.get(path, took_ms) * (1 - _KNOWN) + took_ms * _KNOWN
 
     def at_risk(self, ledger: Any, log_ms: int, log: Callable[..., None]) -> bool:
+        """Return whether a lot may miss its deadline; a change of the answer is logged.
+
+        `log_ms` is the present time on the log's clock, which deadlines are given in.
+        """
         lots = sorted(
             (lot for lot in ledger.opened.values() if not lot.rollout and lot.left),
             key=lambda lot: lot.due_ms,
--- a/libs/loans/src/loans/rows.py
+++ b/libs/loans/src/loans/rows.py
@@ -1,6 +1,8 @@
-"""The control key `loans`: which workers are lent whole, and to whom. A loan goes serving, lending, lent, recalled and
-back to serving; one function for each change of state, each under a higher epoch, and each a refusal where the
-state, or the epoch that whoever asks last knew, is another one.
+"""The control key `loans`: which workers are lent whole, and to whom.
+
+A loan goes from serving through lending, lent and recalled back to serving. There is one function
+for each change of state. Each sets a higher epoch, and each refuses where the state, or the epoch
+that the caller last knew, is a different one.
 """
 
 from collections.abc import Iterable
@@ -26,6 +28,8 @@
 
 
 class LoanState(StrEnum):
+    """The states of a loan, in order."""
+
     SERVING = "serving"
     LENDING = "lending"
     LENT = "lent"
@@ -33,11 +37,12 @@
 
 
 def empty_loans() -> dict[str, Any]:
+    """Return the key's value while nothing was ever lent."""
     return {"epoch": 0, "loans": {}}
 
 
 def withheld(value: dict[str, Any]) -> frozenset[str]:
-    """The workers that get nothing new."""
+    """Return the workers that are sent nothing new."""
     return frozenset(
         name for name, row in value["loans"].items() if row["state"] != LoanState.SERVING
     )
@@ -72,7 +77,10 @@
 def granted(
     value: dict[str, Any], worker: str, borrower: str, weights: str, lease_ms: int, recall_ms: int
 ) -> Changed:
-    """New calls go elsewhere from here on; `loan` will be the epoch under which it is lent."""
+    """Start to lend a worker: new calls go elsewhere from here on.
+
+    `loan`, the epoch under which it is lent, is set once it is drained.
+    """
     return _row(value, worker, (LoanState.SERVING,)).bind(
         lambda row: _put(
             value,
@@ -90,21 +98,24 @@
 
 
 def drained(value: dict[str, Any], worker: str, epoch: int) -> Changed:
-    """Every edge has said under this epoch that nothing of its own is there any more: it is the borrower's."""
+    """Hand a worker to its borrower.
+
+    The caller has the word of every edge, under this epoch, that it has nothing there.
+    """
     return _row(value, worker, (LoanState.LENDING,), epoch).bind(
         lambda row: _put(value, worker, row, LoanState.LENT, loan=value["epoch"] + 1)
     )
 
 
 def withdrawn(value: dict[str, Any], worker: str, epoch: int, reason: str) -> Changed:
-    """The borrower never had it, so it serves again without more ado."""
+    """Let a worker serve again that its borrower never had."""
     return _row(value, worker, (LoanState.LENDING,), epoch).bind(
         lambda row: _put(value, worker, row, LoanState.SERVING, reason=reason)
     )
 
 
 def recalled(value: dict[str, Any], worker: str, reason: str, epoch: int | None = None) -> Changed:
-    """It is to be handed back; what is only being lent is withdrawn."""
+    """Ask for a worker back; a loan that is not yet lent is withdrawn."""
     if value["loans"].get(worker, {}).get("state") == LoanState.LENDING:
         return withdrawn(
             value, worker, value["loans"][worker]["epoch"] if epoch is None else epoch, reason
@@ -115,7 +126,7 @@
 
 
 def returned(value: dict[str, Any], worker: str, loan: int, weights: str) -> Changed:
-    """The worker's own word that it is free again, with the weights that were agreed."""
+    """Let a worker serve again that reports itself free, with the weights that were agreed."""
 
     def back(row: dict[str, Any]) -> Changed:
         if row["loan"] != loan:
--- a/libs/loans/src/loans/sampling.py
+++ b/libs/loans/src/loans/sampling.py
@@ -1,6 +1,8 @@
-"""One sample of a rollout as a call to a worker: streamed, so that it shows when its prompt has been read, of the
-lowest urgency, and with the weights that the trainer wants. An answer counts only if the worker names these
-weights itself; what came of it says which prompt and sample it is, and of which weights.
+"""One sample of a rollout as a call to a worker.
+
+The call is streamed, so that it shows when its prompt has been read, has the lowest urgency, and
+names the weights that the trainer wants. An answer counts only if the worker itself names these
+weights; the result says which prompt and sample it is of, and which weights made it.
 """
 
 import json
@@ -31,7 +33,7 @@
 
 
 class SampleCall(Call):
-    """`told` are the weights that the worker which answered it named."""
+    """A call for one sample; `told` are the weights that the worker named in its answer."""
 
     __slots__ = ("told", "weights")
     rollout = True
@@ -42,6 +44,8 @@
 
 
 class SampleExchange(Exchange):
+    """An exchange with a worker that fails if the worker has other weights than wanted."""
+
     __slots__ = ("_call",)
 
     def __init__(
@@ -51,6 +55,7 @@
         self._call = call
 
     def head(self, status: int, headers: Iterable[tuple[str, str]], length: int | None) -> None:
+        """Take the head of the answer and the weights that it names."""
         rows = list(headers)
         super().head(status, rows, length)
         told = [value for name, value in rows if name.lower() == WEIGHTS_HEADER.lower()]
@@ -58,14 +63,17 @@
 
     @property
     def other_weights(self) -> bool:
+        """Whether a good answer comes from other weights than the call wants."""
         return self.good and self._call.weights not in ("", self._call.told)
 
     def data(self, chunk: bytes) -> tuple[list[bytes], Fate | None]:
+        """Take a chunk of the answer; fails if it comes from other weights."""
         if self.other_weights:
             return [], Fate("failed", may_have_run=True, reason=OTHER_WEIGHTS)
         return super().data(chunk)
 
     def end(self) -> Fate:
+        """Return the exchange's fate at the end of the answer."""
         return (
             Fate("failed", may_have_run=True, reason=OTHER_WEIGHTS)
             if self.other_weights
@@ -92,8 +100,10 @@
 
 
 def unstarted(send: Send, now_ms: int, reading_ms: int) -> bool:
-    """Whether a worker may still be reading its prompt: a stream that brought nothing yet; a plain call says nothing
-    before its end, and counts for as long as reading may take.
+    """Return whether a worker may still be reading the prompt of a call.
+
+    A stream is read until its first data. A plain call shows nothing before its end, so it counts
+    for `reading_ms` after its start.
     """
     if send.carriage.call.stream:
         return send.heard_ms <= send.began_ms and not send.carriage.tx.delivered
@@ -101,7 +111,7 @@
 
 
 def sample_result(work: Any, worker: str, weights: str, events: str) -> str:
-    """What is listed of a sample; the text is that of its events."""
+    """Return the JSON text that is listed for a sample, with the text of its stream's events."""
     text = "".join(
         _text(json.loads(line.removeprefix("data:")))
         for line in events.splitlines()
