--- a/libs/facsimile/src/facsimile/sim/__init__.py
+++ b/libs/facsimile/src/facsimile/sim/__init__.py
@@ -1,5 +1,7 @@
-"""The simulator: the real cores under virtual time, with a network that splits, disks that lose what
-was not synced, machines that freeze and wake, and visitors, workers and operators that keep a history.
+"""The simulator: the node programs' own cores under virtual time, with fault injection.
+
+The network splits, disks lose what was not synced, machines freeze and wake, and simulated clients,
+workers and operators record a history that an oracle judges.
 """
 
 from facsimile.sim.history import History
--- a/libs/facsimile/src/facsimile/sim/carrying.py
+++ b/libs/facsimile/src/facsimile/sim/carrying.py
@@ -1,6 +1,8 @@
-"""The simulator's sockets: a send of the edge's carrier goes over the simulated network to a simulated
-worker, and what the worker writes comes back in pieces that need not end where events do. Only sockets
-are replaced here; the chart, the carrier, the items and the counter are those that serve.
+"""The simulator's replacement for an edge's sockets to workers.
+
+What the edge's carrier sends goes over the simulated network to a simulated worker, and what the
+worker writes comes back in pieces that need not end where events do. Only sockets are replaced;
+transactions, the carrier, items and request handlers are those that serve.
 """
 
 from collections.abc import Callable
@@ -14,7 +16,7 @@
 
 
 class SimSender:
-    """Stands where an edge's sender stands: each call of it sends to one worker and gives back how to abort that."""
+    """An edge's sender: a call sends one request to a worker and returns how to abort it."""
 
     __slots__ = ("_fleet", "_host")
 
@@ -24,6 +26,7 @@
     def __call__(
         self, send: Send, address: str, kind: str, headers: dict[str, str], body: dict[str, Any]
     ) -> Callable[[], None]:
+        """Send a request to the worker at `address`; the returned function aborts it."""
         connection = _Connection(self._fleet, self._host, send, address)
         self._fleet.history.add(
             "send",
@@ -36,7 +39,7 @@
 
 
 class _Connection:
-    """One send on its way to a worker, and what comes back."""
+    """One request on its way to a worker, and the answer."""
 
     __slots__ = ("_address", "_fleet", "_host", "_last_ms", "_life", "_open", "_send", "_target")
 
@@ -48,7 +51,7 @@
         self._open = True
 
     def open(self, headers: dict[str, str], body: dict[str, Any]) -> None:
-        """Delivers the request, or finds nobody at the address."""
+        """Deliver the request, or find that nothing listens at the address."""
         time, network = self._fleet.time, self._fleet.network
         if self._target is None or not network.passes(self._host.address, self._address):
             time.after(_CONNECT_MS, lambda: self._here("no connection"))
@@ -59,14 +62,14 @@
         )
 
     def abort(self) -> None:
-        """A worker that looks at its connections finds this one closed a moment later."""
+        """Close the connection; a worker that watches its connections notices a moment later."""
         was_open, self._open = self._open, False
         target, network = self._target, self._fleet.network
         if was_open and target is not None and target.watches:
             self._fleet.time.after(network.delay(self._host.address, self._address), target.look)
 
     def _reply(self, what: str, *args: Any) -> None:
-        """In order, as on one connection; what is cut off on the way is never heard of."""
+        """Deliver in order, as on one connection; what is cut off on the way never arrives."""
         time, network = self._fleet.time, self._fleet.network
         if not network.passes(self._address, self._host.address):
             return
@@ -75,7 +78,7 @@
         time.after(self._last_ms - time.now_ms, lambda: self._here(what, *args))
 
     def _here(self, what: str, *args: Any) -> None:
-        """What arrives at the edge's machine is taken once it is awake, if it is still the same process."""
+        """Hand over what arrived once the edge is awake, if it is still the same process."""
         host, life = self._host, self._life
 
         def take() -> None:
@@ -97,7 +100,7 @@
             self._send.broke(what, what != "no connection")
 
     def _deliver(self, data: bytes) -> None:
-        """In two pieces, cut anywhere."""
+        """Deliver data in two pieces, cut at any byte."""
         at = self._fleet.time.rng.randrange(len(data) + 1)
         for part in (data[:at], data[at:]):
             if part:
--- a/libs/facsimile/src/facsimile/sim/disks.py
+++ b/libs/facsimile/src/facsimile/sim/disks.py
@@ -1,6 +1,8 @@
-"""A simulated disk. What a process wrote outlives the process; what was not flushed may be lost, in
-part and out of order, when the machine loses power. Flushes and replacements go one after another
-and take time. Room can be taken away and given back, and a whole disk can be exchanged for a blank.
+"""A simulated disk.
+
+What a process wrote outlives the process; what was not flushed may be lost, in part and out of
+order, when the machine loses power. Flushes and replacements are done one after another and take
+time. Room can be taken away and given back, and the whole disk can be replaced by a blank one.
 """
 
 from collections.abc import Callable
@@ -12,6 +14,12 @@
 
 
 class SimDisk:
+    """A disk of `room_bytes` with the interface of `stacks.FolderDisk`.
+
+    A flush takes between 0.5 and 1.5 times `flush_ms` of virtual time. `flushes` and `asides` count
+    the flushes done and the times that damaged content was set aside.
+    """
+
     __slots__ = (
         "_busy_until_ms",
         "_durable",
@@ -39,25 +47,31 @@
         self.asides = 0
 
     def bind(self, host: Any) -> None:
+        """Attach the disk to the process that its host is about to start."""
         self._host = host
         self._busy_until_ms = 0.0
 
     # -- as the cores see it -------------------------------------------------------------------
 
     def names(self) -> list[str]:
+        """Return the names of all files, sorted."""
         return sorted(self._files)
 
     def read(self, name: str) -> bytes:
+        """Return a whole file; KeyError if there is none of this name."""
         return bytes(self._files[name])
 
     def read_at(self, name: str, offset: int, size: int) -> bytes:
+        """Return up to `size` bytes from `offset`; empty beyond the end or without such a file."""
         return bytes(self._files.get(name, b"")[offset : offset + size])
 
     def roomy(self, size: int, urgent: bool = False) -> bool:
+        """Return whether `size` more bytes fit; urgent writes may use the reserve."""
         limit = self.room_bytes if urgent else self.room_bytes * (1 - KEPT_BACK)
         return sum(len(data) for data in self._files.values()) + size <= limit
 
     def write(self, name: str, offset: int, data: bytes, urgent: bool = False) -> None:
+        """Write without flushing; DiskFullError if the file's growth finds no room."""
         grows = max(0, offset + len(data) - len(self._files.get(name, b"")))
         if not self.roomy(grows, urgent):
             raise DiskFullError(name)
@@ -65,18 +79,22 @@
         self._pending.setdefault(name, []).append(("write", offset, data))
 
     def push(self) -> None:
+        """Do nothing: there is no buffer between the process and this disk."""
         return None
 
     def truncate(self, name: str, size: int) -> None:
+        """Cut or extend a file to `size` bytes without flushing."""
         if name in self._files:
             _cut(self._files[name], size)
             self._pending.setdefault(name, []).append(("truncate", size, b""))
 
     def remove(self, name: str) -> None:
+        """Remove a file without flushing."""
         if self._files.pop(name, None) is not None:
             self._pending.setdefault(name, []).append(("remove", 0, b""))
 
     def flush(self, names: list[str], done: Callable[[bool], None]) -> None:
+        """Flush these files and all removals made so far, then call `done(True)`."""
         counts = {name: len(self._pending.get(name, [])) for name in names}
         counts.update(
             {
@@ -98,6 +116,7 @@
         self._later(flushed)
 
     def replace(self, name: str, data: bytes, done: Callable[[bool], None]) -> None:
+        """Replace a whole file atomically and durably; `done(False)` if it finds no room."""
         if len(data) > SMALL_BYTES and not self.roomy(len(data), True):
             self._later(lambda: done(False))
             return
@@ -111,6 +130,7 @@
         self._later(replaced)
 
     def set_aside(self) -> None:
+        """Count a disk whose content is damaged, and start again from an empty one."""
         self.asides += 1
         self._files.clear()
         self._durable.clear()
@@ -140,7 +160,7 @@
             _put(self._durable.setdefault(name, bytearray()), at, data)
 
     def lose_power(self) -> None:
-        """Each write that was not flushed may or may not have reached the disk, or only a part of it."""
+        """Drop each unflushed write, or let it reach the disk whole or in part, at random."""
         rng = self._time.rng
         for name, rows in self._pending.items():
             for kind, at, data in rows:
@@ -151,17 +171,21 @@
         self._files = {name: bytearray(data) for name, data in self._durable.items()}
 
     def fill(self) -> None:
+        """Reduce the room to a tenth more than is in use."""
         self.room_bytes = int(sum(len(data) for data in self._files.values()) * 1.1)
 
     def empty(self) -> None:
+        """Restore the full room; files stay."""
         self.room_bytes = self._whole_bytes
 
     def wipe(self) -> None:
+        """Lose all files, as when a disk is replaced by a blank one."""
         self._files.clear()
         self._durable.clear()
         self._pending.clear()
 
     def damage(self, name: str, offset: int) -> None:
+        """Invert the byte at `offset` of a file, in its flushed copy too."""
         for copy in (self._files, self._durable):
             if name in copy and offset < len(copy[name]):
                 copy[name][offset] ^= 0x_FF
--- a/libs/facsimile/src/facsimile/sim/evening.py
+++ b/libs/facsimile/src/facsimile/sim/evening.py
@@ -1,7 +1,9 @@
-"""A busy evening and the night after it: live calls near their peak with bursts, a café's lots, then fewer calls and an
-overnight lot; beside them, if wanted, rollouts and loans of whole workers. The same seed gives the same calls, lots and
-faults with and without rollouts, so that such runs can be compared; `chance` draws anew what is not planned, so that
-several runs show how far they differ by themselves.
+"""A simulated busy evening and the night after it, with and without rollouts.
+
+Live calls run near their peak with bursts, beside a client's batches; then come fewer calls and an
+overnight batch. Rollouts and loans of whole workers run beside them if wanted. The same seed gives
+the same calls, batches and faults with and without rollouts, so that such runs can be compared;
+`chance` varies what is not planned, so that several runs show how far they differ by themselves.
 """
 
 import random
@@ -29,6 +31,12 @@
 
 
 class Evening:
+    """One run of an evening and its night.
+
+    `share` is the part of the workers' slots that profiles lend to rollouts; `faulty` adds the
+    faults of FAULTS_OF_AN_EVENING.
+    """
+
     __slots__ = (
         "_live",
         "_rng",
@@ -65,6 +73,7 @@
         fleet.workers[worker.address] = worker
 
     def found(self) -> None:
+        """Start the fleet; AssertionError if it does not get ready."""
         self.run.found()
         self.start_ms = self.fleet.time.now_ms
         self.fleet.history.settings.update(night_ms=self.start_ms + _EVENING_MS)
@@ -72,15 +81,17 @@
     # -- what happens --------------------------------------------------------------------------
 
     def rate(self, at_ms: float) -> float:
-        """Calls a second: 80% of the peak with bursts to all of it in the evening, a fifth at night with one late burst, for
-        which enough workers stay that aren't lent.
+        """Return the rate of live calls a second at a time after the start.
+
+        In the evening it is 80% of the peak with bursts to all of it; at night a fifth with one
+        late burst, for which enough workers stay that aren't lent.
         """
         if at_ms < _EVENING_MS:
             return _PEAK_A_S * (1.0 if at_ms % 2000 < 600 else 0.8)
         return _PEAK_A_S * (0.45 if 12_500 < at_ms < 13_500 else 0.2)
 
     def plan(self) -> None:
-        """All drawn beforehand, from a generator of its own."""
+        """Schedule calls, batches and faults, all drawn beforehand from a separate generator."""
         rng, after, visitors = self._rng, self.fleet.time.after, self.run.visitors
         at_ms = 0.0
         while (at_ms := at_ms + rng.expovariate(self.rate(at_ms) / 1000)) < _SPAN_MS:
@@ -98,11 +109,12 @@
             after(fault_ms, lambda what=what, place=place: self._fault(what, place))
 
     def _plan_move(self, at_ms: float, key: str, resent: bool) -> None:
-        """Not safe to repeat; some clients send theirs twice."""
+        """Schedule a call that isn't safe to repeat; some clients send theirs twice."""
         for wait_ms in (0.0, 150.0) if resent else (0.0,):
             self.fleet.time.after(at_ms + wait_ms, lambda: self._live.live("moves", key, 3))
 
     def plan_rollouts(self) -> None:
+        """Schedule rollouts and the loans of whole workers."""
         trainers, after = self.trainers, self.fleet.time.after
         for at_ms, prompts, samples in ((200.0, 20, 2), (2500.0, 20, 2), (_EVENING_MS, 40, 4)):
             after(
@@ -112,7 +124,7 @@
         trainers.watch()
 
     def _fault(self, what: str, place: int) -> None:
-        """The machine comes back a second and a half later; a worker's place is taken by another one."""
+        """Cause a fault: a process returns after 1.5 s, a lost worker is replaced after 0.6 s."""
         fleet = self.fleet
         fleet.history.add("fault", fleet.time.now_ms, what=what)
         if what == "worker":
@@ -130,6 +142,7 @@
             fleet.time.after(1500, host.start)
 
     def play(self, rest_ms: float = 25_000) -> None:
+        """Run evening and night, then up to `rest_ms` until all batches and rollouts are done."""
         self.plan()
         if self.share:
             self.plan_rollouts()
@@ -152,6 +165,7 @@
 def play_evening(
     seed: int, rollouts: bool, faulty: bool = False, share: float = 1.0, chance: int = 0
 ) -> Evening:
+    """Return an Evening that has been played to its end."""
     evening = Evening(seed, rollouts, faulty, share, chance)
     evening.found()
     evening.play()
--- a/libs/facsimile/src/facsimile/sim/faults.py
+++ b/libs/facsimile/src/facsimile/sim/faults.py
@@ -1,5 +1,7 @@
-"""The faults of the brief, each a function that causes it and later undoes it. A schedule is a seeded
-list of them; its loss of a disk comes once, since one machine with a disk is what has to be borne.
+"""Fault injection: functions that each cause a fault and later undo it, and seeded schedules.
+
+A schedule loses or damages at most one disk, since the loss of one machine with a disk is what the
+fleet has to tolerate. Times are milliseconds of virtual time.
 """
 
 from typing import Any
@@ -13,6 +15,7 @@
 
 
 def crash(fleet: Any, role: str, down_ms: float) -> None:
+    """Kill a process of a role and start it again after `down_ms`."""
     host = _pick(fleet, role)
     if host is not None:
         host.kill()
@@ -20,6 +23,7 @@
 
 
 def crash_holder(fleet: Any, down_ms: float) -> None:
+    """Kill the log's holder and start its process again after `down_ms`."""
     host = fleet.holder()
     if host is not None:
         host.kill()
@@ -27,6 +31,7 @@
 
 
 def crash_owner(fleet: Any, down_ms: float) -> None:
+    """Kill the owner of the key `profiles` and start its process again after `down_ms`."""
     for host in fleet.of("control"):
         if host.up and host.node.owner.owner_of("profiles") == host.node.voter.identity:
             host.kill()
@@ -35,6 +40,10 @@
 
 
 def freeze(fleet: Any, role: str, for_ms: float, step_ms: int) -> None:
+    """Freeze a process for `for_ms`, with its wall clock stepped by `step_ms`.
+
+    `role` may also be `holder`, for the log's holder.
+    """
     host = fleet.holder() if role == "holder" else _pick(fleet, role)
     if host is not None:
         host.freeze()
@@ -43,16 +52,19 @@
 
 
 def step_clocks(fleet: Any, step_ms: int) -> None:
+    """Step each machine's wall clock by a random amount of at most `step_ms` either way."""
     for host in fleet.hosts.values():
         host.wall_step_ms += int(step_ms * (fleet.time.rng.random() - 0.5) * 2)
 
 
 def loss(fleet: Any, rate: float, for_ms: float) -> None:
+    """Lose and duplicate messages at `rate` for `for_ms`."""
     fleet.network.loss_rate = fleet.network.double_rate = rate
     fleet.time.after(for_ms, fleet.network.heal)
 
 
 def split(fleet: Any, for_ms: float) -> None:
+    """Split the network into two random groups for `for_ms`."""
     hosts = [host.address for host in fleet.hosts.values()]
     fleet.time.rng.shuffle(hosts)
     at = fleet.time.rng.randrange(2, len(hosts) - 2)
@@ -61,6 +73,7 @@
 
 
 def control_split(fleet: Any, for_ms: float, cut_off: bool) -> None:
+    """Split two control nodes from the rest, or all of them from the fleet if `cut_off`."""
     control = [host.address for host in fleet.of("control")]
     others = [host.address for host in fleet.hosts.values() if host.role != "control"]
     groups = [control, others] if cut_off else [control[:2], control[2:]]
@@ -69,7 +82,7 @@
 
 
 def minority_cut(fleet: Any, for_ms: float, restart: bool) -> None:
-    """Most edges and a store on one side without control, for longer than anyone is remembered."""
+    """Cut most edges and a store off from control, for longer than any node is remembered."""
     side = [host for host in fleet.of("edge")[1:]] + fleet.of("store")[:1]
     names = [host.address for host in side]
     fleet.network.split(
@@ -82,6 +95,7 @@
 
 
 def isolate(fleet: Any, role: str, for_ms: float) -> None:
+    """Cut one host of a role off from everything for `for_ms`."""
     host = _pick(fleet, role)
     if host is not None:
         fleet.network.isolate(host.address)
@@ -89,6 +103,7 @@
 
 
 def slow(fleet: Any, role: str, by_ms: float, for_ms: float) -> None:
+    """Delay the messages of one host of a role by up to `by_ms`."""
     host = _pick(fleet, role)
     if host is not None:
         fleet.network.slow_ms[host.address] = by_ms
@@ -96,6 +111,7 @@
 
 
 def slow_disk(fleet: Any, for_ms: float) -> None:
+    """Make the flushes of one store take about 150 ms each."""
     host = _pick(fleet, "store")
     if host is not None:
         host.disk.flush_ms = 150.0
@@ -107,14 +123,14 @@
 
 
 def fill(fleet: Any, role: str, for_ms: float) -> None:
-    """Takes the room away from all disks of a role, down to what is in use, and gives it back."""
+    """Take the free room of all disks of a role away for `for_ms`."""
     for host in fleet.of(role):
         host.disk.fill()
         fleet.time.after(for_ms, host.disk.empty)
 
 
 def damage(fleet: Any, role: str) -> None:
-    """A byte in the middle of what is on one disk is turned over while its process is down."""
+    """Invert a byte of a log or key file on one disk while its process is down."""
     host = _pick(fleet, role)
     names = (
         [name for name in host.disk.names() if name.startswith(("queue-", "keys-"))]
@@ -128,6 +144,7 @@
 
 
 def lose_disk(fleet: Any, role: str, down_ms: float) -> None:
+    """Kill a process, wipe its disk, and start it again after `down_ms`."""
     host = fleet.holder() if role == "holder" else _pick(fleet, role)
     if host is not None:
         host.lose_disk()
@@ -135,6 +152,7 @@
 
 
 def power_cut(fleet: Any, roles: tuple[str, ...], down_ms: float) -> None:
+    """Cut the power of all hosts of these roles at once."""
     for host in fleet.hosts.values():
         if host.role in roles:
             host.lose_power()
@@ -142,6 +160,7 @@
 
 
 def worker_fault(fleet: Any, how: str) -> None:
+    """Let one worker crash, leave, fall silent for a while or be replaced, if another remains."""
     workers = [
         worker
         for worker in fleet.workers.values()
@@ -220,6 +239,7 @@
 def schedule(
     rng: Any, start_ms: float, span_ms: float, count: int, only: list[str] | None = None
 ) -> list[tuple[float, str]]:
+    """Draw `count` faults in `span_ms` from `start_ms` on; return (time, name) rows by time."""
     names, rows, lost = list(only or FAULTS), [], False
     while len(rows) < count:
         name = rng.choice(names)
--- a/libs/facsimile/src/facsimile/sim/fleet.py
+++ b/libs/facsimile/src/facsimile/sim/fleet.py
@@ -1,4 +1,4 @@
-"""A simulated fleet: hosts in zones, workers, and the samples that a watcher of every edge would take."""
+"""A simulated fleet: hosts in zones, workers, and periodic samples of their state."""
 
 from typing import Any
 
@@ -20,7 +20,10 @@
 
 
 class SimFleet:
-    """NETWORK and HOST are what a measurement puts meters into."""
+    """All hosts and workers of a run on one network and one virtual clock.
+
+    NETWORK and HOST are the classes used for them; a measurement replaces them by metered ones.
+    """
 
     __slots__ = (
         "_count",
@@ -74,6 +77,7 @@
         return f"10.0.{self._count >> 8}.{self._count & 255}:7000"
 
     def add(self, role: str, name: str) -> SimHost:
+        """Start a host of a role, with a blank disk unless it is an edge."""
         address = self._address()
         known = [host.address for host in self.hosts.values() if host.up][:3] or ["10.0.0.1:7000"]
         params = Params(
@@ -94,6 +98,7 @@
         return host
 
     def add_worker(self, name: str, labels: list[str], address: str = "") -> SimWorker:
+        """Start a worker, at a new address if none is given."""
         worker = SimWorker(
             self, name, address or self._address(), labels, 4, ZONES[len(self.workers) % 3]
         )
@@ -102,6 +107,7 @@
         return worker
 
     def worker_at(self, address: str) -> SimWorker | None:
+        """Return the worker that listens at an address, or None."""
         return self.workers.get(address)
 
     def _make(self, host: SimHost, env: SimEnv) -> Any:
@@ -119,13 +125,15 @@
             self._away.pop(name)["until_ms"] = self.time.now_ms
 
     def of(self, role: str) -> list[SimHost]:
+        """Return all hosts of a role, running or not."""
         return [host for host in self.hosts.values() if host.role == role]
 
     def running(self, role: str) -> list[SimHost]:
+        """Return the hosts of a role that are up and not frozen."""
         return [host for host in self.of(role) if host.up and not host.frozen]
 
     def holder(self) -> SimHost | None:
-        """The store that serves as holder under the highest epoch."""
+        """Return the store that serves as holder under the highest epoch, or None."""
         serving = [
             host
             for host in self.of("store")
@@ -134,6 +142,7 @@
         return max(serving, key=lambda host: host.node.log.holder.epoch, default=None)
 
     def start_sampling(self) -> None:
+        """Record free capacity, each edge's state and each holder's waiting room every 100 ms."""
         able = [
             worker for worker in self.workers.values() if not worker.gone and not worker.leaving
         ]
@@ -170,15 +179,18 @@
         self.time.after(_SAMPLE_MS, self.start_sampling)
 
     def ready(self) -> bool:
+        """Return whether all edges and stores take requests and all control nodes have a quorum."""
         return all(
             not host.node.why_unready() for host in self.of("edge") + self.of("store")
         ) and all(host.node.quorate() for host in self.of("control"))
 
     def on_the_roll(self) -> bool:
+        """Return whether every running host's roll lists exactly the running edges and stores."""
         links = {host.address for host in self.hosts.values() if host.up and host.role != "control"}
         return all(host.node.gazette.roll() == links for host in self.hosts.values() if host.up)
 
     def run_until_true(self, check: Any, limit_ms: float) -> bool:
+        """Run until `check` holds, tested every 50 ms; return whether it did within `limit_ms`."""
         end_ms = self.time.now_ms + limit_ms
         while self.time.now_ms < end_ms:
             self.time.run_until(self.time.now_ms + 50)
@@ -188,5 +200,5 @@
 
 
 def _mark(tree: Any) -> str:
-    """Test trees carry the id of the change that made them as the name of a profile."""
+    """Return the mark in a test tree: the name of a profile gives the change that made the tree."""
     return next((name[5:] for name in tree.rows if name.startswith("mark-")), "")
--- a/libs/facsimile/src/facsimile/sim/history.py
+++ b/libs/facsimile/src/facsimile/sim/history.py
@@ -1,5 +1,7 @@
-"""The history of a run: what the outside saw and what the workers did, row by row, and nothing that
-only the inside of the system could know, but for the samples of what is in force at each edge.
+"""The history of a run, as rows in the order in which they were recorded.
+
+Rows record what clients saw and what workers did, and nothing that only the inside of the system
+could know, except samples of what is in force at each edge.
 """
 
 from typing import Any
@@ -8,6 +10,8 @@
 
 
 class History:
+    """The rows of one run, and the settings by which the oracle judges them."""
+
     __slots__ = ("rows", "settings")
 
     def __init__(self, **settings: Any) -> None:
@@ -15,9 +19,11 @@
         self.settings = settings
 
     def add(self, kind: str, at_ms: float, **fields: Any) -> dict[str, Any]:
+        """Record a row at a virtual time and return it, for its outcome to be filled in later."""
         row = {"kind": kind, "at_ms": round(at_ms, 2), **fields}
         self.rows.append(row)
         return row
 
     def of(self, kind: str) -> list[dict[str, Any]]:
+        """Return the rows of a kind, in order."""
         return [row for row in self.rows if row["kind"] == kind]
--- a/libs/facsimile/src/facsimile/sim/hosts.py
+++ b/libs/facsimile/src/facsimile/sim/hosts.py
@@ -1,5 +1,6 @@
-"""A simulated machine: an address, a disk if it has one, a wall clock that can be stepped, and a
-process that can be killed, frozen, cut from power, and started again.
+"""A simulated machine: an address, a disk if it has one, and a wall clock that can be stepped.
+
+Its process can be killed, frozen, cut from power, and started again.
 """
 
 import random
@@ -15,6 +16,8 @@
 
 
 class SimEnv:
+    """What a node's cores see of the outside: clocks, random numbers, the network and the log."""
+
     __slots__ = ("_host", "address", "rng")
 
     def __init__(self, host: "SimHost", seed: int) -> None:
@@ -23,22 +26,32 @@
         self.rng = random.Random(seed)
 
     def now(self) -> int:
+        """Milliseconds of the host's boot clock."""
         return int(self._host.time.now_ms) + self._host.boot_ms
 
     def wall(self) -> int:
+        """Milliseconds of the host's wall clock, with its steps."""
         return _WALL_MS + int(self._host.time.now_ms) + self._host.wall_step_ms
 
     def token(self) -> str:
+        """Return a random identifier of 48 bits in hexadecimal."""
         return f"{self.rng.getrandbits(48):012x}"
 
     def post(self, to: str, ref: int, re: int, message: Message) -> None:
+        """Send a message; `ref` is its own number, `re` that of the message it answers."""
         self._host.network.send(self.address, to, ref, re, message)
 
     def log(self, event: str, level: str = "INFO", **fields: Any) -> None:
+        """Record an event of the node in the fleet's trace."""
         self._host.trace(event, fields)
 
 
 class SimHost:
+    """A machine and its process; `life` counts the process's starts and kills.
+
+    `make` builds the node for each start, `sink` gets the events to trace.
+    """
+
     __slots__ = (
         "_make",
         "_sink",
@@ -85,9 +98,11 @@
         network.hosts[address] = self
 
     def trace(self, event: str, fields: dict) -> None:
+        """Record an event of this host."""
         self._sink(self.name, event, fields)
 
     def start(self) -> None:
+        """Start the process with a new node on the same disk; nothing if it is running."""
         if self.up:
             return
         self.life += 1
@@ -110,28 +125,35 @@
         self.time.after(_TICK_MS * (0.9 + 0.2 * self.time.rng.random()), lambda: self._tick(life))
 
     def kill(self) -> None:
+        """End the process at once; what it wrote stays on disk."""
         if self.up:
             self.up = False
             self.life += 1
             self.trace("killed", {})
 
     def lose_power(self) -> None:
+        """End the process and lose what was not flushed."""
         self.kill()
         if self.disk is not None:
             self.disk.lose_power()
 
     def lose_disk(self) -> None:
+        """End the process and lose everything on disk."""
         self.kill()
         if self.disk is not None:
             self.disk.wipe()
 
     def freeze(self) -> None:
+        """Stop the process; its messages and timers wait."""
         if self.up:
             self.frozen = True
             self.trace("frozen-by-fault", {})
 
     def wake(self) -> None:
-        """What waited in buffers and timers all comes at once, in no particular order with the ticks."""
+        """Resume the process.
+
+        Buffered messages and due timers come all at once, the next tick before or after them.
+        """
         if not self.up or not self.frozen:
             return
         self.frozen = False
@@ -148,6 +170,7 @@
                 what()
 
     def when_awake(self, what: Callable[[], None], life: int) -> None:
+        """Run `what` now, or on waking if the process is frozen; never in a later life."""
         if self.frozen:
             self.deferred.append((what, life))
         elif life == self.life:
--- a/libs/facsimile/src/facsimile/sim/live_calls.py
+++ b/libs/facsimile/src/facsimile/sim/live_calls.py
@@ -1,6 +1,4 @@
-"""One live call of a simulated client at one edge, from its begin to its outcome, and the form in which the history
-keeps what it was answered.
-"""
+"""One live call of a simulated client at one edge, and how the history records answers."""
 
 import json
 from collections.abc import Callable
@@ -16,10 +14,10 @@
 
 
 class LiveCall:
-    """Writes what the client sees into the call's row.
+    """A call from its start to its outcome; what the client sees is written into `row`.
 
-    `resend` sends the call again elsewhere if it may have run; `done` gets the row at the end. A client that hangs up
-    does so `hangs_up_ms` after its begin; 0 means never.
+    `resend` sends the call again through another edge if it may have run; `done` gets the row at
+    the end. A client that disconnects does so `hangs_up_ms` after the start; 0 means never.
     """
 
     __slots__ = ("_done", "_hangs_up_ms", "_host", "_resend", "_row", "_stream", "_time")
@@ -38,7 +36,7 @@
         self._stream = row["path"] in _STREAMED
 
     def begin(self) -> None:
-        """The call arrives at the edge."""
+        """Send the call to the edge."""
         row, host = self._row, self._host
         key = row["key"]
         prompt = f"key {key} asked {row['asked']}" if key else f"call {row['call']}"
@@ -53,7 +51,7 @@
             self._time.after(self._hangs_up_ms, lambda: self._hang_up(carriage, host.life))
 
     def give_up(self) -> None:
-        """The client waits no longer."""
+        """Record the call as lost, unless it has an outcome."""
         self._answered("lost", "may_have_run")
 
     def _hang_up(self, carriage: Any, life: int) -> None:
@@ -92,7 +90,7 @@
 
 
 def flat_events(text: str) -> str:
-    """A stream's events as TRANSACTION:PLACE, joined by bars."""
+    """Return a stream's events as TRANSACTION:INDEX, joined by bars."""
     found = []
     for event in text.split("\n\n"):
         fields = dict(line.split(": ", 1) for line in event.splitlines())
@@ -102,7 +100,7 @@
 
 
 def flat_body(text: str) -> str:
-    """A plain answer in the same form, a place for each word."""
+    """Return a plain answer in the same form, an index for each word."""
     body = json.loads(text)
     return "|".join(
         f"{body['id']}:{place}" for place in range(len(body["choices"][0]["text"].split()))
--- a/libs/facsimile/src/facsimile/sim/operators.py
+++ b/libs/facsimile/src/facsimile/sim/operators.py
@@ -1,5 +1,6 @@
-"""Simulated operators: they send changes of the profiles, sometimes two at once, and what they see of them goes
-into the history.
+"""Simulated operators, who change the profiles, sometimes two at once.
+
+What they see of their changes is recorded in the history.
 """
 
 import json
@@ -14,6 +15,7 @@
 
 
 def tree_of(mark: str, room: int = ROOM) -> dict[str, Any]:
+    """Return a tree of profiles that carries `mark`, with `room` waiting batches on each path."""
     return {
         "profiles": {
             "base": {"abstract": True, "workers": {"labels": ["gpu"]}, "deadline_ms": 3000},
@@ -28,7 +30,11 @@
 
 
 class Operators:
-    """`more` are profiles that are in every tree besides."""
+    """All operators of a run; `more` are further profiles that go into every tree.
+
+    `version` is the highest that they know, `acked` the version and body of each change that was
+    acknowledged.
+    """
 
     __slots__ = ("_fleet", "_history", "_time", "acked", "changes", "more", "version")
 
@@ -40,7 +46,10 @@
         self.acked: dict[str, tuple[int, str]] = {}
 
     def ask_again(self, count: int) -> None:
-        """The last acknowledged changes, sent once more under their ids."""
+        """Send the last `count` acknowledged changes once more under their ids.
+
+        The final answers are recorded for the oracle; rounds end when all are known.
+        """
         rows = list(self.acked.items())[-count:]
         left = {mark for mark, _ in rows}
 
@@ -74,6 +83,10 @@
         version: int | None = None,
         done: Callable | None = None,
     ) -> None:
+        """Send a change to a control node; a change in doubt is sent again up to `tries` times.
+
+        It names the highest known version unless `version` is given; `done` gets the row.
+        """
         hosts = self._fleet.running("control")
         if not hosts:
             return
--- a/libs/facsimile/src/facsimile/sim/oracle.py
+++ b/libs/facsimile/src/facsimile/sim/oracle.py
@@ -1,5 +1,7 @@
-"""The oracle: judges a recorded history against every rule of what must never happen, and says how much
-each rule had to judge. A rule that is due evidence and saw none is itself a failure.
+"""The oracle: judges a recorded history against every rule of what must never happen.
+
+It also says how many rows each rule judged. A rule that was expected to judge some and judged none
+counts as broken.
 """
 
 from collections.abc import Iterable
@@ -33,13 +35,14 @@
 
 
 def evidence(history: History) -> dict[str, int]:
-    """How many rows each rule judged."""
+    """Return how many rows each rule judged."""
     return {name: int(rule(history)[0]) for name, rule in RULES.items()}
 
 
 def judge(history: History, due: Iterable[str] = ()) -> dict[str, list[str]]:
-    """The breaches by rule; empty when the history breaks none. `due` names rules that must have had
-    something to judge.
+    """Return the breaches by rule; empty when the history breaks none.
+
+    `due` names rules that must have had something to judge.
     """
     found = {name: rule(history) for name, rule in RULES.items()}
     wanted = set(due)
--- a/libs/facsimile/src/facsimile/sim/reading_workers.py
+++ b/libs/facsimile/src/facsimile/sim/reading_workers.py
@@ -1,5 +1,7 @@
-"""Simulated workers as rollouts need them: prompts are read one at a time, calls beyond the slots wait in a short
-queue, and each answer names the weights in force. A borrower may have a worker whole; it then does no calls.
+"""Simulated workers with what rollouts depend on.
+
+Prompts are read one at a time, calls beyond the slots wait in a short queue, and each answer names
+the weights in force. A worker may be lent whole; it then runs no calls.
 """
 
 import json
@@ -16,7 +18,10 @@
 
 
 class ReadingWorker(SimWorker):
-    """`borrower` is who has it whole, as the worker knows; `weights` are those it has loaded."""
+    """A worker that reads prompts for `read_ms` each, one after another.
+
+    `borrower` is who has it whole, as the worker knows; `weights` are those that it has loaded.
+    """
 
     watches = True
     __slots__ = (
@@ -49,10 +54,12 @@
 
     @property
     def runs(self) -> list["_ReadingRun"]:
+        """The calls that run, oldest first; those that wait are not among them."""
         return self._runs
 
     @property
     def busy(self) -> int:
+        """How many calls run or wait."""
         return self._running + len(self._waiting)
 
     @busy.setter
@@ -92,6 +99,10 @@
         reply: Callable[..., None],
         open_: Callable[[], bool],
     ) -> None:
+        """Take a request: run it, queue it or refuse it; silent while `dark`.
+
+        The arguments are those of SimWorker.call.
+        """
         run = _ReadingRun(self, headers, body, reply, open_)
         if self.gone:
             reply("no connection")
@@ -109,6 +120,7 @@
             self._waiting.append(run)
 
     def begin(self, run: "_ReadingRun") -> None:
+        """Start a run; its first output follows once its prompt has been read."""
         self._running += 1
         self._runs.append(run)
         self.history.add(
@@ -127,11 +139,12 @@
         self.time.after(self.reading_until_ms - self.time.now_ms, lambda: run.piece(0))
 
     def look(self) -> None:
-        """Runs whose caller is gone are broken off."""
+        """End runs whose caller has disconnected."""
         for run in [run for run in self._runs if not run.open()]:
             self.over(run)
 
     def over(self, run: "_ReadingRun") -> None:
+        """Take a run off and start the next that waits and whose caller is still there."""
         if run not in self._runs:
             return
         self._runs.remove(run)
--- a/libs/facsimile/src/facsimile/sim/rules_calls.py
+++ b/libs/facsimile/src/facsimile/sim/rules_calls.py
@@ -1,5 +1,6 @@
-"""Rules about requests: how often they ran, what callers were told, and what they received. Each rule
-goes from a history to how many rows it judged and the breaches it found.
+"""Rules about requests: how often they ran, what clients were told, and what they received.
+
+Each rule takes a history and returns how many rows it judged and the breaches it found.
 """
 
 from collections import defaultdict
@@ -23,6 +24,7 @@
 
 
 def unsafe_twice(history: History) -> Found:
+    """A request that isn't safe to repeat runs at most once."""
     runs: dict[str, list[str]] = defaultdict(list)
     for run in history.of("run"):
         if not run["safe"]:
@@ -33,7 +35,11 @@
 
 
 def not_run_but_ran(history: History) -> Found:
-    """By the call's own name, which reaches the worker in the prompt; by its key; and by the lot's."""
+    """A request that was reported not run never ran.
+
+    Runs are found by the call's name, which reaches the worker in the prompt, by its key, and by
+    the batch.
+    """
     ran = {run["call"] for run in history.of("run")}
     told = [call for call in history.of("call") if call["verdict"] == "not_run"]
     found = [f"{call['call']} was told not_run and ran" for call in told if call["call"] in ran]
@@ -55,6 +61,7 @@
 
 
 def streams(history: History) -> Found:
+    """A stream has the pieces of one run, in order and, if it ended well, all of them."""
     ended = {row["transaction"]: row["pieces"] for row in history.of("run-ended")}
     found, judged = [], 0
     for call in history.of("call"):
@@ -86,6 +93,7 @@
 
 
 def bodies(history: History) -> Found:
+    """An answer or a result is the whole output of the run that it belongs to."""
     runs = {run["transaction"]: run for run in history.of("run")}
     found, judged, whole = [], 0, _whole(history)
     for call in history.of("call"):
@@ -109,7 +117,7 @@
 
 
 def keys_one_body(history: History) -> Found:
-    """What is answered for a key is one body for ever, and the answer to what was asked."""
+    """A key is answered with one body for ever, and with the answer to what was asked."""
     runs = {run["transaction"]: run for run in history.of("run")}
     by_key: dict[str, str] = {}
     found, judged = [], 0
@@ -128,6 +136,7 @@
 
 
 def workers_allowed(history: History) -> Found:
+    """A request reaches only workers that its profile allows."""
     allowed = set(history.settings.get("allowed", ["gpu"]))
     runs = history.of("run")
     return len(runs), [
@@ -138,8 +147,10 @@
 
 
 def gone_workers(history: History) -> Found:
-    """From the first edge's knowing: a leave that it took, a crash, or silence, which a worker that is
-    only dark ends by beating again.
+    """A worker gets nothing once an edge has known for `force_ms` that it is gone.
+
+    An edge knows from a leave that it took, a crash, or silence, which a worker that was only
+    unreachable ends with its next heartbeat.
     """
     limit_ms = history.settings.get("force_ms", 2000) + SLACK_MS
     gone: dict[str, list[tuple[float, float]]] = defaultdict(list)
@@ -165,8 +176,10 @@
 
 
 def live_in_time(history: History) -> Found:
-    """An edge that stayed up answers within the path's limit, whatever it answers; and where no fault
-    came before, nobody is told late, busy or without a worker while there was room all the time.
+    """An edge that stayed up answers within the path's limit, whatever it answers.
+
+    Where no fault came before, no client is told `late`, `busy` or `no-worker` while at least half
+    of all slots were free all the time.
     """
     limits = history.settings.get("limits_ms", {})
     away, rooms = _away(history), history.of("capacity")
@@ -180,13 +193,15 @@
         took_ms = end_ms - call["at_ms"]
         if took_ms > limits[call["path"]] + SLACK_MS:
             found.append(
-                f"{call['call']} on {call['path']}: {call['outcome']} {call['code']} after {took_ms:.0f} ms"
+                f"{call['call']} on {call['path']}: {call['outcome']} "
+                f"{call['code']} after {took_ms:.0f} ms"
             )
         calm = not any(call["at_ms"] - 10_000 < at_ms < end_ms for at_ms in faults)
         if calm and call["code"] in ("late", "busy", "no-worker"):
             free = [row["free"] for row in rooms if call["at_ms"] - 1500 <= row["at_ms"] <= end_ms]
             if free and min(free) > 0.5:
                 found.append(
-                    f"{call['call']} on {call['path']}: {call['code']} though half of all slots were free"
+                    f"{call['call']} on {call['path']}: {call['code']} "
+                    "though half of all slots were free"
                 )
     return judged, found
--- a/libs/facsimile/src/facsimile/sim/rules_loans.py
+++ b/libs/facsimile/src/facsimile/sim/rules_loans.py
@@ -1,5 +1,7 @@
-"""Rules about rollouts, each from the history of an evening with them and those of the same evening without, played a few
-times: how many rows it judged, and the breaches that it found. What differs as much without rollouts is let pass.
+"""Rules about rollouts, each from histories of the same evening with and without them.
+
+A rule takes the history with rollouts and several without; it returns how many rows it judged and
+the breaches that it found. What differs as much without rollouts is tolerated.
 """
 
 import json
@@ -36,6 +38,7 @@
 
 
 def first_events_ms(history: History, path: str, night: bool) -> list[float]:
+    """Return the times to the first event of a path's calls, in the evening or at night, sorted."""
     return sorted(
         call["first_ms"] - call["at_ms"]
         for call in _live(history)
@@ -54,7 +57,10 @@
 
 
 def live_not_late(having: History, without: list[History]) -> Found:
-    """First events, evening and night apart, against the worst of the runs without rollouts."""
+    """First events come no later than in the worst of the runs without rollouts.
+
+    Evening and night are judged apart.
+    """
     found, judged = [], 0
     for path, night in (
         ("rulings", False),
@@ -72,7 +78,8 @@
             took_ms, most_ms = _part(mine, share), max(_part(rows, share) for rows in others)
             if took_ms > 1.15 * most_ms + _NOISE_MS:
                 found.append(
-                    f"{name}: {share:.0%} of first events within {took_ms:.0f} ms, {most_ms:.0f} without rollouts"
+                    f"{name}: {share:.0%} of first events within {took_ms:.0f} ms, "
+                    f"{most_ms:.0f} without rollouts"
                 )
         most = max(map(_late, others))
         if _late(mine) > most + _NOISE_SHARE * len(mine) + 1:
@@ -89,7 +96,7 @@
 
 
 def live_not_lost(having: History, without: list[History]) -> Found:
-    """None is refused, cut or lost because of rollouts or as a node changes hands."""
+    """No call is refused, cut or lost because of rollouts or while a worker changes hands."""
     judged, bad, most = (
         len(_live(having)),
         _nothing(having),
@@ -103,7 +110,10 @@
 
 
 def samples_once(having: History, without: list[History]) -> Found:
-    """What was accepted is listed whole, each sample at its place for ever, of its own prompt, and of a whole run."""
+    """What was accepted is listed whole, and each sample keeps its place.
+
+    Each sample is of its own prompt, with the weights wanted, and of a whole run.
+    """
     runs = {run["transaction"]: run for run in having.of("run")}
     found, judged = [], 0
     seen: dict[tuple[str, int], str] = {}
@@ -133,6 +143,7 @@
 
 
 def unsafe_once(having: History, without: list[History]) -> Found:
+    """A call that isn't safe to repeat runs at most once."""
     keys: dict[str, int] = defaultdict(int)
     for run in having.of("run"):
         if run["key"]:
@@ -141,6 +152,8 @@
 
 
 def lots_on_time(having: History, without: list[History]) -> Found:
+    """A batch that is done in time in all runs without rollouts is done in time with them."""
+
     def took(history: History) -> dict[str, float]:
         return {row["lot"]: row["at_ms"] - row["from_ms"] for row in history.of("lot-done")}
 
@@ -159,7 +172,10 @@
 
 
 def lent_alone(having: History, without: list[History]) -> Found:
-    """A borrower has its worker to itself: nothing runs there when it takes it, and nothing begins before it gives it back."""
+    """A borrower has its worker to itself, from taking it to handing it back.
+
+    Nothing runs there when it takes the worker, and nothing begins before it hands it back.
+    """
     back = {row["loan"]: row["at_ms"] for row in having.of("handed-back")}
     found = []
     for row in having.of("borrowed"):
@@ -189,6 +205,7 @@
 def judge_loans(
     having: History, without: History, due: Iterable[str] = LOAN_RULES
 ) -> dict[str, list[str]]:
+    """Return the breaches by rule; a rule in `due` that judged nothing counts as broken."""
     found = {name: rule(having, without) for name, rule in LOAN_RULES.items()}
     return {
         name: rows if rows else ["nothing to judge"]
--- a/libs/facsimile/src/facsimile/sim/rules_state.py
+++ b/libs/facsimile/src/facsimile/sim/rules_state.py
@@ -1,5 +1,6 @@
-"""Rules about what is kept: versions in force, lots, results, the waiting room, and being back in time.
-Each rule goes from a history to how many rows it judged and the breaches it found.
+"""Rules about what is kept: versions, batches, results, the waiting room, and recovery time.
+
+Each rule takes a history and returns how many rows it judged and the breaches it found.
 """
 
 from collections import defaultdict
@@ -23,6 +24,10 @@
 
 
 def in_force(history: History) -> Found:
+    """An edge that takes requests has each version `force_ms` after it was acknowledged.
+
+    Within one life of its process, an edge never returns to an older version.
+    """
     limit_ms = history.settings.get("force_ms", 2000) + SLACK_MS
     acked = sorted(
         (row["answered_ms"], row["version"])
@@ -38,7 +43,8 @@
         judged += sample["ready"] and due > 0
         if sample["ready"] and sample["number"] < due:
             found.append(
-                f"{sample['edge']} at {sample['at_ms']}: version {sample['number']}, {due} was acknowledged"
+                f"{sample['edge']} at {sample['at_ms']}: version {sample['number']}, "
+                f"{due} was acknowledged"
             )
         life = (sample["edge"], sample["life"])
         if sample["number"] < highest.get(life, 0):
@@ -48,7 +54,7 @@
 
 
 def lost_changes(history: History) -> Found:
-    """Told lost once is lost for good; told to come again at every try is refused for good."""
+    """A change reported as lost, or refused at every try, never takes effect."""
     by_mark: dict[str, set[str]] = defaultdict(set)
     for row in history.of("change"):
         by_mark[row["mark"]].add(row["outcome"])
@@ -63,11 +69,12 @@
 
 
 def changes_kept(history: History) -> Found:
-    """At the end each acknowledged change, sent again, is known under the version it was given."""
+    """An acknowledged change, sent again at the end, is known under the version it was given."""
     acked = {row["mark"]: row["version"] for row in history.of("change") if row["outcome"] == "ok"}
     finals = history.of("final-change")
     found = [
-        f"{row['mark']} was acknowledged as {acked[row['mark']]}, at the end {row['outcome']} {row['version']}"
+        f"{row['mark']} was acknowledged as {acked[row['mark']]}, "
+        f"at the end {row['outcome']} {row['version']}"
         for row in finals
         if row["mark"] in acked and (row["outcome"], row["version"]) != ("ok", acked[row["mark"]])
     ]
@@ -75,7 +82,7 @@
 
 
 def kept(history: History) -> Found:
-    """A read that was begun after the receipt finds the lot; what was read once stays as it was."""
+    """A read begun after the acknowledgement finds the batch, and a result never changes."""
     acked: dict[str, float] = {}
     for row in history.of("hand-in"):
         if row["outcome"] in _ACCEPTED:
@@ -87,7 +94,8 @@
         judged += lot in acked and read["began_ms"] > acked[lot]
         if read["outcome"] == "missing" and lot in acked and read["began_ms"] > acked[lot]:
             found.append(
-                f"{lot} was accepted at {acked[lot]} and missing for a read begun at {read['began_ms']}"
+                f"{lot} was accepted at {acked[lot]} "
+                f"and missing for a read begun at {read['began_ms']}"
             )
         indexes = [index for index, _, _ in read["results"]]
         if indexes != list(range(read["start"], read["start"] + len(indexes))):
@@ -99,6 +107,7 @@
 
 
 def kept_at_the_end(history: History) -> Found:
+    """At the end each accepted batch is known, with at least the results listed before."""
     final = {row["lot"]: row for row in history.of("final")}
     found, judged = [], 0
     listed: dict[str, int] = defaultdict(int)
@@ -119,6 +128,7 @@
 
 
 def ended_lots(history: History) -> Found:
+    """No item of a batch starts later than `end_ms` after the batch was ended."""
     limit_ms = history.settings.get("end_ms", 3000) + SLACK_MS
     ended: dict[str, float] = {}
     for row in history.of("end"):
@@ -131,8 +141,10 @@
 
 
 def waiting_room(history: History) -> Found:
-    """By the holder's own count, and from outside: a lot was open from its receipt until the last read
-    that still showed it open was begun; never are more open at once than the room allows.
+    """No more batches wait on a path at once than its waiting room allows.
+
+    This is judged by the holder's own count, and from outside: a batch was open from its
+    acknowledgement until the start of the last read that still showed it open.
     """
     room = history.settings.get("room", 3)
     rows = history.of("room")
@@ -163,8 +175,9 @@
 
 
 def lots_in_time(history: History) -> Found:
-    """Lots that were not ended are done by their due time, where no fault came from shortly before the
-    receipt to that time.
+    """Batches that were not ended are done by their deadline.
+
+    Those with a fault between shortly before the acknowledgement and the deadline are left out.
     """
     due_ms = history.settings.get("lots_due_ms", 10_000)
     faults = [row["at_ms"] for row in history.of("fault")]
@@ -181,9 +194,11 @@
 
 
 def resumed(history: History) -> Found:
+    """Each kind of request works `resume_ms` after the machines are back."""
     rows = history.of("probe")
     return len(rows), [
-        f"{row['what']} did not work {row['after_ms']:.0f} ms after the machines were back: {row['seen']}"
+        f"{row['what']} did not work {row['after_ms']:.0f} ms "
+        f"after the machines were back: {row['seen']}"
         for row in rows
         if not row["worked"]
     ]
--- a/libs/facsimile/src/facsimile/sim/runs.py
+++ b/libs/facsimile/src/facsimile/sim/runs.py
@@ -1,5 +1,7 @@
-"""One simulated run: found the fleet, bring traffic and faults, let the machines come back, probe
-that service is back in time, read everything again, and have the oracle judge.
+"""One simulated run, from the start of a fleet to the oracle's judgement.
+
+Traffic and faults run for a time; then all machines return, each kind of request is tried once the
+fleet must have recovered, and everything is read again.
 """
 
 from typing import Any
@@ -31,6 +33,8 @@
 
 
 class Run:
+    """A fleet with its clients and operators; `items` bounds the size of batches."""
+
     __slots__ = ("fleet", "items", "operators", "stopped", "visitors")
 
     def __init__(
@@ -52,6 +56,7 @@
         self.stopped = False
 
     def found(self) -> None:
+        """Start the fleet; AssertionError if it does not get ready in time."""
         fleet = self.fleet
         if not fleet.run_until_true(
             lambda: all(host.node.quorate() for host in fleet.of("control")), _FOUND_MS
@@ -66,6 +71,7 @@
         fleet.start_sampling()
 
     def traffic(self, every_ms: float) -> None:
+        """Send a random request about every `every_ms`, until `stopped`."""
         if self.stopped:
             return
         rng, visitors = self.fleet.time.rng, self.visitors
@@ -87,7 +93,7 @@
         self.fleet.time.after(every_ms * (0.5 + rng.random()), lambda: self.traffic(every_ms))
 
     def _move(self) -> None:
-        """A move under a key of its own; now and then the key is used again for something else."""
+        """Send a call with a key of its own; now and then reuse the key for another prompt."""
         visitors, key = self.visitors, f"key{len(self.fleet.history.rows)}"
         visitors.live("moves", key, 3)
         if self.fleet.time.rng.random() < 0.2:
@@ -97,6 +103,7 @@
             )
 
     def cause(self, rows: list[tuple[float, str]]) -> None:
+        """Schedule faults, given as rows of time and name."""
         for at_ms, name in rows:
             self.fleet.time.after(
                 at_ms - self.fleet.time.now_ms, lambda name=name: self._fault(name)
@@ -108,6 +115,7 @@
         FAULTS[name](self.fleet)
 
     def back(self) -> None:
+        """Undo all faults: heal the network and bring every machine back."""
         fleet = self.fleet
         fleet.network.heal()
         for host in fleet.hosts.values():
@@ -122,7 +130,10 @@
                 row["until_ms"] = min(row["until_ms"], fleet.time.now_ms)
 
     def probe(self, after_ms: float) -> None:
-        """By now everything works at the first try: live at each edge, a lot, a change."""
+        """Try each kind of request once `after_ms` have passed; each must work at the first try.
+
+        These are live calls at as many edges as there are, a keyed call, a batch and a change.
+        """
         fleet = self.fleet
         fleet.time.run_until(fleet.time.now_ms + after_ms)
         seen: dict[str, str] = {}
@@ -155,6 +166,7 @@
             )
 
     def read_all(self) -> None:
+        """Read every acknowledged batch at the end and record what is listed."""
         fleet = self.fleet
         left = {lot_id for lot_id, lot in self.visitors.lots.items() if lot["acked"]}
 
@@ -187,7 +199,11 @@
     settings: dict[str, Any] | None = None,
     shape: str = "small",
 ) -> tuple[dict[str, list[str]], Run]:
-    """`rows` is a schedule; without one, faults are drawn."""
+    """Run one seed and return the breaches by rule, and the run.
+
+    `rows` is a schedule of faults; without one, `faults` of them are drawn, from the names in
+    `only` if given. `shape` names a row of SHAPES.
+    """
     made = SHAPES[shape]
     run = Run(seed, settings, made["items"], **made["sizes"])
     run.found()
--- a/libs/facsimile/src/facsimile/sim/trainers.py
+++ b/libs/facsimile/src/facsimile/sim/trainers.py
@@ -1,5 +1,7 @@
-"""Simulated trainers: they hand in rollouts, now and then twice, come back for the samples, and borrow whole workers,
-which they hand back a while after, or when they are recalled. All they see goes into the history.
+"""Simulated trainers, which submit rollouts, read the samples, and borrow whole workers.
+
+Submissions are sometimes repeated; workers are returned after a while, or when they are recalled.
+What trainers see is recorded in the history.
 """
 
 import json
@@ -12,6 +14,8 @@
 
 
 class Trainers:
+    """All trainers of a run; `hold_ms` is how long they keep a worker."""
+
     __slots__ = ("_fleet", "_history", "_rng", "_time", "hold_ms", "rollouts", "stopped")
 
     def __init__(self, fleet: Any, rng: Any) -> None:
@@ -27,7 +31,10 @@
     # -- rollouts ------------------------------------------------------------------------------
 
     def hand_in(self, prompts: int, samples: int, weights: str = "w1", rollout_id: str = "") -> str:
-        """Until it is accepted for certain; the last try is sent once more through another edge."""
+        """Submit a rollout until it is certainly accepted; return its id.
+
+        After the first acknowledgement it is sent once more through another edge.
+        """
         if not rollout_id:
             rollout_id = f"r{len(self.rollouts) + 1}"
             self.rollouts[rollout_id] = {
@@ -71,6 +78,7 @@
         return rollout_id
 
     def follow(self, rollout_id: str) -> None:
+        """Read on every 400 ms until all samples are there."""
         state = self.rollouts[rollout_id]
         if state["done_ms"] or self.stopped:
             return
@@ -78,6 +86,7 @@
         self._time.after(400, lambda: self.follow(rollout_id))
 
     def read(self, rollout_id: str, start: int) -> None:
+        """Read samples from an index on and record them."""
         state, host = self.rollouts[rollout_id], self._edge()
 
         def told(answer: Answer) -> None:
@@ -111,7 +120,7 @@
     # -- whole workers -------------------------------------------------------------------------
 
     def borrow(self, every_ms: float, weights: str, until_ms: float) -> None:
-        """Asks for a worker again and again; what it gets it loads new weights into, and hands back."""
+        """Ask for a random worker every `every_ms` until a time is reached."""
         if self.stopped or self._time.now_ms > until_ms:
             return
         hosts, workers = (
@@ -141,7 +150,7 @@
         self._time.after(every_ms, lambda: self.borrow(every_ms, weights, until_ms))
 
     def watch(self) -> None:
-        """What control shows of the loans: a lent worker is taken, a recalled one is handed back soon."""
+        """Follow the loans at control: take lent workers and hand recalled ones back."""
         for host in self._fleet.running("control"):
             for name, row in host.node.loans.rows().items():
                 worker = next(
@@ -174,7 +183,7 @@
             self._back(worker, row, "recalled")
 
     def _back(self, worker: Any, row: dict[str, Any], why: str) -> None:
-        """From the worker's first word on it may be called again; it says so until it is told that it serves."""
+        """Return a worker with the agreed weights; the worker reports it until control knows."""
         loan = f"loan{row['loan']}"
         if worker.borrower != loan:
             return
--- a/libs/facsimile/src/facsimile/sim/virtual.py
+++ b/libs/facsimile/src/facsimile/sim/virtual.py
@@ -1,6 +1,8 @@
-"""Virtual time and the network. Events happen in the order of their times and of their making, so a
-seed gives the same run every time. The network delays, loses and doubles messages, and cuts pairs of
-hosts; a frozen host's messages wait in its buffers until it wakes, as they would on a real link.
+"""Virtual time and the simulated network.
+
+Events happen in the order of their times, then of their creation, so a seed gives the same run
+every time. The network delays, loses and duplicates messages, and cuts pairs of hosts; messages to
+a frozen host wait in its buffers until it wakes, as on a real link.
 """
 
 import heapq
@@ -16,6 +18,8 @@
 
 
 class VirtualTime:
+    """The clock of a run, its random generator and its queue of events."""
+
     __slots__ = ("_count", "_heap", "now_ms", "rng")
 
     def __init__(self, seed: int) -> None:
@@ -25,10 +29,12 @@
         self._count = 0
 
     def after(self, wait_ms: float, what: Callable[[], None]) -> None:
+        """Run `what` after `wait_ms`; no earlier than the end of the present event."""
         self._count += 1
         heapq.heappush(self._heap, (self.now_ms + max(0.0, wait_ms), self._count, what))
 
     def run_until(self, end_ms: float) -> None:
+        """Run all events up to a time, which is then the present."""
         while self._heap and self._heap[0][0] <= end_ms:
             self.now_ms, _, what = heapq.heappop(self._heap)
             what()
@@ -36,6 +42,12 @@
 
 
 class Network:
+    """Links between all hosts; messages on one link stay in order while none are lost.
+
+    Delays are about 0.2 to 0.7 ms within a zone and 1 to 2 ms between zones, plus what `slow_ms`
+    adds for a host. `zones` gives the zone of each address.
+    """
+
     __slots__ = (
         "_last_ms",
         "_time",
@@ -62,9 +74,11 @@
         self.sent = 0
 
     def cut(self, one: str, other: str) -> None:
+        """Cut a pair of hosts in both directions."""
         self.cut_pairs.update(((one, other), (other, one)))
 
     def split(self, groups: list[list[str]]) -> None:
+        """Cut every pair of hosts that are in different groups."""
         for place, group in enumerate(groups):
             for other in groups[place + 1 :]:
                 for a in group:
@@ -72,20 +86,24 @@
                         self.cut(a, b)
 
     def isolate(self, address: str) -> None:
+        """Cut a host off from all others."""
         self.cut_hosts.add(address)
 
     def heal(self) -> None:
+        """Undo all cuts, losses and delays."""
         self.cut_pairs.clear()
         self.cut_hosts.clear()
         self.loss_rate = self.double_rate = 0.0
         self.slow_ms.clear()
 
     def passes(self, one: str, other: str) -> bool:
+        """Return whether messages pass between two addresses."""
         if one == other:
             return True
         return (one, other) not in self.cut_pairs and not self.cut_hosts & {one, other}
 
     def delay(self, one: str, other: str) -> float:
+        """Draw the delay of a message in milliseconds."""
         slow_ms = self.slow_ms.get(one, 0.0) + self.slow_ms.get(other, 0.0)
         near = self.zones.get(one) == self.zones.get(other)
         return (
@@ -95,6 +113,7 @@
         )
 
     def send(self, sender: str, to: str, ref: int, re: int, message: Message) -> None:
+        """Send a copy of a message, which may be lost, doubled or delayed."""
         self.sent += 1
         rng = self._time.rng
         if not self.passes(sender, to) or (
--- a/libs/facsimile/src/facsimile/sim/visitors.py
+++ b/libs/facsimile/src/facsimile/sim/visitors.py
@@ -1,6 +1,7 @@
-"""Simulated visitors. Each does what its kind does: asks live, resends what is not safe to repeat
-through other edges when in doubt, hands in lots and comes back for results, ends some. All they see
-goes into the history.
+"""Simulated clients, which make live calls and submit, read and end batches.
+
+A call that isn't safe to repeat is sent again under its key through another edge when it is in
+doubt. What clients see is recorded in the history.
 """
 
 import json
@@ -17,6 +18,8 @@
 
 
 class Visitors:
+    """All clients of a run; `lots` is what they know of their batches."""
+
     __slots__ = ("_calls", "_fleet", "_history", "_rng", "_time", "lots")
 
     def __init__(self, fleet: Any, rng: Any = None) -> None:
@@ -50,6 +53,11 @@
         asked: str = "",
         hangs_up_ms: float = 0.0,
     ) -> None:
+        """Make a live call at an edge other than `avoid`; `done` gets its row.
+
+        With a `key`, a call in doubt is sent again up to `tries` times. `asked` is what the prompt
+        asks, by default the key. `hangs_up_ms` as for LiveCall.
+        """
         host = self._edge(avoid)
         if host is None:
             return
@@ -92,6 +100,10 @@
         avoid: str = "",
         done: Callable | None = None,
     ) -> str:
+        """Submit a batch of `count` items and return its id; `done` gets the row.
+
+        A submission in doubt is sent again under its id up to `tries` times.
+        """
         if not lot_id:
             lot_id = f"lot{len(self.lots) + 1}"
             self.lots[lot_id] = {
@@ -145,7 +157,7 @@
         return lot_id
 
     def follow(self, lot_id: str, from_ms: float) -> None:
-        """Comes back until all of the lot is listed, as a bureau would."""
+        """Read every 700 ms until the whole batch is listed."""
         lot = self.lots[lot_id]
         if lot["ended"] or lot["done"]:
             return
@@ -166,7 +178,7 @@
     def read(
         self, lot_id: str, done: Callable[[Any], None] | None = None, start: int | None = None
     ) -> None:
-        """Reads results from a place on, by default one drawn; each is remembered as it was first read."""
+        """Read results from an index on, by default one drawn; `done` gets what was seen."""
         host = self._edge()
         if host is None:
             return
@@ -216,6 +228,7 @@
         self._at(host, lambda: host.node.counter.results(lot_id, start, 1000, told))
 
     def end(self, lot_id: str) -> None:
+        """End a batch before it is done."""
         host = self._edge()
         if host is None:
             return
--- a/libs/facsimile/src/facsimile/sim/workers.py
+++ b/libs/facsimile/src/facsimile/sim/workers.py
@@ -1,5 +1,6 @@
-"""A simulated model worker: slots, beats to any edge, a leave, and runs that send their pieces one by
-one. It can crash in the middle, go dark, leave, or be replaced by another at the same address.
+"""A simulated model worker, with slots, heartbeats to any edge, and runs that stream pieces.
+
+It can crash in the middle of a run, fall silent, leave, or be replaced at the same address.
 """
 
 import json
@@ -16,6 +17,12 @@
 
 
 class SimWorker:
+    """A worker; `incarnation` distinguishes it from earlier ones of its identity.
+
+    A run has `pieces` pieces of about `piece_ms` each. While `dark` the worker is silent and stands
+    still; `watches` says whether it notices closed connections at once.
+    """
+
     watches = False
     __slots__ = (
         "_beat",
@@ -58,6 +65,7 @@
 
     @property
     def stamp(self) -> str:
+        """Identity and incarnation, by which requests are addressed."""
         return f"{self.identity}/{self.incarnation}"
 
     def _beats(self) -> None:
@@ -69,7 +77,7 @@
         self.time.after(_BEAT_MS * (0.9 + 0.2 * self.time.rng.random()), self._beats)
 
     def _tell(self, leaving: bool) -> bool:
-        """To one edge after another until one takes it, as the HTTP call would."""
+        """Report to a random edge that can be reached; return whether there is one."""
         edges = [
             host
             for host in self._fleet.of("edge")
@@ -98,11 +106,13 @@
         return True
 
     def leave(self) -> None:
+        """Announce that the worker takes no more requests."""
         self.leaving = True
         if self._tell(True):
             self.history.add("worker-left", self.time.now_ms, worker=self.stamp, how="left")
 
     def crash(self) -> None:
+        """End the worker at once; its runs are cut off."""
         self.gone = True
         self.history.add("worker-left", self.time.now_ms, worker=self.stamp, how="crashed")
 
@@ -113,8 +123,10 @@
         reply: Callable[..., None],
         open_: Callable[[], bool],
     ) -> None:
-        """`reply(what, *args)`: head, data, end, or how the connection broke. Nothing at all while dark.
-        `open_` says whether the edge still holds its end; a run whose caller is gone is broken off.
+        """Take a request: run it, refuse it, or nothing at all while `dark`.
+
+        `reply(what, *args)` gets `head`, `data` or `end`, or how the connection broke. `open_` says
+        whether the edge still holds its end; a run whose caller has gone is ended.
         """
         run = _Run(self, headers["X-Vaneledge-Transaction"], body, reply, open_)
         if self.gone:
@@ -142,7 +154,10 @@
 
 
 def told_in_prompt(body: dict[str, Any]) -> dict[str, Any]:
-    """Callers put into the prompt what the oracle wants to know of a run: `name value` pairs."""
+    """Return what the oracle needs to know of a run, which clients put into the prompt.
+
+    The prompt consists of `name value` pairs.
+    """
     words = body["prompt"].split()
     told = dict(zip(words[::2], words[1::2], strict=True))
     return {
--- a/libs/facsimile/src/facsimile/surroundings/__init__.py
+++ b/libs/facsimile/src/facsimile/surroundings/__init__.py
@@ -1,5 +1,7 @@
-"""Surroundings that fail, for the real programs' processes: links and HTTP that are cut, slow or lossy, a
-disk that forgets what was not flushed, a wall clock that is stepped. The programs know nothing of it.
+"""Fault injection around the real programs' processes.
+
+Links and HTTP can be cut, slow or lossy, a disk forgets what was not flushed, and the wall clock
+can be stepped. The programs' own code is unchanged.
 """
 
 from facsimile.surroundings.disks import PowerDisk
--- a/libs/facsimile/src/facsimile/surroundings/disks.py
+++ b/libs/facsimile/src/facsimile/surroundings/disks.py
@@ -1,5 +1,6 @@
-"""A disk that keeps unflushed writes aside, as a kernel would, so that killing the process is a power
-cut: what was not flushed is gone, but for the part, drawn by a seed, that had reached the disk early.
+"""A disk that holds unflushed writes back, so that killing the process acts as a power cut.
+
+Unflushed writes are lost, except for a part, drawn by a seed, that had reached the disk early.
 """
 
 import random
@@ -14,6 +15,12 @@
 
 
 class PowerDisk:
+    """A disk with the interface of FolderDisk, which it wraps.
+
+    Writes are kept in memory until they are flushed; `seed` draws those that reach the disk early.
+    It takes the room of `inner` over.
+    """
+
     __slots__ = ("_inner", "_pending", "_rng", "_seen", "room_bytes")
 
     def __init__(self, inner: FolderDisk, seed: int) -> None:
@@ -25,15 +32,19 @@
         inner.room_bytes = 1 << 60
 
     def names(self) -> list[str]:
+        """Return the names of all files, sorted."""
         return sorted(self._seen)
 
     def read(self, name: str) -> bytes:
+        """Return a whole file; KeyError if there is none of this name."""
         return bytes(self._seen[name])
 
     def read_at(self, name: str, offset: int, size: int) -> bytes:
+        """Return up to `size` bytes from `offset`; empty beyond the end or without such a file."""
         return bytes(self._seen.get(name, b"")[offset : offset + size])
 
     def roomy(self, size: int, urgent: bool = False) -> bool:
+        """Return whether `size` more bytes fit; urgent writes may use the reserve."""
         limit = self.room_bytes if urgent else self.room_bytes * (1 - KEPT_BACK)
         return (
             self._inner.roomy(0, True)
@@ -41,6 +52,7 @@
         )
 
     def write(self, name: str, offset: int, data: bytes, urgent: bool = False) -> None:
+        """Write without flushing; DiskFullError if the file's growth finds no room."""
         page = self._seen.get(name, bytearray())
         if not self.roomy(max(0, offset + len(data) - len(page)), urgent):
             raise DiskFullError(name)
@@ -53,9 +65,11 @@
         self._pending.setdefault(name, []).append(("write", offset, data))
 
     def push(self) -> None:
+        """Pass on to the wrapped disk."""
         self._inner.push()
 
     def truncate(self, name: str, size: int) -> None:
+        """Cut or extend a file to `size` bytes without flushing."""
         if name in self._seen:
             page = self._seen[name]
             del page[size:]
@@ -63,6 +77,7 @@
             self._pending.setdefault(name, []).append(("truncate", size, b""))
 
     def remove(self, name: str) -> None:
+        """Remove a file without flushing."""
         if self._seen.pop(name, None) is not None:
             self._pending.setdefault(name, []).append(("remove", 0, b""))
 
@@ -76,6 +91,7 @@
             self._inner.remove(name)
 
     def flush(self, names: list[str], done: Callable[[bool], None]) -> None:
+        """Flush these files and all removals made so far; `done` gets whether it worked."""
         removed = [
             name
             for name, rows in self._pending.items()
@@ -87,6 +103,7 @@
         self._inner.flush(names, done)
 
     def replace(self, name: str, data: bytes, done: Callable[[bool], None]) -> None:
+        """Replace a whole file durably; `done(False)` if it finds no room."""
         if len(data) > SMALL_BYTES and not self.roomy(len(data), True):
             self._inner.flush([], lambda ok: done(False))
             return
@@ -95,12 +112,13 @@
         self._inner.replace(name, data, done)
 
     def set_aside(self) -> None:
+        """Set damaged content aside and start again from an empty disk."""
         self._inner.set_aside()
         self._seen.clear()
         self._pending.clear()
 
     def close(self) -> None:
-        """The process ends in order: what the kernel holds lives on."""
+        """Write everything out: after an orderly end nothing is lost."""
         for name, rows in self._pending.items():
             for row in rows:
                 self._apply(name, row)
--- a/libs/facsimile/src/facsimile/surroundings/nodes.py
+++ b/libs/facsimile/src/facsimile/surroundings/nodes.py
@@ -1,5 +1,6 @@
-"""The programs' own processes in surroundings that can fail. Only what touches the outside is put in
-their place: the clock, the disk, the links, and the sender of an edge.
+"""The programs' own processes with fault injection around them.
+
+Only what touches the outside is replaced: the clock, the disk, the links, and an edge's sender.
 """
 
 import asyncio
@@ -35,7 +36,7 @@
 
 
 class _Links(Switchboard):
-    """Drops what the weather doesn't let out or in, loses some, and holds back what is slow."""
+    """Drops messages that a cut stops, loses some, and delays those on slow links."""
 
     def __init__(
         self,
@@ -65,7 +66,7 @@
 
 
 class _Held:
-    """What a worker reports through a cut waits until the cut is over, as it does in sockets."""
+    """Holds a worker's answer back during a cut, as sockets do, until the cut is over."""
 
     def __init__(self, send: Send, address: str, weather: Weather) -> None:
         self._send, self._address, self._weather = send, address, weather
@@ -88,15 +89,19 @@
             asyncio.get_running_loop().call_later(_POLL_S, self._pass_on)
 
     def head(self, *values: Any) -> None:
+        """Pass the head of the answer on once the link is open."""
         self._tell("head", *values)
 
     def data(self, chunk: bytes) -> None:
+        """Pass a chunk on once the link is open."""
         self._tell("data", chunk)
 
     def end(self) -> None:
+        """Pass the end on once the link is open."""
         self._tell("end")
 
     def broke(self, *values: Any) -> None:
+        """Pass the failure on once the link is open."""
         self._tell("broke", *values)
 
 
@@ -142,5 +147,10 @@
 
 
 def run_node(params: Params, path: str, flags: dict[str, Any], weather: Weather, seed: int) -> None:
+    """Run the program of the role in `params` until it ends.
+
+    `path` and `flags` are where the settings came from; `seed` draws which unflushed writes
+    survive.
+    """
     base = {"edge": EdgeProcess, "store": StoreProcess, "control": ControlProcess}[params.role]
     run_process(_surrounded(base, weather, seed), params, path, flags)
--- a/libs/facsimile/src/facsimile/surroundings/weather.py
+++ b/libs/facsimile/src/facsimile/surroundings/weather.py
@@ -1,5 +1,6 @@
-"""The weather: one file that the fleet's runner rewrites and every machine reads again as it changes. It
-says which machine can't speak to which, one way; how slow and how lossy pairs are; and how far each
+"""The faults in force, in one file that the fleet's runner rewrites and every process follows.
+
+It says which machine can't send to which, how slow and how lossy links are, and how far each
 machine's wall clock is off. Machines are known by name, whichever of their addresses is meant.
 """
 
@@ -22,7 +23,12 @@
     loss: float,
     steps: dict[str, int],
 ) -> None:
-    """`machines` gives the name at an address; `cuts` are pairs of names, from and to."""
+    """Write the file atomically.
+
+    `machines` gives the name at each address; `cuts` are pairs of names, from and to. `slow` gives
+    added milliseconds by machine, `loss` the part of messages lost, `steps` the milliseconds by
+    which wall clocks are off.
+    """
     fresh = path.with_suffix(".tmp")
     fresh.write_text(
         json.dumps(
@@ -39,6 +45,11 @@
 
 
 class Weather:
+    """The faults in force as the machine called `name` sees them.
+
+    `loss` is the part of messages to lose, `step_ms` how far the wall clock is off.
+    """
+
     __slots__ = ("_cuts", "_machines", "_path", "_seen", "_slow", "loss", "name", "step_ms")
 
     def __init__(self, path: str, name: str) -> None:
@@ -52,6 +63,7 @@
         self.read()
 
     def read(self) -> None:
+        """Read the file if it has changed; an unreadable one leaves the faults as they are."""
         try:
             stamp_ns = self._path.stat().st_mtime_ns
             if stamp_ns == self._seen:
@@ -67,6 +79,7 @@
         self.step_ms = told["steps"].get(self.name, 0)
 
     async def follow(self) -> None:
+        """Read the file again every 20 ms, for as long as the process runs."""
         while True:
             self.read()
             await asyncio.sleep(_POLL_S)
@@ -75,10 +88,13 @@
         return self._machines.get(address, address)
 
     def lets_out(self, address: str) -> bool:
+        """Return whether messages to an address leave this machine."""
         return (self.name, self._name(address)) not in self._cuts
 
     def lets_in(self, address: str) -> bool:
+        """Return whether messages from an address reach this machine."""
         return (self._name(address), self.name) not in self._cuts
 
     def wait_ms(self, address: str) -> int:
+        """Return the added delay of messages to an address, in milliseconds."""
         return self._slow.get(self.name, 0) + self._slow.get(self._name(address), 0)
