--- a/libs/facsimile/src/facsimile/platform_days/__init__.py
+++ b/libs/facsimile/src/facsimile/platform_days/__init__.py
@@ -1,5 +1,7 @@
-"""The project's own bench of the users' platform: an engine model of the workers, clients, an operator, the platform's
-polls, a runner of the real programs on loopback addresses, and an oracle with the rules of the platform's pages.
+"""The project's own bench of the platform that the system runs on.
+
+An engine model of the workers, clients, an operator, the platform's polls, a runner of the real
+programs on loopback addresses, and an oracle with the rules of the platform's pages.
 """
 
 from facsimile.platform_days.engine import Engine
--- a/libs/facsimile/src/facsimile/platform_days/asker.py
+++ b/libs/facsimile/src/facsimile/platform_days/asker.py
@@ -1,4 +1,4 @@
-"""One try of a client over HTTP, written into its row of the history as it goes."""
+"""One attempt of a client over HTTP, recorded in its row of the history."""
 
 from typing import Any
 
@@ -18,7 +18,7 @@
 
 
 class Asker:
-    """One try over HTTP, written into its row as it goes."""
+    """Sends attempts and records in their rows what came back, with its times."""
 
     __slots__ = ("clock", "history")
 
@@ -37,6 +37,11 @@
         silence_s: float | None = None,
         chunked: bool = False,
     ) -> None:
+        """Send one attempt to `address` and fill in its row; no error of HTTP or sockets is raised.
+
+        `total_s` bounds the whole attempt, `silence_s` each wait for data. The row's `how` is
+        `answered`, `cut`, `silent`, `garbled` or `unreached`.
+        """
         timeout = aiohttp.ClientTimeout(
             total=max(0.05, total_s), sock_connect=1.0, sock_read=silence_s
         )
--- a/libs/facsimile/src/facsimile/platform_days/command.py
+++ b/libs/facsimile/src/facsimile/platform_days/command.py
@@ -17,6 +17,10 @@
 async def play_day(
     shape: str, name: str, seed: int, folder: str, history_file: str = ""
 ) -> tuple[str, dict[str, list[str]]]:
+    """Play a day; return its report as text, and the breaches by rule.
+
+    The history is written to `history_file` as JSON lines if one is named.
+    """
     day, counts, broken = await run_platform_day(
         shape, seed=seed, folder=folder, **day_of(name, seed)
     )
@@ -29,11 +33,13 @@
         for what, told in day_worth(day.history, day.sheet.kinds).items()
     ]
     rows += [
-        f"{row['what']} of version {row['revision']}: {row['outcome']} {row['status']} after {row['answered_ms'] - row['at_ms']:.0f} ms"
+        f"{row['what']} of version {row['revision']}: {row['outcome']} {row['status']} after "
+        f"{row['answered_ms'] - row['at_ms']:.0f} ms"
         for row in day.history.of("order")
     ]
     rows += [
-        f"fault at {row['at_ms']:.0f} ms: {row['what']} {row.get('node', '')}{'' if row.get('sure', True) else ' (a guess)'}"
+        f"fault at {row['at_ms']:.0f} ms: {row['what']} "
+        f"{row.get('node', '')}{'' if row.get('sure', True) else ' (a guess)'}"
         for row in day.history.of("fault")
     ]
     rows.append(f"kept from running at the most: {starved_ms(day.history):.0f} ms")
--- a/libs/facsimile/src/facsimile/platform_days/crew.py
+++ b/libs/facsimile/src/facsimile/platform_days/crew.py
@@ -1,4 +1,4 @@
-"""The workers of a day: started on loopback addresses of their own, crashed, gone dark, replaced one after another."""
+"""The workers of a day, on loopback addresses of their own, and the faults that they have."""
 
 import asyncio
 import random
@@ -15,6 +15,11 @@
 
 
 class Crew:
+    """Starts workers and lets them crash, fall silent or be replaced.
+
+    `ills` as for Day; `fleet` gives the addresses of control.
+    """
+
     def __init__(
         self,
         sheet: Sheet,
@@ -33,11 +38,13 @@
         self._places = 0
 
     async def start(self) -> None:
+        """Start the workers of all services, spread over the zones."""
         for service, count in zip(self.sheet.services, self.sheet.shape["workers"], strict=True):
             for place in range(count):
                 await self.add(service, self.sheet.zones[place % len(self.sheet.zones)])
 
     async def add(self, service: str, zone: str, address: str = "") -> StandInEngine:
+        """Start a worker, at a new address if none is given, and return it."""
         if not address:
             self._places += 1
             address = f"{self.fleet.net}.{150 + self._places % 100}:{_PORT}"
@@ -62,6 +69,7 @@
         return worker
 
     def serving(self, service: str = "") -> list[StandInEngine]:
+        """Return the workers that take requests, of one service if it is given."""
         return [
             worker
             for worker in self.workers
@@ -72,14 +80,14 @@
         return self.rng.choice(self.serving(self.sheet.services[0]))
 
     async def crash(self, back_s: float = 1.5) -> None:
-        """One crashes; a new life at the same address comes after a while."""
+        """Let one worker crash; a new one starts at the same address after `back_s`."""
         worker = self._one()
         await worker.crash()
         await asyncio.sleep(back_s)
         await self.add(worker.service, worker.zone, worker.address)
 
     async def dark(self, for_s: float = 3.0) -> None:
-        """One says nothing any more; later it is gone, and a new one comes at another address."""
+        """Let one worker fall silent for `for_s`; then it ends and a new one starts elsewhere."""
         worker = self._one()
         worker.go_dark()
         await asyncio.sleep(for_s)
@@ -87,7 +95,10 @@
         await self.add(worker.service, worker.zone)
 
     async def release(self, gap_s: float = 0.5, count: int = 99) -> None:
-        """Workers of the first service are replaced, one after another; the other service uses a freed address again."""
+        """Replace workers of the first service one after another; the last address is reused.
+
+        A worker of the second service is started at that address.
+        """
         for worker in self.serving(self.sheet.services[0])[:count]:
             await self.add(worker.service, worker.zone)
             await worker.leave(self.sheet.timing["drainMs"])
@@ -96,5 +107,6 @@
         await self.add(self.sheet.services[1], worker.zone, worker.address)
 
     async def close(self) -> None:
+        """Stop all workers."""
         for worker in self.workers:
             await worker.stop()
--- a/libs/facsimile/src/facsimile/platform_days/day.py
+++ b/libs/facsimile/src/facsimile/platform_days/day.py
@@ -1,5 +1,8 @@
-"""One day of the platform in short: machines started, the first configuration taken, traffic with planned work and faults,
-lots finished and read again, the configuration read back, and the oracle's word on the whole.
+"""One scenario (day) of the platform in short.
+
+Machines are started, the first configuration is taken, traffic runs with planned work and faults,
+lots (batches of items) are finished and read again, the configuration is read back, and the oracle
+judges the whole.
 """
 
 import asyncio
@@ -31,6 +34,11 @@
 
 
 class Day:
+    """Everything that takes part in one run: machines, workers, clients, operator and history.
+
+    `ills` are the faults of the workers' answers, with the part of all runs that has each.
+    """
+
     def __init__(
         self,
         shape: str,
@@ -54,9 +62,11 @@
         self._extra: list[str] = []
 
     def clock(self) -> float:
+        """Return the milliseconds since the day began."""
         return (asyncio.get_running_loop().time() - self._began_at) * 1000
 
     def fault(self, what: str, **fields: Any) -> None:
+        """Record a fault in the history."""
         self.history.add("fault", self.clock(), what=what, **fields)
 
     # -- who does what inside, by the product's own interface ------------------------------------
@@ -76,7 +86,7 @@
         return machine
 
     async def holder(self) -> Machine:
-        """The store that holds the log; any, if none says so."""
+        """Return the store that holds the log; a random one if none reports that it does."""
         stores = [machine for machine in self.fleet.of("storage") if machine.runs]
         for machine in stores:
             if (await self._own(machine, "/status")).get("log_role") == "serving":
@@ -84,7 +94,7 @@
         return self._hit("holder", self.rng.choice(stores), False)
 
     async def owner(self) -> Machine:
-        """The control machine that owns the profiles' key; any, if none says so."""
+        """Return the control machine that owns the key `profiles`; a random one if unknown."""
         core = [machine for machine in self.fleet.of("core") if machine.runs]
         for machine in core:
             shown = await self._own(machine, "/members")
@@ -100,6 +110,10 @@
     # -- the day -------------------------------------------------------------------------------
 
     async def found(self) -> None:
+        """Start all machines and wait for the first configuration to be taken and edges ready.
+
+        AssertionError if processes keep ending, or if the configuration isn't taken in time.
+        """
         self.fleet.start_all()
         await self.crew.start()
         founding = asyncio.ensure_future(self.operator.found(_FOUND_S))
@@ -125,7 +139,7 @@
         self.history.add("traffic", self.clock())
 
     async def _probe(self) -> None:
-        """Requests to each edge on routes just added, just removed and never there."""
+        """Send requests to each edge on routes just added, just removed and never there."""
         turn = 0
         while not self.live.stopping:
             await asyncio.sleep(0.7)
@@ -153,6 +167,10 @@
         await asyncio.gather(*running)
 
     async def play(self, steps: list[Step], seconds: float) -> None:
+        """Run steps, given as (seconds, step), beside traffic for `seconds`, then read all again.
+
+        Whatever happens, all processes are ended and all connections closed.
+        """
         background = [
             asyncio.ensure_future(work)
             for work in (self.fleet.watch(), self.fleet.keep_list(), self.entry.poll())
@@ -188,7 +206,11 @@
     ills: tuple[tuple[str, float], ...] = (),
     root: Path | None = None,
 ) -> tuple[Day, dict[str, int], dict[str, list[str]]]:
-    """What is due is asked for only where no machine was kept from running for long by this machine's other work."""
+    """Play a day; return it, how many rows each rule judged, and the breaches by rule.
+
+    Evidence that is `due` is asked for only where no machine was long kept from running by other
+    load on the host.
+    """
     day = Day(shape, seed, folder, root or Path(__file__).resolve().parents[5], ills)
     await day.play(steps, seconds)
     counts, broken = judge_day(day.history, due if starved_ms(day.history) < STARVED_MS else ())
--- a/libs/facsimile/src/facsimile/platform_days/days.py
+++ b/libs/facsimile/src/facsimile/platform_days/days.py
@@ -1,5 +1,6 @@
-"""The days that are played: planned work, and faults of every kind that loopback can bring about. Cuts between machines and
-clocks that are stepped belong to the simulator.
+"""The days that can be played: planned work, and every fault that loopback can bring about.
+
+Network partitions between machines and stepped clocks belong to the simulator.
 """
 
 import asyncio
@@ -170,7 +171,7 @@
 
 
 async def retire_holder(day: Day) -> None:
-    """A store is emptied and taken away; the added one has to have everything by then."""
+    """Empty a store and take it away; the added one has to have everything by then."""
     machine = await day.holder()
     row = await day.operator.retire(machine.name)
     if row["state"] == "finished":
@@ -180,7 +181,7 @@
 
 
 async def power_off(day: Day, wiped: int = 0) -> None:
-    """Right after an acknowledgement every process is killed at once, and all start again, some from empty disks."""
+    """Kill every process right after an acknowledgement, and start all, some from empty disks."""
     await day.operator.change("timeout")
     machines = list(day.fleet.everyone())
     for machine in machines:
@@ -201,7 +202,7 @@
 
 
 async def wipe_after_ack(day: Day) -> None:
-    """Right after a configuration was acknowledged, one machine of the core and one store lose their disks in turn."""
+    """Wipe a core machine and then a store, right after a configuration was acknowledged."""
     await day.operator.change("add")
     await day.fleet.lost(await day.owner(), 1.0, wiped=True)
     await asyncio.sleep(day.sheet.timing["catchUpS"])
@@ -308,7 +309,10 @@
 
 
 def _drawn(seed: int) -> dict[str, Any]:
-    """Troubles drawn from a seed; machines with a disk are lost one after another, each caught up before the next."""
+    """Draw faults from a seed; machines with a disk are lost one after another.
+
+    Each has caught up before the next is lost.
+    """
     rng = random.Random(f"drawn/{seed}")
     steps: list[Step] = [
         (1.0 + 0.5 * rng.random() + 9.5 * place, rng.choice(_LOSSES)) for place in range(2)
@@ -325,6 +329,7 @@
 
 
 def day_of(name: str, seed: int = 1) -> dict[str, Any]:
+    """Return the steps, length, due evidence and answer faults of a day; KeyError if unknown."""
     day = _drawn(seed) if name == "drawn" else PLATFORM_DAYS[name]
     return {
         "steps": day["steps"],
--- a/libs/facsimile/src/facsimile/platform_days/engine.py
+++ b/libs/facsimile/src/facsimile/platform_days/engine.py
@@ -1,6 +1,8 @@
-"""The engine of a stand-in model worker, without sockets: it takes messages and a clock and gives messages. It works in
-batches; a batch's step takes longer the more run in it; prompts are read in pieces between the tokens of others; what
-was read of a prompt is kept while memory lasts. One step here makes one event, that is `stride` tokens.
+"""The engine of a simulated model worker, without sockets: messages and a clock in, messages out.
+
+It works in batches; a batch's step takes longer the more requests run in it. Prompts are read in
+pieces between the tokens of others, and what was read of a prompt is kept while memory lasts. One
+step makes one event, that is `stride` tokens.
 """
 
 import random
@@ -24,6 +26,8 @@
 
 
 class Engine:
+    """One engine; `read_tokens` counts the prompt tokens read. All times are milliseconds."""
+
     __slots__ = (
         "_at_ms",
         "_calls",
@@ -60,6 +64,7 @@
     # -- messages ------------------------------------------------------------------------------
 
     def receive(self, message: Any, now_ms: float) -> list[Any]:
+        """Take a message at a time and return the messages that follow by then."""
         out = self.advance(now_ms)
         self._take(message)
         return out + self._settle(now_ms)
@@ -102,13 +107,14 @@
     # -- time ----------------------------------------------------------------------------------
 
     def next_ms(self) -> float | None:
-        """When advance() has something to do, if nothing comes before."""
+        """Return when advance() has something to do, if nothing comes before; None if never."""
         times = [call.due_ms for call in self._calls.values() if call.due_ms is not None]
         if self._step_end_ms is not None:
             times.append(self._step_end_ms)
         return min(times) if times else None
 
     def advance(self, now_ms: float) -> list[Any]:
+        """Do all steps that are due by a time and return their messages."""
         while True:
             due_ms = self.next_ms()
             if due_ms is None or due_ms > now_ms:
@@ -236,7 +242,10 @@
     # -- places and memory ---------------------------------------------------------------------
 
     def _admit(self) -> None:
-        """The most urgent first, then the oldest; a more urgent one takes the place of the newest of the least urgent."""
+        """Take waiting calls by urgency, then by age.
+
+        A more urgent one takes the place of the newest of the least urgent that run.
+        """
         self._queue.sort(key=lambda call: call.rank)
         while self._queue:
             call = self._queue[0]
@@ -252,7 +261,10 @@
             self._running.append(call)
 
     def _hold(self, call: Call) -> bool:
-        """Takes memory for a call's prompt and what it has made so far; what is kept from the start on isn't read again."""
+        """Take memory for a call's prompt and what it has made so far; return whether it fits.
+
+        What is kept of the prompt's beginning isn't read again.
+        """
         known = 0
         kept = True
         fresh = []
@@ -282,7 +294,7 @@
         return True
 
     def _used(self) -> int:
-        """What can't give way."""
+        """Return the tokens in memory that are in use."""
         own = sum(
             max(0, call.asked.tokens_in - sum(tokens for _, tokens in call.asked.parts))
             + call.own_tokens
@@ -291,7 +303,7 @@
         return own + sum(part.tokens for part in self._parts.values() if part.users)
 
     def _give_way(self, wanted: int) -> bool:
-        """Whether so many tokens fit; what was unused longest goes first."""
+        """Return whether so many tokens fit; what was unused longest is dropped first."""
         used = self._used()
         if used + wanted > self.sheet.cache_tokens:
             return False
@@ -303,7 +315,10 @@
         return True
 
     def _grow(self, call: Call) -> bool:
-        """Room for the tokens of one more event; where there is none, the newest of the least urgent is put back."""
+        """Take memory for one more event; return whether the call still runs.
+
+        Where there is none, the newest of the least urgent is put back into the queue.
+        """
         while not self._give_way(self.sheet.stride):
             last = max(self._running, key=lambda other: other.rank)
             if last is call and len(self._running) == 1:
@@ -344,7 +359,7 @@
     # -- what it tells -------------------------------------------------------------------------
 
     def load(self) -> tuple[int, int, int]:
-        """Requests running, requests waiting, slots, as they stand now."""
+        """Return the requests running, the requests waiting and the slots, as they are now."""
         return len(self._running), len(self._queue), self.sheet.capacity
 
     def _state(self) -> dict[str, int]:
@@ -355,7 +370,7 @@
         }
 
     def report(self, now_ms: float) -> dict[str, int]:
-        """The same as it stood some time ago."""
+        """Return the load as it was `report_lag_ms` ago."""
         late = [
             state for at_ms, state in self._reports if at_ms <= now_ms - self.sheet.report_lag_ms
         ]
--- a/libs/facsimile/src/facsimile/platform_days/engine_calls.py
+++ b/libs/facsimile/src/facsimile/platform_days/engine_calls.py
@@ -1,4 +1,4 @@
-"""What the engine of a stand-in worker remembers of a call and of a part of a prompt."""
+"""What the engine of a simulated worker keeps of a call and of a part of a prompt."""
 
 from facsimile.platform_days.engine_messages import Asked
 
@@ -6,7 +6,10 @@
 
 
 class PromptPart:
-    """A part of a prompt in memory: whole once somebody has read it to its end, kept while nobody uses it."""
+    """A part of a prompt in memory, kept while nobody uses it until room is needed.
+
+    It is `whole` once a call has read it to its end.
+    """
 
     __slots__ = ("tokens", "users", "whole")
 
@@ -15,6 +18,12 @@
 
 
 class Call:
+    """A call in the engine: waiting, or running with so much of its prompt unread.
+
+    `due_ms` is its deadline on the engine's clock, `run` its number once it has begun, `made` the
+    events made so far, and `piece` the tokens that the present step reads.
+    """
+
     __slots__ = (
         "asked",
         "begun",
@@ -44,8 +53,10 @@
 
     @property
     def rank(self) -> tuple[int, int]:
+        """The order in which calls are taken: by urgency, then by arrival."""
         return self.asked.urgency, self.number
 
     @property
     def context(self) -> int:
+        """Tokens of the prompt and of what was made so far."""
         return self.asked.tokens_in + self.own_tokens
--- a/libs/facsimile/src/facsimile/platform_days/engine_messages.py
+++ b/libs/facsimile/src/facsimile/platform_days/engine_messages.py
@@ -1,4 +1,4 @@
-"""What goes into a stand-in engine and what comes out of it, and the sheet of figures that it works by."""
+"""Messages into and out of a simulated engine, and the figures that it works by."""
 
 from typing import Any
 
@@ -17,11 +17,16 @@
     DEFAULTS: dict[str, Any] = {}
 
     def __repr__(self) -> str:
-        return f"{type(self).__name__}({', '.join(f'{name}={getattr(self, name)!r}' for name in self.__slots__)})"
+        values = ", ".join(f"{name}={getattr(self, name)!r}" for name in self.__slots__)
+        return f"{type(self).__name__}({values})"
 
 
 class EngineSheet(_Record):
-    """Times for one token of one request alone, more for each that runs beside it, and for its context."""
+    """The figures of an engine: capacities, and the time that one token takes.
+
+    `step_ms` is for one token of one request alone, `slot_ms` is added for each request in the
+    batch, `context_ms_per_k` for each thousand tokens of their contexts.
+    """
 
     __slots__ = (
         "cache_tokens",
@@ -56,7 +61,7 @@
 
 
 class Asked(_Record):
-    """A request at the worker's door. `key` names its connection's turn, not the request."""
+    """A request that reaches the worker. `key` names its connection's turn, not the request."""
 
     __slots__ = (
         "deadline_ms",
@@ -87,25 +92,28 @@
 
 
 class Dropped(_Record):
-    """The connection of a request closed."""
+    """The connection of a request was closed."""
 
     __slots__ = ("key",)
 
 
 class Drained(_Record):
-    """The worker is to leave: it goes on serving, and its health says so."""
+    """The worker is to leave: it goes on serving, and its health check reports it."""
 
     __slots__ = ()
 
 
 class TurnedAway(_Record):
-    """Not run: 503 when full or late, 421 for another worker, 400 without an id, 429."""
+    """Not run: 503 when full or late, 421 for another worker, 400 without an id, or 429."""
 
     __slots__ = ("key", "status")
 
 
 class Begun(_Record):
-    """The first token: from here on the request has run. `ill` says what goes wrong with the answer's bytes."""
+    """The first token: from here on the request has run.
+
+    `ill` is the fault that the answer's bytes will have, empty for none.
+    """
 
     __slots__ = ("ill", "key", "request_id", "run")
 
--- a/libs/facsimile/src/facsimile/platform_days/entry.py
+++ b/libs/facsimile/src/facsimile/platform_days/entry.py
@@ -1,4 +1,6 @@
-"""How clients arrive: the platform asks every edge each second whether it is ready, and passes a client's connection to an
+"""How clients reach an edge: the platform's health checks and its choice of an edge.
+
+The platform asks every edge each second whether it is ready and passes a client's connection to an
 edge of its zone by a hash of the client. Nobody else decides where a client goes.
 """
 
@@ -16,6 +18,8 @@
 
 
 class Entry:
+    """The edges that the platform's health checks find ready."""
+
     __slots__ = ("_clock", "_fleet", "_history", "_misses", "_out", "_session", "stopping")
 
     def __init__(self, fleet: Any, history: History, clock: Any) -> None:
@@ -25,6 +29,7 @@
         self.stopping = False
 
     async def poll(self) -> None:
+        """Check every edge once a second until `stopping`."""
         async with aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=1.0),
             connector=aiohttp.TCPConnector(force_close=True, limit=0),
@@ -47,7 +52,7 @@
         self._history.add("ready", began_ms, node=machine.name, ready=ready)
 
     def heard(self, name: str, ready: bool) -> None:
-        """Two misses take a node out; one answer brings it back."""
+        """Take the result of a check: two failures take a node out, one success brings it back."""
         if ready:
             self._misses[name] = 0
             self._out.discard(name)
@@ -57,7 +62,10 @@
                 self._out.add(name)
 
     def choose(self, zone: str, client: str, attempt: int = 0) -> Any:
-        """The edge for a client's connection; its later tries reach other edges. None where there is no edge at all."""
+        """Return the edge for a client's connection, or None where there is no edge at all.
+
+        Later attempts reach other edges. If under half of a zone's edges are ready, all are used.
+        """
         edges = [machine for machine in self._fleet.everyone("edge") if not machine.removed]
         mine = [machine for machine in edges if machine.zone == zone]
         inside = [machine for machine in mine if machine.name not in self._out]
--- a/libs/facsimile/src/facsimile/platform_days/live.py
+++ b/libs/facsimile/src/facsimile/platform_days/live.py
@@ -1,5 +1,7 @@
-"""Live clients: streams that may be resumed and not, requests that may be repeated and not, with the tries, deadlines and
-times to come back of the platform's page. Each try is a row of the history; what it earned is a row of its own.
+"""Live clients: streams that may be resumed or not, requests that may be repeated or not.
+
+They follow the platform's page in attempts, deadlines and pauses before an attempt. Each attempt is
+a row of the history, and so is each request.
 """
 
 import asyncio
@@ -28,6 +30,8 @@
 
 
 class LiveClients:
+    """All live clients; `press` multiplies the rate of their requests."""
+
     def __init__(self, sheet: Sheet, entry: Entry, history: History, clock: Any, seed: int) -> None:
         self.sheet, self.entry, self.history, self.clock = sheet, entry, history, clock
         self.rng = random.Random(f"live/{seed}")
@@ -47,6 +51,7 @@
         }
 
     async def run(self) -> None:
+        """Send requests at the shape's rate until `stopping`, then wait for the open ones."""
         live = [kind for kind in self.sheet.kinds.values() if kind.share]
         total = sum(kind.share for kind in live)
         await asyncio.gather(
@@ -63,6 +68,7 @@
             self.spawn(self.request(kind))
 
     def spawn(self, work: Any) -> asyncio.Task:
+        """Run work in the background; `run` waits for it."""
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -71,13 +77,17 @@
     # -- one request ---------------------------------------------------------------------------
 
     def prompt(self, kind: Kind) -> tuple[str, int]:
-        """The prompt's parts as the header has them: a shared one, and one of the request's own."""
+        """Draw a prompt; return its parts as the header gives them, and its length in tokens.
+
+        One part is shared with other requests, and one is the request's own.
+        """
         tokens_in = self.rng.randint(*kind.tokens_in)
         shared = max(16, tokens_in // 3)
         name, _ = self.rng.choice(self._parts[kind.name])
         return f"{name}:{shared},{self.rng.getrandbits(32):08x}:{tokens_in - shared}", tokens_in
 
     async def request(self, kind: Kind, zone: str = "") -> dict[str, Any]:
+        """Send one request with all its attempts and return its row."""
         rng = self.rng
         self._count += 1
         zone = zone or rng.choice(self.sheet.zones)
@@ -211,7 +221,7 @@
         return row
 
     async def probe(self, machine: Any, host: str, target: str) -> None:
-        """A request straight to one edge, that tells which configuration is in force there."""
+        """Send a request straight to one edge, to see which configuration is in force there."""
         row = self.history.add(
             "try",
             self.clock(),
@@ -262,7 +272,11 @@
         return self._kept[client]
 
     def _node(self, request: dict[str, Any], attempt: int) -> Any:
-        """A client whose connection is open stays with its node; a new connection is passed on anew, a later try's elsewhere."""
+        """Return the edge for an attempt.
+
+        A client whose connection is open stays with its edge; a new connection is passed on anew, a
+        later attempt's to another edge.
+        """
         client = request["client"]
         if attempt or not _keeps(client):
             return self.entry.choose(request["zone"], client, attempt)
--- a/libs/facsimile/src/facsimile/platform_days/lots.py
+++ b/libs/facsimile/src/facsimile/platform_days/lots.py
@@ -1,5 +1,8 @@
-"""Clients of lots: hand in (the same lot again at another node until it is clear what became of it), read twice a second,
-at times from an earlier position or with the answer held, ask for the bodies of items, end some, and read all at the end.
+"""Clients that submit lots (batches of items).
+
+They submit the same lot again at another node until its outcome is clear, read twice a second, at
+times from an earlier position or as a long poll, ask for items' bodies, end some lots, and read all
+at the end.
 """
 
 import asyncio
@@ -23,6 +26,12 @@
 
 
 class LotClients:
+    """All clients of lots; `press` multiplies the rate at which lots are submitted.
+
+    `poisoned` is the part of items that no worker can run, `ended` the part of lots that their
+    client ends.
+    """
+
     def __init__(
         self,
         sheet: Sheet,
@@ -44,12 +53,14 @@
         self._shared = [f"{self.rng.getrandbits(32):08x}" for _ in range(self.kind.parts[0])]
 
     async def run(self) -> None:
+        """Submit lots at the shape's rate until `stopping`."""
         per_s = self.sheet.shape["lots_per_s"]
         while not self.stopping:
             self.spawn(self.lot())
             await asyncio.sleep(min(2.5, self.rng.expovariate(per_s * self.press)))
 
     def spawn(self, work: Any) -> asyncio.Task:
+        """Run work in the background; `finish` waits for it."""
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -67,7 +78,10 @@
         total_s: float,
         attempt: int = 0,
     ) -> bytes:
-        """One call on a connection of its own; its row gets node, status and times. Status 0 is no answer."""
+        """Make one call on a connection of its own and return the answer's body.
+
+        The row gets node, status and times; status 0 is no answer.
+        """
         machine = self.entry.choose(row["zone"], row["lot"], attempt)
         row.update(
             node=machine.name if machine else "",
@@ -105,6 +119,7 @@
     # -- a lot's life --------------------------------------------------------------------------
 
     def draw(self) -> dict[str, Any]:
+        """Draw a lot and its items, and record it."""
         rng, route = self.rng, self.sheet.routes[self.kind.name]
         items = {}
         for _ in range(max(1, round(self.sheet.shape["lot_items"] * (0.5 + rng.random())))):
@@ -128,7 +143,8 @@
                 "headers": {
                     "Model": self.sheet.models[0],
                     "Token-Counts": f"{tokens_in},{tokens_out}",
-                    "Prompt-Prefix": f"{rng.choice(self._shared)}:{shared},{rng.getrandbits(32):08x}:{tokens_in - shared}",
+                    "Prompt-Prefix": f"{rng.choice(self._shared)}:{shared},"
+                    f"{rng.getrandbits(32):08x}:{tokens_in - shared}",
                 },
             }
         lot = self.history.add(
@@ -155,6 +171,7 @@
         return lot
 
     async def lot(self) -> dict[str, Any]:
+        """Take one lot from submission to its last result, or to its end by the client."""
         lot = self.draw()
         if not await self.hand_in(lot):
             return lot
@@ -165,6 +182,7 @@
         return lot
 
     async def hand_in(self, lot: dict[str, Any]) -> bool:
+        """Submit a lot until it is accepted; return whether it was in time."""
         route, began_ms = self.sheet.routes[self.kind.name], self.clock()
         body = json.dumps(
             {
@@ -236,6 +254,7 @@
         final: bool = False,
         attempt: int | None = None,
     ) -> dict[str, Any]:
+        """Read results from a position on, as a long poll of 1 s if `wait`; return the row."""
         row = self._row(
             "lot-read",
             lot,
@@ -309,6 +328,7 @@
     async def body(
         self, lot: dict[str, Any], item: str, final: bool = False, attempt: int = 0
     ) -> dict[str, Any]:
+        """Ask for an item's body and compare it with what was sent; return the row."""
         row = self._row(
             "item-body", lot, item=item, listed=item in lot["seen"], same=False, final=final
         )
@@ -327,7 +347,10 @@
     # -- the end of the day --------------------------------------------------------------------
 
     async def finish(self, finish_s: float) -> None:
-        """Open lots get a while more; then all are read from the start, and bodies asked for, again after each failure."""
+        """Give open lots up to `finish_s`, then read all from the start and ask for bodies.
+
+        Failed calls are repeated.
+        """
         end_ms = self.clock() + finish_s * 1000
         while (
             any(
--- a/libs/facsimile/src/facsimile/platform_days/machines.py
+++ b/libs/facsimile/src/facsimile/platform_days/machines.py
@@ -1,6 +1,8 @@
-"""The machines of a day: real processes of this checkout on loopback addresses of their own, all with the same ports. Each
-gets its settings file as the platform writes it; what ends is started again after a short delay with the settings of that
-moment. Only what was started here is signalled, by its id.
+"""The machines of a day: real processes of this checkout on loopback addresses of their own.
+
+All have the same ports. Each gets its settings file as the platform writes it; a process that ends
+is started again after a short delay with the settings of that moment. Only what was started here is
+signalled, by its process id.
 """
 
 import asyncio
@@ -28,12 +30,21 @@
 
 
 def loopback_net(number: int = 0) -> str:
-    """Two numbers of 127/8 that belong to this process, so that several runs don't meet; up to sixteen for each process."""
+    """Return the first three numbers of a loopback network that belongs to this process.
+
+    So several runs don't meet; there are up to sixteen networks for each process.
+    """
     place = os.getpid() * 16 + number % 16
     return f"127.{1 + place // 250 % 250}.{place % 250}"
 
 
 class Machine:
+    """A machine and its process; `life` counts the process's starts.
+
+    While `held`, a process that ends isn't started again; `trouble` is the row of its present
+    fault.
+    """
+
     __slots__ = (
         "addresses",
         "held",
@@ -67,14 +78,21 @@
 
     @property
     def runs(self) -> bool:
+        """Whether the process is running."""
         return self.process is not None and self.process.poll() is None
 
     def signal(self, number: int) -> None:
+        """Send a signal to the process, if it runs."""
         if self.runs:
             os.kill(self.process.pid, number)
 
 
 class Machines:
+    """All machines of a day: their settings, their processes and their faults.
+
+    `root` is the checkout that is run; files go into `folder`, which is emptied first.
+    """
+
     def __init__(
         self, sheet: Sheet, folder: str, root: Path, history: History, clock: Any, net: str = ""
     ) -> None:
@@ -94,6 +112,7 @@
         self._seeds = self.control_now()[:3]
 
     def add(self, machine_class: str, zone: str = "") -> Machine:
+        """Add a machine of a class, in the next zone if none is given, without starting it."""
         same = [
             machine for machine in self.machines.values() if machine.machine_class == machine_class
         ]
@@ -111,6 +130,7 @@
         return machine
 
     def everyone(self, machine_class: str = "") -> list[Machine]:
+        """Return all machines that aren't removed, of one class if it is given."""
         return [
             machine
             for machine in self.machines.values()
@@ -118,17 +138,19 @@
         ]
 
     def of(self, machine_class: str) -> list[Machine]:
+        """Return the machines of a class that were ever started and aren't removed."""
         return [machine for machine in self.everyone(machine_class) if machine.life]
 
     def control_now(self) -> list[str]:
+        """Return the control addresses of all core machines."""
         return [machine.addresses["control"] for machine in self.everyone("core")]
 
     def control_list(self) -> list[str]:
-        """The operator's and the workers' list of who serves control; it lags."""
+        """Return the list of control addresses that operator and workers have; it lags."""
         return list(self._listed or self.control_now())
 
     def name_of(self, address: str) -> str:
-        """Of the machine that serves control there."""
+        """Return the name of the machine that serves control at an address, or an empty text."""
         return next(
             (
                 machine.name
@@ -139,9 +161,11 @@
         )
 
     def last_words(self, name: str) -> str:
+        """Return the end of a machine's log file."""
         return self.machines[name].log_file.read_text(errors="replace")[-600:]
 
     async def keep_list(self) -> None:
+        """Keep the list of control addresses up to date with the platform's lag."""
         while not self.closing:
             now = self.control_now()
             await asyncio.sleep(self.sheet.timing["seedLagS"])
@@ -208,6 +232,7 @@
     # -- life ----------------------------------------------------------------------------------
 
     def start(self, machine: Machine) -> None:
+        """Write the machine's settings and start its process."""
         self._write(machine)
         if machine.data_dir:
             Path(machine.data_dir).mkdir(exist_ok=True)
@@ -233,12 +258,13 @@
         )
 
     def start_all(self) -> None:
+        """Start every machine for the first time."""
         for machine in self.everyone():
             self.start(machine)
         self.first_start = False
 
     async def watch(self) -> None:
-        """What ends by itself is noted and started again, as the platform does."""
+        """Record processes that end by themselves and start them again, as the platform does."""
         starved = Starved(self.history)
         while not self.closing:
             starved.look(self.everyone(), self.clock())
@@ -267,6 +293,7 @@
     # -- trouble -------------------------------------------------------------------------------
 
     def begin_trouble(self, machine: Machine, what: str, planned: bool = False) -> None:
+        """Record the start of a fault, or of planned work."""
         machine.trouble = self.history.add(
             "trouble",
             self.clock(),
@@ -278,11 +305,13 @@
         )
 
     def end_trouble(self, machine: Machine) -> None:
+        """Record the end of a machine's present fault."""
         if machine.trouble is not None:
             machine.trouble["till_ms"] = round(self.clock(), 2)
             machine.trouble = None
 
     def kill(self, machine: Machine, what: str = "kill") -> None:
+        """Kill a process; it stays down until `back`."""
         machine.held = True
         self.begin_trouble(machine, what)
         machine.signal(signal.SIGKILL)
@@ -290,14 +319,16 @@
             machine.process.wait()
 
     def wipe(self, machine: Machine) -> None:
+        """Remove all that is on a machine's disk."""
         shutil.rmtree(machine.data_dir, ignore_errors=True)
 
     def back(self, machine: Machine) -> None:
+        """Start a machine again and end its fault."""
         self.start(machine)
         self.end_trouble(machine)
 
     async def lost(self, machine: Machine, for_s: float, wiped: bool = False) -> None:
-        """Killed, and started again after a while, its disk as it was or empty."""
+        """Kill a machine and start it after `for_s`, its disk as it was or empty."""
         self.kill(machine, "wipe" if wiped else "kill")
         if wiped:
             self.wipe(machine)
@@ -305,7 +336,7 @@
         self.back(machine)
 
     async def term(self, machine: Machine) -> None:
-        """Planned: SIGTERM, SIGKILL after the grace, and a start."""
+        """Stop and start a machine as planned: SIGTERM, and SIGKILL after the grace period."""
         machine.held = True
         self.begin_trouble(machine, "term", planned=True)
         machine.signal(signal.SIGTERM)
@@ -320,12 +351,13 @@
         self.back(machine)
 
     def hang_up(self, machine: Machine) -> None:
-        """SIGHUP, after the settings file was written anew."""
+        """Write the settings file anew and send SIGHUP."""
         self._write(machine)
         self.history.add("hang-up", self.clock(), node=machine.name)
         machine.signal(signal.SIGHUP)
 
     async def freeze(self, machine: Machine, for_s: float) -> None:
+        """Stop a process with SIGSTOP for `for_s`."""
         self.begin_trouble(machine, "freeze")
         machine.signal(signal.SIGSTOP)
         await asyncio.sleep(for_s)
@@ -333,7 +365,7 @@
         self.end_trouble(machine)
 
     async def replace(self, machine: Machine, after_s: float = 1.0) -> Machine:
-        """Gone for good with its disk; an empty one at a new address takes its place."""
+        """Lose a machine and its disk for good; return an empty one at a new address."""
         self.kill(machine, "replaced")
         machine.removed = True
         self.wipe(machine)
@@ -342,13 +374,14 @@
         return await self.join(machine.machine_class, machine.zone)
 
     async def join(self, machine_class: str, zone: str = "") -> Machine:
+        """Add a machine and start it."""
         machine = self.add(machine_class, zone)
         self.begin_trouble(machine, "added")
         self.back(machine)
         return machine
 
     def remove(self, machine: Machine) -> None:
-        """An emptied machine is taken away at once, its disk too; it doesn't count as lost."""
+        """Take away an emptied machine with its disk; it doesn't count as lost."""
         machine.held = machine.removed = True
         machine.signal(signal.SIGKILL)
         if machine.process is not None:
@@ -356,6 +389,7 @@
         self.wipe(machine)
 
     def close(self) -> None:
+        """Kill all processes that were started here and wait for their ends."""
         self.closing = True
         for machine in self.machines.values():
             machine.signal(signal.SIGCONT)
--- a/libs/facsimile/src/facsimile/platform_days/operators.py
+++ b/libs/facsimile/src/facsimile/platform_days/operators.py
@@ -1,5 +1,8 @@
-"""The platform's operator: sends the first configuration until it is taken, then changes, whole or by name, at times two at
-once or invalid ones, orders stores to be emptied, and reads the configuration back when the day ends.
+"""The platform's operator.
+
+It sends the first configuration until it is taken, then changes, whole or as a patch, at times two
+at once or invalid ones, orders stores to be emptied, and reads the configuration back when the day
+ends.
 """
 
 import asyncio
@@ -19,7 +22,7 @@
 
 
 def patched(settings: dict[str, Any], change: dict[str, Any]) -> dict[str, Any]:
-    """What a change by name makes of a configuration."""
+    """Return what a patch makes of a configuration."""
     made = copy.deepcopy(settings)
     made["revision"] = change["revision"]
     for part, rows in change.get("upsert", {}).items():
@@ -32,6 +35,8 @@
 
 
 class Operator:
+    """The operator of a day; `settings` is the newest configuration known to be in force."""
+
     def __init__(self, sheet: Sheet, fleet: Any, history: History, clock: Any, seed: int) -> None:
         self.sheet, self.fleet, self.history, self.clock = sheet, fleet, history, clock
         self.rng = random.Random(f"operator/{seed}")
@@ -41,6 +46,7 @@
         self._count = 0
 
     async def close(self) -> None:
+        """Close the connections."""
         if self._session is not None:
             await self._session.close()
 
@@ -75,7 +81,11 @@
         limit_s: float = 20.0,
         start: int | None = None,
     ) -> tuple[int, bytes, str]:
-        """Until a clear answer comes, at one node after another, with a pause that grows. Status 0 is none in time."""
+        """Call one control node after another until one gives a clear answer.
+
+        Pauses between attempts grow up to 1 s. Return status, body and node; status 0 means that
+        there was no clear answer within `limit_s`.
+        """
         end_ms, pause_s, others = self.clock() + limit_s * 1000, 0.05, 0
         place = self.rng.randrange(1000) if start is None else start
         while self.clock() < end_ms:
@@ -108,6 +118,11 @@
         limit_s: float = 20.0,
         start: int | None = None,
     ) -> dict[str, Any]:
+        """Send a configuration on top of version `base` and return its row.
+
+        `body` is what is sent, `whole` the configuration that it makes, `valid` whether it has to
+        be taken. The row's outcome is `acked`, `refused` or `unclear`.
+        """
         self._count += 1
         row = self.history.add(
             "order",
@@ -142,6 +157,7 @@
         return row
 
     async def found(self, limit_s: float = 30.0) -> bool:
+        """Send the first configuration; return whether it was acknowledged."""
         first = self.sheet.first_settings()
         row = await self.order(first, first, 0, what="first", limit_s=limit_s)
         return row["outcome"] == "acked"
@@ -150,7 +166,10 @@
         return self.settings["revision"] + 1 + self.rng.randrange(4) + by
 
     async def change(self, what: str, whole: bool = False) -> dict[str, Any]:
-        """A valid change on top of the newest version: `move`, `split`, `timeout`, `add`, `many`, `remove` or `back`."""
+        """Send a valid change on top of the newest version, whole or as a patch.
+
+        `what` is `move`, `split`, `timeout`, `add`, `many`, `remove` or `back`.
+        """
         base = self.settings["revision"]
         patch = self._patch(what)
         made = patched(self.settings, patch)
@@ -202,7 +221,7 @@
         )
 
     async def race(self) -> list[dict[str, Any]]:
-        """Two operators at different nodes on top of the same version: one of them wins."""
+        """Send two changes on top of the same version at different nodes; one may win."""
         base = self.settings["revision"]
         bodies = [
             {
@@ -224,7 +243,7 @@
         return list(rows)
 
     async def bad(self) -> list[dict[str, Any]]:
-        """Invalid ones, each of another kind."""
+        """Send invalid configurations, each of another kind."""
         return [
             await self.order(
                 body,
@@ -272,12 +291,16 @@
         ]
 
     async def catch_up(self) -> None:
-        """After doubt: what is in force decides what the next change builds on."""
+        """Read the configuration in force, which the next change builds on."""
         status, data, _ = await self.call("GET", "/vaneledge/settings", limit_s=10.0)
         if status == 200:
             self.settings = json.loads(data)
 
     async def read_back(self, contact_ms: int, limit_s: float = 15.0) -> dict[str, Any]:
+        """Read the configuration for `contact_ms`, longer until one comes; record the last one.
+
+        Reading ends after `limit_s` at the latest.
+        """
         began_ms, last = self.clock(), (0, b"")
         while self.clock() < began_ms + limit_s * 1000:
             status, data, _ = await self.call("GET", "/vaneledge/settings", limit_s=3.0)
@@ -297,6 +320,7 @@
     # -- stores to be emptied ------------------------------------------------------------------
 
     async def retire(self, name: str, over_s: int = 10, limit_s: float = 25.0) -> dict[str, Any]:
+        """Order a store to be emptied within `over_s` and follow it to the end; return its row."""
         status, _, _ = await self.call(
             "POST", f"/vaneledge/retire/{name}", {"overS": over_s}, limit_s=4.0
         )
--- a/libs/facsimile/src/facsimile/platform_days/oracle.py
+++ b/libs/facsimile/src/facsimile/platform_days/oracle.py
@@ -1,5 +1,7 @@
-"""The oracle of the platform's days: each rule of the platform's page by its name there, how many rows it judged and the
-breaches. A rule that is due evidence and saw none is itself a failure.
+"""The oracle of the platform's days: the rules of the platform's page, by their names there.
+
+It says how many rows each rule judged and the breaches that it found. A rule that was expected to
+judge some and judged none counts as broken.
 """
 
 from collections.abc import Iterable
@@ -15,7 +17,7 @@
 
 
 def own_ends(history: History) -> Found:
-    """Every program starts, and none ends by itself nor outstays its grace."""
+    """Every program starts, and none ends by itself or outlasts its grace period."""
     found = [
         f"{row['node']} ended by itself with {row['code']} in life {row['life']}"
         for row in history.of("own-end")
@@ -56,7 +58,7 @@
 def judge_day(
     history: History, due: Iterable[str] = ()
 ) -> tuple[dict[str, int], dict[str, list[str]]]:
-    """How many rows each rule judged, and the breaches of those that were broken."""
+    """Return how many rows each rule judged, and the breaches of those that were broken."""
     found = {name: rule(history) for name, rule in PLATFORM_RULES.items()}
     for name in due:
         if not found[name][0]:
--- a/libs/facsimile/src/facsimile/platform_days/rules_live.py
+++ b/libs/facsimile/src/facsimile/platform_days/rules_live.py
@@ -1,5 +1,7 @@
-"""Rules about requests, as the platform's page of rules has them. Each goes from a history to how many rows it judged and
-the breaches it found; what is counted is what clients and workers saw on their sockets.
+"""Rules about requests, as the platform's page of rules has them.
+
+Each takes a history and returns how many rows it judged and the breaches it found; what counts is
+what clients and workers saw on their sockets.
 """
 
 from collections import defaultdict
@@ -29,6 +31,7 @@
 
 
 def runs_by_id(history: History) -> dict[str, list[dict[str, Any]]]:
+    """Return all runs by the id of their request."""
     found: dict[str, list[dict[str, Any]]] = defaultdict(list)
     for run in history.of("run"):
         found[run["id"]].append(run)
@@ -42,6 +45,7 @@
 
 
 def mixed(history: History) -> Found:
+    """A success is the whole answer of a worker that ran the request, with its seal."""
     runs, judged, found = runs_by_id(history), 0, []
     for row in of_tries(history):
         mine = runs.get(row["id"], [])
@@ -90,6 +94,7 @@
 
 
 def order(history: History) -> Found:
+    """A stream's events come in order and without gaps, and are all there if it ended well."""
     runs, judged, found = runs_by_id(history), 0, []
     for row in of_tries(history):
         if row["route_type"] != "streaming" or row["status"] != 200:
@@ -120,7 +125,10 @@
     first: int,
     wanted: int | None,
 ) -> str:
-    """Why events are not one whole text in order, or nothing. `wanted` is how many there are, if the text is to be complete."""
+    """Return why events are not one whole text in order; empty if they are.
+
+    `wanted` is how many there are, if the text is to be complete.
+    """
     by_tag = {run["run"]: run for run in runs}
     following = first if after is None else after + 1
     before = ""
@@ -140,6 +148,7 @@
 
 
 def unasked(history: History) -> Found:
+    """A worker runs only requests that a client sent, as they were sent."""
     asked = {row["id"]: (row["method"], row["target"], row["digest"]) for row in history.of("try")}
     for lot in history.of("lot"):
         asked |= {
@@ -147,7 +156,8 @@
         }
     runs = history.of("run")
     return len(runs), [
-        f"{run['server']} ran {run['id'] or 'nothing'}: {run['method']} {run['target']} {run['digest']}, asked "
+        f"{run['server']} ran {run['id'] or 'nothing'}: {run['method']} {run['target']} "
+        f"{run['digest']}, asked "
         f"{asked.get(run['id'])}"
         for run in runs
         if asked.get(run["id"]) != (run["method"], run["target"], run["digest"])
@@ -155,6 +165,7 @@
 
 
 def twice(history: History) -> Found:
+    """A request that isn't safe to repeat runs at most once."""
     runs = runs_by_id(history)
     once = [row for row in of_tries(history) if not row["repeatable"]]
     return (
@@ -168,6 +179,7 @@
 
 
 def refused(history: History) -> Found:
+    """A request that isn't safe to repeat and was refused never ran."""
     runs = runs_by_id(history)
     told = [row for row in of_tries(history) if not row["repeatable"] and row["status"] in PROMISES]
     return len(told), [
@@ -176,6 +188,10 @@
 
 
 def denied(history: History) -> Found:
+    """Hardly any valid request is denied by the system itself.
+
+    Up to 5 and a five-hundredth of all are tolerated.
+    """
     touch = Touch(history)
     proper = [
         row
@@ -193,7 +209,7 @@
 
 
 def route(history: History) -> Found:
-    """Only a service that some configuration ever sent allows may run a request."""
+    """Only a service that some configuration ever sent allows runs a request."""
     sent = [row["settings"] for row in history.of("order")]
     found = []
     for run in history.of("run"):
@@ -202,12 +218,17 @@
         )
         if run["service"] not in services:
             found.append(
-                f"{run['server']} of {run['service']} ran {run['host']}{run['target']}, allowed {sorted(services)}"
+                f"{run['server']} of {run['service']} ran {run['host']}{run['target']}, allowed "
+                f"{sorted(services)}"
             )
     return len(history.of("run")), found
 
 
 def drained(history: History) -> Found:
+    """A worker gets nothing later than `drainMs` after its leave was acknowledged.
+
+    What the worker refused as meant for another one doesn't count.
+    """
     touch, slack_ms = Touch(history), history.settings["timing"]["drainMs"]
     acked: dict[str, float] = {}
     for row in history.of("drain-ack"):
@@ -274,8 +295,10 @@
 
 
 def held(history: History) -> Found:
-    """Our own rule: who is given up is told at once. A refusal that met no worker must not come in the last half of the time
-    there was, and a failure comes soon after the last worker was done with it.
+    """A rule of the project's own: a request that is given up is answered at once.
+
+    A refusal that met no worker must not come in the last half of the time there was, and a failure
+    comes soon after the last worker was done with it.
     """
     touch, runs = Touch(history), runs_by_id(history)
     arrived: dict[str, list[float]] = defaultdict(list)
@@ -301,13 +324,17 @@
         bound_ms = (0.5 if not mine else 0.25) * row["deadline_ms"]
         if row["ended_ms"] - last_ms > bound_ms and not _dark(history, mine, row):
             found.append(
-                f"{_named(row)}: {row['status']} {row['ended_ms'] - last_ms:.0f} ms after anything was done for it"
+                f"{_named(row)}: {row['status']} {row['ended_ms'] - last_ms:.0f} ms after "
+                "anything was done for it"
             )
     return judged, found
 
 
 def _dark(history: History, mine: list[dict[str, Any]], row: dict[str, Any]) -> bool:
-    """Whether a worker that it had reached had fallen silent: silence is no reason to end an answer sooner."""
+    """Return whether a worker that the request had reached had fallen silent.
+
+    Silence is no reason to end an answer sooner.
+    """
     silent = {
         gone["server"]
         for gone in history.of("worker-gone")
--- a/libs/facsimile/src/facsimile/platform_days/rules_lots.py
+++ b/libs/facsimile/src/facsimile/platform_days/rules_lots.py
@@ -1,5 +1,7 @@
-"""Rules about lots, as the platform's page has them: nothing accepted or read is lost, each result stands once, at its
-place, whole and in order; what was refused or ended doesn't run, and no more is taken than the route lets wait.
+"""Rules about lots, as the platform's page has them.
+
+Nothing accepted or read is lost; each result stands once, at its place, whole and in order; what
+was refused or ended doesn't run, and no more is taken than the route lets wait.
 """
 
 from typing import Any
@@ -29,6 +31,7 @@
 
 
 def lot_lost(history: History) -> Found:
+    """An accepted lot can be read, and what was read once can be read again."""
     touch, lots, settle_ms = Touch(history), _lots(history), history.settings["timing"]["settleMs"]
     reads = _reads(history)
     accepted: dict[str, float] = {}
@@ -57,7 +60,8 @@
         )
         if row["status"] == 200 and not row["results"] and row["start"] < count and in_touch:
             found.append(
-                f"lot {name} at {row['node']}: nothing from {row['start']} on, {count} had been read"
+                f"lot {name} at {row['node']}: nothing from {row['start']} on, {count} had been "
+                "read"
             )
     return judged, found + _at_the_end(history, lots, accepted, known)
 
@@ -92,6 +96,7 @@
 
 
 def lot_twice(history: History) -> Found:
+    """A position keeps its result, and an item stands at one position."""
     places: dict[str, dict[int, list[Any]]] = {}
     judged, found = 0, []
     for row in _reads(history):
@@ -101,7 +106,8 @@
             before = held.setdefault(row["start"] + offset, result)
             if before != result:
                 found.append(
-                    f"lot {row['lot']}, position {row['start'] + offset}: {result[:2]} where {before[:2]} stood"
+                    f"lot {row['lot']}, position {row['start'] + offset}: {result[:2]} where "
+                    f"{before[:2]} stood"
                 )
     for name, held in places.items():
         items = [result[0] for result in held.values()]
@@ -114,13 +120,18 @@
 
 
 def lot_mixed(history: History) -> Found:
+    """A result is the item's own, whole, and made by a worker; bodies come back unchanged.
+
+    An item is given up only after its failed attempts, its time, or its lot's end.
+    """
     lots, runs = _lots(history), runs_by_id(history)
     judged, found = 0, []
     for row in _reads(history):
         lot = lots[row["lot"]]
         if row["garbled"] or (row["status"] == 200 and row["total"] != lot["total"]):
             found.append(
-                f"lot {row['lot']} at {row['node']}: total {row['total']} of {lot['total']}, or no answer that can be read"
+                f"lot {row['lot']} at {row['node']}: total {row['total']} of {lot['total']}, or "
+                "no answer that can be read"
             )
         for name, state, message in row["results"]:
             judged += 1
@@ -173,6 +184,7 @@
 
 
 def lot_order(history: History) -> Found:
+    """A finished item's events are in order and complete."""
     lots, runs = _lots(history), runs_by_id(history)
     judged, found = 0, []
     for row in _reads(history):
@@ -198,6 +210,7 @@
 
 
 def lot_refused(history: History) -> Found:
+    """No item runs of a lot that was refused at every attempt."""
     runs, judged, found = runs_by_id(history), 0, []
     statuses: dict[str, list[int]] = {}
     for row in history.of("lot-try"):
@@ -214,6 +227,7 @@
 
 
 def lot_unasked(history: History) -> Found:
+    """No item reaches a worker later than `cancelMs` after its lot's end was acknowledged."""
     touch, cancel_ms = Touch(history), history.settings["timing"]["cancelMs"]
     lots, ended = _lots(history), {}
     for row in history.of("lot-end"):
@@ -221,13 +235,15 @@
             ended.setdefault(row["lot"], row["answered_ms"])
     of = {item: name for name, lot in lots.items() for item in lot["items"]}
     return len(ended), [
-        f"item {run['id']} reached {run['server']} {run['came_ms'] - ended[of[run['id']]]:.0f} ms after its lot's end and ran"
+        f"item {run['id']} reached {run['server']} {run['came_ms'] - ended[of[run['id']]]:.0f} ms "
+        "after its lot's end and ran"
         for run in history.of("run")
         if of.get(run["id"]) in ended and run["came_ms"] > ended[of[run["id"]]] + cancel_ms
     ]
 
 
 def lot_quota(history: History) -> Found:
+    """The tokens that wait stay within the route's limit and the tolerated excess."""
     lots, runs, excess = (
         _lots(history),
         runs_by_id(history),
--- a/libs/facsimile/src/facsimile/platform_days/rules_settings.py
+++ b/libs/facsimile/src/facsimile/platform_days/rules_settings.py
@@ -1,5 +1,7 @@
-"""Rules about configurations: what is acknowledged is in force in time and stays so, what lost or was refused never is, and
-what is read back is what was sent. Versions are told apart by the services that they let run a request.
+"""Rules about configurations.
+
+What is acknowledged is in force in time and stays so, what lost or was refused never is, and what
+is read back is what was sent. Versions are told apart by the services that they let run a request.
 """
 
 from typing import Any
@@ -13,7 +15,7 @@
 
 
 def _versions(history: History) -> list[dict[str, Any]]:
-    """Those that may ever be in force, by their numbers."""
+    """The orders that may ever be in force, by their numbers."""
     return sorted(
         (row for row in history.of("order") if row["valid"] and row["outcome"] != "refused"),
         key=lambda row: row["revision"],
@@ -33,6 +35,11 @@
 
 
 def in_force(history: History) -> Found:
+    """Requests and items follow a version that may be in force when they are sent.
+
+    An acknowledged version replaces the older ones `applyMs` after its acknowledgement, later where
+    the core is unsettled.
+    """
     touch, versions, runs = Touch(history), _versions(history), runs_by_id(history)
     slack_ms, stretch_ms = (
         history.settings["timing"]["applyMs"],
@@ -53,13 +60,15 @@
             judged += 1
             if None not in possible:
                 found.append(
-                    f"{row['id']} at {row['node']}: 404 on {row['host']}{row['target']}, which every version in force has"
+                    f"{row['id']} at {row['node']}: 404 on {row['host']}{row['target']}, which "
+                    "every version in force has"
                 )
         for run in runs.get(row["id"], []):
             judged += 1
             if not any(services and run["service"] in services for services in possible):
                 found.append(
-                    f"{row['id']} at {row['node']}, sent at {row['sent_ms']:.0f}: {run['service']} ran it, in force are {possible}"
+                    f"{row['id']} at {row['node']}, sent at {row['sent_ms']:.0f}: "
+                    f"{run['service']} ran it, in force are {possible}"
                 )
     items = {name for lot in history.of("lot") for name in lot["items"]}
     for run in history.of("run"):
@@ -76,7 +85,7 @@
 
 
 def never_back(history: History) -> Found:
-    """Within one life of a machine's processes."""
+    """Within one life of a machine's process, no request follows an older version again."""
     versions, runs = _versions(history), runs_by_id(history)
     slack_ms = history.settings["timing"]["revertSlackMs"]
     judged, found = 0, []
@@ -99,14 +108,15 @@
             )
             if max(numbers) < floor:
                 found.append(
-                    f"{row['node']} ran {row['id']} by version {max(numbers)} after {floor} had been seen there"
+                    f"{row['node']} ran {row['id']} by version {max(numbers)} after {floor} had "
+                    "been seen there"
                 )
             mine.append((run["at_ms"], min(numbers)))
     return judged, found
 
 
 def later_routes(history: History) -> Found:
-    """Routes that came later, twenty or more, are served like the first ones."""
+    """Routes that were added later, if twenty or more, are served as well as the first ones."""
     touch, versions = Touch(history), _versions(history)
     first = {row["name"] for version in versions[:1] for row in version["settings"]["routes"]}
     served: dict[bool, list[bool]] = {True: [], False: []}
@@ -129,11 +139,16 @@
         return 0, []
     shares = {later: sum(rows) / len(rows) for later, rows in served.items()}
     return len(served[True]), [
-        f"{shares[True]:.2f} of requests on {len(names)} later routes served, {shares[False]:.2f} on the first"
+        f"{shares[True]:.2f} of requests on {len(names)} later routes served, {shares[False]:.2f} "
+        "on the first"
     ] * (shares[True] < shares[False] / 4)
 
 
 def losers(history: History) -> Found:
+    """An invalid order is never acknowledged, and of orders on one base at most one is.
+
+    What was refused never runs a request and is never read back.
+    """
     orders, found = history.of("order"), []
     for row in orders:
         if row["outcome"] == "acked" and not row["valid"]:
@@ -159,7 +174,8 @@
             for row in lost
         ):
             found.append(
-                f"{run['server']} ran {run['host']}{run['target']}, as only a refused configuration has it"
+                f"{run['server']} ran {run['host']}{run['target']}, as only a refused "
+                "configuration has it"
             )
     numbers = {row["revision"] for row in lost} - {
         row["revision"] for row in orders if row["valid"] and row["outcome"] != "refused"
@@ -173,6 +189,7 @@
 
 
 def read_back(history: History) -> Found:
+    """What is read back is as new as the last acknowledgement, and as it was sent."""
     rows, found = history.of("read-back"), []
     versions = _versions(history)
     newest = max((row["revision"] for row in versions if row["outcome"] == "acked"), default=0)
@@ -191,7 +208,7 @@
 
 
 def recovered(history: History) -> Found:
-    """After the closing fault: a quarter of what is asked later than the bound is served."""
+    """After the closing fault, a quarter of the requests later than the bound are served."""
     bound_ms = history.settings["timing"]["recoveryS"] * 1000
     judged, found = 0, []
     for row in history.of("back"):
@@ -210,13 +227,17 @@
         judged += len(asked)
         if 4 * len(good) < len(asked):
             found.append(
-                f"{len(good)} of {len(asked)} served later than {bound_ms:.0f} ms after the machines were back"
+                f"{len(good)} of {len(asked)} served later than {bound_ms:.0f} ms after the "
+                "machines were back"
             )
     return judged, found
 
 
 def acks(history: History) -> Found:
-    """A proper order in a settled time is acknowledged within the bound, and so is a worker's leaving."""
+    """A valid order is acknowledged in time while the core is settled.
+
+    So are four in five of the workers that leave.
+    """
     touch, bound_ms = Touch(history), history.settings["timing"]["ackMs"]
     judged, found = 0, []
     for row in history.of("order"):
@@ -231,7 +252,8 @@
         judged += 1
         if row["outcome"] == "unclear" or row["answered_ms"] > till_ms:
             found.append(
-                f"{row['what']} of version {row['revision']} was answered after {row['answered_ms'] - row['at_ms']:.0f} ms: {row['outcome']}"
+                f"{row['what']} of version {row['revision']} was answered after "
+                f"{row['answered_ms'] - row['at_ms']:.0f} ms: {row['outcome']}"
             )
     left = [
         row
--- a/libs/facsimile/src/facsimile/platform_days/sheet.py
+++ b/libs/facsimile/src/facsimile/platform_days/sheet.py
@@ -1,4 +1,5 @@
-"""What a day is played with: zones and machines, services and workers, kinds of request and the first configuration.
+"""What a day is played with: zones, machines, services, workers, requests and configuration.
+
 All names are drawn from the seed, so that nothing can be tuned to them.
 """
 
@@ -77,7 +78,10 @@
 
 
 class Kind:
-    """A kind of request: its route's type and times, its sizes, and what an answer in time is worth."""
+    """A kind of request: its route's type and times, its sizes, and the worth of an answer.
+
+    `worth` is for an answer in time, `late_worth` for a later one.
+    """
 
     __slots__ = (
         "deadline_ms",
@@ -127,10 +131,12 @@
 
     @property
     def stream(self) -> bool:
+        """Whether answers are streams of events."""
         return self.route_type in ("streaming", "bulk")
 
     @property
     def repeatable(self) -> bool:
+        """Whether a client may send the request again after a failure."""
         return self.route_type == "idempotent" or (
             self.route_type == "streaming" and self.resumable
         )
@@ -200,7 +206,7 @@
 
 
 class Sheet:
-    """Drawn from a shape and a seed; `limits` of a lot's tokens and rates follow the shape."""
+    """What is drawn from a shape and a seed; `limits` go into the configuration."""
 
     __slots__ = (
         "engine",
@@ -245,6 +251,7 @@
         }
 
     def route_row(self, kind: Kind, **other: Any) -> dict[str, Any]:
+        """Return a kind's route as the configuration has it, with `other` members."""
         row: dict[str, Any] = {
             **self.routes[kind.name],
             "routeType": kind.route_type,
@@ -262,6 +269,7 @@
         return row
 
     def service_row(self, name: str) -> dict[str, Any]:
+        """Return a service as the configuration has it."""
         sheet = self.engine
         return {
             "name": name,
@@ -280,6 +288,7 @@
         }
 
     def first_settings(self) -> dict[str, Any]:
+        """Return the first configuration."""
         routes = [self.route_row(kind) for kind in self.kinds.values()]
         return {
             "revision": 3,
@@ -296,7 +305,7 @@
 
 
 def route_of(settings: dict[str, Any], host: str, path: str) -> dict[str, Any] | None:
-    """The route of that host whose prefix is the longest that begins the path."""
+    """Return the route of a host with the longest prefix that begins the path, or None."""
     found = [
         row
         for row in settings["routes"]
@@ -306,7 +315,7 @@
 
 
 def allowed_services(settings: dict[str, Any], host: str, path: str) -> set[str] | None:
-    """Which services a configuration lets run it; None where it has no route."""
+    """Return the services that may run a request; None where there is no route for it."""
     route = route_of(settings, host, path)
     if route is None:
         return None
--- a/libs/facsimile/src/facsimile/platform_days/starved.py
+++ b/libs/facsimile/src/facsimile/platform_days/starved.py
@@ -1,5 +1,8 @@
-"""Who waits for a processor: on a busy machine a process may be kept from running, which is a trouble that nobody caused and
-that the rules with time bounds allow for. The kernel tells each process's waiting; the runner's own holds up everybody.
+"""Which processes wait for a processor.
+
+On a busy host a process may be kept from running, a fault that nobody injected and that rules with
+time bounds allow for. The kernel counts each process's waiting (schedstat); when the runner itself
+waits, every machine is held up.
 """
 
 import os
@@ -22,6 +25,8 @@
 
 
 class Starved:
+    """Records in the history when machines wait for a processor for over 20% of the time."""
+
     __slots__ = ("_history", "_last", "_looked_ms", "_open")
 
     def __init__(self, history: History) -> None:
@@ -31,7 +36,7 @@
         self._looked_ms = 0.0
 
     def look(self, machines: list[Any], now_ms: float) -> None:
-        """Twice a second, what each has waited since."""
+        """Compare, twice a second, what each process has waited since the last time."""
         if now_ms < self._looked_ms + _WINDOW_MS:
             return
         passed_ms, self._looked_ms = now_ms - self._looked_ms, now_ms
@@ -69,7 +74,7 @@
 
 
 def starved_ms(history: History) -> float:
-    """The longest that any machine was kept from running, all its times together."""
+    """Return the longest total time for which any one machine was kept from running."""
     end_ms = max((row["at_ms"] for row in history.rows), default=0.0)
     spans: dict[str, float] = {}
     for row in history.of("trouble"):
--- a/libs/facsimile/src/facsimile/platform_days/touch.py
+++ b/libs/facsimile/src/facsimile/platform_days/touch.py
@@ -1,5 +1,6 @@
-"""Which machines were in touch at a moment, by the troubles and starts that the runner noted: a rule that has a time bound
-holds only for them. Whoever ends by itself counts as running.
+"""Which machines were in contact at a moment, by the faults and starts that were recorded.
+
+A rule with a time bound holds only for them. A machine that ends by itself counts as running.
 """
 
 from typing import Any
@@ -10,6 +11,11 @@
 
 
 class Touch:
+    """The times of all faults, from which contact at a moment follows.
+
+    Contact returns `contactMs` of the platform's timing after a fault's end.
+    """
+
     __slots__ = ("_contact_ms", "_core", "_core_nodes", "_rows")
 
     def __init__(self, history: History) -> None:
@@ -40,10 +46,11 @@
         )
 
     def settled(self, from_ms: float, till_ms: float | None = None) -> bool:
+        """Return whether no machine of the core or storage was in a fault in this time."""
         return self._free(self._core, from_ms, from_ms if till_ms is None else till_ms)
 
     def machine(self, node: str, from_ms: float, till_ms: float | None = None) -> bool:
-        """In touch at a moment, or all the time between two."""
+        """Return whether a machine and the core were in contact, at a moment or between two."""
         till_ms = from_ms if till_ms is None else till_ms
         return self._free(self._rows.get(node, []), from_ms, till_ms) and self.settled(
             from_ms, till_ms
@@ -52,7 +59,10 @@
     def slack_ms(
         self, node: str, from_ms: float, till_ms: float, stretch_ms: float
     ) -> float | None:
-        """What an unsettled core adds to a bound: nothing in touch, a stretch while most of the core ran on; None beyond that."""
+        """Return what an unsettled core adds to a time bound, in milliseconds.
+
+        Nothing while in contact, `stretch_ms` while most of the core ran on, None beyond that.
+        """
         if self.machine(node, from_ms, till_ms):
             return 0.0
         away = [
@@ -64,12 +74,12 @@
         return stretch_ms if mine and 2 * len(away) < len(self._core_nodes) else None
 
     def calm(self, from_ms: float, till_ms: float | None = None) -> bool:
-        """No machine in trouble."""
+        """Return whether no machine at all was in a fault."""
         till_ms = from_ms if till_ms is None else till_ms
         return all(self._free(spans, from_ms, till_ms) for spans in self._rows.values())
 
     def unplanned(self, from_ms: float, till_ms: float) -> bool:
-        """Whether any machine was in a trouble that nobody had planned."""
+        """Return whether any machine was in a fault that was not planned work."""
         return any(
             began <= till_ms and ended + self._contact_ms >= from_ms and not planned
             for spans in self._rows.values()
@@ -77,10 +87,10 @@
         )
 
     def planned(self, node: str) -> list[float]:
-        """When a machine was told to stop."""
+        """Return the times at which a machine was told to stop."""
         return [began for began, _, planned in self._rows.get(node, []) if planned]
 
 
 def of_tries(history: History) -> list[dict[str, Any]]:
-    """Every try that was sent."""
+    """Return the rows of all attempts that were sent."""
     return [row for row in history.of("try") if "ended_ms" in row]
--- a/libs/facsimile/src/facsimile/platform_days/worker_calls.py
+++ b/libs/facsimile/src/facsimile/platform_days/worker_calls.py
@@ -1,4 +1,4 @@
-"""A request to a stand-in worker: what its headers and body ask of the engine, and what the engine says about it."""
+"""A request to a simulated worker: what it asks of the engine, and the engine's messages to it."""
 
 import asyncio
 import hashlib
@@ -14,11 +14,12 @@
 
 
 def digest(data: bytes) -> str:
+    """Return a digest of 64 bits in hexadecimal."""
     return hashlib.blake2b(data, digest_size=8).hexdigest()
 
 
 class Turn:
-    """One request on one connection: what the engine says about it, in order."""
+    """One request on one connection, with the engine's messages about it in order."""
 
     __slots__ = ("news", "row", "tag")
 
@@ -31,6 +32,10 @@
 def parse_request(
     key: int, request: web.BaseRequest, body: bytes, first_event: int
 ) -> tuple[Asked, dict[str, Any]]:
+    """Return what a request's headers and body ask of the engine, and the body's plan.
+
+    `first_event` is unused; ValueError if a header that should be a number is none.
+    """
     headers = request.headers
     plan: dict[str, Any] = {"stream": False, "events": 1, "pad": 20, "poisoned": False}
     with suppress(ValueError):
--- a/libs/facsimile/src/facsimile/platform_days/workers.py
+++ b/libs/facsimile/src/facsimile/platform_days/workers.py
@@ -1,5 +1,7 @@
-"""Stand-in model workers on loopback sockets: an engine core each, its answers whole or spoilt as the engine says, beats
-to control, leaving in order, crashing and going dark. Any number of them may live in one process.
+"""Simulated model workers on loopback sockets, any number of them in one process.
+
+Each has an engine core. They answer whole or with the engine's faults, send heartbeats to control,
+leave in order, crash and fall silent.
 """
 
 import asyncio
@@ -32,7 +34,7 @@
 
 
 class StandInEngine(Service):
-    """One life of one worker. `control` gives the addresses that may be beaten to, as they are known now."""
+    """One life of a worker; `control` gives the control addresses known now."""
 
     def __init__(
         self,
@@ -66,6 +68,7 @@
         self._tasks: set[asyncio.Task] = set()
 
     async def on_start(self) -> None:
+        """Listen, and start the heartbeats."""
         self._server = web.Server(
             self._serve,
             handler_cancellation=True,
@@ -82,6 +85,7 @@
         self.add_future(self._beats())
 
     async def on_stop(self) -> None:
+        """Abort all connections and stop listening."""
         self.dark = True
         if self._alarm is not None:
             self._alarm.cancel()
@@ -94,17 +98,17 @@
     # -- what fails ----------------------------------------------------------------------------
 
     async def crash(self) -> None:
-        """Gone without a word: connections reset, nothing listens."""
+        """End without notice: connections are reset and nothing listens."""
         self.history.add("worker-gone", self.now_ms(), server=self.server_id, how="crash")
         await self.stop()
 
     def go_dark(self) -> None:
-        """Connections stand open, and nothing comes any more."""
+        """Fall silent: connections stay open, and nothing is sent any more."""
         self.dark = True
         self.history.add("worker-gone", self.now_ms(), server=self.server_id, how="dark")
 
     async def leave(self, drain_ms: int) -> bool:
-        """Says that it is draining, serves on for a while after the acknowledgement, says that it is gone, and ends."""
+        """Announce the leave, serve on for a while, withdraw and end; return if acknowledged."""
         self.announced = "draining"
         self._feed(Drained())
         for _ in range(20):
@@ -297,7 +301,8 @@
         while not isinstance(message := await turn.news.get(), Over):
             pad = "." * plan["pad"]
             await answer.write(
-                f"id: {message.number}\ndata: {turn.row['id']}/{turn.tag}/{message.number}/{pad}\n\n".encode()
+                f"id: {message.number}\ndata: {turn.row['id']}/{turn.tag}/"
+                f"{message.number}/{pad}\n\n".encode()
             )
         if message.state != "finished":
             return self._break_off(request, answer, turn.row["ill"])
@@ -343,12 +348,13 @@
         return answer
 
     async def _extra(self, request: web.BaseRequest, ill: str) -> None:
-        """A second answer where the next one is expected; it belongs to no request."""
+        """Send a second answer where the next is expected; it belongs to no request."""
         if ill == "late":
             await asyncio.sleep(_LATE_S)
         if ill in ("surplus", "late") and request.transport is not None:
             request.transport.write(
-                b"HTTP/1.1 200 OK\r\nRequest-Id: nobody\r\nServer-Seal: 0.0\r\nContent-Length: 3\r\n\r\nxyz"
+                b"HTTP/1.1 200 OK\r\nRequest-Id: nobody\r\n"
+                b"Server-Seal: 0.0\r\nContent-Length: 3\r\n\r\nxyz"
             )
 
     def _headers(self, request: web.BaseRequest, turn: Turn) -> dict[str, str]:
--- a/libs/facsimile/src/facsimile/platform_days/worth.py
+++ b/libs/facsimile/src/facsimile/platform_days/worth.py
@@ -1,5 +1,7 @@
-"""What a day earned, beside its rules: worth in time for each kind, times to the first event and between events, events that
-came late from their worker, how long refusals were held, and lots' results in time.
+"""What a day earned, beside its rules.
+
+Worth in time for each kind of request, times to the first event and between events, events that
+came late from their worker, how long refusals took, and lots' results in time.
 """
 
 from collections import Counter
@@ -25,6 +27,10 @@
 
 
 def day_worth(history: History, kinds: dict[str, Any]) -> dict[str, Any]:
+    """Return the figures of a day, by kind of request and in all; times are milliseconds.
+
+    Quantiles are given as median, 95% and maximum.
+    """
     made: dict[str, Any] = {}
     for name, kind in kinds.items():
         if kind.route_type == "bulk":
