--- a/libs/facsimile/src/facsimile/__init__.py
+++ b/libs/facsimile/src/facsimile/__init__.py
@@ -1,5 +1,7 @@
-"""Facsimile: stand-ins for the users and machines that can't be had here, a simulator that causes
-the failures of the brief under virtual time, an oracle over recorded histories, and a test fleet.
+"""Test tools: stand-ins, a simulator with fault injection, an oracle, and fleets of real processes.
+
+Stand-ins replace the clients and machines that can't be had here; the oracle judges recorded
+histories.
 """
 
 __all__: tuple[str, ...] = ()
--- a/libs/facsimile/src/facsimile/breaks/__init__.py
+++ b/libs/facsimile/src/facsimile/breaks/__init__.py
@@ -1,4 +1,4 @@
-"""Breaks: the system's code broken on purpose, one place at a time, to see that a test fails for it."""
+"""Deliberate breaks: the system's code broken in one place at a time, to see that a test fails."""
 
 from facsimile.breaks.runner import run_breaks
 from facsimile.breaks.table import BREAKS
--- a/libs/facsimile/src/facsimile/breaks/runner.py
+++ b/libs/facsimile/src/facsimile/breaks/runner.py
@@ -1,5 +1,7 @@
-"""Tries each break on a copy of the tree: the copy's packages stand before the installed ones, the
-named test is run, and it has to fail. A break whose place is no longer found is a failure too.
+"""Tries each break on a copy of the tree.
+
+The copy's packages come before the installed ones, the named test is run, and it has to fail. A
+break whose place is no longer found counts as a failure too.
 """
 
 import io
@@ -51,7 +53,10 @@
 
 
 def applied(text: str, old: str, new: str) -> str:
-    """The source with its one place that reads as `old`, however it is laid out, replaced by `new`."""
+    """Return the source with its one place that reads as `old`, in any layout, replaced by `new`.
+
+    ValueError if there is no such place, or more than one.
+    """
     tokens = _tokens(text)
     words = [(word, token) for word, token in zip(_words(tokens), tokens, strict=True) if word]
     wanted = [word for word in _words(_tokens(textwrap.dedent(old).strip())) if word]
@@ -112,5 +117,9 @@
 
 
 def run_breaks(root: Path, names: Iterable[str], jobs: int) -> list[tuple[str, str]]:
+    """Try the named breaks, `jobs` at a time; return each name with its result.
+
+    The result is `caught` if the test failed, `SURVIVED` if it passed, or why nothing was tried.
+    """
     with ThreadPoolExecutor(jobs) as pool:
         return list(pool.map(lambda name: _try(root, name), names))
--- a/libs/facsimile/src/facsimile/breaks/table.py
+++ b/libs/facsimile/src/facsimile/breaks/table.py
@@ -1,5 +1,7 @@
-"""All deliberate breaks: a name, the file under libs, the code that stands there, what is put in its
-place, and the test that has to fail. docs/proof.md says which rule of the brief each belongs to.
+"""All deliberate breaks.
+
+A break has a name, the file under libs, the code that stands there, its replacement, and the test
+that has to fail. docs/proof.md says which rule each belongs to.
 """
 
 from facsimile.breaks import control, log, serving
--- a/libs/facsimile/src/facsimile/cli.py
+++ b/libs/facsimile/src/facsimile/cli.py
@@ -1,4 +1,4 @@
-"""The test tools' command line: a stand-in worker, and a fleet on one machine."""
+"""The test tools' command line: stand-in workers, fleets, the simulator, measurements, breaks."""
 
 import asyncio
 import json
@@ -65,7 +65,7 @@
     ----------
     identity: its name, which profiles may allow.
     http: its own address, IP:PORT.
-    edge: an edge's HTTP address to beat to; may be given several times.
+    edge: an edge's HTTP address for heartbeats; may be given several times.
     zone: the zone it is in.
     label: a label that profiles may allow; may be given several times.
     slots: how many completions run at a time.
@@ -74,7 +74,7 @@
     prefill_ms: what a prompt whose prefix is not cached costs.
     cache_prefixes: how many prefixes the cache holds.
     runs_file: where each run is noted as a JSON line, for the oracle.
-    weather: a weather file that says which edges its beats can't reach.
+    weather: a file of faults, which says which edges its heartbeats can't reach.
     """
     asyncio.run(
         _work(
@@ -105,14 +105,14 @@
     weather: str,
     seed: int = 1,
 ) -> None:
-    """Run one of the programs' processes in surroundings that fail as a weather file says. SIGKILL is a power cut.
+    """Run a program's process with the faults that a file names; SIGKILL is a power cut.
 
     Parameters
     ----------
     role: control, edge or store.
     settings: the process's TOML file.
-    name: the machine's name in the weather file.
-    weather: the weather file, read again whenever it changes.
+    name: the machine's name in the file of faults.
+    weather: the file of faults, read again whenever it changes.
     seed: draws which unflushed writes reach the disk early.
     """
     flags = {"role": role}
@@ -136,7 +136,7 @@
     seconds: float = 15.0,
     base_port: int = 24000,
 ) -> None:
-    """Bring up a whole fleet on this machine, cause a day's faults under traffic, and print a report.
+    """Run a whole fleet on this machine with a day's faults under traffic, and print a report.
 
     Parameters
     ----------
@@ -181,7 +181,7 @@
     shape: Literal["small", "jade", "swan"] = "small",
     jobs: int = 8,
 ) -> None:
-    """Run simulated fleets with faults drawn from seeds; a broken rule is printed with its schedule.
+    """Run simulated fleets with faults drawn from seeds, and print broken rules.
 
     Parameters
     ----------
@@ -216,7 +216,7 @@
     folder: str = "platform-data",
     history: str = "",
 ) -> None:
-    """Play a day of the users' platform with real processes on loopback addresses, judge it, and print a report.
+    """Play a day of the platform with real processes on loopback, and print a report.
 
     Parameters
     ----------
@@ -253,11 +253,11 @@
     sync_ms: float = 0.0,
     nodes: Annotated[list[int] | None, Parameter(consume_multiple=True, negative=())] = None,
 ) -> None:
-    """Measure the log against syncs, a small fleet, many routes, placement by prefix, crowds, or what carries on to more.
+    """Measure the log, a fleet, routes, placement, overload, the ledger, rollouts or costs.
 
     Parameters
     ----------
-    what: log, fleet, routes, prefix, crowd, ledger, rollouts, scale (simulated fleets of several sizes) or units (costs of one).
+    what: log (against syncs), fleet, routes, prefix, crowd, ledger, rollouts, scale or units.
     repeats: how many paired runs, or seeds.
     count: appends in a run, how many profiles there are, or how many lots.
     body_bytes: size of an entry.
@@ -282,7 +282,7 @@
 
 @app.command(name="breaks")
 def try_breaks(*names: str, root: Path = Path("."), jobs: int = 8) -> None:
-    """Break the code on purpose, one place at a time, in a copy of the source tree; a test has to fail for each.
+    """Break the code in one place at a time, in a copy of the tree; a test has to fail.
 
     Parameters
     ----------
@@ -305,11 +305,11 @@
 
 @app.command(name="trace")
 def show_trace(what: str, *files: Path) -> None:
-    """Follow one thing through JSON logs, as KIND:ID; kinds: transaction, key, lot, change, worker, loan, epoch.
+    """Follow one thing through JSON logs, as KIND:ID.
 
     Parameters
     ----------
-    what: such as lot:cafe-3-round-9.
+    what: such as lot:cafe-3-round-9; kinds are transaction, key, lot, change, worker, loan, epoch.
     files: the logs of any number of processes.
     """
     kind, colon, name = what.partition(":")
@@ -333,6 +333,7 @@
 
 
 def main() -> None:
+    """Run the command line."""
     app()
 
 
--- a/libs/facsimile/src/facsimile/days.py
+++ b/libs/facsimile/src/facsimile/days.py
@@ -1,6 +1,8 @@
-"""A day in short: a fleet on this machine under traffic, a named schedule of real faults, the probes
-after the last of them, everything read again, and the oracle's word on the whole. Each fault causes
-one thing that the brief says fails; those that need surroundings which fail are in days_weather.
+"""Scenarios (days) for a fleet of real processes on this machine.
+
+Traffic runs under a named schedule of faults; after the last of them service is tried, everything
+is read again, and the oracle judges the whole. Each fault causes one kind of failure; those that
+need fault injection around the processes are in days_weather.
 """
 
 import asyncio
@@ -27,6 +29,7 @@
 
 
 async def find_holder(fleet: Fleet) -> Member | None:
+    """Return the store that holds the log, or None if none reports that it does."""
     for member in fleet.of("store"):
         status, body = await fleet.get(member, "/status")
         if status == 200 and body["log_role"] == "serving":
@@ -89,7 +92,7 @@
 
 
 async def swap_store(fleet: Fleet, rng: random.Random) -> None:
-    """A store machine goes with its disk; an empty one comes at a new address."""
+    """Lose a store and its disk; an empty one starts at a new address."""
     rng.choice(fleet.of("store")).kill()
     fleet.add("store", f"store{len(fleet.members) + 1}").start()
 
@@ -100,8 +103,10 @@
 
 
 async def exchange_control(fleet: Fleet, rng: random.Random) -> None:
-    """All machines that serve control, one after another: a new one comes, an old one goes, and the
-    next waits until the voters are the right number again and the old one is not among them.
+    """Replace all control nodes, one after another.
+
+    A new one starts, an old one ends, and the next waits until the voters are complete again
+    without the old one.
     """
     for old in fleet.of("control"):
         fresh = fleet.add("control", f"control{len(fleet.members) + 1}")
@@ -122,12 +127,12 @@
 
 
 async def slow_worker(fleet: Fleet, rng: random.Random) -> None:
-    """A worker comes that is alive and well but takes fifty times as long for each token."""
+    """Add a worker that is healthy but takes fifty times as long for each token."""
     fleet.add_worker(f"worker{len(fleet.workers) + 1}", "--token-ms", "100").start()
 
 
 async def fill_disks(fleet: Fleet, rng: random.Random) -> None:
-    """The room of all store disks shrinks below what is used, by settings and SIGHUP, and comes back."""
+    """Shrink the room of all stores' disks below what is used, by SIGHUP, and restore it."""
     stores = fleet.of("store")
     for room in ("disk_bytes = 65536\n", ""):
         for member in stores:
@@ -141,7 +146,7 @@
 
 
 async def retire_store(fleet: Fleet, rng: random.Random) -> None:
-    """An empty store machine comes, then one that is in use is emptied and retired."""
+    """Add an empty store, then retire one that is in use."""
     fleet.add("store", f"store{len(fleet.members) + 1}").start()
     _, body = await fleet.get(rng.choice(fleet.of("store")[:3]), "/status")
     await fleet.ask("POST", fleet.of("control")[0].http, "/retired", {"identity": body["identity"]})
@@ -168,12 +173,12 @@
 
 
 async def dark_worker(fleet: Fleet, rng: random.Random) -> None:
-    """A worker goes dark without a word: its connections stand open and nothing comes."""
+    """Let a worker fall silent: its connections stay open and nothing is sent."""
     await _freeze(rng.choice([member for member in fleet.workers.values() if member.runs]), 5000)
 
 
 async def roll_workers(fleet: Fleet, rng: random.Random) -> None:
-    """Every worker leaves, one after another, and another one comes for it."""
+    """Replace every worker, one after another."""
     for member in [member for member in fleet.workers.values() if member.runs]:
         member.signal(signal.SIGTERM)
         fleet.add_worker(f"worker{len(fleet.workers) + 1}").start()
@@ -224,7 +229,7 @@
 
 
 async def _probe(traffic: Traffic, limit_ms: float) -> None:
-    """Service is back once each of these works; each is tried until it does, or the time is up."""
+    """Try each kind of request until it works or the time is up."""
     began_ms = traffic.now_ms()
     tries: dict[str, Callable[[], Awaitable[dict[str, Any]]]] = {
         "live": lambda: traffic.live("rulings", True),
@@ -257,6 +262,11 @@
 async def run_day(
     shape: str, day: str, seed: int, folder: str, rate: float, last_s: float, base_port: int = 24000
 ) -> tuple[Traffic, dict[str, list[str]]]:
+    """Play a day for at least `last_s`; return its traffic and the breaches by rule.
+
+    `rate` is that of the most frequent live calls, a second. `folder` is emptied first.
+    AssertionError if the fleet does not get ready or a batch can't be read at the end.
+    """
     shutil.rmtree(folder, ignore_errors=True)
     rng = random.Random(seed)
     faulty = day in WEATHER_DAYS
--- a/libs/facsimile/src/facsimile/days_weather.py
+++ b/libs/facsimile/src/facsimile/days_weather.py
@@ -1,5 +1,7 @@
-"""Days in surroundings that fail: lost power, cuts, stepped clocks, full and lost disks, on the real
-programs' processes. Here killing a process is a power cut: what it had not flushed is gone.
+"""Days with fault injection around the real programs' processes.
+
+Power cuts, network partitions, stepped clocks, full and lost disks. Here killing a process is a
+power cut: what it had not flushed is gone.
 """
 
 import asyncio
@@ -25,7 +27,7 @@
 
 
 async def power_after_receipt(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
-    """All stores lose power as soon as a lot is accepted and a move answered."""
+    """Cut the power of all stores as soon as a batch is accepted and a keyed call answered."""
     await asyncio.gather(traffic.hand_in(), traffic.live("moves", False))
     stores = fleet.of("store")
     for member in stores:
@@ -48,7 +50,7 @@
 
 
 async def control_cut_off(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
-    """Nobody else hears control; meanwhile edges are restarted."""
+    """Cut control off from all others, and meanwhile restart edges."""
     others = [member for member in fleet.members.values() if member.role != "control"]
     cut = asyncio.ensure_future(_for(fleet, 5, cuts=fleet.apart(fleet.of("control"), others)))
     for member in fleet.of("edge")[:2]:
@@ -70,7 +72,7 @@
 
 
 async def one_way(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
-    """A machine of each role is heard by nobody, then another hears nobody."""
+    """Let a machine of each role be heard by nobody, then another hear nobody."""
     for role in ("edge", "store", "control"):
         one, other = rng.sample(fleet.of(role), 2)
         await _for(
@@ -94,7 +96,7 @@
 
 
 async def most_edges_cut(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
-    """Most edges and a store on one side, control on the other, for longer than silence is forgiven."""
+    """Cut most edges and a store off from control, for longer than any timeout."""
     side = fleet.of("edge")[1:] + fleet.of("store")[:1]
     await _for(
         fleet,
@@ -104,7 +106,7 @@
 
 
 async def clocks(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
-    """Every wall clock is stepped, an hour at most either way, twice; then the stores are restarted so."""
+    """Step every wall clock by up to an hour either way, twice, then restart the stores."""
     for _ in range(2):
         fleet.weather(steps={name: rng.randrange(-3_600_000, 3_600_000) for name in fleet.members})
         await asyncio.sleep(2)
@@ -116,7 +118,7 @@
 
 
 async def full(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
-    """The room of stores and of control shrinks to next to nothing, by settings and SIGHUP, and comes back."""
+    """Shrink the room of stores and control to almost nothing, by SIGHUP, and restore it."""
     members = fleet.of("store") + fleet.of("control")
     for room in ("disk_bytes = 65536\n", ""):
         for member in members:
@@ -130,7 +132,7 @@
 
 
 async def disk_lost(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
-    """A store loses power and disk just after a receipt, and comes back empty."""
+    """Cut a store's power just after an acknowledgement, and start it with an empty disk."""
     await asyncio.gather(traffic.hand_in(), traffic.live("moves", False))
     member = rng.choice(fleet.of("store"))
     member.kill()
@@ -139,8 +141,9 @@
 
 
 async def crowd(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
-    """For four seconds calls come at all edges at a pace that takes all that the workers have; lots come at
-    once; a worker is lost in the middle and another comes for it two seconds later.
+    """Overload all workers for four seconds, with batches beside the calls.
+
+    A worker is lost in the middle, and another one starts two seconds later.
     """
     calls = [asyncio.ensure_future(traffic.hand_in()) for _ in range(4)]
     for turn in range(80):
@@ -159,7 +162,7 @@
 
 
 async def two_operators(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
-    """Two send different trees that name the same version, again and again, while the key's owner goes."""
+    """Send two trees on the same version at once, six times, while the key's owner is lost."""
     for turn in range(6):
         version = traffic.version
         await asyncio.gather(traffic.change(named=version), traffic.change(named=version))
@@ -170,7 +173,7 @@
 
 
 async def retired(fleet: Fleet, rng: random.Random, traffic: Any) -> None:
-    """The holder is told to go while lots run and no spare is there; the spare comes later."""
+    """Retire the holder while batches run and no spare is there; the spare starts later."""
     from facsimile.days import find_holder
 
     member = await until(lambda: find_holder(fleet), 10_000, "there is a holder")
--- a/libs/facsimile/src/facsimile/fleet.py
+++ b/libs/facsimile/src/facsimile/fleet.py
@@ -1,5 +1,6 @@
-"""A fleet of real processes on this machine, on loopback addresses, for trying out and for tests.
-Only this runner starts processes; it kills, stops and wakes what it started, by their ids.
+"""A fleet of real processes on loopback addresses of this machine, for trials and tests.
+
+Only this runner starts processes; it ends, stops and resumes what it started, by process id.
 """
 
 import asyncio
@@ -27,6 +28,8 @@
 
 
 class Member:
+    """One process of the fleet; `away` has the times (Unix seconds) for which it was frozen."""
+
     __slots__ = ("away", "command", "http", "link", "log_file", "name", "process", "role")
 
     def __init__(
@@ -38,27 +41,34 @@
         self.away: list[tuple[float, float]] = []
 
     def start(self) -> None:
+        """Start the process; its output is appended to the log file."""
         with open(self.log_file, "ab") as page:
             self.process = subprocess.Popen(
                 self.command, stdout=page, stderr=page, stdin=subprocess.DEVNULL
             )
 
     def signal(self, number: int) -> None:
+        """Send a signal to the process, if it runs."""
         if self.process is not None and self.process.poll() is None:
             os.kill(self.process.pid, number)
 
     def kill(self) -> None:
+        """Kill the process and wait for its end."""
         self.signal(signal.SIGKILL)
         if self.process is not None:
             self.process.wait()
 
     @property
     def runs(self) -> bool:
+        """Whether the process is running."""
         return self.process is not None and self.process.poll() is None
 
 
 async def until(check: Callable[[], Any], deadline_ms: int, what: str, every_ms: int = 50) -> Any:
-    """Polls a condition, a coroutine function, until it holds; what it last saw is told if it never does."""
+    """Poll a coroutine function until what it returns is true, and return that.
+
+    AssertionError after `deadline_ms`, with what it returned or raised last.
+    """
     loop = asyncio.get_running_loop()
     end_at = loop.time() + deadline_ms / 1000
     seen: Any = None
@@ -78,6 +88,12 @@
 
 
 class Fleet:
+    """A fleet of a shape; as a context manager it starts all processes and kills them at the end.
+
+    `shape` is a row of SHAPES; `settings` go into every node's file. With `faulty`, processes run
+    with fault injection, which `weather` controls.
+    """
+
     def __init__(
         self,
         folder: str,
@@ -112,11 +128,12 @@
         return f"{self.host}:{self._port - 1}"
 
     def _live_seeds(self) -> list[str]:
-        """For a machine that comes later: three that run now, as an operator would give it."""
+        """Return the seeds for a machine that is added later: three that run now."""
         running = [member.link for member in self.members.values() if member.runs]
         return running[:3] if len(running) >= 3 else self.seeds
 
     def add(self, role: str, name: str) -> Member:
+        """Add a node with its settings file, without starting it."""
         link, http = self._address(), self._address()
         zone = ZONES[len(self.members) % len(ZONES)]
         values = {
@@ -156,6 +173,7 @@
         return member
 
     def add_worker(self, name: str, *extra: str) -> Member:
+        """Add a stand-in worker, without starting it; `extra` are further arguments."""
         http = self._address()
         edges = [member.http for member in self.members.values() if member.role == "edge"]
         command = [
@@ -184,15 +202,18 @@
         return member
 
     def of(self, role: str) -> list[Member]:
+        """Return the running nodes of a role."""
         return [member for member in self.members.values() if member.role == role and member.runs]
 
     def everyone(self) -> list[Member]:
+        """Return all nodes and workers, running or not."""
         return [*self.members.values(), *self.workers.values()]
 
     # -- weather -------------------------------------------------------------------------------
 
     @property
     def weather_file(self) -> Path:
+        """The file that says which faults are injected."""
         return self.folder / "weather.json"
 
     def weather(
@@ -202,7 +223,11 @@
         loss: float = 0.0,
         slow: dict[str, int] | None = None,
     ) -> None:
-        """What is not named is fair again, but for the clocks, which stay where they were put."""
+        """Set the faults that are injected; what isn't named ends.
+
+        Clocks stay as they were stepped. `cuts` are pairs of names, from and to; `steps` and `slow`
+        are milliseconds by name, `loss` is a part of all messages.
+        """
         self._steps.update(steps or {})
         machines = {
             address: member.name
@@ -213,11 +238,13 @@
         write_weather(self.weather_file, machines, cuts or [], slow or {}, loss, self._steps)
 
     def apart(self, one: list[Member], other: list[Member]) -> list[tuple[str, str]]:
+        """Return the cuts that separate two groups in both directions."""
         return [pair for a in one for b in other for pair in ((a.name, b.name), (b.name, a.name))]
 
     # -- asking --------------------------------------------------------------------------------
 
     async def get(self, member: Member, address: str) -> tuple[int, Any]:
+        """Send a GET request to a member; return status and body."""
         return await self.ask("GET", member.http, address)
 
     async def ask(
@@ -229,6 +256,10 @@
         headers: dict[str, str] | None = None,
         wait_ms: int = 15000,
     ) -> tuple[int, Any]:
+        """Send a request; return status and body, parsed if it is JSON.
+
+        Raises the errors of aiohttp, and TimeoutError after `wait_ms`.
+        """
         async with self.session.request(
             method,
             f"http://{http}{address}",
@@ -243,6 +274,7 @@
                 return answer.status, text
 
     async def all_ready(self, roles: tuple[str, ...] = ("control", "store", "edge")) -> bool:
+        """Return whether all running nodes of these roles are ready."""
         for role in roles:
             for member in self.of(role):
                 status, _ = await self.get(member, "/ready")
@@ -270,7 +302,10 @@
                 member.process.wait()
 
     async def found(self, tree: dict[str, Any], deadline_ms: int = 30000) -> int:
-        """Waits for control, sends the first tree, and waits until every edge and store is ready."""
+        """Wait for control, send the first tree, and wait until every edge and store is ready.
+
+        Return the tree's version; AssertionError if that fails.
+        """
         await until(lambda: self.all_ready(("control",)), deadline_ms, "control is ready")
         await until(lambda: self.all_ready(("store",)), deadline_ms, "stores are ready")
         status, body = await self.ask(
@@ -285,6 +320,8 @@
         return body["version"]
 
     async def workers_known(self, count: int, deadline_ms: int = 15000) -> None:
+        """Wait until every edge knows so many workers that it may use."""
+
         async def known() -> bool:
             for member in self.of("edge"):
                 _, body = await self.get(member, "/status")
--- a/libs/facsimile/src/facsimile/measure.py
+++ b/libs/facsimile/src/facsimile/measure.py
@@ -1,6 +1,9 @@
-"""Measurements for the rounds. The log: the real holder, peers and disks with a message delay as
-between zones, appends acknowledged in memory, settled, and, to compare, each one synced by itself.
-The fleet: live calls with and without lots, a killed holder's successor, a version in force.
+"""Measurements of the log and of a small fleet.
+
+The log: the real holder, peers and disks with a message delay as between zones; appends
+acknowledged in memory, settled, and, for comparison, each one synced by itself. The fleet: live
+calls with and without batches, the time to replace a killed holder, the time until a version is in
+force.
 """
 
 import asyncio
@@ -159,8 +162,13 @@
 
 
 def measure_log(count: int, body_bytes: int, repeats: int, sync_ms: float) -> str:
+    """Measure appends; return the report as text.
+
+    `sync_ms` is added to each sync, for disks slower than this machine's.
+    """
     lines = [
-        f"{count} appends of {body_bytes} bytes, {_DELAY_S * 1000:.1f} ms each way, {sync_ms:.1f} ms added to each sync"
+        f"{count} appends of {body_bytes} bytes, {_DELAY_S * 1000:.1f} ms each way, {sync_ms:.1f} "
+        "ms added to each sync"
     ]
     for repeat in range(repeats):
         lines.append(f"run {repeat + 1}")
@@ -233,11 +241,13 @@
             f"a version seen in force at every edge: {spread([seen for _, seen in changes])}"
         )
         lines.append(
-            f"lots accepted after the holder is killed: {spread([await _recovery(fleet, traffic) for _ in range(5)])}"
+            "lots accepted after the holder is killed: "
+            f"{spread([await _recovery(fleet, traffic) for _ in range(5)])}"
         )
     return lines
 
 
 def measure_fleet(seconds: float, repeats: int) -> str:
+    """Measure a fleet of real processes; return the report as text."""
     with tempfile.TemporaryDirectory() as folder:
         return "\n".join(asyncio.run(_measure_fleet(seconds, repeats, folder)))
--- a/libs/facsimile/src/facsimile/measure_ledger.py
+++ b/libs/facsimile/src/facsimile/measure_ledger.py
@@ -1,5 +1,7 @@
-"""How the ledger bears what is kept: lots that are over against memory, the time of a snapshot, of reading
-everything back, and of an edge's beat against open lots. One store's own copy, on this machine's disk.
+"""How the ledger scales with what is kept, on one store's own copy and this machine's disk.
+
+Memory for batches that are over, the time of a snapshot, of reading everything back, and of an
+edge's heartbeat with open batches.
 """
 
 import gc
@@ -94,6 +96,10 @@
 
 
 def measure_ledger(lots: int, body_bytes: int, keys: int = 0) -> str:
+    """Measure with `lots` batches that are over; return the report as text.
+
+    `keys` is unused.
+    """
     rng = random.Random(1)
     lines = []
     with tempfile.TemporaryDirectory() as folder:
@@ -127,23 +133,27 @@
         del log.records[:-1], log.received_ms[:-1]
         gc.collect()
         lines.append(
-            f"{lots} lots of {_ITEMS} that are over, bodies and results of {body_bytes} bytes: {_mega() - before_mb:.0f} MB "
+            f"{lots} lots of {_ITEMS} that are over, bodies and results of {body_bytes} bytes: "
+            f"{_mega() - before_mb:.0f} MB "
             f"in memory, {sum(disk._sizes.values()) / 1e6:.0f} MB on disk"
         )
         began_at = time.perf_counter()
         size_bytes = len(log.snapshot())
         lines.append(
-            f"  a snapshot: {(time.perf_counter() - began_at) * 1000:.0f} ms in the loop, {size_bytes / 1e6:.1f} MB; "
+            f"  a snapshot: {(time.perf_counter() - began_at) * 1000:.0f} ms in the loop, "
+            f"{size_bytes / 1e6:.1f} MB; "
             f"longest step of tidying {worst_ms:.0f} ms"
         )
         began_at = time.perf_counter()
         again = LocalLog(disk, params, lambda: 0, lambda: "a")
         lines.append(
-            f"  read back in {(time.perf_counter() - began_at) * 1000:.0f} ms, {len(again.ledger.lots)} lots"
+            f"  read back in {(time.perf_counter() - began_at) * 1000:.0f} ms, "
+            f"{len(again.ledger.lots)} lots"
         )
         for count in (10, 100):
             lines.append(
-                f"  an edge's beat with {count} open lots of {_ITEMS}: {_beat_ms(log, rng, count, body_bytes):.2f} ms"
+                f"  an edge's beat with {count} open lots of {_ITEMS}: "
+                f"{_beat_ms(log, rng, count, body_bytes):.2f} ms"
             )
         disk.close()
     return "\n".join(lines)
--- a/libs/facsimile/src/facsimile/measure_more.py
+++ b/libs/facsimile/src/facsimile/measure_more.py
@@ -1,4 +1,4 @@
-"""Further measurements: many routes, placement by prefix against load alone, and crowds with lots."""
+"""Measurements of many routes, of placement by prefix against load alone, and of overload."""
 
 import asyncio
 import random
@@ -111,6 +111,7 @@
 
 
 def measure_routes(count: int) -> str:
+    """Measure a fleet with `count` profiles; return the report as text."""
     with tempfile.TemporaryDirectory() as folder:
         return "\n".join(asyncio.run(_routes(count, folder)))
 
@@ -118,11 +119,14 @@
 def measure_prefix(
     prefixes: int = 60, workers: int = 7, cached: int = 12, calls: int = 6000
 ) -> str:
-    """Placement alone, with the stand-in's cache (a bounded set of prefixes, the oldest leaving): hits and
-    the spread of calls over workers, by prefix and by load alone. Calls end in the order they began.
+    """Measure placement alone, by prefix and by load; return the report as text.
+
+    It gives cache hits and the spread of calls over workers. A worker's cache is a bounded set of
+    prefixes from which the oldest is dropped; calls end in the order in which they began.
     """
     lines = [
-        f"{calls} calls, {prefixes} prefixes, {workers} workers with room for {cached} each, 20 under way"
+        f"{calls} calls, {prefixes} prefixes, {workers} workers with room for {cached} each, 20 "
+        "under way"
     ]
     for by_prefix in (True, False):
         rng = random.Random(1)
@@ -162,8 +166,10 @@
             del cache[:-cached]
         mean = calls / workers
         lines.append(
-            f"  {'by prefix' if by_prefix else 'by load alone':14} {100 * hits / calls:5.1f}% hits; busiest worker "
-            f"{max(placed.values()) / mean:.2f} of the mean, idlest {min(placed.values()) / mean:.2f}"
+            f"  {'by prefix' if by_prefix else 'by load alone':14} {100 * hits / calls:5.1f}% "
+            "hits; busiest worker "
+            f"{max(placed.values()) / mean:.2f} of the mean, idlest "
+            f"{min(placed.values()) / mean:.2f}"
         )
     return "\n".join(lines)
 
@@ -206,7 +212,8 @@
                     refused.append(row["answered_ms"] - row["at_ms"])
             lines.append(f"{rate} rulings a second: {dict(outcomes)}")
             lines.append(
-                f"  answered: {spread(traffic.latency_ms.get('rulings', []))}; refused: {spread(refused)}"
+                f"  answered: {spread(traffic.latency_ms.get('rulings', []))}; refused: "
+                f"{spread(refused)}"
             )
 
             async def lots_done(traffic: Traffic = traffic) -> bool:
@@ -221,12 +228,14 @@
 
             await until(lots_done, 30_000, "lots are done")
             lines.append(
-                f"  lots handed in at the start: {sum(listed)} of {80 * len(listed)} results listed by the crowd's "
+                f"  lots handed in at the start: {sum(listed)} of {80 * len(listed)} results "
+                "listed by the crowd's "
                 f"end; {spread(traffic.latency_ms.get('lots of 80', []))}"
             )
     return lines
 
 
 def measure_crowd(rates: tuple[int, ...] = (50, 150, 300, 450), seconds: float = 4.0) -> str:
+    """Measure a fleet at each rate of calls a second; return the report as text."""
     with tempfile.TemporaryDirectory() as folder:
         return "\n".join(asyncio.run(_crowd(folder, rates, seconds)))
--- a/libs/facsimile/src/facsimile/measure_rollouts.py
+++ b/libs/facsimile/src/facsimile/measure_rollouts.py
@@ -1,5 +1,7 @@
-"""Real processes: live calls with bursts and an overnight lot, by themselves and beside rollouts and the loan of a whole
-worker. What counts is what clients saw, and what the workers noted that they ran.
+"""Measurement of live calls beside rollouts and the loan of a whole worker, with real processes.
+
+Runs have bursts and an overnight batch, and are paired with runs without rollouts. What counts is
+what clients saw and what the workers recorded that they ran.
 """
 
 import asyncio
@@ -61,7 +63,7 @@
 
 
 async def _loan(fleet: Fleet, until_s: float) -> list[str]:
-    """Asks for a worker until it gets one, holds it for a second, and has the worker hand it back."""
+    """Ask for a worker until it is lent, hold it for a second, and have it handed back."""
     control, steps = fleet.of("control")[0].http, []
     while time.perf_counter() < until_s:
         status, body = await fleet.ask(
@@ -143,7 +145,8 @@
     good = sorted(first_ms for first_ms, outcome in seen if outcome == "whole")
     return "\n".join(
         [
-            f"{'with' if lends else 'without'} rollouts: {len(seen)} streams, {Counter(outcome for _, outcome in seen)}; "
+            f"{'with' if lends else 'without'} rollouts: {len(seen)} streams, "
+            f"{Counter(outcome for _, outcome in seen)}; "
             f"moves {dict(moves)}; lot done by {lot_ms:.0f} ms",
             f"  first events ms: {spread(good)}; over 300 ms: {sum(one > 300 for one in good)}",
             *lines,
@@ -164,7 +167,8 @@
 async def _judged(fleet: Fleet, lends: bool, folder: Path) -> list[str]:
     keys = Counter(row["prompt"] for row in _runs(folder) if row["prompt"].startswith("key "))
     lines = [
-        f"  moves that ran: {len(keys)}, more than once: {sum(count > 1 for count in keys.values())}"
+        f"  moves that ran: {len(keys)}, more than once: "
+        f"{sum(count > 1 for count in keys.values())}"
     ]
     if not lends:
         return lines
@@ -194,7 +198,8 @@
     )
     return [
         *lines,
-        f"  samples: {shown['total']} handed in, {len(rows)} listed, {right} whole and at their place; runs begun: "
+        f"  samples: {shown['total']} handed in, {len(rows)} listed, {right} whole and at their "
+        "place; runs begun: "
         f"{sum(row['path'] == 'rollouts' for row in _runs(folder))}, given up: {given_up}",
     ]
 
--- a/libs/facsimile/src/facsimile/measure_scale.py
+++ b/libs/facsimile/src/facsimile/measure_scale.py
@@ -1,7 +1,9 @@
-"""How the cost of a node grows with the fleet: simulated fleets of several sizes whose nodes do nothing but
-keep in touch, with their workers' beats, and meters in the network and the hosts. A node's processor time is
-what its own ticks, receipts and reports took, and the packing of its messages as for a link; sockets are not
-in it. Slopes are least squares over the sizes, one for each seed.
+"""How the cost of a node grows with the fleet.
+
+Simulated fleets of several sizes do nothing but keep in touch, with their workers' heartbeats, and
+meters in the network and the hosts. A node's processor time is what its own ticks, messages and
+reports took, and the encoding of its messages as for a link; sockets are not in it. Slopes are
+least squares over the sizes, one for each seed.
 """
 
 import gc
@@ -64,8 +66,9 @@
 
 
 class Meter:
-    """Processor time by address and kind of work, and messages and bytes by address. `beside_s` is the meter's and the
-    network's own time, which counts for nobody.
+    """Processor time by address and kind of work, and messages and bytes by address.
+
+    `beside_s` is the meter's and the network's own time, which counts for no node.
     """
 
     __slots__ = ("beside_s", "counts", "work_s")
@@ -76,10 +79,12 @@
         self.beside_s = 0.0
 
     def clear(self) -> None:
+        """Set all figures to zero, except `beside_s`."""
         self.work_s.clear()
         self.counts.clear()
 
     def run(self, address: str, kind: str, work: Callable[..., Any], *given: Any) -> None:
+        """Do work and add its processor time to an address."""
         beside_s, began_s = self.beside_s, process_time()
         work(*given)
         self.work_s[address, kind] += process_time() - began_s - (self.beside_s - beside_s)
@@ -123,15 +128,18 @@
 
 
 class MeteredFleet(SimFleet):
+    """A simulated fleet whose hosts and network are metered."""
+
     __slots__ = ()
     NETWORK, HOST = MeteredNetwork, MeteredHost
 
     @property
     def meter(self) -> Meter:
+        """The meter of the whole fleet."""
         return self.network.meter
 
     def start_beats(self, count: int) -> None:
-        """Workers that beat to one control node after another, and change nothing."""
+        """Start heartbeats of `count` workers to random control nodes; they change nothing else."""
         beat_ms = SETTINGS["worker_beat_ms"]
         for place in range(count):
             self.time.after(
@@ -158,7 +166,7 @@
 
 
 def founded(seed: int, nodes: int, settings: dict[str, Any] | None = None) -> MeteredFleet:
-    """A fleet in touch, with profiles in force at every edge."""
+    """Return a fleet in contact, with profiles in force at every edge."""
     fleet = MeteredFleet(
         seed,
         edges=nodes - _CONTROL - _STORES,
@@ -178,7 +186,10 @@
 
 
 def sample(fleet: MeteredFleet, span_ms: float) -> None:
-    """Meters this span alone, without the collector, whose time would be that of the whole simulator."""
+    """Meter this span alone, without the garbage collector.
+
+    The collector's time would be that of the whole simulator.
+    """
     gc.collect()
     gc.disable()
     fleet.meter.clear()
@@ -187,7 +198,7 @@
 
 
 def held_bytes(node: Any) -> int:
-    """What a node keeps alive, without what it shares with others in this process."""
+    """Return what a node keeps alive, without what it shares with others in this process."""
     seen: set[int] = set()
     rows, size = [node], 0
     while rows:
@@ -204,7 +215,7 @@
 
 
 def line_through(points: Iterable[tuple[float, float]]) -> tuple[float, float]:
-    """Slope and intercept by least squares."""
+    """Return slope and intercept by least squares."""
     points = list(points)
     mid_x, mid_y = fmean(x for x, _ in points), fmean(y for _, y in points)
     across = sum((x - mid_x) ** 2 for x, _ in points)
@@ -213,7 +224,10 @@
 
 
 def _row(fleet: MeteredFleet, role: str, span_s: float) -> dict[str, float]:
-    """Of a node of this role, in a second; `cpu_ms_most` is that of the busiest."""
+    """Return the figures of a node of this role, for a second.
+
+    `cpu_ms_most` is that of the busiest.
+    """
     meter, hosts = fleet.meter, fleet.of(role)
     kinds = ("tick", "receive", "packing", "report", "disk")
     spent = {
@@ -249,6 +263,7 @@
 
 
 def measure_scale(sizes: Iterable[int], seeds: int, span_s: float) -> str:
+    """Measure fleets of several sizes; return the report as text."""
     sizes = list(sizes)
     found = {
         (nodes, seed): measure_one(seed, nodes, span_s)
@@ -256,8 +271,10 @@
         for seed in range(1, seeds + 1)
     }
     lines = [
-        f"nodes {sizes}: {_CONTROL} control, {_STORES} stores, the rest edges; {_WORKERS_PER_NODE:.2f} workers to a node; "
-        f"{span_s:g} s measured, {seeds} seeds; of one node in a second (zone_kb: of the fleet), least to most over seeds"
+        f"nodes {sizes}: {_CONTROL} control, {_STORES} stores, the rest edges; "
+        f"{_WORKERS_PER_NODE:.2f} workers to a node; "
+        f"{span_s:g} s measured, {seeds} seeds; of one node in a second (zone_kb: of the fleet), "
+        "least to most over seeds"
     ]
     for role in _ROLES:
         lines.append(role)
@@ -273,7 +290,8 @@
                 ]
                 slopes, starts = [fit[0] for fit in fits], [fit[1] for fit in fits]
                 lines.append(
-                    f"  {name:16} {'; '.join(cells)}; slope {min(slopes):.4g} to {max(slopes):.4g}, "
+                    f"  {name:16} {'; '.join(cells)}; slope {min(slopes):.4g} to "
+                    f"{max(slopes):.4g}, "
                     f"intercept {min(starts):.4g} to {max(starts):.4g}"
                 )
     return "\n".join(lines)
--- a/libs/facsimile/src/facsimile/measure_units.py
+++ b/libs/facsimile/src/facsimile/measure_units.py
@@ -1,6 +1,8 @@
-"""What one thing costs, in processor time alone: an append at the holder and at a peer, an item's way through the
-ledger, an event of a stream at an edge, a version of a wide configuration. Fleets are simulated and metered, and
-what they spend when idle is taken off; sockets and real disks are not in it, but for messages over a real link.
+"""What single operations cost, in processor time alone.
+
+An append at the holder and at a peer, an item's way through the ledger, an event of a stream at an
+edge, a version of a wide configuration. Fleets are simulated and metered, and what they spend when
+idle is subtracted; sockets and real disks are not in it, except for messages over a real link.
 """
 
 import asyncio
@@ -132,7 +134,10 @@
 def item_costs(
     seed: int, lots: int, items: int, body_bytes: int, at_once: int
 ) -> list[tuple[str, dict[str, float]]]:
-    """Handed in, dealt `at_once` at the most and ended together, and read once in pages; for one item."""
+    """Measure an item's submission, its run and its reading, for one item.
+
+    Items are dealt `at_once` at the most and end together; results are read once, in pages.
+    """
     fleet = founded(seed, NODES, big_disks())
     client = EdgeClient(fleet)
     costs = MeteredCosts(fleet, store_groups(fleet))
@@ -172,7 +177,7 @@
 
 
 def event_cost_us(count: int) -> float:
-    """One event of a stream through an edge's exchange: cut out, checked, handed on."""
+    """Return the cost of one event through an edge's exchange: parsed, checked, passed on."""
     exchange = ForwardExchange(_DIALECT, "w", "r", "POST", True, 1 << 20)
     exchange.head(
         200,
@@ -225,7 +230,7 @@
 
 
 def wide_rows(routes: int, tenants: int) -> dict[str, Any]:
-    """Routes that each have a place of their own, and tenants as further profiles."""
+    """Return routes that each have a place of their own, and tenants as further profiles."""
     rows: dict[str, Any] = {
         f"route-{place}": {
             "parent": "base",
@@ -246,7 +251,7 @@
 def version_costs(
     seed: int, routes: int, tenants: int, changes: int, nodes: int = NODES
 ) -> dict[str, float]:
-    """A version in which one profile has changed, acknowledged, and used at every edge."""
+    """Measure a version in which one profile has changed, until it is used at every edge."""
     fleet = founded(seed, nodes)
     operators = Operators(fleet)
     operators.version = 1
@@ -309,8 +314,10 @@
 
 
 def measure_units(count: int, body_bytes: int, repeats: int) -> str:
+    """Measure all units `repeats` times; return the report as text."""
     lines = [
-        f"processor time alone; {repeats} runs each; a fleet of {NODES}; bodies and results of {body_bytes} bytes"
+        f"processor time alone; {repeats} runs each; a fleet of {NODES}; bodies and results of "
+        f"{body_bytes} bytes"
     ]
     for seed in range(1, repeats + 1):
         lines.append(f"run {seed}")
@@ -323,12 +330,14 @@
                     lines.append(f"  an item {name}: {_told(rows)}")
         lines.append(f"  an event of a stream in the core: {event_cost_us(20_000):.1f} us")
         lines.append(
-            f"  a message over a link, both ends: {asyncio.run(_link_us(2000, 100)):.0f} us of 100 bytes, "
+            f"  a message over a link, both ends: {asyncio.run(_link_us(2000, 100)):.0f} us of "
+            "100 bytes, "
             f"{asyncio.run(_link_us(2000, body_bytes)):.0f} us of {body_bytes} bytes"
         )
         lines.append(f"  a worker's report taken in: {report_cost_us(seed, 690):.1f} us")
         for routes, tenants in ((100, 820), (1000, 8200)):
             lines.append(
-                f"  a version, {routes} routes, {tenants} tenants, one node: {_told(version_costs(seed, routes, tenants, 3))}"
+                f"  a version, {routes} routes, {tenants} tenants, one node: "
+                f"{_told(version_costs(seed, routes, tenants, 3))}"
             )
     return "\n".join(lines)
--- a/libs/facsimile/src/facsimile/metered_costs.py
+++ b/libs/facsimile/src/facsimile/metered_costs.py
@@ -1,5 +1,6 @@
-"""Processor time and bytes that a span of work costs groups of nodes of a metered fleet, less what as long a span
-costs them when idle.
+"""Processor time and bytes that work costs groups of nodes of a metered fleet.
+
+What the same span costs them when idle is subtracted.
 """
 
 from collections.abc import Callable
@@ -14,7 +15,7 @@
 
 
 class EdgeClient:
-    """An edge as the holder sees it, that answers nothing and keeps what it is told."""
+    """An edge as the holder sees it, which answers nothing and keeps the answers that it gets."""
 
     up, frozen = True, False
 
@@ -26,9 +27,11 @@
         fleet.network.hosts[self.address] = self
 
     def receive(self, sender: str, ref: int, re: int, message: Any) -> None:
+        """Keep an answer."""
         self.answers[re] = message
 
     def ask(self, message: Any, limit_ms: float = 4000) -> Any:
+        """Send a message to the holder and return its answer; AssertionError after `limit_ms`."""
         self._ref += 1
         ref = self._ref
         self._fleet.network.send(self.address, self._fleet.holder().address, ref, 0, message)
@@ -38,7 +41,7 @@
 
 
 class MeteredCosts:
-    """Processor time of groups of nodes over a span, less what as long a span costs them when idle."""
+    """Processor time of groups of nodes over a span, less what they spend when idle."""
 
     def __init__(self, fleet: MeteredFleet, groups: dict[str, list[str]]) -> None:
         self._fleet, self._groups = fleet, groups
@@ -61,7 +64,7 @@
         return rows
 
     def of(self, work: Callable[[], None], count: int) -> dict[str, float]:
-        """Of one of `count`, all nodes of a group together."""
+        """Return the cost of one of the `count` operations of `work`, for each group as a whole."""
         self._fleet.meter.clear()
         began_ms = self._fleet.time.now_ms
         work()
@@ -73,6 +76,7 @@
 
 
 def store_groups(fleet: MeteredFleet) -> dict[str, list[str]]:
+    """Return the addresses of the holder and of the other stores, as groups."""
     holder = fleet.holder().address
     return {
         "holder": [holder],
@@ -81,4 +85,5 @@
 
 
 def big_disks() -> dict[str, Any]:
+    """Return settings for disks that don't fill up during a measurement."""
     return {"disk_bytes": 1 << 30, "segment_bytes": 1 << 22}
--- a/libs/facsimile/src/facsimile/report.py
+++ b/libs/facsimile/src/facsimile/report.py
@@ -1,5 +1,6 @@
-"""The report of a day: what was answered, refused, doubtful and late, by path; how long it took; and
-what the oracle says.
+"""The report of a day.
+
+What was answered, refused, doubtful and late, by path; how long it took; and the oracle's result.
 """
 
 from collections import Counter
@@ -20,14 +21,19 @@
 
 
 def spread(values: list[float]) -> str:
+    """Return the number of values and their 50%, 90%, 99% and 100% quantiles as text."""
     rows = sorted(values)
     if not rows:
         return "none"
     places = [rows[min(len(rows) - 1, int(len(rows) * share))] for share in (0.5, 0.9, 0.99)]
-    return f"{len(rows)} answers, 50% {places[0]:.0f} ms, 90% {places[1]:.0f} ms, 99% {places[2]:.0f} ms, most {rows[-1]:.0f} ms"
+    return (
+        f"{len(rows)} answers, 50% {places[0]:.0f} ms, 90% {places[1]:.0f} ms, 99% "
+        f"{places[2]:.0f} ms, most {rows[-1]:.0f} ms"
+    )
 
 
 def day_report(traffic: Any, broken: dict[str, list[str]]) -> str:
+    """Return the report as text; `broken` has the breaches by rule."""
     lines = ["faults:"]
     lines += [
         f"  {row['at_ms'] / 1000:6.1f} s  {row['what']}" for row in traffic.history.of("fault")
@@ -46,25 +52,28 @@
             f"{name}: {count}" for name, count in sorted(counts.items()) if " " in name
         )
         lines.append(
-            f"  {path:16} {counts['answered']:6} /{counts['refused']:5} /{counts['doubtful']:5} /{late:5}"
-            + (f"   ({reasons})" if reasons else "")
+            f"  {path:16} {counts['answered']:6} /{counts['refused']:5} /{counts['doubtful']:5} "
+            f"/{late:5}" + (f"   ({reasons})" if reasons else "")
         )
     lines.append("time to the last byte:")
     for path, values in sorted(traffic.latency_ms.items()):
         lines.append(
-            f"  {path:16} {spread(values)}; {sum(1 for value in values if value > _LATE_MS.get(path, 1e9))} late"
+            f"  {path:16} {spread(values)}; "
+            f"{sum(1 for value in values if value > _LATE_MS.get(path, 1e9))} late"
         )
     back = [row for row in traffic.history.of("probe")]
     lines.append(
         "after the last fault: "
         + ", ".join(
-            f"{row['what']} {'back' if row['worked'] else 'NOT back'} within {row['after_ms'] / 1000:.1f} s"
+            f"{row['what']} {'back' if row['worked'] else 'NOT back'} within "
+            f"{row['after_ms'] / 1000:.1f} s"
             for row in back
         )
     )
     runs = traffic.history.of("run")
     lines.append(
-        f"workers ran {len(runs)} times; lots accepted {sum(1 for lot in traffic.lots.values() if lot['acked'])}, "
+        f"workers ran {len(runs)} times; lots accepted "
+        f"{sum(1 for lot in traffic.lots.values() if lot['acked'])}, "
         f"done {sum(1 for lot in traffic.lots.values() if lot['done_ms'])}"
     )
     lines.append(
--- a/libs/facsimile/src/facsimile/trace.py
+++ b/libs/facsimile/src/facsimile/trace.py
@@ -1,5 +1,6 @@
-"""Follows one thing through the JSON logs of many processes: every line that has the id, in the order
-of time. Lines that can't be read are counted, not hidden.
+"""Follows one thing through the JSON logs of many processes.
+
+It finds every line with the identifier, in the order of time. Lines that can't be read are counted.
 """
 
 import json
@@ -43,6 +44,10 @@
 
 
 def trace(kind: str, name: str, paths: Iterable[Path]) -> tuple[list[dict[str, Any]], int]:
+    """Return the rows that have the identifier, by time, and how many lines could not be read.
+
+    `kind` is one of KINDS; each row gets its file's name.
+    """
     found, unread = [], 0
     for path in paths:
         for line in path.read_text(errors="replace").splitlines():
--- a/libs/facsimile/src/facsimile/traffic.py
+++ b/libs/facsimile/src/facsimile/traffic.py
@@ -1,5 +1,6 @@
-"""Traffic against a real fleet, as its callers bring it, and the history of what they saw, in the rows
-that the oracle judges. What a worker ran comes from the lines it wrote, so a killed one counts too.
+"""Traffic of clients and operators against a real fleet, and the history that the oracle judges.
+
+What a worker ran comes from the lines that it wrote, so a killed worker's runs count too.
 """
 
 import asyncio
@@ -16,22 +17,10 @@
 from facsimile.sim.history import History
 from facsimile.traffic_answers import flat_result, take_answer
 from facsimile.traffic_runs import add_worker_runs
+from facsimile.traffic_tree import ROOM, TREE
 
 __all__ = ["TREE", "Traffic"]
 
-ROOM = 6
-TREE: dict[str, Any] = {
-    "profiles": {
-        "base": {"abstract": True, "workers": {"labels": ["gpu"]}},
-        "rulings": {"parent": "base", "deadline_ms": 2000},
-        "flags": {"parent": "base", "deadline_ms": 2000},
-        "narrations": {"parent": "base", "deadline_ms": 5000},
-        "reasons": {"parent": "base", "deadline_ms": 5000},
-        "moves": {"parent": "base", "repeatable": False, "deadline_ms": 5000},
-        "summaries": {"parent": "base", "waiting_room": ROOM},
-        "claims": {"parent": "base", "repeatable": False, "waiting_room": ROOM},
-    }
-}
 _LIVE = (
     ("rulings", True, 1.0),
     ("flags", False, 1.0),
@@ -43,6 +32,12 @@
 
 
 class Traffic:
+    """All traffic of a day; `rate` is that of the most frequent live calls, a second.
+
+    `lots` is what clients know of their batches, `outcomes` counts answers by path, verdict and
+    code, `latency_ms` has the times of answers that came.
+    """
+
     def __init__(self, fleet: Fleet, seed: int, rate: float) -> None:
         self.fleet, self.rng, self.rate = fleet, random.Random(seed), rate
         self.history = History(
@@ -66,6 +61,7 @@
         self._tasks: set[asyncio.Task] = set()
 
     def now_ms(self) -> float:
+        """Return the milliseconds since the traffic was created."""
         return (time.time() - self._started_at) * 1000
 
     def _spawn(self, work: Any) -> asyncio.Task:
@@ -79,6 +75,7 @@
         return self.rng.choice(edges) if edges else ""
 
     def start(self) -> None:
+        """Start live calls, batches, reads, changes, ends and samples."""
         for path, stream, share in _LIVE:
             self._spawn(
                 self._every(
@@ -98,6 +95,7 @@
             await asyncio.sleep(seconds * (0.5 + self.rng.random()))
 
     async def stop(self) -> None:
+        """Start nothing new and wait for what is open."""
         self.stopping = True
         while self._tasks:
             await asyncio.wait(set(self._tasks))
@@ -113,6 +111,10 @@
         tries: int = 3,
         asked: str = "",
     ) -> dict[str, Any]:
+        """Make a live call and return its row.
+
+        Calls on `moves` have a key; one in doubt is sent again at another edge up to `tries` times.
+        """
         self._count += 1
         number = self._count
         if path == "moves" and not key:
@@ -159,13 +161,14 @@
         return row
 
     async def _reuse(self, key: str) -> None:
-        """The same key, shortly after, for something else: it must never get what the first one got."""
+        """Use a key again for another prompt, which must never get the first one's answer."""
         await asyncio.sleep(0.3 * self.rng.random())
         await self.live("moves", False, key, tries=1, asked="another")
 
     # -- lots ----------------------------------------------------------------------------------
 
     async def hand_in(self, tries: int = 3, lot_id: str = "", avoid: str = "") -> dict[str, Any]:
+        """Submit a batch of 80 items and return its row; one in doubt is sent again."""
         if not lot_id:
             lot_id = f"{self.lot_name}{len(self.lots) + 1}"
             path = self.rng.choice(("summaries", "summaries", "claims"))
@@ -216,6 +219,10 @@
         return row
 
     async def read(self, lot_id: str = "", start: int | None = None, final: bool = False) -> bool:
+        """Read results of a batch, by default of a random open one; return whether that worked.
+
+        The last read of a day is recorded as `final` too.
+        """
         live = [name for name, lot in self.lots.items() if lot["acked"] and not lot["done_ms"]]
         if not lot_id:
             if not live:
@@ -264,6 +271,7 @@
         return True
 
     async def end(self) -> None:
+        """End a random open batch."""
         live = [name for name, lot in self.lots.items() if lot["acked"] and not lot["done_ms"]]
         if live:
             lot_id = self.rng.choice(live)
@@ -277,13 +285,14 @@
     # -- operators, samples ----------------------------------------------------------------------
 
     def _control(self) -> str:
-        """Any control machine that runs; where none does, one that can't be reached."""
+        """Return the address of a random control node, of one that is down if none runs."""
         running = self.fleet.of("control") or [
             member for member in self.fleet.members.values() if member.role == "control"
         ]
         return self.rng.choice(running).http
 
     async def change(self, tries: int = 3, mark: str = "", named: int = 0) -> dict[str, Any]:
+        """Send a change of the profiles and return its row; one in doubt is sent again."""
         self._count += 1
         mark = mark or f"change{self._count}"
         named = named or self.version
@@ -326,7 +335,10 @@
         return row
 
     async def sample(self) -> None:
-        """`began_ms` of a sample is when it was asked for: what it shows may be as old as that."""
+        """Record each edge's state and the waiting rooms of stores.
+
+        A sample has the time at which it was asked for, since what it shows may be as old as that.
+        """
         for member in self.fleet.of("edge"):
             began_ms = self.now_ms()
             try:
@@ -358,7 +370,7 @@
                 )
 
     async def ask_again(self, count: int) -> None:
-        """The last acknowledged changes once more under their ids, as `changes-kept` wants it."""
+        """Send the last `count` acknowledged changes once more under their ids."""
         acked = [row["mark"] for row in self.history.of("change") if row["outcome"] == "ok"][
             -count:
         ]
@@ -380,5 +392,5 @@
                 )
 
     def take_worker_runs(self) -> None:
-        """Adds what the workers wrote, see `add_worker_runs`."""
+        """Add what the workers wrote to the history."""
         add_worker_runs(self.history, self.fleet, self._started_at)
--- a/libs/facsimile/src/facsimile/traffic_answers.py
+++ b/libs/facsimile/src/facsimile/traffic_answers.py
@@ -1,4 +1,4 @@
-"""Answers of a real fleet as rows of the history have them."""
+"""Answers of a real fleet in the form that the history's rows have."""
 
 import json
 from typing import Any
@@ -9,6 +9,7 @@
 
 
 async def take_answer(row: dict[str, Any], answer: aiohttp.ClientResponse, stream: bool) -> None:
+    """Read an answer, streamed or whole, into its row."""
     row["transaction"] = answer.headers.get("X-Vaneledge-Transaction", "")
     if answer.status != 200:
         error = json.loads(await answer.text())["error"]
@@ -36,6 +37,7 @@
 
 
 def flat_result(row: dict[str, Any]) -> str:
+    """Return a result of an item as TRANSACTION:INDEX, joined by bars, or its error as JSON."""
     body = row["body"]
     if row["verdict"] != "ran":
         return json.dumps(body, sort_keys=True)
--- a/libs/facsimile/src/facsimile/traffic_runs.py
+++ b/libs/facsimile/src/facsimile/traffic_runs.py
@@ -1,4 +1,7 @@
-"""What the workers of a real fleet ran, from the lines that they wrote, so that a killed one counts too."""
+"""What the workers of a real fleet ran, from the lines that they wrote.
+
+A killed worker's runs are there too.
+"""
 
 import json
 from pathlib import Path
@@ -11,7 +14,11 @@
 
 
 def add_worker_runs(history: History, fleet: Fleet, started_at: float) -> None:
-    """Adds what the workers wrote; a run's call is found by the transaction that each call was given."""
+    """Add the workers' runs to the history, and the times for which members were frozen.
+
+    A run's call is found by the transaction that each call was given. `started_at` is the start of
+    the history in Unix seconds.
+    """
     by_transaction = {row["transaction"]: row for row in history.of("call") if row["transaction"]}
     for path in sorted(Path(fleet.folder).glob("*.runs")):
         for line in path.read_text().splitlines():
--- a/libs/facsimile/src/facsimile/worker.py
+++ b/libs/facsimile/src/facsimile/worker.py
@@ -1,6 +1,8 @@
-"""A stand-in model worker: OpenAI-shaped completions, plain or streamed, a bounded number of slots,
-a KV cache of prompt prefixes that makes a known start cheaper, beats and a leave. It echoes identity,
-incarnation and transaction, refuses what was meant for another worker, and keeps a list of its runs.
+"""A stand-in model worker with an API as of OpenAI, for completions whole or streamed.
+
+It has a bounded number of slots and a cache of prompt prefixes that makes a known start cheaper,
+sends heartbeats and leaves in order. It returns identity, incarnation and transaction, refuses what
+was meant for another worker, and keeps a list of its runs.
 """
 
 import asyncio
@@ -20,6 +22,12 @@
 
 
 class StandInWorker(Service):
+    """One worker, whose runs are also written to `runs_file` as JSON lines.
+
+    `hits` and `misses` count prompts whose prefix was in the cache or not. `weather` gives the
+    faults that keep heartbeats from edges.
+    """
+
     def __init__(
         self,
         identity: str,
@@ -70,6 +78,7 @@
             )
 
     async def on_start(self) -> None:
+        """Listen, and start the heartbeats."""
         app = web.Application()
         app.router.add_post("/v1/completions", self._complete)
         app.router.add_post("/v1/chat/completions", self._complete)
@@ -82,10 +91,12 @@
         self.add_future(self._beats())
 
     async def on_stop(self) -> None:
+        """Close all connections and stop listening."""
         await self._session.close()
         await self._runner.cleanup()
 
     async def leave(self) -> None:
+        """Announce to an edge that the worker takes no more requests."""
         self._leaving = True
         self._note("left")
         await self._tell(
