--- a/libs/facsimile/src/facsimile/breaks/control.py
+++ b/libs/facsimile/src/facsimile/breaks/control.py
@@ -6,9 +6,55 @@
 _FEED = "tests/test_feed.py -k "
 _FAN = "tests/test_fan_out.py -k "
 _FOUNDING = "tests/test_founding.py -k "
+_ORDERS = "tests/test_orders.py -k "
+_OWN_ORDERS = "tests/test_orders_own.py -k "
 _DAYS = "tests/test_platform_days.py -k "
+_CUT_OFF = "tests/test_cut_off.py -k "
+_VOTER_LOSSES = "tests/test_voter_losses.py -k "
 
 BREAKS: dict[str, tuple[str, str, str, str]] = {
+    "a cut-off control node hands out settings": (
+        "gazette/src/gazette/feed.py",
+        'if message.role == "control" or self.hands_out():',
+        "if True:",
+        _CUT_OFF + "no_item",
+    ),
+    "a control node that is back vouches before it has read": (
+        "registrar/src/registrar/nodes.py",
+        "and self.read_barrier.passed()",
+        "",
+        _CUT_OFF + "vouches",
+    ),
+    "an edge begins by the word of a cut-off neighbour": (
+        "readingroom/src/readingroom/nodes.py",
+        "min(now_ms - self._started_ms, now_ms - self.gazette.unsure_control_ms)",
+        "now_ms - self._started_ms",
+        _CUT_OFF + "neighbour",
+    ),
+    "a duty is left with a voter that is only heard of": (
+        "catalogue/src/catalogue/relays.py",
+        "first_live(direct, neighbours.hears) or",
+        "",
+        _CUT_OFF + "vouches",
+    ),
+    "a retirement is refused by a node that knows too little": (
+        "registrar/src/registrar/retirement.py",
+        "RetirementAnswer.DOUBT if fresh else refusal",
+        "refusal",
+        _CUT_OFF + "retirement",
+    ),
+    "a new steward gives up a replacement": (
+        "catalogue/src/catalogue/succession.py",
+        "return _list(listed, rows) if back else None",
+        "return _list(listed, rows)",
+        _VOTER_LOSSES + "gives_up",
+    ),
+    "a lost voter stays on an even list": (
+        "catalogue/src/catalogue/succession.py",
+        "if gone and len(rows) % 2 == 0:",
+        "if False:",
+        _VOTER_LOSSES + "before_the_loss",
+    ),
     "voters change without a sweep": (
         "catalogue/src/catalogue/founding.py",
         "self._sweep(lambda ok: self._change_list(following) if ok else self._idle())",
@@ -17,14 +63,14 @@
     ),
     "a lost change is taken": (
         "catalogue/src/catalogue/owner.py",
-        "elif message.version != value.version:",
-        "elif False:",
+        "elif isinstance(message, FindChange) or message.version != value.version:",
+        "elif isinstance(message, FindChange):",
         _CONTROL + "two_changes",
     ),
     "a resent change is taken again": (
         "catalogue/src/catalogue/owner.py",
-        "elif message.change_id in value.change_ids:",
-        "elif False:",
+        "if taken is not None:",
+        "if False:",
         _CONTROL + "resend",
     ),
     "one vote is a majority": (
@@ -77,7 +123,7 @@
     ),
     "a voter that hears nobody keeps its duties": (
         "catalogue/src/catalogue/relays.py",
-        "first_live(order, self._neighbours.hears) or ",
+        "first_live(direct, neighbours.hears) or first_live(order, neighbours.hears) or",
         "",
         _FOUNDING + "hears_nobody",
     ),
@@ -95,8 +141,44 @@
     ),
     "a change on any base is taken": (
         "registrar/src/registrar/tree_changes.py",
-        "elif revision_of(tree) != call.base:",
+        "elif _revision_of(tree) != call.order.base:",
         "elif False:",
         _DAYS + "calm",
     ),
+    "a forgotten order is refused": (
+        "catalogue/src/catalogue/change_memory.py",
+        "if first_version == 1 or change.version >= first_version - 1:",
+        "if True:",
+        _ORDERS + "however_many",
+    ),
+    "what is too old is judged by its base alone": (
+        "catalogue/src/catalogue/change_memory.py",
+        "change.base >= first_base or change.number > first_base",
+        "change.base >= first_base",
+        _ORDERS + "however_many",
+    ),
+    "acknowledged while no other voter hands it out": (
+        "catalogue/src/catalogue/confirmations.py",
+        "return 2 * len(have & set(voters)) > len(voters)",
+        "return True",
+        _ORDERS + "nobody_hands_out",
+    ),
+    "a patch on another version is sent on": (
+        "registrar/src/registrar/operators.py",
+        "if receipt.version != call.version:",
+        "if False:",
+        _OWN_ORDERS + "only_asked_after",
+    ),
+    "an id names any contents": (
+        "registrar/src/registrar/operators.py",
+        "text = json.dumps([change_id, type(contents).__name__, sent], sort_keys=True)",
+        "text = change_id",
+        _OWN_ORDERS + "two_contents",
+    ),
+    "too few is told before all can be heard": (
+        "registrar/src/registrar/retirement.py",
+        "heard = self._listened_for(self.node.params.dead_ms)",
+        "heard = True",
+        _OWN_ORDERS + "too_few",
+    ),
 }
