--- /dev/null
+++ b/libs/modelcheck/src/modelcheck/__init__.py
@@ -0,0 +1,26 @@
+"""Modelcheck: a small-scope explorer that tries all schedules of the real cores up to bounds, and a
+checker of recorded histories for linearizability.
+"""
+
+from colophon.lazy import lazy
+
+__all__ = [
+    "Bounds",
+    "Breach",
+    "CONTROL_STARTS",
+    "ControlKeys",
+    "Explorer",
+    "Operation",
+    "read_schedule",
+    "write_schedule",
+]
+
+__getattr__ = lazy(
+    __name__,
+    {
+        "actions": ("read_schedule", "write_schedule"),
+        "control_keys": ("CONTROL_STARTS", "ControlKeys"),
+        "explorer": ("Explorer",),
+        "world": ("Bounds", "Breach", "Operation"),
+    },
+)
--- /dev/null
+++ b/libs/modelcheck/src/modelcheck/control_keys.py
@@ -0,0 +1,374 @@
+"""Control keys under the explorer: voters and owners, the real cores of `catalogue`, from named
+starting states. Which node takes itself for a key's owner is left to the scenario, since a failure
+detector may say anything: nodes that each think themselves the owner race. Invariants:
+
+C1  at most one value is chosen for each key and version (a majority's disks have it under one ballot);
+C2  a confirmed value is what every majority's registers lead to, or is in what they lead to;
+C3  a voter's register is never behind a vote that it gave, restarts with its disk included;
+C4  a change that was refused is never chosen, and one that was chosen is never refused;
+C5  a change that was confirmed was chosen, as the version that was told, and always as that version;
+C6  a reading returns a chosen value, not older than any confirmed before the reading began.
+"""
+
+import json
+from collections.abc import Callable, Hashable
+from itertools import combinations
+from typing import Any
+
+from catalogue import Change, Owner, ReadKey, Voter
+from catalogue.messages import Accept, Changed, Prepare, Voted, VoterMeta
+from catalogue.rounds import Round
+from colophon import Params
+from stacks import frame, scan
+from vellum import Node, Part, decode, encode
+
+from modelcheck.surroundings import BootImage, ModelDisk, Posted
+from modelcheck.world import Bounds, Breach, Live, Operation, World
+
+__all__ = ["CONTROL_STARTS", "ControlKeys"]
+
+_KEY = "key"
+_META = "meta"
+_LOG = "keys-log"
+_START_MS = 1_000_000
+
+
+class _Trusted(Part):
+    """Stands where a node's knowledge of its neighbours does: it takes one voter for alive."""
+
+    __slots__ = ("_name",)
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+
+    def live(self, name: str) -> bool:
+        return name == self._name
+
+    def hears(self, name: str) -> bool:
+        return True
+
+
+class _NoFeed(Part):
+    """Stands where the feed does; nobody follows it here."""
+
+    __slots__ = ()
+
+    def publish(self, key: str, number: int, body: str) -> None:
+        return None
+
+
+class ControlGhost:
+    """What has been seen: votes given, answers to operations, and for each operation the newest version that had
+    been confirmed when it was submitted.
+    """
+
+    __slots__ = ("answers", "begun", "promises", "votes")
+
+    def __init__(
+        self,
+        votes: frozenset = frozenset(),
+        promises: frozenset = frozenset(),
+        answers: frozenset = frozenset(),
+        begun: frozenset = frozenset(),
+    ) -> None:
+        self.votes = votes
+        self.promises = promises
+        self.answers = answers
+        self.begun = begun
+
+    def _key(self) -> tuple:
+        return (self.votes, self.promises, self.answers, self.begun)
+
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, ControlGhost) and self._key() == other._key()
+
+    def __hash__(self) -> int:
+        return hash(self._key())
+
+
+class ControlKeys(World):
+    """Control nodes that vote on one key. `owners` says for each node whom it takes for the owner; itself by
+    default.
+    """
+
+    skip = frozenset({("Voter", "_log_bytes"), ("Voter", "_flushed_bytes"), ("Voter", "_list")})
+    opaque = (_NoFeed, _Trusted)
+
+    def __init__(
+        self,
+        voters: int,
+        operations: list[Operation],
+        bounds: Bounds,
+        owners: dict[int, int] | None = None,
+    ) -> None:
+        self.addresses = [f"10.0.0.{index + 1}:7000" for index in range(voters)]
+        self.operations = operations
+        self.bounds = bounds
+        self._params = Params(
+            role="control",
+            link=self.addresses[0],
+            http="10.0.0.1:7001",
+            zone="a",
+            seeds=[self.addresses[0]],
+            data_folder="disk",
+            control_count=voters,
+        )
+        self.timeout_ms = self._params.ask_ms
+        self.freeze_ms = self._params.frozen_ms + 1
+        self._owners = owners or {}
+        self.identities = [f"control-n{index}" for index in range(voters)]
+        rows = [
+            {"identity": name, "address": address, "zone": "a", "region": ""}
+            for name, address in zip(self.identities, self.addresses, strict=True)
+        ]
+        self._list_body = json.dumps({"number": 1, "voters": rows})
+
+    # -- nodes ---------------------------------------------------------------------------------
+
+    def image(self, index: int) -> BootImage:
+        meta = VoterMeta(
+            identity=self.identities[index], found_vote="", list_body=self._list_body
+        )
+        return BootImage({_META: frame(encode(meta))}, _START_MS, 1)
+
+    def boot(self, index: int, live: Live) -> Node:
+        voter = Voter(live.disk, live.env.token)
+        trusted = self.identities[self._owners[index]] if index in self._owners else voter.identity
+        owner = Owner(voter, _Trusted(trusted), _NoFeed())
+        live.env.on_post = _Votes(live)
+        return Node(live.env, self._params, [voter, owner])
+
+    def submit(self, index: int, live: Live, number: int) -> None:
+        message = self.operations[number].message
+        _owner(live).submit(
+            type(message)(**message.as_dict()), _Answered(live.told, number)
+        )
+
+    def observe(self, index: int, live: Live) -> Hashable:
+        voter = _voter(live)
+        rows = [
+            (key, row.promised, row.accepted, row.version, row.value)
+            for key, row in sorted(voter.registers.items())
+        ]
+        return (voter.identity, tuple(rows))
+
+    def inert(self, done: Callable) -> bool:
+        round_ = next(
+            (
+                cell.cell_contents
+                for cell in getattr(done, "__closure__", None) or ()
+                if isinstance(cell.cell_contents, Round)
+            ),
+            None,
+        )
+        return round_ is not None and round_._done is None
+
+    def disk_key(self, disk: ModelDisk) -> Any:
+        """Rows of a voter's log count by what is read back from them: the newest of each key."""
+        return (_rows_kept(disk.files), _rows_kept(disk.durable) if disk.pending else None)
+
+    # -- what was seen -------------------------------------------------------------------------
+
+    def first_ghost(self) -> ControlGhost:
+        return ControlGhost()
+
+    def next_ghost(self, ghost: ControlGhost, told: tuple[Any, ...]) -> ControlGhost:
+        votes, promises = set(ghost.votes), set(ghost.promises)
+        answers, begun = set(ghost.answers), set(ghost.begun)
+        for kind, *row in told:
+            if kind == "vote":
+                votes.add(tuple(row))
+            elif kind == "promise":
+                promises.add(tuple(row))
+            elif kind == "answer":
+                answers.add(tuple(row))
+            else:
+                begun.add((row[0], self._confirmed(answers)))
+        following = ControlGhost(*map(frozenset, (votes, promises, answers, begun)))
+        self._check_seen(following)
+        return following
+
+    def answered(self, ghost: ControlGhost) -> frozenset[int]:
+        return frozenset(row[0] for row in ghost.answers)
+
+    def _confirmed(self, answers: set | frozenset) -> int:
+        """The newest version told as confirmed, by a change or a reading."""
+        return max((version for _, outcome, version, _ in answers if outcome == "ok"), default=0)
+
+    def _chosen(self, ghost: ControlGhost) -> dict[int, set[bytes]]:
+        """By version, the values that a majority voted for under one ballot."""
+        counts: dict[tuple, set[str]] = {}
+        for identity, ballot, version, value in ghost.votes:
+            counts.setdefault((ballot, version, value), set()).add(identity)
+        chosen: dict[int, set[bytes]] = {}
+        for (_, version, value), names in counts.items():
+            if 2 * len(names & set(self.identities)) > len(self.identities):
+                chosen.setdefault(version, set()).add(value)
+        return chosen
+
+    def _check_seen(self, ghost: ControlGhost) -> None:
+        chosen = self._chosen(ghost)
+        for version, values in chosen.items():
+            if len(values) > 1:
+                raise Breach("C1", f"{len(values)} values are chosen as version {version}")
+        ids = {
+            change_id: at
+            for values in chosen.values()
+            for value in values
+            for change_id, at in _changes(value)
+        }
+        floors = dict(ghost.begun)
+        for number, outcome, version, body in ghost.answers:
+            message = self.operations[number].message
+            if isinstance(message, Change):
+                self._check_change(message, outcome, version, ids)
+            elif outcome == "ok":
+                self._check_read(version, body, chosen, floors[number])
+
+    def _check_change(self, message: Change, outcome: str, version: int, ids: dict) -> None:
+        name = message.change_id
+        if outcome in ("lost", "refused") and name in ids:
+            raise Breach("C4", f"change {name} was refused and is chosen as version {ids[name]}")
+        if outcome == "ok" and ids.get(name) != version:
+            raise Breach("C5", f"change {name} confirmed as {version}, chosen as {ids.get(name)}")
+
+    def _check_read(self, version: int, body: str, chosen: dict, floor: int) -> None:
+        if version < floor:
+            raise Breach("C6", f"version {version} read after {floor} was confirmed")
+        values = {decode(value).body for value in chosen.get(version, ())}
+        if version and body not in values:
+            raise Breach("C6", f"version {version} was read and never chosen")
+
+    # -- what is on the nodes ------------------------------------------------------------------
+
+    def check(self, ghost: ControlGhost, observed: tuple[Any, ...]) -> None:
+        registers = {identity: rows for identity, rows in observed}
+        self._check_votes(ghost, registers)
+        confirmed = [
+            (self.operations[number].message, version)
+            for number, outcome, version, _ in ghost.answers
+            if outcome == "ok" and isinstance(self.operations[number].message, Change)
+        ]
+        if not confirmed:
+            return
+        names = [name for name in self.identities if name in registers]
+        for majority in combinations(names, len(self.identities) // 2 + 1):
+            rows = [row for name in majority for row in registers[name]]
+            held = max(((row[2], row[3], row[4]) for row in rows if row[4]), default=None)
+            kept = dict(_changes(held[2])) if held else {}
+            for message, version in confirmed:
+                if kept.get(message.change_id) != version:
+                    raise Breach(
+                        "C2", f"{message.change_id}, confirmed, is not what {majority} lead to"
+                    )
+
+    def _check_votes(self, ghost: ControlGhost, registers: dict[str, tuple]) -> None:
+        for identity, ballot, version, _ in ghost.votes:
+            for key_row in registers.get(identity, ()):
+                if (key_row[2], key_row[3]) < (ballot, version):
+                    raise Breach("C3", f"{identity} voted for {ballot} and has {key_row[2:4]}")
+        for identity, ballot in ghost.promises:
+            if identity in registers and not registers[identity]:
+                raise Breach("C3", f"{identity} promised {ballot} and has nothing")
+            for key_row in registers.get(identity, ()):
+                if key_row[1] < ballot:
+                    raise Breach("C3", f"{identity} promised {ballot} and has {key_row[1]}")
+
+
+class _Answered:
+    """Notes the answer to an operation."""
+
+    __slots__ = ("_number", "_told")
+
+    def __init__(self, told: list, number: int) -> None:
+        self._told = told
+        self._number = number
+
+    def __call__(self, receipt: Changed) -> None:
+        self._told.append(
+            ("answer", self._number, receipt.outcome, receipt.version, receipt.body)
+        )
+
+
+class _Votes:
+    """Notes each vote that goes out, with what it was asked."""
+
+    __slots__ = ("_live",)
+
+    def __init__(self, live: Live) -> None:
+        self._live = live
+
+    def __call__(self, posted: Posted) -> None:
+        vote = posted.message
+        if not isinstance(vote, Voted) or not vote.ok:
+            return
+        asked = self._live.env.requests.get((posted.to, posted.re))
+        if isinstance(asked, Accept):
+            value = decode(asked.value)
+            self._live.told.append(
+                ("vote", vote.identity, (asked.epoch, asked.by), value.version, asked.value)
+            )
+        elif isinstance(asked, Prepare):
+            self._live.told.append(("promise", vote.identity, (asked.epoch, asked.by)))
+
+
+def _voter(live: Live) -> Voter:
+    return live.node.parts[0]  # type: ignore[return-value]
+
+
+def _owner(live: Live) -> Owner:
+    return live.node.parts[1]  # type: ignore[return-value]
+
+
+def _changes(data: bytes) -> list[tuple[str, int]]:
+    value = decode(data)
+    return list(zip(value.change_ids, value.change_versions, strict=True))
+
+
+def _rows_kept(files: dict[str, bytes]) -> tuple:
+    kept: dict[str, tuple] = {}
+    for name, data in files.items():
+        if not name.startswith(_LOG):
+            continue
+        for _, payload in scan(data)[0]:
+            row = decode(payload)
+            newer = (row.promised_epoch, row.promised_by, row.accepted_epoch, row.accepted_by)
+            kept[row.key] = max(kept.get(row.key, ()), (newer, row.value))
+    return (files.get(_META, b""), tuple(sorted(kept.items())))
+
+
+# -- starting states ---------------------------------------------------------------------------
+
+
+def _change(name: str, node: int, base: int, after: tuple[int, ...] = ()) -> Operation:
+    message = Change(key=_KEY, version=base, change_id=name, body=f'"{name}"', hops=0)
+    return Operation(f"change-{name}-at-{node}", node, message, after)
+
+
+def _read(node: int, after: tuple[int, ...] = ()) -> Operation:
+    return Operation(f"read-at-{node}", node, ReadKey(key=_KEY, hops=0), after)
+
+
+def _racing(voters: int, bounds: Bounds) -> ControlKeys:
+    return ControlKeys(voters, [_change("a", 0, 0), _change("b", 1, 0)], bounds)
+
+
+def _resent(bounds: Bounds) -> ControlKeys:
+    """One change sent to two nodes, and another on the same base."""
+    rows = [_change("a", 0, 0), _change("a", 1, 0), _change("b", 2, 0)]
+    return ControlKeys(3, rows, bounds)
+
+
+def _read_back(voters: int, bounds: Bounds) -> ControlKeys:
+    """A change is read back through another node, which then makes the next one."""
+    rows = [_change("a", 0, 0), _read(1, (0,)), _change("b", 1, 1, (0,))]
+    return ControlKeys(voters, rows, bounds)
+
+
+CONTROL_STARTS: dict[str, Callable[[Bounds], ControlKeys]] = {
+    "three-voters": lambda bounds: _read_back(3, bounds),
+    "five-voters": lambda bounds: _racing(5, bounds),
+    "owners-racing": lambda bounds: _racing(3, bounds),
+    "change-resent": _resent,
+    "voter-wiped": lambda bounds: _read_back(3, bounds),
+}
--- /dev/null
+++ b/libs/modelcheck/src/modelcheck/explorer.py
@@ -0,0 +1,330 @@
+"""Breadth-first search over global states: the nodes' local states, the messages in flight (a
+multiset), what observers have seen, and what is left of each bound. A state met before is not gone
+on from again, so the first schedule that breaks an invariant is one of the shortest.
+"""
+
+import time
+from array import array
+from typing import Any
+
+from modelcheck.actions import Action, Kind
+from modelcheck.local import LocalState, LocalStates
+from modelcheck.world import Bounds, Breach, World
+
+__all__ = ["Explorer", "Found", "GlobalState"]
+
+_COUNTED = (
+    (Kind.DUPLICATE, "duplicates"),
+    (Kind.LOSE, "losses"),
+    (Kind.TICK, "ticks"),
+    (Kind.TIMEOUT, "timeouts"),
+    (Kind.FREEZE, "freezes"),
+    (Kind.KILL, "kills"),
+    (Kind.POWER, "powers"),
+    (Kind.WIPE, "wipes"),
+    (Kind.CUT, "cuts"),
+)
+_PLACE = {kind: place for place, (kind, _) in enumerate(_COUNTED)}
+_OF_NODES = (Kind.TICK, Kind.TIMEOUT, Kind.FREEZE, Kind.KILL, Kind.POWER, Kind.WIPE)
+_KINDS = list(Kind)
+_KIND_NUMBER = {kind: number for number, kind in enumerate(_KINDS)}
+_NODE_BITS, _KIND_BITS = 6, 5
+
+
+class GlobalState:
+    """`flight` is sorted; `ghost` numbers what has been seen; `left` has what remains of each bound; `asked` is a
+    bit set of operations submitted.
+    """
+
+    __slots__ = ("asked", "flight", "ghost", "left", "nodes")
+
+    def __init__(
+        self,
+        nodes: tuple[LocalState, ...],
+        flight: tuple[int, ...],
+        ghost: int,
+        left: tuple[int, ...],
+        asked: int,
+    ) -> None:
+        self.nodes = nodes
+        self.flight = flight
+        self.ghost = ghost
+        self.left = left
+        self.asked = asked
+
+    def key(self) -> int:
+        """A 64-bit hash: states are told apart by it."""
+        nodes = tuple(node.number for node in self.nodes)
+        return hash((nodes, self.flight, self.ghost, self.left, self.asked))
+
+
+class Found:
+    """What a search found. `whole` says that no state within the bounds is left to go on from."""
+
+    __slots__ = ("breach", "depth", "local_states", "schedule", "seconds", "states", "whole")
+
+    def __init__(self) -> None:
+        self.states = 0
+        self.depth = 0
+        self.seconds = 0.0
+        self.local_states = 0
+        self.whole = False
+        self.breach: Breach | None = None
+        self.schedule: list[Action] = []
+
+
+class Explorer:
+    """Searches one world."""
+
+    __slots__ = (
+        "_actions",
+        "_checked",
+        "_ghost_numbers",
+        "_ghosts",
+        "_next_ghosts",
+        "_parents",
+        "_visited",
+        "local",
+        "world",
+    )
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.local = LocalStates(world)
+        self._visited: set[int] = set()
+        self._parents = array("q")
+        self._actions = array("q")
+        self._ghosts: list[Any] = []
+        self._ghost_numbers: dict[Any, int] = {}
+        self._next_ghosts: dict[tuple[int, tuple], int] = {}
+        self._checked: set[tuple] = set()
+
+    # -- searching -----------------------------------------------------------------------------
+
+    def first(self) -> GlobalState:
+        """The world's starting state."""
+        bounds = self.world.bounds
+        left = tuple(getattr(bounds, name) for _, name in _COUNTED)
+        nodes = tuple(self.local.first(index) for index in range(len(self.world.addresses)))
+        return GlobalState(nodes, (), self._ghost_number(self.world.first_ghost()), left, 0)
+
+    def search(self) -> Found:
+        """All states within the bounds, or the first breach."""
+        began, bounds, found = time.monotonic(), self.world.bounds, Found()
+        level = [(0, self.first())]
+        self._enter(level[0][1], -1, 0)
+        try:
+            while level and found.depth < bounds.depth:
+                following: list[tuple[int, GlobalState]] = []
+                for place, state in level:
+                    self._go_on(place, state, following)
+                    if self._spent(bounds, began):
+                        level = following
+                        return self._ended(found, began)
+                level = following
+                found.depth += 1 if level else 0
+            found.whole = not level
+        except _Broken as broken:
+            found.breach = broken.breach
+            found.schedule = [*self._schedule(broken.place), broken.action]
+        return self._ended(found, began)
+
+    def _spent(self, bounds: Bounds, began: float) -> bool:
+        count = len(self._parents)
+        return count >= bounds.states or time.monotonic() - began >= bounds.seconds
+
+    def _ended(self, found: Found, began: float) -> Found:
+        found.states = len(self._parents)
+        found.seconds = time.monotonic() - began
+        found.local_states = len(self.local.states)
+        return found
+
+    def _go_on(
+        self, place: int, state: GlobalState, following: list[tuple[int, GlobalState]]
+    ) -> None:
+        for action in self.actions(state):
+            try:
+                reached = self.after(state, action)
+            except Breach as breach:
+                raise _Broken(breach, place, action) from breach
+            if reached is not None and self._enter(reached, place, _code(action)):
+                following.append((len(self._parents) - 1, reached))
+
+    def _enter(self, state: GlobalState, parent: int, code: int) -> bool:
+        key = state.key()
+        if key in self._visited:
+            return False
+        self._visited.add(key)
+        self._parents.append(parent)
+        self._actions.append(code)
+        return True
+
+    def _schedule(self, place: int) -> list[Action]:
+        steps = []
+        while self._parents[place] >= 0:
+            steps.append(_action(self._actions[place]))
+            place = self._parents[place]
+        return steps[::-1]
+
+    # -- one step ------------------------------------------------------------------------------
+
+    def actions(self, state: GlobalState) -> list[Action]:
+        """What may happen next."""
+        left, targets = state.left, self.local.targets
+        rows = []
+        for number in dict.fromkeys(state.flight):
+            rows.append(Action(Kind.DELIVER, targets[number], number))
+            for kind in (Kind.DUPLICATE, Kind.LOSE):
+                if left[_PLACE[kind]]:
+                    rows.append(Action(kind, targets[number], number))
+        for index, node in enumerate(state.nodes):
+            if node.busy:
+                rows.append(Action(Kind.FLUSH, index))
+            rows += [Action(kind, index) for kind in _OF_NODES if left[_PLACE[kind]]]
+            if left[_PLACE[Kind.CUT]] and state.flight:
+                rows.append(Action(Kind.CUT, index))
+        answered = self.world.answered(self._ghosts[state.ghost])
+        for number, operation in enumerate(self.world.operations):
+            if not state.asked >> number & 1 and answered.issuperset(operation.after):
+                rows.append(Action(Kind.SUBMIT, operation.node, number))
+        return rows
+
+    def after(self, state: GlobalState, action: Action) -> GlobalState | None:
+        """The state after an action; None if it changes nothing.
+
+        Raises
+        ------
+        Breach: an invariant doesn't hold in the state reached.
+        """
+        kind, number = action.kind, action.number
+        left = _spend(state.left, kind)
+        if kind is Kind.CUT:
+            return self._cut(state, action.node, left)
+        flight = list(state.flight)
+        if kind in (Kind.DELIVER, Kind.LOSE):
+            flight.remove(number)
+        if kind is Kind.LOSE:
+            return GlobalState(state.nodes, tuple(flight), state.ghost, left, state.asked)
+        event = Kind.DELIVER if kind is Kind.DUPLICATE else kind
+        moved = self.local.after(state.nodes[action.node], event, number)
+        if moved is None:
+            if kind is not Kind.DELIVER:
+                return None
+            return GlobalState(state.nodes, tuple(flight), state.ghost, left, state.asked)
+        nodes = list(state.nodes)
+        nodes[action.node] = moved.state
+        flight = self._awaited([*flight, *moved.sent], nodes)
+        told = moved.told
+        asked = state.asked
+        if kind is Kind.SUBMIT:
+            asked |= 1 << number
+            told = (("submitted", number), *told)
+        ghost = self._ghost_after(state.ghost, told) if told else state.ghost
+        reached = GlobalState(tuple(nodes), flight, ghost, left, asked)
+        self._check(reached)
+        return reached
+
+    def _cut(self, state: GlobalState, index: int, left: tuple[int, ...]) -> GlobalState:
+        address = self.world.addresses[index]
+        rows = self.local.messages
+        flight = tuple(
+            number
+            for number in state.flight
+            if address not in (rows[number][0].sender, rows[number][0].to)
+        )
+        return GlobalState(state.nodes, flight, state.ghost, left, state.asked)
+
+    def _awaited(self, flight: list[int], nodes: list[LocalState]) -> tuple[int, ...]:
+        """Without replies that nobody waits for any more: handing them over would change nothing."""
+        rows, targets = self.local.messages, self.local.targets
+        return tuple(
+            sorted(
+                number
+                for number in flight
+                if not rows[number][0].re or rows[number][0].re in nodes[targets[number]].pending
+            )
+        )
+
+    def _ghost_number(self, ghost: Any) -> int:
+        number = self._ghost_numbers.setdefault(ghost, len(self._ghosts))
+        if number == len(self._ghosts):
+            self._ghosts.append(ghost)
+        return number
+
+    def _ghost_after(self, ghost: int, told: tuple) -> int:
+        key = (ghost, told)
+        if key not in self._next_ghosts:
+            following = self.world.next_ghost(self._ghosts[ghost], told)
+            self._next_ghosts[key] = self._ghost_number(following)
+        return self._next_ghosts[key]
+
+    def _check(self, state: GlobalState) -> None:
+        key = (state.ghost, tuple(node.seen for node in state.nodes))
+        if key not in self._checked:
+            observed = tuple(self.local.seen[node.seen] for node in state.nodes)
+            self.world.check(self._ghosts[state.ghost], observed)
+            self._checked.add(key)
+
+    # -- schedules -----------------------------------------------------------------------------
+
+    def describe(self, schedule: list[Action]) -> list[tuple[Kind, int, str]]:
+        """A schedule in words that hold in every run: messages are named by what they are."""
+        return [(step.kind, step.node, self._what(step)) for step in schedule]
+
+    def _what(self, step: Action) -> str:
+        if step.kind in (Kind.DELIVER, Kind.DUPLICATE, Kind.LOSE):
+            return self.label(step.number)
+        if step.kind is Kind.SUBMIT:
+            return self.world.operations[step.number].name
+        return ""
+
+    def label(self, number: int) -> str:
+        """A message's name: its type, who sent it, and the sender's reference."""
+        posted, _ = self.local.messages[number]
+        sender = self.world.addresses.index(posted.sender)
+        return f"{type(posted.message).__name__} from {sender} ref {posted.ref} re {posted.re}"
+
+    def replay(self, steps: list[tuple[Kind, int, str]]) -> GlobalState:
+        """The state that a written schedule leads to.
+
+        Raises
+        ------
+        Breach: an invariant doesn't hold on the way.
+        LookupError: a step isn't possible where the schedule has it.
+        """
+        state = self.first()
+        for kind, node, what in steps:
+            options = [
+                action
+                for action in self.actions(state)
+                if (action.kind, action.node, self._what(action)) == (kind, node, what)
+            ]
+            if not options:
+                raise LookupError(f"not possible: {kind} {node} {what}")
+            state = self.after(state, options[0]) or state
+        return state
+
+
+class _Broken(Exception):
+    def __init__(self, breach: Breach, place: int, action: Action) -> None:
+        super().__init__(str(breach))
+        self.breach = breach
+        self.place = place
+        self.action = action
+
+
+def _spend(left: tuple[int, ...], kind: Kind) -> tuple[int, ...]:
+    place = _PLACE.get(kind)
+    if place is None:
+        return left
+    return (*left[:place], left[place] - 1, *left[place + 1 :])
+
+
+def _code(action: Action) -> int:
+    return (action.number << _NODE_BITS | action.node) << _KIND_BITS | _KIND_NUMBER[action.kind]
+
+
+def _action(code: int) -> Action:
+    kind = _KINDS[code & ((1 << _KIND_BITS) - 1)]
+    code >>= _KIND_BITS
+    return Action(kind, code & ((1 << _NODE_BITS) - 1), code >> _NODE_BITS)
--- /dev/null
+++ b/libs/modelcheck/src/modelcheck/local.py
@@ -0,0 +1,202 @@
+"""Local states of nodes. A node's state is the image it started from and the events it was given
+since; running those again on the real cores gives it back, so nothing has to be copied that Python
+can't copy (pending callbacks). States with equal canonical encodings are one state, and what an
+event does to a state is computed once, however many global states that pair occurs in.
+"""
+
+from hashlib import blake2b
+from typing import Any
+
+from vellum import Node, decode, encode
+
+from modelcheck.actions import Kind
+from modelcheck.canonical import Encoder
+from modelcheck.surroundings import BootImage, ModelDisk, ModelEnv, Posted
+from modelcheck.world import Live, World
+
+__all__ = ["LocalState", "LocalStates", "Transition"]
+
+_RESTARTS = (Kind.KILL, Kind.POWER, Kind.WIPE)
+
+
+class Transition:
+    """What one event does: the next local state, messages sent, and what observers were told."""
+
+    __slots__ = ("sent", "state", "told")
+
+    def __init__(self, state: "LocalState", sent: tuple[int, ...], told: tuple) -> None:
+        self.state = state
+        self.sent = sent
+        self.told = told
+
+
+class LocalState:
+    """`pending` has the references of askings whose answers still matter."""
+
+    __slots__ = ("busy", "events", "image", "index", "next", "number", "pending", "seen")
+
+    def __init__(self, index: int, image: BootImage, events: tuple) -> None:
+        self.index = index
+        self.image = image
+        self.events = events
+        self.number = 0
+        self.busy = False
+        self.pending: frozenset[int] = frozenset()
+        self.seen = 0
+        self.next: dict[tuple[Kind, int], Transition | None] = {}
+
+
+class LocalStates:
+    """All local states met, with the messages sent among them. Numbers are given in the order of meeting."""
+
+    __slots__ = (
+        "_by_key",
+        "_message_numbers",
+        "_seen_numbers",
+        "_world",
+        "messages",
+        "runs",
+        "seen",
+        "states",
+        "targets",
+    )
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._by_key: dict[bytes, LocalState] = {}
+        self._message_numbers: dict[tuple, int] = {}
+        self._seen_numbers: dict[Any, int] = {}
+        self.states: list[LocalState] = []
+        self.seen: list[Any] = []
+        self.messages: list[tuple[Posted, bytes]] = []
+        self.targets: list[int] = []
+        self.runs = 0
+
+    def first(self, index: int) -> LocalState:
+        """The state of a node that has just started from the scenario's image."""
+        state = LocalState(index, self._world.image(index), ())
+        live = self.run(state)
+        return self._intern(state, live)
+
+    def after(self, state: LocalState, kind: Kind, number: int) -> Transition | None:
+        """What an event does to a state; None if nothing at all."""
+        event = (kind, number)
+        if event not in state.next:
+            state.next[event] = self._step(state, event)
+        return state.next[event]
+
+    def run(self, state: LocalState) -> Live:
+        """The node of a state, made anew."""
+        self.runs += 1
+        live = self._start(state.index, state.image)
+        for event in state.events:
+            self._give(live, state.index, event)
+        return live
+
+    # -- one event -----------------------------------------------------------------------------
+
+    def _step(self, state: LocalState, event: tuple[Kind, int]) -> Transition | None:
+        live = self.run(state)
+        live.env.posted.clear()
+        live.told.clear()
+        if event[0] in _RESTARTS:
+            image = self._image_after(live, event[0])
+            live = self._start(state.index, image)
+            following = LocalState(state.index, image, ())
+        else:
+            self._give(live, state.index, event)
+            following = LocalState(state.index, state.image, (*state.events, event))
+        sent = tuple(self._number(posted) for posted in live.env.posted)
+        told = tuple(live.told)
+        following = self._intern(following, live)
+        if following is state and not sent and not told:
+            return None
+        return Transition(following, tuple(n for n in sent if self.targets[n] >= 0), told)
+
+    def _start(self, index: int, image: BootImage) -> Live:
+        env = ModelEnv(f"n{index}", self._world.addresses[index], image)
+        live = Live(env, ModelDisk(image.files), [])
+        live.node = self._world.boot(index, live)
+        self._settle(live)
+        return live
+
+    def _give(self, live: Live, index: int, event: tuple[Kind, int]) -> None:
+        kind, number = event
+        if kind is Kind.DELIVER:
+            posted, data = self.messages[number]
+            live.env.received(posted)
+            live.node.receive(posted.sender, posted.ref, posted.re, decode(data))
+        elif kind is Kind.FLUSH:
+            live.disk.complete()
+        elif kind is Kind.SUBMIT:
+            self._world.submit(index, live, number)
+        else:
+            wait_ms = {
+                Kind.TICK: 0,
+                Kind.TIMEOUT: self._world.timeout_ms,
+                Kind.FREEZE: self._world.freeze_ms,
+            }[kind]
+            live.env.now_ms += wait_ms
+            live.node.tick()
+        self._settle(live)
+
+    def _settle(self, live: Live) -> None:
+        while live.disk.busy and not self._world.bounds.slow_disk:
+            live.disk.complete()
+
+    def _image_after(self, live: Live, kind: Kind) -> BootImage:
+        files = {Kind.KILL: live.disk.files, Kind.POWER: live.disk.durable, Kind.WIPE: {}}[kind]
+        return BootImage(dict(files), live.env.now_ms, live.env.life + 1)
+
+    # -- equal states --------------------------------------------------------------------------
+
+    def _intern(self, state: LocalState, live: Live) -> LocalState:
+        asks = {
+            ref: ask for ref, ask in live.node._asks.items() if not self._world.inert(ask[0])
+        }
+        key = self._key(state.index, live, asks)
+        known = self._by_key.get(key)
+        if known is not None:
+            return known
+        state.number = len(self.states)
+        state.busy = live.disk.busy
+        state.pending = frozenset(asks)
+        state.seen = self._see(self._world.observe(state.index, live))
+        self.states.append(state)
+        self._by_key[key] = state
+        return state
+
+    def _key(self, index: int, live: Live, asks: dict) -> bytes:
+        encoder = Encoder((Node, ModelEnv, ModelDisk, *self._world.opaque), self._world.skip)
+        waiting = [(row.name, row.data, row.rows, row.done) for row in live.disk.waiting]
+        text = encoder.text(
+            (
+                index,
+                live.env.life,
+                live.env.now_ms,
+                live.node._next_ref,
+                asks,
+                list(live.node.parts),
+                self._world.disk_key(live.disk),
+                waiting,
+            )
+        )
+        return blake2b(text.encode(), digest_size=16).digest()
+
+    def _see(self, observed: Any) -> int:
+        number = self._seen_numbers.setdefault(observed, len(self.seen))
+        if number == len(self.seen):
+            self.seen.append(observed)
+        return number
+
+    def _number(self, posted: Posted) -> int:
+        data = encode(posted.message)
+        key = (posted.sender, posted.to, posted.ref, posted.re, data)
+        number = self._message_numbers.setdefault(key, len(self.messages))
+        if number == len(self.messages):
+            self.messages.append((posted, data))
+            to = posted.to
+            self.targets.append(
+                self._world.addresses.index(to) if to in self._world.addresses else -1
+            )
+        return number
--- /dev/null
+++ b/libs/modelcheck/src/modelcheck/surroundings.py
@@ -0,0 +1,211 @@
+"""The surroundings of one node under the explorer: a clock that moves only when told, a disk whose
+flushes end only when told, and posts that are gathered up. Every drawn number is fixed, so a node's
+state is a function of the events that it has been given.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from stacks import Disk
+from vellum import Message
+
+__all__ = ["BootImage", "ModelDisk", "ModelEnv", "Posted"]
+
+_REFS_PER_LIFE = 1_000_000
+
+
+class BootImage:
+    """What a process starts from: its machine's files, clock and how often it has been started."""
+
+    __slots__ = ("clock_ms", "files", "life")
+
+    def __init__(self, files: dict[str, bytes], clock_ms: int, life: int) -> None:
+        self.files = files
+        self.clock_ms = clock_ms
+        self.life = life
+
+    def key(self) -> tuple:
+        """Equal for images from which a process starts alike."""
+        return (tuple(sorted(self.files.items())), self.clock_ms, self.life)
+
+
+class Posted:
+    """A message on its way."""
+
+    __slots__ = ("message", "re", "ref", "sender", "to")
+
+    def __init__(self, sender: str, to: str, ref: int, re: int, message: Message) -> None:
+        self.sender = sender
+        self.to = to
+        self.ref = ref
+        self.re = re
+        self.message = message
+
+
+class _FixedNumbers:
+    """Stands where cores draw: the first reference of a process's life, and a dice that never says wait."""
+
+    __slots__ = ("_life",)
+
+    def __init__(self, life: int) -> None:
+        self._life = life
+
+    def getrandbits(self, bits: int) -> int:
+        return self._life * _REFS_PER_LIFE
+
+    def random(self) -> float:
+        return 0.0
+
+    def randrange(self, *bounds: int) -> int:
+        return bounds[0] if len(bounds) > 1 else 0
+
+    def shuffle(self, rows: list) -> None:
+        return None
+
+    def choice(self, rows: list) -> Any:
+        return rows[0]
+
+    def sample(self, rows: list, count: int) -> list:
+        return list(rows)[:count]
+
+
+class ModelEnv:
+    """A node's `vellum` surroundings."""
+
+    __slots__ = ("_tokens", "address", "life", "name", "now_ms", "on_post", "posted", "requests", "rng")
+
+    def __init__(self, name: str, address: str, image: BootImage) -> None:
+        self.name = name
+        self.address = address
+        self.life = image.life
+        self.now_ms = image.clock_ms
+        self.rng = _FixedNumbers(image.life)
+        self.posted: list[Posted] = []
+        self.requests: dict[tuple[str, int], Message] = {}
+        self.on_post: Callable[[Posted], None] = lambda posted: None
+        self._tokens = 0
+
+    def now(self) -> int:
+        return self.now_ms
+
+    def wall(self) -> int:
+        return self.now_ms
+
+    def token(self) -> str:
+        self._tokens += 1
+        return f"{self.name}-{self.life}-{self._tokens}"
+
+    def post(self, to: str, ref: int, re: int, message: Message) -> None:
+        posted = Posted(self.address, to, ref, re, message)
+        self.posted.append(posted)
+        self.on_post(posted)
+
+    def received(self, posted: Posted) -> None:
+        """Notes a request, so that the reply to it can be told from others."""
+        if posted.ref:
+            self.requests[(posted.sender, posted.ref)] = posted.message
+
+    def log(self, event: str, level: str = "INFO", **fields: Any) -> None:
+        return None
+
+
+class _Waiting:
+    __slots__ = ("data", "done", "name", "rows")
+
+    def __init__(
+        self,
+        done: Callable[[bool], None],
+        name: str = "",
+        data: bytes | None = None,
+        rows: dict[str, int] | None = None,
+    ) -> None:
+        self.done = done
+        self.name = name
+        self.data = data
+        self.rows = rows or {}
+
+
+class ModelDisk(Disk):
+    """A disk without limits of room. `complete` ends the oldest flush or replacement."""
+
+    __slots__ = ("durable", "files", "pending", "waiting")
+
+    def __init__(self, files: dict[str, bytes]) -> None:
+        self.files = dict(files)
+        self.durable = dict(files)
+        self.pending: dict[str, list[tuple[str, int, bytes]]] = {}
+        self.waiting: list[_Waiting] = []
+
+    def names(self) -> list[str]:
+        return sorted(self.files)
+
+    def read(self, name: str) -> bytes:
+        return self.files[name]
+
+    def read_at(self, name: str, offset: int, size: int) -> bytes:
+        return self.files.get(name, b"")[offset : offset + size]
+
+    def roomy(self, size: int, urgent: bool = False) -> bool:
+        return True
+
+    def push(self) -> None:
+        return None
+
+    def write(self, name: str, offset: int, data: bytes, urgent: bool = False) -> None:
+        self._step(name, "write", offset, bytes(data))
+
+    def truncate(self, name: str, size: int) -> None:
+        if name in self.files and size != len(self.files[name]):
+            self._step(name, "truncate", size, b"")
+
+    def remove(self, name: str) -> None:
+        if name in self.files:
+            self._step(name, "remove", 0, b"")
+
+    def flush(self, names: list[str], done: Callable[[bool], None]) -> None:
+        removed = [
+            name
+            for name, rows in self.pending.items()
+            if any(kind == "remove" for kind, _, _ in rows)
+        ]
+        rows = {name: len(self.pending.get(name, ())) for name in [*names, *removed]}
+        self.waiting.append(_Waiting(done, rows=rows))
+
+    def replace(self, name: str, data: bytes, done: Callable[[bool], None]) -> None:
+        self.waiting.append(_Waiting(done, name, bytes(data)))
+
+    def set_aside(self) -> None:
+        for files in (self.files, self.durable, self.pending):
+            files.clear()
+
+    @property
+    def busy(self) -> bool:
+        return bool(self.waiting)
+
+    def complete(self) -> None:
+        """The oldest flush or replacement is on the device, and who waits for it is told."""
+        row = self.waiting.pop(0)
+        if row.data is not None:
+            self.files[row.name] = self.durable[row.name] = row.data
+            self.pending.pop(row.name, None)
+        for name, count in row.rows.items():
+            steps = self.pending.get(name, [])
+            for kind, at, data in steps[:count]:
+                _make(self.durable, name, kind, at, data)
+            self.pending[name] = steps[count:]
+        row.done(True)
+
+    def _step(self, name: str, kind: str, at: int, data: bytes) -> None:
+        _make(self.files, name, kind, at, data)
+        self.pending.setdefault(name, []).append((kind, at, data))
+
+
+def _make(files: dict[str, bytes], name: str, kind: str, at: int, data: bytes) -> None:
+    if kind == "remove":
+        files.pop(name, None)
+        return
+    page = files.get(name, b"")
+    page = page[:at].ljust(at, b"\0")
+    if kind == "write":
+        page = page + data + files.get(name, b"")[at + len(data) :]
+    files[name] = page
--- /dev/null
+++ b/libs/modelcheck/src/modelcheck/world.py
@@ -0,0 +1,162 @@
+"""What a model of one group of nodes has to say: which nodes there are and how they start, which
+operations are given to them, what is seen of a node's state, and what must always hold. The
+explorer knows nothing else about the group.
+"""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Hashable
+from typing import Any
+
+from vellum import Node
+
+from modelcheck.surroundings import BootImage, ModelDisk, ModelEnv
+
+__all__ = ["Breach", "Bounds", "Live", "Operation", "World"]
+
+
+class Breach(Exception):
+    """An invariant doesn't hold. `invariant` is its number."""
+
+    def __init__(self, invariant: str, what: str) -> None:
+        super().__init__(f"{invariant}: {what}")
+        self.invariant = invariant
+
+
+class Bounds:
+    """How far the explorer goes: how often each thing may happen in one schedule, and how many steps it has.
+    `slow_disk` makes the end of each flush a step of its own; without it flushes end at once.
+    """
+
+    __slots__ = (
+        "cuts",
+        "depth",
+        "duplicates",
+        "freezes",
+        "kills",
+        "losses",
+        "powers",
+        "seconds",
+        "slow_disk",
+        "states",
+        "ticks",
+        "timeouts",
+        "wipes",
+    )
+
+    def __init__(
+        self,
+        depth: int = 40,
+        states: int = 100_000,
+        seconds: float = 1e9,
+        slow_disk: bool = False,
+        **counts: int,
+    ) -> None:
+        self.depth = depth
+        self.states = states
+        self.seconds = seconds
+        self.slow_disk = slow_disk
+        for name in (
+            "losses",
+            "duplicates",
+            "ticks",
+            "timeouts",
+            "freezes",
+            "kills",
+            "powers",
+            "wipes",
+            "cuts",
+        ):
+            setattr(self, name, counts.pop(name, 0))
+        if counts:
+            raise TypeError(f"no such bound: {', '.join(counts)}")
+
+
+class Operation:
+    """Something a client asks of a node, once in a schedule, at any time after the operations in `after` (by
+    their place in the scenario) have been answered.
+    """
+
+    __slots__ = ("after", "message", "name", "node")
+
+    def __init__(self, name: str, node: int, message: Any, after: tuple[int, ...] = ()) -> None:
+        self.name = name
+        self.node = node
+        self.message = message
+        self.after = after
+
+
+class Live:
+    """A running node with its surroundings."""
+
+    __slots__ = ("disk", "env", "node", "told")
+
+    def __init__(self, env: ModelEnv, disk: ModelDisk, told: list[Hashable]) -> None:
+        self.env = env
+        self.disk = disk
+        self.told = told
+        self.node: Node = None  # type: ignore[assignment]
+
+
+class World(ABC):
+    """One starting state of a group of nodes. `timeout_ms` is how far TIMEOUT moves a clock and `freeze_ms` how far
+    FREEZE does. A ghost is what has been seen from outside so far (votes given, answers): never changed, compared by
+    value.
+    """
+
+    addresses: list[str]
+    operations: list[Operation]
+    bounds: Bounds
+    timeout_ms: int
+    freeze_ms: int
+    skip: frozenset[tuple[str, str]] = frozenset()
+    opaque: tuple[type, ...] = ()
+
+    @abstractmethod
+    def image(self, index: int) -> BootImage:
+        """What a node starts from at the beginning."""
+
+    @abstractmethod
+    def boot(self, index: int, live: Live) -> Node:
+        """The node's process, from its disk. What clients and other observers see goes into `live.told`."""
+
+    @abstractmethod
+    def submit(self, index: int, live: Live, number: int) -> None:
+        """Gives an operation to its node."""
+
+    @abstractmethod
+    def observe(self, index: int, live: Live) -> Hashable:
+        """What invariants need to know of a node's state."""
+
+    @abstractmethod
+    def first_ghost(self) -> Hashable:
+        """The ghost before the first step."""
+
+    @abstractmethod
+    def next_ghost(self, ghost: Any, told: tuple[Hashable, ...]) -> Hashable:
+        """The ghost after one step.
+
+        Raises
+        ------
+        Breach: what was told breaks an invariant.
+        """
+
+    @abstractmethod
+    def check(self, ghost: Any, observed: tuple[Any, ...]) -> None:
+        """Invariants over the nodes' present states.
+
+        Raises
+        ------
+        Breach: one of them doesn't hold.
+        """
+
+    def answered(self, ghost: Any) -> frozenset[int]:
+        """The numbers of the operations that have been answered."""
+        return frozenset()
+
+    def inert(self, done: Callable) -> bool:
+        """Whether nothing depends any more on the answer to an asking."""
+        return False
+
+    def disk_key(self, disk: ModelDisk) -> Any:
+        """What of a disk's content matters for a process that starts from it."""
+        return (disk.files, disk.durable)
