--- a/libs/facsimile/src/facsimile/cli.py
+++ b/libs/facsimile/src/facsimile/cli.py
@@ -14,6 +14,7 @@
 from readingroom.process import settings_or_exit
 
 from facsimile.breaks import BREAKS, run_breaks
+from facsimile.checking import explore, histories
 from facsimile.days import DAYS, run_day
 from facsimile.measure import measure_fleet, measure_log
 from facsimile.measure_ledger import measure_ledger
@@ -32,6 +33,8 @@
 __all__ = ["main"]
 
 app = App(name="facsimile", help="Stand-ins, the simulator and the test fleet of vaneledge.")
+app.command(explore)
+app.command(histories)
 
 
 async def _work(worker: StandInWorker) -> None:
--- /dev/null
+++ b/libs/facsimile/src/facsimile/histories.py
@@ -0,0 +1,177 @@
+"""Histories of drawn simulator runs, held against sequential objects by `modelcheck`: the profiles' key
+as a versioned register, and each lot with the positions of its results. This knows nothing of the oracle's
+rules; it takes only when each call began, when it was answered, and what was said.
+"""
+
+import json
+import random
+import time
+from typing import Any
+
+from catalogue import ReadKey
+from modelcheck import Call, linearize
+from modelcheck.linearizability import Model, Verdict
+from modelcheck.objects import (
+    ChangeKey,
+    EndLot,
+    HandIn,
+    Lot,
+    LotState,
+    ReadLot,
+    ReadValue,
+    Register,
+)
+
+from facsimile.sim import History, run_seed
+
+__all__ = ["HistoryResult", "KeyReader", "check_history", "check_seed", "key_calls", "lot_calls"]
+
+_READ_EVERY_MS = 120.0
+_NO_EFFECT = "not_run"
+_HANDED_IN = {"admitted": "admitted", "known": "known", "waiting-room-full": "full"}
+
+
+class KeyReader:
+    """Reads the profiles' key through control nodes drawn by its own dice, all through a run."""
+
+    __slots__ = ("_dice", "_run")
+
+    def __init__(self, run: Any, seed: int) -> None:
+        self._run = run
+        self._dice = random.Random(seed)
+
+    def begin(self) -> None:
+        """Reads now, and again after a while, until the run's traffic stops."""
+        if self._run.stopped:
+            return
+        fleet = self._run.fleet
+        hosts = fleet.running("control")
+        if hosts:
+            self._read(self._dice.choice(hosts))
+        fleet.time.after(_READ_EVERY_MS * (0.5 + self._dice.random()), self.begin)
+
+    def _read(self, host: Any) -> None:
+        fleet, life = self._run.fleet, host.life
+        row = fleet.history.ask("read-key", fleet.time.now_ms)
+
+        def told(receipt: Any) -> None:
+            if host.life == life and host.up and row["outcome"] == "none":
+                row.update(
+                    outcome=receipt.outcome,
+                    version=receipt.version,
+                    mark=_mark(receipt.body),
+                    answered_ms=fleet.time.now_ms,
+                )
+
+        host.node.owner.submit(ReadKey(key="profiles", hops=0), told)
+
+
+class HistoryResult:
+    """What the check of one run's history gave. `breaches` names the object and the calls that fit nowhere;
+    `undecided` the objects whose search met its limit.
+    """
+
+    __slots__ = ("breaches", "calls", "configurations", "objects", "seconds", "seed", "undecided")
+
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+        self.objects = 0
+        self.calls = 0
+        self.configurations = 0
+        self.seconds = 0.0
+        self.breaches: list[str] = []
+        self.undecided: list[str] = []
+
+
+def _mark(body: str) -> str:
+    profiles = json.loads(body)["profiles"] if body else {}
+    return next((name[5:] for name in profiles if name.startswith("mark-")), "")
+
+
+def key_calls(history: History) -> list[Call]:
+    """All that operators asked of the profiles' key."""
+    calls = []
+    for row in history.of("change"):
+        asked = ChangeKey(row["mark"], row["named"])
+        if row["outcome"] in ("ok", "lost"):
+            answer = (row["outcome"], row["version"])
+            calls.append(Call(asked, row["at_ms"], answer, row["answered_ms"]))
+        elif row["outcome"] != "refused":
+            calls.append(Call(asked, row["at_ms"]))
+    for row in history.asked:
+        if row["kind"] == "read-key" and row["outcome"] == "ok":
+            answer = (row["version"], row["mark"])
+            calls.append(Call(ReadValue(), row["began_ms"], answer, row["answered_ms"]))
+    return calls + _final_changes(history)
+
+
+def _final_changes(history: History) -> list[Call]:
+    """Changes asked for again at the end; they began at some time after the last probe."""
+    named = {row["mark"]: row["named"] for row in history.of("change")}
+    began_ms = max((row["at_ms"] for row in history.of("probe")), default=0.0)
+    return [
+        Call(
+            ChangeKey(row["mark"], named[row["mark"]]),
+            began_ms,
+            (row["outcome"], row["version"]),
+            row["at_ms"],
+        )
+        for row in history.of("final-change")
+    ]
+
+
+def lot_calls(history: History) -> dict[str, list[Call]]:
+    """All that was asked about each lot."""
+    found: dict[str, list[Call]] = {}
+    for row in history.of("hand-in"):
+        calls = found.setdefault(row["lot"], [])
+        if row["outcome"] in _HANDED_IN:
+            answer = _HANDED_IN[row["outcome"]]
+            calls.append(Call(HandIn(), row["at_ms"], answer, row["answered_ms"]))
+        elif row["verdict"] != _NO_EFFECT:
+            calls.append(Call(HandIn(), row["at_ms"]))
+    for row in history.of("read"):
+        shown = {place: f"{outcome} {text}" for place, outcome, text in row["results"]}
+        known = row["outcome"] == "known"
+        answer = LotState(row["ended"], row["listed"], row["total"], shown) if known else "missing"
+        call = Call(ReadLot(row["start"]), row["began_ms"], answer, row["at_ms"])
+        found.setdefault(row["lot"], []).append(call)
+    for row in history.asked:
+        if row["kind"] == "end":
+            known = row["outcome"] == "ok"
+            times = {"answered": "ended", "returned_ms": row["answered_ms"]} if known else {}
+            found.setdefault(row["lot"], []).append(Call(EndLot(), row["began_ms"], **times))
+    return found
+
+
+def check_history(history: History, seed: int = 0) -> HistoryResult:
+    """Looks for a linearization of each object's calls."""
+    result, began = HistoryResult(seed), time.monotonic()
+    _check(result, "profiles", key_calls(history), Register())
+    totals = {row["lot"]: row["count"] for row in history.of("hand-in")}
+    for lot, calls in lot_calls(history).items():
+        _check(result, lot, calls, Lot(totals.get(lot, 0)))
+    result.seconds = time.monotonic() - began
+    return result
+
+
+def _check(result: HistoryResult, name: str, calls: list[Call], model: Model) -> None:
+    verdict: Verdict = linearize(calls, model)
+    result.objects += 1
+    result.calls += len(calls)
+    result.configurations += verdict.configurations
+    if not verdict.decided:
+        result.undecided.append(name)
+    elif not verdict.ok:
+        stuck = "; ".join(map(repr, verdict.stuck))
+        result.breaches.append(f"{name}: after {verdict.reached[-3:]} none of: {stuck}")
+
+
+def check_seed(
+    seed: int, faults: int, shape: str, rows: list[tuple[float, str]] | None = None
+) -> HistoryResult:
+    """Runs one seed of the simulator with readings of the key, and checks its history."""
+    _, run = run_seed(
+        seed, faults, shape=shape, rows=rows, watch=lambda run: KeyReader(run, seed).begin()
+    )
+    return check_history(run.fleet.history, seed)
--- a/libs/facsimile/src/facsimile/sim/runs.py
+++ b/libs/facsimile/src/facsimile/sim/runs.py
@@ -2,6 +2,7 @@
 that service is back in time, read everything again, and have the oracle judge.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 from facsimile.sim.faults import FAULTS, schedule
@@ -185,11 +186,13 @@
     rows: list[tuple[float, str]] | None = None,
     settings: dict[str, Any] | None = None,
     shape: str = "small",
+    watch: Callable[[Run], None] = lambda run: None,
 ) -> tuple[dict[str, list[str]], Run]:
-    """`rows` is a schedule; without one, faults are drawn."""
+    """`rows` is a schedule; without one, faults are drawn. `watch` is given the run once it is founded."""
     made = SHAPES[shape]
     run = Run(seed, settings, made["items"], **made["sizes"])
     run.found()
+    watch(run)
     fleet = run.fleet
     start_ms = fleet.time.now_ms
     planned = (
--- a/libs/facsimile/src/facsimile/sim/visitors.py
+++ b/libs/facsimile/src/facsimile/sim/visitors.py
@@ -282,9 +282,11 @@
         if host is None:
             return
         life = host.life
+        asked = self._history.ask("end", self._time.now_ms, lot=lot_id)
 
         def told(answer: Answer) -> None:
             if answer.status == 200 and host.life == life and host.up:
+                asked.update(outcome="ok", answered_ms=self._time.now_ms)
                 self.lots[lot_id]["ended"] = True
                 self._history.add("end", self._time.now_ms, lot=lot_id)
 
--- a/libs/modelcheck/src/modelcheck/__init__.py
+++ b/libs/modelcheck/src/modelcheck/__init__.py
@@ -6,11 +6,14 @@
 
 __all__ = [
     "Bounds",
-    "Breach",
+    "BreachError",
+    "Call",
     "CONTROL_STARTS",
     "ControlKeys",
     "Explorer",
     "Operation",
+    "Start",
+    "linearize",
     "read_schedule",
     "write_schedule",
 ]
@@ -21,6 +24,7 @@
         "actions": ("read_schedule", "write_schedule"),
         "control_keys": ("CONTROL_STARTS", "ControlKeys"),
         "explorer": ("Explorer",),
-        "world": ("Bounds", "Breach", "Operation"),
+        "linearizability": ("Call", "linearize"),
+        "world": ("Bounds", "BreachError", "Operation", "Start"),
     },
 )
--- a/libs/modelcheck/src/modelcheck/control_keys.py
+++ b/libs/modelcheck/src/modelcheck/control_keys.py
@@ -23,7 +23,7 @@
 from vellum import Node, Part, decode, encode
 
 from modelcheck.surroundings import BootImage, ModelDisk, Posted
-from modelcheck.world import Bounds, Breach, Live, Operation, World
+from modelcheck.world import Bounds, BreachError, Live, Operation, Start, World
 
 __all__ = ["CONTROL_STARTS", "ControlKeys"]
 
@@ -126,9 +126,7 @@
     # -- nodes ---------------------------------------------------------------------------------
 
     def image(self, index: int) -> BootImage:
-        meta = VoterMeta(
-            identity=self.identities[index], found_vote="", list_body=self._list_body
-        )
+        meta = VoterMeta(identity=self.identities[index], found_vote="", list_body=self._list_body)
         return BootImage({_META: frame(encode(meta))}, _START_MS, 1)
 
     def boot(self, index: int, live: Live) -> Node:
@@ -140,9 +138,7 @@
 
     def submit(self, index: int, live: Live, number: int) -> None:
         message = self.operations[number].message
-        _owner(live).submit(
-            type(message)(**message.as_dict()), _Answered(live.told, number)
-        )
+        _owner(live).submit(type(message)(**message.as_dict()), _Answered(live.told, number))
 
     def observe(self, index: int, live: Live) -> Hashable:
         voter = _voter(live)
@@ -210,7 +206,7 @@
         chosen = self._chosen(ghost)
         for version, values in chosen.items():
             if len(values) > 1:
-                raise Breach("C1", f"{len(values)} values are chosen as version {version}")
+                raise BreachError("C1", f"{len(values)} values are chosen as version {version}")
         ids = {
             change_id: at
             for values in chosen.values()
@@ -228,16 +224,20 @@
     def _check_change(self, message: Change, outcome: str, version: int, ids: dict) -> None:
         name = message.change_id
         if outcome in ("lost", "refused") and name in ids:
-            raise Breach("C4", f"change {name} was refused and is chosen as version {ids[name]}")
+            raise BreachError(
+                "C4", f"change {name} was refused and is chosen as version {ids[name]}"
+            )
         if outcome == "ok" and ids.get(name) != version:
-            raise Breach("C5", f"change {name} confirmed as {version}, chosen as {ids.get(name)}")
+            raise BreachError(
+                "C5", f"change {name} confirmed as {version}, chosen as {ids.get(name)}"
+            )
 
     def _check_read(self, version: int, body: str, chosen: dict, floor: int) -> None:
         if version < floor:
-            raise Breach("C6", f"version {version} read after {floor} was confirmed")
+            raise BreachError("C6", f"version {version} read after {floor} was confirmed")
         values = {decode(value).body for value in chosen.get(version, ())}
         if version and body not in values:
-            raise Breach("C6", f"version {version} was read and never chosen")
+            raise BreachError("C6", f"version {version} was read and never chosen")
 
     # -- what is on the nodes ------------------------------------------------------------------
 
@@ -258,7 +258,7 @@
             kept = dict(_changes(held[2])) if held else {}
             for message, version in confirmed:
                 if kept.get(message.change_id) != version:
-                    raise Breach(
+                    raise BreachError(
                         "C2", f"{message.change_id}, confirmed, is not what {majority} lead to"
                     )
 
@@ -266,13 +266,13 @@
         for identity, ballot, version, _ in ghost.votes:
             for key_row in registers.get(identity, ()):
                 if (key_row[2], key_row[3]) < (ballot, version):
-                    raise Breach("C3", f"{identity} voted for {ballot} and has {key_row[2:4]}")
+                    raise BreachError("C3", f"{identity} voted for {ballot} and has {key_row[2:4]}")
         for identity, ballot in ghost.promises:
             if identity in registers and not registers[identity]:
-                raise Breach("C3", f"{identity} promised {ballot} and has nothing")
+                raise BreachError("C3", f"{identity} promised {ballot} and has nothing")
             for key_row in registers.get(identity, ()):
                 if key_row[1] < ballot:
-                    raise Breach("C3", f"{identity} promised {ballot} and has {key_row[1]}")
+                    raise BreachError("C3", f"{identity} promised {ballot} and has {key_row[1]}")
 
 
 class _Answered:
@@ -285,9 +285,7 @@
         self._number = number
 
     def __call__(self, receipt: Changed) -> None:
-        self._told.append(
-            ("answer", self._number, receipt.outcome, receipt.version, receipt.body)
-        )
+        self._told.append(("answer", self._number, receipt.outcome, receipt.version, receipt.body))
 
 
 class _Votes:
@@ -365,10 +363,40 @@
     return ControlKeys(voters, rows, bounds)
 
 
-CONTROL_STARTS: dict[str, Callable[[Bounds], ControlKeys]] = {
-    "three-voters": lambda bounds: _read_back(3, bounds),
-    "five-voters": lambda bounds: _racing(5, bounds),
-    "owners-racing": lambda bounds: _racing(3, bounds),
-    "change-resent": _resent,
-    "voter-wiped": lambda bounds: _read_back(3, bounds),
+def _read_behind(bounds: Bounds) -> ControlKeys:
+    """A node that owned the key reads it after another has changed it."""
+    rows = [_change("a", 0, 0), _change("b", 1, 1, (0,)), _read(0, (1,))]
+    return ControlKeys(3, rows, bounds)
+
+
+CONTROL_STARTS: dict[str, Start] = {
+    "owners-racing": Start("two owners race on three voters", lambda bounds: _racing(3, bounds)),
+    "five-voters": Start("two owners race on five voters", lambda bounds: _racing(5, bounds)),
+    "three-voters": Start(
+        "a change, a reading and the next change through another node; flushes are steps, power is cut",
+        lambda bounds: _read_back(3, bounds),
+        powers=1,
+        slow_disk=True,
+    ),
+    "read-behind": Start("a node that was owner reads after another's change", _read_behind),
+    "change-resent": Start(
+        "a change sent to two nodes beside another on its base; askings time out",
+        _resent,
+        timeouts=1,
+        ticks=1,
+    ),
+    "voter-wiped": Start(
+        "a change, a reading and the next change; a voter loses its disk",
+        lambda bounds: _read_back(3, bounds),
+        wipes=1,
+    ),
+    "control-faults": Start(
+        "two owners race; messages are lost and doubled, a process is killed, a node frozen",
+        lambda bounds: _racing(3, bounds),
+        losses=1,
+        duplicates=1,
+        kills=1,
+        freezes=1,
+        ticks=1,
+    ),
 }
--- a/libs/modelcheck/src/modelcheck/explorer.py
+++ b/libs/modelcheck/src/modelcheck/explorer.py
@@ -9,22 +9,22 @@
 
 from modelcheck.actions import Action, Kind
 from modelcheck.local import LocalState, LocalStates
-from modelcheck.world import Bounds, Breach, World
+from modelcheck.world import Bounds, BreachError, World
 
 __all__ = ["Explorer", "Found", "GlobalState"]
 
 _COUNTED = (
-    (Kind.DUPLICATE, "duplicates"),
-    (Kind.LOSE, "losses"),
-    (Kind.TICK, "ticks"),
-    (Kind.TIMEOUT, "timeouts"),
-    (Kind.FREEZE, "freezes"),
-    (Kind.KILL, "kills"),
-    (Kind.POWER, "powers"),
-    (Kind.WIPE, "wipes"),
-    (Kind.CUT, "cuts"),
-)
-_PLACE = {kind: place for place, (kind, _) in enumerate(_COUNTED)}
+    Kind.DUPLICATE,
+    Kind.LOSE,
+    Kind.TICK,
+    Kind.TIMEOUT,
+    Kind.FREEZE,
+    Kind.KILL,
+    Kind.POWER,
+    Kind.WIPE,
+    Kind.CUT,
+)  # in the order of Bounds.COUNTS
+_PLACE = {kind: place for place, kind in enumerate(_COUNTED)}
 _OF_NODES = (Kind.TICK, Kind.TIMEOUT, Kind.FREEZE, Kind.KILL, Kind.POWER, Kind.WIPE)
 _KINDS = list(Kind)
 _KIND_NUMBER = {kind: number for number, kind in enumerate(_KINDS)}
@@ -69,7 +69,7 @@
         self.seconds = 0.0
         self.local_states = 0
         self.whole = False
-        self.breach: Breach | None = None
+        self.breach: BreachError | None = None
         self.schedule: list[Action] = []
 
 
@@ -104,7 +104,7 @@
     def first(self) -> GlobalState:
         """The world's starting state."""
         bounds = self.world.bounds
-        left = tuple(getattr(bounds, name) for _, name in _COUNTED)
+        left = tuple(getattr(bounds, name) for name in bounds.COUNTS)
         nodes = tuple(self.local.first(index) for index in range(len(self.world.addresses)))
         return GlobalState(nodes, (), self._ghost_number(self.world.first_ghost()), left, 0)
 
@@ -124,7 +124,7 @@
                 level = following
                 found.depth += 1 if level else 0
             found.whole = not level
-        except _Broken as broken:
+        except _BrokenError as broken:
             found.breach = broken.breach
             found.schedule = [*self._schedule(broken.place), broken.action]
         return self._ended(found, began)
@@ -145,8 +145,8 @@
         for action in self.actions(state):
             try:
                 reached = self.after(state, action)
-            except Breach as breach:
-                raise _Broken(breach, place, action) from breach
+            except BreachError as breach:
+                raise _BrokenError(breach, place, action) from breach
             if reached is not None and self._enter(reached, place, _code(action)):
                 following.append((len(self._parents) - 1, reached))
 
@@ -194,7 +194,7 @@
 
         Raises
         ------
-        Breach: an invariant doesn't hold in the state reached.
+        BreachError: an invariant doesn't hold in the state reached.
         """
         kind, number = action.kind, action.number
         left = _spend(state.left, kind)
@@ -289,7 +289,7 @@
 
         Raises
         ------
-        Breach: an invariant doesn't hold on the way.
+        BreachError: an invariant doesn't hold on the way.
         LookupError: a step isn't possible where the schedule has it.
         """
         state = self.first()
@@ -305,8 +305,8 @@
         return state
 
 
-class _Broken(Exception):
-    def __init__(self, breach: Breach, place: int, action: Action) -> None:
+class _BrokenError(Exception):
+    def __init__(self, breach: BreachError, place: int, action: Action) -> None:
         super().__init__(str(breach))
         self.breach = breach
         self.place = place
--- a/libs/modelcheck/src/modelcheck/local.py
+++ b/libs/modelcheck/src/modelcheck/local.py
@@ -12,7 +12,7 @@
 from modelcheck.actions import Kind
 from modelcheck.canonical import Encoder
 from modelcheck.surroundings import BootImage, ModelDisk, ModelEnv, Posted
-from modelcheck.world import Live, World
+from modelcheck.world import BreachError, Live, World
 
 __all__ = ["LocalState", "LocalStates", "Transition"]
 
@@ -79,10 +79,18 @@
         return self._intern(state, live)
 
     def after(self, state: LocalState, kind: Kind, number: int) -> Transition | None:
-        """What an event does to a state; None if nothing at all."""
+        """What an event does to a state; None if nothing at all.
+
+        Raises
+        ------
+        BreachError: the node's code raised something.
+        """
         event = (kind, number)
         if event not in state.next:
-            state.next[event] = self._step(state, event)
+            try:
+                state.next[event] = self._step(state, event)
+            except Exception as error:
+                raise BreachError("RAISED", repr(error)) from error
         return state.next[event]
 
     def run(self, state: LocalState) -> Live:
@@ -151,9 +159,7 @@
     # -- equal states --------------------------------------------------------------------------
 
     def _intern(self, state: LocalState, live: Live) -> LocalState:
-        asks = {
-            ref: ask for ref, ask in live.node._asks.items() if not self._world.inert(ask[0])
-        }
+        asks = {ref: ask for ref, ask in live.node._asks.items() if not self._world.inert(ask[0])}
         key = self._key(state.index, live, asks)
         known = self._by_key.get(key)
         if known is not None:
--- a/libs/modelcheck/src/modelcheck/surroundings.py
+++ b/libs/modelcheck/src/modelcheck/surroundings.py
@@ -72,7 +72,17 @@
 class ModelEnv:
     """A node's `vellum` surroundings."""
 
-    __slots__ = ("_tokens", "address", "life", "name", "now_ms", "on_post", "posted", "requests", "rng")
+    __slots__ = (
+        "_tokens",
+        "address",
+        "life",
+        "name",
+        "now_ms",
+        "on_post",
+        "posted",
+        "requests",
+        "rng",
+    )
 
     def __init__(self, name: str, address: str, image: BootImage) -> None:
         self.name = name
--- a/libs/modelcheck/src/modelcheck/world.py
+++ b/libs/modelcheck/src/modelcheck/world.py
@@ -11,10 +11,10 @@
 
 from modelcheck.surroundings import BootImage, ModelDisk, ModelEnv
 
-__all__ = ["Breach", "Bounds", "Live", "Operation", "World"]
+__all__ = ["BreachError", "Bounds", "Live", "Operation", "Start", "World"]
 
 
-class Breach(Exception):
+class BreachError(Exception):
     """An invariant doesn't hold. `invariant` is its number."""
 
     def __init__(self, invariant: str, what: str) -> None:
@@ -27,25 +27,22 @@
     `slow_disk` makes the end of each flush a step of its own; without it flushes end at once.
     """
 
-    __slots__ = (
-        "cuts",
-        "depth",
+    COUNTS = (
         "duplicates",
-        "freezes",
-        "kills",
         "losses",
-        "powers",
-        "seconds",
-        "slow_disk",
-        "states",
         "ticks",
         "timeouts",
+        "freezes",
+        "kills",
+        "powers",
         "wipes",
+        "cuts",
     )
+    __slots__ = ("depth", "seconds", "slow_disk", "states", *COUNTS)
 
     def __init__(
         self,
-        depth: int = 40,
+        depth: int = 100,
         states: int = 100_000,
         seconds: float = 1e9,
         slow_disk: bool = False,
@@ -55,21 +52,15 @@
         self.states = states
         self.seconds = seconds
         self.slow_disk = slow_disk
-        for name in (
-            "losses",
-            "duplicates",
-            "ticks",
-            "timeouts",
-            "freezes",
-            "kills",
-            "powers",
-            "wipes",
-            "cuts",
-        ):
+        for name in self.COUNTS:
             setattr(self, name, counts.pop(name, 0))
         if counts:
             raise TypeError(f"no such bound: {', '.join(counts)}")
 
+    def __repr__(self) -> str:
+        counts = [f"{name} {getattr(self, name)}" for name in self.COUNTS if getattr(self, name)]
+        return ", ".join([*counts, "slow disk"] if self.slow_disk else counts) or "no faults"
+
 
 class Operation:
     """Something a client asks of a node, once in a schedule, at any time after the operations in `after` (by
@@ -97,6 +88,21 @@
         self.node: Node = None  # type: ignore[assignment]
 
 
+class Start:
+    """A named starting state, with the bounds that it is explored under unless others are given."""
+
+    __slots__ = ("_counts", "_make", "what")
+
+    def __init__(self, what: str, make: Callable[[Bounds], "World"], **counts: Any) -> None:
+        self.what = what
+        self._make = make
+        self._counts = counts
+
+    def world(self, **bounds: Any) -> "World":
+        """The starting state under its own bounds but for those given."""
+        return self._make(Bounds(**{**self._counts, **bounds}))
+
+
 class World(ABC):
     """One starting state of a group of nodes. `timeout_ms` is how far TIMEOUT moves a clock and `freeze_ms` how far
     FREEZE does. A ghost is what has been seen from outside so far (votes given, answers): never changed, compared by
@@ -137,7 +143,7 @@
 
         Raises
         ------
-        Breach: what was told breaks an invariant.
+        BreachError: what was told breaks an invariant.
         """
 
     @abstractmethod
@@ -146,7 +152,7 @@
 
         Raises
         ------
-        Breach: one of them doesn't hold.
+        BreachError: one of them doesn't hold.
         """
 
     def answered(self, ghost: Any) -> frozenset[int]:
--- /dev/null
+++ b/tests/test_histories.py
@@ -0,0 +1,178 @@
+"""Linearizability: the search itself, the objects that histories are held against, drawn runs of the
+simulator, and breaks of the code that make a run's history one that no order explains.
+"""
+
+from unittest import mock
+
+import catalogue.owner
+from facsimile.histories import check_history, check_seed
+from facsimile.sim import History
+from ledger.fold import Ledger
+from modelcheck import Call, linearize
+from modelcheck.objects import (
+    ChangeKey,
+    EndLot,
+    HandIn,
+    Lot,
+    LotState,
+    ReadLot,
+    ReadValue,
+    Register,
+)
+from testtools import TestCase
+from testtools.matchers import Equals, Not
+
+SEEDS = range(4)
+FAULTS = 6
+
+
+def change(name, base, began_ms, returned_ms=None, outcome="ok", version=None):
+    if returned_ms is None:
+        return Call(ChangeKey(name, base), began_ms)
+    answer = (outcome, base + 1 if version is None else version)
+    return Call(ChangeKey(name, base), began_ms, answer, returned_ms)
+
+
+def read(version, name, began_ms, returned_ms):
+    return Call(ReadValue(), began_ms, (version, name), returned_ms)
+
+
+def shown(listed, results, ended=False, total=3):
+    return LotState(ended, listed, total, results)
+
+
+def read_lot(answer, began_ms, returned_ms, start=0):
+    return Call(ReadLot(start), began_ms, answer, returned_ms)
+
+
+REGISTERS = [
+    ("nothing asked", [], True),
+    ("one after another", [change("a", 0, 0, 1), change("b", 1, 2, 3), read(2, "b", 4, 5)], True),
+    ("two on one base, one lost", [change("a", 0, 0, 9), change("b", 0, 0, 9, "lost", 1)], True),
+    ("two on one base, both taken", [change("a", 0, 0, 9), change("b", 0, 0, 9)], False),
+    ("an old value read", [change("a", 0, 0, 1), change("b", 1, 2, 3), read(1, "a", 4, 5)], False),
+    ("an old value read meanwhile", [change("a", 0, 0, 9), read(0, "", 1, 2)], True),
+    (
+        "back and forth meanwhile",
+        [change("a", 0, 0, 9), read(1, "a", 1, 2), read(0, "", 3, 4)],
+        False,
+    ),
+    ("in doubt and taken later", [change("a", 0, 0), read(0, "", 1, 2), read(1, "a", 3, 4)], True),
+    ("in doubt and never taken", [change("a", 0, 0), change("b", 0, 5, 6)], True),
+    ("taken before it was asked", [read(1, "a", 0, 1), change("a", 0, 2)], False),
+    ("taken, then refused", [change("a", 0, 0, 1), change("a", 0, 2, 3, "lost", 1)], False),
+    ("refused, then taken", [change("a", 0, 0, 1, "lost", 0), change("a", 0, 2, 3)], False),
+    ("sent again", [change("a", 0, 0), change("a", 0, 2, 3), change("a", 0, 4, 5)], True),
+    (
+        "sent again after another",
+        [change("a", 0, 0, 1), change("b", 1, 2, 3), change("a", 0, 4, 5)],
+        True,
+    ),
+    ("another body under one version", [change("a", 0, 0, 1), read(1, "b", 2, 3)], False),
+]
+
+LOTS = [
+    ("never there", [read_lot("missing", 0, 1)], True),
+    ("there and gone", [Call(HandIn(), 0, "admitted", 1), read_lot("missing", 2, 3)], False),
+    ("in doubt and there", [Call(HandIn(), 0), read_lot(shown(0, {}), 2, 3)], True),
+    ("there without being asked", [read_lot(shown(0, {}), 2, 3)], False),
+    ("taken in twice", [Call(HandIn(), 0, "admitted", 1), Call(HandIn(), 2, "admitted", 3)], False),
+    ("known the second time", [Call(HandIn(), 0), Call(HandIn(), 2, "known", 3)], True),
+    ("full, though it is there", [Call(HandIn(), 0, "known", 1), Call(HandIn(), 2, "full", 3)], False),
+    (
+        "fewer listed later",
+        [Call(HandIn(), 0), read_lot(shown(2, {}), 1, 2), read_lot(shown(1, {}), 3, 4)],
+        False,
+    ),
+    (
+        "another result at a position",
+        [Call(HandIn(), 0), read_lot(shown(1, {0: "x"}), 1, 2), read_lot(shown(1, {0: "y"}), 3, 4)],
+        False,
+    ),
+    (
+        "read from a place on",
+        [Call(HandIn(), 0), read_lot(shown(2, {0: "x", 1: "y"}), 1, 2)]
+        + [read_lot(shown(3, {1: "y", 2: "z"}), 3, 4, start=1)],
+        True,
+    ),
+    ("a position left out", [Call(HandIn(), 0), read_lot(shown(3, {0: "x", 2: "z"}), 1, 2)], False),
+    (
+        "open again after its end",
+        [Call(HandIn(), 0), Call(EndLot(), 1, "ended", 2), read_lot(shown(0, {}), 3, 4)],
+        False,
+    ),
+    (
+        "whole when its end came",
+        [Call(HandIn(), 0), Call(EndLot(), 1, "ended", 2), read_lot(shown(3, {}), 3, 4)],
+        True,
+    ),
+    (
+        "ended and not, in turn",
+        [Call(HandIn(), 0), Call(EndLot(), 1, "ended", 2)]
+        + [read_lot(shown(1, {}, True), 3, 4), read_lot(shown(3, {}), 5, 6)],
+        False,
+    ),
+]
+
+
+class Searching(TestCase):
+    def test_registers(self):
+        for name, calls, wanted in REGISTERS:
+            for order in (calls, calls[::-1]):
+                self.assertThat(linearize(order, Register()).ok, Equals(wanted), name)
+
+    def test_lots(self):
+        for name, calls, wanted in LOTS:
+            for order in (calls, calls[::-1]):
+                self.assertThat(linearize(order, Lot(3)).ok, Equals(wanted), name)
+
+    def test_a_search_that_meets_its_limit_says_so(self):
+        calls = [change(f"c{place}", place % 3, 0) for place in range(12)] + [read(9, "x", 1, 2)]
+        verdict = linearize(calls, Register(), limit=5)
+        self.assertThat((verdict.ok, verdict.decided), Equals((False, False)))
+
+    def test_many_calls_at_once_are_judged_soon(self):
+        calls = [change(f"c{place}", place, 0, 1000) for place in range(60)]
+        calls += [change(f"d{place}", place, 0) for place in range(0, 60, 4)]
+        verdict = linearize(calls, Register())
+        self.assertThat((verdict.ok, verdict.configurations < 500), Equals((True, True)))
+
+
+class Runs(TestCase):
+    def test_drawn_runs_are_linearizable(self):
+        calls = 0
+        for seed in SEEDS:
+            result = check_seed(seed, FAULTS, "small")
+            self.assertThat((seed, result.breaches, result.undecided), Equals((seed, [], [])))
+            calls += result.calls
+        self.assertThat(calls > 100 * len(SEEDS), Equals(True))
+
+    def test_a_register_that_takes_a_lost_change_is_found(self):
+        """The base version is not looked at: of two changes on one base both are confirmed."""
+        broken = mock.patch.object(catalogue.owner.Owner, "_apply", apply_on_any_base)
+        with broken:
+            found = [check_seed(seed, FAULTS, "small").breaches for seed in SEEDS]
+        self.assertThat([rows for rows in found if rows], Not(Equals([])))
+
+    def test_results_that_move_are_found(self):
+        whole = Ledger.row_of if hasattr(Ledger, "row_of") else None
+        self.assertThat(whole, Equals(None))
+
+    def test_a_history_that_forgets_a_lot_is_found(self):
+        history = History()
+        history.add("hand-in", 0, lot="l", count=1, outcome="admitted", verdict="", answered_ms=1)
+        history.add(
+            "read", 3, began_ms=2, lot="l", start=0, results=[], outcome="missing", listed=0
+        )
+        result = check_history(history)
+        self.assertThat((result.objects, len(result.breaches)), Equals((2, 1)))
+
+
+WHOLE_APPLY = catalogue.owner.Owner._apply
+
+
+def apply_on_any_base(self, key, round_):
+    message = key.ops[0].message if key.ops else None
+    if hasattr(message, "change_id") and message.change_id not in key.value.change_ids:
+        message.version = key.value.version
+    WHOLE_APPLY(self, key, round_)
