--- a/libs/facsimile/src/facsimile/breaks/control.py
+++ b/libs/facsimile/src/facsimile/breaks/control.py
@@ -7,6 +7,7 @@
 _FAN = "tests/test_fan_out.py -k "
 _FOUNDING = "tests/test_founding.py -k "
 _DAYS = "tests/test_platform_days.py -k "
+_EXPLORE = "tests/test_explore.py -k "
 
 BREAKS: dict[str, tuple[str, str, str, str]] = {
     "voters change without a sweep": (
@@ -99,4 +100,16 @@
         "elif False:",
         _DAYS + "calm",
     ),
+    "votes before they are on disk": (
+        "catalogue/src/catalogue/voter.py",
+        "self._disk.flush([self._log_name], flushed)",
+        "flushed(True)",
+        _EXPLORE + "nothing_breaks",
+    ),
+    "a voter takes any epoch": (
+        "catalogue/src/catalogue/voter.py",
+        "if ballot < register.promised or ( ballot == register.accepted",
+        "if ( ballot == register.accepted",
+        _EXPLORE + "nothing_breaks",
+    ),
 }
--- a/libs/facsimile/src/facsimile/breaks/log.py
+++ b/libs/facsimile/src/facsimile/breaks/log.py
@@ -5,6 +5,7 @@
 _LOTS = "tests/test_lots.py -k "
 _LOG = "tests/test_log_conformance.py -k "
 _MEMBERS = "tests/test_members.py -k "
+_EXPLORE = "tests/test_explore_log.py -k "
 
 BREAKS: dict[str, tuple[str, str, str, str]] = {
     "one lot too many": (
@@ -138,4 +139,10 @@
         "return self._own == names[0]",
         _MEMBERS + "swapped",
     ),
+    "a fence is told before it is on disk": (
+        "accession/src/accession/meta.py",
+        "self._disk.flush([_NAME], kept)",
+        "kept(True)",
+        _EXPLORE + "nothing_breaks",
+    ),
 }
--- a/libs/modelcheck/src/modelcheck/world.py
+++ b/libs/modelcheck/src/modelcheck/world.py
@@ -9,9 +9,10 @@
 
 from vellum import Node
 
+from modelcheck.actions import Kind
 from modelcheck.surroundings import BootImage, ModelDisk, ModelEnv
 
-__all__ = ["BreachError", "Bounds", "Live", "Operation", "Start", "World"]
+__all__ = ["BreachError", "Bounds", "Live", "Operation", "Start", "Step", "World"]
 
 
 class BreachError(Exception):
@@ -36,6 +37,7 @@
         "kills",
         "powers",
         "wipes",
+        "refusals",
         "cuts",
     )
     __slots__ = ("depth", "seconds", "slow_disk", "states", *COUNTS)
@@ -103,17 +105,42 @@
         return self._make(Bounds(**{**self._counts, **bounds}))
 
 
+class Step:
+    """A step of a prelude. Where `drained` is set all that it leads to comes about as well, messages in the order of
+    sending and flushes at once; what goes to or from the node `without` is lost meanwhile.
+    """
+
+    __slots__ = ("drained", "kind", "node", "number", "without")
+
+    def __init__(
+        self, kind: Kind, node: int, number: int = 0, drained: bool = True, without: int = -1
+    ) -> None:
+        self.kind = kind
+        self.node = node
+        self.number = number
+        self.drained = drained
+        self.without = without
+
+
 class World(ABC):
-    """One starting state of a group of nodes. `timeout_ms` is how far TIMEOUT moves a clock and `freeze_ms` how far
-    FREEZE does. A ghost is what has been seen from outside so far (votes given, answers): never changed, compared by
+    """One starting state of a group of nodes. `tick_ms`, `timeout_ms` and `freeze_ms` are how far TICK, TIMEOUT and
+    FREEZE move a clock. `prelude` is run before the search. Messages of the types in `unheard` are always lost. Where `loops_back` is set, what a node sends itself
+    arrives at once. Nodes in `sturdy` only get messages. Where `in_order`
+    is set, messages between two nodes arrive in the order of sending, as on one connection. A ghost is what has been seen from outside so far (votes given, answers): never changed, compared by
     value.
     """
 
     addresses: list[str]
     operations: list[Operation]
     bounds: Bounds
+    tick_ms: int = 0
     timeout_ms: int
     freeze_ms: int
+    prelude: tuple[Step, ...] = ()
+    unheard: tuple[type, ...] = ()
+    sturdy: frozenset[int] = frozenset()
+    in_order: bool = False
+    loops_back: bool = False
     skip: frozenset[tuple[str, str]] = frozenset()
     opaque: tuple[type, ...] = ()
 
@@ -133,6 +160,10 @@
     def observe(self, index: int, live: Live) -> Hashable:
         """What invariants need to know of a node's state."""
 
+    def witness(self, index: int, live: Live) -> frozenset:
+        """Facts of a node's state; those that a step adds are told after it."""
+        return frozenset()
+
     @abstractmethod
     def first_ghost(self) -> Hashable:
         """The ghost before the first step."""
--- /dev/null
+++ b/tests/test_explore_log.py
@@ -0,0 +1,105 @@
+"""The explorer on the replicated log: nothing breaks within small bounds, and breaks of fences, copies,
+readings and claims made on purpose are found.
+"""
+
+from unittest import mock
+
+from accession import Holder, StoreLog
+from accession.holder import Outcome
+from accession.messages import Append, LogMeta
+from accession.meta import MetaFile
+from accession.peer import PeerSide
+from modelcheck import Explorer
+from modelcheck.starts import STARTS
+from modelcheck.store_log import LOG_STARTS
+from testtools import TestCase
+from testtools.matchers import Contains, Equals
+
+STATES = 4_000
+LIMIT = 150_000
+
+WHOLE_RECEIVE = PeerSide.receive
+WHOLE_KEEP = MetaFile.keep
+WHOLE_CHANGE = StoreLog._change
+
+
+def settled_here(self, waiter, held_seq):
+    """The holder's own disk is enough."""
+    return waiter.seq <= self._log.flushed_seq
+
+
+def take_lower_epochs(self, message, reply, source=""):
+    """A peer takes what an earlier holder sends as if it came from the present one."""
+    if isinstance(message, Append):
+        message.epoch = max(message.epoch, self._log.meta.fence)
+    WHOLE_RECEIVE(self, message, reply, source)
+
+
+def read_unasked(self, done):
+    """A holder reads without asking its peers whether it is the holder still."""
+    done(True)
+
+
+def keep_in_memory(self, done, fence, log_epoch):
+    """Fences are told before they are on disk."""
+    if self.fresh:
+        WHOLE_KEEP(self, done, fence, log_epoch)
+        return
+    self.meta = LogMeta(
+        identity=self.meta.identity,
+        fence=max(self.meta.fence, fence),
+        log_epoch=max(self.meta.log_epoch, log_epoch),
+    )
+    done(True)
+
+
+def claim_lost(self, body, done):
+    """A claim that another won counts as won."""
+
+    def changed(outcome):
+        if outcome == "lost":
+            self.value = body
+            outcome = "ok"
+        done(outcome)
+
+    WHOLE_CHANGE(self, body, changed)
+
+
+def kept_at_once(self, entries, settled, done, urgent=False):
+    done(Outcome.KEPT)
+    return True
+
+
+# What is broken, the start that shows it, and the invariants that may be the first to fail.
+BREAKS = {
+    "one disk is enough": ((Holder, "_is_ready", settled_here), "holder-lost", ("L2",)),
+    "acknowledged unwritten": ((Holder, "append", kept_at_once), "holder-lost", ("L2",)),
+    "lower epochs are taken": (
+        (PeerSide, "receive", take_lower_epochs),
+        "holder-lost",
+        ("L1", "L2"),
+    ),
+    "a reading without a round": ((Holder, "read", read_unasked), "old-holder", ("L4",)),
+    "fences in memory": ((MetaFile, "keep", keep_in_memory), "holder-lost-and-power", ("L5",)),
+    "a lost claim counts": ((StoreLog, "_change", claim_lost), "two-claim", ("L3",)),
+}
+
+
+def search(start, **bounds):
+    return Explorer(STARTS[start].world(**bounds)).search()
+
+
+class ExploringLog(TestCase):
+    def test_nothing_breaks(self):
+        for start in LOG_STARTS:
+            found = search(start, states=STATES)
+            self.assertThat((start, found.breach), Equals((start, None)))
+            self.assertThat(found.whole or found.states >= STATES, Equals(True), start)
+
+    def test_breaks_are_found(self):
+        for name, ((where, what, other), start, invariants) in BREAKS.items():
+            with mock.patch.object(where, what, other):
+                found = search(start, states=LIMIT)
+            self.assertThat(found.breach is not None, Equals(True), name)
+            self.assertThat(invariants, Contains(found.breach.invariant), name)
+            print(f"{name}: {found.breach} after {found.states} states, depth {found.depth + 1}")
