--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -17,6 +17,7 @@
 from testtools.matchers import Contains, Equals
 
 STATES = 6_000
+CALM = {"timeouts": 0, "ticks": 0, "kills": 0, "freezes": 0}
 DRAWN = settings(
     max_examples=12,
     stateful_step_count=60,
@@ -62,6 +63,13 @@
         WHOLE_NEXT(self, key)
 
 
+def attach_unnamed(self, node):
+    """Owners of one epoch can't be told apart."""
+    WHOLE_ATTACH(self, node)
+    self._by = "owner"
+
+
+WHOLE_ATTACH = catalogue.owner.Owner.attach
 WHOLE_CHANGED = catalogue.owner.Owner._changed
 WHOLE_NEXT = catalogue.owner.Owner._next
 
@@ -84,6 +92,18 @@
         {"powers": 0, "slow_disk": False},
         ("C1", "C2", "C6"),
     ),
+    "two owners forget what they found": (
+        patched(catalogue.owner, "newest", forget),
+        "resent-connected",
+        CALM,
+        ("C1", "C2"),
+    ),
+    "ballots without a name": (
+        patched(catalogue.owner.Owner, "attach", attach_unnamed),
+        "resent-connected",
+        CALM,
+        ("C1",),
+    ),
     "votes before they are on disk": (
         patched(catalogue.voter.Voter, "_flush", vote_unflushed),
         "three-voters",
@@ -92,8 +112,8 @@
     ),
     "a change cut short is refused": (
         patched(catalogue.owner.Owner, "_changed", refuse_cut_short),
-        "change-resent",
-        {"ticks": 0},
+        "resent-connected",
+        CALM,
         ("C4",),
     ),
     "a reading without a round": (
