--- a/libs/modelcheck/src/modelcheck/__init__.py
+++ b/libs/modelcheck/src/modelcheck/__init__.py
@@ -22,7 +22,8 @@
     __name__,
     {
         "actions": ("read_schedule", "write_schedule"),
-        "control_keys": ("CONTROL_STARTS", "ControlKeys"),
+        "control_keys": ("ControlKeys",),
+        "control_starts": ("CONTROL_STARTS",),
         "explorer": ("Explorer",),
         "linearizability": ("Call", "linearize"),
         "world": ("Bounds", "BreachError", "Operation", "Start"),
--- a/libs/modelcheck/src/modelcheck/control_keys.py
+++ b/libs/modelcheck/src/modelcheck/control_keys.py
@@ -16,7 +16,7 @@
 from itertools import combinations
 from typing import Any
 
-from catalogue import Change, Owner, ReadKey, Voter
+from catalogue import Change, Owner, Voter
 from catalogue.messages import Accept, Changed, Prepare, Voted, VoterMeta
 from catalogue.rounds import Round
 from colophon import Params
@@ -25,11 +25,11 @@
 
 from modelcheck.stand_ins import NoFeed, Trusted
 from modelcheck.surroundings import BootImage, ModelDisk, Posted
-from modelcheck.world import Bounds, BreachError, Live, Operation, Start, World
+from modelcheck.world import Bounds, BreachError, Live, Operation, World
 
-__all__ = ["CONTROL_STARTS", "ControlKeys"]
+__all__ = ["KEY", "ControlKeys"]
 
-_KEY = "key"
+KEY = "key"
 _META = "meta"
 _LOG = "keys-log"
 _START_MS = 1_000_000
@@ -316,108 +316,3 @@
             newer = (row.promised_epoch, row.promised_by, row.accepted_epoch, row.accepted_by)
             kept[row.key] = max(kept.get(row.key, ()), (newer, row.value))
     return (files.get(_META, b""), tuple(sorted(kept.items())))
-
-
-# -- starting states ---------------------------------------------------------------------------
-
-
-def _change(name: str, node: int, base: int, after: tuple[int, ...] = ()) -> Operation:
-    message = Change(key=_KEY, version=base, change_id=name, body=f'"{name}"', hops=0)
-    return Operation(f"change-{name}-at-{node}", node, message, after)
-
-
-def _read(node: int, after: tuple[int, ...] = ()) -> Operation:
-    return Operation(f"read-at-{node}", node, ReadKey(key=_KEY, hops=0), after)
-
-
-def _racing(voters: int, bounds: Bounds, connected: bool = False) -> ControlKeys:
-    rows = [_change("a", 0, 0), _change("b", 1, 0)]
-    return ControlKeys(voters, rows, bounds, connected=connected)
-
-
-def _resent(bounds: Bounds, connected: bool = False) -> ControlKeys:
-    """One change sent to two nodes, and another on the same base."""
-    rows = [_change("a", 0, 0), _change("a", 1, 0), _change("b", 2, 0)]
-    return ControlKeys(3, rows, bounds, connected=connected)
-
-
-def _resent_late(bounds: Bounds) -> ControlKeys:
-    """A change sent again, to another node, after the next one was confirmed."""
-    rows = [_change("a", 0, 0), _change("b", 2, 1, (0,)), _change("a", 1, 0, (1,))]
-    return ControlKeys(3, rows, bounds, connected=True)
-
-
-def _relayed(bounds: Bounds) -> ControlKeys:
-    """Two nodes pass what they are asked on to the third, which owns the key, and one of them takes it over."""
-    rows = [_change("a", 0, 0), _change("b", 1, 0), _read(1, (0,))]
-    return ControlKeys(3, rows, bounds, owners={0: 2}, connected=True)
-
-
-def _read_back(voters: int, bounds: Bounds) -> ControlKeys:
-    """A change is read back through another node, which then makes the next one."""
-    rows = [_change("a", 0, 0), _read(1, (0,)), _change("b", 1, 1, (0,))]
-    return ControlKeys(voters, rows, bounds)
-
-
-def _read_behind(bounds: Bounds) -> ControlKeys:
-    """A node that owned the key reads it after another has changed it."""
-    rows = [_change("a", 0, 0), _change("b", 1, 1, (0,)), _read(0, (1,))]
-    return ControlKeys(3, rows, bounds)
-
-
-CONTROL_STARTS: dict[str, Start] = {
-    "owners-racing": Start("two owners race on three voters", lambda bounds: _racing(3, bounds)),
-    "five-voters": Start("two owners race on five voters", lambda bounds: _racing(5, bounds)),
-    "three-voters": Start(
-        "a change, a reading and the next change through another node; flushes are steps, power is cut",
-        lambda bounds: _read_back(3, bounds),
-        powers=1,
-        slow_disk=True,
-    ),
-    "read-behind": Start("a node that was owner reads after another's change", _read_behind),
-    "change-resent": Start(
-        "a change sent to two nodes beside another on its base; askings time out",
-        _resent,
-        timeouts=1,
-        ticks=1,
-    ),
-    "voter-wiped": Start(
-        "a change, a reading and the next change; a voter loses its disk",
-        lambda bounds: _read_back(3, bounds),
-        wipes=1,
-    ),
-    "control-faults": Start(
-        "two owners race; messages are lost and doubled, a process is killed, a node frozen",
-        lambda bounds: _racing(3, bounds),
-        losses=1,
-        duplicates=1,
-        kills=1,
-        freezes=1,
-        ticks=1,
-    ),
-    "five-connected": Start(
-        "two owners race on five voters, messages in order; askings time out, a disk is lost",
-        lambda bounds: _racing(5, bounds, True),
-        timeouts=1,
-        ticks=1,
-        wipes=1,
-    ),
-    "resent-connected": Start(
-        "a change sent to two nodes beside another on its base, messages in order",
-        lambda bounds: _resent(bounds, True),
-        timeouts=1,
-        ticks=1,
-        kills=1,
-        freezes=1,
-    ),
-    "resent-late": Start(
-        "a change sent again after the next one was confirmed", _resent_late, timeouts=1, ticks=1
-    ),
-    "relayed": Start(
-        "a node passes orders on to the owner while another takes the key over",
-        _relayed,
-        timeouts=2,
-        ticks=2,
-        kills=1,
-    ),
-}
--- a/libs/modelcheck/src/modelcheck/starts.py
+++ b/libs/modelcheck/src/modelcheck/starts.py
@@ -1,7 +1,7 @@
 """All named starting states."""
 
-from modelcheck.control_keys import CONTROL_STARTS
-from modelcheck.store_log import LOG_STARTS
+from modelcheck.control_starts import CONTROL_STARTS
+from modelcheck.log_starts import LOG_STARTS
 from modelcheck.world import Start
 
 __all__ = ["STARTS"]
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -12,7 +12,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
 from modelcheck import BreachError, Explorer, read_schedule, write_schedule
-from modelcheck.control_keys import CONTROL_STARTS, ControlKeys
+from modelcheck.control_keys import ControlKeys
+from modelcheck.control_starts import CONTROL_STARTS
 from modelcheck.starts import STARTS
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
--- a/tests/test_explore_log.py
+++ b/tests/test_explore_log.py
@@ -10,8 +10,8 @@
 from accession.meta import MetaFile
 from accession.peer import PeerSide
 from modelcheck import Explorer
+from modelcheck.log_starts import LOG_STARTS
 from modelcheck.starts import STARTS
-from modelcheck.store_log import LOG_STARTS
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
 
