--- a/libs/accession/src/accession/recovery.py
+++ b/libs/accession/src/accession/recovery.py
@@ -46,6 +46,7 @@
         "_log",
         "_now",
         "_records",
+        "_source",
         "_sources",
         "_started_ms",
         "epoch",
@@ -73,6 +74,7 @@
         self._fenced = False
         self._records: list[list[Record]] = []
         self._sources: list[tuple[str, str]] = []
+        self._source = ""
         self._started_ms = now()
         self.state = _State.FENCING
 
@@ -153,6 +155,7 @@
         while self._sources:
             identity, address = self._sources.pop(0)
             if self._answers[identity].last_seq > self._reach():
+                self._source = identity
                 self._fetch_tail(address)
                 return
         self._write()
@@ -173,6 +176,9 @@
             if not isinstance(message, Fetched) or not message.ok:
                 self._again(lambda: self._fetch_tail(address))
                 return
+            if message.identity != self._source:
+                self._finish(False)  # another disk than the one whose answer was counted
+                return
             if not message.snapshot:
                 shared = decode(message.records[0]).seq - 1 if message.records else message.last_seq
                 self._records.append([record for record in log.records if record.seq <= shared])
@@ -205,6 +211,9 @@
             if not isinstance(message, Fetched) or not message.ok:
                 self._again(lambda: self._fetch_from(address, from_seq, got))
                 return
+            if message.identity != self._source:
+                self._finish(False)  # another disk than the one whose answer was counted
+                return
             self._take(address, message, got, from_seq)
 
         self._ask(
--- a/libs/facsimile/src/facsimile/breaks/control.py
+++ b/libs/facsimile/src/facsimile/breaks/control.py
@@ -6,9 +6,10 @@
 _FEED = "tests/test_feed.py -k "
 _FAN = "tests/test_fan_out.py -k "
 _FOUNDING = "tests/test_founding.py -k "
+_DAYS = "tests/test_platform_days.py -k "
+_EXPLORE = "tests/test_explore.py -k "
 _VOTER_FILES = "tests/test_voter_files.py -k "
 _MANY = "tests/test_many_changes.py -k "
-_DAYS = "tests/test_platform_days.py -k "
 _ORDERS = "tests/test_orders.py -k "
 _OWN_ORDERS = "tests/test_orders_own.py -k "
 _CUT_OFF = "tests/test_cut_off.py -k "
@@ -225,4 +226,16 @@
         "elif True:",
         _MANY + "with_a_spare",
     ),
+    "votes before they are on disk": (
+        "catalogue/src/catalogue/voter.py",
+        "self._disk.flush(names, flushed)",
+        "flushed(True)",
+        _EXPLORE + "nothing_breaks",
+    ),
+    "a voter takes any epoch": (
+        "catalogue/src/catalogue/voter.py",
+        "if ballot < register.promised or ( ballot == register.accepted",
+        "if ( ballot == register.accepted",
+        _EXPLORE + "nothing_breaks",
+    ),
 }
--- a/libs/facsimile/src/facsimile/breaks/log.py
+++ b/libs/facsimile/src/facsimile/breaks/log.py
@@ -5,6 +5,7 @@
 _LOTS = "tests/test_lots.py -k "
 _LOG = "tests/test_log_conformance.py -k "
 _MEMBERS = "tests/test_members.py -k "
+_EXPLORE = "tests/test_explore_log.py -k "
 
 BREAKS: dict[str, tuple[str, str, str, str]] = {
     "one lot too many": (
@@ -138,6 +139,12 @@
         "return self._own == names[0]",
         _MEMBERS + "swapped",
     ),
+    "a blank disk answers for the store that was counted on": (
+        "accession/src/accession/recovery.py",
+        "if message.identity != self._source: self._finish(False) return if not message.snapshot:",
+        "if not message.snapshot:",
+        "tests/test_recovery.py -k counted_on",
+    ),
     "a recovery drops what is settled here": (
         "accession/src/accession/recovery.py",
         "if counts else self._settled_here())",
@@ -186,4 +193,10 @@
         "if False:",
         "tests/test_recovery.py -k contradicts",
     ),
+    "a fence is told before it is on disk": (
+        "accession/src/accession/meta.py",
+        "self._disk.flush([_NAME], kept)",
+        "kept(True)",
+        _EXPLORE + "nothing_breaks",
+    ),
 }
--- a/libs/facsimile/src/facsimile/sim/runs.py
+++ b/libs/facsimile/src/facsimile/sim/runs.py
@@ -4,6 +4,7 @@
 fleet must have recovered, and everything is read again.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 from facsimile.sim.faults import FAULTS, schedule
@@ -198,15 +199,17 @@
     rows: list[tuple[float, str]] | None = None,
     settings: dict[str, Any] | None = None,
     shape: str = "small",
+    watch: Callable[[Run], None] = lambda run: None,
 ) -> tuple[dict[str, list[str]], Run]:
     """Run one seed and return the breaches by rule, and the run.
 
     `rows` is a schedule of faults; without one, `faults` of them are drawn, from the names in
-    `only` if given. `shape` names a row of SHAPES.
+    `only` if given. `shape` names a row of SHAPES. `watch` is given the run once it is founded.
     """
     made = SHAPES[shape]
     run = Run(seed, settings, made["items"], **made["sizes"])
     run.found()
+    watch(run)
     fleet = run.fleet
     start_ms = fleet.time.now_ms
     planned = (
--- a/tests/log_table.py
+++ b/tests/log_table.py
@@ -51,10 +51,11 @@
             self.disks[name] = SimDisk(self.time, 1 << 20, 1.0)
             self.open(name)
 
-    def open(self, name):
+    def open(self, name, token=""):
+        """Start the store's process; on a blank disk, `token` makes another identity than its name."""
         self.machines[name] = Machine()
         self.disks[name].bind(self.machines[name])
-        self.logs[name] = LocalLog(self.disks[name], PARAMS, self.now, lambda: name)
+        self.logs[name] = LocalLog(self.disks[name], PARAMS, self.now, lambda: token or name)
         self.peers[name] = PeerSide(self.logs[name])
 
     def now(self):
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -1,8 +1,9 @@
 """Rows about recovery beyond the design page's: what is fetched, what is cut, and the small files beside the log."""
 
 from accession import Append, Install, Outcome
-from accession.messages import Fetched, LogMeta, Started
+from accession.messages import Fetch, Fetched, FetchTail, LogMeta, Started
 from accession.snapshots import read_snapshot
+from facsimile.sim.disks import SimDisk
 from ledger import Ledger, entries
 from log_table import PARAMS, Table
 from log_table import entry as key_opened
@@ -91,6 +92,27 @@
         log = table.logs["b"]
         self.assertThat((log.last_seq, log.settled_seq), Equals((5, 5)))
 
+    def test_a_blank_disk_at_the_address_of_the_store_that_was_counted_on_ends_the_recovery(self):
+        """It would stand for an empty log, and what is settled on the lost disk and one more be cut off."""
+        for wiped_before in (FetchTail, Fetch):
+            table = self.grown(2)
+            table.cut.add("b")
+            for number in range(40):
+                table.append(f"settled{number}" + "x" * 8000, settled=True)
+                table.run(10)
+            table.run(200)
+            table.cut = {"a"}
+            members, plain = table.members(), table.ask
+
+            def ask(to, message, wait_ms, done, table=table, plain=plain, before=wiped_before):
+                if isinstance(message, before) and table.disks["c"].names():
+                    table.disks["c"] = SimDisk(table.time, 1 << 20, 1.0)
+                    table.open("c", token="another")
+                plain(to, message, wait_ms, done)
+
+            table.ask = ask
+            self.assertThat(table.recover("b", 2, members), Equals([False]), wiped_before)
+
     def test_nothing_goes_out_under_an_epoch_before_its_own_fence(self):
         table = self.grown(2)
         table.disks["b"].flush_ms = 100.0
