--- a/libs/circulation/src/circulation/carrier.py
+++ b/libs/circulation/src/circulation/carrier.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from vellum import Part
+from messaging import Part
 
 from circulation.affinity import PartMap
 from circulation.calls import Call, Dialect, ForwardCall
--- a/libs/circulation/src/circulation/holding.py
+++ b/libs/circulation/src/circulation/holding.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from ledger import messages as m
-from vellum import Message, Part
+from messaging import Message, Part
 
 __all__ = ["HolderClient"]
 
--- a/libs/circulation/src/circulation/item_run.py
+++ b/libs/circulation/src/circulation/item_run.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from ledger import messages as m
-from vellum import decode
+from messaging import decode
 
 from circulation.calls import ForwardCall
 from circulation.carrier import Carriage, Carrier
--- a/libs/circulation/src/circulation/items.py
+++ b/libs/circulation/src/circulation/items.py
@@ -10,7 +10,7 @@
 
 from colophon import Verdict
 from ledger import messages as m
-from vellum import Part
+from messaging import Part
 
 from circulation.calls import Call
 from circulation.carriage import Carriage
--- a/libs/circulation/src/circulation/lots.py
+++ b/libs/circulation/src/circulation/lots.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from ledger import messages as m
-from vellum import Message, Part, decode, encode
+from messaging import Message, Part, decode, encode
 
 from circulation.holding import HolderClient
 
--- a/libs/circulation/src/circulation/placement.py
+++ b/libs/circulation/src/circulation/placement.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from commons.duties import score
+from membership.duties import score
 
 from circulation.roster import Worker
 
--- a/libs/circulation/src/circulation/readings.py
+++ b/libs/circulation/src/circulation/readings.py
@@ -7,7 +7,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from vellum import Long, Message, Origin, Part, Text
+from messaging import Long, Message, Origin, Part, Text
 
 __all__ = ["Readings", "Sent"]
 
--- a/libs/circulation/src/circulation/roster.py
+++ b/libs/circulation/src/circulation/roster.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from vellum import Origin, Part
+from messaging import Origin, Part
 
 from circulation.worker import Worker, WorkerNews
 
--- a/libs/circulation/src/circulation/worker.py
+++ b/libs/circulation/src/circulation/worker.py
@@ -4,7 +4,7 @@
 
 import math
 
-from vellum import Flag, Long, Message, Real, Text, array_of
+from messaging import Flag, Long, Message, Real, Text, array_of
 
 __all__ = ["Worker", "WorkerNews"]
 
--- a/libs/gazette/src/gazette/confirmations.py
+++ b/libs/config_feed/src/config_feed/confirmations.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from vellum import Part
+from messaging import Part
 
 __all__ = ["CONFIRMERS", "LEAST", "ROLL_KEY", "Confirmations"]
 
--- a/libs/gazette/src/gazette/contacts.py
+++ b/libs/config_feed/src/config_feed/contacts.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from commons import Neighbours, score
+from membership import Neighbours, score
 
 __all__ = ["Contacts", "candidates", "nearness"]
 
--- a/libs/gazette/src/gazette/feed.py
+++ b/libs/config_feed/src/config_feed/feed.py
@@ -13,20 +13,20 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from vellum import Message, Origin, decode, encode
+from messaging import Message, Origin, decode, encode
 
-from gazette.confirmations import CONFIRMERS, Confirmations
-from gazette.contacts import Candidate, Contacts
-from gazette.messages import Digest, News, NewsItem
-from gazette.patches import merge, merge_diff
+from config_feed.confirmations import CONFIRMERS, Confirmations
+from config_feed.contacts import Candidate, Contacts
+from config_feed.messages import Digest, News, NewsItem
+from config_feed.patches import merge, merge_diff
 
-__all__ = ["Gazette"]
+__all__ = ["ConfigFeed"]
 
 _REPORT_BEATS = 2
 _PEER_BEATS = 5
 
 
-class Gazette(Confirmations):
+class ConfigFeed(Confirmations):
     """`neighbours` gives the addresses to relay to, `extra` further ones to swap digests with; `sure`
     says whether this node knows its feed to be the newest: a quorate control node, a ready edge;
     `hands_out`, whether it answers the digests of edges and stores with items: a control node without a
--- a/libs/gazette/src/gazette/messages.py
+++ b/libs/config_feed/src/config_feed/messages.py
@@ -2,7 +2,7 @@
 node wants to follow. The place of a node in the feed is the sum of its numbers.
 """
 
-from vellum import Blob, Flag, Long, Message, Text, array_of
+from messaging import Blob, Flag, Long, Message, Text, array_of
 
 __all__ = ["Digest", "News", "NewsItem"]
 
--- a/libs/catalogue/src/catalogue/__init__.py
+++ b/libs/control_store/src/control_store/__init__.py
@@ -1,4 +1,4 @@
-"""Catalogue: the control state. Keys that are each decided by ballots over the voters' disks and
+"""Control store: the control state. Keys that are each decided by ballots over the voters' disks and
 owned by one node at a time; the profiles and the members that these keys hold.
 """
 
--- a/libs/catalogue/src/catalogue/change_memory.py
+++ b/libs/control_store/src/control_store/change_memory.py
@@ -4,7 +4,7 @@
 was built on, or the number that it would have made, is not older than what is remembered.
 """
 
-from catalogue.messages import NO_BASE, Change, FindChange, Value
+from control_store.messages import NO_BASE, Change, FindChange, Value
 
 __all__ = ["REMEMBERED_CHANGES", "REMEMBERED_ORDERS", "add_change", "surely_untaken", "taken_as"]
 
--- a/libs/catalogue/src/catalogue/client.py
+++ b/libs/control_store/src/control_store/client.py
@@ -5,9 +5,9 @@
 
 from collections.abc import Callable, Iterable
 
-from vellum import Message, Part
+from messaging import Message, Part
 
-from catalogue.messages import Change, Changed, ReadKey
+from control_store.messages import Change, Changed, ReadKey
 
 __all__ = ["ControlClient"]
 
--- a/libs/catalogue/src/catalogue/confirmations.py
+++ b/libs/control_store/src/control_store/confirmations.py
@@ -4,12 +4,12 @@
 
 from typing import Any
 
-from gazette import Gazette
-from gazette.confirmations import CONFIRMERS
+from config_feed import ConfigFeed
+from config_feed.confirmations import CONFIRMERS
 
-from catalogue.key_states import Done
-from catalogue.messages import Changed, Outcome
-from catalogue.voter import Voter
+from control_store.key_states import Done
+from control_store.messages import Changed, Outcome
+from control_store.voter import Voter
 
 __all__ = ["CONFIRMED_KEYS", "Confirmations"]
 
@@ -40,11 +40,11 @@
 class Confirmations:
     """Holds back the answers to changes until their versions are in force."""
 
-    __slots__ = ("_gazette", "_node", "_voter", "_waiting")
+    __slots__ = ("_config_feed", "_node", "_voter", "_waiting")
 
-    def __init__(self, voter: Voter, gazette: Gazette) -> None:
+    def __init__(self, voter: Voter, config_feed: ConfigFeed) -> None:
         self._voter = voter
-        self._gazette = gazette
+        self._config_feed = config_feed
         self._node: Any = None
         self._waiting: list[_Waiting] = []
 
@@ -71,7 +71,7 @@
         there is no roll: a majority of the voters have to hand the version out, and who hasn't heard of it
         from them in time isn't in touch. What is only on their disks they hand out after the next ballot.
         """
-        now_ms, params, gazette = self._node.env.now(), self._node.params, self._gazette
+        now_ms, params, config_feed = self._node.env.now(), self._node.params, self._config_feed
         waiting, self._waiting = self._waiting, []
         for change in waiting:
             name, version, due_ms = change.key, change.receipt.version, change.due_ms
@@ -79,11 +79,12 @@
             most = (
                 self._handed_out(name, version)
                 if serves
-                else gazette.most_confirm(name, version, params.confirm_ms)
+                else config_feed.most_confirm(name, version, params.confirm_ms)
             )
             within_ms = params.dead_ms if serves else params.confirm_ms
             if most and (
-                now_ms >= due_ms or gazette.all_confirm(name, version, CONFIRMERS[name], within_ms)
+                now_ms >= due_ms
+                or config_feed.all_confirm(name, version, CONFIRMERS[name], within_ms)
             ):
                 change.done(change.receipt)
             elif now_ms >= due_ms + 2 * params.ask_ms:
@@ -93,14 +94,14 @@
 
     def _handed_out(self, key: str, version: int) -> bool:
         """Whether a majority of the voters, this node among them if it is one, publish the version."""
-        gazette, voters = self._gazette, self._voter.voters
+        config_feed, voters = self._config_feed, self._voter.voters
         floor_ms = self._node.env.now() - self._node.params.confirm_ms
         have = {
             identity
-            for identity, (_, at_ms, numbers, _) in gazette.confirmed.items()
+            for identity, (_, at_ms, numbers, _) in config_feed.confirmed.items()
             if at_ms >= floor_ms and numbers.get(key, 0) >= version
         }
-        if gazette.number(key) >= version:
+        if config_feed.number(key) >= version:
             have.add(self._voter.identity)
         return 2 * len(have & set(voters)) > len(voters)
 
--- a/libs/catalogue/src/catalogue/founding.py
+++ b/libs/control_store/src/control_store/founding.py
@@ -8,16 +8,16 @@
 import json
 from typing import Any
 
-from commons import Neighbours
-from gazette import Gazette
-from gazette.confirmations import CONFIRMERS, ROLL_KEY
-from vellum import Message, Origin, Part
+from config_feed import ConfigFeed
+from config_feed.confirmations import CONFIRMERS, ROLL_KEY
+from membership import Neighbours
+from messaging import Message, Origin, Part
 
-from catalogue.messages import Change, Found, Founded, FoundVote, ListKeys, ReadKey, VoterMeta
-from catalogue.owner import Owner
-from catalogue.rounds import Round
-from catalogue.succession import founding_rows, next_of_all, next_of_count
-from catalogue.voter import CONTROL_KEY, Voter
+from control_store.messages import Change, Found, Founded, FoundVote, ListKeys, ReadKey, VoterMeta
+from control_store.owner import Owner
+from control_store.rounds import Round
+from control_store.succession import founding_rows, next_of_all, next_of_count
+from control_store.voter import CONTROL_KEY, Voter
 
 __all__ = ["Founding"]
 
@@ -29,7 +29,7 @@
         "_asked",
         "_awake_ms",
         "_busy",
-        "_gazette",
+        "_config_feed",
         "_neighbours",
         "_next_ms",
         "_owner",
@@ -41,12 +41,12 @@
     HANDLES = (Found,)
 
     def __init__(
-        self, voter: Voter, owner: Owner, neighbours: Neighbours, gazette: Gazette
+        self, voter: Voter, owner: Owner, neighbours: Neighbours, config_feed: ConfigFeed
     ) -> None:
         self._voter = voter
         self._owner = owner
         self._neighbours = neighbours
-        self._gazette = gazette
+        self._config_feed = config_feed
         self._asked = ""
         self._votes: set[str] = set()
         self._busy = False
@@ -54,7 +54,7 @@
         self._swept_ms = -1 << 40
         self._awake_ms = -1
         self._read_ms: dict[str, int] = {}
-        gazette.watch(self._heard)
+        config_feed.watch(self._heard)
 
     def _heard(self, key: str, number: int, body: str) -> None:
         if key == CONTROL_KEY:
@@ -149,7 +149,7 @@
         if self.steward() != self._voter.identity:
             self._sweep_own()
             return
-        if self._gazette.number(CONTROL_KEY) == 0:
+        if self._config_feed.number(CONTROL_KEY) == 0:
             self._owner.submit(
                 Change(
                     key=CONTROL_KEY,
@@ -185,7 +185,7 @@
             if self._owner.owner_of(key) != self._voter.identity:
                 self._read_ms.pop(key, None)
             elif (
-                self._gazette.number(key) == 0
+                self._config_feed.number(key) == 0
                 and now_ms - self._read_ms.get(key, -1 << 40) > self.node.params.gone_ms
             ):
                 self._read_ms[key] = now_ms
@@ -201,7 +201,7 @@
         """The next list of voters, one step from this one, if there is cause for it."""
         node, neighbours = self.node, self._neighbours
         params, now_ms = node.params, node.env.now()
-        retired = set((self._gazette.value(RETIRED_KEY) or {}).get("identities", []))
+        retired = set((self._config_feed.value(RETIRED_KEY) or {}).get("identities", []))
         listed = json.loads(self._voter.meta.list_body)
         voters = self._voter.voters
         spares = [
@@ -269,7 +269,7 @@
         self._owner.submit(
             Change(
                 key=CONTROL_KEY,
-                version=self._gazette.number(CONTROL_KEY),
+                version=self._config_feed.number(CONTROL_KEY),
                 change_id=f"voters-{following['number']}-{self._voter.identity}",
                 body=body,
                 hops=0,
--- a/libs/catalogue/src/catalogue/key_states.py
+++ b/libs/control_store/src/control_store/key_states.py
@@ -6,9 +6,9 @@
 from enum import StrEnum
 from typing import Any
 
-from vellum import decode
+from messaging import decode
 
-from catalogue.messages import Change, Changed, FindChange, ReadKey, Value
+from control_store.messages import Change, Changed, FindChange, ReadKey, Value
 
 __all__ = ["Done", "KeyState", "Operation", "Renew", "State", "blank_value", "newest"]
 
--- a/libs/catalogue/src/catalogue/messages.py
+++ b/libs/control_store/src/control_store/messages.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 from typing import Any
 
-from vellum import Blob, Flag, Long, Message, Text, array_of
+from messaging import Blob, Flag, Long, Message, Text, array_of
 
 __all__ = [
     "Accept",
--- a/libs/catalogue/src/catalogue/owner.py
+++ b/libs/control_store/src/control_store/owner.py
@@ -9,14 +9,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from commons import Neighbours
-from gazette import Gazette
-from vellum import Message, Origin, Part, decode, encode
-
-from catalogue.change_memory import add_change, surely_untaken, taken_as
-from catalogue.confirmations import CONFIRMED_KEYS, Confirmations
-from catalogue.key_states import Done, KeyState, Operation, Renew, State, blank_value, newest
-from catalogue.messages import (
+from config_feed import ConfigFeed
+from membership import Neighbours
+from messaging import Message, Origin, Part, decode, encode
+
+from control_store.change_memory import add_change, surely_untaken, taken_as
+from control_store.confirmations import CONFIRMED_KEYS, Confirmations
+from control_store.key_states import Done, KeyState, Operation, Renew, State, blank_value, newest
+from control_store.messages import (
     Accept,
     Change,
     Changed,
@@ -28,9 +28,9 @@
     ReadKey,
     Value,
 )
-from catalogue.relays import Relay
-from catalogue.rounds import Round
-from catalogue.voter import CONTROL_KEY, Voter
+from control_store.relays import Relay
+from control_store.rounds import Round
+from control_store.voter import CONTROL_KEY, Voter
 
 __all__ = ["Owner", "newest"]
 
@@ -43,16 +43,16 @@
 
 
 class Owner(Part):
-    __slots__ = ("_by", "_confirmations", "_gazette", "_keys", "_relay", "_voter")
+    __slots__ = ("_by", "_confirmations", "_config_feed", "_keys", "_relay", "_voter")
     HANDLES = (Change, FindChange, ReadKey)
 
-    def __init__(self, voter: Voter, neighbours: Neighbours, gazette: Gazette) -> None:
+    def __init__(self, voter: Voter, neighbours: Neighbours, config_feed: ConfigFeed) -> None:
         self._voter = voter
-        self._gazette = gazette
+        self._config_feed = config_feed
         self._by = ""
         self._keys: dict[str, KeyState] = {}
         self._relay = Relay(voter, neighbours, self._enqueue)
-        self._confirmations = Confirmations(voter, gazette)
+        self._confirmations = Confirmations(voter, config_feed)
 
     def attach(self, node: Any) -> None:
         super().attach(node)
@@ -300,7 +300,7 @@
 
     def _publish(self, key: KeyState) -> None:
         key.changed_ms = self.node.env.now()
-        self._gazette.publish(key.name, key.value.version, key.value.body)
+        self._config_feed.publish(key.name, key.value.version, key.value.body)
 
     def _finish(
         self, key: KeyState, outcome: Outcome, reason: str, version: int | None = None
--- a/libs/catalogue/src/catalogue/profiles.py
+++ b/libs/control_store/src/control_store/profiles.py
@@ -9,8 +9,8 @@
 
 from toolz import merge
 
-from catalogue.defaults import DEFAULTS, OWN_ONLY
-from catalogue.routes import RouteIndex, Split
+from control_store.defaults import DEFAULTS, OWN_ONLY
+from control_store.routes import RouteIndex, Split
 
 __all__ = ["Profile", "Tree", "explain", "profiles_digest"]
 
--- a/libs/catalogue/src/catalogue/read_barrier.py
+++ b/libs/control_store/src/control_store/read_barrier.py
@@ -5,12 +5,12 @@
 
 from collections.abc import Callable
 
-from gazette import Gazette
-from gazette.confirmations import CONFIRMERS
-from vellum import Part
+from config_feed import ConfigFeed
+from config_feed.confirmations import CONFIRMERS
+from messaging import Part
 
-from catalogue.messages import Changed, ReadKey
-from catalogue.owner import Owner
+from control_store.messages import Changed, ReadKey
+from control_store.owner import Owner
 
 __all__ = ["ReadBarrier"]
 
@@ -20,7 +20,7 @@
 
     __slots__ = (
         "_attempt",
-        "_gazette",
+        "_config_feed",
         "_hears_majority",
         "_missing",
         "_owner",
@@ -28,9 +28,11 @@
         "_retry_at_ms",
     )
 
-    def __init__(self, owner: Owner, gazette: Gazette, hears_majority: Callable[[], bool]) -> None:
+    def __init__(
+        self, owner: Owner, config_feed: ConfigFeed, hears_majority: Callable[[], bool]
+    ) -> None:
         self._owner = owner
-        self._gazette = gazette
+        self._config_feed = config_feed
         self._hears_majority = hears_majority
         self._passed = False
         self._attempt = 0
@@ -74,6 +76,6 @@
 
     def _take(self, key: str, receipt: Changed) -> None:
         if receipt.version:
-            self._gazette.publish(key, receipt.version, receipt.body)
+            self._config_feed.publish(key, receipt.version, receipt.body)
         self._missing.discard(key)
         self._passed = not self._missing
--- a/libs/catalogue/src/catalogue/relays.py
+++ b/libs/control_store/src/control_store/relays.py
@@ -5,11 +5,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from commons import Neighbours, duty_order, first_live
+from membership import Neighbours, duty_order, first_live
 
-from catalogue.key_states import Done
-from catalogue.messages import Change, Changed, FindChange, Outcome, ReadKey
-from catalogue.voter import Voter
+from control_store.key_states import Done
+from control_store.messages import Change, Changed, FindChange, Outcome, ReadKey
+from control_store.voter import Voter
 
 __all__ = ["Relay"]
 
--- a/libs/catalogue/src/catalogue/roll.py
+++ b/libs/control_store/src/control_store/roll.py
@@ -8,12 +8,12 @@
 import json
 from typing import Any
 
-from gazette import Gazette
-from gazette.confirmations import LEAST, ROLL_KEY
-from vellum import Part
+from config_feed import ConfigFeed
+from config_feed.confirmations import LEAST, ROLL_KEY
+from messaging import Part
 
-from catalogue.messages import Change, ReadKey
-from catalogue.owner import Owner
+from control_store.messages import Change, ReadKey
+from control_store.owner import Owner
 
 __all__ = ["Roll"]
 
@@ -21,11 +21,11 @@
 class Roll(Part):
     """`steward` says whether this node has the duty."""
 
-    __slots__ = ("_busy", "_gazette", "_next_ms", "_owner", "_steward")
+    __slots__ = ("_busy", "_config_feed", "_next_ms", "_owner", "_steward")
 
-    def __init__(self, owner: Owner, gazette: Gazette, steward: Any) -> None:
+    def __init__(self, owner: Owner, config_feed: ConfigFeed, steward: Any) -> None:
         self._owner = owner
-        self._gazette = gazette
+        self._config_feed = config_feed
         self._steward = steward
         self._busy = False
         self._next_ms = -1
@@ -46,20 +46,20 @@
             self._change(links)
 
     def _following(self) -> list[str] | None:
-        params, gazette = self.node.params, self._gazette
-        held = gazette.roll()
-        heard = gazette.heard_links(params.dead_ms)
+        params, config_feed = self.node.params, self._config_feed
+        held = config_feed.roll()
+        heard = config_feed.heard_links(params.dead_ms)
         if not held:
             return sorted(heard) or None
         fresh = sorted(heard - held)[:1]
         gone = (
-            sorted(held - gazette.heard_links(params.gone_ms))[:1]
-            if gazette.listened(params.gone_ms)
+            sorted(held - config_feed.heard_links(params.gone_ms))[:1]
+            if config_feed.listened(params.gone_ms)
             else []
         )
-        if not gazette.binding:
+        if not config_feed.binding:
             return self._begun(held, heard, fresh, gone)
-        if not gazette.most_confirm(ROLL_KEY, gazette.number(ROLL_KEY), params.confirm_ms):
+        if not config_feed.most_confirm(ROLL_KEY, config_feed.number(ROLL_KEY), params.confirm_ms):
             return None
         if fresh:
             return sorted({*held, *fresh})
@@ -106,7 +106,7 @@
         self._owner.submit(
             Change(
                 key=ROLL_KEY,
-                version=self._gazette.number(ROLL_KEY),
+                version=self._config_feed.number(ROLL_KEY),
                 change_id=env.token(),
                 hops=0,
                 body=json.dumps({"links": links}, sort_keys=True),
--- a/libs/catalogue/src/catalogue/rounds.py
+++ b/libs/control_store/src/control_store/rounds.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from vellum import Message
+from messaging import Message
 
 __all__ = ["Round"]
 
--- a/libs/catalogue/src/catalogue/voter.py
+++ b/libs/control_store/src/control_store/voter.py
@@ -9,10 +9,10 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from stacks import DamageError, Disk, DiskFullError, frame, scan
-from vellum import Message, Origin, Part, decode, encode
+from messaging import Message, Origin, Part, decode, encode
+from storage import DamageError, Disk, DiskFullError, frame, scan
 
-from catalogue.messages import (
+from control_store.messages import (
     Accept,
     Confirm,
     Founded,
--- a/libs/catalogue/src/catalogue/worker_changes.py
+++ b/libs/control_store/src/control_store/worker_changes.py
@@ -7,11 +7,11 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from gazette import Gazette
+from config_feed import ConfigFeed
 
-from catalogue.messages import Change, Changed, ReadKey
-from catalogue.owner import Owner
-from catalogue.worker_rows import WORKERS_KEY, WorkerReport, apply_reports, empty_list
+from control_store.messages import Change, Changed, ReadKey
+from control_store.owner import Owner
+from control_store.worker_rows import WORKERS_KEY, WorkerReport, apply_reports, empty_list
 
 __all__ = ["Done", "Wait", "WorkerChanges"]
 
@@ -38,7 +38,7 @@
         "_busy",
         "_changed_at",
         "_first_ms",
-        "_gazette",
+        "_config_feed",
         "_owned_ms",
         "_owner",
         "_reports",
@@ -49,9 +49,9 @@
         "value",
     )
 
-    def __init__(self, owner: Owner, gazette: Gazette) -> None:
+    def __init__(self, owner: Owner, config_feed: ConfigFeed) -> None:
         self._owner = owner
-        self._gazette = gazette
+        self._config_feed = config_feed
         self.node: Any = None
         self.value: dict[str, Any] = empty_list()
         self.number = 0
@@ -135,7 +135,7 @@
         if receipt.outcome != "ok":
             self._reread(reports, waits)
             return
-        self._gazette.publish(WORKERS_KEY, receipt.version, receipt.body)
+        self._config_feed.publish(WORKERS_KEY, receipt.version, receipt.body)
         now_ms = self.node.env.now()
         for name in changed:
             self._changed_at[name] = (receipt.version, now_ms)
@@ -145,7 +145,7 @@
     def _reread(self, reports: dict[str, WorkerReport], waits: list[Wait]) -> None:
         def told(receipt: Changed) -> None:
             if receipt.outcome == "ok":
-                self._gazette.publish(WORKERS_KEY, receipt.version, receipt.body)
+                self._config_feed.publish(WORKERS_KEY, receipt.version, receipt.body)
                 self._attempt(reports, waits, receipt.version)
                 return
             self._busy = False
@@ -173,7 +173,9 @@
                 and wait.identity not in self._reports
                 and (
                     now_ms - at_ms >= params.edges_ms
-                    or self._gazette.all_confirm(WORKERS_KEY, version, ("edge",), params.confirm_ms)
+                    or self._config_feed.all_confirm(
+                        WORKERS_KEY, version, ("edge",), params.confirm_ms
+                    )
                 )
             ):
                 wait.finish("ok")
--- a/libs/catalogue/src/catalogue/worker_list.py
+++ b/libs/control_store/src/control_store/worker_list.py
@@ -1,5 +1,5 @@
 """The list of workers, kept as the control key `workers`. Reports reach any control node; what changes
-nothing is only noted, and told to the key's owner with the others each period; catalogue.worker_changes is
+nothing is only noted, and told to the key's owner with the others each period; control_store.worker_changes is
 what the owner does with them.
 """
 
@@ -7,13 +7,13 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from gazette import Gazette
-from vellum import Blob, Flag, Message, Origin, Part, Text, array_of, decode, encode
+from config_feed import ConfigFeed
+from messaging import Blob, Flag, Message, Origin, Part, Text, array_of, decode, encode
 
-from catalogue.owner import Owner
-from catalogue.voter import Voter
-from catalogue.worker_changes import Done, Wait, WorkerChanges
-from catalogue.worker_rows import WORKERS_KEY, WorkerReport, same_row
+from control_store.owner import Owner
+from control_store.voter import Voter
+from control_store.worker_changes import Done, Wait, WorkerChanges
+from control_store.worker_rows import WORKERS_KEY, WorkerReport, same_row
 
 __all__ = ["WorkerList"]
 
@@ -51,20 +51,20 @@
     HANDLES = (WorkersHeard, WorkerLeaves)
 
     def __init__(
-        self, voter: Voter, owner: Owner, gazette: Gazette, sure: Callable[[], bool]
+        self, voter: Voter, owner: Owner, config_feed: ConfigFeed, sure: Callable[[], bool]
     ) -> None:
         """`sure` says whether this node hears a majority of the voters."""
         self._voter = voter
         self._owner = owner
         self._sure = sure
-        self._changes = WorkerChanges(owner, gazette)
+        self._changes = WorkerChanges(owner, config_feed)
         # what any node keeps
         self._heard_ms: dict[str, int] = {}
         self._seqs: dict[str, int] = {}
         self._pending: dict[str, WorkerReport] = {}
         self._calls: list[Wait] = []
         self._sent_ms = self._noted_ms = -1 << 40
-        gazette.watch(self._changes.published)
+        config_feed.watch(self._changes.published)
 
     def attach(self, node: Any) -> None:
         super().attach(node)
--- a/libs/catalogue/src/catalogue/worker_rows.py
+++ b/libs/control_store/src/control_store/worker_rows.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from vellum import Long, Message, Text
+from messaging import Long, Message, Text
 
 __all__ = ["WORKERS_KEY", "WorkerReport", "apply_reports", "empty_list", "same_row"]
 
--- a/libs/facsimile/src/facsimile/breaks/serving.py
+++ b/libs/facsimile/src/facsimile/breaks/serving.py
@@ -247,13 +247,13 @@
         _WIRE + "interim",
     ),
     "a reply after its time is told": (
-        "vellum/src/vellum/cores.py",
+        "messaging/src/messaging/cores.py",
         "waiting[0](message if self.env.now() <= waiting[1] else None)",
         "waiting[0](message)",
         "tests/test_asks.py -k stood_still",
     ),
     "lives of a node number their asks alike": (
-        "vellum/src/vellum/cores.py",
+        "messaging/src/messaging/cores.py",
         "env.rng.getrandbits(40) + 1",
         "1",
         "tests/test_asks.py -k life",
--- a/libs/facsimile/src/facsimile/checking.py
+++ b/libs/facsimile/src/facsimile/checking.py
@@ -1,5 +1,7 @@
-"""The commands of model checking: `explore` tries all schedules of small groups of nodes, `histories` draws
-simulator runs and checks what callers saw for linearizability.
+"""The commands of model checking.
+
+`explore` tries all schedules of small groups of nodes; `histories` draws simulator runs and checks
+what callers saw for linearizability.
 """
 
 import sys
@@ -26,7 +28,8 @@
     rate = round(found.states / max(found.seconds, 0.001))
     extent = "all within the bounds" if found.whole else "cut off"
     line = (
-        f"{name}: {found.states} distinct states ({found.local_states} of nodes), depth {found.depth}, "
+        f"{name}: {found.states} distinct states ({found.local_states} of nodes), "
+        f"depth {found.depth}, "
         f"{found.seconds:.1f} s, {rate} states/s, {extent}; bounds: {world.bounds}"
     )
     if found.breach is None:
@@ -52,7 +55,7 @@
     replay: Path | None = None,
     jobs: int = 2,
 ) -> None:
-    """Try all schedules of small groups of nodes up to bounds; a breach is printed with its shortest schedule.
+    """Try all schedules of small groups of nodes up to bounds; print the shortest that breaks one.
 
     Parameters
     ----------
@@ -60,7 +63,7 @@
     states: distinct states after which a search is cut off, for each start.
     depth: the most steps in a schedule.
     seconds: the longest that each search takes.
-    duplicates: how many messages may arrive twice; each start has its own number of this and what follows.
+    duplicates: how many messages may arrive twice; each start has its own number of this and next.
     losses: how many messages may be lost.
     ticks: how many times a node's timers may run where its clock stands.
     timeouts: how many times a clock may move on by what an asking waits.
@@ -124,7 +127,7 @@
     shape: Literal["small", "jade", "swan"] = "small",
     jobs: int = 2,
 ) -> None:
-    """Draw simulator runs and check what callers saw of the profiles' key and of lots for linearizability.
+    """Draw simulator runs and check what callers saw of profiles and lots for linearizability.
 
     Parameters
     ----------
--- a/libs/facsimile/src/facsimile/histories.py
+++ b/libs/facsimile/src/facsimile/histories.py
@@ -1,6 +1,8 @@
-"""Histories of drawn simulator runs, held against sequential objects by `modelcheck`: the profiles' key
-as a versioned register, and each lot with the positions of its results. This knows nothing of the oracle's
-rules; it takes only when each call began, when it was answered, and what was said.
+"""Histories of drawn simulator runs, held against sequential objects by `modelcheck`.
+
+The profiles' key is a versioned register, and each lot has the positions of its results. This knows
+nothing of the oracle's rules; it takes only when each call began, when it was answered, and what
+was said.
 """
 
 import json
@@ -8,7 +10,7 @@
 import time
 from typing import Any
 
-from catalogue import ReadKey
+from control_store import ReadKey
 from modelcheck import Call, linearize
 from modelcheck.linearizability import Model, Verdict
 from modelcheck.objects import (
@@ -67,8 +69,10 @@
 
 
 class HistoryResult:
-    """What the check of one run's history gave. `breaches` names the object and the calls that fit nowhere;
-    `undecided` the objects whose search met its limit.
+    """What the check of one run's history gave.
+
+    `breaches` names the object and the calls that fit nowhere; `undecided` the objects whose search
+    met its limit.
     """
 
     __slots__ = ("breaches", "calls", "configurations", "objects", "seconds", "seed", "undecided")
--- a/libs/facsimile/src/facsimile/measure.py
+++ b/libs/facsimile/src/facsimile/measure.py
@@ -14,11 +14,11 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from accession import Holder, LocalLog
-from accession.peer import PeerSide
 from colophon import Params, boot_ms, wall_ms
 from ledger import entries
-from stacks import FolderDisk
+from replicated_log import Holder, LocalLog
+from replicated_log.peer import PeerSide
+from storage import FolderDisk
 
 from facsimile.days import find_holder
 from facsimile.fleet import SHAPES, Fleet, until
--- a/libs/facsimile/src/facsimile/measure_ledger.py
+++ b/libs/facsimile/src/facsimile/measure_ledger.py
@@ -11,13 +11,13 @@
 import time
 from typing import Any
 
-from accession import LocalLog
 from colophon import Params
 from ledger import entries as e
 from ledger import messages as m
 from ledger.dealing import Dealer
-from stacks import FolderDisk
-from vellum import encode
+from messaging import encode
+from replicated_log import LocalLog
+from storage import FolderDisk
 
 __all__ = ["measure_ledger"]
 
--- a/libs/facsimile/src/facsimile/measure_scale.py
+++ b/libs/facsimile/src/facsimile/measure_scale.py
@@ -15,9 +15,9 @@
 from types import BuiltinFunctionType, FunctionType, ModuleType
 from typing import Any
 
-from catalogue import WorkerReport
 from colophon import Params
-from vellum import decode, encode
+from control_store import WorkerReport
+from messaging import decode, encode
 
 from facsimile.sim.carrying import SimSender
 from facsimile.sim.disks import SimDisk
--- a/libs/facsimile/src/facsimile/measure_units.py
+++ b/libs/facsimile/src/facsimile/measure_units.py
@@ -12,13 +12,13 @@
 from time import process_time
 from typing import Any
 
-from catalogue import Tree, WorkerReport
 from circulation import Dialect
 from circulation.forward import ForwardExchange
+from control_store import Tree, WorkerReport
 from ledger import entries as e
 from ledger import messages as m
-from vellum import decode, encode
-from vellum.links import Switchboard
+from messaging import decode, encode
+from messaging.links import Switchboard
 
 from facsimile.measure_scale import founded, held_bytes
 from facsimile.metered_costs import NODES, EdgeClient, MeteredCosts, big_disks, store_groups
--- a/libs/facsimile/src/facsimile/sim/disks.py
+++ b/libs/facsimile/src/facsimile/sim/disks.py
@@ -8,13 +8,13 @@
 from collections.abc import Callable
 from typing import Any
 
-from stacks.disk import KEPT_BACK, SMALL_BYTES, DiskFullError
+from storage.disk import KEPT_BACK, SMALL_BYTES, DiskFullError
 
 __all__ = ["SimDisk"]
 
 
 class SimDisk:
-    """A disk of `room_bytes` with the interface of `stacks.FolderDisk`.
+    """A disk of `room_bytes` with the interface of `storage.FolderDisk`.
 
     A flush takes between 0.5 and 1.5 times `flush_ms` of virtual time. `flushes` and `asides` count
     the flushes done and the times that damaged content was set aside.
--- a/libs/facsimile/src/facsimile/sim/fleet.py
+++ b/libs/facsimile/src/facsimile/sim/fleet.py
@@ -160,7 +160,7 @@
                     edge=host.name,
                     life=host.life,
                     ready=not host.node.why_unready(),
-                    number=host.node.gazette.number("profiles"),
+                    number=host.node.config_feed.number("profiles"),
                     mark=_mark(host.node.tree()),
                 )
         for host in self.of("store"):
@@ -187,7 +187,7 @@
     def on_the_roll(self) -> bool:
         """Return whether every running host's roll lists exactly the running edges and stores."""
         links = {host.address for host in self.hosts.values() if host.up and host.role != "control"}
-        return all(host.node.gazette.roll() == links for host in self.hosts.values() if host.up)
+        return all(host.node.config_feed.roll() == links for host in self.hosts.values() if host.up)
 
     def run_until_true(self, check: Any, limit_ms: float) -> bool:
         """Run until `check` holds, tested every 50 ms; return whether it did within `limit_ms`."""
--- a/libs/facsimile/src/facsimile/sim/operators.py
+++ b/libs/facsimile/src/facsimile/sim/operators.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from catalogue import Change
+from control_store import Change
 
 __all__ = ["ROOM", "Operators", "tree_of"]
 
--- a/libs/facsimile/src/facsimile/sim/virtual.py
+++ b/libs/facsimile/src/facsimile/sim/virtual.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from vellum import Message
+from messaging import Message
 
 __all__ = ["Network", "VirtualTime"]
 
--- a/libs/facsimile/src/facsimile/surroundings/disks.py
+++ b/libs/facsimile/src/facsimile/surroundings/disks.py
@@ -6,8 +6,8 @@
 import random
 from collections.abc import Callable
 
-from stacks import DiskFullError, FolderDisk
-from stacks.disk import KEPT_BACK, SMALL_BYTES
+from storage import DiskFullError, FolderDisk
+from storage.disk import KEPT_BACK, SMALL_BYTES
 
 __all__ = ["PowerDisk"]
 
--- a/libs/facsimile/src/facsimile/surroundings/nodes.py
+++ b/libs/facsimile/src/facsimile/surroundings/nodes.py
@@ -10,13 +10,13 @@
 
 from circulation import Send
 from colophon import Params
+from messaging import Message
+from messaging.links import Switchboard
+from messaging.shell import ProcessEnv
 from readingroom.process import run_process
 from readingroom.roles import EdgeProcess, StoreProcess
 from readingroom.sender import HttpSender
 from registrar.process import ControlProcess
-from vellum import Message
-from vellum.links import Switchboard
-from vellum.shell import ProcessEnv
 
 from facsimile.surroundings.disks import PowerDisk
 from facsimile.surroundings.weather import Weather
--- a/libs/facsimile/src/facsimile/traffic.py
+++ b/libs/facsimile/src/facsimile/traffic.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 import aiohttp
-from catalogue import check_tree, profiles_digest
+from control_store import check_tree, profiles_digest
 
 from facsimile.fleet import Fleet
 from facsimile.sim.history import History
--- a/libs/ledger/src/ledger/admission.py
+++ b/libs/ledger/src/ledger/admission.py
@@ -7,7 +7,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from vellum import Message, Origin
+from messaging import Message, Origin
 
 from ledger import entries as e
 from ledger import messages as m
--- a/libs/ledger/src/ledger/answers.py
+++ b/libs/ledger/src/ledger/answers.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from vellum import Message, Origin
+from messaging import Message, Origin
 
 __all__ = ["KEPT", "Answers"]
 
--- a/libs/ledger/src/ledger/dealing.py
+++ b/libs/ledger/src/ledger/dealing.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from vellum import Message, encode
+from messaging import Message, encode
 
 from ledger import entries as e
 from ledger import messages as m
--- a/libs/ledger/src/ledger/desk.py
+++ b/libs/ledger/src/ledger/desk.py
@@ -8,7 +8,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from vellum import Message, Origin, Part
+from messaging import Message, Origin, Part
 
 from ledger import entries as e
 from ledger import messages as m
--- a/libs/ledger/src/ledger/endings.py
+++ b/libs/ledger/src/ledger/endings.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from vellum import Message, decode
+from messaging import Message, decode
 
 from ledger import entries as e
 from ledger import messages as m
--- a/libs/ledger/src/ledger/entries.py
+++ b/libs/ledger/src/ledger/entries.py
@@ -2,7 +2,7 @@
 in the same order gives the same ledger everywhere. A snapshot is a short run of the same entries.
 """
 
-from vellum import Blob, Flag, Long, Message, Text, array_of
+from messaging import Blob, Flag, Long, Message, Text, array_of
 
 __all__ = [
     "AttemptFailed",
--- a/libs/ledger/src/ledger/fold.py
+++ b/libs/ledger/src/ledger/fold.py
@@ -7,7 +7,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from vellum import Message, encode
+from messaging import Message, encode
 
 from ledger import entries as e
 from ledger.lots import Item, Lot
--- a/libs/ledger/src/ledger/lots.py
+++ b/libs/ledger/src/ledger/lots.py
@@ -2,7 +2,7 @@
 items, as far as `placed` says; of a forwarded one in the order in which they came to be settled, `order`.
 """
 
-from vellum import Message, encode
+from messaging import Message, encode
 
 from ledger import entries as e
 from ledger import messages as m
--- a/libs/ledger/src/ledger/messages.py
+++ b/libs/ledger/src/ledger/messages.py
@@ -3,7 +3,7 @@
 that a doubt told to a visitor can't turn into a run long after.
 """
 
-from vellum import Blob, Flag, Long, Message, Text, array_of
+from messaging import Blob, Flag, Long, Message, Text, array_of
 
 __all__ = [
     "Baton",
--- a/libs/ledger/src/ledger/reading.py
+++ b/libs/ledger/src/ledger/reading.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from vellum import Message
+from messaging import Message
 
 from ledger import messages as m
 from ledger.fold import Ledger
--- a/libs/loans/src/loans/borrowing.py
+++ b/libs/loans/src/loans/borrowing.py
@@ -13,7 +13,7 @@
 
 from circulation import Budget, Carriage, Carrier, Roster, Step, Transaction, Worker
 from ledger import messages as m
-from vellum import Long, Message, Origin, Part, Text
+from messaging import Long, Message, Origin, Part, Text
 
 from loans.sampling import OTHER_WEIGHTS, SampleCall, sample_result, unstarted
 from loans.slots import LendableSlots
--- a/libs/loans/src/loans/entitlement.py
+++ b/libs/loans/src/loans/entitlement.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Iterable
 
-from commons import duty_order
+from membership import duty_order
 
 __all__ = ["Entitlements"]
 
--- a/libs/loans/src/loans/lending.py
+++ b/libs/loans/src/loans/lending.py
@@ -11,11 +11,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from catalogue import Change, Changed, Owner, ReadKey
-from commons import Neighbours
+from config_feed import ConfigFeed
+from control_store import Change, Changed, Owner, ReadKey
 from expression import Error, Result
-from gazette import Gazette
-from vellum import Origin, Part
+from membership import Neighbours
+from messaging import Origin, Part
 
 from loans.load import EdgeLoad, LiveLoad
 from loans.rows import (
@@ -75,7 +75,7 @@
     __slots__ = (
         "_busy",
         "_calls",
-        "_gazette",
+        "_config_feed",
         "_load",
         "_neighbours",
         "_noted_ms",
@@ -94,12 +94,17 @@
         self,
         owner: Owner,
         neighbours: Neighbours,
-        gazette: Gazette,
+        config_feed: ConfigFeed,
         tree: Callable[[], Any],
         sure: Callable[[], bool],
         mine: Callable[[], bool],
     ) -> None:
-        self._owner, self._neighbours, self._gazette, self._tree = owner, neighbours, gazette, tree
+        self._owner, self._neighbours, self._config_feed, self._tree = (
+            owner,
+            neighbours,
+            config_feed,
+            tree,
+        )
         self._sure, self.mine = sure, mine
         self._value, self.number = empty_loans(), 0
         self._since: dict[str, tuple[int, int]] = {}
@@ -108,7 +113,7 @@
         self._load: LiveLoad | None = None
         self._noted_ms = -1 << 40
         self.counts: dict[str, int] = {}
-        gazette.watch(self._published)
+        config_feed.watch(self._published)
 
     def attach(self, node: Any) -> None:
         """Join the node and start to watch the live load over its `load_window_ms`."""
@@ -217,10 +222,10 @@
         """
         params = self.node.params
         stores = {card.address for card in self._neighbours.of_role("store", params.gone_ms)}
-        log = self._gazette.value("log") or {}
+        log = self._config_feed.value("log") or {}
         stores |= {row["address"] for row in (*log.get("members", ()), *log.get("prev", ()))}
         edges = {card.address for card in self._neighbours.of_role("edge", params.gone_ms)}
-        return edges | set(self._gazette.roll()) - stores
+        return edges | set(self._config_feed.roll()) - stores
 
     def _is_drained(self, worker: str) -> bool:
         reports = self._load.reported()
--- a/libs/loans/src/loans/lent.py
+++ b/libs/loans/src/loans/lent.py
@@ -12,8 +12,8 @@
 from typing import Any
 
 from circulation import Carrier, Roster
-from gazette import Gazette
-from vellum import Origin, Part
+from config_feed import ConfigFeed
+from messaging import Origin, Part
 
 from loans.load import EdgeLoad, LiveLoad, load_report
 from loans.rows import LOANS_KEY, withheld
@@ -32,7 +32,7 @@
         "_at_risk",
         "_carrier",
         "_edge",
-        "_gazette",
+        "_config_feed",
         "_lends",
         "_load",
         "_roster",
@@ -44,18 +44,23 @@
     def __init__(
         self,
         edge: str,
-        gazette: Gazette,
+        config_feed: ConfigFeed,
         roster: Roster,
         carrier: Carrier,
         lends: Callable[[], bool],
         at_risk: Callable[[], bool],
         told: Callable[[], Iterable[str]],
     ) -> None:
-        self._edge, self._gazette, self._roster, self._carrier = edge, gazette, roster, carrier
+        self._edge, self._config_feed, self._roster, self._carrier = (
+            edge,
+            config_feed,
+            roster,
+            carrier,
+        )
         self._lends, self._at_risk, self._told = lends, at_risk, told
         self._sent_ms = -1 << 40
         self._load: LiveLoad | None = None
-        gazette.watch(self._published)
+        config_feed.watch(self._published)
 
     def attach(self, node: Any) -> None:
         """Join the node and start to watch the live load over its `force_ms`."""
@@ -102,7 +107,7 @@
         self._sent_ms = now_ms
         report = load_report(
             self._edge,
-            self._gazette.number(LOANS_KEY),
+            self._config_feed.number(LOANS_KEY),
             self._roster,
             self._carrier,
             self._at_risk(),
--- a/libs/loans/src/loans/load.py
+++ b/libs/loans/src/loans/load.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from vellum import Flag, Long, Message, Text
+from messaging import Flag, Long, Message, Text
 
 __all__ = ["EdgeLoad", "LiveLoad", "load_report"]
 
--- a/libs/commons/src/commons/cards.py
+++ b/libs/membership/src/membership/cards.py
@@ -4,7 +4,7 @@
 how fresh a forwarded card is. Cards travel in exchanges of partial views and in direct heartbeats.
 """
 
-from vellum import Blob, Flag, Long, Message, Text, array_of
+from messaging import Blob, Flag, Long, Message, Text, array_of
 
 __all__ = ["Beat", "Card", "Shuffle", "Shuffled"]
 
--- a/libs/commons/src/commons/neighbours.py
+++ b/libs/membership/src/membership/neighbours.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
 
-from vellum import Message, Origin, Part, decode, encode
+from messaging import Message, Origin, Part, decode, encode
 
-from commons.cards import Beat, Card, Shuffle, Shuffled
+from membership.cards import Beat, Card, Shuffle, Shuffled
 
 __all__ = ["Neighbours"]
 
--- /dev/null
+++ b/libs/messaging/src/messaging/__init__.py
@@ -0,0 +1,34 @@
+"""Messaging: the messages that the fleet's processes send one another, written with Avro, the links
+that carry them, and the frame in which cores without input or output of their own are run.
+"""
+
+from messaging.cores import Env, Node, Origin, Part
+from messaging.message import (
+    Blob,
+    Flag,
+    Long,
+    Message,
+    Real,
+    Text,
+    array_of,
+    decode,
+    encode,
+    optional,
+)
+
+__all__ = [
+    "array_of",
+    "Blob",
+    "Env",
+    "Flag",
+    "Long",
+    "Message",
+    "Node",
+    "optional",
+    "Origin",
+    "Part",
+    "Real",
+    "Text",
+    "decode",
+    "encode",
+]
--- a/libs/vellum/src/vellum/cores.py
+++ b/libs/messaging/src/messaging/cores.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from vellum.message import Message
+from messaging.message import Message
 
 __all__ = ["Env", "Node", "Origin", "Part"]
 
--- a/libs/vellum/src/vellum/links.py
+++ b/libs/messaging/src/messaging/links.py
@@ -16,7 +16,7 @@
 from fastavro import parse_schema, schemaless_reader, schemaless_writer
 from mode import Service
 
-from vellum.message import BadMessageError, Message, decode, encode
+from messaging.message import BadMessageError, Message, decode, encode
 
 __all__ = ["Switchboard"]
 
--- a/libs/vellum/src/vellum/shell.py
+++ b/libs/messaging/src/messaging/shell.py
@@ -11,9 +11,9 @@
 from colophon import boot_ms, log, wall_ms
 from mode import Service
 
-from vellum.cores import Node
-from vellum.links import Switchboard
-from vellum.message import Message
+from messaging.cores import Node
+from messaging.links import Switchboard
+from messaging.message import Message
 
 __all__ = ["ProcessEnv", "Shell", "awaited"]
 
--- a/libs/modelcheck/src/modelcheck/canonical.py
+++ b/libs/modelcheck/src/modelcheck/canonical.py
@@ -10,7 +10,7 @@
 from types import CellType, FunctionType, MethodType
 from typing import Any
 
-from vellum import Message, encode
+from messaging import Message, encode
 
 __all__ = ["Encoder"]
 
--- a/libs/modelcheck/src/modelcheck/control_keys.py
+++ b/libs/modelcheck/src/modelcheck/control_keys.py
@@ -1,4 +1,4 @@
-"""Control keys under the explorer: voters and owners, the real cores of `catalogue`, from named
+"""Control keys under the explorer: voters and owners, the real cores of `control_store`, from named
 starting states. Which node takes itself for a key's owner is left to the scenario, since a failure
 detector may say anything: nodes that each think themselves the owner race. Invariants:
 
@@ -16,12 +16,12 @@
 from itertools import combinations
 from typing import Any
 
-from catalogue import Change, Owner, Voter
-from catalogue.messages import Accept, Changed, Prepare, Voted, VoterMeta
-from catalogue.rounds import Round
 from colophon import Params
-from stacks import frame, scan
-from vellum import Node, decode, encode
+from control_store import Change, Owner, Voter
+from control_store.messages import Accept, Changed, Prepare, Voted, VoterMeta
+from control_store.rounds import Round
+from messaging import Node, decode, encode
+from storage import frame, scan
 
 from modelcheck.stand_ins import NoFeed, Trusted
 from modelcheck.surroundings import BootImage, ModelDisk, Posted
--- a/libs/modelcheck/src/modelcheck/control_starts.py
+++ b/libs/modelcheck/src/modelcheck/control_starts.py
@@ -1,6 +1,6 @@
 """Starting states of control keys."""
 
-from catalogue import Change, ReadKey
+from control_store import Change, ReadKey
 
 from modelcheck.control_keys import KEY, ControlKeys
 from modelcheck.world import Bounds, Operation, Start
--- a/libs/modelcheck/src/modelcheck/local.py
+++ b/libs/modelcheck/src/modelcheck/local.py
@@ -7,7 +7,7 @@
 from hashlib import blake2b
 from typing import Any
 
-from vellum import Node, decode, encode
+from messaging import Node, decode, encode
 
 from modelcheck.actions import Kind
 from modelcheck.canonical import Encoder
--- a/libs/modelcheck/src/modelcheck/stand_ins.py
+++ b/libs/modelcheck/src/modelcheck/stand_ins.py
@@ -1,6 +1,6 @@
 """What stands around the cores under the explorer in place of parts that are not explored."""
 
-from vellum import Part
+from messaging import Part
 
 __all__ = ["NoFeed", "Trusted"]
 
--- a/libs/modelcheck/src/modelcheck/store_log.py
+++ b/libs/modelcheck/src/modelcheck/store_log.py
@@ -1,4 +1,4 @@
-"""The replicated log under the explorer: stores with the real cores of `accession`, and one control node
+"""The replicated log under the explorer: stores with the real cores of `replicated_log`, and one control node
 (a real voter and owner, alone, so that its key is a register that decides at once: how several voters agree is
 explored in control_keys.py). Stand-ins take the place of the feed, which carries the log's key to the stores in any order and
 may be lost, and of what a store knows of its neighbours. Invariants:
@@ -14,16 +14,16 @@
 from collections.abc import Hashable
 from typing import Any
 
-from accession import Holder, LocalLog, Outcome, StoreLog
-from accession.local import entry_of
-from accession.messages import Appended, Pulse, Started
-from catalogue import Change, ControlClient, Owner, Voter
-from catalogue.messages import VoterMeta
 from colophon import Params
-from gazette.messages import News, NewsItem
+from config_feed.messages import News, NewsItem
+from control_store import Change, ControlClient, Owner, Voter
+from control_store.messages import VoterMeta
 from ledger.entries import LotEnded
-from stacks import frame
-from vellum import Message, Node, Origin, Part, decode, encode
+from messaging import Message, Node, Origin, Part, decode, encode
+from replicated_log import Holder, LocalLog, Outcome, StoreLog
+from replicated_log.local import entry_of
+from replicated_log.messages import Appended, Pulse, Started
+from storage import frame
 
 from modelcheck.actions import Kind
 from modelcheck.stand_ins import Trusted
--- a/libs/modelcheck/src/modelcheck/surroundings.py
+++ b/libs/modelcheck/src/modelcheck/surroundings.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from stacks import Disk
-from vellum import Message
+from messaging import Message
+from storage import Disk
 
 __all__ = ["BootImage", "ModelDisk", "ModelEnv", "Posted"]
 
@@ -70,7 +70,7 @@
 
 
 class ModelEnv:
-    """A node's `vellum` surroundings."""
+    """A node's `messaging` surroundings."""
 
     __slots__ = (
         "_tokens",
--- a/libs/modelcheck/src/modelcheck/world.py
+++ b/libs/modelcheck/src/modelcheck/world.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Hashable
 from typing import Any
 
-from vellum import Node
+from messaging import Node
 
 from modelcheck.actions import Kind
 from modelcheck.surroundings import BootImage, ModelDisk, ModelEnv
--- a/libs/readingroom/src/readingroom/answers.py
+++ b/libs/readingroom/src/readingroom/answers.py
@@ -7,7 +7,7 @@
 
 from circulation import Step
 from colophon import Refusal, doubtful, refused
-from vellum import decode
+from messaging import decode
 
 __all__ = [
     "Answer",
--- a/libs/readingroom/src/readingroom/counter.py
+++ b/libs/readingroom/src/readingroom/counter.py
@@ -20,7 +20,7 @@
 )
 from colophon import refused
 from ledger import messages as m
-from vellum import Part
+from messaging import Part
 
 from readingroom.answers import (
     Answer,
--- a/libs/readingroom/src/readingroom/forwards.py
+++ b/libs/readingroom/src/readingroom/forwards.py
@@ -8,7 +8,7 @@
 
 from circulation import Carriage, Carrier, ForwardCall, ForwardTransaction, Step
 from colophon import refused
-from vellum import Part
+from messaging import Part
 
 __all__ = ["ForwardCounter"]
 
--- a/libs/readingroom/src/readingroom/keys.py
+++ b/libs/readingroom/src/readingroom/keys.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
-from stacks import DamageError
-from vellum import Env
+from messaging import Env
+from storage import DamageError
 
 __all__ = [
     "CONTROL_KEY",
--- a/libs/readingroom/src/readingroom/lot_counter.py
+++ b/libs/readingroom/src/readingroom/lot_counter.py
@@ -9,7 +9,7 @@
 
 from circulation import HolderClient, LotRunner
 from ledger import messages as m
-from vellum import Part, encode
+from messaging import Part, encode
 
 from readingroom.answers import Answer, ended_answer, item_answer, page_answer, taken_answer
 
--- a/libs/readingroom/src/readingroom/nodes.py
+++ b/libs/readingroom/src/readingroom/nodes.py
@@ -5,16 +5,16 @@
 import json
 from typing import Any
 
-from accession import LocalLog, Mending, StoreLog
-from catalogue import ControlClient, Tree, profiles_digest
 from circulation import Carrier, HolderClient, Items, LotRunner, Readings, Roster
-from commons import Neighbours, duty_order
-from gazette import Gazette, candidates
+from config_feed import ConfigFeed, candidates
+from control_store import ControlClient, Tree, profiles_digest
 from ledger import Desk
 from ledger import messages as m
 from loans import Borrowing, LentWorkers, LotOutlook
-from stacks import Disk
-from vellum import Env, Node
+from membership import Neighbours, duty_order
+from messaging import Env, Node
+from replicated_log import LocalLog, Mending, StoreLog
+from storage import Disk
 
 from readingroom.counter import Counter
 from readingroom.forwards import ForwardCounter
@@ -37,25 +37,25 @@
 class _DataNode(Node):
     """What stores and edges share: neighbours, the feed, the profiles in force."""
 
-    __slots__ = ("_tree", "_tree_number", "gazette", "neighbours", "tree_digest")
+    __slots__ = ("_tree", "_tree_number", "config_feed", "neighbours", "tree_digest")
 
     def _common(self, identity: str) -> None:
         self.neighbours = Neighbours(identity)
-        self.gazette = Gazette(
+        self.config_feed = ConfigFeed(
             identity,
             lambda: [card.address for card in self.neighbours.view()],
             self._control_addresses,
         )
         self.neighbours.wanted = self._wanted
-        self.gazette.candidates = lambda: candidates(
-            self.gazette.value(CONTROL_KEY), self.neighbours, self.params.gone_ms
+        self.config_feed.candidates = lambda: candidates(
+            self.config_feed.value(CONTROL_KEY), self.neighbours, self.params.gone_ms
         )
         self._tree = Tree({})
         self._tree_number = 0
         self.tree_digest = ""
 
     def _control_addresses(self) -> list[str]:
-        value = self.gazette.value(CONTROL_KEY)
+        value = self.config_feed.value(CONTROL_KEY)
         if value:
             return [row["address"] for row in value["voters"]]
         return [card.address for card in self.neighbours.of_role("control", self.params.gone_ms)]
@@ -64,11 +64,11 @@
         return self._control_addresses()
 
     def tree(self) -> Tree:
-        number = self.gazette.number(PROFILES_KEY)
+        number = self.config_feed.number(PROFILES_KEY)
         if number != self._tree_number:
-            self._tree = Tree.of_body(self.gazette.body(PROFILES_KEY))
+            self._tree = Tree.of_body(self.config_feed.body(PROFILES_KEY))
             self._tree_number = number
-            self.tree_digest = profiles_digest(self.gazette.body(PROFILES_KEY))
+            self.tree_digest = profiles_digest(self.config_feed.body(PROFILES_KEY))
         return self._tree
 
 
@@ -82,7 +82,7 @@
         self._started_ms = env.now()
         self.control = ControlClient(self._control_addresses, self._key_owners)
         self.desk = Desk(
-            lambda: (self.gazette.number(PROFILES_KEY), self.tree()),
+            lambda: (self.config_feed.number(PROFILES_KEY), self.tree()),
             self._who_holds,
             lambda: self.log.log.ledger,
         )
@@ -94,26 +94,26 @@
         super().__init__(
             env,
             params,
-            [self.neighbours, self.gazette, self.control, self.log, self.desk, self.mending],
+            [self.neighbours, self.config_feed, self.control, self.log, self.desk, self.mending],
         )
 
     def _key_owners(self, key: str) -> list[str]:
         """The voters that live, as far as this store hears, in the order in which the key's duty falls to them."""
         voters = {
             row["identity"]: row["address"]
-            for row in (self.gazette.value(CONTROL_KEY) or {"voters": []})["voters"]
+            for row in (self.config_feed.value(CONTROL_KEY) or {"voters": []})["voters"]
         }
         return [voters[name] for name in duty_order(key, voters) if self.neighbours.live(name)]
 
     # -- what the log asks about the fleet -----------------------------------------------------
 
     def log_key(self) -> tuple[int, str]:
-        return self.gazette.number(LOG_KEY), self.gazette.body(LOG_KEY)
+        return self.config_feed.number(LOG_KEY), self.config_feed.body(LOG_KEY)
 
     def _other_members(self) -> list[str]:
         return [
             row["address"]
-            for row in (self.gazette.value(LOG_KEY) or {"members": []})["members"]
+            for row in (self.config_feed.value(LOG_KEY) or {"members": []})["members"]
             if row["address"] != self.address
         ]
 
@@ -144,19 +144,19 @@
         return self.neighbours.live(identity)
 
     def retired_stores(self) -> list[str]:
-        return (self.gazette.value(RETIRED_KEY) or {}).get("identities", [])
+        return (self.config_feed.value(RETIRED_KEY) or {}).get("identities", [])
 
     def settled_in(self) -> bool:
         """Long enough up to know who lives, and in touch with a control majority."""
         now_ms = self.env.now()
         return (
             now_ms - self._started_ms > self.params.dead_ms
-            and now_ms - self.gazette.quorate_ms < self.params.dead_ms
+            and now_ms - self.config_feed.quorate_ms < self.params.dead_ms
         )
 
     def learned(self, number: int, body: str) -> None:
         """What control has told this store itself, ahead of the feed."""
-        self.gazette.publish(LOG_KEY, number, body)
+        self.config_feed.publish(LOG_KEY, number, body)
 
     def _who_holds(self) -> tuple[int, str]:
         value = self.log.value
@@ -171,9 +171,9 @@
         return value.get("epoch", 0), address
 
     def why_unready(self) -> str:
-        if not self.gazette.number(LOG_KEY):
+        if not self.config_feed.number(LOG_KEY):
             return "the log is not founded yet"
-        names = [row["identity"] for row in json.loads(self.gazette.body(LOG_KEY))["members"]]
+        names = [row["identity"] for row in json.loads(self.config_feed.body(LOG_KEY))["members"]]
         if self.log.log.identity not in names:
             return "spare: not a member of the log"
         return ""
@@ -208,7 +208,7 @@
         self._was_quorate = False
         self.stopping = False
         self.holder = HolderClient(
-            lambda: self.gazette.body(LOG_KEY),
+            lambda: self.config_feed.body(LOG_KEY),
             lambda: [card.address for card in self.neighbours.of_role("store", params.gone_ms)],
         )
         self.roster = Roster(
@@ -233,7 +233,7 @@
         self.lots.samples = self.borrowing
         self.lent = LentWorkers(
             identity,
-            self.gazette,
+            self.config_feed,
             self.roster,
             self.carrier,
             self.borrowing.lends,
@@ -245,15 +245,15 @@
         self.rollouts = RolloutCounter(self.counter, self.holder, self.lots, self.tree)
         self.forwards = ForwardCounter(self.carrier, self.tree, self._why_unsure)
         self.lot_counter = LotCounter(
-            self.holder, self.lots, lambda: (self.gazette.number(PROFILES_KEY), self.tree())
+            self.holder, self.lots, lambda: (self.config_feed.number(PROFILES_KEY), self.tree())
         )
-        self.neighbours.ready = self.gazette.sure = lambda: not self.why_unready()
+        self.neighbours.ready = self.config_feed.sure = lambda: not self.why_unready()
         super().__init__(
             env,
             params,
             [
                 self.neighbours,
-                self.gazette,
+                self.config_feed,
                 self.holder,
                 self.roster,
                 self.carrier,
@@ -270,7 +270,7 @@
         )
 
     def _listed(self) -> tuple[int, str]:
-        return self.gazette.number(WORKERS_KEY), self.gazette.body(WORKERS_KEY)
+        return self.config_feed.number(WORKERS_KEY), self.config_feed.body(WORKERS_KEY)
 
     def _fellow_edges(self) -> list[tuple[str, str]]:
         return [
@@ -287,7 +287,7 @@
         return near if len(cards) > _FEW_EDGES else [card.address for card in cards]
 
     def _edges(self) -> int:
-        return self.gazette.edge_count() or 1 + len(
+        return self.config_feed.edge_count() or 1 + len(
             self.neighbours.of_role("edge", self.params.dead_ms)
         )
 
@@ -305,7 +305,7 @@
         if not (self._hears_control(now_ms) or self._hears_most(now_ms)):
             return "cut off from control and most neighbours"
         if not self._caught_up:
-            self._caught_up = self.gazette.number(PROFILES_KEY) > 0 and self._level(
+            self._caught_up = self.config_feed.number(PROFILES_KEY) > 0 and self._level(
                 now_ms - self.params.cut_ms
             )
             if not self._caught_up:
@@ -320,13 +320,13 @@
         if not self._caught_up:
             params = self.params
             heard = (
-                now_ms - self.gazette.quorate_ms <= params.dead_ms
+                now_ms - self.config_feed.quorate_ms <= params.dead_ms
                 or now_ms - self._started_ms > params.dead_ms
                 and not self._hears_some_control()
             )
             self._caught_up = (
                 heard
-                and self.gazette.number(PROFILES_KEY) > 0
+                and self.config_feed.number(PROFILES_KEY) > 0
                 and self._level(now_ms - params.dead_ms)
             )
         return "" if self._caught_up else "has not caught up with the feed"
@@ -337,7 +337,7 @@
         return any(card.role == "control" for card in heard)
 
     def _hears_control(self, now_ms: int) -> bool:
-        if now_ms - self.gazette.quorate_ms <= self.params.cut_ms:
+        if now_ms - self.config_feed.quorate_ms <= self.params.cut_ms:
             self._was_quorate = True
             return True
         return False
@@ -346,11 +346,11 @@
         """Most of those on the roll that spoke to it lately still do, most of the whole roll are known to
         live, and either it or an edge that is sure has once been told by control.
         """
-        params, roll = self.params, self.gazette.roll()
-        contacts = self.gazette.contacts_ms
+        params, roll = self.params, self.config_feed.roll()
+        contacts = self.config_feed.contacts_ms
         direct = [
             contacts[identity]
-            for identity, row in self.gazette.confirmed.items()
+            for identity, row in self.config_feed.confirmed.items()
             if identity in contacts and row[3] in roll
         ]
         near = sum(1 for at_ms in direct if now_ms - at_ms <= params.cut_ms)
@@ -359,8 +359,8 @@
             for role in ("edge", "store")
             for card in self.neighbours.of_role(role, 2 * params.dead_ms)
         }
-        vouched = self.gazette.binding and (
-            self._was_quorate or now_ms - self.gazette.sure_edge_ms <= params.cut_ms
+        vouched = self.config_feed.binding and (
+            self._was_quorate or now_ms - self.config_feed.sure_edge_ms <= params.cut_ms
         )
         return (
             vouched
@@ -371,8 +371,8 @@
 
     def _level(self, floor_ms: int) -> bool:
         return all(
-            self.gazette.number(key) >= number
-            for _, at_ms, numbers, _ in self.gazette.confirmed.values()
+            self.config_feed.number(key) >= number
+            for _, at_ms, numbers, _ in self.config_feed.confirmed.values()
             if at_ms >= floor_ms
             for key, number in numbers.items()
         )
--- a/libs/readingroom/src/readingroom/process.py
+++ b/libs/readingroom/src/readingroom/process.py
@@ -13,10 +13,10 @@
 from colophon import Params, load_params, log, set_up_logs
 from colophon.params import changed_params
 from expression import Result
+from messaging.links import Switchboard
+from messaging.shell import ProcessEnv, Shell
 from mode import Service
-from stacks import FolderDisk
-from vellum.links import Switchboard
-from vellum.shell import ProcessEnv, Shell
+from storage import FolderDisk
 
 __all__ = ["NodeProcess", "run_loaded", "run_process", "settings_or_exit"]
 
--- a/libs/readingroom/src/readingroom/roles.py
+++ b/libs/readingroom/src/readingroom/roles.py
@@ -81,8 +81,8 @@
             "ready": not node.why_unready(),
             "reason": node.why_unready(),
             "profiles_digest": node.tree_digest,
-            "feed": node.gazette.numbers(),
-            "place": node.gazette.place,
+            "feed": node.config_feed.numbers(),
+            "place": node.config_feed.place,
             "holder_epoch": node.holder.epoch,
             "live": self._visitors.live_now,
             "items": node.lots.running(),
@@ -127,7 +127,7 @@
             "edge_samples_given_up_total": node.borrowing.given_up,
             "edge_loans_recalled_total": node.borrowing.recalls,
             "edge_workers_lent": len(node.roster.lent),
-            "feed_place": node.gazette.place,
+            "feed_place": node.config_feed.place,
             "worst_tick_ms": self.shell.worst_tick_ms if self.shell else 0,
         }
 
@@ -178,8 +178,8 @@
             "flushed_seq": local.flushed_seq,
             "settled_seq": local.settled_seq,
             "snap_seq": local.snap_seq,
-            "feed": self.node.gazette.numbers(),
-            "place": self.node.gazette.place,
+            "feed": self.node.config_feed.numbers(),
+            "place": self.node.config_feed.place,
             "lots": len(local.ledger.lots),
             "open_lots": len(local.ledger.opened),
             "keys": len(local.ledger.keys),
@@ -204,6 +204,6 @@
             "store_holds": int(self.node.log.holder is not None),
             "store_open_lots": len(local.ledger.opened),
             "store_shelves": len(local.shelves.names()),
-            "feed_place": self.node.gazette.place,
+            "feed_place": self.node.config_feed.place,
             "worst_tick_ms": self.shell.worst_tick_ms if self.shell else 0,
         }
--- a/libs/readingroom/src/readingroom/rollouts.py
+++ b/libs/readingroom/src/readingroom/rollouts.py
@@ -11,9 +11,9 @@
 from circulation import HolderClient, LotRunner
 from colophon import Refusal, refused
 from ledger import messages as m
+from messaging import Part
+from messaging.shell import awaited
 from pydantic import BaseModel, ConfigDict, Field, model_validator
-from vellum import Part
-from vellum.shell import awaited
 
 from readingroom.answers import Answer, hand_in_answer, lot_answer, results_answer
 from readingroom.calls import LOT_ID, LotItem, Name
--- a/libs/readingroom/src/readingroom/sender.py
+++ b/libs/readingroom/src/readingroom/sender.py
@@ -10,7 +10,7 @@
 import aiohttp
 from circulation import Send
 from colophon import log
-from vellum.shell import awaited
+from messaging.shell import awaited
 from yarl import URL
 
 from readingroom.pool import CURRENT, Outgoing, WorkerPool, pooled_session
--- a/libs/readingroom/src/readingroom/visitors.py
+++ b/libs/readingroom/src/readingroom/visitors.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from circulation import Step
 from colophon import Refusal, boot_ms, refused
-from vellum.shell import awaited
+from messaging.shell import awaited
 
 from readingroom.answers import Answer
 from readingroom.calls import LOT_ID, CompletionCall, HandInCall
--- a/libs/registrar/src/registrar/loan_desk.py
+++ b/libs/registrar/src/registrar/loan_desk.py
@@ -7,9 +7,9 @@
 from aiohttp import web
 from colophon import Refusal, doubtful, refused
 from loans import LoanOutcome
+from messaging.shell import awaited
 from pydantic import BaseModel, ConfigDict, Field
 from readingroom.desk_http import HttpDesk, answer_refusal, json_answer, read_call
-from vellum.shell import awaited
 
 __all__ = ["LoanDesk"]
 
--- a/libs/registrar/src/registrar/nodes.py
+++ b/libs/registrar/src/registrar/nodes.py
@@ -5,13 +5,13 @@
 import json
 from typing import Any
 
-from catalogue import Founding, Owner, ReadBarrier, Roll, Tree, Voter, WorkerList
-from commons import Neighbours
-from gazette import Gazette, candidates
+from config_feed import ConfigFeed, candidates
+from control_store import Founding, Owner, ReadBarrier, Roll, Tree, Voter, WorkerList
 from loans import LOANS_KEY, NodeLoans
+from membership import Neighbours
+from messaging import Env, Node
 from readingroom.keys import CONTROL_KEY, PROFILES_KEY, open_or_set_aside
-from stacks import Disk
-from vellum import Env, Node
+from storage import Disk
 
 from registrar.retirement import Retirement
 from registrar.tree_changes import TreeChanges
@@ -24,7 +24,7 @@
         "_tree",
         "disk",
         "founding",
-        "gazette",
+        "config_feed",
         "loans",
         "neighbours",
         "owner",
@@ -41,7 +41,7 @@
         self.voter = open_or_set_aside(env, disk, lambda: Voter(disk, env.token))
         identity = self.voter.identity
         self.neighbours = Neighbours(identity)
-        self.gazette = Gazette(
+        self.config_feed = ConfigFeed(
             identity,
             lambda: [card.address for card in self.neighbours.view()],
             lambda: self.voter.voters.values(),
@@ -50,35 +50,39 @@
         self.neighbours.wanted = lambda: (
             self.voter.voters.values() or (() if params.control_count else params.seeds)
         )
-        self.gazette.votes = self._is_voter
-        self.gazette.candidates = lambda: candidates(self._list(), self.neighbours, params.gone_ms)
+        self.config_feed.votes = self._is_voter
+        self.config_feed.candidates = lambda: candidates(
+            self._list(), self.neighbours, params.gone_ms
+        )
         self.neighbours.ready = lambda: not self.why_unready()
         self.neighbours.deaf = lambda: (
             identity in self.voter.voters and not self._hears(params.cut_ms)
         )
-        self.owner = Owner(self.voter, self.neighbours, self.gazette)
+        self.owner = Owner(self.voter, self.neighbours, self.config_feed)
         self.read_barrier = ReadBarrier(
-            self.owner, self.gazette, lambda: self._is_voter() and self._hears(params.cut_ms)
+            self.owner, self.config_feed, lambda: self._is_voter() and self._hears(params.cut_ms)
         )
-        self.gazette.hands_out = lambda: (
+        self.config_feed.hands_out = lambda: (
             self.quorate() if self._is_voter() else self.hears_majority()
         )
-        self.founding = Founding(self.voter, self.owner, self.neighbours, self.gazette)
+        self.founding = Founding(self.voter, self.owner, self.neighbours, self.config_feed)
         self.roll = Roll(
-            self.owner, self.gazette, lambda: self.quorate() and self.founding.steward() == identity
+            self.owner,
+            self.config_feed,
+            lambda: self.quorate() and self.founding.steward() == identity,
         )
         self.worker_list = WorkerList(
-            self.voter, self.owner, self.gazette, sure=self.hears_majority
+            self.voter, self.owner, self.config_feed, sure=self.hears_majority
         )
         self.tree_changes = TreeChanges(self.owner, sure=self.hears_majority)
         self.retirement = Retirement(
-            self.owner, self.neighbours, self.gazette, sure=self.hears_majority
+            self.owner, self.neighbours, self.config_feed, sure=self.hears_majority
         )
         self._tree = (0, Tree({}))
         self.loans = NodeLoans(
             self.owner,
             self.neighbours,
-            self.gazette,
+            self.config_feed,
             self.tree,
             sure=self.hears_majority,
             mine=lambda: bool(self.voter.voters) and self.owner.owner_of(LOANS_KEY) == identity,
@@ -88,7 +92,7 @@
             params,
             [
                 self.neighbours,
-                self.gazette,
+                self.config_feed,
                 self.voter,
                 self.owner,
                 self.read_barrier,
@@ -117,9 +121,9 @@
         return (
             self._is_voter()
             and self._hears(self.params.cut_ms)
-            and self.gazette.number(CONTROL_KEY) > 0
+            and self.config_feed.number(CONTROL_KEY) > 0
             and self.read_barrier.passed()
-            and self.gazette.behind_ms() <= self.params.dead_ms
+            and self.config_feed.behind_ms() <= self.params.dead_ms
         )
 
     def _is_voter(self) -> bool:
@@ -140,7 +144,7 @@
         return "" if self.quorate() else "hears no majority of the voters"
 
     def tree(self) -> Tree:
-        number = self.gazette.number(PROFILES_KEY)
+        number = self.config_feed.number(PROFILES_KEY)
         if number != self._tree[0]:
-            self._tree = (number, Tree.of_body(self.gazette.body(PROFILES_KEY)))
+            self._tree = (number, Tree.of_body(self.config_feed.body(PROFILES_KEY)))
         return self._tree[1]
--- /dev/null
+++ b/libs/registrar/src/registrar/operator_calls.py
@@ -0,0 +1,54 @@
+"""What operators send to a control node's own interface, checked, and by what a change is known again."""
+
+import hashlib
+import json
+from typing import Annotated, Any
+
+from pydantic import BaseModel, ConfigDict, Field
+
+__all__ = ["ForgetOrder", "RetirementOrder", "TreePatch", "TreeSent", "identity_of"]
+
+ChangeId = Annotated[str, Field(min_length=1, max_length=128)]
+
+
+class TreeSent(BaseModel):
+    """A whole tree of profiles, on the version that it replaces."""
+
+    model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
+    version: int = Field(ge=0)
+    change_id: ChangeId | None = None
+    tree: dict[str, Any]
+
+
+class TreePatch(BaseModel):
+    """A merge patch of the tree of profiles, on the version that it replaces."""
+
+    model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
+    version: int = Field(ge=0)
+    change_id: ChangeId | None = None
+    patch: dict[str, Any]
+
+
+class RetirementOrder(BaseModel):
+    """A machine with a disk that is to be retired, or taken back into use with `undo`."""
+
+    model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
+    identity: str = Field(min_length=1, max_length=128)
+    change_id: ChangeId | None = None
+    undo: bool = False
+
+
+class ForgetOrder(BaseModel):
+    """Addresses of machines that are lost for good and are to count no more."""
+
+    model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
+    links: list[str] = Field(min_length=1, max_length=256)
+
+
+def identity_of(change_id: str, contents: BaseModel) -> str:
+    """By what a change is known again: its id together with all that was sent under it, since an id that is
+    used for two contents names two changes.
+    """
+    sent = contents.model_dump(exclude={"change_id"})
+    text = json.dumps([change_id, type(contents).__name__, sent], sort_keys=True)
+    return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
--- a/libs/registrar/src/registrar/operators.py
+++ b/libs/registrar/src/registrar/operators.py
@@ -2,13 +2,14 @@
 naming the version it replaces; members and what they do; machines to be emptied and retired.
 """
 
-import hashlib
 import json
 import secrets
-from typing import Annotated, Any
+from typing import Any
 
 from aiohttp import web
-from catalogue import (
+from colophon import Refusal, doubtful, refused
+from config_feed.patches import apply_patch
+from control_store import (
     NO_BASE,
     Change,
     Changed,
@@ -19,55 +20,16 @@
     check_tree,
     explain,
 )
-from colophon import Refusal, doubtful, refused
-from gazette.patches import apply_patch
-from pydantic import BaseModel, ConfigDict, Field
+from messaging.shell import awaited
 from readingroom.desk_http import HttpDesk, answer_refusal, json_answer, read_call
 from readingroom.keys import PROFILES_KEY, RETIRED_KEY
-from vellum.shell import awaited
 
+from registrar.operator_calls import ForgetOrder, RetirementOrder, TreePatch, TreeSent, identity_of
 from registrar.retirement import retired_body
 from registrar.words import says, says_edge
 
 __all__ = ["Operators"]
 
-ChangeId = Annotated[str, Field(min_length=1, max_length=128)]
-
-
-class _Sent(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
-    version: int = Field(ge=0)
-    change_id: ChangeId | None = None
-    tree: dict[str, Any]
-
-
-class _Patched(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
-    version: int = Field(ge=0)
-    change_id: ChangeId | None = None
-    patch: dict[str, Any]
-
-
-class _Retired(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
-    identity: str = Field(min_length=1, max_length=128)
-    change_id: ChangeId | None = None
-    undo: bool = False
-
-
-class _Forgotten(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
-    links: list[str] = Field(min_length=1, max_length=256)
-
-
-def _identity_of(change_id: str, contents: BaseModel) -> str:
-    """By what a change is known again: its id together with all that was sent under it, since an id that is
-    used for two contents names two changes.
-    """
-    sent = contents.model_dump(exclude={"change_id"})
-    text = json.dumps([change_id, type(contents).__name__, sent], sort_keys=True)
-    return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
-
 
 class Operators:
     """The operators' calls of a control node's own interface."""
@@ -110,13 +72,13 @@
         )
 
     async def _send(self, request: web.Request) -> web.Response:
-        call = await self._parsed(request, _Sent)
+        call = await self._parsed(request, TreeSent)
         if isinstance(call, Refusal):
             return answer_refusal(call)
         return await self._keep(call, call.tree)
 
     async def _patch(self, request: web.Request) -> web.Response:
-        call = await self._parsed(request, _Patched)
+        call = await self._parsed(request, TreePatch)
         if isinstance(call, Refusal):
             return answer_refusal(call)
         receipt = await self._read(PROFILES_KEY)
@@ -127,13 +89,13 @@
         tree = json.loads(receipt.body or '{"profiles": {}}')
         return await self._keep(call, apply_patch(tree, call.patch))
 
-    async def _find(self, call: _Patched) -> web.Response:
+    async def _find(self, call: TreePatch) -> web.Response:
         """A patch of another version than the one in place can only have been taken before."""
         change_id = call.change_id or secrets.token_hex(8)
         receipt = await self._ask(
             FindChange(
                 key=PROFILES_KEY,
-                change_id=_identity_of(change_id, call),
+                change_id=identity_of(change_id, call),
                 version=call.version,
                 base=NO_BASE,
                 number=NO_BASE,
@@ -142,7 +104,7 @@
         )
         return self._answer(receipt, change_id)
 
-    async def _keep(self, call: _Sent | _Patched, tree: Any) -> web.Response:
+    async def _keep(self, call: TreeSent | TreePatch, tree: Any) -> web.Response:
         checked = check_tree(tree)
         if checked.is_error():
             return answer_refusal(
@@ -159,7 +121,7 @@
             Change(
                 key=PROFILES_KEY,
                 version=call.version,
-                change_id=_identity_of(change_id, call),
+                change_id=identity_of(change_id, call),
                 hops=0,
                 body=json.dumps(checked.ok, sort_keys=True),
             )
@@ -221,7 +183,7 @@
             for card in sorted(
                 node.neighbours.of_role(role, params.gone_ms), key=lambda row: row.address
             ):
-                confirmed = node.gazette.confirmed.get(card.identity)
+                confirmed = node.config_feed.confirmed.get(card.identity)
                 rows.append(
                     {
                         "role": role,
@@ -245,7 +207,7 @@
                 "zone": params.zone,
                 "standing": "live",
                 "ready": not node.why_unready(),
-                "feed": node.gazette.numbers(),
+                "feed": node.config_feed.numbers(),
             }
         )
         for row in rows:
@@ -276,20 +238,20 @@
                 "voters_number": node.voter.list_number,
                 "steward": node.founding.steward(),
                 "keys": node.owner.epochs(),
-                "roll": sorted(node.gazette.roll()),
-                "log": node.gazette.value("log"),
-                "retired": (node.gazette.value(RETIRED_KEY) or {}).get("identities", []),
-                "feed": node.gazette.numbers(),
-                "place": node.gazette.place,
+                "roll": sorted(node.config_feed.roll()),
+                "log": node.config_feed.value("log"),
+                "retired": (node.config_feed.value(RETIRED_KEY) or {}).get("identities", []),
+                "feed": node.config_feed.numbers(),
+                "place": node.config_feed.place,
             }
         )
 
     def _says(self, role: str, identity: str, link: str) -> str:
         node = self._node
         if role == "edge":
-            return says_edge(link, node.gazette.roll())
-        log = node.gazette.value("log") or {"members": [], "holder": ""}
-        retired = (node.gazette.value(RETIRED_KEY) or {}).get("identities", [])
+            return says_edge(link, node.config_feed.roll())
+        log = node.config_feed.value("log") or {"members": [], "holder": ""}
+        retired = (node.config_feed.value(RETIRED_KEY) or {}).get("identities", [])
         members = (
             [row["identity"] for row in log["members"]]
             if role == "store"
@@ -312,7 +274,7 @@
         )
 
     async def _retire(self, request: web.Request) -> web.Response:
-        call = await self._parsed(request, _Retired)
+        call = await self._parsed(request, RetirementOrder)
         if isinstance(call, Refusal):
             return answer_refusal(call)
         receipt = await self._read(RETIRED_KEY)
@@ -336,7 +298,7 @@
             Change(
                 key=RETIRED_KEY,
                 version=receipt.version,
-                change_id=_identity_of(change_id, call),
+                change_id=identity_of(change_id, call),
                 hops=0,
                 body=retired_body(
                     names,
@@ -369,17 +331,19 @@
 
     async def _forget(self, request: web.Request) -> web.Response:
         """The operator's word that edges or stores are down for good, so that they no longer count."""
-        call = await self._parsed(request, _Forgotten)
+        call = await self._parsed(request, ForgetOrder)
         if isinstance(call, Refusal):
             return answer_refusal(call)
-        unknown = sorted(set(call.links) - self._node.gazette.roll())
+        unknown = sorted(set(call.links) - self._node.config_feed.roll())
         if unknown:
             return answer_refusal(
                 refused(
                     "unknown-machine", f"not on the roll: {', '.join(unknown)}", 404, field="links"
                 )
             )
-        live = sorted(set(call.links) & self._node.gazette.heard_links(self._node.params.gone_ms))
+        live = sorted(
+            set(call.links) & self._node.config_feed.heard_links(self._node.params.gone_ms)
+        )
         if live:
             return answer_refusal(
                 refused("still-live", f"heard lately: {', '.join(live)}", 409, field="links")
@@ -398,7 +362,7 @@
 
     def _known(self, identity: str) -> bool:
         node = self._node
-        log = node.gazette.value("log") or {"members": []}
+        log = node.config_feed.value("log") or {"members": []}
         card = node.neighbours.known(identity)
         return (
             identity in node.voter.voters
--- a/libs/registrar/src/registrar/process.py
+++ b/libs/registrar/src/registrar/process.py
@@ -47,8 +47,8 @@
             "voters_number": node.voter.list_number,
             "steward": node.founding.steward() if node.voter.voters else None,
             "keys": node.owner.epochs(),
-            "feed": node.gazette.numbers(),
-            "place": node.gazette.place,
+            "feed": node.config_feed.numbers(),
+            "place": node.config_feed.place,
         }
 
     def metrics(self) -> dict[str, float]:
@@ -61,7 +61,7 @@
             **rows,
             "control_quorate": int(node.quorate()),
             "control_voters_number": node.voter.list_number,
-            "feed_place": node.gazette.place,
-            "feed_sent_bytes_total": node.gazette.sent_bytes,
+            "feed_place": node.config_feed.place,
+            "feed_sent_bytes_total": node.config_feed.sent_bytes,
             "worst_tick_ms": self.shell.worst_tick_ms if self.shell else 0,
         }
--- a/libs/registrar/src/registrar/retirement.py
+++ b/libs/registrar/src/registrar/retirement.py
@@ -8,10 +8,10 @@
 from enum import StrEnum
 from typing import Any
 
-from catalogue import Change, Changed, Outcome, Owner, ReadKey
-from commons import Neighbours
-from gazette import Gazette
-from vellum import Part
+from config_feed import ConfigFeed
+from control_store import Change, Changed, Outcome, Owner, ReadKey
+from membership import Neighbours
+from messaging import Part
 
 __all__ = ["RETIRED_KEY", "Retirement", "RetirementAnswer", "retired_body"]
 
@@ -57,7 +57,7 @@
     __slots__ = (
         "_busy",
         "_calls",
-        "_gazette",
+        "_config_feed",
         "_names",
         "_neighbours",
         "_next_ms",
@@ -67,11 +67,15 @@
     )
 
     def __init__(
-        self, owner: Owner, neighbours: Neighbours, gazette: Gazette, sure: Callable[[], bool]
+        self,
+        owner: Owner,
+        neighbours: Neighbours,
+        config_feed: ConfigFeed,
+        sure: Callable[[], bool],
     ) -> None:
         self._owner = owner
         self._neighbours = neighbours
-        self._gazette = gazette
+        self._config_feed = config_feed
         self._busy = False
         self._sure = sure
         self._names: dict[str, str] = {}
@@ -172,7 +176,7 @@
             or self._owner.owner_of(RETIRED_KEY) != self._neighbours.identity
         ):
             return
-        value = self._gazette.value(RETIRED_KEY) or {}
+        value = self._config_feed.value(RETIRED_KEY) or {}
         names = value.get("names", {})
         fresh = {
             name: self._names[name]
@@ -189,7 +193,7 @@
         self._owner.submit(
             Change(
                 key=RETIRED_KEY,
-                version=self._gazette.number(RETIRED_KEY),
+                version=self._config_feed.number(RETIRED_KEY),
                 change_id=self.node.env.token(),
                 hops=0,
                 body=retired_body({*value["identities"], *fresh.values()}, {**names, **fresh}),
--- a/libs/registrar/src/registrar/tree_changes.py
+++ b/libs/registrar/src/registrar/tree_changes.py
@@ -10,9 +10,9 @@
 from enum import StrEnum
 from typing import Any
 
-from catalogue import NO_BASE, Change, Changed, FindChange, Outcome, Owner, ReadKey, check_tree
+from control_store import NO_BASE, Change, Changed, FindChange, Outcome, Owner, ReadKey, check_tree
 from expression import Result
-from vellum import Part
+from messaging import Part
 
 __all__ = ["PROFILES_KEY", "Order", "Taken", "TreeChanges", "TreeOutcome"]
 
--- a/libs/registrar/src/registrar/worker_desk.py
+++ b/libs/registrar/src/registrar/worker_desk.py
@@ -6,11 +6,11 @@
 from typing import Annotated, Any, Literal
 
 from aiohttp import web
-from catalogue import WorkerReport
 from colophon import Refusal, doubtful, refused
+from control_store import WorkerReport
+from messaging.shell import awaited
 from pydantic import BaseModel, ConfigDict, Field
 from readingroom.desk_http import HttpDesk, answer_refusal, json_answer, read_call
-from vellum.shell import awaited
 
 __all__ = ["WorkerDesk"]
 
--- a/libs/accession/src/accession/__init__.py
+++ b/libs/replicated_log/src/replicated_log/__init__.py
@@ -1,4 +1,4 @@
-"""Accession: the durable log after Salius. One holder for an epoch writes its queue file lazily and
+"""Replicated log: the durable log after Salius. One holder for an epoch writes its queue file lazily and
 lets peers hold each record in memory; recovery gathers what they hold. docs/design.md tells what
 was kept of the source and what was changed.
 """
--- a/libs/accession/src/accession/flush_mark.py
+++ b/libs/replicated_log/src/replicated_log/flush_mark.py
@@ -1,8 +1,8 @@
 """How far the log on a disk has been reported flushed, so that opening can tell a cut tail from damage."""
 
-from stacks import Disk, frame, scan
+from storage import Disk, frame, scan
 
-from accession.meta import MetaFile
+from replicated_log.meta import MetaFile
 
 __all__ = ["FlushMark"]
 
--- a/libs/accession/src/accession/founding.py
+++ b/libs/replicated_log/src/replicated_log/founding.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
-from accession.local import LocalLog
-from accession.places import spread
+from replicated_log.local import LocalLog
+from replicated_log.places import spread
 
 __all__ = ["Founding"]
 
--- a/libs/accession/src/accession/holder.py
+++ b/libs/replicated_log/src/replicated_log/holder.py
@@ -9,15 +9,15 @@
 
 from ledger import Ledger
 from ledger.entries import LotShelved
-from stacks import DiskFullError
-from vellum import Message, encode
-
-from accession.local import LocalLog
-from accession.messages import Append, Appended
-from accession.quorums import Quorums, confirmed_probe, held
-from accession.records import entry_of
-from accession.replica import Peer, SnapshotSender, WireCache
-from accession.waiters import Outcome, Waiter
+from messaging import Message, encode
+from storage import DiskFullError
+
+from replicated_log.local import LocalLog
+from replicated_log.messages import Append, Appended
+from replicated_log.quorums import Quorums, confirmed_probe, held
+from replicated_log.records import entry_of
+from replicated_log.replica import Peer, SnapshotSender, WireCache
+from replicated_log.waiters import Outcome, Waiter
 
 __all__ = ["Holder", "Outcome"]
 
--- a/libs/accession/src/accession/local.py
+++ b/libs/replicated_log/src/replicated_log/local.py
@@ -8,15 +8,15 @@
 from typing import Any
 
 from ledger import Ledger
-from stacks import DamageError, Disk, frame, over_hole, walk
-from vellum import Message, decode, encode
-
-from accession.flush_mark import FlushMark
-from accession.messages import TRUNCATE, LogMeta, Record, StoredEntry
-from accession.meta import MetaFile
-from accession.records import entry_of, first_bytes, record_of
-from accession.shelves import Shelves, files_of
-from accession.snapshots import SnapshotMaker, make_snapshot, read_whole_snapshot
+from messaging import Message, decode, encode
+from storage import DamageError, Disk, frame, over_hole, walk
+
+from replicated_log.flush_mark import FlushMark
+from replicated_log.messages import TRUNCATE, LogMeta, Record, StoredEntry
+from replicated_log.meta import MetaFile
+from replicated_log.records import entry_of, first_bytes, record_of
+from replicated_log.shelves import Shelves, files_of
+from replicated_log.snapshots import SnapshotMaker, make_snapshot, read_whole_snapshot
 
 __all__ = ["LocalLog"]
 
--- a/libs/accession/src/accession/member_keeper.py
+++ b/libs/replicated_log/src/replicated_log/member_keeper.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from accession.member_change import MemberChange
-from accession.membership import crowded, lost_members, pick_spare, warm_spares
+from replicated_log.member_change import MemberChange
+from replicated_log.membership import crowded, lost_members, pick_spare, warm_spares
 
 __all__ = ["MemberKeeper"]
 
--- a/libs/accession/src/accession/membership.py
+++ b/libs/replicated_log/src/replicated_log/membership.py
@@ -5,7 +5,7 @@
 
 from typing import Any
 
-from accession.places import Row
+from replicated_log.places import Row
 
 __all__ = ["crowded", "lost_members", "pick_spare", "warm_spares"]
 
--- a/libs/accession/src/accession/mending.py
+++ b/libs/replicated_log/src/replicated_log/mending.py
@@ -8,10 +8,10 @@
 from typing import Any
 
 from ledger import messages as m
-from vellum import Blob, Flag, Long, Message, Origin, Part, Text, array_of, encode
+from messaging import Blob, Flag, Long, Message, Origin, Part, Text, array_of, encode
 
-from accession.local import LocalLog
-from accession.shelves import SHELF
+from replicated_log.local import LocalLog
+from replicated_log.shelves import SHELF
 
 __all__ = ["FetchShelf", "GetKept", "Kept", "Mending", "ShelfPart"]
 
--- a/libs/accession/src/accession/messages.py
+++ b/libs/replicated_log/src/replicated_log/messages.py
@@ -3,7 +3,7 @@
 sequence number, by which a peer sees that nothing is missing before it.
 """
 
-from vellum import Blob, Flag, Long, Message, Text, array_of
+from messaging import Blob, Flag, Long, Message, Text, array_of
 
 __all__ = [
     "Append",
--- a/libs/accession/src/accession/meta.py
+++ b/libs/replicated_log/src/replicated_log/meta.py
@@ -5,10 +5,10 @@
 
 from collections.abc import Callable
 
-from stacks import DamageError, Disk, DiskFullError, frame, scan
-from vellum import decode, encode
+from messaging import decode, encode
+from storage import DamageError, Disk, DiskFullError, frame, scan
 
-from accession.messages import LogMeta
+from replicated_log.messages import LogMeta
 
 __all__ = ["MetaFile"]
 
--- a/libs/accession/src/accession/peer.py
+++ b/libs/replicated_log/src/replicated_log/peer.py
@@ -6,12 +6,12 @@
 from collections.abc import Callable
 from functools import singledispatchmethod
 
-from stacks import DamageError, DiskFullError
-from vellum import Message, decode, encode
+from messaging import Message, decode, encode
+from storage import DamageError, DiskFullError
 
-from accession.local import LocalLog
-from accession.messages import Append, Appended, Fetch, Fetched, FetchTail, Install, Start
-from accession.recovery import started
+from replicated_log.local import LocalLog
+from replicated_log.messages import Append, Appended, Fetch, Fetched, FetchTail, Install, Start
+from replicated_log.recovery import started
 
 __all__ = ["PeerSide"]
 
--- a/libs/accession/src/accession/quorums.py
+++ b/libs/replicated_log/src/replicated_log/quorums.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from accession.replica import Peer
+from replicated_log.replica import Peer
 
 __all__ = ["Quorums", "confirmed_probe", "flushed_seq", "held"]
 
--- a/libs/accession/src/accession/records.py
+++ b/libs/replicated_log/src/replicated_log/records.py
@@ -1,9 +1,9 @@
 """A record of the log and the entry in it."""
 
-from stacks import frame
-from vellum import Message, decode
+from messaging import Message, decode
+from storage import frame
 
-from accession.messages import Record, StoredEntry
+from replicated_log.messages import Record, StoredEntry
 
 __all__ = ["entry_of", "first_bytes", "record_of"]
 
--- a/libs/accession/src/accession/recovery.py
+++ b/libs/replicated_log/src/replicated_log/recovery.py
@@ -9,11 +9,11 @@
 from enum import StrEnum
 from typing import Any
 
-from stacks import DamageError, DiskFullError
-from vellum import Message, decode
+from messaging import Message, decode
+from storage import DamageError, DiskFullError
 
-from accession.local import LocalLog
-from accession.messages import Fetch, Fetched, FetchTail, Record, Start, Started
+from replicated_log.local import LocalLog
+from replicated_log.messages import Fetch, Fetched, FetchTail, Record, Start, Started
 
 __all__ = ["Recovery", "union"]
 
--- a/libs/accession/src/accession/replica.py
+++ b/libs/replicated_log/src/replicated_log/replica.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from vellum import Message, encode
+from messaging import Message, encode
 
-from accession.local import LocalLog
-from accession.messages import Appended, Install, Record
+from replicated_log.local import LocalLog
+from replicated_log.messages import Appended, Install, Record
 
 __all__ = ["Peer", "SnapshotSender", "WireCache"]
 
--- a/libs/accession/src/accession/shelves.py
+++ b/libs/replicated_log/src/replicated_log/shelves.py
@@ -10,8 +10,8 @@
 
 from ledger import entries as e
 from ledger.fold import Key, Lot
-from stacks import DiskFullError, frame, walk
-from vellum import Blob, Message, Text, array_of, decode, encode
+from messaging import Blob, Message, Text, array_of, decode, encode
+from storage import DiskFullError, frame, walk
 
 __all__ = ["Leaf", "SHELF", "Shelves", "files_of"]
 
--- a/libs/accession/src/accession/snapshots.py
+++ b/libs/replicated_log/src/replicated_log/snapshots.py
@@ -5,10 +5,10 @@
 
 from typing import Any
 
-from stacks import DamageError, frame, scan
-from vellum import Message, decode, encode
+from messaging import Message, decode, encode
+from storage import DamageError, frame, scan
 
-from accession.messages import SnapshotHead
+from replicated_log.messages import SnapshotHead
 
 __all__ = ["SnapshotMaker", "make_snapshot", "read_snapshot", "read_whole_snapshot"]
 
--- a/libs/accession/src/accession/store.py
+++ b/libs/replicated_log/src/replicated_log/store.py
@@ -9,13 +9,13 @@
 from collections.abc import Callable
 from typing import Any
 
-from vellum import Message, Origin, Part
+from messaging import Message, Origin, Part
 
-from accession.founding import Founding
-from accession.holder import Holder
-from accession.local import LocalLog
-from accession.member_keeper import MemberKeeper
-from accession.messages import (
+from replicated_log.founding import Founding
+from replicated_log.holder import Holder
+from replicated_log.local import LocalLog
+from replicated_log.member_keeper import MemberKeeper
+from replicated_log.messages import (
     Append,
     Appended,
     Fetch,
@@ -27,10 +27,10 @@
     Start,
     Succeed,
 )
-from accession.peer import PeerSide
-from accession.role import Role
-from accession.takeover import Takeover
-from accession.watch import Watch
+from replicated_log.peer import PeerSide
+from replicated_log.role import Role
+from replicated_log.takeover import Takeover
+from replicated_log.watch import Watch
 
 __all__ = ["LOG_KEY", "StoreLog"]
 
@@ -42,7 +42,7 @@
 
 class StoreLog(Part):
     """`control` changes and reads control keys: change(key, version, body, done(outcome, version, body)).
-    `fleet` tells what the gazette and standing say: log key, live stores, retired identities.
+    `fleet` tells what the config_feed and standing say: log key, live stores, retired identities.
     """
 
     __slots__ = (
--- a/libs/accession/src/accession/takeover.py
+++ b/libs/replicated_log/src/replicated_log/takeover.py
@@ -5,10 +5,10 @@
 
 from typing import Any
 
-from accession.holder import Holder
-from accession.recovery import Recovery
-from accession.role import Role
-from accession.watch import Watch
+from replicated_log.holder import Holder
+from replicated_log.recovery import Recovery
+from replicated_log.role import Role
+from replicated_log.watch import Watch
 
 __all__ = ["Takeover"]
 
--- a/libs/accession/src/accession/watch.py
+++ b/libs/replicated_log/src/replicated_log/watch.py
@@ -6,7 +6,7 @@
 
 from typing import Any
 
-from accession.messages import Polled
+from replicated_log.messages import Polled
 
 __all__ = ["Watch"]
 
--- a/libs/stacks/src/stacks/__init__.py
+++ b/libs/storage/src/storage/__init__.py
@@ -2,8 +2,8 @@
 are reported back, a bound on the room used, and what to do with a log that is torn or damaged.
 """
 
-from stacks.disk import Disk, DiskFullError, FolderDisk
-from stacks.frames import DamageError, frame, over_hole, scan, walk
+from storage.disk import Disk, DiskFullError, FolderDisk
+from storage.frames import DamageError, frame, over_hole, scan, walk
 
 __all__ = [
     "DamageError",
--- a/libs/stacks/src/stacks/disk.py
+++ b/libs/storage/src/storage/disk.py
@@ -67,7 +67,7 @@
         self._asked, self._made = 0, 0
         self._last_step: dict[str, int] = {}
         self._folder_changed = False
-        self._worker = ThreadPoolExecutor(1, thread_name_prefix="stacks")
+        self._worker = ThreadPoolExecutor(1, thread_name_prefix="storage")
         for name in [name for name in self._sizes if name.endswith(".tmp")]:
             self.remove(name)
 
--- a/tests/forward_ledger_stage.py
+++ b/tests/forward_ledger_stage.py
@@ -7,7 +7,7 @@
 from ledger import Ledger
 from ledger import messages as m
 from ledger.desk import Desk
-from vellum import Origin, decode, encode
+from messaging import Origin, decode, encode
 
 PARAMS = SimpleNamespace(
     beat_ms=200,
--- a/tests/forward_stage.py
+++ b/tests/forward_stage.py
@@ -7,11 +7,11 @@
 
 import edge_side
 from colophon import Params, set_up_logs
+from messaging.shell import ProcessEnv, Shell
 from ports import free_ports
 from readingroom import EdgeNode
 from readingroom.forward_http import ForwardDesk
 from readingroom.sender import HttpSender
-from vellum.shell import ProcessEnv, Shell
 
 ROUTE = {"parent": "service", "attempts": 2, "give_up_ms": 15_000, "target_ms": 400}
 TREE = {
@@ -196,8 +196,8 @@
         self.node.forwards._why_unready = lambda: "" if self.ready else "unsure"
         self.shell = Shell(self.node, env)
         await self.shell.start()
-        self.node.gazette.publish("profiles", 1, json.dumps(TREE))
-        self.node.gazette.publish(
+        self.node.config_feed.publish("profiles", 1, json.dumps(TREE))
+        self.node.config_feed.publish(
             "workers",
             1,
             json.dumps(
--- a/tests/log_table.py
+++ b/tests/log_table.py
@@ -2,13 +2,13 @@
 can be cut off, disks can lose power, and time is set by the test.
 """
 
-from accession import Holder, LocalLog, Recovery
-from accession.peer import PeerSide
 from colophon import Params
 from facsimile.sim.disks import SimDisk
 from facsimile.sim.virtual import VirtualTime
 from ledger import entries
-from vellum import decode
+from messaging import decode
+from replicated_log import Holder, LocalLog, Recovery
+from replicated_log.peer import PeerSide
 
 PARAMS = Params(
     role="store",
--- a/tests/orders_case.py
+++ b/tests/orders_case.py
@@ -29,5 +29,7 @@
 
     def version(self, platform):
         return max(
-            host.node.gazette.number("profiles") for host in platform.fleet.of("control") if host.up
+            host.node.config_feed.number("profiles")
+            for host in platform.fleet.of("control")
+            if host.up
         )
--- a/tests/test_asks.py
+++ b/tests/test_asks.py
@@ -6,9 +6,9 @@
 from types import SimpleNamespace
 
 from ledger import messages as m
+from messaging import Node, Part
 from testtools import TestCase
 from testtools.matchers import Equals
-from vellum import Node, Part
 
 REPLY = m.FinishReceipt(ok=True, baton_epoch=0, up_to=0)
 ASK = m.ReadLot(lot_id="l")
--- a/tests/test_circulation.py
+++ b/tests/test_circulation.py
@@ -2,7 +2,6 @@
 
 import json
 
-from catalogue import Tree
 from circulation import (
     Budget,
     Roster,
@@ -15,9 +14,10 @@
     prefix_of,
 )
 from colophon import Params, Verdict
+from control_store import Tree
+from messaging import Node
 from testtools import TestCase
 from testtools.matchers import Equals
-from vellum import Node
 
 TREE = Tree({"safe": {}, "unsafe": {"repeatable": False}})
 PARAMS = Params(link="10.0.0.1:1", http="10.0.0.1:2", zone="z", seeds=["10.0.0.1:1"])
--- a/tests/test_config_format.py
+++ b/tests/test_config_format.py
@@ -4,7 +4,6 @@
 
 import json
 
-from catalogue import Tree, check_tree
 from config_format import (
     change_digest,
     encoded_name,
@@ -14,6 +13,7 @@
     shown_settings,
     tree_of,
 )
+from control_store import Tree, check_tree
 from platform_calls import ROUTE, SERVICE, SETTINGS
 from testtools import TestCase
 from testtools.matchers import Equals, IsInstance
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -2,14 +2,14 @@
 
 import json
 
-from catalogue import Change, ReadKey, Tree, check_tree, explain
-from catalogue.messages import Accept, Prepare, Value, Voted
-from catalogue.owner import newest
+from config_feed.patches import apply_patch, merge, merge_diff
+from control_store import Change, ReadKey, Tree, check_tree, explain
+from control_store.messages import Accept, Prepare, Value, Voted
+from control_store.owner import newest
 from facsimile.sim.fleet import SimFleet
-from gazette.patches import apply_patch, merge, merge_diff
+from messaging import encode
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, HasLength
-from vellum import encode
 
 
 def value(version, body="x"):
@@ -228,7 +228,7 @@
         fleet.network.isolate(old.address)
         seen = []
         owner.node.owner.submit(self.change(1, "b"), seen.append)
-        fleet.run_until_true(lambda: owner.node.gazette.number("profiles") == 2, 2000)
+        fleet.run_until_true(lambda: owner.node.config_feed.number("profiles") == 2, 2000)
         fleet.network.heal()
         self.assertThat(versions(), Equals({1, 2}))
         owner.node.owner.mend("profiles")
--- a/tests/test_control_side.py
+++ b/tests/test_control_side.py
@@ -251,7 +251,7 @@
         return await platform.ask(host, method, f"/vaneledge/retire/{name}", {"overS": 10}, **more)
 
     def settled(self, platform):
-        log = platform.fleet.hosts["control1"].node.gazette.value("log")
+        log = platform.fleet.hosts["control1"].node.config_feed.value("log")
         return bool(log) and len(log["members"]) == 3 and platform.fleet.holder() is not None
 
     def test_a_store_is_emptied_and_told_so_once_it_is_out_of_the_log(self):
@@ -287,7 +287,7 @@
                 if states[-1] == "finished":
                     break
                 platform.run(100)
-            log = platform.fleet.hosts["control4"].node.gazette.value("log")
+            log = platform.fleet.hosts["control4"].node.config_feed.value("log")
             members = [row["identity"] for row in log["members"]]
             self.assertThat(
                 (states[0], states[-1], identity in members),
@@ -321,7 +321,7 @@
             host.lose_disk()
             host.start()
             platform.run(3000)
-            retired = platform.fleet.hosts["control2"].node.gazette.value("retired")
+            retired = platform.fleet.hosts["control2"].node.config_feed.value("retired")
             identity = host.node.neighbours.identity
             self.assertThat(
                 (identity in retired["identities"], retired["names"]),
--- a/tests/test_cut_off.py
+++ b/tests/test_cut_off.py
@@ -5,10 +5,10 @@
 
 import json
 
-from catalogue import Change, ReadKey
+from config_feed import Digest, News
+from control_store import Change, ReadKey
 from facsimile.sim.fleet import SimFleet
-from gazette import Digest, News
-from registrar.tree_changes import Taken
+from registrar.tree_changes import Order, Taken
 from testtools import TestCase
 from testtools.matchers import Equals
 
@@ -111,14 +111,14 @@
                 self.wait(fleet, 500)
                 for host in fresh:
                     self.assertThat(
-                        (host.node.why_unready() != "", host.node.gazette.number("profiles")),
+                        (host.node.why_unready() != "", host.node.config_feed.number("profiles")),
                         Equals((True, 0)),
                         (duty, host.name),
                     )
             fleet.network.heal()
 
             def have_the_newest(fresh=fresh):
-                numbers = {host.node.gazette.number("profiles") for host in fresh}
+                numbers = {host.node.config_feed.number("profiles") for host in fresh}
                 return numbers == {2} and not fresh[0].node.why_unready()
 
             self.assertThat(fleet.run_until_true(have_the_newest, 2000), Equals(True), duty)
@@ -142,7 +142,7 @@
         self.assertThat(
             fleet.run_until_true(lambda: not fresh.node.why_unready(), 4000), Equals(True)
         )
-        self.assertThat(fresh.node.gazette.number("profiles"), Equals(2))
+        self.assertThat(fresh.node.config_feed.number("profiles"), Equals(2))
 
     def test_digests_of_who_gets_nothing_go_at_the_beat(self):
         """A cut-off node that tells of more than it hands out once was asked again at once, without end."""
@@ -174,8 +174,8 @@
 
                 def in_order(fresh=fresh, node=node, way=way):
                     for number, vouches in (
-                        (node.gazette.number("profiles"), node.quorate()),
-                        (fresh.node.gazette.number("profiles"), not fresh.node.why_unready()),
+                        (node.config_feed.number("profiles"), node.quorate()),
+                        (fresh.node.config_feed.number("profiles"), not fresh.node.why_unready()),
                     ):
                         self.assertThat(not vouches or number == 4, Equals(True), (way, number))
                     return not fresh.node.why_unready()
@@ -197,7 +197,8 @@
                     seen = []
                     asked_ms = fleet.time.now_ms
                     node.tree_changes.read(seen.append)
-                    node.tree_changes.change(0, "mine", lambda tree: 1 / 0, seen.append)
+                    order = Order(0, 1, "mine", lambda tree: 1 / 0)
+                    node.tree_changes.change(order, seen.append)
                     node.retirement.order("store1", seen.append)
                     node.retirement.state("store1", seen.append)
                     self.assertThat(
@@ -255,7 +256,7 @@
                     Equals(True),
                     (freeze_ms, receipt.outcome, receipt.version),
                 )
-            self.assertThat(host.node.gazette.number("profiles"), Equals(newest))
+            self.assertThat(host.node.config_feed.number("profiles"), Equals(newest))
 
     def test_no_item_reaches_an_edge_or_store_while_there_is_no_majority(self):
         fleet = self.founded(control=3)
@@ -280,4 +281,4 @@
         control = {other.address for other in fleet.of("control")}
         self.assertThat(set(sent) - control, Equals(set()))
         self.assertThat(edge.node.why_unready(), Equals(""))
-        self.assertThat(edge.node.gazette.number("profiles"), Equals(2))
+        self.assertThat(edge.node.config_feed.number("profiles"), Equals(2))
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -7,7 +7,7 @@
 
 from facsimile.days import run_day
 from facsimile.surroundings import PowerDisk
-from stacks import FolderDisk
+from storage import FolderDisk
 from testtools import TestCase
 from testtools.matchers import Equals
 
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -5,7 +5,7 @@
 import tempfile
 import threading
 
-from stacks import DiskFullError, FolderDisk
+from storage import DiskFullError, FolderDisk
 from testtools import TestCase
 from testtools.matchers import Equals
 
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -8,11 +8,11 @@
 
 from circulation import Budget, Call, Transaction, WorkerNews
 from colophon import Params, boot_ms, set_up_logs
+from messaging.shell import ProcessEnv, Shell
 from readingroom import EdgeNode
 from readingroom.sender import HttpSender
 from testtools import TestCase
 from testtools.matchers import Equals
-from vellum.shell import ProcessEnv, Shell
 
 PORT = 25100
 TREE = json.dumps({"profiles": {"p": {"workers": {"labels": ["gpu"]}}}})
@@ -252,7 +252,7 @@
         node = EdgeNode(env, params, sender)
         shell = Shell(node, env)
         await shell.start()
-        node.gazette.publish("profiles", 1, TREE)
+        node.config_feed.publish("profiles", 1, TREE)
         for place in (2, 3):
             node.roster.hear(
                 WorkerNews(
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -5,9 +5,9 @@
 from contextlib import contextmanager
 from unittest import mock
 
-import catalogue.owner
-import catalogue.voter
-from catalogue.rounds import Round
+import control_store.owner
+import control_store.voter
+from control_store.rounds import Round
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
@@ -39,7 +39,7 @@
 
 
 def forget(votes):
-    return catalogue.owner._blank()
+    return control_store.owner._blank()
 
 
 def vote_unflushed(self):
@@ -53,13 +53,13 @@
     if ok:
         WHOLE_CHANGED(self, key, fresh, round_, ok)
     else:
-        key.state = catalogue.owner.State.UNOWNED
+        key.state = control_store.owner.State.UNOWNED
         self._finish(key, "lost", "")
 
 
 def read_unasked(self, key):
     """An owner that was one once answers without asking its voters again."""
-    if key.state is catalogue.owner.State.OWNED and key.ops:
+    if key.state is control_store.owner.State.OWNED and key.ops:
         self._apply(key, None)
     else:
         WHOLE_NEXT(self, key)
@@ -71,9 +71,9 @@
     self._by = "owner"
 
 
-WHOLE_ATTACH = catalogue.owner.Owner.attach
-WHOLE_CHANGED = catalogue.owner.Owner._changed
-WHOLE_NEXT = catalogue.owner.Owner._next
+WHOLE_ATTACH = control_store.owner.Owner.attach
+WHOLE_CHANGED = control_store.owner.Owner._changed
+WHOLE_NEXT = control_store.owner.Owner._next
 
 
 def patched(where, name, other):
@@ -84,7 +84,7 @@
 def unnamed_and_chosen_only():
     """Only what was chosen is looked at, since C2 fails as early."""
     with (
-        mock.patch.object(catalogue.owner.Owner, "attach", attach_unnamed),
+        mock.patch.object(control_store.owner.Owner, "attach", attach_unnamed),
         mock.patch.object(ControlKeys, "check", lambda self, ghost, observed: None),
     ):
         yield
@@ -93,19 +93,19 @@
 # What is broken, the start that shows it, its bounds, and the invariants that may be the first to fail.
 BREAKS = {
     "one vote is a majority": (
-        patched(catalogue.owner, "Round", OneVote),
+        patched(control_store.owner, "Round", OneVote),
         "owners-racing",
         {},
         ("C5",),
     ),
     "an owner forgets what it found": (
-        patched(catalogue.owner, "newest", forget),
+        patched(control_store.owner, "newest", forget),
         "three-voters",
         {"powers": 0, "slow_disk": False},
         ("C1", "C2", "C6"),
     ),
     "two owners forget what they found": (
-        patched(catalogue.owner, "newest", forget),
+        patched(control_store.owner, "newest", forget),
         "resent-connected",
         CALM,
         ("C1", "C2"),
@@ -117,19 +117,19 @@
         ("C1",),
     ),
     "votes before they are on disk": (
-        patched(catalogue.voter.Voter, "_flush", vote_unflushed),
+        patched(control_store.voter.Voter, "_flush", vote_unflushed),
         "three-voters",
         {},
         ("C3",),
     ),
     "a change cut short is refused": (
-        patched(catalogue.owner.Owner, "_changed", refuse_cut_short),
+        patched(control_store.owner.Owner, "_changed", refuse_cut_short),
         "resent-connected",
         {"ticks": 0, "kills": 0, "freezes": 0},
         ("C4",),
     ),
     "a reading without a round": (
-        patched(catalogue.owner.Owner, "_next", read_unasked),
+        patched(control_store.owner.Owner, "_next", read_unasked),
         "read-behind",
         {},
         ("C6",),
--- a/tests/test_explore_log.py
+++ b/tests/test_explore_log.py
@@ -4,14 +4,14 @@
 
 from unittest import mock
 
-from accession import Holder, StoreLog
-from accession.holder import Outcome
-from accession.messages import Append, LogMeta
-from accession.meta import MetaFile
-from accession.peer import PeerSide
 from modelcheck import Explorer
 from modelcheck.log_starts import LOG_STARTS
 from modelcheck.starts import STARTS
+from replicated_log import Holder, StoreLog
+from replicated_log.holder import Outcome
+from replicated_log.messages import Append, LogMeta
+from replicated_log.meta import MetaFile
+from replicated_log.peer import PeerSide
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
 
--- a/tests/test_fan_out.py
+++ b/tests/test_fan_out.py
@@ -5,10 +5,10 @@
 import json
 from collections import Counter
 
-from catalogue import Change
-from commons.cards import Shuffle, Shuffled
+from config_feed import Digest, News
+from control_store import Change
 from facsimile.sim.fleet import SimFleet
-from gazette import Digest, News
+from membership.cards import Shuffle, Shuffled
 from testtools import TestCase
 from testtools.matchers import Equals, HasLength
 
@@ -77,7 +77,7 @@
         return (seen[0].outcome if seen else "none"), fleet.time.now_ms - began_ms
 
     def numbers(self, fleet, role="edge"):
-        return {host.node.gazette.number("profiles") for host in fleet.running(role)}
+        return {host.node.config_feed.number("profiles") for host in fleet.running(role)}
 
     def test_a_node_tells_a_few_of_its_zone_and_a_peer_now_and_then(self):
         for edges in (6, 24):
@@ -146,11 +146,11 @@
             host.freeze()
         node = fleet.hosts["control1"].node
         self.change(fleet, 0, "workers")
-        number = node.gazette.number("workers")
+        number = node.config_feed.number("workers")
         fleet.time.run_until(fleet.time.now_ms + 100)
         self.assertThat(
             [
-                node.gazette.all_confirm("workers", number, roles, node.params.dead_ms)
+                node.config_feed.all_confirm("workers", number, roles, node.params.dead_ms)
                 for roles in (("edge",), ("edge", "store"))
             ],
             Equals([True, False]),
@@ -183,23 +183,23 @@
         at = next(host.name for host in fleet.of("control") if host not in near)
         self.assertThat(self.change(fleet, 1, at=at)[0], Equals("ok"))
         self.assertThat(
-            fleet.run_until_true(lambda: edge.node.gazette.number("profiles") == 2, 300),
+            fleet.run_until_true(lambda: edge.node.config_feed.number("profiles") == 2, 300),
             Equals(True),
         )
 
     def test_contacts_that_died_are_replaced_and_come_back(self):
         fleet = self.founded()
         edge = fleet.hosts["edge1"]
-        first = edge.node.gazette._contacts._chosen[0]
+        first = edge.node.config_feed._contacts._chosen[0]
         host = next(host for host in fleet.of("control") if host.address == first)
         host.kill()
         self.assertThat(
-            fleet.run_until_true(lambda: edge.node.gazette._contacts.rank(first) == 0, 2000),
+            fleet.run_until_true(lambda: edge.node.config_feed._contacts.rank(first) == 0, 2000),
             Equals(True),
         )
         host.start()
         self.assertThat(
-            fleet.run_until_true(lambda: edge.node.gazette._contacts.rank(first) == 1, 9000),
+            fleet.run_until_true(lambda: edge.node.config_feed._contacts.rank(first) == 1, 9000),
             Equals(True),
         )
 
@@ -208,7 +208,7 @@
 
         def counts():
             return {
-                host.node.gazette.edge_count()
+                host.node.config_feed.edge_count()
                 for role in ("edge", "store", "control")
                 for host in fleet.running(role)
             }
@@ -225,11 +225,11 @@
         for _ in range(20):
             fleet.time.run_until(fleet.time.now_ms + 500)
             self.assertThat(
-                (edge.node.why_unready(), edge.node.gazette.number("profiles")), Equals(("", 1))
+                (edge.node.why_unready(), edge.node.config_feed.number("profiles")), Equals(("", 1))
             )
         fleet.network.heal()
         self.assertThat(
-            fleet.run_until_true(lambda: edge.node.gazette.number("profiles") == 2, 1500),
+            fleet.run_until_true(lambda: edge.node.config_feed.number("profiles") == 2, 1500),
             Equals(True),
         )
 
@@ -243,7 +243,7 @@
         self.assertThat(
             fleet.run_until_true(lambda: not edge.node.why_unready(), 2000), Equals(True)
         )
-        self.assertThat(edge.node.gazette.number("profiles"), Equals(2))
+        self.assertThat(edge.node.config_feed.number("profiles"), Equals(2))
         for host in fleet.of("control"):
             host.kill()
         edge.params = edge.params.model_copy(
@@ -254,4 +254,4 @@
         self.assertThat(
             fleet.run_until_true(lambda: not edge.node.why_unready(), 5000), Equals(True)
         )
-        self.assertThat(edge.node.gazette.number("profiles"), Equals(2))
+        self.assertThat(edge.node.config_feed.number("profiles"), Equals(2))
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -1,11 +1,11 @@
 """The feed, and when an edge takes itself to be in touch: simulated fleets, without traffic."""
 
+from config_feed import News, NewsItem
 from facsimile.sim.fleet import SimFleet
 from facsimile.sim.runs import Run
-from gazette import News, NewsItem
+from messaging import encode
 from testtools import TestCase
 from testtools.matchers import Equals
-from vellum import encode
 
 
 class Feed(TestCase):
@@ -29,7 +29,7 @@
         row = self.change(run)
         self.assertThat(row["outcome"], Equals("ok"))
         self.assertThat(
-            {host.node.gazette.number("profiles") for host in fleet.of("edge")}, Equals({2})
+            {host.node.config_feed.number("profiles") for host in fleet.of("edge")}, Equals({2})
         )
         self.assertThat(row["answered_ms"] - row["at_ms"] < 500, Equals(True))
 
@@ -39,7 +39,7 @@
         fleet.network.slow_ms[slow.address] = 250.0
         for _ in range(8):
             row = self.change(run)
-            number = slow.node.gazette.number("profiles")
+            number = slow.node.config_feed.number("profiles")
             self.assertThat(
                 (row["outcome"], number >= row["version"] or slow.node.why_unready() != ""),
                 Equals(("ok", True)),
@@ -54,7 +54,7 @@
         fleet.hosts["control1"].node.post(node.address, News(items=[encode(old)]))
         fleet.time.run_until(fleet.time.now_ms + 50)
         self.assertThat(
-            (node.gazette.number("profiles"), "rulings" in node.tree().rows), Equals((3, True))
+            (node.config_feed.number("profiles"), "rulings" in node.tree().rows), Equals((3, True))
         )
 
     def test_a_cut_off_edge_turns_unready_within_a_second_and_delays_no_longer_than_the_bound(self):
@@ -72,7 +72,7 @@
             fleet.run_until_true(lambda: not fleet.hosts["edge1"].node.why_unready(), 3000),
             Equals(True),
         )
-        self.assertThat(fleet.hosts["edge1"].node.gazette.number("profiles"), Equals(2))
+        self.assertThat(fleet.hosts["edge1"].node.config_feed.number("profiles"), Equals(2))
 
     def test_a_version_that_most_edges_cannot_get_is_doubt_until_they_can(self):
         """Four of six edges and stores on the far side of a cut serve on among themselves, so what the near
@@ -86,7 +86,10 @@
         )
         row = self.change(run)
         self.assertThat(
-            (row["outcome"], {host.node.gazette.number("profiles") for host in fleet.of("edge")}),
+            (
+                row["outcome"],
+                {host.node.config_feed.number("profiles") for host in fleet.of("edge")},
+            ),
             Equals(("doubt", {1})),
         )
         fleet.time.run_until(fleet.time.now_ms + 8000)
@@ -116,7 +119,7 @@
             links = {host.address for host in firsts}
             self.assertThat(
                 fleet.run_until_true(
-                    lambda control=control, links=links: control.gazette.roll() == links, 6000
+                    lambda control=control, links=links: control.config_feed.roll() == links, 6000
                 ),
                 Equals(True),
             )
@@ -158,7 +161,7 @@
             fleet.run_until_true(lambda: not fleet.hosts["edge2"].node.why_unready(), 4000),
             Equals(True),
         )
-        self.assertThat(fleet.hosts["edge2"].node.gazette.number("profiles"), Equals(2))
+        self.assertThat(fleet.hosts["edge2"].node.config_feed.number("profiles"), Equals(2))
 
     def test_with_control_gone_a_restarted_edge_trusts_no_minority(self):
         run, fleet = self.founded()
--- a/tests/test_forward_dealing.py
+++ b/tests/test_forward_dealing.py
@@ -2,9 +2,9 @@
 
 from forward_ledger_stage import PARAMS, Bench, Tree
 from ledger import messages as m
+from messaging import decode
 from testtools import TestCase
 from testtools.matchers import Equals
-from vellum import decode
 
 
 class Dealing(TestCase):
--- a/tests/test_forward_ledger.py
+++ b/tests/test_forward_ledger.py
@@ -6,9 +6,9 @@
 from ledger import Ledger
 from ledger import entries as e
 from ledger import messages as m
+from messaging import decode
 from testtools import TestCase
 from testtools.matchers import Equals
-from vellum import decode
 
 
 def drawn(seed):
--- a/tests/test_forwards.py
+++ b/tests/test_forwards.py
@@ -8,12 +8,12 @@
 
 from circulation import Dialect, ForwardCall, ForwardTransaction
 from colophon import Params, boot_ms, set_up_logs
+from messaging.shell import ProcessEnv, Shell
 from ports import free_ports
 from readingroom import EdgeNode
 from readingroom.sender import HttpSender
 from testtools import TestCase
 from testtools.matchers import Equals
-from vellum.shell import ProcessEnv, Shell
 
 LINK, HTTP, *PORTS = free_ports(4)
 DIALECT = Dialect(
@@ -332,8 +332,8 @@
         node.carrier.dialect = DIALECT
         shell = Shell(node, env)
         await shell.start()
-        node.gazette.publish("profiles", 1, TREE)
-        node.gazette.publish("workers", 1, LIST)
+        node.config_feed.publish("profiles", 1, TREE)
+        node.config_feed.publish("workers", 1, LIST)
         profile = node.tree().route("h", "/p/1")
         tx = ForwardTransaction(
             name, profile, boot_ms(), boot_ms() + wait_ms, resumable=safe and streamed
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -5,8 +5,8 @@
 import json
 from types import SimpleNamespace
 
-from catalogue import Change
-from catalogue.succession import founding_rows, next_of_all
+from control_store import Change
+from control_store.succession import founding_rows, next_of_all
 from facsimile.sim.fleet import SimFleet
 from testtools import TestCase
 from testtools.matchers import Equals, HasLength, LessThan
@@ -221,7 +221,7 @@
             host.start()
             fleet.time.run_until(fleet.time.now_ms + fleet.hosts[name].params.catch_up_ms)
             self.assertThat((len(host.node.voter.voters), host.node.quorate()), Equals((3, True)))
-            self.assertThat(host.node.gazette.number("profiles"), Equals(1))
+            self.assertThat(host.node.config_feed.number("profiles"), Equals(1))
         self.assertThat(self.change(fleet, "control3", 1)[0], Equals("ok"))
 
     def test_a_replacement_at_a_new_address_votes_within_the_time_to_catch_up(self):
@@ -259,7 +259,7 @@
                 ]
             )
             fleet.time.run_until(fleet.time.now_ms + 2 * fleet.hosts["control1"].params.dead_ms)
-            version = max(host.node.gazette.number("profiles") for host in fleet.of("control"))
+            version = max(host.node.config_feed.number("profiles") for host in fleet.of("control"))
             outcome, took_ms = self.change(fleet, "control4", version)
             self.assertThat((outcome, took_ms < 1500), Equals(("ok", True)))
             self.assertThat(self.change(fleet, pair[0], version + 1, 6000)[0], Equals("doubt"))
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -4,10 +4,11 @@
 
 from unittest import mock
 
-import catalogue.owner
+import control_store.owner
 import ledger.lots
 from facsimile.histories import check_history, check_seed
 from facsimile.sim import History
+from messaging import decode, encode
 from modelcheck import Call, linearize
 from modelcheck.objects import (
     ChangeKey,
@@ -21,7 +22,6 @@
 )
 from testtools import TestCase
 from testtools.matchers import Equals
-from vellum import decode, encode
 
 SEEDS = range(4)
 FAULTS = 6
@@ -154,7 +154,7 @@
 
     def test_a_register_that_takes_a_lost_change_is_found(self):
         """The base version is not looked at: of two changes on one base both are confirmed."""
-        broken = mock.patch.object(catalogue.owner.Owner, "_apply", apply_on_any_base)
+        broken = mock.patch.object(control_store.owner.Owner, "_apply", apply_on_any_base)
         with broken:
             found = any(check_seed(seed, FAULTS, "small").breaches for seed in SEEDS)
         self.assertThat(found, Equals(True))
@@ -175,7 +175,7 @@
         self.assertThat((result.objects, len(result.breaches)), Equals((2, 1)))
 
 
-WHOLE_APPLY = catalogue.owner.Owner._apply
+WHOLE_APPLY = control_store.owner.Owner._apply
 
 
 def apply_on_any_base(self, key, round_):
--- a/tests/test_item_runs.py
+++ b/tests/test_item_runs.py
@@ -6,15 +6,15 @@
 import random
 from types import SimpleNamespace
 
-from catalogue import Tree
 from circulation import Carrier, Dialect, Items, LotRunner, Roster
 from circulation.holding import HolderClient
 from circulation.item_run import data_of
 from colophon import Params
+from control_store import Tree
 from ledger import messages as m
+from messaging import Node, decode, encode
 from testtools import TestCase
 from testtools.matchers import Equals
-from vellum import Node, decode, encode
 
 DIALECT = Dialect(
     request_id="Id",
--- a/tests/test_late_claims.py
+++ b/tests/test_late_claims.py
@@ -8,9 +8,9 @@
 from forward_ledger_stage import Bench
 from ledger import entries as e
 from ledger import messages as m
+from messaging import encode
 from testtools import TestCase
 from testtools.matchers import Equals
-from vellum import encode
 
 PARAMS = SimpleNamespace(beat_ms=200, ask_ms=500, claim_ms=1500, force_ms=2000)
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -4,9 +4,9 @@
 
 from ledger import Ledger
 from ledger import entries as e
+from messaging import decode
 from testtools import TestCase
 from testtools.matchers import Equals
-from vellum import decode
 
 
 def drawn(seed):
--- a/tests/test_loans.py
+++ b/tests/test_loans.py
@@ -5,7 +5,7 @@
 import json
 from types import SimpleNamespace
 
-from catalogue import Tree
+from control_store import Tree
 from ledger import entries as e
 from ledger.fold import Ledger
 from loans.entitlement import Entitlements
--- a/tests/test_log_conformance.py
+++ b/tests/test_log_conformance.py
@@ -2,12 +2,12 @@
 the source's own behaviour fails and ours holds. The cores run on simulated disks without a fleet.
 """
 
-from accession import Append, Fetch, Outcome, Recovery, Start, union
-from accession.messages import TRUNCATE
 from log_table import PARAMS, Table
+from messaging import decode, encode
+from replicated_log import Append, Fetch, Outcome, Recovery, Start, union
+from replicated_log.messages import TRUNCATE
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan
-from vellum import decode, encode
 
 
 class OrdinaryPath(TestCase):
--- a/tests/test_log_disks.py
+++ b/tests/test_log_disks.py
@@ -1,10 +1,10 @@
 """Conformance of the log to the design page where disks fail: torn tails, damage, full disks, snapshots ahead or behind."""
 
-from accession import Outcome
 from ledger import entries
 from log_table import Table
-from stacks import DamageError
-from stacks.disk import KEPT_BACK
+from replicated_log import Outcome
+from storage import DamageError
+from storage.disk import KEPT_BACK
 from testtools import TestCase
 from testtools.matchers import Equals
 
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -2,7 +2,7 @@
 with no more lost at once than store_faults, after which everything acknowledged is read back.
 """
 
-from catalogue import Change
+from control_store import Change
 from facsimile.sim import judge
 from facsimile.sim.runs import Run
 from testtools import TestCase
@@ -67,7 +67,7 @@
             fleet.time.after(down_ms + 150 * place, host.start)
 
     def members(self, fleet):
-        value = fleet.of("control")[0].node.gazette.value("log")
+        value = fleet.of("control")[0].node.config_feed.value("log")
         return (
             {row["identity"] for row in value["members"]} if value["phase"] == "serving" else set()
         )
@@ -138,8 +138,8 @@
 
     def retire(self, fleet, host):
         node = fleet.of("control")[0].node
-        version = node.gazette.number("retired")
-        names = (node.gazette.value("retired") or {"identities": []})["identities"] + [
+        version = node.config_feed.number("retired")
+        names = (node.config_feed.value("retired") or {"identities": []})["identities"] + [
             host.node.log.log.identity
         ]
         body = '{"identities": [' + ", ".join(f'"{name}"' for name in names) + "]}"
@@ -185,7 +185,7 @@
     def test_the_first_one_back_neither_recovers_alone_nor_founds(self):
         run, fleet = self.founded(9)
         holder, peers = fleet.holder(), self.peers(fleet)
-        number = fleet.of("control")[0].node.gazette.value("log")["epoch"]
+        number = fleet.of("control")[0].node.config_feed.value("log")["epoch"]
         for host in fleet.hosts.values():
             host.lose_power()
         holder.lose_disk()
@@ -196,7 +196,7 @@
         self.after(fleet, 7000)
         self.assertThat(fleet.holder(), Equals(None))
         self.assertThat(
-            fleet.of("control")[0].node.gazette.value("log")["epoch"] >= number, Equals(True)
+            fleet.of("control")[0].node.config_feed.value("log")["epoch"] >= number, Equals(True)
         )
         peers[1].start()
         self.after(fleet, CATCH_UP_MS)
--- a/tests/test_lot_side.py
+++ b/tests/test_lot_side.py
@@ -8,11 +8,11 @@
 from colophon import refused
 from ledger import messages as m
 from lot_side import LotSide, items_of, prompt_of
+from messaging import encode
 from multidict import CIMultiDict
 from readingroom.answers import ended_answer, item_answer, page_answer, taken_answer
 from testtools import TestCase
 from testtools.matchers import Equals
-from vellum import encode
 
 ITEM = {
     "serverId": "e5",
--- a/tests/test_many_changes.py
+++ b/tests/test_many_changes.py
@@ -5,13 +5,13 @@
 import json
 from collections import Counter
 
-from catalogue import Change, ReadKey, WorkerReport, apply_reports, empty_list
+from config_feed.patches import merge, merge_diff
+from control_store import Change, ReadKey, WorkerReport, apply_reports, empty_list
 from facsimile.sim.fleet import SimFleet
 from facsimile.sim.virtual import Network
-from gazette.patches import merge, merge_diff
+from messaging import encode
 from testtools import TestCase
 from testtools.matchers import Equals
-from vellum import encode
 
 
 def _report(name, state="serving", seq=1, address="10.1.0.1:80"):
@@ -149,7 +149,7 @@
 
     def _all_level(self):
         return all(
-            host.node.gazette.number("profiles") == self.newest("profiles")
+            host.node.config_feed.number("profiles") == self.newest("profiles")
             for host in self.fleet.hosts.values()
         )
 
@@ -157,7 +157,7 @@
         for host in self.fleet.hosts.values():
             if id(host.node) not in self._nodes:
                 self._nodes.add(id(host.node))
-                host.node.gazette.watch(
+                host.node.config_feed.watch(
                     lambda key, number, body, host=host: self._noted(host, key, number, body)
                 )
 
@@ -258,7 +258,7 @@
         def level():
             watched.watch()
             for host, _ in leaving:
-                if host.node.gazette.number("profiles") >= watched.newest("profiles"):
+                if host.node.config_feed.number("profiles") >= watched.newest("profiles"):
                     sent = fleet.network.bytes_to[host.address] - before[host.address]
                     rows.setdefault(host.name, (fleet.time.now_ms - begun_ms, sent))
             return len(rows) == len(leaving)
--- a/tests/test_member_change.py
+++ b/tests/test_member_change.py
@@ -2,9 +2,9 @@
 given back; and a takeover that cannot get its answers.
 """
 
-from accession import Outcome, StoreLog
 from facsimile.sim.runs import Run
 from log_table import PARAMS, Table
+from replicated_log import Outcome, StoreLog
 from testtools import TestCase
 from testtools.matchers import Equals, LessThan
 
@@ -97,7 +97,7 @@
 
 class Alone(TestCase):
     def epoch(self, fleet):
-        return fleet.of("control")[0].node.gazette.value("log")["epoch"]
+        return fleet.of("control")[0].node.config_feed.value("log")["epoch"]
 
     def test_a_store_whose_fellows_do_not_answer_says_so_and_does_not_spin(self):
         run = Run(33)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -2,7 +2,7 @@
 two at a time, with lots handed in before and read after.
 """
 
-from catalogue import Change
+from control_store import Change
 from facsimile.sim import judge
 from facsimile.sim.runs import Run
 from testtools import TestCase
@@ -27,7 +27,7 @@
         self.assertThat([row["outcome"] for row in seen], Equals(["admitted"] * count))
 
     def members(self, fleet):
-        value = fleet.of("edge")[0].node.gazette.value("log")
+        value = fleet.of("edge")[0].node.config_feed.value("log")
         return (
             {row["identity"] for row in value["members"]} if value["phase"] == "serving" else set()
         )
--- a/tests/test_members_more.py
+++ b/tests/test_members_more.py
@@ -4,7 +4,7 @@
 
 import json
 
-from catalogue import Change
+from control_store import Change
 from facsimile.sim import judge
 from facsimile.sim.runs import Run
 from registrar.words import says
@@ -54,7 +54,7 @@
         return run, run.fleet
 
     def members(self, fleet):
-        value = fleet.of("edge")[0].node.gazette.value("log")
+        value = fleet.of("edge")[0].node.config_feed.value("log")
         return [row["identity"] for row in value["members"]] if value["phase"] == "serving" else []
 
     def until(self, fleet, check, limit_ms=20_000):
@@ -62,7 +62,7 @@
 
     def retire(self, fleet, names):
         owner = fleet.of("control")[0].node.owner
-        version = fleet.of("control")[0].node.gazette.number("retired")
+        version = fleet.of("control")[0].node.config_feed.number("retired")
         seen = []
         owner.submit(
             Change(
--- a/tests/test_vellum.py
+++ b/tests/test_messaging.py
@@ -3,12 +3,12 @@
 import asyncio
 import random
 
-from commons.cards import Beat, Shuffle
+from membership.cards import Beat, Shuffle
+from messaging import Blob, Flag, Long, Message, Real, Text, array_of, decode, encode, optional
+from messaging.links import Switchboard, _frames, _pack, _Queue
+from messaging.message import BadMessageError
 from testtools import TestCase
 from testtools.matchers import Equals, HasLength
-from vellum import Blob, Flag, Long, Message, Real, Text, array_of, decode, encode, optional
-from vellum.links import Switchboard, _frames, _pack, _Queue
-from vellum.message import BadMessageError
 
 
 class Everything(Message):
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 
-from catalogue import Change
+from control_store import Change
 from orders_case import SETTINGS_PATH, OrdersCase, revised
 from platform_calls import ROUTE
 from testtools.matchers import Equals
@@ -231,7 +231,7 @@
             task = platform.start(owner.name, "PUT", SETTINGS_PATH, revised(5), {"If-Match": "3"})
 
             def published():
-                return owner.node.gazette.number("profiles") == 2
+                return owner.node.config_feed.number("profiles") == 2
 
             for _ in range(6):
                 await asyncio.sleep(0)
@@ -239,7 +239,7 @@
                 fleet.time.run_until(fleet.time.now_ms + 0.05)
             fleet.network.isolate(owner.address)
             told = (await platform.finish(task, wait_ms=1000))[0]
-            in_force = [host.node.gazette.number("profiles") for host in (*others, *edges)]
+            in_force = [host.node.config_feed.number("profiles") for host in (*others, *edges)]
             if told is not None and told[0] == 200:
                 self.assertThat(sum(1 for number in in_force[:4] if number == 2) >= 2, Equals(True))
             else:
--- a/tests/test_orders_own.py
+++ b/tests/test_orders_own.py
@@ -8,8 +8,8 @@
 from unittest import mock
 
 from aiohttp import web
-from catalogue import Change, Changed, ReadKey
-from commons import Neighbours
+from control_store import Change, Changed, ReadKey
+from membership import Neighbours
 from platform_calls import Platform
 from registrar.operators import Operators
 from testtools import TestCase
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,16 +5,16 @@
 import json
 import random
 
-from catalogue import Tree
 from circulation import ForwardCall, ForwardTransaction, Roster, WorkerNews, end_to_end
 from circulation.affinity import PartMap
 from circulation.forward import NO_CONNECTION
 from circulation.pace import Pace
 from circulation.placement import choose_forward
 from colophon import Params
+from control_store import Tree
+from messaging import Node
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, LessThan
-from vellum import Node
 
 PARAMS = Params(link="10.0.0.1:1", http="10.0.0.1:2", zone="z", seeds=["10.0.0.1:1"])
 TREE = Tree(
--- a/tests/test_readings.py
+++ b/tests/test_readings.py
@@ -7,9 +7,9 @@
 from circulation import Readings
 from circulation.placement import cost
 from circulation.readings import Sent
+from messaging import Origin
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, LessThan
-from vellum import Origin
 
 
 class Env:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -1,16 +1,16 @@
 """Rows about recovery beyond the design page's: what is fetched, what is cut, and the small files beside the log."""
 
-from accession import Append, Install, Outcome
-from accession.messages import Fetch, Fetched, FetchTail, LogMeta, Started
-from accession.snapshots import read_snapshot
 from facsimile.sim.disks import SimDisk
 from ledger import Ledger, entries
 from log_table import PARAMS, Table
 from log_table import entry as key_opened
-from stacks import DamageError, frame
+from messaging import encode
+from replicated_log import Append, Install, Outcome
+from replicated_log.messages import Fetch, Fetched, FetchTail, LogMeta, Started
+from replicated_log.snapshots import read_snapshot
+from storage import DamageError, frame
 from testtools import TestCase
 from testtools.matchers import Equals
-from vellum import encode
 
 
 class Fetching(TestCase):
@@ -131,7 +131,7 @@
         )
 
     def test_a_snapshot_comes_in_parts_each_asked_for_by_the_one_before(self):
-        import accession.replica as module
+        import replicated_log.replica as module
 
         table = self.grown(40)
         for name in ("a", "b"):
@@ -243,7 +243,7 @@
 
 class Snapshots(TestCase):
     def test_made_in_steps_it_holds_what_was_settled_when_it_was_begun(self):
-        import accession.snapshots as module
+        import replicated_log.snapshots as module
 
         whole, module._STEP_BYTES = module._STEP_BYTES, 60
         self.addCleanup(setattr, module, "_STEP_BYTES", whole)
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -2,7 +2,7 @@
 
 import json
 
-from catalogue import Tree, check_tree, explain
+from control_store import Tree, check_tree, explain
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, Is
 
--- a/tests/test_second_losses.py
+++ b/tests/test_second_losses.py
@@ -4,9 +4,9 @@
 
 import json
 
-from accession import replica
 from facsimile.sim import judge
 from facsimile.sim.runs import Run
+from replicated_log import replica
 from testtools import TestCase
 from testtools.matchers import Equals, LessThan
 
@@ -21,14 +21,14 @@
 
 
 def listed(fleet, host):
-    value = fleet.of("control")[0].node.gazette.value("log")
+    value = fleet.of("control")[0].node.config_feed.value("log")
     return host.node.log.log.identity in {row["identity"] for row in value["members"]}
 
 
 def decided(fleet, host):
     """A majority of the voters has the key's new value on disk, whether or not anybody was told."""
     holds = [
-        host.node.log.log.identity in json.dumps(control.node.gazette.value("log"))
+        host.node.log.log.identity in json.dumps(control.node.config_feed.value("log"))
         for control in fleet.of("control")
     ]
     return any(holds)
--- a/tests/test_shelves.py
+++ b/tests/test_shelves.py
@@ -1,8 +1,8 @@
 """Lots that are over leave memory for files with checksums: read back, moved to a spare, damaged and mended."""
 
-from accession.shelves import SHELF
 from facsimile.sim import judge
 from facsimile.sim.runs import Run
+from replicated_log.shelves import SHELF
 from testtools import TestCase
 from testtools.matchers import Equals
 
@@ -79,7 +79,7 @@
             fresh = fleet.add("store", f"fresh{number + 1}")
 
             def joined(fresh=fresh):
-                value = fleet.of("edge")[0].node.gazette.value("log")
+                value = fleet.of("edge")[0].node.config_feed.value("log")
                 return value["phase"] == "serving" and fresh.node.log.log.identity in {
                     row["identity"] for row in value["members"]
                 }
--- a/tests/test_voter_files.py
+++ b/tests/test_voter_files.py
@@ -7,14 +7,14 @@
 import tempfile
 from types import SimpleNamespace
 
-from catalogue import Voter
-from catalogue.messages import Accept, Confirm, Founded, Value
+from control_store import Voter
+from control_store.messages import Accept, Confirm, Founded, Value
 from facsimile.sim.disks import SimDisk
 from facsimile.sim.virtual import VirtualTime
-from stacks import FolderDisk
+from messaging import Origin, decode, encode
+from storage import FolderDisk
 from testtools import TestCase
 from testtools.matchers import Equals, LessThan
-from vellum import Origin, decode, encode
 
 _SEGMENT_BYTES = 1 << 13
 _SNAPSHOT, _LOG = "keys-snapshot", "keys-log-"
--- a/tests/test_voter_losses.py
+++ b/tests/test_voter_losses.py
@@ -4,8 +4,8 @@
 
 import json
 
-from catalogue import Change
-from catalogue.succession import next_of_all
+from control_store import Change
+from control_store.succession import next_of_all
 from facsimile.sim.fleet import SimFleet
 from testtools import TestCase
 from testtools.matchers import Equals
@@ -167,5 +167,5 @@
                     (after_ms, strike),
                 )
                 self.changed(fleet, 2)
-                numbers = {host.node.gazette.number("profiles") for host in fleet.of("control")}
+                numbers = {host.node.config_feed.number("profiles") for host in fleet.of("control")}
                 self.assertThat(numbers, Equals({3}), (after_ms, strike))
--- a/tests/test_worker_list.py
+++ b/tests/test_worker_list.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from catalogue import WorkerReport, apply_reports, empty_list
+from control_store import WorkerReport, apply_reports, empty_list
 from platform_calls import Platform, beat
 from testtools import TestCase
 from testtools.matchers import Equals, HasLength
@@ -134,7 +134,7 @@
         )
 
     def listed(self, platform, host="edge1"):
-        value = platform.fleet.hosts[host].node.gazette.value("workers") or {"workers": {}}
+        value = platform.fleet.hosts[host].node.config_feed.value("workers") or {"workers": {}}
         return {name: row["state"] for name, row in value["workers"].items()}
 
     def owner(self, platform):
@@ -164,10 +164,10 @@
             platform.run(400)
             node = platform.fleet.hosts["edge1"].node
             self.assertThat(
-                (len(self.listed(platform)), node.gazette.number("workers") <= 2),
+                (len(self.listed(platform)), node.config_feed.number("workers") <= 2),
                 Equals((40, True)),
             )
-            before = node.gazette.number("workers")
+            before = node.config_feed.number("workers")
             for index in range(40):
                 await self.beat(
                     platform,
@@ -177,7 +177,7 @@
                     callCount=2,
                 )
             platform.run(1500)
-            self.assertThat(node.gazette.number("workers"), Equals(before))
+            self.assertThat(node.config_feed.number("workers"), Equals(before))
 
         self.run_test(body)
 
--- a/tests/test_worker_list_troubles.py
+++ b/tests/test_worker_list_troubles.py
@@ -93,7 +93,7 @@
 
     def check(self, now_ms):
         for host in self.fleet.of("edge"):
-            rows = (host.node.gazette.value("workers") or {"workers": {}})["workers"]
+            rows = (host.node.config_feed.value("workers") or {"workers": {}})["workers"]
             for worker in self.workers:
                 if (
                     worker.acked_ms is not None
@@ -134,7 +134,7 @@
     def listed(self, host):
         return sorted(
             name
-            for name, row in host.node.gazette.value("workers")["workers"].items()
+            for name, row in host.node.config_feed.value("workers")["workers"].items()
             if row["state"] == "serving"
         )
 
