Model checking: stand-ins and breaks follow the merged cores

The explorer's stand-in for a node's neighbours says who is heard directly; patched names follow the splits. The break 'lower epochs are taken' is no longer seen while peers also refuse what contradicts settled records (150,000 states), so the test takes that second check away too; it is then found after 72,680 states, as before. test_explore, test_explore_log, test_histories pass.

--- a/libs/modelcheck/src/modelcheck/stand_ins.py
+++ b/libs/modelcheck/src/modelcheck/stand_ins.py
@@ -19,6 +19,9 @@
     def hears(self, name: str) -> bool:
         return True
 
+    def heard_itself(self, name: str, within_ms: int) -> bool:
+        return True
+
 
 class NoFeed(Part):
     """Stands where the feed does; nobody follows it here."""
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -39,7 +39,7 @@
 
 
 def forget(votes):
-    return control_store.owner._blank()
+    return control_store.owner.blank_value()
 
 
 def vote_unflushed(self):
--- a/tests/test_explore_log.py
+++ b/tests/test_explore_log.py
@@ -20,7 +20,7 @@
 
 WHOLE_RECEIVE = PeerSide.receive
 WHOLE_KEEP = MetaFile.keep
-WHOLE_CHANGE = StoreLog._change
+WHOLE_CHANGE = StoreLog.change
 
 
 def settled_here(self, waiter, held_seq):
@@ -28,11 +28,27 @@
     return waiter.seq <= self._log.flushed_seq
 
 
+class Unsettled:
+    """A log that doesn't know what is settled, so that nothing is refused for contradicting it."""
+
+    settled_seq = 0
+
+    def __init__(self, log):
+        self._log = log
+
+    def __getattr__(self, name):
+        return getattr(self._log, name)
+
+
 def take_lower_epochs(self, message, reply, source=""):
     """A peer takes what an earlier holder sends as if it came from the present one."""
-    if isinstance(message, Append):
-        message.epoch = max(message.epoch, self._log.meta.fence)
+    if not isinstance(message, Append):
+        WHOLE_RECEIVE(self, message, reply, source)
+        return
+    message.epoch = max(message.epoch, self._log.meta.fence)
+    log, self._log = self._log, Unsettled(self._log)
     WHOLE_RECEIVE(self, message, reply, source)
+    self._log = log
 
 
 def read_unasked(self, done):
@@ -81,7 +97,7 @@
     ),
     "a reading without a round": ((Holder, "read", read_unasked), "old-holder", ("L4",)),
     "fences in memory": ((MetaFile, "keep", keep_in_memory), "holder-lost-and-power", ("L5",)),
-    "a lost claim counts": ((StoreLog, "_change", claim_lost), "two-claim", ("L3",)),
+    "a lost claim counts": ((StoreLog, "change", claim_lost), "two-claim", ("L3",)),
 }
 
 
