--- a/libs/control_store/src/control_store/__init__.py
+++ b/libs/control_store/src/control_store/__init__.py
@@ -1,5 +1,8 @@
-"""Control store: the control state. Keys that are each decided by ballots over the voters' disks and
-owned by one node at a time; the profiles and the members that these keys hold.
+"""Replicated control state: a small versioned key-value store that is decided by quorum.
+
+Each key is a register that the voters replicate on their disks and that one node, its owner,
+changes by ballots. The package also has the values that these keys hold: the tree of profiles, the
+list of workers, the list of voters and the roster of edges and stores.
 """
 
 from colophon.lazy import lazy
--- a/libs/control_store/src/control_store/change_memory.py
+++ b/libs/control_store/src/control_store/change_memory.py
@@ -1,7 +1,9 @@
-"""What a key remembers of the changes that led to its value. The last changes stand in the value itself, so
-they are as durable as it is and move with it from owner to owner; how many is bounded. A change that is
-not among them was certainly not taken only if it would have to be among them: if the version that it
-was built on, or the number that it would have made, is not older than what is remembered.
+"""The recent changes that a key's value remembers, for idempotent retries.
+
+The last changes are stored in the value itself, so they are as durable as it is and move with it
+from owner to owner; their number is bounded. A change that is not among them was certainly never
+decided only if it would have to be among them: if the version that it was based on, or the number
+that it would have made, is not older than what is remembered.
 """
 
 from control_store.messages import NO_BASE, Change, FindChange, Value
@@ -14,14 +16,14 @@
 
 
 def taken_as(value: Value, change_id: str) -> int | None:
-    """The version that the change made, or None if it isn't remembered."""
+    """Return the version that the change made, or None if it is not remembered."""
     if change_id not in value.change_ids:
         return None
     return value.change_versions[value.change_ids.index(change_id)]
 
 
 def add_change(value: Value, change: Change) -> Value:
-    """The value that the change makes of this one."""
+    """Return the value that results from applying the change to this one."""
     most = REMEMBERED_ORDERS if change.key in _ORDER_KEYS else REMEMBERED_CHANGES
     version = value.version + 1
     return Value(
@@ -34,8 +36,10 @@
 
 
 def surely_untaken(value: Value, change: Change | FindChange) -> bool:
-    """Whether a change that isn't remembered was certainly never taken. `version` and `base` of those that
-    were taken rise from one to the next, and the next one's base is the number that the one before made.
+    """Whether a change that is not remembered was certainly never decided.
+
+    The `version` and `base` of decided changes rise from one to the next, and each one's base is
+    the number that the one before made.
     """
     first_version = value.change_versions[0] if value.change_versions else value.version + 1
     if first_version == 1 or change.version >= first_version - 1:
--- a/libs/control_store/src/control_store/client.py
+++ b/libs/control_store/src/control_store/client.py
@@ -1,6 +1,8 @@
-"""How a node that doesn't vote changes and reads keys: it asks the control node whose duty the key should be, as far as
-it knows, then the others in turn, naming a change id, so that asking again after silence learns what became of
-the first asking. The next one is asked while the one before may still answer; the first word that is sure counts.
+"""Client for nodes that are not voters: changes and reads keys through the control nodes.
+
+It asks the control node that probably owns the key, then the others in turn. A change carries one
+identifier in all attempts, so that a retry after silence learns what became of the first one. The
+next node is asked while the one before may still reply; the first conclusive reply counts.
 """
 
 from collections.abc import Callable, Iterable
@@ -15,6 +17,8 @@
 
 
 class _Asking:
+    """A change or read in progress, with the control nodes to ask in turn."""
+
     __slots__ = ("done", "due_ms", "make", "next_ms", "order", "sends")
 
     def __init__(
@@ -29,7 +33,11 @@
 
 
 class ControlClient(Part):
-    """`likely` gives addresses for a key, the first of which probably has the duty."""
+    """Changes and reads control keys on behalf of a node that is not a voter.
+
+    `addresses` gives the link addresses of all known control nodes. `likely` gives addresses for a
+    key, the first of which is most likely its owner's.
+    """
 
     __slots__ = ("_addresses", "_askings", "_likely")
 
@@ -43,6 +51,11 @@
         self._askings: list[_Asking] = []
 
     def change(self, key: str, version: int, body: str, done: Done) -> None:
+        """Replace `version` of a key by `body`; `done` gets the outcome, the version and the body.
+
+        The outcome is a value of `Outcome`; "doubt" after twice force_ms without a conclusive
+        reply.
+        """
         change_id = self.node.env.token()
         self._begin(
             key,
@@ -51,6 +64,7 @@
         )
 
     def read(self, key: str, done: Done) -> None:
+        """Read a key; `done` gets the outcome, the version and the body, as for `change`."""
         self._begin(key, lambda: ReadKey(key=key, hops=0), done)
 
     def _begin(self, key: str, make: Callable[[], Message], done: Done) -> None:
@@ -88,6 +102,7 @@
         asking.done(outcome, version, body)
 
     def tick(self) -> None:
+        """Give up overdue requests, and send the others to the next control node if due."""
         now_ms = self.node.env.now()
         for asking in list(self._askings):
             if now_ms >= asking.due_ms:
--- a/libs/control_store/src/control_store/confirmations.py
+++ b/libs/control_store/src/control_store/confirmations.py
@@ -1,5 +1,7 @@
-"""Changes that are on a majority of disks and wait until the nodes that serve have them, so that none
-serves under an older version after the acknowledgement.
+"""Delayed acknowledgement of changes until the nodes that serve have applied them.
+
+A change that is on a majority of the voters' disks is only acknowledged once no node still serves
+under an older version.
 """
 
 from typing import Any
@@ -26,7 +28,7 @@
 
 
 class _Waiting:
-    """A change that was taken and is not yet acknowledged."""
+    """A change that was decided and is not yet acknowledged."""
 
     __slots__ = ("done", "due_ms", "key", "receipt")
 
@@ -38,7 +40,7 @@
 
 
 class Confirmations:
-    """Holds back the answers to changes until their versions are in force."""
+    """Holds back the replies to changes until their versions are in force."""
 
     __slots__ = ("_config_feed", "_node", "_voter", "_waiting")
 
@@ -49,11 +51,13 @@
         self._waiting: list[_Waiting] = []
 
     def attach(self, node: Any) -> None:
+        """Set the node, which gives the clock and the settings."""
         self._node = node
 
     def wait(self, key: str, receipt: Changed, changed_ms: int, done: Done) -> None:
-        """Calls `done` with the receipt once its version is in force, or with doubt if that takes too long.
-        `changed_ms` is when the owner published the key's newest value.
+        """Call `done` with `receipt` once its version is in force, or with DOUBT after a timeout.
+
+        `changed_ms` is when the owner published the key's newest value, in ms of the node's clock.
         """
         params = self._node.params
         due_ms = (
@@ -65,11 +69,16 @@
         self.check()
 
     def check(self) -> None:
-        """A version is acknowledged once most of the roll have it, and so do all nodes that live, or
-        those that are still without it have had to turn unready. Without most of the roll the other
-        side of a cut may still be serving under an older one: then this is doubt. Where the cut-off serve
-        there is no roll: a majority of the voters have to hand the version out, and who hasn't heard of it
-        from them in time isn't in touch. What is only on their disks they hand out after the next ballot.
+        """Acknowledge the versions that are in force, and answer overdue ones with DOUBT.
+
+        A version is in force once a majority of the roster of edges and stores reports it and every
+        live node does too, or those that do not have had to become unready. Without a majority of
+        the roster the other side of a network partition may still serve under an older version, so
+        the outcome is DOUBT.
+
+        With cut_off = "serve" there is no roster. A majority of the voters has to publish the
+        version, and nodes that have not learned it from them in time count as disconnected. A
+        version that is only on the voters' disks is published after the next ballot.
         """
         now_ms, params, config_feed = self._node.env.now(), self._node.params, self._config_feed
         waiting, self._waiting = self._waiting, []
@@ -93,7 +102,7 @@
                 self._waiting.append(change)
 
     def _handed_out(self, key: str, version: int) -> bool:
-        """Whether a majority of the voters, this node among them if it is one, publish the version."""
+        """Whether a majority of the voters publishes the version, this node counted if it votes."""
         config_feed, voters = self._config_feed, self._voter.voters
         floor_ms = self._node.env.now() - self._node.params.confirm_ms
         have = {
@@ -106,7 +115,7 @@
         return 2 * len(have & set(voters)) > len(voters)
 
     def give_up(self) -> None:
-        """All that wait are answered with doubt."""
+        """Answer all waiting changes with DOUBT."""
         waiting, self._waiting = self._waiting, []
         for change in waiting:
             change.done(_in_doubt(change.receipt.version))
--- a/libs/control_store/src/control_store/defaults.py
+++ b/libs/control_store/src/control_store/defaults.py
@@ -1,4 +1,4 @@
-"""What a profile has that says nothing of it, and what isn't inherited."""
+"""Default values of a profile's fields, and the fields that a child does not inherit."""
 
 from typing import Any
 
--- a/libs/control_store/src/control_store/founding.py
+++ b/libs/control_store/src/control_store/founding.py
@@ -1,8 +1,10 @@
-"""Founding, and who votes afterwards. The first list needs the vote, on disk, of every one of
-control_count blank nodes for the same list or, where no count is told, of every node at a seed's
-address on a first start. From then on the steward, a duty, brings about the lists that follow
-(succession.py): before each step every key is decided anew under the present list; so any two lists
-that follow each other share every majority, and nothing is left on a disk that no longer votes.
+"""Bootstrap of the voters, and changes of their list.
+
+The first list needs the durable vote of every one of control_count blank nodes for the same list
+or, where no count is configured, of every node at a seed's address on a first start. From then on
+the steward, the coordinator of membership changes, proposes the lists that follow (succession.py).
+Before each step every key is decided anew under the present list; so the majorities of two
+consecutive lists always intersect, and no value is left only on disks that no longer vote.
 """
 
 import json
@@ -25,6 +27,8 @@
 
 
 class Founding(Part):
+    """Bootstraps the list of voters at a blank node, and coordinates the lists that follow."""
+
     __slots__ = (
         "_asked",
         "_awake_ms",
@@ -60,9 +64,10 @@
         if key == CONTROL_KEY:
             self._voter.take_list(body, lambda ok: None)
 
-    # -- founding ------------------------------------------------------------------------------
+    # -- bootstrap -----------------------------------------------------------------------------
 
     def receive(self, message: Message, origin: Origin) -> None:
+        """Vote for a proposed first list; the vote is on disk before the reply is sent."""
         meta = self._voter.meta
         if meta.list_body or meta.found_vote not in ("", message.members):
             self._vote(origin, False)
@@ -77,7 +82,11 @@
             )
 
     def _may_found(self) -> bool:
-        """Where no count is told, a blank disk may also be one that was lost after the founding."""
+        """Whether this node may vote for a first list.
+
+        Where no count is configured, a blank disk may also be one that was lost after the
+        bootstrap.
+        """
         return self.node.params.control_count > 0 or self.node.params.first_start
 
     def _vote(self, origin: Origin, ok: bool) -> None:
@@ -87,6 +96,7 @@
         )
 
     def tick(self) -> None:
+        """Bootstrap the list of voters, or maintain it and the keys once there is one."""
         now_ms = self.node.env.now()
         if self._awake_ms < 0:
             self._awake_ms = now_ms
@@ -99,7 +109,7 @@
             self._keep_house()
 
     def woke(self, gap_ms: int) -> None:
-        """Who seems silent may have been heard by everyone but this node."""
+        """After a pause, restart the time awake: others may have sent heartbeats during it."""
         self._awake_ms = self.node.env.now()
 
     def _found(self) -> None:
@@ -127,7 +137,7 @@
             self.node.ask(address, Found(members=members), self.node.params.ask_ms, voted)
 
     def _proposed_members(self) -> str:
-        """The first voters as JSON, if this node is the one to propose them; empty otherwise."""
+        """Return the first voters as JSON if this node is to propose them; otherwise empty."""
         if not self._may_found():
             return ""
         params = self.node.params
@@ -139,9 +149,10 @@
             return ""
         return json.dumps(rows)
 
-    # -- the steward's duty and the sweep ------------------------------------------------------
+    # -- coordination of membership changes ----------------------------------------------------
 
     def steward(self) -> str | None:
+        """Return the identity of the coordinator of membership changes, or None."""
         return self._owner.owner_of("steward")
 
     def _keep_house(self) -> None:
@@ -172,7 +183,7 @@
         self._busy = False
 
     def _read_unknown(self) -> None:
-        """A key that nothing is known of is read by its owner when it becomes that, and then now and then."""
+        """Read keys of which no value is known: once owned by this node, and then every gone_ms."""
         now_ms = self.node.env.now()
         keys = (
             CONTROL_KEY,
@@ -198,7 +209,7 @@
             self._read_ms.pop(key, None)
 
     def _following(self) -> dict[str, Any] | None:
-        """The next list of voters, one step from this one, if there is cause for it."""
+        """Return the next list of voters, one step from the present one, or None without cause."""
         node, neighbours = self.node, self._neighbours
         params, now_ms = node.params, node.env.now()
         retired = set((self._config_feed.value(RETIRED_KEY) or {}).get("identities", []))
@@ -278,7 +289,7 @@
         )
 
     def _sweep_own(self) -> None:
-        """Finds copies that are old, of the keys that are this node's duty."""
+        """Find and repair outdated replicas of the keys that this node owns."""
         if self.node.env.now() - self._swept_ms < self.node.params.resume_ms // 2:
             return
         self._swept_ms = self.node.env.now()
@@ -292,7 +303,7 @@
         )
 
     def _sweep(self, done: Any) -> None:
-        """Every key is seen to be on a majority of the present list, or decided anew under it."""
+        """Make sure every key is on a majority of the present list, or decide it anew under it."""
         number = self._voter.list_number
         self._listed_keys(lambda keys: self._renew_all(keys, number, done), lambda: done(False))
 
@@ -312,7 +323,7 @@
         )
 
     def _renew_all(self, keys: list[str], number: int, done: Any) -> None:
-        """All at once: with a voter lost, each may take as long as a round waits for its answer."""
+        """Renew all keys at once, since with a voter lost each may take a whole round's timeout."""
         left = set(keys)
 
         def renewed(key: str, ok: bool) -> None:
--- a/libs/control_store/src/control_store/key_states.py
+++ b/libs/control_store/src/control_store/key_states.py
@@ -1,6 +1,4 @@
-"""State of a key at its owner: what it is doing with the key, the newest value, and the operations that
-wait for their turn.
-"""
+"""The state of a key at its owner: its ballot, its newest value and the queue of operations."""
 
 from collections.abc import Callable
 from enum import StrEnum
@@ -16,7 +14,14 @@
 
 
 class State(StrEnum):
-    """How far this node is in owning a key."""
+    """The owner's progress towards owning a key.
+
+    - UNOWNED: no promise from a majority is held.
+    - PREPARING: the first phase of a ballot, or the proposal of the value found in it, is under
+      way.
+    - OWNED: a majority has promised the epoch, and the newest value is known.
+    - CHANGING: a new version is being proposed.
+    """
 
     UNOWNED = "unowned"
     PREPARING = "preparing"
@@ -25,8 +30,10 @@
 
 
 class Renew:
-    """Asks that a majority of the present list of voters have a key's newest value under the owner's epoch;
-    with `always`, that all be sent it again.
+    """An operation that restores the replication of a key's newest value.
+
+    Afterwards a majority of the present list of voters has the value under the owner's epoch. With
+    `always` the value is sent to all voters even if a majority already has it.
     """
 
     __slots__ = ("always", "key")
@@ -37,7 +44,7 @@
 
 
 class Operation:
-    """One operation that waits for its turn at a key, until `due_ms` on the node's clock."""
+    """One queued operation on a key; given up at `due_ms` on the node's clock."""
 
     __slots__ = ("done", "due_ms", "message")
 
@@ -50,7 +57,12 @@
 
 
 class KeyState:
-    """What the owner knows of one key: its epoch, its newest value, and the operations that wait."""
+    """What the owner knows of one key: its epoch, its newest value, and the queued operations.
+
+    `seen_epoch` is the highest epoch that any voter reported. `changed_ms` is when the owner last
+    published a value, in ms of the node's clock. `asking` is set while a round of the key is under
+    way.
+    """
 
     __slots__ = ("asking", "changed_ms", "epoch", "name", "ops", "seen_epoch", "state", "value")
 
@@ -66,8 +78,9 @@
 
 
 def newest(votes: list[Any]) -> Value:
-    """The value of the highest ballot; one epoch accepts one version after another, so within a
-    ballot the highest version.
+    """Return the value of the highest ballot among votes, or the blank value if there is none.
+
+    One epoch accepts one version after another, so within a ballot the highest version is chosen.
     """
     held = [
         (vote.accepted_epoch, vote.accepted_by, decode(vote.value)) for vote in votes if vote.value
@@ -76,5 +89,5 @@
 
 
 def blank_value() -> Value:
-    """The value of a key that nobody has written."""
+    """Return the value of a key that nobody has written."""
     return Value(version=0, body="", change_ids=[], change_versions=[])
--- a/libs/control_store/src/control_store/messages.py
+++ b/libs/control_store/src/control_store/messages.py
@@ -1,5 +1,8 @@
-"""Ballots and changes. A ballot is an epoch and the identity of who asks; every ballot names the
-number of the voters' list it counts under, and voters refuse lists older than their own.
+"""Messages of the ballots among voters and of the operations on keys.
+
+A ballot is the pair of an epoch and the proposer's identity, ordered in that sequence. Every ballot
+message carries the number of the list of voters that it counts under; voters refuse numbers below
+their own.
 """
 
 from enum import StrEnum
@@ -33,11 +36,14 @@
 
 
 class Outcome(StrEnum):
-    """What became of a change or a read at the key's owner.
-
-    OK: taken, or read. LOST: not taken, and never will be. FORGOTTEN: not among the changes that are
-    remembered, and too old for that to mean anything. DOUBT: not known yet. REFUSED: nothing was asked of
-    anybody, since there are no voters yet.
+    """What became of an operation at the key's owner.
+
+    - OK: the change was decided, or the value was read.
+    - LOST: the change was not decided and never will be.
+    - FORGOTTEN: the change is not among those remembered, and too old for its absence to be
+      conclusive.
+    - DOUBT: the outcome is not known; the change may still be decided.
+    - REFUSED: nothing was attempted, since there is no list of voters yet.
     """
 
     OK = "ok"
@@ -48,8 +54,11 @@
 
 
 class Value(Message):
-    """A version of a key, with the changes that led to it as far back as they are remembered: the id of
-    each, the version that it made, and the caller's own number for the version that it was built on.
+    """A version of a key, with the identifiers of the recent changes that led to it.
+
+    The three lists are parallel, oldest first: each change's identifier, the version that it made,
+    and the caller's own number of the version that it was based on (NO_BASE where the caller has
+    none). `change_bases` defaults to NO_BASE for each change.
     """
 
     version: Long
@@ -64,6 +73,8 @@
 
 
 class Prepare(Message):
+    """First phase of a ballot: asks a voter to promise to accept nothing below it."""
+
     key: Text
     epoch: Long
     by: Text
@@ -71,6 +82,8 @@
 
 
 class Confirm(Message):
+    """Asks a voter whether a ballot is still its highest promise; writes nothing to disk."""
+
     key: Text
     epoch: Long
     by: Text
@@ -78,6 +91,8 @@
 
 
 class Accept(Message):
+    """Second phase of a ballot: asks a voter to accept an encoded `Value` under it."""
+
     key: Text
     epoch: Long
     by: Text
@@ -86,6 +101,15 @@
 
 
 class Voted(Message):
+    """A voter's reply to Prepare, Accept or Confirm.
+
+    `reason` is empty if `ok`; otherwise "epoch" (a higher ballot was promised), "list" (the asker's
+    list of voters is old, or this node is not on it; `list_body` has the voter's list), "behind"
+    (the voter's own list is old) or "disk" (the write failed). `value` is the whole accepted
+    `Value` in the reply to a Prepare that was written to disk; otherwise only the newest flushed
+    version is told, without a body.
+    """
+
     identity: Text
     ok: Flag
     reason: Text
@@ -98,6 +122,12 @@
 
 
 class KeyRow(Message):
+    """One record of a voter's log: the register of a key after a vote.
+
+    `flushed_bytes` is the length of the log known to be flushed when the record was written; 0 in a
+    snapshot.
+    """
+
     key: Text
     promised_epoch: Long
     promised_by: Text
@@ -108,38 +138,53 @@
 
 
 class ListKeys(Message):
+    """Asks a voter for the names of all keys that it has a register of."""
+
     list_number: Long
 
 
 class KeyList(Message):
+    """Reply to ListKeys; `ok` only if both sides use the same list of voters."""
+
     identity: Text
     ok: Flag
     keys: array_of(Text)
 
 
 class VoterMeta(Message):
+    """A voter's durable identity, its vote for the first list of voters, and its present list."""
+
     identity: Text
     found_vote: Text
     list_body: Text
 
 
 class Found(Message):
+    """Asks a blank node to vote for `members` (JSON rows) as the first list of voters."""
+
     members: Text
 
 
 class FoundVote(Message):
+    """Reply to Found; `list_body` is the node's list of voters if it already has one."""
+
     identity: Text
     ok: Flag
     list_body: Text
 
 
 class Founded(Message):
+    """Announces a list of voters, as JSON, to a node on it."""
+
     list_body: Text
 
 
 class Change(Message):
-    """Asks that a key's version be replaced. `base` is the caller's own number for that version, if its
-    callers number versions themselves; it is only remembered.
+    """Asks the key's owner to replace `version` of the key by a new version with `body`.
+
+    `change_id` identifies the change when it is sent again. `base` is the caller's own number for
+    the version replaced, for callers that number versions themselves; it is only remembered and
+    defaults to NO_BASE. `hops` counts how often the message was forwarded.
     """
 
     key: Text
@@ -155,9 +200,11 @@
 
 
 class FindChange(Message):
-    """Asks whether a change was taken, without asking for it. What it was built on and what it would have
-    made are told as key versions (`version`) or in the caller's own numbers (`base`, `number`); those that
-    aren't known are NO_BASE.
+    """Asks whether a change was decided, without proposing it.
+
+    The version that it was based on is given as the key's version (`version`) or in the caller's
+    own numbers (`base`, with `number` for the version that it would have made). Those that the
+    caller does not know are NO_BASE.
     """
 
     key: Text
@@ -169,11 +216,19 @@
 
 
 class ReadKey(Message):
+    """Asks the key's owner for the newest value, confirmed by a majority of the voters."""
+
     key: Text
     hops: Long
 
 
 class Changed(Message):
+    """The owner's reply to Change, FindChange and ReadKey.
+
+    `outcome` is a value of `Outcome`. `version` and `body` are 0 and empty unless the outcome is OK
+    or LOST.
+    """
+
     outcome: Text
     version: Long
     body: Text
--- a/libs/control_store/src/control_store/owner.py
+++ b/libs/control_store/src/control_store/owner.py
@@ -1,8 +1,10 @@
-"""Owning keys. A key's owner is the first live voter in the key's own order; it takes the key over
-by preparing a higher epoch on a majority, finishes what it finds there, and from then on accepts
-changes under that epoch: each is on a majority of disks before it is answered. An owner that is
-refused falls back to preparing, which settles what became of its last change; only when time runs
-out before that is the answer doubt. States of a key: unowned, preparing, owned, changing.
+"""Owning keys: the proposer of the ballots.
+
+A key's owner is the first live voter in the key's own order. It takes the key over by preparing a
+higher epoch on a majority, completes the proposal that it finds there, and then proposes changes
+under that epoch; each is on a majority of disks before it is acknowledged. An owner that is refused
+prepares again, which settles what became of its last change; only when time runs out before that is
+the outcome DOUBT. The states of a key are unowned, preparing, owned and changing.
 """
 
 import json
@@ -36,13 +38,18 @@
 
 
 def _not_taken(value: Value, message: Change | FindChange) -> tuple[Outcome, str]:
-    """The answer to a change that isn't remembered and doesn't fit the newest version."""
+    """Return the reply to a change that is not remembered and not based on the newest version."""
     if surely_untaken(value, message):
         return Outcome.LOST, f"version {value.version} is in place; this change is not"
     return Outcome.FORGOTTEN, "older than the changes that are remembered"
 
 
 class Owner(Part):
+    """Works on the operations of keys that this node owns, one at a time for each key.
+
+    Operations on other nodes' keys are forwarded to their owners.
+    """
+
     __slots__ = ("_by", "_confirmations", "_config_feed", "_keys", "_relay", "_voter")
     HANDLES = (Change, FindChange, ReadKey)
 
@@ -55,25 +62,34 @@
         self._confirmations = Confirmations(voter, config_feed)
 
     def attach(self, node: Any) -> None:
+        """Attach the node; each process proposes under an identity of its own."""
         super().attach(node)
         self._relay.attach(node)
         self._confirmations.attach(node)
         self._by = f"{self._voter.identity}/{node.env.token()}"
 
-    # -- asking --------------------------------------------------------------------------------
+    # -- submitting operations -----------------------------------------------------------------
 
     def receive(self, message: Message, origin: Origin) -> None:
+        """Work on an operation that another node sent, and reply to it."""
         self.submit(message, lambda receipt: self.node.reply(origin, receipt))
 
     def submit(self, message: Change | FindChange | ReadKey, done: Done) -> None:
-        """Here, or at the node whose duty the key is."""
+        """Work on an operation here, or forward it to the key's owner; `done` gets the reply."""
         self._relay.submit(message, done)
 
     def owner_of(self, concern: str) -> str | None:
-        """Who has a duty: the first live voter that itself hears a majority, or the first live one."""
+        """Return the identity of the node responsible for `concern`, or None if no voter is live.
+
+        It is the first live voter that is itself in contact with a majority, or the first live one.
+        """
         return self._relay.owner_of(concern)
 
     def renew(self, key: str, done: Callable[[bool], None]) -> None:
+        """Make sure that a majority of the present voters has the key's newest value.
+
+        `done` gets whether that was achieved within twice ask_ms.
+        """
         self._enqueue(
             Renew(key),
             self.node.env.now() + self.node.params.ask_ms * 2,
@@ -81,8 +97,10 @@
         )
 
     def mend(self, name: str) -> None:
-        """Every voter is asked what it has of a key; only if one that answers lacks the newest value is it sent
-        to all again. Nobody waits for this.
+        """Repair replicas of a key that are out of date, without anybody waiting for it.
+
+        Every voter is asked for its version; the newest value is sent to all again only if one that
+        replied lacks it.
         """
         key = self._keys.get(name)
         if key is None or key.state is not State.OWNED:
@@ -111,7 +129,7 @@
         )
 
     def _holders(self, key: KeyState, round_: Round) -> int:
-        """How many said in this round that they have the newest value under this owner's epoch."""
+        """Count the voters that reported the newest value under this owner's epoch in a round."""
         return sum(
             1
             for vote in round_.yes.values()
@@ -120,6 +138,7 @@
         )
 
     def epochs(self) -> dict[str, dict[str, Any]]:
+        """Return for each key that was worked on here its state, epoch and owner, for operators."""
         return {
             key.name: {
                 "state": str(key.state),
@@ -135,7 +154,7 @@
         if len(key.ops) == 1:
             self._next(key)
 
-    # -- working through a key's operations ----------------------------------------------------
+    # -- executing a key's operations ----------------------------------------------------------
 
     def _next(self, key: KeyState) -> None:
         while key.ops and self.node.env.now() >= key.ops[0].due_ms:
@@ -156,7 +175,10 @@
     def _round(
         self, key: KeyState, message: Message, done: Callable[[KeyState, Round, bool], None]
     ) -> None:
-        """One at a time for a key: whoever is answered may ask again before the answer is done with."""
+        """Start the only round of a key.
+
+        A caller that is answered may ask again before the reply has been processed.
+        """
         epoch, key.asking = key.epoch, True
 
         def ended(round_: Round, ok: bool) -> None:
@@ -214,7 +236,7 @@
             self._lose(key)
 
     def _apply(self, key: KeyState, round_: Round) -> None:
-        """Owned, and confirmed to be so after the operation was asked."""
+        """Execute the first operation, now that ownership was confirmed after it was submitted."""
         if not key.ops:
             return
         message = key.ops[0].message
@@ -283,7 +305,10 @@
             self._lose(key)
 
     def _lose(self, key: KeyState) -> None:
-        """Refused or unheard: what the last round did is found out by preparing again, shortly."""
+        """Give up ownership after a refusal or a timeout.
+
+        What the last round achieved is found out by preparing again shortly.
+        """
         if key.state is not State.UNOWNED:
             self.node.env.log("key-lost", key=key.name, epoch=key.epoch, seen=key.seen_epoch)
         key.state = State.UNOWNED
@@ -331,6 +356,7 @@
             op.done(receipt)
 
     def tick(self) -> None:
+        """Check confirmations and retries, and prepare unowned keys again at random."""
         self._confirmations.check()
         self._relay.tick()
         for key in self._keys.values():
@@ -338,6 +364,7 @@
                 self._next(key)
 
     def woke(self, gap_ms: int) -> None:
+        """Give up all keys after a pause, and answer queued operations with DOUBT."""
         for key in self._keys.values():
             key.epoch += 1
             key.asking = False
--- a/libs/control_store/src/control_store/profiles.py
+++ b/libs/control_store/src/control_store/profiles.py
@@ -1,6 +1,8 @@
-"""The tree of profiles. A child has everything of its parent unless it says otherwise; maps merge,
-lists and plain values replace. A profile with a place (`match`) is a route: a request's host and the
-longest prefix of its path name it. Shares split a route over several services.
+"""The tree of profiles and its inheritance.
+
+A child inherits every value of its parent that it does not set; maps are merged, lists and plain
+values are replaced. A profile with a place (`match`) is a route: it is chosen by a request's host
+and the longest prefix of its path. Shares split a route over several services.
 """
 
 import hashlib
@@ -24,7 +26,10 @@
 
 
 class Profile:
-    """A profile with everything it inherits."""
+    """A profile with all inherited values resolved.
+
+    Names that end in `_ms` are milliseconds.
+    """
 
     __slots__ = (
         "_split",
@@ -79,14 +84,20 @@
         self.prefix = values["match"].get("prefix", "")
 
     def pick(self, number: float) -> frozenset[str]:
-        """The labels of the service that this number, from 0 to 1, falls to by the shares."""
+        """Return the labels of the service that a number from 0 to 1 falls to by the shares."""
         return self.labels if self._split is None else self._split.pick(number)
 
     def allows(self, identity: str, labels: frozenset[str]) -> bool:
+        """Whether a worker may serve this profile, by its identity or one of its labels."""
         return identity in self.identities or bool(self.labels & labels)
 
 
 class Tree:
+    """A tree of profiles, with lookups that are computed once for each tree.
+
+    `rows` are the profiles as written, by name; `about` is the operator's own data.
+    """
+
     __slots__ = ("_allowed", "_resolved", "_routes", "_served", "about", "rows")
 
     def __init__(
@@ -101,17 +112,19 @@
 
     @classmethod
     def of_body(cls, body: str) -> "Tree":
+        """Return the tree of a stored JSON body; an empty body is the empty tree."""
         value = json.loads(body) if body else {}
         return cls(value.get("profiles", {}), value.get("about"))
 
     def line(self, name: str) -> list[str]:
-        """The profile and its parents, nearest first."""
+        """Return the names of a profile and its ancestors, nearest first."""
         names = [name]
         while (parent := self.rows[names[-1]].get("parent")) is not None:
             names.append(parent)
         return names
 
     def get(self, name: str) -> Profile | None:
+        """Return the resolved profile of this name, or None."""
         if name not in self.rows:
             return None
         if name not in self._resolved:
@@ -144,7 +157,7 @@
         return frozenset(self._values(name)["workers"].get("labels") or ())
 
     def route(self, host: str, path: str) -> Profile | None:
-        """The profile whose place has this host and the longest prefix of the path."""
+        """Return the profile of the route with the longest matching prefix, or None."""
         if self._routes is None:
             self._routes = RouteIndex(
                 (row["match"]["host"], row["match"]["prefix"], name)
@@ -155,15 +168,17 @@
         return None if name is None else self.get(name)
 
     def usable(self, name: str) -> Profile | None:
+        """Return the resolved profile of this name, or None if it is abstract or unknown."""
         profile = self.get(name)
         return None if profile is None or profile.abstract else profile
 
     def room(self, path: str) -> int | None:
-        """The waiting room of a path: that of the profile of this name."""
+        """Return how many requests may wait for the profile of this name, or None."""
         profile = self.usable(path)
         return None if profile is None else profile.waiting_room
 
     def allows_worker(self, identity: str, labels: frozenset[str]) -> bool:
+        """Whether a worker may serve any profile that is not abstract."""
         key = (identity, labels)
         if key not in self._allowed:
             self._allowed[key] = any(
@@ -174,7 +189,10 @@
         return self._allowed[key]
 
     def served_by(self, workers: frozenset[tuple[str, frozenset[str]]]) -> frozenset[str]:
-        """The names of the profiles that at least one of these workers may serve."""
+        """Return the names of the profiles that at least one of these workers may serve.
+
+        `workers` are an identity and labels each. The last result is cached.
+        """
         if self._served is None or self._served[0] != workers:
             names = frozenset(
                 name
@@ -187,12 +205,15 @@
 
 
 def profiles_digest(body: str) -> str:
-    """What a tree as it is kept can be told by from outside."""
+    """Return a digest by which a stored tree can be recognized from outside; empty for none."""
     return hashlib.blake2b(body.encode(), digest_size=8).hexdigest() if body else ""
 
 
 def explain(tree: Tree, name: str) -> dict[str, Any]:
-    """Where each value of a profile comes from; the parts of a map are told one by one."""
+    """Return each value of a profile with the profile that it comes from, or "default".
+
+    The parts of a map are listed one by one. Returns an empty map for an unknown name.
+    """
     profile = tree.get(name)
     if profile is None:
         return {}
--- a/libs/control_store/src/control_store/read_barrier.py
+++ b/libs/control_store/src/control_store/read_barrier.py
@@ -1,6 +1,8 @@
-"""The read barrier of a control node. After a start, a freeze, or a time without contact with a majority
-of the voters, the node's copy of the configuration may be old. Before the node vouches for its copy it
-reads each key anew through the key's owner, whose answer a majority of the voters has confirmed.
+"""The read barrier of a control node, for reads that must not be stale.
+
+After a start, a pause of the process, or a time without contact with a majority of the voters, the
+node's copy of the configuration may be old. Before the node serves it as current, it reads each key
+anew through the key's owner, whose reply a majority of the voters has confirmed.
 """
 
 from collections.abc import Callable
@@ -16,7 +18,10 @@
 
 
 class ReadBarrier(Part):
-    """`hears_majority` says whether the node is in contact with a majority of the voters."""
+    """Tracks whether every key has been re-read since contact with a majority was regained.
+
+    `hears_majority` returns whether the node is in contact with a majority of the voters.
+    """
 
     __slots__ = (
         "_attempt",
@@ -44,6 +49,7 @@
         return self._passed
 
     def tick(self) -> None:
+        """Read the keys, again every ask_ms until all are read; start over without a majority."""
         if not self._hears_majority():
             self._reset()
             return
@@ -51,10 +57,11 @@
             self._read_all()
 
     def woke(self, gap_ms: int) -> None:
+        """Reset after a pause of the process of `gap_ms`."""
         self._reset()
 
     def _reset(self) -> None:
-        """Answers to reads that are under way belong to an older attempt and no longer count."""
+        """Start over; replies to reads of an older attempt no longer count."""
         self._passed = False
         self._attempt += 1
         self._retry_at_ms = -1 << 40
--- a/libs/control_store/src/control_store/relays.py
+++ b/libs/control_store/src/control_store/relays.py
@@ -1,6 +1,4 @@
-"""Finding a key's owner: an operation is worked on here or sent on to the node whose duty the key is, and
-sent again after silence.
-"""
+"""Forwarding of operations to the owners of their keys, with retries after silence."""
 
 from collections.abc import Callable
 from typing import Any
@@ -17,7 +15,10 @@
 
 
 class Relay:
-    """Takes operations to the owners of their keys; `enqueue` works on one here, until a time."""
+    """Routes operations to the owners of their keys.
+
+    `enqueue` queues an operation at this node until a time in ms of the node's clock.
+    """
 
     __slots__ = ("_again", "_enqueue", "_neighbours", "_node", "_voter")
 
@@ -34,11 +35,14 @@
         self._again: list[tuple[Change | FindChange | ReadKey, int, Done]] = []
 
     def attach(self, node: Any) -> None:
+        """Set the node, which gives the clock, the settings and the messages."""
         self._node = node
 
     def submit(self, message: Any, done: Done) -> None:
-        """Here, or at the node whose duty the key is. Who asks first asks again after silence, since the
-        duty may have moved; a change is known by its id. A reply that never comes is doubt.
+        """Work on an operation here, or forward it to the key's owner; `done` gets the reply.
+
+        The node that first submits it retries after silence, since ownership may have moved; a
+        change is recognized by its identifier. The outcome is DOUBT if no reply comes at all.
         """
         if not self._voter.voters:
             done(Changed(outcome=Outcome.REFUSED, version=0, body="", reason="not founded"))
@@ -92,8 +96,11 @@
         )
 
     def owner_of(self, concern: str) -> str | None:
-        """Who has a duty: the first live voter that itself hears a majority, or the first live one.
-        Those heard directly come first: one that others still tell of may not be able to answer here.
+        """Return the identity of the node responsible for `concern`, or None if no voter is live.
+
+        It is the first live voter that is itself in contact with a majority, or the first live one.
+        Voters with direct heartbeats come first: one that only others report as live may be
+        unreachable from here.
         """
         neighbours = self._neighbours
         order = [name for name in duty_order(concern, self._voter.voters) if neighbours.live(name)]
@@ -106,6 +113,7 @@
         )
 
     def tick(self) -> None:
+        """Retry the operations whose owner did not reply."""
         again, self._again = self._again, []
         for message, due_ms, done in again:
             self._try(message, 0, due_ms, done)
--- a/libs/control_store/src/control_store/roll.py
+++ b/libs/control_store/src/control_store/roll.py
@@ -1,8 +1,10 @@
-"""The roll of edges and stores, a control key: who counts when it is asked whether most of them have a
-version in force, and whether an edge without control still hears most of them. The steward changes
-it by one address at a time, and only once most of the present roll have the present roll; so of two
-sides of a cut never both have a majority, however many machines come and go meanwhile. Where the
-cut-off serve, nobody is counted and there is no roll.
+"""The roster of edges and stores that are counted for a quorum, kept in a control key.
+
+A majority of the roster decides whether a version is in force, and whether an edge without control
+may go on serving. The coordinator changes the roster by one address at a time, and only once a
+majority of the present roster has the present roster. So the two sides of a network partition never
+both have a majority, however many machines join and leave meanwhile. With cut_off = "serve" nobody
+is counted and there is no roster.
 """
 
 import json
@@ -19,7 +21,10 @@
 
 
 class Roll(Part):
-    """`steward` says whether this node has the duty."""
+    """Keeps the roster in step with the edges and stores that are live.
+
+    `steward` returns whether this node is the coordinator of membership changes.
+    """
 
     __slots__ = ("_busy", "_config_feed", "_next_ms", "_owner", "_steward")
 
@@ -31,6 +36,7 @@
         self._next_ms = -1
 
     def tick(self) -> None:
+        """Propose the next roster if this node is the coordinator and a change is due."""
         if self.node.params.cut_off == "serve":
             return
         now_ms = self.node.env.now()
@@ -68,14 +74,20 @@
     def _begun(
         self, held: frozenset[str], heard: set[str], fresh: list[str], gone: list[str]
     ) -> list[str] | None:
-        """Binding nobody yet: who went is dropped freely, and it grows where most of it will be live."""
+        """Return the next roster while it is too small to be binding, or None.
+
+        Silent machines are dropped freely; it grows only if a majority of the result is live.
+        """
         if gone:
             return sorted(held - set(gone))
         wider = {*held, *fresh}
         return sorted(wider) if fresh and 2 * len(wider & heard) > len(wider) else None
 
     def forget(self, links: list[str], done: Any) -> None:
-        """At an operator's word that these machines are down for good, whatever the roll's majority says."""
+        """Remove machines that an operator declares lost, whatever the roster's majority reports.
+
+        `done` gets the `Changed` reply of the owner.
+        """
 
         def told(receipt: Any) -> None:
             held = json.loads(receipt.body)["links"] if receipt.body else []
@@ -96,6 +108,7 @@
         self._owner.submit(ReadKey(key=ROLL_KEY, hops=0), told)
 
     def _change(self, links: list[str]) -> None:
+        """Propose the roster `links`."""
         self._busy = True
         env = self.node.env
 
--- a/libs/control_store/src/control_store/rounds.py
+++ b/libs/control_store/src/control_store/rounds.py
@@ -1,6 +1,7 @@
-"""One round of asking all voters and counting. It ends as soon as a majority has said yes, or as
-soon as that can no longer happen, or when its time is up; a patient one once all have answered or
-their time is up.
+"""One round of asking all voters and counting their replies.
+
+A round ends as soon as a majority has agreed, as soon as that can no longer happen, or when its
+time is up. A patient round waits until all have replied or its time is up.
 """
 
 from collections.abc import Callable
@@ -12,6 +13,12 @@
 
 
 class Round:
+    """Sends `message` to all `voters` (identity to address) and calls `done` with the result once.
+
+    `wait_ms` is how long each voter's reply is waited for. `yes` has the replies that agreed and
+    `replies` all of them, by identity; both may grow after the round has ended.
+    """
+
     __slots__ = ("_done", "_left", "_need", "_patient", "replies", "yes")
 
     def __init__(
--- a/libs/control_store/src/control_store/routes.py
+++ b/libs/control_store/src/control_store/routes.py
@@ -1,5 +1,6 @@
-"""Which profile a request's host and path name, among thousands: by host, then by the path's slash
-positions from the longest prefix that the host has. And how a route's shares split its requests.
+"""Routing of requests to profiles, and the weighted split of a route over services.
+
+A profile is found by host, then by the longest prefix of the path, tried at its slashes.
 """
 
 from bisect import bisect_right
@@ -10,6 +11,8 @@
 
 
 class RouteIndex:
+    """Finds the profile of a request among thousands of routes."""
+
     __slots__ = ("_hosts",)
 
     def __init__(self, places: Iterable[tuple[str, str, str]]) -> None:
@@ -21,6 +24,10 @@
             self._hosts[host.lower()] = (max(longest, len(prefix)), prefixes)
 
     def name(self, host: str, path: str) -> str | None:
+        """Return the name of the profile for a host and path, or None if no route matches.
+
+        Host names compare without regard to case; a port is ignored unless a route names it.
+        """
         found = (
             self._hosts.get(host)
             or self._hosts.get(host.lower())
@@ -40,7 +47,11 @@
 
 
 class Split:
-    """The labels that a number from 0 to 1 falls to, by weight."""
+    """A weighted choice among sets of labels.
+
+    `shares` are a weight and the labels of a service each; weights that are not above 0 are left
+    out.
+    """
 
     __slots__ = ("_bounds", "_labels")
 
@@ -51,8 +62,10 @@
         self._labels = [labels for _, labels in kept]
 
     def pick(self, number: float) -> frozenset[str]:
+        """Return the labels that a number from 0 to 1 falls to, in proportion to the weights."""
         return self._labels[bisect_right(self._bounds, number)]
 
     @property
     def union(self) -> frozenset[str]:
+        """All labels that the split can choose."""
         return frozenset().union(*self._labels)
--- a/libs/control_store/src/control_store/rows.py
+++ b/libs/control_store/src/control_store/rows.py
@@ -1,5 +1,7 @@
-"""One profile as an operator wrote it, and the checks of a whole tree with pydantic before anything
-of it is kept: every problem is told with its place.
+"""Validation of a tree of profiles as an operator wrote it, before any of it is stored.
+
+Rows are checked by pydantic models; references between rows are checked here. Every problem is
+reported with its place in the tree.
 """
 
 from collections.abc import Iterator
@@ -16,13 +18,15 @@
 
 
 class Workers(BaseModel):
+    """The workers that may serve a profile, by identity and by label."""
+
     model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     identities: list[Name] | None = Field(None, max_length=4096)
     labels: list[Name] | None = Field(None, max_length=256)
 
 
 class Match(BaseModel):
-    """Where a route is: the host, and how its paths begin."""
+    """The place of a route: the host of a request, and the prefix of its path."""
 
     model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     host: str = Field(min_length=1, max_length=255, pattern=r"^[^\s/]+$")
@@ -30,12 +34,16 @@
 
 
 class ShareRow(BaseModel):
+    """The relative weight of one service among those that a route is split over."""
+
     model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     service: Name
     share: float = Field(ge=0.0, allow_inf_nan=False)
 
 
 class ModelRow(BaseModel):
+    """A model that a profile asks its workers for; a revision or adapters left out match any."""
+
     model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     name: str = Field(min_length=1, max_length=256)
     revision: int | None = None
@@ -43,7 +51,10 @@
 
 
 class ProfileRow(BaseModel):
-    """One profile as the operator wrote it; what is left out is inherited."""
+    """One profile as the operator wrote it; fields that are left out are inherited.
+
+    Names that end in `_ms` are milliseconds; shares are fractions from 0 to 1.
+    """
 
     model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     parent: Name | None = None
@@ -92,8 +103,11 @@
 def check_tree(
     value: Any, known: dict[str, dict[str, Any]] | None = None
 ) -> Result[dict[str, Any], list[dict[str, str]]]:
-    """The whole tree as it will be kept, or every problem with its place. `known` are rows that were checked
-    before; a row that is the same as one of them isn't looked into again.
+    """Check a whole tree of profiles.
+
+    Returns the tree as it will be stored, or every problem with its place (`at`) and a `message`.
+    `known` maps names to rows that were checked before; a row that equals its known one is not
+    validated again.
     """
     known = known or {}
     problems: list[dict[str, str]] = []
--- a/libs/control_store/src/control_store/succession.py
+++ b/libs/control_store/src/control_store/succession.py
@@ -1,8 +1,10 @@
-"""Which list of voters follows, one step from the present one, if there is cause for a step. Where the
-number of voters was told, a spare takes the place of one that is gone or retired. Where it wasn't, all
-control nodes are to vote, so that any majority of them serves: who comes is added, and a voter is
-dropped only if another takes its place. Another identity at a voter's address shows that its disk is
-gone for good: nobody will ever vote by that name again, so the one replaces the other in one step.
+"""Which list of voters follows the present one, by one step, if there is cause for a step.
+
+Where the number of voters is configured, a spare replaces a voter that is lost or retired. Where it
+is not, all control nodes are to vote, so that any majority of them can serve: a new node is added,
+and a voter is dropped only if another takes its place. Another identity at a voter's address shows
+that the voter's disk is lost for good: its identity will never vote again, so the new one replaces
+it in one step.
 """
 
 from collections.abc import Callable
@@ -23,8 +25,10 @@
 
 
 def founding_rows(cards: list[Any], count: int, seeds: set[str]) -> Rows:
-    """The first list, or nothing as long as too few are known: the lowest identities where the count was
-    told, else those at the seeds' addresses.
+    """Return the rows of the first list, or none as long as too few nodes are known.
+
+    The voters are the lowest identities where `count` is configured (not 0), otherwise the nodes at
+    the seeds' addresses.
     """
     if count:
         rows = [_row(card) for card in sorted(cards, key=lambda card: card.identity)]
@@ -44,6 +48,11 @@
     silent: Callable[[str], bool],
     count: int,
 ) -> dict[str, Any] | None:
+    """Return the list that follows where the number of voters is configured, or None.
+
+    `spares` are the cards of live control nodes that are neither voters nor retired. `silent`
+    returns whether a voter has sent no heartbeat for so long that it is to be replaced.
+    """
     rows = listed["voters"]
     leaving = [
         row["identity"] for row in rows if row["identity"] in retired or silent(row["identity"])
@@ -65,12 +74,16 @@
     all_heard: Callable[[Any], bool],
     returned: Callable[[str], bool | None],
 ) -> dict[str, Any] | None:
-    """`settled` says of a spare that it has been known for as long as any vote may be under way;
-    `all_heard`, that every voter has been heard since it was first known; `returned`, whether a voter that
-    was to leave speaks again, None if the steward is too new to know. It changes nothing then: a
-    replacement that is given up too early leaves the lost voter on the list, where it counts against
-    the majority. For the same reason a silent voter is dropped from a list of even size without a
-    replacement: the majority that is needed gets smaller by one and no fewer losses are borne.
+    """Return the list that follows where all control nodes are to vote, or None.
+
+    `settled` returns whether a spare has been known for longer than any vote may be under way;
+    `all_heard` whether every voter has sent a heartbeat since the spare was first known; `returned`
+    whether a voter marked as leaving is back, or None if the coordinator is too new to know.
+    Nothing is changed in that case: a replacement that is abandoned too early leaves the lost voter
+    on the list, where it counts against the majority.
+
+    For the same reason a silent voter is dropped from a list of even size without a replacement:
+    the quorum shrinks by one, and no fewer failures are tolerated.
     """
     rows = listed["voters"]
     names = [row["identity"] for row in rows]
--- a/libs/control_store/src/control_store/voter.py
+++ b/libs/control_store/src/control_store/voter.py
@@ -1,7 +1,9 @@
-"""A voter: one register for each key, on disk before any vote is given. Prepare promises an epoch,
-accept takes a value under it, confirm only says whether the promise still stands. The rows are in a
-log of frames beside a snapshot; a disk that reads back damaged is refused and becomes a new, empty
-identity. The voters' list itself is kept with the identity, and an older list is refused.
+"""A voter: the acceptor of the ballots, with one register for each key.
+
+Every vote is on disk before it is sent. Prepare promises a ballot, Accept takes a value under it,
+and Confirm only reports whether the promise still holds. Records are framed and appended to a log
+beside a snapshot. A damaged disk is refused and becomes a new, empty identity. The list of voters
+is kept with the identity, and older lists are refused.
 """
 
 import json
@@ -33,7 +35,7 @@
 
 
 def _flushed_to(data: bytes) -> int:
-    """The furthest byte that any whole row in a broken-off piece says had been flushed."""
+    """Return the furthest offset that any whole record in a damaged tail notes as flushed."""
     marks = [0]
     while data:
         frames, _, behind = scan(data)
@@ -43,7 +45,7 @@
 
 
 def _stub(version: int) -> bytes:
-    """Says which version is held without its body, which may be long."""
+    """Return an encoded value with the version but without the body, which may be long."""
     return (
         encode(Value(version=version, body="", change_ids=[], change_versions=[]))
         if version
@@ -52,8 +54,10 @@
 
 
 class Register:
-    """What a voter has of one key. `kept` is the ballot and the version of the newest value that is known to
-    be flushed; a value that isn't may still be lost.
+    """A voter's promise and accepted value for one key.
+
+    `kept` is the ballot and version of the newest value known to be flushed; later ones may be
+    lost.
     """
 
     __slots__ = ("accepted", "kept", "promised", "value", "version")
@@ -66,10 +70,11 @@
         self.kept: tuple[tuple[int, str], int] = ((0, ""), 0)
 
     def age(self) -> tuple[tuple[int, str], tuple[int, str], int]:
-        """Rises with each row that a voter writes of a key; one ballot accepts version after version."""
+        """Return a sort key that rises with each record that a voter writes of a key."""
         return self.promised, self.accepted, self.version
 
     def row(self, key: str, flushed_bytes: int = 0) -> KeyRow:
+        """Return the register as a record of the log; `flushed_bytes` as in `KeyRow`."""
         return KeyRow(
             key=key,
             promised_epoch=self.promised[0],
@@ -82,6 +87,7 @@
 
     @classmethod
     def of(cls, row: KeyRow) -> "Register":
+        """Return the register that a record describes."""
         register = cls()
         register.promised = (row.promised_epoch, row.promised_by)
         register.accepted = (row.accepted_epoch, row.accepted_by)
@@ -91,6 +97,8 @@
 
 
 class Voter(Part):
+    """The acceptor at one control node; opening a damaged disk raises DamageError."""
+
     __slots__ = (
         "_disk",
         "_flushed_bytes",
@@ -147,7 +155,7 @@
         self._unflushed = list(self.registers.items())
 
     def attach(self, node: Any) -> None:
-        """What a process that was killed had written may not have been flushed."""
+        """Flush the records read at the start, which a killed process may not have flushed."""
         super().attach(node)
         if self._unflushed:
             self._flush()
@@ -159,18 +167,21 @@
             if fresh.age() >= held.age():
                 self.registers[row.key] = fresh
 
-    # -- what is known of the voters -----------------------------------------------------------
+    # -- the list of voters --------------------------------------------------------------------
 
     @property
     def identity(self) -> str:
+        """The durable identity of this node."""
         return self.meta.identity
 
     @property
     def voters(self) -> dict[str, str]:
+        """The present voters, identity to link address; empty before the first list."""
         return self._read_list()[1]
 
     @property
     def list_number(self) -> int:
+        """The number of the present list of voters; 0 before the first."""
         return self._read_list()[0]
 
     def _read_list(self) -> tuple[int, dict[str, str]]:
@@ -184,7 +195,7 @@
         return self._list[1:]
 
     def take_list(self, body: str, done: Done) -> None:
-        """A newer list of voters; on disk before it counts."""
+        """Adopt a list of voters if it is newer; it counts once it is on disk."""
         listed = json.loads(body)
         if listed["number"] <= self.list_number:
             done(True)
@@ -195,6 +206,8 @@
         )
 
     def keep_meta(self, meta: VoterMeta, done: Done) -> None:
+        """Write `meta` to disk and adopt it, unless a newer list was adopted meanwhile."""
+
         def kept(ok: bool) -> None:
             if ok and (
                 not self.meta.list_body
@@ -208,6 +221,7 @@
     # -- votes ---------------------------------------------------------------------------------
 
     def receive(self, message: Message, origin: Origin) -> None:
+        """Answer a ballot message, after checking the list of voters that it counts under."""
         if isinstance(message, Founded):
             self.take_list(message.list_body, lambda ok: None)
             return
@@ -263,7 +277,7 @@
     def _(self, message: Accept, origin: Origin) -> None:
         register = self.registers.setdefault(message.key, Register())
         ballot = (message.epoch, message.by)
-        # Accepts of one epoch may arrive late or twice: a version once accepted is not taken back.
+        # Accepts of one epoch may be delayed or duplicated: an accepted version is never undone.
         version = decode(message.value).version
         if ballot < register.promised or (
             ballot == register.accepted and version < register.version
@@ -355,13 +369,15 @@
             self.registers[key].kept = max(self.registers[key].kept, kept)
 
     def tick(self) -> None:
+        """Let the disk write, and start a snapshot if the log is longer than segment_bytes."""
         self._disk.push()
         if self._log_bytes > self.node.params.segment_bytes and not self._flushing:
             self._snapshot()
 
     def _snapshot(self) -> None:
-        """All rows in one file, atomically; then the logs that led to it go. Rows that nobody has flushed yet
-        are in the log that is left as well, which the next flush includes.
+        """Replace the snapshot by all registers atomically, then remove the logs that led to it.
+
+        Records not flushed yet are also in the log that is left, which the next flush includes.
         """
         old = self._log_name
         self._left_logs.append(old)
--- a/libs/control_store/src/control_store/worker_changes.py
+++ b/libs/control_store/src/control_store/worker_changes.py
@@ -1,6 +1,8 @@
-"""What the owner of the key `workers` does with the reports that control nodes pass on: one change of all
-that came in a short while; who is silent everywhere is taken off; and a drain is answered once the list
-is on a majority of disks and the edges heard lately have it, or had their time to take it.
+"""The owner's side of the list of workers.
+
+Reports that arrive within batch_ms are gathered into one change of the key `workers`. Workers that
+are silent at every control node are removed. A drain is acknowledged once the list is on a majority
+of disks and the live edges have it, or had edges_ms to learn it.
 """
 
 import json
@@ -19,6 +21,8 @@
 
 
 class Wait:
+    """A caller that waits for a drain or an end of a worker to be in force."""
+
     __slots__ = ("done", "due_ms", "identity")
 
     def __init__(self, identity: str, due_ms: int, done: Done) -> None:
@@ -26,13 +30,17 @@
         self.done: Done | None = done
 
     def finish(self, outcome: str) -> None:
+        """Call `done` with the outcome, at most once."""
         done, self.done = self.done, None
         if done is not None:
             done(outcome)
 
 
 class WorkerChanges:
-    """The list as this node has it, and the owner's work on it; times are the node's clock in ms."""
+    """The list of workers as this node has it, and the owner's changes of it.
+
+    `value` is the list and `number` its version. Times are ms of the node's clock.
+    """
 
     __slots__ = (
         "_busy",
@@ -64,11 +72,12 @@
         self._changed_at: dict[str, tuple[int, int]] = {}
 
     def published(self, key: str, number: int, body: str) -> None:
+        """Take a newer version of the list from the config feed."""
         if key == WORKERS_KEY and body:
             self.value, self.number = json.loads(body), number
 
     def heard(self, identities: Iterable[str], reports: Iterable[WorkerReport]) -> None:
-        """Workers that a control node heard of lately, and reports that may change the list."""
+        """Note which workers sent heartbeats to a control node, and gather the reports."""
         now_ms = self.node.env.now()
         for name in identities:
             self._seen_ms[name] = now_ms
@@ -76,7 +85,7 @@
             self._gather(report)
 
     def leave(self, report: WorkerReport, done: Done) -> None:
-        """A drain or an end: `done` is told ok once it is in force, or doubt."""
+        """Process a drain or an end: `done` gets "ok" once it is in force, or "doubt"."""
         self._gather(report)
         self._waits.append(
             Wait(report.identity, self.node.env.now() + self.node.params.answer_ms, done)
@@ -97,7 +106,7 @@
             self._reports[report.identity] = report
 
     def _change(self) -> None:
-        """All that came in a short while as one change; whoever waits is answered when edges have it."""
+        """Propose all gathered reports as one change; callers are answered once edges have it."""
         reports, self._reports = self._reports, {}
         waits, self._waits = self._waits, []
         self._busy = True
@@ -184,7 +193,10 @@
         self._waits = [wait for wait in self._waits if wait.done is not None]
 
     def judge_silent(self, now_ms: int) -> None:
-        """Only by who has owned the key, awake and in touch, for as long as the silence that counts."""
+        """Remove workers without heartbeats for longer than silent_ms.
+
+        Done only by a node that has owned the key, running and in contact, for that long itself.
+        """
         silent_ms = self.node.params.silent_ms
         if self._owned_ms < 0 or now_ms - self._owned_ms <= silent_ms:
             return
@@ -207,13 +219,14 @@
                 )
 
     def forget(self, floor_ms: int) -> None:
-        """Drops what is known of workers that were neither heard nor changed since `floor_ms`."""
+        """Drop what is known of workers without heartbeat or change since `floor_ms`."""
         for name in [name for name, at_ms in self._seen_ms.items() if at_ms < floor_ms]:
             del self._seen_ms[name]
         for name in [name for name, (_, at_ms) in self._changed_at.items() if at_ms < floor_ms]:
             del self._changed_at[name]
 
     def tick(self, owns: bool) -> None:
+        """Propose gathered reports that are due; `owns` is whether this node owns the key."""
         now_ms = self.node.env.now()
         if not owns:
             self._owned_ms = -1
@@ -229,6 +242,7 @@
         self._check_waits()
 
     def woke(self) -> None:
+        """After a pause of the process, restart the time of ownership and answer with "doubt"."""
         self._owned_ms = -1
         for wait in self._waits:
             wait.finish("doubt")
--- a/libs/control_store/src/control_store/worker_list.py
+++ b/libs/control_store/src/control_store/worker_list.py
@@ -1,6 +1,7 @@
-"""The list of workers, kept as the control key `workers`. Reports reach any control node; what changes
-nothing is only noted, and told to the key's owner with the others each period; control_store.worker_changes is
-what the owner does with them.
+"""The list of workers, kept as the control key `workers`: the side of any control node.
+
+Workers send reports to any control node. A report that changes nothing is only noted, and passed to
+the key's owner with the others each period. `control_store.worker_changes` is the owner's side.
 """
 
 from collections.abc import Callable
@@ -21,21 +22,31 @@
 
 
 class WorkersHeard(Message):
-    """What a control node tells the key's owner: who was heard since it last did, and what may be new."""
+    """What a control node sends the key's owner each period.
+
+    `identities` are the workers that sent heartbeats since the last message, and `reports` encoded
+    `WorkerReport`s that may change the list.
+    """
 
     identities: array_of(Text)
     reports: array_of(Blob)
 
 
 class WorkerLeaves(Message):
+    """Passes a worker's report that it drains or ends, encoded, to the key's owner."""
+
     report: Blob
 
 
 class WorkerNoted(Message):
+    """Reply to WorkersHeard and WorkerLeaves; `ok` if the replying node owns the key."""
+
     ok: Flag
 
 
 class WorkerList(Part):
+    """Receives workers' reports at a control node and forwards them to the key's owner."""
+
     __slots__ = (
         "_calls",
         "_changes",
@@ -53,12 +64,12 @@
     def __init__(
         self, voter: Voter, owner: Owner, config_feed: ConfigFeed, sure: Callable[[], bool]
     ) -> None:
-        """`sure` says whether this node hears a majority of the voters."""
+        """Create the part; `sure` returns whether the node is in contact with a majority."""
         self._voter = voter
         self._owner = owner
         self._sure = sure
         self._changes = WorkerChanges(owner, config_feed)
-        # what any node keeps
+        # State of every control node, whether it owns the key or not.
         self._heard_ms: dict[str, int] = {}
         self._seqs: dict[str, int] = {}
         self._pending: dict[str, WorkerReport] = {}
@@ -67,15 +78,20 @@
         config_feed.watch(self._changes.published)
 
     def attach(self, node: Any) -> None:
+        """Attach the node to this part and to the owner's side."""
         super().attach(node)
         self._changes.node = node
 
     @property
     def number(self) -> int:
+        """The version of the list that this node has."""
         return self._changes.number
 
     def rows(self) -> dict[str, dict[str, Any]]:
-        """The list as this node has it, with how long ago each was heard here."""
+        """Return the list, with the time since each worker's last heartbeat at this node.
+
+        `heard_ms` is in ms, or None if this node has received no heartbeat.
+        """
         now_ms = self.node.env.now()
         return {
             name: {
@@ -88,7 +104,10 @@
     # -- any control node ----------------------------------------------------------------------
 
     def report(self, report: WorkerReport, done: Done) -> None:
-        """A worker's own word; `done` is told ok, refused (another node should be asked) or doubt."""
+        """Process a report that a worker sent itself.
+
+        `done` gets "ok", "refused" (another node should be asked) or "doubt" (outcome unknown).
+        """
         name, now_ms = report.identity, self.node.env.now()
         if report.state != "gone" and report.seq < self._seqs.get(name, 0):
             done("ok")
@@ -188,6 +207,7 @@
 
     @singledispatchmethod
     def receive(self, message: Message, origin: Origin) -> None:
+        """Process another control node's message about workers."""
         raise TypeError(type(message).__name__)
 
     @receive.register
@@ -209,9 +229,10 @@
     def _take_heard(self, message: WorkersHeard) -> None:
         self._changes.heard(message.identities, map(decode, message.reports))
 
-    # -- the clock -----------------------------------------------------------------------------
+    # -- timers --------------------------------------------------------------------------------
 
     def tick(self) -> None:
+        """Answer overdue calls with "doubt", and send the period's message to the key's owner."""
         now_ms = self.node.env.now()
         for wait in self._calls:
             if now_ms >= wait.due_ms:
@@ -222,6 +243,7 @@
         self._changes.tick(self._mine() and self._sure())
 
     def woke(self, gap_ms: int) -> None:
+        """After a pause of the process, answer all waiting calls with "doubt"."""
         self._noted_ms = -1 << 40
         for wait in self._calls:
             wait.finish("doubt")
--- a/libs/control_store/src/control_store/worker_rows.py
+++ b/libs/control_store/src/control_store/worker_rows.py
@@ -1,10 +1,11 @@
-"""The list of workers as a value, and what one report of a worker makes of it. Reports carry a count that
-rises with each: an older one changes nothing. An identity is never used again, so one that has ended stays
-out, however late its other reports come. One that fell silent may come back, unless another identity has
-joined at its address since.
+"""The list of workers as a value, and how reports of workers change it.
 
-`ended` and `silent` map identities to a number that rises with each (`silent` to an address as well), so that
-a change of the list travels as a small merge patch, whatever is remembered.
+Each report of a worker carries a sequence number, and an older report changes nothing. An identity
+is never reused, so one that has ended stays removed, however late its other reports arrive. One
+that fell silent may come back, unless another identity has joined at its address since.
+
+`ended` and `silent` map identities to a number that rises with each (`silent` to an address as
+well), so that a change of the list is a small merge patch however much is remembered.
 """
 
 import json
@@ -21,7 +22,12 @@
 
 
 class WorkerReport(Message):
-    """`state` is serving, draining, gone (its own word), or silent (the key owner's)."""
+    """A report about one worker.
+
+    `state` is "serving", "draining" or "gone" (reported by the worker), or "silent" (reported by
+    the key's owner). `slots` is how many requests it runs at once, `seq` the report's sequence
+    number, and `models` a JSON list of the models that it has loaded.
+    """
 
     identity: Text
     address: Text
@@ -34,6 +40,7 @@
 
 
 def empty_list() -> dict[str, Any]:
+    """Return the value of the list before any worker has joined."""
     return {"workers": {}, "ended": {}, "silent": {}}
 
 
@@ -50,6 +57,7 @@
 
 
 def same_row(row: dict[str, Any], report: WorkerReport) -> bool:
+    """Whether a report describes a worker just as the list already does."""
     fresh = _row(report)
     return all(row.get(key) == fresh[key] for key in _COMPARED)
 
@@ -57,7 +65,7 @@
 def apply_reports(
     value: dict[str, Any], reports: Iterable[WorkerReport]
 ) -> tuple[dict[str, Any], list[str]]:
-    """The list with these reports taken in, and the identities for which it differs from before."""
+    """Return the list with these reports applied, and the identities for which it differs."""
     draft = _Draft(value)
     for report in reports:
         draft.take(report)
@@ -65,7 +73,7 @@
 
 
 class _Draft:
-    """A list of workers while reports are taken in."""
+    """A list of workers while reports are applied to it."""
 
     __slots__ = ("_ended", "_silent", "_workers", "changed")
 
@@ -76,7 +84,7 @@
         self.changed: list[str] = []
 
     def value(self) -> dict[str, Any]:
-        """Remembered are the last that ended or fell silent: enough for the list to turn over twice."""
+        """Return the list; remembered identities are bounded by twice the number of workers."""
         most = max(_REMEMBERED, 2 * len(self._workers))
         return {
             "workers": self._workers,
@@ -85,6 +93,7 @@
         }
 
     def take(self, report: WorkerReport) -> None:
+        """Apply one report."""
         name, row = report.identity, self._workers.get(report.identity)
         if name in self._ended:
             return
@@ -116,7 +125,7 @@
         self.changed.append(name)
 
     def _take_off(self, name: str, row: dict[str, Any]) -> None:
-        """Silent ones may come back, unless they had said that they leave."""
+        """Remove a silent worker; it may come back unless it had begun to drain."""
         if row["state"] == "draining":
             self._end(name)
             return
@@ -127,7 +136,7 @@
 
 
 def _numbered(ended: dict[str, int] | list[str]) -> dict[str, int]:
-    """Lists that were kept by an earlier version name the ended ones in their order."""
+    """Return the ended identities with numbers; lists of an earlier version only ordered them."""
     if isinstance(ended, dict):
         return dict(ended)
     return {name: number for number, name in enumerate(ended, 1)}
