config_feed: docstrings on all public items, in the standard terms of gossip

Every module, public class, function and method has a docstring with a one-line summary; units, errors raised and the source of values are given where they matter.

--- a/libs/config_feed/src/config_feed/__init__.py
+++ b/libs/config_feed/src/config_feed/__init__.py
@@ -1,4 +1,7 @@
-"""Config feed: the numbered feed of changes that control publishes and neighbours relay."""
+"""Config feed: gossip of the control keys' newest versions to all nodes.
+
+Control publishes numbered versions of each key; nodes relay them and compare digests.
+"""
 
 from config_feed.contacts import candidates
 from config_feed.feed import ConfigFeed
--- a/libs/config_feed/src/config_feed/confirmations.py
+++ b/libs/config_feed/src/config_feed/confirmations.py
@@ -1,6 +1,7 @@
-"""Which numbers of each key the nodes have in force, as the voters learn it from digests: a control
-key's owner acknowledges a version by this. With fan_out a voter also counts what other voters tell it
-of the nodes that report to them.
+"""Which version of each key the nodes have in force, as the voters learn it from digests.
+
+A control key's owner acknowledges a version by this. With fan_out a voter also counts what other
+voters report of the nodes that send their digests to them.
 """
 
 from collections.abc import Callable
@@ -16,10 +17,11 @@
 
 
 class Confirmations(Part):
-    """The part of the feed that notes and counts. Its subclass holds the items of the feed.
+    """The part of the feed that records and counts confirmations; a subclass holds the items.
 
-    `votes` says whether this node is a voter. `confirmed` has, for each identity heard from, its role,
-    when it was heard (ms of this node's clock), the number that it has of each key, and its link address.
+    `votes` returns whether this node is a voter. `confirmed` maps the identity of each node that
+    sent a digest to its role, the time of the digest (ms of this node's clock), the number that it
+    has of each key, and its link address.
     """
 
     __slots__ = (
@@ -42,15 +44,15 @@
         self._edges_told: dict[str, int] = {}
 
     def number(self, key: str) -> int:
-        """The number held of a key, 0 for none."""
+        """Return the number held of a key, 0 for none."""
         raise NotImplementedError
 
     def value(self, key: str) -> Any:
-        """The decoded body held of a key, None for none."""
+        """Return the decoded body held of a key, None for none."""
         raise NotImplementedError
 
     def _forget_silent(self, now_ms: int) -> list[str]:
-        """Drops who wasn't heard from for gone_ms, and says who that was."""
+        """Drop nodes that sent no digest for gone_ms, and return their identities."""
         silent = [
             identity
             for identity, row in self.confirmed.items()
@@ -64,7 +66,7 @@
         return silent
 
     def lows(self) -> dict[str, int]:
-        """Of each key that is to be confirmed, the lowest number among those who report here."""
+        """Return for each confirmed key the lowest number among the nodes that report here."""
         floor_ms = self.node.env.now() - self.node.params.dead_ms
         lows: dict[str, int] = {}
         for identity, (role, at_ms, numbers, _) in self.confirmed.items():
@@ -83,7 +85,10 @@
         )
 
     def edge_count(self) -> int:
-        """How many edges live: a voter adds up what the voters say, others take the most they were told."""
+        """Return how many edges are live.
+
+        A voter adds up the counts of all voters; other nodes take the largest count they were told.
+        """
         floor_ms = self.node.env.now() - self.node.params.dead_ms
         told = [
             count
@@ -93,8 +98,10 @@
         return self._own_edges() + sum(told) if self.votes() else max(told, default=0)
 
     def all_confirm(self, key: str, number: int, roles: tuple[str, ...], within_ms: int) -> bool:
-        """Whether every node of these roles heard from lately has this number in force, by its own word or,
-        with fan_out, by that of a voter to whom it reports.
+        """Whether every live node of these roles has this number of the key in force.
+
+        A node is live if its digest came within `within_ms`. With fan_out, nodes that report to
+        another voter are counted by that voter's digest.
         """
         floor_ms = self.node.env.now() - within_ms
         if any(
@@ -112,7 +119,7 @@
         )
 
     def roll(self) -> frozenset[str]:
-        """The link addresses of the edges and stores that count."""
+        """Return the roster: the link addresses of the edges and stores that are counted."""
         number = self.number(ROLL_KEY)
         if number != self._roll[0]:
             self._roll = (number, frozenset(self.value(ROLL_KEY)["links"]))
@@ -120,10 +127,11 @@
 
     @property
     def binding(self) -> bool:
+        """Whether the roster is large enough for its majority to be required."""
         return len(self.roll()) >= LEAST
 
     def heard_links(self, within_ms: int) -> set[str]:
-        """Edges and stores whose own digests came here lately."""
+        """Return the link addresses of edges and stores whose digests came within `within_ms`."""
         floor_ms = self.node.env.now() - within_ms
         return {
             link
@@ -132,8 +140,10 @@
         }
 
     def most_confirm(self, key: str, number: int, within_ms: int) -> bool:
-        """Whether most of the roll have said lately that they have this number. A roll of fewer than three
-        binds nobody: no edge serves without control by it.
+        """Whether a majority of the roster reported this number of the key within `within_ms`.
+
+        Always true while the roster has fewer than LEAST members: no edge serves without control by
+        such a roster.
         """
         floor_ms = self.node.env.now() - within_ms
         have = {
@@ -145,5 +155,5 @@
         return not self.binding or 2 * len(roll & have) > len(roll)
 
     def listened(self, for_ms: int) -> bool:
-        """Whether this node has been awake for so long."""
+        """Whether this node has been running without a pause for `for_ms`."""
         return self.node.env.now() - self._since_ms > for_ms
--- a/libs/config_feed/src/config_feed/contacts.py
+++ b/libs/config_feed/src/config_feed/contacts.py
@@ -1,6 +1,8 @@
-"""To which control nodes a node that doesn't vote sends its digests: a few, of its own zone first and
-spread by rendezvous, kept as long as they answer as nodes that hear a majority. One that falls silent
-or is cut off from the others is left for a while; a nearer one is tried again now and then.
+"""Which control nodes a node that is not a voter sends its digests to.
+
+A few are chosen, of its own zone first and spread by rendezvous hashing, and kept as long as they
+reply as nodes in contact with a majority. One that falls silent or is disconnected from the other
+voters is avoided for gone_ms; a nearer one is tried again from time to time.
 """
 
 from collections.abc import Iterable
@@ -14,14 +16,18 @@
 
 
 def nearness(zone: str, region: str, own_zone: str, own_region: str) -> int:
-    """0 in the same zone, 1 in the same region, 2 elsewhere."""
+    """Return 0 in the same zone, 1 in the same region, 2 elsewhere."""
     return 0 if zone == own_zone else 1 if region == own_region else 2
 
 
 def candidates(
     listed: dict[str, Any] | None, neighbours: Neighbours, within_ms: int
 ) -> list[Candidate]:
-    """The voters as listed, or, before there is a list, the control nodes known by their cards."""
+    """Return address, zone and region of the control nodes that may be chosen as contacts.
+
+    They are the listed voters or, before there is a list, the control nodes whose cards came within
+    `within_ms`.
+    """
     if listed:
         return [
             (row["address"], row.get("zone", ""), row.get("region", "")) for row in listed["voters"]
@@ -32,7 +38,11 @@
 
 
 class Contacts:
-    """`node` gives the clock, the settings and the own address; the feed says whom it asked and heard."""
+    """The chosen contacts of one node, nearest first.
+
+    `node` gives the clock, the settings and this node's address. The feed reports which contacts
+    were sent a digest (`asked`) and which replied (`heard`).
+    """
 
     __slots__ = (
         "_asked_ms",
@@ -56,11 +66,15 @@
         self._rank: dict[str, tuple] = {}
 
     def rank(self, address: str) -> int:
-        """1 for the first contact, 2 for a further one, 0 for anybody else."""
+        """Return 1 for the first contact, 2 for a further one, 0 for any other address."""
         return 0 if address not in self._chosen else 1 if address == self._chosen[0] else 2
 
     def choose(self, among: Iterable[Candidate]) -> list[str]:
-        """The contacts as of now, the first one first; sometimes a nearer one that is tried; and those left since."""
+        """Return the addresses to send a digest to now, the first contact first.
+
+        After the contacts come sometimes a nearer candidate that is tried, and the contacts given
+        up since the last call.
+        """
         node = self._node
         now_ms = node.env.now()
         params = node.params
@@ -104,11 +118,15 @@
         return []
 
     def asked(self, address: str) -> None:
+        """Note that a contact was sent a digest and has to reply within dead_ms."""
         if address in self._chosen:
             self._asked_ms.setdefault(address, self._node.env.now())
 
     def heard(self, address: str, sure: bool) -> None:
-        """A contact that is unsure is left at once, if there is one to go to."""
+        """Note a reply; `sure` is whether the sender is in contact with a majority of the voters.
+
+        A contact that is not is given up at once, if there is another one to choose.
+        """
         if not sure:
             if address in self._chosen and len(self._rank) > len(self._chosen):
                 self._leave(address)
@@ -129,5 +147,5 @@
             self._chosen.remove(address)
 
     def woke(self) -> None:
-        """Who didn't answer while this node was frozen isn't to blame."""
+        """After a pause of this node, do not count missing replies against the contacts."""
         self._asked_ms.clear()
--- a/libs/config_feed/src/config_feed/feed.py
+++ b/libs/config_feed/src/config_feed/feed.py
@@ -1,11 +1,13 @@
-"""The feed at one node: the newest body of each key with its number. News is passed on to all
-neighbours when first heard; digests, swapped every beat, find whatever was missed, and a node that
-starts follows from nothing, which is the snapshot. A change to a large body travels as a merge patch
-on the number before it. Numbers never go back.
-
-With fan_out, digests and news go by way of the voters: a node that doesn't vote reports to a few of
-them, at a slower beat, and each voter passes on news to those who report to it first and tells the
-other voters the lowest numbers that it was told.
+"""The config feed at one node: the newest body of each key with its number.
+
+A new version is relayed to all neighbours when it first arrives. Digests, exchanged every beat_ms,
+find versions that were missed; a node that starts has none and is sent all, which serves as its
+snapshot. A change of a large body is sent as a merge patch on the number before it. Numbers never
+go back.
+
+With fan_out, digests and versions travel through the voters: a node that is not a voter reports to
+a few of them, at a longer interval, and each voter relays new versions to the nodes that report to
+it first and tells the other voters the lowest numbers reported to it.
 """
 
 import json
@@ -27,10 +29,15 @@
 
 
 class ConfigFeed(Confirmations):
-    """`neighbours` gives the addresses to relay to, `extra` further ones to swap digests with; `sure`
-    says whether this node knows its feed to be the newest: a quorate control node, a ready edge;
-    `hands_out`, whether it answers the digests of edges and stores with items: a control node without a
-    majority doesn't, since its items may be old.
+    """Holds, relays and compares the versions of all keys at one node.
+
+    `neighbours` returns the addresses to relay to, and `extra` further ones to exchange digests
+    with. `sure` returns whether this node knows its versions to be the newest: a control node in
+    contact with a majority, or a ready edge. `hands_out` returns whether it answers digests of
+    edges and stores with items; a control node without a majority does not, since its items may be
+    stale. Times are ms of the node's clock: `quorate_ms` and `sure_edge_ms` are when the last
+    digest came from such a control node or edge, and `contacts_ms` when the last came from each
+    identity.
     """
 
     __slots__ = (
@@ -85,33 +92,40 @@
         self._lows_told: dict[str, int] = {}
 
     def attach(self, node: Any) -> None:
+        """Attach the node, whose settings choose the contacts."""
         super().attach(node)
         self._contacts = Contacts(node)
 
     def watch(self, watcher: Callable[[str, int, str], None]) -> None:
+        """Call `watcher` with key, number and body of each version that this node takes."""
         self._watchers.append(watcher)
 
     def number(self, key: str) -> int:
+        """Return the number held of a key, 0 for none."""
         return self._items.get(key, (0, ""))[0]
 
     def body(self, key: str) -> str:
+        """Return the body held of a key, empty for none."""
         return self._items.get(key, (0, ""))[1]
 
     def value(self, key: str) -> Any:
+        """Return the decoded JSON body held of a key, None for none."""
         body = self.body(key)
         return json.loads(body) if body else None
 
     def numbers(self) -> dict[str, int]:
+        """Return the number held of each key."""
         return {key: number for key, (number, _) in self._items.items()}
 
     @property
     def place(self) -> int:
+        """The sum of all numbers held, by which operators compare nodes."""
         return sum(self.numbers().values())
 
-    # -- news ----------------------------------------------------------------------------------
+    # -- new versions --------------------------------------------------------------------------
 
     def publish(self, key: str, number: int, body: str) -> None:
-        """Takes a version that control has decided and passes it on; older ones change nothing."""
+        """Take a version that control has decided and relay it; older ones change nothing."""
         held_number, held_body = self._items.get(key, (0, ""))
         if number <= held_number:
             return
@@ -141,7 +155,10 @@
                 self._send_digest(address)
 
     def _onward(self, sender: str) -> list[str]:
-        """Who is passed news at once: by a voter the others, unless one of them sent it, and its first reporters."""
+        """Return the addresses that a new version is relayed to at once, with fan_out.
+
+        A voter relays to its first reporters, and to the other voters unless one of them sent it.
+        """
         if not self.votes():
             return []
         voters = self._voters()
@@ -172,6 +189,7 @@
 
     @singledispatchmethod
     def receive(self, message: Message, origin: Origin) -> None:
+        """Process another node's digest or news."""
         raise TypeError(type(message).__name__)
 
     @receive.register
@@ -260,22 +278,23 @@
                 self._behind_since_ms.setdefault(key, now_ms)
 
     def behind_ms(self) -> int:
-        """For how long a control node has been known to have a newer configuration or list of workers
-        that hasn't come here, in ms; 0 if none is known.
+        """Return for how long a control node has been known to have a newer version, in ms.
+
+        Only the confirmed keys count: the profiles and the list of workers. 0 if none is known.
         """
         return self.node.env.now() - min(
             self._behind_since_ms.values(), default=self.node.env.now()
         )
 
     def _wants_digest(self, message: Digest, origin: Origin) -> bool:
-        """Who reports to a voter is answered, so that it knows the voter to live and to hear a majority."""
+        """Whether the sender reports to this voter, and so expects a digest as a heartbeat."""
         return (
             bool(self.node.params.fan_out)
             and self.votes()
             and (message.role != "control" or origin.sender not in self._voters())
         )
 
-    # -- reports -------------------------------------------------------------------------------
+    # -- reports to the voters (fan_out) -------------------------------------------------------
 
     def _note_report(self, message: Digest, origin: Origin, changed: bool) -> None:
         self._ranks[message.identity] = message.rank
@@ -325,6 +344,7 @@
         return self._whole(key)
 
     def tick(self) -> None:
+        """Send digests every beat_ms."""
         now_ms = self.node.env.now()
         if now_ms - self._sent_ms < self.node.params.beat_ms:
             return
@@ -340,7 +360,10 @@
             self.node.post(address, digest)
 
     def woke(self, gap_ms: int) -> None:
-        """Digests that waited in buffers say nothing about now."""
+        """Disregard digests for beat_ms after a pause of the process.
+
+        Those that waited in buffers say nothing about the present.
+        """
         self._quiet_until_ms = self.node.env.now() + self.node.params.beat_ms
         self._since_ms = self.node.env.now()
         self.quorate_ms = self.sure_edge_ms = -1 << 40
--- a/libs/config_feed/src/config_feed/messages.py
+++ b/libs/config_feed/src/config_feed/messages.py
@@ -1,5 +1,6 @@
-"""News of control keys, each under its own rising number, and digests that say from which numbers a
-node wants to follow. The place of a node in the feed is the sum of its numbers.
+"""Messages of the feed: new versions of control keys, and digests of the numbers held.
+
+Each key has its own rising numbers. A node's place in the feed is the sum of its numbers.
 """
 
 from messaging import Blob, Flag, Long, Message, Text, array_of
@@ -8,6 +9,11 @@
 
 
 class NewsItem(Message):
+    """One version of a key.
+
+    `body` is the whole JSON body if `base_number` is 0, otherwise a merge patch on that number.
+    """
+
     key: Text
     number: Long
     base_number: Long
@@ -15,14 +21,19 @@
 
 
 class News(Message):
+    """A batch of encoded `NewsItem`s."""
+
     items: array_of(Blob)
 
 
 class Digest(Message):
-    """`low_keys` and `lows`: of each confirmed key the lowest number among the nodes that report to the
-    sender. `rank` is 1 to the voter that is to pass on news at once, 2 to a further one that the sender
-    reports to, 0 to all others. `edges` is how many
-    edges report to the sender first; said to one who reports, how many there are in all.
+    """The numbers that a node holds, which is also its heartbeat in the feed.
+
+    `keys` and `numbers` are parallel, as are `low_keys` and `lows`: of each confirmed key the
+    lowest number among the nodes that report to the sender. `sure` is whether the sender knows its
+    numbers to be the newest. `rank` is 1 to the voter that is to relay news at once, 2 to a further
+    voter that the sender reports to, and 0 to all others. `edges` is how many edges report to the
+    sender first; in a digest to a node that reports, how many edges there are in all.
     """
 
     identity: Text
--- a/libs/config_feed/src/config_feed/patches.py
+++ b/libs/config_feed/src/config_feed/patches.py
@@ -1,5 +1,6 @@
-"""Merge patches after RFC 7396, made and applied. A value that really is null can't be said in a
-patch, so where one is newly set no patch is made and the whole body travels.
+"""JSON merge patches (RFC 7396): computed and applied.
+
+A null value cannot be expressed in a patch, so a version that newly sets one is sent whole.
 """
 
 import json
@@ -9,6 +10,7 @@
 
 
 def apply_patch(target: Any, patch: Any) -> Any:
+    """Return `target` with the decoded merge patch applied; the arguments are not modified."""
     if not isinstance(patch, dict):
         return patch
     result = dict(target) if isinstance(target, dict) else {}
@@ -33,8 +35,10 @@
 
 
 def merge(old_body: str, patch_body: str) -> str:
+    """Return the JSON body that results from applying a JSON merge patch to a JSON body."""
     return json.dumps(apply_patch(json.loads(old_body), json.loads(patch_body)), sort_keys=True)
 
 
 def merge_diff(old_body: str, new_body: str) -> str:
+    """Return the JSON merge patch that leads from one JSON body to another."""
     return json.dumps(_diff(json.loads(old_body), json.loads(new_body)), sort_keys=True)
