registrar: docstrings on all public items; help texts of four commands reworded

Every module, public class, function and method has a docstring with a one-line summary; units, errors raised and the source of values are given where they matter.

No change of behaviour: the syntax trees without docstrings, compared by ast.dump with those of the parent, are equal (12 files compared, 0 differ).

--- a/libs/registrar/src/registrar/__init__.py
+++ b/libs/registrar/src/registrar/__init__.py
@@ -1,4 +1,4 @@
-"""Registrar: the control plane, and the operators' command line."""
+"""Registrar: the control plane's process, and the operators' command line."""
 
 from colophon.lazy import lazy
 
--- a/libs/registrar/src/registrar/cli.py
+++ b/libs/registrar/src/registrar/cli.py
@@ -1,4 +1,7 @@
-"""The control plane's command line: serve, and the operators' commands against any control node."""
+"""The control plane's command line: `serve`, and the operators' commands to any control node.
+
+The first line and the parameters of each command's docstring are its help text.
+"""
 
 import secrets
 import sys
@@ -128,13 +131,13 @@
 
 @app.command
 def members(*, server: Server) -> None:
-    """Show members, their standing, duties and epochs, and their places in the feed."""
+    """Show members, their status, duties and epochs, and their places in the feed."""
     call("GET", server, "/members")
 
 
 @app.command
 def workers(*, server: Server) -> None:
-    """Show the list of workers that control keeps, and how long ago each was heard at this node."""
+    """Show the list of workers that control keeps, and the age of each one's last heartbeat."""
     call("GET", server, "/workers")
 
 
@@ -181,8 +184,9 @@
 
 @app.command
 def retire(identity: str, *, server: Server, undo: bool = False) -> None:
-    """Empty and retire a store or control machine, by identity or node name: a spare takes its place, then it may be
-    stopped.
+    """Empty and retire a store or control machine, by identity or node name.
+
+    A spare takes its place; then it may be stopped.
     """
     call(
         "POST",
@@ -194,11 +198,12 @@
 
 @app.command
 def forget(*links: str, server: Server) -> None:
-    """Give your word that edges or stores, by link address, are down for good: they no longer count on the roll."""
+    """Declare edges or stores, by link address, down for good, so that they no longer count."""
     call("POST", server, "/forgotten", {"links": list(links)})
 
 
 def main() -> None:
+    """Run the command line."""
     app()
 
 
--- a/libs/registrar/src/registrar/loan_desk.py
+++ b/libs/registrar/src/registrar/loan_desk.py
@@ -1,5 +1,7 @@
-"""Loans of whole workers over HTTP at a control node: operators and trainers see, grant and recall them, and a lent
-worker says itself that it is free again, naming the loan it was lent under and the weights that it has.
+"""HTTP interface of the loans of whole workers at a control node.
+
+Operators and borrowers list, grant and recall loans. A lent worker reports itself when it is free
+again, with the number of its loan and the weights that it has.
 """
 
 from typing import Annotated, Any
@@ -19,6 +21,8 @@
 
 
 class _Granted(BaseModel):
+    """The body of a grant; `lease_ms` and `recall_ms` are milliseconds."""
+
     model_config = ConfigDict(extra="forbid", strict=True)
     borrower: Text
     weights: Weights = ""
@@ -27,17 +31,23 @@
 
 
 class _Recalled(BaseModel):
+    """The body of a recall."""
+
     model_config = ConfigDict(extra="forbid", strict=True)
     reason: str = Field("an operator wants it back", min_length=1, max_length=256)
 
 
 class _Returned(BaseModel):
+    """The body of a worker's report that it is free again."""
+
     model_config = ConfigDict(extra="forbid", strict=True)
     loan: int = Field(ge=1)
     weights: Weights = ""
 
 
 class LoanDesk:
+    """Registers the handlers of `/loans` at `desk`."""
+
     __slots__ = ("_node",)
 
     def __init__(self, node: Any, desk: HttpDesk) -> None:
@@ -88,6 +98,7 @@
 
 
 def _told(worker: str, outcome: LoanOutcome) -> web.Response:
+    """Return the response to an operation on a loan."""
     if outcome.name == "refused":
         return answer_refusal(
             refused(
--- a/libs/registrar/src/registrar/nodes.py
+++ b/libs/registrar/src/registrar/nodes.py
@@ -1,5 +1,8 @@
-"""The control node, put together from its parts: a voter with its disk, the owner of keys, founding
-and the steward's duty, the feed, and its neighbours.
+"""The control node, assembled from its parts.
+
+These are a voter with its disk, the owner of keys, the bootstrap and the coordination of membership
+changes, the config feed, the failure detector of its neighbours, and the parts that keep the
+workers, the loans, the profiles and the retired stores.
 """
 
 import json
@@ -20,6 +23,8 @@
 
 
 class ControlNode(Node):
+    """A control node; a damaged disk is set aside, and the node starts with a new identity."""
+
     __slots__ = (
         "_tree",
         "disk",
@@ -106,17 +111,22 @@
         )
 
     def _list(self) -> dict[str, Any] | None:
-        """The voters as this node's disk has them."""
+        """Return the list of voters as this node's disk has it, or None."""
         return json.loads(self.voter.meta.list_body) if self.voter.meta.list_body else None
 
     def hears_majority(self) -> bool:
-        """Whether a majority of the voters are live to this node, which need not be one itself."""
+        """Whether a majority of the voters sent this node heartbeats within dead_ms.
+
+        This node need not be a voter itself.
+        """
         voters = self.voter.voters
         return bool(voters) and self._hears(self.params.dead_ms)
 
     def quorate(self) -> bool:
-        """Whether this node is a voter that hears a majority of the voters and whose copy of the
-        configuration has been read anew from a majority since it last heard none.
+        """Whether this node is a voter in contact with a majority and its configuration is fresh.
+
+        It has to have re-read the configuration from a majority since contact was last regained,
+        and must not have known of a newer version for longer than dead_ms.
         """
         return (
             self._is_voter()
@@ -136,6 +146,7 @@
         )
 
     def why_unready(self) -> str:
+        """Return why this node is not ready, for operators; empty if it is."""
         voters = self.voter.voters
         if not voters:
             return "not founded"
@@ -144,6 +155,7 @@
         return "" if self.quorate() else "hears no majority of the voters"
 
     def tree(self) -> Tree:
+        """Return the tree of profiles in force at this node."""
         number = self.config_feed.number(PROFILES_KEY)
         if number != self._tree[0]:
             self._tree = (number, Tree.of_body(self.config_feed.body(PROFILES_KEY)))
--- a/libs/registrar/src/registrar/operator_calls.py
+++ b/libs/registrar/src/registrar/operator_calls.py
@@ -1,4 +1,4 @@
-"""What operators send to a control node's own interface, checked, and by what a change is known again."""
+"""The bodies of operators' calls to a control node, validated, and the identifiers of changes."""
 
 import hashlib
 import json
@@ -12,7 +12,7 @@
 
 
 class TreeSent(BaseModel):
-    """A whole tree of profiles, on the version that it replaces."""
+    """A whole tree of profiles, based on the version that it replaces."""
 
     model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     version: int = Field(ge=0)
@@ -21,7 +21,7 @@
 
 
 class TreePatch(BaseModel):
-    """A merge patch of the tree of profiles, on the version that it replaces."""
+    """A merge patch of the tree of profiles, based on the version that it replaces."""
 
     model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     version: int = Field(ge=0)
@@ -30,7 +30,7 @@
 
 
 class RetirementOrder(BaseModel):
-    """A machine with a disk that is to be retired, or taken back into use with `undo`."""
+    """A machine with a disk that is to be retired, or returned to service with `undo`."""
 
     model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     identity: str = Field(min_length=1, max_length=128)
@@ -39,15 +39,16 @@
 
 
 class ForgetOrder(BaseModel):
-    """Addresses of machines that are lost for good and are to count no more."""
+    """Link addresses of machines that are lost for good and are no longer to be counted."""
 
     model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     links: list[str] = Field(min_length=1, max_length=256)
 
 
 def identity_of(change_id: str, contents: BaseModel) -> str:
-    """By what a change is known again: its id together with all that was sent under it, since an id that is
-    used for two contents names two changes.
+    """Return the identifier by which a change is recognized when it is sent again.
+
+    It covers the caller's id and all content, since an id used for two contents names two changes.
     """
     sent = contents.model_dump(exclude={"change_id"})
     text = json.dumps([change_id, type(contents).__name__, sent], sort_keys=True)
--- a/libs/registrar/src/registrar/operators.py
+++ b/libs/registrar/src/registrar/operators.py
@@ -1,5 +1,7 @@
-"""The operators' side of a control node: the tree of profiles, whole or by a merge patch, always
-naming the version it replaces; members and what they do; machines to be emptied and retired.
+"""HTTP interface of a control node for operators.
+
+It reads and changes the tree of profiles, whole or by a merge patch, always based on the version
+replaced; it lists the members with their status, and retires machines.
 """
 
 import json
@@ -32,7 +34,7 @@
 
 
 class Operators:
-    """The operators' calls of a control node's own interface."""
+    """Registers the handlers of the operators' calls at `desk`."""
 
     __slots__ = ("_node",)
 
@@ -90,7 +92,7 @@
         return await self._keep(call, apply_patch(tree, call.patch))
 
     async def _find(self, call: TreePatch) -> web.Response:
-        """A patch of another version than the one in place can only have been taken before."""
+        """Look up a patch that is not based on the version in force: it may be a retry."""
         change_id = call.change_id or secrets.token_hex(8)
         receipt = await self._ask(
             FindChange(
@@ -330,7 +332,7 @@
         )
 
     async def _forget(self, request: web.Request) -> web.Response:
-        """The operator's word that edges or stores are down for good, so that they no longer count."""
+        """Remove machines that the operator declares lost from the roster."""
         call = await self._parsed(request, ForgetOrder)
         if isinstance(call, Refusal):
             return answer_refusal(call)
@@ -352,7 +354,7 @@
         return self._answer(receipt, "")
 
     def _identity(self, name: str) -> str:
-        """That of the machine whose node is called so, else what was given."""
+        """Return the identity of the machine with this node name, or the name if unknown."""
         cards = [
             card
             for role in ("control", "store")
--- a/libs/registrar/src/registrar/process.py
+++ b/libs/registrar/src/registrar/process.py
@@ -1,4 +1,4 @@
-"""The control process: a control node, its disk, and the operators' HTTP side."""
+"""The control process: a control node, its disk, and the operators' HTTP interface."""
 
 from typing import Any
 
@@ -14,7 +14,10 @@
 
 
 class ControlProcess(NodeProcess):
+    """Runs a control node and serves the operators', workers' and borrowers' calls over HTTP."""
+
     async def make(self) -> None:
+        """Create the node and the HTTP interface."""
         self._stopping = False
         self.node = ControlNode(self.env, self.params, self.open_disk())
         desk = HttpDesk(
@@ -30,12 +33,15 @@
         await self.add_runtime_dependency(desk)
 
     def why_unready(self) -> str:
+        """Return why this process is not ready; empty if it is."""
         return "stopping" if self._stopping else self.node.why_unready()
 
     def start_draining(self) -> None:
+        """Report unready from now on, since the process is about to stop."""
         self._stopping = True
 
     def status(self) -> dict[str, Any]:
+        """Return the node's state for operators, as JSON values."""
         node = self.node
         return {
             "role": "control",
@@ -52,6 +58,7 @@
         }
 
     def metrics(self) -> dict[str, float]:
+        """Return the metrics by name: epochs, counters, sizes in bytes and durations in ms."""
         node = self.node
         rows = {f"control_epoch_{name}": row["epoch"] for name, row in node.owner.epochs().items()}
         rows.update(
--- a/libs/registrar/src/registrar/retirement.py
+++ b/libs/registrar/src/registrar/retirement.py
@@ -1,6 +1,9 @@
-"""Emptying a store that an operator names. The order is kept in the control key `retired`, by identity and
-by name, so that an empty disk under the same name doesn't come back as a spare; the log replaces it by a
-spare, and it is done once the decided list of the log's members is without it and the log serves again.
+"""Emptying a store that an operator names, so that it can be taken out of service.
+
+The order is kept in the control key `retired`, by identity and by name, so that an empty disk under
+the same name does not come back as a spare. The replicated log replaces the store by a spare. The
+order is finished once the decided list of the log's members no longer has the store and the log
+serves again.
 """
 
 import json
@@ -20,9 +23,10 @@
 
 
 class RetirementAnswer(StrEnum):
-    """What is told about the emptying of a store: to an order, whether it was taken (OK), is for no machine
-    that is known (UNKNOWN) or would leave too few (TOO_FEW); to a question, how far it is. DOUBT is no clear
-    answer to either.
+    """The answer to an order to empty a store, or to a question about its progress.
+
+    An order was taken (OK), is for an unknown machine (UNKNOWN) or would leave too few stores
+    (TOO_FEW). Progress is ROLLING_OUT or FINISHED. DOUBT means that the answer is not known.
     """
 
     OK = "ok"
@@ -37,10 +41,13 @@
 
 
 def retired_body(identities: Iterable[str], names: dict[str, str]) -> str:
+    """Return the JSON body of the key `retired`; `names` maps node names to identities."""
     return json.dumps({"identities": sorted(identities), "names": names}, sort_keys=True)
 
 
 class _Call:
+    """An operator's call that waits for its answer until `due_ms`."""
+
     __slots__ = ("done", "due_ms")
 
     def __init__(self, due_ms: int, done: Done) -> None:
@@ -48,12 +55,18 @@
         self.done: Done | None = done
 
     def finish(self, outcome: RetirementAnswer) -> None:
+        """Call `done` with the answer, at most once."""
         done, self.done = self.done, None
         if done is not None:
             done(outcome)
 
 
 class Retirement(Part):
+    """Takes orders to empty stores at a control node, and reports their progress.
+
+    `sure` returns whether this node is in contact with a majority of the voters.
+    """
+
     __slots__ = (
         "_busy",
         "_calls",
@@ -82,16 +95,22 @@
         self._calls: list[_Call] = []
         self._since_ms = self._next_ms = -1
 
-    # -- what operators ask --------------------------------------------------------------------
+    # -- operators' calls ----------------------------------------------------------------------
 
     def order(self, name: str, done: Done) -> None:
-        """ok, unknown, too_few, or doubt; repeating it does no harm."""
+        """Order that the store of this name be emptied; idempotent.
+
+        `done` gets OK, UNKNOWN, TOO_FEW or DOUBT within answer_ms.
+        """
         self._with_key(
             RETIRED_KEY, done, lambda call, version, value: self._order(call, name, version, value)
         )
 
     def state(self, name: str, done: Done) -> None:
-        """rolling_out, finished, unknown, or doubt."""
+        """Report the progress of an order by the store's name.
+
+        `done` gets ROLLING_OUT, FINISHED, UNKNOWN or DOUBT within answer_ms.
+        """
 
         def have_order(call: _Call, version: int, value: dict[str, Any]) -> None:
             identity = value.get("names", {}).get(name)
@@ -111,13 +130,16 @@
     def _progress(
         self, retired: list[str], name: str, identity: str, log: dict[str, Any]
     ) -> RetirementAnswer:
-        """While the log recovers, its new members may yet need what the ones before them have."""
+        """Return how far an order is.
+
+        While the log recovers, its new members may still need the records of the previous ones.
+        """
         members = {row["identity"] for row in (*log.get("members", ()), *log.get("prev", ()))}
         gone = identity not in members and self._names.get(name, identity) not in members
         serves = log.get("phase") == "serving" and self._neighbours.live(log["holder"])
         return RetirementAnswer.FINISHED if gone and serves else RetirementAnswer.ROLLING_OUT
 
-    # -- the order -----------------------------------------------------------------------------
+    # -- carrying out orders -------------------------------------------------------------------
 
     def _order(self, call: _Call, name: str, version: int, value: dict[str, Any]) -> None:
         names, retired = dict(value.get("names", {})), set(value.get("identities", ()))
@@ -154,7 +176,7 @@
         )
 
     def _certain(self, refusal: RetirementAnswer, after_ms: int) -> RetirementAnswer:
-        """The refusal, or doubt from a node that hasn't been up and awake for so long without a break."""
+        """Return the refusal, or DOUBT unless this node has run without a pause for `after_ms`."""
         fresh = self.node.env.now() - self._since_ms < after_ms
         return RetirementAnswer.DOUBT if fresh else refusal
 
@@ -169,7 +191,7 @@
             call.finish(RetirementAnswer.DOUBT)
 
     def _follow(self) -> None:
-        """A store that comes back under a retired name with another identity is retired too."""
+        """Retire stores that came back under a retired name with another identity, too."""
         if (
             self._busy
             or not self._sure()
@@ -201,7 +223,7 @@
             changed,
         )
 
-    # -- reading -------------------------------------------------------------------------------
+    # -- reading control keys ------------------------------------------------------------------
 
     def _with_key(self, key: str, done: Done, told: Callable[[_Call, int, dict], None]) -> None:
         call = _Call(self.node.env.now() + self.node.params.answer_ms, done)
@@ -223,9 +245,11 @@
         self._owner.submit(ReadKey(key=key, hops=0), have_read)
 
     def woke(self, gap_ms: int) -> None:
+        """Restart the time that this node has been up without a pause."""
         self._since_ms = self.node.env.now()
 
     def tick(self) -> None:
+        """Note the stores' names, follow retired names, and answer overdue calls with DOUBT."""
         now_ms = self.node.env.now()
         if self._since_ms < 0 or not self._sure():
             self._since_ms = now_ms
--- a/libs/registrar/src/registrar/tree_changes.py
+++ b/libs/registrar/src/registrar/tree_changes.py
@@ -1,8 +1,10 @@
-"""Changes of the tree by callers who number their trees themselves (`about.revision`) and name the revision
-that a change builds on. The key is read by a majority; a change on the revision in force goes to the key's
-owner under the key's own number, so of two on one base one wins; a change that names another base is only
-looked for, since it may be one taken before. Whoever waits hears in time, if need be that it is not known
-what becomes of it, or that it is too old for what is remembered to tell.
+"""Changes of the tree by callers who number their trees themselves (`about.revision`).
+
+A change names the revision that it is based on. The key is read through a quorum. A change based on
+the revision in force is proposed under the key's own version, so that of two changes on one base
+only one is decided. A change on another base is only looked up, since it may be a retry of one
+decided before. Every caller is answered within answer_ms, if need be that the outcome is not known,
+or that the change is older than what is remembered.
 """
 
 import json
@@ -21,8 +23,14 @@
 
 
 class Taken(StrEnum):
-    """What became of an order: in force, certainly not taken (REPLACED, INVALID), or not known to the caller
-    (REFUSED: nothing was done here; DOUBT: it may be taken yet; FORGOTTEN: it may have been taken long ago).
+    """What became of an order.
+
+    - TAKEN: the change is in force.
+    - REPLACED: another change was decided instead; this one never will be.
+    - INVALID: the tree was not valid; nothing was changed.
+    - REFUSED: nothing was proposed here.
+    - DOUBT: not known; the change may still be decided.
+    - FORGOTTEN: not known; it may have been decided longer ago than is remembered.
     """
 
     TAKEN = "taken"
@@ -34,9 +42,11 @@
 
 
 class Order:
-    """A change of the tree as its caller asks for it: the revision that it builds on, the revision that it makes
-    (NO_BASE if that can't be read), the id by which the same order is known again, and `make`, which gives the
-    tree wanted from the tree in force, or the problems with what was sent.
+    """A change of the tree as its caller asks for it.
+
+    `base` is the revision that it is based on, and `revision` the one that it makes (NO_BASE if
+    that cannot be read). `change_id` identifies the order when it is sent again. `make` returns the
+    wanted tree for the tree in force, or the problems with what was sent.
     """
 
     __slots__ = ("base", "change_id", "make", "revision")
@@ -49,7 +59,7 @@
 
 
 class TreeOutcome:
-    """The answer to an order or a read; `tree` is given for a read that was answered."""
+    """The answer to an order or a read; `tree` is set for a read that was answered."""
 
     __slots__ = ("kind", "problems", "reason", "tree")
 
@@ -81,6 +91,7 @@
         self.sent = False
 
     def finish(self, outcome: TreeOutcome) -> None:
+        """Call `done` with the outcome, at most once."""
         done, self.done = self.done, None
         if done is not None:
             done(outcome)
@@ -91,20 +102,27 @@
 
 
 class TreeChanges(Part):
+    """Proposes, looks up and reads trees at a control node.
+
+    `sure` returns whether this node is in contact with a majority of the voters.
+    """
+
     __slots__ = ("_calls", "_owner", "_sure")
 
     def __init__(self, owner: Owner, sure: Callable[[], bool]) -> None:
-        """`sure` says whether this node hears a majority of the voters."""
+        """Create the part; `owner` executes its operations or forwards them."""
         self._owner = owner
         self._sure = sure
         self._calls: list[_Call] = []
 
-    # -- asking --------------------------------------------------------------------------------
+    # -- calls ---------------------------------------------------------------------------------
 
     def change(self, order: Order, done: Done) -> None:
+        """Bring about an order; `done` gets its outcome within answer_ms."""
         self._begin(_Call(order, 0, done))
 
     def read(self, done: Done) -> None:
+        """Read the tree in force; `done` gets it, or why it could not be read, within answer_ms."""
         self._begin(_Call(None, 0, done))
 
     def _begin(self, call: _Call) -> None:
@@ -134,7 +152,7 @@
         else:
             self._propose(call, receipt.version, tree)
 
-    # -- deciding ------------------------------------------------------------------------------
+    # -- proposing and looking up --------------------------------------------------------------
 
     def _propose(self, call: _Call, version: int, tree: dict[str, Any]) -> None:
         made = call.order.make(tree)
@@ -198,7 +216,8 @@
             call.finish(
                 TreeOutcome(
                     Taken.REPLACED,
-                    f"revision {_revision_of(tree)} is in force; this change is not and will not be",
+                    f"revision {_revision_of(tree)} is in force; "
+                    "this change is not and will not be",
                 )
             )
         elif receipt.outcome == Outcome.FORGOTTEN:
@@ -210,6 +229,7 @@
         call.finish(TreeOutcome(Taken.DOUBT if call.sent else Taken.REFUSED, reason))
 
     def tick(self) -> None:
+        """Answer overdue calls."""
         now_ms = self.node.env.now()
         for call in self._calls:
             if now_ms >= call.due_ms:
@@ -217,6 +237,7 @@
         self._calls = [call for call in self._calls if call.done is not None]
 
     def woke(self, gap_ms: int) -> None:
+        """Answer all waiting calls after a pause of the process."""
         for call in self._calls:
             self._unknown(call, "this node was frozen")
         self._calls = []
--- a/libs/registrar/src/registrar/usage.py
+++ b/libs/registrar/src/registrar/usage.py
@@ -1,6 +1,8 @@
-"""Exports usage from edges' JSON logs: each transaction and each lot's item that finished, once, to
-Parquet or CSV through pyarrow, which is an optional extra. An item that ran again after a fault is
-counted by its first end; lines that can't be read are counted and told.
+"""Export of usage from edges' JSON logs to Parquet or CSV.
+
+Each request and each batch item that finished is exported once; an item that ran again after a
+fault is counted by its first end. Lines that cannot be read are counted. Writing needs pyarrow,
+which is an optional extra.
 """
 
 import json
@@ -46,6 +48,10 @@
 
 
 def usage_rows(paths: Iterable[Path]) -> tuple[list[dict[str, Any]], int]:
+    """Return the rows of all finished requests and items, and how many lines were unreadable.
+
+    Rows are in the order of `ended_at`. Raises OSError if a log cannot be read.
+    """
     found: dict[Any, dict[str, Any]] = {}
     unread = 0
     for path in paths:
@@ -71,7 +77,15 @@
 
 
 def export_usage(paths: Iterable[Path], out: Path, form: str) -> tuple[int, int]:
-    """How many rows were written, and how many lines could not be read."""
+    """Write the usage to `out` as "parquet" or "csv".
+
+    Returns how many rows were written, and how many lines could not be read.
+
+    Raises
+    ------
+    ModuleNotFoundError: pyarrow is not installed.
+    OSError: a log cannot be read, or the file cannot be written.
+    """
     import pyarrow
     from pyarrow import csv, parquet
 
--- a/libs/registrar/src/registrar/words.py
+++ b/libs/registrar/src/registrar/words.py
@@ -1,4 +1,4 @@
-"""Each member in words, for operators: whether it counts, is a spare, is to go, and what it waits for."""
+"""Descriptions of members for operators: whether each counts, and what it waits for."""
 
 from collections.abc import Iterable
 
@@ -14,8 +14,11 @@
     spares: Iterable[str],
     full_count: int,
 ) -> str:
-    """`members` are those that count of its role, `duty` the holder or steward among them, `spares` live ones
-    that are not retired.
+    """Describe a control node or a store in one sentence.
+
+    `members` are the identities that count in its role: voters, or members of the log. `duty` is
+    the coordinator or the log's holder among them, and `spares` are live nodes that are neither
+    members nor retired. `full_count` is the configured number of members.
     """
     members, spares = list(members), sorted(set(spares) - {identity})
     group = "the log" if role == "store" else "the voters"
@@ -40,4 +43,5 @@
 
 
 def says_edge(link: str, roll: Iterable[str]) -> str:
+    """Describe an edge by whether its link address is on the roster."""
     return "counts: on the roll" if link in set(roll) else "not on the roll yet: counts for nothing"
--- a/libs/registrar/src/registrar/worker_desk.py
+++ b/libs/registrar/src/registrar/worker_desk.py
@@ -1,5 +1,7 @@
-"""The list of workers over HTTP at a control node: a worker's beats, its word that it leaves, and the list
-for operators. A list kept here stands beside the beats that workers send to edges.
+"""HTTP interface of the list of workers at a control node.
+
+Workers send heartbeats and report that they leave; operators read the list. Workers send heartbeats
+to the edges as well, independently of this list.
 """
 
 import json
@@ -18,6 +20,8 @@
 
 
 class _Model(BaseModel):
+    """A model that a worker has loaded."""
+
     model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     name: Text
     revision: int | None = None
@@ -25,6 +29,8 @@
 
 
 class _Beat(BaseModel):
+    """The body of a worker's heartbeat."""
+
     model_config = ConfigDict(extra="forbid", strict=True, defer_build=True)
     address: Text
     zone: Text
@@ -36,6 +42,8 @@
 
 
 class WorkerDesk:
+    """Registers the handlers of `/workers` at `desk`."""
+
     __slots__ = ("_node",)
 
     def __init__(self, node: Any, desk: HttpDesk) -> None:
