modelcheck: docstrings on all public items, in the standard terms of model checking

Every module, public class, function and method has a docstring with a one-line summary; units, errors raised and the source of values are given where they matter.

--- a/libs/modelcheck/src/modelcheck/__init__.py
+++ b/libs/modelcheck/src/modelcheck/__init__.py
@@ -1,5 +1,7 @@
-"""Modelcheck: a small-scope explorer that tries all schedules of the real cores up to bounds, and a
-checker of recorded histories for linearizability.
+"""Model checking of the real protocol cores, and checking of recorded histories.
+
+A small-scope explorer tries all schedules of messages, timers and faults up to given bounds. A
+separate checker decides whether a recorded history is linearizable.
 """
 
 from colophon.lazy import lazy
--- a/libs/modelcheck/src/modelcheck/actions.py
+++ b/libs/modelcheck/src/modelcheck/actions.py
@@ -1,4 +1,4 @@
-"""What the explorer may do next, and how a schedule of it is written down and read again."""
+"""The actions of the explorer, and the text form of a schedule of them."""
 
 from enum import StrEnum
 
@@ -6,12 +6,17 @@
 
 
 class Kind(StrEnum):
-    """DELIVER hands over a message, DUPLICATE does and leaves it in flight, LOSE drops it. FLUSH ends a node's oldest
-    disk operation. TICK runs a node's timers where its clock stands, TIMEOUT after the time that an asking
-    waits, FREEZE after so long that the node finds it was frozen. KILL restarts a process with all that it wrote;
-    POWER with only what was flushed; WIPE with an empty disk. REFUSED tells a node that nothing listens at another's
-    address, rightly or not. CUT loses all that is in flight to and from a node. SUBMIT
-    gives a node an operation of the scenario.
+    """What an action does.
+
+    - DELIVER: a message arrives; DUPLICATE: it arrives and stays in flight; LOSE: it is dropped.
+    - FLUSH: a node's oldest disk operation ends.
+    - TICK: a node's timers run after tick_ms; TIMEOUT: after a request's timeout; FREEZE: after a
+      pause so long that the node notices it.
+    - KILL: a process restarts with all that it wrote; POWER: with only what was flushed; WIPE: with
+      an empty disk.
+    - REFUSED: a node is told that nothing listens at another's address, rightly or not.
+    - CUT: all messages in flight to and from a node are lost.
+    - SUBMIT: a node is given an operation of the scenario.
     """
 
     DELIVER = "deliver"
@@ -33,8 +38,11 @@
 
 
 class Action:
-    """One step. `node` is the node that it happens to; `number` the message's, the operation's or the other node's, else 0. Messages are
-    numbered in the order in which a run first sent them, so a schedule reads the same in every run.
+    """One step of a schedule.
+
+    `node` is the node that it happens to. `number` is the message's, the operation's or the other
+    node's number, else 0. Messages are numbered in the order in which a run first sent them, so a
+    schedule reads the same in every run.
     """
 
     __slots__ = ("kind", "node", "number")
@@ -59,16 +67,16 @@
 
 
 def write_schedule(steps: list[tuple[Kind, int, str]]) -> str:
-    """One step a line: kind, node, and the message or operation as text."""
+    """Return a schedule as text, one step a line: kind, node, and message or operation."""
     return "\n".join(f"{kind} {node} {what}".rstrip() for kind, node, what in steps)
 
 
 def read_schedule(text: str) -> list[tuple[Kind, int, str]]:
-    """The steps of a written schedule.
+    """Return the steps of a schedule written as text.
 
     Raises
     ------
-    ValueError: a line doesn't begin with a kind and a node's number.
+    ValueError: a line does not begin with a kind and a node's number.
     """
     steps = []
     for line in text.strip().splitlines():
--- a/libs/modelcheck/src/modelcheck/canonical.py
+++ b/libs/modelcheck/src/modelcheck/canonical.py
@@ -1,7 +1,9 @@
-"""Canonical encoding of a live object graph. Two nodes whose encodings are equal behave alike from
-here on: everything reachable is written down by value, closures with their cells and bound methods
-with their receivers included. Dictionaries and sets are sorted, so the order in which votes came in
-does not tell two states apart; shared and cyclic references become the number of the first visit.
+"""Canonical encoding of a live object graph.
+
+Two nodes whose encodings are equal behave alike from here on. Everything reachable is written by
+value, including closures with their cells and bound methods with their receivers. Dictionaries and
+sets are sorted, so that the order in which votes arrived does not distinguish two states; shared
+and cyclic references become the number of the first visit.
 """
 
 from collections.abc import Callable
@@ -26,8 +28,10 @@
 
 
 class Encoder:
-    """Writes one graph. `opaque` types are written by name only: the surroundings, whose state is
-    encoded apart. `skip` names slots left out: (type name, slot).
+    """Encodes one object graph.
+
+    Types in `opaque` are written by name only: the environment, whose state is encoded separately.
+    `skip` names the slots left out, as (type name, slot).
     """
 
     __slots__ = ("_opaque", "_seen", "_skip", "_slot_names")
@@ -40,7 +44,7 @@
         self._seen: dict[int, int] = {}
 
     def text(self, value: Any) -> str:
-        """The canonical text of a value and all that it reaches."""
+        """Return the canonical text of a value and all that it reaches."""
         if isinstance(value, _PLAIN):
             return repr(value.value) if isinstance(value, Enum) else repr(value)
         if isinstance(value, Message):
--- a/libs/modelcheck/src/modelcheck/control_keys.py
+++ b/libs/modelcheck/src/modelcheck/control_keys.py
@@ -1,14 +1,15 @@
-"""Control keys under the explorer: voters and owners, the real cores of `control_store`, from named
-starting states. Which node takes itself for a key's owner is left to the scenario, since a failure
-detector may say anything: nodes that each think themselves the owner race. Invariants:
-
-C1  at most one value is chosen for each key and version (a majority's disks have it under one ballot);
-C2  a confirmed value is what every majority's registers lead to, or is in what they lead to (by its change's id, unless only
-    later ones are remembered there);
-C3  a voter's register is never behind a vote that it gave, restarts with its disk included;
+"""Control keys under the explorer: the real voters and owners of `control_store`.
+
+Which node takes itself for a key's owner is left to the scenario, since a failure detector may
+report anything: nodes that all believe to be the owner race. Invariants:
+
+C1  at most one value is chosen for each key and version, by a majority under one ballot;
+C2  a confirmed value is the one that every majority's registers lead to, or is remembered there (by
+    its change's id, unless only later changes are remembered);
+C3  a voter's register is never behind a vote that it gave, even after restarts with its disk;
 C4  a change that was refused is never chosen, and one that was chosen is never refused;
-C5  a change that was confirmed was chosen, as the version that was told, and always as that version;
-C6  a reading returns a chosen value, not older than any confirmed before the reading began.
+C5  a change that was confirmed was chosen as the version reported, and always as that version;
+C6  a read returns a chosen value, not older than any confirmed before the read began.
 """
 
 import json
@@ -36,8 +37,10 @@
 
 
 class ControlGhost:
-    """What has been seen: votes given, answers to operations, and for each operation the newest version that had
-    been confirmed when it was submitted.
+    """What has been observed of a control key.
+
+    Votes and promises given, answers to operations, and for each operation the newest version that
+    had been confirmed when it was submitted.
     """
 
     __slots__ = ("answers", "begun", "promises", "votes")
@@ -65,8 +68,10 @@
 
 
 class ControlKeys(World):
-    """Control nodes that vote on one key. `owners` says for each node whom it takes for the owner; itself by
-    default. Where they are `connected`, messages between two nodes keep their order and a node's own arrive at once.
+    """Control nodes that vote on one key.
+
+    `owners` maps each node to the one that it takes for the owner, by default itself. If
+    `connected`, messages between two nodes keep their order and a node's own are delivered at once.
     """
 
     skip = frozenset({("Voter", "_log_bytes"), ("Voter", "_flushed_bytes"), ("Voter", "_list")})
@@ -106,10 +111,12 @@
     # -- nodes ---------------------------------------------------------------------------------
 
     def image(self, index: int) -> BootImage:
+        """Return the disk of a voter with the first list and no registers."""
         meta = VoterMeta(identity=self.identities[index], found_vote="", list_body=self._list_body)
         return BootImage({_META: frame(encode(meta))}, _START_MS, 1)
 
     def boot(self, index: int, live: Live) -> Node:
+        """Start a control node with a voter and an owner."""
         voter = Voter(live.disk, live.env.token)
         trusted = self.identities[self._owners[index]] if index in self._owners else voter.identity
         owner = Owner(voter, Trusted(trusted), NoFeed())
@@ -117,10 +124,12 @@
         return Node(live.env, self._params, [voter, owner])
 
     def submit(self, index: int, live: Live, number: int) -> None:
+        """Give an operation to a node's owner."""
         message = self.operations[number].message
         _owner(live).submit(type(message)(**message.as_dict()), _Answered(live.told, number))
 
     def observe(self, index: int, live: Live) -> Hashable:
+        """Return a voter's identity and registers."""
         voter = _voter(live)
         rows = [
             (key, row.promised, row.accepted, row.version, row.value)
@@ -129,6 +138,7 @@
         return (voter.identity, tuple(rows))
 
     def inert(self, done: Callable) -> bool:
+        """Whether the round that waits for an answer has ended."""
         round_ = next(
             (
                 cell.cell_contents
@@ -140,15 +150,17 @@
         return round_ is not None and round_._done is None
 
     def disk_key(self, disk: ModelDisk) -> Any:
-        """Rows of a voter's log count by what is read back from them: the newest of each key."""
+        """Return what a voter reads back from its log: the newest record of each key."""
         return (_rows_kept(disk.files), _rows_kept(disk.durable) if disk.pending else None)
 
-    # -- what was seen -------------------------------------------------------------------------
+    # -- observations --------------------------------------------------------------------------
 
     def first_ghost(self) -> ControlGhost:
+        """Return the ghost before the first step."""
         return ControlGhost()
 
     def next_ghost(self, ghost: ControlGhost, told: tuple[Any, ...]) -> ControlGhost:
+        """Return the ghost after one step; raises BreachError for C1 and C4 to C6."""
         votes, promises = set(ghost.votes), set(ghost.promises)
         answers, begun = set(ghost.answers), set(ghost.begun)
         for kind, *row in told:
@@ -165,14 +177,15 @@
         return following
 
     def answered(self, ghost: ControlGhost) -> frozenset[int]:
+        """Return the numbers of the operations that have been answered."""
         return frozenset(row[0] for row in ghost.answers)
 
     def _confirmed(self, answers: set | frozenset) -> int:
-        """The newest version told as confirmed, by a change or a reading."""
+        """Return the newest version confirmed by a change or a read."""
         return max((version for _, outcome, version, _ in answers if outcome == "ok"), default=0)
 
     def _chosen(self, ghost: ControlGhost) -> dict[int, set[bytes]]:
-        """By version, the values that a majority voted for under one ballot."""
+        """Return by version the values that a majority voted for under one ballot."""
         counts: dict[tuple, set[str]] = {}
         for identity, ballot, version, value in ghost.votes:
             counts.setdefault((ballot, version, value), set()).add(identity)
@@ -219,9 +232,10 @@
         if version and body not in values:
             raise BreachError("C6", f"version {version} was read and never chosen")
 
-    # -- what is on the nodes ------------------------------------------------------------------
+    # -- invariants over the nodes' states -----------------------------------------------------
 
     def check(self, ghost: ControlGhost, observed: tuple[Any, ...]) -> None:
+        """Check the voters' registers; raises BreachError for C2 and C3."""
         registers = {identity: rows for identity, rows in observed}
         self._check_votes(ghost, registers)
         confirmed = [
@@ -259,7 +273,7 @@
 
 
 class _Answered:
-    """Notes the answer to an operation."""
+    """Records the answer to an operation."""
 
     __slots__ = ("_number", "_told")
 
@@ -272,7 +286,7 @@
 
 
 class _Votes:
-    """Notes each vote that goes out, with what it was asked."""
+    """Records each vote that is sent, with the request that it answers."""
 
     __slots__ = ("_live",)
 
--- a/libs/modelcheck/src/modelcheck/control_starts.py
+++ b/libs/modelcheck/src/modelcheck/control_starts.py
@@ -1,4 +1,4 @@
-"""Starting states of control keys."""
+"""Named starting states of control keys."""
 
 from control_store import Change, ReadKey
 
@@ -23,31 +23,31 @@
 
 
 def _resent(bounds: Bounds, connected: bool = False) -> ControlKeys:
-    """One change sent to two nodes, and another on the same base."""
+    """One change is sent to two nodes, and another has the same base."""
     rows = [_change("a", 0, 0), _change("a", 1, 0), _change("b", 2, 0)]
     return ControlKeys(3, rows, bounds, connected=connected)
 
 
 def _resent_late(bounds: Bounds) -> ControlKeys:
-    """A change sent again, to another node, after the next one was confirmed."""
+    """A change is sent again, to another node, after the next one was confirmed."""
     rows = [_change("a", 0, 0), _change("b", 2, 1, (0,)), _change("a", 1, 0, (1,))]
     return ControlKeys(3, rows, bounds, connected=True)
 
 
 def _relayed(bounds: Bounds) -> ControlKeys:
-    """Two nodes pass what they are asked on to the third, which owns the key, and one of them takes it over."""
+    """Two nodes forward operations to the key's owner, and one of them takes the key over."""
     rows = [_change("a", 0, 0), _change("b", 1, 0), _read(1, (0,))]
     return ControlKeys(3, rows, bounds, owners={0: 2}, connected=True)
 
 
 def _read_back(voters: int, bounds: Bounds) -> ControlKeys:
-    """A change is read back through another node, which then makes the next one."""
+    """A change is read through another node, which then makes the next one."""
     rows = [_change("a", 0, 0), _read(1, (0,)), _change("b", 1, 1, (0,))]
     return ControlKeys(voters, rows, bounds)
 
 
 def _read_behind(bounds: Bounds) -> ControlKeys:
-    """A node that owned the key reads it after another has changed it."""
+    """A node that owned the key reads it after another node has changed it."""
     rows = [_change("a", 0, 0), _change("b", 1, 1, (0,)), _read(0, (1,))]
     return ControlKeys(3, rows, bounds)
 
@@ -56,7 +56,8 @@
     "owners-racing": Start("two owners race on three voters", lambda bounds: _racing(3, bounds)),
     "five-voters": Start("two owners race on five voters", lambda bounds: _racing(5, bounds)),
     "three-voters": Start(
-        "a change, a reading and the next change through another node; flushes are steps, power is cut",
+        "a change, a reading and the next change through another node; "
+        "flushes are steps, power is cut",
         lambda bounds: _read_back(3, bounds),
         powers=1,
         slow_disk=True,
--- a/libs/modelcheck/src/modelcheck/explorer.py
+++ b/libs/modelcheck/src/modelcheck/explorer.py
@@ -1,6 +1,8 @@
-"""Breadth-first search over global states: the nodes' local states, the messages in flight (a
-multiset), what observers have seen, and what is left of each bound. A state met before is not gone
-on from again, so the first schedule that breaks an invariant is one of the shortest.
+"""Breadth-first search over global states.
+
+A global state is the nodes' local states, the messages in flight (a multiset), what has been
+observed, and what remains of each bound. A state visited before is not expanded again, so the first
+schedule that breaks an invariant is one of the shortest.
 """
 
 import time
@@ -33,8 +35,10 @@
 
 
 class GlobalState:
-    """`flight` is sorted; `ghost` numbers what has been seen; `left` has what remains of each bound; `asked` is a
-    bit set of operations submitted.
+    """One global state.
+
+    `flight` has the numbers of the messages in flight, sorted; `ghost` is the number of the ghost;
+    `left` has what remains of each bound; `asked` is a bit set of the operations submitted.
     """
 
     __slots__ = ("asked", "flight", "ghost", "left", "nodes")
@@ -54,13 +58,13 @@
         self.asked = asked
 
     def key(self) -> int:
-        """A 64-bit hash: states are told apart by it."""
+        """Return a 64-bit hash by which states are told apart."""
         nodes = tuple(node.number for node in self.nodes)
         return hash((nodes, self.flight, self.ghost, self.left, self.asked))
 
 
 class Found:
-    """What a search found. `whole` says that no state within the bounds is left to go on from."""
+    """The result of a search; `whole` is whether every state within the bounds was expanded."""
 
     __slots__ = ("breach", "depth", "local_states", "schedule", "seconds", "states", "whole")
 
@@ -75,7 +79,7 @@
 
 
 class Explorer:
-    """Searches one world."""
+    """Searches the schedules of one world."""
 
     __slots__ = (
         "_actions",
@@ -103,7 +107,7 @@
     # -- searching -----------------------------------------------------------------------------
 
     def first(self) -> GlobalState:
-        """The world's starting state, after its prelude."""
+        """Return the world's starting state, after its prelude."""
         state = self._start()
         for step in self.world.prelude:
             state = self._made(state, Action(step.kind, step.node, step.number))
@@ -112,12 +116,12 @@
         return state
 
     def _made(self, state: GlobalState, action: Action) -> GlobalState:
-        """The state after an action that counts against no bound."""
+        """Return the state after an action that counts against no bound."""
         reached = self.after(state, action) or state
         return GlobalState(reached.nodes, reached.flight, reached.ghost, state.left, reached.asked)
 
     def _drained(self, state: GlobalState, without: int) -> GlobalState:
-        """The state once every message has arrived or been lost and every flush has ended."""
+        """Return the state once no message is in flight and all flushes have ended."""
         while True:
             if without >= 0:
                 state = self._cut(state, without, state.left)
@@ -138,7 +142,7 @@
         return GlobalState(nodes, (), self._ghost_number(self.world.first_ghost()), left, 0)
 
     def search(self) -> Found:
-        """All states within the bounds, or the first breach."""
+        """Visit all states within the bounds, up to the first breach of an invariant."""
         began, bounds, found = time.monotonic(), self.world.bounds, Found()
         level = [(0, self.first())]
         self._enter(level[0][1], -1, 0)
@@ -198,7 +202,7 @@
     # -- one step ------------------------------------------------------------------------------
 
     def actions(self, state: GlobalState) -> list[Action]:
-        """What may happen next."""
+        """Return the actions that are possible in a state."""
         left, targets = state.left, self.local.targets
         rows = []
         for number in self._deliverable(state.flight):
@@ -224,11 +228,11 @@
         return rows
 
     def after(self, state: GlobalState, action: Action) -> GlobalState | None:
-        """The state after an action; None if it changes nothing.
+        """Return the state after an action; None if it changes nothing.
 
         Raises
         ------
-        BreachError: an invariant doesn't hold in the state reached.
+        BreachError: an invariant does not hold in the state reached.
         """
         kind, number = action.kind, action.number
         left = _spend(state.left, kind)
@@ -269,7 +273,10 @@
         return GlobalState(state.nodes, flight, state.ghost, left, state.asked)
 
     def _awaited(self, flight: list[int], nodes: list[LocalState]) -> tuple[int, ...]:
-        """Without replies that nobody waits for any more: handing them over would change nothing."""
+        """Return the messages in flight without replies that nobody waits for any more.
+
+        Delivering those would have no effect.
+        """
         rows, targets = self.local.messages, self.local.targets
         awaited = [
             number
@@ -283,7 +290,7 @@
         return (posted.sender, posted.to)
 
     def _deliverable(self, flight: tuple[int, ...]) -> list[int]:
-        """Each message once; where links keep their order, the first on each."""
+        """Return each message once; where links keep their order, the first on each link."""
         if not self.world.in_order:
             return list(dict.fromkeys(flight))
         firsts: dict[tuple[str, str], int] = {}
@@ -314,7 +321,7 @@
     # -- schedules -----------------------------------------------------------------------------
 
     def describe(self, schedule: list[Action]) -> list[tuple[Kind, int, str]]:
-        """A schedule in words that hold in every run: messages are named by what they are."""
+        """Return a schedule that holds in every run: messages are named by their content."""
         return [(step.kind, step.node, self._what(step)) for step in schedule]
 
     def _what(self, step: Action) -> str:
@@ -327,18 +334,18 @@
         return ""
 
     def label(self, number: int) -> str:
-        """A message's name: its type, who sent it, and the sender's reference."""
+        """Return a message's name: its type, its sender, and its references."""
         posted, _ = self.local.messages[number]
         sender = self.world.addresses.index(posted.sender)
         return f"{type(posted.message).__name__} from {sender} ref {posted.ref} re {posted.re}"
 
     def replay(self, steps: list[tuple[Kind, int, str]]) -> GlobalState:
-        """The state that a written schedule leads to.
+        """Return the state that a written schedule leads to.
 
         Raises
         ------
-        BreachError: an invariant doesn't hold on the way.
-        LookupError: a step isn't possible where the schedule has it.
+        BreachError: an invariant does not hold on the way.
+        LookupError: a step is not possible where the schedule has it.
         """
         state = self.first()
         for kind, node, what in steps:
--- a/libs/modelcheck/src/modelcheck/linearizability.py
+++ b/libs/modelcheck/src/modelcheck/linearizability.py
@@ -1,6 +1,8 @@
-"""Wing and Gong's search for a linearization of a recorded history, with memory of the
-configurations that led nowhere (Lowe, "Testing for linearizability", 2017). A call without a clear
-answer may take effect at any time after it began, or never.
+"""A checker for linearizability of a recorded history.
+
+It is Wing and Gong's search for a linearization, with memory of the configurations that led nowhere
+(Lowe, "Testing for linearizability", 2017). A call without a known outcome may take effect at any
+time after it began, or never.
 """
 
 from collections.abc import Hashable
@@ -12,8 +14,10 @@
 
 
 class Call:
-    """One operation as its caller saw it. `returned_ms` is infinite where the outcome isn't known; `asked` and
-    `answered` are the model's to read.
+    """One operation as its caller saw it; times are ms on one clock.
+
+    `returned_ms` is infinite where the outcome is not known. `asked` and `answered` are only
+    interpreted by the model.
     """
 
     __slots__ = ("answered", "asked", "began_ms", "returned_ms")
@@ -28,7 +32,7 @@
 
     @property
     def known(self) -> bool:
-        """Whether its answer says what became of it."""
+        """Whether the outcome of the call is known."""
         return self.returned_ms != _NEVER
 
     def __repr__(self) -> str:
@@ -36,20 +40,24 @@
 
 
 class Model(Protocol):
-    """A sequential object. States are compared by value."""
+    """A sequential specification of an object; states are compared by value."""
 
     def first(self) -> Hashable:
-        """The state before any call."""
+        """Return the state before any call."""
 
     def after(self, state: Any, call: Call) -> Hashable | None:
-        """The state after a call with just that answer; None if the object can't answer so. For a call that isn't
-        known: the state if it takes effect, or None if it has none.
+        """Return the state after a call with exactly this answer, or None if it is impossible.
+
+        For a call whose outcome is not known: the state if it takes effect, or None if it cannot.
         """
 
 
 class Verdict:
-    """`ok` says that there is a linearization; `decided`, that the search ended within its limit. `reached` is the longest
-    order found and `stuck` the known calls that could come next in none.
+    """The result of a search.
+
+    `ok` is whether there is a linearization, and `decided` whether the search ended within its
+    limit. `reached` is the longest order found, and `stuck` the known calls that could not follow
+    it.
     """
 
     __slots__ = ("configurations", "decided", "ok", "reached", "stuck")
@@ -63,7 +71,7 @@
 
 
 class _Node:
-    """A configuration: calls taken so far as a bit set, and the object's state after them."""
+    """A configuration: the calls taken so far as a bit set, and the object's state after them."""
 
     __slots__ = ("begin", "before", "place", "state", "taken")
 
@@ -78,7 +86,10 @@
 
 
 def linearize(calls: list[Call], model: Model, limit: int = 2_000_000) -> Verdict:
-    """Looks for an order of the calls, in keeping with real time, that the model can answer as seen."""
+    """Search for an order of the calls, consistent with real time, that the model allows.
+
+    `limit` bounds the number of configurations visited.
+    """
     rows = sorted(calls, key=lambda call: call.began_ms)
     wanted = sum(1 << place for place, call in enumerate(rows) if call.known)
     verdict, seen = Verdict(), set()
@@ -110,7 +121,7 @@
 
 
 def _candidates(node: _Node, rows: list[Call]) -> list[int]:
-    """Calls that may come next: begun before any call that is left over has returned."""
+    """Return the calls that may come next: begun before any remaining call has returned."""
     places: list[int] = []
     first_return_ms = _NEVER
     for place in range(node.begin, len(rows)):
@@ -123,8 +134,10 @@
 
 
 def _following(node: _Node, rows: list[Call], model: Model) -> list[_Node]:
-    """The configurations one call further. A known call that changes nothing and can come next is taken at once: if any
-    order exists from here, one exists with that call first.
+    """Return the configurations one call further.
+
+    A known call that changes nothing and can come next is taken at once: if any order exists from
+    here, one exists with that call first.
     """
     found = []
     for place in _candidates(node, rows):
--- a/libs/modelcheck/src/modelcheck/local.py
+++ b/libs/modelcheck/src/modelcheck/local.py
@@ -1,7 +1,9 @@
-"""Local states of nodes. A node's state is the image it started from and the events it was given
-since; running those again on the real cores gives it back, so nothing has to be copied that Python
-can't copy (pending callbacks). States with equal canonical encodings are one state, and what an
-event does to a state is computed once, however many global states that pair occurs in.
+"""Local states of nodes, found again by replaying events.
+
+A node's state is given by the image it started from and the events since; replaying these on the
+real cores restores it, so that nothing has to be copied that Python cannot copy (pending
+callbacks). States with equal canonical encodings are one state, and the effect of an event on a
+state is computed once, however many global states the pair occurs in.
 """
 
 from hashlib import blake2b
@@ -20,7 +22,7 @@
 
 
 class Transition:
-    """What one event does: the next local state, messages sent, and what observers were told."""
+    """The effect of one event: the next local state, messages sent, and what was observed."""
 
     __slots__ = ("sent", "state", "told")
 
@@ -31,7 +33,11 @@
 
 
 class LocalState:
-    """`pending` has the references of askings whose answers still matter."""
+    """One local state of a node.
+
+    `pending` has the references of requests whose answers still matter, `busy` is whether a flush
+    has not ended, and `seen` the number of what the world observes of the state.
+    """
 
     __slots__ = ("busy", "events", "image", "index", "next", "number", "pending", "seen")
 
@@ -47,7 +53,7 @@
 
 
 class LocalStates:
-    """All local states met, with the messages sent among them. Numbers are given in the order of meeting."""
+    """All local states found, with the messages sent among them, numbered in order of discovery."""
 
     __slots__ = (
         "_by_key",
@@ -73,17 +79,17 @@
         self.runs = 0
 
     def first(self, index: int) -> LocalState:
-        """The state of a node that has just started from the scenario's image."""
+        """Return the state of a node that has just started from the scenario's image."""
         state = LocalState(index, self._world.image(index), ())
         live = self.run(state)
         return self._intern(state, live)
 
     def after(self, state: LocalState, kind: Kind, number: int) -> Transition | None:
-        """What an event does to a state; None if nothing at all.
+        """Return the effect of an event on a state; None if it has none.
 
         Raises
         ------
-        BreachError: the node's code raised something.
+        BreachError: the node's code raised an exception.
         """
         event = (kind, number)
         if event not in state.next:
@@ -94,7 +100,7 @@
         return state.next[event]
 
     def run(self, state: LocalState) -> Live:
-        """The node of a state, made anew."""
+        """Return a running node in a state, restored by replaying its events."""
         self.runs += 1
         live = self._start(state.index, state.image)
         for event in state.events:
@@ -156,7 +162,7 @@
         self._settle(live)
 
     def _settle(self, live: Live) -> None:
-        """Ends what takes no step of its own: flushes, unless the disk is slow, and a node's words to itself."""
+        """Finish what takes no step: flushes, unless the disk is slow, and messages to itself."""
         at_once = self._world.loops_back
         while True:
             own = [row for row in live.env.posted if at_once and row.to == live.env.address]
--- a/libs/modelcheck/src/modelcheck/log_starts.py
+++ b/libs/modelcheck/src/modelcheck/log_starts.py
@@ -1,4 +1,4 @@
-"""Starting states of the replicated log."""
+"""Named starting states of the replicated log."""
 
 from modelcheck.actions import Kind
 from modelcheck.store_log import AppendRecord, ReadLog, StoreGroup
@@ -21,7 +21,7 @@
 
 
 def _holder_lost(bounds: Bounds) -> StoreGroup:
-    """A record has settled, another is on its way, and the two others take the holder's process to be gone."""
+    """One record has settled and another is in flight while the other two suspect the holder."""
     rows = [_append("x", 1), _append("y", 1, (1,)), _append("z", 2, (1,)), _read(1, (3,))]
     prelude = (
         Step(Kind.SUBMIT, 1, 1),
@@ -34,7 +34,7 @@
 
 
 def _old_holder(bounds: Bounds) -> StoreGroup:
-    """Another store has come to serve, and the holder before, which was cut off, doesn't know."""
+    """Another store serves, and the previous holder, which was partitioned, does not know."""
     rows = [_append("x", 1), _append("y", 1, (1,)), _append("z", 2, (1,)), _read(1, (3,))]
     prelude = (
         Step(Kind.SUBMIT, 1, 1),
@@ -47,7 +47,7 @@
 
 
 def _two_claim(bounds: Bounds) -> StoreGroup:
-    """Both other members are about to claim the holder's duty."""
+    """Both other members are about to claim the holder's role."""
     rows = [_append("x", 1), _append("y", 2, (1,)), _append("z", 3, (1,))]
     prelude = (
         Step(Kind.SUBMIT, 1, 1),
@@ -62,7 +62,7 @@
 
 
 def _spare(bounds: Bounds) -> StoreGroup:
-    """A member is to leave, and a spare can take its place."""
+    """A member is to leave, and a spare can replace it."""
     rows = [_append("x", 1), _append("y", 1, (1,)), _read(1, (2,))]
     prelude = (Step(Kind.SUBMIT, 1, 1),)
     return StoreGroup(3, 1, rows, bounds, retired=(3,), prelude=prelude)
--- a/libs/modelcheck/src/modelcheck/objects.py
+++ b/libs/modelcheck/src/modelcheck/objects.py
@@ -1,6 +1,7 @@
-"""The sequential objects that recorded histories are held against: a versioned register for a control
-key, and a lot with the positions of its results. They say what a caller may be told and nothing of
-how the system brings it about.
+"""Sequential specifications that recorded histories are checked against.
+
+These are a versioned register for a control key, and a batch (a lot) with the positions of its
+results. They define what a caller may be told, and nothing of how the system brings it about.
 """
 
 from typing import Any
@@ -11,7 +12,7 @@
 
 
 class _Asked:
-    """What was asked; written out for reports."""
+    """An operation's arguments, printable for reports."""
 
     __slots__ = ()
 
@@ -21,7 +22,7 @@
 
 
 class ChangeKey(_Asked):
-    """A change on a base version, known by its id. Answers: (outcome, version)."""
+    """A change based on a version, identified by its id. Answers: (outcome, version)."""
 
     __slots__ = ("base", "change_id")
 
@@ -31,22 +32,24 @@
 
 
 class ReadValue(_Asked):
-    """A reading of a key. Answers: (version, id of the change that made it)."""
+    """A read of a key. Answers: (version, id of the change that made it)."""
 
     __slots__ = ()
 
 
 class Register:
-    """A control key. Its state is the ids of the changes taken, in their order: the first made version 1. A change
+    """The specification of a control key.
+
+    Its state is the ids of the decided changes in their order; the first made version 1. A change
     sent again under its id is confirmed again as the version that it made.
     """
 
     def first(self) -> tuple[str, ...]:
-        """Version 0."""
+        """Return version 0."""
         return ()
 
     def after(self, state: tuple[str, ...], call: Call) -> tuple[str, ...] | None:
-        """See `Model.after`."""
+        """Return the state after a call; see `Model.after`."""
         if isinstance(call.asked, ReadValue):
             version, change_id = call.answered
             right = version == len(state) and (not state or change_id == state[-1])
@@ -64,19 +67,19 @@
 
 
 class HandIn(_Asked):
-    """A lot handed in. Answers: admitted, known or full."""
+    """The submission of a batch. Answers: "admitted", "known" or "full"."""
 
     __slots__ = ()
 
 
 class EndLot(_Asked):
-    """A lot ended early. Answers: ended."""
+    """The early end of a batch. Answers: "ended"."""
 
     __slots__ = ()
 
 
 class ReadLot(_Asked):
-    """Results from a place on. Answers: missing, or a `LotState` with the rows that were shown."""
+    """A read of results from `start` on. Answers: "missing", or a `LotState` of those shown."""
 
     __slots__ = ("start",)
 
@@ -85,8 +88,11 @@
 
 
 class LotState:
-    """A lot that is known: whether it was ended, how many of how many results are listed, and what some of them are.
-    `ended` is None after an end that may have come when all was listed already, and then changes nothing.
+    """A batch that is known: whether it was ended, and which results are listed.
+
+    `listed` of `total` results are listed, and `results` has some of them by position. `ended` is
+    None after an end that may have come when all results were listed already, and then changes
+    nothing.
     """
 
     __slots__ = ("ended", "listed", "results", "total")
@@ -121,20 +127,22 @@
 
 
 class Lot:
-    """One lot of so many items. Results are added at the end by the system at any time; what stands at a position
-    stays. A node may ask the log again for a caller whose call it passed on, so the call that brings a lot in may
-    be told that it is known.
+    """The specification of a batch of `total` items.
+
+    The system may append results at any time; a result never changes. A node may ask the log again
+    for a caller whose call it forwarded, so the call that submits a batch may be told that it is
+    known.
     """
 
     def __init__(self, total: int) -> None:
         self._total = total
 
     def first(self) -> Any:
-        """Before it is handed in."""
+        """Return the state before the submission."""
         return _ABSENT
 
     def after(self, state: Any, call: Call) -> Any:
-        """See `Model.after`."""
+        """Return the state after a call; see `Model.after`."""
         if isinstance(call.asked, HandIn):
             return self._handed_in(state, call)
         if isinstance(call.asked, EndLot):
--- a/libs/modelcheck/src/modelcheck/stand_ins.py
+++ b/libs/modelcheck/src/modelcheck/stand_ins.py
@@ -1,4 +1,4 @@
-"""What stands around the cores under the explorer in place of parts that are not explored."""
+"""Stubs of the parts that are not explored."""
 
 from messaging import Part
 
@@ -6,7 +6,7 @@
 
 
 class Trusted(Part):
-    """Stands where a node's knowledge of its neighbours does: it takes one voter for alive."""
+    """A stub failure detector that takes exactly one voter for live."""
 
     __slots__ = ("_name",)
 
@@ -14,16 +14,19 @@
         self._name = name
 
     def live(self, name: str) -> bool:
+        """Whether `name` is the one voter that is taken for live."""
         return name == self._name
 
     def hears(self, name: str) -> bool:
+        """Whether a node is in contact with a majority: always."""
         return True
 
 
 class NoFeed(Part):
-    """Stands where the feed does; nobody follows it here."""
+    """A stub of the config feed without followers."""
 
     __slots__ = ()
 
     def publish(self, key: str, number: int, body: str) -> None:
+        """Discard the version."""
         return None
--- a/libs/modelcheck/src/modelcheck/store_log.py
+++ b/libs/modelcheck/src/modelcheck/store_log.py
@@ -1,13 +1,14 @@
-"""The replicated log under the explorer: stores with the real cores of `replicated_log`, and one control node
-(a real voter and owner, alone, so that its key is a register that decides at once: how several voters agree is
-explored in control_keys.py). Stand-ins take the place of the feed, which carries the log's key to the stores in any order and
-may be lost, and of what a store knows of its neighbours. Invariants:
+"""The replicated log under the explorer: stores with the real cores of `replicated_log`.
+
+One control node, a real voter and owner without peers, makes the log's key a register that decides
+at once; agreement of several voters is explored in control_keys.py. Stubs replace the feed, which
+brings the key to the stores in any order and may lose it, and the failure detector. Invariants:
 
 L1  a position of the log that has settled anywhere never has another record;
-L2  a record acknowledged as settled is in the log of whoever serves from then on;
+L2  a record acknowledged as settled is in the log of every store that serves from then on;
 L3  at most one store serves in each epoch;
-L4  a reading confirmed by the holder has every record that was acknowledged before it began;
-L5  a store never goes behind a fence or a log epoch that it told, restarts with its disk included.
+L4  a read confirmed by the holder has every record acknowledged before it began;
+L5  a store never falls behind a fence or log epoch that it sent, even by restarts with its disk.
 """
 
 import json
@@ -39,7 +40,7 @@
 
 
 class AppendRecord:
-    """A record is appended at the holder and acknowledged once settled."""
+    """An append of a record at the holder, acknowledged once settled."""
 
     __slots__ = ("name",)
 
@@ -48,13 +49,13 @@
 
 
 class ReadLog:
-    """The holder makes sure that it is the holder still, and tells what the log has."""
+    """A read of the log at the holder, after it has confirmed that it is still the holder."""
 
     __slots__ = ()
 
 
 class _FeedOut(Part):
-    """The feed at control: each new value goes to every store once."""
+    """A stub of the feed at control: sends each new value to every store once."""
 
     __slots__ = ("_stores",)
 
@@ -68,7 +69,7 @@
 
 
 class _FleetView(Part):
-    """What a store knows of the fleet: the log's key as far as it has heard, and the stores, all taken to live."""
+    """A stub of a store's view: the log's key as received, and all stores, taken for live."""
 
     __slots__ = ("_number", "_retired", "_rows", "body")
     HANDLES = (News,)
@@ -101,8 +102,10 @@
 
 
 class LogGhost:
-    """What has been seen: records acknowledged, what settled where, who served, fences told, and for each reading what
-    had been acknowledged when it began.
+    """What has been observed of the log.
+
+    Records acknowledged, what settled where, who served, fences sent, and for each read what had
+    been acknowledged when it began.
     """
 
     __slots__ = ("answered", "begun", "fences", "kept", "served", "settled")
@@ -131,8 +134,9 @@
 
 
 class StoreGroup(World):
-    """Members of the log and spares. The first member is the first holder; `retired` has the places of stores that are
-    to leave.
+    """Members of the log and spares; the first member is the first holder.
+
+    `retired` has the numbers of the stores that are to leave.
     """
 
     unheard = (Pulse,)
@@ -190,6 +194,7 @@
     # -- nodes ---------------------------------------------------------------------------------
 
     def image(self, index: int) -> BootImage:
+        """Return the disk of a founded voter or of a blank store."""
         if index == _CONTROL:
             row = {"identity": "control", "address": self.addresses[0], "zone": "a", "region": ""}
             listed = json.dumps({"number": 1, "voters": [row]})
@@ -202,6 +207,7 @@
         return BootImage(disk.durable, _START_MS, 1)
 
     def boot(self, index: int, live: Live) -> Node:
+        """Start the control node or a store."""
         if index == _CONTROL:
             voter = Voter(live.disk, live.env.token)
             feed = _FeedOut(self.addresses[1:])
@@ -215,6 +221,7 @@
         return Node(live.env, self._params, [store, client, view])
 
     def submit(self, index: int, live: Live, number: int) -> None:
+        """Give an operation to a store, if it serves, or the first change to control."""
         asked = self.operations[number].message
         part: Any = live.node.parts[0]
         if isinstance(asked, Change):
@@ -227,12 +234,14 @@
                 part.holder.read(_Read(live, number, part.holder, part.log))
 
     def observe(self, index: int, live: Live) -> Hashable:
+        """Return a store's identity, fence and log epoch."""
         if index == _CONTROL:
             return ("", 0, 0)
         meta = _log(live).meta
         return (meta.identity, meta.fence, meta.log_epoch)
 
     def witness(self, index: int, live: Live) -> frozenset:
+        """Return the records that have settled at a store."""
         if index == _CONTROL:
             return frozenset()
         log = _log(live)
@@ -242,12 +251,14 @@
             if record.seq <= log.settled_seq
         )
 
-    # -- what was seen -------------------------------------------------------------------------
+    # -- observations --------------------------------------------------------------------------
 
     def first_ghost(self) -> LogGhost:
+        """Return the ghost before the first step."""
         return LogGhost()
 
     def next_ghost(self, ghost: LogGhost, told: tuple[Any, ...]) -> LogGhost:
+        """Return the ghost after one step; raises BreachError for L1 to L4."""
         parts = {name: set(getattr(ghost, name)) for name in LogGhost.__slots__}
         for kind, *row in told:
             if kind == "submitted":
@@ -282,9 +293,11 @@
         parts["answered"].add(number)
 
     def answered(self, ghost: LogGhost) -> frozenset[int]:
+        """Return the numbers of the operations that were acknowledged."""
         return ghost.answered
 
     def check(self, ghost: LogGhost, observed: tuple[Any, ...]) -> None:
+        """Check the fences on the nodes; raises BreachError for L5."""
         told = {identity: row for identity, *row in ghost.fences}
         for identity, fence, log_epoch in observed:
             if identity in told and (fence < told[identity][0] or log_epoch < told[identity][1]):
@@ -299,7 +312,7 @@
 
 
 class _Kept:
-    """Notes an append that is acknowledged as settled."""
+    """Records an append that is acknowledged as settled."""
 
     __slots__ = ("_live", "_name", "_number")
 
@@ -314,7 +327,7 @@
 
 
 class _Read:
-    """Notes what a holder tells once it is sure."""
+    """Records what a holder returns once it is sure to be the holder."""
 
     __slots__ = ("_holder", "_live", "_log", "_number")
 
@@ -330,7 +343,7 @@
 
 
 class _Serving:
-    """Notes that a store begins to serve."""
+    """Records that a store begins to serve."""
 
     __slots__ = ("_live", "_log")
 
@@ -345,7 +358,7 @@
 
 
 class _Fences:
-    """Notes the fences and log epochs that a store tells."""
+    """Records the fences and log epochs that a store sends."""
 
     __slots__ = ("_live",)
 
--- a/libs/modelcheck/src/modelcheck/surroundings.py
+++ b/libs/modelcheck/src/modelcheck/surroundings.py
@@ -1,6 +1,7 @@
-"""The surroundings of one node under the explorer: a clock that moves only when told, a disk whose
-flushes end only when told, and posts that are gathered up. Every drawn number is fixed, so a node's
-state is a function of the events that it has been given.
+"""The simulated environment of one node under the explorer.
+
+The clock moves and flushes end only when told to, and messages sent are collected. Every random
+number is fixed, so a node's state is a function of the events that it has been given.
 """
 
 from collections.abc import Callable
@@ -15,7 +16,7 @@
 
 
 class BootImage:
-    """What a process starts from: its machine's files, clock and how often it has been started."""
+    """What a process starts from: its files, its clock (ms) and the number of the start."""
 
     __slots__ = ("clock_ms", "files", "life")
 
@@ -25,12 +26,12 @@
         self.life = life
 
     def key(self) -> tuple:
-        """Equal for images from which a process starts alike."""
+        """Return a key that is equal for images from which a process starts alike."""
         return (tuple(sorted(self.files.items())), self.clock_ms, self.life)
 
 
 class Posted:
-    """A message on its way."""
+    """A message in flight, with its own reference and the one that it replies to (0 for none)."""
 
     __slots__ = ("message", "re", "ref", "sender", "to")
 
@@ -43,7 +44,7 @@
 
 
 class _FixedNumbers:
-    """Stands where cores draw: the first reference of a process's life, and a dice that never says wait."""
+    """A random number generator with fixed results; `random` never makes a core wait."""
 
     __slots__ = ("_life",)
 
@@ -51,6 +52,7 @@
         self._life = life
 
     def getrandbits(self, bits: int) -> int:
+        """Return the first message reference of this process's life."""
         return self._life * _REFS_PER_LIFE
 
     def random(self) -> float:
@@ -70,7 +72,11 @@
 
 
 class ModelEnv:
-    """A node's `messaging` surroundings."""
+    """The environment that `messaging` gives a node.
+
+    `posted` collects the messages sent, and `on_post` is called with each of them. `requests` has
+    the requests received, by sender and reference.
+    """
 
     __slots__ = (
         "_tokens",
@@ -96,30 +102,37 @@
         self._tokens = 0
 
     def now(self) -> int:
+        """Return the node's clock in ms."""
         return self.now_ms
 
     def wall(self) -> int:
+        """Return the wall clock in ms, here the same as the node's clock."""
         return self.now_ms
 
     def token(self) -> str:
+        """Return a token that is unique among all processes of a run."""
         self._tokens += 1
         return f"{self.name}-{self.life}-{self._tokens}"
 
     def post(self, to: str, ref: int, re: int, message: Message) -> None:
+        """Collect a message that the node sends."""
         posted = Posted(self.address, to, ref, re, message)
         self.posted.append(posted)
         self.on_post(posted)
 
     def received(self, posted: Posted) -> None:
-        """Notes a request, so that the reply to it can be told from others."""
+        """Note a request, so that the reply to it can be told from others."""
         if posted.ref:
             self.requests[(posted.sender, posted.ref)] = posted.message
 
     def log(self, event: str, level: str = "INFO", **fields: Any) -> None:
+        """Discard the event."""
         return None
 
 
 class _Waiting:
+    """A flush or replacement of a file that has not ended."""
+
     __slots__ = ("data", "done", "name", "rows")
 
     def __init__(
@@ -136,7 +149,10 @@
 
 
 class ModelDisk(Disk):
-    """A disk without limits of room. `complete` ends the oldest flush or replacement."""
+    """A disk of unlimited size, whose flushes end only by `complete`.
+
+    `files` is what the process reads, and `durable` what a power failure leaves.
+    """
 
     __slots__ = ("durable", "files", "pending", "waiting")
 
@@ -147,32 +163,41 @@
         self.waiting: list[_Waiting] = []
 
     def names(self) -> list[str]:
+        """Return the names of all files, sorted."""
         return sorted(self.files)
 
     def read(self, name: str) -> bytes:
+        """Return a file's content; KeyError if there is no such file."""
         return self.files[name]
 
     def read_at(self, name: str, offset: int, size: int) -> bytes:
+        """Return up to `size` bytes of a file from `offset`; empty if there is no such file."""
         return self.files.get(name, b"")[offset : offset + size]
 
     def roomy(self, size: int, urgent: bool = False) -> bool:
+        """Whether there is room for `size` bytes: always."""
         return True
 
     def push(self) -> None:
+        """Do nothing: writes are visible to the process at once."""
         return None
 
     def write(self, name: str, offset: int, data: bytes, urgent: bool = False) -> None:
+        """Write `data` at `offset`; not durable before a flush."""
         self._step(name, "write", offset, bytes(data))
 
     def truncate(self, name: str, size: int) -> None:
+        """Cut a file to `size` bytes; not durable before a flush."""
         if name in self.files and size != len(self.files[name]):
             self._step(name, "truncate", size, b"")
 
     def remove(self, name: str) -> None:
+        """Remove a file; not durable before a flush."""
         if name in self.files:
             self._step(name, "remove", 0, b"")
 
     def flush(self, names: list[str], done: Callable[[bool], None]) -> None:
+        """Begin a flush of these files and of all removals; `done` is called when it ends."""
         removed = [
             name
             for name, rows in self.pending.items()
@@ -182,18 +207,21 @@
         self.waiting.append(_Waiting(done, rows=rows))
 
     def replace(self, name: str, data: bytes, done: Callable[[bool], None]) -> None:
+        """Begin an atomic replacement of a file's content; `done` is called when it ends."""
         self.waiting.append(_Waiting(done, name, bytes(data)))
 
     def set_aside(self) -> None:
+        """Remove everything, durably."""
         for files in (self.files, self.durable, self.pending):
             files.clear()
 
     @property
     def busy(self) -> bool:
+        """Whether a flush or replacement has not ended."""
         return bool(self.waiting)
 
     def complete(self) -> None:
-        """The oldest flush or replacement is on the device, and who waits for it is told."""
+        """End the oldest flush or replacement, and call back whoever waits for it."""
         row = self.waiting.pop(0)
         if row.data is not None:
             self.files[row.name] = self.durable[row.name] = row.data
--- a/libs/modelcheck/src/modelcheck/world.py
+++ b/libs/modelcheck/src/modelcheck/world.py
@@ -1,6 +1,7 @@
-"""What a model of one group of nodes has to say: which nodes there are and how they start, which
-operations are given to them, what is seen of a node's state, and what must always hold. The
-explorer knows nothing else about the group.
+"""What a model of a group of nodes has to define for the explorer.
+
+It defines the nodes and how they start, the operations that they are given, what is observed of a
+node's state, and the invariants. The explorer knows nothing else about the group.
 """
 
 from abc import ABC, abstractmethod
@@ -16,7 +17,7 @@
 
 
 class BreachError(Exception):
-    """An invariant doesn't hold. `invariant` is its number."""
+    """An invariant does not hold; `invariant` is its number."""
 
     def __init__(self, invariant: str, what: str) -> None:
         super().__init__(f"{invariant}: {what}")
@@ -24,8 +25,12 @@
 
 
 class Bounds:
-    """How far the explorer goes: how often each thing may happen in one schedule, and how many steps it has.
-    `slow_disk` makes the end of each flush a step of its own; without it flushes end at once.
+    """The bounds of a search.
+
+    The counts (`COUNTS`) limit how often each kind of fault may happen in one schedule, `depth` its
+    number of steps, `states` the global states visited, and `seconds` the time. With `slow_disk`
+    the end of each flush is a step of its own; without it flushes end at once. An unknown count
+    raises TypeError.
     """
 
     COUNTS = (
@@ -65,8 +70,10 @@
 
 
 class Operation:
-    """Something a client asks of a node, once in a schedule, at any time after the operations in `after` (by
-    their place in the scenario) have been answered.
+    """A client's operation on a node, submitted once in a schedule.
+
+    It may be submitted at any time after the operations in `after` (by their number in the
+    scenario) have been answered.
     """
 
     __slots__ = ("after", "message", "name", "node")
@@ -79,7 +86,7 @@
 
 
 class Live:
-    """A running node with its surroundings."""
+    """A running node with its simulated environment and disk; `told` collects what was observed."""
 
     __slots__ = ("disk", "env", "node", "told")
 
@@ -91,7 +98,7 @@
 
 
 class Start:
-    """A named starting state, with the bounds that it is explored under unless others are given."""
+    """A named starting state, with the default bounds of its exploration."""
 
     __slots__ = ("_counts", "_make", "what")
 
@@ -101,13 +108,15 @@
         self._counts = counts
 
     def world(self, **bounds: Any) -> "World":
-        """The starting state under its own bounds but for those given."""
+        """Return the starting state under its default bounds, overridden by those given."""
         return self._make(Bounds(**{**self._counts, **bounds}))
 
 
 class Step:
-    """A step of a prelude. Where `drained` is set all that it leads to comes about as well, messages in the order of
-    sending and flushes at once; what goes to or from the node `without` is lost meanwhile.
+    """A step of a prelude.
+
+    If `drained`, all that follows from it happens as well: messages are delivered in the order of
+    sending and flushes end at once; messages to or from the node `without` are lost meanwhile.
     """
 
     __slots__ = ("drained", "kind", "node", "number", "without")
@@ -123,11 +132,18 @@
 
 
 class World(ABC):
-    """One starting state of a group of nodes. `tick_ms`, `timeout_ms` and `freeze_ms` are how far TICK, TIMEOUT and
-    FREEZE move a clock. `prelude` is run before the search. Messages of the types in `unheard` are always lost. Where `loops_back` is set, what a node sends itself
-    arrives at once. Nodes in `sturdy` only get messages. Where `in_order`
-    is set, messages between two nodes arrive in the order of sending, as on one connection. A ghost is what has been seen from outside so far (votes given, answers): never changed, compared by
-    value.
+    """One starting state of a group of nodes.
+
+    - `tick_ms`, `timeout_ms` and `freeze_ms` are how far TICK, TIMEOUT and FREEZE advance a clock.
+    - `prelude` is run before the search.
+    - Messages of the types in `unheard` are always lost.
+    - If `loops_back`, messages of a node to itself are delivered at once.
+    - Nodes in `sturdy` never fail and have no timers; they only receive messages.
+    - If `in_order`, messages between two nodes are delivered in the order of sending.
+    - `skip` and `opaque` are as for `canonical.Encoder`.
+
+    A ghost is the history variable of the invariants: what has been observed so far (votes,
+    answers). It is never modified and is compared by value.
     """
 
     addresses: list[str]
@@ -146,54 +162,54 @@
 
     @abstractmethod
     def image(self, index: int) -> BootImage:
-        """What a node starts from at the beginning."""
+        """Return what a node starts from at the beginning."""
 
     @abstractmethod
     def boot(self, index: int, live: Live) -> Node:
-        """The node's process, from its disk. What clients and other observers see goes into `live.told`."""
+        """Start the node's process from its disk; observations are appended to `live.told`."""
 
     @abstractmethod
     def submit(self, index: int, live: Live, number: int) -> None:
-        """Gives an operation to its node."""
+        """Give the operation of this number to its node."""
 
     @abstractmethod
     def observe(self, index: int, live: Live) -> Hashable:
-        """What invariants need to know of a node's state."""
+        """Return what the invariants need to know of a node's state."""
 
     def witness(self, index: int, live: Live) -> frozenset:
-        """Facts of a node's state; those that a step adds are told after it."""
+        """Return facts of a node's state; those that a step adds are observed after it."""
         return frozenset()
 
     @abstractmethod
     def first_ghost(self) -> Hashable:
-        """The ghost before the first step."""
+        """Return the ghost before the first step."""
 
     @abstractmethod
     def next_ghost(self, ghost: Any, told: tuple[Hashable, ...]) -> Hashable:
-        """The ghost after one step.
+        """Return the ghost after one step.
 
         Raises
         ------
-        BreachError: what was told breaks an invariant.
+        BreachError: what was observed breaks an invariant.
         """
 
     @abstractmethod
     def check(self, ghost: Any, observed: tuple[Any, ...]) -> None:
-        """Invariants over the nodes' present states.
+        """Check the invariants over the nodes' present states.
 
         Raises
         ------
-        BreachError: one of them doesn't hold.
+        BreachError: one of them does not hold.
         """
 
     def answered(self, ghost: Any) -> frozenset[int]:
-        """The numbers of the operations that have been answered."""
+        """Return the numbers of the operations that have been answered."""
         return frozenset()
 
     def inert(self, done: Callable) -> bool:
-        """Whether nothing depends any more on the answer to an asking."""
+        """Whether the answer to a pending request no longer matters; `done` is its callback."""
         return False
 
     def disk_key(self, disk: ModelDisk) -> Any:
-        """What of a disk's content matters for a process that starts from it."""
+        """Return what of a disk's content matters to a process that starts from it."""
         return (disk.files, disk.durable)
