--- a/tests/test_orders_history.py
+++ b/tests/test_orders_history.py
@@ -5,51 +5,39 @@
 import asyncio
 import random
 
+from modelcheck import Call, linearize
 from orders_case import SETTINGS_PATH, OrdersCase, revised
 from platform_calls import Platform
 from testtools.matchers import Equals
 
 
-class Register:
-    """Whether what operators saw of the configuration is linearizable: a search over the orders that may have
-    been taken next, in Wing and Gong's way, with the states that were tried left out.
-    """
+class Configuration:
+    """The configuration as its operators may see it; a state is its revision and its mark."""
+
+    def first(self):
+        return (0, "")
 
-    def __init__(self, calls):
-        self.calls = calls
-
-    def explained(self):
-        tried = set()
-
-        def search(left, state):
-            must = [place for place in left if self.calls[place]["outcome"] != "unknown"]
-            if not must:
-                return True
-            if (left, state) in tried:
-                return False
-            tried.add((left, state))
-            first_end = min(self.calls[place]["end"] for place in must)
-            for place in left:
-                call = self.calls[place]
-                if call["start"] <= first_end:
-                    after = self.step(call, state)
-                    if after is not None and search(left - {place}, after):
-                        return True
-            return False
-
-        return search(frozenset(range(len(self.calls))), (0, ""))
-
-    @staticmethod
-    def step(call, state):
-        """The state after the call, or None where it can't have been answered so in this one. A state is the
-        revision and the mark of the configuration in force.
-        """
-        if call["what"] == "read":
-            return state if call["seen"] == state else None
-        fits = call["base"] == state[0]
-        if call["outcome"] == "refused":
+    def after(self, state, call):
+        """The state after the call, or None where it can't have been answered so in this one."""
+        asked = call.asked
+        if asked["what"] == "read":
+            return state if asked["seen"] == state else None
+        fits = asked["base"] == state[0]
+        if asked["outcome"] == "refused":
             return None if fits else state
-        return (call["revision"], call["mark"]) if fits else None
+        return (asked["revision"], asked["mark"]) if fits else None
+
+
+def explained(calls):
+    """Whether what operators saw is linearizable."""
+    rows = [
+        Call(call, call["start"])
+        if call["outcome"] == "unknown"
+        else Call(call, call["start"], call["outcome"], call["end"])
+        for call in calls
+    ]
+    verdict = linearize(rows, Configuration())
+    return verdict.decided and verdict.ok
 
 
 class DrawnOrders:
@@ -192,7 +180,7 @@
             ([lost], False),
         ]
         for calls, wanted in rows:
-            self.assertThat(Register(calls).explained(), Equals(wanted), str(calls))
+            self.assertThat(explained(calls), Equals(wanted), str(calls))
 
     async def drawn(self, seed, rounds):
         run = DrawnOrders(seed)
@@ -204,4 +192,4 @@
         for seed in range(900, 908):
             calls = asyncio.run(self.drawn(seed, 6))
             told = [{key: call[key] for key in call if key != "sent"} for call in calls]
-            self.assertThat(Register(calls).explained(), Equals(True), f"seed {seed}: {told}")
+            self.assertThat(explained(calls), Equals(True), f"seed {seed}: {told}")
