--- a/libs/replicated_log/src/replicated_log/__init__.py
+++ b/libs/replicated_log/src/replicated_log/__init__.py
@@ -1,6 +1,8 @@
-"""Replicated log: the durable log after Salius. One holder for an epoch writes its queue file lazily and
-lets peers hold each record in memory; recovery gathers what they hold. docs/design.md tells what
-was kept of the source and what was changed.
+"""A replicated, durable log after the Salius scheme.
+
+In each epoch one leader, the holder, writes its queue file lazily and lets followers keep each
+record in memory. Recovery under a new epoch gathers what they hold. docs/design.md says what was
+kept of the published scheme and what was changed.
 """
 
 from colophon.lazy import lazy
--- a/libs/replicated_log/src/replicated_log/flush_mark.py
+++ b/libs/replicated_log/src/replicated_log/flush_mark.py
@@ -1,4 +1,7 @@
-"""How far the log on a disk has been reported flushed, so that opening can tell a cut tail from damage."""
+"""The flush mark: how far the log on a disk has been reported flushed.
+
+On opening, it tells an unflushed tail that was torn off from damage to flushed records.
+"""
 
 from storage import Disk, frame, scan
 
@@ -10,7 +13,7 @@
 
 
 class FlushMark:
-    """The sequence number up to which flushes were reported, and the fence under which this was so."""
+    """The last sequence number reported flushed, stored with the fence under which this was so."""
 
     __slots__ = ("_disk", "_metas")
 
@@ -19,7 +22,10 @@
         self._metas = metas
 
     def read(self) -> int:
-        """A mark from before the present fence says nothing: what it speaks of may have been cut off since."""
+        """Return the mark, or 0 if it was written under an earlier fence.
+
+        What an earlier mark speaks of may have been cut off since.
+        """
         names = self._disk.names()
         frames = scan(self._disk.read(_NAME))[0] if _NAME in names else []
         fence, seq = (int(part) for part in frames[0][1].split()) if frames else (-1, 0)
@@ -27,7 +33,7 @@
         return seq if fence == meta.fence == meta.log_epoch else 0
 
     def write(self, seq: int) -> None:
-        """Written only while the disk has taken over the epoch that it is fenced for."""
+        """Write the mark lazily if there is room and the log is of the present fence's epoch."""
         meta = self._metas.meta
         if meta.fence == meta.log_epoch and self._disk.roomy(64, True):
             self._disk.write(_NAME, 0, frame(f"{meta.fence:020d} {seq:020d}".encode()), True)
--- a/libs/replicated_log/src/replicated_log/founding.py
+++ b/libs/replicated_log/src/replicated_log/founding.py
@@ -1,4 +1,4 @@
-"""Which stores found the log."""
+"""Founding: which stores become the first members of the log."""
 
 from typing import Any
 
@@ -9,7 +9,7 @@
 
 
 class Founding:
-    """The blank stores that this one has heard of, and since when they have been the same."""
+    """The blank stores that this store has heard of, and since when they have been the same."""
 
     __slots__ = ("_candidates", "_candidates_ms", "_fleet", "_log")
 
@@ -20,8 +20,12 @@
         self._candidates_ms = 0
 
     def members(self, node: Any, changed_ms: int) -> list[dict[str, str]]:
-        """The first members, once as many blank stores as the log needs are heard and no more appear: the first
-        of them in order asks, then the next. A store that starts blank later than the fleet never founds.
+        """Return the first members if this store is to found the log now, else an empty list.
+
+        Founding waits until as many blank stores are known as the log needs and no more have
+        appeared for two heartbeats. The first of the chosen stores tries first, then the next one,
+        `ask_ms` later. A store that starts blank after the fleet never founds. `changed_ms` is when
+        this store's role last changed, in milliseconds of its clock.
         """
         params, now_ms = node.params, node.env.now()
         if not self._fleet.settled_in() or now_ms - changed_ms < params.beat_ms:
--- a/libs/replicated_log/src/replicated_log/holder.py
+++ b/libs/replicated_log/src/replicated_log/holder.py
@@ -1,7 +1,9 @@
-"""The holder of the log for one epoch. An append is written lazily, sent to the peers and
-acknowledged once f of them hold it in memory; if 2 delta pass first, once it is flushed here and at
-a peer; else its fate is unknown. Whoever needs it settled also waits until f+1 disks have it, and
-brings the flush forward. Reads wait for f peers to confirm that nothing has fenced this epoch.
+"""The leader of the log for one epoch, called the holder.
+
+An append is written without a flush, sent to the followers and acknowledged once f of them have it
+in memory. After 2 delta it is acknowledged only once it is settled, that is durable on f+1 disks;
+after `ask_ms` its outcome is unknown. A caller may wait for settling from the start, which brings
+the flush forward. Reads wait until f followers have confirmed that this epoch isn't fenced.
 """
 
 from collections.abc import Callable
@@ -26,6 +28,11 @@
 
 
 class Holder:
+    """Appends, reads and replication of one epoch, until a higher epoch deposes the holder.
+
+    `ledger` includes records not settled yet; `base_seq` is the end of the recovered log.
+    """
+
     __slots__ = (
         "_flush_asked",
         "_flush_wanted_seq",
@@ -92,17 +99,15 @@
 
     @property
     def settled(self) -> Ledger:
-        """The ledger folded as far as f+1 disks have the log."""
+        """The ledger folded up to the last settled record."""
         return self._log.ledger
 
     def let_go(self, entry: Message) -> None:
-        """What is on a shelf leaves the logged ledger too, where it is over there as well."""
+        """Drop what was archived in a file from the unsettled ledger, if it is over there too."""
         known = self.ledger.lots if isinstance(entry, LotShelved) else self.ledger.keys
         if (entry.lot_id if isinstance(entry, LotShelved) else entry.key) in known:
             self.ledger.apply(entry)
 
-    # -- appending -----------------------------------------------------------------------------
-
     def append(
         self,
         entries: list[Message],
@@ -110,7 +115,7 @@
         done: Callable[[Outcome], None],
         urgent: bool = False,
     ) -> bool:
-        """All entries or none; done tells of the last one. False if there was no room."""
+        """Append all entries or none; `done` gets the outcome of the last. False if refused."""
         bodies = [encode(entry) for entry in entries]
         need_bytes = sum(len(body) + 64 for body in bodies)
         if (
@@ -146,14 +151,12 @@
         return roomy < self.params.store_faults
 
     def read(self, done: Callable[[bool], None]) -> None:
-        """Calls back once f peers have confirmed this epoch after now."""
+        """Call back with True once f followers have confirmed this epoch after now, else False."""
         self._probe += 1
         self._readers.append((self._probe, done, self._now()))
         for peer in self.peers.values():
             self._send(peer)
 
-    # -- sending -------------------------------------------------------------------------------
-
     def _send(self, peer: Peer, flush: bool = False) -> None:
         log = self._log
         peer.sent_ms = self._now()
@@ -183,6 +186,7 @@
         peer.next_seq += len(records)
 
     def answered(self, message: Appended, address: str) -> None:
+        """Take in a follower's answer; a higher fence in it deposes this holder."""
         if message.fence > self.epoch:
             self._depose(message.fence)
             return
@@ -214,8 +218,9 @@
         self.progress()
 
     def _step_back(self, peer: Peer, message: Appended) -> None:
-        """One place back, but not behind the peer's snapshot, which holds only what is settled; receipts
-        of sends before the last one are not heeded, or each would cause a send of its own.
+        """Go one record back, but not behind the follower's snapshot, which is settled throughout.
+
+        Answers to sends before the last one are ignored, or each would cause a send of its own.
         """
         if message.asked_seq <= message.snap_seq and message.asked_seq < self._log.snap_seq:
             self._snapshots.send(peer, self._probe)
@@ -224,12 +229,12 @@
         self._send(peer)
 
     def learn(self, identity: str, address: str) -> None:
-        """A spare store: it is sent the log but counts for nothing until it is made a member."""
+        """Start to replicate to a spare, which counts in no quorum until it is a member."""
         if identity not in self.peers and identity != self._log.identity:
             self.peers[identity] = Peer(identity, address, self._log.last_seq + 1, self._now())
 
     def keep_spares(self, spares: list[tuple[str, str]]) -> None:
-        """These and no other spares are sent the log."""
+        """Replicate to these spares and to no others."""
         names = [identity for identity, _ in spares]
         for identity in [
             identity
@@ -240,17 +245,17 @@
         for identity, address in spares:
             self.learn(identity, address)
 
-    # -- who is in touch -----------------------------------------------------------------------
-
     def in_touch(self, identity: str) -> bool:
+        """Whether a follower has adopted this epoch and was heard within `doubt_ms`."""
         peer = self.peers.get(identity)
         return (
             peer is not None and peer.adopted and self._now() - peer.heard_ms < self.params.doubt_ms
         )
 
     def is_level(self, identity: str) -> bool:
-        """Whether this store has on disk all that was settled a pulse ago: under load what is settled is always a little
-        ahead of the reports of the slower disks.
+        """Whether a store in touch has on disk what was settled a pulse ago.
+
+        Under load the settled end is always a little ahead of the reports of slower disks.
         """
         peer = self.peers.get(identity)
         return (
@@ -261,17 +266,15 @@
         )
 
     def level_members(self) -> int:
-        """How many members are level, this store among them, and in touch."""
+        """Return how many members, this store among them, are level and in touch."""
         own = self._log.flushed_seq >= self._level_seq[0]
         return own + sum(self.is_level(name) for name in self.members)
 
     def sure(self) -> bool:
-        """Whether f members have answered lately, so that this store can do its duty."""
+        """Whether f members have answered within `doubt_ms`, so that this store can do its duty."""
         floor_ms = self._now() - self.params.doubt_ms
         return sum(peer.heard_ms >= floor_ms for peer in self._voting()) >= self.params.store_faults
 
-    # -- acknowledging -------------------------------------------------------------------------
-
     @property
     def members(self) -> list[str]:
         """The identities of the members in force."""
@@ -281,6 +284,7 @@
         return self._quorums.peers_of(self.members)
 
     def progress(self) -> None:
+        """Settle, acknowledge and answer reads as far as the followers' answers allow."""
         f = self.params.store_faults
         settled_seq = self._quorums.settled_seq(f, self._log.flushed_seq)
         if settled_seq > self._log.settled_seq and settled_seq >= self.base_seq:
@@ -304,22 +308,20 @@
         return waiter.seq <= held_seq
 
     def roomier(self) -> str | None:
-        """A member in touch that has room, when this store has none."""
+        """Return a member in touch with room on its disk if this store has none, else None."""
         if self._log.disk.roomy(0):
             return None
         return self._quorums.roomy_member(self._now() - self.params.dead_ms)
 
     def adopted(self) -> bool:
-        """Whether f peers besides this store hold the recovered log under this epoch on disk."""
+        """Whether f followers have the recovered log on disk under this epoch."""
         count = sum(
             1 for peer in self._voting() if peer.adopted and peer.flushed_seq >= self.base_seq
         )
         return count >= self.params.store_faults and self._log.flushed_seq >= self.base_seq
 
-    # -- changing the members ------------------------------------------------------------------
-
     def begin_change(self, following: list[str]) -> None:
-        """From now on what is acknowledged is on enough stores of both lists."""
+        """Start a change of members: from now on a quorum of both lists is needed."""
         self._quorums.begin_change(following, self._log.last_seq)
         self._bring_flush_forward()
 
@@ -328,12 +330,10 @@
         return self._quorums.may_change(self.params.store_faults, self._log.flushed_seq)
 
     def end_change(self, made: bool) -> None:
-        """The following members are in force, or the ones before them go on."""
+        """End a change of members; the following list is in force if it was `made`."""
         self._quorums.end_change(made)
         self.progress()
 
-    # -- flushing ------------------------------------------------------------------------------
-
     def _bring_flush_forward(self) -> None:
         self._flush_wanted_seq = self._log.last_seq
         if not self._flush_asked:
@@ -350,6 +350,7 @@
             self._log.flush(self._flushed)
 
     def tick(self) -> None:
+        """Do the periodic work: time out callers, flush what is due, resend, and take snapshots."""
         now_ms = self._now()
         if now_ms - self._level_seq[2] >= self.params.pulse_ms:
             self._level_seq = (self._level_seq[1], self._log.settled_seq, now_ms)
@@ -387,7 +388,7 @@
             self._on_deposed(fence)
 
     def stop(self) -> None:
-        """Steps down: what still waits gets doubt, nothing more is acknowledged."""
+        """Step down: report the outcome of all waiting callers as unknown."""
         self.deposed = True
         waiters, self.waiters = self.waiters, []
         readers, self._readers = self._readers, []
--- a/libs/replicated_log/src/replicated_log/local.py
+++ b/libs/replicated_log/src/replicated_log/local.py
@@ -1,7 +1,8 @@
-"""One store's own copy of the log: queue files under the data folder, the records still in memory
-with the times they were received, the ledger folded as far as the log is settled, and snapshots of
-it. Opening reads it all back: a tail that never was flushed is cut off, a hole in what was flushed
-is damage and refused. Files of a later epoch stand above what earlier files say of the same places.
+"""One replica's own copy of the log.
+
+It has queue files, the latest records in memory, the ledger folded up to the last settled record,
+and snapshots of it. Opening cuts off a tail that was never flushed; a hole in what was flushed
+raises DamageError. Files of a later epoch replace earlier ones.
 """
 
 from collections.abc import Callable
@@ -24,6 +25,8 @@
 
 
 class LocalLog:
+    """The log of one replica; sequence numbers start at 1, times are in milliseconds."""
+
     __slots__ = (
         "_dirty",
         "_entries",
@@ -82,8 +85,6 @@
         self.flushed_seq = self.snap_seq
         self._dirty.update(record.file for record in self.records)
 
-    # -- reading back ------------------------------------------------------------------------
-
     def _open(self, token: Callable[[], str]) -> None:
         names = self.disk.names()
         self._metas = MetaFile(self.disk, token)
@@ -98,9 +99,7 @@
         self.received_ms = [self._now()] * len(self.records)
 
     def _open_queue(self, name: str) -> None:
-        """A file may begin, or go on, behind a hole: what was there came by a snapshot and was never written
-        here, while records stay at their absolute offsets.
-        """
+        """Read a queue file; holes of zeros are records that came by a snapshot instead."""
         data = self.disk.read(name)
         frames, stop = walk(data)
         while (at := over_hole(data, stop)) is not None:
@@ -124,7 +123,7 @@
             self._dirty.discard(name)
 
     def may_found(self) -> bool:
-        """Blank from the start of the fleet on: a disk that is blank later may have been exchanged."""
+        """Whether this store may found a log: its disk was blank when the fleet began."""
         told = self.params.control_count > 0 or self.params.first_start or not self._metas.fresh
         return (
             told
@@ -132,41 +131,44 @@
             and (self.params.control_count > 0 or self.meta.fence == 0)
         )
 
-    # -- places ------------------------------------------------------------------------------
-
     @property
     def meta(self) -> LogMeta:
+        """The durable metadata: identity, fence and log epoch."""
         return self._metas.meta
 
     @property
     def identity(self) -> str:
+        """The unique name of this replica's disk."""
         return self.meta.identity
 
     @property
     def first_seq(self) -> int:
+        """The sequence number of the first record in memory, or of the next one to come."""
         return self.records[0].seq if self.records else self.snap_seq + 1
 
     @property
     def last_seq(self) -> int:
+        """The sequence number of the last record."""
         return self.records[-1].seq if self.records else self.snap_seq
 
     @property
     def last_stamp(self) -> tuple[int, int]:
+        """The stamp of the last record."""
         return self.records[-1].stamp if self.records else self.snap_stamp
 
     def stamp_at(self, seq: int) -> tuple[int, int] | None:
+        """Return the stamp of a record, or None if it isn't known here."""
         if seq == self.snap_seq:
             return self.snap_stamp
         index = seq - self.first_seq
         return self.records[index].stamp if 0 <= index < len(self.records) else None
 
     def since(self, seq: int, limit_bytes: int) -> list[Record]:
+        """Return records from `seq` on, about `limit_bytes` of them but at least one."""
         return first_bytes(self.records[max(0, seq - self.first_seq) :], limit_bytes)
 
-    # -- writing -----------------------------------------------------------------------------
-
     def make(self, stamp: tuple[int, int], body: bytes) -> Record:
-        """The next record of the holder's queue file; the first of a file carries the truncate flag."""
+        """Make the holder's next record; the first of each queue file has the truncate flag."""
         seq = self.last_seq + 1
         payload = encode(StoredEntry(epoch=stamp[0], stamp_ms=stamp[1], seq=seq, body=body))
         name, offset = self._written
@@ -182,9 +184,7 @@
         )
 
     def write(self, record: Record, urgent: bool = False, entry: Message | None = None) -> None:
-        """Lazy, at the absolute offset, so writing the same record again changes nothing. Who has the entry at
-        hand spares its being read from the record when it settles.
-        """
+        """Write lazily and idempotently at the record's offset; `entry` spares decoding later."""
         if record.flags & TRUNCATE:
             self.disk.truncate(record.file, 0)
         self.disk.write(record.file, record.offset, record.bytes, urgent)
@@ -197,6 +197,7 @@
             self._entries[record.seq] = entry
 
     def cut_after(self, seq: int) -> None:
+        """Remove all records after `seq`, in memory and in the files."""
         keep = max(0, seq - self.first_seq + 1)
         if len(self.records) > keep:
             self._mark.write(min(self.flushed_seq, seq))
@@ -211,13 +212,13 @@
         self.flushed_seq = min(self.flushed_seq, self.last_seq)
 
     def flush(self, done: Callable[[bool], None]) -> None:
-        """Flushes that are asked for while one runs share the next one."""
+        """Flush all records; requests during a flush share the next one."""
         self._flush_waiters.append(done)
         if not self._flushing:
             self._start_flush()
 
     def secure(self, done: Callable[[bool], None]) -> None:
-        """A flush, unless all that is here has been flushed already."""
+        """Flush, unless everything here has been flushed already."""
         if self._dirty or self._flushing or self.flushed_seq < self.last_seq:
             self.flush(done)
         else:
@@ -246,6 +247,7 @@
         self.disk.flush(names, flushed)
 
     def flush_due(self) -> bool:
+        """Whether unflushed records have waited for `flush_ms`."""
         return (
             self.flushed_seq < self.last_seq
             and not self._flushing
@@ -255,12 +257,11 @@
     def keep_meta(
         self, done: Callable[[bool], None], fence: int | None = None, log_epoch: int | None = None
     ) -> None:
+        """Raise the fence and the log epoch durably; see MetaFile.keep."""
         self._metas.keep(done, fence or 0, log_epoch or 0)
 
-    # -- settling, snapshots, trimming ---------------------------------------------------------
-
     def settle(self, seq: int) -> None:
-        """Folds what has become settled into the ledger."""
+        """Fold the records up to `seq`, which are now durable on f+1 disks, into the ledger."""
         while self.settled_seq < min(seq, self.last_seq):
             self.settled_seq += 1
             known = self._entries.pop(self.settled_seq, None)
@@ -270,17 +271,17 @@
             self.ledger.apply(entry)
 
     def busy(self) -> bool:
-        """A snapshot is being written."""
+        """Whether a snapshot is being written."""
         return self._snapping
 
     def snapshot(self) -> bytes:
-        """Made on the spot from all that is settled."""
+        """Return a snapshot made now from all that is settled."""
         return make_snapshot(
             self.ledger, self.settled_seq, self.stamp_at(self.settled_seq) or (0, 0)
         )
 
     def kept_snapshot(self) -> bytes:
-        """The one on disk, which with the records in memory says as much, unless the next one is being written."""
+        """Return the snapshot on disk, or a new one if there is none or one is being written."""
         return (
             self.snapshot()
             if self._snapping or _SNAP not in self.disk.names()
@@ -288,6 +289,7 @@
         )
 
     def load_snapshot(self, data: bytes) -> None:
+        """Replace the ledger by a snapshot's. Raises DamageError if it isn't intact."""
         head, entries = read_whole_snapshot(data)
         self.ledger = Ledger()
         for entry in entries:
@@ -296,7 +298,7 @@
         self.snap_stamp = (head.epoch, head.stamp_ms)
 
     def missing(self, data: bytes) -> list[str]:
-        """Files that a snapshot refers to and that are not here."""
+        """Return the archive files that a snapshot refers to and that aren't here."""
         return sorted(files_of(read_whole_snapshot(data)[1]) - set(self.disk.names()))
 
     def install(
@@ -306,9 +308,7 @@
         source: str = "",
         still: Callable[[], bool] = lambda: True,
     ) -> None:
-        """Takes over another's snapshot: only when this log can't be brought up record by record. The
-        shelves it refers to come first; `still` says whether it is still wanted by then.
-        """
+        """Replace this log by a snapshot, once its archive files are here and if `still` wanted."""
         lacking = self.missing(data)
         if not lacking:
             self._install(data, done)
@@ -343,7 +343,7 @@
         self.disk.replace(_SNAP, data, kept)
 
     def tidy(self, force: bool = False) -> None:
-        """Snapshots when a segment's worth is settled, then trims what is both in one and old."""
+        """Take a snapshot when a segment's worth is settled, or at once if `force` is set."""
         if self._maker is not None:
             self._go_on_with_snapshot()
         if self._snapping or self.settled_seq <= self.snap_seq:
@@ -385,6 +385,7 @@
         return next((n for n in range(limit) if self.received_ms[n] >= floor_ms), max(0, limit))
 
     def trim(self) -> None:
+        """Drop records that are both in the snapshot and older than `keep_factor` * `flush_ms`."""
         if self.received_ms:
             floor_ms = self.received_ms[-1] - self.params.keep_factor * self.params.flush_ms
             count = self._count_trimmable(floor_ms)
--- a/libs/replicated_log/src/replicated_log/member_change.py
+++ b/libs/replicated_log/src/replicated_log/member_change.py
@@ -1,7 +1,8 @@
-"""One change of the list of members by a holder that goes on serving under its epoch. Nothing has to be recovered from
-the members before: the holder has the whole log, and the control key is changed only once f+1 of the
-following members have on disk all that was acknowledged without them. Until its outcome is known, whatever is
-acknowledged is on enough stores of both lists.
+"""One change of the list of members by a serving holder, within its epoch.
+
+Nothing is recovered from the members before, since the holder has the whole log. The control key is
+changed only once f+1 of the following members have on disk all that was acknowledged without them.
+Until the outcome is known, an acknowledged record is on a quorum of both lists.
 """
 
 from typing import Any
@@ -10,7 +11,7 @@
 
 
 class MemberChange:
-    """`store` is the StoreLog that serves; `following` are the rows of the list that is to be in force."""
+    """A change under way; `store` is the serving StoreLog, `following` the rows of the new list."""
 
     __slots__ = ("_began_ms", "_following", "_store", "_version")
 
@@ -22,8 +23,9 @@
         store.holder.begin_change([row["identity"] for row in following])
 
     def tick(self) -> bool:
-        """Takes the next step. True once the change is made or given back; a change whose outcome isn't known is
-        asked for again until it is, as it may yet be decided.
+        """Take the next step and return whether the change has been made or given up.
+
+        A change whose outcome isn't known is requested again until it is, as it may yet be decided.
         """
         store = self._store
         if store.value["members"] == self._following and store.value["epoch"] == store.holder.epoch:
--- a/libs/replicated_log/src/replicated_log/member_keeper.py
+++ b/libs/replicated_log/src/replicated_log/member_keeper.py
@@ -1,5 +1,7 @@
-"""The serving holder's care for the list of members: it replaces members that are lost or retired by spares that
-have the log, spreads the members over the zones, and hands its duty over when it leaves or its disk is full.
+"""Maintenance of the list of members by the serving holder.
+
+It replaces members that are lost or retired by spares that have the log, spreads the members over
+the zones, and hands over to another member when it leaves or its disk is full.
 """
 
 from typing import Any
@@ -11,7 +13,7 @@
 
 
 class MemberKeeper:
-    """`store` is the StoreLog that serves; `fleet` tells what the feed and standing say."""
+    """Looks after the members; `store` is the serving StoreLog, `fleet` the view of the fleet."""
 
     __slots__ = ("_change", "_fleet", "_housed_ms", "_roomy_ms", "_store", "_wanted_ms")
 
@@ -24,12 +26,12 @@
         self._change: MemberChange | None = None
 
     def serves(self) -> None:
-        """The store has begun to serve."""
+        """Start anew, because the store has begun to serve."""
         self._change = None
         self._wanted_ms = -1
 
     def tick(self) -> None:
-        """One look at the members, at most once a pulse."""
+        """Look at the members, at most once in `pulse_ms`."""
         store = self._store
         now_ms = store.node.env.now()
         if store.holder.epoch != store.value["epoch"]:
@@ -94,12 +96,12 @@
         self.follow_change()
 
     def follow_change(self) -> None:
-        """Takes the next step of the change of members that is under way."""
+        """Take the next step of the change of members under way, if there is one."""
         if self._change is not None and self._change.tick():
             self._change = None
 
     def _follower(self) -> str | None:
-        """Who takes the duty over: of the members in touch and not on their way out, the one with most of the log."""
+        """Return the successor: the member in touch, not retired, with the most of the log."""
         store = self._store
         names = [name for name in store.holder.members if name != store.log.identity]
         able = [name for name in names if store.holder.in_touch(name) and not self._retired(name)]
@@ -110,7 +112,7 @@
         )
 
     def _consider_room(self) -> None:
-        """A holder whose disk has been full for a while makes way for a member that still has room."""
+        """Hand over to a member with room if this store's disk has been full for `dead_ms`."""
         store = self._store
         now_ms = store.node.env.now()
         if store.log.disk.roomy(0):
--- a/libs/replicated_log/src/replicated_log/membership.py
+++ b/libs/replicated_log/src/replicated_log/membership.py
@@ -1,6 +1,7 @@
-"""Who of the log's members is to be replaced, by which spare, and which spares are sent the log ahead of need.
-Pure choices: the holder makes them from what it has heard, and a change of members is a claim like any other.
-A member is gone for sure once another identity lives at its address; else silence decides.
+"""Choices about the log's members: whom to replace, and by which spare.
+
+These are pure functions of what the holder has heard. A member is certainly lost once another
+identity lives at its address; otherwise its silence decides.
 """
 
 from typing import Any
@@ -13,7 +14,11 @@
 def lost_members(
     members: list[Row], live: list[Row], silent_ms: dict[str, int], retired: list[str], gone_ms: int
 ) -> list[str]:
-    """Those who surely don't come back first, then the silent, then those who are to leave."""
+    """Return the members to replace, in order of urgency.
+
+    First those that are certainly lost, then those silent for longer than `gone_ms`, then the
+    retired.
+    """
     lives_at = {row["address"]: row["identity"] for row in live}
     names = [row["identity"] for row in members]
     gone = [
@@ -29,7 +34,7 @@
 
 
 def crowded(members: list[Row], spare: Row) -> str | None:
-    """A member that shares its zone with another, where the spare's zone has none."""
+    """Return a member that shares its zone with another, if the spare's zone has no member."""
     zones = [row.get("zone", "") for row in members]
     if spare["zone"] in zones:
         return None
@@ -46,11 +51,14 @@
 def warm_spares(
     members: list[Row], spares: list[Row], lost: list[str], warm: set[str], most: int
 ) -> list[Row]:
-    """The spares that are sent the log: one, or as many as members are lost; who has it already goes on having it."""
+    """Return the spares to replicate to: one, or as many as are lost, up to `most`.
+
+    Spares that have the log already (`warm`) come first.
+    """
     count = max(1, min(len(lost), most))
     return sorted(spares, key=lambda row: _worth(row, members, lost, warm))[:count]
 
 
 def pick_spare(members: list[Row], ready: list[Row], lost: list[str]) -> Row | None:
-    """Of those who are level with the log, the one whose zone has fewest of the members that stay."""
+    """Return the ready spare whose zone has the fewest remaining members, or None."""
     return min(ready, key=lambda row: _worth(row, members, lost, set())[1:], default=None)
--- a/libs/replicated_log/src/replicated_log/mending.py
+++ b/libs/replicated_log/src/replicated_log/mending.py
@@ -1,6 +1,8 @@
-"""What a store does about shelves that it lacks or that are damaged: the files that a snapshot refers to
-are fetched from where it came from before it is taken over; a damaged leaf that a read meets or the
-sweep finds is asked for at the other members and written anew.
+"""Repair of archive files, called shelves, that a replica lacks or that are damaged.
+
+The archive files that a snapshot refers to are fetched from the sender of the snapshot before it is
+taken over. A damaged leaf, found by a read or by the periodic sweep, is fetched from another member
+and written anew.
 """
 
 from collections.abc import Callable
@@ -20,30 +22,44 @@
 
 
 class FetchShelf(Message):
+    """Ask for an archive file from the byte `offset` on."""
+
     file: Text
     offset: Long
 
 
 class ShelfPart(Message):
+    """The answer to FetchShelf: a part of the file and its whole size in bytes."""
+
     ok: Flag
     data: Blob
     total: Long
 
 
 class GetKept(Message):
+    """Ask for the archived rows of a lot or a key (`kind`), from an index on."""
+
     kind: Text
     name: Text
     from_index: Long
 
 
 class Kept(Message):
+    """The answer to GetKept: rows, and `placed`, how many there are in all.
+
+    `ok` is false if the answering replica has no intact copy.
+    """
+
     ok: Flag
     rows: array_of(Blob)
     placed: Long
 
 
 class Mending(Part):
-    """`others` gives the addresses of the other members of the log."""
+    """Serves archive files to other replicas and repairs damaged ones here.
+
+    `others` returns the addresses of the other members of the log.
+    """
 
     __slots__ = ("_log", "_mending", "_next_ms", "_others", "_page")
     HANDLES = (FetchShelf, GetKept)
@@ -58,6 +74,7 @@
 
     @singledispatchmethod
     def receive(self, message: Message, origin: Origin) -> None:
+        """Answer a request of another replica."""
         raise TypeError(type(message).__name__)
 
     # -- files that a snapshot needs -----------------------------------------------------------
@@ -77,7 +94,10 @@
         )
 
     def fetch(self, files: list[str], source: str, done: Callable[[bool], None]) -> None:
-        """One after another, each flushed; what is broken off is begun again by whoever asked."""
+        """Fetch archive files from `source` one after another, flushing each.
+
+        `done` gets False at the first failure; the caller then begins again.
+        """
         if not files:
             done(True)
             return
@@ -138,6 +158,7 @@
         return Kept(ok=rows is not None, rows=rows or [], placed=lot.placed)
 
     def mend(self, kind: str, name: str) -> None:
+        """Start to repair the rows of a lot or a key, unless this is under way already."""
         if (kind, name) not in self._mending:
             self._mending.add((kind, name))
             self.node.env.log("shelf-damaged", "ERROR", kind=kind, what=name)
@@ -171,6 +192,7 @@
             self.node.env.log("shelf-mended", kind=kind, what=name)
 
     def tick(self) -> None:
+        """Sweep the next archive file for damage, once in `gone_ms`."""
         now_ms = self.node.env.now()
         if now_ms >= self._next_ms:
             self._next_ms = now_ms + self.node.params.gone_ms
--- a/libs/replicated_log/src/replicated_log/messages.py
+++ b/libs/replicated_log/src/replicated_log/messages.py
@@ -1,6 +1,10 @@
-"""What stores say to each other, and what they keep. A record has the fields of the source: stamp,
-file identity and flags, nbytes, bytes, absolute offset. Ours are the epoch within the stamp and the
-sequence number, by which a peer sees that nothing is missing before it.
+"""Messages between the replicas of the log, and the records that they keep on disk.
+
+A record has the fields of the published scheme that the log follows (docs/design.md): stamp, file
+and flags, nbytes, bytes and absolute offset. Added to it are the epoch, as the upper half of the
+stamp, and the sequence number, by which a follower sees that nothing is missing before a record.
+Fields that end in `_ms` are milliseconds, `seq` is a sequence number, `epoch` and `fence` are
+epochs of the leader, here called the holder.
 """
 
 from messaging import Blob, Flag, Long, Message, Text, array_of
@@ -29,6 +33,8 @@
 
 
 class StoredEntry(Message):
+    """The payload of a frame in a queue file: one encoded ledger entry and its place in the log."""
+
     epoch: Long
     stamp_ms: Long
     seq: Long
@@ -36,6 +42,12 @@
 
 
 class Record(Message):
+    """One record of the log as it is sent and written: a whole frame and where it lies in its file.
+
+    `bytes` is the frame, `nbytes` its length, `offset` its absolute position in `file`. The flag
+    TRUNCATE on the first record of a file tells the receiver to empty the file first.
+    """
+
     epoch: Long
     stamp_ms: Long
     seq: Long
@@ -47,10 +59,13 @@
 
     @property
     def stamp(self) -> tuple[int, int]:
+        """The unique, ordered stamp of the record: its epoch, then its time in milliseconds."""
         return (self.epoch, self.stamp_ms)
 
 
 class SnapshotHead(Message):
+    """The first frame of a snapshot: the last record that it covers and how many frames follow."""
+
     seq: Long
     epoch: Long
     stamp_ms: Long
@@ -58,12 +73,26 @@
 
 
 class LogMeta(Message):
+    """The durable metadata of a replica.
+
+    `fence` is the highest epoch that it has accepted; it refuses lower ones. `log_epoch` is the
+    epoch of the last recovery that its copy of the log has taken over.
+    """
+
     identity: Text
     fence: Long
     log_epoch: Long
 
 
 class Append(Message):
+    """From the holder to a follower: the records after `prev_seq`, or none as a heartbeat.
+
+    The follower accepts them only if its record at `prev_seq` has the stamp (`prev_epoch`,
+    `prev_ms`). `base_seq` is the end of the recovered log of this epoch, `settled_seq` the last
+    record durable on f+1 disks. `flush` asks for a flush and a second answer after it; `probe` is
+    returned as it came.
+    """
+
     epoch: Long
     base_seq: Long
     prev_seq: Long
@@ -76,6 +105,14 @@
 
 
 class Appended(Message):
+    """A follower's answer to Append and Install.
+
+    `ok` says that the records were taken; if not, `reason` is one of fenced, busy, gap, settled,
+    full, part, installed and damaged. `last_seq` is how far the follower's log matches the
+    holder's, `flushed_seq` how far it is on its disk, `asked_seq` the place, in bytes for a part of
+    a snapshot, that the answer is about. `roomy` says that its disk has room.
+    """
+
     identity: Text
     ok: Flag
     reason: Text
@@ -93,6 +130,11 @@
 
 
 class Install(Message):
+    """From the holder to a follower: a part of a snapshot that replaces the follower's log.
+
+    `offset` and `total` are bytes of the whole snapshot.
+    """
+
     epoch: Long
     snapshot: Blob
     offset: Long
@@ -101,10 +143,17 @@
 
 
 class Start(Message):
+    """From a recovering replica: raise your fence to `epoch` and say what you hold."""
+
     epoch: Long
 
 
 class Started(Message):
+    """The answer to Start: the replica's fence, log epoch and extent of its log.
+
+    `ok` says that its fence is exactly the epoch asked for.
+    """
+
     identity: Text
     ok: Flag
     fence: Long
@@ -115,7 +164,10 @@
 
 
 class FetchTail(Message):
-    """What follows the highest of these places that the asked one holds too, each a number and its stamp."""
+    """Ask for all records after the last one that both replicas hold.
+
+    The lists describe records of the asking replica, each by its sequence number and its stamp.
+    """
 
     epoch: Long
     seqs: array_of(Long)
@@ -124,8 +176,10 @@
 
 
 class Pulse(Message):
-    """The holder is at work; `sure` if f members have answered it lately; `level` is how many members, itself among
-    them, have on disk all that is settled.
+    """The holder's heartbeat to the other members.
+
+    `sure` says that at least f members have answered the holder lately; `level` is how many
+    members, the holder included, have everything settled on disk.
     """
 
     epoch: Long
@@ -134,13 +188,21 @@
 
 
 class Poll(Message):
+    """A member's question to the others whether the holder is still at work.
+
+    `identity` is the asking replica and `epoch` the epoch that it knows.
+    """
+
     identity: Text
     epoch: Long
 
 
 class Polled(Message):
-    """`epoch` is the highest known here; `holds` says that this store is at work as its holder, `hears` that it
-    hears from the one who is, `leaving` that it will not take the duty.
+    """The answer to Poll.
+
+    `epoch` is the highest epoch known to the answering replica. `holds` says that it is at work as
+    the holder itself, `hears` that it receives the holder's heartbeats, `leaving` that it is
+    shutting down and won't become the holder.
     """
 
     identity: Text
@@ -151,19 +213,30 @@
 
 
 class Succeed(Message):
-    """Who hands the duty over says so to whom it goes: the number and body of the key as control has them."""
+    """From a holder that hands over to its successor: the control key in its new version.
+
+    `number` is the version and `body` the JSON value of the key.
+    """
 
     number: Long
     body: Text
 
 
 class Fetch(Message):
+    """Ask for records from `from_seq` on, or for the snapshot from the byte `offset` on."""
+
     epoch: Long
     from_seq: Long
     offset: Long
 
 
 class Fetched(Message):
+    """The answer to Fetch and FetchTail: encoded records, or a part of the snapshot.
+
+    A part of the snapshot is sent if the asked replica has already trimmed `from_seq`; `total` is
+    then the whole snapshot's size in bytes. `last_seq` is the end of the answering replica's log.
+    """
+
     identity: Text
     ok: Flag
     snapshot: Blob
--- a/libs/replicated_log/src/replicated_log/meta.py
+++ b/libs/replicated_log/src/replicated_log/meta.py
@@ -1,6 +1,9 @@
-"""A store's identity, fence and log epoch on its disk. Each state is written twice behind the ones before, which costs
-one flush; a torn write leaves the last state that was reported kept, and one damaged frame hides nothing. What is asked
-for while one write runs shares the next one, and what that write says already shares it.
+"""The metadata file of a replica: its identity, its fence and its log epoch.
+
+Each state is appended twice behind the states before it and needs one flush. A torn write leaves
+the last state whose flush was reported, and one damaged frame hides no state. Requests that arrive
+during a write share the next one; a request that the running write already covers waits for that
+write.
 """
 
 from collections.abc import Callable
@@ -18,11 +21,17 @@
 
 
 def _covers(meta: LogMeta, wanted: LogMeta) -> bool:
+    """Whether `meta` is at least as high as `wanted` in both numbers."""
     return meta.fence >= wanted.fence and meta.log_epoch >= wanted.log_epoch
 
 
 class MetaFile:
-    """`fresh`: there was none on the disk."""
+    """The metadata of a replica in memory and on disk.
+
+    `meta` is the last state known to be on disk; `fresh` says that the disk held no metadata file,
+    so that a new identity was made from `token`. Raises DamageError on opening if the file exists
+    but has no intact frame.
+    """
 
     __slots__ = ("_disk", "_end_bytes", "_next", "_waiters", "_writing", "fresh", "meta")
 
@@ -39,7 +48,10 @@
             self._open(disk.read(_NAME))
 
     def _open(self, data: bytes) -> None:
-        """The highest of each number stands. A file that isn't whole to its end is written anew next time."""
+        """Read the file back: the highest of each number stands.
+
+        A file that isn't intact up to its end is replaced as a whole by the next write.
+        """
         rows, offset = [], 0
         while offset is not None:
             frames, end, later = scan(data[offset:])
@@ -55,7 +67,11 @@
         )
 
     def keep(self, done: Done, fence: int, log_epoch: int) -> None:
-        """On disk before it counts."""
+        """Raise the fence and the log epoch to at least these values, durably.
+
+        `done` gets True once the new values are on disk, which is when they begin to count, and
+        False if the write failed. Neither number is ever lowered.
+        """
         wanted = LogMeta(
             identity=self.meta.identity,
             fence=max(self.meta.fence, fence),
--- a/libs/replicated_log/src/replicated_log/peer.py
+++ b/libs/replicated_log/src/replicated_log/peer.py
@@ -1,6 +1,8 @@
-"""What a store does as a peer. A lower epoch is refused; a higher one is first put on disk. Records
-are taken only in sequence, so holding one means holding all before it. A log that missed a recovery
-is adopted into the new epoch once it matches through the recovered end, on disk.
+"""The follower's side of the log.
+
+A message of a lower epoch is refused; a higher epoch is first written to disk as the fence. Records
+are taken only in sequence, so holding a record means holding all before it. A log that missed a
+recovery is adopted into the new epoch once it matches the recovered log to its end, on disk.
 """
 
 from collections.abc import Callable
@@ -20,6 +22,8 @@
 
 
 class PeerSide:
+    """Handles the messages of a holder or of a recovering store for one replica."""
+
     __slots__ = ("_busy", "_log", "_parts", "_snapshot", "_source")
 
     def __init__(self, log: LocalLog) -> None:
@@ -30,6 +34,11 @@
         self._snapshot: tuple[int, bytes] = (-1, b"")
 
     def receive(self, message: Message, reply: Reply, source: str = "") -> None:
+        """Handle a message after raising the fence to its epoch where needed.
+
+        `reply` is called with each answer, perhaps later, and never if the fence could not be
+        written. `source` is the sender's address.
+        """
         self._source = source
         if message.epoch > self._log.meta.fence:
             self._log.keep_meta(
@@ -91,8 +100,11 @@
             self._take(message, reply)
 
     def _take(self, message: Append, reply: Reply) -> None:
-        """What is here and not in the message is cut off only once something else takes its place, or once this
-        log matches through the recovered end: a short or late message takes away no copy of what follows it.
+        """Take records that follow what is here.
+
+        Records that the message doesn't have are cut off only once others take their place, or once
+        this log matches the recovered log to its end. A short or late message thus removes no copy
+        of what follows it.
         """
         log = self._log
         records = [decode(data) for data in message.records]
@@ -127,7 +139,7 @@
         reply(self._receipt(message.probe, True, ""))
 
     def _adopt(self, message: Append, reply: Reply) -> None:
-        """Flushed first, then the epoch of the log is raised: from then on its answers count."""
+        """Flush the log, then raise its log epoch: from then on this replica's answers count."""
         self._busy = True
 
         def flushed(ok: bool) -> None:
@@ -172,7 +184,10 @@
     def _receipt(
         self, probe: int, ok: bool, reason: str, asked_seq: int = -1, last_seq: int | None = None
     ) -> Appended:
-        """`last_seq`: how far this log is known to match the holder's, where that isn't its end."""
+        """Build the answer to the holder.
+
+        `last_seq` is how far this log is known to match the holder's, where that isn't its end.
+        """
         log = self._log
         epoch, stamp_ms = log.last_stamp
         return Appended(
--- a/libs/replicated_log/src/replicated_log/places.py
+++ b/libs/replicated_log/src/replicated_log/places.py
@@ -1,5 +1,7 @@
-"""Which stores are to be members of the log: one of each zone in turn, so that the loss of a zone takes as
-few of them as can be. Stores are rows with identity, address and zone.
+"""Placement of the log's members over the zones.
+
+Zones take turns, so that the loss of one zone takes as few members as possible. Stores are rows
+with identity, address and zone.
 """
 
 from collections.abc import Iterable
@@ -12,7 +14,11 @@
 
 
 def spread(rows: Iterable[Row], count: int) -> list[Row]:
-    """`count` of the rows: a round takes the lowest identity left of each zone, zones in order of their names."""
+    """Choose `count` of the rows, zone by zone in turn.
+
+    Each round takes the lowest remaining identity of every zone, with zones in the order of their
+    names. Fewer rows are returned if there are no more.
+    """
     zones = groupby(lambda row: row["zone"], sorted(rows, key=lambda row: row["identity"]))
     chosen: list[Row] = []
     while len(chosen) < count and any(zones.values()):
--- a/libs/replicated_log/src/replicated_log/quorums.py
+++ b/libs/replicated_log/src/replicated_log/quorums.py
@@ -1,5 +1,7 @@
-"""How far enough stores have come: what the members, and while the list of members changes also the following ones,
-agree on. `faults` members of a list besides the holder make a majority with it.
+"""Quorums of the log: how far enough replicas have come.
+
+Together with the holder, `faults` (f) other members of a list are a majority of it. While the list
+of members is being changed, a quorum of the present and of the following list is needed.
 """
 
 from collections.abc import Callable
@@ -10,9 +12,11 @@
 
 
 class Quorums:
-    """The list of members and, while it is being changed, the one that follows it. An append counts only if it is on
-    enough stores of both, since either may be in force: the change of the control key may have been decided
-    without its answer having come.
+    """The list of members and, during a change of members, the list that follows it.
+
+    During a change a record counts only once it is on enough replicas of both lists. Either may be
+    in force, since the change of the control key may have been decided although its answer hasn't
+    arrived. `members` and `following` are lists of identities.
     """
 
     __slots__ = ("_change_seq", "_peers", "following", "members")
@@ -24,15 +28,15 @@
         self._change_seq = 0
 
     def peers_of(self, names: list[str]) -> list[Peer]:
-        """The stores of a list that the holder sends the log, itself left out."""
+        """Return the followers in a list of identities; the holder itself is left out."""
         return [self._peers[name] for name in names if name in self._peers]
 
     def reached(self, faults: int, measure: Callable[[Peer], int]) -> int:
-        """The highest value that `faults` stores besides the holder have reached, in every list that counts."""
+        """Return the highest value reached by `faults` followers in every list that counts."""
         return min(_reached(self.peers_of(names), faults, measure) for names in self._lists())
 
     def settled_seq(self, faults: int, own_flushed_seq: int) -> int:
-        """How far f+1 disks have the log, in every list that counts."""
+        """Return the last record that is durable on f+1 disks in every list that counts."""
         return min(
             _settled([own_flushed_seq, *map(flushed_seq, self.peers_of(names))], faults)
             for names in self._lists()
@@ -42,7 +46,7 @@
         return [self.members] if self.following is None else [self.members, self.following]
 
     def roomy_member(self, heard_since_ms: int) -> str | None:
-        """A member that has adopted the epoch, has room on its disk and was heard lately."""
+        """Return a member under this epoch with room on its disk, heard since then, or None."""
         return next(
             (
                 peer.identity
@@ -55,17 +59,17 @@
     # -- changing the members ------------------------------------------------------------------
 
     def begin_change(self, following: list[str], last_seq: int) -> None:
-        """What was acknowledged up to `last_seq` may be on stores of the present list alone."""
+        """Start a change of members; records up to `last_seq` may be on the present list alone."""
         self.following = following
         self._change_seq = last_seq
 
     def may_change(self, faults: int, own_flushed_seq: int) -> bool:
-        """Whether f+1 of the following members, the holder among them, have that on disk too."""
+        """Whether f+1 of the following members, the holder included, have these records on disk."""
         peers = self.peers_of(self.following or [])
         return min(own_flushed_seq, _reached(peers, faults, flushed_seq)) >= self._change_seq
 
     def end_change(self, made: bool) -> None:
-        """The following members are in force, or the ones before them go on."""
+        """End the change: the following list is in force if it was `made`, else the present one."""
         if made and self.following is not None:
             self.members = self.following
         self.following = None
@@ -82,15 +86,15 @@
 
 
 def flushed_seq(peer: Peer) -> int:
-    """How far a store has the log of this epoch on disk."""
+    """Return the last record of this epoch's log that a follower has on disk."""
     return peer.flushed_seq if peer.adopted else 0
 
 
 def held(peer: Peer) -> int:
-    """How far a store has the log of this epoch in memory."""
+    """Return the last record of this epoch's log that a follower has in memory."""
     return peer.last_seq if peer.adopted else 0
 
 
 def confirmed_probe(peer: Peer) -> int:
-    """The last question whether this epoch still stands that a store has answered."""
+    """Return the latest probe of the holder's epoch that a follower has answered."""
     return peer.probe
--- a/libs/replicated_log/src/replicated_log/records.py
+++ b/libs/replicated_log/src/replicated_log/records.py
@@ -1,4 +1,4 @@
-"""A record of the log and the entry in it."""
+"""Conversions between a record of the log and the entry that it carries."""
 
 from messaging import Message, decode
 from storage import frame
@@ -9,12 +9,12 @@
 
 
 def entry_of(record: Record) -> Message:
-    """The ledger entry that a record carries."""
+    """Decode the ledger entry that a record carries."""
     return decode(decode(record.bytes[8:]).body)
 
 
 def record_of(entry: StoredEntry, payload: bytes, name: str, offset: int, flags: int = 0) -> Record:
-    """The record of a stored entry at its absolute place in a queue file."""
+    """Build the record of a stored entry at its absolute offset in a queue file."""
     data = frame(payload)
     return Record(
         epoch=entry.epoch,
@@ -29,7 +29,7 @@
 
 
 def first_bytes(records: list[Record], limit_bytes: int) -> list[Record]:
-    """The first of the records, at least one if there is one, up to a size in bytes."""
+    """Return the first records up to a size in bytes, but at least one if there is one."""
     rows: list[Record] = []
     size_bytes = 0
     for record in records:
--- a/libs/replicated_log/src/replicated_log/recovery.py
+++ b/libs/replicated_log/src/replicated_log/recovery.py
@@ -1,8 +1,11 @@
-"""Recovery of the log under a new epoch: fence, wait for n-f answers, fetch, drop duplicates by
-stamp, put in stamp order, write. Only answers of the highest log epoch count: a store that missed
-the last recovery would bring back records that one left out. Stores of one log epoch hold the same log, some
-less far than others, so what one of them lacks follows the last place they share; whoever goes no further than what
-is here already has nothing to add. Every step may be cut and run again.
+"""Recovery of the log under a new epoch.
+
+The steps are: fence the members, wait for n-f answers, fetch, drop duplicates by stamp, order by
+stamp, write. Only answers of the highest log epoch count, since a store that missed the last
+recovery would bring back records that this recovery left out. Stores of one log epoch hold the same
+log to different lengths, so what a store lacks follows the last record that both share, and a store
+that reaches no further than what is known already adds nothing. Every step may be interrupted and
+run again.
 """
 
 from collections.abc import Callable
@@ -29,7 +32,7 @@
 
 
 def union(copies: list[list[Record]]) -> list[Record]:
-    """All records of the copies, each stamp once, in stamp order."""
+    """Return all records of the copies in stamp order, each stamp once."""
     by_stamp: dict[tuple[int, int], Record] = {}
     for records in copies:
         for record in records:
@@ -38,6 +41,12 @@
 
 
 class Recovery:
+    """One recovery of the log by the store that is to become its holder.
+
+    `members` are (identity, address) of the members to recover from. `done` gets True once the
+    recovered log is on this store's disk under the new epoch, and False if the recovery failed.
+    """
+
     __slots__ = (
         "_answers",
         "_ask",
@@ -79,8 +88,9 @@
         self.state = _State.FENCING
 
     def start(self) -> None:
-        """The others write their fences while this store writes its own; nothing is sent on under the new
-        epoch before that.
+        """Fence this store and ask the other members to do the same.
+
+        Nothing is sent on under the new epoch before this store's own fence is on disk.
         """
 
         def fenced(ok: bool) -> None:
@@ -142,11 +152,14 @@
         self._next_source()
 
     def _settled_here(self) -> list[Record]:
-        """What every later log has too, so that it stands though this copy doesn't count as an answer."""
+        """Return the settled records of this store.
+
+        Every later log has them too, so they stand even if this copy doesn't count as an answer.
+        """
         return [record for record in self._log.records if record.seq <= self._log.settled_seq]
 
     def _reach(self) -> int:
-        """How far the log goes that has been gathered."""
+        """Return the last sequence number of the log that has been gathered."""
         return max(
             [self._log.settled_seq, *(records[-1].seq for records in self._records if records)]
         )
@@ -161,7 +174,11 @@
         self._write()
 
     def _fetch_tail(self, address: str) -> None:
-        """From the last place that both hold: looked for near the end first, then ever further back."""
+        """Fetch what follows the last record that both replicas hold.
+
+        The places to compare lie close together near the end of the log and ever further apart
+        before.
+        """
         log, seqs = self._log, []
         step = 0
         while log.last_seq - step > log.settled_seq:
@@ -239,7 +256,10 @@
             self._next_source()
 
     def _install(self, address: str, data: bytes) -> None:
-        """The source has trimmed what we lack: its snapshot is settled, so it may stand for ours."""
+        """Install the source's snapshot, because the source has trimmed what this store lacks.
+
+        A snapshot covers settled records only, so it may replace what is here.
+        """
 
         def installed(ok: bool) -> None:
             if not ok:
@@ -289,12 +309,13 @@
         self._log.keep_meta(self._finish, log_epoch=self.epoch)
 
     def lacking(self) -> list[str]:
-        """The members that haven't answered; none once enough have."""
+        """Return the members that haven't answered, or none once enough have."""
         if self._sources or len(self._answers) >= len(self.members) - self.params.store_faults:
             return []
         return [identity for identity, _ in self.members if identity not in self._answers]
 
     def stop(self) -> None:
+        """Abandon the recovery; `done` isn't called any more."""
         if self.state not in (_State.DONE, _State.FAILED):
             self.state = _State.FAILED
 
@@ -306,6 +327,7 @@
 
 
 def started(log: LocalLog, ok: bool) -> Started:
+    """Build this replica's answer to Start."""
     return Started(
         identity=log.identity,
         ok=ok,
--- a/libs/replicated_log/src/replicated_log/replica.py
+++ b/libs/replicated_log/src/replicated_log/replica.py
@@ -1,4 +1,4 @@
-"""The holder's view of a store that it sends the log, and the sending of snapshots to it."""
+"""The holder's view of a follower, and the transfer of snapshots to it."""
 
 from collections.abc import Callable
 from typing import Any
@@ -15,7 +15,12 @@
 
 
 class Peer:
-    """What the holder knows of one store that it sends the log."""
+    """What the holder knows of one store that it sends the log.
+
+    `last_seq` and `flushed_seq` are how far the store has the log in memory and on disk, as it said
+    itself; they count only if it has `adopted` the holder's epoch. `next_seq` is the next record to
+    send, `probe` the last probe answered. Times are milliseconds of the holder's clock.
+    """
 
     __slots__ = (
         "address",
@@ -52,8 +57,10 @@
 
 
 class SnapshotSender:
-    """A snapshot goes part by part, each after the one before has been taken, so that a thin link isn't
-    swamped; one that gets nowhere is begun again.
+    """Sends snapshots part by part, each after the part before was taken.
+
+    So a slow link isn't overloaded. A transfer that makes no progress within `force_ms` is started
+    again.
     """
 
     __slots__ = ("_epoch", "_log", "_now", "_params", "_post")
@@ -70,7 +77,7 @@
         self._now, self._post = now, post
 
     def send(self, peer: Peer, probe: int) -> None:
-        """Begins a snapshot, begins it again, or sends its last part again when it is due."""
+        """Begin a snapshot, begin it again, or repeat its last part when that is due."""
         now_ms = self._now()
         if not peer.snapshot or now_ms - peer.install_ms >= self._params.force_ms:
             peer.snapshot, peer.taken_bytes = self._log.kept_snapshot(), 0
@@ -95,7 +102,7 @@
         )
 
     def answered(self, peer: Peer, message: Appended, probe: int) -> None:
-        """The store is busy with the whole of it, or says how much it has."""
+        """Take in a follower's answer: it is installing the snapshot, or says how much it has."""
         if message.reason == "busy":
             peer.install_ms, peer.taken_bytes = self._now(), len(peer.snapshot)
         elif message.asked_seq > peer.taken_bytes:
@@ -104,7 +111,7 @@
 
 
 class WireCache:
-    """The last records' bytes for the wire, made once for all stores."""
+    """The encoded form of the latest records, made once for all followers."""
 
     __slots__ = ("_wires",)
 
@@ -112,7 +119,7 @@
         self._wires: dict[int, bytes] = {}
 
     def bytes_of(self, record: Record) -> bytes:
-        """The record as it is sent."""
+        """Return the record as it is sent."""
         data = self._wires.get(record.seq)
         if data is None:
             data = self._wires[record.seq] = encode(record)
@@ -121,5 +128,5 @@
         return data
 
     def clear(self) -> None:
-        """The records have been cut off again."""
+        """Forget all records, because some were cut off again."""
         self._wires.clear()
--- a/libs/replicated_log/src/replicated_log/role.py
+++ b/libs/replicated_log/src/replicated_log/role.py
@@ -1,4 +1,4 @@
-"""What a store does for the log at the moment."""
+"""The roles of a store in the log."""
 
 from enum import StrEnum
 
@@ -6,7 +6,10 @@
 
 
 class Role(StrEnum):
-    """A peer takes records; the others are the steps by which a store becomes the holder."""
+    """What a store does for the log at the moment.
+
+    A peer follows the holder. The other roles are the steps by which a store becomes the holder.
+    """
 
     PEER = "peer"
     CLAIMING = "claiming"
--- a/libs/replicated_log/src/replicated_log/shelves.py
+++ b/libs/replicated_log/src/replicated_log/shelves.py
@@ -1,7 +1,10 @@
-"""Shelves: files with the results of lots that are over and the receipts of keys that are done, so that
-memory holds only an index of them. A file is written once, flushed, and only then do its leaves
-take the place of what is in memory; a snapshot that refers to it can only come later. Each leaf is packed and a
-frame with a checksum. A file that no lot or key refers to any more is removed after the next snapshot.
+"""Archive files, called shelves, for finished lots and keys.
+
+They hold the results of lots that are over and the receipts (final answers) of keys that are done,
+so that memory has only an index of them. A file is written once and flushed; only then do
+references to it replace the contents in memory, and only a later snapshot refers to it. A file
+consists of leaves, each a compressed frame with a checksum. A file that no lot or key refers to is
+removed after the next snapshot.
 """
 
 import zlib
@@ -21,7 +24,10 @@
 
 
 class Leaf(Message):
-    """`name` is the lot or key whose rows these are: a leaf found in another's place is not taken for it."""
+    """A group of archived rows of one lot or key.
+
+    `name` is the lot or key, so that a leaf found in another's place is recognised.
+    """
 
     name: Text
     rows: array_of(Blob)
@@ -32,11 +38,16 @@
 
 
 def files_of(rows: Any) -> set[str]:
+    """Return the names of the archive files that snapshot entries refer to."""
     return {row.file for row in rows if isinstance(row, (e.LotShelved, e.KeyShelved))}
 
 
 class Shelves:
-    """`log` is the local log that these stand beside; `on_shelved` is told what left memory."""
+    """The archive files of one replica.
+
+    `log` is the LocalLog beside which they lie, `token` makes unique parts of file names.
+    `on_shelved` gets the entries whose contents have left memory.
+    """
 
     __slots__ = ("_busy", "_log", "_swept", "_token", "on_shelved")
 
@@ -48,16 +59,18 @@
         self.on_shelved: Callable[[list[Message]], None] = lambda entries: None
 
     def names(self) -> list[str]:
+        """Return the names of all archive files on this disk."""
         return [name for name in self._log.disk.names() if name.startswith(SHELF)]
 
     def used(self) -> set[str]:
+        """Return the names of the files that the ledger in memory refers to."""
         ledger = self._log.ledger
         return {lot.shelf.file for lot in ledger.lots.values() if lot.shelf is not None} | {
             key.shelf.file for key in ledger.keys.values() if key.shelf is not None
         }
 
     def collect(self) -> None:
-        """Removes files that neither memory nor, by now, the snapshot refers to."""
+        """Remove files that neither memory nor, by now, the snapshot refers to."""
         if not self._busy:
             used = self.used()
             for name in self.names():
@@ -67,7 +80,10 @@
     # -- putting on shelves --------------------------------------------------------------------
 
     def shelve(self, done: Callable[[], None]) -> None:
-        """A file's worth at a time, with the loop free between, until nothing that is over is left."""
+        """Archive everything that is over, one file at a time, then call `done`.
+
+        The event loop is free between files. A failed or refused write leaves the rest in memory.
+        """
         ledger, log = self._log.ledger, self._log
         if self._busy or not ledger.fresh:
             done()
@@ -118,13 +134,14 @@
         log.disk.flush([name], flushed)
 
     def _new_name(self) -> str:
-        """Never used before, by whatever store: files travel between them under their names."""
+        """Return a file name that no store has used, since files keep their names when copied."""
         return f"{SHELF}{self._log.identity}-{self._log.settled_seq:012d}-{self._token()}"
 
     def _put_lot(self, lot: Lot, name: str, page: bytearray) -> e.LotShelved:
         return self.put_rows(lot, [lot.row(position) for position in range(lot.placed)], name, page)
 
     def put_rows(self, lot: Lot, rows: list[bytes], name: str, page: bytearray) -> e.LotShelved:
+        """Append a lot's rows to `page` as leaves and return the entry that refers to them."""
         places, sizes, firsts = [], [], []
         first = 0
         while first < len(rows):
@@ -183,7 +200,10 @@
         return leaf.rows if leaf.name == name else None
 
     def results(self, lot: Lot, from_index: int, limit: int) -> list[bytes] | None:
-        """A leaf's results from a place on, or None if the leaf is damaged or not here."""
+        """Return results of a lot from an index on, at most `limit` and from one leaf only.
+
+        None is returned if the leaf is damaged or isn't here.
+        """
         shelf = lot.shelf
         at = max(
             (number for number, first in enumerate(shelf.firsts) if first <= from_index), default=-1
@@ -194,11 +214,12 @@
         return None if rows is None else rows[from_index - shelf.firsts[at] :][:limit]
 
     def receipt(self, key: Key) -> str | None:
+        """Return the archived final answer of a key, or None if it is damaged or isn't here."""
         rows = self._leaf(key.shelf.key, key.shelf.file, key.shelf.place, key.shelf.size)
         return None if rows is None else rows[0].decode()
 
     def sweep(self) -> list[tuple[str, str]]:
-        """Reads the next file through; names the lots and keys in it that are damaged."""
+        """Read the next file through and return the (kind, name) of what is damaged in it."""
         names = self.names()
         if not names:
             return []
@@ -207,6 +228,7 @@
         return [] if walk(data)[1] == len(data) else self.damaged(self._swept)
 
     def damaged(self, file: str) -> list[tuple[str, str]]:
+        """Return the (kind, name) of all lots and keys with a damaged leaf in a file."""
         ledger = self._log.ledger
         lots = [
             ("lot", lot.lot_id)
@@ -227,7 +249,11 @@
     def rewrite(
         self, kind: str, name: str, rows: list[bytes], done: Callable[[bool], None]
     ) -> None:
-        """What another store had whole is put into a file of its own here."""
+        """Write rows that another replica had intact into a new file here.
+
+        `done` gets False if the lot or key isn't archived here, a snapshot is being written, or the
+        disk refuses.
+        """
         log = self._log
         held = log.ledger.lots.get(name) if kind == "lot" else log.ledger.keys.get(name)
         if held is None or held.shelf is None or log.busy():
--- a/libs/replicated_log/src/replicated_log/snapshots.py
+++ b/libs/replicated_log/src/replicated_log/snapshots.py
@@ -1,6 +1,8 @@
-"""Snapshots of the settled ledger: a head that says up to where, then entries that fold to it. One is made in steps, so
-that the loop is never held up for long: what an entry is about to change is encoded before, whatever
-has been settled meanwhile.
+"""Snapshots of the settled ledger: a head, then the entries that fold to that ledger.
+
+A snapshot is made in steps, so that the event loop is never blocked for long. Whatever a newly
+settled entry is about to change is encoded beforehand, so the snapshot shows the ledger as it was
+when it was begun.
 """
 
 from typing import Any
@@ -16,6 +18,8 @@
 
 
 class SnapshotMaker:
+    """A snapshot in the making; `seq` and `stamp` are those of the last record that it covers."""
+
     __slots__ = ("_ledger", "_rows", "_todo", "seq", "stamp")
 
     def __init__(self, ledger: Any, seq: int, stamp: tuple[int, int]) -> None:
@@ -26,13 +30,14 @@
         self._rows: dict[tuple[str, str], list[bytes]] = {name: [] for name in names}
 
     def step(self) -> bool:
-        """Some more; whether that was all."""
+        """Encode some more of the ledger and return whether that was all."""
         size_bytes = 0
         while self._todo and size_bytes < _STEP_BYTES:
             size_bytes += self._encode(next(iter(self._todo)))
         return not self._todo
 
     def before(self, entry: Message) -> None:
+        """Encode what a settled entry is about to change; call it before the entry is applied."""
         name = ("lot", entry.lot_id) if hasattr(entry, "lot_id") else ("key", entry.key)
         if name in self._todo:
             self._encode(name)
@@ -43,6 +48,7 @@
         return sum(map(len, rows))
 
     def whole(self) -> bytes:
+        """Return the finished snapshot as bytes."""
         rows = [row for rows in self._rows.values() for row in rows]
         head = SnapshotHead(
             seq=self.seq, epoch=self.stamp[0], stamp_ms=self.stamp[1], count=len(rows)
@@ -51,7 +57,7 @@
 
 
 def read_snapshot(data: bytes) -> tuple[SnapshotHead | None, list[Message]]:
-    """The head is None if the bytes are no whole snapshot."""
+    """Return the head and the entries; the head is None if the bytes are no whole snapshot."""
     frames, end, _ = scan(data)
     head = decode(frames[0][1]) if frames else None
     if head is None or end != len(data) or head.count != len(frames) - 1:
@@ -60,7 +66,7 @@
 
 
 def make_snapshot(ledger: Any, seq: int, stamp: tuple[int, int]) -> bytes:
-    """A snapshot made at one go."""
+    """Make a snapshot without a pause."""
     maker = SnapshotMaker(ledger, seq, stamp)
     while not maker.step():
         pass
@@ -68,7 +74,7 @@
 
 
 def read_whole_snapshot(data: bytes) -> tuple[SnapshotHead, list[Message]]:
-    """The head and the entries. Raises DamageError if the bytes are no whole snapshot."""
+    """Return the head and the entries. Raises DamageError if the bytes are no whole snapshot."""
     head, entries = read_snapshot(data)
     if head is None:
         raise DamageError("snapshot", 0)
--- a/libs/replicated_log/src/replicated_log/store.py
+++ b/libs/replicated_log/src/replicated_log/store.py
@@ -1,8 +1,11 @@
-"""The store's part in the log: it answers a holder as a peer, watches it, becomes holder when the duty falls to
-it, and as holder keeps the list of members whole. Roles: peer, claiming, recovering, adopting, announcing,
-serving. One function makes every change of role. With the members unchanged the holder serves as soon as f others
-have adopted the recovered log, since whoever recovers next asks the same members; the word to control
-follows. With changed members control's word comes first.
+"""A store's part in the replicated log.
+
+It answers a holder as a follower, watches the holder, becomes the holder itself when that fails,
+and then maintains the list of members. The roles are peer, claiming, recovering, adopting,
+announcing and serving; `become` makes every change of role. With unchanged members a new holder
+serves as soon as f others have adopted the recovered log, since any later recovery asks the same
+members, and the control key is updated afterwards. With changed members the control key is updated
+first.
 """
 
 import json
@@ -41,8 +44,11 @@
 
 
 class StoreLog(Part):
-    """`control` changes and reads control keys: change(key, version, body, done(outcome, version, body)).
-    `fleet` tells what the config_feed and standing say: log key, live stores, retired identities.
+    """The log's part of a store node.
+
+    `control` changes the control key of the log by compare-and-set: change(key, version, body,
+    done(outcome, version, body)). `fleet` knows the log's key, the live stores and the retired
+    ones. `on_role` gets the Holder when this store begins to serve, and None when it stops.
     """
 
     __slots__ = (
@@ -89,12 +95,14 @@
         self.value: dict[str, Any] = {}
 
     def attach(self, node: Any) -> None:
+        """Bind the part to its node."""
         super().attach(node)
         self._watch = Watch(self.log.identity, node.params, node.env.now)
 
     # -- as a peer -----------------------------------------------------------------------------
 
     def receive(self, message: Message, origin: Origin) -> None:
+        """Handle a message of another store."""
         if isinstance(message, Appended):
             if self.holder is not None and not self.holder.deposed:
                 self.holder.answered(message, origin.sender)
@@ -143,7 +151,7 @@
         return self.role in _AT_WORK and (self.role is not Role.SERVING or self.holder.sure())
 
     def closed(self, address: str) -> None:
-        """The holder's connection has ended: the members are asked at once."""
+        """Poll the members at once if the connection that ended is the holder's."""
         if (
             self.role is Role.PEER
             and address == self._holder_address()
@@ -152,7 +160,7 @@
             self._poll(self.value["epoch"])
 
     def refused(self, address: str) -> None:
-        """A machine answers that nothing listens there: its process has ended."""
+        """Record that the holder's process has ended, if the address is the holder's."""
         if self.role is Role.PEER and address == self._holder_address():
             self._watch.gone()
 
@@ -169,6 +177,7 @@
     # -- the duty ------------------------------------------------------------------------------
 
     def tick(self) -> None:
+        """Do the periodic work of the present role."""
         self._read_key()
         self._watch.tick()
         self.log.disk.push()
@@ -188,7 +197,7 @@
             self._takeover.stuck()
 
     def pulse(self) -> None:
-        """To the other members, that this store is at work as the holder."""
+        """Send the holder's heartbeat to the other members, once in `pulse_ms`."""
         now_ms = self.node.env.now()
         if self.role is Role.CLAIMING or now_ms - self._pulsed_ms < self.node.params.pulse_ms:
             return
@@ -265,14 +274,19 @@
         return self._version
 
     def member_change_answered(self) -> None:
-        """The control key's answer to a change of members has come."""
+        """Continue a change of members after the control key has answered."""
         if self.role is Role.SERVING:
             self._keeper.follow_change()
 
     def old_members(self) -> list[dict[str, str]]:
+        """Return the members that a recovery has to ask."""
         return self.value["prev"] if self.value["phase"] == "recovering" else self.value["members"]
 
     def claim(self, members: list, prev: list, holder: str) -> None:
+        """Claim the next epoch for `holder`, which may be another store, in the control key.
+
+        `prev` are the members to recover from, `members` those to serve with.
+        """
         epoch = max(self.value.get("epoch", 0), self.log.meta.fence) + 1
         body = {
             "epoch": epoch,
@@ -306,7 +320,7 @@
         self.change(body, claimed)
 
     def change(self, body: dict[str, Any], done: Callable[[str], None]) -> None:
-        """One change of the key at a time."""
+        """Change the control key by compare-and-set; one change at a time."""
         self.changing = True
 
         def changed(outcome: str, version: int, value: str) -> None:
@@ -319,6 +333,7 @@
         self._control.change(LOG_KEY, self._version, json.dumps(body), changed)
 
     def serve(self, epoch: int) -> None:
+        """Begin to serve as the holder of an epoch."""
         self.become(Role.SERVING, epoch)
         self._keeper.serves()
         self._on_role(self.holder)
@@ -326,14 +341,16 @@
     # -- leaving ---------------------------------------------------------------------------
 
     def hand_over(self) -> None:
-        """Before leaving: the holder's duty goes to another live member at once."""
+        """Prepare to leave: a serving holder hands over to another live member at once."""
         self.leaving = True
         if self.role is Role.SERVING:
             self._keeper.tick()
 
     def handing_over(self) -> bool:
-        """Whether this store, told to stop, still has the duty, or has a copy of the log that is needed: a holder is at
-        work, and without this store fewer than f+1 members have all that is settled.
+        """Whether this store, told to stop, is still needed.
+
+        It is needed while it is the holder or on its way there, and while a holder is at work and
+        fewer than f+1 members would have all that is settled without this store.
         """
         if not self.leaving or self.role is not Role.PEER:
             return self.leaving
@@ -344,12 +361,14 @@
     # -- changes of role -----------------------------------------------------------------------
 
     def become(self, role: Role, epoch: int) -> None:
+        """Change the role, with a log line if it is a new one."""
         if role is not self.role:
             self.node.env.log("log-role", "INFO", became=str(role), was=str(self.role), epoch=epoch)
         self.role = role
         self.changed_ms = self.node.env.now()
 
     def step_down(self, reason: str, epoch: int) -> None:
+        """Go back to being a follower; waiting callers are told that their outcome is unknown."""
         self._takeover.stop()
         holder, self.holder = self.holder, None
         self.node.env.log("log-stepped-down", "INFO", reason=reason, epoch=epoch)
@@ -360,6 +379,7 @@
             holder.stop()
 
     def woke(self, gap_ms: int) -> None:
+        """Step down after the process stood still, since its view of the others is old."""
         self._watch.reset()
         if self.role is not Role.PEER:
             self.step_down("frozen", 0)
--- a/libs/replicated_log/src/replicated_log/takeover.py
+++ b/libs/replicated_log/src/replicated_log/takeover.py
@@ -1,6 +1,9 @@
-"""From a claim to the duty: the log is recovered from the old members, adopted by the new ones, announced if the members
-have changed, and served. A takeover that fails says whom it lacks, and the next one waits the longer, so that a
-store whose fellows are gone doesn't raise the epoch for ever.
+"""The takeover of the log by a new holder, from its claim to serving.
+
+The log is recovered from the old members, adopted by the new ones, announced in the control key if
+the members have changed, and then served. A takeover that fails logs which members were missing,
+and the next attempt is delayed with exponential backoff, so that a store whose peers are gone
+doesn't raise the epoch without end.
 """
 
 from typing import Any
@@ -16,7 +19,7 @@
 
 
 class Takeover:
-    """`store` is the StoreLog that takes the duty over."""
+    """The takeover by one store; `store` is its StoreLog."""
 
     __slots__ = ("_failures", "_not_before_ms", "_recovery", "_store", "_warned_ms")
 
@@ -28,17 +31,17 @@
         self._warned_ms = -1 << 40
 
     def may_claim(self) -> bool:
-        """Whether enough time has passed since the last takeover failed for want of answers."""
+        """Whether the backoff after the last takeover that lacked answers has passed."""
         return self._store.node.env.now() >= self._not_before_ms
 
     def stop(self) -> None:
-        """The store steps down."""
+        """Abandon a recovery under way, because the store steps down."""
         if self._recovery is not None:
             self._recovery.stop()
             self._recovery = None
 
     def stuck(self) -> None:
-        """The takeover has got no further for too long."""
+        """Give up a takeover that has made no progress for too long."""
         store, lacks = self._store, []
         if self._recovery is not None:
             lacks = self._recovery.lacking()
@@ -48,6 +51,7 @@
         store.step_down("stuck", 0)
 
     def _failed(self, event: str, lacks: list[str], epoch: int) -> None:
+        """Log a failed takeover and delay the next one if members were missing."""
         store = self._store
         store.node.env.log(event, "WARNING", lacks=lacks, epoch=epoch)
         if lacks:
@@ -57,7 +61,7 @@
             self._failures = min(self._failures + 1, 10)
 
     def warn_if_unserved(self, names: list[str], watch: Watch) -> None:
-        """No holder is heard, and too few members answer for another to be made."""
+        """Log a warning while no holder is heard and too few members answer to elect one."""
         store, params, now_ms = self._store, self._store.node.params, self._store.node.env.now()
         lacks = watch.lacking(names)
         if (
@@ -69,7 +73,7 @@
             store.node.env.log("log-unserved", "WARNING", lacks=lacks, epoch=store.value["epoch"])
 
     def start(self, epoch: int) -> None:
-        """Recovers the log under an epoch that the control key gives to this store."""
+        """Recover the log under an epoch that the control key assigns to this store."""
         store = self._store
         store.become(Role.RECOVERING, epoch)
         store.pulse()
--- a/libs/replicated_log/src/replicated_log/waiters.py
+++ b/libs/replicated_log/src/replicated_log/waiters.py
@@ -7,7 +7,11 @@
 
 
 class Outcome(StrEnum):
-    """What became of an append."""
+    """What became of an append.
+
+    KEPT: it is acknowledged. FULL: it was refused for want of room and has no effect. UNKNOWN: it
+    may or may not survive.
+    """
 
     KEPT = "kept"
     FULL = "full"
@@ -15,7 +19,10 @@
 
 
 class Waiter:
-    """Who waits for a record to be held by enough stores, or settled."""
+    """A caller that waits until a record is held in memory by a quorum, or settled.
+
+    Settled means durable on f+1 disks. `at_ms` is when the wait began.
+    """
 
     __slots__ = ("at_ms", "done", "seq", "settled")
 
--- a/libs/replicated_log/src/replicated_log/watch.py
+++ b/libs/replicated_log/src/replicated_log/watch.py
@@ -1,7 +1,9 @@
-"""Whether the log's holder is still at work, as one member judges it. The holder's pulses are counted
-against this store's own ticks, so a store that stood still itself suspects nobody. After some silence the other members
-are asked; the duty is taken only if n-f of them answer and fewer than f still hear the holder, so a member that
-is merely cut off from it leaves it alone. Who answered before in the members' order goes first.
+"""Failure detection of the log's holder by one member.
+
+Silence is counted in this store's own ticks, so a store that stood still itself suspects nobody.
+After some silence the other members are polled. The store claims the duty only if n-f members
+answer and fewer than f still hear the holder, so a member that is merely cut off from the holder
+claims nothing. Members that come earlier in the list claim first.
 """
 
 from typing import Any
@@ -12,6 +14,11 @@
 
 
 class Watch:
+    """What one member knows of the holder: how long it has been silent, and what the others say.
+
+    `own` is the member's identity, `quiet_ms` the holder's silence in milliseconds.
+    """
+
     __slots__ = (
         "_answers",
         "_last_ms",
@@ -32,31 +39,37 @@
         self.quiet_ms = 0
 
     def reset(self) -> None:
-        """Another holder, another epoch, or this store has just woken."""
+        """Start anew: the holder or the epoch has changed, or this store has just woken."""
         self._answers.clear()
         self._ripe_ms = -1
         self._last_ms = self._now()
         self.quiet_ms = 0
 
     def heard(self) -> None:
+        """Record a heartbeat of the holder."""
         self.quiet_ms = 0
         self._ripe_ms = -1
 
     def gone(self) -> None:
-        """The holder's machine says that its process is not there."""
+        """Record that the holder's machine says that its process isn't running."""
         self.quiet_ms = max(self.quiet_ms, self._params.suspect_ms)
 
     @property
     def hears(self) -> bool:
+        """Whether the holder has been heard within `doubt_ms`."""
         return self.quiet_ms < self._params.doubt_ms
 
     def tick(self) -> None:
+        """Count the time since the last tick as silence, at most half of `pulse_ms` a tick."""
         now_ms = self._now()
         self.quiet_ms += min(now_ms - self._last_ms, self._params.pulse_ms // 2)
         self._last_ms = now_ms
 
     def should_poll(self, orphaned: bool) -> bool:
-        """`orphaned`: this very store is named as the holder, and isn't at work."""
+        """Whether to poll the other members now; at most once in `pulse_ms`.
+
+        `orphaned` says that this very store is named as the holder but isn't at work.
+        """
         due = orphaned or self.quiet_ms >= self._params.doubt_ms
         if not due or self._now() - self._polled_ms < self._params.pulse_ms:
             return False
@@ -64,12 +77,13 @@
         return True
 
     def polled(self, answer: Polled, holder: str) -> None:
+        """Take in a member's answer; that of a holder at work counts as a heartbeat."""
         self._answers[answer.identity] = (self._now(), answer)
         if answer.identity == holder and answer.holds:
             self.heard()
 
     def lacking(self, names: list[str]) -> list[str]:
-        """The members that haven't answered lately."""
+        """Return the members that haven't answered within twice `dead_ms`."""
         floor_ms = self._now() - 2 * self._params.dead_ms
         return [
             name
@@ -78,6 +92,11 @@
         ]
 
     def should_claim(self, names: list[str], holder: str, epoch: int, retired: list[str]) -> bool:
+        """Whether this store should claim the duty of the holder now.
+
+        `names` are the members in order, `holder` and `epoch` those of the control key. Members
+        that are being retired (`retired`) claim only if nobody else can.
+        """
         params, now_ms = self._params, self._now()
         floor_ms = now_ms - 2 * params.pulse_ms
         answers = {
@@ -103,6 +122,7 @@
     def _is_free(
         self, answers: dict[str, Polled], names: list[str], holder: str, epoch: int
     ) -> bool:
+        """Whether enough members agree that the holder is no longer at work."""
         f = self._params.store_faults
         if 1 + len(answers) < len(names) - f or any(
             answer.epoch > epoch for answer in answers.values()
