storage: docstrings on every public item

Docstrings and comments only: the syntax trees without docstrings are the same before and after in all files. Every module, public class, function and method says in standard terms what it does, with units, errors and the source of values where they matter.

--- a/libs/storage/src/storage/__init__.py
+++ b/libs/storage/src/storage/__init__.py
@@ -1,5 +1,7 @@
-"""Stacks: files under one data folder. Frames with checksums, atomic replacement, flushes that
-are reported back, a bound on the room used, and what to do with a log that is torn or damaged.
+"""Files under one data folder.
+
+Frames with checksums, atomic replacement, flushes whose completion is reported, a limit on the
+space used, and detection of torn or damaged files.
 """
 
 from storage.disk import Disk, DiskFullError, FolderDisk
--- a/libs/storage/src/storage/disk.py
+++ b/libs/storage/src/storage/disk.py
@@ -1,9 +1,12 @@
-"""The disk as cores see it, and the one under a data folder. A write is lazy: it lasts only once a
-flush that began after it is reported done. All work on the device is done in order by one thread, so a slow device
-holds up nobody who doesn't wait for a flush. Part of the room is kept back for urgent writes, so that
-ending lots, trimming and snapshots still work on a disk that refuses everything else. A failed
-flush breaks the disk for good, since what the kernel then still holds cannot be known; a device that is full
-is tried again. Small files that are replaced whole (identities, fences) are tried whatever the room is said to be.
+"""The disk as the sans-I/O cores see it, and its implementation on a data folder.
+
+A write is lazy: it is durable only once a flush that began after it has been reported done. One
+thread does all work on the device in order, so a slow device delays only callers that wait for a
+flush. A fifth of the space is reserved for urgent writes, so that ending lots, trimming and
+snapshots still work on a disk that refuses everything else. A failed flush breaks the disk for
+good, since what the kernel still holds is then unknown; after a full device the work is tried
+again. Small files that are replaced whole (identities, fences) are written whatever the accounting
+of space says.
 """
 
 import errno
@@ -25,23 +28,67 @@
 
 
 class DiskFullError(Exception):
-    pass
+    """A write was refused because it would exceed the space allowed; its argument is the file."""
 
 
 class Disk(Protocol):
-    def names(self) -> list[str]: ...
-    def read(self, name: str) -> bytes: ...
-    def read_at(self, name: str, offset: int, size: int) -> bytes: ...
-    def write(self, name: str, offset: int, data: bytes, urgent: bool = False) -> None: ...
-    def truncate(self, name: str, size: int) -> None: ...
-    def remove(self, name: str) -> None: ...
-    def flush(self, names: list[str], done: Callable[[bool], None]) -> None: ...
-    def replace(self, name: str, data: bytes, done: Callable[[bool], None]) -> None: ...
-    def roomy(self, size: int, urgent: bool = False) -> bool: ...
-    def push(self) -> None: ...
+    """What the cores need of a disk; sizes and offsets are in bytes.
+
+    Callbacks are called on the caller's event loop, with True once the data is durable and False if
+    it isn't.
+    """
+
+    def names(self) -> list[str]:
+        """Return the names of all files in order."""
+        ...
+
+    def read(self, name: str) -> bytes:
+        """Return a file's contents, including lazy writes."""
+        ...
+
+    def read_at(self, name: str, offset: int, size: int) -> bytes:
+        """Return up to `size` bytes at an offset, or nothing if there is no such file."""
+        ...
+
+    def write(self, name: str, offset: int, data: bytes, urgent: bool = False) -> None:
+        """Write lazily. Raises DiskFullError.
+
+        Without `urgent` it is raised once the part that isn't reserved is used up.
+        """
+        ...
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to a size, lazily."""
+        ...
+
+    def remove(self, name: str) -> None:
+        """Remove a file, lazily."""
+        ...
+
+    def flush(self, names: list[str], done: Callable[[bool], None]) -> None:
+        """Make all earlier work on these files durable."""
+        ...
+
+    def replace(self, name: str, data: bytes, done: Callable[[bool], None]) -> None:
+        """Replace a file as a whole, atomically and durably."""
+        ...
+
+    def roomy(self, size: int, urgent: bool = False) -> bool:
+        """Whether so many more bytes may be written."""
+        ...
+
+    def push(self) -> None:
+        """Start the lazy work on the device without a flush."""
+        ...
 
 
 class FolderDisk:
+    """A Disk on the files of one folder.
+
+    `room_bytes` limits the space used. `call` runs a function on the caller's event loop; through
+    it come all callbacks, and `on_broken` after an input/output error other than a full device.
+    """
+
     def __init__(
         self,
         folder: str,
@@ -74,13 +121,16 @@
     # -- what is asked -------------------------------------------------------------------------
 
     def names(self) -> list[str]:
+        """Return the names of all files in order."""
         return sorted(self._sizes)
 
     def read(self, name: str) -> bytes:
+        """Return a file's contents, after the lazy work on it is done."""
         self._catch_up(name)
         return (self._folder / name).read_bytes()
 
     def read_at(self, name: str, offset: int, size: int) -> bytes:
+        """Return up to `size` bytes at an offset, or nothing if there is no such file."""
         if name not in self._sizes:
             return b""
         self._catch_up(name)
@@ -90,10 +140,12 @@
         return os.pread(handle, size, offset)
 
     def roomy(self, size: int, urgent: bool = False) -> bool:
+        """Whether so many more bytes may be written; False once the device is full or broken."""
         limit = self.room_bytes if urgent else self.room_bytes * (1 - KEPT_BACK)
         return not self._broken and not self._full and self._used_bytes + size <= limit
 
     def write(self, name: str, offset: int, data: bytes, urgent: bool = False) -> None:
+        """Write lazily. Raises DiskFullError if there is no room; see `roomy`."""
         if not self.roomy(max(0, offset + len(data) - self._sizes.get(name, 0)), urgent):
             raise DiskFullError(name)
         self._resize(name, max(self._sizes.get(name, 0), offset + len(data)))
@@ -102,25 +154,33 @@
             self.push()
 
     def truncate(self, name: str, size: int) -> None:
+        """Cut a file to a size, lazily; a file that doesn't exist is left alone."""
         if name in self._sizes:
             self._resize(name, size)
             self._step("truncate", name, size, b"")
 
     def remove(self, name: str) -> None:
+        """Remove a file, lazily; a file that doesn't exist is no error."""
         self._forget(name)
         self._step("remove", name, 0, b"")
 
     def push(self) -> None:
-        """What was written goes on its way to the device, without a flush; what a full one refused as well."""
+        """Start the lazy work on the device without a flush, with what it refused when full."""
         if self._steps or self._full:
             self._worker.submit(self._make, self._taken())
 
     def flush(self, names: list[str], done: Callable[[bool], None]) -> None:
+        """Make all earlier work on these files durable, then call `done`."""
         self._worker.submit(
             self._flush, self._taken(), [name for name in names if name in self._sizes], done
         )
 
     def replace(self, name: str, data: bytes, done: Callable[[bool], None]) -> None:
+        """Replace a file as a whole, atomically and durably, then call `done`.
+
+        The new contents go to a temporary file that is flushed and renamed. A file of more than
+        SMALL_BYTES is refused without room, and `done` gets False.
+        """
         if len(data) > SMALL_BYTES and not self.roomy(len(data), True):
             self._call(lambda: done(False))
             return
@@ -131,6 +191,7 @@
         self._worker.submit(self._replace, self._taken(), self._asked, name, data, done)
 
     def close(self) -> None:
+        """Finish the lazy work, without a flush, and close all files."""
         self.push()
         self._worker.shutdown(wait=True)
         for handle in [*self._handles.values(), *self._readers.values()]:
@@ -139,7 +200,7 @@
         self._readers.clear()
 
     def set_aside(self) -> None:
-        """Moves all files out of sight into a folder beside them, for whoever wants to look."""
+        """Move all files into a new subfolder, where they are kept for inspection."""
         self._wait()
         count = sum(1 for path in self._folder.iterdir() if path.is_dir())
         aside = self._folder / f"set-aside-{count + 1}"
@@ -174,7 +235,7 @@
         return steps
 
     def _catch_up(self, name: str) -> None:
-        """Who reads what was written only just now waits for it."""
+        """Wait for lazy work on a file that is about to be read."""
         if self._last_step.get(name, 0) > self._made:
             self._wait()
 
@@ -185,7 +246,10 @@
     # -- in the thread ---------------------------------------------------------------------------
 
     def _make(self, steps: list[_Step]) -> bool:
-        """In order; what a full device doesn't take is kept for the next time. False if something is left."""
+        """Do the steps in order; return False if some are left.
+
+        What a full device refuses is kept for the next time.
+        """
         steps = self._stuck = self._stuck + steps
         while steps:
             number, kind, name, at, data = steps[0]
@@ -266,7 +330,7 @@
         self._call(lambda: done(ok))
 
     def _flush_folder(self) -> None:
-        """Names that are new, gone or changed last once their folder has been flushed."""
+        """Flush the folder if a file in it was created, removed or renamed."""
         if self._folder_changed:
             self._folder_changed = False
             handle = os.open(self._folder, os.O_RDONLY)
--- a/libs/storage/src/storage/frames.py
+++ b/libs/storage/src/storage/frames.py
@@ -1,6 +1,8 @@
-"""Frames: a length, a checksum, the bytes. A scan gives the good frames from the start, and for
-what follows them says whether it is a torn tail, which may be cut off, or damage: good frames that
-were already flushed lie behind it, and cutting would lose them.
+"""Frames in a file: a length, a CRC-32 checksum, and the payload.
+
+A scan returns the intact frames from the start of a file and says what follows them: either a torn
+tail, which may be cut off, or damage, because intact frames that were flushed lie behind it and
+cutting would lose them.
 """
 
 import struct
@@ -12,6 +14,8 @@
 
 
 class DamageError(Exception):
+    """A file is damaged at a byte offset; `name` is the file."""
+
     def __init__(self, name: str, offset: int) -> None:
         super().__init__(f"{name}: damaged at byte {offset}")
         self.name = name
@@ -19,10 +23,12 @@
 
 
 def frame(payload: bytes) -> bytes:
+    """Return the payload as a frame."""
     return _HEAD.pack(len(payload), zlib.crc32(payload)) + payload
 
 
 def _at(data: bytes, offset: int) -> bytes | None:
+    """Return the payload of the frame at an offset, or None if there is no intact frame."""
     if offset + _HEAD.size > len(data):
         return None
     size, checksum = _HEAD.unpack_from(data, offset)
@@ -34,7 +40,10 @@
 
 
 def over_hole(data: bytes, offset: int) -> int | None:
-    """Where a good frame begins right behind a run of zeros: bytes that were never written here."""
+    """Return where an intact frame begins right behind a run of zeros, or None.
+
+    Zeros are bytes that were never written, since later frames were written at their own offsets.
+    """
     first = len(data) - len(data[offset:].lstrip(b"\0"))
     return next(
         (
@@ -47,7 +56,7 @@
 
 
 def walk(data: bytes, offset: int = 0) -> tuple[list[tuple[int, bytes]], int]:
-    """The good frames from a place on as (offset, payload), and where they end."""
+    """Return the intact frames from an offset on as (offset, payload), and where they end."""
     frames = []
     while (payload := _at(data, offset)) is not None:
         frames.append((offset, payload))
@@ -56,7 +65,10 @@
 
 
 def scan(data: bytes) -> tuple[list[tuple[int, bytes]], int, int | None]:
-    """What walk gives, and where a good frame lies behind the end, if one does: a search byte by byte."""
+    """Return what walk returns, and where an intact frame lies behind the end, or None.
+
+    The search goes byte by byte.
+    """
     frames, offset = walk(data)
     if offset < len(data):
         for later in range(offset + 1, len(data) - _HEAD.size):
