messaging: docstrings on every public item

Docstrings and comments only: the syntax trees without docstrings are the same before and after in all files. Every module, public class, function and method says in standard terms what it does, with units, errors and the source of values where they matter.

--- a/libs/messaging/src/messaging/__init__.py
+++ b/libs/messaging/src/messaging/__init__.py
@@ -1,5 +1,7 @@
-"""Messaging: the messages that the fleet's processes send one another, written with Avro, the links
-that carry them, and the frame in which cores without input or output of their own are run.
+"""Messages between the processes of the fleet.
+
+Typed messages in Avro encoding, the links that carry them, and the framework in which cores without
+input or output of their own run.
 """
 
 from messaging.cores import Env, Node, Origin, Part
--- a/libs/messaging/src/messaging/cores.py
+++ b/libs/messaging/src/messaging/cores.py
@@ -1,6 +1,8 @@
-"""The frame in which cores run. A node is a set of parts, each handling its own message types by
-single dispatch; the surroundings (Env) give it a clock, a way to post and a disk, and are either a
-process or the simulator. Asking is posting with a number that the receipt brings back.
+"""The framework in which sans-I/O cores run.
+
+A node is a set of parts, each of which handles its own types of messages. The environment (Env)
+provides a clock, randomness and a way to send; it is either a process or the simulator. A request
+is a message with a reference number that the answer repeats.
 """
 
 import random
@@ -13,17 +15,38 @@
 
 
 class Env(Protocol):
+    """What a node needs of its environment; times are in milliseconds."""
+
     address: str
     rng: random.Random
 
-    def now(self) -> int: ...
-    def wall(self) -> int: ...
-    def token(self) -> str: ...
-    def post(self, to: str, ref: int, re: int, message: Message) -> None: ...
-    def log(self, event: str, level: str = "INFO", **fields: Any) -> None: ...
+    def now(self) -> int:
+        """Return the monotonic clock."""
+        ...
+
+    def wall(self) -> int:
+        """Return the time of day since the Unix epoch, which may jump."""
+        ...
+
+    def token(self) -> str:
+        """Return a short random text that is unique in practice."""
+        ...
+
+    def post(self, to: str, ref: int, re: int, message: Message) -> None:
+        """Send a message; `ref` numbers a request and `re` the request that it answers, else 0.
+
+        Nothing is promised about delivery.
+        """
+        ...
+
+    def log(self, event: str, level: str = "INFO", **fields: Any) -> None:
+        """Write a log line."""
+        ...
 
 
 class Origin:
+    """Where a message came from: its sender's address, and the number of the request or 0."""
+
     __slots__ = ("ref", "sender")
 
     def __init__(self, sender: str, ref: int) -> None:
@@ -32,31 +55,46 @@
 
 
 class Part:
-    """One concern of a node. HANDLES names the message types that receive() dispatches on."""
+    """One concern of a node.
+
+    HANDLES has the types of messages that `receive` takes. All methods run on one thread and must
+    not block.
+    """
 
     __slots__ = ("node",)
     HANDLES: tuple[type, ...] = ()
 
     def attach(self, node: "Node") -> None:
+        """Bind the part to its node; called once, before anything else."""
         self.node = node
 
     def receive(self, message: Message, origin: Origin) -> None:
+        """Handle a message of one of the types in HANDLES."""
         raise NotImplementedError(type(message).__name__)
 
     def tick(self) -> None:
+        """Do periodic work; called every few milliseconds."""
         return None
 
     def closed(self, address: str) -> None:
-        """The connection from there has ended: its process may have."""
+        """Take note that the connection from an address has ended, perhaps with its process."""
 
     def refused(self, address: str) -> None:
-        """Nothing listens there: its process has ended."""
+        """Take note that nothing listens at an address: its process has ended."""
 
     def woke(self, gap_ms: int) -> None:
-        """The node was frozen: claims held in memory are to be dropped before anything else."""
+        """Drop claims held in memory, because the node stood still for `gap_ms`.
+
+        Called before any other work.
+        """
 
 
 class Node:
+    """A set of parts with one clock, one address and one table of open requests.
+
+    `params` are the settings (colophon.Params).
+    """
+
     __slots__ = ("_asks", "_last_tick_ms", "_next_ref", "_paths", "env", "params", "parts")
 
     def __init__(self, env: Env, params: Any, parts: list[Part]) -> None:
@@ -74,23 +112,28 @@
 
     @property
     def address(self) -> str:
+        """The address of this node, IP:PORT."""
         return self.env.address
 
     def post(self, to: str, message: Message) -> None:
+        """Send a message that expects no answer."""
         self.env.post(to, 0, 0, message)
 
     def ask(
         self, to: str, message: Message, wait_ms: int, done: Callable[[Message | None], None]
     ) -> None:
+        """Send a request; `done` gets the answer, or None after `wait_ms`."""
         self._next_ref += 1
         self._asks[self._next_ref] = (done, self.env.now() + wait_ms)
         self.env.post(to, self._next_ref, 0, message)
 
     def reply(self, origin: Origin, message: Message) -> None:
+        """Answer a request; a message that was no request gets nothing."""
         if origin.ref:
             self.env.post(origin.sender, 0, origin.ref, message)
 
     def receive(self, sender: str, ref: int, re: int, message: Message) -> None:
+        """Pass an answer to its requester, or a message to the part that handles its type."""
         self._check_frozen()
         if re:
             waiting = self._asks.pop(re, None)
@@ -102,6 +145,7 @@
             part.receive(message, Origin(sender, ref))
 
     def tick(self) -> None:
+        """Time out open requests and let each part do its periodic work."""
         self._check_frozen()
         now_ms = self.env.now()
         for ref in [ref for ref, (_, due_ms) in self._asks.items() if due_ms <= now_ms]:
--- a/libs/messaging/src/messaging/links.py
+++ b/libs/messaging/src/messaging/links.py
@@ -1,7 +1,8 @@
-"""Links between processes: TCP by IP number, frames of a length and an Avro envelope. The
-switchboard's tasks own the sockets; one queue and one connection for each address spoken to. It
-promises nothing but order on one connection: what is lost is asked again by those who need it. It says whose
-connection has ended and where nothing listens.
+"""Links between processes: TCP connections that carry length-prefixed Avro envelopes.
+
+There is one queue and one outgoing connection for each address. Only the order of messages on one
+connection is guaranteed; whoever needs a lost message repeats the request. Ended connections and
+addresses where nothing listens are reported to the owner.
 """
 
 import asyncio
@@ -53,14 +54,17 @@
 
 
 def _tuned(sock: socket.socket, dark_ms: int) -> None:
-    """A peer that went dark is found by what it leaves unacknowledged, not by the kernel's patience of minutes."""
+    """Set the socket's options; unacknowledged data breaks the connection after `dark_ms`.
+
+    The kernel's own limit would be many minutes.
+    """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     if hasattr(socket, "TCP_USER_TIMEOUT"):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, dark_ms)
 
 
 class _Queue:
-    """What waits for one address, by count, by size and, when it is taken, by age."""
+    """Messages waiting for one address, limited by count, by size and, when taken, by age."""
 
     __slots__ = ("_bytes", "_filled", "_rows")
 
@@ -81,7 +85,7 @@
         await self._filled.wait()
 
     def take(self, since: float) -> bytes:
-        """All frames put since then as one piece; older ones are let go."""
+        """Return all frames put since a time as one piece and drop the older ones."""
         data = b"".join(frame for at, frame in self._rows if at >= since)
         self._rows.clear()
         self._bytes = 0
@@ -90,6 +94,13 @@
 
 
 class Switchboard(Service):
+    """The service that owns all connections of a process.
+
+    `address` is IP:PORT, `wait_ms` the longest that a message waits or a connection may stall.
+    `deliver` gets (sender, ref, re, message) of each message. `on_closed` and `on_refused` get an
+    address.
+    """
+
     def __init__(
         self, address: str, wait_ms: int, deliver: Callable[[str, int, int, Message], None]
     ) -> None:
@@ -105,18 +116,24 @@
         self.on_closed: Callable[[str], None] = lambda address: None
 
     async def on_start(self) -> None:
+        """Listen at the own address."""
         host, _, port = self._address.rpartition(":")
         self._server = await asyncio.start_server(
             self._read, host.strip("[]"), int(port), backlog=_BACKLOG
         )
 
     async def on_stop(self) -> None:
+        """Close the listener and all incoming connections."""
         if self._server is not None:
             self._server.close()
         for writer in list(self._readers):
             writer.close()
 
     def post(self, to: str, ref: int, re: int, message: Message) -> None:
+        """Queue a message for an address; one to the own address is delivered in the next turn.
+
+        Must be called on the event loop. Messages beyond the queue's limits are dropped.
+        """
         loop = asyncio.get_running_loop()
         if to == self._address:
             loop.call_soon(self._deliver, to, ref, re, message)
@@ -128,7 +145,7 @@
         queue.put(loop.time(), self._pack(ref, re, message))
 
     def _pack(self, ref: int, re: int, message: Message) -> bytes:
-        """What is told to many at once is written once."""
+        """Encode a message; one sent to many addresses in turn is encoded once."""
         if ref or re:
             return _pack(self._address, ref, re, message)
         if self._packed[0] is not message:
@@ -136,7 +153,10 @@
         return self._packed[1]
 
     async def _write(self, to: str, queue: _Queue) -> None:
-        """All that waits goes out in one piece. A connection that fails takes with it what waited meanwhile."""
+        """Send the queue of one address, all that waits in one write.
+
+        A connection that fails loses what was queued meanwhile.
+        """
         reader: asyncio.StreamReader | None = None
         writer: asyncio.StreamWriter | None = None
         loop, wait = asyncio.get_running_loop(), self._wait_ms / 1000
@@ -159,7 +179,7 @@
                 await asyncio.sleep(wait * _PAUSE_SHARE)
 
     async def _drained(self, writer: asyncio.StreamWriter) -> None:
-        """A slow link may take its time, as long as something moves."""
+        """Wait until the data is sent; a slow link may take long, as long as it makes progress."""
         left = writer.transport.get_write_buffer_size()
         while left:
             try:
@@ -180,7 +200,10 @@
         return reader, writer
 
     async def _hand_on(self, envelope: Any, message: Message) -> None:
-        """A fault while a message is taken in may leave the node's state in between: the process ends."""
+        """Deliver a message; any error but a bad message ends the process.
+
+        The error may have left the node's state inconsistent.
+        """
         try:
             self._deliver(envelope["sender"], envelope["ref"], envelope["re"], message)
         except BadMessageError:
@@ -211,7 +234,7 @@
 
 
 def _frames(held: bytearray) -> list[bytes]:
-    """Takes the whole frames off the front."""
+    """Remove the complete frames from the front of the buffer and return them."""
     frames, start = [], 0
     while len(held) - start >= _LENGTH.size:
         (size,) = _LENGTH.unpack_from(held, start)
--- a/libs/messaging/src/messaging/message.py
+++ b/libs/messaging/src/messaging/message.py
@@ -1,5 +1,8 @@
-"""Messages are slotted classes whose annotations are Avro schemas; the class statement alone
-registers a type and its schema. A message on the wire or on disk is its kind and then its record.
+"""Typed messages in Avro encoding.
+
+A message is a class with `__slots__` whose annotations are Avro schemas; the class statement alone
+registers the type and its schema. On the wire and on disk a message is the name of its type,
+followed by its record.
 """
 
 import io
@@ -32,14 +35,18 @@
 
 
 def array_of(items: Any) -> dict:
+    """Return the schema of an array."""
     return {"type": "array", "items": items}
 
 
 def optional(inner: Any) -> list:
+    """Return the schema of a value that may be None."""
     return ["null", inner]
 
 
 class _Kind(type):
+    """Metaclass that turns a class body's annotations into slots and a registered schema."""
+
     def __new__(mcs, name: str, bases: tuple, space: dict) -> type:
         fields = dict(space.get("__annotations__", {}))
         space["__slots__"] = tuple(fields)
@@ -63,6 +70,11 @@
 
 
 class Message(metaclass=_Kind):
+    """Base class of all messages.
+
+    All fields are given by keyword. A missing field raises KeyError, an unknown one TypeError.
+    """
+
     def __init__(self, **values: Any) -> None:
         for field in self.FIELDS:
             setattr(self, field, values.pop(field))
@@ -70,6 +82,7 @@
             raise TypeError(f"{type(self).__name__} has no field {', '.join(values)}")
 
     def as_dict(self) -> dict[str, Any]:
+        """Return the fields by name."""
         return {field: getattr(self, field) for field in self.FIELDS}
 
     def __eq__(self, other: object) -> bool:
@@ -85,6 +98,7 @@
 
 
 def encode(message: Message) -> bytes:
+    """Return a message as bytes."""
     page = io.BytesIO()
     kind = type(message)
     page.write(kind.HEAD)
@@ -93,10 +107,11 @@
 
 
 class BadMessageError(ValueError):
-    """Bytes that are no message of ours."""
+    """The bytes are no message of a known type."""
 
 
 def decode(data: bytes) -> Message:
+    """Return the message that the bytes encode. Raises BadMessageError."""
     try:
         page = io.BytesIO(data)
         cls = _KINDS[schemaless_reader(page, _KIND, None)]
--- a/libs/messaging/src/messaging/shell.py
+++ b/libs/messaging/src/messaging/shell.py
@@ -1,5 +1,7 @@
-"""The shell of a process: a mode service that owns one node, its switchboard and its clock. Nothing
-in a node ever waits; whoever needs an answer hands in a callback, and awaited() makes that a future.
+"""The shell of a process: a service that owns one node, its connections and its clock.
+
+Nothing in a node blocks. Code that needs an answer passes a callback; `awaited` turns that into a
+future.
 """
 
 import asyncio
@@ -19,29 +21,37 @@
 
 
 class ProcessEnv:
+    """The environment of a node in a real process; see messaging.cores.Env."""
+
     def __init__(self, address: str) -> None:
         self.address = address
         self.rng = random.Random()
         self.switchboard: Switchboard | None = None
 
     def now(self) -> int:
+        """Return the time since boot in milliseconds."""
         return boot_ms()
 
     def wall(self) -> int:
+        """Return the time of day in milliseconds since the Unix epoch."""
         return wall_ms()
 
     def token(self) -> str:
+        """Return 12 random hexadecimal digits."""
         return secrets.token_hex(6)
 
     def post(self, to: str, ref: int, re: int, message: Message) -> None:
+        """Send a message; one sent before the connections are set up is dropped."""
         if self.switchboard is not None:
             self.switchboard.post(to, ref, re, message)
 
     def log(self, event: str, level: str = "INFO", **fields: Any) -> None:
+        """Write a log line as JSON."""
         log(event, level, **fields)
 
 
 def awaited(start: Callable[[Callable[[Any], None]], Any]) -> asyncio.Future:
+    """Return a future for the value with which `start` calls its callback first."""
     future = asyncio.get_running_loop().create_future()
 
     def done(value: Any) -> None:
@@ -53,6 +63,11 @@
 
 
 class Shell(Service):
+    """Runs a node: delivers its messages and ticks it.
+
+    `worst_tick_ms` is the longest tick so far, in milliseconds.
+    """
+
     def __init__(self, node: Node, env: ProcessEnv, switchboard: Switchboard | None = None) -> None:
         super().__init__()
         self.node = node
@@ -71,6 +86,7 @@
             getattr(part, what)(address)
 
     async def on_start(self) -> None:
+        """Open the connections and start ticking."""
         await self.add_runtime_dependency(self._switchboard)
         self.add_future(self._run())
 
