ledger: docstrings on every public item

Every module, public class, function and method says in standard terms what it does, with units, errors and the source of values where they matter.

--- a/libs/ledger/src/ledger/admission.py
+++ b/libs/ledger/src/ledger/admission.py
@@ -1,6 +1,8 @@
-"""Admission of lots at the holder of the log. It is exact because only the holder admits and it counts what it
-has logged, settled or not. What was refused runs only under a later stamp, so that no late copy of a refused ask
-is taken.
+"""Admission of lots by the holder of the log.
+
+It is exact because only the holder admits, and it counts what it has logged, settled or not. A lot
+that was refused is admitted only under a later stamp, so that no late copy of the refused request
+is accepted.
 """
 
 from collections.abc import Callable
@@ -18,8 +20,10 @@
 
 
 class Admission:
-    """`profiles` gives number and tree of the profiles in force here, `log_ms` the log's own time; `wake` is
-    called when there is something new to deal.
+    """Admits lots in the log of one holder.
+
+    `profiles` returns the number and the tree of the profiles in force here, `log_ms` the log's own
+    time; `wake` is called when there is something new to deal.
     """
 
     __slots__ = ("_answers", "_holder", "_log_ms", "_node", "_profiles", "_refused_ms", "_wake")
@@ -38,10 +42,11 @@
         self._refused_ms: dict[str, int] = {}
 
     def receive(self, message: Message, origin: Origin) -> None:
+        """Admit or refuse a submission, and answer it."""
         self._on(message, origin)
 
     def sweep(self) -> None:
-        """Refusals are remembered for as long as a stamp from before them may still come."""
+        """Forget refusals so old that no stamp from before them can still come."""
         floor_ms = self._node.env.now() - 2 * self._node.params.fresh_ms
         self._refused_ms = {
             lot_id: at_ms for lot_id, at_ms in self._refused_ms.items() if at_ms > floor_ms
@@ -85,7 +90,7 @@
 
     @_on.register
     def _(self, message: m.RolloutHandIn, origin: Origin) -> None:
-        """Rollouts have a waiting room of their own, so that they take none of the lots'."""
+        """Admit or refuse a rollout; rollouts have a queue limit of their own."""
         if self._known(message, origin):
             return
         profile = self._profiles()[1].usable(message.path)
@@ -118,8 +123,9 @@
 
     @_on.register
     def _(self, message: m.ForwardHandIn, origin: Origin) -> None:
-        """The waiting room of a forwarded lot is counted in tokens; profiles that are older here than at the
-        edge refuse nothing.
+        """Admit or refuse a forwarded lot; its queue is limited in tokens.
+
+        Profiles that are older here than at the edge refuse nothing.
         """
         if self._known(message, origin):
             return
--- a/libs/ledger/src/ledger/answers.py
+++ b/libs/ledger/src/ledger/answers.py
@@ -1,5 +1,7 @@
-"""How a holder of the log answers: when an entry has settled, when a read is confirmed, and whether an ask
-carries a stamp of this term that is recent enough.
+"""How a holder of the log answers requests.
+
+An answer waits until an entry is settled or a read is confirmed, and a request is checked for a
+recent stamp of the holder's epoch.
 """
 
 from collections.abc import Callable
@@ -13,7 +15,7 @@
 
 
 class Answers:
-    """Bound to one term of one holder."""
+    """The answers of one holder under one epoch."""
 
     __slots__ = ("_holder", "node")
 
@@ -21,7 +23,10 @@
         self._holder, self.node = holder, node
 
     def stale(self, message: Any) -> bool:
-        """A stamp of another holder or of long ago: the ask may be one that was given up."""
+        """Whether a request's stamp is of another holder or too old (`fresh_ms`).
+
+        Such a request may be one whose sender has already given up on it.
+        """
         age_ms = self.node.env.now() - message.holder_ms
         return message.epoch != self._holder.epoch or not 0 <= age_ms <= self.node.params.fresh_ms
 
@@ -32,7 +37,11 @@
         make: Callable[[str], Message],
         urgent: bool = False,
     ) -> bool:
-        """A refusal for want of room counts only if this store still was the holder when it refused."""
+        """Append entries and answer once they are settled; False if they were refused.
+
+        `make` gets the outcome: kept, full or unknown. A refusal for want of room is answered only
+        once it is confirmed that this store was still the holder.
+        """
 
         def logged(outcome: str) -> None:
             if outcome == "full":
@@ -45,9 +54,11 @@
         return self._holder.append(rows, True, logged, urgent)
 
     def when_settled(self, origin: Origin, make: Callable[[bool], Message]) -> None:
+        """Answer once everything logged so far is settled; `make` gets False if that fails."""
         self._holder.append(
             [], True, lambda outcome: self.node.reply(origin, make(outcome == KEPT)), True
         )
 
     def when_confirmed(self, origin: Origin, make: Callable[[bool], Message]) -> None:
+        """Answer once followers have confirmed the epoch; `make` gets False if that fails."""
         self._holder.read(lambda ok: self.node.reply(origin, make(ok)))
--- a/libs/ledger/src/ledger/dealing.py
+++ b/libs/ledger/src/ledger/dealing.py
@@ -1,8 +1,11 @@
-"""Dealing items out to edges. A claim is in the log before the edge hears of it, settled first when
-the item is not safe to repeat. An edge that falls silent loses its claims: safe items are dealt
-again under a higher number, the fate of the others is unknown and is listed as that. The baton of a
-lot goes to the edge that finished the next result; a lost one is issued again, higher. A beat with room
-that finds nothing to do is held for a beat's time, so that forwarded items are dealt as they come.
+"""Dealing items out to edges.
+
+A claim is in the log before the edge hears of it, and settled if the item isn't safe to repeat. An
+edge that falls silent loses its claims: safe items are dealt again under a higher number, others
+are listed as `may_have_run`. The baton of a lot, the right to list its results, goes to the edge
+that finished the next result; a lost one is issued again under a higher epoch. A heartbeat with
+room that finds no work is held for one heartbeat's time, so that forwarded items are dealt as they
+come.
 """
 
 from collections.abc import Callable
@@ -18,14 +21,17 @@
 
 __all__ = ["Dealer"]
 
-_UNKNOWN_BODY = '{"error":{"verdict":"may_have_run","code":"edge-lost","message":"the node running this item was lost"}}'
+_UNKNOWN_BODY = (
+    '{"error":{"verdict":"may_have_run","code":"edge-lost",'
+    '"message":"the node running this item was lost"}}'
+)
 
 
 Reply = Callable[[Message], None]
 
 
 class _Held:
-    """An edge's beat that waits for work."""
+    """An edge's heartbeat that waits for work."""
 
     __slots__ = ("due_ms", "message", "reply")
 
@@ -34,9 +40,11 @@
 
 
 class Dealer:
-    """`log_ms` is the log's own time, `profiles` gives number and tree of the profiles known here, `woke` is
-    told of lots in which something was settled, and `outlook` says whether the lots will be done in time beside
-    rollouts; without one no rollout is dealt.
+    """Deals items under one holder.
+
+    `log_ms` is the log's own time, `profiles` returns the number and the tree of the profiles known
+    here, and `woke` gets the lots in which something was settled. `outlook` says whether the lots
+    will be done in time beside rollouts; without it no rollout is dealt.
     """
 
     __slots__ = (
@@ -77,6 +85,7 @@
         self._endings = Endings(holder, node, log_ms, profiles, woke, self._live)
 
     def beat(self, message: m.EdgeBeat, reply: Reply) -> None:
+        """Answer an edge's heartbeat, at once or when there is something to say."""
         now_ms = self._node.env.now()
         self._hear(message, now_ms)
         self._return_unheard(message)
@@ -85,7 +94,7 @@
             self._held[message.edge] = _Held(message, reply, now_ms + self._node.params.beat_ms)
 
     def _hear(self, message: m.EdgeBeat, now_ms: int) -> None:
-        """Of two edges at one address the earlier one has ended."""
+        """Note that an edge is alive; of two edges at one address the earlier one has ended."""
         self._edges[message.edge] = now_ms
         before = self._addresses.get(message.address, message.edge)
         self._addresses[message.address] = message.edge
@@ -94,18 +103,19 @@
             self._held.pop(before, None)
 
     def wake(self) -> None:
-        """Something is to be dealt or to be stopped: whoever has room gets a share of it now."""
+        """Offer new work or stops to the edges whose heartbeats are held."""
         for edge, held in list(self._held.items()):
             if self._answer(held.message, held.reply, False):
                 self._held.pop(edge, None)
 
     def stop(self, reply: Message) -> None:
+        """Answer all held heartbeats with a message, because this holder's epoch is over."""
         held, self._held = self._held, {}
         for row in held.values():
             row.reply(reply)
 
     def _answer(self, message: m.EdgeBeat, reply: Reply, now: bool) -> bool:
-        """False if the beat may wait for something to be said."""
+        """Answer a heartbeat; return False if it may wait for something to be said."""
         ledger = self._holder.ledger
         stops = sorted(
             lot_id
@@ -179,12 +189,12 @@
         return rows
 
     def _over(self, lot_id: str) -> bool:
-        """Over for good: an edge forgets what it ran, so this has to be settled."""
+        """Whether a lot is over and settled, so that an edge may forget what it ran of it."""
         lot = self._holder.settled.lots.get(lot_id)
         return not lot.open if lot is not None else lot_id not in self._holder.ledger.lots
 
     def _waiting(self) -> tuple[int, list[str]]:
-        """How many items wait, and on which paths: an edge then offers its room for these."""
+        """Return how many items wait and on which paths, for which edges then offer room."""
         lots = [
             lot
             for lot in self._holder.ledger.opened.values()
@@ -195,14 +205,17 @@
         )
 
     def _rollouts(self) -> tuple[int, bool]:
-        """How many samples are out or may be any moment, and whether a lot needs their slots."""
+        """Return how many samples are or may be out, and whether a lot needs their slots."""
         if self._outlook is None:
             return 0, False
         out = sum(len(lot.claims) + 1 for lot in self._holder.ledger.opened.values() if lot.rollout)
         return out, self._outlook.at_risk(self._holder.ledger, self._log_ms(), self._node.env.log)
 
     def _return_unheard(self, message: m.EdgeBeat) -> None:
-        """A claim whose notice was lost: the edge doesn't list it, and would no longer take the notice."""
+        """Return claims whose notice was lost: the edge doesn't list them as running.
+
+        It would no longer accept the notice.
+        """
         now_ms = self._node.env.now()
         running = set(message.running)
         rows: list[Message] = []
@@ -222,7 +235,7 @@
         return sum(1 for edge in self._edges if self._live(edge))
 
     def _end_rollouts(self) -> None:
-        """Those whose deadline has passed; what is listed stays."""
+        """End rollouts whose deadline has passed; their listed results stay."""
         log_ms = self._log_ms()
         rows = [
             e.LotEnded(lot_id=lot.lot_id, at_ms=log_ms)
@@ -234,13 +247,15 @@
             self._holder.append(rows, True, lambda outcome: self.wake(), True)
 
     def end_items(self, message: m.EndItems, reply: Reply) -> None:
-        """What an edge's forwarded items came to; all of it in one append."""
+        """Take in how an edge's forwarded items ended, in one append."""
         self._edges[message.edge] = self._node.env.now()
         self._endings.take(message, reply, self.wake)
 
     def finish(self, message: m.Finish, reply: Callable[[Message], None]) -> None:
-        """An outcome of `again` hands a claim back: the item certainly has not run. What is not safe to
-        repeat is acknowledged once settled: an edge that forgot it would make it look never begun.
+        """Take in how an item ended, or that its claim is returned (`again`).
+
+        For items that aren't safe to repeat the answer waits until this is settled: an edge that
+        forgot the item sooner would make it look as if it had never begun.
         """
         ledger = self._holder.ledger
         lot = ledger.lots.get(message.lot_id)
@@ -323,8 +338,11 @@
         )
 
     def _lost(self, lot: Lot, edge: str) -> bool:
-        """Silent for longer than any edge keeps its claims, or than this holder has been in office. Forwarded
-        items are safe and due soon: they are dealt again once their edge doesn't count as live.
+        """Whether an edge has been silent for so long that its claims are lost.
+
+        That is longer than any edge keeps its claims; silence from before this holder's start
+        doesn't count. Forwarded items are safe and due soon, so they are dealt again once their
+        edge doesn't count as live.
         """
         if edge in self._gone:
             return True
@@ -336,6 +354,7 @@
         )
 
     def tick(self) -> None:
+        """Answer held heartbeats that are due, and take back claims of lost edges."""
         now_ms = self._node.env.now()
         for edge in [edge for edge, held in self._held.items() if now_ms >= held.due_ms]:
             held = self._held.pop(edge)
--- a/libs/ledger/src/ledger/desk.py
+++ b/libs/ledger/src/ledger/desk.py
@@ -1,6 +1,8 @@
-"""The holder's desk: it decides, logs, and answers edges. Admission is exact because only the
-holder admits and it counts what it has logged, settled or not; what the outside may rely on is
-answered once settled. A store that is not the holder says who is.
+"""The holder's request handler, here called the desk: it decides, logs, and answers edges.
+
+Admission is exact because only the holder admits, and it counts what it has logged, settled or not.
+Answers that clients may rely on wait until they are settled, that is durable on f+1 disks. A store
+that isn't the holder answers who is.
 """
 
 from collections import Counter
@@ -26,8 +28,10 @@
 
 
 class Desk(Part):
-    """`profiles` gives number and tree of the profiles in force here; `who_holds` gives the holder's epoch
-    and address as far as this store knows.
+    """Handles the requests of edges while this store holds the log.
+
+    `profiles` returns the number and the tree of the profiles in force here, `who_holds` the
+    holder's epoch and address as far as this store knows, `settled` the settled ledger.
     """
 
     __slots__ = (
@@ -89,7 +93,10 @@
         self.mend: Callable[[str, str], None] = lambda kind, name: None
 
     def take_holder(self, holder: Any) -> None:
-        """Who waits at a desk that is closed is told to go on to the next holder."""
+        """Start to serve under a holder, or stop if it is None.
+
+        Requests that are being held are answered that this store isn't the holder any more.
+        """
         for part in (self._dealer, self._reading):
             if part is not None:
                 part.stop(self._not_holder())
@@ -128,6 +135,7 @@
         return m.NotHolder(epoch=epoch, address=address)
 
     def receive(self, message: Message, origin: Origin) -> None:
+        """Handle a request of an edge."""
         if self._holder is None or self._holder.deposed:
             self.node.reply(origin, self._not_holder())
             return
@@ -136,7 +144,7 @@
         self._on(message, origin)
 
     def rooms_used(self) -> dict[str, int]:
-        """Open lots by path, as the holder counts them; nothing elsewhere."""
+        """Return how many lots are open on each path; empty unless this store is the holder."""
         if self._holder is None or self._holder.deposed:
             return {}
         return dict(
@@ -319,6 +327,7 @@
     # -- common --------------------------------------------------------------------------------
 
     def tick(self) -> None:
+        """Deal work, time out requests, and now and then forget what is too old."""
         if self._dealer is None or self._holder.deposed:
             return
         self._dealer.tick()
@@ -330,13 +339,15 @@
             self._forget()
 
     def _log_ms(self) -> int:
-        """The log's own time: it goes on from the newest entry and by boot time only, so that no step of
-        a clock makes anything look old. Time without a holder doesn't count.
+        """Return the log's own time in milliseconds.
+
+        It continues from the newest entry by the monotonic clock, so that no step of the wall clock
+        makes anything look old. Time without a holder doesn't count.
         """
         return self._base_ms + self.node.env.now() - self._office_ms
 
     def _forget(self) -> None:
-        """What is over and older than the time it is kept leaves the ledger, by entries like any other."""
+        """Remove what is over and past its retention time, by entries like any others."""
         floor_ms = self._log_ms() - self.node.params.keep_ms
         ledger = self._holder.ledger
         rows: list[Message] = [
--- a/libs/ledger/src/ledger/endings.py
+++ b/libs/ledger/src/ledger/endings.py
@@ -1,7 +1,9 @@
-"""How items of forwarded lots end. A result is finished and placed in one entry: the baton passes to the edge
-that brings it, under a higher epoch, and places it next, so the log's order is the order of the results. An
-item is dead once a worker said that it can't be done, after as many failed attempts as its route has, when
-its time is up, or when its route is gone.
+"""How items of forwarded lots end.
+
+A result is finished and listed in one entry: the baton passes to the edge that brings it, under a
+higher epoch, and lists it next, so the order of the log is the order of the results. An item is
+dead once a worker said that it can't be done, after as many failed attempts as its route allows,
+when its time is up, or when its route is gone.
 """
 
 from collections.abc import Callable
@@ -17,6 +19,12 @@
 
 
 class Endings:
+    """Ends items of forwarded lots in the log of one holder.
+
+    `log_ms` is the log's own time, `profiles` returns the number and the tree of the profiles,
+    `woke` gets the lots in which something was settled, and `live` says whether an edge is heard.
+    """
+
     __slots__ = ("_holder", "_live", "_log_ms", "_node", "_profiles", "_woke")
 
     def __init__(
@@ -34,6 +42,10 @@
     def take(
         self, message: m.EndItems, reply: Callable[[Message], None], wake: Callable[[], None]
     ) -> None:
+        """Log the reported ends in one append, then reply.
+
+        `wake` is called if items wait again.
+        """
         rows: list[Message] = []
         for data in message.rows:
             row = decode(data)
@@ -53,7 +65,11 @@
             wake()
 
     def _entries(self, lot: Lot, row: m.ItemEnd, edge: str) -> list[Message]:
-        """Whoever ends an item first ends it; a failure or a claim handed back counts only of the present claim."""
+        """Return the entries for one report.
+
+        The first report that ends an item decides. A failure or a returned claim counts only under
+        the present claim.
+        """
         item = lot.items[row.index]
         present = item.state == "claimed" and item.number == row.number
         if item.state == "finished":
@@ -91,7 +107,10 @@
         )
 
     def _attempts(self, lot: Lot) -> int:
-        """As many as any profile said that may be in force: the one it was admitted under or the present one."""
+        """Return the most attempts allowed by any profile that may be in force.
+
+        These are the profile at admission and the present one.
+        """
         profile = self._profile(lot)
         return max(lot.attempts, profile.attempts or 0 if profile is not None else 0, 1)
 
@@ -100,7 +119,10 @@
         return tree.usable(lot.path) if tree is not None else None
 
     def give_up(self) -> None:
-        """Items whose time is up, or whose route is gone from profiles no older than those they came under."""
+        """End items whose time is up or whose route is gone.
+
+        A route counts as gone only by profiles no older than those at admission.
+        """
         now_ms = self._log_ms()
         number, tree = self._profiles()
         rows: list[Message] = []
--- a/libs/ledger/src/ledger/entries.py
+++ b/libs/ledger/src/ledger/entries.py
@@ -1,5 +1,8 @@
-"""The entries of the log. Each is a fact that was decided by the holder; folding the same entries
-in the same order gives the same ledger everywhere. A snapshot is a short run of the same entries.
+"""The entries of the log.
+
+Each is a fact that the holder has decided; folding the same entries in the same order gives the
+same ledger on every replica. A snapshot is a short sequence of the same entries. Fields that end in
+`_ms` are milliseconds of the log's own time; `epoch` is that of a lot's baton.
 """
 
 from messaging import Blob, Flag, Long, Message, Text, array_of
@@ -27,6 +30,8 @@
 
 
 class LotAdmitted(Message):
+    """A lot was admitted; an item that isn't `safe` must not be run twice."""
+
     lot_id: Text
     digest: Text
     path: Text
@@ -37,8 +42,10 @@
 
 
 class ForwardLotAdmitted(Message):
-    """A lot of forwarded calls. What an item asks is kept as the bytes it came in; `expires_ms` is the log's
-    time from which an item may be given up, `version` the profiles' number at the holder that admitted it.
+    """A lot of forwarded calls was admitted.
+
+    `calls` are kept as the bytes in which they came. From `expires_ms` on an item may be given up;
+    `version` is the number of the profiles at the holder that admitted the lot.
     """
 
     lot_id: Text
@@ -55,8 +62,10 @@
 
 
 class RolloutAdmitted(Message):
-    """A lot of the lowest class: each of its prompts is sampled `samples` times by the policy of these weights, and
-    `expires_ms`, if not 0, is the log's time at which it ends.
+    """A rollout, a lot of the lowest class, was admitted.
+
+    Each prompt is sampled `samples` times by the policy of these weights. If `expires_ms` isn't 0,
+    the rollout ends then.
     """
 
     lot_id: Text
@@ -70,7 +79,7 @@
 
 
 class ItemsClaimed(Message):
-    """Items of one forwarded lot, for one edge."""
+    """Items of one forwarded lot were claimed for one edge."""
 
     lot_id: Text
     edge: Text
@@ -79,7 +88,10 @@
 
 
 class AttemptFailed(Message):
-    """`failures` counts this one; `worker` is left out when the item is dealt again."""
+    """An attempt at a forwarded item failed; `failures` counts this one.
+
+    `worker` is avoided when the item is dealt again.
+    """
 
     lot_id: Text
     index: Long
@@ -89,8 +101,10 @@
 
 
 class ResultListed(Message):
-    """A forwarded item is over, and in the same moment the baton, which is then with `edge` under `epoch`,
-    places it next: the order of these entries is the order of the results.
+    """A forwarded item ended and was listed as the next result.
+
+    The baton passes to `edge` under `epoch` in the same entry. The order of these entries is the
+    order of the results.
     """
 
     lot_id: Text
@@ -103,6 +117,8 @@
 
 
 class ItemClaimed(Message):
+    """An item was claimed for an edge, under a number that rises with each claim."""
+
     lot_id: Text
     index: Long
     edge: Text
@@ -110,6 +126,8 @@
 
 
 class ItemFinished(Message):
+    """An item ended; its result may be listed."""
+
     lot_id: Text
     index: Long
     outcome: Text
@@ -118,33 +136,45 @@
 
 
 class ItemReturned(Message):
+    """The claim of this number was returned; the item waits again."""
+
     lot_id: Text
     index: Long
     number: Long
 
 
 class BatonPassed(Message):
+    """The right to list a lot's results passed to an edge, under a higher epoch."""
+
     lot_id: Text
     edge: Text
     epoch: Long
 
 
 class ResultsPlaced(Message):
+    """Results were listed up to a position; void unless `epoch` is the baton's."""
+
     lot_id: Text
     up_to: Long
     epoch: Long
 
 
 class LotEnded(Message):
+    """A lot was ended before all of its results were listed."""
+
     lot_id: Text
     at_ms: Long
 
 
 class LotForgotten(Message):
+    """A lot that is over left the ledger, because its retention time has passed."""
+
     lot_id: Text
 
 
 class KeyOpened(Message):
+    """A transaction that isn't safe to repeat was opened under a key."""
+
     key: Text
     digest: Text
     edge: Text
@@ -153,6 +183,8 @@
 
 
 class KeyClosed(Message):
+    """A transaction ended, or its outcome is in doubt, as `state` says."""
+
     key: Text
     transaction: Text
     state: Text
@@ -162,7 +194,11 @@
 
 
 class LotShelved(Message):
-    """Only in snapshots: a lot that is over, whose listed results are in leaves of a file."""
+    """Only in snapshots: a lot that is over, whose results are in an archive file.
+
+    `places` and `sizes` are the offsets and lengths in bytes of the file's leaves, `firsts` the
+    index of the first result in each.
+    """
 
     lot_id: Text
     digest: Text
@@ -182,7 +218,10 @@
 
 
 class KeyShelved(Message):
-    """Only in snapshots: a key whose recorded receipt is in a leaf of a file."""
+    """Only in snapshots: a key whose final answer is in an archive file.
+
+    `place` and `size` are the offset and length in bytes of its leaf.
+    """
 
     key: Text
     digest: Text
@@ -196,4 +235,6 @@
 
 
 class KeyForgotten(Message):
+    """A key left the ledger, because its retention time has passed."""
+
     key: Text
--- a/libs/ledger/src/ledger/fold.py
+++ b/libs/ledger/src/ledger/fold.py
@@ -1,6 +1,7 @@
-"""The fold: single dispatch over the entries, one function for each change of state. It refuses
-nothing, since what is in the log has been decided; an entry that no longer applies changes nothing.
-An item goes waiting, claimed, finished; `waiting_tokens` counts, for each path, what forwarded lots have waiting.
+"""The fold of the log's entries into a ledger, one handler for each type of entry.
+
+It refuses nothing, since what is in the log has been decided; an entry that no longer applies
+changes nothing. An item goes from waiting to claimed to finished.
 """
 
 from collections.abc import Callable
@@ -16,6 +17,12 @@
 
 
 class Key:
+    """A transaction that isn't safe to repeat, under a client's key.
+
+    `state` is `open`, `doubt`, `void` or `done`; `status` and `body` are its final answer, which is
+    in an archive file once `shelf` is set.
+    """
+
     __slots__ = (
         "at_ms",
         "body",
@@ -41,7 +48,11 @@
 
 
 class Ledger:
-    """`fresh` names what is over since somebody last asked: lots and keys that may be put on shelves."""
+    """The state that the entries of the log add up to.
+
+    `opened` has the lots that still run, `waiting_tokens` the tokens of forwarded items that
+    haven't ended, by path. `fresh` names lots and keys that are over and can be archived.
+    """
 
     __slots__ = ("fresh", "keys", "lots", "opened", "waiting_tokens")
 
@@ -53,9 +64,11 @@
         self.fresh: dict[tuple[str, str], None] = {}
 
     def room_used(self, path: str) -> int:
+        """Return how many lots other than rollouts are open on a path."""
         return sum(1 for lot in self.opened.values() if lot.path == path and not lot.rollout)
 
     def rollouts_open(self, path: str) -> int:
+        """Return how many rollouts are open on a path."""
         return sum(1 for lot in self.opened.values() if lot.path == path and lot.rollout)
 
     def _count_tokens(self, path: str, tokens: int) -> None:
@@ -67,6 +80,7 @@
 
     @singledispatchmethod
     def apply(self, entry: Message) -> None:
+        """Apply one entry."""
         raise TypeError(type(entry).__name__)
 
     @apply.register
@@ -185,7 +199,7 @@
 
     @apply.register
     def _(self, entry: e.LotShelved) -> None:
-        """Of a lot that is here too, the results leave memory; all else stays as it is."""
+        """Drop the results of a lot that is here too, or add the lot without them."""
         lot = self.lots.get(entry.lot_id)
         if lot is None:
             lot = self.lots[entry.lot_id] = Lot(
@@ -259,14 +273,14 @@
         return lot.items[index]
 
     def _lot(self, lot_id: str) -> Lot | None:
-        """A lot that is about to change: what was kept of its rows no longer holds."""
+        """Return a lot that is about to change; its cached rows are dropped."""
         lot = self.lots.get(lot_id)
         if lot is not None:
             lot.rows = None
         return lot
 
     def dump(self) -> list[Message]:
-        """Entries that fold to this very ledger."""
+        """Return entries that fold to this very ledger."""
         rows: list[Message] = []
         for lot in self.lots.values():
             rows += lot.dump()
@@ -275,8 +289,10 @@
         return rows
 
     def encoded(self, wrap: Callable[[bytes], bytes] = lambda row: row) -> list[bytes]:
-        """The same as bytes. Those of what is over are kept, so that a snapshot costs little more than
-        what is new in it.
+        """Return the same entries as bytes, each passed through `wrap`.
+
+        Those of what is over are cached, so that a snapshot costs little more than what is new in
+        it.
         """
         return [
             row
@@ -286,7 +302,7 @@
         ]
 
     def rows_of(self, kind: str, name: str, wrap: Callable[[bytes], bytes]) -> list[bytes]:
-        """Those of one lot or key."""
+        """Return the encoded entries of one lot or key."""
         held: Any = self.lots[name] if kind == "lot" else self.keys[name]
         if held.rows is None or (kind == "lot" and held.open):
             held.rows = [
@@ -296,7 +312,7 @@
         return held.rows
 
     def copy(self) -> "Ledger":
-        """A ledger that may go its own way; it shares the lots and keys that can't change any more."""
+        """Return an independent ledger; lots and keys that can't change any more are shared."""
         twin = Ledger()
         for lot_id, lot in self.lots.items():
             if lot.open:
--- a/libs/ledger/src/ledger/lot_receipts.py
+++ b/libs/ledger/src/ledger/lot_receipts.py
@@ -1,4 +1,4 @@
-"""What callers are told of a lot: its receipt, and pages of its results, from memory or from the shelves."""
+"""What callers are told of a lot: its state, and pages of its results."""
 
 from collections.abc import Callable
 from typing import Any
@@ -13,6 +13,7 @@
 
 
 def lot_receipt(outcome: str, lot_id: str, lot: Lot | None) -> m.LotReceipt:
+    """Return the state of a lot, or an empty one if there is none."""
     if lot is None:
         return m.LotReceipt(
             outcome=outcome,
@@ -42,8 +43,9 @@
 
 
 class LotReader:
-    """Answers from what is settled; what only the holder's log has is not known yet. `mend` is told of a lot whose
-    shelf can't be read.
+    """Answers from the settled ledger; entries that aren't settled are not known yet.
+
+    `mend` is told of a lot whose archive file can't be read.
     """
 
     __slots__ = ("_holder", "_mend", "_settled", "_shelves")
@@ -59,12 +61,14 @@
         self._shelves, self._mend = shelves, mend
 
     def lot(self, lot_id: str) -> m.LotReceipt:
+        """Return the state of a lot."""
         lot = self._settled().lots.get(lot_id)
         if lot is None and lot_id in self._holder.ledger.lots:
             return lot_receipt("unknown", lot_id, None)
         return lot_receipt("known" if lot else "missing", lot_id, lot)
 
     def results(self, message: m.ReadResults) -> m.ResultsReceipt:
+        """Return a page of a lot's results, from memory or from its archive file."""
         lot = self._settled().lots.get(message.lot_id)
         if lot is None:
             outcome = "unknown" if message.lot_id in self._holder.ledger.lots else "missing"
--- a/libs/ledger/src/ledger/lots.py
+++ b/libs/ledger/src/ledger/lots.py
@@ -1,5 +1,7 @@
-"""A lot and its items as the fold has them. Of a lot of our own kind results are listed in the order of its
-items, as far as `placed` says; of a forwarded one in the order in which they came to be settled, `order`.
+"""A lot and its items as the fold of the log has them.
+
+Results of an ordinary lot are listed in the order of its items, up to `placed`; those of a
+forwarded lot in the order in which they were settled, `order`.
 """
 
 from messaging import Message, encode
@@ -11,7 +13,11 @@
 
 
 class Item:
-    """`body` is what is asked: text, or the bytes of a forwarded call; `failed_at` the workers that failed on it."""
+    """One item of a lot: waiting, claimed or finished.
+
+    `body` is what is asked: text, or the bytes of a forwarded call. `number` is that of its latest
+    claim; `failed_at` has the workers that failed on it.
+    """
 
     __slots__ = (
         "body",
@@ -42,8 +48,11 @@
 
 
 class Lot:
-    """`pending` has the items nobody has claimed, in the order in which they are dealt, `claims` those that
-    somebody has; `tokens` counts what is neither finished nor dead.
+    """A lot and the state of its items.
+
+    `pending` has the indexes of unclaimed items in the order in which they are dealt, `claims` the
+    claimed items. `tokens` counts items that haven't ended; `rows` caches encoded entries for
+    snapshots.
     """
 
     __slots__ = (
@@ -115,15 +124,20 @@
 
     @property
     def open(self) -> bool:
+        """Whether the lot still runs: neither ended nor listed to its last result."""
         return not self.ended and self.placed < self.total
 
     @property
     def waiting(self) -> int:
+        """How many items nobody has claimed."""
         return len(self.pending)
 
     @property
     def ready(self) -> int:
-        """How far results could be placed now. Of a forwarded lot each is placed as it is settled."""
+        """Up to which position results could be listed now.
+
+        Those of a forwarded lot are listed as they are settled.
+        """
         if self.forward:
             return self.placed
         up_to = self.placed
@@ -132,7 +146,7 @@
         return up_to
 
     def row(self, position: int) -> bytes:
-        """The result listed at a position, as it is read and as it is put on a shelf."""
+        """Return the encoded result at a position, as it is read and as it is archived."""
         if self.forward:
             item = self.items[self.order[position]]
             return encode(
@@ -144,19 +158,20 @@
     # -- changes of an item's state --------------------------------------------------------------
 
     def claim(self, index: int, edge: str, number: int) -> None:
+        """Note that an edge has claimed an item."""
         item = self.items[index]
         self.pending.pop(index, None)
         self.claims[index] = item
         item.state, item.edge, item.number = "claimed", edge, number
 
     def give_back(self, index: int) -> None:
-        """It is dealt again, after those that wait already."""
+        """Return an item's claim; it is dealt again after those that wait already."""
         item = self.claims.pop(index)
         self.pending[index] = None
         item.state, item.edge = "waiting", ""
 
     def finish(self, index: int, outcome: str, result: str | bytes, worker: str) -> int:
-        """Gives the tokens that no longer wait."""
+        """Note how an item ended, and return its tokens, which no longer count."""
         item = self.items[index]
         self.pending.pop(index, None)
         self.claims.pop(index, None)
@@ -168,6 +183,7 @@
     # -- entries that fold to this very lot ------------------------------------------------------
 
     def dump(self) -> list[Message]:
+        """Return entries that fold to this very lot."""
         if self.shelf is not None:
             return [
                 e.LotShelved(
--- a/libs/ledger/src/ledger/messages.py
+++ b/libs/ledger/src/ledger/messages.py
@@ -1,6 +1,15 @@
-"""What edges ask of the holder, and its receipts. Each ask that could run something late carries the
-holder's own time as the edge last heard it; one that has been under way for too long is refused, so
-that a doubt told to a visitor can't turn into a run long after.
+"""Requests of the edges to the holder of the log, and its answers, here called receipts.
+
+A request that might run something late carries the holder's clock, `holder_ms`, as the edge last
+heard it; one that took too long is refused as stale, so that an outcome reported as unknown can't
+turn into a run long after. Fields that end in `_ms` are milliseconds. `epoch` is the holder's, and
+in Baton and Place the baton's. `due_ms` and `keep_ms` of a submission are from now; elsewhere
+`due_ms` is in the log's own time. An item that isn't `safe` must not be run twice.
+
+Receipts about lots have the outcomes admitted, known, missing, conflict (another content under the
+same id), no_room, no_path, beyond (no such index), stale, full and unknown. Receipts about keys
+have opened, open, doubt, recorded (with the final answer), known, conflict, stale, full and
+unknown.
 """
 
 from messaging import Blob, Flag, Long, Message, Text, array_of
@@ -43,6 +52,8 @@
 
 
 class EdgeBeat(Message):
+    """An edge's heartbeat: free slots, their paths, and the items it runs as LOT#INDEX."""
+
     edge: Text
     address: Text
     room: Long
@@ -51,7 +62,7 @@
 
 
 class RolloutBeat(Message):
-    """The beat of an edge whose profiles lend: also how many samples of rollouts it could start, and on which paths."""
+    """An EdgeBeat that also tells how many samples of rollouts may start, and on which paths."""
 
     edge: Text
     address: Text
@@ -63,6 +74,8 @@
 
 
 class Work(Message):
+    """An item for an edge to run; `number` is that of its claim."""
+
     lot_id: Text
     index: Long
     number: Long
@@ -73,7 +86,7 @@
 
 
 class RolloutWork(Message):
-    """One sample of a rollout; the item's index is that of its prompt times the samples of each, plus the sample's."""
+    """A sample for an edge to run; `index` is `prompt` * samples of each prompt + `sample`."""
 
     safe = True
     lot_id: Text
@@ -87,12 +100,16 @@
 
 
 class Baton(Message):
+    """Tells an edge that it may list the results of a lot up to a position."""
+
     lot_id: Text
     epoch: Long
     up_to: Long
 
 
 class HolderBeat(Message):
+    """The answer to EdgeBeat: work, batons, lots to stop, and how much waits on which paths."""
+
     epoch: Long
     holder_ms: Long
     work: array_of(Blob)
@@ -103,7 +120,7 @@
 
 
 class RolloutAnswer(Message):
-    """The answer to a RolloutBeat: also how many samples are out, and whether lots need their slots."""
+    """A HolderBeat with how many samples are out, and whether lots need their slots back."""
 
     epoch: Long
     holder_ms: Long
@@ -117,11 +134,15 @@
 
 
 class NotHolder(Message):
+    """The answer of a store that isn't the holder, with who is as far as it knows."""
+
     epoch: Long
     address: Text
 
 
 class HandIn(Message):
+    """Submit a lot; `digest`, that of the content, recognises the same submission sent again."""
+
     lot_id: Text
     digest: Text
     path: Text
@@ -133,7 +154,7 @@
 
 
 class RolloutHandIn(Message):
-    """`due_ms` is from now, 0 for no deadline."""
+    """Submit a rollout; `due_ms` is from now, 0 for no deadline."""
 
     lot_id: Text
     digest: Text
@@ -147,6 +168,8 @@
 
 
 class LotReceipt(Message):
+    """The state of a lot, or why there is none."""
+
     outcome: Text
     lot_id: Text
     digest: Text
@@ -160,26 +183,36 @@
 
 
 class ReadLot(Message):
+    """Ask for the state of a lot."""
+
     lot_id: Text
 
 
 class EndLot(Message):
+    """End a lot: what hasn't finished is not run any more."""
+
     lot_id: Text
 
 
 class ReadResults(Message):
+    """Ask for listed results from an index on."""
+
     lot_id: Text
     from_index: Long
     limit: Long
 
 
 class ResultRow(Message):
+    """One result of a lot, at the index of its item."""
+
     index: Long
     outcome: Text
     body: Text
 
 
 class ResultsReceipt(Message):
+    """A page of results: encoded ResultRows, and that `placed` of `total` are listed."""
+
     outcome: Text
     rows: array_of(Blob)
     placed: Long
@@ -188,6 +221,8 @@
 
 
 class Finish(Message):
+    """Report an item's end; the outcome `again` returns the claim, as it has not run."""
+
     lot_id: Text
     index: Long
     number: Long
@@ -198,12 +233,16 @@
 
 
 class FinishReceipt(Message):
+    """The answer to Finish, Place and EndItems; a `baton_epoch` above 0 grants a baton."""
+
     ok: Flag
     baton_epoch: Long
     up_to: Long
 
 
 class Place(Message):
+    """List the results of a lot up to a position, under the baton's epoch."""
+
     lot_id: Text
     edge: Text
     epoch: Long
@@ -211,6 +250,8 @@
 
 
 class OpenKey(Message):
+    """Open a transaction that isn't safe to repeat, under a client's key."""
+
     key: Text
     digest: Text
     edge: Text
@@ -220,6 +261,8 @@
 
 
 class CloseKey(Message):
+    """Record how a transaction ended: its state, HTTP status and body."""
+
     key: Text
     transaction: Text
     state: Text
@@ -228,14 +271,18 @@
 
 
 class KeyReceipt(Message):
+    """The answer to OpenKey and CloseKey, with the final answer if it is recorded."""
+
     outcome: Text
     status: Long
     body: Text
 
 
 class ForwardItem(Message):
-    """What an item of a forwarded lot asks of a worker; `headers` are names and values in turn, `part_ids` and
-    `part_tokens` the parts of its prompt in order.
+    """The call that an item of a forwarded lot makes to a worker.
+
+    `headers` has names and values in turn, `part_ids` and `part_tokens` the parts of its prompt in
+    order.
     """
 
     item_id: Text
@@ -250,8 +297,10 @@
 
 
 class ForwardHandIn(Message):
-    """`calls` are encoded ForwardItems, `tokens` what each counts for in the waiting room; `due_ms` and `keep_ms`
-    are from now, `version` is the profiles' number at the edge.
+    """Submit a lot of forwarded calls.
+
+    `calls` are encoded ForwardItems, `tokens` what each counts for in the queue; `version` is the
+    number of the profiles at the edge.
     """
 
     lot_id: Text
@@ -269,14 +318,14 @@
 
 
 class Stale(Message):
-    """The stamp of an ask doesn't hold; this one would."""
+    """The stamp of a request is too old or of another epoch; this one would do."""
 
     epoch: Long
     holder_ms: Long
 
 
 class ForwardWork(Message):
-    """`left_ms` is how long the item may still be worked on, `avoid` the workers that failed on it."""
+    """A forwarded item to run within `left_ms`; `avoid` are the workers that failed on it."""
 
     lot_id: Text
     index: Long
@@ -288,7 +337,10 @@
 
 
 class ItemEnd(Message):
-    """`finished`, `dead` (no worker can do it), `failed` (an attempt) or `again` (no attempt was made)."""
+    """How an item of a forwarded lot ended.
+
+    `outcome` is finished, dead (no worker can do it), failed (an attempt) or again (no attempt).
+    """
 
     lot_id: Text
     index: Long
@@ -299,12 +351,14 @@
 
 
 class EndItems(Message):
+    """Report the ends of several forwarded items; `rows` are encoded ItemEnds."""
+
     edge: Text
     rows: array_of(Blob)
 
 
 class ReadPage(Message):
-    """Asks to be answered once a result from this position on exists, or after `wait_ms`."""
+    """Ask for forwarded results; answered once there is one or after `wait_ms`."""
 
     lot_id: Text
     from_position: Long
@@ -313,12 +367,16 @@
 
 
 class ForwardRow(Message):
+    """One result of a forwarded lot."""
+
     item_id: Text
     outcome: Text
     text: Blob
 
 
 class PageReceipt(Message):
+    """A page of encoded ForwardRows; `over` says that no more will come."""
+
     outcome: Text
     rows: array_of(Blob)
     total: Long
@@ -326,10 +384,14 @@
 
 
 class ReadItem(Message):
+    """Ask for the call of an item that hasn't ended."""
+
     lot_id: Text
     item_id: Text
 
 
 class ItemReceipt(Message):
+    """The answer to ReadItem: an encoded ForwardItem."""
+
     outcome: Text
     call: Blob
--- a/libs/ledger/src/ledger/picking.py
+++ b/libs/ledger/src/ledger/picking.py
@@ -1,5 +1,7 @@
-"""Which items an edge is dealt: of the lots due first, forwarded ones up to its share of what waits, and samples
-of rollouts only with what is left.
+"""The choice of the items that an edge gets.
+
+Lots that are due first come first, forwarded ones up to the edge's share of what waits. Samples of
+rollouts get only what is left.
 """
 
 import math
@@ -13,7 +15,10 @@
 
 
 class Picker:
-    """`outlook` hears of each edge's slots; `recalled` says whether a lot may come late beside rollouts."""
+    """Chooses items from the ledger of one holder.
+
+    `outlook` gets each edge's slots; `recalled` says whether a lot may come late beside rollouts.
+    """
 
     __slots__ = ("_holder", "_log_ms", "_node", "_outlook", "_recalled")
 
@@ -29,8 +34,10 @@
         self._outlook, self._recalled = outlook, recalled
 
     def pick(self, message: m.EdgeBeat, live_edges: Callable[[], int]) -> tuple[list[Any], bool]:
-        """The lots due first, as many items as the edge has room for; of forwarded ones no more than its share
-        of what waits, as others have room too.
+        """Return the work for an edge, and whether all of it is safe to repeat.
+
+        The edge gets as many items as it has room for, of forwarded lots no more than its share,
+        since other edges have room too.
         """
         work: list[Any] = []
         safe_only = True
@@ -74,7 +81,7 @@
         return self._pick_samples(message, work), safe_only
 
     def _pick_samples(self, message: m.EdgeBeat | m.RolloutBeat, work: list[Any]) -> list[Any]:
-        """Samples take what is left: none beside items that go to this edge, nor while a lot may come late."""
+        """Return samples of rollouts if no items go to this edge and no lot may come late."""
         if (
             work
             or not isinstance(message, m.RolloutBeat)
--- a/libs/ledger/src/ledger/reading.py
+++ b/libs/ledger/src/ledger/reading.py
@@ -1,6 +1,8 @@
-"""Reads of forwarded lots at the holder. Only what is settled is shown, and what is shown was confirmed after
-the read came: by peers, or by the very append that settled the result. A read of a place where nothing is
-yet is held until something is, or its time is up.
+"""Reads of forwarded lots at the holder.
+
+Only settled results are shown, and the holder's epoch was confirmed after the read came, either by
+followers or by the very append that settled the result. A read beyond the last result is held until
+there is one or its time is up.
 """
 
 from collections.abc import Callable
@@ -29,6 +31,11 @@
 
 
 class Reading:
+    """Answers reads under one holder.
+
+    `settled` returns the settled ledger; `mend` is told what can't be read from its archive file.
+    """
+
     __slots__ = ("_held", "_holder", "_mend", "_node", "_settled", "_shelves")
 
     def __init__(
@@ -44,6 +51,7 @@
         self._held: dict[str, list[_Held]] = {}
 
     def read(self, message: m.ReadPage, reply: Reply) -> None:
+        """Answer a read of a page once there is something to show or its time is up."""
         due_ms = self._node.env.now() + message.wait_ms
         self._holder.read(
             lambda ok: self._confirmed(message, reply, due_ms) if ok else reply(_nothing("unknown"))
@@ -57,12 +65,13 @@
             self._held.setdefault(message.lot_id, []).append(_Held(message, reply, due_ms))
 
     def wake(self, lot_ids: set[str]) -> None:
-        """Something of these lots has just been settled under this epoch."""
+        """Answer the held reads of these lots, in which something was settled under this epoch."""
         for lot_id in lot_ids & set(self._held):
             for held in self._held.pop(lot_id):
                 self._confirmed(held.message, held.reply, held.due_ms)
 
     def tick(self) -> None:
+        """Answer held reads whose time is up."""
         now_ms = self._node.env.now()
         for lot_id in list(self._held):
             late = [held for held in self._held[lot_id] if now_ms >= held.due_ms]
@@ -75,10 +84,11 @@
                 self._last(held)
 
     def _last(self, held: _Held) -> None:
-        """Its time is up: confirmed once more, as another may hold the log by now."""
+        """Answer a read whose time is up, after one more confirmation of the epoch."""
         self.read(m.ReadPage(**{**held.message.as_dict(), "wait_ms": 0}), held.reply)
 
     def stop(self, reply: Message) -> None:
+        """Answer all held reads with a message, because this holder's epoch is over."""
         rows, self._held = self._held, {}
         for held in rows.values():
             for row in held:
@@ -117,7 +127,7 @@
         return rows
 
     def item(self, message: m.ReadItem, reply: Reply) -> None:
-        """What an item that isn't listed yet asks of a worker."""
+        """Answer with the call of an item that hasn't ended."""
 
         def confirmed(ok: bool) -> None:
             lot = self._settled().lots.get(message.lot_id)
