--- a/libs/ledger/src/ledger/reading.py
+++ b/libs/ledger/src/ledger/reading.py
@@ -94,7 +94,7 @@
             for row in held:
                 row.reply(reply)
 
-    # -- what is shown -------------------------------------------------------------------------
+    # -- building the answers ----------------------------------------------------------------------
 
     def _page(self, message: m.ReadPage) -> m.PageReceipt:
         lot = self._settled().lots.get(message.lot_id)
--- a/libs/replicated_log/src/replicated_log/holder.py
+++ b/libs/replicated_log/src/replicated_log/holder.py
@@ -253,7 +253,7 @@
         )
 
     def is_level(self, identity: str) -> bool:
-        """Whether a store in touch has on disk what was settled a pulse ago.
+        """Whether a store is level: in touch, and with what was settled a pulse ago on its disk.
 
         Under load the settled end is always a little ahead of the reports of slower disks.
         """
@@ -271,7 +271,7 @@
         return own + sum(self.is_level(name) for name in self.members)
 
     def sure(self) -> bool:
-        """Whether f members have answered within `doubt_ms`, so that this store can do its duty."""
+        """Whether f members have answered within `doubt_ms`, so that a quorum is in touch."""
         floor_ms = self._now() - self.params.doubt_ms
         return sum(peer.heard_ms >= floor_ms for peer in self._voting()) >= self.params.store_faults
 
--- a/libs/replicated_log/src/replicated_log/messages.py
+++ b/libs/replicated_log/src/replicated_log/messages.py
@@ -179,7 +179,7 @@
     """The holder's heartbeat to the other members.
 
     `sure` says that at least f members have answered the holder lately; `level` is how many
-    members, the holder included, have everything settled on disk.
+    members, the holder included, have on disk what was settled one heartbeat ago.
     """
 
     epoch: Long
--- a/libs/replicated_log/src/replicated_log/shelves.py
+++ b/libs/replicated_log/src/replicated_log/shelves.py
@@ -77,7 +77,7 @@
                 if name not in used:
                     self._log.disk.remove(name)
 
-    # -- putting on shelves --------------------------------------------------------------------
+    # -- archiving ---------------------------------------------------------------------------------
 
     def shelve(self, done: Callable[[], None]) -> None:
         """Archive everything that is over, one file at a time, then call `done`.
--- a/libs/replicated_log/src/replicated_log/store.py
+++ b/libs/replicated_log/src/replicated_log/store.py
@@ -99,7 +99,7 @@
         super().attach(node)
         self._watch = Watch(self.log.identity, node.params, node.env.now)
 
-    # -- as a peer -----------------------------------------------------------------------------
+    # -- as a follower -----------------------------------------------------------------------------
 
     def receive(self, message: Message, origin: Origin) -> None:
         """Handle a message of another store."""
@@ -174,7 +174,7 @@
             "",
         )
 
-    # -- the duty ------------------------------------------------------------------------------
+    # -- watching and becoming the holder ----------------------------------------------------------
 
     def tick(self) -> None:
         """Do the periodic work of the present role."""
--- a/libs/replicated_log/src/replicated_log/watch.py
+++ b/libs/replicated_log/src/replicated_log/watch.py
@@ -1,7 +1,7 @@
 """Failure detection of the log's holder by one member.
 
 Silence is counted in this store's own ticks, so a store that stood still itself suspects nobody.
-After some silence the other members are polled. The store claims the duty only if n-f members
+After some silence the other members are polled. The store claims the next epoch only if n-f members
 answer and fewer than f still hear the holder, so a member that is merely cut off from the holder
 claims nothing. Members that come earlier in the list claim first.
 """
@@ -92,7 +92,7 @@
         ]
 
     def should_claim(self, names: list[str], holder: str, epoch: int, retired: list[str]) -> bool:
-        """Whether this store should claim the duty of the holder now.
+        """Whether this store should claim the next epoch now.
 
         `names` are the members in order, `holder` and `epoch` those of the control key. Members
         that are being retired (`retired`) claim only if nobody else can.
--- a/libs/storage/src/storage/disk.py
+++ b/libs/storage/src/storage/disk.py
@@ -118,7 +118,7 @@
         for name in [name for name in self._sizes if name.endswith(".tmp")]:
             self.remove(name)
 
-    # -- what is asked -------------------------------------------------------------------------
+    # -- on the caller's thread --------------------------------------------------------------------
 
     def names(self) -> list[str]:
         """Return the names of all files in order."""
@@ -243,7 +243,7 @@
         self.push()
         self._worker.submit(lambda: None).result()
 
-    # -- in the thread ---------------------------------------------------------------------------
+    # -- on the worker's thread --------------------------------------------------------------------
 
     def _make(self, steps: list[_Step]) -> bool:
         """Do the steps in order; return False if some are left.
