--- a/libs/circulation/src/circulation/__init__.py
+++ b/libs/circulation/src/circulation/__init__.py
@@ -1,5 +1,8 @@
-"""Circulation: the way of a transaction through an edge. Its chart, where it is placed, the workers'
-roster, the stream's checks, lots, and how the holder is asked.
+"""Circulation: how an edge carries one request to a worker and judges the answer.
+
+It has the state machine of a transaction, the placement of requests on workers, the registry of
+workers, the checks of streams, the running of batch items, and the client of the log's leader. None
+of it has a socket.
 """
 
 from colophon.lazy import lazy
--- a/libs/circulation/src/circulation/affinity.py
+++ b/libs/circulation/src/circulation/affinity.py
@@ -1,6 +1,8 @@
-"""Which worker was lately sent which part of a prompt, and so probably keeps it. A worker keeps a part only
-together with all before it, and lets go of what was unused longest once its memory is full; this map
-does the same by the tokens sent, so it is bounded as the workers' memories are.
+"""Prefix-cache affinity: which worker was lately sent which part of a prompt.
+
+A worker caches a part only together with all parts before it, and evicts the least recently used
+once its memory is full. This map does the same by the tokens sent, so it is bounded as the workers'
+caches are.
 """
 
 from collections import OrderedDict
@@ -12,6 +14,8 @@
 
 
 class PartMap:
+    """An estimate of each worker's prompt cache: an LRU map from prompt parts to their tokens."""
+
     __slots__ = ("_held", "_holders", "_tokens")
 
     def __init__(self) -> None:
@@ -20,7 +24,12 @@
         self._tokens: dict[str, int] = {}
 
     def sent(self, worker: str, parts: Iterable[tuple[str, int]], cache_tokens: int) -> None:
-        """The first parts count as used last: they are what others share."""
+        """Record that `parts` (each an id and its tokens) were sent to `worker`.
+
+        The first parts count as used last, as they are what other prompts share. `cache_tokens` is
+        the size of the worker's cache in tokens, from its profile; 0 means unknown, and a guess is
+        used.
+        """
         held = self._held.setdefault(worker, OrderedDict())
         for part, tokens in reversed(list(parts)):
             self._tokens[worker] = self._tokens.get(worker, 0) + tokens - held.pop(part, 0)
@@ -38,7 +47,7 @@
             del self._holders[part]
 
     def share(self, worker: str, parts: list[tuple[str, int]]) -> float:
-        """The share of the prompt's tokens that this worker need not read again."""
+        """Return the share (0 to 1) of the prompt's tokens that this worker has probably cached."""
         held = self._held.get(worker)
         if not held or not parts:
             return 0.0
@@ -50,13 +59,13 @@
         return kept / max(1, sum(tokens for _, tokens in parts))
 
     def holders(self, parts: list[tuple[str, int]]) -> set[str]:
-        """Who was sent the part that fewest have, the last one that anybody has."""
+        """Return the workers that were sent the last part of this prompt that anybody was sent."""
         return next(
             (self._holders[part] for part, _ in reversed(parts) if part in self._holders), set()
         )
 
     def keep_only(self, workers: Iterable[str]) -> None:
-        """Those that are gone have nothing any more."""
+        """Forget all workers but these."""
         for worker in self._held.keys() - set(workers):
             for part in self._held.pop(worker):
                 self._let_go(worker, part)
--- a/libs/circulation/src/circulation/calls.py
+++ b/libs/circulation/src/circulation/calls.py
@@ -1,5 +1,7 @@
-"""What is asked of an edge, in its two kinds: a completion of our own interface, and a request that is
-forwarded whole and unchanged to a worker whose headers have names of their own, told by a Dialect.
+"""The two kinds of request that an edge serves.
+
+A `Call` is a completion of our own interface. A `ForwardCall` is forwarded whole and unchanged to a
+worker whose headers have names of their own, which a `Dialect` gives.
 """
 
 from collections.abc import Iterable
@@ -23,7 +25,10 @@
 
 
 class Call:
-    """A completion: the body for the worker, its digest for the key, and the prefix it is placed by."""
+    """A completion: the worker's body, its digest for the idempotency key, and a placement prefix.
+
+    `lot` is true for an item of a batch, `stream` for an answer in server-sent events.
+    """
 
     __slots__ = ("body", "digest", "lot", "prefix", "stream")
     kept_when_gone = True
@@ -43,7 +48,7 @@
 
 
 class Dialect:
-    """How a kind of worker names its headers; an empty name stands for one that it does not have."""
+    """The header names of one kind of worker; an empty name means that it has no such header."""
 
     __slots__ = (
         "answered_by",
@@ -80,8 +85,13 @@
 
 
 class ForwardCall:
-    """A request for a worker as it came. `parts` are the prompt's parts in order, each its id and its tokens;
-    `headers` are the end-to-end ones. A lot's item is one too, less urgent than what somebody waits for.
+    """A request that is forwarded to a worker as it came.
+
+    `parts` are the prompt's parts in order, each an id and its tokens; `headers` are the end-to-end
+    ones; `tokens_in` and `tokens_out` are the expected tokens of prompt and answer. `resumable`
+    says that a stream can be continued after its last event, `lot` that it is an item of a batch,
+    which is less urgent than a request somebody waits for. `urgency` is passed to the worker in its
+    header.
     """
 
     __slots__ = (
@@ -134,11 +144,15 @@
 
     @property
     def prefix(self) -> str:
+        """The id of the prompt's first part, or an empty string."""
         return self.parts[0][0] if self.parts else ""
 
 
 def end_to_end(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
-    """Without what concerns one connection, and without the framing, which each connection makes anew."""
+    """Return the headers without the hop-by-hop ones and without the framing.
+
+    The framing is left out because each connection makes its own.
+    """
     rows = list(headers)
     named = {
         token.strip().lower()
--- a/libs/circulation/src/circulation/carriage.py
+++ b/libs/circulation/src/circulation/carriage.py
@@ -1,5 +1,7 @@
-"""What is under way at an edge: a transaction with whom it is told to, and one send of it to a worker. Neither
-has a socket; whoever has one reports to the send, and is held back when the client does not keep up.
+"""What is in flight at an edge: a transaction with its client, and one attempt at a worker.
+
+Neither has a socket. Whoever has one reports to the `Send`, and stops reading from the worker while
+the client does not keep up (backpressure).
 """
 
 from collections.abc import Callable, Iterable
@@ -15,11 +17,13 @@
 
 
 class Sender(Protocol):
-    """Has the sockets: begins a send, reports to it, and gives what breaks it off."""
+    """The transport: begins an attempt, reports to it, and returns what aborts it."""
 
     def __call__(
         self, send: "Send", address: str, target: str, headers: Any, body: Any, method: str = "POST"
-    ) -> Callable[[], None]: ...
+    ) -> Callable[[], None]:
+        """Begin an attempt; `body` is a JSON object, or the bytes of a forwarded body."""
+        ...
 
 
 def _nothing() -> None:
@@ -27,7 +31,13 @@
 
 
 class Send:
-    """One send under way. What is reported after it is over changes nothing."""
+    """One attempt in flight at one worker.
+
+    Reports that arrive after the attempt is over change nothing. `began_ms` and `heard_ms` are
+    times of the node's clock in milliseconds; `unread_tokens` are the prompt's tokens that the
+    worker is thought not to have cached; `reads` is true, for a forwarded request, until the
+    worker's first event.
+    """
 
     __slots__ = (
         "_carrier",
@@ -63,14 +73,19 @@
 
     @property
     def repeatable(self) -> bool:
+        """Whether the request may safely be sent more than once."""
         return self.carriage.tx.safe
 
     def connected(self) -> None:
-        """From here on it may run. A sender that does not say when counts as connected from the start."""
+        """Record that a connection is there: from here on the request may run.
+
+        A transport that does not report this counts as connected from the start.
+        """
         self.connecting = False
         self.began_ms = self.heard_ms = self._carrier.node.env.now()
 
     def head(self, status: int, headers: Iterable[tuple[str, str]], length: int | None) -> None:
+        """Take the answer's status, headers and announced length in bytes, None for no length."""
         if self.over:
             return
         self._carrier.heard(self)
@@ -81,6 +96,7 @@
             self.carriage.tx.begun()
 
     def data(self, chunk: bytes) -> None:
+        """Take a chunk of the answer's body and deliver the events that it completes."""
         if self.over:
             return
         self._carrier.heard(self)
@@ -96,29 +112,36 @@
             self._carrier.ended(self, fate)
 
     def end(self) -> None:
+        """Take the end of the answer as HTTP has it."""
         if not self.over:
             self.abort = _nothing
             self._carrier.ended(self, self.exchange.end())
 
     def broke(self, reason: str, connected: bool) -> None:
+        """Take the failure of the connection; `connected` is false if it was never made."""
         if not self.over:
             self.abort = _nothing
             self._carrier.ended(self, self.exchange.broke(reason, connected))
 
     @property
     def full(self) -> bool:
-        """The client reads more slowly than the worker writes: whoever has the socket stops reading."""
+        """Whether the client reads more slowly than the worker writes, so reading has to pause."""
         return (
             not self.over and self.carriage.untaken_bytes > self._carrier.node.params.untaken_bytes
         )
 
     def when_room(self, go_on: Callable[[Any], None]) -> None:
+        """Have `go_on` called once the client has caught up."""
         self.carriage.when_room = go_on
 
 
 class Carriage:
-    """One transaction on its way. `sink` is given the events of a stream, `done` the last step; `head` is
-    that of a forwarded answer, of its first worker. Who says what was taken holds back what comes too fast.
+    """One transaction in flight and the client that it is answered to.
+
+    `sink` is given the events of a stream, `done` the last step. `head` is the head of a forwarded
+    answer, that of its first worker. Live forwarded requests have backpressure: `untaken_bytes`
+    counts what was delivered and not yet reported as taken. `visitor_gone` is true once the client
+    has hung up.
     """
 
     __slots__ = (
@@ -150,6 +173,7 @@
         self.when_room: Callable[[Any], None] | None = None
 
     def deliver(self, event: bytes) -> None:
+        """Deliver one event to the client, unless it has hung up."""
         self.tx.piece_delivered()
         if self.sink is not None and not self.visitor_gone:
             if not self.call.kept_when_gone and not self.call.lot:
@@ -157,6 +181,7 @@
             self.sink(event)
 
     def taken(self, size_bytes: int) -> None:
+        """Record that the client took `size_bytes`; reading resumes once half the bound is free."""
         self.untaken_bytes -= size_bytes
         if (
             self.when_room is not None
@@ -166,11 +191,14 @@
             go_on(None)
 
     def gone(self) -> None:
-        """The visitor hung up. What is safe to repeat is stopped; anything else runs to its end."""
+        """Record that the client hung up.
+
+        A completion that is not safe to repeat runs to its end; anything else is stopped.
+        """
         if not self.visitor_gone:
             self.visitor_gone = True
             self._carrier.visitor_gone(self)
 
     def stop(self) -> None:
-        """Dropped by the edge itself: nothing more is told of it."""
+        """Drop the transaction on the edge's own account; nothing more is reported of it."""
         self._carrier.drop(self)
--- a/libs/circulation/src/circulation/carrier.py
+++ b/libs/circulation/src/circulation/carrier.py
@@ -1,6 +1,6 @@
-"""Carries transactions: asks what their charts want next and does it, without a socket of its own. Keys
-are opened and closed at the holder, workers are chosen, and a send is handed to whoever has sockets,
-who reports to it what comes back. Deadlines and silent workers are found on each tick.
+"""Drives transactions: takes the steps that their state machines ask for, without a socket.
+
+Attempts are handed to a transport, which reports back; deadlines are checked on each tick.
 """
 
 from collections import deque
@@ -28,9 +28,7 @@
 
 
 class Carrier(Part):
-    """`dialect` is what forwarded calls need: how their workers name their headers. `loans`, where slots are lent to
-    rollouts, takes them back for whatever else needs one.
-    """
+    """Drives the transactions that are in flight at this edge."""
 
     __slots__ = (
         "_holder",
@@ -65,9 +63,9 @@
     ) -> None:
         self.edge = edge
         self.edges = edges
-        self.dialect: Dialect | None = None
-        self.loans: Any = None
-        self.readings: Any = None
+        self.dialect: Dialect | None = None  # header names of the workers of forwarded calls
+        self.loans: Any = None  # takes back slots lent to rollouts, where any are lent
+        self.readings: Any = None  # prompts that workers have still to read, where edges share it
         self.parts = PartMap()
         self._pace = Pace()
         self._items: deque[Carriage] = deque()
@@ -81,16 +79,19 @@
         self.counts: dict[str, int] = {}
 
     def count(self, name: str) -> None:
+        """Add one to a counter of the metrics."""
         self.counts[name] = self.counts.get(name, 0) + 1
 
     def waiting(self) -> int:
+        """Return how many live requests are queued for a slot."""
         return len(self._line)
 
     def items_waiting(self) -> int:
-        """Dealt to this edge, and not yet with a worker."""
+        """Return how many batch items this edge was assigned that no worker has yet."""
         return len(self._items)
 
     def carrying(self, lot: bool) -> int:
+        """Return how many batch items or live requests are in flight, rollouts not counted."""
         return sum(
             1
             for carriage in self.open.values()
@@ -98,6 +99,7 @@
         )
 
     def sends(self) -> list[Send]:
+        """Return the attempts in flight."""
         return [carriage.send for carriage in self.open.values() if carriage.send is not None]
 
     def carry(
@@ -107,14 +109,14 @@
         sink: Callable[[bytes], None] | None,
         done: Callable[[Step], None],
     ) -> Carriage:
+        """Begin a transaction; `sink` is given its events, `done` its last step."""
         carriage = Carriage(self, tx, call, sink, done)
         self.open[tx.transaction_id] = carriage
         self.take(carriage, tx.begin())
         return carriage
 
-    # -- steps ---------------------------------------------------------------------------------
-
     def take(self, carriage: Carriage, step: Step) -> None:
+        """Do the step that a transaction's state machine asks for."""
         if step.name == "open":
             ask_open(self, self._holder, carriage)
         elif step.name == "place":
@@ -171,7 +173,7 @@
         return all(map(self._roster.resting, workers))
 
     def seems_dark(self, worker: Worker, path: str) -> bool:
-        """Silent for longer than is usual: nothing new goes there while there are others."""
+        """Whether a worker is silent for unusually long; other workers are then preferred."""
         now_ms = self.node.env.now()
         return (
             worker.silent_ms(now_ms)
@@ -179,9 +181,7 @@
         )
 
     def _serve_items(self) -> None:
-        """Items that were dealt here wait until a worker can read one without holding up what it has begun. Those
-        whose time is up, or whose profiles are no longer in force, are given back.
-        """
+        """Send queued batch items to free workers; give back those late or no longer in force."""
         now_ms, tree = self.node.env.now(), self._tree()
         old = [
             carriage
@@ -201,7 +201,7 @@
             self.take(carriage, carriage.tx.placed(worker, True))
 
     def _serve_line(self, path: str) -> bool:
-        """Who is due first goes first, as long as there are slots. False once nobody more can go."""
+        """Send the queued request that is due first; false once none can go."""
         for carriage in self._line.rows(path):
             worker = self._choose(carriage, self._allowed(carriage))
             if worker is not None:
@@ -213,7 +213,7 @@
         return False
 
     def _review_line(self, path: str, now_ms: int) -> None:
-        """Who can no longer make it is told so now."""
+        """Refuse at once the queued requests that can no longer meet their deadline."""
         while self._serve_line(path):
             pass
         rows = self._line.rows(path)
@@ -230,8 +230,6 @@
     def _choose(self, carriage: Carriage, workers: list[Worker]) -> Worker | None:
         return choose_worker(carriage.call, self, carriage.tx, workers, self._roster)
 
-    # -- sends ---------------------------------------------------------------------------------
-
     def _begin(self, carriage: Carriage, worker: Worker) -> None:
         tx, call = carriage.tx, carriage.call
         tx.widen_budget(2.0 * worker.slots)
@@ -267,7 +265,7 @@
         send.abort = self._sender(send, worker.address, *worker_request(call, self, tx, worker))
 
     def _reading(self, worker: Worker, call: Any, change: int) -> None:
-        """How many prompts are being read there, of ours, and how many of them are items'."""
+        """Change the number of prompts, ours and those of batch items, that a worker is reading."""
         worker.reading += change
         if call.lot:
             worker.reading_items += change
@@ -289,10 +287,11 @@
         send.abort()
 
     def heard(self, send: Send) -> None:
+        """Record that the worker of an attempt has answered something."""
         send.worker.answered_ms = self.node.env.now()
 
     def eventful(self, send: Send) -> None:
-        """What the usual pace of a path is learnt from."""
+        """Record an event of a stream; the usual pace of its route is learnt from it."""
         now_ms, path = self.node.env.now(), send.carriage.tx.profile.name
         if send.reads and self.readings is not None:
             self.readings.has_read(send.unread_tokens, now_ms - send.began_ms)
@@ -304,6 +303,7 @@
         self._has_read(send)
 
     def ended(self, send: Send, fate: Fate) -> None:
+        """Take the outcome of an attempt, and the next step of its transaction."""
         tx, worker = send.carriage.tx, send.worker
         fate = outcome_after(send, fate)
         self._over(send)
@@ -336,6 +336,7 @@
             self._serve_items()
 
     def tick(self) -> None:
+        """Find passed deadlines and silent workers, and serve the queues."""
         now_ms = self.node.env.now()
         for carriage in list(self.open.values()):
             send, tx = carriage.send, carriage.tx
@@ -372,9 +373,8 @@
         if fate is not None:
             self.ended(send, fate)
 
-    # -- ends ----------------------------------------------------------------------------------
-
     def visitor_gone(self, carriage: Carriage) -> None:
+        """Stop a transaction whose client hung up, if it may be stopped."""
         tx = carriage.tx
         if (not tx.safe and carriage.call.kept_when_gone) or tx.transaction_id not in self.open:
             return
@@ -384,6 +384,7 @@
         self._finish(carriage, tx.gone())
 
     def drop(self, carriage: Carriage) -> None:
+        """Stop a transaction without reporting anything of it."""
         if carriage.send is not None:
             self._over(carriage.send)
         elif carriage in self._items:
--- a/libs/circulation/src/circulation/chart.py
+++ b/libs/circulation/src/circulation/chart.py
@@ -1,7 +1,8 @@
-"""The state chart of one transaction: received, opening, placing, waiting, sending, streaming, closing, done,
-refused, cut, gone. One function for every change of state; each gives the step that whoever drives it has
-to take next. It resends only what certainly has not run, or what is safe to repeat as long as
-nothing was delivered; doubt is said as doubt.
+"""The state machine of one transaction.
+
+Each change of state has one method, which returns the step that the driver has to take next.
+Another attempt is made only for what certainly has not run, or for what is safe to repeat as long
+as nothing was delivered. Where neither is known, the refusal says that it may have run.
 """
 
 from enum import StrEnum
@@ -15,6 +16,8 @@
 
 
 class State(StrEnum):
+    """The states of a transaction; the last four are final."""
+
     RECEIVED = "received"
     OPENING = "opening"
     PLACING = "placing"
@@ -29,7 +32,12 @@
 
 
 class Step:
-    """What to do: open, place, wait, send, stream, close, replay, finish, refuse, cut, gone."""
+    """What the driver has to do next.
+
+    `name` is one of open, place, wait, send, stream, close, replay, finish, refuse, cut and gone.
+    `value` is the worker of a send, or the status and body of an answer; `close_as` the final state
+    of the idempotency key.
+    """
 
     __slots__ = ("close_as", "name", "refusal", "value")
 
@@ -43,6 +51,13 @@
 
 
 class Transaction:
+    """The state machine of a request, from its arrival to its last step.
+
+    `due_ms` is the deadline by the node's clock in milliseconds, taken from the profile if it is
+    not given. `claimed` means that the log has the request already, so that no key is opened.
+    `sends` lists each attempt's worker and outcome; `avoid` the workers that failed it.
+    """
+
     __slots__ = (
         "_after",
         "_budget",
@@ -98,9 +113,11 @@
         return step
 
     def widen_budget(self, top: float) -> None:
+        """Raise the retry budget's bound to `top` tokens."""
         self._budget.widen(top)
 
     def begin(self) -> Step:
+        """Begin: open the idempotency key where the route needs one, else place."""
         self._budget.earn(self.profile.retry_budget)
         if self.safe or self.claimed:
             return self._to(State.PLACING, Step("place"))
@@ -119,6 +136,11 @@
         return self._to(State.OPENING, Step("open"))
 
     def open_receipt(self, outcome: str, status: int = 0, body: str = "") -> Step:
+        """Take the leader's receipt for the idempotency key.
+
+        `outcome` is opened, recorded, open, doubt, conflict or full; anything else, as when no
+        receipt came, leaves it in doubt whether an earlier request with this key has run.
+        """
         if outcome == "opened":
             self.opened = True
             return self._to(State.PLACING, Step("place"))
@@ -164,8 +186,8 @@
                 "refuse",
                 doubtful(
                     "stores-silent",
-                    "the stores did not answer; this request was not sent on, but whether one before it "
-                    "with this key has run is not known",
+                    "the stores did not answer; this request was not sent on, but whether one "
+                    "before it with this key has run is not known",
                     1000,
                 ),
             ),
@@ -174,7 +196,11 @@
     def placed(
         self, worker: Any, any_worker: bool, waits: bool = False, back_ms: int = 1000
     ) -> Step:
-        """`waits`: an estimate says that a slot will be free soon enough. `back_ms` is when to come back."""
+        """Take the result of placement: a worker, a place in the queue, or neither.
+
+        `waits` says that by an estimate a slot will be free soon enough; `back_ms` is after how
+        many milliseconds a refused client should try again.
+        """
         if worker is not None:
             self.sending = worker.stamp
             return self._to(State.SENDING, Step("send", value=worker))
@@ -185,9 +211,11 @@
         return self._give_up(refused("no-worker", "no worker of this path is live", 503, back_ms))
 
     def failed(self, worker: str, may_have_run: bool, reason: str, now_ms: int) -> Step:
-        """A send came to nothing. What to do depends on whether it may have run, and been seen. What
-        certainly has not run cost its worker nothing: trying another one is free, each one once, or
-        again when one that was full has room.
+        """Take the failure of an attempt and retry or give up.
+
+        What to do depends on whether the request may have run and whether any of it was delivered.
+        An attempt that certainly did not run cost its worker nothing, so a retry at another worker
+        is not charged to the retry budget: each worker once, or again if it was only full.
         """
         known = worker in self.avoid
         self.sends.append((worker, reason))
@@ -207,14 +235,16 @@
         return self._give_up(refused("send-failed", f"could not be completed: {reason}", 502, 1000))
 
     def begun(self) -> Step:
-        """The worker answered with a whole head, ids matched; from here pieces may be delivered."""
+        """Take a complete head with matching ids; from here on pieces may be delivered."""
         return self._to(State.STREAMING, Step("stream"))
 
     def piece_delivered(self) -> None:
+        """Record that the client was given a piece of the answer."""
         self.delivered = True
         self._runs = True
 
     def ended(self, status: int, body: str) -> Step:
+        """Take a complete answer, and close the idempotency key if there is one."""
         self._runs = True
         if self.sending:
             self.sends.append((self.sending, "done"))
@@ -224,16 +254,17 @@
         return self._to(State.CLOSING, Step("close", close_as="done", value=(status, body)))
 
     def rejected(self, status: int, body: str) -> Step:
-        """The worker itself says that this request is wrong; nobody else need be asked."""
+        """Take the worker's word that the request itself is wrong; no other worker is asked."""
         return self.ended(status, body)
 
     def closed(self) -> Step:
+        """Take the end of the key's closing, whatever came of it."""
         after = self._after or Step("finish")
         states = {"finish": State.DONE, "refuse": State.REFUSED, "cut": State.CUT}
         return self._to(states[after.name], after)
 
     def gone(self) -> Step:
-        """The visitor hung up on what is safe to repeat: nobody is left to answer."""
+        """End since the client hung up on a request that is safe to repeat."""
         return self._to(State.GONE, Step("gone"))
 
     def _give_up(self, refusal: Refusal) -> Step:
--- a/libs/circulation/src/circulation/exchange.py
+++ b/libs/circulation/src/circulation/exchange.py
@@ -1,6 +1,8 @@
-"""One send to a worker, judged as its answer comes back: the head with the ids that have to match, the
-body or the events, the end or the break. It has no socket; whoever has one reports what came. A send
-is `not run` only by a refused connection or by the worker's own word under the right ids.
+"""Judges one attempt of our own interface as the worker's answer comes back.
+
+The head's ids have to match; then come the body or the events, and the end or the break. It has no
+socket; the transport reports what came. An attempt counts as not run only if the connection was
+refused or the worker says so under the right ids.
 """
 
 import json
@@ -18,8 +20,11 @@
 
 
 class Fate:
-    """How a send came out: whole, rejected by the worker for good, or failed; `mark` says what the
-    failure tells about the worker: down, mismatch or nothing.
+    """The outcome of an attempt: whole, rejected, ran, or failed.
+
+    Whole is a complete success, rejected the worker's final answer that the request is wrong, ran
+    its answer that it failed at the request. `mark` is what a failure tells about the worker: down,
+    mismatch, full, odd or nothing.
     """
 
     __slots__ = ("body", "mark", "may_have_run", "name", "reason", "status")
@@ -42,6 +47,12 @@
 
 
 class Exchange:
+    """The answer to one attempt at a worker of our own interface.
+
+    `worker` and `transaction_id` are the ids that the head has to repeat; `limit_bytes` bounds the
+    answer.
+    """
+
     last_event_id = None
     __slots__ = (
         "_check",
@@ -70,22 +81,25 @@
 
     @property
     def good(self) -> bool:
-        """The head is that of an answer to this very request."""
+        """Whether the head is that of a success for this very request."""
         return self._status == 200 and self._matches
 
     @property
     def streams(self) -> bool:
+        """Whether events are delivered as they come."""
         return self.good and self._stream
 
     @property
     def load(self) -> None:
-        """These workers tell their load by beats."""
+        """None: these workers report their load in heartbeats."""
         return None
 
     def told_head(self) -> None:
+        """Return None: the client of our own interface is not given the worker's head."""
         return None
 
     def head(self, status: int, headers: Iterable[tuple[str, str]], length: int | None) -> None:
+        """Take the answer's head and check its ids; `length` is in bytes."""
         found: dict[str, list[str]] = {WORKER_HEADER: [], TRANSACTION_HEADER: []}
         for name, value in headers:
             if name.lower() in found:
@@ -96,7 +110,7 @@
         ]
 
     def data(self, chunk: bytes) -> tuple[list[bytes], Fate | None]:
-        """The events that may be delivered now, and the fate if it is sealed already."""
+        """Return the events that may be delivered now, and the outcome if it is settled already."""
         self._size_bytes += len(chunk)
         if self._size_bytes > self._limit_bytes:
             return [], _failed(True, "too large")
@@ -109,7 +123,7 @@
         return events, _failed(True, f"stream not whole: {fault}") if fault else None
 
     def end(self) -> Fate:
-        """The answer ended as HTTP has it."""
+        """Return the outcome of an answer that ended as HTTP has it."""
         if not self.good:
             return self._refused()
         if self._stream:
@@ -128,7 +142,7 @@
         )
 
     def broke(self, reason: str, connected: bool) -> Fate:
-        """The connection failed: never made, or lost at any later point."""
+        """Return the outcome of a failed connection, which was never made or was lost later."""
         return _failed(connected, reason, "down")
 
     def _refused(self) -> Fate:
--- a/libs/circulation/src/circulation/forward.py
+++ b/libs/circulation/src/circulation/forward.py
@@ -1,6 +1,8 @@
-"""One forwarded request at one worker, judged as its answer comes back. An answer counts only with the
-request's id; a success only with the worker's stamp, unencoded and whole to the end that its framing
-announced. Only the worker's own word, or a connection never made, says that a request has not run.
+"""Judges one attempt of a forwarded request as the worker's answer comes back.
+
+An answer counts only with the request's id; a success only with the worker's stamp, unencoded and
+complete by the length or chunks that its framing announced. That a request has not run is known
+only from the worker's own word or a connection never made.
 """
 
 import re
@@ -20,8 +22,10 @@
 
 
 class EventCheck:
-    """Cuts a stream into whole events, and sees to it that their ids go up by one, from where the one
-    before stopped. Events without an id are let through, but then nothing can be taken up elsewhere.
+    """Splits a stream into complete events, and checks that their ids go up by one.
+
+    The first id has to follow the last one of the attempt before. Events without an id are let
+    through, but then the stream can't be continued at another worker.
     """
 
     __slots__ = ("_buffer", "_limit_bytes", "fault", "last_event_id", "unnumbered")
@@ -34,6 +38,7 @@
         self.fault = ""
 
     def feed(self, data: bytes) -> list[bytes]:
+        """Take a chunk and return the events now complete; after a fault, none."""
         buffer = self._buffer + data if self._buffer else data
         events, start = [], 0
         while not self.fault and (blank := _BLANK.search(buffer, start)) is not None:
@@ -58,13 +63,16 @@
         return True
 
     def close(self) -> str:
+        """Take the end of the stream; return what is wrong, or an empty string."""
         return self.fault or ("cut in an event" if self._buffer.strip() else "")
 
 
 class ForwardExchange:
-    """`good`: the head is that of a success for this very request; `streams`: and its events are delivered as they
-    come. An answer without an id promises nothing, not even as the first on its connection: it may have been
-    written before the request was read.
+    """The answer to one attempt of a forwarded request.
+
+    `good` says that the head is that of a success for this very request; `streams` that its events
+    are delivered as they come, too. An answer without the request's id promises nothing, not even
+    as the first on its connection: it may have been written before the request was read.
     """
 
     __slots__ = (
@@ -116,7 +124,11 @@
     # -- the head ------------------------------------------------------------------------------
 
     def head(self, status: int, headers: Iterable[tuple[str, str]], length: int | None) -> None:
-        """`_whole_bytes` is the length announced, None for chunks, and -1 for an end that nothing tells."""
+        """Take the answer's head; `length` is the announced length in bytes, or None.
+
+        `_whole_bytes` becomes the length announced, None for chunks, and -1 if nothing tells the
+        end.
+        """
         self._headers = list(headers)
         self._seen = {}
         for name, value in self._headers:
@@ -156,12 +168,12 @@
 
     @property
     def trusted(self) -> bool:
-        """Nothing odd so far: the connection may be used again once the answer is whole."""
+        """Whether nothing odd came: the connection may be reused once the answer is complete."""
         return self._matches
 
     @property
     def load(self) -> tuple[int, int, int] | None:
-        """What the worker says that it has: running, waiting, slots."""
+        """The load reported in a header: running, waiting, slots; None without a valid one."""
         try:
             running, waiting, slots = (
                 int(part) for part in self._one(self._dialect.load).split(",")
@@ -171,7 +183,10 @@
         return (running, waiting, slots) if min(running, waiting) >= 0 < slots else None
 
     def told_head(self) -> tuple[int, list[tuple[str, str]], int | None]:
-        """Status, end-to-end headers and the length, None for one not known, as the client is given them."""
+        """Return the head for the client: status, end-to-end headers, length in bytes.
+
+        The length is None if it is not known.
+        """
         size = self._announced_bytes if self._method == "HEAD" else self._whole_bytes
         return (
             self._status,
@@ -181,12 +196,13 @@
 
     @property
     def last_event_id(self) -> int | None:
+        """The id of the last event that came; None if the stream can't be continued after it."""
         return None if self._check.unnumbered else self._check.last_event_id
 
     # -- the body ------------------------------------------------------------------------------
 
     def data(self, chunk: bytes) -> tuple[list[bytes], Fate | None]:
-        """The pieces that may be delivered now, and the fate if it is sealed already."""
+        """Return the pieces that may be delivered now, and the outcome if it is settled already."""
         if self.streams:
             events = self._check.feed(chunk)
             fault = self._check.fault
@@ -198,7 +214,7 @@
         return [], None
 
     def end(self) -> Fate:
-        """The answer ended as HTTP has it."""
+        """Return the outcome of an answer that ended as HTTP has it."""
         if self._whole_bytes == -1:
             return self._refused(_failed("an end that nothing announced"))
         if self.streams:
@@ -213,13 +229,16 @@
         return self._refused(self._verdict())
 
     def broke(self, reason: str, connected: bool) -> Fate:
-        """The connection failed: never made, or lost at any later point."""
+        """Return the outcome of a failed connection, which was never made or was lost later."""
         if not connected:
             return Fate("failed", may_have_run=False, reason=NO_CONNECTION, mark="down")
         return self._refused(_failed(reason, "down"))
 
     def _refused(self, otherwise: Fate) -> Fate:
-        """The head alone says that it has not run, whatever becomes of the text after it."""
+        """Return what the head alone tells of an answer without success, else `otherwise`.
+
+        A head that says that the request has not run counts whatever becomes of the body after it.
+        """
         if not self._matches:
             return (
                 otherwise
@@ -235,12 +254,19 @@
         return otherwise
 
     def _misdirected_by(self) -> str:
-        """Another worker at its address, or its own word that this is not for it."""
+        """Return the mark of a misdirected request: down, mismatch, or empty.
+
+        It is empty if the worker at the address is the right one and says that the request is not
+        for it.
+        """
         names = self._seen.get(self._dialect.answered_by.lower(), [])
         return "down" if not names else "" if names == [self._worker] else "mismatch"
 
     def _verdict(self) -> Fate:
-        """A whole answer that is no success. What would promise that nothing ran is not passed on unproven."""
+        """Return the outcome of a complete answer that is no success.
+
+        An answer that would promise that nothing ran is not passed on unproven.
+        """
         status = self._status
         if 200 <= status < 300:
             return _failed("encoded" if not self._unencoded else "no stamp", "odd")
--- a/libs/circulation/src/circulation/forward_chart.py
+++ b/libs/circulation/src/circulation/forward_chart.py
@@ -1,6 +1,8 @@
-"""The chart of a forwarded request: the same states, with a bound on how many workers one request is sent
-to. What may be repeated, and a stream that can be taken up after its last event, goes elsewhere within
-that bound and its time; anything else only after word that it has not run.
+"""The state machine of a forwarded request, with a bound on its attempts.
+
+It has the states of any transaction. What may be repeated, and a stream that can be continued after
+its last event, is retried at another worker within that bound and the deadline; anything else only
+after word that it has not run.
 """
 
 from typing import Any
@@ -15,7 +17,11 @@
 
 
 class ForwardTransaction(Transaction):
-    """`tried` are the workers that it was passed on to; a connection never made is no attempt."""
+    """A forwarded request; `attempts` bounds how many workers it may be passed on to.
+
+    A connection never made is no attempt; such workers are in `unreached`. `attempts` and
+    `resumable` are taken from the profile if they are not given.
+    """
 
     __slots__ = ("_attempts", "_resumable", "_tried", "unreached")
 
@@ -37,21 +43,25 @@
 
     @property
     def attempts_left(self) -> int:
+        """How many further workers it may be passed on to."""
         return self._attempts - len(self._tried)
 
     @property
     def may_have_run(self) -> bool:
+        """Whether any attempt may have run."""
         return self._runs
 
     @property
     def can_move(self) -> bool:
-        """It could go on elsewhere now."""
+        """Whether it could be retried at another worker now."""
         return self.attempts_left > 1 and self._again(True)
 
     def may_try(self, worker: str) -> bool:
+        """Whether an attempt at this worker is within the bound."""
         return worker in self._tried or self.attempts_left > 0
 
     def failed(self, worker: str, may_have_run: bool, reason: str, now_ms: int) -> Step:
+        """Take the failure of an attempt; retry within the bound and the deadline, else give up."""
         self.sends.append((worker, reason))
         self.avoid.add(worker)
         (self.unreached if reason == NO_CONNECTION else self._tried).add(worker)
@@ -65,7 +75,7 @@
         return self._no_more("send-failed", reason, 502)
 
     def answered(self, worker: str, status: int, body: bytes, now_ms: int) -> Step:
-        """The worker says that it failed: somebody else may do better, else that is the answer."""
+        """Take the worker's word that it failed; retry elsewhere, else that is the answer."""
         self.sends.append((worker, f"status {status}"))
         self.avoid.add(worker)
         self._tried.add(worker)
@@ -86,6 +96,7 @@
     def placed(
         self, worker: Any, any_worker: bool, waits: bool = False, back_ms: int = 1000
     ) -> Step:
+        """Take the result of placement: a worker, a place in the queue, or a refusal."""
         if waits:
             self.unreached.clear()
         if worker is not None or waits:
@@ -95,7 +106,7 @@
         return self._no_more("no-worker", "no worker is live", 503, back_ms)
 
     def _no_more(self, code: str, reason: str, status: int, back_ms: int = 0) -> Step:
-        """A refusal promises that it has not run and never will; doubt is told as doubt."""
+        """Give up; unless that is in doubt, the refusal promises that it never runs."""
         if self.delivered:
             return self._cut(reason)
         if not self._runs:
--- a/libs/circulation/src/circulation/holding.py
+++ b/libs/circulation/src/circulation/holding.py
@@ -1,8 +1,10 @@
-"""Asking the holder. The feed tells where it is, a store that is not the holder tells better; what
-gets no answer is asked again until its time is up. An ask that may run something later is stamped
-with the holder's own time as last heard; for our own interface its last stretch is only waited for, so
-that doubt is told when nothing of it can be under way any more. News of another holder has what is
-under way asked again at once.
+"""The client of the log's leader (the holder): finds it, asks, and retries until an answer comes.
+
+The configuration feed tells where the leader is, and a store that is not the leader may know newer.
+A request that may run something later is stamped with the leader's own time as last heard. For our
+own interface the last stretch of the time is only waited for, so that a doubtful answer is given
+when nothing of the request can be in flight any more. News of another leader has all requests in
+flight sent again at once.
 """
 
 import json
@@ -36,6 +38,12 @@
 
 
 class HolderClient(Part):
+    """Asks the leader of the log; `log_key` gives the feed's body, `stores` addresses to try first.
+
+    `heard_ms` is when the last answered heartbeat was asked for, by this node's clock; `holder_ms`
+    the leader's own time as last heard; both in milliseconds.
+    """
+
     __slots__ = (
         "_address",
         "_asks",
@@ -59,9 +67,11 @@
 
     @property
     def epoch(self) -> int:
+        """The highest leader epoch heard of."""
         return self._epoch
 
     def address(self) -> str:
+        """Return the leader's address, else that of any store, else an empty string."""
         self._read_key()
         if not self._address:
             stores = self._stores()
@@ -85,21 +95,25 @@
         return epoch > self._epoch or (epoch == self._epoch and not self._address)
 
     def heard(self, message: m.HolderBeat, asked_ms: int) -> None:
-        """The claim runs from when it was asked for, not from when the word came."""
+        """Take the leader's heartbeat; the lease runs from `asked_ms`, when it was asked for."""
         if message.epoch >= self._epoch:
             self._epoch = message.epoch
             self.heard_ms = asked_ms
             self.holder_ms = message.holder_ms
 
     def redirected(self, receipt: m.NotHolder) -> bool:
+        """Take a store's word that another one leads; true if that is news."""
         news = bool(receipt.address) and self._is_news(receipt.epoch)
         if news:
             self._epoch, self._address = receipt.epoch, receipt.address
         return news
 
     def ask(self, message: Message, wait_ms: int, done: Callable[[Any], None]) -> _Ask:
-        """Done gets the receipt, or None if there was none in time; without a `sends` of the ask nothing of it
-        was sent. What is stamped and waited for holds its tongue for as long as a stamp may live, beyond the time given.
+        """Ask the leader, with retries, for at most `wait_ms` milliseconds.
+
+        `done` gets the receipt, or None if there was none in time; while the returned ask's `sends`
+        is 0 nothing of it was sent. A stamped request of our own interface is waited for longer, by
+        as long as its stamp may live, and is not sent again in that time.
         """
         hold_ms = self.node.params.fresh_ms if isinstance(message, _WAITED_FOR) else 0
         ask = _Ask(message, self.node.env.now(), wait_ms + hold_ms, hold_ms, done)
@@ -130,7 +144,10 @@
         )
 
     def _answered(self, ask: _Ask, number: int, receipt: Message | None) -> None:
-        """A refusal counts only of the last send: a later one may have been taken meanwhile."""
+        """Take an answer to one send of a request.
+
+        A refusal counts only of the last send, as a later one may have been taken meanwhile.
+        """
         if ask.done is None or receipt is None:
             return
         now_ms = self.node.env.now()
@@ -160,6 +177,7 @@
             done(receipt)
 
     def tick(self) -> None:
+        """Send again what is due, and end what is out of time."""
         now_ms = self.node.env.now()
         if self._asks:
             self._read_key()
--- a/libs/circulation/src/circulation/item_run.py
+++ b/libs/circulation/src/circulation/item_run.py
@@ -1,6 +1,8 @@
-"""One item of a forwarded lot at an edge: a stream taken to its end for nobody but the log. A worker that fails
-to bring it to its end is no failed attempt, only its own word is: another one goes on after the last
-event, and where none can, the item is taken up here a little later, or given back if nothing of it came.
+"""Runs one item of a forwarded batch at an edge: a stream read to its end for the log alone.
+
+That a worker fails to bring the stream to its end is no failed attempt of the item; only a worker's
+own word is. Another worker continues after the last event; where none can, the item is retried here
+a little later, or given back if nothing of it came.
 """
 
 from collections.abc import Callable
@@ -23,7 +25,7 @@
 
 
 def data_of(event: bytes) -> bytes | None:
-    """The data of one event, its lines joined; None for one that has none."""
+    """Return the data of one event, its lines joined; None if it has none."""
     lines = [
         line.partition(b":")[2].removeprefix(b" ")
         for line in event.replace(b"\r\n", b"\n").replace(b"\r", b"\n").split(b"\n")
@@ -33,15 +35,17 @@
 
 
 class _ItemTransaction(ForwardTransaction):
-    """Bounded by its sends, whatever came of them. A worker's word that it failed is for the log to count."""
+    """A forwarded transaction bounded by its sends; the log counts the failed attempts."""
 
     __slots__ = ()
 
     @property
     def attempts_left(self) -> int:
+        """How many more times it may be sent, whatever came of the earlier sends."""
         return self._attempts - len(self.sends)
 
     def failed(self, worker: str, may_have_run: bool, reason: str, now_ms: int) -> Step:
+        """Take the failure of a send; retry while sends are left."""
         step = super().failed(worker, may_have_run, reason, now_ms)
         return (
             step
@@ -50,13 +54,18 @@
         )
 
     def answered(self, worker: str, status: int, body: bytes, now_ms: int) -> Step:
+        """Take the worker's word that it failed as the item's answer."""
         self.sends.append((worker, f"status {status}"))
         self._runs = True
         return self._to(State.DONE, Step("finish", value=(status, body)))
 
 
 class ItemRun:
-    """`after` calls something back after a time; `done` gets outcome, text and worker, once."""
+    """The run of one item at this edge.
+
+    `after` calls something back after some milliseconds; `done` gets outcome, text and worker,
+    once.
+    """
 
     __slots__ = (
         "_after",
@@ -97,7 +106,7 @@
         self._over = False
 
     def begin(self) -> None:
-        """Under the profiles that are in force at this moment."""
+        """Begin, or retry, under the profiles that are in force at this moment."""
         if self._over:
             return
         profile = self._tree().usable(self._work.path)
@@ -138,7 +147,7 @@
             self._carriage = carriage
 
     def stop(self) -> bool:
-        """False if it was over before."""
+        """Stop the run; false if it was over before."""
         was, self._over = self._over, True
         if not was and self._carriage is not None:
             self._carriage.stop()
@@ -172,7 +181,7 @@
         self._end("finished", b"\n".join(self._data), worker)
 
     def _broken(self, tx: _ItemTransaction, worker: str) -> None:
-        """What came stays, if it can be gone on with: it is taken up here, a bounded number of times."""
+        """Keep what came if the stream can be continued; retry here a bounded number of times."""
         self._last_event_id = tx.last_event_id if tx.delivered else self._last_event_id
         self._taken_up += 1
         if not self._data or self._last_event_id is None or self._taken_up > _TAKEN_UP:
--- a/libs/circulation/src/circulation/items.py
+++ b/libs/circulation/src/circulation/items.py
@@ -1,6 +1,7 @@
-"""Runs the items of lots that this edge was dealt, each as a transaction of its own: the claim in the
-log stands for its opening, so nothing more is asked of the stores. Also says how much room there is.
-How a forwarded item is run stands in item_run.
+"""Runs the batch items that this edge was assigned, each as a transaction of its own.
+
+The claim in the log stands for the transaction's opening, so nothing more is asked of the stores.
+It also computes how many items this edge has room for. `item_run` runs forwarded items.
 """
 
 import json
@@ -26,7 +27,11 @@
 
 
 class Items(Part):
-    """`why_unready` as the edge has it; `edges` gives how many edges share the workers, itself among them."""
+    """Starts batch items in the slots that live traffic leaves.
+
+    `why_unready` gives why the edge is not ready, or an empty string; `edges` how many edges share
+    the workers, itself included.
+    """
 
     __slots__ = (
         "_budgets",
@@ -58,7 +63,10 @@
     # -- room ----------------------------------------------------------------------------------
 
     def room(self) -> tuple[int, frozenset[str]]:
-        """What lots may take of the workers' free slots, shared evenly among the edges that are known."""
+        """Return how many items may start now, and the paths that this edge's workers serve.
+
+        The free slots that batches may use are shared evenly among the known edges.
+        """
         if self._why_unready():
             return 0, frozenset()
         workers = self._roster.workers()
@@ -74,7 +82,7 @@
         return room or self._trickle(workers), paths
 
     def _free(self, worker: Worker) -> float:
-        """The slots that lots may take of one: none where somebody waits."""
+        """Return how many slots of a worker batches may take; none where live requests wait."""
         share = self.node.params.live_share
         if worker.listed:
             load = worker.load(self.node.env.now())
@@ -90,7 +98,7 @@
         )
 
     def _trickle(self, workers: list[Any]) -> int:
-        """Where live traffic takes everything, an edge still has one item under way now and then."""
+        """Allow one item now and then even where live traffic takes every slot."""
         now_ms = self.node.env.now()
         if not workers or self._running or now_ms - self._trickled_ms < self.node.params.beat_ms:
             return 0
@@ -100,6 +108,7 @@
     # -- running -------------------------------------------------------------------------------
 
     def start(self, work: m.Work | m.ForwardWork, done: Done) -> Callable[[], None]:
+        """Run an item; `done` gets outcome, text and worker. Return what cancels it."""
         return (
             self._start_forward(work, done)
             if isinstance(work, m.ForwardWork)
@@ -176,6 +185,7 @@
             done("may_have_run", json.dumps(step.refusal.body()), worker)
 
     def tick(self) -> None:
+        """Call what was put off and is due now."""
         now_ms = self.node.env.now()
         due = [what for at_ms, what in self._later if at_ms <= now_ms]
         self._later = [row for row in self._later if row[0] > now_ms]
--- a/libs/circulation/src/circulation/key_asks.py
+++ b/libs/circulation/src/circulation/key_asks.py
@@ -1,5 +1,6 @@
-"""Idempotency keys of transactions that may not be repeated: opened at the holder of the log before the
-first send, closed there with the outcome.
+"""Idempotency keys of transactions that may not be repeated.
+
+A key is opened at the leader of the log before the first attempt and closed there with the outcome.
 """
 
 from typing import Any
@@ -13,7 +14,7 @@
 
 
 def ask_open(carrier: Any, holder: Any, carriage: Carriage) -> None:
-    """Open the key at the holder of the log; without a receipt the transaction is in doubt."""
+    """Open the key at the leader of the log; without a receipt the transaction is in doubt."""
     tx, node = carriage.tx, carrier.node
 
     def told(receipt: Any) -> None:
--- a/libs/circulation/src/circulation/lots.py
+++ b/libs/circulation/src/circulation/lots.py
@@ -1,8 +1,11 @@
-"""Running lots in the room that live traffic leaves. The edge tells the holder each beat how many
-items it could start and what it is running; what it is dealt it runs, reports until that is
-acknowledged, and places results while it has the baton. What forwarded items come to is reported together, as
-much as there is while the report before is under way. Word from the holder is a claim on all this:
-without it for too long, or after having been frozen, everything that runs is stopped.
+"""Runs batches (lots) in the room that live traffic leaves.
+
+Each heartbeat tells the leader of the log how many items the edge could start and what it runs. The
+edge runs what it is assigned, reports each end until that is acknowledged, and publishes results in
+order while it has a batch's baton (the right to do so). The ends of forwarded items are reported
+together, as many as there are while the report before is in flight. An answer from the leader is a
+lease on all this: without one for too long, or after the process was frozen, everything that runs
+is stopped.
 """
 
 from collections.abc import Callable
@@ -32,8 +35,10 @@
 
 
 class LotRunner(Part):
-    """`room` gives how many items may be started now, and on which paths; `start` runs one item and
-    calls back with outcome, body, worker, giving the function that stops it.
+    """Sends the edge's heartbeats to the leader and runs the items that it is assigned.
+
+    `room` gives how many items may start now, and on which paths; `start` runs one item, calls back
+    with outcome, body and worker, and returns what stops it. `samples`, if set, runs rollouts.
     """
 
     __slots__ = (
@@ -81,9 +86,11 @@
         self.finished = 0
 
     def running(self) -> int:
+        """Return how many items run that have not ended."""
         return sum(1 for run in self._runs.values() if not run.reported)
 
     def tick(self) -> None:
+        """Send a heartbeat and reports that are due; stop everything once the lease has run out."""
         now_ms = self.node.env.now()
         params = self.node.params
         if self.running() and now_ms - self._holder.heard_ms > params.claim_ms:
@@ -153,7 +160,7 @@
             self._beat_now()
 
     def _beat_now(self) -> None:
-        """There is room again, or may be: asked at once rather than with the next beat."""
+        """Send a heartbeat at once, as there may be room again."""
         if not self._asking:
             self._beat()
 
@@ -271,10 +278,11 @@
     # -- stopping ------------------------------------------------------------------------------
 
     def stop(self, lot_id: str, reason: str) -> None:
+        """Stop all items of one batch, without reporting them."""
         self._stop([key for key in self._runs if key[0] == lot_id], reason)
 
     def stop_all(self, reason: str) -> None:
-        """The lots may go on elsewhere: what each stopped item has come to is still reported."""
+        """Stop everything and report what each item came to; the batches may continue elsewhere."""
         runs = [run for run in self._runs.values() if not run.reported]
         for run in runs:
             run.cancel()
@@ -300,5 +308,6 @@
             )
 
     def woke(self, gap_ms: int) -> None:
+        """Stop everything if the process was frozen for longer than the lease, `claim_ms`."""
         if gap_ms > self.node.params.claim_ms:
             self.stop_all("frozen")
--- a/libs/circulation/src/circulation/outcomes.py
+++ b/libs/circulation/src/circulation/outcomes.py
@@ -1,5 +1,6 @@
-"""What a send's outcome means for what has gone out before it, and what is noted when a send fails and when a
-transaction ends: the roster's view of the worker, and one log line for each.
+"""What an attempt's outcome means, and what is recorded of a failure and of a transaction's end.
+
+A failure changes the registry's view of the worker; each failure and each end has one log line.
 """
 
 from typing import Any
@@ -14,9 +15,10 @@
 
 
 def outcome_after(send: Send, fate: Fate) -> Fate:
-    """The outcome of a send whose stream may have begun at another worker: only a stream goes on with it, so that
-    any other whole answer is a failure and never passes for the stream's end. A worker's word that an item can't
-    be done stays.
+    """Return the outcome of an attempt whose stream may have begun at another worker.
+
+    Only a stream continues a stream: any other complete answer is then a failure and never passes
+    for the stream's end. A worker's word that a batch item can't be done stays.
     """
     call = send.carriage.call
     begun = send.carriage.tx.delivered
@@ -29,7 +31,7 @@
 
 
 def note_failure(env: Any, roster: Roster, send: Send, fate: Fate) -> None:
-    """Tell the roster what the failure says of the worker, and log it."""
+    """Tell the registry what the failure says of the worker, and log it."""
     if fate.mark == "down":
         roster.connection_failed(send.worker)
     elif fate.mark == "mismatch":
--- a/libs/circulation/src/circulation/pace.py
+++ b/libs/circulation/src/circulation/pace.py
@@ -1,6 +1,7 @@
-"""How long a path's requests usually take until their first event and between events, as seen lately; and
-from it, when a worker has been silent for so long that somebody else is asked. Silence is measured
-at the worker: one that sends anything to anybody here is not dark, only slow.
+"""How long a route's requests usually take to their first event and between events.
+
+From these running means follows when a worker has been silent for so long that another one is
+asked. Silence is measured at the worker: one that sends anything to anybody here is only slow.
 """
 
 __all__ = ["Pace"]
@@ -25,7 +26,7 @@
         self.mean_ms = _KEEP * self.mean_ms + (1 - _KEEP) * took_ms
 
     def long_ms(self, floor_ms: float) -> float:
-        """Longer than nearly all: silent ones do not count themselves in."""
+        """Return a time longer than nearly all seen; silent requests do not count themselves in."""
         return max(
             floor_ms,
             _TIMES * (self.mean_ms + _SPREADS * self.spread_ms) if self.mean_ms >= 0 else 0.0,
@@ -33,6 +34,8 @@
 
 
 class Pace:
+    """Running means of the times to the first event and between events, by route."""
+
     __slots__ = ("_first", "_gap")
 
     def __init__(self) -> None:
@@ -40,19 +43,25 @@
         self._gap: dict[str, _Usual] = {}
 
     def first(self, path: str, took_ms: float) -> None:
+        """Record a request's time to its first event, in milliseconds."""
         self._first.setdefault(path, _Usual()).seen(took_ms)
 
     def gap(self, path: str, took_ms: float) -> None:
+        """Record a time between two events, in milliseconds."""
         self._gap.setdefault(path, _Usual()).seen(took_ms)
 
     def dark_ms(self, path: str, begun: bool, floor_ms: float) -> float:
-        """How long a worker says nothing to anybody before it counts as dark to this path."""
+        """Return after how many milliseconds of silence to everybody a worker counts as dark.
+
+        `begun` says that the stream has begun; `floor_ms` is the least that is returned.
+        """
         usual = (self._gap if begun else self._first).get(path)
         return usual.long_ms(floor_ms) if usual is not None else _TIMES * floor_ms
 
     @staticmethod
     def patience_ms(force_ms: int, target_ms: int, gap_ms: int) -> float:
-        """How long one request is left with a worker that answers others: well before the client, who waits
-        for the longest of these, gives it up.
+        """Return how many milliseconds a request is left with a worker that answers others.
+
+        It is well below the longest of these times, for which the client waits.
         """
         return _PATIENCE * max(force_ms, 4 * target_ms, 8 * gap_ms)
--- a/libs/circulation/src/circulation/placement.py
+++ b/libs/circulation/src/circulation/placement.py
@@ -1,7 +1,9 @@
-"""Where a transaction is sent. Workers are put in the order that rendezvous hashing gives for the
-prompt's prefix, so that equal prefixes meet a warm cache, and the first one is taken whose weight is
-within its bound. Live traffic may use all slots and a short queue; lots leave the live share free
-and take nothing from a worker where somebody waits.
+"""Placement: which worker a request is sent to.
+
+For our own interface, workers are ordered by rendezvous hashing of the prompt's prefix, so that
+equal prefixes meet a warm cache, and the first one whose weight is within its bound is taken. Live
+requests may use all slots and a short queue; batches leave the live share free and take nothing
+from a worker where requests wait. Forwarded requests go to the worker of the lowest cost.
 """
 
 import hashlib
@@ -27,7 +29,7 @@
 
 
 def prefix_of(body: dict[str, Any]) -> str:
-    """A digest of what prompts with a common start share: the head of the prompt or of the messages."""
+    """Return a digest of the start of the prompt or messages, for placement by common prefix."""
     if isinstance(body.get("prompt"), str):
         text = body["prompt"]
     else:
@@ -48,6 +50,12 @@
     avoid: frozenset[str] = frozenset(),
     by_prefix: bool = True,
 ) -> Worker | None:
+    """Return the worker for a request of our own interface, or None if none has room.
+
+    `live_share` is the share of a worker's slots that batches leave to live requests, `lot_share`
+    the most that they may take; `avoid` are stamps of workers to leave out; `near` prefers `zone`.
+    Without `by_prefix` the lightest worker comes first.
+    """
     candidates = [worker for worker in workers if worker.stamp not in avoid]
     if not candidates:
         return None
@@ -86,8 +94,9 @@
 
 
 class Budget:
-    """Resends as a share of first sends, so that a failing pool is not multiplied; at the most as many at
-    once as one lost worker can have had under way.
+    """A retry budget: a token bucket filled by first attempts, so that failures are not multiplied.
+
+    It holds at most as many tokens as one lost worker can have had requests in flight.
     """
 
     __slots__ = ("_tokens", "_top")
@@ -97,14 +106,17 @@
         self._tokens = top
 
     def widen(self, top: float) -> None:
+        """Raise the bound to `top` tokens and add the difference; a lower bound changes nothing."""
         if top > self._top:
             self._tokens += top - self._top
             self._top = top
 
     def earn(self, share: float) -> None:
+        """Add `share` tokens for a first attempt."""
         self._tokens = min(self._top, self._tokens + share)
 
     def spend(self) -> bool:
+        """Take a token for a retry; false if there is none."""
         if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
@@ -114,11 +126,14 @@
 def cost(
     worker: Worker, now_ms: int, kept_share: float, near: bool, recent_ms: int, left_ms: float = 0.0
 ) -> float:
-    """What a further request at this worker is thought to cost, as a share of its slots. Counted is above all what
-    this edge itself has there, prompts that are still read twice: what a worker told of others is old by
-    the time it is used, and edges that all believe it fall upon the same worker at once. Of equals the one
-    sent to longest ago is taken, less what it need not read again and what is saved by staying in the zone.
-    `left_ms` is how long it is thought to go on reading prompts, of whatever edge.
+    """Return the estimated cost of one more request at this worker, as a share of its slots.
+
+    What this edge itself has there counts most, and prompts that are still read count twice: a
+    worker's report on others is old by the time it is used, and edges that all believe it choose
+    the same worker at once. Of equal workers the one sent to longest ago is cheapest; what is
+    cached (`kept_share`) and a worker in this zone (`near`) cost less. `recent_ms` is how long a
+    send counts as recent; `left_ms` how long the worker is thought to go on reading prompts,
+    whichever edge sent them.
     """
     recent = max(0.0, 1.0 - (now_ms - worker.sent_ms) / recent_ms)
     own = (
@@ -133,7 +148,10 @@
 
 
 def _room(worker: Worker, lot: bool, lot_free: float, now_ms: int) -> bool:
-    """Lots leave slots free and take nothing where somebody waits; live calls also take the short queue."""
+    """Whether a worker has room: batches leave slots free, live requests may use a short queue.
+
+    A batch item takes nothing where live requests wait.
+    """
     load = worker.load(now_ms)
     if lot:
         return load < math.floor(worker.slots * (1 - lot_free)) and worker.full_until_ms <= now_ms
@@ -155,9 +173,13 @@
     connections: int = 0,
     readings: Any = None,
 ) -> Worker | None:
-    """The cheapest worker with a place; `lot_free` is the share of the slots that lots leave free. Ties are
-    broken at random, so that edges which know the same do not all choose the same. Of very many workers
-    some are looked at, and those that hold what this prompt shares with fewest.
+    """Return the cheapest worker with room for a forwarded request, or None.
+
+    `lot_free` is the share of the slots that batches leave free; `avoid` are stamps to leave out;
+    `connections` bounds this edge's attempts at one worker, 0 for no bound. Ties are broken at
+    random, so that edges with the same knowledge do not all choose the same worker. Of very many
+    workers only a random sample is looked at, and those that have cached what this prompt shares
+    with fewest.
     """
     if len(workers) > 2 * _SAMPLE:
         holders = parts.holders(call.parts)
--- a/libs/circulation/src/circulation/roster.py
+++ b/libs/circulation/src/circulation/roster.py
@@ -1,7 +1,9 @@
-"""The workers that this edge knows. Beats and leaves arrive at any edge and are flooded to all; a
-worker is a pair of identity and incarnation, so one that replaces another, at the same address or
-under the same name, is a different one. A leave is final for its incarnation. Silence, a failed
-connection or a leave takes a worker out; only what the profiles in force allow is enrolled.
+"""The registry of the workers that this edge knows.
+
+Heartbeats and leaves arrive at any edge and are flooded to all. A worker is a pair of identity and
+incarnation, so one that replaces another, at the same address or under the same name, is a
+different one. A leave is final for its incarnation. Silence, a failed connection or a leave takes a
+worker out of use; only what the profiles in force allow is used.
 """
 
 import json
@@ -20,8 +22,11 @@
 
 
 class Roster(Part):
-    """`allowed` says whether any profile in force allows a worker; `listed` gives the number and the body of
-    the list that control keeps, if it keeps one.
+    """The workers by identity, and which of them may be used.
+
+    `fellows` gives the other edges' addresses; `allowed` says whether any profile in force allows a
+    worker; `listed` gives the number and the body of the list that control keeps, if it keeps one.
+    `lent` are the identities of workers that are lent whole to rollouts.
     """
 
     __slots__ = (
@@ -53,10 +58,11 @@
         self._quiet_until_ms = -1 << 40
 
     def receive(self, message: Any, origin: Origin) -> None:
+        """Take a worker's news from another edge."""
         self.hear(message, origin.sender)
 
     def hear(self, news: WorkerNews, sender: str = "") -> bool:
-        """Takes in a beat or a leave, and passes it on if it was new. False: an outdated incarnation."""
+        """Take a heartbeat or a leave and pass it on if new; false for an outdated incarnation."""
         held = self._workers.get(news.identity)
         if (news.identity, news.incarnation) in self._gone and not news.leaving:
             return False
@@ -93,8 +99,9 @@
         return True
 
     def _displaces(self, news: WorkerNews, now_ms: int) -> bool:
-        """Of two workers at one address the one begun later is there, and the other never comes back;
-        old news of it may still be under way.
+        """Settle which of two workers at one address is there: the one that started later.
+
+        The other never comes back, though old news of it may still be in flight.
         """
         for other in [
             other
@@ -112,8 +119,10 @@
     # -- the list ------------------------------------------------------------------------------
 
     def take_list(self, rows: dict[str, dict[str, Any]]) -> None:
-        """The workers as control lists them: whoever is not on it, or is draining, gets nothing new. Beats
-        and silence count for nothing here; who lists them has judged that.
+        """Take the workers as control lists them.
+
+        A worker that is not listed, or is draining, gets nothing new. Heartbeats and silence count
+        for nothing here, as whoever lists the workers has judged that.
         """
         now_ms = self.node.env.now()
         for identity in [
@@ -150,11 +159,12 @@
         self._index()
 
     def answered(self, worker: Worker) -> None:
+        """Record that a worker has answered, which ends its failures in a row."""
         worker.failures = 0
         worker.answered_ms = self.node.env.now()
 
     def resting(self, worker: Worker) -> bool:
-        """Left out for a while that grows with each failure in a row."""
+        """Whether a worker is left out for a while, which grows with each failure in a row."""
         pauses = min(worker.failures, _MOST_PAUSES)
         return (
             pauses > 0
@@ -163,7 +173,11 @@
         )
 
     def connection_failed(self, worker: Worker) -> None:
-        """Out until a beat that was sent after the failure shows it alive, or a listed one's pause is over."""
+        """Take a worker out of use after a failed connection.
+
+        It is back once a heartbeat sent after the failure shows it alive, or after twice
+        `force_ms`. A listed one rests for a pause that grows with its failures in a row.
+        """
         worker.down_beat = worker.beat
         worker.down_ms = self.node.env.now()
         worker.failures += 1
@@ -172,7 +186,7 @@
         )
 
     def full(self, worker: Worker) -> None:
-        """It refused for want of room, which its last beat did not show: until the next one it is full."""
+        """Record that a worker refused for want of room: full until its next report."""
         worker.running = worker.waiting = worker.slots
         worker.sending_then = worker.sending
         worker.others, worker.told_ms = (
@@ -182,7 +196,7 @@
         worker.full_until_ms = self.node.env.now() + self.node.params.delta_ms
 
     def mismatched(self, worker: Worker) -> None:
-        """Another worker answers at its address."""
+        """Remove a worker at whose address another one answers."""
         if self._workers.get(worker.identity) is worker:
             del self._workers[worker.identity]
             self._gone[(worker.identity, worker.incarnation)] = self.node.env.now()
@@ -192,18 +206,20 @@
             )
 
     def silent(self, worker: Worker) -> bool:
+        """Whether an unlisted worker sent no heartbeat for longer than `worker_ms`."""
         return (
             not worker.listed and self.node.env.now() - worker.heard_ms > self.node.params.worker_ms
         )
 
     def heard_lately(self, profile: Any) -> bool:
-        """Whether one that this profile allows was there a moment ago, also where nothing was sent to it."""
+        """Whether a worker that this profile allows was heard lately, used or not."""
         return any(
             profile.allows(worker.identity, worker.labels) and not self.silent(worker)
             for worker in self._workers.values()
         )
 
     def usable(self, worker: Worker) -> bool:
+        """Whether new requests may be sent to this worker."""
         now_ms = self.node.env.now()
         params = self.node.params
         if worker.leaving or self.silent(worker):
@@ -217,6 +233,7 @@
         return worker.beat > worker.down_beat + 1 or now_ms - worker.down_ms > 2 * params.force_ms
 
     def workers(self) -> list[Worker]:
+        """Return the usable workers that a profile in force allows."""
         self._read_list()
         return [
             worker
@@ -225,7 +242,7 @@
         ]
 
     def listed(self, labels: frozenset[str]) -> list[Worker]:
-        """The listed ones with any of these labels, whether or not the tree still has a use for them."""
+        """Return the listed workers with any of these labels, even if no profile uses them."""
         self._read_list()
         if len(labels) == 1 and not self.lent:
             return self._by_label.get(next(iter(labels)), [])
@@ -250,16 +267,18 @@
                     self._by_label.setdefault(label, []).append(worker)
 
     def all(self) -> list[Worker]:
+        """Return every known worker."""
         return list(self._workers.values())
 
     def woke(self, gap_ms: int) -> None:
-        """What was heard before is old, and so is what waited in buffers: it proves nobody alive."""
+        """Discard what was heard before a freeze of `gap_ms`: it proves no worker alive."""
         self._quiet_until_ms = self.node.env.now() + self.node.params.beat_ms
         for worker in self._workers.values():
             worker.heard_ms = -1 << 40
             worker.down_ms, worker.others = min(worker.down_ms, self.node.env.now() - gap_ms), 0.0
 
     def tick(self) -> None:
+        """Forget workers and leaves that are old enough."""
         now_ms = self.node.env.now()
         keep_ms = 10 * self.node.params.resume_ms
         for identity in [
--- a/libs/circulation/src/circulation/sending.py
+++ b/libs/circulation/src/circulation/sending.py
@@ -1,5 +1,7 @@
-"""What differs by the kind of call when it is sent to a worker: how the answer is judged, what is written,
-which worker is chosen, and which ones are allowed. One function for each, dispatched by the call's type.
+"""What differs by the kind of call when it is sent to a worker.
+
+One function each, dispatched by the call's type, gives how the answer is judged, what is written,
+which worker is chosen, and which ones are allowed.
 """
 
 import math
@@ -19,6 +21,7 @@
 
 @singledispatch
 def new_exchange(call: Any, carrier: Any, tx: Any, worker: Worker) -> Any:
+    """Return what judges the answer to this attempt; raises NotImplementedError for other calls."""
     raise NotImplementedError(type(call).__name__)
 
 
@@ -46,12 +49,16 @@
 
 @singledispatch
 def worker_request(call: Any, carrier: Any, tx: Any, worker: Worker) -> tuple:
-    """What the sender is given after the address."""
+    """Return the transport's arguments after the address.
+
+    Raises NotImplementedError for other calls.
+    """
     raise NotImplementedError(type(call).__name__)
 
 
 @worker_request.register
 def _(call: Call, carrier: Any, tx: Any, worker: Worker) -> tuple:
+    """Build the completion's path, headers and body."""
     kind = "/v1/chat/completions" if call.body.get("messages") is not None else "/v1/completions"
     headers = {"X-Vaneledge-Worker": worker.stamp, "X-Vaneledge-Transaction": tx.transaction_id}
     return kind, headers, {**call.body, "model": tx.profile.path, "stream": call.stream}
@@ -59,7 +66,7 @@
 
 @worker_request.register
 def _(call: ForwardCall, carrier: Any, tx: Any, worker: Worker) -> tuple:
-    """Its own headers as they came, with ours in the place of any of the same name."""
+    """Keep the request's own headers, with ours in the place of any of the same name."""
     dialect, after = carrier.dialect, _resume_after(call, tx)
     left_ms = max(1, tx.due_ms - carrier.node.env.now())
     ours = [
@@ -78,6 +85,7 @@
 
 @singledispatch
 def allowed_workers(call: Any, carrier: Any, tx: Any, roster: Roster) -> list[Worker]:
+    """Return the workers that may serve this call; raises NotImplementedError for other calls."""
     raise NotImplementedError(type(call).__name__)
 
 
@@ -90,7 +98,7 @@
 
 @allowed_workers.register
 def _(call: ForwardCall, carrier: Any, tx: Any, roster: Roster) -> list[Worker]:
-    """Those of the service that this request falls to by the shares, or of any other that may serve it."""
+    """Return the workers of the service drawn by the traffic shares, else all that may serve it."""
     return roster.listed(tx.profile.pick(carrier.node.env.rng.random())) or roster.listed(
         tx.profile.labels
     )
@@ -100,6 +108,10 @@
 def choose_worker(
     call: Any, carrier: Any, tx: Any, workers: list[Worker], roster: Roster
 ) -> Worker | None:
+    """Return the worker for the next attempt, or None.
+
+    Raises NotImplementedError for other calls.
+    """
     raise NotImplementedError(type(call).__name__)
 
 
@@ -139,8 +151,10 @@
 def _(
     call: ForwardCall, carrier: Any, tx: Any, workers: list[Worker], roster: Roster
 ) -> Worker | None:
-    """Workers that failed lately rest; what may be repeated tries them again first. If all rest, the one
-    that failed longest ago is tried. None is tried again that could not be reached for this very request.
+    """Leave out workers that failed lately; what may be repeated retries them first.
+
+    If all are left out, the one that failed longest ago is tried. None is tried again that could
+    not be reached for this very request.
     """
     params, now_ms = carrier.node.params, carrier.node.env.now()
     workers = [
--- a/libs/circulation/src/circulation/silence.py
+++ b/libs/circulation/src/circulation/silence.py
@@ -1,4 +1,4 @@
-"""When a send is taken from a worker that says nothing any more."""
+"""When an attempt is taken from a worker that has gone silent."""
 
 from typing import Any
 
@@ -10,8 +10,10 @@
 
 
 def silence_fate(pace: Pace, params: Any, send: Send, now_ms: int) -> Fate | None:
-    """What may go on elsewhere is taken from a worker that says nothing any more; anything else is left
-    there, since silence does not tell that it has not run.
+    """Return the failed outcome of an attempt at a silent worker, or None while it is waited for.
+
+    Only what may be continued elsewhere is taken away; anything else is left there, since silence
+    does not tell that it has not run.
     """
     carriage = send.carriage
     tx, profile, worker = carriage.tx, carriage.tx.profile, send.worker
--- a/libs/circulation/src/circulation/streams.py
+++ b/libs/circulation/src/circulation/streams.py
@@ -1,6 +1,8 @@
-"""Whether what a worker sent is whole, and all of one run. A body has to have the length announced
-and be a JSON object; a stream's events are numbered from nought, all of one id, and end with the
-explicit end mark. Anything else is cut, and a cut stream never ends cleanly.
+"""Checks that a worker's answer is complete and all of one run.
+
+A body has to have the announced length and be a JSON object. A stream's events are numbered from 0,
+all have one id, and end with the explicit end mark. Anything else is cut off, and a cut-off stream
+is never ended cleanly.
 """
 
 import json
@@ -12,7 +14,7 @@
 
 
 def check_whole(data: bytes, announced_bytes: int | None) -> str:
-    """Empty if the body is whole, else what is wrong. Whose it is, the head has told."""
+    """Return what is wrong with a body, or an empty string; `announced_bytes` is its length."""
     if announced_bytes is None or announced_bytes != len(data):
         return "length"
     try:
@@ -23,7 +25,7 @@
 
 
 class StreamCheck:
-    """Fed with whole SSE events; says which may be delivered."""
+    """Splits a stream into server-sent events, and says which may be delivered."""
 
     __slots__ = ("_buffer", "_next", "_run", "ended", "fault")
 
@@ -35,7 +37,7 @@
         self.fault = ""
 
     def feed(self, data: bytes) -> list[bytes]:
-        """The events now complete and in order; after a fault, none."""
+        """Take a chunk and return the events now complete and in order; after a fault, none."""
         self._buffer += data
         good: list[bytes] = []
         while not self.fault and (at := self._buffer.find(b"\n\n")) >= 0:
@@ -75,7 +77,7 @@
         self._run = run
 
     def close(self) -> str:
-        """Called when the worker's side ended: empty if all of it came."""
+        """Take the end of the worker's side; return what is wrong, or an empty string."""
         if not self.fault and (not self.ended or self._buffer.strip()):
             self.fault = "cut"
         return self.fault
--- a/libs/circulation/src/circulation/worker.py
+++ b/libs/circulation/src/circulation/worker.py
@@ -1,5 +1,7 @@
-"""One worker as an edge knows it: its own news (a heartbeat or a leave), the load that it last told, and
-what this edge has under way there.
+"""One worker as an edge knows it.
+
+It has the worker's own news (a heartbeat or a leave), the load that it last reported, and what this
+edge has in flight there.
 """
 
 import math
@@ -12,6 +14,8 @@
 
 
 class WorkerNews(Message):
+    """A worker's heartbeat or leave, as edges flood it; `cache_use` is a share from 0 to 1."""
+
     identity: Text
     incarnation: Long
     address: Text
@@ -26,9 +30,11 @@
 
 
 class Worker:
-    """`others` is what callers elsewhere had at it when it last told its load; `borrowed` are its slots in which this
-    edge runs samples of rollouts, `borrowed_elsewhere` those of other edges as they last told: they give way to anything
-    else, and so count for nothing in what it has to do.
+    """A worker's state and load; times are milliseconds of the node's clock.
+
+    `others` is what callers elsewhere had there when it last reported its load. `borrowed` are
+    slots in which this edge runs samples of rollouts, `borrowed_elsewhere` those of other edges as
+    they last reported: samples give way to anything else, and so are not counted as load.
     """
 
     __slots__ = (
@@ -78,6 +84,7 @@
         )
 
     def take(self, news: WorkerNews, now_ms: int) -> None:
+        """Take the worker's news, heard at `now_ms`."""
         self.address = news.address
         self.zone = news.zone
         self.labels = frozenset(news.labels)
@@ -90,7 +97,7 @@
 
     @property
     def weight(self) -> int:
-        """What it probably has to do: its own report, moved by what this edge began or ended since."""
+        """The estimated load: its own report, corrected by what this edge began or ended since."""
         return (
             max(
                 self.sending,
@@ -105,10 +112,11 @@
 
     @property
     def stamp(self) -> str:
+        """The identity that a request carries, with the incarnation unless control lists it."""
         return self.identity if self.listed else f"{self.identity}/{self.incarnation}"
 
     def told_load(self, running: int, waiting: int, slots: int, now_ms: int) -> None:
-        """Its own word of its load, as it stood when it answered one of ours."""
+        """Take the load that the worker reported in an answer to this edge."""
         self.running, self.waiting, self.slots, self.sending_then = (
             running,
             waiting,
@@ -119,8 +127,10 @@
         self.told_ms = now_ms
 
     def load(self, now_ms: int) -> float:
-        """What it probably has now: what is under way from here, and what others had there, which is the less
-        sure the older it is. Prompts that are still read count twice, since all else waits for them.
+        """Return the estimated load now: this edge's requests and those of others.
+
+        Those of others count less the older the report is. Prompts that are still read count twice,
+        since all else waits for them.
         """
         return (
             self.sending
@@ -130,13 +140,15 @@
         )
 
     def others_now(self, now_ms: int) -> float:
+        """Return the estimated load by other callers, which decays with the report's age."""
         return self.others * math.exp(-max(0, now_ms - self.told_ms) / _LOAD_MS)
 
     def asked(self, now_ms: int) -> None:
+        """Record that a request was sent now."""
         self.sent_ms = now_ms
         if self.asked_ms <= self.answered_ms or self.sending == 1:
             self.asked_ms = now_ms
 
     def silent_ms(self, now_ms: int) -> int:
-        """For how long it has said nothing to anybody here, though something is under way."""
+        """Return for how long it has said nothing to anybody here though requests are in flight."""
         return now_ms - max(self.asked_ms, self.answered_ms) if self.sending else 0
