--- a/libs/readingroom/src/readingroom/__init__.py
+++ b/libs/readingroom/src/readingroom/__init__.py
@@ -1,4 +1,7 @@
-"""Readingroom: the data plane. Edges serve visitors and workers; stores keep the log."""
+"""Readingroom: the data plane's nodes and processes.
+
+Edges serve clients and workers; stores keep the replicated log.
+"""
 
 from colophon.lazy import lazy
 
--- a/libs/readingroom/src/readingroom/answers.py
+++ b/libs/readingroom/src/readingroom/answers.py
@@ -1,5 +1,7 @@
-"""What a visitor is told: the one place where receipts and last steps become a status, a body, a
-verdict and a time to come back. HTTP writes it out; the simulator's visitors read it as it is.
+"""What a client is answered.
+
+This is the one place where receipts and last steps become a status, a body, a verdict and a retry
+time. The HTTP side writes the answer out; the simulator's clients read it as it is.
 """
 
 import json
@@ -24,7 +26,11 @@
 
 
 class Answer:
-    """`value` is what a positive answer says before anybody has written it out."""
+    """A status with its body, or a refusal.
+
+    `value` is the content of a positive answer that is not written out yet; `replayed` says that
+    the answer was recorded under the idempotency key before.
+    """
 
     __slots__ = ("body", "refusal", "replayed", "status", "value")
 
@@ -41,34 +47,44 @@
 
     @classmethod
     def no(cls, refusal: Refusal) -> "Answer":
+        """Return the answer of a refusal."""
         return cls(refusal.status, json.dumps(refusal.body()), refusal)
 
     @classmethod
     def ok(cls, value: Any, status: int = 200) -> "Answer":
+        """Return a positive answer with a JSON body."""
         return cls(status, json.dumps(value))
 
     @property
     def verdict(self) -> str:
+        """The refusal's verdict, or "ran"."""
         return str(self.refusal.verdict) if self.refusal is not None else "ran"
 
     @property
     def code(self) -> str:
+        """The refusal's code, or an empty string."""
         return self.refusal.code if self.refusal is not None else ""
 
 
 def not_ready(reason: str, named: bool) -> Refusal:
-    """Nothing was sent on; but what has a key or an id may have come through another edge before."""
+    """Return the refusal of an edge that is not ready; nothing was sent on.
+
+    `named` says that the request has a key or an id, under which it may have come through another
+    edge before; the verdict is then doubtful.
+    """
     make = doubtful if named else refused
     return make("not-ready", reason, retry_after_ms=1000, status=503)
 
 
 def live_answer(step: Step) -> Answer:
+    """Return the answer of a live completion, from its transaction's last step."""
     if step.name in ("finish", "replay"):
         return Answer(step.value[0], step.value[1], replayed=step.name == "replay")
     return Answer.no(step.refusal)
 
 
 def hand_in_answer(lot_id: str, receipt: Any) -> Answer:
+    """Return the answer to a batch handed in; without a receipt it may have been accepted."""
     outcome = receipt.outcome if receipt is not None else "unknown"
     if outcome in ("admitted", "known"):
         return Answer.ok(_shown(receipt), 201 if outcome == "admitted" else 200)
@@ -99,6 +115,7 @@
 
 
 def lot_answer(lot_id: str, receipt: Any) -> Answer:
+    """Return a batch's progress, or why there is none."""
     if receipt is None or receipt.outcome == "unknown":
         return Answer.no(doubtful("stores-silent", "the stores did not answer", 1000))
     if receipt.outcome == "missing":
@@ -111,6 +128,7 @@
 
 
 def results_answer(lot_id: str, from_index: int, receipt: Any) -> Answer:
+    """Return a page of a batch's results, from index `from_index` on."""
     if receipt is not None and receipt.outcome == "beyond":
         return Answer.no(
             refused("beyond", f"from: the lot has {receipt.total} items", 416, field="from")
@@ -135,7 +153,11 @@
 
 
 def taken_answer(lot_id: str, receipt: Any, sent: bool) -> Answer:
-    """A refusal that promises is the holder's own word, or there was nobody to ask."""
+    """Return the answer to a forwarded batch handed in; `sent` says that the leader was asked.
+
+    A refusal that promises that nothing was taken is the leader's own word, or there was nobody to
+    ask.
+    """
     outcome = receipt.outcome if receipt is not None else "unknown"
     if outcome in ("admitted", "known"):
         return Answer(202, "", value=receipt)
@@ -175,7 +197,11 @@
 
 
 def page_answer(lot_id: str, from_position: int, receipt: Any) -> Answer:
-    """The value is the results, each with its item's id, outcome and text; the next position; and the lot's size."""
+    """Return a page of a forwarded batch's results.
+
+    The value is the results, each with its item's id, outcome and text; the next position; and the
+    batch's size.
+    """
     if (answer := _no_word(lot_id, receipt)) is not None:
         return answer
     rows = [decode(data) for data in receipt.rows]
@@ -183,13 +209,14 @@
 
 
 def item_answer(lot_id: str, receipt: Any) -> Answer:
-    """The value is what the item asks of a worker."""
+    """Return one item; the value is the request that it makes of a worker."""
     if (answer := _no_word(lot_id, receipt)) is not None:
         return answer
     return Answer(200, "", value=decode(receipt.call))
 
 
 def ended_answer(lot_id: str, receipt: Any) -> Answer:
+    """Return the answer to a forwarded batch's end; the value is the receipt."""
     return _no_word(lot_id, receipt) or Answer(200, "", value=receipt)
 
 
--- a/libs/readingroom/src/readingroom/calls.py
+++ b/libs/readingroom/src/readingroom/calls.py
@@ -1,5 +1,6 @@
-"""The bodies that visitors and workers send, checked with pydantic. Every problem becomes a refusal
-that names the field; what is not known is refused, not ignored.
+"""The bodies that clients and workers send, checked with pydantic.
+
+Every problem becomes a refusal that names the field; unknown fields are refused, not ignored.
 """
 
 import json
@@ -21,6 +22,8 @@
 
 
 class ChatMessage(_Strict):
+    """One message of a chat completion."""
+
     role: Literal["system", "user", "assistant", "developer", "tool"]
     content: str
     name: str | None = None
@@ -44,11 +47,15 @@
 
 
 class CompletionCall(Prompted):
+    """A live completion; `model` names the profile."""
+
     model: Name
     stream: bool = False
 
 
 class LotItem(Prompted):
+    """One item of a batch: either a prompt or messages."""
+
     @model_validator(mode="after")
     def _one_kind(self) -> "LotItem":
         if (self.prompt is None) == (self.messages is None):
@@ -57,12 +64,16 @@
 
 
 class HandInCall(_Strict):
+    """A batch as it is handed in; `due_ms` is the time it is given, in milliseconds from now."""
+
     path: Name
     items: list[LotItem] = Field(min_length=1, max_length=10_000)
     due_ms: int = Field(10_000, ge=100, le=7 * 86_400_000)
 
 
 class Beat(_Strict):
+    """A worker's heartbeat; `cache_use` is a share from 0 to 1."""
+
     identity: Name
     incarnation: int = Field(ge=0)
     address: str = Field(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")
@@ -76,11 +87,14 @@
 
 
 class Leave(_Strict):
+    """A worker's word that it leaves; final for its incarnation."""
+
     identity: Name
     incarnation: int = Field(ge=0)
 
 
 def parse(model: type[Model], data: bytes) -> Result[Model, Refusal]:
+    """Return the body as the model says, or a refusal that names the fields that are wrong."""
     try:
         value: Any = json.loads(data)
     except (ValueError, RecursionError) as error:
--- a/libs/readingroom/src/readingroom/cli.py
+++ b/libs/readingroom/src/readingroom/cli.py
@@ -1,5 +1,7 @@
-"""The data plane's command line: serve, and a visitor's commands. Answers go to standard output as
-JSON, refusals to standard error with exit code 1, wrong settings with exit code 2.
+"""The data plane's command line: serve, and a client's commands.
+
+Answers go to standard output as JSON, refusals to standard error with exit code 1, wrong settings
+with exit code 2.
 """
 
 import asyncio
@@ -38,6 +40,7 @@
     control_count: int | None,
     log_level: str | None,
 ) -> dict[str, Any]:
+    """Return the flags of serve under the names of their settings; None is a flag not given."""
     return {
         "link": link,
         "http": http,
@@ -69,7 +72,7 @@
     role: edge or store.
     settings: a TOML file; flags win over it, and SIGHUP reads it again.
     link: address for the fleet's own messages, IP:PORT.
-    http: address for visitors, workers and operators, IP:PORT.
+    http: address for clients, workers and operators, IP:PORT.
     zone: the zone this machine is in.
     seed: link address of another process; up to three times.
     data_folder: where files live.
@@ -98,6 +101,7 @@
 def call(
     method: str, server: str, address: str, body: Any = None, headers: dict[str, str] | None = None
 ) -> None:
+    """Make one request of an edge and print the answer; raises SystemExit(1) for a refusal."""
     try:
         code = asyncio.run(_call(method, f"http://{server}{address}", body, headers))
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
@@ -108,6 +112,7 @@
 
 
 def read_json(path: str) -> Any:
+    """Return the JSON value of a file, or of standard input for "-"; raises SystemExit(2)."""
     try:
         return json.loads(sys.stdin.read() if path == "-" else Path(path).read_text())
     except (OSError, ValueError) as error:
@@ -145,7 +150,9 @@
     seed: int = 1,
     check: bool = False,
 ) -> None:
-    """Play recorded days against a fleet and compare outcomes and times. Exit code 1: some differ; 2: a bad recording.
+    """Play recorded days against a fleet and compare outcomes and times.
+
+    Exit code 1: some differ; 2: a bad recording.
 
     Parameters
     ----------
@@ -199,7 +206,10 @@
 
 @rollout.command(name="hand-in")
 def hand_in_rollout(rollout_id: str, file: str, *, server: Server) -> None:
-    """Hand in a rollout from a JSON file with path, weights, samples, prompts and perhaps due_ms; - reads standard input."""
+    """Hand in a rollout from a JSON file; - reads standard input.
+
+    The file has path, weights, samples, prompts and perhaps due_ms.
+    """
     call("PUT", server, f"/rollouts/{rollout_id}", read_json(file))
 
 
@@ -222,6 +232,7 @@
 
 
 def main() -> None:
+    """Run the command line."""
     app()
 
 
--- a/libs/readingroom/src/readingroom/counter.py
+++ b/libs/readingroom/src/readingroom/counter.py
@@ -1,5 +1,6 @@
-"""The counter of an edge: what visitors ask, once it has been read and checked, and what they are told.
-It has no socket; the HTTP side and the simulator's visitors come to the same counter.
+"""What an edge does for its clients, once a request has been read and checked.
+
+It has no socket; the HTTP side and the simulator's clients use the same object.
 """
 
 import hashlib
@@ -42,6 +43,11 @@
 
 
 class Counter(Part):
+    """Serves completions and batches of our own interface.
+
+    `tree` gives the profiles in force; `why_unready` why the edge is not ready, or an empty string.
+    """
+
     __slots__ = ("_budgets", "_carrier", "_holder", "_lots", "_tree", "_why_unready")
 
     def __init__(
@@ -57,6 +63,7 @@
         self._budgets: dict[str, Budget] = {}
 
     def unready(self, named: bool) -> Answer | None:
+        """Return the refusal of an edge that is not ready; `named` as for `not_ready`."""
         reason = self._why_unready()
         return Answer.no(not_ready(reason, named)) if reason else None
 
@@ -76,8 +83,10 @@
         sink: Callable[[bytes], None],
         told: Callable[[Step, Answer], None],
     ) -> Carriage | Answer:
-        """A transaction on its way, or what is told at once; `told` gets the last step, unless the
-        visitor is gone.
+        """Begin a completion; return its transaction in flight, or an answer given at once.
+
+        `sink` gets a stream's events; `told` the last step and the answer, unless the client hung
+        up.
         """
         if (answer := self.unready(bool(key)) or self._unknown(path, "model")) is not None:
             return answer
@@ -100,6 +109,7 @@
     def hand_in(
         self, lot_id: str, path: str, items: list[dict[str, Any]], due_ms: int, told: Told
     ) -> None:
+        """Hand a batch in at the leader; `due_ms` is the time it is given, in milliseconds."""
         if (answer := self.unready(True) or self._unknown(path, "path")) is not None:
             told(answer)
             return
@@ -132,6 +142,7 @@
         )
 
     def lot(self, lot_id: str, told: Told) -> None:
+        """Answer a batch's progress."""
         self._holder.ask(
             m.ReadLot(lot_id=lot_id),
             self.node.params.force_ms,
@@ -139,6 +150,7 @@
         )
 
     def results(self, lot_id: str, from_index: int, limit: int, told: Told) -> None:
+        """Answer a page of at most `limit` results, from index `from_index` on."""
         self._holder.ask(
             m.ReadResults(lot_id=lot_id, from_index=from_index, limit=max(1, min(_PAGE, limit))),
             self.node.params.force_ms,
@@ -146,6 +158,8 @@
         )
 
     def end(self, lot_id: str, told: Told) -> None:
+        """End a batch, and stop its items that run at this edge."""
+
         def done(receipt: Any) -> None:
             if receipt is not None and receipt.outcome == "known":
                 self._lots.stop(lot_id, "ended here")
--- a/libs/readingroom/src/readingroom/desk_http.py
+++ b/libs/readingroom/src/readingroom/desk_http.py
@@ -1,5 +1,7 @@
-"""What both programs' HTTP sides share: errors as bodies with verdicts, whatever happens; the four
-paths that the platform and operators poll; and the service that owns the listening socket.
+"""What the HTTP sides of both programs share.
+
+Every error becomes a body with a verdict. There are the four paths that the platform and operators
+poll (ready, live, status, metrics), and the service that owns the listening socket.
 """
 
 import json
@@ -23,12 +25,14 @@
 def json_answer(
     value: Any, status: int = 200, headers: dict[str, str] | None = None
 ) -> web.Response:
+    """Return a response with a JSON body."""
     return web.Response(
         text=json.dumps(value), status=status, content_type="application/json", headers=headers
     )
 
 
 def write_answer(answer: Answer, transaction_id: str = "") -> web.Response:
+    """Return the response of an answer, with the transaction's id in a header if it has one."""
     if answer.refusal is not None:
         return answer_refusal(answer.refusal, transaction_id)
     headers = {
@@ -44,6 +48,7 @@
 
 
 def answer_refusal(refusal: Refusal, transaction_id: str = "") -> web.Response:
+    """Return the response of a refusal; Retry-After is in whole seconds, rounded up."""
     headers = {"X-Vaneledge-Transaction": transaction_id} if transaction_id else {}
     if refusal.retry_after_ms:
         headers["Retry-After"] = str(max(1, math.ceil(refusal.retry_after_ms / 1000)))
@@ -51,7 +56,7 @@
 
 
 async def read_call(request: web.Request, limit_bytes: int, model: Any) -> Any:
-    """The body as the model says, or a refusal that names what is wrong."""
+    """Return the body as the model says, or a refusal that names what is wrong."""
     data = await _read_body(request, limit_bytes)
     if isinstance(data, Refusal):
         return data
@@ -91,7 +96,11 @@
 
 
 class HttpDesk(Service):
-    """`why_unready`, `status` and `metrics` come from the process; `routes` are its own paths."""
+    """The HTTP server of a process.
+
+    `why_unready`, `status` and `metrics` come from the process; others add their routes to `app`.
+    `limit_bytes` bounds a request's body.
+    """
 
     def __init__(
         self,
@@ -116,6 +125,7 @@
         self._runner: web.AppRunner | None = None
 
     async def on_start(self) -> None:
+        """Listen at the address; raises OSError if that can't be done."""
         self._runner = web.AppRunner(
             self.app, access_log=None, shutdown_timeout=1.0, handler_cancellation=True
         )
@@ -124,6 +134,7 @@
         await web.TCPSite(self._runner, host.strip("[]"), int(port), reuse_address=True).start()
 
     async def on_stop(self) -> None:
+        """Stop listening and close the connections."""
         if self._runner is not None:
             await self._runner.cleanup()
 
--- a/libs/readingroom/src/readingroom/forward_http.py
+++ b/libs/readingroom/src/readingroom/forward_http.py
@@ -1,6 +1,8 @@
-"""The clients' side of an edge for forwarded requests, over HTTP. A request is read whole, brought to the
-counter, and the worker's answer is written as it comes: whole events, never the end of what is not
-whole. Who reads slowly holds back the worker, who hangs up lets it go. How requests are read is handed in.
+"""The clients' side of an edge for forwarded requests, over HTTP.
+
+A request is read whole, its route is found, and the worker's answer is written as it comes: whole
+events, and never the end of what is not whole. A client that reads slowly holds back the worker
+(backpressure); one that hangs up releases it. How requests are read is given by a `RequestReader`.
 """
 
 import asyncio
@@ -29,17 +31,27 @@
 
 
 class RequestReader(Protocol):
-    """What differs by the platform: names of headers, of paths and of limits."""
+    """What differs by the platform: the names of headers, of paths and of limits."""
+
+    def call(self, request: web.BaseRequest, profile: Any, body: bytes) -> ForwardCall | Refusal:
+        """Return the request to forward, or why it is refused."""
+        ...
+
+    def client_ms(self, request: web.BaseRequest) -> int | None:
+        """Return how many milliseconds the client waits, None if it doesn't say."""
+        ...
+
+    def limits(self, about: dict[str, Any]) -> dict[str, int]:
+        """Return the limits for clients that the configuration gives."""
+        ...
 
-    def call(
-        self, request: web.BaseRequest, profile: Any, body: bytes
-    ) -> ForwardCall | Refusal: ...
-    def client_ms(self, request: web.BaseRequest) -> int | None: ...
-    def limits(self, about: dict[str, Any]) -> dict[str, int]: ...
-    def is_lot(self, path: str) -> bool: ...
+    def is_lot(self, path: str) -> bool:
+        """Whether the path belongs to the batch interface."""
+        ...
 
 
 def answer_of(refusal: Refusal) -> web.Response:
+    """Return the response of a refusal; Retry-After is in seconds with three decimals."""
     headers = (
         {"Retry-After": f"{refusal.retry_after_ms / 1000:.3f}"} if refusal.retry_after_ms else None
     )
@@ -55,8 +67,10 @@
     __slots__ = ()
 
     def leave(self) -> None:
-        """Ends now if no request has been read, else with the answer. A request that has been taken off the
-        queue and isn't handled yet shows only in that nothing waits for the next one.
+        """Close now if no request has been read, else with the answer.
+
+        A request that was taken off the queue and isn't handled yet shows only in that nothing
+        waits for the next one.
         """
         waiting = self._waiter is not None and not self._waiter.done()
         if self._request_in_progress or self._messages or (self._request_count and not waiting):
@@ -66,7 +80,7 @@
 
 
 class _Server(web.Server):
-    """New connections get the limits that are in force when they come."""
+    """The HTTP server; new connections get the limits that are in force when they come."""
 
     limits: dict[str, int] = _LIMITS
 
@@ -98,8 +112,10 @@
 
 
 class ForwardDesk(Service):
-    """Listens for clients, and says on an address of its own whether this edge is ready. `lot_routes`, if
-    there is one, is given the requests of lots.
+    """Listens for clients, and answers readiness probes on an address of its own.
+
+    `readiness` is that address and the path. `lot_routes`, if there is one, is given the requests
+    of batches. `live_now` counts the requests in progress, `counts` the refusals by code.
     """
 
     def __init__(
@@ -114,6 +130,7 @@
         self._listeners: list[asyncio.Server] = []
 
     async def on_start(self) -> None:
+        """Listen at both addresses; raises OSError if that can't be done."""
         loop = asyncio.get_running_loop()
         self._server = _Server(self._handle, handler_cancellation=True)
         ready = web.Server(self._ready, access_log=None)
@@ -123,6 +140,7 @@
         ]
 
     async def on_stop(self) -> None:
+        """Stop listening and close the connections."""
         for listener in self._listeners:
             listener.close()
         await self._server.shutdown(_LAST_S)
@@ -130,7 +148,11 @@
     # -- the end -------------------------------------------------------------------------------
 
     def start_draining(self) -> None:
-        """Clients may go on coming until the platform has noticed; each answer sends them elsewhere."""
+        """Begin to drain; connections are closed after a part of the grace time.
+
+        New clients may come until the platform has noticed; each answer closes its connection,
+        which sends the client elsewhere.
+        """
         loop = asyncio.get_running_loop()
         self._stopping_at = loop.time()
         loop.call_later(self._node.params.grace_ms * _LINGER_SHARE / 1000, self._close_door)
@@ -141,7 +163,7 @@
             protocol.leave()
 
     def busy(self) -> bool:
-        """Somebody is being served, or may still come."""
+        """Whether a client is being served, or may still come."""
         if self._stopping_at is None:
             return self.live_now > 0
         waited_ms = (asyncio.get_running_loop().time() - self._stopping_at) * 1000
@@ -169,7 +191,7 @@
         return response
 
     def _prepare(self, response: web.StreamResponse) -> None:
-        """How long the connection is kept is told with a margin; one of an edge that stops is not kept."""
+        """Announce how long the connection is kept, with a margin; a draining edge keeps none."""
         if self._stopping_at is not None:
             response.force_close()
         else:
@@ -260,7 +282,7 @@
 def _head_alone(
     status: int, headers: list[tuple[str, str]], length: int | None
 ) -> web.StreamResponse:
-    """The answer to HEAD: the length, in bytes, is that of a body which isn't sent."""
+    """Return the answer to HEAD: its length, in bytes, is that of a body which isn't sent."""
     response = web.StreamResponse(status=status, headers=headers)
     response.content_length = length
     return response
@@ -273,7 +295,7 @@
 
 
 def _take(first: bytes | Step, queue: asyncio.Queue) -> tuple[list[bytes], Step | None]:
-    """All that is there by now, so that it is written at once."""
+    """Return all that is queued by now, so that it is written at once, and the last step."""
     pieces: list[bytes] = []
     item: bytes | Step = first
     while not isinstance(item, Step):
--- a/libs/readingroom/src/readingroom/forwards.py
+++ b/libs/readingroom/src/readingroom/forwards.py
@@ -1,6 +1,7 @@
-"""The counter's side for requests that are forwarded: which route one falls to, how long it has, and the
-transaction that carries it. It has no socket; what it gives back is a carriage, or what is told at once.
-An edge that is stopping goes on serving what still comes: only who may no longer know the profiles refuses.
+"""Begins forwarded requests: the route one falls to, how long it has, and its transaction.
+
+It has no socket. A draining edge still serves what comes; only an edge that may not know the
+profiles in force refuses.
 """
 
 from collections.abc import Callable
@@ -16,6 +17,8 @@
 
 
 class ForwardCounter(Part):
+    """Routes requests and begins their transactions."""
+
     __slots__ = ("_carrier", "_tree", "_why_unready")
 
     def __init__(
@@ -24,11 +27,15 @@
         self._carrier, self._tree, self._why_unready = carrier, tree, why_unready
 
     def about(self) -> dict[str, Any]:
-        """What was sent beside the profiles, such as limits for clients."""
+        """Return what the configuration has beside the profiles, such as limits for clients."""
         return self._tree().about
 
     def route(self, host: str, target: str) -> Any:
-        """The profile, or the refusal. Without any profiles nobody can know that there is no route."""
+        """Return the profile of a host and a target, or the refusal.
+
+        An edge without any profiles can't know that there is no route, and says that it is not
+        ready.
+        """
         tree = self._tree()
         if reason := self._why_unready():
             return refused("not-ready", reason, 503, self.node.params.dead_ms)
@@ -47,7 +54,11 @@
         sink: Callable[[bytes], None],
         told: Callable[[Step], None],
     ) -> Carriage:
-        """`client_ms` is how long the client says it waits; `told` gets the last step, unless it is gone."""
+        """Begin a request and return its transaction in flight.
+
+        `client_ms` is how many milliseconds the client says it waits; `sink` gets the answer's
+        pieces, and `told` the last step, unless the client hung up.
+        """
         now_ms = self.node.env.now()
         allowed_ms = min(profile.give_up_ms, client_ms if client_ms is not None else _MOST_MS)
         tx = ForwardTransaction(
--- a/libs/readingroom/src/readingroom/keys.py
+++ b/libs/readingroom/src/readingroom/keys.py
@@ -1,4 +1,4 @@
-"""What the nodes of both planes share: the names of the control keys, and how a folder is opened."""
+"""What the nodes of both planes share: the names of the control keys, and opening a folder."""
 
 from typing import Any
 
@@ -22,8 +22,10 @@
 
 
 def open_or_set_aside(env: Env, disk: Any, make: Any) -> Any:
-    """A folder that reads back damaged is put aside whole; the node goes on as a new, empty identity,
-    which the others bring up to date before it counts for anything.
+    """Return what `make` makes of the disk; a damaged folder is set aside whole first.
+
+    The node then goes on as a new, empty identity, which the others bring up to date before it
+    counts for anything.
     """
     try:
         return make()
--- a/libs/readingroom/src/readingroom/lot_counter.py
+++ b/libs/readingroom/src/readingroom/lot_counter.py
@@ -1,6 +1,8 @@
-"""The counter for lots of forwarded calls: what clients hand in, read and end, asked of the log's holder. While
-the holder changes it goes on asking for as long as the client gives; what it then can't know it says at once.
-It promises that nothing was taken only where nothing was sent, or where the holder itself said so.
+"""Batches of forwarded requests: what clients hand in, read and end, asked of the log's leader.
+
+While the leader changes the edge goes on asking for as long as the client gives; what it can't know
+by then it says at once. It promises that nothing was taken only where nothing was sent, or where
+the leader itself said so.
 """
 
 import hashlib
@@ -30,7 +32,10 @@
 
 
 class LotCounter(Part):
-    """`profiles` gives number and tree of the profiles in force here."""
+    """Serves batches of forwarded requests.
+
+    `profiles` gives the number and the tree of the profiles in force here.
+    """
 
     __slots__ = ("_holder", "_lots", "_profiles")
 
@@ -40,7 +45,7 @@
         self._holder, self._lots, self._profiles = holder, lots, profiles
 
     def _patience_ms(self) -> int:
-        """How long a client may be kept waiting for a word of the holder's, beyond what it asked for itself."""
+        """Return how long a client may be kept waiting for the leader, beyond what it asked for."""
         return int(self.node.params.force_ms * _ANSWER_SHARE)
 
     def hand_in(
@@ -52,7 +57,11 @@
         client_ms: int,
         told: Told,
     ) -> None:
-        """`client_ms` is how long the client waits; it is left enough of that to try at another edge."""
+        """Hand a batch in at the leader.
+
+        `client_ms` is how many milliseconds the client waits; it is left enough of that to try at
+        another edge. `tokens` are the expected tokens of each item.
+        """
         number, tree = self._profiles()
         profile = tree.usable(path)
         calls = [encode(item) for item in items]
@@ -86,7 +95,10 @@
         ask = self._holder.ask(message, int(client_ms * _TRY_SHARE), done)
 
     def page(self, lot_id: str, from_position: int, wait_ms: int, told: Told) -> None:
-        """The holder holds each ask for a part of the time, so that another holder is found soon."""
+        """Answer a page of results, waiting up to `wait_ms` milliseconds for the first.
+
+        The leader holds each ask for a part of that time, so that another leader is found soon.
+        """
         end_ms = self.node.env.now() + wait_ms
 
         def ask() -> None:
@@ -117,6 +129,7 @@
         ask()
 
     def item(self, lot_id: str, item_id: str, told: Told) -> None:
+        """Answer the request that one item makes."""
         self._holder.ask(
             m.ReadItem(lot_id=lot_id, item_id=item_id),
             self._patience_ms(),
@@ -124,6 +137,8 @@
         )
 
     def end(self, lot_id: str, told: Told) -> None:
+        """End a batch, and stop its items that run at this edge."""
+
         def done(receipt: Any) -> None:
             if receipt is not None and receipt.outcome == "known":
                 self._lots.stop(lot_id, "ended here")
--- a/libs/readingroom/src/readingroom/metrics.py
+++ b/libs/readingroom/src/readingroom/metrics.py
@@ -1,5 +1,7 @@
-"""What a process tells to whoever collects metrics, in the standard text format: the numbers that its role
-gives, with their type and a word of help, and histograms of how long visitors' calls took by path.
+"""A process's metrics, in the standard text format of Prometheus.
+
+They are the numbers that its role gives, with their type and a line of help, and histograms of how
+long clients' calls took by route.
 """
 
 from collections.abc import Callable, Iterator
@@ -51,7 +53,10 @@
 
 
 class Metrics:
-    """The collecting library is imported when it is first needed, not at a process's start."""
+    """Collects the numbers that `read` gives and the times of calls.
+
+    The collecting library is imported when it is first needed, not at a process's start.
+    """
 
     __slots__ = ("_read", "_registry", "_took")
 
@@ -75,6 +80,7 @@
             )
 
     def collect(self) -> Iterator[Any]:
+        """Yield the metric families, as the library's registry asks; `_total` marks a counter."""
         from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
         for name, value in sorted(self._read().items()):
@@ -86,10 +92,12 @@
             )
 
     def took(self, path: str, verdict: str, seconds: float) -> None:
+        """Record that a live call of this route took so many seconds."""
         self._begin()
         self._took.labels(path, verdict).observe(seconds)
 
     def text(self) -> str:
+        """Return all metrics as text."""
         from prometheus_client import generate_latest
 
         self._begin()
--- a/libs/readingroom/src/readingroom/nodes.py
+++ b/libs/readingroom/src/readingroom/nodes.py
@@ -1,5 +1,7 @@
-"""The two kinds of data-plane node, put together from their parts. They run alike in a process and
-in the simulator; only the surroundings, the disk and what runs an item are handed in.
+"""The two kinds of data-plane node, put together from their parts.
+
+They run alike in a process and in the simulator; only the environment, the disk and the transport
+of requests are passed in.
 """
 
 import json
@@ -35,7 +37,7 @@
 
 
 class _DataNode(Node):
-    """What stores and edges share: neighbours, the feed, the profiles in force."""
+    """What stores and edges share: neighbours, the configuration feed, the profiles in force."""
 
     __slots__ = ("_tree", "_tree_number", "config_feed", "neighbours", "tree_digest")
 
@@ -64,6 +66,7 @@
         return self._control_addresses()
 
     def tree(self) -> Tree:
+        """Return the profiles in force, parsed again when the feed has newer ones."""
         number = self.config_feed.number(PROFILES_KEY)
         if number != self._tree_number:
             self._tree = Tree.of_body(self.config_feed.body(PROFILES_KEY))
@@ -73,6 +76,8 @@
 
 
 class StoreNode(_DataNode):
+    """A store: it keeps the replicated log and, as the log's leader, assigns batches."""
+
     __slots__ = ("_started_ms", "control", "desk", "disk", "log", "mending")
 
     def __init__(self, env: Env, params: Any, disk: Disk) -> None:
@@ -98,7 +103,7 @@
         )
 
     def _key_owners(self, key: str) -> list[str]:
-        """The voters that live, as far as this store hears, in the order in which the key's duty falls to them."""
+        """Return the voters that live, as far as is heard, in the order of the key's ownership."""
         voters = {
             row["identity"]: row["address"]
             for row in (self.config_feed.value(CONTROL_KEY) or {"voters": []})["voters"]
@@ -108,6 +113,7 @@
     # -- what the log asks about the fleet -----------------------------------------------------
 
     def log_key(self) -> tuple[int, str]:
+        """Return the number and the body of the log's control key, as the feed has it."""
         return self.config_feed.number(LOG_KEY), self.config_feed.body(LOG_KEY)
 
     def _other_members(self) -> list[str]:
@@ -118,19 +124,20 @@
         ]
 
     def _shelved(self, entries: list[Any]) -> None:
-        """The holder's own, logged ledger lets go of the same."""
+        """Have the leader's own, logged ledger release what was archived here."""
         if self.log.holder is not None:
             for entry in entries:
                 self.log.holder.let_go(entry)
 
     def live_stores(self) -> dict[str, str]:
+        """Return the addresses of the other live stores by identity."""
         return {
             card.identity: card.address
             for card in self.neighbours.of_role("store", self.params.dead_ms)
         }
 
     def store_rows(self) -> list[dict[str, str]]:
-        """The live stores, this one among them."""
+        """Return the live stores, this one among them, ordered by identity."""
         cards = [self.neighbours.card(), *self.neighbours.of_role("store", self.params.dead_ms)]
         return sorted(
             (
@@ -141,13 +148,15 @@
         )
 
     def live_store(self, identity: str) -> bool:
+        """Whether this store is known to live."""
         return self.neighbours.live(identity)
 
     def retired_stores(self) -> list[str]:
+        """Return the identities of the stores that control has retired."""
         return (self.config_feed.value(RETIRED_KEY) or {}).get("identities", [])
 
     def settled_in(self) -> bool:
-        """Long enough up to know who lives, and in touch with a control majority."""
+        """Whether it is up long enough to know who lives, and in touch with a control majority."""
         now_ms = self.env.now()
         return (
             now_ms - self._started_ms > self.params.dead_ms
@@ -155,7 +164,7 @@
         )
 
     def learned(self, number: int, body: str) -> None:
-        """What control has told this store itself, ahead of the feed."""
+        """Take a log key that control has told this store itself, ahead of the feed."""
         self.config_feed.publish(LOG_KEY, number, body)
 
     def _who_holds(self) -> tuple[int, str]:
@@ -171,6 +180,7 @@
         return value.get("epoch", 0), address
 
     def why_unready(self) -> str:
+        """Return why it is not ready, or an empty string."""
         if not self.config_feed.number(LOG_KEY):
             return "the log is not founded yet"
         names = [row["identity"] for row in json.loads(self.config_feed.body(LOG_KEY))["members"]]
@@ -180,6 +190,8 @@
 
 
 class EdgeNode(_DataNode):
+    """An edge: it serves clients, and knows the workers."""
+
     __slots__ = (
         "_caught_up",
         "_started_ms",
@@ -279,8 +291,10 @@
         ]
 
     def _sharing(self) -> list[str]:
-        """The edges that are told of each prompt: all of a small fleet, else those of this zone, which chooses
-        workers near it first.
+        """Return the edges that are told of each prompt.
+
+        Those are all of a small fleet, else those of this zone, which chooses workers near it
+        first.
         """
         cards = self.neighbours.of_role("edge", self.params.gone_ms)
         near = [card.address for card in cards if card.zone == self.params.zone]
@@ -292,13 +306,15 @@
         )
 
     def why_unready(self) -> str:
-        """An edge serves while it hears of a control majority, or, with control gone, from most of the
+        """Return why it is not ready, or an empty string.
+
+        An edge serves while it hears of a control majority, or, with control gone, from most of the
         nodes it knows; without either it can't know whether its profiles are still in force.
         """
         return "stopping" if self.stopping else self._why_unsure()
 
     def _why_unsure(self) -> str:
-        """Why it can't know that its profiles are in force."""
+        """Return why it can't know that its profiles are in force."""
         now_ms = self.env.now()
         if self.params.cut_off == "serve":
             return self._why_not_begun(now_ms)
@@ -313,9 +329,12 @@
         return ""
 
     def _why_not_begun(self, now_ms: int) -> str:
-        """Where the cut-off serve: an edge begins when it has profiles and knows no newer ones, by control's
-        word or, if no control node can be heard, by that of its neighbours; from then on it serves by what
-        it knows. A control node that is heard but has no majority is cut off, and so may the neighbours be.
+        """Return why it can't begin, where an edge that is cut off goes on serving.
+
+        It begins when it has profiles and knows of no newer ones, by control's word or, if no
+        control node can be heard, by that of its neighbours; from then on it serves by what it
+        knows. A control node that is heard but has no majority is cut off, and so may the
+        neighbours be.
         """
         if not self._caught_up:
             params = self.params
@@ -332,7 +351,7 @@
         return "" if self._caught_up else "has not caught up with the feed"
 
     def _hears_some_control(self) -> bool:
-        """Whether any control node speaks to this one, be it without a majority."""
+        """Whether any control node speaks to this one, even if without a majority."""
         heard = self.neighbours.heard_directly(self.params.dead_ms)
         return any(card.role == "control" for card in heard)
 
@@ -343,8 +362,10 @@
         return False
 
     def _hears_most(self, now_ms: int) -> bool:
-        """Most of those on the roll that spoke to it lately still do, most of the whole roll are known to
-        live, and either it or an edge that is sure has once been told by control.
+        """Whether this edge is most likely not on the smaller side of a partition.
+
+        Most of those on the feed's list that spoke to it lately still do, most of the whole list
+        are known to live, and either it or an edge that is sure has once been told by control.
         """
         params, roll = self.params, self.config_feed.roll()
         contacts = self.config_feed.contacts_ms
--- a/libs/readingroom/src/readingroom/pool.py
+++ b/libs/readingroom/src/readingroom/pool.py
@@ -1,7 +1,9 @@
-"""Connections to workers, kept and used again. A worker says how long it keeps an idle one; nobody knows
-whether one that has been idle is about to be closed, so what is not safe to repeat takes only one that
-was used a moment ago. One that saw anything odd, or has bytes nobody asked for, is never used again, nor is one
-used for two sends of the same id in a row: a late copy of the first answer would pass for the second.
+"""Connections to workers, kept alive and used again.
+
+A worker says how long it keeps an idle one, and nobody knows whether one that has been idle is
+about to be closed; so what is not safe to repeat uses only one that was used a moment ago. One that
+saw anything odd, or has bytes nobody asked for, is never used again. Nor is one used for two sends
+of the same id in a row: a late copy of the first answer would pass for the second.
 """
 
 import socket
@@ -25,8 +27,10 @@
 
 
 class Outgoing:
-    """What the task of a request knows and its library does not pass on: the target as it came, its id, whether
-    it may be repeated, and whom to tell that there is a connection.
+    """What a request's task knows and its library does not pass on.
+
+    That is the target as it came, the request's id, whether it may be repeated, and whom to tell
+    that there is a connection.
     """
 
     __slots__ = ("connected", "repeatable", "request_id", "target")
@@ -50,8 +54,11 @@
 
 
 class WorkerProtocol(ResponseHandler):
-    """One connection to a worker. Bytes count as an answer only between a request and the end of its answer;
-    any others mark the connection, which is then never used again.
+    """One connection to a worker.
+
+    Bytes count as an answer only between a request and the end of its answer; any others mark the
+    connection, which is then never used again. `idle_s` is how many seconds the worker keeps it
+    idle.
     """
 
     def __init__(self, loop: Any) -> None:
@@ -61,21 +68,23 @@
         self._asked = False
 
     def ask(self, request_id: str) -> None:
-        """A request is about to be written."""
+        """Record that a request is about to be written."""
         self._asked, self.request_id = True, request_id
 
     def rest(self) -> None:
-        """The answer is whole."""
+        """Record that the answer is complete."""
         self._asked = False
 
     def data_received(self, data: bytes) -> None:
+        """Take bytes; any that nobody asked for mark the connection as not to be used again."""
         if data and not self._asked:
             self.force_close()
         super().data_received(data)
 
     def holds_surplus(self) -> bool:
-        """Whether the parser has begun on something after the last answer. Ends the parser, as a new one is made
-        for each request.
+        """Whether the parser has begun on something after the last answer.
+
+        It ends the parser, as a new one is made for each request.
         """
         parser, self._parser = self._parser, None
         if parser is None:
@@ -86,16 +95,17 @@
 
 
 class WorkerAnswer(aiohttp.ClientResponse):
-    """Keeps hold of its connection's protocol, which is let go of as soon as the answer is whole."""
+    """An answer that keeps its connection's protocol, which the library drops at the end."""
 
     async def start(self, connection: Any) -> "WorkerAnswer":
+        """Read the head, and take from it how long the worker keeps an idle connection."""
         self.protocol = connection.protocol
         await super().start(connection)
         self.protocol.idle_s = _idle_s(self.headers)
         return self
 
     def distrust(self) -> None:
-        """Whatever else comes on this connection, it is for nobody."""
+        """Have the connection closed after this answer: whatever else comes on it is ignored."""
         self.protocol.force_close()
 
 
@@ -112,9 +122,13 @@
 
 
 class RawRequest(aiohttp.ClientRequest):
-    """The request line has the target as it came: a URL alone would lose a question mark at its end."""
+    """A request whose line has the target as it came.
+
+    A URL alone would lose a question mark at its end.
+    """
 
     async def send(self, conn: Any) -> Any:
+        """Write the request, with the target and the id of the task's `Outgoing`."""
         target = CURRENT.get().target
         if target != self.url.raw_path_qs:
             self.url = _Verbatim(self.url, target)
@@ -123,7 +137,10 @@
 
 
 class WorkerPool(aiohttp.TCPConnector):
-    """`opened` counts the connections made."""
+    """The connector of forwarded requests; `opened` counts the connections made.
+
+    `user_timeout_ms` is after how many milliseconds the kernel gives up on unacknowledged bytes.
+    """
 
     def __init__(self, user_timeout_ms: int) -> None:
         super().__init__(
@@ -139,6 +156,7 @@
         self.opened = 0
 
     async def connect(self, req: Any, traces: Any, timeout: Any) -> Any:
+        """Return a connection, kept or new, and tell the request's task that there is one."""
         connection = await super().connect(req, traces, timeout)
         CURRENT.get().connected()
         return connection
@@ -154,7 +172,10 @@
         super()._release(key, protocol, should_close=should_close)
 
     async def _get(self, key: Any, traces: Any) -> Any:
-        """The one used last, if it is good for this request; those that are good for nothing are closed."""
+        """Return the connection used last, if it is good for this request.
+
+        Those that are good for nothing are closed.
+        """
         found = self._take(self._conns.get(key, []))
         if not self._conns.get(key):
             self._conns.pop(key, None)
@@ -186,7 +207,7 @@
 
 
 def _spent(protocol: WorkerProtocol, idle_s: float) -> bool:
-    """Good for no request any more."""
+    """Whether a connection is good for no request any more."""
     return (
         not protocol.is_connected()
         or protocol.should_close
@@ -195,7 +216,11 @@
 
 
 def pooled_session(pool: WorkerPool, connect_ms: int, head_bytes: int) -> aiohttp.ClientSession:
-    """Nothing is sent twice, followed, decoded or added on its own account."""
+    """Return a session over the pool that does nothing on its own account.
+
+    It never sends twice, follows redirects, decodes bodies or adds headers. `connect_ms` bounds the
+    time for a connection; `head_bytes` each line of the answer's head.
+    """
     session = aiohttp.ClientSession(
         connector=pool,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_ms / 1000),
--- a/libs/readingroom/src/readingroom/process.py
+++ b/libs/readingroom/src/readingroom/process.py
@@ -1,6 +1,7 @@
-"""One process: settings, logs, signals, and a mode service that owns the node's shell and its HTTP
-desk. SIGTERM turns it unready at once and lets it finish or hand over within the grace; SIGHUP reads
-the settings again, applies what may change and says what may not.
+"""One process: settings, logs, signals, and the service that owns the node and its HTTP server.
+
+SIGTERM makes it unready at once and lets it finish or hand over within the grace time. SIGHUP reads
+the settings again, applies what may change and logs what may not.
 """
 
 import asyncio
@@ -28,7 +29,7 @@
 
 
 class NodeProcess(Service):
-    """What the programs' processes have in common; a role overrides make, busy, wind_down, apply."""
+    """What the programs' processes share; a role overrides make, busy, wind_down and apply."""
 
     def __init__(self, params: Params) -> None:
         super().__init__()
@@ -39,12 +40,15 @@
         self.shell: Shell | None = None
 
     def make_env(self) -> ProcessEnv:
+        """Return the node's environment: clock, random numbers and log."""
         return ProcessEnv(self.params.link)
 
     def make_switchboard(self, deliver: Any) -> Switchboard:
+        """Return what sends and receives the fleet's messages; `deliver` gets them."""
         return Switchboard(self.params.link, self.params.ask_ms, deliver)
 
     def open_disk(self) -> FolderDisk:
+        """Open the data folder; if a flush fails the process crashes."""
         loop = asyncio.get_running_loop()
         self.disk = FolderDisk(
             self.params.data_folder,
@@ -55,37 +59,48 @@
         return self.disk
 
     def _disk_broken(self) -> None:
-        """What the kernel still holds can't be known any more: others take over, a restart reads anew."""
+        """Crash, as it is not known what the kernel still holds.
+
+        Others take over, and a restart reads the files anew.
+        """
         log("disk-broken", "ERROR", folder=self.params.data_folder)
         self.add_future(self.crash(OSError("a flush failed")))
 
     async def make(self) -> None:
+        """Make the node and its services; raises NotImplementedError unless a role overrides it."""
         raise NotImplementedError
 
     async def on_start(self) -> None:
+        """Make the node, and start its loop."""
         await self.make()
         self.shell = Shell(self.node, self.env, self.make_switchboard(self.node.receive))
         await self.add_runtime_dependency(self.shell)
 
     async def on_stop(self) -> None:
+        """Close the disk."""
         if self.disk is not None:
             self.disk.close()
 
     def busy(self) -> bool:
+        """Whether draining has to wait for something."""
         return False
 
     def start_draining(self) -> None:
+        """Begin to drain; a role overrides it."""
         return None
 
     def wind_down(self) -> None:
+        """Stop what draining has not finished; a role overrides it."""
         return None
 
     def apply(self, params: Params) -> None:
+        """Apply changed settings."""
         self.params = self.node.params = params
         if self.disk is not None:
             self.disk.room_bytes = params.disk_bytes
 
     async def drain(self) -> None:
+        """Drain: wait while the process is busy, for at most a share of `grace_ms`."""
         self.start_draining()
         end_at = asyncio.get_running_loop().time() + self.params.grace_ms * _DRAIN_SHARE / 1000
         while self.busy() and asyncio.get_running_loop().time() < end_at:
@@ -95,6 +110,7 @@
 
 
 def settings_or_exit(loaded: Result[Any, list[str]]) -> Any:
+    """Return the settings; raises SystemExit(2) after printing what is wrong with them."""
     if loaded.is_error():
         for problem in loaded.error:
             sys.stderr.write(f"settings: {problem}\n")
@@ -161,13 +177,17 @@
 def run_process(
     make: Callable[[Params], NodeProcess], params: Params, path: str | None, flags: dict
 ) -> None:
+    """Run a process until SIGTERM, with settings from a TOML file and flags."""
     run_loaded(make, params, lambda: load_params(path, flags))
 
 
 def run_loaded(
     make: Callable[[Params], NodeProcess], params: Params, load: Load, watched: str = ""
 ) -> None:
-    """`load` reads the settings again; `watched` is a file that may change without a signal."""
+    """Run a process until SIGTERM; raises SystemExit(1) if it can't start or has crashed.
+
+    `load` reads the settings again; `watched` is a file that may change without a signal.
+    """
     set_up_logs(params.log_level, role=params.role, node=params.link)
     try:
         asyncio.run(_run(make, params, load, watched))
--- a/libs/readingroom/src/readingroom/recorder.py
+++ b/libs/readingroom/src/readingroom/recorder.py
@@ -1,7 +1,9 @@
-"""Records an edge's day: one JSON line for each call that a visitor made and what came of it, bodies
-whole or by size and a digest of their start. A file has a first line that says what it is, a checksum
-in each line, and a last line that counts them, so that a cut or altered one can be told. Recording
-never stands in the way: when it can't write, it says so once and stops.
+"""Records an edge's day: one JSON line for each call of a client and what came of it.
+
+Bodies are recorded whole, or by size and a digest of their start. A file has a first line that says
+what it is, a checksum in each line, and a last line that counts them, so that a truncated or
+altered one is detected. Serving goes on when nothing can be written: that is logged once, and
+recording stops.
 """
 
 import hashlib
@@ -19,7 +21,7 @@
 
 
 def sealed(row: dict[str, Any]) -> str:
-    """The line for a row: its JSON with the checksum of all else as last field."""
+    """Return the line of a row: its JSON with the checksum of all else as last field."""
     text = json.dumps(row, sort_keys=True)
     return json.dumps({**row, "sum": zlib.crc32(text.encode())}, sort_keys=True)
 
@@ -42,6 +44,11 @@
 
 
 class Recorder:
+    """Writes recordings into `folder`, a new file after each `rows` calls.
+
+    `bodies` says that prompts are recorded whole.
+    """
+
     __slots__ = ("_bodies", "_count", "_edge", "_folder", "_number", "_page", "_rows", "_stopped")
 
     def __init__(self, folder: str, edge: str, rows: int, bodies: bool) -> None:
@@ -54,6 +61,7 @@
 
     @web.middleware
     async def middleware(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        """Serve the request, and record it with its answer."""
         kind = _kind(request)
         if not kind:
             return await handler(request)
@@ -159,6 +167,7 @@
         )
 
     def close(self) -> None:
+        """End the present file."""
         if self._page is not None:
             self._page.write(
                 sealed({"kind": "finis", "rows": self._count, "at_ms": wall_ms()}) + "\n"
--- a/libs/readingroom/src/readingroom/replay.py
+++ b/libs/readingroom/src/readingroom/replay.py
@@ -1,7 +1,8 @@
-"""Plays recorded days against a fleet at a chosen pace and compares what comes of each call with what
-came of it then. Keys and lot ids get the run's seed, so that they are fresh; a redacted prompt becomes a
-text of the same length that starts alike for alike starts. A recording that is not whole is refused,
-with the line and what is wrong with it, before anything is sent.
+"""Plays recorded days against a fleet at a chosen pace, and compares the outcomes.
+
+Keys and batch ids get the run's seed, so that they are new; a redacted prompt becomes a text of the
+same length that starts alike for alike starts. A recording that is not whole is refused, with the
+line and what is wrong with it, before anything is sent.
 """
 
 import asyncio
@@ -44,7 +45,7 @@
 
 
 def load_recording(path: Path) -> tuple[list[dict[str, Any]], list[str]]:
-    """The calls of one file, and every problem as FILE:LINE: what."""
+    """Return the calls of one file, and every problem as FILE:LINE: what."""
     rows: list[dict[str, Any]] = []
     problems: list[str] = []
     ended = False
@@ -92,6 +93,7 @@
         return f"{name}.r{self._seed}"
 
     async def call(self, row: dict[str, Any]) -> dict[str, Any]:
+        """Make one recorded call again; return status, verdict, code and milliseconds taken."""
         method, address, body, headers = self._request(row)
         loop = asyncio.get_running_loop()
         began = loop.time()
@@ -153,7 +155,10 @@
 async def play(
     rows: list[dict[str, Any]], servers: list[str], pace: float, seed: int
 ) -> list[dict[str, Any]]:
-    """Each row with what came of it now; calls begin as far apart as they did then, divided by the pace."""
+    """Return each row with what came of it now.
+
+    Calls begin as far apart as they did then, divided by the pace.
+    """
     rows = sorted(rows, key=lambda row: row["at_ms"])
     loop = asyncio.get_running_loop()
     began = loop.time()
@@ -173,11 +178,14 @@
 
 def _middle(values: list[float]) -> str:
     rows = sorted(values)
-    return f"50% {rows[len(rows) // 2]:.0f} ms, 99% {rows[min(len(rows) - 1, int(len(rows) * 0.99))]:.0f} ms"
+    return (
+        f"50% {rows[len(rows) // 2]:.0f} ms, "
+        f"99% {rows[min(len(rows) - 1, int(len(rows) * 0.99))]:.0f} ms"
+    )
 
 
 def compare(played: Iterable[dict[str, Any]]) -> tuple[str, int]:
-    """A report by kind and path, and how many calls came to something else than they did then."""
+    """Return a report by kind and route, and how many calls had another outcome than then."""
     groups: dict[tuple[str, str], list[dict[str, Any]]] = defaultdict(list)
     for pair in played:
         groups[(pair["row"]["kind"], pair["row"].get("path", ""))].append(pair)
--- a/libs/readingroom/src/readingroom/roles.py
+++ b/libs/readingroom/src/readingroom/roles.py
@@ -1,4 +1,4 @@
-"""The data plane's two processes: an edge with its visitors, workers and items, and a store."""
+"""The data plane's two processes: an edge and a store."""
 
 from typing import Any
 
@@ -17,7 +17,10 @@
 
 
 class EdgeProcess(NodeProcess):
+    """An edge with its clients, workers and batch items."""
+
     async def make(self) -> None:
+        """Make the edge and its HTTP server."""
         self._sender = self.make_sender()
         self.node = EdgeNode(self.env, self.params, self._sender)
         params = self.params
@@ -46,15 +49,18 @@
         await self.add_runtime_dependency(desk)
 
     def make_sender(self) -> HttpSender:
+        """Return the transport of requests to workers."""
         return HttpSender(self.params.ask_ms)
 
     def start_draining(self) -> None:
+        """Become unready, and take no more batch items."""
         self.node.stopping = True
         self.node.lots.paused = True
         for desk in self.desks:
             desk.start_draining()
 
     def busy(self) -> bool:
+        """Whether live requests or batch items are in flight."""
         return (
             any(desk.busy() for desk in self.desks)
             or self.node.carrier.carrying(False) > 0
@@ -63,15 +69,18 @@
         )
 
     def wind_down(self) -> None:
+        """Stop the batch items that still run; what they came to is reported."""
         self.node.lots.stop_all("stopping")
 
     async def on_stop(self) -> None:
+        """Close the connections to workers and the recording."""
         await self._sender.close()
         if self._recorder is not None:
             self._recorder.close()
         await super().on_stop()
 
     def status(self) -> dict[str, Any]:
+        """Return the edge's state for operators, as `/status` shows it."""
         node = self.node
         node.tree()
         return {
@@ -103,6 +112,7 @@
         }
 
     def metrics(self) -> dict[str, float]:
+        """Return the edge's numbers by name; `readingroom.metrics.HELP` explains them."""
         node = self.node
         rows = {f"edge_{name}_total": count for name, count in node.carrier.counts.items()}
         for desk in self.desks:
@@ -133,7 +143,10 @@
 
 
 class StoreProcess(NodeProcess):
+    """A store, which keeps the log."""
+
     async def make(self) -> None:
+        """Open the disk, and make the store and its HTTP server."""
         self.node = StoreNode(self.env, self.params, self.open_disk())
         await self.add_runtime_dependency(
             HttpDesk(
@@ -147,22 +160,27 @@
         self._stopping = False
 
     def why_unready(self) -> str:
+        """Return why the store is not ready, or an empty string."""
         return "stopping" if self._stopping else self.node.why_unready()
 
     def start_draining(self) -> None:
+        """Become unready, and hand over the log if this store leads it."""
         self._stopping = True
         self.node.log.hand_over()
 
     def busy(self) -> bool:
+        """Whether the log is being handed over."""
         return self.node.log.handing_over()
 
     def apply(self, params: Params) -> None:
+        """Apply changed settings, to the log too."""
         super().apply(params)
         self.node.log.log.params = params
         if self.node.log.holder is not None:
             self.node.log.holder.params = params
 
     def status(self) -> dict[str, Any]:
+        """Return the store's state for operators, as `/status` shows it."""
         log = self.node.log
         local = log.log
         return {
@@ -188,6 +206,7 @@
         }
 
     def metrics(self) -> dict[str, float]:
+        """Return the store's numbers by name; `readingroom.metrics.HELP` explains them."""
         local = self.node.log.log
         rows = {f"store_asked_{name}_total": count for name, count in self.node.desk.counts.items()}
         holder = self.node.log.holder
--- a/libs/readingroom/src/readingroom/rollouts.py
+++ b/libs/readingroom/src/readingroom/rollouts.py
@@ -1,5 +1,7 @@
-"""Training rollouts at an edge: what a trainer hands in, follows, reads and ends. To the log a rollout is a lot of the
-lowest class under a name that no lot can have; its results are its samples, in the order of prompts and samples.
+"""Training rollouts at an edge: what a trainer hands in, follows, reads and ends.
+
+To the log a rollout is a batch of the lowest priority under a name that no batch can have; its
+results are its samples, in the order of prompts and samples.
 """
 
 import hashlib
@@ -27,6 +29,11 @@
 
 
 class RolloutCall(BaseModel):
+    """A rollout as it is handed in: `samples` of each prompt.
+
+    `due_ms` is the time it is given, in milliseconds from now; 0 for no limit.
+    """
+
     model_config = ConfigDict(extra="forbid", strict=True)
     path: Name
     weights: Annotated[str, Field(max_length=128, pattern=r"^[\x21-\x7e]*$")] = ""
@@ -42,11 +49,12 @@
 
 
 def log_name(rollout_id: str) -> str:
+    """Return the name that a rollout has in the log."""
     return f"rollout:{rollout_id}"
 
 
 def _of_rollout(answer: Answer) -> Answer:
-    """The same in the words of rollouts."""
+    """Return the same answer in the words of rollouts."""
     if answer.refusal is not None:
         if answer.refusal.field == "lot_id":
             answer.refusal.field = "rollout_id"
@@ -58,7 +66,7 @@
 
 
 class RolloutCounter(Part):
-    """Has no socket; the HTTP side and the simulator's trainers come to the same counter."""
+    """Serves rollouts; the HTTP side and the simulator's trainers use the same object."""
 
     __slots__ = ("_counter", "_holder", "_lots", "_tree")
 
@@ -66,6 +74,7 @@
         self._counter, self._holder, self._lots, self._tree = counter, holder, lots, tree
 
     def hand_in(self, rollout_id: str, call: RolloutCall, told: Told) -> None:
+        """Hand a rollout in at the leader, if its route lends slots."""
         profile = self._tree().usable(call.path)
         answer = self._counter.unready(True)
         if answer is None and profile is None:
@@ -122,6 +131,7 @@
         )
 
     def show(self, rollout_id: str, told: Told) -> None:
+        """Answer a rollout's progress."""
         name = log_name(rollout_id)
         self._holder.ask(
             m.ReadLot(lot_id=name),
@@ -130,6 +140,7 @@
         )
 
     def results(self, rollout_id: str, from_index: int, limit: int, told: Told) -> None:
+        """Answer a page of at most `limit` samples, from index `from_index` on."""
         name = log_name(rollout_id)
         self._holder.ask(
             m.ReadResults(lot_id=name, from_index=from_index, limit=max(1, min(_PAGE, limit))),
@@ -138,10 +149,13 @@
         )
 
     def end(self, rollout_id: str, told: Told) -> None:
+        """End a rollout, and stop its samples that run at this edge."""
         self._counter.end(log_name(rollout_id), lambda answer: told(_of_rollout(answer)))
 
 
 class Rollouts:
+    """The HTTP routes of rollouts."""
+
     __slots__ = ("_counter", "_node")
 
     def __init__(self, node: Any, counter: RolloutCounter, desk: HttpDesk) -> None:
--- a/libs/readingroom/src/readingroom/sender.py
+++ b/libs/readingroom/src/readingroom/sender.py
@@ -1,6 +1,8 @@
-"""Sends over aiohttp: one task owns the connection of one send and reports to it what comes back. A
-refused or never made connection is told apart from one that broke, since only the first is certain.
-Our own completions have a connection each; forwarded calls use those that are kept.
+"""The transport of requests to workers, over aiohttp.
+
+One task owns the connection of one attempt and reports to it what comes back. A refused or never
+made connection is told apart from one that broke, since only then it is certain that nothing ran.
+Our own completions have a connection each; forwarded requests use pooled ones.
 """
 
 import asyncio
@@ -25,6 +27,11 @@
 
 
 class HttpSender:
+    """Sends attempts; `pool` has the connections of forwarded requests once there was one.
+
+    `ask_ms` is the time for a connection, in milliseconds; forwarded requests have a share of it.
+    """
+
     __slots__ = ("_ask_ms", "_kept", "_session", "pool")
 
     def __init__(self, ask_ms: int) -> None:
@@ -40,6 +47,7 @@
         self.pool: WorkerPool | None = None
 
     async def close(self) -> None:
+        """Close all connections."""
         await self._session.close()
         if self._kept is not None:
             await self._kept.close()
@@ -47,6 +55,10 @@
     def __call__(
         self, send: Send, address: str, target: str, headers: Any, body: Any, method: str = "POST"
     ) -> Callable[[], None]:
+        """Begin an attempt in a task of its own, and return what cancels it.
+
+        A `body` that is a JSON object goes out on a connection of its own; bytes use a pooled one.
+        """
         run = (
             self._run(send, address, target, headers, body)
             if isinstance(body, dict)
--- a/libs/readingroom/src/readingroom/visitors.py
+++ b/libs/readingroom/src/readingroom/visitors.py
@@ -1,6 +1,8 @@
-"""The visitors' side of an edge over HTTP: calls are read and checked, brought to the counter, and what
-it tells is written out. A stream's events wait in a queue of their own, so a visitor who reads slowly
-holds no worker's slot; one who hangs up is told of to the carriage at once.
+"""The clients' side of an edge over HTTP, for completions and batches of our own interface.
+
+Calls are read and checked, passed to the `Counter`, and the answers are written out. A stream's
+events wait in a queue of their own, so a client that reads slowly holds no worker's slot; the
+transaction is told at once of one that hangs up.
 """
 
 import asyncio
@@ -25,6 +27,8 @@
 
 
 class Visitors:
+    """The HTTP routes of completions and batches; `live_now` counts completions in progress."""
+
     __slots__ = ("_counter", "_metrics", "_node", "live_now")
 
     def __init__(self, node: Any, counter: Counter, desk: HttpDesk) -> None:
@@ -90,7 +94,10 @@
         transaction_id: str,
         stream: bool,
     ) -> web.StreamResponse:
-        """A stream's end mark is written only now that the whole is known to be whole."""
+        """Write the end of an answer.
+
+        A stream's end mark is written only now that the answer is known to be complete.
+        """
         if answer.refusal is None and stream and answer.status == 200:
             if response is None:
                 response = await _begin_stream(request, transaction_id)
@@ -159,7 +166,7 @@
 
 
 async def _begin_stream(request: web.Request, transaction_id: str) -> web.StreamResponse:
-    """Begun with the first piece, so that a refusal before it can still be an error."""
+    """Begin a stream with its first piece, so that a refusal before it can still be an error."""
     response = web.StreamResponse(
         headers={
             "Content-Type": "text/event-stream",
--- a/libs/readingroom/src/readingroom/workers.py
+++ b/libs/readingroom/src/readingroom/workers.py
@@ -1,4 +1,4 @@
-"""The workers' calls: a beat with what they carry, a leave. Any edge takes them for all."""
+"""The workers' calls: a heartbeat with their load, and a leave. Any edge takes them for all."""
 
 from typing import Any
 
@@ -13,6 +13,8 @@
 
 
 class WorkerCalls:
+    """The HTTP routes of workers."""
+
     __slots__ = ("_node",)
 
     def __init__(self, node: Any, desk: HttpDesk) -> None:
