modelcheck: starts with a change of the log's members under way

Eight starts: a member gone or retired, with the change begun, begun and not heard, asked for, and decided without the holder knowing, while another member claims. Stubs and operations of the log's worlds moved to modules of their own; a prelude's step may lose messages of single links.

--- a/libs/modelcheck/src/modelcheck/explorer.py
+++ b/libs/modelcheck/src/modelcheck/explorer.py
@@ -11,7 +11,7 @@
 
 from modelcheck.actions import Action, Kind
 from modelcheck.local import LocalState, LocalStates
-from modelcheck.world import Bounds, BreachError, World
+from modelcheck.world import Bounds, BreachError, Step, World
 
 __all__ = ["Explorer", "Found", "GlobalState"]
 
@@ -112,7 +112,7 @@
         for step in self.world.prelude:
             state = self._made(state, Action(step.kind, step.node, step.number))
             if step.drained:
-                state = self._drained(state, step.without)
+                state = self._drained(state, step)
         return state
 
     def _made(self, state: GlobalState, action: Action) -> GlobalState:
@@ -120,11 +120,13 @@
         reached = self.after(state, action) or state
         return GlobalState(reached.nodes, reached.flight, reached.ghost, state.left, reached.asked)
 
-    def _drained(self, state: GlobalState, without: int) -> GlobalState:
+    def _drained(self, state: GlobalState, step: Step) -> GlobalState:
         """Return the state once no message is in flight and all flushes have ended."""
         while True:
-            if without >= 0:
-                state = self._cut(state, without, state.left)
+            if step.without >= 0:
+                state = self._cut(state, step.without, state.left)
+            if step.lost_links:
+                state = self._without_links(state, step.lost_links)
             busy = [index for index, node in enumerate(state.nodes) if node.busy]
             if busy:
                 state = self._made(state, Action(Kind.FLUSH, busy[0]))
@@ -272,6 +274,12 @@
         )
         return GlobalState(state.nodes, flight, state.ghost, left, state.asked)
 
+    def _without_links(self, state: GlobalState, links: tuple) -> GlobalState:
+        addresses = self.world.addresses
+        lost = {(addresses[sender], addresses[to]) for sender, to in links}
+        flight = tuple(number for number in state.flight if self._link(number) not in lost)
+        return GlobalState(state.nodes, flight, state.ghost, state.left, state.asked)
+
     def _awaited(self, flight: list[int], nodes: list[LocalState]) -> tuple[int, ...]:
         """Return the messages in flight without replies that nobody waits for any more.
 
--- /dev/null
+++ b/libs/modelcheck/src/modelcheck/log_stand_ins.py
@@ -0,0 +1,65 @@
+"""Stubs of the feed and of a store's view of the fleet."""
+
+from config_feed.messages import News, NewsItem
+from messaging import Message, Origin, Part, decode, encode
+
+__all__ = ["FeedOut", "FleetView"]
+
+
+class FeedOut(Part):
+    """A stub of the feed at control: sends each new value to every store once."""
+
+    __slots__ = ("_stores",)
+
+    def __init__(self, stores: list[str]) -> None:
+        self._stores = stores
+
+    def publish(self, key: str, number: int, body: str) -> None:
+        """Send one version of a key to every store."""
+        item = encode(NewsItem(key=key, number=number, base_number=0, body=body))
+        for address in self._stores:
+            self.node.post(address, News(items=[item]))
+
+
+class FleetView(Part):
+    """A stub of a store's view: the log's key as received, and all stores, taken for live."""
+
+    __slots__ = ("_number", "_retired", "_rows", "body")
+    HANDLES = (News,)
+
+    def __init__(self, rows: list[dict[str, str]], retired: list[str]) -> None:
+        self._rows = rows
+        self._retired = retired
+        self._number = 0
+        self.body = ""
+
+    def receive(self, message: Message, origin: Origin) -> None:
+        """Take in the versions of the log's key that the feed brings."""
+        for item in map(decode, message.items):
+            self.learned(item.number, item.body)
+
+    def learned(self, number: int, body: str) -> None:
+        """Take in a version of the log's key, unless a newer one is known."""
+        if number > self._number:
+            self._number, self.body = number, body
+
+    def learn(self, rows: list[dict[str, str]], retired: list[str]) -> None:
+        """Replace the live stores and the identities of those that are to leave."""
+        self._rows = rows
+        self._retired = retired
+
+    def log_key(self) -> tuple[int, str]:
+        """Return the newest known version of the log's key, number and body."""
+        return self._number, self.body
+
+    def store_rows(self) -> list[dict[str, str]]:
+        """Return the rows of all live stores."""
+        return self._rows
+
+    def retired_stores(self) -> list[str]:
+        """Return the identities of the stores that are to leave."""
+        return self._retired
+
+    def settled_in(self) -> bool:
+        """Return False: the log is founded by the world, never by a store."""
+        return False
--- a/libs/modelcheck/src/modelcheck/log_starts.py
+++ b/libs/modelcheck/src/modelcheck/log_starts.py
@@ -1,7 +1,9 @@
 """Named starting states of the replicated log."""
 
 from modelcheck.actions import Kind
-from modelcheck.store_log import AppendRecord, ReadLog, StoreGroup
+from modelcheck.change_starts import CHANGE_STARTS
+from modelcheck.log_operations import AppendRecord, ReadLog
+from modelcheck.store_log import StoreGroup
 from modelcheck.world import Bounds, Operation, Start, Step
 
 __all__ = ["LOG_STARTS"]
@@ -86,4 +88,5 @@
     "old-holder": Start("the holder before doesn't know of its successor", _old_holder, ticks=1),
     "two-claim": Start("both other members claim the holder's duty", _two_claim),
     "store-retires": Start("three stores and a spare; one store is to leave", _spare, ticks=3),
+    **CHANGE_STARTS,
 }
--- a/libs/modelcheck/src/modelcheck/store_log.py
+++ b/libs/modelcheck/src/modelcheck/store_log.py
@@ -16,89 +16,30 @@
 from typing import Any
 
 from colophon import Params
-from config_feed.messages import News, NewsItem
 from control_store import Change, ControlClient, Owner, Voter
 from control_store.messages import VoterMeta
 from ledger.entries import LotEnded
-from messaging import Message, Node, Origin, Part, decode, encode
+from messaging import Node, encode
 from replicated_log import Holder, LocalLog, Outcome, StoreLog
 from replicated_log.local import entry_of
 from replicated_log.messages import Appended, Pulse, Started
 from storage import frame
 
 from modelcheck.actions import Kind
+from modelcheck.log_operations import AppendRecord, LearnFleet
+from modelcheck.log_stand_ins import FeedOut, FleetView
 from modelcheck.stand_ins import Trusted
 from modelcheck.surroundings import BootImage, ModelDisk, Posted
 from modelcheck.world import Bounds, BreachError, Live, Operation, Step, World
 
-__all__ = ["AppendRecord", "ReadLog", "StoreGroup"]
+__all__ = ["StoreGroup"]
 
 _CONTROL = 0
 _KEY = "log"
 _START_MS = 1_000_000
 _FOUND = 0
-
-
-class AppendRecord:
-    """An append of a record at the holder, acknowledged once settled."""
-
-    __slots__ = ("name",)
-
-    def __init__(self, name: str) -> None:
-        self.name = name
-
-
-class ReadLog:
-    """A read of the log at the holder, after it has confirmed that it is still the holder."""
-
-    __slots__ = ()
-
-
-class _FeedOut(Part):
-    """A stub of the feed at control: sends each new value to every store once."""
-
-    __slots__ = ("_stores",)
-
-    def __init__(self, stores: list[str]) -> None:
-        self._stores = stores
-
-    def publish(self, key: str, number: int, body: str) -> None:
-        item = encode(NewsItem(key=key, number=number, base_number=0, body=body))
-        for address in self._stores:
-            self.node.post(address, News(items=[item]))
-
-
-class _FleetView(Part):
-    """A stub of a store's view: the log's key as received, and all stores, taken for live."""
-
-    __slots__ = ("_number", "_retired", "_rows", "body")
-    HANDLES = (News,)
-
-    def __init__(self, rows: list[dict[str, str]], retired: list[str]) -> None:
-        self._rows = rows
-        self._retired = retired
-        self._number = 0
-        self.body = ""
-
-    def receive(self, message: Message, origin: Origin) -> None:
-        for item in map(decode, message.items):
-            self.learned(item.number, item.body)
-
-    def learned(self, number: int, body: str) -> None:
-        if number > self._number:
-            self._number, self.body = number, body
-
-    def log_key(self) -> tuple[int, str]:
-        return self._number, self.body
-
-    def store_rows(self) -> list[dict[str, str]]:
-        return self._rows
-
-    def retired_stores(self) -> list[str]:
-        return self._retired
-
-    def settled_in(self) -> bool:
-        return False
+_SECOND_LIFE = 2
+_FIRST_TOKEN = 1
 
 
 class LogGhost:
@@ -160,7 +101,7 @@
             {"identity": self.identities[index], "address": self.addresses[index], "zone": "a"}
             for index in range(1, count + 1)
         ]
-        self._retired = [self.identities[index] for index in retired]
+        self._retired = self._names(retired)
         rows = self._stores[:members]
         body = {"epoch": 1, "holder": self.identities[1], "phase": "recovering"}
         body.update(members=rows, prev=rows)
@@ -210,13 +151,13 @@
         """Start the control node or a store."""
         if index == _CONTROL:
             voter = Voter(live.disk, live.env.token)
-            feed = _FeedOut(self.addresses[1:])
+            feed = FeedOut(self.addresses[1:])
             owner = Owner(voter, Trusted(voter.identity), feed)
             return Node(live.env, self._make_params("control"), [owner, voter, feed])
         live.env.on_post = _Fences(live)
         log = LocalLog(live.disk, self._params, live.env.now, live.env.token)
         client = ControlClient(lambda: self.addresses[:1])
-        view = _FleetView(self._stores, self._retired)
+        view = FleetView(self._stores, self._retired)
         store = StoreLog(log, client, view, _Serving(live, log))
         return Node(live.env, self._params, [store, client, view])
 
@@ -226,6 +167,8 @@
         part: Any = live.node.parts[0]
         if isinstance(asked, Change):
             part.submit(type(asked)(**asked.as_dict()), _Ignored())
+        elif isinstance(asked, LearnFleet):
+            live.node.parts[2].learn(self._rows_after(asked.wiped), self._names(asked.retired))
         elif part.role == "serving" and part.holder is not None:
             if isinstance(asked, AppendRecord):
                 entry = LotEnded(lot_id=asked.name, at_ms=0)
@@ -233,6 +176,15 @@
             else:
                 part.holder.read(_Read(live, number, part.holder, part.log))
 
+    def _rows_after(self, wiped: tuple[int, ...]) -> list[dict[str, str]]:
+        rows = [dict(row) for row in self._stores]
+        for index in wiped:
+            rows[index - 1]["identity"] = f"{self.identities[index]}-{_SECOND_LIFE}-{_FIRST_TOKEN}"
+        return rows
+
+    def _names(self, indexes: tuple[int, ...]) -> list[str]:
+        return [self.identities[index] for index in indexes]
+
     def observe(self, index: int, live: Live) -> Hashable:
         """Return a store's identity, fence and log epoch."""
         if index == _CONTROL:
--- a/libs/modelcheck/src/modelcheck/world.py
+++ b/libs/modelcheck/src/modelcheck/world.py
@@ -116,19 +116,27 @@
     """A step of a prelude.
 
     If `drained`, all that follows from it happens as well: messages are delivered in the order of
-    sending and flushes end at once; messages to or from the node `without` are lost meanwhile.
+    sending and flushes end at once; messages to or from the node `without` are lost meanwhile, and
+    so are those from the first to the second node of each of `lost_links`.
     """
 
-    __slots__ = ("drained", "kind", "node", "number", "without")
+    __slots__ = ("drained", "kind", "lost_links", "node", "number", "without")
 
     def __init__(
-        self, kind: Kind, node: int, number: int = 0, drained: bool = True, without: int = -1
+        self,
+        kind: Kind,
+        node: int,
+        number: int = 0,
+        drained: bool = True,
+        without: int = -1,
+        lost_links: tuple[tuple[int, int], ...] = (),
     ) -> None:
         self.kind = kind
         self.node = node
         self.number = number
         self.drained = drained
         self.without = without
+        self.lost_links = lost_links
 
 
 class World(ABC):
--- a/tests/test_explore_log.py
+++ b/tests/test_explore_log.py
@@ -1,10 +1,11 @@
 """The explorer on the replicated log: nothing breaks within small bounds, and breaks of fences, copies,
-readings and claims made on purpose are found.
+readings, claims and changes of members made on purpose are found.
 """
 
 from unittest import mock
 
 from modelcheck import Explorer
+from modelcheck.change_starts import CHANGE_STARTS
 from modelcheck.log_starts import LOG_STARTS
 from modelcheck.starts import STARTS
 from replicated_log import Holder, StoreLog
@@ -12,10 +13,13 @@
 from replicated_log.messages import Append, LogMeta
 from replicated_log.meta import MetaFile
 from replicated_log.peer import PeerSide
+from replicated_log.quorums import Quorums
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
 
 STATES = 4_000
+FAULTS = ("wipes", "powers", "kills", "timeouts", "duplicates")
+FAULT_STATES = 600
 LIMIT = 150_000
 
 WHOLE_RECEIVE = PeerSide.receive
@@ -86,6 +90,21 @@
     return True
 
 
+def present_list_alone(self):
+    """During a change of members only the present list counts."""
+    return [self.members]
+
+
+def following_list_alone(self):
+    """During a change of members only the following list counts."""
+    return [self.following or self.members]
+
+
+def may_change_at_once(self, faults, own_flushed_seq):
+    """The control key is changed before the following members have what was acknowledged."""
+    return True
+
+
 # What is broken, the start that shows it, and the invariants that may be the first to fail.
 BREAKS = {
     "one disk is enough": ((Holder, "_is_ready", settled_here), "holder-lost", ("L2",)),
@@ -98,6 +117,21 @@
     "a reading without a round": ((Holder, "read", read_unasked), "old-holder", ("L4",)),
     "fences in memory": ((MetaFile, "keep", keep_in_memory), "holder-lost-and-power", ("L5",)),
     "a lost claim counts": ((StoreLog, "change", claim_lost), "two-claim", ("L3",)),
+    "one list during a change": (
+        (Quorums, "_lists", present_list_alone),
+        "retired-unheard",
+        ("L2",),
+    ),
+    "a change before its members have the log": (
+        (Quorums, "may_change", may_change_at_once),
+        "gone-behind",
+        ("L2",),
+    ),
+    "the same, a member leaves": (
+        (Quorums, "may_change", may_change_at_once),
+        "retired-behind",
+        ("L2",),
+    ),
 }
 
 
@@ -112,6 +146,19 @@
             self.assertThat((start, found.breach), Equals((start, None)))
             self.assertThat(found.whole or found.states >= STATES, Equals(True), start)
 
+    def test_a_change_begins_under_way(self):
+        for start in CHANGE_STARTS:
+            explorer = Explorer(STARTS[start].world())
+            store = explorer.local.run(explorer.first().nodes[1]).node.parts[0]
+            following = store.holder._quorums.following
+            self.assertThat(following, Equals(["store-n1", "store-n3", "store-n4"]), start)
+
+    def test_a_change_with_one_fault(self):
+        for start in CHANGE_STARTS:
+            for fault in FAULTS:
+                found = search(start, states=FAULT_STATES, **{fault: 1})
+                self.assertThat((start, fault, found.breach), Equals((start, fault, None)))
+
     def test_breaks_are_found(self):
         for name, ((where, what, other), start, invariants) in BREAKS.items():
             with mock.patch.object(where, what, other):
