--- a/tests/test_worst_days.py
+++ b/tests/test_worst_days.py
@@ -94,6 +94,13 @@
         hows = {entry["how"] for entry in day["plan"] if entry["kind"] == "bad_config"}
         self.assertThat(hows, Equals(set(worst_days.BAD_KINDS)))
 
+    def test_bursts_are_of_the_lots_where_a_site_is_named(self) -> None:
+        lots = worst_days.lot_class({"classes": [{"name": "live"}, {"name": "night", "lot": {}}]})
+        day = worst_days.make_day("chain-store-wipe", 1, lots)
+        bursts = [entry for entry in day["faults"] if entry["kind"] == "burst"]
+        self.assertTrue(bursts)
+        self.assertThat({entry["class"] for entry in bursts}, Equals({"night"}))
+
 
 class FilesAreWritten(TestCase):
     def test_a_file_holds_the_day_that_was_drawn(self) -> None:
