--- a/review/harness.py
+++ b/review/harness.py
@@ -11,6 +11,7 @@
 import os
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -143,11 +144,12 @@
 class Site:
     """A deployment like the users' small one: five core, three storage and some edge machines."""
 
-    def __init__(self, folder: Path, edges: int = 3, net: int = 77, base_port: int = 27700) -> None:
+    def __init__(self, folder: Path, edges: int = 3, net: int = 77) -> None:
         self.case = folder
         self.record = Record(folder)
         self.folder = Path(tempfile.mkdtemp(prefix="vaneledge-review-"))
         self.net = net
+        base_port = free_ports(self.ip(10))
         self.ports = {
             "internal": base_port, "public": base_port + 40,
             "readiness": base_port + 41, "control": base_port + 42,
@@ -240,6 +242,20 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def free_ports(ip: str) -> int:
+    """Return the first of a hundred ports that nobody uses at an address."""
+    for first in range(21000, 32000, 100):
+        try:
+            for port in (first, first + 1, first + 40, first + 41, first + 42, first + 60):
+                with socket.socket() as probe:
+                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    probe.bind((ip, port))
+        except OSError:
+            continue
+        return first
+    raise CannotRun("no free ports")
+
+
 def backend(name: str) -> dict:
     return {
         "name": name, "healthPath": "/health", "maxConns": 240, "protocol": "h1", "tls": False,
