Parse a configuration whole before the node's components get it

What callers saw: an operator's configuration with the number 1 for `models` got no answer, and each control process that read it ended with exit code 1. The operator, as the protocol says, asked the next node.

Cause: config_translation read `models` without checking its type, and the translation ran in the callback of the quorum's read, on the node's thread, where an unexpected error ends the process. By the same way: a share too large for a float, a number that is infinite once it is in milliseconds, a revision beyond 64 bits, nesting deep enough for json.dumps.

Ruled out: the JSON parser, which has rows for NaN, infinity and depth; the read and the proposal, since the error comes after the one and before the other.

Change: the handler of the request parses a change completely (parse_settings, parse_patch) and the components get a function that only combines typed values with the tree in force.

--- a/libs/control_plane/src/control_plane/configuration_changes.py
+++ b/libs/control_plane/src/control_plane/configuration_changes.py
@@ -29,7 +29,6 @@
     check_tree,
 )
 from data_plane.control_keys import PROFILES_KEY
-from expression import Result
 from messaging import Component
 
 __all__ = [
@@ -37,11 +36,12 @@
     "ConfigurationChanges",
     "ConfigurationResult",
     "ConfigurationStatus",
+    "MakeConfiguration",
 ]
 
 Configuration = dict[str, Any]
 Problem = dict[str, str]
-MakeConfiguration = Callable[[Configuration], Result[Configuration, list[Problem]]]
+MakeConfiguration = Callable[[Configuration], Configuration]
 
 
 class ConfigurationStatus(StrEnum):
@@ -71,12 +71,13 @@
     base
         The revision that the change is based on.
     revision
-        The revision that the change creates; NO_BASE if the request has no readable one.
+        The revision that the change creates.
     change_id
         Identifies the change when it is sent again.
     make
-        Returns the new configuration for the one in force, or the problems with the request; a
-        problem has the members `at` and `message`.
+        Returns the new configuration for the one in force, which remains to be checked. It runs on
+        the node's thread, where an error ends the process, so the caller parses what it was sent
+        beforehand.
     """
 
     __slots__ = ("base", "change_id", "make", "revision")
@@ -235,9 +236,7 @@
 
     def _make(self, call: _ChangeCall, version: int, in_force: Configuration) -> None:
         """Make the new configuration, and propose it if it is valid."""
-        made = call.change.make(in_force)
-        if made.is_ok():
-            made = check_tree(made.ok, in_force.get("profiles"))
+        made = check_tree(call.change.make(in_force), in_force.get("profiles"))
         if made.is_error():
             reason = f"{len(made.error)} problems; nothing was changed"
             call.finish(ConfigurationResult(ConfigurationStatus.INVALID, reason, made.error))
--- a/tests/test_config_format.py
+++ b/tests/test_config_format.py
@@ -9,7 +9,7 @@
 from config_display import sent_configuration
 from config_json import change_digest, parse_object
 from config_names import encoded_name, service_name
-from config_patch import apply_patch
+from config_patch import parse_patch
 from config_translation import parse_settings
 from control_store import ProfileTree, check_tree
 from platform_calls import ROUTE, SERVICE, SETTINGS
@@ -283,7 +283,8 @@
 
 class Patching(TestCase):
     def patched(self, sent, tree=SETTINGS):
-        found = apply_patch(stored_tree(tree), sent).bind(check_tree)
+        in_force = stored_tree(tree)
+        found = parse_patch(sent).map(lambda patch: patch.apply(in_force)).bind(check_tree)
         return json.loads(sent_configuration(found.ok)) if found.is_ok() else found.error
 
     def test_items_are_replaced_in_place_appended_and_removed(self):
@@ -329,7 +330,8 @@
         )
 
     def test_a_patch_of_an_empty_configuration(self):
-        found = apply_patch({}, {"revision": 1, "upsert": {"backends": [SERVICE]}}).bind(check_tree)
+        parsed = parse_patch({"revision": 1, "upsert": {"backends": [SERVICE]}})
+        found = parsed.map(lambda patch: patch.apply({})).bind(check_tree)
         self.assertThat(
             json.loads(sent_configuration(found.ok)),
             Equals({"revision": 1, "routes": [], "backends": [SERVICE]}),
--- a/tests/test_operator_wire.py
+++ b/tests/test_operator_wire.py
@@ -6,6 +6,7 @@
 
 from control_api import ControlApi
 from control_plane.configuration_changes import ConfigurationResult, ConfigurationStatus
+from platform_calls import SETTINGS
 from ports import free_ports
 from testtools import TestCase
 from testtools.matchers import Equals
@@ -27,7 +28,7 @@
 
 
 def put_request(base):
-    body = json.dumps({"revision": base + 1})
+    body = json.dumps({**SETTINGS, "revision": base + 1})
     return (
         f"PUT /vaneledge/settings HTTP/1.1\r\nHost: c\r\nIf-Match: {base}\r\n"
         f"Content-Length: {len(body)}\r\n\r\n{body}"
