Refuse values that no message between nodes can carry when a call arrives

The open request, or the pending report, fails to be encoded at the next tick, and an error of a component ends the process.

Ruled out: the encoder of messages, which rightly fails on what the node itself says.

Change: runtime.bounds names the bounds. An item that could never be sent to a worker is refused in place of accepted.

--- a/libs/control_plane/src/control_plane/loans_api.py
+++ b/libs/control_plane/src/control_plane/loans_api.py
@@ -11,7 +11,7 @@
 from data_plane.http_service import HttpService, json_response, read_json_body, refusal_response
 from messaging.node_runner import awaited
 from pydantic import BaseModel, ConfigDict, Field
-from runtime import Refusal, doubtful, refused
+from runtime import MAX_WHOLE_NUMBER, Refusal, doubtful, refused
 
 from control_plane.nodes import ControlNode
 
@@ -44,7 +44,7 @@
     """The body of a worker's report that it is free again."""
 
     model_config = ConfigDict(extra="forbid", strict=True)
-    loan: int = Field(ge=1)
+    loan: int = Field(ge=1, le=MAX_WHOLE_NUMBER)
     weights: Weights = ""
 
 
--- a/libs/control_plane/src/control_plane/request_bodies.py
+++ b/libs/control_plane/src/control_plane/request_bodies.py
@@ -5,6 +5,7 @@
 from typing import Annotated, Any, ClassVar
 
 from pydantic import BaseModel, ConfigDict, Field
+from runtime import MAX_WHOLE_NUMBER
 
 __all__ = [
     "ChangeBody",
@@ -36,7 +37,7 @@
     """A whole configuration (a tree of profiles), based on the version that it replaces."""
 
     KIND: ClassVar[str] = "TreeSent"
-    version: int = Field(ge=0)
+    version: int = Field(ge=0, le=MAX_WHOLE_NUMBER)
     tree: dict[str, Any]
 
 
@@ -44,7 +45,7 @@
     """A merge patch (RFC 7396) of the configuration, based on the version that it replaces."""
 
     KIND: ClassVar[str] = "TreePatch"
-    version: int = Field(ge=0)
+    version: int = Field(ge=0, le=MAX_WHOLE_NUMBER)
     patch: dict[str, Any]
 
 
--- a/libs/control_plane/src/control_plane/workers_api.py
+++ b/libs/control_plane/src/control_plane/workers_api.py
@@ -12,7 +12,7 @@
 from data_plane.http_service import HttpService, json_response, read_json_body, refusal_response
 from messaging.node_runner import awaited
 from pydantic import BaseModel, ConfigDict, Field
-from runtime import Refusal, doubtful, refused
+from runtime import Refusal, doubtful, is_valid_unicode, refused
 
 from control_plane.nodes import ControlNode
 
@@ -20,6 +20,7 @@
 
 Text = Annotated[str, Field(min_length=1, max_length=255)]
 _MAX_SLOTS = 1_000_000
+_MAX_IDENTITY_CHARS = 255
 _MAX_MODELS = 256
 _RETRY_AFTER_MS = 1000
 
@@ -46,6 +47,14 @@
     models: list[_Model] = Field(default_factory=list, max_length=_MAX_MODELS)
 
 
+def _read_identity(request: web.Request) -> str | Refusal:
+    """Return the worker's identity in the path, or a refusal of one that no worker can have."""
+    identity = request.match_info["name"]
+    if len(identity) <= _MAX_IDENTITY_CHARS and is_valid_unicode(identity):
+        return identity
+    return refused("bad-field", "name: at most 255 characters of Unicode", field="name")
+
+
 class WorkersApi:
     """The handlers of `/workers`; the constructor registers them at `service`."""
 
@@ -63,13 +72,16 @@
         return json_response({"version": workers.version, "workers": workers.rows()})
 
     async def _heartbeat(self, request: web.Request) -> web.Response:
+        identity = _read_identity(request)
+        if isinstance(identity, Refusal):
+            return refusal_response(identity)
         body = await read_json_body(request, self._node.settings.max_body_bytes, _HeartbeatBody)
         if isinstance(body, Refusal):
             return refusal_response(body)
         models = [model.model_dump(exclude_none=True) for model in body.models]
         return await self._report(
             WorkerReport(
-                identity=request.match_info["name"],
+                identity=identity,
                 address=body.address,
                 zone=body.zone,
                 label=body.label,
@@ -81,9 +93,12 @@
         )
 
     async def _leave(self, request: web.Request) -> web.Response:
+        identity = _read_identity(request)
+        if isinstance(identity, Refusal):
+            return refusal_response(identity)
         return await self._report(
             WorkerReport(
-                identity=request.match_info["name"],
+                identity=identity,
                 address="",
                 zone="",
                 label="",
--- a/libs/data_plane/src/data_plane/request_bodies.py
+++ b/libs/data_plane/src/data_plane/request_bodies.py
@@ -8,7 +8,7 @@
 
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
-from runtime import Refusal, refused
+from runtime import MAX_WHOLE_NUMBER, Refusal, refused
 
 __all__ = [
     "JOB_ID_PATTERN",
@@ -21,6 +21,7 @@
 
 JOB_ID_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$"
 Name = Annotated[str, Field(min_length=1, max_length=128)]
+Count = Annotated[int, Field(ge=0, le=MAX_WHOLE_NUMBER)]
 BodyT = TypeVar("BodyT", bound=BaseModel)
 
 _MAX_PROBLEMS = 20
@@ -84,13 +85,13 @@
     """A worker's heartbeat; `cache_use` is the fraction of its cache in use, from 0 to 1."""
 
     identity: Name
-    incarnation: int = Field(ge=0)
+    incarnation: Count
     address: str = Field(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")
-    beat: int = Field(ge=0)
+    beat: Count
     zone: str = Field("", max_length=64)
     labels: list[Name] = Field(default_factory=list, max_length=64)
-    running: int = Field(0, ge=0)
-    waiting: int = Field(0, ge=0)
+    running: Count = 0
+    waiting: Count = 0
     slots: int = Field(1, ge=1, le=100_000)
     cache_use: float = Field(0.0, ge=0.0, le=1.0)
 
@@ -99,7 +100,7 @@
     """A worker's notice that it leaves, which it can't revoke for this incarnation."""
 
     identity: Name
-    incarnation: int = Field(ge=0)
+    incarnation: Count
 
 
 def parse(model: type[BodyT], data: bytes) -> Result[BodyT, Refusal]:
--- a/libs/runtime/src/runtime/__init__.py
+++ b/libs/runtime/src/runtime/__init__.py
@@ -6,23 +6,27 @@
 - `logs`: log lines as JSON objects.
 - `verdicts`: whether a request may have run, and the refusals that report it.
 - `clock`: the boot clock, on which time-outs run, and the wall clock.
+- `bounds`: the bounds of the values that messages between nodes can carry.
 - `lazy_exports`: package exports that are imported on first access.
 
 Invariants: settings are immutable, and no time-out runs on the wall clock. This package imports no
 other package of the project.
 """
 
+from runtime.bounds import MAX_WHOLE_NUMBER, is_valid_unicode
 from runtime.clock import boot_ms, wall_ms
 from runtime.logs import log, set_up_logs
 from runtime.settings import Settings, load_settings
 from runtime.verdicts import Refusal, Verdict, doubtful, refused
 
 __all__ = [
+    "MAX_WHOLE_NUMBER",
     "Refusal",
     "Settings",
     "Verdict",
     "boot_ms",
     "doubtful",
+    "is_valid_unicode",
     "load_settings",
     "log",
     "refused",
