--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -74,6 +74,9 @@
             ("nodeName = 3 [", "line"),
             (_FILE.replace("seedNodes", "other"), "seedNodes is missing"),
             (_FILE.replace('ip = "10.1.0.12"', 'ip = "here"'), "link"),
+            (_FILE.replace("catchUpS = 4.9", "catchUpS = inf"), "infinity"),
+            (_FILE.replace("machines = 2", "machines = nan"), "NaN"),
+            (_FILE.replace("[timing]", "[other]") + "[[timing]]", "list"),
         ):
             loaded = self._load(text)
             self.assertThat(loaded.is_error(), Equals(True), reported)
