Read the rest of a request's body while draining

What callers saw: a request whose body was still arriving when a draining edge closed its idle connections (0.45 of the grace) was never read to its end; its client waited until the process ended and lost the connection without an answer.

Cause: close_when_idle called aiohttp's close on every connection with a request. From then on aiohttp drops what arrives, the rest of the body too.

Ruled out: the deadline, which is looked at once the body is there.

Change: a connection on which a body is arriving is left alone. Its response closes it, as each response of a draining server does.

Measured: the rows "slow body" and "slow lot" of test_draining ended without an answer before and get 503 now; test_wire_faults and test_forward_server pass.

--- a/libs/data_plane/src/data_plane/forward_connections.py
+++ b/libs/data_plane/src/data_plane/forward_connections.py
@@ -9,7 +9,7 @@
 import asyncio
 from typing import Any
 
-from aiohttp import web
+from aiohttp import StreamReader, web
 from aiohttp.web_protocol import RequestHandler
 
 __all__ = ["DEFAULT_LIMITS", "ConnectionServer", "listen"]
@@ -25,16 +25,31 @@
 
 
 class ClientConnection(RequestHandler):
-    """A client's connection."""
+    """A client's connection; `body` is that of the request that was taken off the queue last."""
 
-    __slots__ = ()
+    __slots__ = ("body",)
+
+    def __init__(self, manager: web.Server, **settings: Any) -> None:
+        super().__init__(manager, **settings)
+        self.body: StreamReader | None = None
+
+    def _is_receiving_body(self) -> bool:
+        """Whether the body of a request whose head was read is still arriving."""
+        bodies = [body for _, body in self._messages]
+        if self.body is not None:
+            bodies.append(self.body)
+        return any(not body.is_eof() for body in bodies)
 
     def close_when_idle(self) -> None:
         """Close now if no request has been read, else after the response.
 
         A request that aiohttp has taken off its queue and not begun to handle is neither queued nor
-        in progress; the only sign of it is that nothing waits for the next request.
+        in progress; the only sign of it is that nothing waits for the next request. While a body is
+        still arriving nothing is done: aiohttp would drop the rest of it, and the response, like
+        each one of a draining server, closes the connection.
         """
+        if self._is_receiving_body():
+            return
         waiting = self._waiter is not None and not self._waiter.done()
         if self._request_in_progress or self._messages or (self._request_count and not waiting):
             self.close()
@@ -66,6 +81,7 @@
     def _make_request(
         self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any
     ) -> web.BaseRequest:
+        protocol.body = payload
         return web.BaseRequest(
             message,
             payload,
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -84,15 +84,26 @@
         await self.process.drain()
         await self.process.stop()
 
-    async def ask(self, at_ms, target, name, lasts_ms, deadline_ms, body=b"body"):
-        """Send a request on an open connection at a time after the stop.
+    async def wait_until(self, at_ms):
+        await asyncio.sleep(max(0, self.stopped_ms + at_ms - boot_ms()) / 1000)
+
+    async def ask(
+        self, at_ms, target, name, lasts_ms, deadline_ms, body=b"body", last_byte_at_ms=None
+    ):
+        """Send a request on an open connection at a time after the stop, its last byte later if that is given.
 
         Return its status, whether the answer is whole, and when it ended, or a status of 0 without an answer.
         """
         client = await Client(self.port).open()
-        await asyncio.sleep(max(0, self.stopped_ms + at_ms - boot_ms()) / 1000)
+        await self.wait_until(at_ms)
         extra = f"Lasts-Ms: {lasts_ms}\r\nDeadline-Ms: {deadline_ms}\r\n"
-        client.send(target, request_id=name, extra=extra, body=body)
+        if last_byte_at_ms is None:
+            client.send(target, request_id=name, extra=extra, body=body)
+        else:
+            framing = f"Content-Length: {len(body)}\r\n"
+            client.send(target, request_id=name, extra=extra, body=body[:-1], framing=framing)
+            await self.wait_until(last_byte_at_ms)
+            client.writer.write(body[-1:])
         status, whole = 0, False
         try:
             first = await client.reader.readuntil(b"\r\n\r\n")
@@ -150,6 +161,8 @@
                 "too late, resumable": edge.ask(1100, "/r/1", "too late, resumable", 1500, 1800),
                 "unanswered": edge.ask(-200, "/p/1", "unanswered", 0, 15_000),
                 "unanswered, repeatable": edge.ask(50, "/i/1", "unanswered, repeatable", 0, 15_000),
+                "slow body": edge.ask(-200, "/s/1", "slow body", 500, 15_000, last_byte_at_ms=1900),
+                "slow lot": edge.ask(-200, "/lot/1", "slow lot", 0, 15_000, lot, 1900),
                 "lot": edge.ask(-200, "/lot/1", "lot", 0, 15_000, lot),
                 "late lot": edge.ask(1100, "/lot/1", "late lot", 0, 15_000, lot),
             }
@@ -170,14 +183,19 @@
                         "too late, resumable": (503, True),
                         "unanswered": (504, True),
                         "unanswered, repeatable": (504, True),
+                        "slow body": (503, True),
+                        "slow lot": (503, True),
                         "lot": (503, True),
                         "late lot": (503, True),
                     }
                 ),
             )
-            self.assertThat(
-                edge.ran() & {"too late", "too late, resumable"}, Equals(set()), "ran after a 503"
-            )
-            for name in ("too late", "too late, resumable"):
-                self.assertThat(answers[name][2], LessThan(1100 + 400), "refused at once")
+            refused = {"too late", "too late, resumable", "slow body"}
+            self.assertThat(edge.ran() & refused, Equals(set()), "ran after a 503")
+            for name, read_ms in (
+                ("too late", 1100),
+                ("too late, resumable", 1100),
+                ("slow body", 1900),
+            ):
+                self.assertThat(answers[name][2], LessThan(read_ms + 400), "refused at once")
             self.assertThat(ended_ms, LessThan(GRACE_MS))
