--- a/tests/test_voter_bootstrap.py
+++ b/tests/test_voter_bootstrap.py
@@ -205,6 +205,21 @@
             Equals(False),
         )
 
+    # Guards against: a seed that is restarted before its vote is on disk keeps the fleet from ever being founded.
+    def test_seeds_restarted_at_any_moment_of_the_first_start_only_delay_the_bootstrap(self):
+        for names in (("control1",), ("control2",), ("control1", "control3")):
+            for killed_ms in (50, 200, 400, 1000):
+                fleet = self.fleet(edges=1)
+                hosts = [fleet.hosts[name] for name in names]
+                fleet.time.run_until(fleet.time.now_ms + killed_ms)
+                for host in hosts:
+                    host.kill()
+                fleet.time.run_until(fleet.time.now_ms + 1000)
+                for host in hosts:
+                    host.start()
+                voting = fleet.run_until_true(self.all_vote(fleet, 5), 12_000)
+                self.assertThat(voting, Equals(True), (names, killed_ms))
+
     def test_a_wiped_voter_is_replaced_at_its_address_within_the_time_to_catch_up(self):
         for name in ("control1", "control4"):
             fleet = self.wait_until_all_vote(self.fleet(), 5)
