--- a/tests/test_config_format.py
+++ b/tests/test_config_format.py
@@ -351,6 +351,8 @@
             {"revision": 9, "upsert": {"routes": [{**ROUTE, "name": "again"}]}},
             {"revision": 9, "upsert": {"routes": [ROUTE, ROUTE]}},
             {"revision": 9, "upsert": {"routes": [{"name": "r-a"}]}},
+            {"revision": 9, "routes": []},
+            {"revision": 9, "backends": None},
         ]
         for sent in rows:
             self.assertThat(self.patched(sent), IsInstance(list), str(sent))
