Limit the deadlines of live requests that start while the edge drains

What callers would see: a completion of our own interface is admitted before its body is read. If the body came after the SIGTERM, its deadline was not limited by the drain, and the connection ended without an answer at the end of the grace.

Cause: the limit was applied once, to the requests in flight when the drain began, and by ForwardService to forwarded ones only. Ruled out: forwarded requests, which had the limit.

Change: the router keeps the limit and applies it in `start`; ForwardService has none of its own any more.

--- a/libs/data_plane/src/data_plane/forward_service.py
+++ b/libs/data_plane/src/data_plane/forward_service.py
@@ -86,8 +86,7 @@
         """Start a request, and return it in flight.
 
         Its deadline is the client's or the profile's `give_up_ms`, whichever is earlier; a client
-        without a deadline counts as waiting for ten minutes. While the edge drains, the deadline is
-        no later than the time by which it answers all requests.
+        without a deadline counts as waiting for ten minutes.
 
         Parameters
         ----------
@@ -104,8 +103,6 @@
         """
         now_ms = self.node.env.now()
         due_ms = now_ms + _allowed_ms(profile, client_ms)
-        if self.drain is not None:
-            due_ms = min(due_ms, self.drain.answer_by_ms)
         lifecycle = ForwardLifecycle(
             self.node.env.token(), profile, now_ms, due_ms, resumable=call.resumable
         )
--- a/libs/request_routing/src/request_routing/request_router.py
+++ b/libs/request_routing/src/request_routing/request_router.py
@@ -74,6 +74,7 @@
         "_admission",
         "_edge",
         "_items",
+        "_latest_due_ms",
         "_leader",
         "_list_number",
         "_registry",
@@ -116,6 +117,7 @@
         self._items = ItemQueue(profiles)
         self._stalls = StallDetector(registry)
         self._list_number = 0
+        self._latest_due_ms: int | None = None
 
     def count(self, name: str) -> None:
         """Increment a counter."""
@@ -172,18 +174,24 @@
             method returns.
         """
         request = InFlightRequest(self, lifecycle, call, on_event, on_finished)
+        self._limit_deadline(request)
         self.in_flight[lifecycle.edge_request_id] = request
         self._perform(request, lifecycle.begin())
         return request
 
     def limit_deadlines(self, due_ms: int) -> None:
-        """Let no live request in flight have a deadline after `due_ms`.
+        """Let no live request, in flight or started later, have a deadline after `due_ms`.
 
         The queues stay ordered by deadline, since the limit is the same for all.
         """
+        self._latest_due_ms = due_ms
         for request in self.in_flight.values():
-            if not request.call.job and not request.call.rollout:
-                request.lifecycle.due_ms = min(request.lifecycle.due_ms, due_ms)
+            self._limit_deadline(request)
+
+    def _limit_deadline(self, request: InFlightRequest) -> None:
+        is_live = not request.call.job and not request.call.rollout
+        if is_live and self._latest_due_ms is not None:
+            request.lifecycle.due_ms = min(request.lifecycle.due_ms, self._latest_due_ms)
 
     def _perform(self, request: InFlightRequest, step: Step) -> None:
         """Perform a step that the request's state machine returned."""
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -11,8 +11,9 @@
 import edge_api
 from data_plane.drain_schedule import DrainSchedule
 from data_plane.edge_process import EdgeProcess
-from forward_fixture import PROFILES, ROUTE, Client, Worker, async_test, chunk, event, head
+from forward_fixture import PROFILES, ROUTE, Client, Edge, Worker, async_test, chunk, event, head
 from ports import free_ports
+from request_routing import Call, RequestLifecycle, RetryBudget
 from runtime import Settings, boot_ms, set_up_logs
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, LessThan
@@ -146,6 +147,27 @@
             self.assertThat(drain.takes(now_ms, due_ms), Equals(taken), (now_ms, due_ms))
 
 
+class Deadlines(TestCase):
+    # Guards against: a completion whose body arrived after the drain began is cut without an answer.
+    @async_test
+    async def test_a_live_request_that_starts_while_draining_has_its_deadline_in_the_drain(self):
+        async with Edge([], grace_ms=2000) as edge:
+            node = edge.node
+            edge.start_draining()
+            profile = node.profile_tree().get("safe")
+            for call, is_limited in (
+                (Call({"prompt": "x"}, "", "x", False, False), True),
+                (Call({"prompt": "x"}, "", "x", True, False), False),
+            ):
+                now_ms = node.env.now()
+                lifecycle = RequestLifecycle(
+                    "tx", profile, "", now_ms, RetryBudget(), now_ms + 60_000, claimed=True
+                )
+                node.router.start(lifecycle, call, None, lambda step: None)
+                limited = lifecycle.due_ms <= node.forward_service.drain.answer_by_ms
+                self.assertThat(limited, Equals(is_limited), call.job)
+
+
 class Stopping(TestCase):
     # Guards against: a draining edge takes up a stream that it cuts before the stream's deadline.
     @async_test
