Count the failures of one outage of a worker as one step of its backoff

What callers saw: a worker that restarted with 24 calls in flight was avoided for 4 s, one that failed a single call for 250 ms, whatever either outage lasted.

Cause: each failed call counted as a further consecutive failure and doubled the backoff, so its length followed from how many calls were in flight. Ruled out: the backoff itself, which grows by the clock as it should when a worker fails again after it.

Change: a failure during a backoff belongs to the same outage; the end of the backoff is kept as `retry_at_ms`. After it a worker is tested by one repeatable call at a time (before, by all of them until the first failed), so that only one call waits in vain at a worker that is dark.

--- a/libs/request_routing/src/request_routing/worker.py
+++ b/libs/request_routing/src/request_routing/worker.py
@@ -66,9 +66,12 @@
         This edge's requests whose prompt the worker is still processing, and how many of them are
         batch items.
     failures
-        Number of consecutive connection failures, stalls included.
+        Number of consecutive connection failures, stalls included; those during a backoff count as
+        one.
     down_ms, down_heartbeat
         Time of the last such failure, and `beat` at that time.
+    retry_at_ms
+        When the backoff after these failures ends.
     full_until_ms
         Until when the worker counts as full after it rejected a request as busy.
     heard_ms
@@ -104,6 +107,7 @@
         "other_load",
         "prefilling",
         "prefilling_items",
+        "retry_at_ms",
         "running",
         "sent_ms",
         "slots",
@@ -121,7 +125,7 @@
         self.failures = 0
         self.other_load = 0.0
         self.down_heartbeat = -1
-        self.down_ms = self.full_until_ms = NEVER_MS
+        self.down_ms = self.retry_at_ms = self.full_until_ms = NEVER_MS
         self.load_reported_ms = self.answered_ms = NEVER_MS
         self.oldest_unanswered_ms = self.sent_ms = NEVER_MS
         self.apply_update(update, now_ms)
--- a/libs/request_routing/src/request_routing/worker_registry.py
+++ b/libs/request_routing/src/request_routing/worker_registry.py
@@ -202,6 +202,7 @@
     def record_answer(self, worker: Worker) -> None:
         """Record that a worker completed a response, which resets its backoff."""
         worker.failures = 0
+        worker.retry_at_ms = NEVER_MS
         worker.answered_ms = self.node.env.now()
 
     def record_connection_failure(self, worker: Worker) -> None:
@@ -209,13 +210,22 @@
 
         A worker known by heartbeats is usable again from the second heartbeat after the failure on,
         as the first one may have been sent before it, or after twice `force_ms`. A listed worker
-        stays usable. Both back off for a time that grows with each consecutive failure.
+        stays usable. Both back off for a time that grows with each consecutive failure. Failures
+        during a backoff are of the same outage, such as those of all requests that were in flight,
+        so they do not count as consecutive ones.
         """
+        now_ms = self.node.env.now()
         worker.down_heartbeat = worker.beat
-        worker.down_ms = self.node.env.now()
-        worker.failures += 1
+        worker.down_ms = now_ms
+        if now_ms >= worker.retry_at_ms:
+            worker.failures += 1
+            worker.retry_at_ms = now_ms + self._backoff_ms(worker)
         self._log("worker-down", worker, "WARNING")
 
+    def _backoff_ms(self, worker: Worker) -> int:
+        steps = min(worker.failures, _MAX_BACKOFF_STEPS)
+        return int(self.node.settings.request_timeout_ms * _BACKOFF_SHARE * 2 ** (steps - 1))
+
     def record_overload(self, worker: Worker) -> None:
         """Record that a worker rejected a request because it had no free slot.
 
@@ -239,11 +249,7 @@
 
     def is_backing_off(self, worker: Worker) -> bool:
         """Whether a worker's backoff after consecutive failures is still running."""
-        steps = min(worker.failures, _MAX_BACKOFF_STEPS)
-        if steps == 0:
-            return False
-        backoff_ms = self.node.settings.request_timeout_ms * _BACKOFF_SHARE * 2 ** (steps - 1)
-        return bool(self.node.env.now() - worker.down_ms < backoff_ms)
+        return bool(self.node.env.now() < worker.retry_at_ms)
 
     def is_silent(self, worker: Worker) -> bool:
         """Whether no heartbeat of an unlisted worker came for longer than `worker_timeout_ms`.
@@ -310,6 +316,9 @@
         for worker in self._workers.values():
             worker.heard_ms = NEVER_MS
             worker.down_ms = min(worker.down_ms, now_ms - gap_ms)
+            if worker.failures:
+                backoff_ms = self._backoff_ms(worker)
+                worker.retry_at_ms = min(worker.retry_at_ms, now_ms - gap_ms + backoff_ms)
             worker.other_load = 0.0
 
     def tick(self) -> None:
--- a/libs/request_routing/src/request_routing/worker_selection.py
+++ b/libs/request_routing/src/request_routing/worker_selection.py
@@ -122,7 +122,7 @@
     """Choose by cost among the workers that are healthy.
 
     A worker that is backing off is excluded. After the backoff a worker with failures gets only
-    idempotent requests until it responds, so that it is tested by requests that can be retried. If
+    one idempotent request at a time until it responds. If
     no healthy worker is left, a live request is sent to the worker that failed longest ago. A
     worker that was unreachable for this request is not tried again. Of batch items, the edges
     together have at most about one per worker whose prompt is still being processed.
@@ -154,12 +154,23 @@
     healthy = [
         worker
         for worker in workers
-        if not registry.is_backing_off(worker) and (lifecycle.idempotent or not worker.failures)
+        if not worker.failures or _may_test(worker, lifecycle, registry)
     ]
     route = lifecycle.profile.name
     return [worker for worker in healthy if not router.seems_stalled(worker, route)] or healthy
 
 
+def _may_test(worker: Worker, lifecycle: Any, registry: WorkerRegistry) -> bool:
+    """Whether a worker with failures gets this request, to learn whether it serves again.
+
+    It is tested after its backoff by one request at a time, so that only that one waits in vain if
+    the worker is still down, and only by one that can be retried.
+    """
+    return (
+        not registry.is_backing_off(worker) and not worker.in_flight and bool(lifecycle.idempotent)
+    )
+
+
 def _may_take_item(router: RoutingContext, worker: Worker) -> bool:
     """Whether a worker has so few pending prompts that a batch item delays no request for long."""
     if worker.prefilling_items:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -139,6 +139,17 @@
         self.registry.record_answer(worker)
         self.assertThat(self.registry.is_backing_off(worker), Equals(False))
 
+    def test_the_failures_of_one_outage_are_one_step_of_the_backoff(self):
+        """A worker restarts: the failures of all calls in flight there exclude it no longer than one failure does."""
+        worker = self.publish(a=list_row(1))["a"]
+        began_ms = self.env.ms
+        for _ in range(24):
+            self.registry.record_connection_failure(worker)
+            self.env.ms += 5
+        while self.registry.is_backing_off(worker):
+            self.env.ms += 5
+        self.assertThat(self.env.ms - began_ms, Equals(250))
+
     def test_silence_is_measured_per_worker(self):
         worker = self.publish(a=list_row(1))["a"]
         self.assertThat(worker.silent_ms(self.env.ms), Equals(0))
