Count a forwarded call that is no stream once towards its worker's load

What callers saw: of 32 plain calls at once before 32 free slots, 20 were sent on; the others waited for a slot until those had ended, or were refused.

Cause: a call counts twice while its prompt is read, which ends with its first event. A plain call has no events, so it counted twice until its end and each worker was used to little more than half. Ruled out: admission, which saw no free slot.

Change: only streams count as reading their prompt.

Measured: the new test of test_waits_and_refusals fails on the code before (20 of 32 served).

--- a/libs/request_routing/src/request_routing/attempt.py
+++ b/libs/request_routing/src/request_routing/attempt.py
@@ -99,7 +99,7 @@
     uncached_tokens
         Number of the prompt's tokens that the worker has probably not cached.
     prefilling
-        True for a forwarded request until the worker's first event.
+        True for a forwarded stream until the worker's first event.
     """
 
     __slots__ = (
--- a/libs/request_routing/src/request_routing/request_router.py
+++ b/libs/request_routing/src/request_routing/request_router.py
@@ -339,7 +339,7 @@
         )
         exchange = new_exchange(call, self, lifecycle, worker)
         attempt = request.attempt = Attempt(self, request, worker, exchange)
-        attempt.prefilling = not call.survives_disconnect
+        attempt.prefilling = call.stream and not call.survives_disconnect
         attempt.uncached_tokens = uncached_tokens
         attempt.abort = self.transport(
             attempt, worker.address, *worker_request(call, self, lifecycle, worker)
@@ -365,7 +365,8 @@
         """
         call, uncached_tokens = request.call, 0
         if isinstance(call, ForwardCall):
-            self._count_prefill(worker, call, 1)
+            if call.stream:
+                self._count_prefill(worker, call, 1)
             if self.prefill is not None:
                 uncached_share = 1 - self.prefix_affinity.share(worker.identity, call.parts)
                 uncached_tokens = int(call.tokens_in * uncached_share)
--- a/libs/request_routing/src/request_routing/worker.py
+++ b/libs/request_routing/src/request_routing/worker.py
@@ -63,8 +63,8 @@
         Slots in which this edge runs rollout samples, and in which other edges do by their last
         reports. Samples are preempted by any other request, so they are not counted as load.
     prefilling, prefilling_items
-        This edge's requests whose prompt the worker is still processing, and how many of them are
-        batch items.
+        This edge's streams whose prompt the worker is still processing, and how many of them are
+        batch items. Of other requests nothing tells when their prompt was processed.
     failures
         Number of consecutive connection failures, stalls included; those during a backoff count as
         one.
--- a/tests/test_waits_and_refusals.py
+++ b/tests/test_waits_and_refusals.py
@@ -23,3 +23,12 @@
             edge.call("safe", 5000)
         self.assertThat(sum(worker == "w0" for _, worker, _ in edge.started), Equals(1))
         self.assertThat(sum(worker == "w1" for _, worker, _ in edge.started), Equals(5))
+
+
+class Slots(TestCase):
+    def test_a_call_that_is_no_stream_takes_one_slot(self):
+        """Only a stream shows when its prompt was read; a plain call counted twice until its end."""
+        edge = LiveCalls({"plain": {"repeatable": False}})
+        rows = [edge.call("plain", 1000) for _ in range(32)]
+        edge.advance(700)
+        self.assertThat(sum(row.served for row in rows), Equals(32))
