Queue a live call if its work can be done in the time that its caller has left

What callers saw: of 64 calls of 0.6 s at once before 32 slots, 20 were served in their first try whether callers had 1.0 or 2.2 s left, and 46 with 3 s, although all can be done after 1.3 s; the others were sent away at once.

Ruled out: the service times, which are learned rightly.

Change: a call waits if now + wait + service (mean and mean deviation) is within its deadline, and no call that waits already misses its own by it. The wait is worked out from how long the calls in flight have been served, over all routes that share the workers, in the order of the latest start. Until a route's service time is known, that of the service's other routes counts, then the age of the oldest call in flight. A refusal says when it would have been the call's turn. Scaling the aim or coming again changes nothing, and more time is never refused sooner: these are properties that hypothesis draws.

--- a/libs/request_routing/src/request_routing/latency_estimator.py
+++ b/libs/request_routing/src/request_routing/latency_estimator.py
@@ -5,47 +5,17 @@
 edge is slow, not stalled.
 """
 
+from request_routing.running_mean import RunningMean
+
 __all__ = ["LatencyEstimator"]
 
-# Weight of the previous value in the exponential moving averages.
-_SMOOTHING = 0.9
-# A worker counts as stalled after this many times the mean plus _DEVIATIONS mean deviations.
+# A worker counts as stalled after this many times the time in which nearly all events came.
 _STALL_FACTOR = 2.0
-_DEVIATIONS = 4.0
 # A client waits for the longest of `force_ms`, _CLIENT_TARGETS times `target_ms` and _CLIENT_GAPS
 # times `token_gap_ms`; an attempt may be without an event for this fraction of it.
 _ATTEMPT_SHARE = 0.45
 _CLIENT_TARGETS = 4
 _CLIENT_GAPS = 8
-_UNKNOWN_MS = -1.0
-
-
-class _RunningMean:
-    """Exponential moving averages of a duration and of its absolute deviation, in milliseconds."""
-
-    __slots__ = ("deviation_ms", "mean_ms")
-
-    def __init__(self) -> None:
-        self.mean_ms = self.deviation_ms = _UNKNOWN_MS
-
-    def add(self, took_ms: float) -> None:
-        if self.mean_ms < 0:
-            self.mean_ms, self.deviation_ms = took_ms, took_ms / 2
-            return
-        deviation_ms = abs(took_ms - self.mean_ms)
-        self.deviation_ms = _SMOOTHING * self.deviation_ms + (1 - _SMOOTHING) * deviation_ms
-        self.mean_ms = _SMOOTHING * self.mean_ms + (1 - _SMOOTHING) * took_ms
-
-    def stall_after_ms(self, floor_ms: float) -> float:
-        """Return a time that is longer than nearly all observed ones, at least `floor_ms`.
-
-        A request that is waiting now is not part of the averages, so that a stall does not raise
-        the limit that detects it.
-        """
-        if self.mean_ms < 0:
-            return max(floor_ms, 0.0)
-        usual_ms = self.mean_ms + _DEVIATIONS * self.deviation_ms
-        return max(floor_ms, _STALL_FACTOR * usual_ms)
 
 
 class LatencyEstimator:
@@ -54,20 +24,23 @@
     __slots__ = ("_between_events", "_to_first_event")
 
     def __init__(self) -> None:
-        self._to_first_event: dict[str, _RunningMean] = {}
-        self._between_events: dict[str, _RunningMean] = {}
+        self._to_first_event: dict[str, RunningMean] = {}
+        self._between_events: dict[str, RunningMean] = {}
 
     def add_first_event(self, route: str, took_ms: float) -> None:
         """Add a request's time to its first event, in milliseconds."""
-        self._to_first_event.setdefault(route, _RunningMean()).add(took_ms)
+        self._to_first_event.setdefault(route, RunningMean()).add(took_ms)
 
     def add_gap(self, route: str, took_ms: float) -> None:
         """Add a time between two events of a stream, in milliseconds."""
-        self._between_events.setdefault(route, _RunningMean()).add(took_ms)
+        self._between_events.setdefault(route, RunningMean()).add(took_ms)
 
     def stall_after_ms(self, route: str, streaming: bool, floor_ms: float) -> float:
         """Return after how many milliseconds of silence a worker counts as stalled.
 
+        A request that is waiting now is not part of the averages, so that a stall does not raise
+        the limit that detects it.
+
         Parameters
         ----------
         route
@@ -78,7 +51,9 @@
             Lower bound of the result.
         """
         known = (self._between_events if streaming else self._to_first_event).get(route)
-        return known.stall_after_ms(floor_ms) if known is not None else _STALL_FACTOR * floor_ms
+        if known is None:
+            return _STALL_FACTOR * floor_ms
+        return max(floor_ms, _STALL_FACTOR * known.upper_ms)
 
     @staticmethod
     def event_timeout_ms(force_ms: int, target_ms: int, gap_ms: int) -> float:
--- a/libs/request_routing/src/request_routing/request_router.py
+++ b/libs/request_routing/src/request_routing/request_router.py
@@ -11,7 +11,7 @@
 
 from messaging import Component
 
-from request_routing.admission_control import AdmissionControl
+from request_routing.admission_control import AdmissionControl, QueuePlaces
 from request_routing.attempt import Attempt, AttemptTransport
 from request_routing.attempt_outcome import AttemptOutcome, OutcomeKind
 from request_routing.attempt_requests import new_exchange, worker_request
@@ -113,7 +113,9 @@
         self.by_prefix = True
         self.in_flight: dict[str, InFlightRequest] = {}
         self.counts: dict[str, int] = {}
-        self._admission = AdmissionControl(registry, edge_count)
+        self._admission = AdmissionControl(
+            registry, edge_count, self.attempts, lambda: self.prefill
+        )
         self._items = ItemQueue(profiles)
         self._stalls = StallDetector(registry)
         self._list_number = 0
@@ -255,8 +257,8 @@
 
     def _admit(
         self, request: InFlightRequest, workers: list[Worker], position: int | None = None
-    ) -> None:
-        """Queue a live request, or refuse it if it may not wait.
+    ) -> bool:
+        """Queue a live request, or refuse it if it may not wait; return whether it is queued.
 
         A request that is queued already is given with its `position` and stays queued or is
         refused.
@@ -271,6 +273,7 @@
             self._perform(request, step)
         elif not queued:
             self._perform(request, request.lifecycle.admitted_to_queue())
+        return admission.may_wait
 
     def _serve_queues(self) -> None:
         """Send queued live requests to free workers, then batch items."""
@@ -294,14 +297,20 @@
                 return False
         return False
 
-    def _review_queue(self, route: str) -> None:
+    def _review_queues(self) -> None:
         """Refuse the queued requests that are no longer expected to meet their deadline."""
-        while self._serve_queue(route):
-            pass
-        requests = self._admission.queue.requests(route)
-        workers = self._allowed(requests[0]) if requests else []
-        for position, request in enumerate(requests):
-            self._admit(request, workers, position)
+        for route in self._admission.queue.routes():
+            while self._serve_queue(route):
+                pass
+        places = QueuePlaces()
+        workers_by_route: dict[str, list[Worker]] = {}
+        for request in self._admission.ordered():
+            profile = request.lifecycle.profile
+            if profile.name not in workers_by_route:
+                workers_by_route[profile.name] = self._allowed(request)
+            workers = workers_by_route[profile.name]
+            if self._admit(request, workers, places.position(profile)):
+                places.take(profile)
 
     def _serve_items(self) -> None:
         """Send queued batch items to free workers, in the order in which they were queued.
@@ -326,7 +335,7 @@
         now_ms = self.node.env.now()
         lifecycle.raise_retry_limit(_RETRY_TOKENS_PER_SLOT * worker.slots)
         if not call.job:
-            self._admission.queue.worker_seen(lifecycle.profile.name, now_ms)
+            self._admission.worker_seen(lifecycle.profile.name, now_ms)
         self._count_attempt(call)
         self._occupy_slot(worker, call)
         uncached_tokens = self._prompt_sent(worker, request)
@@ -446,9 +455,9 @@
             self._perform(request, step)
             return
         if outcome.kind is OutcomeKind.COMPLETE:
-            if not request.call.job:
+            if not request.call.rollout:
                 took_ms = now_ms - attempt.started_ms
-                self._admission.queue.add_service_time(lifecycle.profile.name, took_ms)
+                self._admission.service_times.add(lifecycle.profile, request.call.job, took_ms)
             lifecycle.stream_started()
         request.head = request.head or attempt.exchange.response_head()
         self._perform(request, lifecycle.completed(outcome.status, outcome.body))
@@ -462,8 +471,7 @@
                 outcome = self._stalls.outcome(attempt, settings, now_ms)
                 if outcome is not None:
                     self.attempt_ended(attempt, outcome)
-        for route in self._admission.queue.routes():
-            self._review_queue(route)
+        self._review_queues()
         self._serve_items()
         if self._list_number != self._registry.list_number:
             self._list_number = self._registry.list_number
--- a/libs/testbed/src/testbed/mutations/serving.py
+++ b/libs/testbed/src/testbed/mutations/serving.py
@@ -38,14 +38,14 @@
         _DRAINING + "read_after_sigterm",
     ),
     "who cannot make it is held": (
-        "request_routing/src/request_routing/admission_queue.py",
-        "return wait_ms + self.service_ms(lifecycle) <= _WAIT_SHARE * left_ms",
+        "request_routing/src/request_routing/admission_control.py",
+        "return now_ms + wait_ms <= self._latest_start_ms(request, pool.unknown)",
         "return True",
         "tests/test_admission.py -k at_once",
     ),
     "nobody waits": (
-        "request_routing/src/request_routing/admission_queue.py",
-        "return wait_ms + self.service_ms(lifecycle) <= _WAIT_SHARE * left_ms",
+        "request_routing/src/request_routing/admission_control.py",
+        "return now_ms + wait_ms <= self._latest_start_ms(request, pool.unknown)",
         "return False",
         "tests/test_admission.py -k meet_its_deadlines",
     ),
--- a/tests/live_calls.py
+++ b/tests/live_calls.py
@@ -11,6 +11,7 @@
 from request_routing import (
     ForwardCall,
     ForwardLifecycle,
+    InFlightRequest,
     RequestRouter,
     WorkerHeaderNames,
     WorkerRegistry,
@@ -55,7 +56,7 @@
 
 
 class LiveCalls:
-    """The edge. A worker serves `slots` calls at a time, each for `service_ms`; `down` ones refuse connections.
+    """The edge. A worker serves `slots` calls at a time, each for `service_ms` (of all routes, or of each); `down` ones refuse connections.
 
     A stream's first event comes after `first_event_ms`; `stuck` workers take streams and send nothing.
     """
@@ -120,6 +121,15 @@
         self.router.start(lifecycle, call, lambda event: None, ended)
         return row
 
+    def decide(self, route, left_ms, age_ms=0):
+        """Return the decision on a call that came `age_ms` ago and would now look for a slot."""
+        profile = self.tree.usable(route)
+        call = ForwardCall("POST", "/", "h", [], b"", "r", stream=profile.kind == "stream")
+        lifecycle = ForwardLifecycle("e", profile, self.now_ms - age_ms, self.now_ms + left_ms)
+        request = InFlightRequest(self.router, lifecycle, call, None, lambda step: None)
+        workers = self.registry.listed(profile.labels)
+        return self.router._admission.decide(request, workers, SETTINGS, self.now_ms)
+
     def _send(self, attempt, address, target, headers, body, method="POST"):
         worker = attempt.worker.identity
         self.started.append((self.now_ms, worker, attempt.request.lifecycle.profile.name))
@@ -145,7 +155,11 @@
         self._running[worker] += 1
         if attempt.request.call.stream:
             self.after(self.first_event_ms, lambda: self._first_event(attempt))
-        self.after(self.service_ms, lambda: self._served(attempt, worker))
+        route = attempt.request.lifecycle.profile.name
+        self.after(self._service_ms_of(route), lambda: self._served(attempt, worker))
+
+    def _service_ms_of(self, route):
+        return self.service_ms[route] if isinstance(self.service_ms, dict) else self.service_ms
 
     def _first_event(self, attempt):
         if not attempt.over:
@@ -190,5 +204,5 @@
         for route in routes:
             for _ in range(30):
                 self.call(route, 60_000)
-                self.advance(self.service_ms + 50)
+                self.advance(self._service_ms_of(route) + 50)
         self.started.clear()
--- a/tests/test_waits_and_refusals.py
+++ b/tests/test_waits_and_refusals.py
@@ -3,10 +3,108 @@
 All of it follows from the time that the caller has, the work that is left and what is known of the workers.
 """
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from live_calls import LiveCalls
+from runtime import Verdict
 from testtools import TestCase
 from testtools.matchers import Equals
 
+ROUTES = {
+    "slow": {"repeatable": False, "target_ms": 300},
+    "quick": {"repeatable": False, "target_ms": 300},
+}
+CALLS = st.lists(st.tuples(st.sampled_from(sorted(ROUTES)), st.integers(50, 5000)), max_size=40)
+LEFT_MS = st.integers(1, 6000)
+FEW_EXAMPLES = settings(max_examples=60, deadline=None, derandomize=True)
+
+
+def routes_with_aim(target_ms):
+    return {name: {**values, "target_ms": target_ms} for name, values in ROUTES.items()}
+
+
+def busy_edge(calls, edges, wait_ms, learned=True, target_ms=300):
+    """An edge whose worker has four slots; returns it and the rows of these calls, `wait_ms` after they came."""
+    service_ms = {"slow": 600, "quick": 150}
+    edge = LiveCalls(routes_with_aim(target_ms), slots=4, service_ms=service_ms, edges=edges)
+    if learned:
+        edge.learn("slow", "quick")
+    rows = [edge.call(route, left_ms) for route, left_ms in calls]
+    edge.advance(wait_ms)
+    return edge, rows
+
+
+class Slots(TestCase):
+    def test_a_call_that_is_no_stream_takes_one_slot(self):
+        """Only a stream shows when its prompt was read; a plain call counted twice until its end."""
+        edge = LiveCalls({"plain": {"repeatable": False}})
+        rows = [edge.call("plain", 1000) for _ in range(32)]
+        edge.advance(700)
+        self.assertThat(sum(row.served for row in rows), Equals(32))
+
+
+class Admission(TestCase):
+    """Properties of the decision on a call that finds no slot."""
+
+    @FEW_EXAMPLES
+    @given(CALLS, st.integers(1, 3), st.integers(0, 500), st.booleans(), LEFT_MS, LEFT_MS)
+    def test_a_call_with_more_time_is_never_refused_sooner(
+        self, calls, edges, wait_ms, learned, left_ms, more_ms
+    ):
+        edge, _ = busy_edge(calls, edges, wait_ms, learned)
+        for route in ROUTES:
+            if edge.decide(route, left_ms).may_wait:
+                self.assertTrue(edge.decide(route, left_ms + more_ms).may_wait)
+
+    @FEW_EXAMPLES
+    @given(CALLS, st.integers(1, 3), st.integers(0, 500), LEFT_MS, st.integers(1, 60_000))
+    def test_a_call_that_came_again_is_treated_as_a_first_one(
+        self, calls, edges, wait_ms, left_ms, age_ms
+    ):
+        edge, _ = busy_edge(calls, edges, wait_ms)
+        for route in ROUTES:
+            self.assertEqual(edge.decide(route, left_ms), edge.decide(route, left_ms, age_ms))
+
+    @FEW_EXAMPLES
+    @given(CALLS, st.integers(1, 3), st.sampled_from([1, 200, 800, 3000]))
+    def test_the_latency_target_changes_nothing(self, calls, edges, target_ms):
+        rows, others = (busy_edge(calls, edges, 6000, target_ms=aim)[1] for aim in (300, target_ms))
+        for row, other in zip(rows, others, strict=True):
+            self.assertEqual((row.served, row.held_ms), (other.served, other.held_ms))
+
+    @FEW_EXAMPLES
+    @given(CALLS, st.integers(1, 3))
+    def test_a_refusal_says_when_to_come_back(self, calls, edges):
+        _, rows = busy_edge(calls, edges, 6000)
+        for row in rows:
+            if not row.served and row.refusal.verdict is Verdict.NOT_RUN:
+                self.assertGreater(row.refusal.retry_after_ms, 0)
+
+    def test_calls_wait_whose_work_can_be_done_in_their_time(self):
+        """64 calls at once before 32 slots of 0.6 s, as they were measured: all can be done after 1.3 s."""
+        for target_ms in (200, 3000):
+            edge = LiveCalls({"flag": {"kind": "stream", "target_ms": target_ms}})
+            edge.learn("flag")
+            rows = [edge.call("flag", 1800) for _ in range(64)]
+            edge.advance(2000)
+            self.assertThat(sum(row.served for row in rows), Equals(64))
+
+    def test_calls_whose_work_cannot_be_done_in_their_time_are_refused_at_once(self):
+        edge = LiveCalls({"flag": {"kind": "stream", "target_ms": 3000}})
+        edge.learn("flag")
+        rows = [edge.call("flag", 1000) for _ in range(64)]
+        edge.advance(2000)
+        refused = [row for row in rows if not row.served]
+        self.assertThat(len(refused), Equals(32))
+        self.assertThat({row.held_ms for row in refused}, Equals({0}))
+        self.assertThat({row.refusal.retry_after_ms for row in refused}, Equals({600}))
+
+    def test_the_queues_of_all_routes_of_a_service_count(self):
+        """A call of one route is not told that it gets a slot next while calls of another one wait for it."""
+        edge, _ = busy_edge([("slow", 1300)] * 10, 1, 100)
+        self.assertThat(edge.router.waiting() > 2, Equals(True))
+        self.assertThat(edge.decide("quick", 800).may_wait, Equals(False))
+
 
 class Outages(TestCase):
     def test_after_its_backoff_a_worker_is_tested_by_one_call_at_a_time(self):
@@ -23,12 +121,3 @@
             edge.call("safe", 5000)
         self.assertThat(sum(worker == "w0" for _, worker, _ in edge.started), Equals(1))
         self.assertThat(sum(worker == "w1" for _, worker, _ in edge.started), Equals(5))
-
-
-class Slots(TestCase):
-    def test_a_call_that_is_no_stream_takes_one_slot(self):
-        """Only a stream shows when its prompt was read; a plain call counted twice until its end."""
-        edge = LiveCalls({"plain": {"repeatable": False}})
-        rows = [edge.call("plain", 1000) for _ in range(32)]
-        edge.advance(700)
-        self.assertThat(sum(row.served for row in rows), Equals(32))
