Learn how long responses take that are no streams before one counts as stalled

What callers saw: a repeatable call of 0.6 s that is no stream was abandoned after 0.5 s and run again at another worker, and so on until its tries were used up: on an edge whose workers sent nothing else meanwhile, none was ever answered.

Cause: the usual latency was learned from events of streams alone, so such a route was taken for one whose answers come within a quarter of `request_timeout_ms`, for ever. Ruled out: the workers' speed, and the deadline (5 s).

Change: a complete response counts as its route's first event, and until one is known the silence of its worker is not unusual.

Measured: of 8 such calls before two workers 8 were served in one attempt each (before: none). The new test fails on the code before; one of a silent worker that is replaced passes.

--- a/libs/request_routing/src/request_routing/latency_estimator.py
+++ b/libs/request_routing/src/request_routing/latency_estimator.py
@@ -1,5 +1,7 @@
 """Moving averages of a route's time to the first event and time between events.
 
+The response to a request that is no stream counts as its first event.
+
 They determine after how much silence a worker counts as stalled, so that another one is tried.
 Silence is measured per worker, not per request: a worker that sends data for any request of this
 edge is slow, not stalled.
@@ -35,6 +37,10 @@
         """Add a time between two events of a stream, in milliseconds."""
         self._between_events.setdefault(route, RunningMean()).add(took_ms)
 
+    def knows_first_event(self, route: str) -> bool:
+        """Whether a time to the first event was observed on this route."""
+        return route in self._to_first_event
+
     def stall_after_ms(self, route: str, streaming: bool, floor_ms: float) -> float:
         """Return after how many milliseconds of silence a worker counts as stalled.
 
--- a/libs/request_routing/src/request_routing/request_router.py
+++ b/libs/request_routing/src/request_routing/request_router.py
@@ -461,6 +461,8 @@
             if not request.call.rollout:
                 took_ms = now_ms - attempt.started_ms
                 self._admission.service_times.add(lifecycle.profile, request.call.job, took_ms)
+            if not request.call.stream:
+                self._stalls.add_response(attempt, now_ms)
             lifecycle.stream_started()
         request.head = request.head or attempt.exchange.response_head()
         self._perform(request, lifecycle.completed(outcome.status, outcome.body))
--- a/libs/request_routing/src/request_routing/stall_detection.py
+++ b/libs/request_routing/src/request_routing/stall_detection.py
@@ -41,6 +41,11 @@
         else:
             self.latency.add_first_event(route, took_ms)
 
+    def add_response(self, attempt: Attempt, now_ms: int) -> None:
+        """Update the latency from the complete response to a request that is no stream."""
+        route = attempt.request.lifecycle.profile.name
+        self.latency.add_first_event(route, now_ms - attempt.started_ms)
+
     def is_suspect(self, worker: Any, route: str, settings: Settings, now_ms: int) -> bool:
         """Whether a worker has been silent for unusually long; other workers are then preferred."""
         stall_ms = self.latency.stall_after_ms(
@@ -75,13 +80,17 @@
 
         Only an attempt that can be continued at another worker is abandoned. Any other is left to
         its worker until the deadline, since a silent worker may nevertheless be running the
-        request. No attempt is abandoned while it connects or while the client has data to read.
+        request. No attempt is abandoned while it connects or while the client has data to read. A
+        response that is no stream comes all at its end, so nothing tells that its worker is
+        unusually silent until it is known how long such responses take.
         """
         request, worker = attempt.request, attempt.worker
         profile = request.lifecycle.profile
         can_retry = request.lifecycle.can_retry_elsewhere
         if not can_retry or attempt.connecting or request.unread_bytes > 0:
             return None
+        if not request.call.stream and not self.latency.knows_first_event(profile.name):
+            return None
         waited_ms = now_ms - attempt.last_event_ms
         silent_ms = min(waited_ms, worker.silent_ms(now_ms))
         stall_ms = self.latency.stall_after_ms(
--- a/tests/test_waits_and_refusals.py
+++ b/tests/test_waits_and_refusals.py
@@ -186,3 +186,21 @@
             edge.call("safe", 5000)
         self.assertThat(sum(worker == "w0" for _, worker, _ in edge.started), Equals(1))
         self.assertThat(sum(worker == "w1" for _, worker, _ in edge.started), Equals(5))
+
+
+class SilentWorkers(TestCase):
+    def test_a_slow_response_that_is_no_stream_is_not_taken_for_a_silent_worker(self):
+        """Each was abandoned after 0.5 s and run again elsewhere, so none of 0.6 s was ever answered."""
+        edge = LiveCalls({"safe": {"repeatable": True, "target_ms": 300}}, workers=2)
+        rows = [edge.call("safe", 5000) for _ in range(8)]
+        edge.advance(2000)
+        self.assertThat([(row.served, row.attempts) for row in rows], Equals([(True, 1)] * 8))
+
+    def test_a_worker_that_is_silent_for_longer_than_usual_is_replaced(self):
+        edge = LiveCalls({"safe": {"repeatable": True}}, workers=2)
+        edge.learn("safe")
+        edge.stuck = {"w0"}
+        rows = [edge.call("safe", 5000) for _ in range(8)]
+        edge.advance(4000)
+        self.assertThat([row.served for row in rows], Equals([True] * 8))
+        self.assertThat(any(row.attempts == 2 for row in rows), Equals(True))
