Leave a slow attempt when another worker can still be in time for the client

What callers saw: a stream whose first event was late was tried at another worker after 0.45 of the time after which its client gives up, counted from the attempt: too soon for one that would have had its event a moment later, and for one that had waited for a slot before, too late: its client was gone.

Cause: a fitted share; the silence was counted from the attempt and not from what the client has seen; and `force_ms` stood where our page promises two seconds, equal only by the settings in use. Ruled out: the four targets and eight pauses, which are the page's promise.

Change: `client_patience_ms` has the promise by its own figures (docs/interfaces.md). An attempt that has been silent for unusually long is left at the last moment at which another worker's first event, by the route's own latency, reaches the client before it gives up or its deadline passes.

Measured: the new tests (patience of 2, 3.2 and 4 s by different terms of the promise; a call that has waited in the queue) fail on the code before.

--- a/libs/request_routing/src/request_routing/in_flight.py
+++ b/libs/request_routing/src/request_routing/in_flight.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from request_routing.calls import Call, ForwardCall
+from request_routing.client_patience import client_patience_ms
 from request_routing.lifecycle import RequestLifecycle
 from request_routing.response_head import ResponseHead
 from request_routing.steps import Step
@@ -38,7 +39,9 @@
     `head` is the response head for the client of a forwarded request; for a stream it is the head
     of the first worker that delivered an event. `unread_bytes` counts the bytes that were
     delivered and not yet acknowledged; only live forwarded requests are counted and so have
-    backpressure. `when_drained`, if set, is called once to resume reading from the worker.
+    backpressure. `last_delivered_ms` is when the client was last sent an event, or when its request
+    arrived, in milliseconds of the node's clock. `when_drained`, if set, is called once to resume
+    reading from the worker.
 
     Parameters
     ----------
@@ -60,6 +63,7 @@
         "call",
         "client_disconnected",
         "head",
+        "last_delivered_ms",
         "lifecycle",
         "on_event",
         "on_finished",
@@ -77,6 +81,7 @@
     ) -> None:
         self._driver = driver
         self.lifecycle = lifecycle
+        self.last_delivered_ms: int = lifecycle.started_ms
         self.call = call
         self.on_event = on_event
         self.on_finished = on_finished
@@ -86,9 +91,18 @@
         self.unread_bytes = 0
         self.when_drained: Callable[[Any], None] | None = None
 
+    @property
+    def event_due_ms(self) -> int:
+        """When the client stops waiting unless it gets the next event, or the response, by then."""
+        due_ms = self.lifecycle.due_ms
+        if not self.call.stream or self.call.survives_disconnect:
+            return due_ms
+        return min(due_ms, self.last_delivered_ms + client_patience_ms(self.lifecycle.profile))
+
     def deliver(self, event: bytes) -> None:
         """Deliver one event to the client, unless it has disconnected."""
         self.lifecycle.event_delivered()
+        self.last_delivered_ms = self._driver.node.env.now()
         if self.on_event is not None and not self.client_disconnected:
             if not self.call.survives_disconnect and not self.call.job:
                 self.unread_bytes += len(event)
--- a/libs/request_routing/src/request_routing/latency_estimator.py
+++ b/libs/request_routing/src/request_routing/latency_estimator.py
@@ -13,11 +13,6 @@
 
 # A worker counts as stalled after this many times the time in which nearly all events came.
 _STALL_FACTOR = 2.0
-# A client waits for the longest of `force_ms`, _CLIENT_TARGETS times `target_ms` and _CLIENT_GAPS
-# times `token_gap_ms`; an attempt may be without an event for this fraction of it.
-_ATTEMPT_SHARE = 0.45
-_CLIENT_TARGETS = 4
-_CLIENT_GAPS = 8
 
 
 class LatencyEstimator:
@@ -60,13 +55,3 @@
         if known is None:
             return _STALL_FACTOR * floor_ms
         return max(floor_ms, _STALL_FACTOR * known.upper_ms)
-
-    @staticmethod
-    def event_timeout_ms(force_ms: int, target_ms: int, gap_ms: int) -> float:
-        """Return how many milliseconds an attempt may go without an event of its own.
-
-        It applies also while the worker sends data for other requests. It is well below the time
-        for which the client waits, so that another worker can still be tried.
-        """
-        client_timeout_ms = max(force_ms, _CLIENT_TARGETS * target_ms, _CLIENT_GAPS * gap_ms)
-        return _ATTEMPT_SHARE * client_timeout_ms
--- a/libs/request_routing/src/request_routing/stall_detection.py
+++ b/libs/request_routing/src/request_routing/stall_detection.py
@@ -80,7 +80,9 @@
 
         Only an attempt that can be continued at another worker is abandoned. Any other is left to
         its worker until the deadline, since a silent worker may nevertheless be running the
-        request. No attempt is abandoned while it connects or while the client has data to read. A
+        request. No attempt is abandoned while it connects or while the client has data to read. One
+        that is slow at a worker which serves others meanwhile is abandoned at the last moment at
+        which another worker's first event still reaches the client before it gives up. A
         response that is no stream comes all at its end, so nothing tells that its worker is
         unusually silent until it is known how long such responses take.
         """
@@ -93,15 +95,15 @@
             return None
         waited_ms = now_ms - attempt.last_event_ms
         silent_ms = min(waited_ms, worker.silent_ms(now_ms))
-        stall_ms = self.latency.stall_after_ms(
-            profile.name, attempt.started_streaming, settings.request_timeout_ms * _FLOOR_SHARE
-        )
+        floor_ms = settings.request_timeout_ms * _FLOOR_SHARE
+        first_event_ms = self.latency.stall_after_ms(profile.name, False, floor_ms)
+        stall_ms = first_event_ms
+        if attempt.started_streaming:
+            stall_ms = self.latency.stall_after_ms(profile.name, True, floor_ms)
         if silent_ms > stall_ms:
             return failed(True, "worker dark", WorkerFault.DOWN)
-        event_timeout_ms = self.latency.event_timeout_ms(
-            settings.force_ms, profile.target_ms, profile.token_gap_ms
-        )
-        if not request.call.job and waited_ms > event_timeout_ms:
+        is_last_moment = now_ms + first_event_ms >= request.event_due_ms
+        if not request.call.job and waited_ms > stall_ms and is_last_moment:
             return failed(True, "worker silent")
         return None
 
--- a/tests/test_waits_and_refusals.py
+++ b/tests/test_waits_and_refusals.py
@@ -204,3 +204,39 @@
         edge.advance(4000)
         self.assertThat([row.served for row in rows], Equals([True] * 8))
         self.assertThat(any(row.attempts == 2 for row in rows), Equals(True))
+
+    def test_a_slow_attempt_is_left_when_another_worker_can_still_be_in_time_for_the_client(self):
+        """A stream's client gives up after 2 s of silence, four targets or eight pauses, the longest of them.
+
+        The other worker's first event is due in that time. Until then the slow worker may still send its own.
+        """
+        for target_ms, gap_ms, patience_ms in [
+            (200, 100, 2000),
+            (800, 100, 3200),
+            (200, 500, 4000),
+        ]:
+            route = {"kind": "stream", "resumable": True, "target_ms": target_ms}
+            edge = LiveCalls({"flag": {**route, "token_gap_ms": gap_ms}}, workers=2)
+            edge.learn("flag")
+            edge.stuck = edge.chatty = {"w0"}
+            rows = [edge.call("flag", 10_000) for _ in range(8)]
+            edge.advance(6000)
+            moved = [row for row in rows if row.attempts == 2]
+            self.assertThat((all(row.served for row in rows), len(moved) > 0), Equals((True, True)))
+            for row in moved:
+                self.assertTrue(patience_ms - 600 < row.events_ms[0] < patience_ms, row.events_ms)
+
+    def test_the_time_in_a_queue_counts_as_silence_too(self):
+        """A client that has waited 1.5 s for a slot has 0.5 s of patience left for an event."""
+        edge = LiveCalls({"flag": {"kind": "stream", "resumable": True}}, workers=2)
+        edge.learn("flag")
+        rows = edge.rows
+        edge.down = {"w0", "w1"}
+        waiting = edge.call("flag", 10_000)
+        edge.advance(1000)
+        edge.down, edge.stuck, edge.chatty = set(), {"w0"}, {"w0"}
+        edge.publish(w0=rows["w0"])
+        edge.advance(100)
+        edge.publish(**rows)
+        edge.advance(3000)
+        self.assertThat((waiting.served, waiting.events_ms[0] < 2000), Equals((True, True)))
