Send queued calls of all routes in the order in which they have to start

What callers saw: of calls that wait for the same workers on different routes, those of the route whose queue was opened first went first, so that a call with 1.5 s left waited behind one with 5 s, and a route's `urgency` meant nothing at the edge.

Cause: the queues were served route by route.

Measured: three new tests (time left, service time, urgency) fail on the code before.

--- a/libs/request_routing/src/request_routing/admission_queue.py
+++ b/libs/request_routing/src/request_routing/admission_queue.py
@@ -41,14 +41,6 @@
         """Return the queued requests, those of each route by deadline."""
         return [request for queue in self._queues.values() for request in queue]
 
-    def routes(self) -> list[str]:
-        """Return the names of the routes that have queued requests."""
-        return list(self._queues)
-
-    def requests(self, route: str) -> list[InFlightRequest]:
-        """Return a copy of a route's queue, earliest deadline first."""
-        return list(self._queues.get(route, []))
-
 
 def _route(lifecycle: RequestLifecycle) -> str:
     return str(lifecycle.profile.name)
--- a/libs/request_routing/src/request_routing/request_router.py
+++ b/libs/request_routing/src/request_routing/request_router.py
@@ -276,32 +276,26 @@
         return admission.may_wait
 
     def _serve_queues(self) -> None:
-        """Send queued live requests to free workers, then batch items."""
-        for route in self._admission.queue.routes():
-            self._serve_queue(route)
-        self._serve_items()
-
-    def _serve_queue(self, route: str) -> bool:
-        """Send the queued request with the earliest deadline that a worker can take.
+        """Send queued live requests to free workers in the order of service, then batch items.
 
-        Returns false if no request could be sent. The search ends at the first request without a
-        failed attempt that finds no worker: it avoids no worker, so later ones find none either.
+        Once a request without a failed attempt finds no worker, no later one of its route is tried:
+        it avoids no worker, so they find none either.
         """
-        for request in self._admission.queue.requests(route):
+        blocked: set[str] = set()
+        for request in self._admission.ordered():
+            route = request.lifecycle.profile.name
+            if route in blocked:
+                continue
             worker = self._choose(request, self._allowed(request))
             if worker is not None:
                 self._admission.queue.remove(request)
                 self._perform(request, request.lifecycle.worker_selected(worker))
-                return True
-            if not request.lifecycle.attempts:
-                return False
-        return False
+            elif not request.lifecycle.attempts:
+                blocked.add(route)
+        self._serve_items()
 
     def _review_queues(self) -> None:
-        """Refuse the queued requests that are no longer expected to meet their deadline."""
-        for route in self._admission.queue.routes():
-            while self._serve_queue(route):
-                pass
+        """Refuse the queued requests that are no longer expected to be served in time."""
         places = QueuePlaces()
         workers_by_route: dict[str, list[Worker]] = {}
         for request in self._admission.ordered():
@@ -476,8 +470,8 @@
                 outcome = self._stalls.outcome(attempt, settings, now_ms)
                 if outcome is not None:
                     self.attempt_ended(attempt, outcome)
+        self._serve_queues()
         self._review_queues()
-        self._serve_items()
         if self._list_number != self._registry.list_number:
             self._list_number = self._registry.list_number
             self.prefix_affinity.retain_workers(worker.identity for worker in self._registry.all())
--- a/tests/test_waits_and_refusals.py
+++ b/tests/test_waits_and_refusals.py
@@ -115,6 +115,44 @@
         self.assertThat(edge.decide("quick", 800).may_wait, Equals(False))
 
 
+class OrderOfService(TestCase):
+    def served_routes(self, routes, calls, service_ms):
+        """Fill the only slot and the worker's queue, then queue these calls (route, time left) in this order; return the routes in the order sent."""
+        edge = LiveCalls({name: {"repeatable": False, **values} for name, values in routes.items()})
+        edge.slots, edge.service_ms = 1, service_ms
+        edge.rows["w0"]["slots"] = 1
+        edge.publish(**edge.rows)
+        edge.learn(*routes)
+        for _ in range(2):
+            edge.call(next(iter(routes)), 60_000)
+        edge.advance(10)
+        for route, left_ms in calls:
+            edge.call(route, left_ms)
+        edge.advance(10_000)
+        return [route for _, _, route in edge.started[2:]]
+
+    def test_the_call_that_has_to_start_first_is_sent_first_whatever_its_route(self):
+        """The queue that was opened first went first, so that calls of another route came too late."""
+        order = self.served_routes(
+            {"patient": {}, "hasty": {}}, [("patient", 5000), ("hasty", 1500)], 600
+        )
+        self.assertThat(order, Equals(["hasty", "patient"]))
+
+    def test_what_takes_longer_has_to_start_earlier(self):
+        order = self.served_routes(
+            {"quick": {}, "slow": {}},
+            [("quick", 3000), ("slow", 3200)],
+            {"quick": 100, "slow": 900},
+        )
+        self.assertThat(order, Equals(["slow", "quick"]))
+
+    def test_a_more_urgent_route_goes_first(self):
+        order = self.served_routes(
+            {"low": {"urgency": 3}, "high": {"urgency": 0}}, [("low", 3000), ("high", 5000)], 600
+        )
+        self.assertThat(order, Equals(["high", "low"]))
+
+
 class Outages(TestCase):
     def outage(self, left_ms, target_ms, back_after_ms, calls=24):
         """All workers refuse connections for a while; returns the rows of calls that come at its beginning."""
