Tell a call that has not run when the next like it would get a slot

What callers saw: whoever was refused because its time had passed, or because no worker was left to try, was told to come back after 0.1 s, whatever its workers did.

Cause: a constant. Change: such a refusal says when a call like this one is expected to get a slot, or, while all workers back off, when the next of them is tried again.

Measured: a worker that does not answer to connections: 250 ms, the end of its backoff (before: 100 ms). The new test fails on the code before.

--- a/libs/request_routing/src/request_routing/forward_lifecycle.py
+++ b/libs/request_routing/src/request_routing/forward_lifecycle.py
@@ -16,7 +16,6 @@
 
 __all__ = ["ForwardLifecycle"]
 
-_RETRY_AFTER_MS = 100
 _GATEWAY_TIMEOUT, _BAD_GATEWAY, _UNAVAILABLE = 504, 502, 503
 
 
@@ -134,15 +133,14 @@
     def _refuse(self, code: str, reason: str, status: int, retry_after_ms: int = 0) -> Step:
         """Refuse the request, or cut a stream of which an event was delivered.
 
-        The refusal states that the request has not run unless an attempt may have run it.
+        The refusal states that the request has not run unless an attempt may have run it. Without
+        `retry_after_ms` the router says when to try again.
         """
         if self.delivered:
             return self._cut(reason)
         refusal: Refusal
         if not self._may_have_run:
-            refusal = refused(
-                code, f"not run: {reason}", _UNAVAILABLE, retry_after_ms or _RETRY_AFTER_MS
-            )
+            refusal = refused(code, f"not run: {reason}", _UNAVAILABLE, retry_after_ms)
         else:
             doubt_status = _GATEWAY_TIMEOUT if status == _GATEWAY_TIMEOUT else _BAD_GATEWAY
             refusal = doubtful(code, f"may have run: {reason}", status=doubt_status)
--- a/libs/request_routing/src/request_routing/request_router.py
+++ b/libs/request_routing/src/request_routing/request_router.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from messaging import Component
+from runtime import Verdict
 
 from request_routing.admission_control import AdmissionControl, QueuePlaces
 from request_routing.attempt import Attempt, AttemptTransport
@@ -438,8 +439,21 @@
             outcome.reason,
             self.node.env.now(),
         )
+        self._suggest_retry(attempt.request, step)
         self._perform(attempt.request, step)
 
+    def _suggest_retry(self, request: InFlightRequest, step: Step) -> None:
+        """Say in a refusal without such a time when the client should try again.
+
+        That is when another request like this one is expected to get a slot.
+        """
+        refusal = step.refusal
+        if refusal is None or refusal.verdict is not Verdict.NOT_RUN or refusal.retry_after_ms:
+            return
+        settings, now_ms = self.node.settings, self.node.env.now()
+        admission = self._admission.decide(request, self._allowed(request), settings, now_ms)
+        refusal.retry_after_ms = admission.retry_after_ms
+
     def _attempt_answered(self, attempt: Attempt, outcome: AttemptOutcome) -> None:
         """Handle a worker's response: a success, a rejection of the request, or a worker error."""
         request, now_ms = attempt.request, self.node.env.now()
--- a/tests/live_calls.py
+++ b/tests/live_calls.py
@@ -56,7 +56,8 @@
 
 
 class LiveCalls:
-    """The edge. A worker serves `slots` calls at a time, each for `service_ms` (of all routes, or of each); `down` ones refuse connections.
+    """The edge. A worker serves `slots` calls at a time, each for `service_ms` (of all routes, or of each); `down` ones refuse connections,
+    `dark` ones don't answer to them.
 
     A stream's first event comes after `first_event_ms`; `stuck` workers take calls and send nothing,
     unless they are `chatty`: then they send data of requests that are not this edge's calls here.
@@ -65,7 +66,8 @@
     def __init__(self, routes, workers=1, slots=32, service_ms=600, first_event_ms=100, edges=1):
         self.now_ms = 100_000
         self.slots, self.service_ms, self.first_event_ms = slots, service_ms, first_event_ms
-        self.down, self.stuck, self.chatty, self.list_number = set(), set(), set(), 1
+        self.down, self.dark, self.stuck, self.chatty = set(), set(), set(), set()
+        self.list_number = 1
         self.started = []
         self._running, self._queued = {}, {}
         self._due, self._numbers = [], count()
@@ -142,7 +144,7 @@
         return lambda: None
 
     def _arrived(self, attempt, worker):
-        if attempt.over:
+        if attempt.over or worker in self.dark:
             return
         if worker in self.down:
             attempt.connection_failed("no connection", False)
--- a/tests/test_waits_and_refusals.py
+++ b/tests/test_waits_and_refusals.py
@@ -210,6 +210,18 @@
                 self.assertThat(row.served, Equals(served))
                 self.assertTrue(held_ms <= row.held_ms <= held_ms + 2 * TICK_MS, row.held_ms)
 
+    def test_a_call_whose_time_passes_while_it_connects_is_told_when_the_worker_is_tried_again(
+        self,
+    ):
+        """Every such client was told to come back after 0.1 s."""
+        edge = LiveCalls({"plain": {"repeatable": False}})
+        edge.dark = {"w0"}
+        row = edge.call("plain", 700)
+        edge.advance(800)
+        self.assertThat(
+            (row.held_ms, row.refusal.status, row.refusal.retry_after_ms), Equals((700, 503, 250))
+        )
+
     @FEW_EXAMPLES
     @given(LEFT_MS, LEFT_MS, st.integers(1, 3000))
     def test_a_call_with_more_time_is_held_no_shorter(self, left_ms, more_ms, target_ms):
