Try calls about jobs for as long as their clients' time allows

What callers saw: while the log's leader changed, an edge gave a submission 0.6 of its client's time, so that one with 60 s was answered "in doubt" with 23 s to spare; reads, bodies and ends of jobs were answered 503 after 0.55 of `applyMs` beyond what the client allowed, though clients wait 1.5 s beyond it.

--- a/libs/data_plane/src/data_plane/forward_job_service.py
+++ b/libs/data_plane/src/data_plane/forward_job_service.py
@@ -1,8 +1,9 @@
 """Jobs of forwarded requests: sends clients' submissions, reads and cancellations to the leader.
 
-While the leader changes, requests are retried within the client's time, a share of `force_ms`, or
-both; when that has passed, or a draining edge has to answer, an unknown outcome is reported at
-once. A response states that nothing was accepted only if nothing was sent, or if the leader
+While the leader changes, requests are retried within the client's time: a submission as long as
+there is time left for another one elsewhere, any other call until shortly before its client gives
+up. When that has passed, or a draining edge has to answer, an unknown outcome is reported at once.
+A response states that nothing was accepted only if nothing was sent, or if the leader
 refused.
 """
 
@@ -38,10 +39,8 @@
 
 _PAGE_BYTES = 1 << 19
 _DIGEST_BYTES = 16
-# Share of force_ms added to a request's time so that it outlasts a change of the leader.
-_LEADER_CHANGE_SHARE = 0.55
-# Share of a client's time spent at this edge; the rest is for a retry at another edge.
-_CLIENT_TIME_SHARE = 0.6
+# How much longer than it allows a client waits for a call about a job (docs/platform.md).
+_CLIENT_GRACE_MS = 1500
 
 
 def _digest(path: str, calls: Iterable[bytes], tokens: Iterable[int]) -> str:
@@ -100,9 +99,22 @@
             request.limit_deadline(self._answer_by_ms)
         return request
 
-    def _leader_change_ms(self) -> int:
-        """Return for how long a request is retried beyond the time that the client asked for."""
-        return int(self.node.settings.force_ms * _LEADER_CHANGE_SHARE)
+    def _grace_ms(self) -> int:
+        """Return for how long a call is retried beyond the time that its client allows.
+
+        The answer leaves a heartbeat interval before the client gives up, the longest that this
+        node's periodic work delays it.
+        """
+        return _CLIENT_GRACE_MS - self.node.settings.heartbeat_ms
+
+    def _submission_ms(self, client_ms: int) -> int:
+        """Return for how long a submission is sent to the leader.
+
+        After that an answer may still take as long as its stamp is valid. What is then left of the
+        client's time is enough for another request to the leader, from another edge.
+        """
+        settings = self.node.settings
+        return max(0, client_ms - settings.max_submission_age_ms - settings.request_timeout_ms)
 
     def submit(
         self,
@@ -146,7 +158,7 @@
 
         request = self._ask_leader(
             self._submission(job_id, path, items, tokens),
-            int(client_ms * _CLIENT_TIME_SHARE),
+            self._submission_ms(client_ms),
             on_leader_response,
         )
 
@@ -197,7 +209,7 @@
                     limit_bytes=_PAGE_BYTES,
                     wait_ms=min(remaining_ms(), self.node.settings.request_timeout_ms),
                 ),
-                remaining_ms() + self._leader_change_ms(),
+                remaining_ms() + self._grace_ms(),
                 on_page,
             )
 
@@ -220,7 +232,7 @@
         def on_item(message: GetItemResponse | None) -> None:
             on_response(forward_item_response(job_id, message))
 
-        self._ask_leader(GetItem(job_id=job_id, item_id=item_id), self._leader_change_ms(), on_item)
+        self._ask_leader(GetItem(job_id=job_id, item_id=item_id), self._grace_ms(), on_item)
 
     def cancel(
         self, job_id: str, on_response: Callable[[ServiceResponse[JobResponse]], None]
@@ -234,7 +246,7 @@
             self.node.env.log("job-cancelled", job=job_id, outcome=outcome)
             on_response(forward_cancellation_response(job_id, message))
 
-        self._ask_leader(CancelJob(job_id=job_id), self._leader_change_ms(), on_leader_response)
+        self._ask_leader(CancelJob(job_id=job_id), self._grace_ms(), on_leader_response)
 
 
 def _more_may_come(message: ListForwardResultsResponse | None) -> bool:
--- a/tests/test_waits_and_refusals.py
+++ b/tests/test_waits_and_refusals.py
@@ -3,9 +3,15 @@
 All of it follows from the time that the caller has, the work that is left and what is known of the workers.
 """
 
+from types import SimpleNamespace
+from unittest.mock import Mock
+
+from control_store import ProfileTree
+from data_plane.forward_job_service import ForwardJobService
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from live_calls import SETTINGS, TICK_MS, LiveCalls
+from messaging import Node
 from runtime import Verdict
 from testtools import TestCase
 from testtools.matchers import Equals
@@ -247,6 +253,41 @@
         self.assertThat(sum(worker == "w1" for _, worker, _ in edge.started), Equals(5))
 
 
+class JobCalls(TestCase):
+    """While the leader changes: how long an edge tries, and what is left of the client's time."""
+
+    def waits(self, make_call):
+        asked = []
+
+        def request(message, wait_ms, done):
+            asked.append((message, wait_ms))
+            return Mock()
+
+        tree = ProfileTree({"lots": {"workers": {"labels": ["gpu"]}, "kind": "lot"}})
+        jobs = ForwardJobService(SimpleNamespace(request=request), None, lambda: (1, tree))
+        Node(LiveCalls({"flag": {}}).node.env, SETTINGS, [jobs])
+        make_call(jobs)
+        return asked[0][1]
+
+    @FEW_EXAMPLES
+    @given(st.integers(1500, 60_000))
+    def test_a_submission_of_unknown_outcome_leaves_the_time_for_one_elsewhere(self, client_ms):
+        """An answer may come as long as the submission's stamp is valid after it was sent last."""
+        wait_ms = self.waits(lambda jobs: jobs.submit("j", "lots", [], [], client_ms, None))
+        answered_ms = wait_ms + SETTINGS.max_submission_age_ms
+        self.assertEqual(client_ms - answered_ms, SETTINGS.request_timeout_ms)
+
+    def test_other_calls_are_answered_just_before_their_clients_give_up(self):
+        """Clients wait 1.5 s beyond what they allow; a change of the leader has as much of it as can be."""
+        rows = [
+            (0, lambda jobs: jobs.item("j", "i", None)),
+            (0, lambda jobs: jobs.cancel("j", None)),
+            (800, lambda jobs: jobs.results("j", 0, 800, None)),
+        ]
+        for allowed_ms, make_call in rows:
+            self.assertEqual(self.waits(make_call), allowed_ms + 1500 - SETTINGS.heartbeat_ms)
+
+
 class SilentWorkers(TestCase):
     def test_a_slow_response_that_is_no_stream_is_not_taken_for_a_silent_worker(self):
         """Each was abandoned after 0.5 s and run again elsewhere, so none of 0.6 s was ever answered."""
