--- a/libs/request_routing/src/request_routing/__init__.py
+++ b/libs/request_routing/src/request_routing/__init__.py
@@ -6,12 +6,13 @@
   `request_refusals` its error responses; `request_router` drives the requests `in_flight` and each
   `attempt` at a worker.
 - Decisions: `worker_selection` (with `prefix_placement` and `cost_placement`), `admission_control`
-  and `admission_queue`, `item_queue`, `retry_budget`, `stall_detection`, `attempt_results`.
+  (with `admission_queue`, `slot_forecast` and `client_patience`), `item_queue`, `retry_budget`,
+  `stall_detection`, `attempt_results`.
 - Exchange with a worker: `attempt_requests` builds the request; `worker_exchange` and
   `forward_exchange` check the response, with `stream_checks` and `event_check`; also
   `attempt_outcome` and `header_names`.
 - State of the workers: `worker`, `worker_registry`, `prefix_affinity`, `prefill_tracker`,
-  `latency_estimator`.
+  `latency_estimator`, `service_times` (both of `running_mean`).
 - `idempotency`: keys of requests that must not run twice, stored by the log's leader.
 - `batch_execution`: runs batch items at an edge, and the client of the log's leader; no other
   module of this package imports it.
