--- a/tests/test_forward_server.py
+++ b/tests/test_forward_server.py
@@ -133,6 +133,22 @@
             answers = await asyncio.gather(*calls)
             self.assertThat([answer[0] for answer in answers], Equals([200] * 8))
 
+    @async_test
+    async def test_calls_at_once_wait_whose_work_can_be_done_in_their_time(self):
+        """Twelve streams of 0.3 s before four slots, done after 0.9 s; clients wait for 1.6 s. Half were answered 503."""
+
+        async def respond_slowly(worker, fields, writer):
+            worker.write_text(writer, head(fields) + chunk(event(1)))
+            await asyncio.sleep(0.3)
+            worker.write_text(writer, "0\r\n\r\n")
+
+        async with Edge([Worker("w0", respond_slowly)]) as edge:
+            for _ in range(10):
+                await edge.request("/s/1")
+            calls = [edge.request("/s/1", extra="Deadline-Ms: 1600\r\n") for _ in range(12)]
+            answers = await asyncio.gather(*calls)
+            self.assertThat([answer[0] for answer in answers], Equals([200] * 12))
+
     @async_test
     async def test_while_no_worker_can_be_reached_the_refusal_comes_once_the_next_try_is_too_late(
         self,
