--- a/libs/testbed/src/testbed/mutations/serving.py
+++ b/libs/testbed/src/testbed/mutations/serving.py
@@ -49,6 +49,24 @@
         "return False",
         "tests/test_admission.py -k meet_its_deadlines",
     ),
+    "an outage holds every call to its deadline": (
+        "request_routing/src/request_routing/admission_control.py",
+        "in_time = retry_at_ms <= self.latest_start_ms(request)",
+        "in_time = True",
+        "tests/test_waits_and_refusals.py -k too_late_for_them",
+    ),
+    "each failed call lengthens the backoff": (
+        "request_routing/src/request_routing/worker_registry.py",
+        "if now_ms >= worker.retry_at_ms:",
+        "if True:",
+        "tests/test_placement.py -k one_outage",
+    ),
+    "a stream waits longer than its client": (
+        "request_routing/src/request_routing/in_flight.py",
+        "return min(due_ms, self.last_delivered_ms + client_patience_ms(self.lifecycle.profile))",
+        "return due_ms",
+        "tests/test_waits_and_refusals.py -k client_would_give_up",
+    ),
     "certain failures cost the budget": (
         "request_routing/src/request_routing/lifecycle.py",
         "(free or self._budget.spend())",
