Keep the admission queue in its order of service

What an edge's owner saw: with 210 calls queued, a decision on a further one took 5.8 ms, a look at the queue after each answer 1.5 ms, and the review at each tick 7.2 ms, since each sorted the queue anew and worked out every latest start several times.

Change: one queue, kept in order by urgency and latest start, which are worked out when a call is queued and once a tick; `decide` and `review` have one job each.

--- a/libs/request_routing/src/request_routing/admission_queue.py
+++ b/libs/request_routing/src/request_routing/admission_queue.py
@@ -1,46 +1,57 @@
-"""The queues of live requests that wait at the edge for a slot, one per route, by deadline."""
+"""The queue of live requests that wait at the edge for a slot, in the order of service."""
 
 from bisect import insort_right
+from collections.abc import Callable
 
 from request_routing.in_flight import InFlightRequest
-from request_routing.lifecycle import RequestLifecycle
 
-__all__ = ["AdmissionQueue"]
+__all__ = ["AdmissionQueue", "QueuedRequest"]
 
 
-def _due_ms(request: InFlightRequest) -> int:
-    return request.lifecycle.due_ms
+class QueuedRequest:
+    """A request in the queue.
+
+    `latest_start_ms` is until when it has to get a slot, in milliseconds of the node's clock.
+    """
+
+    __slots__ = ("latest_start_ms", "profile", "request")
+
+    def __init__(self, request: InFlightRequest, latest_start_ms: float) -> None:
+        self.request = request
+        self.profile = request.lifecycle.profile
+        self.latest_start_ms = latest_start_ms
+
+    @property
+    def order(self) -> tuple[int, float]:
+        """Where the request stands: by its urgency (0 first), then by its latest start."""
+        return self.profile.urgency, self.latest_start_ms
+
+
+def _order(queued: QueuedRequest) -> tuple[int, float]:
+    return queued.order
 
 
 class AdmissionQueue:
-    """One queue per route, ordered by deadline."""
+    """The queued requests of all routes; `entries` has them in order and is read only."""
 
-    __slots__ = ("_queues",)
+    __slots__ = ("entries",)
 
     def __init__(self) -> None:
-        self._queues: dict[str, list[InFlightRequest]] = {}
+        self.entries: list[QueuedRequest] = []
 
     def __len__(self) -> int:
-        return sum(map(len, self._queues.values()))
+        return len(self.entries)
 
-    def add(self, request: InFlightRequest) -> None:
-        """Add a request to the queue of its route."""
-        queue = self._queues.setdefault(_route(request.lifecycle), [])
-        insort_right(queue, request, key=_due_ms)
+    def add(self, request: InFlightRequest, latest_start_ms: float) -> None:
+        """Add a request behind those with the same urgency and latest start."""
+        insort_right(self.entries, QueuedRequest(request, latest_start_ms), key=_order)
 
     def remove(self, request: InFlightRequest) -> None:
-        """Remove a request from the queue of its route, if it is queued."""
-        route = _route(request.lifecycle)
-        queue = self._queues.get(route, [])
-        if request in queue:
-            queue.remove(request)
-            if not queue:
-                del self._queues[route]
-
-    def all(self) -> list[InFlightRequest]:
-        """Return the queued requests, those of each route by deadline."""
-        return [request for queue in self._queues.values() for request in queue]
-
-
-def _route(lifecycle: RequestLifecycle) -> str:
-    return str(lifecycle.profile.name)
+        """Remove a request, if it is queued."""
+        self.entries = [queued for queued in self.entries if queued.request is not request]
+
+    def reorder(self, latest_start_ms: Callable[[InFlightRequest], float]) -> None:
+        """Put the requests in order by their latest starts as this function returns them now."""
+        for queued in self.entries:
+            queued.latest_start_ms = latest_start_ms(queued.request)
+        self.entries.sort(key=_order)
--- a/libs/request_routing/src/request_routing/request_router.py
+++ b/libs/request_routing/src/request_routing/request_router.py
@@ -12,7 +12,7 @@
 from messaging import Component
 from runtime import Verdict
 
-from request_routing.admission_control import AdmissionControl, QueuePlaces
+from request_routing.admission_control import Admission, AdmissionControl, QueuePlaces
 from request_routing.attempt import Attempt, AttemptTransport
 from request_routing.attempt_outcome import AttemptOutcome, OutcomeKind
 from request_routing.attempt_requests import new_exchange, worker_request
@@ -203,7 +203,7 @@
         elif step.kind is StepKind.SELECT_WORKER:
             self._select_worker(request)
         elif step.kind is StepKind.ENQUEUE:
-            self._admission.queue.add(request)
+            self._admission.add(request)
         elif step.worker is not None:
             self._start_attempt(request, step.worker)
         elif step.kind is StepKind.CLOSE_KEY:
@@ -259,25 +259,20 @@
         else:
             self._items.add(request)
 
-    def _admit(
-        self, request: InFlightRequest, workers: list[Worker], position: int | None = None
-    ) -> bool:
-        """Queue a live request, or refuse it if it may not wait; return whether it is queued.
-
-        A request that is queued already is given with its `position` and stays queued or is
-        refused.
-        """
+    def _admit(self, request: InFlightRequest, workers: list[Worker]) -> None:
+        """Queue a live request, or refuse it if it may not wait."""
         settings, now_ms = self.node.settings, self.node.env.now()
-        admission = self._admission.decide(request, workers, settings, now_ms, position)
-        queued = position is not None
-        if not admission.may_wait:
-            if queued:
-                self._admission.queue.remove(request)
-            step = request.lifecycle.no_worker_free(bool(workers), admission.retry_after_ms)
-            self._perform(request, step)
-        elif not queued:
+        admission = self._admission.decide(request, workers, settings, now_ms)
+        if admission.may_wait:
             self._perform(request, request.lifecycle.admitted_to_queue())
-        return admission.may_wait
+        else:
+            self._refuse(request, workers, admission)
+
+    def _refuse(
+        self, request: InFlightRequest, workers: list[Worker], admission: Admission
+    ) -> None:
+        step = request.lifecycle.no_worker_free(bool(workers), admission.retry_after_ms)
+        self._perform(request, step)
 
     def _serve_queues(self) -> None:
         """Send queued live requests to free workers in the order of service, then batch items.
@@ -286,8 +281,8 @@
         it avoids no worker, so they find none either.
         """
         blocked: set[str] = set()
-        for request in self._admission.ordered():
-            route = request.lifecycle.profile.name
+        for queued in self._admission.queue.entries.copy():
+            request, route = queued.request, queued.profile.name
             if route in blocked:
                 continue
             worker = self._choose(request, self._allowed(request))
@@ -300,15 +295,22 @@
 
     def _review_queues(self) -> None:
         """Refuse the queued requests that are no longer expected to be served in time."""
+        settings, now_ms = self.node.settings, self.node.env.now()
         places = QueuePlaces()
         workers_by_route: dict[str, list[Worker]] = {}
-        for request in self._admission.ordered():
-            profile = request.lifecycle.profile
+        self._admission.reorder()
+        for queued in self._admission.queue.entries.copy():
+            profile = queued.profile
             if profile.name not in workers_by_route:
-                workers_by_route[profile.name] = self._allowed(request)
+                workers_by_route[profile.name] = self._allowed(queued.request)
             workers = workers_by_route[profile.name]
-            if self._admit(request, workers, places.position(profile)):
+            position = places.position(profile)
+            admission = self._admission.review(queued, workers, settings, now_ms, position)
+            if admission.may_wait:
                 places.take(profile)
+            else:
+                self._admission.queue.remove(queued.request)
+                self._refuse(queued.request, workers, admission)
 
     def _serve_items(self) -> None:
         """Send queued batch items to free workers, in the order in which they were queued.
--- a/libs/testbed/src/testbed/mutations/serving.py
+++ b/libs/testbed/src/testbed/mutations/serving.py
@@ -39,20 +39,20 @@
     ),
     "who cannot make it is held": (
         "request_routing/src/request_routing/admission_control.py",
-        "return now_ms + wait_ms <= self._latest_start_ms(request, pool.unknown)",
-        "return True",
+        "    if now_ms + wait_ms > latest_start_ms:",
+        "    if False:",
         "tests/test_admission.py -k at_once",
     ),
     "nobody waits": (
         "request_routing/src/request_routing/admission_control.py",
-        "return now_ms + wait_ms <= self._latest_start_ms(request, pool.unknown)",
-        "return False",
+        "    if now_ms + wait_ms > latest_start_ms:",
+        "    if True:",
         "tests/test_admission.py -k meet_its_deadlines",
     ),
     "an outage holds every call to its deadline": (
         "request_routing/src/request_routing/admission_control.py",
-        "in_time = retry_at_ms <= self.latest_start_ms(request)",
-        "in_time = True",
+        "return _admission(now_ms + wait_ms <= queued.latest_start_ms, wait_ms)",
+        "return _admission(True, wait_ms)",
         "tests/test_waits_and_refusals.py -k too_late_for_them",
     ),
     "each failed call lengthens the backoff": (
