Tell a job that finds no leader when the stores may have replaced it

What callers saw: a submission for which no leader was known was told to come back after 0.5 s, whatever the stores' bounds are. Cause: a constant. Change: `Retry-After` is `leader_failure_ms`, the silence after which the stores replace a leader.

The new test fails on the code before.

--- a/libs/data_plane/src/data_plane/forward_job_responses.py
+++ b/libs/data_plane/src/data_plane/forward_job_responses.py
@@ -28,7 +28,6 @@
     "forward_submission_response",
 ]
 
-_LEADER_UNKNOWN_RETRY_MS = 500
 _BACKLOG_FULL_RETRY_MS = 1000
 _STORES_FULL_RETRY_MS = 2000
 _OUTCOME_UNKNOWN_RETRY_MS = 200
@@ -59,16 +58,28 @@
 
 
 def forward_submission_response(
-    job_id: str, message: JobResponse | None, sent: bool
+    job_id: str, message: JobResponse | None, sent: bool, leader_change_ms: int
 ) -> ServiceResponse[JobResponse]:
-    """Return the response to a submission; `sent` is false if nothing was sent to any store."""
+    """Return the response to a submission.
+
+    Parameters
+    ----------
+    job_id
+        The job's id.
+    message
+        The leader's response, or None if there was none.
+    sent
+        False if nothing was sent to any store.
+    leader_change_ms
+        The time in milliseconds in which the stores find that they have no leader and replace it.
+    """
     if message is None and not sent:
         return ServiceResponse.refuse(
             refused(
                 "holder-unknown",
                 "nobody holds the log at this moment; nothing was taken",
                 503,
-                _LEADER_UNKNOWN_RETRY_MS,
+                leader_change_ms,
             )
         )
     outcome = message.outcome if message is not None else JobOutcome.UNKNOWN
--- a/libs/data_plane/src/data_plane/forward_job_service.py
+++ b/libs/data_plane/src/data_plane/forward_job_service.py
@@ -145,7 +145,9 @@
         """
 
         def on_leader_response(message: JobResponse | None) -> None:
-            response = forward_submission_response(job_id, message, request.attempts > 0)
+            response = forward_submission_response(
+                job_id, message, request.attempts > 0, self.node.settings.leader_failure_ms
+            )
             self.node.env.log(
                 "job-submitted",
                 "INFO" if response.refusal is None else "WARNING",
--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -101,7 +101,7 @@
 
     def test_a_job_has_one_id(self):
         """With two ids it would be ambiguous under which of them the job was accepted."""
-        ok = forward_submission_response("7c", job_message("admitted"), True)
+        ok = forward_submission_response("7c", job_message("admitted"), True, 400)
         for ids in ([], ["7c", "7d"], ["7c", "7c"]):
             headers = CIMultiDict([("Request-Id", name) for name in ids])
             response, calls = self.call(
@@ -122,7 +122,7 @@
             (job_message("unknown"), True, 504, False),
         ]
         for message, sent, status, has_retry_after in rows:
-            response, calls = self.submit(forward_submission_response("7c", message, sent))
+            response, calls = self.submit(forward_submission_response("7c", message, sent, 400))
             self.assertThat(
                 (response.status, "Retry-After" in response.headers),
                 Equals((status, has_retry_after)),
@@ -139,13 +139,13 @@
             ("-1", 0),
         ):
             _, calls = self.submit(
-                forward_submission_response("7c", job_message("known"), True),
+                forward_submission_response("7c", job_message("known"), True, 400),
                 {"Deadline-Ms": deadline},
             )
             self.assertThat(calls[0][-1], Equals(wait_ms), deadline)
 
     def test_invalid_submissions_never_reach_the_leader(self):
-        ok = forward_submission_response("7c", job_message("admitted"), True)
+        ok = forward_submission_response("7c", job_message("admitted"), True, 400)
         repeated, incomplete = [ITEM, ITEM], [{"path": "/x"}]
         for body in (
             b"",
--- a/tests/test_waits_and_refusals.py
+++ b/tests/test_waits_and_refusals.py
@@ -7,6 +7,7 @@
 from unittest.mock import Mock
 
 from control_store import ProfileTree
+from data_plane.forward_job_responses import forward_submission_response
 from data_plane.forward_job_service import ForwardJobService
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -276,6 +277,13 @@
 class JobCalls(TestCase):
     """While the leader changes: how long an edge tries, and what is left of the client's time."""
 
+    def test_a_job_that_no_leader_can_take_is_told_when_there_may_be_one(self):
+        response = forward_submission_response("j", None, False, SETTINGS.leader_failure_ms)
+        self.assertThat(
+            (response.refusal.status, response.refusal.retry_after_ms),
+            Equals((503, SETTINGS.leader_failure_ms)),
+        )
+
     def waits(self, make_call):
         asked = []
 
