Give no batch items to a worker that has just reported waiting calls

A report counts for `heartbeat_ms`, as a report of other workers does; later the load that decays with its age does.

Measured: the new test fails on the code before (9 free slots, wanted 0).

--- a/libs/request_routing/src/request_routing/batch_execution/item_executor.py
+++ b/libs/request_routing/src/request_routing/batch_execution/item_executor.py
@@ -26,8 +26,6 @@
 
 __all__ = ["ItemExecutor"]
 
-# A listed worker with queued requests gets no items while this fraction of its slots is loaded.
-_BUSY_SHARE = 0.5
 _OK = 200
 
 
@@ -97,8 +95,9 @@
     def _free_slots(self, worker: Worker) -> float:
         """Return how many slots of a worker batch items may take.
 
-        The fraction `live_share` of its slots stays free for live requests. A worker with queued
-        requests has no free slots, except a listed one whose load is below `_BUSY_SHARE`.
+        The fraction `live_share` of its slots stays free for live requests. A worker that reported
+        queued requests has no free slots; a listed one, which reports in its responses only, for
+        `heartbeat_ms` after that.
         """
         live_share: float = self.node.settings.live_share
         if not worker.listed:
@@ -107,10 +106,11 @@
             return max(
                 0, worker.slots - math.ceil(worker.slots * live_share) - worker.heartbeat_load
             )
-        load = worker.load(self.node.env.now())
-        if worker.waiting and load >= worker.slots * _BUSY_SHARE:
+        now_ms = self.node.env.now()
+        report_age_ms = now_ms - worker.load_reported_ms
+        if worker.waiting and report_age_ms <= self.node.settings.heartbeat_ms:
             return 0.0
-        return max(0.0, math.floor(worker.slots * (1 - live_share)) - load)
+        return max(0.0, math.floor(worker.slots * (1 - live_share)) - worker.load(now_ms))
 
     def _minimum_capacity(self, workers: list[Worker]) -> int:
         """Return 1 at most once per `heartbeat_ms` while no item runs, so that items progress."""
--- a/tests/test_waits_and_refusals.py
+++ b/tests/test_waits_and_refusals.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 from live_calls import SETTINGS, TICK_MS, LiveCalls
 from messaging import Node
-from request_routing import Call, RequestLifecycle, RetryBudget
+from request_routing import Call, ItemExecutor, RequestLifecycle, RetryBudget, WorkerLoad
 from runtime import Verdict
 from testtools import TestCase
 from testtools.matchers import Equals
@@ -274,6 +274,19 @@
             self.assertTrue(0.9 < waits[0] / (5000 - service_ms) <= 1, waits)
 
 
+class LiveFirst(TestCase):
+    def test_a_worker_at_which_calls_were_waiting_just_now_gets_no_items(self):
+        """It got items while less than half of its slots were loaded; batch jobs take nothing where somebody waits."""
+        edge = LiveCalls({"flag": {}}, slots=16)
+        executor = ItemExecutor(edge.router, edge.registry, lambda: edge.tree, str, lambda: 1)
+        Node(edge.node.env, SETTINGS, [executor])
+        worker = edge.registry.workers()[0]
+        worker.report_load(WorkerLoad(3, 1, 16), edge.now_ms)
+        self.assertThat(executor._free_slots(worker), Equals(0))
+        edge.advance(SETTINGS.heartbeat_ms + 1)
+        self.assertThat(executor._free_slots(worker) > 0, Equals(True))
+
+
 class JobCalls(TestCase):
     """While the leader changes: how long an edge tries, and what is left of the client's time."""
 
