--- a/tests/test_malformed_calls.py
+++ b/tests/test_malformed_calls.py
@@ -14,6 +14,7 @@
 from edge_api import PlatformRequestReader
 from forward_fixture import Client, Edge, Worker, async_test, respond_ok
 from job_api import JobApi
+from live_calls import SETTINGS
 from messaging import encode
 from multidict import CIMultiDict
 from platform_calls import Platform, heartbeat_body
@@ -42,7 +43,7 @@
     service = ForwardJobService(EncodingLeaderClient(), None, lambda: (1, tree))
     service.node = SimpleNamespace(
         env=SimpleNamespace(now=lambda: 0, log=lambda *args, **fields: None),
-        settings=SimpleNamespace(force_ms=2000, request_timeout_ms=500),
+        settings=SETTINGS,
     )
     return service
 
