--- a/tests/crowd_site.py
+++ b/tests/crowd_site.py
@@ -327,6 +327,16 @@
             await asyncio.sleep(0.1)
         return False
 
+    async def answered(self, address, path):
+        """GET a path, tried again until it is answered; whether it was."""
+        end = time.monotonic() + ANSWER_S
+        while time.monotonic() < end:
+            status, _ = await call(address, "GET", path, {}, b"")
+            if status == 200:
+                return True
+            await asyncio.sleep(0.1)
+        return False
+
     async def submit(self, size, job_id=""):
         """Hand in a lot of one item with a body of `size` bytes; whether it was taken."""
         body = lot_bytes(size)
@@ -368,19 +378,22 @@
                 await asyncio.sleep(0.1)
         raise AssertionError(f"nothing listens at {address}")
 
-    async def crowd(self, machine, clients, meanwhile=None):
-        """Let a crowd send, then make a call while it stays; return `CrowdResult`."""
+    async def crowd(self, machine, clients, ordinary):
+        """Let a crowd send, and make an `ordinary` call while it stays and one after it has left.
+
+        Returns a `CrowdResult`.
+        """
         pid = machine.process.pid
         result = CrowdResult(machine)
         sampling = asyncio.ensure_future(result.sample(machine.ip))
         sends = [asyncio.ensure_future(client.send()) for client in clients]
         _, unfinished = await asyncio.wait(sends, timeout=SEND_S)
-        result.served = await (meanwhile or self.ordinary)()
+        result.served = await ordinary()
         for send in unfinished:
             send.cancel()
         for client in clients:
             client.leave()
-        result.served_afterwards = await self.ordinary()
+        result.served_afterwards = await ordinary()
         sampling.cancel()
         result.alive = machine.running and machine.process.pid == pid
         result.peak_mb = peak_mb(pid) + result.unread_bytes / MIB
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -9,6 +9,7 @@
 import asyncio
 import itertools
 import json
+from functools import partial
 
 from crowd_site import (
     BODY_BYTES,
@@ -30,6 +31,7 @@
 
 SHORT_BYTES = 100
 PIECE = b"x" * 32_768
+SETTINGS = "/vaneledge/settings"
 JSON_TYPE = {"Content-Type": "application/json"}
 
 
@@ -106,13 +108,16 @@
         self.assertThat(result.peak_mb, LessThan(MEMORY_MB))
         self.assertThat(result.descriptors, LessThan(OPEN_FILES))
 
-    def play(self, machine, address, pieces, count, abreast=0):
-        """Let a crowd loose on a machine; `abreast` of its clients wait for answers at a time."""
+    def play(self, machine, address, pieces, count, abreast=0, path=""):
+        """Let a crowd loose on a machine; `abreast` of its clients wait for answers at a time.
+
+        The ordinary request is a live call, or a GET of `path` at the crowd's address.
+        """
         self.site.fresh(machine, address)
         turn = asyncio.Semaphore(abreast) if abreast else None
         clients = [CrowdClient(address, pieces, turn) for _ in range(count)]
-        result = self.site.run(self.site.crowd(machine, clients))
-        self.assert_borne(result)
+        ordinary = partial(self.site.answered, address, path) if path else self.site.ordinary
+        self.assert_borne(self.site.run(self.site.crowd(machine, clients, ordinary)))
 
     def test_bodies_with_a_length_that_stop_short_of_their_end(self):
         pieces = sized("POST", "/plain/1", BODY_BYTES)
@@ -131,7 +136,8 @@
         self.site.fresh(self.site.edge, self.site.clients)
         for _ in range(3):
             clients = [CrowdClient(self.site.clients, pieces) for _ in range(150)]
-            self.assert_borne(self.site.run(self.site.crowd(self.site.edge, clients)))
+            crowd = self.site.crowd(self.site.edge, clients, self.site.ordinary)
+            self.assert_borne(self.site.run(crowd))
 
     def test_bodies_in_very_small_chunks(self):
         pieces = chunked("POST", "/plain/1", 400_000, 1)
@@ -164,20 +170,20 @@
 
     def test_bodies_at_the_own_interface_of_an_edge(self):
         pieces = sized("POST", "/v1/completions", 4 * MIB, JSON_TYPE)
-        self.play(self.site.edge, self.site.own_http(self.site.edge), pieces, 40)
+        self.play(self.site.edge, self.site.own_http(self.site.edge), pieces, 40, path="/status")
 
     def test_heads_at_the_own_interface_of_a_store(self):
         pieces = unfinished_head("/status", 60)
-        self.play(self.site.store, self.site.own_http(self.site.store), pieces, 300)
+        self.play(self.site.store, self.site.own_http(self.site.store), pieces, 300, path="/status")
 
     def test_orders_that_stop_short_of_their_end(self):
-        pieces = sized("PUT", "/vaneledge/settings", ORDER_BYTES, {"If-Match": "7"})
-        self.play(self.site.control, self.site.orders, pieces, 8)
+        pieces = sized("PUT", SETTINGS, ORDER_BYTES, {"If-Match": "7"})
+        self.play(self.site.control, self.site.orders, pieces, 8, path=SETTINGS)
 
     def test_whole_orders_whose_parsed_form_is_large(self):
         body = objects(ORDER_BYTES)
-        pieces = whole("PUT", "/vaneledge/settings", body, {"If-Match": "7"})
-        self.play(self.site.control, self.site.orders, pieces, 2)
+        pieces = whole("PUT", SETTINGS, body, {"If-Match": "7"})
+        self.play(self.site.control, self.site.orders, pieces, 2, path=SETTINGS)
 
     def test_heartbeats_of_many_unknown_workers(self):
         """Strangers' names must not fill the memory of the control nodes, nor of those who follow."""
@@ -201,8 +207,8 @@
             self.assertThat(peak_mb(machine.process.pid), LessThan(MEMORY_MB))
 
     def test_heads_at_the_control_address(self):
-        pieces = unfinished_head("/vaneledge/settings", 60)
-        self.play(self.site.control, self.site.orders, pieces, 300)
+        pieces = unfinished_head(SETTINGS, 60)
+        self.play(self.site.control, self.site.orders, pieces, 300, path=SETTINGS)
 
     def test_idle_connections_up_to_the_limit_of_descriptors(self):
         self.play(self.site.edge, self.site.clients, [], OPEN_FILES)
@@ -249,5 +255,5 @@
         self.assertThat(self.site.run(self.site.order(current + 2, current + 4)), Equals(True))
 
     async def settings(self):
-        _, body = await call(self.site.orders, "GET", "/vaneledge/settings", {}, b"")
+        _, body = await call(self.site.orders, "GET", SETTINGS, {}, b"")
         return body
