tests: end the tasks of a crowd's site, and print what each crowd took

Connections that were left to the garbage collector raised in their destructors once the loop was closed; where that happened while pytest parsed a module, the run ended with "AST constructor recursion depth mismatch" instead of its summary (seen twice beside failing tests). Bounds and crowds are unchanged.

--- a/tests/crowd_site.py
+++ b/tests/crowd_site.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import gc
 import json
 import os
 import resource
@@ -401,9 +402,19 @@
 
     def close(self):
         self.machines.close()
+        self.run(self._end_tasks())
         self.loop.call_soon_threadsafe(self.loop.stop)
         self._folder.cleanup()
 
+    async def _end_tasks(self):
+        self._worker.server.close()
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+        gc.collect()
+        await asyncio.sleep(0.1)
+
 
 class CrowdResult:
     """What a crowd did to a process; `peak_mb` has the bytes that its sockets held unread."""
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -102,6 +102,7 @@
         super().tearDownClass()
 
     def assert_borne(self, result):
+        print(f"{self.id()}: {result.peak_mb:.0f} MB, {result.descriptors} descriptors")
         self.assertThat(result.alive, Equals(True), "the process ended")
         self.assertThat(result.served, Equals(True), "nothing is served while the crowd stays")
         self.assertThat(result.served_afterwards, Equals(True), "nothing is served afterwards")
@@ -204,6 +205,7 @@
         self.assertThat(self.site.run(crowd()), Equals(True))
         for machine in machines:
             self.assertThat(machine.running, Equals(True))
+            print(f"{self.id()}: {peak_mb(machine.process.pid):.0f} MB")
             self.assertThat(peak_mb(machine.process.pid), LessThan(MEMORY_MB))
 
     def test_heads_at_the_control_address(self):
