Drop a forwarded request when its connection to the worker goes back to the pool

Seen: 20 clients with 8 whole bodies of 1 MiB each left an edge with 179 MB, although nothing was in progress any more; each idle connection to a worker kept about 1 MB. Cause: the event loop runs a connection's callbacks in the context in which it was made. That context holds `CURRENT_REQUEST`, whose `on_connected` is a method of the attempt, which has the request and its body; so every pooled connection kept its first request for as long as it was open. Ruled out: the memory account (0 bytes held at that time) and the allocator (with the reference dropped the same crowd leaves 62.6 MB). Change: the request's entry in the context forgets its callback when the attempt has ended. The new test finds one ForwardCall that is kept on the code before, none now.

--- a/libs/data_plane/src/data_plane/connection_pool.py
+++ b/libs/data_plane/src/data_plane/connection_pool.py
@@ -54,6 +54,18 @@
         self.idempotent = idempotent
         self.on_connected = on_connected
 
+    def forget(self) -> None:
+        """Drop the callback, and with it the request and its body.
+
+        A connection's callbacks keep the context in which it was made, so also this object, for as
+        long as it is open.
+        """
+        self.on_connected = _do_nothing
+
+
+def _do_nothing() -> None:
+    return
+
 
 CURRENT_REQUEST: ContextVar[OutgoingRequest] = ContextVar("current")
 """The request of the current task."""
--- a/libs/data_plane/src/data_plane/sender.py
+++ b/libs/data_plane/src/data_plane/sender.py
@@ -124,9 +124,8 @@
     ) -> None:
         attempt.connecting = True
         request_id = cast(ForwardCall, attempt.request.call).request_id
-        CURRENT_REQUEST.set(
-            OutgoingRequest(target, request_id, attempt.idempotent, attempt.connected)
-        )
+        outgoing = OutgoingRequest(target, request_id, attempt.idempotent, attempt.connected)
+        CURRENT_REQUEST.set(outgoing)
         try:
             async with self._forward_session().request(
                 method,
@@ -146,6 +145,8 @@
                 attempt.end()
         except Exception as error:
             _report_failure(attempt, error)
+        finally:
+            outgoing.forget()
 
 
 def _report_failure(attempt: Attempt, error: Exception) -> None:
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -3,8 +3,10 @@
 """
 
 import asyncio
+import gc
 
 from forward_fixture import Client, Edge, Worker, async_test, head, respond_ok
+from request_routing import ForwardCall
 from testtools import TestCase
 from testtools.matchers import Equals
 from wire_helpers import final_statuses, read_all, request_ids, reset
@@ -54,6 +56,19 @@
             )
             self.assertThat((status, body, ran), Equals((200, b"yes", ["r-1"])))
 
+    @async_test
+    async def test_a_pooled_connection_to_a_worker_keeps_no_request(self):
+        """The context in which a connection was made kept its first request, with its body, for as long
+        as the connection was open.
+        """
+        async with Edge([Worker("w0", respond_ok)]) as edge:
+            status, _, _ = await edge.request("/p/1", body=b"x" * 50_000)
+            self.assertThat(status, Equals(200))
+            await asyncio.sleep(0.05)
+            gc.collect()
+            kept = [found for found in gc.get_objects() if isinstance(found, ForwardCall)]
+            self.assertThat(kept, Equals([]))
+
     @async_test
     async def test_unexpected_bytes_end_the_connection(self):
         """Rows: the bytes after a complete response, and their delay in seconds. A connection that is reused would
