Bound the worker list when strangers report workers that nobody knows

What operators saw: heartbeats under 2000 unknown names, each with 300 models, brought a control node to 192 MB on a machine of 120 MB (664 MB after 3000, and 105 MB at every edge and store, which all follow the list). Cause: whoever reaches the control address may report any number of workers, of any size; each report goes into the list, to the disks of all voters and by the feed to every node. Ruled out: the heartbeat's body limit, since each of them is small. Change: a report that would add to the list, or change it, is answered 503 once the list, with what waits to enter it, has 1/256 of the machine's memory (1.2 MB at 300 MB; a worker takes some 300 bytes). Workers on the list, drains and ends are not affected. Open: strangers can use up the list's room for new workers; telling them apart needs credentials.

--- a/libs/control_store/src/control_store/worker_changes.py
+++ b/libs/control_store/src/control_store/worker_changes.py
@@ -62,7 +62,8 @@
 class WorkerChanges:
     """A node's copy of the worker list, and its changes if the node owns the key.
 
-    `records` and `version` are the list and its version. Times are in ms on the node's clock.
+    `records`, `version` and `size_bytes` are the list, its version and its stored size. Times
+    are in ms on the node's clock.
 
     Parameters
     ----------
@@ -84,6 +85,7 @@
         "_reports",
         "node",
         "records",
+        "size_bytes",
         "version",
     )
     node: Node
@@ -93,6 +95,7 @@
         self._config_feed = config_feed
         self.records = WorkerRecords()
         self.version = 0
+        self.size_bytes = 0
         self._owned_since_ms = NOT_OWNED_MS
         self._heartbeat_ms: dict[str, int] = {}
         self._reports: dict[str, WorkerReport] = {}
@@ -105,6 +108,7 @@
         """Store a newer version of the list from the config feed."""
         if key == WORKERS_KEY and body:
             self.records, self.version = WorkerRecords.from_json(json.loads(body)), version
+            self.size_bytes = len(body)
 
     def record_heartbeats(self, identities: Iterable[str], reports: Iterable[WorkerReport]) -> None:
         """Record workers that sent heartbeats to a control node, and add reports to the batch."""
--- a/libs/control_store/src/control_store/worker_list.py
+++ b/libs/control_store/src/control_store/worker_list.py
@@ -112,15 +112,18 @@
     def report(self, report: WorkerReport, done: OutcomeCallback) -> None:
         """Process a report that a worker sent to this node.
 
-        `done` gets OK, or REFUSED if the worker should report to another node. For a draining or
-        ended worker OK means that the change is in force, and DOUBT that this is unknown, after
-        control_call_timeout_ms or a pause of the process.
+        `done` gets OK, or REFUSED if the worker should report to another node or the list is full.
+        For a draining or ended worker OK means that the change is in force, and DOUBT that this is
+        unknown, after control_call_timeout_ms or a pause of the process.
         """
         identity, now_ms = report.identity, self.node.env.now()
         ended = report.state == WorkerState.GONE
         if not ended and report.seq < self._last_seq.get(identity, 0):
             done(Outcome.OK)
             return
+        if not self._has_room_for(report):
+            done(Outcome.REFUSED)
+            return
         self._last_seq[identity] = SEQ_AFTER_END if ended else report.seq
         self._heartbeat_ms[identity] = now_ms
         if report.state != WorkerState.SERVING:
@@ -132,6 +135,18 @@
             self._sent_ms = min(self._sent_ms, soon_ms)
         done(Outcome.OK if self._can_acknowledge() else Outcome.REFUSED)
 
+    def _has_room_for(self, report: WorkerReport) -> bool:
+        """Whether a report that would be added to the list leaves it within its size.
+
+        Anybody may send reports under any number of names, and every node of the fleet holds the
+        list. Workers on the list, and those that drain or end, are not affected.
+        """
+        if report.state != WorkerState.SERVING or not self._may_change_list(report):
+            return True
+        pending_bytes = sum(waiting.size_bytes for waiting in self._pending.values())
+        size_bytes = self._changes.size_bytes + pending_bytes + report.size_bytes
+        return size_bytes <= self.node.settings.max_worker_list_bytes
+
     def _may_change_list(self, report: WorkerReport) -> bool:
         records = self._changes.records
         if report.identity in records.ended:
--- a/libs/control_store/src/control_store/worker_messages.py
+++ b/libs/control_store/src/control_store/worker_messages.py
@@ -22,6 +22,10 @@
     SILENT = "silent"
 
 
+# The names of a stored record's fields, and its numbers.
+_RECORD_BYTES = 150
+
+
 class WorkerReport(Message):
     """A report about one worker.
 
@@ -54,6 +58,12 @@
     seq: int
     models: str
 
+    @property
+    def size_bytes(self) -> int:
+        """Approximately the size of the worker's record in the stored list, in bytes."""
+        texts = (self.identity, self.address, self.zone, self.label, self.models)
+        return _RECORD_BYTES + sum(len(text) for text in texts)
+
 
 class WorkerHeartbeats(Message, wire_name="WorkersHeard"):
     """Passes the heartbeats that a control node received to the owner of the list, each period.
--- a/libs/runtime/src/runtime/settings.py
+++ b/libs/runtime/src/runtime/settings.py
@@ -16,6 +16,8 @@
 __all__ = ["RELOADABLE", "Settings", "changed_settings", "load_settings"]
 
 _MAX_PORT = 65535
+# One worker takes some 300 bytes of the list.
+_WORKER_LIST_DIVISOR = 256
 
 # Settings that take effect without a restart when the file is read again.
 RELOADABLE = frozenset(
@@ -28,6 +30,7 @@
         "load_window_ms",
         "grace_ms",
         "max_body_bytes",
+        "memory_bytes",
     }
 )
 
@@ -118,6 +121,9 @@
     disk_bytes: int = Field(1 << 30, ge=1 << 16)
     segment_bytes: int = Field(1 << 22, ge=1 << 12)
     max_body_bytes: int = Field(1 << 22, ge=1 << 10)
+    memory_bytes: int = Field(
+        1 << 30, ge=1 << 26, description="memory that the process may use on its machine"
+    )
     keep_ms: int = Field(
         86_400_000,
         ge=1000,
@@ -282,6 +288,14 @@
         """The size of the longest response accepted from a worker."""
         return 4 * self.max_body_bytes
 
+    @property
+    def max_worker_list_bytes(self) -> int:
+        """The size up to which the worker list takes in workers that are not on it.
+
+        Every node holds the list in several forms, and several versions of it.
+        """
+        return self.memory_bytes // _WORKER_LIST_DIVISOR
+
     @property
     def response_buffer_bytes(self) -> int:
         """Response data buffered for a slow client before reading from the worker is paused."""
