Admit no more jobs than the stores can keep in memory

What operators saw: lots within all limits, whose items did not run yet, ended a store: 120 lots of 0.75 MB brought the log's leader to 394 MB, the others to 328 MB. The route had no `queueCap`.

Ruled out: the edge, which stayed at 71 MB, and frames of single lots (they are of 1 MB). Change: the leader adds up the requests that open jobs keep and refuses a submission beyond a tenth of what the machine's memory has beside the idle process, at least 8 MiB, as when the disks are full: 503, not run, `Retry-After`.

--- a/libs/batch_state/src/batch_state/admission.py
+++ b/libs/batch_state/src/batch_state/admission.py
@@ -6,7 +6,7 @@
 that a delayed copy of the refused request has no effect.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import singledispatchmethod
 
 from messaging import Message, Node, Origin
@@ -92,7 +92,9 @@
         elif capacity is None:
             self._answer_when_confirmed(message, origin, JobOutcome.UNKNOWN_PATH)
         elif state.backlog(message.path) >= capacity:
-            self._refuse(message, origin)
+            self._refuse(message, origin, JobOutcome.BACKLOG_FULL)
+        elif not self._has_memory_for(message.items):
+            self._refuse(message, origin, JobOutcome.FULL)
         else:
             self._admit(message, origin, self._job_admitted(message))
 
@@ -122,7 +124,9 @@
         elif profile is None or not profile.loan_share:
             self._answer_when_confirmed(message, origin, JobOutcome.UNKNOWN_PATH)
         elif self._leader.state.rollout_backlog(message.path) >= profile.rollout_room:
-            self._refuse(message, origin)
+            self._refuse(message, origin, JobOutcome.BACKLOG_FULL)
+        elif not self._has_memory_for(message.items * message.samples):
+            self._refuse(message, origin, JobOutcome.FULL)
         else:
             self._admit(message, origin, self._rollout_admitted(message))
 
@@ -158,7 +162,9 @@
         elif profile is None:
             self._answer_when_confirmed(message, origin, JobOutcome.UNKNOWN_PATH)
         elif not self._fits(message, profile.waiting_tokens or 0):
-            self._refuse(message, origin)
+            self._refuse(message, origin, JobOutcome.BACKLOG_FULL)
+        elif not self._has_memory_for(message.calls):
+            self._refuse(message, origin, JobOutcome.FULL)
         else:
             self._admit(message, origin, self._forward_job_admitted(message, version))
 
@@ -182,6 +188,11 @@
         waiting_tokens = self._leader.state.waiting_tokens.get(message.path, 0)
         return not limit_tokens or waiting_tokens + sum(message.tokens) <= limit_tokens
 
+    def _has_memory_for(self, requests: Sequence[str | bytes]) -> bool:
+        """Whether the stores can keep the requests of further items in memory."""
+        size_bytes = self._leader.state.open_request_bytes() + sum(map(len, requests))
+        return size_bytes <= self._node.settings.max_open_job_bytes
+
     def _stale(self, message: Submission) -> bool:
         """Whether a request is stale, or a copy of one that was refused."""
         return self._replies.stale(message) or message.leader_ms <= self._refused_ms.get(
@@ -202,10 +213,10 @@
             )
         return known is not None
 
-    def _refuse(self, message: Submission, origin: Origin) -> None:
-        """Refuse a submission because the path's backlog is full."""
+    def _refuse(self, message: Submission, origin: Origin, outcome: JobOutcome) -> None:
+        """Refuse a submission because the path's backlog or the stores' memory is full."""
         self._refused_ms[message.job_id] = message.leader_ms
-        self._answer_when_confirmed(message, origin, JobOutcome.BACKLOG_FULL)
+        self._answer_when_confirmed(message, origin, outcome)
 
     def _answer_when_confirmed(
         self, message: Submission, origin: Origin, outcome: JobOutcome
--- a/libs/batch_state/src/batch_state/jobs.py
+++ b/libs/batch_state/src/batch_state/jobs.py
@@ -79,9 +79,9 @@
 
     `pending` holds the indexes of waiting items in the order of dispatch, and `claims` the claimed
     items by index. `listed` is the number of listed results, `tokens` the number of tokens of items
-    that haven't ended. `listing_edge` has the listing lease, under `listing_epoch`. `archived` is
-    set once the results are in an archive file; `items` is then empty. `cached_entries` are the
-    encoded entries for snapshots.
+    that haven't ended, and `request_bytes` the size of the requests that it keeps. `listing_edge`
+    has the listing lease, under `listing_epoch`. `archived` is set once the results are in an
+    archive file; `items` is then empty. `cached_entries` are the encoded entries for snapshots.
 
     Times are in milliseconds of the log's own time: `at_ms` of the admission, `due_ms` of the
     deadline. At `expires_ms`, unfinished items of a forwarded job end as dead, and a rollout is
@@ -108,6 +108,7 @@
         "order",
         "path",
         "pending",
+        "request_bytes",
         "rollout",
         "safe",
         "samples",
@@ -127,6 +128,7 @@
         self.items = _items(entry)
         self.unfinished = self.total = len(self.items)
         self.tokens = sum(item.tokens for item in self.items)
+        self.request_bytes = sum(len(item.body) for item in self.items)
         self.pending: dict[int, None] = dict.fromkeys(range(self.total))
         self.claims: dict[int, Item] = {}
         self.order: list[int] = []
@@ -230,8 +232,15 @@
         self.tokens -= item.tokens
         return item.tokens
 
+    def drop_request(self, index: int) -> None:
+        """Drop the request of an item that was listed."""
+        item = self.items[index]
+        self.request_bytes -= len(item.body)
+        item.body = b""
+
     def archive(self, entry: JobArchived) -> None:
         """Drop the items and their results, which are in the archive file from now on."""
+        self.request_bytes = 0
         self.archived, self.items, self.claims, self.cached_entries = entry, [], {}, None
         self.pending, self.order = {}, []
 
--- a/libs/batch_state/src/batch_state/state.py
+++ b/libs/batch_state/src/batch_state/state.py
@@ -59,6 +59,10 @@
         """Return how many jobs other than rollouts are open on a path."""
         return sum(1 for job in self.open_jobs.values() if job.path == path and not job.rollout)
 
+    def open_request_bytes(self) -> int:
+        """Return the size of the requests of items that open jobs keep in memory."""
+        return sum(job.request_bytes for job in self.open_jobs.values())
+
     def rollout_backlog(self, path: str) -> int:
         """Return how many rollouts are open on a path."""
         return sum(1 for job in self.open_jobs.values() if job.path == path and job.rollout)
@@ -196,7 +200,7 @@
         job.listing_edge, job.listing_epoch = entry.edge, entry.epoch
         tokens = job.finish(entry.index, entry.outcome, entry.text, entry.worker)
         self._count_tokens(job.path, -tokens)
-        item.body = b""
+        job.drop_request(entry.index)
         job.order.append(entry.index)
         job.listed = len(job.order)
         if not job.open:
--- a/libs/runtime/src/runtime/settings.py
+++ b/libs/runtime/src/runtime/settings.py
@@ -13,9 +13,14 @@
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator, model_validator
 
+from runtime.memory_budget import IDLE_PROCESS_BYTES
+
 __all__ = ["RELOADABLE", "Settings", "changed_settings", "load_settings"]
 
 _MAX_PORT = 65535
+# A store keeps each open request in its state, in the records for its peers and in snapshots.
+_OPEN_JOB_SHARE = 0.1
+_MIN_OPEN_JOB_BYTES = 8 << 20
 # One worker takes some 300 bytes of the list.
 _WORKER_LIST_DIVISOR = 256
 
@@ -288,6 +293,12 @@
         """The size of the longest response accepted from a worker."""
         return 4 * self.max_body_bytes
 
+    @property
+    def max_open_job_bytes(self) -> int:
+        """The size of the requests of open jobs beyond which no more jobs are admitted."""
+        free_bytes = self.memory_bytes - IDLE_PROCESS_BYTES
+        return max(_MIN_OPEN_JOB_BYTES, int(free_bytes * _OPEN_JOB_SHARE))
+
     @property
     def max_worker_list_bytes(self) -> int:
         """The size up to which the worker list takes in workers that are not on it.
--- a/tests/leader_fixture.py
+++ b/tests/leader_fixture.py
@@ -14,6 +14,7 @@
     max_submission_age_ms=1000,
     resume_ms=12000,
     keep_ms=60_000,
+    max_open_job_bytes=8 << 20,
 )
 
 
@@ -123,6 +124,7 @@
         keep_ms=30_000,
         version=7,
         attempts=3,
+        call_bytes=0,
     ):
         ids = [f"{job_id}-{index}" for index in range(len(tokens))]
         return self.response(
@@ -133,7 +135,7 @@
                     path=path,
                     item_ids=ids,
                     tokens=list(tokens),
-                    calls=[b"call" + name.encode() for name in ids],
+                    calls=[(b"call" + name.encode()).ljust(call_bytes) for name in ids],
                     attempts=attempts,
                     due_ms=10_000,
                     keep_ms=keep_ms,
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -150,6 +150,32 @@
         pieces[1] = pieces[1][:-50]
         self.play(self.site.edge, self.site.clients, pieces, 150)
 
+    def test_lots_that_stay_open(self):
+        """The stores keep the requests of open lots; a crowd's must not fill their memory."""
+        machines = self.site.machines.current_machines("storage")
+        for machine in machines:
+            self.site.fresh(machine, self.site.own_http(machine))
+        body = lot_bytes(BODY_BYTES * 3 // 4 - 1000)
+
+        async def submit(lane):
+            for number in range(30):
+                headers = {"Request-Id": f"stays-{lane}-{number}", **JSON_TYPE}
+                await call(self.site.clients, "POST", "/bulk/1", headers, body)
+
+        async def crowd():
+            await asyncio.gather(*[submit(lane) for lane in range(4)])
+            served = await self.site.ordinary()
+            for lane, number in itertools.product(range(4), range(30)):
+                target = f"/vaneledge/lots/stays-{lane}-{number}"
+                await call(self.site.clients, "DELETE", target, {}, b"")
+            return served
+
+        self.assertThat(self.site.run(crowd()), Equals(True))
+        for machine in machines:
+            self.assertThat(machine.running, Equals(True))
+            print(f"{self.id()}: {peak_mb(machine.process.pid):.0f} MB")
+            self.assertThat(peak_mb(machine.process.pid), LessThan(MEMORY_MB))
+
     def test_whole_lots_whose_parsed_form_is_large(self):
         pieces = whole("POST", "/bulk/1", objects(BODY_BYTES), JSON_TYPE)
         self.play(self.site.edge, self.site.clients, pieces, 60)
--- a/tests/test_forward_jobs.py
+++ b/tests/test_forward_jobs.py
@@ -3,7 +3,7 @@
 import random
 
 from batch_state import BatchState, entries, messages
-from leader_fixture import LeaderFixture
+from leader_fixture import SETTINGS, LeaderFixture
 from messaging import decode
 from testtools import TestCase
 from testtools.matchers import Equals
@@ -190,6 +190,29 @@
         fixture.now_ms += 1
         self.assertThat(fixture.submit("seven", (40,)).outcome, Equals("admitted"))
 
+    def test_the_requests_of_open_jobs_have_a_limit_in_bytes(self):
+        """The stores keep them in memory, also on a route without a limit in tokens."""
+        fixture = LeaderFixture()
+        limit_bytes = SETTINGS.max_open_job_bytes
+        parts = {"one": 0.5, "two": 0.5, "three": 0.1}
+        calls = {job_id: int(limit_bytes * part) for job_id, part in parts.items()}
+        outcomes = [
+            fixture.submit(job_id, (1,), "route/b", call_bytes=size).outcome
+            for job_id, size in calls.items()
+        ]
+        self.assertThat(outcomes, Equals(["admitted", "admitted", "full"]))
+        again = fixture.submit("three", (1,), "route/b", call_bytes=calls["three"])
+        self.assertThat(type(again), Equals(messages.StaleRequest))
+        work = fixture.assignments(fixture.heartbeat(paths=["route/b"]))
+        fixture.report(work[0])
+        fixture.now_ms += 1
+        later = fixture.submit("four", (1,), "route/b", call_bytes=calls["three"])
+        self.assertThat(later.outcome, Equals("admitted"))
+        fixture.request(messages.CancelJob(job_id="two"))
+        fixture.now_ms += 1
+        cancelled = fixture.submit("five", (1,), "route/b", call_bytes=calls["two"])
+        self.assertThat(cancelled.outcome, Equals("admitted"))
+
     def test_a_refused_job_is_admitted_only_with_a_later_clock_value(self):
         fixture = LeaderFixture()
         fixture.submit("one", (100,))
