Draw what clients' requests hold from one budget of the process before it is read

Of a machine of 120 MB the crowds of `test_crowds` took 250 to 460 MB: bodies short of their end, whole bodies, pipelines, lots, orders, heads of many lines, item bodies that nobody reads. Cause: nothing counted what all connections of a process hold together. A body was gathered before its request was judged, with no bound in time; `headerBytes` bounded a line, not a head; each connection read up to 256 KiB at a time into buffers of its own, and its socket took in what the kernel allowed; an idle connection kept its last response. Ruled out: the allocator. Change: `runtime.MemoryBudget` is half of what the machine's memory has beside an idle process; a quarter of it is kept for small requests. `data_plane.body_reader` draws what a request needs by its length before it reads the body; a request for which there is none waits unread for `request_timeout_ms` and is then refused as not run (503, `Retry-After`). Requests that their head is enough to refuse are refused unread, and their bodies discarded, so that the response is read. A body has to arrive within the request's own time; one that stops is given up (408) earlier only while others wait for memory. Bodies in very small chunks take turns. `ClientConnection` counts heads and the buffers of bodies on the way, bounds a head as a whole, reads 16 KiB at a time into a buffer that all connections share, and drops the response that was written. All HTTP servers use it: clients, readiness, control, and our own interface at all roles. `/status` and `/metrics` show the account. The largest body, lot, head and an order of a thousand routes are served in calm, as before.

--- a/libs/control_plane/src/control_plane/process.py
+++ b/libs/control_plane/src/control_plane/process.py
@@ -3,7 +3,6 @@
 from typing import Any
 
 from data_plane.drain_schedule import DrainSchedule
-from data_plane.http_service import HttpService
 from data_plane.process import NodeProcess
 
 from control_plane.loans_api import LoansApi
@@ -23,13 +22,7 @@
         """Create the node and the HTTP interface."""
         self._stopping = False
         self.node = ControlNode(self.env, self.settings, self.open_disk())
-        service = HttpService(
-            self.settings.http,
-            self.settings.max_body_bytes,
-            self.why_unready,
-            self.status,
-            self.metrics,
-        )
+        service = self.make_http_service()
         for api in (ProfilesApi, MembersApi, RetirementApi, WorkersApi, LoansApi):
             api(self.node, service)
         await self.add_runtime_dependency(service)
--- a/libs/data_plane/src/data_plane/edge_process.py
+++ b/libs/data_plane/src/data_plane/edge_process.py
@@ -8,7 +8,6 @@
 from data_plane.drain_schedule import DrainSchedule
 from data_plane.edge_node import EdgeNode
 from data_plane.forward_server import ForwardServer
-from data_plane.http_service import HttpService
 from data_plane.job_api import JobApi
 from data_plane.process import NodeProcess
 from data_plane.recorder import Recorder
@@ -30,14 +29,7 @@
         self._sender = self.make_sender()
         self.node = EdgeNode(self.env, self.settings, self._sender)
         self._recorder = self._make_recorder()
-        server = HttpService(
-            self.settings.http,
-            self.settings.max_body_bytes,
-            self.node.why_unready,
-            self.status,
-            self.metrics,
-            (self._recorder.middleware,) if self._recorder else (),
-        )
+        server = self.make_http_service((self._recorder.middleware,) if self._recorder else ())
         self._completions = CompletionApi(self.node, self.node.edge_service, server)
         JobApi(self.node, self.node.edge_service, server)
         WorkerApi(self.node, server)
@@ -86,6 +78,11 @@
             self._recorder.close()
         await super().on_stop()
 
+    def why_unready(self) -> str:
+        """Return why the edge takes no clients, or an empty string."""
+        reason: str = self.node.why_unready()
+        return reason
+
     def status(self) -> dict[str, Any]:
         """Return the edge's state for operators, the body of `/status`."""
         node = self.node
--- a/libs/data_plane/src/data_plane/forward_server.py
+++ b/libs/data_plane/src/data_plane/forward_server.py
@@ -1,9 +1,11 @@
 """The HTTP server of an edge for forwarded requests.
 
-A request is read completely before it is forwarded. The worker's response is written as it arrives,
-in complete events; a response that breaks off is never terminated, so that the client can't take it
-for complete. A client that reads slowly slows the worker down (backpressure); a disconnect cancels
-the request. A `RequestReader` parses the requests of the platform that the edge serves.
+A request is read completely before it is forwarded, unless its head is enough to refuse it; the
+memory that it needs is drawn before its body is read (`data_plane.body_reader`). The worker's
+response is written as it arrives, in complete events; a response that breaks off is never
+terminated, so that the client can't take it for complete. A client that reads slowly slows the
+worker down (backpressure); a disconnect cancels the request. A `RequestReader` parses the requests
+of the platform that the edge serves.
 """
 
 import asyncio
@@ -11,14 +13,15 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
-from aiohttp import HttpVersion11, web
+from aiohttp import web
 from mode import Service
 from request_routing import ForwardCall, InFlightRequest, Step
 from request_routing.steps import StepKind
-from runtime import Refusal, log, refused
+from runtime import MemoryBudget, Refusal, log, refused, request_memory_bytes
 
+from data_plane.body_reader import BodyReader, MemoryNeed
+from data_plane.client_connections import DEFAULT_LIMITS, ConnectionServer, listen
 from data_plane.drain_schedule import DrainSchedule
-from data_plane.forward_connections import DEFAULT_LIMITS, ConnectionServer, listen
 
 __all__ = ["ForwardServer", "RequestReader", "forward_refusal_response"]
 
@@ -26,7 +29,9 @@
 _ANNOUNCED_IDLE_SHARE = 0.8
 _SHUTDOWN_S = 0.05
 _NO_JOBS_RETRY_MS = 1000
-_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Memory of a forwarded request for each byte of its body: its pieces, the body, the copy that is
+# being sent to a worker.
+_BYTES_PER_BODY_BYTE = 3
 
 JobRoutes = Callable[[web.BaseRequest, Any], Awaitable[web.StreamResponse]]
 EventQueue = asyncio.Queue[bytes | Step]
@@ -85,13 +90,23 @@
         The address of readiness probes, IP:PORT, and their path.
     reader
         Parses the clients' requests.
+    budget
+        The memory of the process for requests; one of its own if None.
     """
 
     def __init__(
-        self, node: Any, address: str, readiness: tuple[str, str], reader: RequestReader
+        self,
+        node: Any,
+        address: str,
+        readiness: tuple[str, str],
+        reader: RequestReader,
+        budget: MemoryBudget | None = None,
     ) -> None:
         super().__init__()
         self._node = node
+        settings = node.settings
+        budget = budget or MemoryBudget(request_memory_bytes(settings.memory_bytes))
+        self.bodies = BodyReader(budget, settings.request_timeout_ms, sends_continue=True)
         self._address = address
         self._readiness_address, self._readiness_path = readiness
         self._reader = reader
@@ -104,8 +119,8 @@
     async def on_start(self) -> None:
         """Listen at both addresses; raises OSError if either can't be bound."""
         loop = asyncio.get_running_loop()
-        self._server = ConnectionServer(self._handle, handler_cancellation=True)
-        readiness_server = web.Server(self._handle_readiness, access_log=None)
+        self._server = ConnectionServer(self._handle, self.bodies, handler_cancellation=True)
+        readiness_server = ConnectionServer(self._handle_readiness, self.bodies)
         self._listeners = [
             await listen(loop, self._server, self._address),
             await listen(loop, readiness_server, self._readiness_address),
@@ -147,11 +162,6 @@
         self.live_now += 1
         try:
             response = await self._respond(request)
-        except web.HTTPRequestEntityTooLarge:
-            response = forward_refusal_response(
-                refused("too-large", "the body is larger than the limit", 413)
-            )
-            response.force_close()
         finally:
             self.live_now -= 1
         if not response.prepared:
@@ -172,13 +182,10 @@
 
     async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
         service = self._node.forward_service
-        if _expects_continue(request) and request.transport is not None:
-            request.transport.write(_CONTINUE)
         profile = service.route(request.headers.get("Host", ""), request.raw_path)
         is_job = self._reader.is_job(request.path) or getattr(profile, "kind", "") == "lot"
         if is_job and self.job_routes is not None:
             return await self.job_routes(request, profile)
-        body = await request.read()
         if isinstance(profile, Refusal):
             return self._refuse(profile)
         self._server.limits = {**DEFAULT_LIMITS, **self._reader.limits(service.about())}
@@ -186,13 +193,25 @@
             return self._refuse(
                 refused("no-lots", "lots are not served here", 503, _NO_JOBS_RETRY_MS)
             )
-        call = self._reader.call(request, profile, body)
+        call = self._reader.call(request, profile, b"")
         if isinstance(call, Refusal):
             return self._refuse(call)
         client_ms = self._reader.client_ms(request)
         late = service.draining_refusal(profile, client_ms)
         if late is not None:
             return self._refuse(late)
+        body = await self.bodies.read(
+            request,
+            MemoryNeed(_BYTES_PER_BODY_BYTE, self._node.settings.response_buffer_bytes),
+            request.client_max_size,
+            service.allowed_ms(profile, client_ms),
+        )
+        if isinstance(body, Refusal):
+            return self._refuse(body)
+        late = service.draining_refusal(profile, client_ms)
+        if late is not None:
+            return self._refuse(late)
+        call.body = body
         return await self._forward(request, profile, call, client_ms)
 
     def _refuse(self, refusal: Refusal) -> web.Response:
@@ -283,12 +302,6 @@
     return response
 
 
-def _expects_continue(request: web.BaseRequest) -> bool:
-    """Whether the client waits for 100 Continue; HTTP/1.0 has no interim responses."""
-    expects = request.headers.get("Expect", "").lower() == "100-continue"
-    return expects and request.version >= HttpVersion11
-
-
 def _take_queued(first: bytes | Step, queue: EventQueue) -> tuple[list[bytes], Step | None]:
     """Return all chunks queued so far, to be written at once, and the last step or None."""
     chunks: list[bytes] = []
--- a/libs/data_plane/src/data_plane/forward_service.py
+++ b/libs/data_plane/src/data_plane/forward_service.py
@@ -64,13 +64,20 @@
         profile = profile_tree.route(host, target.partition("?")[0])
         return _no_route() if profile is None else profile
 
+    def allowed_ms(self, profile: Any, client_ms: int | None) -> int:
+        """Return how long a request may take, in milliseconds; the parameters are `forward`'s."""
+        allowed_ms: int = min(
+            profile.give_up_ms, _DEFAULT_CLIENT_MS if client_ms is None else client_ms
+        )
+        return allowed_ms
+
     def draining_refusal(self, profile: Any, client_ms: int | None) -> Refusal | None:
         """Return the refusal of a request that a draining edge may be unable to finish, or None.
 
         The client can send it to another edge at once. The parameters are those of `forward`.
         """
         now_ms = self.node.env.now()
-        due_ms = now_ms + _allowed_ms(profile, client_ms)
+        due_ms = now_ms + self.allowed_ms(profile, client_ms)
         if self.drain is None or self.drain.takes(now_ms, due_ms):
             return None
         return refused("draining", "this edge is about to stop", 503, _DRAINING_RETRY_MS)
@@ -102,7 +109,7 @@
             Receives the last step, unless the client disconnected.
         """
         now_ms = self.node.env.now()
-        due_ms = now_ms + _allowed_ms(profile, client_ms)
+        due_ms = now_ms + self.allowed_ms(profile, client_ms)
         lifecycle = ForwardLifecycle(
             self.node.env.token(), profile, now_ms, due_ms, resumable=call.resumable
         )
@@ -114,13 +121,5 @@
         return self._router.start(lifecycle, call, on_data, on_last_step)
 
 
-def _allowed_ms(profile: Any, client_ms: int | None) -> int:
-    """Return how long a request may take, in milliseconds."""
-    allowed_ms: int = min(
-        profile.give_up_ms, _DEFAULT_CLIENT_MS if client_ms is None else client_ms
-    )
-    return allowed_ms
-
-
 def _no_route() -> Refusal:
     return refused("no-route", "no route has this host and path", 404)
--- a/libs/data_plane/src/data_plane/http_service.py
+++ b/libs/data_plane/src/data_plane/http_service.py
@@ -15,11 +15,18 @@
 from pydantic import BaseModel
 from runtime import Refusal, doubtful, log, refused
 
+from data_plane.body_reader import (
+    RECORDED_BODY_KEY,
+    BodyReader,
+    MemoryNeed,
+)
+from data_plane.client_connections import BoundedAppRunner
 from data_plane.metrics import CONTENT_TYPE, Metrics
 from data_plane.request_bodies import parse
 from data_plane.responses import ServiceResponse
 
 __all__ = [
+    "BODY_READER",
     "TRANSACTION_HEADER",
     "HttpService",
     "http_response",
@@ -31,10 +38,17 @@
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 BodyT = TypeVar("BodyT", bound=BaseModel)
 
+BODY_READER = web.AppKey("body_reader", BodyReader)
+"""The reader of the bodies of an application's requests."""
+
 TRANSACTION_HEADER = "X-Vaneledge-Transaction"
 _REPLAYED_HEADER = "X-Vaneledge-Replayed"
 _SHUTDOWN_S = 1.0
 _DOUBT_RETRY_MS = 1000
+_BODY_WAIT_MS = 30_000
+# Memory of a request for each byte of its body: its pieces, the body, and the messages to other
+# nodes or workers that are made of it.
+_BODY_NEED = MemoryNeed(4)
 
 
 def json_response(
@@ -70,31 +84,19 @@
     return json_response(refusal.body(), refusal.status, headers)
 
 
-def _too_large(message: str) -> Refusal:
-    return refused("too-large", message, 413, field="body")
-
-
 async def read_json_body(
     request: web.Request, limit_bytes: int, model: type[BodyT]
 ) -> BodyT | Refusal:
     """Return the body, parsed and validated by `model`, or a refusal that names the error."""
-    data = await _read_body(request, limit_bytes)
+    bodies = request.app[BODY_READER]
+    data = await bodies.read(request, _BODY_NEED, limit_bytes, _BODY_WAIT_MS)
     if isinstance(data, Refusal):
         return data
+    request[RECORDED_BODY_KEY] = data
     parsed = parse(model, data)
     return parsed.error if parsed.is_error() else parsed.ok
 
 
-async def _read_body(request: web.Request, limit_bytes: int) -> bytes | Refusal:
-    too_large = f"the body is larger than {limit_bytes} bytes"
-    if request.content_length is not None and request.content_length > limit_bytes:
-        return _too_large(too_large)
-    try:
-        return await request.read()
-    except web.HTTPRequestEntityTooLarge:
-        return _too_large(too_large)
-
-
 @web.middleware
 async def _errors_as_refusals(request: web.Request, handler: Handler) -> web.StreamResponse:
     """Answer errors with a refusal, which has a JSON body with a verdict.
@@ -104,8 +106,6 @@
     """
     try:
         return await handler(request)
-    except web.HTTPRequestEntityTooLarge:
-        return refusal_response(_too_large("the body is too large"))
     except web.HTTPException as error:
         code = {404: "unknown-address", 405: "unknown-method"}.get(error.status, "bad-request")
         return refusal_response(
@@ -137,6 +137,8 @@
         Returns the process's metrics by name, which `/metrics` shows.
     middlewares
         aiohttp middlewares that wrap the error handling.
+    bodies
+        Reads the requests' bodies.
     """
 
     def __init__(
@@ -146,7 +148,8 @@
         why_unready: Callable[[], str],
         status: Callable[[], dict[str, Any]],
         metrics: Callable[[], dict[str, float]],
-        middlewares: tuple[Any, ...] = (),
+        middlewares: tuple[Any, ...],
+        bodies: BodyReader,
     ) -> None:
         super().__init__()
         self._address = address
@@ -155,20 +158,22 @@
         self.app = web.Application(
             middlewares=[*middlewares, _errors_as_refusals], client_max_size=limit_bytes
         )
+        self.app[BODY_READER] = bodies
         self.app.router.add_get("/ready", self._ready)
         self.app.router.add_get("/live", self._live)
         self.app.router.add_get("/status", self._show_status)
         self.app.router.add_get("/metrics", self._show_metrics)
-        self._runner: web.AppRunner | None = None
+        self._runner: BoundedAppRunner | None = None
 
     async def on_start(self) -> None:
         """Listen at the address; raises OSError if it can't be bound."""
-        self._runner = web.AppRunner(
-            self.app, access_log=None, shutdown_timeout=_SHUTDOWN_S, handler_cancellation=True
+        self._runner = BoundedAppRunner(
+            self.app,
+            self.app[BODY_READER],
+            shutdown_timeout=_SHUTDOWN_S,
+            handler_cancellation=True,
         )
-        await self._runner.setup()
-        host, _, port = self._address.rpartition(":")
-        await web.TCPSite(self._runner, host.strip("[]"), int(port), reuse_address=True).start()
+        await self._runner.listen(self._address)
 
     async def on_stop(self) -> None:
         """Stop listening and close the connections."""
--- a/libs/data_plane/src/data_plane/metrics.py
+++ b/libs/data_plane/src/data_plane/metrics.py
@@ -43,6 +43,9 @@
     "control_voters_number": "the version of the list of voters",
     "feed_place": "this node's position in the feed",
     "feed_sent_bytes": "updates sent by this node",
+    "request_memory_used_bytes": "memory that clients' requests and connections hold now",
+    "request_memory_limit_bytes": "memory that they may hold together",
+    "request_memory_refused": "requests and connections given up since there was none for them",
     "worst_tick_ms": "the longest that the node's own work held up its loop",
 }
 
--- a/libs/data_plane/src/data_plane/process.py
+++ b/libs/data_plane/src/data_plane/process.py
@@ -16,11 +16,20 @@
 from messaging.links import LinkTransport
 from messaging.node_runner import NodeRunner, ProcessEnvironment
 from mode import Service
-from runtime import Settings, load_settings, log, set_up_logs
+from runtime import (
+    MemoryBudget,
+    Settings,
+    load_settings,
+    log,
+    request_memory_bytes,
+    set_up_logs,
+)
 from runtime.settings import changed_settings
 from storage import FolderDisk
 
+from data_plane.body_reader import BodyReader
 from data_plane.drain_schedule import DrainSchedule
+from data_plane.http_service import HttpService
 
 __all__ = ["NodeProcess", "run_loaded", "run_process", "settings_or_exit"]
 
@@ -35,12 +44,13 @@
 
     A role overrides `create_node`, and where it needs them `start_draining`, `busy`,
     `stop_unfinished` and `apply`. `make_extra_services` returns further services to run; it is
-    called after `create_node`.
+    called after `create_node`. `memory_budget` is what clients' requests may hold at a time.
     """
 
     def __init__(self, settings: Settings) -> None:
         super().__init__()
         self.settings = settings
+        self.memory_budget = MemoryBudget(request_memory_bytes(settings.memory_bytes))
         self.env = self.make_environment()
         self.disk: FolderDisk | None = None
         self.node: Any = None
@@ -99,6 +109,43 @@
         """Whether draining has to wait for work in progress; a role overrides it."""
         return False
 
+    def make_http_service(self, middlewares: tuple[Any, ...] = ()) -> HttpService:
+        """Return the HTTP server of the process's own interface, with these aiohttp middlewares."""
+        settings = self.settings
+        return HttpService(
+            settings.http,
+            settings.max_body_bytes,
+            self.why_unready,
+            lambda: {**self.status(), "request_memory": self._memory_status()},
+            lambda: {**self.metrics(), **self._memory_metrics()},
+            middlewares,
+            BodyReader(self.memory_budget, settings.request_timeout_ms),
+        )
+
+    def _memory_status(self) -> dict[str, int]:
+        budget = self.memory_budget
+        return {"used_bytes": budget.used_bytes, "limit_bytes": budget.limit_bytes}
+
+    def _memory_metrics(self) -> dict[str, float]:
+        budget = self.memory_budget
+        return {
+            "request_memory_used_bytes": budget.used_bytes,
+            "request_memory_limit_bytes": budget.limit_bytes,
+            "request_memory_refused_total": budget.refused_count,
+        }
+
+    def why_unready(self) -> str:
+        """Return why the process is not ready, or an empty string; a role overrides it."""
+        raise NotImplementedError
+
+    def status(self) -> dict[str, Any]:
+        """Return the state for operators, the body of `/status`; a role overrides it."""
+        raise NotImplementedError
+
+    def metrics(self) -> dict[str, float]:
+        """Return the metrics by name; a role overrides it."""
+        raise NotImplementedError
+
     def start_draining(self, schedule: DrainSchedule) -> None:
         """Become unready and begin to hand over; a role overrides it."""
         return
@@ -110,6 +157,7 @@
     def apply(self, settings: Settings) -> None:
         """Apply changed settings."""
         self.settings = self.node.settings = settings
+        self.memory_budget.limit_bytes = request_memory_bytes(settings.memory_bytes)
         if self.disk is not None:
             self.disk.capacity_bytes = settings.disk_bytes
 
--- a/libs/data_plane/src/data_plane/recorder.py
+++ b/libs/data_plane/src/data_plane/recorder.py
@@ -18,6 +18,8 @@
 from aiohttp import web
 from runtime import boot_ms, log, wall_ms
 
+from data_plane.body_reader import RECORDED_BODY_KEY
+
 __all__ = ["FORMAT", "CallKind", "LineKind", "Recorder", "encode_row"]
 
 FORMAT = "vaneledge-recording-1"
@@ -109,17 +111,15 @@
     async def middleware(self, request: web.Request, handler: Handler) -> web.StreamResponse:
         """Pass the request to its handler, and record it with its response.
 
-        A request whose handler raises is not recorded.
+        A request whose handler raises is not recorded; a body that the handler did not read is
+        recorded as empty.
         """
         kind = _call_kind(request)
         if not kind:
             return await handler(request)
         began_ms, at_ms = boot_ms(), wall_ms()
-        try:
-            data = await request.read()
-        except web.HTTPException:
-            data = b""
         response = await handler(request)
+        data: bytes = request.get(RECORDED_BODY_KEY, b"")
         self._record(
             {
                 "kind": kind,
--- a/libs/data_plane/src/data_plane/store_process.py
+++ b/libs/data_plane/src/data_plane/store_process.py
@@ -5,7 +5,6 @@
 from runtime import Settings
 
 from data_plane.drain_schedule import DrainSchedule
-from data_plane.http_service import HttpService
 from data_plane.process import NodeProcess
 from data_plane.store_node import StoreNode
 
@@ -19,15 +18,7 @@
         """Open the disk, and create the store and its HTTP server."""
         self._stopping = False
         self.node = StoreNode(self.env, self.settings, self.open_disk())
-        await self.add_runtime_dependency(
-            HttpService(
-                self.settings.http,
-                self.settings.max_body_bytes,
-                self.why_unready,
-                self.status,
-                self.metrics,
-            )
-        )
+        await self.add_runtime_dependency(self.make_http_service())
 
     def why_unready(self) -> str:
         """Return why the store is not ready, or an empty string."""
--- a/libs/testbed/src/testbed/mutations/serving.py
+++ b/libs/testbed/src/testbed/mutations/serving.py
@@ -266,13 +266,13 @@
         _KEPT + "before_the_request",
     ),
     "draining drops a request just read": (
-        "data_plane/src/data_plane/forward_connections.py",
+        "data_plane/src/data_plane/client_connections.py",
         "or (self._request_count and not waiting)",
         "",
         _WIRE + "end_of_accepting",
     ),
     "an older client gets an interim answer": (
-        "data_plane/src/data_plane/forward_server.py",
+        "data_plane/src/data_plane/body_reader.py",
         "return expects and request.version >= HttpVersion11",
         "return expects",
         _WIRE + "interim",
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -267,6 +267,22 @@
         size = BODY_BYTES * 3 // 4 - 1000
         self.assertThat(self.site.run(self.site.submit(size)), Equals(True))
 
+    def test_a_body_in_very_small_chunks_is_served_in_calm(self):
+        size = 20_000
+        body = b"".join(itertools.repeat(b"1\r\nx\r\n", size)) + b"0\r\n\r\n"
+
+        async def answer():
+            headers = {"Request-Id": "small", "Transfer-Encoding": "chunked", "Connection": "close"}
+            host, _, port = self.site.clients.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(head_bytes("POST", "/plain/1", headers) + body)
+            try:
+                return await reader.read()
+            finally:
+                writer.close()
+
+        self.assertThat(self.site.run(answer()).endswith(b'{"bytes": 20000}'), Equals(True))
+
     def test_a_head_of_the_largest_size_is_served(self):
         async def status():
             headers = {"Request-Id": "large", "Deadline-Ms": "6000"}
--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -12,6 +12,7 @@
     forward_results_response,
     forward_submission_response,
 )
+from fake_requests import FakeRequest
 from job_api import JobApi
 from job_bodies import read_prompt_headers, read_submission
 from messaging import encode
@@ -76,18 +77,11 @@
         target, _, query = path.partition("?")
         pairs = dict(pair.split("=") for pair in query.split("&") if pair)
 
-        async def read():
-            return body
+        async def handle():
+            rows = [("Host", "h"), *(headers or {}).items()]
+            return await JobApi(service)(FakeRequest(method, target, rows, pairs, body), profile)
 
-        request = SimpleNamespace(
-            method=method,
-            path=target,
-            query=pairs,
-            headers=CIMultiDict([("Host", "h"), *(headers or {}).items()]),
-            read=read,
-        )
-        response = asyncio.run(JobApi(service)(request, profile))
-        return response, service.calls
+        return asyncio.run(handle()), service.calls
 
     def submit(self, answer, headers=None, rows=(ITEM,), profile=PROFILE, body=None):
         return self.call(
--- a/tests/test_malformed_calls.py
+++ b/tests/test_malformed_calls.py
@@ -12,11 +12,11 @@
 from data_plane.forward_job_service import ForwardJobService
 from data_plane.request_bodies import HeartbeatBody, LeaveBody, parse
 from edge_api import PlatformRequestReader
+from fake_requests import FakeRequest
 from forward_fixture import Client, Edge, Worker, async_test, respond_ok
 from job_api import JobApi
 from live_calls import SETTINGS
 from messaging import encode
-from multidict import CIMultiDict
 from platform_calls import Platform, heartbeat_body
 from prompt_headers import MAX_TOKENS, read_prompt_parts, read_token_counts
 from request_routing import LeaderRequest
@@ -50,17 +50,12 @@
 
 class JobCalls(TestCase):
     def status(self, method, path, headers=None, query=None, body=b""):
-        async def read():
-            return body
-
-        request = SimpleNamespace(
-            method=method,
-            path=path,
-            query=query or {},
-            headers=CIMultiDict({"Host": "h", "Request-Id": "7c", **(headers or {})}),
-            read=read,
-        )
-        return asyncio.run(JobApi(job_service())(request, PROFILE)).status
+        async def handle():
+            rows = {"Host": "h", "Request-Id": "7c", **(headers or {})}
+            request = FakeRequest(method, path, rows, query, body)
+            return await JobApi(job_service())(request, PROFILE)
+
+        return asyncio.run(handle()).status
 
     def test_a_wrong_value_at_any_place_of_a_submission_is_refused_or_can_be_sent_to_the_leader(
         self,
--- a/tests/test_profiles_and_retirements.py
+++ b/tests/test_profiles_and_retirements.py
@@ -18,6 +18,7 @@
     change_identity,
 )
 from control_store import Change, ChangeResult, ReadKey
+from fake_requests import FakeRequest
 from membership import Membership
 from platform_calls import Platform
 from testtools import TestCase
@@ -46,13 +47,7 @@
             settings = SimpleNamespace(max_body_bytes=1 << 20)
             api = ProfilesApi(SimpleNamespace(owner=owner, settings=settings), service)
 
-            async def read():
-                return json.dumps(sent).encode()
-
-            request = SimpleNamespace(
-                content_length=100, content_type="application/json", headers={}, read=read
-            )
-            request.content = SimpleNamespace(read=lambda count=-1: read())
+            request = FakeRequest(body=json.dumps(sent).encode())
             return (await getattr(api, handler)(request)).status
 
         return asyncio.run(run())
--- a/tests/test_wire_faults.py
+++ b/tests/test_wire_faults.py
@@ -5,7 +5,7 @@
 import asyncio
 from unittest import mock
 
-from data_plane.forward_connections import ClientConnection
+from data_plane.client_connections import ClientConnection
 from forward_fixture import Client, Edge, Worker, async_test, chunk, event, head, respond_ok
 from testtools import TestCase
 from testtools.matchers import Equals
