Draw the parsed form of a JSON body from the budget before it is parsed

What operators saw: two whole orders of 32 MiB of `{},{},` brought a control node to 1069 MB, 60 lots of 1 MiB an edge to 185 MB (both on machines of 120 MB). Cause: the parsed form of such a text takes up to 30 times its bytes, which nothing counted. Ruled out: a limit of bytes alone; texts that are valid have a tenth of that, and would be refused. Change: `parsed_json_bytes` estimates the parsed form from the text's separators and brackets (outside strings where the estimate would be large), and the request holds it before the text is parsed. What can't ever fit is refused as too large (413), what doesn't fit now as not run (503).

--- a/libs/data_plane/src/data_plane/http_service.py
+++ b/libs/data_plane/src/data_plane/http_service.py
@@ -19,8 +19,10 @@
     RECORDED_BODY_KEY,
     BodyReader,
     MemoryNeed,
+    holding_of,
 )
 from data_plane.client_connections import BoundedAppRunner
+from data_plane.json_size import parsed_json_bytes
 from data_plane.metrics import CONTENT_TYPE, Metrics
 from data_plane.request_bodies import parse
 from data_plane.responses import ServiceResponse
@@ -49,6 +51,8 @@
 # Memory of a request for each byte of its body: its pieces, the body, and the messages to other
 # nodes or workers that are made of it.
 _BODY_NEED = MemoryNeed(4)
+# The parsed JSON stands beside the values that are validated from it.
+_PARSED_COPIES = 2
 
 
 def json_response(
@@ -92,6 +96,11 @@
     data = await bodies.read(request, _BODY_NEED, limit_bytes, _BODY_WAIT_MS)
     if isinstance(data, Refusal):
         return data
+    holding = holding_of(request, bodies.budget)
+    parsed_bytes = _PARSED_COPIES * parsed_json_bytes(data)
+    refusal = await bodies.hold(holding, holding.size_bytes + parsed_bytes)
+    if refusal is not None:
+        return refusal
     request[RECORDED_BODY_KEY] = data
     parsed = parse(model, data)
     return parsed.error if parsed.is_error() else parsed.ok
