Answer a head that is not complete within headerWaitMs

What operators saw: heads that came byte by byte held their connections for as long as they wished; `headerWaitMs` was read from the configuration and used by nobody. Cause: the idle timeout of aiohttp counts from the last response, and only while no byte is due. Change: from the first byte of a head that is not complete, `header_wait_ms` runs; then the connection gets 408, which promises that nothing ran, and is closed. Measured: test_heads_that_never_end_are_closed failed on the code before (open for 30 s) and passes.

--- a/libs/data_plane/src/data_plane/client_connections.py
+++ b/libs/data_plane/src/data_plane/client_connections.py
@@ -46,6 +46,7 @@
         "_arriving",
         "_bodies",
         "_head_bytes",
+        "_head_timer",
         "_head_wait_s",
         "_holding",
         "_receive_buffer",
@@ -64,6 +65,7 @@
         self._receive_buffer = manager.receive_buffer
         self._head_bytes = 0
         self._head_wait_s = header_wait_ms / 1000
+        self._head_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to serve the connection."""
@@ -73,6 +75,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Give back what the connection holds."""
+        self._stop_head_timer()
         self._holding.release()
         super().connection_lost(exc)
 
@@ -93,6 +96,7 @@
         if self._request_count != request_count:
             self._arriving = self._messages[-1][1]
             self._head_bytes = 0
+            self._stop_head_timer()
         elif not of_body:
             self._head_bytes += len(data)
         self._bound_incomplete_request()
@@ -127,6 +131,11 @@
             self.force_close()
         elif self._head_bytes > self.max_field_size:
             self._refuse_head("431 Request Header Fields Too Large")
+        elif self._head_bytes and self._head_timer is None:
+            self._head_timer = self._loop.call_later(self._head_wait_s, self._on_late_head)
+
+    def _on_late_head(self) -> None:
+        self._refuse_head("408 Request Timeout")
 
     def _refuse_head(self, status: str) -> None:
         """Close the connection, with a response if it is the turn of this request's."""
@@ -137,6 +146,11 @@
             )
         self.force_close()
 
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
     def _is_receiving_body(self) -> bool:
         """Whether the body of a request whose head was read is still arriving."""
         bodies = [body for _, body in self._messages]
