Keep descriptors for files, workers and other nodes when clients take all they can

What callers saw: idle connections up to the limit of descriptors took all 1200 of them, so that the process could neither accept nor open anything else. Cause: connections were accepted until the system refused, 1024 at a time. Change: an HTTP server has a part of the descriptors that are not reserved for files: 0.6 at the clients' address, 0.1 at each other one (`open_files`, from the platform's `openFiles`). Beyond it the connections that have been idle for the longest are closed, a sixteenth at a time; if none is idle, the new one. 64 connections are accepted at a time, while 1024 may wait as before. Ruled out: a busy connection is closed for a new one (test_client_connections shows that it isn't).

--- a/libs/data_plane/src/data_plane/client_connections.py
+++ b/libs/data_plane/src/data_plane/client_connections.py
@@ -19,6 +19,8 @@
 __all__ = ["DEFAULT_LIMITS", "BoundedAppRunner", "ConnectionServer", "listen"]
 
 _LISTEN_BACKLOG = 1024
+# Connections that are accepted at a time; more of them could use up the descriptors at once.
+_ACCEPT_BATCH = 64
 # What one read takes from a socket, and what is parsed of a body before its reader has to take it.
 _RECEIVE_BYTES = 1 << 14
 # Bytes that a client may leave unread before its handler waits for it.
@@ -30,6 +32,8 @@
 # Memory of a connection with an incomplete body: buffers of the socket, the parser and the reader.
 _BODY_BUFFER_BYTES = _SOCKET_BUFFER_BYTES + 2 * _RECEIVE_BYTES
 _MAX_QUEUED_REQUESTS = 2
+# The part of all connections that are closed at a time to make room for new ones.
+_EVICTED_SHARE = 1 / 16
 
 DEFAULT_LIMITS = {
     "header_bytes": 1 << 14,
@@ -151,6 +155,21 @@
             self._head_timer.cancel()
             self._head_timer = None
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether the connection waits for a request, of which it may have a part of the head."""
+        return (
+            self.transport is not None
+            and not self._request_in_progress
+            and not self._messages
+            and not self._is_body_arriving()
+        )
+
+    @property
+    def idle_since_s(self) -> float:
+        """When the connection was opened or its last response ended, on the event loop's clock."""
+        return self._next_keepalive_close_time
+
     def _is_receiving_body(self) -> bool:
         """Whether the body of a request whose head was read is still arriving."""
         bodies = [body for _, body in self._messages]
@@ -178,6 +197,9 @@
 class ConnectionServer(web.Server):
     """The HTTP server; `limits` are those in force, by the keys of `DEFAULT_LIMITS`.
 
+    Beyond `max_connections` the connections that have been idle for the longest are closed; if none
+    is idle, the new one is.
+
     Parameters
     ----------
     handler
@@ -185,14 +207,20 @@
     bodies
         Reads and discards the requests' bodies; its budget also has the memory for what connections
         hold of incomplete requests.
+    max_connections
+        The number of open connections.
     """
 
     limits: dict[str, int] = DEFAULT_LIMITS
 
-    def __init__(self, handler: Any, bodies: BodyReader, **settings: Any) -> None:
+    def __init__(
+        self, handler: Any, bodies: BodyReader, max_connections: int, **settings: Any
+    ) -> None:
         super().__init__(handler, **settings)
         self.bodies = bodies
+        self.max_connections = max_connections
         self.receive_buffer = memoryview(bytearray(_RECEIVE_BYTES))
+        self._closing: set[RequestHandler] = set()
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection, with the limits in force."""
@@ -212,6 +240,34 @@
             lingering_time=0.0,
         )
 
+    def connection_made(self, handler: RequestHandler, transport: asyncio.Transport) -> None:
+        """Count a connection, and close others if there are too many."""
+        super().connection_made(handler, transport)
+        if len(self._connections) - len(self._closing) > self.max_connections:
+            self._make_room(handler)
+
+    def connection_lost(self, handler: RequestHandler, exc: BaseException | None = None) -> None:
+        """Forget a connection."""
+        self._closing.discard(handler)
+        super().connection_lost(handler, exc)
+
+    def _make_room(self, newest: RequestHandler) -> None:
+        """Close those connections that have been idle for the longest, or else the newest."""
+        idle = [
+            connection
+            for connection in self._connections
+            if isinstance(connection, ClientConnection)
+            and connection.is_idle
+            and connection is not newest
+            and connection not in self._closing
+        ]
+        idle.sort(key=lambda connection: connection.idle_since_s)
+        count = max(1, int(self.max_connections * _EVICTED_SHARE))
+        closed: list[RequestHandler] = list(idle[:count])
+        for connection in closed or [newest]:
+            self._closing.add(connection)
+            connection.force_close()
+
     def _make_request(
         self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any
     ) -> web.BaseRequest:
@@ -236,15 +292,19 @@
 class BoundedAppRunner(web.AppRunner):
     """Runs an application with a `ConnectionServer`; the parameters are those of both."""
 
-    def __init__(self, app: web.Application, bodies: BodyReader, **settings: Any) -> None:
+    def __init__(
+        self, app: web.Application, bodies: BodyReader, max_connections: int, **settings: Any
+    ) -> None:
         super().__init__(app, access_log=None, **settings)
         self._bodies = bodies
+        self._max_connections = max_connections
 
     async def _make_server(self) -> web.Server:
         plain = await super()._make_server()
         return ConnectionServer(
             plain.request_handler,
             self._bodies,
+            self._max_connections,
             request_factory=plain.request_factory,
             handler_cancellation=plain.handler_cancellation,
         )
@@ -253,17 +313,24 @@
         """Set up the application and listen at `address`; raises OSError if it can't be bound."""
         await self.setup()
         listener = _bind(address)
-        await web.SockSite(self, listener, backlog=_LISTEN_BACKLOG).start()
+        await web.SockSite(self, listener, backlog=_ACCEPT_BATCH).start()
+        listener.listen(_LISTEN_BACKLOG)
 
 
 async def listen(loop: asyncio.AbstractEventLoop, factory: Any, address: str) -> asyncio.Server:
     """Listen at `address`, IP:PORT; raises OSError if it can't be bound."""
     listener = _bind(address)
-    return await loop.create_server(factory, sock=listener, backlog=_LISTEN_BACKLOG)
+    server = await loop.create_server(factory, sock=listener, backlog=_ACCEPT_BATCH)
+    listener.listen(_LISTEN_BACKLOG)
+    return server
 
 
 def _bind(address: str) -> socket.socket:
-    """Return a bound socket, whose connections have its buffer for what they receive."""
+    """Return a bound socket, whose connections have its buffer for what they receive.
+
+    The event loop sets the number of connections that wait to the number that it accepts at a time;
+    more of them may wait, so the caller sets it again.
+    """
     host, _, port = address.rpartition(":")
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     listener = socket.create_server((host.strip("[]"), int(port)), family=family)
--- a/libs/data_plane/src/data_plane/forward_server.py
+++ b/libs/data_plane/src/data_plane/forward_server.py
@@ -118,9 +118,13 @@
 
     async def on_start(self) -> None:
         """Listen at both addresses; raises OSError if either can't be bound."""
-        loop = asyncio.get_running_loop()
-        self._server = ConnectionServer(self._handle, self.bodies, handler_cancellation=True)
-        readiness_server = ConnectionServer(self._handle_readiness, self.bodies)
+        loop, settings = asyncio.get_running_loop(), self._node.settings
+        self._server = ConnectionServer(
+            self._handle, self.bodies, settings.max_client_connections, handler_cancellation=True
+        )
+        readiness_server = ConnectionServer(
+            self._handle_readiness, self.bodies, settings.max_other_connections
+        )
         self._listeners = [
             await listen(loop, self._server, self._address),
             await listen(loop, readiness_server, self._readiness_address),
--- a/libs/data_plane/src/data_plane/http_service.py
+++ b/libs/data_plane/src/data_plane/http_service.py
@@ -148,6 +148,8 @@
         aiohttp middlewares that wrap the error handling.
     bodies
         Reads the requests' bodies.
+    max_connections
+        The number of open connections.
     """
 
     def __init__(
@@ -159,6 +161,7 @@
         metrics: Callable[[], dict[str, float]],
         middlewares: tuple[Any, ...],
         bodies: BodyReader,
+        max_connections: int,
     ) -> None:
         super().__init__()
         self._address = address
@@ -168,6 +171,7 @@
             middlewares=[*middlewares, _errors_as_refusals], client_max_size=limit_bytes
         )
         self.app[BODY_READER] = bodies
+        self._max_connections = max_connections
         self.app.router.add_get("/ready", self._ready)
         self.app.router.add_get("/live", self._live)
         self.app.router.add_get("/status", self._show_status)
@@ -179,6 +183,7 @@
         self._runner = BoundedAppRunner(
             self.app,
             self.app[BODY_READER],
+            self._max_connections,
             shutdown_timeout=_SHUTDOWN_S,
             handler_cancellation=True,
         )
--- a/libs/data_plane/src/data_plane/process.py
+++ b/libs/data_plane/src/data_plane/process.py
@@ -120,6 +120,7 @@
             lambda: {**self.metrics(), **self._memory_metrics()},
             middlewares,
             BodyReader(self.memory_budget, settings.request_timeout_ms),
+            settings.max_other_connections,
         )
 
     def _memory_status(self) -> dict[str, int]:
--- a/libs/runtime/src/runtime/settings.py
+++ b/libs/runtime/src/runtime/settings.py
@@ -18,11 +18,15 @@
 __all__ = ["RELOADABLE", "Settings", "changed_settings", "load_settings"]
 
 _MAX_PORT = 65535
+_RESERVED_FILES = 200
 # A store keeps each open request in its state, in the records for its peers and in snapshots.
 _OPEN_JOB_SHARE = 0.1
 _MIN_OPEN_JOB_BYTES = 8 << 20
 # One worker takes some 300 bytes of the list.
 _WORKER_LIST_DIVISOR = 256
+# Shares of the descriptors that are not reserved.
+_CLIENT_CONNECTION_SHARE = 0.6
+_OTHER_CONNECTION_SHARE = 0.1
 
 # Settings that take effect without a restart when the file is read again.
 RELOADABLE = frozenset(
@@ -36,6 +40,7 @@
         "grace_ms",
         "max_body_bytes",
         "memory_bytes",
+        "open_files",
     }
 )
 
@@ -129,6 +134,9 @@
     memory_bytes: int = Field(
         1 << 30, ge=1 << 26, description="memory that the process may use on its machine"
     )
+    open_files: int = Field(
+        4096, ge=256, description="number of descriptors that the process may have open"
+    )
     keep_ms: int = Field(
         86_400_000,
         ge=1000,
@@ -307,6 +315,19 @@
         """
         return self.memory_bytes // _WORKER_LIST_DIVISOR
 
+    @property
+    def max_client_connections(self) -> int:
+        """Number of connections at the clients' address.
+
+        The other descriptors are for files, and for connections to workers and other nodes.
+        """
+        return int((self.open_files - _RESERVED_FILES) * _CLIENT_CONNECTION_SHARE)
+
+    @property
+    def max_other_connections(self) -> int:
+        """Number of connections at each other HTTP address of the process."""
+        return int((self.open_files - _RESERVED_FILES) * _OTHER_CONNECTION_SHARE)
+
     @property
     def response_buffer_bytes(self) -> int:
         """Response data buffered for a slow client before reading from the worker is paused."""
