Close a connection whose client reads nothing of its response

What operators saw: a response that a client never reads held its connection, its memory and its call for good. Cause: the wait for the client to read had no end; the idle timeout counts between requests only. Change: if a client has taken no byte of what waits for it within the idle timeout, the connection is aborted. A client that reads slowly goes on. Measured: test_a_client_that_reads_nothing_of_its_response_is_closed. The file's other tests show the bounds of single connections and the refusals' promises over sockets.

--- a/libs/data_plane/src/data_plane/client_connections.py
+++ b/libs/data_plane/src/data_plane/client_connections.py
@@ -53,11 +53,16 @@
         "_head_timer",
         "_head_wait_s",
         "_holding",
+        "_idle_s",
         "_receive_buffer",
+        "_unsent_bytes",
+        "_write_timer",
         "body",
     )
 
-    def __init__(self, manager: "ConnectionServer", header_wait_ms: int, **settings: Any) -> None:
+    def __init__(
+        self, manager: "ConnectionServer", header_wait_ms: int, idle_ms: int, **settings: Any
+    ) -> None:
         super().__init__(manager, **settings)
         # A client may send its next requests before the response; no more is read beside two.
         self._max_msg_queue_size = _MAX_QUEUED_REQUESTS
@@ -70,6 +75,9 @@
         self._head_bytes = 0
         self._head_wait_s = header_wait_ms / 1000
         self._head_timer: asyncio.TimerHandle | None = None
+        self._idle_s = idle_ms / 1000
+        self._unsent_bytes = 0
+        self._write_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to serve the connection."""
@@ -80,6 +88,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Give back what the connection holds."""
         self._stop_head_timer()
+        self._stop_write_timer()
         self._holding.release()
         super().connection_lost(exc)
 
@@ -155,6 +164,33 @@
             self._head_timer.cancel()
             self._head_timer = None
 
+    def pause_writing(self) -> None:
+        """Make the handler wait, and close the connection if the client reads nothing at all."""
+        super().pause_writing()
+        assert self.transport is not None
+        self._unsent_bytes = self.transport.get_write_buffer_size()
+        self._write_timer = self._loop.call_later(self._idle_s, self._check_unsent)
+
+    def resume_writing(self) -> None:
+        """Let the handler go on."""
+        self._stop_write_timer()
+        super().resume_writing()
+
+    def _check_unsent(self) -> None:
+        if self.transport is None:
+            return
+        unsent_bytes = self.transport.get_write_buffer_size()
+        if unsent_bytes >= self._unsent_bytes:
+            self.transport.abort()
+            return
+        self._unsent_bytes = unsent_bytes
+        self._write_timer = self._loop.call_later(self._idle_s, self._check_unsent)
+
+    def _stop_write_timer(self) -> None:
+        if self._write_timer is not None:
+            self._write_timer.cancel()
+            self._write_timer = None
+
     @property
     def is_idle(self) -> bool:
         """Whether the connection waits for a request, of which it may have a part of the head."""
@@ -230,6 +266,7 @@
         return ClientConnection(
             self,
             limits["header_wait_ms"],
+            limits["idle_ms"],
             loop=self._loop,
             access_log=no_access_log,
             auto_decompress=False,
