--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -27,7 +27,7 @@
     peak_mb,
 )
 from testtools import TestCase
-from testtools.matchers import Equals, LessThan
+from testtools.matchers import Contains, Equals, LessThan
 
 SHORT_BYTES = 100
 PIECE = b"x" * 32_768
@@ -283,6 +283,14 @@
 
         self.assertThat(self.site.run(answer()).endswith(b'{"bytes": 20000}'), Equals(True))
 
+    def test_the_memory_of_requests_is_shown_to_operators(self):
+        for machine in (self.site.edge, self.site.store, self.site.control):
+            address = self.site.own_http(machine)
+            _, status = self.site.run(call(address, "GET", "/status", {}, b""))
+            self.assertThat(json.loads(status)["request_memory"]["limit_bytes"], Equals(30 * MIB))
+            _, metrics = self.site.run(call(address, "GET", "/metrics", {}, b""))
+            self.assertThat(metrics.decode(), Contains("vaneledge_request_memory_refused_total"))
+
     def test_a_head_of_the_largest_size_is_served(self):
         async def status():
             headers = {"Request-Id": "large", "Deadline-Ms": "6000"}
