Bound the records that a store keeps in memory for its peers

Cause: a replica kept the records of the last `keep_factor` times `flush_ms`, ten seconds on the platform, whatever they took.

--- a/libs/replicated_log/src/replicated_log/local_log.py
+++ b/libs/replicated_log/src/replicated_log/local_log.py
@@ -259,9 +259,11 @@
     def trim(self) -> None:
         """Remove old records that the snapshot covers from memory, and files of covered records.
 
-        A record is old if it was received more than `keep_factor` * `flush_ms` before the last one.
+        A record is old if it was received more than `keep_factor` * `flush_ms` before the last one,
+        or if the records take more than `max_kept_record_bytes`.
         """
-        self.buffer.trim(self.settings.keep_factor * self.settings.flush_ms)
+        settings = self.settings
+        self.buffer.trim(settings.keep_factor * settings.flush_ms, settings.max_kept_record_bytes)
         self._queue_files.remove_unneeded(
             [record for record in self.records if record.seq > self.snapshot_seq]
         )
--- a/libs/replicated_log/src/replicated_log/record_buffer.py
+++ b/libs/replicated_log/src/replicated_log/record_buffer.py
@@ -82,17 +82,31 @@
         """Remove all records."""
         self.records, self.received_ms = [], []
 
-    def trim(self, keep_ms: float) -> None:
+    def trim(self, keep_ms: float, keep_bytes: int) -> None:
         """Remove records that the snapshot covers and that are older than `keep_ms`.
 
-        The age of a record is measured at the arrival of the last record, which always stays.
+        The age of a record is measured at the arrival of the last record, which always stays. Of
+        those that the snapshot covers, the oldest are also removed as long as all records take more
+        than `keep_bytes`; a peer that lacks them gets the snapshot.
         """
         if not self.received_ms:
             return
-        count = self._count_trimmable(self.received_ms[-1] - keep_ms)
+        coverable = max(0, min(len(self.records) - 1, self.snapshot_seq + 1 - self.first_seq))
+        count = max(
+            self._count_older(self.received_ms[-1] - keep_ms, coverable),
+            self._count_beyond(keep_bytes, coverable),
+        )
         del self.records[:count]
         del self.received_ms[:count]
 
-    def _count_trimmable(self, floor_ms: float) -> int:
-        limit = min(len(self.records) - 1, self.snapshot_seq + 1 - self.first_seq)
-        return next((n for n in range(limit) if self.received_ms[n] >= floor_ms), max(0, limit))
+    def _count_older(self, floor_ms: float, limit: int) -> int:
+        return next((n for n in range(limit) if self.received_ms[n] >= floor_ms), limit)
+
+    def _count_beyond(self, keep_bytes: int, limit: int) -> int:
+        """Return how many of the first records have to go so that the others fit."""
+        excess_bytes = sum(record.size_bytes for record in self.records) - keep_bytes
+        count = 0
+        while count < limit and excess_bytes > 0:
+            excess_bytes -= self.records[count].size_bytes
+            count += 1
+        return count
--- a/libs/runtime/src/runtime/settings.py
+++ b/libs/runtime/src/runtime/settings.py
@@ -307,6 +307,11 @@
         free_bytes = self.memory_bytes - IDLE_PROCESS_BYTES
         return max(_MIN_OPEN_JOB_BYTES, int(free_bytes * _OPEN_JOB_SHARE))
 
+    @property
+    def max_kept_record_bytes(self) -> int:
+        """The size of the records in memory beyond which the oldest are not kept for peers."""
+        return self.max_open_job_bytes // 2
+
     @property
     def max_worker_list_bytes(self) -> int:
         """The size up to which the worker list takes in workers that are not on it.
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -152,22 +152,34 @@
 
     def test_lots_that_stay_open(self):
         """The stores keep the requests of open lots; a crowd's must not fill their memory."""
+        self.play_lots("stays", cancelled=False)
+
+    def test_lots_that_are_cancelled_at_once(self):
+        """The stores keep the records of the log for their peers, also those of lots that are over."""
+        self.play_lots("goes", cancelled=True)
+
+    def play_lots(self, name, cancelled):
         machines = self.site.machines.current_machines("storage")
         for machine in machines:
             self.site.fresh(machine, self.site.own_http(machine))
         body = lot_bytes(BODY_BYTES * 3 // 4 - 1000)
 
+        async def cancel(job_id):
+            await call(self.site.clients, "DELETE", f"/vaneledge/lots/{job_id}", {}, b"")
+
         async def submit(lane):
             for number in range(30):
-                headers = {"Request-Id": f"stays-{lane}-{number}", **JSON_TYPE}
+                job_id = f"{name}-{lane}-{number}"
+                headers = {"Request-Id": job_id, **JSON_TYPE}
                 await call(self.site.clients, "POST", "/bulk/1", headers, body)
+                if cancelled:
+                    await cancel(job_id)
 
         async def crowd():
             await asyncio.gather(*[submit(lane) for lane in range(4)])
             served = await self.site.ordinary()
             for lane, number in itertools.product(range(4), range(30)):
-                target = f"/vaneledge/lots/stays-{lane}-{number}"
-                await call(self.site.clients, "DELETE", target, {}, b"")
+                await cancel(f"{name}-{lane}-{number}")
             return served
 
         self.assertThat(self.site.run(crowd()), Equals(True))
