Give up bodies that are not complete when a draining edge has to have answered

What clients and operators saw: an edge that was told to stop while 30 clients stayed just short of their bodies' ends ended 8.0 s after SIGTERM, at the end of `graceS`, with their requests cut. Cause: a body may arrive for as long as its client gives the request; the drain, which limits all other deadlines, did not limit this one. Change: `BodyReader.limit_deadlines`, set by the drain to the moment by which each request gets its final answer; the client gets 408, which promises that nothing ran. Ruled out: bodies at rest before SIGTERM only; later ones have the same limit. The test fails on the code before (no answer in 5 s) and passes.

--- a/libs/data_plane/src/data_plane/body_reader.py
+++ b/libs/data_plane/src/data_plane/body_reader.py
@@ -81,14 +81,32 @@
         Whether a client that waits for 100 Continue is told here to send its body.
     """
 
-    __slots__ = ("_sends_continue", "_turn", "_wait_ms", "budget")
+    __slots__ = ("_end_s", "_sends_continue", "_turn", "_wait_ms", "budget")
 
     def __init__(self, budget: MemoryBudget, wait_ms: int, sends_continue: bool = False) -> None:
         self.budget = budget
         self._wait_ms = wait_ms
         self._sends_continue = sends_continue
+        self._end_s: float | None = None
         self._turn = asyncio.Lock()
 
+    def limit_deadlines(self, end_s: float) -> None:
+        """Give up all bodies, later ones too, that have not arrived by `end_s`.
+
+        That is a time of the event loop's clock; until then a body's own time applies.
+        """
+        self._end_s = end_s
+
+    def _piece_wait_s(self) -> float:
+        """Return how long to wait for the next piece of a body before its arrival is judged."""
+        wait_s = self._wait_ms / 1000
+        if self._end_s is None:
+            return wait_s
+        return max(0.0, min(wait_s, self._end_s - asyncio.get_running_loop().time()))
+
+    def _has_ended(self) -> bool:
+        return self._end_s is not None and asyncio.get_running_loop().time() >= self._end_s
+
     async def hold(self, holding: MemoryHolding, size_bytes: int) -> Refusal | None:
         """Hold `size_bytes` as soon as they can be had; return the refusal if that takes too long.
 
@@ -186,9 +204,11 @@
             await self._take_turn()
         piece = b""
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._wait_ms / 1000):
+            async with asyncio.timeout(self._piece_wait_s()):
                 piece = await content.readany()
         arrival.add(len(piece))
+        if self._has_ended() and not content.is_eof():
+            return None
         if self.budget.is_contended and arrival.is_slow(self._wait_ms / 1000):
             return None
         return piece
--- a/libs/data_plane/src/data_plane/forward_server.py
+++ b/libs/data_plane/src/data_plane/forward_server.py
@@ -144,8 +144,9 @@
         goes to another edge.
         """
         self._drain = schedule
-        accept_ms = schedule.accept_until_ms - self._node.env.now()
-        asyncio.get_running_loop().call_later(accept_ms / 1000, self._stop_accepting)
+        loop, now_ms = asyncio.get_running_loop(), self._node.env.now()
+        loop.call_later((schedule.accept_until_ms - now_ms) / 1000, self._stop_accepting)
+        self.bodies.limit_deadlines(loop.time() + (schedule.answer_by_ms - now_ms) / 1000)
 
     def _stop_accepting(self) -> None:
         self._listeners[0].close()
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -29,8 +29,8 @@
 class TrackedEdge(Edge):
     """An edge whose clients are disconnected at the end of a test."""
 
-    def __init__(self, workers):
-        super().__init__(workers)
+    def __init__(self, workers, **settings):
+        super().__init__(workers, **settings)
         self.clients = []
 
     async def client(self):
@@ -169,6 +169,19 @@
             status, _, _ = await client.read_response()
             self.assertThat(status, Equals(408))
 
+    @async_test
+    async def test_a_body_that_stops_does_not_outlast_a_drain(self):
+        async with TrackedEdge([Worker("w0", respond_ok)], grace_ms=600) as edge:
+            client = await edge.client()
+            client.send("/p/1", body=b"x", framing="Content-Length: 90000\r\n")
+            await until(lambda: edge.server.live_now == 1)
+            edge.start_draining()
+            # The client's own time is 15 s.
+            async with asyncio.timeout(5):
+                status, _, _ = await client.read_response()
+                await until(lambda: not edge.server.busy())
+            self.assertThat(status, Equals(408))
+
     @async_test
     async def test_all_memory_is_given_back_however_a_request_ends(self):
         async def cut(worker, fields, writer):
