Close a connection for its incomplete next request only after the response before it

What callers would have seen: a client that had sent the beginning of its next request lost the response to the one before it when that beginning was late or too long; a request that had just been read could be closed for a new connection; what came on a connection that only finishes its response was counted as a head without end; a connection that was closed while its client read nothing stayed. Cause: the bounds of incomplete requests closed the connection at once, and `is_idle` did not know the moment between a request's leaving the queue and its handling (see `close_when_idle`). Change: a refusal of a head closes the connection after the responses that come first; a connection is idle only while something waits for its next request; bytes that aiohttp drops aren't counted; a connection that is being closed is aborted after the idle timeout if the rest isn't read. Measured: test_a_late_head_does_not_cut_the_response_before_it fails on the code before and passes.

--- a/libs/data_plane/src/data_plane/client_connections.py
+++ b/libs/data_plane/src/data_plane/client_connections.py
@@ -102,6 +102,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of the client, and bound what is held of an incomplete request."""
+        if self._close or self._force_close:
+            return
         request_count, of_body = self._request_count, self._is_body_arriving()
         super().data_received(data)
         if self.transport is None:
@@ -130,6 +132,8 @@
             response.body = None
         if not is_reset:
             await self._bodies.discard(request, self._head_wait_s)
+        if not response.keep_alive:
+            self._abort_unless_sent(self.transport)
         return response, is_reset
 
     def _is_body_arriving(self) -> bool:
@@ -151,14 +155,29 @@
         self._refuse_head("408 Request Timeout")
 
     def _refuse_head(self, status: str) -> None:
-        """Close the connection, with a response if it is the turn of this request's."""
-        idle = self._waiter is not None and not self._waiter.done() and not self._messages
-        if idle and self.transport is not None:
-            self.transport.write(
-                f"HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n".encode()
-            )
+        """Answer an incomplete head and close the connection; if others come first, after those."""
+        if not self.is_idle:
+            self.close()
+            return
+        assert self.transport is not None
+        self.transport.write(
+            f"HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n".encode()
+        )
         self.force_close()
 
+    def force_close(self) -> None:
+        """Close the connection, also if the client doesn't read the rest in the idle timeout."""
+        self._abort_unless_sent(self.transport)
+        super().force_close()
+
+    def _abort_unless_sent(self, transport: asyncio.Transport | None) -> None:
+        """Abort a connection that is about to be closed, if the rest is not sent in time.
+
+        A transport that is closed waits for its client to read what was written.
+        """
+        if transport is not None and transport.get_write_buffer_size():
+            self._loop.call_later(self._idle_s, transport.abort)
+
     def _stop_head_timer(self) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
@@ -193,13 +212,13 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether the connection waits for a request, of which it may have a part of the head."""
-        return (
-            self.transport is not None
-            and not self._request_in_progress
-            and not self._messages
-            and not self._is_body_arriving()
-        )
+        """Whether the connection waits for a request, of which it may have a part of the head.
+
+        A request that aiohttp has just taken off its queue is neither queued nor in progress, but
+        nothing waits for the next one either.
+        """
+        waiting = self._waiter is not None and not self._waiter.done()
+        return self.transport is not None and waiting and not self._messages
 
     @property
     def idle_since_s(self) -> float:
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -94,6 +94,27 @@
                     await asyncio.sleep(0.02)
                 self.assertThat((await client.read_response())[0], Equals(200))
 
+    @async_test
+    async def test_a_late_head_does_not_cut_the_response_before_it(self):
+        release = asyncio.Event()
+
+        async def respond_late(worker, fields, writer):
+            await release.wait()
+            await respond_ok(worker, fields, writer)
+
+        async with TrackedEdge([Worker("w0", respond_late)]) as edge:
+            client = await self.open(edge, header_wait_ms=100)
+            client.send("/p/1")
+            client.writer.write(b"POST /p/1 HTTP/1.1\r\nHost: h\r\n")
+            await asyncio.sleep(0.3)
+            for _ in range(40):
+                client.writer.write(b"X: %s\r\n" % (b"x" * 1000))
+            await asyncio.sleep(0.1)
+            release.set()
+            self.assertThat((await client.read_response())[0], Equals(200))
+            self.assertThat(await client.read_to_end(), Equals(b""))
+            await until(lambda: edge.server.bodies.budget.used_bytes == 0)
+
     @async_test
     async def test_the_end_of_a_body_is_not_taken_for_a_head(self):
         async with TrackedEdge([Worker("w0", respond_ok)]) as edge:
@@ -223,6 +244,20 @@
             await asyncio.sleep(0.3)
             await until(lambda: not edge.server._server.connections)
 
+    @async_test
+    async def test_a_client_that_reads_nothing_before_its_connection_closes_is_closed(self):
+        async def respond_much(worker, fields, writer):
+            worker.write_text(writer, head(fields, "", "x" * (8 << 20)))
+            await writer.drain()
+
+        async with TrackedEdge([Worker("w0", respond_much)]) as edge:
+            set_limits(edge, idle_ms=200)
+            client = await edge.client()
+            client.writer.transport.pause_reading()
+            client.send("/i/1", body=b"", extra="Connection: close\r\n")
+            await until(lambda: edge.server.live_now == 1)
+            await until(lambda: not edge.server._server.connections)
+
     @async_test
     async def test_the_longest_idle_connections_make_room_for_new_ones(self):
         async with TrackedEdge([Worker("w0", respond_ok)]) as edge:
