--- a/tests/test_json_size.py
+++ b/tests/test_json_size.py
@@ -54,6 +54,13 @@
             peak = parsing_peak_bytes(text)
             self.assertThat(parsed_json_bytes(text), GreaterThan(peak), part)
 
+    def test_long_texts_with_one_wide_character(self):
+        for wide in ("", "é", "中", "\U0001f600", "\\u4e2d", "\\ud83d\\ude00", "\\u00e9"):
+            for part in ("a" * 400_000, "é" * 200_000, "中" * 100_000):
+                text = f'["{wide}{part}"]'.encode()
+                peak = parsing_peak_bytes(text)
+                self.assertThat(parsed_json_bytes(text), GreaterThan(peak), (wide, part[0]))
+
     def test_random_texts(self):
         rng = random.Random(5)
         for _ in range(40):
