Take no empty line after a body for the beginning of a head

Found on the read-through: a client that sends an empty line after a body, as old ones do, was answered 408 after `headerWaitMs` although its connection was idle. Cause: any byte between two requests counted as the beginning of a head. Change: line ends before a head don't count. Measured: test_an_empty_line_after_a_body_is_not_taken_for_a_head fails before and passes.

--- a/libs/data_plane/src/data_plane/client_connections.py
+++ b/libs/data_plane/src/data_plane/client_connections.py
@@ -32,6 +32,8 @@
 # Memory of a connection with an incomplete body: buffers of the socket, the parser and the reader.
 _BODY_BUFFER_BYTES = _SOCKET_BUFFER_BYTES + 2 * _RECEIVE_BYTES
 _MAX_QUEUED_REQUESTS = 2
+# Some clients send an empty line after a body; it is no part of the next head.
+_LINE_END = b"\r\n"
 # The part of all connections that are closed at a time to make room for new ones.
 _EVICTED_SHARE = 1 / 16
 
@@ -112,7 +114,7 @@
             self._arriving = self._messages[-1][1]
             self._head_bytes = 0
             self._stop_head_timer()
-        elif not of_body:
+        elif not of_body and (self._head_bytes or data.strip(_LINE_END)):
             self._head_bytes += len(data)
         self._bound_incomplete_request()
 
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -115,6 +115,16 @@
             self.assertThat(await client.read_to_end(), Equals(b""))
             await until(lambda: edge.server.bodies.budget.used_bytes == 0)
 
+    @async_test
+    async def test_an_empty_line_after_a_body_is_not_taken_for_a_head(self):
+        async with TrackedEdge([Worker("w0", respond_ok)]) as edge:
+            client = await self.open(edge, header_wait_ms=100)
+            for number in range(2):
+                client.send("/p/1", request_id=f"r-{number}")
+                self.assertThat((await client.read_response())[0], Equals(200))
+                client.writer.write(b"\r\n")
+                await asyncio.sleep(0.3)
+
     @async_test
     async def test_the_end_of_a_body_is_not_taken_for_a_head(self):
         async with TrackedEdge([Worker("w0", respond_ok)]) as edge:
