Draw the events that a completion's client has not read from the budget

What operators would see: clients of an edge's own interface that read nothing of a stream let up to four times `max_body_bytes` (16 MiB) wait for each of them in the process. Cause: events were queued for each client without a bound, so that a slow one holds no worker's slot; nothing counted them over all clients. Ruled out: the platform's forwarded calls, which hold their worker back instead. Change: the request holds the bytes of its queue until they are written; the connection of a client for which there is no memory is aborted, which cancels a request that may run again. One that must not goes on without its client, and is recorded.

--- a/libs/data_plane/src/data_plane/completion_api.py
+++ b/libs/data_plane/src/data_plane/completion_api.py
@@ -1,21 +1,26 @@
 """The HTTP routes of live completions of vaneledge's own HTTP API.
 
 Requests are validated and passed to the `EdgeService`, whose responses are written to the client.
-Events of a stream are queued for each client without a bound, so that a client that reads slowly
-does not occupy a worker's slot. A disconnect is reported to the request in flight at once.
+Events of a stream are queued for each client, so that a client that reads slowly does not occupy a
+worker's slot. The request holds their bytes of the process's memory until they are written; the
+connection of a client for which there is none is aborted. A disconnect is reported to the request
+in flight at once.
 """
 
 import asyncio
 import contextlib
 import re
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
 from request_routing import Step
-from runtime import Refusal, boot_ms, refused
+from runtime import MemoryHolding, Refusal, boot_ms, log, refused
 
+from data_plane.body_reader import holding_of
 from data_plane.edge_service import EdgeService
 from data_plane.http_service import (
+    BODY_READER,
     TRANSACTION_HEADER,
     HttpService,
     http_response,
@@ -42,6 +47,52 @@
         self.response = response
 
 
+class _ResponseQueue:
+    """The events of a response that are not written yet, and its end.
+
+    `holding` holds their bytes beside what the request needs; without memory for more of them
+    `on_overflow` is called, and nothing more is queued. Nor is it once the queue is closed: a
+    request that must not run twice goes on without its client.
+    """
+
+    __slots__ = ("_closed", "_holding", "_items", "_on_overflow")
+
+    def __init__(self, holding: MemoryHolding, on_overflow: Callable[[], None]) -> None:
+        self._holding = holding
+        self._on_overflow = on_overflow
+        self._closed = False
+        self._items: asyncio.Queue[bytes | _End] = asyncio.Queue()
+
+    def put_event(self, data: bytes) -> None:
+        """Queue an event of a stream."""
+        self._put(data, len(data))
+
+    def put_end(self, end: _End) -> None:
+        """Queue the end, which has the body of a response that is no stream."""
+        self._put(end, len(end.response.body))
+
+    def _put(self, item: bytes | _End, size_bytes: int) -> None:
+        if self._closed:
+            return
+        if self._holding.try_resize(self._holding.size_bytes + size_bytes):
+            self._items.put_nowait(item)
+            return
+        self._closed = True
+        self._on_overflow()
+
+    def close(self) -> None:
+        """Queue nothing more, as the request has given back its memory or is about to."""
+        self._closed = True
+
+    async def get(self) -> bytes | _End:
+        """Return the next event, or the end."""
+        return await self._items.get()
+
+    def event_written(self, data: bytes) -> None:
+        """Give back the memory of an event."""
+        self._holding.try_resize(self._holding.size_bytes - len(data))
+
+
 class CompletionApi:
     """Adds the routes of completions to `server`; `live_now` counts those in progress."""
 
@@ -70,20 +121,28 @@
         self, request: web.Request, key: str, body: CompletionBody
     ) -> web.StreamResponse:
         """Start the completion, and write its events and its end as they arrive."""
-        queue: asyncio.Queue[bytes | _End] = asyncio.Queue()
+        budget = request.app[BODY_READER].budget
+
+        def abort() -> None:
+            budget.refused_count += 1
+            log("response-cut", "WARNING", code="memory-full", reason="the client does not read")
+            if request.transport is not None:
+                request.transport.abort()
+
+        queue = _ResponseQueue(holding_of(request, budget), abort)
         began_ms = boot_ms()
 
         def on_end(step: Step, response: ServiceResponse[None]) -> None:
             seconds = (boot_ms() - began_ms) / 1000
             self._metrics.observe_completion(body.model, response.verdict, seconds)
-            queue.put_nowait(_End(step, response))
+            queue.put_end(_End(step, response))
 
         in_flight = self._service.complete(
             body.model,
             key,
             body.model_dump(exclude_none=True, exclude={"model", "stream"}),
             body.stream,
-            queue.put_nowait,
+            queue.put_event,
             on_end,
         )
         if isinstance(in_flight, ServiceResponse):
@@ -97,12 +156,13 @@
             in_flight.disconnect()
             raise
         finally:
+            queue.close()
             self.live_now -= 1
 
     async def _write(
         self,
         request: web.Request,
-        queue: asyncio.Queue[bytes | _End],
+        queue: _ResponseQueue,
         request_id: str,
         stream: bool,
     ) -> web.StreamResponse:
@@ -119,6 +179,7 @@
             if started is None:
                 started = await _start_stream(request, request_id)
             await started.write(item)
+            queue.event_written(item)
 
 
 async def _start_stream(request: web.Request, request_id: str) -> web.StreamResponse:
