Serve a single request of legal size also where it needs more than the budget

Found on the read-through: on a machine of 120 MB a lot of 4 MiB, which takes some 34 MB by its estimate, was refused as too large (413) by a budget of 30 MB although nothing else was held; and a machine of less than 64 MB, or of less than 256 descriptors, was refused its start. Cause: the budget is half of what the machine has beside an idle process, and was the bound for one request too. Change: a large request that is the only one may take up to what the machine has beside an idle process and the part of small requests, which is kept free for them meanwhile. Settings have lower bounds only against nonsense; each HTTP server has at least eight connections. Ruled out: a larger budget for all; two requests at once are what the bound is for.

--- a/libs/runtime/src/runtime/memory_budget.py
+++ b/libs/runtime/src/runtime/memory_budget.py
@@ -19,6 +19,10 @@
 _REQUEST_SHARE = 0.5
 _MIN_BUDGET_BYTES = 4 << 20
 _LARGE_SHARE = 0.75
+# A request of legal size may take more than the budget when it is the only large one; with the part
+# of small requests this is all that the machine has beside an idle process.
+_ALONE_FACTOR = 1.75
+_TOTAL_FACTOR = 2
 # Waiting requests hold what their sockets and buffers have taken in; more of them are refused.
 _WAITING_SHARE = 0.125
 # A holding of at most this part of the budget is small.
@@ -33,8 +37,9 @@
 class MemoryBudget:
     """A number of bytes, and who holds how many of them.
 
-    Holdings that are not small may take three quarters of the budget together. One that is larger
-    than that is granted when it is the only large one. `used_bytes` is what is held now, and
+    Holdings that are not small may take three quarters of the budget together; the last quarter is
+    kept for small ones. A larger request is granted when it is the only large one, up to what the
+    machine has beside an idle process and that quarter. `used_bytes` is what is held now, and
     `refused_count` counts the requests and connections that were given up for lack of memory.
 
     Parameters
@@ -75,18 +80,21 @@
 
     def can_ever_hold(self, size_bytes: int) -> bool:
         """Whether a holding of this size is granted when nothing else is held."""
-        return size_bytes <= self.limit_bytes
+        return size_bytes <= self.limit_bytes * _ALONE_FACTOR
 
     def _fits(self, old_bytes: int, new_bytes: int) -> bool:
-        if self.used_bytes - old_bytes + new_bytes > self.limit_bytes:
-            return False
+        old_large_bytes = 0 if self.is_small(old_bytes) else old_bytes
+        other_large_bytes = self._large_bytes - old_large_bytes
+        used_bytes = self.used_bytes - old_bytes + new_bytes
         if self.is_small(new_bytes):
-            return True
-        other_large_bytes = self._large_bytes - (0 if self.is_small(old_bytes) else old_bytes)
-        return (
-            other_large_bytes == 0
-            or other_large_bytes + new_bytes <= self.limit_bytes * _LARGE_SHARE
-        )
+            small_bytes = used_bytes - other_large_bytes
+            small_part_bytes = self.limit_bytes * (1 - _LARGE_SHARE)
+            return used_bytes <= self.limit_bytes or small_bytes <= small_part_bytes
+        if other_large_bytes == 0:
+            total_bytes = self.limit_bytes * _TOTAL_FACTOR
+            return self.can_ever_hold(new_bytes) and used_bytes <= total_bytes
+        large_bytes = other_large_bytes + new_bytes
+        return used_bytes <= self.limit_bytes and large_bytes <= self.limit_bytes * _LARGE_SHARE
 
     def _change(self, holding: "MemoryHolding", new_bytes: int) -> None:
         self.used_bytes += new_bytes - holding.size_bytes
--- a/libs/runtime/src/runtime/settings.py
+++ b/libs/runtime/src/runtime/settings.py
@@ -27,6 +27,7 @@
 # Shares of the descriptors that are not reserved.
 _CLIENT_CONNECTION_SHARE = 0.6
 _OTHER_CONNECTION_SHARE = 0.1
+_MIN_CONNECTIONS = 8
 
 # Settings that take effect without a restart when the file is read again.
 RELOADABLE = frozenset(
@@ -132,10 +133,10 @@
     segment_bytes: int = Field(1 << 22, ge=1 << 12)
     max_body_bytes: int = Field(1 << 22, ge=1 << 10)
     memory_bytes: int = Field(
-        1 << 30, ge=1 << 26, description="memory that the process may use on its machine"
+        1 << 30, ge=1 << 20, description="memory that the process may use on its machine"
     )
     open_files: int = Field(
-        4096, ge=256, description="number of descriptors that the process may have open"
+        4096, ge=16, description="number of descriptors that the process may have open"
     )
     keep_ms: int = Field(
         86_400_000,
@@ -326,12 +327,15 @@
 
         The other descriptors are for files, and for connections to workers and other nodes.
         """
-        return int((self.open_files - _RESERVED_FILES) * _CLIENT_CONNECTION_SHARE)
+        return self._connections(_CLIENT_CONNECTION_SHARE)
 
     @property
     def max_other_connections(self) -> int:
         """Number of connections at each other HTTP address of the process."""
-        return int((self.open_files - _RESERVED_FILES) * _OTHER_CONNECTION_SHARE)
+        return self._connections(_OTHER_CONNECTION_SHARE)
+
+    def _connections(self, share: float) -> int:
+        return max(_MIN_CONNECTIONS, int((self.open_files - _RESERVED_FILES) * share))
 
     @property
     def response_buffer_bytes(self) -> int:
