Report open_files as a setting that needs a restart

Found on the last read of the change: SIGHUP with another `openFiles` logged the setting as applied, but the servers keep the number of connections with which they were started. Cause: it was listed in RELOADABLE beside `memory_bytes`, which the process does apply. Change: it isn't listed; the log says `need_restart`, as docs/operators.md already does. Ruled out: the limits of the worker list and of open jobs, which are read from the settings in force.

--- a/libs/runtime/src/runtime/settings.py
+++ b/libs/runtime/src/runtime/settings.py
@@ -41,7 +41,6 @@
         "grace_ms",
         "max_body_bytes",
         "memory_bytes",
-        "open_files",
     }
 )
 
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -5,6 +5,8 @@
 from pathlib import Path
 
 import testtools
+from runtime import Settings
+from runtime.settings import changed_settings
 from settings_file import load_node_config
 from testtools.matchers import Contains, Equals
 
@@ -86,3 +88,14 @@
         self.assertThat(
             load_node_config("edge", str(Path("/nowhere/at/all.toml"))).is_error(), Equals(True)
         )
+
+
+class Reload(testtools.TestCase):
+    def test_descriptors_need_a_restart_and_memory_does_not(self):
+        """The servers keep the number of connections with which they were started."""
+        common = {"link": "127.0.0.1:1", "http": "127.0.0.1:2", "zone": "z"}
+        old = Settings(**common, seeds=["127.0.0.1:3"])
+        new = old.model_copy(update={"open_files": 300, "memory_bytes": 1 << 27})
+        in_force, applied, need_restart = changed_settings(old, new)
+        self.assertThat((applied, need_restart), Equals((["memory_bytes"], ["open_files"])))
+        self.assertThat(in_force.open_files, Equals(old.open_files))
